--- /dev/null
+++ b/filbertstream/cli.py
@@ -0,0 +1,303 @@
+"""The command line, by typer: thin commands over ``compose``, ``operator_client`` and ``report``.
+
+Exit codes: 0 done, 1 refused or not found, 2 wrong usage or settings, 3 no entry could be reached,
+4 staged and not yet in force everywhere, 5 lost to another change, 70 a broken invariant.
+"""
+
+import signal
+import threading
+from enum import StrEnum
+from pathlib import Path
+from typing import Annotated, Any, Final, NoReturn
+
+import msgspec
+import typer
+import yaml
+from result import Err, Ok
+
+from filbertstream.burn_report import as_rows, draw, table
+from filbertstream.checks import Mistake
+from filbertstream.compose import Entry
+from filbertstream.names import digest_key
+from filbertstream.operator_client import OperatorClient, Reply
+from filbertstream.process.burn import merge
+from filbertstream.process.settings import read_settings
+from filbertstream.version.documents import encode_changes, parse_yaml
+
+EXIT_REFUSED: Final = 1
+EXIT_USAGE: Final = 2
+EXIT_UNREACHABLE: Final = 3
+EXIT_STAGED: Final = 4
+EXIT_LOST: Final = 5
+EXIT_BROKEN: Final = 70
+WATCH_S: Final = 0.2
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, help="Serve prompts that return.")
+report_app = typer.Typer(no_args_is_help=True, help="Reports over all entries.")
+app.add_typer(report_app, name="report")
+
+
+class Output(StrEnum):
+    """How to print."""
+
+    text = "text"
+    json = "json"
+
+
+EntryOption = Annotated[
+    list[str],
+    typer.Option("--entry", envvar="FILBERTSTREAM_ENTRIES", help="Operator URL of an entry."),
+]
+KeyOption = Annotated[
+    str, typer.Option("--key", envvar="FILBERTSTREAM_OPERATOR_KEY", help="The operator's key.")
+]
+CaOption = Annotated[
+    Path | None, typer.Option("--ca", envvar="FILBERTSTREAM_CA", help="Authority for TLS.")
+]
+OutputOption = Annotated[Output, typer.Option("--output", help="text or json")]
+
+
+def _client(entries: list[str], key: str, ca_file: Path | None) -> OperatorClient:
+    urls = tuple(url for entry in entries for url in entry.split(",") if url)
+    return OperatorClient(urls, key, None if ca_file is None else str(ca_file))
+
+
+def _fail(text: str, code: int) -> NoReturn:
+    typer.echo(text, err=True)
+    raise typer.Exit(code)
+
+
+def _fail_mistakes(mistakes: list[Mistake]) -> NoReturn:
+    _fail("\n".join(str(mistake) for mistake in mistakes), EXIT_USAGE)
+
+
+def _print(value: Any, output: Output) -> None:
+    if output is Output.json:
+        typer.echo(msgspec.json.encode(value).decode())
+    else:
+        typer.echo(yaml.safe_dump(value, sort_keys=False).rstrip())
+
+
+def _reply(client: OperatorClient, method: str, path: str, value: object = None) -> Reply:
+    match client.first(method, path, value):
+        case Ok(reply):
+            return reply
+        case Err(reason):
+            _fail(reason, EXIT_UNREACHABLE)
+
+
+def _checked(reply: Reply) -> Any:
+    """Return an answer's body, or end with what the entry refused."""
+    if reply.status != 200:
+        _fail(f"{reply.body.get('title', '')} {reply.body.get('detail', '')}".strip(), EXIT_REFUSED)
+    return reply.body
+
+
+@app.command()
+def entry(config: Annotated[Path, typer.Option("--config", help="Settings file.")]) -> None:
+    """Run one entry until SIGTERM, SIGINT or a planned stop; both end requests first."""
+    match read_settings(config):
+        case Err(mistakes):
+            _fail_mistakes(mistakes)
+        case Ok(settings):
+            pass
+    running = Entry(settings)
+    asked = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: asked.set())
+    running.start()
+    while not asked.wait(WATCH_S):
+        if running.host.broken:
+            _fail("a broken invariant; see the log", EXIT_BROKEN)
+        if running.host.left:
+            break
+    if asked.is_set():
+        running.drain()
+    running.close()
+
+
+@app.command()
+def check(
+    file: Path,
+    files: Annotated[bool, typer.Option(help="Also look for the files that it names.")] = True,
+    output: OutputOption = Output.text,
+) -> None:
+    """Check a settings file or a file of documents, and name every mistake."""
+    text = file.read_text() if file.is_file() else ""
+    is_documents = any(line.startswith("kind:") for line in text.splitlines())
+    result = parse_yaml(text, str(file)) if is_documents else read_settings(file, files)
+    match result:
+        case Ok(_):
+            _print({"file": str(file), "mistakes": []}, output)
+        case Err(mistakes):
+            if output is Output.json:
+                typer.echo(msgspec.json.encode([item._asdict() for item in mistakes]).decode())
+                raise typer.Exit(EXIT_USAGE)
+            _fail_mistakes(mistakes)
+
+
+@app.command()
+def digest(key: str) -> None:
+    """Print the digest under which a bearer key is listed."""
+    typer.echo(digest_key(key))
+
+
+@app.command()
+def apply(
+    file: Annotated[Path, typer.Option("-f", "--file", help="YAML documents.")],
+    entries: EntryOption,
+    key: KeyOption,
+    base: Annotated[int | None, typer.Option(help="Only if this revision is in force.")] = None,
+    dry_run: Annotated[bool, typer.Option(help="Only say what would change.")] = False,
+    ca: CaOption = None,
+    output: OutputOption = Output.text,
+) -> None:
+    """Say what changes, bring documents into force, and wait until they are in force everywhere."""
+    match parse_yaml(file.read_text(), str(file)):
+        case Err(mistakes):
+            _fail_mistakes(mistakes)
+        case Ok(changes):
+            pass
+    client = _client(entries, key, ca)
+    plain = msgspec.json.decode(encode_changes(changes))
+    lines, revision = _differences(client, plain)
+    for line in lines:
+        typer.echo(line, err=output is Output.json)
+    if dry_run or not lines:
+        _print({"state": "unchanged" if not lines else "dry run", "revision": revision}, output)
+        return
+    on = revision if base is None else base
+    reply = _reply(client, "POST", "/v1/apply", {"changes": plain, "base": on})
+    _print(reply.body, output)
+    if reply.status != 200:
+        raise typer.Exit(EXIT_LOST if reply.body.get("state") == "lost" else EXIT_REFUSED)
+    if reply.body["state"] == "staged":
+        raise typer.Exit(EXIT_STAGED)
+
+
+def _differences(client: OperatorClient, changes: list[dict[str, Any]]) -> tuple[list[str], int]:
+    """Return a line for each document that would change, and the revision compared with."""
+    lines = []
+    revision = int(_checked(_reply(client, "GET", "/v1/documents"))["revision"])
+    for change in changes:
+        kind = change.get("of", change["kind"])
+        reply = _reply(client, "GET", f"/v1/documents/{kind}/{change['name']}")
+        present = reply.body.get("document") if reply.status == 200 else None
+        if change["kind"] == "removal":
+            lines += [f"- {kind} {change['name']}"] if present else []
+        elif present is None:
+            lines.append(f"+ {kind} {change['name']}")
+        elif present != change:
+            fields = sorted(
+                name for name in present | change if present.get(name) != change.get(name)
+            )
+            lines.append(f"~ {kind} {change['name']}: {', '.join(fields)}")
+    return lines, revision
+
+
+@app.command()
+def get(
+    kind: str,
+    name: str,
+    entries: EntryOption,
+    key: KeyOption,
+    ca: CaOption = None,
+    output: OutputOption = Output.text,
+) -> None:
+    """Print one document in force."""
+    client = _client(entries, key, ca)
+    _print(_checked(_reply(client, "GET", f"/v1/documents/{kind}/{name}"))["document"], output)
+
+
+@app.command(name="list")
+def list_documents(
+    entries: EntryOption,
+    key: KeyOption,
+    ca: CaOption = None,
+    output: OutputOption = Output.text,
+) -> None:
+    """Print the revision in force and the names of its documents."""
+    _print(_checked(_reply(_client(entries, key, ca), "GET", "/v1/documents")), output)
+
+
+@app.command()
+def status(
+    entries: EntryOption,
+    key: KeyOption,
+    ca: CaOption = None,
+    output: OutputOption = Output.text,
+) -> None:
+    """Print the state of every named entry."""
+    states: dict[str, Any] = {}
+    failed = False
+    for url, result in _client(entries, key, ca).each("/v1/status"):
+        match result:
+            case Ok(reply):
+                states[url] = reply.body
+                failed = failed or reply.status != 200
+            case Err(reason):
+                states[url] = {"unreachable": reason}
+                failed = True
+    _print(states, output)
+    if failed:
+        raise typer.Exit(EXIT_UNREACHABLE)
+
+
+@app.command()
+def drain(
+    vm: str,
+    entries: EntryOption,
+    key: KeyOption,
+    ca: CaOption = None,
+    output: OutputOption = Output.text,
+) -> None:
+    """Make a planned stop of a VM: an entry of that name, or the targets on it."""
+    body = _checked(_reply(_client(entries, key, ca), "POST", "/v1/drain", {"vm": vm}))
+    _print(body, output)
+    if body["state"] != "drained":
+        raise typer.Exit(EXIT_STAGED)
+
+
+@app.command()
+def explain(
+    request_id: str,
+    entries: EntryOption,
+    key: KeyOption,
+    ca: CaOption = None,
+    output: OutputOption = Output.text,
+) -> None:
+    """Print why a request went where it went, from the entry that served it."""
+    for _, result in _client(entries, key, ca).each(f"/v1/explain/{request_id}"):
+        match result:
+            case Ok(reply) if reply.status == 200:
+                _print(reply.body, output)
+                return
+            case _:
+                continue
+    _fail(f"no named entry remembers {request_id}", EXIT_REFUSED)
+
+
+@report_app.command()
+def burn(
+    entries: EntryOption,
+    key: KeyOption,
+    ca: CaOption = None,
+    output: OutputOption = Output.text,
+    picture: Annotated[Path | None, typer.Option(help="Also write a PNG here.")] = None,
+) -> None:
+    """Print how fast each workspace uses up its allowed misses, merged over the entries."""
+    reports = []
+    for url, result in _client(entries, key, ca).each("/v1/burn"):
+        match result:
+            case Ok(reply):
+                reports.append(_checked(reply))
+            case Err(reason):
+                typer.echo(f"not counted: {url}: {reason}", err=True)
+    if not reports:
+        _fail("no entry could be reached", EXIT_UNREACHABLE)
+    rows = merge(reports)
+    if picture is not None:
+        draw(rows, picture)
+    typer.echo(
+        msgspec.json.encode(as_rows(rows)).decode() if output is Output.json else table(rows)
+    )
--- /dev/null
+++ b/filbertstream/connection/listener.py
@@ -0,0 +1,66 @@
+"""A cheroot server around a WSGI application, with bounds on what a connection may cost."""
+
+import threading
+from typing import Any, Final
+
+from cheroot import wsgi
+
+from filbertstream.connection.tls import ReloadingAdapter
+from filbertstream.connection.wire import WsgiApp
+from filbertstream.process.settings import Tls
+
+SOCKET_TIMEOUT_S: Final = 10
+"""A sender that pauses for longer loses its connection."""
+
+HEADER_LIMIT_BYTES: Final = 32_768
+BACKLOG: Final = 512
+STOP_S: Final = 5
+
+
+class Listener:
+    """A listening socket with its worker threads."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        app: WsgiApp,
+        threads: int,
+        body_limit_bytes: int,
+        tls: Tls | None,
+    ) -> None:
+        self.certificates = None if tls is None else ReloadingAdapter(tls)
+        server: Any = wsgi.Server(
+            (host, port),
+            app,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=BACKLOG,
+            timeout=SOCKET_TIMEOUT_S,
+            shutdown_timeout=STOP_S,
+            server_name="filbertstream",
+        )
+        server.max_request_header_size = HEADER_LIMIT_BYTES
+        server.max_request_body_size = body_limit_bytes
+        server.error_log = _drop
+        if self.certificates is not None:
+            server.ssl_adapter = self.certificates.adapter
+        self._server = server
+        self._thread = threading.Thread(target=self._serve, name=f"listen-{port}", daemon=True)
+
+    def start(self) -> None:
+        """Bind and serve; returns once connections are accepted."""
+        self._server.prepare()
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop accepting, let running requests end for a bounded time, and close."""
+        self._server.stop()
+        self._thread.join()
+
+    def _serve(self) -> None:
+        self._server.serve()
+
+
+def _drop(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    """Drop cheroot's own log lines, which can hold parts of requests."""
--- /dev/null
+++ b/filbertstream/connection/peer_link.py
@@ -0,0 +1,127 @@
+"""Messages between entries over pyzmq: one PULL socket in, one PUSH socket to each peer.
+
+Messages are small and may be lost: everything that matters is repeated by heartbeats or kept on
+the platform.  A peer that doesn't read loses messages instead of holding this process up.  ZeroMQ's
+own pings replace connections that have gone silent.  With a fleet key, links use CURVE and only
+holders of the key are heard.
+"""
+
+import threading
+from collections import OrderedDict
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+import zmq
+import zmq.auth
+from zmq.auth.thread import ThreadAuthenticator
+
+from filbertstream.actions import SendPeer
+from filbertstream.events import PeerMessage
+from filbertstream.messages import decode, encode
+from filbertstream.process.host import Host
+
+QUEUE_MESSAGES: Final = 256
+PING_MS: Final = 1_000
+PING_TIMEOUT_MS: Final = 3_000
+POLL_MS: Final = 500
+OPEN_PEERS: Final = 64
+"""Connections kept open; the longest unused is closed first."""
+
+
+class _FleetKey:
+    """Tells the authenticator that only the fleet's own public key is welcome."""
+
+    def __init__(self, public: bytes) -> None:
+        self._public = public
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Whether a client that shows ``key`` may connect."""
+        return key == self._public
+
+
+class PeerLink:
+    """The sockets of this process towards the other entries."""
+
+    def __init__(self, address: str, key_file: Path | None, host: Host) -> None:
+        self._address = address
+        self._host = host
+        self._context = zmq.Context()
+        self._secret = None if key_file is None else key_file.read_bytes().strip()
+        self._public = None if self._secret is None else zmq.curve_public(self._secret)
+        self._authenticator: ThreadAuthenticator | None = None
+        self._push: OrderedDict[str, zmq.Socket[bytes]] = OrderedDict()
+        self._stop = threading.Event()
+        self._reader = threading.Thread(target=self._read, name="peers", daemon=True)
+        self._bound = threading.Event()
+
+    def start(self) -> None:
+        """Bind, read peers' messages, and take the core's messages to peers."""
+        if self._public is not None:
+            self._authenticator = ThreadAuthenticator(self._context)
+            self._authenticator.start()
+            self._authenticator.configure_curve_callback("*", _FleetKey(self._public))
+        self._host.register(SendPeer, self._send)
+        self._reader.start()
+
+    def close(self) -> None:
+        """Close all sockets; the host must be closed before, since it sends."""
+        self._stop.set()
+        self._reader.join()
+        for socket in self._push.values():
+            socket.close(linger=0)
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._context.term()
+
+    def _send(self, action: SendPeer) -> None:
+        """Send without waiting; called on the actor's thread only, which owns the sockets."""
+        socket = self._push.get(action.address)
+        if socket is None:
+            socket = self._connect(action.address)
+        self._push.move_to_end(action.address)
+        try:
+            socket.send(encode(action.payload), zmq.NOBLOCK)
+        except zmq.Again:
+            return
+
+    def _connect(self, address: str) -> "zmq.Socket[bytes]":
+        while len(self._push) >= OPEN_PEERS:
+            _, oldest = self._push.popitem(last=False)
+            oldest.close(linger=0)
+        socket = self._context.socket(zmq.PUSH)
+        self._configure(socket)
+        if self._secret is not None and self._public is not None:
+            socket.curve_secretkey = self._secret
+            socket.curve_publickey = self._public
+            socket.curve_serverkey = self._public
+        socket.connect(address)
+        self._push[address] = socket
+        return socket
+
+    def _configure(self, socket: "zmq.Socket[Any]") -> None:
+        socket.set_hwm(QUEUE_MESSAGES)
+        socket.linger = 0
+        socket.setsockopt(zmq.HEARTBEAT_IVL, PING_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS)
+
+    def _read(self) -> None:
+        socket = self._context.socket(zmq.PULL)
+        self._configure(socket)
+        if self._secret is not None:
+            socket.curve_secretkey = self._secret
+            socket.curve_server = True
+        socket.bind(self._address)
+        while not self._stop.is_set():
+            if not socket.poll(POLL_MS):
+                continue
+            self._deliver(socket.recv())
+        socket.close(linger=0)
+
+    def _deliver(self, data: bytes) -> None:
+        try:
+            message = decode(data)
+        except msgspec.DecodeError:
+            # Another version's message: the sender repeats what matters in a form known to both.
+            return
+        self._host.tell(PeerMessage(message))
--- /dev/null
+++ b/filbertstream/connection/tls.py
@@ -0,0 +1,51 @@
+"""TLS for the listeners: certificates from files, read again when the files change.
+
+A pair that can't be loaded is reported and the one in use stays.  New connections use the new
+pair; open ones keep theirs.
+"""
+
+import ssl
+from typing import NamedTuple
+
+from cheroot.ssl.builtin import BuiltinSSLAdapter
+
+from filbertstream.process.settings import Tls
+
+
+class _Stamp(NamedTuple):
+    certificate_ns: int
+    key_ns: int
+
+
+class ReloadingAdapter:
+    """A cheroot adapter and the state of the files that it was loaded from."""
+
+    def __init__(self, tls: Tls) -> None:
+        self._tls = tls
+        self._stamp = self._read_stamp()
+        self.adapter = BuiltinSSLAdapter(str(tls.certificate_file), str(tls.key_file))
+        self.adapter.context.minimum_version = ssl.TLSVersion.TLSv1_2
+
+    def reload(self) -> bool | None:
+        """Load changed files; True if that worked, False if not, None if nothing changed."""
+        stamp = self._read_stamp()
+        if stamp == self._stamp:
+            return None
+        self._stamp = stamp
+        try:
+            # Loaded into a scratch context first: a bad pair must not disturb the one in use.
+            scratch = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+            scratch.load_cert_chain(self._tls.certificate_file, self._tls.key_file)
+            self.adapter.context.load_cert_chain(self._tls.certificate_file, self._tls.key_file)
+        except (OSError, ssl.SSLError):
+            return False
+        return True
+
+    def _read_stamp(self) -> _Stamp | None:
+        try:
+            return _Stamp(
+                self._tls.certificate_file.stat().st_mtime_ns,
+                self._tls.key_file.stat().st_mtime_ns,
+            )
+        except OSError:
+            return None
--- /dev/null
+++ b/filbertstream/operator_client.py
@@ -0,0 +1,76 @@
+"""The command line's calls to the operators' API of one or more entries."""
+
+from typing import Any, Final, NamedTuple
+
+import msgspec
+import urllib3
+from result import Err, Ok, Result
+from urllib3.exceptions import HTTPError
+
+CONNECT_S: Final = 2.0
+READ_S: Final = 90.0
+BAD_GATEWAY: Final = 502
+
+
+class Reply(NamedTuple):
+    """Status and decoded body of an answer."""
+
+    status: int
+    body: Any
+
+
+class OperatorClient:
+    """Talks to entries with an operator's key."""
+
+    def __init__(self, entries: tuple[str, ...], key: str, ca_file: str | None) -> None:
+        self._entries = entries
+        self._headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+        self._pool = urllib3.PoolManager(
+            retries=False,
+            timeout=urllib3.Timeout(connect=CONNECT_S, read=READ_S),
+            ca_certs=ca_file,
+        )
+
+    def first(self, method: str, path: str, value: object = None) -> Result[Reply, str]:
+        """Ask the first entry that can be reached; a call that may have arrived isn't repeated."""
+        reason = "no entry was named"
+        for entry in self._entries:
+            match self._call(entry, method, path, value):
+                case Ok(reply):
+                    return Ok(reply)
+                case Err(failure):
+                    reason = failure.text
+                    if failure.sent and method != "GET":
+                        return Err(reason)
+        return Err(reason)
+
+    def each(self, path: str) -> list[tuple[str, Result[Reply, str]]]:
+        """Ask every entry."""
+        replies: list[tuple[str, Result[Reply, str]]] = []
+        for entry in self._entries:
+            match self._call(entry, "GET", path, None):
+                case Ok(reply):
+                    replies.append((entry, Ok(reply)))
+                case Err(failure):
+                    replies.append((entry, Err(failure.text)))
+        return replies
+
+    def _call(
+        self, entry: str, method: str, path: str, value: object
+    ) -> "Result[Reply, _CallFailure]":
+        body = None if value is None else msgspec.json.encode(value)
+        url = f"{entry.rstrip('/')}{path}"
+        try:
+            resp = self._pool.request(method, url, body=body, headers=self._headers)
+        except HTTPError as exc:
+            sent = not isinstance(exc, urllib3.exceptions.NewConnectionError)
+            return Err(_CallFailure(f"{entry}: {exc}", sent))
+        try:
+            return Ok(Reply(resp.status, msgspec.json.decode(resp.data)))
+        except msgspec.DecodeError:
+            return Ok(Reply(BAD_GATEWAY, {"title": "an answer that is not JSON"}))
+
+
+class _CallFailure(NamedTuple):
+    text: str
+    sent: bool
--- /dev/null
+++ b/filbertstream/process/membership.py
@@ -0,0 +1,278 @@
+"""Which entries there are, which of them live, and which of them owns what.
+
+Members register in the platform's object API, so that a newcomer finds them and a majority can be
+counted; liveness is by heartbeats between entries and never touches the platform.  A member sends
+heartbeats to all peers while they are few and to logarithmically many ring successors once they
+are not, so the cost for a member hardly grows with the fleet.  Owners of claim shards and
+catalogue chains are found on a ring of the live members; ownership is a hint only.
+"""
+
+from typing import Final, NamedTuple
+
+import msgspec
+
+from filbertstream.actions import MUST_NOT_EXIST, Action, ListObjects, PutObject, SendPeer
+from filbertstream.events import ObjectRecord, PutFinished, ReadFinished
+from filbertstream.messages import Heartbeat, PeerPayload
+from filbertstream.names import Ring
+from filbertstream.process.append_log import OpIds
+from filbertstream.units import DEAD_AFTER_S, HEARTBEAT_S
+
+MEMBERS_KIND: Final = "members"
+ALL_PEERS_LIMIT: Final = 15
+"""Up to this many peers everybody sends heartbeats to everybody."""
+
+RENEW_S: Final = 10.0
+RENEW_S_PER_MEMBER: Final = 0.05
+"""A registration is renewed every ``RENEW_S``, more slowly in a large fleet."""
+
+LIST_S: Final = 5.0
+LIST_S_PER_MEMBER: Final = 0.25
+"""Registrations are listed every ``LIST_S``, more slowly in a large fleet."""
+
+LIVE_CACHE_S: Final = 0.25
+"""How long the set of live members is used before it is worked out again."""
+
+EXPIRE_RENEWALS: Final = 3
+"""A registration whose version stands still for this many renewals is taken away."""
+
+
+class Registration(msgspec.Struct, frozen=True):
+    """What a member registers; ``beat`` changes with each renewal."""
+
+    name: str
+    vm: str
+    incarnation: int
+    data_center: str
+    address: str
+    beat: int
+
+
+class Peer(NamedTuple):
+    """What is known of another member."""
+
+    registration: Registration
+    version: int
+    changed_at_s: float
+    heard_at_s: float
+    stamp_s: float
+    revision: int
+    state: str
+
+
+class Membership:
+    """This member's view of the fleet."""
+
+    def __init__(self, own: Registration, seeds: tuple[str, ...], op_ids: OpIds) -> None:
+        self.own = own
+        self.peers: dict[str, Peer] = {}
+        self.state = "live"
+        self._seeds = seeds
+        self._op_ids = op_ids
+        self._own_version = MUST_NOT_EXIST
+        self._put_op: int | None = None
+        self._list_op: int | None = None
+        self._prune_ops: set[int] = set()
+        self._live: tuple[str, ...] = (own.name,)
+        self._live_until_s = float("-inf")
+        self._ring = Ring(self._live)
+        self._next_renew_s = 0.0
+        self._next_list_s = 0.0
+        self._next_beat_s = 0.0
+        self.registered_at_s: float | None = None
+        self._list_began_s = 0.0
+        self.listed_at_s: float | None = None
+
+    def live(self, now_s: float) -> tuple[str, ...]:
+        """Return the names of the members that are not taken for dead, this one included."""
+        if now_s >= self._live_until_s:
+            names = [name for name, peer in self.peers.items() if self._is_live(peer, now_s)]
+            live = tuple(sorted([self.own.name, *names]))
+            self._live_until_s = now_s + LIVE_CACHE_S
+            if live != self._live:
+                self._live = live
+                self._ring = Ring(live)
+        return self._live
+
+    def _is_live(self, peer: Peer, now_s: float) -> bool:
+        return peer.state != "left" and now_s - peer.heard_at_s <= DEAD_AFTER_S
+
+    def registered(self) -> tuple[str, ...]:
+        """Return the names of all members that have not left, dead ones included."""
+        names = [name for name, peer in self.peers.items() if peer.state != "left"]
+        return tuple(sorted([self.own.name, *names]))
+
+    def others(self) -> tuple[str, ...]:
+        """Return the registered members other than this one."""
+        return tuple(name for name in self.registered() if name != self.own.name)
+
+    def owner(self, subject: str, now_s: float) -> str:
+        """Return the live member that owns a subject."""
+        self.live(now_s)
+        return self._ring.owner(subject)
+
+    def address_of(self, name: str) -> str | None:
+        """Return a peer's address."""
+        peer = self.peers.get(name)
+        return None if peer is None else peer.registration.address
+
+    def fan_out(self) -> tuple[Peer, ...]:
+        """Return the peers that get heartbeats: all while few, else ring successors 1, 2, 4, ..."""
+        ring = sorted(self.peers.values(), key=lambda peer: peer.registration.name)
+        present = [peer for peer in ring if peer.state != "left"]
+        if len(present) <= ALL_PEERS_LIMIT:
+            return tuple(present)
+        after = [peer for peer in present if peer.registration.name > self.own.name]
+        rotated = after + present[: len(present) - len(after)]
+        steps = [1 << power for power in range(len(rotated).bit_length())]
+        return tuple(rotated[step - 1] for step in steps if step <= len(rotated))
+
+    def tell_all(self, payload: PeerPayload) -> tuple[Action, ...]:
+        """Return a message to each peer that gets heartbeats."""
+        return tuple(SendPeer(peer.registration.address, payload) for peer in self.fan_out())
+
+    def beat_due(self, now_s: float) -> bool:
+        """Whether it is time for heartbeats; asking takes the turn."""
+        if now_s < self._next_beat_s:
+            return False
+        self._next_beat_s = now_s + HEARTBEAT_S
+        return True
+
+    def seed_addresses(self) -> tuple[str, ...]:
+        """Return seed addresses that belong to no known peer: whom to greet when cut off."""
+        known = {peer.registration.address for peer in self.peers.values()}
+        return tuple(seed for seed in self._seeds if seed not in known | {self.own.address})
+
+    def on_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> bool:
+        """Take in a heartbeat; return whether it brought a new member or incarnation."""
+        if heartbeat.member == self.own.name:
+            return False
+        peer = self.peers.get(heartbeat.member)
+        if peer is not None and heartbeat.incarnation < peer.registration.incarnation:
+            return False
+        newcomer = peer is None or heartbeat.incarnation > peer.registration.incarnation
+        registration = Registration(
+            heartbeat.member,
+            heartbeat.member if peer is None else peer.registration.vm,
+            heartbeat.incarnation,
+            heartbeat.data_center,
+            heartbeat.address,
+            0,
+        )
+        if newcomer or (peer is not None and peer.state != heartbeat.state):
+            self._live_until_s = float("-inf")
+        version = MUST_NOT_EXIST if peer is None else peer.version
+        changed_at_s = now_s if peer is None else peer.changed_at_s
+        self.peers[heartbeat.member] = Peer(
+            registration if newcomer or peer is None else peer.registration,
+            version,
+            changed_at_s,
+            now_s,
+            heartbeat.stamp_s,
+            heartbeat.revision,
+            heartbeat.state,
+        )
+        return newcomer
+
+    def tick(self, now_s: float) -> tuple[Action, ...]:
+        """Return the platform calls that are due: renewal, listing, taking stale rows away."""
+        actions: list[Action] = []
+        if now_s >= self._next_renew_s and self._put_op is None and self.state != "left":
+            actions.append(self._renew(now_s))
+        if now_s >= self._next_list_s and self._list_op is None:
+            actions.append(self._list(now_s))
+        return (*actions, *self._prune(now_s))
+
+    def list_now(self) -> None:
+        """Make a listing due, so that members which registered lately are known."""
+        self._next_list_s = 0.0
+
+    def leave(self) -> tuple[Action, ...]:
+        """Take the own registration away, at the end of a planned stop."""
+        self.state = "left"
+        put = PutObject(self._op_ids.next(), MEMBERS_KIND, self.own.name, None, self._own_version)
+        return (put,)
+
+    def _renew(self, now_s: float) -> PutObject:
+        self._next_renew_s = now_s + self._renew_s()
+        self.own = msgspec.structs.replace(self.own, beat=self.own.beat + 1)
+        self._put_op = self._op_ids.next()
+        value = msgspec.json.encode(self.own)
+        return PutObject(self._put_op, MEMBERS_KIND, self.own.name, value, self._own_version)
+
+    def _renew_s(self) -> float:
+        return max(RENEW_S, RENEW_S_PER_MEMBER * len(self.peers))
+
+    def _list(self, now_s: float) -> ListObjects:
+        self._next_list_s = now_s + max(LIST_S, LIST_S_PER_MEMBER * len(self.peers))
+        self._list_op = self._op_ids.next()
+        self._list_began_s = now_s
+        return ListObjects(self._list_op, MEMBERS_KIND, "")
+
+    def _prune(self, now_s: float) -> list[PutObject]:
+        """Take away registrations that stand still; the owner by rank does it."""
+        expired_s = EXPIRE_RENEWALS * self._renew_s()
+        puts = []
+        for name, peer in list(self.peers.items()):
+            dead = not self._is_live(peer, now_s)
+            if not dead or now_s - peer.changed_at_s <= expired_s:
+                continue
+            del self.peers[name]
+            if peer.version != MUST_NOT_EXIST and self.owner(name, now_s) == self.own.name:
+                op_id = self._op_ids.next()
+                self._prune_ops.add(op_id)
+                puts.append(PutObject(op_id, MEMBERS_KIND, name, None, peer.version))
+        return puts
+
+    def on_put(self, result: PutFinished, now_s: float) -> bool:
+        """Take in a write's result; False if it wasn't asked for here."""
+        if result.op_id in self._prune_ops:
+            self._prune_ops.discard(result.op_id)
+            return True
+        if result.op_id != self._put_op:
+            return False
+        self._put_op = None
+        if result.outcome == "ok":
+            self._own_version = result.version
+            self.registered_at_s = self.registered_at_s or now_s
+        else:
+            # An earlier incarnation's row or a lost answer: the listing tells the version.
+            self._next_renew_s = now_s + HEARTBEAT_S
+            self._next_list_s = now_s
+        return True
+
+    def on_read(self, result: ReadFinished, now_s: float) -> bool:
+        """Take in a listing; False if it wasn't asked for here."""
+        if result.op_id != self._list_op:
+            return False
+        self._list_op = None
+        if not result.ok:
+            return True
+        self.listed_at_s = self._list_began_s
+        rows = {row.name: row for row in result.records}
+        own = rows.pop(self.own.name, None)
+        self._own_version = MUST_NOT_EXIST if own is None else own.version
+        for row in rows.values():
+            self._take_row(row, now_s)
+        for name in [name for name in self.peers if name not in rows]:
+            if not self._is_live(self.peers[name], now_s):
+                del self.peers[name]
+        return True
+
+    def _take_row(self, row: ObjectRecord, now_s: float) -> None:
+        registration = msgspec.json.decode(row.value, type=Registration)
+        peer = self.peers.get(row.name)
+        if peer is None:
+            # A member that has just registered may take work already, so it counts as live until
+            # it has had the time to be heard: acceptance must wait for it.
+            self.peers[row.name] = Peer(registration, row.version, now_s, now_s, 0.0, 0, "live")
+            self._live_until_s = float("-inf")
+            return
+        moved = row.version != peer.version
+        changed_at_s = now_s if moved else peer.changed_at_s
+        newer = registration.incarnation >= peer.registration.incarnation
+        self.peers[row.name] = peer._replace(
+            registration=registration if newer else peer.registration,
+            version=row.version,
+            changed_at_s=changed_at_s,
+        )
--- /dev/null
+++ b/filbertstream/process/settings.py
@@ -0,0 +1,142 @@
+"""The settings of one entry process: a YAML file, checked whole before anything starts.
+
+Operators never tune single machines here; a file tells a process its addresses, its data center,
+where the platform is, and which key files to use.  Everything that decides how requests are served
+is in the configuration documents (``version.documents``).
+"""
+
+from ipaddress import IPv4Address, IPv6Address
+from pathlib import Path
+from typing import Annotated, Any, Final, Literal, NamedTuple, TypeAlias
+
+import yaml
+from pydantic import Field, StringConstraints, TypeAdapter, ValidationError
+from result import Err, Ok, Result
+
+from filbertstream.checks import Mistake, collect_mistakes
+from filbertstream.version.documents import Digest, Name
+
+Address: TypeAlias = Annotated[IPv4Address | IPv6Address, Field(union_mode="left_to_right")]
+Port: TypeAlias = Annotated[int, Field(gt=0, lt=65_536, strict=True)]
+PeerAddress: TypeAlias = Annotated[str, StringConstraints(pattern=r"^tcp://[0-9.]+:[0-9]+$")]
+Url: TypeAlias = Annotated[str, StringConstraints(pattern=r"^https?://[0-9.]+:[0-9]+$")]
+
+CALLER_THREADS: Final = 192
+OPERATOR_THREADS: Final = 6
+BODY_LIMIT_BYTES: Final = 4_000_000
+
+
+class Tls(NamedTuple):
+    """Certificate and key files in PEM, read again whenever they change."""
+
+    certificate_file: Path
+    key_file: Path
+
+
+class Listener(NamedTuple):
+    """Where to listen; ``threads`` bounds the requests that are served at once."""
+
+    host: Address
+    port: Port
+    threads: Annotated[int, Field(gt=0, le=2_000, strict=True)] = CALLER_THREADS
+    body_limit_bytes: Annotated[int, Field(gt=0, strict=True)] = BODY_LIMIT_BYTES
+    tls: Tls | None = None
+
+
+class Operators(NamedTuple):
+    """The operators' listener; ``keys`` are digests, made by ``filbertstream digest``."""
+
+    host: Address
+    port: Port
+    keys: Annotated[tuple[Digest, ...], Field(min_length=1)]
+    tls: Tls | None = None
+
+
+class Peers(NamedTuple):
+    """Where other entries reach this one, and some of them to greet at the start.
+
+    ``key_file`` holds the fleet's CURVE secret key; with it, links are encrypted and only holders
+    of the same key are heard.
+    """
+
+    address: PeerAddress
+    seeds: tuple[PeerAddress, ...] = ()
+    key_file: Path | None = None
+
+
+class Platform(NamedTuple):
+    """The object API and the list of VMs."""
+
+    objects: Url
+    vm_list: Url
+    ca_file: Path | None = None
+
+
+class Targets(NamedTuple):
+    """How targets are reached: the authority that their certificates must come from."""
+
+    ca_file: Path | None = None
+
+
+class Settings(NamedTuple):
+    """All settings of an entry."""
+
+    name: Name
+    vm: Name
+    data_center: Name
+    callers: Listener
+    operators: Operators
+    peers: Peers
+    platform: Platform
+    cache_secret_file: Path
+    targets: Targets = Targets()
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+_ADAPTER: Final[TypeAdapter[Settings]] = TypeAdapter(Settings)
+
+
+def read_settings(path: Path, files: bool = True) -> Result[Settings, list[Mistake]]:
+    """Return the checked settings of a file, or every mistake in it.
+
+    ``files`` asks that the files which the settings name exist, too.
+    """
+    file = str(path)
+    try:
+        text = path.read_text()
+        node = yaml.compose(text, Loader=yaml.SafeLoader)
+        raw: Any = yaml.safe_load(text)
+    except OSError as exc:
+        return Err([Mistake(file, 0, "", f"a readable file ({exc.strerror})")])
+    except yaml.YAMLError as exc:
+        mark = getattr(exc, "problem_mark", None)
+        return Err([Mistake(file, mark.line + 1 if mark else 0, "", "well-formed YAML")])
+    if node is None:
+        return Err([Mistake(file, 1, "", "a mapping of settings")])
+    try:
+        settings = _ADAPTER.validate_python(raw)
+    except ValidationError as exc:
+        return Err(collect_mistakes(exc, file, node))
+    missing = [item for item in _files(settings) if files and not item[1].is_file()]
+    if missing:
+        faults = [Mistake(file, 0, key, f"an existing file ({path})") for key, path in missing]
+        return Err([fault.located(file, node) for fault in faults])
+    return Ok(settings)
+
+
+def _files(settings: Settings) -> list[tuple[str, Path]]:
+    """Return the files that settings name, by key."""
+    named: list[tuple[str, Path | None]] = [
+        ("cache_secret_file", settings.cache_secret_file),
+        ("peers.key_file", settings.peers.key_file),
+        ("platform.ca_file", settings.platform.ca_file),
+        ("targets.ca_file", settings.targets.ca_file),
+    ]
+    for key, tls in (
+        ("callers.tls", settings.callers.tls),
+        ("operators.tls", settings.operators.tls),
+    ):
+        if tls is not None:
+            named.append((f"{key}.certificate_file", tls.certificate_file))
+            named.append((f"{key}.key_file", tls.key_file))
+    return [(key, path) for key, path in named if path is not None]
--- /dev/null
+++ b/filbertstream/request/__init__.py
@@ -0,0 +1,1 @@
+"""State that lives as long as a request, and the decisions taken for it."""
--- /dev/null
+++ b/filbertstream/request/serving.py
@@ -0,0 +1,549 @@
+"""Moves requests from arrival to final answer: admission, lookup, routing, attempts, retries.
+
+One instance serves all requests of the process.  Each method takes one event and returns actions;
+nothing here waits.  ``request.claimed`` is asked first about requests that must run at most once.
+Every path ends in exactly one of: the worker passing on a whole answer, ``Refuse`` or
+``AnswerKept``.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from filbertstream.actions import (
+    Action,
+    AwaitDecision,
+    CancelAttempt,
+    ExportPieces,
+    ImportHint,
+    Log,
+    Refuse,
+    ResumeAttempt,
+    SendAttempt,
+    SendPeer,
+)
+from filbertstream.events import (
+    AttemptFailed,
+    AttemptFinished,
+    AttemptStarted,
+    CallerRequest,
+    PiecesExported,
+)
+from filbertstream.log_events import LogEvent
+from filbertstream.messages import CatalogueAnswer, CatalogueAsk, CatalogueNote, Holding
+from filbertstream.process.burn import Burn
+from filbertstream.process.counters import Counters
+from filbertstream.process.directory import Directory, Target
+from filbertstream.process.membership import Membership
+from filbertstream.request.admission import Admission
+from filbertstream.request.explain import AttemptNote, Explanation, Explanations
+from filbertstream.request.prefix import piece_names
+from filbertstream.request.retry_budget import RetryBudget
+from filbertstream.request.routing import POLICIES, Ask, Candidate, Decision
+from filbertstream.request.run import Attempt, KeptAnswer, Phase, Run
+from filbertstream.units import KV_BYTES_PER_TOKEN, PIECE_TOKENS
+from filbertstream.version.catalogue import Catalogue
+from filbertstream.version.keeping import choose_store
+from filbertstream.version.resolve import Grant, View
+
+LOOKUP_WITHIN_S: Final = 0.02
+"""How long a request waits for the owner of its chain; after that it is routed without it."""
+
+RESUMABLE_CAUSES: Final = frozenset({"cut", "silent", "crossed", "malformed", "unreachable"})
+"""After these a new connection can bring the rest of a stream from the same runner."""
+
+MAX_ATTEMPTS: Final = 3
+MAX_RESUMES: Final = 3
+PROGRESS_S: Final = 2.0
+"""A stream without a byte for this long is taken for cut."""
+
+FIRST_BYTE_MIN_S: Final = 2.0
+FIRST_BYTE_FACTOR: Final = 4.0
+"""A first byte may take this many times what was expected before it is given up."""
+
+
+class ServingParts(NamedTuple):
+    """What serving works with; ``core`` owns it all."""
+
+    name: str
+    data_center: str
+    secret: bytes
+    policy: str
+    view: View
+    directory: Directory
+    membership: Membership
+    catalogue: Catalogue
+    admission: Admission
+    budget: RetryBudget
+    explanations: Explanations
+    burn: Burn
+    counters: Counters
+    rng: random.Random
+
+
+class Serving:
+    """All requests under way in this process."""
+
+    def __init__(self, parts: ServingParts) -> None:
+        self.runs: dict[str, Run] = {}
+        self.close_claim: Callable[[Run, float], list[Action]] = lambda run, now_s: []
+        self._parts = parts
+        self._attempts = 0
+
+    def refuse_new(
+        self, req: CallerRequest, code: str, retry_after_s: float, detail: str = ""
+    ) -> list[Action]:
+        """Refuse a request that has not begun."""
+        self._parts.counters.add("refused", code)
+        fields = (("request_id", req.request_id), ("code", code))
+        return [
+            Refuse(req.request_id, code, detail, "not_run", retry_after_s),
+            Log(LogEvent.REQUEST_REFUSED, fields),
+        ]
+
+    def admit(self, req: CallerRequest, now_s: float) -> tuple[Run | None, list[Action]]:
+        """Check rights and limits; return the run, or None and the refusal."""
+        parts = self._parts
+        grant = parts.view.grant_for_key(req.key_digest)
+        if grant is None:
+            return None, self.refuse_new(req, "unauthorized", 0.0)
+        code = self._not_permitted(req, grant)
+        if code is not None:
+            return None, self.refuse_new(req, code, 0.0)
+        share = 1.0 / len(parts.membership.live(now_s))
+        shortage = parts.admission.begin(grant, share, now_s)
+        if shortage is not None:
+            return None, self.refuse_new(req, shortage.code, shortage.retry_after_s)
+        limit_s = grant.objectives.deadline_s
+        deadline_s = limit_s if req.deadline_s is None else min(limit_s, req.deadline_s)
+        run = Run(req, grant, now_s, now_s + deadline_s)
+        self.runs[req.request_id] = run
+        parts.counters.add("begun", req.kind)
+        return run, []
+
+    def _not_permitted(self, req: CallerRequest, grant: Grant) -> str | None:
+        if req.kind == "service":
+            if self._parts.view.service(req.target_name) is None:
+                return "not_found"
+            return None if req.target_name in grant.services else "not_permitted"
+        if self._parts.view.model(req.target_name) is None:
+            return "not_found"
+        if req.target_name not in grant.models:
+            return "not_permitted"
+        return "too_large" if req.prompt_tokens > grant.limits.prompt_tokens else None
+
+    def begin_model(self, run: Run, now_s: float) -> list[Action]:
+        """Name the prompt's pieces and find out who holds them, then route."""
+        parts = self._parts
+        run.weight_version = self._preferred_version(run)
+        run.names = self._names(run, run.weight_version)
+        if not run.names:
+            return self.route(run, now_s)
+        owner = parts.membership.owner(run.names[0], now_s)
+        address = parts.membership.address_of(owner)
+        if address is None:
+            run.holdings = parts.catalogue.find(run.names)
+            return self.route(run, now_s)
+        run.phase = Phase.LOOKUP
+        own_address = parts.membership.own.address
+        ask = CatalogueAsk(run.req.request_id, own_address, run.names)
+        return [SendPeer(address, ask), AwaitDecision(run.req.request_id, LOOKUP_WITHIN_S)]
+
+    def _names(self, run: Run, version: str) -> tuple[str, ...]:
+        secret = self._parts.secret
+        req = run.req
+        return piece_names(req.pieces, secret, run.workspace, req.target_name, version)
+
+    def _permitted_versions(self, run: Run) -> list[str]:
+        """Return the weight versions that may serve the run now, the best first."""
+        model = run.req.target_name
+        wanted = self._parts.view.version_for(run.grant, model) or ""
+        permitted = run.grant.versions.get(model)
+        served = self._parts.directory.versions(model)
+        usable = [item for item in served if not permitted or item in permitted]
+        return usable or [wanted]
+
+    def _preferred_version(self, run: Run) -> str:
+        return self._permitted_versions(run)[0]
+
+    def on_holdings(self, answer: CatalogueAnswer, now_s: float) -> list[Action]:
+        """Route a run whose lookup was answered in time."""
+        run = self.runs.get(answer.request_id)
+        if run is None or run.phase is not Phase.LOOKUP:
+            return []
+        run.holdings = answer.holdings
+        return self.route(run, now_s)
+
+    def on_lookup_overdue(self, run: Run, now_s: float) -> list[Action]:
+        """Route a run whose lookup was not answered."""
+        self._parts.counters.add("lookup_overdue", "")
+        run.holdings = self._parts.catalogue.find(run.names)
+        return self.route(run, now_s)
+
+    def route(self, run: Run, now_s: float) -> list[Action]:
+        """Choose a target and send, or give the request up."""
+        run.phase = Phase.ATTEMPT
+        if run.req.kind == "service":
+            return self._route_service(run, now_s)
+        decision = self._decide(run, now_s)
+        if decision is None:
+            return self.give_up(run, "no_target", now_s)
+        run.chosen = decision.chosen
+        run.candidates = decision.candidates
+        if now_s + decision.chosen.first_token_s > run.deadline_at_s:
+            return self.give_up(run, "deadline", now_s, decision.chosen.wait_s)
+        return self._send_model(run, decision.chosen, now_s)
+
+    def _decide(self, run: Run, now_s: float) -> Decision | None:
+        """Return the cheapest decision over the weight versions that may serve the run."""
+        best: Decision | None = None
+        for version in self._permitted_versions(run):
+            known = version == run.weight_version
+            names = run.names if known else self._names(run, version)
+            decision = self._decide_version(run, version, names, now_s)
+            if decision is None or (best and best.chosen.cost <= decision.chosen.cost):
+                continue
+            best = decision
+            chosen_version, chosen_names = version, names
+        if best is not None:
+            run.weight_version, run.names = chosen_version, chosen_names
+        return best
+
+    def _decide_version(
+        self, run: Run, version: str, names: tuple[str, ...], now_s: float
+    ) -> Decision | None:
+        parts = self._parts
+        ask = Ask(
+            run.req.target_name,
+            version,
+            run.req.prompt_tokens,
+            names,
+            run.holdings if version == run.weight_version else (),
+            run.grant.weights,
+            parts.data_center,
+            frozenset(run.failed),
+            len(parts.membership.live(now_s)),
+        )
+        return POLICIES[parts.policy](ask, parts.directory, now_s, parts.rng)
+
+    def _send_model(self, run: Run, chosen: Candidate, now_s: float) -> list[Action]:
+        directory = self._parts.directory
+        target = directory.targets[chosen.target]
+        attempt = self._new_attempt(run, target, chosen.recompute_tokens, now_s)
+        target.sent(now_s, chosen.recompute_tokens)
+        first_byte_s = max(FIRST_BYTE_MIN_S, FIRST_BYTE_FACTOR * chosen.first_token_s)
+        remaining_s = run.deadline_at_s - now_s
+        return [
+            SendAttempt(
+                run.req.request_id,
+                attempt.attempt_id,
+                target.name,
+                target.listed.address,
+                "runner",
+                run.weight_version,
+                run.grant.priority,
+                self._imports(run, chosen, now_s),
+                run.names,
+                False,
+                min(first_byte_s, remaining_s),
+                min(PROGRESS_S, remaining_s),
+                remaining_s,
+            )
+        ]
+
+    def _imports(self, run: Run, chosen: Candidate, now_s: float) -> tuple[ImportHint, ...]:
+        first, end = chosen.import_pieces
+        if first >= end:
+            return ()
+        store = self._parts.directory.targets[chosen.store]
+        store.reserve_link(now_s, (end - first) * PIECE_TOKENS * KV_BYTES_PER_TOKEN)
+        return tuple(ImportHint(name, store.listed.address) for name in run.names[first:end])
+
+    def _new_attempt(self, run: Run, target: Target, tokens: int, now_s: float) -> Attempt:
+        parts = self._parts
+        self._attempts += 1
+        run.attempt_count += 1
+        attempt_id = f"{parts.name}-{parts.membership.own.incarnation:x}-{self._attempts:x}"
+        run.attempt = Attempt(attempt_id, target.name, now_s, tokens)
+        parts.directory.outliers.sent(target.name, now_s)
+        if run.attempt_count == 1:
+            parts.budget.first_attempt(f"workspace:{run.workspace}", f"target:{target.name}")
+        return run.attempt
+
+    def _route_service(self, run: Run, now_s: float) -> list[Action]:
+        directory = self._parts.directory
+        names = directory.servers(run.req.target_name)
+        usable = [directory.usable(name, now_s) for name in names if name not in run.failed]
+        targets = [target for target in usable if target is not None]
+        if not targets:
+            return self.give_up(run, "no_target", now_s)
+        target = min(targets, key=lambda item: (self._distance(item), item.outstanding, item.name))
+        attempt = self._new_attempt(run, target, 0, now_s)
+        target.sent(now_s, 0)
+        remaining_s = run.deadline_at_s - now_s
+        return [
+            SendAttempt(
+                run.req.request_id,
+                attempt.attempt_id,
+                target.name,
+                target.listed.address,
+                "service",
+                "",
+                run.grant.priority,
+                (),
+                (),
+                run.must_run_once,
+                remaining_s if run.must_run_once else min(PROGRESS_S, remaining_s),
+                min(PROGRESS_S, remaining_s),
+                remaining_s,
+            )
+        ]
+
+    def _distance(self, target: Target) -> bool:
+        return target.listed.data_center != self._parts.data_center
+
+    def on_started(self, event: AttemptStarted, now_s: float) -> list[Action]:
+        """Note the first byte of an attempt."""
+        run = self._current(event.request_id, event.attempt_id)
+        if run is None or run.attempt is None:
+            return []
+        run.attempt.started = True
+        run.sent = True
+        if run.first_token_s is None:
+            run.first_token_s = now_s - run.arrived_s
+        return []
+
+    def on_finished(self, event: AttemptFinished, now_s: float) -> list[Action]:
+        """End a run whose whole answer was passed on, and learn from it."""
+        run = self._current(event.request_id, event.attempt_id)
+        if run is None or run.attempt is None:
+            return []
+        run.sent = True
+        run.answer = KeptAnswer(event.status, event.body)
+        target = self._end_attempt(run, "whole", now_s)
+        if event.status >= 500:
+            self._fail_target(run.attempt.target, now_s)
+        else:
+            self._parts.directory.outliers.succeeded(run.attempt.target)
+        actions: list[Action] = []
+        if run.req.kind == "model" and event.status < 400:
+            self._count_tokens(event)
+            if target is not None:
+                computed = event.prompt_tokens - event.cached_tokens - event.imported_tokens
+                target.learn_prefill(computed, event.first_byte_s)
+            actions += self._note_holder(run, run.attempt.target, run.names, now_s)
+            actions += self._keep_pieces(run, now_s)
+        actions += self.end(run, str(event.status), now_s, missed=event.status >= 500)
+        return actions
+
+    def _count_tokens(self, event: AttemptFinished) -> None:
+        counters = self._parts.counters
+        counters.add("prompt_tokens", "all", event.prompt_tokens)
+        counters.add("prompt_tokens", "cached", event.cached_tokens)
+        counters.add("prompt_tokens", "imported", event.imported_tokens)
+
+    def _note_holder(
+        self, run: Run, holder: str, names: tuple[str, ...], now_s: float
+    ) -> list[Action]:
+        """Tell the owner of the chain that a runner or store holds it."""
+        if not names:
+            return []
+        return self.note(holder, run.names[0], names, now_s)
+
+    def note(self, holder: str, root: str, names: tuple[str, ...], now_s: float) -> list[Action]:
+        """Enter pieces into the catalogue of the chain's owner."""
+        membership = self._parts.membership
+        address = membership.address_of(membership.owner(root, now_s))
+        self._parts.catalogue.note(holder, names)
+        return [] if address is None else [SendPeer(address, CatalogueNote(holder, root, names))]
+
+    def _keep_pieces(self, run: Run, now_s: float) -> list[Action]:
+        """Order the runner to keep the prompt's pieces on a store, if that is worth the link."""
+        if run.attempt is None:
+            return []
+        parts = self._parts
+        kept = max((depth for name, depth in run.holdings if self._is_store(name)), default=0)
+        missing = run.names[kept:]
+        store = choose_store(parts.directory, missing, run.grant.weights, now_s)
+        runner = parts.directory.targets.get(run.attempt.target)
+        if store is None or runner is None:
+            return []
+        store.reserve_link(now_s, len(missing) * PIECE_TOKENS * KV_BYTES_PER_TOKEN)
+        return [
+            ExportPieces(
+                run.req.request_id,
+                runner.name,
+                runner.listed.address,
+                store.name,
+                store.listed.address,
+                missing,
+                kept,
+                run.names[0],
+                run.weight_version,
+            )
+        ]
+
+    def _is_store(self, name: str) -> bool:
+        target = self._parts.directory.targets.get(name)
+        return target is not None and target.listed.kind == "store"
+
+    def on_exported(self, event: PiecesExported, now_s: float) -> list[Action]:
+        """Enter published pieces into the catalogue and learn the speed of the link."""
+        store = self._parts.directory.targets.get(event.store)
+        if store is None or not event.names:
+            return []
+        store.learn_link(event.bytes_moved, event.seconds)
+        fields = (("store", event.store), ("pieces", len(event.names)))
+        actions = self.note(event.store, event.root, event.names, now_s)
+        return [*actions, Log(LogEvent.PIECES_KEPT, fields)]
+
+    def on_failed(self, event: AttemptFailed, now_s: float) -> list[Action]:
+        """Resume, retry or give up after an attempt without a whole answer."""
+        run = self._current(event.request_id, event.attempt_id)
+        if run is None or run.attempt is None:
+            return []
+        run.sent = run.sent or event.sent
+        fields = (("request_id", event.request_id), ("target", run.attempt.target))
+        log = Log(LogEvent.ATTEMPT_FAILED, (*fields, ("cause", event.cause)))
+        if self._can_resume(run, run.attempt, event, now_s):
+            return [log, *self._resume(run, run.attempt, event, now_s)]
+        self._end_attempt(run, event.cause, now_s)
+        run.failed.add(run.attempt.target)
+        eject = self._fail_target(run.attempt.target, now_s)
+        return [log, *eject, *self._retry_or_give_up(run, event, now_s)]
+
+    def _can_resume(self, run: Run, attempt: Attempt, event: AttemptFailed, now_s: float) -> bool:
+        resumable = event.cause in RESUMABLE_CAUSES
+        in_time = now_s < run.deadline_at_s
+        is_model = run.req.kind == "model"
+        return (
+            is_model
+            and resumable
+            and event.passed_on > 0
+            and in_time
+            and (attempt.resumes < MAX_RESUMES)
+        )
+
+    def _resume(
+        self, run: Run, attempt: Attempt, event: AttemptFailed, now_s: float
+    ) -> list[Action]:
+        attempt.resumes += 1
+        target = self._parts.directory.targets.get(attempt.target)
+        if target is None:
+            return self.give_up(run, "target_failed", now_s)
+        self._parts.counters.add("resumed", "")
+        request_id = run.req.request_id
+        progress_s = min(PROGRESS_S, run.deadline_at_s - now_s)
+        return [
+            ResumeAttempt(
+                request_id,
+                attempt.attempt_id,
+                target.name,
+                target.listed.address,
+                event.passed_on,
+                progress_s,
+            ),
+            Log(LogEvent.STREAM_RESUMED, (("request_id", request_id), ("target", target.name))),
+        ]
+
+    def _retry_or_give_up(self, run: Run, event: AttemptFailed, now_s: float) -> list[Action]:
+        code = "target_timeout" if event.cause == "silent" else "target_failed"
+        unsafe = run.must_run_once and event.sent
+        passed_on = event.passed_on > 0 and not run.req.buffered
+        if unsafe or passed_on or run.attempt_count >= MAX_ATTEMPTS:
+            return self.give_up(run, code, now_s)
+        if now_s >= run.deadline_at_s:
+            return self.give_up(run, "deadline", now_s)
+        target = run.attempt.target if run.attempt else ""
+        if not self._parts.budget.take(f"workspace:{run.workspace}", f"target:{target}"):
+            return self.give_up(run, code, now_s)
+        self._parts.counters.add("retried", event.cause)
+        log = Log(LogEvent.ATTEMPT_RETRIED, (("request_id", run.req.request_id),))
+        return [log, *self.route(run, now_s)]
+
+    def on_caller_left(self, run: Run, now_s: float) -> list[Action]:
+        """Cancel the work of a caller that went away."""
+        actions: list[Action] = []
+        if run.attempt is not None and run.phase is Phase.ATTEMPT:
+            target = self._parts.directory.targets.get(run.attempt.target)
+            self._parts.directory.outliers.unproven(run.attempt.target)
+            # The request may be on its way to the target just now.
+            run.sent = True
+            self._end_attempt(run, "caller left", now_s)
+            if target is not None and run.req.kind == "model":
+                address = target.listed.address
+                actions.append(CancelAttempt(run.attempt.attempt_id, target.name, address))
+        actions.append(Log(LogEvent.CALLER_LEFT, (("request_id", run.req.request_id),)))
+        return [*actions, *self.end(run, "caller left", now_s, missed=False)]
+
+    def give_up(
+        self, run: Run, code: str, now_s: float, wait_s: float = 0.0, detail: str = ""
+    ) -> list[Action]:
+        """Give the caller its final answer now: whether it may have run, when to come back."""
+        state = "may_have_run" if run.sent else "not_run"
+        retry_after_s = self._parts.admission.spread(wait_s)
+        self._parts.counters.add("refused", code)
+        request_id = run.req.request_id
+        return [
+            Refuse(request_id, code, detail, state, retry_after_s),
+            Log(LogEvent.REQUEST_REFUSED, (("request_id", request_id), ("code", code))),
+            *self.end(run, code, now_s, missed=True),
+        ]
+
+    def end(self, run: Run, outcome: str, now_s: float, missed: bool) -> list[Action]:
+        """Count a run out and remember why it went as it did."""
+        parts = self._parts
+        del self.runs[run.req.request_id]
+        parts.admission.end(run.workspace)
+        objectives = run.grant.objectives
+        late = run.first_token_s is not None and run.first_token_s > objectives.first_token_s
+        parts.burn.note(run.workspace, objectives.within, now_s, missed or late, run.first_token_s)
+        parts.counters.add("ended", outcome)
+        parts.explanations.keep(self._explain(run, outcome, now_s))
+        fields = (("request_id", run.req.request_id), ("outcome", outcome))
+        log = Log(LogEvent.REQUEST_FINISHED, (*fields, ("workspace", run.workspace)))
+        return [log, *self.close_claim(run, now_s)]
+
+    def _explain(self, run: Run, outcome: str, now_s: float) -> Explanation:
+        return Explanation(
+            run.req.request_id,
+            run.workspace,
+            run.req.kind,
+            run.req.target_name,
+            run.weight_version,
+            run.candidates,
+            tuple(run.notes),
+            outcome,
+            run.first_token_s,
+            now_s - run.arrived_s,
+        )
+
+    def _current(self, request_id: str, attempt_id: str) -> Run | None:
+        """Return the run whose attempt this is; late events of earlier attempts find none."""
+        run = self.runs.get(request_id)
+        if run is None or run.attempt is None or run.attempt.attempt_id != attempt_id:
+            return None
+        return run
+
+    def _end_attempt(self, run: Run, outcome: str, now_s: float) -> Target | None:
+        if run.attempt is None:
+            return None
+        target = self._parts.directory.targets.get(run.attempt.target)
+        if target is not None:
+            target.done()
+        began_s = run.attempt.began_s - run.arrived_s
+        run.notes.append(AttemptNote(run.attempt.target, began_s, outcome))
+        return target
+
+    def _fail_target(self, name: str, now_s: float) -> list[Action]:
+        directory = self._parts.directory
+        if not directory.outliers.failed(name, len(directory.targets), now_s):
+            return []
+        self._parts.counters.add("ejected", name)
+        return [Log(LogEvent.TARGET_EJECTED, (("target", name),))]
+
+
+def holdings_of(catalogue: Catalogue, ask: CatalogueAsk) -> CatalogueAnswer:
+    """Return the answer to another entry's lookup."""
+    holdings: tuple[Holding, ...] = catalogue.find(ask.names)
+    return CatalogueAnswer(ask.request_id, holdings)
--- /dev/null
+++ b/filbertstream/version/resolve.py
@@ -0,0 +1,196 @@
+"""What a workspace may do: its template merged with its parameters.
+
+``View`` is the state of one revision that requests are decided by.  ``version.config_log`` changes
+it document by document, so the cost of a change grows with what it touches and not with the number
+of workspaces.
+"""
+
+from collections import ChainMap
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from filbertstream.version.documents import (
+    Change,
+    Document,
+    Limits,
+    Model,
+    Objectives,
+    Parameters,
+    Removal,
+    Service,
+    Template,
+    Weights,
+    Workspace,
+)
+
+
+class DocumentId(NamedTuple):
+    """Kind and name of a document."""
+
+    kind: str
+    name: str
+
+
+class Grant(NamedTuple):
+    """The resolved rights and objectives of a workspace."""
+
+    workspace: str
+    models: frozenset[str]
+    versions: Mapping[str, tuple[str, ...]]
+    services: frozenset[str]
+    priority: int
+    limits: Limits
+    objectives: Objectives
+    weights: Weights
+
+
+class View:
+    """The documents of the revision in force and what follows from them."""
+
+    def __init__(self) -> None:
+        self.documents: dict[DocumentId, Document] = {}
+        self.grants: dict[str, Grant] = {}
+        self.keys: dict[str, str] = {}
+        self._users: dict[str, set[str]] = {}
+
+    def grant_for_key(self, digest: str) -> Grant | None:
+        """Return the grant of the workspace that owns a key digest.
+
+        The lookup is by digest: its time tells nothing of the key, which the digest hides.
+        """
+        workspace = self.keys.get(digest)
+        return None if workspace is None else self.grants.get(workspace)
+
+    def model(self, name: str) -> Model | None:
+        """Return a model's document."""
+        document = self.documents.get(DocumentId("model", name))
+        return document if isinstance(document, Model) else None
+
+    def service(self, name: str) -> Service | None:
+        """Return a service's document."""
+        document = self.documents.get(DocumentId("service", name))
+        return document if isinstance(document, Service) else None
+
+    def models(self) -> list[Model]:
+        """Return every model's document."""
+        return [item for item in self.documents.values() if isinstance(item, Model)]
+
+    def version_for(self, grant: Grant, model: str) -> str | None:
+        """Return the weight version that a new request of the workspace uses."""
+        current = self.model(model)
+        if current is None:
+            return None
+        permitted = grant.versions.get(model)
+        if not permitted or current.version in permitted:
+            return current.version
+        return permitted[-1]
+
+    def put(self, change: Change) -> None:
+        """Bring one change into force."""
+        if isinstance(change, Removal):
+            self._remove(DocumentId(change.of, change.name))
+            return
+        doc_id = DocumentId(change.kind, change.name)
+        if isinstance(change, Workspace):
+            self._remove(doc_id)
+            self._users.setdefault(change.template, set()).add(change.name)
+        self.documents[doc_id] = change
+        for workspace in self._touched(change):
+            self._resolve(workspace)
+
+    def _touched(self, change: Document) -> list[str]:
+        if isinstance(change, Workspace):
+            return [change.name]
+        if isinstance(change, Template):
+            return sorted(self._users.get(change.name, ()))
+        return []
+
+    def _remove(self, doc_id: DocumentId) -> None:
+        document = self.documents.pop(doc_id, None)
+        if isinstance(document, Workspace):
+            self._users[document.template].discard(document.name)
+            self.grants.pop(document.name, None)
+            for digest in document.keys:
+                self.keys.pop(digest, None)
+
+    def _resolve(self, name: str) -> None:
+        workspace = self.documents.get(DocumentId("workspace", name))
+        if not isinstance(workspace, Workspace):
+            return
+        template = self.documents.get(DocumentId("template", workspace.template))
+        if not isinstance(template, Template):
+            self.grants.pop(name, None)
+            return
+        self.grants[name] = merge(template, workspace)
+        self.keys.update(dict.fromkeys(workspace.keys, name))
+
+    def faults_of(self, changes: list[Change]) -> list[str]:
+        """Return what would contradict itself with the changes in force, a sentence each."""
+        overlay: dict[DocumentId, Document] = {}
+        gone: set[DocumentId] = set()
+        for change in changes:
+            if isinstance(change, Removal):
+                gone.add(DocumentId(change.of, change.name))
+            else:
+                overlay[DocumentId(change.kind, change.name)] = change
+        after = ChainMap(overlay, self.documents)
+        faults = []
+        for name in self._concerned(changes):
+            workspace = after.get(DocumentId("workspace", name))
+            if isinstance(workspace, Workspace) and DocumentId("workspace", name) not in gone:
+                faults += self._faults_of_workspace(workspace, after, gone)
+        return faults
+
+    def _concerned(self, changes: list[Change]) -> list[str]:
+        names: set[str] = set()
+        for change in changes:
+            kind = change.of if isinstance(change, Removal) else change.kind
+            if kind == "workspace":
+                names.add(change.name)
+            if kind == "template":
+                names |= self._users.get(change.name, set())
+        return sorted(names)
+
+    def _faults_of_workspace(
+        self,
+        workspace: Workspace,
+        after: Mapping[DocumentId, Document],
+        gone: set[DocumentId],
+    ) -> list[str]:
+        template_id = DocumentId("template", workspace.template)
+        template = after.get(template_id)
+        if not isinstance(template, Template) or template_id in gone:
+            return [f"workspace {workspace.name}: no template {workspace.template}"]
+        faults = _closed_fields(template, workspace)
+        for digest in workspace.keys:
+            owner = self.keys.get(digest, workspace.name)
+            if owner != workspace.name:
+                faults.append(f"workspace {workspace.name}: a key that another workspace has")
+        return faults
+
+
+def merge(template: Template, workspace: Workspace) -> Grant:
+    """Return a workspace's grant; parameters count only for fields that the template opens."""
+    given: dict[str, Any] = {name: getattr(workspace.parameters, name) for name in template.open}
+    chosen = {
+        name: template_value if given.get(name) is None else given[name]
+        for name, template_value in template._asdict().items()
+    }
+    return Grant(
+        workspace=workspace.name,
+        models=frozenset(chosen["models"]),
+        versions=template.versions,
+        services=frozenset(chosen["services"]),
+        priority=chosen["priority"],
+        limits=chosen["limits"],
+        objectives=chosen["objectives"],
+        weights=template.weights,
+    )
+
+
+def _closed_fields(template: Template, workspace: Workspace) -> list[str]:
+    """Return a fault for each parameter that the template doesn't leave open."""
+    parameters = workspace.parameters
+    given = [name for name in Parameters._fields if getattr(parameters, name) is not None]
+    closed = [name for name in given if name not in template.open]
+    return [f"workspace {workspace.name}: {template.name} doesn't open {name}" for name in closed]
--- /dev/null
+++ b/standins/base.py
@@ -0,0 +1,156 @@
+"""What all stand-ins share: a cheroot server, JSON in and out, and faults on a control port.
+
+``POST /faults`` on the control port sets faults by name, ``GET /faults`` shows them, ``POST /die``
+ends the process at once.  Faults that every stand-in knows:
+
+    slow_s        answer each call this much later
+    down          answer nothing: connections are accepted and closed
+    silent        read the request and never answer, on connections open when the fault is set
+    drop_answers  carry out this many calls and cut the connection instead of answering
+"""
+
+import argparse
+import os
+import threading
+import time
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+
+import msgspec
+from cheroot import wsgi
+from cheroot.errors import FatalSSLAlert
+
+Environ = dict[str, Any]
+Start = Callable[[str, list[tuple[str, str]]], Any]
+App = Callable[[Environ, Start], Iterable[bytes]]
+
+THREADS: Final = 256
+SILENCE_S: Final = 30.0
+DIED: Final = 9
+
+
+class Cut(FatalSSLAlert):
+    """Ends the connection without an answer: cheroot closes it silently for this error."""
+
+
+class Faults:
+    """The faults that are set now; values are numbers, 0 means off."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._values: dict[str, float] = {}
+        self.set_at_s = 0.0
+
+    def get(self, name: str) -> float:
+        """Return a fault's value."""
+        return self._values.get(name, 0.0)
+
+    def put(self, values: dict[str, float]) -> None:
+        """Set faults."""
+        with self._lock:
+            self._values.update(values)
+            self.set_at_s = time.monotonic()
+
+    def take(self, name: str) -> bool:
+        """Use up one of a counted fault."""
+        with self._lock:
+            left = self._values.get(name, 0.0)
+            self._values[name] = max(0.0, left - 1)
+            return left >= 1
+
+    def all(self) -> dict[str, float]:
+        """Return all values."""
+        return dict(self._values)
+
+
+def guarded(app: App, faults: Faults) -> App:
+    """Return an application that suffers the common faults around ``app``."""
+
+    def serve(environ: Environ, start: Start) -> Iterable[bytes]:
+        if faults.get("down"):
+            raise Cut
+        if faults.get("silent"):
+            time.sleep(SILENCE_S)
+            raise Cut
+        time.sleep(faults.get("slow_s"))
+        body = app(environ, start)
+        if environ["REQUEST_METHOD"] != "GET" and faults.take("drop_answers"):
+            for _ in body:
+                pass
+            raise Cut
+        return body
+
+    return serve
+
+
+def reply(
+    start: Start, status: int, value: object, headers: dict[str, str] | None = None
+) -> list[bytes]:
+    """Answer with JSON."""
+    body = msgspec.json.encode(value)
+    fields = {"Content-Type": "application/json", "Content-Length": str(len(body))}
+    start(f"{status} Status", list((fields | (headers or {})).items()))
+    return [body]
+
+
+def read(environ: Environ) -> bytes:
+    """Return the whole body of a request."""
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    data: bytes = environ["wsgi.input"].read(length) if length else b""
+    return data
+
+
+def read_json(environ: Environ) -> Any:
+    """Return the JSON body of a request."""
+    return msgspec.json.decode(read(environ) or b"null")
+
+
+def query(environ: Environ) -> dict[str, str]:
+    """Return the query parameters; values carry no escapes here."""
+    pairs = [item.partition("=") for item in environ.get("QUERY_STRING", "").split("&") if item]
+    return {name: value for name, _, value in pairs}
+
+
+def _control(faults: Faults, counts: Callable[[], object]) -> App:
+    def serve(environ: Environ, start: Start) -> Iterable[bytes]:
+        path = environ["PATH_INFO"]
+        if path == "/die":
+            os._exit(DIED)
+        if path == "/counts":
+            return reply(start, 200, counts())
+        if environ["REQUEST_METHOD"] == "POST":
+            faults.put(read_json(environ))
+        return reply(start, 200, faults.all())
+
+    return serve
+
+
+def _server(address: str, app: App, threads: int) -> Any:
+    host, _, port = address.rpartition(":")
+    server: Any = wsgi.Server(
+        (host, int(port)), app, numthreads=threads, max=threads, request_queue_size=512
+    )
+    server.error_log = lambda *args, **kwargs: None
+    return server
+
+
+def serve(
+    address: str, control: str, app: App, faults: Faults, counts: Callable[[], object]
+) -> None:
+    """Serve the application and its control port until the process is ended."""
+    control_server = _server(control, _control(faults, counts), 2)
+    control_server.prepare()
+    threading.Thread(target=control_server.serve, daemon=True).start()
+    server = _server(address, guarded(app, faults), THREADS)
+    try:
+        server.start()
+    except KeyboardInterrupt:
+        server.stop()
+
+
+def parser(description: str) -> argparse.ArgumentParser:
+    """Return the options that all stand-ins share."""
+    found = argparse.ArgumentParser(description=description)
+    found.add_argument("--listen", required=True, help="address, host:port")
+    found.add_argument("--control", required=True, help="control address, host:port")
+    return found
