--- a/filbertstream/connection/sse.py
+++ b/filbertstream/connection/sse.py
@@ -2,15 +2,23 @@
 
 The runner numbers its events ``id: <attempt>:<number>``.  An event with another attempt's id is
 never passed on; a number that was passed on before is dropped; a gap is taken for a cut.  The
-check looks at the first line only, so that a token costs no JSON decoding.
+check looks at the first line only, so that a token costs no JSON decoding.  The end mark carries no
+number, so it counts only after an event that gives a finish reason: without that check a stream
+whose last events got lost would pass for a short success.
 """
 
+from collections import deque
 from collections.abc import Iterable, Iterator
 from typing import Final, NamedTuple
 
+import msgspec
+
 END_OF_EVENT: Final = b"\n\n"
 DONE: Final = b"data: [DONE]\n\n"
+DATA: Final = b"data: "
 EVENT_LIMIT_BYTES: Final = 1_000_000
+LATEST_EVENTS: Final = 3
+"""The finish reason is in one of this many last events; token counts may follow it."""
 
 
 class StreamFault(Exception):  # noqa: N818 - it is a state of the stream, caught at its edge
@@ -22,37 +30,59 @@
 
 
 class StreamPart(NamedTuple):
-    """Bytes to pass on together, the number of events among them, and whether they are the end."""
+    """Bytes to pass on together, the number of events among them, and whether they are the end.
+
+    ``fault`` is why the stream can't go on after these bytes, or an empty text.
+    """
 
     data: bytes
     events: int
     done: bool
+    fault: str = ""
+
+
+class _Choice(msgspec.Struct):
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_Choice]
 
 
 class EventCutter:
-    """Turns chunks of one connection into parts; made anew for each connection of an attempt."""
+    """Turns the chunks of an attempt's connections, one after another, into parts."""
 
-    def __init__(self, attempt_id: str, passed_on: int) -> None:
+    def __init__(self, attempt_id: str) -> None:
         self._prefix = f"id: {attempt_id}:".encode()
-        self._next = passed_on
         self._buffer = b""
-        self.last_event = b""
+        self._latest: deque[bytes] = deque(maxlen=LATEST_EVENTS)
+        self.passed_on = 0
+
+    @property
+    def last_event(self) -> bytes:
+        """The last event that was passed on, or nothing."""
+        return self._latest[-1] if self._latest else b""
 
     def parts(self, chunks: Iterable[bytes]) -> Iterator[StreamPart]:
-        """Yield a part for each chunk that completes events.
+        """Yield a part for each chunk of one connection that completes events.
 
         All events of a chunk go on together: when this process lags, tokens pile up in one chunk
         and cost one wake-up and one write.
         """
+        self._buffer = b""
         for chunk in chunks:
             self._buffer += chunk
             if len(self._buffer) > EVENT_LIMIT_BYTES:
                 raise StreamFault("malformed")
             part = self._cut()
-            if part is not None:
+            if part is None:
+                continue
+            if part.data:
                 yield part
-                if part.done:
-                    return
+            if part.fault:
+                raise StreamFault(part.fault)
+            if part.done:
+                return
         raise StreamFault("cut")
 
     def _cut(self) -> StreamPart | None:
@@ -64,26 +94,36 @@
         count = 0
         for event in whole.split(END_OF_EVENT)[:-1]:
             if event == DONE[:-2]:
+                if not self._is_finished():
+                    return StreamPart(b"".join(kept), count, False, "cut")
                 kept.append(DONE)
                 return StreamPart(b"".join(kept), count, True)
-            if self._take(event):
+            number = self._number_of(event)
+            if isinstance(number, str):
+                return StreamPart(b"".join(kept), count, False, number)
+            if number > self.passed_on:
+                return StreamPart(b"".join(kept), count, False, "cut")
+            if number == self.passed_on:
+                self.passed_on += 1
+                self._latest.append(event)
                 kept.append(event + END_OF_EVENT)
                 count += 1
         return StreamPart(b"".join(kept), count, False)
 
-    def _take(self, event: bytes) -> bool:
-        """Whether an event is the next; raises ``StreamFault`` for a stranger's or a gap."""
+    def _number_of(self, event: bytes) -> int | str:
+        """Return an event's number, or the fault of one that isn't this attempt's."""
         if not event.startswith(self._prefix):
-            raise StreamFault("crossed")
-        line_end = event.find(b"\n")
-        digits = event[len(self._prefix) : line_end]
-        if not digits.isdigit():
-            raise StreamFault("malformed")
-        number = int(digits)
-        if number < self._next:
-            return False
-        if number > self._next:
-            raise StreamFault("cut")
-        self._next = number + 1
-        self.last_event = event
-        return True
+            return "crossed"
+        digits = event[len(self._prefix) : event.find(b"\n")]
+        return int(digits) if digits.isdigit() else "malformed"
+
+    def _is_finished(self) -> bool:
+        """Whether one of the latest events gives a finish reason."""
+        for event in self._latest:
+            try:
+                chunk = msgspec.json.decode(event.partition(DATA)[2], type=_Chunk)
+            except msgspec.DecodeError:
+                continue
+            if any(choice.finish_reason for choice in chunk.choices):
+                return True
+        return False
--- a/filbertstream/connection/target_client.py
+++ b/filbertstream/connection/target_client.py
@@ -211,7 +211,6 @@
         if send.weight_version and resp.headers.get(VERSION_HEADER) != send.weight_version:
             answer.abort()
             return Err(Failure("wrong_version", True))
-        answer.limit_silence(send.progress_s)
         return Ok(answer)
 
     def resume(self, resume: ResumeAttempt) -> Result[Answer, Failure]:
--- a/filbertstream/connection/work.py
+++ b/filbertstream/connection/work.py
@@ -260,16 +260,14 @@
         None says that another attempt begins from the start; that only happens while nothing was
         passed on.  Raises ``GivenUp`` where the core refuses to go on.
         """
-        passed_on = 0
         current = opened
+        cutter = EventCutter(current.send.attempt_id)
         while True:
-            cutter = EventCutter(current.send.attempt_id, passed_on)
             try:
                 for part in cutter.parts(current.answer.chunks()):
-                    if passed_on == 0 and part.events:
+                    if cutter.passed_on == part.events > 0:
                         self._started(current)
                         current.answer.limit_silence(current.send.progress_s)
-                    passed_on += part.events
                     if part.done:
                         current.answer.finish()
                         self._finish(current, usage_of_event(cutter.last_event), b"")
@@ -283,9 +281,9 @@
                 current.answer.abort()
                 raise
             current.answer.abort()
-            following = self._go_on(current, failure, passed_on)
+            following = self._go_on(current, failure, cutter.passed_on)
             if following.send.attempt_id != current.send.attempt_id:
-                passed_on = 0
+                cutter = EventCutter(following.send.attempt_id)
                 yield None
             current = following
 
--- a/filbertstream/request/routing.py
+++ b/filbertstream/request/routing.py
@@ -54,10 +54,16 @@
 
 
 class Decision(NamedTuple):
-    """The chosen runner, and all that were looked at, cheapest first."""
+    """The chosen runner, and all that were looked at, cheapest first.
+
+    ``hint_store`` holds the first ``hint_depth`` pieces.  The runner is told of them even where its
+    own cache is expected to have them, since cache events are late and get lost.
+    """
 
     chosen: Candidate
     candidates: tuple[Candidate, ...]
+    hint_store: str = ""
+    hint_depth: int = 0
 
 
 class Policy(Protocol):
@@ -108,7 +114,9 @@
     store = _deepest_store(ask, directory, depths, now_s)
     seen = [_estimate(ask, target, depths, store, now_s) for target in targets]
     seen.sort(key=lambda candidate: (candidate.cost, rank(candidate.target, _place(ask))))
-    return Decision(seen[0], tuple(seen))
+    if store is None:
+        return Decision(seen[0], tuple(seen))
+    return Decision(seen[0], tuple(seen), store.name, store.depth)
 
 
 def _candidates(ask: Ask, everyone: list[str], rng: random.Random) -> list[str]:
--- a/filbertstream/request/serving.py
+++ b/filbertstream/request/serving.py
@@ -39,7 +39,7 @@
 from filbertstream.request.explain import AttemptNote, Explanation, Explanations
 from filbertstream.request.prefix import piece_names
 from filbertstream.request.retry_budget import RetryBudget
-from filbertstream.request.routing import POLICIES, Ask, Candidate, Decision
+from filbertstream.request.routing import POLICIES, Ask, Decision
 from filbertstream.request.run import Attempt, KeptAnswer, Phase, Run
 from filbertstream.units import KV_BYTES_PER_TOKEN, PIECE_TOKENS
 from filbertstream.version.catalogue import Catalogue
@@ -192,7 +192,7 @@
         run.candidates = decision.candidates
         if now_s + decision.chosen.first_token_s > run.deadline_at_s:
             return self.give_up(run, "deadline", now_s, decision.chosen.wait_s)
-        return self._send_model(run, decision.chosen, now_s)
+        return self._send_model(run, decision, now_s)
 
     def _decide(self, run: Run, now_s: float) -> Decision | None:
         """Return the cheapest decision over the weight versions that may serve the run."""
@@ -226,7 +226,8 @@
         )
         return POLICIES[parts.policy](ask, parts.directory, now_s, parts.rng)
 
-    def _send_model(self, run: Run, chosen: Candidate, now_s: float) -> list[Action]:
+    def _send_model(self, run: Run, decision: Decision, now_s: float) -> list[Action]:
+        chosen = decision.chosen
         directory = self._parts.directory
         target = directory.targets[chosen.target]
         attempt = self._new_attempt(run, target, chosen.recompute_tokens, now_s)
@@ -242,7 +243,7 @@
                 "runner",
                 run.weight_version,
                 run.grant.priority,
-                self._imports(run, chosen, now_s),
+                self._imports(run, decision, now_s),
                 run.names,
                 False,
                 min(first_byte_s, remaining_s),
@@ -251,13 +252,14 @@
             )
         ]
 
-    def _imports(self, run: Run, chosen: Candidate, now_s: float) -> tuple[ImportHint, ...]:
-        first, end = chosen.import_pieces
-        if first >= end:
+    def _imports(self, run: Run, decision: Decision, now_s: float) -> tuple[ImportHint, ...]:
+        store = self._parts.directory.targets.get(decision.hint_store)
+        if store is None:
             return ()
-        store = self._parts.directory.targets[chosen.store]
+        first, end = decision.chosen.import_pieces
         store.reserve_link(now_s, (end - first) * PIECE_TOKENS * KV_BYTES_PER_TOKEN)
-        return tuple(ImportHint(name, store.listed.address) for name in run.names[first:end])
+        names = run.names[: decision.hint_depth]
+        return tuple(ImportHint(name, store.listed.address) for name in names)
 
     def _new_attempt(self, run: Run, target: Target, tokens: int, now_s: float) -> Attempt:
         parts = self._parts
@@ -455,7 +457,9 @@
         if now_s >= run.deadline_at_s:
             return self.give_up(run, "deadline", now_s)
         target = run.attempt.target if run.attempt else ""
-        if not self._parts.budget.take(f"workspace:{run.workspace}", f"target:{target}"):
+        # An attempt that never reached its target put no load on anything, so going on is free.
+        names = (f"workspace:{run.workspace}", f"target:{target}")
+        if event.sent and not self._parts.budget.take(*names):
             return self.give_up(run, code, now_s)
         self._parts.counters.add("retried", event.cause)
         log = Log(LogEvent.ATTEMPT_RETRIED, (("request_id", run.req.request_id),))
