Watchers read the platform for their data center; heartbeats answered where owed

Change: two watchers per data center, freshness by echoed heartbeats, ticks every 0.25 s, marks of swaps applied only when they change, VM list every 2 s, fan-out of log2(n) ring successors.

--- /dev/null
+++ b/bench/idle.py
@@ -0,0 +1,64 @@
+"""Processor time, memory and peer bytes of an idle entry among 8.
+
+python -m bench.idle [--seconds 20]
+"""
+
+import argparse
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from standins.fleet import Fleet, Options
+
+ENTRIES: Final = 8
+CLOCK_TICKS_PER_S: Final = 100
+PAGE_BYTES: Final = 4_096
+
+
+class Usage(NamedTuple):
+    """Processor seconds and resident bytes of a process."""
+
+    cpu_s: float
+    resident_bytes: int
+
+
+def usage(pid: int) -> Usage:
+    """Read a process's usage from the kernel."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2].split()
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    cpu_s = (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+    return Usage(cpu_s, pages * PAGE_BYTES)
+
+
+def main() -> int:
+    """Measure and print one line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(Path(folder), Options(entries=ENTRIES, threads=192, log_level="error"))
+        try:
+            fleet.start()
+            time.sleep(3.0)
+            names = [f"entry-{number}" for number in range(1, ENTRIES + 1)]
+            pids = [fleet.parts[name].process.pid for name in names]
+            before = [usage(pid) for pid in pids]
+            time.sleep(options.seconds)
+            after = [usage(pid) for pid in pids]
+        finally:
+            fleet.close()
+    shares = [(b.cpu_s - a.cpu_s) / options.seconds for a, b in zip(before, after, strict=True)]
+    memory = [item.resident_bytes / 1e6 for item in after]
+    print(
+        f"entries={ENTRIES} seconds={options.seconds:.0f} "
+        f"cpu_percent_mean={100 * sum(shares) / ENTRIES:.2f} "
+        f"cpu_percent_max={100 * max(shares):.2f} "
+        f"resident_mb_max={max(memory):.1f}"
+    )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/overhead.py
@@ -0,0 +1,116 @@
+"""Time added to the first token, paired against calling the stand-in engine directly.
+
+    python -m bench.overhead [--streams 50] [--rounds 6]
+
+Each round opens the same number of streams through an entry and straight to an engine, in turn, so
+that both see the same machine.  Wall time of one machine: no gate of CI.
+"""
+
+import argparse
+import statistics
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+from typing import Final
+
+import msgspec
+import urllib3
+
+from standins.fleet import Fleet, Options
+
+WORKSPACE: Final = "bethesda-tours"
+PROMPT: Final = "When does the gate open? "
+TOKENS: Final = 20
+
+
+def body(number: int) -> bytes:
+    """Return a short prompt, no two alike."""
+    message = {"role": "user", "content": f"{number} {PROMPT * 4}"}
+    fields = {"model": "guide-7b", "messages": [message], "stream": True, "max_tokens": TOKENS}
+    return msgspec.json.encode(fields)
+
+
+def first_token_s(pool: urllib3.PoolManager, url: str, number: int) -> float:
+    """Return the time to the first event of one stream, which is then read to its end."""
+    headers = {
+        "Authorization": f"Bearer key-{WORKSPACE}",
+        "Content-Type": "application/json",
+        "X-Request-Id": f"direct-{number}",
+    }
+    began_s = time.monotonic()
+    resp = pool.request("POST", url, body=body(number), headers=headers, preload_content=False)
+    chunks = resp.stream()
+    next(chunks)
+    first_s = time.monotonic() - began_s
+    for _ in chunks:
+        pass
+    resp.release_conn()
+    return first_s
+
+
+def one_round(pool: urllib3.PoolManager, urls: list[str], streams: int, base: int) -> list[float]:
+    """Return the times of streams opened at once, spread over the URLs."""
+    times: list[float] = []
+
+    def caller(number: int) -> None:
+        times.append(first_token_s(pool, urls[number % len(urls)], base + number))
+
+    threads = [threading.Thread(target=caller, args=(number,)) for number in range(streams)]
+    for thread in threads:
+        thread.start()
+        # Streams begin one after another, as independent callers do.
+        time.sleep(0.01)
+    for thread in threads:
+        thread.join()
+    return times
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return a percentile of measured values."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def main() -> int:
+    """Measure and print one line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--streams", type=int, default=50)
+    parser.add_argument("--rounds", type=int, default=6)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(Path(folder), Options(entries=1, log_level="error"))
+        try:
+            fleet.start()
+            through, direct = measure(fleet, options.streams, options.rounds)
+        finally:
+            fleet.close()
+    added_median_ms = 1e3 * (statistics.median(through) - statistics.median(direct))
+    added_p95_ms = 1e3 * (percentile(through, 0.95) - percentile(direct, 0.95))
+    print(
+        f"streams={options.streams} rounds={options.rounds} "
+        f"direct_median_ms={1e3 * statistics.median(direct):.2f} "
+        f"added_median_ms={added_median_ms:.2f} added_p95_ms={added_p95_ms:.2f}"
+    )
+    return 0
+
+
+def measure(fleet: Fleet, streams: int, rounds: int) -> tuple[list[float], list[float]]:
+    """Return times through the entry and direct, in alternating rounds."""
+    pool = urllib3.PoolManager(num_pools=20, maxsize=streams, retries=False, timeout=30.0)
+    path = "/v1/chat/completions"
+    entry = [fleet.parts["entry-1"].url + path]
+    engines = [part.url + path for name, part in fleet.parts.items() if name.startswith("runner")]
+    through: list[float] = []
+    direct: list[float] = []
+    one_round(pool, entry, streams, 0)
+    one_round(pool, engines, streams, 0)
+    for number in range(1, rounds + 1):
+        through += one_round(pool, entry, streams, 1_000 * number)
+        direct += one_round(pool, engines, streams, 1_000 * number)
+    return through, direct
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/filbertstream/cli.py
+++ b/filbertstream/cli.py
@@ -30,7 +30,7 @@
 EXIT_STAGED: Final = 4
 EXIT_LOST: Final = 5
 EXIT_BROKEN: Final = 70
-WATCH_S: Final = 0.2
+WATCH_S: Final = 0.5
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help="Serve prompts that return.")
 report_app = typer.Typer(no_args_is_help=True, help="Reports over all entries.")
--- a/filbertstream/compose.py
+++ b/filbertstream/compose.py
@@ -3,6 +3,7 @@
 No other module constructs a part that another module owns.
 """
 
+import itertools
 import threading
 import time
 from typing import Final
@@ -22,6 +23,9 @@
 from filbertstream.process.settings import OPERATOR_THREADS, Settings
 
 HOUSEKEEPING_S: Final = 1.0
+VM_LIST_EVERY: Final = 2
+"""The list of VMs is fetched in every so many rounds of housekeeping."""
+
 DRAIN_LIMIT_S: Final = 300.0
 LEAVE_S: Final = 0.3
 """After the last request: time for the answer to the operator and the farewell to the platform."""
@@ -101,8 +105,12 @@
 
     def _keep(self) -> None:
         """Poll the list of VMs and look after certificates, once a second."""
-        while not self._stop.wait(HOUSEKEEPING_S):
-            self._platform.poll_vms()
+        self._platform.poll_vms()
+        for number in itertools.count(1):
+            if self._stop.wait(HOUSEKEEPING_S):
+                return
+            if number % VM_LIST_EVERY == 0:
+                self._platform.poll_vms()
             for listener in (self._callers, self._operators):
                 self._reload(listener)
 
--- a/filbertstream/core.py
+++ b/filbertstream/core.py
@@ -57,12 +57,16 @@
 from filbertstream.request.retry_budget import RetryBudget
 from filbertstream.request.run import Phase
 from filbertstream.request.serving import Serving, ServingParts, holdings_of
+from filbertstream.units import FRESH_S
 from filbertstream.version.acceptance import Acceptance
 from filbertstream.version.catalogue import Catalogue
 from filbertstream.version.config_log import ConfigLog, ConfigStep
 from filbertstream.version.weights import Rollout
 
 CONFIG_POLL_S: Final = 1.0
+OWN_READ_AFTER_S: Final = FRESH_S - 2 * CONFIG_POLL_S
+"""A member reads the platform itself once its confirmation through peers is older than this."""
+
 POLL_TARGET_S: Final = 1.0
 POLL_STORE_S: Final = 5.0
 SETTLE_S: Final = 0.5
@@ -123,6 +127,7 @@
         self._next_store_s = 0.0
         self._next_settle_s = 0.0
         self._swapping_by: dict[str, tuple[str, ...]] = {}
+        self._swapping: frozenset[str] = frozenset()
         self._handlers: dict[type, Callable[[Any, float], list[Action]]] = {
             CallerRequest: self._on_request,
             AttemptStarted: self.serving.on_started,
@@ -217,6 +222,8 @@
 
     def _on_targets(self, event: TargetsListed, now_s: float) -> list[Action]:
         changed = self.directory.on_list(event.targets, now_s)
+        for name in self._swapping & self.directory.targets.keys():
+            self.directory.targets[name].swapping = True
         return [Log(LogEvent.TARGET_LEAVING, (("target", name),)) for name in changed]
 
     def _on_load(self, event: LoadReported, now_s: float) -> list[Action]:
@@ -308,10 +315,10 @@
             self.acceptance.begin(request_id, self.config.revision, now_s)
             self.membership.list_now()
         if step.applied:
-            actions += self._spread(step.applied)
+            actions += self._spread(step.applied, now_s)
         return [*actions, *self._settle_acceptance(now_s)]
 
-    def _spread(self, applied: tuple[int, ...]) -> list[Action]:
+    def _spread(self, applied: tuple[int, ...], now_s: float) -> list[Action]:
         """Push revisions that are newly in force here to the peers, and acknowledge them."""
         own = self.membership.own
         self.acceptance.acknowledge(own.name, self.config.revision)
@@ -319,7 +326,7 @@
         push = RevisionPush(own.name, first, records, own.address)
         fields = (("revision", self.config.revision),)
         log = Log(LogEvent.REVISION_IN_FORCE, fields)
-        return [log, *self.membership.tell_all(push)]
+        return [log, *self.membership.tell_all(push, now_s)]
 
     def _settle_acceptance(self, now_s: float) -> list[Action]:
         registered = self.membership.registered()
@@ -356,10 +363,13 @@
 
     def _on_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> list[Action]:
         actions: list[Action] = []
-        if self.membership.on_heartbeat(heartbeat, now_s):
+        newcomer = self.membership.on_heartbeat(heartbeat, now_s)
+        if newcomer:
             actions.append(Log(LogEvent.MEMBER_JOINED, (("member", heartbeat.member),)))
-            # A newcomer learns of this member, and its echo, at once.
-            actions.append(SendPeer(heartbeat.address, self._heartbeat(heartbeat.member, now_s)))
+        if newcomer or self.membership.owes_reply(heartbeat, now_s):
+            actions.append(
+                SendPeer(heartbeat.address, self._heartbeat(heartbeat.member, now_s, True))
+            )
         self.freshness.on_heartbeat(heartbeat, self.config.revision)
         self.acceptance.acknowledge(heartbeat.member, heartbeat.revision)
         for load in heartbeat.loads:
@@ -383,7 +393,7 @@
         if push.first > self.config.revision + 1:
             ask = RevisionAsk(own.name, own.address, self.config.revision)
             actions.append(SendPeer(push.acknowledge_to, ask))
-        return [*actions, *self._spread(applied)] if applied else actions
+        return [*actions, *self._spread(applied, now_s)] if applied else actions
 
     def _on_revision_ask(self, ask: RevisionAsk) -> list[Action]:
         first, records = self.config.records_after(ask.after)
@@ -393,14 +403,17 @@
         return [SendPeer(ask.address, RevisionPush(own.name, first, records, own.address))]
 
     def _mark_swapping(self, now_s: float) -> None:
-        live = set(self.membership.live(now_s))
         marked = set(self.rollout.swapping())
         for member, names in self._swapping_by.items():
-            marked |= set(names) if member in live else set()
+            if names and member in self.membership.live(now_s):
+                marked.update(names)
+        if marked == self._swapping:
+            return
+        self._swapping = frozenset(marked)
         for target in self.directory.targets.values():
             target.swapping = target.name in marked
 
-    def _heartbeat(self, to: str, now_s: float) -> Heartbeat:
+    def _heartbeat(self, to: str, now_s: float, reply: bool = False) -> Heartbeat:
         own = self.membership.own
         peer = self.membership.peers.get(to)
         return Heartbeat(
@@ -413,10 +426,11 @@
             0.0 if peer is None else peer.stamp_s,
             self.config.revision,
             self.freshness.confirmed_age_s(now_s),
-            self._loads(now_s),
-            self._uses(),
+            () if reply else self._loads(now_s),
+            () if reply else self._uses(),
             self.directory.leaving(),
             self.rollout.swapping(),
+            reply,
         )
 
     def _loads(self, now_s: float) -> tuple[TargetLoad, ...]:
@@ -495,6 +509,10 @@
         if now_s < self._next_config_s:
             return []
         self._next_config_s = now_s + CONFIG_POLL_S
+        age_s = self.freshness.confirmed_age_s(now_s)
+        relies_on_peers = self.ready and not self.membership.is_watcher(now_s)
+        if relies_on_peers and 0 <= age_s <= OWN_READ_AFTER_S:
+            return []
         asks = list(self.config.poll())
         if asks:
             self._config_asked_s = now_s
@@ -544,7 +562,7 @@
         if not self.membership.beat_due(now_s):
             return []
         actions: list[Action] = []
-        for peer in self.membership.fan_out():
+        for peer in self.membership.fan_out(now_s):
             heartbeat = self._heartbeat(peer.registration.name, now_s)
             actions.append(SendPeer(peer.registration.address, heartbeat))
         for address in self.membership.seed_addresses():
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -45,6 +45,7 @@
     uses: tuple[WorkspaceUse, ...] = ()
     leaving: tuple[str, ...] = ()
     swapping: tuple[str, ...] = ()
+    reply: bool = False
 
 
 class RevisionPush(msgspec.Struct, frozen=True, tag="rev", array_like=True):
--- a/filbertstream/process/host.py
+++ b/filbertstream/process/host.py
@@ -17,7 +17,7 @@
 from filbertstream.core import Core
 from filbertstream.events import Event, Tick
 
-TICK_S: Final = 0.1
+TICK_S: Final = 0.25
 QUERY_WITHIN_S: Final = 5.0
 
 T = TypeVar("T")
--- a/filbertstream/process/membership.py
+++ b/filbertstream/process/membership.py
@@ -7,6 +7,7 @@
 catalogue chains are found on a ring of the live members; ownership is a hint only.
 """
 
+import bisect
 from typing import Final, NamedTuple
 
 import msgspec
@@ -14,7 +15,7 @@
 from filbertstream.actions import MUST_NOT_EXIST, Action, ListObjects, PutObject, SendPeer
 from filbertstream.events import ObjectRecord, PutFinished, ReadFinished
 from filbertstream.messages import Heartbeat, PeerPayload
-from filbertstream.names import Ring
+from filbertstream.names import Ring, rank
 from filbertstream.process.append_log import OpIds
 from filbertstream.units import DEAD_AFTER_S, HEARTBEAT_S
 
@@ -30,6 +31,9 @@
 LIST_S_PER_MEMBER: Final = 0.25
 """Registrations are listed every ``LIST_S``, more slowly in a large fleet."""
 
+WATCHERS: Final = 2
+"""How many members of each data center read the platform every second."""
+
 LIVE_CACHE_S: Final = 0.25
 """How long the set of live members is used before it is worked out again."""
 
@@ -76,6 +80,10 @@
         self._live: tuple[str, ...] = (own.name,)
         self._live_until_s = float("-inf")
         self._ring = Ring(self._live)
+        self._watched_live: tuple[str, ...] = ()
+        self._watchers: frozenset[str] = frozenset()
+        self._fan_ring: list[str] = []
+        self._fingers: frozenset[str] = frozenset()
         self._next_renew_s = 0.0
         self._next_list_s = 0.0
         self._next_beat_s = 0.0
@@ -111,25 +119,71 @@
         self.live(now_s)
         return self._ring.owner(subject)
 
+    def watchers(self, now_s: float) -> frozenset[str]:
+        """Return the members of the own data center that read the platform for the others.
+
+        So the platform's calls grow with the data centers and not with the members.
+        """
+        live = self.live(now_s)
+        if live is not self._watched_live:
+            self._watched_live = live
+            near = [name for name in live if self._data_center_of(name) == self.own.data_center]
+            near.sort(key=lambda name: rank(name, "watch"), reverse=True)
+            self._watchers = frozenset(near[:WATCHERS])
+        return self._watchers
+
+    def _data_center_of(self, name: str) -> str:
+        peer = self.peers.get(name)
+        return self.own.data_center if peer is None else peer.registration.data_center
+
+    def is_watcher(self, now_s: float) -> bool:
+        """Whether this member reads the platform for its data center."""
+        return self.own.name in self.watchers(now_s)
+
+    def owes_reply(self, heartbeat: Heartbeat, now_s: float) -> bool:
+        """Whether a heartbeat is answered at once.
+
+        A watcher answers its data center, so that confirmations there are young; and who is not
+        sent heartbeats regularly would else never get an echo.
+        """
+        if heartbeat.reply:
+            return False
+        watching = heartbeat.data_center == self.own.data_center and self.is_watcher(now_s)
+        return watching or heartbeat.member not in self._fan_out_names(now_s)
+
     def address_of(self, name: str) -> str | None:
         """Return a peer's address."""
         peer = self.peers.get(name)
         return None if peer is None else peer.registration.address
 
-    def fan_out(self) -> tuple[Peer, ...]:
-        """Return the peers that get heartbeats: all while few, else ring successors 1, 2, 4, ..."""
-        ring = sorted(self.peers.values(), key=lambda peer: peer.registration.name)
-        present = [peer for peer in ring if peer.state != "left"]
-        if len(present) <= ALL_PEERS_LIMIT:
-            return tuple(present)
-        after = [peer for peer in present if peer.registration.name > self.own.name]
-        rotated = after + present[: len(present) - len(after)]
-        steps = [1 << power for power in range(len(rotated).bit_length())]
-        return tuple(rotated[step - 1] for step in steps if step <= len(rotated))
+    def fan_out(self, now_s: float) -> tuple[Peer, ...]:
+        """Return the peers that get heartbeats.
 
-    def tell_all(self, payload: PeerPayload) -> tuple[Action, ...]:
+        All of them while they are few; else the ring successors at distances 1, 2, 4, ... and the
+        watchers of the own data center.
+        """
+        present = {name: peer for name, peer in self.peers.items() if peer.state != "left"}
+        if len(present) <= ALL_PEERS_LIMIT:
+            return tuple(present.values())
+        names = self._fan_out_names(now_s)
+        return tuple(present[name] for name in names if name in present)
+
+    def _fan_out_names(self, now_s: float) -> frozenset[str]:
+        if len(self.peers) <= ALL_PEERS_LIMIT:
+            return frozenset(self.peers)
+        ring = sorted(self.peers)
+        if ring != self._fan_ring:
+            self._fan_ring = ring
+            start = bisect.bisect(ring, self.own.name)
+            steps = [1 << power for power in range(len(ring).bit_length())]
+            places = [(start + step - 1) % len(ring) for step in steps if step <= len(ring)]
+            self._fingers = frozenset(ring[place] for place in places)
+        return (self._fingers | self.watchers(now_s)) - {self.own.name}
+
+    def tell_all(self, payload: PeerPayload, now_s: float) -> tuple[Action, ...]:
         """Return a message to each peer that gets heartbeats."""
-        return tuple(SendPeer(peer.registration.address, payload) for peer in self.fan_out())
+        peers = self.fan_out(now_s)
+        return tuple(SendPeer(peer.registration.address, payload) for peer in peers)
 
     def beat_due(self, now_s: float) -> bool:
         """Whether it is time for heartbeats; asking takes the turn."""
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -160,6 +160,8 @@
     world.run(0.5)
     drain = world.drain("e1", "vm-e1")
     refused = world.request("e1")
+    world.run(0.5)
+    assert world.drained[drain] == []
     world.run(5.0)
     assert answered(world, request)
     assert [outcome.code for outcome in world.outcomes[refused]] == ["draining"]
