--- /dev/null
+++ b/bench/streams.py
@@ -0,0 +1,154 @@
+"""Streams and tokens a second that entry processes carry, and the gaps between tokens.
+
+    python -m bench.streams [--streams 160] [--entries 1] [--seconds 8]
+
+The client is one selector loop over plain sockets in a process of its own, so that it measures the
+entries and not itself.  Wall time of one machine: no gate of CI.
+"""
+
+import argparse
+import multiprocessing
+import selectors
+import socket
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import msgspec
+
+from bench.idle import usage
+from standins.fleet import Fleet, Options
+
+WORKSPACE: Final = "llanberis-ice"
+GAP_S: Final = 0.027
+STREAMS_PER_CLIENT: Final = 80
+RECEIVE_BYTES: Final = 65_536
+
+
+class Watched(NamedTuple):
+    """What one client process saw: gaps between tokens, in seconds, and whole streams."""
+
+    gaps: list[float]
+    whole: int
+    events: int
+
+
+class _Stream:
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.last_s: float | None = None
+        self.events = 0
+        self.tail = b""
+
+
+def _open(address: tuple[str, int], number: int, tokens: int) -> _Stream:
+    message = {"role": "user", "content": f"stream {number}"}
+    fields = {"model": "guide-7b", "messages": [message], "stream": True, "max_tokens": tokens}
+    body = msgspec.json.encode(fields)
+    head = (
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: {address[0]}\r\n"
+        f"Authorization: Bearer key-{WORKSPACE}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    sock = socket.create_connection(address)
+    sock.sendall(head.encode() + body)
+    sock.setblocking(False)
+    return _Stream(sock)
+
+
+def watch(addresses: list[tuple[str, int]], streams: int, tokens: int, queue: Any) -> None:
+    """Open streams, read them to their ends, and put what was seen on the queue."""
+    selector = selectors.DefaultSelector()
+    for number in range(streams):
+        stream = _open(addresses[number % len(addresses)], number, tokens)
+        selector.register(stream.sock, selectors.EVENT_READ, stream)
+        # Callers are independent: their tokens must not come in step.
+        time.sleep(GAP_S / 7)
+    gaps: list[float] = []
+    whole = 0
+    events = 0
+    open_streams = streams
+    while open_streams:
+        for key, _ in selector.select():
+            stream = key.data
+            data = stream.sock.recv(RECEIVE_BYTES)
+            now_s = time.monotonic()
+            count = data.count(b"data: {")
+            events += count
+            if count and stream.last_s is not None:
+                gaps += [now_s - stream.last_s, *[0.0] * (count - 1)]
+            if count:
+                stream.last_s = now_s
+            ended = b"data: [DONE]" in stream.tail + data
+            stream.tail = data[-16:]
+            if ended or not data:
+                whole += ended
+                open_streams -= 1
+                selector.unregister(stream.sock)
+                stream.sock.close()
+    queue.put(Watched(gaps, whole, events))
+
+
+def run(fleet: Fleet, streams: int, seconds: float) -> tuple[Watched, float]:
+    """Watch streams through all entries; return what was seen and the seconds it took."""
+    addresses = []
+    for name, part in fleet.parts.items():
+        if name.startswith("entry"):
+            host, _, port = part.url.removeprefix("http://").rpartition(":")
+            addresses.append((host, int(port)))
+    tokens = int(seconds / GAP_S)
+    queue: Any = multiprocessing.Queue()
+    shares = [
+        min(STREAMS_PER_CLIENT, streams - begin) for begin in range(0, streams, STREAMS_PER_CLIENT)
+    ]
+    began_s = time.monotonic()
+    clients = [
+        multiprocessing.Process(target=watch, args=(addresses, share, tokens, queue))
+        for share in shares
+    ]
+    for client in clients:
+        client.start()
+    seen = [queue.get(timeout=10 * seconds + 60) for _ in clients]
+    took_s = time.monotonic() - began_s
+    for client in clients:
+        client.join()
+    gaps = [gap for part in seen for gap in part.gaps]
+    return Watched(gaps, sum(p.whole for p in seen), sum(p.events for p in seen)), took_s
+
+
+def main() -> int:
+    """Measure and print one line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--streams", type=int, default=160)
+    parser.add_argument("--entries", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=8.0)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        chosen = Options(entries=options.entries, threads=400, gap_s=GAP_S, log_level="error")
+        fleet = Fleet(Path(folder), chosen)
+        try:
+            fleet.start()
+            names = [name for name in fleet.parts if name.startswith("entry")]
+            pids = [fleet.parts[name].process.pid for name in names]
+            before = sum(usage(pid).cpu_s for pid in pids)
+            seen, took_s = run(fleet, options.streams, options.seconds)
+            after = [usage(pid) for pid in pids]
+        finally:
+            fleet.close()
+    gaps = sorted(seen.gaps)
+    cpu_s = sum(item.cpu_s for item in after) - before
+    print(
+        f"entries={options.entries} streams={options.streams} whole={seen.whole} "
+        f"tokens_per_s={seen.events / took_s:.0f} p50_gap_ms={1e3 * gaps[len(gaps) // 2]:.1f} "
+        f"p95_gap_ms={1e3 * gaps[int(0.95 * len(gaps))]:.1f} "
+        f"p99_gap_ms={1e3 * gaps[int(0.99 * len(gaps))]:.1f} "
+        f"cpu_ms_per_token={1e3 * cpu_s / seen.events:.3f} "
+        f"resident_mb={max(item.resident_bytes for item in after) / 1e6:.0f}"
+    )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/filbertstream/connection/sse.py
+++ b/filbertstream/connection/sse.py
@@ -57,6 +57,7 @@
         self._buffer = b""
         self._latest: deque[bytes] = deque(maxlen=LATEST_EVENTS)
         self.passed_on = 0
+        self._next_head = self._prefix + b"0\n"
 
     @property
     def last_event(self) -> bytes:
@@ -71,6 +72,9 @@
         """
         self._buffer = b""
         for chunk in chunks:
+            if not self._buffer and self._is_next_alone(chunk):
+                yield StreamPart(chunk, 1, False)
+                continue
             self._buffer += chunk
             if len(self._buffer) > EVENT_LIMIT_BYTES:
                 raise StreamFault("malformed")
@@ -85,6 +89,20 @@
                 return
         raise StreamFault("cut")
 
+    def _is_next_alone(self, chunk: bytes) -> bool:
+        """Take a chunk that is exactly the next event, which is what a token usually comes as."""
+        if not chunk.startswith(self._next_head):
+            return False
+        if chunk.find(END_OF_EVENT) != len(chunk) - len(END_OF_EVENT):
+            return False
+        self._take(chunk[: -len(END_OF_EVENT)])
+        return True
+
+    def _take(self, event: bytes) -> None:
+        self.passed_on += 1
+        self._next_head = b"%b%d\n" % (self._prefix, self.passed_on)
+        self._latest.append(event)
+
     def _cut(self) -> StreamPart | None:
         end = self._buffer.rfind(END_OF_EVENT)
         if end < 0:
@@ -104,8 +122,7 @@
             if number > self.passed_on:
                 return StreamPart(b"".join(kept), count, False, "cut")
             if number == self.passed_on:
-                self.passed_on += 1
-                self._latest.append(event)
+                self._take(event)
                 kept.append(event + END_OF_EVENT)
                 count += 1
         return StreamPart(b"".join(kept), count, False)
--- a/tests/test_logs_machine.py
+++ b/tests/test_logs_machine.py
@@ -61,6 +61,13 @@
         else:
             self.answer(writer, self.platform.list(action))
 
+    @precondition(has_sent)
+    @rule()
+    def arrive_all(self) -> None:
+        for _ in range(20):
+            if self.sent:
+                self.arrive(0)
+
     @precondition(has_sent)
     @rule(number=ANY)
     def lose_answer(self, number: int) -> None:
