Routing: the backlog of a target is kept, not added up for each look at it

Change: a running backlog that reports and sends move; the caller's first bytes go out before the core hears of them.

--- a/filbertstream/connection/work.py
+++ b/filbertstream/connection/work.py
@@ -265,13 +265,17 @@
         while True:
             try:
                 for part in cutter.parts(current.answer.chunks()):
-                    if cutter.passed_on == part.events > 0:
+                    first = cutter.passed_on == part.events > 0
+                    if not part.done:
+                        # The caller's bytes go first; telling the core can wait for them.
+                        yield part
+                    if first:
                         self._started(current)
                         current.answer.limit_silence(current.send.progress_s)
                     if part.done:
                         current.answer.finish()
                         self._finish(current, usage_of_event(cutter.last_event), b"")
-                    yield part
+                        yield part
                 return
             except StreamFault as fault:
                 failure = Failure(fault.cause, True)
--- a/filbertstream/process/burn.py
+++ b/filbertstream/process/burn.py
@@ -73,7 +73,9 @@
         self, workspace: str, within: float, now_s: float, missed: bool, first_token_s: float | None
     ) -> None:
         """Count one request; ``first_token_s`` is None where no token came."""
-        record = self._records.setdefault(workspace, _Record(within))
+        record = self._records.get(workspace)
+        if record is None:
+            record = self._records[workspace] = _Record(within)
         record.within = within
         number = int(now_s // SLOT_S)
         if record.slots and record.slots[-1].number == number:
--- a/filbertstream/process/directory.py
+++ b/filbertstream/process/directory.py
@@ -2,8 +2,7 @@
 
 ``request.routing`` asks it for the runners of a model and for their expected wait.  A target that
 the list calls leaving, that a drain names, or that is out as an outlier gets no new work.  Load
-reports lag, so work sent since a report was taken is added to it; ``spread`` entries do the same
-at the same time, and each counts its own share ``spread`` times.
+reports lag, so work sent since a report was taken is added to it.
 """
 
 from collections import deque
@@ -45,6 +44,8 @@
         self.leaving_since_s: float | None = None
         self.misses = 0
         self._sent: deque[_Sent] = deque(maxlen=4_096)
+        self._backlog_tokens = 0.0
+        self._backlog_at_s = 0.0
 
     @property
     def name(self) -> str:
@@ -66,32 +67,41 @@
         self.queued_tokens = load.queued_tokens
         while self._sent and self._sent[0].at_s < taken_at_s:
             self._sent.popleft()
+        self._backlog_tokens = float(load.queued_tokens)
+        self._backlog_at_s = taken_at_s
+        for sent in self._sent:
+            self._advance(sent.at_s)
+            self._backlog_tokens += sent.tokens
         changed = self.weight_version != load.weight_version
         self.weight_version = load.weight_version
         return changed
 
-    def sent(self, now_s: float, tokens: int) -> None:
-        """Note work that was sent to the target; ``tokens`` are expected to be computed."""
+    def sent(self, now_s: float, tokens: int, spread: int) -> None:
+        """Note work that was sent to the target.
+
+        ``tokens`` are expected to be computed.  They count ``spread`` times: as many entries are
+        likely to have sent as much since the report, and none of them sees what the others send.
+        """
         self.outstanding += 1
-        self._sent.append(_Sent(now_s, tokens))
+        self._advance(now_s)
+        self._backlog_tokens += spread * tokens
+        self._sent.append(_Sent(now_s, spread * tokens))
 
     def done(self) -> None:
         """Note that an attempt on the target ended."""
         self.outstanding -= 1
 
-    def backlog_tokens(self, now_s: float, spread: int) -> float:
+    def backlog_tokens(self, now_s: float) -> float:
         """Return the prompt tokens that wait on the target now, as far as can be told.
 
-        What was reported has been worked off at the learned rate since; what was sent since counts
-        for ``spread`` entries, the moment it was sent deciding how much of it is left.
+        What was reported and what was sent since has been worked off at the learned rate.
         """
-        backlog = float(self.queued_tokens)
-        at_s = now_s if self.reported_at_s is None else self.reported_at_s
-        for sent in self._sent:
-            worked = (sent.at_s - at_s) * self.prefill_tokens_per_s
-            backlog = max(0.0, backlog - worked) + spread * sent.tokens
-            at_s = sent.at_s
-        return max(0.0, backlog - (now_s - at_s) * self.prefill_tokens_per_s)
+        worked = (now_s - self._backlog_at_s) * self.prefill_tokens_per_s
+        return max(0.0, self._backlog_tokens - worked)
+
+    def _advance(self, to_s: float) -> None:
+        self._backlog_tokens = self.backlog_tokens(to_s)
+        self._backlog_at_s = to_s
 
     def learn_prefill(self, tokens: int, seconds: float) -> None:
         """Learn the prefill rate from a first byte that waited for little else."""
--- a/filbertstream/request/routing.py
+++ b/filbertstream/request/routing.py
@@ -37,7 +37,6 @@
     weights: Weights
     data_center: str
     excluded: frozenset[str]
-    spread: int
 
 
 class Candidate(NamedTuple):
@@ -175,7 +174,7 @@
 ) -> Candidate:
     """Return what serving on a runner is expected to cost."""
     rate = target.prefill_tokens_per_s
-    wait_s = target.backlog_tokens(now_s, ask.spread) / rate
+    wait_s = target.backlog_tokens(now_s) / rate
     have = min(depths.get(target.name, 0), len(ask.names))
     plain = _priced(ask, target, wait_s, have, have, 0.0, "")
     if store is None or store.depth <= have:
@@ -244,7 +243,7 @@
 def least_load(ask: Ask, directory: Directory, now_s: float, rng: random.Random) -> Decision | None:
     """Choose the runner with the least work, by its report and what this entry has sent."""
     targets = usable_runners(ask, directory, directory.runners(ask.model), now_s)
-    return _decide(targets, now_s, lambda item: item.backlog_tokens(now_s, 1) + item.running)
+    return _decide(targets, now_s, lambda item: item.backlog_tokens(now_s) + item.running)
 
 
 @policy("prefix_affinity")
--- a/filbertstream/request/serving.py
+++ b/filbertstream/request/serving.py
@@ -222,7 +222,6 @@
             run.grant.weights,
             parts.data_center,
             frozenset(run.failed),
-            len(parts.membership.live(now_s)),
         )
         return POLICIES[parts.policy](ask, parts.directory, now_s, parts.rng)
 
@@ -231,7 +230,7 @@
         directory = self._parts.directory
         target = directory.targets[chosen.target]
         attempt = self._new_attempt(run, target, chosen.recompute_tokens, now_s)
-        target.sent(now_s, chosen.recompute_tokens)
+        target.sent(now_s, chosen.recompute_tokens, len(self._parts.membership.live(now_s)))
         first_byte_s = max(FIRST_BYTE_MIN_S, FIRST_BYTE_FACTOR * chosen.first_token_s)
         remaining_s = run.deadline_at_s - now_s
         return [
@@ -281,7 +280,7 @@
             return self.give_up(run, "no_target", now_s)
         target = min(targets, key=lambda item: (self._distance(item), item.outstanding, item.name))
         attempt = self._new_attempt(run, target, 0, now_s)
-        target.sent(now_s, 0)
+        target.sent(now_s, 0, 1)
         remaining_s = run.deadline_at_s - now_s
         return [
             SendAttempt(
