--- a/filbertstream/connection/target_client.py
+++ b/filbertstream/connection/target_client.py
@@ -59,6 +59,11 @@
     sent: bool
 
 
+class _Piece(msgspec.Struct):
+    name: str
+    root: str
+
+
 class _Load(msgspec.Struct):
     running: int
     queued: int
@@ -66,12 +71,7 @@
     model: str
     weight_version: str
     age_s: float
-    evicted: list[str] = []
-
-
-class _Piece(msgspec.Struct):
-    name: str
-    root: str
+    evicted: list[_Piece] = []
 
 
 class _Listing(msgspec.Struct):
@@ -321,5 +321,5 @@
         load.model,
         load.weight_version,
         load.age_s,
-        tuple(load.evicted),
+        tuple(StoredPiece(piece.name, piece.root) for piece in load.evicted),
     )
--- a/filbertstream/core.py
+++ b/filbertstream/core.py
@@ -36,6 +36,7 @@
     Acknowledgement,
     CatalogueAnswer,
     CatalogueAsk,
+    CatalogueDrop,
     CatalogueNote,
     Heartbeat,
     RevisionAsk,
@@ -235,8 +236,21 @@
             event.weight_version,
             event.age_s,
         )
-        self.catalogue.forget(event.target, event.evicted)
-        return self._take_load(load, now_s)
+        return [*self._drop_evicted(event, now_s), *self._take_load(load, now_s)]
+
+    def _drop_evicted(self, event: LoadReported, now_s: float) -> list[Action]:
+        """Tell the owners of their chains which pieces a runner has evicted."""
+        by_owner: dict[str, list[str]] = {}
+        for piece in event.evicted:
+            by_owner.setdefault(self.membership.owner(piece.root, now_s), []).append(piece.name)
+        actions: list[Action] = []
+        for owner, names in by_owner.items():
+            address = self.membership.address_of(owner)
+            if address is None:
+                self.catalogue.forget(event.target, names)
+            else:
+                actions.append(SendPeer(address, CatalogueDrop(event.target, tuple(names))))
+        return actions
 
     def _take_load(self, load: TargetLoad, now_s: float) -> list[Action]:
         before = self.directory.on_load(load, now_s)
@@ -356,6 +370,9 @@
             case CatalogueNote():
                 self.catalogue.note(message.holder, message.names)
                 return []
+            case CatalogueDrop():
+                self.catalogue.forget(message.holder, message.names)
+                return []
             case CatalogueAsk():
                 return [SendPeer(message.address, holdings_of(self.catalogue, message))]
             case CatalogueAnswer():
--- a/filbertstream/events.py
+++ b/filbertstream/events.py
@@ -95,6 +95,13 @@
     weight_version: str
 
 
+class StoredPiece(NamedTuple):
+    """A piece on a runner or store, and the first piece of the chain it belongs to."""
+
+    name: str
+    root: str
+
+
 class LoadReported(NamedTuple):
     """A runner's own report, which lags by ``age_s``."""
 
@@ -105,7 +112,7 @@
     model: str
     weight_version: str
     age_s: float
-    evicted: tuple[str, ...]
+    evicted: tuple[StoredPiece, ...]
 
 
 class TargetSilent(NamedTuple):
@@ -199,13 +206,6 @@
     bytes_moved: int
 
 
-class StoredPiece(NamedTuple):
-    """A published piece and the first piece of the chain it belongs to."""
-
-    name: str
-    root: str
-
-
 class StoreListed(NamedTuple):
     """The published pieces of a store, from its own listing, and its free share of memory."""
 
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -80,6 +80,13 @@
     names: tuple[str, ...]
 
 
+class CatalogueDrop(msgspec.Struct, frozen=True, tag="drop", array_like=True):
+    """Tells the owner of chains that a holder no longer has pieces of them."""
+
+    holder: str
+    names: tuple[str, ...]
+
+
 class CatalogueAsk(msgspec.Struct, frozen=True, tag="find", array_like=True):
     """Asks the owner of a chain who holds how much of it."""
 
@@ -108,6 +115,7 @@
     | RevisionAsk
     | Acknowledgement
     | CatalogueNote
+    | CatalogueDrop
     | CatalogueAsk
     | CatalogueAnswer
 )
--- a/filbertstream/process/directory.py
+++ b/filbertstream/process/directory.py
@@ -5,15 +5,15 @@
 reports lag, so work sent since a report was taken is added to it.
 """
 
-from collections import deque
-from typing import Final, NamedTuple
+from typing import Final
 
 from filbertstream.events import ListedTarget
 from filbertstream.messages import TargetLoad
+from filbertstream.process.backlog import Backlog
 from filbertstream.process.outliers import Outliers
 
-RATE_WEIGHT: Final = 0.2
-"""How much one more observation moves a learned rate."""
+LEARN_FROM_TOKENS: Final = 500
+"""Shorter computations tell more of the latency around them than of the rate."""
 
 FIRST_PREFILL_TOKENS_PER_S: Final = 20_000.0
 FIRST_LINK_BYTES_PER_S: Final = 100e6
@@ -21,11 +21,6 @@
 """A target missing from this many lists in a row is forgotten."""
 
 
-class _Sent(NamedTuple):
-    at_s: float
-    tokens: int
-
-
 class Target:
     """One target: listed facts, the last report, and learned rates."""
 
@@ -36,16 +31,12 @@
         self.running = 0
         self.queued_tokens = 0
         self.outstanding = 0
-        self.prefill_tokens_per_s = FIRST_PREFILL_TOKENS_PER_S
-        self.link_bytes_per_s = FIRST_LINK_BYTES_PER_S
-        self.link_busy_until_s = 0.0
+        self.prefill = Backlog(FIRST_PREFILL_TOKENS_PER_S)
+        self.link = Backlog(FIRST_LINK_BYTES_PER_S)
         self.full = False
         self.swapping = False
         self.leaving_since_s: float | None = None
         self.misses = 0
-        self._sent: deque[_Sent] = deque(maxlen=4_096)
-        self._backlog_tokens = 0.0
-        self._backlog_at_s = 0.0
 
     @property
     def name(self) -> str:
@@ -65,13 +56,7 @@
         self.reported_at_s = taken_at_s
         self.running = load.running + load.queued
         self.queued_tokens = load.queued_tokens
-        while self._sent and self._sent[0].at_s < taken_at_s:
-            self._sent.popleft()
-        self._backlog_tokens = float(load.queued_tokens)
-        self._backlog_at_s = taken_at_s
-        for sent in self._sent:
-            self._advance(sent.at_s)
-            self._backlog_tokens += sent.tokens
+        self.prefill.rebase(taken_at_s, float(load.queued_tokens))
         changed = self.weight_version != load.weight_version
         self.weight_version = load.weight_version
         return changed
@@ -80,51 +65,26 @@
         """Note work that was sent to the target.
 
         ``tokens`` are expected to be computed.  They count ``spread`` times: as many entries are
-        likely to have sent as much since the report, and none of them sees what the others send.
+        likely to have sent as much since the last base, and none of them sees what others send.
         """
         self.outstanding += 1
-        self._advance(now_s)
-        self._backlog_tokens += spread * tokens
-        self._sent.append(_Sent(now_s, spread * tokens))
+        self.prefill.add(now_s, spread * tokens)
 
     def done(self) -> None:
         """Note that an attempt on the target ended."""
         self.outstanding -= 1
 
-    def backlog_tokens(self, now_s: float) -> float:
-        """Return the prompt tokens that wait on the target now, as far as can be told.
-
-        What was reported and what was sent since has been worked off at the learned rate.
-        """
-        worked = (now_s - self._backlog_at_s) * self.prefill_tokens_per_s
-        return max(0.0, self._backlog_tokens - worked)
-
-    def _advance(self, to_s: float) -> None:
-        self._backlog_tokens = self.backlog_tokens(to_s)
-        self._backlog_at_s = to_s
-
     def learn_prefill(self, tokens: int, seconds: float) -> None:
-        """Learn the prefill rate from a first byte that waited for little else."""
-        if tokens <= 0 or seconds <= 0:
-            return
-        rate = tokens / seconds
-        self.prefill_tokens_per_s += RATE_WEIGHT * (rate - self.prefill_tokens_per_s)
+        """Learn the prefill rate from a request that computed ``tokens`` before its first byte."""
+        if tokens >= LEARN_FROM_TOKENS and seconds > 0:
+            self.prefill.learn_rate(tokens, seconds)
 
-    def learn_link(self, bytes_moved: int, seconds: float) -> None:
-        """Learn how fast the link of a store is."""
+    def learn_link(self, began_s: float, bytes_moved: int, seconds: float) -> None:
+        """Learn from a transfer: how fast the link is, and how long the transfer waited for it."""
         if bytes_moved <= 0 or seconds <= 0:
             return
-        rate = bytes_moved / seconds
-        self.link_bytes_per_s += RATE_WEIGHT * (rate - self.link_bytes_per_s)
-
-    def reserve_link(self, now_s: float, bytes_moved: int) -> None:
-        """Count a transfer that was just asked for against the link."""
-        begin_s = max(now_s, self.link_busy_until_s)
-        self.link_busy_until_s = begin_s + bytes_moved / self.link_bytes_per_s
-
-    def link_wait_s(self, now_s: float) -> float:
-        """Return how long a new transfer waits behind those already asked for."""
-        return max(0.0, self.link_busy_until_s - now_s)
+        self.link.learn_rate(bytes_moved, seconds)
+        self.link.observe_wait(began_s, seconds - bytes_moved / self.link.rate_per_s)
 
 
 class Directory:
--- a/filbertstream/request/routing.py
+++ b/filbertstream/request/routing.py
@@ -16,6 +16,19 @@
 from filbertstream.units import KV_BYTES_PER_TOKEN, PIECE_TOKENS
 from filbertstream.version.documents import Weights
 
+LOOK_AT_ALL: Final = 8
+"""Up to this many runners, a decision looks at each."""
+
+MOVE_FACTOR: Final = 200.0
+"""How many times a piece is counted that a move would place on a further runner.
+
+A prompt that leaves its runner takes memory on two, on this return and on all that follow.
+"""
+
+TIE_S: Final = 0.005
+"""Costs within this of each other are equal, and the draw decides: entries that know the same old
+facts would else all choose the same runner."""
+
 SAMPLED_CANDIDATES: Final = 6
 """How many runners are drawn at random where there are too many to look at each."""
 
@@ -55,8 +68,8 @@
 class Decision(NamedTuple):
     """The chosen runner, and all that were looked at, cheapest first.
 
-    ``hint_store`` holds the first ``hint_depth`` pieces.  The runner is told of them even where its
-    own cache is expected to have them, since cache events are late and get lost.
+    The runner is told that ``hint_store`` has the pieces which it is expected to have or to import:
+    cache events are late and get lost, and a piece that is gone after all is then imported.
     """
 
     chosen: Candidate
@@ -101,7 +114,7 @@
 
 @policy("cost")
 def by_cost(ask: Ask, directory: Directory, now_s: float, rng: random.Random) -> Decision | None:
-    """Choose the lowest expected cost: wait, recompute or import, and distance."""
+    """Choose the lowest expected cost: wait, recompute or import, distance, and moving."""
     everyone = directory.runners(ask.model)
     names = _candidates(ask, everyone, rng)
     targets = usable_runners(ask, directory, names, now_s)
@@ -111,16 +124,18 @@
         return None
     depths = dict(ask.holdings)
     store = _deepest_store(ask, directory, depths, now_s)
-    seen = [_estimate(ask, target, depths, store, now_s) for target in targets]
-    seen.sort(key=lambda candidate: (candidate.cost, rank(candidate.target, _place(ask))))
+    home = "".join(_preferred(ask, everyone))
+    seen = [_estimate(ask, target, depths, store, home, now_s) for target in targets]
+    seen.sort(key=lambda candidate: (candidate.cost // TIE_S, rng.random()))
     if store is None:
         return Decision(seen[0], tuple(seen))
-    return Decision(seen[0], tuple(seen), store.name, store.depth)
+    expected = min(store.depth, seen[0].import_pieces[1])
+    return Decision(seen[0], tuple(seen), store.name, expected)
 
 
 def _candidates(ask: Ask, everyone: list[str], rng: random.Random) -> list[str]:
     """Return the runners worth looking at: all while few, else holders, preferred and drawn."""
-    if len(everyone) <= SAMPLED_CANDIDATES + 2:
+    if len(everyone) <= LOOK_AT_ALL:
         return everyone
     holders = [name for name, _ in ask.holdings]
     drawn = [everyone[rng.randrange(len(everyone))] for _ in range(SAMPLED_CANDIDATES)]
@@ -139,11 +154,6 @@
     return [max(window, key=lambda name: rank(name, ask.names[0]))]
 
 
-def _place(ask: Ask) -> str:
-    """Return what breaks ties between equally cheap runners: the prompt's first piece."""
-    return ask.names[0] if ask.names else ""
-
-
 class _StoreView(NamedTuple):
     """The store that holds most of the chain."""
 
@@ -162,26 +172,35 @@
         depth = depths.get(name, 0)
         if target is None or depth == 0:
             continue
-        wait_s = target.link_wait_s(now_s)
-        view = _StoreView(name, depth, wait_s, target.link_bytes_per_s)
+        wait_s = target.link.wait_s(now_s)
+        view = _StoreView(name, depth, wait_s, target.link.rate_per_s)
         if best is None or (depth, -wait_s) > (best.depth, -best.wait_s):
             best = view
     return best
 
 
 def _estimate(
-    ask: Ask, target: Target, depths: dict[str, int], store: _StoreView | None, now_s: float
+    ask: Ask,
+    target: Target,
+    depths: dict[str, int],
+    store: _StoreView | None,
+    home: str,
+    now_s: float,
 ) -> Candidate:
     """Return what serving on a runner is expected to cost."""
-    rate = target.prefill_tokens_per_s
-    wait_s = target.backlog_tokens(now_s) / rate
+    wait_s = target.prefill.wait_s(now_s)
     have = min(depths.get(target.name, 0), len(ask.names))
-    plain = _priced(ask, target, wait_s, have, have, 0.0, "")
+    restore_s = PIECE_TOKENS / target.prefill.rate_per_s
+    if store is not None:
+        restore_s = min(restore_s, PIECE_TOKENS * KV_BYTES_PER_TOKEN / store.bytes_per_s)
+    plain = _priced(ask, target, wait_s, have, have, 0.0, "", restore_s, home)
     if store is None or store.depth <= have:
         return plain
     moved_bytes = (store.depth - have) * PIECE_TOKENS * KV_BYTES_PER_TOKEN
     import_s = store.wait_s + moved_bytes / store.bytes_per_s
-    imported = _priced(ask, target, wait_s, have, store.depth, import_s, store.name)
+    imported = _priced(
+        ask, target, wait_s, have, store.depth, import_s, store.name, restore_s, home
+    )
     return min(plain, imported, key=lambda candidate: candidate.cost)
 
 
@@ -193,17 +212,25 @@
     depth: int,
     import_s: float,
     store: str,
+    restore_s: float,
+    home: str,
 ) -> Candidate:
-    """Return a candidate that starts from ``depth`` pieces, those after ``have`` imported."""
+    """Return a candidate that starts from ``depth`` pieces, those after ``have`` imported.
+
+    ``restore_s`` is what fetching or computing one piece takes; ``home`` is the runner that the
+    prompt's pieces belong on.
+    """
     recompute = max(0, ask.prompt_tokens - depth * PIECE_TOKENS)
-    compute_s = recompute / target.prefill_tokens_per_s
+    compute_s = recompute / target.prefill.rate_per_s
     near = target.listed.data_center == ask.data_center
     distance_s = SAME_DATA_CENTER_S if near else OTHER_DATA_CENTER_S
     # An import waits for the link while the runner works off its queue.
     first_token_s = max(wait_s, import_s) + compute_s + distance_s
     weights = ask.weights
+    moved_pieces = 0 if target.name == home else len(ask.names) - have
+    placed_s = MOVE_FACTOR * moved_pieces * restore_s
     cost = (
-        weights.first_token * first_token_s
+        weights.first_token * (first_token_s + placed_s)
         + weights.recompute * compute_s
         + weights.link * import_s
     )
@@ -212,38 +239,46 @@
     )
 
 
-def _flat(target: Target, cost: float, now_s: float) -> Candidate:
-    """Return a candidate of a policy that looks at one figure only."""
-    return Candidate(target.name, 0.0, 0, (0, 0), 0.0, "", 0.0, cost)
+def _flat(ask: Ask, directory: Directory, target: Target, now_s: float) -> Decision:
+    """Return the decision of a policy that looks at one figure only.
+
+    It is told of the same stores as ``by_cost``, so that only the choice of the runner differs.
+    """
+    store = _deepest_store(ask, directory, dict(ask.holdings), now_s)
+    depth = 0 if store is None else store.depth
+    tokens = max(0, ask.prompt_tokens - depth * PIECE_TOKENS)
+    name = "" if store is None else store.name
+    candidate = Candidate(target.name, 0.0, tokens, (0, depth), 0.0, name, 0.0, 0.0)
+    return Decision(candidate, (candidate,), name, depth)
 
 
-def _decide(targets: list[Target], now_s: float, key: Callable[[Target], float]) -> Decision | None:
+def _decide(
+    ask: Ask, directory: Directory, now_s: float, key: Callable[[Target], float]
+) -> Decision | None:
+    """Return the usable runner with the lowest key."""
+    targets = usable_runners(ask, directory, directory.runners(ask.model), now_s)
     if not targets:
         return None
     chosen = min(targets, key=lambda target: (key(target), target.name))
-    candidate = _flat(chosen, key(chosen), now_s)
-    return Decision(candidate, (candidate,))
+    return _flat(ask, directory, chosen, now_s)
 
 
 @policy("round_robin")
 def round_robin(
     ask: Ask, directory: Directory, now_s: float, rng: random.Random
 ) -> Decision | None:
-    """Choose the runner that this entry sent the fewest requests to lately, in turn."""
+    """Choose the runners in turn."""
     targets = usable_runners(ask, directory, directory.runners(ask.model), now_s)
     if not targets:
         return None
     turn = directory.next_turn(ask.model)
-    chosen = targets[turn % len(targets)]
-    candidate = _flat(chosen, 0.0, now_s)
-    return Decision(candidate, (candidate,))
+    return _flat(ask, directory, targets[turn % len(targets)], now_s)
 
 
 @policy("least_load")
 def least_load(ask: Ask, directory: Directory, now_s: float, rng: random.Random) -> Decision | None:
     """Choose the runner with the least work, by its report and what this entry has sent."""
-    targets = usable_runners(ask, directory, directory.runners(ask.model), now_s)
-    return _decide(targets, now_s, lambda item: item.backlog_tokens(now_s) + item.running)
+    return _decide(ask, directory, now_s, lambda item: item.prefill.units(now_s) + item.running)
 
 
 @policy("prefix_affinity")
@@ -251,7 +286,6 @@
     ask: Ask, directory: Directory, now_s: float, rng: random.Random
 ) -> Decision | None:
     """Choose by rendezvous hash of the prompt's first piece alone."""
-    targets = usable_runners(ask, directory, directory.runners(ask.model), now_s)
     if not ask.names:
         return least_load(ask, directory, now_s, rng)
-    return _decide(targets, now_s, lambda item: -float(rank(item.name, ask.names[0])))
+    return _decide(ask, directory, now_s, lambda item: -float(rank(item.name, ask.names[0])))
--- a/filbertstream/request/run.py
+++ b/filbertstream/request/run.py
@@ -39,7 +39,6 @@
     target: str
     began_s: float
     expected_tokens: int
-    started: bool = False
     resumes: int = 0
 
 
--- a/filbertstream/request/serving.py
+++ b/filbertstream/request/serving.py
@@ -230,7 +230,7 @@
         directory = self._parts.directory
         target = directory.targets[chosen.target]
         attempt = self._new_attempt(run, target, chosen.recompute_tokens, now_s)
-        target.sent(now_s, chosen.recompute_tokens, len(self._parts.membership.live(now_s)))
+        target.sent(now_s, chosen.recompute_tokens, self._spread(now_s))
         first_byte_s = max(FIRST_BYTE_MIN_S, FIRST_BYTE_FACTOR * chosen.first_token_s)
         remaining_s = run.deadline_at_s - now_s
         return [
@@ -251,12 +251,17 @@
             )
         ]
 
+    def _spread(self, now_s: float) -> int:
+        """Return how many entries are likely to do at this time what this one does."""
+        return len(self._parts.membership.live(now_s))
+
     def _imports(self, run: Run, decision: Decision, now_s: float) -> tuple[ImportHint, ...]:
         store = self._parts.directory.targets.get(decision.hint_store)
         if store is None:
             return ()
         first, end = decision.chosen.import_pieces
-        store.reserve_link(now_s, (end - first) * PIECE_TOKENS * KV_BYTES_PER_TOKEN)
+        moved = (end - first) * PIECE_TOKENS * KV_BYTES_PER_TOKEN
+        store.link.add(now_s, self._spread(now_s) * moved)
         names = run.names[: decision.hint_depth]
         return tuple(ImportHint(name, store.listed.address) for name in names)
 
@@ -308,12 +313,32 @@
         run = self._current(event.request_id, event.attempt_id)
         if run is None or run.attempt is None:
             return []
-        run.attempt.started = True
         run.sent = True
+        self._observe_wait(run, run.attempt, event.first_byte_s)
         if run.first_token_s is None:
             run.first_token_s = now_s - run.arrived_s
         return []
 
+    def _observe_wait(self, run: Run, attempt: Attempt, first_byte_s: float) -> None:
+        """Learn from a first byte how long its runner's queue was, or its store's link.
+
+        What took longer than computing did is put down to the longer of the two expected waits.
+        """
+        directory = self._parts.directory
+        target = directory.targets.get(attempt.target)
+        chosen = run.chosen
+        if target is None or chosen is None:
+            return
+        waited_s = first_byte_s - attempt.expected_tokens / target.prefill.rate_per_s
+        if chosen.import_s <= chosen.wait_s:
+            target.prefill.observe_wait(attempt.began_s, waited_s)
+            return
+        store = directory.targets.get(chosen.store)
+        first, end = chosen.import_pieces
+        if store is not None:
+            moved = (end - first) * PIECE_TOKENS * KV_BYTES_PER_TOKEN
+            store.link.observe_wait(attempt.began_s, waited_s - moved / store.link.rate_per_s)
+
     def on_finished(self, event: AttemptFinished, now_s: float) -> list[Action]:
         """End a run whose whole answer was passed on, and learn from it."""
         run = self._current(event.request_id, event.attempt_id)
@@ -369,7 +394,8 @@
         runner = parts.directory.targets.get(run.attempt.target)
         if store is None or runner is None:
             return []
-        store.reserve_link(now_s, len(missing) * PIECE_TOKENS * KV_BYTES_PER_TOKEN)
+        moved = len(missing) * PIECE_TOKENS * KV_BYTES_PER_TOKEN
+        store.link.add(now_s, self._spread(now_s) * moved)
         return [
             ExportPieces(
                 run.req.request_id,
@@ -393,7 +419,7 @@
         store = self._parts.directory.targets.get(event.store)
         if store is None or not event.names:
             return []
-        store.learn_link(event.bytes_moved, event.seconds)
+        store.learn_link(now_s - event.seconds, event.bytes_moved, event.seconds)
         fields = (("store", event.store), ("pieces", len(event.names)))
         actions = self.note(event.store, event.root, event.names, now_s)
         return [*actions, Log(LogEvent.PIECES_KEPT, fields)]
--- a/filbertstream/version/keeping.py
+++ b/filbertstream/version/keeping.py
@@ -24,7 +24,7 @@
     usable = [store for store in stores if store is not None and not store.full]
     if not usable:
         return None
-    best = min(usable, key=lambda store: (store.link_wait_s(now_s), store.name))
-    moved_s = len(names) * PIECE_TOKENS * KV_BYTES_PER_TOKEN / best.link_bytes_per_s
-    wait_s = best.link_wait_s(now_s) + weights.link * moved_s
+    best = min(usable, key=lambda store: (store.link.wait_s(now_s), store.name))
+    moved_s = len(names) * PIECE_TOKENS * KV_BYTES_PER_TOKEN / best.link.rate_per_s
+    wait_s = best.link.wait_s(now_s) + weights.link * moved_s
     return best if wait_s <= LINK_WAIT_LIMIT_S else None
