--- a/bench/report.py
+++ b/bench/report.py
@@ -3,7 +3,8 @@
 from pathlib import Path
 from typing import Final
 
-from bench.routing import DEPLOYMENTS, LOADS, POLICY_NAMES, Row
+from bench.routing import LOADS, POLICY_NAMES, Row
+from bench.workload import DEPLOYMENTS
 
 BASELINES: Final = ("round_robin", "least_load", "prefix_affinity")
 
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -38,6 +38,11 @@
 WARM_SHARE: Final = 0.3
 """The first requests fill caches and are not counted."""
 
+WARM_SLOWER: Final = 4.0
+"""The first requests come this many times slower, so that rates are learned without a flood."""
+
+WARM_REST_S: Final = 3.0
+
 LISTED_S: Final = 12.0
 DEADLINE_S: Final = 20.0
 OBJECTIVE_S: Final = 0.36
@@ -242,11 +247,13 @@
     plan = arrivals(deployment, rng, cell.requests, rate, PIECE_TOKENS)
     warm = int(WARM_SHARE * len(plan))
     chooser = random.Random(cell.seed + 1)
-    ids = [_feed(world, chooser, arrival) for arrival in _paced(world, plan[:warm])]
+    for arrival in _paced(world, plan[:warm], WARM_SLOWER):
+        _feed(world, chooser, arrival)
+    world.run(WARM_REST_S)
     busy_s = sum(store.link_busy_s for store in world.stores.values())
     computed = sum(runner.computed_tokens for runner in world.runners.values())
     FAULTS[cell.fault](world)
-    ids = [_feed(world, chooser, arrival) for arrival in _paced(world, plan[warm:])]
+    ids = [_feed(world, chooser, arrival) for arrival in _paced(world, plan[warm:], 1.0)]
     world.run(DEADLINE_S + 30.0)
     computed = sum(runner.computed_tokens for runner in world.runners.values()) - computed
     busy_s = sum(store.link_busy_s for store in world.stores.values()) - busy_s
@@ -264,11 +271,12 @@
     world.run(LISTED_S)
 
 
-def _paced(world: World, plan: list[Arrival]) -> Iterable[Arrival]:
-    """Yield arrivals at their times, counted from the first."""
-    base_s = world.now_s - (plan[0].at_s if plan else 0.0)
+def _paced(world: World, plan: list[Arrival], slower: float) -> Iterable[Arrival]:
+    """Yield arrivals at their times, counted from the first, that many times slower."""
+    begin_s = world.now_s
     for arrival in plan:
-        world.run(max(0.0, base_s + arrival.at_s - world.now_s))
+        at_s = begin_s + slower * (arrival.at_s - plan[0].at_s)
+        world.run(max(0.0, at_s - world.now_s))
         yield arrival
 
 
--- a/filbertstream/core.py
+++ b/filbertstream/core.py
@@ -42,6 +42,7 @@
     RevisionAsk,
     RevisionPush,
     TargetLoad,
+    WorkShare,
     WorkspaceUse,
 )
 from filbertstream.process.append_log import OpIds
@@ -51,6 +52,7 @@
 from filbertstream.process.freshness import Freshness
 from filbertstream.process.leases import Holder, Lease
 from filbertstream.process.membership import Membership, Registration
+from filbertstream.process.sharing import Sharing
 from filbertstream.request.admission import Admission
 from filbertstream.request.claimed import Claimed
 from filbertstream.request.claims import Ledger
@@ -106,6 +108,7 @@
         self.acceptance = Acceptance()
         self.directory = Directory()
         self.catalogue = Catalogue()
+        self.sharing = Sharing(cfg.name)
         self.counters = Counters()
         self.explanations = Explanations()
         self.burn = Burn()
@@ -160,6 +163,7 @@
             self.directory,
             self.membership,
             self.catalogue,
+            self.sharing,
             Admission(self._rng),
             RetryBudget(),
             self.explanations,
@@ -191,7 +195,7 @@
         if run is None:
             return actions
         if req.kind == "model":
-            return self.serving.begin_model(run, now_s)
+            return [*self.serving.begin_model(run, now_s), *self._share_work(now_s)]
         service = self.config.view.service(req.target_name)
         if service is None or req.method not in service.not_repeatable:
             return self.serving.route(run, now_s)
@@ -199,6 +203,11 @@
             return self.serving.give_up(run, "key_required", now_s)
         return self.claimed.begin(run, now_s)
 
+    def _share_work(self, now_s: float) -> list[Action]:
+        """Tell the other entries what this one has sent, when that is due."""
+        share = self.sharing.due(now_s, len(self.membership.live(now_s)))
+        return [] if share is None else list(self.membership.tell_all(share, now_s))
+
     def blocked(self, now_s: float) -> str | None:
         """Return why no new work is taken at all."""
         if self.draining:
@@ -242,7 +251,8 @@
         """Tell the owners of their chains which pieces a runner has evicted."""
         by_owner: dict[str, list[str]] = {}
         for piece in event.evicted:
-            by_owner.setdefault(self.membership.owner(piece.root, now_s), []).append(piece.name)
+            for owner in self.membership.owners(piece.root, now_s):
+                by_owner.setdefault(owner, []).append(piece.name)
         actions: list[Action] = []
         for owner, names in by_owner.items():
             address = self.membership.address_of(owner)
@@ -271,7 +281,7 @@
         if store is not None:
             store.full = event.full
         for piece in event.pieces:
-            if self.membership.owner(piece.root, now_s) == self.cfg.name:
+            if self.cfg.name in self.membership.owners(piece.root, now_s):
                 self.catalogue.note(event.store, (piece.name,))
         return []
 
@@ -367,6 +377,9 @@
             case Acknowledgement():
                 self.acceptance.acknowledge(message.member, message.revision)
                 return self._settle_acceptance(now_s)
+            case WorkShare():
+                self._on_work(message, now_s)
+                return []
             case CatalogueNote():
                 self.catalogue.note(message.holder, message.names)
                 return []
@@ -378,6 +391,12 @@
             case CatalogueAnswer():
                 return self.serving.on_holdings(message, now_s)
 
+    def _on_work(self, share: WorkShare, now_s: float) -> None:
+        for row in share.rows:
+            target = self.directory.targets.get(row.target)
+            if target is not None:
+                target.sent_by_peer(now_s, row.units)
+
     def _on_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> list[Action]:
         actions: list[Action] = []
         newcomer = self.membership.on_heartbeat(heartbeat, now_s)
@@ -519,6 +538,7 @@
         actions += self._tick_targets(now_s)
         actions += self._tick_claims(now_s)
         actions += self._tick_peers(now_s)
+        actions += self._share_work(now_s)
         actions += self._tick_state(now_s)
         return [*actions, *self._settle_acceptance(now_s), *self._settle_drain()]
 
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -72,6 +72,20 @@
     after: int
 
 
+class SentWork(NamedTuple):
+    """What an entry has sent to a target: prompt tokens for a runner, bytes for a store's link."""
+
+    target: str
+    units: float
+
+
+class WorkShare(msgspec.Struct, frozen=True, tag="work", array_like=True):
+    """What the sender has sent to targets since its last share."""
+
+    member: str
+    rows: tuple[SentWork, ...]
+
+
 class CatalogueNote(msgspec.Struct, frozen=True, tag="note", array_like=True):
     """Tells the owner of a chain who holds its pieces ``first`` and following."""
 
@@ -114,6 +128,7 @@
     | RevisionPush
     | RevisionAsk
     | Acknowledgement
+    | WorkShare
     | CatalogueNote
     | CatalogueDrop
     | CatalogueAsk
--- a/filbertstream/names.py
+++ b/filbertstream/names.py
@@ -60,5 +60,16 @@
 
     def owner(self, subject: str) -> str:
         """Return the member whose point follows the subject's on the ring."""
+        return self.owners(subject, 1)[0]
+
+    def owners(self, subject: str, count: int) -> tuple[str, ...]:
+        """Return the first ``count`` different members that follow the subject on the ring."""
+        found: list[str] = []
         index = bisect.bisect(self._places, rank("", subject))
-        return self._names[index % len(self._names)]
+        for step in range(len(self._names)):
+            name = self._names[(index + step) % len(self._names)]
+            if name not in found:
+                found.append(name)
+            if len(found) == count:
+                break
+        return tuple(found)
--- a/filbertstream/process/backlog.py
+++ b/filbertstream/process/backlog.py
@@ -5,15 +5,18 @@
 this entry has added since then is on top, and what was served since is off.
 """
 
+import math
 from collections import deque
 from typing import Final, NamedTuple
 
-RATE_RISE: Final = 0.2
-RATE_FALL: Final = 0.005
-"""How much one observation moves the learned rate.
+RATE_RISE: Final = 0.5
+"""How much one higher observation moves the learned rate."""
 
-An observed time includes waits for others: a rate above the learned one is believed, one below
-it moves it only a little.
+RATE_FALL_S: Final = 300.0
+"""The time over which lower observations bring the learned rate down.
+
+An observed time includes waits for others, so every observation is at or below the true rate: a
+higher one is believed, lower ones only once no higher one has come for a while.
 """
 
 ADDITIONS_KEPT: Final = 4_096
@@ -32,6 +35,7 @@
         self._units = 0.0
         self._at_s = 0.0
         self._based_at_s = float("-inf")
+        self._learned_at_s = 0.0
         self._additions: deque[_Addition] = deque(maxlen=ADDITIONS_KEPT)
 
     def wait_s(self, now_s: float) -> float:
@@ -69,10 +73,13 @@
             self.rebase(sent_at_s, max(0.0, wait_s) * self.rate_per_s)
             self._units += sum(item.units for item in own)
 
-    def learn_rate(self, units: float, seconds: float) -> None:
+    def learn_rate(self, now_s: float, units: float, seconds: float) -> None:
         """Learn the rate from units that were served within some time."""
         rate = units / seconds
-        weight = RATE_RISE if rate > self.rate_per_s else RATE_FALL
+        weight = RATE_RISE
+        if rate < self.rate_per_s:
+            weight = 1.0 - math.exp((self._learned_at_s - now_s) / RATE_FALL_S)
+        self._learned_at_s = now_s
         self.rate_per_s += weight * (rate - self.rate_per_s)
 
     def _advance(self, to_s: float) -> None:
--- a/filbertstream/process/directory.py
+++ b/filbertstream/process/directory.py
@@ -17,6 +17,8 @@
 
 FIRST_PREFILL_TOKENS_PER_S: Final = 20_000.0
 FIRST_LINK_BYTES_PER_S: Final = 100e6
+"""A link is first taken for a fast one: one taken for slow would never be tried."""
+
 LIST_MISSES_BEFORE_GONE: Final = 3
 """A target missing from this many lists in a row is forgotten."""
 
@@ -64,26 +66,31 @@
     def sent(self, now_s: float, tokens: int, spread: int) -> None:
         """Note work that was sent to the target.
 
-        ``tokens`` are expected to be computed.  They count ``spread`` times: as many entries are
-        likely to have sent as much since the last base, and none of them sees what others send.
+        ``tokens`` are expected to be computed.  They count ``spread`` times, see
+        ``process.sharing``.
         """
         self.outstanding += 1
         self.prefill.add(now_s, spread * tokens)
 
+    def sent_by_peer(self, now_s: float, units: float) -> None:
+        """Note what another entry has sent: tokens to a runner, bytes to a store."""
+        backlog = self.link if self.listed.kind == "store" else self.prefill
+        backlog.add(now_s, units)
+
     def done(self) -> None:
         """Note that an attempt on the target ended."""
         self.outstanding -= 1
 
-    def learn_prefill(self, tokens: int, seconds: float) -> None:
+    def learn_prefill(self, now_s: float, tokens: int, seconds: float) -> None:
         """Learn the prefill rate from a request that computed ``tokens`` before its first byte."""
         if tokens >= LEARN_FROM_TOKENS and seconds > 0:
-            self.prefill.learn_rate(tokens, seconds)
+            self.prefill.learn_rate(now_s, tokens, seconds)
 
     def learn_link(self, began_s: float, bytes_moved: int, seconds: float) -> None:
         """Learn from a transfer: how fast the link is, and how long the transfer waited for it."""
         if bytes_moved <= 0 or seconds <= 0:
             return
-        self.link.learn_rate(bytes_moved, seconds)
+        self.link.learn_rate(began_s + seconds, bytes_moved, seconds)
         self.link.observe_wait(began_s, seconds - bytes_moved / self.link.rate_per_s)
 
 
--- a/filbertstream/process/membership.py
+++ b/filbertstream/process/membership.py
@@ -31,6 +31,12 @@
 LIST_S_PER_MEMBER: Final = 0.25
 """Registrations are listed every ``LIST_S``, more slowly in a large fleet."""
 
+KEEPERS: Final = 2
+"""How many members keep the catalogue rows of a chain."""
+
+HEARD_LATELY_S: Final = 2.2
+"""Two heartbeats may be missing before a peer is passed over."""
+
 WATCHERS: Final = 2
 """How many members of each data center read the platform every second."""
 
@@ -119,6 +125,25 @@
         self.live(now_s)
         return self._ring.owner(subject)
 
+    def owners(self, subject: str, now_s: float) -> tuple[str, ...]:
+        """Return the live members that keep a subject: the owner and the one that follows it."""
+        self.live(now_s)
+        return self._ring.owners(subject, KEEPERS)
+
+    def first_heard(self, names: tuple[str, ...], now_s: float) -> str | None:
+        """Return the address of the first member that was heard lately; None for this one.
+
+        A member that has just died is not yet taken for dead; those who need an answer at once
+        pass it over.
+        """
+        for name in names:
+            peer = self.peers.get(name)
+            if peer is None:
+                return None
+            if now_s - peer.heard_at_s <= HEARD_LATELY_S:
+                return peer.registration.address
+        return None
+
     def watchers(self, now_s: float) -> frozenset[str]:
         """Return the members of the own data center that read the platform for the others.
 
--- a/filbertstream/request/routing.py
+++ b/filbertstream/request/routing.py
@@ -230,8 +230,9 @@
     moved_pieces = 0 if target.name == home else len(ask.names) - have
     placed_s = MOVE_FACTOR * moved_pieces * restore_s
     cost = (
-        weights.first_token * (first_token_s + placed_s)
+        weights.first_token * first_token_s
         + weights.recompute * compute_s
+        + (weights.first_token + weights.recompute) * placed_s
         + weights.link * import_s
     )
     return Candidate(
--- a/filbertstream/request/serving.py
+++ b/filbertstream/request/serving.py
@@ -35,6 +35,7 @@
 from filbertstream.process.counters import Counters
 from filbertstream.process.directory import Directory, Target
 from filbertstream.process.membership import Membership
+from filbertstream.process.sharing import Sharing
 from filbertstream.request.admission import Admission
 from filbertstream.request.explain import AttemptNote, Explanation, Explanations
 from filbertstream.request.prefix import piece_names
@@ -73,6 +74,7 @@
     directory: Directory
     membership: Membership
     catalogue: Catalogue
+    sharing: Sharing
     admission: Admission
     budget: RetryBudget
     explanations: Explanations
@@ -139,8 +141,8 @@
         run.names = self._names(run, run.weight_version)
         if not run.names:
             return self.route(run, now_s)
-        owner = parts.membership.owner(run.names[0], now_s)
-        address = parts.membership.address_of(owner)
+        owners = parts.membership.owners(run.names[0], now_s)
+        address = parts.membership.first_heard(owners, now_s)
         if address is None:
             run.holdings = parts.catalogue.find(run.names)
             return self.route(run, now_s)
@@ -231,6 +233,7 @@
         target = directory.targets[chosen.target]
         attempt = self._new_attempt(run, target, chosen.recompute_tokens, now_s)
         target.sent(now_s, chosen.recompute_tokens, self._spread(now_s))
+        self._parts.sharing.note(target.name, chosen.recompute_tokens)
         first_byte_s = max(FIRST_BYTE_MIN_S, FIRST_BYTE_FACTOR * chosen.first_token_s)
         remaining_s = run.deadline_at_s - now_s
         return [
@@ -252,8 +255,12 @@
         ]
 
     def _spread(self, now_s: float) -> int:
-        """Return how many entries are likely to do at this time what this one does."""
-        return len(self._parts.membership.live(now_s))
+        """Return how many entries' work the own stands for."""
+        return self._parts.sharing.spread(len(self._parts.membership.live(now_s)))
+
+    def _use_link(self, store: Target, moved: int, now_s: float) -> None:
+        store.link.add(now_s, self._spread(now_s) * moved)
+        self._parts.sharing.note(store.name, moved)
 
     def _imports(self, run: Run, decision: Decision, now_s: float) -> tuple[ImportHint, ...]:
         store = self._parts.directory.targets.get(decision.hint_store)
@@ -261,7 +268,7 @@
             return ()
         first, end = decision.chosen.import_pieces
         moved = (end - first) * PIECE_TOKENS * KV_BYTES_PER_TOKEN
-        store.link.add(now_s, self._spread(now_s) * moved)
+        self._use_link(store, moved, now_s)
         names = run.names[: decision.hint_depth]
         return tuple(ImportHint(name, store.listed.address) for name in names)
 
@@ -322,7 +329,8 @@
     def _observe_wait(self, run: Run, attempt: Attempt, first_byte_s: float) -> None:
         """Learn from a first byte how long its runner's queue was, or its store's link.
 
-        What took longer than computing did is put down to the longer of the two expected waits.
+        Without an import, what took longer than computing was the queue; with one, what took longer
+        than computing and moving was the link, unless the queue was expected to be longer still.
         """
         directory = self._parts.directory
         target = directory.targets.get(attempt.target)
@@ -330,12 +338,12 @@
         if target is None or chosen is None:
             return
         waited_s = first_byte_s - attempt.expected_tokens / target.prefill.rate_per_s
-        if chosen.import_s <= chosen.wait_s:
+        first, end = chosen.import_pieces
+        if first == end:
             target.prefill.observe_wait(attempt.began_s, waited_s)
             return
         store = directory.targets.get(chosen.store)
-        first, end = chosen.import_pieces
-        if store is not None:
+        if store is not None and waited_s > chosen.wait_s:
             moved = (end - first) * PIECE_TOKENS * KV_BYTES_PER_TOKEN
             store.link.observe_wait(attempt.began_s, waited_s - moved / store.link.rate_per_s)
 
@@ -354,14 +362,29 @@
         actions: list[Action] = []
         if run.req.kind == "model" and event.status < 400:
             self._count_tokens(event)
+            actions += self._judge_store(run, event, now_s)
             if target is not None:
                 computed = event.prompt_tokens - event.cached_tokens - event.imported_tokens
-                target.learn_prefill(computed, event.first_byte_s)
+                target.learn_prefill(now_s, computed, event.first_byte_s)
             actions += self._note_holder(run, run.attempt.target, run.names, now_s)
             actions += self._keep_pieces(run, now_s)
         actions += self.end(run, str(event.status), now_s, missed=event.status >= 500)
         return actions
 
+    def _judge_store(self, run: Run, event: AttemptFinished, now_s: float) -> list[Action]:
+        """Count a store as failing that did not deliver what it is listed to have."""
+        chosen = run.chosen
+        if chosen is None or not chosen.store:
+            return []
+        first, end = chosen.import_pieces
+        delivered = event.cached_tokens + event.imported_tokens
+        if delivered >= end * PIECE_TOKENS:
+            self._parts.directory.outliers.succeeded(chosen.store)
+            return []
+        if event.imported_tokens > 0 or first == end:
+            return []
+        return self._fail_target(chosen.store, now_s)
+
     def _count_tokens(self, event: AttemptFinished) -> None:
         counters = self._parts.counters
         counters.add("prompt_tokens", "all", event.prompt_tokens)
@@ -377,11 +400,12 @@
         return self.note(holder, run.names[0], names, now_s)
 
     def note(self, holder: str, root: str, names: tuple[str, ...], now_s: float) -> list[Action]:
-        """Enter pieces into the catalogue of the chain's owner."""
+        """Enter pieces into the catalogues of the chain's owners."""
         membership = self._parts.membership
-        address = membership.address_of(membership.owner(root, now_s))
         self._parts.catalogue.note(holder, names)
-        return [] if address is None else [SendPeer(address, CatalogueNote(holder, root, names))]
+        addresses = map(membership.address_of, membership.owners(root, now_s))
+        note = CatalogueNote(holder, root, names)
+        return [SendPeer(address, note) for address in addresses if address is not None]
 
     def _keep_pieces(self, run: Run, now_s: float) -> list[Action]:
         """Order the runner to keep the prompt's pieces on a store, if that is worth the link."""
@@ -395,7 +419,7 @@
         if store is None or runner is None:
             return []
         moved = len(missing) * PIECE_TOKENS * KV_BYTES_PER_TOKEN
-        store.link.add(now_s, self._spread(now_s) * moved)
+        self._use_link(store, moved, now_s)
         return [
             ExportPieces(
                 run.req.request_id,
