Revisions go along a tree; docs/CAPACITY.md worked out from slopes

Cause: worked out from the slopes, pushing a revision to every peer of the fan-out took 3.4 KB a second a node at the target size, and heartbeats 2.25 KB, both over the aim of 2 KB. Ruled out: rumours without a tree (each revision would still arrive several times). Change: each live member gets a revision once along a tree over the ring of names; heartbeats find what a dead branch missed; unused fields of heartbeats are gone; a lease that a member wouldn't take is looked at every 30 s. Conclusion: the control bytes are within the aim, as worked out and not measured beyond 8 entries.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -34,6 +34,7 @@
 
 PIECES_OF_A_PROMPT: Final = 8
 RETURNING_SHARE: Final = 0.4
+CHANGE_BYTES: Final = 500
 CLAIM_SHARE: Final = 0.01
 CLAIM_KEPT_DAYS: Final = 1
 CLAIM_SHARDS: Final = 64
@@ -44,6 +45,7 @@
 LIST_S: Final = 325.0
 LEASES: Final = 1
 LEASE_RENEW_S: Final = 3.0
+LEASE_LOOK_S: Final = 30.0
 MEGABYTE: Final = 1e6
 
 
@@ -78,7 +80,7 @@
 
 def control_lines(slopes: dict[str, Any]) -> list[Line]:
     """Return what a node spends on control."""
-    beats = at(slopes, "heartbeats", NODES) + WATCHERS
+    beats = at(slopes, "heartbeats", NODES)
     beat_us = at(slopes, "heartbeats_out", NODES) + beats * at(slopes, "heartbeat_in", NODES)
     live_us = 4 * at(slopes, "live_set", NODES)
     changes_per_s = CHANGES_PER_DAY / DAY_S
@@ -91,7 +93,7 @@
         + at(slopes, "configuration", WORKSPACES)
         + each(slopes, "directory") * RUNNERS / CENTERS
     )
-    changed = changes_per_s * 500 * beats
+    changed = changes_per_s * CHANGE_BYTES
     return [
         Line(
             "processor, core only", core_us / 1e6, "of a core", CONTROL_CORE_SHARE,
@@ -104,8 +106,8 @@
         ),
         Line(
             "pushed revisions out", changed, "bytes a second", CONTROL_BYTES_PER_S,
-            "heartbeats (fan-out), 500 bytes a change assumed",
-            "each member passes a revision on to its fan-out",
+            "500 bytes a change assumed, each member gets it once",
+            "a tree over the ring; heartbeats find what it missed",
         ),
         Line(
             "listing of members in", listing, "bytes a second", CONTROL_BYTES_PER_S,
@@ -165,7 +167,7 @@
     claim_writes = CLAIM_SHARDS / BATCH_S
     renewals = NODES / RENEW_S
     changes = CHANGES_PER_DAY / DAY_S
-    reads = CENTERS * WATCHERS + NODES / LIST_S + changes + NODES * LEASES / LEASE_RENEW_S
+    reads = CENTERS * WATCHERS + NODES / LIST_S + changes + NODES * LEASES / LEASE_LOOK_S
     starts = RESTARTS_PER_DAY / DAY_S
     record = at(slopes, "claim_record", 100) / 100
     return [
@@ -175,7 +177,8 @@
             f"group commit: {claims_per_s * 2 / claim_writes:.0f} operations a write",
         ),
         Line(
-            "writes: registrations, changes, leases", renewals + changes + LEASES / LEASE_RENEW_S,
+            "writes: registrations, changes, leases",
+            renewals + changes + LEASES / LEASE_RENEW_S,
             "a second", PLATFORM_WRITES_PER_S, "a renewal in 65 s",
             "renewals slow down as the fleet grows",
         ),
@@ -228,11 +231,9 @@
 - **The configuration's log** is read from its first record when an entry starts: 39,000 records a
   day. Change: a lease holder writes snapshots in parts of under 1 MB and removes older records; a
   starting entry reads the newest snapshot and what follows it.
-- **Lease listings**: every entry reads the lease every 3 s. Change: only the first ranks for a duty
-  read it.
-- **Registrations of leases and reads** count every entry; the reads above include them.
-- **Configuration in memory** takes most of the 64 MB. Change: hold grants of templates once and a
-  compact row for each workspace.
+- **Memory**: the state above is within 64 MB, but an idle process with little state takes 61 MB
+  already (bench.idle), so the whole process would take about 105 MB. Most of the state is the
+  configuration. Change: hold grants of templates once and a compact row for each workspace.
 - **All entries know all runners** today. The page counts the runners of one data center; the list
   of VMs must then be asked for by data center.
 - **Work shares** (`process.sharing`) stop at 16 members; beyond that own work stands for all. At
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -24,7 +24,6 @@
     CatalogueNote,
     Heartbeat,
     TargetLoad,
-    WorkspaceUse,
     decode,
     encode,
 )
@@ -124,10 +123,9 @@
 def heartbeat_of(number: int) -> Heartbeat:
     """Return a heartbeat as it is sent under load."""
     loads = tuple(TargetLoad(f"runner-{n}", 3, 1, 4_000, "v1", 0.7) for n in range(2))
-    uses = (WorkspaceUse("lavanderia-jalisco", 12),)
     return Heartbeat(
         f"m{number:05d}", 1, f"dc{number % 10}", f"tcp://10.0.0.1:{number}", "live",
-        10.0, 9.5, 123_456, 0.4, loads, uses, (), (),
+        10.0, 9.5, 123_456, 0.4, loads, (), (),
     )  # fmt: skip
 
 
--- a/filbertstream/core.py
+++ b/filbertstream/core.py
@@ -43,7 +43,6 @@
     RevisionPush,
     TargetLoad,
     WorkShare,
-    WorkspaceUse,
 )
 from filbertstream.process.append_log import OpIds
 from filbertstream.process.burn import Burn
@@ -75,7 +74,6 @@
 SETTLE_S: Final = 0.5
 STALE_RETRY_S: Final = 2.0
 LOADS_PER_HEARTBEAT: Final = 8
-USES_PER_HEARTBEAT: Final = 8
 
 
 class CoreConfig(NamedTuple):
@@ -339,18 +337,21 @@
             self.acceptance.begin(request_id, self.config.revision, now_s)
             self.membership.list_now()
         if step.applied:
-            actions += self._spread(step.applied, now_s)
+            actions += self._spread(step.applied, None, now_s)
         return [*actions, *self._settle_acceptance(now_s)]
 
-    def _spread(self, applied: tuple[int, ...], now_s: float) -> list[Action]:
-        """Push revisions that are newly in force here to the peers, and acknowledge them."""
+    def _spread(self, applied: tuple[int, ...], until: str | None, now_s: float) -> list[Action]:
+        """Pass on revisions that are newly in force here, to the members up to ``until``."""
         own = self.membership.own
         self.acceptance.acknowledge(own.name, self.config.revision)
         first, records = self.config.records_after(applied[0] - 1)
-        push = RevisionPush(own.name, first, records, own.address)
-        fields = (("revision", self.config.revision),)
-        log = Log(LogEvent.REVISION_IN_FORCE, fields)
-        return [log, *self.membership.tell_all(push, now_s)]
+        actions: list[Action] = [
+            Log(LogEvent.REVISION_IN_FORCE, (("revision", self.config.revision),))
+        ]
+        for branch in self.membership.branches(until, now_s):
+            push = RevisionPush(own.name, first, records, own.address, branch.until)
+            actions.append(SendPeer(branch.address, push))
+        return actions
 
     def _settle_acceptance(self, now_s: float) -> list[Action]:
         registered = self.membership.registered()
@@ -429,14 +430,15 @@
         if push.first > self.config.revision + 1:
             ask = RevisionAsk(own.name, own.address, self.config.revision)
             actions.append(SendPeer(push.acknowledge_to, ask))
-        return [*actions, *self._spread(applied, now_s)] if applied else actions
+        return [*actions, *self._spread(applied, push.until, now_s)] if applied else actions
 
     def _on_revision_ask(self, ask: RevisionAsk) -> list[Action]:
         first, records = self.config.records_after(ask.after)
         own = self.membership.own
         if not records:
             return []
-        return [SendPeer(ask.address, RevisionPush(own.name, first, records, own.address))]
+        push = RevisionPush(own.name, first, records, own.address, ask.member)
+        return [SendPeer(ask.address, push)]
 
     def _mark_swapping(self, now_s: float) -> None:
         marked = set(self.rollout.swapping())
@@ -463,7 +465,6 @@
             self.config.revision,
             self.freshness.confirmed_age_s(now_s),
             () if reply else self._loads(now_s),
-            () if reply else self._uses(),
             self.directory.leaving(),
             self.rollout.swapping(),
             reply,
@@ -491,13 +492,6 @@
             and self.membership.owner(name, now_s) == self.cfg.name
         ]
 
-    def _uses(self) -> tuple[WorkspaceUse, ...]:
-        counts: dict[str, int] = {}
-        for run in self.serving.runs.values():
-            counts[run.workspace] = counts.get(run.workspace, 0) + 1
-        top = sorted(counts, key=lambda name: (-counts[name], name))[:USES_PER_HEARTBEAT]
-        return tuple(WorkspaceUse(name, counts[name]) for name in top)
-
     # Operators
 
     def _on_drain(self, event: DrainRequested, now_s: float) -> list[Action]:
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -22,13 +22,6 @@
     age_s: float
 
 
-class WorkspaceUse(NamedTuple):
-    """How many requests of a workspace run on the sender."""
-
-    workspace: str
-    running: int
-
-
 class Heartbeat(msgspec.Struct, frozen=True, tag="hb", array_like=True):
     """Liveness, revision, and what the sender knows about load, in one message a second."""
 
@@ -42,19 +35,23 @@
     revision: int
     confirmed_age_s: float
     loads: tuple[TargetLoad, ...] = ()
-    uses: tuple[WorkspaceUse, ...] = ()
     leaving: tuple[str, ...] = ()
     swapping: tuple[str, ...] = ()
     reply: bool = False
 
 
 class RevisionPush(msgspec.Struct, frozen=True, tag="rev", array_like=True):
-    """Consecutive records of the configuration log, pushed to a member that lacks them."""
+    """Consecutive records of the configuration log, pushed along a tree over the members.
+
+    The receiver passes them on to the members between itself and ``until`` in the order of names;
+    ``until`` equal to the receiver's own name means that it passes them on to nobody.
+    """
 
     sender: str
     first: int
     records: tuple[bytes, ...]
     acknowledge_to: str
+    until: str
 
 
 class Acknowledgement(msgspec.Struct, frozen=True, tag="ack", array_like=True):
--- a/filbertstream/process/leases.py
+++ b/filbertstream/process/leases.py
@@ -18,6 +18,8 @@
 LEASES_KIND: Final = "leases"
 LEASE_S: Final = 10.0
 RENEW_S: Final = 3.0
+LOOK_S: Final = 30.0
+"""How often members look at a lease that they wouldn't take."""
 
 
 class Holder(msgspec.Struct, frozen=True):
@@ -62,8 +64,8 @@
         """Return the platform call that is due; ``wanted`` tells whether to take a lapsed lease."""
         if now_s < self._next_s or self._put_op is not None or self._read_op is not None:
             return ()
-        self._next_s = now_s + RENEW_S
         mine = self._seen is not None and self._seen.holder == self._own
+        self._next_s = now_s + (RENEW_S if mine or wanted else LOOK_S)
         if not self._listed or not (mine or (wanted and self._lapsed(now_s))):
             return (self._read(),)
         return (self._take(now_s),)
--- a/filbertstream/process/membership.py
+++ b/filbertstream/process/membership.py
@@ -70,6 +70,13 @@
     state: str
 
 
+class Branch(NamedTuple):
+    """A receiver of a message along the tree, and the member before which its part ends."""
+
+    address: str
+    until: str
+
+
 class Membership:
     """This member's view of the fleet."""
 
@@ -210,6 +217,38 @@
         peers = self.fan_out(now_s)
         return tuple(SendPeer(peer.registration.address, payload) for peer in peers)
 
+    def branches(self, until: str | None, now_s: float) -> tuple[Branch, ...]:
+        """Return to whom a message goes that is to reach each live member before ``until`` once.
+
+        Each receiver serves the members from itself to the next receiver, in the order of names
+        around the ring.  None is the whole ring, for the member where a message begins; a receiver
+        that is told its own name serves nobody.  What a dead receiver fails to pass on, heartbeats
+        find and ask for.
+        """
+        if until == self.own.name:
+            return ()
+        live = [name for name in self.live(now_s) if name != self.own.name]
+        ring = sorted(live, key=self._ring_place)
+        if until is not None:
+            ring = [name for name in ring if self._ring_place(name) < self._ring_place(until)]
+        if not ring:
+            return ()
+        places = [(1 << power) - 1 for power in range(len(ring).bit_length())]
+        ends = [*places[1:], len(ring)]
+        last = until or self.own.name
+        found = []
+        for place, end in zip(places, ends, strict=True):
+            name = ring[place]
+            address = self.peers[name].registration.address
+            alone = end == place + 1
+            following = last if end == len(ring) else ring[end]
+            found.append(Branch(address, name if alone else following))
+        return tuple(found)
+
+    def _ring_place(self, name: str) -> tuple[bool, str]:
+        """Return what orders names around the ring, from this member's place on."""
+        return name <= self.own.name, name
+
     def beat_due(self, now_s: float) -> bool:
         """Whether it is time for heartbeats; asking takes the turn."""
         if now_s < self._next_beat_s:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -3,6 +3,8 @@
 ``bench.guards`` takes the guards out one at a time and shows that the scenario goes red.
 """
 
+import pytest
+
 from bench.world import World
 from filbertstream.actions import ListObjects, PutObject
 from filbertstream.core import Core, CoreConfig
@@ -11,6 +13,7 @@
 from filbertstream.process.append_log import OpIds
 from filbertstream.process.freshness import Freshness
 from filbertstream.process.leases import LEASE_S, Holder, Lease
+from filbertstream.process.membership import Membership, Registration
 from filbertstream.units import FRESH_S
 from filbertstream.version.documents import Model
 from tests.helpers import ready_world
@@ -105,3 +108,28 @@
         assert not (first.held(now_s) and second.held(now_s))
     assert taken_s is not None
     assert second.fencing > first.fencing
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 7, 8, 20, 33])
+def test_a_push_reaches_every_live_member_once(count: int) -> None:
+    names = [f"m{number:02d}" for number in range(count)]
+    views = {name: membership_of(name, names) for name in names}
+    reached: list[str] = []
+
+    def follow(name: str, until: str | None) -> None:
+        for branch in views[name].branches(until, 10.0):
+            receiver = branch.address.removeprefix("tcp://")
+            reached.append(receiver)
+            follow(receiver, branch.until)
+
+    origin = names[count // 2]
+    follow(origin, None)
+    assert sorted([*reached, origin]) == names
+
+
+def membership_of(name: str, names: list[str]) -> Membership:
+    membership = Membership(Registration(name, "vm", 1, "dc", f"tcp://{name}", 0), (), OpIds())
+    for other in names:
+        beat = Heartbeat(other, 1, "dc", f"tcp://{other}", "live", 1.0, 1.0, 0, 0.0)
+        membership.on_heartbeat(beat, 10.0)
+    return membership
