Command line, TLS, slow senders and drains over real processes; authorities reloaded

Cause: the product's edges had no tests. Change: tests over the fleet for apply, get, list, status, explain, report burn, drain and their exit codes; TLS listener; slow senders; peer bytes counted.

--- a/bench/idle.py
+++ b/bench/idle.py
@@ -15,6 +15,7 @@
 ENTRIES: Final = 8
 CLOCK_TICKS_PER_S: Final = 100
 PAGE_BYTES: Final = 4_096
+BYTES_METRIC: Final = "filbertstream_peer_bytes_total{"
 
 
 class Usage(NamedTuple):
@@ -32,6 +33,13 @@
     return Usage(cpu_s, pages * PAGE_BYTES)
 
 
+def peer_bytes(fleet: Fleet, name: str) -> float:
+    """Return the bytes of messages that an entry has sent to others."""
+    page = fleet.http.request("GET", fleet.parts[name].url + "/metrics").data.decode()
+    lines = [line for line in page.splitlines() if line.startswith(BYTES_METRIC)]
+    return float(lines[0].rpartition(" ")[2]) if lines else 0.0
+
+
 def main() -> int:
     """Measure and print one line."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -44,18 +52,22 @@
             time.sleep(3.0)
             names = [f"entry-{number}" for number in range(1, ENTRIES + 1)]
             pids = [fleet.parts[name].process.pid for name in names]
+            sent_before = [peer_bytes(fleet, name) for name in names]
             before = [usage(pid) for pid in pids]
             time.sleep(options.seconds)
             after = [usage(pid) for pid in pids]
+            sent_after = [peer_bytes(fleet, name) for name in names]
         finally:
             fleet.close()
     shares = [(b.cpu_s - a.cpu_s) / options.seconds for a, b in zip(before, after, strict=True)]
+    sent = [(b - a) / options.seconds for a, b in zip(sent_before, sent_after, strict=True)]
     memory = [item.resident_bytes / 1e6 for item in after]
     print(
         f"entries={ENTRIES} seconds={options.seconds:.0f} "
         f"cpu_percent_mean={100 * sum(shares) / ENTRIES:.2f} "
         f"cpu_percent_max={100 * max(shares):.2f} "
-        f"resident_mb_max={max(memory):.1f}"
+        f"resident_mb_max={max(memory):.1f} "
+        f"peer_bytes_per_s_max={max(sent):.0f}"
     )
     return 0
 
--- a/filbertstream/compose.py
+++ b/filbertstream/compose.py
@@ -40,7 +40,8 @@
         self.settings = settings
         self.log = EventLog(settings.name, settings.log_level)
         incarnation = time.time_ns() // NANOSECONDS_PER_MILLISECOND
-        self.host = Host(Core(_core_config(settings, incarnation)))
+        core = Core(_core_config(settings, incarnation))
+        self.host = Host(core)
         self._stop = threading.Event()
         ca_file = settings.targets.ca_file
         platform = settings.platform
@@ -51,7 +52,8 @@
             None if platform.ca_file is None else str(platform.ca_file),
             self.host,
         )
-        self._peers = PeerLink(settings.peers.address, settings.peers.key_file, self.host)
+        peers = settings.peers
+        self._peers = PeerLink(peers.address, peers.key_file, core.counters, self.host)
         self._callers = self._caller_listener(incarnation)
         self._operators = self._operator_listener()
         self._housekeeper = threading.Thread(target=self._keep, name="housekeeping", daemon=True)
@@ -112,12 +114,11 @@
             if number % VM_LIST_EVERY == 0:
                 self._platform.poll_vms()
             for listener in (self._callers, self._operators):
-                self._reload(listener)
+                if listener.certificates is not None:
+                    self._log_reload(listener.certificates.reload())
+            self._log_reload(self._targets.reload())
 
-    def _reload(self, listener: Listener) -> None:
-        if listener.certificates is None:
-            return
-        outcome = listener.certificates.reload()
+    def _log_reload(self, outcome: bool | None) -> None:
         if outcome is True:
             self.log.write(LogEvent.CERTIFICATE_RELOADED)
         elif outcome is False:
--- a/filbertstream/connection/peer_link.py
+++ b/filbertstream/connection/peer_link.py
@@ -19,6 +19,7 @@
 from filbertstream.actions import SendPeer
 from filbertstream.events import PeerMessage
 from filbertstream.messages import decode, encode
+from filbertstream.process.counters import Counters
 from filbertstream.process.host import Host
 
 QUEUE_MESSAGES: Final = 256
@@ -43,8 +44,9 @@
 class PeerLink:
     """The sockets of this process towards the other entries."""
 
-    def __init__(self, address: str, key_file: Path | None, host: Host) -> None:
+    def __init__(self, address: str, key_file: Path | None, counters: Counters, host: Host) -> None:
         self._address = address
+        self._counters = counters
         self._host = host
         self._context = zmq.Context()
         self._secret = None if key_file is None else key_file.read_bytes().strip()
@@ -80,10 +82,14 @@
         if socket is None:
             socket = self._connect(action.address)
         self._push.move_to_end(action.address)
+        data = encode(action.payload)
         try:
-            socket.send(encode(action.payload), zmq.NOBLOCK)
+            socket.send(data, zmq.NOBLOCK)
         except zmq.Again:
+            self._counters.add("peer_messages", "dropped")
             return
+        self._counters.add("peer_messages", "sent")
+        self._counters.add("peer_bytes", "sent", len(data))
 
     def _connect(self, address: str) -> "zmq.Socket[bytes]":
         while len(self._push) >= OPEN_PEERS:
--- a/filbertstream/connection/target_client.py
+++ b/filbertstream/connection/target_client.py
@@ -6,9 +6,11 @@
 """
 
 import functools
+import ssl
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 from typing import Any, Final, NamedTuple
 
 import msgspec
@@ -141,6 +143,7 @@
 
     def __init__(self, ca_file: str | None, host: Host) -> None:
         self._ca_file = ca_file
+        self._ca_stamp_ns = self._read_ca_stamp()
         self._host = host
         self._pool = self._new_pool()
         self._workers = ThreadPoolExecutor(WORKERS, thread_name_prefix="targets")
@@ -159,6 +162,23 @@
             ca_certs=self._ca_file,
         )
 
+    def _read_ca_stamp(self) -> int:
+        return 0 if self._ca_file is None else Path(self._ca_file).stat().st_mtime_ns
+
+    def reload(self) -> bool | None:
+        """Use a changed file of authorities for new connections; None if it has not changed."""
+        try:
+            stamp_ns = self._read_ca_stamp()
+            if stamp_ns == self._ca_stamp_ns:
+                return None
+            self._ca_stamp_ns = stamp_ns
+            # Loaded once before it is used: a bad file must not disturb the pool in use.
+            ssl.create_default_context(cafile=self._ca_file)
+        except (OSError, ssl.SSLError):
+            return False
+        self._pool = self._new_pool()
+        return True
+
     def start(self) -> None:
         """Take the core's actions towards targets that no request waits for."""
         for kind, call in self._actions.items():
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -21,7 +21,6 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, Final, NamedTuple
 
-import msgspec
 import urllib3
 
 from standins.base import (
@@ -36,6 +35,7 @@
     reply,
     serve,
 )
+from standins.engine_answers import Stream, answer_words, chunk, prompt_of, whole
 
 PREFILL_TOKENS_PER_S: Final = 20_000.0
 PIECE_TOKENS: Final = 2_000
@@ -46,49 +46,6 @@
 DEFAULT_TOKENS: Final = 16
 
 
-def answer_words(prompt: str, count: int) -> list[str]:
-    """Return the words that the engine answers a prompt with."""
-    seed = hashlib.blake2b(prompt.encode(), digest_size=4).hexdigest()
-    return [f"{seed}-{index} " for index in range(count)]
-
-
-def prompt_of(body: dict[str, Any]) -> str:
-    """Return a request's prompt as one text."""
-    if "prompt" in body:
-        return str(body["prompt"])
-    return "".join(f"{item['role']}\x1f{item['content']}\x1e" for item in body["messages"])
-
-
-class Stream:
-    """The events of one attempt, kept so that a cut stream can be resumed."""
-
-    def __init__(self) -> None:
-        self.events: list[bytes] = []
-        self.done = False
-        self.cancelled = False
-        self.changed = threading.Condition()
-
-    def add(self, event: bytes, done: bool) -> None:
-        """Add an event."""
-        with self.changed:
-            self.events.append(event)
-            self.done = done
-            self.changed.notify_all()
-
-    def follow(self, first: int) -> Iterator[bytes]:
-        """Yield events from ``first`` on, as they come."""
-        index = first
-        while True:
-            with self.changed:
-                while index >= len(self.events) and not self.done and not self.cancelled:
-                    self.changed.wait()
-                if index >= len(self.events):
-                    return
-                event = self.events[index]
-            yield event
-            index += 1
-
-
 class Block(NamedTuple):
     """A cached piece: the weight version that made it, and the first piece of its chain."""
 
@@ -161,7 +118,7 @@
         chat = "messages" in body
         if not body.get("stream"):
             time.sleep(self._gap_s * len(words))
-            return reply(start, 200, _whole(attempt, self._model, chat, words, usage), headers)
+            return reply(start, 200, whole(attempt, self._model, chat, words, usage), headers)
         threading.Thread(
             target=self._generate, args=(stream, attempt, chat, words, usage), daemon=True
         ).start()
@@ -246,8 +203,8 @@
             if stream.cancelled:
                 break
             last = index == len(words) - 1
-            chunk = _chunk(attempt, self._model, chat, word, usage if last else None)
-            stream.add(f"id: {attempt}:{index}\ndata: ".encode() + chunk + b"\n\n", last)
+            data = chunk(attempt, self._model, chat, word, usage if last else None)
+            stream.add(f"id: {attempt}:{index}\ndata: ".encode() + data + b"\n\n", last)
             time.sleep(self._gap_s)
         with self._lock:
             self._running -= 1
@@ -338,24 +295,6 @@
         return reply(start, 200, {"weight_version": version})
 
 
-def _chunk(attempt: str, model: str, chat: bool, word: str, usage: dict[str, int] | None) -> bytes:
-    content: dict[str, Any] = {"delta": {"content": word}} if chat else {"text": word}
-    choice = {"index": 0, **content, "finish_reason": "stop" if usage else None}
-    body: dict[str, Any] = {"id": attempt, "model": model, "created": 0, "choices": [choice]}
-    return msgspec.json.encode(body | ({"usage": usage} if usage else {}))
-
-
-def _whole(
-    attempt: str, model: str, chat: bool, words: list[str], usage: dict[str, int]
-) -> dict[str, Any]:
-    text = "".join(words)
-    content: dict[str, Any] = (
-        {"message": {"role": "assistant", "content": text}} if chat else {"text": text}
-    )
-    choice = {"index": 0, **content, "finish_reason": "stop"}
-    return {"id": attempt, "model": model, "created": 0, "choices": [choice], "usage": usage}
-
-
 def main() -> None:
     """Run the stand-in."""
     found = parser("stand-in for a model engine")
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -14,12 +14,15 @@
 import trustme
 import urllib3
 import zmq
+from typer.testing import CliRunner
 
+from filbertstream.cli import app
+from filbertstream.connection.listener import Listener
 from filbertstream.connection.tls import ReloadingAdapter
 from filbertstream.messages import Heartbeat, encode
 from filbertstream.process.settings import Tls
-from standins.engine import answer_words
-from standins.fleet import Fleet, Options
+from standins.engine_answers import answer_words
+from standins.fleet import OPERATOR_KEY, Fleet, Options, free_port
 
 WORKSPACE = "bethesda-tours"
 OTHER = "gwydir-cellars"
@@ -312,3 +315,108 @@
     write()
     assert adapter.reload() is True
     assert adapter.adapter.context.minimum_version >= ssl.TLSVersion.TLSv1_2
+
+
+def test_an_entry_listens_with_tls(tmp_path: Path) -> None:
+    authority = trustme.CA()
+    pair = authority.issue_cert("127.0.0.1")
+    files = Tls(tmp_path / "tls.crt", tmp_path / "tls.key")
+    pair.cert_chain_pems[0].write_to_path(files.certificate_file)
+    pair.private_key_pem.write_to_path(files.key_file)
+    authority.cert_pem.write_to_path(tmp_path / "ca.crt")
+
+    def answer(environ: dict[str, Any], start: Any) -> list[bytes]:
+        start("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    port = free_port()
+    listener = Listener("127.0.0.1", port, answer, 2, 1_000, files)
+    listener.start()
+    try:
+        pool = urllib3.PoolManager(ca_certs=str(tmp_path / "ca.crt"), retries=False)
+        assert pool.request("GET", f"https://127.0.0.1:{port}/").data == b"ok"
+        strangers = urllib3.PoolManager(retries=False)
+        with pytest.raises(urllib3.exceptions.SSLError):
+            strangers.request("GET", f"https://127.0.0.1:{port}/")
+    finally:
+        listener.close()
+
+
+def test_slow_senders_do_not_keep_others_out(fleet: Fleet) -> None:
+    host, _, port = fleet.parts["entry-1"].url.removeprefix("http://").rpartition(":")
+    slow = [socket.create_connection((host, int(port))) for _ in range(20)]
+    for sock in slow:
+        sock.sendall(f"POST {CHAT} HTTP/1.1\r\nHost: x\r\nContent-".encode())
+    resp = fleet.call("entry-1", CHAT, chat("beside slow senders"), WORKSPACE)
+    for sock in slow:
+        sock.close()
+    assert words_of(resp.data) == expected("beside slow senders")
+
+
+def run_cli(fleet: Fleet, *arguments: str) -> tuple[int, str]:
+    options: list[str] = []
+    for number in (1, 2, 3):
+        options += ["--entry", fleet.parts[f"entry-{number}"].control]
+    result = CliRunner().invoke(app, [*arguments, *options, "--key", OPERATOR_KEY])
+    return result.exit_code, result.output
+
+
+def test_the_command_line_applies_shows_and_explains(fleet: Fleet, tmp_path: Path) -> None:
+    file = tmp_path / "change.yaml"
+    file.write_text("kind: model\nname: other-3b\nversion: v1\n")
+    code, output = run_cli(fleet, "apply", "-f", str(file), "--output", "json")
+    assert code == 0, output
+    assert "accepted" in output
+    assert run_cli(fleet, "apply", "-f", str(file), "--output", "json")[0] == 0
+    code, output = run_cli(fleet, "get", "model", "other-3b", "--output", "json")
+    assert msgspec.json.decode(output) == {"kind": "model", "name": "other-3b", "version": "v1"}
+    file.write_text("kind: model\nname: other-3b\nversion: v2\n")
+    code, output = run_cli(fleet, "apply", "-f", str(file), "--base", "1", "--output", "json")
+    assert code == 5
+    assert "lost" in output
+    code, output = run_cli(fleet, "get", "model", "nothing")
+    assert code == 1
+    assert run_cli(fleet, "list", "--output", "json")[0] == 0
+    states = msgspec.json.decode(run_cli(fleet, "status", "--output", "json")[1])
+    assert {state["blocked"] for state in states.values()} == {""}
+    resp = fleet.call("entry-2", CHAT, chat("explained"), WORKSPACE)
+    code, output = run_cli(fleet, "explain", resp.headers["X-Request-Id"], "--output", "json")
+    explained = msgspec.json.decode(output)
+    assert explained["outcome"] == "200"
+    assert explained["attempts"][0]["outcome"] == "whole"
+    assert "explained" not in str(explained)
+    assert run_cli(fleet, "explain", "unknown")[0] == 1
+
+
+def test_the_burn_report_merges_entries_and_draws(fleet: Fleet, tmp_path: Path) -> None:
+    for number in (1, 2, 3):
+        fleet.call(f"entry-{number}", CHAT, chat("burn"), OTHER)
+    picture = tmp_path / "burn.png"
+    code, output = run_cli(fleet, "report", "burn", "--output", "json", "--picture", str(picture))
+    rows = {row["workspace"]: row for row in msgspec.json.decode(output)}
+    assert code == 0
+    assert rows[OTHER]["requests"] >= 3
+    assert picture.read_bytes().startswith(b"\x89PNG")
+
+
+def test_an_unreachable_entry_has_its_own_exit_code() -> None:
+    arguments = ["list", "--entry", f"http://127.0.0.1:{free_port()}", "--key", "x"]
+    assert CliRunner().invoke(app, arguments).exit_code == 3
+
+
+def test_a_drained_target_gets_no_new_work_though_the_list_lags(fleet: Fleet) -> None:
+    code, output = run_cli(fleet, "drain", "vm-runner-1", "--output", "json")
+    assert code in (0, 4), output
+    fleet.wait(lambda: all_leaving(fleet, "runner-1"), "all entries know")
+    before = fleet.counts("runner-1")["requests"]
+    for number in range(9):
+        fleet.call(f"entry-{1 + number % 3}", CHAT, chat(f"drained {number}"), WORKSPACE)
+    assert fleet.counts("runner-1")["requests"] == before
+
+
+def all_leaving(fleet: Fleet, name: str) -> bool:
+    for number in (1, 2, 3):
+        rows = fleet.operator(f"entry-{number}", "GET", "/v1/status")["targets"]
+        if [row["state"] for row in rows if row["name"] == name] != ["leaving"]:
+            return False
+    return True
