--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -93,6 +93,7 @@
     listed: ListedTarget
     link_bytes_per_s: float = LINK_BYTES_PER_S
     dead: bool = False
+    full: bool = False
     pieces: "OrderedDict[str, str]" = field(default_factory=OrderedDict)
     link_free_s: float = 0.0
     link_busy_s: float = 0.0
--- a/bench/world.py
+++ b/bench/world.py
@@ -96,6 +96,9 @@
         self.cut: set[frozenset[str]] = set()
         self.platform_cut: set[str] = set()
         self.paused: set[str] = set()
+        self.silent: set[str] = set()
+        self.killed: set[str] = set()
+        self.platform_s = PLATFORM_S
         self.outcomes: dict[str, list[Outcome]] = {}
         self.asked: dict[str, Asked] = {}
         self.applied: dict[str, list[ApplyEnded]] = {}
@@ -105,7 +108,7 @@
         self.list_lag_s = list_lag_s
         self._policy = policy
         self._order = itertools.count()
-        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._queue: list[tuple[float, int, Callable[[], object]]] = []
         self._held: dict[str, list[Event]] = {}
         self._numbers = itertools.count(1)
         self._incarnations = itertools.count(1)
@@ -136,6 +139,7 @@
     def kill(self, name: str) -> None:
         """End a member at once."""
         del self.cores[name]
+        self.killed.add(name)
 
     def add_runner(self, name: str, model: str = "m", data_center: str = "dc1") -> FakeRunner:
         """Add a runner."""
@@ -163,7 +167,7 @@
 
     # Time
 
-    def after(self, delay_s: float, do: Callable[[], None]) -> None:
+    def after(self, delay_s: float, do: Callable[[], object]) -> None:
         """Have something happen later."""
         heapq.heappush(self._queue, (self.now_s + delay_s, next(self._order), do))
 
@@ -345,20 +349,27 @@
                 down, self.platform.down = self.platform.down, True
                 result = self.platform.put(put)
                 self.platform.down = down
-            self._later(core, PLATFORM_S, result)
+            self._later(core, self.platform_s, result)
 
-        self.after(PLATFORM_S, carry_out)
+        self.after(self.platform_s, carry_out)
 
     def _list(self, core: Core, ask: ListObjects) -> None:
         def carry_out() -> None:
             result = self.platform.list(ask)
             if not self._reaches_platform(core):
                 result = result._replace(ok=False, records=())
-            self._later(core, PLATFORM_S, result)
+            self._later(core, self.platform_s, result)
 
-        self.after(PLATFORM_S, carry_out)
+        self.after(self.platform_s, carry_out)
 
     def _attempt(self, core: Core, send: SendAttempt) -> None:
+        if send.target in self.silent:
+            # The answer never comes; only the bound on the first byte tells.
+            if send.kind == "service":
+                req = self.asked[send.request_id].req
+                self.services[send.target].runs[req.idempotency_key or req.request_id] += 1
+            self._fail(core, send, send.first_byte_s, "silent", True)
+            return
         if send.kind == "service":
             self._call_service(core, send)
         else:
@@ -453,7 +464,7 @@
             event = runner.report(self.now_s)
         elif store is not None and not store.dead:
             pieces = tuple(StoredPiece(name, root) for name, root in store.pieces.items())
-            event = StoreListed(poll.target, pieces, False)
+            event = StoreListed(poll.target, pieces, store.full)
         else:
             event = TargetSilent(poll.target)
         self._later(core, TARGET_S, event)
@@ -461,7 +472,7 @@
     def _export(self, core: Core, export: ExportPieces) -> None:
         store = self.stores[export.store]
         runner = self.runners[export.runner]
-        if store.dead or runner.dead:
+        if store.dead or store.full or runner.dead:
             return
         names = tuple(name for name in export.names if name in runner.cache)
         if not names:
