Split the core by concern; a planned stop waits for kept outcomes; drain asks every entry

Change: version.governance, process.gossip, process.polling, process.duties; the three faults mended, with a test for the first.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -287,7 +287,9 @@
         """Check what a member is about to do."""
         if isinstance(action, SendAttempt):
             self._check_send(member, action)
-        swapping = {name for core in self.world.cores.values() for name in core.rollout.swapping()}
+        swapping = {
+            name for core in self.world.cores.values() for name in core.duties.rollout.swapping()
+        }
         held = sum(core.lease.held(self.world.now_s) for core in self.world.cores.values())
         if held > 1:
             self._note("two members hold the lease")
@@ -358,7 +360,7 @@
         world.add_service(f"s{number}", data_center=f"dc{number}")
     world.add_store("st1")
     world.list_targets()
-    world.run_until(lambda: all(core.ready for core in world.cores.values()), 5.0)
+    world.run_until(lambda: all(core.governance.ready for core in world.cores.values()), 5.0)
     world.apply("e1", DOCUMENTS)
     world.run(9.0)
     return world
--- a/bench/guards.py
+++ b/bench/guards.py
@@ -49,7 +49,7 @@
     ),
     Guard(
         "a member reads the configuration after it registered",
-        "core.py",
+        "version/governance.py",
         "if registered_s is not None and read_asked_s >= registered_s:",
         "if True:",
         "tests/test_guards.py::"
@@ -57,7 +57,7 @@
     ),
     Guard(
         "a read counts from when it was asked",
-        "core.py",
+        "version/governance.py",
         "self.freshness.confirm(asked_s)",
         "self.freshness.confirm(now_s)",
         "tests/test_guards.py::"
@@ -89,7 +89,7 @@
     Guard(
         "a member that is not fresh refuses",
         "core.py",
-        'return None if self.is_fresh(now_s) else "stale"',
+        'return None if self.governance.is_fresh(now_s) else "stale"',
         "return None",
         "tests/test_whole_path.py::test_an_entry_that_hears_nobody_refuses_new_work",
     ),
@@ -205,8 +205,8 @@
     Guard(
         "a planned stop waits for what runs",
         "core.py",
-        "        if running:\n            return []\n",
-        "",
+        "if self._drain_id is None or self.serving.runs or unkept:",
+        "if self._drain_id is None:",
         "tests/test_whole_path.py::test_an_entry_drains_without_cutting_a_request",
     ),
 )
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -231,7 +231,7 @@
     for number in range(2):
         world.add_store(f"store-{number + 1}", centers[number])
     world.list_targets()
-    world.run_until(lambda: all(core.ready for core in world.cores.values()), 5.0)
+    world.run_until(lambda: all(core.governance.ready for core in world.cores.values()), 5.0)
     world.apply("entry-1", _documents(deployment))
     world.run(8.0)
     return world
--- a/filbertstream/cli.py
+++ b/filbertstream/cli.py
@@ -237,7 +237,7 @@
     """Print the state of every named entry."""
     states: dict[str, Any] = {}
     failed = False
-    for url, result in _client(entries, key, ca).each("/v1/status"):
+    for url, result in _client(entries, key, ca).each("GET", "/v1/status"):
         match result:
             case Ok(reply):
                 states[url] = reply.body
@@ -259,9 +259,19 @@
     output: OutputOption = Output.text,
 ) -> None:
     """Make a planned stop of a VM: an entry of that name, or the targets on it."""
-    body = _checked(_reply(_client(entries, key, ca), "POST", "/v1/drain", {"vm": vm}))
-    _print(body, output)
-    if body["state"] != "drained":
+    bodies = []
+    for url, result in _client(entries, key, ca).each("POST", "/v1/drain", {"vm": vm}):
+        match result:
+            case Ok(reply) if reply.status == 200 and reply.body["state"] != "unknown":
+                bodies.append({"entry": url, **reply.body})
+            case Ok(_):
+                continue
+            case Err(reason):
+                typer.echo(f"not asked: {reason}", err=True)
+    if not bodies:
+        _fail(f"no named entry knows a VM {vm}", EXIT_REFUSED)
+    _print(bodies, output)
+    if any(body["state"] != "drained" for body in bodies):
         raise typer.Exit(EXIT_STAGED)
 
 
@@ -274,7 +284,7 @@
     output: OutputOption = Output.text,
 ) -> None:
     """Print why a request went where it went, from the entry that served it."""
-    for _, result in _client(entries, key, ca).each(f"/v1/explain/{request_id}"):
+    for _, result in _client(entries, key, ca).each("GET", f"/v1/explain/{request_id}"):
         match result:
             case Ok(reply) if reply.status == 200:
                 _print(reply.body, output)
@@ -294,7 +304,7 @@
 ) -> None:
     """Print how fast each workspace uses up its allowed misses, merged over the entries."""
     reports = []
-    for url, result in _client(entries, key, ca).each("/v1/burn"):
+    for url, result in _client(entries, key, ca).each("GET", "/v1/burn"):
         match result:
             case Ok(reply):
                 reports.append(_checked(reply))
--- a/filbertstream/connection/caller_api.py
+++ b/filbertstream/connection/caller_api.py
@@ -118,7 +118,7 @@
             page, content_type = metrics_page(self._host)
             return send_bytes(start, 200, [("Content-Type", content_type)], page)
         if path == "/healthz":
-            self._host.query(lambda core, now_s: core.ready)
+            self._host.query(lambda core, now_s: core.governance.ready)
             return send_json(start, 200, {"status": "alive"})
         blocked = self._host.query(lambda core, now_s: core.blocked(now_s))
         return send_json(start, 503 if blocked else 200, {"status": blocked or "ready"})
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -64,7 +64,7 @@
     LogEvent.CHANGE_ACCEPTED: "An operator's change is in force on every live entry.",
     LogEvent.CHANGE_STAGED: "An operator's change is written, but some entries have not confirmed.",
     LogEvent.CHANGE_REFUSED: "An operator's change was not written.",
-    LogEvent.REQUEST_FINISHED: "A caller got its whole answer.",
+    LogEvent.REQUEST_FINISHED: "A request ended; its outcome says how.",
     LogEvent.REQUEST_REFUSED: "A caller got a final refusal or error.",
     LogEvent.ATTEMPT_FAILED: "An attempt at a target ended without a whole answer.",
     LogEvent.ATTEMPT_RETRIED: "A request goes to another target after a failed attempt.",
--- a/filbertstream/operator_client.py
+++ b/filbertstream/operator_client.py
@@ -44,11 +44,13 @@
                         return Err(reason)
         return Err(reason)
 
-    def each(self, path: str) -> list[tuple[str, Result[Reply, str]]]:
+    def each(
+        self, method: str, path: str, value: object = None
+    ) -> list[tuple[str, Result[Reply, str]]]:
         """Ask every entry."""
         replies: list[tuple[str, Result[Reply, str]]] = []
         for entry in self._entries:
-            match self._call(entry, "GET", path, None):
+            match self._call(entry, method, path, value):
                 case Ok(reply):
                     replies.append((entry, Ok(reply)))
                 case Err(failure):
--- a/filbertstream/process/directory.py
+++ b/filbertstream/process/directory.py
@@ -103,6 +103,7 @@
         self._runners: dict[str, list[str]] = {}
         self._services: dict[str, list[str]] = {}
         self._stores: list[str] = []
+        self._swapping: frozenset[str] = frozenset()
         self._turns: dict[str, int] = {}
         self._versions: dict[str, dict[str, int]] = {}
 
@@ -130,6 +131,7 @@
         target = self.targets.get(row.name)
         if target is None or target.listed.address != row.address:
             target = self.targets[row.name] = Target(row)
+            target.swapping = row.name in self._swapping
         target.listed = row
         if row.state != "leaving" or target.leaving:
             return False
@@ -152,6 +154,14 @@
         served = self._versions.get(model, {})
         return tuple(sorted(served, key=lambda version: (-served[version], version)))
 
+    def mark_swapping(self, names: frozenset[str]) -> None:
+        """Mark exactly these runners as being swapped."""
+        if names == self._swapping:
+            return
+        self._swapping = names
+        for target in self.targets.values():
+            target.swapping = target.name in names
+
     def mark_leaving(self, name: str, now_s: float) -> bool:
         """Note a planned stop that the list doesn't show yet; whether that was news."""
         target = self.targets.get(name)
--- a/filbertstream/process/status.py
+++ b/filbertstream/process/status.py
@@ -63,7 +63,7 @@
         core.cfg.data_center,
         core.blocked(now_s) or "",
         core.config.revision,
-        round(core.freshness.confirmed_age_s(now_s), 3),
+        round(core.governance.freshness.confirmed_age_s(now_s), 3),
         core.platform_up,
         len(core.serving.runs),
         core.lease.holder,
--- a/filbertstream/request/claims.py
+++ b/filbertstream/request/claims.py
@@ -99,6 +99,15 @@
         self._waiting.append(op)
         return self._pump()
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits to be written."""
+        return not self._waiting and not self._writing
+
+    def pump(self) -> LedgerStep:
+        """Write what waits, if nothing is under way."""
+        return self._pump()
+
     def poll(self) -> LedgerStep:
         """Read the log's end, to settle an open write or learn other members' records."""
         if self.log.busy:
@@ -268,6 +277,11 @@
                 return shard.on_read(result)
         return None
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits to be written in any shard."""
+        return all(shard.idle for shard in self._shards.values())
+
     def settle(self) -> LedgerStep:
         """Try again to settle open writes and to write what waits, after an outage."""
         verdicts: list[Verdict] = []
@@ -278,7 +292,7 @@
             if shard.log.unsettled:
                 asks += shard.poll().asks
                 continue
-            step = shard._pump()
+            step = shard.pump()
             verdicts += step.verdicts
             asks += step.asks
         return LedgerStep(tuple(verdicts), tuple(asks))
--- a/filbertstream/request/serving.py
+++ b/filbertstream/request/serving.py
@@ -30,7 +30,7 @@
     PiecesExported,
 )
 from filbertstream.log_events import LogEvent
-from filbertstream.messages import CatalogueAnswer, CatalogueAsk, CatalogueNote, Holding
+from filbertstream.messages import CatalogueAnswer, CatalogueAsk, CatalogueNote
 from filbertstream.process.burn import Burn
 from filbertstream.process.counters import Counters
 from filbertstream.process.directory import Directory, Target
@@ -594,9 +594,3 @@
             return []
         self._parts.counters.add("ejected", name)
         return [Log(LogEvent.TARGET_EJECTED, (("target", name),))]
-
-
-def holdings_of(catalogue: Catalogue, ask: CatalogueAsk) -> CatalogueAnswer:
-    """Return the answer to another entry's lookup."""
-    holdings: tuple[Holding, ...] = catalogue.find(ask.names)
-    return CatalogueAnswer(ask.request_id, holdings)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -24,7 +24,7 @@
     world.add_service("s2", data_center="dc2")
     world.add_store("st1")
     world.list_targets()
-    assert world.run_until(lambda: all(core.ready for core in world.cores.values()), 5.0)
+    assert world.run_until(lambda: all(core.governance.ready for core in world.cores.values()), 5.0)
     change = world.apply("e1", DOCUMENTS)
     assert world.run_until(lambda: bool(world.applied[change]), 8.0)
     assert world.applied[change][0].state == "accepted", world.applied
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -96,6 +96,23 @@
     assert len(world.outcomes[second]) == 1
 
 
+def test_a_planned_stop_waits_until_the_outcome_of_a_booking_is_kept() -> None:
+    world = ready_world()
+    world.platform_s = 0.5
+    first = world.request("e1", "service", idempotency_key="b")
+    world.run(1.2)
+    assert [outcome.kind for outcome in world.outcomes[first]] == ["answered"]
+    drain = world.drain("e1", "e1")
+    assert world.drained[drain] == []
+    world.run(5.0)
+    assert [ended.state for ended in world.drained[drain]] == ["drained"]
+    world.kill("e1")
+    world.platform_s = 0.003
+    second = world.request("e2", "service", idempotency_key="b")
+    world.run(5.0)
+    assert [outcome.kind for outcome in world.outcomes[second]] == ["kept"]
+
+
 def test_two_stores_dead_cost_time_and_no_answer() -> None:
     world = ready_world()
     pieces = tuple(bytes([index]) * 16 for index in range(4))
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -45,7 +45,7 @@
     assert world.run_until(lambda: e1.membership.listed_at_s != listed_s, 10.0)
     world.add_entry("e4")
     isolate(world, "e4")
-    assert world.run_until(lambda: world.cores["e4"].ready, 2.0)
+    assert world.run_until(lambda: world.cores["e4"].governance.ready, 2.0)
     change = world.apply("e1", [Model("model", "m", "v2")])
     assert world.run_until(lambda: bool(world.applied[change]), 10.0)
     taking = world.cores["e4"].blocked(world.now_s) is None
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -195,7 +195,7 @@
 
     def count(name: str, action: object) -> None:
         nonlocal most
-        most = max(most, sum(len(core.rollout.swapping()) for core in world.cores.values()))
+        most = max(most, sum(len(core.duties.rollout.swapping()) for core in world.cores.values()))
 
     world.on_action = count
     world.apply("e1", [Model("model", "m", "v2")])
