Serving: the use of kept cache in a module of its own

Change: request.cache_use. Conclusion: no behaviour changed but that a failing answer now also tells of an ejected target.

--- a/filbertstream/core.py
+++ b/filbertstream/core.py
@@ -44,6 +44,7 @@
 from filbertstream.process.polling import Polling
 from filbertstream.process.sharing import Sharing
 from filbertstream.request.admission import Admission
+from filbertstream.request.cache_use import CacheUse
 from filbertstream.request.claimed import Claimed
 from filbertstream.request.claims import Ledger
 from filbertstream.request.explain import Explanations
@@ -95,7 +96,8 @@
         self.duties = Duties(self.lease, self.membership, self.directory, self.config.view)
         self.polling = Polling(self.directory, self.membership, self.catalogue)
         self._sharing = Sharing(cfg.name)
-        self.serving = Serving(self._serving_parts())
+        cache = CacheUse(cfg.secret, self.directory, self.membership, self.catalogue, self._sharing)
+        self.serving = Serving(self._serving_parts(), cache)
         self.claimed = Claimed(self.ledger, self.serving, self.membership)
         self.serving.close_claim = self.claimed.close
         self.gossip = Gossip(self._gossip_parts())
@@ -129,13 +131,10 @@
         return ServingParts(
             self.cfg.name,
             self.cfg.data_center,
-            self.cfg.secret,
             self.cfg.policy,
             self.config.view,
             self.directory,
             self.membership,
-            self.catalogue,
-            self._sharing,
             Admission(self._rng),
             RetryBudget(),
             self.explanations,
--- a/filbertstream/request/serving.py
+++ b/filbertstream/request/serving.py
@@ -12,15 +12,11 @@
 
 from filbertstream.actions import (
     Action,
-    AwaitDecision,
     CancelAttempt,
-    ExportPieces,
-    ImportHint,
     Log,
     Refuse,
     ResumeAttempt,
     SendAttempt,
-    SendPeer,
 )
 from filbertstream.events import (
     AttemptFailed,
@@ -30,25 +26,21 @@
     PiecesExported,
 )
 from filbertstream.log_events import LogEvent
-from filbertstream.messages import CatalogueAnswer, CatalogueAsk, CatalogueNote
+from filbertstream.messages import CatalogueAnswer
 from filbertstream.process.burn import Burn
 from filbertstream.process.counters import Counters
 from filbertstream.process.directory import Directory, Target
 from filbertstream.process.membership import Membership
-from filbertstream.process.sharing import Sharing
 from filbertstream.request.admission import Admission
+from filbertstream.request.cache_use import CacheUse
 from filbertstream.request.explain import AttemptNote, Explanation, Explanations
-from filbertstream.request.prefix import piece_names
 from filbertstream.request.retry_budget import RetryBudget
 from filbertstream.request.routing import POLICIES, Ask, Decision
 from filbertstream.request.run import Attempt, KeptAnswer, Phase, Run
-from filbertstream.units import KV_BYTES_PER_TOKEN, PIECE_TOKENS
-from filbertstream.version.catalogue import Catalogue
-from filbertstream.version.keeping import choose_store
 from filbertstream.version.resolve import Grant, View
 
-LOOKUP_WITHIN_S: Final = 0.02
-"""How long a request waits for the owner of its chain; after that it is routed without it."""
+SERVER_ERROR: Final = 500
+CLIENT_ERROR: Final = 400
 
 RESUMABLE_CAUSES: Final = frozenset({"cut", "silent", "crossed", "malformed", "unreachable"})
 """After these a new connection can bring the rest of a stream from the same runner."""
@@ -68,13 +60,10 @@
 
     name: str
     data_center: str
-    secret: bytes
     policy: str
     view: View
     directory: Directory
     membership: Membership
-    catalogue: Catalogue
-    sharing: Sharing
     admission: Admission
     budget: RetryBudget
     explanations: Explanations
@@ -86,10 +75,11 @@
 class Serving:
     """All requests under way in this process."""
 
-    def __init__(self, parts: ServingParts) -> None:
+    def __init__(self, parts: ServingParts, cache: CacheUse) -> None:
         self.runs: dict[str, Run] = {}
         self.close_claim: Callable[[Run, float], list[Action]] = lambda run, now_s: []
         self._parts = parts
+        self._cache = cache
         self._attempts = 0
 
     def refuse_new(
@@ -136,25 +126,10 @@
 
     def begin_model(self, run: Run, now_s: float) -> list[Action]:
         """Name the prompt's pieces and find out who holds them, then route."""
-        parts = self._parts
-        run.weight_version = self._preferred_version(run)
-        run.names = self._names(run, run.weight_version)
-        if not run.names:
-            return self.route(run, now_s)
-        owners = parts.membership.owners(run.names[0], now_s)
-        address = parts.membership.first_heard(owners, now_s)
-        if address is None:
-            run.holdings = parts.catalogue.find(run.names)
-            return self.route(run, now_s)
-        run.phase = Phase.LOOKUP
-        own_address = parts.membership.own.address
-        ask = CatalogueAsk(run.req.request_id, own_address, run.names)
-        return [SendPeer(address, ask), AwaitDecision(run.req.request_id, LOOKUP_WITHIN_S)]
-
-    def _names(self, run: Run, version: str) -> tuple[str, ...]:
-        secret = self._parts.secret
-        req = run.req
-        return piece_names(req.pieces, secret, run.workspace, req.target_name, version)
+        run.weight_version = self._permitted_versions(run)[0]
+        run.names = self._cache.names(run, run.weight_version)
+        asks = self._cache.look_up(run, now_s)
+        return asks or self.route(run, now_s)
 
     def _permitted_versions(self, run: Run) -> list[str]:
         """Return the weight versions that may serve the run now, the best first."""
@@ -165,9 +140,6 @@
         usable = [item for item in served if not permitted or item in permitted]
         return usable or [wanted]
 
-    def _preferred_version(self, run: Run) -> str:
-        return self._permitted_versions(run)[0]
-
     def on_holdings(self, answer: CatalogueAnswer, now_s: float) -> list[Action]:
         """Route a run whose lookup was answered in time."""
         run = self.runs.get(answer.request_id)
@@ -179,7 +151,7 @@
     def on_lookup_overdue(self, run: Run, now_s: float) -> list[Action]:
         """Route a run whose lookup was not answered."""
         self._parts.counters.add("lookup_overdue", "")
-        run.holdings = self._parts.catalogue.find(run.names)
+        self._cache.look_up_here(run)
         return self.route(run, now_s)
 
     def route(self, run: Run, now_s: float) -> list[Action]:
@@ -201,7 +173,7 @@
         best: Decision | None = None
         for version in self._permitted_versions(run):
             known = version == run.weight_version
-            names = run.names if known else self._names(run, version)
+            names = run.names if known else self._cache.names(run, version)
             decision = self._decide_version(run, version, names, now_s)
             if decision is None or (best and best.chosen.cost <= decision.chosen.cost):
                 continue
@@ -232,8 +204,7 @@
         directory = self._parts.directory
         target = directory.targets[chosen.target]
         attempt = self._new_attempt(run, target, chosen.recompute_tokens, now_s)
-        target.sent(now_s, chosen.recompute_tokens, self._spread(now_s))
-        self._parts.sharing.note(target.name, chosen.recompute_tokens)
+        self._cache.sent(target, chosen.recompute_tokens, now_s)
         first_byte_s = max(FIRST_BYTE_MIN_S, FIRST_BYTE_FACTOR * chosen.first_token_s)
         remaining_s = run.deadline_at_s - now_s
         return [
@@ -245,7 +216,7 @@
                 "runner",
                 run.weight_version,
                 run.grant.priority,
-                self._imports(run, decision, now_s),
+                self._cache.hints(run, decision, now_s),
                 run.names,
                 False,
                 min(first_byte_s, remaining_s),
@@ -254,24 +225,6 @@
             )
         ]
 
-    def _spread(self, now_s: float) -> int:
-        """Return how many entries' work the own stands for."""
-        return self._parts.sharing.spread(len(self._parts.membership.live(now_s)))
-
-    def _use_link(self, store: Target, moved: int, now_s: float) -> None:
-        store.link.add(now_s, self._spread(now_s) * moved)
-        self._parts.sharing.note(store.name, moved)
-
-    def _imports(self, run: Run, decision: Decision, now_s: float) -> tuple[ImportHint, ...]:
-        store = self._parts.directory.targets.get(decision.hint_store)
-        if store is None:
-            return ()
-        first, end = decision.chosen.import_pieces
-        moved = (end - first) * PIECE_TOKENS * KV_BYTES_PER_TOKEN
-        self._use_link(store, moved, now_s)
-        names = run.names[: decision.hint_depth]
-        return tuple(ImportHint(name, store.listed.address) for name in names)
-
     def _new_attempt(self, run: Run, target: Target, tokens: int, now_s: float) -> Attempt:
         parts = self._parts
         self._attempts += 1
@@ -321,32 +274,11 @@
         if run is None or run.attempt is None:
             return []
         run.sent = True
-        self._observe_wait(run, run.attempt, event.first_byte_s)
+        self._cache.observe_wait(run, run.attempt, event.first_byte_s)
         if run.first_token_s is None:
             run.first_token_s = now_s - run.arrived_s
         return []
 
-    def _observe_wait(self, run: Run, attempt: Attempt, first_byte_s: float) -> None:
-        """Learn from a first byte how long its runner's queue was, or its store's link.
-
-        Without an import, what took longer than computing was the queue; with one, what took longer
-        than computing and moving was the link, unless the queue was expected to be longer still.
-        """
-        directory = self._parts.directory
-        target = directory.targets.get(attempt.target)
-        chosen = run.chosen
-        if target is None or chosen is None:
-            return
-        waited_s = first_byte_s - attempt.expected_tokens / target.prefill.rate_per_s
-        first, end = chosen.import_pieces
-        if first == end:
-            target.prefill.observe_wait(attempt.began_s, waited_s)
-            return
-        store = directory.targets.get(chosen.store)
-        if store is not None and waited_s > chosen.wait_s:
-            moved = (end - first) * PIECE_TOKENS * KV_BYTES_PER_TOKEN
-            store.link.observe_wait(attempt.began_s, waited_s - moved / store.link.rate_per_s)
-
     def on_finished(self, event: AttemptFinished, now_s: float) -> list[Action]:
         """End a run whose whole answer was passed on, and learn from it."""
         run = self._current(event.request_id, event.attempt_id)
@@ -354,99 +286,29 @@
             return []
         run.sent = True
         run.answer = KeptAnswer(event.status, event.body)
-        target = self._end_attempt(run, "whole", now_s)
-        if event.status >= 500:
-            self._fail_target(run.attempt.target, now_s)
+        self._end_attempt(run, "whole", now_s)
+        actions: list[Action] = []
+        if event.status >= SERVER_ERROR:
+            actions += self._fail_target(run.attempt.target, now_s)
         else:
             self._parts.directory.outliers.succeeded(run.attempt.target)
-        actions: list[Action] = []
-        if run.req.kind == "model" and event.status < 400:
+        if run.req.kind == "model" and event.status < CLIENT_ERROR:
             self._count_tokens(event)
-            actions += self._judge_store(run, event, now_s)
-            if target is not None:
-                computed = event.prompt_tokens - event.cached_tokens - event.imported_tokens
-                target.learn_prefill(now_s, computed, event.first_byte_s)
-            actions += self._note_holder(run, run.attempt.target, run.names, now_s)
-            actions += self._keep_pieces(run, now_s)
-        actions += self.end(run, str(event.status), now_s, missed=event.status >= 500)
+            failing = self._cache.learn_from(run, event, now_s)
+            actions += [] if failing is None else self._fail_target(failing, now_s)
+            actions += self._cache.after_answer(run, now_s)
+        actions += self.end(run, str(event.status), now_s, missed=event.status >= SERVER_ERROR)
         return actions
 
-    def _judge_store(self, run: Run, event: AttemptFinished, now_s: float) -> list[Action]:
-        """Count a store as failing that did not deliver what it is listed to have."""
-        chosen = run.chosen
-        if chosen is None or not chosen.store:
-            return []
-        first, end = chosen.import_pieces
-        delivered = event.cached_tokens + event.imported_tokens
-        if delivered >= end * PIECE_TOKENS:
-            self._parts.directory.outliers.succeeded(chosen.store)
-            return []
-        if event.imported_tokens > 0 or first == end:
-            return []
-        return self._fail_target(chosen.store, now_s)
-
     def _count_tokens(self, event: AttemptFinished) -> None:
         counters = self._parts.counters
         counters.add("prompt_tokens", "all", event.prompt_tokens)
         counters.add("prompt_tokens", "cached", event.cached_tokens)
         counters.add("prompt_tokens", "imported", event.imported_tokens)
 
-    def _note_holder(
-        self, run: Run, holder: str, names: tuple[str, ...], now_s: float
-    ) -> list[Action]:
-        """Tell the owner of the chain that a runner or store holds it."""
-        if not names:
-            return []
-        return self.note(holder, run.names[0], names, now_s)
-
-    def note(self, holder: str, root: str, names: tuple[str, ...], now_s: float) -> list[Action]:
-        """Enter pieces into the catalogues of the chain's owners."""
-        membership = self._parts.membership
-        self._parts.catalogue.note(holder, names)
-        addresses = map(membership.address_of, membership.owners(root, now_s))
-        note = CatalogueNote(holder, root, names)
-        return [SendPeer(address, note) for address in addresses if address is not None]
-
-    def _keep_pieces(self, run: Run, now_s: float) -> list[Action]:
-        """Order the runner to keep the prompt's pieces on a store, if that is worth the link."""
-        if run.attempt is None:
-            return []
-        parts = self._parts
-        kept = max((depth for name, depth in run.holdings if self._is_store(name)), default=0)
-        missing = run.names[kept:]
-        store = choose_store(parts.directory, missing, run.grant.weights, now_s)
-        runner = parts.directory.targets.get(run.attempt.target)
-        if store is None or runner is None:
-            return []
-        moved = len(missing) * PIECE_TOKENS * KV_BYTES_PER_TOKEN
-        self._use_link(store, moved, now_s)
-        return [
-            ExportPieces(
-                run.req.request_id,
-                runner.name,
-                runner.listed.address,
-                store.name,
-                store.listed.address,
-                missing,
-                kept,
-                run.names[0],
-                run.weight_version,
-            )
-        ]
-
-    def _is_store(self, name: str) -> bool:
-        target = self._parts.directory.targets.get(name)
-        return target is not None and target.listed.kind == "store"
-
     def on_exported(self, event: PiecesExported, now_s: float) -> list[Action]:
-        """Enter published pieces into the catalogue and learn the speed of the link."""
-        store = self._parts.directory.targets.get(event.store)
-        if store is None or not event.names:
-            return []
-        store.learn_link(now_s - event.seconds, event.bytes_moved, event.seconds)
-        fields = (("store", event.store), ("pieces", len(event.names)))
-        actions = self.note(event.store, event.root, event.names, now_s)
-        return [*actions, Log(LogEvent.PIECES_KEPT, fields)]
+        """Take in that pieces were kept on a store."""
+        return self._cache.on_exported(event, now_s)
 
     def on_failed(self, event: AttemptFailed, now_s: float) -> list[Action]:
         """Resume, retry or give up after an attempt without a whole answer."""
