Split the virtual-time driver, the fault table and the tests over processes

Change: bench.targets, bench.fault_table, tests/test_product.py, request.endings; one fleet for all tests over processes. Conclusion: nothing else changed.

--- a/bench/world.py
+++ b/bench/world.py
@@ -10,9 +10,8 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-import msgspec
-
 from bench.fakes import FakePlatform, FakeRunner, FakeService, FakeStore
+from bench.targets import TargetSide
 from filbertstream.actions import (
     Action,
     AnswerKept,
@@ -33,21 +32,12 @@
 from filbertstream.core import Core, CoreConfig
 from filbertstream.events import (
     ApplyRequested,
-    AttemptFailed,
-    AttemptFinished,
-    AttemptStarted,
     CallerRequest,
     DecisionOverdue,
     DrainRequested,
     Event,
     ListedTarget,
-    LoadReported,
-    OrderFinished,
     PeerMessage,
-    PiecesExported,
-    StoredPiece,
-    StoreListed,
-    TargetSilent,
     TargetsListed,
     Tick,
 )
@@ -58,7 +48,6 @@
 LIST_S: Final = 1.0
 PEER_S: Final = 0.001
 PLATFORM_S: Final = 0.003
-TARGET_S: Final = 0.0005
 SECRET: Final = b"world"
 
 
@@ -105,6 +94,7 @@
         self.drained: dict[str, list[DrainEnded]] = {}
         self.logs: list[tuple[float, str, Log]] = []
         self.on_action: Callable[[str, Action], None] | None = None
+        self.targets = TargetSide(self)
         self.list_lag_s = list_lag_s
         self._policy = policy
         self._order = itertools.count()
@@ -112,7 +102,7 @@
         self._held: dict[str, list[Event]] = {}
         self._numbers = itertools.count(1)
         self._incarnations = itertools.count(1)
-        self._first_token_s: dict[str, float] = {}
+        self.first_token_s: dict[str, float] = {}
         self._list_history: list[tuple[float, tuple[ListedTarget, ...]]] = []
 
     # Building
@@ -214,7 +204,9 @@
         for event in self._held.pop(name, []):
             self.give(name, event)
 
-    def _later(self, core: Core, delay_s: float, event: Event) -> None:
+    def later(self, core: Core, delay_s: float, event: Event) -> None:
+        """Deliver an event to one life of a member, unless that has ended by then."""
+
         def deliver() -> None:
             if self.cores.get(core.cfg.name) is core:
                 self.give(core.cfg.name, event)
@@ -298,21 +290,21 @@
             case ListObjects():
                 self._list(core, action)
             case SendAttempt():
-                self._attempt(core, action)
+                self.targets.attempt(core, action)
             case ResumeAttempt():
-                self._resume(core, action)
+                self.targets.resume(core, action)
             case AwaitDecision():
-                self._later(core, action.within_s, DecisionOverdue(action.request_id))
+                self.later(core, action.within_s, DecisionOverdue(action.request_id))
             case PollTarget():
-                self._poll(core, action)
+                self.targets.poll(core, action)
             case ExportPieces():
-                self._export(core, action)
+                self.targets.export(core, action)
             case OrderTarget():
-                self._order_target(core, action)
+                self.targets.order(core, action)
             case Refuse():
-                self._end(action.request_id, "refused", action)
+                self.end(action.request_id, "refused", action)
             case AnswerKept():
-                self._end(action.request_id, "kept", None)
+                self.end(action.request_id, "kept", None)
             case ApplyEnded():
                 self.applied[action.request_id].append(action)
             case DrainEnded():
@@ -320,13 +312,14 @@
             case Log():
                 self.logs.append((self.now_s, core.cfg.name, action))
 
-    def _end(self, request_id: str, kind: str, refusal: Refuse | None) -> None:
+    def end(self, request_id: str, kind: str, refusal: Refuse | None) -> None:
+        """Note an outcome of a request."""
         outcome = Outcome(
             kind,
             refusal.code if refusal else "",
             refusal.run if refusal else "",
             self.now_s,
-            self._first_token_s.pop(request_id, None),
+            self.first_token_s.pop(request_id, None),
             refusal.retry_after_s if refusal else 0.0,
         )
         self.outcomes[request_id].append(outcome)
@@ -336,7 +329,7 @@
         peer = self.cores.get(name)
         if peer is None or frozenset((core.cfg.name, name)) in self.cut:
             return
-        self._later(peer, PEER_S, PeerMessage(action.payload))
+        self.later(peer, PEER_S, PeerMessage(action.payload))
 
     def _reaches_platform(self, core: Core) -> bool:
         return core.cfg.name not in self.platform_cut
@@ -349,7 +342,7 @@
                 down, self.platform.down = self.platform.down, True
                 result = self.platform.put(put)
                 self.platform.down = down
-            self._later(core, self.platform_s, result)
+            self.later(core, self.platform_s, result)
 
         self.after(self.platform_s, carry_out)
 
@@ -358,152 +351,6 @@
             result = self.platform.list(ask)
             if not self._reaches_platform(core):
                 result = result._replace(ok=False, records=())
-            self._later(core, self.platform_s, result)
+            self.later(core, self.platform_s, result)
 
         self.after(self.platform_s, carry_out)
-
-    def _attempt(self, core: Core, send: SendAttempt) -> None:
-        if send.target in self.silent:
-            # The answer never comes; only the bound on the first byte tells.
-            if send.kind == "service":
-                req = self.asked[send.request_id].req
-                self.services[send.target].runs[req.idempotency_key or req.request_id] += 1
-            self._fail(core, send, send.first_byte_s, "silent", True)
-            return
-        if send.kind == "service":
-            self._call_service(core, send)
-        else:
-            self._call_runner(core, send)
-
-    def _fail(self, core: Core, send: SendAttempt, delay_s: float, cause: str, sent: bool) -> None:
-        event = AttemptFailed(send.request_id, send.attempt_id, cause, sent, 0)
-        self._later(core, delay_s, event)
-
-    def _call_service(self, core: Core, send: SendAttempt) -> None:
-        service = self.services[send.target]
-        if service.dead:
-            self._fail(core, send, TARGET_S, "unreachable", False)
-            return
-
-        def carry_out() -> None:
-            req = self.asked[send.request_id].req
-            service.runs[req.idempotency_key or req.request_id] += 1
-            if service.cut_after_run > 0:
-                service.cut_after_run -= 1
-                self._fail(core, send, TARGET_S, "cut", True)
-                return
-            finished = AttemptFinished(
-                send.request_id, send.attempt_id, 200, 0, 0, 0, service.run_s, b"{}"
-            )
-            self._later(core, TARGET_S, finished)
-            self._note_answer(core, send, TARGET_S)
-
-        self.after(TARGET_S + service.run_s, carry_out)
-
-    def _note_answer(self, core: Core, send: SendAttempt, delay_s: float) -> None:
-        def note() -> None:
-            if self.cores.get(core.cfg.name) is core:
-                self._end(send.request_id, "answered", None)
-
-        self.after(delay_s, note)
-
-    def _call_runner(self, core: Core, send: SendAttempt) -> None:
-        runner = self.runners[send.target]
-        if runner.dead:
-            self._fail(core, send, TARGET_S, "unreachable", False)
-            return
-        if send.weight_version != runner.weight_version:
-            self._fail(core, send, 2 * TARGET_S, "wrong_version", True)
-            return
-        asked = self.asked[send.request_id]
-        tokens = asked.req.prompt_tokens
-        stores = list(self.stores.values())
-        served = runner.serve(self.now_s + TARGET_S, send, tokens, asked.out_tokens, stores)
-        first_s = served.first_token_s + TARGET_S
-        first_byte_s = first_s - self.now_s
-        started = AttemptStarted(send.request_id, send.attempt_id, first_byte_s)
-        finished = AttemptFinished(
-            send.request_id,
-            send.attempt_id,
-            200,
-            tokens,
-            served.cached_tokens,
-            served.imported_tokens,
-            first_byte_s,
-            b"",
-        )
-
-        def first() -> None:
-            if runner.dead:
-                self._fail(core, send, 0.0, "cut", True)
-                return
-            self._first_token_s[send.request_id] = self.now_s - asked.at_s
-            self._later(core, 0.0, started)
-
-        def last() -> None:
-            if runner.dead:
-                event = AttemptFailed(send.request_id, send.attempt_id, "cut", True, 1)
-                self._later(core, 0.0, event)
-                return
-            self._later(core, 0.0, finished)
-            self._note_answer(core, send, 0.0)
-
-        self.after(first_byte_s, first)
-        self.after(served.end_s + TARGET_S - self.now_s, last)
-
-    def _resume(self, core: Core, resume: ResumeAttempt) -> None:
-        """A fake stream that was cut is gone with its runner."""
-        event = AttemptFailed(resume.request_id, resume.attempt_id, "lost", True, resume.offset)
-        self._later(core, TARGET_S, event)
-
-    def _poll(self, core: Core, poll: PollTarget) -> None:
-        event: LoadReported | StoreListed | TargetSilent
-        runner = self.runners.get(poll.target)
-        store = self.stores.get(poll.target)
-        if runner is not None and not runner.dead:
-            event = runner.report(self.now_s)
-        elif store is not None and not store.dead:
-            pieces = tuple(StoredPiece(name, root) for name, root in store.pieces.items())
-            event = StoreListed(poll.target, pieces, store.full)
-        else:
-            event = TargetSilent(poll.target)
-        self._later(core, TARGET_S, event)
-
-    def _export(self, core: Core, export: ExportPieces) -> None:
-        store = self.stores[export.store]
-        runner = self.runners[export.runner]
-        if store.dead or store.full or runner.dead:
-            return
-        names = tuple(name for name in export.names if name in runner.cache)
-        if not names:
-            return
-        end_s = store.transfer(self.now_s, len(names))
-        seconds = end_s - self.now_s
-        moved = len(names) * 80_000
-
-        def published() -> None:
-            if not store.dead:
-                store.publish(names, export.root)
-                event = PiecesExported(export.store, export.root, names, seconds, moved)
-                self._later(core, 0.0, event)
-
-        self.after(seconds, published)
-
-    def _order_target(self, core: Core, order: OrderTarget) -> None:
-        runner = self.runners[order.target]
-
-        def loaded() -> None:
-            if runner.dead:
-                self._later(core, 0.0, OrderFinished(order.target, "failed", ""))
-                return
-            runner.weight_version = order.weight_version
-            runner.cache.clear()
-            event = OrderFinished(order.target, "done", order.weight_version)
-            self._later(core, 0.0, event)
-
-        self.after(0.5, loaded)
-
-
-def json_of(value: object) -> str:
-    """Return stable JSON for a summary line."""
-    return msgspec.json.encode(value, order="sorted").decode()
--- a/filbertstream/connection/metrics.py
+++ b/filbertstream/connection/metrics.py
@@ -41,7 +41,7 @@
     gauges = {
         "revision": float(core.config.revision),
         "members_live": float(len(core.membership.live(now_s))),
-        "requests_running": float(len(core.serving.runs)),
+        "requests_running": float(len(core.serving.endings.runs)),
         "targets_known": float(len(core.directory.targets)),
         "targets_out": float(len(core.directory.outliers.out(now_s))),
         "catalogue_pieces": float(len(core.catalogue)),
--- a/filbertstream/connection/operator_api.py
+++ b/filbertstream/connection/operator_api.py
@@ -147,7 +147,7 @@
         finally:
             self._host.release(request_id)
         if not isinstance(ended, DrainEnded):
-            running = self._host.query(lambda core, now_s: len(core.serving.runs))
+            running = self._host.query(lambda core, now_s: len(core.serving.endings.runs))
             ended = DrainEnded(request_id, "draining", running)
         return send_json(start, 200, ended._asdict())
 
--- a/filbertstream/core.py
+++ b/filbertstream/core.py
@@ -47,6 +47,7 @@
 from filbertstream.request.cache_use import CacheUse
 from filbertstream.request.claimed import Claimed
 from filbertstream.request.claims import Ledger
+from filbertstream.request.endings import Endings
 from filbertstream.request.explain import Explanations
 from filbertstream.request.retry_budget import RetryBudget
 from filbertstream.request.run import Phase
@@ -97,9 +98,11 @@
         self.polling = Polling(self.directory, self.membership, self.catalogue)
         self._sharing = Sharing(cfg.name)
         cache = CacheUse(cfg.secret, self.directory, self.membership, self.catalogue, self._sharing)
-        self.serving = Serving(self._serving_parts(), cache)
+        admission = Admission(self._rng)
+        endings = Endings(admission, self.burn, self.counters, self.explanations)
+        self.serving = Serving(self._serving_parts(admission), cache, endings)
         self.claimed = Claimed(self.ledger, self.serving, self.membership)
-        self.serving.close_claim = self.claimed.close
+        self.serving.endings.close_claim = self.claimed.close
         self.gossip = Gossip(self._gossip_parts())
         self.platform_up = True
         self._was_fresh = True
@@ -127,7 +130,7 @@
             Tick: self._on_tick,
         }
 
-    def _serving_parts(self) -> ServingParts:
+    def _serving_parts(self, admission: Admission) -> ServingParts:
         return ServingParts(
             self.cfg.name,
             self.cfg.data_center,
@@ -135,10 +138,8 @@
             self.config.view,
             self.directory,
             self.membership,
-            Admission(self._rng),
+            admission,
             RetryBudget(),
-            self.explanations,
-            self.burn,
             self.counters,
             self._rng,
         )
@@ -180,7 +181,7 @@
     def _on_request(self, req: CallerRequest, now_s: float) -> list[Action]:
         blocked = self.blocked(now_s)
         if blocked is not None:
-            return self.serving.refuse_new(req, blocked, STALE_RETRY_S)
+            return self.serving.endings.refuse_new(req, blocked, STALE_RETRY_S)
         run, actions = self.serving.admit(req, now_s)
         if run is None:
             return actions
@@ -190,15 +191,15 @@
         if service is None or req.method not in service.not_repeatable:
             return self.serving.route(run, now_s)
         if not req.idempotency_key:
-            return self.serving.give_up(run, "key_required", now_s)
+            return self.serving.endings.give_up(run, "key_required", now_s)
         return self.claimed.begin(run, now_s)
 
     def _on_caller_left(self, event: CallerLeft, now_s: float) -> list[Action]:
-        run = self.serving.runs.get(event.request_id)
+        run = self.serving.endings.runs.get(event.request_id)
         return [] if run is None else self.serving.on_caller_left(run, now_s)
 
     def _on_overdue(self, event: DecisionOverdue, now_s: float) -> list[Action]:
-        run = self.serving.runs.get(event.request_id)
+        run = self.serving.endings.runs.get(event.request_id)
         if run is None or run.phase is Phase.ATTEMPT:
             return []
         if run.phase is Phase.LOOKUP:
@@ -256,7 +257,7 @@
     def _settle_drain(self, now_s: float) -> list[Action]:
         """End a planned stop once nothing runs and, the platform willing, all outcomes are kept."""
         unkept = self.platform_up and not self.ledger.idle
-        if self._drain_id is None or self.serving.runs or unkept:
+        if self._drain_id is None or self.serving.endings.runs or unkept:
             return []
         request_id, self._drain_id = self._drain_id, None
         log = Log(LogEvent.DRAIN_ENDED, ())
--- a/filbertstream/process/status.py
+++ b/filbertstream/process/status.py
@@ -65,7 +65,7 @@
         core.config.revision,
         round(core.governance.freshness.confirmed_age_s(now_s), 3),
         core.platform_up,
-        len(core.serving.runs),
+        len(core.serving.endings.runs),
         core.lease.holder,
         members,
         _target_rows(core, now_s),
--- a/filbertstream/request/claimed.py
+++ b/filbertstream/request/claimed.py
@@ -58,7 +58,7 @@
         run.phase = Phase.CLAIM
         self._by_claim[claim_id] = run
         actions = self.take(self._ledger.submit(run.claim), now_s)
-        if run.phase is Phase.CLAIM and run.req.request_id in self._serving.runs:
+        if run.phase is Phase.CLAIM and run.req.request_id in self._serving.endings.runs:
             actions.append(AwaitDecision(run.req.request_id, CLAIM_WITHIN_S))
         return actions
 
@@ -73,7 +73,7 @@
         run = self._by_claim.get(verdict.claim_id)
         if run is None or run.claim is None:
             return []
-        if run.req.request_id not in self._serving.runs:
+        if run.req.request_id not in self._serving.endings.runs:
             return self._on_late_verdict(run, verdict, now_s)
         if run.phase is not Phase.CLAIM:
             return []
@@ -112,7 +112,7 @@
         return [
             AnswerKept(request_id, verdict.status, verdict.answer),
             Log(LogEvent.ANSWER_KEPT, (("request_id", request_id),)),
-            *self._serving.end(run, "kept answer", now_s, missed=False),
+            *self._serving.endings.end(run, "kept answer", now_s, missed=False),
         ]
 
     def _join(self, run: Run, verdict: Verdict, now_s: float) -> list[Action]:
@@ -138,7 +138,7 @@
         if run.claim is None:
             return []
         if run.req.request_id not in self._joined:
-            return self._serving.give_up(run, "claims_unavailable", now_s)
+            return self._serving.endings.give_up(run, "claims_unavailable", now_s)
         standing = self._ledger.standing(run.claim.key)
         actions = self.take(self._ledger.poll(run.claim.key), now_s)
         if standing is None:
@@ -176,10 +176,10 @@
     def _end_unclaimed(self, run: Run, code: str, now_s: float) -> list[Action]:
         """End a run whose claim doesn't stand: it did not run."""
         self._drop(run)
-        return self._serving.give_up(run, code, now_s)
+        return self._serving.endings.give_up(run, code, now_s)
 
     def _end_unsure(self, run: Run, code: str, now_s: float) -> list[Action]:
         """End a repeat of a key whose first run may have happened."""
         self._drop(run)
         run.sent = True
-        return self._serving.give_up(run, code, now_s)
+        return self._serving.endings.give_up(run, code, now_s)
--- a/filbertstream/request/serving.py
+++ b/filbertstream/request/serving.py
@@ -7,14 +7,12 @@
 """
 
 import random
-from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from filbertstream.actions import (
     Action,
     CancelAttempt,
     Log,
-    Refuse,
     ResumeAttempt,
     SendAttempt,
 )
@@ -27,13 +25,13 @@
 )
 from filbertstream.log_events import LogEvent
 from filbertstream.messages import CatalogueAnswer
-from filbertstream.process.burn import Burn
 from filbertstream.process.counters import Counters
 from filbertstream.process.directory import Directory, Target
 from filbertstream.process.membership import Membership
 from filbertstream.request.admission import Admission
 from filbertstream.request.cache_use import CacheUse
-from filbertstream.request.explain import AttemptNote, Explanation, Explanations
+from filbertstream.request.endings import Endings
+from filbertstream.request.explain import AttemptNote
 from filbertstream.request.retry_budget import RetryBudget
 from filbertstream.request.routing import POLICIES, Ask, Decision
 from filbertstream.request.run import Attempt, KeptAnswer, Phase, Run
@@ -66,8 +64,6 @@
     membership: Membership
     admission: Admission
     budget: RetryBudget
-    explanations: Explanations
-    burn: Burn
     counters: Counters
     rng: random.Random
 
@@ -75,41 +71,29 @@
 class Serving:
     """All requests under way in this process."""
 
-    def __init__(self, parts: ServingParts, cache: CacheUse) -> None:
-        self.runs: dict[str, Run] = {}
-        self.close_claim: Callable[[Run, float], list[Action]] = lambda run, now_s: []
+    def __init__(self, parts: ServingParts, cache: CacheUse, endings: Endings) -> None:
+        self.endings = endings
         self._parts = parts
         self._cache = cache
         self._attempts = 0
 
-    def refuse_new(
-        self, req: CallerRequest, code: str, retry_after_s: float, detail: str = ""
-    ) -> list[Action]:
-        """Refuse a request that has not begun."""
-        self._parts.counters.add("refused", code)
-        fields = (("request_id", req.request_id), ("code", code))
-        return [
-            Refuse(req.request_id, code, detail, "not_run", retry_after_s),
-            Log(LogEvent.REQUEST_REFUSED, fields),
-        ]
-
     def admit(self, req: CallerRequest, now_s: float) -> tuple[Run | None, list[Action]]:
         """Check rights and limits; return the run, or None and the refusal."""
         parts = self._parts
         grant = parts.view.grant_for_key(req.key_digest)
         if grant is None:
-            return None, self.refuse_new(req, "unauthorized", 0.0)
+            return None, self.endings.refuse_new(req, "unauthorized", 0.0)
         code = self._not_permitted(req, grant)
         if code is not None:
-            return None, self.refuse_new(req, code, 0.0)
+            return None, self.endings.refuse_new(req, code, 0.0)
         share = 1.0 / len(parts.membership.live(now_s))
         shortage = parts.admission.begin(grant, share, now_s)
         if shortage is not None:
-            return None, self.refuse_new(req, shortage.code, shortage.retry_after_s)
+            return None, self.endings.refuse_new(req, shortage.code, shortage.retry_after_s)
         limit_s = grant.objectives.deadline_s
         deadline_s = limit_s if req.deadline_s is None else min(limit_s, req.deadline_s)
         run = Run(req, grant, now_s, now_s + deadline_s)
-        self.runs[req.request_id] = run
+        self.endings.runs[req.request_id] = run
         parts.counters.add("begun", req.kind)
         return run, []
 
@@ -142,7 +126,7 @@
 
     def on_holdings(self, answer: CatalogueAnswer, now_s: float) -> list[Action]:
         """Route a run whose lookup was answered in time."""
-        run = self.runs.get(answer.request_id)
+        run = self.endings.runs.get(answer.request_id)
         if run is None or run.phase is not Phase.LOOKUP:
             return []
         run.holdings = answer.holdings
@@ -161,11 +145,11 @@
             return self._route_service(run, now_s)
         decision = self._decide(run, now_s)
         if decision is None:
-            return self.give_up(run, "no_target", now_s)
+            return self.endings.give_up(run, "no_target", now_s)
         run.chosen = decision.chosen
         run.candidates = decision.candidates
         if now_s + decision.chosen.first_token_s > run.deadline_at_s:
-            return self.give_up(run, "deadline", now_s, decision.chosen.wait_s)
+            return self.endings.give_up(run, "deadline", now_s, decision.chosen.wait_s)
         return self._send_model(run, decision, now_s)
 
     def _decide(self, run: Run, now_s: float) -> Decision | None:
@@ -242,7 +226,7 @@
         usable = [directory.usable(name, now_s) for name in names if name not in run.failed]
         targets = [target for target in usable if target is not None]
         if not targets:
-            return self.give_up(run, "no_target", now_s)
+            return self.endings.give_up(run, "no_target", now_s)
         target = min(targets, key=lambda item: (self._distance(item), item.outstanding, item.name))
         attempt = self._new_attempt(run, target, 0, now_s)
         target.sent(now_s, 0, 1)
@@ -297,7 +281,9 @@
             failing = self._cache.learn_from(run, event, now_s)
             actions += [] if failing is None else self._fail_target(failing, now_s)
             actions += self._cache.after_answer(run, now_s)
-        actions += self.end(run, str(event.status), now_s, missed=event.status >= SERVER_ERROR)
+        actions += self.endings.end(
+            run, str(event.status), now_s, missed=event.status >= SERVER_ERROR
+        )
         return actions
 
     def _count_tokens(self, event: AttemptFinished) -> None:
@@ -343,7 +329,7 @@
         attempt.resumes += 1
         target = self._parts.directory.targets.get(attempt.target)
         if target is None:
-            return self.give_up(run, "target_failed", now_s)
+            return self.endings.give_up(run, "target_failed", now_s)
         self._parts.counters.add("resumed", "")
         request_id = run.req.request_id
         progress_s = min(PROGRESS_S, run.deadline_at_s - now_s)
@@ -364,14 +350,14 @@
         unsafe = run.must_run_once and event.sent
         passed_on = event.passed_on > 0 and not run.req.buffered
         if unsafe or passed_on or run.attempt_count >= MAX_ATTEMPTS:
-            return self.give_up(run, code, now_s)
+            return self.endings.give_up(run, code, now_s)
         if now_s >= run.deadline_at_s:
-            return self.give_up(run, "deadline", now_s)
+            return self.endings.give_up(run, "deadline", now_s)
         target = run.attempt.target if run.attempt else ""
         # An attempt that never reached its target put no load on anything, so going on is free.
         names = (f"workspace:{run.workspace}", f"target:{target}")
         if event.sent and not self._parts.budget.take(*names):
-            return self.give_up(run, code, now_s)
+            return self.endings.give_up(run, code, now_s)
         self._parts.counters.add("retried", event.cause)
         log = Log(LogEvent.ATTEMPT_RETRIED, (("request_id", run.req.request_id),))
         return [log, *self.route(run, now_s)]
@@ -389,53 +375,11 @@
                 address = target.listed.address
                 actions.append(CancelAttempt(run.attempt.attempt_id, target.name, address))
         actions.append(Log(LogEvent.CALLER_LEFT, (("request_id", run.req.request_id),)))
-        return [*actions, *self.end(run, "caller left", now_s, missed=False)]
-
-    def give_up(
-        self, run: Run, code: str, now_s: float, wait_s: float = 0.0, detail: str = ""
-    ) -> list[Action]:
-        """Give the caller its final answer now: whether it may have run, when to come back."""
-        state = "may_have_run" if run.sent else "not_run"
-        retry_after_s = self._parts.admission.spread(wait_s)
-        self._parts.counters.add("refused", code)
-        request_id = run.req.request_id
-        return [
-            Refuse(request_id, code, detail, state, retry_after_s),
-            Log(LogEvent.REQUEST_REFUSED, (("request_id", request_id), ("code", code))),
-            *self.end(run, code, now_s, missed=True),
-        ]
-
-    def end(self, run: Run, outcome: str, now_s: float, missed: bool) -> list[Action]:
-        """Count a run out and remember why it went as it did."""
-        parts = self._parts
-        del self.runs[run.req.request_id]
-        parts.admission.end(run.workspace)
-        objectives = run.grant.objectives
-        late = run.first_token_s is not None and run.first_token_s > objectives.first_token_s
-        parts.burn.note(run.workspace, objectives.within, now_s, missed or late, run.first_token_s)
-        parts.counters.add("ended", outcome)
-        parts.explanations.keep(self._explain(run, outcome, now_s))
-        fields = (("request_id", run.req.request_id), ("outcome", outcome))
-        log = Log(LogEvent.REQUEST_FINISHED, (*fields, ("workspace", run.workspace)))
-        return [log, *self.close_claim(run, now_s)]
-
-    def _explain(self, run: Run, outcome: str, now_s: float) -> Explanation:
-        return Explanation(
-            run.req.request_id,
-            run.workspace,
-            run.req.kind,
-            run.req.target_name,
-            run.weight_version,
-            run.candidates,
-            tuple(run.notes),
-            outcome,
-            run.first_token_s,
-            now_s - run.arrived_s,
-        )
+        return [*actions, *self.endings.end(run, "caller left", now_s, missed=False)]
 
     def _current(self, request_id: str, attempt_id: str) -> Run | None:
         """Return the run whose attempt this is; late events of earlier attempts find none."""
-        run = self.runs.get(request_id)
+        run = self.endings.runs.get(request_id)
         if run is None or run.attempt is None or run.attempt.attempt_id != attempt_id:
             return None
         return run
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,16 @@
-"""Hypothesis runs the same examples every time, so that the verdict never varies."""
+"""Settings of Hypothesis, and the fleet of real processes.
+
+Hypothesis runs the same examples every time, so that the verdict never varies.
+"""
 
 import os
+from collections.abc import Iterator
 
+import pytest
 from hypothesis import HealthCheck, Phase, settings
 
+from standins.fleet import Fleet, Options
+
 # ``bench.guards`` only asks whether a check fails, not for the smallest failure.
 PHASES = [Phase.explicit, Phase.generate] if "NO_SHRINK" in os.environ else list(Phase)
 
@@ -17,3 +24,13 @@
     suppress_health_check=list(HealthCheck),
 )
 settings.load_profile("ci")
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    running = Fleet(tmp_path_factory.mktemp("fleet"), Options(runners=3, gap_s=0.01))
+    try:
+        running.start()
+        yield running
+    finally:
+        running.close()
