--- a/bench/guards.py
+++ b/bench/guards.py
@@ -205,7 +205,7 @@
     Guard(
         "a planned stop waits for what runs",
         "core.py",
-        "if self._drain_id is None or self.serving.runs or unkept:",
+        "if self._drain_id is None or self.serving.endings.runs or unkept:",
         "if self._drain_id is None:",
         "tests/test_whole_path.py::test_an_entry_drains_without_cutting_a_request",
     ),
