Connections that went silent are replaced, idle ones too

Cause: idle pooled connections go silent together with the one that is found out; a request then spent its three attempts on three silent connections and ended as 504 after 6 s. Ruled out: a shorter first-byte bound (it would cut slow prompts). Conclusion: one wait of 2 s is left, for the first request that meets the silence.

--- a/filbertstream/connection/platform_client.py
+++ b/filbertstream/connection/platform_client.py
@@ -114,6 +114,8 @@
         try:
             resp = self._pool.request(method, url, body=put.value, headers=headers)
         except HTTPError as exc:
+            # Idle connections may have gone silent together with this one.
+            self._pool.clear()
             outcome = "refused" if never_sent(exc) else "unsure"
             self._host.tell(PutFinished(put.op_id, outcome))
             return
@@ -142,6 +144,7 @@
                 return None
             page = msgspec.json.decode(resp.data, type=_Page)
         except (HTTPError, msgspec.DecodeError):
+            self._pool.clear()
             return None
         return [ObjectRecord(row.name, row.version, row.value) for row in page.objects]
 
--- a/filbertstream/connection/target_client.py
+++ b/filbertstream/connection/target_client.py
@@ -223,7 +223,11 @@
                 method, url, body=body, headers=headers, timeout=timeout, preload_content=False
             )
         except HTTPError as exc:
-            return Err(failure_of(exc))
+            failure = failure_of(exc)
+            if failure.cause == "silent":
+                # What silenced this connection has likely silenced the idle ones too.
+                self._pool.clear()
+            return Err(failure)
         answer = Answer(resp, time.monotonic() - began_s)
         if resp.headers.get(ATTEMPT_HEADER) != send.attempt_id:
             answer.abort()
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -162,3 +162,52 @@
     fleet.wait(
         lambda: fleet.call("entry-2", CHAT, chat("back"), WORKSPACE).status == 200, "it serves"
     )
+
+
+def test_connections_that_went_silent_are_replaced(fleet: Fleet) -> None:
+    warm = [
+        threading.Thread(
+            target=fleet.call, args=("entry-1", CHAT, chat(f"open {number}"), WORKSPACE)
+        )
+        for number in range(24)
+    ]
+    for thread in warm:
+        thread.start()
+    for thread in warm:
+        thread.join()
+    names = [name for name in fleet.parts if name.startswith("runner")]
+    for name in (*names, "objects"):
+        fleet.fault(name, silent=1)
+    try:
+        answers = [fleet.call("entry-1", CHAT, chat(f"silent {n}"), WORKSPACE) for n in range(3)]
+        booking = book(fleet, "entry-1", "silent", "silent")
+    finally:
+        for name in (*names, "objects"):
+            fleet.fault(name, silent=0)
+    assert [words_of(resp.data) for resp in answers] == [expected(f"silent {n}") for n in range(3)]
+    assert booking.status in (200, 503)
+    assert runs(fleet, "silent") == (booking.status == 200)
+
+
+@pytest.mark.parametrize("faults", [{"torn": 100}, {"full": 1}, {"down": 1}], ids=str)
+def test_a_store_that_fails_costs_no_answer_and_publishes_nothing_wrong(
+    fleet: Fleet, faults: dict[str, float]
+) -> None:
+    stores = ("store-1", "store-2")
+    for name in stores:
+        fleet.fault(name, **faults)
+    # An export that was under way before ends; from here on nothing can be published rightly.
+    time.sleep(1.0)
+    before = sum(fleet.counts(name)["published"] for name in stores)
+    try:
+        text = f"{sorted(faults)} history " * 1_500
+        first = fleet.call("entry-1", CHAT, chat(text), WORKSPACE)
+        time.sleep(1.0)
+        again = fleet.call("entry-2", CHAT, chat(text), WORKSPACE)
+        time.sleep(1.0)
+        after = sum(fleet.counts(name)["published"] for name in stores)
+    finally:
+        for name in stores:
+            fleet.fault(name, **dict.fromkeys(faults, 0.0))
+    assert words_of(first.data) == words_of(again.data) == expected(text)
+    assert after == before
