Claims: one pump, the nonce's prefix given once, dead code gone

Cause: read as a newcomer: pump stood twice, two branches did the same, a type alias was unused, three doc comments no longer said what is so. Conclusion: nothing else changed.

--- a/filbertstream/actions.py
+++ b/filbertstream/actions.py
@@ -161,7 +161,11 @@
 
 
 class DrainEnded(NamedTuple):
-    """The answer to a planned stop: ``draining`` with the work still running, or ``drained``."""
+    """The answer to a planned stop.
+
+    ``state`` is ``draining`` with the work still running, ``drained``, or ``unknown`` where the VM
+    is neither this entry's nor a known target's.
+    """
 
     request_id: str
     state: str
--- a/filbertstream/events.py
+++ b/filbertstream/events.py
@@ -207,7 +207,7 @@
 
 
 class StoreListed(NamedTuple):
-    """The published pieces of a store, from its own listing, and its free share of memory."""
+    """The published pieces of a store, from its own listing, and whether it takes no more."""
 
     store: str
     pieces: tuple[StoredPiece, ...]
--- a/filbertstream/request/claims.py
+++ b/filbertstream/request/claims.py
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from filbertstream.actions import Action, ListObjects, PutObject
+from filbertstream.actions import Action
 from filbertstream.events import PutFinished, ReadFinished
 from filbertstream.names import digest_text
 from filbertstream.process.append_log import AppendLog, LogEntry, OpIds, Progress
@@ -85,29 +85,24 @@
 class Shard:
     """The ledger of one shard: an append log and the index that its records make."""
 
-    def __init__(self, kind: str, op_ids: OpIds) -> None:
+    def __init__(self, kind: str, op_ids: OpIds, nonce_prefix: str) -> None:
         self.log = AppendLog(kind, op_ids)
         self.index: dict[str, Standing] = {}
         self._waiting: deque[ClaimOp] = deque()
         self._writing: list[ClaimOp] = []
         self._batches = 0
-        self._batch_nonce_prefix = ""
+        self._nonce_prefix = nonce_prefix
 
-    def submit(self, op: ClaimOp, nonce_prefix: str) -> LedgerStep:
+    def submit(self, op: ClaimOp) -> LedgerStep:
         """Queue an operation and write it if nothing is under way."""
-        self._batch_nonce_prefix = nonce_prefix
         self._waiting.append(op)
-        return self._pump()
+        return self.pump()
 
     @property
     def idle(self) -> bool:
         """Whether nothing waits to be written."""
         return not self._waiting and not self._writing
 
-    def pump(self) -> LedgerStep:
-        """Write what waits, if nothing is under way."""
-        return self._pump()
-
     def poll(self) -> LedgerStep:
         """Read the log's end, to settle an open write or learn other members' records."""
         if self.log.busy:
@@ -129,7 +124,7 @@
             verdicts += self._give_up()
         if progress.asks:
             return LedgerStep(tuple(verdicts), progress.asks)
-        more = self._pump() if progress.reachable else LedgerStep((), ())
+        more = self.pump() if progress.reachable else LedgerStep((), ())
         return LedgerStep((*verdicts, *more.verdicts), more.asks)
 
     def _settled(self, progress: Progress) -> list[Verdict]:
@@ -139,9 +134,6 @@
         batch, self._writing = self._writing, []
         if progress.written:
             return [self._judge(op) for op in batch]
-        if progress.reachable:
-            self._waiting.extendleft(reversed(batch))
-            return []
         self._waiting.extendleft(reversed(batch))
         return []
 
@@ -160,7 +152,7 @@
         self._waiting = deque([*kept, *voids])
         return [Verdict(op.claim_id, "unavailable") for op in refused]
 
-    def _pump(self) -> LedgerStep:
+    def pump(self) -> LedgerStep:
         """Write the next batch, or read first where an earlier write is not settled."""
         if self.log.busy or not self._waiting:
             return LedgerStep((), ())
@@ -170,7 +162,7 @@
         if not self._writing:
             return LedgerStep(tuple(verdicts), ())
         self._batches += 1
-        nonce = f"{self._batch_nonce_prefix}-{self._batches}"
+        nonce = f"{self._nonce_prefix}-{self._batches}"
         put = self.log.append(nonce, msgspec.msgpack.encode(self._writing))
         return LedgerStep(tuple(verdicts), (put,))
 
@@ -244,7 +236,7 @@
 
     def submit(self, op: ClaimOp) -> LedgerStep:
         """Queue an operation on its key's shard."""
-        return self.shard_of(op.key).submit(op, self._nonce_prefix)
+        return self.shard_of(op.key).submit(op)
 
     def poll(self, key: str) -> LedgerStep:
         """Learn what other members wrote to a key's shard."""
@@ -259,7 +251,7 @@
         number = int(key[:8], 16) % self._shard_count
         shard = self._shards.get(number)
         if shard is None:
-            shard = Shard(f"claims-{number:04d}", self._op_ids)
+            shard = Shard(f"claims-{number:04d}", self._op_ids, self._nonce_prefix)
             self._shards[number] = shard
         return shard
 
@@ -296,6 +288,3 @@
             verdicts += step.verdicts
             asks += step.asks
         return LedgerStep(tuple(verdicts), tuple(asks))
-
-
-PlatformAsk = PutObject | ListObjects
--- a/filbertstream/units.py
+++ b/filbertstream/units.py
@@ -11,7 +11,7 @@
 """A piece of kept cache covers this many bytes of prompt text."""
 
 KV_BYTES_PER_TOKEN: Final = 40
-"""The stand-in scale of cache per prompt token; runners report their own figure."""
+"""How much cache a prompt token takes; every model counts alike so far."""
 
 HEARTBEAT_S: Final = 1.0
 """How often a member sends a heartbeat to each peer it monitors."""
