--- a/standins/engine.py
+++ b/standins/engine.py
@@ -19,7 +19,7 @@
 import time
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Iterator
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 import urllib3
 
@@ -36,6 +36,7 @@
     serve,
 )
 from standins.engine_answers import Stream, answer_words, chunk, prompt_of, whole
+from standins.engine_cache import PrefixCache
 
 PREFILL_TOKENS_PER_S: Final = 20_000.0
 PIECE_TOKENS: Final = 2_000
@@ -46,13 +47,6 @@
 DEFAULT_TOKENS: Final = 16
 
 
-class Block(NamedTuple):
-    """A cached piece: the weight version that made it, and the first piece of its chain."""
-
-    version: str
-    root: str
-
-
 class Engine:
     """One engine with its cache, queue and weights."""
 
@@ -66,20 +60,18 @@
         self._faults = faults
         self._lock = threading.Lock()
         self._prefill = threading.Lock()
-        self._cache: OrderedDict[str, Block] = OrderedDict()
-        self._evicted: deque[dict[str, str]] = deque(maxlen=1_000)
         self._streams: OrderedDict[str, Stream] = OrderedDict()
         self._running = 0
         self._queued = 0
         self._queued_tokens = 0
         self._fencing = 0
-        self.cache_pieces = CACHE_PIECES
         self.weights_url = ""
         self._cuts: set[str] = set()
         self._reports: deque[tuple[float, dict[str, Any]]] = deque()
         self._pool = urllib3.PoolManager(retries=False, timeout=10.0)
+        self.cache = PrefixCache(CACHE_PIECES, faults, self._pool)
         self._staging = itertools.count(1)
-        self.counts = {"requests": 0, "cancelled": 0, "prefilled": 0, "imported": 0, "stale": 0}
+        self.counts = {"requests": 0, "cancelled": 0, "prefilled": 0, "stale": 0}
 
     def __call__(self, environ: Environ, start: Start) -> Iterable[bytes]:
         """Serve one call."""
@@ -136,13 +128,13 @@
         with self._lock:
             self._queued += 1
             self._queued_tokens += tokens
-        cached = self._leading(names, version)
-        imported = self._import(names, cached, body.get("kv_imports", []), version)
+        cached = self.cache.leading(names, version)
+        imported = self.cache.import_missing(names, cached, body.get("kv_imports", []), version)
         with self._prefill:
             computed = tokens - (cached + imported) * PIECE_TOKENS
             time.sleep(max(0, computed) / PREFILL_TOKENS_PER_S)
+            self.cache.keep(names, version)
             with self._lock:
-                self._keep(names, version)
                 self._queued -= 1
                 self._queued_tokens -= tokens
                 self.counts["prefilled"] += computed
@@ -153,47 +145,6 @@
             "imported_tokens": imported * PIECE_TOKENS,
         }
 
-    def _leading(self, names: list[str], version: str) -> int:
-        with self._lock:
-            held = itertools.takewhile(lambda name: self._holds(name, version), names)
-            return sum(1 for _ in held)
-
-    def _holds(self, name: str, version: str) -> bool:
-        block = self._cache.get(name)
-        return block is not None and block.version == version
-
-    def _import(
-        self, names: list[str], cached: int, hints: list[dict[str, str]], version: str
-    ) -> int:
-        """Fetch pieces that follow the cached ones; a missing or torn one ends the import."""
-        places = {hint["piece"]: hint["from"] for hint in hints}
-        imported = 0
-        for name in names[cached:]:
-            if name not in places or not self._fetch(name, places[name]):
-                break
-            imported += 1
-            with self._lock:
-                self._cache[name] = Block(version, names[0])
-                self.counts["imported"] += 1
-        return imported
-
-    def _fetch(self, name: str, address: str) -> bool:
-        try:
-            resp = self._pool.request("GET", f"{address}/v1/pieces/{name}")
-        except urllib3.exceptions.HTTPError:
-            return False
-        digest = hashlib.blake2b(resp.data, digest_size=16).hexdigest()
-        return resp.status == 200 and digest == resp.headers.get("X-Digest")
-
-    def _keep(self, names: list[str], version: str) -> None:
-        for name in names:
-            self._cache[name] = Block(version, names[0])
-            self._cache.move_to_end(name)
-        while len(self._cache) > self.cache_pieces:
-            name, block = self._cache.popitem(last=False)
-            if not self._faults.take("drop_events"):
-                self._evicted.append({"name": name, "root": block.root})
-
     def _generate(
         self, stream: Stream, attempt: str, chat: bool, words: list[str], usage: dict[str, int]
     ) -> None:
@@ -252,9 +203,8 @@
                 "queued_tokens": self._queued_tokens,
                 "model": self._model,
                 "weight_version": self.version,
-                "evicted": list(self._evicted),
+                "evicted": self.cache.take_evicted(),
             }
-            self._evicted.clear()
             self._reports.append((now_s, fresh))
             lag_s = self._lag_s + self._faults.get("load_lag_s")
             while len(self._reports) > 1 and self._reports[1][0] <= now_s - lag_s:
@@ -264,9 +214,7 @@
 
     def _export(self, asked: dict[str, Any], start: Start) -> list[bytes]:
         name = asked["piece"]
-        with self._lock:
-            present = self._holds(name, asked["weight_version"])
-        if not present:
+        if not self.cache.holds(name, asked["weight_version"]):
             return reply(start, 404, {"error": "not in the cache"})
         length = PIECE_TOKENS * KV_BYTES_PER_TOKEN
         data = hashlib.shake_128(name.encode()).digest(length)
@@ -307,7 +255,7 @@
     options = found.parse_args()
     faults = Faults()
     engine = Engine(options.model, options.version, options.lag_s, options.gap_s, faults)
-    engine.cache_pieces = options.cache_pieces
+    engine.cache.capacity = options.cache_pieces
     engine.weights_url = options.weights
     serve(options.listen, options.control, engine, faults, lambda: engine.counts)
 
