--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -1,5 +1,6 @@
 """The product over real processes: bad requests, isolation, TLS, the command line."""
 
+import os
 import socket
 import ssl
 import time
@@ -13,10 +14,14 @@
 import zmq
 from typer.testing import CliRunner
 
+from filbertstream.actions import SendAttempt
 from filbertstream.cli import app
 from filbertstream.connection.listener import Listener
+from filbertstream.connection.target_client import TargetClient
 from filbertstream.connection.tls import ReloadingAdapter
+from filbertstream.core import Core, CoreConfig
 from filbertstream.messages import Heartbeat, encode
+from filbertstream.process.host import Host
 from filbertstream.process.settings import Tls
 from standins.fleet import OPERATOR_KEY, Fleet, free_port
 from tests.callers import (
@@ -241,3 +246,44 @@
         if [row["state"] for row in rows if row["name"] == name] != ["leaving"]:
             return False
     return True
+
+
+def test_targets_are_reached_over_tls_with_their_own_authority(tmp_path: Path) -> None:
+    authority, stranger = trustme.CA(), trustme.CA()
+    pair = authority.issue_cert("127.0.0.1")
+    files = Tls(tmp_path / "tls.crt", tmp_path / "tls.key")
+    pair.cert_chain_pems[0].write_to_path(files.certificate_file)
+    pair.private_key_pem.write_to_path(files.key_file)
+    ca_file = tmp_path / "ca.crt"
+    authority.cert_pem.write_to_path(ca_file)
+
+    def answer(environ: dict[str, Any], start: Any) -> list[bytes]:
+        echo = ("X-Request-Id", environ["HTTP_X_REQUEST_ID"])
+        start("200 OK", [("Content-Length", "2"), echo])
+        return [b"ok"]
+
+    port = free_port()
+    listener = Listener("127.0.0.1", port, answer, 2, 1_000, files)
+    listener.start()
+    core = Core(CoreConfig("e", "vm", "dc", 1, "tcp://127.0.0.1:1", (), b"secret"))
+    client = TargetClient(str(ca_file), Host(core))
+    send = SendAttempt(
+        "r", "a", "t", f"https://127.0.0.1:{port}", "service", "", 5, (), (), True, 5.0, 5.0, 5.0
+    )
+    try:
+        assert client.send(send, "GET", "/", b"", {}).unwrap().whole().unwrap() == b"ok"
+        stranger.cert_pem.write_to_path(ca_file)
+        os.utime(ca_file, ns=(1, 1))
+        assert client.reload() is True
+        assert client.send(send, "GET", "/", b"", {}).is_err()
+    finally:
+        client.close()
+        listener.close()
+
+
+def test_a_model_that_the_template_does_not_permit_is_refused(fleet: Fleet, tmp_path: Path) -> None:
+    file = tmp_path / "model.yaml"
+    file.write_text("kind: model\nname: secret-70b\nversion: v1\n")
+    assert fleet.apply_documents(file)["state"] == "accepted"
+    resp = fleet.call("entry-2", CHAT, chat("x") | {"model": "secret-70b"}, WORKSPACE)
+    assert (resp.status, msgspec.json.decode(resp.data)["type"]) == (403, "not_permitted")
