--- a/filbertstream/core.py
+++ b/filbertstream/core.py
@@ -126,7 +126,7 @@
             PeerMessage: self.gossip.on_message,
             ApplyRequested: self.governance.on_apply,
             DrainRequested: self._on_drain,
-            PiecesExported: self.serving.on_exported,
+            PiecesExported: cache.on_exported,
             StoreListed: self.polling.on_store,
             Tick: self._on_tick,
         }
--- a/filbertstream/request/serving.py
+++ b/filbertstream/request/serving.py
@@ -21,7 +21,6 @@
     AttemptFinished,
     AttemptStarted,
     CallerRequest,
-    PiecesExported,
 )
 from filbertstream.log_events import LogEvent
 from filbertstream.messages import CatalogueAnswer
@@ -292,10 +291,6 @@
         counters.add("prompt_tokens", "cached", event.cached_tokens)
         counters.add("prompt_tokens", "imported", event.imported_tokens)
 
-    def on_exported(self, event: PiecesExported, now_s: float) -> list[Action]:
-        """Take in that pieces were kept on a store."""
-        return self._cache.on_exported(event, now_s)
-
     def on_failed(self, event: AttemptFailed, now_s: float) -> list[Action]:
         """Resume, retry or give up after an attempt without a whole answer."""
         run = self._current(event.request_id, event.attempt_id)
