--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -13,14 +13,13 @@
 from typing import Any, Final, NamedTuple
 
 from filbertstream.connection.store_watch import (
-    CONFIG_WAIT_SHARE,
-    CONFIRMED_WAIT_S,
-    DUTIES_WAIT_S,
-    TARGETS_PAUSE_SHARE,
-    WATCHER_WAIT_SHARE,
-    WEIGHTS_WAIT_S,
+    RELAY_REVOKE_SHARE,
+    RELAY_TARGETS_SHARE,
+    RELAYED_DUTIES,
+    RELAYED_ENTRIES,
+    RELAYED_WEIGHTS,
 )
-from filbertstream.process.confirmations import MEMBERS_A_WATCHER
+from filbertstream.process.relays import ASK_S, MEMBERS_A_RELAY
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 SLOPES: Final = ROOT / "docs" / "slopes.json"
@@ -49,12 +48,18 @@
 MESSAGES_PER_S: Final = 12.5
 MEMBERS_TOLD: Final = 12
 ROWS_TOLD: Final = 100
-CONFIG_APPLY_S: Final = 2.0
+REVOKE_S: Final = 5.0
 DRAIN_S: Final = 2.0
-"""The bounds of today's deployments for configurations and drains."""
-
-CONFIRMED_WAITS_S: Final = (CONFIG_WAIT_SHARE * CONFIG_APPLY_S, DUTIES_WAIT_S, WEIGHTS_WAIT_S)
-"""Waits of the three watches that other entries may confirm."""
+"""The bounds of today's deployments for removed keys and drains."""
+
+RELAY_WAITS_S: Final = (
+    RELAY_REVOKE_SHARE * REVOKE_S,
+    RELAYED_DUTIES.wait_s,
+    RELAYED_WEIGHTS.wait_s,
+    RELAY_TARGETS_SHARE * DRAIN_S,
+    RELAYED_ENTRIES.pause_s,
+)
+"""Least time between two calls of each of a relay's watches."""
 
 MEGABYTE: Final = 1e6
 
@@ -143,12 +148,9 @@
     ]  # fmt: skip
 
 
-def confirmed_reads_per_s() -> float:
-    """Return the watch calls of the kinds that entries confirm for each other."""
-    watchers = NODES / MEMBERS_A_WATCHER
-    each = sum(1.0 / (WATCHER_WAIT_SHARE * wait_s) for wait_s in CONFIRMED_WAITS_S)
-    relying = (NODES - watchers) * len(CONFIRMED_WAITS_S) / CONFIRMED_WAIT_S
-    return watchers * each + relying
+def relays_reads_per_s() -> float:
+    """Return the watch calls of all relays at most; other entries make none."""
+    return NODES / MEMBERS_A_RELAY * sum(1.0 / wait_s for wait_s in RELAY_WAITS_S)
 
 
 def platform_lines(slopes: dict[str, Any]) -> list[Line]:
@@ -156,12 +158,12 @@
     keys_per_s = REQUESTS_PER_S * KEY_SHARE
     return [
         Line(
-            "reads: what is confirmed", confirmed_reads_per_s(), "a second", PLATFORM_READS_PER_S,
-            "the waits of three watches", "one entry in 16 asks, the others take its word",
+            "reads: watches", relays_reads_per_s(), "a second", PLATFORM_READS_PER_S,
+            "waits and pauses of five watches", "one entry in 32 reads, the others ask it",
         ),
         Line(
-            "reads: registrations", NODES / (TARGETS_PAUSE_SHARE * DRAIN_S), "a second",
-            PLATFORM_READS_PER_S, "the pause of the watch", "each entry gathers changes itself",
+            "questions to a relay", MEMBERS_A_RELAY / ASK_S, "a second", None,
+            "the interval of questions", "answered with what is new and its age",
         ),
         Line(
             "writes: keys", keys_per_s * KEY_WRITES, "a second", PLATFORM_WRITES_PER_S,
@@ -214,8 +216,6 @@
 
 The design carries the fleets of today (6 to 81 entries were played). At the target size:
 
-- **Registrations**: every entry watches them, and they change all the time. Change: the entries
-  that confirm the configuration for others pass the changes on as well, with their age.
 - **Registrations and work told by others** also take a processor share that grows with the fleet.
   Change: an entry follows the runners of its own data center; others are summed up.
 - **Decisions** look at all runners of a service. Change: the holders of a prompt's parts, its home
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -20,8 +20,8 @@
 from bench.world import BOUNDS, World
 from bench.world_documents import world_documents
 from filbertstream.process.cache_stores import QUIET_S
-from filbertstream.process.confirmations import DIRECT_MEMBERS
 from filbertstream.process.deployment import Bounds
+from filbertstream.process.relays import DIRECT_MEMBERS
 from filbertstream.request.call import PromptPart
 from filbertstream.version.documents import Model, Objectives
 
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -86,6 +86,13 @@
         """Replace an object if it still has the revision."""
         return self._write(kind, name, content, revision)
 
+    def register(self, kind: str, name: str, content: Any) -> None:
+        """Write an object as its owner does; one that stays as it was is not a change."""
+        raw = msgspec.json.encode(content)
+        present = self.objects.get(kind, {}).get(name)
+        if not self.down and (present is None or bytes(present.content) != raw):
+            self._apply(kind, name, content, 0 if present is None else present.revision)
+
     def remove(self, kind: str, name: str) -> Result[Written, StoreFault]:
         """Remove an object."""
         self.calls["writes"] += 1
--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -11,23 +11,25 @@
 from filbertstream.connection.document_store import DocumentWatch
 from filbertstream.connection.key_store import of_read, of_write
 from filbertstream.connection.store_watch import (
-    CONFIRMED_WAIT_S,
     DUTY_NAME,
     Watched,
     product_kinds,
+    show_kind,
+    shown,
     tell_duty,
 )
 from filbertstream.gateway import Gateway
 from filbertstream.gateway_events import (
-    AskStore,
     DutyWritten,
     RemoveEntry,
+    ShowKind,
     StoreAnswered,
     WriteEntry,
 )
-from filbertstream.platform.documents import DUTIES_KIND, ENTRIES_KIND, KEYS_KIND, TARGETS_KIND
+from filbertstream.platform.documents import DUTIES_KIND, ENTRIES_KIND, KEYS_KIND, MS
 from filbertstream.platform.objects import StoreFault
 from filbertstream.process.duty import WriteDuty
+from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.request.key_writes import KeyAction, KeyCall, KeyReply
 from filbertstream.version.routes import CallerLimits
 
@@ -38,104 +40,90 @@
 WATCH_S: Final = 0.25
 """A change is seen by a watch that long after it was written, at most."""
 
+GATE_S: Final = 0.1
+"""How soon an entry begins to read what others don't tell it any more."""
+
 UNANSWERED_S: Final = 1.5
 """How long a call without an answer is waited for."""
 
 
+def registration(entry: TargetEntry) -> dict[str, Any]:
+    """Return a target's registration as the store holds it."""
+    return {
+        "service": entry.service,
+        "address": str(entry.address),
+        "zone": entry.data_center,
+        "slots": entry.slots,
+        "state": "draining" if entry.draining else "ready",
+        "cold_left_ms": entry.warmup_left_s * MS,
+        "models": [{"name": name, "version": at} for name, at in entry.weights.items()],
+        "born": entry.born_ms,
+    }
+
+
 class PlatformSide:
     """Carries out what cores ask of the platform's store."""
 
     def __init__(self, world: "World") -> None:
         self._world = world
         self.latency_s = LATENCY_S
-        self._documents: dict[str, DocumentWatch] = {}
+        self._watched: dict[str, dict[str, Watched]] = {}
+        kinds = product_kinds(world.bounds, DocumentWatch(CallerLimits()))
+        self.followed = tuple(item.followed for item in kinds)
 
     def follow(self, core: Gateway) -> None:
-        """Begin all watches of an entry; registrations of targets come by themselves."""
-        watch = self._documents[core.cfg.name] = DocumentWatch(CallerLimits())
-        for watched in product_kinds(self._world.bounds, watch):
-            if watched.kind != TARGETS_KIND:
-                self._ask(core, watched, None)
-
-    def ask_store(self, core: Gateway, action: AskStore) -> None:
-        """List what other entries may confirm, once."""
-        for watched in product_kinds(self._world.bounds, self._documents[core.cfg.name]):
-            if watched.confirmed:
-                self._ask(core, watched, None, again=False)
-
-    def _ask(
-        self,
-        core: Gateway,
-        watched: Watched,
-        since: int | None,
-        again: bool = True,
-        waited_s: float = 0.0,
-    ) -> None:
+        """Begin all watches of an entry."""
+        documents = DocumentWatch(CallerLimits())
+        kinds = product_kinds(self._world.bounds, documents)
+        self._watched[core.cfg.name] = {watched.kind: watched for watched in kinds}
+        for item in self.followed:
+            self._ask(core, item.kind, None)
+
+    def show(self, core: Gateway, action: ShowKind) -> None:
+        """Decode what is new of a kind and tell it."""
+        watched = self._watched[core.cfg.name][action.taken.kind]
+        show_kind(watched, action.taken, lambda event: self._world.give(core.cfg.name, event))
+
+    def _ask(self, core: Gateway, kind: str, since: int | None) -> None:
         """Make one call of a watch, and the next once it has ended."""
         world = self._world
         if world.cores.get(core.cfg.name) is not core:
             return
         if core.cfg.name in world.paused:
-            world.after(WATCH_S, lambda: self._ask(core, watched, since, again))
+            world.after(WATCH_S, lambda: self._ask(core, kind, since))
+            return
+        if not core.relayed.reads_kind(kind, world.now_s):
+            # Others tell it; what the watch has missed is listed when it is needed again.
+            world.after(GATE_S, lambda: self._ask(core, kind, None))
             return
-        sent_at_s = world.now_s - waited_s
+        sent_at_s = world.now_s
         wait_s = WATCH_S if since is not None else 0.0
 
         def carry_out() -> None:
-            fault: StoreFault | None = None
-            result: Any = None
-            if core.cfg.name in world.store_cut:
-                fault = StoreFault.UNSURE
-            else:
+            result: Any = Err(StoreFault.UNSURE)
+            if core.cfg.name not in world.store_cut:
                 objects = world.objects
-                answer: Any = (
-                    objects.list(watched.kind, sent_at_s)
+                result = (
+                    objects.list(kind, sent_at_s)
                     if since is None
-                    else objects.watch(watched.kind, since, sent_at_s)
+                    else objects.watch(kind, since, sent_at_s)
                 )
-                match answer:
-                    case Err(found):
-                        fault = found
-                    case Ok(found):
-                        result = found
-            if fault is None and since is not None and not result.changes:
-                relies = core.confirmations.relies_on_others(world.now_s)
-                longest_s = CONFIRMED_WAIT_S if watched.confirmed and relies else 0.0
-                if waited_s + WATCH_S < longest_s:
-                    self._ask(core, watched, since, again, waited_s + wait_s + self.latency_s)
-                    return
-            self._tell(core, watched, since, result, fault, sent_at_s, again)
+            self._tell(core, kind, since, result)
 
         world.after(wait_s + self.latency_s, carry_out)
 
-    def _tell(
-        self,
-        core: Gateway,
-        watched: Watched,
-        since: int | None,
-        result: Any,
-        fault: StoreFault | None,
-        sent_at_s: float,
-        again: bool,
-    ) -> None:
+    def _tell(self, core: Gateway, kind: str, since: int | None, result: Any) -> None:
         world = self._world
-        events: list[Any] = []
-        if fault is not None:
-            events.append(StoreAnswered(watched.kind, False, fault.value))
-        else:
-            events.append(StoreAnswered(watched.kind, True, ""))
-            if since is None:
-                watched.on_listing(result, events.append)
-            else:
-                for change in result.changes:
-                    watched.on_change(change, sent_at_s, events.append)
-                watched.on_quiet(sent_at_s, events.append)
-            since = result.as_of
+        match result:
+            case Err(fault):
+                events: list[Any] = [StoreAnswered(kind, False, fault.value)]
+            case Ok(found):
+                events = [StoreAnswered(kind, True, ""), shown(kind, since, found)]
+                since = found.as_of
         for event in events:
             world.later(core, self.latency_s, event)
-        if again:
-            again_s = WATCH_S if fault is not None else 0.0
-            world.after(self.latency_s + again_s, lambda: self._ask(core, watched, since))
+        again_s = WATCH_S if isinstance(result, Err) else 0.0
+        world.after(self.latency_s + again_s, lambda: self._ask(core, kind, since))
 
     def _call(self, core: Gateway, make: Callable[[], Any], then: Callable[[Any], object]) -> None:
         """Make a call of an entry; ``then`` gets its result when the entry does."""
--- a/bench/world.py
+++ b/bench/world.py
@@ -14,25 +14,24 @@
 from result import Err, Ok
 
 from bench.fakes import FakeCacheStore, FakeObjects, FakeTarget
-from bench.platform_side import PlatformSide
+from bench.platform_side import PlatformSide, registration
 from bench.targets import TargetSide
 from filbertstream.actions import Log, SendPeer
 from filbertstream.connection.document_store import ApplyEnded, DocumentStore
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
-    AskStore,
     PeerMessage,
     RemoveEntry,
+    ShowKind,
     StopAsked,
     StopProcess,
-    TargetSeen,
     Tick,
     WriteEntry,
 )
+from filbertstream.platform.documents import TARGETS_KIND
 from filbertstream.process.cache_stores import FollowCache, FreeParts, ListCache
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.duty import WriteDuty
-from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.request.call import CallHead, OnceKey, Prompt, PromptPart, WholeAnswer
 from filbertstream.request.call_flow import (
     AnswerCall,
@@ -123,7 +122,6 @@
         self._order = itertools.count()
         self._queue: list[tuple[float, int, Callable[[], object]]] = []
         self._held: dict[str, list[Any]] = {}
-        self._told: dict[str, dict[str, tuple[Gateway, TargetEntry]]] = {}
         self._numbers = itertools.count(1)
         self._incarnations = itertools.count(1)
         self._handlers: dict[type, Callable[[Gateway, Any], None]] = {
@@ -141,7 +139,7 @@
             FollowCache: self.target_side.follow,
             ListCache: self.target_side.list,
             FreeParts: self.target_side.free,
-            AskStore: self.platform.ask_store,
+            ShowKind: self.platform.show,
             WriteDuty: self.platform.write_duty,
             WriteEntry: self.platform.write_entry,
             RemoveEntry: self.platform.remove_entry,
@@ -156,7 +154,13 @@
         """Start a member, or a new incarnation of one."""
         number = next(self._incarnations)
         cfg = GatewayConfig(
-            name, number, data_center, self.bounds, f"tcp://{name}", self.seed + number
+            name,
+            number,
+            data_center,
+            self.bounds,
+            f"tcp://{name}",
+            self.seed + number,
+            self.platform.followed,
         )
         core = self.cores[name] = Gateway(cfg)
         self._held.pop(name, None)
@@ -194,17 +198,12 @@
         return Store("store", name, store.address, store.data_center, store.capacity_tokens)
 
     def _beat(self, target: FakeTarget) -> None:
-        """Refresh a target's registration; entries that see the store are told what changed."""
+        """Refresh a target's registration."""
         if not target.dead and not self.objects.down:
             entry = target.entry()
             if entry.draining:
                 self.drain_told_s.setdefault(target.name, self.now_s)
-            for name, core in list(self.cores.items()):
-                told = self._told.setdefault(name, {}) if name not in self.store_cut else None
-                if told is not None and told.get(target.name) != (core, entry):
-                    told[target.name] = (core, entry)
-                    event = TargetSeen(target.name, entry, False)
-                    self.later(core, self.platform.latency_s, event)
+            self.objects.register(TARGETS_KIND, target.name, registration(entry))
         self.after(BEAT_S, lambda: self._beat(target))
 
     # Time
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -76,6 +76,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.connections: set[CallerConnection] = set()
         self.stopping = False
+        self.work_began = asyncio.Event()
         self.handlers: dict[type, Callable[[Any], object]] = {
             Log: write_log,
             SendCall: self._send,
@@ -144,6 +145,7 @@
         self._last_call += 1
         conn.call_id = self._last_call
         self._calls[self._last_call] = Relayed(conn, raw, head, form)
+        self.work_began.set()
         self.tell(CallArrived(self._last_call, head))
 
     def on_rejected(self, status: int, detail: str) -> None:
--- a/filbertstream/connection/store_watch.py
+++ b/filbertstream/connection/store_watch.py
@@ -5,6 +5,8 @@
 moment at which a call was sent goes with it, since that is when its answer was surely true.
 """
 
+import math
+import threading
 import time
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple, Protocol
@@ -24,6 +26,7 @@
     TargetsListed,
     WeightsNamed,
 )
+from filbertstream.messages import ObjectRow
 from filbertstream.platform.documents import (
     CONFIG_KIND,
     CONFIG_NAME,
@@ -37,10 +40,18 @@
     decode_own,
     decode_target,
 )
-from filbertstream.platform.objects import Change, Listing, ObjectStore, StoredObject, StoreFault
+from filbertstream.platform.objects import (
+    Change,
+    Changes,
+    Listing,
+    ObjectStore,
+    StoredObject,
+    StoreFault,
+)
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.duty import DutyRecord
 from filbertstream.process.peer_work import EntryRecord
+from filbertstream.process.store_view import Followed, KindShown, KindTaken
 
 RETRY_S: Final = 0.15
 """Pause after a call without an answer, doubled up to ``RETRY_MAX_S``."""
@@ -52,12 +63,25 @@
 Tell = Callable[[Any], None]
 
 
+class Relayed(NamedTuple):
+    """How a relay follows a kind: the wait of its watch, and the pause after it.
+
+    A watch that waits shows nothing until it answers: what is known grows twice as old as the wait.
+    Without a wait it grows as old as the pause, so that fewer calls are needed, while changes are
+    seen later.  Other entries take a relay's word up to an age of ``max_age_s``.
+    """
+
+    wait_s: float
+    pause_s: float
+    max_age_s: float
+
+
 class Watched(NamedTuple):
     """How a kind is followed.
 
     ``wait_s`` is the longest a watch waits, so the longest a silent connection goes unnoticed.
-    ``pause_s`` gathers changes of a kind that changes all the time.  A ``confirmed`` kind is one
-    that other entries may confirm, see ``process.confirmations``.
+    ``pause_s`` gathers changes of a kind that changes all the time.  ``relayed`` is how the kind is
+    followed where other entries rely on this one, see ``process.relayed_view``.
     """
 
     kind: str
@@ -66,7 +90,12 @@
     on_listing: Callable[[Listing, Tell], None]
     on_change: Callable[[Change, float, Tell], None]
     on_quiet: Callable[[float, Tell], None]
-    confirmed: bool = False
+    relayed: Relayed
+
+    @property
+    def followed(self) -> Followed:
+        """What the core is told of the kind."""
+        return Followed(self.kind, self.relayed.max_age_s, not self.pause_s)
 
 
 def _ignore_quiet(sent_at_s: float, tell: Tell) -> None:
@@ -186,6 +215,40 @@
 DUTIES_WAIT_S: Final = 1.4
 """The view of the duty is needed with an age under twice this, see ``version.weights_view``."""
 
+RELAY_REVOKE_SHARE: Final = 0.25
+RELAY_APPLY_SHARE: Final = 0.3
+"""A relay asks for the configuration after these shares of the bounds for removed keys and for
+configurations, the shorter of both."""
+
+RELAYED_CONFIG_SHARE: Final = 0.45
+"""The share of the bound for removed keys up to which another entry's word counts: more than the
+above and the interval of questions, and less than makes an entry unready."""
+
+RELAY_TARGETS_SHARE: Final = 0.3
+"""A relay asks for registrations after this share of the bound for drains."""
+
+RELAYED_TARGETS_SHARE: Final = 0.75
+"""The share of that bound up to which another entry's word counts; the rest is for what is under
+way when an entry turns to the store instead."""
+
+RELAYED_WEIGHTS: Final = Relayed(WEIGHTS_WAIT_S, 0.0, 7.0)
+RELAYED_DUTIES: Final = Relayed(1.0, 0.0, 2.8)
+"""The age is less than ``version.weights_view.VIEW_S``; changes are passed on at once."""
+
+RELAYED_ENTRIES: Final = Relayed(10.0, 0.5, math.inf)
+"""A registration of an entry is a hint only: any age does."""
+
+
+def _relayed_config(bounds: Bounds) -> Relayed:
+    pause_s = min(RELAY_REVOKE_SHARE * bounds.revoke_s, RELAY_APPLY_SHARE * bounds.config_apply_s)
+    return Relayed(0.0, pause_s, RELAYED_CONFIG_SHARE * bounds.revoke_s)
+
+
+def _relayed_targets(bounds: Bounds) -> Relayed:
+    pause_s = RELAY_TARGETS_SHARE * bounds.drain_s
+    return Relayed(0.0, pause_s, RELAYED_TARGETS_SHARE * bounds.drain_s)
+
+
 ENTRIES_WAIT_S: Final = 10.0
 ENTRIES_PAUSE_S: Final = 0.5
 
@@ -212,7 +275,7 @@
         documents.on_listing,
         documents.on_change,
         documents.on_quiet,
-        True,
+        _relayed_config(bounds),
     )
     return (watched, *_common_kinds(bounds))
 
@@ -227,7 +290,7 @@
             _list_configuration,
             _change_configuration,
             _quiet_configuration,
-            True,
+            _relayed_config(bounds),
         ),
         Watched(
             WEIGHTS_KIND,
@@ -236,7 +299,7 @@
             _list_weights,
             _change_weights,
             _ignore_quiet,
-            True,
+            RELAYED_WEIGHTS,
         ),
         *_common_kinds(bounds),
     )
@@ -252,8 +315,17 @@
             _list_targets,
             _change_target,
             _ignore_quiet,
+            _relayed_targets(bounds),
+        ),
+        Watched(
+            DUTIES_KIND,
+            DUTIES_WAIT_S,
+            0.0,
+            _list_duties,
+            _change_duty,
+            _quiet_duties,
+            RELAYED_DUTIES,
         ),
-        Watched(DUTIES_KIND, DUTIES_WAIT_S, 0.0, _list_duties, _change_duty, _quiet_duties, True),
         Watched(
             ENTRIES_KIND,
             ENTRIES_WAIT_S,
@@ -261,39 +333,63 @@
             _list_entries,
             _change_entry,
             _ignore_quiet,
+            RELAYED_ENTRIES,
         ),
     )
 
 
-WATCHER_WAIT_SHARE: Final = 0.5
-"""An entry that others rely on confirms in this share of the usual time: theirs comes on top."""
+def show_kind(watched: Watched, taken: KindTaken, tell: Tell) -> None:
+    """Decode what is new of a kind and tell it."""
+    if taken.whole:
+        objects = tuple(_stored(row) for row in taken.rows if row.content is not None)
+        watched.on_listing(Listing(taken.shown_at_s, 0, objects), tell)
+        return
+    for row in taken.rows:
+        watched.on_change(Change(_stored(row), row.content is None), taken.shown_at_s, tell)
+    watched.on_quiet(taken.shown_at_s, tell)
 
-CONFIRMED_WAIT_S: Final = 10.0
-"""How long watches wait while other entries confirm that nothing has changed."""
 
+def _stored(row: ObjectRow) -> StoredObject:
+    return StoredObject(row.name, row.revision, msgspec.Raw(row.content or b"null"))
 
-class Reliance(NamedTuple):
-    """Whether other entries rely on this one, and whether it relies on them."""
 
-    told: bool
-    tells: bool
+def shown(kind: str, since: int | None, found: Listing | Changes) -> KindShown:
+    """Return what an answer of the store shows of a kind: a listing, or a watch after ``since``."""
+    if isinstance(found, Listing):
+        rows = tuple(_row(stored) for stored in found.objects)
+    else:
+        rows = tuple(_row(*change) for change in found.changes)
+    return KindShown(kind, since is None, since or 0, found.as_of, found.sent_at_s, rows)
 
 
-ALONE: Final = Reliance(False, False)
+def _row(stored: StoredObject, removed: bool = False) -> ObjectRow:
+    return ObjectRow(stored.name, stored.revision, None if removed else bytes(stored.content))
 
 
-def watch_wait_s(watched: Watched, reliance: Reliance) -> float:
-    """Return how long the next watch of a kind waits.
+IDLE_S: Final = 5.0
+"""How often a watcher that has nothing to do looks whether it was stopped."""
 
-    >>> kind = Watched("k", 2.0, 0.0, print, print, print, True)
-    >>> [watch_wait_s(kind, Reliance(*pair)) for pair in ((False, False), (False, True))]
-    [2.0, 1.0]
-    """
-    if not watched.confirmed:
-        return watched.wait_s
-    if reliance.told:
-        return CONFIRMED_WAIT_S
-    return watched.wait_s * (WATCHER_WAIT_SHARE if reliance.tells else 1.0)
+
+class StoreGate:
+    """Tells the watchers of an entry which kinds it reads itself, and wakes them for it."""
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()
+        self._idle: frozenset[str] = frozenset()
+        self.tells = False
+
+    def set(self, idle: frozenset[str], tells: bool) -> None:
+        """Have the ``idle`` kinds not read; ``tells``: other entries rely on this one."""
+        self.tells = tells
+        if idle != self._idle:
+            with self._changed:
+                self._idle = idle
+                self._changed.notify_all()
+
+    def wait(self, kind: str, longest_s: float) -> bool:
+        """Wait until a kind is to be read, at most so long; whether it is."""
+        with self._changed:
+            return self._changed.wait_for(lambda: kind not in self._idle, longest_s)
 
 
 class _Step:
@@ -311,10 +407,10 @@
         watched: Watched,
         tell: Tell,
         on_broken: Callable[[str], None],
-        reliance: Callable[[], Reliance] = lambda: ALONE,
+        gate: StoreGate,
     ) -> None:
         super().__init__()
-        self._reliance = reliance
+        self._gate = gate
         self._on_broken = on_broken
         self._store = store
         self._watched = watched
@@ -331,7 +427,11 @@
         self._on_broken(f"watch of {self._watched.kind}: {exception_value!r}")
 
     def on_receive(self, message: Any) -> None:
-        """Make one call."""
+        """Make one call, unless other entries tell what it would."""
+        if not self._gate.wait(self._watched.kind, IDLE_S):
+            self._as_of = None
+            self.actor_ref.tell(_Step())
+            return
         fault = self._list() if self._as_of is None else self._watch(self._as_of)
         if fault is None:
             self._retry_s = RETRY_S
@@ -349,21 +449,22 @@
                 return fault
             case Ok(listing):
                 self._tell(StoreAnswered(self._watched.kind, True, ""))
-                self._watched.on_listing(listing, self._tell)
+                self._tell(shown(self._watched.kind, None, listing))
                 self._as_of = listing.as_of
         return None
 
     def _watch(self, since: int) -> StoreFault | None:
-        wait_s = watch_wait_s(self._watched, self._reliance())
+        watched = self._watched
+        wait_s, pause_s = watched.wait_s, watched.pause_s
+        if self._gate.tells:
+            wait_s, pause_s = watched.relayed.wait_s, watched.relayed.pause_s
         match self._store.watch(self._watched.kind, since, wait_s):
             case Err(fault):
                 return fault
             case Ok(seen):
                 self._tell(StoreAnswered(self._watched.kind, True, ""))
-                for change in seen.changes:
-                    self._watched.on_change(change, seen.sent_at_s, self._tell)
-                self._watched.on_quiet(seen.sent_at_s, self._tell)
+                self._tell(shown(watched.kind, since, seen))
                 self._as_of = seen.as_of
-        if self._watched.pause_s:
-            time.sleep(self._watched.pause_s)
+        if pause_s:
+            time.sleep(pause_s)
         return None
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -34,10 +34,12 @@
 from filbertstream.messages import (
     CacheNews,
     CacheNewsRow,
-    ConfirmAsked,
-    ConfirmTold,
+    FleetWork,
+    GroupWork,
     PlacedRow,
     PlacedWork,
+    ViewAsked,
+    ViewTold,
 )
 from filbertstream.process.burn import Burn
 from filbertstream.process.cache_index import CacheIndex
@@ -49,14 +51,17 @@
     CacheStores,
     PartsFreed,
 )
-from filbertstream.process.confirmations import Confirmations
 from filbertstream.process.counters import Counters
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.duty import Duty
 from filbertstream.process.latencies import Latencies
 from filbertstream.process.peer_work import EntryRecord, PeerWork
+from filbertstream.process.relayed_view import RelayedView
+from filbertstream.process.relays import Relays
 from filbertstream.process.roster import Roster
 from filbertstream.process.roster_entry import TargetEntry
+from filbertstream.process.store_view import Followed, KindShown
+from filbertstream.process.work_exchange import WorkExchange
 from filbertstream.request.admission import Admission
 from filbertstream.request.arrival import Arrivals
 from filbertstream.request.call_flow import (
@@ -74,7 +79,6 @@
 from filbertstream.request.prompts import Prompts
 from filbertstream.request.shared_budget import SharedRetryBudget
 from filbertstream.version.currency import Currency
-from filbertstream.version.newest import Newest
 from filbertstream.version.retirement import Retirement
 from filbertstream.version.rollout import (
     OrderAnswered,
@@ -94,6 +98,13 @@
 NEWS_TRANSIT_S: Final = 0.15
 """Added to the age of what another entry has read of a store: the time that its message took."""
 
+RELYING_RESERVE_S: Final = 2.0
+"""Entries that read the store take the duty this much sooner than those that rely on them: it
+changes hands with fewer refused writes, and its holder sees the record first."""
+
+MEMBERS_LOGGED: Final = 8
+"""Names of new entries in one log line."""
+
 DUTY_TICK_S: Final = 0.05
 """Interval of looking at the duty of roll-outs."""
 
@@ -107,6 +118,7 @@
     bounds: Bounds
     peer_address: str
     seed: int
+    followed: tuple[Followed, ...] = ()
 
 
 class Gateway:
@@ -121,7 +133,9 @@
         self.roster = Roster()
         self.index = CacheIndex()
         self.peers = PeerWork(cfg.name)
-        self.confirmations = Confirmations(cfg.name, self.peers.names)
+        self.relays = Relays(cfg.name, self.peers.names)
+        self.exchange = WorkExchange(self.peers, self.relays)
+        self.relayed = RelayedView(cfg.followed, self.relays, self.peers, self.roster)
         self.stores = CacheStores(self.index, rng, self.peers.reads)
         self.roster.others = self.peers.others
         self.currency = Currency(bounds.revoke_s, bounds.strict_revocation)
@@ -157,17 +171,9 @@
             self.weights,
             Retirement(self.stores, self.index.held_by),
         )
-        self.newest = Newest(
-            self.confirmations,
-            self.peers,
-            self.arrivals,
-            self.currency,
-            self.duty,
-            self.weights,
-            self._name_weights,
-        )
         self.stopping = False
         self._lost: dict[str, str] = {}
+        self._joined: list[str] = []
         self._next_duty_s = 0.0
         self._was_ready = False
         self._handlers: dict[type, Callable[[Any, float], list[GatewayAction]]] = {
@@ -197,6 +203,7 @@
             EntriesListed: self._on_entries,
             EntrySeen: self._on_entry,
             PeerMessage: self._on_peer,
+            KindShown: self._forward(self.relayed.on_shown),
             StoreAnswered: self._on_store,
             BoundsChanged: self._on_bounds,
             StopAsked: self._on_stop,
@@ -224,6 +231,11 @@
             return False
         return self.currency.looks_current(now_s)
 
+    @property
+    def busy(self) -> bool:
+        """Whether something is under way that has to be looked at often."""
+        return bool(self.forwarding.calls) or self.weights_duty.held or not self._was_ready
+
     def sends_callers_away(self, now_s: float) -> bool:
         """Whether callers do better on a new connection, which the balancer gives another entry.
 
@@ -352,7 +364,7 @@
 
     def _on_entries(self, event: EntriesListed, now_s: float) -> list[GatewayAction]:
         for name in set(self.peers.members) - event.names:
-            del self.peers.members[name]
+            self.peers.leave(name)
         if self.cfg.name in event.names:
             return []
         return self._register(0)
@@ -367,25 +379,42 @@
 
     def _on_entry(self, event: EntrySeen, now_s: float) -> list[GatewayAction]:
         if event.record is None:
-            self.peers.members.pop(event.name, None)
-            return []
-        known = event.name in self.peers.members
-        self.peers.members[event.name] = event.record
+            self.peers.leave(event.name)
+            return self._register(0) if event.name == self.cfg.name else []
+        joined = self.peers.join(event.name, event.record)
         if event.name == self.cfg.name and event.record != self._own_record():
             # The registration of an earlier process of this name.
             return self._register(event.revision)
-        return [] if known else [Log(LogEvent.MEMBER_JOINED, (("member", event.name),))]
+        if joined:
+            self._joined.append(event.name)
+        return []
+
+    def _log_joined(self) -> list[GatewayAction]:
+        """Log the entries that joined since the last tick in one line: there may be hundreds."""
+        if not self._joined:
+            return []
+        names, self._joined = self._joined, []
+        fields = (
+            ("member", ",".join(names[:MEMBERS_LOGGED])),
+            ("joined", len(names)),
+            ("members", len(self.peers.members)),
+        )
+        return [Log(LogEvent.MEMBER_JOINED, fields)]
 
     def _on_peer(self, event: PeerMessage, now_s: float) -> list[GatewayAction]:
         work = event.message
         if isinstance(work, PlacedWork):
             self.peers.on_work(work, now_s)
+        elif isinstance(work, GroupWork):
+            self.peers.on_group(work, now_s)
+        elif isinstance(work, FleetWork):
+            self.peers.on_fleet(work, now_s)
         elif isinstance(work, CacheNews):
             return self._on_cache_news(work, now_s)
-        elif isinstance(work, ConfirmAsked):
-            return [*self.newest.on_asked(work, now_s)]
-        elif isinstance(work, ConfirmTold):
-            return [*self.newest.on_told(work, now_s)]
+        elif isinstance(work, ViewAsked):
+            return [*self.relayed.on_asked(work, now_s)]
+        elif isinstance(work, ViewTold):
+            return [*self.relayed.on_told(work, now_s)]
         return []
 
     def _share(self, now_s: float) -> list[GatewayAction]:
@@ -397,10 +426,8 @@
             for target in self.roster.targets.values()
             if target.outstanding
         )
-        work = self.peers.due(rows, self.ready(now_s), now_s)
-        if work is None:
-            return []
-        return [SendPeer(address, work) for address in self.peers.addresses()]
+        followers = self.relayed.followers(now_s)
+        return [*self.exchange.due(rows, self.ready(now_s), followers, now_s)]
 
     def _on_store(self, event: StoreAnswered, now_s: float) -> list[GatewayAction]:
         if event.ok:
@@ -440,10 +467,13 @@
             actions.append(self._log_target(name, "gone"))
         actions += self.stores.tick(now_s)
         actions += self._share(now_s)
-        actions += self.newest.tick(now_s)
+        actions += self._log_joined()
+        actions += self.relayed.tick(now_s)
         if now_s >= self._next_duty_s:
             self._next_duty_s = now_s + DUTY_TICK_S
-            actions += self.weights_duty.tick(now_s, self._cache_owners(), self.stopping)
+            reserve_s = 0.0 if self.relayed.reads_store(now_s) else RELYING_RESERVE_S
+            owners = self._cache_owners()
+            actions += self.weights_duty.tick(now_s, owners, self.stopping, reserve_s)
         ready = self.ready(now_s)
         if ready != self._was_ready:
             self._was_ready = ready
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -12,6 +12,7 @@
 from filbertstream.process.duty import DutyRecord, WriteDuty
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.roster_entry import TargetEntry
+from filbertstream.process.store_view import KindTaken
 from filbertstream.request.call_flow import CallAction
 from filbertstream.request.keyed_calls import ClaimKey, SettleKey
 from filbertstream.version.rollout import OrderWeights, PollReport
@@ -102,9 +103,10 @@
     reason: str
 
 
-class AskStore(NamedTuple):
-    """List the configuration and the duty's record at once: nobody has confirmed them for long, or
-    another entry knows newer ones."""
+class ShowKind(NamedTuple):
+    """Decode what is new of a kind of objects and tell it."""
+
+    taken: KindTaken
 
 
 class BoundsChanged(NamedTuple):
@@ -146,5 +148,5 @@
     | SettleKey
     | StopProcess
     | SendPeer
-    | AskStore
+    | ShowKind
 )
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -25,25 +25,23 @@
 from filbertstream.connection.loop_errors import LoopErrors
 from filbertstream.connection.peer_link import PeerLink
 from filbertstream.connection.store_watch import (
-    ALONE,
     DUTY_NAME,
-    Reliance,
+    StoreGate,
     StoreWatcher,
     Watched,
-    product_kinds,
+    show_kind,
     tell_duty,
     watched_kinds,
 )
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
-    AskStore,
     BoundsChanged,
     DutyWritten,
     PeerMessage,
     RemoveEntry,
+    ShowKind,
     StopAsked,
     StopProcess,
-    StoreAnswered,
     Tick,
     WriteEntry,
 )
@@ -56,6 +54,7 @@
 from filbertstream.process.deployment import Address, Deployment
 from filbertstream.process.duty import WriteDuty
 from filbertstream.process.logs import BoundedStream, EventLog
+from filbertstream.process.store_view import KindTaken
 from filbertstream.request.keyed_calls import ClaimKey, SettleKey
 from filbertstream.version.rollout import OrderWeights, PollReport
 
@@ -64,9 +63,19 @@
     from filbertstream.product import Product, ProductSetup
 
 TICK_S: Final = 0.025
-HOUSEKEEPING_TICKS: Final = 20
+"""Interval of looking at what is due while calls run: a few times less than any wait of theirs."""
+
+IDLE_TICK_S: Final = 0.1
+"""The same while none runs; a call that arrives ends the pause."""
+
+HOUSEKEEPING_S: Final = 0.5
+"""Interval of closing idle connections and looking for changed files."""
+
 BACKLOG: Final = 512
 CALL_THREADS: Final = 4
+DECODED_AT_ONCE: Final = 65_536
+"""Bytes of objects that are decoded on the event loop, within a few milliseconds."""
+
 KEY_THREADS: Final = 8
 """Claims of keys that are under way at once; each waits for one answer of the store."""
 
@@ -93,7 +102,11 @@
         level = "info" if setup is None else setup.log_level
         self._log = EventLog(deployment.name, level, self._stream)
         incarnation = time.time_ns() // NANOSECONDS_PER_MILLISECOND
-        self.core = Gateway(_core_config(deployment, incarnation))
+        kinds = (
+            watched_kinds(deployment.bounds) if setup is None else setup.kinds(deployment.bounds)
+        )
+        self._watched = {watched.kind: watched for watched in kinds}
+        self.core = Gateway(_core_config(deployment, incarnation, kinds))
         self.edge = GatewayEdge(self.core, self._write_log, self._note_broken)
         store_ca = None if setup is None else setup.store_ca
         self._store = ObjectStore(deployment.object_store, store_ca)
@@ -102,12 +115,13 @@
         self._runners = RunnerCalls(f"{deployment.name}#{incarnation:x}", targets_ca)
         self._workers = ThreadPoolExecutor(CALL_THREADS, thread_name_prefix="calls")
         self._key_workers = ThreadPoolExecutor(KEY_THREADS, thread_name_prefix="keys")
+        self._decoder = ThreadPoolExecutor(1, thread_name_prefix="decoder")
+        self._decoding = 0
         self._loop: asyncio.AbstractEventLoop | None = None
         self._servers: list[asyncio.Server] = []
         self._stop_at_s: float | None = None
         self.broken = ""
-        self._reliance = ALONE
-        self._asking_store = False
+        self._gate = StoreGate()
         self._product: Product | None = None
         if setup is not None:
             self._product = setup.build(self.core, self.edge, self._store, self._metrics)
@@ -120,7 +134,7 @@
         self.edge.handlers[WriteDuty] = self._write_duty
         self.edge.handlers[WriteEntry] = self._write_entry
         self.edge.handlers[RemoveEntry] = self._remove_entry
-        self.edge.handlers[AskStore] = self._ask_store
+        self.edge.handlers[ShowKind] = self._show_kind
         self.edge.handlers[PollReport] = self._poll_report
         self.edge.handlers[OrderWeights] = self._order
         self.edge.handlers[ClaimKey] = self._claim_key
@@ -161,6 +175,7 @@
             # Threads of these would keep a process that can't go on.
             parts.callback(self._key_workers.shutdown, wait=False, cancel_futures=True)
             parts.callback(self._workers.shutdown, wait=False, cancel_futures=True)
+            parts.callback(self._decoder.shutdown, wait=False, cancel_futures=True)
             if self._peers is not None:
                 self._peers.start()
                 parts.callback(self._peers.close)
@@ -174,11 +189,10 @@
 
     async def _serve(self) -> None:
         """Follow the store and keep time until the process may end."""
+        self._set_gate(boot_time_s())
         watchers = [
-            StoreWatcher.start(
-                self._store, watched, self.tell_soon, self._note_broken, lambda: self._reliance
-            )
-            for watched in self._watched_kinds()
+            StoreWatcher.start(self._store, watched, self.tell_soon, self._note_broken, self._gate)
+            for watched in self._watched.values()
         ]
         self._log.write(LogEvent.ENTRY_STARTED, (("data_center", self.deployment.data_center),))
         await self._keep()
@@ -211,12 +225,6 @@
         )
         self._servers.append(server)
 
-    def _watched_kinds(self) -> tuple[Watched, ...]:
-        bounds = self.deployment.bounds
-        if self._product is None:
-            return watched_kinds(bounds)
-        return product_kinds(bounds, self._product.watch)
-
     def _new_status(self) -> StatusConnection:
         return StatusConnection(lambda: self.core.ready(boot_time_s()), self._metrics)
 
@@ -225,21 +233,27 @@
 
     async def _keep(self) -> None:
         """Tell the core that time passes, until the process may end."""
-        ticks = 0
+        housekeeping_at_s = 0.0
         while not self._may_end() and not self.broken:
-            await asyncio.sleep(TICK_S)
+            await self._pause()
             self.edge.tell(Tick())
-            now_s, confirmations = boot_time_s(), self.core.confirmations
-            self._reliance = Reliance(
-                confirmations.relies_on_others(now_s), confirmations.tells_others
-            )
-            ticks += 1
-            if ticks % HOUSEKEEPING_TICKS == 0:
+            now_s = boot_time_s()
+            self._set_gate(now_s)
+            if now_s >= housekeeping_at_s:
+                housekeeping_at_s = now_s + HOUSEKEEPING_S
                 self.edge.sweep()
                 self._reload_certificates()
                 if _stamp(self._settings_file) != self._settings_stamp:
                     self._reload()
 
+    async def _pause(self) -> None:
+        """Let the time between two ticks pass: more of it while nothing is under way."""
+        if not self.core.busy:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.edge.work_began.wait(), IDLE_TICK_S)
+        self.edge.work_began.clear()
+        await asyncio.sleep(TICK_S)
+
     def _may_end(self) -> bool:
         if self._stop_at_s is None:
             return False
@@ -307,24 +321,32 @@
             case Err(fault):
                 self.tell_soon(DutyWritten(fault is StoreFault.REFUSED))
 
-    def _ask_store(self, action: AskStore) -> None:
-        """List what other entries confirm otherwise; further wishes wait for the answer."""
-        if not self._asking_store:
-            self._asking_store = True
-            self._submit(self._ask_store_now)
-
-    def _ask_store_now(self) -> None:
-        try:
-            for watched in self._watched_kinds():
-                if not watched.confirmed:
-                    continue
-                match self._store.list(watched.kind):
-                    case Ok(listing):
-                        watched.on_listing(listing, self.tell_soon)
-                    case Err(fault):
-                        self.tell_soon(StoreAnswered(watched.kind, False, fault.value))
-        finally:
-            self._asking_store = False
+    def _set_gate(self, now_s: float) -> None:
+        """Have the watchers read what other entries don't tell."""
+        relayed = self.core.relayed
+        idle = frozenset(kind for kind in self._watched if not relayed.reads_kind(kind, now_s))
+        self._gate.set(idle, self.core.relays.tells_others(now_s))
+
+    def _show_kind(self, action: ShowKind) -> None:
+        """Decode objects and tell the core; a large one does not hold up the event loop.
+
+        What comes after it waits too: a confirmation must not go before what it confirms.
+        """
+        taken = action.taken
+        size = sum(len(row.content or b"") for row in taken.rows)
+        if not self._decoding and size <= DECODED_AT_ONCE:
+            show_kind(self._watched[taken.kind], taken, self.edge.tell)
+            return
+        self._decoding += 1
+        self._submit_to(self._decoder, self._decode, taken)
+
+    def _decode(self, taken: KindTaken) -> None:
+        show_kind(self._watched[taken.kind], taken, self.tell_soon)
+        if self._loop is not None:
+            self._loop.call_soon_threadsafe(self._decoded)
+
+    def _decoded(self) -> None:
+        self._decoding -= 1
 
     def _claim_key(self, claim: ClaimKey) -> None:
         self._submit_to(self._key_workers, lambda: self.tell_soon(self._keys.claim(claim)))
@@ -391,7 +413,9 @@
     return (stat.st_mtime_ns, stat.st_size)
 
 
-def _core_config(deployment: Deployment, incarnation: int) -> GatewayConfig:
+def _core_config(
+    deployment: Deployment, incarnation: int, kinds: tuple[Watched, ...]
+) -> GatewayConfig:
     return GatewayConfig(
         deployment.name,
         incarnation,
@@ -399,4 +423,5 @@
         deployment.bounds,
         "" if deployment.peers is None else f"tcp://{deployment.peers}",
         incarnation,
+        tuple(watched.followed for watched in kinds),
     )
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -42,6 +42,8 @@
     PLATFORM_BACK = 601
     LEASE_TAKEN = 602
     LEASE_LOST = 603
+    VIEW_RELAYED = 604
+    VIEW_DIRECT = 605
 
 
 DESCRIPTIONS: Final[dict[LogEvent, str]] = {
@@ -71,11 +73,13 @@
     LogEvent.SWAP_ANSWERED: "A runner answered an order; -1 stands for no answer.",
     LogEvent.PARTS_FREED: "A store is told to free parts that no current weights have made.",
     LogEvent.TARGET_JOINED: "A target has registered, or one that had lapsed is back.",
-    LogEvent.MEMBER_JOINED: "Another entry, or a new incarnation of it, was heard.",
+    LogEvent.MEMBER_JOINED: "Other entries have registered; the first of them by name.",
     LogEvent.PLATFORM_LOST: "A call to the platform's object API failed.",
     LogEvent.PLATFORM_BACK: "The platform's object API answers again.",
     LogEvent.LEASE_TAKEN: "This entry holds a duty's lease.",
     LogEvent.LEASE_LOST: "This entry no longer holds a duty's lease.",
+    LogEvent.VIEW_RELAYED: "Another entry's word is recent enough; this one follows no objects.",
+    LogEvent.VIEW_DIRECT: "No entry's word is recent enough; this one reads the object API itself.",
 }
 
 
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -30,6 +30,35 @@
     in_touch: bool = True
 
 
+class GroupWork(msgspec.Struct, frozen=True, tag="group", array_like=True):
+    """What a relay and the entries that tell it have under way at each target, summed up."""
+
+    relay: str
+    rows: tuple[PlacedRow, ...]
+    in_touch: bool
+
+
+class FleetRow(NamedTuple):
+    """The work of all entries but the receiver at one target.
+
+    ``recent_unread_tokens`` are the unread ones, each entry's weighted by the age of its word.
+    """
+
+    target: str
+    runs: int
+    memory_tokens: int
+    unread_tokens: int
+    recent_unread_tokens: int
+
+
+class FleetWork(msgspec.Struct, frozen=True, tag="fleet", array_like=True):
+    """What a relay knows of the whole fleet's work, for an entry that tells it its own."""
+
+    relay: str
+    rows: tuple[FleetRow, ...]
+    in_touch: bool
+
+
 class CacheNewsRow(NamedTuple):
     """A part was stored, or (``added`` False) dropped."""
 
@@ -50,28 +79,52 @@
     rows: tuple[CacheNewsRow, ...]
 
 
-class ConfirmAsked(msgspec.Struct, frozen=True, tag="asked", array_like=True):
-    """The sender asks what is the newest; ``number`` tells its questions apart."""
+class ObjectRow(NamedTuple):
+    """An object of the platform's store, undecoded; ``content`` is None for a removed one."""
+
+    name: str
+    revision: int
+    content: bytes | None
+
+
+class KindNews(NamedTuple):
+    """What the sender knows of a kind of object: all of it, or what changed after ``since``.
+
+    It is complete up to the revision ``as_of`` and was shown to be the newest ``age_s`` ago.
+    ``rows`` is None for more than a message should hold: the store is to be asked.
+    """
+
+    kind: str
+    whole: bool
+    since: int
+    as_of: int
+    age_s: float
+    rows: tuple[ObjectRow, ...] | None
+
+
+class ViewAsked(msgspec.Struct, frozen=True, tag="asked", array_like=True):
+    """The sender asks what is new; ``as_of`` tells for each kind how far its own view goes.
+
+    ``number`` tells its questions apart.
+    """
 
     member: str
     number: int
+    as_of: dict[str, int]
 
 
-class ConfirmTold(msgspec.Struct, frozen=True, tag="told", array_like=True):
-    """What the store showed the sender to be the newest, and how long ago.
+class ViewTold(msgspec.Struct, frozen=True, tag="told", array_like=True):
+    """The answer to a question, or with ``number`` 0 a change that is passed on unasked.
 
-    The configuration's version, the revision of the duty's record, the named weights by model.
+    ``unsettled_s`` tells for how long registrations that the store has removed may yet come back.
     """
 
     number: int
-    config_version: int
-    config_age_s: float
-    duty_revision: int
-    duty_age_s: float
-    named: dict[str, int]
+    kinds: tuple[KindNews, ...]
+    unsettled_s: float = 0.0
 
 
-PeerPayload: TypeAlias = PlacedWork | CacheNews | ConfirmAsked | ConfirmTold
+PeerPayload: TypeAlias = PlacedWork | GroupWork | FleetWork | CacheNews | ViewAsked | ViewTold
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[PeerPayload] = msgspec.msgpack.Decoder(PeerPayload)
--- a/filbertstream/process/duty.py
+++ b/filbertstream/process/duty.py
@@ -165,8 +165,13 @@
         """Take in that the last write was not applied and never will be."""
         self._pending = None
 
-    def tick(self, now_s: float, wanted: bool, work: Work) -> WriteDuty | None:
-        """Return the write that is due; ``wanted`` tells whether there is work."""
+    def tick(
+        self, now_s: float, wanted: bool, work: Work, reserve_s: float = 0.0
+    ) -> WriteDuty | None:
+        """Return the write that is due; ``wanted`` tells whether there is work.
+
+        ``reserve_s`` is how much longer than others this entry waits before it takes the record.
+        """
         if not self._known:
             return None
         if self._pending is not None:
@@ -178,7 +183,7 @@
         if not wanted:
             self._wanted_since_s = None
             return None
-        return self._take(now_s)
+        return self._take(now_s, reserve_s)
 
     def _renew(
         self, record: DutyRecord, now_s: float, wanted: bool, work: Work
@@ -196,13 +201,13 @@
             return None
         return self._write(msgspec.structs.replace(told, beat=self._next()), now_s)
 
-    def _take(self, now_s: float) -> WriteDuty | None:
+    def _take(self, now_s: float, reserve_s: float) -> WriteDuty | None:
         record = self._record
         if self._wanted_since_s is None:
             self._wanted_since_s = now_s
-            self._draw_s = self._rng.uniform(0.0, DRAW_S)
+            self._draw_s = self._rng.uniform(0.0, DRAW_S + reserve_s)
         if record is not None and record.active:
-            if now_s - self._seen_at_s < LAPSE_S + self._draw_s:
+            if now_s - self._seen_at_s < LAPSE_S + reserve_s + self._draw_s:
                 return None
             self._order_from_s = self._seen_at_s + VALID_S + ORDER_FLIGHT_S + self._lease_s
         elif record is not None and record.holder == self._own:
@@ -210,7 +215,7 @@
             self._order_from_s = max(now_s, self._order_from_s)
         else:
             head_start_s = HANDOVER_S if record is not None else 0.0
-            if now_s - self._wanted_since_s < head_start_s + self._draw_s:
+            if now_s - self._wanted_since_s < head_start_s + reserve_s + self._draw_s:
                 return None
             gap_s = ORDER_FLIGHT_S + self._lease_s if record is not None else 0.0
             self._order_from_s = max(now_s, self._seen_at_s + gap_s)
--- a/filbertstream/process/logs.py
+++ b/filbertstream/process/logs.py
@@ -25,7 +25,7 @@
 """Lines that wait to be written; further ones are left out."""
 
 FLUSH_S: Final = 0.1
-"""How often waiting lines are written out."""
+"""Lines of this much time are written out together."""
 
 
 class BoundedStream:
@@ -35,6 +35,7 @@
         self._stream = stream
         self._lines: deque[str] = deque()
         self._stop = threading.Event()
+        self._waiting = threading.Event()
         self._thread = threading.Thread(target=self._drain, name="log", daemon=True)
         self.dropped = 0
 
@@ -45,6 +46,7 @@
     def close(self) -> None:
         """Write out what waits and stop."""
         self._stop.set()
+        self._waiting.set()
         if self._thread.is_alive():
             self._thread.join(timeout=1.0)
 
@@ -54,6 +56,7 @@
             self.dropped += 1
         else:
             self._lines.append(text)
+            self._waiting.set()
         return len(text)
 
     def flush(self) -> None:
@@ -62,7 +65,9 @@
     def _drain(self) -> None:
         stopping = False
         while not stopping:
+            self._waiting.wait()
             stopping = self._stop.wait(FLUSH_S)
+            self._waiting.clear()
             waiting = "".join([self._lines.popleft() for _ in range(len(self._lines))])
             if waiting:
                 self._stream.write(waiting)
--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -1,35 +1,25 @@
 """What the other entries have under way at each target, told by them several times a second.
 
 Without it, entries that know the same old reports would all choose the same runner.  Each message
-holds the sender's work at each target as it is, so a lost one is made good by the next.  A member
-that falls silent counts for nothing after ``FRESH_S``.  In a fleet of more than ``MEMBERS_LIMIT``
-an entry tells only the members that follow it in the order of names, and counts what it hears for
-all others.
+holds the sender's work at each target as it is, so a lost one is made good by the next.  What was
+told counts for nothing after ``FRESH_S``.  In a small fleet each entry tells all others; in a large
+one a relay sums up what its followers and the other relays tell it (``process.work_exchange``).
 """
 
 from typing import Final, NamedTuple
 
 import msgspec
 
-from filbertstream.messages import PlacedRow, PlacedWork
+from filbertstream.messages import FleetRow, FleetWork, GroupWork, PlacedRow, PlacedWork
 from filbertstream.process.cache_readers import readers, told_by
 
-SHARE_S: Final = 0.08
-"""Least time between two messages of an entry."""
-
 FRESH_S: Final = 1.0
 """What a member told last counts this long."""
 
-REPEAT_S: Final = 0.4
-"""An entry with work under way repeats itself at least this often."""
-
 HALF_WEIGHT_AGE_S: Final = 0.05
 """Age at which what was told of unread prompts weighs half when runners are compared: about as long
 as a short queue lasts.  From the routing bench, the least p95 at 0.8 load on four seeds."""
 
-MEMBERS_LIMIT: Final = 12
-"""An entry tells at most this many others."""
-
 
 class EntryRecord(msgspec.Struct, frozen=True):
     """How other entries reach one; kept in the platform's store."""
@@ -50,21 +40,37 @@
     recent_unread_tokens: int
 
 
+NO_WORK: Final = OthersWork(0, 0, 0, 0)
+
+
 class _Heard(NamedTuple):
     at_s: float
     rows: dict[str, PlacedRow]
     in_touch: bool
 
 
+class _Fleet(NamedTuple):
+    at_s: float
+    rows: dict[str, FleetRow]
+    in_touch: bool
+
+
+def _weight(age_s: float) -> float:
+    return HALF_WEIGHT_AGE_S / (HALF_WEIGHT_AGE_S + age_s)
+
+
 class PeerWork:
-    """The work of the other entries, and what this one is to tell them."""
+    """The work of the other entries."""
 
     def __init__(self, own: str) -> None:
-        self._own = own
+        self.own = own
         self.members: dict[str, EntryRecord] = {}
+        self._names: tuple[str, ...] = (own,)
         self._heard: dict[str, _Heard] = {}
-        self._told_at_s = float("-inf")
-        self._told = PlacedWork(own, ())
+        self._groups: dict[str, _Heard] = {}
+        self._fleet: _Fleet | None = None
+        self._totals: dict[str, OthersWork] = {}
+        self._totals_at_s = float("-inf")
 
     def is_registered(self, name: str, incarnation: int) -> bool:
         """Whether the registration of a name is that of this process."""
@@ -73,64 +79,105 @@
 
     def on_work(self, work: PlacedWork, now_s: float) -> None:
         """Take in another entry's message."""
-        if work.member != self._own:
-            rows = {row.target: row for row in work.rows}
-            self._heard[work.member] = _Heard(now_s, rows, work.in_touch)
+        if work.member != self.own:
+            self._heard[work.member] = _heard(work.rows, work.in_touch, now_s)
+            self._totals_at_s = float("-inf")
+
+    def on_group(self, work: GroupWork, now_s: float) -> None:
+        """Take in what another relay has summed up."""
+        if work.relay != self.own:
+            self._groups[work.relay] = _heard(work.rows, work.in_touch, now_s)
+            self._totals_at_s = float("-inf")
+
+    def on_fleet(self, work: FleetWork, now_s: float) -> None:
+        """Take in what a relay tells of the whole fleet."""
+        self._fleet = _Fleet(now_s, {row.target: row for row in work.rows}, work.in_touch)
+        self._totals_at_s = float("-inf")
+
+    def _told(self, now_s: float) -> list[_Heard]:
+        """Return what counts of what other entries and relays told of themselves."""
+        told = [*self._heard.values(), *self._groups.values()]
+        return [heard for heard in told if now_s - heard.at_s < FRESH_S]
+
+    def members_heard(self, now_s: float) -> dict[str, dict[str, PlacedRow]]:
+        """Return the rows of each entry that told this one of its own work."""
+        return {
+            name: heard.rows for name, heard in self._heard.items() if now_s - heard.at_s < FRESH_S
+        }
+
+    def relays_heard(self, now_s: float) -> tuple[str, ...]:
+        """Return the relays that told this entry what they have summed up."""
+        groups = self._groups.items()
+        return tuple(name for name, heard in groups if now_s - heard.at_s < FRESH_S)
 
     def any_in_touch(self, now_s: float) -> bool:
         """Whether another entry has said lately that it takes new calls."""
-        return any(
-            heard.in_touch and now_s - heard.at_s < FRESH_S for heard in self._heard.values()
-        )
+        fleet = self._fleet
+        if fleet is not None and fleet.in_touch and now_s - fleet.at_s < FRESH_S:
+            return True
+        return any(heard.in_touch for heard in self._told(now_s))
 
     def others(self, target: str, now_s: float) -> OthersWork:
         """Return what others have under way at a target."""
-        runs = memory = unread = 0
-        recent = 0.0
-        for heard in self._heard.values():
-            row = heard.rows.get(target)
-            age_s = now_s - heard.at_s
-            if row is not None and age_s < FRESH_S:
-                runs += row.runs
-                memory += row.memory_tokens
-                unread += row.unread_tokens
-                recent += row.unread_tokens * HALF_WEIGHT_AGE_S / (HALF_WEIGHT_AGE_S + age_s)
-        spread = self._spread()
-        return OthersWork(
-            int(runs * spread), int(memory * spread), int(unread * spread), int(recent * spread)
-        )
-
-    def _spread(self) -> float:
-        """Return how many members each one heard stands for."""
-        others = len(self.members) - (self._own in self.members)
-        return max(1.0, others / MEMBERS_LIMIT)
-
-    def due(self, rows: tuple[PlacedRow, ...], in_touch: bool, now_s: float) -> PlacedWork | None:
-        """Return the message that is due, given the own work by target."""
-        since_s = now_s - self._told_at_s
-        work = PlacedWork(self._own, rows, in_touch)
-        if since_s < SHARE_S or (work == self._told and (since_s < REPEAT_S or not rows)):
-            return None
-        self._told, self._told_at_s = work, now_s
-        return work
+        return self.totals(now_s).get(target, NO_WORK)
+
+    def totals(self, now_s: float) -> dict[str, OthersWork]:
+        """Return what others have under way, by target."""
+        if now_s != self._totals_at_s:
+            self._totals_at_s = now_s
+            self._totals = self._add_up(now_s)
+        return self._totals
+
+    def _add_up(self, now_s: float) -> dict[str, OthersWork]:
+        fleet, told = self._fleet, self._told(now_s)
+        if fleet is not None and now_s - fleet.at_s < FRESH_S and not told:
+            weight = _weight(now_s - fleet.at_s)
+            return {
+                row.target: OthersWork(*row[1:4], int(row.recent_unread_tokens * weight))
+                for row in fleet.rows.values()
+            }
+        totals: dict[str, OthersWork] = {}
+        for heard in told:
+            weight = _weight(now_s - heard.at_s)
+            for name, row in heard.rows.items():
+                before = totals.get(name, NO_WORK)
+                totals[name] = OthersWork(
+                    before.runs + row.runs,
+                    before.memory_tokens + row.memory_tokens,
+                    before.unread_tokens + row.unread_tokens,
+                    before.recent_unread_tokens + int(row.unread_tokens * weight),
+                )
+        return totals
 
     def reads(self, store: str, limit: int) -> bool:
         """Whether this entry reads a store's events itself."""
-        return self._own in readers(store, limit, self.names())
+        return self.own in readers(store, limit, self.names())
+
+    def join(self, name: str, record: EntryRecord) -> bool:
+        """Take in an entry's registration; whether its name was not known."""
+        known = name in self.members
+        self.members[name] = record
+        self._names = self._names if known else tuple(sorted({*self.members, self.own}))
+        return not known
+
+    def leave(self, name: str) -> None:
+        """Take in that an entry's registration is gone."""
+        if self.members.pop(name, None) is not None:
+            self._names = tuple(sorted({*self.members, self.own}))
 
     def names(self) -> tuple[str, ...]:
-        """Return the names of all entries in a fixed order."""
-        return tuple(sorted({*self.members, self._own}))
+        """Return the names of all entries in a fixed order; the same tuple while they stay."""
+        return self._names
 
     def told_of(self, store: str, limit: int) -> list[str]:
         """Return the addresses of the members that this entry tells of a store."""
-        told = told_by(store, limit, self.names(), self._own)
+        told = told_by(store, limit, self.names(), self.own)
         return [self.members[name].peer_address for name in told if name in self.members]
 
     def addresses(self) -> list[str]:
-        """Return the addresses of the members to tell."""
-        names = sorted(name for name in self.members if name != self._own)
-        if len(names) > MEMBERS_LIMIT:
-            start = sum(1 for name in names if name < self._own)
-            names = [names[(start + step) % len(names)] for step in range(MEMBERS_LIMIT)]
-        return [self.members[name].peer_address for name in names]
+        """Return the addresses of all other entries."""
+        return [record.peer_address for name, record in self.members.items() if name != self.own]
+
+
+def _heard(rows: tuple[PlacedRow, ...], in_touch: bool, now_s: float) -> _Heard:
+    return _Heard(now_s, {row.target: row for row in rows}, in_touch)
--- /dev/null
+++ b/filbertstream/process/relayed_view.py
@@ -0,0 +1,182 @@
+"""Asks another entry what is new in the platform's store, and tells others.
+
+Joins ``process.relays`` (whom to ask, and when) with ``process.store_view`` (what is known).  While
+another entry's word is recent enough for every kind, an entry makes no call to the store to follow
+it.  Otherwise it reads the store as in a small fleet, so nothing depends on a relay that is dead,
+suspended, cut off, slow or wrong: the age of what it tells counts from before the question.
+
+Load patterns answered: a large fleet that would follow every registration by itself, and one whose
+relays all die or lose the store at once.
+"""
+
+import math
+from typing import Final, TypeAlias
+
+from filbertstream.actions import Log, SendPeer
+from filbertstream.gateway_events import ShowKind
+from filbertstream.log_events import LogEvent
+from filbertstream.messages import KindNews, PeerPayload, ViewAsked, ViewTold
+from filbertstream.process.peer_work import PeerWork
+from filbertstream.process.relays import ASK_S, Relays
+from filbertstream.process.roster import Roster
+from filbertstream.process.store_view import Followed, KindShown, StoreView
+
+PUSHED_TO_S: Final = 3 * ASK_S
+"""Changes are passed on to entries that asked within this time: three questions' time."""
+
+YOUNG_SHARE: Final = 0.8
+"""A relay whose word is older than this share of what is relied on is passed over before it counts
+for nothing; its usual age is less."""
+
+START_S: Final = 0.4
+"""An entry that has started waits this long to be told: a question and another one elsewhere."""
+
+UNASKED: Final = 0
+"""Number of a message that answers no question."""
+
+Action: TypeAlias = Log | SendPeer | ShowKind
+
+
+class RelayedView:
+    """This entry's view of the store, its questions to others, and its answers."""
+
+    def __init__(
+        self,
+        followed: tuple[Followed, ...],
+        relays: Relays,
+        peers: PeerWork,
+        roster: Roster,
+    ) -> None:
+        self.view = StoreView(followed)
+        self._relays = relays
+        self._peers = peers
+        self._roster = roster
+        self._told_at_s = {item.kind: float("-inf") for item in followed}
+        self._followers: dict[str, float] = {}
+        self._own_reads: set[str] = set()
+        self._relied = False
+        self._hints = {item.kind for item in followed if math.isinf(item.max_age_s)}
+        self._began_s: float | None = None
+
+    def reads_store(self, now_s: float) -> bool:
+        """Whether this entry follows the store itself now."""
+        return not self._relied or self._relays.tells_others(now_s)
+
+    def reads_kind(self, kind: str, now_s: float) -> bool:
+        """Whether it follows one kind itself.
+
+        It does where others have too much to tell of it.  At its start it first looks who is there:
+        hundreds of entries that start together need not all list everything.
+        """
+        if self._may_be_told(now_s):
+            return kind in self._hints
+        return kind in self._own_reads or self.reads_store(now_s)
+
+    def _may_be_told(self, now_s: float) -> bool:
+        """Whether this entry has just started and others may tell it all."""
+        if self._began_s is None:
+            self._began_s = now_s
+        if now_s - self._began_s >= START_S or self._relied:
+            return False
+        if not all(self.view.listed(kind) for kind in self._hints):
+            return True
+        return not (self._relays.small_fleet or self._relays.tells_others(now_s))
+
+    def on_shown(self, shown: KindShown, now_s: float) -> list[Action]:
+        """Take in an answer of the store, and pass on what can't wait for a question."""
+        before = self.view.as_of()[shown.kind]
+        taken = self.view.take(shown, now_s)
+        if taken is None:
+            return []
+        pushed = self.view.followed[shown.kind].pushed and bool(taken.rows) and before > 0
+        return [ShowKind(taken), *(self._push(shown.kind, before, now_s) if pushed else [])]
+
+    def _push(self, kind: str, since: int, now_s: float) -> list[Action]:
+        news = self.view.news(kind, since, now_s)
+        if news is None:
+            return []
+        told = ViewTold(UNASKED, (news,))
+        return [action for name in self.followers(now_s) for action in self._send(name, told)]
+
+    def followers(self, now_s: float) -> list[str]:
+        """Return the entries that asked this one lately."""
+        gone = [name for name, at_s in self._followers.items() if now_s - at_s >= PUSHED_TO_S]
+        for name in gone:
+            del self._followers[name]
+        return list(self._followers)
+
+    def _send(self, member: str, payload: PeerPayload) -> list[Action]:
+        record = self._peers.members.get(member)
+        return [] if record is None else [SendPeer(record.peer_address, payload)]
+
+    def on_asked(self, asked: ViewAsked, now_s: float) -> list[Action]:
+        """Answer another entry by what is known here, with its age."""
+        self._relays.note_asked(now_s)
+        self._followers[asked.member] = now_s
+        news = [self.view.news(kind, since, now_s) for kind, since in asked.as_of.items()]
+        kinds = tuple(item for item in news if item is not None)
+        unsettled_s = max(0.0, self._roster.unsettled_until_s - now_s)
+        return self._send(asked.member, ViewTold(asked.number, kinds, unsettled_s))
+
+    def on_told(self, told: ViewTold, now_s: float) -> list[Action]:
+        """Take in what another entry knows, as of before the question was sent."""
+        if told.number == UNASKED:
+            shown_at_s = float("-inf")
+            return [item for news in told.kinds for item in self._take(news, shown_at_s, now_s)]
+        sent_at_s = self._relays.sent_at_s(told.number, now_s)
+        if sent_at_s is None:
+            return []
+        if told.unsettled_s > 0:
+            self._roster.unsettle(now_s + told.unsettled_s)
+        # A relay that contradicts itself may be suspended between two steps, or its clock stands.
+        believed = [news for news in told.kinds if not self._contradicted(news, sent_at_s)]
+        actions: list[Action] = []
+        for news in believed:
+            actions += self._take(news, sent_at_s - news.age_s, now_s)
+        if len(believed) == len(told.kinds) and self.is_current(now_s, YOUNG_SHARE):
+            self._relays.trust(told.number)
+        else:
+            self._relays.doubt(told.number, now_s)
+        return actions
+
+    def _contradicted(self, news: KindNews, sent_at_s: float) -> bool:
+        """Whether it tells an older state for a moment at which a newer one was known here."""
+        return news.kind in self.view.followed and self.view.contradicted(
+            news.kind, news.as_of, sent_at_s - news.age_s
+        )
+
+    def _take(self, news: KindNews, shown_at_s: float, now_s: float) -> list[Action]:
+        if news.kind not in self.view.followed:
+            return []
+        if news.rows is None:
+            self._own_reads.add(news.kind)
+            return []
+        shown = KindShown(news.kind, news.whole, news.since, news.as_of, shown_at_s, news.rows)
+        self._own_reads.discard(news.kind)
+        taken = self.view.take(shown, now_s)
+        if taken is None:
+            return []
+        self._told_at_s[news.kind] = max(self._told_at_s[news.kind], shown_at_s)
+        return [ShowKind(taken)]
+
+    def is_current(self, now_s: float, share: float = 1.0) -> bool:
+        """Whether others' word is recent enough for every kind, or within a share of that."""
+        return all(
+            now_s - self._told_at_s[kind] < share * item.max_age_s or kind in self._own_reads
+            for kind, item in self.view.followed.items()
+        )
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Return the question that is due, and a log line where the source has changed."""
+        actions: list[Action] = []
+        question = self._relays.due(now_s)
+        if question is not None:
+            asked = ViewAsked(self._peers.own, question.number, self.view.as_of())
+            actions += self._send(question.member, asked)
+        relies = not self._relays.small_fleet and self.is_current(now_s)
+        if relies != self._relied:
+            self._relied = relies
+            event_no = LogEvent.VIEW_RELAYED if relies else LogEvent.VIEW_DIRECT
+            relay = self._relays.relay(now_s) or ""
+            actions.append(Log(event_no, (("relay", relay),)))
+        return actions
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -92,7 +92,7 @@
         self.targets: dict[str, RosterTarget] = {}
         self.outliers = Outliers()
         self._by_service: dict[str, list[str]] = {}
-        self._unsettled_until_s = 0.0
+        self.unsettled_until_s = 0.0
         self.others: Others = lambda target, now_s: OthersWork(0, 0, 0, 0)
         self.drained: frozenset[str] = frozenset()
 
@@ -101,7 +101,11 @@
 
     def note_trouble(self, now_s: float) -> None:
         """Note that the store did not answer; lapses seen from now on are held back."""
-        self._unsettled_until_s = max(self._unsettled_until_s, now_s + RETURN_S)
+        self.unsettle(now_s + RETURN_S)
+
+    def unsettle(self, until_s: float) -> None:
+        """Hold back lapses until a moment, since lapsed registrations may yet be back by then."""
+        self.unsettled_until_s = max(self.unsettled_until_s, until_s)
 
     def replace_all(self, entries: Iterable[TargetEntry], now_s: float) -> tuple[str, ...]:
         """Take in a full listing; return the ids of targets that are missing from it."""
@@ -134,14 +138,14 @@
         target = self.targets.get(name)
         if target is None:
             return
-        if now_s >= self._unsettled_until_s:
+        if now_s >= self.unsettled_until_s:
             self._forget(name)
         elif target.missing_since_s is None:
             target.missing_since_s = now_s
 
     def tick(self, now_s: float) -> tuple[str, ...]:
         """Forget targets that are still missing after the store's return; return their ids."""
-        if now_s < self._unsettled_until_s:
+        if now_s < self.unsettled_until_s:
             return ()
         gone = tuple(
             name for name, item in self.targets.items() if item.missing_since_s is not None
--- /dev/null
+++ b/filbertstream/process/work_exchange.py
@@ -0,0 +1,149 @@
+"""What an entry tells others of its work, and what a relay sums up for them.
+
+Load pattern: hundreds of entries, each of which sends a runner a prompt once in many seconds.  What
+an entry knows by itself is next to nothing, and telling everyone costs each entry as many messages
+as there are entries.  So in a large fleet each tells its relay (``process.relays``), the relays
+tell each other what they have summed up, and each follower gets one message with the work of the
+whole fleet: as many messages for an entry at ten entries as at a thousand.  The sums are hints for
+placing; nothing else rests on them.  While entries are few, each tells all others.
+"""
+
+from typing import Final
+
+from filbertstream.actions import SendPeer
+from filbertstream.messages import (
+    FleetRow,
+    FleetWork,
+    GroupWork,
+    PeerPayload,
+    PlacedRow,
+    PlacedWork,
+)
+from filbertstream.process.peer_work import NO_WORK, OthersWork, PeerWork
+from filbertstream.process.relays import Relays
+
+SHARE_S: Final = 0.08
+"""Least time between two messages of an entry of a small fleet."""
+
+RELAYED_SHARE_S: Final = 0.2
+"""The same in a large fleet, for entries and relays."""
+
+REPEAT_S: Final = 0.4
+"""An entry with work under way repeats itself at least this often."""
+
+ROWS_TOLD: Final = 512
+"""Targets in one message, those with the most work; about 20 KB."""
+
+
+class WorkExchange:
+    """Messages about work under way that are due."""
+
+    def __init__(self, peers: PeerWork, relays: Relays) -> None:
+        self._peers = peers
+        self._relays = relays
+        self._told_at_s = float("-inf")
+        self._told = PlacedWork(peers.own, ())
+        self._summed_at_s = float("-inf")
+        self._summed: tuple[PlacedRow, ...] = ()
+        self._idle = True
+
+    def due(
+        self, rows: tuple[PlacedRow, ...], in_touch: bool, followers: list[str], now_s: float
+    ) -> list[SendPeer]:
+        """Return the messages that are due, given the own work and who asks this entry."""
+        if not self._relays.small_fleet and (self._relays.is_relay or followers):
+            return self._sum_up(rows, in_touch, followers, now_s)
+        small = self._relays.small_fleet
+        since_s = now_s - self._told_at_s
+        work = PlacedWork(self._peers.own, _busiest(rows), in_touch)
+        if since_s < (SHARE_S if small else RELAYED_SHARE_S):
+            return []
+        if work == self._told and (since_s < REPEAT_S or not rows):
+            return []
+        self._told, self._told_at_s = work, now_s
+        if small:
+            return [SendPeer(address, work) for address in self._peers.addresses()]
+        return self._send(self._relays.relay(now_s) or "", work)
+
+    def _send(self, member: str, payload: PeerPayload) -> list[SendPeer]:
+        record = self._peers.members.get(member)
+        return [] if record is None else [SendPeer(record.peer_address, payload)]
+
+    def _sum_up(
+        self, rows: tuple[PlacedRow, ...], in_touch: bool, followers: list[str], now_s: float
+    ) -> list[SendPeer]:
+        """Return a relay's messages: its group's work to other relays, all work to followers."""
+        if now_s - self._summed_at_s < RELAYED_SHARE_S:
+            return []
+        heard = self._peers.members_heard(now_s)
+        own = {row.target: row for row in rows}
+        group = _busiest(_sum([own, *heard.values()]))
+        totals = _with_own(self._peers.totals(now_s), rows)
+        if group == self._summed and now_s - self._summed_at_s < REPEAT_S:
+            return []
+        self._summed_at_s, self._summed = now_s, group
+        was_idle, self._idle = self._idle, not totals
+        if was_idle and self._idle:
+            return []
+        in_touch = in_touch or self._peers.any_in_touch(now_s)
+        relays = {*self._relays.others(), *self._peers.relays_heard(now_s)}
+        # In the place of relays that are dead, it may be the only one that knows this one.
+        relays.add(self._relays.relay(now_s) or "")
+        told = GroupWork(self._peers.own, group, in_touch)
+        messages = [item for name in sorted(relays) for item in self._send(name, told)]
+        for name in followers:
+            if name not in relays:
+                left = _fleet_rows(totals, heard.get(name, {}))
+                messages += self._send(name, FleetWork(self._peers.own, left, in_touch))
+        return messages
+
+
+def _busiest(rows: tuple[PlacedRow, ...]) -> tuple[PlacedRow, ...]:
+    if len(rows) <= ROWS_TOLD:
+        return rows
+    return tuple(sorted(rows, key=lambda row: (-row.unread_tokens, -row.runs))[:ROWS_TOLD])
+
+
+def _sum(parts: list[dict[str, PlacedRow]]) -> tuple[PlacedRow, ...]:
+    found: dict[str, PlacedRow] = {}
+    for part in parts:
+        for name, row in part.items():
+            before = found.get(name)
+            if before is not None:
+                row = PlacedRow(name, *(a + b for a, b in zip(before[1:], row[1:], strict=True)))
+            found[name] = row
+    return tuple(found.values())
+
+
+def _with_own(totals: dict[str, OthersWork], rows: tuple[PlacedRow, ...]) -> dict[str, OthersWork]:
+    """Return the work of others with the own; what is the own's was never told, so it is recent."""
+    found = dict(totals)
+    for row in rows:
+        before = found.get(row.target, NO_WORK)
+        found[row.target] = OthersWork(
+            before.runs + row.runs,
+            before.memory_tokens + row.memory_tokens,
+            before.unread_tokens + row.unread_tokens,
+            before.recent_unread_tokens + row.unread_tokens,
+        )
+    return found
+
+
+def _fleet_rows(totals: dict[str, OthersWork], told: dict[str, PlacedRow]) -> tuple[FleetRow, ...]:
+    """Return all work but what the receiver has told itself."""
+    rows = []
+    for name, work in totals.items():
+        own = told.get(name)
+        if own is not None:
+            unread = max(0, work.unread_tokens - own.unread_tokens)
+            work = OthersWork(
+                max(0, work.runs - own.runs),
+                max(0, work.memory_tokens - own.memory_tokens),
+                unread,
+                min(unread, work.recent_unread_tokens),
+            )
+        if any(work):
+            rows.append(FleetRow(name, *work))
+    if len(rows) > ROWS_TOLD:
+        rows = sorted(rows, key=lambda row: (-row.unread_tokens, -row.runs))[:ROWS_TOLD]
+    return tuple(rows)
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -16,12 +16,13 @@
 from filbertstream.connection.gateway_edge import GatewayEdge
 from filbertstream.connection.listener import Listener
 from filbertstream.connection.operator_api import BODY_LIMIT_BYTES, OperatorApi
+from filbertstream.connection.store_watch import Watched, product_kinds
 from filbertstream.connection.tls import ReloadingAdapter, ReloadingAuthority
 from filbertstream.connection.v1_port import V1Port
 from filbertstream.connection.v1_requests import RequestIds
 from filbertstream.gateway import Gateway
 from filbertstream.platform.objects import ObjectStore
-from filbertstream.process.deployment import Deployment
+from filbertstream.process.deployment import Bounds, Deployment
 from filbertstream.process.host import CoreQueries
 from filbertstream.process.recent_calls import RecentCalls
 from filbertstream.process.settings import (
@@ -41,6 +42,11 @@
         self.log_level = settings.log_level
         self.store_ca = _text(settings.platform.ca_file)
         self.targets_ca = _text(settings.targets.ca_file)
+        self._limits = CallerLimits(body_bytes=settings.callers.body_limit_bytes)
+
+    def kinds(self, bounds: Bounds) -> tuple[Watched, ...]:
+        """Return how each kind of objects is followed."""
+        return product_kinds(bounds, DocumentWatch(self._limits))
 
     def read(self, file: Path) -> Result[Deployment, list[Mistake]]:
         """Return what a settings file says now."""
@@ -50,7 +56,7 @@
         self, core: Gateway, edge: GatewayEdge, store: ObjectStore, metrics: Callable[[], bytes]
     ) -> "Product":
         """Return the parts that belong to the interface."""
-        return Product(self._settings, core, edge, store, metrics)
+        return Product(self._settings, self._limits, core, edge, store, metrics)
 
 
 def _text(path: Path | None) -> str | None:
@@ -63,6 +69,7 @@
     def __init__(
         self,
         settings: Settings,
+        limits: CallerLimits,
         core: Gateway,
         edge: GatewayEdge,
         store: ObjectStore,
@@ -70,8 +77,6 @@
     ) -> None:
         self.settings = settings
         self.recent = RecentCalls()
-        limits = CallerLimits(body_bytes=settings.callers.body_limit_bytes)
-        self.watch = DocumentWatch(limits)
         ids = RequestIds(settings.name, core.cfg.incarnation)
         self.callers = V1Port(edge, core, ids, limits, metrics)
         self._edge = edge
--- a/filbertstream/version/weights_duty.py
+++ b/filbertstream/version/weights_duty.py
@@ -37,7 +37,7 @@
         self._weights = weights
         self._rollout = Rollout(roster, weights)
         self._retirement = retirement
-        self._held = False
+        self.held = False
 
     def on_seen(self, event: DutySeen, now_s: float) -> list[Action]:
         """Take in the record, and the weights that its holder found on runners."""
@@ -74,8 +74,13 @@
         status = -1 if event.status is None else event.status
         return [Log(LogEvent.SWAP_ANSWERED, (("target", event.target_id), ("status", status)))]
 
-    def tick(self, now_s: float, owners: Iterable[str], stopping: bool) -> list[Action]:
-        """Return what is due; ``owners`` are the names under which parts are cached."""
+    def tick(
+        self, now_s: float, owners: Iterable[str], stopping: bool, reserve_s: float = 0.0
+    ) -> list[Action]:
+        """Return what is due; ``owners`` are the names under which parts are cached.
+
+        ``reserve_s`` is how much later than others this entry takes the duty.
+        """
         self._weights.swapping = self._duty.swapping(now_s)
         replaced = self._weights.replaced_namespaces(owners)
         stale = self._retirement.wanted(replaced)
@@ -86,11 +91,11 @@
             swapping = self._rollout.swapping(now_s)
             work = Work(swapping, self._to_retire(now_s), self._rollout.loaded)
         actions: list[Action] = []
-        write = self._duty.tick(now_s, wanted, work)
+        write = self._duty.tick(now_s, wanted, work, reserve_s)
         if write is not None:
             actions.append(write)
-        if may_order != self._held:
-            self._held = may_order
+        if may_order != self.held:
+            self.held = may_order
             event_no = LogEvent.LEASE_TAKEN if may_order else LogEvent.LEASE_LOST
             actions.append(Log(event_no, (("fence", self._duty.fence),)))
         if not may_order:
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -2,16 +2,22 @@
 
 from typing import Any
 
+import msgspec
+
 import bench.world
 from filbertstream.actions import Log
+from filbertstream.connection.store_watch import Tell, product_kinds, show_kind
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     ConfigurationSeen,
     DutyConfirmed,
+    ShowKind,
     TargetsListed,
     Tick,
 )
+from filbertstream.messages import ObjectRow
 from filbertstream.names import digest_key
+from filbertstream.platform.objects import Change, Listing, StoredObject
 from filbertstream.process.deployment import Address, Bounds
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.request.call import AnswerHead, CallHead, Prompt, PromptPart
@@ -76,11 +82,39 @@
 APPS = (entry("a1", "app"), entry("a2", "app"))
 
 
+class PlainWatch:
+    """Tells the core of configurations that are written as ``[version, keys]``."""
+
+    def on_listing(self, listing: Listing, tell: Tell) -> None:
+        for stored in listing.objects:
+            self._tell(stored, listing.sent_at_s, tell)
+
+    def on_change(self, change: Change, sent_at_s: float, tell: Tell) -> None:
+        self._tell(change.stored, sent_at_s, tell)
+
+    def on_quiet(self, sent_at_s: float, tell: Tell) -> None:
+        tell(ConfigurationSeen(None, sent_at_s))
+
+    @staticmethod
+    def _tell(stored: StoredObject, sent_at_s: float, tell: Tell) -> None:
+        version, keys = msgspec.json.decode(stored.content)
+        tell(ConfigurationSeen(configuration(version, tuple(keys)), sent_at_s))
+
+
+KINDS = {watched.kind: watched for watched in product_kinds(BOUNDS, PlainWatch())}
+FOLLOWED = tuple(watched.followed for watched in KINDS.values())
+
+
+def configuration_row(version: int, keys: tuple[str, ...], revision: int) -> ObjectRow:
+    """Return a configuration as the store holds it."""
+    return ObjectRow("all", revision, msgspec.json.encode([version, keys]))
+
+
 class World:
     """A core with two runners and two application targets, ready at time 100."""
 
     def __init__(self, name: str = "e1") -> None:
-        cfg = GatewayConfig(name, 1, "dc1", BOUNDS, f"tcp://{name}", 7)
+        cfg = GatewayConfig(name, 1, "dc1", BOUNDS, f"tcp://{name}", 7, FOLLOWED)
         self.core = Gateway(cfg)
         self.now_s = 100.0
         self.calls = 0
@@ -89,7 +123,17 @@
         self.tell(DutyConfirmed(self.now_s))
 
     def tell(self, event: Any) -> list[Any]:
-        return [item for item in self.core.step(self.now_s, event) if not isinstance(item, Log)]
+        found: list[Any] = []
+
+        def tell_more(told: Any) -> None:
+            found.extend(self.tell(told))
+
+        for item in self.core.step(self.now_s, event):
+            if isinstance(item, ShowKind):
+                show_kind(KINDS[item.taken.kind], item.taken, tell_more)
+            elif not isinstance(item, Log):
+                found.append(item)
+        return found
 
     def arrive(self, name: str, key: str | None = "k", prompt: bool | None = None) -> list[Any]:
         self.calls += 1
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -14,7 +14,7 @@
 from result import Err, Ok
 
 from filbertstream.connection.event_relay import EventRelay
-from filbertstream.messages import PlacedRow
+from filbertstream.messages import PlacedRow, PlacedWork
 from filbertstream.platform.boot import read_boot
 from filbertstream.platform.documents import decode_configuration, decode_target
 from filbertstream.platform.headers import decode_call, encode_target_head
@@ -32,7 +32,9 @@
 )
 from filbertstream.process.logs import QUEUED_LINES, BoundedStream
 from filbertstream.process.peer_work import HALF_WEIGHT_AGE_S, EntryRecord, PeerWork
+from filbertstream.process.relays import Relays
 from filbertstream.process.roster_entry import TargetEntry
+from filbertstream.process.work_exchange import WorkExchange
 from filbertstream.request.call import CacheOrders
 from filbertstream.request.shared_budget import SharedRetryBudget
 from filbertstream.version.retirement import FREE_AFTER_S, Retirement
@@ -153,13 +155,15 @@
 def test_work_told_by_a_member_counts_until_it_falls_silent() -> None:
     first, second = PeerWork("e1"), PeerWork("e2")
     for work in (first, second):
-        work.members = {"e1": EntryRecord("tcp://a", 1), "e2": EntryRecord("tcp://b", 1)}
+        work.join("e1", EntryRecord("tcp://a", 1))
+        work.join("e2", EntryRecord("tcp://b", 1))
     row = PlacedRow("r1", 3, 900, 500)
-    told = first.due((row,), True, 10.0)
-    assert told is not None
-    assert first.due((row,), True, 10.05) is None
-    assert first.addresses() == ["tcp://b"]
-    second.on_work(told, 10.0)
+    exchange = WorkExchange(first, Relays("e1", first.names))
+    (told,) = exchange.due((row,), True, [], 10.0)
+    assert exchange.due((row,), True, [], 10.05) == []
+    assert told.address == "tcp://b"
+    assert isinstance(told.payload, PlacedWork)
+    second.on_work(told.payload, 10.0)
     assert second.others("r1", 10.0) == (3, 900, 500, 500)
     half = second.others("r1", 10.0 + HALF_WEIGHT_AGE_S).recent_unread_tokens
     assert half == pytest.approx(250, abs=1)
--- /dev/null
+++ b/tests/test_relays.py
@@ -0,0 +1,408 @@
+"""Entries of a large fleet that are told of the platform's store by a few that read it.
+
+Load pattern: every entry of a large fleet would follow every registration by itself.  Faults:
+relays that are dead, cut off, suspended, late, wrong about their age or out of touch themselves.
+"""
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from filbertstream.actions import SendPeer
+from filbertstream.gateway_events import EntrySeen, PeerMessage, Tick
+from filbertstream.messages import KindNews, ObjectRow, ViewAsked, ViewTold
+from filbertstream.platform.documents import (
+    DOCUMENTS_KIND,
+    DUTIES_KIND,
+    ENTRIES_KIND,
+    TARGETS_KIND,
+)
+from filbertstream.process.duty import DutyRecord
+from filbertstream.process.peer_work import EntryRecord
+from filbertstream.process.relayed_view import START_S
+from filbertstream.process.relays import (
+    ANSWER_WITHIN_S,
+    ASK_S,
+    ASKED_S,
+    DIRECT_MEMBERS,
+    DOUBT_S,
+    LEAST_RELAYS,
+    MEMBERS_A_RELAY,
+    SUBSTITUTES,
+    Relays,
+)
+from filbertstream.process.store_view import TOLD_BYTES, KindShown
+from filbertstream.version.currency import UNREADY_SHARE
+from tests.gateway_world import BOUNDS, FOLLOWED, World, configuration_row
+
+FLEET = tuple(f"f{number}" for number in range(30))
+KINDS = tuple(item.kind for item in FOLLOWED)
+
+
+def relays_of(own: str, fleet: tuple[str, ...] = FLEET) -> Relays:
+    return Relays(own, lambda: fleet)
+
+
+RELAYS = tuple(name for name in FLEET if relays_of(name).is_relay)
+FOLLOWER = next(name for name in FLEET if name not in RELAYS)
+
+
+def target_row(name: str, revision: int, state: str = "ready") -> ObjectRow:
+    """Return a runner's registration as the store holds it."""
+    content = {
+        "service": "models",
+        "address": "10.0.0.9:80",
+        "zone": "dc1",
+        "slots": 8,
+        "state": state,
+        "born": 1,
+        "seq": revision,
+        "models": [{"name": "m", "version": 1}],
+    }
+    return ObjectRow(name, revision, msgspec.json.encode(content))
+
+
+def news(kind: str, age_s: float, as_of: int = 5, **changes: Any) -> KindNews:
+    base = KindNews(kind, False, 0, as_of, age_s, ())
+    return base._replace(**changes)
+
+
+def current(number: int, age_s: float = 0.2, **kinds: KindNews) -> ViewTold:
+    """Return the word of a relay that nothing has changed, but for ``kinds``."""
+    told = {kind: news(kind, age_s, since=5) for kind in KINDS}
+    return ViewTold(number, tuple({**told, **kinds}.values()))
+
+
+class Fleet(World):
+    """An entry of a large fleet that has listed the store once."""
+
+    def __init__(self, own: str = FOLLOWER) -> None:
+        super().__init__(own)
+        for kind in KINDS:
+            self.tell(KindShown(kind, True, 0, 5, self.now_s, self.listed(kind)))
+        for name in FLEET:
+            self.tell(EntrySeen(name, EntryRecord(f"tcp://{name}", 1), 1))
+
+    @staticmethod
+    def listed(kind: str) -> tuple[ObjectRow, ...]:
+        if kind == DOCUMENTS_KIND:
+            return (configuration_row(1, ("k",), 1),)
+        if kind == TARGETS_KIND:
+            return (target_row("r1", 2), target_row("r2", 3))
+        if kind == ENTRIES_KIND:
+            record = EntryRecord("tcp://x", 1)
+            return tuple(ObjectRow(name, 4, msgspec.json.encode(record)) for name in FLEET)
+        return ()
+
+    def turn(self, seconds: float, *, answers: bool = True, age_s: float = 0.2) -> list[Any]:
+        """Let time pass; questions are answered at once, or not at all."""
+        found: list[Any] = []
+        for _ in range(round(seconds / 0.1)):
+            self.now_s += 0.1
+            for action in self.tell(Tick()):
+                found.append(action)
+                if answers and (asked := question_of(action)) is not None:
+                    found += self.tell(PeerMessage(current(asked.number, age_s)))
+        return found
+
+    def question(self) -> int:
+        """Let time pass until a question is sent that nobody has answered; return its number."""
+        while True:
+            self.now_s += 0.1
+            for action in self.tell(Tick()):
+                if (asked := question_of(action)) is not None:
+                    return asked.number
+
+    @property
+    def reads_store(self) -> bool:
+        return self.core.relayed.reads_store(self.now_s)
+
+
+def question_of(action: object) -> ViewAsked | None:
+    payload = action.payload if isinstance(action, SendPeer) else None
+    return payload if isinstance(payload, ViewAsked) else None
+
+
+def test_in_a_small_fleet_each_entry_reads_the_store() -> None:
+    fleet = FLEET[:DIRECT_MEMBERS]
+    parts = [relays_of(name, fleet) for name in fleet]
+    assert all(part.small_fleet and part.due(1.0) is None for part in parts)
+    assert not any(part.tells_others(1.0) for part in parts)
+
+
+@pytest.mark.parametrize("size", [DIRECT_MEMBERS + 1, 60, 195, 1_300])
+def test_all_entries_agree_on_a_few_relays_and_spread_over_them(size: int) -> None:
+    fleet = tuple(f"f{number}" for number in range(size))
+    relays = {name for name in fleet if relays_of(name, fleet).is_relay}
+    assert len(relays) == max(LEAST_RELAYS, -(-size // MEMBERS_A_RELAY))
+    asked = [relays_of(name, fleet).relay(0.0) for name in fleet]
+    assert set(asked) == relays
+    assert max(asked.count(name) for name in relays) <= 3 * MEMBERS_A_RELAY
+
+
+def test_an_entry_that_is_told_often_stays_ready_without_reading_the_store() -> None:
+    world = Fleet()
+    world.turn(3 * BOUNDS.revoke_s)
+    assert world.core.ready(world.now_s)
+    assert not world.reads_store
+
+
+@pytest.mark.parametrize("name", RELAYS)
+def test_a_relay_goes_on_reading_the_store(name: str) -> None:
+    world = Fleet(name)
+    world.turn(3.0)
+    assert world.reads_store
+
+
+def test_an_entry_that_nobody_answers_reads_the_store_before_it_is_unready() -> None:
+    world = Fleet()
+    world.turn(2.0)
+    assert not world.reads_store
+    while not world.reads_store:
+        assert world.core.ready(world.now_s)
+        world.turn(0.1, answers=False)
+    longest_s = min(item.max_age_s for item in FOLLOWED)
+    world.turn(2.0)
+    world.turn(longest_s, answers=False)
+    assert world.reads_store
+
+
+def test_a_relay_that_does_not_answer_is_passed_over_longer_each_time() -> None:
+    part = relays_of(FOLLOWER)
+    first = part.due(0.0)
+    assert first is not None
+    asked_again = []
+    now_s = 0.0
+    while now_s < 6 * DOUBT_S:
+        now_s += ASK_S
+        due = part.due(now_s)
+        assert due is not None
+        if due.member == first.member:
+            asked_again.append(now_s)
+        else:
+            part.trust(due.number)
+            part.sent_at_s(due.number, now_s)
+    assert len(asked_again) == 2
+    assert asked_again[0] >= DOUBT_S
+    assert asked_again[1] - asked_again[0] >= 2 * DOUBT_S
+
+
+def test_where_all_relays_are_dead_the_next_in_rank_are_asked_and_read_the_store() -> None:
+    """Fault: a data center with all relays is lost, and their registrations stay."""
+    part = relays_of(FOLLOWER)
+    asked = set()
+    for turn in range(3 * LEAST_RELAYS):
+        due = part.due(turn * ASK_S)
+        assert due is not None
+        if due.member not in RELAYS:
+            asked.add(due.member)
+            part.sent_at_s(due.number, turn * ASK_S)
+            part.trust(due.number)
+    assert 1 <= len(asked) <= SUBSTITUTES
+    substitute = relays_of(asked.pop())
+    assert not substitute.tells_others(10.0)
+    substitute.note_asked(10.0)
+    assert substitute.tells_others(10.0)
+    assert not substitute.tells_others(10.0 + ASKED_S)
+
+
+def test_relays_that_are_out_of_touch_themselves_are_not_relied_on() -> None:
+    """Load pattern: the store turns the relays away and serves the others."""
+    world = Fleet()
+    world.turn(2.0)
+    outage_s = 0.0
+    while not world.reads_store:
+        outage_s += 0.5
+        world.turn(0.5, age_s=0.2 + outage_s)
+    assert outage_s < BOUNDS.revoke_s * UNREADY_SHARE
+    assert world.core.ready(world.now_s)
+
+
+def test_the_age_counts_from_before_the_question() -> None:
+    world = Fleet()
+    number = world.question()
+    sent_at_s = world.now_s
+    world.now_s += 0.4
+    world.tell(PeerMessage(current(number, 1.0)))
+    found = world.core.relayed.view.age_s(DOCUMENTS_KIND, world.now_s)
+    assert found == pytest.approx(min(world.now_s - 100.0, world.now_s - sent_at_s + 1.0))
+
+
+def test_an_answer_that_comes_late_or_twice_confirms_nothing() -> None:
+    world = Fleet()
+    world.turn(1.0)
+    number = world.question()
+    confirmed_at_s = world.core.currency.confirmed_at_s
+    world.now_s += ANSWER_WITHIN_S
+    world.tell(PeerMessage(current(number, 0.0)))
+    assert world.core.currency.confirmed_at_s == confirmed_at_s
+    number = world.question()
+    world.tell(PeerMessage(current(number, 0.0)))
+    confirmed_at_s = world.core.currency.confirmed_at_s
+    world.now_s += 0.2
+    world.tell(PeerMessage(current(number, -0.2)))
+    assert world.core.currency.confirmed_at_s == confirmed_at_s
+
+
+def test_a_relay_that_claims_an_older_state_for_a_later_moment_is_not_believed() -> None:
+    """Fault: a relay whose clock stands still tells what it knew as if it were new."""
+    world = Fleet()
+    world.turn(1.0)
+    number = world.question()
+    row = configuration_row(2, (), 9)
+    changed = news(DOCUMENTS_KIND, 0.0, 9, rows=(row,))
+    world.tell(PeerMessage(current(number, **{DOCUMENTS_KIND: changed})))
+    confirmed_at_s = world.core.currency.confirmed_at_s
+    asked = world.core.relays.relay(world.now_s)
+    number = world.question()
+    world.tell(PeerMessage(current(number, 0.0)))
+    assert world.core.currency.confirmed_at_s == confirmed_at_s
+    assert world.core.relays.relay(world.now_s) != asked
+
+
+def test_a_configuration_that_a_relay_tells_is_in_force_at_once() -> None:
+    world = Fleet()
+    number = world.question()
+    row = configuration_row(2, (), 9)
+    world.tell(PeerMessage(ViewTold(number, (news(DOCUMENTS_KIND, 0.0, 9, rows=(row,)),))))
+    assert world.core.arrivals.config is not None
+    assert world.core.arrivals.config.version == 2
+
+
+def test_a_change_between_what_is_known_and_what_is_told_is_not_skipped() -> None:
+    """What is told began after a later revision than this entry knows: it is asked for again."""
+    world = Fleet()
+    number = world.question()
+    world.tell(PeerMessage(ViewTold(number, (news(DOCUMENTS_KIND, 0.0, 20, since=11),))))
+    assert world.core.relayed.view.as_of()[DOCUMENTS_KIND] == 5
+    assert world.core.currency.confirmed_at_s == 100.0
+
+
+def test_drains_and_removals_are_told_too() -> None:
+    world = Fleet()
+    number = world.question()
+    rows = (target_row("r1", 8, "draining"), ObjectRow("r2", 9, None))
+    told = news(TARGETS_KIND, 0.1, 9, rows=rows)
+    world.tell(PeerMessage(ViewTold(number, (told,))))
+    targets = world.core.roster.targets
+    assert targets["r1"].entry.draining
+    assert "r2" not in targets
+
+
+def test_lapses_are_held_back_as_long_as_the_relay_holds_them_back() -> None:
+    """The store was away for a moment, and only the relay has noticed."""
+    world = Fleet()
+    number = world.question()
+    told = news(TARGETS_KIND, 0.1, 9, rows=(ObjectRow("r2", 9, None),))
+    world.tell(PeerMessage(ViewTold(number, (told,), 1.5)))
+    world.turn(1.2)
+    assert "r2" in world.core.roster.targets
+    world.turn(0.5)
+    assert "r2" not in world.core.roster.targets
+
+
+def test_a_relay_answers_with_what_has_changed_and_how_old_its_view_is() -> None:
+    world = Fleet(RELAYS[0])
+    world.now_s += 0.7
+    row = target_row("r3", 9)
+    world.tell(KindShown(TARGETS_KIND, False, 5, 9, world.now_s - 0.1, (row,)))
+    asked = ViewAsked(FOLLOWER, 3, {TARGETS_KIND: 5, DOCUMENTS_KIND: 5})
+    (action,) = world.tell(PeerMessage(asked))
+    assert action.address == f"tcp://{FOLLOWER}"
+    told = {item.kind: item for item in action.payload.kinds}
+    assert told[TARGETS_KIND].rows == (row,)
+    assert told[TARGETS_KIND].age_s == pytest.approx(0.1)
+    assert told[DOCUMENTS_KIND].rows == ()
+    assert told[DOCUMENTS_KIND].age_s == pytest.approx(0.7)
+
+
+def test_an_asker_whose_view_is_older_than_the_relays_first_listing_is_told_all() -> None:
+    """An object that came and went before the relay's listing may be known to the asker."""
+    world = Fleet(RELAYS[0])
+    asked = ViewAsked(FOLLOWER, 1, {TARGETS_KIND: 4})
+    (action,) = world.tell(PeerMessage(asked))
+    assert action.payload.kinds[0].whole
+    follower = Fleet()
+    follower.tell(KindShown(TARGETS_KIND, False, 5, 5, 100.0, ()))
+    gone = target_row("gone", 4)
+    follower.core.relayed.view.take(KindShown(TARGETS_KIND, False, 5, 5, 100.0, (gone,)), 100.0)
+    number = follower.question()
+    (told,) = action.payload.kinds
+    follower.tell(PeerMessage(ViewTold(number, (told,))))
+    assert "gone" not in follower.core.roster.targets
+
+
+def test_a_change_of_the_duty_is_passed_on_at_once_to_those_who_ask() -> None:
+    world = Fleet(RELAYS[0])
+    world.tell(PeerMessage(ViewAsked(FOLLOWER, 1, {})))
+    record = msgspec.json.encode(DutyRecord("f9#1", 1, True, 1, ["r1"]))
+    shown = KindShown(DUTIES_KIND, False, 5, 9, 100.0, (ObjectRow("weights", 9, record),))
+    (action,) = world.tell(shown)
+    assert action.address == f"tcp://{FOLLOWER}"
+    follower = Fleet()
+    view_at_s = follower.core.weights.view_at_s
+    follower.tell(PeerMessage(action.payload))
+    assert follower.core.duty.swapping(follower.now_s) == {"r1"}
+    assert follower.core.weights.view_at_s == view_at_s
+
+
+def test_what_is_too_large_to_tell_is_read_from_the_store() -> None:
+    relay = Fleet(RELAYS[0])
+    keys = tuple(f"{number:064}" for number in range(TOLD_BYTES // 64))
+    row = configuration_row(2, keys, 9)
+    relay.tell(KindShown(DOCUMENTS_KIND, False, 5, 9, 100.0, (row,)))
+    (action,) = relay.tell(PeerMessage(ViewAsked(FOLLOWER, 1, {DOCUMENTS_KIND: 5})))
+    (told,) = action.payload.kinds
+    assert told.rows is None
+    world = Fleet()
+    world.turn(1.0)
+    world.tell(PeerMessage(ViewTold(world.question(), (told,))))
+    assert world.core.relayed.reads_kind(DOCUMENTS_KIND, world.now_s)
+    assert not world.core.relayed.reads_kind(TARGETS_KIND, world.now_s)
+
+
+class Starting(World):
+    """An entry that has just started and has read nothing yet."""
+
+    def __init__(self, own: str) -> None:
+        super().__init__(own)
+        self.began_s = self.now_s
+
+    def reads(self) -> set[str]:
+        view = self.core.relayed
+        return {kind for kind in KINDS if view.reads_kind(kind, self.now_s)}
+
+    def list_entries(self, fleet: tuple[str, ...]) -> None:
+        for name in fleet:
+            self.tell(EntrySeen(name, EntryRecord(f"tcp://{name}", 1), 1))
+        self.tell(KindShown(ENTRIES_KIND, True, 0, 5, self.now_s, Fleet.listed(ENTRIES_KIND)))
+
+
+def test_an_entry_that_starts_in_a_large_fleet_is_told_instead_of_listing_all() -> None:
+    """Load pattern: hundreds of entries start within moments of each other."""
+    world = Starting(FOLLOWER)
+    assert world.reads() == {ENTRIES_KIND}
+    world.list_entries(FLEET)
+    assert world.reads() == {ENTRIES_KIND}
+    (asked,) = [item for action in world.tell(Tick()) if (item := question_of(action))]
+    told = [news(kind, 0.2, whole=True, rows=Fleet.listed(kind)) for kind in KINDS]
+    world.tell(PeerMessage(ViewTold(asked.number, tuple(told))))
+    world.tell(Tick())
+    assert world.core.ready(world.now_s)
+    assert world.reads() == set()
+
+
+@pytest.mark.parametrize("own", [FOLLOWER, RELAYS[0]])
+def test_an_entry_that_starts_and_is_not_told_reads_the_store(own: str) -> None:
+    world = Starting(own)
+    world.list_entries(FLEET)
+    assert world.reads() == (set(KINDS) if own in RELAYS else {ENTRIES_KIND})
+    world.now_s += START_S
+    assert world.reads() == set(KINDS)
+
+
+def test_an_entry_that_starts_in_a_small_fleet_reads_all_at_once() -> None:
+    world = Starting("f1")
+    world.tell(KindShown(ENTRIES_KIND, True, 0, 5, world.now_s, ()))
+    assert world.reads() == set(KINDS)
--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -13,15 +13,17 @@
 
 from filbertstream.actions import SendPeer
 from filbertstream.gateway_events import ConfigurationSeen, EntrySeen, PeerMessage
-from filbertstream.messages import ConfirmAsked, ConfirmTold
-from filbertstream.process.confirmations import Confirmations
+from filbertstream.messages import KindNews, ObjectRow, ViewAsked, ViewTold
+from filbertstream.platform.documents import DOCUMENTS_KIND
 from filbertstream.process.peer_work import EntryRecord
+from filbertstream.process.relays import Relays
+from filbertstream.process.store_view import KindShown
 from filbertstream.request.call_flow import SendCall
-from tests.gateway_world import BOUNDS, World, configuration
+from tests.gateway_world import BOUNDS, World, configuration, configuration_row
 
 KEYS = ("k", "k2")
 FLEET = tuple(f"f{number}" for number in range(20))
-RELYING = next(name for name in FLEET if not Confirmations(name, lambda: FLEET).asks_store)
+RELYING = next(name for name in FLEET if not Relays(name, lambda: FLEET).is_relay)
 
 
 class Written(NamedTuple):
@@ -32,6 +34,11 @@
     keys: tuple[str, ...]
 
 
+def row_of(written: Written) -> ObjectRow:
+    """Return a configuration as the store holds it; its version serves as the revision."""
+    return configuration_row(written.version, written.keys, written.version)
+
+
 class Asked(NamedTuple):
     """A call to the store that is under way; ``seen`` is what its answer will show."""
 
@@ -42,7 +49,7 @@
 class Told(NamedTuple):
     """Another entry's answer that is on its way."""
 
-    answer: ConfirmTold
+    answer: ViewTold
 
 
 class RevocationMachine(RuleBasedStateMachine):
@@ -53,7 +60,7 @@
         self.world = World(RELYING)
         for name in FLEET:
             self.world.tell(EntrySeen(name, EntryRecord(f"tcp://{name}", 1), 1))
-        self.questions: list[int] = []
+        self.questions: list[ViewAsked] = []
         self.on_the_way: list[Told] = []
         self.watcher = Asked(self.world.now_s, Written(self.world.now_s, 1, ("k",)))
         self.written = [Written(self.world.now_s, 1, ("k",))]
@@ -73,8 +80,10 @@
     def answer(self, data: st.DataObject, lost: bool) -> None:
         asked = self.asked.pop(data.draw(st.integers(0, len(self.asked) - 1)))
         if not lost:
-            config = configuration(asked.seen.version, asked.seen.keys)
-            self.world.tell(ConfigurationSeen(config, asked.sent_at_s))
+            rows = (row_of(asked.seen),)
+            as_of = asked.seen.version
+            shown = KindShown(DOCUMENTS_KIND, True, 0, as_of, asked.sent_at_s, rows)
+            self.world.tell(shown)
 
     @rule()
     def show_watcher(self) -> None:
@@ -84,10 +93,22 @@
     @precondition(lambda self: self.questions)
     @rule(data=st.data())
     def watcher_answers(self, data: st.DataObject) -> None:
-        number = data.draw(st.sampled_from(self.questions))
+        question = data.draw(st.sampled_from(self.questions))
         age_s = self.world.now_s - self.watcher.sent_at_s
-        told = ConfirmTold(number, self.watcher.seen.version, age_s, 0, age_s, {})
-        self.on_the_way.append(Told(told))
+        seen, since = self.watcher.seen, question.as_of[DOCUMENTS_KIND]
+        rows = (row_of(seen),) if seen.version > since else ()
+        whole = data.draw(st.booleans())
+        rows = (row_of(seen),) if whole else rows
+        news = KindNews(DOCUMENTS_KIND, whole, since, seen.version, age_s, rows)
+        self.on_the_way.append(Told(ViewTold(question.number, (news,))))
+
+    @precondition(lambda self: len(self.written) > 1)
+    @rule()
+    def watcher_passes_a_change_on(self) -> None:
+        """It tells a change unasked, which says nothing about its age."""
+        seen, since = self.written[-1], self.written[-2].version
+        news = KindNews(DOCUMENTS_KIND, False, since, seen.version, 0.0, (row_of(seen),))
+        self.on_the_way.append(Told(ViewTold(0, (news,))))
 
     @precondition(lambda self: self.on_the_way)
     @rule(data=st.data())
@@ -102,8 +123,8 @@
             self.world.now_s += seconds
         else:
             for action in self.world.run(seconds, confirm=False):
-                if isinstance(action, SendPeer) and isinstance(action.payload, ConfirmAsked):
-                    self.questions.append(action.payload.number)
+                if isinstance(action, SendPeer) and isinstance(action.payload, ViewAsked):
+                    self.questions.append(action.payload)
 
     @rule(name=st.sampled_from(["read", "book", "draft"]))
     def call(self, name: str) -> None:
--- /dev/null
+++ b/tests/test_store_view.py
@@ -0,0 +1,154 @@
+"""Views of the store that are told by the store and by each other, in any order, late or never.
+
+The promise that everything rests on: what a view was shown to be as of a moment holds every write
+that the store had taken by then, and no object that was removed before it.
+"""
+
+from typing import NamedTuple
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from filbertstream.messages import KindNews, ObjectRow
+from filbertstream.process.store_view import REMOVALS_KEPT, Followed, KindShown, StoreView
+
+KIND = "k"
+VIEWS = 3
+NAMES = ("a", "b", "c", "d")
+FOLLOWED = (Followed(KIND, 2.0, True),)
+
+
+class Written(NamedTuple):
+    """A write that the store has taken; ``row`` has no content for a removal."""
+
+    at_s: float
+    row: ObjectRow
+
+
+class Shown(NamedTuple):
+    """An answer that is on its way to a view."""
+
+    view: int
+    shown: KindShown
+
+
+class ViewMachine(RuleBasedStateMachine):
+    """A store, and views that ask it and each other."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 10.0
+        self.revision = 1
+        self.written: list[Written] = []
+        self.views = [StoreView(FOLLOWED) for _ in range(VIEWS)]
+        self.on_the_way: list[Shown] = []
+
+    def present(self, at_s: float) -> dict[str, ObjectRow]:
+        """Return what the store held at a moment."""
+        found: dict[str, ObjectRow] = {}
+        for write in self.written:
+            if write.at_s <= at_s:
+                if write.row.content is None:
+                    found.pop(write.row.name, None)
+                else:
+                    found[write.row.name] = write.row
+        return found
+
+    @rule(name=st.sampled_from(NAMES), removed=st.booleans())
+    def write(self, name: str, removed: bool) -> None:
+        self.now_s += 0.01
+        if removed and name not in self.present(self.now_s):
+            return
+        self.revision += 1
+        content = None if removed else b"%d" % self.revision
+        # A removal shows the revision of the last change, not its own.
+        revision = self.present(self.now_s)[name].revision if removed else self.revision
+        self.written.append(Written(self.now_s, ObjectRow(name, revision, content)))
+        self.stamps = getattr(self, "stamps", {})
+        self.stamps[len(self.written) - 1] = self.revision
+
+    @rule(view=st.integers(0, VIEWS - 1))
+    def list(self, view: int) -> None:
+        rows = tuple(self.present(self.now_s).values())
+        shown = KindShown(KIND, True, 0, self.revision, self.now_s, rows)
+        self.on_the_way.append(Shown(view, shown))
+
+    @rule(view=st.integers(0, VIEWS - 1))
+    def watch(self, view: int) -> None:
+        since = self.views[view].as_of()[KIND]
+        if not since:
+            return
+        changed = [
+            write.row for number, write in enumerate(self.written) if self.stamps[number] > since
+        ]
+        shown = KindShown(KIND, False, since, self.revision, self.now_s, tuple(changed))
+        self.on_the_way.append(Shown(view, shown))
+
+    @rule(asker=st.integers(0, VIEWS - 1), relay=st.integers(0, VIEWS - 1), late=st.booleans())
+    def ask(self, asker: int, relay: int, late: bool) -> None:
+        sent_at_s = self.now_s
+        self.now_s += 0.3 if late else 0.001
+        news = self.views[relay].news(KIND, self.views[asker].as_of()[KIND], self.now_s)
+        if news is None:
+            return
+        assert isinstance(news, KindNews)
+        assert news.rows is not None
+        shown_at_s = sent_at_s - news.age_s
+        shown = KindShown(KIND, news.whole, news.since, news.as_of, shown_at_s, news.rows)
+        self.on_the_way.append(Shown(asker, shown))
+
+    @precondition(lambda self: self.on_the_way)
+    @rule(data=st.data(), lost=st.booleans())
+    def arrive(self, data: st.DataObject, lost: bool) -> None:
+        item = self.on_the_way.pop(data.draw(st.integers(0, len(self.on_the_way) - 1)))
+        self.now_s += 0.01
+        if lost:
+            return
+        view = self.views[item.view]
+        before = view.as_of()[KIND]
+        view.take(item.shown, self.now_s)
+        assert view.as_of()[KIND] >= before
+        self.check(view)
+
+    def check(self, view: StoreView) -> None:
+        told = view.news(KIND, 0, self.now_s)
+        if told is None:
+            return
+        assert told.rows is not None
+        held = {row.name: row for row in told.rows if row.content is not None}
+        shown_at_s = self.now_s - told.age_s
+        # Whatever was there at the moment shown, or has been put there since.
+        for name, row in self.present(shown_at_s + 1e-9).items():
+            later = [item for item in self.written if item.row.name == name]
+            gone = any(item.row.content is None and item.at_s > shown_at_s for item in later)
+            assert gone or held[name].revision >= row.revision
+        for name, row in held.items():
+            removals = [
+                item.at_s
+                for item in self.written
+                if item.row.name == name
+                and item.row.content is None
+                and item.row.revision >= row.revision
+            ]
+            assert all(at_s > shown_at_s - 1e-9 for at_s in removals), name
+
+
+TestViews = ViewMachine.TestCase
+TestViews.settings = settings(max_examples=400, stateful_step_count=40)
+
+
+def test_an_asker_that_missed_forgotten_removals_is_told_the_whole_kind() -> None:
+    view = StoreView(FOLLOWED)
+    view.take(KindShown(KIND, True, 0, 1, 0.0, (ObjectRow("x", 1, b"1"),)), 0.0)
+    removals = tuple(ObjectRow(f"r{number}", 1, None) for number in range(REMOVALS_KEPT + 1))
+    for number, row in enumerate(removals):
+        view.take(KindShown(KIND, False, 1 + number, 2 + number, 1.0, (row,)), 1.0)
+    told = view.news(KIND, 1, 1.0)
+    assert told is not None
+    assert told.whole
+    assert told.rows is not None
+    assert [row.name for row in told.rows] == ["x"]
+    later = view.news(KIND, 2, 1.0)
+    assert later is not None
+    assert not later.whole
