Bytes without end are bounded on every connection

Cause: heads, skipped answers, bodies of the system's own calls, reports, store answers, events without an end, chunk extensions and trailers of callers were read on without a bound; a VM has 128 to 552 MB, so one faulty target ends an entry.

Change: bounds in bytes for each: what may come before an answer's head (64 KB, 1 MB where a late answer to another request is skipped), bodies of the system's own calls by their kind, reports, answers of the store, events; messages between entries; framing of callers' bodies in proportion to the body. The connection is closed at the bound and the send fails as any broken one. Trailers of a request are no longer taken for its headers.

Not covered: a head that dribbles on a blocking call (reports, orders, the store) is bounded by 64 KB lines and 100 headers of http.client, not in time.

--- a/filbertstream/connection/caller_link.py
+++ b/filbertstream/connection/caller_link.py
@@ -29,6 +29,9 @@
 WRITE_HIGH_BYTES: Final = 256 * 1024
 """Unsent bytes of a caller's connection at which its target is read no further."""
 
+FRAMING_FACTOR: Final = 8
+"""Bytes on the wire for each byte of a body that comes in chunks: six for chunks of one byte."""
+
 BODY_S: Final = 15.0
 """A body must be complete this long after its head; callers announce shorter deadlines."""
 
@@ -83,6 +86,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
+        self._wire_bytes = 0
         self._in_request = False
         self._head_done = False
         self._close_after = False
@@ -122,6 +126,8 @@
             return
         if not self._head_done:
             self._head_bytes += len(data)
+        else:
+            self._wire_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -132,8 +138,12 @@
             return
         if self._refusing:
             return
-        if not self._head_done and self._head_bytes > self._app.limits.header_bytes:
+        limits = self._app.limits
+        if not self._head_done and self._head_bytes > limits.header_bytes:
             self._reject(FIELDS_TOO_LARGE, "the head is too large")
+        framing_bytes = limits.header_bytes + FRAMING_FACTOR * self._body_bytes
+        if self._in_request and self._wire_bytes > framing_bytes:
+            self._reject(BAD_REQUEST, "the body is mostly framing")
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
@@ -141,6 +151,7 @@
         self._headers = []
         self._body = []
         self._body_bytes = 0
+        self._wire_bytes = 0
         self._in_request = True
         self._head_done = False
         if not self.busy:
@@ -151,8 +162,9 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser."""
-        self._headers.append((name.lower(), value))
+        """Called by the parser; what comes after a body has no meaning here."""
+        if not self._head_done:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
--- a/filbertstream/connection/event_relay.py
+++ b/filbertstream/connection/event_relay.py
@@ -9,6 +9,7 @@
 END: Final = b"\n\n"
 ID_FIELD: Final = b"id:"
 EVENT_LIMIT_BYTES: Final = 1_000_000
+"""Events hold a few tokens; bytes without an end of an event are none."""
 
 
 class EventRelay:
@@ -36,14 +37,18 @@
     def restart(self) -> None:
         """Go on with the answer of a further send."""
         self._buffer = b""
+        self.malformed = False
 
     def feed(self, data: bytes) -> bytes:
         """Take bytes of an answer and return what is to be passed on."""
+        if self.malformed:
+            return b""
         buffer = self._buffer + data if self._buffer else data
         end = buffer.rfind(END)
         if end < 0:
             self._buffer = buffer
-            self.malformed = self.malformed or len(buffer) > EVENT_LIMIT_BYTES
+            if len(buffer) > EVENT_LIMIT_BYTES:
+                self.malformed, self._buffer = True, b""
             return b""
         end += len(END)
         self._buffer = buffer[end:]
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -57,6 +57,12 @@
 CACHE_ANSWER_S: Final = 0.5
 """Beyond the time that a holder is asked to wait, its answer must come within this."""
 
+EVENTS_LIMIT_BYTES: Final = 4_000_000
+"""An answer to an event call: tens of thousands of events."""
+
+LIST_LIMIT_BYTES: Final = 16_000_000
+"""A list of all parts that a holder keeps: a few hundred thousand."""
+
 RELAY_FORM: Final = RelayForm()
 """It keeps nothing of a call, so that all calls share it."""
 
@@ -192,7 +198,12 @@
         within_s = follow.wait_s + CACHE_ANSWER_S
         data = encode_follow(follow)
         answer = await call_target(
-            self.links, address_of(follow.address), data, within_s, sent_at_s
+            self.links,
+            address_of(follow.address),
+            data,
+            within_s,
+            sent_at_s,
+            EVENTS_LIMIT_BYTES,
         )
         if answer is None:
             self.tell(CacheEventsMissed(follow.holder))
@@ -203,7 +214,9 @@
         """Ask for all that a holder keeps; without an answer it is asked again later."""
         sent_at_s = boot_time_s()
         address = address_of(ask.address)
-        answer = await call_target(self.links, address, encode_list(ask), CACHE_ANSWER_S, sent_at_s)
+        answer = await call_target(
+            self.links, address, encode_list(ask), CACHE_ANSWER_S, sent_at_s, LIST_LIMIT_BYTES
+        )
         listed = None if answer is None else decode_list(ask, *answer, sent_at_s)
         if listed is None:
             self._core.counters.add("cache_lists_missed", "")
--- a/filbertstream/connection/peer_link.py
+++ b/filbertstream/connection/peer_link.py
@@ -55,6 +55,9 @@
         return key == self._public
 
 
+MESSAGE_LIMIT_BYTES: Final = 4_000_000
+"""A message may hold all kinds of objects, each up to ``process.store_view.TOLD_BYTES``."""
+
 REOPEN_S: Final = 1.0
 """Least time between two connections to an address; a lost message is made good by the next."""
 
@@ -149,6 +152,7 @@
 
     def _configure(self, socket: "zmq.Socket[Any]") -> None:
         socket.set_hwm(QUEUE_MESSAGES)
+        socket.setsockopt(zmq.MAXMSGSIZE, MESSAGE_LIMIT_BYTES)
         socket.linger = 0
         socket.setsockopt(zmq.HEARTBEAT_IVL, PING_MS)
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS)
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -99,6 +99,9 @@
             self._edge.tell(FirstEvent(self.action.call_id, self.action.number))
         if self._streams and self._relayed.events is not None:
             passed = self._relayed.events.feed(data)
+            if self._relayed.events.malformed:
+                self._fail("too_large")
+                return
             data = self._relayed.form.events(passed) if passed else b""
             if data:
                 self._relayed.conn.stream(data)
--- a/filbertstream/connection/target_link.py
+++ b/filbertstream/connection/target_link.py
@@ -30,6 +30,12 @@
 KEEPALIVE_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
 
+HEAD_LIMIT_BYTES: Final = 65_536
+"""What may come up to the end of an answer's head; targets answer with a few headers."""
+
+SKIPPED_LIMIT_BYTES: Final = 1_000_000
+"""The same where another request's late answer comes first, which may be as large as any."""
+
 SWITCHING: Final = 200
 """Statuses below this are interim and don't answer the request."""
 
@@ -70,6 +76,8 @@
         self._headers: Headers = []
         self._reason = b""
         self._foreign = False
+        self._waiting_bytes = 0
+        self._skipped = False
         self._framed = True
         self._in_body = False
         self._silence_s = 0.0
@@ -99,6 +107,8 @@
         self._sink, self._request_id, self._on_idle = sink, request_id, on_idle
         self._silence_s = silence_s
         self._foreign = self._in_body = False
+        self._waiting_bytes = 0
+        self._skipped = False
         self.transport.write(data)
 
     def abort(self) -> None:
@@ -128,12 +138,18 @@
             return
         if self._in_body:
             self._restart_timer()
+        else:
+            self._waiting_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             self._break("malformed")
         except httptools.HttpParserUpgrade:
             self._break("malformed")
+        if self._in_body or self._sink is None:
+            return
+        if self._waiting_bytes > (SKIPPED_LIMIT_BYTES if self._skipped else HEAD_LIMIT_BYTES):
+            self._break("too_large")
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
@@ -163,6 +179,7 @@
         anonymous = not answer.request_id and (answer.not_run or not self._request_id)
         if status < SWITCHING or not (anonymous or answer.request_id == self._request_id):
             self._foreign = True
+            self._skipped = self._skipped or status >= SWITCHING
             self.usable = self.usable and status < SWITCHING
             return
         self._foreign = False
@@ -314,17 +331,24 @@
 class _Whole:
     """Collects an answer to a call of this system's own."""
 
-    def __init__(self, done: asyncio.Future[tuple[int, bytes] | None]) -> None:
+    def __init__(self, done: asyncio.Future[tuple[int, bytes] | None], limit_bytes: int) -> None:
         self._done = done
+        self._limit_bytes = limit_bytes
         self._status = 0
         self._body: list[bytes] = []
+        self._size = 0
 
     def on_head(self, answer: AnswerHead, reason: str, headers: Headers) -> None:
         """Keep the status."""
         self._status = answer.status
 
     def on_body(self, data: bytes) -> None:
-        """Keep a part of the body."""
+        """Keep a part of the body, or give up on one that is too large to be an answer."""
+        self._size += len(data)
+        if self._size > self._limit_bytes:
+            self._body.clear()
+            self.on_broken("too_large")
+            return
         self._body.append(data)
 
     def on_whole(self) -> None:
@@ -342,16 +366,27 @@
 
 
 async def call_target(
-    links: TargetLinks, address: Address, data: bytes, within_s: float, now_s: float
+    links: TargetLinks,
+    address: Address,
+    data: bytes,
+    within_s: float,
+    now_s: float,
+    limit_bytes: int = HEAD_LIMIT_BYTES,
 ) -> tuple[int, bytes] | None:
-    """Make a call of this system's own; return status and body, or None without an answer."""
+    """Make a call of this system's own; return status and body, or None without an answer.
+
+    A body of more than ``limit_bytes`` is no answer; its connection is closed.
+    """
     link = links.take(address, IDLE_S, now_s) or await links.open(address)
     if link is None or link.closed:
         return None
     done: asyncio.Future[tuple[int, bytes] | None] = asyncio.get_running_loop().create_future()
-    link.request("", data, _Whole(done), 0.0, lambda idle: links.give_back(idle, boot_time_s()))
+    sink = _Whole(done, limit_bytes)
+    link.request("", data, sink, 0.0, lambda idle: links.give_back(idle, boot_time_s()))
     try:
-        return await asyncio.wait_for(done, within_s)
+        answer = await asyncio.wait_for(done, within_s)
     except TimeoutError:
+        answer = None
+    if answer is None:
         link.abort()
-        return None
+    return answer
--- a/filbertstream/platform/objects.py
+++ b/filbertstream/platform/objects.py
@@ -22,6 +22,7 @@
     NewConnectionError,
 )
 
+from filbertstream.platform.reading import read_whole
 from filbertstream.process.clock import boot_time_s
 from filbertstream.statuses import CONFLICT, CREATED, GONE, NOT_FOUND, OK
 
@@ -31,6 +32,9 @@
 ANSWER_S: Final = 1.5
 """An answer to a call that does not wait."""
 
+ANSWER_LIMIT_BYTES: Final = 16_000_000
+"""An answer may hold a page of a megabyte, or all events of the history that the store keeps."""
+
 PAGE_LIMIT: Final = 200
 """Pages of one listing; a listing that does not end is a fault of the store."""
 
@@ -252,11 +256,14 @@
             url += "?" + "&".join(f"{key}={value}" for key, value in query.items())
         timeout = urllib3.Timeout(connect=CONNECT_S, read=read_s)
         try:
-            resp = self._pool.request(method, url, body=body, headers=headers, timeout=timeout)
+            resp = self._pool.request(
+                method, url, body=body, headers=headers, timeout=timeout, preload_content=False
+            )
+            data = read_whole(resp, ANSWER_LIMIT_BYTES, boot_time_s() + ANSWER_S)
         except HTTPError as exc:
             # Idle connections may have gone silent together with this one.
             self._pool.clear()
             return Err(StoreFault.REFUSED if _never_sent(exc) else StoreFault.UNSURE)
         if resp.status in BUSY:
             return Err(StoreFault.REFUSED)
-        return Ok((resp.status, resp.data))
+        return Ok((resp.status, data))
--- a/filbertstream/platform/runner_calls.py
+++ b/filbertstream/platform/runner_calls.py
@@ -6,6 +6,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from filbertstream.platform.reading import read_whole
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
 from filbertstream.statuses import OK
@@ -20,6 +21,9 @@
 CONNECT_S: Final = 0.4
 ANSWER_S: Final = 0.6
 
+REPORT_LIMIT_BYTES: Final = 1_000_000
+"""A report lists the runs of a runner; thousands of them take less."""
+
 KEEP_RUNS: Final = "continue"
 """The mode in which a runner's running requests go on after it has loaded."""
 
@@ -56,10 +60,13 @@
         headers = {"Expect-Instance": poll.target_id}
         url = f"{self._scheme}://{address}/report"
         try:
-            resp = self._pool.request("GET", url, headers=headers, timeout=self._timeout)
+            resp = self._pool.request(
+                "GET", url, headers=headers, timeout=self._timeout, preload_content=False
+            )
+            data = read_whole(resp, REPORT_LIMIT_BYTES, boot_time_s() + ANSWER_S)
             if resp.status != OK:
                 return ReportMissed(poll.target_id)
-            report = msgspec.json.decode(resp.data, type=_Report)
+            report = msgspec.json.decode(data, type=_Report)
         except (HTTPError, msgspec.DecodeError):
             self._pool.clear()
             return ReportMissed(poll.target_id)
@@ -83,7 +90,16 @@
         # On a pooled connection a lost order could not be told from one that was never sent.
         pool = urllib3.PoolManager(maxsize=1, retries=False, ca_certs=self._ca_file)
         try:
-            resp = pool.request("POST", url, body=data, headers=headers, timeout=self._timeout)
+            resp = pool.request(
+                "POST",
+                url,
+                body=data,
+                headers=headers,
+                timeout=self._timeout,
+                preload_content=False,
+            )
+            # The status says it all; a body is not read, and the connection is not used again.
+            resp.close()
         except HTTPError:
             return OrderAnswered(order.target_id, None)
         finally:
--- /dev/null
+++ b/tests/test_endless_bytes.py
@@ -0,0 +1,275 @@
+"""Targets, stores, entries and callers that send bytes without end.
+
+Each is played over a loopback socket: the other side sends until it is cut off, and counts what was
+taken from it.  A bound in bytes holds however fast it sends; calls have time limits of their own.
+"""
+
+import asyncio
+import contextlib
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from filbertstream.connection.caller_link import CallerConnection, RawRequest
+from filbertstream.connection.event_relay import EVENT_LIMIT_BYTES, EventRelay
+from filbertstream.connection.target_link import (
+    HEAD_LIMIT_BYTES,
+    SKIPPED_LIMIT_BYTES,
+    TargetLinks,
+    call_target,
+)
+from filbertstream.platform.headers import Headers
+from filbertstream.platform.objects import ANSWER_LIMIT_BYTES, ObjectStore, StoreFault
+from filbertstream.platform.runner_calls import REPORT_LIMIT_BYTES, RunnerCalls
+from filbertstream.process.clock import boot_time_s
+from filbertstream.process.deployment import Address
+from filbertstream.request.call import AnswerHead
+from filbertstream.version.rollout import OrderAnswered, OrderWeights, PollReport, ReportMissed
+from filbertstream.version.routes import CallerLimits
+
+IN_FLIGHT_BYTES = 6_000_000
+"""What the buffers of a loopback connection and of the reader may hold beyond what is taken."""
+
+SENT_LIMIT_BYTES = 64 << 20
+PIECE = b"x" * 65_536
+LINE = b"X-Line: " + b"y" * 1_000 + b"\r\n"
+OK_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nResponse-Signature: s\r\n"
+FOREIGN = b"HTTP/1.1 200 OK\r\nRequest-Id: else\r\nTransfer-Encoding: chunked\r\n\r\n"
+CHUNK = b"10000\r\n" + PIECE + b"\r\n"
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+WITHOUT_LENGTH = OK_HEAD + b"\r\n"
+
+ENDLESS: dict[str, tuple[bytes, bytes]] = {
+    "lines of a head": (OK_HEAD, LINE * 64),
+    "one line of a head": (OK_HEAD + b"X-Line: ", PIECE),
+    "a reason": (b"HTTP/1.1 200 ", PIECE),
+    "interim answers": (b"", INTERIM * 2_000),
+    "another request's answer": (FOREIGN, CHUNK),
+    "another request's answers": (b"", FOREIGN + b"0\r\n\r\n"),
+    "no answer at all": (b"", PIECE),
+}
+
+
+class Sender:
+    """A server that sends one thing and then another without end, until it is cut off."""
+
+    def __init__(self, first: bytes, again: bytes) -> None:
+        self._first, self._again = first, again
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(*self._listener.getsockname())
+        self.sent = 0
+        self.cut_off = False
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def close(self) -> None:
+        self._stopped.set()
+        self._listener.close()
+        self._thread.join(timeout=5.0)
+
+    def _serve(self) -> None:
+        with contextlib.suppress(OSError):
+            conn, _ = self._listener.accept()
+            conn.settimeout(0.2)
+            with conn:
+                conn.recv(65_536)
+                self._send(conn, self._first)
+                while self.sent < SENT_LIMIT_BYTES and not self._stopped.is_set():
+                    self._send(conn, self._again)
+
+    def _send(self, conn: socket.socket, data: bytes) -> None:
+        left = memoryview(data)
+        while left and not self._stopped.is_set():
+            try:
+                count = conn.send(left)
+            except TimeoutError:
+                continue
+            except OSError:
+                self.cut_off = True
+                raise
+            self.sent += count
+            left = left[count:]
+
+
+@contextlib.contextmanager
+def sending(first: bytes, again: bytes) -> Iterator[Sender]:
+    sender = Sender(first, again)
+    sender.start()
+    try:
+        yield sender
+    finally:
+        sender.close()
+
+
+class Sink:
+    """Takes an answer and counts what it is told."""
+
+    def __init__(self) -> None:
+        self.body_bytes = 0
+        self.end: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+
+    def on_head(self, answer: AnswerHead, reason: str, headers: Headers) -> None:
+        """An answer began."""
+
+    def on_body(self, data: bytes) -> None:
+        self.body_bytes += len(data)
+
+    def on_whole(self) -> None:
+        self.end.set_result("whole")
+
+    def on_silent(self) -> None:
+        """Nothing came for a while."""
+
+    def on_broken(self, cause: str) -> None:
+        self.end.set_result(cause)
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_a_target_that_sends_no_answer_without_end_is_cut_off(kind: str) -> None:
+    async def ask(address: Address) -> str:
+        conn = await TargetLinks().open(address)
+        assert conn is not None
+        sink = Sink()
+        conn.request("mine", b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", sink, 0.5, lambda idle: None)
+        return await asyncio.wait_for(sink.end, 20.0)
+
+    with sending(*ENDLESS[kind]) as sender:
+        cause = asyncio.run(ask(sender.address))
+    assert cause in ("too_large", "malformed")
+    assert sender.sent <= max(HEAD_LIMIT_BYTES, SKIPPED_LIMIT_BYTES) + IN_FLIGHT_BYTES
+
+
+def test_an_endless_answer_to_a_call_of_the_systems_own_is_cut_off() -> None:
+    async def ask(address: Address) -> tuple[int, bytes] | None:
+        data = b"GET /list HTTP/1.1\r\nHost: h\r\n\r\n"
+        return await call_target(TargetLinks(), address, data, 20.0, boot_time_s(), 100_000)
+
+    with sending(b"HTTP/1.1 200 OK\r\n\r\n", PIECE) as sender:
+        assert asyncio.run(ask(sender.address)) is None
+    assert sender.sent <= 100_000 + IN_FLIGHT_BYTES
+
+
+def test_an_event_without_end_ends_its_stream() -> None:
+    relay = EventRelay(None)
+    fed = 0
+    while not relay.malformed and fed < SENT_LIMIT_BYTES:
+        relay.feed(PIECE)
+        fed += len(PIECE)
+    assert fed <= EVENT_LIMIT_BYTES + len(PIECE)
+    assert not relay.whole
+
+
+WITH_LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n"
+
+
+@pytest.mark.parametrize("head", [WITHOUT_LENGTH, WITH_LENGTH])
+def test_a_runner_whose_report_does_not_end_has_given_none(head: bytes) -> None:
+    with sending(head, PIECE) as sender:
+        found = RunnerCalls("e1").report(PollReport("r1"), sender.address)
+    assert found == ReportMissed("r1")
+    assert sender.sent <= REPORT_LIMIT_BYTES + IN_FLIGHT_BYTES
+
+
+def test_a_runner_whose_answer_to_an_order_does_not_end_still_answered_it() -> None:
+    with sending(WITHOUT_LENGTH, PIECE) as sender:
+        found = RunnerCalls("e1").order(OrderWeights("r1", "m", 2, 1, 0), sender.address)
+    assert found == OrderAnswered("r1", 200)
+    assert sender.sent <= REPORT_LIMIT_BYTES + IN_FLIGHT_BYTES
+
+
+def test_a_store_whose_answer_does_not_end_has_given_none() -> None:
+    with sending(WITHOUT_LENGTH, PIECE) as sender:
+        found = ObjectStore(f"http://{sender.address}").list("k")
+    assert found.err_value in (StoreFault.UNREADABLE, StoreFault.UNSURE)
+    assert sender.sent <= ANSWER_LIMIT_BYTES + IN_FLIGHT_BYTES
+
+
+class App:
+    """Takes the requests of callers."""
+
+    limits = CallerLimits(header_bytes=16_384, body_bytes=65_536)
+    closing = False
+
+    def __init__(self) -> None:
+        self.requests: list[RawRequest] = []
+        self.rejected: list[int] = []
+
+    def on_request(self, conn: CallerConnection, raw: RawRequest) -> None:
+        self.requests.append(raw)
+
+    def on_left(self, conn: CallerConnection) -> None:
+        """The caller left."""
+
+    def on_pause(self, conn: CallerConnection, paused: bool) -> None:
+        """The caller reads slowly."""
+
+    def on_rejected(self, status: int, detail: str) -> None:
+        self.rejected.append(status)
+
+
+POST = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("first", "again"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: h\r\n", LINE),
+        (b"GET /", PIECE),
+        (POST, CHUNK),
+        (POST + b"1;", PIECE),
+        (POST + b"0\r\n", LINE),
+        (POST, b"1;" + b"e" * 1_000 + b"\r\nx\r\n"),
+    ],
+    ids=["head", "path", "body", "chunk extension", "trailers", "extensions"],
+)
+def test_a_caller_that_sends_without_end_is_cut_off(first: bytes, again: bytes) -> None:
+    async def take() -> tuple[App, int]:
+        app = App()
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: CallerConnection(app, lambda conn: None), "127.0.0.1", 0
+        )
+        _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        writer.write(first)
+        sent = 0
+        with contextlib.suppress(OSError):
+            while sent < SENT_LIMIT_BYTES and not app.rejected:
+                writer.write(again)
+                await asyncio.wait_for(writer.drain(), 1.0)
+                sent += len(again)
+        writer.transport.abort()
+        server.close()
+        return app, sent
+
+    app, sent = asyncio.run(take())
+    assert app.rejected
+    assert not app.requests
+    assert sent <= App.limits.body_bytes * 16 + IN_FLIGHT_BYTES
+
+
+def test_trailers_of_a_request_are_not_taken_for_its_headers() -> None:
+    async def take() -> App:
+        app = App()
+        conn = CallerConnection(app, lambda conn: None)
+        conn.transport = _Transport()
+        conn.on_message_begin()
+        conn.data_received(POST + b"1\r\nx\r\n0\r\nX-Late: v\r\n\r\n")
+        return app
+
+    (raw,) = asyncio.run(take()).requests
+    assert b"x-late" not in {name for name, _ in raw.headers}
+
+
+class _Transport(asyncio.Transport):
+    """Goes nowhere."""
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Drop it."""
+
+    def close(self) -> None:
+        """Do nothing."""
--- a/tests/test_target_link.py
+++ b/tests/test_target_link.py
@@ -16,6 +16,7 @@
     b"HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nResponse-Signature: s\r\nContent-Length: 3\r\n\r\nown"
 )
 FOREIGN = OWN.replace(b"mine", b"else").replace(b"own", b"not")
+LARGE_FOREIGN = FOREIGN.replace(b"Length: 3", b"Length: 300000").replace(b"not", b"n" * 300_000)
 UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nResponse-Signature: s\r\n\r\nunframed"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -104,6 +105,7 @@
         (b"", "close", Seen([], b"", "cut", False)),
         (b"no answer at all\r\n\r\n", "open", Seen([], b"", "malformed", False)),
         (FOREIGN, "close", Seen([], b"", "cut", False)),
+        (LARGE_FOREIGN + OWN, "open", Seen([200], b"own", "whole", False)),
     ],
 )
 def test_what_a_target_sends_is_taken_for_what_it_is(
