A listing of several pages is as old as its first page

Cause: `ObjectStore.list` kept the revision of the last page, so an object that was written between two pages, under a name that the second page no longer holds, was in neither and no watch showed it. The platform's pages hold about 500 objects, so today's fleets don't meet it; 7,400 runners would, with a drain or a registration missed until the next listing.

Ruled out by the trace of what each view took: the relays (entries that listed in one go, or were told, knew the entry), the stand-in's own lock, the registration itself.

Change: the revision of the first page. Red before: the new test (`as_of` 12 instead of 9).

--- a/filbertstream/platform/objects.py
+++ b/filbertstream/platform/objects.py
@@ -164,8 +164,13 @@
         self._pool.clear()
 
     def list(self, kind: str) -> Result[Listing, StoreFault]:
-        """Return all objects of a kind."""
+        """Return all objects of a kind, as of the first page: later pages may show later changes.
+
+        What was written between two pages may be missing from both, so a watch must go on from the
+        revision of the first.
+        """
         found: list[StoredObject] = []
+        as_of: int | None = None
         after: str | None = None
         first_sent_at_s = boot_time_s()
         for _ in range(PAGE_LIMIT):
@@ -181,8 +186,9 @@
                 return Err(StoreFault.UNREADABLE)
             items = [_stored(raw) for raw in page.items]
             found += [item for item in items if item is not None]
+            as_of = page.as_of if as_of is None else as_of
             if not page.has_more or not found:
-                return Ok(Listing(first_sent_at_s, page.as_of, tuple(found)))
+                return Ok(Listing(first_sent_at_s, as_of, tuple(found)))
             after = found[-1].name
         return Err(StoreFault.UNSURE)
 
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -3,6 +3,7 @@
 import threading
 from collections.abc import Iterator
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import ClassVar
 
 import pytest
 from result import Err, Ok
@@ -18,16 +19,21 @@
 
     status = 200
     body = b""
+    pages: ClassVar[dict[str, bytes]] = {}
+    """Bodies by the name that a page begins after, instead of the one body."""
+
     protocol_version = "HTTP/1.1"
 
     def _answer(self) -> None:
         if self.status == 0:
             self.close_connection = True
             return
+        _, _, after = self.path.partition("after=")
+        body = self.pages.get(after, self.body)
         self.send_response(self.status)
-        self.send_header("Content-Length", str(len(self.body)))
+        self.send_header("Content-Length", str(len(body)))
         self.end_headers()
-        self.wfile.write(self.body)
+        self.wfile.write(body)
 
     do_GET = do_POST = do_PUT = do_DELETE = _answer  # noqa: N815
 
@@ -48,6 +54,7 @@
 
 def answer(status: int, body: bytes = b"") -> None:
     Answers.status, Answers.body = status, body
+    Answers.pages = {}
 
 
 @pytest.mark.parametrize(
@@ -97,3 +104,16 @@
     assert not written.ok_value.done
     assert written.ok_value.present is not None
     assert written.ok_value.present.revision == 8
+
+
+def test_a_listing_of_several_pages_is_as_old_as_its_first(store: ObjectStore) -> None:
+    """An object named before the second page was written in between: only a watch shows it."""
+    answer(200)
+    Answers.pages = {
+        "": b'{"items":[{"metadata":{"name":"m","revision":4}}],"has_more":true,"as_of":9}',
+        "m": b'{"items":[{"metadata":{"name":"z","revision":5}}],"as_of":12}',
+    }
+    listed = store.list("servers")
+    assert isinstance(listed, Ok)
+    assert [item.name for item in listed.ok_value.objects] == ["m", "z"]
+    assert listed.ok_value.as_of == 9
