Cache news of all stores reach an entry in one message; a design note on relays

Change: in a fleet with relays two entries read a store and tell the relays, and a relay tells its followers all news five times a second. A relay that hears nothing of a store reads it itself. News from before a restart that another reader has told of are not taken. Event calls wait 0.3 s there, so that what is told stays within the age that fetches ask for.

--- a/bench/idle.py
+++ b/bench/idle.py
@@ -1,6 +1,6 @@
-"""Processor time, memory and peer bytes of an idle entry among 8.
+"""Processor time, memory, messages and store calls of an idle entry.
 
-python -m bench.idle [--seconds 20]
+python -m bench.idle [--seconds 20] [--entries 8]
 """
 
 import argparse
@@ -13,6 +13,7 @@
 
 ENTRIES: Final = 8
 CLOCK_TICKS_PER_S: Final = 100
+SETTLED_S: Final = 6.0
 PAGE_BYTES: Final = 4_096
 BYTES_METRIC: Final = "filbertstream_peer_bytes_total{"
 
@@ -43,10 +44,12 @@
     """Measure and print one line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--entries", type=int, default=ENTRIES)
     options = parser.parse_args()
-    with running_fleet(Options(entries=ENTRIES, log_level="error")) as fleet:
-        time.sleep(3.0)
-        names = [f"entry-{number}" for number in range(1, ENTRIES + 1)]
+    entries = options.entries
+    with running_fleet(Options(entries=entries, log_level="error")) as fleet:
+        time.sleep(SETTLED_S)
+        names = [f"entry-{number}" for number in range(1, entries + 1)]
         pids = [fleet.running[name].process.pid for name in names]
         sent_before = [peer_bytes(fleet, name) for name in names]
         before = [usage(pid) for pid in pids]
@@ -57,8 +60,8 @@
     sent = [(b - a) / options.seconds for a, b in zip(sent_before, sent_after, strict=True)]
     memory = [item.resident_bytes / 1e6 for item in after]
     print(
-        f"entries={ENTRIES} seconds={options.seconds:.0f} "
-        f"cpu_percent_mean={100 * sum(shares) / ENTRIES:.2f} "
+        f"entries={entries} seconds={options.seconds:.0f} "
+        f"cpu_percent_mean={100 * sum(shares) / entries:.2f} "
         f"cpu_percent_max={100 * max(shares):.2f} "
         f"resident_mb_max={max(memory):.1f} "
         f"peer_bytes_per_s_max={max(sent):.0f}"
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
-from filbertstream.actions import Log, SendPeer
+from filbertstream.actions import Log
 from filbertstream.gateway_events import (
     BoundsChanged,
     ConfigurationSeen,
@@ -33,7 +33,7 @@
 from filbertstream.log_events import LogEvent
 from filbertstream.messages import (
     CacheNews,
-    CacheNewsRow,
+    CacheNewsBatch,
     FleetWork,
     GroupWork,
     PlacedRow,
@@ -43,8 +43,8 @@
 )
 from filbertstream.process.burn import Burn
 from filbertstream.process.cache_index import CacheIndex
+from filbertstream.process.cache_news import CacheNewsExchange
 from filbertstream.process.cache_stores import (
-    CacheChange,
     CacheEventsMissed,
     CacheEventsRead,
     CacheListed,
@@ -95,9 +95,6 @@
 STOP_CALLS_S: Final = 1.6
 """Other calls are admitted until this long before the process is killed."""
 
-NEWS_TRANSIT_S: Final = 0.15
-"""Added to the age of what another entry has read of a store: the time that its message took."""
-
 RELYING_RESERVE_S: Final = 2.0
 """Entries that read the store take the duty this much sooner than those that rely on them: it
 changes hands with fewer refused writes, and its holder sees the record first."""
@@ -136,7 +133,8 @@
         self.relays = Relays(cfg.name, self.peers.names)
         self.exchange = WorkExchange(self.peers, self.relays)
         self.relayed = RelayedView(cfg.followed, self.relays, self.peers, self.roster)
-        self.stores = CacheStores(self.index, rng, self.peers.reads)
+        self.stores = CacheStores(self.index, rng, self.peers.reads, self.relays)
+        self.cache_news = CacheNewsExchange(self.peers, self.relays, self.stores)
         self.roster.others = self.peers.others
         self.currency = Currency(bounds.revoke_s, bounds.strict_revocation)
         self.budget = SharedRetryBudget(
@@ -307,48 +305,12 @@
         return [Log(LogEvent.WEIGHTS_NAMED, (("model", model), ("version", version)))]
 
     def _on_cache_events(self, event: CacheEventsRead, now_s: float) -> list[GatewayAction]:
-        actions = self._tell_cache_news(event, now_s)
+        actions: list[GatewayAction] = [*self.cache_news.on_read(event, now_s)]
         if self.stores.on_events(event):
             fields = (("holder", event.holder), ("boot", event.boot))
             actions.append(Log(LogEvent.PIECES_LOST, fields))
         return actions
 
-    def _tell_cache_news(self, event: CacheEventsRead, now_s: float) -> list[GatewayAction]:
-        """Tell the entries that don't read this store themselves."""
-        state = self.stores.states.get(event.holder)
-        if state is None:
-            return []
-        addresses = self.peers.told_of(event.holder, state.spec.event_readers)
-        if not addresses:
-            return []
-        news = CacheNews(
-            event.holder,
-            event.boot,
-            event.next_event,
-            now_s - event.sent_at_s,
-            event.clock_ms,
-            tuple(CacheNewsRow(item.added, *item.key, item.tokens) for item in event.changes),
-        )
-        return [SendPeer(address, news) for address in addresses]
-
-    def _on_cache_news(self, news: CacheNews, now_s: float) -> list[GatewayAction]:
-        """Take in what another entry read of a store."""
-        state = self.stores.states.get(news.store)
-        if state is None or self.peers.reads(news.store, state.spec.event_readers):
-            return []
-        if state.boot == news.boot and news.next_event < state.since:
-            return []
-        sent_at_s = now_s - news.age_s - NEWS_TRANSIT_S
-        changes = tuple(
-            CacheChange(row.added, (row.namespace, row.part_id), row.tokens) for row in news.rows
-        )
-        received_at_s = now_s
-        event = CacheEventsRead(
-            news.store, sent_at_s, received_at_s, news.boot, news.next_event, news.clock_ms, changes
-        )
-        self.stores.on_events(event)
-        return []
-
     def _on_cache_listed(self, event: CacheListed, now_s: float) -> list[GatewayAction]:
         self.stores.on_listed(event)
         return []
@@ -410,14 +372,16 @@
         elif isinstance(work, FleetWork):
             self.peers.on_fleet(work, now_s)
         elif isinstance(work, CacheNews):
-            return self._on_cache_news(work, now_s)
+            self.cache_news.on_news(work, now_s)
+        elif isinstance(work, CacheNewsBatch):
+            self.cache_news.on_batch(work, now_s)
         elif isinstance(work, ViewAsked):
             return [*self.relayed.on_asked(work, now_s)]
         elif isinstance(work, ViewTold):
             return [*self.relayed.on_told(work, now_s)]
         return []
 
-    def _share(self, now_s: float) -> list[GatewayAction]:
+    def _share(self, followers: list[str], now_s: float) -> list[GatewayAction]:
         """Tell the other entries what this one has under way."""
         rows = tuple(
             PlacedRow(
@@ -426,7 +390,6 @@
             for target in self.roster.targets.values()
             if target.outstanding
         )
-        followers = self.relayed.followers(now_s)
         return [*self.exchange.due(rows, self.ready(now_s), followers, now_s)]
 
     def _on_store(self, event: StoreAnswered, now_s: float) -> list[GatewayAction]:
@@ -466,7 +429,9 @@
             self.index.forget(name)
             actions.append(self._log_target(name, "gone"))
         actions += self.stores.tick(now_s)
-        actions += self._share(now_s)
+        followers = self.relayed.followers(now_s)
+        actions += self._share(followers, now_s)
+        actions += self.cache_news.due(followers, now_s)
         actions += self._log_joined()
         actions += self.relayed.tick(now_s)
         if now_s >= self._next_duty_s:
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -79,6 +79,12 @@
     rows: tuple[CacheNewsRow, ...]
 
 
+class CacheNewsBatch(msgspec.Struct, frozen=True, tag="caches", array_like=True):
+    """What a relay knows of several stores, in the order in which it learned it."""
+
+    items: tuple[CacheNews, ...]
+
+
 class ObjectRow(NamedTuple):
     """An object of the platform's store, undecoded; ``content`` is None for a removed one."""
 
@@ -124,7 +130,9 @@
     unsettled_s: float = 0.0
 
 
-PeerPayload: TypeAlias = PlacedWork | GroupWork | FleetWork | CacheNews | ViewAsked | ViewTold
+PeerPayload: TypeAlias = (
+    PlacedWork | GroupWork | FleetWork | CacheNews | CacheNewsBatch | ViewAsked | ViewTold
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[PeerPayload] = msgspec.msgpack.Decoder(PeerPayload)
--- /dev/null
+++ b/filbertstream/process/cache_news.py
@@ -0,0 +1,117 @@
+"""What stores of kept cache told one entry, passed on to those that don't read them.
+
+Load pattern: hundreds of entries before stores that take a few event calls at once.  In a small
+fleet the readers of a store tell all others themselves.  In a large one two entries read a store
+and tell the relays (``process.relays``), and each relay tells its followers the news of all stores
+in one message.  A relay that hears nothing of a store reads it itself, whoever has died.
+"""
+
+from typing import Final
+
+from filbertstream.actions import SendPeer
+from filbertstream.messages import CacheNews, CacheNewsBatch, CacheNewsRow, PeerPayload
+from filbertstream.process.cache_stores import MS, CacheChange, CacheEventsRead, CacheStores
+from filbertstream.process.peer_work import PeerWork
+from filbertstream.process.relays import Relays
+
+NEWS_TRANSIT_S: Final = 0.15
+"""Added to the age of what another entry has read of a store: the time that its message took."""
+
+BATCH_S: Final = 0.2
+"""Interval of a relay's messages to its followers."""
+
+
+class CacheNewsExchange:
+    """This entry's part in passing on what stores tell."""
+
+    def __init__(self, peers: PeerWork, relays: Relays, stores: CacheStores) -> None:
+        self._peers = peers
+        self._relays = relays
+        self._stores = stores
+        self._held: list[tuple[float, CacheNews]] = []
+        self._sent_at_s = float("-inf")
+
+    def on_read(self, event: CacheEventsRead, now_s: float) -> list[SendPeer]:
+        """Pass on what a store told this entry."""
+        state = self._stores.states.get(event.holder)
+        if state is None:
+            return []
+        rows = tuple(CacheNewsRow(item.added, *item.key, item.tokens) for item in event.changes)
+        news = CacheNews(
+            event.holder,
+            event.boot,
+            event.next_event,
+            now_s - event.sent_at_s,
+            event.clock_ms,
+            rows,
+        )
+        if self._relays.small_fleet:
+            addresses = self._peers.told_of(event.holder, state.spec.event_readers)
+            return [SendPeer(address, news) for address in addresses]
+        if self._relays.tells_others(now_s):
+            self._held.append((now_s, news))
+        return [item for name in self._relays.others() for item in self._send(name, news)]
+
+    def _send(self, member: str, payload: PeerPayload) -> list[SendPeer]:
+        record = self._peers.members.get(member)
+        return [] if record is None else [SendPeer(record.peer_address, payload)]
+
+    def on_news(self, news: CacheNews, now_s: float) -> None:
+        """Take in what another entry read of a store, and hold it for followers."""
+        state = self._stores.states.get(news.store)
+        if state is None:
+            return
+        if self._relays.tells_others(now_s):
+            self._held.append((now_s, news))
+        if self._peers.reads(news.store, state.spec.event_readers):
+            return
+        sent_at_s = now_s - news.age_s - NEWS_TRANSIT_S
+        if state.boot == news.boot and news.next_event < state.since:
+            return
+        if state.boot != news.boot and sent_at_s < state.confirmed_at_s:
+            # One of the readers has not heard of a restart yet.
+            return
+        changes = tuple(
+            CacheChange(row.added, (row.namespace, row.part_id), row.tokens) for row in news.rows
+        )
+        event = CacheEventsRead(
+            news.store, sent_at_s, now_s, news.boot, news.next_event, news.clock_ms, changes
+        )
+        self._stores.on_events(event)
+
+    def on_batch(self, batch: CacheNewsBatch, now_s: float) -> None:
+        """Take in what a relay tells of all stores."""
+        for news in batch.items:
+            self.on_news(news, now_s)
+
+    def due(self, followers: list[str], now_s: float) -> list[SendPeer]:
+        """Return a relay's messages to its followers."""
+        if now_s - self._sent_at_s < BATCH_S or not self._held:
+            return []
+        items = _merged(self._held, now_s)
+        self._held, self._sent_at_s = [], now_s
+        relays = self._relays.others()
+        told = [name for name in followers if name not in relays]
+        batch = CacheNewsBatch(items)
+        return [item for name in told for item in self._send(name, batch)]
+
+
+def _merged(held: list[tuple[float, CacheNews]], now_s: float) -> tuple[CacheNews, ...]:
+    """Return what is to be told: all rows in order, and of news without rows the last ones."""
+    found: list[CacheNews] = []
+    newest: dict[str, CacheNews] = {}
+    for at_s, news in held:
+        news = CacheNews(
+            news.store,
+            news.boot,
+            news.next_event,
+            news.age_s + now_s - at_s,
+            None if news.clock_ms is None else news.clock_ms + int((now_s - at_s) * MS),
+            news.rows,
+        )
+        if news.rows:
+            found.append(news)
+        before = newest.get(news.store)
+        if before is None or news.age_s <= before.age_s:
+            newest[news.store] = news
+    return (*found, *(news for news in newest.values() if not news.rows))
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -13,6 +13,7 @@
 
 from filbertstream.names import rank
 from filbertstream.process.cache_index import CacheIndex, PartKey
+from filbertstream.process.relays import Relays
 from filbertstream.version.routes import CacheStore
 
 CONFIRMED_S: Final = 1.6
@@ -27,6 +28,9 @@
 WAIT_S: Final = 0.5
 """How long a store may hold an event call open; bounds the age of its last answer."""
 
+PASSED_ON_WAIT_S: Final = 0.3
+"""The same in a fleet with relays, where the answer's way to all entries takes longer."""
+
 PAUSE_S: Final = 0.25
 """Pause between two event calls, so that many events come with one."""
 
@@ -166,9 +170,11 @@
         index: CacheIndex,
         rng: random.Random,
         reads: Callable[[str, int], bool] = lambda store, limit: True,
+        relays: Relays | None = None,
     ) -> None:
         self._index = index
         self._reads = reads
+        self._relays = relays
         self._rng = rng
         self.states: dict[str, StoreState] = {}
         self._pending: dict[PartKey, float] = {}
@@ -187,15 +193,19 @@
     def tick(self, now_s: float) -> list[FollowCache | ListCache]:
         """Return the calls that are due."""
         due: list[FollowCache | ListCache] = []
+        large = self._relays is not None and not self._relays.small_fleet
+        stands_in = self._relays is not None and self._relays.tells_others(now_s)
         for state in self.states.values():
-            if not self._reads(state.name, state.spec.event_readers):
+            reads = self._reads(state.name, state.spec.event_readers)
+            if not reads and (state.fetchable(now_s) or not stands_in):
                 continue
-            if state.next_list_s is not None and now_s >= state.next_list_s:
+            if reads and state.next_list_s is not None and now_s >= state.next_list_s:
                 state.next_list_s = now_s + LIST_S * self._rng.uniform(0.8, 1.2)
                 due.append(ListCache(state.name, state.spec.address))
             if not state.calling and now_s >= state.next_call_s:
                 state.calling = True
-                due.append(FollowCache(state.name, state.spec.address, state.since, WAIT_S))
+                wait_s = PASSED_ON_WAIT_S if large else WAIT_S
+                due.append(FollowCache(state.name, state.spec.address, state.since, wait_s))
         return due
 
     def on_events(self, event: CacheEventsRead) -> bool:
--- a/tests/test_gateway_cache.py
+++ b/tests/test_gateway_cache.py
@@ -1,10 +1,5 @@
 """What the core fetches, saves and follows of kept cache, driven in virtual time."""
 
-from filbertstream.actions import SendPeer
-from filbertstream.gateway_events import (
-    EntrySeen,
-    PeerMessage,
-)
 from filbertstream.process.cache_stores import (
     CONFIRMED_S,
     QUIET_S,
@@ -12,7 +7,6 @@
     CacheEventsRead,
     FollowCache,
 )
-from filbertstream.process.peer_work import EntryRecord
 from filbertstream.request.call_flow import (
     SendCall,
 )
@@ -119,26 +113,3 @@
     world = World()
     follows = [item for item in world.run(0.2) if isinstance(item, FollowCache)]
     assert [(item.holder, item.since) for item in follows] == [("keep", 0)]
-
-
-def test_in_a_large_fleet_few_entries_read_a_store_and_tell_all_others() -> None:
-    """Load pattern: sixty entries before a store that takes twelve event calls at once."""
-    worlds = {f"e{number}": Keeping(f"e{number}") for number in range(60)}
-    for name, world in worlds.items():
-        for other in worlds:
-            record = EntryRecord(f"tcp://{other}", 1)
-            world.tell(EntrySeen(other, record, 1 + (other != name)))
-    change = CacheChange(True, (next(iter(worlds.values())).namespace(), "shared"), 800)
-    reading = [name for name, world in worlds.items() if world.core.peers.reads("keep", 12)]
-    assert 2 <= len(reading) <= 12
-    for name in reading:
-        world = worlds[name]
-        event = CacheEventsRead("keep", world.now_s, world.now_s, 1, 1, 5_000, (change,))
-        for action in world.core.step(world.now_s, event):
-            if isinstance(action, SendPeer):
-                other = worlds[action.address.removeprefix("tcp://")]
-                other.tell(PeerMessage(action.payload))
-    for world in worlds.values():
-        cache = world.send().cache
-        assert cache is not None
-        assert cache.fetch == ("10.9.0.1:80/800", "")
