A prompt is compared on a few of many runners

Cause: a decision looked at every runner (18.1 ms at 740 by docs/slopes.json), and hundreds of entries that were told the same found the same runner to be the least loaded.

Change: from 13 runners on, the four preferred runners of the prompt's largest shared part, three that hold the most and seven drawn ones are compared; preferred ones are remembered while the same runners are registered.

--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -145,7 +145,7 @@
         self.burn = Burn()
         self.keyed = KeyedCalls(cfg.name, cfg.incarnation, self.peers.is_registered)
         holdings = Holdings(self.index, self.stores)
-        self.prompts = Prompts(cfg.data_center, self.roster, holdings, self.weights)
+        self.prompts = Prompts(cfg.data_center, self.roster, holdings, self.weights, rng)
         parts = ForwardingParts(
             cfg.data_center,
             self.roster,
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -92,6 +92,7 @@
         self.targets: dict[str, RosterTarget] = {}
         self.outliers = Outliers()
         self._by_service: dict[str, list[str]] = {}
+        self._names: dict[str, frozenset[str]] = {}
         self.unsettled_until_s = 0.0
         self.others: Others = lambda target, now_s: OthersWork(0, 0, 0, 0)
         self.drained: frozenset[str] = frozenset()
@@ -163,6 +164,11 @@
         self._by_service = {}
         for name in sorted(self.targets):
             self._by_service.setdefault(self.targets[name].entry.service, []).append(name)
+        self._names = {service: frozenset(names) for service, names in self._by_service.items()}
+
+    def names_of(self, service: str) -> frozenset[str]:
+        """Return the names of all targets of a service; the same set while they stay."""
+        return self._names.get(service, frozenset())
 
     def of_service(self, service: str) -> list[RosterTarget]:
         """Return all targets of a service, usable or not, in a fixed order."""
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -3,6 +3,7 @@
 Pure but for the hints that it leaves in the cache index: where a part was sent, it will be.
 """
 
+import random
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
@@ -10,7 +11,14 @@
 from filbertstream.request.call import CacheOrders, Prompt
 from filbertstream.request.call_state import Call
 from filbertstream.request.overload import Room, retry_after_s, room
-from filbertstream.request.placement import Ask, Holdings, Placement, Source, place_prompt
+from filbertstream.request.placement import (
+    Ask,
+    Candidates,
+    Holdings,
+    Placement,
+    Source,
+    place_prompt,
+)
 from filbertstream.version.routes import Engine
 from filbertstream.version.weights_view import WeightsView, cache_namespace
 
@@ -41,13 +49,19 @@
     """Places prompts; ``choose`` picks the runner, and benches compare others with it."""
 
     def __init__(
-        self, data_center: str, roster: Roster, holdings: Holdings, weights: WeightsView
+        self,
+        data_center: str,
+        roster: Roster,
+        holdings: Holdings,
+        weights: WeightsView,
+        rng: random.Random,
     ) -> None:
         self._data_center = data_center
         self._roster = roster
         self._holdings = holdings
         self._weights = weights
         self.choose: Choose = place_prompt
+        self._candidates = Candidates(rng)
         self._turn = 0
 
     def place(
@@ -61,7 +75,9 @@
         targets = self._weights.admitted(prompt.model, candidates, now_s)
         limits = room(call.route.queue_limit_s, call.urgency)
         ask = self._ask(call, prompt, engine, targets, limits)
-        placement = self.choose(ask, targets, self._holdings, now_s)
+        registered = self._roster.names_of(call.service.name)
+        compared = self._candidates.choose(ask, targets, registered, self._holdings.parts)
+        placement = self.choose(ask, compared, self._holdings, now_s)
         if placement is None:
             return None
         ahead = placement.target.unread(now_s)
