One kind probes a store that does not answer

Change: after its second failure a kind waits until the first kind is answered again; an entry on which nobody relies asks every 2 s at most. How a relay follows named weights goes by the bound for old ones, the duty's watch waits 0.9 s; a test holds every kind's usual age below the share.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,9 +15,9 @@
 from filbertstream.connection.store_watch import (
     RELAY_REVOKE_SHARE,
     RELAY_TARGETS_SHARE,
+    RELAY_WEIGHTS_SHARE,
     RELAYED_DUTIES,
     RELAYED_ENTRIES,
-    RELAYED_WEIGHTS,
 )
 from filbertstream.process.relays import ASK_S, MEMBERS_A_RELAY
 
@@ -50,12 +50,13 @@
 ROWS_TOLD: Final = 100
 REVOKE_S: Final = 5.0
 DRAIN_S: Final = 2.0
-"""The bounds of today's deployments for removed keys and drains."""
+VERSION_S: Final = 8.0
+"""The bounds of today's deployments for removed keys, drains and old weights."""
 
 RELAY_WAITS_S: Final = (
     RELAY_REVOKE_SHARE * REVOKE_S,
     RELAYED_DUTIES.wait_s,
-    RELAYED_WEIGHTS.wait_s,
+    RELAY_WEIGHTS_SHARE * VERSION_S,
     RELAY_TARGETS_SHARE * DRAIN_S,
     RELAYED_ENTRIES.pause_s,
 )
--- a/filbertstream/connection/store_watch.py
+++ b/filbertstream/connection/store_watch.py
@@ -8,7 +8,7 @@
 import math
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Final, NamedTuple, Protocol
 
 import msgspec
@@ -51,13 +51,9 @@
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.duty import DutyRecord
 from filbertstream.process.peer_work import EntryRecord
+from filbertstream.process.probing import Probing
 from filbertstream.process.store_view import Followed, KindShown, KindTaken
 
-RETRY_S: Final = 0.15
-"""Pause after a call without an answer, doubled up to ``RETRY_MAX_S``."""
-
-RETRY_MAX_S: Final = 0.6
-
 DUTY_NAME: Final = "weights"
 
 Tell = Callable[[Any], None]
@@ -231,8 +227,13 @@
 """The share of that bound up to which another entry's word counts; the rest is for what is under
 way when an entry turns to the store instead."""
 
-RELAYED_WEIGHTS: Final = Relayed(WEIGHTS_WAIT_S, 0.0, 7.0)
-RELAYED_DUTIES: Final = Relayed(1.0, 0.0, 2.8)
+RELAY_WEIGHTS_SHARE: Final = 0.25
+"""The wait of a relay's watch of named weights as a share of the bound for old ones."""
+
+RELAYED_WEIGHTS_SHARE: Final = 0.8
+"""The share of that bound up to which another entry's word counts."""
+
+RELAYED_DUTIES: Final = Relayed(0.9, 0.0, 2.8)
 """The age is less than ``version.weights_view.VIEW_S``; changes are passed on at once."""
 
 RELAYED_ENTRIES: Final = Relayed(10.0, 0.5, math.inf)
@@ -244,6 +245,11 @@
     return Relayed(0.0, pause_s, RELAYED_CONFIG_SHARE * bounds.revoke_s)
 
 
+def _relayed_weights(bounds: Bounds) -> Relayed:
+    wait_s = RELAY_WEIGHTS_SHARE * bounds.version_s
+    return Relayed(wait_s, 0.0, RELAYED_WEIGHTS_SHARE * bounds.version_s)
+
+
 def _relayed_targets(bounds: Bounds) -> Relayed:
     pause_s = RELAY_TARGETS_SHARE * bounds.drain_s
     return Relayed(0.0, pause_s, RELAYED_TARGETS_SHARE * bounds.drain_s)
@@ -299,7 +305,7 @@
             _list_weights,
             _change_weights,
             _ignore_quiet,
-            RELAYED_WEIGHTS,
+            _relayed_weights(bounds),
         ),
         *_common_kinds(bounds),
     )
@@ -366,6 +372,9 @@
     return ObjectRow(stored.name, stored.revision, None if removed else bytes(stored.content))
 
 
+PROBED_S: Final = 5.0
+"""A kind that waits for another's answer is asked about after this time all the same."""
+
 IDLE_S: Final = 5.0
 """How often a watcher that has nothing to do looks whether it was stopped."""
 
@@ -373,17 +382,24 @@
 class StoreGate:
     """Tells the watchers of an entry which kinds it reads itself, and wakes them for it."""
 
-    def __init__(self) -> None:
+    def __init__(self, kinds: Iterable[str]) -> None:
         self._changed = threading.Condition()
         self._idle: frozenset[str] = frozenset()
+        self._probing = Probing(kinds)
+        self._relies = False
         self.tells = False
 
-    def set(self, idle: frozenset[str], tells: bool) -> None:
-        """Have the ``idle`` kinds not read; ``tells``: other entries rely on this one."""
-        self.tells = tells
+    def set(self, idle: frozenset[str], tells: bool, relies: bool) -> None:
+        """Have the ``idle`` kinds not read.
+
+        ``tells``: other entries rely on this one; ``relies``: it relies on others where it can.
+        """
+        self.tells, self._relies = tells, relies
         if idle != self._idle:
             with self._changed:
                 self._idle = idle
+                for kind in idle:
+                    self._probing.answered(kind)
                 self._changed.notify_all()
 
     def wait(self, kind: str, longest_s: float) -> bool:
@@ -391,6 +407,21 @@
         with self._changed:
             return self._changed.wait_for(lambda: kind not in self._idle, longest_s)
 
+    def answered(self, kind: str) -> None:
+        """Take in that the store answered a call."""
+        with self._changed:
+            self._probing.answered(kind)
+            self._changed.notify_all()
+
+    def failed(self, kind: str) -> None:
+        """Take in that the store did not answer, and wait until it should be asked again."""
+        with self._changed:
+            self._probing.failed(kind)
+            pause_s = self._probing.retry_s(kind, self._relies)
+        time.sleep(pause_s)
+        with self._changed:
+            self._changed.wait_for(lambda: not self._probing.waits(kind), PROBED_S)
+
 
 class _Step:
     """Message of a watcher to itself."""
@@ -416,7 +447,6 @@
         self._watched = watched
         self._tell = tell
         self._as_of: int | None = None
-        self._retry_s = RETRY_S
 
     def on_start(self) -> None:
         """Begin to follow."""
@@ -433,14 +463,12 @@
             self.actor_ref.tell(_Step())
             return
         fault = self._list() if self._as_of is None else self._watch(self._as_of)
-        if fault is None:
-            self._retry_s = RETRY_S
-        elif fault is StoreFault.EXPIRED:
-            self._as_of = None
+        if fault is None or fault is StoreFault.EXPIRED:
+            self._gate.answered(self._watched.kind)
+            self._as_of = None if fault is StoreFault.EXPIRED else self._as_of
         else:
             self._tell(StoreAnswered(self._watched.kind, False, fault.value))
-            time.sleep(self._retry_s)
-            self._retry_s = min(RETRY_MAX_S, 2 * self._retry_s)
+            self._gate.failed(self._watched.kind)
         self.actor_ref.tell(_Step())
 
     def _list(self) -> StoreFault | None:
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -121,7 +121,7 @@
         self._servers: list[asyncio.Server] = []
         self._stop_at_s: float | None = None
         self.broken = ""
-        self._gate = StoreGate()
+        self._gate = StoreGate(self._watched)
         self._product: Product | None = None
         if setup is not None:
             self._product = setup.build(self.core, self.edge, self._store, self._metrics)
@@ -325,7 +325,9 @@
         """Have the watchers read what other entries don't tell."""
         relayed = self.core.relayed
         idle = frozenset(kind for kind in self._watched if not relayed.reads_kind(kind, now_s))
-        self._gate.set(idle, self.core.relays.tells_others(now_s))
+        relays = self.core.relays
+        tells = relays.tells_others(now_s)
+        self._gate.set(idle, tells, not (tells or relays.small_fleet))
 
     def _show_kind(self, action: ShowKind) -> None:
         """Decode objects and tell the core; a large one does not hold up the event loop.
