A stream gets on by events, not by bytes

Cause: the timer that notices a silent answer began anew at any byte, so a runner that had stalled and sent a byte, a comment or a blank line now and then kept its stream until the caller's deadline, even where it could have gone on at another runner.

Change: the sink tells whether an answer has got on; a stream has by an event with an id or data. A slow but sound stream is told apart by its events; plain answers still count bytes, and end at their route's timeout.

--- a/filbertstream/connection/event_relay.py
+++ b/filbertstream/connection/event_relay.py
@@ -8,6 +8,7 @@
 
 END: Final = b"\n\n"
 ID_FIELD: Final = b"id:"
+DATA_FIELD: Final = b"data:"
 EVENT_LIMIT_BYTES: Final = 1_000_000
 """Events hold a few tokens; bytes without an end of an event are none."""
 
@@ -28,6 +29,8 @@
         self.last_id = last_id
         self._buffer = b""
         self.malformed = False
+        self.useful = 0
+        """Events passed on that bear an id or data."""
 
     @property
     def whole(self) -> bool:
@@ -53,6 +56,7 @@
         end += len(END)
         self._buffer = buffer[end:]
         passed = [event for event in buffer[:end].split(END)[:-1] if self._is_new(event)]
+        self.useful += sum(1 for event in passed if _is_useful(event))
         return b"".join([event + END for event in passed])
 
     def _is_new(self, event: bytes) -> bool:
@@ -66,6 +70,10 @@
         return True
 
 
+def _is_useful(event: bytes) -> bool:
+    return any(line.startswith((ID_FIELD, DATA_FIELD)) for line in event.split(b"\n"))
+
+
 def _event_id(event: bytes) -> str | None:
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -90,26 +90,33 @@
         if self._relayed.events is not None:
             self._relayed.events.restart()
 
-    def on_body(self, data: bytes) -> None:
-        """Pass bytes on, or keep them until the answer is whole."""
+    def on_body(self, data: bytes) -> bool:
+        """Pass bytes on, or keep them until the answer is whole.
+
+        A stream has got on only by events that its caller can use: a runner that stalls may send a
+        byte or a comment now and then.
+        """
         if self.over or not self._relays:
-            return
+            return False
         if not self._first:
             self._first = True
             self._edge.tell(FirstEvent(self.action.call_id, self.action.number))
         if self._streams and self._relayed.events is not None:
-            passed = self._relayed.events.feed(data)
-            if self._relayed.events.malformed:
+            events = self._relayed.events
+            before = events.useful
+            passed = events.feed(data)
+            if events.malformed:
                 self._fail("too_large")
-                return
+                return False
             data = self._relayed.form.events(passed) if passed else b""
             if data:
                 self._relayed.conn.stream(data)
-            return
+            return events.useful > before
         self._body.append(data)
         self._body_bytes += len(data)
         if self._body_bytes > BUFFERED_BYTES:
             self._fail("too_large")
+        return True
 
     def on_whole(self) -> None:
         """End the caller's answer as whole, if it is."""
--- a/filbertstream/connection/target_link.py
+++ b/filbertstream/connection/target_link.py
@@ -46,8 +46,8 @@
     def on_head(self, answer: AnswerHead, reason: str, headers: Headers) -> None:
         """Take the head of the answer."""
 
-    def on_body(self, data: bytes) -> None:
-        """Take a part of the body."""
+    def on_body(self, data: bytes) -> bool:
+        """Take a part of the body; whether the answer has got on by it."""
 
     def on_whole(self) -> None:
         """The answer is whole."""
@@ -136,9 +136,7 @@
             # Bytes that nobody asked for: whatever follows could be taken for an answer.
             self.abort()
             return
-        if self._in_body:
-            self._restart_timer()
-        else:
+        if not self._in_body:
             self._waiting_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -192,8 +190,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser."""
-        if self._sink is not None and not self._foreign:
-            self._sink.on_body(data)
+        if self._sink is not None and not self._foreign and self._sink.on_body(data):
+            self._restart_timer()
 
     def on_message_complete(self) -> None:
         """Called by the parser."""
@@ -342,14 +340,15 @@
         """Keep the status."""
         self._status = answer.status
 
-    def on_body(self, data: bytes) -> None:
+    def on_body(self, data: bytes) -> bool:
         """Keep a part of the body, or give up on one that is too large to be an answer."""
         self._size += len(data)
         if self._size > self._limit_bytes:
             self._body.clear()
             self.on_broken("too_large")
-            return
+            return False
         self._body.append(data)
+        return True
 
     def on_whole(self) -> None:
         """Hand the answer over."""
--- a/filbertstream/connection/v1_answers.py
+++ b/filbertstream/connection/v1_answers.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from filbertstream.connection.answer_form import Refusal
-from filbertstream.connection.event_relay import END, ID_FIELD
+from filbertstream.connection.event_relay import DATA_FIELD, END, ID_FIELD
 from filbertstream.platform.headers import Headers
 from filbertstream.request.call import WholeAnswer
 from filbertstream.statuses import REASONS
@@ -21,7 +21,6 @@
 JSON: Final = "application/json"
 STREAM: Final = "text/event-stream"
 PROBLEM: Final = "application/problem+json"
-DATA_FIELD: Final = b"data:"
 DONE: Final = b"data: [DONE]\n\n"
 MAY_HAVE_RUN: Final = (502, 504)
 """Refusals of these statuses stand for calls that may have run."""
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -116,8 +116,9 @@
     def on_head(self, answer: AnswerHead, reason: str, headers: Headers) -> None:
         """An answer began."""
 
-    def on_body(self, data: bytes) -> None:
+    def on_body(self, data: bytes) -> bool:
         self.body_bytes += len(data)
+        return True
 
     def on_whole(self) -> None:
         self.end.set_result("whole")
--- a/tests/test_target_link.py
+++ b/tests/test_target_link.py
@@ -31,6 +31,7 @@
 class Sink:
     def __init__(self, ends_when_silent: bool = True) -> None:
         self.ends_when_silent = ends_when_silent
+        self.gets_on = True
         self.silences = 0
         self.heads: list[int] = []
         self.body = b""
@@ -39,8 +40,9 @@
     def on_head(self, answer: AnswerHead, reason: str, headers: Headers) -> None:
         self.heads.append(answer.status)
 
-    def on_body(self, data: bytes) -> None:
+    def on_body(self, data: bytes) -> bool:
         self.body += data
+        return self.gets_on
 
     def on_whole(self) -> None:
         self.end.set_result("whole")
