--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
-from filbertstream.connection.store_watch import (
+from filbertstream.connection.watched_kinds import (
     RELAY_REVOKE_SHARE,
     RELAY_TARGETS_SHARE,
     RELAY_WEIGHTS_SHARE,
--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -10,7 +10,7 @@
 
 from filbertstream.connection.document_store import DocumentWatch
 from filbertstream.connection.key_store import of_read, of_write
-from filbertstream.connection.store_watch import (
+from filbertstream.connection.watched_kinds import (
     DUTY_NAME,
     Watched,
     product_kinds,
--- /dev/null
+++ b/filbertstream/connection/watched_kinds.py
@@ -0,0 +1,365 @@
+"""The kinds of objects in the platform's store that entries follow, and what they tell the core.
+
+What is told is in the project's types; the moment at which a call was sent goes with it, since that
+is when its answer was surely true.  ``connection.store_watch`` makes the calls.
+"""
+
+import math
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple, Protocol
+
+import msgspec
+from result import Err, Ok
+
+from filbertstream.gateway_events import (
+    ConfigurationSeen,
+    DutyConfirmed,
+    DutySeen,
+    EntriesListed,
+    EntrySeen,
+    StoreAnswered,
+    TargetSeen,
+    TargetsListed,
+    WeightsNamed,
+)
+from filbertstream.messages import ObjectRow
+from filbertstream.platform.documents import (
+    CONFIG_KIND,
+    CONFIG_NAME,
+    DOCUMENTS_KIND,
+    DUTIES_KIND,
+    ENTRIES_KIND,
+    TARGETS_KIND,
+    WEIGHTS_KIND,
+    decode_configuration,
+    decode_named_weights,
+    decode_own,
+    decode_target,
+)
+from filbertstream.platform.objects import (
+    Change,
+    Changes,
+    Listing,
+    StoredObject,
+)
+from filbertstream.process.deployment import Bounds
+from filbertstream.process.duty import DutyRecord
+from filbertstream.process.peer_work import EntryRecord
+from filbertstream.process.store_view import Followed, KindShown, KindTaken
+
+DUTY_NAME: Final = "weights"
+
+Tell = Callable[[Any], None]
+
+
+class Relayed(NamedTuple):
+    """How a relay follows a kind: the wait of its watch, and the pause after it.
+
+    A watch that waits shows nothing until it answers: what is known grows twice as old as the wait.
+    Without a wait it grows as old as the pause, so that fewer calls are needed, while changes are
+    seen later.  Other entries take a relay's word up to an age of ``max_age_s``.
+    """
+
+    wait_s: float
+    pause_s: float
+    max_age_s: float
+
+
+class Watched(NamedTuple):
+    """How a kind is followed.
+
+    ``wait_s`` is the longest a watch waits, so the longest a silent connection goes unnoticed.
+    ``pause_s`` gathers changes of a kind that changes all the time.  ``relayed`` is how the kind is
+    followed where other entries rely on this one, see ``process.relayed_view``.
+    """
+
+    kind: str
+    wait_s: float
+    pause_s: float
+    on_listing: Callable[[Listing, Tell], None]
+    on_change: Callable[[Change, float, Tell], None]
+    on_quiet: Callable[[float, Tell], None]
+    relayed: Relayed
+
+    @property
+    def followed(self) -> Followed:
+        """What the core is told of the kind."""
+        return Followed(self.kind, self.relayed.max_age_s, not self.pause_s)
+
+
+def _ignore_quiet(sent_at_s: float, tell: Tell) -> None:
+    """A watch that saw nothing tells nothing of most kinds."""
+
+
+def _list_configuration(listing: Listing, tell: Tell) -> None:
+    for stored in listing.objects:
+        _tell_configuration(stored, listing.sent_at_s, tell)
+
+
+def _tell_configuration(stored: StoredObject, sent_at_s: float, tell: Tell) -> None:
+    if stored.name != CONFIG_NAME:
+        return
+    match decode_configuration(stored.content):
+        case Ok(config):
+            tell(ConfigurationSeen(config, sent_at_s))
+        case Err(reason):
+            tell(StoreAnswered(CONFIG_KIND, False, f"unreadable: {reason}"))
+
+
+def _change_configuration(change: Change, sent_at_s: float, tell: Tell) -> None:
+    if not change.removed:
+        _tell_configuration(change.stored, sent_at_s, tell)
+
+
+def _quiet_configuration(sent_at_s: float, tell: Tell) -> None:
+    tell(ConfigurationSeen(None, sent_at_s))
+
+
+def _list_targets(listing: Listing, tell: Tell) -> None:
+    entries = [decode_target(item.name, item.content) for item in listing.objects]
+    tell(TargetsListed(tuple(item.ok_value for item in entries if isinstance(item, Ok))))
+
+
+def _change_target(change: Change, sent_at_s: float, tell: Tell) -> None:
+    name = change.stored.name
+    if change.removed:
+        tell(TargetSeen(name, None, True))
+        return
+    decoded = decode_target(name, change.stored.content)
+    tell(TargetSeen(name, decoded.ok_value if isinstance(decoded, Ok) else None, False))
+
+
+def _list_weights(listing: Listing, tell: Tell) -> None:
+    for stored in listing.objects:
+        match decode_named_weights(stored.content):
+            case Ok((model, version)):
+                tell(WeightsNamed(model, version, True))
+            case Err(reason):
+                tell(StoreAnswered(WEIGHTS_KIND, False, f"unreadable: {reason}"))
+
+
+def _change_weights(change: Change, sent_at_s: float, tell: Tell) -> None:
+    match decode_named_weights(change.stored.content):
+        case Ok((model, version)) if not change.removed:
+            tell(WeightsNamed(model, version))
+
+
+def _list_duties(listing: Listing, tell: Tell) -> None:
+    tell(DutyConfirmed(listing.sent_at_s))
+    if not any(stored.name == DUTY_NAME for stored in listing.objects):
+        tell(DutySeen(None, 0))
+    for stored in listing.objects:
+        tell_duty(stored, tell)
+
+
+def _change_duty(change: Change, sent_at_s: float, tell: Tell) -> None:
+    if not change.removed:
+        tell_duty(change.stored, tell)
+
+
+def tell_duty(stored: StoredObject, tell: Tell) -> None:
+    """Tell the core of the duty's record."""
+    if stored.name != DUTY_NAME:
+        return
+    try:
+        record = decode_own(stored.content, DutyRecord)
+    except msgspec.DecodeError as exc:
+        tell(StoreAnswered(DUTIES_KIND, False, f"unreadable: {exc}"))
+        return
+    tell(DutySeen(record, stored.revision))
+
+
+def _quiet_duties(sent_at_s: float, tell: Tell) -> None:
+    tell(DutyConfirmed(sent_at_s))
+
+
+def _list_entries(listing: Listing, tell: Tell) -> None:
+    tell(EntriesListed(frozenset(stored.name for stored in listing.objects)))
+    for stored in listing.objects:
+        _change_entry(Change(stored, False), listing.sent_at_s, tell)
+
+
+def _change_entry(change: Change, sent_at_s: float, tell: Tell) -> None:
+    name = change.stored.name
+    if change.removed:
+        tell(EntrySeen(name, None, 0))
+        return
+    try:
+        record = decode_own(change.stored.content, EntryRecord)
+    except msgspec.DecodeError as exc:
+        tell(StoreAnswered(ENTRIES_KIND, False, f"unreadable: {exc}"))
+        return
+    tell(EntrySeen(name, record, change.stored.revision))
+
+
+CONFIG_WAIT_SHARE: Final = 0.4
+"""The wait of a watch as a share of the bound for configurations: the age of a confirmation reaches
+twice the wait."""
+
+TARGETS_PAUSE_SHARE: Final = 0.25
+"""Registrations change all the time; they are gathered for this share of the bound for drains."""
+
+TARGETS_WAIT_S: Final = 2.0
+WEIGHTS_WAIT_S: Final = 3.0
+DUTIES_WAIT_S: Final = 1.4
+"""The view of the duty is needed with an age under twice this, see ``version.weights_view``."""
+
+RELAY_REVOKE_SHARE: Final = 0.25
+RELAY_APPLY_SHARE: Final = 0.3
+"""A relay asks for the configuration after these shares of the bounds for removed keys and for
+configurations, the shorter of both."""
+
+RELAYED_CONFIG_SHARE: Final = 0.45
+"""The share of the bound for removed keys up to which another entry's word counts: more than the
+above and the interval of questions, and less than makes an entry unready."""
+
+RELAY_TARGETS_SHARE: Final = 0.3
+"""A relay asks for registrations after this share of the bound for drains."""
+
+RELAYED_TARGETS_SHARE: Final = 0.75
+"""The share of that bound up to which another entry's word counts; the rest is for what is under
+way when an entry turns to the store instead."""
+
+RELAY_WEIGHTS_SHARE: Final = 0.25
+"""The wait of a relay's watch of named weights as a share of the bound for old ones."""
+
+RELAYED_WEIGHTS_SHARE: Final = 0.8
+"""The share of that bound up to which another entry's word counts."""
+
+RELAYED_DUTIES: Final = Relayed(0.9, 0.0, 2.8)
+"""The age is less than ``version.weights_view.VIEW_S``; changes are passed on at once."""
+
+RELAYED_ENTRIES: Final = Relayed(10.0, 0.5, math.inf)
+"""A registration of an entry is a hint only: any age does."""
+
+
+def _relayed_config(bounds: Bounds) -> Relayed:
+    pause_s = min(RELAY_REVOKE_SHARE * bounds.revoke_s, RELAY_APPLY_SHARE * bounds.config_apply_s)
+    return Relayed(0.0, pause_s, RELAYED_CONFIG_SHARE * bounds.revoke_s)
+
+
+def _relayed_weights(bounds: Bounds) -> Relayed:
+    wait_s = RELAY_WEIGHTS_SHARE * bounds.version_s
+    return Relayed(wait_s, 0.0, RELAYED_WEIGHTS_SHARE * bounds.version_s)
+
+
+def _relayed_targets(bounds: Bounds) -> Relayed:
+    pause_s = RELAY_TARGETS_SHARE * bounds.drain_s
+    return Relayed(0.0, pause_s, RELAYED_TARGETS_SHARE * bounds.drain_s)
+
+
+ENTRIES_WAIT_S: Final = 10.0
+ENTRIES_PAUSE_S: Final = 0.5
+
+
+class ConfigurationWatch(Protocol):
+    """Tells the core of a configuration that is not the users' own document."""
+
+    def on_listing(self, listing: Listing, tell: Tell) -> None:
+        """Tell what is there."""
+
+    def on_change(self, change: Change, sent_at_s: float, tell: Tell) -> None:
+        """Tell what was written."""
+
+    def on_quiet(self, sent_at_s: float, tell: Tell) -> None:
+        """Tell that nothing was written."""
+
+
+def product_kinds(bounds: Bounds, documents: ConfigurationWatch) -> tuple[Watched, ...]:
+    """Return how each kind is followed where the operators' documents are the configuration."""
+    watched = Watched(
+        DOCUMENTS_KIND,
+        CONFIG_WAIT_SHARE * bounds.config_apply_s,
+        0.0,
+        documents.on_listing,
+        documents.on_change,
+        documents.on_quiet,
+        _relayed_config(bounds),
+    )
+    return (watched, *_common_kinds(bounds))
+
+
+def watched_kinds(bounds: Bounds) -> tuple[Watched, ...]:
+    """Return how each kind is followed on the users' platform."""
+    return (
+        Watched(
+            CONFIG_KIND,
+            CONFIG_WAIT_SHARE * bounds.config_apply_s,
+            0.0,
+            _list_configuration,
+            _change_configuration,
+            _quiet_configuration,
+            _relayed_config(bounds),
+        ),
+        Watched(
+            WEIGHTS_KIND,
+            WEIGHTS_WAIT_S,
+            0.0,
+            _list_weights,
+            _change_weights,
+            _ignore_quiet,
+            _relayed_weights(bounds),
+        ),
+        *_common_kinds(bounds),
+    )
+
+
+def _common_kinds(bounds: Bounds) -> tuple[Watched, ...]:
+    targets_pause_s = TARGETS_PAUSE_SHARE * bounds.drain_s
+    return (
+        Watched(
+            TARGETS_KIND,
+            TARGETS_WAIT_S,
+            targets_pause_s,
+            _list_targets,
+            _change_target,
+            _ignore_quiet,
+            _relayed_targets(bounds),
+        ),
+        Watched(
+            DUTIES_KIND,
+            DUTIES_WAIT_S,
+            0.0,
+            _list_duties,
+            _change_duty,
+            _quiet_duties,
+            RELAYED_DUTIES,
+        ),
+        Watched(
+            ENTRIES_KIND,
+            ENTRIES_WAIT_S,
+            ENTRIES_PAUSE_S,
+            _list_entries,
+            _change_entry,
+            _ignore_quiet,
+            RELAYED_ENTRIES,
+        ),
+    )
+
+
+def show_kind(watched: Watched, taken: KindTaken, tell: Tell) -> None:
+    """Decode what is new of a kind and tell it."""
+    if taken.whole:
+        objects = tuple(_stored(row) for row in taken.rows if row.content is not None)
+        watched.on_listing(Listing(taken.shown_at_s, 0, objects), tell)
+        return
+    for row in taken.rows:
+        watched.on_change(Change(_stored(row), row.content is None), taken.shown_at_s, tell)
+    watched.on_quiet(taken.shown_at_s, tell)
+
+
+def _stored(row: ObjectRow) -> StoredObject:
+    return StoredObject(row.name, row.revision, msgspec.Raw(row.content or b"null"))
+
+
+def shown(kind: str, since: int | None, found: Listing | Changes) -> KindShown:
+    """Return what an answer of the store shows of a kind: a listing, or a watch after ``since``."""
+    if isinstance(found, Listing):
+        rows = tuple(_row(stored) for stored in found.objects)
+    else:
+        rows = tuple(_row(*change) for change in found.changes)
+    return KindShown(kind, since is None, since or 0, found.as_of, found.sent_at_s, rows)
+
+
+def _row(stored: StoredObject, removed: bool = False) -> ObjectRow:
+    return ObjectRow(stored.name, stored.revision, None if removed else bytes(stored.content))
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -24,10 +24,9 @@
 from filbertstream.connection.key_store import KeyStore
 from filbertstream.connection.loop_errors import LoopErrors
 from filbertstream.connection.peer_link import PeerLink
-from filbertstream.connection.store_watch import (
+from filbertstream.connection.store_watch import StoreGate, StoreWatcher
+from filbertstream.connection.watched_kinds import (
     DUTY_NAME,
-    StoreGate,
-    StoreWatcher,
     Watched,
     show_kind,
     tell_duty,
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -16,10 +16,10 @@
 from filbertstream.connection.gateway_edge import GatewayEdge
 from filbertstream.connection.listener import Listener
 from filbertstream.connection.operator_api import BODY_LIMIT_BYTES, OperatorApi
-from filbertstream.connection.store_watch import Watched, product_kinds
 from filbertstream.connection.tls import ReloadingAdapter, ReloadingAuthority
 from filbertstream.connection.v1_port import V1Port
 from filbertstream.connection.v1_requests import RequestIds
+from filbertstream.connection.watched_kinds import Watched, product_kinds
 from filbertstream.gateway import Gateway
 from filbertstream.platform.objects import ObjectStore
 from filbertstream.process.deployment import Bounds, Deployment
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -6,13 +6,9 @@
 moving the prefix); a runner that is far behind; entries that decide on the same old facts (what
 they were told weighs less with its age, and a preferred runner by rendezvous rank keeps them from
 all moving at once); prefixes that no store has any more (they are read once, at the preferred
-runner, and not once by each); hundreds of entries that would all find the same one of hundreds of
-runners to be the least loaded (each compares the preferred runners, those that hold the most and a
-few drawn ones, which also takes the same time whatever the fleet).
+runner, and not once by each).
 """
 
-import heapq
-import random
 from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple
 
@@ -60,23 +56,6 @@
 """Cost of a runner whose weights are older than the named ones."""
 
 
-COMPARED_ALL: Final = 12
-"""Up to this many runners, all are compared."""
-
-COMPARED_HOLDERS: Final = 3
-"""Runners that hold the most of a prompt and are compared; they differ little in cost."""
-
-COMPARED_DRAWN: Final = 7
-"""Runners that are drawn for comparison: of so many, one is among the least loaded sixth in seven
-cases of ten."""
-
-PREFERRED_KEPT: Final = 4
-"""Preferred runners of a part that are remembered; the next one counts while one is left out."""
-
-PREFERRED_PARTS: Final = 20_000
-"""Parts of which the preferred runners are remembered, about 4 MB."""
-
-
 class Ask(NamedTuple):
     """What a prompt is placed by."""
 
@@ -137,61 +116,6 @@
     return min(options, key=lambda option: (not option.has_room, option.cost))
 
 
-class Candidates:
-    """Chooses the runners that a prompt is compared on, where there are many.
-
-    The preferred runners of a part are remembered as long as the same runners are registered.
-    """
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-        self._registered: frozenset[str] = frozenset()
-        self._preferred: dict[str, tuple[str, ...]] = {}
-
-    def choose(
-        self,
-        ask: Ask,
-        targets: Sequence[RosterTarget],
-        registered: frozenset[str],
-        index: CacheIndex,
-    ) -> Sequence[RosterTarget]:
-        """Return some of ``targets``; ``registered`` names all runners of the service."""
-        if len(targets) <= COMPARED_ALL:
-            return targets
-        if registered is not self._registered or len(self._preferred) > PREFERRED_PARTS:
-            self._registered, self._preferred = registered, {}
-        by_name = {target.target_id: target for target in targets}
-        names = [*self._homes(ask), *_holding_most(ask, index)]
-        found = {name: by_name[name] for name in names if name in by_name}
-        for target in self._rng.sample(targets, COMPARED_DRAWN):
-            found[target.target_id] = target
-        return tuple(found.values())
-
-    def _homes(self, ask: Ask) -> tuple[str, ...]:
-        subject = preference(ask)
-        if subject is None:
-            return ()
-        known = self._preferred.get(subject)
-        if known is None:
-            ranked = heapq.nlargest(
-                PREFERRED_KEPT, self._registered, key=lambda name: rank(name, subject)
-            )
-            known = self._preferred[subject] = tuple(ranked)
-        return known
-
-
-def _holding_most(ask: Ask, index: CacheIndex) -> list[str]:
-    """Return holders of the last shared part that is held, whose parts before it are likely too."""
-    for part in reversed(ask.prompt.parts[:-1] or ask.prompt.parts):
-        for namespace in ask.namespaces.values():
-            holders = index.holders((namespace, part.part_id))
-            if holders:
-                return heapq.nlargest(
-                    COMPARED_HOLDERS, holders, key=lambda name: (holders[name], name)
-                )
-    return []
-
-
 def preference(ask: Ask) -> str | None:
     """Return the part by which a prompt prefers runners: its largest shared one.
 
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -10,15 +10,9 @@
 from filbertstream.process.roster import Roster, RosterTarget
 from filbertstream.request.call import CacheOrders, Prompt
 from filbertstream.request.call_state import Call
+from filbertstream.request.candidates import Candidates
 from filbertstream.request.overload import Room, retry_after_s, room
-from filbertstream.request.placement import (
-    Ask,
-    Candidates,
-    Holdings,
-    Placement,
-    Source,
-    place_prompt,
-)
+from filbertstream.request.placement import Ask, Holdings, Placement, Source, place_prompt
 from filbertstream.version.routes import Engine
 from filbertstream.version.weights_view import WeightsView, cache_namespace
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -6,7 +6,7 @@
 
 import bench.world
 from filbertstream.actions import Log
-from filbertstream.connection.store_watch import Tell, product_kinds, show_kind
+from filbertstream.connection.watched_kinds import Tell, product_kinds, show_kind
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     ConfigurationSeen,
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -9,14 +9,14 @@
 from filbertstream.process.peer_work import OthersWork
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call import PromptPart
-from filbertstream.request.placement import (
+from filbertstream.request.candidates import (
     COMPARED_ALL,
     COMPARED_DRAWN,
     COMPARED_HOLDERS,
     PREFERRED_KEPT,
     Candidates,
-    place_prompt,
 )
+from filbertstream.request.placement import place_prompt
 from tests.gateway_world import ENGINE
 from tests.test_placement import SPACE, Runners, talk
 
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from filbertstream.connection.store_watch import RELAYED_CONFIG_SHARE, watched_kinds
+from filbertstream.connection.watched_kinds import RELAYED_CONFIG_SHARE, watched_kinds
 from filbertstream.process.probing import Probing
 from filbertstream.process.relayed_view import YOUNG_SHARE
 from filbertstream.process.relays import ASK_S
