Relays have no less than most, and pass each event of a store on once

Both readers of a store told each event, and the relays passed both on.

Change: an entry registers its link and cores; those below the median of either relay only where no other is left. Of a reader's news only the rows after those passed on are sent to followers.

--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -116,6 +116,8 @@
     peer_address: str
     seed: int
     followed: tuple[Followed, ...] = ()
+    link_mbps: float = 0.0
+    cores: float = 0.0
 
 
 class Gateway:
@@ -130,7 +132,7 @@
         self.roster = Roster()
         self.index = CacheIndex()
         self.peers = PeerWork(cfg.name)
-        self.relays = Relays(cfg.name, self.peers.names)
+        self.relays = Relays(cfg.name, self.peers.names, self.peers.strength)
         self.exchange = WorkExchange(self.peers, self.relays)
         self.relayed = RelayedView(cfg.followed, self.relays, self.peers, self.roster)
         self.stores = CacheStores(self.index, rng, self.peers.reads, self.relays)
@@ -337,7 +339,8 @@
         return [WriteEntry(self.cfg.name, self._own_record(), revision)]
 
     def _own_record(self) -> EntryRecord:
-        return EntryRecord(self.cfg.peer_address, self.cfg.incarnation)
+        cfg = self.cfg
+        return EntryRecord(cfg.peer_address, cfg.incarnation, cfg.link_mbps, cfg.cores)
 
     def _on_entry(self, event: EntrySeen, now_s: float) -> list[GatewayAction]:
         if event.record is None:
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -425,4 +425,6 @@
         "" if deployment.peers is None else f"tcp://{deployment.peers}",
         incarnation,
         tuple(watched.followed for watched in kinds),
+        deployment.link_mbps,
+        deployment.cores,
     )
--- a/filbertstream/platform/boot.py
+++ b/filbertstream/platform/boot.py
@@ -32,6 +32,10 @@
 class _Limits(msgspec.Struct):
     memory_mb: Positive
     max_fds: Annotated[int, msgspec.Meta(gt=0)]
+    # A share of one core, which is ``cores`` times as fast as another.
+    cpu_share: float = 0.0
+    cores: float = 1.0
+    link_mbps: float = 0.0
 
 
 class _Bounds(msgspec.Struct):
@@ -139,6 +143,8 @@
         object_store=f"http://{address_of(boot.platform.address)}",
         memory_mb=boot.limits.memory_mb,
         max_descriptors=boot.limits.max_fds,
+        link_mbps=boot.limits.link_mbps,
+        cores=boot.limits.cpu_share * boot.limits.cores,
         bounds=Bounds(
             config_apply_s=bounds.config_apply_ms / MS,
             drain_s=bounds.drain_ms / MS,
--- a/filbertstream/process/cache_news.py
+++ b/filbertstream/process/cache_news.py
@@ -8,6 +8,8 @@
 
 from typing import Final
 
+import msgspec
+
 from filbertstream.actions import SendPeer
 from filbertstream.messages import CacheNews, CacheNewsBatch, CacheNewsRow, PeerPayload
 from filbertstream.process.cache_stores import MS, CacheChange, CacheEventsRead, CacheStores
@@ -29,6 +31,7 @@
         self._relays = relays
         self._stores = stores
         self._held: list[tuple[float, CacheNews]] = []
+        self._passed_on: dict[str, tuple[int, int]] = {}
         self._sent_at_s = float("-inf")
 
     def on_read(self, event: CacheEventsRead, now_s: float) -> list[SendPeer]:
@@ -48,8 +51,7 @@
         if self._relays.small_fleet:
             addresses = self._peers.told_of(event.holder, state.spec.event_readers)
             return [SendPeer(address, news) for address in addresses]
-        if self._relays.tells_others(now_s):
-            self._held.append((now_s, news))
+        self._hold(news, now_s)
         return [item for name in self._relays.others() for item in self._send(name, news)]
 
     def _send(self, member: str, payload: PeerPayload) -> list[SendPeer]:
@@ -61,8 +63,7 @@
         state = self._stores.states.get(news.store)
         if state is None:
             return
-        if self._relays.tells_others(now_s):
-            self._held.append((now_s, news))
+        self._hold(news, now_s)
         if self._peers.reads(news.store, state.spec.event_readers):
             return
         sent_at_s = now_s - news.age_s - NEWS_TRANSIT_S
@@ -79,6 +80,23 @@
         )
         self._stores.on_events(event)
 
+    def _hold(self, news: CacheNews, now_s: float) -> None:
+        """Hold news for followers, without the rows that the other reader has told already.
+
+        Events are numbered in a row, so the newest of them are the last rows.
+        """
+        if not self._relays.tells_others(now_s):
+            return
+        boot, passed_on = self._passed_on.get(news.store, (news.boot, 0))
+        if boot == news.boot:
+            new = max(0, news.next_event - passed_on)
+            rows = news.rows[-new:] if new else ()
+            news = msgspec.structs.replace(news, rows=rows)
+            self._passed_on[news.store] = (boot, max(passed_on, news.next_event))
+        else:
+            self._passed_on[news.store] = (news.boot, news.next_event)
+        self._held.append((now_s, news))
+
     def on_batch(self, batch: CacheNewsBatch, now_s: float) -> None:
         """Take in what a relay tells of all stores."""
         for news in batch.items:
--- a/filbertstream/process/deployment.py
+++ b/filbertstream/process/deployment.py
@@ -45,7 +45,10 @@
 
 
 class Deployment(NamedTuple):
-    """Where this process runs; ``object_store`` is a URL."""
+    """Where this process runs; ``object_store`` is a URL.
+
+    ``link_mbps`` and ``cores`` are what the VM has, 0 where that is not known.
+    """
 
     name: str
     host: str
@@ -58,3 +61,5 @@
     memory_mb: float
     max_descriptors: int
     bounds: Bounds
+    link_mbps: float = 0.0
+    cores: float = 0.0
--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -12,6 +12,7 @@
 
 from filbertstream.messages import FleetRow, FleetWork, GroupWork, PlacedRow, PlacedWork
 from filbertstream.process.cache_readers import readers, told_by
+from filbertstream.process.relays import NO_STRENGTH, Strength
 
 FRESH_S: Final = 1.0
 """What a member told last counts this long."""
@@ -22,10 +23,12 @@
 
 
 class EntryRecord(msgspec.Struct, frozen=True):
-    """How other entries reach one; kept in the platform's store."""
+    """How other entries reach one, and what its VM has; kept in the platform's store."""
 
     peer_address: str
     incarnation: int
+    link_mbps: float = 0.0
+    cores: float = 0.0
 
 
 class OthersWork(NamedTuple):
@@ -149,6 +152,11 @@
                 )
         return totals
 
+    def strength(self, name: str) -> Strength:
+        """Return what an entry's VM has, nothing where it isn't known."""
+        record = self.members.get(name)
+        return NO_STRENGTH if record is None else Strength(record.link_mbps, record.cores)
+
     def reads(self, store: str, limit: int) -> bool:
         """Whether this entry reads a store's events itself."""
         return self.own in readers(store, limit, self.names())
--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -2,10 +2,11 @@
 
 Load pattern: a large fleet in which every entry follows the store by itself.  The store counts each
 call, and each change would be answered once to every entry.  While the entries are few, each reads
-the store.  In a larger fleet those with the highest rendezvous ranks do, as relays, and every other
-entry asks one of them what is new, again and again (``process.relayed_view``).  A relay that does
-not answer, or is out of touch itself, is passed over for a while; the next ones in rank take its
-place, and read the store once they are asked.
+the store.  In a larger fleet a few do, as relays: those with the highest rendezvous ranks among the
+members that have no less than most.  Every other entry asks one of them what is new, again and
+again (``process.relayed_view``).  A relay that does not answer, or is out of touch itself, is
+passed over for a while; the next ones in rank take its place, and read the store once they are
+asked.
 
 What is told is true as of a moment that the asking entry can bound by its own clock: the answer was
 made after the question was sent, so what was newest ``age_s`` before the answer was newest
@@ -18,6 +19,7 @@
 """
 
 import math
+import statistics
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -57,6 +59,16 @@
 RANK_SUBJECT: Final = "relays"
 
 
+class Strength(NamedTuple):
+    """What an entry's VM has: its link in Mbit/s and its cores."""
+
+    link_mbps: float
+    cores: float
+
+
+NO_STRENGTH: Final = Strength(0.0, 0.0)
+
+
 class Question(NamedTuple):
     """A question that is to be sent to a member."""
 
@@ -82,9 +94,15 @@
 class Relays:
     """This entry's part: whom it asks, and whether others rely on it."""
 
-    def __init__(self, own: str, members: Callable[[], tuple[str, ...]]) -> None:
+    def __init__(
+        self,
+        own: str,
+        members: Callable[[], tuple[str, ...]],
+        strength: Callable[[str], Strength] = lambda name: NO_STRENGTH,
+    ) -> None:
         self._own = own
         self._members = members
+        self._strength = strength
         self._known: tuple[str, ...] = ()
         self._relays: tuple[str, ...] = ()
         self._turns: tuple[str, ...] = ()
@@ -97,21 +115,32 @@
     def _update(self) -> None:
         """Work out the relays anew where the members have changed."""
         names = self._members()
-        if names is self._known or names == self._known:
-            self._known = names
+        if names is self._known:
             return
         self._known = names
         if len(names) <= DIRECT_MEMBERS:
             self._relays = self._turns = ()
             return
         count = max(LEAST_RELAYS, math.ceil(len(names) / MEMBERS_A_RELAY))
-        ranked = sorted(names, key=lambda name: -rank(name, RANK_SUBJECT))
+        weak = self._weak(names)
+        ranked = sorted(names, key=lambda name: (name in weak, -rank(name, RANK_SUBJECT)))
         self._relays = tuple(ranked[:count])
         # Each entry begins with another relay, so that all have about as many followers.
         own_order = sorted(self._relays, key=lambda name: -rank(self._own, name))
         turns = [*own_order, *ranked[count : count + SUBSTITUTES]]
         self._turns = tuple(name for name in turns if name != self._own)
 
+    def _weak(self, names: tuple[str, ...]) -> set[str]:
+        """Return the members that have less than most: what a relay sends would fill their link."""
+        having = {name: self._strength(name) for name in names}
+        link_mbps = statistics.median(item.link_mbps for item in having.values())
+        cores = statistics.median(item.cores for item in having.values())
+        return {
+            name
+            for name, item in having.items()
+            if item.link_mbps < link_mbps or item.cores < cores
+        }
+
     @property
     def small_fleet(self) -> bool:
         """Whether every entry reads the store itself."""
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -7,7 +7,7 @@
 
 from filbertstream.actions import SendPeer
 from filbertstream.gateway_events import EntrySeen, PeerMessage, Tick
-from filbertstream.messages import CacheNews, CacheNewsBatch, CacheNewsRow
+from filbertstream.messages import CacheNews, CacheNewsBatch, CacheNewsRow, ViewAsked
 from filbertstream.process.cache_stores import (
     CONFIRMED_S,
     CacheChange,
@@ -151,3 +151,23 @@
     told.now_s += 1.0
     told.tell(PeerMessage(CacheNews("keep", 3, 1, 0.3, 5_000, ())))
     assert state.boot == 3
+
+
+def test_a_relay_passes_each_event_on_once_though_two_readers_tell_it() -> None:
+    """Load pattern: a hundred saves a second, told by both readers of their store."""
+    fleet = Fleet()
+    relay = next(world for world in fleet.worlds.values() if world.core.relays.is_relay)
+    relay.tell(PeerMessage(ViewAsked("e0", 1, {})))
+    rows = tuple(CacheNewsRow(True, "n", f"p{number}", 10) for number in range(12))
+    for boot, since, until in ((1, 0, 6), (1, 2, 9), (1, 5, 9), (1, 7, 12), (2, 0, 3)):
+        told = CacheNews("keep", boot, until, 0.1, 5_000, rows[since:until])
+        relay.tell(PeerMessage(told))
+    relay.now_s += 0.5
+    batches = [
+        item.payload
+        for item in relay.tell(Tick())
+        if isinstance(item, SendPeer) and isinstance(item.payload, CacheNewsBatch)
+    ]
+    (batch,) = batches
+    passed_on = [(item.boot, row.part_id) for item in batch.items for row in item.rows]
+    assert passed_on == [(1, row.part_id) for row in rows] + [(2, f"p{n}") for n in range(3)]
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -10,7 +10,15 @@
 import pytest
 
 from filbertstream.actions import SendPeer
-from filbertstream.gateway_events import EntrySeen, PeerMessage, Tick
+from filbertstream.gateway import Gateway, GatewayConfig
+from filbertstream.gateway_events import (
+    EntriesListed,
+    EntrySeen,
+    PeerMessage,
+    ShowKind,
+    Tick,
+    WriteEntry,
+)
 from filbertstream.messages import KindNews, ObjectRow, ViewAsked, ViewTold
 from filbertstream.platform.documents import (
     DOCUMENTS_KIND,
@@ -31,6 +39,7 @@
     MEMBERS_A_RELAY,
     SUBSTITUTES,
     Relays,
+    Strength,
 )
 from filbertstream.process.store_view import TOLD_BYTES, KindShown
 from filbertstream.request.call_flow import SendCall
@@ -423,3 +432,29 @@
     assert world.core.ready(world.now_s) is admitted
     found = world.arrive("draft", key="k")
     assert any(isinstance(item, SendCall) for item in found) is admitted
+
+
+def test_relays_are_members_that_have_no_less_than_most() -> None:
+    """Load pattern: what a relay sends to its followers would fill a link of a few Mbit/s."""
+    fleet = tuple(f"f{number}" for number in range(195))
+    strengths = {
+        name: Strength((10.0, 50.0, 100.0)[number % 3], (0.5, 2.0, 2.0, 2.0)[number % 4])
+        for number, name in enumerate(fleet)
+    }
+    parts = {name: Relays(name, lambda: fleet, strengths.__getitem__) for name in fleet}
+    relays = {name for name, part in parts.items() if part.is_relay}
+    assert len(relays) == -(-195 // MEMBERS_A_RELAY)
+    assert all(strengths[name].link_mbps >= 50.0 for name in relays)
+    assert all(strengths[name].cores >= 2.0 for name in relays)
+    assert {part.relay(0.0) for part in parts.values()} == relays
+
+
+def test_an_entry_registers_what_its_vm_has() -> None:
+    cfg = GatewayConfig("e1", 1, "dc1", BOUNDS, "tcp://e1", 7, FOLLOWED, 20.0, 0.5)
+    core = Gateway(cfg)
+    shown = KindShown(ENTRIES_KIND, True, 0, 5, 100.0, ())
+    (show,) = core.step(100.0, shown)
+    (write,) = core.step(100.0, EntriesListed(frozenset()))
+    assert isinstance(show, ShowKind)
+    assert isinstance(write, WriteEntry)
+    assert (write.record.link_mbps, write.record.cores) == (20.0, 0.5)
