Long messages between entries are compressed, configurations are told and not pushed

A relay pushed the configuration to its 20 followers at one moment; over links of 5 to 100 Mbit/s that is most of a second.

Change: only the duty's record and named weights are pushed; a configuration is told as each follower asks, within half a second. Messages of 4 KB and more are compressed by zlib, with a bound on what they may become.

--- a/filbertstream/connection/peer_link.py
+++ b/filbertstream/connection/peer_link.py
@@ -19,7 +19,7 @@
 
 from filbertstream.actions import SendPeer
 from filbertstream.gateway_events import PeerMessage
-from filbertstream.messages import decode, encode
+from filbertstream.messages import MESSAGE_LIMIT_BYTES, decode, encode
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.counters import Counters
 
@@ -55,9 +55,6 @@
         return key == self._public
 
 
-MESSAGE_LIMIT_BYTES: Final = 4_000_000
-"""A message may hold all kinds of objects, each up to ``process.store_view.TOLD_BYTES``."""
-
 REOPEN_S: Final = 1.0
 """Least time between two connections to an address; a lost message is made good by the next."""
 
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -57,12 +57,15 @@
 
     A watch that waits shows nothing until it answers: what is known grows twice as old as the wait.
     Without a wait it grows as old as the pause, so that fewer calls are needed, while changes are
-    seen later.  Other entries take a relay's word up to an age of ``max_age_s``.
+    seen later.  Other entries take a relay's word up to an age of ``max_age_s``.  A small object
+    may be ``pushed`` when it changes; a configuration is told to each follower as it asks, since
+    sent to all at once it would fill the relay's link.
     """
 
     wait_s: float
     pause_s: float
     max_age_s: float
+    pushed: bool = False
 
 
 class Watched(NamedTuple):
@@ -84,7 +87,7 @@
     @property
     def followed(self) -> Followed:
         """What the core is told of the kind."""
-        return Followed(self.kind, self.relayed.max_age_s, not self.pause_s)
+        return Followed(self.kind, self.relayed.max_age_s, self.relayed.pushed)
 
 
 def _ignore_quiet(sent_at_s: float, tell: Tell) -> None:
@@ -226,7 +229,7 @@
 RELAYED_WEIGHTS_SHARE: Final = 0.8
 """The share of that bound up to which another entry's word counts."""
 
-RELAYED_DUTIES: Final = Relayed(0.9, 0.0, 2.8)
+RELAYED_DUTIES: Final = Relayed(0.9, 0.0, 2.8, True)
 """The age is less than ``version.weights_view.VIEW_S``; changes are passed on at once."""
 
 RELAYED_ENTRIES: Final = Relayed(10.0, 0.5, math.inf)
@@ -240,7 +243,7 @@
 
 def _relayed_weights(bounds: Bounds) -> Relayed:
     wait_s = RELAY_WEIGHTS_SHARE * bounds.version_s
-    return Relayed(wait_s, 0.0, RELAYED_WEIGHTS_SHARE * bounds.version_s)
+    return Relayed(wait_s, 0.0, RELAYED_WEIGHTS_SHARE * bounds.version_s, True)
 
 
 def _relayed_targets(bounds: Bounds) -> Relayed:
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -5,7 +5,8 @@
 docs/CAPACITY.md gives the sizes.
 """
 
-from typing import NamedTuple, TypeAlias
+import zlib
+from typing import Final, NamedTuple, TypeAlias
 
 import msgspec
 
@@ -134,15 +135,35 @@
     PlacedWork | GroupWork | FleetWork | CacheNews | CacheNewsBatch | ViewAsked | ViewTold
 )
 
+MESSAGE_LIMIT_BYTES: Final = 4_000_000
+"""A message may hold all kinds of objects, each up to ``process.store_view.TOLD_BYTES``."""
+
+COMPRESSED_BYTES: Final = 4_096
+"""Messages from this size on are compressed: configurations and news of many parts, to a fifth."""
+
+COMPRESSED: Final = b"x"
+"""First byte of a zlib stream; that of a plain message is one of a MessagePack array."""
+
+FASTEST: Final = 1
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[PeerPayload] = msgspec.msgpack.Decoder(PeerPayload)
 
 
 def encode(payload: PeerPayload) -> bytes:
-    """Return the wire form of a message."""
-    return _ENCODER.encode(payload)
+    """Return the wire form of a message; a long one is compressed."""
+    data = _ENCODER.encode(payload)
+    return data if len(data) < COMPRESSED_BYTES else zlib.compress(data, FASTEST)
 
 
 def decode(data: bytes) -> PeerPayload:
     """Return the message in ``data``; raises ``msgspec.DecodeError`` for anything else."""
+    if data.startswith(COMPRESSED):
+        inflating = zlib.decompressobj()
+        try:
+            data = inflating.decompress(data, MESSAGE_LIMIT_BYTES)
+        except zlib.error as exc:
+            raise msgspec.DecodeError(str(exc)) from exc
+        if not inflating.eof:
+            raise msgspec.DecodeError("a message that is cut, or larger than any")
     return _DECODER.decode(data)
