The log tells which entry is asked, and how old its word is

Cause: an entry that passed a relay over left no line, and `view_direct` did not say which kind's word was old; the trace of the pushed configuration had to guess.

Change: `relay_changed`, and the age of each kind's word in `view_relayed` and `view_direct`.

--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -44,6 +44,7 @@
     LEASE_LOST = 603
     VIEW_RELAYED = 604
     VIEW_DIRECT = 605
+    RELAY_CHANGED = 606
 
 
 DESCRIPTIONS: Final[dict[LogEvent, str]] = {
@@ -80,6 +81,7 @@
     LogEvent.LEASE_LOST: "This entry no longer holds a duty's lease.",
     LogEvent.VIEW_RELAYED: "Another entry's word is recent enough; this one follows no objects.",
     LogEvent.VIEW_DIRECT: "No entry's word is recent enough; this one reads the object API itself.",
+    LogEvent.RELAY_CHANGED: "Another entry is asked from now on; the one before was passed over.",
 }
 
 
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -55,6 +55,7 @@
         self._followers: dict[str, float] = {}
         self._own_reads: set[str] = set()
         self._relied = False
+        self._asked = ""
         self._hints = {item.kind for item in followed if math.isinf(item.max_age_s)}
         self._began_s: float | None = None
 
@@ -167,16 +168,27 @@
         )
 
     def tick(self, now_s: float) -> list[Action]:
-        """Return the question that is due, and a log line where the source has changed."""
+        """Return the question that is due, and log lines where what is relied on has changed."""
         actions: list[Action] = []
         question = self._relays.due(now_s)
         if question is not None:
             asked = ViewAsked(self._peers.own, question.number, self.view.as_of())
             actions += self._send(question.member, asked)
+            if question.member != self._asked:
+                fields = (("relay", question.member), ("before", self._asked))
+                actions.append(Log(LogEvent.RELAY_CHANGED, fields))
+                self._asked = question.member
         relies = not self._relays.small_fleet and self.is_current(now_s)
         if relies != self._relied:
             self._relied = relies
             event_no = LogEvent.VIEW_RELAYED if relies else LogEvent.VIEW_DIRECT
-            relay = self._relays.relay(now_s) or ""
-            actions.append(Log(event_no, (("relay", relay),)))
+            actions.append(Log(event_no, (("relay", self._asked), *self._ages(now_s))))
         return actions
+
+    def _ages(self, now_s: float) -> tuple[tuple[str, float], ...]:
+        """Return how old others' word for each kind is, as a log tells it; -1 for none."""
+        ages = {kind: now_s - at_s for kind, at_s in self._told_at_s.items()}
+        return tuple(
+            (f"{kind}_age_s", -1.0 if math.isinf(age_s) else round(age_s, 3))
+            for kind, age_s in ages.items()
+        )
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from filbertstream.actions import SendPeer
+from filbertstream.actions import Log, SendPeer
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     EntriesListed,
@@ -19,6 +19,7 @@
     Tick,
     WriteEntry,
 )
+from filbertstream.log_events import LogEvent
 from filbertstream.messages import KindNews, ObjectRow, ViewAsked, ViewTold
 from filbertstream.platform.documents import (
     DOCUMENTS_KIND,
@@ -458,3 +459,18 @@
     assert isinstance(show, ShowKind)
     assert isinstance(write, WriteEntry)
     assert (write.record.link_mbps, write.record.cores) == (20.0, 0.5)
+
+
+def test_the_log_tells_who_is_asked_and_how_old_the_word_is() -> None:
+    world = Fleet()
+    lines: list[Log] = []
+    for _ in range(100):
+        world.now_s += 0.1
+        lines += [item for item in world.core.step(world.now_s, Tick()) if isinstance(item, Log)]
+    changes = [dict(line.fields) for line in lines if line.number == LogEvent.RELAY_CHANGED]
+    assert changes[0]["before"] == ""
+    assert len({str(line["relay"]) for line in changes}) > 1
+    world.turn(2.0)
+    world.turn(2.0, answers=False)
+    world.now_s += 0.1
+    assert world.reads_store
