--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -35,8 +35,8 @@
 """So many, so that two may be dead, cut off or suspended."""
 
 SUBSTITUTES: Final = 8
-"""Entries next in rank that are asked while relays don't answer; of so many that are dead with
-nobody to remove their registrations, one entry in two hundred may be, several times over."""
+"""Entries next in rank that are asked while no relay answers.  VMs that are lost leave their
+registrations behind, so some of these may be dead too."""
 
 ASK_S: Final = 0.5
 """Interval of questions; with a relay's own age it stays under the ages that are asked for."""
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -32,7 +32,7 @@
 """An entry with work under way repeats itself at least this often."""
 
 ROWS_TOLD: Final = 512
-"""Targets in one message, those with the most work; about 20 KB."""
+"""Targets in one message, those with the most work; about 9 KB, compressed on its way."""
 
 
 class WorkExchange:
