--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -259,7 +259,7 @@
     def _answer_kept(self, action: AnswerKept) -> None:
         relayed = self._calls.pop(action.call_id, None)
         if relayed is not None:
-            relayed.conn.answer(*relayed.form.kept(action.answer))
+            relayed.conn.answer(*relayed.form.kept(action.response))
 
     def _break(self, action: BreakCall) -> None:
         relayed = self._calls.pop(action.call_id, None)
