--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -63,7 +63,7 @@
     Guard(
         "a success needs a signature",
         "request/forwarding.py",
-        "(answer.status < REDIRECT and not answer.signed)",
+        "(response.status < REDIRECT and not response.signed)",
         "False",
         "tests/test_gateway_core.py::" "test_an_unsigned_or_encoded_success_is_not_passed_on",
     ),
--- a/filbertstream/request/call_flow.py
+++ b/filbertstream/request/call_flow.py
@@ -21,7 +21,7 @@
 
     call_id: int
     number: int
-    answer: AnswerHead
+    response: AnswerHead
 
 
 class FirstEvent(NamedTuple):
@@ -32,12 +32,12 @@
 
 
 class AnswerComplete(NamedTuple):
-    """The whole answer to a send has been passed on; ``answer`` is it where a key is to keep it."""
+    """The whole answer to a send has been passed on; ``response`` is it where a key is to keep it."""
 
     call_id: int
     number: int
     body_bytes: int
-    answer: WholeAnswer | None = None
+    response: WholeAnswer | None = None
 
 
 class SendFailed(NamedTuple):
@@ -129,7 +129,7 @@
     """Give the caller the answer that the first call of its key got."""
 
     call_id: int
-    answer: WholeAnswer
+    response: WholeAnswer
 
 
 class BreakCall(NamedTuple):
--- a/filbertstream/request/call_lines.py
+++ b/filbertstream/request/call_lines.py
@@ -71,14 +71,14 @@
     return Log(LogEvent.CALL_PLACED, (*fields, *inputs))
 
 
-def not_run(call: Call, target: RosterTarget | None, answer: AnswerHead) -> Log:
+def not_run(call: Call, target: RosterTarget | None, response: AnswerHead) -> Log:
     """Return the line of a send that its target did not run."""
     fields = (
         _id(call),
         ("target", "" if target is None else target.target_id),
-        ("status", answer.status),
-        ("answered_by", answer.target_id),
-        ("weights", -1 if answer.weights is None else answer.weights),
+        ("status", response.status),
+        ("answered_by", response.target_id),
+        ("weights", -1 if response.weights is None else response.weights),
     )
     return Log(LogEvent.SEND_REFUSED, fields)
 
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -173,8 +173,8 @@
             event, refused, version, self._parts.currency.age_s(now_s)
         )
         after_s = self._spread(refused.retry_after_s)
-        answer = AnswerCall(event.call_id, refused.status, refused.code, "", after_s)
-        return [answer, line]
+        response = AnswerCall(event.call_id, refused.status, refused.code, "", after_s)
+        return [response, line]
 
     def _spread(self, retry_after_s: float | None) -> float | None:
         if retry_after_s is None:
@@ -278,26 +278,26 @@
         call = self._current(event.call_id, event.number)
         if call is None or call.target is None:
             return []
-        answer, target = event.answer, call.target
-        if answer.load is not None:
-            target.note_load(answer.load, now_s)
+        response, target = event.response, call.target
+        if response.load is not None:
+            target.note_load(response.load, now_s)
         prompt = call.head.prompt
-        if answer.weights is not None and prompt is not None:
-            target.note_weights(prompt.model, answer.weights)
-        if answer.not_run or answer.status == MISDIRECTED:
+        if response.weights is not None and prompt is not None:
+            target.note_weights(prompt.model, response.weights)
+        if response.not_run or response.status == MISDIRECTED:
             return self._on_not_run(call, event, now_s)
         call.may_have_run = True
-        if answer.encoded or (answer.status < REDIRECT and not answer.signed):
+        if response.encoded or (response.status < REDIRECT and not response.signed):
             return self._on_broken(call, event.number, "malformed", now_s)
-        if answer.status >= SERVER_ERROR and self._may_repeat(call, now_s):
+        if response.status >= SERVER_ERROR and self._may_repeat(call, now_s):
             return self._on_broken(call, event.number, "target_error", now_s)
         call.answering = True
         if call.begun:
-            if answer.status != OK:
+            if response.status != OK:
                 return self._on_broken(call, event.number, "not_resumed", now_s)
             self._learn(call, target, now_s)
             return [ContinueAnswer(call.call_id, call.number)]
-        stream = call.route.kind is CallKind.STREAM and answer.status == OK
+        stream = call.route.kind is CallKind.STREAM and response.status == OK
         call.begun = stream
         self._learn(call, target, now_s)
         return [RelayAnswer(call.call_id, call.number, stream)]
@@ -315,18 +315,18 @@
         target = self._release(call)
         call.attempts -= 1
         call.refusals += 1
-        answer = event.answer
+        response = event.response
         actions: list[Action] = [CancelSend(call.call_id, event.number)]
-        self._parts.counters.add("sends_refused", str(answer.status))
-        actions.append(call_lines.not_run(call, target, answer))
+        self._parts.counters.add("sends_refused", str(response.status))
+        actions.append(call_lines.not_run(call, target, response))
         if target is not None:
             self._parts.roster.outliers.unproven(target.target_id)
-            if answer.status == MISDIRECTED and answer.target_id != target.target_id:
+            if response.status == MISDIRECTED and response.target_id != target.target_id:
                 target.barred_until_s = now_s + SILENCE_PLAIN_S
-            elif answer.status == MISDIRECTED and call.head.prompt is not None:
-                self._note_other_weights(call, call.head.prompt.model, answer.weights, target)
-            elif answer.retry_after_s is not None:
-                target.barred_until_s = now_s + min(answer.retry_after_s, NO_TARGET_RETRY_S)
+            elif response.status == MISDIRECTED and call.head.prompt is not None:
+                self._note_other_weights(call, call.head.prompt.model, response.weights, target)
+            elif response.retry_after_s is not None:
+                target.barred_until_s = now_s + min(response.retry_after_s, NO_TARGET_RETRY_S)
         if call.refusals <= EXTRA_SENDS and self._parts.budget.take(call.service.name, now_s):
             return [*actions, *self._send(call, now_s)]
         return [*actions, *self._give_up(call, "targets_full", now_s)]
@@ -386,7 +386,7 @@
         target = self._release(call)
         if target is not None:
             self._parts.roster.outliers.succeeded(target.target_id)
-        return self._end(call, "complete", now_s, event.answer)
+        return self._end(call, "complete", now_s, event.response)
 
     def on_failed(self, event: SendFailed, now_s: float) -> list[Action]:
         """Go on elsewhere after a send without a whole answer, or give up."""
@@ -466,7 +466,7 @@
         return UNAVAILABLE, FULL_RETRY_S if code == "targets_full" else NO_TARGET_RETRY_S
 
     def _end(
-        self, call: Call, outcome: str, now_s: float, answer: WholeAnswer | None = None
+        self, call: Call, outcome: str, now_s: float, response: WholeAnswer | None = None
     ) -> list[Action]:
         del self.calls[call.call_id]
         self._parts.counters.add("calls_ended", outcome)
@@ -477,7 +477,7 @@
             late = call.first_s is not None and call.first_s > terms.first_token_s
             missed = late or outcome not in SERVED
             self._parts.burn.note(workspace.name, terms.within, now_s, missed, call.first_s)
-        settled = self._parts.keyed.end(call, answer, now_s)
+        settled = self._parts.keyed.end(call, response, now_s)
         return [*settled, call_lines.finished(call, outcome, now_s)]
 
     def tick(self, now_s: float) -> list[Action]:
--- a/filbertstream/request/keyed_calls.py
+++ b/filbertstream/request/keyed_calls.py
@@ -180,24 +180,24 @@
             self._running_since_s.popitem(last=False)
         return now_s - since_s < longest_s + SETTLE_AGAIN_S
 
-    def end(self, call: Call, answer: WholeAnswer | None, now_s: float) -> list[SettleKey]:
+    def end(self, call: Call, response: WholeAnswer | None, now_s: float) -> list[SettleKey]:
         """Settle the key of a call that ended; a call that never claimed one has none."""
         claim = self._claims.pop(call.call_id, None)
-        return [] if claim is None else self._settle(claim, call, answer, now_s)
+        return [] if claim is None else self._settle(claim, call, response, now_s)
 
     def _settle(
-        self, claim: ClaimKey, call: Call, answer: WholeAnswer | None, now_s: float
+        self, claim: ClaimKey, call: Call, response: WholeAnswer | None, now_s: float
     ) -> list[SettleKey]:
         record = claim.record
-        if answer is not None and len(answer.body) <= KEPT_BYTES:
+        if response is not None and len(response.body) <= KEPT_BYTES:
             record = msgspec.structs.replace(
                 record,
                 state=KeyState.KEPT,
-                status=answer.status,
-                content_type=answer.content_type,
-                body=answer.body,
+                status=response.status,
+                content_type=response.content_type,
+                body=response.body,
             )
-        elif answer is not None:
+        elif response is not None:
             record = msgspec.structs.replace(record, state=KeyState.TOO_LARGE)
         else:
             # Attempts count only sends that were not proved to have run nothing.
