--- a/bench/targets.py
+++ b/bench/targets.py
@@ -18,7 +18,7 @@
     ListCache,
     PartsFreed,
 )
-from filbertstream.request.call import AnswerHead, TargetLoadNote
+from filbertstream.request.call import ResponseHead, TargetLoadNote
 from filbertstream.request.call_flow import (
     AnswerComplete,
     AnswerStarted,
@@ -85,14 +85,16 @@
         else:
             self._plain(core, send, target, request_id)
 
-    def _head(self, target: FakeTarget, status: int, request_id: str, not_run: bool) -> AnswerHead:
+    def _head(
+        self, target: FakeTarget, status: int, request_id: str, not_run: bool
+    ) -> ResponseHead:
         load = TargetLoadNote(target.running, target.waiting, SLOTS)
         weights = target.weights if target.model else None
-        return AnswerHead(
+        return ResponseHead(
             status, request_id, not_run, True, False, load, weights, target.name, None
         )
 
-    def _start(self, core: Gateway, send: SendCall, head: AnswerHead) -> None:
+    def _start(self, core: Gateway, send: SendCall, head: ResponseHead) -> None:
         self._world.later(core, LINK_S, AnswerStarted(send.call_id, send.number, head))
 
     def _fail(self, core: Gateway, send: SendCall, cause: str, sent: bool, delay_s: float) -> None:
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -12,7 +12,7 @@
 from filbertstream.connection.target_link import TargetConnection, TargetLinks
 from filbertstream.platform.headers import Headers, encode_target_head
 from filbertstream.process.clock import boot_time_s
-from filbertstream.request.call import AnswerHead, CallHead, WholeAnswer
+from filbertstream.request.call import CallHead, ResponseHead, WholeAnswer
 from filbertstream.request.call_flow import (
     AnswerComplete,
     AnswerStarted,
@@ -62,14 +62,14 @@
         self.over = False
         self._streams = False
         self._relays = False
-        self._answer: AnswerHead | None = None
+        self._answer: ResponseHead | None = None
         self._reason = ""
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._first = False
 
-    def on_head(self, answer: AnswerHead, reason: str, headers: Headers) -> None:
+    def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
         """Ask the core what becomes of the answer."""
         self._answer, self._reason, self._headers = answer, reason, headers
         self._edge.tell(AnswerStarted(self.action.call_id, self.action.number, answer))
@@ -135,7 +135,7 @@
             AnswerComplete(self.action.call_id, self.action.number, self._body_bytes, kept)
         )
 
-    def _finish(self, answer: AnswerHead, body: bytes) -> None:
+    def _finish(self, answer: ResponseHead, body: bytes) -> None:
         """End the caller's answer."""
         conn, form = self._relayed.conn, self._relayed.form
         if not self._streams or form.collects:
@@ -146,7 +146,7 @@
             conn.stream(last)
         conn.end()
 
-    def _kept(self, answer: AnswerHead, body: bytes) -> WholeAnswer:
+    def _kept(self, answer: ResponseHead, body: bytes) -> WholeAnswer:
         content_type = dict(reversed(self._headers)).get(b"content-type", b"")
         return WholeAnswer(answer.status, content_type.decode("latin-1"), body)
 
--- a/filbertstream/connection/target_link.py
+++ b/filbertstream/connection/target_link.py
@@ -15,7 +15,7 @@
 from filbertstream.platform.headers import Headers, decode_answer, keep_alive_s
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
-from filbertstream.request.call import AnswerHead
+from filbertstream.request.call import ResponseHead
 
 CONNECT_S: Final = 0.35
 """Targets are a few milliseconds away; a lost opening packet is sent again after a second."""
@@ -43,7 +43,7 @@
 class AnswerSink(Protocol):
     """Takes what arrives for one send."""
 
-    def on_head(self, answer: AnswerHead, reason: str, headers: Headers) -> None:
+    def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
         """Take the head of the answer."""
 
     def on_body(self, data: bytes) -> bool:
@@ -336,7 +336,7 @@
         self._body: list[bytes] = []
         self._size = 0
 
-    def on_head(self, answer: AnswerHead, reason: str, headers: Headers) -> None:
+    def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
         """Keep the status."""
         self._status = answer.status
 
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -9,11 +9,11 @@
 from result import Err, Ok, Result
 
 from filbertstream.request.call import (
-    AnswerHead,
     CacheOrders,
     CallHead,
     Prompt,
     PromptPart,
+    ResponseHead,
     TargetLoadNote,
 )
 
@@ -202,10 +202,10 @@
     return frozenset(names - SINGLE)
 
 
-def decode_answer(status: int, headers: Headers) -> AnswerHead:
+def decode_answer(status: int, headers: Headers) -> ResponseHead:
     """Return what an answer's head says; unreadable optional headers count as absent."""
     first = dict(reversed(headers))
-    return AnswerHead(
+    return ResponseHead(
         status,
         first.get(REQUEST_ID, b"").decode("latin-1"),
         b"not-executed" in first,
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -61,7 +61,7 @@
     slots: int
 
 
-class AnswerHead(NamedTuple):
+class ResponseHead(NamedTuple):
     """What a target's answer says before its body.
 
     ``not_run`` is the target's word that it did not run the request.
--- a/filbertstream/request/call_flow.py
+++ b/filbertstream/request/call_flow.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple, TypeAlias
 
 from filbertstream.process.deployment import Address
-from filbertstream.request.call import AnswerHead, CacheOrders, CallHead, WholeAnswer
+from filbertstream.request.call import CacheOrders, CallHead, ResponseHead, WholeAnswer
 
 
 class CallArrived(NamedTuple):
@@ -21,7 +21,7 @@
 
     call_id: int
     number: int
-    response: AnswerHead
+    response: ResponseHead
 
 
 class FirstEvent(NamedTuple):
--- a/filbertstream/request/call_lines.py
+++ b/filbertstream/request/call_lines.py
@@ -4,7 +4,7 @@
 from filbertstream.log_events import LogEvent
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.arrival import Refused
-from filbertstream.request.call import AnswerHead
+from filbertstream.request.call import ResponseHead
 from filbertstream.request.call_flow import AnswerCall, CallArrived
 from filbertstream.request.call_state import Call
 from filbertstream.request.keyed_calls import KeyClaimed
@@ -71,7 +71,7 @@
     return Log(LogEvent.CALL_PLACED, (*fields, *inputs))
 
 
-def not_run(call: Call, target: RosterTarget | None, response: AnswerHead) -> Log:
+def not_run(call: Call, target: RosterTarget | None, response: ResponseHead) -> Log:
     """Return the line of a send that its target did not run."""
     fields = (
         _id(call),
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -20,7 +20,7 @@
 from filbertstream.platform.objects import Change, Listing, StoredObject
 from filbertstream.process.deployment import Address, Bounds
 from filbertstream.process.roster_entry import TargetEntry
-from filbertstream.request.call import AnswerHead, CallHead, Prompt, PromptPart
+from filbertstream.request.call import CallHead, Prompt, PromptPart, ResponseHead
 from filbertstream.request.call_flow import (
     AnswerCall,
     CallArrived,
@@ -166,8 +166,8 @@
         return found
 
 
-def answer(status: int = 200, **changes: Any) -> AnswerHead:
-    base = AnswerHead(status, "", False, True, False, None, None, "", None)
+def answer(status: int = 200, **changes: Any) -> ResponseHead:
+    base = ResponseHead(status, "", False, True, False, None, None, "", None)
     return base._replace(**changes)
 
 
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -25,7 +25,7 @@
 from filbertstream.platform.runner_calls import REPORT_LIMIT_BYTES, RunnerCalls
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
-from filbertstream.request.call import AnswerHead
+from filbertstream.request.call import ResponseHead
 from filbertstream.version.rollout import OrderAnswered, OrderWeights, PollReport, ReportMissed
 from filbertstream.version.routes import CallerLimits
 
@@ -113,7 +113,7 @@
         self.body_bytes = 0
         self.end: asyncio.Future[str] = asyncio.get_running_loop().create_future()
 
-    def on_head(self, answer: AnswerHead, reason: str, headers: Headers) -> None:
+    def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
         """An answer began."""
 
     def on_body(self, data: bytes) -> bool:
--- a/tests/test_target_link.py
+++ b/tests/test_target_link.py
@@ -10,7 +10,7 @@
 from filbertstream.connection.target_link import TargetConnection, TargetLinks
 from filbertstream.platform.headers import Headers
 from filbertstream.process.deployment import Address
-from filbertstream.request.call import AnswerHead
+from filbertstream.request.call import ResponseHead
 
 OWN = (
     b"HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nResponse-Signature: s\r\nContent-Length: 3\r\n\r\nown"
@@ -37,7 +37,7 @@
         self.body = b""
         self.end: asyncio.Future[str] = asyncio.get_running_loop().create_future()
 
-    def on_head(self, answer: AnswerHead, reason: str, headers: Headers) -> None:
+    def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
         self.heads.append(answer.status)
 
     def on_body(self, data: bytes) -> bool:
