--- a/bench/targets.py
+++ b/bench/targets.py
@@ -21,9 +21,9 @@
 from filbertstream.request.call import ResponseHead, TargetLoadNote
 from filbertstream.request.call_flow import (
     AnswerComplete,
-    AnswerStarted,
     CancelSend,
     FirstEvent,
+    ResponseStarted,
     SendCall,
     SendFailed,
 )
@@ -95,7 +95,7 @@
         )
 
     def _start(self, core: Gateway, send: SendCall, head: ResponseHead) -> None:
-        self._world.later(core, LINK_S, AnswerStarted(send.call_id, send.number, head))
+        self._world.later(core, LINK_S, ResponseStarted(send.call_id, send.number, head))
 
     def _fail(self, core: Gateway, send: SendCall, cause: str, sent: bool, delay_s: float) -> None:
         event = SendFailed(send.call_id, send.number, cause, sent, False, None)
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -15,8 +15,8 @@
 from filbertstream.request.call import CallHead, ResponseHead, WholeAnswer
 from filbertstream.request.call_flow import (
     AnswerComplete,
-    AnswerStarted,
     FirstEvent,
+    ResponseStarted,
     SendCall,
     SendFailed,
     SendSilent,
@@ -72,7 +72,7 @@
     def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
         """Ask the core what becomes of the answer."""
         self._answer, self._reason, self._headers = answer, reason, headers
-        self._edge.tell(AnswerStarted(self.action.call_id, self.action.number, answer))
+        self._edge.tell(ResponseStarted(self.action.call_id, self.action.number, answer))
 
     def relay(self, stream: bool) -> None:
         """Pass the answer on: event by event, or whole."""
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -66,10 +66,10 @@
 from filbertstream.request.arrival import Arrivals
 from filbertstream.request.call_flow import (
     AnswerComplete,
-    AnswerStarted,
     CallArrived,
     CallerLeft,
     FirstEvent,
+    ResponseStarted,
     SendFailed,
     SendSilent,
 )
@@ -178,7 +178,7 @@
         self._was_ready = False
         self._handlers: dict[type, Callable[[Any, float], list[GatewayAction]]] = {
             CallArrived: self._forward(self.forwarding.on_arrived),
-            AnswerStarted: self._forward(self.forwarding.on_started),
+            ResponseStarted: self._forward(self.forwarding.on_started),
             FirstEvent: self._forward(self.forwarding.on_first_event),
             AnswerComplete: self._forward(self.forwarding.on_complete),
             SendFailed: self._forward(self.forwarding.on_failed),
--- a/filbertstream/request/call_flow.py
+++ b/filbertstream/request/call_flow.py
@@ -16,7 +16,7 @@
     head: CallHead
 
 
-class AnswerStarted(NamedTuple):
+class ResponseStarted(NamedTuple):
     """The head of an answer to a send has arrived; nothing of it was passed on yet."""
 
     call_id: int
@@ -139,7 +139,13 @@
 
 
 CallEvent: TypeAlias = (
-    CallArrived | AnswerStarted | FirstEvent | AnswerComplete | SendFailed | SendSilent | CallerLeft
+    CallArrived
+    | ResponseStarted
+    | FirstEvent
+    | AnswerComplete
+    | SendFailed
+    | SendSilent
+    | CallerLeft
 )
 CallAction: TypeAlias = (
     SendCall | RelayAnswer | ContinueAnswer | CancelSend | AnswerCall | AnswerKept | BreakCall
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -23,7 +23,6 @@
     AnswerCall,
     AnswerComplete,
     AnswerKept,
-    AnswerStarted,
     BreakCall,
     CallAction,
     CallArrived,
@@ -32,6 +31,7 @@
     ContinueAnswer,
     FirstEvent,
     RelayAnswer,
+    ResponseStarted,
     SendCall,
     SendFailed,
     SendSilent,
@@ -273,7 +273,7 @@
         call = self.calls.get(call_id)
         return call if call is not None and call.number == number and call.target else None
 
-    def on_started(self, event: AnswerStarted, now_s: float) -> list[Action]:
+    def on_started(self, event: ResponseStarted, now_s: float) -> list[Action]:
         """Decide what becomes of an answer whose head arrived."""
         call = self._current(event.call_id, event.number)
         if call is None or call.target is None:
@@ -310,7 +310,7 @@
             target.prefill.answered(call.unread_tokens, call.ahead_tokens, waited_s)
             call.unread_tokens = 0
 
-    def _on_not_run(self, call: Call, event: AnswerStarted, now_s: float) -> list[Action]:
+    def _on_not_run(self, call: Call, event: ResponseStarted, now_s: float) -> list[Action]:
         """Send again, or refuse: the target has said that nothing ran."""
         target = self._release(call)
         call.attempts -= 1
--- a/tests/test_calls_machine.py
+++ b/tests/test_calls_machine.py
@@ -13,10 +13,10 @@
 from filbertstream.request.call_flow import (
     AnswerCall,
     AnswerComplete,
-    AnswerStarted,
     BreakCall,
     CallerLeft,
     CancelSend,
+    ResponseStarted,
     SendCall,
     SendFailed,
     SendSilent,
@@ -81,7 +81,7 @@
         call_id, number = self._any_send(data)
         if (call_id, number) in self.open:
             self.begun.add((call_id, number))
-        self.take(self.world.tell(AnswerStarted(call_id, number, answer(status))))
+        self.take(self.world.tell(ResponseStarted(call_id, number, answer(status))))
 
     @precondition(lambda self: any(self.sends.values()))
     @rule(data=st.data(), status=st.sampled_from([503, 421]))
@@ -92,7 +92,7 @@
         self.disproved.add((call_id, number))
         self.open.discard((call_id, number))
         head = answer(status, not_run=status == 503)
-        self.take(self.world.tell(AnswerStarted(call_id, number, head)))
+        self.take(self.world.tell(ResponseStarted(call_id, number, head)))
 
     @precondition(lambda self: self.begun & self.open)
     @rule(data=st.data())
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -16,7 +16,7 @@
 from filbertstream.process.deployment import Address
 from filbertstream.request.call_flow import (
     AnswerComplete,
-    AnswerStarted,
+    ResponseStarted,
     SendCall,
     SendFailed,
     SendSilent,
@@ -62,7 +62,7 @@
 
     def tell(self, event: Any) -> None:
         self.told.append(event)
-        if isinstance(event, AnswerStarted) and self.send is not None:
+        if isinstance(event, ResponseStarted) and self.send is not None:
             self.send.relay(True)
 
     def finish(self, call_id: int) -> None:
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -18,13 +18,13 @@
 from filbertstream.request.call_flow import (
     AnswerCall,
     AnswerComplete,
-    AnswerStarted,
     BreakCall,
     CallArrived,
     CallerLeft,
     CancelSend,
     ContinueAnswer,
     RelayAnswer,
+    ResponseStarted,
     SendFailed,
 )
 from filbertstream.version.routes import (
@@ -69,7 +69,7 @@
     while not statuses(actions):
         (sent,) = [item for item in sends(actions) if item.call_id == call_id]
         targets.append(sent.target_id)
-        actions = world.tell(AnswerStarted(call_id, sent.number, answer(503, not_run=True)))
+        actions = world.tell(ResponseStarted(call_id, sent.number, answer(503, not_run=True)))
         if not actions[1:] and not statuses(actions):
             actions = world.run(0.2)
     assert sorted(targets[:2]) == ["a1", "a2"]
@@ -87,9 +87,9 @@
     call_id = world.calls
     (second,) = sends(world.tell(SendFailed(call_id, first.number, "cut", True, False, None)))
     assert second.number == first.number + 1
-    assert world.tell(AnswerStarted(call_id, first.number, answer())) == []
+    assert world.tell(ResponseStarted(call_id, first.number, answer())) == []
     assert world.tell(AnswerComplete(call_id, first.number, 5)) == []
-    assert world.tell(AnswerStarted(call_id, second.number, answer())) == [
+    assert world.tell(ResponseStarted(call_id, second.number, answer())) == [
         RelayAnswer(call_id, second.number, False)
     ]
 
@@ -100,14 +100,14 @@
         world.arrive("draft")
     (first,) = sends(world.arrive("draft"))
     call_id = world.calls
-    world.tell(AnswerStarted(call_id, first.number, answer()))
+    world.tell(ResponseStarted(call_id, first.number, answer()))
     (second,) = sends(world.tell(SendFailed(call_id, first.number, "cut", True, True, "7")))
     assert (second.last_event_id, second.target_id != first.target_id) == ("7", True)
-    assert world.tell(AnswerStarted(call_id, second.number, answer())) == [
+    assert world.tell(ResponseStarted(call_id, second.number, answer())) == [
         ContinueAnswer(call_id, second.number)
     ]
     (walk,) = sends(world.arrive("walk"))
-    world.tell(AnswerStarted(world.calls, walk.number, answer()))
+    world.tell(ResponseStarted(world.calls, walk.number, answer()))
     actions = world.tell(SendFailed(world.calls, walk.number, "cut", True, True, "7"))
     assert BreakCall(world.calls) in actions
     assert not sends(actions)
@@ -117,7 +117,7 @@
     for wrong in (answer(signed=False), answer(encoded=True)):
         world = World()
         (sent,) = sends(world.arrive("book"))
-        actions = world.tell(AnswerStarted(1, sent.number, wrong))
+        actions = world.tell(ResponseStarted(1, sent.number, wrong))
         assert statuses(actions) == [502]
 
 
@@ -325,7 +325,7 @@
         world.arrive("draft")
     (sent,) = sends(world.arrive("draft"))
     refusal = answer(421, target_id=sent.target_id)
-    (again,) = sends(world.tell(AnswerStarted(world.calls, sent.number, refusal)))
+    (again,) = sends(world.tell(ResponseStarted(world.calls, sent.number, refusal)))
     assert again.target_id != sent.target_id
     assert world.core.roster.targets[sent.target_id].weights["m"] == 2
 
@@ -348,7 +348,7 @@
     for call_id, send in enumerate(sent, start=1):
         if send.target_id == "r1":
             refusal = answer(421, not_run=True, target_id="r1")
-            world.tell(AnswerStarted(call_id, send.number, refusal))
+            world.tell(ResponseStarted(call_id, send.number, refusal))
     assert target.weights["m"] == 2
 
 
@@ -356,7 +356,7 @@
     world = World()
     (send,) = sends(world.arrive("draft"))
     refusal = answer(421, not_run=True, target_id=send.target_id, weights=5)
-    world.tell(AnswerStarted(1, send.number, refusal))
+    world.tell(ResponseStarted(1, send.number, refusal))
     assert world.core.roster.targets[send.target_id].weights["m"] == 5
 
 
@@ -379,7 +379,7 @@
     call_id = world.calls
     for _ in range(2):
         (sent,) = sends(actions)
-        actions = world.tell(AnswerStarted(call_id, sent.number, answer(503, not_run=True)))
+        actions = world.tell(ResponseStarted(call_id, sent.number, answer(503, not_run=True)))
     assert not sends(actions)
     assert not statuses(actions)
     later = [sent for sent in sends(world.run(0.2)) if sent.call_id == call_id]
--- a/tests/test_gateway_overload.py
+++ b/tests/test_gateway_overload.py
@@ -1,6 +1,6 @@
 """The worst loads, replayed on the core in virtual time."""
 
-from filbertstream.request.call_flow import AnswerComplete, AnswerStarted, SendCall
+from filbertstream.request.call_flow import AnswerComplete, ResponseStarted, SendCall
 from filbertstream.request.overload import memory_limit, retry_after_s, room
 from tests.gateway_world import World, answer, sends, statuses
 
@@ -38,7 +38,7 @@
                 while queue and queue[0][1] <= self.now_s:
                     sent, ready_s = queue.pop(0)
                     self.first_s[sent.call_id] = ready_s - self.arrived_s[sent.call_id]
-                    self.tell(AnswerStarted(sent.call_id, sent.number, answer()))
+                    self.tell(ResponseStarted(sent.call_id, sent.number, answer()))
                     self.tell(AnswerComplete(sent.call_id, sent.number, 1))
             owed += per_s * step_s
             while owed >= 1.0:
@@ -83,7 +83,7 @@
         world.confirm()
         for sent in sends(world.arrive("walk")):
             admitted += 1
-            world.tell(AnswerStarted(sent.call_id, sent.number, answer()))
+            world.tell(ResponseStarted(sent.call_id, sent.number, answer()))
     per_run, memory = 1_050, 2 * 100_000
     assert 0.9 * memory / per_run < admitted < 1.2 * memory / per_run
 
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -4,8 +4,8 @@
 
 from filbertstream.request.call_flow import (
     AnswerComplete,
-    AnswerStarted,
     CancelSend,
+    ResponseStarted,
     SendSilent,
 )
 from tests.gateway_world import World, answer, sends
@@ -16,7 +16,7 @@
     """Load pattern: runners short of memory set runs aside for seconds, and go on with them."""
     world = World()
     (sent,) = sends(world.arrive(name))
-    world.tell(AnswerStarted(1, sent.number, answer()))
+    world.tell(ResponseStarted(1, sent.number, answer()))
     for _ in range(3):
         world.run(2.0)
         assert world.tell(SendSilent(1, sent.number, name == "walk", "3")) == []
@@ -30,10 +30,10 @@
         world.arrive("draft")
     (first,) = sends(world.arrive("draft"))
     call_id = world.calls
-    world.tell(AnswerStarted(call_id, first.number, answer()))
+    world.tell(ResponseStarted(call_id, first.number, answer()))
     actions = world.tell(SendSilent(call_id, first.number, True, "7"))
     (second,) = sends(actions)
     assert CancelSend(call_id, first.number) in actions
     assert second.last_event_id == "7"
-    world.tell(AnswerStarted(call_id, second.number, answer()))
+    world.tell(ResponseStarted(call_id, second.number, answer()))
     assert world.tell(SendSilent(call_id, second.number, True, "9")) == []
