--- a/bench/targets.py
+++ b/bench/targets.py
@@ -20,9 +20,9 @@
 )
 from filbertstream.request.call import ResponseHead, TargetLoadNote
 from filbertstream.request.call_flow import (
-    AnswerComplete,
     CancelSend,
     FirstEvent,
+    ResponseComplete,
     ResponseStarted,
     SendCall,
     SendFailed,
@@ -115,7 +115,7 @@
         def answer() -> None:
             self._start(core, send, self._head(target, OK, request_id, False))
             kept = world.kept_answer(request_id) if once is not None else None
-            done = AnswerComplete(send.call_id, send.number, 10, kept)
+            done = ResponseComplete(send.call_id, send.number, 10, kept)
             self._complete(core, send, target, done, LINK_S)
 
         world.after(target.run_s, answer)
@@ -125,7 +125,7 @@
         core: Gateway,
         send: SendCall,
         target: FakeTarget,
-        done: AnswerComplete,
+        done: ResponseComplete,
         delay_s: float,
     ) -> None:
         world = self._world
@@ -178,7 +178,7 @@
         target.running += 1
         decode_s = asked.out_tokens * TOKEN_GAP_S
         world.after(decode_s, lambda: setattr(target, "running", target.running - 1))
-        done = AnswerComplete(send.call_id, send.number, 0)
+        done = ResponseComplete(send.call_id, send.number, 0)
         self._complete(core, send, target, done, decode_s)
 
     def poll(self, core: Gateway, poll: PollReport) -> None:
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -14,8 +14,8 @@
 from filbertstream.process.clock import boot_time_s
 from filbertstream.request.call import CallHead, ResponseHead, WholeAnswer
 from filbertstream.request.call_flow import (
-    AnswerComplete,
     FirstEvent,
+    ResponseComplete,
     ResponseStarted,
     SendCall,
     SendFailed,
@@ -132,7 +132,7 @@
         self._edge.finish(self.action.call_id)
         kept = self._kept(self._answer, body) if self._relayed.keeps_answer else None
         self._edge.tell(
-            AnswerComplete(self.action.call_id, self.action.number, self._body_bytes, kept)
+            ResponseComplete(self.action.call_id, self.action.number, self._body_bytes, kept)
         )
 
     def _finish(self, answer: ResponseHead, body: bytes) -> None:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -65,10 +65,10 @@
 from filbertstream.request.admission import Admission
 from filbertstream.request.arrival import Arrivals
 from filbertstream.request.call_flow import (
-    AnswerComplete,
     CallArrived,
     CallerLeft,
     FirstEvent,
+    ResponseComplete,
     ResponseStarted,
     SendFailed,
     SendSilent,
@@ -180,7 +180,7 @@
             CallArrived: self._forward(self.forwarding.on_arrived),
             ResponseStarted: self._forward(self.forwarding.on_started),
             FirstEvent: self._forward(self.forwarding.on_first_event),
-            AnswerComplete: self._forward(self.forwarding.on_complete),
+            ResponseComplete: self._forward(self.forwarding.on_complete),
             SendFailed: self._forward(self.forwarding.on_failed),
             SendSilent: self._forward(self.forwarding.on_silent),
             CallerLeft: self._forward(self.forwarding.on_caller_left),
--- a/filbertstream/request/call_flow.py
+++ b/filbertstream/request/call_flow.py
@@ -31,7 +31,7 @@
     number: int
 
 
-class AnswerComplete(NamedTuple):
+class ResponseComplete(NamedTuple):
     """The whole answer to a send has been passed on; ``response`` is it where a key is to keep it."""
 
     call_id: int
@@ -142,7 +142,7 @@
     CallArrived
     | ResponseStarted
     | FirstEvent
-    | AnswerComplete
+    | ResponseComplete
     | SendFailed
     | SendSilent
     | CallerLeft
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -21,7 +21,6 @@
 from filbertstream.request.call import CacheOrders, WholeAnswer
 from filbertstream.request.call_flow import (
     AnswerCall,
-    AnswerComplete,
     AnswerKept,
     BreakCall,
     CallAction,
@@ -31,6 +30,7 @@
     ContinueAnswer,
     FirstEvent,
     RelayAnswer,
+    ResponseComplete,
     ResponseStarted,
     SendCall,
     SendFailed,
@@ -378,7 +378,7 @@
             self._parts.latencies.note(f"{call.route.name} first event", call.first_s)
         return []
 
-    def on_complete(self, event: AnswerComplete, now_s: float) -> list[Action]:
+    def on_complete(self, event: ResponseComplete, now_s: float) -> list[Action]:
         """End a call whose whole answer was passed on."""
         call = self._current(event.call_id, event.number)
         if call is None:
--- a/tests/test_calls_machine.py
+++ b/tests/test_calls_machine.py
@@ -12,10 +12,10 @@
 
 from filbertstream.request.call_flow import (
     AnswerCall,
-    AnswerComplete,
     BreakCall,
     CallerLeft,
     CancelSend,
+    ResponseComplete,
     ResponseStarted,
     SendCall,
     SendFailed,
@@ -102,7 +102,7 @@
             return
         self.open.discard((call_id, number))
         self.ended[call_id] = "complete"
-        self.take(self.world.tell(AnswerComplete(call_id, number, 10)))
+        self.take(self.world.tell(ResponseComplete(call_id, number, 10)))
 
     @precondition(lambda self: any(self.sends.values()))
     @rule(data=st.data(), cause=st.sampled_from(["cut", "reset", "malformed", "silent"]))
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -15,7 +15,7 @@
 from filbertstream.connection.target_link import TargetLinks
 from filbertstream.process.deployment import Address
 from filbertstream.request.call_flow import (
-    AnswerComplete,
+    ResponseComplete,
     ResponseStarted,
     SendCall,
     SendFailed,
@@ -125,7 +125,7 @@
     events = [chunk(b"id: %d\ndata: t\n\n" % number) for number in range(2, 8)]
     edge, caller = asyncio.run(play([*events, b"0\r\n\r\n"], 0.8 * SILENCE_S, 8 * SILENCE_S))
     assert not [item for item in edge.told if isinstance(item, SendSilent | SendFailed)]
-    assert [item for item in edge.told if isinstance(item, AnswerComplete)]
+    assert [item for item in edge.told if isinstance(item, ResponseComplete)]
     assert caller.ended
     assert caller.body.count(b"data:") == 7
 
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -17,13 +17,13 @@
 from filbertstream.request.call import CallHead
 from filbertstream.request.call_flow import (
     AnswerCall,
-    AnswerComplete,
     BreakCall,
     CallArrived,
     CallerLeft,
     CancelSend,
     ContinueAnswer,
     RelayAnswer,
+    ResponseComplete,
     ResponseStarted,
     SendFailed,
 )
@@ -88,7 +88,7 @@
     (second,) = sends(world.tell(SendFailed(call_id, first.number, "cut", True, False, None)))
     assert second.number == first.number + 1
     assert world.tell(ResponseStarted(call_id, first.number, answer())) == []
-    assert world.tell(AnswerComplete(call_id, first.number, 5)) == []
+    assert world.tell(ResponseComplete(call_id, first.number, 5)) == []
     assert world.tell(ResponseStarted(call_id, second.number, answer())) == [
         RelayAnswer(call_id, second.number, False)
     ]
--- a/tests/test_gateway_overload.py
+++ b/tests/test_gateway_overload.py
@@ -1,6 +1,6 @@
 """The worst loads, replayed on the core in virtual time."""
 
-from filbertstream.request.call_flow import AnswerComplete, ResponseStarted, SendCall
+from filbertstream.request.call_flow import ResponseComplete, ResponseStarted, SendCall
 from filbertstream.request.overload import memory_limit, retry_after_s, room
 from tests.gateway_world import World, answer, sends, statuses
 
@@ -39,7 +39,7 @@
                     sent, ready_s = queue.pop(0)
                     self.first_s[sent.call_id] = ready_s - self.arrived_s[sent.call_id]
                     self.tell(ResponseStarted(sent.call_id, sent.number, answer()))
-                    self.tell(AnswerComplete(sent.call_id, sent.number, 1))
+                    self.tell(ResponseComplete(sent.call_id, sent.number, 1))
             owed += per_s * step_s
             while owed >= 1.0:
                 owed -= 1.0
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -3,8 +3,8 @@
 import pytest
 
 from filbertstream.request.call_flow import (
-    AnswerComplete,
     CancelSend,
+    ResponseComplete,
     ResponseStarted,
     SendSilent,
 )
@@ -20,7 +20,7 @@
     for _ in range(3):
         world.run(2.0)
         assert world.tell(SendSilent(1, sent.number, name == "walk", "3")) == []
-    assert world.tell(AnswerComplete(1, sent.number, 10)) == []
+    assert world.tell(ResponseComplete(1, sent.number, 10)) == []
     assert world.core.counters.get("calls_ended", "complete") == 1
 
 
