--- a/bench/world.py
+++ b/bench/world.py
@@ -32,7 +32,7 @@
 from filbertstream.process.cache_stores import FollowCache, FreeParts, ListCache
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.duty import WriteDuty
-from filbertstream.request.call import CallHead, OnceKey, Prompt, PromptPart, WholeAnswer
+from filbertstream.request.call import BufferedResponse, CallHead, OnceKey, Prompt, PromptPart
 from filbertstream.request.call_flow import (
     AnswerCall,
     AnswerKept,
@@ -336,9 +336,9 @@
         )
         self.outcomes[request_id].append(outcome)
 
-    def kept_answer(self, request_id: str) -> WholeAnswer:
+    def kept_answer(self, request_id: str) -> BufferedResponse:
         """Return the answer of a service to a request."""
-        return WholeAnswer(200, "text/plain", request_id.encode())
+        return BufferedResponse(200, "text/plain", request_id.encode())
 
     def _send_peer(self, core: Gateway, action: SendPeer) -> None:
         name = action.address.removeprefix("tcp://")
--- a/filbertstream/connection/answer_form.py
+++ b/filbertstream/connection/answer_form.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from filbertstream.platform.headers import Headers, encode_answer_head, encode_own_answer
-from filbertstream.request.call import WholeAnswer
+from filbertstream.request.call import BufferedResponse
 from filbertstream.statuses import REASONS
 
 
@@ -55,7 +55,7 @@
     def whole(self, status: int, reason: str, headers: Headers, body: bytes) -> tuple[bytes, bytes]:
         """Return head and body of an answer that is passed on whole."""
 
-    def kept(self, answer: WholeAnswer) -> tuple[bytes, bytes]:
+    def kept(self, answer: BufferedResponse) -> tuple[bytes, bytes]:
         """Return head and body of the answer that an earlier call of the same key got."""
 
     def refusal(self, request_id: str, refusal: Refusal) -> tuple[bytes, bytes]:
@@ -87,7 +87,7 @@
         """Return the target's answer."""
         return encode_answer_head(status, reason, headers, len(body)), body
 
-    def kept(self, answer: WholeAnswer) -> tuple[bytes, bytes]:
+    def kept(self, answer: BufferedResponse) -> tuple[bytes, bytes]:
         """Return a kept answer."""
         headers = [(b"content-type", answer.content_type.encode())]
         reason = REASONS.get(answer.status, "Answer")
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -12,7 +12,7 @@
 from filbertstream.connection.target_link import TargetConnection, TargetLinks
 from filbertstream.platform.headers import Headers, encode_target_head
 from filbertstream.process.clock import boot_time_s
-from filbertstream.request.call import CallHead, ResponseHead, WholeAnswer
+from filbertstream.request.call import BufferedResponse, CallHead, ResponseHead
 from filbertstream.request.call_flow import (
     FirstEvent,
     ResponseComplete,
@@ -146,9 +146,9 @@
             conn.stream(last)
         conn.end()
 
-    def _kept(self, answer: ResponseHead, body: bytes) -> WholeAnswer:
+    def _kept(self, answer: ResponseHead, body: bytes) -> BufferedResponse:
         content_type = dict(reversed(self._headers)).get(b"content-type", b"")
-        return WholeAnswer(answer.status, content_type.decode("latin-1"), body)
+        return BufferedResponse(answer.status, content_type.decode("latin-1"), body)
 
     def on_broken(self, cause: str) -> None:
         """Tell the core that the answer is cut."""
--- a/filbertstream/connection/v1_answers.py
+++ b/filbertstream/connection/v1_answers.py
@@ -14,7 +14,7 @@
 from filbertstream.connection.answer_form import Refusal
 from filbertstream.connection.event_relay import DATA_FIELD, END, ID_FIELD
 from filbertstream.platform.headers import Headers
-from filbertstream.request.call import WholeAnswer
+from filbertstream.request.call import BufferedResponse
 from filbertstream.statuses import REASONS
 from filbertstream.texts import TITLES, UNTITLED
 
@@ -127,7 +127,7 @@
         head = encode_head(status, self._request_id, content_type.decode("latin-1"), len(body))
         return head, body
 
-    def kept(self, answer: WholeAnswer) -> tuple[bytes, bytes]:
+    def kept(self, answer: BufferedResponse) -> tuple[bytes, bytes]:
         """Return a kept answer, marked as one."""
         more = ("Idempotency-Replayed: true",)
         length = len(answer.body)
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -45,7 +45,7 @@
     once: OnceKey | None = None
 
 
-class WholeAnswer(NamedTuple):
+class BufferedResponse(NamedTuple):
     """A target's answer that was passed on whole."""
 
     status: int
--- a/filbertstream/request/call_flow.py
+++ b/filbertstream/request/call_flow.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple, TypeAlias
 
 from filbertstream.process.deployment import Address
-from filbertstream.request.call import CacheOrders, CallHead, ResponseHead, WholeAnswer
+from filbertstream.request.call import BufferedResponse, CacheOrders, CallHead, ResponseHead
 
 
 class CallArrived(NamedTuple):
@@ -37,7 +37,7 @@
     call_id: int
     number: int
     body_bytes: int
-    response: WholeAnswer | None = None
+    response: BufferedResponse | None = None
 
 
 class SendFailed(NamedTuple):
@@ -129,7 +129,7 @@
     """Give the caller the answer that the first call of its key got."""
 
     call_id: int
-    response: WholeAnswer
+    response: BufferedResponse
 
 
 class BreakCall(NamedTuple):
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -18,7 +18,7 @@
 from filbertstream.request import call_lines
 from filbertstream.request.admission import Admission
 from filbertstream.request.arrival import Arrivals, Refused
-from filbertstream.request.call import CacheOrders, WholeAnswer
+from filbertstream.request.call import BufferedResponse, CacheOrders
 from filbertstream.request.call_flow import (
     AnswerCall,
     AnswerKept,
@@ -466,7 +466,7 @@
         return UNAVAILABLE, FULL_RETRY_S if code == "targets_full" else NO_TARGET_RETRY_S
 
     def _end(
-        self, call: Call, outcome: str, now_s: float, response: WholeAnswer | None = None
+        self, call: Call, outcome: str, now_s: float, response: BufferedResponse | None = None
     ) -> list[Action]:
         del self.calls[call.call_id]
         self._parts.counters.add("calls_ended", outcome)
--- a/filbertstream/request/keyed_calls.py
+++ b/filbertstream/request/keyed_calls.py
@@ -18,7 +18,7 @@
 
 from filbertstream.names import digest_text
 from filbertstream.request.arrival import Refused
-from filbertstream.request.call import OnceKey, WholeAnswer
+from filbertstream.request.call import BufferedResponse, OnceKey
 from filbertstream.request.call_state import Call
 from filbertstream.statuses import CONFLICT, UNAVAILABLE, UNPROCESSABLE
 
@@ -145,7 +145,7 @@
 
     def judge(
         self, event: KeyClaimed, once: OnceKey, longest_s: float, now_s: float
-    ) -> Refused | WholeAnswer | None:
+    ) -> Refused | BufferedResponse | None:
         """Return how a call ends whose key it could not claim, or None where it may run.
 
         ``longest_s`` is how long a call of its workspace takes at most.
@@ -160,7 +160,7 @@
         if present.fingerprint != once.fingerprint:
             return Refused(UNPROCESSABLE, "key_conflict")
         if present.state is KeyState.KEPT:
-            return WholeAnswer(present.status, present.content_type, present.body)
+            return BufferedResponse(present.status, present.content_type, present.body)
         if present.state is KeyState.TOO_LARGE:
             return Refused(CONFLICT, "answer_not_kept")
         if present.state is KeyState.RUNNING and self._may_run(present, longest_s, now_s):
@@ -180,13 +180,13 @@
             self._running_since_s.popitem(last=False)
         return now_s - since_s < longest_s + SETTLE_AGAIN_S
 
-    def end(self, call: Call, response: WholeAnswer | None, now_s: float) -> list[SettleKey]:
+    def end(self, call: Call, response: BufferedResponse | None, now_s: float) -> list[SettleKey]:
         """Settle the key of a call that ended; a call that never claimed one has none."""
         claim = self._claims.pop(call.call_id, None)
         return [] if claim is None else self._settle(claim, call, response, now_s)
 
     def _settle(
-        self, claim: ClaimKey, call: Call, response: WholeAnswer | None, now_s: float
+        self, claim: ClaimKey, call: Call, response: BufferedResponse | None, now_s: float
     ) -> list[SettleKey]:
         record = claim.record
         if response is not None and len(response.body) <= KEPT_BYTES:
--- a/tests/test_keys_machine.py
+++ b/tests/test_keys_machine.py
@@ -10,7 +10,7 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from filbertstream.request.call import CallHead, OnceKey, WholeAnswer
+from filbertstream.request.call import BufferedResponse, CallHead, OnceKey
 from filbertstream.request.call_state import Call
 from filbertstream.request.key_writes import (
     ClaimSteps,
@@ -36,7 +36,7 @@
 LONGEST_S = 10.0
 ROUTE = Route("r", "h", "/", CallKind.NON_IDEMPOTENT, (Backend("s", 1),), LONGEST_S, 1.0, 1)
 ONCE = OnceKey("key", "body")
-ANSWER = WholeAnswer(200, "text/plain", b"done")
+ANSWER = BufferedResponse(200, "text/plain", b"done")
 
 
 class Step(NamedTuple):
@@ -146,13 +146,13 @@
             self.ran.append(call.call_id)
             call.attempts = 1
             return
-        if isinstance(verdict, WholeAnswer):
+        if isinstance(verdict, BufferedResponse):
             self.answered[call.call_id] = verdict.body
         elif verdict.code == "claims_unavailable":
             self.told_not_run.add(call.call_id)
         self._finish(call, None)
 
-    def _finish(self, call: Call, answer: WholeAnswer | None) -> None:
+    def _finish(self, call: Call, answer: BufferedResponse | None) -> None:
         entry, _ = self.owners[call.call_id]
         del self.calls[call.call_id]
         for settle in self.keyed[entry].end(call, answer, self.now_s):
