--- a/bench/world.py
+++ b/bench/world.py
@@ -40,7 +40,7 @@
     CallArrived,
     CancelSend,
     ContinueAnswer,
-    RelayAnswer,
+    RelayResponse,
     SendCall,
 )
 from filbertstream.request.key_writes import KeyCall, KeyReply, claim_steps, settle_steps
@@ -129,7 +129,7 @@
             SendPeer: self._send_peer,
             SendCall: self.target_side.send,
             CancelSend: self.target_side.cancel,
-            RelayAnswer: lambda core, action: None,
+            RelayResponse: lambda core, action: None,
             ContinueAnswer: lambda core, action: None,
             AnswerCall: self._answer,
             AnswerKept: self._answer_kept,
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -46,7 +46,7 @@
     CallerLeft,
     CancelSend,
     ContinueAnswer,
-    RelayAnswer,
+    RelayResponse,
     SendCall,
 )
 from filbertstream.statuses import BAD_GATEWAY, BAD_REQUEST
@@ -86,7 +86,7 @@
         self.handlers: dict[type, Callable[[Any], object]] = {
             Log: write_log,
             SendCall: self._send,
-            RelayAnswer: self._relay,
+            RelayResponse: self._relay,
             ContinueAnswer: self._continue,
             CancelSend: self._cancel,
             AnswerCall: self._answer,
@@ -236,7 +236,7 @@
         send = None if relayed is None else relayed.send
         return send if send is not None and send.action.number == number else None
 
-    def _relay(self, action: RelayAnswer) -> None:
+    def _relay(self, action: RelayResponse) -> None:
         send = self._current(action.call_id, action.number)
         if send is not None:
             send.relay(action.stream)
--- a/filbertstream/request/call_flow.py
+++ b/filbertstream/request/call_flow.py
@@ -93,7 +93,7 @@
     silence_s: float
 
 
-class RelayAnswer(NamedTuple):
+class RelayResponse(NamedTuple):
     """Pass the answer of a send on to the caller."""
 
     call_id: int
@@ -148,5 +148,5 @@
     | CallerLeft
 )
 CallAction: TypeAlias = (
-    SendCall | RelayAnswer | ContinueAnswer | CancelSend | AnswerCall | AnswerKept | BreakCall
+    SendCall | RelayResponse | ContinueAnswer | CancelSend | AnswerCall | AnswerKept | BreakCall
 )
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -29,7 +29,7 @@
     CancelSend,
     ContinueAnswer,
     FirstEvent,
-    RelayAnswer,
+    RelayResponse,
     ResponseComplete,
     ResponseStarted,
     SendCall,
@@ -300,7 +300,7 @@
         stream = call.route.kind is CallKind.STREAM and response.status == OK
         call.begun = stream
         self._learn(call, target, now_s)
-        return [RelayAnswer(call.call_id, call.number, stream)]
+        return [RelayResponse(call.call_id, call.number, stream)]
 
     def _learn(self, call: Call, target: RosterTarget, now_s: float) -> None:
         waited_s = now_s - call.sent_at_s
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -22,7 +22,7 @@
     CallerLeft,
     CancelSend,
     ContinueAnswer,
-    RelayAnswer,
+    RelayResponse,
     ResponseComplete,
     ResponseStarted,
     SendFailed,
@@ -90,7 +90,7 @@
     assert world.tell(ResponseStarted(call_id, first.number, answer())) == []
     assert world.tell(ResponseComplete(call_id, first.number, 5)) == []
     assert world.tell(ResponseStarted(call_id, second.number, answer())) == [
-        RelayAnswer(call_id, second.number, False)
+        RelayResponse(call_id, second.number, False)
     ]
 
 
