--- a/bench/world.py
+++ b/bench/world.py
@@ -39,7 +39,7 @@
     BreakCall,
     CallArrived,
     CancelSend,
-    ContinueAnswer,
+    ContinueResponse,
     RelayResponse,
     SendCall,
 )
@@ -130,7 +130,7 @@
             SendCall: self.target_side.send,
             CancelSend: self.target_side.cancel,
             RelayResponse: lambda core, action: None,
-            ContinueAnswer: lambda core, action: None,
+            ContinueResponse: lambda core, action: None,
             AnswerCall: self._answer,
             AnswerKept: self._answer_kept,
             BreakCall: self._break,
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -45,7 +45,7 @@
     CallArrived,
     CallerLeft,
     CancelSend,
-    ContinueAnswer,
+    ContinueResponse,
     RelayResponse,
     SendCall,
 )
@@ -87,7 +87,7 @@
             Log: write_log,
             SendCall: self._send,
             RelayResponse: self._relay,
-            ContinueAnswer: self._continue,
+            ContinueResponse: self._continue,
             CancelSend: self._cancel,
             AnswerCall: self._answer,
             AnswerKept: self._answer_kept,
@@ -241,7 +241,7 @@
         if send is not None:
             send.relay(action.stream)
 
-    def _continue(self, action: ContinueAnswer) -> None:
+    def _continue(self, action: ContinueResponse) -> None:
         send = self._current(action.call_id, action.number)
         if send is not None:
             send.resume()
--- a/filbertstream/request/call_flow.py
+++ b/filbertstream/request/call_flow.py
@@ -101,7 +101,7 @@
     stream: bool
 
 
-class ContinueAnswer(NamedTuple):
+class ContinueResponse(NamedTuple):
     """Go on with the caller's stream from the answer of a further send."""
 
     call_id: int
@@ -148,5 +148,5 @@
     | CallerLeft
 )
 CallAction: TypeAlias = (
-    SendCall | RelayResponse | ContinueAnswer | CancelSend | AnswerCall | AnswerKept | BreakCall
+    SendCall | RelayResponse | ContinueResponse | CancelSend | AnswerCall | AnswerKept | BreakCall
 )
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -27,7 +27,7 @@
     CallArrived,
     CallerLeft,
     CancelSend,
-    ContinueAnswer,
+    ContinueResponse,
     FirstEvent,
     RelayResponse,
     ResponseComplete,
@@ -296,7 +296,7 @@
             if response.status != OK:
                 return self._on_broken(call, event.number, "not_resumed", now_s)
             self._learn(call, target, now_s)
-            return [ContinueAnswer(call.call_id, call.number)]
+            return [ContinueResponse(call.call_id, call.number)]
         stream = call.route.kind is CallKind.STREAM and response.status == OK
         call.begun = stream
         self._learn(call, target, now_s)
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -21,7 +21,7 @@
     CallArrived,
     CallerLeft,
     CancelSend,
-    ContinueAnswer,
+    ContinueResponse,
     RelayResponse,
     ResponseComplete,
     ResponseStarted,
@@ -104,7 +104,7 @@
     (second,) = sends(world.tell(SendFailed(call_id, first.number, "cut", True, True, "7")))
     assert (second.last_event_id, second.target_id != first.target_id) == ("7", True)
     assert world.tell(ResponseStarted(call_id, second.number, answer())) == [
-        ContinueAnswer(call_id, second.number)
+        ContinueResponse(call_id, second.number)
     ]
     (walk,) = sends(world.arrive("walk"))
     world.tell(ResponseStarted(world.calls, walk.number, answer()))
