--- a/bench/world.py
+++ b/bench/world.py
@@ -34,13 +34,13 @@
 from filbertstream.process.duty import WriteDuty
 from filbertstream.request.call import BufferedResponse, CallHead, OnceKey, Prompt, PromptPart
 from filbertstream.request.call_flow import (
-    AnswerCall,
     AnswerKept,
     BreakCall,
     CallArrived,
     CancelSend,
     ContinueResponse,
     RelayResponse,
+    RespondLocally,
     SendCall,
 )
 from filbertstream.request.key_writes import KeyCall, KeyReply, claim_steps, settle_steps
@@ -131,7 +131,7 @@
             CancelSend: self.target_side.cancel,
             RelayResponse: lambda core, action: None,
             ContinueResponse: lambda core, action: None,
-            AnswerCall: self._answer,
+            RespondLocally: self._answer,
             AnswerKept: self._answer_kept,
             BreakCall: self._break,
             PollReport: self.target_side.poll,
@@ -307,7 +307,7 @@
     def _note_log(self, core: Gateway, action: Log) -> None:
         self.logs.append((self.now_s, core.cfg.name, action))
 
-    def _answer(self, core: Gateway, action: AnswerCall) -> None:
+    def _answer(self, core: Gateway, action: RespondLocally) -> None:
         run = "may_have_run" if action.status in (502, 504) else "not_run"
         self._end(core, action.call_id, "refused", action, run)
 
@@ -322,7 +322,7 @@
         self._end(core, call_id, "answered", None, "")
 
     def _end(
-        self, core: Gateway, call_id: int, kind: str, refusal: AnswerCall | None, run: str
+        self, core: Gateway, call_id: int, kind: str, refusal: RespondLocally | None, run: str
     ) -> None:
         request_id = self.calls[core.cfg.name, call_id]
         outcome = Outcome(
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -39,7 +39,6 @@
 from filbertstream.process.clock import boot_time_s
 from filbertstream.request.call import CallHead
 from filbertstream.request.call_flow import (
-    AnswerCall,
     AnswerKept,
     BreakCall,
     CallArrived,
@@ -47,6 +46,7 @@
     CancelSend,
     ContinueResponse,
     RelayResponse,
+    RespondLocally,
     SendCall,
 )
 from filbertstream.statuses import BAD_GATEWAY, BAD_REQUEST
@@ -89,7 +89,7 @@
             RelayResponse: self._relay,
             ContinueResponse: self._continue,
             CancelSend: self._cancel,
-            AnswerCall: self._answer,
+            RespondLocally: self._answer,
             AnswerKept: self._answer_kept,
             BreakCall: self._break,
             FollowCache: lambda follow: self._spawn(self._follow(follow)),
@@ -138,7 +138,7 @@
         match decode_call(raw.method, raw.path, raw.headers, len(raw.body)):
             case Err(detail):
                 self.on_rejected(BAD_REQUEST, detail)
-                refusal = AnswerCall(0, BAD_REQUEST, "malformed", detail, None)
+                refusal = RespondLocally(0, BAD_REQUEST, "malformed", detail, None)
                 conn.answer(*RELAY_FORM.refusal("", refusal))
                 conn.close()
             case Ok(head):
@@ -251,7 +251,7 @@
         if send is not None:
             send.cancel()
 
-    def _answer(self, action: AnswerCall) -> None:
+    def _answer(self, action: RespondLocally) -> None:
         relayed = self._calls.pop(action.call_id, None)
         if relayed is not None:
             relayed.conn.answer(*relayed.form.refusal(relayed.request_id, action))
@@ -267,7 +267,7 @@
             return
         conn, last = relayed.conn, relayed.form.broken()
         if relayed.form.collects:
-            refusal = AnswerCall(action.call_id, BAD_GATEWAY, "target_failed", "", None)
+            refusal = RespondLocally(action.call_id, BAD_GATEWAY, "target_failed", "", None)
             conn.answer(*relayed.form.refusal(relayed.request_id, refusal))
         elif last is not None:
             conn.stream(last)
--- a/filbertstream/request/call_flow.py
+++ b/filbertstream/request/call_flow.py
@@ -115,7 +115,7 @@
     number: int
 
 
-class AnswerCall(NamedTuple):
+class RespondLocally(NamedTuple):
     """Give the caller an answer of this system's own."""
 
     call_id: int
@@ -148,5 +148,11 @@
     | CallerLeft
 )
 CallAction: TypeAlias = (
-    SendCall | RelayResponse | ContinueResponse | CancelSend | AnswerCall | AnswerKept | BreakCall
+    SendCall
+    | RelayResponse
+    | ContinueResponse
+    | CancelSend
+    | RespondLocally
+    | AnswerKept
+    | BreakCall
 )
--- a/filbertstream/request/call_lines.py
+++ b/filbertstream/request/call_lines.py
@@ -5,7 +5,7 @@
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.arrival import Refused
 from filbertstream.request.call import ResponseHead
-from filbertstream.request.call_flow import AnswerCall, CallArrived
+from filbertstream.request.call_flow import CallArrived, RespondLocally
 from filbertstream.request.call_state import Call
 from filbertstream.request.keyed_calls import KeyClaimed
 from filbertstream.request.prompts import LogFields
@@ -29,7 +29,7 @@
     return Log(LogEvent.REQUEST_REFUSED, fields)
 
 
-def refused(call: Call, refusal: AnswerCall, inputs: LogFields = ()) -> Log:
+def refused(call: Call, refusal: RespondLocally, inputs: LogFields = ()) -> Log:
     """Return the line of a call that was begun and gets a refusal."""
     after_s = refusal.retry_after_s
     fields = (
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -20,7 +20,6 @@
 from filbertstream.request.arrival import Arrivals, Refused
 from filbertstream.request.call import BufferedResponse, CacheOrders
 from filbertstream.request.call_flow import (
-    AnswerCall,
     AnswerKept,
     BreakCall,
     CallAction,
@@ -30,6 +29,7 @@
     ContinueResponse,
     FirstEvent,
     RelayResponse,
+    RespondLocally,
     ResponseComplete,
     ResponseStarted,
     SendCall,
@@ -158,7 +158,7 @@
             return [log, *self._send(call, now_s)]
         if isinstance(verdict, Refused):
             after_s = self._spread(verdict.retry_after_s)
-            refusal = AnswerCall(call.call_id, verdict.status, verdict.code, "", after_s)
+            refusal = RespondLocally(call.call_id, verdict.status, verdict.code, "", after_s)
             self._parts.counters.add("calls_refused", verdict.code)
             refused = call_lines.refused(call, refusal)
             return [log, refusal, refused, *self._end(call, verdict.code, now_s)]
@@ -173,7 +173,7 @@
             event, refused, version, self._parts.currency.age_s(now_s)
         )
         after_s = self._spread(refused.retry_after_s)
-        response = AnswerCall(event.call_id, refused.status, refused.code, "", after_s)
+        response = RespondLocally(event.call_id, refused.status, refused.code, "", after_s)
         return [response, line]
 
     def _spread(self, retry_after_s: float | None) -> float | None:
@@ -451,7 +451,7 @@
         status, retry_after_s = self._refusal(call, code)
         if turned_away is not None and retry_after_s is not None:
             retry_after_s = turned_away.retry_after_s
-        refusal = AnswerCall(call.call_id, status, code, "", self._spread(retry_after_s))
+        refusal = RespondLocally(call.call_id, status, code, "", self._spread(retry_after_s))
         inputs = () if turned_away is None else turned_away.inputs
         return [
             *actions,
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -22,8 +22,8 @@
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.request.call import CallHead, Prompt, PromptPart, ResponseHead
 from filbertstream.request.call_flow import (
-    AnswerCall,
     CallArrived,
+    RespondLocally,
     SendCall,
 )
 from filbertstream.version.routes import (
@@ -176,4 +176,4 @@
 
 
 def statuses(actions: list[Any]) -> list[int]:
-    return [item.status for item in actions if isinstance(item, AnswerCall)]
+    return [item.status for item in actions if isinstance(item, RespondLocally)]
--- a/tests/test_calls_machine.py
+++ b/tests/test_calls_machine.py
@@ -11,10 +11,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from filbertstream.request.call_flow import (
-    AnswerCall,
     BreakCall,
     CallerLeft,
     CancelSend,
+    RespondLocally,
     ResponseComplete,
     ResponseStarted,
     SendCall,
@@ -28,7 +28,7 @@
 TIME_LEFT_SLACK_S = 0.01
 STEP_S = 0.1
 KINDS = {route.name: route for route in ROUTES}
-FINAL = (AnswerCall, BreakCall)
+FINAL = (RespondLocally, BreakCall)
 
 
 class CallsMachine(RuleBasedStateMachine):
@@ -59,7 +59,7 @@
             elif isinstance(action, FINAL):
                 assert action.call_id not in self.ended, "a second final answer"
                 self.ended[action.call_id] = type(action).__name__
-                if isinstance(action, AnswerCall):
+                if isinstance(action, RespondLocally):
                     self.refused[action.call_id] = action.status
 
     @rule(name=st.sampled_from(sorted(KINDS)))
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -16,13 +16,13 @@
 from filbertstream.process.duty import DutyRecord
 from filbertstream.request.call import CallHead
 from filbertstream.request.call_flow import (
-    AnswerCall,
     BreakCall,
     CallArrived,
     CallerLeft,
     CancelSend,
     ContinueResponse,
     RelayResponse,
+    RespondLocally,
     ResponseComplete,
     ResponseStarted,
     SendFailed,
@@ -171,7 +171,7 @@
     fresh = Gateway(GatewayConfig("e2", 1, "dc1", BOUNDS, "", 7))
     head = CallHead("q", "GET", "h.example", "/none/", None, None, 0, None, None)
     refused, _ = fresh.step(100.0, CallArrived(1, head))
-    assert isinstance(refused, AnswerCall)
+    assert isinstance(refused, RespondLocally)
     assert refused.status == 503
 
 
--- a/tests/test_gateway_redirect.py
+++ b/tests/test_gateway_redirect.py
@@ -10,7 +10,7 @@
 from filbertstream.gateway_events import PeerMessage, Tick
 from filbertstream.messages import PlacedWork
 from filbertstream.request.arrival import ELSEWHERE_RETRY_S, STALE_RETRY_MOST_S, STALE_RETRY_S
-from filbertstream.request.call_flow import AnswerCall
+from filbertstream.request.call_flow import RespondLocally
 from filbertstream.request.forwarding import RETRY_SPREAD
 from tests.gateway_world import BOUNDS, World
 
@@ -18,14 +18,14 @@
 """Longer than the bound for removed keys."""
 
 
-def out_of_touch(world: World, outage_s: float, others: bool | None) -> AnswerCall:
+def out_of_touch(world: World, outage_s: float, others: bool | None) -> RespondLocally:
     """Let the store be silent, hear another entry (or none), and return the refusal of a call."""
     for _ in range(round(outage_s / 0.1)):
         world.now_s += 0.1
         world.tell(Tick())
         if others is not None:
             world.tell(PeerMessage(PlacedWork("e2", (), others)))
-    refusals = [item for item in world.arrive("read") if isinstance(item, AnswerCall)]
+    refusals = [item for item in world.arrive("read") if isinstance(item, RespondLocally)]
     assert [(item.status, item.code) for item in refusals] == [(503, "stale")]
     return refusals[0]
 
@@ -70,5 +70,5 @@
         world.now_s += 0.1
         world.tell(PeerMessage(PlacedWork("e2", (), others)))
     assert world.core.sends_callers_away(world.now_s) == others
-    assert not [item for item in world.arrive("read") if isinstance(item, AnswerCall)]
+    assert not [item for item in world.arrive("read") if isinstance(item, RespondLocally)]
     assert not edge.stopping
