--- a/bench/world.py
+++ b/bench/world.py
@@ -34,12 +34,12 @@
 from filbertstream.process.duty import WriteDuty
 from filbertstream.request.call import BufferedResponse, CallHead, OnceKey, Prompt, PromptPart
 from filbertstream.request.call_flow import (
-    AnswerKept,
     BreakCall,
     CallArrived,
     CancelSend,
     ContinueResponse,
     RelayResponse,
+    ReplayResponse,
     RespondLocally,
     SendCall,
 )
@@ -132,7 +132,7 @@
             RelayResponse: lambda core, action: None,
             ContinueResponse: lambda core, action: None,
             RespondLocally: self._answer,
-            AnswerKept: self._answer_kept,
+            ReplayResponse: self._answer_kept,
             BreakCall: self._break,
             PollReport: self.target_side.poll,
             OrderWeights: self.target_side.order,
@@ -311,7 +311,7 @@
         run = "may_have_run" if action.status in (502, 504) else "not_run"
         self._end(core, action.call_id, "refused", action, run)
 
-    def _answer_kept(self, core: Gateway, action: AnswerKept) -> None:
+    def _answer_kept(self, core: Gateway, action: ReplayResponse) -> None:
         self._end(core, action.call_id, "kept", None, "")
 
     def _break(self, core: Gateway, action: BreakCall) -> None:
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -39,13 +39,13 @@
 from filbertstream.process.clock import boot_time_s
 from filbertstream.request.call import CallHead
 from filbertstream.request.call_flow import (
-    AnswerKept,
     BreakCall,
     CallArrived,
     CallerLeft,
     CancelSend,
     ContinueResponse,
     RelayResponse,
+    ReplayResponse,
     RespondLocally,
     SendCall,
 )
@@ -90,7 +90,7 @@
             ContinueResponse: self._continue,
             CancelSend: self._cancel,
             RespondLocally: self._answer,
-            AnswerKept: self._answer_kept,
+            ReplayResponse: self._answer_kept,
             BreakCall: self._break,
             FollowCache: lambda follow: self._spawn(self._follow(follow)),
             ListCache: lambda ask: self._spawn(self._list(ask)),
@@ -256,7 +256,7 @@
         if relayed is not None:
             relayed.conn.answer(*relayed.form.refusal(relayed.request_id, action))
 
-    def _answer_kept(self, action: AnswerKept) -> None:
+    def _answer_kept(self, action: ReplayResponse) -> None:
         relayed = self._calls.pop(action.call_id, None)
         if relayed is not None:
             relayed.conn.answer(*relayed.form.kept(action.response))
--- a/filbertstream/request/call_flow.py
+++ b/filbertstream/request/call_flow.py
@@ -125,7 +125,7 @@
     retry_after_s: float | None
 
 
-class AnswerKept(NamedTuple):
+class ReplayResponse(NamedTuple):
     """Give the caller the answer that the first call of its key got."""
 
     call_id: int
@@ -153,6 +153,6 @@
     | ContinueResponse
     | CancelSend
     | RespondLocally
-    | AnswerKept
+    | ReplayResponse
     | BreakCall
 )
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -20,7 +20,6 @@
 from filbertstream.request.arrival import Arrivals, Refused
 from filbertstream.request.call import BufferedResponse, CacheOrders
 from filbertstream.request.call_flow import (
-    AnswerKept,
     BreakCall,
     CallAction,
     CallArrived,
@@ -29,6 +28,7 @@
     ContinueResponse,
     FirstEvent,
     RelayResponse,
+    ReplayResponse,
     RespondLocally,
     ResponseComplete,
     ResponseStarted,
@@ -163,7 +163,7 @@
             refused = call_lines.refused(call, refusal)
             return [log, refusal, refused, *self._end(call, verdict.code, now_s)]
         kept = call_lines.answered_from_key(call)
-        return [log, AnswerKept(call.call_id, verdict), kept, *self._end(call, "kept", now_s)]
+        return [log, ReplayResponse(call.call_id, verdict), kept, *self._end(call, "kept", now_s)]
 
     def _refuse(self, event: CallArrived, refused: Refused, now_s: float) -> list[Action]:
         self._parts.counters.add("calls_refused", refused.code)
