--- a/bench/world.py
+++ b/bench/world.py
@@ -34,7 +34,7 @@
 from filbertstream.process.duty import WriteDuty
 from filbertstream.request.call import BufferedResponse, CallHead, OnceKey, Prompt, PromptPart
 from filbertstream.request.call_flow import (
-    BreakCall,
+    AbortResponse,
     CallArrived,
     CancelSend,
     ContinueResponse,
@@ -133,7 +133,7 @@
             ContinueResponse: lambda core, action: None,
             RespondLocally: self._answer,
             ReplayResponse: self._answer_kept,
-            BreakCall: self._break,
+            AbortResponse: self._break,
             PollReport: self.target_side.poll,
             OrderWeights: self.target_side.order,
             FollowCache: self.target_side.follow,
@@ -314,7 +314,7 @@
     def _answer_kept(self, core: Gateway, action: ReplayResponse) -> None:
         self._end(core, action.call_id, "kept", None, "")
 
-    def _break(self, core: Gateway, action: BreakCall) -> None:
+    def _break(self, core: Gateway, action: AbortResponse) -> None:
         self._end(core, action.call_id, "broken", None, "may_have_run")
 
     def answered(self, core: Gateway, call_id: int) -> None:
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -39,7 +39,7 @@
 from filbertstream.process.clock import boot_time_s
 from filbertstream.request.call import CallHead
 from filbertstream.request.call_flow import (
-    BreakCall,
+    AbortResponse,
     CallArrived,
     CallerLeft,
     CancelSend,
@@ -91,7 +91,7 @@
             CancelSend: self._cancel,
             RespondLocally: self._answer,
             ReplayResponse: self._answer_kept,
-            BreakCall: self._break,
+            AbortResponse: self._break,
             FollowCache: lambda follow: self._spawn(self._follow(follow)),
             ListCache: lambda ask: self._spawn(self._list(ask)),
             FreeParts: lambda free: self._spawn(self._free(free)),
@@ -261,7 +261,7 @@
         if relayed is not None:
             relayed.conn.answer(*relayed.form.kept(action.response))
 
-    def _break(self, action: BreakCall) -> None:
+    def _break(self, action: AbortResponse) -> None:
         relayed = self._calls.pop(action.call_id, None)
         if relayed is None:
             return
--- a/filbertstream/request/call_flow.py
+++ b/filbertstream/request/call_flow.py
@@ -132,7 +132,7 @@
     response: BufferedResponse
 
 
-class BreakCall(NamedTuple):
+class AbortResponse(NamedTuple):
     """Close the caller's connection: its answer has begun and can't be made whole."""
 
     call_id: int
@@ -154,5 +154,5 @@
     | CancelSend
     | RespondLocally
     | ReplayResponse
-    | BreakCall
+    | AbortResponse
 )
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -20,7 +20,7 @@
 from filbertstream.request.arrival import Arrivals, Refused
 from filbertstream.request.call import BufferedResponse, CacheOrders
 from filbertstream.request.call_flow import (
-    BreakCall,
+    AbortResponse,
     CallAction,
     CallArrived,
     CallerLeft,
@@ -446,7 +446,7 @@
             actions.append(CancelSend(call.call_id, call.number))
             self._release(call)
         if call.begun:
-            actions.append(BreakCall(call.call_id))
+            actions.append(AbortResponse(call.call_id))
             return [*actions, *self._end(call, code, now_s)]
         status, retry_after_s = self._refusal(call, code)
         if turned_away is not None and retry_after_s is not None:
--- a/tests/test_calls_machine.py
+++ b/tests/test_calls_machine.py
@@ -11,7 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from filbertstream.request.call_flow import (
-    BreakCall,
+    AbortResponse,
     CallerLeft,
     CancelSend,
     RespondLocally,
@@ -28,7 +28,7 @@
 TIME_LEFT_SLACK_S = 0.01
 STEP_S = 0.1
 KINDS = {route.name: route for route in ROUTES}
-FINAL = (RespondLocally, BreakCall)
+FINAL = (RespondLocally, AbortResponse)
 
 
 class CallsMachine(RuleBasedStateMachine):
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -16,7 +16,7 @@
 from filbertstream.process.duty import DutyRecord
 from filbertstream.request.call import CallHead
 from filbertstream.request.call_flow import (
-    BreakCall,
+    AbortResponse,
     CallArrived,
     CallerLeft,
     CancelSend,
@@ -109,7 +109,7 @@
     (walk,) = sends(world.arrive("walk"))
     world.tell(ResponseStarted(world.calls, walk.number, answer()))
     actions = world.tell(SendFailed(world.calls, walk.number, "cut", True, True, "7"))
-    assert BreakCall(world.calls) in actions
+    assert AbortResponse(world.calls) in actions
     assert not sends(actions)
 
 
