--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -19,7 +19,7 @@
     ResponseStarted,
     SendCall,
     SendFailed,
-    SendSilent,
+    SendStalled,
 )
 
 BUFFERED_BYTES: Final = 8_000_000
@@ -161,7 +161,7 @@
         events = self._relayed.events
         last_id = None if events is None else events.last_id
         self._edge.tell(
-            SendSilent(self.action.call_id, self.action.number, events is not None, last_id)
+            SendStalled(self.action.call_id, self.action.number, events is not None, last_id)
         )
 
     def _fail(self, cause: str, sent: bool = True) -> None:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -71,7 +71,7 @@
     ResponseComplete,
     ResponseStarted,
     SendFailed,
-    SendSilent,
+    SendStalled,
 )
 from filbertstream.request.forwarding import Forwarding, ForwardingParts
 from filbertstream.request.keyed_calls import KeyClaimed, KeyedCalls, KeySettled
@@ -182,7 +182,7 @@
             FirstEvent: self._forward(self.forwarding.on_first_event),
             ResponseComplete: self._forward(self.forwarding.on_complete),
             SendFailed: self._forward(self.forwarding.on_failed),
-            SendSilent: self._forward(self.forwarding.on_silent),
+            SendStalled: self._forward(self.forwarding.on_silent),
             CallerLeft: self._forward(self.forwarding.on_caller_left),
             KeyClaimed: self._forward(self.forwarding.on_claimed),
             KeySettled: self._on_key_settled,
--- a/filbertstream/request/call_flow.py
+++ b/filbertstream/request/call_flow.py
@@ -55,7 +55,7 @@
     last_event_id: str | None
 
 
-class SendSilent(NamedTuple):
+class SendStalled(NamedTuple):
     """An answer that has begun brings nothing any more; its connection is still open.
 
     The fields are those of ``SendFailed``.
@@ -77,7 +77,7 @@
     """Send a call to a target.
 
     A connection is used again only if it was idle for ``max_idle_s`` at most.  ``silence_s`` is
-    the time without a byte of an answer that has begun after which ``SendSilent`` is told.
+    the time without a byte of an answer that has begun after which ``SendStalled`` is told.
     """
 
     call_id: int
@@ -144,7 +144,7 @@
     | FirstEvent
     | ResponseComplete
     | SendFailed
-    | SendSilent
+    | SendStalled
     | CallerLeft
 )
 CallAction: TypeAlias = (
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -34,7 +34,7 @@
     ResponseStarted,
     SendCall,
     SendFailed,
-    SendSilent,
+    SendStalled,
 )
 from filbertstream.request.call_state import Call
 from filbertstream.request.keyed_calls import ClaimKey, KeyClaimed, KeyedCalls, SettleKey
@@ -406,11 +406,11 @@
         return self._send(call, now_s)
 
     @staticmethod
-    def _note_progress(call: Call, event: SendFailed | SendSilent) -> None:
+    def _note_progress(call: Call, event: SendFailed | SendStalled) -> None:
         call.begun = call.begun or event.begun
         call.last_event_id = event.last_event_id or call.last_event_id
 
-    def on_silent(self, event: SendSilent, now_s: float) -> list[Action]:
+    def on_silent(self, event: SendStalled, now_s: float) -> list[Action]:
         """Go on elsewhere with an answer that has stopped, where that is allowed, or wait on.
 
         A runner that is short of memory sets a run aside and goes on with it later, so silence
--- a/tests/test_calls_machine.py
+++ b/tests/test_calls_machine.py
@@ -19,7 +19,7 @@
     ResponseStarted,
     SendCall,
     SendFailed,
-    SendSilent,
+    SendStalled,
 )
 from filbertstream.version.routes import CallKind
 from tests.gateway_world import ROUTES, World, answer
@@ -119,7 +119,7 @@
     def fall_silent(self, data: st.DataObject) -> None:
         call_id, number = data.draw(st.sampled_from(sorted(self.begun & self.open)))
         streams = KINDS[self.routes[call_id]].kind is CallKind.STREAM
-        silent = SendSilent(call_id, number, streams, "3" if streams else None)
+        silent = SendStalled(call_id, number, streams, "3" if streams else None)
         self.take(self.world.tell(silent))
         resends = call_id not in self.ended and self.sends[call_id][-1].number != number
         assert resends or call_id not in self.ended, "silence has ended an answer"
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -19,7 +19,7 @@
     ResponseStarted,
     SendCall,
     SendFailed,
-    SendSilent,
+    SendStalled,
 )
 from tests.gateway_world import World, sends
 
@@ -116,7 +116,7 @@
 @pytest.mark.parametrize("kind", STALLED)
 def test_a_stalled_stream_is_noticed_whatever_it_sends_now_and_then(kind: str) -> None:
     edge, _ = asyncio.run(play(STALLED[kind], GAP_S, 9 * GAP_S))
-    silent = [item for item in edge.told if isinstance(item, SendSilent)]
+    silent = [item for item in edge.told if isinstance(item, SendStalled)]
     assert silent
     assert silent[0].last_event_id == "1"
 
@@ -124,7 +124,7 @@
 def test_a_slow_but_sound_stream_is_not_taken_for_a_stalled_one() -> None:
     events = [chunk(b"id: %d\ndata: t\n\n" % number) for number in range(2, 8)]
     edge, caller = asyncio.run(play([*events, b"0\r\n\r\n"], 0.8 * SILENCE_S, 8 * SILENCE_S))
-    assert not [item for item in edge.told if isinstance(item, SendSilent | SendFailed)]
+    assert not [item for item in edge.told if isinstance(item, SendStalled | SendFailed)]
     assert [item for item in edge.told if isinstance(item, ResponseComplete)]
     assert caller.ended
     assert caller.body.count(b"data:") == 7
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -6,7 +6,7 @@
     CancelSend,
     ResponseComplete,
     ResponseStarted,
-    SendSilent,
+    SendStalled,
 )
 from tests.gateway_world import World, answer, sends
 
@@ -19,7 +19,7 @@
     world.tell(ResponseStarted(1, sent.number, answer()))
     for _ in range(3):
         world.run(2.0)
-        assert world.tell(SendSilent(1, sent.number, name == "walk", "3")) == []
+        assert world.tell(SendStalled(1, sent.number, name == "walk", "3")) == []
     assert world.tell(ResponseComplete(1, sent.number, 10)) == []
     assert world.core.counters.get("calls_ended", "complete") == 1
 
@@ -31,9 +31,9 @@
     (first,) = sends(world.arrive("draft"))
     call_id = world.calls
     world.tell(ResponseStarted(call_id, first.number, answer()))
-    actions = world.tell(SendSilent(call_id, first.number, True, "7"))
+    actions = world.tell(SendStalled(call_id, first.number, True, "7"))
     (second,) = sends(actions)
     assert CancelSend(call_id, first.number) in actions
     assert second.last_event_id == "7"
     world.tell(ResponseStarted(call_id, second.number, answer()))
-    assert world.tell(SendSilent(call_id, second.number, True, "9")) == []
+    assert world.tell(SendStalled(call_id, second.number, True, "9")) == []
