--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -154,7 +154,7 @@
         """Tell the core that the answer is cut."""
         self._fail(cause)
 
-    def on_silent(self) -> None:
+    def on_stalled(self) -> None:
         """Ask the core whether the call goes on elsewhere; else the answer is waited for."""
         if self.over:
             return
--- a/filbertstream/connection/target_link.py
+++ b/filbertstream/connection/target_link.py
@@ -52,7 +52,7 @@
     def on_whole(self) -> None:
         """The answer is whole."""
 
-    def on_silent(self) -> None:
+    def on_stalled(self) -> None:
         """An answer that has begun brings nothing any more."""
 
     def on_broken(self, cause: str) -> None:
@@ -253,7 +253,7 @@
         """Tell the sink, which may give the send up, and go on waiting if it does not."""
         self._restart_timer()
         if self._sink is not None:
-            self._sink.on_silent()
+            self._sink.on_stalled()
 
     def _stop_timer(self) -> None:
         if self._silence is not None:
@@ -355,7 +355,7 @@
         if not self._done.done():
             self._done.set_result((self._status, b"".join(self._body)))
 
-    def on_silent(self) -> None:
+    def on_stalled(self) -> None:
         """Wait on: calls of this system's own have a time limit."""
 
     def on_broken(self, cause: str) -> None:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -182,7 +182,7 @@
             FirstEvent: self._forward(self.forwarding.on_first_event),
             ResponseComplete: self._forward(self.forwarding.on_complete),
             SendFailed: self._forward(self.forwarding.on_failed),
-            SendStalled: self._forward(self.forwarding.on_silent),
+            SendStalled: self._forward(self.forwarding.on_stalled),
             CallerLeft: self._forward(self.forwarding.on_caller_left),
             KeyClaimed: self._forward(self.forwarding.on_claimed),
             KeySettled: self._on_key_settled,
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -410,7 +410,7 @@
         call.begun = call.begun or event.begun
         call.last_event_id = event.last_event_id or call.last_event_id
 
-    def on_silent(self, event: SendStalled, now_s: float) -> list[Action]:
+    def on_stalled(self, event: SendStalled, now_s: float) -> list[Action]:
         """Go on elsewhere with an answer that has stopped, where that is allowed, or wait on.
 
         A runner that is short of memory sets a run aside and goes on with it later, so silence
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -123,7 +123,7 @@
     def on_whole(self) -> None:
         self.end.set_result("whole")
 
-    def on_silent(self) -> None:
+    def on_stalled(self) -> None:
         """Nothing came for a while."""
 
     def on_broken(self, cause: str) -> None:
--- a/tests/test_target_link.py
+++ b/tests/test_target_link.py
@@ -47,7 +47,7 @@
     def on_whole(self) -> None:
         self.end.set_result("whole")
 
-    def on_silent(self) -> None:
+    def on_stalled(self) -> None:
         self.silences += 1
         if self.ends_when_silent:
             self.end.set_result("silent")
