--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -206,7 +206,7 @@
             self._relayed.request_id,
             head + raw.body,
             self,
-            action.silence_s,
+            action.progress_timeout_s,
             lambda idle: links.give_back(idle, boot_time_s()),
         )
 
--- a/filbertstream/connection/target_link.py
+++ b/filbertstream/connection/target_link.py
@@ -98,14 +98,14 @@
         request_id: str,
         data: bytes,
         sink: AnswerSink,
-        silence_s: float,
+        progress_timeout_s: float,
         on_idle: Callable[["TargetConnection"], None],
     ) -> None:
         """Send a request and have its answer told to the sink."""
         if self.transport is None:
             raise AssertionError("a request on a connection that is not open")
         self._sink, self._request_id, self._on_idle = sink, request_id, on_idle
-        self._silence_s = silence_s
+        self._silence_s = progress_timeout_s
         self._foreign = self._in_body = False
         self._waiting_bytes = 0
         self._skipped = False
--- a/filbertstream/request/call_flow.py
+++ b/filbertstream/request/call_flow.py
@@ -76,7 +76,7 @@
 class SendCall(NamedTuple):
     """Send a call to a target.
 
-    A connection is used again only if it was idle for ``max_idle_s`` at most.  ``silence_s`` is
+    A connection is used again only if it was idle for ``max_idle_s`` at most.  ``progress_timeout_s`` is
     the time without a byte of an answer that has begun after which ``SendStalled`` is told.
     """
 
@@ -90,7 +90,7 @@
     last_event_id: str | None
     cache: CacheOrders | None
     max_idle_s: float
-    silence_s: float
+    progress_timeout_s: float
 
 
 class RelayResponse(NamedTuple):
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -38,7 +38,12 @@
 )
 from filbertstream.request.call_state import Call
 from filbertstream.request.keyed_calls import ClaimKey, KeyClaimed, KeyedCalls, SettleKey
-from filbertstream.request.patience import SILENCE_PLAIN_S, max_idle_s, patience_s, silence_s
+from filbertstream.request.patience import (
+    SILENCE_PLAIN_S,
+    max_idle_s,
+    patience_s,
+    progress_timeout_s,
+)
 from filbertstream.request.placement import place_plain
 from filbertstream.request.prompts import LogFields, Prompts, TurnedAway
 from filbertstream.request.shared_budget import SharedRetryBudget
@@ -254,7 +259,7 @@
                 call.last_event_id,
                 cache,
                 max_idle_s(call),
-                silence_s(call),
+                progress_timeout_s(call),
             ),
             line,
         ]
--- a/filbertstream/request/patience.py
+++ b/filbertstream/request/patience.py
@@ -49,7 +49,7 @@
     return KEPT_IDLE_S if call.route.repeatable else FRESH_IDLE_S
 
 
-def silence_s(call: Call) -> float:
+def progress_timeout_s(call: Call) -> float:
     """Return how long an answer that has begun may be silent before it might go on elsewhere."""
     if call.route.kind is not CallKind.STREAM:
         return SILENCE_PLAIN_S
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -84,7 +84,7 @@
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     address = Address(*server.sockets[0].getsockname())
     (action,) = sends(World().arrive("draft"))
-    action = action._replace(address=address, silence_s=SILENCE_S)
+    action = action._replace(address=address, progress_timeout_s=SILENCE_S)
     edge, caller = Edge(), Caller()
     edge.send = RelayedSend(edge, relayed(caller, action), action)
     await edge.send.begin(TargetLinks())
--- a/tests/test_target_link.py
+++ b/tests/test_target_link.py
@@ -56,7 +56,7 @@
         self.end.set_result(cause)
 
 
-async def ask(sent: bytes, ending: str = "open", silence_s: float = 0.5) -> Seen:
+async def ask(sent: bytes, ending: str = "open", progress_timeout_s: float = 0.5) -> Seen:
     """Return what a sink saw of a target that sends some bytes and then ends so."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -82,7 +82,7 @@
     returned: list[TargetConnection] = []
     sink = Sink()
     request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
-    conn.request("mine", request, sink, silence_s, returned.append)
+    conn.request("mine", request, sink, progress_timeout_s, returned.append)
     end = await asyncio.wait_for(sink.end, 3.0)
     await asyncio.sleep(0.05)
     reusable = bool(returned) and not conn.closed and conn.usable
