--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -25,7 +25,7 @@
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.process.work_exchange import ROWS_TOLD
 from filbertstream.request.call import CallHead, OnceKey, Prompt, PromptPart
-from filbertstream.request.call_flow import CallArrived, CallerLeft
+from filbertstream.request.call_flow import CallArrived, CallerDisconnected
 from filbertstream.request.keyed_calls import KeyRecord, KeyState
 from filbertstream.version.compiled import compile_view, model_host, service_host, view_of
 from filbertstream.version.documents import Document, Limits, Model, Service, Template, Workspace
@@ -115,7 +115,7 @@
 
     def serve(number: int) -> None:
         core.step(NOW_S, prompt_call(number))
-        core.step(NOW_S, CallerLeft(number + 1))
+        core.step(NOW_S, CallerDisconnected(number + 1))
 
     return each_us(serve, max(5, 20_000 // max(100, runners)))
 
@@ -211,7 +211,7 @@
         host = service_host("s", "POST")
         head = CallHead(f"q{number}", "POST", host, "/", "key-0", None, 9, None, None, once)
         core.step(NOW_S, CallArrived(number + 1, head))
-        core.step(NOW_S, CallerLeft(number + 1))
+        core.step(NOW_S, CallerDisconnected(number + 1))
 
     return each_us(serve, calls)
 
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -41,7 +41,7 @@
 from filbertstream.request.call_flow import (
     AbortResponse,
     CallArrived,
-    CallerLeft,
+    CallerDisconnected,
     CancelSend,
     ContinueResponse,
     RelayResponse,
@@ -162,7 +162,7 @@
         """Tell the core that a caller left."""
         call_id, conn.call_id = conn.call_id, None
         if call_id is not None and call_id in self._calls:
-            self.tell(CallerLeft(call_id))
+            self.tell(CallerDisconnected(call_id))
             self.finish(call_id)
 
     def on_pause(self, conn: CallerConnection, paused: bool) -> None:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -66,7 +66,7 @@
 from filbertstream.request.arrival import Arrivals
 from filbertstream.request.call_flow import (
     CallArrived,
-    CallerLeft,
+    CallerDisconnected,
     FirstEvent,
     ResponseComplete,
     ResponseStarted,
@@ -183,7 +183,7 @@
             ResponseComplete: self._forward(self.forwarding.on_complete),
             SendFailed: self._forward(self.forwarding.on_failed),
             SendStalled: self._forward(self.forwarding.on_stalled),
-            CallerLeft: self._forward(self.forwarding.on_caller_left),
+            CallerDisconnected: self._forward(self.forwarding.on_caller_left),
             KeyClaimed: self._forward(self.forwarding.on_claimed),
             KeySettled: self._on_key_settled,
             ConfigurationSeen: self._on_configuration,
--- a/filbertstream/request/call_flow.py
+++ b/filbertstream/request/call_flow.py
@@ -67,7 +67,7 @@
     last_event_id: str | None
 
 
-class CallerLeft(NamedTuple):
+class CallerDisconnected(NamedTuple):
     """The caller closed its connection before its answer was whole."""
 
     call_id: int
@@ -145,7 +145,7 @@
     | ResponseComplete
     | SendFailed
     | SendStalled
-    | CallerLeft
+    | CallerDisconnected
 )
 CallAction: TypeAlias = (
     SendCall
--- a/tests/test_calls_machine.py
+++ b/tests/test_calls_machine.py
@@ -12,7 +12,7 @@
 
 from filbertstream.request.call_flow import (
     AbortResponse,
-    CallerLeft,
+    CallerDisconnected,
     CancelSend,
     RespondLocally,
     ResponseComplete,
@@ -138,7 +138,7 @@
     @rule(data=st.data())
     def leave(self, data: st.DataObject) -> None:
         call_id = data.draw(st.sampled_from(sorted(set(self.routes) - set(self.ended))))
-        self.take(self.world.tell(CallerLeft(call_id)))
+        self.take(self.world.tell(CallerDisconnected(call_id)))
         self.ended[call_id] = "left"
         assert not [send for send in self.open if send[0] == call_id], "a run goes on"
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -2,7 +2,7 @@
 
 from bench.world import World
 from filbertstream.request.call import PromptPart
-from filbertstream.request.call_flow import CallerLeft
+from filbertstream.request.call_flow import CallerDisconnected
 from tests.helpers import codes, kinds, ready_world, runs
 
 PARTS = tuple(PromptPart(f"part-{index}", 2_000) for index in range(4))
@@ -176,7 +176,7 @@
     first = world.request("e1", "service", idempotency_key="b")
     world.run(0.2)
     (call_id,) = [number for (_, number), request in world.calls.items() if request == first]
-    world.give("e1", CallerLeft(call_id))
+    world.give("e1", CallerDisconnected(call_id))
     world.run(2.0)
     second = world.request("e2", "service", idempotency_key="b")
     world.run(1.0)
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -18,7 +18,7 @@
 from filbertstream.request.call_flow import (
     AbortResponse,
     CallArrived,
-    CallerLeft,
+    CallerDisconnected,
     CancelSend,
     ContinueResponse,
     RelayResponse,
@@ -124,7 +124,7 @@
 def test_a_caller_that_leaves_has_its_send_cancelled_at_once() -> None:
     world = World()
     (sent,) = sends(world.arrive("walk"))
-    assert world.tell(CallerLeft(1)) == [CancelSend(1, sent.number)]
+    assert world.tell(CallerDisconnected(1)) == [CancelSend(1, sent.number)]
     assert world.core.roster.targets[sent.target_id].outstanding == 0
 
 
