--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -183,7 +183,7 @@
             ResponseComplete: self._forward(self.forwarding.on_complete),
             SendFailed: self._forward(self.forwarding.on_failed),
             SendStalled: self._forward(self.forwarding.on_stalled),
-            CallerDisconnected: self._forward(self.forwarding.on_caller_left),
+            CallerDisconnected: self._forward(self.forwarding.on_caller_disconnected),
             KeyClaimed: self._forward(self.forwarding.on_claimed),
             KeySettled: self._on_key_settled,
             ConfigurationSeen: self._on_configuration,
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -430,7 +430,7 @@
             return []
         return self._repeat_silent(call, now_s)
 
-    def on_caller_left(self, event: CallerDisconnected, now_s: float) -> list[Action]:
+    def on_caller_disconnected(self, event: CallerDisconnected, now_s: float) -> list[Action]:
         """Cancel the work of a caller that went away."""
         call = self.calls.get(event.call_id)
         if call is None:
