--- a/bench/targets.py
+++ b/bench/targets.py
@@ -18,7 +18,7 @@
     ListCache,
     PartsFreed,
 )
-from filbertstream.request.call import ResponseHead, TargetLoadNote
+from filbertstream.request.call import ResponseHead, TargetLoad
 from filbertstream.request.call_flow import (
     CancelSend,
     FirstEvent,
@@ -88,7 +88,7 @@
     def _head(
         self, target: FakeTarget, status: int, request_id: str, not_run: bool
     ) -> ResponseHead:
-        load = TargetLoadNote(target.running, target.waiting, SLOTS)
+        load = TargetLoad(target.running, target.waiting, SLOTS)
         weights = target.weights if target.model else None
         return ResponseHead(
             status, request_id, not_run, True, False, load, weights, target.name, None
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -14,7 +14,7 @@
     Prompt,
     PromptPart,
     ResponseHead,
-    TargetLoadNote,
+    TargetLoad,
 )
 
 MS: Final = 1000.0
@@ -218,14 +218,14 @@
     )
 
 
-def _load(value: bytes | None) -> TargetLoadNote | None:
+def _load(value: bytes | None) -> TargetLoad | None:
     if value is None:
         return None
     try:
         running, waiting, slots = (int(item) for item in value.split(b","))
     except ValueError:
         return None
-    return TargetLoadNote(running, waiting, slots)
+    return TargetLoad(running, waiting, slots)
 
 
 def _int(value: bytes | None) -> int | None:
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -14,7 +14,7 @@
 from filbertstream.process.peer_work import OthersWork
 from filbertstream.process.prefill import PrefillQueue
 from filbertstream.process.roster_entry import TargetEntry
-from filbertstream.request.call import TargetLoadNote
+from filbertstream.request.call import TargetLoad
 
 RETURN_S: Final = 2.3
 """Lapsed registrations are back within about two seconds of the store's return."""
@@ -36,7 +36,7 @@
         self.missing_since_s: float | None = None
         self.outstanding = 0
         self.memory_tokens = 0
-        self.load: TargetLoadNote | None = None
+        self.load: TargetLoad | None = None
         self.load_at_s = 0.0
         self.weights = dict(entry.weights)
         self.prefill = PrefillQueue()
@@ -71,7 +71,7 @@
         """
         return self.prefill.unread + self.others(self.target_id, now_s).recent_unread_tokens
 
-    def note_load(self, load: TargetLoadNote, now_s: float) -> None:
+    def note_load(self, load: TargetLoad, now_s: float) -> None:
         """Take in what the target said of its load."""
         self.load = load
         self.load_at_s = now_s
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -53,7 +53,7 @@
     body: bytes
 
 
-class TargetLoadNote(NamedTuple):
+class TargetLoad(NamedTuple):
     """What a target says of its load with an answer."""
 
     running: int
@@ -72,7 +72,7 @@
     not_run: bool
     signed: bool
     encoded: bool
-    load: TargetLoadNote | None
+    load: TargetLoad | None
     weights: int | None
     target_id: str
     retry_after_s: float | None
