--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -23,7 +23,7 @@
 from filbertstream.process.cache_stores import CacheChange
 from filbertstream.process.deployment import Address
 from filbertstream.process.roster_entry import TargetEntry
-from filbertstream.request.call import CacheOrders, Prompt
+from filbertstream.request.call import CacheDirectives, Prompt
 
 PREFILL_TOKENS_PER_S: Final = 50_000.0
 TOKEN_GAP_S: Final = 0.027
@@ -222,7 +222,11 @@
         )
 
     def read(
-        self, prompt: Prompt, orders: CacheOrders, stores: dict[str, FakeCacheStore], now_s: float
+        self,
+        prompt: Prompt,
+        orders: CacheDirectives,
+        stores: dict[str, FakeCacheStore],
+        now_s: float,
     ) -> float:
         """Queue a prompt; return when its first token comes."""
         start_s = max(now_s, self.free_s)
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from filbertstream.request.call import (
-    CacheOrders,
+    CacheDirectives,
     CallHead,
     Prompt,
     PromptPart,
@@ -148,7 +148,7 @@
     method: str,
     path: str,
     headers: Headers,
-    orders: CacheOrders | None,
+    orders: CacheDirectives | None,
     target_id: str,
     workspace: str | None,
     deadline_s: float,
@@ -178,7 +178,7 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-def _cache_lines(orders: CacheOrders) -> list[bytes]:
+def _cache_lines(orders: CacheDirectives) -> list[bytes]:
     lines = [b"Cache-Salt: " + orders.namespace.encode()]
     if orders.weights is not None:
         lines.append(b"Expect-Version: %d" % orders.weights)
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -78,7 +78,7 @@
     retry_after_s: float | None
 
 
-class CacheOrders(NamedTuple):
+class CacheDirectives(NamedTuple):
     """What a runner is told about its cache.
 
     Cached parts are found only within ``namespace``.  ``weights`` is the version that must be
--- a/filbertstream/request/call_flow.py
+++ b/filbertstream/request/call_flow.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple, TypeAlias
 
 from filbertstream.process.deployment import Address
-from filbertstream.request.call import BufferedResponse, CacheOrders, CallHead, ResponseHead
+from filbertstream.request.call import BufferedResponse, CacheDirectives, CallHead, ResponseHead
 
 
 class CallArrived(NamedTuple):
@@ -88,7 +88,7 @@
     deadline_s: float
     priority: int | None
     last_event_id: str | None
-    cache: CacheOrders | None
+    cache: CacheDirectives | None
     max_idle_s: float
     progress_timeout_s: float
 
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -18,7 +18,7 @@
 from filbertstream.request import call_lines
 from filbertstream.request.admission import Admission
 from filbertstream.request.arrival import Arrivals, Refused
-from filbertstream.request.call import BufferedResponse, CacheOrders
+from filbertstream.request.call import BufferedResponse, CacheDirectives
 from filbertstream.request.call_flow import (
     AbortResponse,
     CallAction,
@@ -231,7 +231,7 @@
         self,
         call: Call,
         target: RosterTarget,
-        cache: CacheOrders | None,
+        cache: CacheDirectives | None,
         now_s: float,
         inputs: LogFields = (),
     ) -> list[Action]:
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from filbertstream.process.roster import Roster, RosterTarget
-from filbertstream.request.call import CacheOrders, Prompt
+from filbertstream.request.call import CacheDirectives, Prompt
 from filbertstream.request.call_state import Call
 from filbertstream.request.candidates import Candidates
 from filbertstream.request.overload import Room, retry_after_s, room
@@ -23,7 +23,7 @@
     """The runner of a prompt; ``inputs`` are what the choice was made on."""
 
     target: RosterTarget
-    orders: CacheOrders
+    orders: CacheDirectives
     read_tokens: int
     ahead_tokens: int
     inputs: LogFields
@@ -100,11 +100,11 @@
             limits,
         )
 
-    def _orders(self, prompt: Prompt, placement: Placement, now_s: float) -> CacheOrders:
+    def _orders(self, prompt: Prompt, placement: Placement, now_s: float) -> CacheDirectives:
         from_stores = self._weights.may_fetch(prompt.model, placement.weights, now_s)
         # A runner that is swapped while it reads would save parts that two versions made.
         replaced = self._weights.is_replaced(prompt.model, placement.weights)
-        return CacheOrders(
+        return CacheDirectives(
             placement.namespace,
             placement.weights or None,
             tuple(self._address_of(source, from_stores) for source in placement.fetch),
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -35,7 +35,7 @@
 from filbertstream.process.relays import Relays
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.process.work_exchange import WorkExchange
-from filbertstream.request.call import CacheOrders
+from filbertstream.request.call import CacheDirectives
 from filbertstream.request.shared_budget import SharedRetryBudget
 from filbertstream.version.retirement import FREE_AFTER_S, Retirement
 from filbertstream.version.routes import CacheStore
@@ -227,7 +227,7 @@
     ]
     connection = [(b"connection", b"x-hop, request-id"), (b"x-hop", b"1"), (b"te", b"trailers")]
     headers = [*HEAD, *forged, *connection, (b"model", b"m")]
-    orders = CacheOrders("space", 2, ("10.0.0.1:1/5", ""), ("", "10.0.0.2:1"), 77)
+    orders = CacheDirectives("space", 2, ("10.0.0.1:1/5", ""), ("", "10.0.0.2:1"), 77)
     data = encode_target_head("POST", "/a/", headers, orders, "i-1", "w", 1.5, 3, "9", 4)
     text = data.decode()
     assert "forged" not in text
