--- a/bench/fault_table.py
+++ b/bench/fault_table.py
@@ -51,8 +51,8 @@
         return False
     if what == "plain":
         return action.cache is None
-    orders = action.cache
-    return orders is not None and (what == "prompt" or any(getattr(orders, what)))
+    directives = action.cache
+    return directives is not None and (what == "prompt" or any(getattr(directives, what)))
 
 
 STEPS: Final[dict[str, Seen]] = {
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -148,7 +148,7 @@
     method: str,
     path: str,
     headers: Headers,
-    orders: CacheDirectives | None,
+    directives: CacheDirectives | None,
     target_id: str,
     workspace: str | None,
     deadline_s: float,
@@ -171,23 +171,23 @@
         lines.append(b"Last-Event-Id: " + last_event_id.encode())
     if priority is not None:
         lines.append(b"Request-Priority: %d" % priority)
-    if orders is not None:
-        lines += _cache_lines(orders)
+    if directives is not None:
+        lines += _cache_lines(directives)
     if body_bytes or method in ("POST", "PUT", "PATCH"):
         lines.append(b"Content-Length: %d" % body_bytes)
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-def _cache_lines(orders: CacheDirectives) -> list[bytes]:
-    lines = [b"Cache-Salt: " + orders.namespace.encode()]
-    if orders.weights is not None:
-        lines.append(b"Expect-Version: %d" % orders.weights)
-    if any(orders.fetch):
-        lines.append(b"Kv-Fetch: " + ",".join(item or "-" for item in orders.fetch).encode())
-    if any(orders.save):
-        lines.append(b"Kv-Save: " + ",".join(item or "-" for item in orders.save).encode())
-    if orders.fetch_until_ms is not None:
-        lines.append(b"Kv-Until: %d" % orders.fetch_until_ms)
+def _cache_lines(directives: CacheDirectives) -> list[bytes]:
+    lines = [b"Cache-Salt: " + directives.namespace.encode()]
+    if directives.weights is not None:
+        lines.append(b"Expect-Version: %d" % directives.weights)
+    if any(directives.fetch):
+        lines.append(b"Kv-Fetch: " + ",".join(item or "-" for item in directives.fetch).encode())
+    if any(directives.save):
+        lines.append(b"Kv-Save: " + ",".join(item or "-" for item in directives.save).encode())
+    if directives.fetch_until_ms is not None:
+        lines.append(b"Kv-Until: %d" % directives.fetch_until_ms)
     return lines
 
 
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -223,9 +223,9 @@
         if isinstance(placed, TurnedAway):
             return self._give_up(call, "overloaded", now_s, placed)
         call.unread_tokens, call.ahead_tokens = placed.read_tokens, placed.ahead_tokens
-        call.weights = placed.orders.weights
+        call.weights = placed.directives.weights
         placed.target.prefill.sent(placed.read_tokens)
-        return self._send_to(call, placed.target, placed.orders, now_s, placed.inputs)
+        return self._send_to(call, placed.target, placed.directives, now_s, placed.inputs)
 
     def _send_to(
         self,
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -23,7 +23,7 @@
     """The runner of a prompt; ``inputs`` are what the choice was made on."""
 
     target: RosterTarget
-    orders: CacheDirectives
+    directives: CacheDirectives
     read_tokens: int
     ahead_tokens: int
     inputs: LogFields
@@ -79,9 +79,9 @@
         wait_s = retry_after_s(placement.queue_s, placement.memory_share, limits)
         if wait_s is not None and not call.begun:
             return TurnedAway(wait_s, inputs)
-        orders = self._orders(prompt, placement, now_s)
+        directives = self._orders(prompt, placement, now_s)
         self._note_cached(prompt, placement)
-        return Placed(placement.target, orders, placement.read_tokens, ahead, inputs)
+        return Placed(placement.target, directives, placement.read_tokens, ahead, inputs)
 
     def _ask(
         self, call: Call, prompt: Prompt, engine: Engine, targets: list[RosterTarget], limits: Room
