--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -24,7 +24,7 @@
 from filbertstream.process.deployment import Address
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.process.work_exchange import ROWS_TOLD
-from filbertstream.request.call import CallHead, OnceKey, Prompt, PromptPart
+from filbertstream.request.call import CallHead, IdempotencyKey, Prompt, PromptPart
 from filbertstream.request.call_flow import CallArrived, CallerDisconnected
 from filbertstream.request.keyed_calls import KeyRecord, KeyState
 from filbertstream.version.compiled import compile_view, model_host, service_host, view_of
@@ -207,7 +207,7 @@
     core = core_with(1)
 
     def serve(number: int) -> None:
-        once = OnceKey(f"key-{number}", "body")
+        once = IdempotencyKey(f"key-{number}", "body")
         host = service_host("s", "POST")
         head = CallHead(f"q{number}", "POST", host, "/", "key-0", None, 9, None, None, once)
         core.step(NOW_S, CallArrived(number + 1, head))
--- a/bench/world.py
+++ b/bench/world.py
@@ -32,7 +32,13 @@
 from filbertstream.process.cache_stores import FollowCache, FreeParts, ListCache
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.duty import WriteDuty
-from filbertstream.request.call import BufferedResponse, CallHead, OnceKey, Prompt, PromptPart
+from filbertstream.request.call import (
+    BufferedResponse,
+    CallHead,
+    IdempotencyKey,
+    Prompt,
+    PromptPart,
+)
 from filbertstream.request.call_flow import (
     AbortResponse,
     CallArrived,
@@ -297,7 +303,7 @@
         model = name or "m"
         host = model_host(model) if kind == "model" else service_host(name or "s", "POST")
         prompt = Prompt(model, tokens, out_tokens, parts) if kind == "model" else None
-        once = None if idempotency_key is None else OnceKey(idempotency_key, body)
+        once = None if idempotency_key is None else IdempotencyKey(idempotency_key, body)
         request_id = f"req-{next(self._numbers)}"
         head = CallHead(request_id, "POST", host, "/", key, deadline_s, 10, prompt, None, once)
         return self.ask(member, head, out_tokens)
--- a/filbertstream/connection/v1_requests.py
+++ b/filbertstream/connection/v1_requests.py
@@ -16,7 +16,7 @@
 from filbertstream.connection.v1_answers import ModelCall, V1Collect, V1Plain, V1Stream
 from filbertstream.names import digest_bytes
 from filbertstream.platform.headers import Headers, encode_prompt
-from filbertstream.request.call import CallHead, OnceKey, Prompt
+from filbertstream.request.call import CallHead, IdempotencyKey, Prompt
 from filbertstream.request.prefix import text_parts, token_count
 from filbertstream.statuses import BAD_REQUEST, NOT_FOUND, UNAUTHORIZED
 from filbertstream.version.compiled import METHODS, model_host, service_host
@@ -183,7 +183,7 @@
         if not 0 < len(text) <= KEY_LIMIT_CHARACTERS:
             return _bad(f"Idempotency-Key: expected 1 to {KEY_LIMIT_CHARACTERS} characters")
         request = raw.method.encode() + b" " + path.encode() + b"\n" + raw.body
-        once = OnceKey(text.decode("latin-1"), digest_bytes(request))
+        once = IdempotencyKey(text.decode("latin-1"), digest_bytes(request))
     head = CallHead(
         request_id,
         raw.method,
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -19,7 +19,7 @@
     parts: tuple[PromptPart, ...]
 
 
-class OnceKey(NamedTuple):
+class IdempotencyKey(NamedTuple):
     """A caller's idempotency key, and a digest of the request that it was sent with."""
 
     key: str
@@ -42,7 +42,7 @@
     body_bytes: int
     prompt: Prompt | None
     last_event_id: str | None
-    once: OnceKey | None = None
+    once: IdempotencyKey | None = None
 
 
 class BufferedResponse(NamedTuple):
--- a/filbertstream/request/keyed_calls.py
+++ b/filbertstream/request/keyed_calls.py
@@ -18,7 +18,7 @@
 
 from filbertstream.names import digest_text
 from filbertstream.request.arrival import Refused
-from filbertstream.request.call import BufferedResponse, OnceKey
+from filbertstream.request.call import BufferedResponse, IdempotencyKey
 from filbertstream.request.call_state import Call
 from filbertstream.statuses import CONFLICT, UNAVAILABLE, UNPROCESSABLE
 
@@ -129,7 +129,7 @@
         """The number of calls whose outcome the store may not have yet."""
         return len(self._claims) + len(self._unsettled)
 
-    def claim(self, call: Call, once: OnceKey) -> ClaimKey:
+    def claim(self, call: Call, once: IdempotencyKey) -> ClaimKey:
         """Return the claim of a call's key."""
         workspace = "" if call.workspace is None else call.workspace.name
         name = digest_text("idempotency-key", workspace, call.service.name, once.key)
@@ -144,7 +144,7 @@
         return claim
 
     def judge(
-        self, event: KeyClaimed, once: OnceKey, longest_s: float, now_s: float
+        self, event: KeyClaimed, once: IdempotencyKey, longest_s: float, now_s: float
     ) -> Refused | BufferedResponse | None:
         """Return how a call ends whose key it could not claim, or None where it may run.
 
--- a/tests/test_keys_machine.py
+++ b/tests/test_keys_machine.py
@@ -10,7 +10,7 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from filbertstream.request.call import BufferedResponse, CallHead, OnceKey
+from filbertstream.request.call import BufferedResponse, CallHead, IdempotencyKey
 from filbertstream.request.call_state import Call
 from filbertstream.request.key_writes import (
     ClaimSteps,
@@ -35,7 +35,7 @@
 ENTRIES = ("e1", "e2", "e3")
 LONGEST_S = 10.0
 ROUTE = Route("r", "h", "/", CallKind.NON_IDEMPOTENT, (Backend("s", 1),), LONGEST_S, 1.0, 1)
-ONCE = OnceKey("key", "body")
+ONCE = IdempotencyKey("key", "body")
 ANSWER = BufferedResponse(200, "text/plain", b"done")
 
 
