--- a/bench/faults.py
+++ b/bench/faults.py
@@ -143,9 +143,9 @@
             if not target.model:
                 runs.update(target.runs)
         for request_id, outcomes in self.world.outcomes.items():
-            once = self.world.asked[request_id].head.once
+            idempotency_key = self.world.asked[request_id].head.idempotency_key
             served = bool(outcomes) and outcomes[0].kind in ("answered", "kept")
-            if once is not None and served and runs[once.key] != 1:
+            if idempotency_key is not None and served and runs[idempotency_key.key] != 1:
                 self._note("a booking was answered and did not run once")
         for count in runs.values():
             if count > 1:
@@ -243,9 +243,11 @@
     asked = []
     for name, core in world.cores.items():
         if not core.stopping:
-            once = f"after-{name}"
+            idempotency_key = f"after-{name}"
             asked.append(world.request(name, "model", key, model, tokens=300))
-            asked.append(world.request(name, "service", key, service, idempotency_key=once))
+            asked.append(
+                world.request(name, "service", key, service, idempotency_key=idempotency_key)
+            )
     world.run(6.0)
     for request_id in asked:
         kinds = [outcome.kind for outcome in world.outcomes[request_id]]
--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -40,7 +40,7 @@
     Guard(
         "another request under the same key conflicts",
         "request/keyed_calls.py",
-        "if present.fingerprint != once.fingerprint:",
+        "if present.fingerprint != idempotency_key.fingerprint:",
         "if False:",
         "tests/test_whole_path.py::test_another_body_under_the_same_key_conflicts",
     ),
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -207,9 +207,11 @@
     core = core_with(1)
 
     def serve(number: int) -> None:
-        once = IdempotencyKey(f"key-{number}", "body")
+        idempotency_key = IdempotencyKey(f"key-{number}", "body")
         host = service_host("s", "POST")
-        head = CallHead(f"q{number}", "POST", host, "/", "key-0", None, 9, None, None, once)
+        head = CallHead(
+            f"q{number}", "POST", host, "/", "key-0", None, 9, None, None, idempotency_key
+        )
         core.step(NOW_S, CallArrived(number + 1, head))
         core.step(NOW_S, CallerDisconnected(number + 1))
 
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -104,8 +104,8 @@
     def _plain(self, core: Gateway, send: SendCall, target: FakeTarget, request_id: str) -> None:
         world = self._world
         asked = world.asked[request_id]
-        once = asked.head.once
-        target.runs[request_id if once is None else once.key] += 1
+        idempotency_key = asked.head.idempotency_key
+        target.runs[request_id if idempotency_key is None else idempotency_key.key] += 1
         target.ran.add(request_id)
         if target.lose > 0:
             target.lose -= 1
@@ -114,7 +114,7 @@
 
         def answer() -> None:
             self._start(core, send, self._head(target, OK, request_id, False))
-            kept = world.kept_answer(request_id) if once is not None else None
+            kept = world.kept_answer(request_id) if idempotency_key is not None else None
             done = ResponseComplete(send.call_id, send.number, 10, kept)
             self._complete(core, send, target, done, LINK_S)
 
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -45,7 +45,7 @@
         self.conn = conn
         self.raw = raw
         self.request_id = head.request_id
-        self.keeps_answer = head.once is not None
+        self.keeps_answer = head.idempotency_key is not None
         self.form = form
         self.send: RelayedSend | None = None
         self.events: EventRelay | None = None
--- a/filbertstream/connection/v1_requests.py
+++ b/filbertstream/connection/v1_requests.py
@@ -178,12 +178,12 @@
         case Ok(deadline_s):
             pass
     text = dict(reversed(raw.headers)).get(b"idempotency-key")
-    once = None
+    idempotency_key = None
     if text is not None:
         if not 0 < len(text) <= KEY_LIMIT_CHARACTERS:
             return _bad(f"Idempotency-Key: expected 1 to {KEY_LIMIT_CHARACTERS} characters")
         request = raw.method.encode() + b" " + path.encode() + b"\n" + raw.body
-        once = IdempotencyKey(text.decode("latin-1"), digest_bytes(request))
+        idempotency_key = IdempotencyKey(text.decode("latin-1"), digest_bytes(request))
     head = CallHead(
         request_id,
         raw.method,
@@ -194,7 +194,7 @@
         len(raw.body),
         None,
         None,
-        once,
+        idempotency_key,
     )
     sent = RawRequest(raw.method, path, _sent_headers(raw, request_id), raw.body)
     return Ok(V1Call(head, sent, V1Plain(request_id)))
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -29,7 +29,7 @@
 class CallHead(NamedTuple):
     """A caller's request once its bytes were read whole.
 
-    ``deadline_s`` is how long the caller waits, counted from the arrival.  ``once`` asks that the
+    ``deadline_s`` is how long the caller waits, counted from the arrival.  ``idempotency_key`` asks that the
     call runs once for its key.
     """
 
@@ -42,7 +42,7 @@
     body_bytes: int
     prompt: Prompt | None
     last_event_id: str | None
-    once: IdempotencyKey | None = None
+    idempotency_key: IdempotencyKey | None = None
 
 
 class BufferedResponse(NamedTuple):
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -144,20 +144,20 @@
         self.calls[call.call_id] = call
         self._parts.budget.note_call(service.name, now_s)
         self._parts.counters.add("calls", route.kind.value)
-        if route.once_by_key and head.once is not None:
+        if route.once_by_key and head.idempotency_key is not None:
             call.claiming = True
-            return [self._parts.keyed.claim(call, head.once)]
+            return [self._parts.keyed.claim(call, head.idempotency_key)]
         return self._send(call, now_s)
 
     def on_claimed(self, event: KeyClaimed, now_s: float) -> list[Action]:
         """Send a call whose key is claimed, or give it the final answer that the key stands for."""
         call = self.calls.get(event.call_id)
-        if call is None or call.head.once is None or not call.claiming:
+        if call is None or call.head.idempotency_key is None or not call.claiming:
             # The call ended meanwhile; its end has settled the key.
             return []
         call.claiming = False
         longest_s = call.route.timeout_s
-        verdict = self._parts.keyed.judge(event, call.head.once, longest_s, now_s)
+        verdict = self._parts.keyed.judge(event, call.head.idempotency_key, longest_s, now_s)
         log = call_lines.claimed(call, event)
         if verdict is None:
             return [log, *self._send(call, now_s)]
--- a/filbertstream/request/keyed_calls.py
+++ b/filbertstream/request/keyed_calls.py
@@ -129,14 +129,14 @@
         """The number of calls whose outcome the store may not have yet."""
         return len(self._claims) + len(self._unsettled)
 
-    def claim(self, call: Call, once: IdempotencyKey) -> ClaimKey:
+    def claim(self, call: Call, idempotency_key: IdempotencyKey) -> ClaimKey:
         """Return the claim of a call's key."""
         workspace = "" if call.workspace is None else call.workspace.name
-        name = digest_text("idempotency-key", workspace, call.service.name, once.key)
+        name = digest_text("idempotency-key", workspace, call.service.name, idempotency_key.key)
         record = KeyRecord(
             KeyState.RUNNING,
             call.head.request_id,
-            once.fingerprint,
+            idempotency_key.fingerprint,
             self._entry,
             self._incarnation,
         )
@@ -144,7 +144,7 @@
         return claim
 
     def judge(
-        self, event: KeyClaimed, once: IdempotencyKey, longest_s: float, now_s: float
+        self, event: KeyClaimed, idempotency_key: IdempotencyKey, longest_s: float, now_s: float
     ) -> Refused | BufferedResponse | None:
         """Return how a call ends whose key it could not claim, or None where it may run.
 
@@ -157,7 +157,7 @@
             return Refused(UNAVAILABLE, "claims_unavailable", UNAVAILABLE_RETRY_S)
         self._claims.pop(event.call_id, None)
         present = event.present
-        if present.fingerprint != once.fingerprint:
+        if present.fingerprint != idempotency_key.fingerprint:
             return Refused(UNPROCESSABLE, "key_conflict")
         if present.state is KeyState.KEPT:
             return BufferedResponse(present.status, present.content_type, present.body)
