--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -145,7 +145,7 @@
         self.arrivals = Arrivals(self.currency, bounds.config_apply_s, self.peers.any_in_touch)
         self.weights = WeightsView(self.roster, bounds.version_s)
         self.burn = Burn()
-        self.keyed = KeyedCalls(cfg.name, cfg.incarnation, self.peers.is_registered)
+        self.idempotency_keys = KeyedCalls(cfg.name, cfg.incarnation, self.peers.is_registered)
         holdings = Holdings(self.index, self.stores)
         self.prompts = Prompts(cfg.data_center, self.roster, holdings, self.weights, rng)
         parts = ForwardingParts(
@@ -159,7 +159,7 @@
             self.counters,
             self.latencies,
             Admission(lambda: 1.0 / max(1, len(self.peers.members))),
-            self.keyed,
+            self.idempotency_keys,
             self.burn,
             rng,
         )
@@ -262,7 +262,7 @@
         return [log, StopProcess()] if self.cfg.name in config.drained else [log]
 
     def _on_key_settled(self, event: KeySettled, now_s: float) -> list[GatewayAction]:
-        self.keyed.on_settled(event)
+        self.idempotency_keys.on_settled(event)
         return []
 
     def _on_targets(self, event: TargetsListed, now_s: float) -> list[GatewayAction]:
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -262,7 +262,7 @@
         if since_s < BALANCER_S:
             return False
         self.edge.close_idle()
-        return not self.edge.connections and not self.core.keyed.unsettled
+        return not self.edge.connections and not self.core.idempotency_keys.unsettled
 
     def _on_stop(self) -> None:
         if self._stop_at_s is None:
--- a/filbertstream/process/status.py
+++ b/filbertstream/process/status.py
@@ -62,7 +62,7 @@
         round(age_s, 3) if age_s < float("inf") else -1.0,
         core.store_lost,
         len(core.forwarding.calls),
-        core.keyed.unsettled,
+        core.idempotency_keys.unsettled,
         core.duty.may_order(now_s),
         members,
         targets,
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -104,7 +104,7 @@
     counters: Counters
     latencies: Latencies
     admission: Admission
-    keyed: KeyedCalls
+    idempotency_keys: KeyedCalls
     burn: Burn
     rng: random.Random
 
@@ -146,7 +146,7 @@
         self._parts.counters.add("calls", route.kind.value)
         if route.once_by_key and head.idempotency_key is not None:
             call.claiming = True
-            return [self._parts.keyed.claim(call, head.idempotency_key)]
+            return [self._parts.idempotency_keys.claim(call, head.idempotency_key)]
         return self._send(call, now_s)
 
     def on_claimed(self, event: KeyClaimed, now_s: float) -> list[Action]:
@@ -157,7 +157,9 @@
             return []
         call.claiming = False
         longest_s = call.route.timeout_s
-        verdict = self._parts.keyed.judge(event, call.head.idempotency_key, longest_s, now_s)
+        verdict = self._parts.idempotency_keys.judge(
+            event, call.head.idempotency_key, longest_s, now_s
+        )
         log = call_lines.claimed(call, event)
         if verdict is None:
             return [log, *self._send(call, now_s)]
@@ -482,12 +484,12 @@
             late = call.first_s is not None and call.first_s > terms.first_token_s
             missed = late or outcome not in SERVED
             self._parts.burn.note(workspace.name, terms.within, now_s, missed, call.first_s)
-        settled = self._parts.keyed.end(call, response, now_s)
+        settled = self._parts.idempotency_keys.end(call, response, now_s)
         return [*settled, call_lines.finished(call, outcome, now_s)]
 
     def tick(self, now_s: float) -> list[Action]:
         """End calls whose time is up, and repeat those that wait too long."""
-        actions: list[Action] = list(self._parts.keyed.tick(now_s))
+        actions: list[Action] = list(self._parts.idempotency_keys.tick(now_s))
         for call in list(self.calls.values()):
             if now_s >= call.ends_at_s:
                 call.may_have_run = call.may_have_run or call.target is not None
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -136,8 +136,8 @@
     assert world.run_until(lambda: bool(kinds(world, first)), 2.0)
     assert kinds(world, first) == ["answered"]
     core = world.cores["e1"]
-    assert core.keyed.unsettled == 1
-    assert world.run_until(lambda: core.keyed.unsettled == 0, 3.0)
+    assert core.idempotency_keys.unsettled == 1
+    assert world.run_until(lambda: core.idempotency_keys.unsettled == 0, 3.0)
     world.kill("e1")
     world.platform.latency_s = 0.003
     second = world.request("e2", "service", idempotency_key="b")
--- a/tests/test_keys_machine.py
+++ b/tests/test_keys_machine.py
@@ -60,7 +60,7 @@
         self.steps: list[Step] = []
         self.incarnations = dict.fromkeys(ENTRIES, 1)
         self.registered = dict.fromkeys(ENTRIES, 1)
-        self.keyed = {name: self._new(name) for name in ENTRIES}
+        self.idempotency_keys = {name: self._new(name) for name in ENTRIES}
         self.calls: dict[int, Call] = {}
         self.owners: dict[int, tuple[str, int]] = {}
         self.running: set[int] = set()
@@ -87,7 +87,7 @@
         call = Call(call_id, head, ROUTE, Service("s", "", 9), None, self.now_s, LONGEST_S)
         self.calls[call_id] = call
         self.owners[call_id] = (entry, self.incarnations[entry])
-        self._begin(entry, call_id, claim_steps(self.keyed[entry].claim(call, ONCE)))
+        self._begin(entry, call_id, claim_steps(self.idempotency_keys[entry].claim(call, ONCE)))
 
     def _apply(self, call: KeyCall) -> KeyReply:
         """Carry a call out as the store does."""
@@ -134,13 +134,13 @@
         self._apply(self.late.pop(data.draw(st.integers(0, len(self.late) - 1))))
 
     def _ended(self, step: Step, result: KeyClaimed | KeySettled | None) -> None:
-        keyed = self.keyed[step.entry]
+        idempotency_keys = self.idempotency_keys[step.entry]
         if isinstance(result, KeySettled):
-            keyed.on_settled(result)
+            idempotency_keys.on_settled(result)
         if not isinstance(result, KeyClaimed) or step.call_id not in self.calls:
             return
         call = self.calls[step.call_id]
-        verdict = keyed.judge(result, ONCE, LONGEST_S, self.now_s)
+        verdict = idempotency_keys.judge(result, ONCE, LONGEST_S, self.now_s)
         if verdict is None:
             self.running.add(call.call_id)
             self.ran.append(call.call_id)
@@ -155,7 +155,7 @@
     def _finish(self, call: Call, answer: BufferedResponse | None) -> None:
         entry, _ = self.owners[call.call_id]
         del self.calls[call.call_id]
-        for settle in self.keyed[entry].end(call, answer, self.now_s):
+        for settle in self.idempotency_keys[entry].end(call, answer, self.now_s):
             self._settle(entry, call.call_id, settle)
 
     def _settle(self, entry: str, call_id: int, settle: SettleKey) -> None:
@@ -180,7 +180,7 @@
     @rule(entry=st.sampled_from(ENTRIES))
     def settle_again(self, entry: str) -> None:
         self.now_s += 1.0
-        for settle in self.keyed[entry].tick(self.now_s):
+        for settle in self.idempotency_keys[entry].tick(self.now_s):
             self._settle(entry, 0, settle)
 
     @rule(entry=st.sampled_from(ENTRIES))
@@ -190,7 +190,7 @@
                 del self.calls[call_id]
                 self.running.discard(call_id)
         self.incarnations[entry] += 1
-        self.keyed[entry] = self._new(entry)
+        self.idempotency_keys[entry] = self._new(entry)
 
     @rule(entry=st.sampled_from(ENTRIES))
     def register(self, entry: str) -> None:
