--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -74,7 +74,7 @@
     SendStalled,
 )
 from filbertstream.request.forwarding import Forwarding, ForwardingParts
-from filbertstream.request.keyed_calls import KeyClaimed, KeyedCalls, KeySettled
+from filbertstream.request.keyed_calls import IdempotencyKeys, KeyClaimed, KeySettled
 from filbertstream.request.placement import Holdings
 from filbertstream.request.prompts import Prompts
 from filbertstream.request.shared_budget import SharedRetryBudget
@@ -145,7 +145,7 @@
         self.arrivals = Arrivals(self.currency, bounds.config_apply_s, self.peers.any_in_touch)
         self.weights = WeightsView(self.roster, bounds.version_s)
         self.burn = Burn()
-        self.idempotency_keys = KeyedCalls(cfg.name, cfg.incarnation, self.peers.is_registered)
+        self.idempotency_keys = IdempotencyKeys(cfg.name, cfg.incarnation, self.peers.is_registered)
         holdings = Holdings(self.index, self.stores)
         self.prompts = Prompts(cfg.data_center, self.roster, holdings, self.weights, rng)
         parts = ForwardingParts(
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -37,7 +37,7 @@
     SendStalled,
 )
 from filbertstream.request.call_state import Call
-from filbertstream.request.keyed_calls import ClaimKey, KeyClaimed, KeyedCalls, SettleKey
+from filbertstream.request.keyed_calls import ClaimKey, IdempotencyKeys, KeyClaimed, SettleKey
 from filbertstream.request.patience import (
     SILENCE_PLAIN_S,
     max_idle_s,
@@ -104,7 +104,7 @@
     counters: Counters
     latencies: Latencies
     admission: Admission
-    idempotency_keys: KeyedCalls
+    idempotency_keys: IdempotencyKeys
     burn: Burn
     rng: random.Random
 
--- a/filbertstream/request/keyed_calls.py
+++ b/filbertstream/request/keyed_calls.py
@@ -112,7 +112,7 @@
 Alive = Callable[[str, int], bool]
 
 
-class KeyedCalls:
+class IdempotencyKeys:
     """The claims of this entry; ``alive`` tells whether a process is registered."""
 
     def __init__(self, entry: str, incarnation: int, alive: Alive) -> None:
--- a/tests/test_keys_machine.py
+++ b/tests/test_keys_machine.py
@@ -23,8 +23,8 @@
     settle_steps,
 )
 from filbertstream.request.keyed_calls import (
+    IdempotencyKeys,
     KeyClaimed,
-    KeyedCalls,
     KeyRecord,
     KeySettled,
     KeyState,
@@ -69,8 +69,8 @@
         self.answered: dict[int, bytes] = {}
         self.now_s = 0.0
 
-    def _new(self, name: str) -> KeyedCalls:
-        return KeyedCalls(
+    def _new(self, name: str) -> IdempotencyKeys:
+        return IdempotencyKeys(
             name,
             self.incarnations[name],
             lambda entry, incarnation: self.registered.get(entry) == incarnation,
