--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -157,7 +157,7 @@
             return []
         call.claiming = False
         longest_s = call.route.timeout_s
-        verdict = self._parts.idempotency_keys.judge(
+        verdict = self._parts.idempotency_keys.resolve_claim(
             event, call.head.idempotency_key, longest_s, now_s
         )
         log = call_lines.claimed(call, event)
--- a/filbertstream/request/keyed_calls.py
+++ b/filbertstream/request/keyed_calls.py
@@ -143,7 +143,7 @@
         claim = self._claims[call.call_id] = ClaimKey(call.call_id, name, record)
         return claim
 
-    def judge(
+    def resolve_claim(
         self, event: KeyClaimed, idempotency_key: IdempotencyKey, longest_s: float, now_s: float
     ) -> Refused | BufferedResponse | None:
         """Return how a call ends whose key it could not claim, or None where it may run.
--- a/tests/test_keys_machine.py
+++ b/tests/test_keys_machine.py
@@ -140,7 +140,7 @@
         if not isinstance(result, KeyClaimed) or step.call_id not in self.calls:
             return
         call = self.calls[step.call_id]
-        verdict = idempotency_keys.judge(result, ONCE, LONGEST_S, self.now_s)
+        verdict = idempotency_keys.resolve_claim(result, ONCE, LONGEST_S, self.now_s)
         if verdict is None:
             self.running.add(call.call_id)
             self.ran.append(call.call_id)
