--- a/bench/fault_table.py
+++ b/bench/fault_table.py
@@ -59,7 +59,7 @@
     "claim": lambda action: isinstance(action, ClaimKey),
     "send": lambda action: _sends(action, "plain"),
     "settle": lambda action: (
-        isinstance(action, SettleKey) and action.record.state is KeyState.KEPT
+        isinstance(action, SettleKey) and action.record.state is KeyState.STORED
     ),
     "stream": lambda action: _sends(action, "prompt"),
     "save": lambda action: _sends(action, "save"),
--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -18,7 +18,7 @@
         "only a free key is claimed again",
         "request/key_writes.py",
         "if present.state is not KeyState.FREE:",
-        "if present.state is KeyState.KEPT:",
+        "if present.state is KeyState.STORED:",
         "tests/test_keys_machine.py",
     ),
     Guard(
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -221,7 +221,7 @@
 def key_bytes(body: int) -> float:
     """Measure the object of a key with an answer of that many bytes."""
     record = KeyRecord(
-        KeyState.KEPT, "entry-1-0-0", "f" * 64, "entry-1", 1, 200, "application/json", b"x" * body
+        KeyState.STORED, "entry-1-0-0", "f" * 64, "entry-1", 1, 200, "application/json", b"x" * body
     )
     return float(len(msgspec.json.encode(record)))
 
--- a/filbertstream/request/keyed_calls.py
+++ b/filbertstream/request/keyed_calls.py
@@ -43,7 +43,7 @@
     """What is known of the call that a key was used for."""
 
     RUNNING = "running"
-    KEPT = "kept"
+    STORED = "kept"
     TOO_LARGE = "too_large"
     UNKNOWN = "unknown"
     FREE = "free"
@@ -159,7 +159,7 @@
         present = event.present
         if present.fingerprint != idempotency_key.fingerprint:
             return Refused(UNPROCESSABLE, "key_conflict")
-        if present.state is KeyState.KEPT:
+        if present.state is KeyState.STORED:
             return BufferedResponse(present.status, present.content_type, present.body)
         if present.state is KeyState.TOO_LARGE:
             return Refused(CONFLICT, "answer_not_kept")
@@ -192,7 +192,7 @@
         if response is not None and len(response.body) <= KEPT_BYTES:
             record = msgspec.structs.replace(
                 record,
-                state=KeyState.KEPT,
+                state=KeyState.STORED,
                 status=response.status,
                 content_type=response.content_type,
                 body=response.body,
--- a/tests/test_keys_machine.py
+++ b/tests/test_keys_machine.py
@@ -207,7 +207,7 @@
 
     @invariant()
     def a_kept_answer_stays(self) -> None:
-        if self.record is not None and self.record.state is KeyState.KEPT:
+        if self.record is not None and self.record.state is KeyState.STORED:
             assert self.record.body == ANSWER.body
 
 
