--- a/bench/faults.py
+++ b/bench/faults.py
@@ -75,7 +75,7 @@
         world = self.world
         core = world.cores[member]
         asked = world.asked[world.calls[member, send.call_id]]
-        config = core.arrivals.config
+        config = core.authorizer.config
         bound_s = world.bounds.revoke_s + MARGIN_S
         due = [
             ended.revision
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -100,7 +100,7 @@
     @property
     def limits(self) -> CallerLimits:
         """The limits of the configuration in force."""
-        config = self._core.arrivals.config
+        config = self._core.authorizer.config
         return CallerLimits() if config is None else config.limits
 
     @property
--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -117,7 +117,7 @@
 
     def _gauges(self) -> dict[str, float]:
         now_s = boot_time_s()
-        config = self._core.arrivals.config
+        config = self._core.authorizer.config
         return {
             "calls_running": float(self._edge.calls_running),
             "caller_connections": float(len(self._edge.connections)),
--- a/filbertstream/connection/v1_port.py
+++ b/filbertstream/connection/v1_port.py
@@ -107,13 +107,13 @@
         key = bearer_of(raw.headers)
         workspace = None
         if key is not None:
-            found = self._core.arrivals.workspace_of(key, boot_time_s())
+            found = self._core.authorizer.workspace_of(key, boot_time_s())
             if isinstance(found, Refused):
                 rejection = Rejection(found.status, found.code, "", found.retry_after_s)
                 self._reject(conn, request_id, rejection)
                 return
             workspace = found
-        config = self._core.arrivals.config
+        config = self._core.authorizer.config
         if workspace is None or workspace.terms is None or config is None:
             self._reject(conn, request_id, Rejection(UNAUTHORIZED, "unauthorized", ""))
             return
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -142,7 +142,7 @@
         self.budget = SharedRetryBudget(
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_floor
         )
-        self.arrivals = Arrivals(self.currency, bounds.config_apply_s, self.peers.any_in_touch)
+        self.authorizer = Arrivals(self.currency, bounds.config_apply_s, self.peers.any_in_touch)
         self.weights = WeightsView(self.roster, bounds.version_s)
         self.burn = Burn()
         self.idempotency_keys = IdempotencyKeys(cfg.name, cfg.incarnation, self.peers.is_registered)
@@ -151,7 +151,7 @@
         parts = ForwardingParts(
             cfg.data_center,
             self.roster,
-            self.arrivals,
+            self.authorizer,
             self.weights,
             self.prompts,
             self.currency,
@@ -227,7 +227,7 @@
 
     def ready(self, now_s: float) -> bool:
         """Whether the balancer should send new connections here."""
-        if self.stopping or self.arrivals.config is None:
+        if self.stopping or self.authorizer.config is None:
             return False
         return self.currency.looks_current(now_s)
 
@@ -247,7 +247,7 @@
     def _on_configuration(self, event: ConfigurationSeen, now_s: float) -> list[GatewayAction]:
         self.currency.confirm(event.sent_at_s)
         config = event.config
-        if config is None or not self.arrivals.apply(config):
+        if config is None or not self.authorizer.apply(config):
             return []
         stores = [(item.name, item.store) for item in config.services.values() if item.store]
         self.stores.configure(stores)
@@ -410,7 +410,7 @@
         bounds = event.bounds
         self.cfg = self.cfg._replace(bounds=bounds)
         self.currency.set_bounds(bounds.revoke_s, bounds.strict_revocation)
-        self.arrivals.set_bound(bounds.config_apply_s)
+        self.authorizer.set_bound(bounds.config_apply_s)
         self.budget.set_bounds(bounds.retry_ratio, bounds.retry_window_s, bounds.retry_floor)
         self.weights.set_bound(bounds.version_s)
         self.duty.set_lease(bounds.lease_s)
@@ -418,8 +418,8 @@
 
     def _on_stop(self, event: StopAsked, now_s: float) -> list[GatewayAction]:
         self.stopping = True
-        self.arrivals.refuse_streams_from_s = now_s + STOP_STREAMS_S
-        self.arrivals.refuse_from_s = now_s + self.cfg.bounds.grace_s - STOP_CALLS_S
+        self.authorizer.refuse_streams_from_s = now_s + STOP_STREAMS_S
+        self.authorizer.refuse_from_s = now_s + self.cfg.bounds.grace_s - STOP_CALLS_S
         running = len(self.forwarding.calls)
         began = Log(LogEvent.DRAIN_BEGAN, (("calls", running),))
         return [began, RemoveEntry(self.cfg.name)]
@@ -452,6 +452,6 @@
 
     def _cache_owners(self) -> set[str]:
         """Return the workspaces that share no cache, and the empty name for all others."""
-        config = self.arrivals.config
+        config = self.authorizer.config
         workspaces = () if config is None else config.workspaces.values()
         return {"", *(item.name for item in workspaces if item.dedicated)}
--- a/filbertstream/process/status.py
+++ b/filbertstream/process/status.py
@@ -45,7 +45,7 @@
 
 def read_status(core: Gateway, now_s: float) -> Status:
     """Return the state of the core's entry."""
-    config = core.arrivals.config
+    config = core.authorizer.config
     age_s = core.currency.age_s(now_s)
     members = tuple(
         MemberRow(name, record.peer_address, record.incarnation)
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -96,7 +96,7 @@
 
     data_center: str
     roster: Roster
-    arrivals: Arrivals
+    authorizer: Arrivals
     weights: WeightsView
     prompts: Prompts
     currency: Currency
@@ -119,11 +119,11 @@
     def on_arrived(self, event: CallArrived, now_s: float) -> list[Action]:
         """Admit a call and send it, or refuse it at once."""
         head = event.head
-        admitted = self._parts.arrivals.check(head, now_s)
+        admitted = self._parts.authorizer.check(head, now_s)
         if isinstance(admitted, Refused):
             return self._refuse(event, admitted, now_s)
         route = admitted.route
-        config = self._parts.arrivals.config
+        config = self._parts.authorizer.config
         name = route.pick_backend(self._parts.rng.random())
         service = None if config is None else config.services.get(name)
         if service is None:
@@ -174,7 +174,7 @@
 
     def _refuse(self, event: CallArrived, refused: Refused, now_s: float) -> list[Action]:
         self._parts.counters.add("calls_refused", refused.code)
-        config = self._parts.arrivals.config
+        config = self._parts.authorizer.config
         version = 0 if config is None else config.version
         line = call_lines.refused_on_arrival(
             event, refused, version, self._parts.currency.age_s(now_s)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -32,7 +32,7 @@
 def all_ready(world: World, revision: int) -> bool:
     """Whether every entry takes requests under a revision and knows the others."""
     for core in world.cores.values():
-        config = core.arrivals.config
+        config = core.authorizer.config
         if config is None or config.version < revision or not core.ready(world.now_s):
             return False
         if len(core.peers.members) < len(world.cores):
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -277,8 +277,8 @@
     number = world.question()
     row = configuration_row(2, (), 9)
     world.tell(PeerMessage(ViewTold(number, (news(DOCUMENTS_KIND, 0.0, 9, rows=(row,)),))))
-    assert world.core.arrivals.config is not None
-    assert world.core.arrivals.config.version == 2
+    assert world.core.authorizer.config is not None
+    assert world.core.authorizer.config.version == 2
 
 
 def test_a_change_between_what_is_known_and_what_is_told_is_not_skipped() -> None:
--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -144,11 +144,11 @@
 
     @rule()
     def versions_never_fall(self) -> None:
-        config = self.world.core.arrivals.config
+        config = self.world.core.authorizer.config
         assert config is not None
         before = config.version
         self.world.tell(ConfigurationSeen(configuration(max(1, before - 1)), self.world.now_s - 9))
-        after = self.world.core.arrivals.config
+        after = self.world.core.authorizer.config
         assert after is not None
         assert after.version == before
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -129,7 +129,7 @@
     assert ended.state == "accepted"
     world.run(2.0)
     assert all(
-        core.arrivals.config is not None and core.arrivals.config.version == ended.revision
+        core.authorizer.config is not None and core.authorizer.config.version == ended.revision
         for core in world.cores.values()
     )
 
