--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -63,7 +63,7 @@
 from filbertstream.process.store_view import Followed, KindShown
 from filbertstream.process.work_exchange import WorkExchange
 from filbertstream.request.admission import Admission
-from filbertstream.request.arrival import Arrivals
+from filbertstream.request.arrival import Authorizer
 from filbertstream.request.call_flow import (
     CallArrived,
     CallerDisconnected,
@@ -142,7 +142,7 @@
         self.budget = SharedRetryBudget(
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_floor
         )
-        self.authorizer = Arrivals(self.currency, bounds.config_apply_s, self.peers.any_in_touch)
+        self.authorizer = Authorizer(self.currency, bounds.config_apply_s, self.peers.any_in_touch)
         self.weights = WeightsView(self.roster, bounds.version_s)
         self.burn = Burn()
         self.idempotency_keys = IdempotencyKeys(cfg.name, cfg.incarnation, self.peers.is_registered)
--- a/filbertstream/request/arrival.py
+++ b/filbertstream/request/arrival.py
@@ -53,7 +53,7 @@
 STOPPING: Final = Refused(UNAVAILABLE, "stopping", ELSEWHERE_RETRY_S)
 
 
-class Arrivals:
+class Authorizer:
     """Checks calls against the configuration in force.
 
     ``others_in_touch`` tells whether another entry takes the calls that this one can't admit.
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -17,7 +17,7 @@
 from filbertstream.process.roster import Roster, RosterTarget
 from filbertstream.request import call_lines
 from filbertstream.request.admission import Admission
-from filbertstream.request.arrival import Arrivals, Refused
+from filbertstream.request.arrival import Authorizer, Refused
 from filbertstream.request.call import BufferedResponse, CacheDirectives
 from filbertstream.request.call_flow import (
     AbortResponse,
@@ -96,7 +96,7 @@
 
     data_center: str
     roster: Roster
-    authorizer: Arrivals
+    authorizer: Authorizer
     weights: WeightsView
     prompts: Prompts
     currency: Currency
