--- a/filbertstream/request/arrival.py
+++ b/filbertstream/request/arrival.py
@@ -56,17 +56,17 @@
 class Authorizer:
     """Checks calls against the configuration in force.
 
-    ``others_in_touch`` tells whether another entry takes the calls that this one can't admit.
+    ``has_current_peer`` tells whether another entry takes the calls that this one can't admit.
     """
 
     def __init__(
         self,
         currency: Currency,
         config_apply_s: float,
-        others_in_touch: Callable[[float], bool] = lambda now_s: False,
+        has_current_peer: Callable[[float], bool] = lambda now_s: False,
     ) -> None:
         self._currency = currency
-        self._others_in_touch = others_in_touch
+        self._others_in_touch = has_current_peer
         # A configuration older than this may lack a route or a key that the newest one has.
         self._denial_age_s = config_apply_s - DENIAL_MARGIN_S
         self._table = RouteTable(())
