--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -267,7 +267,7 @@
     Guard(
         "callers of an entry that is out of touch are sent to one that is in touch",
         "request/arrival.py",
-        "if not self._others_in_touch(now_s):",
+        "if not self._has_current_peer(now_s):",
         "if True:",
         "tests/test_gateway_redirect.py::"
         "test_callers_go_to_another_entry_at_once_where_one_is_in_touch",
--- a/filbertstream/request/arrival.py
+++ b/filbertstream/request/arrival.py
@@ -66,7 +66,7 @@
         has_current_peer: Callable[[float], bool] = lambda now_s: False,
     ) -> None:
         self._currency = currency
-        self._others_in_touch = has_current_peer
+        self._has_current_peer = has_current_peer
         # A configuration older than this may lack a route or a key that the newest one has.
         self._denial_age_s = config_apply_s - DENIAL_MARGIN_S
         self._table = RouteTable(())
@@ -119,14 +119,14 @@
 
     def _starting(self, now_s: float) -> Refused:
         """Return the refusal of a call that came before any configuration was read."""
-        elsewhere = self._others_in_touch(now_s)
+        elsewhere = self._has_current_peer(now_s)
         retry_after_s = ELSEWHERE_RETRY_S if elsewhere else STARTING_RETRY_S
         return Refused(UNAVAILABLE, "starting", retry_after_s)
 
     def _stale(self, now_s: float) -> Refused:
         """Return the refusal of a call that only a current configuration could admit or deny."""
         retry_after_s = ELSEWHERE_RETRY_S
-        if not self._others_in_touch(now_s):
+        if not self._has_current_peer(now_s):
             outage_s = self._currency.age_s(now_s)
             retry_after_s = min(STALE_RETRY_MOST_S, max(STALE_RETRY_S, outage_s))
         return Refused(UNAVAILABLE, "stale", retry_after_s)
