--- a/filbertstream/request/arrival.py
+++ b/filbertstream/request/arrival.py
@@ -31,7 +31,7 @@
 """While no entry is known to be in touch with the store, callers wait as long as its outage has
 lasted already, within these bounds: most clients come back only once."""
 
-ELSEWHERE_RETRY_S: Final = 0.05
+OTHER_ENTRY_RETRY_S: Final = 0.05
 """Another entry serves the call at once."""
 
 
@@ -50,7 +50,7 @@
     retry_after_s: float | None = None
 
 
-STOPPING: Final = Refused(UNAVAILABLE, "stopping", ELSEWHERE_RETRY_S)
+STOPPING: Final = Refused(UNAVAILABLE, "stopping", OTHER_ENTRY_RETRY_S)
 
 
 class Authorizer:
@@ -120,12 +120,12 @@
     def _starting(self, now_s: float) -> Refused:
         """Return the refusal of a call that came before any configuration was read."""
         elsewhere = self._has_current_peer(now_s)
-        retry_after_s = ELSEWHERE_RETRY_S if elsewhere else STARTING_RETRY_S
+        retry_after_s = OTHER_ENTRY_RETRY_S if elsewhere else STARTING_RETRY_S
         return Refused(UNAVAILABLE, "starting", retry_after_s)
 
     def _stale(self, now_s: float) -> Refused:
         """Return the refusal of a call that only a current configuration could admit or deny."""
-        retry_after_s = ELSEWHERE_RETRY_S
+        retry_after_s = OTHER_ENTRY_RETRY_S
         if not self._has_current_peer(now_s):
             outage_s = self._currency.age_s(now_s)
             retry_after_s = min(STALE_RETRY_MOST_S, max(STALE_RETRY_S, outage_s))
--- a/tests/test_gateway_redirect.py
+++ b/tests/test_gateway_redirect.py
@@ -9,7 +9,7 @@
 from filbertstream.connection.gateway_edge import GatewayEdge
 from filbertstream.gateway_events import PeerMessage, Tick
 from filbertstream.messages import PlacedWork
-from filbertstream.request.arrival import ELSEWHERE_RETRY_S, STALE_RETRY_MOST_S, STALE_RETRY_S
+from filbertstream.request.arrival import OTHER_ENTRY_RETRY_S, STALE_RETRY_MOST_S, STALE_RETRY_S
 from filbertstream.request.call_flow import RespondLocally
 from filbertstream.request.forwarding import RETRY_SPREAD
 from tests.gateway_world import BOUNDS, World
@@ -33,7 +33,7 @@
 def test_callers_go_to_another_entry_at_once_where_one_is_in_touch() -> None:
     refusal = out_of_touch(World(), OUTAGE_S, True)
     assert refusal.retry_after_s is not None
-    assert refusal.retry_after_s <= ELSEWHERE_RETRY_S * (1.0 + RETRY_SPREAD)
+    assert refusal.retry_after_s <= OTHER_ENTRY_RETRY_S * (1.0 + RETRY_SPREAD)
 
 
 @pytest.mark.parametrize("others", [False, None], ids=["others out of touch", "none heard"])
