--- a/filbertstream/request/arrival.py
+++ b/filbertstream/request/arrival.py
@@ -27,7 +27,7 @@
 """About the time from an entry's start until it has its configuration."""
 
 STALE_RETRY_MIN_S: Final = 1.0
-STALE_RETRY_MOST_S: Final = 5.0
+STALE_RETRY_MAX_S: Final = 5.0
 """While no entry is known to be in touch with the store, callers wait as long as its outage has
 lasted already, within these bounds: most clients come back only once."""
 
@@ -128,7 +128,7 @@
         retry_after_s = OTHER_ENTRY_RETRY_S
         if not self._has_current_peer(now_s):
             outage_s = self._currency.age_s(now_s)
-            retry_after_s = min(STALE_RETRY_MOST_S, max(STALE_RETRY_MIN_S, outage_s))
+            retry_after_s = min(STALE_RETRY_MAX_S, max(STALE_RETRY_MIN_S, outage_s))
         return Refused(UNAVAILABLE, "stale", retry_after_s)
 
 
--- a/tests/test_gateway_redirect.py
+++ b/tests/test_gateway_redirect.py
@@ -9,7 +9,7 @@
 from filbertstream.connection.gateway_edge import GatewayEdge
 from filbertstream.gateway_events import PeerMessage, Tick
 from filbertstream.messages import PlacedWork
-from filbertstream.request.arrival import OTHER_ENTRY_RETRY_S, STALE_RETRY_MIN_S, STALE_RETRY_MOST_S
+from filbertstream.request.arrival import OTHER_ENTRY_RETRY_S, STALE_RETRY_MAX_S, STALE_RETRY_MIN_S
 from filbertstream.request.call_flow import RespondLocally
 from filbertstream.request.forwarding import RETRY_SPREAD
 from tests.gateway_world import BOUNDS, World
@@ -48,7 +48,7 @@
     longer = out_of_touch(World(), 30.0, None).retry_after_s
     assert shorter is not None
     assert longer is not None
-    assert STALE_RETRY_MIN_S <= shorter <= longer <= STALE_RETRY_MOST_S * (1.0 + RETRY_SPREAD)
+    assert STALE_RETRY_MIN_S <= shorter <= longer <= STALE_RETRY_MAX_S * (1.0 + RETRY_SPREAD)
 
 
 def test_what_another_entry_said_long_ago_sends_nobody_there() -> None:
