--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -77,7 +77,7 @@
 FULL_RETRY_S: Final = 0.25
 """A few times the work of a plain call: a queue that was full has moved on by then."""
 
-RETRY_SPREAD: Final = 0.5
+RETRY_JITTER: Final = 0.5
 """Callers that were refused together come back spread over this share of the wait."""
 
 LOWEST_PRIORITY: Final = 9
@@ -186,7 +186,7 @@
     def _spread(self, retry_after_s: float | None) -> float | None:
         if retry_after_s is None:
             return None
-        return retry_after_s * (1.0 + RETRY_SPREAD * self._parts.rng.random())
+        return retry_after_s * (1.0 + RETRY_JITTER * self._parts.rng.random())
 
     def _send(self, call: Call, now_s: float) -> list[Action]:
         """Choose a target and send, or give the call up."""
--- a/tests/test_gateway_redirect.py
+++ b/tests/test_gateway_redirect.py
@@ -11,7 +11,7 @@
 from filbertstream.messages import PlacedWork
 from filbertstream.request.arrival import OTHER_ENTRY_RETRY_S, STALE_RETRY_MAX_S, STALE_RETRY_MIN_S
 from filbertstream.request.call_flow import RespondLocally
-from filbertstream.request.forwarding import RETRY_SPREAD
+from filbertstream.request.forwarding import RETRY_JITTER
 from tests.gateway_world import BOUNDS, World
 
 OUTAGE_S = 6.0
@@ -33,7 +33,7 @@
 def test_callers_go_to_another_entry_at_once_where_one_is_in_touch() -> None:
     refusal = out_of_touch(World(), OUTAGE_S, True)
     assert refusal.retry_after_s is not None
-    assert refusal.retry_after_s <= OTHER_ENTRY_RETRY_S * (1.0 + RETRY_SPREAD)
+    assert refusal.retry_after_s <= OTHER_ENTRY_RETRY_S * (1.0 + RETRY_JITTER)
 
 
 @pytest.mark.parametrize("others", [False, None], ids=["others out of touch", "none heard"])
@@ -48,7 +48,7 @@
     longer = out_of_touch(World(), 30.0, None).retry_after_s
     assert shorter is not None
     assert longer is not None
-    assert STALE_RETRY_MIN_S <= shorter <= longer <= STALE_RETRY_MAX_S * (1.0 + RETRY_SPREAD)
+    assert STALE_RETRY_MIN_S <= shorter <= longer <= STALE_RETRY_MAX_S * (1.0 + RETRY_JITTER)
 
 
 def test_what_another_entry_said_long_ago_sends_nobody_there() -> None:
