--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -73,7 +73,7 @@
     SendFailed,
     SendStalled,
 )
-from filbertstream.request.forwarding import Forwarding, ForwardingParts
+from filbertstream.request.forwarding import Forwarding, ForwardingDependencies
 from filbertstream.request.keyed_calls import IdempotencyKeys, KeyClaimed, KeySettled
 from filbertstream.request.placement import Holdings
 from filbertstream.request.prompts import Prompts
@@ -148,7 +148,7 @@
         self.idempotency_keys = IdempotencyKeys(cfg.name, cfg.incarnation, self.peers.is_registered)
         holdings = Holdings(self.index, self.stores)
         self.prompts = Prompts(cfg.data_center, self.roster, holdings, self.weights, rng)
-        parts = ForwardingParts(
+        parts = ForwardingDependencies(
             cfg.data_center,
             self.roster,
             self.authorizer,
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -91,7 +91,7 @@
 Action: TypeAlias = CallAction | ClaimKey | SettleKey | Log
 
 
-class ForwardingParts(NamedTuple):
+class ForwardingDependencies(NamedTuple):
     """What forwarding works with."""
 
     data_center: str
@@ -112,7 +112,7 @@
 class Forwarding:
     """All calls under way."""
 
-    def __init__(self, parts: ForwardingParts) -> None:
+    def __init__(self, parts: ForwardingDependencies) -> None:
         self._parts = parts
         self.calls: dict[int, Call] = {}
 
