--- a/bench/routing.py
+++ b/bench/routing.py
@@ -162,7 +162,7 @@
     for number in range(deployment.entries):
         core = world.add_entry(f"entry-{number + 1}", centers[number % len(centers)])
         if policy_name in POLICIES:
-            core.prompts.choose = POLICIES[policy_name](world)
+            core.prompt_placer.choose = POLICIES[policy_name](world)
     for number in range(deployment.runners):
         world.add_runner(f"runner-{number + 1}", centers[number % len(centers)])
     for number in range(deployment.services):
--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -6,11 +6,12 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
+from filbertstream.request.prompt_placer import Choose
+
 from bench.world import World
 from filbertstream.names import rank
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.placement import Ask, Holdings, Placement, estimate
-from filbertstream.request.prompts import Choose
 
 POLICIES: Final[dict[str, Callable[[World], Choose]]] = {}
 
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -76,7 +76,7 @@
 from filbertstream.request.forwarding import Forwarding, ForwardingDependencies
 from filbertstream.request.keyed_calls import IdempotencyKeys, KeyClaimed, KeySettled
 from filbertstream.request.placement import Holdings
-from filbertstream.request.prompts import Prompts
+from filbertstream.request.prompt_placer import Prompts
 from filbertstream.request.shared_budget import SharedRetryBudget
 from filbertstream.version.currency import Currency
 from filbertstream.version.retirement import Retirement
@@ -147,13 +147,13 @@
         self.burn = Burn()
         self.idempotency_keys = IdempotencyKeys(cfg.name, cfg.incarnation, self.peers.is_registered)
         holdings = Holdings(self.index, self.stores)
-        self.prompts = Prompts(cfg.data_center, self.roster, holdings, self.weights, rng)
+        self.prompt_placer = Prompts(cfg.data_center, self.roster, holdings, self.weights, rng)
         parts = ForwardingDependencies(
             cfg.data_center,
             self.roster,
             self.authorizer,
             self.weights,
-            self.prompts,
+            self.prompt_placer,
             self.currency,
             self.budget,
             self.counters,
--- a/filbertstream/request/call_lines.py
+++ b/filbertstream/request/call_lines.py
@@ -8,7 +8,7 @@
 from filbertstream.request.call_flow import CallArrived, RespondLocally
 from filbertstream.request.call_state import Call
 from filbertstream.request.keyed_calls import KeyClaimed
-from filbertstream.request.prompts import LogFields
+from filbertstream.request.prompt_placer import LogFields
 
 
 def _id(call: Call) -> tuple[str, str]:
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -45,7 +45,7 @@
     progress_timeout_s,
 )
 from filbertstream.request.placement import place_plain
-from filbertstream.request.prompts import LogFields, Prompts, TurnedAway
+from filbertstream.request.prompt_placer import LogFields, Prompts, TurnedAway
 from filbertstream.request.shared_budget import SharedRetryBudget
 from filbertstream.statuses import (
     BAD_GATEWAY,
@@ -98,7 +98,7 @@
     roster: Roster
     authorizer: Authorizer
     weights: WeightsView
-    prompts: Prompts
+    prompt_placer: Prompts
     currency: Currency
     budget: SharedRetryBudget
     counters: Counters
@@ -219,7 +219,7 @@
         return steady or fresh
 
     def _send_prompt(self, call: Call, engine: Engine, now_s: float) -> list[Action]:
-        placed = self._parts.prompts.place(call, engine, self._candidates(call, now_s), now_s)
+        placed = self._parts.prompt_placer.place(call, engine, self._candidates(call, now_s), now_s)
         if placed is None:
             return self._park_or_give_up(call, now_s)
         if isinstance(placed, TurnedAway):
