--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -76,7 +76,7 @@
 from filbertstream.request.forwarding import Forwarding, ForwardingDependencies
 from filbertstream.request.keyed_calls import IdempotencyKeys, KeyClaimed, KeySettled
 from filbertstream.request.placement import Holdings
-from filbertstream.request.prompt_placer import Prompts
+from filbertstream.request.prompt_placer import PromptPlacer
 from filbertstream.request.shared_budget import SharedRetryBudget
 from filbertstream.version.currency import Currency
 from filbertstream.version.retirement import Retirement
@@ -147,7 +147,7 @@
         self.burn = Burn()
         self.idempotency_keys = IdempotencyKeys(cfg.name, cfg.incarnation, self.peers.is_registered)
         holdings = Holdings(self.index, self.stores)
-        self.prompt_placer = Prompts(cfg.data_center, self.roster, holdings, self.weights, rng)
+        self.prompt_placer = PromptPlacer(cfg.data_center, self.roster, holdings, self.weights, rng)
         parts = ForwardingDependencies(
             cfg.data_center,
             self.roster,
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -45,7 +45,7 @@
     progress_timeout_s,
 )
 from filbertstream.request.placement import place_plain
-from filbertstream.request.prompt_placer import LogFields, Prompts, TurnedAway
+from filbertstream.request.prompt_placer import LogFields, PromptPlacer, TurnedAway
 from filbertstream.request.shared_budget import SharedRetryBudget
 from filbertstream.statuses import (
     BAD_GATEWAY,
@@ -98,7 +98,7 @@
     roster: Roster
     authorizer: Authorizer
     weights: WeightsView
-    prompt_placer: Prompts
+    prompt_placer: PromptPlacer
     currency: Currency
     budget: SharedRetryBudget
     counters: Counters
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -39,7 +39,7 @@
 Choose = Callable[[Ask, Sequence[RosterTarget], Holdings, float], Placement | None]
 
 
-class Prompts:
+class PromptPlacer:
     """Places prompts; ``choose`` picks the runner, and benches compare others with it."""
 
     def __init__(
