--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -6,20 +6,22 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from filbertstream.request.prompt_placer import Choose
+from filbertstream.request.prompt_placer import PlacementPolicy
 
 from bench.world import World
 from filbertstream.names import rank
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.placement import Ask, Holdings, Placement, estimate
 
-POLICIES: Final[dict[str, Callable[[World], Choose]]] = {}
+POLICIES: Final[dict[str, Callable[[World], PlacementPolicy]]] = {}
 
 
-def policy(name: str) -> Callable[[Callable[[World], Choose]], Callable[[World], Choose]]:
+def policy(
+    name: str,
+) -> Callable[[Callable[[World], PlacementPolicy]], Callable[[World], PlacementPolicy]]:
     """Register what makes a baseline for a world."""
 
-    def register(make: Callable[[World], Choose]) -> Callable[[World], Choose]:
+    def register(make: Callable[[World], PlacementPolicy]) -> Callable[[World], PlacementPolicy]:
         POLICIES[name] = make
         return make
 
@@ -31,7 +33,7 @@
 
 
 @policy("round_robin")
-def _round_robin(world: World) -> Choose:
+def _round_robin(world: World) -> PlacementPolicy:
     turns = [0]
 
     def choose(
@@ -44,7 +46,7 @@
 
 
 @policy("least_load")
-def _least_load(world: World) -> Choose:
+def _least_load(world: World) -> PlacementPolicy:
     def choose(
         ask: Ask, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
     ) -> Placement | None:
@@ -57,7 +59,7 @@
 
 
 @policy("prefix_affinity")
-def _prefix_affinity(world: World) -> Choose:
+def _prefix_affinity(world: World) -> PlacementPolicy:
     def choose(
         ask: Ask, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
     ) -> Placement | None:
@@ -72,7 +74,7 @@
 
 
 @policy("oracle")
-def _oracle(world: World) -> Choose:
+def _oracle(world: World) -> PlacementPolicy:
     """Know the true queues, caches and stores at the moment of the decision."""
 
     def first_token_s(ask: Ask, target: RosterTarget, now_s: float) -> float:
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -36,7 +36,7 @@
     inputs: LogFields
 
 
-Choose = Callable[[Ask, Sequence[RosterTarget], Holdings, float], Placement | None]
+PlacementPolicy = Callable[[Ask, Sequence[RosterTarget], Holdings, float], Placement | None]
 
 
 class PromptPlacer:
@@ -54,7 +54,7 @@
         self._roster = roster
         self._holdings = holdings
         self._weights = weights
-        self.choose: Choose = place_prompt
+        self.choose: PlacementPolicy = place_prompt
         self._candidates = Candidates(rng)
         self._turn = 0
 
