--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -11,7 +11,7 @@
 from bench.world import World
 from filbertstream.names import rank
 from filbertstream.process.roster import RosterTarget
-from filbertstream.request.placement import Ask, Holdings, Placement, estimate
+from filbertstream.request.placement import Holdings, Placement, PlacementRequest, estimate
 
 POLICIES: Final[dict[str, Callable[[World], PlacementPolicy]]] = {}
 
@@ -28,7 +28,7 @@
     return register
 
 
-def _at(ask: Ask, target: RosterTarget, holdings: Holdings, now_s: float) -> Placement:
+def _at(ask: PlacementRequest, target: RosterTarget, holdings: Holdings, now_s: float) -> Placement:
     return estimate(ask, target, holdings, True, now_s)
 
 
@@ -37,7 +37,7 @@
     turns = [0]
 
     def choose(
-        ask: Ask, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+        ask: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
     ) -> Placement | None:
         turns[0] += 1
         return _at(ask, targets[turns[0] % len(targets)], holdings, now_s) if targets else None
@@ -48,7 +48,7 @@
 @policy("least_load")
 def _least_load(world: World) -> PlacementPolicy:
     def choose(
-        ask: Ask, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+        ask: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
     ) -> Placement | None:
         if not targets:
             return None
@@ -61,7 +61,7 @@
 @policy("prefix_affinity")
 def _prefix_affinity(world: World) -> PlacementPolicy:
     def choose(
-        ask: Ask, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+        ask: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
     ) -> Placement | None:
         if not targets:
             return None
@@ -77,7 +77,7 @@
 def _oracle(world: World) -> PlacementPolicy:
     """Know the true queues, caches and stores at the moment of the decision."""
 
-    def first_token_s(ask: Ask, target: RosterTarget, now_s: float) -> float:
+    def first_token_s(ask: PlacementRequest, target: RosterTarget, now_s: float) -> float:
         runner = world.targets[target.target_id]
         if runner.dead or now_s < runner.loading_until_s:
             return float("inf")
@@ -99,7 +99,7 @@
         return max(ready_s, runner.free_s - now_s) + tokens / runner.rate
 
     def choose(
-        ask: Ask, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+        ask: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
     ) -> Placement | None:
         if not targets:
             return None
--- a/filbertstream/request/candidates.py
+++ b/filbertstream/request/candidates.py
@@ -14,7 +14,7 @@
 from filbertstream.names import rank
 from filbertstream.process.cache_index import CacheIndex
 from filbertstream.process.roster import RosterTarget
-from filbertstream.request.placement import Ask, preference
+from filbertstream.request.placement import PlacementRequest, preference
 
 COMPARED_ALL: Final = 12
 """Up to this many runners, all are compared."""
@@ -46,7 +46,7 @@
 
     def choose(
         self,
-        ask: Ask,
+        ask: PlacementRequest,
         targets: Sequence[RosterTarget],
         registered: frozenset[str],
         index: CacheIndex,
@@ -63,7 +63,7 @@
             found[target.target_id] = target
         return tuple(found.values())
 
-    def _homes(self, ask: Ask) -> tuple[str, ...]:
+    def _homes(self, ask: PlacementRequest) -> tuple[str, ...]:
         subject = preference(ask)
         if subject is None:
             return ()
@@ -76,7 +76,7 @@
         return known
 
 
-def _holding_most(ask: Ask, index: CacheIndex) -> list[str]:
+def _holding_most(ask: PlacementRequest, index: CacheIndex) -> list[str]:
     """Return holders of the last shared part that is held, whose parts before it are likely too."""
     for part in reversed(ask.prompt.parts[:-1] or ask.prompt.parts):
         for namespace in ask.namespaces.values():
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -56,7 +56,7 @@
 """Cost of a runner whose weights are older than the named ones."""
 
 
-class Ask(NamedTuple):
+class PlacementRequest(NamedTuple):
     """What a prompt is placed by."""
 
     prompt: Prompt
@@ -103,7 +103,7 @@
 
 
 def place_prompt(
-    ask: Ask, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+    ask: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
 ) -> Placement | None:
     """Return the cheapest placement, or None where there is no target.
 
@@ -116,7 +116,7 @@
     return min(options, key=lambda option: (not option.has_room, option.cost))
 
 
-def preference(ask: Ask) -> str | None:
+def preference(ask: PlacementRequest) -> str | None:
     """Return the part by which a prompt prefers runners: its largest shared one.
 
     Of equal parts the first counts, which stays the same while a conversation grows.
@@ -125,7 +125,7 @@
     return max(shared, key=lambda part: part.tokens).part_id if shared else None
 
 
-def preferred(ask: Ask, targets: Sequence[RosterTarget]) -> RosterTarget:
+def preferred(ask: PlacementRequest, targets: Sequence[RosterTarget]) -> RosterTarget:
     """Return the preferred runner, by the rendezvous rank of the prompt's largest shared part."""
     subject = preference(ask)
     if subject is None:
@@ -134,7 +134,7 @@
 
 
 def estimate(
-    ask: Ask, target: RosterTarget, holdings: Holdings, is_home: bool, now_s: float
+    ask: PlacementRequest, target: RosterTarget, holdings: Holdings, is_home: bool, now_s: float
 ) -> Placement:
     """Return what is expected of a prompt at a target."""
     model = ask.prompt.model
@@ -172,7 +172,7 @@
     )
 
 
-def _away_cost(ask: Ask, held: int, fetched: int, rate: float) -> float:
+def _away_cost(ask: PlacementRequest, held: int, fetched: int, rate: float) -> float:
     """Return the cost of another runner than the preferred one.
 
     Other entries send the shared parts to the preferred runner too, so it is likely to hold more of
@@ -183,14 +183,14 @@
     return cost + AWAY_COST_PER_TOKEN * max(0, unheld - fetched)
 
 
-def _memory_share(ask: Ask, target: RosterTarget, now_s: float) -> float:
+def _memory_share(ask: PlacementRequest, target: RosterTarget, now_s: float) -> float:
     """Return the share of a runner's memory that running requests would fill with this one."""
     own = ask.prompt.tokens + ask.prompt.max_new_tokens
     return (target.memory(now_s) + own) / max(1, ask.engine.cache_tokens)
 
 
 def _sources(
-    ask: Ask, target: RosterTarget, namespace: str, holdings: Holdings, now_s: float
+    ask: PlacementRequest, target: RosterTarget, namespace: str, holdings: Holdings, now_s: float
 ) -> tuple[tuple[Source | None, ...], int, int]:
     """Return where each part is fetched from, the tokens to fetch, and those at the target.
 
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -12,7 +12,13 @@
 from filbertstream.request.call_state import Call
 from filbertstream.request.candidates import Candidates
 from filbertstream.request.overload import Room, retry_after_s, room
-from filbertstream.request.placement import Ask, Holdings, Placement, Source, place_prompt
+from filbertstream.request.placement import (
+    Holdings,
+    Placement,
+    PlacementRequest,
+    Source,
+    place_prompt,
+)
 from filbertstream.version.routes import Engine
 from filbertstream.version.weights_view import WeightsView, cache_namespace
 
@@ -36,7 +42,9 @@
     inputs: LogFields
 
 
-PlacementPolicy = Callable[[Ask, Sequence[RosterTarget], Holdings, float], Placement | None]
+PlacementPolicy = Callable[
+    [PlacementRequest, Sequence[RosterTarget], Holdings, float], Placement | None
+]
 
 
 class PromptPlacer:
@@ -85,11 +93,11 @@
 
     def _ask(
         self, call: Call, prompt: Prompt, engine: Engine, targets: list[RosterTarget], limits: Room
-    ) -> Ask:
+    ) -> PlacementRequest:
         workspace = call.workspace
         owner = workspace.name if workspace is not None and workspace.dedicated else ""
         versions = {target.weights.get(prompt.model, 0) for target in targets}
-        return Ask(
+        return PlacementRequest(
             prompt,
             engine,
             call.route.objective_s,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -13,7 +13,7 @@
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.request.call import Prompt, PromptPart
 from filbertstream.request.overload import room
-from filbertstream.request.placement import Ask, Holdings, place_prompt, preferred
+from filbertstream.request.placement import Holdings, PlacementRequest, place_prompt, preferred
 from filbertstream.version.routes import Engine
 from tests.gateway_world import ENGINE
 
@@ -37,10 +37,10 @@
         entry = TargetEntry(name, "models", address, "dc1", 64, False, 0.0, {"m": 1}, 1)
         return RosterTarget(entry, 0.0, lambda target, now_s: self.told.get(target, IDLE))
 
-    def ask(self, parts: tuple[PromptPart, ...], turn: int = 0) -> Ask:
+    def ask(self, parts: tuple[PromptPart, ...], turn: int = 0) -> PlacementRequest:
         tokens = sum(part.tokens for part in parts) or 500
         prompt = Prompt("m", tokens, 50, parts)
-        return Ask(prompt, self.engine, 1.0, "dc1", 1, {1: SPACE}, turn, room(1.0, 0))
+        return PlacementRequest(prompt, self.engine, 1.0, "dc1", 1, {1: SPACE}, turn, room(1.0, 0))
 
     def place(self, parts: tuple[PromptPart, ...], turn: int = 0) -> str:
         placement = place_prompt(self.ask(parts, turn), self.targets, self.holdings, 1.0)
