--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -28,8 +28,10 @@
     return register
 
 
-def _at(ask: PlacementRequest, target: RosterTarget, holdings: Holdings, now_s: float) -> Placement:
-    return estimate(ask, target, holdings, True, now_s)
+def _at(
+    request: PlacementRequest, target: RosterTarget, holdings: Holdings, now_s: float
+) -> Placement:
+    return estimate(request, target, holdings, True, now_s)
 
 
 @policy("round_robin")
@@ -37,10 +39,10 @@
     turns = [0]
 
     def choose(
-        ask: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+        request: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
     ) -> Placement | None:
         turns[0] += 1
-        return _at(ask, targets[turns[0] % len(targets)], holdings, now_s) if targets else None
+        return _at(request, targets[turns[0] % len(targets)], holdings, now_s) if targets else None
 
     return choose
 
@@ -48,12 +50,12 @@
 @policy("least_load")
 def _least_load(world: World) -> PlacementPolicy:
     def choose(
-        ask: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+        request: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
     ) -> Placement | None:
         if not targets:
             return None
         best = min(targets, key=lambda target: (target.unread(now_s), target.running(now_s)))
-        return _at(ask, best, holdings, now_s)
+        return _at(request, best, holdings, now_s)
 
     return choose
 
@@ -61,14 +63,14 @@
 @policy("prefix_affinity")
 def _prefix_affinity(world: World) -> PlacementPolicy:
     def choose(
-        ask: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+        request: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
     ) -> Placement | None:
         if not targets:
             return None
-        parts = ask.prompt.parts
+        parts = request.prompt.parts
         subject = parts[0].part_id if parts else f"{world.rng.random()}"
         best = max(targets, key=lambda target: rank(target.target_id, subject))
-        return _at(ask, best, holdings, now_s)
+        return _at(request, best, holdings, now_s)
 
     return choose
 
@@ -77,14 +79,14 @@
 def _oracle(world: World) -> PlacementPolicy:
     """Know the true queues, caches and stores at the moment of the decision."""
 
-    def first_token_s(ask: PlacementRequest, target: RosterTarget, now_s: float) -> float:
+    def first_token_s(request: PlacementRequest, target: RosterTarget, now_s: float) -> float:
         runner = world.targets[target.target_id]
         if runner.dead or now_s < runner.loading_until_s:
             return float("inf")
-        namespace = ask.namespaces.get(target.weights.get(ask.prompt.model, 0), "")
-        tokens, ready_s = ask.prompt.tokens, 0.0
+        namespace = request.namespaces.get(target.weights.get(request.prompt.model, 0), "")
+        tokens, ready_s = request.prompt.tokens, 0.0
         moved = dict.fromkeys(world.stores, 0)
-        for part in ask.prompt.parts:
+        for part in request.prompt.parts:
             key = (namespace, part.part_id)
             holders = [name for name, store in world.stores.items() if key in store.parts]
             if key in runner.cache:
@@ -99,13 +101,13 @@
         return max(ready_s, runner.free_s - now_s) + tokens / runner.rate
 
     def choose(
-        ask: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+        request: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
     ) -> Placement | None:
         if not targets:
             return None
         best = min(
-            targets, key=lambda target: (first_token_s(ask, target, now_s), target.target_id)
+            targets, key=lambda target: (first_token_s(request, target, now_s), target.target_id)
         )
-        return _at(ask, best, holdings, now_s)
+        return _at(request, best, holdings, now_s)
 
     return choose
--- a/filbertstream/request/candidates.py
+++ b/filbertstream/request/candidates.py
@@ -46,7 +46,7 @@
 
     def choose(
         self,
-        ask: PlacementRequest,
+        request: PlacementRequest,
         targets: Sequence[RosterTarget],
         registered: frozenset[str],
         index: CacheIndex,
@@ -57,14 +57,14 @@
         if registered is not self._registered or len(self._preferred) > PREFERRED_PARTS:
             self._registered, self._preferred = registered, {}
         by_name = {target.target_id: target for target in targets}
-        names = [*self._homes(ask), *_holding_most(ask, index)]
+        names = [*self._homes(request), *_holding_most(request, index)]
         found = {name: by_name[name] for name in names if name in by_name}
         for target in self._rng.sample(targets, COMPARED_DRAWN):
             found[target.target_id] = target
         return tuple(found.values())
 
-    def _homes(self, ask: PlacementRequest) -> tuple[str, ...]:
-        subject = preference(ask)
+    def _homes(self, request: PlacementRequest) -> tuple[str, ...]:
+        subject = preference(request)
         if subject is None:
             return ()
         known = self._preferred.get(subject)
@@ -76,10 +76,10 @@
         return known
 
 
-def _holding_most(ask: PlacementRequest, index: CacheIndex) -> list[str]:
+def _holding_most(request: PlacementRequest, index: CacheIndex) -> list[str]:
     """Return holders of the last shared part that is held, whose parts before it are likely too."""
-    for part in reversed(ask.prompt.parts[:-1] or ask.prompt.parts):
-        for namespace in ask.namespaces.values():
+    for part in reversed(request.prompt.parts[:-1] or request.prompt.parts):
+        for namespace in request.namespaces.values():
             holders = index.holders((namespace, part.part_id))
             if holders:
                 return heapq.nlargest(
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -103,7 +103,7 @@
 
 
 def place_prompt(
-    ask: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+    request: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
 ) -> Placement | None:
     """Return the cheapest placement, or None where there is no target.
 
@@ -111,52 +111,52 @@
     """
     if not targets:
         return None
-    home = preferred(ask, targets)
-    options = [estimate(ask, target, holdings, target is home, now_s) for target in targets]
+    home = preferred(request, targets)
+    options = [estimate(request, target, holdings, target is home, now_s) for target in targets]
     return min(options, key=lambda option: (not option.has_room, option.cost))
 
 
-def preference(ask: PlacementRequest) -> str | None:
+def preference(request: PlacementRequest) -> str | None:
     """Return the part by which a prompt prefers runners: its largest shared one.
 
     Of equal parts the first counts, which stays the same while a conversation grows.
     """
-    shared = ask.prompt.parts[:-1] or ask.prompt.parts
+    shared = request.prompt.parts[:-1] or request.prompt.parts
     return max(shared, key=lambda part: part.tokens).part_id if shared else None
 
 
-def preferred(ask: PlacementRequest, targets: Sequence[RosterTarget]) -> RosterTarget:
+def preferred(request: PlacementRequest, targets: Sequence[RosterTarget]) -> RosterTarget:
     """Return the preferred runner, by the rendezvous rank of the prompt's largest shared part."""
-    subject = preference(ask)
+    subject = preference(request)
     if subject is None:
-        return targets[ask.turn % len(targets)]
+        return targets[request.turn % len(targets)]
     return max(targets, key=lambda target: rank(target.target_id, subject))
 
 
 def estimate(
-    ask: PlacementRequest, target: RosterTarget, holdings: Holdings, is_home: bool, now_s: float
+    request: PlacementRequest, target: RosterTarget, holdings: Holdings, is_home: bool, now_s: float
 ) -> Placement:
     """Return what is expected of a prompt at a target."""
-    model = ask.prompt.model
+    model = request.prompt.model
     weights = target.weights.get(model, 0)
-    namespace = ask.namespaces.get(weights, "")
-    fetch, fetched, held = _sources(ask, target, namespace, holdings, now_s)
-    read = max(1, ask.prompt.tokens - held - fetched)
+    namespace = request.namespaces.get(weights, "")
+    fetch, fetched, held = _sources(request, target, namespace, holdings, now_s)
+    read = max(1, request.prompt.tokens - held - fetched)
     rate = target.prefill.rate_per_s
     to_read = read + FETCH_SHARE * fetched
     queue_s = target.unread(now_s) / rate
     first_event_s = queue_s + to_read / rate
-    cost = (target.likely_unread(now_s) + to_read) / rate / ask.objective_s
+    cost = (target.likely_unread(now_s) + to_read) / rate / request.objective_s
     cost += RECOMPUTE_COST_PER_TOKEN * read + FETCH_COST_PER_TOKEN * fetched
-    cost += 0.0 if is_home else _away_cost(ask, held, fetched, rate)
-    cost += 0.0 if target.entry.data_center == ask.data_center else FAR_PROMPT_COST
+    cost += 0.0 if is_home else _away_cost(request, held, fetched, rate)
+    cost += 0.0 if target.entry.data_center == request.data_center else FAR_PROMPT_COST
     running = target.running(now_s)
-    cost += BUSY_COST * running / max(1, ask.engine.slots)
-    memory_share = _memory_share(ask, target, now_s)
+    cost += BUSY_COST * running / max(1, request.engine.slots)
+    memory_share = _memory_share(request, target, now_s)
     cost += MEMORY_COST * max(0.0, memory_share - MEMORY_AIM)
-    if ask.named_weights is not None and weights < ask.named_weights:
+    if request.named_weights is not None and weights < request.named_weights:
         cost += OLD_WEIGHTS_COST
-    has_room = queue_s <= ask.room.queue_s and memory_share <= ask.room.memory_share
+    has_room = queue_s <= request.room.queue_s and memory_share <= request.room.memory_share
     return Placement(
         target,
         weights,
@@ -172,25 +172,29 @@
     )
 
 
-def _away_cost(ask: PlacementRequest, held: int, fetched: int, rate: float) -> float:
+def _away_cost(request: PlacementRequest, held: int, fetched: int, rate: float) -> float:
     """Return the cost of another runner than the preferred one.
 
     Other entries send the shared parts to the preferred runner too, so it is likely to hold more of
     them than this entry knows.
     """
-    unheld = max(0, sum(part.tokens for part in ask.prompt.parts[:-1]) - held)
-    cost = AWAY_COST + unheld / rate / ask.objective_s
+    unheld = max(0, sum(part.tokens for part in request.prompt.parts[:-1]) - held)
+    cost = AWAY_COST + unheld / rate / request.objective_s
     return cost + AWAY_COST_PER_TOKEN * max(0, unheld - fetched)
 
 
-def _memory_share(ask: PlacementRequest, target: RosterTarget, now_s: float) -> float:
+def _memory_share(request: PlacementRequest, target: RosterTarget, now_s: float) -> float:
     """Return the share of a runner's memory that running requests would fill with this one."""
-    own = ask.prompt.tokens + ask.prompt.max_new_tokens
-    return (target.memory(now_s) + own) / max(1, ask.engine.cache_tokens)
+    own = request.prompt.tokens + request.prompt.max_new_tokens
+    return (target.memory(now_s) + own) / max(1, request.engine.cache_tokens)
 
 
 def _sources(
-    ask: PlacementRequest, target: RosterTarget, namespace: str, holdings: Holdings, now_s: float
+    request: PlacementRequest,
+    target: RosterTarget,
+    namespace: str,
+    holdings: Holdings,
+    now_s: float,
 ) -> tuple[tuple[Source | None, ...], int, int]:
     """Return where each part is fetched from, the tokens to fetch, and those at the target.
 
@@ -200,7 +204,7 @@
     fetch: list[Source | None] = []
     fetched = held = 0
     chain_ends = False
-    for part in ask.prompt.parts:
+    for part in request.prompt.parts:
         key = (namespace, part.part_id)
         holders = holdings.parts.holders(key)
         if chain_ends or not holders:
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -76,10 +76,10 @@
         self._turn += 0 if prompt.parts else 1
         targets = self._weights.admitted(prompt.model, candidates, now_s)
         limits = room(call.route.queue_limit_s, call.urgency)
-        ask = self._ask(call, prompt, engine, targets, limits)
+        request = self._ask(call, prompt, engine, targets, limits)
         registered = self._roster.names_of(call.service.name)
-        compared = self._candidates.choose(ask, targets, registered, self._holdings.parts)
-        placement = self.choose(ask, compared, self._holdings, now_s)
+        compared = self._candidates.choose(request, targets, registered, self._holdings.parts)
+        placement = self.choose(request, compared, self._holdings, now_s)
         if placement is None:
             return None
         ahead = placement.target.unread(now_s)
