--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -32,7 +32,9 @@
         self.registered = frozenset(target.target_id for target in self.targets)
 
     def compared(self, entry: Candidates, parts: tuple[PromptPart, ...]) -> Sequence[RosterTarget]:
-        return entry.choose(self.ask(parts), self.targets, self.registered, self.index)
+        return entry.choose(
+            self.placement_request(parts), self.targets, self.registered, self.index
+        )
 
 
 def test_few_runners_are_all_compared() -> None:
@@ -84,7 +86,7 @@
         entry = Candidates(random.Random(number))
         compared = {"all": runners.targets, "some": runners.compared(entry, parts)}
         for way, targets in compared.items():
-            placed = place_prompt(runners.ask(parts), targets, runners.holdings, 1.0)
+            placed = place_prompt(runners.placement_request(parts), targets, runners.holdings, 1.0)
             assert placed is not None
             chosen[way][placed.target.target_id] += 1
     assert chosen["all"]["r0"] > 100
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -37,18 +37,20 @@
         entry = TargetEntry(name, "models", address, "dc1", 64, False, 0.0, {"m": 1}, 1)
         return RosterTarget(entry, 0.0, lambda target, now_s: self.told.get(target, IDLE))
 
-    def ask(self, parts: tuple[PromptPart, ...], turn: int = 0) -> PlacementRequest:
+    def placement_request(self, parts: tuple[PromptPart, ...], turn: int = 0) -> PlacementRequest:
         tokens = sum(part.tokens for part in parts) or 500
         prompt = Prompt("m", tokens, 50, parts)
         return PlacementRequest(prompt, self.engine, 1.0, "dc1", 1, {1: SPACE}, turn, room(1.0, 0))
 
     def place(self, parts: tuple[PromptPart, ...], turn: int = 0) -> str:
-        placement = place_prompt(self.ask(parts, turn), self.targets, self.holdings, 1.0)
+        placement = place_prompt(
+            self.placement_request(parts, turn), self.targets, self.holdings, 1.0
+        )
         assert placement is not None
         return placement.target.target_id
 
     def home(self, parts: tuple[PromptPart, ...]) -> RosterTarget:
-        return preferred(self.ask(parts), self.targets)
+        return preferred(self.placement_request(parts), self.targets)
 
     def queue(self, target: RosterTarget, tokens: int) -> None:
         self.told[target.target_id] = OthersWork(1, tokens, tokens, tokens)
@@ -102,7 +104,9 @@
     home = runners.home(parts)
     # Longer than what is admitted, shorter than what it would cost to read the prefix elsewhere.
     runners.queue(home, round(1.2 * FIRST_RATE_PER_S))
-    placement = place_prompt(runners.ask(parts), runners.targets, runners.holdings, 1.0)
+    placement = place_prompt(
+        runners.placement_request(parts), runners.targets, runners.holdings, 1.0
+    )
     assert placement is not None
     assert (placement.target is home, placement.has_room) == (False, True)
     for target in runners.targets:
