--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -11,7 +11,7 @@
 from bench.world import World
 from filbertstream.names import rank
 from filbertstream.process.roster import RosterTarget
-from filbertstream.request.placement import Holdings, Placement, PlacementRequest, estimate
+from filbertstream.request.placement import CacheView, Placement, PlacementRequest, estimate
 
 POLICIES: Final[dict[str, Callable[[World], PlacementPolicy]]] = {}
 
@@ -29,7 +29,7 @@
 
 
 def _at(
-    request: PlacementRequest, target: RosterTarget, holdings: Holdings, now_s: float
+    request: PlacementRequest, target: RosterTarget, holdings: CacheView, now_s: float
 ) -> Placement:
     return estimate(request, target, holdings, True, now_s)
 
@@ -39,7 +39,10 @@
     turns = [0]
 
     def choose(
-        request: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+        request: PlacementRequest,
+        targets: Sequence[RosterTarget],
+        holdings: CacheView,
+        now_s: float,
     ) -> Placement | None:
         turns[0] += 1
         return _at(request, targets[turns[0] % len(targets)], holdings, now_s) if targets else None
@@ -50,7 +53,10 @@
 @policy("least_load")
 def _least_load(world: World) -> PlacementPolicy:
     def choose(
-        request: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+        request: PlacementRequest,
+        targets: Sequence[RosterTarget],
+        holdings: CacheView,
+        now_s: float,
     ) -> Placement | None:
         if not targets:
             return None
@@ -63,7 +69,10 @@
 @policy("prefix_affinity")
 def _prefix_affinity(world: World) -> PlacementPolicy:
     def choose(
-        request: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+        request: PlacementRequest,
+        targets: Sequence[RosterTarget],
+        holdings: CacheView,
+        now_s: float,
     ) -> Placement | None:
         if not targets:
             return None
@@ -101,7 +110,10 @@
         return max(ready_s, runner.free_s - now_s) + tokens / runner.rate
 
     def choose(
-        request: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+        request: PlacementRequest,
+        targets: Sequence[RosterTarget],
+        holdings: CacheView,
+        now_s: float,
     ) -> Placement | None:
         if not targets:
             return None
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -75,7 +75,7 @@
 )
 from filbertstream.request.forwarding import Forwarding, ForwardingDependencies
 from filbertstream.request.keyed_calls import IdempotencyKeys, KeyClaimed, KeySettled
-from filbertstream.request.placement import Holdings
+from filbertstream.request.placement import CacheView
 from filbertstream.request.prompt_placer import PromptPlacer
 from filbertstream.request.shared_budget import SharedRetryBudget
 from filbertstream.version.currency import Currency
@@ -146,7 +146,7 @@
         self.weights = WeightsView(self.roster, bounds.version_s)
         self.burn = Burn()
         self.idempotency_keys = IdempotencyKeys(cfg.name, cfg.incarnation, self.peers.is_registered)
-        holdings = Holdings(self.index, self.stores)
+        holdings = CacheView(self.index, self.stores)
         self.prompt_placer = PromptPlacer(cfg.data_center, self.roster, holdings, self.weights, rng)
         parts = ForwardingDependencies(
             cfg.data_center,
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -72,7 +72,7 @@
     """What the prompt may find at a runner and still be admitted."""
 
 
-class Holdings(NamedTuple):
+class CacheView(NamedTuple):
     """What is known of who holds which part."""
 
     parts: CacheIndex
@@ -103,7 +103,7 @@
 
 
 def place_prompt(
-    request: PlacementRequest, targets: Sequence[RosterTarget], holdings: Holdings, now_s: float
+    request: PlacementRequest, targets: Sequence[RosterTarget], holdings: CacheView, now_s: float
 ) -> Placement | None:
     """Return the cheapest placement, or None where there is no target.
 
@@ -134,7 +134,11 @@
 
 
 def estimate(
-    request: PlacementRequest, target: RosterTarget, holdings: Holdings, is_home: bool, now_s: float
+    request: PlacementRequest,
+    target: RosterTarget,
+    holdings: CacheView,
+    is_home: bool,
+    now_s: float,
 ) -> Placement:
     """Return what is expected of a prompt at a target."""
     model = request.prompt.model
@@ -193,7 +197,7 @@
     request: PlacementRequest,
     target: RosterTarget,
     namespace: str,
-    holdings: Holdings,
+    holdings: CacheView,
     now_s: float,
 ) -> tuple[tuple[Source | None, ...], int, int]:
     """Return where each part is fetched from, the tokens to fetch, and those at the target.
@@ -230,7 +234,7 @@
 
 
 def _runner_source(
-    target: RosterTarget, holders: Mapping[str, int], holdings: Holdings
+    target: RosterTarget, holders: Mapping[str, int], holdings: CacheView
 ) -> Source | None:
     runners = [
         name for name in holders if name not in holdings.stores.states and name != target.target_id
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -13,7 +13,7 @@
 from filbertstream.request.candidates import Candidates
 from filbertstream.request.overload import Room, retry_after_s, room
 from filbertstream.request.placement import (
-    Holdings,
+    CacheView,
     Placement,
     PlacementRequest,
     Source,
@@ -43,7 +43,7 @@
 
 
 PlacementPolicy = Callable[
-    [PlacementRequest, Sequence[RosterTarget], Holdings, float], Placement | None
+    [PlacementRequest, Sequence[RosterTarget], CacheView, float], Placement | None
 ]
 
 
@@ -54,7 +54,7 @@
         self,
         data_center: str,
         roster: Roster,
-        holdings: Holdings,
+        holdings: CacheView,
         weights: WeightsView,
         rng: random.Random,
     ) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -13,7 +13,7 @@
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.request.call import Prompt, PromptPart
 from filbertstream.request.overload import room
-from filbertstream.request.placement import Holdings, PlacementRequest, place_prompt, preferred
+from filbertstream.request.placement import CacheView, PlacementRequest, place_prompt, preferred
 from filbertstream.version.routes import Engine
 from tests.gateway_world import ENGINE
 
@@ -29,7 +29,7 @@
         self.told: dict[str, OthersWork] = {}
         self.engine = engine
         self.index = CacheIndex()
-        self.holdings = Holdings(self.index, CacheStores(self.index, random.Random(1)))
+        self.holdings = CacheView(self.index, CacheStores(self.index, random.Random(1)))
         self.targets = [self._target(f"r{number}") for number in range(count)]
 
     def _target(self, name: str) -> RosterTarget:
