--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -29,9 +29,9 @@
 
 
 def _at(
-    request: PlacementRequest, target: RosterTarget, holdings: CacheView, now_s: float
+    request: PlacementRequest, target: RosterTarget, cache_view: CacheView, now_s: float
 ) -> Placement:
-    return estimate(request, target, holdings, True, now_s)
+    return estimate(request, target, cache_view, True, now_s)
 
 
 @policy("round_robin")
@@ -41,11 +41,13 @@
     def choose(
         request: PlacementRequest,
         targets: Sequence[RosterTarget],
-        holdings: CacheView,
+        cache_view: CacheView,
         now_s: float,
     ) -> Placement | None:
         turns[0] += 1
-        return _at(request, targets[turns[0] % len(targets)], holdings, now_s) if targets else None
+        return (
+            _at(request, targets[turns[0] % len(targets)], cache_view, now_s) if targets else None
+        )
 
     return choose
 
@@ -55,13 +57,13 @@
     def choose(
         request: PlacementRequest,
         targets: Sequence[RosterTarget],
-        holdings: CacheView,
+        cache_view: CacheView,
         now_s: float,
     ) -> Placement | None:
         if not targets:
             return None
         best = min(targets, key=lambda target: (target.unread(now_s), target.running(now_s)))
-        return _at(request, best, holdings, now_s)
+        return _at(request, best, cache_view, now_s)
 
     return choose
 
@@ -71,7 +73,7 @@
     def choose(
         request: PlacementRequest,
         targets: Sequence[RosterTarget],
-        holdings: CacheView,
+        cache_view: CacheView,
         now_s: float,
     ) -> Placement | None:
         if not targets:
@@ -79,7 +81,7 @@
         parts = request.prompt.parts
         subject = parts[0].part_id if parts else f"{world.rng.random()}"
         best = max(targets, key=lambda target: rank(target.target_id, subject))
-        return _at(request, best, holdings, now_s)
+        return _at(request, best, cache_view, now_s)
 
     return choose
 
@@ -112,7 +114,7 @@
     def choose(
         request: PlacementRequest,
         targets: Sequence[RosterTarget],
-        holdings: CacheView,
+        cache_view: CacheView,
         now_s: float,
     ) -> Placement | None:
         if not targets:
@@ -120,6 +122,6 @@
         best = min(
             targets, key=lambda target: (first_token_s(request, target, now_s), target.target_id)
         )
-        return _at(request, best, holdings, now_s)
+        return _at(request, best, cache_view, now_s)
 
     return choose
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -146,8 +146,10 @@
         self.weights = WeightsView(self.roster, bounds.version_s)
         self.burn = Burn()
         self.idempotency_keys = IdempotencyKeys(cfg.name, cfg.incarnation, self.peers.is_registered)
-        holdings = CacheView(self.index, self.stores)
-        self.prompt_placer = PromptPlacer(cfg.data_center, self.roster, holdings, self.weights, rng)
+        cache_view = CacheView(self.index, self.stores)
+        self.prompt_placer = PromptPlacer(
+            cfg.data_center, self.roster, cache_view, self.weights, rng
+        )
         parts = ForwardingDependencies(
             cfg.data_center,
             self.roster,
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -103,7 +103,7 @@
 
 
 def place_prompt(
-    request: PlacementRequest, targets: Sequence[RosterTarget], holdings: CacheView, now_s: float
+    request: PlacementRequest, targets: Sequence[RosterTarget], cache_view: CacheView, now_s: float
 ) -> Placement | None:
     """Return the cheapest placement, or None where there is no target.
 
@@ -112,7 +112,7 @@
     if not targets:
         return None
     home = preferred(request, targets)
-    options = [estimate(request, target, holdings, target is home, now_s) for target in targets]
+    options = [estimate(request, target, cache_view, target is home, now_s) for target in targets]
     return min(options, key=lambda option: (not option.has_room, option.cost))
 
 
@@ -136,7 +136,7 @@
 def estimate(
     request: PlacementRequest,
     target: RosterTarget,
-    holdings: CacheView,
+    cache_view: CacheView,
     is_home: bool,
     now_s: float,
 ) -> Placement:
@@ -144,7 +144,7 @@
     model = request.prompt.model
     weights = target.weights.get(model, 0)
     namespace = request.namespaces.get(weights, "")
-    fetch, fetched, held = _sources(request, target, namespace, holdings, now_s)
+    fetch, fetched, held = _sources(request, target, namespace, cache_view, now_s)
     read = max(1, request.prompt.tokens - held - fetched)
     rate = target.prefill.rate_per_s
     to_read = read + FETCH_SHARE * fetched
@@ -197,7 +197,7 @@
     request: PlacementRequest,
     target: RosterTarget,
     namespace: str,
-    holdings: CacheView,
+    cache_view: CacheView,
     now_s: float,
 ) -> tuple[tuple[Source | None, ...], int, int]:
     """Return where each part is fetched from, the tokens to fetch, and those at the target.
@@ -210,21 +210,21 @@
     chain_ends = False
     for part in request.prompt.parts:
         key = (namespace, part.part_id)
-        holders = holdings.parts.holders(key)
+        holders = cache_view.parts.holders(key)
         if chain_ends or not holders:
             # A part counts only where all parts before it are at hand.
             chain_ends = True
             fetch.append(None)
             continue
         data_center = target.entry.data_center
-        store = holdings.stores.source(key, part.tokens, data_center, now_s)
+        store = cache_view.stores.source(key, part.tokens, data_center, now_s)
         source = None if store is None else Source(store, part.tokens)
         if target.target_id in holders:
             held += min(part.tokens, holders[target.target_id])
         elif source is not None:
             fetched += part.tokens
         else:
-            source = _runner_source(target, holders, holdings)
+            source = _runner_source(target, holders, cache_view)
             if source is None:
                 chain_ends = True
             else:
@@ -234,10 +234,12 @@
 
 
 def _runner_source(
-    target: RosterTarget, holders: Mapping[str, int], holdings: CacheView
+    target: RosterTarget, holders: Mapping[str, int], cache_view: CacheView
 ) -> Source | None:
     runners = [
-        name for name in holders if name not in holdings.stores.states and name != target.target_id
+        name
+        for name in holders
+        if name not in cache_view.stores.states and name != target.target_id
     ]
     if not runners:
         return None
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -54,13 +54,13 @@
         self,
         data_center: str,
         roster: Roster,
-        holdings: CacheView,
+        cache_view: CacheView,
         weights: WeightsView,
         rng: random.Random,
     ) -> None:
         self._data_center = data_center
         self._roster = roster
-        self._holdings = holdings
+        self._holdings = cache_view
         self._weights = weights
         self.choose: PlacementPolicy = place_prompt
         self._candidates = Candidates(rng)
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -86,7 +86,9 @@
         entry = Candidates(random.Random(number))
         compared = {"all": runners.targets, "some": runners.compared(entry, parts)}
         for way, targets in compared.items():
-            placed = place_prompt(runners.placement_request(parts), targets, runners.holdings, 1.0)
+            placed = place_prompt(
+                runners.placement_request(parts), targets, runners.cache_view, 1.0
+            )
             assert placed is not None
             chosen[way][placed.target.target_id] += 1
     assert chosen["all"]["r0"] > 100
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -29,7 +29,7 @@
         self.told: dict[str, OthersWork] = {}
         self.engine = engine
         self.index = CacheIndex()
-        self.holdings = CacheView(self.index, CacheStores(self.index, random.Random(1)))
+        self.cache_view = CacheView(self.index, CacheStores(self.index, random.Random(1)))
         self.targets = [self._target(f"r{number}") for number in range(count)]
 
     def _target(self, name: str) -> RosterTarget:
@@ -44,7 +44,7 @@
 
     def place(self, parts: tuple[PromptPart, ...], turn: int = 0) -> str:
         placement = place_prompt(
-            self.placement_request(parts, turn), self.targets, self.holdings, 1.0
+            self.placement_request(parts, turn), self.targets, self.cache_view, 1.0
         )
         assert placement is not None
         return placement.target.target_id
@@ -105,7 +105,7 @@
     # Longer than what is admitted, shorter than what it would cost to read the prefix elsewhere.
     runners.queue(home, round(1.2 * FIRST_RATE_PER_S))
     placement = place_prompt(
-        runners.placement_request(parts), runners.targets, runners.holdings, 1.0
+        runners.placement_request(parts), runners.targets, runners.cache_view, 1.0
     )
     assert placement is not None
     assert (placement.target is home, placement.has_room) == (False, True)
