--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -111,7 +111,7 @@
     """
     if not targets:
         return None
-    home = preferred(request, targets)
+    home = preferred_runner(request, targets)
     options = [estimate(request, target, cache_view, target is home, now_s) for target in targets]
     return min(options, key=lambda option: (not option.has_room, option.cost))
 
@@ -125,7 +125,7 @@
     return max(shared, key=lambda part: part.tokens).part_id if shared else None
 
 
-def preferred(request: PlacementRequest, targets: Sequence[RosterTarget]) -> RosterTarget:
+def preferred_runner(request: PlacementRequest, targets: Sequence[RosterTarget]) -> RosterTarget:
     """Return the preferred runner, by the rendezvous rank of the prompt's largest shared part."""
     subject = preference(request)
     if subject is None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -13,7 +13,12 @@
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.request.call import Prompt, PromptPart
 from filbertstream.request.overload import room
-from filbertstream.request.placement import CacheView, PlacementRequest, place_prompt, preferred
+from filbertstream.request.placement import (
+    CacheView,
+    PlacementRequest,
+    place_prompt,
+    preferred_runner,
+)
 from filbertstream.version.routes import Engine
 from tests.gateway_world import ENGINE
 
@@ -50,7 +55,7 @@
         return placement.target.target_id
 
     def home(self, parts: tuple[PromptPart, ...]) -> RosterTarget:
-        return preferred(self.placement_request(parts), self.targets)
+        return preferred_runner(self.placement_request(parts), self.targets)
 
     def queue(self, target: RosterTarget, tokens: int) -> None:
         self.told[target.target_id] = OthersWork(1, tokens, tokens, tokens)
