--- a/filbertstream/request/overload.py
+++ b/filbertstream/request/overload.py
@@ -59,19 +59,19 @@
     return max(MEMORY_LEAST, MEMORY_URGENT - MEMORY_STEP * urgency)
 
 
-class Room(NamedTuple):
+class Headroom(NamedTuple):
     """What a prompt may find at a runner and still be admitted."""
 
     queue_s: float
     memory_share: float
 
 
-def room(objective_s: float, urgency: int) -> Room:
+def room(objective_s: float, urgency: int) -> Headroom:
     """Return the bounds of a prompt of an objective and an urgency."""
-    return Room(queue_limit_s(objective_s, urgency), memory_limit(urgency))
+    return Headroom(queue_limit_s(objective_s, urgency), memory_limit(urgency))
 
 
-def retry_after_s(queue_s: float, memory_share: float, limits: Room) -> float | None:
+def retry_after_s(queue_s: float, memory_share: float, limits: Headroom) -> float | None:
     """Return when a prompt should come back, or None if it is admitted.
 
     >>> retry_after_s(0.2, 0.5, room(1.0, 2)) is None
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -17,7 +17,7 @@
 from filbertstream.process.cache_stores import CacheStores
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call import Prompt
-from filbertstream.request.overload import Room
+from filbertstream.request.overload import Headroom
 from filbertstream.version.routes import Engine
 
 FETCH_SHARE: Final = 0.2
@@ -68,7 +68,7 @@
     """Cache namespace by weight version."""
     turn: int
     """Counts the entry's prompts without parts, which are spread in turn."""
-    room: Room
+    room: Headroom
     """What the prompt may find at a runner and still be admitted."""
 
 
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -11,7 +11,7 @@
 from filbertstream.request.call import CacheDirectives, Prompt
 from filbertstream.request.call_state import Call
 from filbertstream.request.candidates import Candidates
-from filbertstream.request.overload import Room, retry_after_s, room
+from filbertstream.request.overload import Headroom, retry_after_s, room
 from filbertstream.request.placement import (
     CacheView,
     Placement,
@@ -92,7 +92,12 @@
         return Placed(placement.target, directives, placement.read_tokens, ahead, inputs)
 
     def _ask(
-        self, call: Call, prompt: Prompt, engine: Engine, targets: list[RosterTarget], limits: Room
+        self,
+        call: Call,
+        prompt: Prompt,
+        engine: Engine,
+        targets: list[RosterTarget],
+        limits: Headroom,
     ) -> PlacementRequest:
         workspace = call.workspace
         owner = workspace.name if workspace is not None and workspace.dedicated else ""
