--- a/filbertstream/request/overload.py
+++ b/filbertstream/request/overload.py
@@ -66,7 +66,7 @@
     memory_share: float
 
 
-def room(objective_s: float, urgency: int) -> Headroom:
+def headroom(objective_s: float, urgency: int) -> Headroom:
     """Return the bounds of a prompt of an objective and an urgency."""
     return Headroom(queue_limit_s(objective_s, urgency), memory_limit(urgency))
 
@@ -74,11 +74,11 @@
 def retry_after_s(queue_s: float, memory_share: float, limits: Headroom) -> float | None:
     """Return when a prompt should come back, or None if it is admitted.
 
-    >>> retry_after_s(0.2, 0.5, room(1.0, 2)) is None
+    >>> retry_after_s(0.2, 0.5, headroom(1.0, 2)) is None
     True
-    >>> retry_after_s(3.0, 0.5, room(1.0, 0))
+    >>> retry_after_s(3.0, 0.5, headroom(1.0, 0))
     2.625
-    >>> retry_after_s(0.2, 1.3, room(1.0, 0))
+    >>> retry_after_s(0.2, 1.3, headroom(1.0, 0))
     0.8
     """
     if queue_s > limits.queue_s:
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -68,7 +68,7 @@
     """Cache namespace by weight version."""
     turn: int
     """Counts the entry's prompts without parts, which are spread in turn."""
-    room: Headroom
+    headroom: Headroom
     """What the prompt may find at a runner and still be admitted."""
 
 
@@ -160,7 +160,7 @@
     cost += MEMORY_COST * max(0.0, memory_share - MEMORY_AIM)
     if request.named_weights is not None and weights < request.named_weights:
         cost += OLD_WEIGHTS_COST
-    has_room = queue_s <= request.room.queue_s and memory_share <= request.room.memory_share
+    has_room = queue_s <= request.headroom.queue_s and memory_share <= request.headroom.memory_share
     return Placement(
         target,
         weights,
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -11,7 +11,7 @@
 from filbertstream.request.call import CacheDirectives, Prompt
 from filbertstream.request.call_state import Call
 from filbertstream.request.candidates import Candidates
-from filbertstream.request.overload import Headroom, retry_after_s, room
+from filbertstream.request.overload import Headroom, headroom, retry_after_s
 from filbertstream.request.placement import (
     CacheView,
     Placement,
@@ -75,7 +75,7 @@
             raise AssertionError("a prompt was to be placed and there is none")
         self._turn += 0 if prompt.parts else 1
         targets = self._weights.admitted(prompt.model, candidates, now_s)
-        limits = room(call.route.queue_limit_s, call.urgency)
+        limits = headroom(call.route.queue_limit_s, call.urgency)
         request = self._ask(call, prompt, engine, targets, limits)
         registered = self._roster.names_of(call.service.name)
         compared = self._candidates.choose(request, targets, registered, self._holdings.parts)
--- a/tests/test_gateway_overload.py
+++ b/tests/test_gateway_overload.py
@@ -1,7 +1,7 @@
 """The worst loads, replayed on the core in virtual time."""
 
 from filbertstream.request.call_flow import ResponseComplete, ResponseStarted, SendCall
-from filbertstream.request.overload import memory_limit, retry_after_s, room
+from filbertstream.request.overload import headroom, memory_limit, retry_after_s
 from tests.gateway_world import World, answer, sends, statuses
 
 READ_PER_S = 20_000.0
@@ -92,5 +92,5 @@
     urgent, patient = memory_limit(0), memory_limit(3)
     assert urgent > patient
     share = (urgent + patient) / 2
-    assert retry_after_s(0.0, share, room(1.0, 0)) is None
-    assert retry_after_s(0.0, share, room(1.0, 3)) is not None
+    assert retry_after_s(0.0, share, headroom(1.0, 0)) is None
+    assert retry_after_s(0.0, share, headroom(1.0, 3)) is not None
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -12,7 +12,7 @@
 from filbertstream.process.roster import RosterTarget
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.request.call import Prompt, PromptPart
-from filbertstream.request.overload import room
+from filbertstream.request.overload import headroom
 from filbertstream.request.placement import (
     CacheView,
     PlacementRequest,
@@ -45,7 +45,9 @@
     def placement_request(self, parts: tuple[PromptPart, ...], turn: int = 0) -> PlacementRequest:
         tokens = sum(part.tokens for part in parts) or 500
         prompt = Prompt("m", tokens, 50, parts)
-        return PlacementRequest(prompt, self.engine, 1.0, "dc1", 1, {1: SPACE}, turn, room(1.0, 0))
+        return PlacementRequest(
+            prompt, self.engine, 1.0, "dc1", 1, {1: SPACE}, turn, headroom(1.0, 0)
+        )
 
     def place(self, parts: tuple[PromptPart, ...], turn: int = 0) -> str:
         placement = place_prompt(
