--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -230,7 +230,7 @@
     Guard(
         "a prompt goes where there is room",
         "request/placement.py",
-        "key=lambda option: (not option.has_room, option.cost)",
+        "key=lambda option: (not option.fits, option.cost)",
         "key=lambda option: option.cost",
         "tests/test_placement.py::"
         "test_a_prompt_is_not_turned_away_for_the_runner_that_it_prefers",
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -143,7 +143,7 @@
         """Whether parts may be fetched from here."""
         return now_s - self.confirmed_at_s < CONFIRMED_S
 
-    def has_room(self, tokens: int, now_s: float) -> bool:
+    def fits(self, tokens: int, now_s: float) -> bool:
         """Whether a part may be saved here."""
         if now_s < self.quiet_until_s or not self.fetchable(now_s):
             return False
@@ -300,7 +300,7 @@
             return None
         if self.source(key, tokens, "", now_s) is not None:
             return None
-        roomy = [state for state in self.states.values() if state.has_room(tokens, now_s)]
+        roomy = [state for state in self.states.values() if state.fits(tokens, now_s)]
         if not roomy:
             return None
         # The same store from every entry, so that no part is kept twice.
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -96,7 +96,7 @@
     first_event_s: float
     memory_share: float
     queue_s: float
-    has_room: bool
+    fits: bool
     read_tokens: int
     fetched_tokens: int
     fetch: tuple[Source | None, ...]
@@ -113,7 +113,7 @@
         return None
     home = preferred_runner(request, targets)
     options = [estimate(request, target, cache_view, target is home, now_s) for target in targets]
-    return min(options, key=lambda option: (not option.has_room, option.cost))
+    return min(options, key=lambda option: (not option.fits, option.cost))
 
 
 def preference(request: PlacementRequest) -> str | None:
@@ -160,7 +160,7 @@
     cost += MEMORY_COST * max(0.0, memory_share - MEMORY_AIM)
     if request.named_weights is not None and weights < request.named_weights:
         cost += OLD_WEIGHTS_COST
-    has_room = queue_s <= request.headroom.queue_s and memory_share <= request.headroom.memory_share
+    fits = queue_s <= request.headroom.queue_s and memory_share <= request.headroom.memory_share
     return Placement(
         target,
         weights,
@@ -169,7 +169,7 @@
         first_event_s,
         memory_share,
         queue_s,
-        has_room,
+        fits,
         read,
         fetched,
         fetch,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -115,7 +115,7 @@
         runners.placement_request(parts), runners.targets, runners.cache_view, 1.0
     )
     assert placement is not None
-    assert (placement.target is home, placement.has_room) == (False, True)
+    assert (placement.target is home, placement.fits) == (False, True)
     for target in runners.targets:
         runners.queue(target, round(1.2 * FIRST_RATE_PER_S))
     assert runners.place(parts) == home.target_id
