--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -185,7 +185,7 @@
     Guard(
         "full memory turns prompts away",
         "request/overload.py",
-        "return MEMORY_RETRY_S if memory_share > limits.memory_share else None",
+        "return MEMORY_RETRY_S if memory_fraction > limits.memory_fraction else None",
         "return None",
         "tests/test_gateway_overload.py::"
         "test_runs_that_fill_the_memory_turn_further_prompts_away",
--- a/filbertstream/request/overload.py
+++ b/filbertstream/request/overload.py
@@ -63,7 +63,7 @@
     """What a prompt may find at a runner and still be admitted."""
 
     queue_s: float
-    memory_share: float
+    memory_fraction: float
 
 
 def headroom(objective_s: float, urgency: int) -> Headroom:
@@ -71,7 +71,7 @@
     return Headroom(queue_limit_s(objective_s, urgency), memory_limit(urgency))
 
 
-def retry_after_s(queue_s: float, memory_share: float, limits: Headroom) -> float | None:
+def retry_after_s(queue_s: float, memory_fraction: float, limits: Headroom) -> float | None:
     """Return when a prompt should come back, or None if it is admitted.
 
     >>> retry_after_s(0.2, 0.5, headroom(1.0, 2)) is None
@@ -83,4 +83,4 @@
     """
     if queue_s > limits.queue_s:
         return min(RETRY_MOST_S, max(RETRY_LEAST_S, queue_s - limits.queue_s / 2))
-    return MEMORY_RETRY_S if memory_share > limits.memory_share else None
+    return MEMORY_RETRY_S if memory_fraction > limits.memory_fraction else None
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -94,7 +94,7 @@
     namespace: str
     cost: float
     first_event_s: float
-    memory_share: float
+    memory_fraction: float
     queue_s: float
     fits: bool
     read_tokens: int
@@ -156,18 +156,20 @@
     cost += 0.0 if target.entry.data_center == request.data_center else FAR_PROMPT_COST
     running = target.running(now_s)
     cost += BUSY_COST * running / max(1, request.engine.slots)
-    memory_share = _memory_share(request, target, now_s)
-    cost += MEMORY_COST * max(0.0, memory_share - MEMORY_AIM)
+    memory_fraction = _memory_share(request, target, now_s)
+    cost += MEMORY_COST * max(0.0, memory_fraction - MEMORY_AIM)
     if request.named_weights is not None and weights < request.named_weights:
         cost += OLD_WEIGHTS_COST
-    fits = queue_s <= request.headroom.queue_s and memory_share <= request.headroom.memory_share
+    fits = (
+        queue_s <= request.headroom.queue_s and memory_fraction <= request.headroom.memory_fraction
+    )
     return Placement(
         target,
         weights,
         namespace,
         cost,
         first_event_s,
-        memory_share,
+        memory_fraction,
         queue_s,
         fits,
         read,
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -84,7 +84,7 @@
             return None
         ahead = placement.target.unread(now_s)
         inputs = _inputs(placement, len(targets))
-        wait_s = retry_after_s(placement.queue_s, placement.memory_share, limits)
+        wait_s = retry_after_s(placement.queue_s, placement.memory_fraction, limits)
         if wait_s is not None and not call.begun:
             return TurnedAway(wait_s, inputs)
         directives = self._orders(prompt, placement, now_s)
@@ -156,7 +156,7 @@
         ("read_tokens", placement.read_tokens),
         ("fetched_tokens", placement.fetched_tokens),
         ("weights", placement.weights),
-        ("memory_share", round(placement.memory_share, 2)),
+        ("memory_share", round(placement.memory_fraction, 2)),
         ("candidates", candidates),
         ("cost", round(placement.cost, 3)),
     )
