--- a/filbertstream/request/candidates.py
+++ b/filbertstream/request/candidates.py
@@ -16,7 +16,7 @@
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.placement import PlacementRequest, preference
 
-COMPARED_ALL: Final = 12
+MAX_COMPARED_ALL: Final = 12
 """Up to this many runners, all are compared."""
 
 COMPARED_HOLDERS: Final = 3
@@ -52,7 +52,7 @@
         index: CacheIndex,
     ) -> Sequence[RosterTarget]:
         """Return some of ``targets``; ``registered`` names all runners of the service."""
-        if len(targets) <= COMPARED_ALL:
+        if len(targets) <= MAX_COMPARED_ALL:
             return targets
         if registered is not self._registered or len(self._preferred) > PREFERRED_PARTS:
             self._registered, self._preferred = registered, {}
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -10,9 +10,9 @@
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call import PromptPart
 from filbertstream.request.candidates import (
-    COMPARED_ALL,
     COMPARED_DRAWN,
     COMPARED_HOLDERS,
+    MAX_COMPARED_ALL,
     PREFERRED_KEPT,
     Candidates,
 )
@@ -38,7 +38,7 @@
 
 
 def test_few_runners_are_all_compared() -> None:
-    runners = Many(COMPARED_ALL)
+    runners = Many(MAX_COMPARED_ALL)
     assert runners.compared(Candidates(random.Random(1)), talk("a", 3)) == runners.targets
 
 
