--- a/filbertstream/request/candidates.py
+++ b/filbertstream/request/candidates.py
@@ -22,7 +22,7 @@
 COMPARED_HOLDERS: Final = 3
 """Runners that hold the most of a prompt and are compared; they differ little in cost."""
 
-COMPARED_DRAWN: Final = 7
+COMPARED_RANDOM: Final = 7
 """Runners that are drawn for comparison: of so many, one is among the least loaded sixth in seven
 cases of ten."""
 
@@ -59,7 +59,7 @@
         by_name = {target.target_id: target for target in targets}
         names = [*self._homes(request), *_holding_most(request, index)]
         found = {name: by_name[name] for name in names if name in by_name}
-        for target in self._rng.sample(targets, COMPARED_DRAWN):
+        for target in self._rng.sample(targets, COMPARED_RANDOM):
             found[target.target_id] = target
         return tuple(found.values())
 
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -10,8 +10,8 @@
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call import PromptPart
 from filbertstream.request.candidates import (
-    COMPARED_DRAWN,
     COMPARED_HOLDERS,
+    COMPARED_RANDOM,
     MAX_COMPARED_ALL,
     PREFERRED_KEPT,
     Candidates,
@@ -21,7 +21,7 @@
 from tests.test_placement import SPACE, Runners, talk
 
 FLEET = 59
-MOST = COMPARED_DRAWN + COMPARED_HOLDERS + PREFERRED_KEPT
+MOST = COMPARED_RANDOM + COMPARED_HOLDERS + PREFERRED_KEPT
 
 
 class Many(Runners):
@@ -47,7 +47,7 @@
     runners = Many(count)
     entry = Candidates(random.Random(1))
     sizes = [len(runners.compared(entry, talk(f"t{turn}", 3))) for turn in range(50)]
-    assert COMPARED_DRAWN <= min(sizes) <= max(sizes) <= MOST
+    assert COMPARED_RANDOM <= min(sizes) <= max(sizes) <= MOST
 
 
 def test_the_preferred_runner_and_the_holders_are_compared() -> None:
