--- a/filbertstream/request/candidates.py
+++ b/filbertstream/request/candidates.py
@@ -26,7 +26,7 @@
 """Runners that are drawn for comparison: of so many, one is among the least loaded sixth in seven
 cases of ten."""
 
-PREFERRED_KEPT: Final = 4
+PREFERRED_PER_BLOCK: Final = 4
 """Preferred runners of a part that are remembered; the next one counts while one is left out."""
 
 PREFERRED_PARTS: Final = 20_000
@@ -70,7 +70,7 @@
         known = self._preferred.get(subject)
         if known is None:
             ranked = heapq.nlargest(
-                PREFERRED_KEPT, self._registered, key=lambda name: rank(name, subject)
+                PREFERRED_PER_BLOCK, self._registered, key=lambda name: rank(name, subject)
             )
             known = self._preferred[subject] = tuple(ranked)
         return known
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -13,7 +13,7 @@
     COMPARED_HOLDERS,
     COMPARED_RANDOM,
     MAX_COMPARED_ALL,
-    PREFERRED_KEPT,
+    PREFERRED_PER_BLOCK,
     Candidates,
 )
 from filbertstream.request.placement import place_prompt
@@ -21,7 +21,7 @@
 from tests.test_placement import SPACE, Runners, talk
 
 FLEET = 59
-MOST = COMPARED_RANDOM + COMPARED_HOLDERS + PREFERRED_KEPT
+MOST = COMPARED_RANDOM + COMPARED_HOLDERS + PREFERRED_PER_BLOCK
 
 
 class Many(Runners):
