--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -22,7 +22,7 @@
 from filbertstream.process.cache_stores import QUIET_S
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.relays import DIRECT_MEMBERS
-from filbertstream.request.call import PromptPart
+from filbertstream.request.call import PromptBlock
 from filbertstream.version.documents import Model, Objectives
 
 START_S: Final = 12.0
@@ -57,7 +57,7 @@
     service_targets: int
     stores: int
     workspaces: dict[str, str]
-    histories: tuple[tuple[PromptPart, ...], ...]
+    histories: tuple[tuple[PromptBlock, ...], ...]
     objectives: Objectives
     bounds: Bounds
     calls_per_step: int
@@ -85,7 +85,7 @@
     shared = rng.randint(0, 6)
     part_tokens = rng.choice((128, 700, 2_000, 4_096))
     histories = tuple(
-        tuple(PromptPart(f"{number}-{index}", part_tokens) for index in range(shared))
+        tuple(PromptBlock(f"{number}-{index}", part_tokens) for index in range(shared))
         for number in range(rng.randint(1, 30))
     )
     return Deployment(
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -19,7 +19,7 @@
 from bench.world import World
 from bench.world_documents import world_documents
 from filbertstream.gateway_events import StopAsked
-from filbertstream.request.call import PromptPart
+from filbertstream.request.call import PromptBlock
 from filbertstream.request.call_flow import SendCall
 from filbertstream.version.documents import (
     Model,
@@ -41,7 +41,7 @@
 SEED: Final = 11
 
 HISTORIES: Final = tuple(
-    tuple(PromptPart(f"part-{number}-{index}", 2_000) for index in range(4)) for number in range(5)
+    tuple(PromptBlock(f"part-{number}-{index}", 2_000) for index in range(4)) for number in range(5)
 )
 """Prompts that return; together they have enough parts to be worth freeing."""
 
@@ -229,7 +229,7 @@
         if members:
             member = members[number % len(members)]
             other = members[(number + 1) % len(members)]
-            parts = (*HISTORIES[number % len(HISTORIES)], PromptPart(f"own-{number}", 500))
+            parts = (*HISTORIES[number % len(HISTORIES)], PromptBlock(f"own-{number}", 500))
             world.request(member, tokens=8_500, parts=parts, out_tokens=40)
             world.request(member, "service", idempotency_key=f"b{number}")
             world.request(other, "service", idempotency_key=f"b{number}")
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -24,7 +24,7 @@
 from filbertstream.process.deployment import Address
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.process.work_exchange import ROWS_TOLD
-from filbertstream.request.call import CallHead, IdempotencyKey, Prompt, PromptPart
+from filbertstream.request.call import CallHead, IdempotencyKey, Prompt, PromptBlock
 from filbertstream.request.call_flow import CallArrived, CallerDisconnected
 from filbertstream.request.keyed_calls import KeyRecord, KeyState
 from filbertstream.version.compiled import compile_view, model_host, service_host, view_of
@@ -103,7 +103,7 @@
 
 def prompt_call(number: int) -> CallArrived:
     """Return a call of a prompt of nine parts, as one that returns has them."""
-    parts = tuple(PromptPart(f"talk-{number % 50}-{index}", 2_000) for index in range(9))
+    parts = tuple(PromptBlock(f"talk-{number % 50}-{index}", 2_000) for index in range(9))
     prompt = Prompt("m", 18_000, 100, parts)
     head = CallHead(f"q{number}", "POST", model_host("m"), "/", "key-0", None, 9, prompt, None)
     return CallArrived(number + 1, head)
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -8,7 +8,7 @@
 import random
 from typing import Final, NamedTuple
 
-from filbertstream.request.call import PromptPart
+from filbertstream.request.call import PromptBlock
 
 
 class Deployment(NamedTuple):
@@ -50,7 +50,7 @@
     service: bool
     workspace: int
     tokens: int
-    parts: tuple[PromptPart, ...]
+    parts: tuple[PromptBlock, ...]
     new_tokens: int
     out_tokens: int
 
@@ -62,14 +62,14 @@
         self.number = number
         self.tokens = tokens
 
-    def parts(self, piece_tokens: int) -> tuple[PromptPart, ...]:
+    def parts(self, piece_tokens: int) -> tuple[PromptBlock, ...]:
         """Return its parts; what is left after the full ones is new each time."""
         count = self.tokens // piece_tokens
         full = tuple(
-            PromptPart(f"talk-{self.number}-{index}", piece_tokens) for index in range(count)
+            PromptBlock(f"talk-{self.number}-{index}", piece_tokens) for index in range(count)
         )
         rest = self.tokens - count * piece_tokens
-        return (*full, PromptPart(f"talk-{self.number}-rest-{self.tokens}", max(1, rest)))
+        return (*full, PromptBlock(f"talk-{self.number}-rest-{self.tokens}", max(1, rest)))
 
 
 def conversations(deployment: Deployment, rng: random.Random) -> list[Conversation]:
--- a/bench/world.py
+++ b/bench/world.py
@@ -37,7 +37,7 @@
     CallHead,
     IdempotencyKey,
     Prompt,
-    PromptPart,
+    PromptBlock,
 )
 from filbertstream.request.call_flow import (
     AbortResponse,
@@ -293,7 +293,7 @@
         key: str = "k",
         name: str = "",
         tokens: int = 100,
-        parts: tuple[PromptPart, ...] = (),
+        parts: tuple[PromptBlock, ...] = (),
         idempotency_key: str | None = None,
         body: str = "",
         deadline_s: float | None = None,
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -12,7 +12,7 @@
     CacheDirectives,
     CallHead,
     Prompt,
-    PromptPart,
+    PromptBlock,
     ResponseHead,
     TargetLoad,
 )
@@ -130,7 +130,7 @@
         if not item:
             continue
         part_id, _, tokens = item.strip().partition(b":")
-        parts.append(PromptPart(part_id.decode("ascii"), int(tokens)))
+        parts.append(PromptBlock(part_id.decode("ascii"), int(tokens)))
     if len(parts) > PROMPT_PARTS_LIMIT:
         raise ValueError("too many prompt parts")
     return Prompt(model.decode("ascii"), int(tokens_in), int(tokens_out or 0), tuple(parts))
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 
-class PromptPart(NamedTuple):
+class PromptBlock(NamedTuple):
     """A part of a prompt; equal ids are equal texts."""
 
     part_id: str
@@ -16,7 +16,7 @@
     model: str
     tokens: int
     max_new_tokens: int
-    parts: tuple[PromptPart, ...]
+    parts: tuple[PromptBlock, ...]
 
 
 class IdempotencyKey(NamedTuple):
--- a/filbertstream/request/prefix.py
+++ b/filbertstream/request/prefix.py
@@ -8,7 +8,7 @@
 import hashlib
 from typing import Final
 
-from filbertstream.request.call import PromptPart
+from filbertstream.request.call import PromptBlock
 from filbertstream.units import BYTES_PER_TOKEN, PIECE_BYTES
 
 NAME_BYTES: Final = 16
@@ -17,21 +17,21 @@
 """Parts of one prompt at most; the last covers all that is left."""
 
 
-def text_parts(text: bytes) -> tuple[PromptPart, ...]:
+def text_parts(text: bytes) -> tuple[PromptBlock, ...]:
     """Return the parts of a prompt's text, in order.
 
     >>> first, second = text_parts(b"x" * 16_000), text_parts(b"x" * 16_000 + b"y" * 800)
     >>> (first == second[:2], second[2].tokens)
     (True, 200)
     """
-    parts: list[PromptPart] = []
+    parts: list[PromptBlock] = []
     chain = b""
     start = 0
     while start < len(text):
         size = PIECE_BYTES if len(parts) < PARTS_LIMIT - 1 else len(text) - start
         part = text[start : start + size]
         chain = hashlib.blake2b(part, key=chain, digest_size=NAME_BYTES).digest()
-        parts.append(PromptPart(chain.hex(), token_count(part)))
+        parts.append(PromptBlock(chain.hex(), token_count(part)))
         start += size
     return tuple(parts)
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -20,7 +20,7 @@
 from filbertstream.platform.objects import Change, Listing, StoredObject
 from filbertstream.process.deployment import Address, Bounds
 from filbertstream.process.roster_entry import TargetEntry
-from filbertstream.request.call import CallHead, Prompt, PromptPart, ResponseHead
+from filbertstream.request.call import CallHead, Prompt, PromptBlock, ResponseHead
 from filbertstream.request.call_flow import (
     CallArrived,
     RespondLocally,
@@ -138,7 +138,7 @@
     def arrive(self, name: str, key: str | None = "k", prompt: bool | None = None) -> list[Any]:
         self.calls += 1
         asked = name in ("draft", "walk") if prompt is None else prompt
-        parts = (PromptPart("shared", 800), PromptPart(f"own{self.calls}", 200))
+        parts = (PromptBlock("shared", 800), PromptBlock(f"own{self.calls}", 200))
         head = CallHead(
             f"q{self.calls}",
             "POST",
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -8,7 +8,7 @@
 
 from filbertstream.process.peer_work import OthersWork
 from filbertstream.process.roster import RosterTarget
-from filbertstream.request.call import PromptPart
+from filbertstream.request.call import PromptBlock
 from filbertstream.request.candidates import (
     COMPARED_HOLDERS,
     COMPARED_RANDOM,
@@ -31,7 +31,7 @@
         super().__init__(count, ENGINE._replace(slots=12))
         self.registered = frozenset(target.target_id for target in self.targets)
 
-    def compared(self, entry: Candidates, parts: tuple[PromptPart, ...]) -> Sequence[RosterTarget]:
+    def compared(self, entry: Candidates, parts: tuple[PromptBlock, ...]) -> Sequence[RosterTarget]:
         return entry.choose(
             self.placement_request(parts), self.targets, self.registered, self.index
         )
@@ -82,7 +82,7 @@
         runners.told[target.target_id] = OthersWork(6, 30_000, 0, 0)
     chosen: dict[str, Counter[str]] = {"all": Counter(), "some": Counter()}
     for number in range(195):
-        parts = (PromptPart(f"own-{number}", 900),)
+        parts = (PromptBlock(f"own-{number}", 900),)
         entry = Candidates(random.Random(number))
         compared = {"all": runners.targets, "some": runners.compared(entry, parts)}
         for way, targets in compared.items():
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,11 +1,11 @@
 """Directed faults over the core in virtual time, one promise at a time."""
 
 from bench.world import World
-from filbertstream.request.call import PromptPart
+from filbertstream.request.call import PromptBlock
 from filbertstream.request.call_flow import CallerDisconnected
 from tests.helpers import codes, kinds, ready_world, runs
 
-PARTS = tuple(PromptPart(f"part-{index}", 2_000) for index in range(4))
+PARTS = tuple(PromptBlock(f"part-{index}", 2_000) for index in range(4))
 
 
 def booking_under_way(run_s: float) -> World:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,7 +11,7 @@
 from filbertstream.process.prefill import FIRST_RATE_PER_S
 from filbertstream.process.roster import RosterTarget
 from filbertstream.process.roster_entry import TargetEntry
-from filbertstream.request.call import Prompt, PromptPart
+from filbertstream.request.call import Prompt, PromptBlock
 from filbertstream.request.overload import headroom
 from filbertstream.request.placement import (
     CacheView,
@@ -42,31 +42,31 @@
         entry = TargetEntry(name, "models", address, "dc1", 64, False, 0.0, {"m": 1}, 1)
         return RosterTarget(entry, 0.0, lambda target, now_s: self.told.get(target, IDLE))
 
-    def placement_request(self, parts: tuple[PromptPart, ...], turn: int = 0) -> PlacementRequest:
+    def placement_request(self, parts: tuple[PromptBlock, ...], turn: int = 0) -> PlacementRequest:
         tokens = sum(part.tokens for part in parts) or 500
         prompt = Prompt("m", tokens, 50, parts)
         return PlacementRequest(
             prompt, self.engine, 1.0, "dc1", 1, {1: SPACE}, turn, headroom(1.0, 0)
         )
 
-    def place(self, parts: tuple[PromptPart, ...], turn: int = 0) -> str:
+    def place(self, parts: tuple[PromptBlock, ...], turn: int = 0) -> str:
         placement = place_prompt(
             self.placement_request(parts, turn), self.targets, self.cache_view, 1.0
         )
         assert placement is not None
         return placement.target.target_id
 
-    def home(self, parts: tuple[PromptPart, ...]) -> RosterTarget:
+    def home(self, parts: tuple[PromptBlock, ...]) -> RosterTarget:
         return preferred_runner(self.placement_request(parts), self.targets)
 
     def queue(self, target: RosterTarget, tokens: int) -> None:
         self.told[target.target_id] = OthersWork(1, tokens, tokens, tokens)
 
 
-def talk(name: str, pieces: int, rest: int = 300) -> tuple[PromptPart, ...]:
+def talk(name: str, pieces: int, rest: int = 300) -> tuple[PromptBlock, ...]:
     """Return the parts of a conversation: equal pieces, and a rest that is new each time."""
-    full = tuple(PromptPart(f"{name}-{number}", PIECE) for number in range(pieces))
-    return (*full, PromptPart(f"{name}-rest-{pieces}-{rest}", rest))
+    full = tuple(PromptBlock(f"{name}-{number}", PIECE) for number in range(pieces))
+    return (*full, PromptBlock(f"{name}-rest-{pieces}-{rest}", rest))
 
 
 def test_a_conversation_that_grows_keeps_its_preferred_runner() -> None:
@@ -78,9 +78,9 @@
 
 def test_prompts_that_share_only_a_short_preamble_are_spread() -> None:
     runners = Runners(6)
-    preamble = PromptPart("preamble", 200)
+    preamble = PromptBlock("preamble", 200)
     homes = Counter(
-        runners.home((preamble, PromptPart(f"case-{number}", 5_000), PromptPart("own", 100)))
+        runners.home((preamble, PromptBlock(f"case-{number}", 5_000), PromptBlock("own", 100)))
         for number in range(60)
     )
     assert len(homes) == 6
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -4,7 +4,7 @@
 
 from filbertstream.gateway_events import StopAsked
 from filbertstream.names import digest_key
-from filbertstream.request.call import PromptPart
+from filbertstream.request.call import PromptBlock
 from filbertstream.version.documents import (
     Drain,
     Limits,
@@ -15,19 +15,19 @@
 )
 from tests.helpers import all_ready, codes, kinds, ready_world, runs
 
-PARTS = tuple(PromptPart(f"part-{index}", 2_000) for index in range(10))
+PARTS = tuple(PromptBlock(f"part-{index}", 2_000) for index in range(10))
 REVOKE_S = 5.0
 
 
 def test_a_prompt_and_its_return_through_another_entry() -> None:
     world = ready_world()
-    first = world.request("e1", tokens=20_100, parts=(*PARTS, PromptPart("first", 100)))
+    first = world.request("e1", tokens=20_100, parts=(*PARTS, PromptBlock("first", 100)))
     world.run(5.0)
     assert sum(target.computed_tokens for target in world.targets.values()) == 20_100
     (reader,) = [target for target in world.targets.values() if target.ran]
     reader.draining = True
     world.run(world.bounds.drain_s)
-    again = world.request("e2", tokens=20_100, parts=(*PARTS, PromptPart("again", 100)))
+    again = world.request("e2", tokens=20_100, parts=(*PARTS, PromptBlock("again", 100)))
     world.run(5.0)
     assert kinds(world, first) == kinds(world, again) == ["answered"]
     assert sum(target.computed_tokens for target in world.targets.values()) == 20_200
