--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -233,7 +233,7 @@
         ready_s, computed = now_s, prompt.tokens
         fetches = orders.fetch or ("",) * len(prompt.parts)
         for part, fetch in zip(prompt.parts, fetches, strict=True):
-            key = (orders.namespace, part.part_id)
+            key = (orders.namespace, part.block_id)
             store = stores.get(fetch.partition("/")[0])
             if key in self.cache:
                 computed -= part.tokens
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -209,7 +209,7 @@
     for talk in conversations(deployment, random.Random(seed)):
         namespace = cache_namespace(f"w{talk.number % WORKSPACES}", "m", 1)
         for part in talk.parts(PIECE_TOKENS)[:-1]:
-            stores[talk.number % len(stores)].save((namespace, part.part_id), part.tokens)
+            stores[talk.number % len(stores)].save((namespace, part.block_id), part.tokens)
     world.run(LISTED_S)
 
 
--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -79,7 +79,7 @@
         if not targets:
             return None
         parts = request.prompt.parts
-        subject = parts[0].part_id if parts else f"{world.rng.random()}"
+        subject = parts[0].block_id if parts else f"{world.rng.random()}"
         best = max(targets, key=lambda target: rank(target.target_id, subject))
         return _at(request, best, cache_view, now_s)
 
@@ -98,7 +98,7 @@
         tokens, ready_s = request.prompt.tokens, 0.0
         moved = dict.fromkeys(world.stores, 0)
         for part in request.prompt.parts:
-            key = (namespace, part.part_id)
+            key = (namespace, part.block_id)
             holders = [name for name, store in world.stores.items() if key in store.parts]
             if key in runner.cache:
                 tokens -= part.tokens
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -158,7 +158,7 @@
         for part, save in zip(prompt.parts, orders.save or ("",) * len(prompt.parts), strict=True):
             store = stores.get(save)
             if store is not None:
-                key = (orders.namespace, part.part_id)
+                key = (orders.namespace, part.block_id)
                 delay_s = first_s - world.now_s + SAVE_S
                 world.after(delay_s, functools.partial(store.save, key, part.tokens))
         world.after(first_s - world.now_s, lambda: self._first(core, send, target, request_id))
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -65,7 +65,7 @@
 
     added: bool
     namespace: str
-    part_id: str
+    block_id: str
     tokens: int
 
 
--- a/filbertstream/platform/cache_calls.py
+++ b/filbertstream/platform/cache_calls.py
@@ -46,8 +46,8 @@
     except msgspec.DecodeError:
         return CacheEventsMissed(follow.holder)
     changes = tuple(
-        CacheChange(sign == "+", (namespace, part_id), tokens)
-        for _, sign, namespace, part_id, tokens, _ in wire.events
+        CacheChange(sign == "+", (namespace, block_id), tokens)
+        for _, sign, namespace, block_id, tokens, _ in wire.events
     )
     clock_ms = None if wire.clock_ms is None else int(wire.clock_ms)
     return CacheEventsRead(
@@ -76,7 +76,7 @@
         wire = msgspec.json.decode(body, type=_Listing)
     except msgspec.DecodeError:
         return None
-    held = tuple(((namespace, part_id), tokens) for namespace, part_id, tokens, _ in wire.held)
+    held = tuple(((namespace, block_id), tokens) for namespace, block_id, tokens, _ in wire.held)
     partial = sum(reserved for _, _, _, reserved in wire.partial)
     return CacheListed(ask.holder, sent_at_s, wire.boot_epoch, wire.next, held, partial)
 
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -129,8 +129,8 @@
     for item in first.get(b"prefix-hash", b"").split(b","):
         if not item:
             continue
-        part_id, _, tokens = item.strip().partition(b":")
-        parts.append(PromptBlock(part_id.decode("ascii"), int(tokens)))
+        block_id, _, tokens = item.strip().partition(b":")
+        parts.append(PromptBlock(block_id.decode("ascii"), int(tokens)))
     if len(parts) > PROMPT_PARTS_LIMIT:
         raise ValueError("too many prompt parts")
     return Prompt(model.decode("ascii"), int(tokens_in), int(tokens_out or 0), tuple(parts))
@@ -138,7 +138,7 @@
 
 def encode_prompt(prompt: Prompt) -> Headers:
     """Return the headers that tell a runner of a prompt, for a call that came without them."""
-    parts = ",".join(f"{part.part_id}:{part.tokens}" for part in prompt.parts)
+    parts = ",".join(f"{part.block_id}:{part.tokens}" for part in prompt.parts)
     counts = f"{prompt.tokens},{prompt.max_new_tokens}"
     headers = [(b"model", prompt.model.encode()), (b"token-count", counts.encode())]
     return [*headers, (b"prefix-hash", parts.encode())] if parts else headers
--- a/filbertstream/process/cache_news.py
+++ b/filbertstream/process/cache_news.py
@@ -73,7 +73,7 @@
             # One of the readers has not heard of a restart yet.
             return
         changes = tuple(
-            CacheChange(row.added, (row.namespace, row.part_id), row.tokens) for row in news.rows
+            CacheChange(row.added, (row.namespace, row.block_id), row.tokens) for row in news.rows
         )
         event = CacheEventsRead(
             news.store, sent_at_s, now_s, news.boot, news.next_event, news.clock_ms, changes
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -6,7 +6,7 @@
 class PromptBlock(NamedTuple):
     """A part of a prompt; equal ids are equal texts."""
 
-    part_id: str
+    block_id: str
     tokens: int
 
 
--- a/filbertstream/request/candidates.py
+++ b/filbertstream/request/candidates.py
@@ -80,7 +80,7 @@
     """Return holders of the last shared part that is held, whose parts before it are likely too."""
     for part in reversed(request.prompt.parts[:-1] or request.prompt.parts):
         for namespace in request.namespaces.values():
-            holders = index.holders((namespace, part.part_id))
+            holders = index.holders((namespace, part.block_id))
             if holders:
                 return heapq.nlargest(
                     COMPARED_HOLDERS, holders, key=lambda name: (holders[name], name)
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -122,7 +122,7 @@
     Of equal parts the first counts, which stays the same while a conversation grows.
     """
     shared = request.prompt.parts[:-1] or request.prompt.parts
-    return max(shared, key=lambda part: part.tokens).part_id if shared else None
+    return max(shared, key=lambda part: part.tokens).block_id if shared else None
 
 
 def preferred_runner(request: PlacementRequest, targets: Sequence[RosterTarget]) -> RosterTarget:
@@ -211,7 +211,7 @@
     fetched = held = 0
     chain_ends = False
     for part in request.prompt.parts:
-        key = (namespace, part.part_id)
+        key = (namespace, part.block_id)
         holders = cache_view.parts.holders(key)
         if chain_ends or not holders:
             # A part counts only where all parts before it are at hand.
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -130,7 +130,7 @@
         stores = self._holdings.stores
         found = []
         for part in prompt.parts[:-1]:
-            store = stores.save_to((namespace, part.part_id), part.tokens, now_s)
+            store = stores.save_to((namespace, part.block_id), part.tokens, now_s)
             found.append("" if store is None else stores.address(store))
         return (*found, "") if found else ()
 
@@ -145,7 +145,7 @@
 
     def _note_cached(self, prompt: Prompt, placement: Placement) -> None:
         for part in prompt.parts[:-1]:
-            key = (placement.namespace, part.part_id)
+            key = (placement.namespace, part.block_id)
             self._holdings.parts.add(placement.target.target_id, key, part.tokens)
 
 
--- a/standins/platform_cache.py
+++ b/standins/platform_cache.py
@@ -74,12 +74,12 @@
         until_ms = asked.get("until_ms")
         if until_ms is not None and until_ms < time.monotonic() * MS:
             return reply(start, 409, None)
-        for salt, part_id in asked["parts"]:
-            tokens = self._parts.pop((salt, part_id), None)
-            self._partial.pop((salt, part_id), None)
+        for salt, block_id in asked["parts"]:
+            tokens = self._parts.pop((salt, block_id), None)
+            self._partial.pop((salt, block_id), None)
             if tokens is not None:
                 self.counts["freed"] += 1
-                self._note("-", (salt, part_id), tokens)
+                self._note("-", (salt, block_id), tokens)
         return reply(start, 200, None)
 
     def _follow(self, environ: Environ, start: Start) -> list[bytes]:
--- a/standins/runner_cache.py
+++ b/standins/runner_cache.py
@@ -38,11 +38,11 @@
         saves = _per_part(environ.get("HTTP_KV_SAVE", ""), len(items))
         until_ms = int(environ.get("HTTP_KV_UNTIL", "0")) or None
         for item, fetch, save in zip(items, fetches, saves, strict=True):
-            part_id, _, tokens = item.partition(":")
-            key = (salt, part_id)
+            block_id, _, tokens = item.partition(":")
+            key = (salt, block_id)
             self._read(key, int(tokens), fetch, until_ms)
             if save:
-                url = f"http://{save}/part?salt={salt}&id={part_id}&tokens={tokens}"
+                url = f"http://{save}/part?salt={salt}&id={block_id}&tokens={tokens}"
                 threading.Thread(target=self._transfer, args=("PUT", url), daemon=True).start()
 
     def _read(self, key: PartKey, tokens: int, fetch: str, until_ms: int | None) -> None:
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -169,5 +169,5 @@
         if isinstance(item, SendPeer) and isinstance(item.payload, CacheNewsBatch)
     ]
     (batch,) = batches
-    passed_on = [(item.boot, row.part_id) for item in batch.items for row in item.rows]
-    assert passed_on == [(1, row.part_id) for row in rows] + [(2, f"p{n}") for n in range(3)]
+    passed_on = [(item.boot, row.block_id) for item in batch.items for row in item.rows]
+    assert passed_on == [(1, row.block_id) for row in rows] + [(2, f"p{n}") for n in range(3)]
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -56,7 +56,7 @@
     holders = [target.target_id for target in runners.targets[20:30]]
     for number, name in enumerate(holders):
         for part in parts[: number + 1]:
-            runners.index.add(name, (SPACE, part.part_id), part.tokens)
+            runners.index.add(name, (SPACE, part.block_id), part.tokens)
     names = {item.target_id for item in runners.compared(Candidates(random.Random(1)), parts)}
     assert runners.home(parts).target_id in names
     assert holders[-1] in names
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -127,7 +127,7 @@
     home = runners.home(parts)
     holder = next(target for target in runners.targets if target is not home)
     for part in parts[:-1]:
-        runners.index.add(holder.target_id, (SPACE, part.part_id), part.tokens)
+        runners.index.add(holder.target_id, (SPACE, part.block_id), part.tokens)
     runners.queue(home, 6 * PIECE)
     assert runners.place(parts) == holder.target_id
 
