--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -222,9 +222,11 @@
         members = sorted(name for name in world.cores if name not in world.paused)
         for call in range(deployment.calls_per_step if members else 0):
             member, key = rng.choice(members), rng.choice(keys)
-            parts = rng.choice(deployment.histories)
-            tokens = sum(part.tokens for part in parts) + rng.randint(50, 500)
-            world.request(member, "model", key, model, tokens, parts, out_tokens=rng.randint(1, 60))
+            blocks = rng.choice(deployment.histories)
+            tokens = sum(part.tokens for part in blocks) + rng.randint(50, 500)
+            world.request(
+                member, "model", key, model, tokens, blocks, out_tokens=rng.randint(1, 60)
+            )
             once = f"{number // 2}-{call}"
             world.request(member, "service", key, service, idempotency_key=f"{key} {once}")
         world.run(STEP_S)
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -150,7 +150,7 @@
     dead: bool = False
     full: bool = False
     boot: int = 1
-    parts: dict[tuple[str, str], int] = field(default_factory=dict)
+    blocks: dict[tuple[str, str], int] = field(default_factory=dict)
     events: list[CacheChange] = field(default_factory=list)
     link_free_s: float = 0.0
     link_busy_s: float = 0.0
@@ -164,15 +164,15 @@
 
     def save(self, key: tuple[str, str], tokens: int) -> None:
         """Take a part in, if there is room."""
-        held = sum(self.parts.values())
-        if self.dead or self.full or key in self.parts or held + tokens > self.capacity_tokens:
+        held = sum(self.blocks.values())
+        if self.dead or self.full or key in self.blocks or held + tokens > self.capacity_tokens:
             return
-        self.parts[key] = tokens
+        self.blocks[key] = tokens
         self.events.append(CacheChange(True, key, tokens))
 
     def free(self, key: tuple[str, str]) -> None:
         """Drop a part."""
-        tokens = self.parts.pop(key, None)
+        tokens = self.blocks.pop(key, None)
         if tokens is not None:
             self.events.append(CacheChange(False, key, tokens))
 
@@ -231,13 +231,13 @@
         """Queue a prompt; return when its first token comes."""
         start_s = max(now_s, self.free_s)
         ready_s, computed = now_s, prompt.tokens
-        fetches = orders.fetch or ("",) * len(prompt.parts)
-        for part, fetch in zip(prompt.parts, fetches, strict=True):
+        fetches = orders.fetch or ("",) * len(prompt.blocks)
+        for part, fetch in zip(prompt.blocks, fetches, strict=True):
             key = (orders.namespace, part.block_id)
             store = stores.get(fetch.partition("/")[0])
             if key in self.cache:
                 computed -= part.tokens
-            elif store is not None and not store.dead and key in store.parts:
+            elif store is not None and not store.dead and key in store.blocks:
                 ready_s = store.transfer(now_s, part.tokens)
                 computed -= part.tokens
             self._keep(key, part.tokens)
--- a/bench/fault_table.py
+++ b/bench/fault_table.py
@@ -198,7 +198,7 @@
 def _store_dead(world: World, member: str) -> Callable[[], None]:
     store = _first_store(world)
     store.dead = True
-    store.parts.clear()
+    store.blocks.clear()
     store.events.clear()
     store.boot += 1
     return lambda: setattr(store, "dead", False)
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -229,8 +229,8 @@
         if members:
             member = members[number % len(members)]
             other = members[(number + 1) % len(members)]
-            parts = (*HISTORIES[number % len(HISTORIES)], PromptBlock(f"own-{number}", 500))
-            world.request(member, tokens=8_500, parts=parts, out_tokens=40)
+            blocks = (*HISTORIES[number % len(HISTORIES)], PromptBlock(f"own-{number}", 500))
+            world.request(member, tokens=8_500, blocks=blocks, out_tokens=40)
             world.request(member, "service", idempotency_key=f"b{number}")
             world.request(other, "service", idempotency_key=f"b{number}")
         world.run(ROUND_S)
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -208,7 +208,7 @@
     stores = list(world.stores.values())
     for talk in conversations(deployment, random.Random(seed)):
         namespace = cache_namespace(f"w{talk.number % WORKSPACES}", "m", 1)
-        for part in talk.parts(PIECE_TOKENS)[:-1]:
+        for part in talk.blocks(PIECE_TOKENS)[:-1]:
             stores[talk.number % len(stores)].save((namespace, part.block_id), part.tokens)
     world.run(LISTED_S)
 
@@ -229,7 +229,7 @@
     if arrival.service:
         return world.request(member, "service", key, idempotency_key=f"{world.now_s:.6f}")
     return world.request(
-        member, "model", key, tokens=arrival.tokens, parts=arrival.parts,
+        member, "model", key, tokens=arrival.tokens, blocks=arrival.blocks,
         out_tokens=arrival.out_tokens,
     )  # fmt: skip
 
--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -78,8 +78,8 @@
     ) -> Placement | None:
         if not targets:
             return None
-        parts = request.prompt.parts
-        subject = parts[0].block_id if parts else f"{world.rng.random()}"
+        blocks = request.prompt.blocks
+        subject = blocks[0].block_id if blocks else f"{world.rng.random()}"
         best = max(targets, key=lambda target: rank(target.target_id, subject))
         return _at(request, best, cache_view, now_s)
 
@@ -97,9 +97,9 @@
         namespace = request.namespaces.get(target.weights.get(request.prompt.model, 0), "")
         tokens, ready_s = request.prompt.tokens, 0.0
         moved = dict.fromkeys(world.stores, 0)
-        for part in request.prompt.parts:
+        for part in request.prompt.blocks:
             key = (namespace, part.block_id)
-            holders = [name for name, store in world.stores.items() if key in store.parts]
+            holders = [name for name, store in world.stores.items() if key in store.blocks]
             if key in runner.cache:
                 tokens -= part.tokens
             elif holders and not world.stores[holders[0]].dead:
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -103,8 +103,8 @@
 
 def prompt_call(number: int) -> CallArrived:
     """Return a call of a prompt of nine parts, as one that returns has them."""
-    parts = tuple(PromptBlock(f"talk-{number % 50}-{index}", 2_000) for index in range(9))
-    prompt = Prompt("m", 18_000, 100, parts)
+    blocks = tuple(PromptBlock(f"talk-{number % 50}-{index}", 2_000) for index in range(9))
+    prompt = Prompt("m", 18_000, 100, blocks)
     head = CallHead(f"q{number}", "POST", model_host("m"), "/", "key-0", None, 9, prompt, None)
     return CallArrived(number + 1, head)
 
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -155,7 +155,9 @@
         stores = {store.address: store for store in world.stores.values()}
         first_s = target.read(prompt, orders, stores, world.now_s)
         target.waiting += 1
-        for part, save in zip(prompt.parts, orders.save or ("",) * len(prompt.parts), strict=True):
+        for part, save in zip(
+            prompt.blocks, orders.save or ("",) * len(prompt.blocks), strict=True
+        ):
             store = stores.get(save)
             if store is not None:
                 key = (orders.namespace, part.block_id)
@@ -240,7 +242,7 @@
         store = self._world.stores[ask.holder]
         if store.dead:
             return
-        held = tuple(store.parts.items())
+        held = tuple(store.blocks.items())
         event = CacheListed(ask.holder, self._world.now_s, store.boot, len(store.events), held, 0)
         self._world.later(core, LINK_S, event)
 
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -50,7 +50,7 @@
     service: bool
     workspace: int
     tokens: int
-    parts: tuple[PromptBlock, ...]
+    blocks: tuple[PromptBlock, ...]
     new_tokens: int
     out_tokens: int
 
@@ -62,7 +62,7 @@
         self.number = number
         self.tokens = tokens
 
-    def parts(self, piece_tokens: int) -> tuple[PromptBlock, ...]:
+    def blocks(self, piece_tokens: int) -> tuple[PromptBlock, ...]:
         """Return its parts; what is left after the full ones is new each time."""
         count = self.tokens // piece_tokens
         full = tuple(
@@ -97,8 +97,8 @@
             added = rng.randint(*deployment.added_tokens)
             talk.tokens += added
             out = rng.randint(20, 200)
-            parts = talk.parts(piece_tokens)
-            found.append(Arrival(at_s, False, talk.number % 10, talk.tokens, parts, added, out))
+            blocks = talk.blocks(piece_tokens)
+            found.append(Arrival(at_s, False, talk.number % 10, talk.tokens, blocks, added, out))
         else:
             tokens = rng.randint(*deployment.short_tokens)
             out = rng.randint(10, 60)
--- a/bench/world.py
+++ b/bench/world.py
@@ -293,7 +293,7 @@
         key: str = "k",
         name: str = "",
         tokens: int = 100,
-        parts: tuple[PromptBlock, ...] = (),
+        blocks: tuple[PromptBlock, ...] = (),
         idempotency_key: str | None = None,
         body: str = "",
         deadline_s: float | None = None,
@@ -302,7 +302,7 @@
         """Put a request with common values in; return its id."""
         model = name or "m"
         host = model_host(model) if kind == "model" else service_host(name or "s", "POST")
-        prompt = Prompt(model, tokens, out_tokens, parts) if kind == "model" else None
+        prompt = Prompt(model, tokens, out_tokens, blocks) if kind == "model" else None
         once = None if idempotency_key is None else IdempotencyKey(idempotency_key, body)
         request_id = f"req-{next(self._numbers)}"
         head = CallHead(request_id, "POST", host, "/", key, deadline_s, 10, prompt, None, once)
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -125,23 +125,23 @@
     if model is None or counts is None:
         return None
     tokens_in, _, tokens_out = counts.partition(b",")
-    parts = []
+    blocks = []
     for item in first.get(b"prefix-hash", b"").split(b","):
         if not item:
             continue
         block_id, _, tokens = item.strip().partition(b":")
-        parts.append(PromptBlock(block_id.decode("ascii"), int(tokens)))
-    if len(parts) > PROMPT_PARTS_LIMIT:
+        blocks.append(PromptBlock(block_id.decode("ascii"), int(tokens)))
+    if len(blocks) > PROMPT_PARTS_LIMIT:
         raise ValueError("too many prompt parts")
-    return Prompt(model.decode("ascii"), int(tokens_in), int(tokens_out or 0), tuple(parts))
+    return Prompt(model.decode("ascii"), int(tokens_in), int(tokens_out or 0), tuple(blocks))
 
 
 def encode_prompt(prompt: Prompt) -> Headers:
     """Return the headers that tell a runner of a prompt, for a call that came without them."""
-    parts = ",".join(f"{part.block_id}:{part.tokens}" for part in prompt.parts)
+    blocks = ",".join(f"{part.block_id}:{part.tokens}" for part in prompt.blocks)
     counts = f"{prompt.tokens},{prompt.max_new_tokens}"
     headers = [(b"model", prompt.model.encode()), (b"token-count", counts.encode())]
-    return [*headers, (b"prefix-hash", parts.encode())] if parts else headers
+    return [*headers, (b"prefix-hash", blocks.encode())] if blocks else headers
 
 
 def encode_target_head(
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -16,7 +16,7 @@
     model: str
     tokens: int
     max_new_tokens: int
-    parts: tuple[PromptBlock, ...]
+    blocks: tuple[PromptBlock, ...]
 
 
 class IdempotencyKey(NamedTuple):
--- a/filbertstream/request/candidates.py
+++ b/filbertstream/request/candidates.py
@@ -78,7 +78,7 @@
 
 def _holding_most(request: PlacementRequest, index: CacheIndex) -> list[str]:
     """Return holders of the last shared part that is held, whose parts before it are likely too."""
-    for part in reversed(request.prompt.parts[:-1] or request.prompt.parts):
+    for part in reversed(request.prompt.blocks[:-1] or request.prompt.blocks):
         for namespace in request.namespaces.values():
             holders = index.holders((namespace, part.block_id))
             if holders:
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -75,7 +75,7 @@
 class CacheView(NamedTuple):
     """What is known of who holds which part."""
 
-    parts: CacheIndex
+    blocks: CacheIndex
     stores: CacheStores
 
 
@@ -121,7 +121,7 @@
 
     Of equal parts the first counts, which stays the same while a conversation grows.
     """
-    shared = request.prompt.parts[:-1] or request.prompt.parts
+    shared = request.prompt.blocks[:-1] or request.prompt.blocks
     return max(shared, key=lambda part: part.tokens).block_id if shared else None
 
 
@@ -184,7 +184,7 @@
     Other entries send the shared parts to the preferred runner too, so it is likely to hold more of
     them than this entry knows.
     """
-    unheld = max(0, sum(part.tokens for part in request.prompt.parts[:-1]) - held)
+    unheld = max(0, sum(part.tokens for part in request.prompt.blocks[:-1]) - held)
     cost = AWAY_COST + unheld / rate / request.objective_s
     return cost + AWAY_COST_PER_TOKEN * max(0, unheld - fetched)
 
@@ -210,9 +210,9 @@
     fetch: list[Source | None] = []
     fetched = held = 0
     chain_ends = False
-    for part in request.prompt.parts:
+    for part in request.prompt.blocks:
         key = (namespace, part.block_id)
-        holders = cache_view.parts.holders(key)
+        holders = cache_view.blocks.holders(key)
         if chain_ends or not holders:
             # A part counts only where all parts before it are at hand.
             chain_ends = True
--- a/filbertstream/request/prefix.py
+++ b/filbertstream/request/prefix.py
@@ -24,16 +24,16 @@
     >>> (first == second[:2], second[2].tokens)
     (True, 200)
     """
-    parts: list[PromptBlock] = []
+    blocks: list[PromptBlock] = []
     chain = b""
     start = 0
     while start < len(text):
-        size = PIECE_BYTES if len(parts) < PARTS_LIMIT - 1 else len(text) - start
+        size = PIECE_BYTES if len(blocks) < PARTS_LIMIT - 1 else len(text) - start
         part = text[start : start + size]
         chain = hashlib.blake2b(part, key=chain, digest_size=NAME_BYTES).digest()
-        parts.append(PromptBlock(chain.hex(), token_count(part)))
+        blocks.append(PromptBlock(chain.hex(), token_count(part)))
         start += size
-    return tuple(parts)
+    return tuple(blocks)
 
 
 def token_count(text: bytes) -> int:
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -73,12 +73,12 @@
         prompt = call.head.prompt
         if prompt is None:
             raise AssertionError("a prompt was to be placed and there is none")
-        self._turn += 0 if prompt.parts else 1
+        self._turn += 0 if prompt.blocks else 1
         targets = self._weights.admitted(prompt.model, candidates, now_s)
         limits = headroom(call.route.queue_limit_s, call.urgency)
         request = self._ask(call, prompt, engine, targets, limits)
         registered = self._roster.names_of(call.service.name)
-        compared = self._candidates.choose(request, targets, registered, self._holdings.parts)
+        compared = self._candidates.choose(request, targets, registered, self._holdings.blocks)
         placement = self.choose(request, compared, self._holdings, now_s)
         if placement is None:
             return None
@@ -129,7 +129,7 @@
         """Return for each part the store to save it to; the last part is the call's own."""
         stores = self._holdings.stores
         found = []
-        for part in prompt.parts[:-1]:
+        for part in prompt.blocks[:-1]:
             store = stores.save_to((namespace, part.block_id), part.tokens, now_s)
             found.append("" if store is None else stores.address(store))
         return (*found, "") if found else ()
@@ -144,9 +144,9 @@
         return "" if target is None else str(target.entry.address)
 
     def _note_cached(self, prompt: Prompt, placement: Placement) -> None:
-        for part in prompt.parts[:-1]:
+        for part in prompt.blocks[:-1]:
             key = (placement.namespace, part.block_id)
-            self._holdings.parts.add(placement.target.target_id, key, part.tokens)
+            self._holdings.blocks.add(placement.target.target_id, key, part.tokens)
 
 
 def _inputs(placement: Placement, candidates: int) -> LogFields:
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -138,7 +138,7 @@
     def arrive(self, name: str, key: str | None = "k", prompt: bool | None = None) -> list[Any]:
         self.calls += 1
         asked = name in ("draft", "walk") if prompt is None else prompt
-        parts = (PromptBlock("shared", 800), PromptBlock(f"own{self.calls}", 200))
+        blocks = (PromptBlock("shared", 800), PromptBlock(f"own{self.calls}", 200))
         head = CallHead(
             f"q{self.calls}",
             "POST",
@@ -147,7 +147,7 @@
             key,
             10.0,
             0,
-            Prompt("m", 1_000, 50, parts) if asked else None,
+            Prompt("m", 1_000, 50, blocks) if asked else None,
             None,
         )
         return self.tell(CallArrived(self.calls, head))
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -31,9 +31,11 @@
         super().__init__(count, ENGINE._replace(slots=12))
         self.registered = frozenset(target.target_id for target in self.targets)
 
-    def compared(self, entry: Candidates, parts: tuple[PromptBlock, ...]) -> Sequence[RosterTarget]:
+    def compared(
+        self, entry: Candidates, blocks: tuple[PromptBlock, ...]
+    ) -> Sequence[RosterTarget]:
         return entry.choose(
-            self.placement_request(parts), self.targets, self.registered, self.index
+            self.placement_request(blocks), self.targets, self.registered, self.index
         )
 
 
@@ -52,27 +54,27 @@
 
 def test_the_preferred_runner_and_the_holders_are_compared() -> None:
     runners = Many()
-    parts = talk("held", 10)
+    blocks = talk("held", 10)
     holders = [target.target_id for target in runners.targets[20:30]]
     for number, name in enumerate(holders):
-        for part in parts[: number + 1]:
+        for part in blocks[: number + 1]:
             runners.index.add(name, (SPACE, part.block_id), part.tokens)
-    names = {item.target_id for item in runners.compared(Candidates(random.Random(1)), parts)}
-    assert runners.home(parts).target_id in names
+    names = {item.target_id for item in runners.compared(Candidates(random.Random(1)), blocks)}
+    assert runners.home(blocks).target_id in names
     assert holders[-1] in names
 
 
 def test_a_preferred_runner_that_leaves_is_not_remembered() -> None:
     runners = Many()
-    parts = talk("a", 3)
+    blocks = talk("a", 3)
     entry = Candidates(random.Random(1))
-    home = runners.home(parts)
-    assert home in runners.compared(entry, parts)
+    home = runners.home(blocks)
+    assert home in runners.compared(entry, blocks)
     runners.targets.remove(home)
     runners.registered -= {home.target_id}
-    found = runners.compared(entry, parts)
+    found = runners.compared(entry, blocks)
     assert home not in found
-    assert runners.home(parts) in found
+    assert runners.home(blocks) in found
 
 
 def test_hundreds_of_entries_with_the_same_old_news_do_not_all_find_one_runner() -> None:
@@ -82,12 +84,12 @@
         runners.told[target.target_id] = OthersWork(6, 30_000, 0, 0)
     chosen: dict[str, Counter[str]] = {"all": Counter(), "some": Counter()}
     for number in range(195):
-        parts = (PromptBlock(f"own-{number}", 900),)
+        blocks = (PromptBlock(f"own-{number}", 900),)
         entry = Candidates(random.Random(number))
-        compared = {"all": runners.targets, "some": runners.compared(entry, parts)}
+        compared = {"all": runners.targets, "some": runners.compared(entry, blocks)}
         for way, targets in compared.items():
             placed = place_prompt(
-                runners.placement_request(parts), targets, runners.cache_view, 1.0
+                runners.placement_request(blocks), targets, runners.cache_view, 1.0
             )
             assert placed is not None
             chosen[way][placed.target.target_id] += 1
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -147,13 +147,13 @@
 
 def test_a_dead_store_costs_time_and_no_answer() -> None:
     world = ready_world()
-    world.request("e1", tokens=8_000, parts=PARTS)
+    world.request("e1", tokens=8_000, blocks=PARTS)
     world.run(5.0)
-    assert world.stores["st1"].parts
+    assert world.stores["st1"].blocks
     world.stores["st1"].dead = True
     for target in world.targets.values():
         target.cache.clear()
-    again = world.request("e2", tokens=8_000, parts=PARTS)
+    again = world.request("e2", tokens=8_000, blocks=PARTS)
     world.run(5.0)
     assert kinds(world, again) == ["answered"]
 
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -22,11 +22,11 @@
 def test_equal_parts_are_equal_texts_up_to_their_end(shared: int, rest: int, byte: int) -> None:
     prefix = bytes(index % 251 for index in range(shared))
     one, other = prefix + b"x" * rest, prefix + bytes([byte]) * rest
-    parts, others = text_parts(one), text_parts(other)
-    assert sum(part.tokens for part in parts) >= token_count(one)
-    assert len(parts) <= PARTS_LIMIT
+    blocks, others = text_parts(one), text_parts(other)
+    assert sum(part.tokens for part in blocks) >= token_count(one)
+    assert len(blocks) <= PARTS_LIMIT
     end = 0
-    for part, another in zip(parts, others, strict=False):
+    for part, another in zip(blocks, others, strict=False):
         end = min(end + PIECE_BYTES, len(one))
         same = one[:end] == other[: min(end, len(other))] and len(one[:end]) == len(other[:end])
         assert (part == another) == same
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -42,22 +42,22 @@
         entry = TargetEntry(name, "models", address, "dc1", 64, False, 0.0, {"m": 1}, 1)
         return RosterTarget(entry, 0.0, lambda target, now_s: self.told.get(target, IDLE))
 
-    def placement_request(self, parts: tuple[PromptBlock, ...], turn: int = 0) -> PlacementRequest:
-        tokens = sum(part.tokens for part in parts) or 500
-        prompt = Prompt("m", tokens, 50, parts)
+    def placement_request(self, blocks: tuple[PromptBlock, ...], turn: int = 0) -> PlacementRequest:
+        tokens = sum(part.tokens for part in blocks) or 500
+        prompt = Prompt("m", tokens, 50, blocks)
         return PlacementRequest(
             prompt, self.engine, 1.0, "dc1", 1, {1: SPACE}, turn, headroom(1.0, 0)
         )
 
-    def place(self, parts: tuple[PromptBlock, ...], turn: int = 0) -> str:
+    def place(self, blocks: tuple[PromptBlock, ...], turn: int = 0) -> str:
         placement = place_prompt(
-            self.placement_request(parts, turn), self.targets, self.cache_view, 1.0
+            self.placement_request(blocks, turn), self.targets, self.cache_view, 1.0
         )
         assert placement is not None
         return placement.target.target_id
 
-    def home(self, parts: tuple[PromptBlock, ...]) -> RosterTarget:
-        return preferred_runner(self.placement_request(parts), self.targets)
+    def home(self, blocks: tuple[PromptBlock, ...]) -> RosterTarget:
+        return preferred_runner(self.placement_request(blocks), self.targets)
 
     def queue(self, target: RosterTarget, tokens: int) -> None:
         self.told[target.target_id] = OthersWork(1, tokens, tokens, tokens)
@@ -96,40 +96,40 @@
 def test_a_prefix_that_nobody_is_known_to_hold_waits_a_while_at_its_preferred_runner() -> None:
     """No store has it any more: other entries had it read at the preferred runner too."""
     runners = Runners(6)
-    parts = talk("cold", 10)
-    home = runners.home(parts)
+    blocks = talk("cold", 10)
+    home = runners.home(blocks)
     runners.queue(home, 2 * 10 * PIECE)
-    assert runners.place(parts) == home.target_id
+    assert runners.place(blocks) == home.target_id
     runners.queue(home, 40 * 10 * PIECE)
-    assert runners.place(parts) != home.target_id
+    assert runners.place(blocks) != home.target_id
 
 
 def test_a_prompt_is_not_turned_away_for_the_runner_that_it_prefers() -> None:
     """Runners that read everything anew: the preferred one is full, others have room."""
     runners = Runners(6)
-    parts = talk("cold", 30)
-    home = runners.home(parts)
+    blocks = talk("cold", 30)
+    home = runners.home(blocks)
     # Longer than what is admitted, shorter than what it would cost to read the prefix elsewhere.
     runners.queue(home, round(1.2 * FIRST_RATE_PER_S))
     placement = place_prompt(
-        runners.placement_request(parts), runners.targets, runners.cache_view, 1.0
+        runners.placement_request(blocks), runners.targets, runners.cache_view, 1.0
     )
     assert placement is not None
     assert (placement.target is home, placement.fits) == (False, True)
     for target in runners.targets:
         runners.queue(target, round(1.2 * FIRST_RATE_PER_S))
-    assert runners.place(parts) == home.target_id
+    assert runners.place(blocks) == home.target_id
 
 
 def test_a_runner_that_is_known_to_hold_the_prefix_needs_no_preference() -> None:
     runners = Runners(6)
-    parts = talk("held", 10)
-    home = runners.home(parts)
+    blocks = talk("held", 10)
+    home = runners.home(blocks)
     holder = next(target for target in runners.targets if target is not home)
-    for part in parts[:-1]:
+    for part in blocks[:-1]:
         runners.index.add(holder.target_id, (SPACE, part.block_id), part.tokens)
     runners.queue(home, 6 * PIECE)
-    assert runners.place(parts) == holder.target_id
+    assert runners.place(blocks) == holder.target_id
 
 
 def test_old_news_of_a_queue_turns_few_prompts_away_from_it() -> None:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -21,13 +21,13 @@
 
 def test_a_prompt_and_its_return_through_another_entry() -> None:
     world = ready_world()
-    first = world.request("e1", tokens=20_100, parts=(*PARTS, PromptBlock("first", 100)))
+    first = world.request("e1", tokens=20_100, blocks=(*PARTS, PromptBlock("first", 100)))
     world.run(5.0)
     assert sum(target.computed_tokens for target in world.targets.values()) == 20_100
     (reader,) = [target for target in world.targets.values() if target.ran]
     reader.draining = True
     world.run(world.bounds.drain_s)
-    again = world.request("e2", tokens=20_100, parts=(*PARTS, PromptBlock("again", 100)))
+    again = world.request("e2", tokens=20_100, blocks=(*PARTS, PromptBlock("again", 100)))
     world.run(5.0)
     assert kinds(world, first) == kinds(world, again) == ["answered"]
     assert sum(target.computed_tokens for target in world.targets.values()) == 20_200
