--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -223,7 +223,7 @@
         for call in range(deployment.calls_per_step if members else 0):
             member, key = rng.choice(members), rng.choice(keys)
             blocks = rng.choice(deployment.histories)
-            tokens = sum(part.tokens for part in blocks) + rng.randint(50, 500)
+            tokens = sum(block.tokens for block in blocks) + rng.randint(50, 500)
             world.request(
                 member, "model", key, model, tokens, blocks, out_tokens=rng.randint(1, 60)
             )
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -232,15 +232,15 @@
         start_s = max(now_s, self.free_s)
         ready_s, computed = now_s, prompt.tokens
         fetches = orders.fetch or ("",) * len(prompt.blocks)
-        for part, fetch in zip(prompt.blocks, fetches, strict=True):
-            key = (orders.namespace, part.block_id)
+        for block, fetch in zip(prompt.blocks, fetches, strict=True):
+            key = (orders.namespace, block.block_id)
             store = stores.get(fetch.partition("/")[0])
             if key in self.cache:
-                computed -= part.tokens
+                computed -= block.tokens
             elif store is not None and not store.dead and key in store.blocks:
-                ready_s = store.transfer(now_s, part.tokens)
-                computed -= part.tokens
-            self._keep(key, part.tokens)
+                ready_s = store.transfer(now_s, block.tokens)
+                computed -= block.tokens
+            self._keep(key, block.tokens)
         self.computed_tokens += computed
         self.free_s = start_s + computed / self.rate
         return max(start_s, ready_s) + computed / self.rate
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -208,8 +208,8 @@
     stores = list(world.stores.values())
     for talk in conversations(deployment, random.Random(seed)):
         namespace = cache_namespace(f"w{talk.number % WORKSPACES}", "m", 1)
-        for part in talk.blocks(PIECE_TOKENS)[:-1]:
-            stores[talk.number % len(stores)].save((namespace, part.block_id), part.tokens)
+        for block in talk.blocks(PIECE_TOKENS)[:-1]:
+            stores[talk.number % len(stores)].save((namespace, block.block_id), block.tokens)
     world.run(LISTED_S)
 
 
--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -97,14 +97,14 @@
         namespace = request.namespaces.get(target.weights.get(request.prompt.model, 0), "")
         tokens, ready_s = request.prompt.tokens, 0.0
         moved = dict.fromkeys(world.stores, 0)
-        for part in request.prompt.blocks:
-            key = (namespace, part.block_id)
+        for block in request.prompt.blocks:
+            key = (namespace, block.block_id)
             holders = [name for name, store in world.stores.items() if key in store.blocks]
             if key in runner.cache:
-                tokens -= part.tokens
+                tokens -= block.tokens
             elif holders and not world.stores[holders[0]].dead:
-                tokens -= part.tokens
-                moved[holders[0]] += part.tokens
+                tokens -= block.tokens
+                moved[holders[0]] += block.tokens
         for name, count in moved.items():
             store = world.stores[name]
             wait_s = max(0.0, store.link_free_s - now_s) + count / store.tokens_per_s
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -155,14 +155,14 @@
         stores = {store.address: store for store in world.stores.values()}
         first_s = target.read(prompt, orders, stores, world.now_s)
         target.waiting += 1
-        for part, save in zip(
+        for block, save in zip(
             prompt.blocks, orders.save or ("",) * len(prompt.blocks), strict=True
         ):
             store = stores.get(save)
             if store is not None:
-                key = (orders.namespace, part.block_id)
+                key = (orders.namespace, block.block_id)
                 delay_s = first_s - world.now_s + SAVE_S
-                world.after(delay_s, functools.partial(store.save, key, part.tokens))
+                world.after(delay_s, functools.partial(store.save, key, block.tokens))
         world.after(first_s - world.now_s, lambda: self._first(core, send, target, request_id))
 
     def _first(self, core: Gateway, send: SendCall, target: FakeTarget, request_id: str) -> None:
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -138,7 +138,7 @@
 
 def encode_prompt(prompt: Prompt) -> Headers:
     """Return the headers that tell a runner of a prompt, for a call that came without them."""
-    blocks = ",".join(f"{part.block_id}:{part.tokens}" for part in prompt.blocks)
+    blocks = ",".join(f"{block.block_id}:{block.tokens}" for block in prompt.blocks)
     counts = f"{prompt.tokens},{prompt.max_new_tokens}"
     headers = [(b"model", prompt.model.encode()), (b"token-count", counts.encode())]
     return [*headers, (b"prefix-hash", blocks.encode())] if blocks else headers
--- a/filbertstream/request/candidates.py
+++ b/filbertstream/request/candidates.py
@@ -78,9 +78,9 @@
 
 def _holding_most(request: PlacementRequest, index: CacheIndex) -> list[str]:
     """Return holders of the last shared part that is held, whose parts before it are likely too."""
-    for part in reversed(request.prompt.blocks[:-1] or request.prompt.blocks):
+    for block in reversed(request.prompt.blocks[:-1] or request.prompt.blocks):
         for namespace in request.namespaces.values():
-            holders = index.holders((namespace, part.block_id))
+            holders = index.holders((namespace, block.block_id))
             if holders:
                 return heapq.nlargest(
                     COMPARED_HOLDERS, holders, key=lambda name: (holders[name], name)
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -122,7 +122,7 @@
     Of equal parts the first counts, which stays the same while a conversation grows.
     """
     shared = request.prompt.blocks[:-1] or request.prompt.blocks
-    return max(shared, key=lambda part: part.tokens).block_id if shared else None
+    return max(shared, key=lambda block: block.tokens).block_id if shared else None
 
 
 def preferred_runner(request: PlacementRequest, targets: Sequence[RosterTarget]) -> RosterTarget:
@@ -184,7 +184,7 @@
     Other entries send the shared parts to the preferred runner too, so it is likely to hold more of
     them than this entry knows.
     """
-    unheld = max(0, sum(part.tokens for part in request.prompt.blocks[:-1]) - held)
+    unheld = max(0, sum(block.tokens for block in request.prompt.blocks[:-1]) - held)
     cost = AWAY_COST + unheld / rate / request.objective_s
     return cost + AWAY_COST_PER_TOKEN * max(0, unheld - fetched)
 
@@ -210,8 +210,8 @@
     fetch: list[Source | None] = []
     fetched = held = 0
     chain_ends = False
-    for part in request.prompt.blocks:
-        key = (namespace, part.block_id)
+    for block in request.prompt.blocks:
+        key = (namespace, block.block_id)
         holders = cache_view.blocks.holders(key)
         if chain_ends or not holders:
             # A part counts only where all parts before it are at hand.
@@ -219,18 +219,18 @@
             fetch.append(None)
             continue
         data_center = target.entry.data_center
-        store = cache_view.stores.source(key, part.tokens, data_center, now_s)
-        source = None if store is None else Source(store, part.tokens)
+        store = cache_view.stores.source(key, block.tokens, data_center, now_s)
+        source = None if store is None else Source(store, block.tokens)
         if target.target_id in holders:
-            held += min(part.tokens, holders[target.target_id])
+            held += min(block.tokens, holders[target.target_id])
         elif source is not None:
-            fetched += part.tokens
+            fetched += block.tokens
         else:
             source = _runner_source(target, holders, cache_view)
             if source is None:
                 chain_ends = True
             else:
-                fetched += min(part.tokens, holders[source.holder])
+                fetched += min(block.tokens, holders[source.holder])
         fetch.append(source)
     return tuple(fetch), fetched, held
 
--- a/filbertstream/request/prefix.py
+++ b/filbertstream/request/prefix.py
@@ -29,9 +29,9 @@
     start = 0
     while start < len(text):
         size = PIECE_BYTES if len(blocks) < PARTS_LIMIT - 1 else len(text) - start
-        part = text[start : start + size]
-        chain = hashlib.blake2b(part, key=chain, digest_size=NAME_BYTES).digest()
-        blocks.append(PromptBlock(chain.hex(), token_count(part)))
+        block = text[start : start + size]
+        chain = hashlib.blake2b(block, key=chain, digest_size=NAME_BYTES).digest()
+        blocks.append(PromptBlock(chain.hex(), token_count(block)))
         start += size
     return tuple(blocks)
 
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -129,8 +129,8 @@
         """Return for each part the store to save it to; the last part is the call's own."""
         stores = self._holdings.stores
         found = []
-        for part in prompt.blocks[:-1]:
-            store = stores.save_to((namespace, part.block_id), part.tokens, now_s)
+        for block in prompt.blocks[:-1]:
+            store = stores.save_to((namespace, block.block_id), block.tokens, now_s)
             found.append("" if store is None else stores.address(store))
         return (*found, "") if found else ()
 
@@ -144,9 +144,9 @@
         return "" if target is None else str(target.entry.address)
 
     def _note_cached(self, prompt: Prompt, placement: Placement) -> None:
-        for part in prompt.blocks[:-1]:
-            key = (placement.namespace, part.block_id)
-            self._holdings.blocks.add(placement.target.target_id, key, part.tokens)
+        for block in prompt.blocks[:-1]:
+            key = (placement.namespace, block.block_id)
+            self._holdings.blocks.add(placement.target.target_id, key, block.tokens)
 
 
 def _inputs(placement: Placement, candidates: int) -> LogFields:
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -57,8 +57,8 @@
     blocks = talk("held", 10)
     holders = [target.target_id for target in runners.targets[20:30]]
     for number, name in enumerate(holders):
-        for part in blocks[: number + 1]:
-            runners.index.add(name, (SPACE, part.block_id), part.tokens)
+        for block in blocks[: number + 1]:
+            runners.index.add(name, (SPACE, block.block_id), block.tokens)
     names = {item.target_id for item in runners.compared(Candidates(random.Random(1)), blocks)}
     assert runners.home(blocks).target_id in names
     assert holders[-1] in names
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -23,13 +23,13 @@
     prefix = bytes(index % 251 for index in range(shared))
     one, other = prefix + b"x" * rest, prefix + bytes([byte]) * rest
     blocks, others = text_parts(one), text_parts(other)
-    assert sum(part.tokens for part in blocks) >= token_count(one)
+    assert sum(block.tokens for block in blocks) >= token_count(one)
     assert len(blocks) <= PARTS_LIMIT
     end = 0
-    for part, another in zip(blocks, others, strict=False):
+    for block, another in zip(blocks, others, strict=False):
         end = min(end + PIECE_BYTES, len(one))
         same = one[:end] == other[: min(end, len(other))] and len(one[:end]) == len(other[:end])
-        assert (part == another) == same
+        assert (block == another) == same
 
 
 def test_a_part_after_another_beginning_has_another_name() -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -43,7 +43,7 @@
         return RosterTarget(entry, 0.0, lambda target, now_s: self.told.get(target, IDLE))
 
     def placement_request(self, blocks: tuple[PromptBlock, ...], turn: int = 0) -> PlacementRequest:
-        tokens = sum(part.tokens for part in blocks) or 500
+        tokens = sum(block.tokens for block in blocks) or 500
         prompt = Prompt("m", tokens, 50, blocks)
         return PlacementRequest(
             prompt, self.engine, 1.0, "dc1", 1, {1: SPACE}, turn, headroom(1.0, 0)
@@ -126,8 +126,8 @@
     blocks = talk("held", 10)
     home = runners.home(blocks)
     holder = next(target for target in runners.targets if target is not home)
-    for part in blocks[:-1]:
-        runners.index.add(holder.target_id, (SPACE, part.block_id), part.tokens)
+    for block in blocks[:-1]:
+        runners.index.add(holder.target_id, (SPACE, block.block_id), block.tokens)
     runners.queue(home, 6 * PIECE)
     assert runners.place(blocks) == holder.target_id
 
