--- a/filbertstream/connection/v1_requests.py
+++ b/filbertstream/connection/v1_requests.py
@@ -17,7 +17,7 @@
 from filbertstream.names import digest_bytes
 from filbertstream.platform.headers import Headers, encode_prompt
 from filbertstream.request.call import CallHead, IdempotencyKey, Prompt
-from filbertstream.request.prefix import text_parts, token_count
+from filbertstream.request.prefix import text_blocks, token_count
 from filbertstream.statuses import BAD_REQUEST, NOT_FOUND, UNAUTHORIZED
 from filbertstream.version.compiled import METHODS, model_host, service_host
 
@@ -148,7 +148,7 @@
         case Ok(deadline_s):
             pass
     text = prompt_text(body)
-    parts = text_parts(text)
+    parts = text_blocks(text)
     prompt = Prompt(body.model, token_count(text), body.max_tokens, parts)
     head = CallHead(
         request_id,
--- a/filbertstream/request/prefix.py
+++ b/filbertstream/request/prefix.py
@@ -17,10 +17,10 @@
 """Parts of one prompt at most; the last covers all that is left."""
 
 
-def text_parts(text: bytes) -> tuple[PromptBlock, ...]:
+def text_blocks(text: bytes) -> tuple[PromptBlock, ...]:
     """Return the parts of a prompt's text, in order.
 
-    >>> first, second = text_parts(b"x" * 16_000), text_parts(b"x" * 16_000 + b"y" * 800)
+    >>> first, second = text_blocks(b"x" * 16_000), text_blocks(b"x" * 16_000 + b"y" * 800)
     >>> (first == second[:2], second[2].tokens)
     (True, 200)
     """
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -3,7 +3,7 @@
 import hypothesis.strategies as st
 from hypothesis import given
 
-from filbertstream.request.prefix import PARTS_LIMIT, text_parts, token_count
+from filbertstream.request.prefix import PARTS_LIMIT, text_blocks, token_count
 from filbertstream.units import PIECE_BYTES
 from filbertstream.version.weights_view import cache_namespace
 
@@ -22,7 +22,7 @@
 def test_equal_parts_are_equal_texts_up_to_their_end(shared: int, rest: int, byte: int) -> None:
     prefix = bytes(index % 251 for index in range(shared))
     one, other = prefix + b"x" * rest, prefix + bytes([byte]) * rest
-    blocks, others = text_parts(one), text_parts(other)
+    blocks, others = text_blocks(one), text_blocks(other)
     assert sum(block.tokens for block in blocks) >= token_count(one)
     assert len(blocks) <= PARTS_LIMIT
     end = 0
@@ -34,5 +34,5 @@
 
 def test_a_part_after_another_beginning_has_another_name() -> None:
     same = b"y" * PIECE_BYTES
-    one, other = text_parts(b"a" * PIECE_BYTES + same), text_parts(b"b" * PIECE_BYTES + same)
+    one, other = text_blocks(b"a" * PIECE_BYTES + same), text_blocks(b"b" * PIECE_BYTES + same)
     assert one[1] != other[1]
