--- a/filbertstream/request/prefix.py
+++ b/filbertstream/request/prefix.py
@@ -13,7 +13,7 @@
 
 NAME_BYTES: Final = 16
 
-PARTS_LIMIT: Final = 64
+MAX_BLOCKS: Final = 64
 """Parts of one prompt at most; the last covers all that is left."""
 
 
@@ -28,7 +28,7 @@
     chain = b""
     start = 0
     while start < len(text):
-        size = PIECE_BYTES if len(blocks) < PARTS_LIMIT - 1 else len(text) - start
+        size = PIECE_BYTES if len(blocks) < MAX_BLOCKS - 1 else len(text) - start
         block = text[start : start + size]
         chain = hashlib.blake2b(block, key=chain, digest_size=NAME_BYTES).digest()
         blocks.append(PromptBlock(chain.hex(), token_count(block)))
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -3,7 +3,7 @@
 import hypothesis.strategies as st
 from hypothesis import given
 
-from filbertstream.request.prefix import PARTS_LIMIT, text_blocks, token_count
+from filbertstream.request.prefix import MAX_BLOCKS, text_blocks, token_count
 from filbertstream.units import PIECE_BYTES
 from filbertstream.version.weights_view import cache_namespace
 
@@ -24,7 +24,7 @@
     one, other = prefix + b"x" * rest, prefix + bytes([byte]) * rest
     blocks, others = text_blocks(one), text_blocks(other)
     assert sum(block.tokens for block in blocks) >= token_count(one)
-    assert len(blocks) <= PARTS_LIMIT
+    assert len(blocks) <= MAX_BLOCKS
     end = 0
     for block, another in zip(blocks, others, strict=False):
         end = min(end + PIECE_BYTES, len(one))
