--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -137,8 +137,8 @@
     Guard(
         "names of parts are chained",
         "request/prefix.py",
-        "blake2b(block, key=chain, digest_size=NAME_BYTES)",
-        "blake2b(block, digest_size=NAME_BYTES)",
+        "blake2b(block, key=chain, digest_size=BLOCK_ID_BYTES)",
+        "blake2b(block, digest_size=BLOCK_ID_BYTES)",
         "tests/test_names.py::test_a_part_after_another_beginning_has_another_name",
     ),
 )
--- a/filbertstream/request/prefix.py
+++ b/filbertstream/request/prefix.py
@@ -11,7 +11,7 @@
 from filbertstream.request.call import PromptBlock
 from filbertstream.units import BYTES_PER_TOKEN, PIECE_BYTES
 
-NAME_BYTES: Final = 16
+BLOCK_ID_BYTES: Final = 16
 
 MAX_BLOCKS: Final = 64
 """Parts of one prompt at most; the last covers all that is left."""
@@ -30,7 +30,7 @@
     while start < len(text):
         size = PIECE_BYTES if len(blocks) < MAX_BLOCKS - 1 else len(text) - start
         block = text[start : start + size]
-        chain = hashlib.blake2b(block, key=chain, digest_size=NAME_BYTES).digest()
+        chain = hashlib.blake2b(block, key=chain, digest_size=BLOCK_ID_BYTES).digest()
         blocks.append(PromptBlock(chain.hex(), token_count(block)))
         start += size
     return tuple(blocks)
