--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -15,7 +15,7 @@
 from filbertstream.process.counters import Counters
 from filbertstream.process.latencies import Latencies
 from filbertstream.process.roster import Roster, RosterTarget
-from filbertstream.request import call_lines
+from filbertstream.request import call_logs
 from filbertstream.request.admission import Admission
 from filbertstream.request.arrival import Authorizer, Refused
 from filbertstream.request.call import BufferedResponse, CacheDirectives
@@ -160,23 +160,23 @@
         verdict = self._parts.idempotency_keys.resolve_claim(
             event, call.head.idempotency_key, longest_s, now_s
         )
-        log = call_lines.claimed(call, event)
+        log = call_logs.claimed(call, event)
         if verdict is None:
             return [log, *self._send(call, now_s)]
         if isinstance(verdict, Refused):
             after_s = self._spread(verdict.retry_after_s)
             refusal = RespondLocally(call.call_id, verdict.status, verdict.code, "", after_s)
             self._parts.counters.add("calls_refused", verdict.code)
-            refused = call_lines.refused(call, refusal)
+            refused = call_logs.refused(call, refusal)
             return [log, refusal, refused, *self._end(call, verdict.code, now_s)]
-        kept = call_lines.answered_from_key(call)
+        kept = call_logs.answered_from_key(call)
         return [log, ReplayResponse(call.call_id, verdict), kept, *self._end(call, "kept", now_s)]
 
     def _refuse(self, event: CallArrived, refused: Refused, now_s: float) -> list[Action]:
         self._parts.counters.add("calls_refused", refused.code)
         config = self._parts.authorizer.config
         version = 0 if config is None else config.version
-        line = call_lines.refused_on_arrival(
+        line = call_logs.refused_on_arrival(
             event, refused, version, self._parts.currency.age_s(now_s)
         )
         after_s = self._spread(refused.retry_after_s)
@@ -237,7 +237,7 @@
         now_s: float,
         inputs: LogFields = (),
     ) -> list[Action]:
-        line = call_lines.placed(call, target, inputs, now_s)
+        line = call_logs.placed(call, target, inputs, now_s)
         call.number += 1
         call.attempts += 1
         call.target = target
@@ -325,7 +325,7 @@
         response = event.response
         actions: list[Action] = [CancelSend(call.call_id, event.number)]
         self._parts.counters.add("sends_refused", str(response.status))
-        actions.append(call_lines.not_run(call, target, response))
+        actions.append(call_logs.not_run(call, target, response))
         if target is not None:
             self._parts.roster.outliers.unproven(target.target_id)
             if response.status == MISDIRECTED and response.target_id != target.target_id:
@@ -360,7 +360,7 @@
 
     def _on_broken(self, call: Call, number: int, cause: str, now_s: float) -> list[Action]:
         """Repeat a call after a failure; the budget was asked where the cause is a 5xx."""
-        log = call_lines.attempt_failed(call, cause, now_s)
+        log = call_logs.attempt_failed(call, cause, now_s)
         self._parts.counters.add("sends_failed", cause)
         call.failed_sends += 1
         target = self._release(call)
@@ -463,7 +463,7 @@
         return [
             *actions,
             refusal,
-            call_lines.refused(call, refusal, inputs),
+            call_logs.refused(call, refusal, inputs),
             *self._end(call, code, now_s),
         ]
 
@@ -485,7 +485,7 @@
             missed = late or outcome not in SERVED
             self._parts.burn.note(workspace.name, terms.within, now_s, missed, call.first_s)
         settled = self._parts.idempotency_keys.end(call, response, now_s)
-        return [*settled, call_lines.finished(call, outcome, now_s)]
+        return [*settled, call_logs.finished(call, outcome, now_s)]
 
     def tick(self, now_s: float) -> list[Action]:
         """End calls whose time is up, and repeat those that wait too long."""
@@ -509,7 +509,7 @@
         """Give a silent send up for another one, which the budget has allowed."""
         call.may_have_run = True
         cancel = CancelSend(call.call_id, call.number)
-        log = call_lines.attempt_failed(call, "silent", now_s)
+        log = call_logs.attempt_failed(call, "silent", now_s)
         call.failed_sends += 1
         target = self._release(call)
         if target is not None:
