--- a/bench/faults.py
+++ b/bench/faults.py
@@ -20,7 +20,7 @@
 from bench.world_documents import world_documents
 from filbertstream.gateway_events import StopAsked
 from filbertstream.request.call import PromptBlock
-from filbertstream.request.call_flow import SendCall
+from filbertstream.request.call_events import SendCall
 from filbertstream.version.documents import (
     Model,
     Objectives,
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -19,7 +19,7 @@
     PartsFreed,
 )
 from filbertstream.request.call import ResponseHead, TargetLoad
-from filbertstream.request.call_flow import (
+from filbertstream.request.call_events import (
     CancelSend,
     FirstEvent,
     ResponseComplete,
--- a/bench/world.py
+++ b/bench/world.py
@@ -39,7 +39,7 @@
     Prompt,
     PromptBlock,
 )
-from filbertstream.request.call_flow import (
+from filbertstream.request.call_events import (
     AbortResponse,
     CallArrived,
     CancelSend,
--- a/filbertstream/connection/answer_form.py
+++ b/filbertstream/connection/answer_form.py
@@ -12,7 +12,7 @@
 
 
 class Refusal(Protocol):
-    """An answer of this system's own, as ``request.call_flow`` describes it."""
+    """An answer of this system's own, as ``request.call_events`` describes it."""
 
     @property
     def status(self) -> int:
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -38,7 +38,7 @@
 )
 from filbertstream.process.clock import boot_time_s
 from filbertstream.request.call import CallHead
-from filbertstream.request.call_flow import (
+from filbertstream.request.call_events import (
     AbortResponse,
     CallArrived,
     CallerDisconnected,
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -13,7 +13,7 @@
 from filbertstream.platform.headers import Headers, encode_target_head
 from filbertstream.process.clock import boot_time_s
 from filbertstream.request.call import BufferedResponse, CallHead, ResponseHead
-from filbertstream.request.call_flow import (
+from filbertstream.request.call_events import (
     FirstEvent,
     ResponseComplete,
     ResponseStarted,
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -1,6 +1,6 @@
 """What the core of an entry on the platform is told besides calls, and what it asks for: data.
 
-Events about calls are in ``request.call_flow``; those of a part are in the part's own module.
+Events about calls are in ``request.call_events``; those of a part are in the part's own module.
 """
 
 from typing import NamedTuple, TypeAlias
@@ -13,7 +13,7 @@
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.process.store_view import KindTaken
-from filbertstream.request.call_flow import CallAction
+from filbertstream.request.call_events import CallAction
 from filbertstream.request.keyed_calls import ClaimKey, SettleKey
 from filbertstream.version.rollout import OrderWeights, PollReport
 from filbertstream.version.routes import Configuration
--- a/filbertstream/request/call_lines.py
+++ b/filbertstream/request/call_lines.py
@@ -5,7 +5,7 @@
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.arrival import Refused
 from filbertstream.request.call import ResponseHead
-from filbertstream.request.call_flow import CallArrived, RespondLocally
+from filbertstream.request.call_events import CallArrived, RespondLocally
 from filbertstream.request.call_state import Call
 from filbertstream.request.keyed_calls import KeyClaimed
 from filbertstream.request.prompt_placer import LogFields
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -19,7 +19,7 @@
 from filbertstream.request.admission import Admission
 from filbertstream.request.arrival import Authorizer, Refused
 from filbertstream.request.call import BufferedResponse, CacheDirectives
-from filbertstream.request.call_flow import (
+from filbertstream.request.call_events import (
     AbortResponse,
     CallAction,
     CallArrived,
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -21,7 +21,7 @@
 from filbertstream.process.deployment import Address, Bounds
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.request.call import CallHead, Prompt, PromptBlock, ResponseHead
-from filbertstream.request.call_flow import (
+from filbertstream.request.call_events import (
     CallArrived,
     RespondLocally,
     SendCall,
--- a/tests/test_calls_machine.py
+++ b/tests/test_calls_machine.py
@@ -10,7 +10,7 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from filbertstream.request.call_flow import (
+from filbertstream.request.call_events import (
     AbortResponse,
     CallerDisconnected,
     CancelSend,
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -14,7 +14,7 @@
 from filbertstream.connection.relayed_send import Relayed, RelayedSend
 from filbertstream.connection.target_link import TargetLinks
 from filbertstream.process.deployment import Address
-from filbertstream.request.call_flow import (
+from filbertstream.request.call_events import (
     ResponseComplete,
     ResponseStarted,
     SendCall,
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -2,7 +2,7 @@
 
 from bench.world import World
 from filbertstream.request.call import PromptBlock
-from filbertstream.request.call_flow import CallerDisconnected
+from filbertstream.request.call_events import CallerDisconnected
 from tests.helpers import codes, kinds, ready_world, runs
 
 PARTS = tuple(PromptBlock(f"part-{index}", 2_000) for index in range(4))
--- a/tests/test_gateway_cache.py
+++ b/tests/test_gateway_cache.py
@@ -7,7 +7,7 @@
     CacheEventsRead,
     FollowCache,
 )
-from filbertstream.request.call_flow import (
+from filbertstream.request.call_events import (
     SendCall,
 )
 from filbertstream.version.weights_view import VIEW_S
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -15,7 +15,7 @@
 from filbertstream.names import digest_key
 from filbertstream.process.duty import DutyRecord
 from filbertstream.request.call import CallHead
-from filbertstream.request.call_flow import (
+from filbertstream.request.call_events import (
     AbortResponse,
     CallArrived,
     CallerDisconnected,
--- a/tests/test_gateway_overload.py
+++ b/tests/test_gateway_overload.py
@@ -1,6 +1,6 @@
 """The worst loads, replayed on the core in virtual time."""
 
-from filbertstream.request.call_flow import ResponseComplete, ResponseStarted, SendCall
+from filbertstream.request.call_events import ResponseComplete, ResponseStarted, SendCall
 from filbertstream.request.overload import headroom, memory_limit, retry_after_s
 from tests.gateway_world import World, answer, sends, statuses
 
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from filbertstream.request.call_flow import (
+from filbertstream.request.call_events import (
     CancelSend,
     ResponseComplete,
     ResponseStarted,
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -43,7 +43,7 @@
     Strength,
 )
 from filbertstream.process.store_view import TOLD_BYTES, KindShown
-from filbertstream.request.call_flow import SendCall
+from filbertstream.request.call_events import SendCall
 from filbertstream.version.currency import UNREADY_SHARE
 from tests.gateway_world import BOUNDS, FOLLOWED, World, configuration_row
 
--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -18,7 +18,7 @@
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.relays import Relays
 from filbertstream.process.store_view import KindShown
-from filbertstream.request.call_flow import SendCall
+from filbertstream.request.call_events import SendCall
 from tests.gateway_world import BOUNDS, World, configuration, configuration_row
 
 KEYS = ("k", "k2")
