--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -7,7 +7,7 @@
 GATEWAY_GUARDS: Final = (
     Guard(
         "a key needs a configuration that was confirmed within the bound",
-        "request/arrival.py",
+        "request/authorization.py",
         "if not self._currency.admits_keys(now_s):",
         "if False:",
         "tests/test_gateway_core.py::"
@@ -23,7 +23,7 @@
     ),
     Guard(
         "only a current configuration denies a route",
-        "request/arrival.py",
+        "request/authorization.py",
         'return Refused(NOT_FOUND, "no_route") if current else self._stale(now_s)',
         'return Refused(NOT_FOUND, "no_route")',
         "tests/test_gateway_core.py::"
@@ -31,7 +31,7 @@
     ),
     Guard(
         "configuration versions only rise",
-        "request/arrival.py",
+        "request/authorization.py",
         "config.version <= self.config.version",
         "False",
         "tests/test_gateway_core.py::"
@@ -266,7 +266,7 @@
     ),
     Guard(
         "callers of an entry that is out of touch are sent to one that is in touch",
-        "request/arrival.py",
+        "request/authorization.py",
         "if not self._has_current_peer(now_s):",
         "if True:",
         "tests/test_gateway_redirect.py::"
@@ -319,7 +319,7 @@
     ),
     Guard(
         "any delay of the store: configurations only rise",
-        "request/arrival.py",
+        "request/authorization.py",
         "config.version <= self.config.version",
         "False",
         "tests/test_revocation_machine.py::TestRevocation",
--- a/filbertstream/connection/v1_port.py
+++ b/filbertstream/connection/v1_port.py
@@ -20,7 +20,7 @@
 )
 from filbertstream.gateway import Gateway
 from filbertstream.process.clock import boot_time_s
-from filbertstream.request.arrival import Refused
+from filbertstream.request.authorization import Refused
 from filbertstream.statuses import OK, UNAUTHORIZED, UNAVAILABLE
 from filbertstream.version.routes import CallerLimits, CallKind
 
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -63,7 +63,7 @@
 from filbertstream.process.store_view import Followed, KindShown
 from filbertstream.process.work_exchange import WorkExchange
 from filbertstream.request.admission import Admission
-from filbertstream.request.arrival import Authorizer
+from filbertstream.request.authorization import Authorizer
 from filbertstream.request.call_events import (
     CallArrived,
     CallerDisconnected,
--- a/filbertstream/request/call_logs.py
+++ b/filbertstream/request/call_logs.py
@@ -3,7 +3,7 @@
 from filbertstream.actions import Log
 from filbertstream.log_events import LogEvent
 from filbertstream.process.roster import RosterTarget
-from filbertstream.request.arrival import Refused
+from filbertstream.request.authorization import Refused
 from filbertstream.request.call import ResponseHead
 from filbertstream.request.call_events import CallArrived, RespondLocally
 from filbertstream.request.call_state import Call
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -17,7 +17,7 @@
 from filbertstream.process.roster import Roster, RosterTarget
 from filbertstream.request import call_logs
 from filbertstream.request.admission import Admission
-from filbertstream.request.arrival import Authorizer, Refused
+from filbertstream.request.authorization import Authorizer, Refused
 from filbertstream.request.call import BufferedResponse, CacheDirectives
 from filbertstream.request.call_events import (
     AbortResponse,
--- a/filbertstream/request/keyed_calls.py
+++ b/filbertstream/request/keyed_calls.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from filbertstream.names import digest_text
-from filbertstream.request.arrival import Refused
+from filbertstream.request.authorization import Refused
 from filbertstream.request.call import BufferedResponse, IdempotencyKey
 from filbertstream.request.call_state import Call
 from filbertstream.statuses import CONFLICT, UNAVAILABLE, UNPROCESSABLE
--- a/tests/test_gateway_redirect.py
+++ b/tests/test_gateway_redirect.py
@@ -9,7 +9,11 @@
 from filbertstream.connection.gateway_edge import GatewayEdge
 from filbertstream.gateway_events import PeerMessage, Tick
 from filbertstream.messages import PlacedWork
-from filbertstream.request.arrival import OTHER_ENTRY_RETRY_S, STALE_RETRY_MAX_S, STALE_RETRY_MIN_S
+from filbertstream.request.authorization import (
+    OTHER_ENTRY_RETRY_S,
+    STALE_RETRY_MAX_S,
+    STALE_RETRY_MIN_S,
+)
 from filbertstream.request.call_events import RespondLocally
 from filbertstream.request.forwarding import RETRY_JITTER
 from tests.gateway_world import BOUNDS, World
