--- a/bench/fault_table.py
+++ b/bench/fault_table.py
@@ -16,7 +16,7 @@
 from filbertstream.process.cache_stores import FreeParts
 from filbertstream.process.duty import WriteDuty
 from filbertstream.request.call_events import SendCall
-from filbertstream.request.keyed_calls import ClaimKey, KeyState, SettleKey
+from filbertstream.request.idempotency_keys import ClaimKey, KeyState, SettleKey
 from filbertstream.version.documents import Model
 from filbertstream.version.rollout import OrderWeights
 
--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -31,7 +31,7 @@
     ),
     Guard(
         "a run whose caller left is not called free",
-        "request/keyed_calls.py",
+        "request/idempotency_keys.py",
         "ran = call.may_have_run or call.attempts > 0",
         "ran = call.may_have_run",
         "tests/test_faults.py::"
@@ -39,28 +39,28 @@
     ),
     Guard(
         "another request under the same key conflicts",
-        "request/keyed_calls.py",
+        "request/idempotency_keys.py",
         "if present.fingerprint != idempotency_key.fingerprint:",
         "if False:",
         "tests/test_whole_path.py::test_another_body_under_the_same_key_conflicts",
     ),
     Guard(
         "keys are named by workspace",
-        "request/keyed_calls.py",
+        "request/idempotency_keys.py",
         '"idempotency-key", workspace, call',
         '"idempotency-key", "", call',
         "tests/test_whole_path.py::test_two_workspaces_may_use_the_same_key",
     ),
     Guard(
         "an outcome that the store has not taken is written again",
-        "request/keyed_calls.py",
+        "request/idempotency_keys.py",
         "        return [item.settle for item in due]",
         "        return []",
         "tests/test_faults.py::test_a_claim_that_is_carried_out_late_leaves_its_key_free",
     ),
     Guard(
         "a key of a process that was replaced is not waited for",
-        "request/keyed_calls.py",
+        "request/idempotency_keys.py",
         "if not self._alive(present.entry, present.incarnation):",
         "if False:",
         "tests/test_faults.py::test_a_claimant_that_was_replaced_leaves_no_key_running",
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -26,7 +26,7 @@
 from filbertstream.process.work_exchange import ROWS_TOLD
 from filbertstream.request.call import CallHead, IdempotencyKey, Prompt, PromptBlock
 from filbertstream.request.call_events import CallArrived, CallerDisconnected
-from filbertstream.request.keyed_calls import KeyRecord, KeyState
+from filbertstream.request.idempotency_keys import KeyRecord, KeyState
 from filbertstream.version.compiled import compile_view, model_host, service_host, view_of
 from filbertstream.version.documents import Document, Limits, Model, Service, Template, Workspace
 from filbertstream.version.routes import CallerLimits
--- a/bench/world.py
+++ b/bench/world.py
@@ -49,8 +49,8 @@
     RespondLocally,
     SendCall,
 )
+from filbertstream.request.idempotency_keys import ClaimKey, SettleKey
 from filbertstream.request.key_writes import KeyCall, KeyReply, claim_steps, settle_steps
-from filbertstream.request.keyed_calls import ClaimKey, SettleKey
 from filbertstream.version.compiled import model_host, service_host
 from filbertstream.version.documents import Change, Store, encode_changes
 from filbertstream.version.rollout import OrderWeights, PollReport
--- a/filbertstream/connection/key_store.py
+++ b/filbertstream/connection/key_store.py
@@ -9,6 +9,13 @@
 
 from filbertstream.platform.documents import KEYS_KIND, decode_own
 from filbertstream.platform.objects import ObjectStore, StoredObject, StoreFault, Written
+from filbertstream.request.idempotency_keys import (
+    ClaimKey,
+    KeyClaimed,
+    KeyRecord,
+    KeySettled,
+    SettleKey,
+)
 from filbertstream.request.key_writes import (
     KeyAction,
     KeyCall,
@@ -17,13 +24,6 @@
     claim_steps,
     settle_steps,
 )
-from filbertstream.request.keyed_calls import (
-    ClaimKey,
-    KeyClaimed,
-    KeyRecord,
-    KeySettled,
-    SettleKey,
-)
 
 AGAIN_S: Final = 0.05
 """Pause after a call that was not answered."""
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -74,7 +74,7 @@
     SendStalled,
 )
 from filbertstream.request.forwarding import Forwarding, ForwardingDependencies
-from filbertstream.request.keyed_calls import IdempotencyKeys, KeyClaimed, KeySettled
+from filbertstream.request.idempotency_keys import IdempotencyKeys, KeyClaimed, KeySettled
 from filbertstream.request.placement import CacheView
 from filbertstream.request.prompt_placer import PromptPlacer
 from filbertstream.request.shared_budget import SharedRetryBudget
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -14,7 +14,7 @@
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.process.store_view import KindTaken
 from filbertstream.request.call_events import CallAction
-from filbertstream.request.keyed_calls import ClaimKey, SettleKey
+from filbertstream.request.idempotency_keys import ClaimKey, SettleKey
 from filbertstream.version.rollout import OrderWeights, PollReport
 from filbertstream.version.routes import Configuration
 
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -54,7 +54,7 @@
 from filbertstream.process.duty import WriteDuty
 from filbertstream.process.logs import BoundedStream, EventLog
 from filbertstream.process.store_view import KindTaken
-from filbertstream.request.keyed_calls import ClaimKey, SettleKey
+from filbertstream.request.idempotency_keys import ClaimKey, SettleKey
 from filbertstream.version.rollout import OrderWeights, PollReport
 
 if TYPE_CHECKING:
--- a/filbertstream/request/call_logs.py
+++ b/filbertstream/request/call_logs.py
@@ -7,7 +7,7 @@
 from filbertstream.request.call import ResponseHead
 from filbertstream.request.call_events import CallArrived, RespondLocally
 from filbertstream.request.call_state import Call
-from filbertstream.request.keyed_calls import KeyClaimed
+from filbertstream.request.idempotency_keys import KeyClaimed
 from filbertstream.request.prompt_placer import LogFields
 
 
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -37,7 +37,7 @@
     SendStalled,
 )
 from filbertstream.request.call_state import Call
-from filbertstream.request.keyed_calls import ClaimKey, IdempotencyKeys, KeyClaimed, SettleKey
+from filbertstream.request.idempotency_keys import ClaimKey, IdempotencyKeys, KeyClaimed, SettleKey
 from filbertstream.request.patience import (
     SILENCE_PLAIN_S,
     max_idle_s,
--- a/filbertstream/request/key_writes.py
+++ b/filbertstream/request/key_writes.py
@@ -10,7 +10,7 @@
 from collections.abc import Generator
 from typing import Final, NamedTuple
 
-from filbertstream.request.keyed_calls import (
+from filbertstream.request.idempotency_keys import (
     ClaimKey,
     KeyClaimed,
     KeyRecord,
--- a/tests/test_keys_machine.py
+++ b/tests/test_keys_machine.py
@@ -12,6 +12,14 @@
 
 from filbertstream.request.call import BufferedResponse, CallHead, IdempotencyKey
 from filbertstream.request.call_state import Call
+from filbertstream.request.idempotency_keys import (
+    IdempotencyKeys,
+    KeyClaimed,
+    KeyRecord,
+    KeySettled,
+    KeyState,
+    SettleKey,
+)
 from filbertstream.request.key_writes import (
     ClaimSteps,
     KeyAction,
@@ -22,14 +30,6 @@
     claim_steps,
     settle_steps,
 )
-from filbertstream.request.keyed_calls import (
-    IdempotencyKeys,
-    KeyClaimed,
-    KeyRecord,
-    KeySettled,
-    KeyState,
-    SettleKey,
-)
 from filbertstream.version.routes import Backend, CallKind, Route, Service
 
 ENTRIES = ("e1", "e2", "e3")
