--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -176,7 +176,7 @@
     ),
     Guard(
         "a long queue turns prompts away",
-        "request/overload.py",
+        "request/load_shedding.py",
         "if queue_s > limits.queue_s:",
         "if False:",
         "tests/test_gateway_overload.py::"
@@ -184,7 +184,7 @@
     ),
     Guard(
         "full memory turns prompts away",
-        "request/overload.py",
+        "request/load_shedding.py",
         "return MEMORY_RETRY_S if memory_fraction > limits.memory_fraction else None",
         "return None",
         "tests/test_gateway_overload.py::"
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -17,7 +17,7 @@
 from filbertstream.process.cache_stores import CacheStores
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call import Prompt
-from filbertstream.request.overload import Headroom
+from filbertstream.request.load_shedding import Headroom
 from filbertstream.version.routes import Engine
 
 FETCH_SHARE: Final = 0.2
--- a/filbertstream/request/prompts.py
+++ b/filbertstream/request/prompts.py
@@ -11,7 +11,7 @@
 from filbertstream.request.call import CacheDirectives, Prompt
 from filbertstream.request.call_state import Call
 from filbertstream.request.candidates import Candidates
-from filbertstream.request.overload import Headroom, headroom, retry_after_s
+from filbertstream.request.load_shedding import Headroom, headroom, retry_after_s
 from filbertstream.request.placement import (
     CacheView,
     Placement,
--- a/tests/test_gateway_overload.py
+++ b/tests/test_gateway_overload.py
@@ -1,7 +1,7 @@
 """The worst loads, replayed on the core in virtual time."""
 
 from filbertstream.request.call_events import ResponseComplete, ResponseStarted, SendCall
-from filbertstream.request.overload import headroom, memory_limit, retry_after_s
+from filbertstream.request.load_shedding import headroom, memory_limit, retry_after_s
 from tests.gateway_world import World, answer, sends, statuses
 
 READ_PER_S = 20_000.0
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -12,7 +12,7 @@
 from filbertstream.process.roster import RosterTarget
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.request.call import Prompt, PromptBlock
-from filbertstream.request.overload import headroom
+from filbertstream.request.load_shedding import headroom
 from filbertstream.request.placement import (
     CacheView,
     PlacementRequest,
