--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -115,14 +115,14 @@
     ),
     Guard(
         "a long prompt is not sent elsewhere while it is read",
-        "request/patience.py",
+        "request/send_timeouts.py",
         "longest_s, reading_s, wait_s)",
         "longest_s)",
         "tests/test_whole_path.py::test_a_prompt_and_its_return_through_another_entry",
     ),
     Guard(
         "after a failed send only a new connection is used",
-        "request/patience.py",
+        "request/send_timeouts.py",
         "    if call.failed_sends:\n        return 0.0\n",
         "",
         "tests/test_gateway_core.py::test_a_repeat_uses_a_new_connection",
