--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -168,7 +168,7 @@
     ),
     Guard(
         "repeats stay within a share of the own calls",
-        "request/shared_budget.py",
+        "request/retry_budget.py",
         "if len(repeats) + 1 > self._floor",
         "if len(repeats) + 1 > 1_000 * self._floor",
         "tests/test_gateway_parts.py::"
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -77,7 +77,7 @@
 from filbertstream.request.idempotency_keys import IdempotencyKeys, KeyClaimed, KeySettled
 from filbertstream.request.placement import CacheView
 from filbertstream.request.prompt_placer import PromptPlacer
-from filbertstream.request.shared_budget import SharedRetryBudget
+from filbertstream.request.retry_budget import SharedRetryBudget
 from filbertstream.version.currency import Currency
 from filbertstream.version.retirement import Retirement
 from filbertstream.version.rollout import (
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -40,13 +40,13 @@
 from filbertstream.request.idempotency_keys import ClaimKey, IdempotencyKeys, KeyClaimed, SettleKey
 from filbertstream.request.placement import place_plain
 from filbertstream.request.prompt_placer import LogFields, PromptPlacer, TurnedAway
+from filbertstream.request.retry_budget import SharedRetryBudget
 from filbertstream.request.send_timeouts import (
     SILENCE_PLAIN_S,
     max_idle_s,
     patience_s,
     progress_timeout_s,
 )
-from filbertstream.request.shared_budget import SharedRetryBudget
 from filbertstream.statuses import (
     BAD_GATEWAY,
     GATEWAY_TIMEOUT,
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -36,7 +36,7 @@
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.process.work_exchange import WorkExchange
 from filbertstream.request.call import CacheDirectives
-from filbertstream.request.shared_budget import SharedRetryBudget
+from filbertstream.request.retry_budget import SharedRetryBudget
 from filbertstream.version.retirement import FREE_AFTER_S, Retirement
 from filbertstream.version.routes import CacheStore
 from filbertstream.version.weights_view import VIEW_S
