--- a/bench/fault_table.py
+++ b/bench/fault_table.py
@@ -14,7 +14,7 @@
 from filbertstream.gateway_events import RemoveEntry, WriteEntry
 from filbertstream.log_events import LogEvent
 from filbertstream.process.cache_stores import FreeParts
-from filbertstream.process.duty import WriteDuty
+from filbertstream.process.rollout_lease import WriteDuty
 from filbertstream.request.call_events import SendCall
 from filbertstream.request.idempotency_keys import ClaimKey, KeyState, SettleKey
 from filbertstream.version.documents import Model
--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -154,14 +154,14 @@
     ),
     Guard(
         "a holder's validity counts from the send",
-        "process/duty.py",
+        "process/rollout_lease.py",
         "self._renewed_at_s = pending.sent_at_s",
         "self._renewed_at_s = now_s + 5.0",
         "tests/test_gateway_duty.py::" "test_orders_of_two_holders_are_a_lease_apart",
     ),
     Guard(
         "a lease lies between two holders",
-        "process/duty.py",
+        "process/rollout_lease.py",
         "self._order_from_s = self._seen_at_s + VALID_S + ORDER_FLIGHT_S + self._lease_s",
         "self._order_from_s = now_s",
         "tests/test_gateway_duty.py::" "test_orders_of_two_holders_are_a_lease_apart",
@@ -282,7 +282,7 @@
     ),
     Guard(
         "a holder that takes the duty again keeps the gap to the one before it",
-        "process/duty.py",
+        "process/rollout_lease.py",
         "max(now_s, self._order_from_s)",
         "now_s",
         "tests/test_gateway_duty.py::"
--- a/bench/world.py
+++ b/bench/world.py
@@ -31,7 +31,7 @@
 from filbertstream.platform.documents import TARGETS_KIND
 from filbertstream.process.cache_stores import FollowCache, FreeParts, ListCache
 from filbertstream.process.deployment import Bounds
-from filbertstream.process.duty import WriteDuty
+from filbertstream.process.rollout_lease import WriteDuty
 from filbertstream.request.call import (
     BufferedResponse,
     CallHead,
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -43,8 +43,8 @@
     StoredObject,
 )
 from filbertstream.process.deployment import Bounds
-from filbertstream.process.duty import DutyRecord
 from filbertstream.process.peer_work import EntryRecord
+from filbertstream.process.rollout_lease import DutyRecord
 from filbertstream.process.store_view import Followed, KindShown, KindTaken
 
 DUTY_NAME: Final = "weights"
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -53,11 +53,11 @@
 )
 from filbertstream.process.counters import Counters
 from filbertstream.process.deployment import Bounds
-from filbertstream.process.duty import Duty
 from filbertstream.process.latencies import Latencies
 from filbertstream.process.peer_work import EntryRecord, PeerWork
 from filbertstream.process.relayed_view import RelayedView
 from filbertstream.process.relays import Relays
+from filbertstream.process.rollout_lease import Duty
 from filbertstream.process.roster import Roster
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.process.store_view import Followed, KindShown
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -9,8 +9,8 @@
 from filbertstream.messages import PeerPayload
 from filbertstream.process.cache_stores import FollowCache, FreeParts, ListCache
 from filbertstream.process.deployment import Bounds
-from filbertstream.process.duty import DutyRecord, WriteDuty
 from filbertstream.process.peer_work import EntryRecord
+from filbertstream.process.rollout_lease import DutyRecord, WriteDuty
 from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.process.store_view import KindTaken
 from filbertstream.request.call_events import CallAction
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -51,8 +51,8 @@
 from filbertstream.platform.runner_calls import RunnerCalls
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address, Deployment
-from filbertstream.process.duty import WriteDuty
 from filbertstream.process.logs import BoundedStream, EventLog
+from filbertstream.process.rollout_lease import WriteDuty
 from filbertstream.process.store_view import KindTaken
 from filbertstream.request.idempotency_keys import ClaimKey, SettleKey
 from filbertstream.version.rollout import OrderWeights, PollReport
--- a/filbertstream/version/weights_duty.py
+++ b/filbertstream/version/weights_duty.py
@@ -1,6 +1,6 @@
 """The duty of weights: bringing runners to the named versions, and freeing what older ones left.
 
-Joins the record of who holds the duty (``process.duty``), the roll-out and the retirement of parts;
+Joins the record of who holds the duty (``process.rollout_lease``), the roll-out and the retirement of parts;
 one entry at a time gives orders, all others follow what its record tells.
 """
 
@@ -11,7 +11,7 @@
 from filbertstream.gateway_events import DutyConfirmed, DutySeen, DutyWritten
 from filbertstream.log_events import LogEvent
 from filbertstream.process.cache_stores import FreeParts
-from filbertstream.process.duty import Duty, Work, WriteDuty
+from filbertstream.process.rollout_lease import Duty, Work, WriteDuty
 from filbertstream.process.roster import Roster
 from filbertstream.version.retirement import FREE_AFTER_S, Retirement
 from filbertstream.version.rollout import (
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -13,7 +13,7 @@
     WeightsNamed,
 )
 from filbertstream.names import digest_key
-from filbertstream.process.duty import DutyRecord
+from filbertstream.process.rollout_lease import DutyRecord
 from filbertstream.request.call import CallHead
 from filbertstream.request.call_events import (
     AbortResponse,
--- a/tests/test_gateway_duty.py
+++ b/tests/test_gateway_duty.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from filbertstream.process.duty import LOADED_KEPT, Duty, DutyRecord, Work, WriteDuty
+from filbertstream.process.rollout_lease import LOADED_KEPT, Duty, DutyRecord, Work, WriteDuty
 
 LEASE_S = 3.0
 NO_WORK = Work((), {}, {})
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -27,7 +27,6 @@
     ENTRIES_KIND,
     TARGETS_KIND,
 )
-from filbertstream.process.duty import DutyRecord
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.relayed_view import START_S
 from filbertstream.process.relays import (
@@ -42,6 +41,7 @@
     Relays,
     Strength,
 )
+from filbertstream.process.rollout_lease import DutyRecord
 from filbertstream.process.store_view import TOLD_BYTES, KindShown
 from filbertstream.request.call_events import SendCall
 from filbertstream.version.currency import UNREADY_SHARE
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -3,7 +3,7 @@
 import itertools
 
 from filbertstream.gateway_events import DutySeen, TargetSeen, Tick, WeightsNamed
-from filbertstream.process.duty import DutyRecord, WriteDuty
+from filbertstream.process.rollout_lease import DutyRecord, WriteDuty
 from filbertstream.process.roster import Roster
 from filbertstream.version.rollout import OrderAnswered, OrderWeights, ReportRead, Rollout
 from filbertstream.version.weights_view import OVERDUE_SHARE, ROLL_OUT_SHARE, WeightsView
