--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -43,7 +43,6 @@
 )
 from filbertstream.process.burn import Burn
 from filbertstream.process.cache_index import CacheIndex
-from filbertstream.process.cache_news import CacheNewsExchange
 from filbertstream.process.cache_stores import (
     CacheEventsMissed,
     CacheEventsRead,
@@ -51,6 +50,7 @@
     CacheStores,
     PartsFreed,
 )
+from filbertstream.process.cache_updates import CacheNewsExchange
 from filbertstream.process.counters import Counters
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.latencies import Latencies
--- a/filbertstream/process/cache_readers.py
+++ b/filbertstream/process/cache_readers.py
@@ -4,7 +4,7 @@
 store.  In a larger fleet the entries with the highest rendezvous ranks for a store read it, and
 every other entry is told by exactly one of them.  All entries work this out from the registrations
 alone; a reader that died is missed by those it told, which fetch nothing from that store until the
-registrations change.  In a fleet with relays these pass the news on (``process.cache_news``).
+registrations change.  In a fleet with relays these pass the news on (``process.cache_updates``).
 """
 
 import functools
