--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -22,7 +22,7 @@
 )
 from filbertstream.process.cache_stores import CacheChange
 from filbertstream.process.deployment import Address
-from filbertstream.process.roster_entry import TargetEntry
+from filbertstream.process.target_registration import TargetEntry
 from filbertstream.request.call import CacheDirectives, Prompt
 
 PREFILL_TOKENS_PER_S: Final = 50_000.0
--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -29,7 +29,7 @@
 from filbertstream.platform.documents import DUTIES_KIND, ENTRIES_KIND, KEYS_KIND, MS
 from filbertstream.platform.objects import StoreFault
 from filbertstream.process.rollout_lease import WriteDuty
-from filbertstream.process.roster_entry import TargetEntry
+from filbertstream.process.target_registration import TargetEntry
 from filbertstream.request.key_writes import KeyAction, KeyCall, KeyReply
 from filbertstream.version.routes import CallerLimits
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -22,7 +22,7 @@
 from filbertstream.messages import FleetRow, FleetWork, PlacedRow, PlacedWork, decode, encode
 from filbertstream.names import digest_key
 from filbertstream.process.deployment import Address
-from filbertstream.process.roster_entry import TargetEntry
+from filbertstream.process.target_registration import TargetEntry
 from filbertstream.process.work_exchange import ROWS_TOLD
 from filbertstream.request.call import CallHead, IdempotencyKey, Prompt, PromptBlock
 from filbertstream.request.call_events import CallArrived, CallerDisconnected
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -59,8 +59,8 @@
 from filbertstream.process.relays import Relays
 from filbertstream.process.rollout_lease import Duty
 from filbertstream.process.roster import Roster
-from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.process.store_view import Followed, KindShown
+from filbertstream.process.target_registration import TargetEntry
 from filbertstream.process.work_exchange import WorkExchange
 from filbertstream.request.admission import Admission
 from filbertstream.request.authorization import Authorizer
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -11,8 +11,8 @@
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.rollout_lease import DutyRecord, WriteDuty
-from filbertstream.process.roster_entry import TargetEntry
 from filbertstream.process.store_view import KindTaken
+from filbertstream.process.target_registration import TargetEntry
 from filbertstream.request.call_events import CallAction
 from filbertstream.request.idempotency_keys import ClaimKey, SettleKey
 from filbertstream.version.rollout import OrderWeights, PollReport
--- a/filbertstream/platform/documents.py
+++ b/filbertstream/platform/documents.py
@@ -10,7 +10,7 @@
 
 from filbertstream.names import digest_key
 from filbertstream.platform.boot import address_of
-from filbertstream.process.roster_entry import TargetEntry
+from filbertstream.process.target_registration import TargetEntry
 from filbertstream.version.routes import (
     Backend,
     CacheStore,
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -13,7 +13,7 @@
 from filbertstream.process.outliers import Outliers
 from filbertstream.process.peer_work import OthersWork
 from filbertstream.process.prefill import PrefillQueue
-from filbertstream.process.roster_entry import TargetEntry
+from filbertstream.process.target_registration import TargetEntry
 from filbertstream.request.call import TargetLoad
 
 RETURN_S: Final = 2.3
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -19,7 +19,7 @@
 from filbertstream.names import digest_key
 from filbertstream.platform.objects import Change, Listing, StoredObject
 from filbertstream.process.deployment import Address, Bounds
-from filbertstream.process.roster_entry import TargetEntry
+from filbertstream.process.target_registration import TargetEntry
 from filbertstream.request.call import CallHead, Prompt, PromptBlock, ResponseHead
 from filbertstream.request.call_events import (
     CallArrived,
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -33,7 +33,7 @@
 from filbertstream.process.logs import QUEUED_LINES, BoundedStream
 from filbertstream.process.peer_work import HALF_WEIGHT_AGE_S, EntryRecord, PeerWork
 from filbertstream.process.relays import Relays
-from filbertstream.process.roster_entry import TargetEntry
+from filbertstream.process.target_registration import TargetEntry
 from filbertstream.process.work_exchange import WorkExchange
 from filbertstream.request.call import CacheDirectives
 from filbertstream.request.retry_budget import SharedRetryBudget
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,7 +10,7 @@
 from filbertstream.process.peer_work import OthersWork, PeerWork
 from filbertstream.process.prefill import FIRST_RATE_PER_S
 from filbertstream.process.roster import RosterTarget
-from filbertstream.process.roster_entry import TargetEntry
+from filbertstream.process.target_registration import TargetEntry
 from filbertstream.request.call import Prompt, PromptBlock
 from filbertstream.request.load_shedding import headroom
 from filbertstream.request.placement import (
