--- a/filbertstream/connection/operator_api.py
+++ b/filbertstream/connection/operator_api.py
@@ -21,7 +21,7 @@
     send_refusal,
 )
 from filbertstream.names import digest_key
-from filbertstream.process.host import CoreQueries
+from filbertstream.process.core_queries import CoreQueries
 from filbertstream.process.recent_calls import RecentCalls
 from filbertstream.process.status import read_status
 from filbertstream.statuses import OK, UNAVAILABLE
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -22,8 +22,8 @@
 from filbertstream.connection.watched_kinds import Watched, product_kinds
 from filbertstream.gateway import Gateway
 from filbertstream.platform.objects import ObjectStore
+from filbertstream.process.core_queries import CoreQueries
 from filbertstream.process.deployment import Bounds, Deployment
-from filbertstream.process.host import CoreQueries
 from filbertstream.process.recent_calls import RecentCalls
 from filbertstream.process.settings import (
     OPERATOR_THREADS,
