--- a/filbertstream/connection/store_watch.py
+++ b/filbertstream/connection/store_watch.py
@@ -15,7 +15,7 @@
 from filbertstream.connection.watched_kinds import Tell, Watched, shown
 from filbertstream.gateway_events import StoreAnswered
 from filbertstream.platform.objects import ObjectStore, StoreFault
-from filbertstream.process.probing import Probing
+from filbertstream.process.read_backoff import Probing
 
 PROBED_S: Final = 5.0
 """A kind that waits for another's answer is asked about after this time all the same."""
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -7,7 +7,7 @@
 import pytest
 
 from filbertstream.connection.watched_kinds import RELAYED_CONFIG_SHARE, watched_kinds
-from filbertstream.process.probing import Probing
+from filbertstream.process.read_backoff import Probing
 from filbertstream.process.relayed_view import YOUNG_SHARE
 from filbertstream.process.relays import ASK_S
 from tests.gateway_world import BOUNDS
