--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -19,7 +19,7 @@
 from bench.world import BOUNDS
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import ConfigurationSeen, TargetSeen, TargetsListed
-from filbertstream.messages import FleetRow, FleetWork, PlacedRow, PlacedWork, decode, encode
+from filbertstream.messages import FleetRow, FleetWork, PlacedWork, WorkRow, decode, encode
 from filbertstream.names import digest_key
 from filbertstream.process.deployment import Address
 from filbertstream.process.target_registration import TargetEntry
@@ -133,7 +133,7 @@
 
 def work_of(rows: int) -> PlacedWork:
     """Return a message of that many targets."""
-    return PlacedWork("e2", tuple(PlacedRow(f"r{n}", 3, 40_000, 900) for n in range(rows)))
+    return PlacedWork("e2", tuple(WorkRow(f"r{n}", 3, 40_000, 900) for n in range(rows)))
 
 
 def work_bytes(rows: int) -> float:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -36,10 +36,10 @@
     CacheNewsBatch,
     FleetWork,
     GroupWork,
-    PlacedRow,
     PlacedWork,
     ViewAsked,
     ViewTold,
+    WorkRow,
 )
 from filbertstream.process.burn import Burn
 from filbertstream.process.cache_index import CacheIndex
@@ -389,7 +389,7 @@
     def _share(self, followers: list[str], now_s: float) -> list[GatewayAction]:
         """Tell the other entries what this one has under way."""
         rows = tuple(
-            PlacedRow(
+            WorkRow(
                 target.target_id, target.outstanding, target.memory_tokens, target.prefill.unread
             )
             for target in self.roster.targets.values()
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -11,7 +11,7 @@
 import msgspec
 
 
-class PlacedRow(NamedTuple):
+class WorkRow(NamedTuple):
     """The sender's work at one target: runs, their memory, prompt tokens without an answer."""
 
     target: str
@@ -27,7 +27,7 @@
     """
 
     member: str
-    rows: tuple[PlacedRow, ...]
+    rows: tuple[WorkRow, ...]
     in_touch: bool = True
 
 
@@ -35,7 +35,7 @@
     """What a relay and the entries that tell it have under way at each target, summed up."""
 
     relay: str
-    rows: tuple[PlacedRow, ...]
+    rows: tuple[WorkRow, ...]
     in_touch: bool
 
 
--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from filbertstream.messages import FleetRow, FleetWork, GroupWork, PlacedRow, PlacedWork
+from filbertstream.messages import FleetRow, FleetWork, GroupWork, PlacedWork, WorkRow
 from filbertstream.process.cache_readers import readers, told_by
 from filbertstream.process.relays import NO_STRENGTH, Strength
 
@@ -48,7 +48,7 @@
 
 class _Heard(NamedTuple):
     at_s: float
-    rows: dict[str, PlacedRow]
+    rows: dict[str, WorkRow]
     in_touch: bool
 
 
@@ -102,7 +102,7 @@
         told = [*self._heard.values(), *self._groups.values()]
         return [heard for heard in told if now_s - heard.at_s < FRESH_S]
 
-    def members_heard(self, now_s: float) -> dict[str, dict[str, PlacedRow]]:
+    def members_heard(self, now_s: float) -> dict[str, dict[str, WorkRow]]:
         """Return the rows of each entry that told this one of its own work."""
         return {
             name: heard.rows for name, heard in self._heard.items() if now_s - heard.at_s < FRESH_S
@@ -187,5 +187,5 @@
         return [record.peer_address for name, record in self.members.items() if name != self.own]
 
 
-def _heard(rows: tuple[PlacedRow, ...], in_touch: bool, now_s: float) -> _Heard:
+def _heard(rows: tuple[WorkRow, ...], in_touch: bool, now_s: float) -> _Heard:
     return _Heard(now_s, {row.target: row for row in rows}, in_touch)
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -16,8 +16,8 @@
     FleetWork,
     GroupWork,
     PeerPayload,
-    PlacedRow,
     PlacedWork,
+    WorkRow,
 )
 from filbertstream.process.peer_work import NO_WORK, OthersWork, PeerWork
 from filbertstream.process.relays import Relays
@@ -44,11 +44,11 @@
         self._told_at_s = float("-inf")
         self._told = PlacedWork(peers.own, ())
         self._summed_at_s = float("-inf")
-        self._summed: tuple[PlacedRow, ...] = ()
+        self._summed: tuple[WorkRow, ...] = ()
         self._idle = True
 
     def due(
-        self, rows: tuple[PlacedRow, ...], in_touch: bool, followers: list[str], now_s: float
+        self, rows: tuple[WorkRow, ...], in_touch: bool, followers: list[str], now_s: float
     ) -> list[SendPeer]:
         """Return the messages that are due, given the own work and who asks this entry."""
         if not self._relays.small_fleet and (self._relays.is_relay or followers):
@@ -70,7 +70,7 @@
         return [] if record is None else [SendPeer(record.peer_address, payload)]
 
     def _sum_up(
-        self, rows: tuple[PlacedRow, ...], in_touch: bool, followers: list[str], now_s: float
+        self, rows: tuple[WorkRow, ...], in_touch: bool, followers: list[str], now_s: float
     ) -> list[SendPeer]:
         """Return a relay's messages: its group's work to other relays, all work to followers."""
         if now_s - self._summed_at_s < RELAYED_SHARE_S:
@@ -98,24 +98,24 @@
         return messages
 
 
-def _busiest(rows: tuple[PlacedRow, ...]) -> tuple[PlacedRow, ...]:
+def _busiest(rows: tuple[WorkRow, ...]) -> tuple[WorkRow, ...]:
     if len(rows) <= ROWS_TOLD:
         return rows
     return tuple(sorted(rows, key=lambda row: (-row.unread_tokens, -row.runs))[:ROWS_TOLD])
 
 
-def _sum(parts: list[dict[str, PlacedRow]]) -> tuple[PlacedRow, ...]:
-    found: dict[str, PlacedRow] = {}
+def _sum(parts: list[dict[str, WorkRow]]) -> tuple[WorkRow, ...]:
+    found: dict[str, WorkRow] = {}
     for part in parts:
         for name, row in part.items():
             before = found.get(name)
             if before is not None:
-                row = PlacedRow(name, *(a + b for a, b in zip(before[1:], row[1:], strict=True)))
+                row = WorkRow(name, *(a + b for a, b in zip(before[1:], row[1:], strict=True)))
             found[name] = row
     return tuple(found.values())
 
 
-def _with_own(totals: dict[str, OthersWork], rows: tuple[PlacedRow, ...]) -> dict[str, OthersWork]:
+def _with_own(totals: dict[str, OthersWork], rows: tuple[WorkRow, ...]) -> dict[str, OthersWork]:
     """Return the work of others with the own; what is the own's was never told, so it is recent."""
     found = dict(totals)
     for row in rows:
@@ -129,7 +129,7 @@
     return found
 
 
-def _fleet_rows(totals: dict[str, OthersWork], told: dict[str, PlacedRow]) -> tuple[FleetRow, ...]:
+def _fleet_rows(totals: dict[str, OthersWork], told: dict[str, WorkRow]) -> tuple[FleetRow, ...]:
     """Return all work but what the receiver has told itself."""
     rows = []
     for name, work in totals.items():
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -14,7 +14,7 @@
 from result import Err, Ok
 
 from filbertstream.connection.event_relay import EventRelay
-from filbertstream.messages import PlacedRow, PlacedWork
+from filbertstream.messages import PlacedWork, WorkRow
 from filbertstream.platform.boot import read_boot
 from filbertstream.platform.documents import decode_configuration, decode_target
 from filbertstream.platform.headers import decode_call, encode_target_head
@@ -157,7 +157,7 @@
     for work in (first, second):
         work.join("e1", EntryRecord("tcp://a", 1))
         work.join("e2", EntryRecord("tcp://b", 1))
-    row = PlacedRow("r1", 3, 900, 500)
+    row = WorkRow("r1", 3, 900, 500)
     exchange = WorkExchange(first, Relays("e1", first.names))
     (told,) = exchange.due((row,), True, [], 10.0)
     assert exchange.due((row,), True, [], 10.05) == []
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -10,9 +10,9 @@
     MESSAGE_LIMIT_BYTES,
     KindNews,
     ObjectRow,
-    PlacedRow,
     PlacedWork,
     ViewTold,
+    WorkRow,
     decode,
     encode,
 )
@@ -25,7 +25,7 @@
 
 
 def test_a_short_message_travels_as_it_is_and_a_long_one_compressed() -> None:
-    short = PlacedWork("e1", (PlacedRow("r1", 1, 2, 3),))
+    short = PlacedWork("e1", (WorkRow("r1", 1, 2, 3),))
     assert decode(encode(short)) == short
     told = ViewTold(1, (KindNews("k", True, 0, 9, 0.5, (ObjectRow("main", 9, ROUTES),)),))
     data = encode(told)
--- a/tests/test_work_exchange.py
+++ b/tests/test_work_exchange.py
@@ -7,7 +7,7 @@
 import pytest
 
 from filbertstream.actions import SendPeer
-from filbertstream.messages import FleetWork, GroupWork, PlacedRow, PlacedWork
+from filbertstream.messages import FleetWork, GroupWork, PlacedWork, WorkRow
 from filbertstream.process.peer_work import FRESH_S, EntryRecord, PeerWork
 from filbertstream.process.relays import ASK_S, Relays
 from filbertstream.process.work_exchange import RELAYED_SHARE_S, ROWS_TOLD, WorkExchange
@@ -25,7 +25,7 @@
             self.peers.join(other, EntryRecord(other, 1))
         self.relays = Relays(name, self.peers.names)
         self.exchange = WorkExchange(self.peers, self.relays)
-        self.rows: tuple[PlacedRow, ...] = ()
+        self.rows: tuple[WorkRow, ...] = ()
         self.asked_at_s: dict[str, float] = {}
 
 
@@ -83,7 +83,7 @@
     fleet = Fleet(size)
     fleet.run(2.0)
     for number, entry in enumerate(fleet.entries.values()):
-        entry.rows = (PlacedRow("r1", 1, 1_000, 500), PlacedRow(f"r{2 + number % 5}", 2, 10, 5))
+        entry.rows = (WorkRow("r1", 1, 1_000, 500), WorkRow(f"r{2 + number % 5}", 2, 10, 5))
     fleet.run(1.0)
     fleet.expect("r1", size)
     for entry in fleet.entries.values():
@@ -98,7 +98,7 @@
         fleet = Fleet(size)
         for turn in range(40):
             for entry in fleet.entries.values():
-                entry.rows = (PlacedRow("r1", 1 + turn, 1_000, 500),)
+                entry.rows = (WorkRow("r1", 1 + turn, 1_000, 500),)
             fleet.run(STEP_S)
         followers = [name for name, item in fleet.entries.items() if not item.relays.is_relay]
         told[size] = max(fleet.sent[name] for name in followers)
@@ -116,7 +116,7 @@
 def test_when_a_relay_dies_its_followers_know_the_work_of_all_again() -> None:
     fleet = Fleet(60)
     for entry in fleet.entries.values():
-        entry.rows = (PlacedRow("r1", 1, 1_000, 500),)
+        entry.rows = (WorkRow("r1", 1, 1_000, 500),)
     fleet.run(2.0)
     fleet.expect("r1", 60)
     relay = next(name for name, entry in fleet.entries.items() if entry.relays.is_relay)
@@ -128,7 +128,7 @@
 def test_when_all_relays_die_others_take_their_place() -> None:
     fleet = Fleet(60)
     for entry in fleet.entries.values():
-        entry.rows = (PlacedRow("r1", 1, 1_000, 500),)
+        entry.rows = (WorkRow("r1", 1, 1_000, 500),)
     fleet.run(2.0)
     relays = [name for name, entry in fleet.entries.items() if entry.relays.is_relay]
     fleet.dead |= set(relays)
@@ -139,7 +139,7 @@
 def test_one_message_holds_a_bounded_number_of_targets() -> None:
     fleet = Fleet(13)
     entry = next(iter(fleet.entries.values()))
-    rows = tuple(PlacedRow(f"r{number}", 1, 10, number) for number in range(ROWS_TOLD + 50))
+    rows = tuple(WorkRow(f"r{number}", 1, 10, number) for number in range(ROWS_TOLD + 50))
     found = entry.exchange.due(rows, True, [], 1.0) or entry.exchange.due(rows, True, ["e1"], 1.0)
     payload, *_ = [item.payload for item in found]
     assert isinstance(payload, PlacedWork | GroupWork)
