--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -19,7 +19,7 @@
 from bench.world import BOUNDS
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import ConfigurationSeen, TargetSeen, TargetsListed
-from filbertstream.messages import FleetRow, FleetWork, PlacedWork, WorkRow, decode, encode
+from filbertstream.messages import EntryWork, FleetRow, FleetWork, WorkRow, decode, encode
 from filbertstream.names import digest_key
 from filbertstream.process.deployment import Address
 from filbertstream.process.target_registration import TargetEntry
@@ -131,9 +131,9 @@
     return each_us(lambda number: core.step(NOW_S, TargetSeen("r0", entry_of(0), False)))
 
 
-def work_of(rows: int) -> PlacedWork:
+def work_of(rows: int) -> EntryWork:
     """Return a message of that many targets."""
-    return PlacedWork("e2", tuple(WorkRow(f"r{n}", 3, 40_000, 900) for n in range(rows)))
+    return EntryWork("e2", tuple(WorkRow(f"r{n}", 3, 40_000, 900) for n in range(rows)))
 
 
 def work_bytes(rows: int) -> float:
@@ -148,7 +148,7 @@
 
     def take(number: int) -> None:
         message = decode(data)
-        if isinstance(message, PlacedWork):
+        if isinstance(message, EntryWork):
             core.peers.on_work(message, NOW_S)
 
     return each_us(take)
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -34,9 +34,9 @@
 from filbertstream.messages import (
     CacheNews,
     CacheNewsBatch,
+    EntryWork,
     FleetWork,
     GroupWork,
-    PlacedWork,
     ViewAsked,
     ViewTold,
     WorkRow,
@@ -370,7 +370,7 @@
 
     def _on_peer(self, event: PeerMessage, now_s: float) -> list[GatewayAction]:
         work = event.message
-        if isinstance(work, PlacedWork):
+        if isinstance(work, EntryWork):
             self.peers.on_work(work, now_s)
         elif isinstance(work, GroupWork):
             self.peers.on_group(work, now_s)
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -20,7 +20,7 @@
     unread_tokens: int
 
 
-class PlacedWork(msgspec.Struct, frozen=True, tag="placed", array_like=True):
+class EntryWork(msgspec.Struct, frozen=True, tag="placed", array_like=True):
     """What the sender has under way at each target.
 
     ``in_touch`` tells whether its configuration is recent enough for new calls.
@@ -132,7 +132,7 @@
 
 
 PeerPayload: TypeAlias = (
-    PlacedWork | GroupWork | FleetWork | CacheNews | CacheNewsBatch | ViewAsked | ViewTold
+    EntryWork | GroupWork | FleetWork | CacheNews | CacheNewsBatch | ViewAsked | ViewTold
 )
 
 MESSAGE_LIMIT_BYTES: Final = 4_000_000
--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from filbertstream.messages import FleetRow, FleetWork, GroupWork, PlacedWork, WorkRow
+from filbertstream.messages import EntryWork, FleetRow, FleetWork, GroupWork, WorkRow
 from filbertstream.process.cache_readers import readers, told_by
 from filbertstream.process.relays import NO_STRENGTH, Strength
 
@@ -80,7 +80,7 @@
         record = self.members.get(name)
         return record is not None and record.incarnation == incarnation
 
-    def on_work(self, work: PlacedWork, now_s: float) -> None:
+    def on_work(self, work: EntryWork, now_s: float) -> None:
         """Take in another entry's message."""
         if work.member != self.own:
             self._heard[work.member] = _heard(work.rows, work.in_touch, now_s)
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -12,11 +12,11 @@
 
 from filbertstream.actions import SendPeer
 from filbertstream.messages import (
+    EntryWork,
     FleetRow,
     FleetWork,
     GroupWork,
     PeerPayload,
-    PlacedWork,
     WorkRow,
 )
 from filbertstream.process.peer_work import NO_WORK, OthersWork, PeerWork
@@ -42,7 +42,7 @@
         self._peers = peers
         self._relays = relays
         self._told_at_s = float("-inf")
-        self._told = PlacedWork(peers.own, ())
+        self._told = EntryWork(peers.own, ())
         self._summed_at_s = float("-inf")
         self._summed: tuple[WorkRow, ...] = ()
         self._idle = True
@@ -55,7 +55,7 @@
             return self._sum_up(rows, in_touch, followers, now_s)
         small = self._relays.small_fleet
         since_s = now_s - self._told_at_s
-        work = PlacedWork(self._peers.own, _busiest(rows), in_touch)
+        work = EntryWork(self._peers.own, _busiest(rows), in_touch)
         if since_s < (SHARE_S if small else RELAYED_SHARE_S):
             return []
         if work == self._told and (since_s < REPEAT_S or not rows):
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -14,7 +14,7 @@
 from result import Err, Ok
 
 from filbertstream.connection.event_relay import EventRelay
-from filbertstream.messages import PlacedWork, WorkRow
+from filbertstream.messages import EntryWork, WorkRow
 from filbertstream.platform.boot import read_boot
 from filbertstream.platform.documents import decode_configuration, decode_target
 from filbertstream.platform.headers import decode_call, encode_target_head
@@ -162,7 +162,7 @@
     (told,) = exchange.due((row,), True, [], 10.0)
     assert exchange.due((row,), True, [], 10.05) == []
     assert told.address == "tcp://b"
-    assert isinstance(told.payload, PlacedWork)
+    assert isinstance(told.payload, EntryWork)
     second.on_work(told.payload, 10.0)
     assert second.others("r1", 10.0) == (3, 900, 500, 500)
     half = second.others("r1", 10.0 + HALF_WEIGHT_AGE_S).recent_unread_tokens
--- a/tests/test_gateway_redirect.py
+++ b/tests/test_gateway_redirect.py
@@ -8,7 +8,7 @@
 
 from filbertstream.connection.gateway_edge import GatewayEdge
 from filbertstream.gateway_events import PeerMessage, Tick
-from filbertstream.messages import PlacedWork
+from filbertstream.messages import EntryWork
 from filbertstream.request.authorization import (
     OTHER_ENTRY_RETRY_S,
     STALE_RETRY_MAX_S,
@@ -28,7 +28,7 @@
         world.now_s += 0.1
         world.tell(Tick())
         if others is not None:
-            world.tell(PeerMessage(PlacedWork("e2", (), others)))
+            world.tell(PeerMessage(EntryWork("e2", (), others)))
     refusals = [item for item in world.arrive("read") if isinstance(item, RespondLocally)]
     assert [(item.status, item.code) for item in refusals] == [(503, "stale")]
     return refusals[0]
@@ -57,7 +57,7 @@
 
 def test_what_another_entry_said_long_ago_sends_nobody_there() -> None:
     world = World()
-    world.tell(PeerMessage(PlacedWork("e2", (), True)))
+    world.tell(PeerMessage(EntryWork("e2", (), True)))
     refusal = out_of_touch(world, OUTAGE_S, None)
     assert refusal.retry_after_s is not None
     assert refusal.retry_after_s >= STALE_RETRY_MIN_S
@@ -67,12 +67,12 @@
 def test_connections_end_with_their_answers_before_calls_must_be_refused(others: bool) -> None:
     world = World()
     edge = GatewayEdge(world.core, lambda log: None, lambda reason: None)
-    world.tell(PeerMessage(PlacedWork("e2", (), others)))
+    world.tell(PeerMessage(EntryWork("e2", (), others)))
     assert not world.core.sends_callers_away(world.now_s)
     outage_s = BOUNDS.revoke_s * 0.7
     for _ in range(round(outage_s / 0.1)):
         world.now_s += 0.1
-        world.tell(PeerMessage(PlacedWork("e2", (), others)))
+        world.tell(PeerMessage(EntryWork("e2", (), others)))
     assert world.core.sends_callers_away(world.now_s) == others
     assert not [item for item in world.arrive("read") if isinstance(item, RespondLocally)]
     assert not edge.stopping
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -8,9 +8,9 @@
 from filbertstream.messages import (
     COMPRESSED_BYTES,
     MESSAGE_LIMIT_BYTES,
+    EntryWork,
     KindNews,
     ObjectRow,
-    PlacedWork,
     ViewTold,
     WorkRow,
     decode,
@@ -25,7 +25,7 @@
 
 
 def test_a_short_message_travels_as_it_is_and_a_long_one_compressed() -> None:
-    short = PlacedWork("e1", (WorkRow("r1", 1, 2, 3),))
+    short = EntryWork("e1", (WorkRow("r1", 1, 2, 3),))
     assert decode(encode(short)) == short
     told = ViewTold(1, (KindNews("k", True, 0, 9, 0.5, (ObjectRow("main", 9, ROUTES),)),))
     data = encode(told)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -11,7 +11,7 @@
 
 from filbertstream.actions import SendPeer
 from filbertstream.connection.peer_link import REOPEN_S, PeerLink
-from filbertstream.messages import PlacedWork
+from filbertstream.messages import EntryWork
 from filbertstream.process.counters import Counters
 from standins.processes import LOOPBACK, free_port
 
@@ -70,7 +70,7 @@
     owner = PeerLink(address, key_file, Counters(), hosts[1])
     sender.start()
     with socket.create_server((LOOPBACK, port)) as stranger:
-        hosts[0].send(SendPeer(address, PlacedWork("entry-1", ())))
+        hosts[0].send(SendPeer(address, EntryWork("entry-1", ())))
         conn, _ = stranger.accept()
         with conn, contextlib.suppress(ConnectionResetError):
             conn.sendall(b"HTTP/1.1 400 Bad Request\r\n\r\n" + bytes(64))
@@ -79,7 +79,7 @@
     owner.start()
     until_s = time.monotonic() + 5 * REOPEN_S
     while not hosts[1].heard and time.monotonic() < until_s:
-        hosts[0].send(SendPeer(address, PlacedWork("entry-1", ())))
+        hosts[0].send(SendPeer(address, EntryWork("entry-1", ())))
         time.sleep(0.05)
     sender.close()
     owner.close()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,7 +3,7 @@
 import random
 from collections import Counter
 
-from filbertstream.messages import PlacedWork, WorkRow
+from filbertstream.messages import EntryWork, WorkRow
 from filbertstream.process.cache_index import CacheIndex
 from filbertstream.process.cache_stores import CacheStores
 from filbertstream.process.deployment import Address
@@ -136,7 +136,7 @@
     """All entries heard the same: the more time has passed, the less a difference tells."""
     runners = Runners(2)
     work = PeerWork("e1")
-    work.on_work(PlacedWork("e2", (WorkRow("r0", 1, 4_000, 4_000),)), 1.0)
+    work.on_work(EntryWork("e2", (WorkRow("r0", 1, 4_000, 4_000),)), 1.0)
     placed = {}
     for age_s in (0.0, 0.9):
         runners.told = {name: work.others(name, 1.0 + age_s) for name in ("r0", "r1")}
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -21,7 +21,7 @@
 from filbertstream.connection.listener import Listener
 from filbertstream.connection.target_link import TargetLinks, call_target
 from filbertstream.connection.tls import ReloadingAdapter, ReloadingAuthority
-from filbertstream.messages import PlacedWork, WorkRow, encode
+from filbertstream.messages import EntryWork, WorkRow, encode
 from filbertstream.names import digest_key
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
@@ -120,7 +120,7 @@
 
 
 def test_a_stranger_without_the_fleet_key_is_not_heard(fleet: Fleet) -> None:
-    forged = encode(PlacedWork("entry-2", (WorkRow("runner-1", 1_000, 0, 0),)))
+    forged = encode(EntryWork("entry-2", (WorkRow("runner-1", 1_000, 0, 0),)))
     running = []
     sent = 0
     with zmq.Context() as context, context.socket(zmq.PUSH) as stranger:
--- a/tests/test_work_exchange.py
+++ b/tests/test_work_exchange.py
@@ -7,7 +7,7 @@
 import pytest
 
 from filbertstream.actions import SendPeer
-from filbertstream.messages import FleetWork, GroupWork, PlacedWork, WorkRow
+from filbertstream.messages import EntryWork, FleetWork, GroupWork, WorkRow
 from filbertstream.process.peer_work import FRESH_S, EntryRecord, PeerWork
 from filbertstream.process.relays import ASK_S, Relays
 from filbertstream.process.work_exchange import RELAYED_SHARE_S, ROWS_TOLD, WorkExchange
@@ -63,7 +63,7 @@
         return entry.exchange.due(entry.rows, True, followers, self.now_s)
 
     def _arrive(self, entry: Entry, item: SendPeer) -> None:
-        if isinstance(item.payload, PlacedWork):
+        if isinstance(item.payload, EntryWork):
             entry.peers.on_work(item.payload, self.now_s)
         elif isinstance(item.payload, GroupWork):
             entry.peers.on_group(item.payload, self.now_s)
@@ -142,6 +142,6 @@
     rows = tuple(WorkRow(f"r{number}", 1, 10, number) for number in range(ROWS_TOLD + 50))
     found = entry.exchange.due(rows, True, [], 1.0) or entry.exchange.due(rows, True, ["e1"], 1.0)
     payload, *_ = [item.payload for item in found]
-    assert isinstance(payload, PlacedWork | GroupWork)
+    assert isinstance(payload, EntryWork | GroupWork)
     assert len(payload.rows) == ROWS_TOLD
     assert min(row.unread_tokens for row in payload.rows) == 50
