--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -19,7 +19,7 @@
 from bench.world import BOUNDS
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import ConfigurationSeen, TargetSeen, TargetsListed
-from filbertstream.messages import EntryWork, FleetRow, FleetWork, WorkRow, decode, encode
+from filbertstream.messages import EntryWork, FleetWork, FleetWorkRow, WorkRow, decode, encode
 from filbertstream.names import digest_key
 from filbertstream.process.deployment import Address
 from filbertstream.process.target_registration import TargetEntry
@@ -156,7 +156,7 @@
 
 def fleet_of(rows: int) -> FleetWork:
     """Return a relay's message of the fleet's work at that many targets."""
-    found = tuple(FleetRow(f"r{n}", 30, 400_000, 9_000, 900) for n in range(rows))
+    found = tuple(FleetWorkRow(f"r{n}", 30, 400_000, 9_000, 900) for n in range(rows))
     return FleetWork("e2", found, True)
 
 
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -39,7 +39,7 @@
     in_touch: bool
 
 
-class FleetRow(NamedTuple):
+class FleetWorkRow(NamedTuple):
     """The work of all entries but the receiver at one target.
 
     ``recent_unread_tokens`` are the unread ones, each entry's weighted by the age of its word.
@@ -56,7 +56,7 @@
     """What a relay knows of the whole fleet's work, for an entry that tells it its own."""
 
     relay: str
-    rows: tuple[FleetRow, ...]
+    rows: tuple[FleetWorkRow, ...]
     in_touch: bool
 
 
--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from filbertstream.messages import EntryWork, FleetRow, FleetWork, GroupWork, WorkRow
+from filbertstream.messages import EntryWork, FleetWork, FleetWorkRow, GroupWork, WorkRow
 from filbertstream.process.cache_readers import readers, told_by
 from filbertstream.process.relays import NO_STRENGTH, Strength
 
@@ -54,7 +54,7 @@
 
 class _Fleet(NamedTuple):
     at_s: float
-    rows: dict[str, FleetRow]
+    rows: dict[str, FleetWorkRow]
     in_touch: bool
 
 
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -13,8 +13,8 @@
 from filbertstream.actions import SendPeer
 from filbertstream.messages import (
     EntryWork,
-    FleetRow,
     FleetWork,
+    FleetWorkRow,
     GroupWork,
     PeerPayload,
     WorkRow,
@@ -129,7 +129,9 @@
     return found
 
 
-def _fleet_rows(totals: dict[str, OthersWork], told: dict[str, WorkRow]) -> tuple[FleetRow, ...]:
+def _fleet_rows(
+    totals: dict[str, OthersWork], told: dict[str, WorkRow]
+) -> tuple[FleetWorkRow, ...]:
     """Return all work but what the receiver has told itself."""
     rows = []
     for name, work in totals.items():
@@ -143,7 +145,7 @@
                 min(unread, work.recent_unread_tokens),
             )
         if any(work):
-            rows.append(FleetRow(name, *work))
+            rows.append(FleetWorkRow(name, *work))
     if len(rows) > ROWS_TOLD:
         rows = sorted(rows, key=lambda row: (-row.unread_tokens, -row.runs))[:ROWS_TOLD]
     return tuple(rows)
