--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -17,7 +17,7 @@
     target: str
     runs: int
     memory_tokens: int
-    unread_tokens: int
+    queued_tokens: int
 
 
 class EntryWork(msgspec.Struct, frozen=True, tag="placed", array_like=True):
@@ -48,7 +48,7 @@
     target: str
     runs: int
     memory_tokens: int
-    unread_tokens: int
+    queued_tokens: int
     recent_unread_tokens: int
 
 
--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -39,7 +39,7 @@
 
     runs: int
     memory_tokens: int
-    unread_tokens: int
+    queued_tokens: int
     recent_unread_tokens: int
 
 
@@ -147,8 +147,8 @@
                 totals[name] = OthersWork(
                     before.runs + row.runs,
                     before.memory_tokens + row.memory_tokens,
-                    before.unread_tokens + row.unread_tokens,
-                    before.recent_unread_tokens + int(row.unread_tokens * weight),
+                    before.queued_tokens + row.queued_tokens,
+                    before.recent_unread_tokens + int(row.queued_tokens * weight),
                 )
         return totals
 
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -61,7 +61,7 @@
 
     def unread(self, now_s: float) -> int:
         """Return the prompt tokens that were sent here and are not read yet, as far as known."""
-        return self.prefill.unread + self.others(self.target_id, now_s).unread_tokens
+        return self.prefill.unread + self.others(self.target_id, now_s).queued_tokens
 
     def likely_unread(self, now_s: float) -> int:
         """Return the unread prompt tokens by which runners are compared.
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -101,7 +101,7 @@
 def _busiest(rows: tuple[WorkRow, ...]) -> tuple[WorkRow, ...]:
     if len(rows) <= ROWS_TOLD:
         return rows
-    return tuple(sorted(rows, key=lambda row: (-row.unread_tokens, -row.runs))[:ROWS_TOLD])
+    return tuple(sorted(rows, key=lambda row: (-row.queued_tokens, -row.runs))[:ROWS_TOLD])
 
 
 def _sum(parts: list[dict[str, WorkRow]]) -> tuple[WorkRow, ...]:
@@ -123,8 +123,8 @@
         found[row.target] = OthersWork(
             before.runs + row.runs,
             before.memory_tokens + row.memory_tokens,
-            before.unread_tokens + row.unread_tokens,
-            before.recent_unread_tokens + row.unread_tokens,
+            before.queued_tokens + row.queued_tokens,
+            before.recent_unread_tokens + row.queued_tokens,
         )
     return found
 
@@ -137,7 +137,7 @@
     for name, work in totals.items():
         own = told.get(name)
         if own is not None:
-            unread = max(0, work.unread_tokens - own.unread_tokens)
+            unread = max(0, work.queued_tokens - own.queued_tokens)
             work = OthersWork(
                 max(0, work.runs - own.runs),
                 max(0, work.memory_tokens - own.memory_tokens),
@@ -147,5 +147,5 @@
         if any(work):
             rows.append(FleetWorkRow(name, *work))
     if len(rows) > ROWS_TOLD:
-        rows = sorted(rows, key=lambda row: (-row.unread_tokens, -row.runs))[:ROWS_TOLD]
+        rows = sorted(rows, key=lambda row: (-row.queued_tokens, -row.runs))[:ROWS_TOLD]
     return tuple(rows)
--- a/tests/test_work_exchange.py
+++ b/tests/test_work_exchange.py
@@ -144,4 +144,4 @@
     payload, *_ = [item.payload for item in found]
     assert isinstance(payload, EntryWork | GroupWork)
     assert len(payload.rows) == ROWS_TOLD
-    assert min(row.unread_tokens for row in payload.rows) == 50
+    assert min(row.queued_tokens for row in payload.rows) == 50
