--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -42,14 +42,14 @@
 class FleetWorkRow(NamedTuple):
     """The work of all entries but the receiver at one target.
 
-    ``recent_unread_tokens`` are the unread ones, each entry's weighted by the age of its word.
+    ``weighted_queued_tokens`` are the unread ones, each entry's weighted by the age of its word.
     """
 
     target: str
     runs: int
     memory_tokens: int
     queued_tokens: int
-    recent_unread_tokens: int
+    weighted_queued_tokens: int
 
 
 class FleetWork(msgspec.Struct, frozen=True, tag="fleet", array_like=True):
--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -34,13 +34,13 @@
 class OthersWork(NamedTuple):
     """The runs, the memory and the unread prompt tokens of other entries at a target.
 
-    ``recent_unread_tokens`` are the unread ones, each message weighted by its age.
+    ``weighted_queued_tokens`` are the unread ones, each message weighted by its age.
     """
 
     runs: int
     memory_tokens: int
     queued_tokens: int
-    recent_unread_tokens: int
+    weighted_queued_tokens: int
 
 
 NO_WORK: Final = OthersWork(0, 0, 0, 0)
@@ -136,7 +136,7 @@
         if fleet is not None and now_s - fleet.at_s < FRESH_S and not told:
             weight = _weight(now_s - fleet.at_s)
             return {
-                row.target: OthersWork(*row[1:4], int(row.recent_unread_tokens * weight))
+                row.target: OthersWork(*row[1:4], int(row.weighted_queued_tokens * weight))
                 for row in fleet.rows.values()
             }
         totals: dict[str, OthersWork] = {}
@@ -148,7 +148,7 @@
                     before.runs + row.runs,
                     before.memory_tokens + row.memory_tokens,
                     before.queued_tokens + row.queued_tokens,
-                    before.recent_unread_tokens + int(row.queued_tokens * weight),
+                    before.weighted_queued_tokens + int(row.queued_tokens * weight),
                 )
         return totals
 
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -69,7 +69,7 @@
         What others told a while ago counts less: entries that trust the same old news all choose
         the runner that was idle then.
         """
-        return self.prefill.unread + self.others(self.target_id, now_s).recent_unread_tokens
+        return self.prefill.unread + self.others(self.target_id, now_s).weighted_queued_tokens
 
     def note_load(self, load: TargetLoad, now_s: float) -> None:
         """Take in what the target said of its load."""
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -124,7 +124,7 @@
             before.runs + row.runs,
             before.memory_tokens + row.memory_tokens,
             before.queued_tokens + row.queued_tokens,
-            before.recent_unread_tokens + row.queued_tokens,
+            before.weighted_queued_tokens + row.queued_tokens,
         )
     return found
 
@@ -142,7 +142,7 @@
                 max(0, work.runs - own.runs),
                 max(0, work.memory_tokens - own.memory_tokens),
                 unread,
-                min(unread, work.recent_unread_tokens),
+                min(unread, work.weighted_queued_tokens),
             )
         if any(work):
             rows.append(FleetWorkRow(name, *work))
