--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -6,12 +6,11 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from filbertstream.request.prompt_placer import PlacementPolicy
-
 from bench.world import World
 from filbertstream.names import rank
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.placement import CacheView, Placement, PlacementRequest, estimate
+from filbertstream.request.prompt_placer import PlacementPolicy
 
 POLICIES: Final[dict[str, Callable[[World], PlacementPolicy]]] = {}
 
@@ -62,7 +61,7 @@
     ) -> Placement | None:
         if not targets:
             return None
-        best = min(targets, key=lambda target: (target.unread(now_s), target.running(now_s)))
+        best = min(targets, key=lambda target: (target.queued_tokens(now_s), target.running(now_s)))
         return _at(request, best, cache_view, now_s)
 
     return choose
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -390,7 +390,10 @@
         """Tell the other entries what this one has under way."""
         rows = tuple(
             WorkRow(
-                target.target_id, target.outstanding, target.memory_tokens, target.prefill.unread
+                target.target_id,
+                target.outstanding,
+                target.memory_tokens,
+                target.prefill.queued_tokens,
             )
             for target in self.roster.targets.values()
             if target.outstanding
--- a/filbertstream/process/prefill.py
+++ b/filbertstream/process/prefill.py
@@ -5,9 +5,9 @@
 read, it corrects itself: a prompt that was answered is out of it.
 
 >>> queue = PrefillQueue()
->>> queue.sent(6_000); queue.sent(2_000); queue.unread
+>>> queue.sent(6_000); queue.sent(2_000); queue.queued_tokens
 8000
->>> queue.answered(6_000, ahead=0, waited_s=0.2); queue.unread
+>>> queue.answered(6_000, ahead=0, waited_s=0.2); queue.queued_tokens
 2000
 >>> queue.rate_per_s < FIRST_RATE_PER_S
 True
@@ -32,20 +32,20 @@
     """The unread prompts of this entry at one runner, and the rate at which the runner reads."""
 
     def __init__(self) -> None:
-        self.unread = 0
+        self.queued_tokens = 0
         self.rate_per_s = FIRST_RATE_PER_S
 
     def sent(self, tokens: int) -> None:
         """Count a prompt in."""
-        self.unread += tokens
+        self.queued_tokens += tokens
 
     def dropped(self, tokens: int) -> None:
         """Count a prompt out that will not be read, or whose reading tells nothing."""
-        self.unread -= tokens
+        self.queued_tokens -= tokens
 
     def answered(self, tokens: int, ahead: int, waited_s: float) -> None:
         """Count a prompt out whose first event came after ``ahead`` tokens and its own."""
-        self.unread -= tokens
+        self.queued_tokens -= tokens
         read = tokens + ahead
         if read < LEARN_FROM_TOKENS or waited_s <= 0:
             return
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -59,9 +59,9 @@
         """Return the tokens that running requests fill at most, as far as is known."""
         return self.memory_tokens + self.others(self.target_id, now_s).memory_tokens
 
-    def unread(self, now_s: float) -> int:
+    def queued_tokens(self, now_s: float) -> int:
         """Return the prompt tokens that were sent here and are not read yet, as far as known."""
-        return self.prefill.unread + self.others(self.target_id, now_s).queued_tokens
+        return self.prefill.queued_tokens + self.others(self.target_id, now_s).queued_tokens
 
     def likely_unread(self, now_s: float) -> int:
         """Return the unread prompt tokens by which runners are compared.
@@ -69,7 +69,9 @@
         What others told a while ago counts less: entries that trust the same old news all choose
         the runner that was idle then.
         """
-        return self.prefill.unread + self.others(self.target_id, now_s).weighted_queued_tokens
+        return (
+            self.prefill.queued_tokens + self.others(self.target_id, now_s).weighted_queued_tokens
+        )
 
     def note_load(self, load: TargetLoad, now_s: float) -> None:
         """Take in what the target said of its load."""
--- a/filbertstream/process/status.py
+++ b/filbertstream/process/status.py
@@ -78,7 +78,7 @@
         _state_of(core, target, now_s),
         dict(target.weights),
         target.running(now_s),
-        target.unread(now_s),
+        target.queued_tokens(now_s),
         load_age_s,
     )
 
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -137,12 +137,12 @@
     for name, work in totals.items():
         own = told.get(name)
         if own is not None:
-            unread = max(0, work.queued_tokens - own.queued_tokens)
+            queued_tokens = max(0, work.queued_tokens - own.queued_tokens)
             work = OthersWork(
                 max(0, work.runs - own.runs),
                 max(0, work.memory_tokens - own.memory_tokens),
-                unread,
-                min(unread, work.weighted_queued_tokens),
+                queued_tokens,
+                min(queued_tokens, work.weighted_queued_tokens),
             )
         if any(work):
             rows.append(FleetWorkRow(name, *work))
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -148,7 +148,7 @@
     read = max(1, request.prompt.tokens - held - fetched)
     rate = target.prefill.rate_per_s
     to_read = read + FETCH_SHARE * fetched
-    queue_s = target.unread(now_s) / rate
+    queue_s = target.queued_tokens(now_s) / rate
     first_event_s = queue_s + to_read / rate
     cost = (target.likely_unread(now_s) + to_read) / rate / request.objective_s
     cost += RECOMPUTE_COST_PER_TOKEN * read + FETCH_COST_PER_TOKEN * fetched
--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -82,7 +82,7 @@
         placement = self.choose(request, compared, self._holdings, now_s)
         if placement is None:
             return None
-        ahead = placement.target.unread(now_s)
+        ahead = placement.target.queued_tokens(now_s)
         inputs = _inputs(placement, len(targets))
         wait_s = retry_after_s(placement.queue_s, placement.memory_fraction, limits)
         if wait_s is not None and not call.begun:
--- a/filbertstream/version/rollout.py
+++ b/filbertstream/version/rollout.py
@@ -163,7 +163,7 @@
     @staticmethod
     def _is_left_out(swap: _Swap, target: RosterTarget, now_s: float) -> bool:
         since_s = now_s - swap.began_s
-        reads = target.unread(now_s) > 0
+        reads = target.queued_tokens(now_s) > 0
         return since_s >= (READ_OUT_S if reads else LEAVE_OUT_S)
 
     def _step_one(
