--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -63,7 +63,7 @@
         """Return the prompt tokens that were sent here and are not read yet, as far as known."""
         return self.prefill.queued_tokens + self.others(self.target_id, now_s).queued_tokens
 
-    def likely_unread(self, now_s: float) -> int:
+    def weighted_queued_tokens(self, now_s: float) -> int:
         """Return the unread prompt tokens by which runners are compared.
 
         What others told a while ago counts less: entries that trust the same old news all choose
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -150,7 +150,7 @@
     to_read = read + FETCH_SHARE * fetched
     queue_s = target.queued_tokens(now_s) / rate
     first_event_s = queue_s + to_read / rate
-    cost = (target.likely_unread(now_s) + to_read) / rate / request.objective_s
+    cost = (target.weighted_queued_tokens(now_s) + to_read) / rate / request.objective_s
     cost += RECOMPUTE_COST_PER_TOKEN * read + FETCH_COST_PER_TOKEN * fetched
     cost += 0.0 if is_home else _away_cost(request, held, fetched, rate)
     cost += 0.0 if target.entry.data_center == request.data_center else FAR_PROMPT_COST
