--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -23,12 +23,12 @@
 class EntryWork(msgspec.Struct, frozen=True, tag="placed", array_like=True):
     """What the sender has under way at each target.
 
-    ``in_touch`` tells whether its configuration is recent enough for new calls.
+    ``is_current`` tells whether its configuration is recent enough for new calls.
     """
 
     member: str
     rows: tuple[WorkRow, ...]
-    in_touch: bool = True
+    is_current: bool = True
 
 
 class GroupWork(msgspec.Struct, frozen=True, tag="group", array_like=True):
@@ -36,7 +36,7 @@
 
     relay: str
     rows: tuple[WorkRow, ...]
-    in_touch: bool
+    is_current: bool
 
 
 class FleetWorkRow(NamedTuple):
@@ -57,7 +57,7 @@
 
     relay: str
     rows: tuple[FleetWorkRow, ...]
-    in_touch: bool
+    is_current: bool
 
 
 class CacheNewsRow(NamedTuple):
--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -49,13 +49,13 @@
 class _Heard(NamedTuple):
     at_s: float
     rows: dict[str, WorkRow]
-    in_touch: bool
+    is_current: bool
 
 
 class _Fleet(NamedTuple):
     at_s: float
     rows: dict[str, FleetWorkRow]
-    in_touch: bool
+    is_current: bool
 
 
 def _weight(age_s: float) -> float:
@@ -83,18 +83,18 @@
     def on_work(self, work: EntryWork, now_s: float) -> None:
         """Take in another entry's message."""
         if work.member != self.own:
-            self._heard[work.member] = _heard(work.rows, work.in_touch, now_s)
+            self._heard[work.member] = _heard(work.rows, work.is_current, now_s)
             self._totals_at_s = float("-inf")
 
     def on_group(self, work: GroupWork, now_s: float) -> None:
         """Take in what another relay has summed up."""
         if work.relay != self.own:
-            self._groups[work.relay] = _heard(work.rows, work.in_touch, now_s)
+            self._groups[work.relay] = _heard(work.rows, work.is_current, now_s)
             self._totals_at_s = float("-inf")
 
     def on_fleet(self, work: FleetWork, now_s: float) -> None:
         """Take in what a relay tells of the whole fleet."""
-        self._fleet = _Fleet(now_s, {row.target: row for row in work.rows}, work.in_touch)
+        self._fleet = _Fleet(now_s, {row.target: row for row in work.rows}, work.is_current)
         self._totals_at_s = float("-inf")
 
     def _told(self, now_s: float) -> list[_Heard]:
@@ -116,9 +116,9 @@
     def any_in_touch(self, now_s: float) -> bool:
         """Whether another entry has said lately that it takes new calls."""
         fleet = self._fleet
-        if fleet is not None and fleet.in_touch and now_s - fleet.at_s < FRESH_S:
+        if fleet is not None and fleet.is_current and now_s - fleet.at_s < FRESH_S:
             return True
-        return any(heard.in_touch for heard in self._told(now_s))
+        return any(heard.is_current for heard in self._told(now_s))
 
     def others(self, target: str, now_s: float) -> OthersWork:
         """Return what others have under way at a target."""
@@ -187,5 +187,5 @@
         return [record.peer_address for name, record in self.members.items() if name != self.own]
 
 
-def _heard(rows: tuple[WorkRow, ...], in_touch: bool, now_s: float) -> _Heard:
-    return _Heard(now_s, {row.target: row for row in rows}, in_touch)
+def _heard(rows: tuple[WorkRow, ...], is_current: bool, now_s: float) -> _Heard:
+    return _Heard(now_s, {row.target: row for row in rows}, is_current)
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -48,14 +48,14 @@
         self._idle = True
 
     def due(
-        self, rows: tuple[WorkRow, ...], in_touch: bool, followers: list[str], now_s: float
+        self, rows: tuple[WorkRow, ...], is_current: bool, followers: list[str], now_s: float
     ) -> list[SendPeer]:
         """Return the messages that are due, given the own work and who asks this entry."""
         if not self._relays.small_fleet and (self._relays.is_relay or followers):
-            return self._sum_up(rows, in_touch, followers, now_s)
+            return self._sum_up(rows, is_current, followers, now_s)
         small = self._relays.small_fleet
         since_s = now_s - self._told_at_s
-        work = EntryWork(self._peers.own, _busiest(rows), in_touch)
+        work = EntryWork(self._peers.own, _busiest(rows), is_current)
         if since_s < (SHARE_S if small else RELAYED_SHARE_S):
             return []
         if work == self._told and (since_s < REPEAT_S or not rows):
@@ -70,7 +70,7 @@
         return [] if record is None else [SendPeer(record.peer_address, payload)]
 
     def _sum_up(
-        self, rows: tuple[WorkRow, ...], in_touch: bool, followers: list[str], now_s: float
+        self, rows: tuple[WorkRow, ...], is_current: bool, followers: list[str], now_s: float
     ) -> list[SendPeer]:
         """Return a relay's messages: its group's work to other relays, all work to followers."""
         if now_s - self._summed_at_s < RELAYED_SHARE_S:
@@ -85,16 +85,16 @@
         was_idle, self._idle = self._idle, not totals
         if was_idle and self._idle:
             return []
-        in_touch = in_touch or self._peers.any_in_touch(now_s)
+        is_current = is_current or self._peers.any_in_touch(now_s)
         relays = {*self._relays.others(), *self._peers.relays_heard(now_s)}
         # In the place of relays that are dead, it may be the only one that knows this one.
         relays.add(self._relays.relay(now_s) or "")
-        told = GroupWork(self._peers.own, group, in_touch)
+        told = GroupWork(self._peers.own, group, is_current)
         messages = [item for name in sorted(relays) for item in self._send(name, told)]
         for name in followers:
             if name not in relays:
                 left = _fleet_rows(totals, heard.get(name, {}))
-                messages += self._send(name, FleetWork(self._peers.own, left, in_touch))
+                messages += self._send(name, FleetWork(self._peers.own, left, is_current))
         return messages
 
 
