--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -275,7 +275,7 @@
     Guard(
         "an entry that is out of touch ends connections before it refuses calls",
         "gateway.py",
-        "return not self.ready(now_s) and self.peers.any_in_touch(now_s)",
+        "return not self.ready(now_s) and self.peers.any_peer_current(now_s)",
         "return False",
         "tests/test_gateway_redirect.py::"
         "test_connections_end_with_their_answers_before_calls_must_be_refused",
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -142,7 +142,9 @@
         self.budget = SharedRetryBudget(
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_floor
         )
-        self.authorizer = Authorizer(self.currency, bounds.config_apply_s, self.peers.any_in_touch)
+        self.authorizer = Authorizer(
+            self.currency, bounds.config_apply_s, self.peers.any_peer_current
+        )
         self.weights = WeightsView(self.roster, bounds.version_s)
         self.burn = Burn()
         self.idempotency_keys = IdempotencyKeys(cfg.name, cfg.incarnation, self.peers.is_registered)
@@ -244,7 +246,7 @@
         An entry that is out of touch with the store ends its connections before it must refuse
         their calls, unless it knows of no entry that is better off.
         """
-        return not self.ready(now_s) and self.peers.any_in_touch(now_s)
+        return not self.ready(now_s) and self.peers.any_peer_current(now_s)
 
     def _on_configuration(self, event: ConfigurationSeen, now_s: float) -> list[GatewayAction]:
         self.currency.confirm(event.sent_at_s)
--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -113,7 +113,7 @@
         groups = self._groups.items()
         return tuple(name for name, heard in groups if now_s - heard.at_s < FRESH_S)
 
-    def any_in_touch(self, now_s: float) -> bool:
+    def any_peer_current(self, now_s: float) -> bool:
         """Whether another entry has said lately that it takes new calls."""
         fleet = self._fleet
         if fleet is not None and fleet.is_current and now_s - fleet.at_s < FRESH_S:
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -85,7 +85,7 @@
         was_idle, self._idle = self._idle, not totals
         if was_idle and self._idle:
             return []
-        is_current = is_current or self._peers.any_in_touch(now_s)
+        is_current = is_current or self._peers.any_peer_current(now_s)
         relays = {*self._relays.others(), *self._peers.relays_heard(now_s)}
         # In the place of relays that are dead, it may be the only one that knows this one.
         relays.add(self._relays.relay(now_s) or "")
