--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -50,7 +50,7 @@
     CacheStores,
     PartsFreed,
 )
-from filbertstream.process.cache_updates import CacheNewsExchange
+from filbertstream.process.cache_updates import CacheUpdateExchange
 from filbertstream.process.counters import Counters
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.latencies import Latencies
@@ -136,7 +136,7 @@
         self.exchange = WorkExchange(self.peers, self.relays)
         self.relayed = RelayedView(cfg.followed, self.relays, self.peers, self.roster)
         self.stores = CacheStores(self.index, rng, self.peers.reads, self.relays)
-        self.cache_news = CacheNewsExchange(self.peers, self.relays, self.stores)
+        self.cache_news = CacheUpdateExchange(self.peers, self.relays, self.stores)
         self.roster.others = self.peers.others
         self.currency = Currency(bounds.revoke_s, bounds.strict_revocation)
         self.budget = SharedRetryBudget(
--- a/filbertstream/process/cache_updates.py
+++ b/filbertstream/process/cache_updates.py
@@ -23,7 +23,7 @@
 """Interval of a relay's messages to its followers."""
 
 
-class CacheNewsExchange:
+class CacheUpdateExchange:
     """This entry's part in passing on what stores tell."""
 
     def __init__(self, peers: PeerWork, relays: Relays, stores: CacheStores) -> None:
