--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -33,7 +33,7 @@
 from filbertstream.log_events import LogEvent
 from filbertstream.messages import (
     CacheNews,
-    CacheNewsBatch,
+    CacheUpdateBatch,
     EntryWork,
     FleetWork,
     GroupWork,
@@ -380,7 +380,7 @@
             self.peers.on_fleet(work, now_s)
         elif isinstance(work, CacheNews):
             self.cache_news.on_news(work, now_s)
-        elif isinstance(work, CacheNewsBatch):
+        elif isinstance(work, CacheUpdateBatch):
             self.cache_news.on_batch(work, now_s)
         elif isinstance(work, ViewAsked):
             return [*self.relayed.on_asked(work, now_s)]
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -80,7 +80,7 @@
     rows: tuple[CacheNewsRow, ...]
 
 
-class CacheNewsBatch(msgspec.Struct, frozen=True, tag="caches", array_like=True):
+class CacheUpdateBatch(msgspec.Struct, frozen=True, tag="caches", array_like=True):
     """What a relay knows of several stores, in the order in which it learned it."""
 
     items: tuple[CacheNews, ...]
@@ -132,7 +132,7 @@
 
 
 PeerPayload: TypeAlias = (
-    EntryWork | GroupWork | FleetWork | CacheNews | CacheNewsBatch | ViewAsked | ViewTold
+    EntryWork | GroupWork | FleetWork | CacheNews | CacheUpdateBatch | ViewAsked | ViewTold
 )
 
 MESSAGE_LIMIT_BYTES: Final = 4_000_000
--- a/filbertstream/process/cache_updates.py
+++ b/filbertstream/process/cache_updates.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from filbertstream.actions import SendPeer
-from filbertstream.messages import CacheNews, CacheNewsBatch, CacheNewsRow, PeerPayload
+from filbertstream.messages import CacheNews, CacheNewsRow, CacheUpdateBatch, PeerPayload
 from filbertstream.process.cache_stores import MS, CacheChange, CacheEventsRead, CacheStores
 from filbertstream.process.peer_work import PeerWork
 from filbertstream.process.relays import Relays
@@ -97,7 +97,7 @@
             self._passed_on[news.store] = (news.boot, news.next_event)
         self._held.append((now_s, news))
 
-    def on_batch(self, batch: CacheNewsBatch, now_s: float) -> None:
+    def on_batch(self, batch: CacheUpdateBatch, now_s: float) -> None:
         """Take in what a relay tells of all stores."""
         for news in batch.items:
             self.on_news(news, now_s)
@@ -110,7 +110,7 @@
         self._held, self._sent_at_s = [], now_s
         relays = self._relays.others()
         told = [name for name in followers if name not in relays]
-        batch = CacheNewsBatch(items)
+        batch = CacheUpdateBatch(items)
         return [item for name in told for item in self._send(name, batch)]
 
 
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -7,7 +7,7 @@
 
 from filbertstream.actions import SendPeer
 from filbertstream.gateway_events import EntrySeen, PeerMessage, Tick
-from filbertstream.messages import CacheNews, CacheNewsBatch, CacheNewsRow, ViewAsked
+from filbertstream.messages import CacheNews, CacheNewsRow, CacheUpdateBatch, ViewAsked
 from filbertstream.process.cache_stores import (
     CONFIRMED_S,
     CacheChange,
@@ -73,7 +73,7 @@
                 self.calls.add(name)
                 found += self._step(world, name, self._answer(world, action))
             elif isinstance(action, SendPeer):
-                self.sent[name] += isinstance(action.payload, CacheNews | CacheNewsBatch)
+                self.sent[name] += isinstance(action.payload, CacheNews | CacheUpdateBatch)
                 found.append(action)
         return found
 
@@ -166,7 +166,7 @@
     batches = [
         item.payload
         for item in relay.tell(Tick())
-        if isinstance(item, SendPeer) and isinstance(item.payload, CacheNewsBatch)
+        if isinstance(item, SendPeer) and isinstance(item.payload, CacheUpdateBatch)
     ]
     (batch,) = batches
     passed_on = [(item.boot, row.block_id) for item in batch.items for row in item.rows]
