--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -60,7 +60,7 @@
     is_current: bool
 
 
-class CacheNewsRow(NamedTuple):
+class CacheUpdateRow(NamedTuple):
     """A part was stored, or (``added`` False) dropped."""
 
     added: bool
@@ -77,7 +77,7 @@
     next_event: int
     age_s: float
     clock_ms: int | None
-    rows: tuple[CacheNewsRow, ...]
+    rows: tuple[CacheUpdateRow, ...]
 
 
 class CacheUpdateBatch(msgspec.Struct, frozen=True, tag="caches", array_like=True):
--- a/filbertstream/process/cache_updates.py
+++ b/filbertstream/process/cache_updates.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from filbertstream.actions import SendPeer
-from filbertstream.messages import CacheNews, CacheNewsRow, CacheUpdateBatch, PeerPayload
+from filbertstream.messages import CacheNews, CacheUpdateBatch, CacheUpdateRow, PeerPayload
 from filbertstream.process.cache_stores import MS, CacheChange, CacheEventsRead, CacheStores
 from filbertstream.process.peer_work import PeerWork
 from filbertstream.process.relays import Relays
@@ -39,7 +39,7 @@
         state = self._stores.states.get(event.holder)
         if state is None:
             return []
-        rows = tuple(CacheNewsRow(item.added, *item.key, item.tokens) for item in event.changes)
+        rows = tuple(CacheUpdateRow(item.added, *item.key, item.tokens) for item in event.changes)
         news = CacheNews(
             event.holder,
             event.boot,
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -7,7 +7,7 @@
 
 from filbertstream.actions import SendPeer
 from filbertstream.gateway_events import EntrySeen, PeerMessage, Tick
-from filbertstream.messages import CacheNews, CacheNewsRow, CacheUpdateBatch, ViewAsked
+from filbertstream.messages import CacheNews, CacheUpdateBatch, CacheUpdateRow, ViewAsked
 from filbertstream.process.cache_stores import (
     CONFIRMED_S,
     CacheChange,
@@ -142,7 +142,7 @@
         for world in fleet.worlds.values()
         if not world.core.peers.reads("keep", STORE.event_readers)
     )
-    row = CacheNewsRow(True, told.namespace(), "kept", 800)
+    row = CacheUpdateRow(True, told.namespace(), "kept", 800)
     told.tell(PeerMessage(CacheNews("keep", 2, 1, 0.3, 5_000, ())))
     told.tell(PeerMessage(CacheNews("keep", 1, 9, 0.5, 5_000, (row,))))
     state = told.core.stores.states["keep"]
@@ -158,7 +158,7 @@
     fleet = Fleet()
     relay = next(world for world in fleet.worlds.values() if world.core.relays.is_relay)
     relay.tell(PeerMessage(ViewAsked("e0", 1, {})))
-    rows = tuple(CacheNewsRow(True, "n", f"p{number}", 10) for number in range(12))
+    rows = tuple(CacheUpdateRow(True, "n", f"p{number}", 10) for number in range(12))
     for boot, since, until in ((1, 0, 6), (1, 2, 9), (1, 5, 9), (1, 7, 12), (2, 0, 3)):
         told = CacheNews("keep", boot, until, 0.1, 5_000, rows[since:until])
         relay.tell(PeerMessage(told))
