--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -32,7 +32,7 @@
 )
 from filbertstream.log_events import LogEvent
 from filbertstream.messages import (
-    CacheNews,
+    CacheUpdate,
     CacheUpdateBatch,
     EntryWork,
     FleetWork,
@@ -378,7 +378,7 @@
             self.peers.on_group(work, now_s)
         elif isinstance(work, FleetWork):
             self.peers.on_fleet(work, now_s)
-        elif isinstance(work, CacheNews):
+        elif isinstance(work, CacheUpdate):
             self.cache_news.on_news(work, now_s)
         elif isinstance(work, CacheUpdateBatch):
             self.cache_news.on_batch(work, now_s)
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -69,7 +69,7 @@
     tokens: int
 
 
-class CacheNews(msgspec.Struct, frozen=True, tag="cache", array_like=True):
+class CacheUpdate(msgspec.Struct, frozen=True, tag="cache", array_like=True):
     """What a store told the sender ``age_s`` ago; ``boot`` changes when the store restarts."""
 
     store: str
@@ -83,7 +83,7 @@
 class CacheUpdateBatch(msgspec.Struct, frozen=True, tag="caches", array_like=True):
     """What a relay knows of several stores, in the order in which it learned it."""
 
-    items: tuple[CacheNews, ...]
+    items: tuple[CacheUpdate, ...]
 
 
 class ObjectRow(NamedTuple):
@@ -132,7 +132,7 @@
 
 
 PeerPayload: TypeAlias = (
-    EntryWork | GroupWork | FleetWork | CacheNews | CacheUpdateBatch | ViewAsked | ViewTold
+    EntryWork | GroupWork | FleetWork | CacheUpdate | CacheUpdateBatch | ViewAsked | ViewTold
 )
 
 MESSAGE_LIMIT_BYTES: Final = 4_000_000
--- a/filbertstream/process/cache_updates.py
+++ b/filbertstream/process/cache_updates.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from filbertstream.actions import SendPeer
-from filbertstream.messages import CacheNews, CacheUpdateBatch, CacheUpdateRow, PeerPayload
+from filbertstream.messages import CacheUpdate, CacheUpdateBatch, CacheUpdateRow, PeerPayload
 from filbertstream.process.cache_stores import MS, CacheChange, CacheEventsRead, CacheStores
 from filbertstream.process.peer_work import PeerWork
 from filbertstream.process.relays import Relays
@@ -30,7 +30,7 @@
         self._peers = peers
         self._relays = relays
         self._stores = stores
-        self._held: list[tuple[float, CacheNews]] = []
+        self._held: list[tuple[float, CacheUpdate]] = []
         self._passed_on: dict[str, tuple[int, int]] = {}
         self._sent_at_s = float("-inf")
 
@@ -40,7 +40,7 @@
         if state is None:
             return []
         rows = tuple(CacheUpdateRow(item.added, *item.key, item.tokens) for item in event.changes)
-        news = CacheNews(
+        news = CacheUpdate(
             event.holder,
             event.boot,
             event.next_event,
@@ -58,7 +58,7 @@
         record = self._peers.members.get(member)
         return [] if record is None else [SendPeer(record.peer_address, payload)]
 
-    def on_news(self, news: CacheNews, now_s: float) -> None:
+    def on_news(self, news: CacheUpdate, now_s: float) -> None:
         """Take in what another entry read of a store, and hold it for followers."""
         state = self._stores.states.get(news.store)
         if state is None:
@@ -80,7 +80,7 @@
         )
         self._stores.on_events(event)
 
-    def _hold(self, news: CacheNews, now_s: float) -> None:
+    def _hold(self, news: CacheUpdate, now_s: float) -> None:
         """Hold news for followers, without the rows that the other reader has told already.
 
         Events are numbered in a row, so the newest of them are the last rows.
@@ -114,12 +114,12 @@
         return [item for name in told for item in self._send(name, batch)]
 
 
-def _merged(held: list[tuple[float, CacheNews]], now_s: float) -> tuple[CacheNews, ...]:
+def _merged(held: list[tuple[float, CacheUpdate]], now_s: float) -> tuple[CacheUpdate, ...]:
     """Return what is to be told: all rows in order, and of news without rows the last ones."""
-    found: list[CacheNews] = []
-    newest: dict[str, CacheNews] = {}
+    found: list[CacheUpdate] = []
+    newest: dict[str, CacheUpdate] = {}
     for at_s, news in held:
-        news = CacheNews(
+        news = CacheUpdate(
             news.store,
             news.boot,
             news.next_event,
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -7,7 +7,7 @@
 
 from filbertstream.actions import SendPeer
 from filbertstream.gateway_events import EntrySeen, PeerMessage, Tick
-from filbertstream.messages import CacheNews, CacheUpdateBatch, CacheUpdateRow, ViewAsked
+from filbertstream.messages import CacheUpdate, CacheUpdateBatch, CacheUpdateRow, ViewAsked
 from filbertstream.process.cache_stores import (
     CONFIRMED_S,
     CacheChange,
@@ -73,7 +73,7 @@
                 self.calls.add(name)
                 found += self._step(world, name, self._answer(world, action))
             elif isinstance(action, SendPeer):
-                self.sent[name] += isinstance(action.payload, CacheNews | CacheUpdateBatch)
+                self.sent[name] += isinstance(action.payload, CacheUpdate | CacheUpdateBatch)
                 found.append(action)
         return found
 
@@ -143,13 +143,13 @@
         if not world.core.peers.reads("keep", STORE.event_readers)
     )
     row = CacheUpdateRow(True, told.namespace(), "kept", 800)
-    told.tell(PeerMessage(CacheNews("keep", 2, 1, 0.3, 5_000, ())))
-    told.tell(PeerMessage(CacheNews("keep", 1, 9, 0.5, 5_000, (row,))))
+    told.tell(PeerMessage(CacheUpdate("keep", 2, 1, 0.3, 5_000, ())))
+    told.tell(PeerMessage(CacheUpdate("keep", 1, 9, 0.5, 5_000, (row,))))
     state = told.core.stores.states["keep"]
     assert state.boot == 2
     assert not told.core.index.holders((told.namespace(), "kept"))
     told.now_s += 1.0
-    told.tell(PeerMessage(CacheNews("keep", 3, 1, 0.3, 5_000, ())))
+    told.tell(PeerMessage(CacheUpdate("keep", 3, 1, 0.3, 5_000, ())))
     assert state.boot == 3
 
 
@@ -160,7 +160,7 @@
     relay.tell(PeerMessage(ViewAsked("e0", 1, {})))
     rows = tuple(CacheUpdateRow(True, "n", f"p{number}", 10) for number in range(12))
     for boot, since, until in ((1, 0, 6), (1, 2, 9), (1, 5, 9), (1, 7, 12), (2, 0, 3)):
-        told = CacheNews("keep", boot, until, 0.1, 5_000, rows[since:until])
+        told = CacheUpdate("keep", boot, until, 0.1, 5_000, rows[since:until])
         relay.tell(PeerMessage(told))
     relay.now_s += 0.5
     batches = [
