--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -379,7 +379,7 @@
         elif isinstance(work, FleetWork):
             self.peers.on_fleet(work, now_s)
         elif isinstance(work, CacheUpdate):
-            self.cache_news.on_news(work, now_s)
+            self.cache_news.on_update(work, now_s)
         elif isinstance(work, CacheUpdateBatch):
             self.cache_news.on_batch(work, now_s)
         elif isinstance(work, ViewAsked):
--- a/filbertstream/process/cache_updates.py
+++ b/filbertstream/process/cache_updates.py
@@ -58,7 +58,7 @@
         record = self._peers.members.get(member)
         return [] if record is None else [SendPeer(record.peer_address, payload)]
 
-    def on_news(self, news: CacheUpdate, now_s: float) -> None:
+    def on_update(self, news: CacheUpdate, now_s: float) -> None:
         """Take in what another entry read of a store, and hold it for followers."""
         state = self._stores.states.get(news.store)
         if state is None:
@@ -100,7 +100,7 @@
     def on_batch(self, batch: CacheUpdateBatch, now_s: float) -> None:
         """Take in what a relay tells of all stores."""
         for news in batch.items:
-            self.on_news(news, now_s)
+            self.on_update(news, now_s)
 
     def due(self, followers: list[str], now_s: float) -> list[SendPeer]:
         """Return a relay's messages to its followers."""
