--- a/filbertstream/process/cache_updates.py
+++ b/filbertstream/process/cache_updates.py
@@ -40,7 +40,7 @@
         if state is None:
             return []
         rows = tuple(CacheUpdateRow(item.added, *item.key, item.tokens) for item in event.changes)
-        news = CacheUpdate(
+        update = CacheUpdate(
             event.holder,
             event.boot,
             event.next_event,
@@ -50,57 +50,57 @@
         )
         if self._relays.small_fleet:
             addresses = self._peers.told_of(event.holder, state.spec.event_readers)
-            return [SendPeer(address, news) for address in addresses]
-        self._hold(news, now_s)
-        return [item for name in self._relays.others() for item in self._send(name, news)]
+            return [SendPeer(address, update) for address in addresses]
+        self._hold(update, now_s)
+        return [item for name in self._relays.others() for item in self._send(name, update)]
 
     def _send(self, member: str, payload: PeerPayload) -> list[SendPeer]:
         record = self._peers.members.get(member)
         return [] if record is None else [SendPeer(record.peer_address, payload)]
 
-    def on_update(self, news: CacheUpdate, now_s: float) -> None:
+    def on_update(self, update: CacheUpdate, now_s: float) -> None:
         """Take in what another entry read of a store, and hold it for followers."""
-        state = self._stores.states.get(news.store)
+        state = self._stores.states.get(update.store)
         if state is None:
             return
-        self._hold(news, now_s)
-        if self._peers.reads(news.store, state.spec.event_readers):
+        self._hold(update, now_s)
+        if self._peers.reads(update.store, state.spec.event_readers):
             return
-        sent_at_s = now_s - news.age_s - NEWS_TRANSIT_S
-        if state.boot == news.boot and news.next_event < state.since:
+        sent_at_s = now_s - update.age_s - NEWS_TRANSIT_S
+        if state.boot == update.boot and update.next_event < state.since:
             return
-        if state.boot != news.boot and sent_at_s < state.confirmed_at_s:
+        if state.boot != update.boot and sent_at_s < state.confirmed_at_s:
             # One of the readers has not heard of a restart yet.
             return
         changes = tuple(
-            CacheChange(row.added, (row.namespace, row.block_id), row.tokens) for row in news.rows
+            CacheChange(row.added, (row.namespace, row.block_id), row.tokens) for row in update.rows
         )
         event = CacheEventsRead(
-            news.store, sent_at_s, now_s, news.boot, news.next_event, news.clock_ms, changes
+            update.store, sent_at_s, now_s, update.boot, update.next_event, update.clock_ms, changes
         )
         self._stores.on_events(event)
 
-    def _hold(self, news: CacheUpdate, now_s: float) -> None:
+    def _hold(self, update: CacheUpdate, now_s: float) -> None:
         """Hold news for followers, without the rows that the other reader has told already.
 
         Events are numbered in a row, so the newest of them are the last rows.
         """
         if not self._relays.tells_others(now_s):
             return
-        boot, passed_on = self._passed_on.get(news.store, (news.boot, 0))
-        if boot == news.boot:
-            new = max(0, news.next_event - passed_on)
-            rows = news.rows[-new:] if new else ()
-            news = msgspec.structs.replace(news, rows=rows)
-            self._passed_on[news.store] = (boot, max(passed_on, news.next_event))
+        boot, passed_on = self._passed_on.get(update.store, (update.boot, 0))
+        if boot == update.boot:
+            new = max(0, update.next_event - passed_on)
+            rows = update.rows[-new:] if new else ()
+            update = msgspec.structs.replace(update, rows=rows)
+            self._passed_on[update.store] = (boot, max(passed_on, update.next_event))
         else:
-            self._passed_on[news.store] = (news.boot, news.next_event)
-        self._held.append((now_s, news))
+            self._passed_on[update.store] = (update.boot, update.next_event)
+        self._held.append((now_s, update))
 
     def on_batch(self, batch: CacheUpdateBatch, now_s: float) -> None:
         """Take in what a relay tells of all stores."""
-        for news in batch.items:
-            self.on_update(news, now_s)
+        for update in batch.items:
+            self.on_update(update, now_s)
 
     def due(self, followers: list[str], now_s: float) -> list[SendPeer]:
         """Return a relay's messages to its followers."""
@@ -118,18 +118,18 @@
     """Return what is to be told: all rows in order, and of news without rows the last ones."""
     found: list[CacheUpdate] = []
     newest: dict[str, CacheUpdate] = {}
-    for at_s, news in held:
-        news = CacheUpdate(
-            news.store,
-            news.boot,
-            news.next_event,
-            news.age_s + now_s - at_s,
-            None if news.clock_ms is None else news.clock_ms + int((now_s - at_s) * MS),
-            news.rows,
+    for at_s, update in held:
+        update = CacheUpdate(
+            update.store,
+            update.boot,
+            update.next_event,
+            update.age_s + now_s - at_s,
+            None if update.clock_ms is None else update.clock_ms + int((now_s - at_s) * MS),
+            update.rows,
         )
-        if news.rows:
-            found.append(news)
-        before = newest.get(news.store)
-        if before is None or news.age_s <= before.age_s:
-            newest[news.store] = news
-    return (*found, *(news for news in newest.values() if not news.rows))
+        if update.rows:
+            found.append(update)
+        before = newest.get(update.store)
+        if before is None or update.age_s <= before.age_s:
+            newest[update.store] = update
+    return (*found, *(update for update in newest.values() if not update.rows))
