--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -94,7 +94,7 @@
     content: bytes | None
 
 
-class KindNews(NamedTuple):
+class KindUpdate(NamedTuple):
     """What the sender knows of a kind of object: all of it, or what changed after ``since``.
 
     It is complete up to the revision ``as_of`` and was shown to be the newest ``age_s`` ago.
@@ -127,7 +127,7 @@
     """
 
     number: int
-    kinds: tuple[KindNews, ...]
+    kinds: tuple[KindUpdate, ...]
     unsettled_s: float = 0.0
 
 
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -15,7 +15,7 @@
 from filbertstream.actions import Log, SendPeer
 from filbertstream.gateway_events import ShowKind
 from filbertstream.log_events import LogEvent
-from filbertstream.messages import KindNews, PeerPayload, ViewAsked, ViewTold
+from filbertstream.messages import KindUpdate, PeerPayload, ViewAsked, ViewTold
 from filbertstream.process.peer_work import PeerWork
 from filbertstream.process.relays import ASK_S, Relays
 from filbertstream.process.roster import Roster
@@ -140,13 +140,13 @@
             self._relays.doubt(told.number, now_s)
         return actions
 
-    def _contradicted(self, news: KindNews, sent_at_s: float) -> bool:
+    def _contradicted(self, news: KindUpdate, sent_at_s: float) -> bool:
         """Whether it tells an older state for a moment at which a newer one was known here."""
         return news.kind in self.view.followed and self.view.contradicted(
             news.kind, news.as_of, sent_at_s - news.age_s
         )
 
-    def _take(self, news: KindNews, shown_at_s: float, now_s: float) -> list[Action]:
+    def _take(self, news: KindUpdate, shown_at_s: float, now_s: float) -> list[Action]:
         if news.kind not in self.view.followed:
             return []
         if news.rows is None:
--- a/filbertstream/process/store_view.py
+++ b/filbertstream/process/store_view.py
@@ -17,7 +17,7 @@
 
 from typing import Final, NamedTuple
 
-from filbertstream.messages import KindNews, ObjectRow
+from filbertstream.messages import KindUpdate, ObjectRow
 
 REMOVALS_KEPT: Final = 512
 """Removals of a kind that are remembered; who asks about earlier ones is told the whole kind."""
@@ -163,7 +163,7 @@
         kind.shown_at_s = max(kind.shown_at_s, shown.shown_at_s)
         return KindTaken(shown.kind, listed, kind.shown_at_s, tuple(rows))
 
-    def news(self, name: str, since: int, now_s: float) -> KindNews | None:
+    def news(self, name: str, since: int, now_s: float) -> KindUpdate | None:
         """Return what another entry is to be told of a kind that it knows up to ``since``."""
         kind = self._kinds.get(name)
         if kind is None or not kind.listed:
@@ -175,5 +175,5 @@
             gone = [item for item in kind.removed.items() if item[1].at > since]
             changed += [ObjectRow(name, removal.revision, None) for name, removal in gone]
         if sum(len(row.content or b"") for row in changed) > TOLD_BYTES:
-            return KindNews(name, whole, since, kind.as_of, age_s, None)
-        return KindNews(name, whole, since, kind.as_of, age_s, tuple(changed))
+            return KindUpdate(name, whole, since, kind.as_of, age_s, None)
+        return KindUpdate(name, whole, since, kind.as_of, age_s, tuple(changed))
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -20,7 +20,7 @@
     WriteEntry,
 )
 from filbertstream.log_events import LogEvent
-from filbertstream.messages import KindNews, ObjectRow, ViewAsked, ViewTold
+from filbertstream.messages import KindUpdate, ObjectRow, ViewAsked, ViewTold
 from filbertstream.platform.documents import (
     DOCUMENTS_KIND,
     DUTIES_KIND,
@@ -74,12 +74,12 @@
     return ObjectRow(name, revision, msgspec.json.encode(content))
 
 
-def news(kind: str, age_s: float, as_of: int = 5, **changes: Any) -> KindNews:
-    base = KindNews(kind, False, 0, as_of, age_s, ())
+def news(kind: str, age_s: float, as_of: int = 5, **changes: Any) -> KindUpdate:
+    base = KindUpdate(kind, False, 0, as_of, age_s, ())
     return base._replace(**changes)
 
 
-def current(number: int, age_s: float = 0.2, **kinds: KindNews) -> ViewTold:
+def current(number: int, age_s: float = 0.2, **kinds: KindUpdate) -> ViewTold:
     """Return the word of a relay that nothing has changed, but for ``kinds``."""
     told = {kind: news(kind, age_s, since=5) for kind in KINDS}
     return ViewTold(number, tuple({**told, **kinds}.values()))
--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -13,7 +13,7 @@
 
 from filbertstream.actions import SendPeer
 from filbertstream.gateway_events import ConfigurationSeen, EntrySeen, PeerMessage
-from filbertstream.messages import KindNews, ObjectRow, ViewAsked, ViewTold
+from filbertstream.messages import KindUpdate, ObjectRow, ViewAsked, ViewTold
 from filbertstream.platform.documents import DOCUMENTS_KIND
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.relays import Relays
@@ -99,7 +99,7 @@
         rows = (row_of(seen),) if seen.version > since else ()
         whole = data.draw(st.booleans())
         rows = (row_of(seen),) if whole else rows
-        news = KindNews(DOCUMENTS_KIND, whole, since, seen.version, age_s, rows)
+        news = KindUpdate(DOCUMENTS_KIND, whole, since, seen.version, age_s, rows)
         self.on_the_way.append(Told(ViewTold(question.number, (news,))))
 
     @precondition(lambda self: len(self.written) > 1)
@@ -107,7 +107,7 @@
     def watcher_passes_a_change_on(self) -> None:
         """It tells a change unasked, which says nothing about its age."""
         seen, since = self.written[-1], self.written[-2].version
-        news = KindNews(DOCUMENTS_KIND, False, since, seen.version, 0.0, (row_of(seen),))
+        news = KindUpdate(DOCUMENTS_KIND, False, since, seen.version, 0.0, (row_of(seen),))
         self.on_the_way.append(Told(ViewTold(0, (news,))))
 
     @precondition(lambda self: self.on_the_way)
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -10,7 +10,7 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
-from filbertstream.messages import KindNews, ObjectRow
+from filbertstream.messages import KindUpdate, ObjectRow
 from filbertstream.process.store_view import REMOVALS_KEPT, Followed, KindShown, StoreView
 
 KIND = "k"
@@ -92,7 +92,7 @@
         news = self.views[relay].news(KIND, self.views[asker].as_of()[KIND], self.now_s)
         if news is None:
             return
-        assert isinstance(news, KindNews)
+        assert isinstance(news, KindUpdate)
         assert news.rows is not None
         shown_at_s = sent_at_s - news.age_s
         shown = KindShown(KIND, news.whole, news.since, news.as_of, shown_at_s, news.rows)
