--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -348,8 +348,8 @@
     Guard(
         "what another entry tells is as old as the question, at least",
         "process/relayed_view.py",
-        "self._take(news, sent_at_s - news.age_s, now_s)",
-        "self._take(news, now_s - news.age_s, now_s)",
+        "self._take(kind_update, sent_at_s - kind_update.age_s, now_s)",
+        "self._take(kind_update, now_s - kind_update.age_s, now_s)",
         "tests/test_relays.py::test_the_age_counts_from_before_the_question",
     ),
     Guard(
@@ -362,7 +362,7 @@
     Guard(
         "a relay that contradicts itself is not believed",
         "process/relayed_view.py",
-        "if not self._contradicted(news, sent_at_s)",
+        "if not self._contradicted(kind_update, sent_at_s)",
         "if True",
         "tests/test_relays.py::"
         "test_a_relay_that_claims_an_older_state_for_a_later_moment_is_not_believed",
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -93,10 +93,10 @@
         return [ShowKind(taken), *(self._push(shown.kind, before, now_s) if pushed else [])]
 
     def _push(self, kind: str, since: int, now_s: float) -> list[Action]:
-        news = self.view.news(kind, since, now_s)
-        if news is None:
+        kind_update = self.view.kind_update(kind, since, now_s)
+        if kind_update is None:
             return []
-        told = ViewTold(UNASKED, (news,))
+        told = ViewTold(UNASKED, (kind_update,))
         return [action for name in self.followers(now_s) for action in self._send(name, told)]
 
     def followers(self, now_s: float) -> list[str]:
@@ -114,8 +114,10 @@
         """Answer another entry by what is known here, with its age."""
         self._relays.note_asked(now_s)
         self._followers[asked.member] = now_s
-        news = [self.view.news(kind, since, now_s) for kind, since in asked.as_of.items()]
-        kinds = tuple(item for item in news if item is not None)
+        kind_update = [
+            self.view.kind_update(kind, since, now_s) for kind, since in asked.as_of.items()
+        ]
+        kinds = tuple(item for item in kind_update if item is not None)
         unsettled_s = max(0.0, self._roster.unsettled_until_s - now_s)
         return self._send(asked.member, ViewTold(asked.number, kinds, unsettled_s))
 
@@ -123,41 +125,56 @@
         """Take in what another entry knows, as of before the question was sent."""
         if told.number == UNASKED:
             shown_at_s = float("-inf")
-            return [item for news in told.kinds for item in self._take(news, shown_at_s, now_s)]
+            return [
+                item
+                for kind_update in told.kinds
+                for item in self._take(kind_update, shown_at_s, now_s)
+            ]
         sent_at_s = self._relays.sent_at_s(told.number, now_s)
         if sent_at_s is None:
             return []
         if told.unsettled_s > 0:
             self._roster.unsettle(now_s + told.unsettled_s)
         # A relay that contradicts itself may be suspended between two steps, or its clock stands.
-        believed = [news for news in told.kinds if not self._contradicted(news, sent_at_s)]
+        believed = [
+            kind_update
+            for kind_update in told.kinds
+            if not self._contradicted(kind_update, sent_at_s)
+        ]
         actions: list[Action] = []
-        for news in believed:
-            actions += self._take(news, sent_at_s - news.age_s, now_s)
+        for kind_update in believed:
+            actions += self._take(kind_update, sent_at_s - kind_update.age_s, now_s)
         if len(believed) == len(told.kinds) and self.is_current(now_s, YOUNG_SHARE):
             self._relays.trust(told.number)
         else:
             self._relays.doubt(told.number, now_s)
         return actions
 
-    def _contradicted(self, news: KindUpdate, sent_at_s: float) -> bool:
+    def _contradicted(self, kind_update: KindUpdate, sent_at_s: float) -> bool:
         """Whether it tells an older state for a moment at which a newer one was known here."""
-        return news.kind in self.view.followed and self.view.contradicted(
-            news.kind, news.as_of, sent_at_s - news.age_s
+        return kind_update.kind in self.view.followed and self.view.contradicted(
+            kind_update.kind, kind_update.as_of, sent_at_s - kind_update.age_s
         )
 
-    def _take(self, news: KindUpdate, shown_at_s: float, now_s: float) -> list[Action]:
-        if news.kind not in self.view.followed:
+    def _take(self, kind_update: KindUpdate, shown_at_s: float, now_s: float) -> list[Action]:
+        if kind_update.kind not in self.view.followed:
             return []
-        if news.rows is None:
-            self._own_reads.add(news.kind)
+        if kind_update.rows is None:
+            self._own_reads.add(kind_update.kind)
             return []
-        shown = KindShown(news.kind, news.whole, news.since, news.as_of, shown_at_s, news.rows)
-        self._own_reads.discard(news.kind)
+        shown = KindShown(
+            kind_update.kind,
+            kind_update.whole,
+            kind_update.since,
+            kind_update.as_of,
+            shown_at_s,
+            kind_update.rows,
+        )
+        self._own_reads.discard(kind_update.kind)
         taken = self.view.take(shown, now_s)
         if taken is None:
             return []
-        self._told_at_s[news.kind] = max(self._told_at_s[news.kind], shown_at_s)
+        self._told_at_s[kind_update.kind] = max(self._told_at_s[kind_update.kind], shown_at_s)
         return [ShowKind(taken)]
 
     def is_current(self, now_s: float, share: float = 1.0) -> bool:
--- a/filbertstream/process/store_view.py
+++ b/filbertstream/process/store_view.py
@@ -8,10 +8,10 @@
 >>> view = StoreView((Followed("k", 2.0, True),))
 >>> view.take(KindShown("k", True, 0, 7, 1.0, (ObjectRow("a", 5, b"1"),)), 1.1).rows
 (ObjectRow(name='a', revision=5, content=b'1'),)
->>> view.news("k", 7, 2.0)
+>>> view.kind_update("k", 7, 2.0)
 KindNews(kind='k', whole=False, since=7, as_of=7, age_s=1.0, rows=())
->>> news = view.news("k", 4, 2.0)
->>> (news.whole, [row.name for row in news.rows])
+>>> kind_update = view.kind_update("k", 4, 2.0)
+>>> (kind_update.whole, [row.name for row in kind_update.rows])
 (True, ['a'])
 """
 
@@ -163,7 +163,7 @@
         kind.shown_at_s = max(kind.shown_at_s, shown.shown_at_s)
         return KindTaken(shown.kind, listed, kind.shown_at_s, tuple(rows))
 
-    def news(self, name: str, since: int, now_s: float) -> KindUpdate | None:
+    def kind_update(self, name: str, since: int, now_s: float) -> KindUpdate | None:
         """Return what another entry is to be told of a kind that it knows up to ``since``."""
         kind = self._kinds.get(name)
         if kind is None or not kind.listed:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -74,14 +74,14 @@
     return ObjectRow(name, revision, msgspec.json.encode(content))
 
 
-def news(kind: str, age_s: float, as_of: int = 5, **changes: Any) -> KindUpdate:
+def kind_update(kind: str, age_s: float, as_of: int = 5, **changes: Any) -> KindUpdate:
     base = KindUpdate(kind, False, 0, as_of, age_s, ())
     return base._replace(**changes)
 
 
 def current(number: int, age_s: float = 0.2, **kinds: KindUpdate) -> ViewTold:
     """Return the word of a relay that nothing has changed, but for ``kinds``."""
-    told = {kind: news(kind, age_s, since=5) for kind in KINDS}
+    told = {kind: kind_update(kind, age_s, since=5) for kind in KINDS}
     return ViewTold(number, tuple({**told, **kinds}.values()))
 
 
@@ -262,7 +262,7 @@
     world.turn(1.0)
     number = world.question()
     row = configuration_row(2, (), 9)
-    changed = news(DOCUMENTS_KIND, 0.0, 9, rows=(row,))
+    changed = kind_update(DOCUMENTS_KIND, 0.0, 9, rows=(row,))
     world.tell(PeerMessage(current(number, **{DOCUMENTS_KIND: changed})))
     confirmed_at_s = world.core.currency.confirmed_at_s
     asked = world.core.relays.relay(world.now_s)
@@ -276,7 +276,7 @@
     world = Fleet()
     number = world.question()
     row = configuration_row(2, (), 9)
-    world.tell(PeerMessage(ViewTold(number, (news(DOCUMENTS_KIND, 0.0, 9, rows=(row,)),))))
+    world.tell(PeerMessage(ViewTold(number, (kind_update(DOCUMENTS_KIND, 0.0, 9, rows=(row,)),))))
     assert world.core.authorizer.config is not None
     assert world.core.authorizer.config.version == 2
 
@@ -285,7 +285,7 @@
     """What is told began after a later revision than this entry knows: it is asked for again."""
     world = Fleet()
     number = world.question()
-    world.tell(PeerMessage(ViewTold(number, (news(DOCUMENTS_KIND, 0.0, 20, since=11),))))
+    world.tell(PeerMessage(ViewTold(number, (kind_update(DOCUMENTS_KIND, 0.0, 20, since=11),))))
     assert world.core.relayed.view.as_of()[DOCUMENTS_KIND] == 5
     assert world.core.currency.confirmed_at_s == 100.0
 
@@ -294,7 +294,7 @@
     world = Fleet()
     number = world.question()
     rows = (target_row("r1", 8, "draining"), ObjectRow("r2", 9, None))
-    told = news(TARGETS_KIND, 0.1, 9, rows=rows)
+    told = kind_update(TARGETS_KIND, 0.1, 9, rows=rows)
     world.tell(PeerMessage(ViewTold(number, (told,))))
     targets = world.core.roster.targets
     assert targets["r1"].entry.draining
@@ -305,7 +305,7 @@
     """The store was away for a moment, and only the relay has noticed."""
     world = Fleet()
     number = world.question()
-    told = news(TARGETS_KIND, 0.1, 9, rows=(ObjectRow("r2", 9, None),))
+    told = kind_update(TARGETS_KIND, 0.1, 9, rows=(ObjectRow("r2", 9, None),))
     world.tell(PeerMessage(ViewTold(number, (told,), 1.5)))
     world.turn(1.2)
     assert "r2" in world.core.roster.targets
@@ -397,7 +397,7 @@
     world.list_entries(FLEET)
     assert world.reads() == {ENTRIES_KIND}
     (asked,) = [item for action in world.tell(Tick()) if (item := question_of(action))]
-    told = [news(kind, 0.2, whole=True, rows=Fleet.listed(kind)) for kind in KINDS]
+    told = [kind_update(kind, 0.2, whole=True, rows=Fleet.listed(kind)) for kind in KINDS]
     world.tell(PeerMessage(ViewTold(asked.number, tuple(told))))
     world.tell(Tick())
     assert world.core.ready(world.now_s)
@@ -428,7 +428,7 @@
     world.list_entries(FLEET)
     world.core.currency.confirmed_at_s = float("-inf")
     (asked,) = [item for action in world.tell(Tick()) if (item := question_of(action))]
-    told = [news(kind, age_s, whole=True, rows=Fleet.listed(kind)) for kind in KINDS]
+    told = [kind_update(kind, age_s, whole=True, rows=Fleet.listed(kind)) for kind in KINDS]
     world.tell(PeerMessage(ViewTold(asked.number, tuple(told))))
     assert world.core.ready(world.now_s) is admitted
     found = world.arrive("draft", key="k")
--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -99,16 +99,16 @@
         rows = (row_of(seen),) if seen.version > since else ()
         whole = data.draw(st.booleans())
         rows = (row_of(seen),) if whole else rows
-        news = KindUpdate(DOCUMENTS_KIND, whole, since, seen.version, age_s, rows)
-        self.on_the_way.append(Told(ViewTold(question.number, (news,))))
+        kind_update = KindUpdate(DOCUMENTS_KIND, whole, since, seen.version, age_s, rows)
+        self.on_the_way.append(Told(ViewTold(question.number, (kind_update,))))
 
     @precondition(lambda self: len(self.written) > 1)
     @rule()
     def watcher_passes_a_change_on(self) -> None:
         """It tells a change unasked, which says nothing about its age."""
         seen, since = self.written[-1], self.written[-2].version
-        news = KindUpdate(DOCUMENTS_KIND, False, since, seen.version, 0.0, (row_of(seen),))
-        self.on_the_way.append(Told(ViewTold(0, (news,))))
+        kind_update = KindUpdate(DOCUMENTS_KIND, False, since, seen.version, 0.0, (row_of(seen),))
+        self.on_the_way.append(Told(ViewTold(0, (kind_update,))))
 
     @precondition(lambda self: self.on_the_way)
     @rule(data=st.data())
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -89,13 +89,22 @@
     def ask(self, asker: int, relay: int, late: bool) -> None:
         sent_at_s = self.now_s
         self.now_s += 0.3 if late else 0.001
-        news = self.views[relay].news(KIND, self.views[asker].as_of()[KIND], self.now_s)
-        if news is None:
+        kind_update = self.views[relay].kind_update(
+            KIND, self.views[asker].as_of()[KIND], self.now_s
+        )
+        if kind_update is None:
             return
-        assert isinstance(news, KindUpdate)
-        assert news.rows is not None
-        shown_at_s = sent_at_s - news.age_s
-        shown = KindShown(KIND, news.whole, news.since, news.as_of, shown_at_s, news.rows)
+        assert isinstance(kind_update, KindUpdate)
+        assert kind_update.rows is not None
+        shown_at_s = sent_at_s - kind_update.age_s
+        shown = KindShown(
+            KIND,
+            kind_update.whole,
+            kind_update.since,
+            kind_update.as_of,
+            shown_at_s,
+            kind_update.rows,
+        )
         self.on_the_way.append(Shown(asker, shown))
 
     @precondition(lambda self: self.on_the_way)
@@ -112,7 +121,7 @@
         self.check(view)
 
     def check(self, view: StoreView) -> None:
-        told = view.news(KIND, 0, self.now_s)
+        told = view.kind_update(KIND, 0, self.now_s)
         if told is None:
             return
         assert told.rows is not None
@@ -146,7 +155,7 @@
     taken = view.take(KindShown(KIND, False, 5, 9, 1.0, rows), 1.0)
     assert taken is not None
     assert taken.rows == rows[1:]
-    told = view.news(KIND, 5, 1.0)
+    told = view.kind_update(KIND, 5, 1.0)
     assert told is not None
     assert told.rows == (rows[1],)
 
@@ -157,13 +166,13 @@
         view.take(KindShown(KIND, True, 0, 5, 0.0, (ObjectRow("x", 4, b"4"),)), 0.0)
     relay.take(KindShown(KIND, False, 5, 9, 1.0, (ObjectRow("x", 4, None),)), 1.0)
     for since, row in ((9, ObjectRow("x", 10, b"10")), (None, None)):
-        told = relay.news(KIND, follower.as_of()[KIND], 1.0)
+        told = relay.kind_update(KIND, follower.as_of()[KIND], 1.0)
         assert told is not None
         assert told.rows is not None
         follower.take(KindShown(KIND, told.whole, told.since, told.as_of, 1.0, told.rows), 1.0)
         if row is not None and since is not None:
             relay.take(KindShown(KIND, False, since, 12, 1.0, (row,)), 1.0)
-    held = follower.news(KIND, 0, 1.0)
+    held = follower.kind_update(KIND, 0, 1.0)
     assert held is not None
     assert held.rows == (ObjectRow("x", 10, b"10"),)
 
@@ -174,11 +183,11 @@
     removals = tuple(ObjectRow(f"r{number}", 1, None) for number in range(REMOVALS_KEPT + 1))
     for number, row in enumerate(removals):
         view.take(KindShown(KIND, False, 1 + number, 2 + number, 1.0, (row,)), 1.0)
-    told = view.news(KIND, 1, 1.0)
+    told = view.kind_update(KIND, 1, 1.0)
     assert told is not None
     assert told.whole
     assert told.rows is not None
     assert [row.name for row in told.rows] == ["x"]
-    later = view.news(KIND, 2, 1.0)
+    later = view.kind_update(KIND, 2, 1.0)
     assert later is not None
     assert not later.whole
