--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -370,7 +370,7 @@
     Guard(
         "changes that begin after what is known are asked for again",
         "process/store_view.py",
-        "if not shown.whole and (not kind.listed or shown.since > kind.as_of):",
+        "if not shown.full and (not kind.listed or shown.since > kind.as_of):",
         "if False:",
         "tests/test_relays.py::"
         "test_a_change_between_what_is_known_and_what_is_told_is_not_skipped",
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -342,7 +342,7 @@
 
 def show_kind(watched: Watched, taken: KindTaken, tell: Tell) -> None:
     """Decode what is new of a kind and tell it."""
-    if taken.whole:
+    if taken.full:
         objects = tuple(_stored(row) for row in taken.rows if row.content is not None)
         watched.on_listing(Listing(taken.shown_at_s, 0, objects), tell)
         return
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -102,7 +102,7 @@
     """
 
     kind: str
-    whole: bool
+    full: bool
     since: int
     as_of: int
     age_s: float
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -164,7 +164,7 @@
             return []
         shown = KindShown(
             kind_update.kind,
-            kind_update.whole,
+            kind_update.full,
             kind_update.since,
             kind_update.as_of,
             shown_at_s,
--- a/filbertstream/process/store_view.py
+++ b/filbertstream/process/store_view.py
@@ -11,7 +11,7 @@
 >>> view.kind_update("k", 7, 2.0)
 KindNews(kind='k', whole=False, since=7, as_of=7, age_s=1.0, rows=())
 >>> kind_update = view.kind_update("k", 4, 2.0)
->>> (kind_update.whole, [row.name for row in kind_update.rows])
+>>> (kind_update.full, [row.name for row in kind_update.rows])
 (True, ['a'])
 """
 
@@ -45,7 +45,7 @@
     """
 
     kind: str
-    whole: bool
+    full: bool
     since: int
     as_of: int
     shown_at_s: float
@@ -56,7 +56,7 @@
     """What of it was new: the rows to decode, as a listing of the kind or as changes."""
 
     kind: str
-    whole: bool
+    full: bool
     shown_at_s: float
     rows: tuple[ObjectRow, ...]
 
@@ -135,7 +135,7 @@
     def take(self, shown: KindShown, now_s: float) -> KindTaken | None:
         """Take an answer in; None where it shows nothing about what is here."""
         kind = self._kinds[shown.kind]
-        if not shown.whole and (not kind.listed or shown.since > kind.as_of):
+        if not shown.full and (not kind.listed or shown.since > kind.as_of):
             # Changes between what is here and what was asked about are unknown.
             return None
         if shown.as_of < kind.as_of:
@@ -146,8 +146,8 @@
         # may be known already, and what came after them too.
         last = {row.name: row for row in shown.rows}
         rows = [row for row in last.values() if kind.put(row, shown.as_of)]
-        listed = shown.whole and not kind.listed
-        if shown.whole:
+        listed = shown.full and not kind.listed
+        if shown.full:
             names = {row.name for row in shown.rows}
             for name in [name for name in kind.present if name not in names]:
                 gone = ObjectRow(name, kind.present[name].revision, None)
@@ -169,11 +169,11 @@
         if kind is None or not kind.listed:
             return None
         age_s = now_s - kind.shown_at_s
-        whole = since < kind.complete_from
-        changed = [row for row in kind.present.values() if whole or row.revision > since]
-        if not whole:
+        full = since < kind.complete_from
+        changed = [row for row in kind.present.values() if full or row.revision > since]
+        if not full:
             gone = [item for item in kind.removed.items() if item[1].at > since]
             changed += [ObjectRow(name, removal.revision, None) for name, removal in gone]
         if sum(len(row.content or b"") for row in changed) > TOLD_BYTES:
-            return KindUpdate(name, whole, since, kind.as_of, age_s, None)
-        return KindUpdate(name, whole, since, kind.as_of, age_s, tuple(changed))
+            return KindUpdate(name, full, since, kind.as_of, age_s, None)
+        return KindUpdate(name, full, since, kind.as_of, age_s, tuple(changed))
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -333,7 +333,7 @@
     world = Fleet(RELAYS[0])
     asked = ViewAsked(FOLLOWER, 1, {TARGETS_KIND: 4})
     (action,) = world.tell(PeerMessage(asked))
-    assert action.payload.kinds[0].whole
+    assert action.payload.kinds[0].full
     follower = Fleet()
     follower.tell(KindShown(TARGETS_KIND, False, 5, 5, 100.0, ()))
     gone = target_row("gone", 4)
@@ -397,7 +397,7 @@
     world.list_entries(FLEET)
     assert world.reads() == {ENTRIES_KIND}
     (asked,) = [item for action in world.tell(Tick()) if (item := question_of(action))]
-    told = [kind_update(kind, 0.2, whole=True, rows=Fleet.listed(kind)) for kind in KINDS]
+    told = [kind_update(kind, 0.2, full=True, rows=Fleet.listed(kind)) for kind in KINDS]
     world.tell(PeerMessage(ViewTold(asked.number, tuple(told))))
     world.tell(Tick())
     assert world.core.ready(world.now_s)
@@ -428,7 +428,7 @@
     world.list_entries(FLEET)
     world.core.currency.confirmed_at_s = float("-inf")
     (asked,) = [item for action in world.tell(Tick()) if (item := question_of(action))]
-    told = [kind_update(kind, age_s, whole=True, rows=Fleet.listed(kind)) for kind in KINDS]
+    told = [kind_update(kind, age_s, full=True, rows=Fleet.listed(kind)) for kind in KINDS]
     world.tell(PeerMessage(ViewTold(asked.number, tuple(told))))
     assert world.core.ready(world.now_s) is admitted
     found = world.arrive("draft", key="k")
--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -97,9 +97,9 @@
         age_s = self.world.now_s - self.watcher.sent_at_s
         seen, since = self.watcher.seen, question.as_of[DOCUMENTS_KIND]
         rows = (row_of(seen),) if seen.version > since else ()
-        whole = data.draw(st.booleans())
-        rows = (row_of(seen),) if whole else rows
-        kind_update = KindUpdate(DOCUMENTS_KIND, whole, since, seen.version, age_s, rows)
+        full = data.draw(st.booleans())
+        rows = (row_of(seen),) if full else rows
+        kind_update = KindUpdate(DOCUMENTS_KIND, full, since, seen.version, age_s, rows)
         self.on_the_way.append(Told(ViewTold(question.number, (kind_update,))))
 
     @precondition(lambda self: len(self.written) > 1)
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -99,7 +99,7 @@
         shown_at_s = sent_at_s - kind_update.age_s
         shown = KindShown(
             KIND,
-            kind_update.whole,
+            kind_update.full,
             kind_update.since,
             kind_update.as_of,
             shown_at_s,
@@ -169,7 +169,7 @@
         told = relay.kind_update(KIND, follower.as_of()[KIND], 1.0)
         assert told is not None
         assert told.rows is not None
-        follower.take(KindShown(KIND, told.whole, told.since, told.as_of, 1.0, told.rows), 1.0)
+        follower.take(KindShown(KIND, told.full, told.since, told.as_of, 1.0, told.rows), 1.0)
         if row is not None and since is not None:
             relay.take(KindShown(KIND, False, since, 12, 1.0, (row,)), 1.0)
     held = follower.kind_update(KIND, 0, 1.0)
@@ -185,9 +185,9 @@
         view.take(KindShown(KIND, False, 1 + number, 2 + number, 1.0, (row,)), 1.0)
     told = view.kind_update(KIND, 1, 1.0)
     assert told is not None
-    assert told.whole
+    assert told.full
     assert told.rows is not None
     assert [row.name for row in told.rows] == ["x"]
     later = view.kind_update(KIND, 2, 1.0)
     assert later is not None
-    assert not later.whole
+    assert not later.full
