--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -37,7 +37,7 @@
     EntryWork,
     FleetWork,
     GroupWork,
-    ViewAsked,
+    ViewRequest,
     ViewTold,
     WorkRow,
 )
@@ -382,7 +382,7 @@
             self.cache_news.on_update(work, now_s)
         elif isinstance(work, CacheUpdateBatch):
             self.cache_news.on_batch(work, now_s)
-        elif isinstance(work, ViewAsked):
+        elif isinstance(work, ViewRequest):
             return [*self.relayed.on_asked(work, now_s)]
         elif isinstance(work, ViewTold):
             return [*self.relayed.on_told(work, now_s)]
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -109,7 +109,7 @@
     rows: tuple[ObjectRow, ...] | None
 
 
-class ViewAsked(msgspec.Struct, frozen=True, tag="asked", array_like=True):
+class ViewRequest(msgspec.Struct, frozen=True, tag="asked", array_like=True):
     """The sender asks what is new; ``as_of`` tells for each kind how far its own view goes.
 
     ``number`` tells its questions apart.
@@ -132,7 +132,7 @@
 
 
 PeerPayload: TypeAlias = (
-    EntryWork | GroupWork | FleetWork | CacheUpdate | CacheUpdateBatch | ViewAsked | ViewTold
+    EntryWork | GroupWork | FleetWork | CacheUpdate | CacheUpdateBatch | ViewRequest | ViewTold
 )
 
 MESSAGE_LIMIT_BYTES: Final = 4_000_000
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -15,7 +15,7 @@
 from filbertstream.actions import Log, SendPeer
 from filbertstream.gateway_events import ShowKind
 from filbertstream.log_events import LogEvent
-from filbertstream.messages import KindUpdate, PeerPayload, ViewAsked, ViewTold
+from filbertstream.messages import KindUpdate, PeerPayload, ViewRequest, ViewTold
 from filbertstream.process.peer_work import PeerWork
 from filbertstream.process.relays import ASK_S, Relays
 from filbertstream.process.roster import Roster
@@ -110,7 +110,7 @@
         record = self._peers.members.get(member)
         return [] if record is None else [SendPeer(record.peer_address, payload)]
 
-    def on_asked(self, asked: ViewAsked, now_s: float) -> list[Action]:
+    def on_asked(self, asked: ViewRequest, now_s: float) -> list[Action]:
         """Answer another entry by what is known here, with its age."""
         self._relays.note_asked(now_s)
         self._followers[asked.member] = now_s
@@ -189,7 +189,7 @@
         actions: list[Action] = []
         question = self._relays.due(now_s)
         if question is not None:
-            asked = ViewAsked(self._peers.own, question.number, self.view.as_of())
+            asked = ViewRequest(self._peers.own, question.number, self.view.as_of())
             actions += self._send(question.member, asked)
             if question.member != self._asked:
                 fields = (("relay", question.member), ("before", self._asked))
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -7,7 +7,7 @@
 
 from filbertstream.actions import SendPeer
 from filbertstream.gateway_events import EntrySeen, PeerMessage, Tick
-from filbertstream.messages import CacheUpdate, CacheUpdateBatch, CacheUpdateRow, ViewAsked
+from filbertstream.messages import CacheUpdate, CacheUpdateBatch, CacheUpdateRow, ViewRequest
 from filbertstream.process.cache_stores import (
     CONFIRMED_S,
     CacheChange,
@@ -157,7 +157,7 @@
     """Load pattern: a hundred saves a second, told by both readers of their store."""
     fleet = Fleet()
     relay = next(world for world in fleet.worlds.values() if world.core.relays.is_relay)
-    relay.tell(PeerMessage(ViewAsked("e0", 1, {})))
+    relay.tell(PeerMessage(ViewRequest("e0", 1, {})))
     rows = tuple(CacheUpdateRow(True, "n", f"p{number}", 10) for number in range(12))
     for boot, since, until in ((1, 0, 6), (1, 2, 9), (1, 5, 9), (1, 7, 12), (2, 0, 3)):
         told = CacheUpdate("keep", boot, until, 0.1, 5_000, rows[since:until])
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -20,7 +20,7 @@
     WriteEntry,
 )
 from filbertstream.log_events import LogEvent
-from filbertstream.messages import KindUpdate, ObjectRow, ViewAsked, ViewTold
+from filbertstream.messages import KindUpdate, ObjectRow, ViewRequest, ViewTold
 from filbertstream.platform.documents import (
     DOCUMENTS_KIND,
     DUTIES_KIND,
@@ -130,9 +130,9 @@
         return self.core.relayed.reads_store(self.now_s)
 
 
-def question_of(action: object) -> ViewAsked | None:
+def question_of(action: object) -> ViewRequest | None:
     payload = action.payload if isinstance(action, SendPeer) else None
-    return payload if isinstance(payload, ViewAsked) else None
+    return payload if isinstance(payload, ViewRequest) else None
 
 
 def test_in_a_small_fleet_each_entry_reads_the_store() -> None:
@@ -318,7 +318,7 @@
     world.now_s += 0.7
     row = target_row("r3", 9)
     world.tell(KindShown(TARGETS_KIND, False, 5, 9, world.now_s - 0.1, (row,)))
-    asked = ViewAsked(FOLLOWER, 3, {TARGETS_KIND: 5, DOCUMENTS_KIND: 5})
+    asked = ViewRequest(FOLLOWER, 3, {TARGETS_KIND: 5, DOCUMENTS_KIND: 5})
     (action,) = world.tell(PeerMessage(asked))
     assert action.address == f"tcp://{FOLLOWER}"
     told = {item.kind: item for item in action.payload.kinds}
@@ -331,7 +331,7 @@
 def test_an_asker_whose_view_is_older_than_the_relays_first_listing_is_told_all() -> None:
     """An object that came and went before the relay's listing may be known to the asker."""
     world = Fleet(RELAYS[0])
-    asked = ViewAsked(FOLLOWER, 1, {TARGETS_KIND: 4})
+    asked = ViewRequest(FOLLOWER, 1, {TARGETS_KIND: 4})
     (action,) = world.tell(PeerMessage(asked))
     assert action.payload.kinds[0].full
     follower = Fleet()
@@ -346,7 +346,7 @@
 
 def test_a_change_of_the_duty_is_passed_on_at_once_to_those_who_ask() -> None:
     world = Fleet(RELAYS[0])
-    world.tell(PeerMessage(ViewAsked(FOLLOWER, 1, {})))
+    world.tell(PeerMessage(ViewRequest(FOLLOWER, 1, {})))
     record = msgspec.json.encode(DutyRecord("f9#1", 1, True, 1, ["r1"]))
     shown = KindShown(DUTIES_KIND, False, 5, 9, 100.0, (ObjectRow("weights", 9, record),))
     (action,) = world.tell(shown)
@@ -363,7 +363,7 @@
     keys = tuple(f"{number:064}" for number in range(TOLD_BYTES // 64))
     row = configuration_row(2, keys, 9)
     relay.tell(KindShown(DOCUMENTS_KIND, False, 5, 9, 100.0, (row,)))
-    (action,) = relay.tell(PeerMessage(ViewAsked(FOLLOWER, 1, {DOCUMENTS_KIND: 5})))
+    (action,) = relay.tell(PeerMessage(ViewRequest(FOLLOWER, 1, {DOCUMENTS_KIND: 5})))
     (told,) = action.payload.kinds
     assert told.rows is None
     world = Fleet()
--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -13,7 +13,7 @@
 
 from filbertstream.actions import SendPeer
 from filbertstream.gateway_events import ConfigurationSeen, EntrySeen, PeerMessage
-from filbertstream.messages import KindUpdate, ObjectRow, ViewAsked, ViewTold
+from filbertstream.messages import KindUpdate, ObjectRow, ViewRequest, ViewTold
 from filbertstream.platform.documents import DOCUMENTS_KIND
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.relays import Relays
@@ -60,7 +60,7 @@
         self.world = World(RELYING)
         for name in FLEET:
             self.world.tell(EntrySeen(name, EntryRecord(f"tcp://{name}", 1), 1))
-        self.questions: list[ViewAsked] = []
+        self.questions: list[ViewRequest] = []
         self.on_the_way: list[Told] = []
         self.watcher = Asked(self.world.now_s, Written(self.world.now_s, 1, ("k",)))
         self.written = [Written(self.world.now_s, 1, ("k",))]
@@ -123,7 +123,7 @@
             self.world.now_s += seconds
         else:
             for action in self.world.run(seconds, confirm=False):
-                if isinstance(action, SendPeer) and isinstance(action.payload, ViewAsked):
+                if isinstance(action, SendPeer) and isinstance(action.payload, ViewRequest):
                     self.questions.append(action.payload)
 
     @rule(name=st.sampled_from(["read", "book", "draft"]))
