--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -38,7 +38,7 @@
     FleetWork,
     GroupWork,
     ViewRequest,
-    ViewTold,
+    ViewResponse,
     WorkRow,
 )
 from filbertstream.process.burn import Burn
@@ -384,7 +384,7 @@
             self.cache_news.on_batch(work, now_s)
         elif isinstance(work, ViewRequest):
             return [*self.relayed.on_asked(work, now_s)]
-        elif isinstance(work, ViewTold):
+        elif isinstance(work, ViewResponse):
             return [*self.relayed.on_told(work, now_s)]
         return []
 
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -120,7 +120,7 @@
     as_of: dict[str, int]
 
 
-class ViewTold(msgspec.Struct, frozen=True, tag="told", array_like=True):
+class ViewResponse(msgspec.Struct, frozen=True, tag="told", array_like=True):
     """The answer to a question, or with ``number`` 0 a change that is passed on unasked.
 
     ``unsettled_s`` tells for how long registrations that the store has removed may yet come back.
@@ -132,7 +132,7 @@
 
 
 PeerPayload: TypeAlias = (
-    EntryWork | GroupWork | FleetWork | CacheUpdate | CacheUpdateBatch | ViewRequest | ViewTold
+    EntryWork | GroupWork | FleetWork | CacheUpdate | CacheUpdateBatch | ViewRequest | ViewResponse
 )
 
 MESSAGE_LIMIT_BYTES: Final = 4_000_000
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -15,7 +15,7 @@
 from filbertstream.actions import Log, SendPeer
 from filbertstream.gateway_events import ShowKind
 from filbertstream.log_events import LogEvent
-from filbertstream.messages import KindUpdate, PeerPayload, ViewRequest, ViewTold
+from filbertstream.messages import KindUpdate, PeerPayload, ViewRequest, ViewResponse
 from filbertstream.process.peer_work import PeerWork
 from filbertstream.process.relays import ASK_S, Relays
 from filbertstream.process.roster import Roster
@@ -96,7 +96,7 @@
         kind_update = self.view.kind_update(kind, since, now_s)
         if kind_update is None:
             return []
-        told = ViewTold(UNASKED, (kind_update,))
+        told = ViewResponse(UNASKED, (kind_update,))
         return [action for name in self.followers(now_s) for action in self._send(name, told)]
 
     def followers(self, now_s: float) -> list[str]:
@@ -119,9 +119,9 @@
         ]
         kinds = tuple(item for item in kind_update if item is not None)
         unsettled_s = max(0.0, self._roster.unsettled_until_s - now_s)
-        return self._send(asked.member, ViewTold(asked.number, kinds, unsettled_s))
+        return self._send(asked.member, ViewResponse(asked.number, kinds, unsettled_s))
 
-    def on_told(self, told: ViewTold, now_s: float) -> list[Action]:
+    def on_told(self, told: ViewResponse, now_s: float) -> list[Action]:
         """Take in what another entry knows, as of before the question was sent."""
         if told.number == UNASKED:
             shown_at_s = float("-inf")
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -11,7 +11,7 @@
     EntryWork,
     KindUpdate,
     ObjectRow,
-    ViewTold,
+    ViewResponse,
     WorkRow,
     decode,
     encode,
@@ -27,7 +27,7 @@
 def test_a_short_message_travels_as_it_is_and_a_long_one_compressed() -> None:
     short = EntryWork("e1", (WorkRow("r1", 1, 2, 3),))
     assert decode(encode(short)) == short
-    told = ViewTold(1, (KindUpdate("k", True, 0, 9, 0.5, (ObjectRow("main", 9, ROUTES),)),))
+    told = ViewResponse(1, (KindUpdate("k", True, 0, 9, 0.5, (ObjectRow("main", 9, ROUTES),)),))
     data = encode(told)
     assert decode(data) == told
     assert len(ROUTES) > COMPRESSED_BYTES
@@ -38,7 +38,7 @@
     "data",
     [
         zlib.compress(b"\x00" * (MESSAGE_LIMIT_BYTES + 1)),
-        encode(ViewTold(1, (KindUpdate("k", True, 0, 9, 0.5, (ObjectRow("m", 9, ROUTES),)),)))[
+        encode(ViewResponse(1, (KindUpdate("k", True, 0, 9, 0.5, (ObjectRow("m", 9, ROUTES),)),)))[
             :-20
         ],
         b"x",
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -20,7 +20,7 @@
     WriteEntry,
 )
 from filbertstream.log_events import LogEvent
-from filbertstream.messages import KindUpdate, ObjectRow, ViewRequest, ViewTold
+from filbertstream.messages import KindUpdate, ObjectRow, ViewRequest, ViewResponse
 from filbertstream.platform.documents import (
     DOCUMENTS_KIND,
     DUTIES_KIND,
@@ -79,10 +79,10 @@
     return base._replace(**changes)
 
 
-def current(number: int, age_s: float = 0.2, **kinds: KindUpdate) -> ViewTold:
+def current(number: int, age_s: float = 0.2, **kinds: KindUpdate) -> ViewResponse:
     """Return the word of a relay that nothing has changed, but for ``kinds``."""
     told = {kind: kind_update(kind, age_s, since=5) for kind in KINDS}
-    return ViewTold(number, tuple({**told, **kinds}.values()))
+    return ViewResponse(number, tuple({**told, **kinds}.values()))
 
 
 class Fleet(World):
@@ -276,7 +276,9 @@
     world = Fleet()
     number = world.question()
     row = configuration_row(2, (), 9)
-    world.tell(PeerMessage(ViewTold(number, (kind_update(DOCUMENTS_KIND, 0.0, 9, rows=(row,)),))))
+    world.tell(
+        PeerMessage(ViewResponse(number, (kind_update(DOCUMENTS_KIND, 0.0, 9, rows=(row,)),)))
+    )
     assert world.core.authorizer.config is not None
     assert world.core.authorizer.config.version == 2
 
@@ -285,7 +287,7 @@
     """What is told began after a later revision than this entry knows: it is asked for again."""
     world = Fleet()
     number = world.question()
-    world.tell(PeerMessage(ViewTold(number, (kind_update(DOCUMENTS_KIND, 0.0, 20, since=11),))))
+    world.tell(PeerMessage(ViewResponse(number, (kind_update(DOCUMENTS_KIND, 0.0, 20, since=11),))))
     assert world.core.relayed.view.as_of()[DOCUMENTS_KIND] == 5
     assert world.core.currency.confirmed_at_s == 100.0
 
@@ -295,7 +297,7 @@
     number = world.question()
     rows = (target_row("r1", 8, "draining"), ObjectRow("r2", 9, None))
     told = kind_update(TARGETS_KIND, 0.1, 9, rows=rows)
-    world.tell(PeerMessage(ViewTold(number, (told,))))
+    world.tell(PeerMessage(ViewResponse(number, (told,))))
     targets = world.core.roster.targets
     assert targets["r1"].entry.draining
     assert "r2" not in targets
@@ -306,7 +308,7 @@
     world = Fleet()
     number = world.question()
     told = kind_update(TARGETS_KIND, 0.1, 9, rows=(ObjectRow("r2", 9, None),))
-    world.tell(PeerMessage(ViewTold(number, (told,), 1.5)))
+    world.tell(PeerMessage(ViewResponse(number, (told,), 1.5)))
     world.turn(1.2)
     assert "r2" in world.core.roster.targets
     world.turn(0.5)
@@ -340,7 +342,7 @@
     follower.core.relayed.view.take(KindShown(TARGETS_KIND, False, 5, 5, 100.0, (gone,)), 100.0)
     number = follower.question()
     (told,) = action.payload.kinds
-    follower.tell(PeerMessage(ViewTold(number, (told,))))
+    follower.tell(PeerMessage(ViewResponse(number, (told,))))
     assert "gone" not in follower.core.roster.targets
 
 
@@ -368,7 +370,7 @@
     assert told.rows is None
     world = Fleet()
     world.turn(1.0)
-    world.tell(PeerMessage(ViewTold(world.question(), (told,))))
+    world.tell(PeerMessage(ViewResponse(world.question(), (told,))))
     assert world.core.relayed.reads_kind(DOCUMENTS_KIND, world.now_s)
     assert not world.core.relayed.reads_kind(TARGETS_KIND, world.now_s)
 
@@ -398,7 +400,7 @@
     assert world.reads() == {ENTRIES_KIND}
     (asked,) = [item for action in world.tell(Tick()) if (item := question_of(action))]
     told = [kind_update(kind, 0.2, full=True, rows=Fleet.listed(kind)) for kind in KINDS]
-    world.tell(PeerMessage(ViewTold(asked.number, tuple(told))))
+    world.tell(PeerMessage(ViewResponse(asked.number, tuple(told))))
     world.tell(Tick())
     assert world.core.ready(world.now_s)
     assert world.reads() == set()
@@ -429,7 +431,7 @@
     world.core.currency.confirmed_at_s = float("-inf")
     (asked,) = [item for action in world.tell(Tick()) if (item := question_of(action))]
     told = [kind_update(kind, age_s, full=True, rows=Fleet.listed(kind)) for kind in KINDS]
-    world.tell(PeerMessage(ViewTold(asked.number, tuple(told))))
+    world.tell(PeerMessage(ViewResponse(asked.number, tuple(told))))
     assert world.core.ready(world.now_s) is admitted
     found = world.arrive("draft", key="k")
     assert any(isinstance(item, SendCall) for item in found) is admitted
--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -13,7 +13,7 @@
 
 from filbertstream.actions import SendPeer
 from filbertstream.gateway_events import ConfigurationSeen, EntrySeen, PeerMessage
-from filbertstream.messages import KindUpdate, ObjectRow, ViewRequest, ViewTold
+from filbertstream.messages import KindUpdate, ObjectRow, ViewRequest, ViewResponse
 from filbertstream.platform.documents import DOCUMENTS_KIND
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.relays import Relays
@@ -49,7 +49,7 @@
 class Told(NamedTuple):
     """Another entry's answer that is on its way."""
 
-    answer: ViewTold
+    answer: ViewResponse
 
 
 class RevocationMachine(RuleBasedStateMachine):
@@ -100,7 +100,7 @@
         full = data.draw(st.booleans())
         rows = (row_of(seen),) if full else rows
         kind_update = KindUpdate(DOCUMENTS_KIND, full, since, seen.version, age_s, rows)
-        self.on_the_way.append(Told(ViewTold(question.number, (kind_update,))))
+        self.on_the_way.append(Told(ViewResponse(question.number, (kind_update,))))
 
     @precondition(lambda self: len(self.written) > 1)
     @rule()
@@ -108,7 +108,7 @@
         """It tells a change unasked, which says nothing about its age."""
         seen, since = self.written[-1], self.written[-2].version
         kind_update = KindUpdate(DOCUMENTS_KIND, False, since, seen.version, 0.0, (row_of(seen),))
-        self.on_the_way.append(Told(ViewTold(0, (kind_update,))))
+        self.on_the_way.append(Told(ViewResponse(0, (kind_update,))))
 
     @precondition(lambda self: self.on_the_way)
     @rule(data=st.data())
