--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -138,7 +138,7 @@
 MESSAGE_LIMIT_BYTES: Final = 4_000_000
 """A message may hold all kinds of objects, each up to ``process.store_view.TOLD_BYTES``."""
 
-COMPRESSED_BYTES: Final = 4_096
+COMPRESSION_THRESHOLD_BYTES: Final = 4_096
 """Messages from this size on are compressed: configurations and news of many parts, to a fifth."""
 
 COMPRESSED: Final = b"x"
@@ -153,7 +153,7 @@
 def encode(payload: PeerPayload) -> bytes:
     """Return the wire form of a message; a long one is compressed."""
     data = _ENCODER.encode(payload)
-    return data if len(data) < COMPRESSED_BYTES else zlib.compress(data, FASTEST)
+    return data if len(data) < COMPRESSION_THRESHOLD_BYTES else zlib.compress(data, FASTEST)
 
 
 def decode(data: bytes) -> PeerPayload:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -6,7 +6,7 @@
 import pytest
 
 from filbertstream.messages import (
-    COMPRESSED_BYTES,
+    COMPRESSION_THRESHOLD_BYTES,
     MESSAGE_LIMIT_BYTES,
     EntryWork,
     KindUpdate,
@@ -30,7 +30,7 @@
     told = ViewResponse(1, (KindUpdate("k", True, 0, 9, 0.5, (ObjectRow("main", 9, ROUTES),)),))
     data = encode(told)
     assert decode(data) == told
-    assert len(ROUTES) > COMPRESSED_BYTES
+    assert len(ROUTES) > COMPRESSION_THRESHOLD_BYTES
     assert len(data) < len(ROUTES) / 5
 
 
