--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -394,7 +394,7 @@
     Guard(
         "lapses are held back as long as the relay holds them back",
         "process/relayed_view.py",
-        "if told.unsettled_s > 0:",
+        "if told.removals_held_s > 0:",
         "if False:",
         "tests/test_relays.py::test_lapses_are_held_back_as_long_as_the_relay_holds_them_back",
     ),
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -123,12 +123,12 @@
 class ViewResponse(msgspec.Struct, frozen=True, tag="told", array_like=True):
     """The answer to a question, or with ``number`` 0 a change that is passed on unasked.
 
-    ``unsettled_s`` tells for how long registrations that the store has removed may yet come back.
+    ``removals_held_s`` tells for how long registrations that the store has removed may yet come back.
     """
 
     number: int
     kinds: tuple[KindUpdate, ...]
-    unsettled_s: float = 0.0
+    removals_held_s: float = 0.0
 
 
 PeerPayload: TypeAlias = (
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -118,8 +118,8 @@
             self.view.kind_update(kind, since, now_s) for kind, since in asked.as_of.items()
         ]
         kinds = tuple(item for item in kind_update if item is not None)
-        unsettled_s = max(0.0, self._roster.unsettled_until_s - now_s)
-        return self._send(asked.member, ViewResponse(asked.number, kinds, unsettled_s))
+        removals_held_s = max(0.0, self._roster.unsettled_until_s - now_s)
+        return self._send(asked.member, ViewResponse(asked.number, kinds, removals_held_s))
 
     def on_told(self, told: ViewResponse, now_s: float) -> list[Action]:
         """Take in what another entry knows, as of before the question was sent."""
@@ -133,8 +133,8 @@
         sent_at_s = self._relays.sent_at_s(told.number, now_s)
         if sent_at_s is None:
             return []
-        if told.unsettled_s > 0:
-            self._roster.unsettle(now_s + told.unsettled_s)
+        if told.removals_held_s > 0:
+            self._roster.unsettle(now_s + told.removals_held_s)
         # A relay that contradicts itself may be suspended between two steps, or its clock stands.
         believed = [
             kind_update
