--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -45,7 +45,7 @@
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.rollout_lease import DutyRecord
-from filbertstream.process.store_view import Followed, KindShown, KindTaken
+from filbertstream.process.store_view import FollowedKind, KindShown, KindTaken
 
 DUTY_NAME: Final = "weights"
 
@@ -85,9 +85,9 @@
     relayed: Relayed
 
     @property
-    def followed(self) -> Followed:
+    def followed(self) -> FollowedKind:
         """What the core is told of the kind."""
-        return Followed(self.kind, self.relayed.max_age_s, self.relayed.pushed)
+        return FollowedKind(self.kind, self.relayed.max_age_s, self.relayed.pushed)
 
 
 def _ignore_quiet(sent_at_s: float, tell: Tell) -> None:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -59,7 +59,7 @@
 from filbertstream.process.relays import Relays
 from filbertstream.process.rollout_lease import Duty
 from filbertstream.process.roster import Roster
-from filbertstream.process.store_view import Followed, KindShown
+from filbertstream.process.store_view import FollowedKind, KindShown
 from filbertstream.process.target_registration import TargetEntry
 from filbertstream.process.work_exchange import WorkExchange
 from filbertstream.request.admission import Admission
@@ -115,7 +115,7 @@
     bounds: Bounds
     peer_address: str
     seed: int
-    followed: tuple[Followed, ...] = ()
+    followed: tuple[FollowedKind, ...] = ()
     link_mbps: float = 0.0
     cores: float = 0.0
 
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -19,7 +19,7 @@
 from filbertstream.process.peer_work import PeerWork
 from filbertstream.process.relays import ASK_S, Relays
 from filbertstream.process.roster import Roster
-from filbertstream.process.store_view import Followed, KindShown, StoreView
+from filbertstream.process.store_view import FollowedKind, KindShown, StoreView
 
 PUSHED_TO_S: Final = 3 * ASK_S
 """Changes are passed on to entries that asked within this time: three questions' time."""
@@ -42,7 +42,7 @@
 
     def __init__(
         self,
-        followed: tuple[Followed, ...],
+        followed: tuple[FollowedKind, ...],
         relays: Relays,
         peers: PeerWork,
         roster: Roster,
--- a/filbertstream/process/store_view.py
+++ b/filbertstream/process/store_view.py
@@ -5,7 +5,7 @@
 store's own answers and from other entries; each is taken only if it is newer than what is there, so
 that it does not matter in which order they arrive.
 
->>> view = StoreView((Followed("k", 2.0, True),))
+>>> view = StoreView((FollowedKind("k", 2.0, True),))
 >>> view.take(KindShown("k", True, 0, 7, 1.0, (ObjectRow("a", 5, b"1"),)), 1.1).rows
 (ObjectRow(name='a', revision=5, content=b'1'),)
 >>> view.kind_update("k", 7, 2.0)
@@ -26,7 +26,7 @@
 """Content of one kind in one answer; more than this is read from the store by each entry."""
 
 
-class Followed(NamedTuple):
+class FollowedKind(NamedTuple):
     """A kind of object that entries follow.
 
     ``max_age_s`` is the age up to which another entry's word for it is relied on, and ``pushed``
@@ -111,7 +111,7 @@
 class StoreView:
     """All kinds that are followed."""
 
-    def __init__(self, followed: tuple[Followed, ...]) -> None:
+    def __init__(self, followed: tuple[FollowedKind, ...]) -> None:
         self.followed = {item.kind: item for item in followed}
         self._kinds = {item.kind: _Kind() for item in followed}
 
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -11,12 +11,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
 from filbertstream.messages import KindUpdate, ObjectRow
-from filbertstream.process.store_view import REMOVALS_KEPT, Followed, KindShown, StoreView
+from filbertstream.process.store_view import REMOVALS_KEPT, FollowedKind, KindShown, StoreView
 
 KIND = "k"
 VIEWS = 3
 NAMES = ("a", "b", "c", "d")
-FOLLOWED = (Followed(KIND, 2.0, True),)
+FOLLOWED = (FollowedKind(KIND, 2.0, True),)
 
 
 class Written(NamedTuple):
