--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -45,7 +45,7 @@
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.rollout_lease import DutyRecord
-from filbertstream.process.store_view import FollowedKind, KindShown, KindTaken
+from filbertstream.process.store_view import FollowedKind, KindObserved, KindTaken
 
 DUTY_NAME: Final = "weights"
 
@@ -355,13 +355,13 @@
     return StoredObject(row.name, row.revision, msgspec.Raw(row.content or b"null"))
 
 
-def shown(kind: str, since: int | None, found: Listing | Changes) -> KindShown:
+def shown(kind: str, since: int | None, found: Listing | Changes) -> KindObserved:
     """Return what an answer of the store shows of a kind: a listing, or a watch after ``since``."""
     if isinstance(found, Listing):
         rows = tuple(_row(stored) for stored in found.objects)
     else:
         rows = tuple(_row(*change) for change in found.changes)
-    return KindShown(kind, since is None, since or 0, found.as_of, found.sent_at_s, rows)
+    return KindObserved(kind, since is None, since or 0, found.as_of, found.sent_at_s, rows)
 
 
 def _row(stored: StoredObject, removed: bool = False) -> ObjectRow:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -59,7 +59,7 @@
 from filbertstream.process.relays import Relays
 from filbertstream.process.rollout_lease import Duty
 from filbertstream.process.roster import Roster
-from filbertstream.process.store_view import FollowedKind, KindShown
+from filbertstream.process.store_view import FollowedKind, KindObserved
 from filbertstream.process.target_registration import TargetEntry
 from filbertstream.process.work_exchange import WorkExchange
 from filbertstream.request.admission import Admission
@@ -207,7 +207,7 @@
             EntriesListed: self._on_entries,
             EntrySeen: self._on_entry,
             PeerMessage: self._on_peer,
-            KindShown: self._forward(self.relayed.on_shown),
+            KindObserved: self._forward(self.relayed.on_shown),
             StoreAnswered: self._on_store,
             BoundsChanged: self._on_bounds,
             StopAsked: self._on_stop,
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -19,7 +19,7 @@
 from filbertstream.process.peer_work import PeerWork
 from filbertstream.process.relays import ASK_S, Relays
 from filbertstream.process.roster import Roster
-from filbertstream.process.store_view import FollowedKind, KindShown, StoreView
+from filbertstream.process.store_view import FollowedKind, KindObserved, StoreView
 
 PUSHED_TO_S: Final = 3 * ASK_S
 """Changes are passed on to entries that asked within this time: three questions' time."""
@@ -83,7 +83,7 @@
             return True
         return not (self._relays.small_fleet or self._relays.tells_others(now_s))
 
-    def on_shown(self, shown: KindShown, now_s: float) -> list[Action]:
+    def on_shown(self, shown: KindObserved, now_s: float) -> list[Action]:
         """Take in an answer of the store, and pass on what can't wait for a question."""
         before = self.view.as_of()[shown.kind]
         taken = self.view.take(shown, now_s)
@@ -162,7 +162,7 @@
         if kind_update.rows is None:
             self._own_reads.add(kind_update.kind)
             return []
-        shown = KindShown(
+        shown = KindObserved(
             kind_update.kind,
             kind_update.full,
             kind_update.since,
--- a/filbertstream/process/store_view.py
+++ b/filbertstream/process/store_view.py
@@ -6,7 +6,7 @@
 that it does not matter in which order they arrive.
 
 >>> view = StoreView((FollowedKind("k", 2.0, True),))
->>> view.take(KindShown("k", True, 0, 7, 1.0, (ObjectRow("a", 5, b"1"),)), 1.1).rows
+>>> view.take(KindObserved("k", True, 0, 7, 1.0, (ObjectRow("a", 5, b"1"),)), 1.1).rows
 (ObjectRow(name='a', revision=5, content=b'1'),)
 >>> view.kind_update("k", 7, 2.0)
 KindNews(kind='k', whole=False, since=7, as_of=7, age_s=1.0, rows=())
@@ -38,7 +38,7 @@
     pushed: bool
 
 
-class KindShown(NamedTuple):
+class KindObserved(NamedTuple):
     """What a kind's objects are as of a revision: all of them, or those changed after ``since``.
 
     ``shown_at_s`` is a moment by the own clock as of which nothing newer was there.
@@ -132,7 +132,7 @@
         known = self._kinds[kind]
         return as_of < known.newest and shown_at_s > known.learned_at_s
 
-    def take(self, shown: KindShown, now_s: float) -> KindTaken | None:
+    def take(self, shown: KindObserved, now_s: float) -> KindTaken | None:
         """Take an answer in; None where it shows nothing about what is here."""
         kind = self._kinds[shown.kind]
         if not shown.full and (not kind.listed or shown.since > kind.as_of):
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -16,7 +16,7 @@
     FollowCache,
 )
 from filbertstream.process.peer_work import EntryRecord
-from filbertstream.process.store_view import KindShown
+from filbertstream.process.store_view import KindObserved
 from tests.gateway_world import FOLLOWED, STORE
 from tests.test_gateway_cache import Keeping
 
@@ -26,7 +26,7 @@
 class Member(Keeping):
     """An entry whose view of the store is shown to be recent, without what it holds."""
 
-    def show(self, shown: KindShown) -> None:
+    def show(self, shown: KindObserved) -> None:
         self.core.relayed.view.take(shown, self.now_s)
 
 
@@ -42,7 +42,7 @@
         self.changes: list[CacheChange] = []
         for name, world in self.worlds.items():
             for item in FOLLOWED:
-                world.show(KindShown(item.kind, True, 0, 5, world.now_s, ()))
+                world.show(KindObserved(item.kind, True, 0, 5, world.now_s, ()))
             # The call of its start, which nobody has answered.
             world.tell(CacheEventsMissed("keep"))
             for other in self.worlds:
@@ -57,7 +57,7 @@
                 if name not in self.dead:
                     world.confirm()
                     for item in FOLLOWED if world.core.relays.is_relay else ():
-                        world.show(KindShown(item.kind, False, 5, 5, world.now_s, ()))
+                        world.show(KindObserved(item.kind, False, 5, 5, world.now_s, ()))
                     messages += self._step(world, name, Tick())
             while messages:
                 action = messages.pop(0)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -42,7 +42,7 @@
     Strength,
 )
 from filbertstream.process.rollout_lease import DutyRecord
-from filbertstream.process.store_view import TOLD_BYTES, KindShown
+from filbertstream.process.store_view import TOLD_BYTES, KindObserved
 from filbertstream.request.call_events import SendCall
 from filbertstream.version.currency import UNREADY_SHARE
 from tests.gateway_world import BOUNDS, FOLLOWED, World, configuration_row
@@ -91,7 +91,7 @@
     def __init__(self, own: str = FOLLOWER) -> None:
         super().__init__(own)
         for kind in KINDS:
-            self.tell(KindShown(kind, True, 0, 5, self.now_s, self.listed(kind)))
+            self.tell(KindObserved(kind, True, 0, 5, self.now_s, self.listed(kind)))
         for name in FLEET:
             self.tell(EntrySeen(name, EntryRecord(f"tcp://{name}", 1), 1))
 
@@ -319,7 +319,7 @@
     world = Fleet(RELAYS[0])
     world.now_s += 0.7
     row = target_row("r3", 9)
-    world.tell(KindShown(TARGETS_KIND, False, 5, 9, world.now_s - 0.1, (row,)))
+    world.tell(KindObserved(TARGETS_KIND, False, 5, 9, world.now_s - 0.1, (row,)))
     asked = ViewRequest(FOLLOWER, 3, {TARGETS_KIND: 5, DOCUMENTS_KIND: 5})
     (action,) = world.tell(PeerMessage(asked))
     assert action.address == f"tcp://{FOLLOWER}"
@@ -337,9 +337,9 @@
     (action,) = world.tell(PeerMessage(asked))
     assert action.payload.kinds[0].full
     follower = Fleet()
-    follower.tell(KindShown(TARGETS_KIND, False, 5, 5, 100.0, ()))
+    follower.tell(KindObserved(TARGETS_KIND, False, 5, 5, 100.0, ()))
     gone = target_row("gone", 4)
-    follower.core.relayed.view.take(KindShown(TARGETS_KIND, False, 5, 5, 100.0, (gone,)), 100.0)
+    follower.core.relayed.view.take(KindObserved(TARGETS_KIND, False, 5, 5, 100.0, (gone,)), 100.0)
     number = follower.question()
     (told,) = action.payload.kinds
     follower.tell(PeerMessage(ViewResponse(number, (told,))))
@@ -350,7 +350,7 @@
     world = Fleet(RELAYS[0])
     world.tell(PeerMessage(ViewRequest(FOLLOWER, 1, {})))
     record = msgspec.json.encode(DutyRecord("f9#1", 1, True, 1, ["r1"]))
-    shown = KindShown(DUTIES_KIND, False, 5, 9, 100.0, (ObjectRow("weights", 9, record),))
+    shown = KindObserved(DUTIES_KIND, False, 5, 9, 100.0, (ObjectRow("weights", 9, record),))
     (action,) = world.tell(shown)
     assert action.address == f"tcp://{FOLLOWER}"
     follower = Fleet()
@@ -364,7 +364,7 @@
     relay = Fleet(RELAYS[0])
     keys = tuple(f"{number:064}" for number in range(TOLD_BYTES // 64))
     row = configuration_row(2, keys, 9)
-    relay.tell(KindShown(DOCUMENTS_KIND, False, 5, 9, 100.0, (row,)))
+    relay.tell(KindObserved(DOCUMENTS_KIND, False, 5, 9, 100.0, (row,)))
     (action,) = relay.tell(PeerMessage(ViewRequest(FOLLOWER, 1, {DOCUMENTS_KIND: 5})))
     (told,) = action.payload.kinds
     assert told.rows is None
@@ -389,7 +389,7 @@
     def list_entries(self, fleet: tuple[str, ...]) -> None:
         for name in fleet:
             self.tell(EntrySeen(name, EntryRecord(f"tcp://{name}", 1), 1))
-        self.tell(KindShown(ENTRIES_KIND, True, 0, 5, self.now_s, Fleet.listed(ENTRIES_KIND)))
+        self.tell(KindObserved(ENTRIES_KIND, True, 0, 5, self.now_s, Fleet.listed(ENTRIES_KIND)))
 
 
 def test_an_entry_that_starts_in_a_large_fleet_is_told_instead_of_listing_all() -> None:
@@ -417,7 +417,7 @@
 
 def test_an_entry_that_starts_in_a_small_fleet_reads_all_at_once() -> None:
     world = Starting("f1")
-    world.tell(KindShown(ENTRIES_KIND, True, 0, 5, world.now_s, ()))
+    world.tell(KindObserved(ENTRIES_KIND, True, 0, 5, world.now_s, ()))
     assert world.reads() == set(KINDS)
 
 
@@ -455,7 +455,7 @@
 def test_an_entry_registers_what_its_vm_has() -> None:
     cfg = GatewayConfig("e1", 1, "dc1", BOUNDS, "tcp://e1", 7, FOLLOWED, 20.0, 0.5)
     core = Gateway(cfg)
-    shown = KindShown(ENTRIES_KIND, True, 0, 5, 100.0, ())
+    shown = KindObserved(ENTRIES_KIND, True, 0, 5, 100.0, ())
     (show,) = core.step(100.0, shown)
     (write,) = core.step(100.0, EntriesListed(frozenset()))
     assert isinstance(show, ShowKind)
--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -17,7 +17,7 @@
 from filbertstream.platform.documents import DOCUMENTS_KIND
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.relays import Relays
-from filbertstream.process.store_view import KindShown
+from filbertstream.process.store_view import KindObserved
 from filbertstream.request.call_events import SendCall
 from tests.gateway_world import BOUNDS, World, configuration, configuration_row
 
@@ -82,7 +82,7 @@
         if not lost:
             rows = (row_of(asked.seen),)
             as_of = asked.seen.version
-            shown = KindShown(DOCUMENTS_KIND, True, 0, as_of, asked.sent_at_s, rows)
+            shown = KindObserved(DOCUMENTS_KIND, True, 0, as_of, asked.sent_at_s, rows)
             self.world.tell(shown)
 
     @rule()
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -11,7 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
 from filbertstream.messages import KindUpdate, ObjectRow
-from filbertstream.process.store_view import REMOVALS_KEPT, FollowedKind, KindShown, StoreView
+from filbertstream.process.store_view import REMOVALS_KEPT, FollowedKind, KindObserved, StoreView
 
 KIND = "k"
 VIEWS = 3
@@ -30,7 +30,7 @@
     """An answer that is on its way to a view."""
 
     view: int
-    shown: KindShown
+    shown: KindObserved
 
 
 class ViewMachine(RuleBasedStateMachine):
@@ -71,7 +71,7 @@
     @rule(view=st.integers(0, VIEWS - 1))
     def list(self, view: int) -> None:
         rows = tuple(self.present(self.now_s).values())
-        shown = KindShown(KIND, True, 0, self.revision, self.now_s, rows)
+        shown = KindObserved(KIND, True, 0, self.revision, self.now_s, rows)
         self.on_the_way.append(Shown(view, shown))
 
     @rule(view=st.integers(0, VIEWS - 1))
@@ -82,7 +82,7 @@
         changed = [
             write.row for number, write in enumerate(self.written) if self.stamps[number] > since
         ]
-        shown = KindShown(KIND, False, since, self.revision, self.now_s, tuple(changed))
+        shown = KindObserved(KIND, False, since, self.revision, self.now_s, tuple(changed))
         self.on_the_way.append(Shown(view, shown))
 
     @rule(asker=st.integers(0, VIEWS - 1), relay=st.integers(0, VIEWS - 1), late=st.booleans())
@@ -97,7 +97,7 @@
         assert isinstance(kind_update, KindUpdate)
         assert kind_update.rows is not None
         shown_at_s = sent_at_s - kind_update.age_s
-        shown = KindShown(
+        shown = KindObserved(
             KIND,
             kind_update.full,
             kind_update.since,
@@ -150,9 +150,9 @@
 def test_an_object_that_came_back_within_one_answer_is_there() -> None:
     """Fault: registrations lapse while the store is away, and are back with its return."""
     view = StoreView(FOLLOWED)
-    view.take(KindShown(KIND, True, 0, 5, 0.0, (ObjectRow("x", 4, b"4"),)), 0.0)
+    view.take(KindObserved(KIND, True, 0, 5, 0.0, (ObjectRow("x", 4, b"4"),)), 0.0)
     rows = (ObjectRow("x", 4, None), ObjectRow("x", 7, b"7"))
-    taken = view.take(KindShown(KIND, False, 5, 9, 1.0, rows), 1.0)
+    taken = view.take(KindObserved(KIND, False, 5, 9, 1.0, rows), 1.0)
     assert taken is not None
     assert taken.rows == rows[1:]
     told = view.kind_update(KIND, 5, 1.0)
@@ -163,15 +163,15 @@
 def test_an_object_that_came_back_is_told_after_its_removal_was() -> None:
     relay, follower = StoreView(FOLLOWED), StoreView(FOLLOWED)
     for view in (relay, follower):
-        view.take(KindShown(KIND, True, 0, 5, 0.0, (ObjectRow("x", 4, b"4"),)), 0.0)
-    relay.take(KindShown(KIND, False, 5, 9, 1.0, (ObjectRow("x", 4, None),)), 1.0)
+        view.take(KindObserved(KIND, True, 0, 5, 0.0, (ObjectRow("x", 4, b"4"),)), 0.0)
+    relay.take(KindObserved(KIND, False, 5, 9, 1.0, (ObjectRow("x", 4, None),)), 1.0)
     for since, row in ((9, ObjectRow("x", 10, b"10")), (None, None)):
         told = relay.kind_update(KIND, follower.as_of()[KIND], 1.0)
         assert told is not None
         assert told.rows is not None
-        follower.take(KindShown(KIND, told.full, told.since, told.as_of, 1.0, told.rows), 1.0)
+        follower.take(KindObserved(KIND, told.full, told.since, told.as_of, 1.0, told.rows), 1.0)
         if row is not None and since is not None:
-            relay.take(KindShown(KIND, False, since, 12, 1.0, (row,)), 1.0)
+            relay.take(KindObserved(KIND, False, since, 12, 1.0, (row,)), 1.0)
     held = follower.kind_update(KIND, 0, 1.0)
     assert held is not None
     assert held.rows == (ObjectRow("x", 10, b"10"),)
@@ -179,10 +179,10 @@
 
 def test_an_asker_that_missed_forgotten_removals_is_told_the_whole_kind() -> None:
     view = StoreView(FOLLOWED)
-    view.take(KindShown(KIND, True, 0, 1, 0.0, (ObjectRow("x", 1, b"1"),)), 0.0)
+    view.take(KindObserved(KIND, True, 0, 1, 0.0, (ObjectRow("x", 1, b"1"),)), 0.0)
     removals = tuple(ObjectRow(f"r{number}", 1, None) for number in range(REMOVALS_KEPT + 1))
     for number, row in enumerate(removals):
-        view.take(KindShown(KIND, False, 1 + number, 2 + number, 1.0, (row,)), 1.0)
+        view.take(KindObserved(KIND, False, 1 + number, 2 + number, 1.0, (row,)), 1.0)
     told = view.kind_update(KIND, 1, 1.0)
     assert told is not None
     assert told.full
