--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -45,7 +45,7 @@
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.rollout_lease import DutyRecord
-from filbertstream.process.store_view import FollowedKind, KindObserved, KindTaken
+from filbertstream.process.store_view import FollowedKind, KindDelta, KindObserved
 
 DUTY_NAME: Final = "weights"
 
@@ -340,7 +340,7 @@
     )
 
 
-def show_kind(watched: Watched, taken: KindTaken, tell: Tell) -> None:
+def show_kind(watched: Watched, taken: KindDelta, tell: Tell) -> None:
     """Decode what is new of a kind and tell it."""
     if taken.full:
         objects = tuple(_stored(row) for row in taken.rows if row.content is not None)
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -11,7 +11,7 @@
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.rollout_lease import DutyRecord, WriteDuty
-from filbertstream.process.store_view import KindTaken
+from filbertstream.process.store_view import KindDelta
 from filbertstream.process.target_registration import TargetEntry
 from filbertstream.request.call_events import CallAction
 from filbertstream.request.idempotency_keys import ClaimKey, SettleKey
@@ -106,7 +106,7 @@
 class ShowKind(NamedTuple):
     """Decode what is new of a kind of objects and tell it."""
 
-    taken: KindTaken
+    taken: KindDelta
 
 
 class BoundsChanged(NamedTuple):
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -53,7 +53,7 @@
 from filbertstream.process.deployment import Address, Deployment
 from filbertstream.process.logs import BoundedStream, EventLog
 from filbertstream.process.rollout_lease import WriteDuty
-from filbertstream.process.store_view import KindTaken
+from filbertstream.process.store_view import KindDelta
 from filbertstream.request.idempotency_keys import ClaimKey, SettleKey
 from filbertstream.version.rollout import OrderWeights, PollReport
 
@@ -341,7 +341,7 @@
         self._decoding += 1
         self._submit_to(self._decoder, self._decode, taken)
 
-    def _decode(self, taken: KindTaken) -> None:
+    def _decode(self, taken: KindDelta) -> None:
         show_kind(self._watched[taken.kind], taken, self.tell_soon)
         if self._loop is not None:
             self._loop.call_soon_threadsafe(self._decoded)
--- a/filbertstream/process/store_view.py
+++ b/filbertstream/process/store_view.py
@@ -52,7 +52,7 @@
     rows: tuple[ObjectRow, ...]
 
 
-class KindTaken(NamedTuple):
+class KindDelta(NamedTuple):
     """What of it was new: the rows to decode, as a listing of the kind or as changes."""
 
     kind: str
@@ -132,7 +132,7 @@
         known = self._kinds[kind]
         return as_of < known.newest and shown_at_s > known.learned_at_s
 
-    def take(self, shown: KindObserved, now_s: float) -> KindTaken | None:
+    def take(self, shown: KindObserved, now_s: float) -> KindDelta | None:
         """Take an answer in; None where it shows nothing about what is here."""
         kind = self._kinds[shown.kind]
         if not shown.full and (not kind.listed or shown.since > kind.as_of):
@@ -141,7 +141,7 @@
         if shown.as_of < kind.as_of:
             # Nothing newer was there at that moment, and what is here is newer still.
             kind.shown_at_s = max(kind.shown_at_s, shown.shown_at_s)
-            return KindTaken(shown.kind, False, kind.shown_at_s, ())
+            return KindDelta(shown.kind, False, kind.shown_at_s, ())
         # Of several changes of an object the last one tells how it was as of the answer; the others
         # may be known already, and what came after them too.
         last = {row.name: row for row in shown.rows}
@@ -161,7 +161,7 @@
         kind.listed = True
         kind.trim()
         kind.shown_at_s = max(kind.shown_at_s, shown.shown_at_s)
-        return KindTaken(shown.kind, listed, kind.shown_at_s, tuple(rows))
+        return KindDelta(shown.kind, listed, kind.shown_at_s, tuple(rows))
 
     def kind_update(self, name: str, since: int, now_s: float) -> KindUpdate | None:
         """Return what another entry is to be told of a kind that it knows up to ``since``."""
