--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -344,11 +344,11 @@
     """Decode what is new of a kind and tell it."""
     if taken.full:
         objects = tuple(_stored(row) for row in taken.rows if row.content is not None)
-        watched.on_listing(Listing(taken.shown_at_s, 0, objects), tell)
+        watched.on_listing(Listing(taken.observed_at_s, 0, objects), tell)
         return
     for row in taken.rows:
-        watched.on_change(Change(_stored(row), row.content is None), taken.shown_at_s, tell)
-    watched.on_quiet(taken.shown_at_s, tell)
+        watched.on_change(Change(_stored(row), row.content is None), taken.observed_at_s, tell)
+    watched.on_quiet(taken.observed_at_s, tell)
 
 
 def _stored(row: ObjectRow) -> StoredObject:
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -124,11 +124,11 @@
     def on_told(self, told: ViewResponse, now_s: float) -> list[Action]:
         """Take in what another entry knows, as of before the question was sent."""
         if told.number == UNASKED:
-            shown_at_s = float("-inf")
+            observed_at_s = float("-inf")
             return [
                 item
                 for kind_update in told.kinds
-                for item in self._take(kind_update, shown_at_s, now_s)
+                for item in self._take(kind_update, observed_at_s, now_s)
             ]
         sent_at_s = self._relays.sent_at_s(told.number, now_s)
         if sent_at_s is None:
@@ -156,7 +156,7 @@
             kind_update.kind, kind_update.as_of, sent_at_s - kind_update.age_s
         )
 
-    def _take(self, kind_update: KindUpdate, shown_at_s: float, now_s: float) -> list[Action]:
+    def _take(self, kind_update: KindUpdate, observed_at_s: float, now_s: float) -> list[Action]:
         if kind_update.kind not in self.view.followed:
             return []
         if kind_update.rows is None:
@@ -167,14 +167,14 @@
             kind_update.full,
             kind_update.since,
             kind_update.as_of,
-            shown_at_s,
+            observed_at_s,
             kind_update.rows,
         )
         self._own_reads.discard(kind_update.kind)
         taken = self.view.take(shown, now_s)
         if taken is None:
             return []
-        self._told_at_s[kind_update.kind] = max(self._told_at_s[kind_update.kind], shown_at_s)
+        self._told_at_s[kind_update.kind] = max(self._told_at_s[kind_update.kind], observed_at_s)
         return [ShowKind(taken)]
 
     def is_current(self, now_s: float, share: float = 1.0) -> bool:
--- a/filbertstream/process/store_view.py
+++ b/filbertstream/process/store_view.py
@@ -41,14 +41,14 @@
 class KindObserved(NamedTuple):
     """What a kind's objects are as of a revision: all of them, or those changed after ``since``.
 
-    ``shown_at_s`` is a moment by the own clock as of which nothing newer was there.
+    ``observed_at_s`` is a moment by the own clock as of which nothing newer was there.
     """
 
     kind: str
     full: bool
     since: int
     as_of: int
-    shown_at_s: float
+    observed_at_s: float
     rows: tuple[ObjectRow, ...]
 
 
@@ -57,7 +57,7 @@
 
     kind: str
     full: bool
-    shown_at_s: float
+    observed_at_s: float
     rows: tuple[ObjectRow, ...]
 
 
@@ -79,7 +79,7 @@
         self.newest = 0
         self.listed = False
         self.learned_at_s = float("-inf")
-        self.shown_at_s = float("-inf")
+        self.observed_at_s = float("-inf")
         self.complete_from = 0
         self.present: dict[str, ObjectRow] = {}
         self.removed: dict[str, _Removal] = {}
@@ -125,12 +125,12 @@
 
     def age_s(self, kind: str, now_s: float) -> float:
         """Return how long ago a kind was last shown to be as it is here."""
-        return now_s - self._kinds[kind].shown_at_s
+        return now_s - self._kinds[kind].observed_at_s
 
-    def contradicted(self, kind: str, as_of: int, shown_at_s: float) -> bool:
+    def contradicted(self, kind: str, as_of: int, observed_at_s: float) -> bool:
         """Whether a state can't be the newest as of a moment: a newer one was known by then."""
         known = self._kinds[kind]
-        return as_of < known.newest and shown_at_s > known.learned_at_s
+        return as_of < known.newest and observed_at_s > known.learned_at_s
 
     def take(self, shown: KindObserved, now_s: float) -> KindDelta | None:
         """Take an answer in; None where it shows nothing about what is here."""
@@ -140,8 +140,8 @@
             return None
         if shown.as_of < kind.as_of:
             # Nothing newer was there at that moment, and what is here is newer still.
-            kind.shown_at_s = max(kind.shown_at_s, shown.shown_at_s)
-            return KindDelta(shown.kind, False, kind.shown_at_s, ())
+            kind.observed_at_s = max(kind.observed_at_s, shown.observed_at_s)
+            return KindDelta(shown.kind, False, kind.observed_at_s, ())
         # Of several changes of an object the last one tells how it was as of the answer; the others
         # may be known already, and what came after them too.
         last = {row.name: row for row in shown.rows}
@@ -160,15 +160,15 @@
         kind.as_of = shown.as_of
         kind.listed = True
         kind.trim()
-        kind.shown_at_s = max(kind.shown_at_s, shown.shown_at_s)
-        return KindDelta(shown.kind, listed, kind.shown_at_s, tuple(rows))
+        kind.observed_at_s = max(kind.observed_at_s, shown.observed_at_s)
+        return KindDelta(shown.kind, listed, kind.observed_at_s, tuple(rows))
 
     def kind_update(self, name: str, since: int, now_s: float) -> KindUpdate | None:
         """Return what another entry is to be told of a kind that it knows up to ``since``."""
         kind = self._kinds.get(name)
         if kind is None or not kind.listed:
             return None
-        age_s = now_s - kind.shown_at_s
+        age_s = now_s - kind.observed_at_s
         full = since < kind.complete_from
         changed = [row for row in kind.present.values() if full or row.revision > since]
         if not full:
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -96,13 +96,13 @@
             return
         assert isinstance(kind_update, KindUpdate)
         assert kind_update.rows is not None
-        shown_at_s = sent_at_s - kind_update.age_s
+        observed_at_s = sent_at_s - kind_update.age_s
         shown = KindObserved(
             KIND,
             kind_update.full,
             kind_update.since,
             kind_update.as_of,
-            shown_at_s,
+            observed_at_s,
             kind_update.rows,
         )
         self.on_the_way.append(Shown(asker, shown))
@@ -126,11 +126,11 @@
             return
         assert told.rows is not None
         held = {row.name: row for row in told.rows if row.content is not None}
-        shown_at_s = self.now_s - told.age_s
+        observed_at_s = self.now_s - told.age_s
         # Whatever was there at the moment shown, or has been put there since.
-        for name, row in self.present(shown_at_s + 1e-9).items():
+        for name, row in self.present(observed_at_s + 1e-9).items():
             later = [item for item in self.written if item.row.name == name]
-            gone = any(item.row.content is None and item.at_s > shown_at_s for item in later)
+            gone = any(item.row.content is None and item.at_s > observed_at_s for item in later)
             assert gone or held[name].revision >= row.revision
         for name, row in held.items():
             removals = [
@@ -140,7 +140,7 @@
                 and item.row.content is None
                 and item.row.revision >= row.revision
             ]
-            assert all(at_s > shown_at_s - 1e-9 for at_s in removals), name
+            assert all(at_s > observed_at_s - 1e-9 for at_s in removals), name
 
 
 TestViews = ViewMachine.TestCase
