--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -136,7 +136,7 @@
 )
 
 MESSAGE_LIMIT_BYTES: Final = 4_000_000
-"""A message may hold all kinds of objects, each up to ``process.store_view.TOLD_BYTES``."""
+"""A message may hold all kinds of objects, each up to ``process.store_view.KIND_UPDATE_LIMIT_BYTES``."""
 
 COMPRESSION_THRESHOLD_BYTES: Final = 4_096
 """Messages from this size on are compressed: configurations and news of many parts, to a fifth."""
--- a/filbertstream/process/store_view.py
+++ b/filbertstream/process/store_view.py
@@ -22,7 +22,7 @@
 REMOVALS_KEPT: Final = 512
 """Removals of a kind that are remembered; who asks about earlier ones is told the whole kind."""
 
-TOLD_BYTES: Final = 262_144
+KIND_UPDATE_LIMIT_BYTES: Final = 262_144
 """Content of one kind in one answer; more than this is read from the store by each entry."""
 
 
@@ -174,6 +174,6 @@
         if not full:
             gone = [item for item in kind.removed.items() if item[1].at > since]
             changed += [ObjectRow(name, removal.revision, None) for name, removal in gone]
-        if sum(len(row.content or b"") for row in changed) > TOLD_BYTES:
+        if sum(len(row.content or b"") for row in changed) > KIND_UPDATE_LIMIT_BYTES:
             return KindUpdate(name, full, since, kind.as_of, age_s, None)
         return KindUpdate(name, full, since, kind.as_of, age_s, tuple(changed))
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -42,7 +42,7 @@
     Strength,
 )
 from filbertstream.process.rollout_lease import DutyRecord
-from filbertstream.process.store_view import TOLD_BYTES, KindObserved
+from filbertstream.process.store_view import KIND_UPDATE_LIMIT_BYTES, KindObserved
 from filbertstream.request.call_events import SendCall
 from filbertstream.version.currency import UNREADY_SHARE
 from tests.gateway_world import BOUNDS, FOLLOWED, World, configuration_row
@@ -362,7 +362,7 @@
 
 def test_what_is_too_large_to_tell_is_read_from_the_store() -> None:
     relay = Fleet(RELAYS[0])
-    keys = tuple(f"{number:064}" for number in range(TOLD_BYTES // 64))
+    keys = tuple(f"{number:064}" for number in range(KIND_UPDATE_LIMIT_BYTES // 64))
     row = configuration_row(2, keys, 9)
     relay.tell(KindObserved(DOCUMENTS_KIND, False, 5, 9, 100.0, (row,)))
     (action,) = relay.tell(PeerMessage(ViewRequest(FOLLOWER, 1, {DOCUMENTS_KIND: 5})))
