--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -207,7 +207,7 @@
             EntriesListed: self._on_entries,
             EntrySeen: self._on_entry,
             PeerMessage: self._on_peer,
-            KindObserved: self._forward(self.relayed.on_shown),
+            KindObserved: self._forward(self.relayed.on_kind_observed),
             StoreAnswered: self._on_store,
             BoundsChanged: self._on_bounds,
             StopAsked: self._on_stop,
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -83,7 +83,7 @@
             return True
         return not (self._relays.small_fleet or self._relays.tells_others(now_s))
 
-    def on_shown(self, shown: KindObserved, now_s: float) -> list[Action]:
+    def on_kind_observed(self, shown: KindObserved, now_s: float) -> list[Action]:
         """Take in an answer of the store, and pass on what can't wait for a question."""
         before = self.view.as_of()[shown.kind]
         taken = self.view.take(shown, now_s)
