--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -383,7 +383,7 @@
         elif isinstance(work, CacheUpdateBatch):
             self.cache_news.on_batch(work, now_s)
         elif isinstance(work, ViewRequest):
-            return [*self.relayed.on_asked(work, now_s)]
+            return [*self.relayed.on_view_request(work, now_s)]
         elif isinstance(work, ViewResponse):
             return [*self.relayed.on_told(work, now_s)]
         return []
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -110,7 +110,7 @@
         record = self._peers.members.get(member)
         return [] if record is None else [SendPeer(record.peer_address, payload)]
 
-    def on_asked(self, asked: ViewRequest, now_s: float) -> list[Action]:
+    def on_view_request(self, asked: ViewRequest, now_s: float) -> list[Action]:
         """Answer another entry by what is known here, with its age."""
         self._relays.note_asked(now_s)
         self._followers[asked.member] = now_s
