--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -385,7 +385,7 @@
         elif isinstance(work, ViewRequest):
             return [*self.relayed.on_view_request(work, now_s)]
         elif isinstance(work, ViewResponse):
-            return [*self.relayed.on_told(work, now_s)]
+            return [*self.relayed.on_view_response(work, now_s)]
         return []
 
     def _share(self, followers: list[str], now_s: float) -> list[GatewayAction]:
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -121,7 +121,7 @@
         removals_held_s = max(0.0, self._roster.unsettled_until_s - now_s)
         return self._send(asked.member, ViewResponse(asked.number, kinds, removals_held_s))
 
-    def on_told(self, told: ViewResponse, now_s: float) -> list[Action]:
+    def on_view_response(self, told: ViewResponse, now_s: float) -> list[Action]:
         """Take in what another entry knows, as of before the question was sent."""
         if told.number == UNASKED:
             observed_at_s = float("-inf")
