--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -446,7 +446,7 @@
         actions += self.relayed.tick(now_s)
         if now_s >= self._next_duty_s:
             self._next_duty_s = now_s + DUTY_TICK_S
-            reserve_s = 0.0 if self.relayed.reads_store(now_s) else RELYING_RESERVE_S
+            reserve_s = 0.0 if self.relayed.reads_object_store(now_s) else RELYING_RESERVE_S
             owners = self._cache_owners()
             actions += self.weights_duty.tick(now_s, owners, self.stopping, reserve_s)
         ready = self.ready(now_s)
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -59,7 +59,7 @@
         self._hints = {item.kind for item in followed if math.isinf(item.max_age_s)}
         self._began_s: float | None = None
 
-    def reads_store(self, now_s: float) -> bool:
+    def reads_object_store(self, now_s: float) -> bool:
         """Whether this entry follows the store itself now."""
         return not self._relied or self._relays.tells_others(now_s)
 
@@ -71,7 +71,7 @@
         """
         if self._may_be_told(now_s):
             return kind in self._hints
-        return kind in self._own_reads or self.reads_store(now_s)
+        return kind in self._own_reads or self.reads_object_store(now_s)
 
     def _may_be_told(self, now_s: float) -> bool:
         """Whether this entry has just started and others may tell it all."""
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -126,8 +126,8 @@
                     return asked.number
 
     @property
-    def reads_store(self) -> bool:
-        return self.core.relayed.reads_store(self.now_s)
+    def reads_object_store(self) -> bool:
+        return self.core.relayed.reads_object_store(self.now_s)
 
 
 def question_of(action: object) -> ViewRequest | None:
@@ -156,27 +156,27 @@
     world = Fleet()
     world.turn(3 * BOUNDS.revoke_s)
     assert world.core.ready(world.now_s)
-    assert not world.reads_store
+    assert not world.reads_object_store
 
 
 @pytest.mark.parametrize("name", RELAYS)
 def test_a_relay_goes_on_reading_the_store(name: str) -> None:
     world = Fleet(name)
     world.turn(3.0)
-    assert world.reads_store
+    assert world.reads_object_store
 
 
 def test_an_entry_that_nobody_answers_reads_the_store_before_it_is_unready() -> None:
     world = Fleet()
     world.turn(2.0)
-    assert not world.reads_store
-    while not world.reads_store:
+    assert not world.reads_object_store
+    while not world.reads_object_store:
         assert world.core.ready(world.now_s)
         world.turn(0.1, answers=False)
     longest_s = min(item.max_age_s for item in FOLLOWED)
     world.turn(2.0)
     world.turn(longest_s, answers=False)
-    assert world.reads_store
+    assert world.reads_object_store
 
 
 def test_a_relay_that_does_not_answer_is_passed_over_longer_each_time() -> None:
@@ -223,7 +223,7 @@
     world = Fleet()
     world.turn(2.0)
     outage_s = 0.0
-    while not world.reads_store:
+    while not world.reads_object_store:
         outage_s += 0.5
         world.turn(0.5, age_s=0.2 + outage_s)
     assert outage_s < BOUNDS.revoke_s * UNREADY_SHARE
@@ -475,4 +475,4 @@
     world.turn(2.0)
     world.turn(2.0, answers=False)
     world.now_s += 0.1
-    assert world.reads_store
+    assert world.reads_object_store
