--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -28,7 +28,7 @@
 """A relay whose word is older than this share of what is relied on is passed over before it counts
 for nothing; its usual age is less."""
 
-START_S: Final = 0.4
+START_WAIT_S: Final = 0.4
 """An entry that has started waits this long to be told: a question and another one elsewhere."""
 
 UNASKED: Final = 0
@@ -77,7 +77,7 @@
         """Whether this entry has just started and others may tell it all."""
         if self._began_s is None:
             self._began_s = now_s
-        if now_s - self._began_s >= START_S or self._relied:
+        if now_s - self._began_s >= START_WAIT_S or self._relied:
             return False
         if not all(self.view.listed(kind) for kind in self._hints):
             return True
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -28,7 +28,7 @@
     TARGETS_KIND,
 )
 from filbertstream.process.peer_work import EntryRecord
-from filbertstream.process.relayed_view import START_S
+from filbertstream.process.relayed_view import START_WAIT_S
 from filbertstream.process.relays import (
     ANSWER_WITHIN_S,
     ASK_S,
@@ -411,7 +411,7 @@
     world = Starting(own)
     world.list_entries(FLEET)
     assert world.reads() == (set(KINDS) if own in RELAYS else {ENTRIES_KIND})
-    world.now_s += START_S
+    world.now_s += START_WAIT_S
     assert world.reads() == set(KINDS)
 
 
