--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -24,7 +24,7 @@
 PUSHED_TO_S: Final = 3 * ASK_S
 """Changes are passed on to entries that asked within this time: three questions' time."""
 
-YOUNG_SHARE: Final = 0.8
+FRESH_FRACTION: Final = 0.8
 """A relay whose word is older than this share of what is relied on is passed over before it counts
 for nothing; its usual age is less."""
 
@@ -144,7 +144,7 @@
         actions: list[Action] = []
         for kind_update in believed:
             actions += self._take(kind_update, sent_at_s - kind_update.age_s, now_s)
-        if len(believed) == len(told.kinds) and self.is_current(now_s, YOUNG_SHARE):
+        if len(believed) == len(told.kinds) and self.is_current(now_s, FRESH_FRACTION):
             self._relays.trust(told.number)
         else:
             self._relays.doubt(told.number, now_s)
