--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -386,8 +386,8 @@
     Guard(
         "an entry that nobody answers reads the store",
         "process/relayed_view.py",
-        "return not self._relied or self._relays.tells_others(now_s)",
-        "return self._relays.tells_others(now_s)",
+        "return not self._relied or self._relays.serves_peers(now_s)",
+        "return self._relays.serves_peers(now_s)",
         "tests/test_relays.py::"
         "test_an_entry_that_nobody_answers_reads_the_store_before_it_is_unready",
     ),
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -325,7 +325,7 @@
         relayed = self.core.relayed
         idle = frozenset(kind for kind in self._watched if not relayed.reads_kind(kind, now_s))
         relays = self.core.relays
-        tells = relays.tells_others(now_s)
+        tells = relays.serves_peers(now_s)
         self._gate.set(idle, tells, not (tells or relays.small_fleet))
 
     def _show_kind(self, action: ShowKind) -> None:
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -194,7 +194,7 @@
         """Return the calls that are due."""
         due: list[FollowCache | ListCache] = []
         large = self._relays is not None and not self._relays.small_fleet
-        stands_in = self._relays is not None and self._relays.tells_others(now_s)
+        stands_in = self._relays is not None and self._relays.serves_peers(now_s)
         for state in self.states.values():
             reads = self._reads(state.name, state.spec.event_readers)
             if not reads and (state.fetchable(now_s) or not stands_in):
--- a/filbertstream/process/cache_updates.py
+++ b/filbertstream/process/cache_updates.py
@@ -85,7 +85,7 @@
 
         Events are numbered in a row, so the newest of them are the last rows.
         """
-        if not self._relays.tells_others(now_s):
+        if not self._relays.serves_peers(now_s):
             return
         boot, passed_on = self._passed_on.get(update.store, (update.boot, 0))
         if boot == update.boot:
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -61,7 +61,7 @@
 
     def reads_object_store(self, now_s: float) -> bool:
         """Whether this entry follows the store itself now."""
-        return not self._relied or self._relays.tells_others(now_s)
+        return not self._relied or self._relays.serves_peers(now_s)
 
     def reads_kind(self, kind: str, now_s: float) -> bool:
         """Whether it follows one kind itself.
@@ -81,7 +81,7 @@
             return False
         if not all(self.view.listed(kind) for kind in self._hints):
             return True
-        return not (self._relays.small_fleet or self._relays.tells_others(now_s))
+        return not (self._relays.small_fleet or self._relays.serves_peers(now_s))
 
     def on_kind_observed(self, shown: KindObserved, now_s: float) -> list[Action]:
         """Take in an answer of the store, and pass on what can't wait for a question."""
--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -158,7 +158,7 @@
         self._update()
         return tuple(name for name in self._relays if name != self._own)
 
-    def tells_others(self, now_s: float) -> bool:
+    def serves_peers(self, now_s: float) -> bool:
         """Whether other entries rely on this one, as a relay or in the place of one."""
         return self.is_relay or (not self.small_fleet and now_s - self._asked_at_s < ASKED_S)
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -139,7 +139,7 @@
     fleet = FLEET[:DIRECT_MEMBERS]
     parts = [relays_of(name, fleet) for name in fleet]
     assert all(part.small_fleet and part.due(1.0) is None for part in parts)
-    assert not any(part.tells_others(1.0) for part in parts)
+    assert not any(part.serves_peers(1.0) for part in parts)
 
 
 @pytest.mark.parametrize("size", [DIRECT_MEMBERS + 1, 60, 195, 1_300])
@@ -212,10 +212,10 @@
             part.trust(due.number)
     assert 1 <= len(asked) <= SUBSTITUTES
     substitute = relays_of(asked.pop())
-    assert not substitute.tells_others(10.0)
+    assert not substitute.serves_peers(10.0)
     substitute.note_asked(10.0)
-    assert substitute.tells_others(10.0)
-    assert not substitute.tells_others(10.0 + ASKED_S)
+    assert substitute.serves_peers(10.0)
+    assert not substitute.serves_peers(10.0 + ASKED_S)
 
 
 def test_relays_that_are_out_of_touch_themselves_are_not_relied_on() -> None:
