--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -112,7 +112,7 @@
 
     def on_view_request(self, asked: ViewRequest, now_s: float) -> list[Action]:
         """Answer another entry by what is known here, with its age."""
-        self._relays.note_asked(now_s)
+        self._relays.note_view_request(now_s)
         self._followers[asked.member] = now_s
         kind_update = [
             self.view.kind_update(kind, since, now_s) for kind, since in asked.as_of.items()
--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -162,7 +162,7 @@
         """Whether other entries rely on this one, as a relay or in the place of one."""
         return self.is_relay or (not self.small_fleet and now_s - self._asked_at_s < ASKED_S)
 
-    def note_asked(self, now_s: float) -> None:
+    def note_view_request(self, now_s: float) -> None:
         """Note that another entry asks this one."""
         self._asked_at_s = now_s
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -213,7 +213,7 @@
     assert 1 <= len(asked) <= SUBSTITUTES
     substitute = relays_of(asked.pop())
     assert not substitute.serves_peers(10.0)
-    substitute.note_asked(10.0)
+    substitute.note_view_request(10.0)
     assert substitute.serves_peers(10.0)
     assert not substitute.serves_peers(10.0 + ASKED_S)
 
