--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -145,7 +145,7 @@
         for kind_update in believed:
             actions += self._take(kind_update, sent_at_s - kind_update.age_s, now_s)
         if len(believed) == len(told.kinds) and self.is_current(now_s, FRESH_FRACTION):
-            self._relays.trust(told.number)
+            self._relays.mark_healthy(told.number)
         else:
             self._relays.doubt(told.number, now_s)
         return actions
--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -208,7 +208,7 @@
         for_s = DOUBT_S if before is None else before.next_s
         self._doubts[sent.member] = _Doubt(now_s + for_s, min(DOUBT_MAX_S, 2 * for_s))
 
-    def trust(self, number: int) -> None:
+    def mark_healthy(self, number: int) -> None:
         """Note that a question's answer was of use."""
         sent = self._sent.get(number)
         if sent is not None:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -192,7 +192,7 @@
         if due.member == first.member:
             asked_again.append(now_s)
         else:
-            part.trust(due.number)
+            part.mark_healthy(due.number)
             part.sent_at_s(due.number, now_s)
     assert len(asked_again) == 2
     assert asked_again[0] >= DOUBT_S
@@ -209,7 +209,7 @@
         if due.member not in RELAYS:
             asked.add(due.member)
             part.sent_at_s(due.number, turn * ASK_S)
-            part.trust(due.number)
+            part.mark_healthy(due.number)
     assert 1 <= len(asked) <= SUBSTITUTES
     substitute = relays_of(asked.pop())
     assert not substitute.serves_peers(10.0)
