--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -44,7 +44,7 @@
 ANSWER_WITHIN_S: Final = 1.0
 """An answer that comes later is not taken."""
 
-DOUBT_S: Final = 5.0
+SUSPECT_S: Final = 5.0
 """A relay that is silent or out of touch is passed over for this long, doubled each time up to
 ``DOUBT_MAX_S``: registrations outlive processes."""
 
@@ -205,7 +205,7 @@
         if sent is None:
             return
         before = self._doubts.get(sent.member)
-        for_s = DOUBT_S if before is None else before.next_s
+        for_s = SUSPECT_S if before is None else before.next_s
         self._doubts[sent.member] = _Doubt(now_s + for_s, min(DOUBT_MAX_S, 2 * for_s))
 
     def mark_healthy(self, number: int) -> None:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -34,10 +34,10 @@
     ASK_S,
     ASKED_S,
     DIRECT_MEMBERS,
-    DOUBT_S,
     LEAST_RELAYS,
     MEMBERS_A_RELAY,
     SUBSTITUTES,
+    SUSPECT_S,
     Relays,
     Strength,
 )
@@ -185,7 +185,7 @@
     assert first is not None
     asked_again = []
     now_s = 0.0
-    while now_s < 6 * DOUBT_S:
+    while now_s < 6 * SUSPECT_S:
         now_s += ASK_S
         due = part.due(now_s)
         assert due is not None
@@ -195,8 +195,8 @@
             part.mark_healthy(due.number)
             part.sent_at_s(due.number, now_s)
     assert len(asked_again) == 2
-    assert asked_again[0] >= DOUBT_S
-    assert asked_again[1] - asked_again[0] >= 2 * DOUBT_S
+    assert asked_again[0] >= SUSPECT_S
+    assert asked_again[1] - asked_again[0] >= 2 * SUSPECT_S
 
 
 def test_where_all_relays_are_dead_the_next_in_rank_are_asked_and_read_the_store() -> None:
