--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -17,11 +17,11 @@
 from filbertstream.log_events import LogEvent
 from filbertstream.messages import KindUpdate, PeerPayload, ViewRequest, ViewResponse
 from filbertstream.process.peer_work import PeerWork
-from filbertstream.process.relays import ASK_S, Relays
+from filbertstream.process.relays import POLL_INTERVAL_S, Relays
 from filbertstream.process.roster import Roster
 from filbertstream.process.store_view import FollowedKind, KindObserved, StoreView
 
-PUSHED_TO_S: Final = 3 * ASK_S
+PUSHED_TO_S: Final = 3 * POLL_INTERVAL_S
 """Changes are passed on to entries that asked within this time: three questions' time."""
 
 FRESH_FRACTION: Final = 0.8
--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -38,7 +38,7 @@
 """Entries next in rank that are asked while no relay answers.  VMs that are lost leave their
 registrations behind, so some of these may be dead too."""
 
-ASK_S: Final = 0.5
+POLL_INTERVAL_S: Final = 0.5
 """Interval of questions; with a relay's own age it stays under the ages that are asked for."""
 
 ANSWER_WITHIN_S: Final = 1.0
@@ -179,7 +179,7 @@
         """Return the question that is due."""
         if self.small_fleet or now_s < self._next_s:
             return None
-        self._next_s = now_s + ASK_S
+        self._next_s = now_s + POLL_INTERVAL_S
         last = self._sent.get(self._number)
         if last is not None and not last.answered:
             self.doubt(self._number, now_s)
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -9,7 +9,7 @@
 from filbertstream.connection.watched_kinds import RELAYED_CONFIG_SHARE, watched_kinds
 from filbertstream.process.read_backoff import Probing
 from filbertstream.process.relayed_view import FRESH_FRACTION
-from filbertstream.process.relays import ASK_S
+from filbertstream.process.relays import POLL_INTERVAL_S
 from tests.gateway_world import BOUNDS
 
 KINDS = tuple(watched.kind for watched in watched_kinds(BOUNDS))
@@ -62,5 +62,5 @@
     relayed = found.relayed
     oldest_s = 2 * relayed.wait_s + relayed.pause_s
     assert oldest_s + 0.1 < FRESH_FRACTION * relayed.max_age_s
-    assert oldest_s + ASK_S + 0.1 < relayed.max_age_s
+    assert oldest_s + POLL_INTERVAL_S + 0.1 < relayed.max_age_s
     assert RELAYED_CONFIG_SHARE < 0.5
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -31,11 +31,11 @@
 from filbertstream.process.relayed_view import START_WAIT_S
 from filbertstream.process.relays import (
     ANSWER_WITHIN_S,
-    ASK_S,
     ASKED_S,
     DIRECT_MEMBERS,
     LEAST_RELAYS,
     MEMBERS_A_RELAY,
+    POLL_INTERVAL_S,
     SUBSTITUTES,
     SUSPECT_S,
     Relays,
@@ -186,7 +186,7 @@
     asked_again = []
     now_s = 0.0
     while now_s < 6 * SUSPECT_S:
-        now_s += ASK_S
+        now_s += POLL_INTERVAL_S
         due = part.due(now_s)
         assert due is not None
         if due.member == first.member:
@@ -204,11 +204,11 @@
     part = relays_of(FOLLOWER)
     asked = set()
     for turn in range(3 * LEAST_RELAYS):
-        due = part.due(turn * ASK_S)
+        due = part.due(turn * POLL_INTERVAL_S)
         assert due is not None
         if due.member not in RELAYS:
             asked.add(due.member)
-            part.sent_at_s(due.number, turn * ASK_S)
+            part.sent_at_s(due.number, turn * POLL_INTERVAL_S)
             part.mark_healthy(due.number)
     assert 1 <= len(asked) <= SUBSTITUTES
     substitute = relays_of(asked.pop())
--- a/tests/test_work_exchange.py
+++ b/tests/test_work_exchange.py
@@ -9,7 +9,7 @@
 from filbertstream.actions import SendPeer
 from filbertstream.messages import EntryWork, FleetWork, GroupWork, WorkRow
 from filbertstream.process.peer_work import FRESH_S, EntryRecord, PeerWork
-from filbertstream.process.relays import ASK_S, Relays
+from filbertstream.process.relays import POLL_INTERVAL_S, Relays
 from filbertstream.process.work_exchange import RELAYED_SHARE_S, ROWS_TOLD, WorkExchange
 
 STEP_S = 0.05
@@ -58,7 +58,7 @@
         if question is not None and question.member not in self.dead:
             self.entries[question.member].asked_at_s[entry.name] = self.now_s
             entry.relays.sent_at_s(question.number, self.now_s)
-        lately = self.now_s - 3 * ASK_S
+        lately = self.now_s - 3 * POLL_INTERVAL_S
         followers = [name for name, at_s in entry.asked_at_s.items() if at_s > lately]
         return entry.exchange.due(entry.rows, True, followers, self.now_s)
 
@@ -132,7 +132,7 @@
     fleet.run(2.0)
     relays = [name for name, entry in fleet.entries.items() if entry.relays.is_relay]
     fleet.dead |= set(relays)
-    fleet.run(2.0 + 2 * ASK_S * len(relays))
+    fleet.run(2.0 + 2 * POLL_INTERVAL_S * len(relays))
     fleet.expect("r1", 60 - len(relays))
 
 
