--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -355,7 +355,7 @@
     Guard(
         "late answers of other entries are not taken",
         "process/relays.py",
-        "if sent is None or sent.answered or now_s - sent.at_s >= ANSWER_WITHIN_S:",
+        "if sent is None or sent.answered or now_s - sent.at_s >= RESPONSE_TIMEOUT_S:",
         "if sent is None:",
         "tests/test_relays.py::test_an_answer_that_comes_late_or_twice_confirms_nothing",
     ),
--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -41,7 +41,7 @@
 POLL_INTERVAL_S: Final = 0.5
 """Interval of questions; with a relay's own age it stays under the ages that are asked for."""
 
-ANSWER_WITHIN_S: Final = 1.0
+RESPONSE_TIMEOUT_S: Final = 1.0
 """An answer that comes later is not taken."""
 
 SUSPECT_S: Final = 5.0
@@ -194,7 +194,7 @@
     def sent_at_s(self, number: int, now_s: float) -> float | None:
         """Return when the question of an answer was sent, or None for an answer not to be taken."""
         sent = self._sent.get(number)
-        if sent is None or sent.answered or now_s - sent.at_s >= ANSWER_WITHIN_S:
+        if sent is None or sent.answered or now_s - sent.at_s >= RESPONSE_TIMEOUT_S:
             return None
         self._sent[number] = sent._replace(answered=True)
         return sent.at_s
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -30,12 +30,12 @@
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.relayed_view import START_WAIT_S
 from filbertstream.process.relays import (
-    ANSWER_WITHIN_S,
     ASKED_S,
     DIRECT_MEMBERS,
     LEAST_RELAYS,
     MEMBERS_A_RELAY,
     POLL_INTERVAL_S,
+    RESPONSE_TIMEOUT_S,
     SUBSTITUTES,
     SUSPECT_S,
     Relays,
@@ -245,7 +245,7 @@
     world.turn(1.0)
     number = world.question()
     confirmed_at_s = world.core.currency.confirmed_at_s
-    world.now_s += ANSWER_WITHIN_S
+    world.now_s += RESPONSE_TIMEOUT_S
     world.tell(PeerMessage(current(number, 0.0)))
     assert world.core.currency.confirmed_at_s == confirmed_at_s
     number = world.question()
