--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -50,7 +50,7 @@
 
 DOUBT_MAX_S: Final = 40.0
 
-ASKED_S: Final = 2.0
+REQUEST_RECENT_S: Final = 2.0
 """An entry that was asked within this time reads the store for others; four questions' time."""
 
 KEPT_QUESTIONS: Final = 3
@@ -160,7 +160,9 @@
 
     def serves_peers(self, now_s: float) -> bool:
         """Whether other entries rely on this one, as a relay or in the place of one."""
-        return self.is_relay or (not self.small_fleet and now_s - self._asked_at_s < ASKED_S)
+        return self.is_relay or (
+            not self.small_fleet and now_s - self._asked_at_s < REQUEST_RECENT_S
+        )
 
     def note_view_request(self, now_s: float) -> None:
         """Note that another entry asks this one."""
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -30,11 +30,11 @@
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.relayed_view import START_WAIT_S
 from filbertstream.process.relays import (
-    ASKED_S,
     DIRECT_MEMBERS,
     LEAST_RELAYS,
     MEMBERS_A_RELAY,
     POLL_INTERVAL_S,
+    REQUEST_RECENT_S,
     RESPONSE_TIMEOUT_S,
     SUBSTITUTES,
     SUSPECT_S,
@@ -215,7 +215,7 @@
     assert not substitute.serves_peers(10.0)
     substitute.note_view_request(10.0)
     assert substitute.serves_peers(10.0)
-    assert not substitute.serves_peers(10.0 + ASKED_S)
+    assert not substitute.serves_peers(10.0 + REQUEST_RECENT_S)
 
 
 def test_relays_that_are_out_of_touch_themselves_are_not_relied_on() -> None:
