--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -21,7 +21,7 @@
 from bench.world_documents import world_documents
 from filbertstream.process.cache_stores import QUIET_S
 from filbertstream.process.deployment import Bounds
-from filbertstream.process.relays import DIRECT_MEMBERS
+from filbertstream.process.relays import DIRECT_READ_MEMBERS
 from filbertstream.request.call import PromptBlock
 from filbertstream.version.documents import Model, Objectives
 
@@ -79,7 +79,7 @@
     (True, False)
     """
     rng = random.Random(f"deployment-{seed}")
-    more = 0 if seed < LARGE_SEED else DIRECT_MEMBERS
+    more = 0 if seed < LARGE_SEED else DIRECT_READ_MEMBERS
     centers = tuple(_name(rng) for _ in range(rng.randint(1, 5)))
     entries = tuple(f"{_name(rng)}-{number}" for number in range(rng.randint(2, 14) + more))
     shared = rng.randint(0, 6)
--- a/filbertstream/process/cache_readers.py
+++ b/filbertstream/process/cache_readers.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from filbertstream.names import rank
-from filbertstream.process.relays import DIRECT_MEMBERS
+from filbertstream.process.relays import DIRECT_READ_MEMBERS
 
 LARGE_FLEET_READERS: Final = 2
 """Readers of a store in a fleet with relays, which read it themselves where these fall silent."""
@@ -32,7 +32,7 @@
     [4, 2]
     """
     count = max(1, int(limit * READERS_SHARE))
-    if len(members) > DIRECT_MEMBERS:
+    if len(members) > DIRECT_READ_MEMBERS:
         count = min(count, LARGE_FLEET_READERS)
     elif len(members) <= limit * (1.0 - READERS_SHARE / 2):
         return members
--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -25,7 +25,7 @@
 
 from filbertstream.names import rank
 
-DIRECT_MEMBERS: Final = 12
+DIRECT_READ_MEMBERS: Final = 12
 """Up to this many entries, each reads the store itself: a few hundred reads a second at most."""
 
 MEMBERS_A_RELAY: Final = 32
@@ -118,7 +118,7 @@
         if names is self._known:
             return
         self._known = names
-        if len(names) <= DIRECT_MEMBERS:
+        if len(names) <= DIRECT_READ_MEMBERS:
             self._relays = self._turns = ()
             return
         count = max(LEAST_RELAYS, math.ceil(len(names) / MEMBERS_A_RELAY))
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -30,7 +30,7 @@
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.relayed_view import START_WAIT_S
 from filbertstream.process.relays import (
-    DIRECT_MEMBERS,
+    DIRECT_READ_MEMBERS,
     LEAST_RELAYS,
     MEMBERS_A_RELAY,
     POLL_INTERVAL_S,
@@ -136,13 +136,13 @@
 
 
 def test_in_a_small_fleet_each_entry_reads_the_store() -> None:
-    fleet = FLEET[:DIRECT_MEMBERS]
+    fleet = FLEET[:DIRECT_READ_MEMBERS]
     parts = [relays_of(name, fleet) for name in fleet]
     assert all(part.small_fleet and part.due(1.0) is None for part in parts)
     assert not any(part.serves_peers(1.0) for part in parts)
 
 
-@pytest.mark.parametrize("size", [DIRECT_MEMBERS + 1, 60, 195, 1_300])
+@pytest.mark.parametrize("size", [DIRECT_READ_MEMBERS + 1, 60, 195, 1_300])
 def test_all_entries_agree_on_a_few_relays_and_spread_over_them(size: int) -> None:
     fleet = tuple(f"f{number}" for number in range(size))
     relays = {name for name in fleet if relays_of(name, fleet).is_relay}
