--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,7 +19,7 @@
     RELAYED_DUTIES,
     RELAYED_ENTRIES,
 )
-from filbertstream.process.relays import MEMBERS_A_RELAY, POLL_INTERVAL_S
+from filbertstream.process.relays import MEMBERS_PER_RELAY, POLL_INTERVAL_S
 from filbertstream.process.work_exchange import RELAYED_SHARE_S, ROWS_TOLD
 
 ROOT: Final = Path(__file__).resolve().parent.parent
@@ -159,7 +159,7 @@
 
 def relays_reads_per_s() -> float:
     """Return the watch calls of all relays at most; other entries make none."""
-    return NODES / MEMBERS_A_RELAY * sum(1.0 / wait_s for wait_s in RELAY_WAITS_S)
+    return NODES / MEMBERS_PER_RELAY * sum(1.0 / wait_s for wait_s in RELAY_WAITS_S)
 
 
 def platform_lines(slopes: dict[str, Any]) -> list[Line]:
@@ -171,7 +171,7 @@
             "waits and pauses of five watches", "one entry in 32 reads, the others ask it",
         ),
         Line(
-            "questions to a relay", MEMBERS_A_RELAY / POLL_INTERVAL_S, "a second", None,
+            "questions to a relay", MEMBERS_PER_RELAY / POLL_INTERVAL_S, "a second", None,
             "the interval of questions", "answered with what is new and its age",
         ),
         Line(
--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -28,7 +28,7 @@
 DIRECT_READ_MEMBERS: Final = 12
 """Up to this many entries, each reads the store itself: a few hundred reads a second at most."""
 
-MEMBERS_A_RELAY: Final = 32
+MEMBERS_PER_RELAY: Final = 32
 """One entry in so many reads the store for the others, and answers about 60 questions a second."""
 
 LEAST_RELAYS: Final = 3
@@ -121,7 +121,7 @@
         if len(names) <= DIRECT_READ_MEMBERS:
             self._relays = self._turns = ()
             return
-        count = max(LEAST_RELAYS, math.ceil(len(names) / MEMBERS_A_RELAY))
+        count = max(LEAST_RELAYS, math.ceil(len(names) / MEMBERS_PER_RELAY))
         weak = self._weak(names)
         ranked = sorted(names, key=lambda name: (name in weak, -rank(name, RANK_SUBJECT)))
         self._relays = tuple(ranked[:count])
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -32,7 +32,7 @@
 from filbertstream.process.relays import (
     DIRECT_READ_MEMBERS,
     LEAST_RELAYS,
-    MEMBERS_A_RELAY,
+    MEMBERS_PER_RELAY,
     POLL_INTERVAL_S,
     REQUEST_RECENT_S,
     RESPONSE_TIMEOUT_S,
@@ -146,10 +146,10 @@
 def test_all_entries_agree_on_a_few_relays_and_spread_over_them(size: int) -> None:
     fleet = tuple(f"f{number}" for number in range(size))
     relays = {name for name in fleet if relays_of(name, fleet).is_relay}
-    assert len(relays) == max(LEAST_RELAYS, -(-size // MEMBERS_A_RELAY))
+    assert len(relays) == max(LEAST_RELAYS, -(-size // MEMBERS_PER_RELAY))
     asked = [relays_of(name, fleet).relay(0.0) for name in fleet]
     assert set(asked) == relays
-    assert max(asked.count(name) for name in relays) <= 3 * MEMBERS_A_RELAY
+    assert max(asked.count(name) for name in relays) <= 3 * MEMBERS_PER_RELAY
 
 
 def test_an_entry_that_is_told_often_stays_ready_without_reading_the_store() -> None:
@@ -446,7 +446,7 @@
     }
     parts = {name: Relays(name, lambda: fleet, strengths.__getitem__) for name in fleet}
     relays = {name for name, part in parts.items() if part.is_relay}
-    assert len(relays) == -(-195 // MEMBERS_A_RELAY)
+    assert len(relays) == -(-195 // MEMBERS_PER_RELAY)
     assert all(strengths[name].link_mbps >= 50.0 for name in relays)
     assert all(strengths[name].cores >= 2.0 for name in relays)
     assert {part.relay(0.0) for part in parts.values()} == relays
