--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -31,7 +31,7 @@
 MEMBERS_PER_RELAY: Final = 32
 """One entry in so many reads the store for the others, and answers about 60 questions a second."""
 
-LEAST_RELAYS: Final = 3
+MIN_RELAYS: Final = 3
 """So many, so that two may be dead, cut off or suspended."""
 
 SUBSTITUTES: Final = 8
@@ -121,7 +121,7 @@
         if len(names) <= DIRECT_READ_MEMBERS:
             self._relays = self._turns = ()
             return
-        count = max(LEAST_RELAYS, math.ceil(len(names) / MEMBERS_PER_RELAY))
+        count = max(MIN_RELAYS, math.ceil(len(names) / MEMBERS_PER_RELAY))
         weak = self._weak(names)
         ranked = sorted(names, key=lambda name: (name in weak, -rank(name, RANK_SUBJECT)))
         self._relays = tuple(ranked[:count])
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -31,8 +31,8 @@
 from filbertstream.process.relayed_view import START_WAIT_S
 from filbertstream.process.relays import (
     DIRECT_READ_MEMBERS,
-    LEAST_RELAYS,
     MEMBERS_PER_RELAY,
+    MIN_RELAYS,
     POLL_INTERVAL_S,
     REQUEST_RECENT_S,
     RESPONSE_TIMEOUT_S,
@@ -146,7 +146,7 @@
 def test_all_entries_agree_on_a_few_relays_and_spread_over_them(size: int) -> None:
     fleet = tuple(f"f{number}" for number in range(size))
     relays = {name for name in fleet if relays_of(name, fleet).is_relay}
-    assert len(relays) == max(LEAST_RELAYS, -(-size // MEMBERS_PER_RELAY))
+    assert len(relays) == max(MIN_RELAYS, -(-size // MEMBERS_PER_RELAY))
     asked = [relays_of(name, fleet).relay(0.0) for name in fleet]
     assert set(asked) == relays
     assert max(asked.count(name) for name in relays) <= 3 * MEMBERS_PER_RELAY
@@ -203,7 +203,7 @@
     """Fault: a data center with all relays is lost, and their registrations stay."""
     part = relays_of(FOLLOWER)
     asked = set()
-    for turn in range(3 * LEAST_RELAYS):
+    for turn in range(3 * MIN_RELAYS):
         due = part.due(turn * POLL_INTERVAL_S)
         assert due is not None
         if due.member not in RELAYS:
