--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -34,7 +34,7 @@
 MIN_RELAYS: Final = 3
 """So many, so that two may be dead, cut off or suspended."""
 
-SUBSTITUTES: Final = 8
+SUBSTITUTE_RELAYS: Final = 8
 """Entries next in rank that are asked while no relay answers.  VMs that are lost leave their
 registrations behind, so some of these may be dead too."""
 
@@ -127,7 +127,7 @@
         self._relays = tuple(ranked[:count])
         # Each entry begins with another relay, so that all have about as many followers.
         own_order = sorted(self._relays, key=lambda name: -rank(self._own, name))
-        turns = [*own_order, *ranked[count : count + SUBSTITUTES]]
+        turns = [*own_order, *ranked[count : count + SUBSTITUTE_RELAYS]]
         self._turns = tuple(name for name in turns if name != self._own)
 
     def _weak(self, names: tuple[str, ...]) -> set[str]:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -36,7 +36,7 @@
     POLL_INTERVAL_S,
     REQUEST_RECENT_S,
     RESPONSE_TIMEOUT_S,
-    SUBSTITUTES,
+    SUBSTITUTE_RELAYS,
     SUSPECT_S,
     Relays,
     Strength,
@@ -210,7 +210,7 @@
             asked.add(due.member)
             part.sent_at_s(due.number, turn * POLL_INTERVAL_S)
             part.mark_healthy(due.number)
-    assert 1 <= len(asked) <= SUBSTITUTES
+    assert 1 <= len(asked) <= SUBSTITUTE_RELAYS
     substitute = relays_of(asked.pop())
     assert not substitute.serves_peers(10.0)
     substitute.note_view_request(10.0)
