--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -59,14 +59,14 @@
 RANK_SUBJECT: Final = "relays"
 
 
-class Strength(NamedTuple):
+class VmResources(NamedTuple):
     """What an entry's VM has: its link in Mbit/s and its cores."""
 
     link_mbps: float
     cores: float
 
 
-NO_STRENGTH: Final = Strength(0.0, 0.0)
+NO_STRENGTH: Final = VmResources(0.0, 0.0)
 
 
 class Question(NamedTuple):
@@ -98,7 +98,7 @@
         self,
         own: str,
         members: Callable[[], tuple[str, ...]],
-        strength: Callable[[str], Strength] = lambda name: NO_STRENGTH,
+        strength: Callable[[str], VmResources] = lambda name: NO_STRENGTH,
     ) -> None:
         self._own = own
         self._members = members
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -39,7 +39,7 @@
     SUBSTITUTE_RELAYS,
     SUSPECT_S,
     Relays,
-    Strength,
+    VmResources,
 )
 from filbertstream.process.rollout_lease import DutyRecord
 from filbertstream.process.store_view import KIND_UPDATE_LIMIT_BYTES, KindObserved
@@ -441,7 +441,7 @@
     """Load pattern: what a relay sends to its followers would fill a link of a few Mbit/s."""
     fleet = tuple(f"f{number}" for number in range(195))
     strengths = {
-        name: Strength((10.0, 50.0, 100.0)[number % 3], (0.5, 2.0, 2.0, 2.0)[number % 4])
+        name: VmResources((10.0, 50.0, 100.0)[number % 3], (0.5, 2.0, 2.0, 2.0)[number % 4])
         for number, name in enumerate(fleet)
     }
     parts = {name: Relays(name, lambda: fleet, strengths.__getitem__) for name in fleet}
