--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -12,7 +12,7 @@
 
 from filbertstream.messages import EntryWork, FleetWork, FleetWorkRow, GroupWork, WorkRow
 from filbertstream.process.cache_readers import readers, told_by
-from filbertstream.process.relays import NO_STRENGTH, VmResources
+from filbertstream.process.relays import UNKNOWN_RESOURCES, VmResources
 
 FRESH_S: Final = 1.0
 """What a member told last counts this long."""
@@ -155,7 +155,7 @@
     def strength(self, name: str) -> VmResources:
         """Return what an entry's VM has, nothing where it isn't known."""
         record = self.members.get(name)
-        return NO_STRENGTH if record is None else VmResources(record.link_mbps, record.cores)
+        return UNKNOWN_RESOURCES if record is None else VmResources(record.link_mbps, record.cores)
 
     def reads(self, store: str, limit: int) -> bool:
         """Whether this entry reads a store's events itself."""
--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -66,7 +66,7 @@
     cores: float
 
 
-NO_STRENGTH: Final = VmResources(0.0, 0.0)
+UNKNOWN_RESOURCES: Final = VmResources(0.0, 0.0)
 
 
 class Question(NamedTuple):
@@ -98,7 +98,7 @@
         self,
         own: str,
         members: Callable[[], tuple[str, ...]],
-        strength: Callable[[str], VmResources] = lambda name: NO_STRENGTH,
+        strength: Callable[[str], VmResources] = lambda name: UNKNOWN_RESOURCES,
     ) -> None:
         self._own = own
         self._members = members
