--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -132,7 +132,7 @@
         self.roster = Roster()
         self.index = CacheIndex()
         self.peers = PeerWork(cfg.name)
-        self.relays = Relays(cfg.name, self.peers.names, self.peers.strength)
+        self.relays = Relays(cfg.name, self.peers.names, self.peers.vm_resources)
         self.exchange = WorkExchange(self.peers, self.relays)
         self.relayed = RelayedView(cfg.followed, self.relays, self.peers, self.roster)
         self.stores = CacheStores(self.index, rng, self.peers.reads, self.relays)
--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -152,7 +152,7 @@
                 )
         return totals
 
-    def strength(self, name: str) -> VmResources:
+    def vm_resources(self, name: str) -> VmResources:
         """Return what an entry's VM has, nothing where it isn't known."""
         record = self.members.get(name)
         return UNKNOWN_RESOURCES if record is None else VmResources(record.link_mbps, record.cores)
--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -98,11 +98,11 @@
         self,
         own: str,
         members: Callable[[], tuple[str, ...]],
-        strength: Callable[[str], VmResources] = lambda name: UNKNOWN_RESOURCES,
+        vm_resources: Callable[[str], VmResources] = lambda name: UNKNOWN_RESOURCES,
     ) -> None:
         self._own = own
         self._members = members
-        self._strength = strength
+        self._strength = vm_resources
         self._known: tuple[str, ...] = ()
         self._relays: tuple[str, ...] = ()
         self._turns: tuple[str, ...] = ()
