--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -193,7 +193,7 @@
         self._sent.pop(self._number - KEPT_QUESTIONS, None)
         return Question(member, self._number)
 
-    def sent_at_s(self, number: int, now_s: float) -> float | None:
+    def accept_response(self, number: int, now_s: float) -> float | None:
         """Return when the question of an answer was sent, or None for an answer not to be taken."""
         sent = self._sent.get(number)
         if sent is None or sent.answered or now_s - sent.at_s >= RESPONSE_TIMEOUT_S:
