--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -130,7 +130,7 @@
                 for kind_update in told.kinds
                 for item in self._take(kind_update, observed_at_s, now_s)
             ]
-        sent_at_s = self._relays.sent_at_s(told.number, now_s)
+        sent_at_s = self._relays.accept_response(told.number, now_s)
         if sent_at_s is None:
             return []
         if told.removals_held_s > 0:
