--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -193,7 +193,7 @@
             asked_again.append(now_s)
         else:
             part.mark_healthy(due.number)
-            part.sent_at_s(due.number, now_s)
+            part.accept_response(due.number, now_s)
     assert len(asked_again) == 2
     assert asked_again[0] >= SUSPECT_S
     assert asked_again[1] - asked_again[0] >= 2 * SUSPECT_S
@@ -208,7 +208,7 @@
         assert due is not None
         if due.member not in RELAYS:
             asked.add(due.member)
-            part.sent_at_s(due.number, turn * POLL_INTERVAL_S)
+            part.accept_response(due.number, turn * POLL_INTERVAL_S)
             part.mark_healthy(due.number)
     assert 1 <= len(asked) <= SUBSTITUTE_RELAYS
     substitute = relays_of(asked.pop())
