--- a/tests/test_work_exchange.py
+++ b/tests/test_work_exchange.py
@@ -57,7 +57,7 @@
         question = entry.relays.due(self.now_s)
         if question is not None and question.member not in self.dead:
             self.entries[question.member].asked_at_s[entry.name] = self.now_s
-            entry.relays.sent_at_s(question.number, self.now_s)
+            entry.relays.accept_response(question.number, self.now_s)
         lately = self.now_s - 3 * POLL_INTERVAL_S
         followers = [name for name, at_s in entry.asked_at_s.items() if at_s > lately]
         return entry.exchange.due(entry.rows, True, followers, self.now_s)
