--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -31,7 +31,7 @@
     cores: float = 0.0
 
 
-class OthersWork(NamedTuple):
+class WorkTotals(NamedTuple):
     """The runs, the memory and the unread prompt tokens of other entries at a target.
 
     ``weighted_queued_tokens`` are the unread ones, each message weighted by its age.
@@ -43,7 +43,7 @@
     weighted_queued_tokens: int
 
 
-NO_WORK: Final = OthersWork(0, 0, 0, 0)
+NO_WORK: Final = WorkTotals(0, 0, 0, 0)
 
 
 class _Heard(NamedTuple):
@@ -72,7 +72,7 @@
         self._heard: dict[str, _Heard] = {}
         self._groups: dict[str, _Heard] = {}
         self._fleet: _Fleet | None = None
-        self._totals: dict[str, OthersWork] = {}
+        self._totals: dict[str, WorkTotals] = {}
         self._totals_at_s = float("-inf")
 
     def is_registered(self, name: str, incarnation: int) -> bool:
@@ -120,31 +120,31 @@
             return True
         return any(heard.is_current for heard in self._told(now_s))
 
-    def others(self, target: str, now_s: float) -> OthersWork:
+    def others(self, target: str, now_s: float) -> WorkTotals:
         """Return what others have under way at a target."""
         return self.totals(now_s).get(target, NO_WORK)
 
-    def totals(self, now_s: float) -> dict[str, OthersWork]:
+    def totals(self, now_s: float) -> dict[str, WorkTotals]:
         """Return what others have under way, by target."""
         if now_s != self._totals_at_s:
             self._totals_at_s = now_s
             self._totals = self._add_up(now_s)
         return self._totals
 
-    def _add_up(self, now_s: float) -> dict[str, OthersWork]:
+    def _add_up(self, now_s: float) -> dict[str, WorkTotals]:
         fleet, told = self._fleet, self._told(now_s)
         if fleet is not None and now_s - fleet.at_s < FRESH_S and not told:
             weight = _weight(now_s - fleet.at_s)
             return {
-                row.target: OthersWork(*row[1:4], int(row.weighted_queued_tokens * weight))
+                row.target: WorkTotals(*row[1:4], int(row.weighted_queued_tokens * weight))
                 for row in fleet.rows.values()
             }
-        totals: dict[str, OthersWork] = {}
+        totals: dict[str, WorkTotals] = {}
         for heard in told:
             weight = _weight(now_s - heard.at_s)
             for name, row in heard.rows.items():
                 before = totals.get(name, NO_WORK)
-                totals[name] = OthersWork(
+                totals[name] = WorkTotals(
                     before.runs + row.runs,
                     before.memory_tokens + row.memory_tokens,
                     before.queued_tokens + row.queued_tokens,
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from filbertstream.process.outliers import Outliers
-from filbertstream.process.peer_work import OthersWork
+from filbertstream.process.peer_work import WorkTotals
 from filbertstream.process.prefill import PrefillQueue
 from filbertstream.process.target_registration import TargetEntry
 from filbertstream.request.call import TargetLoad
@@ -23,7 +23,7 @@
 """The age at which a load note tells nothing any more."""
 
 
-Others = Callable[[str, float], OthersWork]
+Others = Callable[[str, float], WorkTotals]
 """Tells what other entries have under way at a target."""
 
 
@@ -96,10 +96,10 @@
         self._by_service: dict[str, list[str]] = {}
         self._names: dict[str, frozenset[str]] = {}
         self.unsettled_until_s = 0.0
-        self.others: Others = lambda target, now_s: OthersWork(0, 0, 0, 0)
+        self.others: Others = lambda target, now_s: WorkTotals(0, 0, 0, 0)
         self.drained: frozenset[str] = frozenset()
 
-    def _others(self, target: str, now_s: float) -> OthersWork:
+    def _others(self, target: str, now_s: float) -> WorkTotals:
         return self.others(target, now_s)
 
     def note_trouble(self, now_s: float) -> None:
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -19,7 +19,7 @@
     PeerPayload,
     WorkRow,
 )
-from filbertstream.process.peer_work import NO_WORK, OthersWork, PeerWork
+from filbertstream.process.peer_work import NO_WORK, PeerWork, WorkTotals
 from filbertstream.process.relays import Relays
 
 SHARE_S: Final = 0.08
@@ -115,12 +115,12 @@
     return tuple(found.values())
 
 
-def _with_own(totals: dict[str, OthersWork], rows: tuple[WorkRow, ...]) -> dict[str, OthersWork]:
+def _with_own(totals: dict[str, WorkTotals], rows: tuple[WorkRow, ...]) -> dict[str, WorkTotals]:
     """Return the work of others with the own; what is the own's was never told, so it is recent."""
     found = dict(totals)
     for row in rows:
         before = found.get(row.target, NO_WORK)
-        found[row.target] = OthersWork(
+        found[row.target] = WorkTotals(
             before.runs + row.runs,
             before.memory_tokens + row.memory_tokens,
             before.queued_tokens + row.queued_tokens,
@@ -130,7 +130,7 @@
 
 
 def _fleet_rows(
-    totals: dict[str, OthersWork], told: dict[str, WorkRow]
+    totals: dict[str, WorkTotals], told: dict[str, WorkRow]
 ) -> tuple[FleetWorkRow, ...]:
     """Return all work but what the receiver has told itself."""
     rows = []
@@ -138,7 +138,7 @@
         own = told.get(name)
         if own is not None:
             queued_tokens = max(0, work.queued_tokens - own.queued_tokens)
-            work = OthersWork(
+            work = WorkTotals(
                 max(0, work.runs - own.runs),
                 max(0, work.memory_tokens - own.memory_tokens),
                 queued_tokens,
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from filbertstream.process.peer_work import OthersWork
+from filbertstream.process.peer_work import WorkTotals
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call import PromptBlock
 from filbertstream.request.candidates import (
@@ -81,7 +81,7 @@
     """Load pattern: one runner was idle when all were told, and each entry now has a prompt."""
     runners = Many()
     for target in runners.targets[1:]:
-        runners.told[target.target_id] = OthersWork(6, 30_000, 0, 0)
+        runners.told[target.target_id] = WorkTotals(6, 30_000, 0, 0)
     chosen: dict[str, Counter[str]] = {"all": Counter(), "some": Counter()}
     for number in range(195):
         blocks = (PromptBlock(f"own-{number}", 900),)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,7 +7,7 @@
 from filbertstream.process.cache_index import CacheIndex
 from filbertstream.process.cache_stores import CacheStores
 from filbertstream.process.deployment import Address
-from filbertstream.process.peer_work import OthersWork, PeerWork
+from filbertstream.process.peer_work import PeerWork, WorkTotals
 from filbertstream.process.prefill import FIRST_RATE_PER_S
 from filbertstream.process.roster import RosterTarget
 from filbertstream.process.target_registration import TargetEntry
@@ -24,14 +24,14 @@
 
 SPACE = "space"
 PIECE = 1_000
-IDLE = OthersWork(0, 0, 0, 0)
+IDLE = WorkTotals(0, 0, 0, 0)
 
 
 class Runners:
     """Runners of one data center, and what an entry knows of them."""
 
     def __init__(self, count: int, engine: Engine = ENGINE) -> None:
-        self.told: dict[str, OthersWork] = {}
+        self.told: dict[str, WorkTotals] = {}
         self.engine = engine
         self.index = CacheIndex()
         self.cache_view = CacheView(self.index, CacheStores(self.index, random.Random(1)))
@@ -60,7 +60,7 @@
         return preferred_runner(self.placement_request(blocks), self.targets)
 
     def queue(self, target: RosterTarget, tokens: int) -> None:
-        self.told[target.target_id] = OthersWork(1, tokens, tokens, tokens)
+        self.told[target.target_id] = WorkTotals(1, tokens, tokens, tokens)
 
 
 def talk(name: str, pieces: int, rest: int = 300) -> tuple[PromptBlock, ...]:
