--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -137,7 +137,7 @@
         self.relayed = RelayedView(cfg.followed, self.relays, self.peers, self.roster)
         self.stores = CacheStores(self.index, rng, self.peers.reads, self.relays)
         self.cache_news = CacheUpdateExchange(self.peers, self.relays, self.stores)
-        self.roster.others = self.peers.others
+        self.roster.peer_work_at = self.peers.peer_work_at
         self.currency = Currency(bounds.revoke_s, bounds.strict_revocation)
         self.budget = SharedRetryBudget(
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_floor
--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -120,7 +120,7 @@
             return True
         return any(heard.is_current for heard in self._told(now_s))
 
-    def others(self, target: str, now_s: float) -> WorkTotals:
+    def peer_work_at(self, target: str, now_s: float) -> WorkTotals:
         """Return what others have under way at a target."""
         return self.totals(now_s).get(target, NO_WORK)
 
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -30,9 +30,9 @@
 class RosterTarget:
     """One registered target."""
 
-    def __init__(self, entry: TargetEntry, now_s: float, others: Others) -> None:
+    def __init__(self, entry: TargetEntry, now_s: float, peer_work_at: Others) -> None:
         self.entry = entry
-        self.others = others
+        self.peer_work_at = peer_work_at
         self.missing_since_s: float | None = None
         self.outstanding = 0
         self.memory_tokens = 0
@@ -50,18 +50,18 @@
 
     def running(self, now_s: float) -> float:
         """Return how many requests run or wait there, as far as is known."""
-        known = self.outstanding + self.others(self.target_id, now_s).runs
+        known = self.outstanding + self.peer_work_at(self.target_id, now_s).runs
         if self.load is None or now_s - self.load_at_s > LOAD_FRESH_S:
             return float(known)
         return float(max(known, self.load.running + self.load.waiting))
 
     def memory(self, now_s: float) -> int:
         """Return the tokens that running requests fill at most, as far as is known."""
-        return self.memory_tokens + self.others(self.target_id, now_s).memory_tokens
+        return self.memory_tokens + self.peer_work_at(self.target_id, now_s).memory_tokens
 
     def queued_tokens(self, now_s: float) -> int:
         """Return the prompt tokens that were sent here and are not read yet, as far as known."""
-        return self.prefill.queued_tokens + self.others(self.target_id, now_s).queued_tokens
+        return self.prefill.queued_tokens + self.peer_work_at(self.target_id, now_s).queued_tokens
 
     def weighted_queued_tokens(self, now_s: float) -> int:
         """Return the unread prompt tokens by which runners are compared.
@@ -70,7 +70,8 @@
         the runner that was idle then.
         """
         return (
-            self.prefill.queued_tokens + self.others(self.target_id, now_s).weighted_queued_tokens
+            self.prefill.queued_tokens
+            + self.peer_work_at(self.target_id, now_s).weighted_queued_tokens
         )
 
     def note_load(self, load: TargetLoad, now_s: float) -> None:
@@ -96,11 +97,11 @@
         self._by_service: dict[str, list[str]] = {}
         self._names: dict[str, frozenset[str]] = {}
         self.unsettled_until_s = 0.0
-        self.others: Others = lambda target, now_s: WorkTotals(0, 0, 0, 0)
+        self.peer_work_at: Others = lambda target, now_s: WorkTotals(0, 0, 0, 0)
         self.drained: frozenset[str] = frozenset()
 
     def _others(self, target: str, now_s: float) -> WorkTotals:
-        return self.others(target, now_s)
+        return self.peer_work_at(target, now_s)
 
     def note_trouble(self, now_s: float) -> None:
         """Note that the store did not answer; lapses seen from now on are held back."""
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -164,12 +164,12 @@
     assert told.address == "tcp://b"
     assert isinstance(told.payload, EntryWork)
     second.on_work(told.payload, 10.0)
-    assert second.others("r1", 10.0) == (3, 900, 500, 500)
-    half = second.others("r1", 10.0 + HALF_WEIGHT_AGE_S).weighted_queued_tokens
+    assert second.peer_work_at("r1", 10.0) == (3, 900, 500, 500)
+    half = second.peer_work_at("r1", 10.0 + HALF_WEIGHT_AGE_S).weighted_queued_tokens
     assert half == pytest.approx(250, abs=1)
-    assert second.others("r1", 10.5)[:3] == (3, 900, 500)
-    assert second.others("r1", 11.1) == (0, 0, 0, 0)
-    assert first.others("r1", 10.0) == (0, 0, 0, 0)
+    assert second.peer_work_at("r1", 10.5)[:3] == (3, 900, 500)
+    assert second.peer_work_at("r1", 11.1) == (0, 0, 0, 0)
+    assert first.peer_work_at("r1", 10.0) == (0, 0, 0, 0)
 
 
 STREAM = [f"id: {number}\ndata: x{number}\n\n".encode() for number in range(1, 30)]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -139,7 +139,7 @@
     work.on_work(EntryWork("e2", (WorkRow("r0", 1, 4_000, 4_000),)), 1.0)
     placed = {}
     for age_s in (0.0, 0.9):
-        runners.told = {name: work.others(name, 1.0 + age_s) for name in ("r0", "r1")}
+        runners.told = {name: work.peer_work_at(name, 1.0 + age_s) for name in ("r0", "r1")}
         placed[age_s] = [runners.place((), turn) for turn in range(2)]
     assert placed[0.0] == ["r1", "r1"]
     assert placed[0.9] == ["r0", "r1"]
--- a/tests/test_work_exchange.py
+++ b/tests/test_work_exchange.py
@@ -75,7 +75,7 @@
         for name, entry in self.entries.items():
             if name not in self.dead:
                 own = sum(row.runs for row in entry.rows if row.target == target)
-                assert entry.peers.others(target, self.now_s).runs == runs - own, name
+                assert entry.peers.peer_work_at(target, self.now_s).runs == runs - own, name
 
 
 @pytest.mark.parametrize("size", [3, 12, 13, 60, 195])
