--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -2,7 +2,7 @@
 
 Without it, entries that know the same old reports would all choose the same runner.  Each message
 holds the sender's work at each target as it is, so a lost one is made good by the next.  What was
-told counts for nothing after ``FRESH_S``.  In a small fleet each entry tells all others; in a large
+told counts for nothing after ``WORK_MAX_AGE_S``.  In a small fleet each entry tells all others; in a large
 one a relay sums up what its followers and the other relays tell it (``process.work_exchange``).
 """
 
@@ -14,7 +14,7 @@
 from filbertstream.process.cache_readers import readers, told_by
 from filbertstream.process.relays import UNKNOWN_RESOURCES, VmResources
 
-FRESH_S: Final = 1.0
+WORK_MAX_AGE_S: Final = 1.0
 """What a member told last counts this long."""
 
 HALF_WEIGHT_AGE_S: Final = 0.05
@@ -100,23 +100,25 @@
     def _told(self, now_s: float) -> list[_Heard]:
         """Return what counts of what other entries and relays told of themselves."""
         told = [*self._heard.values(), *self._groups.values()]
-        return [heard for heard in told if now_s - heard.at_s < FRESH_S]
+        return [heard for heard in told if now_s - heard.at_s < WORK_MAX_AGE_S]
 
     def members_heard(self, now_s: float) -> dict[str, dict[str, WorkRow]]:
         """Return the rows of each entry that told this one of its own work."""
         return {
-            name: heard.rows for name, heard in self._heard.items() if now_s - heard.at_s < FRESH_S
+            name: heard.rows
+            for name, heard in self._heard.items()
+            if now_s - heard.at_s < WORK_MAX_AGE_S
         }
 
     def relays_heard(self, now_s: float) -> tuple[str, ...]:
         """Return the relays that told this entry what they have summed up."""
         groups = self._groups.items()
-        return tuple(name for name, heard in groups if now_s - heard.at_s < FRESH_S)
+        return tuple(name for name, heard in groups if now_s - heard.at_s < WORK_MAX_AGE_S)
 
     def any_peer_current(self, now_s: float) -> bool:
         """Whether another entry has said lately that it takes new calls."""
         fleet = self._fleet
-        if fleet is not None and fleet.is_current and now_s - fleet.at_s < FRESH_S:
+        if fleet is not None and fleet.is_current and now_s - fleet.at_s < WORK_MAX_AGE_S:
             return True
         return any(heard.is_current for heard in self._told(now_s))
 
@@ -133,7 +135,7 @@
 
     def _add_up(self, now_s: float) -> dict[str, WorkTotals]:
         fleet, told = self._fleet, self._told(now_s)
-        if fleet is not None and now_s - fleet.at_s < FRESH_S and not told:
+        if fleet is not None and now_s - fleet.at_s < WORK_MAX_AGE_S and not told:
             weight = _weight(now_s - fleet.at_s)
             return {
                 row.target: WorkTotals(*row[1:4], int(row.weighted_queued_tokens * weight))
--- a/tests/test_work_exchange.py
+++ b/tests/test_work_exchange.py
@@ -8,7 +8,7 @@
 
 from filbertstream.actions import SendPeer
 from filbertstream.messages import EntryWork, FleetWork, GroupWork, WorkRow
-from filbertstream.process.peer_work import FRESH_S, EntryRecord, PeerWork
+from filbertstream.process.peer_work import WORK_MAX_AGE_S, EntryRecord, PeerWork
 from filbertstream.process.relays import POLL_INTERVAL_S, Relays
 from filbertstream.process.work_exchange import RELAYED_SHARE_S, ROWS_TOLD, WorkExchange
 
@@ -88,7 +88,7 @@
     fleet.expect("r1", size)
     for entry in fleet.entries.values():
         entry.rows = ()
-    fleet.run(FRESH_S + 0.5)
+    fleet.run(WORK_MAX_AGE_S + 0.5)
     fleet.expect("r1", 0)
 
 
