--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,7 +20,7 @@
     RELAYED_ENTRIES,
 )
 from filbertstream.process.relays import MEMBERS_PER_RELAY, POLL_INTERVAL_S
-from filbertstream.process.work_exchange import RELAYED_SHARE_S, ROWS_TOLD
+from filbertstream.process.work_exchange import MAX_ROWS, RELAYED_SHARE_S
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 SLOPES: Final = ROOT / "docs" / "slopes.json"
@@ -95,17 +95,17 @@
     runners = RUNNERS // CENTERS
     changes_per_s = CHANGES_PER_DAY / DAY_S
     messages_per_s = 1.0 / RELAYED_SHARE_S
-    work_us = messages_per_s * at(slopes, "fleet_in", ROWS_TOLD)
+    work_us = messages_per_s * at(slopes, "fleet_in", MAX_ROWS)
     refresh_us = RUNNERS / BEAT_S * CHANGED_SHARE * at(slopes, "refresh", runners)
     change_us = changes_per_s * at(slopes, "change", WORKSPACES)
     told = messages_per_s * at(slopes, "work_size", OWN_ROWS)
-    heard = messages_per_s * at(slopes, "fleet_size", ROWS_TOLD)
+    heard = messages_per_s * at(slopes, "fleet_size", MAX_ROWS)
     size = at(slopes, "documents", WORKSPACES)
     memory = at(slopes, "configuration", WORKSPACES) + at(slopes, "roster", 2_000) * RUNNERS / 2_000
     return [
         Line(
             "processor: work told by others", work_us / 1e6, "of a core", CONTROL_CORE_SHARE,
-            f"fleet_in at {ROWS_TOLD} rows", "one message from a relay, five times a second",
+            f"fleet_in at {MAX_ROWS} rows", "one message from a relay, five times a second",
         ),
         Line(
             "processor: registrations", refresh_us / 1e6, "of a core", CONTROL_CORE_SHARE,
@@ -121,7 +121,7 @@
         ),
         Line(
             "work told by a relay", heard, "bytes a second", CONTROL_BYTES_PER_S,
-            f"fleet_size at {ROWS_TOLD} rows", "the targets with the most work",
+            f"fleet_size at {MAX_ROWS} rows", "the targets with the most work",
         ),
         Line(
             "documents in", changes_per_s * size, "bytes a second", CONTROL_BYTES_PER_S,
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,7 +23,7 @@
 from filbertstream.names import digest_key
 from filbertstream.process.deployment import Address
 from filbertstream.process.target_registration import TargetEntry
-from filbertstream.process.work_exchange import ROWS_TOLD
+from filbertstream.process.work_exchange import MAX_ROWS
 from filbertstream.request.call import CallHead, IdempotencyKey, Prompt, PromptBlock
 from filbertstream.request.call_events import CallArrived, CallerDisconnected
 from filbertstream.request.idempotency_keys import KeyRecord, KeyState
@@ -34,7 +34,7 @@
 RUNNERS: Final = (10, 100, 740, 2_000)
 WORKSPACES: Final = (100, 1_000, 35_000)
 ROWS: Final = (1, 10, 100, 740)
-FLEET_ROWS: Final = (1, 10, 100, ROWS_TOLD)
+FLEET_ROWS: Final = (1, 10, 100, MAX_ROWS)
 REPEATS: Final = 200
 MICROSECONDS: Final = 1e6
 NOW_S: Final = 100.0
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -31,7 +31,7 @@
 REPEAT_S: Final = 0.4
 """An entry with work under way repeats itself at least this often."""
 
-ROWS_TOLD: Final = 512
+MAX_ROWS: Final = 512
 """Targets in one message, those with the most work; about 9 KB, compressed on its way."""
 
 
@@ -99,9 +99,9 @@
 
 
 def _busiest(rows: tuple[WorkRow, ...]) -> tuple[WorkRow, ...]:
-    if len(rows) <= ROWS_TOLD:
+    if len(rows) <= MAX_ROWS:
         return rows
-    return tuple(sorted(rows, key=lambda row: (-row.queued_tokens, -row.runs))[:ROWS_TOLD])
+    return tuple(sorted(rows, key=lambda row: (-row.queued_tokens, -row.runs))[:MAX_ROWS])
 
 
 def _sum(parts: list[dict[str, WorkRow]]) -> tuple[WorkRow, ...]:
@@ -146,6 +146,6 @@
             )
         if any(work):
             rows.append(FleetWorkRow(name, *work))
-    if len(rows) > ROWS_TOLD:
-        rows = sorted(rows, key=lambda row: (-row.queued_tokens, -row.runs))[:ROWS_TOLD]
+    if len(rows) > MAX_ROWS:
+        rows = sorted(rows, key=lambda row: (-row.queued_tokens, -row.runs))[:MAX_ROWS]
     return tuple(rows)
--- a/tests/test_work_exchange.py
+++ b/tests/test_work_exchange.py
@@ -10,7 +10,7 @@
 from filbertstream.messages import EntryWork, FleetWork, GroupWork, WorkRow
 from filbertstream.process.peer_work import WORK_MAX_AGE_S, EntryRecord, PeerWork
 from filbertstream.process.relays import POLL_INTERVAL_S, Relays
-from filbertstream.process.work_exchange import RELAYED_SHARE_S, ROWS_TOLD, WorkExchange
+from filbertstream.process.work_exchange import MAX_ROWS, RELAYED_SHARE_S, WorkExchange
 
 STEP_S = 0.05
 
@@ -139,9 +139,9 @@
 def test_one_message_holds_a_bounded_number_of_targets() -> None:
     fleet = Fleet(13)
     entry = next(iter(fleet.entries.values()))
-    rows = tuple(WorkRow(f"r{number}", 1, 10, number) for number in range(ROWS_TOLD + 50))
+    rows = tuple(WorkRow(f"r{number}", 1, 10, number) for number in range(MAX_ROWS + 50))
     found = entry.exchange.due(rows, True, [], 1.0) or entry.exchange.due(rows, True, ["e1"], 1.0)
     payload, *_ = [item.payload for item in found]
     assert isinstance(payload, EntryWork | GroupWork)
-    assert len(payload.rows) == ROWS_TOLD
+    assert len(payload.rows) == MAX_ROWS
     assert min(row.queued_tokens for row in payload.rows) == 50
