--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,7 +20,7 @@
     RELAYED_ENTRIES,
 )
 from filbertstream.process.relays import MEMBERS_PER_RELAY, POLL_INTERVAL_S
-from filbertstream.process.work_exchange import MAX_ROWS, RELAYED_SHARE_S
+from filbertstream.process.work_exchange import MAX_ROWS, RELAYED_SEND_INTERVAL_S
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 SLOPES: Final = ROOT / "docs" / "slopes.json"
@@ -94,7 +94,7 @@
     """Return what a node spends on control."""
     runners = RUNNERS // CENTERS
     changes_per_s = CHANGES_PER_DAY / DAY_S
-    messages_per_s = 1.0 / RELAYED_SHARE_S
+    messages_per_s = 1.0 / RELAYED_SEND_INTERVAL_S
     work_us = messages_per_s * at(slopes, "fleet_in", MAX_ROWS)
     refresh_us = RUNNERS / BEAT_S * CHANGED_SHARE * at(slopes, "refresh", runners)
     change_us = changes_per_s * at(slopes, "change", WORKSPACES)
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -25,7 +25,7 @@
 SHARE_S: Final = 0.08
 """Least time between two messages of an entry of a small fleet."""
 
-RELAYED_SHARE_S: Final = 0.2
+RELAYED_SEND_INTERVAL_S: Final = 0.2
 """The same in a large fleet, for entries and relays."""
 
 REPEAT_S: Final = 0.4
@@ -56,7 +56,7 @@
         small = self._relays.small_fleet
         since_s = now_s - self._told_at_s
         work = EntryWork(self._peers.own, _busiest(rows), is_current)
-        if since_s < (SHARE_S if small else RELAYED_SHARE_S):
+        if since_s < (SHARE_S if small else RELAYED_SEND_INTERVAL_S):
             return []
         if work == self._told and (since_s < REPEAT_S or not rows):
             return []
@@ -73,7 +73,7 @@
         self, rows: tuple[WorkRow, ...], is_current: bool, followers: list[str], now_s: float
     ) -> list[SendPeer]:
         """Return a relay's messages: its group's work to other relays, all work to followers."""
-        if now_s - self._summed_at_s < RELAYED_SHARE_S:
+        if now_s - self._summed_at_s < RELAYED_SEND_INTERVAL_S:
             return []
         heard = self._peers.members_heard(now_s)
         own = {row.target: row for row in rows}
--- a/tests/test_work_exchange.py
+++ b/tests/test_work_exchange.py
@@ -10,7 +10,7 @@
 from filbertstream.messages import EntryWork, FleetWork, GroupWork, WorkRow
 from filbertstream.process.peer_work import WORK_MAX_AGE_S, EntryRecord, PeerWork
 from filbertstream.process.relays import POLL_INTERVAL_S, Relays
-from filbertstream.process.work_exchange import MAX_ROWS, RELAYED_SHARE_S, WorkExchange
+from filbertstream.process.work_exchange import MAX_ROWS, RELAYED_SEND_INTERVAL_S, WorkExchange
 
 STEP_S = 0.05
 
@@ -102,7 +102,7 @@
             fleet.run(STEP_S)
         followers = [name for name, item in fleet.entries.items() if not item.relays.is_relay]
         told[size] = max(fleet.sent[name] for name in followers)
-    assert told[60] == told[195] <= 2.0 / RELAYED_SHARE_S + 2
+    assert told[60] == told[195] <= 2.0 / RELAYED_SEND_INTERVAL_S + 2
 
 
 def test_an_idle_fleet_tells_nothing() -> None:
