--- a/filbertstream/process/cache_index.py
+++ b/filbertstream/process/cache_index.py
@@ -11,7 +11,7 @@
 PARTS_LIMIT: Final = 40_000
 """Parts that are remembered; the ones unused for longest go first (about 300 bytes each)."""
 
-PartKey = tuple[str, str]
+BlockKey = tuple[str, str]
 """Namespace and part id."""
 
 
@@ -19,14 +19,14 @@
     """Holders of parts, by namespace and part id."""
 
     def __init__(self) -> None:
-        self._holders: OrderedDict[PartKey, dict[str, int]] = OrderedDict()
-        self._by_holder: dict[str, set[PartKey]] = {}
+        self._holders: OrderedDict[BlockKey, dict[str, int]] = OrderedDict()
+        self._by_holder: dict[str, set[BlockKey]] = {}
 
     def __len__(self) -> int:
         """Return the number of parts that are remembered."""
         return len(self._holders)
 
-    def add(self, holder: str, key: PartKey, tokens: int) -> None:
+    def add(self, holder: str, key: BlockKey, tokens: int) -> None:
         """Note that a holder has the first ``tokens`` of a part."""
         holders = self._holders.get(key)
         if holders is None:
@@ -36,7 +36,7 @@
         holders[holder] = tokens
         self._by_holder.setdefault(holder, set()).add(key)
 
-    def remove(self, holder: str, key: PartKey) -> None:
+    def remove(self, holder: str, key: BlockKey) -> None:
         """Note that a holder no longer has a part."""
         holders = self._holders.get(key)
         if holders is not None and holders.pop(holder, None) is not None:
@@ -53,7 +53,7 @@
                 if not holders:
                     del self._holders[key]
 
-    def holders(self, key: PartKey) -> dict[str, int]:
+    def holders(self, key: BlockKey) -> dict[str, int]:
         """Return the tokens of a part by holder."""
         found = self._holders.get(key)
         if found is None:
@@ -61,7 +61,7 @@
         self._holders.move_to_end(key)
         return found
 
-    def held_by(self, holder: str) -> frozenset[PartKey]:
+    def held_by(self, holder: str) -> frozenset[BlockKey]:
         """Return the parts that a holder has."""
         return frozenset(self._by_holder.get(holder, ()))
 
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -12,7 +12,7 @@
 from typing import Final, NamedTuple
 
 from filbertstream.names import rank
-from filbertstream.process.cache_index import CacheIndex, PartKey
+from filbertstream.process.cache_index import BlockKey, CacheIndex
 from filbertstream.process.relays import Relays
 from filbertstream.version.routes import CacheStore
 
@@ -53,7 +53,7 @@
     """A part was stored, or (``added`` False) dropped."""
 
     added: bool
-    key: PartKey
+    key: BlockKey
     tokens: int
 
 
@@ -101,7 +101,7 @@
     sent_at_s: float
     boot: int
     next_event: int
-    held: tuple[tuple[PartKey, int], ...]
+    held: tuple[tuple[BlockKey, int], ...]
     partial_tokens: int
 
 
@@ -112,14 +112,14 @@
     address: str
     boot: int
     until_ms: int
-    keys: tuple[PartKey, ...]
+    keys: tuple[BlockKey, ...]
 
 
 class PartsFreed(NamedTuple):
     """A store has freed parts."""
 
     holder: str
-    keys: tuple[PartKey, ...]
+    keys: tuple[BlockKey, ...]
 
 
 class StoreState:
@@ -177,7 +177,7 @@
         self._relays = relays
         self._rng = rng
         self.states: dict[str, StoreState] = {}
-        self._pending: dict[PartKey, float] = {}
+        self._pending: dict[BlockKey, float] = {}
 
     def configure(self, stores: Iterable[tuple[str, CacheStore]]) -> None:
         """Take in the stores that a configuration names."""
@@ -270,7 +270,7 @@
             state.calling = False
             state.next_call_s = now_s + RETRY_S
 
-    def source(self, key: PartKey, tokens: int, data_center: str, now_s: float) -> str | None:
+    def source(self, key: BlockKey, tokens: int, data_center: str, now_s: float) -> str | None:
         """Return the store to fetch a whole part from, the nearest one."""
         best: tuple[bool, str] | None = None
         for name, held in self._index.holders(key).items():
@@ -291,7 +291,7 @@
         known = [clock for clock in clocks if clock is not None]
         return max(known) + int(FETCH_S * MS) if known else None
 
-    def save_to(self, key: PartKey, tokens: int, now_s: float) -> str | None:
+    def save_to(self, key: BlockKey, tokens: int, now_s: float) -> str | None:
         """Return the store that a part should be saved to, if any, and count it as sent.
 
         A part that only a silent store holds is saved again: its return may be far off.
--- a/filbertstream/version/retirement.py
+++ b/filbertstream/version/retirement.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
-from filbertstream.process.cache_index import PartKey
+from filbertstream.process.cache_index import BlockKey
 from filbertstream.process.cache_stores import FETCH_S, CacheStores, FreeParts
 from filbertstream.version.weights_view import VIEW_S
 
@@ -32,7 +32,7 @@
 class Retirement:
     """Which versions to retire, and which parts to free."""
 
-    def __init__(self, stores: CacheStores, parts_of: Callable[[str], Iterable[PartKey]]) -> None:
+    def __init__(self, stores: CacheStores, parts_of: Callable[[str], Iterable[BlockKey]]) -> None:
         self._stores = stores
         self._parts_of = parts_of
         self._next_s: dict[str, float] = {}
@@ -45,7 +45,7 @@
             len(self._stale(name, replaced)) >= WORTH_FREEING for name in self._stores.states
         )
 
-    def _stale(self, store: str, replaced: frozenset[str]) -> list[PartKey]:
+    def _stale(self, store: str, replaced: frozenset[str]) -> list[BlockKey]:
         return [key for key in self._parts_of(store) if key[0] in replaced]
 
     def step(self, replaced: frozenset[str], now_s: float) -> list[FreeParts]:
--- a/standins/runner_cache.py
+++ b/standins/runner_cache.py
@@ -12,7 +12,7 @@
 TRANSFER_S: Final = 1.0
 MS: Final = 1_000
 
-PartKey = tuple[str, str]
+BlockKey = tuple[str, str]
 
 
 class RunnerCache:
@@ -21,7 +21,7 @@
     def __init__(self, capacity_tokens: int) -> None:
         self._capacity_tokens = capacity_tokens
         self._lock = threading.Lock()
-        self._parts: OrderedDict[PartKey, int] = OrderedDict()
+        self._parts: OrderedDict[BlockKey, int] = OrderedDict()
         self._http = urllib3.PoolManager(retries=False, timeout=TRANSFER_S)
         self.counts = {"read": 0, "cached": 0, "fetched": 0}
 
@@ -45,7 +45,7 @@
                 url = f"http://{save}/part?salt={salt}&id={block_id}&tokens={tokens}"
                 threading.Thread(target=self._transfer, args=("PUT", url), daemon=True).start()
 
-    def _read(self, key: PartKey, tokens: int, fetch: str, until_ms: int | None) -> None:
+    def _read(self, key: BlockKey, tokens: int, fetch: str, until_ms: int | None) -> None:
         with self._lock:
             if key in self._parts:
                 self._parts.move_to_end(key)
--- a/tests/test_stores_machine.py
+++ b/tests/test_stores_machine.py
@@ -17,7 +17,7 @@
     rule,
 )
 
-from filbertstream.process.cache_index import CacheIndex, PartKey
+from filbertstream.process.cache_index import BlockKey, CacheIndex
 from filbertstream.process.cache_stores import (
     FETCH_S,
     CacheChange,
@@ -30,7 +30,7 @@
 
 TOKENS = 1_000
 SPEC = CacheStore("10.0.0.1:80", "dc1", 6 * TOKENS, 8, True)
-KEYS: tuple[PartKey, ...] = tuple(("names", f"part-{number}") for number in range(2))
+KEYS: tuple[BlockKey, ...] = tuple(("names", f"part-{number}") for number in range(2))
 ENTRIES = 2
 ROUND_S = 0.3
 CALM_ROUNDS = 13
@@ -40,7 +40,7 @@
 class Fetch(NamedTuple):
     """A runner reads a part from the store at some time in this span."""
 
-    key: PartKey
+    key: BlockKey
     until_s: float
 
 
@@ -60,8 +60,8 @@
         self.now_s = 100.0
         self.boot = 1
         self.up_from_s = 0.0
-        self.whole: set[PartKey] = set()
-        self.partial: set[PartKey] = set()
+        self.whole: set[BlockKey] = set()
+        self.partial: set[BlockKey] = set()
         self.events: list[CacheChange] = []
         self.fetches: list[Fetch] = []
         self.polls: list[Polled] = []
@@ -96,7 +96,7 @@
         self._tell(Polled(entry, self.now_s, since), set())
 
     @rule(entry=st.integers(0, ENTRIES - 1), key=st.sampled_from(KEYS))
-    def keep(self, entry: int, key: PartKey) -> None:
+    def keep(self, entry: int, key: BlockKey) -> None:
         """A part is saved, and all hear of it."""
         self._prompt(entry, key)
         if key in self.partial:
@@ -138,12 +138,12 @@
         self.entries[entry].on_listed(listed)
 
     @rule(first=st.integers(0, ENTRIES - 1), key=st.sampled_from(KEYS), both=st.booleans())
-    def ask(self, first: int, key: PartKey, both: bool) -> None:
+    def ask(self, first: int, key: BlockKey, both: bool) -> None:
         self._prompt(first, key)
         if both:
             self._prompt(1 - first, key)
 
-    def _prompt(self, entry: int, key: PartKey) -> None:
+    def _prompt(self, entry: int, key: BlockKey) -> None:
         stores = self.entries[entry]
         if stores.source(key, TOKENS, "dc1", self.now_s) is not None:
             if self._is_up():
@@ -159,7 +159,7 @@
     def complete_save(self, data: st.DataObject) -> None:
         self._complete(data.draw(st.sampled_from(sorted(self.partial))))
 
-    def _complete(self, key: PartKey) -> None:
+    def _complete(self, key: BlockKey) -> None:
         self.partial.discard(key)
         self.whole.add(key)
         self.events.append(CacheChange(True, key, TOKENS))
