--- a/bench/targets.py
+++ b/bench/targets.py
@@ -13,10 +13,10 @@
     CacheEventsMissed,
     CacheEventsRead,
     CacheListed,
-    FollowCache,
     FreeParts,
     ListCache,
     PartsFreed,
+    PollCacheEvents,
 )
 from filbertstream.request.call import ResponseHead, TargetLoad
 from filbertstream.request.call_events import (
@@ -212,7 +212,7 @@
         world.after(LOAD_S, lambda: setattr(target, "weights", version))
         world.later(core, LINK_S, OrderAnswered(order.target_id, ACCEPTED))
 
-    def follow(self, core: Gateway, follow: FollowCache) -> None:
+    def follow(self, core: Gateway, follow: PollCacheEvents) -> None:
         """Give a store's events after a while."""
         world = self._world
         sent_at_s = world.now_s
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -31,10 +31,10 @@
 )
 from filbertstream.process.cache_stores import (
     CacheEventsMissed,
-    FollowCache,
     FreeParts,
     ListCache,
     PartsFreed,
+    PollCacheEvents,
 )
 from filbertstream.process.clock import boot_time_s
 from filbertstream.request.call import CallHead
@@ -92,7 +92,7 @@
             RespondLocally: self._answer,
             ReplayResponse: self._answer_kept,
             AbortResponse: self._break,
-            FollowCache: lambda follow: self._spawn(self._follow(follow)),
+            PollCacheEvents: lambda follow: self._spawn(self._follow(follow)),
             ListCache: lambda ask: self._spawn(self._list(ask)),
             FreeParts: lambda free: self._spawn(self._free(free)),
         }
@@ -192,7 +192,7 @@
         if not task.cancelled() and (exc := task.exception()) is not None:
             self._on_broken(f"call to a target: {exc!r}")
 
-    async def _follow(self, follow: FollowCache) -> None:
+    async def _follow(self, follow: PollCacheEvents) -> None:
         """Make an event call and tell the core what came of it."""
         sent_at_s = boot_time_s()
         within_s = follow.wait_s + CACHE_ANSWER_S
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -7,7 +7,7 @@
 
 from filbertstream.actions import Log, SendPeer
 from filbertstream.messages import PeerPayload
-from filbertstream.process.cache_stores import FollowCache, FreeParts, ListCache
+from filbertstream.process.cache_stores import FreeParts, ListCache, PollCacheEvents
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.rollout_lease import DutyRecord, WriteDuty
@@ -139,7 +139,7 @@
     | WriteDuty
     | PollReport
     | OrderWeights
-    | FollowCache
+    | PollCacheEvents
     | ListCache
     | FreeParts
     | WriteEntry
--- a/filbertstream/platform/cache_calls.py
+++ b/filbertstream/platform/cache_calls.py
@@ -9,9 +9,9 @@
     CacheEventsMissed,
     CacheEventsRead,
     CacheListed,
-    FollowCache,
     FreeParts,
     ListCache,
+    PollCacheEvents,
 )
 from filbertstream.statuses import OK
 
@@ -27,7 +27,7 @@
     clock_ms: float | None = None
 
 
-def encode_follow(follow: FollowCache) -> bytes:
+def encode_follow(follow: PollCacheEvents) -> bytes:
     """Return the request for a holder's events."""
     return (
         f"GET /kv-events?since={follow.since} HTTP/1.1\r\n"
@@ -36,7 +36,7 @@
 
 
 def decode_events(
-    follow: FollowCache, status: int, body: bytes, sent_at_s: float, received_at_s: float
+    follow: PollCacheEvents, status: int, body: bytes, sent_at_s: float, received_at_s: float
 ) -> CacheEventsRead | CacheEventsMissed:
     """Return what a holder answered."""
     if status != OK:
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -78,7 +78,7 @@
     holder: str
 
 
-class FollowCache(NamedTuple):
+class PollCacheEvents(NamedTuple):
     """Call a holder for its events after ``since``."""
 
     holder: str
@@ -190,9 +190,9 @@
             if name not in self.states:
                 self.states[name] = StoreState(name, spec)
 
-    def tick(self, now_s: float) -> list[FollowCache | ListCache]:
+    def tick(self, now_s: float) -> list[PollCacheEvents | ListCache]:
         """Return the calls that are due."""
-        due: list[FollowCache | ListCache] = []
+        due: list[PollCacheEvents | ListCache] = []
         large = self._relays is not None and not self._relays.small_fleet
         stands_in = self._relays is not None and self._relays.serves_peers(now_s)
         for state in self.states.values():
@@ -205,7 +205,7 @@
             if not state.calling and now_s >= state.next_call_s:
                 state.calling = True
                 wait_s = PASSED_ON_WAIT_S if large else WAIT_S
-                due.append(FollowCache(state.name, state.spec.address, state.since, wait_s))
+                due.append(PollCacheEvents(state.name, state.spec.address, state.since, wait_s))
         return due
 
     def on_events(self, event: CacheEventsRead) -> bool:
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -13,7 +13,7 @@
     CacheChange,
     CacheEventsMissed,
     CacheEventsRead,
-    FollowCache,
+    PollCacheEvents,
 )
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.store_view import KindObserved
@@ -69,7 +69,7 @@
     def _step(self, world: Keeping, name: str, event: Any) -> list[SendPeer]:
         found = []
         for action in world.tell(event):
-            if isinstance(action, FollowCache) and action.holder == "keep":
+            if isinstance(action, PollCacheEvents) and action.holder == "keep":
                 self.calls.add(name)
                 found += self._step(world, name, self._answer(world, action))
             elif isinstance(action, SendPeer):
@@ -77,7 +77,7 @@
                 found.append(action)
         return found
 
-    def _answer(self, world: Keeping, ask: FollowCache) -> CacheEventsRead:
+    def _answer(self, world: Keeping, ask: PollCacheEvents) -> CacheEventsRead:
         changes = tuple(self.changes[ask.since :])
         number = len(self.changes)
         return CacheEventsRead("keep", world.now_s, world.now_s, 1, number, 5_000, changes)
--- a/tests/test_gateway_cache.py
+++ b/tests/test_gateway_cache.py
@@ -5,7 +5,7 @@
     QUIET_S,
     CacheChange,
     CacheEventsRead,
-    FollowCache,
+    PollCacheEvents,
 )
 from filbertstream.request.call_events import (
     SendCall,
@@ -111,5 +111,5 @@
 
 def test_a_configured_store_is_followed() -> None:
     world = World()
-    follows = [item for item in world.run(0.2) if isinstance(item, FollowCache)]
+    follows = [item for item in world.run(0.2) if isinstance(item, PollCacheEvents)]
     assert [(item.holder, item.since) for item in follows] == [("keep", 0)]
