--- a/bench/targets.py
+++ b/bench/targets.py
@@ -14,7 +14,7 @@
     CacheEventsRead,
     CacheListed,
     FreeParts,
-    ListCache,
+    ListCacheBlocks,
     PartsFreed,
     PollCacheEvents,
 )
@@ -237,7 +237,7 @@
 
         world.after(min(EVENTS_S, follow.wait_s), answer)
 
-    def list(self, core: Gateway, ask: ListCache) -> None:
+    def list(self, core: Gateway, ask: ListCacheBlocks) -> None:
         """Give all that a store keeps."""
         store = self._world.stores[ask.holder]
         if store.dead:
--- a/bench/world.py
+++ b/bench/world.py
@@ -29,7 +29,7 @@
     WriteEntry,
 )
 from filbertstream.platform.documents import TARGETS_KIND
-from filbertstream.process.cache_stores import FreeParts, ListCache, PollCacheEvents
+from filbertstream.process.cache_stores import FreeParts, ListCacheBlocks, PollCacheEvents
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.rollout_lease import WriteDuty
 from filbertstream.request.call import (
@@ -143,7 +143,7 @@
             PollReport: self.target_side.poll,
             OrderWeights: self.target_side.order,
             PollCacheEvents: self.target_side.follow,
-            ListCache: self.target_side.list,
+            ListCacheBlocks: self.target_side.list,
             FreeParts: self.target_side.free,
             ShowKind: self.platform.show,
             WriteDuty: self.platform.write_duty,
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -32,7 +32,7 @@
 from filbertstream.process.cache_stores import (
     CacheEventsMissed,
     FreeParts,
-    ListCache,
+    ListCacheBlocks,
     PartsFreed,
     PollCacheEvents,
 )
@@ -93,7 +93,7 @@
             ReplayResponse: self._answer_kept,
             AbortResponse: self._break,
             PollCacheEvents: lambda follow: self._spawn(self._follow(follow)),
-            ListCache: lambda ask: self._spawn(self._list(ask)),
+            ListCacheBlocks: lambda ask: self._spawn(self._list(ask)),
             FreeParts: lambda free: self._spawn(self._free(free)),
         }
 
@@ -210,7 +210,7 @@
         else:
             self.tell(decode_events(follow, *answer, sent_at_s, boot_time_s()))
 
-    async def _list(self, ask: ListCache) -> None:
+    async def _list(self, ask: ListCacheBlocks) -> None:
         """Ask for all that a holder keeps; without an answer it is asked again later."""
         sent_at_s = boot_time_s()
         address = address_of(ask.address)
--- a/filbertstream/platform/cache_calls.py
+++ b/filbertstream/platform/cache_calls.py
@@ -10,7 +10,7 @@
     CacheEventsRead,
     CacheListed,
     FreeParts,
-    ListCache,
+    ListCacheBlocks,
     PollCacheEvents,
 )
 from filbertstream.statuses import OK
@@ -63,12 +63,14 @@
     partial: list[tuple[str, str, int, int]] = []
 
 
-def encode_list(ask: ListCache) -> bytes:
+def encode_list(ask: ListCacheBlocks) -> bytes:
     """Return the request for all that a holder keeps."""
     return f"GET /kv-list HTTP/1.1\r\nHost: {ask.address}\r\n\r\n".encode()
 
 
-def decode_list(ask: ListCache, status: int, body: bytes, sent_at_s: float) -> CacheListed | None:
+def decode_list(
+    ask: ListCacheBlocks, status: int, body: bytes, sent_at_s: float
+) -> CacheListed | None:
     """Return what a holder keeps, or None where it did not say."""
     if status != OK:
         return None
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -87,7 +87,7 @@
     wait_s: float
 
 
-class ListCache(NamedTuple):
+class ListCacheBlocks(NamedTuple):
     """Ask a holder for all that it keeps: its events may get lost."""
 
     holder: str
@@ -190,9 +190,9 @@
             if name not in self.states:
                 self.states[name] = StoreState(name, spec)
 
-    def tick(self, now_s: float) -> list[PollCacheEvents | ListCache]:
+    def tick(self, now_s: float) -> list[PollCacheEvents | ListCacheBlocks]:
         """Return the calls that are due."""
-        due: list[PollCacheEvents | ListCache] = []
+        due: list[PollCacheEvents | ListCacheBlocks] = []
         large = self._relays is not None and not self._relays.small_fleet
         stands_in = self._relays is not None and self._relays.serves_peers(now_s)
         for state in self.states.values():
@@ -201,7 +201,7 @@
                 continue
             if reads and state.next_list_s is not None and now_s >= state.next_list_s:
                 state.next_list_s = now_s + LIST_S * self._rng.uniform(0.8, 1.2)
-                due.append(ListCache(state.name, state.spec.address))
+                due.append(ListCacheBlocks(state.name, state.spec.address))
             if not state.calling and now_s >= state.next_call_s:
                 state.calling = True
                 wait_s = PASSED_ON_WAIT_S if large else WAIT_S
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -27,7 +27,7 @@
     CacheListed,
     CacheStores,
     FreeParts,
-    ListCache,
+    ListCacheBlocks,
     PartsFreed,
 )
 from filbertstream.process.logs import QUEUED_LINES, BoundedStream
@@ -87,7 +87,7 @@
     stores = CacheStores(CacheIndex(), random.Random(1))
     stores.configure([("keep", STORE)])
     stores.on_events(events("keep", 100.0, 1, CacheChange(True, ("n", "gone"), 100)))
-    due = [item for item in stores.tick(109.0) if isinstance(item, ListCache)]
+    due = [item for item in stores.tick(109.0) if isinstance(item, ListCacheBlocks)]
     assert [item.holder for item in due] == ["keep"]
     stores.on_events(events("keep", 109.0, 1))
     stores.on_listed(CacheListed("keep", 109.0, 1, 9, ((("n", "a"), 700),), 50))
