--- a/bench/targets.py
+++ b/bench/targets.py
@@ -10,9 +10,9 @@
 from bench.fakes import LOAD_S, TOKEN_GAP_S, FakeTarget
 from filbertstream.gateway import Gateway
 from filbertstream.process.cache_stores import (
+    CacheBlocksListed,
     CacheEventsMissed,
     CacheEventsRead,
-    CacheListed,
     FreeParts,
     ListCacheBlocks,
     PartsFreed,
@@ -243,7 +243,9 @@
         if store.dead:
             return
         held = tuple(store.blocks.items())
-        event = CacheListed(ask.holder, self._world.now_s, store.boot, len(store.events), held, 0)
+        event = CacheBlocksListed(
+            ask.holder, self._world.now_s, store.boot, len(store.events), held, 0
+        )
         self._world.later(core, LINK_S, event)
 
     def free(self, core: Gateway, free: FreeParts) -> None:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -44,9 +44,9 @@
 from filbertstream.process.burn import Burn
 from filbertstream.process.cache_index import CacheIndex
 from filbertstream.process.cache_stores import (
+    CacheBlocksListed,
     CacheEventsMissed,
     CacheEventsRead,
-    CacheListed,
     CacheStores,
     PartsFreed,
 )
@@ -202,7 +202,7 @@
             OrderAnswered: self._forward(self.weights_duty.on_order),
             CacheEventsRead: self._on_cache_events,
             CacheEventsMissed: self._on_cache_missed,
-            CacheListed: self._on_cache_listed,
+            CacheBlocksListed: self._on_cache_listed,
             PartsFreed: self._on_parts_freed,
             EntriesListed: self._on_entries,
             EntrySeen: self._on_entry,
@@ -317,7 +317,7 @@
             actions.append(Log(LogEvent.PIECES_LOST, fields))
         return actions
 
-    def _on_cache_listed(self, event: CacheListed, now_s: float) -> list[GatewayAction]:
+    def _on_cache_listed(self, event: CacheBlocksListed, now_s: float) -> list[GatewayAction]:
         self.stores.on_listed(event)
         return []
 
--- a/filbertstream/platform/cache_calls.py
+++ b/filbertstream/platform/cache_calls.py
@@ -5,10 +5,10 @@
 import msgspec
 
 from filbertstream.process.cache_stores import (
+    CacheBlocksListed,
     CacheChange,
     CacheEventsMissed,
     CacheEventsRead,
-    CacheListed,
     FreeParts,
     ListCacheBlocks,
     PollCacheEvents,
@@ -70,7 +70,7 @@
 
 def decode_list(
     ask: ListCacheBlocks, status: int, body: bytes, sent_at_s: float
-) -> CacheListed | None:
+) -> CacheBlocksListed | None:
     """Return what a holder keeps, or None where it did not say."""
     if status != OK:
         return None
@@ -80,7 +80,7 @@
         return None
     held = tuple(((namespace, block_id), tokens) for namespace, block_id, tokens, _ in wire.held)
     partial = sum(reserved for _, _, _, reserved in wire.partial)
-    return CacheListed(ask.holder, sent_at_s, wire.boot_epoch, wire.next, held, partial)
+    return CacheBlocksListed(ask.holder, sent_at_s, wire.boot_epoch, wire.next, held, partial)
 
 
 def encode_free(free: FreeParts) -> bytes:
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -94,7 +94,7 @@
     address: str
 
 
-class CacheListed(NamedTuple):
+class CacheBlocksListed(NamedTuple):
     """All whole parts that a holder keeps, and the event that follows the list."""
 
     holder: str
@@ -241,7 +241,7 @@
             self._index.remove(state.name, change.key)
             state.used_tokens -= known
 
-    def on_listed(self, event: CacheListed) -> None:
+    def on_listed(self, event: CacheBlocksListed) -> None:
         """Take in all that a store keeps, unless it restarted since."""
         state = self.states.get(event.holder)
         if state is None or state.boot != event.boot or event.next_event < state.since:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -22,9 +22,9 @@
 from filbertstream.process.cache_stores import (
     QUIET_S,
     SAVE_PENDING_S,
+    CacheBlocksListed,
     CacheChange,
     CacheEventsRead,
-    CacheListed,
     CacheStores,
     FreeParts,
     ListCacheBlocks,
@@ -90,11 +90,11 @@
     due = [item for item in stores.tick(109.0) if isinstance(item, ListCacheBlocks)]
     assert [item.holder for item in due] == ["keep"]
     stores.on_events(events("keep", 109.0, 1))
-    stores.on_listed(CacheListed("keep", 109.0, 1, 9, ((("n", "a"), 700),), 50))
+    stores.on_listed(CacheBlocksListed("keep", 109.0, 1, 9, ((("n", "a"), 700),), 50))
     assert stores.source(("n", "a"), 700, "dc1", 109.1) == "keep"
     assert stores.source(("n", "gone"), 100, "dc1", 109.1) is None
     assert (stores.states["keep"].used_tokens, stores.states["keep"].since) == (700, 9)
-    stores.on_listed(CacheListed("keep", 109.0, 2, 1, (), 0))
+    stores.on_listed(CacheBlocksListed("keep", 109.0, 2, 1, (), 0))
     assert stores.states["keep"].used_tokens == 700
 
 
--- a/tests/test_stores_machine.py
+++ b/tests/test_stores_machine.py
@@ -20,10 +20,10 @@
 from filbertstream.process.cache_index import BlockKey, CacheIndex
 from filbertstream.process.cache_stores import (
     FETCH_S,
+    CacheBlocksListed,
     CacheChange,
     CacheEventsMissed,
     CacheEventsRead,
-    CacheListed,
     CacheStores,
 )
 from filbertstream.version.routes import CacheStore
@@ -134,7 +134,7 @@
     def list_parts(self, entry: int) -> None:
         held = tuple((key, TOKENS) for key in sorted(self.whole))
         partial = TOKENS * len(self.partial)
-        listed = CacheListed("st", self.now_s, self.boot, len(self.events), held, partial)
+        listed = CacheBlocksListed("st", self.now_s, self.boot, len(self.events), held, partial)
         self.entries[entry].on_listed(listed)
 
     @rule(first=st.integers(0, ENTRIES - 1), key=st.sampled_from(KEYS), both=st.booleans())
