--- a/bench/targets.py
+++ b/bench/targets.py
@@ -12,7 +12,7 @@
 from filbertstream.process.cache_stores import (
     CacheBlocksListed,
     CacheEventsMissed,
-    CacheEventsRead,
+    CacheEventsReceived,
     FreeParts,
     ListCacheBlocks,
     PartsFreed,
@@ -224,7 +224,7 @@
                 return
             changes = tuple(store.events[follow.since :])
             clock_ms = int(world.now_s * MS)
-            event = CacheEventsRead(
+            event = CacheEventsReceived(
                 follow.holder,
                 sent_at_s,
                 world.now_s,
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -46,7 +46,7 @@
 from filbertstream.process.cache_stores import (
     CacheBlocksListed,
     CacheEventsMissed,
-    CacheEventsRead,
+    CacheEventsReceived,
     CacheStores,
     PartsFreed,
 )
@@ -200,7 +200,7 @@
             ReportRead: self._forward(self.weights_duty.on_report),
             ReportMissed: lambda event, now_s: [],
             OrderAnswered: self._forward(self.weights_duty.on_order),
-            CacheEventsRead: self._on_cache_events,
+            CacheEventsReceived: self._on_cache_events,
             CacheEventsMissed: self._on_cache_missed,
             CacheBlocksListed: self._on_cache_listed,
             PartsFreed: self._on_parts_freed,
@@ -310,7 +310,7 @@
             return []
         return [Log(LogEvent.WEIGHTS_NAMED, (("model", model), ("version", version)))]
 
-    def _on_cache_events(self, event: CacheEventsRead, now_s: float) -> list[GatewayAction]:
+    def _on_cache_events(self, event: CacheEventsReceived, now_s: float) -> list[GatewayAction]:
         actions: list[GatewayAction] = [*self.cache_news.on_read(event, now_s)]
         if self.stores.on_events(event):
             fields = (("holder", event.holder), ("boot", event.boot))
--- a/filbertstream/platform/cache_calls.py
+++ b/filbertstream/platform/cache_calls.py
@@ -8,7 +8,7 @@
     CacheBlocksListed,
     CacheChange,
     CacheEventsMissed,
-    CacheEventsRead,
+    CacheEventsReceived,
     FreeParts,
     ListCacheBlocks,
     PollCacheEvents,
@@ -37,7 +37,7 @@
 
 def decode_events(
     follow: PollCacheEvents, status: int, body: bytes, sent_at_s: float, received_at_s: float
-) -> CacheEventsRead | CacheEventsMissed:
+) -> CacheEventsReceived | CacheEventsMissed:
     """Return what a holder answered."""
     if status != OK:
         return CacheEventsMissed(follow.holder)
@@ -50,7 +50,7 @@
         for _, sign, namespace, block_id, tokens, _ in wire.events
     )
     clock_ms = None if wire.clock_ms is None else int(wire.clock_ms)
-    return CacheEventsRead(
+    return CacheEventsReceived(
         follow.holder, sent_at_s, received_at_s, wire.boot_epoch, wire.next, clock_ms, changes
     )
 
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -57,7 +57,7 @@
     tokens: int
 
 
-class CacheEventsRead(NamedTuple):
+class CacheEventsReceived(NamedTuple):
     """A holder's answer to an event call.
 
     ``clock_ms`` is the holder's clock; ``boot`` changes when it restarts.
@@ -208,7 +208,7 @@
                 due.append(PollCacheEvents(state.name, state.spec.address, state.since, wait_s))
         return due
 
-    def on_events(self, event: CacheEventsRead) -> bool:
+    def on_events(self, event: CacheEventsReceived) -> bool:
         """Take in a store's answer; whether it shows a restart."""
         state = self.states.get(event.holder)
         if state is None:
--- a/filbertstream/process/cache_updates.py
+++ b/filbertstream/process/cache_updates.py
@@ -12,7 +12,7 @@
 
 from filbertstream.actions import SendPeer
 from filbertstream.messages import CacheUpdate, CacheUpdateBatch, CacheUpdateRow, PeerPayload
-from filbertstream.process.cache_stores import MS, CacheChange, CacheEventsRead, CacheStores
+from filbertstream.process.cache_stores import MS, CacheChange, CacheEventsReceived, CacheStores
 from filbertstream.process.peer_work import PeerWork
 from filbertstream.process.relays import Relays
 
@@ -34,7 +34,7 @@
         self._passed_on: dict[str, tuple[int, int]] = {}
         self._sent_at_s = float("-inf")
 
-    def on_read(self, event: CacheEventsRead, now_s: float) -> list[SendPeer]:
+    def on_read(self, event: CacheEventsReceived, now_s: float) -> list[SendPeer]:
         """Pass on what a store told this entry."""
         state = self._stores.states.get(event.holder)
         if state is None:
@@ -75,7 +75,7 @@
         changes = tuple(
             CacheChange(row.added, (row.namespace, row.block_id), row.tokens) for row in update.rows
         )
-        event = CacheEventsRead(
+        event = CacheEventsReceived(
             update.store, sent_at_s, now_s, update.boot, update.next_event, update.clock_ms, changes
         )
         self._stores.on_events(event)
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -12,7 +12,7 @@
     CONFIRMED_S,
     CacheChange,
     CacheEventsMissed,
-    CacheEventsRead,
+    CacheEventsReceived,
     PollCacheEvents,
 )
 from filbertstream.process.peer_work import EntryRecord
@@ -77,10 +77,10 @@
                 found.append(action)
         return found
 
-    def _answer(self, world: Keeping, ask: PollCacheEvents) -> CacheEventsRead:
+    def _answer(self, world: Keeping, ask: PollCacheEvents) -> CacheEventsReceived:
         changes = tuple(self.changes[ask.since :])
         number = len(self.changes)
-        return CacheEventsRead("keep", world.now_s, world.now_s, 1, number, 5_000, changes)
+        return CacheEventsReceived("keep", world.now_s, world.now_s, 1, number, 5_000, changes)
 
     def fetching(self) -> set[str]:
         """Return the entries that would fetch the shared part from the store."""
--- a/tests/test_gateway_cache.py
+++ b/tests/test_gateway_cache.py
@@ -4,7 +4,7 @@
     CONFIRMED_S,
     QUIET_S,
     CacheChange,
-    CacheEventsRead,
+    CacheEventsReceived,
     PollCacheEvents,
 )
 from filbertstream.request.call_events import (
@@ -26,7 +26,7 @@
     def store(self, *changes: CacheChange) -> None:
         self.next_event += len(changes)
         self.tell(
-            CacheEventsRead(
+            CacheEventsReceived(
                 "keep", self.now_s, self.now_s, self.boot, self.next_event, 5_000, tuple(changes)
             )
         )
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -24,7 +24,7 @@
     SAVE_PENDING_S,
     CacheBlocksListed,
     CacheChange,
-    CacheEventsRead,
+    CacheEventsReceived,
     CacheStores,
     FreeParts,
     ListCacheBlocks,
@@ -69,8 +69,8 @@
         assert recent <= ratio * before + floor * len(budgets)
 
 
-def events(holder: str, now_s: float, boot: int, *changes: CacheChange) -> CacheEventsRead:
-    return CacheEventsRead(holder, now_s, now_s, boot, 0, 1_000, changes)
+def events(holder: str, now_s: float, boot: int, *changes: CacheChange) -> CacheEventsReceived:
+    return CacheEventsReceived(holder, now_s, now_s, boot, 0, 1_000, changes)
 
 
 def test_a_full_store_is_given_nothing() -> None:
--- a/tests/test_stores_machine.py
+++ b/tests/test_stores_machine.py
@@ -23,7 +23,7 @@
     CacheBlocksListed,
     CacheChange,
     CacheEventsMissed,
-    CacheEventsRead,
+    CacheEventsReceived,
     CacheStores,
 )
 from filbertstream.version.routes import CacheStore
@@ -124,7 +124,7 @@
         seen = [item for index, item in enumerate(self.events[poll.since :]) if index not in lost]
         following = len(self.events)
         stores.on_events(
-            CacheEventsRead(
+            CacheEventsReceived(
                 "st", poll.sent_at_s, self.now_s, self.boot, following, 5_000, tuple(seen)
             )
         )
