--- a/bench/targets.py
+++ b/bench/targets.py
@@ -11,7 +11,7 @@
 from filbertstream.gateway import Gateway
 from filbertstream.process.cache_stores import (
     CacheBlocksListed,
-    CacheEventsMissed,
+    CacheEventsFailed,
     CacheEventsReceived,
     FreeParts,
     ListCacheBlocks,
@@ -220,7 +220,7 @@
         def answer() -> None:
             store = world.stores[follow.holder]
             if store.dead:
-                world.later(core, 0.0, CacheEventsMissed(follow.holder))
+                world.later(core, 0.0, CacheEventsFailed(follow.holder))
                 return
             changes = tuple(store.events[follow.since :])
             clock_ms = int(world.now_s * MS)
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -30,7 +30,7 @@
     decode_call,
 )
 from filbertstream.process.cache_stores import (
-    CacheEventsMissed,
+    CacheEventsFailed,
     FreeParts,
     ListCacheBlocks,
     PartsFreed,
@@ -206,7 +206,7 @@
             EVENTS_LIMIT_BYTES,
         )
         if answer is None:
-            self.tell(CacheEventsMissed(follow.holder))
+            self.tell(CacheEventsFailed(follow.holder))
         else:
             self.tell(decode_events(follow, *answer, sent_at_s, boot_time_s()))
 
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -45,7 +45,7 @@
 from filbertstream.process.cache_index import CacheIndex
 from filbertstream.process.cache_stores import (
     CacheBlocksListed,
-    CacheEventsMissed,
+    CacheEventsFailed,
     CacheEventsReceived,
     CacheStores,
     PartsFreed,
@@ -201,7 +201,7 @@
             ReportMissed: lambda event, now_s: [],
             OrderAnswered: self._forward(self.weights_duty.on_order),
             CacheEventsReceived: self._on_cache_events,
-            CacheEventsMissed: self._on_cache_missed,
+            CacheEventsFailed: self._on_cache_missed,
             CacheBlocksListed: self._on_cache_listed,
             PartsFreed: self._on_parts_freed,
             EntriesListed: self._on_entries,
@@ -325,7 +325,7 @@
         self.stores.on_freed(event)
         return []
 
-    def _on_cache_missed(self, event: CacheEventsMissed, now_s: float) -> list[GatewayAction]:
+    def _on_cache_missed(self, event: CacheEventsFailed, now_s: float) -> list[GatewayAction]:
         self.stores.on_missed(event, now_s)
         self.counters.add("cache_events_missed", "")
         return []
--- a/filbertstream/platform/cache_calls.py
+++ b/filbertstream/platform/cache_calls.py
@@ -7,7 +7,7 @@
 from filbertstream.process.cache_stores import (
     CacheBlocksListed,
     CacheChange,
-    CacheEventsMissed,
+    CacheEventsFailed,
     CacheEventsReceived,
     FreeParts,
     ListCacheBlocks,
@@ -37,14 +37,14 @@
 
 def decode_events(
     follow: PollCacheEvents, status: int, body: bytes, sent_at_s: float, received_at_s: float
-) -> CacheEventsReceived | CacheEventsMissed:
+) -> CacheEventsReceived | CacheEventsFailed:
     """Return what a holder answered."""
     if status != OK:
-        return CacheEventsMissed(follow.holder)
+        return CacheEventsFailed(follow.holder)
     try:
         wire = msgspec.json.decode(body, type=_Events)
     except msgspec.DecodeError:
-        return CacheEventsMissed(follow.holder)
+        return CacheEventsFailed(follow.holder)
     changes = tuple(
         CacheChange(sign == "+", (namespace, block_id), tokens)
         for _, sign, namespace, block_id, tokens, _ in wire.events
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -72,7 +72,7 @@
     changes: tuple[CacheChange, ...]
 
 
-class CacheEventsMissed(NamedTuple):
+class CacheEventsFailed(NamedTuple):
     """A holder did not answer an event call."""
 
     holder: str
@@ -263,7 +263,7 @@
             for key in event.keys:
                 self._take(state, CacheChange(False, key, 0))
 
-    def on_missed(self, event: CacheEventsMissed, now_s: float) -> None:
+    def on_missed(self, event: CacheEventsFailed, now_s: float) -> None:
         """Take in that a store did not answer."""
         state = self.states.get(event.holder)
         if state is not None:
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -11,7 +11,7 @@
 from filbertstream.process.cache_stores import (
     CONFIRMED_S,
     CacheChange,
-    CacheEventsMissed,
+    CacheEventsFailed,
     CacheEventsReceived,
     PollCacheEvents,
 )
@@ -44,7 +44,7 @@
             for item in FOLLOWED:
                 world.show(KindObserved(item.kind, True, 0, 5, world.now_s, ()))
             # The call of its start, which nobody has answered.
-            world.tell(CacheEventsMissed("keep"))
+            world.tell(CacheEventsFailed("keep"))
             for other in self.worlds:
                 record = EntryRecord(f"tcp://{other}", 1)
                 world.tell(EntrySeen(other, record, 1 + (other != name)))
--- a/tests/test_stores_machine.py
+++ b/tests/test_stores_machine.py
@@ -22,7 +22,7 @@
     FETCH_S,
     CacheBlocksListed,
     CacheChange,
-    CacheEventsMissed,
+    CacheEventsFailed,
     CacheEventsReceived,
     CacheStores,
 )
@@ -119,7 +119,7 @@
     def _tell(self, poll: Polled, lost: set[int]) -> None:
         stores = self.entries[poll.entry]
         if not self._is_up():
-            stores.on_missed(CacheEventsMissed("st"), self.now_s)
+            stores.on_missed(CacheEventsFailed("st"), self.now_s)
             return
         seen = [item for index, item in enumerate(self.events[poll.since :]) if index not in lost]
         following = len(self.events)
