--- a/bench/fault_table.py
+++ b/bench/fault_table.py
@@ -13,7 +13,7 @@
 from filbertstream.actions import Log
 from filbertstream.gateway_events import RemoveEntry, WriteEntry
 from filbertstream.log_events import LogEvent
-from filbertstream.process.cache_stores import FreeParts
+from filbertstream.process.cache_stores import FreeBlocks
 from filbertstream.process.rollout_lease import WriteDuty
 from filbertstream.request.call_events import SendCall
 from filbertstream.request.idempotency_keys import ClaimKey, KeyState, SettleKey
@@ -70,7 +70,7 @@
     "take duty": lambda action: isinstance(action, WriteDuty),
     "order": lambda action: isinstance(action, OrderWeights),
     "order answered": lambda action: _logs(action, LogEvent.SWAP_ANSWERED),
-    "free": lambda action: isinstance(action, FreeParts),
+    "free": lambda action: isinstance(action, FreeBlocks),
     "join": lambda action: isinstance(action, WriteEntry),
     "drain": lambda action: isinstance(action, RemoveEntry),
 }
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -13,7 +13,7 @@
     CacheBlocksListed,
     CacheEventsFailed,
     CacheEventsReceived,
-    FreeParts,
+    FreeBlocks,
     ListCacheBlocks,
     PartsFreed,
     PollCacheEvents,
@@ -248,7 +248,7 @@
         )
         self._world.later(core, LINK_S, event)
 
-    def free(self, core: Gateway, free: FreeParts) -> None:
+    def free(self, core: Gateway, free: FreeBlocks) -> None:
         """Free parts at a store."""
         store = self._world.stores[free.holder]
         if store.dead or free.boot != store.boot or free.until_ms < self._world.now_s * MS:
--- a/bench/world.py
+++ b/bench/world.py
@@ -29,7 +29,7 @@
     WriteEntry,
 )
 from filbertstream.platform.documents import TARGETS_KIND
-from filbertstream.process.cache_stores import FreeParts, ListCacheBlocks, PollCacheEvents
+from filbertstream.process.cache_stores import FreeBlocks, ListCacheBlocks, PollCacheEvents
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.rollout_lease import WriteDuty
 from filbertstream.request.call import (
@@ -144,7 +144,7 @@
             OrderWeights: self.target_side.order,
             PollCacheEvents: self.target_side.follow,
             ListCacheBlocks: self.target_side.list,
-            FreeParts: self.target_side.free,
+            FreeBlocks: self.target_side.free,
             ShowKind: self.platform.show,
             WriteDuty: self.platform.write_duty,
             WriteEntry: self.platform.write_entry,
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -31,7 +31,7 @@
 )
 from filbertstream.process.cache_stores import (
     CacheEventsFailed,
-    FreeParts,
+    FreeBlocks,
     ListCacheBlocks,
     PartsFreed,
     PollCacheEvents,
@@ -94,7 +94,7 @@
             AbortResponse: self._break,
             PollCacheEvents: lambda follow: self._spawn(self._follow(follow)),
             ListCacheBlocks: lambda ask: self._spawn(self._list(ask)),
-            FreeParts: lambda free: self._spawn(self._free(free)),
+            FreeBlocks: lambda free: self._spawn(self._free(free)),
         }
 
     @property
@@ -223,7 +223,7 @@
         else:
             self.tell(listed)
 
-    async def _free(self, free: FreeParts) -> None:
+    async def _free(self, free: FreeBlocks) -> None:
         """Free parts and tell the core if they are."""
         data = encode_free(free)
         address = address_of(free.address)
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -7,7 +7,7 @@
 
 from filbertstream.actions import Log, SendPeer
 from filbertstream.messages import PeerPayload
-from filbertstream.process.cache_stores import FreeParts, ListCacheBlocks, PollCacheEvents
+from filbertstream.process.cache_stores import FreeBlocks, ListCacheBlocks, PollCacheEvents
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.rollout_lease import DutyRecord, WriteDuty
@@ -141,7 +141,7 @@
     | OrderWeights
     | PollCacheEvents
     | ListCacheBlocks
-    | FreeParts
+    | FreeBlocks
     | WriteEntry
     | RemoveEntry
     | ClaimKey
--- a/filbertstream/platform/cache_calls.py
+++ b/filbertstream/platform/cache_calls.py
@@ -9,7 +9,7 @@
     CacheChange,
     CacheEventsFailed,
     CacheEventsReceived,
-    FreeParts,
+    FreeBlocks,
     ListCacheBlocks,
     PollCacheEvents,
 )
@@ -83,7 +83,7 @@
     return CacheBlocksListed(ask.holder, sent_at_s, wire.boot_epoch, wire.next, held, partial)
 
 
-def encode_free(free: FreeParts) -> bytes:
+def encode_free(free: FreeBlocks) -> bytes:
     """Return the request that frees parts."""
     body = msgspec.json.encode(
         {"parts": free.keys, "boot_epoch": free.boot, "until_ms": free.until_ms}
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -105,7 +105,7 @@
     partial_tokens: int
 
 
-class FreeParts(NamedTuple):
+class FreeBlocks(NamedTuple):
     """Free parts at a store, unless it restarted or ``until_ms`` of its clock has passed."""
 
     holder: str
--- a/filbertstream/version/retirement.py
+++ b/filbertstream/version/retirement.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from filbertstream.process.cache_index import BlockKey
-from filbertstream.process.cache_stores import FETCH_S, CacheStores, FreeParts
+from filbertstream.process.cache_stores import FETCH_S, CacheStores, FreeBlocks
 from filbertstream.version.weights_view import VIEW_S
 
 FREE_AFTER_S: Final = VIEW_S + FETCH_S + 0.3
@@ -48,7 +48,7 @@
     def _stale(self, store: str, replaced: frozenset[str]) -> list[BlockKey]:
         return [key for key in self._parts_of(store) if key[0] in replaced]
 
-    def step(self, replaced: frozenset[str], now_s: float) -> list[FreeParts]:
+    def step(self, replaced: frozenset[str], now_s: float) -> list[FreeBlocks]:
         """Return the calls that are due; only called once nothing stale can be fetched."""
         calls = []
         for name, state in self._stores.states.items():
@@ -61,5 +61,5 @@
                 self._next_s[name] = now_s + FREE_PAUSE_S
                 until_ms = clock_ms + FREE_WITHIN_MS
                 address = state.spec.address
-                calls.append(FreeParts(name, address, state.boot, until_ms, tuple(stale)))
+                calls.append(FreeBlocks(name, address, state.boot, until_ms, tuple(stale)))
         return calls
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -26,7 +26,7 @@
     CacheChange,
     CacheEventsReceived,
     CacheStores,
-    FreeParts,
+    FreeBlocks,
     ListCacheBlocks,
     PartsFreed,
 )
@@ -138,7 +138,7 @@
     assert not retirement.wanted(frozenset())
     assert retirement.wanted(frozenset({"old"}))
     (call,) = retirement.step(frozenset({"old"}), 100.1)
-    assert isinstance(call, FreeParts)
+    assert isinstance(call, FreeBlocks)
     assert (call.boot, {key[0] for key in call.keys}, len(call.keys)) == (7, {"old"}, 20)
     assert call.until_ms > 1_100
     stores.on_freed(PartsFreed("keep", call.keys))
