--- a/bench/targets.py
+++ b/bench/targets.py
@@ -10,12 +10,12 @@
 from bench.fakes import LOAD_S, TOKEN_GAP_S, FakeTarget
 from filbertstream.gateway import Gateway
 from filbertstream.process.cache_stores import (
+    BlocksFreed,
     CacheBlocksListed,
     CacheEventsFailed,
     CacheEventsReceived,
     FreeBlocks,
     ListCacheBlocks,
-    PartsFreed,
     PollCacheEvents,
 )
 from filbertstream.request.call import ResponseHead, TargetLoad
@@ -255,4 +255,4 @@
             return
         for key in free.keys:
             store.free(key)
-        self._world.later(core, LINK_S, PartsFreed(free.holder, free.keys))
+        self._world.later(core, LINK_S, BlocksFreed(free.holder, free.keys))
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -30,10 +30,10 @@
     decode_call,
 )
 from filbertstream.process.cache_stores import (
+    BlocksFreed,
     CacheEventsFailed,
     FreeBlocks,
     ListCacheBlocks,
-    PartsFreed,
     PollCacheEvents,
 )
 from filbertstream.process.clock import boot_time_s
@@ -229,7 +229,7 @@
         address = address_of(free.address)
         answer = await call_target(self.links, address, data, CACHE_ANSWER_S, boot_time_s())
         if answer is not None and answer[0] in FREED:
-            self.tell(PartsFreed(free.holder, free.keys))
+            self.tell(BlocksFreed(free.holder, free.keys))
 
     def _current(self, call_id: int, number: int) -> RelayedSend | None:
         relayed = self._calls.get(call_id)
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -44,11 +44,11 @@
 from filbertstream.process.burn import Burn
 from filbertstream.process.cache_index import CacheIndex
 from filbertstream.process.cache_stores import (
+    BlocksFreed,
     CacheBlocksListed,
     CacheEventsFailed,
     CacheEventsReceived,
     CacheStores,
-    PartsFreed,
 )
 from filbertstream.process.cache_updates import CacheUpdateExchange
 from filbertstream.process.counters import Counters
@@ -203,7 +203,7 @@
             CacheEventsReceived: self._on_cache_events,
             CacheEventsFailed: self._on_cache_missed,
             CacheBlocksListed: self._on_cache_listed,
-            PartsFreed: self._on_parts_freed,
+            BlocksFreed: self._on_parts_freed,
             EntriesListed: self._on_entries,
             EntrySeen: self._on_entry,
             PeerMessage: self._on_peer,
@@ -321,7 +321,7 @@
         self.stores.on_listed(event)
         return []
 
-    def _on_parts_freed(self, event: PartsFreed, now_s: float) -> list[GatewayAction]:
+    def _on_parts_freed(self, event: BlocksFreed, now_s: float) -> list[GatewayAction]:
         self.stores.on_freed(event)
         return []
 
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -115,7 +115,7 @@
     keys: tuple[BlockKey, ...]
 
 
-class PartsFreed(NamedTuple):
+class BlocksFreed(NamedTuple):
     """A store has freed parts."""
 
     holder: str
@@ -256,7 +256,7 @@
         state.partial_tokens = event.partial_tokens
         state.since = event.next_event
 
-    def on_freed(self, event: PartsFreed) -> None:
+    def on_freed(self, event: BlocksFreed) -> None:
         """Take in that parts were freed; the event that tells so may get lost."""
         state = self.states.get(event.holder)
         if state is not None:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -22,13 +22,13 @@
 from filbertstream.process.cache_stores import (
     QUIET_S,
     SAVE_PENDING_S,
+    BlocksFreed,
     CacheBlocksListed,
     CacheChange,
     CacheEventsReceived,
     CacheStores,
     FreeBlocks,
     ListCacheBlocks,
-    PartsFreed,
 )
 from filbertstream.process.logs import QUEUED_LINES, BoundedStream
 from filbertstream.process.peer_work import HALF_WEIGHT_AGE_S, EntryRecord, PeerWork
@@ -141,7 +141,7 @@
     assert isinstance(call, FreeBlocks)
     assert (call.boot, {key[0] for key in call.keys}, len(call.keys)) == (7, {"old"}, 20)
     assert call.until_ms > 1_100
-    stores.on_freed(PartsFreed("keep", call.keys))
+    stores.on_freed(BlocksFreed("keep", call.keys))
     assert not retirement.wanted(frozenset({"old"}))
     assert stores.states["keep"].used_tokens == 20
 
