--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -2,7 +2,7 @@
 
 What a store holds is known from its events alone, and only while it answers: a store that restarted
 is empty, and a part that another entry then saves again is incomplete for a while.  So a part is
-fetched only where the store has answered within ``CONFIRMED_S``, a fetch must end within
+fetched only where the store has answered within ``HOLDINGS_MAX_AGE_S``, a fetch must end within
 ``FETCH_S``, and nothing is saved to a store until ``QUIET_S`` after its restart was seen, when no
 fetch by older knowledge can still run.
 """
@@ -16,13 +16,13 @@
 from filbertstream.process.relays import Relays
 from filbertstream.version.routes import CacheStore
 
-CONFIRMED_S: Final = 1.6
+HOLDINGS_MAX_AGE_S: Final = 1.6
 """The age of a store's answer up to which what it holds is believed."""
 
 FETCH_S: Final = 1.5
 """A fetch that has not ended after this is dropped by the runner."""
 
-QUIET_S: Final = CONFIRMED_S + FETCH_S + 0.5
+QUIET_S: Final = HOLDINGS_MAX_AGE_S + FETCH_S + 0.5
 """No saves for this long after a store's restart was seen."""
 
 WAIT_S: Final = 0.5
@@ -141,7 +141,7 @@
 
     def fetchable(self, now_s: float) -> bool:
         """Whether parts may be fetched from here."""
-        return now_s - self.confirmed_at_s < CONFIRMED_S
+        return now_s - self.confirmed_at_s < HOLDINGS_MAX_AGE_S
 
     def fits(self, tokens: int, now_s: float) -> bool:
         """Whether a part may be saved here."""
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -9,7 +9,7 @@
 from filbertstream.gateway_events import EntrySeen, PeerMessage, Tick
 from filbertstream.messages import CacheUpdate, CacheUpdateBatch, CacheUpdateRow, ViewRequest
 from filbertstream.process.cache_stores import (
-    CONFIRMED_S,
+    HOLDINGS_MAX_AGE_S,
     CacheChange,
     CacheEventsFailed,
     CacheEventsReceived,
@@ -126,7 +126,7 @@
         if world.core.peers.reads("keep", STORE.event_readers)
     }
     fleet.dead |= readers
-    fleet.run(3 * CONFIRMED_S)
+    fleet.run(3 * HOLDINGS_MAX_AGE_S)
     relays = [name for name, item in fleet.worlds.items() if item.core.relays.is_relay]
     for name in relays:
         cache = fleet.worlds[name].send().cache
--- a/tests/test_gateway_cache.py
+++ b/tests/test_gateway_cache.py
@@ -1,7 +1,7 @@
 """What the core fetches, saves and follows of kept cache, driven in virtual time."""
 
 from filbertstream.process.cache_stores import (
-    CONFIRMED_S,
+    HOLDINGS_MAX_AGE_S,
     QUIET_S,
     CacheChange,
     CacheEventsReceived,
@@ -76,7 +76,7 @@
 def test_nothing_is_fetched_from_a_store_that_has_not_answered_lately() -> None:
     world = keeping_after(4.0)
     world.store(CacheChange(True, (world.namespace(), "shared"), 800))
-    world.run(CONFIRMED_S + 0.1)
+    world.run(HOLDINGS_MAX_AGE_S + 0.1)
     cache = world.send().cache
     assert cache is not None
     assert not any(cache.fetch)
