--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -3,7 +3,7 @@
 What a store holds is known from its events alone, and only while it answers: a store that restarted
 is empty, and a part that another entry then saves again is incomplete for a while.  So a part is
 fetched only where the store has answered within ``HOLDINGS_MAX_AGE_S``, a fetch must end within
-``FETCH_S``, and nothing is saved to a store until ``QUIET_S`` after its restart was seen, when no
+``FETCH_TIMEOUT_S``, and nothing is saved to a store until ``QUIET_S`` after its restart was seen, when no
 fetch by older knowledge can still run.
 """
 
@@ -19,10 +19,10 @@
 HOLDINGS_MAX_AGE_S: Final = 1.6
 """The age of a store's answer up to which what it holds is believed."""
 
-FETCH_S: Final = 1.5
+FETCH_TIMEOUT_S: Final = 1.5
 """A fetch that has not ended after this is dropped by the runner."""
 
-QUIET_S: Final = HOLDINGS_MAX_AGE_S + FETCH_S + 0.5
+QUIET_S: Final = HOLDINGS_MAX_AGE_S + FETCH_TIMEOUT_S + 0.5
 """No saves for this long after a store's restart was seen."""
 
 WAIT_S: Final = 0.5
@@ -289,7 +289,7 @@
         """Return the moment on the targets' clock by which a fetch must have ended."""
         clocks = [state.clock_ms(now_s) for state in self.states.values()]
         known = [clock for clock in clocks if clock is not None]
-        return max(known) + int(FETCH_S * MS) if known else None
+        return max(known) + int(FETCH_TIMEOUT_S * MS) if known else None
 
     def save_to(self, key: BlockKey, tokens: int, now_s: float) -> str | None:
         """Return the store that a part should be saved to, if any, and count it as sent.
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -147,9 +147,9 @@
 
 
 def test_parts_are_freed_only_after_every_fetch_by_an_older_view_has_ended() -> None:
-    from filbertstream.process.cache_stores import FETCH_S
+    from filbertstream.process.cache_stores import FETCH_TIMEOUT_S
 
-    assert FREE_AFTER_S > VIEW_S + FETCH_S
+    assert FREE_AFTER_S > VIEW_S + FETCH_TIMEOUT_S
 
 
 def test_work_told_by_a_member_counts_until_it_falls_silent() -> None:
--- a/tests/test_stores_machine.py
+++ b/tests/test_stores_machine.py
@@ -19,7 +19,7 @@
 
 from filbertstream.process.cache_index import BlockKey, CacheIndex
 from filbertstream.process.cache_stores import (
-    FETCH_S,
+    FETCH_TIMEOUT_S,
     CacheBlocksListed,
     CacheChange,
     CacheEventsFailed,
@@ -147,7 +147,7 @@
         stores = self.entries[entry]
         if stores.source(key, TOKENS, "dc1", self.now_s) is not None:
             if self._is_up():
-                self.fetches.append(Fetch(key, self.now_s + FETCH_S))
+                self.fetches.append(Fetch(key, self.now_s + FETCH_TIMEOUT_S))
             return
         chosen = stores.save_to(key, TOKENS, self.now_s)
         knows = stores.states["st"].boot == self.boot
