--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -19,7 +19,7 @@
 from bench.faults import Checks, serve_everywhere
 from bench.world import BOUNDS, World
 from bench.world_documents import world_documents
-from filbertstream.process.cache_stores import QUIET_S
+from filbertstream.process.cache_stores import SAVE_HOLDOFF_S
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.relays import DIRECT_READ_MEMBERS
 from filbertstream.request.call import PromptBlock
@@ -175,7 +175,7 @@
     )
     if not ready:
         raise AssertionError("entries are not ready")
-    world.run(QUIET_S + 1.0)
+    world.run(SAVE_HOLDOFF_S + 1.0)
     return world
 
 
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -3,7 +3,7 @@
 What a store holds is known from its events alone, and only while it answers: a store that restarted
 is empty, and a part that another entry then saves again is incomplete for a while.  So a part is
 fetched only where the store has answered within ``HOLDINGS_MAX_AGE_S``, a fetch must end within
-``FETCH_TIMEOUT_S``, and nothing is saved to a store until ``QUIET_S`` after its restart was seen, when no
+``FETCH_TIMEOUT_S``, and nothing is saved to a store until ``SAVE_HOLDOFF_S`` after its restart was seen, when no
 fetch by older knowledge can still run.
 """
 
@@ -22,7 +22,7 @@
 FETCH_TIMEOUT_S: Final = 1.5
 """A fetch that has not ended after this is dropped by the runner."""
 
-QUIET_S: Final = HOLDINGS_MAX_AGE_S + FETCH_TIMEOUT_S + 0.5
+SAVE_HOLDOFF_S: Final = HOLDINGS_MAX_AGE_S + FETCH_TIMEOUT_S + 0.5
 """No saves for this long after a store's restart was seen."""
 
 WAIT_S: Final = 0.5
@@ -220,7 +220,7 @@
             self._index.forget(state.name)
             state.used_tokens = 0
             # Also at this entry's own start: the store may have restarted just before.
-            state.quiet_until_s = event.received_at_s + QUIET_S
+            state.quiet_until_s = event.received_at_s + SAVE_HOLDOFF_S
             state.boot = event.boot
             state.next_list_s = event.received_at_s + LIST_S * self._rng.uniform(0.0, 0.3)
         state.since = event.next_event
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from filbertstream.process.cache_stores import QUIET_S
+from filbertstream.process.cache_stores import SAVE_HOLDOFF_S
 from standins.fleet import OPERATOR_KEY, Fleet, Options
 
 DRAFTS: Final = "snowdon-drafts"
@@ -27,7 +27,7 @@
 APPLIED_S: Final = 2.0
 """The bound within which a change is in force."""
 
-SAVES_AFTER_S: Final = QUIET_S + 1.0
+SAVES_AFTER_S: Final = SAVE_HOLDOFF_S + 1.0
 
 OTHERS: Final = 24
 """How many other prompts push the first one out of the runners' caches."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,7 +2,7 @@
 
 from bench.world import BOUNDS, World
 from bench.world_documents import world_documents
-from filbertstream.process.cache_stores import QUIET_S
+from filbertstream.process.cache_stores import SAVE_HOLDOFF_S
 from filbertstream.process.deployment import Bounds
 from filbertstream.version.documents import (
     Objectives,
@@ -25,7 +25,7 @@
     assert ended.state == "accepted", ended
     assert world.run_until(lambda: all_ready(world, ended.revision), 8.0)
     # Stores take parts a while after an entry has first heard of them.
-    world.run(QUIET_S + 1.0)
+    world.run(SAVE_HOLDOFF_S + 1.0)
     return world
 
 
--- a/tests/test_gateway_cache.py
+++ b/tests/test_gateway_cache.py
@@ -2,7 +2,7 @@
 
 from filbertstream.process.cache_stores import (
     HOLDINGS_MAX_AGE_S,
-    QUIET_S,
+    SAVE_HOLDOFF_S,
     CacheChange,
     CacheEventsReceived,
     PollCacheEvents,
@@ -91,7 +91,7 @@
     assert cache is not None
     assert not any(cache.fetch)
     assert not any(cache.save)
-    for _ in range(round(QUIET_S / 0.5) + 1):
+    for _ in range(round(SAVE_HOLDOFF_S / 0.5) + 1):
         world.run(0.5)
         world.store()
     later = world.send().cache
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -20,7 +20,7 @@
 from filbertstream.platform.headers import decode_call, encode_target_head
 from filbertstream.process.cache_index import CacheIndex
 from filbertstream.process.cache_stores import (
-    QUIET_S,
+    SAVE_HOLDOFF_S,
     SAVE_PENDING_S,
     BlocksFreed,
     CacheBlocksListed,
@@ -118,7 +118,7 @@
     key = ("space", "part")
     stores.on_events(events("first", 0.0, 1, CacheChange(True, key, 800)))
     stores.on_events(events("second", 0.0, 1))
-    now_s = QUIET_S + 1.0
+    now_s = SAVE_HOLDOFF_S + 1.0
     stores.on_events(events("second", now_s, 1))
     assert stores.save_to(key, 800, now_s) == "second"
     later_s = now_s + 2 * SAVE_PENDING_S
