--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -132,7 +132,7 @@
     Guard(
         "nothing is saved to a store that has just restarted",
         "process/cache_stores.py",
-        "if now_s < self.quiet_until_s or",
+        "if now_s < self.save_holdoff_until_s or",
         "if",
         "tests/test_gateway_cache.py::"
         "test_a_store_that_restarted_is_empty_and_gets_nothing_until_no_old_fetch_can_run",
@@ -327,7 +327,7 @@
     Guard(
         "any restart of a store: nothing is saved while older beliefs may be read",
         "process/cache_stores.py",
-        "if now_s < self.quiet_until_s or not",
+        "if now_s < self.save_holdoff_until_s or not",
         "if not",
         "tests/test_stores_machine.py::TestStores",
     ),
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -131,7 +131,7 @@
         self.boot: int | None = None
         self.since = 0
         self.confirmed_at_s = float("-inf")
-        self.quiet_until_s = float("-inf")
+        self.save_holdoff_until_s = float("-inf")
         self.used_tokens = 0
         self.next_call_s = 0.0
         self.calling = False
@@ -145,7 +145,7 @@
 
     def fits(self, tokens: int, now_s: float) -> bool:
         """Whether a part may be saved here."""
-        if now_s < self.quiet_until_s or not self.fetchable(now_s):
+        if now_s < self.save_holdoff_until_s or not self.fetchable(now_s):
             return False
         used = self.used_tokens + self.partial_tokens
         return used + tokens < FULL_SHARE * self.spec.capacity_tokens
@@ -220,7 +220,7 @@
             self._index.forget(state.name)
             state.used_tokens = 0
             # Also at this entry's own start: the store may have restarted just before.
-            state.quiet_until_s = event.received_at_s + SAVE_HOLDOFF_S
+            state.save_holdoff_until_s = event.received_at_s + SAVE_HOLDOFF_S
             state.boot = event.boot
             state.next_list_s = event.received_at_s + LIST_S * self._rng.uniform(0.0, 0.3)
         state.since = event.next_event
