--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -149,7 +149,7 @@
     tokens_per_s: float = LINK_TOKENS_PER_S
     dead: bool = False
     full: bool = False
-    boot: int = 1
+    start_id: int = 1
     blocks: dict[tuple[str, str], int] = field(default_factory=dict)
     events: list[CacheChange] = field(default_factory=list)
     link_free_s: float = 0.0
--- a/bench/fault_table.py
+++ b/bench/fault_table.py
@@ -200,7 +200,7 @@
     store.dead = True
     store.blocks.clear()
     store.events.clear()
-    store.boot += 1
+    store.start_id += 1
     return lambda: setattr(store, "dead", False)
 
 
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -228,7 +228,7 @@
                 follow.holder,
                 sent_at_s,
                 world.now_s,
-                store.boot,
+                store.start_id,
                 len(store.events),
                 clock_ms,
                 changes,
@@ -244,14 +244,14 @@
             return
         held = tuple(store.blocks.items())
         event = CacheBlocksListed(
-            ask.holder, self._world.now_s, store.boot, len(store.events), held, 0
+            ask.holder, self._world.now_s, store.start_id, len(store.events), held, 0
         )
         self._world.later(core, LINK_S, event)
 
     def free(self, core: Gateway, free: FreeBlocks) -> None:
         """Free parts at a store."""
         store = self._world.stores[free.holder]
-        if store.dead or free.boot != store.boot or free.until_ms < self._world.now_s * MS:
+        if store.dead or free.start_id != store.start_id or free.until_ms < self._world.now_s * MS:
             return
         for key in free.keys:
             store.free(key)
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -313,7 +313,7 @@
     def _on_cache_events(self, event: CacheEventsReceived, now_s: float) -> list[GatewayAction]:
         actions: list[GatewayAction] = [*self.cache_news.on_read(event, now_s)]
         if self.stores.on_events(event):
-            fields = (("holder", event.holder), ("boot", event.boot))
+            fields = (("holder", event.holder), ("boot", event.start_id))
             actions.append(Log(LogEvent.PIECES_LOST, fields))
         return actions
 
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -70,10 +70,10 @@
 
 
 class CacheUpdate(msgspec.Struct, frozen=True, tag="cache", array_like=True):
-    """What a store told the sender ``age_s`` ago; ``boot`` changes when the store restarts."""
+    """What a store told the sender ``age_s`` ago; ``start_id`` changes when the store restarts."""
 
     store: str
-    boot: int
+    start_id: int
     next_event: int
     age_s: float
     clock_ms: int | None
--- a/filbertstream/platform/cache_calls.py
+++ b/filbertstream/platform/cache_calls.py
@@ -86,7 +86,7 @@
 def encode_free(free: FreeBlocks) -> bytes:
     """Return the request that frees parts."""
     body = msgspec.json.encode(
-        {"parts": free.keys, "boot_epoch": free.boot, "until_ms": free.until_ms}
+        {"parts": free.keys, "boot_epoch": free.start_id, "until_ms": free.until_ms}
     )
     return (
         f"POST /kv-free HTTP/1.1\r\nHost: {free.address}\r\n"
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -60,13 +60,13 @@
 class CacheEventsReceived(NamedTuple):
     """A holder's answer to an event call.
 
-    ``clock_ms`` is the holder's clock; ``boot`` changes when it restarts.
+    ``clock_ms`` is the holder's clock; ``start_id`` changes when it restarts.
     """
 
     holder: str
     sent_at_s: float
     received_at_s: float
-    boot: int
+    start_id: int
     next_event: int
     clock_ms: int | None
     changes: tuple[CacheChange, ...]
@@ -99,7 +99,7 @@
 
     holder: str
     sent_at_s: float
-    boot: int
+    start_id: int
     next_event: int
     held: tuple[tuple[BlockKey, int], ...]
     partial_tokens: int
@@ -110,7 +110,7 @@
 
     holder: str
     address: str
-    boot: int
+    start_id: int
     until_ms: int
     keys: tuple[BlockKey, ...]
 
@@ -128,7 +128,7 @@
     def __init__(self, name: str, spec: CacheStore) -> None:
         self.name = name
         self.spec = spec
-        self.boot: int | None = None
+        self.start_id: int | None = None
         self.since = 0
         self.confirmed_at_s = float("-inf")
         self.save_holdoff_until_s = float("-inf")
@@ -215,13 +215,13 @@
             return False
         state.calling = False
         state.next_call_s = event.received_at_s + PAUSE_S
-        restarted = state.boot is not None and state.boot != event.boot
-        if state.boot != event.boot:
+        restarted = state.start_id is not None and state.start_id != event.start_id
+        if state.start_id != event.start_id:
             self._index.forget(state.name)
             state.used_tokens = 0
             # Also at this entry's own start: the store may have restarted just before.
             state.save_holdoff_until_s = event.received_at_s + SAVE_HOLDOFF_S
-            state.boot = event.boot
+            state.start_id = event.start_id
             state.next_list_s = event.received_at_s + LIST_S * self._rng.uniform(0.0, 0.3)
         state.since = event.next_event
         state.confirmed_at_s = max(state.confirmed_at_s, event.sent_at_s)
@@ -244,7 +244,7 @@
     def on_listed(self, event: CacheBlocksListed) -> None:
         """Take in all that a store keeps, unless it restarted since."""
         state = self.states.get(event.holder)
-        if state is None or state.boot != event.boot or event.next_event < state.since:
+        if state is None or state.start_id != event.start_id or event.next_event < state.since:
             return
         listed = dict(event.held)
         for key in self._index.held_by(state.name):
--- a/filbertstream/process/cache_updates.py
+++ b/filbertstream/process/cache_updates.py
@@ -42,7 +42,7 @@
         rows = tuple(CacheUpdateRow(item.added, *item.key, item.tokens) for item in event.changes)
         update = CacheUpdate(
             event.holder,
-            event.boot,
+            event.start_id,
             event.next_event,
             now_s - event.sent_at_s,
             event.clock_ms,
@@ -67,16 +67,22 @@
         if self._peers.reads(update.store, state.spec.event_readers):
             return
         sent_at_s = now_s - update.age_s - NEWS_TRANSIT_S
-        if state.boot == update.boot and update.next_event < state.since:
+        if state.start_id == update.start_id and update.next_event < state.since:
             return
-        if state.boot != update.boot and sent_at_s < state.confirmed_at_s:
+        if state.start_id != update.start_id and sent_at_s < state.confirmed_at_s:
             # One of the readers has not heard of a restart yet.
             return
         changes = tuple(
             CacheChange(row.added, (row.namespace, row.block_id), row.tokens) for row in update.rows
         )
         event = CacheEventsReceived(
-            update.store, sent_at_s, now_s, update.boot, update.next_event, update.clock_ms, changes
+            update.store,
+            sent_at_s,
+            now_s,
+            update.start_id,
+            update.next_event,
+            update.clock_ms,
+            changes,
         )
         self._stores.on_events(event)
 
@@ -87,14 +93,14 @@
         """
         if not self._relays.serves_peers(now_s):
             return
-        boot, passed_on = self._passed_on.get(update.store, (update.boot, 0))
-        if boot == update.boot:
+        start_id, passed_on = self._passed_on.get(update.store, (update.start_id, 0))
+        if start_id == update.start_id:
             new = max(0, update.next_event - passed_on)
             rows = update.rows[-new:] if new else ()
             update = msgspec.structs.replace(update, rows=rows)
-            self._passed_on[update.store] = (boot, max(passed_on, update.next_event))
+            self._passed_on[update.store] = (start_id, max(passed_on, update.next_event))
         else:
-            self._passed_on[update.store] = (update.boot, update.next_event)
+            self._passed_on[update.store] = (update.start_id, update.next_event)
         self._held.append((now_s, update))
 
     def on_batch(self, batch: CacheUpdateBatch, now_s: float) -> None:
@@ -121,7 +127,7 @@
     for at_s, update in held:
         update = CacheUpdate(
             update.store,
-            update.boot,
+            update.start_id,
             update.next_event,
             update.age_s + now_s - at_s,
             None if update.clock_ms is None else update.clock_ms + int((now_s - at_s) * MS),
--- a/filbertstream/version/retirement.py
+++ b/filbertstream/version/retirement.py
@@ -54,12 +54,12 @@
         for name, state in self._stores.states.items():
             clock_ms = state.clock_ms(now_s)
             ready = now_s >= self._next_s.get(name, 0.0) and state.fetchable(now_s)
-            if not ready or clock_ms is None or state.boot is None:
+            if not ready or clock_ms is None or state.start_id is None:
                 continue
             stale = self._stale(name, replaced)[:PARTS_A_CALL]
             if stale:
                 self._next_s[name] = now_s + FREE_PAUSE_S
                 until_ms = clock_ms + FREE_WITHIN_MS
                 address = state.spec.address
-                calls.append(FreeBlocks(name, address, state.boot, until_ms, tuple(stale)))
+                calls.append(FreeBlocks(name, address, state.start_id, until_ms, tuple(stale)))
         return calls
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -146,11 +146,11 @@
     told.tell(PeerMessage(CacheUpdate("keep", 2, 1, 0.3, 5_000, ())))
     told.tell(PeerMessage(CacheUpdate("keep", 1, 9, 0.5, 5_000, (row,))))
     state = told.core.stores.states["keep"]
-    assert state.boot == 2
+    assert state.start_id == 2
     assert not told.core.index.holders((told.namespace(), "kept"))
     told.now_s += 1.0
     told.tell(PeerMessage(CacheUpdate("keep", 3, 1, 0.3, 5_000, ())))
-    assert state.boot == 3
+    assert state.start_id == 3
 
 
 def test_a_relay_passes_each_event_on_once_though_two_readers_tell_it() -> None:
@@ -159,8 +159,8 @@
     relay = next(world for world in fleet.worlds.values() if world.core.relays.is_relay)
     relay.tell(PeerMessage(ViewRequest("e0", 1, {})))
     rows = tuple(CacheUpdateRow(True, "n", f"p{number}", 10) for number in range(12))
-    for boot, since, until in ((1, 0, 6), (1, 2, 9), (1, 5, 9), (1, 7, 12), (2, 0, 3)):
-        told = CacheUpdate("keep", boot, until, 0.1, 5_000, rows[since:until])
+    for start_id, since, until in ((1, 0, 6), (1, 2, 9), (1, 5, 9), (1, 7, 12), (2, 0, 3)):
+        told = CacheUpdate("keep", start_id, until, 0.1, 5_000, rows[since:until])
         relay.tell(PeerMessage(told))
     relay.now_s += 0.5
     batches = [
@@ -169,5 +169,5 @@
         if isinstance(item, SendPeer) and isinstance(item.payload, CacheUpdateBatch)
     ]
     (batch,) = batches
-    passed_on = [(item.boot, row.block_id) for item in batch.items for row in item.rows]
+    passed_on = [(item.start_id, row.block_id) for item in batch.items for row in item.rows]
     assert passed_on == [(1, row.block_id) for row in rows] + [(2, f"p{n}") for n in range(3)]
--- a/tests/test_gateway_cache.py
+++ b/tests/test_gateway_cache.py
@@ -20,14 +20,20 @@
     def __init__(self, name: str = "e1") -> None:
         super().__init__(name)
         self.next_event = 0
-        self.boot = 1
+        self.start_id = 1
         self.run(0.1)
 
     def store(self, *changes: CacheChange) -> None:
         self.next_event += len(changes)
         self.tell(
             CacheEventsReceived(
-                "keep", self.now_s, self.now_s, self.boot, self.next_event, 5_000, tuple(changes)
+                "keep",
+                self.now_s,
+                self.now_s,
+                self.start_id,
+                self.next_event,
+                5_000,
+                tuple(changes),
             )
         )
 
@@ -85,7 +91,7 @@
 def test_a_store_that_restarted_is_empty_and_gets_nothing_until_no_old_fetch_can_run() -> None:
     world = keeping_after(4.0)
     world.store(CacheChange(True, (world.namespace(), "shared"), 800))
-    world.boot, world.next_event = 2, 0
+    world.start_id, world.next_event = 2, 0
     world.store()
     cache = world.send().cache
     assert cache is not None
--- a/tests/test_stores_machine.py
+++ b/tests/test_stores_machine.py
@@ -58,7 +58,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now_s = 100.0
-        self.boot = 1
+        self.start_id = 1
         self.up_from_s = 0.0
         self.whole: set[BlockKey] = set()
         self.partial: set[BlockKey] = set()
@@ -125,7 +125,7 @@
         following = len(self.events)
         stores.on_events(
             CacheEventsReceived(
-                "st", poll.sent_at_s, self.now_s, self.boot, following, 5_000, tuple(seen)
+                "st", poll.sent_at_s, self.now_s, self.start_id, following, 5_000, tuple(seen)
             )
         )
 
@@ -134,7 +134,7 @@
     def list_parts(self, entry: int) -> None:
         held = tuple((key, TOKENS) for key in sorted(self.whole))
         partial = TOKENS * len(self.partial)
-        listed = CacheBlocksListed("st", self.now_s, self.boot, len(self.events), held, partial)
+        listed = CacheBlocksListed("st", self.now_s, self.start_id, len(self.events), held, partial)
         self.entries[entry].on_listed(listed)
 
     @rule(first=st.integers(0, ENTRIES - 1), key=st.sampled_from(KEYS), both=st.booleans())
@@ -150,7 +150,7 @@
                 self.fetches.append(Fetch(key, self.now_s + FETCH_TIMEOUT_S))
             return
         chosen = stores.save_to(key, TOKENS, self.now_s)
-        knows = stores.states["st"].boot == self.boot
+        knows = stores.states["st"].start_id == self.start_id
         if chosen is not None and knows and self._is_up() and key not in self.whole:
             self.partial.add(key)
 
@@ -167,7 +167,7 @@
     @precondition(lambda self: self._is_up())
     @rule(down_s=st.sampled_from([0.0, 0.5, 3.0]), heard_by=st.sampled_from([None, 0, 1]))
     def restart(self, down_s: float, heard_by: int | None) -> None:
-        self.boot += 1
+        self.start_id += 1
         self.up_from_s = self.now_s + down_s
         self.whole, self.partial, self.events = set(), set(), []
         # A transfer from a store that is gone ends.
