--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -139,7 +139,7 @@
     assert retirement.wanted(frozenset({"old"}))
     (call,) = retirement.step(frozenset({"old"}), 100.1)
     assert isinstance(call, FreeBlocks)
-    assert (call.boot, {key[0] for key in call.keys}, len(call.keys)) == (7, {"old"}, 20)
+    assert (call.start_id, {key[0] for key in call.keys}, len(call.keys)) == (7, {"old"}, 20)
     assert call.until_ms > 1_100
     stores.on_freed(BlocksFreed("keep", call.keys))
     assert not retirement.wanted(frozenset({"old"}))
