--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -57,7 +57,7 @@
 from filbertstream.process.peer_work import EntryRecord, PeerWork
 from filbertstream.process.relayed_view import RelayedView
 from filbertstream.process.relays import Relays
-from filbertstream.process.rollout_lease import Duty
+from filbertstream.process.rollout_lease import RolloutLease
 from filbertstream.process.roster import Roster
 from filbertstream.process.store_view import FollowedKind, KindObserved
 from filbertstream.process.target_registration import TargetEntry
@@ -168,7 +168,7 @@
             rng,
         )
         self.forwarding = Forwarding(parts)
-        self.duty = Duty(f"{cfg.name}#{cfg.incarnation:x}", bounds.lease_s, rng)
+        self.duty = RolloutLease(f"{cfg.name}#{cfg.incarnation:x}", bounds.lease_s, rng)
         self.weights_duty = WeightsDuty(
             self.duty,
             self.roster,
--- a/filbertstream/process/rollout_lease.py
+++ b/filbertstream/process/rollout_lease.py
@@ -78,7 +78,7 @@
     sent_at_s: float
 
 
-class Duty:
+class RolloutLease:
     """This entry's view of the record."""
 
     def __init__(self, own: str, lease_s: float, rng: random.Random) -> None:
--- a/filbertstream/version/weights_duty.py
+++ b/filbertstream/version/weights_duty.py
@@ -11,7 +11,7 @@
 from filbertstream.gateway_events import DutyConfirmed, DutySeen, DutyWritten
 from filbertstream.log_events import LogEvent
 from filbertstream.process.cache_stores import FreeBlocks
-from filbertstream.process.rollout_lease import Duty, Work, WriteDuty
+from filbertstream.process.rollout_lease import RolloutLease, Work, WriteDuty
 from filbertstream.process.roster import Roster
 from filbertstream.version.retirement import FREE_AFTER_S, Retirement
 from filbertstream.version.rollout import (
@@ -30,7 +30,7 @@
     """This entry's part in the duty, whether it holds it or not."""
 
     def __init__(
-        self, duty: Duty, roster: Roster, weights: WeightsView, retirement: Retirement
+        self, duty: RolloutLease, roster: Roster, weights: WeightsView, retirement: Retirement
     ) -> None:
         self._duty = duty
         self._roster = roster
--- a/tests/test_gateway_duty.py
+++ b/tests/test_gateway_duty.py
@@ -12,7 +12,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from filbertstream.process.rollout_lease import LOADED_KEPT, Duty, DutyRecord, Work, WriteDuty
+from filbertstream.process.rollout_lease import (
+    LOADED_KEPT,
+    DutyRecord,
+    RolloutLease,
+    Work,
+    WriteDuty,
+)
 
 LEASE_S = 3.0
 NO_WORK = Work((), {}, {})
@@ -39,7 +45,7 @@
         self.rng = random.Random(seed)
         self.now_s = 50.0
         self.duties = [
-            Duty(f"e{number}", LEASE_S, random.Random(f"{seed}-{number}"))
+            RolloutLease(f"e{number}", LEASE_S, random.Random(f"{seed}-{number}"))
             for number in range(entries)
         ]
         self.record: DutyRecord | None = None
@@ -128,7 +134,7 @@
 
 
 def test_what_was_found_on_runners_outlives_its_holder_and_stays_bounded() -> None:
-    duty = Duty("e0", LEASE_S, random.Random(1))
+    duty = RolloutLease("e0", LEASE_S, random.Random(1))
     duty.on_seen(DutyRecord("e9#1", 3, False, 1, [], {}, {"r1": {"m": 2}}), 1, 10.0)
     duty.tick(10.0, True, NO_WORK)
     taken = duty.tick(11.0, True, NO_WORK)
