--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -44,7 +44,7 @@
 )
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.peer_work import EntryRecord
-from filbertstream.process.rollout_lease import DutyRecord
+from filbertstream.process.rollout_lease import LeaseRecord
 from filbertstream.process.store_view import FollowedKind, KindDelta, KindObserved
 
 DUTY_NAME: Final = "weights"
@@ -165,7 +165,7 @@
     if stored.name != DUTY_NAME:
         return
     try:
-        record = decode_own(stored.content, DutyRecord)
+        record = decode_own(stored.content, LeaseRecord)
     except msgspec.DecodeError as exc:
         tell(StoreAnswered(DUTIES_KIND, False, f"unreadable: {exc}"))
         return
--- a/filbertstream/process/rollout_lease.py
+++ b/filbertstream/process/rollout_lease.py
@@ -41,7 +41,7 @@
 """Weight versions by model, by runner."""
 
 
-class DutyRecord(msgspec.Struct, frozen=True):
+class LeaseRecord(msgspec.Struct, frozen=True):
     """What the store holds; ``beat`` tells the writes of one holder apart.
 
     ``retired`` names for each model the weight version below which no cached part is fetched from
@@ -69,12 +69,12 @@
 class WriteDuty(NamedTuple):
     """Write the record: create it for revision 0, else replace that revision."""
 
-    record: DutyRecord
+    record: LeaseRecord
     revision: int
 
 
 class _Pending(NamedTuple):
-    record: DutyRecord
+    record: LeaseRecord
     sent_at_s: float
 
 
@@ -85,7 +85,7 @@
         self._own = own
         self._lease_s = lease_s
         self._rng = rng
-        self._record: DutyRecord | None = None
+        self._record: LeaseRecord | None = None
         self._revision = 0
         self._seen_at_s = 0.0
         self._known = False
@@ -143,7 +143,7 @@
             return False
         return self._order_from_s <= now_s < self._renewed_at_s + VALID_S
 
-    def on_seen(self, record: DutyRecord | None, revision: int, now_s: float) -> None:
+    def on_seen(self, record: LeaseRecord | None, revision: int, now_s: float) -> None:
         """Take in the record as a listing, a watch or a conflict shows it."""
         self._known = True
         if record is None or revision <= self._revision:
@@ -186,7 +186,7 @@
         return self._take(now_s, reserve_s)
 
     def _renew(
-        self, record: DutyRecord, now_s: float, wanted: bool, work: Work
+        self, record: LeaseRecord, now_s: float, wanted: bool, work: Work
     ) -> WriteDuty | None:
         told = msgspec.structs.replace(
             record,
@@ -225,13 +225,13 @@
         # Runners that the holder before was swapping are still left out.
         swapping = [] if record is None else record.swapping
         loaded = {} if record is None else record.loaded
-        taken = DutyRecord(self._own, fence, True, self._next(), swapping, self.retired, loaded)
+        taken = LeaseRecord(self._own, fence, True, self._next(), swapping, self.retired, loaded)
         return self._write(taken, now_s)
 
     def _next(self) -> int:
         self._beat += 1
         return self._beat
 
-    def _write(self, record: DutyRecord, now_s: float) -> WriteDuty:
+    def _write(self, record: LeaseRecord, now_s: float) -> WriteDuty:
         self._pending = _Pending(record, now_s)
         return WriteDuty(record, self._revision)
--- a/tests/test_gateway_duty.py
+++ b/tests/test_gateway_duty.py
@@ -14,7 +14,7 @@
 
 from filbertstream.process.rollout_lease import (
     LOADED_KEPT,
-    DutyRecord,
+    LeaseRecord,
     RolloutLease,
     Work,
     WriteDuty,
@@ -48,7 +48,7 @@
             RolloutLease(f"e{number}", LEASE_S, random.Random(f"{seed}-{number}"))
             for number in range(entries)
         ]
-        self.record: DutyRecord | None = None
+        self.record: LeaseRecord | None = None
         self.revision = 0
         self.late: list[Late] = []
         self.orders: list[Order] = []
@@ -135,7 +135,7 @@
 
 def test_what_was_found_on_runners_outlives_its_holder_and_stays_bounded() -> None:
     duty = RolloutLease("e0", LEASE_S, random.Random(1))
-    duty.on_seen(DutyRecord("e9#1", 3, False, 1, [], {}, {"r1": {"m": 2}}), 1, 10.0)
+    duty.on_seen(LeaseRecord("e9#1", 3, False, 1, [], {}, {"r1": {"m": 2}}), 1, 10.0)
     duty.tick(10.0, True, NO_WORK)
     taken = duty.tick(11.0, True, NO_WORK)
     assert taken is not None
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -41,7 +41,7 @@
     Relays,
     VmResources,
 )
-from filbertstream.process.rollout_lease import DutyRecord
+from filbertstream.process.rollout_lease import LeaseRecord
 from filbertstream.process.store_view import KIND_UPDATE_LIMIT_BYTES, KindObserved
 from filbertstream.request.call_events import SendCall
 from filbertstream.version.currency import UNREADY_SHARE
@@ -349,7 +349,7 @@
 def test_a_change_of_the_duty_is_passed_on_at_once_to_those_who_ask() -> None:
     world = Fleet(RELAYS[0])
     world.tell(PeerMessage(ViewRequest(FOLLOWER, 1, {})))
-    record = msgspec.json.encode(DutyRecord("f9#1", 1, True, 1, ["r1"]))
+    record = msgspec.json.encode(LeaseRecord("f9#1", 1, True, 1, ["r1"]))
     shown = KindObserved(DUTIES_KIND, False, 5, 9, 100.0, (ObjectRow("weights", 9, record),))
     (action,) = world.tell(shown)
     assert action.address == f"tcp://{FOLLOWER}"
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -3,7 +3,7 @@
 import itertools
 
 from filbertstream.gateway_events import DutySeen, TargetSeen, Tick, WeightsNamed
-from filbertstream.process.rollout_lease import DutyRecord, WriteDuty
+from filbertstream.process.rollout_lease import LeaseRecord, WriteDuty
 from filbertstream.process.roster import Roster
 from filbertstream.version.rollout import OrderAnswered, OrderWeights, ReportRead, Rollout
 from filbertstream.version.weights_view import OVERDUE_SHARE, ROLL_OUT_SHARE, WeightsView
@@ -95,7 +95,7 @@
     """An entry that thinks a runner old sends nothing there, and would not learn of it."""
     world = World()
     world.tell(WeightsNamed("m", 2))
-    record = DutyRecord("e9#1", 1, True, 1, [], {}, {"r2": {"m": 2}, "gone": {"m": 2}})
+    record = LeaseRecord("e9#1", 1, True, 1, [], {}, {"r2": {"m": 2}, "gone": {"m": 2}})
     world.tell(DutySeen(record, 5))
     world.run(7.0)
     assert {sends(world.arrive("draft"))[0].target_id for _ in range(9)} == {"r2"}
