--- a/bench/fault_table.py
+++ b/bench/fault_table.py
@@ -14,7 +14,7 @@
 from filbertstream.gateway_events import RemoveEntry, WriteEntry
 from filbertstream.log_events import LogEvent
 from filbertstream.process.cache_stores import FreeBlocks
-from filbertstream.process.rollout_lease import WriteDuty
+from filbertstream.process.rollout_lease import WriteLease
 from filbertstream.request.call_events import SendCall
 from filbertstream.request.idempotency_keys import ClaimKey, KeyState, SettleKey
 from filbertstream.version.documents import Model
@@ -67,7 +67,7 @@
     "finish": lambda action: _logs(action, LogEvent.REQUEST_FINISHED),
     "in force": lambda action: _logs(action, LogEvent.REVISION_IN_FORCE),
     "weights named": lambda action: _logs(action, LogEvent.WEIGHTS_NAMED),
-    "take duty": lambda action: isinstance(action, WriteDuty),
+    "take duty": lambda action: isinstance(action, WriteLease),
     "order": lambda action: isinstance(action, OrderWeights),
     "order answered": lambda action: _logs(action, LogEvent.SWAP_ANSWERED),
     "free": lambda action: isinstance(action, FreeBlocks),
--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -28,7 +28,7 @@
 )
 from filbertstream.platform.documents import DUTIES_KIND, ENTRIES_KIND, KEYS_KIND, MS
 from filbertstream.platform.objects import StoreFault
-from filbertstream.process.rollout_lease import WriteDuty
+from filbertstream.process.rollout_lease import WriteLease
 from filbertstream.process.target_registration import TargetEntry
 from filbertstream.request.key_writes import KeyAction, KeyCall, KeyReply
 from filbertstream.version.routes import CallerLimits
@@ -138,7 +138,7 @@
 
         world.after(self.latency_s, carry_out)
 
-    def write_duty(self, core: Gateway, write: WriteDuty) -> None:
+    def write_duty(self, core: Gateway, write: WriteLease) -> None:
         """Write the duty's record and tell how that went."""
         objects = self._world.objects
 
--- a/bench/world.py
+++ b/bench/world.py
@@ -31,7 +31,7 @@
 from filbertstream.platform.documents import TARGETS_KIND
 from filbertstream.process.cache_stores import FreeBlocks, ListCacheBlocks, PollCacheEvents
 from filbertstream.process.deployment import Bounds
-from filbertstream.process.rollout_lease import WriteDuty
+from filbertstream.process.rollout_lease import WriteLease
 from filbertstream.request.call import (
     BufferedResponse,
     CallHead,
@@ -146,7 +146,7 @@
             ListCacheBlocks: self.target_side.list,
             FreeBlocks: self.target_side.free,
             ShowKind: self.platform.show,
-            WriteDuty: self.platform.write_duty,
+            WriteLease: self.platform.write_duty,
             WriteEntry: self.platform.write_entry,
             RemoveEntry: self.platform.remove_entry,
             ClaimKey: lambda core, claim: self._keyed(core, claim_steps(claim)),
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -10,7 +10,7 @@
 from filbertstream.process.cache_stores import FreeBlocks, ListCacheBlocks, PollCacheEvents
 from filbertstream.process.deployment import Bounds
 from filbertstream.process.peer_work import EntryRecord
-from filbertstream.process.rollout_lease import LeaseRecord, WriteDuty
+from filbertstream.process.rollout_lease import LeaseRecord, WriteLease
 from filbertstream.process.store_view import KindDelta
 from filbertstream.process.target_registration import TargetEntry
 from filbertstream.request.call_events import CallAction
@@ -136,7 +136,7 @@
 GatewayAction: TypeAlias = (
     CallAction
     | Log
-    | WriteDuty
+    | WriteLease
     | PollReport
     | OrderWeights
     | PollCacheEvents
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -52,7 +52,7 @@
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address, Deployment
 from filbertstream.process.logs import BoundedStream, EventLog
-from filbertstream.process.rollout_lease import WriteDuty
+from filbertstream.process.rollout_lease import WriteLease
 from filbertstream.process.store_view import KindDelta
 from filbertstream.request.idempotency_keys import ClaimKey, SettleKey
 from filbertstream.version.rollout import OrderWeights, PollReport
@@ -130,7 +130,7 @@
             address = f"tcp://{deployment.peers}"
             key_file = None if self._product is None else self._product.peer_key_file
             self._peers = PeerLink(address, key_file, self.core.counters, host)
-        self.edge.handlers[WriteDuty] = self._write_duty
+        self.edge.handlers[WriteLease] = self._write_duty
         self.edge.handlers[WriteEntry] = self._write_entry
         self.edge.handlers[RemoveEntry] = self._remove_entry
         self.edge.handlers[ShowKind] = self._show_kind
@@ -303,10 +303,10 @@
         if loop is not None and not loop.is_closed():
             loop.call_soon_threadsafe(self.edge.tell, event)
 
-    def _write_duty(self, write: WriteDuty) -> None:
+    def _write_duty(self, write: WriteLease) -> None:
         self._submit(self._write_duty_now, write)
 
-    def _write_duty_now(self, write: WriteDuty) -> None:
+    def _write_duty_now(self, write: WriteLease) -> None:
         if write.revision == 0:
             result = self._store.create(DUTIES_KIND, DUTY_NAME, write.record)
         else:
--- a/filbertstream/process/rollout_lease.py
+++ b/filbertstream/process/rollout_lease.py
@@ -66,7 +66,7 @@
     loaded: Loaded
 
 
-class WriteDuty(NamedTuple):
+class WriteLease(NamedTuple):
     """Write the record: create it for revision 0, else replace that revision."""
 
     record: LeaseRecord
@@ -167,7 +167,7 @@
 
     def tick(
         self, now_s: float, wanted: bool, work: Work, reserve_s: float = 0.0
-    ) -> WriteDuty | None:
+    ) -> WriteLease | None:
         """Return the write that is due; ``wanted`` tells whether there is work.
 
         ``reserve_s`` is how much longer than others this entry waits before it takes the record.
@@ -187,7 +187,7 @@
 
     def _renew(
         self, record: LeaseRecord, now_s: float, wanted: bool, work: Work
-    ) -> WriteDuty | None:
+    ) -> WriteLease | None:
         told = msgspec.structs.replace(
             record,
             active=wanted,
@@ -201,7 +201,7 @@
             return None
         return self._write(msgspec.structs.replace(told, beat=self._next()), now_s)
 
-    def _take(self, now_s: float, reserve_s: float) -> WriteDuty | None:
+    def _take(self, now_s: float, reserve_s: float) -> WriteLease | None:
         record = self._record
         if self._wanted_since_s is None:
             self._wanted_since_s = now_s
@@ -232,6 +232,6 @@
         self._beat += 1
         return self._beat
 
-    def _write(self, record: LeaseRecord, now_s: float) -> WriteDuty:
+    def _write(self, record: LeaseRecord, now_s: float) -> WriteLease:
         self._pending = _Pending(record, now_s)
-        return WriteDuty(record, self._revision)
+        return WriteLease(record, self._revision)
--- a/filbertstream/version/weights_duty.py
+++ b/filbertstream/version/weights_duty.py
@@ -11,7 +11,7 @@
 from filbertstream.gateway_events import DutyConfirmed, DutySeen, DutyWritten
 from filbertstream.log_events import LogEvent
 from filbertstream.process.cache_stores import FreeBlocks
-from filbertstream.process.rollout_lease import RolloutLease, Work, WriteDuty
+from filbertstream.process.rollout_lease import RolloutLease, Work, WriteLease
 from filbertstream.process.roster import Roster
 from filbertstream.version.retirement import FREE_AFTER_S, Retirement
 from filbertstream.version.rollout import (
@@ -23,7 +23,7 @@
 )
 from filbertstream.version.weights_view import WeightsView
 
-Action: TypeAlias = Log | WriteDuty | FreeBlocks | PollReport | OrderWeights
+Action: TypeAlias = Log | WriteLease | FreeBlocks | PollReport | OrderWeights
 
 
 class WeightsDuty:
--- a/tests/test_gateway_duty.py
+++ b/tests/test_gateway_duty.py
@@ -17,7 +17,7 @@
     LeaseRecord,
     RolloutLease,
     Work,
-    WriteDuty,
+    WriteLease,
 )
 
 LEASE_S = 3.0
@@ -34,7 +34,7 @@
 class Late(NamedTuple):
     due_s: float
     owner: int
-    write: WriteDuty
+    write: WriteLease
     answered: bool
 
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -3,7 +3,7 @@
 import itertools
 
 from filbertstream.gateway_events import DutySeen, TargetSeen, Tick, WeightsNamed
-from filbertstream.process.rollout_lease import LeaseRecord, WriteDuty
+from filbertstream.process.rollout_lease import LeaseRecord, WriteLease
 from filbertstream.process.roster import Roster
 from filbertstream.version.rollout import OrderAnswered, OrderWeights, ReportRead, Rollout
 from filbertstream.version.weights_view import OVERDUE_SHARE, ROLL_OUT_SHARE, WeightsView
@@ -152,7 +152,7 @@
     for revision in range(1, 40):
         world.now_s += 0.1
         for action in world.tell(Tick()):
-            if isinstance(action, WriteDuty):
+            if isinstance(action, WriteLease):
                 world.tell(DutySeen(action.record, revision))
                 retired.append(action.record.retired)
         if revision == 20:
