--- a/filbertstream/process/rollout_lease.py
+++ b/filbertstream/process/rollout_lease.py
@@ -58,7 +58,7 @@
     loaded: Loaded = {}
 
 
-class Work(NamedTuple):
+class RolloutState(NamedTuple):
     """What the holder of the duty has to tell: the fields of the record."""
 
     swapping: tuple[str, ...]
@@ -166,7 +166,7 @@
         self._pending = None
 
     def tick(
-        self, now_s: float, wanted: bool, work: Work, reserve_s: float = 0.0
+        self, now_s: float, wanted: bool, work: RolloutState, reserve_s: float = 0.0
     ) -> WriteLease | None:
         """Return the write that is due; ``wanted`` tells whether there is work.
 
@@ -186,7 +186,7 @@
         return self._take(now_s, reserve_s)
 
     def _renew(
-        self, record: LeaseRecord, now_s: float, wanted: bool, work: Work
+        self, record: LeaseRecord, now_s: float, wanted: bool, work: RolloutState
     ) -> WriteLease | None:
         told = msgspec.structs.replace(
             record,
--- a/filbertstream/version/weights_duty.py
+++ b/filbertstream/version/weights_duty.py
@@ -11,7 +11,7 @@
 from filbertstream.gateway_events import DutyConfirmed, DutySeen, DutyWritten
 from filbertstream.log_events import LogEvent
 from filbertstream.process.cache_stores import FreeBlocks
-from filbertstream.process.rollout_lease import RolloutLease, Work, WriteLease
+from filbertstream.process.rollout_lease import RolloutLease, RolloutState, WriteLease
 from filbertstream.process.roster import Roster
 from filbertstream.version.retirement import FREE_AFTER_S, Retirement
 from filbertstream.version.rollout import (
@@ -86,10 +86,10 @@
         stale = self._retirement.wanted(replaced)
         wanted = (bool(self._rollout.behind()) or stale) and not stopping
         may_order = self._duty.may_order(now_s)
-        work = Work((), {}, {})
+        work = RolloutState((), {}, {})
         if may_order:
             swapping = self._rollout.swapping(now_s)
-            work = Work(swapping, self._to_retire(now_s), self._rollout.loaded)
+            work = RolloutState(swapping, self._to_retire(now_s), self._rollout.loaded)
         actions: list[Action] = []
         write = self._duty.tick(now_s, wanted, work, reserve_s)
         if write is not None:
--- a/tests/test_gateway_duty.py
+++ b/tests/test_gateway_duty.py
@@ -16,12 +16,12 @@
     LOADED_KEPT,
     LeaseRecord,
     RolloutLease,
-    Work,
+    RolloutState,
     WriteLease,
 )
 
 LEASE_S = 3.0
-NO_WORK = Work((), {}, {})
+NO_WORK = RolloutState((), {}, {})
 STEP_S = 0.1
 
 
@@ -142,7 +142,7 @@
     assert taken.record.loaded == {"r1": {"m": 2}}
     duty.on_seen(taken.record, 2, 11.0)
     found = {f"s{number}": {"m": 3} for number in range(LOADED_KEPT)}
-    renewed = duty.tick(11.1, True, Work((), {}, found))
+    renewed = duty.tick(11.1, True, RolloutState((), {}, found))
     assert renewed is not None
     assert renewed.record.loaded == found
 
