--- a/filbertstream/process/rollout_lease.py
+++ b/filbertstream/process/rollout_lease.py
@@ -161,7 +161,7 @@
         elif record.holder != self._own:
             self._pending = None
 
-    def on_refused(self) -> None:
+    def on_write_rejected(self) -> None:
         """Take in that the last write was not applied and never will be."""
         self._pending = None
 
--- a/filbertstream/version/weights_duty.py
+++ b/filbertstream/version/weights_duty.py
@@ -58,7 +58,7 @@
     def on_written(self, event: DutyWritten, now_s: float) -> list[Action]:
         """Take in whether the own write of the record was refused."""
         if event.refused:
-            self._duty.on_refused()
+            self._duty.on_write_rejected()
         return []
 
     def on_report(self, event: ReportRead, now_s: float) -> list[Action]:
--- a/tests/test_gateway_duty.py
+++ b/tests/test_gateway_duty.py
@@ -83,7 +83,7 @@
         if item.answered and self.now_s >= self.suspended_until_s[item.owner]:
             duty = self.duties[item.owner]
             if not done:
-                duty.on_refused()
+                duty.on_write_rejected()
             duty.on_seen(self.record, self.revision, self.now_s)
 
     def run(self, seconds: float) -> None:
