--- a/filbertstream/process/rollout_lease.py
+++ b/filbertstream/process/rollout_lease.py
@@ -1,7 +1,7 @@
 """Who may order runners: one entry at a time, by a record in the platform's store.
 
 A holder renews the record while it works and releases it when done, so an idle fleet writes
-nothing.  A renewal is good for ``VALID_S`` from the moment at which it was *sent*; whoever takes
+nothing.  A renewal is good for ``RENEWAL_VALID_S`` from the moment at which it was *sent*; whoever takes
 the record over waits a whole lease after the last moment at which the holder before could have
 ordered.  The record carries a fencing number that rises with each holder, and the runners that are
 being swapped, which all entries then leave out, and those that were found to have new weights:
@@ -16,7 +16,7 @@
 RENEW_S: Final = 0.4
 """Interval of renewals while there is work."""
 
-VALID_S: Final = 1.0
+RENEWAL_VALID_S: Final = 1.0
 """How long a renewal lets its holder order, from the moment it was sent."""
 
 LAPSE_S: Final = 1.4
@@ -129,7 +129,7 @@
         """
         if self._record is None or not self._record.active:
             return frozenset()
-        if now_s - self._seen_at_s > VALID_S + ORDER_FLIGHT_S:
+        if now_s - self._seen_at_s > RENEWAL_VALID_S + ORDER_FLIGHT_S:
             return frozenset()
         return frozenset(self._record.swapping)
 
@@ -141,7 +141,7 @@
         """Whether an order may be sent now; look right before each."""
         if self._record is None or not self._mine or not self._record.active:
             return False
-        return self._order_from_s <= now_s < self._renewed_at_s + VALID_S
+        return self._order_from_s <= now_s < self._renewed_at_s + RENEWAL_VALID_S
 
     def on_seen(self, record: LeaseRecord | None, revision: int, now_s: float) -> None:
         """Take in the record as a listing, a watch or a conflict shows it."""
@@ -209,7 +209,7 @@
         if record is not None and record.active:
             if now_s - self._seen_at_s < LAPSE_S + reserve_s + self._draw_s:
                 return None
-            self._order_from_s = self._seen_at_s + VALID_S + ORDER_FLIGHT_S + self._lease_s
+            self._order_from_s = self._seen_at_s + RENEWAL_VALID_S + ORDER_FLIGHT_S + self._lease_s
         elif record is not None and record.holder == self._own:
             # A gap that the first taking had to keep may not be over yet.
             self._order_from_s = max(now_s, self._order_from_s)
