--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -162,7 +162,7 @@
     Guard(
         "a lease lies between two holders",
         "process/rollout_lease.py",
-        "self._order_from_s = self._seen_at_s + RENEWAL_VALID_S + ORDER_FLIGHT_S + self._lease_s",
+        "self._order_from_s = self._seen_at_s + RENEWAL_VALID_S + ORDER_TRANSIT_S + self._lease_s",
         "self._order_from_s = now_s",
         "tests/test_gateway_duty.py::" "test_orders_of_two_holders_are_a_lease_apart",
     ),
--- a/filbertstream/process/rollout_lease.py
+++ b/filbertstream/process/rollout_lease.py
@@ -22,7 +22,7 @@
 LAPSE_S: Final = 1.4
 """A record that stood still this long while active may be taken over."""
 
-ORDER_FLIGHT_S: Final = 0.3
+ORDER_TRANSIT_S: Final = 0.3
 """An order may still arrive this long after it was sent."""
 
 HANDOVER_S: Final = 0.2
@@ -129,7 +129,7 @@
         """
         if self._record is None or not self._record.active:
             return frozenset()
-        if now_s - self._seen_at_s > RENEWAL_VALID_S + ORDER_FLIGHT_S:
+        if now_s - self._seen_at_s > RENEWAL_VALID_S + ORDER_TRANSIT_S:
             return frozenset()
         return frozenset(self._record.swapping)
 
@@ -209,7 +209,7 @@
         if record is not None and record.active:
             if now_s - self._seen_at_s < LAPSE_S + reserve_s + self._draw_s:
                 return None
-            self._order_from_s = self._seen_at_s + RENEWAL_VALID_S + ORDER_FLIGHT_S + self._lease_s
+            self._order_from_s = self._seen_at_s + RENEWAL_VALID_S + ORDER_TRANSIT_S + self._lease_s
         elif record is not None and record.holder == self._own:
             # A gap that the first taking had to keep may not be over yet.
             self._order_from_s = max(now_s, self._order_from_s)
@@ -217,7 +217,7 @@
             head_start_s = HANDOVER_S if record is not None else 0.0
             if now_s - self._wanted_since_s < head_start_s + reserve_s + self._draw_s:
                 return None
-            gap_s = ORDER_FLIGHT_S + self._lease_s if record is not None else 0.0
+            gap_s = ORDER_TRANSIT_S + self._lease_s if record is not None else 0.0
             self._order_from_s = max(now_s, self._seen_at_s + gap_s)
         fence = 1 if record is None else record.fence + 1
         if record is not None and record.holder == self._own:
