--- a/filbertstream/process/rollout_lease.py
+++ b/filbertstream/process/rollout_lease.py
@@ -34,7 +34,7 @@
 WRITE_PATIENCE_S: Final = 2.0
 """A write without an answer is given up after this time."""
 
-LOADED_KEPT: Final = 256
+LOADED_LIMIT: Final = 256
 """Runners of which the record tells the weights, the last ones found; 12 KB at most."""
 
 Loaded = dict[str, dict[str, int]]
@@ -193,7 +193,7 @@
             active=wanted,
             swapping=list(work.swapping) if wanted else [],
             retired=record.retired | work.retired,
-            loaded=dict([*(record.loaded | work.loaded).items()][-LOADED_KEPT:]),
+            loaded=dict([*(record.loaded | work.loaded).items()][-LOADED_LIMIT:]),
         )
         if not wanted:
             self._wanted_since_s = None
--- a/tests/test_gateway_duty.py
+++ b/tests/test_gateway_duty.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from filbertstream.process.rollout_lease import (
-    LOADED_KEPT,
+    LOADED_LIMIT,
     LeaseRecord,
     RolloutLease,
     RolloutState,
@@ -141,7 +141,7 @@
     assert taken is not None
     assert taken.record.loaded == {"r1": {"m": 2}}
     duty.on_seen(taken.record, 2, 11.0)
-    found = {f"s{number}": {"m": 3} for number in range(LOADED_KEPT)}
+    found = {f"s{number}": {"m": 3} for number in range(LOADED_LIMIT)}
     renewed = duty.tick(11.1, True, RolloutState((), {}, found))
     assert renewed is not None
     assert renewed.record.loaded == found
