--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -22,7 +22,7 @@
 )
 from filbertstream.process.cache_stores import CacheChange
 from filbertstream.process.deployment import Address
-from filbertstream.process.target_registration import TargetEntry
+from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.request.call import CacheDirectives, Prompt
 
 PREFILL_TOKENS_PER_S: Final = 50_000.0
@@ -206,10 +206,10 @@
     accepted_orders: list[tuple[float, int, str]] = field(default_factory=list)
     computed_tokens: int = 0
 
-    def entry(self) -> TargetEntry:
+    def entry(self) -> TargetRegistration:
         """Return its registration."""
         weights = {self.model: self.weights} if self.model else {}
-        return TargetEntry(
+        return TargetRegistration(
             self.name,
             self.service,
             Address(self.name, PORT),
--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -29,7 +29,7 @@
 from filbertstream.platform.documents import DUTIES_KIND, ENTRIES_KIND, KEYS_KIND, MS
 from filbertstream.platform.objects import StoreFault
 from filbertstream.process.rollout_lease import WriteLease
-from filbertstream.process.target_registration import TargetEntry
+from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.request.key_writes import KeyAction, KeyCall, KeyReply
 from filbertstream.version.routes import CallerLimits
 
@@ -47,7 +47,7 @@
 """How long a call without an answer is waited for."""
 
 
-def registration(entry: TargetEntry) -> dict[str, Any]:
+def registration(entry: TargetRegistration) -> dict[str, Any]:
     """Return a target's registration as the store holds it."""
     return {
         "service": entry.service,
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -22,7 +22,7 @@
 from filbertstream.messages import EntryWork, FleetWork, FleetWorkRow, WorkRow, decode, encode
 from filbertstream.names import digest_key
 from filbertstream.process.deployment import Address
-from filbertstream.process.target_registration import TargetEntry
+from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.process.work_exchange import MAX_ROWS
 from filbertstream.request.call import CallHead, IdempotencyKey, Prompt, PromptBlock
 from filbertstream.request.call_events import CallArrived, CallerDisconnected
@@ -86,10 +86,10 @@
     return found
 
 
-def entry_of(number: int) -> TargetEntry:
+def entry_of(number: int) -> TargetRegistration:
     """Return a runner's registration."""
     address = Address(f"10.1.{number // 250}.{number % 250}", 80)
-    return TargetEntry(f"r{number}", "m", address, "dc1", 8, False, 0.0, {"m": 1}, 1)
+    return TargetRegistration(f"r{number}", "m", address, "dc1", 8, False, 0.0, {"m": 1}, 1)
 
 
 def core_with(runners: int) -> Gateway:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -60,7 +60,7 @@
 from filbertstream.process.rollout_lease import RolloutLease
 from filbertstream.process.roster import Roster
 from filbertstream.process.store_view import FollowedKind, KindObserved
-from filbertstream.process.target_registration import TargetEntry
+from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.process.work_exchange import WorkExchange
 from filbertstream.request.admission import Admission
 from filbertstream.request.authorization import Authorizer
@@ -275,7 +275,7 @@
         missing = self.roster.replace_all(event.entries, now_s)
         return [self._log_target(name, "missing") for name in missing]
 
-    def _take_entry(self, entry: TargetEntry, now_s: float) -> list[GatewayAction]:
+    def _take_entry(self, entry: TargetRegistration, now_s: float) -> list[GatewayAction]:
         known = self.roster.targets.get(entry.target_id)
         if known is not None and known.entry.born_ms != entry.born_ms:
             self.index.forget(entry.target_id)
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -12,7 +12,7 @@
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.rollout_lease import LeaseRecord, WriteLease
 from filbertstream.process.store_view import KindDelta
-from filbertstream.process.target_registration import TargetEntry
+from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.request.call_events import CallAction
 from filbertstream.request.idempotency_keys import ClaimKey, SettleKey
 from filbertstream.version.rollout import OrderWeights, PollReport
@@ -29,14 +29,14 @@
 class TargetsListed(NamedTuple):
     """All registrations that can be read."""
 
-    entries: tuple[TargetEntry, ...]
+    entries: tuple[TargetRegistration, ...]
 
 
 class TargetSeen(NamedTuple):
     """A registration was written; ``entry`` is None where it can't be read or was removed."""
 
     target_id: str
-    entry: TargetEntry | None
+    entry: TargetRegistration | None
     removed: bool
 
 
--- a/filbertstream/platform/documents.py
+++ b/filbertstream/platform/documents.py
@@ -10,7 +10,7 @@
 
 from filbertstream.names import digest_key
 from filbertstream.platform.boot import address_of
-from filbertstream.process.target_registration import TargetEntry
+from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.version.routes import (
     Backend,
     CacheStore,
@@ -196,7 +196,7 @@
     return Service(wire.name, wire.health_path, wire.max_conns, engine, store)
 
 
-def decode_target(name: str, spec: msgspec.Raw) -> Result[TargetEntry, str]:
+def decode_target(name: str, spec: msgspec.Raw) -> Result[TargetRegistration, str]:
     """Return a registration, or why it names no target."""
     try:
         wire = msgspec.json.decode(spec, type=_Server)
@@ -206,7 +206,7 @@
     if wire.state not in ("ready", "draining"):
         return Err(f"unknown state {wire.state[:20]!r}")
     return Ok(
-        TargetEntry(
+        TargetRegistration(
             name,
             wire.service,
             address,
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -13,7 +13,7 @@
 from filbertstream.process.outliers import Outliers
 from filbertstream.process.peer_work import WorkTotals
 from filbertstream.process.prefill import PrefillQueue
-from filbertstream.process.target_registration import TargetEntry
+from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.request.call import TargetLoad
 
 RETURN_S: Final = 2.3
@@ -30,7 +30,7 @@
 class RosterTarget:
     """One registered target."""
 
-    def __init__(self, entry: TargetEntry, now_s: float, peer_work_at: Others) -> None:
+    def __init__(self, entry: TargetRegistration, now_s: float, peer_work_at: Others) -> None:
         self.entry = entry
         self.peer_work_at = peer_work_at
         self.missing_since_s: float | None = None
@@ -111,7 +111,7 @@
         """Hold back lapses until a moment, since lapsed registrations may yet be back by then."""
         self.unsettled_until_s = max(self.unsettled_until_s, until_s)
 
-    def replace_all(self, entries: Iterable[TargetEntry], now_s: float) -> tuple[str, ...]:
+    def replace_all(self, entries: Iterable[TargetRegistration], now_s: float) -> tuple[str, ...]:
         """Take in a full listing; return the ids of targets that are missing from it."""
         listed = {entry.target_id: entry for entry in entries}
         missing = tuple(name for name in self.targets if name not in listed)
@@ -121,7 +121,7 @@
             self.put(entry, now_s)
         return missing
 
-    def put(self, entry: TargetEntry, now_s: float) -> RosterTarget:
+    def put(self, entry: TargetRegistration, now_s: float) -> RosterTarget:
         """Take in a registration that was written."""
         known = self.targets.get(entry.target_id)
         restarted = known is not None and known.entry.born_ms != entry.born_ms
--- a/filbertstream/process/target_registration.py
+++ b/filbertstream/process/target_registration.py
@@ -5,7 +5,7 @@
 from filbertstream.process.deployment import Address
 
 
-class TargetEntry(NamedTuple):
+class TargetRegistration(NamedTuple):
     """One registration.
 
     ``target_id`` names an incarnation, though a target may start again under the id that it had:
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -19,7 +19,7 @@
 from filbertstream.names import digest_key
 from filbertstream.platform.objects import Change, Listing, StoredObject
 from filbertstream.process.deployment import Address, Bounds
-from filbertstream.process.target_registration import TargetEntry
+from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.request.call import CallHead, Prompt, PromptBlock, ResponseHead
 from filbertstream.request.call_events import (
     CallArrived,
@@ -69,10 +69,10 @@
     return Configuration(version, ROUTES, services, workspaces, True)
 
 
-def entry(name: str, service: str, **changes: Any) -> TargetEntry:
+def entry(name: str, service: str, **changes: Any) -> TargetRegistration:
     number = sum(name.encode()) % 250
     weights = {"m": 1} if service == "models" else {}
-    base = TargetEntry(
+    base = TargetRegistration(
         name, service, Address(f"10.0.0.{number}", 80), "dc1", 8, False, 0.0, weights, 1
     )
     return base._replace(**changes)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -33,7 +33,7 @@
 from filbertstream.process.logs import QUEUED_LINES, BoundedStream
 from filbertstream.process.peer_work import HALF_WEIGHT_AGE_S, EntryRecord, PeerWork
 from filbertstream.process.relays import Relays
-from filbertstream.process.target_registration import TargetEntry
+from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.process.work_exchange import WorkExchange
 from filbertstream.request.call import CacheDirectives
 from filbertstream.request.retry_budget import SharedRetryBudget
@@ -272,7 +272,7 @@
     )
     decoded = decode_target("i-1", msgspec.Raw(spec))
     assert isinstance(decoded, Ok)
-    found: TargetEntry = decoded.ok_value
+    found: TargetRegistration = decoded.ok_value
     assert (found.draining, found.weights, found.born_ms) == (True, {"m": 3}, 12)
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,7 +10,7 @@
 from filbertstream.process.peer_work import PeerWork, WorkTotals
 from filbertstream.process.prefill import FIRST_RATE_PER_S
 from filbertstream.process.roster import RosterTarget
-from filbertstream.process.target_registration import TargetEntry
+from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.request.call import Prompt, PromptBlock
 from filbertstream.request.load_shedding import headroom
 from filbertstream.request.placement import (
@@ -39,7 +39,7 @@
 
     def _target(self, name: str) -> RosterTarget:
         address = Address("10.0.0.1", 80)
-        entry = TargetEntry(name, "models", address, "dc1", 64, False, 0.0, {"m": 1}, 1)
+        entry = TargetRegistration(name, "models", address, "dc1", 64, False, 0.0, {"m": 1}, 1)
         return RosterTarget(entry, 0.0, lambda target, now_s: self.told.get(target, IDLE))
 
     def placement_request(self, blocks: tuple[PromptBlock, ...], turn: int = 0) -> PlacementRequest:
