--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -57,7 +57,7 @@
         "state": "draining" if entry.draining else "ready",
         "cold_left_ms": entry.warmup_left_s * MS,
         "models": [{"name": name, "version": at} for name, at in entry.weights.items()],
-        "born": entry.born_ms,
+        "born": entry.started_ms,
     }
 
 
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -277,7 +277,7 @@
 
     def _take_entry(self, entry: TargetRegistration, now_s: float) -> list[GatewayAction]:
         known = self.roster.targets.get(entry.target_id)
-        if known is not None and known.entry.born_ms != entry.born_ms:
+        if known is not None and known.entry.started_ms != entry.started_ms:
             self.index.forget(entry.target_id)
         was_draining = known is not None and known.entry.draining
         self.roster.put(entry, now_s)
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -124,7 +124,7 @@
     def put(self, entry: TargetRegistration, now_s: float) -> RosterTarget:
         """Take in a registration that was written."""
         known = self.targets.get(entry.target_id)
-        restarted = known is not None and known.entry.born_ms != entry.born_ms
+        restarted = known is not None and known.entry.started_ms != entry.started_ms
         if known is None or restarted:
             target = RosterTarget(entry, now_s, self._others)
             self.targets[entry.target_id] = target
--- a/filbertstream/process/target_registration.py
+++ b/filbertstream/process/target_registration.py
@@ -9,7 +9,7 @@
     """One registration.
 
     ``target_id`` names an incarnation, though a target may start again under the id that it had:
-    ``born_ms`` then differs.
+    ``started_ms`` then differs.
     ``weights`` are the loaded versions by model.
     """
 
@@ -21,4 +21,4 @@
     draining: bool
     warmup_left_s: float
     weights: dict[str, int]
-    born_ms: int
+    started_ms: int
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -273,7 +273,7 @@
     decoded = decode_target("i-1", msgspec.Raw(spec))
     assert isinstance(decoded, Ok)
     found: TargetRegistration = decoded.ok_value
-    assert (found.draining, found.weights, found.born_ms) == (True, {"m": 3}, 12)
+    assert (found.draining, found.weights, found.started_ms) == (True, {"m": 3}, 12)
 
 
 def test_a_configuration_that_cannot_be_read_is_an_error() -> None:
