--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -407,7 +407,7 @@
             if self._lost.pop(event.kind, None) is None:
                 return []
             return [Log(LogEvent.PLATFORM_BACK, (("kind", event.kind),))]
-        self.roster.note_trouble(now_s)
+        self.roster.note_object_store_failure(now_s)
         if self._lost.get(event.kind) == event.reason:
             return []
         self._lost[event.kind] = event.reason
@@ -434,7 +434,7 @@
     def _on_tick(self, event: Tick, now_s: float) -> list[GatewayAction]:
         actions: list[GatewayAction] = list(self.forwarding.tick(now_s))
         if self._lost:
-            self.roster.note_trouble(now_s)
+            self.roster.note_object_store_failure(now_s)
         for name in self.roster.tick(now_s):
             self.index.forget(name)
             actions.append(self._log_target(name, "gone"))
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -103,7 +103,7 @@
     def _others(self, target: str, now_s: float) -> WorkTotals:
         return self.peer_work_at(target, now_s)
 
-    def note_trouble(self, now_s: float) -> None:
+    def note_object_store_failure(self, now_s: float) -> None:
         """Note that the store did not answer; lapses seen from now on are held back."""
         self.unsettle(now_s + RETURN_S)
 
