--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -134,7 +134,7 @@
         if sent_at_s is None:
             return []
         if told.removals_held_s > 0:
-            self._roster.unsettle(now_s + told.removals_held_s)
+            self._roster.hold_removals(now_s + told.removals_held_s)
         # A relay that contradicts itself may be suspended between two steps, or its clock stands.
         believed = [
             kind_update
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -105,9 +105,9 @@
 
     def note_object_store_failure(self, now_s: float) -> None:
         """Note that the store did not answer; lapses seen from now on are held back."""
-        self.unsettle(now_s + RETURN_S)
+        self.hold_removals(now_s + RETURN_S)
 
-    def unsettle(self, until_s: float) -> None:
+    def hold_removals(self, until_s: float) -> None:
         """Hold back lapses until a moment, since lapsed registrations may yet be back by then."""
         self.unsettled_until_s = max(self.unsettled_until_s, until_s)
 
