--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -70,7 +70,7 @@
     Guard(
         "lapses seen in an outage are held back",
         "process/roster.py",
-        "if now_s >= self.unsettled_until_s:\n            self._forget(name)",
+        "if now_s >= self.removals_held_until_s:\n            self._forget(name)",
         "if True:\n            self._forget(name)",
         "tests/test_gateway_core.py::"
         "test_a_lapse_seen_while_the_store_is_in_trouble_is_held_back_until_its_return",
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -118,7 +118,7 @@
             self.view.kind_update(kind, since, now_s) for kind, since in asked.as_of.items()
         ]
         kinds = tuple(item for item in kind_update if item is not None)
-        removals_held_s = max(0.0, self._roster.unsettled_until_s - now_s)
+        removals_held_s = max(0.0, self._roster.removals_held_until_s - now_s)
         return self._send(asked.member, ViewResponse(asked.number, kinds, removals_held_s))
 
     def on_view_response(self, told: ViewResponse, now_s: float) -> list[Action]:
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -96,7 +96,7 @@
         self.outliers = Outliers()
         self._by_service: dict[str, list[str]] = {}
         self._names: dict[str, frozenset[str]] = {}
-        self.unsettled_until_s = 0.0
+        self.removals_held_until_s = 0.0
         self.peer_work_at: Others = lambda target, now_s: WorkTotals(0, 0, 0, 0)
         self.drained: frozenset[str] = frozenset()
 
@@ -109,7 +109,7 @@
 
     def hold_removals(self, until_s: float) -> None:
         """Hold back lapses until a moment, since lapsed registrations may yet be back by then."""
-        self.unsettled_until_s = max(self.unsettled_until_s, until_s)
+        self.removals_held_until_s = max(self.removals_held_until_s, until_s)
 
     def replace_all(self, entries: Iterable[TargetRegistration], now_s: float) -> tuple[str, ...]:
         """Take in a full listing; return the ids of targets that are missing from it."""
@@ -142,14 +142,14 @@
         target = self.targets.get(name)
         if target is None:
             return
-        if now_s >= self.unsettled_until_s:
+        if now_s >= self.removals_held_until_s:
             self._forget(name)
         elif target.missing_since_s is None:
             target.missing_since_s = now_s
 
     def tick(self, now_s: float) -> tuple[str, ...]:
         """Forget targets that are still missing after the store's return; return their ids."""
-        if now_s < self.unsettled_until_s:
+        if now_s < self.removals_held_until_s:
             return ()
         gone = tuple(
             name for name, item in self.targets.items() if item.missing_since_s is not None
