--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -41,7 +41,7 @@
         self.weights = dict(entry.weights)
         self.prefill = PrefillQueue()
         self.latency_s = 0.0
-        self.barred_until_s = 0.0
+        self.backoff_until_s = 0.0
 
     @property
     def target_id(self) -> str:
@@ -184,7 +184,7 @@
             for target in self.of_service(service)
             if not target.entry.draining
             and target.target_id not in self.drained
-            and now_s >= target.barred_until_s
+            and now_s >= target.backoff_until_s
         ]
         healthy = [target for target in admitted if self._looks_healthy(target, now_s)]
         return healthy or admitted
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -329,11 +329,11 @@
         if target is not None:
             self._parts.roster.outliers.unproven(target.target_id)
             if response.status == MISDIRECTED and response.target_id != target.target_id:
-                target.barred_until_s = now_s + SILENCE_PLAIN_S
+                target.backoff_until_s = now_s + SILENCE_PLAIN_S
             elif response.status == MISDIRECTED and call.head.prompt is not None:
                 self._note_other_weights(call, call.head.prompt.model, response.weights, target)
             elif response.retry_after_s is not None:
-                target.barred_until_s = now_s + min(response.retry_after_s, NO_TARGET_RETRY_S)
+                target.backoff_until_s = now_s + min(response.retry_after_s, NO_TARGET_RETRY_S)
         if call.refusals <= EXTRA_SENDS and self._parts.budget.take(call.service.name, now_s):
             return [*actions, *self._send(call, now_s)]
         return [*actions, *self._give_up(call, "targets_full", now_s)]
