--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -305,9 +305,9 @@
     Guard(
         "any order of answers: a call that its caller left is cancelled",
         "request/forwarding.py",
-        "            self._parts.roster.outliers.unproven(call.target.target_id)\n"
+        "            self._parts.roster.outliers.probe_inconclusive(call.target.target_id)\n"
         "            actions.append(CancelSend(call.call_id, call.number))",
-        "            self._parts.roster.outliers.unproven(call.target.target_id)",
+        "            self._parts.roster.outliers.probe_inconclusive(call.target.target_id)",
         "tests/test_calls_machine.py::TestCalls",
     ),
     Guard(
--- a/filbertstream/process/outliers.py
+++ b/filbertstream/process/outliers.py
@@ -44,7 +44,7 @@
         """Note a whole answer: the target is back."""
         self._records.pop(name, None)
 
-    def unproven(self, name: str) -> None:
+    def probe_inconclusive(self, name: str) -> None:
         """Note that a trial ended without telling anything of the target."""
         record = self._records.get(name)
         if record is not None:
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -327,7 +327,7 @@
         self._parts.counters.add("sends_refused", str(response.status))
         actions.append(call_logs.not_run(call, target, response))
         if target is not None:
-            self._parts.roster.outliers.unproven(target.target_id)
+            self._parts.roster.outliers.probe_inconclusive(target.target_id)
             if response.status == MISDIRECTED and response.target_id != target.target_id:
                 target.backoff_until_s = now_s + SILENCE_PLAIN_S
             elif response.status == MISDIRECTED and call.head.prompt is not None:
@@ -439,7 +439,7 @@
             return []
         actions: list[Action] = []
         if call.target is not None:
-            self._parts.roster.outliers.unproven(call.target.target_id)
+            self._parts.roster.outliers.probe_inconclusive(call.target.target_id)
             actions.append(CancelSend(call.call_id, call.number))
             self._release(call)
         return [*actions, *self._end(call, "caller_left", now_s)]
