--- a/filbertstream/process/prefill.py
+++ b/filbertstream/process/prefill.py
@@ -9,13 +9,13 @@
 8000
 >>> queue.answered(6_000, ahead=0, waited_s=0.2); queue.queued_tokens
 2000
->>> queue.rate_per_s < FIRST_RATE_PER_S
+>>> queue.rate_per_s < INITIAL_RATE_PER_S
 True
 """
 
 from typing import Final
 
-FIRST_RATE_PER_S: Final = 40_000.0
+INITIAL_RATE_PER_S: Final = 40_000.0
 """Tokens a second that a runner is taken to read before any observation."""
 
 RATE_MIN_PER_S: Final = 4_000.0
@@ -33,7 +33,7 @@
 
     def __init__(self) -> None:
         self.queued_tokens = 0
-        self.rate_per_s = FIRST_RATE_PER_S
+        self.rate_per_s = INITIAL_RATE_PER_S
 
     def sent(self, tokens: int) -> None:
         """Count a prompt in."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,7 +8,7 @@
 from filbertstream.process.cache_stores import CacheStores
 from filbertstream.process.deployment import Address
 from filbertstream.process.peer_work import PeerWork, WorkTotals
-from filbertstream.process.prefill import FIRST_RATE_PER_S
+from filbertstream.process.prefill import INITIAL_RATE_PER_S
 from filbertstream.process.roster import RosterTarget
 from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.request.call import Prompt, PromptBlock
@@ -110,14 +110,14 @@
     blocks = talk("cold", 30)
     home = runners.home(blocks)
     # Longer than what is admitted, shorter than what it would cost to read the prefix elsewhere.
-    runners.queue(home, round(1.2 * FIRST_RATE_PER_S))
+    runners.queue(home, round(1.2 * INITIAL_RATE_PER_S))
     placement = place_prompt(
         runners.placement_request(blocks), runners.targets, runners.cache_view, 1.0
     )
     assert placement is not None
     assert (placement.target is home, placement.fits) == (False, True)
     for target in runners.targets:
-        runners.queue(target, round(1.2 * FIRST_RATE_PER_S))
+        runners.queue(target, round(1.2 * INITIAL_RATE_PER_S))
     assert runners.place(blocks) == home.target_id
 
 
