--- a/filbertstream/connection/store_watch.py
+++ b/filbertstream/connection/store_watch.py
@@ -15,7 +15,7 @@
 from filbertstream.connection.watched_kinds import Tell, Watched, shown
 from filbertstream.gateway_events import StoreAnswered
 from filbertstream.platform.objects import ObjectStore, StoreFault
-from filbertstream.process.read_backoff import Probing
+from filbertstream.process.read_backoff import ReadBackoff
 
 PROBED_S: Final = 5.0
 """A kind that waits for another's answer is asked about after this time all the same."""
@@ -30,7 +30,7 @@
     def __init__(self, kinds: Iterable[str]) -> None:
         self._changed = threading.Condition()
         self._idle: frozenset[str] = frozenset()
-        self._probing = Probing(kinds)
+        self._probing = ReadBackoff(kinds)
         self._relies = False
         self.tells = False
 
--- a/filbertstream/process/read_backoff.py
+++ b/filbertstream/process/read_backoff.py
@@ -5,7 +5,7 @@
 answer, the others wait for it after their second failure; and an entry on which nobody relies asks
 seldom, since those on which it relies will tell it that the store is back.
 
->>> probing = Probing(("config", "servers"))
+>>> probing = ReadBackoff(("config", "servers"))
 >>> for kind in ("config", "servers", "servers"): probing.failed(kind)
 >>> (probing.waits("servers"), probing.waits("config"))
 (True, False)
@@ -30,7 +30,7 @@
 """Failures in a row after which a kind waits for the first one: a single call may get lost."""
 
 
-class Probing:
+class ReadBackoff:
     """Failures in a row by kind; the first kind is the one that goes on asking."""
 
     def __init__(self, kinds: Iterable[str]) -> None:
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -7,7 +7,7 @@
 import pytest
 
 from filbertstream.connection.watched_kinds import RELAYED_CONFIG_SHARE, watched_kinds
-from filbertstream.process.read_backoff import Probing
+from filbertstream.process.read_backoff import ReadBackoff
 from filbertstream.process.relayed_view import FRESH_FRACTION
 from filbertstream.process.relays import POLL_INTERVAL_S
 from tests.gateway_world import BOUNDS
@@ -18,7 +18,7 @@
 
 def calls_in_an_outage(relies: bool) -> tuple[int, dict[str, float]]:
     """Return the calls of an entry, and when each kind is asked about after the outage."""
-    probing = Probing(KINDS)
+    probing = ReadBackoff(KINDS)
     next_s = dict.fromkeys(KINDS, 0.0)
     back_s: dict[str, float] = {}
     calls, now_s = 0, 0.0
@@ -47,7 +47,7 @@
 
 
 def test_a_call_that_gets_lost_holds_up_no_other_kind() -> None:
-    probing = Probing(KINDS)
+    probing = ReadBackoff(KINDS)
     probing.failed(KINDS[1])
     probing.failed(KINDS[1])
     assert not any(probing.waits(kind) for kind in KINDS)
