--- a/filbertstream/connection/store_watch.py
+++ b/filbertstream/connection/store_watch.py
@@ -65,7 +65,7 @@
             pause_s = self._probing.retry_s(kind, self._relies)
         time.sleep(pause_s)
         with self._changed:
-            self._changed.wait_for(lambda: not self._probing.waits(kind), PROBED_S)
+            self._changed.wait_for(lambda: not self._probing.is_deferred(kind), PROBED_S)
 
 
 class _Step:
--- a/filbertstream/process/read_backoff.py
+++ b/filbertstream/process/read_backoff.py
@@ -7,10 +7,10 @@
 
 >>> probing = ReadBackoff(("config", "servers"))
 >>> for kind in ("config", "servers", "servers"): probing.failed(kind)
->>> (probing.waits("servers"), probing.waits("config"))
+>>> (probing.is_deferred("servers"), probing.is_deferred("config"))
 (True, False)
 >>> probing.answered("config")
->>> probing.waits("servers")
+>>> probing.is_deferred("servers")
 False
 """
 
@@ -45,7 +45,7 @@
         """Take in that a call was answered, or that a kind is not asked about any more."""
         self._failures[kind] = 0
 
-    def waits(self, kind: str) -> bool:
+    def is_deferred(self, kind: str) -> bool:
         """Whether a kind is asked about only once the first one has got an answer."""
         if kind == self._first or not self._failures[self._first]:
             return False
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -25,7 +25,7 @@
     while len(back_s) < len(KINDS):
         now_s += 0.01
         for kind in KINDS:
-            if now_s < next_s[kind] or kind in back_s or probing.waits(kind):
+            if now_s < next_s[kind] or kind in back_s or probing.is_deferred(kind):
                 continue
             calls += 1
             if now_s < OUTAGE_S:
@@ -50,9 +50,9 @@
     probing = ReadBackoff(KINDS)
     probing.failed(KINDS[1])
     probing.failed(KINDS[1])
-    assert not any(probing.waits(kind) for kind in KINDS)
+    assert not any(probing.is_deferred(kind) for kind in KINDS)
     probing.failed(KINDS[0])
-    assert [kind for kind in KINDS if probing.waits(kind)] == [KINDS[1]]
+    assert [kind for kind in KINDS if probing.is_deferred(kind)] == [KINDS[1]]
 
 
 @pytest.mark.parametrize("watched", watched_kinds(BOUNDS), ids=lambda item: item.kind)
