--- a/filbertstream/process/store_view.py
+++ b/filbertstream/process/store_view.py
@@ -9,7 +9,7 @@
 >>> view.take(KindObserved("k", True, 0, 7, 1.0, (ObjectRow("a", 5, b"1"),)), 1.1).rows
 (ObjectRow(name='a', revision=5, content=b'1'),)
 >>> view.kind_update("k", 7, 2.0)
-KindNews(kind='k', whole=False, since=7, as_of=7, age_s=1.0, rows=())
+KindUpdate(kind='k', full=False, since=7, as_of=7, age_s=1.0, rows=())
 >>> kind_update = view.kind_update("k", 4, 2.0)
 >>> (kind_update.full, [row.name for row in kind_update.rows])
 (True, ['a'])
