--- a/filbertstream/version/weights_duty.py
+++ b/filbertstream/version/weights_duty.py
@@ -1,6 +1,6 @@
 """The duty of weights: bringing runners to the named versions, and freeing what older ones left.
 
-Joins the record of who holds the duty (``process.rollout_lease``), the roll-out and the retirement of parts;
+Joins the lease record (``process.rollout_lease``), the roll-out and the retirement of parts;
 one entry at a time gives orders, all others follow what its record tells.
 """
 
