--- a/filbertstream/process/outliers.py
+++ b/filbertstream/process/outliers.py
@@ -27,7 +27,7 @@
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
 
-    def is_out(self, name: str, now_s: float) -> bool:
+    def is_ejected(self, name: str, now_s: float) -> bool:
         """Whether a target gets no new work now."""
         record = self._records.get(name)
         if record is None or record.ejections == 0:
@@ -67,7 +67,7 @@
 
     def out(self, now_s: float) -> tuple[str, ...]:
         """Return the names of the targets that are out."""
-        return tuple(sorted(name for name in self._records if self.is_out(name, now_s)))
+        return tuple(sorted(name for name in self._records if self.is_ejected(name, now_s)))
 
     def _may_eject(self, known: int, now_s: float) -> bool:
         return len(self.out(now_s)) + 1 <= MAX_OUT_SHARE * known
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -190,5 +190,5 @@
         return healthy or admitted
 
     def _looks_healthy(self, target: RosterTarget, now_s: float) -> bool:
-        out = self.outliers.is_out(target.target_id, now_s)
+        out = self.outliers.is_ejected(target.target_id, now_s)
         return not out and target.missing_since_s is None
--- a/filbertstream/process/status.py
+++ b/filbertstream/process/status.py
@@ -88,4 +88,4 @@
         return "leaving"
     if core.weights.is_swapping(target):
         return "swapping"
-    return "out" if core.roster.outliers.is_out(target.target_id, now_s) else "usable"
+    return "out" if core.roster.outliers.is_ejected(target.target_id, now_s) else "usable"
