--- a/filbertstream/process/outliers.py
+++ b/filbertstream/process/outliers.py
@@ -65,7 +65,7 @@
         self._records[name] = _Record(0, record.ejections + 1, now_s + out_s)
         return True
 
-    def out(self, now_s: float) -> tuple[str, ...]:
+    def ejected(self, now_s: float) -> tuple[str, ...]:
         """Return the names of the targets that are out."""
         return tuple(sorted(name for name in self._records if self.is_ejected(name, now_s)))
 
