--- a/filbertstream/process/outliers.py
+++ b/filbertstream/process/outliers.py
@@ -70,4 +70,4 @@
         return tuple(sorted(name for name in self._records if self.is_ejected(name, now_s)))
 
     def _may_eject(self, known: int, now_s: float) -> bool:
-        return len(self.out(now_s)) + 1 <= MAX_OUT_SHARE * known
+        return len(self.ejected(now_s)) + 1 <= MAX_OUT_SHARE * known
