--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -123,7 +123,7 @@
             "caller_connections": float(len(self._edge.connections)),
             "target_connections_opened": float(self._edge.connections_opened),
             "targets_known": float(len(self._core.roster.targets)),
-            "targets_out": float(len(self._core.roster.outliers.out(now_s))),
+            "targets_out": float(len(self._core.roster.outliers.ejected(now_s))),
             "config_version": float(0 if config is None else config.version),
             "config_age_seconds": self._core.currency.age_s(now_s),
             "ready": float(self._core.ready(now_s)),
