--- a/filbertstream/request/call_state.py
+++ b/filbertstream/request/call_state.py
@@ -31,7 +31,7 @@
     attempts: int = 0
     target: RosterTarget | None = None
     sent_at_s: float = 0.0
-    unread_tokens: int = 0
+    queued_tokens: int = 0
     ahead_tokens: int = 0
     weights: int | None = None
     tried: set[str] = field(default_factory=set)
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -224,7 +224,7 @@
             return self._park_or_give_up(call, now_s)
         if isinstance(placed, TurnedAway):
             return self._give_up(call, "overloaded", now_s, placed)
-        call.unread_tokens, call.ahead_tokens = placed.read_tokens, placed.ahead_tokens
+        call.queued_tokens, call.ahead_tokens = placed.read_tokens, placed.ahead_tokens
         call.weights = placed.directives.weights
         placed.target.prefill.sent(placed.read_tokens)
         return self._send_to(call, placed.target, placed.directives, now_s, placed.inputs)
@@ -272,8 +272,8 @@
         if target is not None:
             target.outstanding -= 1
             target.memory_tokens -= call.memory_tokens
-            target.prefill.dropped(call.unread_tokens)
-            call.unread_tokens = 0
+            target.prefill.dropped(call.queued_tokens)
+            call.queued_tokens = 0
         return target
 
     def _current(self, call_id: int, number: int) -> Call | None:
@@ -314,8 +314,8 @@
         target.latency_s += LATENCY_WEIGHT * (waited_s - target.latency_s)
         self._parts.latencies.note(call.route.name, waited_s)
         if call.head.prompt is not None:
-            target.prefill.answered(call.unread_tokens, call.ahead_tokens, waited_s)
-            call.unread_tokens = 0
+            target.prefill.answered(call.queued_tokens, call.ahead_tokens, waited_s)
+            call.queued_tokens = 0
 
     def _on_not_run(self, call: Call, event: ResponseStarted, now_s: float) -> list[Action]:
         """Send again, or refuse: the target has said that nothing ran."""
