--- a/filbertstream/request/send_timeouts.py
+++ b/filbertstream/request/send_timeouts.py
@@ -62,7 +62,7 @@
 
     ``usual_s`` is the route's mean latency, ``rate_per_s`` the tokens that the target reads.
     """
-    tokens = call.unread_tokens + call.ahead_tokens
+    tokens = call.queued_tokens + call.ahead_tokens
     reading_s = READING_FACTOR * tokens / rate_per_s
     wait_s = WAIT_PATIENCE_SHARE * (call.route.wait_s or 0.0)
     longest_s = PATIENCE_FACTOR * usual_s
