--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -78,7 +78,7 @@
 from filbertstream.request.placement import CacheView
 from filbertstream.request.prompt_placer import PromptPlacer
 from filbertstream.request.retry_budget import SharedRetryBudget
-from filbertstream.version.currency import Currency
+from filbertstream.version.config_freshness import Currency
 from filbertstream.version.retirement import Retirement
 from filbertstream.version.rollout import (
     OrderAnswered,
--- a/filbertstream/request/authorization.py
+++ b/filbertstream/request/authorization.py
@@ -17,7 +17,7 @@
     UNAUTHORIZED,
     UNAVAILABLE,
 )
-from filbertstream.version.currency import Currency
+from filbertstream.version.config_freshness import Currency
 from filbertstream.version.routes import CallKind, Configuration, Route, RouteTable, Workspace
 
 DENIAL_MARGIN_S: Final = 0.1
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -57,7 +57,7 @@
     TOO_MANY,
     UNAVAILABLE,
 )
-from filbertstream.version.currency import Currency
+from filbertstream.version.config_freshness import Currency
 from filbertstream.version.routes import CallKind, Engine
 from filbertstream.version.weights_view import WeightsView
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -44,7 +44,7 @@
 from filbertstream.process.rollout_lease import LeaseRecord
 from filbertstream.process.store_view import KIND_UPDATE_LIMIT_BYTES, KindObserved
 from filbertstream.request.call_events import SendCall
-from filbertstream.version.currency import UNREADY_SHARE
+from filbertstream.version.config_freshness import UNREADY_SHARE
 from tests.gateway_world import BOUNDS, FOLLOWED, World, configuration_row
 
 FLEET = tuple(f"f{number}" for number in range(30))
