--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -222,7 +222,7 @@
     ),
     Guard(
         "the record of the duty tells new weights",
-        "version/weights_duty.py",
+        "version/weights_leader.py",
         "self._roster.targets[name].note_weights(model, version)",
         "pass",
         "tests/test_rollout.py::" "test_the_record_of_the_duty_tells_all_entries_of_new_weights",
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -85,7 +85,7 @@
     ReportMissed,
     ReportRead,
 )
-from filbertstream.version.weights_duty import WeightsDuty
+from filbertstream.version.weights_leader import WeightsDuty
 from filbertstream.version.weights_view import WeightsView
 
 STOP_STREAMS_S: Final = 2.8
