--- a/filbertstream/platform/objects.py
+++ b/filbertstream/platform/objects.py
@@ -22,7 +22,7 @@
     NewConnectionError,
 )
 
-from filbertstream.platform.reading import read_whole
+from filbertstream.platform.bounded_read import read_whole
 from filbertstream.process.clock import boot_time_s
 from filbertstream.statuses import CONFLICT, CREATED, GONE, NOT_FOUND, OK
 
--- a/filbertstream/platform/runner_calls.py
+++ b/filbertstream/platform/runner_calls.py
@@ -6,7 +6,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from filbertstream.platform.reading import read_whole
+from filbertstream.platform.bounded_read import read_whole
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
 from filbertstream.statuses import OK
