--- a/filbertstream/cli.py
+++ b/filbertstream/cli.py
@@ -23,7 +23,7 @@
 from filbertstream.log_explain import explain_lines, read_lines
 from filbertstream.names import digest_key
 from filbertstream.operator_client import OperatorClient, Reply
-from filbertstream.platform.boot import BOOT_VARIABLE, read_boot
+from filbertstream.platform.settings_file import BOOT_VARIABLE, read_boot
 
 EXIT_REFUSED: Final = 1
 EXIT_USAGE: Final = 2
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -18,7 +18,6 @@
 from filbertstream.connection.target_link import TargetLinks, call_target
 from filbertstream.gateway import Gateway
 from filbertstream.gateway_events import GatewayAction
-from filbertstream.platform.boot import address_of
 from filbertstream.platform.cache_calls import (
     decode_events,
     decode_list,
@@ -29,6 +28,7 @@
 from filbertstream.platform.headers import (
     decode_call,
 )
+from filbertstream.platform.settings_file import address_of
 from filbertstream.process.cache_stores import (
     BlocksFreed,
     CacheEventsFailed,
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -45,10 +45,10 @@
     WriteEntry,
 )
 from filbertstream.log_events import LogEvent
-from filbertstream.platform.boot import read_boot
 from filbertstream.platform.documents import DUTIES_KIND, ENTRIES_KIND
 from filbertstream.platform.objects import ObjectStore, StoreFault
 from filbertstream.platform.runner_calls import RunnerCalls
+from filbertstream.platform.settings_file import read_boot
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address, Deployment
 from filbertstream.process.logs import BoundedStream, EventLog
--- a/filbertstream/platform/documents.py
+++ b/filbertstream/platform/documents.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from filbertstream.names import digest_key
-from filbertstream.platform.boot import address_of
+from filbertstream.platform.settings_file import address_of
 from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.version.routes import (
     Backend,
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -15,9 +15,9 @@
 
 from filbertstream.connection.event_relay import EventRelay
 from filbertstream.messages import EntryWork, WorkRow
-from filbertstream.platform.boot import read_boot
 from filbertstream.platform.documents import decode_configuration, decode_target
 from filbertstream.platform.headers import decode_call, encode_target_head
+from filbertstream.platform.settings_file import read_boot
 from filbertstream.process.cache_index import CacheIndex
 from filbertstream.process.cache_stores import (
     SAVE_HOLDOFF_S,
