--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -78,7 +78,7 @@
 from filbertstream.request.placement import CacheView
 from filbertstream.request.prompt_placer import PromptPlacer
 from filbertstream.request.retry_budget import SharedRetryBudget
-from filbertstream.version.config_freshness import Currency
+from filbertstream.version.config_freshness import ConfigFreshness
 from filbertstream.version.retirement import Retirement
 from filbertstream.version.rollout import (
     OrderAnswered,
@@ -138,7 +138,7 @@
         self.stores = CacheStores(self.index, rng, self.peers.reads, self.relays)
         self.cache_news = CacheUpdateExchange(self.peers, self.relays, self.stores)
         self.roster.peer_work_at = self.peers.peer_work_at
-        self.currency = Currency(bounds.revoke_s, bounds.strict_revocation)
+        self.currency = ConfigFreshness(bounds.revoke_s, bounds.strict_revocation)
         self.budget = SharedRetryBudget(
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_floor
         )
--- a/filbertstream/request/authorization.py
+++ b/filbertstream/request/authorization.py
@@ -17,7 +17,7 @@
     UNAUTHORIZED,
     UNAVAILABLE,
 )
-from filbertstream.version.config_freshness import Currency
+from filbertstream.version.config_freshness import ConfigFreshness
 from filbertstream.version.routes import CallKind, Configuration, Route, RouteTable, Workspace
 
 DENIAL_MARGIN_S: Final = 0.1
@@ -61,7 +61,7 @@
 
     def __init__(
         self,
-        currency: Currency,
+        currency: ConfigFreshness,
         config_apply_s: float,
         has_current_peer: Callable[[float], bool] = lambda now_s: False,
     ) -> None:
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -57,7 +57,7 @@
     TOO_MANY,
     UNAVAILABLE,
 )
-from filbertstream.version.config_freshness import Currency
+from filbertstream.version.config_freshness import ConfigFreshness
 from filbertstream.version.routes import CallKind, Engine
 from filbertstream.version.weights_view import WeightsView
 
@@ -99,7 +99,7 @@
     authorizer: Authorizer
     weights: WeightsView
     prompt_placer: PromptPlacer
-    currency: Currency
+    currency: ConfigFreshness
     budget: SharedRetryBudget
     counters: Counters
     latencies: Latencies
--- a/filbertstream/version/config_freshness.py
+++ b/filbertstream/version/config_freshness.py
@@ -18,7 +18,7 @@
 """The share of the bound after which the balancer is told to send new connections elsewhere."""
 
 
-class Currency:
+class ConfigFreshness:
     """When the configuration was last confirmed."""
 
     def __init__(self, revoke_s: float, strict: bool) -> None:
