--- a/bench/faults.py
+++ b/bench/faults.py
@@ -89,7 +89,7 @@
         # The bound counts from when the store took the target's word that it leaves.
         told_s = world.drain_told_s.get(target.name, world.now_s)
         # An entry that is out of touch can't know, and sends only what it took in before.
-        in_touch = core.currency.age_s(world.now_s) < world.bounds.contact_s
+        in_touch = core.config_freshness.age_s(world.now_s) < world.bounds.contact_s
         if (world.now_s if in_touch else asked.at_s) - told_s > bound_s:
             self._note("new work for a leaving target")
         # A runner refuses, as not run, what expects other weights than it has.
--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -16,8 +16,8 @@
     Guard(
         "the age of a confirmation counts from its send",
         "gateway.py",
-        "self.currency.confirm(event.sent_at_s)",
-        "self.currency.confirm(now_s)",
+        "self.config_freshness.confirm(event.sent_at_s)",
+        "self.config_freshness.confirm(now_s)",
         "tests/test_gateway_core.py::"
         "test_the_age_of_a_configuration_counts_from_when_the_call_was_sent",
     ),
@@ -313,8 +313,8 @@
     Guard(
         "any delay of the store: a removed key opens nothing past the bound",
         "gateway.py",
-        "self.currency.confirm(event.sent_at_s)",
-        "self.currency.confirm(now_s)",
+        "self.config_freshness.confirm(event.sent_at_s)",
+        "self.config_freshness.confirm(now_s)",
         "tests/test_revocation_machine.py::TestRevocation",
     ),
     Guard(
--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -125,7 +125,7 @@
             "targets_known": float(len(self._core.roster.targets)),
             "targets_out": float(len(self._core.roster.outliers.ejected(now_s))),
             "config_version": float(0 if config is None else config.version),
-            "config_age_seconds": self._core.currency.age_s(now_s),
+            "config_age_seconds": self._core.config_freshness.age_s(now_s),
             "ready": float(self._core.ready(now_s)),
             "log_lines_dropped": float(self._dropped_lines),
         }
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -138,12 +138,12 @@
         self.stores = CacheStores(self.index, rng, self.peers.reads, self.relays)
         self.cache_news = CacheUpdateExchange(self.peers, self.relays, self.stores)
         self.roster.peer_work_at = self.peers.peer_work_at
-        self.currency = ConfigFreshness(bounds.revoke_s, bounds.strict_revocation)
+        self.config_freshness = ConfigFreshness(bounds.revoke_s, bounds.strict_revocation)
         self.budget = SharedRetryBudget(
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_floor
         )
         self.authorizer = Authorizer(
-            self.currency, bounds.config_apply_s, self.peers.any_peer_current
+            self.config_freshness, bounds.config_apply_s, self.peers.any_peer_current
         )
         self.weights = WeightsView(self.roster, bounds.version_s)
         self.burn = Burn()
@@ -158,7 +158,7 @@
             self.authorizer,
             self.weights,
             self.prompt_placer,
-            self.currency,
+            self.config_freshness,
             self.budget,
             self.counters,
             self.latencies,
@@ -233,7 +233,7 @@
         """Whether the balancer should send new connections here."""
         if self.stopping or self.authorizer.config is None:
             return False
-        return self.currency.looks_current(now_s)
+        return self.config_freshness.looks_current(now_s)
 
     @property
     def busy(self) -> bool:
@@ -249,7 +249,7 @@
         return not self.ready(now_s) and self.peers.any_peer_current(now_s)
 
     def _on_configuration(self, event: ConfigurationSeen, now_s: float) -> list[GatewayAction]:
-        self.currency.confirm(event.sent_at_s)
+        self.config_freshness.confirm(event.sent_at_s)
         config = event.config
         if config is None or not self.authorizer.apply(config):
             return []
@@ -416,7 +416,7 @@
     def _on_bounds(self, event: BoundsChanged, now_s: float) -> list[GatewayAction]:
         bounds = event.bounds
         self.cfg = self.cfg._replace(bounds=bounds)
-        self.currency.set_bounds(bounds.revoke_s, bounds.strict_revocation)
+        self.config_freshness.set_bounds(bounds.revoke_s, bounds.strict_revocation)
         self.authorizer.set_bound(bounds.config_apply_s)
         self.budget.set_bounds(bounds.retry_ratio, bounds.retry_window_s, bounds.retry_floor)
         self.weights.set_bound(bounds.version_s)
@@ -452,7 +452,7 @@
         ready = self.ready(now_s)
         if ready != self._was_ready:
             self._was_ready = ready
-            age_s = round(self.currency.age_s(now_s), 3) if self._lost or ready else -1
+            age_s = round(self.config_freshness.age_s(now_s), 3) if self._lost or ready else -1
             event_no = LogEvent.ENTRY_FRESH if ready else LogEvent.ENTRY_STALE
             actions.append(Log(event_no, (("config_age_s", age_s),)))
         return actions
--- a/filbertstream/process/status.py
+++ b/filbertstream/process/status.py
@@ -46,7 +46,7 @@
 def read_status(core: Gateway, now_s: float) -> Status:
     """Return the state of the core's entry."""
     config = core.authorizer.config
-    age_s = core.currency.age_s(now_s)
+    age_s = core.config_freshness.age_s(now_s)
     members = tuple(
         MemberRow(name, record.peer_address, record.incarnation)
         for name, record in sorted(core.peers.members.items())
--- a/filbertstream/request/authorization.py
+++ b/filbertstream/request/authorization.py
@@ -61,11 +61,11 @@
 
     def __init__(
         self,
-        currency: ConfigFreshness,
+        config_freshness: ConfigFreshness,
         config_apply_s: float,
         has_current_peer: Callable[[float], bool] = lambda now_s: False,
     ) -> None:
-        self._currency = currency
+        self._currency = config_freshness
         self._has_current_peer = has_current_peer
         # A configuration older than this may lack a route or a key that the newest one has.
         self._denial_age_s = config_apply_s - DENIAL_MARGIN_S
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -99,7 +99,7 @@
     authorizer: Authorizer
     weights: WeightsView
     prompt_placer: PromptPlacer
-    currency: ConfigFreshness
+    config_freshness: ConfigFreshness
     budget: SharedRetryBudget
     counters: Counters
     latencies: Latencies
@@ -177,7 +177,7 @@
         config = self._parts.authorizer.config
         version = 0 if config is None else config.version
         line = call_logs.refused_on_arrival(
-            event, refused, version, self._parts.currency.age_s(now_s)
+            event, refused, version, self._parts.config_freshness.age_s(now_s)
         )
         after_s = self._spread(refused.retry_after_s)
         response = RespondLocally(event.call_id, refused.status, refused.code, "", after_s)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -237,23 +237,23 @@
     sent_at_s = world.now_s
     world.now_s += 0.4
     world.tell(PeerMessage(current(number, 0.1)))
-    assert world.core.currency.confirmed_at_s == pytest.approx(sent_at_s - 0.1)
+    assert world.core.config_freshness.confirmed_at_s == pytest.approx(sent_at_s - 0.1)
 
 
 def test_an_answer_that_comes_late_or_twice_confirms_nothing() -> None:
     world = Fleet()
     world.turn(1.0)
     number = world.question()
-    confirmed_at_s = world.core.currency.confirmed_at_s
+    confirmed_at_s = world.core.config_freshness.confirmed_at_s
     world.now_s += RESPONSE_TIMEOUT_S
     world.tell(PeerMessage(current(number, 0.0)))
-    assert world.core.currency.confirmed_at_s == confirmed_at_s
+    assert world.core.config_freshness.confirmed_at_s == confirmed_at_s
     number = world.question()
     world.tell(PeerMessage(current(number, 0.0)))
-    confirmed_at_s = world.core.currency.confirmed_at_s
+    confirmed_at_s = world.core.config_freshness.confirmed_at_s
     world.now_s += 0.2
     world.tell(PeerMessage(current(number, -0.2)))
-    assert world.core.currency.confirmed_at_s == confirmed_at_s
+    assert world.core.config_freshness.confirmed_at_s == confirmed_at_s
 
 
 def test_a_relay_that_claims_an_older_state_for_a_later_moment_is_not_believed() -> None:
@@ -264,11 +264,11 @@
     row = configuration_row(2, (), 9)
     changed = kind_update(DOCUMENTS_KIND, 0.0, 9, rows=(row,))
     world.tell(PeerMessage(current(number, **{DOCUMENTS_KIND: changed})))
-    confirmed_at_s = world.core.currency.confirmed_at_s
+    confirmed_at_s = world.core.config_freshness.confirmed_at_s
     asked = world.core.relays.relay(world.now_s)
     number = world.question()
     world.tell(PeerMessage(current(number, 0.0)))
-    assert world.core.currency.confirmed_at_s == confirmed_at_s
+    assert world.core.config_freshness.confirmed_at_s == confirmed_at_s
     assert world.core.relays.relay(world.now_s) != asked
 
 
@@ -289,7 +289,7 @@
     number = world.question()
     world.tell(PeerMessage(ViewResponse(number, (kind_update(DOCUMENTS_KIND, 0.0, 20, since=11),))))
     assert world.core.relayed.view.as_of()[DOCUMENTS_KIND] == 5
-    assert world.core.currency.confirmed_at_s == 100.0
+    assert world.core.config_freshness.confirmed_at_s == 100.0
 
 
 def test_drains_and_removals_are_told_too() -> None:
@@ -428,7 +428,7 @@
     """Fault: all that is left of the store is what a relay was shown before the outage."""
     world = Starting(FOLLOWER)
     world.list_entries(FLEET)
-    world.core.currency.confirmed_at_s = float("-inf")
+    world.core.config_freshness.confirmed_at_s = float("-inf")
     (asked,) = [item for action in world.tell(Tick()) if (item := question_of(action))]
     told = [kind_update(kind, age_s, full=True, rows=Fleet.listed(kind)) for kind in KINDS]
     world.tell(PeerMessage(ViewResponse(asked.number, tuple(told))))
