--- a/filbertstream/version/config_freshness.py
+++ b/filbertstream/version/config_freshness.py
@@ -14,7 +14,7 @@
 """The share of the bound within which another entry's word counts; less than that for readiness, so
 that the store is asked before callers are sent away."""
 
-UNREADY_SHARE: Final = 0.5
+UNREADY_FRACTION: Final = 0.5
 """The share of the bound after which the balancer is told to send new connections elsewhere."""
 
 
@@ -48,4 +48,4 @@
 
     def looks_current(self, now_s: float) -> bool:
         """Whether this entry should get new connections."""
-        return self.age_s(now_s) < self._revoke_s * UNREADY_SHARE
+        return self.age_s(now_s) < self._revoke_s * UNREADY_FRACTION
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -44,7 +44,7 @@
 from filbertstream.process.rollout_lease import LeaseRecord
 from filbertstream.process.store_view import KIND_UPDATE_LIMIT_BYTES, KindObserved
 from filbertstream.request.call_events import SendCall
-from filbertstream.version.config_freshness import UNREADY_SHARE
+from filbertstream.version.config_freshness import UNREADY_FRACTION
 from tests.gateway_world import BOUNDS, FOLLOWED, World, configuration_row
 
 FLEET = tuple(f"f{number}" for number in range(30))
@@ -226,7 +226,7 @@
     while not world.reads_object_store:
         outage_s += 0.5
         world.turn(0.5, age_s=0.2 + outage_s)
-    assert outage_s < BOUNDS.revoke_s * UNREADY_SHARE
+    assert outage_s < BOUNDS.revoke_s * UNREADY_FRACTION
     assert world.core.ready(world.now_s)
 
 
