--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -233,7 +233,7 @@
         """Whether the balancer should send new connections here."""
         if self.stopping or self.authorizer.config is None:
             return False
-        return self.config_freshness.looks_current(now_s)
+        return self.config_freshness.keeps_ready(now_s)
 
     @property
     def busy(self) -> bool:
--- a/filbertstream/version/config_freshness.py
+++ b/filbertstream/version/config_freshness.py
@@ -46,6 +46,6 @@
         """Whether the last confirmation is as young as one should be that others rely on."""
         return self.age_s(now_s) < self._revoke_s * FRESH_SHARE
 
-    def looks_current(self, now_s: float) -> bool:
+    def keeps_ready(self, now_s: float) -> bool:
         """Whether this entry should get new connections."""
         return self.age_s(now_s) < self._revoke_s * UNREADY_FRACTION
