--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -85,7 +85,7 @@
     ReportMissed,
     ReportRead,
 )
-from filbertstream.version.weights_leader import WeightsDuty
+from filbertstream.version.weights_leader import WeightsLeader
 from filbertstream.version.weights_view import WeightsView
 
 STOP_STREAMS_S: Final = 2.8
@@ -169,7 +169,7 @@
         )
         self.forwarding = Forwarding(parts)
         self.duty = RolloutLease(f"{cfg.name}#{cfg.incarnation:x}", bounds.lease_s, rng)
-        self.weights_duty = WeightsDuty(
+        self.weights_duty = WeightsLeader(
             self.duty,
             self.roster,
             self.weights,
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -26,7 +26,7 @@
 Action: TypeAlias = Log | WriteLease | FreeBlocks | PollReport | OrderWeights
 
 
-class WeightsDuty:
+class WeightsLeader:
     """This entry's part in the duty, whether it holds it or not."""
 
     def __init__(
