--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -169,7 +169,7 @@
         )
         self.forwarding = Forwarding(parts)
         self.duty = RolloutLease(f"{cfg.name}#{cfg.incarnation:x}", bounds.lease_s, rng)
-        self.weights_duty = WeightsLeader(
+        self.weights_leader = WeightsLeader(
             self.duty,
             self.roster,
             self.weights,
@@ -194,12 +194,12 @@
             TargetsListed: self._on_targets,
             TargetSeen: self._on_target,
             WeightsNamed: self._on_weights,
-            DutySeen: self._forward(self.weights_duty.on_seen),
-            DutyConfirmed: self._forward(self.weights_duty.on_confirmed),
-            DutyWritten: self._forward(self.weights_duty.on_written),
-            ReportRead: self._forward(self.weights_duty.on_report),
+            DutySeen: self._forward(self.weights_leader.on_seen),
+            DutyConfirmed: self._forward(self.weights_leader.on_confirmed),
+            DutyWritten: self._forward(self.weights_leader.on_written),
+            ReportRead: self._forward(self.weights_leader.on_report),
             ReportMissed: lambda event, now_s: [],
-            OrderAnswered: self._forward(self.weights_duty.on_order),
+            OrderAnswered: self._forward(self.weights_leader.on_order),
             CacheEventsReceived: self._on_cache_events,
             CacheEventsFailed: self._on_cache_missed,
             CacheBlocksListed: self._on_cache_listed,
@@ -238,7 +238,7 @@
     @property
     def busy(self) -> bool:
         """Whether something is under way that has to be looked at often."""
-        return bool(self.forwarding.calls) or self.weights_duty.held or not self._was_ready
+        return bool(self.forwarding.calls) or self.weights_leader.held or not self._was_ready
 
     def sends_callers_away(self, now_s: float) -> bool:
         """Whether callers do better on a new connection, which the balancer gives another entry.
@@ -448,7 +448,7 @@
             self._next_duty_s = now_s + DUTY_TICK_S
             reserve_s = 0.0 if self.relayed.reads_object_store(now_s) else RELYING_RESERVE_S
             owners = self._cache_owners()
-            actions += self.weights_duty.tick(now_s, owners, self.stopping, reserve_s)
+            actions += self.weights_leader.tick(now_s, owners, self.stopping, reserve_s)
         ready = self.ready(now_s)
         if ready != self._was_ready:
             self._was_ready = ready
