--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -168,9 +168,9 @@
             rng,
         )
         self.forwarding = Forwarding(parts)
-        self.duty = RolloutLease(f"{cfg.name}#{cfg.incarnation:x}", bounds.lease_s, rng)
+        self.rollout_lease = RolloutLease(f"{cfg.name}#{cfg.incarnation:x}", bounds.lease_s, rng)
         self.weights_leader = WeightsLeader(
-            self.duty,
+            self.rollout_lease,
             self.roster,
             self.weights,
             Retirement(self.stores, self.index.held_by),
@@ -420,7 +420,7 @@
         self.authorizer.set_bound(bounds.config_apply_s)
         self.budget.set_bounds(bounds.retry_ratio, bounds.retry_window_s, bounds.retry_floor)
         self.weights.set_bound(bounds.version_s)
-        self.duty.set_lease(bounds.lease_s)
+        self.rollout_lease.set_lease(bounds.lease_s)
         return []
 
     def _on_stop(self, event: StopAsked, now_s: float) -> list[GatewayAction]:
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -387,7 +387,7 @@
 
     def _order_now(self, order: OrderWeights, address: Address) -> None:
         # A worker may start late: the duty must still be held at this very moment.
-        if self.core.duty.may_order(boot_time_s()):
+        if self.core.rollout_lease.may_order(boot_time_s()):
             self.tell_soon(self._runners.order(order, address))
 
 
--- a/filbertstream/process/status.py
+++ b/filbertstream/process/status.py
@@ -63,7 +63,7 @@
         core.store_lost,
         len(core.forwarding.calls),
         core.idempotency_keys.unsettled,
-        core.duty.may_order(now_s),
+        core.rollout_lease.may_order(now_s),
         members,
         targets,
     )
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -30,9 +30,13 @@
     """This entry's part in the duty, whether it holds it or not."""
 
     def __init__(
-        self, duty: RolloutLease, roster: Roster, weights: WeightsView, retirement: Retirement
+        self,
+        rollout_lease: RolloutLease,
+        roster: Roster,
+        weights: WeightsView,
+        retirement: Retirement,
     ) -> None:
-        self._duty = duty
+        self._duty = rollout_lease
         self._roster = roster
         self._weights = weights
         self._rollout = Rollout(roster, weights)
--- a/tests/test_gateway_duty.py
+++ b/tests/test_gateway_duty.py
@@ -63,28 +63,28 @@
         for item in [item for item in self.late if item.due_s <= self.now_s]:
             self.late.remove(item)
             self._apply(item)
-        for number, duty in enumerate(self.duties):
+        for number, rollout_lease in enumerate(self.duties):
             if self.now_s < self.suspended_until_s[number]:
                 continue
             if self.now_s >= self.cut_until_s[number]:
-                duty.on_seen(self.record, self.revision, self.now_s)
-            write = duty.tick(self.now_s, self.wanted, NO_WORK)
+                rollout_lease.on_seen(self.record, self.revision, self.now_s)
+            write = rollout_lease.tick(self.now_s, self.wanted, NO_WORK)
             if write is not None and self.now_s >= self.cut_until_s[number]:
                 due_s = self.now_s + self.rng.uniform(0.0, self.delay_s)
                 answered = self.rng.random() >= self.lose
                 self.late.append(Late(due_s, number, write, answered))
-            if duty.may_order(self.now_s):
-                self.orders.append(Order(self.now_s, f"e{number}", duty.fence))
+            if rollout_lease.may_order(self.now_s):
+                self.orders.append(Order(self.now_s, f"e{number}", rollout_lease.fence))
 
     def _apply(self, item: Late) -> None:
         done = item.write.revision == self.revision
         if done:
             self.record, self.revision = item.write.record, self.revision + 1
         if item.answered and self.now_s >= self.suspended_until_s[item.owner]:
-            duty = self.duties[item.owner]
+            rollout_lease = self.duties[item.owner]
             if not done:
-                duty.on_write_rejected()
-            duty.on_seen(self.record, self.revision, self.now_s)
+                rollout_lease.on_write_rejected()
+            rollout_lease.on_seen(self.record, self.revision, self.now_s)
 
     def run(self, seconds: float) -> None:
         for _ in range(round(seconds / STEP_S)):
@@ -134,15 +134,15 @@
 
 
 def test_what_was_found_on_runners_outlives_its_holder_and_stays_bounded() -> None:
-    duty = RolloutLease("e0", LEASE_S, random.Random(1))
-    duty.on_seen(LeaseRecord("e9#1", 3, False, 1, [], {}, {"r1": {"m": 2}}), 1, 10.0)
-    duty.tick(10.0, True, NO_WORK)
-    taken = duty.tick(11.0, True, NO_WORK)
+    rollout_lease = RolloutLease("e0", LEASE_S, random.Random(1))
+    rollout_lease.on_seen(LeaseRecord("e9#1", 3, False, 1, [], {}, {"r1": {"m": 2}}), 1, 10.0)
+    rollout_lease.tick(10.0, True, NO_WORK)
+    taken = rollout_lease.tick(11.0, True, NO_WORK)
     assert taken is not None
     assert taken.record.loaded == {"r1": {"m": 2}}
-    duty.on_seen(taken.record, 2, 11.0)
+    rollout_lease.on_seen(taken.record, 2, 11.0)
     found = {f"s{number}": {"m": 3} for number in range(LOADED_LIMIT)}
-    renewed = duty.tick(11.1, True, RolloutState((), {}, found))
+    renewed = rollout_lease.tick(11.1, True, RolloutState((), {}, found))
     assert renewed is not None
     assert renewed.record.loaded == found
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -356,7 +356,7 @@
     follower = Fleet()
     view_at_s = follower.core.weights.view_at_s
     follower.tell(PeerMessage(action.payload))
-    assert follower.core.duty.swapping(follower.now_s) == {"r1"}
+    assert follower.core.rollout_lease.swapping(follower.now_s) == {"r1"}
     assert follower.core.weights.view_at_s == view_at_s
 
 
