--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -238,7 +238,7 @@
     @property
     def busy(self) -> bool:
         """Whether something is under way that has to be looked at often."""
-        return bool(self.forwarding.calls) or self.weights_leader.held or not self._was_ready
+        return bool(self.forwarding.calls) or self.weights_leader.is_leader or not self._was_ready
 
     def sends_callers_away(self, now_s: float) -> bool:
         """Whether callers do better on a new connection, which the balancer gives another entry.
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -41,7 +41,7 @@
         self._weights = weights
         self._rollout = Rollout(roster, weights)
         self._retirement = retirement
-        self.held = False
+        self.is_leader = False
 
     def on_seen(self, event: DutySeen, now_s: float) -> list[Action]:
         """Take in the record, and the weights that its holder found on runners."""
@@ -98,8 +98,8 @@
         write = self._duty.tick(now_s, wanted, work, reserve_s)
         if write is not None:
             actions.append(write)
-        if may_order != self.held:
-            self.held = may_order
+        if may_order != self.is_leader:
+            self.is_leader = may_order
             event_no = LogEvent.LEASE_TAKEN if may_order else LogEvent.LEASE_LOST
             actions.append(Log(event_no, (("fence", self._duty.fence),)))
         if not may_order:
