--- a/filbertstream/version/retirement.py
+++ b/filbertstream/version/retirement.py
@@ -37,7 +37,7 @@
         self._parts_of = parts_of
         self._next_s: dict[str, float] = {}
 
-    def wanted(self, replaced: frozenset[str]) -> bool:
+    def has_work(self, replaced: frozenset[str]) -> bool:
         """Whether a store holds enough parts of replaced weights to be worth the work."""
         if not replaced:
             return False
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -87,15 +87,15 @@
         """
         self._weights.swapping = self._duty.swapping(now_s)
         replaced = self._weights.replaced_namespaces(owners)
-        stale = self._retirement.wanted(replaced)
-        wanted = (bool(self._rollout.behind()) or stale) and not stopping
+        stale = self._retirement.has_work(replaced)
+        has_work = (bool(self._rollout.behind()) or stale) and not stopping
         may_order = self._duty.may_order(now_s)
         work = RolloutState((), {}, {})
         if may_order:
             swapping = self._rollout.swapping(now_s)
             work = RolloutState(swapping, self._to_retire(now_s), self._rollout.loaded)
         actions: list[Action] = []
-        write = self._duty.tick(now_s, wanted, work, reserve_s)
+        write = self._duty.tick(now_s, has_work, work, reserve_s)
         if write is not None:
             actions.append(write)
         if may_order != self.is_leader:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -135,14 +135,14 @@
     kept = [CacheChange(True, ("new", "p"), 10), CacheChange(True, ("unknown", "p"), 10)]
     stores.on_events(events("keep", 100.0, 7, *keys, *kept))
     retirement = Retirement(stores, index.held_by)
-    assert not retirement.wanted(frozenset())
-    assert retirement.wanted(frozenset({"old"}))
+    assert not retirement.has_work(frozenset())
+    assert retirement.has_work(frozenset({"old"}))
     (call,) = retirement.step(frozenset({"old"}), 100.1)
     assert isinstance(call, FreeBlocks)
     assert (call.start_id, {key[0] for key in call.keys}, len(call.keys)) == (7, {"old"}, 20)
     assert call.until_ms > 1_100
     stores.on_freed(BlocksFreed("keep", call.keys))
-    assert not retirement.wanted(frozenset({"old"}))
+    assert not retirement.has_work(frozenset({"old"}))
     assert stores.states["keep"].used_tokens == 20
 
 
