--- a/bench/targets.py
+++ b/bench/targets.py
@@ -32,7 +32,7 @@
     OrderWeights,
     PollReport,
     ReportMissed,
-    ReportRead,
+    ReportReceived,
 )
 
 if TYPE_CHECKING:
@@ -192,7 +192,7 @@
             return
         busy = world.now_s < target.loading_until_s
         weights = {target.model: target.weights}
-        report = ReportRead(poll.target_id, target.orders, busy, weights, world.now_s)
+        report = ReportReceived(poll.target_id, target.orders, busy, weights, world.now_s)
         world.later(core, 2 * LINK_S, report)
 
     def order(self, core: Gateway, order: OrderWeights) -> None:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -83,7 +83,7 @@
 from filbertstream.version.rollout import (
     OrderAnswered,
     ReportMissed,
-    ReportRead,
+    ReportReceived,
 )
 from filbertstream.version.weights_leader import WeightsLeader
 from filbertstream.version.weights_view import WeightsView
@@ -197,7 +197,7 @@
             DutySeen: self._forward(self.weights_leader.on_seen),
             DutyConfirmed: self._forward(self.weights_leader.on_confirmed),
             DutyWritten: self._forward(self.weights_leader.on_written),
-            ReportRead: self._forward(self.weights_leader.on_report),
+            ReportReceived: self._forward(self.weights_leader.on_report),
             ReportMissed: lambda event, now_s: [],
             OrderAnswered: self._forward(self.weights_leader.on_order),
             CacheEventsReceived: self._on_cache_events,
--- a/filbertstream/platform/runner_calls.py
+++ b/filbertstream/platform/runner_calls.py
@@ -15,7 +15,7 @@
     OrderWeights,
     PollReport,
     ReportMissed,
-    ReportRead,
+    ReportReceived,
 )
 
 CONNECT_S: Final = 0.4
@@ -54,7 +54,7 @@
         """Close all idle connections."""
         self._pool.clear()
 
-    def report(self, poll: PollReport, address: Address) -> ReportRead | ReportMissed:
+    def report(self, poll: PollReport, address: Address) -> ReportReceived | ReportMissed:
         """Return a runner's report."""
         sent_at_s = boot_time_s()
         headers = {"Expect-Instance": poll.target_id}
@@ -71,7 +71,7 @@
             self._pool.clear()
             return ReportMissed(poll.target_id)
         weights = {model.name: model.version for model in report.models}
-        return ReportRead(poll.target_id, report.seq, report.busy, weights, sent_at_s)
+        return ReportReceived(poll.target_id, report.seq, report.busy, weights, sent_at_s)
 
     def order(self, order: OrderWeights, address: Address) -> OrderAnswered:
         """Send an order, once."""
--- a/filbertstream/version/rollout.py
+++ b/filbertstream/version/rollout.py
@@ -48,7 +48,7 @@
     accepted_orders: int
 
 
-class ReportRead(NamedTuple):
+class ReportReceived(NamedTuple):
     """A runner's report: orders accepted, whether one is under way, loaded versions by model."""
 
     target_id: str
@@ -76,7 +76,7 @@
 
     def __init__(self, began_s: float) -> None:
         self.began_s = began_s
-        self.report: ReportRead | None = None
+        self.report: ReportReceived | None = None
         self.asked_at_s = float("-inf")
         self.ordered_at_s: float | None = None
         self.ordered_version = 0
@@ -128,7 +128,7 @@
         self._swaps = {}
         self.loaded = {}
 
-    def on_report(self, report: ReportRead) -> bool:
+    def on_report(self, report: ReportReceived) -> bool:
         """Take in a report; whether it shows newer weights than known."""
         target = self._roster.targets.get(report.target_id)
         swap = self._swaps.get(report.target_id)
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -18,7 +18,7 @@
     OrderAnswered,
     OrderWeights,
     PollReport,
-    ReportRead,
+    ReportReceived,
     Rollout,
 )
 from filbertstream.version.weights_view import WeightsView
@@ -65,7 +65,7 @@
             self._duty.on_write_rejected()
         return []
 
-    def on_report(self, event: ReportRead, now_s: float) -> list[Action]:
+    def on_report(self, event: ReportReceived, now_s: float) -> list[Action]:
         """Take in a runner's report."""
         if not self._rollout.on_report(event):
             return []
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -5,7 +5,7 @@
 from filbertstream.gateway_events import DutySeen, TargetSeen, Tick, WeightsNamed
 from filbertstream.process.rollout_lease import LeaseRecord, WriteLease
 from filbertstream.process.roster import Roster
-from filbertstream.version.rollout import OrderAnswered, OrderWeights, ReportRead, Rollout
+from filbertstream.version.rollout import OrderAnswered, OrderWeights, ReportReceived, Rollout
 from filbertstream.version.weights_view import OVERDUE_SHARE, ROLL_OUT_SHARE, WeightsView
 from tests.gateway_world import World, entry, sends
 
@@ -119,7 +119,7 @@
             else:
                 count = ordered.count(action.target_id)
                 weights = {"m": 2} if count else dict(target.weights)
-                rollout.on_report(ReportRead(action.target_id, count, False, weights, now_s))
+                rollout.on_report(ReportReceived(action.target_id, count, False, weights, now_s))
     assert sorted(ordered) == [f"r{number}" for number in range(6)]
     assert rollout.behind() == []
 
@@ -137,7 +137,7 @@
                 orders.append(action.accepted_orders)
                 rollout.on_order(OrderAnswered("r0", None))
             else:
-                rollout.on_report(ReportRead("r0", 4 + step // 30, False, {"m": 1}, now_s))
+                rollout.on_report(ReportReceived("r0", 4 + step // 30, False, {"m": 1}, now_s))
     assert orders[0] == 4
     assert orders[-1] == 5
 
