--- a/bench/targets.py
+++ b/bench/targets.py
@@ -31,7 +31,7 @@
     OrderAnswered,
     OrderWeights,
     PollReport,
-    ReportMissed,
+    ReportFailed,
     ReportReceived,
 )
 
@@ -188,7 +188,7 @@
         world = self._world
         target = world.targets.get(poll.target_id)
         if target is None or target.dead or poll.target_id in world.silent:
-            world.later(core, CONNECT_S, ReportMissed(poll.target_id))
+            world.later(core, CONNECT_S, ReportFailed(poll.target_id))
             return
         busy = world.now_s < target.loading_until_s
         weights = {target.model: target.weights}
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -82,7 +82,7 @@
 from filbertstream.version.retirement import Retirement
 from filbertstream.version.rollout import (
     OrderAnswered,
-    ReportMissed,
+    ReportFailed,
     ReportReceived,
 )
 from filbertstream.version.weights_leader import WeightsLeader
@@ -198,7 +198,7 @@
             DutyConfirmed: self._forward(self.weights_leader.on_confirmed),
             DutyWritten: self._forward(self.weights_leader.on_written),
             ReportReceived: self._forward(self.weights_leader.on_report),
-            ReportMissed: lambda event, now_s: [],
+            ReportFailed: lambda event, now_s: [],
             OrderAnswered: self._forward(self.weights_leader.on_order),
             CacheEventsReceived: self._on_cache_events,
             CacheEventsFailed: self._on_cache_missed,
--- a/filbertstream/platform/runner_calls.py
+++ b/filbertstream/platform/runner_calls.py
@@ -14,7 +14,7 @@
     OrderAnswered,
     OrderWeights,
     PollReport,
-    ReportMissed,
+    ReportFailed,
     ReportReceived,
 )
 
@@ -54,7 +54,7 @@
         """Close all idle connections."""
         self._pool.clear()
 
-    def report(self, poll: PollReport, address: Address) -> ReportReceived | ReportMissed:
+    def report(self, poll: PollReport, address: Address) -> ReportReceived | ReportFailed:
         """Return a runner's report."""
         sent_at_s = boot_time_s()
         headers = {"Expect-Instance": poll.target_id}
@@ -65,11 +65,11 @@
             )
             data = read_whole(resp, REPORT_LIMIT_BYTES, boot_time_s() + ANSWER_S)
             if resp.status != OK:
-                return ReportMissed(poll.target_id)
+                return ReportFailed(poll.target_id)
             report = msgspec.json.decode(data, type=_Report)
         except (HTTPError, msgspec.DecodeError):
             self._pool.clear()
-            return ReportMissed(poll.target_id)
+            return ReportFailed(poll.target_id)
         weights = {model.name: model.version for model in report.models}
         return ReportReceived(poll.target_id, report.seq, report.busy, weights, sent_at_s)
 
--- a/filbertstream/version/rollout.py
+++ b/filbertstream/version/rollout.py
@@ -58,7 +58,7 @@
     sent_at_s: float
 
 
-class ReportMissed(NamedTuple):
+class ReportFailed(NamedTuple):
     """A runner did not give its report."""
 
     target_id: str
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -26,7 +26,7 @@
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import ResponseHead
-from filbertstream.version.rollout import OrderAnswered, OrderWeights, PollReport, ReportMissed
+from filbertstream.version.rollout import OrderAnswered, OrderWeights, PollReport, ReportFailed
 from filbertstream.version.routes import CallerLimits
 
 IN_FLIGHT_BYTES = 6_000_000
@@ -172,7 +172,7 @@
 def test_a_runner_whose_report_does_not_end_has_given_none(head: bytes) -> None:
     with sending(head, PIECE) as sender:
         found = RunnerCalls("e1").report(PollReport("r1"), sender.address)
-    assert found == ReportMissed("r1")
+    assert found == ReportFailed("r1")
     assert sender.sent <= REPORT_LIMIT_BYTES + IN_FLIGHT_BYTES
 
 
