--- a/bench/targets.py
+++ b/bench/targets.py
@@ -28,7 +28,7 @@
     SendFailed,
 )
 from filbertstream.version.rollout import (
-    OrderAnswered,
+    OrderResponse,
     OrderWeights,
     PollReport,
     ReportFailed,
@@ -200,17 +200,17 @@
         world = self._world
         target = world.targets.get(order.target_id)
         if target is None or target.dead or order.target_id in world.silent:
-            world.later(core, CONNECT_S, OrderAnswered(order.target_id, None))
+            world.later(core, CONNECT_S, OrderResponse(order.target_id, None))
             return
         if target.orders != order.accepted_orders:
-            world.later(core, LINK_S, OrderAnswered(order.target_id, CONFLICT))
+            world.later(core, LINK_S, OrderResponse(order.target_id, CONFLICT))
             return
         target.orders += 1
         target.accepted_orders.append((world.now_s, order.fence, core.cfg.name))
         target.loading_until_s = world.now_s + LOAD_S
         version = order.version
         world.after(LOAD_S, lambda: setattr(target, "weights", version))
-        world.later(core, LINK_S, OrderAnswered(order.target_id, ACCEPTED))
+        world.later(core, LINK_S, OrderResponse(order.target_id, ACCEPTED))
 
     def follow(self, core: Gateway, follow: PollCacheEvents) -> None:
         """Give a store's events after a while."""
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -81,7 +81,7 @@
 from filbertstream.version.config_freshness import ConfigFreshness
 from filbertstream.version.retirement import Retirement
 from filbertstream.version.rollout import (
-    OrderAnswered,
+    OrderResponse,
     ReportFailed,
     ReportReceived,
 )
@@ -199,7 +199,7 @@
             DutyWritten: self._forward(self.weights_leader.on_written),
             ReportReceived: self._forward(self.weights_leader.on_report),
             ReportFailed: lambda event, now_s: [],
-            OrderAnswered: self._forward(self.weights_leader.on_order),
+            OrderResponse: self._forward(self.weights_leader.on_order),
             CacheEventsReceived: self._on_cache_events,
             CacheEventsFailed: self._on_cache_missed,
             CacheBlocksListed: self._on_cache_listed,
--- a/filbertstream/platform/runner_calls.py
+++ b/filbertstream/platform/runner_calls.py
@@ -11,7 +11,7 @@
 from filbertstream.process.deployment import Address
 from filbertstream.statuses import OK
 from filbertstream.version.rollout import (
-    OrderAnswered,
+    OrderResponse,
     OrderWeights,
     PollReport,
     ReportFailed,
@@ -73,7 +73,7 @@
         weights = {model.name: model.version for model in report.models}
         return ReportReceived(poll.target_id, report.seq, report.busy, weights, sent_at_s)
 
-    def order(self, order: OrderWeights, address: Address) -> OrderAnswered:
+    def order(self, order: OrderWeights, address: Address) -> OrderResponse:
         """Send an order, once."""
         body = {
             "op": "version",
@@ -101,7 +101,7 @@
             # The status says it all; a body is not read, and the connection is not used again.
             resp.close()
         except HTTPError:
-            return OrderAnswered(order.target_id, None)
+            return OrderResponse(order.target_id, None)
         finally:
             pool.clear()
-        return OrderAnswered(order.target_id, resp.status)
+        return OrderResponse(order.target_id, resp.status)
--- a/filbertstream/version/rollout.py
+++ b/filbertstream/version/rollout.py
@@ -64,7 +64,7 @@
     target_id: str
 
 
-class OrderAnswered(NamedTuple):
+class OrderResponse(NamedTuple):
     """A runner answered an order, or did not (``status`` None)."""
 
     target_id: str
@@ -139,7 +139,7 @@
         newer = [item for item in report.weights.items() if target.note_weights(*item)]
         return bool(newer)
 
-    def on_order(self, event: OrderAnswered) -> None:
+    def on_order(self, event: OrderResponse) -> None:
         """Take in an order's answer; the runner's report settles what it means."""
         swap = self._swaps.get(event.target_id)
         if swap is not None:
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -15,7 +15,7 @@
 from filbertstream.process.roster import Roster
 from filbertstream.version.retirement import FREE_AFTER_S, Retirement
 from filbertstream.version.rollout import (
-    OrderAnswered,
+    OrderResponse,
     OrderWeights,
     PollReport,
     ReportReceived,
@@ -72,7 +72,7 @@
         fields = (("target", event.target_id), ("weights", str(event.weights)))
         return [Log(LogEvent.SWAP_VERIFIED, fields)]
 
-    def on_order(self, event: OrderAnswered, now_s: float) -> list[Action]:
+    def on_order(self, event: OrderResponse, now_s: float) -> list[Action]:
         """Take in a runner's answer to an order, -1 for none."""
         self._rollout.on_order(event)
         status = -1 if event.status is None else event.status
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -26,7 +26,7 @@
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import ResponseHead
-from filbertstream.version.rollout import OrderAnswered, OrderWeights, PollReport, ReportFailed
+from filbertstream.version.rollout import OrderResponse, OrderWeights, PollReport, ReportFailed
 from filbertstream.version.routes import CallerLimits
 
 IN_FLIGHT_BYTES = 6_000_000
@@ -179,7 +179,7 @@
 def test_a_runner_whose_answer_to_an_order_does_not_end_still_answered_it() -> None:
     with sending(WITHOUT_LENGTH, PIECE) as sender:
         found = RunnerCalls("e1").order(OrderWeights("r1", "m", 2, 1, 0), sender.address)
-    assert found == OrderAnswered("r1", 200)
+    assert found == OrderResponse("r1", 200)
     assert sender.sent <= REPORT_LIMIT_BYTES + IN_FLIGHT_BYTES
 
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -5,7 +5,7 @@
 from filbertstream.gateway_events import DutySeen, TargetSeen, Tick, WeightsNamed
 from filbertstream.process.rollout_lease import LeaseRecord, WriteLease
 from filbertstream.process.roster import Roster
-from filbertstream.version.rollout import OrderAnswered, OrderWeights, ReportReceived, Rollout
+from filbertstream.version.rollout import OrderResponse, OrderWeights, ReportReceived, Rollout
 from filbertstream.version.weights_view import OVERDUE_SHARE, ROLL_OUT_SHARE, WeightsView
 from tests.gateway_world import World, entry, sends
 
@@ -115,7 +115,7 @@
             target = roster.targets[action.target_id]
             if isinstance(action, OrderWeights):
                 ordered.append(action.target_id)
-                rollout.on_order(OrderAnswered(action.target_id, 202))
+                rollout.on_order(OrderResponse(action.target_id, 202))
             else:
                 count = ordered.count(action.target_id)
                 weights = {"m": 2} if count else dict(target.weights)
@@ -135,7 +135,7 @@
         for action in rollout.step(now_s, 5):
             if isinstance(action, OrderWeights):
                 orders.append(action.accepted_orders)
-                rollout.on_order(OrderAnswered("r0", None))
+                rollout.on_order(OrderResponse("r0", None))
             else:
                 rollout.on_report(ReportReceived("r0", 4 + step // 30, False, {"m": 1}, now_s))
     assert orders[0] == 4
