--- a/filbertstream/version/rollout.py
+++ b/filbertstream/version/rollout.py
@@ -91,7 +91,7 @@
         self._swaps: dict[str, _Swap] = {}
         self.loaded: dict[str, dict[str, int]] = {}
 
-    def behind(self) -> list[tuple[RosterTarget, str]]:
+    def outdated(self) -> list[tuple[RosterTarget, str]]:
         """Return the runners with older weights than named, and the model."""
         return [
             (target, model)
@@ -104,11 +104,11 @@
 
     def swapping(self, now_s: float) -> tuple[str, ...]:
         """Return the runners to swap now, chosen anew as earlier ones are done."""
-        pairs = self.behind()
-        behind = {target.target_id for target, _ in pairs}
-        for name in self._swaps.keys() - behind & self._roster.targets.keys():
+        pairs = self.outdated()
+        outdated = {target.target_id for target, _ in pairs}
+        for name in self._swaps.keys() - outdated & self._roster.targets.keys():
             self.loaded[name] = dict(self._roster.targets[name].weights)
-        self._swaps = {name: swap for name, swap in self._swaps.items() if name in behind}
+        self._swaps = {name: swap for name, swap in self._swaps.items() if name in outdated}
         # The oldest weights first: the bound is nearest for them.
         for target, model in sorted(pairs, key=lambda pair: pair[0].weights[pair[1]]):
             name = target.target_id
@@ -116,7 +116,7 @@
                 continue
             group = self._roster.of_service(target.entry.service)
             taken = sum(1 for member in group if member.target_id in self._swaps)
-            begun = taken + sum(1 for member in group if member.target_id not in behind)
+            begun = taken + sum(1 for member in group if member.target_id not in outdated)
             progress = self._weights.swap_progress(model, target.weights[model], now_s)
             due = math.ceil(len(group) * progress)
             if begun < due and taken < math.ceil(len(group) * SWAP_SHARE):
@@ -148,7 +148,7 @@
     def step(self, now_s: float, fence: int) -> list[PollReport | OrderWeights]:
         """Return what is due; only called while orders may be sent."""
         actions: list[PollReport | OrderWeights] = []
-        for target, model in self.behind():
+        for target, model in self.outdated():
             swap = self._swaps.get(target.target_id)
             if swap is None:
                 continue
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -88,7 +88,7 @@
         self._weights.swapping = self._duty.swapping(now_s)
         replaced = self._weights.replaced_namespaces(owners)
         stale = self._retirement.has_work(replaced)
-        has_work = (bool(self._rollout.behind()) or stale) and not stopping
+        has_work = (bool(self._rollout.outdated()) or stale) and not stopping
         may_order = self._duty.may_order(now_s)
         work = RolloutState((), {}, {})
         if may_order:
@@ -116,7 +116,7 @@
         """
         in_use = {
             model
-            for target, model in self._rollout.behind()
+            for target, model in self._rollout.outdated()
             if not self._weights.is_overdue(model, target.weights[model], now_s)
         }
         named = self._weights.named
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -121,7 +121,7 @@
                 weights = {"m": 2} if count else dict(target.weights)
                 rollout.on_report(ReportReceived(action.target_id, count, False, weights, now_s))
     assert sorted(ordered) == [f"r{number}" for number in range(6)]
-    assert rollout.behind() == []
+    assert rollout.outdated() == []
 
 
 def test_an_order_carries_the_count_of_orders_that_its_runner_has_accepted() -> None:
