--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -85,7 +85,7 @@
     Guard(
         "old weights get no call past the bound",
         "version/weights_view.py",
-        "return self.behind_for_s(model, version, now_s) > OVERDUE_SHARE * self._version_s",
+        "return self.behind_for_s(model, version, now_s) > OVERDUE_FRACTION * self._version_s",
         "return False",
         "tests/test_gateway_core.py::" "test_old_weights_get_no_call_once_their_bound_is_near",
     ),
--- a/filbertstream/version/weights_view.py
+++ b/filbertstream/version/weights_view.py
@@ -11,7 +11,7 @@
 from filbertstream.names import digest_text
 from filbertstream.process.roster import Roster, RosterTarget
 
-OVERDUE_SHARE: Final = 0.75
+OVERDUE_FRACTION: Final = 0.75
 """The share of the bound for old weights after which they get no call: calls wait at runners."""
 
 LISTED_SHARE: Final = 0.5
@@ -86,7 +86,7 @@
 
     def is_overdue(self, model: str, version: int, now_s: float) -> bool:
         """Whether the bound for a version is so near that calls should not begin on it."""
-        return self.behind_for_s(model, version, now_s) > OVERDUE_SHARE * self._version_s
+        return self.behind_for_s(model, version, now_s) > OVERDUE_FRACTION * self._version_s
 
     def swap_progress(self, model: str, version: int, now_s: float) -> float:
         """Return the share of a service's runners that may have been swapped by now.
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -6,7 +6,7 @@
 from filbertstream.process.rollout_lease import LeaseRecord, WriteLease
 from filbertstream.process.roster import Roster
 from filbertstream.version.rollout import OrderResponse, OrderWeights, ReportReceived, Rollout
-from filbertstream.version.weights_view import OVERDUE_SHARE, ROLL_OUT_SHARE, WeightsView
+from filbertstream.version.weights_view import OVERDUE_FRACTION, ROLL_OUT_SHARE, WeightsView
 from tests.gateway_world import World, entry, sends
 
 VERSION_S = 8.0
@@ -75,7 +75,7 @@
 
 def test_a_runner_is_overdue_by_the_first_version_that_it_missed() -> None:
     weights = named(2, 3, at_s=100.0, apart_s=4.0)
-    late_s = 100.0 + OVERDUE_SHARE * VERSION_S + 0.1
+    late_s = 100.0 + OVERDUE_FRACTION * VERSION_S + 0.1
     assert weights.is_overdue("m", 1, late_s)
     assert not weights.is_overdue("m", 2, late_s)
     assert not weights.is_overdue("m", 3, late_s + 100.0)
