--- a/filbertstream/version/weights_view.py
+++ b/filbertstream/version/weights_view.py
@@ -19,7 +19,7 @@
 
 NAMESPACE_DIGITS: Final = 16
 
-ROLL_OUT_SHARE: Final = 0.3
+ROLL_OUT_FRACTION: Final = 0.3
 """The share of that bound over which the swaps of a service's runners are spread; of 0.05, 0.3
 and 0.5 the one that served most on played days (docs/MEASUREMENTS-platform.md)."""
 
@@ -94,7 +94,7 @@
         A runner's cache is of no use after a swap: swapped together, all read everything again at
         the same time.
         """
-        spread_s = ROLL_OUT_SHARE * self._version_s
+        spread_s = ROLL_OUT_FRACTION * self._version_s
         return min(1.0, self.behind_for_s(model, version, now_s) / spread_s)
 
     def is_swapping(self, target: RosterTarget) -> bool:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -6,7 +6,7 @@
 from filbertstream.process.rollout_lease import LeaseRecord, WriteLease
 from filbertstream.process.roster import Roster
 from filbertstream.version.rollout import OrderResponse, OrderWeights, ReportReceived, Rollout
-from filbertstream.version.weights_view import OVERDUE_FRACTION, ROLL_OUT_SHARE, WeightsView
+from filbertstream.version.weights_view import OVERDUE_FRACTION, ROLL_OUT_FRACTION, WeightsView
 from tests.gateway_world import World, entry, sends
 
 VERSION_S = 8.0
@@ -46,7 +46,7 @@
     began = begun(Rollout(roster, named(3, at_s=100.0)), roster, 100.0, 108.0)
     times = sorted(began.values())
     assert len(times) == 10
-    assert times[-1] - 100.0 <= ROLL_OUT_SHARE * VERSION_S + 0.1
+    assert times[-1] - 100.0 <= ROLL_OUT_FRACTION * VERSION_S + 0.1
     assert all(later - earlier >= 0.1 for earlier, later in itertools.pairwise(times))
 
 
