--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -230,7 +230,7 @@
 """The share of that bound up to which another entry's word counts."""
 
 RELAYED_DUTIES: Final = Relayed(0.9, 0.0, 2.8, True)
-"""The age is less than ``version.weights_view.VIEW_S``; changes are passed on at once."""
+"""The age is less than ``version.weights_view.MAX_FETCH_VIEW_AGE_S``; changes are passed on at once."""
 
 RELAYED_ENTRIES: Final = Relayed(10.0, 0.5, math.inf)
 """A registration of an entry is a hint only: any age does."""
--- a/filbertstream/version/retirement.py
+++ b/filbertstream/version/retirement.py
@@ -11,9 +11,9 @@
 
 from filbertstream.process.cache_index import BlockKey
 from filbertstream.process.cache_stores import FETCH_TIMEOUT_S, CacheStores, FreeBlocks
-from filbertstream.version.weights_view import VIEW_S
+from filbertstream.version.weights_view import MAX_FETCH_VIEW_AGE_S
 
-FREE_AFTER_S: Final = VIEW_S + FETCH_TIMEOUT_S + 0.3
+FREE_AFTER_S: Final = MAX_FETCH_VIEW_AGE_S + FETCH_TIMEOUT_S + 0.3
 """From the retirement of a version until its parts may be freed."""
 
 PARTS_A_CALL: Final = 400
--- a/filbertstream/version/weights_view.py
+++ b/filbertstream/version/weights_view.py
@@ -29,7 +29,7 @@
 REPLACED_VERSIONS: Final = 40
 """Weight versions before the named one whose parts are looked for on stores."""
 
-VIEW_S: Final = 3.0
+MAX_FETCH_VIEW_AGE_S: Final = 3.0
 """The age of an entry's view of the duty's record up to which it fetches from stores."""
 
 
@@ -133,7 +133,9 @@
 
         Parts of retired versions may be freed; without a fresh view, any may be retired.
         """
-        return version >= self.retired.get(model, 0) and now_s - self.view_at_s < VIEW_S
+        return (
+            version >= self.retired.get(model, 0) and now_s - self.view_at_s < MAX_FETCH_VIEW_AGE_S
+        )
 
     def replaced_namespaces(self, owners: Iterable[str]) -> frozenset[str]:
         """Return the namespaces of weights that newer ones have replaced."""
--- a/tests/test_gateway_cache.py
+++ b/tests/test_gateway_cache.py
@@ -10,7 +10,7 @@
 from filbertstream.request.call_events import (
     SendCall,
 )
-from filbertstream.version.weights_view import VIEW_S
+from filbertstream.version.weights_view import MAX_FETCH_VIEW_AGE_S
 from tests.gateway_world import World, sends
 
 
@@ -109,7 +109,7 @@
     world = keeping_after(4.0)
     world.store(CacheChange(True, (world.namespace(), "shared"), 800))
     world.run(0.1)
-    world.core.weights.view_at_s = world.now_s - VIEW_S - 0.1
+    world.core.weights.view_at_s = world.now_s - MAX_FETCH_VIEW_AGE_S - 0.1
     cache = world.send().cache
     assert cache is not None
     assert not any(cache.fetch)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -39,7 +39,7 @@
 from filbertstream.request.retry_budget import SharedRetryBudget
 from filbertstream.version.retirement import FREE_AFTER_S, Retirement
 from filbertstream.version.routes import CacheStore
-from filbertstream.version.weights_view import VIEW_S
+from filbertstream.version.weights_view import MAX_FETCH_VIEW_AGE_S
 from tests.gateway_world import STORE
 
 
@@ -149,7 +149,7 @@
 def test_parts_are_freed_only_after_every_fetch_by_an_older_view_has_ended() -> None:
     from filbertstream.process.cache_stores import FETCH_TIMEOUT_S
 
-    assert FREE_AFTER_S > VIEW_S + FETCH_TIMEOUT_S
+    assert FREE_AFTER_S > MAX_FETCH_VIEW_AGE_S + FETCH_TIMEOUT_S
 
 
 def test_work_told_by_a_member_counts_until_it_falls_silent() -> None:
