--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -140,7 +140,7 @@
     Guard(
         "an old view of the duty fetches nothing",
         "version/weights_view.py",
-        " and now_s - self.view_at_s < MAX_FETCH_VIEW_AGE_S",
+        " and now_s - self.lease_observed_at_s < MAX_FETCH_VIEW_AGE_S",
         "",
         "tests/test_gateway_cache.py::" "test_an_old_view_of_the_duty_fetches_nothing_from_stores",
     ),
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -56,7 +56,7 @@
 
     def on_confirmed(self, event: DutyConfirmed, now_s: float) -> list[Action]:
         """Take in that the record was still the newest at a moment."""
-        self._weights.view_at_s = max(self._weights.view_at_s, event.sent_at_s)
+        self._weights.lease_observed_at_s = max(self._weights.lease_observed_at_s, event.sent_at_s)
         return []
 
     def on_written(self, event: DutyWritten, now_s: float) -> list[Action]:
--- a/filbertstream/version/weights_view.py
+++ b/filbertstream/version/weights_view.py
@@ -53,7 +53,7 @@
         self._listed: set[str] = set()
         self.swapping: frozenset[str] = frozenset()
         self.retired: dict[str, int] = {}
-        self.view_at_s = float("-inf")
+        self.lease_observed_at_s = float("-inf")
 
     def set_bound(self, version_s: float) -> None:
         """Go by another bound for old weights from now on."""
@@ -134,7 +134,8 @@
         Parts of retired versions may be freed; without a fresh view, any may be retired.
         """
         return (
-            version >= self.retired.get(model, 0) and now_s - self.view_at_s < MAX_FETCH_VIEW_AGE_S
+            version >= self.retired.get(model, 0)
+            and now_s - self.lease_observed_at_s < MAX_FETCH_VIEW_AGE_S
         )
 
     def replaced_namespaces(self, owners: Iterable[str]) -> frozenset[str]:
--- a/tests/test_gateway_cache.py
+++ b/tests/test_gateway_cache.py
@@ -109,7 +109,7 @@
     world = keeping_after(4.0)
     world.store(CacheChange(True, (world.namespace(), "shared"), 800))
     world.run(0.1)
-    world.core.weights.view_at_s = world.now_s - MAX_FETCH_VIEW_AGE_S - 0.1
+    world.core.weights.lease_observed_at_s = world.now_s - MAX_FETCH_VIEW_AGE_S - 0.1
     cache = world.send().cache
     assert cache is not None
     assert not any(cache.fetch)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -354,10 +354,10 @@
     (action,) = world.tell(shown)
     assert action.address == f"tcp://{FOLLOWER}"
     follower = Fleet()
-    view_at_s = follower.core.weights.view_at_s
+    lease_observed_at_s = follower.core.weights.lease_observed_at_s
     follower.tell(PeerMessage(action.payload))
     assert follower.core.rollout_lease.swapping(follower.now_s) == {"r1"}
-    assert follower.core.weights.view_at_s == view_at_s
+    assert follower.core.weights.lease_observed_at_s == lease_observed_at_s
 
 
 def test_what_is_too_large_to_tell_is_read_from_the_store() -> None:
