--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -74,7 +74,7 @@
         if prompt is None:
             raise AssertionError("a prompt was to be placed and there is none")
         self._turn += 0 if prompt.blocks else 1
-        targets = self._weights.admitted(prompt.model, candidates, now_s)
+        targets = self._weights.eligible_targets(prompt.model, candidates, now_s)
         limits = headroom(call.route.queue_limit_s, call.urgency)
         request = self._ask(call, prompt, engine, targets, limits)
         registered = self._roster.names_of(call.service.name)
--- a/filbertstream/version/weights_view.py
+++ b/filbertstream/version/weights_view.py
@@ -103,7 +103,9 @@
             return False
         return any(version < self.named.get(model, 0) for model, version in target.weights.items())
 
-    def admitted(self, model: str, targets: list[RosterTarget], now_s: float) -> list[RosterTarget]:
+    def eligible_targets(
+        self, model: str, targets: list[RosterTarget], now_s: float
+    ) -> list[RosterTarget]:
         """Leave out runners on older weights once the bound for them is near."""
         named = self.named.get(model)
         if named is None:
