--- a/filbertstream/request/admission.py
+++ b/filbertstream/request/admission.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from filbertstream.version.routes import Terms
+from filbertstream.version.routes import WorkspaceLimits
 
 RATE_BURST_S: Final = 1.0
 """The rate limit is enforced over this much time."""
@@ -39,7 +39,7 @@
         self._share = share
         self._uses: dict[str, _Use] = {}
 
-    def begin(self, workspace: str, terms: Terms, now_s: float) -> Shortage | None:
+    def begin(self, workspace: str, terms: WorkspaceLimits, now_s: float) -> Shortage | None:
         """Count a call in, or tell why not."""
         use = self._uses.setdefault(workspace, _Use(now_s))
         share = self._share()
--- a/filbertstream/version/compiled.py
+++ b/filbertstream/version/compiled.py
@@ -19,8 +19,8 @@
     Engine,
     Route,
     Service,
-    Terms,
     Workspace,
+    WorkspaceLimits,
 )
 
 METHODS: Final = ("GET", "POST", "PUT", "PATCH", "DELETE")
@@ -139,7 +139,7 @@
 
 
 def _workspace(grant: Grant) -> Workspace:
-    terms = Terms(
+    terms = WorkspaceLimits(
         grant.models | grant.services,
         grant.limits.concurrent,
         grant.limits.requests_per_s,
--- a/filbertstream/version/routes.py
+++ b/filbertstream/version/routes.py
@@ -115,7 +115,7 @@
     store: CacheStore | None = None
 
 
-class Terms(NamedTuple):
+class WorkspaceLimits(NamedTuple):
     """What a workspace may use and what it expects, where the operators state that.
 
     ``services`` names what it may call.  ``concurrent`` and ``calls_per_s`` hold over all entries
@@ -149,7 +149,7 @@
     name: str
     dedicated: bool = False
     priority: int | None = None
-    terms: Terms | None = None
+    terms: WorkspaceLimits | None = None
 
 
 class CallerLimits(NamedTuple):
