--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -100,7 +100,7 @@
     Guard(
         "a workspace keeps to its limits",
         "request/admission.py",
-        "if use.running >= max(1.0, terms.concurrent * share):",
+        "if use.running >= max(1.0, workspace_limits.concurrent * share):",
         "if False:",
         "tests/test_whole_path.py::"
         "test_a_workspace_over_its_limits_is_refused_and_others_are_served",
--- a/filbertstream/connection/v1_port.py
+++ b/filbertstream/connection/v1_port.py
@@ -114,10 +114,10 @@
                 return
             workspace = found
         config = self._core.authorizer.config
-        if workspace is None or workspace.terms is None or config is None:
+        if workspace is None or workspace.workspace_limits is None or config is None:
             self._reject(conn, request_id, Rejection(UNAUTHORIZED, "unauthorized", ""))
             return
-        permitted = workspace.terms.services
+        permitted = workspace.workspace_limits.services
         models = sorted(
             route.name
             for route in config.routes
--- a/filbertstream/request/admission.py
+++ b/filbertstream/request/admission.py
@@ -39,13 +39,15 @@
         self._share = share
         self._uses: dict[str, _Use] = {}
 
-    def begin(self, workspace: str, terms: WorkspaceLimits, now_s: float) -> Shortage | None:
+    def begin(
+        self, workspace: str, workspace_limits: WorkspaceLimits, now_s: float
+    ) -> Shortage | None:
         """Count a call in, or tell why not."""
         use = self._uses.setdefault(workspace, _Use(now_s))
         share = self._share()
-        if use.running >= max(1.0, terms.concurrent * share):
+        if use.running >= max(1.0, workspace_limits.concurrent * share):
             return Shortage("concurrency", CONCURRENCY_RETRY_S)
-        rate = terms.calls_per_s * share
+        rate = workspace_limits.calls_per_s * share
         self._refill(use, rate, now_s)
         tokens = use.tokens or 0.0
         if tokens < 1.0:
--- a/filbertstream/request/authorization.py
+++ b/filbertstream/request/authorization.py
@@ -134,13 +134,13 @@
 
 def _by_terms(route: Route, workspace: Workspace, head: CallHead) -> Admitted | Refused:
     """Check a call against what its workspace may use."""
-    terms = workspace.terms
-    if terms is not None:
-        if any(backend.service not in terms.services for backend in route.backends):
+    workspace_limits = workspace.workspace_limits
+    if workspace_limits is not None:
+        if any(backend.service not in workspace_limits.services for backend in route.backends):
             return Refused(FORBIDDEN, "not_permitted")
-        if head.prompt is not None and head.prompt.tokens > terms.prompt_tokens:
+        if head.prompt is not None and head.prompt.tokens > workspace_limits.prompt_tokens:
             return Refused(TOO_LARGE, "too_large")
-        route = terms.fit(route)
+        route = workspace_limits.fit(route)
     if route.once_by_key and head.idempotency_key is None:
         return Refused(BAD_REQUEST, "key_required")
     return Admitted(route, workspace)
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -130,8 +130,10 @@
             refused = Refused(UNAVAILABLE, "no_service", NO_TARGET_RETRY_S)
             return self._refuse(event, refused, now_s)
         workspace = admitted.workspace
-        if workspace is not None and workspace.terms is not None:
-            shortage = self._parts.admission.begin(workspace.name, workspace.terms, now_s)
+        if workspace is not None and workspace.workspace_limits is not None:
+            shortage = self._parts.admission.begin(
+                workspace.name, workspace.workspace_limits, now_s
+            )
             if shortage is not None:
                 refused = Refused(TOO_MANY, shortage.code, shortage.retry_after_s)
                 return self._refuse(event, refused, now_s)
@@ -478,12 +480,14 @@
         del self.calls[call.call_id]
         self._parts.counters.add("calls_ended", outcome)
         workspace = call.workspace
-        if workspace is not None and workspace.terms is not None:
-            terms = workspace.terms
+        if workspace is not None and workspace.workspace_limits is not None:
+            workspace_limits = workspace.workspace_limits
             self._parts.admission.end(workspace.name)
-            late = call.first_s is not None and call.first_s > terms.first_token_s
+            late = call.first_s is not None and call.first_s > workspace_limits.first_token_s
             missed = late or outcome not in SERVED
-            self._parts.burn.note(workspace.name, terms.within, now_s, missed, call.first_s)
+            self._parts.burn.note(
+                workspace.name, workspace_limits.within, now_s, missed, call.first_s
+            )
         settled = self._parts.idempotency_keys.end(call, response, now_s)
         return [*settled, call_logs.finished(call, outcome, now_s)]
 
--- a/filbertstream/version/compiled.py
+++ b/filbertstream/version/compiled.py
@@ -139,7 +139,7 @@
 
 
 def _workspace(grant: Grant) -> Workspace:
-    terms = WorkspaceLimits(
+    workspace_limits = WorkspaceLimits(
         grant.models | grant.services,
         grant.limits.concurrent,
         grant.limits.requests_per_s,
@@ -149,4 +149,4 @@
         grant.objectives.deadline_s,
         grant.objectives.within,
     )
-    return Workspace(grant.workspace, True, MOST_URGENT - grant.priority, terms)
+    return Workspace(grant.workspace, True, MOST_URGENT - grant.priority, workspace_limits)
--- a/filbertstream/version/routes.py
+++ b/filbertstream/version/routes.py
@@ -149,7 +149,7 @@
     name: str
     dedicated: bool = False
     priority: int | None = None
-    terms: WorkspaceLimits | None = None
+    workspace_limits: WorkspaceLimits | None = None
 
 
 class CallerLimits(NamedTuple):
