--- a/filbertstream/version/routes.py
+++ b/filbertstream/version/routes.py
@@ -131,7 +131,7 @@
     deadline_s: float
     within: float
 
-    def fit(self, route: Route) -> Route:
+    def apply_to(self, route: Route) -> Route:
         """Return the route with this workspace's own objectives."""
         if route.kind is not CallKind.STREAM:
             return route._replace(timeout_s=self.deadline_s)
