--- a/filbertstream/request/authorization.py
+++ b/filbertstream/request/authorization.py
@@ -141,6 +141,6 @@
         if head.prompt is not None and head.prompt.tokens > workspace_limits.prompt_tokens:
             return Refused(TOO_LARGE, "too_large")
         route = workspace_limits.apply_to(route)
-    if route.once_by_key and head.idempotency_key is None:
+    if route.needs_idempotency_key and head.idempotency_key is None:
         return Refused(BAD_REQUEST, "key_required")
     return Admitted(route, workspace)
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -146,7 +146,7 @@
         self.calls[call.call_id] = call
         self._parts.budget.note_call(service.name, now_s)
         self._parts.counters.add("calls", route.kind.value)
-        if route.once_by_key and head.idempotency_key is not None:
+        if route.needs_idempotency_key and head.idempotency_key is not None:
             call.claiming = True
             return [self._parts.idempotency_keys.claim(call, head.idempotency_key)]
         return self._send(call, now_s)
--- a/filbertstream/version/compiled.py
+++ b/filbertstream/version/compiled.py
@@ -121,7 +121,7 @@
                 LONGEST_S,
                 SERVICE_OBJECTIVE_S,
                 1 if once else ATTEMPTS,
-                once_by_key=once,
+                needs_idempotency_key=once,
             )
         )
     return routes
--- a/filbertstream/version/routes.py
+++ b/filbertstream/version/routes.py
@@ -38,7 +38,7 @@
     ``attempts`` bounds the targets that one call may run on.  ``objective_s`` is the latency
     objective (streams: to the first event), ``gap_objective_s`` the longest pause between events.
     ``priority`` 0 is the most urgent.  ``anonymous`` calls need no key.
-    With ``once_by_key`` a call needs an idempotency key and runs once for it, whichever entry gets
+    With ``needs_idempotency_key`` a call needs an idempotency key and runs once for it, whichever entry gets
     it.  ``wait_s`` is how long callers would rather wait than be turned away, where that is longer
     than the objective.
     """
@@ -55,7 +55,7 @@
     anonymous: bool = False
     resumable: bool = False
     gap_objective_s: float | None = None
-    once_by_key: bool = False
+    needs_idempotency_key: bool = False
     wait_s: float | None = None
 
     @property
