--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -48,7 +48,7 @@
     Guard(
         "only repeatable calls are repeated",
         "request/forwarding.py",
-        "if not call.route.repeatable or call.attempts",
+        "if not call.route.retryable or call.attempts",
         "if call.attempts - 1",
         "tests/test_gateway_core.py::"
         "test_a_booking_that_may_have_run_is_sent_once_and_never_refused_as_not_run",
@@ -291,7 +291,7 @@
     Guard(
         "any order of answers: what is not repeatable runs once",
         "request/forwarding.py",
-        "if not call.route.repeatable or call.attempts",
+        "if not call.route.retryable or call.attempts",
         "if call.attempts - 1",
         "tests/test_calls_machine.py::TestCalls",
     ),
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -354,7 +354,7 @@
 
     def _may_repeat(self, call: Call, now_s: float) -> bool:
         """Whether a call that may have run may be sent once more, and take it from the budget."""
-        if not call.route.repeatable or call.attempts >= call.route.attempts:
+        if not call.route.retryable or call.attempts >= call.route.attempts:
             return False
         if now_s >= call.ends_at_s or not self._candidates(call, now_s):
             return False
@@ -522,7 +522,7 @@
         return [cancel, log, *self._send(call, now_s)]
 
     def _is_overdue(self, call: Call, now_s: float) -> bool:
-        if call.target is None or not call.route.repeatable:
+        if call.target is None or not call.route.retryable:
             return False
         usual_s = self._parts.latencies.mean_s(call.route.name)
         rate = call.target.prefill.rate_per_s
--- a/filbertstream/request/send_timeouts.py
+++ b/filbertstream/request/send_timeouts.py
@@ -46,7 +46,7 @@
     """Return how long a connection that is taken for a call may have been idle."""
     if call.failed_sends:
         return 0.0
-    return KEPT_IDLE_S if call.route.repeatable else FRESH_IDLE_S
+    return KEPT_IDLE_S if call.route.retryable else FRESH_IDLE_S
 
 
 def progress_timeout_s(call: Call) -> float:
--- a/filbertstream/version/routes.py
+++ b/filbertstream/version/routes.py
@@ -64,7 +64,7 @@
         return self.objective_s if self.wait_s is None else self.wait_s
 
     @property
-    def repeatable(self) -> bool:
+    def retryable(self) -> bool:
         """Whether a call may run more than once."""
         return self.kind is CallKind.IDEMPOTENT or (self.kind is CallKind.STREAM and self.resumable)
 
--- a/tests/test_calls_machine.py
+++ b/tests/test_calls_machine.py
@@ -155,7 +155,7 @@
     @invariant()
     def what_is_not_repeatable_runs_once(self) -> None:
         for call_id, name in self.routes.items():
-            if not KINDS[name].repeatable:
+            if not KINDS[name].retryable:
                 assert len(self._may_have_run(call_id)) <= 1, (call_id, name)
 
     @invariant()
