--- a/filbertstream/connection/document_store.py
+++ b/filbertstream/connection/document_store.py
@@ -101,7 +101,7 @@
                 pass
         if base is not None and base != held.revision:
             return ApplyEnded("lost", held.revision, "the documents have changed since")
-        faults = held.view.faults_of(found)
+        faults = held.view.find_conflicts(found)
         if faults:
             return ApplyEnded("invalid", held.revision, "; ".join(faults))
         for change in found:
--- a/filbertstream/version/resolve.py
+++ b/filbertstream/version/resolve.py
@@ -96,7 +96,7 @@
         self.grants[name] = merge(template, workspace)
         self.keys.update(dict.fromkeys(workspace.keys, name))
 
-    def faults_of(self, changes: list[Change]) -> list[str]:
+    def find_conflicts(self, changes: list[Change]) -> list[str]:
         """Return what would contradict itself with the changes in force, a sentence each."""
         overlay: dict[DocumentId, Document] = {}
         gone: set[DocumentId] = set()
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -83,10 +83,10 @@
     view = View()
     *before, last = CONTRADICTIONS[case]
     if not together:
-        assert view.faults_of(before) == []
+        assert view.find_conflicts(before) == []
         for change in before:
             view.put(change)
-    assert len(view.faults_of([last] if not together else [*before, last])) == 1
+    assert len(view.find_conflicts([last] if not together else [*before, last])) == 1
 
 
 def test_a_name_or_a_key_that_was_given_up_may_be_taken() -> None:
@@ -94,7 +94,7 @@
     for change in CONTRADICTIONS["a service named like a model"][:1]:
         view.put(change)
     taken = [Removal("removal", "x", "model"), Service("service", "x")]
-    assert view.faults_of(taken) == []
+    assert view.find_conflicts(taken) == []
 
 
 def test_unknown_and_wrong_settings_are_all_named(tmp_path: Path) -> None:
