--- a/filbertstream/connection/document_store.py
+++ b/filbertstream/connection/document_store.py
@@ -30,7 +30,7 @@
     decode_changes,
     to_plain,
 )
-from filbertstream.version.resolve import View
+from filbertstream.version.resolve import DocumentSet
 from filbertstream.version.routes import CallerLimits
 
 Tell = Callable[[Any], None]
@@ -40,7 +40,7 @@
     """The documents of a revision; 0 where none were written yet."""
 
     revision: int
-    view: View
+    view: DocumentSet
 
 
 class ApplyEnded(NamedTuple):
@@ -85,7 +85,11 @@
             case Err(fault):
                 return Err(fault.value)
             case Ok(stored):
-                return Ok(HeldDocuments(0, View())) if stored is None else decode_documents(stored)
+                return (
+                    Ok(HeldDocuments(0, DocumentSet()))
+                    if stored is None
+                    else decode_documents(stored)
+                )
 
     def apply(self, changes: bytes, base: int | None) -> ApplyEnded:
         """Write the documents with changes, if they are still at the revision ``base``."""
@@ -146,7 +150,7 @@
         """Tell what is there, or that there is nothing yet."""
         found = [item for item in listing.objects if item.name == DOCUMENTS_NAME]
         if not found:
-            empty = compile_view(View(), 0, self._limits)
+            empty = compile_view(DocumentSet(), 0, self._limits)
             tell(ConfigurationSeen(empty, listing.sent_at_s))
         for stored in found:
             self._tell(stored, listing.sent_at_s, True, tell)
--- a/filbertstream/version/compiled.py
+++ b/filbertstream/version/compiled.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from filbertstream.version import documents as docs
-from filbertstream.version.resolve import Grant, View
+from filbertstream.version.resolve import DocumentSet, Grant
 from filbertstream.version.routes import (
     Backend,
     CacheStore,
@@ -51,7 +51,7 @@
     return f"{method.lower()}.{service}.services"
 
 
-def compile_view(view: View, revision: int, limits: CallerLimits) -> Configuration:
+def compile_view(view: DocumentSet, revision: int, limits: CallerLimits) -> Configuration:
     """Return the configuration of a view; ``revision`` becomes its version."""
     routes: list[Route] = []
     services: dict[str, Service] = {}
@@ -77,9 +77,9 @@
     )
 
 
-def view_of(documents: Iterable[docs.Document]) -> View:
+def view_of(documents: Iterable[docs.Document]) -> DocumentSet:
     """Return a view of documents."""
-    view = View()
+    view = DocumentSet()
     for document in documents:
         view.put(document)
     return view
--- a/filbertstream/version/resolve.py
+++ b/filbertstream/version/resolve.py
@@ -1,6 +1,6 @@
 """What a workspace may do: its template merged with its parameters.
 
-``View`` holds the documents of one revision and checks that a change doesn't contradict them.
+``DocumentSet`` holds the documents of one revision and checks that a change doesn't contradict them.
 """
 
 from collections import ChainMap
@@ -40,7 +40,7 @@
     objectives: Objectives
 
 
-class View:
+class DocumentSet:
     """The documents of the revision in force and what follows from them."""
 
     def __init__(self) -> None:
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -17,7 +17,7 @@
     encode_changes,
     parse_yaml,
 )
-from filbertstream.version.resolve import View
+from filbertstream.version.resolve import DocumentSet
 
 ROOT = Path(__file__).parent.parent
 DEPLOYMENTS = ("cwmdu", "alfombras-limpias")
@@ -80,7 +80,7 @@
 @pytest.mark.parametrize("together", [True, False], ids=["one change", "one after the other"])
 @pytest.mark.parametrize("case", CONTRADICTIONS)
 def test_documents_that_contradict_each_other_are_refused(case: str, together: bool) -> None:
-    view = View()
+    view = DocumentSet()
     *before, last = CONTRADICTIONS[case]
     if not together:
         assert view.find_conflicts(before) == []
@@ -90,7 +90,7 @@
 
 
 def test_a_name_or_a_key_that_was_given_up_may_be_taken() -> None:
-    view = View()
+    view = DocumentSet()
     for change in CONTRADICTIONS["a service named like a model"][:1]:
         view.put(change)
     taken = [Removal("removal", "x", "model"), Service("service", "x")]
