--- a/filbertstream/connection/document_store.py
+++ b/filbertstream/connection/document_store.py
@@ -21,7 +21,7 @@
     StoreFault,
     Written,
 )
-from filbertstream.version.compiled import compile_view, view_of
+from filbertstream.version.compiled import compile_view, document_set
 from filbertstream.version.documents import (
     Document,
     Model,
@@ -70,7 +70,7 @@
                 return Err("a removal among the documents")
             case Err(mistakes):
                 return Err("; ".join(str(mistake) for mistake in mistakes))
-    return Ok(HeldDocuments(stored.revision, view_of(documents)))
+    return Ok(HeldDocuments(stored.revision, document_set(documents)))
 
 
 class DocumentStore:
--- a/filbertstream/version/compiled.py
+++ b/filbertstream/version/compiled.py
@@ -77,7 +77,7 @@
     )
 
 
-def view_of(documents: Iterable[docs.Document]) -> DocumentSet:
+def document_set(documents: Iterable[docs.Document]) -> DocumentSet:
     """Return a view of documents."""
     view = DocumentSet()
     for document in documents:
