--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -27,7 +27,7 @@
 from filbertstream.request.call import CallHead, IdempotencyKey, Prompt, PromptBlock
 from filbertstream.request.call_events import CallArrived, CallerDisconnected
 from filbertstream.request.idempotency_keys import KeyRecord, KeyState
-from filbertstream.version.compiled import compile_view, document_set, model_host, service_host
+from filbertstream.version.compiled import compile_documents, document_set, model_host, service_host
 from filbertstream.version.documents import Document, Limits, Model, Service, Template, Workspace
 from filbertstream.version.routes import CallerLimits
 
@@ -95,7 +95,7 @@
 def core_with(runners: int) -> Gateway:
     """Return a core that knows so many runners."""
     core = Gateway(GatewayConfig("e", 1, "dc1", BOUNDS, "tcp://e", 1))
-    config = compile_view(document_set(documents(1)), 1, CallerLimits())
+    config = compile_documents(document_set(documents(1)), 1, CallerLimits())
     core.step(NOW_S, ConfigurationSeen(config, NOW_S))
     core.step(NOW_S, TargetsListed(tuple(entry_of(number) for number in range(runners))))
     return core
@@ -184,7 +184,7 @@
     found = documents(workspaces)
 
     def compile_all(number: int) -> None:
-        compile_view(document_set(found), number, CallerLimits())
+        compile_documents(document_set(found), number, CallerLimits())
 
     return each_us(compile_all, max(1, 2_000 // workspaces))
 
@@ -192,7 +192,7 @@
 def config_bytes(workspaces: int) -> float:
     """Measure what an entry keeps of a configuration."""
     found = documents(workspaces)
-    return bytes_of(lambda: compile_view(document_set(found), 1, CallerLimits()))
+    return bytes_of(lambda: compile_documents(document_set(found), 1, CallerLimits()))
 
 
 def documents_bytes(workspaces: int) -> float:
--- a/filbertstream/connection/document_store.py
+++ b/filbertstream/connection/document_store.py
@@ -21,7 +21,7 @@
     StoreFault,
     Written,
 )
-from filbertstream.version.compiled import compile_view, document_set
+from filbertstream.version.compiled import compile_documents, document_set
 from filbertstream.version.documents import (
     Document,
     Model,
@@ -150,7 +150,7 @@
         """Tell what is there, or that there is nothing yet."""
         found = [item for item in listing.objects if item.name == DOCUMENTS_NAME]
         if not found:
-            empty = compile_view(DocumentSet(), 0, self._limits)
+            empty = compile_documents(DocumentSet(), 0, self._limits)
             tell(ConfigurationSeen(empty, listing.sent_at_s))
         for stored in found:
             self._tell(stored, listing.sent_at_s, True, tell)
@@ -169,7 +169,7 @@
             case Err(reason):
                 tell(StoreAnswered(DOCUMENTS_KIND, False, f"unreadable: {reason}"))
             case Ok(held):
-                config = compile_view(held.view, held.revision, self._limits)
+                config = compile_documents(held.view, held.revision, self._limits)
                 tell(ConfigurationSeen(config, sent_at_s))
                 for document in held.view.documents.values():
                     if isinstance(document, Model):
--- a/filbertstream/version/compiled.py
+++ b/filbertstream/version/compiled.py
@@ -51,7 +51,7 @@
     return f"{method.lower()}.{service}.services"
 
 
-def compile_view(view: DocumentSet, revision: int, limits: CallerLimits) -> Configuration:
+def compile_documents(view: DocumentSet, revision: int, limits: CallerLimits) -> Configuration:
     """Return the configuration of a view; ``revision`` becomes its version."""
     routes: list[Route] = []
     services: dict[str, Service] = {}
