--- a/filbertstream/checks.py
+++ b/filbertstream/checks.py
@@ -12,7 +12,7 @@
     from pydantic import ValidationError
 
 
-class Mistake(NamedTuple):
+class ConfigError(NamedTuple):
     """One mistake in a file: the place, the key, and what would be right there."""
 
     file: str
@@ -53,12 +53,14 @@
     return None
 
 
-def collect_mistakes(exc: "ValidationError", file: str, node: yaml.Node | None) -> list[Mistake]:
+def collect_mistakes(
+    exc: "ValidationError", file: str, node: yaml.Node | None
+) -> list[ConfigError]:
     """Return every mistake of a failed check, in the order of the fields."""
     mistakes = []
     for error in exc.errors():
         key = ".".join(str(part) for part in error["loc"])
-        mistake = Mistake(file, 0, key, _remedy(error["type"], error["msg"]))
+        mistake = ConfigError(file, 0, key, _remedy(error["type"], error["msg"]))
         mistakes.append(mistake if node is None else mistake.located(file, node))
     return mistakes
 
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -18,7 +18,7 @@
 from result import Err, Ok, Result
 
 from filbertstream.actions import Log
-from filbertstream.checks import Mistake
+from filbertstream.checks import ConfigError
 from filbertstream.connection.gateway_edge import GatewayEdge
 from filbertstream.connection.gateway_status import StatusConnection, metrics_text
 from filbertstream.connection.key_store import KeyStore
@@ -282,7 +282,7 @@
                 fields = (("mistakes", "; ".join(str(mistake) for mistake in mistakes)),)
                 self._log.write(LogEvent.SETTINGS_REJECTED, fields)
 
-    def _read_deployment(self) -> Result[Deployment, list[Mistake]]:
+    def _read_deployment(self) -> Result[Deployment, list[ConfigError]]:
         if self._setup is None:
             return read_boot(self._settings_file)
         return self._setup.read(self._settings_file)
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -1,7 +1,7 @@
 """Reads the settings file that the platform writes for each process.
 
 Unknown keys are ignored, since the platform adds some over time; a missing or malformed key gives a
-``Mistake`` with its line.
+``ConfigError`` with its line.
 """
 
 import re
@@ -12,7 +12,7 @@
 import yaml
 from result import Err, Ok, Result
 
-from filbertstream.checks import Mistake
+from filbertstream.checks import ConfigError
 from filbertstream.process.deployment import Address, Bounds, Deployment
 
 BOOT_VARIABLE: Final = "FILBERTSTREAM_BOOT"
@@ -78,7 +78,7 @@
     return Address(host, int(port))
 
 
-def read_boot(path: Path) -> Result[Deployment, list[Mistake]]:
+def read_boot(path: Path) -> Result[Deployment, list[ConfigError]]:
     """Return the deployment that a settings file describes, or the first mistake in it."""
     file = str(path)
     try:
@@ -86,9 +86,9 @@
         node = yaml.compose(text, Loader=yaml.CSafeLoader)
         raw: Any = yaml.load(text, Loader=yaml.CSafeLoader)
     except OSError as exc:
-        return Err([Mistake(file, 0, "", f"a readable file ({exc.strerror})")])
+        return Err([ConfigError(file, 0, "", f"a readable file ({exc.strerror})")])
     except yaml.YAMLError:
-        return Err([Mistake(file, 0, "", "well-formed YAML")])
+        return Err([ConfigError(file, 0, "", "well-formed YAML")])
     try:
         boot = msgspec.convert(raw, _Boot)
     except msgspec.ValidationError as exc:
@@ -97,19 +97,19 @@
         found = _malformed_address(boot)
         if found is None:
             return Ok(_deployment(boot))
-        mistake = Mistake(file, 0, found, ADDRESS_FORM)
+        mistake = ConfigError(file, 0, found, ADDRESS_FORM)
     return Err([mistake.located(file, node) if node is not None else mistake._replace(file=file)])
 
 
-def _mistake(message: str) -> Mistake:
+def _mistake(message: str) -> ConfigError:
     """Return the mistake that a message of msgspec tells: what was expected, and at which key."""
     said, _, path = message.partition(" - at `$")
     key = path.removesuffix("`").removeprefix(".")
     missing = MISSING_FIELD.search(said)
     if missing is not None:
         key = f"{key}.{missing[1]}" if key else missing[1]
-        return Mistake("", 0, key, "this key, which is required")
-    return Mistake("", 0, key, said.removeprefix("Expected ").replace("`", ""))
+        return ConfigError("", 0, key, "this key, which is required")
+    return ConfigError("", 0, key, said.removeprefix("Expected ").replace("`", ""))
 
 
 def _malformed_address(boot: _Boot) -> str | None:
