--- a/filbertstream/checks.py
+++ b/filbertstream/checks.py
@@ -20,7 +20,7 @@
     key: str
     right: str
 
-    def located(self, file: str, node: yaml.Node) -> "Mistake":
+    def located(self, file: str, node: yaml.Node) -> "ConfigError":
         """Return the same mistake with its file and the line that ``key`` has under ``node``."""
         return self._replace(file=file, line=line_of(node, self.key))
 
