--- a/filbertstream/checks.py
+++ b/filbertstream/checks.py
@@ -53,9 +53,7 @@
     return None
 
 
-def collect_mistakes(
-    exc: "ValidationError", file: str, node: yaml.Node | None
-) -> list[ConfigError]:
+def collect_errors(exc: "ValidationError", file: str, node: yaml.Node | None) -> list[ConfigError]:
     """Return every mistake of a failed check, in the order of the fields."""
     mistakes = []
     for error in exc.errors():
--- a/filbertstream/process/settings.py
+++ b/filbertstream/process/settings.py
@@ -15,7 +15,7 @@
 from pydantic import Field, StringConstraints, TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
-from filbertstream.checks import ConfigError, collect_mistakes
+from filbertstream.checks import ConfigError, collect_errors
 from filbertstream.process import deployment as deploy
 from filbertstream.version.documents import Digest, Name
 
@@ -141,7 +141,7 @@
     try:
         settings = _ADAPTER.validate_python(raw)
     except ValidationError as exc:
-        return Err(collect_mistakes(exc, file, node))
+        return Err(collect_errors(exc, file, node))
     missing = [item for item in _files(settings) if files and not item[1].is_file()]
     if missing:
         faults = [ConfigError(file, 0, key, f"an existing file ({path})") for key, path in missing]
--- a/filbertstream/version/documents.py
+++ b/filbertstream/version/documents.py
@@ -14,7 +14,7 @@
 from pydantic import Field, StringConstraints, TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
-from filbertstream.checks import ConfigError, collect_mistakes
+from filbertstream.checks import ConfigError, collect_errors
 
 Name: TypeAlias = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Digest: TypeAlias = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
@@ -148,7 +148,7 @@
     try:
         change: Change = adapter.validate_python(raw)
     except ValidationError as exc:
-        return Err(collect_mistakes(exc, "", None))
+        return Err(collect_errors(exc, "", None))
     return Ok(change)
 
 
