--- a/filbertstream/checks.py
+++ b/filbertstream/checks.py
@@ -20,7 +20,7 @@
     key: str
     right: str
 
-    def located(self, file: str, node: yaml.Node) -> "ConfigError":
+    def with_location(self, file: str, node: yaml.Node) -> "ConfigError":
         """Return the same mistake with its file and the line that ``key`` has under ``node``."""
         return self._replace(file=file, line=line_of(node, self.key))
 
@@ -59,7 +59,7 @@
     for error in exc.errors():
         key = ".".join(str(part) for part in error["loc"])
         mistake = ConfigError(file, 0, key, _remedy(error["type"], error["msg"]))
-        mistakes.append(mistake if node is None else mistake.located(file, node))
+        mistakes.append(mistake if node is None else mistake.with_location(file, node))
     return mistakes
 
 
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -98,7 +98,9 @@
         if found is None:
             return Ok(_deployment(boot))
         mistake = ConfigError(file, 0, found, ADDRESS_FORM)
-    return Err([mistake.located(file, node) if node is not None else mistake._replace(file=file)])
+    return Err(
+        [mistake.with_location(file, node) if node is not None else mistake._replace(file=file)]
+    )
 
 
 def _mistake(message: str) -> ConfigError:
--- a/filbertstream/process/settings.py
+++ b/filbertstream/process/settings.py
@@ -145,7 +145,7 @@
     missing = [item for item in _files(settings) if files and not item[1].is_file()]
     if missing:
         faults = [ConfigError(file, 0, key, f"an existing file ({path})") for key, path in missing]
-        return Err([fault.located(file, node) for fault in faults])
+        return Err([fault.with_location(file, node) for fault in faults])
     return Ok(settings)
 
 
--- a/filbertstream/version/documents.py
+++ b/filbertstream/version/documents.py
@@ -170,7 +170,7 @@
             case Ok(change):
                 changes.append(change)
             case Err(found):
-                mistakes += [item.located(file, node) for item in found]
+                mistakes += [item.with_location(file, node) for item in found]
     return Err(mistakes) if mistakes else Ok(changes)
 
 
