--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -18,7 +18,7 @@
 
 from bench.world import BOUNDS
 from filbertstream.gateway import Gateway, GatewayConfig
-from filbertstream.gateway_events import ConfigurationSeen, TargetSeen, TargetsListed
+from filbertstream.gateway_events import ConfigurationObserved, TargetSeen, TargetsListed
 from filbertstream.messages import EntryWork, FleetWork, FleetWorkRow, WorkRow, decode, encode
 from filbertstream.names import digest_key
 from filbertstream.process.deployment import Address
@@ -96,7 +96,7 @@
     """Return a core that knows so many runners."""
     core = Gateway(GatewayConfig("e", 1, "dc1", BOUNDS, "tcp://e", 1))
     config = compile_documents(document_set(documents(1)), 1, CallerLimits())
-    core.step(NOW_S, ConfigurationSeen(config, NOW_S))
+    core.step(NOW_S, ConfigurationObserved(config, NOW_S))
     core.step(NOW_S, TargetsListed(tuple(entry_of(number) for number in range(runners))))
     return core
 
--- a/filbertstream/connection/document_store.py
+++ b/filbertstream/connection/document_store.py
@@ -11,7 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from filbertstream.gateway_events import ConfigurationSeen, StoreAnswered, WeightsNamed
+from filbertstream.gateway_events import ConfigurationObserved, StoreAnswered, WeightsNamed
 from filbertstream.platform.documents import DOCUMENTS_KIND, DOCUMENTS_NAME
 from filbertstream.platform.objects import (
     Change,
@@ -151,7 +151,7 @@
         found = [item for item in listing.objects if item.name == DOCUMENTS_NAME]
         if not found:
             empty = compile_documents(DocumentSet(), 0, self._limits)
-            tell(ConfigurationSeen(empty, listing.sent_at_s))
+            tell(ConfigurationObserved(empty, listing.sent_at_s))
         for stored in found:
             self._tell(stored, listing.sent_at_s, True, tell)
 
@@ -162,7 +162,7 @@
 
     def on_quiet(self, sent_at_s: float, tell: Tell) -> None:
         """Tell that nothing was written."""
-        tell(ConfigurationSeen(None, sent_at_s))
+        tell(ConfigurationObserved(None, sent_at_s))
 
     def _tell(self, stored: StoredObject, sent_at_s: float, listed: bool, tell: Tell) -> None:
         match decode_documents(stored):
@@ -170,7 +170,7 @@
                 tell(StoreAnswered(DOCUMENTS_KIND, False, f"unreadable: {reason}"))
             case Ok(held):
                 config = compile_documents(held.view, held.revision, self._limits)
-                tell(ConfigurationSeen(config, sent_at_s))
+                tell(ConfigurationObserved(config, sent_at_s))
                 for document in held.view.documents.values():
                     if isinstance(document, Model):
                         tell(WeightsNamed(document.name, document.version, listed))
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -12,7 +12,7 @@
 from result import Err, Ok
 
 from filbertstream.gateway_events import (
-    ConfigurationSeen,
+    ConfigurationObserved,
     DutyConfirmed,
     DutySeen,
     EntriesListed,
@@ -104,7 +104,7 @@
         return
     match decode_configuration(stored.content):
         case Ok(config):
-            tell(ConfigurationSeen(config, sent_at_s))
+            tell(ConfigurationObserved(config, sent_at_s))
         case Err(reason):
             tell(StoreAnswered(CONFIG_KIND, False, f"unreadable: {reason}"))
 
@@ -115,7 +115,7 @@
 
 
 def _quiet_configuration(sent_at_s: float, tell: Tell) -> None:
-    tell(ConfigurationSeen(None, sent_at_s))
+    tell(ConfigurationObserved(None, sent_at_s))
 
 
 def _list_targets(listing: Listing, tell: Tell) -> None:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -12,7 +12,7 @@
 from filbertstream.actions import Log
 from filbertstream.gateway_events import (
     BoundsChanged,
-    ConfigurationSeen,
+    ConfigurationObserved,
     DutyConfirmed,
     DutySeen,
     DutyWritten,
@@ -190,7 +190,7 @@
             CallerDisconnected: self._forward(self.forwarding.on_caller_disconnected),
             KeyClaimed: self._forward(self.forwarding.on_claimed),
             KeySettled: self._on_key_settled,
-            ConfigurationSeen: self._on_configuration,
+            ConfigurationObserved: self._on_configuration,
             TargetsListed: self._on_targets,
             TargetSeen: self._on_target,
             WeightsNamed: self._on_weights,
@@ -248,7 +248,7 @@
         """
         return not self.ready(now_s) and self.peers.any_peer_current(now_s)
 
-    def _on_configuration(self, event: ConfigurationSeen, now_s: float) -> list[GatewayAction]:
+    def _on_configuration(self, event: ConfigurationObserved, now_s: float) -> list[GatewayAction]:
         self.config_freshness.confirm(event.sent_at_s)
         config = event.config
         if config is None or not self.authorizer.apply(config):
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -19,7 +19,7 @@
 from filbertstream.version.routes import Configuration
 
 
-class ConfigurationSeen(NamedTuple):
+class ConfigurationObserved(NamedTuple):
     """The store showed a configuration, or None for no change, by a call sent at that moment."""
 
     config: Configuration | None
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -9,7 +9,7 @@
 from filbertstream.connection.watched_kinds import Tell, product_kinds, show_kind
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
-    ConfigurationSeen,
+    ConfigurationObserved,
     DutyConfirmed,
     ShowKind,
     TargetsListed,
@@ -93,12 +93,12 @@
         self._tell(change.stored, sent_at_s, tell)
 
     def on_quiet(self, sent_at_s: float, tell: Tell) -> None:
-        tell(ConfigurationSeen(None, sent_at_s))
+        tell(ConfigurationObserved(None, sent_at_s))
 
     @staticmethod
     def _tell(stored: StoredObject, sent_at_s: float, tell: Tell) -> None:
         version, keys = msgspec.json.decode(stored.content)
-        tell(ConfigurationSeen(configuration(version, tuple(keys)), sent_at_s))
+        tell(ConfigurationObserved(configuration(version, tuple(keys)), sent_at_s))
 
 
 KINDS = {watched.kind: watched for watched in product_kinds(BOUNDS, PlainWatch())}
@@ -118,7 +118,7 @@
         self.core = Gateway(cfg)
         self.now_s = 100.0
         self.calls = 0
-        self.tell(ConfigurationSeen(configuration(), self.now_s))
+        self.tell(ConfigurationObserved(configuration(), self.now_s))
         self.tell(TargetsListed((*RUNNERS, *APPS)))
         self.tell(DutyConfirmed(self.now_s))
 
@@ -153,7 +153,7 @@
         return self.tell(CallArrived(self.calls, head))
 
     def confirm(self) -> None:
-        self.tell(ConfigurationSeen(None, self.now_s))
+        self.tell(ConfigurationObserved(None, self.now_s))
         self.tell(DutyConfirmed(self.now_s))
 
     def run(self, seconds: float, confirm: bool = True) -> list[Any]:
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -5,7 +5,7 @@
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     BoundsChanged,
-    ConfigurationSeen,
+    ConfigurationObserved,
     DutySeen,
     StopAsked,
     StoreAnswered,
@@ -155,7 +155,7 @@
 def test_the_age_of_a_configuration_counts_from_when_the_call_was_sent() -> None:
     world = World()
     world.now_s += 4.0
-    world.tell(ConfigurationSeen(None, world.now_s - 3.5))
+    world.tell(ConfigurationObserved(None, world.now_s - 3.5))
     world.now_s += 1.6
     assert statuses(world.arrive("read")) == [503]
 
@@ -177,8 +177,8 @@
 
 def test_a_version_never_reverts_and_a_removed_key_opens_nothing() -> None:
     world = World()
-    world.tell(ConfigurationSeen(configuration(3, keys=("new",)), world.now_s))
-    world.tell(ConfigurationSeen(configuration(2, keys=("k",)), world.now_s))
+    world.tell(ConfigurationObserved(configuration(3, keys=("new",)), world.now_s))
+    world.tell(ConfigurationObserved(configuration(2, keys=("k",)), world.now_s))
     assert statuses(world.arrive("read", key="k")) == [401]
     assert sends(world.arrive("read", key="new"))
 
@@ -256,7 +256,7 @@
         digest_key("d"): Workspace("d", dedicated=True),
         digest_key("d2"): Workspace("d2", dedicated=True),
     }
-    world.tell(ConfigurationSeen(config._replace(workspaces=workspaces), world.now_s))
+    world.tell(ConfigurationObserved(config._replace(workspaces=workspaces), world.now_s))
 
     def namespace(key: str) -> str:
         (sent,) = sends(world.arrive("draft", key=key))
--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -12,7 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
 from filbertstream.actions import SendPeer
-from filbertstream.gateway_events import ConfigurationSeen, EntrySeen, PeerMessage
+from filbertstream.gateway_events import ConfigurationObserved, EntrySeen, PeerMessage
 from filbertstream.messages import KindUpdate, ObjectRow, ViewRequest, ViewResponse
 from filbertstream.platform.documents import DOCUMENTS_KIND
 from filbertstream.process.peer_work import EntryRecord
@@ -147,7 +147,9 @@
         config = self.world.core.authorizer.config
         assert config is not None
         before = config.version
-        self.world.tell(ConfigurationSeen(configuration(max(1, before - 1)), self.world.now_s - 9))
+        self.world.tell(
+            ConfigurationObserved(configuration(max(1, before - 1)), self.world.now_s - 9)
+        )
         after = self.world.core.authorizer.config
         assert after is not None
         assert after.version == before
