--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -18,7 +18,7 @@
 
 from bench.world import BOUNDS
 from filbertstream.gateway import Gateway, GatewayConfig
-from filbertstream.gateway_events import ConfigurationObserved, TargetSeen, TargetsListed
+from filbertstream.gateway_events import ConfigurationObserved, TargetObserved, TargetsListed
 from filbertstream.messages import EntryWork, FleetWork, FleetWorkRow, WorkRow, decode, encode
 from filbertstream.names import digest_key
 from filbertstream.process.deployment import Address
@@ -128,7 +128,7 @@
 def refresh_us(runners: int) -> float:
     """Measure taking in one refreshed registration."""
     core = core_with(runners)
-    return each_us(lambda number: core.step(NOW_S, TargetSeen("r0", entry_of(0), False)))
+    return each_us(lambda number: core.step(NOW_S, TargetObserved("r0", entry_of(0), False)))
 
 
 def work_of(rows: int) -> EntryWork:
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -18,7 +18,7 @@
     EntriesListed,
     EntrySeen,
     StoreAnswered,
-    TargetSeen,
+    TargetObserved,
     TargetsListed,
     WeightsNamed,
 )
@@ -126,10 +126,10 @@
 def _change_target(change: Change, sent_at_s: float, tell: Tell) -> None:
     name = change.stored.name
     if change.removed:
-        tell(TargetSeen(name, None, True))
+        tell(TargetObserved(name, None, True))
         return
     decoded = decode_target(name, change.stored.content)
-    tell(TargetSeen(name, decoded.ok_value if isinstance(decoded, Ok) else None, False))
+    tell(TargetObserved(name, decoded.ok_value if isinstance(decoded, Ok) else None, False))
 
 
 def _list_weights(listing: Listing, tell: Tell) -> None:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -24,7 +24,7 @@
     StopAsked,
     StopProcess,
     StoreAnswered,
-    TargetSeen,
+    TargetObserved,
     TargetsListed,
     Tick,
     WeightsNamed,
@@ -192,7 +192,7 @@
             KeySettled: self._on_key_settled,
             ConfigurationObserved: self._on_configuration,
             TargetsListed: self._on_targets,
-            TargetSeen: self._on_target,
+            TargetObserved: self._on_target,
             WeightsNamed: self._on_weights,
             DutySeen: self._forward(self.weights_leader.on_seen),
             DutyConfirmed: self._forward(self.weights_leader.on_confirmed),
@@ -291,7 +291,7 @@
     def _log_target(self, name: str, state: str) -> Log:
         return Log(LogEvent.TARGET_LEAVING, (("target", name), ("state", state)))
 
-    def _on_target(self, event: TargetSeen, now_s: float) -> list[GatewayAction]:
+    def _on_target(self, event: TargetObserved, now_s: float) -> list[GatewayAction]:
         if event.entry is not None and not event.removed:
             return self._take_entry(event.entry, now_s)
         self.roster.remove(event.target_id, now_s)
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -32,7 +32,7 @@
     entries: tuple[TargetRegistration, ...]
 
 
-class TargetSeen(NamedTuple):
+class TargetObserved(NamedTuple):
     """A registration was written; ``entry`` is None where it can't be read or was removed."""
 
     target_id: str
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -9,7 +9,7 @@
     DutySeen,
     StopAsked,
     StoreAnswered,
-    TargetSeen,
+    TargetObserved,
     WeightsNamed,
 )
 from filbertstream.names import digest_key
@@ -185,9 +185,9 @@
 
 def test_a_draining_or_unreadable_target_gets_no_call() -> None:
     world = World()
-    world.tell(TargetSeen("a1", entry("a1", "app", draining=True), False))
+    world.tell(TargetObserved("a1", entry("a1", "app", draining=True), False))
     assert {sends(world.arrive("read"))[0].target_id for _ in range(9)} == {"a2"}
-    world.tell(TargetSeen("a2", None, False))
+    world.tell(TargetObserved("a2", None, False))
     assert statuses(world.arrive("read")) == [503]
 
 
@@ -195,14 +195,14 @@
     """The store passes on what changes: a sound target's registration stands still for ever."""
     world = World()
     world.run(20.0)
-    world.tell(TargetSeen("a1", entry("a1", "app", warmup_left_s=0.5), False))
+    world.tell(TargetObserved("a1", entry("a1", "app", warmup_left_s=0.5), False))
     assert {sends(world.arrive("read"))[0].target_id for _ in range(9)} == {"a1", "a2"}
 
 
 def test_a_lapse_seen_while_the_store_is_in_trouble_is_held_back_until_its_return() -> None:
     world = World()
     world.tell(StoreAnswered("servers", False, "unsure"))
-    world.tell(TargetSeen("a1", None, True))
+    world.tell(TargetObserved("a1", None, True))
     world.run(4.0)
     assert "a1" in world.core.roster.targets
     world.tell(StoreAnswered("servers", True, ""))
@@ -215,10 +215,10 @@
 def test_a_lapse_that_comes_back_keeps_its_target() -> None:
     world = World()
     world.tell(StoreAnswered("servers", False, "unsure"))
-    world.tell(TargetSeen("a1", None, True))
+    world.tell(TargetObserved("a1", None, True))
     world.tell(StoreAnswered("servers", True, ""))
     world.run(1.5)
-    world.tell(TargetSeen("a1", entry("a1", "app"), False))
+    world.tell(TargetObserved("a1", entry("a1", "app"), False))
     world.run(3.0)
     assert "a1" in world.core.roster.targets
 
@@ -267,7 +267,7 @@
     assert len({namespace("k"), namespace("d"), namespace("d2")}) == 3
     before = namespace("k")
     for name in ("r1", "r2"):
-        world.tell(TargetSeen(name, entry(name, "models", weights={"m": 2}), False))
+        world.tell(TargetObserved(name, entry(name, "models", weights={"m": 2}), False))
     (sent,) = sends(world.arrive("draft"))
     assert sent.cache is not None
     assert (sent.cache.namespace != before, sent.cache.weights) == (True, 2)
@@ -276,19 +276,19 @@
 def test_old_weights_get_no_call_once_their_bound_is_near() -> None:
     world = World()
     world.tell(WeightsNamed("m", 2))
-    world.tell(TargetSeen("r1", entry("r1", "models", weights={"m": 2}), False))
+    world.tell(TargetObserved("r1", entry("r1", "models", weights={"m": 2}), False))
     world.run(7.0)
     assert {sends(world.arrive("draft"))[0].target_id for _ in range(9)} == {"r1"}
-    world.tell(TargetSeen("r1", None, True))
+    world.tell(TargetObserved("r1", None, True))
     assert statuses(world.arrive("draft")) == [503]
 
 
 def test_an_entry_that_starts_amid_a_swap_uses_new_weights_only() -> None:
     world = World()
-    world.tell(TargetSeen("r1", entry("r1", "models", weights={"m": 2}), False))
+    world.tell(TargetObserved("r1", entry("r1", "models", weights={"m": 2}), False))
     world.tell(WeightsNamed("m", 2, True))
     assert {sends(world.arrive("draft"))[0].target_id for _ in range(9)} == {"r1"}
-    world.tell(TargetSeen("r1", entry("r1", "models", weights={"m": 2}, draining=True), False))
+    world.tell(TargetObserved("r1", entry("r1", "models", weights={"m": 2}, draining=True), False))
     assert statuses(world.arrive("draft")) == [503]
 
 
@@ -297,7 +297,7 @@
 ):
     """Load pattern: weights are named twice, the first swap isn't over, and entries are killed."""
     world = World()
-    world.tell(TargetSeen("r1", entry("r1", "models", weights={"m": 2}), False))
+    world.tell(TargetObserved("r1", entry("r1", "models", weights={"m": 2}), False))
     world.tell(WeightsNamed("m", 3, True))
     assert {sends(world.arrive("draft"))[0].target_id for _ in range(9)} == {"r1"}
 
@@ -389,7 +389,7 @@
 def test_a_call_without_any_target_is_refused_at_once() -> None:
     world = World()
     for name in ("a1", "a2"):
-        world.tell(TargetSeen(name, None, True))
+        world.tell(TargetObserved(name, None, True))
     assert statuses(world.arrive("read")) == [503]
 
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from filbertstream.gateway_events import DutySeen, TargetSeen, Tick, WeightsNamed
+from filbertstream.gateway_events import DutySeen, TargetObserved, Tick, WeightsNamed
 from filbertstream.process.rollout_lease import LeaseRecord, WriteLease
 from filbertstream.process.roster import Roster
 from filbertstream.version.rollout import OrderResponse, OrderWeights, ReportReceived, Rollout
@@ -84,7 +84,7 @@
 def test_no_call_begins_on_weights_whose_bound_is_near_though_newer_ones_were_named() -> None:
     world = World()
     world.tell(WeightsNamed("m", 2))
-    world.tell(TargetSeen("r1", entry("r1", "models", weights={"m": 2}), False))
+    world.tell(TargetObserved("r1", entry("r1", "models", weights={"m": 2}), False))
     world.run(4.0)
     world.tell(WeightsNamed("m", 3))
     world.run(2.5)
@@ -146,7 +146,7 @@
     """Runners on older weights go on fetching what was saved for them."""
     world = World()
     world.tell(WeightsNamed("m", 2))
-    world.tell(TargetSeen("r1", entry("r1", "models", weights={"m": 2}), False))
+    world.tell(TargetObserved("r1", entry("r1", "models", weights={"m": 2}), False))
     world.tell(DutySeen(None, 0))
     retired = []
     for revision in range(1, 40):
@@ -158,5 +158,5 @@
         if revision == 20:
             assert len(retired) > 2
             assert not any(retired)
-            world.tell(TargetSeen("r2", entry("r2", "models", weights={"m": 2}), False))
+            world.tell(TargetObserved("r2", entry("r2", "models", weights={"m": 2}), False))
     assert retired[-1] == {"m": 2}
