--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -14,9 +14,9 @@
 from filbertstream.gateway_events import (
     ConfigurationObserved,
     DutyConfirmed,
-    DutySeen,
     EntriesListed,
     EntrySeen,
+    LeaseObserved,
     StoreAnswered,
     TargetObserved,
     TargetsListed,
@@ -150,7 +150,7 @@
 def _list_duties(listing: Listing, tell: Tell) -> None:
     tell(DutyConfirmed(listing.sent_at_s))
     if not any(stored.name == DUTY_NAME for stored in listing.objects):
-        tell(DutySeen(None, 0))
+        tell(LeaseObserved(None, 0))
     for stored in listing.objects:
         tell_duty(stored, tell)
 
@@ -169,7 +169,7 @@
     except msgspec.DecodeError as exc:
         tell(StoreAnswered(DUTIES_KIND, False, f"unreadable: {exc}"))
         return
-    tell(DutySeen(record, stored.revision))
+    tell(LeaseObserved(record, stored.revision))
 
 
 def _quiet_duties(sent_at_s: float, tell: Tell) -> None:
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -48,7 +48,7 @@
     listed: bool = False
 
 
-class DutySeen(NamedTuple):
+class LeaseObserved(NamedTuple):
     """The duty's record as the store holds it."""
 
     record: LeaseRecord | None
@@ -62,7 +62,7 @@
 
 
 class DutyWritten(NamedTuple):
-    """A write of the record was refused; one that took effect is seen as ``DutySeen``."""
+    """A write of the record was refused; one that took effect is seen as ``LeaseObserved``."""
 
     refused: bool
 
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -8,7 +8,7 @@
 from typing import TypeAlias
 
 from filbertstream.actions import Log
-from filbertstream.gateway_events import DutyConfirmed, DutySeen, DutyWritten
+from filbertstream.gateway_events import DutyConfirmed, DutyWritten, LeaseObserved
 from filbertstream.log_events import LogEvent
 from filbertstream.process.cache_stores import FreeBlocks
 from filbertstream.process.rollout_lease import RolloutLease, RolloutState, WriteLease
@@ -43,7 +43,7 @@
         self._retirement = retirement
         self.is_leader = False
 
-    def on_seen(self, event: DutySeen, now_s: float) -> list[Action]:
+    def on_seen(self, event: LeaseObserved, now_s: float) -> list[Action]:
         """Take in the record, and the weights that its holder found on runners."""
         self._duty.on_seen(event.record, event.revision, now_s)
         loaded = {} if event.record is None else event.record.loaded
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -6,7 +6,7 @@
 from filbertstream.gateway_events import (
     BoundsChanged,
     ConfigurationObserved,
-    DutySeen,
+    LeaseObserved,
     StopAsked,
     StoreAnswered,
     TargetObserved,
@@ -364,7 +364,7 @@
     """Load pattern: the holder is cut off amid a roll-out, and all calls crowd on the rest."""
     world = World()
     world.tell(WeightsNamed("m", 2))
-    world.tell(DutySeen(LeaseRecord("e9#1", 1, True, 1, ["r1"]), 5))
+    world.tell(LeaseObserved(LeaseRecord("e9#1", 1, True, 1, ["r1"]), 5))
     assert {sends(world.arrive("draft"))[0].target_id for _ in range(8)} == {"r2"}
     world.run(1.5)
     assert sends(world.arrive("draft"))[0].target_id == "r1"
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from filbertstream.gateway_events import DutySeen, TargetObserved, Tick, WeightsNamed
+from filbertstream.gateway_events import LeaseObserved, TargetObserved, Tick, WeightsNamed
 from filbertstream.process.rollout_lease import LeaseRecord, WriteLease
 from filbertstream.process.roster import Roster
 from filbertstream.version.rollout import OrderResponse, OrderWeights, ReportReceived, Rollout
@@ -96,7 +96,7 @@
     world = World()
     world.tell(WeightsNamed("m", 2))
     record = LeaseRecord("e9#1", 1, True, 1, [], {}, {"r2": {"m": 2}, "gone": {"m": 2}})
-    world.tell(DutySeen(record, 5))
+    world.tell(LeaseObserved(record, 5))
     world.run(7.0)
     assert {sends(world.arrive("draft"))[0].target_id for _ in range(9)} == {"r2"}
 
@@ -147,13 +147,13 @@
     world = World()
     world.tell(WeightsNamed("m", 2))
     world.tell(TargetObserved("r1", entry("r1", "models", weights={"m": 2}), False))
-    world.tell(DutySeen(None, 0))
+    world.tell(LeaseObserved(None, 0))
     retired = []
     for revision in range(1, 40):
         world.now_s += 0.1
         for action in world.tell(Tick()):
             if isinstance(action, WriteLease):
-                world.tell(DutySeen(action.record, revision))
+                world.tell(LeaseObserved(action.record, revision))
                 retired.append(action.record.retired)
         if revision == 20:
             assert len(retired) > 2
