--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -13,9 +13,9 @@
 
 from filbertstream.gateway_events import (
     ConfigurationObserved,
-    DutyConfirmed,
     EntriesListed,
     EntrySeen,
+    LeaseConfirmed,
     LeaseObserved,
     StoreAnswered,
     TargetObserved,
@@ -148,7 +148,7 @@
 
 
 def _list_duties(listing: Listing, tell: Tell) -> None:
-    tell(DutyConfirmed(listing.sent_at_s))
+    tell(LeaseConfirmed(listing.sent_at_s))
     if not any(stored.name == DUTY_NAME for stored in listing.objects):
         tell(LeaseObserved(None, 0))
     for stored in listing.objects:
@@ -173,7 +173,7 @@
 
 
 def _quiet_duties(sent_at_s: float, tell: Tell) -> None:
-    tell(DutyConfirmed(sent_at_s))
+    tell(LeaseConfirmed(sent_at_s))
 
 
 def _list_entries(listing: Listing, tell: Tell) -> None:
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -55,7 +55,7 @@
     revision: int
 
 
-class DutyConfirmed(NamedTuple):
+class LeaseConfirmed(NamedTuple):
     """The record at hand was the newest when a call of that moment was sent."""
 
     sent_at_s: float
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -8,7 +8,7 @@
 from typing import TypeAlias
 
 from filbertstream.actions import Log
-from filbertstream.gateway_events import DutyConfirmed, DutyWritten, LeaseObserved
+from filbertstream.gateway_events import DutyWritten, LeaseConfirmed, LeaseObserved
 from filbertstream.log_events import LogEvent
 from filbertstream.process.cache_stores import FreeBlocks
 from filbertstream.process.rollout_lease import RolloutLease, RolloutState, WriteLease
@@ -54,7 +54,7 @@
         self._weights.retired = self._duty.retired
         return []
 
-    def on_confirmed(self, event: DutyConfirmed, now_s: float) -> list[Action]:
+    def on_confirmed(self, event: LeaseConfirmed, now_s: float) -> list[Action]:
         """Take in that the record was still the newest at a moment."""
         self._weights.lease_observed_at_s = max(self._weights.lease_observed_at_s, event.sent_at_s)
         return []
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -10,7 +10,7 @@
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     ConfigurationObserved,
-    DutyConfirmed,
+    LeaseConfirmed,
     ShowKind,
     TargetsListed,
     Tick,
@@ -120,7 +120,7 @@
         self.calls = 0
         self.tell(ConfigurationObserved(configuration(), self.now_s))
         self.tell(TargetsListed((*RUNNERS, *APPS)))
-        self.tell(DutyConfirmed(self.now_s))
+        self.tell(LeaseConfirmed(self.now_s))
 
     def tell(self, event: Any) -> list[Any]:
         found: list[Any] = []
@@ -154,7 +154,7 @@
 
     def confirm(self) -> None:
         self.tell(ConfigurationObserved(None, self.now_s))
-        self.tell(DutyConfirmed(self.now_s))
+        self.tell(LeaseConfirmed(self.now_s))
 
     def run(self, seconds: float, confirm: bool = True) -> list[Any]:
         found = []
