--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -20,7 +20,7 @@
 )
 from filbertstream.gateway import Gateway
 from filbertstream.gateway_events import (
-    DutyWritten,
+    LeaseWritten,
     RemoveEntry,
     ShowKind,
     StoreAnswered,
@@ -151,13 +151,13 @@
             match result:
                 case Ok(written):
                     if not written.done:
-                        self._world.later(core, 0.0, DutyWritten(True))
+                        self._world.later(core, 0.0, LeaseWritten(True))
                     if written.present is not None:
                         tell_duty(
                             written.present, lambda event: self._world.later(core, 0.0, event)
                         )
                 case Err(fault):
-                    event = DutyWritten(fault is StoreFault.REFUSED)
+                    event = LeaseWritten(fault is StoreFault.REFUSED)
                     self._world.later(core, 0.0, event)
 
         self._call(core, make, then)
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -61,7 +61,7 @@
     sent_at_s: float
 
 
-class DutyWritten(NamedTuple):
+class LeaseWritten(NamedTuple):
     """A write of the record was refused; one that took effect is seen as ``LeaseObserved``."""
 
     refused: bool
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -35,7 +35,7 @@
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     BoundsChanged,
-    DutyWritten,
+    LeaseWritten,
     PeerMessage,
     RemoveEntry,
     ShowKind,
@@ -314,11 +314,11 @@
         match result:
             case Ok(written):
                 if not written.done:
-                    self.tell_soon(DutyWritten(True))
+                    self.tell_soon(LeaseWritten(True))
                 if written.present is not None:
                     tell_duty(written.present, self.tell_soon)
             case Err(fault):
-                self.tell_soon(DutyWritten(fault is StoreFault.REFUSED))
+                self.tell_soon(LeaseWritten(fault is StoreFault.REFUSED))
 
     def _set_gate(self, now_s: float) -> None:
         """Have the watchers read what other entries don't tell."""
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -8,7 +8,7 @@
 from typing import TypeAlias
 
 from filbertstream.actions import Log
-from filbertstream.gateway_events import DutyWritten, LeaseConfirmed, LeaseObserved
+from filbertstream.gateway_events import LeaseConfirmed, LeaseObserved, LeaseWritten
 from filbertstream.log_events import LogEvent
 from filbertstream.process.cache_stores import FreeBlocks
 from filbertstream.process.rollout_lease import RolloutLease, RolloutState, WriteLease
@@ -59,7 +59,7 @@
         self._weights.lease_observed_at_s = max(self._weights.lease_observed_at_s, event.sent_at_s)
         return []
 
-    def on_written(self, event: DutyWritten, now_s: float) -> list[Action]:
+    def on_written(self, event: LeaseWritten, now_s: float) -> list[Action]:
         """Take in whether the own write of the record was refused."""
         if event.refused:
             self._duty.on_write_rejected()
