--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -14,7 +14,7 @@
 from filbertstream.gateway_events import (
     ConfigurationObserved,
     EntriesListed,
-    EntrySeen,
+    EntryObserved,
     LeaseConfirmed,
     LeaseObserved,
     StoreAnswered,
@@ -185,14 +185,14 @@
 def _change_entry(change: Change, sent_at_s: float, tell: Tell) -> None:
     name = change.stored.name
     if change.removed:
-        tell(EntrySeen(name, None, 0))
+        tell(EntryObserved(name, None, 0))
         return
     try:
         record = decode_own(change.stored.content, EntryRecord)
     except msgspec.DecodeError as exc:
         tell(StoreAnswered(ENTRIES_KIND, False, f"unreadable: {exc}"))
         return
-    tell(EntrySeen(name, record, change.stored.revision))
+    tell(EntryObserved(name, record, change.stored.revision))
 
 
 CONFIG_WAIT_SHARE: Final = 0.4
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -14,7 +14,7 @@
     BoundsChanged,
     ConfigurationObserved,
     EntriesListed,
-    EntrySeen,
+    EntryObserved,
     GatewayAction,
     LeaseConfirmed,
     LeaseObserved,
@@ -205,7 +205,7 @@
             CacheBlocksListed: self._on_cache_listed,
             BlocksFreed: self._on_parts_freed,
             EntriesListed: self._on_entries,
-            EntrySeen: self._on_entry,
+            EntryObserved: self._on_entry,
             PeerMessage: self._on_peer,
             KindObserved: self._forward(self.relayed.on_kind_observed),
             StoreAnswered: self._on_store,
@@ -346,7 +346,7 @@
         cfg = self.cfg
         return EntryRecord(cfg.peer_address, cfg.incarnation, cfg.link_mbps, cfg.cores)
 
-    def _on_entry(self, event: EntrySeen, now_s: float) -> list[GatewayAction]:
+    def _on_entry(self, event: EntryObserved, now_s: float) -> list[GatewayAction]:
         if event.record is None:
             self.peers.leave(event.name)
             return self._register(0) if event.name == self.cfg.name else []
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -73,7 +73,7 @@
     names: frozenset[str]
 
 
-class EntrySeen(NamedTuple):
+class EntryObserved(NamedTuple):
     """An entry has registered, or (``record`` None) has left."""
 
     name: str
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from filbertstream.actions import SendPeer
-from filbertstream.gateway_events import EntrySeen, PeerMessage, Tick
+from filbertstream.gateway_events import EntryObserved, PeerMessage, Tick
 from filbertstream.messages import CacheUpdate, CacheUpdateBatch, CacheUpdateRow, ViewRequest
 from filbertstream.process.cache_stores import (
     HOLDINGS_MAX_AGE_S,
@@ -47,7 +47,7 @@
             world.tell(CacheEventsFailed("keep"))
             for other in self.worlds:
                 record = EntryRecord(f"tcp://{other}", 1)
-                world.tell(EntrySeen(other, record, 1 + (other != name)))
+                world.tell(EntryObserved(other, record, 1 + (other != name)))
 
     def run(self, seconds: float) -> None:
         for _ in range(round(seconds / 0.1)):
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -13,7 +13,7 @@
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     EntriesListed,
-    EntrySeen,
+    EntryObserved,
     PeerMessage,
     ShowKind,
     Tick,
@@ -93,7 +93,7 @@
         for kind in KINDS:
             self.tell(KindObserved(kind, True, 0, 5, self.now_s, self.listed(kind)))
         for name in FLEET:
-            self.tell(EntrySeen(name, EntryRecord(f"tcp://{name}", 1), 1))
+            self.tell(EntryObserved(name, EntryRecord(f"tcp://{name}", 1), 1))
 
     @staticmethod
     def listed(kind: str) -> tuple[ObjectRow, ...]:
@@ -388,7 +388,7 @@
 
     def list_entries(self, fleet: tuple[str, ...]) -> None:
         for name in fleet:
-            self.tell(EntrySeen(name, EntryRecord(f"tcp://{name}", 1), 1))
+            self.tell(EntryObserved(name, EntryRecord(f"tcp://{name}", 1), 1))
         self.tell(KindObserved(ENTRIES_KIND, True, 0, 5, self.now_s, Fleet.listed(ENTRIES_KIND)))
 
 
--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -12,7 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
 from filbertstream.actions import SendPeer
-from filbertstream.gateway_events import ConfigurationObserved, EntrySeen, PeerMessage
+from filbertstream.gateway_events import ConfigurationObserved, EntryObserved, PeerMessage
 from filbertstream.messages import KindUpdate, ObjectRow, ViewRequest, ViewResponse
 from filbertstream.platform.documents import DOCUMENTS_KIND
 from filbertstream.process.peer_work import EntryRecord
@@ -59,7 +59,7 @@
         super().__init__()
         self.world = World(RELYING)
         for name in FLEET:
-            self.world.tell(EntrySeen(name, EntryRecord(f"tcp://{name}", 1), 1))
+            self.world.tell(EntryObserved(name, EntryRecord(f"tcp://{name}", 1), 1))
         self.questions: list[ViewRequest] = []
         self.on_the_way: list[Told] = []
         self.watcher = Asked(self.world.now_s, Written(self.world.now_s, 1, ("k",)))
