--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -21,9 +21,9 @@
 from filbertstream.gateway import Gateway
 from filbertstream.gateway_events import (
     LeaseWritten,
+    ObjectStoreResult,
     RemoveEntry,
     ShowKind,
-    StoreAnswered,
     WriteEntry,
 )
 from filbertstream.platform.documents import DUTIES_KIND, ENTRIES_KIND, KEYS_KIND, MS
@@ -116,9 +116,9 @@
         world = self._world
         match result:
             case Err(fault):
-                events: list[Any] = [StoreAnswered(kind, False, fault.value)]
+                events: list[Any] = [ObjectStoreResult(kind, False, fault.value)]
             case Ok(found):
-                events = [StoreAnswered(kind, True, ""), shown(kind, since, found)]
+                events = [ObjectStoreResult(kind, True, ""), shown(kind, since, found)]
                 since = found.as_of
         for event in events:
             world.later(core, self.latency_s, event)
--- a/filbertstream/connection/document_store.py
+++ b/filbertstream/connection/document_store.py
@@ -11,7 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from filbertstream.gateway_events import ConfigurationObserved, StoreAnswered, WeightsNamed
+from filbertstream.gateway_events import ConfigurationObserved, ObjectStoreResult, WeightsNamed
 from filbertstream.platform.documents import DOCUMENTS_KIND, DOCUMENTS_NAME
 from filbertstream.platform.objects import (
     Change,
@@ -167,7 +167,7 @@
     def _tell(self, stored: StoredObject, sent_at_s: float, listed: bool, tell: Tell) -> None:
         match decode_documents(stored):
             case Err(reason):
-                tell(StoreAnswered(DOCUMENTS_KIND, False, f"unreadable: {reason}"))
+                tell(ObjectStoreResult(DOCUMENTS_KIND, False, f"unreadable: {reason}"))
             case Ok(held):
                 config = compile_documents(held.view, held.revision, self._limits)
                 tell(ConfigurationObserved(config, sent_at_s))
--- a/filbertstream/connection/store_watch.py
+++ b/filbertstream/connection/store_watch.py
@@ -13,7 +13,7 @@
 from result import Err, Ok
 
 from filbertstream.connection.watched_kinds import Tell, Watched, shown
-from filbertstream.gateway_events import StoreAnswered
+from filbertstream.gateway_events import ObjectStoreResult
 from filbertstream.platform.objects import ObjectStore, StoreFault
 from filbertstream.process.read_backoff import ReadBackoff
 
@@ -112,7 +112,7 @@
             self._gate.answered(self._watched.kind)
             self._as_of = None if fault is StoreFault.EXPIRED else self._as_of
         else:
-            self._tell(StoreAnswered(self._watched.kind, False, fault.value))
+            self._tell(ObjectStoreResult(self._watched.kind, False, fault.value))
             self._gate.failed(self._watched.kind)
         self.actor_ref.tell(_Step())
 
@@ -121,7 +121,7 @@
             case Err(fault):
                 return fault
             case Ok(listing):
-                self._tell(StoreAnswered(self._watched.kind, True, ""))
+                self._tell(ObjectStoreResult(self._watched.kind, True, ""))
                 self._tell(shown(self._watched.kind, None, listing))
                 self._as_of = listing.as_of
         return None
@@ -135,7 +135,7 @@
             case Err(fault):
                 return fault
             case Ok(seen):
-                self._tell(StoreAnswered(self._watched.kind, True, ""))
+                self._tell(ObjectStoreResult(self._watched.kind, True, ""))
                 self._tell(shown(watched.kind, since, seen))
                 self._as_of = seen.as_of
         if pause_s:
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -17,7 +17,7 @@
     EntryObserved,
     LeaseConfirmed,
     LeaseObserved,
-    StoreAnswered,
+    ObjectStoreResult,
     TargetObserved,
     TargetsListed,
     WeightsNamed,
@@ -106,7 +106,7 @@
         case Ok(config):
             tell(ConfigurationObserved(config, sent_at_s))
         case Err(reason):
-            tell(StoreAnswered(CONFIG_KIND, False, f"unreadable: {reason}"))
+            tell(ObjectStoreResult(CONFIG_KIND, False, f"unreadable: {reason}"))
 
 
 def _change_configuration(change: Change, sent_at_s: float, tell: Tell) -> None:
@@ -138,7 +138,7 @@
             case Ok((model, version)):
                 tell(WeightsNamed(model, version, True))
             case Err(reason):
-                tell(StoreAnswered(WEIGHTS_KIND, False, f"unreadable: {reason}"))
+                tell(ObjectStoreResult(WEIGHTS_KIND, False, f"unreadable: {reason}"))
 
 
 def _change_weights(change: Change, sent_at_s: float, tell: Tell) -> None:
@@ -167,7 +167,7 @@
     try:
         record = decode_own(stored.content, LeaseRecord)
     except msgspec.DecodeError as exc:
-        tell(StoreAnswered(DUTIES_KIND, False, f"unreadable: {exc}"))
+        tell(ObjectStoreResult(DUTIES_KIND, False, f"unreadable: {exc}"))
         return
     tell(LeaseObserved(record, stored.revision))
 
@@ -190,7 +190,7 @@
     try:
         record = decode_own(change.stored.content, EntryRecord)
     except msgspec.DecodeError as exc:
-        tell(StoreAnswered(ENTRIES_KIND, False, f"unreadable: {exc}"))
+        tell(ObjectStoreResult(ENTRIES_KIND, False, f"unreadable: {exc}"))
         return
     tell(EntryObserved(name, record, change.stored.revision))
 
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -19,11 +19,11 @@
     LeaseConfirmed,
     LeaseObserved,
     LeaseWritten,
+    ObjectStoreResult,
     PeerMessage,
     RemoveEntry,
     StopAsked,
     StopProcess,
-    StoreAnswered,
     TargetObserved,
     TargetsListed,
     Tick,
@@ -208,7 +208,7 @@
             EntryObserved: self._on_entry,
             PeerMessage: self._on_peer,
             KindObserved: self._forward(self.relayed.on_kind_observed),
-            StoreAnswered: self._on_store,
+            ObjectStoreResult: self._on_store,
             BoundsChanged: self._on_bounds,
             StopAsked: self._on_stop,
             Tick: self._on_tick,
@@ -402,7 +402,7 @@
         )
         return [*self.exchange.due(rows, self.ready(now_s), followers, now_s)]
 
-    def _on_store(self, event: StoreAnswered, now_s: float) -> list[GatewayAction]:
+    def _on_store(self, event: ObjectStoreResult, now_s: float) -> list[GatewayAction]:
         if event.ok:
             if self._lost.pop(event.kind, None) is None:
                 return []
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -95,7 +95,7 @@
     name: str
 
 
-class StoreAnswered(NamedTuple):
+class ObjectStoreResult(NamedTuple):
     """The store answered a call, or did not."""
 
     kind: str
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -7,8 +7,8 @@
     BoundsChanged,
     ConfigurationObserved,
     LeaseObserved,
+    ObjectStoreResult,
     StopAsked,
-    StoreAnswered,
     TargetObserved,
     WeightsNamed,
 )
@@ -201,11 +201,11 @@
 
 def test_a_lapse_seen_while_the_store_is_in_trouble_is_held_back_until_its_return() -> None:
     world = World()
-    world.tell(StoreAnswered("servers", False, "unsure"))
+    world.tell(ObjectStoreResult("servers", False, "unsure"))
     world.tell(TargetObserved("a1", None, True))
     world.run(4.0)
     assert "a1" in world.core.roster.targets
-    world.tell(StoreAnswered("servers", True, ""))
+    world.tell(ObjectStoreResult("servers", True, ""))
     world.run(2.0)
     assert "a1" in world.core.roster.targets
     world.run(0.6)
@@ -214,9 +214,9 @@
 
 def test_a_lapse_that_comes_back_keeps_its_target() -> None:
     world = World()
-    world.tell(StoreAnswered("servers", False, "unsure"))
+    world.tell(ObjectStoreResult("servers", False, "unsure"))
     world.tell(TargetObserved("a1", None, True))
-    world.tell(StoreAnswered("servers", True, ""))
+    world.tell(ObjectStoreResult("servers", True, ""))
     world.run(1.5)
     world.tell(TargetObserved("a1", entry("a1", "app"), False))
     world.run(3.0)
