--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -22,8 +22,8 @@
 from filbertstream.gateway_events import (
     LeaseWritten,
     ObjectStoreResult,
+    PublishKind,
     RemoveEntry,
-    ShowKind,
     WriteEntry,
 )
 from filbertstream.platform.documents import DUTIES_KIND, ENTRIES_KIND, KEYS_KIND, MS
@@ -79,7 +79,7 @@
         for item in self.followed:
             self._ask(core, item.kind, None)
 
-    def show(self, core: Gateway, action: ShowKind) -> None:
+    def show(self, core: Gateway, action: PublishKind) -> None:
         """Decode what is new of a kind and tell it."""
         watched = self._watched[core.cfg.name][action.taken.kind]
         show_kind(watched, action.taken, lambda event: self._world.give(core.cfg.name, event))
--- a/bench/world.py
+++ b/bench/world.py
@@ -21,8 +21,8 @@
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     PeerMessage,
+    PublishKind,
     RemoveEntry,
-    ShowKind,
     StopAsked,
     StopProcess,
     Tick,
@@ -145,7 +145,7 @@
             PollCacheEvents: self.target_side.follow,
             ListCacheBlocks: self.target_side.list,
             FreeBlocks: self.target_side.free,
-            ShowKind: self.platform.show,
+            PublishKind: self.platform.show,
             WriteLease: self.platform.write_duty,
             WriteEntry: self.platform.write_entry,
             RemoveEntry: self.platform.remove_entry,
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -103,7 +103,7 @@
     reason: str
 
 
-class ShowKind(NamedTuple):
+class PublishKind(NamedTuple):
     """Decode what is new of a kind of objects and tell it."""
 
     taken: KindDelta
@@ -148,5 +148,5 @@
     | SettleKey
     | StopProcess
     | SendPeer
-    | ShowKind
+    | PublishKind
 )
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -37,8 +37,8 @@
     BoundsChanged,
     LeaseWritten,
     PeerMessage,
+    PublishKind,
     RemoveEntry,
-    ShowKind,
     StopAsked,
     StopProcess,
     Tick,
@@ -133,7 +133,7 @@
         self.edge.handlers[WriteLease] = self._write_duty
         self.edge.handlers[WriteEntry] = self._write_entry
         self.edge.handlers[RemoveEntry] = self._remove_entry
-        self.edge.handlers[ShowKind] = self._show_kind
+        self.edge.handlers[PublishKind] = self._show_kind
         self.edge.handlers[PollReport] = self._poll_report
         self.edge.handlers[OrderWeights] = self._order
         self.edge.handlers[ClaimKey] = self._claim_key
@@ -328,7 +328,7 @@
         tells = relays.serves_peers(now_s)
         self._gate.set(idle, tells, not (tells or relays.small_fleet))
 
-    def _show_kind(self, action: ShowKind) -> None:
+    def _show_kind(self, action: PublishKind) -> None:
         """Decode objects and tell the core; a large one does not hold up the event loop.
 
         What comes after it waits too: a confirmation must not go before what it confirms.
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -13,7 +13,7 @@
 from typing import Final, TypeAlias
 
 from filbertstream.actions import Log, SendPeer
-from filbertstream.gateway_events import ShowKind
+from filbertstream.gateway_events import PublishKind
 from filbertstream.log_events import LogEvent
 from filbertstream.messages import KindUpdate, PeerPayload, ViewRequest, ViewResponse
 from filbertstream.process.peer_work import PeerWork
@@ -34,7 +34,7 @@
 UNASKED: Final = 0
 """Number of a message that answers no question."""
 
-Action: TypeAlias = Log | SendPeer | ShowKind
+Action: TypeAlias = Log | SendPeer | PublishKind
 
 
 class RelayedView:
@@ -90,7 +90,7 @@
         if taken is None:
             return []
         pushed = self.view.followed[shown.kind].pushed and bool(taken.rows) and before > 0
-        return [ShowKind(taken), *(self._push(shown.kind, before, now_s) if pushed else [])]
+        return [PublishKind(taken), *(self._push(shown.kind, before, now_s) if pushed else [])]
 
     def _push(self, kind: str, since: int, now_s: float) -> list[Action]:
         kind_update = self.view.kind_update(kind, since, now_s)
@@ -175,7 +175,7 @@
         if taken is None:
             return []
         self._told_at_s[kind_update.kind] = max(self._told_at_s[kind_update.kind], observed_at_s)
-        return [ShowKind(taken)]
+        return [PublishKind(taken)]
 
     def is_current(self, now_s: float, share: float = 1.0) -> bool:
         """Whether others' word is recent enough for every kind, or within a share of that."""
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -11,7 +11,7 @@
 from filbertstream.gateway_events import (
     ConfigurationObserved,
     LeaseConfirmed,
-    ShowKind,
+    PublishKind,
     TargetsListed,
     Tick,
 )
@@ -129,7 +129,7 @@
             found.extend(self.tell(told))
 
         for item in self.core.step(self.now_s, event):
-            if isinstance(item, ShowKind):
+            if isinstance(item, PublishKind):
                 show_kind(KINDS[item.taken.kind], item.taken, tell_more)
             elif not isinstance(item, Log):
                 found.append(item)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -15,7 +15,7 @@
     EntriesListed,
     EntryObserved,
     PeerMessage,
-    ShowKind,
+    PublishKind,
     Tick,
     WriteEntry,
 )
@@ -458,7 +458,7 @@
     shown = KindObserved(ENTRIES_KIND, True, 0, 5, 100.0, ())
     (show,) = core.step(100.0, shown)
     (write,) = core.step(100.0, EntriesListed(frozenset()))
-    assert isinstance(show, ShowKind)
+    assert isinstance(show, PublishKind)
     assert isinstance(write, WriteEntry)
     assert (write.record.link_mbps, write.record.cores) == (20.0, 0.5)
 
