--- a/bench/faults.py
+++ b/bench/faults.py
@@ -18,7 +18,7 @@
 from bench.fault_table import ENTRIES, FAULTS, JOINER, PAIRS, STEPS
 from bench.world import World
 from bench.world_documents import world_documents
-from filbertstream.gateway_events import StopAsked
+from filbertstream.gateway_events import StopRequested
 from filbertstream.request.call import PromptBlock
 from filbertstream.request.call_events import SendCall
 from filbertstream.version.documents import (
@@ -217,7 +217,7 @@
 
     def drain() -> None:
         checks.drained.add("e4")
-        world.give("e4", StopAsked())
+        world.give("e4", StopRequested())
 
     world.after(CHANGE_S, name_weights)
     world.after(JOIN_S, lambda: world.add_entry(JOINER, "dc1"))
--- a/bench/world.py
+++ b/bench/world.py
@@ -23,8 +23,8 @@
     PeerMessage,
     PublishKind,
     RemoveEntry,
-    StopAsked,
     StopProcess,
+    StopRequested,
     Tick,
     WriteEntry,
 )
@@ -151,7 +151,7 @@
             RemoveEntry: self.platform.remove_entry,
             ClaimKey: lambda core, claim: self._keyed(core, claim_steps(claim)),
             SettleKey: lambda core, settle: self._keyed(core, settle_steps(settle)),
-            StopProcess: lambda core, action: self.give(core.cfg.name, StopAsked()),
+            StopProcess: lambda core, action: self.give(core.cfg.name, StopRequested()),
         }
 
     # Building
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -22,8 +22,8 @@
     ObjectStoreResult,
     PeerMessage,
     RemoveEntry,
-    StopAsked,
     StopProcess,
+    StopRequested,
     TargetObserved,
     TargetsListed,
     Tick,
@@ -210,7 +210,7 @@
             KindObserved: self._forward(self.relayed.on_kind_observed),
             ObjectStoreResult: self._on_store,
             BoundsChanged: self._on_bounds,
-            StopAsked: self._on_stop,
+            StopRequested: self._on_stop,
             Tick: self._on_tick,
         }
 
@@ -423,7 +423,7 @@
         self.rollout_lease.set_lease(bounds.lease_s)
         return []
 
-    def _on_stop(self, event: StopAsked, now_s: float) -> list[GatewayAction]:
+    def _on_stop(self, event: StopRequested, now_s: float) -> list[GatewayAction]:
         self.stopping = True
         self.authorizer.refuse_streams_from_s = now_s + STOP_STREAMS_S
         self.authorizer.refuse_from_s = now_s + self.cfg.bounds.grace_s - STOP_CALLS_S
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -115,7 +115,7 @@
     bounds: Bounds
 
 
-class StopAsked(NamedTuple):
+class StopRequested(NamedTuple):
     """The process was asked to stop."""
 
 
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -39,8 +39,8 @@
     PeerMessage,
     PublishKind,
     RemoveEntry,
-    StopAsked,
     StopProcess,
+    StopRequested,
     Tick,
     WriteEntry,
 )
@@ -268,7 +268,7 @@
         if self._stop_at_s is None:
             self._stop_at_s = boot_time_s()
             self.edge.stopping = True
-            self.edge.tell(StopAsked())
+            self.edge.tell(StopRequested())
 
     def _reload(self) -> None:
         """Read the settings again; addresses stay, since the process listens on them."""
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -8,7 +8,7 @@
     ConfigurationObserved,
     LeaseObserved,
     ObjectStoreResult,
-    StopAsked,
+    StopRequested,
     TargetObserved,
     WeightsNamed,
 )
@@ -225,7 +225,7 @@
 
 def test_an_entry_that_stops_is_not_ready_and_refuses_calls_that_might_not_end() -> None:
     world = World()
-    world.tell(StopAsked())
+    world.tell(StopRequested())
     assert not world.core.ready(world.now_s)
     world.run(2.0)
     assert sends(world.arrive("draft"))
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from filbertstream.gateway_events import StopAsked
+from filbertstream.gateway_events import StopRequested
 from filbertstream.names import digest_key
 from filbertstream.request.call import PromptBlock
 from filbertstream.version.documents import (
@@ -163,7 +163,7 @@
     running = world.request("e1", out_tokens=150)
     booking = world.request("e1", "service", idempotency_key="b")
     world.run(0.1)
-    world.give("e1", StopAsked())
+    world.give("e1", StopRequested())
     world.run(world.bounds.grace_s - 1.0)
     refused = world.request("e1")
     world.run(1.0)
