--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -106,7 +106,7 @@
     @property
     def closing(self) -> bool:
         """Whether answers should end their connections."""
-        return self.stopping or self._core.sends_callers_away(boot_time_s())
+        return self.stopping or self._core.should_close_connections(boot_time_s())
 
     @property
     def calls_running(self) -> int:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -240,7 +240,7 @@
         """Whether something is under way that has to be looked at often."""
         return bool(self.forwarding.calls) or self.weights_leader.is_leader or not self._was_ready
 
-    def sends_callers_away(self, now_s: float) -> bool:
+    def should_close_connections(self, now_s: float) -> bool:
         """Whether callers do better on a new connection, which the balancer gives another entry.
 
         An entry that is out of touch with the store ends its connections before it must refuse
--- a/tests/test_gateway_redirect.py
+++ b/tests/test_gateway_redirect.py
@@ -68,11 +68,11 @@
     world = World()
     edge = GatewayEdge(world.core, lambda log: None, lambda reason: None)
     world.tell(PeerMessage(EntryWork("e2", (), others)))
-    assert not world.core.sends_callers_away(world.now_s)
+    assert not world.core.should_close_connections(world.now_s)
     outage_s = BOUNDS.revoke_s * 0.7
     for _ in range(round(outage_s / 0.1)):
         world.now_s += 0.1
         world.tell(PeerMessage(EntryWork("e2", (), others)))
-    assert world.core.sends_callers_away(world.now_s) == others
+    assert world.core.should_close_connections(world.now_s) == others
     assert not [item for item in world.arrive("read") if isinstance(item, RespondLocally)]
     assert not edge.stopping
