--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -92,7 +92,7 @@
         if core.cfg.name in world.paused:
             world.after(WATCH_S, lambda: self._ask(core, kind, since))
             return
-        if not core.relayed.reads_kind(kind, world.now_s):
+        if not core.relayed_view.reads_kind(kind, world.now_s):
             # Others tell it; what the watch has missed is listed when it is needed again.
             world.after(GATE_S, lambda: self._ask(core, kind, None))
             return
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -134,7 +134,7 @@
         self.peers = PeerWork(cfg.name)
         self.relays = Relays(cfg.name, self.peers.names, self.peers.vm_resources)
         self.exchange = WorkExchange(self.peers, self.relays)
-        self.relayed = RelayedView(cfg.followed, self.relays, self.peers, self.roster)
+        self.relayed_view = RelayedView(cfg.followed, self.relays, self.peers, self.roster)
         self.stores = CacheStores(self.index, rng, self.peers.reads, self.relays)
         self.cache_news = CacheUpdateExchange(self.peers, self.relays, self.stores)
         self.roster.peer_work_at = self.peers.peer_work_at
@@ -207,7 +207,7 @@
             EntriesListed: self._on_entries,
             EntryObserved: self._on_entry,
             PeerMessage: self._on_peer,
-            KindObserved: self._forward(self.relayed.on_kind_observed),
+            KindObserved: self._forward(self.relayed_view.on_kind_observed),
             ObjectStoreResult: self._on_store,
             BoundsChanged: self._on_bounds,
             StopRequested: self._on_stop,
@@ -383,9 +383,9 @@
         elif isinstance(work, CacheUpdateBatch):
             self.cache_news.on_batch(work, now_s)
         elif isinstance(work, ViewRequest):
-            return [*self.relayed.on_view_request(work, now_s)]
+            return [*self.relayed_view.on_view_request(work, now_s)]
         elif isinstance(work, ViewResponse):
-            return [*self.relayed.on_view_response(work, now_s)]
+            return [*self.relayed_view.on_view_response(work, now_s)]
         return []
 
     def _share(self, followers: list[str], now_s: float) -> list[GatewayAction]:
@@ -439,14 +439,14 @@
             self.index.forget(name)
             actions.append(self._log_target(name, "gone"))
         actions += self.stores.tick(now_s)
-        followers = self.relayed.followers(now_s)
+        followers = self.relayed_view.followers(now_s)
         actions += self._share(followers, now_s)
         actions += self.cache_news.due(followers, now_s)
         actions += self._log_joined()
-        actions += self.relayed.tick(now_s)
+        actions += self.relayed_view.tick(now_s)
         if now_s >= self._next_duty_s:
             self._next_duty_s = now_s + DUTY_TICK_S
-            reserve_s = 0.0 if self.relayed.reads_object_store(now_s) else RELYING_RESERVE_S
+            reserve_s = 0.0 if self.relayed_view.reads_object_store(now_s) else RELYING_RESERVE_S
             owners = self._cache_owners()
             actions += self.weights_leader.tick(now_s, owners, self.stopping, reserve_s)
         ready = self.ready(now_s)
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -322,8 +322,8 @@
 
     def _set_gate(self, now_s: float) -> None:
         """Have the watchers read what other entries don't tell."""
-        relayed = self.core.relayed
-        idle = frozenset(kind for kind in self._watched if not relayed.reads_kind(kind, now_s))
+        relayed_view = self.core.relayed_view
+        idle = frozenset(kind for kind in self._watched if not relayed_view.reads_kind(kind, now_s))
         relays = self.core.relays
         tells = relays.serves_peers(now_s)
         self._gate.set(idle, tells, not (tells or relays.small_fleet))
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -27,7 +27,7 @@
     """An entry whose view of the store is shown to be recent, without what it holds."""
 
     def show(self, shown: KindObserved) -> None:
-        self.core.relayed.view.take(shown, self.now_s)
+        self.core.relayed_view.view.take(shown, self.now_s)
 
 
 class Fleet:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -127,7 +127,7 @@
 
     @property
     def reads_object_store(self) -> bool:
-        return self.core.relayed.reads_object_store(self.now_s)
+        return self.core.relayed_view.reads_object_store(self.now_s)
 
 
 def question_of(action: object) -> ViewRequest | None:
@@ -288,7 +288,7 @@
     world = Fleet()
     number = world.question()
     world.tell(PeerMessage(ViewResponse(number, (kind_update(DOCUMENTS_KIND, 0.0, 20, since=11),))))
-    assert world.core.relayed.view.as_of()[DOCUMENTS_KIND] == 5
+    assert world.core.relayed_view.view.as_of()[DOCUMENTS_KIND] == 5
     assert world.core.config_freshness.confirmed_at_s == 100.0
 
 
@@ -339,7 +339,9 @@
     follower = Fleet()
     follower.tell(KindObserved(TARGETS_KIND, False, 5, 5, 100.0, ()))
     gone = target_row("gone", 4)
-    follower.core.relayed.view.take(KindObserved(TARGETS_KIND, False, 5, 5, 100.0, (gone,)), 100.0)
+    follower.core.relayed_view.view.take(
+        KindObserved(TARGETS_KIND, False, 5, 5, 100.0, (gone,)), 100.0
+    )
     number = follower.question()
     (told,) = action.payload.kinds
     follower.tell(PeerMessage(ViewResponse(number, (told,))))
@@ -371,8 +373,8 @@
     world = Fleet()
     world.turn(1.0)
     world.tell(PeerMessage(ViewResponse(world.question(), (told,))))
-    assert world.core.relayed.reads_kind(DOCUMENTS_KIND, world.now_s)
-    assert not world.core.relayed.reads_kind(TARGETS_KIND, world.now_s)
+    assert world.core.relayed_view.reads_kind(DOCUMENTS_KIND, world.now_s)
+    assert not world.core.relayed_view.reads_kind(TARGETS_KIND, world.now_s)
 
 
 class Starting(World):
@@ -383,7 +385,7 @@
         self.began_s = self.now_s
 
     def reads(self) -> set[str]:
-        view = self.core.relayed
+        view = self.core.relayed_view
         return {kind for kind in KINDS if view.reads_kind(kind, self.now_s)}
 
     def list_entries(self, fleet: tuple[str, ...]) -> None:
