--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -78,10 +78,10 @@
     """Yields the core's counters, latencies and a few gauges."""
 
     def __init__(
-        self, core: Gateway, edge: GatewayEdge, store: ObjectStore, dropped_lines: int
+        self, core: Gateway, gateway_io: GatewayEdge, store: ObjectStore, dropped_lines: int
     ) -> None:
         self._core = core
-        self._edge = edge
+        self._edge = gateway_io
         self._store = store
         self._dropped_lines = dropped_lines
 
@@ -131,8 +131,10 @@
         }
 
 
-def metrics_text(core: Gateway, edge: GatewayEdge, store: ObjectStore, dropped_lines: int) -> bytes:
+def metrics_text(
+    core: Gateway, gateway_io: GatewayEdge, store: ObjectStore, dropped_lines: int
+) -> bytes:
     """Return the metrics page in Prometheus' text format."""
     registry = CollectorRegistry()
-    registry.register(_GatewayCollector(core, edge, store, dropped_lines))
+    registry.register(_GatewayCollector(core, gateway_io, store, dropped_lines))
     return generate_latest(registry)
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -54,8 +54,8 @@
 class RelayedSend:
     """One send of a call; the sink of its answer."""
 
-    def __init__(self, edge: EdgeHost, relayed: Relayed, action: SendCall) -> None:
-        self._edge = edge
+    def __init__(self, gateway_io: EdgeHost, relayed: Relayed, action: SendCall) -> None:
+        self._edge = gateway_io
         self._relayed = relayed
         self.action = action
         self.link: TargetConnection | None = None
--- a/filbertstream/connection/v1_port.py
+++ b/filbertstream/connection/v1_port.py
@@ -32,13 +32,13 @@
 
     def __init__(
         self,
-        edge: GatewayEdge,
+        gateway_io: GatewayEdge,
         core: Gateway,
         ids: RequestIds,
         limits: CallerLimits,
         metrics: Callable[[], bytes],
     ) -> None:
-        self._edge = edge
+        self._edge = gateway_io
         self._core = core
         self._ids = ids
         self._limits = limits
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -106,7 +106,7 @@
         )
         self._watched = {watched.kind: watched for watched in kinds}
         self.core = Gateway(_core_config(deployment, incarnation, kinds))
-        self.edge = GatewayEdge(self.core, self._write_log, self._note_broken)
+        self.gateway_io = GatewayEdge(self.core, self._write_log, self._note_broken)
         store_ca = None if setup is None else setup.store_ca
         self._store = ObjectStore(deployment.object_store, store_ca)
         self._keys = KeyStore(self._store)
@@ -123,22 +123,22 @@
         self._gate = StoreGate(self._watched)
         self._product: Product | None = None
         if setup is not None:
-            self._product = setup.build(self.core, self.edge, self._store, self._metrics)
+            self._product = setup.build(self.core, self.gateway_io, self._store, self._metrics)
         self._peers: PeerLink | None = None
         if deployment.peers is not None:
             host = _PeerHost(self)
             address = f"tcp://{deployment.peers}"
             key_file = None if self._product is None else self._product.peer_key_file
             self._peers = PeerLink(address, key_file, self.core.counters, host)
-        self.edge.handlers[WriteLease] = self._write_duty
-        self.edge.handlers[WriteEntry] = self._write_entry
-        self.edge.handlers[RemoveEntry] = self._remove_entry
-        self.edge.handlers[PublishKind] = self._show_kind
-        self.edge.handlers[PollReport] = self._poll_report
-        self.edge.handlers[OrderWeights] = self._order
-        self.edge.handlers[ClaimKey] = self._claim_key
-        self.edge.handlers[SettleKey] = self._settle_key
-        self.edge.handlers[StopProcess] = lambda action: self._on_stop()
+        self.gateway_io.handlers[WriteLease] = self._write_duty
+        self.gateway_io.handlers[WriteEntry] = self._write_entry
+        self.gateway_io.handlers[RemoveEntry] = self._remove_entry
+        self.gateway_io.handlers[PublishKind] = self._show_kind
+        self.gateway_io.handlers[PollReport] = self._poll_report
+        self.gateway_io.handlers[OrderWeights] = self._order
+        self.gateway_io.handlers[ClaimKey] = self._claim_key
+        self.gateway_io.handlers[SettleKey] = self._settle_key
+        self.gateway_io.handlers[StopProcess] = lambda action: self._on_stop()
 
     def run(self) -> bool:
         """Serve until SIGTERM or SIGINT, then end what runs; whether no invariant broke."""
@@ -201,13 +201,13 @@
     def _close_callers(self) -> None:
         for server in self._servers:
             server.close()
-        self.edge.close()
+        self.gateway_io.close()
 
     async def _listen_all(self) -> None:
         """Listen everywhere; raises ``OSError`` where an address is taken."""
         deployment, product = self.deployment, self._product
         if product is None:
-            await self._listen(deployment.callers, self.edge.new_connection)
+            await self._listen(deployment.callers, self.gateway_io.new_connection)
         else:
             protocol = product.callers.new_connection
             await self._listen(deployment.callers, protocol, product.callers_tls)
@@ -228,19 +228,19 @@
         return StatusConnection(lambda: self.core.ready(boot_time_s()), self._metrics)
 
     def _metrics(self) -> bytes:
-        return metrics_text(self.core, self.edge, self._store, self._stream.dropped)
+        return metrics_text(self.core, self.gateway_io, self._store, self._stream.dropped)
 
     async def _keep(self) -> None:
         """Tell the core that time passes, until the process may end."""
         housekeeping_at_s = 0.0
         while not self._may_end() and not self.broken:
             await self._pause()
-            self.edge.tell(Tick())
+            self.gateway_io.tell(Tick())
             now_s = boot_time_s()
             self._set_gate(now_s)
             if now_s >= housekeeping_at_s:
                 housekeeping_at_s = now_s + HOUSEKEEPING_S
-                self.edge.sweep()
+                self.gateway_io.sweep()
                 self._reload_certificates()
                 if _stamp(self._settings_file) != self._settings_stamp:
                     self._reload()
@@ -249,8 +249,8 @@
         """Let the time between two ticks pass: more of it while nothing is under way."""
         if not self.core.busy:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.edge.work_began.wait(), IDLE_TICK_S)
-        self.edge.work_began.clear()
+                await asyncio.wait_for(self.gateway_io.work_began.wait(), IDLE_TICK_S)
+        self.gateway_io.work_began.clear()
         await asyncio.sleep(TICK_S)
 
     def _may_end(self) -> bool:
@@ -261,14 +261,14 @@
             return True
         if since_s < BALANCER_S:
             return False
-        self.edge.close_idle()
-        return not self.edge.connections and not self.core.idempotency_keys.unsettled
+        self.gateway_io.close_idle()
+        return not self.gateway_io.connections and not self.core.idempotency_keys.unsettled
 
     def _on_stop(self) -> None:
         if self._stop_at_s is None:
             self._stop_at_s = boot_time_s()
-            self.edge.stopping = True
-            self.edge.tell(StopRequested())
+            self.gateway_io.stopping = True
+            self.gateway_io.tell(StopRequested())
 
     def _reload(self) -> None:
         """Read the settings again; addresses stay, since the process listens on them."""
@@ -276,7 +276,7 @@
         match self._read_deployment():
             case Ok(deployment):
                 self.deployment = self.deployment._replace(bounds=deployment.bounds)
-                self.edge.tell(BoundsChanged(deployment.bounds))
+                self.gateway_io.tell(BoundsChanged(deployment.bounds))
                 self._log.write(LogEvent.SETTINGS_RELOADED)
             case Err(mistakes):
                 fields = (("mistakes", "; ".join(str(mistake) for mistake in mistakes)),)
@@ -301,7 +301,7 @@
         """Tell the core from another thread."""
         loop = self._loop
         if loop is not None and not loop.is_closed():
-            loop.call_soon_threadsafe(self.edge.tell, event)
+            loop.call_soon_threadsafe(self.gateway_io.tell, event)
 
     def _write_duty(self, write: WriteLease) -> None:
         self._submit(self._write_duty_now, write)
@@ -336,7 +336,7 @@
         taken = action.taken
         size = sum(len(row.content or b"") for row in taken.rows)
         if not self._decoding and size <= DECODED_AT_ONCE:
-            show_kind(self._watched[taken.kind], taken, self.edge.tell)
+            show_kind(self._watched[taken.kind], taken, self.gateway_io.tell)
             return
         self._decoding += 1
         self._submit_to(self._decoder, self._decode, taken)
@@ -399,7 +399,7 @@
 
     def register(self, kind: type, handler: Callable[[Any], object]) -> None:
         """Have a kind of action carried out on the event loop's thread."""
-        self._process.edge.handlers[kind] = handler
+        self._process.gateway_io.handlers[kind] = handler
 
     def tell(self, event: PeerMessage) -> None:
         """Hand an event to the core, from any thread."""
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -53,10 +53,14 @@
         return read_settings(file).map(deployment_of)
 
     def build(
-        self, core: Gateway, edge: GatewayEdge, store: ObjectStore, metrics: Callable[[], bytes]
+        self,
+        core: Gateway,
+        gateway_io: GatewayEdge,
+        store: ObjectStore,
+        metrics: Callable[[], bytes],
     ) -> "Product":
         """Return the parts that belong to the interface."""
-        return Product(self._settings, self._limits, core, edge, store, metrics)
+        return Product(self._settings, self._limits, core, gateway_io, store, metrics)
 
 
 def _text(path: Path | None) -> str | None:
@@ -71,15 +75,15 @@
         settings: Settings,
         limits: CallerLimits,
         core: Gateway,
-        edge: GatewayEdge,
+        gateway_io: GatewayEdge,
         store: ObjectStore,
         metrics: Callable[[], bytes],
     ) -> None:
         self.settings = settings
         self.recent = RecentCalls()
         ids = RequestIds(settings.name, core.cfg.incarnation)
-        self.callers = V1Port(edge, core, ids, limits, metrics)
-        self._edge = edge
+        self.callers = V1Port(gateway_io, core, ids, limits, metrics)
+        self._edge = gateway_io
         self._queries = CoreQueries(core)
         tls = settings.callers.tls
         self._callers_tls = None if tls is None else ReloadingAdapter(tls)
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -85,13 +85,13 @@
     address = Address(*server.sockets[0].getsockname())
     (action,) = sends(World().arrive("draft"))
     action = action._replace(address=address, progress_timeout_s=SILENCE_S)
-    edge, caller = Edge(), Caller()
-    edge.send = RelayedSend(edge, relayed(caller, action), action)
-    await edge.send.begin(TargetLinks())
+    gateway_io, caller = Edge(), Caller()
+    gateway_io.send = RelayedSend(gateway_io, relayed(caller, action), action)
+    await gateway_io.send.begin(TargetLinks())
     await asyncio.sleep(seconds)
-    edge.send.cancel()
+    gateway_io.send.cancel()
     server.close()
-    return edge, caller
+    return gateway_io, caller
 
 
 def relayed(caller: Caller, action: SendCall) -> Relayed:
@@ -115,17 +115,17 @@
 
 @pytest.mark.parametrize("kind", STALLED)
 def test_a_stalled_stream_is_noticed_whatever_it_sends_now_and_then(kind: str) -> None:
-    edge, _ = asyncio.run(play(STALLED[kind], GAP_S, 9 * GAP_S))
-    silent = [item for item in edge.told if isinstance(item, SendStalled)]
+    gateway_io, _ = asyncio.run(play(STALLED[kind], GAP_S, 9 * GAP_S))
+    silent = [item for item in gateway_io.told if isinstance(item, SendStalled)]
     assert silent
     assert silent[0].last_event_id == "1"
 
 
 def test_a_slow_but_sound_stream_is_not_taken_for_a_stalled_one() -> None:
     events = [chunk(b"id: %d\ndata: t\n\n" % number) for number in range(2, 8)]
-    edge, caller = asyncio.run(play([*events, b"0\r\n\r\n"], 0.8 * SILENCE_S, 8 * SILENCE_S))
-    assert not [item for item in edge.told if isinstance(item, SendStalled | SendFailed)]
-    assert [item for item in edge.told if isinstance(item, ResponseComplete)]
+    gateway_io, caller = asyncio.run(play([*events, b"0\r\n\r\n"], 0.8 * SILENCE_S, 8 * SILENCE_S))
+    assert not [item for item in gateway_io.told if isinstance(item, SendStalled | SendFailed)]
+    assert [item for item in gateway_io.told if isinstance(item, ResponseComplete)]
     assert caller.ended
     assert caller.body.count(b"data:") == 7
 
--- a/tests/test_gateway_redirect.py
+++ b/tests/test_gateway_redirect.py
@@ -66,7 +66,7 @@
 @pytest.mark.parametrize("others", [True, False])
 def test_connections_end_with_their_answers_before_calls_must_be_refused(others: bool) -> None:
     world = World()
-    edge = GatewayEdge(world.core, lambda log: None, lambda reason: None)
+    gateway_io = GatewayEdge(world.core, lambda log: None, lambda reason: None)
     world.tell(PeerMessage(EntryWork("e2", (), others)))
     assert not world.core.should_close_connections(world.now_s)
     outage_s = BOUNDS.revoke_s * 0.7
@@ -75,4 +75,4 @@
         world.tell(PeerMessage(EntryWork("e2", (), others)))
     assert world.core.should_close_connections(world.now_s) == others
     assert not [item for item in world.arrive("read") if isinstance(item, RespondLocally)]
-    assert not edge.stopping
+    assert not gateway_io.stopping
