--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -81,7 +81,7 @@
         self, core: Gateway, gateway_io: GatewayEdge, store: ObjectStore, dropped_lines: int
     ) -> None:
         self._core = core
-        self._edge = gateway_io
+        self._gateway_io = gateway_io
         self._store = store
         self._dropped_lines = dropped_lines
 
@@ -119,9 +119,9 @@
         now_s = boot_time_s()
         config = self._core.authorizer.config
         return {
-            "calls_running": float(self._edge.calls_running),
-            "caller_connections": float(len(self._edge.connections)),
-            "target_connections_opened": float(self._edge.connections_opened),
+            "calls_running": float(self._gateway_io.calls_running),
+            "caller_connections": float(len(self._gateway_io.connections)),
+            "target_connections_opened": float(self._gateway_io.connections_opened),
             "targets_known": float(len(self._core.roster.targets)),
             "targets_out": float(len(self._core.roster.outliers.ejected(now_s))),
             "config_version": float(0 if config is None else config.version),
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -55,7 +55,7 @@
     """One send of a call; the sink of its answer."""
 
     def __init__(self, gateway_io: EdgeHost, relayed: Relayed, action: SendCall) -> None:
-        self._edge = gateway_io
+        self._gateway_io = gateway_io
         self._relayed = relayed
         self.action = action
         self.link: TargetConnection | None = None
@@ -72,7 +72,7 @@
     def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
         """Ask the core what becomes of the answer."""
         self._answer, self._reason, self._headers = answer, reason, headers
-        self._edge.tell(ResponseStarted(self.action.call_id, self.action.number, answer))
+        self._gateway_io.tell(ResponseStarted(self.action.call_id, self.action.number, answer))
 
     def relay(self, stream: bool) -> None:
         """Pass the answer on: event by event, or whole."""
@@ -100,7 +100,7 @@
             return False
         if not self._first:
             self._first = True
-            self._edge.tell(FirstEvent(self.action.call_id, self.action.number))
+            self._gateway_io.tell(FirstEvent(self.action.call_id, self.action.number))
         if self._streams and self._relayed.events is not None:
             events = self._relayed.events
             before = events.useful
@@ -129,9 +129,9 @@
         self.over = True
         body = b"".join(self._body)
         self._finish(self._answer, body)
-        self._edge.finish(self.action.call_id)
+        self._gateway_io.finish(self.action.call_id)
         kept = self._kept(self._answer, body) if self._relayed.keeps_answer else None
-        self._edge.tell(
+        self._gateway_io.tell(
             ResponseComplete(self.action.call_id, self.action.number, self._body_bytes, kept)
         )
 
@@ -160,7 +160,7 @@
             return
         events = self._relayed.events
         last_id = None if events is None else events.last_id
-        self._edge.tell(
+        self._gateway_io.tell(
             SendStalled(self.action.call_id, self.action.number, events is not None, last_id)
         )
 
@@ -173,7 +173,7 @@
         event = SendFailed(
             self.action.call_id, self.action.number, cause, sent, events is not None, last_id
         )
-        self._edge.tell(event)
+        self._gateway_io.tell(event)
 
     async def begin(self, links: TargetLinks) -> None:
         """Find a connection and write the request."""
--- a/filbertstream/connection/v1_port.py
+++ b/filbertstream/connection/v1_port.py
@@ -38,7 +38,7 @@
         limits: CallerLimits,
         metrics: Callable[[], bytes],
     ) -> None:
-        self._edge = gateway_io
+        self._gateway_io = gateway_io
         self._core = core
         self._ids = ids
         self._limits = limits
@@ -52,25 +52,25 @@
     @property
     def closing(self) -> bool:
         """Whether answers should end their connections."""
-        return self._edge.closing
+        return self._gateway_io.closing
 
     def new_connection(self) -> CallerConnection:
         """Return the protocol of a caller's new connection."""
-        conn = CallerConnection(self, self._edge.connections.discard)
-        self._edge.connections.add(conn)
+        conn = CallerConnection(self, self._gateway_io.connections.discard)
+        self._gateway_io.connections.add(conn)
         return conn
 
     def on_left(self, conn: CallerConnection) -> None:
         """The caller closed its connection."""
-        self._edge.on_left(conn)
+        self._gateway_io.on_left(conn)
 
     def on_pause(self, conn: CallerConnection, paused: bool) -> None:
         """The caller reads too slowly, or reads again."""
-        self._edge.on_pause(conn, paused)
+        self._gateway_io.on_pause(conn, paused)
 
     def on_rejected(self, status: int, detail: str) -> None:
         """A request was refused before it could be read whole."""
-        self._edge.on_rejected(status, detail)
+        self._gateway_io.on_rejected(status, detail)
 
     def on_request(self, conn: CallerConnection, raw: RawRequest) -> None:
         """Serve a request that was read whole."""
@@ -95,7 +95,7 @@
             case Err(rejection):
                 self._reject(conn, request_id, rejection)
             case Ok(call):
-                self._edge.begin(conn, call.sent, call.head, call.form)
+                self._gateway_io.begin(conn, call.sent, call.head, call.form)
 
     def _reject(self, conn: CallerConnection, request_id: str, rejection: Rejection) -> None:
         self.on_rejected(rejection.status, rejection.detail)
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -83,7 +83,7 @@
         self.recent = RecentCalls()
         ids = RequestIds(settings.name, core.cfg.incarnation)
         self.callers = V1Port(gateway_io, core, ids, limits, metrics)
-        self._edge = gateway_io
+        self._gateway_io = gateway_io
         self._queries = CoreQueries(core)
         tls = settings.callers.tls
         self._callers_tls = None if tls is None else ReloadingAdapter(tls)
@@ -126,7 +126,7 @@
         self._operators.close()
 
     def _use_authority(self) -> None:
-        self._edge.links.tls = None if self._authority is None else self._authority.context
+        self._gateway_io.links.tls = None if self._authority is None else self._authority.context
 
     def reload(self) -> list[bool]:
         """Read changed certificate files; return for each of them whether it could be used."""
