--- a/filbertstream/connection/v1_answers.py
+++ b/filbertstream/connection/v1_answers.py
@@ -16,7 +16,7 @@
 from filbertstream.platform.headers import Headers
 from filbertstream.request.call import BufferedResponse
 from filbertstream.statuses import REASONS
-from filbertstream.texts import TITLES, UNTITLED
+from filbertstream.texts import DEFAULT_TITLE_CODE, TITLES
 
 JSON: Final = "application/json"
 STREAM: Final = "text/event-stream"
@@ -40,7 +40,7 @@
 
 def problem_of(request_id: str, refusal: Refusal) -> Problem:
     """Return the document for a refusal."""
-    code = refusal.code if refusal.code in TITLES else UNTITLED
+    code = refusal.code if refusal.code in TITLES else DEFAULT_TITLE_CODE
     run = "may_have_run" if refusal.status in MAY_HAVE_RUN else "not_run"
     return Problem(
         code,
@@ -183,7 +183,11 @@
 
     def broken(self) -> bytes | None:
         """Return the event that ends a stream without its end mark."""
-        error = {"type": UNTITLED, "title": TITLES[UNTITLED], "run": "may_have_run"}
+        error = {
+            "type": DEFAULT_TITLE_CODE,
+            "title": TITLES[DEFAULT_TITLE_CODE],
+            "run": "may_have_run",
+        }
         return b"event: error\ndata: " + msgspec.json.encode({"error": error}) + END
 
 
--- a/filbertstream/texts.py
+++ b/filbertstream/texts.py
@@ -34,5 +34,5 @@
     "unavailable": "The platform can't be reached now.",
 }
 
-UNTITLED: Final = "target_failed"
+DEFAULT_TITLE_CODE: Final = "target_failed"
 """Causes of broken sends have no title of their own: to a caller they are all alike."""
