--- a/bench/routing.py
+++ b/bench/routing.py
@@ -18,7 +18,7 @@
 from bench.workload import DEPLOYMENTS, Arrival, Deployment, arrivals, conversations
 from bench.world import World
 from bench.world_documents import world_documents
-from filbertstream.units import PIECE_TOKENS
+from filbertstream.units import BLOCK_TOKENS
 from filbertstream.version.documents import (
     Change,
     Limits,
@@ -183,7 +183,7 @@
     rate = cell.load * deployment.capacity_per_s
     _keep_conversations(world, deployment, cell.seed)
     rng = random.Random(cell.seed)
-    plan = arrivals(deployment, rng, cell.requests, rate, PIECE_TOKENS)
+    plan = arrivals(deployment, rng, cell.requests, rate, BLOCK_TOKENS)
     warm = int(WARM_SHARE * len(plan))
     chooser = random.Random(cell.seed + 1)
     for arrival in _paced(world, plan[:warm], WARM_SLOWER):
@@ -208,7 +208,7 @@
     stores = list(world.stores.values())
     for talk in conversations(deployment, random.Random(seed)):
         namespace = cache_namespace(f"w{talk.number % WORKSPACES}", "m", 1)
-        for block in talk.blocks(PIECE_TOKENS)[:-1]:
+        for block in talk.blocks(BLOCK_TOKENS)[:-1]:
             stores[talk.number % len(stores)].save((namespace, block.block_id), block.tokens)
     world.run(LISTED_S)
 
--- a/filbertstream/request/prefix.py
+++ b/filbertstream/request/prefix.py
@@ -1,6 +1,6 @@
 """The parts of a prompt's text that runners may keep cache of, named by what was said up to there.
 
-A part covers ``units.PIECE_TOKENS`` tokens of text, and what is left at the end is one more.  Its
+A part covers ``units.BLOCK_TOKENS`` tokens of text, and what is left at the end is one more.  Its
 id is a digest chained over all text before it, so equal ids are equal prefixes.  Runners and stores
 find parts only within a namespace, which is made of workspace, model and weight version.
 """
--- a/filbertstream/units.py
+++ b/filbertstream/units.py
@@ -6,6 +6,6 @@
 from typing import Final
 
 BYTES_PER_TOKEN: Final = 4
-PIECE_TOKENS: Final = 2_000
-PIECE_BYTES: Final = PIECE_TOKENS * BYTES_PER_TOKEN
+BLOCK_TOKENS: Final = 2_000
+PIECE_BYTES: Final = BLOCK_TOKENS * BYTES_PER_TOKEN
 """A part of kept cache covers this many bytes of prompt text."""
