--- a/filbertstream/request/prefix.py
+++ b/filbertstream/request/prefix.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from filbertstream.request.call import PromptBlock
-from filbertstream.units import BYTES_PER_TOKEN, PIECE_BYTES
+from filbertstream.units import BLOCK_BYTES, BYTES_PER_TOKEN
 
 BLOCK_ID_BYTES: Final = 16
 
@@ -28,7 +28,7 @@
     chain = b""
     start = 0
     while start < len(text):
-        size = PIECE_BYTES if len(blocks) < MAX_BLOCKS - 1 else len(text) - start
+        size = BLOCK_BYTES if len(blocks) < MAX_BLOCKS - 1 else len(text) - start
         block = text[start : start + size]
         chain = hashlib.blake2b(block, key=chain, digest_size=BLOCK_ID_BYTES).digest()
         blocks.append(PromptBlock(chain.hex(), token_count(block)))
--- a/filbertstream/units.py
+++ b/filbertstream/units.py
@@ -7,5 +7,5 @@
 
 BYTES_PER_TOKEN: Final = 4
 BLOCK_TOKENS: Final = 2_000
-PIECE_BYTES: Final = BLOCK_TOKENS * BYTES_PER_TOKEN
+BLOCK_BYTES: Final = BLOCK_TOKENS * BYTES_PER_TOKEN
 """A part of kept cache covers this many bytes of prompt text."""
