--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -54,7 +54,7 @@
     OK,
     REDIRECT,
     SERVER_ERROR,
-    TOO_MANY,
+    TOO_MANY_REQUESTS,
     UNAVAILABLE,
 )
 from filbertstream.version.config_freshness import ConfigFreshness
@@ -135,7 +135,7 @@
                 workspace.name, workspace.workspace_limits, now_s
             )
             if shortage is not None:
-                refused = Refused(TOO_MANY, shortage.code, shortage.retry_after_s)
+                refused = Refused(TOO_MANY_REQUESTS, shortage.code, shortage.retry_after_s)
                 return self._refuse(event, refused, now_s)
         limit_s = route.timeout_s
         if head.deadline_s is not None:
