--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -63,7 +63,7 @@
     Guard(
         "a success needs a signature",
         "request/forwarding.py",
-        "(response.status < REDIRECT and not response.signed)",
+        "(response.status < MULTIPLE_CHOICES and not response.signed)",
         "False",
         "tests/test_gateway_core.py::" "test_an_unsigned_or_encoded_success_is_not_passed_on",
     ),
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -51,8 +51,8 @@
     BAD_GATEWAY,
     GATEWAY_TIMEOUT,
     MISDIRECTED,
+    MULTIPLE_CHOICES,
     OK,
-    REDIRECT,
     SERVER_ERROR,
     TOO_MANY_REQUESTS,
     UNAVAILABLE,
@@ -296,7 +296,7 @@
         if response.not_run or response.status == MISDIRECTED:
             return self._on_not_run(call, event, now_s)
         call.may_have_run = True
-        if response.encoded or (response.status < REDIRECT and not response.signed):
+        if response.encoded or (response.status < MULTIPLE_CHOICES and not response.signed):
             return self._on_broken(call, event.number, "malformed", now_s)
         if response.status >= SERVER_ERROR and self._may_repeat(call, now_s):
             return self._on_broken(call, event.number, "target_error", now_s)
--- a/filbertstream/statuses.py
+++ b/filbertstream/statuses.py
@@ -4,7 +4,7 @@
 
 OK: Final = 200
 CREATED: Final = 201
-REDIRECT: Final = 300
+MULTIPLE_CHOICES: Final = 300
 BAD_REQUEST: Final = 400
 UNAUTHORIZED: Final = 401
 FORBIDDEN: Final = 403
