--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -50,10 +50,10 @@
 from filbertstream.statuses import (
     BAD_GATEWAY,
     GATEWAY_TIMEOUT,
+    INTERNAL_SERVER_ERROR,
     MISDIRECTED,
     MULTIPLE_CHOICES,
     OK,
-    SERVER_ERROR,
     TOO_MANY_REQUESTS,
     UNAVAILABLE,
 )
@@ -298,7 +298,7 @@
         call.may_have_run = True
         if response.encoded or (response.status < MULTIPLE_CHOICES and not response.signed):
             return self._on_broken(call, event.number, "malformed", now_s)
-        if response.status >= SERVER_ERROR and self._may_repeat(call, now_s):
+        if response.status >= INTERNAL_SERVER_ERROR and self._may_repeat(call, now_s):
             return self._on_broken(call, event.number, "target_error", now_s)
         call.answering = True
         if call.begun:
