--- a/filbertstream/cli.py
+++ b/filbertstream/cli.py
@@ -23,7 +23,7 @@
 from filbertstream.log_explain import explain_lines, read_lines
 from filbertstream.names import digest_key
 from filbertstream.operator_client import OperatorClient, Reply
-from filbertstream.platform.settings_file import BOOT_VARIABLE, read_boot
+from filbertstream.platform.settings_file import BOOT_VARIABLE, read_settings_file
 
 EXIT_REFUSED: Final = 1
 EXIT_USAGE: Final = 2
@@ -130,7 +130,7 @@
     ],
 ) -> None:
     """Run one entry on the users' platform until SIGTERM or SIGINT."""
-    match read_boot(settings):
+    match read_settings_file(settings):
         case Err(mistakes):
             _fail_mistakes(mistakes)
         case Ok(deployment):
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -48,7 +48,7 @@
 from filbertstream.platform.documents import DUTIES_KIND, ENTRIES_KIND
 from filbertstream.platform.objects import ObjectStore, StoreFault
 from filbertstream.platform.runner_calls import RunnerCalls
-from filbertstream.platform.settings_file import read_boot
+from filbertstream.platform.settings_file import read_settings_file
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address, Deployment
 from filbertstream.process.logs import BoundedStream, EventLog
@@ -284,7 +284,7 @@
 
     def _read_deployment(self) -> Result[Deployment, list[ConfigError]]:
         if self._setup is None:
-            return read_boot(self._settings_file)
+            return read_settings_file(self._settings_file)
         return self._setup.read(self._settings_file)
 
     def _reload_certificates(self) -> None:
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -78,7 +78,7 @@
     return Address(host, int(port))
 
 
-def read_boot(path: Path) -> Result[Deployment, list[ConfigError]]:
+def read_settings_file(path: Path) -> Result[Deployment, list[ConfigError]]:
     """Return the deployment that a settings file describes, or the first mistake in it."""
     file = str(path)
     try:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -17,7 +17,7 @@
 from filbertstream.messages import EntryWork, WorkRow
 from filbertstream.platform.documents import decode_configuration, decode_target
 from filbertstream.platform.headers import decode_call, encode_target_head
-from filbertstream.platform.settings_file import read_boot
+from filbertstream.platform.settings_file import read_settings_file
 from filbertstream.process.cache_index import CacheIndex
 from filbertstream.process.cache_stores import (
     SAVE_HOLDOFF_S,
@@ -297,7 +297,7 @@
 def test_settings_with_unknown_fields_are_read(tmp_path: Path) -> None:
     file = tmp_path / "boot.yaml"
     file.write_text(BOOT)
-    read = read_boot(file)
+    read = read_settings_file(file)
     assert isinstance(read, Ok)
     assert (read.ok_value.bounds.drain_s, read.ok_value.callers.port) == (2.0, 8005)
 
@@ -315,7 +315,7 @@
 ) -> None:
     file = tmp_path / "boot.yaml"
     file.write_text(BOOT.replace(old, new))
-    read = read_boot(file)
+    read = read_settings_file(file)
     assert isinstance(read, Err)
     assert [mistake.key for mistake in read.err_value] == [key]
 
