--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -28,7 +28,7 @@
 from filbertstream.platform.headers import (
     decode_call,
 )
-from filbertstream.platform.settings_file import address_of
+from filbertstream.platform.settings_file import parse_address
 from filbertstream.process.cache_stores import (
     BlocksFreed,
     CacheEventsFailed,
@@ -199,7 +199,7 @@
         data = encode_follow(follow)
         answer = await call_target(
             self.links,
-            address_of(follow.address),
+            parse_address(follow.address),
             data,
             within_s,
             sent_at_s,
@@ -213,7 +213,7 @@
     async def _list(self, ask: ListCacheBlocks) -> None:
         """Ask for all that a holder keeps; without an answer it is asked again later."""
         sent_at_s = boot_time_s()
-        address = address_of(ask.address)
+        address = parse_address(ask.address)
         answer = await call_target(
             self.links, address, encode_list(ask), CACHE_ANSWER_S, sent_at_s, LIST_LIMIT_BYTES
         )
@@ -226,7 +226,7 @@
     async def _free(self, free: FreeBlocks) -> None:
         """Free parts and tell the core if they are."""
         data = encode_free(free)
-        address = address_of(free.address)
+        address = parse_address(free.address)
         answer = await call_target(self.links, address, data, CACHE_ANSWER_S, boot_time_s())
         if answer is not None and answer[0] in FREED:
             self.tell(BlocksFreed(free.holder, free.keys))
--- a/filbertstream/platform/documents.py
+++ b/filbertstream/platform/documents.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from filbertstream.names import digest_key
-from filbertstream.platform.settings_file import address_of
+from filbertstream.platform.settings_file import parse_address
 from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.version.routes import (
     Backend,
@@ -200,7 +200,7 @@
     """Return a registration, or why it names no target."""
     try:
         wire = msgspec.json.decode(spec, type=_Server)
-        address = address_of(wire.address)
+        address = parse_address(wire.address)
     except (msgspec.DecodeError, ValueError) as exc:
         return Err(str(exc))
     if wire.state not in ("ready", "draining"):
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -70,7 +70,7 @@
     port_range: list[int] = []
 
 
-def address_of(text: str) -> Address:
+def parse_address(text: str) -> Address:
     """Return the address of ``host:port``; raises ``ValueError`` if it is none."""
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit():
@@ -123,7 +123,7 @@
     }
     for key, text in addresses.items():
         try:
-            address_of(text)
+            parse_address(text)
         except ValueError:
             return key
     return None
@@ -138,11 +138,11 @@
         name=boot.node_name,
         host=boot.ip,
         data_center=boot.zone,
-        callers=address_of(boot.listen.front),
-        readiness=address_of(boot.listen.ready),
+        callers=parse_address(boot.listen.front),
+        readiness=parse_address(boot.listen.ready),
         metrics=metrics,
         peers=peers,
-        object_store=f"http://{address_of(boot.platform.address)}",
+        object_store=f"http://{parse_address(boot.platform.address)}",
         memory_mb=boot.limits.memory_mb,
         max_descriptors=boot.limits.max_fds,
         link_mbps=boot.limits.link_mbps,
