--- a/filbertstream/platform/bounded_read.py
+++ b/filbertstream/platform/bounded_read.py
@@ -10,7 +10,7 @@
 PIECE_BYTES: Final = 65_536
 
 
-def read_whole(resp: BaseHTTPResponse, limit_bytes: int, until_s: float) -> bytes:
+def read_bounded(resp: BaseHTTPResponse, limit_bytes: int, until_s: float) -> bytes:
     """Return the body of an answer that was asked for with ``preload_content=False``.
 
     Raises ``urllib3.exceptions.HTTPError`` where it breaks off, holds more than ``limit_bytes`` or
--- a/filbertstream/platform/objects.py
+++ b/filbertstream/platform/objects.py
@@ -22,7 +22,7 @@
     NewConnectionError,
 )
 
-from filbertstream.platform.bounded_read import read_whole
+from filbertstream.platform.bounded_read import read_bounded
 from filbertstream.process.clock import boot_time_s
 from filbertstream.statuses import CONFLICT, CREATED, GONE, NOT_FOUND, OK
 
@@ -265,7 +265,7 @@
             resp = self._pool.request(
                 method, url, body=body, headers=headers, timeout=timeout, preload_content=False
             )
-            data = read_whole(resp, ANSWER_LIMIT_BYTES, boot_time_s() + ANSWER_S)
+            data = read_bounded(resp, ANSWER_LIMIT_BYTES, boot_time_s() + ANSWER_S)
         except HTTPError as exc:
             # Idle connections may have gone silent together with this one.
             self._pool.clear()
--- a/filbertstream/platform/runner_calls.py
+++ b/filbertstream/platform/runner_calls.py
@@ -6,7 +6,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from filbertstream.platform.bounded_read import read_whole
+from filbertstream.platform.bounded_read import read_bounded
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
 from filbertstream.statuses import OK
@@ -63,7 +63,7 @@
             resp = self._pool.request(
                 "GET", url, headers=headers, timeout=self._timeout, preload_content=False
             )
-            data = read_whole(resp, REPORT_LIMIT_BYTES, boot_time_s() + ANSWER_S)
+            data = read_bounded(resp, REPORT_LIMIT_BYTES, boot_time_s() + ANSWER_S)
             if resp.status != OK:
                 return ReportFailed(poll.target_id)
             report = msgspec.json.decode(data, type=_Report)
