--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -16,8 +16,8 @@
     Change,
     Changes,
     Listing,
+    ObjectStoreFailure,
     StoredObject,
-    StoreFault,
     Written,
 )
 from filbertstream.process.cache_stores import CacheChange
@@ -33,7 +33,7 @@
 LOAD_S: Final = 0.4
 PORT: Final = 80
 
-Answer = Result[Any, StoreFault]
+Answer = Result[Any, ObjectStoreFailure]
 
 
 class FakeObjects:
@@ -53,36 +53,36 @@
         self._after = after
         self._history: list[tuple[int, str, Change]] = []
 
-    def list(self, kind: str, sent_at_s: float) -> Result[Listing, StoreFault]:
+    def list(self, kind: str, sent_at_s: float) -> Result[Listing, ObjectStoreFailure]:
         """Return all objects of a kind."""
         self.calls["reads"] += 1
         if self.down:
-            return Err(StoreFault.REFUSED)
+            return Err(ObjectStoreFailure.REFUSED)
         found = tuple(self.objects.get(kind, {}).values())
         return Ok(Listing(sent_at_s, self.revision, found))
 
-    def watch(self, kind: str, since: int, sent_at_s: float) -> Result[Changes, StoreFault]:
+    def watch(self, kind: str, since: int, sent_at_s: float) -> Result[Changes, ObjectStoreFailure]:
         """Return what changed after a revision."""
         self.calls["reads"] += 1
         if self.down:
-            return Err(StoreFault.REFUSED)
+            return Err(ObjectStoreFailure.REFUSED)
         changes = [item for at, of, item in self._history if of == kind and at > since]
         return Ok(Changes(sent_at_s, self.revision, tuple(changes)))
 
-    def read(self, kind: str, name: str) -> Result[StoredObject | None, StoreFault]:
+    def read(self, kind: str, name: str) -> Result[StoredObject | None, ObjectStoreFailure]:
         """Return one object."""
         self.calls["reads"] += 1
         if self.down:
-            return Err(StoreFault.REFUSED)
+            return Err(ObjectStoreFailure.REFUSED)
         return Ok(self.objects.get(kind, {}).get(name))
 
-    def create(self, kind: str, name: str, content: Any) -> Result[Written, StoreFault]:
+    def create(self, kind: str, name: str, content: Any) -> Result[Written, ObjectStoreFailure]:
         """Create an object unless there is one of that name."""
         return self._write(kind, name, content, 0)
 
     def replace(
         self, kind: str, name: str, content: Any, revision: int
-    ) -> Result[Written, StoreFault]:
+    ) -> Result[Written, ObjectStoreFailure]:
         """Replace an object if it still has the revision."""
         return self._write(kind, name, content, revision)
 
@@ -93,11 +93,11 @@
         if not self.down and (present is None or bytes(present.content) != raw):
             self._apply(kind, name, content, 0 if present is None else present.revision)
 
-    def remove(self, kind: str, name: str) -> Result[Written, StoreFault]:
+    def remove(self, kind: str, name: str) -> Result[Written, ObjectStoreFailure]:
         """Remove an object."""
         self.calls["writes"] += 1
         if self.down:
-            return Err(StoreFault.REFUSED)
+            return Err(ObjectStoreFailure.REFUSED)
         stored = self.objects.get(kind, {}).pop(name, None)
         if stored is not None:
             self._note(kind, stored, True)
@@ -105,18 +105,18 @@
 
     def _write(
         self, kind: str, name: str, content: Any, revision: int
-    ) -> Result[Written, StoreFault]:
+    ) -> Result[Written, ObjectStoreFailure]:
         self.calls["writes"] += 1
         if self.down:
-            return Err(StoreFault.REFUSED)
+            return Err(ObjectStoreFailure.REFUSED)
         if self.late_writes > 0:
             self.late_writes -= 1
             self._after(LATE_S, lambda: self._apply(kind, name, content, revision))
-            return Err(StoreFault.UNSURE)
+            return Err(ObjectStoreFailure.UNSURE)
         written = self._apply(kind, name, content, revision)
         if self.lose_answers > 0:
             self.lose_answers -= 1
-            return Err(StoreFault.UNSURE)
+            return Err(ObjectStoreFailure.UNSURE)
         return Ok(written)
 
     def _apply(self, kind: str, name: str, content: Any, revision: int) -> Written:
--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -27,7 +27,7 @@
     WriteEntry,
 )
 from filbertstream.platform.documents import DUTIES_KIND, ENTRIES_KIND, KEYS_KIND, MS
-from filbertstream.platform.objects import StoreFault
+from filbertstream.platform.objects import ObjectStoreFailure
 from filbertstream.process.rollout_lease import WriteLease
 from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.request.key_writes import KeyAction, KeyCall, KeyReply
@@ -100,7 +100,7 @@
         wait_s = WATCH_S if since is not None else 0.0
 
         def carry_out() -> None:
-            result: Any = Err(StoreFault.UNSURE)
+            result: Any = Err(ObjectStoreFailure.UNSURE)
             if core.cfg.name not in world.store_cut:
                 objects = world.objects
                 result = (
@@ -131,8 +131,8 @@
 
         def carry_out() -> None:
             cut = core.cfg.name in world.store_cut
-            result = Err(StoreFault.UNSURE) if cut else make()
-            unanswered = isinstance(result, Err) and result.err_value is StoreFault.UNSURE
+            result = Err(ObjectStoreFailure.UNSURE) if cut else make()
+            unanswered = isinstance(result, Err) and result.err_value is ObjectStoreFailure.UNSURE
             delay_s = UNANSWERED_S if unanswered else self.latency_s
             world.after(delay_s, lambda: then(result))
 
@@ -157,7 +157,7 @@
                             written.present, lambda event: self._world.later(core, 0.0, event)
                         )
                 case Err(fault):
-                    event = LeaseWritten(fault is StoreFault.REFUSED)
+                    event = LeaseWritten(fault is ObjectStoreFailure.REFUSED)
                     self._world.later(core, 0.0, event)
 
         self._call(core, make, then)
--- a/filbertstream/connection/document_store.py
+++ b/filbertstream/connection/document_store.py
@@ -17,8 +17,8 @@
     Change,
     Listing,
     ObjectStore,
+    ObjectStoreFailure,
     StoredObject,
-    StoreFault,
     Written,
 )
 from filbertstream.version.compiled import compile_documents, document_set
@@ -114,12 +114,14 @@
         content = {"documents": [to_plain(document) for document in documents]}
         return self._settle(self._write(content, held.revision), content, held.revision)
 
-    def _write(self, content: Any, revision: int) -> Result[Written, StoreFault]:
+    def _write(self, content: Any, revision: int) -> Result[Written, ObjectStoreFailure]:
         if revision == 0:
             return self._store.create(DOCUMENTS_KIND, DOCUMENTS_NAME, content)
         return self._store.replace(DOCUMENTS_KIND, DOCUMENTS_NAME, content, revision)
 
-    def _settle(self, result: Result[Written, StoreFault], content: Any, base: int) -> ApplyEnded:
+    def _settle(
+        self, result: Result[Written, ObjectStoreFailure], content: Any, base: int
+    ) -> ApplyEnded:
         """Return how a write ended; one that was not answered is looked up."""
         match result:
             case Ok(written):
@@ -127,7 +129,7 @@
                 if written.done:
                     return ApplyEnded("accepted", revision)
                 return ApplyEnded("lost", revision, "another change was written first")
-            case Err(StoreFault.REFUSED):
+            case Err(ObjectStoreFailure.REFUSED):
                 return ApplyEnded("unavailable", base, "the platform takes no writes now")
             case Err(_):
                 pass
--- a/filbertstream/connection/key_store.py
+++ b/filbertstream/connection/key_store.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from filbertstream.platform.documents import KEYS_KIND, decode_own
-from filbertstream.platform.objects import ObjectStore, StoredObject, StoreFault, Written
+from filbertstream.platform.objects import ObjectStore, ObjectStoreFailure, StoredObject, Written
 from filbertstream.request.idempotency_keys import (
     ClaimKey,
     KeyClaimed,
@@ -65,12 +65,12 @@
         return of_write(self._store.replace(KEYS_KIND, call.name, call.record, call.revision))
 
 
-def _fault(fault: StoreFault) -> KeyReply:
-    refused = fault is StoreFault.REFUSED
+def _fault(fault: ObjectStoreFailure) -> KeyReply:
+    refused = fault is ObjectStoreFailure.REFUSED
     return KeyReply(KeyOutcome.REFUSED if refused else KeyOutcome.UNSURE)
 
 
-def of_read(result: Result[StoredObject | None, StoreFault]) -> KeyReply:
+def of_read(result: Result[StoredObject | None, ObjectStoreFailure]) -> KeyReply:
     """Return what a read tells of a key."""
     match result:
         case Err(fault):
@@ -79,7 +79,7 @@
             return KeyReply(KeyOutcome.DONE) if stored is None else _shown(KeyOutcome.DONE, stored)
 
 
-def of_write(result: Result[Written, StoreFault]) -> KeyReply:
+def of_write(result: Result[Written, ObjectStoreFailure]) -> KeyReply:
     """Return what a write tells of a key."""
     match result:
         case Err(fault):
--- a/filbertstream/connection/store_watch.py
+++ b/filbertstream/connection/store_watch.py
@@ -14,7 +14,7 @@
 
 from filbertstream.connection.watched_kinds import Tell, Watched, shown
 from filbertstream.gateway_events import ObjectStoreResult
-from filbertstream.platform.objects import ObjectStore, StoreFault
+from filbertstream.platform.objects import ObjectStore, ObjectStoreFailure
 from filbertstream.process.read_backoff import ReadBackoff
 
 PROBED_S: Final = 5.0
@@ -108,15 +108,15 @@
             self.actor_ref.tell(_Step())
             return
         fault = self._list() if self._as_of is None else self._watch(self._as_of)
-        if fault is None or fault is StoreFault.EXPIRED:
+        if fault is None or fault is ObjectStoreFailure.EXPIRED:
             self._gate.answered(self._watched.kind)
-            self._as_of = None if fault is StoreFault.EXPIRED else self._as_of
+            self._as_of = None if fault is ObjectStoreFailure.EXPIRED else self._as_of
         else:
             self._tell(ObjectStoreResult(self._watched.kind, False, fault.value))
             self._gate.failed(self._watched.kind)
         self.actor_ref.tell(_Step())
 
-    def _list(self) -> StoreFault | None:
+    def _list(self) -> ObjectStoreFailure | None:
         match self._store.list(self._watched.kind):
             case Err(fault):
                 return fault
@@ -126,7 +126,7 @@
                 self._as_of = listing.as_of
         return None
 
-    def _watch(self, since: int) -> StoreFault | None:
+    def _watch(self, since: int) -> ObjectStoreFailure | None:
         watched = self._watched
         wait_s, pause_s = watched.wait_s, watched.pause_s
         if self._gate.tells:
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -46,7 +46,7 @@
 )
 from filbertstream.log_events import LogEvent
 from filbertstream.platform.documents import DUTIES_KIND, ENTRIES_KIND
-from filbertstream.platform.objects import ObjectStore, StoreFault
+from filbertstream.platform.objects import ObjectStore, ObjectStoreFailure
 from filbertstream.platform.runner_calls import RunnerCalls
 from filbertstream.platform.settings_file import read_settings_file
 from filbertstream.process.clock import boot_time_s
@@ -318,7 +318,7 @@
                 if written.present is not None:
                     tell_duty(written.present, self.tell_soon)
             case Err(fault):
-                self.tell_soon(LeaseWritten(fault is StoreFault.REFUSED))
+                self.tell_soon(LeaseWritten(fault is ObjectStoreFailure.REFUSED))
 
     def _set_gate(self, now_s: float) -> None:
         """Have the watchers read what other entries don't tell."""
--- a/filbertstream/platform/objects.py
+++ b/filbertstream/platform/objects.py
@@ -41,7 +41,7 @@
 BUSY: Final = (429, 503)
 
 
-class StoreFault(enum.Enum):
+class ObjectStoreFailure(enum.Enum):
     """Why a call has no answer to use.
 
     ``REFUSED``: nothing was done.  ``UNSURE``: no answer, so a write may be applied, now or later.
@@ -163,7 +163,7 @@
         """Close all idle connections."""
         self._pool.clear()
 
-    def list(self, kind: str) -> Result[Listing, StoreFault]:
+    def list(self, kind: str) -> Result[Listing, ObjectStoreFailure]:
         """Return all objects of a kind, as of the first page: later pages may show later changes.
 
         What was written between two pages may be missing from both, so a watch must go on from the
@@ -181,18 +181,18 @@
                 case Ok((status, body)) if status == OK:
                     page = _decoded(body, _Page)
                 case Ok(_):
-                    return Err(StoreFault.UNSURE)
+                    return Err(ObjectStoreFailure.UNSURE)
             if page is None:
-                return Err(StoreFault.UNREADABLE)
+                return Err(ObjectStoreFailure.UNREADABLE)
             items = [_stored(raw) for raw in page.items]
             found += [item for item in items if item is not None]
             as_of = page.as_of if as_of is None else as_of
             if not page.has_more or not found:
                 return Ok(Listing(first_sent_at_s, as_of, tuple(found)))
             after = found[-1].name
-        return Err(StoreFault.UNSURE)
+        return Err(ObjectStoreFailure.UNSURE)
 
-    def watch(self, kind: str, since: int, wait_s: float) -> Result[Changes, StoreFault]:
+    def watch(self, kind: str, since: int, wait_s: float) -> Result[Changes, ObjectStoreFailure]:
         """Return what changed after a revision, waiting for the first change."""
         query = {"watch": str(since), "wait_ms": str(int(wait_s * 1000))}
         sent_at_s = boot_time_s()
@@ -200,18 +200,18 @@
             case Err(fault):
                 return Err(fault)
             case Ok((status, _)) if status == GONE:
-                return Err(StoreFault.EXPIRED)
+                return Err(ObjectStoreFailure.EXPIRED)
             case Ok((status, body)) if status == OK:
                 events = _decoded(body, _Events)
             case Ok(_):
-                return Err(StoreFault.UNSURE)
+                return Err(ObjectStoreFailure.UNSURE)
         if events is None:
-            return Err(StoreFault.UNREADABLE)
+            return Err(ObjectStoreFailure.UNREADABLE)
         found = [(_stored(event.object), event.removed) for event in events.events]
         changes = tuple(Change(item, removed) for item, removed in found if item is not None)
         return Ok(Changes(sent_at_s, events.as_of, changes))
 
-    def read(self, kind: str, name: str) -> Result[StoredObject | None, StoreFault]:
+    def read(self, kind: str, name: str) -> Result[StoredObject | None, ObjectStoreFailure]:
         """Return one object, or None where there is none."""
         match self._call("GET", f"/{kind}/{name}", {}, None, ANSWER_S):
             case Err(fault):
@@ -220,25 +220,25 @@
                 return Ok(_stored(msgspec.Raw(body)))
             case Ok((status, _)) if status == NOT_FOUND:
                 return Ok(None)
-        return Err(StoreFault.UNSURE)
+        return Err(ObjectStoreFailure.UNSURE)
 
-    def create(self, kind: str, name: str, content: Any) -> Result[Written, StoreFault]:
+    def create(self, kind: str, name: str, content: Any) -> Result[Written, ObjectStoreFailure]:
         """Create an object unless there is one of that name."""
         body = {"metadata": {"name": name}, "spec": content}
         return self._write("POST", f"/{kind}", body)
 
     def replace(
         self, kind: str, name: str, content: Any, revision: int
-    ) -> Result[Written, StoreFault]:
+    ) -> Result[Written, ObjectStoreFailure]:
         """Replace an object if it still has the revision."""
         body = {"metadata": {"name": name, "revision": revision}, "spec": content}
         return self._write("PUT", f"/{kind}/{name}", body)
 
-    def remove(self, kind: str, name: str) -> Result[Written, StoreFault]:
+    def remove(self, kind: str, name: str) -> Result[Written, ObjectStoreFailure]:
         """Remove an object."""
         return self._write("DELETE", f"/{kind}/{name}", None)
 
-    def _write(self, method: str, path: str, body: Any) -> Result[Written, StoreFault]:
+    def _write(self, method: str, path: str, body: Any) -> Result[Written, ObjectStoreFailure]:
         data = None if body is None else msgspec.json.encode(body)
         match self._call(method, path, {}, data, ANSWER_S):
             case Err(fault):
@@ -249,11 +249,11 @@
                 return Ok(Written(False, _stored(msgspec.Raw(data))))
             case Ok((status, _)) if status == NOT_FOUND:
                 return Ok(Written(False, None))
-        return Err(StoreFault.UNSURE)
+        return Err(ObjectStoreFailure.UNSURE)
 
     def _call(
         self, method: str, path: str, query: dict[str, str], body: bytes | None, read_s: float
-    ) -> Result[tuple[int, bytes], StoreFault]:
+    ) -> Result[tuple[int, bytes], ObjectStoreFailure]:
         with self._counting:
             self._calls[f"{method} {path.split('/')[1]}"] += 1
         headers = {"Content-Type": "application/json"} if body is not None else {}
@@ -269,7 +269,9 @@
         except HTTPError as exc:
             # Idle connections may have gone silent together with this one.
             self._pool.clear()
-            return Err(StoreFault.REFUSED if _never_sent(exc) else StoreFault.UNSURE)
+            return Err(
+                ObjectStoreFailure.REFUSED if _never_sent(exc) else ObjectStoreFailure.UNSURE
+            )
         if resp.status in BUSY:
-            return Err(StoreFault.REFUSED)
+            return Err(ObjectStoreFailure.REFUSED)
         return Ok((resp.status, data))
--- a/tests/test_documents_machine.py
+++ b/tests/test_documents_machine.py
@@ -13,7 +13,7 @@
 from bench.fakes import FakeObjects
 from filbertstream.connection.document_store import DocumentStore
 from filbertstream.platform.documents import DOCUMENTS_KIND, DOCUMENTS_NAME
-from filbertstream.platform.objects import StoreFault
+from filbertstream.platform.objects import ObjectStoreFailure
 from filbertstream.version.documents import Model, encode_changes
 
 
@@ -27,7 +27,7 @@
 
     def read(self, kind: str, name: str) -> Any:
         if self.read_fails:
-            return Err(StoreFault.UNSURE)
+            return Err(ObjectStoreFailure.UNSURE)
         return super().read(kind, name)
 
 
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -21,7 +21,7 @@
     call_target,
 )
 from filbertstream.platform.headers import Headers
-from filbertstream.platform.objects import ANSWER_LIMIT_BYTES, ObjectStore, StoreFault
+from filbertstream.platform.objects import ANSWER_LIMIT_BYTES, ObjectStore, ObjectStoreFailure
 from filbertstream.platform.runner_calls import REPORT_LIMIT_BYTES, RunnerCalls
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
@@ -186,7 +186,7 @@
 def test_a_store_whose_answer_does_not_end_has_given_none() -> None:
     with sending(WITHOUT_LENGTH, PIECE) as sender:
         found = ObjectStore(f"http://{sender.address}").list("k")
-    assert found.err_value in (StoreFault.UNREADABLE, StoreFault.UNSURE)
+    assert found.err_value in (ObjectStoreFailure.UNREADABLE, ObjectStoreFailure.UNSURE)
     assert sender.sent <= ANSWER_LIMIT_BYTES + IN_FLIGHT_BYTES
 
 
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -8,7 +8,7 @@
 import pytest
 from result import Err, Ok
 
-from filbertstream.platform.objects import ObjectStore, StoreFault
+from filbertstream.platform.objects import ObjectStore, ObjectStoreFailure
 from filbertstream.process.clock import boot_time_s
 
 PAGE = b'{"items":[{"metadata":{"name":"a","revision":4},"spec":1},7],"has_more":false,"as_of":9}'
@@ -60,22 +60,24 @@
 @pytest.mark.parametrize(
     ("status", "body", "fault"),
     [
-        (503, b"", StoreFault.REFUSED),
-        (429, b"", StoreFault.REFUSED),
-        (500, b"", StoreFault.UNSURE),
-        (0, b"", StoreFault.UNSURE),
-        (200, b"no json", StoreFault.UNREADABLE),
-        (200, b"[]", StoreFault.UNREADABLE),
-        (410, b"", StoreFault.EXPIRED),
+        (503, b"", ObjectStoreFailure.REFUSED),
+        (429, b"", ObjectStoreFailure.REFUSED),
+        (500, b"", ObjectStoreFailure.UNSURE),
+        (0, b"", ObjectStoreFailure.UNSURE),
+        (200, b"no json", ObjectStoreFailure.UNREADABLE),
+        (200, b"[]", ObjectStoreFailure.UNREADABLE),
+        (410, b"", ObjectStoreFailure.EXPIRED),
     ],
 )
 def test_a_watch_tells_why_it_has_nothing(
-    store: ObjectStore, status: int, body: bytes, fault: StoreFault
+    store: ObjectStore, status: int, body: bytes, fault: ObjectStoreFailure
 ) -> None:
     answer(status, body)
     assert store.watch("config", 3, 0.1) == Err(fault)
     listed = store.list("config")
-    assert listed == Err(StoreFault.UNSURE if fault is StoreFault.EXPIRED else fault)
+    assert listed == Err(
+        ObjectStoreFailure.UNSURE if fault is ObjectStoreFailure.EXPIRED else fault
+    )
 
 
 def test_an_object_that_cannot_be_read_hides_no_other(store: ObjectStore) -> None:
@@ -92,9 +94,9 @@
     store: ObjectStore,
 ) -> None:
     answer(0)
-    assert store.create("k", "n", 1) == Err(StoreFault.UNSURE)
+    assert store.create("k", "n", 1) == Err(ObjectStoreFailure.UNSURE)
     gone = ObjectStore("http://127.0.0.1:1")
-    assert gone.create("k", "n", 1) == Err(StoreFault.REFUSED)
+    assert gone.create("k", "n", 1) == Err(ObjectStoreFailure.REFUSED)
 
 
 def test_a_conflict_shows_the_object_as_it_is(store: ObjectStore) -> None:
