--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -112,11 +112,11 @@
         if self.late_writes > 0:
             self.late_writes -= 1
             self._after(LATE_S, lambda: self._apply(kind, name, content, revision))
-            return Err(ObjectStoreFailure.UNSURE)
+            return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
         written = self._apply(kind, name, content, revision)
         if self.lose_answers > 0:
             self.lose_answers -= 1
-            return Err(ObjectStoreFailure.UNSURE)
+            return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
         return Ok(written)
 
     def _apply(self, kind: str, name: str, content: Any, revision: int) -> Written:
--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -100,7 +100,7 @@
         wait_s = WATCH_S if since is not None else 0.0
 
         def carry_out() -> None:
-            result: Any = Err(ObjectStoreFailure.UNSURE)
+            result: Any = Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
             if core.cfg.name not in world.store_cut:
                 objects = world.objects
                 result = (
@@ -131,8 +131,10 @@
 
         def carry_out() -> None:
             cut = core.cfg.name in world.store_cut
-            result = Err(ObjectStoreFailure.UNSURE) if cut else make()
-            unanswered = isinstance(result, Err) and result.err_value is ObjectStoreFailure.UNSURE
+            result = Err(ObjectStoreFailure.OUTCOME_UNKNOWN) if cut else make()
+            unanswered = (
+                isinstance(result, Err) and result.err_value is ObjectStoreFailure.OUTCOME_UNKNOWN
+            )
             delay_s = UNANSWERED_S if unanswered else self.latency_s
             world.after(delay_s, lambda: then(result))
 
--- a/filbertstream/connection/key_store.py
+++ b/filbertstream/connection/key_store.py
@@ -50,7 +50,7 @@
             call = next(steps)
             while True:
                 reply = self._make(call)
-                if reply.outcome is KeyOutcome.UNSURE:
+                if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN:
                     time.sleep(AGAIN_S)
                 call = steps.send(reply)
         except StopIteration as ended:
@@ -67,7 +67,7 @@
 
 def _fault(fault: ObjectStoreFailure) -> KeyReply:
     refused = fault is ObjectStoreFailure.REFUSED
-    return KeyReply(KeyOutcome.REFUSED if refused else KeyOutcome.UNSURE)
+    return KeyReply(KeyOutcome.REFUSED if refused else KeyOutcome.OUTCOME_UNKNOWN)
 
 
 def of_read(result: Result[StoredObject | None, ObjectStoreFailure]) -> KeyReply:
@@ -96,5 +96,5 @@
     try:
         record: Any = decode_own(stored.content, KeyRecord)
     except msgspec.DecodeError:
-        return KeyReply(KeyOutcome.UNSURE)
+        return KeyReply(KeyOutcome.OUTCOME_UNKNOWN)
     return KeyReply(outcome, record, stored.revision)
--- a/filbertstream/platform/objects.py
+++ b/filbertstream/platform/objects.py
@@ -44,13 +44,13 @@
 class ObjectStoreFailure(enum.Enum):
     """Why a call has no answer to use.
 
-    ``REFUSED``: nothing was done.  ``UNSURE``: no answer, so a write may be applied, now or later.
+    ``REFUSED``: nothing was done.  ``OUTCOME_UNKNOWN``: no answer, so a write may be applied, now or later.
     ``EXPIRED``: the history that a watch asked for is gone.  ``UNREADABLE``: an answer that is
     none.
     """
 
     REFUSED = "refused"
-    UNSURE = "unsure"
+    OUTCOME_UNKNOWN = "unsure"
     EXPIRED = "expired"
     UNREADABLE = "unreadable"
 
@@ -181,7 +181,7 @@
                 case Ok((status, body)) if status == OK:
                     page = _decoded(body, _Page)
                 case Ok(_):
-                    return Err(ObjectStoreFailure.UNSURE)
+                    return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
             if page is None:
                 return Err(ObjectStoreFailure.UNREADABLE)
             items = [_stored(raw) for raw in page.items]
@@ -190,7 +190,7 @@
             if not page.has_more or not found:
                 return Ok(Listing(first_sent_at_s, as_of, tuple(found)))
             after = found[-1].name
-        return Err(ObjectStoreFailure.UNSURE)
+        return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
 
     def watch(self, kind: str, since: int, wait_s: float) -> Result[Changes, ObjectStoreFailure]:
         """Return what changed after a revision, waiting for the first change."""
@@ -204,7 +204,7 @@
             case Ok((status, body)) if status == OK:
                 events = _decoded(body, _Events)
             case Ok(_):
-                return Err(ObjectStoreFailure.UNSURE)
+                return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
         if events is None:
             return Err(ObjectStoreFailure.UNREADABLE)
         found = [(_stored(event.object), event.removed) for event in events.events]
@@ -220,7 +220,7 @@
                 return Ok(_stored(msgspec.Raw(body)))
             case Ok((status, _)) if status == NOT_FOUND:
                 return Ok(None)
-        return Err(ObjectStoreFailure.UNSURE)
+        return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
 
     def create(self, kind: str, name: str, content: Any) -> Result[Written, ObjectStoreFailure]:
         """Create an object unless there is one of that name."""
@@ -249,7 +249,7 @@
                 return Ok(Written(False, _stored(msgspec.Raw(data))))
             case Ok((status, _)) if status == NOT_FOUND:
                 return Ok(Written(False, None))
-        return Err(ObjectStoreFailure.UNSURE)
+        return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
 
     def _call(
         self, method: str, path: str, query: dict[str, str], body: bytes | None, read_s: float
@@ -270,7 +270,9 @@
             # Idle connections may have gone silent together with this one.
             self._pool.clear()
             return Err(
-                ObjectStoreFailure.REFUSED if _never_sent(exc) else ObjectStoreFailure.UNSURE
+                ObjectStoreFailure.REFUSED
+                if _never_sent(exc)
+                else ObjectStoreFailure.OUTCOME_UNKNOWN
             )
         if resp.status in BUSY:
             return Err(ObjectStoreFailure.REFUSED)
--- a/filbertstream/request/key_writes.py
+++ b/filbertstream/request/key_writes.py
@@ -44,13 +44,13 @@
     """How a call ended.
 
     ``DONE``: written, or read.  ``CONFLICT``: another object is there.  ``REFUSED``: not carried
-    out.  ``UNSURE``: no answer.
+    out.  ``OUTCOME_UNKNOWN``: no answer.
     """
 
     DONE = "done"
     CONFLICT = "conflict"
     REFUSED = "refused"
-    UNSURE = "unsure"
+    OUTCOME_UNKNOWN = "unsure"
 
 
 class KeyReply(NamedTuple):
@@ -74,7 +74,7 @@
         present = reply.record
         if reply.outcome is KeyOutcome.REFUSED:
             break
-        if reply.outcome is KeyOutcome.UNSURE or present is None:
+        if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:
             continue
         if present.call == claim.record.call:
             # Where the call has ended meanwhile, this is its outcome and the core takes no notice.
--- a/tests/test_documents_machine.py
+++ b/tests/test_documents_machine.py
@@ -27,7 +27,7 @@
 
     def read(self, kind: str, name: str) -> Any:
         if self.read_fails:
-            return Err(ObjectStoreFailure.UNSURE)
+            return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
         return super().read(kind, name)
 
 
--- a/tests/test_keys_machine.py
+++ b/tests/test_keys_machine.py
@@ -114,7 +114,7 @@
         elif how == "refused":
             reply = KeyReply(KeyOutcome.REFUSED)
         else:
-            reply = KeyReply(KeyOutcome.UNSURE)
+            reply = KeyReply(KeyOutcome.OUTCOME_UNKNOWN)
             if how == "lost":
                 self._apply(step.call)
             elif how == "late" and step.call.action is not KeyAction.READ:
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -62,8 +62,8 @@
     [
         (503, b"", ObjectStoreFailure.REFUSED),
         (429, b"", ObjectStoreFailure.REFUSED),
-        (500, b"", ObjectStoreFailure.UNSURE),
-        (0, b"", ObjectStoreFailure.UNSURE),
+        (500, b"", ObjectStoreFailure.OUTCOME_UNKNOWN),
+        (0, b"", ObjectStoreFailure.OUTCOME_UNKNOWN),
         (200, b"no json", ObjectStoreFailure.UNREADABLE),
         (200, b"[]", ObjectStoreFailure.UNREADABLE),
         (410, b"", ObjectStoreFailure.EXPIRED),
@@ -76,7 +76,7 @@
     assert store.watch("config", 3, 0.1) == Err(fault)
     listed = store.list("config")
     assert listed == Err(
-        ObjectStoreFailure.UNSURE if fault is ObjectStoreFailure.EXPIRED else fault
+        ObjectStoreFailure.OUTCOME_UNKNOWN if fault is ObjectStoreFailure.EXPIRED else fault
     )
 
 
@@ -94,7 +94,7 @@
     store: ObjectStore,
 ) -> None:
     answer(0)
-    assert store.create("k", "n", 1) == Err(ObjectStoreFailure.UNSURE)
+    assert store.create("k", "n", 1) == Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
     gone = ObjectStore("http://127.0.0.1:1")
     assert gone.create("k", "n", 1) == Err(ObjectStoreFailure.REFUSED)
 
