--- a/filbertstream/platform/objects.py
+++ b/filbertstream/platform/objects.py
@@ -45,14 +45,14 @@
     """Why a call has no answer to use.
 
     ``REFUSED``: nothing was done.  ``OUTCOME_UNKNOWN``: no answer, so a write may be applied, now or later.
-    ``EXPIRED``: the history that a watch asked for is gone.  ``UNREADABLE``: an answer that is
+    ``EXPIRED``: the history that a watch asked for is gone.  ``MALFORMED``: an answer that is
     none.
     """
 
     REFUSED = "refused"
     OUTCOME_UNKNOWN = "unsure"
     EXPIRED = "expired"
-    UNREADABLE = "unreadable"
+    MALFORMED = "unreadable"
 
 
 class StoredObject(NamedTuple):
@@ -183,7 +183,7 @@
                 case Ok(_):
                     return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
             if page is None:
-                return Err(ObjectStoreFailure.UNREADABLE)
+                return Err(ObjectStoreFailure.MALFORMED)
             items = [_stored(raw) for raw in page.items]
             found += [item for item in items if item is not None]
             as_of = page.as_of if as_of is None else as_of
@@ -206,7 +206,7 @@
             case Ok(_):
                 return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
         if events is None:
-            return Err(ObjectStoreFailure.UNREADABLE)
+            return Err(ObjectStoreFailure.MALFORMED)
         found = [(_stored(event.object), event.removed) for event in events.events]
         changes = tuple(Change(item, removed) for item, removed in found if item is not None)
         return Ok(Changes(sent_at_s, events.as_of, changes))
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -186,7 +186,7 @@
 def test_a_store_whose_answer_does_not_end_has_given_none() -> None:
     with sending(WITHOUT_LENGTH, PIECE) as sender:
         found = ObjectStore(f"http://{sender.address}").list("k")
-    assert found.err_value in (ObjectStoreFailure.UNREADABLE, ObjectStoreFailure.OUTCOME_UNKNOWN)
+    assert found.err_value in (ObjectStoreFailure.MALFORMED, ObjectStoreFailure.OUTCOME_UNKNOWN)
     assert sender.sent <= ANSWER_LIMIT_BYTES + IN_FLIGHT_BYTES
 
 
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -64,8 +64,8 @@
         (429, b"", ObjectStoreFailure.REFUSED),
         (500, b"", ObjectStoreFailure.OUTCOME_UNKNOWN),
         (0, b"", ObjectStoreFailure.OUTCOME_UNKNOWN),
-        (200, b"no json", ObjectStoreFailure.UNREADABLE),
-        (200, b"[]", ObjectStoreFailure.UNREADABLE),
+        (200, b"no json", ObjectStoreFailure.MALFORMED),
+        (200, b"[]", ObjectStoreFailure.MALFORMED),
         (410, b"", ObjectStoreFailure.EXPIRED),
     ],
 )
