--- a/filbertstream/platform/objects.py
+++ b/filbertstream/platform/objects.py
@@ -32,7 +32,7 @@
 ANSWER_S: Final = 1.5
 """An answer to a call that does not wait."""
 
-ANSWER_LIMIT_BYTES: Final = 16_000_000
+RESPONSE_LIMIT_BYTES: Final = 16_000_000
 """An answer may hold a page of a megabyte, or all events of the history that the store keeps."""
 
 PAGE_LIMIT: Final = 200
@@ -265,7 +265,7 @@
             resp = self._pool.request(
                 method, url, body=body, headers=headers, timeout=timeout, preload_content=False
             )
-            data = read_bounded(resp, ANSWER_LIMIT_BYTES, boot_time_s() + ANSWER_S)
+            data = read_bounded(resp, RESPONSE_LIMIT_BYTES, boot_time_s() + ANSWER_S)
         except HTTPError as exc:
             # Idle connections may have gone silent together with this one.
             self._pool.clear()
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -21,7 +21,7 @@
     call_target,
 )
 from filbertstream.platform.headers import Headers
-from filbertstream.platform.objects import ANSWER_LIMIT_BYTES, ObjectStore, ObjectStoreFailure
+from filbertstream.platform.objects import RESPONSE_LIMIT_BYTES, ObjectStore, ObjectStoreFailure
 from filbertstream.platform.runner_calls import REPORT_LIMIT_BYTES, RunnerCalls
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
@@ -187,7 +187,7 @@
     with sending(WITHOUT_LENGTH, PIECE) as sender:
         found = ObjectStore(f"http://{sender.address}").list("k")
     assert found.err_value in (ObjectStoreFailure.MALFORMED, ObjectStoreFailure.OUTCOME_UNKNOWN)
-    assert sender.sent <= ANSWER_LIMIT_BYTES + IN_FLIGHT_BYTES
+    assert sender.sent <= RESPONSE_LIMIT_BYTES + IN_FLIGHT_BYTES
 
 
 class App:
