--- a/filbertstream/connection/key_store.py
+++ b/filbertstream/connection/key_store.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from filbertstream.platform.documents import KEYS_KIND, decode_own
+from filbertstream.platform.documents import KEYS_KIND, decode_internal
 from filbertstream.platform.objects import ObjectStore, ObjectStoreFailure, StoredObject, Written
 from filbertstream.request.idempotency_keys import (
     ClaimKey,
@@ -94,7 +94,7 @@
 def _shown(outcome: KeyOutcome, stored: StoredObject) -> KeyReply:
     """Return a reply with an object; one that can't be read counts as no answer."""
     try:
-        record: Any = decode_own(stored.content, KeyRecord)
+        record: Any = decode_internal(stored.content, KeyRecord)
     except msgspec.DecodeError:
         return KeyReply(KeyOutcome.OUTCOME_UNKNOWN)
     return KeyReply(outcome, record, stored.revision)
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -32,8 +32,8 @@
     TARGETS_KIND,
     WEIGHTS_KIND,
     decode_configuration,
+    decode_internal,
     decode_named_weights,
-    decode_own,
     decode_target,
 )
 from filbertstream.platform.objects import (
@@ -165,7 +165,7 @@
     if stored.name != DUTY_NAME:
         return
     try:
-        record = decode_own(stored.content, LeaseRecord)
+        record = decode_internal(stored.content, LeaseRecord)
     except msgspec.DecodeError as exc:
         tell(ObjectStoreResult(DUTIES_KIND, False, f"unreadable: {exc}"))
         return
@@ -188,7 +188,7 @@
         tell(EntryObserved(name, None, 0))
         return
     try:
-        record = decode_own(change.stored.content, EntryRecord)
+        record = decode_internal(change.stored.content, EntryRecord)
     except msgspec.DecodeError as exc:
         tell(ObjectStoreResult(ENTRIES_KIND, False, f"unreadable: {exc}"))
         return
--- a/filbertstream/platform/documents.py
+++ b/filbertstream/platform/documents.py
@@ -229,6 +229,6 @@
     return Ok((wire.model, wire.version))
 
 
-def decode_own(spec: msgspec.Raw, kind: Any) -> Any:
+def decode_internal(spec: msgspec.Raw, kind: Any) -> Any:
     """Return an object of a kind of this system's own; raises ``msgspec.DecodeError``."""
     return msgspec.json.decode(spec, type=kind)
