--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -26,7 +26,7 @@
     RemoveEntry,
     WriteEntry,
 )
-from filbertstream.platform.documents import DUTIES_KIND, ENTRIES_KIND, KEYS_KIND, MS
+from filbertstream.platform.documents import ENTRIES_KIND, KEYS_KIND, LEASES_KIND, MS
 from filbertstream.platform.objects import ObjectStoreFailure
 from filbertstream.process.rollout_lease import WriteLease
 from filbertstream.process.target_registration import TargetRegistration
@@ -146,8 +146,8 @@
 
         def make() -> Any:
             if write.revision == 0:
-                return objects.create(DUTIES_KIND, DUTY_NAME, write.record)
-            return objects.replace(DUTIES_KIND, DUTY_NAME, write.record, write.revision)
+                return objects.create(LEASES_KIND, DUTY_NAME, write.record)
+            return objects.replace(LEASES_KIND, DUTY_NAME, write.record, write.revision)
 
         def then(result: Any) -> None:
             match result:
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -27,8 +27,8 @@
     CONFIG_KIND,
     CONFIG_NAME,
     DOCUMENTS_KIND,
-    DUTIES_KIND,
     ENTRIES_KIND,
+    LEASES_KIND,
     TARGETS_KIND,
     WEIGHTS_KIND,
     decode_configuration,
@@ -167,7 +167,7 @@
     try:
         record = decode_internal(stored.content, LeaseRecord)
     except msgspec.DecodeError as exc:
-        tell(ObjectStoreResult(DUTIES_KIND, False, f"unreadable: {exc}"))
+        tell(ObjectStoreResult(LEASES_KIND, False, f"unreadable: {exc}"))
         return
     tell(LeaseObserved(record, stored.revision))
 
@@ -320,7 +320,7 @@
             _relayed_targets(bounds),
         ),
         Watched(
-            DUTIES_KIND,
+            LEASES_KIND,
             DUTIES_WAIT_S,
             0.0,
             _list_duties,
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -45,7 +45,7 @@
     WriteEntry,
 )
 from filbertstream.log_events import LogEvent
-from filbertstream.platform.documents import DUTIES_KIND, ENTRIES_KIND
+from filbertstream.platform.documents import ENTRIES_KIND, LEASES_KIND
 from filbertstream.platform.objects import ObjectStore, ObjectStoreFailure
 from filbertstream.platform.runner_calls import RunnerCalls
 from filbertstream.platform.settings_file import read_settings_file
@@ -308,9 +308,9 @@
 
     def _write_duty_now(self, write: WriteLease) -> None:
         if write.revision == 0:
-            result = self._store.create(DUTIES_KIND, DUTY_NAME, write.record)
+            result = self._store.create(LEASES_KIND, DUTY_NAME, write.record)
         else:
-            result = self._store.replace(DUTIES_KIND, DUTY_NAME, write.record, write.revision)
+            result = self._store.replace(LEASES_KIND, DUTY_NAME, write.record, write.revision)
         match result:
             case Ok(written):
                 if not written.done:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -23,8 +23,8 @@
 from filbertstream.messages import KindUpdate, ObjectRow, ViewRequest, ViewResponse
 from filbertstream.platform.documents import (
     DOCUMENTS_KIND,
-    DUTIES_KIND,
     ENTRIES_KIND,
+    LEASES_KIND,
     TARGETS_KIND,
 )
 from filbertstream.process.peer_work import EntryRecord
@@ -352,7 +352,7 @@
     world = Fleet(RELAYS[0])
     world.tell(PeerMessage(ViewRequest(FOLLOWER, 1, {})))
     record = msgspec.json.encode(LeaseRecord("f9#1", 1, True, 1, ["r1"]))
-    shown = KindObserved(DUTIES_KIND, False, 5, 9, 100.0, (ObjectRow("weights", 9, record),))
+    shown = KindObserved(LEASES_KIND, False, 5, 9, 100.0, (ObjectRow("weights", 9, record),))
     (action,) = world.tell(shown)
     assert action.address == f"tcp://{FOLLOWER}"
     follower = Fleet()
