--- a/filbertstream/connection/target_link.py
+++ b/filbertstream/connection/target_link.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from filbertstream.platform.headers import Headers, decode_answer, keep_alive_s
+from filbertstream.platform.headers import Headers, decode_response, keep_alive_s
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import ResponseHead
@@ -170,7 +170,7 @@
         if sink is None:
             return
         status = int(self._parser.get_status_code())
-        answer = decode_answer(status, self._headers)
+        answer = decode_response(status, self._headers)
         names = {name for name, _ in self._headers}
         self._framed = b"content-length" in names or b"transfer-encoding" in names
         # Refusals by a target that read only the head may lack the id.
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -202,7 +202,7 @@
     return frozenset(names - SINGLE)
 
 
-def decode_answer(status: int, headers: Headers) -> ResponseHead:
+def decode_response(status: int, headers: Headers) -> ResponseHead:
     """Return what an answer's head says; unreadable optional headers count as absent."""
     first = dict(reversed(headers))
     return ResponseHead(
