--- a/filbertstream/connection/answer_form.py
+++ b/filbertstream/connection/answer_form.py
@@ -6,7 +6,7 @@
 
 from typing import Protocol
 
-from filbertstream.platform.headers import Headers, encode_answer_head, encode_own_answer
+from filbertstream.platform.headers import Headers, encode_own_answer, encode_response_head
 from filbertstream.request.call import BufferedResponse
 from filbertstream.statuses import REASONS
 
@@ -69,7 +69,7 @@
 
     def begin(self, status: int, reason: str, headers: Headers) -> bytes:
         """Return the target's head."""
-        return encode_answer_head(status, reason, headers, None)
+        return encode_response_head(status, reason, headers, None)
 
     def events(self, data: bytes) -> bytes:
         """Return the events as they came."""
@@ -85,13 +85,13 @@
 
     def whole(self, status: int, reason: str, headers: Headers, body: bytes) -> tuple[bytes, bytes]:
         """Return the target's answer."""
-        return encode_answer_head(status, reason, headers, len(body)), body
+        return encode_response_head(status, reason, headers, len(body)), body
 
     def kept(self, answer: BufferedResponse) -> tuple[bytes, bytes]:
         """Return a kept answer."""
         headers = [(b"content-type", answer.content_type.encode())]
         reason = REASONS.get(answer.status, "Answer")
-        return encode_answer_head(answer.status, reason, headers, len(answer.body)), answer.body
+        return encode_response_head(answer.status, reason, headers, len(answer.body)), answer.body
 
     def refusal(self, request_id: str, refusal: Refusal) -> tuple[bytes, bytes]:
         """Return a problem document with the request's id."""
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -250,7 +250,7 @@
     return None
 
 
-def encode_answer_head(status: int, reason: str, headers: Headers, length: int | None) -> bytes:
+def encode_response_head(status: int, reason: str, headers: Headers, length: int | None) -> bytes:
     """Return the head of a target's answer for the caller; chunked where the length is unknown."""
     lines = [f"HTTP/1.1 {status} {reason}".encode()]
     for name, value in headers:
