--- a/filbertstream/connection/answer_form.py
+++ b/filbertstream/connection/answer_form.py
@@ -6,7 +6,7 @@
 
 from typing import Protocol
 
-from filbertstream.platform.headers import Headers, encode_own_answer, encode_response_head
+from filbertstream.platform.headers import Headers, encode_local_response, encode_response_head
 from filbertstream.request.call import BufferedResponse
 from filbertstream.statuses import REASONS
 
@@ -97,4 +97,6 @@
         """Return a problem document with the request's id."""
         problem = {"code": refusal.code, "detail": refusal.detail, "request_id": request_id}
         reason = REASONS[refusal.status]
-        return encode_own_answer(refusal.status, reason, request_id, problem, refusal.retry_after_s)
+        return encode_local_response(
+            refusal.status, reason, request_id, problem, refusal.retry_after_s
+        )
--- a/filbertstream/connection/caller_link.py
+++ b/filbertstream/connection/caller_link.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from filbertstream.platform.headers import Headers, encode_own_answer
+from filbertstream.platform.headers import Headers, encode_local_response
 from filbertstream.statuses import (
     BAD_REQUEST,
     FIELDS_TOO_LARGE,
@@ -238,7 +238,7 @@
             self._close_after = True
             self._waiting.clear()
             return
-        head, body = encode_own_answer(status, REASONS[status], "", {"detail": detail}, None)
+        head, body = encode_local_response(status, REASONS[status], "", {"detail": detail}, None)
         self.transport.write(head + b"\r\nConnection: close\r\n\r\n" + body)
         self.transport.close()
 
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -263,7 +263,7 @@
     return b"\r\n".join(lines)
 
 
-def encode_own_answer(
+def encode_local_response(
     status: int, reason: str, request_id: str, detail: dict[str, str], retry_after_s: float | None
 ) -> tuple[bytes, bytes]:
     """Return head, without its end, and body of an answer of this system's own."""
