--- a/filbertstream/connection/document_store.py
+++ b/filbertstream/connection/document_store.py
@@ -33,7 +33,7 @@
 from filbertstream.version.resolve import DocumentSet
 from filbertstream.version.routes import CallerLimits
 
-Tell = Callable[[Any], None]
+EmitEvent = Callable[[Any], None]
 
 
 class HeldDocuments(NamedTuple):
@@ -148,7 +148,7 @@
     def __init__(self, limits: CallerLimits) -> None:
         self._limits = limits
 
-    def on_listing(self, listing: Listing, tell: Tell) -> None:
+    def on_listing(self, listing: Listing, tell: EmitEvent) -> None:
         """Tell what is there, or that there is nothing yet."""
         found = [item for item in listing.objects if item.name == DOCUMENTS_NAME]
         if not found:
@@ -157,16 +157,16 @@
         for stored in found:
             self._tell(stored, listing.sent_at_s, True, tell)
 
-    def on_change(self, change: Change, sent_at_s: float, tell: Tell) -> None:
+    def on_change(self, change: Change, sent_at_s: float, tell: EmitEvent) -> None:
         """Tell what was written."""
         if not change.removed and change.stored.name == DOCUMENTS_NAME:
             self._tell(change.stored, sent_at_s, False, tell)
 
-    def on_quiet(self, sent_at_s: float, tell: Tell) -> None:
+    def on_quiet(self, sent_at_s: float, tell: EmitEvent) -> None:
         """Tell that nothing was written."""
         tell(ConfigurationObserved(None, sent_at_s))
 
-    def _tell(self, stored: StoredObject, sent_at_s: float, listed: bool, tell: Tell) -> None:
+    def _tell(self, stored: StoredObject, sent_at_s: float, listed: bool, tell: EmitEvent) -> None:
         match decode_documents(stored):
             case Err(reason):
                 tell(ObjectStoreResult(DOCUMENTS_KIND, False, f"unreadable: {reason}"))
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -49,7 +49,7 @@
 
 DUTY_NAME: Final = "weights"
 
-Tell = Callable[[Any], None]
+EmitEvent = Callable[[Any], None]
 
 
 class Relayed(NamedTuple):
@@ -79,9 +79,9 @@
     kind: str
     wait_s: float
     pause_s: float
-    on_listing: Callable[[Listing, Tell], None]
-    on_change: Callable[[Change, float, Tell], None]
-    on_quiet: Callable[[float, Tell], None]
+    on_listing: Callable[[Listing, EmitEvent], None]
+    on_change: Callable[[Change, float, EmitEvent], None]
+    on_quiet: Callable[[float, EmitEvent], None]
     relayed: Relayed
 
     @property
@@ -90,16 +90,16 @@
         return FollowedKind(self.kind, self.relayed.max_age_s, self.relayed.pushed)
 
 
-def _ignore_quiet(sent_at_s: float, tell: Tell) -> None:
+def _ignore_quiet(sent_at_s: float, tell: EmitEvent) -> None:
     """A watch that saw nothing tells nothing of most kinds."""
 
 
-def _list_configuration(listing: Listing, tell: Tell) -> None:
+def _list_configuration(listing: Listing, tell: EmitEvent) -> None:
     for stored in listing.objects:
         _tell_configuration(stored, listing.sent_at_s, tell)
 
 
-def _tell_configuration(stored: StoredObject, sent_at_s: float, tell: Tell) -> None:
+def _tell_configuration(stored: StoredObject, sent_at_s: float, tell: EmitEvent) -> None:
     if stored.name != CONFIG_NAME:
         return
     match decode_configuration(stored.content):
@@ -109,21 +109,21 @@
             tell(ObjectStoreResult(CONFIG_KIND, False, f"unreadable: {reason}"))
 
 
-def _change_configuration(change: Change, sent_at_s: float, tell: Tell) -> None:
+def _change_configuration(change: Change, sent_at_s: float, tell: EmitEvent) -> None:
     if not change.removed:
         _tell_configuration(change.stored, sent_at_s, tell)
 
 
-def _quiet_configuration(sent_at_s: float, tell: Tell) -> None:
+def _quiet_configuration(sent_at_s: float, tell: EmitEvent) -> None:
     tell(ConfigurationObserved(None, sent_at_s))
 
 
-def _list_targets(listing: Listing, tell: Tell) -> None:
+def _list_targets(listing: Listing, tell: EmitEvent) -> None:
     entries = [decode_target(item.name, item.content) for item in listing.objects]
     tell(TargetsListed(tuple(item.ok_value for item in entries if isinstance(item, Ok))))
 
 
-def _change_target(change: Change, sent_at_s: float, tell: Tell) -> None:
+def _change_target(change: Change, sent_at_s: float, tell: EmitEvent) -> None:
     name = change.stored.name
     if change.removed:
         tell(TargetObserved(name, None, True))
@@ -132,7 +132,7 @@
     tell(TargetObserved(name, decoded.ok_value if isinstance(decoded, Ok) else None, False))
 
 
-def _list_weights(listing: Listing, tell: Tell) -> None:
+def _list_weights(listing: Listing, tell: EmitEvent) -> None:
     for stored in listing.objects:
         match decode_named_weights(stored.content):
             case Ok((model, version)):
@@ -141,13 +141,13 @@
                 tell(ObjectStoreResult(WEIGHTS_KIND, False, f"unreadable: {reason}"))
 
 
-def _change_weights(change: Change, sent_at_s: float, tell: Tell) -> None:
+def _change_weights(change: Change, sent_at_s: float, tell: EmitEvent) -> None:
     match decode_named_weights(change.stored.content):
         case Ok((model, version)) if not change.removed:
             tell(WeightsNamed(model, version))
 
 
-def _list_duties(listing: Listing, tell: Tell) -> None:
+def _list_duties(listing: Listing, tell: EmitEvent) -> None:
     tell(LeaseConfirmed(listing.sent_at_s))
     if not any(stored.name == DUTY_NAME for stored in listing.objects):
         tell(LeaseObserved(None, 0))
@@ -155,12 +155,12 @@
         tell_duty(stored, tell)
 
 
-def _change_duty(change: Change, sent_at_s: float, tell: Tell) -> None:
+def _change_duty(change: Change, sent_at_s: float, tell: EmitEvent) -> None:
     if not change.removed:
         tell_duty(change.stored, tell)
 
 
-def tell_duty(stored: StoredObject, tell: Tell) -> None:
+def tell_duty(stored: StoredObject, tell: EmitEvent) -> None:
     """Tell the core of the duty's record."""
     if stored.name != DUTY_NAME:
         return
@@ -172,17 +172,17 @@
     tell(LeaseObserved(record, stored.revision))
 
 
-def _quiet_duties(sent_at_s: float, tell: Tell) -> None:
+def _quiet_duties(sent_at_s: float, tell: EmitEvent) -> None:
     tell(LeaseConfirmed(sent_at_s))
 
 
-def _list_entries(listing: Listing, tell: Tell) -> None:
+def _list_entries(listing: Listing, tell: EmitEvent) -> None:
     tell(EntriesListed(frozenset(stored.name for stored in listing.objects)))
     for stored in listing.objects:
         _change_entry(Change(stored, False), listing.sent_at_s, tell)
 
 
-def _change_entry(change: Change, sent_at_s: float, tell: Tell) -> None:
+def _change_entry(change: Change, sent_at_s: float, tell: EmitEvent) -> None:
     name = change.stored.name
     if change.removed:
         tell(EntryObserved(name, None, 0))
@@ -258,13 +258,13 @@
 class ConfigurationWatch(Protocol):
     """Tells the core of a configuration that is not the users' own document."""
 
-    def on_listing(self, listing: Listing, tell: Tell) -> None:
+    def on_listing(self, listing: Listing, tell: EmitEvent) -> None:
         """Tell what is there."""
 
-    def on_change(self, change: Change, sent_at_s: float, tell: Tell) -> None:
+    def on_change(self, change: Change, sent_at_s: float, tell: EmitEvent) -> None:
         """Tell what was written."""
 
-    def on_quiet(self, sent_at_s: float, tell: Tell) -> None:
+    def on_quiet(self, sent_at_s: float, tell: EmitEvent) -> None:
         """Tell that nothing was written."""
 
 
@@ -340,7 +340,7 @@
     )
 
 
-def show_kind(watched: Watched, taken: KindDelta, tell: Tell) -> None:
+def show_kind(watched: Watched, taken: KindDelta, tell: EmitEvent) -> None:
     """Decode what is new of a kind and tell it."""
     if taken.full:
         objects = tuple(_stored(row) for row in taken.rows if row.content is not None)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -6,7 +6,7 @@
 
 import bench.world
 from filbertstream.actions import Log
-from filbertstream.connection.watched_kinds import Tell, product_kinds, show_kind
+from filbertstream.connection.watched_kinds import EmitEvent, product_kinds, show_kind
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     ConfigurationObserved,
@@ -85,18 +85,18 @@
 class PlainWatch:
     """Tells the core of configurations that are written as ``[version, keys]``."""
 
-    def on_listing(self, listing: Listing, tell: Tell) -> None:
+    def on_listing(self, listing: Listing, tell: EmitEvent) -> None:
         for stored in listing.objects:
             self._tell(stored, listing.sent_at_s, tell)
 
-    def on_change(self, change: Change, sent_at_s: float, tell: Tell) -> None:
+    def on_change(self, change: Change, sent_at_s: float, tell: EmitEvent) -> None:
         self._tell(change.stored, sent_at_s, tell)
 
-    def on_quiet(self, sent_at_s: float, tell: Tell) -> None:
+    def on_quiet(self, sent_at_s: float, tell: EmitEvent) -> None:
         tell(ConfigurationObserved(None, sent_at_s))
 
     @staticmethod
-    def _tell(stored: StoredObject, sent_at_s: float, tell: Tell) -> None:
+    def _tell(stored: StoredObject, sent_at_s: float, tell: EmitEvent) -> None:
         version, keys = msgspec.json.decode(stored.content)
         tell(ConfigurationObserved(configuration(version, tuple(keys)), sent_at_s))
 
