--- a/filbertstream/connection/document_store.py
+++ b/filbertstream/connection/document_store.py
@@ -148,31 +148,31 @@
     def __init__(self, limits: CallerLimits) -> None:
         self._limits = limits
 
-    def on_listing(self, listing: Listing, tell: EmitEvent) -> None:
+    def on_listing(self, listing: Listing, emit: EmitEvent) -> None:
         """Tell what is there, or that there is nothing yet."""
         found = [item for item in listing.objects if item.name == DOCUMENTS_NAME]
         if not found:
             empty = compile_documents(DocumentSet(), 0, self._limits)
-            tell(ConfigurationObserved(empty, listing.sent_at_s))
+            emit(ConfigurationObserved(empty, listing.sent_at_s))
         for stored in found:
-            self._tell(stored, listing.sent_at_s, True, tell)
+            self._tell(stored, listing.sent_at_s, True, emit)
 
-    def on_change(self, change: Change, sent_at_s: float, tell: EmitEvent) -> None:
+    def on_change(self, change: Change, sent_at_s: float, emit: EmitEvent) -> None:
         """Tell what was written."""
         if not change.removed and change.stored.name == DOCUMENTS_NAME:
-            self._tell(change.stored, sent_at_s, False, tell)
+            self._tell(change.stored, sent_at_s, False, emit)
 
-    def on_quiet(self, sent_at_s: float, tell: EmitEvent) -> None:
+    def on_quiet(self, sent_at_s: float, emit: EmitEvent) -> None:
         """Tell that nothing was written."""
-        tell(ConfigurationObserved(None, sent_at_s))
+        emit(ConfigurationObserved(None, sent_at_s))
 
-    def _tell(self, stored: StoredObject, sent_at_s: float, listed: bool, tell: EmitEvent) -> None:
+    def _tell(self, stored: StoredObject, sent_at_s: float, listed: bool, emit: EmitEvent) -> None:
         match decode_documents(stored):
             case Err(reason):
-                tell(ObjectStoreResult(DOCUMENTS_KIND, False, f"unreadable: {reason}"))
+                emit(ObjectStoreResult(DOCUMENTS_KIND, False, f"unreadable: {reason}"))
             case Ok(held):
                 config = compile_documents(held.view, held.revision, self._limits)
-                tell(ConfigurationObserved(config, sent_at_s))
+                emit(ConfigurationObserved(config, sent_at_s))
                 for document in held.view.documents.values():
                     if isinstance(document, Model):
-                        tell(WeightsNamed(document.name, document.version, listed))
+                        emit(WeightsNamed(document.name, document.version, listed))
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -124,7 +124,7 @@
         self.connections.add(conn)
         return conn
 
-    def tell(self, event: Any) -> None:
+    def emit(self, event: Any) -> None:
         """Step the core and carry its actions out."""
         for action in self._core.step(boot_time_s(), event):
             self.carry_out(action)
@@ -152,7 +152,7 @@
         conn.call_id = self._last_call
         self._calls[self._last_call] = Relayed(conn, raw, head, form)
         self.work_began.set()
-        self.tell(CallArrived(self._last_call, head))
+        self.emit(CallArrived(self._last_call, head))
 
     def on_rejected(self, status: int, detail: str) -> None:
         """Count a request that could not be read."""
@@ -162,7 +162,7 @@
         """Tell the core that a caller left."""
         call_id, conn.call_id = conn.call_id, None
         if call_id is not None and call_id in self._calls:
-            self.tell(CallerDisconnected(call_id))
+            self.emit(CallerDisconnected(call_id))
             self.finish(call_id)
 
     def on_pause(self, conn: CallerConnection, paused: bool) -> None:
@@ -206,9 +206,9 @@
             EVENTS_LIMIT_BYTES,
         )
         if answer is None:
-            self.tell(CacheEventsFailed(follow.holder))
+            self.emit(CacheEventsFailed(follow.holder))
         else:
-            self.tell(decode_events(follow, *answer, sent_at_s, boot_time_s()))
+            self.emit(decode_events(follow, *answer, sent_at_s, boot_time_s()))
 
     async def _list(self, ask: ListCacheBlocks) -> None:
         """Ask for all that a holder keeps; without an answer it is asked again later."""
@@ -221,7 +221,7 @@
         if listed is None:
             self._core.counters.add("cache_lists_missed", "")
         else:
-            self.tell(listed)
+            self.emit(listed)
 
     async def _free(self, free: FreeBlocks) -> None:
         """Free parts and tell the core if they are."""
@@ -229,7 +229,7 @@
         address = parse_address(free.address)
         answer = await call_target(self.links, address, data, CACHE_ANSWER_S, boot_time_s())
         if answer is not None and answer[0] in FREED:
-            self.tell(BlocksFreed(free.holder, free.keys))
+            self.emit(BlocksFreed(free.holder, free.keys))
 
     def _current(self, call_id: int, number: int) -> RelayedSend | None:
         relayed = self._calls.get(call_id)
--- a/filbertstream/connection/peer_link.py
+++ b/filbertstream/connection/peer_link.py
@@ -40,7 +40,7 @@
     def register(self, kind: type, handler: Callable[[Any], object]) -> None:
         """Have a kind of action carried out by a handler."""
 
-    def tell(self, event: PeerMessage) -> None:
+    def emit(self, event: PeerMessage) -> None:
         """Hand an event to the core, from any thread."""
 
 
@@ -187,4 +187,4 @@
             # Another version's message: the sender repeats what matters in a form known to both.
             self._counters.add("peer_messages", "unreadable")
             return
-        self._host.tell(PeerMessage(message))
+        self._host.emit(PeerMessage(message))
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -29,7 +29,7 @@
 class EdgeHost(Protocol):
     """What a send tells the edge."""
 
-    def tell(self, event: Any) -> None:
+    def emit(self, event: Any) -> None:
         """Step the core and carry its actions out."""
 
     def finish(self, call_id: int) -> None:
@@ -72,7 +72,7 @@
     def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
         """Ask the core what becomes of the answer."""
         self._answer, self._reason, self._headers = answer, reason, headers
-        self._gateway_io.tell(ResponseStarted(self.action.call_id, self.action.number, answer))
+        self._gateway_io.emit(ResponseStarted(self.action.call_id, self.action.number, answer))
 
     def relay(self, stream: bool) -> None:
         """Pass the answer on: event by event, or whole."""
@@ -100,7 +100,7 @@
             return False
         if not self._first:
             self._first = True
-            self._gateway_io.tell(FirstEvent(self.action.call_id, self.action.number))
+            self._gateway_io.emit(FirstEvent(self.action.call_id, self.action.number))
         if self._streams and self._relayed.events is not None:
             events = self._relayed.events
             before = events.useful
@@ -131,7 +131,7 @@
         self._finish(self._answer, body)
         self._gateway_io.finish(self.action.call_id)
         kept = self._kept(self._answer, body) if self._relayed.keeps_answer else None
-        self._gateway_io.tell(
+        self._gateway_io.emit(
             ResponseComplete(self.action.call_id, self.action.number, self._body_bytes, kept)
         )
 
@@ -160,7 +160,7 @@
             return
         events = self._relayed.events
         last_id = None if events is None else events.last_id
-        self._gateway_io.tell(
+        self._gateway_io.emit(
             SendStalled(self.action.call_id, self.action.number, events is not None, last_id)
         )
 
@@ -173,7 +173,7 @@
         event = SendFailed(
             self.action.call_id, self.action.number, cause, sent, events is not None, last_id
         )
-        self._gateway_io.tell(event)
+        self._gateway_io.emit(event)
 
     async def begin(self, links: TargetLinks) -> None:
         """Find a connection and write the request."""
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -90,109 +90,109 @@
         return FollowedKind(self.kind, self.relayed.max_age_s, self.relayed.pushed)
 
 
-def _ignore_quiet(sent_at_s: float, tell: EmitEvent) -> None:
+def _ignore_quiet(sent_at_s: float, emit: EmitEvent) -> None:
     """A watch that saw nothing tells nothing of most kinds."""
 
 
-def _list_configuration(listing: Listing, tell: EmitEvent) -> None:
+def _list_configuration(listing: Listing, emit: EmitEvent) -> None:
     for stored in listing.objects:
-        _tell_configuration(stored, listing.sent_at_s, tell)
+        _tell_configuration(stored, listing.sent_at_s, emit)
 
 
-def _tell_configuration(stored: StoredObject, sent_at_s: float, tell: EmitEvent) -> None:
+def _tell_configuration(stored: StoredObject, sent_at_s: float, emit: EmitEvent) -> None:
     if stored.name != CONFIG_NAME:
         return
     match decode_configuration(stored.content):
         case Ok(config):
-            tell(ConfigurationObserved(config, sent_at_s))
+            emit(ConfigurationObserved(config, sent_at_s))
         case Err(reason):
-            tell(ObjectStoreResult(CONFIG_KIND, False, f"unreadable: {reason}"))
+            emit(ObjectStoreResult(CONFIG_KIND, False, f"unreadable: {reason}"))
 
 
-def _change_configuration(change: Change, sent_at_s: float, tell: EmitEvent) -> None:
+def _change_configuration(change: Change, sent_at_s: float, emit: EmitEvent) -> None:
     if not change.removed:
-        _tell_configuration(change.stored, sent_at_s, tell)
+        _tell_configuration(change.stored, sent_at_s, emit)
 
 
-def _quiet_configuration(sent_at_s: float, tell: EmitEvent) -> None:
-    tell(ConfigurationObserved(None, sent_at_s))
+def _quiet_configuration(sent_at_s: float, emit: EmitEvent) -> None:
+    emit(ConfigurationObserved(None, sent_at_s))
 
 
-def _list_targets(listing: Listing, tell: EmitEvent) -> None:
+def _list_targets(listing: Listing, emit: EmitEvent) -> None:
     entries = [decode_target(item.name, item.content) for item in listing.objects]
-    tell(TargetsListed(tuple(item.ok_value for item in entries if isinstance(item, Ok))))
+    emit(TargetsListed(tuple(item.ok_value for item in entries if isinstance(item, Ok))))
 
 
-def _change_target(change: Change, sent_at_s: float, tell: EmitEvent) -> None:
+def _change_target(change: Change, sent_at_s: float, emit: EmitEvent) -> None:
     name = change.stored.name
     if change.removed:
-        tell(TargetObserved(name, None, True))
+        emit(TargetObserved(name, None, True))
         return
     decoded = decode_target(name, change.stored.content)
-    tell(TargetObserved(name, decoded.ok_value if isinstance(decoded, Ok) else None, False))
+    emit(TargetObserved(name, decoded.ok_value if isinstance(decoded, Ok) else None, False))
 
 
-def _list_weights(listing: Listing, tell: EmitEvent) -> None:
+def _list_weights(listing: Listing, emit: EmitEvent) -> None:
     for stored in listing.objects:
         match decode_named_weights(stored.content):
             case Ok((model, version)):
-                tell(WeightsNamed(model, version, True))
+                emit(WeightsNamed(model, version, True))
             case Err(reason):
-                tell(ObjectStoreResult(WEIGHTS_KIND, False, f"unreadable: {reason}"))
+                emit(ObjectStoreResult(WEIGHTS_KIND, False, f"unreadable: {reason}"))
 
 
-def _change_weights(change: Change, sent_at_s: float, tell: EmitEvent) -> None:
+def _change_weights(change: Change, sent_at_s: float, emit: EmitEvent) -> None:
     match decode_named_weights(change.stored.content):
         case Ok((model, version)) if not change.removed:
-            tell(WeightsNamed(model, version))
+            emit(WeightsNamed(model, version))
 
 
-def _list_duties(listing: Listing, tell: EmitEvent) -> None:
-    tell(LeaseConfirmed(listing.sent_at_s))
+def _list_duties(listing: Listing, emit: EmitEvent) -> None:
+    emit(LeaseConfirmed(listing.sent_at_s))
     if not any(stored.name == DUTY_NAME for stored in listing.objects):
-        tell(LeaseObserved(None, 0))
+        emit(LeaseObserved(None, 0))
     for stored in listing.objects:
-        tell_duty(stored, tell)
+        tell_duty(stored, emit)
 
 
-def _change_duty(change: Change, sent_at_s: float, tell: EmitEvent) -> None:
+def _change_duty(change: Change, sent_at_s: float, emit: EmitEvent) -> None:
     if not change.removed:
-        tell_duty(change.stored, tell)
+        tell_duty(change.stored, emit)
 
 
-def tell_duty(stored: StoredObject, tell: EmitEvent) -> None:
+def tell_duty(stored: StoredObject, emit: EmitEvent) -> None:
     """Tell the core of the duty's record."""
     if stored.name != DUTY_NAME:
         return
     try:
         record = decode_internal(stored.content, LeaseRecord)
     except msgspec.DecodeError as exc:
-        tell(ObjectStoreResult(LEASES_KIND, False, f"unreadable: {exc}"))
+        emit(ObjectStoreResult(LEASES_KIND, False, f"unreadable: {exc}"))
         return
-    tell(LeaseObserved(record, stored.revision))
+    emit(LeaseObserved(record, stored.revision))
 
 
-def _quiet_duties(sent_at_s: float, tell: EmitEvent) -> None:
-    tell(LeaseConfirmed(sent_at_s))
+def _quiet_duties(sent_at_s: float, emit: EmitEvent) -> None:
+    emit(LeaseConfirmed(sent_at_s))
 
 
-def _list_entries(listing: Listing, tell: EmitEvent) -> None:
-    tell(EntriesListed(frozenset(stored.name for stored in listing.objects)))
+def _list_entries(listing: Listing, emit: EmitEvent) -> None:
+    emit(EntriesListed(frozenset(stored.name for stored in listing.objects)))
     for stored in listing.objects:
-        _change_entry(Change(stored, False), listing.sent_at_s, tell)
+        _change_entry(Change(stored, False), listing.sent_at_s, emit)
 
 
-def _change_entry(change: Change, sent_at_s: float, tell: EmitEvent) -> None:
+def _change_entry(change: Change, sent_at_s: float, emit: EmitEvent) -> None:
     name = change.stored.name
     if change.removed:
-        tell(EntryObserved(name, None, 0))
+        emit(EntryObserved(name, None, 0))
         return
     try:
         record = decode_internal(change.stored.content, EntryRecord)
     except msgspec.DecodeError as exc:
-        tell(ObjectStoreResult(ENTRIES_KIND, False, f"unreadable: {exc}"))
+        emit(ObjectStoreResult(ENTRIES_KIND, False, f"unreadable: {exc}"))
         return
-    tell(EntryObserved(name, record, change.stored.revision))
+    emit(EntryObserved(name, record, change.stored.revision))
 
 
 CONFIG_WAIT_SHARE: Final = 0.4
@@ -258,13 +258,13 @@
 class ConfigurationWatch(Protocol):
     """Tells the core of a configuration that is not the users' own document."""
 
-    def on_listing(self, listing: Listing, tell: EmitEvent) -> None:
+    def on_listing(self, listing: Listing, emit: EmitEvent) -> None:
         """Tell what is there."""
 
-    def on_change(self, change: Change, sent_at_s: float, tell: EmitEvent) -> None:
+    def on_change(self, change: Change, sent_at_s: float, emit: EmitEvent) -> None:
         """Tell what was written."""
 
-    def on_quiet(self, sent_at_s: float, tell: EmitEvent) -> None:
+    def on_quiet(self, sent_at_s: float, emit: EmitEvent) -> None:
         """Tell that nothing was written."""
 
 
@@ -340,15 +340,15 @@
     )
 
 
-def show_kind(watched: Watched, taken: KindDelta, tell: EmitEvent) -> None:
+def show_kind(watched: Watched, taken: KindDelta, emit: EmitEvent) -> None:
     """Decode what is new of a kind and tell it."""
     if taken.full:
         objects = tuple(_stored(row) for row in taken.rows if row.content is not None)
-        watched.on_listing(Listing(taken.observed_at_s, 0, objects), tell)
+        watched.on_listing(Listing(taken.observed_at_s, 0, objects), emit)
         return
     for row in taken.rows:
-        watched.on_change(Change(_stored(row), row.content is None), taken.observed_at_s, tell)
-    watched.on_quiet(taken.observed_at_s, tell)
+        watched.on_change(Change(_stored(row), row.content is None), taken.observed_at_s, emit)
+    watched.on_quiet(taken.observed_at_s, emit)
 
 
 def _stored(row: ObjectRow) -> StoredObject:
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -235,7 +235,7 @@
         housekeeping_at_s = 0.0
         while not self._may_end() and not self.broken:
             await self._pause()
-            self.gateway_io.tell(Tick())
+            self.gateway_io.emit(Tick())
             now_s = boot_time_s()
             self._set_gate(now_s)
             if now_s >= housekeeping_at_s:
@@ -268,7 +268,7 @@
         if self._stop_at_s is None:
             self._stop_at_s = boot_time_s()
             self.gateway_io.stopping = True
-            self.gateway_io.tell(StopRequested())
+            self.gateway_io.emit(StopRequested())
 
     def _reload(self) -> None:
         """Read the settings again; addresses stay, since the process listens on them."""
@@ -276,7 +276,7 @@
         match self._read_deployment():
             case Ok(deployment):
                 self.deployment = self.deployment._replace(bounds=deployment.bounds)
-                self.gateway_io.tell(BoundsChanged(deployment.bounds))
+                self.gateway_io.emit(BoundsChanged(deployment.bounds))
                 self._log.write(LogEvent.SETTINGS_RELOADED)
             case Err(mistakes):
                 fields = (("mistakes", "; ".join(str(mistake) for mistake in mistakes)),)
@@ -301,7 +301,7 @@
         """Tell the core from another thread."""
         loop = self._loop
         if loop is not None and not loop.is_closed():
-            loop.call_soon_threadsafe(self.gateway_io.tell, event)
+            loop.call_soon_threadsafe(self.gateway_io.emit, event)
 
     def _write_duty(self, write: WriteLease) -> None:
         self._submit(self._write_duty_now, write)
@@ -336,7 +336,7 @@
         taken = action.taken
         size = sum(len(row.content or b"") for row in taken.rows)
         if not self._decoding and size <= DECODED_AT_ONCE:
-            show_kind(self._watched[taken.kind], taken, self.gateway_io.tell)
+            show_kind(self._watched[taken.kind], taken, self.gateway_io.emit)
             return
         self._decoding += 1
         self._submit_to(self._decoder, self._decode, taken)
@@ -401,7 +401,7 @@
         """Have a kind of action carried out on the event loop's thread."""
         self._process.gateway_io.handlers[kind] = handler
 
-    def tell(self, event: PeerMessage) -> None:
+    def emit(self, event: PeerMessage) -> None:
         """Hand an event to the core, from any thread."""
         self._process.tell_soon(event)
 
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -60,7 +60,7 @@
         self.told: list[Any] = []
         self.send: RelayedSend | None = None
 
-    def tell(self, event: Any) -> None:
+    def emit(self, event: Any) -> None:
         self.told.append(event)
         if isinstance(event, ResponseStarted) and self.send is not None:
             self.send.relay(True)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -25,7 +25,7 @@
     def register(self, kind: type, handler: Any) -> None:
         self.send = handler
 
-    def tell(self, event: Any) -> None:
+    def emit(self, event: Any) -> None:
         self.heard.append(event)
 
 
