--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -67,7 +67,7 @@
 """It keeps nothing of a call, so that all calls share it."""
 
 
-class GatewayEdge:
+class GatewayIO:
     """The event loop's side of an entry."""
 
     def __init__(
--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -14,7 +14,7 @@
 )
 from prometheus_client.registry import Collector
 
-from filbertstream.connection.gateway_edge import GatewayEdge
+from filbertstream.connection.gateway_edge import GatewayIO
 from filbertstream.gateway import Gateway
 from filbertstream.platform.objects import ObjectStore
 from filbertstream.process.clock import boot_time_s
@@ -78,7 +78,7 @@
     """Yields the core's counters, latencies and a few gauges."""
 
     def __init__(
-        self, core: Gateway, gateway_io: GatewayEdge, store: ObjectStore, dropped_lines: int
+        self, core: Gateway, gateway_io: GatewayIO, store: ObjectStore, dropped_lines: int
     ) -> None:
         self._core = core
         self._gateway_io = gateway_io
@@ -132,7 +132,7 @@
 
 
 def metrics_text(
-    core: Gateway, gateway_io: GatewayEdge, store: ObjectStore, dropped_lines: int
+    core: Gateway, gateway_io: GatewayIO, store: ObjectStore, dropped_lines: int
 ) -> bytes:
     """Return the metrics page in Prometheus' text format."""
     registry = CollectorRegistry()
--- a/filbertstream/connection/v1_port.py
+++ b/filbertstream/connection/v1_port.py
@@ -10,7 +10,7 @@
 from result import Err, Ok
 
 from filbertstream.connection.caller_link import CallerConnection, RawRequest
-from filbertstream.connection.gateway_edge import GatewayEdge
+from filbertstream.connection.gateway_edge import GatewayIO
 from filbertstream.connection.v1_answers import JSON, encode_head, encode_refusal
 from filbertstream.connection.v1_requests import (
     Rejection,
@@ -32,7 +32,7 @@
 
     def __init__(
         self,
-        gateway_io: GatewayEdge,
+        gateway_io: GatewayIO,
         core: Gateway,
         ids: RequestIds,
         limits: CallerLimits,
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -19,7 +19,7 @@
 
 from filbertstream.actions import Log
 from filbertstream.checks import ConfigError
-from filbertstream.connection.gateway_edge import GatewayEdge
+from filbertstream.connection.gateway_edge import GatewayIO
 from filbertstream.connection.gateway_status import StatusConnection, metrics_text
 from filbertstream.connection.key_store import KeyStore
 from filbertstream.connection.loop_errors import LoopErrors
@@ -106,7 +106,7 @@
         )
         self._watched = {watched.kind: watched for watched in kinds}
         self.core = Gateway(_core_config(deployment, incarnation, kinds))
-        self.gateway_io = GatewayEdge(self.core, self._write_log, self._note_broken)
+        self.gateway_io = GatewayIO(self.core, self._write_log, self._note_broken)
         store_ca = None if setup is None else setup.store_ca
         self._store = ObjectStore(deployment.object_store, store_ca)
         self._keys = KeyStore(self._store)
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -13,7 +13,7 @@
 
 from filbertstream.checks import ConfigError
 from filbertstream.connection.document_store import DocumentStore, DocumentWatch
-from filbertstream.connection.gateway_edge import GatewayEdge
+from filbertstream.connection.gateway_edge import GatewayIO
 from filbertstream.connection.listener import Listener
 from filbertstream.connection.operator_api import BODY_LIMIT_BYTES, OperatorApi
 from filbertstream.connection.tls import ReloadingAdapter, ReloadingAuthority
@@ -55,7 +55,7 @@
     def build(
         self,
         core: Gateway,
-        gateway_io: GatewayEdge,
+        gateway_io: GatewayIO,
         store: ObjectStore,
         metrics: Callable[[], bytes],
     ) -> "Product":
@@ -75,7 +75,7 @@
         settings: Settings,
         limits: CallerLimits,
         core: Gateway,
-        gateway_io: GatewayEdge,
+        gateway_io: GatewayIO,
         store: ObjectStore,
         metrics: Callable[[], bytes],
     ) -> None:
--- a/tests/test_gateway_redirect.py
+++ b/tests/test_gateway_redirect.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from filbertstream.connection.gateway_edge import GatewayEdge
+from filbertstream.connection.gateway_edge import GatewayIO
 from filbertstream.gateway_events import PeerMessage, Tick
 from filbertstream.messages import EntryWork
 from filbertstream.request.authorization import (
@@ -66,7 +66,7 @@
 @pytest.mark.parametrize("others", [True, False])
 def test_connections_end_with_their_answers_before_calls_must_be_refused(others: bool) -> None:
     world = World()
-    gateway_io = GatewayEdge(world.core, lambda log: None, lambda reason: None)
+    gateway_io = GatewayIO(world.core, lambda log: None, lambda reason: None)
     world.tell(PeerMessage(EntryWork("e2", (), others)))
     assert not world.core.should_close_connections(world.now_s)
     outage_s = BOUNDS.revoke_s * 0.7
