--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -76,7 +76,7 @@
         self._core = core
         self._on_broken = on_broken
         self._write_log = write_log
-        self.links = TargetLinks()
+        self.pool = TargetLinks()
         self._calls: dict[int, Relayed] = {}
         self._last_call = 0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -116,7 +116,7 @@
     @property
     def connections_opened(self) -> int:
         """The number of connections that were opened to targets."""
-        return self.links.opened
+        return self.pool.opened
 
     def new_connection(self) -> CallerConnection:
         """Return the protocol of a caller's new connection."""
@@ -180,7 +180,7 @@
         if relayed is None:
             return
         send = relayed.send = RelayedSend(self, relayed, action)
-        self._spawn(send.begin(self.links))
+        self._spawn(send.begin(self.pool))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -198,7 +198,7 @@
         within_s = follow.wait_s + CACHE_ANSWER_S
         data = encode_follow(follow)
         answer = await call_target(
-            self.links,
+            self.pool,
             parse_address(follow.address),
             data,
             within_s,
@@ -215,7 +215,7 @@
         sent_at_s = boot_time_s()
         address = parse_address(ask.address)
         answer = await call_target(
-            self.links, address, encode_list(ask), CACHE_ANSWER_S, sent_at_s, LIST_LIMIT_BYTES
+            self.pool, address, encode_list(ask), CACHE_ANSWER_S, sent_at_s, LIST_LIMIT_BYTES
         )
         listed = None if answer is None else decode_list(ask, *answer, sent_at_s)
         if listed is None:
@@ -227,7 +227,7 @@
         """Free parts and tell the core if they are."""
         data = encode_free(free)
         address = parse_address(free.address)
-        answer = await call_target(self.links, address, data, CACHE_ANSWER_S, boot_time_s())
+        answer = await call_target(self.pool, address, data, CACHE_ANSWER_S, boot_time_s())
         if answer is not None and answer[0] in FREED:
             self.emit(BlocksFreed(free.holder, free.keys))
 
@@ -278,7 +278,7 @@
 
     def sweep(self) -> None:
         """Close idle connections to targets."""
-        self.links.sweep(boot_time_s())
+        self.pool.sweep(boot_time_s())
 
     def close_idle(self) -> None:
         """Close the callers' connections on which nothing is under way."""
@@ -290,4 +290,4 @@
         """Close all connections."""
         for conn in list(self.connections):
             conn.abort()
-        self.links.close()
+        self.pool.close()
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -175,15 +175,15 @@
         )
         self._gateway_io.emit(event)
 
-    async def begin(self, links: TargetLinks) -> None:
+    async def begin(self, pool: TargetLinks) -> None:
         """Find a connection and write the request."""
         action = self.action
-        link = links.take(action.address, action.max_idle_s, boot_time_s())
+        link = pool.take(action.address, action.max_idle_s, boot_time_s())
         if link is None:
-            link = await links.open(action.address)
+            link = await pool.open(action.address)
         if self.over:
             if link is not None:
-                links.give_back(link, boot_time_s())
+                pool.give_back(link, boot_time_s())
             return
         if link is None or link.closed:
             self._fail("unreachable", sent=False)
@@ -207,7 +207,7 @@
             head + raw.body,
             self,
             action.progress_timeout_s,
-            lambda idle: links.give_back(idle, boot_time_s()),
+            lambda idle: pool.give_back(idle, boot_time_s()),
         )
 
     def cancel(self) -> None:
--- a/filbertstream/connection/target_link.py
+++ b/filbertstream/connection/target_link.py
@@ -365,7 +365,7 @@
 
 
 async def call_target(
-    links: TargetLinks,
+    pool: TargetLinks,
     address: Address,
     data: bytes,
     within_s: float,
@@ -376,12 +376,12 @@
 
     A body of more than ``limit_bytes`` is no answer; its connection is closed.
     """
-    link = links.take(address, IDLE_S, now_s) or await links.open(address)
+    link = pool.take(address, IDLE_S, now_s) or await pool.open(address)
     if link is None or link.closed:
         return None
     done: asyncio.Future[tuple[int, bytes] | None] = asyncio.get_running_loop().create_future()
     sink = _Whole(done, limit_bytes)
-    link.request("", data, sink, 0.0, lambda idle: links.give_back(idle, boot_time_s()))
+    link.request("", data, sink, 0.0, lambda idle: pool.give_back(idle, boot_time_s()))
     try:
         answer = await asyncio.wait_for(done, within_s)
     except TimeoutError:
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -126,7 +126,7 @@
         self._operators.close()
 
     def _use_authority(self) -> None:
-        self._gateway_io.links.tls = None if self._authority is None else self._authority.context
+        self._gateway_io.pool.tls = None if self._authority is None else self._authority.context
 
     def reload(self) -> list[bool]:
         """Read changed certificate files; return for each of them whether it could be used."""
