--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -15,7 +15,7 @@
 from filbertstream.connection.answer_form import AnswerForm, RelayForm
 from filbertstream.connection.caller_link import CallerConnection, RawRequest
 from filbertstream.connection.relayed_send import Relayed, RelayedSend
-from filbertstream.connection.target_link import TargetLinks, call_target
+from filbertstream.connection.target_link import TargetConnectionPool, call_target
 from filbertstream.gateway import Gateway
 from filbertstream.gateway_events import GatewayAction
 from filbertstream.platform.cache_calls import (
@@ -76,7 +76,7 @@
         self._core = core
         self._on_broken = on_broken
         self._write_log = write_log
-        self.pool = TargetLinks()
+        self.pool = TargetConnectionPool()
         self._calls: dict[int, Relayed] = {}
         self._last_call = 0
         self._tasks: set[asyncio.Task[None]] = set()
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -9,7 +9,7 @@
 from filbertstream.connection.answer_form import AnswerForm
 from filbertstream.connection.caller_link import CallerConnection, RawRequest
 from filbertstream.connection.event_relay import EventRelay
-from filbertstream.connection.target_link import TargetConnection, TargetLinks
+from filbertstream.connection.target_link import TargetConnection, TargetConnectionPool
 from filbertstream.platform.headers import Headers, encode_target_head
 from filbertstream.process.clock import boot_time_s
 from filbertstream.request.call import BufferedResponse, CallHead, ResponseHead
@@ -175,7 +175,7 @@
         )
         self._gateway_io.emit(event)
 
-    async def begin(self, pool: TargetLinks) -> None:
+    async def begin(self, pool: TargetConnectionPool) -> None:
         """Find a connection and write the request."""
         action = self.action
         link = pool.take(action.address, action.max_idle_s, boot_time_s())
--- a/filbertstream/connection/target_link.py
+++ b/filbertstream/connection/target_link.py
@@ -261,7 +261,7 @@
             self._silence = None
 
 
-class TargetLinks:
+class TargetConnectionPool:
     """Idle connections by address; with ``tls``, targets must prove who they are."""
 
     def __init__(self, tls: ssl.SSLContext | None = None) -> None:
@@ -365,7 +365,7 @@
 
 
 async def call_target(
-    pool: TargetLinks,
+    pool: TargetConnectionPool,
     address: Address,
     data: bytes,
     within_s: float,
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -12,7 +12,7 @@
 from filbertstream.connection.answer_form import RelayForm
 from filbertstream.connection.event_relay import EventRelay
 from filbertstream.connection.relayed_send import Relayed, RelayedSend
-from filbertstream.connection.target_link import TargetLinks
+from filbertstream.connection.target_link import TargetConnectionPool
 from filbertstream.process.deployment import Address
 from filbertstream.request.call_events import (
     ResponseComplete,
@@ -87,7 +87,7 @@
     action = action._replace(address=address, progress_timeout_s=SILENCE_S)
     gateway_io, caller = Edge(), Caller()
     gateway_io.send = RelayedSend(gateway_io, relayed(caller, action), action)
-    await gateway_io.send.begin(TargetLinks())
+    await gateway_io.send.begin(TargetConnectionPool())
     await asyncio.sleep(seconds)
     gateway_io.send.cancel()
     server.close()
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -17,7 +17,7 @@
 from filbertstream.connection.target_link import (
     HEAD_LIMIT_BYTES,
     SKIPPED_LIMIT_BYTES,
-    TargetLinks,
+    TargetConnectionPool,
     call_target,
 )
 from filbertstream.platform.headers import Headers
@@ -133,7 +133,7 @@
 @pytest.mark.parametrize("kind", ENDLESS)
 def test_a_target_that_sends_no_answer_without_end_is_cut_off(kind: str) -> None:
     async def ask(address: Address) -> str:
-        conn = await TargetLinks().open(address)
+        conn = await TargetConnectionPool().open(address)
         assert conn is not None
         sink = Sink()
         conn.request("mine", b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", sink, 0.5, lambda idle: None)
@@ -148,7 +148,9 @@
 def test_an_endless_answer_to_a_call_of_the_systems_own_is_cut_off() -> None:
     async def ask(address: Address) -> tuple[int, bytes] | None:
         data = b"GET /list HTTP/1.1\r\nHost: h\r\n\r\n"
-        return await call_target(TargetLinks(), address, data, 20.0, boot_time_s(), 100_000)
+        return await call_target(
+            TargetConnectionPool(), address, data, 20.0, boot_time_s(), 100_000
+        )
 
     with sending(b"HTTP/1.1 200 OK\r\n\r\n", PIECE) as sender:
         assert asyncio.run(ask(sender.address)) is None
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -19,7 +19,7 @@
 
 from filbertstream.cli import app
 from filbertstream.connection.listener import Listener
-from filbertstream.connection.target_link import TargetLinks, call_target
+from filbertstream.connection.target_link import TargetConnectionPool, call_target
 from filbertstream.connection.tls import ReloadingAdapter, ReloadingAuthority
 from filbertstream.messages import EntryWork, WorkRow, encode
 from filbertstream.names import digest_key
@@ -300,7 +300,7 @@
     authority = ReloadingAuthority(tmp_path / "ca.crt")
 
     async def ask() -> tuple[int, bytes] | None:
-        links = TargetLinks(authority.context)
+        links = TargetConnectionPool(authority.context)
         data = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
         try:
             return await call_target(links, address, data, 3.0, boot_time_s())
--- a/tests/test_target_link.py
+++ b/tests/test_target_link.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from filbertstream.connection.target_link import TargetConnection, TargetLinks
+from filbertstream.connection.target_link import TargetConnection, TargetConnectionPool
 from filbertstream.platform.headers import Headers
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import ResponseHead
@@ -76,7 +76,7 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
-    links = TargetLinks()
+    links = TargetConnectionPool()
     conn = await links.open(Address(host, port))
     assert conn is not None
     returned: list[TargetConnection] = []
@@ -127,7 +127,7 @@
             writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        conn = await TargetLinks().open(Address(*server.sockets[0].getsockname()))
+        conn = await TargetConnectionPool().open(Address(*server.sockets[0].getsockname()))
         assert conn is not None
         sink = Sink(ends_when_silent=False)
         conn.request("mine", b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", sink, 0.1, lambda idle: None)
@@ -147,6 +147,6 @@
         host, port = server.sockets[0].getsockname()
         server.close()
         await server.wait_closed()
-        return await TargetLinks().open(Address(host, port))
+        return await TargetConnectionPool().open(Address(host, port))
 
     assert asyncio.run(attempt()) is None
