--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -82,7 +82,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.connections: set[CallerConnection] = set()
         self.stopping = False
-        self.work_began = asyncio.Event()
+        self.call_started = asyncio.Event()
         self.handlers: dict[type, Callable[[Any], object]] = {
             Log: write_log,
             SendCall: self._send,
@@ -151,7 +151,7 @@
         self._last_call += 1
         conn.call_id = self._last_call
         self._calls[self._last_call] = Relayed(conn, raw, head, form)
-        self.work_began.set()
+        self.call_started.set()
         self.emit(CallArrived(self._last_call, head))
 
     def on_rejected(self, status: int, detail: str) -> None:
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -249,8 +249,8 @@
         """Let the time between two ticks pass: more of it while nothing is under way."""
         if not self.core.busy:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.gateway_io.work_began.wait(), IDLE_TICK_S)
-        self.gateway_io.work_began.clear()
+                await asyncio.wait_for(self.gateway_io.call_started.wait(), IDLE_TICK_S)
+        self.gateway_io.call_started.clear()
         await asyncio.sleep(TICK_S)
 
     def _may_end(self) -> bool:
