--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -14,7 +14,7 @@
 from filbertstream.actions import Log
 from filbertstream.connection.answer_form import AnswerForm, RelayForm
 from filbertstream.connection.caller_link import CallerConnection, RawRequest
-from filbertstream.connection.relayed_send import Relayed, RelayedSend
+from filbertstream.connection.relayed_send import ProxiedCall, RelayedSend
 from filbertstream.connection.target_link import TargetConnectionPool, call_target
 from filbertstream.gateway import Gateway
 from filbertstream.gateway_events import GatewayAction
@@ -77,7 +77,7 @@
         self._on_broken = on_broken
         self._write_log = write_log
         self.pool = TargetConnectionPool()
-        self._calls: dict[int, Relayed] = {}
+        self._calls: dict[int, ProxiedCall] = {}
         self._last_call = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self.connections: set[CallerConnection] = set()
@@ -150,7 +150,7 @@
         """Tell the core of a call; ``raw`` is what a target gets of it."""
         self._last_call += 1
         conn.call_id = self._last_call
-        self._calls[self._last_call] = Relayed(conn, raw, head, form)
+        self._calls[self._last_call] = ProxiedCall(conn, raw, head, form)
         self.call_started.set()
         self.emit(CallArrived(self._last_call, head))
 
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -36,7 +36,7 @@
         """Forget a call."""
 
 
-class Relayed:
+class ProxiedCall:
     """One call at the edge: its caller, its request, its answer's form and its current send."""
 
     def __init__(
@@ -54,7 +54,7 @@
 class RelayedSend:
     """One send of a call; the sink of its answer."""
 
-    def __init__(self, gateway_io: EdgeHost, relayed: Relayed, action: SendCall) -> None:
+    def __init__(self, gateway_io: EdgeHost, relayed: ProxiedCall, action: SendCall) -> None:
         self._gateway_io = gateway_io
         self._relayed = relayed
         self.action = action
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -11,7 +11,7 @@
 
 from filbertstream.connection.answer_form import RelayForm
 from filbertstream.connection.event_relay import EventRelay
-from filbertstream.connection.relayed_send import Relayed, RelayedSend
+from filbertstream.connection.relayed_send import ProxiedCall, RelayedSend
 from filbertstream.connection.target_link import TargetConnectionPool
 from filbertstream.process.deployment import Address
 from filbertstream.request.call_events import (
@@ -94,7 +94,7 @@
     return gateway_io, caller
 
 
-def relayed(caller: Caller, action: SendCall) -> Relayed:
+def relayed(caller: Caller, action: SendCall) -> ProxiedCall:
     from filbertstream.connection.caller_link import RawRequest
     from filbertstream.request.call import CallHead, Prompt
 
@@ -102,7 +102,7 @@
     prompt = Prompt("m", 10, 5, ())
     head = CallHead("q1", "POST", "h", "/draft/x", None, 10.0, 0, prompt, None)
     conn: Any = caller
-    return Relayed(conn, raw, head, RelayForm())
+    return ProxiedCall(conn, raw, head, RelayForm())
 
 
 STALLED = {
