--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -14,7 +14,7 @@
 from filbertstream.actions import Log
 from filbertstream.connection.answer_form import AnswerForm, RelayForm
 from filbertstream.connection.caller_link import CallerConnection, RawRequest
-from filbertstream.connection.relayed_send import ProxiedCall, RelayedSend
+from filbertstream.connection.relayed_send import ProxiedCall, ProxiedSend
 from filbertstream.connection.target_link import TargetConnectionPool, call_target
 from filbertstream.gateway import Gateway
 from filbertstream.gateway_events import GatewayAction
@@ -179,7 +179,7 @@
         relayed = self._calls.get(action.call_id)
         if relayed is None:
             return
-        send = relayed.send = RelayedSend(self, relayed, action)
+        send = relayed.send = ProxiedSend(self, relayed, action)
         self._spawn(send.begin(self.pool))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -231,7 +231,7 @@
         if answer is not None and answer[0] in FREED:
             self.emit(BlocksFreed(free.holder, free.keys))
 
-    def _current(self, call_id: int, number: int) -> RelayedSend | None:
+    def _current(self, call_id: int, number: int) -> ProxiedSend | None:
         relayed = self._calls.get(call_id)
         send = None if relayed is None else relayed.send
         return send if send is not None and send.action.number == number else None
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -47,11 +47,11 @@
         self.request_id = head.request_id
         self.keeps_answer = head.idempotency_key is not None
         self.form = form
-        self.send: RelayedSend | None = None
+        self.send: ProxiedSend | None = None
         self.events: EventRelay | None = None
 
 
-class RelayedSend:
+class ProxiedSend:
     """One send of a call; the sink of its answer."""
 
     def __init__(self, gateway_io: EdgeHost, relayed: ProxiedCall, action: SendCall) -> None:
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -11,7 +11,7 @@
 
 from filbertstream.connection.answer_form import RelayForm
 from filbertstream.connection.event_relay import EventRelay
-from filbertstream.connection.relayed_send import ProxiedCall, RelayedSend
+from filbertstream.connection.relayed_send import ProxiedCall, ProxiedSend
 from filbertstream.connection.target_link import TargetConnectionPool
 from filbertstream.process.deployment import Address
 from filbertstream.request.call_events import (
@@ -58,7 +58,7 @@
 
     def __init__(self) -> None:
         self.told: list[Any] = []
-        self.send: RelayedSend | None = None
+        self.send: ProxiedSend | None = None
 
     def emit(self, event: Any) -> None:
         self.told.append(event)
@@ -86,7 +86,7 @@
     (action,) = sends(World().arrive("draft"))
     action = action._replace(address=address, progress_timeout_s=SILENCE_S)
     gateway_io, caller = Edge(), Caller()
-    gateway_io.send = RelayedSend(gateway_io, relayed(caller, action), action)
+    gateway_io.send = ProxiedSend(gateway_io, relayed(caller, action), action)
     await gateway_io.send.begin(TargetConnectionPool())
     await asyncio.sleep(seconds)
     gateway_io.send.cancel()
