--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -163,7 +163,7 @@
         call_id, conn.call_id = conn.call_id, None
         if call_id is not None and call_id in self._calls:
             self.emit(CallerDisconnected(call_id))
-            self.finish(call_id)
+            self.forget_call(call_id)
 
     def on_pause(self, conn: CallerConnection, paused: bool) -> None:
         """Read a target no faster than its caller does."""
@@ -171,7 +171,7 @@
         if relayed is not None and relayed.send is not None and relayed.send.link is not None:
             relayed.send.link.pause(paused)
 
-    def finish(self, call_id: int) -> None:
+    def forget_call(self, call_id: int) -> None:
         """Forget a call."""
         self._calls.pop(call_id, None)
 
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -32,7 +32,7 @@
     def emit(self, event: Any) -> None:
         """Step the core and carry its actions out."""
 
-    def finish(self, call_id: int) -> None:
+    def forget_call(self, call_id: int) -> None:
         """Forget a call."""
 
 
@@ -129,7 +129,7 @@
         self.over = True
         body = b"".join(self._body)
         self._finish(self._answer, body)
-        self._gateway_io.finish(self.action.call_id)
+        self._gateway_io.forget_call(self.action.call_id)
         kept = self._kept(self._answer, body) if self._relayed.keeps_answer else None
         self._gateway_io.emit(
             ResponseComplete(self.action.call_id, self.action.number, self._body_bytes, kept)
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -65,7 +65,7 @@
         if isinstance(event, ResponseStarted) and self.send is not None:
             self.send.relay(True)
 
-    def finish(self, call_id: int) -> None:
+    def forget_call(self, call_id: int) -> None:
         """The call is over."""
 
 
