--- a/filbertstream/connection/answer_form.py
+++ b/filbertstream/connection/answer_form.py
@@ -62,7 +62,7 @@
         """Return head and body of an answer of this system's own."""
 
 
-class RelayForm:
+class PassThroughFormat:
     """The form of callers that speak the targets' own protocol: what comes is passed on."""
 
     collects = False
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -12,7 +12,7 @@
 from result import Err, Ok
 
 from filbertstream.actions import Log
-from filbertstream.connection.answer_form import AnswerForm, RelayForm
+from filbertstream.connection.answer_form import AnswerForm, PassThroughFormat
 from filbertstream.connection.caller_link import CallerConnection, RawRequest
 from filbertstream.connection.relayed_send import ProxiedCall, ProxiedSend
 from filbertstream.connection.target_link import TargetConnectionPool, call_target
@@ -63,7 +63,7 @@
 LIST_LIMIT_BYTES: Final = 16_000_000
 """A list of all parts that a holder keeps: a few hundred thousand."""
 
-RELAY_FORM: Final = RelayForm()
+RELAY_FORM: Final = PassThroughFormat()
 """It keeps nothing of a call, so that all calls share it."""
 
 
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from filbertstream.connection.answer_form import RelayForm
+from filbertstream.connection.answer_form import PassThroughFormat
 from filbertstream.connection.event_relay import EventRelay
 from filbertstream.connection.relayed_send import ProxiedCall, ProxiedSend
 from filbertstream.connection.target_link import TargetConnectionPool
@@ -102,7 +102,7 @@
     prompt = Prompt("m", 10, 5, ())
     head = CallHead("q1", "POST", "h", "/draft/x", None, 10.0, 0, prompt, None)
     conn: Any = caller
-    return ProxiedCall(conn, raw, head, RelayForm())
+    return ProxiedCall(conn, raw, head, PassThroughFormat())
 
 
 STALLED = {
