--- a/filbertstream/connection/answer_form.py
+++ b/filbertstream/connection/answer_form.py
@@ -31,7 +31,7 @@
         """When to come back."""
 
 
-class AnswerForm(Protocol):
+class ResponseFormat(Protocol):
     """Turns a target's answer, or this system's own, into a caller's bytes.
 
     ``collects`` asks that a stream is gathered and answered whole.  Heads come without the empty
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -12,7 +12,7 @@
 from result import Err, Ok
 
 from filbertstream.actions import Log
-from filbertstream.connection.answer_form import AnswerForm, PassThroughFormat
+from filbertstream.connection.answer_form import PassThroughFormat, ResponseFormat
 from filbertstream.connection.caller_link import CallerConnection, RawRequest
 from filbertstream.connection.relayed_send import ProxiedCall, ProxiedSend
 from filbertstream.connection.target_link import TargetConnectionPool, call_target
@@ -145,7 +145,7 @@
                 self.begin(conn, raw, head, RELAY_FORM)
 
     def begin(
-        self, conn: CallerConnection, raw: RawRequest, head: CallHead, form: AnswerForm
+        self, conn: CallerConnection, raw: RawRequest, head: CallHead, form: ResponseFormat
     ) -> None:
         """Tell the core of a call; ``raw`` is what a target gets of it."""
         self._last_call += 1
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -6,7 +6,7 @@
 
 from typing import Any, Final, Protocol
 
-from filbertstream.connection.answer_form import AnswerForm
+from filbertstream.connection.answer_form import ResponseFormat
 from filbertstream.connection.caller_link import CallerConnection, RawRequest
 from filbertstream.connection.event_relay import EventRelay
 from filbertstream.connection.target_link import TargetConnection, TargetConnectionPool
@@ -40,7 +40,7 @@
     """One call at the edge: its caller, its request, its answer's form and its current send."""
 
     def __init__(
-        self, conn: CallerConnection, raw: RawRequest, head: CallHead, form: AnswerForm
+        self, conn: CallerConnection, raw: RawRequest, head: CallHead, form: ResponseFormat
     ) -> None:
         self.conn = conn
         self.raw = raw
--- a/filbertstream/connection/v1_requests.py
+++ b/filbertstream/connection/v1_requests.py
@@ -11,7 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from filbertstream.connection.answer_form import AnswerForm
+from filbertstream.connection.answer_form import ResponseFormat
 from filbertstream.connection.caller_link import RawRequest
 from filbertstream.connection.v1_answers import ModelCall, V1Collect, V1Plain, V1Stream
 from filbertstream.names import digest_bytes
@@ -66,7 +66,7 @@
 
     head: CallHead
     sent: RawRequest
-    form: AnswerForm
+    form: ResponseFormat
 
 
 def prompt_text(body: ModelBody) -> bytes:
@@ -162,7 +162,7 @@
         None,
     )
     call = ModelCall(request_id, body.model, chat, prompt.tokens)
-    form: AnswerForm = V1Stream(call) if body.stream else V1Collect(call)
+    form: ResponseFormat = V1Stream(call) if body.stream else V1Collect(call)
     headers = [*_sent_headers(raw, request_id), *encode_prompt(prompt)]
     return Ok(V1Call(head, RawRequest(raw.method, path, headers, raw.body), form))
 
