--- a/filbertstream/connection/event_relay.py
+++ b/filbertstream/connection/event_relay.py
@@ -29,7 +29,7 @@
         self.last_id = last_id
         self._buffer = b""
         self.malformed = False
-        self.useful = 0
+        self.useful_events = 0
         """Events passed on that bear an id or data."""
 
     @property
@@ -56,7 +56,7 @@
         end += len(END)
         self._buffer = buffer[end:]
         passed = [event for event in buffer[:end].split(END)[:-1] if self._is_new(event)]
-        self.useful += sum(1 for event in passed if _is_useful(event))
+        self.useful_events += sum(1 for event in passed if _is_useful(event))
         return b"".join([event + END for event in passed])
 
     def _is_new(self, event: bytes) -> bool:
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -103,7 +103,7 @@
             self._gateway_io.emit(FirstEvent(self.action.call_id, self.action.number))
         if self._streams and self._relayed.events is not None:
             events = self._relayed.events
-            before = events.useful
+            before = events.useful_events
             passed = events.feed(data)
             if events.malformed:
                 self._fail("too_large")
@@ -111,7 +111,7 @@
             data = self._relayed.form.events(passed) if passed else b""
             if data:
                 self._relayed.conn.stream(data)
-            return events.useful > before
+            return events.useful_events > before
         self._body.append(data)
         self._body_bytes += len(data)
         if self._body_bytes > BUFFERED_BYTES:
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -133,6 +133,6 @@
 def test_events_count_as_useful_by_what_they_bear() -> None:
     relay = EventRelay(None)
     relay.feed(b": comment\n\nretry: 5\n\n")
-    assert relay.useful == 0
+    assert relay.useful_events == 0
     relay.feed(b"data: x\n\nid: 1\ndata: y\n\nid: 1\ndata: y\n\n")
-    assert relay.useful == 2
+    assert relay.useful_events == 2
