--- a/filbertstream/connection/answer_form.py
+++ b/filbertstream/connection/answer_form.py
@@ -52,7 +52,9 @@
     def broken(self) -> bytes | None:
         """Return what ends a stream that can't be made whole; None: its connection is cut."""
 
-    def whole(self, status: int, reason: str, headers: Headers, body: bytes) -> tuple[bytes, bytes]:
+    def complete(
+        self, status: int, reason: str, headers: Headers, body: bytes
+    ) -> tuple[bytes, bytes]:
         """Return head and body of an answer that is passed on whole."""
 
     def kept(self, answer: BufferedResponse) -> tuple[bytes, bytes]:
@@ -83,7 +85,9 @@
         """Ask for the connection to be cut."""
         return None
 
-    def whole(self, status: int, reason: str, headers: Headers, body: bytes) -> tuple[bytes, bytes]:
+    def complete(
+        self, status: int, reason: str, headers: Headers, body: bytes
+    ) -> tuple[bytes, bytes]:
         """Return the target's answer."""
         return encode_response_head(status, reason, headers, len(body)), body
 
--- a/filbertstream/connection/event_relay.py
+++ b/filbertstream/connection/event_relay.py
@@ -21,7 +21,7 @@
     b'id: 1\\ndata: a\\n\\n'
     >>> relay.restart(); relay.feed(b"id: 1\\ndata: a\\n\\nid: 2\\ndata: b\\n\\n")
     b'id: 2\\ndata: b\\n\\n'
-    >>> (relay.last_id, relay.whole)
+    >>> (relay.last_id, relay.complete)
     ('2', True)
     """
 
@@ -33,7 +33,7 @@
         """Events passed on that bear an id or data."""
 
     @property
-    def whole(self) -> bool:
+    def complete(self) -> bool:
         """Whether no event is cut off in the middle."""
         return not self._buffer and not self.malformed
 
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -123,7 +123,7 @@
         if self.over or not self._relays or self._answer is None:
             return
         events = self._relayed.events
-        if self._streams and (events is None or not events.whole):
+        if self._streams and (events is None or not events.complete):
             self._fail("cut")
             return
         self.over = True
@@ -139,7 +139,7 @@
         """End the caller's answer."""
         conn, form = self._relayed.conn, self._relayed.form
         if not self._streams or form.collects:
-            conn.answer(*form.whole(answer.status, self._reason, self._headers, body))
+            conn.answer(*form.complete(answer.status, self._reason, self._headers, body))
             return
         last = form.end()
         if last:
--- a/filbertstream/connection/v1_answers.py
+++ b/filbertstream/connection/v1_answers.py
@@ -121,7 +121,9 @@
         """Ask for the connection to be cut."""
         return None
 
-    def whole(self, status: int, reason: str, headers: Headers, body: bytes) -> tuple[bytes, bytes]:
+    def complete(
+        self, status: int, reason: str, headers: Headers, body: bytes
+    ) -> tuple[bytes, bytes]:
         """Return a target's answer with its type, and none of its other headers."""
         content_type = dict(reversed(headers)).get(b"content-type", b"application/octet-stream")
         head = encode_head(status, self._request_id, content_type.decode("latin-1"), len(body))
@@ -206,10 +208,12 @@
         self._texts += [_event_text(event)[1] for event in data.split(END) if event]
         return b""
 
-    def whole(self, status: int, reason: str, headers: Headers, body: bytes) -> tuple[bytes, bytes]:
+    def complete(
+        self, status: int, reason: str, headers: Headers, body: bytes
+    ) -> tuple[bytes, bytes]:
         """Return the document, or a target's answer that was no stream."""
         if not self._texts:
-            return super().whole(status, reason, headers, body)
+            return super().complete(status, reason, headers, body)
         text = "".join(self._texts)
         content: dict[str, Any] = (
             {"message": {"role": "assistant", "content": text}}
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -164,7 +164,7 @@
         relay.feed(PIECE)
         fed += len(PIECE)
     assert fed <= EVENT_LIMIT_BYTES + len(PIECE)
-    assert not relay.whole
+    assert not relay.complete
 
 
 WITH_LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n"
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -188,13 +188,13 @@
         if cut < 10_000:
             relay.restart()
     assert passed == b"".join(STREAM)
-    assert relay.whole
+    assert relay.complete
 
 
 def test_a_stream_that_ends_inside_an_event_is_not_whole() -> None:
     relay = EventRelay(None)
     relay.feed(STREAM[0] + STREAM[1][:7])
-    assert not relay.whole
+    assert not relay.complete
 
 
 HEAD = [(b"host", b"h"), (b"request-id", b"q"), (b"x-api-key", b"secret")]
--- a/tests/test_relay_machine.py
+++ b/tests/test_relay_machine.py
@@ -34,4 +34,4 @@
         if cut is not None:
             relay.restart()
     assert passed == b"".join(events)
-    assert relay.whole
+    assert relay.complete
