--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -118,7 +118,7 @@
             self._fail("too_large")
         return True
 
-    def on_whole(self) -> None:
+    def on_complete(self) -> None:
         """End the caller's answer as whole, if it is."""
         if self.over or not self._relays or self._answer is None:
             return
--- a/filbertstream/connection/target_link.py
+++ b/filbertstream/connection/target_link.py
@@ -49,7 +49,7 @@
     def on_body(self, data: bytes) -> bool:
         """Take a part of the body; whether the answer has got on by it."""
 
-    def on_whole(self) -> None:
+    def on_complete(self) -> None:
         """The answer is whole."""
 
     def on_stalled(self) -> None:
@@ -208,7 +208,7 @@
             self.usable = False
         if not self._parser.should_keep_alive():
             self.usable = False
-        sink.on_whole()
+        sink.on_complete()
         asyncio.get_running_loop().call_soon(self._retire)
 
     def _retire(self) -> None:
@@ -225,7 +225,7 @@
             self._sink = None
             self.usable = False
             self._stop_timer()
-            sink.on_whole()
+            sink.on_complete()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -350,7 +350,7 @@
         self._body.append(data)
         return True
 
-    def on_whole(self) -> None:
+    def on_complete(self) -> None:
         """Hand the answer over."""
         if not self._done.done():
             self._done.set_result((self._status, b"".join(self._body)))
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -120,7 +120,7 @@
         self.body_bytes += len(data)
         return True
 
-    def on_whole(self) -> None:
+    def on_complete(self) -> None:
         self.end.set_result("whole")
 
     def on_stalled(self) -> None:
--- a/tests/test_target_link.py
+++ b/tests/test_target_link.py
@@ -44,7 +44,7 @@
         self.body += data
         return self.gets_on
 
-    def on_whole(self) -> None:
+    def on_complete(self) -> None:
         self.end.set_result("whole")
 
     def on_stalled(self) -> None:
