--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -150,7 +150,7 @@
         content_type = dict(reversed(self._headers)).get(b"content-type", b"")
         return BufferedResponse(answer.status, content_type.decode("latin-1"), body)
 
-    def on_broken(self, cause: str) -> None:
+    def on_failed(self, cause: str) -> None:
         """Tell the core that the answer is cut."""
         self._fail(cause)
 
--- a/filbertstream/connection/target_link.py
+++ b/filbertstream/connection/target_link.py
@@ -55,7 +55,7 @@
     def on_stalled(self) -> None:
         """An answer that has begun brings nothing any more."""
 
-    def on_broken(self, cause: str) -> None:
+    def on_failed(self, cause: str) -> None:
         """The connection ended, or what arrived is no answer."""
 
 
@@ -241,7 +241,7 @@
         if self.transport is not None and not self.closed:
             self.transport.abort()
         if sink is not None:
-            sink.on_broken(cause)
+            sink.on_failed(cause)
 
     def _restart_timer(self) -> None:
         self._stop_timer()
@@ -345,7 +345,7 @@
         self._size += len(data)
         if self._size > self._limit_bytes:
             self._body.clear()
-            self.on_broken("too_large")
+            self.on_failed("too_large")
             return False
         self._body.append(data)
         return True
@@ -358,7 +358,7 @@
     def on_stalled(self) -> None:
         """Wait on: calls of this system's own have a time limit."""
 
-    def on_broken(self, cause: str) -> None:
+    def on_failed(self, cause: str) -> None:
         """Hand over that there is none."""
         if not self._done.done():
             self._done.set_result(None)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -126,7 +126,7 @@
     def on_stalled(self) -> None:
         """Nothing came for a while."""
 
-    def on_broken(self, cause: str) -> None:
+    def on_failed(self, cause: str) -> None:
         self.end.set_result(cause)
 
 
--- a/tests/test_target_link.py
+++ b/tests/test_target_link.py
@@ -52,7 +52,7 @@
         if self.ends_when_silent:
             self.end.set_result("silent")
 
-    def on_broken(self, cause: str) -> None:
+    def on_failed(self, cause: str) -> None:
         self.end.set_result(cause)
 
 
