--- a/filbertstream/connection/caller_link.py
+++ b/filbertstream/connection/caller_link.py
@@ -60,7 +60,7 @@
     def on_request(self, conn: "CallerConnection", raw: RawRequest) -> None:
         """Serve a request that was read whole."""
 
-    def on_left(self, conn: "CallerConnection") -> None:
+    def on_disconnected(self, conn: "CallerConnection") -> None:
         """The caller closed its connection."""
 
     def on_pause(self, conn: "CallerConnection", paused: bool) -> None:
@@ -293,7 +293,7 @@
     def eof_received(self) -> bool:
         """A caller that closes its side has left."""
         if self.busy:
-            self._app.on_left(self)
+            self._app.on_disconnected(self)
         return False
 
     def pause_writing(self) -> None:
@@ -309,7 +309,7 @@
         if self._timer is not None:
             self._timer.cancel()
         if self.busy:
-            self._app.on_left(self)
+            self._app.on_disconnected(self)
         self.busy = False
         self.transport = None
         self._forget(self)
--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -158,7 +158,7 @@
         """Count a request that could not be read."""
         self._core.counters.add("calls_rejected", str(status))
 
-    def on_left(self, conn: CallerConnection) -> None:
+    def on_disconnected(self, conn: CallerConnection) -> None:
         """Tell the core that a caller left."""
         call_id, conn.call_id = conn.call_id, None
         if call_id is not None and call_id in self._calls:
--- a/filbertstream/connection/v1_port.py
+++ b/filbertstream/connection/v1_port.py
@@ -60,9 +60,9 @@
         self._gateway_io.connections.add(conn)
         return conn
 
-    def on_left(self, conn: CallerConnection) -> None:
+    def on_disconnected(self, conn: CallerConnection) -> None:
         """The caller closed its connection."""
-        self._gateway_io.on_left(conn)
+        self._gateway_io.on_disconnected(conn)
 
     def on_pause(self, conn: CallerConnection, paused: bool) -> None:
         """The caller reads too slowly, or reads again."""
--- a/tests/test_caller_fuzz.py
+++ b/tests/test_caller_fuzz.py
@@ -73,7 +73,7 @@
         self.requests.append(raw)
         conn.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 0", b"")
 
-    def on_left(self, conn: CallerConnection) -> None:
+    def on_disconnected(self, conn: CallerConnection) -> None:
         """Nobody waits here."""
 
     def on_pause(self, conn: CallerConnection, paused: bool) -> None:
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -205,7 +205,7 @@
     def on_request(self, conn: CallerConnection, raw: RawRequest) -> None:
         self.requests.append(raw)
 
-    def on_left(self, conn: CallerConnection) -> None:
+    def on_disconnected(self, conn: CallerConnection) -> None:
         """The caller left."""
 
     def on_pause(self, conn: CallerConnection, paused: bool) -> None:
