--- a/filbertstream/connection/target_link.py
+++ b/filbertstream/connection/target_link.py
@@ -40,7 +40,7 @@
 """Statuses below this are interim and don't answer the request."""
 
 
-class AnswerSink(Protocol):
+class ResponseSink(Protocol):
     """Takes what arrives for one send."""
 
     def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
@@ -70,7 +70,7 @@
         self.usable = True
         self.closed = False
         self._parser = httptools.HttpResponseParser(self)
-        self._sink: AnswerSink | None = None
+        self._sink: ResponseSink | None = None
         self._request_id = ""
         self._on_idle: Callable[[TargetConnection], None] | None = None
         self._headers: Headers = []
@@ -97,7 +97,7 @@
         self,
         request_id: str,
         data: bytes,
-        sink: AnswerSink,
+        sink: ResponseSink,
         progress_timeout_s: float,
         on_idle: Callable[["TargetConnection"], None],
     ) -> None:
