--- a/filbertstream/connection/caller_link.py
+++ b/filbertstream/connection/caller_link.py
@@ -247,7 +247,7 @@
             self._close_after = True
         return b"\r\nConnection: close\r\n\r\n" if self._close_after else b"\r\n\r\n"
 
-    def answer(self, head: bytes, body: bytes) -> None:
+    def send_response(self, head: bytes, body: bytes) -> None:
         """Send a whole answer."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(head + self._ending() + body)
