--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -139,7 +139,7 @@
             case Err(detail):
                 self.on_rejected(BAD_REQUEST, detail)
                 refusal = RespondLocally(0, BAD_REQUEST, "malformed", detail, None)
-                conn.answer(*RELAY_FORM.refusal("", refusal))
+                conn.send_response(*RELAY_FORM.refusal("", refusal))
                 conn.close()
             case Ok(head):
                 self.begin(conn, raw, head, RELAY_FORM)
@@ -254,12 +254,12 @@
     def _answer(self, action: RespondLocally) -> None:
         relayed = self._calls.pop(action.call_id, None)
         if relayed is not None:
-            relayed.conn.answer(*relayed.form.refusal(relayed.request_id, action))
+            relayed.conn.send_response(*relayed.form.refusal(relayed.request_id, action))
 
     def _answer_kept(self, action: ReplayResponse) -> None:
         relayed = self._calls.pop(action.call_id, None)
         if relayed is not None:
-            relayed.conn.answer(*relayed.form.kept(action.response))
+            relayed.conn.send_response(*relayed.form.kept(action.response))
 
     def _break(self, action: AbortResponse) -> None:
         relayed = self._calls.pop(action.call_id, None)
@@ -268,7 +268,7 @@
         conn, last = relayed.conn, relayed.form.broken()
         if relayed.form.collects:
             refusal = RespondLocally(action.call_id, BAD_GATEWAY, "target_failed", "", None)
-            conn.answer(*relayed.form.refusal(relayed.request_id, refusal))
+            conn.send_response(*relayed.form.refusal(relayed.request_id, refusal))
         elif last is not None:
             conn.stream(last)
             conn.end()
