--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -139,7 +139,7 @@
         """End the caller's answer."""
         conn, form = self._relayed.conn, self._relayed.form
         if not self._streams or form.collects:
-            conn.answer(*form.complete(answer.status, self._reason, self._headers, body))
+            conn.send_response(*form.complete(answer.status, self._reason, self._headers, body))
             return
         last = form.end()
         if last:
