--- a/filbertstream/connection/v1_port.py
+++ b/filbertstream/connection/v1_port.py
@@ -83,7 +83,7 @@
             self._answer_json(conn, status, "", {"status": "ready" if ready else "not ready"})
         elif raw.method == "GET" and path == "/metrics":
             page = self._metrics()
-            conn.answer(encode_head(OK, "", METRICS_TYPE, len(page)), page)
+            conn.send_response(encode_head(OK, "", METRICS_TYPE, len(page)), page)
         elif raw.method == "GET" and path == "/v1/models":
             self._list_models(conn, raw)
         else:
@@ -99,7 +99,7 @@
 
     def _reject(self, conn: CallerConnection, request_id: str, rejection: Rejection) -> None:
         self.on_rejected(rejection.status, rejection.detail)
-        conn.answer(*encode_refusal(request_id, rejection))
+        conn.send_response(*encode_refusal(request_id, rejection))
 
     def _list_models(self, conn: CallerConnection, raw: RawRequest) -> None:
         """List the models that the caller's workspace may use."""
@@ -130,4 +130,4 @@
         self, conn: CallerConnection, status: int, request_id: str, value: Any
     ) -> None:
         body = msgspec.json.encode(value)
-        conn.answer(encode_head(status, request_id, JSON, len(body)), body)
+        conn.send_response(encode_head(status, request_id, JSON, len(body)), body)
