--- a/tests/test_caller_fuzz.py
+++ b/tests/test_caller_fuzz.py
@@ -71,7 +71,7 @@
 
     def on_request(self, conn: CallerConnection, raw: RawRequest) -> None:
         self.requests.append(raw)
-        conn.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 0", b"")
+        conn.send_response(b"HTTP/1.1 200 OK\r\nContent-Length: 0", b"")
 
     def on_disconnected(self, conn: CallerConnection) -> None:
         """Nobody waits here."""
