--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -52,7 +52,7 @@
 EmitEvent = Callable[[Any], None]
 
 
-class Relayed(NamedTuple):
+class RelayWatch(NamedTuple):
     """How a relay follows a kind: the wait of its watch, and the pause after it.
 
     A watch that waits shows nothing until it answers: what is known grows twice as old as the wait.
@@ -82,7 +82,7 @@
     on_listing: Callable[[Listing, EmitEvent], None]
     on_change: Callable[[Change, float, EmitEvent], None]
     on_quiet: Callable[[float, EmitEvent], None]
-    relayed: Relayed
+    relayed: RelayWatch
 
     @property
     def followed(self) -> FollowedKind:
@@ -229,26 +229,26 @@
 RELAYED_WEIGHTS_SHARE: Final = 0.8
 """The share of that bound up to which another entry's word counts."""
 
-RELAYED_DUTIES: Final = Relayed(0.9, 0.0, 2.8, True)
+RELAYED_DUTIES: Final = RelayWatch(0.9, 0.0, 2.8, True)
 """The age is less than ``version.weights_view.MAX_FETCH_VIEW_AGE_S``; changes are passed on at once."""
 
-RELAYED_ENTRIES: Final = Relayed(10.0, 0.5, math.inf)
+RELAYED_ENTRIES: Final = RelayWatch(10.0, 0.5, math.inf)
 """A registration of an entry is a hint only: any age does."""
 
 
-def _relayed_config(bounds: Bounds) -> Relayed:
+def _relayed_config(bounds: Bounds) -> RelayWatch:
     pause_s = min(RELAY_REVOKE_SHARE * bounds.revoke_s, RELAY_APPLY_SHARE * bounds.config_apply_s)
-    return Relayed(0.0, pause_s, RELAYED_CONFIG_SHARE * bounds.revoke_s)
+    return RelayWatch(0.0, pause_s, RELAYED_CONFIG_SHARE * bounds.revoke_s)
 
 
-def _relayed_weights(bounds: Bounds) -> Relayed:
+def _relayed_weights(bounds: Bounds) -> RelayWatch:
     wait_s = RELAY_WEIGHTS_SHARE * bounds.version_s
-    return Relayed(wait_s, 0.0, RELAYED_WEIGHTS_SHARE * bounds.version_s, True)
+    return RelayWatch(wait_s, 0.0, RELAYED_WEIGHTS_SHARE * bounds.version_s, True)
 
 
-def _relayed_targets(bounds: Bounds) -> Relayed:
+def _relayed_targets(bounds: Bounds) -> RelayWatch:
     pause_s = RELAY_TARGETS_SHARE * bounds.drain_s
-    return Relayed(0.0, pause_s, RELAYED_TARGETS_SHARE * bounds.drain_s)
+    return RelayWatch(0.0, pause_s, RELAYED_TARGETS_SHARE * bounds.drain_s)
 
 
 ENTRIES_WAIT_S: Final = 10.0
