--- a/filbertstream/connection/store_watch.py
+++ b/filbertstream/connection/store_watch.py
@@ -130,7 +130,7 @@
         watched = self._watched
         wait_s, pause_s = watched.wait_s, watched.pause_s
         if self._gate.tells:
-            wait_s, pause_s = watched.relayed.wait_s, watched.relayed.pause_s
+            wait_s, pause_s = watched.relay_watch.wait_s, watched.relay_watch.pause_s
         match self._store.watch(self._watched.kind, since, wait_s):
             case Err(fault):
                 return fault
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -72,7 +72,7 @@
     """How a kind is followed.
 
     ``wait_s`` is the longest a watch waits, so the longest a silent connection goes unnoticed.
-    ``pause_s`` gathers changes of a kind that changes all the time.  ``relayed`` is how the kind is
+    ``pause_s`` gathers changes of a kind that changes all the time.  ``relay_watch`` is how the kind is
     followed where other entries rely on this one, see ``process.relayed_view``.
     """
 
@@ -82,12 +82,12 @@
     on_listing: Callable[[Listing, EmitEvent], None]
     on_change: Callable[[Change, float, EmitEvent], None]
     on_quiet: Callable[[float, EmitEvent], None]
-    relayed: RelayWatch
+    relay_watch: RelayWatch
 
     @property
     def followed(self) -> FollowedKind:
         """What the core is told of the kind."""
-        return FollowedKind(self.kind, self.relayed.max_age_s, self.relayed.pushed)
+        return FollowedKind(self.kind, self.relay_watch.max_age_s, self.relay_watch.pushed)
 
 
 def _ignore_quiet(sent_at_s: float, emit: EmitEvent) -> None:
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -59,8 +59,8 @@
 def test_a_sound_relays_word_is_always_young_enough(watched: object) -> None:
     """What it knows grows as old as its pause, or twice as old as its wait, and the asking."""
     (found,) = [item for item in watched_kinds(BOUNDS) if item == watched]
-    relayed = found.relayed
-    oldest_s = 2 * relayed.wait_s + relayed.pause_s
-    assert oldest_s + 0.1 < FRESH_FRACTION * relayed.max_age_s
-    assert oldest_s + POLL_INTERVAL_S + 0.1 < relayed.max_age_s
+    relay_watch = found.relay_watch
+    oldest_s = 2 * relay_watch.wait_s + relay_watch.pause_s
+    assert oldest_s + 0.1 < FRESH_FRACTION * relay_watch.max_age_s
+    assert oldest_s + POLL_INTERVAL_S + 0.1 < relay_watch.max_age_s
     assert RELAYED_CONFIG_SHARE < 0.5
