--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -12,7 +12,7 @@
 from filbertstream.connection.key_store import of_read, of_write
 from filbertstream.connection.watched_kinds import (
     DUTY_NAME,
-    Watched,
+    WatchedKind,
     product_kinds,
     show_kind,
     shown,
@@ -67,7 +67,7 @@
     def __init__(self, world: "World") -> None:
         self._world = world
         self.latency_s = LATENCY_S
-        self._watched: dict[str, dict[str, Watched]] = {}
+        self._watched: dict[str, dict[str, WatchedKind]] = {}
         kinds = product_kinds(world.bounds, DocumentWatch(CallerLimits()))
         self.followed = tuple(item.followed for item in kinds)
 
--- a/filbertstream/connection/store_watch.py
+++ b/filbertstream/connection/store_watch.py
@@ -12,7 +12,7 @@
 import pykka
 from result import Err, Ok
 
-from filbertstream.connection.watched_kinds import EmitEvent, Watched, shown
+from filbertstream.connection.watched_kinds import EmitEvent, WatchedKind, shown
 from filbertstream.gateway_events import ObjectStoreResult
 from filbertstream.platform.objects import ObjectStore, ObjectStoreFailure
 from filbertstream.process.read_backoff import ReadBackoff
@@ -80,7 +80,7 @@
     def __init__(
         self,
         store: ObjectStore,
-        watched: Watched,
+        watched: WatchedKind,
         tell: EmitEvent,
         on_broken: Callable[[str], None],
         gate: StoreGate,
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -68,7 +68,7 @@
     pushed: bool = False
 
 
-class Watched(NamedTuple):
+class WatchedKind(NamedTuple):
     """How a kind is followed.
 
     ``wait_s`` is the longest a watch waits, so the longest a silent connection goes unnoticed.
@@ -268,9 +268,9 @@
         """Tell that nothing was written."""
 
 
-def product_kinds(bounds: Bounds, documents: ConfigurationWatch) -> tuple[Watched, ...]:
+def product_kinds(bounds: Bounds, documents: ConfigurationWatch) -> tuple[WatchedKind, ...]:
     """Return how each kind is followed where the operators' documents are the configuration."""
-    watched = Watched(
+    watched = WatchedKind(
         DOCUMENTS_KIND,
         CONFIG_WAIT_SHARE * bounds.config_apply_s,
         0.0,
@@ -282,10 +282,10 @@
     return (watched, *_common_kinds(bounds))
 
 
-def watched_kinds(bounds: Bounds) -> tuple[Watched, ...]:
+def watched_kinds(bounds: Bounds) -> tuple[WatchedKind, ...]:
     """Return how each kind is followed on the users' platform."""
     return (
-        Watched(
+        WatchedKind(
             CONFIG_KIND,
             CONFIG_WAIT_SHARE * bounds.config_apply_s,
             0.0,
@@ -294,7 +294,7 @@
             _quiet_configuration,
             _relayed_config(bounds),
         ),
-        Watched(
+        WatchedKind(
             WEIGHTS_KIND,
             WEIGHTS_WAIT_S,
             0.0,
@@ -307,10 +307,10 @@
     )
 
 
-def _common_kinds(bounds: Bounds) -> tuple[Watched, ...]:
+def _common_kinds(bounds: Bounds) -> tuple[WatchedKind, ...]:
     targets_pause_s = TARGETS_PAUSE_SHARE * bounds.drain_s
     return (
-        Watched(
+        WatchedKind(
             TARGETS_KIND,
             TARGETS_WAIT_S,
             targets_pause_s,
@@ -319,7 +319,7 @@
             _ignore_quiet,
             _relayed_targets(bounds),
         ),
-        Watched(
+        WatchedKind(
             LEASES_KIND,
             DUTIES_WAIT_S,
             0.0,
@@ -328,7 +328,7 @@
             _quiet_duties,
             RELAYED_DUTIES,
         ),
-        Watched(
+        WatchedKind(
             ENTRIES_KIND,
             ENTRIES_WAIT_S,
             ENTRIES_PAUSE_S,
@@ -340,7 +340,7 @@
     )
 
 
-def show_kind(watched: Watched, taken: KindDelta, emit: EmitEvent) -> None:
+def show_kind(watched: WatchedKind, taken: KindDelta, emit: EmitEvent) -> None:
     """Decode what is new of a kind and tell it."""
     if taken.full:
         objects = tuple(_stored(row) for row in taken.rows if row.content is not None)
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -27,7 +27,7 @@
 from filbertstream.connection.store_watch import StoreGate, StoreWatcher
 from filbertstream.connection.watched_kinds import (
     DUTY_NAME,
-    Watched,
+    WatchedKind,
     show_kind,
     tell_duty,
     watched_kinds,
@@ -415,7 +415,7 @@
 
 
 def _core_config(
-    deployment: Deployment, incarnation: int, kinds: tuple[Watched, ...]
+    deployment: Deployment, incarnation: int, kinds: tuple[WatchedKind, ...]
 ) -> GatewayConfig:
     return GatewayConfig(
         deployment.name,
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -19,7 +19,7 @@
 from filbertstream.connection.tls import ReloadingAdapter, ReloadingAuthority
 from filbertstream.connection.v1_port import V1Port
 from filbertstream.connection.v1_requests import RequestIds
-from filbertstream.connection.watched_kinds import Watched, product_kinds
+from filbertstream.connection.watched_kinds import WatchedKind, product_kinds
 from filbertstream.gateway import Gateway
 from filbertstream.platform.objects import ObjectStore
 from filbertstream.process.core_queries import CoreQueries
@@ -44,7 +44,7 @@
         self.targets_ca = _text(settings.targets.ca_file)
         self._limits = CallerLimits(body_bytes=settings.callers.body_limit_bytes)
 
-    def kinds(self, bounds: Bounds) -> tuple[Watched, ...]:
+    def kinds(self, bounds: Bounds) -> tuple[WatchedKind, ...]:
         """Return how each kind of objects is followed."""
         return product_kinds(bounds, DocumentWatch(self._limits))
 
