--- a/filbertstream/connection/document_store.py
+++ b/filbertstream/connection/document_store.py
@@ -162,7 +162,7 @@
         if not change.removed and change.stored.name == DOCUMENTS_NAME:
             self._tell(change.stored, sent_at_s, False, emit)
 
-    def on_quiet(self, sent_at_s: float, emit: EmitEvent) -> None:
+    def on_unchanged(self, sent_at_s: float, emit: EmitEvent) -> None:
         """Tell that nothing was written."""
         emit(ConfigurationObserved(None, sent_at_s))
 
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -81,7 +81,7 @@
     pause_s: float
     on_listing: Callable[[Listing, EmitEvent], None]
     on_change: Callable[[Change, float, EmitEvent], None]
-    on_quiet: Callable[[float, EmitEvent], None]
+    on_unchanged: Callable[[float, EmitEvent], None]
     relay_watch: RelayWatch
 
     @property
@@ -264,7 +264,7 @@
     def on_change(self, change: Change, sent_at_s: float, emit: EmitEvent) -> None:
         """Tell what was written."""
 
-    def on_quiet(self, sent_at_s: float, emit: EmitEvent) -> None:
+    def on_unchanged(self, sent_at_s: float, emit: EmitEvent) -> None:
         """Tell that nothing was written."""
 
 
@@ -276,7 +276,7 @@
         0.0,
         documents.on_listing,
         documents.on_change,
-        documents.on_quiet,
+        documents.on_unchanged,
         _relayed_config(bounds),
     )
     return (watched, *_common_kinds(bounds))
@@ -348,7 +348,7 @@
         return
     for row in taken.rows:
         watched.on_change(Change(_stored(row), row.content is None), taken.observed_at_s, emit)
-    watched.on_quiet(taken.observed_at_s, emit)
+    watched.on_unchanged(taken.observed_at_s, emit)
 
 
 def _stored(row: ObjectRow) -> StoredObject:
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -92,7 +92,7 @@
     def on_change(self, change: Change, sent_at_s: float, tell: EmitEvent) -> None:
         self._tell(change.stored, sent_at_s, tell)
 
-    def on_quiet(self, sent_at_s: float, tell: EmitEvent) -> None:
+    def on_unchanged(self, sent_at_s: float, tell: EmitEvent) -> None:
         tell(ConfigurationObserved(None, sent_at_s))
 
     @staticmethod
