--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -14,7 +14,7 @@
     DUTY_NAME,
     WatchedKind,
     product_kinds,
-    show_kind,
+    publish_kind,
     shown,
     tell_duty,
 )
@@ -82,7 +82,7 @@
     def show(self, core: Gateway, action: PublishKind) -> None:
         """Decode what is new of a kind and tell it."""
         watched = self._watched[core.cfg.name][action.taken.kind]
-        show_kind(watched, action.taken, lambda event: self._world.give(core.cfg.name, event))
+        publish_kind(watched, action.taken, lambda event: self._world.give(core.cfg.name, event))
 
     def _ask(self, core: Gateway, kind: str, since: int | None) -> None:
         """Make one call of a watch, and the next once it has ended."""
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -340,7 +340,7 @@
     )
 
 
-def show_kind(watched: WatchedKind, taken: KindDelta, emit: EmitEvent) -> None:
+def publish_kind(watched: WatchedKind, taken: KindDelta, emit: EmitEvent) -> None:
     """Decode what is new of a kind and tell it."""
     if taken.full:
         objects = tuple(_stored(row) for row in taken.rows if row.content is not None)
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -28,7 +28,7 @@
 from filbertstream.connection.watched_kinds import (
     DUTY_NAME,
     WatchedKind,
-    show_kind,
+    publish_kind,
     tell_duty,
     watched_kinds,
 )
@@ -336,13 +336,13 @@
         taken = action.taken
         size = sum(len(row.content or b"") for row in taken.rows)
         if not self._decoding and size <= DECODED_AT_ONCE:
-            show_kind(self._watched[taken.kind], taken, self.gateway_io.emit)
+            publish_kind(self._watched[taken.kind], taken, self.gateway_io.emit)
             return
         self._decoding += 1
         self._submit_to(self._decoder, self._decode, taken)
 
     def _decode(self, taken: KindDelta) -> None:
-        show_kind(self._watched[taken.kind], taken, self.tell_soon)
+        publish_kind(self._watched[taken.kind], taken, self.tell_soon)
         if self._loop is not None:
             self._loop.call_soon_threadsafe(self._decoded)
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -6,7 +6,7 @@
 
 import bench.world
 from filbertstream.actions import Log
-from filbertstream.connection.watched_kinds import EmitEvent, product_kinds, show_kind
+from filbertstream.connection.watched_kinds import EmitEvent, product_kinds, publish_kind
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     ConfigurationObserved,
@@ -130,7 +130,7 @@
 
         for item in self.core.step(self.now_s, event):
             if isinstance(item, PublishKind):
-                show_kind(KINDS[item.taken.kind], item.taken, tell_more)
+                publish_kind(KINDS[item.taken.kind], item.taken, tell_more)
             elif not isinstance(item, Log):
                 found.append(item)
         return found
