--- a/filbertstream/connection/store_watch.py
+++ b/filbertstream/connection/store_watch.py
@@ -12,7 +12,7 @@
 import pykka
 from result import Err, Ok
 
-from filbertstream.connection.watched_kinds import EmitEvent, WatchedKind, shown
+from filbertstream.connection.watched_kinds import EmitEvent, WatchedKind, kind_observed
 from filbertstream.gateway_events import ObjectStoreResult
 from filbertstream.platform.objects import ObjectStore, ObjectStoreFailure
 from filbertstream.process.read_backoff import ReadBackoff
@@ -122,7 +122,7 @@
                 return fault
             case Ok(listing):
                 self._tell(ObjectStoreResult(self._watched.kind, True, ""))
-                self._tell(shown(self._watched.kind, None, listing))
+                self._tell(kind_observed(self._watched.kind, None, listing))
                 self._as_of = listing.as_of
         return None
 
@@ -136,7 +136,7 @@
                 return fault
             case Ok(seen):
                 self._tell(ObjectStoreResult(self._watched.kind, True, ""))
-                self._tell(shown(watched.kind, since, seen))
+                self._tell(kind_observed(watched.kind, since, seen))
                 self._as_of = seen.as_of
         if pause_s:
             time.sleep(pause_s)
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -355,7 +355,7 @@
     return StoredObject(row.name, row.revision, msgspec.Raw(row.content or b"null"))
 
 
-def shown(kind: str, since: int | None, found: Listing | Changes) -> KindObserved:
+def kind_observed(kind: str, since: int | None, found: Listing | Changes) -> KindObserved:
     """Return what an answer of the store shows of a kind: a listing, or a watch after ``since``."""
     if isinstance(found, Listing):
         rows = tuple(_row(stored) for stored in found.objects)
