--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -13,9 +13,9 @@
 from filbertstream.connection.watched_kinds import (
     DUTY_NAME,
     WatchedKind,
+    kind_observed,
     product_kinds,
     publish_kind,
-    shown,
     tell_duty,
 )
 from filbertstream.gateway import Gateway
