--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -118,7 +118,7 @@
             case Err(fault):
                 events: list[Any] = [ObjectStoreResult(kind, False, fault.value)]
             case Ok(found):
-                events = [ObjectStoreResult(kind, True, ""), shown(kind, since, found)]
+                events = [ObjectStoreResult(kind, True, ""), kind_observed(kind, since, found)]
                 since = found.as_of
         for event in events:
             world.later(core, self.latency_s, event)
