--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -13,10 +13,10 @@
 from filbertstream.connection.watched_kinds import (
     DUTY_NAME,
     WatchedKind,
+    emit_lease_record,
     kind_observed,
     product_kinds,
     publish_kind,
-    tell_duty,
 )
 from filbertstream.gateway import Gateway
 from filbertstream.gateway_events import (
@@ -155,7 +155,7 @@
                     if not written.done:
                         self._world.later(core, 0.0, LeaseWritten(True))
                     if written.present is not None:
-                        tell_duty(
+                        emit_lease_record(
                             written.present, lambda event: self._world.later(core, 0.0, event)
                         )
                 case Err(fault):
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -152,15 +152,15 @@
     if not any(stored.name == DUTY_NAME for stored in listing.objects):
         emit(LeaseObserved(None, 0))
     for stored in listing.objects:
-        tell_duty(stored, emit)
+        emit_lease_record(stored, emit)
 
 
 def _change_duty(change: Change, sent_at_s: float, emit: EmitEvent) -> None:
     if not change.removed:
-        tell_duty(change.stored, emit)
+        emit_lease_record(change.stored, emit)
 
 
-def tell_duty(stored: StoredObject, emit: EmitEvent) -> None:
+def emit_lease_record(stored: StoredObject, emit: EmitEvent) -> None:
     """Tell the core of the duty's record."""
     if stored.name != DUTY_NAME:
         return
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -28,8 +28,8 @@
 from filbertstream.connection.watched_kinds import (
     DUTY_NAME,
     WatchedKind,
+    emit_lease_record,
     publish_kind,
-    tell_duty,
     watched_kinds,
 )
 from filbertstream.gateway import Gateway, GatewayConfig
@@ -316,7 +316,7 @@
                 if not written.done:
                     self.tell_soon(LeaseWritten(True))
                 if written.present is not None:
-                    tell_duty(written.present, self.tell_soon)
+                    emit_lease_record(written.present, self.tell_soon)
             case Err(fault):
                 self.tell_soon(LeaseWritten(fault is ObjectStoreFailure.REFUSED))
 
