--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -11,7 +11,7 @@
 from filbertstream.connection.document_store import DocumentWatch
 from filbertstream.connection.key_store import of_read, of_write
 from filbertstream.connection.watched_kinds import (
-    DUTY_NAME,
+    ROLLOUT_LEASE_NAME,
     WatchedKind,
     emit_lease_record,
     kind_observed,
@@ -146,8 +146,8 @@
 
         def make() -> Any:
             if write.revision == 0:
-                return objects.create(LEASES_KIND, DUTY_NAME, write.record)
-            return objects.replace(LEASES_KIND, DUTY_NAME, write.record, write.revision)
+                return objects.create(LEASES_KIND, ROLLOUT_LEASE_NAME, write.record)
+            return objects.replace(LEASES_KIND, ROLLOUT_LEASE_NAME, write.record, write.revision)
 
         def then(result: Any) -> None:
             match result:
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -47,7 +47,7 @@
 from filbertstream.process.rollout_lease import LeaseRecord
 from filbertstream.process.store_view import FollowedKind, KindDelta, KindObserved
 
-DUTY_NAME: Final = "weights"
+ROLLOUT_LEASE_NAME: Final = "weights"
 
 EmitEvent = Callable[[Any], None]
 
@@ -149,7 +149,7 @@
 
 def _list_duties(listing: Listing, emit: EmitEvent) -> None:
     emit(LeaseConfirmed(listing.sent_at_s))
-    if not any(stored.name == DUTY_NAME for stored in listing.objects):
+    if not any(stored.name == ROLLOUT_LEASE_NAME for stored in listing.objects):
         emit(LeaseObserved(None, 0))
     for stored in listing.objects:
         emit_lease_record(stored, emit)
@@ -162,7 +162,7 @@
 
 def emit_lease_record(stored: StoredObject, emit: EmitEvent) -> None:
     """Tell the core of the duty's record."""
-    if stored.name != DUTY_NAME:
+    if stored.name != ROLLOUT_LEASE_NAME:
         return
     try:
         record = decode_internal(stored.content, LeaseRecord)
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -26,7 +26,7 @@
 from filbertstream.connection.peer_link import PeerLink
 from filbertstream.connection.store_watch import StoreGate, StoreWatcher
 from filbertstream.connection.watched_kinds import (
-    DUTY_NAME,
+    ROLLOUT_LEASE_NAME,
     WatchedKind,
     emit_lease_record,
     publish_kind,
@@ -308,9 +308,11 @@
 
     def _write_duty_now(self, write: WriteLease) -> None:
         if write.revision == 0:
-            result = self._store.create(LEASES_KIND, DUTY_NAME, write.record)
+            result = self._store.create(LEASES_KIND, ROLLOUT_LEASE_NAME, write.record)
         else:
-            result = self._store.replace(LEASES_KIND, DUTY_NAME, write.record, write.revision)
+            result = self._store.replace(
+                LEASES_KIND, ROLLOUT_LEASE_NAME, write.record, write.revision
+            )
         match result:
             case Ok(written):
                 if not written.done:
