--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -13,7 +13,7 @@
 from typing import Any, Final, NamedTuple
 
 from filbertstream.connection.watched_kinds import (
-    RELAY_REVOKE_SHARE,
+    RELAY_REVOKE_FRACTION,
     RELAY_TARGETS_SHARE,
     RELAY_WEIGHTS_SHARE,
     RELAYED_DUTIES,
@@ -56,7 +56,7 @@
 """The bounds of today's deployments for removed keys, drains and old weights."""
 
 RELAY_WAITS_S: Final = (
-    RELAY_REVOKE_SHARE * REVOKE_S,
+    RELAY_REVOKE_FRACTION * REVOKE_S,
     RELAYED_DUTIES.wait_s,
     RELAY_WEIGHTS_SHARE * VERSION_S,
     RELAY_TARGETS_SHARE * DRAIN_S,
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -207,7 +207,7 @@
 DUTIES_WAIT_S: Final = 1.4
 """The view of the duty is needed with an age under twice this, see ``version.weights_view``."""
 
-RELAY_REVOKE_SHARE: Final = 0.25
+RELAY_REVOKE_FRACTION: Final = 0.25
 RELAY_APPLY_SHARE: Final = 0.3
 """A relay asks for the configuration after these shares of the bounds for removed keys and for
 configurations, the shorter of both."""
@@ -237,7 +237,9 @@
 
 
 def _relayed_config(bounds: Bounds) -> RelayWatch:
-    pause_s = min(RELAY_REVOKE_SHARE * bounds.revoke_s, RELAY_APPLY_SHARE * bounds.config_apply_s)
+    pause_s = min(
+        RELAY_REVOKE_FRACTION * bounds.revoke_s, RELAY_APPLY_SHARE * bounds.config_apply_s
+    )
     return RelayWatch(0.0, pause_s, RELAYED_CONFIG_SHARE * bounds.revoke_s)
 
 
