--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -14,7 +14,7 @@
 
 from filbertstream.connection.watched_kinds import (
     RELAY_REVOKE_FRACTION,
-    RELAY_TARGETS_SHARE,
+    RELAY_TARGETS_FRACTION,
     RELAY_WEIGHTS_SHARE,
     RELAYED_DUTIES,
     RELAYED_ENTRIES,
@@ -59,7 +59,7 @@
     RELAY_REVOKE_FRACTION * REVOKE_S,
     RELAYED_DUTIES.wait_s,
     RELAY_WEIGHTS_SHARE * VERSION_S,
-    RELAY_TARGETS_SHARE * DRAIN_S,
+    RELAY_TARGETS_FRACTION * DRAIN_S,
     RELAYED_ENTRIES.pause_s,
 )
 """Least time between two calls of each of a relay's watches."""
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -216,7 +216,7 @@
 """The share of the bound for removed keys up to which another entry's word counts: more than the
 above and the interval of questions, and less than makes an entry unready."""
 
-RELAY_TARGETS_SHARE: Final = 0.3
+RELAY_TARGETS_FRACTION: Final = 0.3
 """A relay asks for registrations after this share of the bound for drains."""
 
 RELAYED_TARGETS_SHARE: Final = 0.75
@@ -249,7 +249,7 @@
 
 
 def _relayed_targets(bounds: Bounds) -> RelayWatch:
-    pause_s = RELAY_TARGETS_SHARE * bounds.drain_s
+    pause_s = RELAY_TARGETS_FRACTION * bounds.drain_s
     return RelayWatch(0.0, pause_s, RELAYED_TARGETS_SHARE * bounds.drain_s)
 
 
