--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,7 +15,7 @@
 from filbertstream.connection.watched_kinds import (
     RELAY_REVOKE_FRACTION,
     RELAY_TARGETS_FRACTION,
-    RELAY_WEIGHTS_SHARE,
+    RELAY_WEIGHTS_FRACTION,
     RELAYED_DUTIES,
     RELAYED_ENTRIES,
 )
@@ -58,7 +58,7 @@
 RELAY_WAITS_S: Final = (
     RELAY_REVOKE_FRACTION * REVOKE_S,
     RELAYED_DUTIES.wait_s,
-    RELAY_WEIGHTS_SHARE * VERSION_S,
+    RELAY_WEIGHTS_FRACTION * VERSION_S,
     RELAY_TARGETS_FRACTION * DRAIN_S,
     RELAYED_ENTRIES.pause_s,
 )
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -223,7 +223,7 @@
 """The share of that bound up to which another entry's word counts; the rest is for what is under
 way when an entry turns to the store instead."""
 
-RELAY_WEIGHTS_SHARE: Final = 0.25
+RELAY_WEIGHTS_FRACTION: Final = 0.25
 """The wait of a relay's watch of named weights as a share of the bound for old ones."""
 
 RELAYED_WEIGHTS_SHARE: Final = 0.8
@@ -244,7 +244,7 @@
 
 
 def _relayed_weights(bounds: Bounds) -> RelayWatch:
-    wait_s = RELAY_WEIGHTS_SHARE * bounds.version_s
+    wait_s = RELAY_WEIGHTS_FRACTION * bounds.version_s
     return RelayWatch(wait_s, 0.0, RELAYED_WEIGHTS_SHARE * bounds.version_s, True)
 
 
