--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -212,7 +212,7 @@
 """A relay asks for the configuration after these shares of the bounds for removed keys and for
 configurations, the shorter of both."""
 
-RELAYED_CONFIG_SHARE: Final = 0.45
+CONFIG_MAX_AGE_FRACTION: Final = 0.45
 """The share of the bound for removed keys up to which another entry's word counts: more than the
 above and the interval of questions, and less than makes an entry unready."""
 
@@ -240,7 +240,7 @@
     pause_s = min(
         RELAY_REVOKE_FRACTION * bounds.revoke_s, RELAY_APPLY_SHARE * bounds.config_apply_s
     )
-    return RelayWatch(0.0, pause_s, RELAYED_CONFIG_SHARE * bounds.revoke_s)
+    return RelayWatch(0.0, pause_s, CONFIG_MAX_AGE_FRACTION * bounds.revoke_s)
 
 
 def _relayed_weights(bounds: Bounds) -> RelayWatch:
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from filbertstream.connection.watched_kinds import RELAYED_CONFIG_SHARE, watched_kinds
+from filbertstream.connection.watched_kinds import CONFIG_MAX_AGE_FRACTION, watched_kinds
 from filbertstream.process.read_backoff import ReadBackoff
 from filbertstream.process.relayed_view import FRESH_FRACTION
 from filbertstream.process.relays import POLL_INTERVAL_S
@@ -63,4 +63,4 @@
     oldest_s = 2 * relay_watch.wait_s + relay_watch.pause_s
     assert oldest_s + 0.1 < FRESH_FRACTION * relay_watch.max_age_s
     assert oldest_s + POLL_INTERVAL_S + 0.1 < relay_watch.max_age_s
-    assert RELAYED_CONFIG_SHARE < 0.5
+    assert CONFIG_MAX_AGE_FRACTION < 0.5
