--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -13,10 +13,10 @@
 from typing import Any, Final, NamedTuple
 
 from filbertstream.connection.watched_kinds import (
+    LEASES_RELAY_WATCH,
     RELAY_REVOKE_FRACTION,
     RELAY_TARGETS_FRACTION,
     RELAY_WEIGHTS_FRACTION,
-    RELAYED_DUTIES,
     RELAYED_ENTRIES,
 )
 from filbertstream.process.relays import MEMBERS_PER_RELAY, POLL_INTERVAL_S
@@ -57,7 +57,7 @@
 
 RELAY_WAITS_S: Final = (
     RELAY_REVOKE_FRACTION * REVOKE_S,
-    RELAYED_DUTIES.wait_s,
+    LEASES_RELAY_WATCH.wait_s,
     RELAY_WEIGHTS_FRACTION * VERSION_S,
     RELAY_TARGETS_FRACTION * DRAIN_S,
     RELAYED_ENTRIES.pause_s,
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -229,7 +229,7 @@
 RELAYED_WEIGHTS_SHARE: Final = 0.8
 """The share of that bound up to which another entry's word counts."""
 
-RELAYED_DUTIES: Final = RelayWatch(0.9, 0.0, 2.8, True)
+LEASES_RELAY_WATCH: Final = RelayWatch(0.9, 0.0, 2.8, True)
 """The age is less than ``version.weights_view.MAX_FETCH_VIEW_AGE_S``; changes are passed on at once."""
 
 RELAYED_ENTRIES: Final = RelayWatch(10.0, 0.5, math.inf)
@@ -328,7 +328,7 @@
             _list_duties,
             _change_duty,
             _quiet_duties,
-            RELAYED_DUTIES,
+            LEASES_RELAY_WATCH,
         ),
         WatchedKind(
             ENTRIES_KIND,
