--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -13,11 +13,11 @@
 from typing import Any, Final, NamedTuple
 
 from filbertstream.connection.watched_kinds import (
+    ENTRIES_RELAY_WATCH,
     LEASES_RELAY_WATCH,
     RELAY_REVOKE_FRACTION,
     RELAY_TARGETS_FRACTION,
     RELAY_WEIGHTS_FRACTION,
-    RELAYED_ENTRIES,
 )
 from filbertstream.process.relays import MEMBERS_PER_RELAY, POLL_INTERVAL_S
 from filbertstream.process.work_exchange import MAX_ROWS, RELAYED_SEND_INTERVAL_S
@@ -60,7 +60,7 @@
     LEASES_RELAY_WATCH.wait_s,
     RELAY_WEIGHTS_FRACTION * VERSION_S,
     RELAY_TARGETS_FRACTION * DRAIN_S,
-    RELAYED_ENTRIES.pause_s,
+    ENTRIES_RELAY_WATCH.pause_s,
 )
 """Least time between two calls of each of a relay's watches."""
 
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -232,7 +232,7 @@
 LEASES_RELAY_WATCH: Final = RelayWatch(0.9, 0.0, 2.8, True)
 """The age is less than ``version.weights_view.MAX_FETCH_VIEW_AGE_S``; changes are passed on at once."""
 
-RELAYED_ENTRIES: Final = RelayWatch(10.0, 0.5, math.inf)
+ENTRIES_RELAY_WATCH: Final = RelayWatch(10.0, 0.5, math.inf)
 """A registration of an entry is a hint only: any age does."""
 
 
@@ -337,7 +337,7 @@
             _list_entries,
             _change_entry,
             _ignore_quiet,
-            RELAYED_ENTRIES,
+            ENTRIES_RELAY_WATCH,
         ),
     )
 
