--- a/filbertstream/connection/store_watch.py
+++ b/filbertstream/connection/store_watch.py
@@ -24,7 +24,7 @@
 """How often a watcher that has nothing to do looks whether it was stopped."""
 
 
-class StoreGate:
+class WatchGate:
     """Tells the watchers of an entry which kinds it reads itself, and wakes them for it."""
 
     def __init__(self, kinds: Iterable[str]) -> None:
@@ -83,7 +83,7 @@
         watched: WatchedKind,
         tell: EmitEvent,
         on_broken: Callable[[str], None],
-        gate: StoreGate,
+        gate: WatchGate,
     ) -> None:
         super().__init__()
         self._gate = gate
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -24,7 +24,7 @@
 from filbertstream.connection.key_store import KeyStore
 from filbertstream.connection.loop_errors import LoopErrors
 from filbertstream.connection.peer_link import PeerLink
-from filbertstream.connection.store_watch import StoreGate, StoreWatcher
+from filbertstream.connection.store_watch import StoreWatcher, WatchGate
 from filbertstream.connection.watched_kinds import (
     ROLLOUT_LEASE_NAME,
     WatchedKind,
@@ -120,7 +120,7 @@
         self._servers: list[asyncio.Server] = []
         self._stop_at_s: float | None = None
         self.broken = ""
-        self._gate = StoreGate(self._watched)
+        self._gate = WatchGate(self._watched)
         self._product: Product | None = None
         if setup is not None:
             self._product = setup.build(self.core, self.gateway_io, self._store, self._metrics)
