--- a/filbertstream/connection/store_watch.py
+++ b/filbertstream/connection/store_watch.py
@@ -72,7 +72,7 @@
     """Message of a watcher to itself."""
 
 
-class StoreWatcher(pykka.ThreadingActor):
+class KindWatcher(pykka.ThreadingActor):
     """Follows one kind."""
 
     use_daemon_thread = True
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -24,7 +24,7 @@
 from filbertstream.connection.key_store import KeyStore
 from filbertstream.connection.loop_errors import LoopErrors
 from filbertstream.connection.peer_link import PeerLink
-from filbertstream.connection.store_watch import StoreWatcher, WatchGate
+from filbertstream.connection.store_watch import KindWatcher, WatchGate
 from filbertstream.connection.watched_kinds import (
     ROLLOUT_LEASE_NAME,
     WatchedKind,
@@ -190,7 +190,7 @@
         """Follow the store and keep time until the process may end."""
         self._set_gate(boot_time_s())
         watchers = [
-            StoreWatcher.start(self._store, watched, self.tell_soon, self._note_broken, self._gate)
+            KindWatcher.start(self._store, watched, self.tell_soon, self._note_broken, self._gate)
             for watched in self._watched.values()
         ]
         self._log.write(LogEvent.ENTRY_STARTED, (("data_center", self.deployment.data_center),))
