--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -78,8 +78,8 @@
     Guard(
         "a change without an answer is not called refused",
         "connection/document_store.py",
-        'return ApplyEnded("unsettled", base, "the platform has not answered the write")',
-        'return ApplyEnded("unavailable", base, "")',
+        'return ApplyResult("unsettled", base, "the platform has not answered the write")',
+        'return ApplyResult("unavailable", base, "")',
         "tests/test_whole_path.py::"
         "test_a_change_that_is_carried_out_late_is_not_called_accepted_or_lost",
     ),
--- a/bench/world.py
+++ b/bench/world.py
@@ -17,7 +17,7 @@
 from bench.platform_side import PlatformSide, registration
 from bench.targets import TargetSide
 from filbertstream.actions import Log, SendPeer
-from filbertstream.connection.document_store import ApplyEnded, DocumentStore
+from filbertstream.connection.document_store import ApplyResult, DocumentStore
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     PeerMessage,
@@ -117,7 +117,7 @@
         self.killed: set[str] = set()
         self.outcomes: dict[str, list[Outcome]] = {}
         self.asked: dict[str, Asked] = {}
-        self.applied: list[tuple[float, ApplyEnded]] = []
+        self.applied: list[tuple[float, ApplyResult]] = []
         self.logs: list[tuple[float, str, Log]] = []
         self.drain_told_s: dict[str, float] = {}
         self.on_action: Callable[[str, Any], None] | None = None
@@ -270,7 +270,7 @@
 
         self.after(delay_s, deliver)
 
-    def apply(self, changes: list[Change], base: int | None = None) -> ApplyEnded:
+    def apply(self, changes: list[Change], base: int | None = None) -> ApplyResult:
         """Make a change as an operator does through any entry."""
         store: Any = self.objects
         ended = DocumentStore(store).apply(encode_changes(changes), base)
--- a/filbertstream/connection/document_store.py
+++ b/filbertstream/connection/document_store.py
@@ -43,7 +43,7 @@
     view: DocumentSet
 
 
-class ApplyEnded(NamedTuple):
+class ApplyResult(NamedTuple):
     """The answer to a change.
 
     ``state`` is ``accepted``, ``lost`` (the documents are at another revision), ``invalid``,
@@ -91,23 +91,23 @@
                     else decode_documents(stored)
                 )
 
-    def apply(self, changes: bytes, base: int | None) -> ApplyEnded:
+    def apply(self, changes: bytes, base: int | None) -> ApplyResult:
         """Write the documents with changes, if they are still at the revision ``base``."""
         match decode_changes(changes):
             case Err(mistakes):
-                return ApplyEnded("invalid", 0, "; ".join(str(mistake) for mistake in mistakes))
+                return ApplyResult("invalid", 0, "; ".join(str(mistake) for mistake in mistakes))
             case Ok(found):
                 pass
         match self.read():
             case Err(reason):
-                return ApplyEnded("unavailable", 0, reason)
+                return ApplyResult("unavailable", 0, reason)
             case Ok(held):
                 pass
         if base is not None and base != held.revision:
-            return ApplyEnded("lost", held.revision, "the documents have changed since")
+            return ApplyResult("lost", held.revision, "the documents have changed since")
         faults = held.view.find_conflicts(found)
         if faults:
-            return ApplyEnded("invalid", held.revision, "; ".join(faults))
+            return ApplyResult("invalid", held.revision, "; ".join(faults))
         for change in found:
             held.view.put(change)
         documents = held.view.documents.values()
@@ -121,25 +121,25 @@
 
     def _settle(
         self, result: Result[Written, ObjectStoreFailure], content: Any, base: int
-    ) -> ApplyEnded:
+    ) -> ApplyResult:
         """Return how a write ended; one that was not answered is looked up."""
         match result:
             case Ok(written):
                 revision = 0 if written.present is None else written.present.revision
                 if written.done:
-                    return ApplyEnded("accepted", revision)
-                return ApplyEnded("lost", revision, "another change was written first")
+                    return ApplyResult("accepted", revision)
+                return ApplyResult("lost", revision, "another change was written first")
             case Err(ObjectStoreFailure.REFUSED):
-                return ApplyEnded("unavailable", base, "the platform takes no writes now")
+                return ApplyResult("unavailable", base, "the platform takes no writes now")
             case Err(_):
                 pass
         match self._store.read(DOCUMENTS_KIND, DOCUMENTS_NAME):
             case Ok(stored) if stored is not None and stored.revision != base:
                 if msgspec.json.decode(stored.content) == content:
-                    return ApplyEnded("accepted", stored.revision)
-                return ApplyEnded("lost", stored.revision, "another change was written first")
+                    return ApplyResult("accepted", stored.revision)
+                return ApplyResult("lost", stored.revision, "another change was written first")
             case _:
-                return ApplyEnded("unsettled", base, "the platform has not answered the write")
+                return ApplyResult("unsettled", base, "the platform has not answered the write")
 
 
 class DocumentWatch:
