--- a/filbertstream/connection/key_store.py
+++ b/filbertstream/connection/key_store.py
@@ -31,7 +31,7 @@
 T = TypeVar("T")
 
 
-class KeyStore:
+class IdempotencyKeyStore:
     """Writes records of keys."""
 
     def __init__(self, store: ObjectStore) -> None:
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -21,7 +21,7 @@
 from filbertstream.checks import ConfigError
 from filbertstream.connection.gateway_edge import GatewayIO
 from filbertstream.connection.gateway_status import StatusConnection, metrics_text
-from filbertstream.connection.key_store import KeyStore
+from filbertstream.connection.key_store import IdempotencyKeyStore
 from filbertstream.connection.loop_errors import LoopErrors
 from filbertstream.connection.peer_link import PeerLink
 from filbertstream.connection.store_watch import KindWatcher, WatchGate
@@ -109,7 +109,7 @@
         self.gateway_io = GatewayIO(self.core, self._write_log, self._note_broken)
         store_ca = None if setup is None else setup.store_ca
         self._store = ObjectStore(deployment.object_store, store_ca)
-        self._keys = KeyStore(self._store)
+        self._keys = IdempotencyKeyStore(self._store)
         targets_ca = None if setup is None else setup.targets_ca
         self._runners = RunnerCalls(f"{deployment.name}#{incarnation:x}", targets_ca)
         self._workers = ThreadPoolExecutor(CALL_THREADS, thread_name_prefix="calls")
