--- a/filbertstream/connection/key_store.py
+++ b/filbertstream/connection/key_store.py
@@ -59,7 +59,7 @@
 
     def _make(self, call: KeyCall) -> KeyReply:
         if call.action is KeyAction.READ:
-            return of_read(self._store.read(KEYS_KIND, call.name))
+            return read_reply(self._store.read(KEYS_KIND, call.name))
         if call.action is KeyAction.CREATE:
             return of_write(self._store.create(KEYS_KIND, call.name, call.record))
         return of_write(self._store.replace(KEYS_KIND, call.name, call.record, call.revision))
@@ -70,7 +70,7 @@
     return KeyReply(KeyOutcome.REFUSED if refused else KeyOutcome.OUTCOME_UNKNOWN)
 
 
-def of_read(result: Result[StoredObject | None, ObjectStoreFailure]) -> KeyReply:
+def read_reply(result: Result[StoredObject | None, ObjectStoreFailure]) -> KeyReply:
     """Return what a read tells of a key."""
     match result:
         case Err(fault):
