--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -9,7 +9,7 @@
 from result import Err, Ok
 
 from filbertstream.connection.document_store import DocumentWatch
-from filbertstream.connection.key_store import of_write, read_reply
+from filbertstream.connection.key_store import read_reply, write_reply
 from filbertstream.connection.watched_kinds import (
     ROLLOUT_LEASE_NAME,
     WatchedKind,
@@ -198,7 +198,7 @@
             if name in self._world.paused:
                 self._world.after(WATCH_S, lambda: reply(result))
                 return
-            shown = read_reply if call.action is KeyAction.READ else of_write
+            shown = read_reply if call.action is KeyAction.READ else write_reply
             then(shown(result))
 
         self._call(core, make, reply)
--- a/filbertstream/connection/key_store.py
+++ b/filbertstream/connection/key_store.py
@@ -61,8 +61,8 @@
         if call.action is KeyAction.READ:
             return read_reply(self._store.read(KEYS_KIND, call.name))
         if call.action is KeyAction.CREATE:
-            return of_write(self._store.create(KEYS_KIND, call.name, call.record))
-        return of_write(self._store.replace(KEYS_KIND, call.name, call.record, call.revision))
+            return write_reply(self._store.create(KEYS_KIND, call.name, call.record))
+        return write_reply(self._store.replace(KEYS_KIND, call.name, call.record, call.revision))
 
 
 def _fault(fault: ObjectStoreFailure) -> KeyReply:
@@ -79,7 +79,7 @@
             return KeyReply(KeyOutcome.DONE) if stored is None else _shown(KeyOutcome.DONE, stored)
 
 
-def of_write(result: Result[Written, ObjectStoreFailure]) -> KeyReply:
+def write_reply(result: Result[Written, ObjectStoreFailure]) -> KeyReply:
     """Return what a write tells of a key."""
     match result:
         case Err(fault):
