--- a/filbertstream/connection/loop_errors.py
+++ b/filbertstream/connection/loop_errors.py
@@ -12,7 +12,7 @@
 from filbertstream.process.counters import Counters
 
 
-class LoopErrors:
+class LoopExceptionHandler:
     """The exception handler of an event loop."""
 
     def __init__(self, counters: Counters, on_broken: Callable[[str], None]) -> None:
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -22,7 +22,7 @@
 from filbertstream.connection.gateway_edge import GatewayIO
 from filbertstream.connection.gateway_status import StatusConnection, metrics_text
 from filbertstream.connection.key_store import IdempotencyKeyStore
-from filbertstream.connection.loop_errors import LoopErrors
+from filbertstream.connection.loop_errors import LoopExceptionHandler
 from filbertstream.connection.peer_link import PeerLink
 from filbertstream.connection.store_watch import KindWatcher, WatchGate
 from filbertstream.connection.watched_kinds import (
@@ -165,7 +165,7 @@
 
     async def _run(self) -> None:
         loop = self._loop = asyncio.get_running_loop()
-        loop.set_exception_handler(LoopErrors(self.core.counters, self._note_broken))
+        loop.set_exception_handler(LoopExceptionHandler(self.core.counters, self._note_broken))
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
--- a/tests/test_loop_errors.py
+++ b/tests/test_loop_errors.py
@@ -3,7 +3,7 @@
 import asyncio
 import ssl
 
-from filbertstream.connection.loop_errors import LoopErrors
+from filbertstream.connection.loop_errors import LoopExceptionHandler
 from filbertstream.process.counters import Counters
 from standins.processes import LOOPBACK
 
@@ -20,7 +20,7 @@
 
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
-        loop.set_exception_handler(LoopErrors(Counters(), reasons.append))
+        loop.set_exception_handler(LoopExceptionHandler(Counters(), reasons.append))
         server = await loop.create_server(Failing, LOOPBACK, 0)
         reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
         writer.write(b"GET / HTTP/1.1\r\n")
@@ -36,7 +36,7 @@
 def test_a_failed_handshake_is_counted_and_ends_nothing() -> None:
     counters, reasons = Counters(), list[str]()
     loop = asyncio.new_event_loop()
-    loop.set_exception_handler(LoopErrors(counters, reasons.append))
+    loop.set_exception_handler(LoopExceptionHandler(counters, reasons.append))
     loop.call_exception_handler({"message": "SSL handshake failed", "exception": ssl.SSLError()})
     loop.close()
     assert reasons == []
