--- a/filbertstream/connection/v1_port.py
+++ b/filbertstream/connection/v1_port.py
@@ -14,7 +14,7 @@
 from filbertstream.connection.v1_answers import JSON, encode_head, encode_refusal
 from filbertstream.connection.v1_requests import (
     Rejection,
-    RequestIds,
+    RequestIdGenerator,
     bearer_of,
     read_call,
 )
@@ -34,7 +34,7 @@
         self,
         gateway_io: GatewayIO,
         core: Gateway,
-        ids: RequestIds,
+        ids: RequestIdGenerator,
         limits: CallerLimits,
         metrics: Callable[[], bytes],
     ) -> None:
--- a/filbertstream/connection/v1_requests.py
+++ b/filbertstream/connection/v1_requests.py
@@ -88,7 +88,7 @@
     return key.strip() if scheme.lower() == "bearer" and key.strip() else None
 
 
-class RequestIds:
+class RequestIdGenerator:
     """Ids that no other process and no earlier life of this one gives out."""
 
     def __init__(self, entry: str, incarnation: int) -> None:
