--- a/filbertstream/connection/v1_port.py
+++ b/filbertstream/connection/v1_port.py
@@ -27,7 +27,7 @@
 METRICS_TYPE: Final = "text/plain; version=0.0.4"
 
 
-class V1Port:
+class V1Api:
     """Serves the connections of callers."""
 
     def __init__(
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -17,7 +17,7 @@
 from filbertstream.connection.listener import Listener
 from filbertstream.connection.operator_api import BODY_LIMIT_BYTES, OperatorApi
 from filbertstream.connection.tls import ReloadingAdapter, ReloadingAuthority
-from filbertstream.connection.v1_port import V1Port
+from filbertstream.connection.v1_port import V1Api
 from filbertstream.connection.v1_requests import RequestIdGenerator
 from filbertstream.connection.watched_kinds import WatchedKind, product_kinds
 from filbertstream.gateway import Gateway
@@ -82,7 +82,7 @@
         self.settings = settings
         self.recent = RecentCalls()
         ids = RequestIdGenerator(settings.name, core.cfg.incarnation)
-        self.callers = V1Port(gateway_io, core, ids, limits, metrics)
+        self.callers = V1Api(gateway_io, core, ids, limits, metrics)
         self._gateway_io = gateway_io
         self._queries = CoreQueries(core)
         tls = settings.callers.tls
