--- a/filbertstream/connection/peer_link.py
+++ b/filbertstream/connection/peer_link.py
@@ -55,7 +55,7 @@
         return key == self._public
 
 
-REOPEN_S: Final = 1.0
+MIN_RECONNECT_INTERVAL_S: Final = 1.0
 """Least time between two connections to an address; a lost message is made good by the next."""
 
 
@@ -126,7 +126,7 @@
         After a handshake that failed for another reason than silence, ZeroMQ does not connect
         again: the address was another program's, or its owner had another key.
         """
-        if boot_time_s() - self._opened_at_s[address] >= REOPEN_S:
+        if boot_time_s() - self._opened_at_s[address] >= MIN_RECONNECT_INTERVAL_S:
             self._drop(address)
 
     def _drop(self, address: str) -> None:
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -10,7 +10,7 @@
 import zmq
 
 from filbertstream.actions import SendPeer
-from filbertstream.connection.peer_link import REOPEN_S, PeerLink
+from filbertstream.connection.peer_link import MIN_RECONNECT_INTERVAL_S, PeerLink
 from filbertstream.messages import EntryWork
 from filbertstream.process.counters import Counters
 from standins.processes import LOOPBACK, free_port
@@ -77,7 +77,7 @@
             while conn.recv(4_096):
                 pass
     owner.start()
-    until_s = time.monotonic() + 5 * REOPEN_S
+    until_s = time.monotonic() + 5 * MIN_RECONNECT_INTERVAL_S
     while not hosts[1].heard and time.monotonic() < until_s:
         hosts[0].send(SendPeer(address, EntryWork("entry-1", ())))
         time.sleep(0.05)
