--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -6,9 +6,9 @@
 
 from typing import Any, Final, Protocol
 
-from filbertstream.connection.answer_form import ResponseFormat
 from filbertstream.connection.caller_link import CallerConnection, RawRequest
 from filbertstream.connection.event_relay import EventRelay
+from filbertstream.connection.response_format import ResponseFormat
 from filbertstream.connection.target_link import TargetConnection, TargetConnectionPool
 from filbertstream.platform.headers import Headers, encode_target_head
 from filbertstream.process.clock import boot_time_s
--- a/filbertstream/connection/v1_answers.py
+++ b/filbertstream/connection/v1_answers.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from filbertstream.connection.answer_form import Refusal
 from filbertstream.connection.event_relay import DATA_FIELD, END, ID_FIELD
+from filbertstream.connection.response_format import Refusal
 from filbertstream.platform.headers import Headers
 from filbertstream.request.call import BufferedResponse
 from filbertstream.statuses import REASONS
--- a/filbertstream/connection/v1_requests.py
+++ b/filbertstream/connection/v1_requests.py
@@ -11,8 +11,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from filbertstream.connection.answer_form import ResponseFormat
 from filbertstream.connection.caller_link import RawRequest
+from filbertstream.connection.response_format import ResponseFormat
 from filbertstream.connection.v1_answers import ModelCall, V1Collect, V1Plain, V1Stream
 from filbertstream.names import digest_bytes
 from filbertstream.platform.headers import Headers, encode_prompt
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from filbertstream.connection.answer_form import PassThroughFormat
 from filbertstream.connection.event_relay import EventRelay
 from filbertstream.connection.relayed_send import ProxiedCall, ProxiedSend
+from filbertstream.connection.response_format import PassThroughFormat
 from filbertstream.connection.target_link import TargetConnectionPool
 from filbertstream.process.deployment import Address
 from filbertstream.request.call_events import (
