--- a/filbertstream/connection/gateway_edge.py
+++ b/filbertstream/connection/gateway_edge.py
@@ -12,7 +12,7 @@
 from result import Err, Ok
 
 from filbertstream.actions import Log
-from filbertstream.connection.caller_link import CallerConnection, RawRequest
+from filbertstream.connection.caller_connection import CallerConnection, RawRequest
 from filbertstream.connection.relayed_send import ProxiedCall, ProxiedSend
 from filbertstream.connection.response_format import PassThroughFormat, ResponseFormat
 from filbertstream.connection.target_link import TargetConnectionPool, call_target
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -6,7 +6,7 @@
 
 from typing import Any, Final, Protocol
 
-from filbertstream.connection.caller_link import CallerConnection, RawRequest
+from filbertstream.connection.caller_connection import CallerConnection, RawRequest
 from filbertstream.connection.event_relay import EventRelay
 from filbertstream.connection.response_format import ResponseFormat
 from filbertstream.connection.target_link import TargetConnection, TargetConnectionPool
--- a/filbertstream/connection/v1_requests.py
+++ b/filbertstream/connection/v1_requests.py
@@ -11,7 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from filbertstream.connection.caller_link import RawRequest
+from filbertstream.connection.caller_connection import RawRequest
 from filbertstream.connection.response_format import ResponseFormat
 from filbertstream.connection.v1_answers import ModelCall, V1Collect, V1Plain, V1Stream
 from filbertstream.names import digest_bytes
--- a/tests/test_caller_fuzz.py
+++ b/tests/test_caller_fuzz.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from filbertstream.connection.caller_link import CallerConnection, RawRequest
+from filbertstream.connection.caller_connection import CallerConnection, RawRequest
 from filbertstream.version.routes import CallerLimits
 
 VALID = (
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from filbertstream.connection.caller_link import CallerConnection, RawRequest
+from filbertstream.connection.caller_connection import CallerConnection, RawRequest
 from filbertstream.connection.event_relay import EVENT_LIMIT_BYTES, EventRelay
 from filbertstream.connection.target_link import (
     HEAD_LIMIT_BYTES,
