--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -407,14 +407,14 @@
     ),
     Guard(
         "a stream gets on by events only",
-        "connection/target_link.py",
+        "connection/target_connection.py",
         "if self._sink is not None and not self._foreign and self._sink.on_body(data):",
         "if self._sink is not None and not self._foreign and (self._sink.on_body(data) or True):",
         "tests/test_dribbling.py",
     ),
     Guard(
         "bytes before an answer's head are bounded",
-        "connection/target_link.py",
+        "connection/target_connection.py",
         "if self._waiting_bytes > (SKIPPED_LIMIT_BYTES if self._skipped else HEAD_LIMIT_BYTES):",
         "if False:",
         "tests/test_endless_bytes.py",
--- a/filbertstream/connection/relayed_send.py
+++ b/filbertstream/connection/relayed_send.py
@@ -9,7 +9,7 @@
 from filbertstream.connection.caller_connection import CallerConnection, RawRequest
 from filbertstream.connection.event_relay import EventRelay
 from filbertstream.connection.response_format import ResponseFormat
-from filbertstream.connection.target_link import TargetConnection, TargetConnectionPool
+from filbertstream.connection.target_connection import TargetConnection, TargetConnectionPool
 from filbertstream.platform.headers import Headers, encode_target_head
 from filbertstream.process.clock import boot_time_s
 from filbertstream.request.call import BufferedResponse, CallHead, ResponseHead
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -14,7 +14,7 @@
 
 from filbertstream.connection.caller_connection import CallerConnection, RawRequest
 from filbertstream.connection.event_relay import EVENT_LIMIT_BYTES, EventRelay
-from filbertstream.connection.target_link import (
+from filbertstream.connection.target_connection import (
     HEAD_LIMIT_BYTES,
     SKIPPED_LIMIT_BYTES,
     TargetConnectionPool,
