--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -14,7 +14,7 @@
 )
 from prometheus_client.registry import Collector
 
-from filbertstream.connection.gateway_edge import GatewayIO
+from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.gateway import Gateway
 from filbertstream.platform.objects import ObjectStore
 from filbertstream.process.clock import boot_time_s
--- a/filbertstream/connection/v1_port.py
+++ b/filbertstream/connection/v1_port.py
@@ -10,7 +10,7 @@
 from result import Err, Ok
 
 from filbertstream.connection.caller_connection import CallerConnection, RawRequest
-from filbertstream.connection.gateway_edge import GatewayIO
+from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.connection.v1_answers import JSON, encode_head, encode_refusal
 from filbertstream.connection.v1_requests import (
     Rejection,
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -1,6 +1,6 @@
 """The core of an entry that runs on the platform: events in, actions out, no I/O.
 
-It reads no clock and opens no socket; ``connection.gateway_edge`` drives it in production and tests
+It reads no clock and opens no socket; ``connection.gateway_io`` drives it in production and tests
 drive it the same way.  Calls are moved along by ``request.forwarding``; this module keeps the view
 of the store, the duty of weight roll-outs and the entry's own readiness.
 """
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -19,7 +19,7 @@
 
 from filbertstream.actions import Log
 from filbertstream.checks import ConfigError
-from filbertstream.connection.gateway_edge import GatewayIO
+from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.connection.gateway_status import StatusConnection, metrics_text
 from filbertstream.connection.key_store import IdempotencyKeyStore
 from filbertstream.connection.loop_errors import LoopExceptionHandler
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -13,7 +13,7 @@
 
 from filbertstream.checks import ConfigError
 from filbertstream.connection.document_store import DocumentStore, DocumentWatch
-from filbertstream.connection.gateway_edge import GatewayIO
+from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.connection.listener import Listener
 from filbertstream.connection.operator_api import BODY_LIMIT_BYTES, OperatorApi
 from filbertstream.connection.tls import ReloadingAdapter, ReloadingAuthority
--- a/tests/test_gateway_redirect.py
+++ b/tests/test_gateway_redirect.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from filbertstream.connection.gateway_edge import GatewayIO
+from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.gateway_events import PeerMessage, Tick
 from filbertstream.messages import EntryWork
 from filbertstream.request.authorization import (
