--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -13,7 +13,7 @@
 
 from filbertstream.actions import Log
 from filbertstream.connection.caller_connection import CallerConnection, RawRequest
-from filbertstream.connection.relayed_send import ProxiedCall, ProxiedSend
+from filbertstream.connection.proxied_send import ProxiedCall, ProxiedSend
 from filbertstream.connection.response_format import PassThroughFormat, ResponseFormat
 from filbertstream.connection.target_connection import TargetConnectionPool, call_target
 from filbertstream.gateway import Gateway
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -10,7 +10,7 @@
 import pytest
 
 from filbertstream.connection.event_relay import EventRelay
-from filbertstream.connection.relayed_send import ProxiedCall, ProxiedSend
+from filbertstream.connection.proxied_send import ProxiedCall, ProxiedSend
 from filbertstream.connection.response_format import PassThroughFormat
 from filbertstream.connection.target_connection import TargetConnectionPool
 from filbertstream.process.deployment import Address
