--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -1,6 +1,6 @@
 """The store's side of the virtual-time driver: watches, and the writes that cores ask for.
 
-What a watch tells a core is worked out by the product's own ``connection.store_watch``.
+What a watch tells a core is worked out by the product's own ``connection.kind_watcher``.
 """
 
 from collections.abc import Callable
--- a/filbertstream/connection/document_store.py
+++ b/filbertstream/connection/document_store.py
@@ -143,7 +143,7 @@
 
 
 class DocumentWatch:
-    """Tells the core of the documents, as a watched kind of ``connection.store_watch``."""
+    """Tells the core of the documents, as a watched kind of ``connection.kind_watcher``."""
 
     def __init__(self, limits: CallerLimits) -> None:
         self._limits = limits
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -1,7 +1,7 @@
 """The kinds of objects in the platform's store that entries follow, and what they tell the core.
 
 What is told is in the project's types; the moment at which a call was sent goes with it, since that
-is when its answer was surely true.  ``connection.store_watch`` makes the calls.
+is when its answer was surely true.  ``connection.kind_watcher`` makes the calls.
 """
 
 import math
