--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -9,7 +9,7 @@
 from result import Err, Ok
 
 from filbertstream.connection.document_store import DocumentWatch
-from filbertstream.connection.key_store import read_reply, write_reply
+from filbertstream.connection.idempotency_key_store import read_reply, write_reply
 from filbertstream.connection.watched_kinds import (
     ROLLOUT_LEASE_NAME,
     WatchedKind,
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -21,7 +21,7 @@
 from filbertstream.checks import ConfigError
 from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.connection.gateway_status import StatusConnection, metrics_text
-from filbertstream.connection.key_store import IdempotencyKeyStore
+from filbertstream.connection.idempotency_key_store import IdempotencyKeyStore
 from filbertstream.connection.kind_watcher import KindWatcher, WatchGate
 from filbertstream.connection.loop_errors import LoopExceptionHandler
 from filbertstream.connection.peer_link import PeerLink
--- a/filbertstream/request/key_writes.py
+++ b/filbertstream/request/key_writes.py
@@ -1,7 +1,7 @@
 """The writes that claim or settle an idempotency key, step by step and without I/O.
 
 A step yields a ``KeyCall`` and is sent the store's ``KeyReply``; what it returns at its end is told
-to the core.  ``connection.key_store`` drives the steps in production, a state machine in the tests.
+to the core.  ``connection.idempotency_key_store`` drives the steps in production, a state machine in the tests.
 A write without an answer may be carried out at any later time, so a claim counts only once the
 store shows the call's own record, and one that is given up is made impossible (``settle_steps``).
 """
