--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -259,7 +259,7 @@
     ),
     Guard(
         "an error that nothing caught ends the process",
-        "connection/loop_errors.py",
+        "connection/loop_exception_handler.py",
         "self._on_broken(f",
         "str(f",
         "tests/test_loop_errors.py::test_a_fault_in_a_connections_callback_ends_the_process",
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -23,7 +23,7 @@
 from filbertstream.connection.gateway_status import StatusConnection, metrics_text
 from filbertstream.connection.idempotency_key_store import IdempotencyKeyStore
 from filbertstream.connection.kind_watcher import KindWatcher, WatchGate
-from filbertstream.connection.loop_errors import LoopExceptionHandler
+from filbertstream.connection.loop_exception_handler import LoopExceptionHandler
 from filbertstream.connection.peer_link import PeerLink
 from filbertstream.connection.watched_kinds import (
     ROLLOUT_LEASE_NAME,
--- a/tests/test_loop_errors.py
+++ b/tests/test_loop_errors.py
@@ -3,7 +3,7 @@
 import asyncio
 import ssl
 
-from filbertstream.connection.loop_errors import LoopExceptionHandler
+from filbertstream.connection.loop_exception_handler import LoopExceptionHandler
 from filbertstream.process.counters import Counters
 from standins.processes import LOOPBACK
 
