--- a/filbertstream/connection/v1_port.py
+++ b/filbertstream/connection/v1_port.py
@@ -11,13 +11,13 @@
 
 from filbertstream.connection.caller_connection import CallerConnection, RawRequest
 from filbertstream.connection.gateway_io import GatewayIO
-from filbertstream.connection.v1_answers import JSON, encode_head, encode_refusal
 from filbertstream.connection.v1_requests import (
     Rejection,
     RequestIdGenerator,
     bearer_of,
     read_call,
 )
+from filbertstream.connection.v1_responses import JSON, encode_head, encode_refusal
 from filbertstream.gateway import Gateway
 from filbertstream.process.clock import boot_time_s
 from filbertstream.request.authorization import Refused
--- a/filbertstream/connection/v1_requests.py
+++ b/filbertstream/connection/v1_requests.py
@@ -13,7 +13,7 @@
 
 from filbertstream.connection.caller_connection import RawRequest
 from filbertstream.connection.response_format import ResponseFormat
-from filbertstream.connection.v1_answers import ModelCall, V1Collect, V1Plain, V1Stream
+from filbertstream.connection.v1_responses import ModelCall, V1Collect, V1Plain, V1Stream
 from filbertstream.names import digest_bytes
 from filbertstream.platform.headers import Headers, encode_prompt
 from filbertstream.request.call import CallHead, IdempotencyKey, Prompt
--- a/filbertstream/connection/wire.py
+++ b/filbertstream/connection/wire.py
@@ -6,8 +6,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from filbertstream.connection.v1_answers import JSON, PROBLEM, problem_of
 from filbertstream.connection.v1_requests import Rejection
+from filbertstream.connection.v1_responses import JSON, PROBLEM, problem_of
 from filbertstream.statuses import REASONS
 
 Environ: TypeAlias = dict[str, Any]
