--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -17,7 +17,7 @@
 from filbertstream.connection.listener import Listener
 from filbertstream.connection.operator_api import BODY_LIMIT_BYTES, OperatorApi
 from filbertstream.connection.tls import ReloadingAdapter, ReloadingAuthority
-from filbertstream.connection.v1_port import V1Api
+from filbertstream.connection.v1_api import V1Api
 from filbertstream.connection.v1_requests import RequestIdGenerator
 from filbertstream.connection.watched_kinds import WatchedKind, product_kinds
 from filbertstream.gateway import Gateway
