--- a/filbertstream/connection/listener.py
+++ b/filbertstream/connection/listener.py
@@ -6,7 +6,7 @@
 from cheroot import wsgi
 
 from filbertstream.connection.tls import ReloadingAdapter
-from filbertstream.connection.wire import WsgiApp
+from filbertstream.connection.wsgi_messages import WsgiApp
 from filbertstream.process.settings import Tls
 
 SOCKET_TIMEOUT_S: Final = 10
--- a/filbertstream/connection/operator_api.py
+++ b/filbertstream/connection/operator_api.py
@@ -12,7 +12,7 @@
 from result import Err, Ok
 
 from filbertstream.connection.document_store import DocumentStore
-from filbertstream.connection.wire import (
+from filbertstream.connection.wsgi_messages import (
     Environ,
     StartResponse,
     bearer_of,
