Keep the name Mistake

Cause: Mistake is no exception, which ConfigError suggests, and the outer key is mistakes; the shape check also takes the annotation string for a key that is gone. Change: the name before; every use follows.

--- a/filbertstream/checks.py
+++ b/filbertstream/checks.py
@@ -12,7 +12,7 @@
     from pydantic import ValidationError
 
 
-class ConfigError(NamedTuple):
+class Mistake(NamedTuple):
     """One mistake in a file: the place, the key, and what would be right there."""
 
     file: str
@@ -20,7 +20,7 @@
     key: str
     right: str
 
-    def with_location(self, file: str, node: yaml.Node) -> "ConfigError":
+    def with_location(self, file: str, node: yaml.Node) -> "Mistake":
         """Return the same mistake with its file and the line that ``key`` has under ``node``."""
         return self._replace(file=file, line=line_of(node, self.key))
 
@@ -53,12 +53,12 @@
     return None
 
 
-def collect_errors(exc: "ValidationError", file: str, node: yaml.Node | None) -> list[ConfigError]:
+def collect_errors(exc: "ValidationError", file: str, node: yaml.Node | None) -> list[Mistake]:
     """Return every mistake of a failed check, in the order of the fields."""
     mistakes = []
     for error in exc.errors():
         key = ".".join(str(part) for part in error["loc"])
-        mistake = ConfigError(file, 0, key, _remedy(error["type"], error["msg"]))
+        mistake = Mistake(file, 0, key, _remedy(error["type"], error["msg"]))
         mistakes.append(mistake if node is None else mistake.with_location(file, node))
     return mistakes
 
--- a/filbertstream/cli.py
+++ b/filbertstream/cli.py
@@ -18,7 +18,7 @@
 import zmq
 from result import Err, Ok
 
-from filbertstream.checks import ConfigError
+from filbertstream.checks import Mistake
 from filbertstream.gateway_process import GatewayProcess
 from filbertstream.log_explain import explain_lines, read_lines
 from filbertstream.names import digest_key
@@ -75,7 +75,7 @@
     raise typer.Exit(code)
 
 
-def _fail_mistakes(mistakes: list[ConfigError]) -> NoReturn:
+def _fail_mistakes(mistakes: list[Mistake]) -> NoReturn:
     _fail("\n".join(str(mistake) for mistake in mistakes), EXIT_USAGE)
 
 
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -18,7 +18,7 @@
 from result import Err, Ok, Result
 
 from filbertstream.actions import Log
-from filbertstream.checks import ConfigError
+from filbertstream.checks import Mistake
 from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.connection.gateway_status import StatusConnection, metrics_text
 from filbertstream.connection.idempotency_key_store import IdempotencyKeyStore
@@ -282,7 +282,7 @@
                 fields = (("mistakes", "; ".join(str(mistake) for mistake in mistakes)),)
                 self._log.write(LogEvent.SETTINGS_REJECTED, fields)
 
-    def _read_deployment(self) -> Result[Deployment, list[ConfigError]]:
+    def _read_deployment(self) -> Result[Deployment, list[Mistake]]:
         if self._setup is None:
             return read_settings_file(self._settings_file)
         return self._setup.read(self._settings_file)
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -1,7 +1,7 @@
 """Reads the settings file that the platform writes for each process.
 
 Unknown keys are ignored, since the platform adds some over time; a missing or malformed key gives a
-``ConfigError`` with its line.
+``Mistake`` with its line.
 """
 
 import re
@@ -12,7 +12,7 @@
 import yaml
 from result import Err, Ok, Result
 
-from filbertstream.checks import ConfigError
+from filbertstream.checks import Mistake
 from filbertstream.process.deployment import Address, Bounds, Deployment
 
 BOOT_VARIABLE: Final = "FILBERTSTREAM_BOOT"
@@ -78,7 +78,7 @@
     return Address(host, int(port))
 
 
-def read_settings_file(path: Path) -> Result[Deployment, list[ConfigError]]:
+def read_settings_file(path: Path) -> Result[Deployment, list[Mistake]]:
     """Return the deployment that a settings file describes, or the first mistake in it."""
     file = str(path)
     try:
@@ -86,9 +86,9 @@
         node = yaml.compose(text, Loader=yaml.CSafeLoader)
         raw: Any = yaml.load(text, Loader=yaml.CSafeLoader)
     except OSError as exc:
-        return Err([ConfigError(file, 0, "", f"a readable file ({exc.strerror})")])
+        return Err([Mistake(file, 0, "", f"a readable file ({exc.strerror})")])
     except yaml.YAMLError:
-        return Err([ConfigError(file, 0, "", "well-formed YAML")])
+        return Err([Mistake(file, 0, "", "well-formed YAML")])
     try:
         boot = msgspec.convert(raw, _Boot)
     except msgspec.ValidationError as exc:
@@ -97,21 +97,21 @@
         found = _malformed_address(boot)
         if found is None:
             return Ok(_deployment(boot))
-        mistake = ConfigError(file, 0, found, ADDRESS_FORM)
+        mistake = Mistake(file, 0, found, ADDRESS_FORM)
     return Err(
         [mistake.with_location(file, node) if node is not None else mistake._replace(file=file)]
     )
 
 
-def _mistake(message: str) -> ConfigError:
+def _mistake(message: str) -> Mistake:
     """Return the mistake that a message of msgspec tells: what was expected, and at which key."""
     said, _, path = message.partition(" - at `$")
     key = path.removesuffix("`").removeprefix(".")
     missing = MISSING_FIELD.search(said)
     if missing is not None:
         key = f"{key}.{missing[1]}" if key else missing[1]
-        return ConfigError("", 0, key, "this key, which is required")
-    return ConfigError("", 0, key, said.removeprefix("Expected ").replace("`", ""))
+        return Mistake("", 0, key, "this key, which is required")
+    return Mistake("", 0, key, said.removeprefix("Expected ").replace("`", ""))
 
 
 def _malformed_address(boot: _Boot) -> str | None:
--- a/filbertstream/process/settings.py
+++ b/filbertstream/process/settings.py
@@ -15,7 +15,7 @@
 from pydantic import Field, StringConstraints, TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
-from filbertstream.checks import ConfigError, collect_errors
+from filbertstream.checks import Mistake, collect_errors
 from filbertstream.process import deployment as deploy
 from filbertstream.version.documents import Digest, Name
 
@@ -121,7 +121,7 @@
 _ADAPTER: Final[TypeAdapter[Settings]] = TypeAdapter(Settings)
 
 
-def read_settings(path: Path, files: bool = True) -> Result[Settings, list[ConfigError]]:
+def read_settings(path: Path, files: bool = True) -> Result[Settings, list[Mistake]]:
     """Return the checked settings of a file, or every mistake in it.
 
     ``files`` asks that the files which the settings name exist, too.
@@ -132,19 +132,19 @@
         node = yaml.compose(text, Loader=yaml.SafeLoader)
         raw: Any = yaml.safe_load(text)
     except OSError as exc:
-        return Err([ConfigError(file, 0, "", f"a readable file ({exc.strerror})")])
+        return Err([Mistake(file, 0, "", f"a readable file ({exc.strerror})")])
     except yaml.YAMLError as exc:
         mark = getattr(exc, "problem_mark", None)
-        return Err([ConfigError(file, mark.line + 1 if mark else 0, "", "well-formed YAML")])
+        return Err([Mistake(file, mark.line + 1 if mark else 0, "", "well-formed YAML")])
     if node is None:
-        return Err([ConfigError(file, 1, "", "a mapping of settings")])
+        return Err([Mistake(file, 1, "", "a mapping of settings")])
     try:
         settings = _ADAPTER.validate_python(raw)
     except ValidationError as exc:
         return Err(collect_errors(exc, file, node))
     missing = [item for item in _files(settings) if files and not item[1].is_file()]
     if missing:
-        faults = [ConfigError(file, 0, key, f"an existing file ({path})") for key, path in missing]
+        faults = [Mistake(file, 0, key, f"an existing file ({path})") for key, path in missing]
         return Err([fault.with_location(file, node) for fault in faults])
     return Ok(settings)
 
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -11,7 +11,7 @@
 
 from result import Result
 
-from filbertstream.checks import ConfigError
+from filbertstream.checks import Mistake
 from filbertstream.connection.document_store import DocumentStore, DocumentWatch
 from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.connection.listener import Listener
@@ -48,7 +48,7 @@
         """Return how each kind of objects is followed."""
         return product_kinds(bounds, DocumentWatch(self._limits))
 
-    def read(self, file: Path) -> Result[Deployment, list[ConfigError]]:
+    def read(self, file: Path) -> Result[Deployment, list[Mistake]]:
         """Return what a settings file says now."""
         return read_settings(file).map(deployment_of)
 
--- a/filbertstream/version/documents.py
+++ b/filbertstream/version/documents.py
@@ -14,7 +14,7 @@
 from pydantic import Field, StringConstraints, TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
-from filbertstream.checks import ConfigError, collect_errors
+from filbertstream.checks import Mistake, collect_errors
 
 Name: TypeAlias = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Digest: TypeAlias = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
@@ -140,10 +140,10 @@
 }
 
 
-def check_change(raw: object) -> Result[Change, list[ConfigError]]:
+def check_change(raw: object) -> Result[Change, list[Mistake]]:
     """Return the typed document that ``raw``, plain JSON or YAML data, describes."""
     if not isinstance(raw, dict) or raw.get("kind") not in _KINDS:
-        return Err([ConfigError("", 0, "kind", "one of " + ", ".join(sorted(_KINDS)))])
+        return Err([Mistake("", 0, "kind", "one of " + ", ".join(sorted(_KINDS)))])
     adapter = _KINDS[str(raw["kind"])]
     try:
         change: Change = adapter.validate_python(raw)
@@ -152,7 +152,7 @@
     return Ok(change)
 
 
-def parse_yaml(text: str, file: str) -> Result[list[Change], list[ConfigError]]:
+def parse_yaml(text: str, file: str) -> Result[list[Change], list[Mistake]]:
     """Return the checked documents of a YAML stream, or every mistake in it."""
     try:
         nodes = list(yaml.compose_all(text, Loader=yaml.SafeLoader))
@@ -160,11 +160,9 @@
     except yaml.YAMLError as exc:
         mark = getattr(exc, "problem_mark", None)
         line = mark.line + 1 if mark else 0
-        return Err(
-            [ConfigError(file, line, "", f"well-formed YAML ({getattr(exc, 'problem', exc)})")]
-        )
+        return Err([Mistake(file, line, "", f"well-formed YAML ({getattr(exc, 'problem', exc)})")])
     changes: list[Change] = []
-    mistakes: list[ConfigError] = []
+    mistakes: list[Mistake] = []
     for node, raw in zip(nodes, raws, strict=True):
         match check_change(raw):
             case Ok(change):
@@ -197,16 +195,16 @@
     return msgspec.json.encode([to_plain(change) for change in changes])
 
 
-def decode_changes(data: bytes) -> Result[list[Change], list[ConfigError]]:
+def decode_changes(data: bytes) -> Result[list[Change], list[Mistake]]:
     """Return the checked documents of ``encode_changes``, or every mistake."""
     try:
         raws = msgspec.json.decode(data)
     except msgspec.DecodeError as exc:
-        return Err([ConfigError("", 0, "", f"well-formed JSON ({exc})")])
+        return Err([Mistake("", 0, "", f"well-formed JSON ({exc})")])
     if not isinstance(raws, list):
-        return Err([ConfigError("", 0, "", "a list of documents")])
+        return Err([Mistake("", 0, "", "a list of documents")])
     changes: list[Change] = []
-    mistakes: list[ConfigError] = []
+    mistakes: list[Mistake] = []
     for raw in raws:
         match check_change(raw):
             case Ok(change):
