--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -85,7 +85,7 @@
     Guard(
         "old weights get no call past the bound",
         "version/weights_view.py",
-        "return self.behind_for_s(model, version, now_s) > OVERDUE_FRACTION * self._version_s",
+        "return self.outdated_for_s(model, version, now_s) > OVERDUE_FRACTION * self._version_s",
         "return False",
         "tests/test_gateway_core.py::" "test_old_weights_get_no_call_once_their_bound_is_near",
     ),
@@ -100,15 +100,15 @@
     Guard(
         "an entry that starts between two roll-outs leaves out the oldest runners",
         "version/weights_view.py",
-        "oldest = named if self._has_begun(model, named) else newest",
-        "oldest = named if self._has_begun(model, named) else 0",
+        "min_version = named if self._has_started(model, named) else newest_version",
+        "min_version = named if self._has_started(model, named) else 0",
         "tests/test_gateway_core.py::"
         "test_an_entry_that_starts_between_two_swaps_uses_the_newest_weights_that_any_runner_has",
     ),
     Guard(
         "a listing's weights may have been named a while ago",
         "version/weights_view.py",
-        "at_s -= LISTED_SHARE * self._version_s",
+        "at_s -= LISTED_AGE_FRACTION * self._version_s",
         "pass",
         "tests/test_gateway_core.py::"
         "test_an_entry_that_starts_before_a_swap_has_begun_uses_old_weights_for_a_while",
--- a/filbertstream/version/__init__.py
+++ b/filbertstream/version/__init__.py
@@ -1,1 +1,1 @@
-"""State that lives as long as a version: of the configuration, or of a model's weights."""
+"""State whose lifetime is one version of the configuration or of a model's weights."""
--- a/filbertstream/version/compiled.py
+++ b/filbertstream/version/compiled.py
@@ -1,8 +1,8 @@
-"""Makes the configuration that entries serve by of the operators' documents.
+"""Compiles the operators' documents into the configuration that entries serve.
 
-Each model and each method of each service becomes a route.  A caller's edge finds it by a host
-made here, since the documents know neither hosts nor paths.  Cache is never shared between
-workspaces: every one is dedicated.
+Each model and each method of each service becomes a route.  The documents have no hosts or paths,
+so the host of a route is generated here and the callers' API looks it up by that host.  Cache is
+never shared between workspaces: every workspace is dedicated.
 """
 
 from collections.abc import Iterable
@@ -25,34 +25,34 @@
 
 METHODS: Final = ("GET", "POST", "PUT", "PATCH", "DELETE")
 
-ATTEMPTS: Final = 3
-"""Runs of one call at most; a second failure in a row is rare, a third a sign of an outage."""
+MAX_ATTEMPTS: Final = 3
+"""Two failures in a row are rare; a third one indicates an outage."""
 
 SERVICE_OBJECTIVE_S: Final = 1.0
-"""Until this long without an answer, a plain call is not sent elsewhere."""
+"""A call to a plain service waits this long for a response before it is retried elsewhere."""
 
-LONGEST_S: Final = 600.0
-"""A route's own limit; the deadline of each workspace is shorter."""
+ROUTE_TIMEOUT_S: Final = 600.0
+"""The timeout of a route; the deadline of a workspace, which is shorter, overrides it."""
 
-CONNECTIONS: Final = 300
-"""Connections to one target at most."""
+MAX_CONNECTIONS: Final = 300
+"""Bounds the connections to one target."""
 
-MOST_URGENT: Final = 9
-"""Documents count priorities up to this; a route's 0 is the most urgent."""
+MAX_PRIORITY: Final = 9
+"""The most urgent priority in documents; in routes, 0 is the most urgent."""
 
 
 def model_host(model: str) -> str:
-    """Return the host under which a model's route is found."""
+    """Return the host of a model's route."""
     return f"{model}.models"
 
 
 def service_host(service: str, method: str) -> str:
-    """Return the host under which the route of a service's method is found."""
+    """Return the host of the route for a method of a service."""
     return f"{method.lower()}.{service}.services"
 
 
 def compile_documents(view: DocumentSet, revision: int, limits: CallerLimits) -> Configuration:
-    """Return the configuration of a view; ``revision`` becomes its version."""
+    """Return the configuration that documents describe; ``revision`` becomes its version."""
     routes: list[Route] = []
     services: dict[str, Service] = {}
     drained: set[str] = set()
@@ -62,7 +62,7 @@
             services[document.name] = _model_service(document)
         elif isinstance(document, docs.Service):
             routes += _service_routes(document)
-            services[document.name] = Service(document.name, "", CONNECTIONS)
+            services[document.name] = Service(document.name, "", MAX_CONNECTIONS)
         elif isinstance(document, docs.Store):
             services[document.name] = _store_service(document)
         elif isinstance(document, docs.Drain):
@@ -78,7 +78,7 @@
 
 
 def document_set(documents: Iterable[docs.Document]) -> DocumentSet:
-    """Return a view of documents."""
+    """Return a ``DocumentSet`` that holds documents."""
     view = DocumentSet()
     for document in documents:
         view.put(document)
@@ -92,9 +92,9 @@
         "/",
         CallKind.STREAM,
         (Backend(model.name, 1.0),),
-        LONGEST_S,
+        ROUTE_TIMEOUT_S,
         docs.Objectives().first_token_s,
-        ATTEMPTS,
+        MAX_ATTEMPTS,
         resumable=True,
         gap_objective_s=docs.Objectives().token_gap_s,
     )
@@ -104,24 +104,24 @@
     engine = Engine(
         model.slots, model.cache_tokens, model.token_bytes, model.event_readers, (model.name,)
     )
-    return Service(model.name, "", CONNECTIONS, engine)
+    return Service(model.name, "", MAX_CONNECTIONS, engine)
 
 
 def _service_routes(service: docs.Service) -> list[Route]:
     routes = []
     for method in METHODS:
-        once = method in service.not_repeatable
+        at_most_once = method in service.not_repeatable
         routes.append(
             Route(
                 f"{service.name} {method}",
                 service_host(service.name, method),
                 "/",
-                CallKind.NON_IDEMPOTENT if once else CallKind.IDEMPOTENT,
+                CallKind.NON_IDEMPOTENT if at_most_once else CallKind.IDEMPOTENT,
                 (Backend(service.name, 1.0),),
-                LONGEST_S,
+                ROUTE_TIMEOUT_S,
                 SERVICE_OBJECTIVE_S,
-                1 if once else ATTEMPTS,
-                needs_idempotency_key=once,
+                1 if at_most_once else MAX_ATTEMPTS,
+                needs_idempotency_key=at_most_once,
             )
         )
     return routes
@@ -135,11 +135,11 @@
         store.event_readers,
         store.managed,
     )
-    return Service(store.name, "", CONNECTIONS, store=cache)
+    return Service(store.name, "", MAX_CONNECTIONS, store=cache)
 
 
 def _workspace(grant: Grant) -> Workspace:
-    workspace_limits = WorkspaceLimits(
+    limits = WorkspaceLimits(
         grant.models | grant.services,
         grant.limits.concurrent,
         grant.limits.requests_per_s,
@@ -149,4 +149,4 @@
         grant.objectives.deadline_s,
         grant.objectives.within,
     )
-    return Workspace(grant.workspace, True, MOST_URGENT - grant.priority, workspace_limits)
+    return Workspace(grant.workspace, True, MAX_PRIORITY - grant.priority, limits)
--- a/filbertstream/version/config_freshness.py
+++ b/filbertstream/version/config_freshness.py
@@ -1,25 +1,28 @@
-"""Whether the configuration at hand may still be relied on.
+"""Tracks how recently the applied configuration was confirmed to be the newest one.
 
-The store shows a configuration to be the newest as of the moment at which the call was sent that
-returned it.  A key that was taken away later may still be in the copy at hand, so after
-``revoke_s`` without a new confirmation no call with a key is admitted.
+A response of the object store proves that a configuration was the newest when the request was sent.
+A key that was revoked later may still be in the applied configuration, so calls with a key are
+rejected once ``revoke_s`` have passed without a new confirmation.
 """
 
 from typing import Final
 
-MARGIN_S: Final = 0.15
-"""Kept from the bound: timers and the caller's own clock are not exact."""
+REVOKE_MARGIN_S: Final = 0.15
+"""Subtracted from the bound, since timers and the caller's clock are inexact."""
 
-FRESH_SHARE: Final = 0.4
-"""The share of the bound within which another entry's word counts; less than that for readiness, so
-that the store is asked before callers are sent away."""
+FRESH_FRACTION: Final = 0.4
+"""The fraction of the bound up to which a confirmation relayed by a peer is recent enough.
+
+It is below the fraction for readiness, so that the entry reads the object store itself before it
+becomes unready.
+"""
 
 UNREADY_FRACTION: Final = 0.5
-"""The share of the bound after which the balancer is told to send new connections elsewhere."""
+"""The fraction of the bound after which the entry reports itself unready to the load balancer."""
 
 
 class ConfigFreshness:
-    """When the configuration was last confirmed."""
+    """The time at which the configuration was last confirmed to be the newest one."""
 
     def __init__(self, revoke_s: float, strict: bool) -> None:
         self._revoke_s = revoke_s
@@ -27,25 +30,25 @@
         self.confirmed_at_s = float("-inf")
 
     def set_bounds(self, revoke_s: float, strict: bool) -> None:
-        """Go by other bounds from now on."""
+        """Replace the bounds."""
         self._revoke_s, self._strict = revoke_s, strict
 
     def confirm(self, sent_at_s: float) -> None:
-        """Note that a call sent at this moment showed the configuration at hand to be newest."""
+        """Record that a request sent at ``sent_at_s`` showed the configuration to be the newest."""
         self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
 
     def age_s(self, now_s: float) -> float:
-        """Return the age of the last confirmation."""
+        """Return the time since the last confirmation."""
         return now_s - self.confirmed_at_s
 
     def admits_keys(self, now_s: float) -> bool:
-        """Whether a call with a key may be admitted now."""
-        return not self._strict or self.age_s(now_s) < self._revoke_s - MARGIN_S
+        """Whether calls with a key may be admitted."""
+        return not self._strict or self.age_s(now_s) < self._revoke_s - REVOKE_MARGIN_S
 
     def is_fresh(self, now_s: float) -> bool:
-        """Whether the last confirmation is as young as one should be that others rely on."""
-        return self.age_s(now_s) < self._revoke_s * FRESH_SHARE
+        """Whether the last confirmation is recent enough for peers to rely on."""
+        return self.age_s(now_s) < self._revoke_s * FRESH_FRACTION
 
     def keeps_ready(self, now_s: float) -> bool:
-        """Whether this entry should get new connections."""
+        """Whether the last confirmation is recent enough for this entry to be ready."""
         return self.age_s(now_s) < self._revoke_s * UNREADY_FRACTION
--- a/filbertstream/version/documents.py
+++ b/filbertstream/version/documents.py
@@ -1,10 +1,10 @@
-"""The documents of the configuration, as operators write them, and their checks.
+"""The documents of the configuration as operators write them, and their validation.
 
-A change is a list of documents; each names its ``kind`` and ``name``.  ``parse_yaml`` turns
-operator files into checked documents and reports every mistake with file, line, key and what would
-be right.  ``connection.document_store`` keeps the documents; ``version.resolve`` merges a template
-with a workspace's parameters and ``version.compiled`` makes a configuration of them all.  The
-checks are pydantic's, over plain ``NamedTuple`` types.
+A change is a list of documents, each with a ``kind`` and a ``name``.  ``parse_yaml`` turns operator
+files into validated documents and reports every error with its file, line, key and the expected
+value.  ``connection.document_store`` stores the documents, ``version.resolve`` merges a workspace's
+parameters into its template, and ``version.compiled`` compiles all documents into a configuration.
+Pydantic validates them as plain ``NamedTuple`` types.
 """
 
 from typing import Annotated, Any, Final, Literal, NamedTuple, TypeAlias
@@ -20,12 +20,12 @@
 Digest: TypeAlias = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
 PositiveInt: TypeAlias = Annotated[int, Field(gt=0, strict=True)]
 PositiveFloat: TypeAlias = Annotated[float, Field(gt=0)]
-Share: TypeAlias = Annotated[float, Field(ge=0, le=1)]
+Fraction: TypeAlias = Annotated[float, Field(ge=0, le=1)]
 HostPort: TypeAlias = Annotated[str, StringConstraints(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 
 
 class Limits(NamedTuple):
-    """What a workspace may use at once over all entries."""
+    """Limits of a workspace, which apply to the sum over all entries."""
 
     concurrent: PositiveInt = 64
     requests_per_s: PositiveFloat = 100.0
@@ -33,16 +33,16 @@
 
 
 class Objectives(NamedTuple):
-    """What a workspace expects: a share ``within`` of its requests meets ``first_token_s``."""
+    """Objectives of a workspace; a fraction ``within`` of requests must meet ``first_token_s``."""
 
     first_token_s: PositiveFloat = 0.36
     token_gap_s: PositiveFloat = 0.027
     deadline_s: PositiveFloat = 60.0
-    within: Share = 0.95
+    within: Fraction = 0.95
 
 
 class Template(NamedTuple):
-    """The shape of a workspace; ``open`` names the fields that its parameters may replace."""
+    """A template for workspaces; ``open`` lists the fields that their parameters may override."""
 
     kind: Literal["template"]
     name: Name
@@ -55,7 +55,7 @@
 
 
 class Parameters(NamedTuple):
-    """The values of a workspace for the fields that its template leaves open."""
+    """A workspace's values for the fields that its template leaves open."""
 
     models: tuple[Name, ...] | None = None
     services: tuple[Name, ...] | None = None
@@ -75,11 +75,11 @@
 
 
 class Model(NamedTuple):
-    """A model, the weight version that new requests use, and what its runners have in common.
+    """A model, the weight version that new requests use, and the properties of its runners.
 
-    ``cache_tokens`` is a runner's memory, shared by running requests and cached parts, and
-    ``token_bytes`` what a token takes of it.  ``event_readers`` bounds the entries that follow one
-    runner's cache.
+    ``cache_tokens`` is the memory of one runner, shared by running requests and cached blocks, and
+    ``token_bytes`` the memory that one token takes.  ``event_readers`` bounds the entries that read
+    the cache events of one runner.
     """
 
     kind: Literal["model"]
@@ -92,7 +92,7 @@
 
 
 class Store(NamedTuple):
-    """A store of kept cache, which drops nothing on its own where it is ``managed``."""
+    """A cache store; a ``managed`` one evicts nothing by itself."""
 
     kind: Literal["store"]
     name: Name
@@ -104,14 +104,14 @@
 
 
 class Drain(NamedTuple):
-    """A planned stop of the entry or target of this name; removing it ends a target's stop."""
+    """Drains the entry or target of this name; removing it returns a target to service."""
 
     kind: Literal["drain"]
     name: Name
 
 
 class Service(NamedTuple):
-    """A plain service; ``not_repeatable`` lists the methods that must run at most once."""
+    """A plain service; calls with a method in ``not_repeatable`` run at most once."""
 
     kind: Literal["service"]
     name: Name
@@ -119,7 +119,7 @@
 
 
 class Removal(NamedTuple):
-    """Takes a document away."""
+    """Removes a document."""
 
     kind: Literal["removal"]
     name: Name
@@ -141,7 +141,7 @@
 
 
 def check_change(raw: object) -> Result[Change, list[Mistake]]:
-    """Return the typed document that ``raw``, plain JSON or YAML data, describes."""
+    """Return the typed document for plain JSON or YAML data, or every error in it."""
     if not isinstance(raw, dict) or raw.get("kind") not in _KINDS:
         return Err([Mistake("", 0, "kind", "one of " + ", ".join(sorted(_KINDS)))])
     adapter = _KINDS[str(raw["kind"])]
@@ -153,7 +153,7 @@
 
 
 def parse_yaml(text: str, file: str) -> Result[list[Change], list[Mistake]]:
-    """Return the checked documents of a YAML stream, or every mistake in it."""
+    """Return the validated documents of a YAML stream, or every error in it."""
     try:
         nodes = list(yaml.compose_all(text, Loader=yaml.SafeLoader))
         raws = list(yaml.safe_load_all(text))
@@ -162,24 +162,24 @@
         line = mark.line + 1 if mark else 0
         return Err([Mistake(file, line, "", f"well-formed YAML ({getattr(exc, 'problem', exc)})")])
     changes: list[Change] = []
-    mistakes: list[Mistake] = []
+    errors: list[Mistake] = []
     for node, raw in zip(nodes, raws, strict=True):
         match check_change(raw):
             case Ok(change):
                 changes.append(change)
             case Err(found):
-                mistakes += [item.with_location(file, node) for item in found]
-    return Err(mistakes) if mistakes else Ok(changes)
+                errors += [item.with_location(file, node) for item in found]
+    return Err(errors) if errors else Ok(changes)
 
 
 def to_plain(change: Change) -> dict[str, Any]:
-    """Return a document as plain data, in the shape that operators write."""
+    """Return a document as plain data, in the format that operators write."""
     plain: dict[str, Any] = _plain(change)
     return plain
 
 
 def _plain(value: Any) -> Any:
-    """Return plain data in which every NamedTuple is a mapping; unset fields are left out."""
+    """Convert named tuples to dicts, recursively, and omit fields that are None."""
     if isinstance(value, tuple) and hasattr(value, "_asdict"):
         fields = value._asdict().items()
         return {name: _plain(item) for name, item in fields if item is not None}
@@ -191,12 +191,12 @@
 
 
 def encode_changes(changes: list[Change]) -> bytes:
-    """Return the JSON form in which changes travel and are kept."""
+    """Return changes as JSON, the format in which they are sent and stored."""
     return msgspec.json.encode([to_plain(change) for change in changes])
 
 
 def decode_changes(data: bytes) -> Result[list[Change], list[Mistake]]:
-    """Return the checked documents of ``encode_changes``, or every mistake."""
+    """Return the validated documents of JSON from ``encode_changes``, or every error in it."""
     try:
         raws = msgspec.json.decode(data)
     except msgspec.DecodeError as exc:
@@ -204,11 +204,11 @@
     if not isinstance(raws, list):
         return Err([Mistake("", 0, "", "a list of documents")])
     changes: list[Change] = []
-    mistakes: list[Mistake] = []
+    errors: list[Mistake] = []
     for raw in raws:
         match check_change(raw):
             case Ok(change):
                 changes.append(change)
             case Err(found):
-                mistakes += found
-    return Err(mistakes) if mistakes else Ok(changes)
+                errors += found
+    return Err(errors) if errors else Ok(changes)
--- a/filbertstream/version/resolve.py
+++ b/filbertstream/version/resolve.py
@@ -1,6 +1,6 @@
-"""What a workspace may do: its template merged with its parameters.
+"""Resolves the rights of each workspace by merging its parameters into its template.
 
-``DocumentSet`` holds the documents of one revision and checks that a change doesn't contradict them.
+``DocumentSet`` holds the documents of one revision and detects changes that conflict with them.
 """
 
 from collections import ChainMap
@@ -19,7 +19,7 @@
 )
 
 TARGET_KINDS: Final = ("model", "service", "store")
-"""Kinds whose names are those of target groups, which targets register under."""
+"""Kinds that define a group of targets; targets register under the name of the document."""
 
 
 class DocumentId(NamedTuple):
@@ -30,7 +30,7 @@
 
 
 class Grant(NamedTuple):
-    """The resolved rights and objectives of a workspace."""
+    """The resolved rights, limits and objectives of a workspace."""
 
     workspace: str
     models: frozenset[str]
@@ -41,46 +41,46 @@
 
 
 class DocumentSet:
-    """The documents of the revision in force and what follows from them."""
+    """The documents of one revision and the grants that they resolve to."""
 
     def __init__(self) -> None:
         self.documents: dict[DocumentId, Document] = {}
         self.grants: dict[str, Grant] = {}
         self.keys: dict[str, str] = {}
-        self._users: dict[str, set[str]] = {}
+        self._workspaces_by_template: dict[str, set[str]] = {}
 
     def grant_for_key(self, digest: str) -> Grant | None:
         """Return the grant of the workspace that owns a key digest.
 
-        The lookup is by digest: its time tells nothing of the key, which the digest hides.
+        The lookup time depends on the digest only, so it leaks nothing about the key.
         """
         workspace = self.keys.get(digest)
         return None if workspace is None else self.grants.get(workspace)
 
     def put(self, change: Change) -> None:
-        """Bring one change into force."""
+        """Apply one change."""
         if isinstance(change, Removal):
             self._remove(DocumentId(change.of, change.name))
             return
         doc_id = DocumentId(change.kind, change.name)
         if isinstance(change, Workspace):
             self._remove(doc_id)
-            self._users.setdefault(change.template, set()).add(change.name)
+            self._workspaces_by_template.setdefault(change.template, set()).add(change.name)
         self.documents[doc_id] = change
-        for workspace in self._touched(change):
+        for workspace in self._affected_workspaces(change):
             self._resolve(workspace)
 
-    def _touched(self, change: Document) -> list[str]:
+    def _affected_workspaces(self, change: Document) -> list[str]:
         if isinstance(change, Workspace):
             return [change.name]
         if isinstance(change, Template):
-            return sorted(self._users.get(change.name, ()))
+            return sorted(self._workspaces_by_template.get(change.name, ()))
         return []
 
     def _remove(self, doc_id: DocumentId) -> None:
         document = self.documents.pop(doc_id, None)
         if isinstance(document, Workspace):
-            self._users[document.template].discard(document.name)
+            self._workspaces_by_template[document.template].discard(document.name)
             self.grants.pop(document.name, None)
             for digest in document.keys:
                 self.keys.pop(digest, None)
@@ -97,91 +97,93 @@
         self.keys.update(dict.fromkeys(workspace.keys, name))
 
     def find_conflicts(self, changes: list[Change]) -> list[str]:
-        """Return what would contradict itself with the changes in force, a sentence each."""
+        """Return one sentence for each conflict that applying the changes would cause."""
         overlay: dict[DocumentId, Document] = {}
-        gone: set[DocumentId] = set()
+        removed: set[DocumentId] = set()
         for change in changes:
             if isinstance(change, Removal):
-                gone.add(DocumentId(change.of, change.name))
+                removed.add(DocumentId(change.of, change.name))
             else:
                 overlay[DocumentId(change.kind, change.name)] = change
         after = ChainMap(overlay, self.documents)
-        faults = _shared_names(overlay, after, gone)
+        conflicts = _name_conflicts(overlay, after, removed)
         owners: dict[str, str] = {}
-        for name in self._concerned(changes):
+        for name in self._workspaces_to_check(changes):
             workspace = after.get(DocumentId("workspace", name))
-            if isinstance(workspace, Workspace) and DocumentId("workspace", name) not in gone:
-                faults += self._faults_of_workspace(workspace, after, gone, owners)
-        return faults
+            if isinstance(workspace, Workspace) and DocumentId("workspace", name) not in removed:
+                conflicts += self._workspace_conflicts(workspace, after, removed, owners)
+        return conflicts
 
-    def _concerned(self, changes: list[Change]) -> list[str]:
+    def _workspaces_to_check(self, changes: list[Change]) -> list[str]:
         names: set[str] = set()
         for change in changes:
             kind = change.of if isinstance(change, Removal) else change.kind
             if kind == "workspace":
                 names.add(change.name)
             if kind == "template":
-                names |= self._users.get(change.name, set())
+                names |= self._workspaces_by_template.get(change.name, set())
         return sorted(names)
 
-    def _faults_of_workspace(
+    def _workspace_conflicts(
         self,
         workspace: Workspace,
         after: Mapping[DocumentId, Document],
-        gone: set[DocumentId],
+        removed: set[DocumentId],
         owners: dict[str, str],
     ) -> list[str]:
-        """Return a workspace's faults; ``owners`` are the keys of the same change's workspaces."""
+        """Return a workspace's conflicts; ``owners`` maps the keys in this change to workspaces."""
         template_id = DocumentId("template", workspace.template)
         template = after.get(template_id)
-        if not isinstance(template, Template) or template_id in gone:
+        if not isinstance(template, Template) or template_id in removed:
             return [f"workspace {workspace.name}: no template {workspace.template}"]
-        faults = _closed_fields(template, workspace)
+        conflicts = _closed_fields(template, workspace)
         for digest in workspace.keys:
             owner = owners.setdefault(digest, self.keys.get(digest, workspace.name))
             if owner != workspace.name:
-                faults.append(f"workspace {workspace.name}: a key that another workspace has")
-        return faults
+                conflicts.append(f"workspace {workspace.name}: a key belongs to another workspace")
+        return conflicts
 
 
-def _shared_names(
+def _name_conflicts(
     overlay: Mapping[DocumentId, Document],
     after: Mapping[DocumentId, Document],
-    gone: set[DocumentId],
+    removed: set[DocumentId],
 ) -> list[str]:
-    """Return a fault for each name that two kinds of targets would have."""
-    faults = []
+    """Return a conflict for each name that documents of two target kinds would share."""
+    conflicts = []
     for kind, name in overlay:
-        others = [] if kind not in TARGET_KINDS else [k for k in TARGET_KINDS if k != kind]
-        for other in others:
+        other_kinds = [] if kind not in TARGET_KINDS else [k for k in TARGET_KINDS if k != kind]
+        for other in other_kinds:
             other_id = DocumentId(other, name)
-            # Where both are new, the one of the later kind is at fault.
+            # If both are new, only the one whose kind comes later is reported.
             is_first = other_id in overlay and TARGET_KINDS.index(kind) < TARGET_KINDS.index(other)
-            if other_id in after and other_id not in gone and not is_first:
-                faults.append(f"{kind} {name}: a {other} has this name")
-    return faults
+            if other_id in after and other_id not in removed and not is_first:
+                conflicts.append(f"{kind} {name}: a {other} already has this name")
+    return conflicts
 
 
 def merge(template: Template, workspace: Workspace) -> Grant:
-    """Return a workspace's grant; parameters count only for fields that the template opens."""
-    given: dict[str, Any] = {name: getattr(workspace.parameters, name) for name in template.open}
-    chosen = {
-        name: template_value if given.get(name) is None else given[name]
+    """Return a workspace's grant; only fields that the template opens take parameters."""
+    overrides: dict[str, Any] = {
+        name: getattr(workspace.parameters, name) for name in template.open
+    }
+    merged = {
+        name: template_value if overrides.get(name) is None else overrides[name]
         for name, template_value in template._asdict().items()
     }
     return Grant(
         workspace=workspace.name,
-        models=frozenset(chosen["models"]),
-        services=frozenset(chosen["services"]),
-        priority=chosen["priority"],
-        limits=chosen["limits"],
-        objectives=chosen["objectives"],
+        models=frozenset(merged["models"]),
+        services=frozenset(merged["services"]),
+        priority=merged["priority"],
+        limits=merged["limits"],
+        objectives=merged["objectives"],
     )
 
 
 def _closed_fields(template: Template, workspace: Workspace) -> list[str]:
-    """Return a fault for each parameter that the template doesn't leave open."""
+    """Return a conflict for each parameter whose field the template doesn't leave open."""
     parameters = workspace.parameters
-    given = [name for name in Parameters._fields if getattr(parameters, name) is not None]
-    closed = [name for name in given if name not in template.open]
+    overrides = [name for name in Parameters._fields if getattr(parameters, name) is not None]
+    closed = [name for name in overrides if name not in template.open]
     return [f"workspace {workspace.name}: {template.name} doesn't open {name}" for name in closed]
--- a/filbertstream/version/retirement.py
+++ b/filbertstream/version/retirement.py
@@ -1,9 +1,9 @@
-"""Frees the parts on stores that were made by weights which have been replaced.
+"""Frees the blocks on cache stores that belong to replaced weight versions.
 
-A part must not be freed while a runner fetches it.  So versions are first *retired* in the duty's
-record: an entry fetches from stores only while its view of that record is fresh, and the fetch must
-end within a bound.  Once both times have passed since the record was written, no fetch of a retired
-part can be under way, and the holder of the duty frees them.
+A block must not be freed while a runner fetches it, so a version is first marked as *retired* in
+the record of the roll-out lease.  An entry has blocks fetched from cache stores only while its copy
+of that record is recent, and each fetch has a time limit.  Once both times have passed since the
+record was written, no fetch of a retired block can be in progress, and the leader frees the blocks.
 """
 
 from collections.abc import Callable, Iterable
@@ -14,52 +14,59 @@
 from filbertstream.version.weights_view import MAX_FETCH_VIEW_AGE_S
 
 FREE_AFTER_S: Final = MAX_FETCH_VIEW_AGE_S + FETCH_TIMEOUT_S + 0.3
-"""From the retirement of a version until its parts may be freed."""
+"""The time from the retirement of a version until its blocks may be freed."""
 
-PARTS_A_CALL: Final = 400
-"""Parts that are freed with one call; the rest follow."""
+BLOCKS_PER_CALL: Final = 400
+"""Bounds the blocks freed with one call; later calls free the rest."""
 
-WORTH_FREEING: Final = 16
-"""Fewer parts than this are not worth a holder; some seem to be left where events got lost."""
+MIN_STALE_BLOCKS: Final = 16
+"""Fewer stale blocks than this don't justify taking the lease.
 
-FREE_PAUSE_S: Final = 0.5
-"""Pause between two calls to one store: its events tell what is left."""
+After lost cache events, a few freed blocks may still appear to be on a cache store.
+"""
+
+FREE_INTERVAL_S: Final = 0.5
+"""Interval between calls to one cache store, whose events then show which blocks are left."""
 
-FREE_WITHIN_MS: Final = 800
-"""A call that the store carries out later than this does nothing."""
+FREE_TIMEOUT_MS: Final = 800
+"""The cache store ignores a call that it would execute later than this."""
 
 
 class Retirement:
-    """Which versions to retire, and which parts to free."""
+    """Decides whether there are blocks to free, and frees them."""
 
-    def __init__(self, stores: CacheStores, parts_of: Callable[[str], Iterable[BlockKey]]) -> None:
+    def __init__(self, stores: CacheStores, blocks_on: Callable[[str], Iterable[BlockKey]]) -> None:
         self._stores = stores
-        self._parts_of = parts_of
-        self._next_s: dict[str, float] = {}
+        self._blocks_on = blocks_on
+        self._next_call_at_s: dict[str, float] = {}
 
     def has_work(self, replaced: frozenset[str]) -> bool:
-        """Whether a store holds enough parts of replaced weights to be worth the work."""
+        """Whether a cache store holds enough blocks of replaced weights to free them."""
         if not replaced:
             return False
         return any(
-            len(self._stale(name, replaced)) >= WORTH_FREEING for name in self._stores.states
+            len(self._stale_blocks(name, replaced)) >= MIN_STALE_BLOCKS
+            for name in self._stores.states
         )
 
-    def _stale(self, store: str, replaced: frozenset[str]) -> list[BlockKey]:
-        return [key for key in self._parts_of(store) if key[0] in replaced]
+    def _stale_blocks(self, store: str, replaced: frozenset[str]) -> list[BlockKey]:
+        return [key for key in self._blocks_on(store) if key[0] in replaced]
 
     def step(self, replaced: frozenset[str], now_s: float) -> list[FreeBlocks]:
-        """Return the calls that are due; only called once nothing stale can be fetched."""
+        """Return the calls that are due.
+
+        Must only be called once no stale block can be in the process of being fetched.
+        """
         calls = []
         for name, state in self._stores.states.items():
             clock_ms = state.clock_ms(now_s)
-            ready = now_s >= self._next_s.get(name, 0.0) and state.fetchable(now_s)
+            ready = now_s >= self._next_call_at_s.get(name, 0.0) and state.fetchable(now_s)
             if not ready or clock_ms is None or state.start_id is None:
                 continue
-            stale = self._stale(name, replaced)[:PARTS_A_CALL]
+            stale = self._stale_blocks(name, replaced)[:BLOCKS_PER_CALL]
             if stale:
-                self._next_s[name] = now_s + FREE_PAUSE_S
-                until_ms = clock_ms + FREE_WITHIN_MS
+                self._next_call_at_s[name] = now_s + FREE_INTERVAL_S
+                until_ms = clock_ms + FREE_TIMEOUT_MS
                 address = state.spec.address
                 calls.append(FreeBlocks(name, address, state.start_id, until_ms, tuple(stale)))
         return calls
--- a/filbertstream/version/rollout.py
+++ b/filbertstream/version/rollout.py
@@ -1,13 +1,15 @@
-"""Brings the runners of a model to the named weight version, a few at a time.
-
-A runner is first left out by all entries, then ordered to load once it has read the prompts that
-it was sent, then asked until its own report shows the version.  Its runs go on meanwhile: waiting
-for them to end takes a runner out for seconds.  An order carries the count of orders that
-the runner had accepted, so that one which is carried out late does nothing after a newer one.
-Load patterns answered: a version named under load (the swaps are spread over a share of the
-bound for old weights, so that not all runners have to read everything again at once), and a holder
-that is cut off right after its first orders (whoever follows may swap half of the runners at once,
-so that two rounds are enough).
+"""Rolls out the named weight version of each model to its runners, a few at a time.
+
+All entries first stop sending calls to a runner.  Once the runner has prefilled the prompts that it
+has received, the leader orders it to load the version and polls its report until the report shows
+that version.  Running requests continue during the swap, since waiting for their end would take the
+runner out of service for seconds.  An order carries the number of orders that the runner had
+accepted before, so that a delayed order has no effect after a newer one.
+
+Load patterns and faults handled: a version named under load (the swaps are spread over a fraction
+of the bound for old weights, so that the runners don't all lose their cache and prefill everything
+again at the same time), and a leader that is partitioned right after its first orders (its
+successor may swap half of the runners at once, so two rounds are enough).
 """
 
 import math
@@ -16,30 +18,30 @@
 from filbertstream.process.roster import Roster, RosterTarget
 from filbertstream.version.weights_view import WeightsView
 
-SWAP_SHARE: Final = 0.5
-"""The share of a service's runners that is swapped at a time at most."""
+SWAP_FRACTION: Final = 0.5
+"""The largest fraction of a service's runners that is swapped at the same time."""
 
-LEAVE_OUT_S: Final = 0.08
-"""From the record that names the swapped runners until all entries have seen it."""
+RECORD_PROPAGATION_S: Final = 0.08
+"""The time until all entries have received a lease record that names the runners to swap."""
 
-READ_OUT_S: Final = 0.3
-"""A runner that still reads prompts is ordered after this all the same."""
+MAX_PREFILL_WAIT_S: Final = 0.3
+"""A runner that still prefills prompts after this long is ordered anyway."""
 
-ASK_S: Final = 0.15
-"""Interval of asking a runner that was ordered."""
+POLL_INTERVAL_S: Final = 0.15
+"""Interval of polling the report of a runner that is being swapped."""
 
-UNANSWERED_S: Final = 0.6
-"""An order without an answer is looked into after this time."""
+ORDER_EFFECT_TIMEOUT_S: Final = 0.6
+"""An order that shows no effect in reports after this long may be sent again."""
 
 
 class PollReport(NamedTuple):
-    """Ask a runner for its report."""
+    """Request a runner's report."""
 
     target_id: str
 
 
 class OrderWeights(NamedTuple):
-    """Order a runner to load a version if it has accepted ``accepted_orders`` so far."""
+    """Order a runner to load a version, if it has accepted ``accepted_orders`` orders so far."""
 
     target_id: str
     model: str
@@ -49,7 +51,7 @@
 
 
 class ReportReceived(NamedTuple):
-    """A runner's report: orders accepted, whether one is under way, loaded versions by model."""
+    """A runner's report: accepted orders, whether one is in progress, loaded versions by model."""
 
     target_id: str
     accepted_orders: int
@@ -59,31 +61,31 @@
 
 
 class ReportFailed(NamedTuple):
-    """A runner did not give its report."""
+    """A request for a runner's report failed."""
 
     target_id: str
 
 
 class OrderResponse(NamedTuple):
-    """A runner answered an order, or did not (``status`` None)."""
+    """A runner's response to an order; ``status`` is None if there was no response."""
 
     target_id: str
     status: int | None
 
 
 class _Swap:
-    """One runner that is being swapped."""
+    """The progress of one runner that is being swapped."""
 
-    def __init__(self, began_s: float) -> None:
-        self.began_s = began_s
+    def __init__(self, started_at_s: float) -> None:
+        self.started_at_s = started_at_s
         self.report: ReportReceived | None = None
-        self.asked_at_s = float("-inf")
+        self.polled_at_s = float("-inf")
         self.ordered_at_s: float | None = None
         self.ordered_version = 0
 
 
 class Rollout:
-    """The roll-out of all models."""
+    """The roll-out of the named weights of all models."""
 
     def __init__(self, roster: Roster, weights: WeightsView) -> None:
         self._roster = roster
@@ -92,7 +94,7 @@
         self.loaded: dict[str, dict[str, int]] = {}
 
     def outdated(self) -> list[tuple[RosterTarget, str]]:
-        """Return the runners with older weights than named, and the model."""
+        """Return the runners with older weights than the named ones, each with the model."""
         return [
             (target, model)
             for target in self._roster.targets.values()
@@ -103,33 +105,33 @@
         ]
 
     def swapping(self, now_s: float) -> tuple[str, ...]:
-        """Return the runners to swap now, chosen anew as earlier ones are done."""
+        """Return the runners to swap now, adding runners as earlier ones complete."""
         pairs = self.outdated()
         outdated = {target.target_id for target, _ in pairs}
         for name in self._swaps.keys() - outdated & self._roster.targets.keys():
             self.loaded[name] = dict(self._roster.targets[name].weights)
         self._swaps = {name: swap for name, swap in self._swaps.items() if name in outdated}
-        # The oldest weights first: the bound is nearest for them.
+        # The oldest weights come first, as their bound expires first.
         for target, model in sorted(pairs, key=lambda pair: pair[0].weights[pair[1]]):
             name = target.target_id
             if name in self._swaps:
                 continue
             group = self._roster.of_service(target.entry.service)
-            taken = sum(1 for member in group if member.target_id in self._swaps)
-            begun = taken + sum(1 for member in group if member.target_id not in outdated)
+            swapping = sum(1 for member in group if member.target_id in self._swaps)
+            started = swapping + sum(1 for member in group if member.target_id not in outdated)
             progress = self._weights.swap_progress(model, target.weights[model], now_s)
             due = math.ceil(len(group) * progress)
-            if begun < due and taken < math.ceil(len(group) * SWAP_SHARE):
+            if started < due and swapping < math.ceil(len(group) * SWAP_FRACTION):
                 self._swaps[name] = _Swap(now_s)
         return tuple(sorted(self._swaps))
 
     def stop(self) -> None:
-        """Forget the swaps under way and done: another entry holds the duty, or none is left."""
+        """Discard running and completed swaps: a peer holds the lease, or no work is left."""
         self._swaps = {}
         self.loaded = {}
 
     def on_report(self, report: ReportReceived) -> bool:
-        """Take in a report; whether it shows newer weights than known."""
+        """Process a report and return whether it shows newer weights than were known."""
         target = self._roster.targets.get(report.target_id)
         swap = self._swaps.get(report.target_id)
         if swap is not None:
@@ -140,50 +142,50 @@
         return bool(newer)
 
     def on_order(self, event: OrderResponse) -> None:
-        """Take in an order's answer; the runner's report settles what it means."""
+        """Process the response to an order; only the next report shows whether it took effect."""
         swap = self._swaps.get(event.target_id)
         if swap is not None:
             swap.report = None
 
     def step(self, now_s: float, fence: int) -> list[PollReport | OrderWeights]:
-        """Return what is due; only called while orders may be sent."""
+        """Return the polls and orders that are due; only valid while orders may be sent."""
         actions: list[PollReport | OrderWeights] = []
         for target, model in self.outdated():
             swap = self._swaps.get(target.target_id)
             if swap is None:
                 continue
-            left_out = self._is_left_out(swap, target, now_s)
-            if not left_out and swap.report is not None:
+            ready = self._is_ready_to_load(swap, target, now_s)
+            if not ready and swap.report is not None:
                 continue
-            action = self._step_one(swap, target.target_id, model, fence, now_s)
+            action = self._step_swap(swap, target.target_id, model, fence, now_s)
             if action is not None:
                 actions.append(action)
         return actions
 
     @staticmethod
-    def _is_left_out(swap: _Swap, target: RosterTarget, now_s: float) -> bool:
-        since_s = now_s - swap.began_s
-        reads = target.queued_tokens(now_s) > 0
-        return since_s >= (READ_OUT_S if reads else LEAVE_OUT_S)
+    def _is_ready_to_load(swap: _Swap, target: RosterTarget, now_s: float) -> bool:
+        since_s = now_s - swap.started_at_s
+        prefills = target.queued_tokens(now_s) > 0
+        return since_s >= (MAX_PREFILL_WAIT_S if prefills else RECORD_PROPAGATION_S)
 
-    def _step_one(
+    def _step_swap(
         self, swap: _Swap, name: str, model: str, fence: int, now_s: float
     ) -> PollReport | OrderWeights | None:
         version = self._weights.named[model]
         report = swap.report
-        if report is None or report.busy or self._awaits_effect(swap, version, now_s):
-            if now_s - swap.asked_at_s < ASK_S:
+        if report is None or report.busy or self._is_order_pending(swap, version, now_s):
+            if now_s - swap.polled_at_s < POLL_INTERVAL_S:
                 return None
-            swap.asked_at_s = now_s
+            swap.polled_at_s = now_s
             return PollReport(name)
         swap.ordered_at_s = now_s
         swap.ordered_version = version
         swap.report = None
-        swap.asked_at_s = now_s
+        swap.polled_at_s = now_s
         return OrderWeights(name, model, version, fence, report.accepted_orders)
 
-    def _awaits_effect(self, swap: _Swap, version: int, now_s: float) -> bool:
-        """Whether the order of this version may still take effect without being repeated."""
+    def _is_order_pending(self, swap: _Swap, version: int, now_s: float) -> bool:
+        """Whether the order of this version may still take effect without a retry."""
         if swap.ordered_at_s is None or swap.ordered_version != version or swap.report is None:
             return False
-        return swap.report.sent_at_s < swap.ordered_at_s + UNANSWERED_S
+        return swap.report.sent_at_s < swap.ordered_at_s + ORDER_EFFECT_TIMEOUT_S
--- a/filbertstream/version/routes.py
+++ b/filbertstream/version/routes.py
@@ -1,7 +1,7 @@
 """Routes, services, workspaces and limits of one configuration version.
 
-The platform adapter decodes an operator's document into a ``Configuration``; ``gateway`` keeps the
-newest.  Nothing here knows where a configuration came from.
+``platform.documents`` decodes and ``version.compiled`` compiles a ``Configuration``; the core keeps
+the newest one.  Nothing in this module depends on the source of a configuration.
 """
 
 import enum
@@ -13,12 +13,12 @@
 ALL_WEIGHTS_ZERO: Final = "every backend of a route has weight zero"
 
 
-WAIT_SHARE: Final = 0.5
-"""The share of a deadline that a prompt may wait in a queue; the answer itself takes time, too."""
+QUEUE_WAIT_FRACTION: Final = 0.5
+"""The fraction of a deadline that a prompt may queue, since the response takes time as well."""
 
 
 class CallKind(enum.Enum):
-    """What may be repeated: an idempotent call always, a stream only where it may be resumed."""
+    """Whether calls may be retried: idempotent ones always, streams only if they are resumable."""
 
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non_idempotent"
@@ -26,21 +26,21 @@
 
 
 class Backend(NamedTuple):
-    """A service that gets a share of a route's calls."""
+    """A service that receives a fraction of a route's calls, in proportion to its weight."""
 
     service: str
     weight: float
 
 
 class Route(NamedTuple):
-    """How the calls of one host and path prefix are served; times in seconds.
+    """How the calls of one host and path prefix are served.
 
     ``attempts`` bounds the targets that one call may run on.  ``objective_s`` is the latency
-    objective (streams: to the first event), ``gap_objective_s`` the longest pause between events.
-    ``priority`` 0 is the most urgent.  ``anonymous`` calls need no key.
-    With ``needs_idempotency_key`` a call needs an idempotency key and runs once for it, whichever entry gets
-    it.  ``wait_s`` is how long callers would rather wait than be turned away, where that is longer
-    than the objective.
+    objective (for streams, to the first event) and ``gap_objective_s`` the longest pause between
+    events.  ``priority`` 0 is the most urgent.  ``anonymous`` calls need no key.  With
+    ``needs_idempotency_key`` a call needs an idempotency key and runs at most once for that key,
+    across all entries.  ``wait_s`` is how long a call may queue before it is rejected, if that is
+    longer than the objective.
     """
 
     name: str
@@ -60,7 +60,7 @@
 
     @property
     def queue_limit_s(self) -> float:
-        """The queue at a runner behind which a prompt would come too late."""
+        """The longest time for which a prompt may queue at a runner."""
         return self.objective_s if self.wait_s is None else self.wait_s
 
     @property
@@ -69,23 +69,23 @@
         return self.kind is CallKind.IDEMPOTENT or (self.kind is CallKind.STREAM and self.resumable)
 
     def pick_backend(self, draw: float) -> str:
-        """Return the service for a draw from [0, 1), by weight."""
+        """Return the service for a random number from [0, 1), in proportion to the weights."""
         total = sum(backend.weight for backend in self.backends)
         if total <= 0:
             return self.backends[0].service
-        left = draw * total
+        remaining = draw * total
         for backend in self.backends:
-            left -= backend.weight
-            if left < 0:
+            remaining -= backend.weight
+            if remaining < 0:
                 return backend.service
         return self.backends[-1].service
 
 
 class Engine(NamedTuple):
-    """What the runners of a service have in common.
+    """Properties that the runners of a service have in common.
 
-    ``cache_tokens`` is the memory that running requests and cached parts share.  ``event_readers``
-    bounds the cache event calls that one runner holds open at once.
+    ``cache_tokens`` is the memory of a runner, shared by running requests and cached blocks.
+    ``event_readers`` bounds the concurrent cache event calls to one runner.
     """
 
     slots: int
@@ -96,7 +96,7 @@
 
 
 class CacheStore(NamedTuple):
-    """A store of kept cache; a managed one drops nothing on its own."""
+    """A cache store; a ``managed`` one evicts nothing by itself."""
 
     address: str
     data_center: str
@@ -116,10 +116,10 @@
 
 
 class WorkspaceLimits(NamedTuple):
-    """What a workspace may use and what it expects, where the operators state that.
+    """The limits and objectives of a workspace, as set by the operators.
 
-    ``services`` names what it may call.  ``concurrent`` and ``calls_per_s`` hold over all entries
-    together.  A share ``within`` of its calls is to meet ``first_token_s``.
+    ``services`` lists the services that it may call.  ``concurrent`` and ``calls_per_s`` apply to
+    the sum over all entries.  A fraction ``within`` of its calls is to meet ``first_token_s``.
     """
 
     services: frozenset[str]
@@ -132,19 +132,19 @@
     within: float
 
     def apply_to(self, route: Route) -> Route:
-        """Return the route with this workspace's own objectives."""
+        """Return the route with the objectives of this workspace."""
         if route.kind is not CallKind.STREAM:
             return route._replace(timeout_s=self.deadline_s)
         return route._replace(
             timeout_s=self.deadline_s,
             objective_s=self.first_token_s,
             gap_objective_s=self.token_gap_s,
-            wait_s=WAIT_SHARE * self.deadline_s,
+            wait_s=QUEUE_WAIT_FRACTION * self.deadline_s,
         )
 
 
 class Workspace(NamedTuple):
-    """A holder of keys; a ``dedicated`` one shares no cache, ``priority`` goes before a route's."""
+    """An owner of keys; a ``dedicated`` one shares no cache, ``priority`` overrides a route's."""
 
     name: str
     dedicated: bool = False
@@ -153,7 +153,7 @@
 
 
 class CallerLimits(NamedTuple):
-    """What a caller may send, and how long it may take or stay idle."""
+    """Limits on the size and duration of callers' requests and on idle connections."""
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
@@ -162,10 +162,10 @@
 
 
 class Configuration(NamedTuple):
-    """One version of the configuration, whole.
+    """One complete version of the configuration.
 
     ``workspaces`` maps key digests to workspaces.  ``drained`` names the targets and entries that
-    the operators want to stop.
+    the operators drain.
     """
 
     version: int
@@ -177,12 +177,12 @@
     drained: frozenset[str] = frozenset()
 
     def workspace_of(self, key: str) -> Workspace | None:
-        """Return the workspace that holds a key."""
+        """Return the workspace that owns a key, or None."""
         return self.workspaces.get(digest_key(key))
 
 
 class RouteTable:
-    """Looks routes up by host and longest path prefix.
+    """Finds routes by host and longest path prefix.
 
     >>> route = Route("r", "a.example", "/x/", CallKind.IDEMPOTENT, (Backend("s", 1),), 1, 1, 1)
     >>> table = RouteTable([route, route._replace(name="y", path_prefix="/x/y/")])
@@ -202,8 +202,8 @@
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a call, or None."""
         name = host.partition(":")[0].lower()
-        bare = path.partition("?")[0]
+        path_only = path.partition("?")[0]
         for route in self._by_host.get(name, ()):
-            if bare.startswith(route.path_prefix):
+            if path_only.startswith(route.path_prefix):
                 return route
         return None
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -1,7 +1,7 @@
-"""The duty of weights: bringing runners to the named versions, and freeing what older ones left.
+"""Rolls out weight versions and frees the cache blocks of older ones, as the elected leader.
 
-Joins the lease record (``process.rollout_lease``), the roll-out and the retirement of parts;
-one entry at a time gives orders, all others follow what its record tells.
+Combines the lease (``process.rollout_lease``), the roll-out and the retirement of blocks.  Only the
+entry that holds the lease sends orders; its peers follow its lease record.
 """
 
 from collections.abc import Iterable
@@ -27,7 +27,7 @@
 
 
 class WeightsLeader:
-    """This entry's part in the duty, whether it holds it or not."""
+    """This entry's part in roll-outs, as the leader or as a follower of the leader."""
 
     def __init__(
         self,
@@ -36,7 +36,7 @@
         weights: WeightsView,
         retirement: Retirement,
     ) -> None:
-        self._duty = rollout_lease
+        self._lease = rollout_lease
         self._roster = roster
         self._weights = weights
         self._rollout = Rollout(roster, weights)
@@ -44,75 +44,75 @@
         self.is_leader = False
 
     def on_seen(self, event: LeaseObserved, now_s: float) -> list[Action]:
-        """Take in the record, and the weights that its holder found on runners."""
-        self._duty.on_seen(event.record, event.revision, now_s)
+        """Process a lease record, which also lists the weights that the leader found on runners."""
+        self._lease.on_seen(event.record, event.revision, now_s)
         loaded = {} if event.record is None else event.record.loaded
         for name in loaded.keys() & self._roster.targets.keys():
             for model, version in loaded[name].items():
                 self._roster.targets[name].note_weights(model, version)
-        self._weights.swapping = self._duty.swapping(now_s)
-        self._weights.retired = self._duty.retired
+        self._weights.swapping = self._lease.swapping(now_s)
+        self._weights.retired = self._lease.retired
         return []
 
     def on_confirmed(self, event: LeaseConfirmed, now_s: float) -> list[Action]:
-        """Take in that the record was still the newest at a moment."""
+        """Process a confirmation that the record was the newest when a request was sent."""
         self._weights.lease_observed_at_s = max(self._weights.lease_observed_at_s, event.sent_at_s)
         return []
 
     def on_written(self, event: LeaseWritten, now_s: float) -> list[Action]:
-        """Take in whether the own write of the record was refused."""
+        """Process the outcome of this entry's write of the record."""
         if event.refused:
-            self._duty.on_write_rejected()
+            self._lease.on_write_rejected()
         return []
 
     def on_report(self, event: ReportReceived, now_s: float) -> list[Action]:
-        """Take in a runner's report."""
+        """Process a runner's report."""
         if not self._rollout.on_report(event):
             return []
         fields = (("target", event.target_id), ("weights", str(event.weights)))
         return [Log(LogEvent.SWAP_VERIFIED, fields)]
 
     def on_order(self, event: OrderResponse, now_s: float) -> list[Action]:
-        """Take in a runner's answer to an order, -1 for none."""
+        """Process a runner's response to an order; a missing response is logged as -1."""
         self._rollout.on_order(event)
         status = -1 if event.status is None else event.status
         return [Log(LogEvent.SWAP_ANSWERED, (("target", event.target_id), ("status", status)))]
 
     def tick(
-        self, now_s: float, owners: Iterable[str], stopping: bool, reserve_s: float = 0.0
+        self, now_s: float, owners: Iterable[str], stopping: bool, extra_delay_s: float = 0.0
     ) -> list[Action]:
-        """Return what is due; ``owners`` are the names under which parts are cached.
+        """Return the actions that are due; ``owners`` are the owners of cache namespaces.
 
-        ``reserve_s`` is how much later than others this entry takes the duty.
+        ``extra_delay_s`` is how much later than its peers this entry takes the lease.
         """
-        self._weights.swapping = self._duty.swapping(now_s)
+        self._weights.swapping = self._lease.swapping(now_s)
         replaced = self._weights.replaced_namespaces(owners)
         stale = self._retirement.has_work(replaced)
         has_work = (bool(self._rollout.outdated()) or stale) and not stopping
-        may_order = self._duty.may_order(now_s)
+        may_order = self._lease.may_order(now_s)
         work = RolloutState((), {}, {})
         if may_order:
             swapping = self._rollout.swapping(now_s)
-            work = RolloutState(swapping, self._to_retire(now_s), self._rollout.loaded)
+            work = RolloutState(swapping, self._versions_to_retire(now_s), self._rollout.loaded)
         actions: list[Action] = []
-        write = self._duty.tick(now_s, has_work, work, reserve_s)
+        write = self._lease.tick(now_s, has_work, work, extra_delay_s)
         if write is not None:
             actions.append(write)
         if may_order != self.is_leader:
             self.is_leader = may_order
-            event_no = LogEvent.LEASE_TAKEN if may_order else LogEvent.LEASE_LOST
-            actions.append(Log(event_no, (("fence", self._duty.fence),)))
+            log_event = LogEvent.LEASE_TAKEN if may_order else LogEvent.LEASE_LOST
+            actions.append(Log(log_event, (("fence", self._lease.fence),)))
         if not may_order:
             self._rollout.stop()
             return actions
         if stale:
-            actions += self._free(replaced, now_s)
-        return [*actions, *self._order(now_s)]
+            actions += self._free_stale_blocks(replaced, now_s)
+        return [*actions, *self._advance_rollout(now_s)]
 
-    def _to_retire(self, now_s: float) -> dict[str, int]:
-        """Return the versions by model below which parts on stores are of no more use.
+    def _versions_to_retire(self, now_s: float) -> dict[str, int]:
+        """Return the version of each model below which cached blocks are of no more use.
 
-        Runners on older weights that still get calls fetch them.
+        A model is omitted while runners on older weights still get calls and fetch such blocks.
         """
         in_use = {
             model
@@ -122,23 +122,23 @@
         named = self._weights.named
         return {model: version for model, version in named.items() if model not in in_use}
 
-    def _free(self, replaced: frozenset[str], now_s: float) -> list[Action]:
-        """Free parts of replaced weights once no fetch of them can be under way."""
+    def _free_stale_blocks(self, replaced: frozenset[str], now_s: float) -> list[Action]:
+        """Free the blocks of replaced weights once no fetch of them can be in progress."""
         named = self._weights.named.items()
-        retired_s = [self._duty.retired_for_s(model, version, now_s) for model, version in named]
+        retired_s = [self._lease.retired_for_s(model, version, now_s) for model, version in named]
         if any(since_s <= FREE_AFTER_S for since_s in retired_s):
             return []
         freed = self._retirement.step(replaced, now_s)
-        lines = [
+        logs = [
             Log(LogEvent.PARTS_FREED, (("store", item.holder), ("parts", len(item.keys))))
             for item in freed
         ]
-        return [*freed, *lines]
+        return [*freed, *logs]
 
-    def _order(self, now_s: float) -> list[Action]:
-        """Go on with the swaps."""
+    def _advance_rollout(self, now_s: float) -> list[Action]:
+        """Advance the swaps, and log each order."""
         actions: list[Action] = []
-        for action in self._rollout.step(now_s, self._duty.fence):
+        for action in self._rollout.step(now_s, self._lease.fence):
             actions.append(action)
             if isinstance(action, OrderWeights):
                 fields = (("target", action.target_id), ("model", action.model))
--- a/filbertstream/version/weights_view.py
+++ b/filbertstream/version/weights_view.py
@@ -1,7 +1,8 @@
-"""What an entry knows of the weights of models: the named versions, and how far a roll-out is.
+"""An entry's view of model weights: the named versions and the progress of their roll-out.
 
-Calls may begin on older weights only for a bounded time after newer ones were named.  Parts of
-prompts are cached under names that hold the version, so what other weights made is never read.
+The named version of a model is the one that its runners are to load.  Calls may start on older
+weights only for a bounded time after a newer version was named.  The namespace of cached blocks
+contains the version, so blocks that other weights produced are never read.
 """
 
 import functools
@@ -12,38 +13,41 @@
 from filbertstream.process.roster import Roster, RosterTarget
 
 OVERDUE_FRACTION: Final = 0.75
-"""The share of the bound for old weights after which they get no call: calls wait at runners."""
+"""The fraction of the bound after which old weights get no new calls, since calls may queue."""
 
-LISTED_SHARE: Final = 0.5
-"""The share of that bound which is taken to have passed for weights that a listing shows."""
+LISTED_AGE_FRACTION: Final = 0.5
+"""The fraction of that bound assumed to have passed for weights first observed in a listing."""
 
 NAMESPACE_DIGITS: Final = 16
 
 ROLL_OUT_FRACTION: Final = 0.3
-"""The share of that bound over which the swaps of a service's runners are spread; of 0.05, 0.3
-and 0.5 the one that served most on played days (docs/MEASUREMENTS-platform.md)."""
+"""The fraction of that bound over which the swaps of a service's runners are spread.
 
-NAMINGS: Final = 16
-"""Versions of a model of which the time of naming is remembered; older ones are long overdue."""
+Of 0.05, 0.3 and 0.5 this served the most requests in simulated days
+(docs/MEASUREMENTS-platform.md).
+"""
+
+MAX_NAMINGS: Final = 16
+"""Bounds the versions of a model whose naming time is kept; older ones are long overdue."""
 
 REPLACED_VERSIONS: Final = 40
-"""Weight versions before the named one whose parts are looked for on stores."""
+"""How many versions before the named one are searched for stale blocks on cache stores."""
 
 MAX_FETCH_VIEW_AGE_S: Final = 3.0
-"""The age of an entry's view of the duty's record up to which it fetches from stores."""
+"""An entry fetches from cache stores only if its copy of the lease record is younger than this."""
 
 
 @functools.lru_cache(maxsize=4_096)
 def cache_namespace(owner: str, model: str, version: int) -> str:
-    """Return the name under which parts are cached.
+    """Return the namespace of cached blocks.
 
-    ``owner`` is a workspace that shares nothing, or empty.
+    ``owner`` is a workspace with a dedicated cache, or empty for the shared cache.
     """
     return digest_text("cache", owner, model, str(version))[:NAMESPACE_DIGITS]
 
 
 class WeightsView:
-    """The named weights, the runners that are being swapped, and the retired versions."""
+    """The named versions, the runners that are being swapped, and the retired versions."""
 
     def __init__(self, roster: Roster, version_s: float) -> None:
         self._roster = roster
@@ -56,13 +60,13 @@
         self.lease_observed_at_s = float("-inf")
 
     def set_bound(self, version_s: float) -> None:
-        """Go by another bound for old weights from now on."""
+        """Replace the bound for calls on old weights."""
         self._version_s = version_s
 
     def name(self, model: str, version: int, now_s: float, listed: bool = False) -> bool:
-        """Take in that new weights are named; whether they are newer than the known ones.
+        """Record the named version of a model; return whether it is newer than the known one.
 
-        Weights that a listing shows were named at an unknown time before.
+        Weights that a listing shows were named at an unknown earlier time.
         """
         if version <= self.named.get(model, 0):
             return False
@@ -71,34 +75,34 @@
         at_s = now_s
         if listed:
             self._listed.add(model)
-            at_s -= LISTED_SHARE * self._version_s
+            at_s -= LISTED_AGE_FRACTION * self._version_s
         namings = self._namings.setdefault(model, [])
         namings.append((version, at_s))
-        del namings[:-NAMINGS]
+        del namings[:-MAX_NAMINGS]
         return True
 
-    def behind_for_s(self, model: str, version: int, now_s: float) -> float:
-        """Return how long ago the first newer version was named, or 0 if there is none."""
+    def outdated_for_s(self, model: str, version: int, now_s: float) -> float:
+        """Return the time since the first newer version was named, or 0 if there is none."""
         for named, at_s in self._namings.get(model, ()):
             if named > version:
                 return now_s - at_s
         return 0.0
 
     def is_overdue(self, model: str, version: int, now_s: float) -> bool:
-        """Whether the bound for a version is so near that calls should not begin on it."""
-        return self.behind_for_s(model, version, now_s) > OVERDUE_FRACTION * self._version_s
+        """Whether the bound for a version is so close that no call should start on it."""
+        return self.outdated_for_s(model, version, now_s) > OVERDUE_FRACTION * self._version_s
 
     def swap_progress(self, model: str, version: int, now_s: float) -> float:
-        """Return the share of a service's runners that may have been swapped by now.
+        """Return the fraction of a service's runners that may have been swapped by now.
 
-        A runner's cache is of no use after a swap: swapped together, all read everything again at
-        the same time.
+        A swap invalidates a runner's cache, so runners swapped together would all prefill
+        everything again at the same time.
         """
         spread_s = ROLL_OUT_FRACTION * self._version_s
-        return min(1.0, self.behind_for_s(model, version, now_s) / spread_s)
+        return min(1.0, self.outdated_for_s(model, version, now_s) / spread_s)
 
     def is_swapping(self, target: RosterTarget) -> bool:
-        """Whether a runner is being swapped and has not shown the named weights yet."""
+        """Whether a runner is being swapped and is not known to have loaded the named weights."""
         if target.target_id not in self.swapping:
             return False
         return any(version < self.named.get(model, 0) for model, version in target.weights.items())
@@ -106,23 +110,24 @@
     def eligible_targets(
         self, model: str, targets: list[RosterTarget], now_s: float
     ) -> list[RosterTarget]:
-        """Leave out runners on older weights once the bound for them is near."""
+        """Return the targets without runners whose old weights are close to their bound."""
         named = self.named.get(model)
         if named is None:
             return targets
-        oldest = 0
+        min_version = 0
         if model in self._listed:
-            # A roll-out that has got anywhere takes about as long as the bound.
-            newest = max((target.weights.get(model, 0) for target in targets), default=0)
-            oldest = named if self._has_begun(model, named) else newest
+            # A roll-out takes about as long as the bound: once one has started, old weights may be
+            # overdue.
+            newest_version = max((target.weights.get(model, 0) for target in targets), default=0)
+            min_version = named if self._has_started(model, named) else newest_version
         return [
             target
             for target in targets
-            if target.weights.get(model, 0) >= oldest
+            if target.weights.get(model, 0) >= min_version
             and not self.is_overdue(model, target.weights.get(model, 0), now_s)
         ]
 
-    def _has_begun(self, model: str, named: int) -> bool:
+    def _has_started(self, model: str, named: int) -> bool:
         targets = self._roster.targets.values()
         return any(target.weights.get(model, 0) >= named for target in targets)
 
@@ -131,9 +136,10 @@
         return version < self.named.get(model, 0)
 
     def may_fetch(self, model: str, version: int, now_s: float) -> bool:
-        """Whether parts of a version may be fetched from stores.
+        """Whether blocks of a version may be fetched from cache stores.
 
-        Parts of retired versions may be freed; without a fresh view, any may be retired.
+        Blocks of retired versions may be freed at any time, and without a recent lease record any
+        version may have been retired.
         """
         return (
             version >= self.retired.get(model, 0)
@@ -141,7 +147,7 @@
         )
 
     def replaced_namespaces(self, owners: Iterable[str]) -> frozenset[str]:
-        """Return the namespaces of weights that newer ones have replaced."""
+        """Return the cache namespaces of replaced versions."""
         return frozenset(
             cache_namespace(owner, model, version)
             for owner in owners
