Reword platform/ in plain terms

Cause: texts and inner names of platform/ were figurative or vague. Change: module heads, doc comments, comments, messages and inner names; a quotation in bench/gateway_guards.py follows. A comment on a field seq, which _Server does not have, is dropped; runner_calls says the same where the field is.

--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -200,8 +200,8 @@
     Guard(
         "headers that the system sets are not taken from callers",
         "platform/headers.py",
-        "name in HOP_BY_HOP or name in SYSTEM_SET or name in nominated",
-        "name in HOP_BY_HOP or name in nominated",
+        "name in HOP_BY_HOP or name in RESERVED or name in connection_headers",
+        "name in HOP_BY_HOP or name in connection_headers",
         "tests/test_gateway_parts.py::"
         "test_a_target_gets_no_key_and_no_header_that_the_system_sets",
     ),
--- a/filbertstream/platform/__init__.py
+++ b/filbertstream/platform/__init__.py
@@ -1,4 +1,4 @@
-"""The users' platform: its names, formats and calls, translated to and from the project's types.
+"""Adapter for the users' platform: translates its names, formats and calls to internal types.
 
-Nothing in this package decides anything, and nothing outside it knows a name of the platform.
+This package makes no decisions, and no other package uses the platform's names.
 """
--- a/filbertstream/platform/cache_calls.py
+++ b/filbertstream/platform/cache_calls.py
@@ -1,4 +1,4 @@
-"""Calls about kept cache: the events of runners and stores, and freeing parts on a store."""
+"""Calls about cached blocks: cache events of runners and cache stores, listings, and freeing."""
 
 from typing import Any, Final
 
@@ -19,7 +19,7 @@
 
 
 class _Events(msgspec.Struct):
-    # Changes when the holder restarts; no epoch of configuration or weights.
+    # Changes when the holder restarts; unrelated to versions of the configuration or weights.
     boot_epoch: int
     next: int
     events: list[tuple[int, str, str, str, int, Any]]
@@ -28,7 +28,7 @@
 
 
 def encode_follow(follow: PollCacheEvents) -> bytes:
-    """Return the request for a holder's events."""
+    """Return the request for a holder's cache events."""
     return (
         f"GET /kv-events?since={follow.since} HTTP/1.1\r\n"
         f"Host: {follow.address}\r\nWait-Ms: {int(follow.wait_s * MS)}\r\n\r\n"
@@ -38,7 +38,7 @@
 def decode_events(
     follow: PollCacheEvents, status: int, body: bytes, sent_at_s: float, received_at_s: float
 ) -> CacheEventsReceived | CacheEventsFailed:
-    """Return what a holder answered."""
+    """Decode the response to a request for cache events."""
     if status != OK:
         return CacheEventsFailed(follow.holder)
     try:
@@ -59,19 +59,19 @@
     boot_epoch: int
     next: int
     held: list[tuple[str, str, int, Any]]
-    # Parts that are being written or broke off, with the tokens whose space is reserved.
+    # Blocks with an unfinished or aborted write, with the number of reserved tokens.
     partial: list[tuple[str, str, int, int]] = []
 
 
-def encode_list(ask: ListCacheBlocks) -> bytes:
-    """Return the request for all that a holder keeps."""
-    return f"GET /kv-list HTTP/1.1\r\nHost: {ask.address}\r\n\r\n".encode()
+def encode_list(request: ListCacheBlocks) -> bytes:
+    """Return the request for a listing of a holder's blocks."""
+    return f"GET /kv-list HTTP/1.1\r\nHost: {request.address}\r\n\r\n".encode()
 
 
 def decode_list(
-    ask: ListCacheBlocks, status: int, body: bytes, sent_at_s: float
+    request: ListCacheBlocks, status: int, body: bytes, sent_at_s: float
 ) -> CacheBlocksListed | None:
-    """Return what a holder keeps, or None where it did not say."""
+    """Decode a listing of a holder's blocks; return None for an error or a malformed response."""
     if status != OK:
         return None
     try:
@@ -80,11 +80,11 @@
         return None
     held = tuple(((namespace, block_id), tokens) for namespace, block_id, tokens, _ in wire.held)
     partial = sum(reserved for _, _, _, reserved in wire.partial)
-    return CacheBlocksListed(ask.holder, sent_at_s, wire.boot_epoch, wire.next, held, partial)
+    return CacheBlocksListed(request.holder, sent_at_s, wire.boot_epoch, wire.next, held, partial)
 
 
 def encode_free(free: FreeBlocks) -> bytes:
-    """Return the request that frees parts."""
+    """Return the request that frees blocks."""
     body = msgspec.json.encode(
         {"parts": free.keys, "boot_epoch": free.start_id, "until_ms": free.until_ms}
     )
--- a/filbertstream/platform/documents.py
+++ b/filbertstream/platform/documents.py
@@ -1,6 +1,6 @@
-"""Decodes what lies in the platform's store: the configuration, registrations, named weights.
+"""Decodes objects of the platform's object store: configuration, registrations, named weights.
 
-Each document is decoded by itself, so that one which can't be read hides no other.
+Each object is decoded separately, so that a malformed one doesn't affect the others.
 """
 
 from typing import Any, Final
@@ -63,10 +63,10 @@
 
 class _Engine(msgspec.Struct):
     slots: int
-    # Tokens that running requests and cached parts share, not a store's capacity.
+    # Tokens shared by running requests and cached blocks; not the capacity of a cache store.
     kv_capacity: int
     token_bytes: float
-    # Cache event calls that a runner holds open at once, not requests.
+    # Bounds concurrent cache event calls to a runner, not requests.
     max_inflight: int = 4
     models: list[_ModelName] = []
 
@@ -76,7 +76,7 @@
     health_path: str = ""
     max_conns: int = 0
     engine: _Engine | None = None
-    # Only stores of kept cache have an address of their own and the fields below.
+    # Only cache stores have this address and the fields below.
     store_addr: str | None = None
     zone: str = ""
     kv_capacity: int = 0
@@ -117,9 +117,8 @@
     zone: str
     state: str
     slots: int = 1
-    # How much longer the runner stays slow after its start.
+    # The remaining time for which the runner is slow after its start.
     cold_left_ms: float = 0
-    # Counts refreshes of the entry; in a runner's report the same name counts orders.
     models: list[_LoadedModel] = []
     born: int = 0
 
@@ -130,7 +129,7 @@
 
 
 def decode_configuration(spec: msgspec.Raw) -> Result[Configuration, str]:
-    """Return the configuration in an object's content, or why it can't be used."""
+    """Return the configuration in an object's content, or the reason why it is malformed."""
     try:
         wire = msgspec.json.decode(spec, type=_Config)
         kinds = {kind.value: kind for kind in CallKind}
@@ -197,7 +196,7 @@
 
 
 def decode_target(name: str, spec: msgspec.Raw) -> Result[TargetRegistration, str]:
-    """Return a registration, or why it names no target."""
+    """Return a target's registration, or the reason why it is malformed."""
     try:
         wire = msgspec.json.decode(spec, type=_Server)
         address = parse_address(wire.address)
@@ -221,7 +220,7 @@
 
 
 def decode_named_weights(spec: msgspec.Raw) -> Result[tuple[str, int], str]:
-    """Return a model and the weight version that is named for it."""
+    """Return a model and its named weight version, or the reason why they are malformed."""
     try:
         wire = msgspec.json.decode(spec, type=_Named)
     except msgspec.DecodeError as exc:
@@ -230,5 +229,5 @@
 
 
 def decode_internal(spec: msgspec.Raw, kind: Any) -> Any:
-    """Return an object of a kind of this system's own; raises ``msgspec.DecodeError``."""
+    """Decode an object of a kind that filbertstream itself writes; may raise ``DecodeError``."""
     return msgspec.json.decode(spec, type=kind)
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -1,6 +1,7 @@
-"""The headers of calls and answers: decoded into the project's types, and written for a target.
+"""Decodes and encodes the headers of requests and responses.
 
-Headers that the system sets itself are dropped from what a caller sent, so that none can be forged.
+Headers that only this system may set are removed from callers' requests, so that callers can't
+forge them.
 """
 
 from typing import Final
@@ -27,7 +28,7 @@
 LAST_EVENT_ID: Final = b"last-event-id"
 HOST: Final = b"host"
 
-SINGLE: Final = frozenset(
+SINGLETON: Final = frozenset(
     {
         REQUEST_ID,
         DEADLINE,
@@ -41,7 +42,7 @@
         b"transfer-encoding",
     }
 )
-"""Headers that decide how a call is served; a call that repeats one is malformed."""
+"""Headers that determine how a call is served; a call that repeats one is malformed."""
 
 HOP_BY_HOP: Final = frozenset(
     {
@@ -59,7 +60,7 @@
     }
 )
 
-SYSTEM_SET: Final = frozenset(
+RESERVED: Final = frozenset(
     {
         KEY,
         DEADLINE,
@@ -82,26 +83,26 @@
     }
 )
 
-INTERNAL_ANSWER: Final = frozenset({b"server-load", b"instance-id", b"not-executed"})
+INTERNAL_RESPONSE: Final = frozenset({b"server-load", b"instance-id", b"not-executed"})
 
-PROMPT_PARTS_LIMIT: Final = 64
+MAX_PROMPT_BLOCKS: Final = 64
 
 
 def decode_call(method: str, path: str, headers: Headers, body_bytes: int) -> Result[CallHead, str]:
-    """Return the head of a caller's request, or what is wrong with it."""
+    """Return the head of a caller's request, or a message that says why it is malformed."""
     first: dict[bytes, bytes] = {}
     for name, value in headers:
-        if name in SINGLE and name in first:
-            return Err(f"repeated header {name.decode()}")
+        if name in SINGLETON and name in first:
+            return Err(f"header {name.decode()} occurs more than once")
         first.setdefault(name, value)
     if not path.startswith("/"):
-        return Err("the target must be a path")
+        return Err("request target must be a path")
     if HOST not in first or REQUEST_ID not in first:
-        return Err("Host and Request-Id are required")
+        return Err("headers Host and Request-Id are required")
     try:
         deadline_s = float(first[DEADLINE]) / MS if DEADLINE in first else None
         prompt = _prompt(first)
-        texts = {name: value.decode("ascii") for name, value in first.items() if name in SINGLE}
+        texts = {name: value.decode("ascii") for name, value in first.items() if name in SINGLETON}
     except ValueError as exc:
         return Err(f"malformed header: {exc}")
     return Ok(
@@ -131,13 +132,13 @@
             continue
         block_id, _, tokens = item.strip().partition(b":")
         blocks.append(PromptBlock(block_id.decode("ascii"), int(tokens)))
-    if len(blocks) > PROMPT_PARTS_LIMIT:
-        raise ValueError("too many prompt parts")
+    if len(blocks) > MAX_PROMPT_BLOCKS:
+        raise ValueError("too many items in Prefix-Hash")
     return Prompt(model.decode("ascii"), int(tokens_in), int(tokens_out or 0), tuple(blocks))
 
 
 def encode_prompt(prompt: Prompt) -> Headers:
-    """Return the headers that tell a runner of a prompt, for a call that came without them."""
+    """Return the headers that describe a prompt, for a call that came without them."""
     blocks = ",".join(f"{block.block_id}:{block.tokens}" for block in prompt.blocks)
     counts = f"{prompt.tokens},{prompt.max_new_tokens}"
     headers = [(b"model", prompt.model.encode()), (b"token-count", counts.encode())]
@@ -157,10 +158,10 @@
     body_bytes: int,
 ) -> bytes:
     """Return the head of a request to a target."""
-    nominated = _nominated(headers)
+    connection_headers = _connection_headers(headers)
     lines = [f"{method} {path} HTTP/1.1".encode()]
     for name, value in headers:
-        if name in HOP_BY_HOP or name in SYSTEM_SET or name in nominated:
+        if name in HOP_BY_HOP or name in RESERVED or name in connection_headers:
             continue
         lines.append(name.title() + b": " + value)
     lines.append(b"Expect-Instance: " + target_id.encode())
@@ -191,19 +192,19 @@
     return lines
 
 
-def _nominated(headers: Headers) -> frozenset[bytes]:
-    """Return the names that a Connection header makes hop-by-hop, but none that decides a call."""
+def _connection_headers(headers: Headers) -> frozenset[bytes]:
+    """Return the header names listed in Connection headers, except for ``SINGLETON`` ones."""
     names = {
         item.strip().lower()
         for name, value in headers
         if name == b"connection"
         for item in value.split(b",")
     }
-    return frozenset(names - SINGLE)
+    return frozenset(names - SINGLETON)
 
 
 def decode_response(status: int, headers: Headers) -> ResponseHead:
-    """Return what an answer's head says; unreadable optional headers count as absent."""
+    """Decode the head of a response; malformed optional headers count as absent."""
     first = dict(reversed(headers))
     return ResponseHead(
         status,
@@ -240,7 +241,7 @@
 
 
 def keep_alive_s(headers: Headers) -> float | None:
-    """Return how long a target keeps an idle connection, where it says so."""
+    """Return how long a target keeps an idle connection open, if a header says so."""
     for name, value in headers:
         if name == b"keep-alive":
             for item in value.split(b","):
@@ -251,10 +252,10 @@
 
 
 def encode_response_head(status: int, reason: str, headers: Headers, length: int | None) -> bytes:
-    """Return the head of a target's answer for the caller; chunked where the length is unknown."""
+    """Return the head of a target's response for the caller; chunked if ``length`` is None."""
     lines = [f"HTTP/1.1 {status} {reason}".encode()]
     for name, value in headers:
-        if name not in HOP_BY_HOP and name not in INTERNAL_ANSWER:
+        if name not in HOP_BY_HOP and name not in INTERNAL_RESPONSE:
             lines.append(name.title() + b": " + value)
     if length is None:
         lines.append(b"Transfer-Encoding: chunked")
@@ -266,7 +267,7 @@
 def encode_local_response(
     status: int, reason: str, request_id: str, detail: dict[str, str], retry_after_s: float | None
 ) -> tuple[bytes, bytes]:
-    """Return head, without its end, and body of an answer of this system's own."""
+    """Return the head, without the final blank line, and the body of a locally created response."""
     body = msgspec.json.encode(detail)
     lines = [
         f"HTTP/1.1 {status} {reason}",
--- a/filbertstream/platform/objects.py
+++ b/filbertstream/platform/objects.py
@@ -1,9 +1,9 @@
-"""The one client of the platform's object store: lists, watches, conditional writes.
+"""The client of the platform's object store: lists, watches, conditional writes.
 
-Calls block and are made on worker threads.  Each outcome says truthfully what a failure means: a
-write that was not answered may have been applied, or may still be.  ``sent_at_s`` is taken right
-before a call is sent, by a clock that counts suspended time: what an answer shows was true at that
-moment or later.
+Calls block and run on worker threads.  A write without a response is reported as one whose outcome
+is unknown: it may have been applied, or may still be.  ``sent_at_s`` is read right before a request
+is sent, from a clock that includes suspended time; what the response shows was true at that time or
+later.
 """
 
 import enum
@@ -26,27 +26,27 @@
 from filbertstream.process.clock import boot_time_s
 from filbertstream.statuses import CONFLICT, CREATED, GONE, NOT_FOUND, OK
 
-CONNECT_S: Final = 1.0
-"""A new connection; the store answers in milliseconds unless it is in trouble."""
+CONNECT_TIMEOUT_S: Final = 1.0
+"""Timeout for a new connection; a healthy object store accepts one within milliseconds."""
 
-ANSWER_S: Final = 1.5
-"""An answer to a call that does not wait."""
+RESPONSE_TIMEOUT_S: Final = 1.5
+"""Timeout for a response, on top of the wait time of a watch."""
 
 RESPONSE_LIMIT_BYTES: Final = 16_000_000
-"""An answer may hold a page of a megabyte, or all events of the history that the store keeps."""
+"""A response may hold a page of a megabyte, or all events of the object store's history."""
 
-PAGE_LIMIT: Final = 200
-"""Pages of one listing; a listing that does not end is a fault of the store."""
+MAX_PAGES: Final = 200
+"""Bounds the pages of a listing; one that never ends is a fault of the object store."""
 
-BUSY: Final = (429, 503)
+REFUSED_STATUSES: Final = (429, 503)
 
 
 class ObjectStoreFailure(enum.Enum):
-    """Why a call has no answer to use.
+    """Why a call has no usable response.
 
-    ``REFUSED``: nothing was done.  ``OUTCOME_UNKNOWN``: no answer, so a write may be applied, now or later.
-    ``EXPIRED``: the history that a watch asked for is gone.  ``MALFORMED``: an answer that is
-    none.
+    ``REFUSED``: the call was not executed.  ``OUTCOME_UNKNOWN``: there was no response, so a write
+    may have been applied or may still be.  ``EXPIRED``: the history that a watch requested is gone.
+    ``MALFORMED``: the response could not be decoded.
     """
 
     REFUSED = "refused"
@@ -56,7 +56,7 @@
 
 
 class StoredObject(NamedTuple):
-    """One object as the store holds it; ``content`` is undecoded."""
+    """One object as it is in the object store; ``content`` is undecoded."""
 
     name: str
     revision: int
@@ -64,7 +64,7 @@
 
 
 class Listing(NamedTuple):
-    """All objects of a kind as of a revision."""
+    """All objects of a kind, as of a revision."""
 
     sent_at_s: float
     as_of: int
@@ -72,14 +72,14 @@
 
 
 class Change(NamedTuple):
-    """An object was written or removed."""
+    """A write or removal of an object."""
 
     stored: StoredObject
     removed: bool
 
 
 class Changes(NamedTuple):
-    """What a watch saw."""
+    """The changes that a watch returned."""
 
     sent_at_s: float
     as_of: int
@@ -87,7 +87,7 @@
 
 
 class Written(NamedTuple):
-    """The outcome of a write that was answered: done, or the object as it is instead."""
+    """The outcome of a write: whether it was applied, and the current object or None."""
 
     done: bool
     present: StoredObject | None
@@ -119,12 +119,12 @@
     as_of: int
 
 
-NEVER_SENT: Final = (NewConnectionError, ConnectTimeoutError, NameResolutionError)
+NOT_SENT_ERRORS: Final = (NewConnectionError, ConnectTimeoutError, NameResolutionError)
 
 T = TypeVar("T")
 
 
-def _decoded(body: bytes, kind: type[T]) -> T | None:
+def _decode_or_none(body: bytes, kind: type[T]) -> T | None:
     try:
         return msgspec.json.decode(body, type=kind)
     except msgspec.DecodeError:
@@ -139,24 +139,24 @@
     return StoredObject(item.metadata.name, item.metadata.revision, item.spec)
 
 
-def _never_sent(exc: HTTPError) -> bool:
-    """Whether a failure happened before any byte of the request went out."""
+def _was_not_sent(exc: HTTPError) -> bool:
+    """Whether a failure happened before any byte of the request was sent."""
     cause = exc.reason if isinstance(exc, MaxRetryError) else exc
-    return isinstance(cause, NEVER_SENT)
+    return isinstance(cause, NOT_SENT_ERRORS)
 
 
 class ObjectStore:
-    """Blocking calls to the store at a URL; ``ca_file`` is the authority of its certificate."""
+    """Blocking calls to the object store at a URL; ``ca_file`` verifies its certificate."""
 
     def __init__(self, url: str, ca_file: str | None = None) -> None:
         self._url = f"{url}/objects"
         self._pool = urllib3.PoolManager(maxsize=8, retries=False, ca_certs=ca_file)
-        self._counting = threading.Lock()
+        self._calls_lock = threading.Lock()
         self._calls: Counter[str] = Counter()
 
     def calls(self) -> dict[str, int]:
-        """Return how many calls were made, by method and kind: the platform counts each one."""
-        with self._counting:
+        """Return the number of calls by method and kind, since the platform meters every call."""
+        with self._calls_lock:
             return dict(self._calls)
 
     def close(self) -> None:
@@ -164,22 +164,22 @@
         self._pool.clear()
 
     def list(self, kind: str) -> Result[Listing, ObjectStoreFailure]:
-        """Return all objects of a kind, as of the first page: later pages may show later changes.
+        """Return all objects of a kind, as of the first page; later pages may show later changes.
 
-        What was written between two pages may be missing from both, so a watch must go on from the
-        revision of the first.
+        A write between two pages may be missing from both, so a watch must continue from the
+        revision of the first page.
         """
         found: list[StoredObject] = []
         as_of: int | None = None
         after: str | None = None
         first_sent_at_s = boot_time_s()
-        for _ in range(PAGE_LIMIT):
+        for _ in range(MAX_PAGES):
             query = {} if after is None else {"after": after}
-            match self._call("GET", f"/{kind}", query, None, ANSWER_S):
+            match self._call("GET", f"/{kind}", query, None, RESPONSE_TIMEOUT_S):
                 case Err(fault):
                     return Err(fault)
                 case Ok((status, body)) if status == OK:
-                    page = _decoded(body, _Page)
+                    page = _decode_or_none(body, _Page)
                 case Ok(_):
                     return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
             if page is None:
@@ -193,16 +193,16 @@
         return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
 
     def watch(self, kind: str, since: int, wait_s: float) -> Result[Changes, ObjectStoreFailure]:
-        """Return what changed after a revision, waiting for the first change."""
+        """Return the changes after a revision, waiting up to ``wait_s`` for the first one."""
         query = {"watch": str(since), "wait_ms": str(int(wait_s * 1000))}
         sent_at_s = boot_time_s()
-        match self._call("GET", f"/{kind}", query, None, wait_s + ANSWER_S):
+        match self._call("GET", f"/{kind}", query, None, wait_s + RESPONSE_TIMEOUT_S):
             case Err(fault):
                 return Err(fault)
             case Ok((status, _)) if status == GONE:
                 return Err(ObjectStoreFailure.EXPIRED)
             case Ok((status, body)) if status == OK:
-                events = _decoded(body, _Events)
+                events = _decode_or_none(body, _Events)
             case Ok(_):
                 return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
         if events is None:
@@ -212,8 +212,8 @@
         return Ok(Changes(sent_at_s, events.as_of, changes))
 
     def read(self, kind: str, name: str) -> Result[StoredObject | None, ObjectStoreFailure]:
-        """Return one object, or None where there is none."""
-        match self._call("GET", f"/{kind}/{name}", {}, None, ANSWER_S):
+        """Return one object, or None if it doesn't exist."""
+        match self._call("GET", f"/{kind}/{name}", {}, None, RESPONSE_TIMEOUT_S):
             case Err(fault):
                 return Err(fault)
             case Ok((status, body)) if status == OK:
@@ -223,14 +223,14 @@
         return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
 
     def create(self, kind: str, name: str, content: Any) -> Result[Written, ObjectStoreFailure]:
-        """Create an object unless there is one of that name."""
+        """Create an object unless one of that name exists."""
         body = {"metadata": {"name": name}, "spec": content}
         return self._write("POST", f"/{kind}", body)
 
     def replace(
         self, kind: str, name: str, content: Any, revision: int
     ) -> Result[Written, ObjectStoreFailure]:
-        """Replace an object if it still has the revision."""
+        """Replace an object if it still has the given revision."""
         body = {"metadata": {"name": name, "revision": revision}, "spec": content}
         return self._write("PUT", f"/{kind}/{name}", body)
 
@@ -240,7 +240,7 @@
 
     def _write(self, method: str, path: str, body: Any) -> Result[Written, ObjectStoreFailure]:
         data = None if body is None else msgspec.json.encode(body)
-        match self._call(method, path, {}, data, ANSWER_S):
+        match self._call(method, path, {}, data, RESPONSE_TIMEOUT_S):
             case Err(fault):
                 return Err(fault)
             case Ok((status, data)) if status in (OK, CREATED):
@@ -252,28 +252,33 @@
         return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
 
     def _call(
-        self, method: str, path: str, query: dict[str, str], body: bytes | None, read_s: float
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes | None,
+        read_timeout_s: float,
     ) -> Result[tuple[int, bytes], ObjectStoreFailure]:
-        with self._counting:
+        with self._calls_lock:
             self._calls[f"{method} {path.split('/')[1]}"] += 1
         headers = {"Content-Type": "application/json"} if body is not None else {}
         url = self._url + path
         if query:
             url += "?" + "&".join(f"{key}={value}" for key, value in query.items())
-        timeout = urllib3.Timeout(connect=CONNECT_S, read=read_s)
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s)
         try:
             resp = self._pool.request(
                 method, url, body=body, headers=headers, timeout=timeout, preload_content=False
             )
-            data = read_bounded(resp, RESPONSE_LIMIT_BYTES, boot_time_s() + ANSWER_S)
+            data = read_bounded(resp, RESPONSE_LIMIT_BYTES, boot_time_s() + RESPONSE_TIMEOUT_S)
         except HTTPError as exc:
-            # Idle connections may have gone silent together with this one.
+            # Idle connections may have become unresponsive together with this one.
             self._pool.clear()
             return Err(
                 ObjectStoreFailure.REFUSED
-                if _never_sent(exc)
+                if _was_not_sent(exc)
                 else ObjectStoreFailure.OUTCOME_UNKNOWN
             )
-        if resp.status in BUSY:
+        if resp.status in REFUSED_STATUSES:
             return Err(ObjectStoreFailure.REFUSED)
         return Ok((resp.status, data))
--- a/filbertstream/platform/runner_calls.py
+++ b/filbertstream/platform/runner_calls.py
@@ -1,4 +1,7 @@
-"""Calls to runners that no caller waits for: reports and orders, by urllib3 on worker threads."""
+"""Calls to runners outside of callers' requests: reports and orders.
+
+They use urllib3 and block, so they run on worker threads.
+"""
 
 from typing import Final
 
@@ -18,14 +21,14 @@
     ReportReceived,
 )
 
-CONNECT_S: Final = 0.4
-ANSWER_S: Final = 0.6
+CONNECT_TIMEOUT_S: Final = 0.4
+RESPONSE_TIMEOUT_S: Final = 0.6
 
 REPORT_LIMIT_BYTES: Final = 1_000_000
-"""A report lists the runs of a runner; thousands of them take less."""
+"""A report lists a runner's running requests; thousands of them are smaller than this."""
 
-KEEP_RUNS: Final = "continue"
-"""The mode in which a runner's running requests go on after it has loaded."""
+CONTINUE_MODE: Final = "continue"
+"""The mode in which running requests continue after the runner has loaded a version."""
 
 
 class _Model(msgspec.Struct):
@@ -34,28 +37,28 @@
 
 
 class _Report(msgspec.Struct):
-    # Here: orders accepted since the runner's start; in its registration, refreshes.
+    # In a report, the orders accepted since the runner's start; in a registration, refreshes.
     seq: int
     busy: bool = False
     models: list[_Model] = []
 
 
 class RunnerCalls:
-    """Blocking calls to runners; ``ca_file`` is the authority of their certificates, if any."""
+    """Blocking calls to runners, over TLS if ``ca_file``, which verifies them, is given."""
 
     def __init__(self, holder: str, ca_file: str | None = None) -> None:
         self._holder = holder
         self._scheme = "http" if ca_file is None else "https"
         self._ca_file = ca_file
         self._pool = urllib3.PoolManager(maxsize=2, retries=False, ca_certs=ca_file)
-        self._timeout = urllib3.Timeout(connect=CONNECT_S, read=ANSWER_S)
+        self._timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=RESPONSE_TIMEOUT_S)
 
     def close(self) -> None:
         """Close all idle connections."""
         self._pool.clear()
 
     def report(self, poll: PollReport, address: Address) -> ReportReceived | ReportFailed:
-        """Return a runner's report."""
+        """Request and return a runner's report."""
         sent_at_s = boot_time_s()
         headers = {"Expect-Instance": poll.target_id}
         url = f"{self._scheme}://{address}/report"
@@ -63,7 +66,7 @@
             resp = self._pool.request(
                 "GET", url, headers=headers, timeout=self._timeout, preload_content=False
             )
-            data = read_bounded(resp, REPORT_LIMIT_BYTES, boot_time_s() + ANSWER_S)
+            data = read_bounded(resp, REPORT_LIMIT_BYTES, boot_time_s() + RESPONSE_TIMEOUT_S)
             if resp.status != OK:
                 return ReportFailed(poll.target_id)
             report = msgspec.json.decode(data, type=_Report)
@@ -74,12 +77,12 @@
         return ReportReceived(poll.target_id, report.seq, report.busy, weights, sent_at_s)
 
     def order(self, order: OrderWeights, address: Address) -> OrderResponse:
-        """Send an order, once."""
+        """Send an order, without retries."""
         body = {
             "op": "version",
             "model": order.model,
             "version": order.version,
-            "mode": KEEP_RUNS,
+            "mode": CONTINUE_MODE,
             "holder": self._holder,
             "fence": order.fence,
             "precondition": order.accepted_orders,
@@ -87,7 +90,7 @@
         headers = {"Content-Type": "application/json", "Expect-Instance": order.target_id}
         url = f"{self._scheme}://{address}/order"
         data = msgspec.json.encode(body)
-        # On a pooled connection a lost order could not be told from one that was never sent.
+        # On a pooled connection, a lost order looks the same as one that was never sent.
         pool = urllib3.PoolManager(maxsize=1, retries=False, ca_certs=self._ca_file)
         try:
             resp = pool.request(
@@ -98,7 +101,7 @@
                 timeout=self._timeout,
                 preload_content=False,
             )
-            # The status says it all; a body is not read, and the connection is not used again.
+            # Only the status matters: the body is not read and the connection is not reused.
             resp.close()
         except HTTPError:
             return OrderResponse(order.target_id, None)
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -1,7 +1,7 @@
 """Reads the settings file that the platform writes for each process.
 
-Unknown keys are ignored, since the platform adds some over time; a missing or malformed key gives a
-``Mistake`` with its line.
+Unknown keys are ignored, since the platform adds keys over time; a missing or malformed key results
+in a ``Mistake`` with its line.
 """
 
 import re
@@ -17,7 +17,7 @@
 
 BOOT_VARIABLE: Final = "FILBERTSTREAM_BOOT"
 MS: Final = 1000.0
-ADDRESS_FORM: Final = "an address like 10.0.0.1:8000"
+ADDRESS_FORMAT: Final = "an address like 10.0.0.1:8000"
 MISSING_FIELD: Final = re.compile(r"missing required field `([^`]+)`")
 
 
@@ -32,7 +32,7 @@
 class _Limits(msgspec.Struct):
     memory_mb: Positive
     max_fds: Annotated[int, msgspec.Meta(gt=0)]
-    # A share of one core, which is ``cores`` times as fast as another.
+    # A fraction of one core, which is ``cores`` times as fast as a reference core.
     cpu_share: float = 0.0
     cores: float = 1.0
     link_mbps: float = 0.0
@@ -47,7 +47,7 @@
     retry_slack: float
     config_apply_ms: float = 2000
     revoke_ms: float = 5000
-    # Here: a process that can't show its configuration to be current admits no key.
+    # In this file: whether a process admits no key unless its configuration is confirmed.
     strict_revoke: bool = True
     lease_ttl_ms: float = 3000
     version_ms: float = 8000
@@ -66,56 +66,54 @@
     limits: _Limits
     bounds: _Bounds
     platform: _Platform
-    # First and last of the ports that are free on the machine.
+    # The first and last port of the range that is free on the VM.
     port_range: list[int] = []
 
 
 def parse_address(text: str) -> Address:
-    """Return the address of ``host:port``; raises ``ValueError`` if it is none."""
+    """Parse ``host:port``; raise ``ValueError`` if the text is no address."""
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit():
-        raise ValueError(ADDRESS_FORM)
+        raise ValueError(ADDRESS_FORMAT)
     return Address(host, int(port))
 
 
 def read_settings_file(path: Path) -> Result[Deployment, list[Mistake]]:
-    """Return the deployment that a settings file describes, or the first mistake in it."""
+    """Return the deployment that a settings file describes, or the first error in it."""
     file = str(path)
     try:
         text = path.read_text()
         node = yaml.compose(text, Loader=yaml.CSafeLoader)
-        raw: Any = yaml.load(text, Loader=yaml.CSafeLoader)
+        data: Any = yaml.load(text, Loader=yaml.CSafeLoader)
     except OSError as exc:
         return Err([Mistake(file, 0, "", f"a readable file ({exc.strerror})")])
     except yaml.YAMLError:
         return Err([Mistake(file, 0, "", "well-formed YAML")])
     try:
-        boot = msgspec.convert(raw, _Boot)
+        boot = msgspec.convert(data, _Boot)
     except msgspec.ValidationError as exc:
-        mistake = _mistake(str(exc))
+        error = _config_error(str(exc))
     else:
-        found = _malformed_address(boot)
-        if found is None:
+        malformed_key = _malformed_address(boot)
+        if malformed_key is None:
             return Ok(_deployment(boot))
-        mistake = Mistake(file, 0, found, ADDRESS_FORM)
-    return Err(
-        [mistake.with_location(file, node) if node is not None else mistake._replace(file=file)]
-    )
+        error = Mistake(file, 0, malformed_key, ADDRESS_FORMAT)
+    return Err([error.with_location(file, node) if node is not None else error._replace(file=file)])
 
 
-def _mistake(message: str) -> Mistake:
-    """Return the mistake that a message of msgspec tells: what was expected, and at which key."""
-    said, _, path = message.partition(" - at `$")
+def _config_error(message: str) -> Mistake:
+    """Convert an error message of msgspec into an error with the key and the expected value."""
+    expected, _, path = message.partition(" - at `$")
     key = path.removesuffix("`").removeprefix(".")
-    missing = MISSING_FIELD.search(said)
+    missing = MISSING_FIELD.search(expected)
     if missing is not None:
         key = f"{key}.{missing[1]}" if key else missing[1]
         return Mistake("", 0, key, "this key, which is required")
-    return Mistake("", 0, key, said.removeprefix("Expected ").replace("`", ""))
+    return Mistake("", 0, key, expected.removeprefix("Expected ").replace("`", ""))
 
 
 def _malformed_address(boot: _Boot) -> str | None:
-    """Return the key of the first address that is none."""
+    """Return the key of the first malformed address, or None."""
     addresses = {
         "listen.front": boot.listen.front,
         "listen.ready": boot.listen.ready,
