Reword the gateway modules in plain terms

Cause: texts and inner names of gateway.py, gateway_events.py and gateway_process.py were figurative. Change: module heads, doc comments, comments and inner names.

--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -1,8 +1,8 @@
-"""The core of an entry that runs on the platform: events in, actions out, no I/O.
+"""The core of an entry: turns events into actions and does no I/O.
 
-It reads no clock and opens no socket; ``connection.gateway_io`` drives it in production and tests
-drive it the same way.  Calls are moved along by ``request.forwarding``; this module keeps the view
-of the store, the duty of weight roll-outs and the entry's own readiness.
+It reads no clock and opens no socket; ``connection.gateway_io`` drives it in production, and tests
+drive it the same way.  ``request.forwarding`` handles calls; this module handles the state observed
+in the object store, the lease for weight roll-outs, and the readiness of the entry.
 """
 
 import random
@@ -88,26 +88,31 @@
 from filbertstream.version.weights_leader import WeightsLeader
 from filbertstream.version.weights_view import WeightsView
 
-STOP_STREAMS_S: Final = 2.8
-"""An entry that was asked to stop admits streams this long: the balancer needs a while to notice,
-and streams that are admitted later might not end before the process must."""
+STOP_STREAMS_AFTER_S: Final = 2.8
+"""A stopping entry admits streams for this long, until the load balancer has noticed the stop.
 
-STOP_CALLS_S: Final = 1.6
-"""Other calls are admitted until this long before the process is killed."""
+Streams admitted later might not end before the process must exit.
+"""
+
+STOP_CALLS_BEFORE_KILL_S: Final = 1.6
+"""A stopping entry admits other calls until this long before the process is killed."""
+
+FOLLOWER_LEASE_DELAY_S: Final = 2.0
+"""Extra delay before an entry that follows relays takes the lease.
 
-RELYING_RESERVE_S: Final = 2.0
-"""Entries that read the store take the duty this much sooner than those that rely on them: it
-changes hands with fewer refused writes, and its holder sees the record first."""
+Entries that read the object store take it sooner, so fewer writes of the lease conflict and the
+leader observes its record first.
+"""
 
-MEMBERS_LOGGED: Final = 8
-"""Names of new entries in one log line."""
+MAX_MEMBERS_LOGGED: Final = 8
+"""Bounds the names of new entries in one log line."""
 
-DUTY_TICK_S: Final = 0.05
-"""Interval of looking at the duty of roll-outs."""
+LEASE_TICK_S: Final = 0.05
+"""Interval of checking the lease and the roll-out."""
 
 
 class GatewayConfig(NamedTuple):
-    """What the core is told about itself."""
+    """Configuration of the core of one entry."""
 
     name: str
     incarnation: int
@@ -121,7 +126,7 @@
 
 
 class Gateway:
-    """All decisions of one entry on the platform."""
+    """The decisions of one entry."""
 
     def __init__(self, cfg: GatewayConfig) -> None:
         self.cfg = cfg
@@ -152,7 +157,7 @@
         self.prompt_placer = PromptPlacer(
             cfg.data_center, self.roster, cache_view, self.weights, rng
         )
-        parts = ForwardingDependencies(
+        dependencies = ForwardingDependencies(
             cfg.data_center,
             self.roster,
             self.authorizer,
@@ -167,7 +172,7 @@
             self.burn,
             rng,
         )
-        self.forwarding = Forwarding(parts)
+        self.forwarding = Forwarding(dependencies)
         self.rollout_lease = RolloutLease(f"{cfg.name}#{cfg.incarnation:x}", bounds.lease_s, rng)
         self.weights_leader = WeightsLeader(
             self.rollout_lease,
@@ -176,9 +181,9 @@
             Retirement(self.stores, self.index.held_by),
         )
         self.stopping = False
-        self._lost: dict[str, str] = {}
+        self._failed_kinds: dict[str, str] = {}
         self._joined: list[str] = []
-        self._next_duty_s = 0.0
+        self._next_lease_tick_s = 0.0
         self._was_ready = False
         self._handlers: dict[type, Callable[[Any, float], list[GatewayAction]]] = {
             CallArrived: self._forward(self.forwarding.on_arrived),
@@ -221,30 +226,30 @@
         return handler
 
     def step(self, now_s: float, event: Any) -> list[GatewayAction]:
-        """Take one event and return what is to be done."""
+        """Process one event and return the actions to carry out."""
         return self._handlers[type(event)](event, now_s)
 
     @property
     def store_lost(self) -> tuple[str, ...]:
-        """The kinds of objects whose watch gets no answer now."""
-        return tuple(sorted(self._lost))
+        """The kinds of objects whose last call to the object store failed."""
+        return tuple(sorted(self._failed_kinds))
 
     def ready(self, now_s: float) -> bool:
-        """Whether the balancer should send new connections here."""
+        """Whether the load balancer should send new connections to this entry."""
         if self.stopping or self.authorizer.config is None:
             return False
         return self.config_freshness.keeps_ready(now_s)
 
     @property
     def busy(self) -> bool:
-        """Whether something is under way that has to be looked at often."""
+        """Whether work in progress needs frequent ticks."""
         return bool(self.forwarding.calls) or self.weights_leader.is_leader or not self._was_ready
 
     def should_close_connections(self, now_s: float) -> bool:
-        """Whether callers do better on a new connection, which the balancer gives another entry.
+        """Whether callers should reconnect, so that the load balancer picks another entry.
 
-        An entry that is out of touch with the store ends its connections before it must refuse
-        their calls, unless it knows of no entry that is better off.
+        An entry whose configuration is stale closes its connections before it has to reject calls
+        on them, unless it knows no peer whose configuration is current.
         """
         return not self.ready(now_s) and self.peers.any_peer_current(now_s)
 
@@ -271,17 +276,17 @@
 
     def _on_targets(self, event: TargetsListed, now_s: float) -> list[GatewayAction]:
         for entry in event.entries:
-            self._take_entry(entry, now_s)
+            self._apply_registration(entry, now_s)
         missing = self.roster.replace_all(event.entries, now_s)
         return [self._log_target(name, "missing") for name in missing]
 
-    def _take_entry(self, entry: TargetRegistration, now_s: float) -> list[GatewayAction]:
-        known = self.roster.targets.get(entry.target_id)
-        if known is not None and known.entry.started_ms != entry.started_ms:
+    def _apply_registration(self, entry: TargetRegistration, now_s: float) -> list[GatewayAction]:
+        previous = self.roster.targets.get(entry.target_id)
+        if previous is not None and previous.entry.started_ms != entry.started_ms:
             self.index.forget(entry.target_id)
-        was_draining = known is not None and known.entry.draining
+        was_draining = previous is not None and previous.entry.draining
         self.roster.put(entry, now_s)
-        if known is None:
+        if previous is None:
             fields = (("target", entry.target_id), ("service", entry.service))
             return [Log(LogEvent.TARGET_JOINED, fields)]
         if entry.draining and not was_draining:
@@ -293,7 +298,7 @@
 
     def _on_target(self, event: TargetObserved, now_s: float) -> list[GatewayAction]:
         if event.entry is not None and not event.removed:
-            return self._take_entry(event.entry, now_s)
+            return self._apply_registration(event.entry, now_s)
         self.roster.remove(event.target_id, now_s)
         if event.target_id not in self.roster.targets:
             self.index.forget(event.target_id)
@@ -340,9 +345,9 @@
     def _register(self, revision: int) -> list[GatewayAction]:
         if not self.cfg.peer_address or self.stopping:
             return []
-        return [WriteEntry(self.cfg.name, self._own_record(), revision)]
+        return [WriteEntry(self.cfg.name, self._local_record(), revision)]
 
-    def _own_record(self) -> EntryRecord:
+    def _local_record(self) -> EntryRecord:
         cfg = self.cfg
         return EntryRecord(cfg.peer_address, cfg.incarnation, cfg.link_mbps, cfg.cores)
 
@@ -351,45 +356,45 @@
             self.peers.leave(event.name)
             return self._register(0) if event.name == self.cfg.name else []
         joined = self.peers.join(event.name, event.record)
-        if event.name == self.cfg.name and event.record != self._own_record():
-            # The registration of an earlier process of this name.
+        if event.name == self.cfg.name and event.record != self._local_record():
+            # The registration is that of an earlier process with this name.
             return self._register(event.revision)
         if joined:
             self._joined.append(event.name)
         return []
 
     def _log_joined(self) -> list[GatewayAction]:
-        """Log the entries that joined since the last tick in one line: there may be hundreds."""
+        """Log all entries that joined since the last tick in one line, as there may be hundreds."""
         if not self._joined:
             return []
         names, self._joined = self._joined, []
         fields = (
-            ("member", ",".join(names[:MEMBERS_LOGGED])),
+            ("member", ",".join(names[:MAX_MEMBERS_LOGGED])),
             ("joined", len(names)),
             ("members", len(self.peers.members)),
         )
         return [Log(LogEvent.MEMBER_JOINED, fields)]
 
     def _on_peer(self, event: PeerMessage, now_s: float) -> list[GatewayAction]:
-        work = event.message
-        if isinstance(work, EntryWork):
-            self.peers.on_work(work, now_s)
-        elif isinstance(work, GroupWork):
-            self.peers.on_group(work, now_s)
-        elif isinstance(work, FleetWork):
-            self.peers.on_fleet(work, now_s)
-        elif isinstance(work, CacheUpdate):
-            self.cache_news.on_update(work, now_s)
-        elif isinstance(work, CacheUpdateBatch):
-            self.cache_news.on_batch(work, now_s)
-        elif isinstance(work, ViewRequest):
-            return [*self.relayed_view.on_view_request(work, now_s)]
-        elif isinstance(work, ViewResponse):
-            return [*self.relayed_view.on_view_response(work, now_s)]
+        message = event.message
+        if isinstance(message, EntryWork):
+            self.peers.on_work(message, now_s)
+        elif isinstance(message, GroupWork):
+            self.peers.on_group(message, now_s)
+        elif isinstance(message, FleetWork):
+            self.peers.on_fleet(message, now_s)
+        elif isinstance(message, CacheUpdate):
+            self.cache_news.on_update(message, now_s)
+        elif isinstance(message, CacheUpdateBatch):
+            self.cache_news.on_batch(message, now_s)
+        elif isinstance(message, ViewRequest):
+            return [*self.relayed_view.on_view_request(message, now_s)]
+        elif isinstance(message, ViewResponse):
+            return [*self.relayed_view.on_view_response(message, now_s)]
         return []
 
-    def _share(self, followers: list[str], now_s: float) -> list[GatewayAction]:
-        """Tell the other entries what this one has under way."""
+    def _send_work(self, followers: list[str], now_s: float) -> list[GatewayAction]:
+        """Send this entry's work in progress to its peers, if it is due."""
         rows = tuple(
             WorkRow(
                 target.target_id,
@@ -404,13 +409,13 @@
 
     def _on_store(self, event: ObjectStoreResult, now_s: float) -> list[GatewayAction]:
         if event.ok:
-            if self._lost.pop(event.kind, None) is None:
+            if self._failed_kinds.pop(event.kind, None) is None:
                 return []
             return [Log(LogEvent.PLATFORM_BACK, (("kind", event.kind),))]
         self.roster.note_object_store_failure(now_s)
-        if self._lost.get(event.kind) == event.reason:
+        if self._failed_kinds.get(event.kind) == event.reason:
             return []
-        self._lost[event.kind] = event.reason
+        self._failed_kinds[event.kind] = event.reason
         return [Log(LogEvent.PLATFORM_LOST, (("kind", event.kind), ("reason", event.reason)))]
 
     def _on_bounds(self, event: BoundsChanged, now_s: float) -> list[GatewayAction]:
@@ -425,40 +430,44 @@
 
     def _on_stop(self, event: StopRequested, now_s: float) -> list[GatewayAction]:
         self.stopping = True
-        self.authorizer.refuse_streams_from_s = now_s + STOP_STREAMS_S
-        self.authorizer.refuse_from_s = now_s + self.cfg.bounds.grace_s - STOP_CALLS_S
+        self.authorizer.refuse_streams_from_s = now_s + STOP_STREAMS_AFTER_S
+        self.authorizer.refuse_from_s = now_s + self.cfg.bounds.grace_s - STOP_CALLS_BEFORE_KILL_S
         running = len(self.forwarding.calls)
         began = Log(LogEvent.DRAIN_BEGAN, (("calls", running),))
         return [began, RemoveEntry(self.cfg.name)]
 
     def _on_tick(self, event: Tick, now_s: float) -> list[GatewayAction]:
         actions: list[GatewayAction] = list(self.forwarding.tick(now_s))
-        if self._lost:
+        if self._failed_kinds:
             self.roster.note_object_store_failure(now_s)
         for name in self.roster.tick(now_s):
             self.index.forget(name)
             actions.append(self._log_target(name, "gone"))
         actions += self.stores.tick(now_s)
         followers = self.relayed_view.followers(now_s)
-        actions += self._share(followers, now_s)
+        actions += self._send_work(followers, now_s)
         actions += self.cache_news.due(followers, now_s)
         actions += self._log_joined()
         actions += self.relayed_view.tick(now_s)
-        if now_s >= self._next_duty_s:
-            self._next_duty_s = now_s + DUTY_TICK_S
-            reserve_s = 0.0 if self.relayed_view.reads_object_store(now_s) else RELYING_RESERVE_S
+        if now_s >= self._next_lease_tick_s:
+            self._next_lease_tick_s = now_s + LEASE_TICK_S
+            extra_delay_s = (
+                0.0 if self.relayed_view.reads_object_store(now_s) else FOLLOWER_LEASE_DELAY_S
+            )
             owners = self._cache_owners()
-            actions += self.weights_leader.tick(now_s, owners, self.stopping, reserve_s)
+            actions += self.weights_leader.tick(now_s, owners, self.stopping, extra_delay_s)
         ready = self.ready(now_s)
         if ready != self._was_ready:
             self._was_ready = ready
-            age_s = round(self.config_freshness.age_s(now_s), 3) if self._lost or ready else -1
-            event_no = LogEvent.ENTRY_FRESH if ready else LogEvent.ENTRY_STALE
-            actions.append(Log(event_no, (("config_age_s", age_s),)))
+            age_s = (
+                round(self.config_freshness.age_s(now_s), 3) if self._failed_kinds or ready else -1
+            )
+            log_event = LogEvent.ENTRY_FRESH if ready else LogEvent.ENTRY_STALE
+            actions.append(Log(log_event, (("config_age_s", age_s),)))
         return actions
 
     def _cache_owners(self) -> set[str]:
-        """Return the workspaces that share no cache, and the empty name for all others."""
+        """Return the names of dedicated workspaces, and the empty name for the shared cache."""
         config = self.authorizer.config
         workspaces = () if config is None else config.workspaces.values()
         return {"", *(item.name for item in workspaces if item.dedicated)}
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -1,6 +1,6 @@
-"""What the core of an entry on the platform is told besides calls, and what it asks for: data.
+"""Events that the core consumes, and actions that it returns, as plain data.
 
-Events about calls are in ``request.call_events``; those of a part are in the part's own module.
+Events about calls are in ``request.call_events``; events that concern one module are defined there.
 """
 
 from typing import NamedTuple, TypeAlias
@@ -20,20 +20,20 @@
 
 
 class ConfigurationObserved(NamedTuple):
-    """The store showed a configuration, or None for no change, by a call sent at that moment."""
+    """A request sent at ``sent_at_s`` returned a configuration, or None if it was unchanged."""
 
     config: Configuration | None
     sent_at_s: float
 
 
 class TargetsListed(NamedTuple):
-    """All registrations that can be read."""
+    """A full listing of the registrations that could be decoded."""
 
     entries: tuple[TargetRegistration, ...]
 
 
 class TargetObserved(NamedTuple):
-    """A registration was written; ``entry`` is None where it can't be read or was removed."""
+    """A registration was written or removed; ``entry`` is None if removed or malformed."""
 
     target_id: str
     entry: TargetRegistration | None
@@ -41,7 +41,10 @@
 
 
 class WeightsNamed(NamedTuple):
-    """A weight version is named for a model; ``listed``: it may have been named long ago."""
+    """A weight version was named as the one that a model's runners are to load.
+
+    It may have been named long ago if it was ``listed``.
+    """
 
     model: str
     version: int
@@ -49,32 +52,32 @@
 
 
 class LeaseObserved(NamedTuple):
-    """The duty's record as the store holds it."""
+    """The lease record as it is in the object store."""
 
     record: LeaseRecord | None
     revision: int
 
 
 class LeaseConfirmed(NamedTuple):
-    """The record at hand was the newest when a call of that moment was sent."""
+    """The known lease record was the newest when a request was sent at ``sent_at_s``."""
 
     sent_at_s: float
 
 
 class LeaseWritten(NamedTuple):
-    """A write of the record was refused; one that took effect is seen as ``LeaseObserved``."""
+    """A write of the record was rejected; a successful one is reported as ``LeaseObserved``."""
 
     refused: bool
 
 
 class EntriesListed(NamedTuple):
-    """The names of all entries that have registered."""
+    """A full listing of the names of the registered entries."""
 
     names: frozenset[str]
 
 
 class EntryObserved(NamedTuple):
-    """An entry has registered, or (``record`` None) has left."""
+    """An entry registered, or left if ``record`` is None."""
 
     name: str
     record: EntryRecord | None
@@ -82,7 +85,7 @@
 
 
 class WriteEntry(NamedTuple):
-    """Write the own registration: create it for revision 0, else replace that revision."""
+    """Write this entry's registration: create it if ``revision`` is 0, else replace that one."""
 
     name: str
     record: EntryRecord
@@ -90,13 +93,13 @@
 
 
 class RemoveEntry(NamedTuple):
-    """Remove the own registration: the entry is about to end."""
+    """Remove this entry's registration, since the entry is about to stop."""
 
     name: str
 
 
 class ObjectStoreResult(NamedTuple):
-    """The store answered a call, or did not."""
+    """The outcome of a call to the object store for a kind of objects."""
 
     kind: str
     ok: bool
@@ -104,33 +107,33 @@
 
 
 class PublishKind(NamedTuple):
-    """Decode what is new of a kind of objects and tell it."""
+    """Decode new objects of a kind and publish them as events to the core."""
 
     taken: KindDelta
 
 
 class BoundsChanged(NamedTuple):
-    """The operators' bounds are others from now on."""
+    """The operators changed the bounds."""
 
     bounds: Bounds
 
 
 class StopRequested(NamedTuple):
-    """The process was asked to stop."""
+    """A stop of the process was requested."""
 
 
 class StopProcess(NamedTuple):
-    """Make a planned stop of this process: the operators have drained this entry."""
+    """Stop this process gracefully, since the operators have drained this entry."""
 
 
 class PeerMessage(NamedTuple):
-    """Another entry's message arrived."""
+    """A message from a peer arrived."""
 
     message: PeerPayload
 
 
 class Tick(NamedTuple):
-    """Time passes."""
+    """Triggers the work that is due at the current time."""
 
 
 GatewayAction: TypeAlias = (
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -1,7 +1,7 @@
-"""The composition root of an entry: wires the parts, starts and closes them.
+"""The composition root of an entry: creates, connects, starts and closes its components.
 
-An entry serves callers either in the targets' own protocol, as the users' platform asks, or in the
-product's own interface (``product``); the core and everything beneath is the same.
+An entry serves callers either in the protocol of the targets, as the users' platform requires, or
+through the ``/v1`` API of ``product``.  The core and everything below it are the same for both.
 """
 
 import asyncio
@@ -58,37 +58,37 @@
 from filbertstream.version.rollout import OrderWeights, PollReport
 
 if TYPE_CHECKING:
-    # Loaded only by entries that serve the product's own interface: every start waits for imports.
+    # Imported only by entries that serve the /v1 API, since imports delay every start.
     from filbertstream.product import Product, ProductSetup
 
 TICK_S: Final = 0.025
-"""Interval of looking at what is due while calls run: a few times less than any wait of theirs."""
+"""Interval of ticks while calls run; a fraction of the shortest timeout of a call."""
 
 IDLE_TICK_S: Final = 0.1
-"""The same while none runs; a call that arrives ends the pause."""
+"""Interval of ticks while no call runs; the arrival of a call ends the pause."""
 
 HOUSEKEEPING_S: Final = 0.5
-"""Interval of closing idle connections and looking for changed files."""
+"""Interval of closing idle connections and checking for changed files."""
 
 BACKLOG: Final = 512
 CALL_THREADS: Final = 4
-DECODED_AT_ONCE: Final = 65_536
-"""Bytes of objects that are decoded on the event loop, within a few milliseconds."""
+MAX_INLINE_DECODE_BYTES: Final = 65_536
+"""Objects up to this size are decoded on the event loop, which takes a few milliseconds."""
 
 KEY_THREADS: Final = 8
-"""Claims of keys that are under way at once; each waits for one answer of the store."""
+"""Bounds concurrent claims of idempotency keys; each waits for an object store response."""
 
-BALANCER_S: Final = 3.0
-"""The balancer has noticed by then that this entry is not ready."""
+BALANCER_DELAY_S: Final = 3.0
+"""The load balancer has noticed by then that a stopping entry is not ready."""
 
 EXIT_MARGIN_S: Final = 0.4
-"""Kept from the time between SIGTERM and SIGKILL."""
+"""The process exits this long before SIGKILL would follow SIGTERM."""
 
 NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
 
 
 class GatewayProcess:
-    """One entry: all parts, and when they live; ``setup`` adds the product's own interface."""
+    """One entry: its components and their lifecycle; ``setup`` adds the ``/v1`` API."""
 
     def __init__(
         self, deployment: Deployment, settings_file: Path, setup: "ProductSetup | None" = None
@@ -106,7 +106,7 @@
         )
         self._watched = {watched.kind: watched for watched in kinds}
         self.core = Gateway(_core_config(deployment, incarnation, kinds))
-        self.gateway_io = GatewayIO(self.core, self._write_log, self._note_broken)
+        self.gateway_io = GatewayIO(self.core, self._write_log, self._set_broken)
         store_ca = None if setup is None else setup.store_ca
         self._store = ObjectStore(deployment.object_store, store_ca)
         self._keys = IdempotencyKeyStore(self._store)
@@ -115,7 +115,7 @@
         self._workers = ThreadPoolExecutor(CALL_THREADS, thread_name_prefix="calls")
         self._key_workers = ThreadPoolExecutor(KEY_THREADS, thread_name_prefix="keys")
         self._decoder = ThreadPoolExecutor(1, thread_name_prefix="decoder")
-        self._decoding = 0
+        self._pending_decodes = 0
         self._loop: asyncio.AbstractEventLoop | None = None
         self._servers: list[asyncio.Server] = []
         self._stop_at_s: float | None = None
@@ -130,10 +130,10 @@
             address = f"tcp://{deployment.peers}"
             key_file = None if self._product is None else self._product.peer_key_file
             self._peers = PeerLink(address, key_file, self.core.counters, host)
-        self.gateway_io.handlers[WriteLease] = self._write_duty
+        self.gateway_io.handlers[WriteLease] = self._write_lease
         self.gateway_io.handlers[WriteEntry] = self._write_entry
         self.gateway_io.handlers[RemoveEntry] = self._remove_entry
-        self.gateway_io.handlers[PublishKind] = self._show_kind
+        self.gateway_io.handlers[PublishKind] = self._publish_kind
         self.gateway_io.handlers[PollReport] = self._poll_report
         self.gateway_io.handlers[OrderWeights] = self._order
         self.gateway_io.handlers[ClaimKey] = self._claim_key
@@ -141,60 +141,60 @@
         self.gateway_io.handlers[StopProcess] = lambda action: self._on_stop()
 
     def run(self) -> bool:
-        """Serve until SIGTERM or SIGINT, then end what runs; whether no invariant broke."""
+        """Serve until SIGTERM or SIGINT and drain; return False if an invariant was violated."""
         asyncio.run(self._run())
         self._stream.close()
         return not self.broken
 
-    def _note_broken(self, reason: str) -> None:
-        """End the process: its state can't be trusted, and another one starts in its place."""
+    def _set_broken(self, reason: str) -> None:
+        """Request the end of the process: its state may be corrupt, and a new one replaces it."""
         self.broken = self.broken or reason
 
     def _submit(self, work: Callable[..., object], *args: Any) -> None:
-        """Have a worker make a blocking call."""
+        """Run a blocking call on a worker thread."""
         self._submit_to(self._workers, work, *args)
 
     def _submit_to(
         self, workers: ThreadPoolExecutor, work: Callable[..., object], *args: Any
     ) -> None:
-        workers.submit(work, *args).add_done_callback(self._worked)
+        workers.submit(work, *args).add_done_callback(self._on_worker_done)
 
-    def _worked(self, done: Future[object]) -> None:
+    def _on_worker_done(self, done: Future[object]) -> None:
         if not done.cancelled() and (exc := done.exception()) is not None:
-            self._note_broken(f"worker: {exc!r}")
+            self._set_broken(f"worker: {exc!r}")
 
     async def _run(self) -> None:
         loop = self._loop = asyncio.get_running_loop()
-        loop.set_exception_handler(LoopExceptionHandler(self.core.counters, self._note_broken))
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._on_stop)
+        loop.set_exception_handler(LoopExceptionHandler(self.core.counters, self._set_broken))
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, self._on_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._stream.start()
-        with contextlib.ExitStack() as parts:
-            # Threads of these would keep a process that can't go on.
-            parts.callback(self._key_workers.shutdown, wait=False, cancel_futures=True)
-            parts.callback(self._workers.shutdown, wait=False, cancel_futures=True)
-            parts.callback(self._decoder.shutdown, wait=False, cancel_futures=True)
+        with contextlib.ExitStack() as cleanup:
+            # Waiting for these threads would block the exit of a process that can't continue.
+            cleanup.callback(self._key_workers.shutdown, wait=False, cancel_futures=True)
+            cleanup.callback(self._workers.shutdown, wait=False, cancel_futures=True)
+            cleanup.callback(self._decoder.shutdown, wait=False, cancel_futures=True)
             if self._peers is not None:
                 self._peers.start()
-                parts.callback(self._peers.close)
+                cleanup.callback(self._peers.close)
             if self._product is not None:
                 self._product.start()
-                parts.callback(self._product.close)
-            parts.callback(self._close_callers)
+                cleanup.callback(self._product.close)
+            cleanup.callback(self._close_callers)
             await self._listen_all()
             await self._serve()
         self._log.write(LogEvent.ENTRY_CLOSED, (("broken", self.broken),))
 
     async def _serve(self) -> None:
-        """Follow the store and keep time until the process may end."""
-        self._set_gate(boot_time_s())
+        """Watch the object store and send ticks until the process may end."""
+        self._update_gate(boot_time_s())
         watchers = [
-            KindWatcher.start(self._store, watched, self.tell_soon, self._note_broken, self._gate)
+            KindWatcher.start(self._store, watched, self.emit_soon, self._set_broken, self._gate)
             for watched in self._watched.values()
         ]
         self._log.write(LogEvent.ENTRY_STARTED, (("data_center", self.deployment.data_center),))
-        await self._keep()
+        await self._send_ticks()
         for watcher in watchers:
             watcher.stop(block=False)
 
@@ -204,7 +204,7 @@
         self.gateway_io.close()
 
     async def _listen_all(self) -> None:
-        """Listen everywhere; raises ``OSError`` where an address is taken."""
+        """Listen on all addresses; raise ``OSError`` if an address is in use."""
         deployment, product = self.deployment, self._product
         if product is None:
             await self._listen(deployment.callers, self.gateway_io.new_connection)
@@ -230,14 +230,14 @@
     def _metrics(self) -> bytes:
         return metrics_text(self.core, self.gateway_io, self._store, self._stream.dropped)
 
-    async def _keep(self) -> None:
-        """Tell the core that time passes, until the process may end."""
+    async def _send_ticks(self) -> None:
+        """Send ticks to the core until the process may end."""
         housekeeping_at_s = 0.0
         while not self._may_end() and not self.broken:
-            await self._pause()
+            await self._wait_for_tick()
             self.gateway_io.emit(Tick())
             now_s = boot_time_s()
-            self._set_gate(now_s)
+            self._update_gate(now_s)
             if now_s >= housekeeping_at_s:
                 housekeeping_at_s = now_s + HOUSEKEEPING_S
                 self.gateway_io.sweep()
@@ -245,8 +245,8 @@
                 if _stamp(self._settings_file) != self._settings_stamp:
                     self._reload()
 
-    async def _pause(self) -> None:
-        """Let the time between two ticks pass: more of it while nothing is under way."""
+    async def _wait_for_tick(self) -> None:
+        """Wait until the next tick, for longer while the core is idle."""
         if not self.core.busy:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.gateway_io.call_started.wait(), IDLE_TICK_S)
@@ -259,7 +259,7 @@
         since_s = boot_time_s() - self._stop_at_s
         if since_s > self.deployment.bounds.grace_s - EXIT_MARGIN_S:
             return True
-        if since_s < BALANCER_S:
+        if since_s < BALANCER_DELAY_S:
             return False
         self.gateway_io.close_idle()
         return not self.gateway_io.connections and not self.core.idempotency_keys.unsettled
@@ -271,15 +271,15 @@
             self.gateway_io.emit(StopRequested())
 
     def _reload(self) -> None:
-        """Read the settings again; addresses stay, since the process listens on them."""
+        """Reload the settings; only bounds change, as the process listens on the old addresses."""
         self._settings_stamp = _stamp(self._settings_file)
         match self._read_deployment():
             case Ok(deployment):
                 self.deployment = self.deployment._replace(bounds=deployment.bounds)
                 self.gateway_io.emit(BoundsChanged(deployment.bounds))
                 self._log.write(LogEvent.SETTINGS_RELOADED)
-            case Err(mistakes):
-                fields = (("mistakes", "; ".join(str(mistake) for mistake in mistakes)),)
+            case Err(errors):
+                fields = (("mistakes", "; ".join(str(error) for error in errors)),)
                 self._log.write(LogEvent.SETTINGS_REJECTED, fields)
 
     def _read_deployment(self) -> Result[Deployment, list[Mistake]]:
@@ -297,16 +297,16 @@
         if self._product is not None:
             self._product.recent.note(action)
 
-    def tell_soon(self, event: Any) -> None:
-        """Tell the core from another thread."""
+    def emit_soon(self, event: Any) -> None:
+        """Emit an event to the core from any thread."""
         loop = self._loop
         if loop is not None and not loop.is_closed():
             loop.call_soon_threadsafe(self.gateway_io.emit, event)
 
-    def _write_duty(self, write: WriteLease) -> None:
-        self._submit(self._write_duty_now, write)
+    def _write_lease(self, write: WriteLease) -> None:
+        self._submit(self._write_lease_now, write)
 
-    def _write_duty_now(self, write: WriteLease) -> None:
+    def _write_lease_now(self, write: WriteLease) -> None:
         if write.revision == 0:
             result = self._store.create(LEASES_KIND, ROLLOUT_LEASE_NAME, write.record)
         else:
@@ -316,43 +316,44 @@
         match result:
             case Ok(written):
                 if not written.done:
-                    self.tell_soon(LeaseWritten(True))
+                    self.emit_soon(LeaseWritten(True))
                 if written.present is not None:
-                    emit_lease_record(written.present, self.tell_soon)
+                    emit_lease_record(written.present, self.emit_soon)
             case Err(fault):
-                self.tell_soon(LeaseWritten(fault is ObjectStoreFailure.REFUSED))
+                self.emit_soon(LeaseWritten(fault is ObjectStoreFailure.REFUSED))
 
-    def _set_gate(self, now_s: float) -> None:
-        """Have the watchers read what other entries don't tell."""
+    def _update_gate(self, now_s: float) -> None:
+        """Make the watchers read the kinds that no relay provides."""
         relayed_view = self.core.relayed_view
         idle = frozenset(kind for kind in self._watched if not relayed_view.reads_kind(kind, now_s))
         relays = self.core.relays
-        tells = relays.serves_peers(now_s)
-        self._gate.set(idle, tells, not (tells or relays.small_fleet))
+        serves_peers = relays.serves_peers(now_s)
+        self._gate.set(idle, serves_peers, not (serves_peers or relays.small_fleet))
 
-    def _show_kind(self, action: PublishKind) -> None:
-        """Decode objects and tell the core; a large one does not hold up the event loop.
+    def _publish_kind(self, action: PublishKind) -> None:
+        """Decode objects and emit them to the core, large ones on a thread of their own.
 
-        What comes after it waits too: a confirmation must not go before what it confirms.
+        Whatever follows a large object is queued behind it, since a confirmation must not overtake
+        the object that it confirms.
         """
-        taken = action.taken
-        size = sum(len(row.content or b"") for row in taken.rows)
-        if not self._decoding and size <= DECODED_AT_ONCE:
-            publish_kind(self._watched[taken.kind], taken, self.gateway_io.emit)
+        delta = action.taken
+        size = sum(len(row.content or b"") for row in delta.rows)
+        if not self._pending_decodes and size <= MAX_INLINE_DECODE_BYTES:
+            publish_kind(self._watched[delta.kind], delta, self.gateway_io.emit)
             return
-        self._decoding += 1
-        self._submit_to(self._decoder, self._decode, taken)
+        self._pending_decodes += 1
+        self._submit_to(self._decoder, self._decode, delta)
 
-    def _decode(self, taken: KindDelta) -> None:
-        publish_kind(self._watched[taken.kind], taken, self.tell_soon)
+    def _decode(self, delta: KindDelta) -> None:
+        publish_kind(self._watched[delta.kind], delta, self.emit_soon)
         if self._loop is not None:
             self._loop.call_soon_threadsafe(self._decoded)
 
     def _decoded(self) -> None:
-        self._decoding -= 1
+        self._pending_decodes -= 1
 
     def _claim_key(self, claim: ClaimKey) -> None:
-        self._submit_to(self._key_workers, lambda: self.tell_soon(self._keys.claim(claim)))
+        self._submit_to(self._key_workers, lambda: self.emit_soon(self._keys.claim(claim)))
 
     def _settle_key(self, settle: SettleKey) -> None:
         self._submit_to(self._key_workers, self._settle_key_now, settle)
@@ -360,13 +361,13 @@
     def _settle_key_now(self, settle: SettleKey) -> None:
         settled = self._keys.settle(settle)
         if settled is not None:
-            self.tell_soon(settled)
+            self.emit_soon(settled)
 
     def _write_entry(self, write: WriteEntry) -> None:
         self._submit(self._write_entry_now, write)
 
     def _write_entry_now(self, write: WriteEntry) -> None:
-        """Register; whatever is in the way shows in the watch, which leads to another try."""
+        """Register this entry; a conflicting object shows up in the watch and triggers a retry."""
         if write.revision == 0:
             self._store.create(ENTRIES_KIND, write.name, write.record)
         else:
@@ -379,7 +380,7 @@
         target = self.core.roster.targets.get(poll.target_id)
         if target is not None:
             address = target.entry.address
-            self._submit(lambda: self.tell_soon(self._runners.report(poll, address)))
+            self._submit(lambda: self.emit_soon(self._runners.report(poll, address)))
 
     def _order(self, order: OrderWeights) -> None:
         target = self.core.roster.targets.get(order.target_id)
@@ -388,24 +389,24 @@
             self._submit(lambda: self._order_now(order, address))
 
     def _order_now(self, order: OrderWeights, address: Address) -> None:
-        # A worker may start late: the duty must still be held at this very moment.
+        # A worker may start late, so the lease must still be held when the order is sent.
         if self.core.rollout_lease.may_order(boot_time_s()):
-            self.tell_soon(self._runners.order(order, address))
+            self.emit_soon(self._runners.order(order, address))
 
 
 class _PeerHost:
-    """Joins the link between entries with the event loop."""
+    """Connects the link between entries with the event loop."""
 
     def __init__(self, process: GatewayProcess) -> None:
         self._process = process
 
     def register(self, kind: type, handler: Callable[[Any], object]) -> None:
-        """Have a kind of action carried out on the event loop's thread."""
+        """Register the handler of an action type, which runs on the event loop's thread."""
         self._process.gateway_io.handlers[kind] = handler
 
     def emit(self, event: PeerMessage) -> None:
-        """Hand an event to the core, from any thread."""
-        self._process.tell_soon(event)
+        """Emit an event to the core from any thread."""
+        self._process.emit_soon(event)
 
 
 def _stamp(path: Path) -> tuple[int, int]:
