--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -1,7 +1,7 @@
 """The numbered events of the log; docs/EVENTS.md is generated from here.
 
-Numbers are never reused.  The core asks for an event with ``actions.Log``; the edges write theirs
-through ``process.logs``.
+Numbers are never reused.  The core logs an event by returning ``actions.Log``; the I/O layer writes
+to ``process.logs`` directly.
 """
 
 import enum
@@ -48,40 +48,40 @@
 
 
 DESCRIPTIONS: Final[dict[LogEvent, str]] = {
-    LogEvent.ENTRY_STARTED: "An entry process listens and begins to read its configuration.",
-    LogEvent.ENTRY_STALE: "The configuration was not confirmed for long; work may be refused.",
-    LogEvent.ENTRY_FRESH: "The configuration is confirmed again; work is taken.",
-    LogEvent.DRAIN_BEGAN: "A planned stop began; no new work is taken.",
-    LogEvent.ENTRY_CLOSED: "The entry closed its listeners and ends.",
-    LogEvent.CERTIFICATE_RELOADED: "A changed certificate file is in use for new connections.",
-    LogEvent.CERTIFICATE_REJECTED: "A changed certificate file can't be used; the old one stays.",
-    LogEvent.SETTINGS_RELOADED: "Changed settings were read; their bounds are in force.",
-    LogEvent.SETTINGS_REJECTED: "Changed settings can't be used; those before stay in force.",
-    LogEvent.REVISION_IN_FORCE: "A revision of the configuration is in force on this entry.",
-    LogEvent.REQUEST_FINISHED: "A request ended; its outcome says how.",
-    LogEvent.REQUEST_REFUSED: "A caller got a final refusal or error.",
-    LogEvent.ATTEMPT_FAILED: "An attempt at a target ended without a whole answer.",
-    LogEvent.CLAIM_SETTLED: "The claim of an idempotency key was answered; ours: the call may run.",
-    LogEvent.ANSWER_KEPT: "A repeat was answered from the kept outcome of the first run.",
-    LogEvent.CALL_PLACED: "A call is sent to a target; what the choice was made on.",
-    LogEvent.SEND_REFUSED: "A target says that it did not run a request; -1: weights not told.",
-    LogEvent.TARGET_LEAVING: "A target is going away and gets no new work.",
-    LogEvent.TARGET_EJECTED: "A target failed repeatedly and is out for a time.",
-    LogEvent.SWAP_ORDERED: "A runner without work was ordered to load a weight version.",
-    LogEvent.SWAP_VERIFIED: "A runner's own answer shows the ordered weight version.",
-    LogEvent.PIECES_LOST: "A holder of pieces of cache is gone or lost them.",
-    LogEvent.WEIGHTS_NAMED: "A newer weight version of a model is to be loaded by its runners.",
-    LogEvent.SWAP_ANSWERED: "A runner answered an order; -1 stands for no answer.",
-    LogEvent.PARTS_FREED: "A store is told to free parts that no current weights have made.",
-    LogEvent.TARGET_JOINED: "A target has registered, or one that had lapsed is back.",
-    LogEvent.MEMBER_JOINED: "Other entries have registered; the first of them by name.",
-    LogEvent.PLATFORM_LOST: "A call to the platform's object API failed.",
-    LogEvent.PLATFORM_BACK: "The platform's object API answers again.",
-    LogEvent.LEASE_TAKEN: "This entry holds a duty's lease.",
-    LogEvent.LEASE_LOST: "This entry no longer holds a duty's lease.",
-    LogEvent.VIEW_RELAYED: "Another entry's word is recent enough; this one follows no objects.",
-    LogEvent.VIEW_DIRECT: "No entry's word is recent enough; this one reads the object API itself.",
-    LogEvent.RELAY_CHANGED: "Another entry is asked from now on; the one before was passed over.",
+    LogEvent.ENTRY_STARTED: "The entry listens and starts to read its configuration.",
+    LogEvent.ENTRY_STALE: "The configuration was not confirmed recently; calls may be rejected.",
+    LogEvent.ENTRY_FRESH: "The configuration is confirmed again; the entry is ready.",
+    LogEvent.DRAIN_BEGAN: "The entry started to drain and will stop admitting calls.",
+    LogEvent.ENTRY_CLOSED: "The entry closed its listeners and exits.",
+    LogEvent.CERTIFICATE_RELOADED: "A changed certificate file is used for new connections.",
+    LogEvent.CERTIFICATE_REJECTED: "A changed certificate file is invalid; the old one stays.",
+    LogEvent.SETTINGS_RELOADED: "Changed settings were loaded; their bounds now apply.",
+    LogEvent.SETTINGS_REJECTED: "Changed settings are invalid; the previous ones still apply.",
+    LogEvent.REVISION_IN_FORCE: "A new revision of the configuration now applies on this entry.",
+    LogEvent.REQUEST_FINISHED: "A request ended with the outcome in the line.",
+    LogEvent.REQUEST_REFUSED: "A caller received a final rejection or error.",
+    LogEvent.ATTEMPT_FAILED: "An attempt at a target ended without a complete response.",
+    LogEvent.CLAIM_SETTLED: "An idempotency key's claim was resolved; ours: the call may run.",
+    LogEvent.ANSWER_KEPT: "A retry with an idempotency key got the stored response.",
+    LogEvent.CALL_PLACED: "A call is sent to a target; the line has the inputs of that choice.",
+    LogEvent.SEND_REFUSED: "A target did not run a request; -1: it did not report its weights.",
+    LogEvent.TARGET_LEAVING: "A target is leaving, for the given state, and gets no new calls.",
+    LogEvent.TARGET_EJECTED: "A target failed repeatedly and is ejected for a time.",
+    LogEvent.SWAP_ORDERED: "A runner was ordered to load a weight version.",
+    LogEvent.SWAP_VERIFIED: "A runner's report shows a newer weight version.",
+    LogEvent.PIECES_LOST: "A holder of cache blocks restarted and lost them.",
+    LogEvent.WEIGHTS_NAMED: "A newer weight version of a model was named for its runners.",
+    LogEvent.SWAP_ANSWERED: "A runner responded to an order; -1: no response.",
+    LogEvent.PARTS_FREED: "A cache store is requested to free blocks of replaced weights.",
+    LogEvent.TARGET_JOINED: "A target registered, possibly again after its registration lapsed.",
+    LogEvent.MEMBER_JOINED: "Peers registered; the line lists the first ones by name.",
+    LogEvent.PLATFORM_LOST: "A call to the platform's object store failed.",
+    LogEvent.PLATFORM_BACK: "The platform's object store responds again.",
+    LogEvent.LEASE_TAKEN: "This entry took the roll-out lease.",
+    LogEvent.LEASE_LOST: "This entry no longer holds the roll-out lease.",
+    LogEvent.VIEW_RELAYED: "Updates of relays are recent; watches of the object store stop.",
+    LogEvent.VIEW_DIRECT: "Updates of relays are too old; this entry reads the object store.",
+    LogEvent.RELAY_CHANGED: "Another relay is polled from now on; the previous one was skipped.",
 }
 
 
--- a/filbertstream/log_explain.py
+++ b/filbertstream/log_explain.py
@@ -1,8 +1,8 @@
-"""Tells from logs alone how a request went: its own lines, and what the entry believed by then.
+"""Explains a request from log files: its own lines and the state observed by its entry.
 
-Lines of several entries may be mixed and each may have a prefix before its JSON, as log collectors
-add one.  For every entry that wrote of the request, the last line of each kind of belief before the
-request's end is shown: configuration, readiness, the store, and its targets.
+Lines of several entries may be mixed, and each may have a prefix before its JSON, as log collectors
+add one.  For every entry that logged the request, the last line of each kind of state event before
+the request's end is shown: configuration, readiness, object store, and the request's targets.
 """
 
 from collections.abc import Iterable
@@ -13,7 +13,7 @@
 
 from filbertstream.log_events import DESCRIPTIONS, LogEvent
 
-BELIEFS: Final = frozenset(
+STATE_EVENTS: Final = frozenset(
     {
         LogEvent.ENTRY_STARTED,
         LogEvent.ENTRY_FRESH,
@@ -27,7 +27,7 @@
         LogEvent.LEASE_LOST,
     }
 )
-"""Events that change what an entry believes, whatever the request."""
+"""Events that change the state observed by an entry, independent of requests."""
 
 TARGET_EVENTS: Final = frozenset(
     {
@@ -38,15 +38,15 @@
         LogEvent.SWAP_VERIFIED,
     }
 )
-"""Events about one target, shown where the request was sent there."""
+"""Events about one target, shown if the request was sent to that target."""
 
 Line = dict[str, Any]
 
-HEAD_FIELDS: Final = frozenset({"number", "event", "time", "entry", "level", "request_id"})
+COMMON_FIELDS: Final = frozenset({"number", "event", "time", "entry", "level", "request_id"})
 
 
 def read_lines(files: Iterable[Path]) -> list[Line]:
-    """Return the log lines of files in the order of their times; other text is passed over."""
+    """Return the log lines of files in the order of their times; other text is ignored."""
     found: list[Line] = []
     for file in files:
         for text in file.read_text(errors="replace").splitlines():
@@ -63,27 +63,31 @@
 
 
 def explain_lines(lines: list[Line], request_id: str) -> list[str]:
-    """Return the story of a request, or nothing where no line names it."""
-    own = [line for line in lines if line.get("request_id") == request_id]
-    if not own:
+    """Return the lines that explain a request, or none if no line mentions it."""
+    request_lines = [line for line in lines if line.get("request_id") == request_id]
+    if not request_lines:
         return []
-    told = []
-    for entry in dict.fromkeys(str(line.get("entry")) for line in own):
-        mine = [line for line in own if str(line.get("entry")) == entry]
-        targets = {str(line["target"]) for line in mine if "target" in line}
-        told.append(f"entry {entry}")
-        told += [f"  before  {_text(line)}" for line in _beliefs(lines, entry, targets, mine)]
-        told += [f"  request {_text(line)}" for line in mine]
-    return told
-
-
-def _beliefs(lines: list[Line], entry: str, targets: set[str], own: list[Line]) -> list[Line]:
-    """Return the last line of each kind of belief that the entry held by the request's end."""
+    output = []
+    for entry in dict.fromkeys(str(line.get("entry")) for line in request_lines):
+        entry_lines = [line for line in request_lines if str(line.get("entry")) == entry]
+        targets = {str(line["target"]) for line in entry_lines if "target" in line}
+        output.append(f"entry {entry}")
+        output += [
+            f"  before  {_text(line)}" for line in _state_lines(lines, entry, targets, entry_lines)
+        ]
+        output += [f"  request {_text(line)}" for line in entry_lines]
+    return output
+
+
+def _state_lines(
+    lines: list[Line], entry: str, targets: set[str], request_lines: list[Line]
+) -> list[Line]:
+    """Return the last line of each kind of state event before the end of the request."""
     latest: dict[tuple[Any, ...], Line] = {}
     for line in lines:
-        if line.get("entry") != entry or str(line["time"]) > str(own[-1]["time"]):
+        if line.get("entry") != entry or str(line["time"]) > str(request_lines[-1]["time"]):
             continue
-        if line["number"] in BELIEFS:
+        if line["number"] in STATE_EVENTS:
             latest[line["number"], line.get("kind")] = line
         elif line["number"] in TARGET_EVENTS and str(line.get("target")) in targets:
             latest[line["number"], line["target"]] = line
@@ -91,6 +95,6 @@
 
 
 def _text(line: Line) -> str:
-    fields = " ".join(f"{key}={value}" for key, value in line.items() if key not in HEAD_FIELDS)
-    meaning = DESCRIPTIONS.get(line["number"], "")
-    return f"{line['time']} {line['event']} {fields}  ({meaning})"
+    fields = " ".join(f"{key}={value}" for key, value in line.items() if key not in COMMON_FIELDS)
+    description = DESCRIPTIONS.get(line["number"], "")
+    return f"{line['time']} {line['event']} {fields}  ({description})"
--- a/filbertstream/texts.py
+++ b/filbertstream/texts.py
@@ -1,38 +1,38 @@
-"""The messages that callers and operators read, gathered in one place.
+"""The messages that callers and operators read.
 
-``TITLES`` gives each code of a refusal its title (RFC 9457 problem documents).
+``TITLES`` maps the code of a rejection to the title of its problem document (RFC 9457).
 """
 
 from typing import Final
 
 TITLES: Final[dict[str, str]] = {
-    "bad_request": "The request can't be read.",
-    "malformed_answer": "The target's answer can't be read.",
+    "bad_request": "The request is malformed.",
+    "malformed_answer": "The target's response is malformed.",
     "unauthorized": "The bearer key is missing or unknown.",
     "unknown_key": "The bearer key is missing or unknown.",
     "not_permitted": "The workspace's template doesn't permit this.",
     "not_found": "There is no such path, model or service.",
     "no_route": "There is no such path, model or service.",
     "key_required": "This call is not idempotent: send an Idempotency-Key.",
-    "key_conflict": "The Idempotency-Key was used for another body.",
+    "key_conflict": "The Idempotency-Key was used with a different body.",
     "key_running": "A request with this Idempotency-Key has not ended yet.",
-    "outcome_unknown": "A request with this key may have run; its answer is lost.",
-    "answer_not_kept": "A request with this key has run; its answer was too large.",
+    "outcome_unknown": "A request with this key may have run; its response is lost.",
+    "answer_not_kept": "A request with this key has run; its response was too large to store.",
     "too_large": "The body or prompt is larger than permitted.",
-    "concurrency": "The workspace has its limit of requests running.",
-    "rate": "The workspace is over its rate of requests.",
+    "concurrency": "The workspace has reached its limit of concurrent requests.",
+    "rate": "The workspace has exceeded its request rate.",
     "starting": "This entry is not ready yet.",
-    "stale": "This entry can't confirm its configuration.",
+    "stale": "This entry can't confirm that its configuration is current.",
     "stopping": "This entry is stopping.",
     "no_service": "The service has no targets yet.",
     "no_target": "No target can take the request now.",
-    "targets_full": "The targets are full.",
-    "overloaded": "The runners have more work than they can do in time.",
-    "claims_unavailable": "The claim can't be made durable now.",
-    "deadline": "The request was not answered within its deadline.",
-    "target_failed": "The target failed and the request can't be repeated.",
+    "targets_full": "The targets have no capacity left.",
+    "overloaded": "The runners can't serve the request in time; load is being shed.",
+    "claims_unavailable": "The Idempotency-Key can't be claimed durably now.",
+    "deadline": "The request exceeded its deadline.",
+    "target_failed": "The target failed and the request can't be retried.",
     "unavailable": "The platform can't be reached now.",
 }
 
 DEFAULT_TITLE_CODE: Final = "target_failed"
-"""Causes of broken sends have no title of their own: to a caller they are all alike."""
+"""The title of codes without one of their own, such as the causes of failed sends."""
