Reword the command line and the other top modules in plain terms

Cause: help texts, messages and doc comments were figurative or private to the project. Change: texts and inner names.

--- a/filbertstream/__main__.py
+++ b/filbertstream/__main__.py
@@ -1,4 +1,4 @@
-"""Lets ``python -m filbertstream`` stand for the ``filbertstream`` command of ``cli``."""
+"""Runs the ``filbertstream`` command of ``cli`` for ``python -m filbertstream``."""
 
 from filbertstream.cli import app
 
--- a/filbertstream/actions.py
+++ b/filbertstream/actions.py
@@ -1,4 +1,4 @@
-"""Actions that every part of the core may ask for: plain data, carried out by the edges."""
+"""Actions that any module of the core may return: plain data, carried out by the I/O layer."""
 
 from typing import NamedTuple
 
@@ -6,14 +6,14 @@
 
 
 class SendPeer(NamedTuple):
-    """Send a message to another entry, without waiting for an answer."""
+    """Send a message to a peer, without waiting for a response."""
 
     address: str
     payload: PeerPayload
 
 
 class Log(NamedTuple):
-    """Write a numbered event of ``log_events``; ``fields`` are its key and value pairs."""
+    """Log a numbered event of ``log_events`` with ``fields``, its key and value pairs."""
 
     number: int
     fields: tuple[tuple[str, str | int | float], ...]
--- a/filbertstream/burn_report.py
+++ b/filbertstream/burn_report.py
@@ -1,4 +1,4 @@
-"""The service-level burn report as a table, as rows for JSON, and as a picture."""
+"""Formats the error-budget burn report as a table, as rows for JSON, and as a chart."""
 
 from pathlib import Path
 from typing import Any
@@ -12,10 +12,10 @@
 
 
 def table(rows: list[BurnRow]) -> str:
-    """Return the report as a table; a burn above 1 uses the allowance up too fast."""
+    """Return the report as a text table; a burn rate above 1 exhausts the error budget early."""
     windows = "".join(f"{'burn ' + name:>10}" for name in WINDOWS_S)
-    head = f"{'workspace':<24}{'requests':>9}{'missed':>8}{'p50 s':>8}{'p95 s':>8}{windows}"
-    lines = [head]
+    header = f"{'workspace':<24}{'requests':>9}{'missed':>8}{'p50 s':>8}{'p95 s':>8}{windows}"
+    lines = [header]
     for row in rows:
         burns = "".join(f"{row.burn[name]:>10.2f}" for name in WINDOWS_S)
         lines.append(
@@ -26,8 +26,8 @@
 
 
 def draw(rows: list[BurnRow], path: Path) -> None:
-    """Write a picture with a group of bars for each workspace."""
-    # Imported here: drawing needs the dev extra, printing must not.
+    """Write a bar chart with one group of bars for each workspace."""
+    # Imported here because only charts need the dev extra, and tables must work without it.
     import matplotlib
 
     matplotlib.use("Agg")
@@ -36,8 +36,8 @@
     figure, axes = pyplot.subplots(figsize=(8, 4))
     width = 0.8 / len(WINDOWS_S)
     for index, name in enumerate(WINDOWS_S):
-        places = [place + index * width for place in range(len(rows))]
-        axes.bar(places, [row.burn[name] for row in rows], width, label=name)
+        positions = [position + index * width for position in range(len(rows))]
+        axes.bar(positions, [row.burn[name] for row in rows], width, label=name)
     axes.axhline(1.0, color="black", linewidth=0.8)
     axes.set_xticks(range(len(rows)), [row.workspace for row in rows], rotation=20, ha="right")
     axes.set_ylabel("burn rate")
--- a/filbertstream/checks.py
+++ b/filbertstream/checks.py
@@ -1,6 +1,6 @@
-"""Turns pydantic's errors over YAML data into mistakes that name file, line, key and the remedy.
+"""Converts validation errors of pydantic into errors with file, line, key and expected value.
 
-Both ``process.settings`` and ``version.documents`` check what operators write through this module.
+``process.settings`` and ``version.documents`` use this module to validate operators' files.
 """
 
 from typing import TYPE_CHECKING, NamedTuple
@@ -8,12 +8,12 @@
 import yaml
 
 if TYPE_CHECKING:
-    # The platform's settings are checked without pydantic, whose import takes longer than the rest.
+    # Entries on the platform don't use pydantic, whose import takes longer than the rest.
     from pydantic import ValidationError
 
 
 class Mistake(NamedTuple):
-    """One mistake in a file: the place, the key, and what would be right there."""
+    """An error in a file: its location, the key, and the expected value (``right``)."""
 
     file: str
     line: int
@@ -21,17 +21,17 @@
     right: str
 
     def with_location(self, file: str, node: yaml.Node) -> "Mistake":
-        """Return the same mistake with its file and the line that ``key`` has under ``node``."""
+        """Return this error with its file and the line of ``key`` below ``node``."""
         return self._replace(file=file, line=line_of(node, self.key))
 
     def __str__(self) -> str:
-        """Return the one-line form that the command line prints."""
+        """Return the line that the command line prints."""
         key = f" {self.key}:" if self.key else ""
         return f"{self.file}:{self.line}:{key} expected {self.right}"
 
 
 def line_of(node: yaml.Node, key: str) -> int:
-    """Return the line, counted from 1, of the dotted ``key`` or of its nearest parent."""
+    """Return the 1-based line of the dotted ``key``, or of its nearest existing parent."""
     line = node.start_mark.line + 1
     for part in filter(None, key.split(".")):
         child = _child(node, part)
@@ -42,7 +42,7 @@
 
 
 def _child(node: yaml.Node, part: str) -> tuple[int, yaml.Node] | None:
-    """Return line and value of one step down, or None where the step doesn't exist."""
+    """Return the line and value of a child node, or None if it doesn't exist."""
     if isinstance(node, yaml.MappingNode):
         for key_node, value_node in node.value:
             if key_node.value == part:
@@ -54,17 +54,17 @@
 
 
 def collect_errors(exc: "ValidationError", file: str, node: yaml.Node | None) -> list[Mistake]:
-    """Return every mistake of a failed check, in the order of the fields."""
-    mistakes = []
+    """Return every error of a failed validation, in the order of the fields."""
+    errors = []
     for error in exc.errors():
         key = ".".join(str(part) for part in error["loc"])
-        mistake = Mistake(file, 0, key, _remedy(error["type"], error["msg"]))
-        mistakes.append(mistake if node is None else mistake.with_location(file, node))
-    return mistakes
+        config_error = Mistake(file, 0, key, _expected_value(error["type"], error["msg"]))
+        errors.append(config_error if node is None else config_error.with_location(file, node))
+    return errors
 
 
-def _remedy(kind: str, message: str) -> str:
-    """Return what would be right, for an error kind and message of pydantic."""
+def _expected_value(kind: str, message: str) -> str:
+    """Return the expected value for an error type and message of pydantic."""
     if kind in ("unexpected_keyword_argument", "extra_forbidden"):
         return "no such key"
     if kind.startswith("missing"):
--- a/filbertstream/cli.py
+++ b/filbertstream/cli.py
@@ -1,11 +1,11 @@
-"""The command line, by typer: thin commands over ``gateway_process`` and ``operator_client``.
+"""The command line, built with typer on ``gateway_process`` and ``operator_client``.
 
-Commands import what only they need, since an entry on the platform that was killed serves again
-only once its imports are done.
+Modules that only one command needs are imported in that command, since an entry that was killed
+serves again only after its imports.
 
-Exit codes: 0 done, 1 refused or not found, 2 wrong usage or settings, 3 no entry or no store could
-be reached, 4 a change that may still be written, 5 lost to another change, 70 a broken invariant,
-71 an address that is taken.
+Exit codes: 0 success, 1 rejected or not found, 2 invalid usage or settings, 3 no entry or no object
+store reachable, 4 a change with an unknown outcome, 5 a conflict with another change, 70 a violated
+invariant, 71 an address in use.
 """
 
 from enum import StrEnum
@@ -38,7 +38,7 @@
     "unsettled": EXIT_UNSETTLED,
     "unavailable": EXIT_UNREACHABLE,
 }
-"""By the state of a change that was not accepted."""
+"""Exit codes by the ``state`` of a change that was not applied."""
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help="Serve prompts that return.")
 report_app = typer.Typer(no_args_is_help=True, help="Reports over all entries.")
@@ -46,7 +46,7 @@
 
 
 class Output(StrEnum):
-    """How to print."""
+    """Output formats."""
 
     text = "text"
     json = "json"
@@ -60,7 +60,8 @@
     str, typer.Option("--key", envvar="FILBERTSTREAM_OPERATOR_KEY", help="The operator's key.")
 ]
 CaOption = Annotated[
-    Path | None, typer.Option("--ca", envvar="FILBERTSTREAM_CA", help="Authority for TLS.")
+    Path | None,
+    typer.Option("--ca", envvar="FILBERTSTREAM_CA", help="CA file that verifies entries."),
 ]
 OutputOption = Annotated[Output, typer.Option("--output", help="text or json")]
 
@@ -75,8 +76,8 @@
     raise typer.Exit(code)
 
 
-def _fail_mistakes(mistakes: list[Mistake]) -> NoReturn:
-    _fail("\n".join(str(mistake) for mistake in mistakes), EXIT_USAGE)
+def _fail_errors(errors: list[Mistake]) -> NoReturn:
+    _fail("\n".join(str(error) for error in errors), EXIT_USAGE)
 
 
 def _print(value: Any, output: Output) -> None:
@@ -94,8 +95,8 @@
             _fail(reason, EXIT_UNREACHABLE)
 
 
-def _checked(reply: Reply) -> Any:
-    """Return an answer's body, or end with what the entry refused."""
+def _body_or_exit(reply: Reply) -> Any:
+    """Return the body of a response, or exit with the entry's error."""
     if reply.status != 200:
         _fail(f"{reply.body.get('title', '')} {reply.body.get('detail', '')}".strip(), EXIT_REFUSED)
     return reply.body
@@ -103,22 +104,22 @@
 
 def _run(process: GatewayProcess) -> None:
     try:
-        whole = process.run()
+        succeeded = process.run()
     except OSError as exc:
         _fail(f"cannot listen: {exc}", EXIT_NO_ADDRESS)
-    if not whole:
-        _fail("a broken invariant; see the log", EXIT_BROKEN)
+    if not succeeded:
+        _fail("an invariant was violated; see the log", EXIT_BROKEN)
 
 
 @app.command()
 def entry(config: Annotated[Path, typer.Option("--config", help="Settings file.")]) -> None:
-    """Run one entry until SIGTERM, SIGINT or a planned stop; all end requests first."""
+    """Run one entry until SIGTERM, SIGINT or a drain; running requests end first."""
     from filbertstream.process.settings import deployment_of, read_settings
     from filbertstream.product import ProductSetup
 
     match read_settings(config):
-        case Err(mistakes):
-            _fail_mistakes(mistakes)
+        case Err(errors):
+            _fail_errors(errors)
         case Ok(settings):
             _run(GatewayProcess(deployment_of(settings), config, ProductSetup(settings)))
 
@@ -131,8 +132,8 @@
 ) -> None:
     """Run one entry on the users' platform until SIGTERM or SIGINT."""
     match read_settings_file(settings):
-        case Err(mistakes):
-            _fail_mistakes(mistakes)
+        case Err(errors):
+            _fail_errors(errors)
         case Ok(deployment):
             _run(GatewayProcess(deployment, settings))
 
@@ -140,10 +141,12 @@
 @app.command()
 def check(
     file: Path,
-    files: Annotated[bool, typer.Option(help="Also look for the files that it names.")] = True,
+    files: Annotated[
+        bool, typer.Option(help="Also check that the files it refers to exist.")
+    ] = True,
     output: OutputOption = Output.text,
 ) -> None:
-    """Check a settings file or a file of documents, and name every mistake."""
+    """Validate a settings file or a file of documents, and print every error."""
     from filbertstream.process.settings import read_settings
     from filbertstream.version.documents import parse_yaml
 
@@ -153,22 +156,22 @@
     match result:
         case Ok(_):
             _print({"file": str(file), "mistakes": []}, output)
-        case Err(mistakes):
+        case Err(errors):
             if output is Output.json:
-                typer.echo(msgspec.json.encode([item._asdict() for item in mistakes]).decode())
+                typer.echo(msgspec.json.encode([item._asdict() for item in errors]).decode())
                 raise typer.Exit(EXIT_USAGE)
-            _fail_mistakes(mistakes)
+            _fail_errors(errors)
 
 
 @app.command()
 def digest(key: str) -> None:
-    """Print the digest under which a bearer key is listed."""
+    """Print the digest of a bearer key, as listed in documents."""
     typer.echo(digest_key(key))
 
 
 @app.command(name="fleet-key")
 def fleet_key() -> None:
-    """Print a new secret key for the links between entries, for ``peers.key_file``."""
+    """Generate and print a secret key for the links between entries, for ``peers.key_file``."""
     typer.echo(zmq.curve_keypair()[1].decode())
 
 
@@ -177,17 +180,19 @@
     file: Annotated[Path, typer.Option("-f", "--file", help="YAML documents.")],
     entries: EntryOption,
     key: KeyOption,
-    base: Annotated[int | None, typer.Option(help="Only if this revision is in force.")] = None,
-    dry_run: Annotated[bool, typer.Option(help="Only say what would change.")] = False,
+    base: Annotated[
+        int | None, typer.Option(help="Apply only if this is the current revision.")
+    ] = None,
+    dry_run: Annotated[bool, typer.Option(help="Only print what would change.")] = False,
     ca: CaOption = None,
     output: OutputOption = Output.text,
 ) -> None:
-    """Say what changes and write the documents; entries have them in force within the bound."""
+    """Print the differences and write the documents; entries apply them within the bound."""
     from filbertstream.version.documents import encode_changes, parse_yaml
 
     match parse_yaml(file.read_text(), str(file)):
-        case Err(mistakes):
-            _fail_mistakes(mistakes)
+        case Err(errors):
+            _fail_errors(errors)
         case Ok(changes):
             pass
     client = _client(entries, key, ca)
@@ -198,21 +203,23 @@
     if dry_run or not lines:
         _print({"state": "unchanged" if not lines else "dry run", "revision": revision}, output)
         return
-    on = revision if base is None else base
-    _print_applied(_reply(client, "POST", "/v1/apply", {"changes": plain, "base": on}), output)
+    base_revision = revision if base is None else base
+    _print_applied(
+        _reply(client, "POST", "/v1/apply", {"changes": plain, "base": base_revision}), output
+    )
 
 
 def _print_applied(reply: Reply, output: Output) -> None:
-    """Print how a change ended, and end with its exit code."""
+    """Print the outcome of a change, and exit with its code if it was not applied."""
     _print(reply.body, output)
     if reply.status != 200:
         raise typer.Exit(EXIT_CODES.get(reply.body.get("state", ""), EXIT_REFUSED))
 
 
 def _differences(client: OperatorClient, changes: list[dict[str, Any]]) -> tuple[list[str], int]:
-    """Return a line for each document that would change, and the revision compared with."""
+    """Return a line for each document that would change, and the current revision."""
     lines = []
-    revision = int(_checked(_reply(client, "GET", "/v1/documents"))["revision"])
+    revision = int(_body_or_exit(_reply(client, "GET", "/v1/documents"))["revision"])
     for change in changes:
         kind = change.get("of", change["kind"])
         reply = _reply(client, "GET", f"/v1/documents/{kind}/{change['name']}")
@@ -238,9 +245,9 @@
     ca: CaOption = None,
     output: OutputOption = Output.text,
 ) -> None:
-    """Print one document in force."""
+    """Print one document of the current revision."""
     client = _client(entries, key, ca)
-    _print(_checked(_reply(client, "GET", f"/v1/documents/{kind}/{name}"))["document"], output)
+    _print(_body_or_exit(_reply(client, "GET", f"/v1/documents/{kind}/{name}"))["document"], output)
 
 
 @app.command(name="list")
@@ -250,8 +257,8 @@
     ca: CaOption = None,
     output: OutputOption = Output.text,
 ) -> None:
-    """Print the revision in force and the names of its documents."""
-    _print(_checked(_reply(_client(entries, key, ca), "GET", "/v1/documents")), output)
+    """Print the current revision and the names of its documents."""
+    _print(_body_or_exit(_reply(_client(entries, key, ca), "GET", "/v1/documents")), output)
 
 
 @app.command()
@@ -261,7 +268,7 @@
     ca: CaOption = None,
     output: OutputOption = Output.text,
 ) -> None:
-    """Print the state of every named entry."""
+    """Print the status of every given entry."""
     states: dict[str, Any] = {}
     failed = False
     for url, result in _client(entries, key, ca).each("GET", "/v1/status"):
@@ -282,11 +289,11 @@
     name: str,
     entries: EntryOption,
     key: KeyOption,
-    end: Annotated[bool, typer.Option("--end", help="End a target's planned stop.")] = False,
+    end: Annotated[bool, typer.Option("--end", help="Return a drained target to service.")] = False,
     ca: CaOption = None,
     output: OutputOption = Output.text,
 ) -> None:
-    """Make a planned stop of an entry or of a target: it gets no new work and ends what runs."""
+    """Drain an entry or a target: it gets no new work and completes running requests."""
     change = {"kind": "drain", "name": name}
     if end:
         change = {"kind": "removal", "of": "drain", "name": name}
@@ -302,7 +309,7 @@
     ca: CaOption = None,
     output: OutputOption = Output.text,
 ) -> None:
-    """Print why a request went where it went, from the entry that served it."""
+    """Print the routing decisions of a request, from the entry that served it."""
     for _, result in _client(entries, key, ca).each("GET", f"/v1/explain/{request_id}"):
         match result:
             case Ok(reply) if reply.status == 200:
@@ -310,7 +317,7 @@
                 return
             case _:
                 continue
-    _fail(f"no named entry remembers {request_id}", EXIT_REFUSED)
+    _fail(f"no given entry has a record of request {request_id}", EXIT_REFUSED)
 
 
 @app.command(name="explain-log")
@@ -318,11 +325,11 @@
     request_id: str,
     files: Annotated[list[Path], typer.Argument(exists=True, help="Log files of entries.")],
 ) -> None:
-    """Print how a request went and what its entry believed, from log files alone."""
-    told = explain_lines(read_lines(files), request_id)
-    if not told:
-        _fail(f"no line names request {request_id}", EXIT_REFUSED)
-    for line in told:
+    """Print the events of a request and the state that its entry had observed, from log files."""
+    output_lines = explain_lines(read_lines(files), request_id)
+    if not output_lines:
+        _fail(f"no log line mentions request {request_id}", EXIT_REFUSED)
+    for line in output_lines:
         typer.echo(line)
 
 
@@ -332,9 +339,11 @@
     key: KeyOption,
     ca: CaOption = None,
     output: OutputOption = Output.text,
-    picture: Annotated[Path | None, typer.Option(help="Also write a PNG here.")] = None,
+    picture: Annotated[
+        Path | None, typer.Option(help="Also write a chart to this PNG file.")
+    ] = None,
 ) -> None:
-    """Print how fast each workspace uses up its allowed misses, merged over the entries."""
+    """Print the error-budget burn rates of each workspace, merged over the entries."""
     from filbertstream.burn_report import as_rows, draw, table
     from filbertstream.process.burn import merge
 
@@ -342,9 +351,9 @@
     for url, result in _client(entries, key, ca).each("GET", "/v1/burn"):
         match result:
             case Ok(reply):
-                reports.append(_checked(reply))
+                reports.append(_body_or_exit(reply))
             case Err(reason):
-                typer.echo(f"not counted: {url}: {reason}", err=True)
+                typer.echo(f"not included: {url}: {reason}", err=True)
     if not reports:
         _fail("no entry could be reached", EXIT_UNREACHABLE)
     rows = merge(reports)
--- a/filbertstream/names.py
+++ b/filbertstream/names.py
@@ -1,4 +1,4 @@
-"""Digests and rendezvous ranks, all by BLAKE2b of the standard library."""
+"""Digests and rendezvous-hashing ranks, all based on BLAKE2b of the standard library."""
 
 import hashlib
 from typing import Final
@@ -10,7 +10,10 @@
 
 
 def digest_text(*parts: str) -> str:
-    """Return a hexadecimal digest of parts; no two different sequences of parts collide."""
+    """Return the hexadecimal digest of a sequence of strings.
+
+    Lengths are included, so different sequences don't collide by concatenating to equal text.
+    """
     state = hashlib.blake2b(digest_size=DIGEST_BYTES)
     for part in parts:
         data = part.encode()
@@ -25,11 +28,11 @@
 
 
 def digest_key(bearer: str) -> str:
-    """Return the digest under which the configuration lists a bearer key."""
+    """Return the digest by which the configuration identifies a bearer key."""
     return digest_text("bearer-key", bearer)
 
 
 def rank(member: str, subject: str) -> int:
-    """Return the rendezvous rank of a member for a subject; the highest rank owns it."""
+    """Return the rendezvous-hashing rank of a member; the highest rank owns the subject."""
     data = member.encode() + SEPARATOR + subject.encode()
     return int.from_bytes(hashlib.blake2b(data, digest_size=RANK_BYTES).digest(), "big")
--- a/filbertstream/operator_client.py
+++ b/filbertstream/operator_client.py
@@ -1,4 +1,4 @@
-"""The command line's calls to the operators' API of one or more entries."""
+"""The client of the operators' API, used by the command line."""
 
 from typing import Any, Final, NamedTuple
 
@@ -9,32 +9,32 @@
 
 from filbertstream.statuses import BAD_GATEWAY
 
-CONNECT_S: Final = 2.0
-READ_S: Final = 90.0
+CONNECT_TIMEOUT_S: Final = 2.0
+READ_TIMEOUT_S: Final = 90.0
 
 
 class Reply(NamedTuple):
-    """Status and decoded body of an answer."""
+    """The status and decoded body of a response."""
 
     status: int
     body: Any
 
 
 class OperatorClient:
-    """Talks to entries with an operator's key."""
+    """Calls the operators' API of entries with an operator's key."""
 
     def __init__(self, entries: tuple[str, ...], key: str, ca_file: str | None) -> None:
         self._entries = entries
         self._headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
         self._pool = urllib3.PoolManager(
             retries=False,
-            timeout=urllib3.Timeout(connect=CONNECT_S, read=READ_S),
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
             ca_certs=ca_file,
         )
 
     def first(self, method: str, path: str, value: object = None) -> Result[Reply, str]:
-        """Ask the first entry that can be reached; a call that may have arrived isn't repeated."""
-        reason = "no entry was named"
+        """Call the first reachable entry; a call that may have arrived is not retried."""
+        reason = "no entry given"
         for entry in self._entries:
             match self._call(entry, method, path, value):
                 case Ok(reply):
@@ -48,7 +48,7 @@
     def each(
         self, method: str, path: str, value: object = None
     ) -> list[tuple[str, Result[Reply, str]]]:
-        """Ask every entry."""
+        """Call every entry."""
         replies: list[tuple[str, Result[Reply, str]]] = []
         for entry in self._entries:
             match self._call(entry, method, path, value):
@@ -71,7 +71,7 @@
         try:
             return Ok(Reply(resp.status, msgspec.json.decode(resp.data)))
         except msgspec.DecodeError:
-            return Ok(Reply(BAD_GATEWAY, {"title": "an answer that is not JSON"}))
+            return Ok(Reply(BAD_GATEWAY, {"title": "response is not JSON"}))
 
 
 class _CallFailure(NamedTuple):
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -1,7 +1,7 @@
-"""What an entry has beside the core where it serves the product's own interface.
+"""The components that only an entry with the product's ``/v1`` API has.
 
-The callers' port, the operators' port with its documents, and the certificates of both.
-``gateway_process`` starts and closes it.
+These are the callers' API, the operators' API with its documents, and the TLS certificates of both.
+``gateway_process`` starts and closes them.
 """
 
 import asyncio
@@ -35,40 +35,36 @@
 
 
 class ProductSetup:
-    """What the settings of the product's own interface ask of an entry process."""
+    """Provides what an entry process needs from the settings of the ``/v1`` API."""
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self.log_level = settings.log_level
-        self.store_ca = _text(settings.platform.ca_file)
-        self.targets_ca = _text(settings.targets.ca_file)
+        self.store_ca = _path_text(settings.platform.ca_file)
+        self.targets_ca = _path_text(settings.targets.ca_file)
         self._limits = CallerLimits(body_bytes=settings.callers.body_limit_bytes)
 
     def kinds(self, bounds: Bounds) -> tuple[WatchedKind, ...]:
-        """Return how each kind of objects is followed."""
+        """Return the kinds of objects to watch."""
         return product_kinds(bounds, DocumentWatch(self._limits))
 
     def read(self, file: Path) -> Result[Deployment, list[Mistake]]:
-        """Return what a settings file says now."""
+        """Read the settings file again."""
         return read_settings(file).map(deployment_of)
 
     def build(
-        self,
-        core: Gateway,
-        gateway_io: GatewayIO,
-        store: ObjectStore,
-        metrics: Callable[[], bytes],
+        self, core: Gateway, gateway_io: GatewayIO, store: ObjectStore, metrics: Callable[[], bytes]
     ) -> "Product":
-        """Return the parts that belong to the interface."""
+        """Create the components of the ``/v1`` API."""
         return Product(self._settings, self._limits, core, gateway_io, store, metrics)
 
 
-def _text(path: Path | None) -> str | None:
+def _path_text(path: Path | None) -> str | None:
     return None if path is None else str(path)
 
 
 class Product:
-    """The parts that only the product's own interface needs."""
+    """The components of the ``/v1`` API."""
 
     def __init__(
         self,
@@ -104,7 +100,7 @@
 
     @property
     def callers_tls(self) -> ssl.SSLContext | None:
-        """What callers' connections are encrypted with."""
+        """The TLS context of callers' connections, or None without TLS."""
         if self._callers_tls is None:
             return None
         context: ssl.SSLContext = self._callers_tls.adapter.context
@@ -112,28 +108,28 @@
 
     @property
     def peer_key_file(self) -> Path | None:
-        """The file with the key of the links between entries."""
+        """The file with the key that encrypts the links between entries."""
         return self.settings.peers.key_file
 
     def start(self) -> None:
-        """Listen for operators; raises ``OSError`` where the address is taken."""
+        """Listen for operators; raise ``OSError`` if the address is in use."""
         self._queries.start(asyncio.get_running_loop())
-        self._use_authority()
+        self._apply_authority()
         self._operators.start()
 
     def close(self) -> None:
         """Stop listening for operators."""
         self._operators.close()
 
-    def _use_authority(self) -> None:
+    def _apply_authority(self) -> None:
         self._gateway_io.pool.tls = None if self._authority is None else self._authority.context
 
     def reload(self) -> list[bool]:
-        """Read changed certificate files; return for each of them whether it could be used."""
+        """Reload changed certificate files; return for each one whether it was accepted."""
         outcomes = [
-            part.reload()
-            for part in (self._callers_tls, self._operators.certificates, self._authority)
-            if part is not None
+            certificate.reload()
+            for certificate in (self._callers_tls, self._operators.certificates, self._authority)
+            if certificate is not None
         ]
-        self._use_authority()
+        self._apply_authority()
         return [outcome for outcome in outcomes if outcome is not None]
--- a/filbertstream/statuses.py
+++ b/filbertstream/statuses.py
@@ -1,4 +1,4 @@
-"""The HTTP statuses that this system reads or gives, one constant each, with their reasons."""
+"""The HTTP statuses that this system uses, and their reason phrases."""
 
 from typing import Final
 
--- a/filbertstream/units.py
+++ b/filbertstream/units.py
@@ -1,6 +1,6 @@
-"""Named constants with their units that more than one module relies on.
+"""Named constants that several modules use.
 
-Constants that concern a single module stand at the top of that module instead.
+Constants of a single module are defined at the top of that module instead.
 """
 
 from typing import Final
@@ -8,4 +8,4 @@
 BYTES_PER_TOKEN: Final = 4
 BLOCK_TOKENS: Final = 2_000
 BLOCK_BYTES: Final = BLOCK_TOKENS * BYTES_PER_TOKEN
-"""A part of kept cache covers this many bytes of prompt text."""
+"""A cache block covers this many bytes of prompt text."""
