Finish the names of the core, platform/ and version/

Cause: after the renames some local names still used the old terms, and entry meant both a gateway entry and a target's registration. Change: names of handlers, fields and locals that only these modules use.

--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -141,7 +141,7 @@
         self.exchange = WorkExchange(self.peers, self.relays)
         self.relayed_view = RelayedView(cfg.followed, self.relays, self.peers, self.roster)
         self.stores = CacheStores(self.index, rng, self.peers.reads, self.relays)
-        self.cache_news = CacheUpdateExchange(self.peers, self.relays, self.stores)
+        self.cache_updates = CacheUpdateExchange(self.peers, self.relays, self.stores)
         self.roster.peer_work_at = self.peers.peer_work_at
         self.config_freshness = ConfigFreshness(bounds.revoke_s, bounds.strict_revocation)
         self.budget = SharedRetryBudget(
@@ -199,21 +199,21 @@
             TargetsListed: self._on_targets,
             TargetObserved: self._on_target,
             WeightsNamed: self._on_weights,
-            LeaseObserved: self._forward(self.weights_leader.on_seen),
-            LeaseConfirmed: self._forward(self.weights_leader.on_confirmed),
-            LeaseWritten: self._forward(self.weights_leader.on_written),
+            LeaseObserved: self._forward(self.weights_leader.on_lease_observed),
+            LeaseConfirmed: self._forward(self.weights_leader.on_lease_confirmed),
+            LeaseWritten: self._forward(self.weights_leader.on_lease_written),
             ReportReceived: self._forward(self.weights_leader.on_report),
             ReportFailed: lambda event, now_s: [],
             OrderResponse: self._forward(self.weights_leader.on_order),
             CacheEventsReceived: self._on_cache_events,
-            CacheEventsFailed: self._on_cache_missed,
+            CacheEventsFailed: self._on_cache_events_failed,
             CacheBlocksListed: self._on_cache_listed,
-            BlocksFreed: self._on_parts_freed,
+            BlocksFreed: self._on_blocks_freed,
             EntriesListed: self._on_entries,
             EntryObserved: self._on_entry,
             PeerMessage: self._on_peer,
             KindObserved: self._forward(self.relayed_view.on_kind_observed),
-            ObjectStoreResult: self._on_store,
+            ObjectStoreResult: self._on_object_store_result,
             BoundsChanged: self._on_bounds,
             StopRequested: self._on_stop,
             Tick: self._on_tick,
@@ -275,30 +275,32 @@
         return []
 
     def _on_targets(self, event: TargetsListed, now_s: float) -> list[GatewayAction]:
-        for entry in event.entries:
-            self._apply_registration(entry, now_s)
-        missing = self.roster.replace_all(event.entries, now_s)
+        for registration in event.registrations:
+            self._apply_registration(registration, now_s)
+        missing = self.roster.replace_all(event.registrations, now_s)
         return [self._log_target(name, "missing") for name in missing]
 
-    def _apply_registration(self, entry: TargetRegistration, now_s: float) -> list[GatewayAction]:
-        previous = self.roster.targets.get(entry.target_id)
-        if previous is not None and previous.entry.started_ms != entry.started_ms:
-            self.index.forget(entry.target_id)
+    def _apply_registration(
+        self, registration: TargetRegistration, now_s: float
+    ) -> list[GatewayAction]:
+        previous = self.roster.targets.get(registration.target_id)
+        if previous is not None and previous.entry.started_ms != registration.started_ms:
+            self.index.forget(registration.target_id)
         was_draining = previous is not None and previous.entry.draining
-        self.roster.put(entry, now_s)
+        self.roster.put(registration, now_s)
         if previous is None:
-            fields = (("target", entry.target_id), ("service", entry.service))
+            fields = (("target", registration.target_id), ("service", registration.service))
             return [Log(LogEvent.TARGET_JOINED, fields)]
-        if entry.draining and not was_draining:
-            return [self._log_target(entry.target_id, "draining")]
+        if registration.draining and not was_draining:
+            return [self._log_target(registration.target_id, "draining")]
         return []
 
     def _log_target(self, name: str, state: str) -> Log:
         return Log(LogEvent.TARGET_LEAVING, (("target", name), ("state", state)))
 
     def _on_target(self, event: TargetObserved, now_s: float) -> list[GatewayAction]:
-        if event.entry is not None and not event.removed:
-            return self._apply_registration(event.entry, now_s)
+        if event.registration is not None and not event.removed:
+            return self._apply_registration(event.registration, now_s)
         self.roster.remove(event.target_id, now_s)
         if event.target_id not in self.roster.targets:
             self.index.forget(event.target_id)
@@ -316,7 +318,7 @@
         return [Log(LogEvent.WEIGHTS_NAMED, (("model", model), ("version", version)))]
 
     def _on_cache_events(self, event: CacheEventsReceived, now_s: float) -> list[GatewayAction]:
-        actions: list[GatewayAction] = [*self.cache_news.on_read(event, now_s)]
+        actions: list[GatewayAction] = [*self.cache_updates.on_read(event, now_s)]
         if self.stores.on_events(event):
             fields = (("holder", event.holder), ("boot", event.start_id))
             actions.append(Log(LogEvent.PIECES_LOST, fields))
@@ -326,11 +328,13 @@
         self.stores.on_listed(event)
         return []
 
-    def _on_parts_freed(self, event: BlocksFreed, now_s: float) -> list[GatewayAction]:
+    def _on_blocks_freed(self, event: BlocksFreed, now_s: float) -> list[GatewayAction]:
         self.stores.on_freed(event)
         return []
 
-    def _on_cache_missed(self, event: CacheEventsFailed, now_s: float) -> list[GatewayAction]:
+    def _on_cache_events_failed(
+        self, event: CacheEventsFailed, now_s: float
+    ) -> list[GatewayAction]:
         self.stores.on_missed(event, now_s)
         self.counters.add("cache_events_missed", "")
         return []
@@ -384,9 +388,9 @@
         elif isinstance(message, FleetWork):
             self.peers.on_fleet(message, now_s)
         elif isinstance(message, CacheUpdate):
-            self.cache_news.on_update(message, now_s)
+            self.cache_updates.on_update(message, now_s)
         elif isinstance(message, CacheUpdateBatch):
-            self.cache_news.on_batch(message, now_s)
+            self.cache_updates.on_batch(message, now_s)
         elif isinstance(message, ViewRequest):
             return [*self.relayed_view.on_view_request(message, now_s)]
         elif isinstance(message, ViewResponse):
@@ -407,7 +411,9 @@
         )
         return [*self.exchange.due(rows, self.ready(now_s), followers, now_s)]
 
-    def _on_store(self, event: ObjectStoreResult, now_s: float) -> list[GatewayAction]:
+    def _on_object_store_result(
+        self, event: ObjectStoreResult, now_s: float
+    ) -> list[GatewayAction]:
         if event.ok:
             if self._failed_kinds.pop(event.kind, None) is None:
                 return []
@@ -433,8 +439,8 @@
         self.authorizer.refuse_streams_from_s = now_s + STOP_STREAMS_AFTER_S
         self.authorizer.refuse_from_s = now_s + self.cfg.bounds.grace_s - STOP_CALLS_BEFORE_KILL_S
         running = len(self.forwarding.calls)
-        began = Log(LogEvent.DRAIN_BEGAN, (("calls", running),))
-        return [began, RemoveEntry(self.cfg.name)]
+        log = Log(LogEvent.DRAIN_BEGAN, (("calls", running),))
+        return [log, RemoveEntry(self.cfg.name)]
 
     def _on_tick(self, event: Tick, now_s: float) -> list[GatewayAction]:
         actions: list[GatewayAction] = list(self.forwarding.tick(now_s))
@@ -446,7 +452,7 @@
         actions += self.stores.tick(now_s)
         followers = self.relayed_view.followers(now_s)
         actions += self._send_work(followers, now_s)
-        actions += self.cache_news.due(followers, now_s)
+        actions += self.cache_updates.due(followers, now_s)
         actions += self._log_joined()
         actions += self.relayed_view.tick(now_s)
         if now_s >= self._next_lease_tick_s:
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -29,14 +29,14 @@
 class TargetsListed(NamedTuple):
     """A full listing of the registrations that could be decoded."""
 
-    entries: tuple[TargetRegistration, ...]
+    registrations: tuple[TargetRegistration, ...]
 
 
 class TargetObserved(NamedTuple):
-    """A registration was written or removed; ``entry`` is None if removed or malformed."""
+    """A target's registration changed; ``registration`` is None if removed or malformed."""
 
     target_id: str
-    entry: TargetRegistration | None
+    registration: TargetRegistration | None
     removed: bool
 
 
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -79,7 +79,7 @@
 """Bounds concurrent claims of idempotency keys; each waits for an object store response."""
 
 BALANCER_DELAY_S: Final = 3.0
-"""The load balancer has noticed by then that a stopping entry is not ready."""
+"""The time within which the load balancer notices that a stopping entry is not ready."""
 
 EXIT_MARGIN_S: Final = 0.4
 """The process exits this long before SIGKILL would follow SIGTERM."""
@@ -319,8 +319,8 @@
                     self.emit_soon(LeaseWritten(True))
                 if written.present is not None:
                     emit_lease_record(written.present, self.emit_soon)
-            case Err(fault):
-                self.emit_soon(LeaseWritten(fault is ObjectStoreFailure.REFUSED))
+            case Err(failure):
+                self.emit_soon(LeaseWritten(failure is ObjectStoreFailure.REFUSED))
 
     def _update_gate(self, now_s: float) -> None:
         """Make the watchers read the kinds that no relay provides."""
--- a/filbertstream/platform/cache_calls.py
+++ b/filbertstream/platform/cache_calls.py
@@ -27,31 +27,31 @@
     clock_ms: float | None = None
 
 
-def encode_follow(follow: PollCacheEvents) -> bytes:
+def encode_follow(poll: PollCacheEvents) -> bytes:
     """Return the request for a holder's cache events."""
     return (
-        f"GET /kv-events?since={follow.since} HTTP/1.1\r\n"
-        f"Host: {follow.address}\r\nWait-Ms: {int(follow.wait_s * MS)}\r\n\r\n"
+        f"GET /kv-events?since={poll.since} HTTP/1.1\r\n"
+        f"Host: {poll.address}\r\nWait-Ms: {int(poll.wait_s * MS)}\r\n\r\n"
     ).encode()
 
 
 def decode_events(
-    follow: PollCacheEvents, status: int, body: bytes, sent_at_s: float, received_at_s: float
+    poll: PollCacheEvents, status: int, body: bytes, sent_at_s: float, received_at_s: float
 ) -> CacheEventsReceived | CacheEventsFailed:
     """Decode the response to a request for cache events."""
     if status != OK:
-        return CacheEventsFailed(follow.holder)
+        return CacheEventsFailed(poll.holder)
     try:
         wire = msgspec.json.decode(body, type=_Events)
     except msgspec.DecodeError:
-        return CacheEventsFailed(follow.holder)
+        return CacheEventsFailed(poll.holder)
     changes = tuple(
         CacheChange(sign == "+", (namespace, block_id), tokens)
         for _, sign, namespace, block_id, tokens, _ in wire.events
     )
     clock_ms = None if wire.clock_ms is None else int(wire.clock_ms)
     return CacheEventsReceived(
-        follow.holder, sent_at_s, received_at_s, wire.boot_epoch, wire.next, clock_ms, changes
+        poll.holder, sent_at_s, received_at_s, wire.boot_epoch, wire.next, clock_ms, changes
     )
 
 
--- a/filbertstream/platform/objects.py
+++ b/filbertstream/platform/objects.py
@@ -36,7 +36,7 @@
 """A response may hold a page of a megabyte, or all events of the object store's history."""
 
 MAX_PAGES: Final = 200
-"""Bounds the pages of a listing; one that never ends is a fault of the object store."""
+"""Bounds the pages of a listing; one that never ends is a failure of the object store."""
 
 REFUSED_STATUSES: Final = (429, 503)
 
@@ -176,8 +176,8 @@
         for _ in range(MAX_PAGES):
             query = {} if after is None else {"after": after}
             match self._call("GET", f"/{kind}", query, None, RESPONSE_TIMEOUT_S):
-                case Err(fault):
-                    return Err(fault)
+                case Err(failure):
+                    return Err(failure)
                 case Ok((status, body)) if status == OK:
                     page = _decode_or_none(body, _Page)
                 case Ok(_):
@@ -197,8 +197,8 @@
         query = {"watch": str(since), "wait_ms": str(int(wait_s * 1000))}
         sent_at_s = boot_time_s()
         match self._call("GET", f"/{kind}", query, None, wait_s + RESPONSE_TIMEOUT_S):
-            case Err(fault):
-                return Err(fault)
+            case Err(failure):
+                return Err(failure)
             case Ok((status, _)) if status == GONE:
                 return Err(ObjectStoreFailure.EXPIRED)
             case Ok((status, body)) if status == OK:
@@ -214,8 +214,8 @@
     def read(self, kind: str, name: str) -> Result[StoredObject | None, ObjectStoreFailure]:
         """Return one object, or None if it doesn't exist."""
         match self._call("GET", f"/{kind}/{name}", {}, None, RESPONSE_TIMEOUT_S):
-            case Err(fault):
-                return Err(fault)
+            case Err(failure):
+                return Err(failure)
             case Ok((status, body)) if status == OK:
                 return Ok(_stored(msgspec.Raw(body)))
             case Ok((status, _)) if status == NOT_FOUND:
@@ -241,8 +241,8 @@
     def _write(self, method: str, path: str, body: Any) -> Result[Written, ObjectStoreFailure]:
         data = None if body is None else msgspec.json.encode(body)
         match self._call(method, path, {}, data, RESPONSE_TIMEOUT_S):
-            case Err(fault):
-                return Err(fault)
+            case Err(failure):
+                return Err(failure)
             case Ok((status, data)) if status in (OK, CREATED):
                 return Ok(Written(True, _stored(msgspec.Raw(data))))
             case Ok((status, data)) if status == CONFLICT:
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -47,7 +47,7 @@
     retry_slack: float
     config_apply_ms: float = 2000
     revoke_ms: float = 5000
-    # In this file: whether a process admits no key unless its configuration is confirmed.
+    # Whether a process rejects calls with a key unless its configuration is confirmed.
     strict_revoke: bool = True
     lease_ttl_ms: float = 3000
     version_ms: float = 8000
@@ -58,7 +58,7 @@
     address: str
 
 
-class _Boot(msgspec.Struct):
+class _Settings(msgspec.Struct):
     node_name: str
     ip: str
     zone: str
@@ -71,7 +71,7 @@
 
 
 def parse_address(text: str) -> Address:
-    """Parse ``host:port``; raise ``ValueError`` if the text is no address."""
+    """Parse ``host:port``; raise ``ValueError`` if it is malformed."""
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit():
         raise ValueError(ADDRESS_FORMAT)
@@ -90,13 +90,13 @@
     except yaml.YAMLError:
         return Err([Mistake(file, 0, "", "well-formed YAML")])
     try:
-        boot = msgspec.convert(data, _Boot)
+        settings = msgspec.convert(data, _Settings)
     except msgspec.ValidationError as exc:
         error = _config_error(str(exc))
     else:
-        malformed_key = _malformed_address(boot)
+        malformed_key = _malformed_address(settings)
         if malformed_key is None:
-            return Ok(_deployment(boot))
+            return Ok(_deployment(settings))
         error = Mistake(file, 0, malformed_key, ADDRESS_FORMAT)
     return Err([error.with_location(file, node) if node is not None else error._replace(file=file)])
 
@@ -112,12 +112,12 @@
     return Mistake("", 0, key, expected.removeprefix("Expected ").replace("`", ""))
 
 
-def _malformed_address(boot: _Boot) -> str | None:
+def _malformed_address(settings: _Settings) -> str | None:
     """Return the key of the first malformed address, or None."""
     addresses = {
-        "listen.front": boot.listen.front,
-        "listen.ready": boot.listen.ready,
-        "platform.address": boot.platform.address,
+        "listen.front": settings.listen.front,
+        "listen.ready": settings.listen.ready,
+        "platform.address": settings.platform.address,
     }
     for key, text in addresses.items():
         try:
@@ -127,24 +127,24 @@
     return None
 
 
-def _deployment(boot: _Boot) -> Deployment:
-    bounds = boot.bounds
-    ports = boot.port_range
-    metrics = Address(boot.ip, ports[0]) if ports else None
-    peers = Address(boot.ip, ports[0] + 1) if ports and ports[0] < ports[-1] else None
+def _deployment(settings: _Settings) -> Deployment:
+    bounds = settings.bounds
+    ports = settings.port_range
+    metrics = Address(settings.ip, ports[0]) if ports else None
+    peers = Address(settings.ip, ports[0] + 1) if ports and ports[0] < ports[-1] else None
     return Deployment(
-        name=boot.node_name,
-        host=boot.ip,
-        data_center=boot.zone,
-        callers=parse_address(boot.listen.front),
-        readiness=parse_address(boot.listen.ready),
+        name=settings.node_name,
+        host=settings.ip,
+        data_center=settings.zone,
+        callers=parse_address(settings.listen.front),
+        readiness=parse_address(settings.listen.ready),
         metrics=metrics,
         peers=peers,
-        object_store=f"http://{parse_address(boot.platform.address)}",
-        memory_mb=boot.limits.memory_mb,
-        max_descriptors=boot.limits.max_fds,
-        link_mbps=boot.limits.link_mbps,
-        cores=boot.limits.cpu_share * boot.limits.cores,
+        object_store=f"http://{parse_address(settings.platform.address)}",
+        memory_mb=settings.limits.memory_mb,
+        max_descriptors=settings.limits.max_fds,
+        link_mbps=settings.limits.link_mbps,
+        cores=settings.limits.cpu_share * settings.limits.cores,
         bounds=Bounds(
             config_apply_s=bounds.config_apply_ms / MS,
             drain_s=bounds.drain_ms / MS,
--- a/filbertstream/version/compiled.py
+++ b/filbertstream/version/compiled.py
@@ -51,12 +51,12 @@
     return f"{method.lower()}.{service}.services"
 
 
-def compile_documents(view: DocumentSet, revision: int, limits: CallerLimits) -> Configuration:
+def compile_documents(doc_set: DocumentSet, revision: int, limits: CallerLimits) -> Configuration:
     """Return the configuration that documents describe; ``revision`` becomes its version."""
     routes: list[Route] = []
     services: dict[str, Service] = {}
     drained: set[str] = set()
-    for document in view.documents.values():
+    for document in doc_set.documents.values():
         if isinstance(document, docs.Model):
             routes.append(_model_route(document))
             services[document.name] = _model_service(document)
@@ -68,9 +68,9 @@
         elif isinstance(document, docs.Drain):
             drained.add(document.name)
     workspaces = {
-        digest: _workspace(view.grants[name])
-        for digest, name in view.keys.items()
-        if name in view.grants
+        digest: _workspace(doc_set.grants[name])
+        for digest, name in doc_set.keys.items()
+        if name in doc_set.grants
     }
     return Configuration(
         revision, tuple(routes), services, workspaces, True, limits, frozenset(drained)
@@ -79,10 +79,10 @@
 
 def document_set(documents: Iterable[docs.Document]) -> DocumentSet:
     """Return a ``DocumentSet`` that holds documents."""
-    view = DocumentSet()
+    doc_set = DocumentSet()
     for document in documents:
-        view.put(document)
-    return view
+        doc_set.put(document)
+    return doc_set
 
 
 def _model_route(model: docs.Model) -> Route:
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -43,7 +43,7 @@
         self._retirement = retirement
         self.is_leader = False
 
-    def on_seen(self, event: LeaseObserved, now_s: float) -> list[Action]:
+    def on_lease_observed(self, event: LeaseObserved, now_s: float) -> list[Action]:
         """Process a lease record, which also lists the weights that the leader found on runners."""
         self._lease.on_seen(event.record, event.revision, now_s)
         loaded = {} if event.record is None else event.record.loaded
@@ -54,12 +54,12 @@
         self._weights.retired = self._lease.retired
         return []
 
-    def on_confirmed(self, event: LeaseConfirmed, now_s: float) -> list[Action]:
+    def on_lease_confirmed(self, event: LeaseConfirmed, now_s: float) -> list[Action]:
         """Process a confirmation that the record was the newest when a request was sent."""
         self._weights.lease_observed_at_s = max(self._weights.lease_observed_at_s, event.sent_at_s)
         return []
 
-    def on_written(self, event: LeaseWritten, now_s: float) -> list[Action]:
+    def on_lease_written(self, event: LeaseWritten, now_s: float) -> list[Action]:
         """Process the outcome of this entry's write of the record."""
         if event.refused:
             self._lease.on_write_rejected()
