--- a/filbertstream/cli.py
+++ b/filbertstream/cli.py
@@ -25,22 +25,24 @@
 from filbertstream.operator_client import OperatorClient, Reply
 from filbertstream.platform.settings_file import BOOT_VARIABLE, read_settings_file
 
-EXIT_REFUSED: Final = 1
+EXIT_REJECTED: Final = 1
 EXIT_USAGE: Final = 2
 EXIT_UNREACHABLE: Final = 3
-EXIT_UNSETTLED: Final = 4
-EXIT_LOST: Final = 5
-EXIT_BROKEN: Final = 70
+EXIT_OUTCOME_UNKNOWN: Final = 4
+EXIT_CONFLICT: Final = 5
+EXIT_INVARIANT: Final = 70
 EXIT_NO_ADDRESS: Final = 71
 
 EXIT_CODES: Final = {
-    "lost": EXIT_LOST,
-    "unsettled": EXIT_UNSETTLED,
+    "lost": EXIT_CONFLICT,
+    "unsettled": EXIT_OUTCOME_UNKNOWN,
     "unavailable": EXIT_UNREACHABLE,
 }
 """Exit codes by the ``state`` of a change that was not applied."""
 
-app = typer.Typer(no_args_is_help=True, add_completion=False, help="Serve prompts that return.")
+app = typer.Typer(
+    no_args_is_help=True, add_completion=False, help="Serve prompts that return after long gaps."
+)
 report_app = typer.Typer(no_args_is_help=True, help="Reports over all entries.")
 app.add_typer(report_app, name="report")
 
@@ -98,7 +100,9 @@
 def _body_or_exit(reply: Reply) -> Any:
     """Return the body of a response, or exit with the entry's error."""
     if reply.status != 200:
-        _fail(f"{reply.body.get('title', '')} {reply.body.get('detail', '')}".strip(), EXIT_REFUSED)
+        _fail(
+            f"{reply.body.get('title', '')} {reply.body.get('detail', '')}".strip(), EXIT_REJECTED
+        )
     return reply.body
 
 
@@ -108,7 +112,7 @@
     except OSError as exc:
         _fail(f"cannot listen: {exc}", EXIT_NO_ADDRESS)
     if not succeeded:
-        _fail("an invariant was violated; see the log", EXIT_BROKEN)
+        _fail("an invariant was violated; see the log", EXIT_INVARIANT)
 
 
 @app.command()
@@ -213,7 +217,7 @@
     """Print the outcome of a change, and exit with its code if it was not applied."""
     _print(reply.body, output)
     if reply.status != 200:
-        raise typer.Exit(EXIT_CODES.get(reply.body.get("state", ""), EXIT_REFUSED))
+        raise typer.Exit(EXIT_CODES.get(reply.body.get("state", ""), EXIT_REJECTED))
 
 
 def _differences(client: OperatorClient, changes: list[dict[str, Any]]) -> tuple[list[str], int]:
@@ -317,7 +321,7 @@
                 return
             case _:
                 continue
-    _fail(f"no given entry has a record of request {request_id}", EXIT_REFUSED)
+    _fail(f"no given entry has a record of request {request_id}", EXIT_REJECTED)
 
 
 @app.command(name="explain-log")
@@ -328,7 +332,7 @@
     """Print the events of a request and the state that its entry had observed, from log files."""
     output_lines = explain_lines(read_lines(files), request_id)
     if not output_lines:
-        _fail(f"no log line mentions request {request_id}", EXIT_REFUSED)
+        _fail(f"no log line mentions request {request_id}", EXIT_REJECTED)
     for line in output_lines:
         typer.echo(line)
 
--- a/filbertstream/platform/objects.py
+++ b/filbertstream/platform/objects.py
@@ -36,7 +36,7 @@
 """A response may hold a page of a megabyte, or all events of the object store's history."""
 
 MAX_PAGES: Final = 200
-"""Bounds the pages of a listing; one that never ends is a failure of the object store."""
+"""Bounds the pages of a listing; one that never ends is a fault of the object store."""
 
 REFUSED_STATUSES: Final = (429, 503)
 
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -49,7 +49,7 @@
         return product_kinds(bounds, DocumentWatch(self._limits))
 
     def read(self, file: Path) -> Result[Deployment, list[Mistake]]:
-        """Read the settings file again."""
+        """Read the settings file and return the deployment that it describes, or its errors."""
         return read_settings(file).map(deployment_of)
 
     def build(
--- a/filbertstream/texts.py
+++ b/filbertstream/texts.py
@@ -35,4 +35,7 @@
 }
 
 DEFAULT_TITLE_CODE: Final = "target_failed"
-"""The title of codes without one of their own, such as the causes of failed sends."""
+"""The code whose title is used for codes without one, such as causes of failed sends.
+
+To a caller, these causes are all alike.
+"""
