--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -1,7 +1,7 @@
 """Reads the settings file that the platform writes for each process.
 
-Unknown keys are ignored, since the platform adds some over time; a missing or malformed key gives a
-``Mistake`` with its line.
+Unknown keys are ignored, since the platform adds keys over time; a missing or malformed key results
+in a ``Mistake`` with its line.
 """
 
 import re
@@ -17,7 +17,7 @@
 
 BOOT_VARIABLE: Final = "FILBERTSTREAM_BOOT"
 MS: Final = 1000.0
-ADDRESS_FORM: Final = "an address like 10.0.0.1:8000"
+ADDRESS_FORMAT: Final = "an address like 10.0.0.1:8000"
 MISSING_FIELD: Final = re.compile(r"missing required field `([^`]+)`")
 
 
@@ -32,7 +32,7 @@
 class _Limits(msgspec.Struct):
     memory_mb: Positive
     max_fds: Annotated[int, msgspec.Meta(gt=0)]
-    # A share of one core, which is ``cores`` times as fast as another.
+    # A fraction of one core, which is ``cores`` times as fast as a reference core.
     cpu_share: float = 0.0
     cores: float = 1.0
     link_mbps: float = 0.0
@@ -47,7 +47,7 @@
     retry_slack: float
     config_apply_ms: float = 2000
     revoke_ms: float = 5000
-    # Here: a process that can't show its configuration to be current admits no key.
+    # Whether a process rejects calls with a key unless its configuration is confirmed.
     strict_revoke: bool = True
     lease_ttl_ms: float = 3000
     version_ms: float = 8000
@@ -58,7 +58,7 @@
     address: str
 
 
-class _Boot(msgspec.Struct):
+class _Settings(msgspec.Struct):
     node_name: str
     ip: str
     zone: str
@@ -66,60 +66,58 @@
     limits: _Limits
     bounds: _Bounds
     platform: _Platform
-    # First and last of the ports that are free on the machine.
+    # The first and last port of the range that is free on the VM.
     port_range: list[int] = []
 
 
 def parse_address(text: str) -> Address:
-    """Return the address of ``host:port``; raises ``ValueError`` if it is none."""
+    """Parse ``host:port``; raise ``ValueError`` if it is malformed."""
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit():
-        raise ValueError(ADDRESS_FORM)
+        raise ValueError(ADDRESS_FORMAT)
     return Address(host, int(port))
 
 
 def read_settings_file(path: Path) -> Result[Deployment, list[Mistake]]:
-    """Return the deployment that a settings file describes, or the first mistake in it."""
+    """Return the deployment that a settings file describes, or the first error in it."""
     file = str(path)
     try:
         text = path.read_text()
         node = yaml.compose(text, Loader=yaml.CSafeLoader)
-        raw: Any = yaml.load(text, Loader=yaml.CSafeLoader)
+        data: Any = yaml.load(text, Loader=yaml.CSafeLoader)
     except OSError as exc:
         return Err([Mistake(file, 0, "", f"a readable file ({exc.strerror})")])
     except yaml.YAMLError:
         return Err([Mistake(file, 0, "", "well-formed YAML")])
     try:
-        boot = msgspec.convert(raw, _Boot)
+        settings = msgspec.convert(data, _Settings)
     except msgspec.ValidationError as exc:
-        mistake = _mistake(str(exc))
+        error = _config_error(str(exc))
     else:
-        found = _malformed_address(boot)
-        if found is None:
-            return Ok(_deployment(boot))
-        mistake = Mistake(file, 0, found, ADDRESS_FORM)
-    return Err(
-        [mistake.with_location(file, node) if node is not None else mistake._replace(file=file)]
-    )
+        malformed_key = _malformed_address(settings)
+        if malformed_key is None:
+            return Ok(_deployment(settings))
+        error = Mistake(file, 0, malformed_key, ADDRESS_FORMAT)
+    return Err([error.with_location(file, node) if node is not None else error._replace(file=file)])
 
 
-def _mistake(message: str) -> Mistake:
-    """Return the mistake that a message of msgspec tells: what was expected, and at which key."""
-    said, _, path = message.partition(" - at `$")
+def _config_error(message: str) -> Mistake:
+    """Convert an error message of msgspec into an error with the key and the expected value."""
+    expected, _, path = message.partition(" - at `$")
     key = path.removesuffix("`").removeprefix(".")
-    missing = MISSING_FIELD.search(said)
+    missing = MISSING_FIELD.search(expected)
     if missing is not None:
         key = f"{key}.{missing[1]}" if key else missing[1]
         return Mistake("", 0, key, "this key, which is required")
-    return Mistake("", 0, key, said.removeprefix("Expected ").replace("`", ""))
+    return Mistake("", 0, key, expected.removeprefix("Expected ").replace("`", ""))
 
 
-def _malformed_address(boot: _Boot) -> str | None:
-    """Return the key of the first address that is none."""
+def _malformed_address(settings: _Settings) -> str | None:
+    """Return the key of the first malformed address, or None."""
     addresses = {
-        "listen.front": boot.listen.front,
-        "listen.ready": boot.listen.ready,
-        "platform.address": boot.platform.address,
+        "listen.front": settings.listen.front,
+        "listen.ready": settings.listen.ready,
+        "platform.address": settings.platform.address,
     }
     for key, text in addresses.items():
         try:
@@ -129,24 +127,24 @@
     return None
 
 
-def _deployment(boot: _Boot) -> Deployment:
-    bounds = boot.bounds
-    ports = boot.port_range
-    metrics = Address(boot.ip, ports[0]) if ports else None
-    peers = Address(boot.ip, ports[0] + 1) if ports and ports[0] < ports[-1] else None
+def _deployment(settings: _Settings) -> Deployment:
+    bounds = settings.bounds
+    ports = settings.port_range
+    metrics = Address(settings.ip, ports[0]) if ports else None
+    peers = Address(settings.ip, ports[0] + 1) if ports and ports[0] < ports[-1] else None
     return Deployment(
-        name=boot.node_name,
-        host=boot.ip,
-        data_center=boot.zone,
-        callers=parse_address(boot.listen.front),
-        readiness=parse_address(boot.listen.ready),
+        name=settings.node_name,
+        host=settings.ip,
+        data_center=settings.zone,
+        callers=parse_address(settings.listen.front),
+        readiness=parse_address(settings.listen.ready),
         metrics=metrics,
         peers=peers,
-        object_store=f"http://{parse_address(boot.platform.address)}",
-        memory_mb=boot.limits.memory_mb,
-        max_descriptors=boot.limits.max_fds,
-        link_mbps=boot.limits.link_mbps,
-        cores=boot.limits.cpu_share * boot.limits.cores,
+        object_store=f"http://{parse_address(settings.platform.address)}",
+        memory_mb=settings.limits.memory_mb,
+        max_descriptors=settings.limits.max_fds,
+        link_mbps=settings.limits.link_mbps,
+        cores=settings.limits.cpu_share * settings.limits.cores,
         bounds=Bounds(
             config_apply_s=bounds.config_apply_ms / MS,
             drain_s=bounds.drain_ms / MS,
