Reword how the object store is watched

Cause: texts and inner names used figures of speech and terms private to the project. Change: comments, doc comments and inner names of watched_kinds and kind_watcher.

--- a/filbertstream/connection/kind_watcher.py
+++ b/filbertstream/connection/kind_watcher.py
@@ -1,7 +1,8 @@
-"""Follows kinds of objects in the platform's store and tells the core what it sees.
+"""Lists and watches kinds of objects in the object store and emits what it observes to the core.
 
-Each kind has a pykka actor that lists once and then watches; a watch that expired, was cut or was
-refused leads to another listing or another try.  Kinds that other entries tell are not called for.
+Each kind has a pykka actor that lists once and then watches.  A watch whose revision has expired
+leads to another listing; a failed call is retried.  No calls are made for a kind whose updates
+come from a relay.
 """
 
 import threading
@@ -17,63 +18,67 @@
 from filbertstream.platform.objects import ObjectStore, ObjectStoreFailure
 from filbertstream.process.read_backoff import ReadBackoff
 
-PROBED_S: Final = 5.0
-"""A kind that waits for another's answer is asked about after this time all the same."""
+PROBE_WAIT_S: Final = 5.0
+"""A kind that waits for another kind's first response is tried again after this time anyway."""
 
-IDLE_S: Final = 5.0
-"""How often a watcher that has nothing to do looks whether it was stopped."""
+IDLE_CHECK_S: Final = 5.0
+"""How often a watcher without work checks whether it was stopped."""
 
 
 class WatchGate:
-    """Tells the watchers of an entry which kinds it reads itself, and wakes them for it."""
+    """Controls which kinds an entry's watchers read themselves, and wakes them when that changes.
+
+    It also paces retries while the object store does not respond, see ``process.read_backoff``.
+    """
 
     def __init__(self, kinds: Iterable[str]) -> None:
         self._changed = threading.Condition()
         self._idle: frozenset[str] = frozenset()
-        self._probing = ReadBackoff(kinds)
-        self._relies = False
-        self.tells = False
+        self._backoff = ReadBackoff(kinds)
+        self._uses_relays = False
+        self.serves_peers = False
 
-    def set(self, idle: frozenset[str], tells: bool, relies: bool) -> None:
-        """Have the ``idle`` kinds not read.
+    def set(self, idle: frozenset[str], serves_peers: bool, uses_relays: bool) -> None:
+        """Stop reading the ``idle`` kinds and read all others.
 
-        ``tells``: other entries rely on this one; ``relies``: it relies on others where it can.
+        ``serves_peers``: this entry is a relay for others; ``uses_relays``: it gets its view from
+        relays where it can.
         """
-        self.tells, self._relies = tells, relies
+        self.serves_peers, self._uses_relays = serves_peers, uses_relays
         if idle != self._idle:
             with self._changed:
                 self._idle = idle
                 for kind in idle:
-                    self._probing.answered(kind)
+                    self._backoff.answered(kind)
                 self._changed.notify_all()
 
-    def wait(self, kind: str, longest_s: float) -> bool:
-        """Wait until a kind is to be read, at most so long; whether it is."""
+    def wait(self, kind: str, timeout_s: float) -> bool:
+        """Wait up to ``timeout_s`` until a kind is to be read; return whether it is."""
         with self._changed:
-            return self._changed.wait_for(lambda: kind not in self._idle, longest_s)
+            return self._changed.wait_for(lambda: kind not in self._idle, timeout_s)
 
-    def answered(self, kind: str) -> None:
-        """Take in that the store answered a call."""
+    def succeeded(self, kind: str) -> None:
+        """Record that the object store responded to a call."""
         with self._changed:
-            self._probing.answered(kind)
+            self._backoff.answered(kind)
             self._changed.notify_all()
 
     def failed(self, kind: str) -> None:
-        """Take in that the store did not answer, and wait until it should be asked again."""
+        """Record that a call failed, and wait until the next one is due."""
         with self._changed:
-            self._probing.failed(kind)
-            pause_s = self._probing.retry_s(kind, self._relies)
+            self._backoff.failed(kind)
+            pause_s = self._backoff.retry_s(kind, self._uses_relays)
         time.sleep(pause_s)
         with self._changed:
-            self._changed.wait_for(lambda: not self._probing.is_deferred(kind), PROBED_S)
+            self._changed.wait_for(lambda: not self._backoff.is_deferred(kind), PROBE_WAIT_S)
 
 
 class _Step:
-    """Message of a watcher to itself."""
+    """Message with which a watcher schedules its next call."""
 
 
 class KindWatcher(pykka.ThreadingActor):
-    """Follows one kind."""
+    """Lists and watches one kind."""
 
     use_daemon_thread = True
 
@@ -81,63 +86,63 @@
         self,
         store: ObjectStore,
         watched: WatchedKind,
-        tell: EmitEvent,
-        on_broken: Callable[[str], None],
+        emit: EmitEvent,
+        on_fatal: Callable[[str], None],
         gate: WatchGate,
     ) -> None:
         super().__init__()
         self._gate = gate
-        self._on_broken = on_broken
+        self._on_fatal = on_fatal
         self._store = store
         self._watched = watched
-        self._tell = tell
+        self._emit = emit
         self._as_of: int | None = None
 
     def on_start(self) -> None:
-        """Begin to follow."""
+        """Schedule the first call."""
         self.actor_ref.tell(_Step())
 
     def on_failure(self, exception_type: Any, exception_value: Any, traceback: Any) -> None:
-        """Report a broken invariant: without this watch the entry would only look alive."""
-        self._on_broken(f"watch of {self._watched.kind}: {exception_value!r}")
+        """Report an unexpected error as fatal: without this watch the entry's view goes stale."""
+        self._on_fatal(f"watch of {self._watched.kind}: {exception_value!r}")
 
     def on_receive(self, message: Any) -> None:
-        """Make one call, unless other entries tell what it would."""
-        if not self._gate.wait(self._watched.kind, IDLE_S):
+        """Make one call, unless relays supply this kind."""
+        if not self._gate.wait(self._watched.kind, IDLE_CHECK_S):
             self._as_of = None
             self.actor_ref.tell(_Step())
             return
-        fault = self._list() if self._as_of is None else self._watch(self._as_of)
-        if fault is None or fault is ObjectStoreFailure.EXPIRED:
-            self._gate.answered(self._watched.kind)
-            self._as_of = None if fault is ObjectStoreFailure.EXPIRED else self._as_of
+        failure = self._list() if self._as_of is None else self._watch(self._as_of)
+        if failure is None or failure is ObjectStoreFailure.EXPIRED:
+            self._gate.succeeded(self._watched.kind)
+            self._as_of = None if failure is ObjectStoreFailure.EXPIRED else self._as_of
         else:
-            self._tell(ObjectStoreResult(self._watched.kind, False, fault.value))
+            self._emit(ObjectStoreResult(self._watched.kind, False, failure.value))
             self._gate.failed(self._watched.kind)
         self.actor_ref.tell(_Step())
 
     def _list(self) -> ObjectStoreFailure | None:
         match self._store.list(self._watched.kind):
-            case Err(fault):
-                return fault
+            case Err(failure):
+                return failure
             case Ok(listing):
-                self._tell(ObjectStoreResult(self._watched.kind, True, ""))
-                self._tell(kind_observed(self._watched.kind, None, listing))
+                self._emit(ObjectStoreResult(self._watched.kind, True, ""))
+                self._emit(kind_observed(self._watched.kind, None, listing))
                 self._as_of = listing.as_of
         return None
 
     def _watch(self, since: int) -> ObjectStoreFailure | None:
         watched = self._watched
         wait_s, pause_s = watched.wait_s, watched.pause_s
-        if self._gate.tells:
+        if self._gate.serves_peers:
             wait_s, pause_s = watched.relay_watch.wait_s, watched.relay_watch.pause_s
         match self._store.watch(self._watched.kind, since, wait_s):
-            case Err(fault):
-                return fault
-            case Ok(seen):
-                self._tell(ObjectStoreResult(self._watched.kind, True, ""))
-                self._tell(kind_observed(watched.kind, since, seen))
-                self._as_of = seen.as_of
+            case Err(failure):
+                return failure
+            case Ok(changes):
+                self._emit(ObjectStoreResult(self._watched.kind, True, ""))
+                self._emit(kind_observed(watched.kind, since, changes))
+                self._as_of = changes.as_of
         if pause_s:
             time.sleep(pause_s)
         return None
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -1,7 +1,8 @@
-"""The kinds of objects in the platform's store that entries follow, and what they tell the core.
+"""The kinds of object store objects that entries watch, and the core events made from them.
 
-What is told is in the project's types; the moment at which a call was sent goes with it, since that
-is when its answer was surely true.  ``connection.kind_watcher`` makes the calls.
+Objects are decoded into the project's own types.  An event carries the time at which the call to
+the object store was sent, since its response is known to hold as of that time.
+``connection.kind_watcher`` makes the calls.
 """
 
 import math
@@ -53,13 +54,13 @@
 
 
 class RelayWatch(NamedTuple):
-    """How a relay follows a kind: the wait of its watch, and the pause after it.
+    """How a relay watches a kind: the wait of its long poll, and the pause after it.
 
-    A watch that waits shows nothing until it answers: what is known grows twice as old as the wait.
-    Without a wait it grows as old as the pause, so that fewer calls are needed, while changes are
-    seen later.  Other entries take a relay's word up to an age of ``max_age_s``.  A small object
-    may be ``pushed`` when it changes; a configuration is told to each follower as it asks, since
-    sent to all at once it would fill the relay's link.
+    A long poll confirms nothing until it returns, so the view gets up to twice as old as the wait.
+    Without a wait it gets as old as the pause: fewer calls are needed, but changes are observed
+    later.  Other entries use a relay's view up to an age of ``max_age_s``.  A small object may be
+    ``pushed`` to followers when it changes.  A configuration is sent to each follower on request,
+    since sending it to all at once would saturate the relay's network link.
     """
 
     wait_s: float
@@ -69,11 +70,11 @@
 
 
 class WatchedKind(NamedTuple):
-    """How a kind is followed.
+    """How a kind is watched.
 
-    ``wait_s`` is the longest a watch waits, so the longest a silent connection goes unnoticed.
-    ``pause_s`` gathers changes of a kind that changes all the time.  ``relay_watch`` is how the kind is
-    followed where other entries rely on this one, see ``process.relayed_view``.
+    ``wait_s`` is the longest wait of a long poll, and so the longest time for which a stalled
+    connection goes undetected.  ``pause_s`` batches the changes of a kind that changes all the
+    time.  ``relay_watch`` applies while this entry is a relay, see ``process.relayed_view``.
     """
 
     kind: str
@@ -86,20 +87,20 @@
 
     @property
     def followed(self) -> FollowedKind:
-        """What the core is told of the kind."""
+        """The part of the settings that the core uses."""
         return FollowedKind(self.kind, self.relay_watch.max_age_s, self.relay_watch.pushed)
 
 
-def _ignore_quiet(sent_at_s: float, emit: EmitEvent) -> None:
-    """A watch that saw nothing tells nothing of most kinds."""
+def _ignore_unchanged(sent_at_s: float, emit: EmitEvent) -> None:
+    """Emit nothing: for most kinds a watch without changes needs no event."""
 
 
 def _list_configuration(listing: Listing, emit: EmitEvent) -> None:
     for stored in listing.objects:
-        _tell_configuration(stored, listing.sent_at_s, emit)
+        _emit_configuration(stored, listing.sent_at_s, emit)
 
 
-def _tell_configuration(stored: StoredObject, sent_at_s: float, emit: EmitEvent) -> None:
+def _emit_configuration(stored: StoredObject, sent_at_s: float, emit: EmitEvent) -> None:
     if stored.name != CONFIG_NAME:
         return
     match decode_configuration(stored.content):
@@ -111,10 +112,10 @@
 
 def _change_configuration(change: Change, sent_at_s: float, emit: EmitEvent) -> None:
     if not change.removed:
-        _tell_configuration(change.stored, sent_at_s, emit)
+        _emit_configuration(change.stored, sent_at_s, emit)
 
 
-def _quiet_configuration(sent_at_s: float, emit: EmitEvent) -> None:
+def _unchanged_configuration(sent_at_s: float, emit: EmitEvent) -> None:
     emit(ConfigurationObserved(None, sent_at_s))
 
 
@@ -147,7 +148,7 @@
             emit(WeightsNamed(model, version))
 
 
-def _list_duties(listing: Listing, emit: EmitEvent) -> None:
+def _list_leases(listing: Listing, emit: EmitEvent) -> None:
     emit(LeaseConfirmed(listing.sent_at_s))
     if not any(stored.name == ROLLOUT_LEASE_NAME for stored in listing.objects):
         emit(LeaseObserved(None, 0))
@@ -155,13 +156,13 @@
         emit_lease_record(stored, emit)
 
 
-def _change_duty(change: Change, sent_at_s: float, emit: EmitEvent) -> None:
+def _change_lease(change: Change, sent_at_s: float, emit: EmitEvent) -> None:
     if not change.removed:
         emit_lease_record(change.stored, emit)
 
 
 def emit_lease_record(stored: StoredObject, emit: EmitEvent) -> None:
-    """Tell the core of the duty's record."""
+    """Emit the record of the roll-out lease."""
     if stored.name != ROLLOUT_LEASE_NAME:
         return
     try:
@@ -172,7 +173,7 @@
     emit(LeaseObserved(record, stored.revision))
 
 
-def _quiet_duties(sent_at_s: float, emit: EmitEvent) -> None:
+def _unchanged_leases(sent_at_s: float, emit: EmitEvent) -> None:
     emit(LeaseConfirmed(sent_at_s))
 
 
@@ -195,62 +196,64 @@
     emit(EntryObserved(name, record, change.stored.revision))
 
 
-CONFIG_WAIT_SHARE: Final = 0.4
-"""The wait of a watch as a share of the bound for configurations: the age of a confirmation reaches
-twice the wait."""
+CONFIG_WAIT_FRACTION: Final = 0.4
+"""The wait of a watch as a fraction of the bound for configurations: the age of a confirmation
+reaches twice the wait."""
 
-TARGETS_PAUSE_SHARE: Final = 0.25
-"""Registrations change all the time; they are gathered for this share of the bound for drains."""
+TARGETS_PAUSE_FRACTION: Final = 0.25
+"""Registrations change all the time; changes are batched for this fraction of the bound for
+drains."""
 
 TARGETS_WAIT_S: Final = 2.0
 WEIGHTS_WAIT_S: Final = 3.0
-DUTIES_WAIT_S: Final = 1.4
-"""The view of the duty is needed with an age under twice this, see ``version.weights_view``."""
+LEASES_WAIT_S: Final = 1.4
+"""The view of the roll-out lease must be younger than twice this, see ``version.weights_view``."""
 
 RELAY_REVOKE_FRACTION: Final = 0.25
-RELAY_APPLY_SHARE: Final = 0.3
-"""A relay asks for the configuration after these shares of the bounds for removed keys and for
-configurations, the shorter of both."""
+RELAY_APPLY_FRACTION: Final = 0.3
+"""A relay polls the configuration at the shorter of these fractions of the bounds for removed keys
+and for configurations."""
 
 CONFIG_MAX_AGE_FRACTION: Final = 0.45
-"""The share of the bound for removed keys up to which another entry's word counts: more than the
-above and the interval of questions, and less than makes an entry unready."""
+"""Maximum age of a relayed configuration, as a fraction of the bound for removed keys: more than a
+relay's poll interval plus a follower's, and less than the age at which an entry becomes unready."""
 
 RELAY_TARGETS_FRACTION: Final = 0.3
-"""A relay asks for registrations after this share of the bound for drains."""
+"""A relay polls registrations at this fraction of the bound for drains."""
 
-RELAYED_TARGETS_SHARE: Final = 0.75
-"""The share of that bound up to which another entry's word counts; the rest is for what is under
-way when an entry turns to the store instead."""
+TARGETS_MAX_AGE_FRACTION: Final = 0.75
+"""Maximum age of relayed registrations, as a fraction of the bound for drains.  The rest covers
+calls in flight when an entry starts to read the object store itself."""
 
 RELAY_WEIGHTS_FRACTION: Final = 0.25
-"""The wait of a relay's watch of named weights as a share of the bound for old ones."""
+"""The wait of a relay's watch of named weights as a fraction of the bound for old weights."""
 
-RELAYED_WEIGHTS_SHARE: Final = 0.8
-"""The share of that bound up to which another entry's word counts."""
+WEIGHTS_MAX_AGE_FRACTION: Final = 0.8
+"""Maximum age of relayed weight names, as a fraction of the bound for old weights."""
 
 LEASES_RELAY_WATCH: Final = RelayWatch(0.9, 0.0, 2.8, True)
-"""The age is less than ``version.weights_view.MAX_FETCH_VIEW_AGE_S``; changes are passed on at once."""
+"""The maximum age is less than ``version.weights_view.MAX_FETCH_VIEW_AGE_S``; changes are pushed
+at once."""
 
 ENTRIES_RELAY_WATCH: Final = RelayWatch(10.0, 0.5, math.inf)
-"""A registration of an entry is a hint only: any age does."""
+"""An entry's registration is only a hint, so any age is acceptable."""
 
 
-def _relayed_config(bounds: Bounds) -> RelayWatch:
+def _relay_config_watch(bounds: Bounds) -> RelayWatch:
     pause_s = min(
-        RELAY_REVOKE_FRACTION * bounds.revoke_s, RELAY_APPLY_SHARE * bounds.config_apply_s
+        RELAY_REVOKE_FRACTION * bounds.revoke_s, RELAY_APPLY_FRACTION * bounds.config_apply_s
     )
     return RelayWatch(0.0, pause_s, CONFIG_MAX_AGE_FRACTION * bounds.revoke_s)
 
 
-def _relayed_weights(bounds: Bounds) -> RelayWatch:
+def _relay_weights_watch(bounds: Bounds) -> RelayWatch:
     wait_s = RELAY_WEIGHTS_FRACTION * bounds.version_s
-    return RelayWatch(wait_s, 0.0, RELAYED_WEIGHTS_SHARE * bounds.version_s, True)
+    return RelayWatch(wait_s, 0.0, WEIGHTS_MAX_AGE_FRACTION * bounds.version_s, True)
 
 
-def _relayed_targets(bounds: Bounds) -> RelayWatch:
+def _relay_targets_watch(bounds: Bounds) -> RelayWatch:
     pause_s = RELAY_TARGETS_FRACTION * bounds.drain_s
-    return RelayWatch(0.0, pause_s, RELAYED_TARGETS_SHARE * bounds.drain_s)
+    return RelayWatch(0.0, pause_s, TARGETS_MAX_AGE_FRACTION * bounds.drain_s)
 
 
 ENTRIES_WAIT_S: Final = 10.0
@@ -258,43 +261,43 @@
 
 
 class ConfigurationWatch(Protocol):
-    """Tells the core of a configuration that is not the users' own document."""
+    """Emits a configuration that is stored in another form than the platform's own document."""
 
     def on_listing(self, listing: Listing, emit: EmitEvent) -> None:
-        """Tell what is there."""
+        """Emit what a full listing contains."""
 
     def on_change(self, change: Change, sent_at_s: float, emit: EmitEvent) -> None:
-        """Tell what was written."""
+        """Emit a change."""
 
     def on_unchanged(self, sent_at_s: float, emit: EmitEvent) -> None:
-        """Tell that nothing was written."""
+        """Emit that nothing changed up to a watch sent at ``sent_at_s``."""
 
 
 def product_kinds(bounds: Bounds, documents: ConfigurationWatch) -> tuple[WatchedKind, ...]:
-    """Return how each kind is followed where the operators' documents are the configuration."""
+    """Return how each kind is watched where the operators' documents are the configuration."""
     watched = WatchedKind(
         DOCUMENTS_KIND,
-        CONFIG_WAIT_SHARE * bounds.config_apply_s,
+        CONFIG_WAIT_FRACTION * bounds.config_apply_s,
         0.0,
         documents.on_listing,
         documents.on_change,
         documents.on_unchanged,
-        _relayed_config(bounds),
+        _relay_config_watch(bounds),
     )
     return (watched, *_common_kinds(bounds))
 
 
 def watched_kinds(bounds: Bounds) -> tuple[WatchedKind, ...]:
-    """Return how each kind is followed on the users' platform."""
+    """Return how each kind is watched where the configuration is the platform's own document."""
     return (
         WatchedKind(
             CONFIG_KIND,
-            CONFIG_WAIT_SHARE * bounds.config_apply_s,
+            CONFIG_WAIT_FRACTION * bounds.config_apply_s,
             0.0,
             _list_configuration,
             _change_configuration,
-            _quiet_configuration,
-            _relayed_config(bounds),
+            _unchanged_configuration,
+            _relay_config_watch(bounds),
         ),
         WatchedKind(
             WEIGHTS_KIND,
@@ -302,15 +305,15 @@
             0.0,
             _list_weights,
             _change_weights,
-            _ignore_quiet,
-            _relayed_weights(bounds),
+            _ignore_unchanged,
+            _relay_weights_watch(bounds),
         ),
         *_common_kinds(bounds),
     )
 
 
 def _common_kinds(bounds: Bounds) -> tuple[WatchedKind, ...]:
-    targets_pause_s = TARGETS_PAUSE_SHARE * bounds.drain_s
+    targets_pause_s = TARGETS_PAUSE_FRACTION * bounds.drain_s
     return (
         WatchedKind(
             TARGETS_KIND,
@@ -318,16 +321,16 @@
             targets_pause_s,
             _list_targets,
             _change_target,
-            _ignore_quiet,
-            _relayed_targets(bounds),
+            _ignore_unchanged,
+            _relay_targets_watch(bounds),
         ),
         WatchedKind(
             LEASES_KIND,
-            DUTIES_WAIT_S,
+            LEASES_WAIT_S,
             0.0,
-            _list_duties,
-            _change_duty,
-            _quiet_duties,
+            _list_leases,
+            _change_lease,
+            _unchanged_leases,
             LEASES_RELAY_WATCH,
         ),
         WatchedKind(
@@ -336,21 +339,21 @@
             ENTRIES_PAUSE_S,
             _list_entries,
             _change_entry,
-            _ignore_quiet,
+            _ignore_unchanged,
             ENTRIES_RELAY_WATCH,
         ),
     )
 
 
-def publish_kind(watched: WatchedKind, taken: KindDelta, emit: EmitEvent) -> None:
-    """Decode what is new of a kind and tell it."""
-    if taken.full:
-        objects = tuple(_stored(row) for row in taken.rows if row.content is not None)
-        watched.on_listing(Listing(taken.observed_at_s, 0, objects), emit)
+def publish_kind(watched: WatchedKind, delta: KindDelta, emit: EmitEvent) -> None:
+    """Decode what is new of a kind and emit it."""
+    if delta.full:
+        objects = tuple(_stored(row) for row in delta.rows if row.content is not None)
+        watched.on_listing(Listing(delta.observed_at_s, 0, objects), emit)
         return
-    for row in taken.rows:
-        watched.on_change(Change(_stored(row), row.content is None), taken.observed_at_s, emit)
-    watched.on_unchanged(taken.observed_at_s, emit)
+    for row in delta.rows:
+        watched.on_change(Change(_stored(row), row.content is None), delta.observed_at_s, emit)
+    watched.on_unchanged(delta.observed_at_s, emit)
 
 
 def _stored(row: ObjectRow) -> StoredObject:
@@ -358,7 +361,10 @@
 
 
 def kind_observed(kind: str, since: int | None, found: Listing | Changes) -> KindObserved:
-    """Return what an answer of the store shows of a kind: a listing, or a watch after ``since``."""
+    """Return the event for a response of the object store.
+
+    ``found`` is a listing (``since`` is None) or the changes that a watch found after ``since``.
+    """
     if isinstance(found, Listing):
         rows = tuple(_row(stored) for stored in found.objects)
     else:
