Reword the I/O layer and its sends

Cause: texts and inner names used figures of speech and terms private to the project. Change: comments, doc comments and inner names of gateway_io and proxied_send.

--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -1,8 +1,8 @@
-"""Joins callers, targets and the core of an entry on the platform; decides nothing.
+"""The I/O layer of an entry: connects callers and targets with the core; makes no decisions.
 
-Bytes become events for ``gateway.Gateway`` and its actions become bytes.  All of it runs on one
-event loop: a call's streams need no threads, and a caller that leaves is noticed while nothing
-flows.
+Bytes that arrive become events for ``gateway.Gateway``, and the actions that it returns become
+bytes.  Everything runs on one event loop: streams need no threads, and a caller's disconnect is
+noticed even while no data flows.
 """
 
 import asyncio
@@ -52,33 +52,36 @@
 from filbertstream.statuses import BAD_GATEWAY, BAD_REQUEST
 from filbertstream.version.routes import CallerLimits
 
-FREED: Final = (200, 202, 204)
+FREED_STATUSES: Final = (200, 202, 204)
 
-CACHE_ANSWER_S: Final = 0.5
-"""Beyond the time that a holder is asked to wait, its answer must come within this."""
+CACHE_RESPONSE_TIMEOUT_S: Final = 0.5
+"""Time limit of a cache call, in addition to the wait that the call requests."""
 
-EVENTS_LIMIT_BYTES: Final = 4_000_000
-"""An answer to an event call: tens of thousands of events."""
+CACHE_EVENTS_LIMIT_BYTES: Final = 4_000_000
+"""Largest response to a call for cache events: tens of thousands of events."""
 
-LIST_LIMIT_BYTES: Final = 16_000_000
-"""A list of all parts that a holder keeps: a few hundred thousand."""
+CACHE_LIST_LIMIT_BYTES: Final = 16_000_000
+"""Largest list of all cache blocks of a holder: a few hundred thousand blocks."""
 
-RELAY_FORM: Final = PassThroughFormat()
-"""It keeps nothing of a call, so that all calls share it."""
+PASS_THROUGH: Final = PassThroughFormat()
+"""Stateless, so all calls share it."""
 
 
 class GatewayIO:
-    """The event loop's side of an entry."""
+    """Runs an entry's core on the event loop and does its I/O.
+
+    ``handlers`` maps each type of action to the function that executes it.
+    """
 
     def __init__(
-        self, core: Gateway, write_log: Callable[[Log], None], on_broken: Callable[[str], None]
+        self, core: Gateway, write_log: Callable[[Log], None], on_fatal: Callable[[str], None]
     ) -> None:
         self._core = core
-        self._on_broken = on_broken
+        self._on_fatal = on_fatal
         self._write_log = write_log
         self.pool = TargetConnectionPool()
         self._calls: dict[int, ProxiedCall] = {}
-        self._last_call = 0
+        self._last_call_id = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self.connections: set[CallerConnection] = set()
         self.stopping = False
@@ -89,12 +92,12 @@
             RelayResponse: self._relay,
             ContinueResponse: self._continue,
             CancelSend: self._cancel,
-            RespondLocally: self._answer,
-            ReplayResponse: self._answer_kept,
-            AbortResponse: self._break,
-            PollCacheEvents: lambda follow: self._spawn(self._follow(follow)),
-            ListCacheBlocks: lambda ask: self._spawn(self._list(ask)),
-            FreeBlocks: lambda free: self._spawn(self._free(free)),
+            RespondLocally: self._respond,
+            ReplayResponse: self._replay_response,
+            AbortResponse: self._abort,
+            PollCacheEvents: lambda poll: self._spawn(self._poll_cache_events(poll)),
+            ListCacheBlocks: lambda action: self._spawn(self._list_cache(action)),
+            FreeBlocks: lambda free: self._spawn(self._free_blocks(free)),
         }
 
     @property
@@ -105,12 +108,12 @@
 
     @property
     def closing(self) -> bool:
-        """Whether answers should end their connections."""
+        """Whether responses should close their connections."""
         return self.stopping or self._core.should_close_connections(boot_time_s())
 
     @property
     def calls_running(self) -> int:
-        """The number of calls under way."""
+        """The number of calls in progress."""
         return len(self._calls)
 
     @property
@@ -125,150 +128,161 @@
         return conn
 
     def emit(self, event: Any) -> None:
-        """Step the core and carry its actions out."""
+        """Pass an event to the core and execute the actions that it returns."""
         for action in self._core.step(boot_time_s(), event):
-            self.carry_out(action)
+            self.execute(action)
 
-    def carry_out(self, action: GatewayAction) -> None:
-        """Hand an action to its handler."""
+    def execute(self, action: GatewayAction) -> None:
+        """Pass an action to its handler."""
         self.handlers[type(action)](action)
 
     def on_request(self, conn: CallerConnection, raw: RawRequest) -> None:
-        """Tell the core of a request, or refuse one that is malformed."""
+        """Start a call for a request, or reject the request if its head is malformed."""
         match decode_call(raw.method, raw.path, raw.headers, len(raw.body)):
             case Err(detail):
                 self.on_rejected(BAD_REQUEST, detail)
                 refusal = RespondLocally(0, BAD_REQUEST, "malformed", detail, None)
-                conn.send_response(*RELAY_FORM.refusal("", refusal))
+                conn.send_response(*PASS_THROUGH.refusal("", refusal))
                 conn.close()
             case Ok(head):
-                self.begin(conn, raw, head, RELAY_FORM)
-
-    def begin(
-        self, conn: CallerConnection, raw: RawRequest, head: CallHead, form: ResponseFormat
+                self.start_call(conn, raw, head, PASS_THROUGH)
+
+    def start_call(
+        self,
+        conn: CallerConnection,
+        raw: RawRequest,
+        head: CallHead,
+        response_format: ResponseFormat,
     ) -> None:
-        """Tell the core of a call; ``raw`` is what a target gets of it."""
-        self._last_call += 1
-        conn.call_id = self._last_call
-        self._calls[self._last_call] = ProxiedCall(conn, raw, head, form)
+        """Start a call in the core; ``raw`` is the request that a target receives."""
+        self._last_call_id += 1
+        conn.call_id = self._last_call_id
+        self._calls[self._last_call_id] = ProxiedCall(conn, raw, head, response_format)
         self.call_started.set()
-        self.emit(CallArrived(self._last_call, head))
+        self.emit(CallArrived(self._last_call_id, head))
 
     def on_rejected(self, status: int, detail: str) -> None:
-        """Count a request that could not be read."""
+        """Count a request that was rejected before it became a call."""
         self._core.counters.add("calls_rejected", str(status))
 
     def on_disconnected(self, conn: CallerConnection) -> None:
-        """Tell the core that a caller left."""
+        """Report to the core that a caller disconnected."""
         call_id, conn.call_id = conn.call_id, None
         if call_id is not None and call_id in self._calls:
             self.emit(CallerDisconnected(call_id))
             self.forget_call(call_id)
 
     def on_pause(self, conn: CallerConnection, paused: bool) -> None:
-        """Read a target no faster than its caller does."""
-        relayed = self._calls.get(conn.call_id or 0)
-        if relayed is not None and relayed.send is not None and relayed.send.link is not None:
-            relayed.send.link.pause(paused)
+        """Apply the caller's backpressure to the target's connection."""
+        call = self._calls.get(conn.call_id or 0)
+        if call is not None and call.send is not None and call.send.target_conn is not None:
+            call.send.target_conn.pause(paused)
 
     def forget_call(self, call_id: int) -> None:
-        """Forget a call."""
+        """Drop the state of a call."""
         self._calls.pop(call_id, None)
 
     def _send(self, action: SendCall) -> None:
-        relayed = self._calls.get(action.call_id)
-        if relayed is None:
+        call = self._calls.get(action.call_id)
+        if call is None:
             return
-        send = relayed.send = ProxiedSend(self, relayed, action)
+        send = call.send = ProxiedSend(self, call, action)
         self._spawn(send.begin(self.pool))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._finished)
+        task.add_done_callback(self._on_task_done)
 
-    def _finished(self, task: asyncio.Task[None]) -> None:
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and (exc := task.exception()) is not None:
-            self._on_broken(f"call to a target: {exc!r}")
+            self._on_fatal(f"call to a target: {exc!r}")
 
-    async def _follow(self, follow: PollCacheEvents) -> None:
-        """Make an event call and tell the core what came of it."""
+    async def _poll_cache_events(self, poll: PollCacheEvents) -> None:
+        """Poll a holder's cache events and emit the outcome."""
         sent_at_s = boot_time_s()
-        within_s = follow.wait_s + CACHE_ANSWER_S
-        data = encode_follow(follow)
-        answer = await call_target(
+        timeout_s = poll.wait_s + CACHE_RESPONSE_TIMEOUT_S
+        data = encode_follow(poll)
+        response = await call_target(
             self.pool,
-            parse_address(follow.address),
+            parse_address(poll.address),
             data,
-            within_s,
+            timeout_s,
             sent_at_s,
-            EVENTS_LIMIT_BYTES,
+            CACHE_EVENTS_LIMIT_BYTES,
         )
-        if answer is None:
-            self.emit(CacheEventsFailed(follow.holder))
+        if response is None:
+            self.emit(CacheEventsFailed(poll.holder))
         else:
-            self.emit(decode_events(follow, *answer, sent_at_s, boot_time_s()))
+            self.emit(decode_events(poll, *response, sent_at_s, boot_time_s()))
 
-    async def _list(self, ask: ListCacheBlocks) -> None:
-        """Ask for all that a holder keeps; without an answer it is asked again later."""
+    async def _list_cache(self, action: ListCacheBlocks) -> None:
+        """Request the full list of a holder's blocks; without a response the core retries later."""
         sent_at_s = boot_time_s()
-        address = parse_address(ask.address)
-        answer = await call_target(
-            self.pool, address, encode_list(ask), CACHE_ANSWER_S, sent_at_s, LIST_LIMIT_BYTES
+        address = parse_address(action.address)
+        response = await call_target(
+            self.pool,
+            address,
+            encode_list(action),
+            CACHE_RESPONSE_TIMEOUT_S,
+            sent_at_s,
+            CACHE_LIST_LIMIT_BYTES,
         )
-        listed = None if answer is None else decode_list(ask, *answer, sent_at_s)
+        listed = None if response is None else decode_list(action, *response, sent_at_s)
         if listed is None:
             self._core.counters.add("cache_lists_missed", "")
         else:
             self.emit(listed)
 
-    async def _free(self, free: FreeBlocks) -> None:
-        """Free parts and tell the core if they are."""
+    async def _free_blocks(self, free: FreeBlocks) -> None:
+        """Free cache blocks, and report to the core if the holder accepted."""
         data = encode_free(free)
         address = parse_address(free.address)
-        answer = await call_target(self.pool, address, data, CACHE_ANSWER_S, boot_time_s())
-        if answer is not None and answer[0] in FREED:
+        response = await call_target(
+            self.pool, address, data, CACHE_RESPONSE_TIMEOUT_S, boot_time_s()
+        )
+        if response is not None and response[0] in FREED_STATUSES:
             self.emit(BlocksFreed(free.holder, free.keys))
 
-    def _current(self, call_id: int, number: int) -> ProxiedSend | None:
-        relayed = self._calls.get(call_id)
-        send = None if relayed is None else relayed.send
+    def _current_send(self, call_id: int, number: int) -> ProxiedSend | None:
+        call = self._calls.get(call_id)
+        send = None if call is None else call.send
         return send if send is not None and send.action.number == number else None
 
     def _relay(self, action: RelayResponse) -> None:
-        send = self._current(action.call_id, action.number)
+        send = self._current_send(action.call_id, action.number)
         if send is not None:
             send.relay(action.stream)
 
     def _continue(self, action: ContinueResponse) -> None:
-        send = self._current(action.call_id, action.number)
+        send = self._current_send(action.call_id, action.number)
         if send is not None:
             send.resume()
 
     def _cancel(self, action: CancelSend) -> None:
-        send = self._current(action.call_id, action.number)
+        send = self._current_send(action.call_id, action.number)
         if send is not None:
             send.cancel()
 
-    def _answer(self, action: RespondLocally) -> None:
-        relayed = self._calls.pop(action.call_id, None)
-        if relayed is not None:
-            relayed.conn.send_response(*relayed.form.refusal(relayed.request_id, action))
+    def _respond(self, action: RespondLocally) -> None:
+        call = self._calls.pop(action.call_id, None)
+        if call is not None:
+            call.conn.send_response(*call.response_format.refusal(call.request_id, action))
 
-    def _answer_kept(self, action: ReplayResponse) -> None:
-        relayed = self._calls.pop(action.call_id, None)
-        if relayed is not None:
-            relayed.conn.send_response(*relayed.form.kept(action.response))
+    def _replay_response(self, action: ReplayResponse) -> None:
+        call = self._calls.pop(action.call_id, None)
+        if call is not None:
+            call.conn.send_response(*call.response_format.stored(action.response))
 
-    def _break(self, action: AbortResponse) -> None:
-        relayed = self._calls.pop(action.call_id, None)
-        if relayed is None:
+    def _abort(self, action: AbortResponse) -> None:
+        call = self._calls.pop(action.call_id, None)
+        if call is None:
             return
-        conn, last = relayed.conn, relayed.form.broken()
-        if relayed.form.collects:
+        conn, last = call.conn, call.response_format.broken()
+        if call.response_format.collects:
             refusal = RespondLocally(action.call_id, BAD_GATEWAY, "target_failed", "", None)
-            conn.send_response(*relayed.form.refusal(relayed.request_id, refusal))
+            conn.send_response(*call.response_format.refusal(call.request_id, refusal))
         elif last is not None:
             conn.stream(last)
             conn.end()
@@ -281,7 +295,7 @@
         self.pool.sweep(boot_time_s())
 
     def close_idle(self) -> None:
-        """Close the callers' connections on which nothing is under way."""
+        """Close the callers' connections that have no request in progress."""
         for conn in list(self.connections):
             if conn.idle:
                 conn.close()
--- a/filbertstream/connection/proxied_send.py
+++ b/filbertstream/connection/proxied_send.py
@@ -1,7 +1,7 @@
-"""One call at the edge and its current send: the sink of a target's answer.
+"""A call in the I/O layer and its current send, which receives the target's response.
 
-Bytes of an answer become events for the core, which says what becomes of them; what it passes on
-goes to the caller event by event, or whole.
+A response becomes events for the core, which decides what to do with it.  A response that is passed
+on goes to the caller event by event, or buffered as a complete body.
 """
 
 from typing import Any, Final, Protocol
@@ -23,94 +23,100 @@
 )
 
 BUFFERED_BYTES: Final = 8_000_000
-"""An answer that is passed on whole may be this large."""
+"""Largest response body that is buffered until it is complete."""
 
 
-class EdgeHost(Protocol):
-    """What a send tells the edge."""
+class SendHost(Protocol):
+    """What a send needs of the I/O layer."""
 
     def emit(self, event: Any) -> None:
-        """Step the core and carry its actions out."""
+        """Pass an event to the core and execute the actions that it returns."""
 
     def forget_call(self, call_id: int) -> None:
-        """Forget a call."""
+        """Drop the state of a call."""
 
 
 class ProxiedCall:
-    """One call at the edge: its caller, its request, its answer's form and its current send."""
+    """A call in the I/O layer: its caller, request, response format and current send."""
 
     def __init__(
-        self, conn: CallerConnection, raw: RawRequest, head: CallHead, form: ResponseFormat
+        self,
+        conn: CallerConnection,
+        raw: RawRequest,
+        head: CallHead,
+        response_format: ResponseFormat,
     ) -> None:
         self.conn = conn
         self.raw = raw
         self.request_id = head.request_id
-        self.keeps_answer = head.idempotency_key is not None
-        self.form = form
+        self.stores_response = head.idempotency_key is not None
+        self.response_format = response_format
         self.send: ProxiedSend | None = None
         self.events: EventRelay | None = None
 
 
 class ProxiedSend:
-    """One send of a call; the sink of its answer."""
+    """One send of a call; receives the target's response."""
 
-    def __init__(self, gateway_io: EdgeHost, relayed: ProxiedCall, action: SendCall) -> None:
-        self._gateway_io = gateway_io
-        self._relayed = relayed
+    def __init__(self, host: SendHost, call: ProxiedCall, action: SendCall) -> None:
+        self._host = host
+        self._call = call
         self.action = action
-        self.link: TargetConnection | None = None
+        self.target_conn: TargetConnection | None = None
         self.over = False
         self._streams = False
         self._relays = False
-        self._answer: ResponseHead | None = None
+        self._response: ResponseHead | None = None
         self._reason = ""
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._first = False
+        self._body_started = False
 
-    def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
-        """Ask the core what becomes of the answer."""
-        self._answer, self._reason, self._headers = answer, reason, headers
-        self._gateway_io.emit(ResponseStarted(self.action.call_id, self.action.number, answer))
+    def on_head(self, response: ResponseHead, reason: str, headers: Headers) -> None:
+        """Report the response to the core, which decides whether it is passed on."""
+        self._response, self._reason, self._headers = response, reason, headers
+        self._host.emit(ResponseStarted(self.action.call_id, self.action.number, response))
 
     def relay(self, stream: bool) -> None:
-        """Pass the answer on: event by event, or whole."""
+        """Pass the response on: event by event, or as a complete body."""
         self._relays = True
         self._streams = stream
-        if stream and self._answer is not None:
-            self._relayed.events = EventRelay(self.action.last_event_id)
-            if not self._relayed.form.collects:
-                head = self._relayed.form.begin(self._answer.status, self._reason, self._headers)
-                self._relayed.conn.begin(head)
+        if stream and self._response is not None:
+            self._call.events = EventRelay(self.action.last_event_id)
+            if not self._call.response_format.collects:
+                head = self._call.response_format.begin(
+                    self._response.status, self._reason, self._headers
+                )
+                self._call.conn.begin(head)
 
     def resume(self) -> None:
-        """Go on with the caller's stream."""
+        """Continue the caller's stream with the response to this send."""
         self._relays = self._streams = True
-        if self._relayed.events is not None:
-            self._relayed.events.restart()
+        if self._call.events is not None:
+            self._call.events.restart()
 
     def on_body(self, data: bytes) -> bool:
-        """Pass bytes on, or keep them until the answer is whole.
+        """Pass bytes on, or buffer them; return whether they count as progress.
 
-        A stream has got on only by events that its caller can use: a runner that stalls may send a
-        byte or a comment now and then.
+        Only events with an id or data count as progress of a stream: a stalled runner may still
+        send single bytes or comments.
         """
         if self.over or not self._relays:
             return False
-        if not self._first:
-            self._first = True
-            self._gateway_io.emit(FirstEvent(self.action.call_id, self.action.number))
-        if self._streams and self._relayed.events is not None:
-            events = self._relayed.events
+        if not self._body_started:
+            self._body_started = True
+            self._host.emit(FirstEvent(self.action.call_id, self.action.number))
+        if self._streams and self._call.events is not None:
+            events = self._call.events
             before = events.useful_events
             passed = events.feed(data)
             if events.malformed:
                 self._fail("too_large")
                 return False
-            data = self._relayed.form.events(passed) if passed else b""
+            data = self._call.response_format.events(passed) if passed else b""
             if data:
-                self._relayed.conn.stream(data)
+                self._call.conn.stream(data)
             return events.useful_events > before
         self._body.append(data)
         self._body_bytes += len(data)
@@ -119,48 +125,53 @@
         return True
 
     def on_complete(self) -> None:
-        """End the caller's answer as whole, if it is."""
-        if self.over or not self._relays or self._answer is None:
+        """Finish the caller's response; a stream that ends inside an event has failed."""
+        if self.over or not self._relays or self._response is None:
             return
-        events = self._relayed.events
+        events = self._call.events
         if self._streams and (events is None or not events.complete):
             self._fail("cut")
             return
         self.over = True
         body = b"".join(self._body)
-        self._finish(self._answer, body)
-        self._gateway_io.forget_call(self.action.call_id)
-        kept = self._kept(self._answer, body) if self._relayed.keeps_answer else None
-        self._gateway_io.emit(
-            ResponseComplete(self.action.call_id, self.action.number, self._body_bytes, kept)
+        self._finish(self._response, body)
+        self._host.forget_call(self.action.call_id)
+        stored = self._stored_response(self._response, body) if self._call.stores_response else None
+        self._host.emit(
+            ResponseComplete(self.action.call_id, self.action.number, self._body_bytes, stored)
         )
 
-    def _finish(self, answer: ResponseHead, body: bytes) -> None:
-        """End the caller's answer."""
-        conn, form = self._relayed.conn, self._relayed.form
-        if not self._streams or form.collects:
-            conn.send_response(*form.complete(answer.status, self._reason, self._headers, body))
+    def _finish(self, response: ResponseHead, body: bytes) -> None:
+        """Write the rest of the caller's response."""
+        conn, response_format = self._call.conn, self._call.response_format
+        if not self._streams or response_format.collects:
+            conn.send_response(
+                *response_format.complete(response.status, self._reason, self._headers, body)
+            )
             return
-        last = form.end()
+        last = response_format.end()
         if last:
             conn.stream(last)
         conn.end()
 
-    def _kept(self, answer: ResponseHead, body: bytes) -> BufferedResponse:
+    def _stored_response(self, response: ResponseHead, body: bytes) -> BufferedResponse:
         content_type = dict(reversed(self._headers)).get(b"content-type", b"")
-        return BufferedResponse(answer.status, content_type.decode("latin-1"), body)
+        return BufferedResponse(response.status, content_type.decode("latin-1"), body)
 
     def on_failed(self, cause: str) -> None:
-        """Tell the core that the answer is cut."""
+        """Report to the core that the response broke off."""
         self._fail(cause)
 
     def on_stalled(self) -> None:
-        """Ask the core whether the call goes on elsewhere; else the answer is waited for."""
+        """Report the stall to the core, which may retry the call on another target.
+
+        Otherwise this send keeps waiting.
+        """
         if self.over:
             return
-        events = self._relayed.events
+        events = self._call.events
         last_id = None if events is None else events.last_id
-        self._gateway_io.emit(
+        self._host.emit(
             SendStalled(self.action.call_id, self.action.number, events is not None, last_id)
         )
 
@@ -168,28 +179,28 @@
         if self.over:
             return
         self.over = True
-        events = self._relayed.events
+        events = self._call.events
         last_id = None if events is None else events.last_id
         event = SendFailed(
             self.action.call_id, self.action.number, cause, sent, events is not None, last_id
         )
-        self._gateway_io.emit(event)
+        self._host.emit(event)
 
     async def begin(self, pool: TargetConnectionPool) -> None:
-        """Find a connection and write the request."""
+        """Take or open a connection and write the request."""
         action = self.action
-        link = pool.take(action.address, action.max_idle_s, boot_time_s())
-        if link is None:
-            link = await pool.open(action.address)
+        target_conn = pool.take(action.address, action.max_idle_s, boot_time_s())
+        if target_conn is None:
+            target_conn = await pool.open(action.address)
         if self.over:
-            if link is not None:
-                pool.give_back(link, boot_time_s())
+            if target_conn is not None:
+                pool.release(target_conn, boot_time_s())
             return
-        if link is None or link.closed:
+        if target_conn is None or target_conn.closed:
             self._fail("unreachable", sent=False)
             return
-        self.link = link
-        raw = self._relayed.raw
+        self.target_conn = target_conn
+        raw = self._call.raw
         head = encode_target_head(
             raw.method,
             raw.path,
@@ -202,16 +213,16 @@
             action.last_event_id,
             len(raw.body),
         )
-        link.request(
-            self._relayed.request_id,
+        target_conn.request(
+            self._call.request_id,
             head + raw.body,
             self,
             action.progress_timeout_s,
-            lambda idle: pool.give_back(idle, boot_time_s()),
+            lambda idle: pool.release(idle, boot_time_s()),
         )
 
     def cancel(self) -> None:
-        """Give the send up."""
+        """Abandon the send by closing its connection."""
         self.over = True
-        if self.link is not None:
-            self.link.abort()
+        if self.target_conn is not None:
+            self.target_conn.abort()
