--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -260,7 +260,7 @@
     Guard(
         "an error that nothing caught ends the process",
         "connection/loop_exception_handler.py",
-        "self._on_broken(f",
+        "self._on_fatal(f",
         "str(f",
         "tests/test_loop_errors.py::test_a_fault_in_a_connections_callback_ends_the_process",
     ),
@@ -408,14 +408,14 @@
     Guard(
         "a stream gets on by events only",
         "connection/target_connection.py",
-        "if self._sink is not None and not self._foreign and self._sink.on_body(data):",
-        "if self._sink is not None and not self._foreign and (self._sink.on_body(data) or True):",
+        "if self._sink is not None and not self._skipping and self._sink.on_body(data):",
+        "if self._sink is not None and not self._skipping and (self._sink.on_body(data) or True):",
         "tests/test_dribbling.py",
     ),
     Guard(
         "bytes before an answer's head are bounded",
         "connection/target_connection.py",
-        "if self._waiting_bytes > (SKIPPED_LIMIT_BYTES if self._skipped else HEAD_LIMIT_BYTES):",
+        "if self._head_bytes > (SKIPPED_LIMIT_BYTES if self._has_skipped else HEAD_LIMIT_BYTES):",
         "if False:",
         "tests/test_endless_bytes.py",
     ),
--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -1,8 +1,8 @@
-"""Connections from callers on the event loop: bounded, checked requests in, answers out.
+"""Connections from callers on the event loop: reads requests within limits and writes responses.
 
-httptools parses.  A request whose framing is ambiguous is refused and its connection closed, so
-that nothing can be smuggled inside another.  One request of a connection is served at a time; those
-sent ahead wait.
+httptools parses.  A request with ambiguous framing is rejected and its connection closed, which
+prevents request smuggling.  A connection serves one request at a time; pipelined requests are
+queued.
 """
 
 import asyncio
@@ -24,20 +24,21 @@
 from filbertstream.version.routes import CallerLimits
 
 PIPELINE_LIMIT: Final = 16
-"""Requests that a connection may send ahead before it is read no further."""
+"""Reading from a connection pauses while this many pipelined requests are queued."""
 
 WRITE_HIGH_BYTES: Final = 256 * 1024
-"""Unsent bytes of a caller's connection at which its target is read no further."""
+"""Reading from the target pauses while this many bytes to the caller are unsent."""
 
-FRAMING_FACTOR: Final = 8
-"""Bytes on the wire for each byte of a body that comes in chunks: six for chunks of one byte."""
+MAX_FRAMING_FACTOR: Final = 8
+"""Largest number of bytes on the wire for each byte of a chunked body.  Chunks of one byte take
+six."""
 
-BODY_S: Final = 15.0
-"""A body must be complete this long after its head; callers announce shorter deadlines."""
+BODY_TIMEOUT_S: Final = 15.0
+"""A body must be complete this long after its head.  Callers announce shorter deadlines."""
 
 
 class RawRequest(NamedTuple):
-    """A request as it was read; ``last`` asks for the connection to end with its answer."""
+    """A request as read; if ``last`` is set, the connection is closed after its response."""
 
     method: str
     path: str
@@ -47,103 +48,103 @@
 
 
 class CallerApp(Protocol):
-    """What the connections of callers are served by."""
+    """The application that serves the connections of callers."""
 
     @property
     def limits(self) -> CallerLimits:
-        """The limits in force."""
+        """The current limits."""
 
     @property
     def closing(self) -> bool:
-        """Whether answers should end their connections."""
+        """Whether responses should close their connections."""
 
     def on_request(self, conn: "CallerConnection", raw: RawRequest) -> None:
-        """Serve a request that was read whole."""
+        """Serve a request that was read completely."""
 
     def on_disconnected(self, conn: "CallerConnection") -> None:
         """The caller closed its connection."""
 
     def on_pause(self, conn: "CallerConnection", paused: bool) -> None:
-        """The caller reads too slowly, or reads again."""
+        """The write buffer to the caller is full (``paused``), or has drained again."""
 
     def on_rejected(self, status: int, detail: str) -> None:
-        """A request was refused before it could be read whole."""
+        """A request was rejected before it was read completely."""
 
 
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller."""
 
-    def __init__(self, app: CallerApp, forget: Callable[["CallerConnection"], None]) -> None:
+    def __init__(self, app: CallerApp, on_closed: Callable[["CallerConnection"], None]) -> None:
         self._app = app
-        self._forget = forget
+        self._on_closed = on_closed
         self.transport: asyncio.Transport | None = None
         self.call_id: int | None = None
         self.busy = False
         self._parser = httptools.HttpRequestParser(self)
-        self._waiting: deque[RawRequest] = deque()
+        self._queued: deque[RawRequest] = deque()
         self._url = b""
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
-        self._wire_bytes = 0
+        self._body_wire_bytes = 0
         self._in_request = False
         self._head_done = False
         self._close_after = False
-        self._refusing = False
+        self._rejecting = False
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Begin to wait for the first request."""
+        """Start the idle timeout for the first request."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
-        self._wait(self._app.limits.idle_timeout_s, self._on_idle)
+        self._set_timer(self._app.limits.idle_timeout_s, self._on_idle_timeout)
 
-    def _wait(self, seconds: float, then: Callable[[], None]) -> None:
+    def _set_timer(self, seconds: float, then: Callable[[], None]) -> None:
         if self._timer is not None:
             self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_later(seconds, then)
 
-    def _on_idle(self) -> None:
+    def _on_idle_timeout(self) -> None:
         self.close()
 
-    def _on_slow(self) -> None:
-        self._reject(TIMEOUT, "the request did not arrive in time")
+    def _on_request_timeout(self) -> None:
+        self._reject(TIMEOUT, "request not received completely within the time limit")
 
     def close(self) -> None:
-        """Close the connection once what was written is sent."""
+        """Close the connection after the buffered bytes are sent."""
         if self.transport is not None:
             self.transport.close()
 
     @property
     def idle(self) -> bool:
         """Whether no request is being read or served."""
-        return not self.busy and not self._in_request and not self._waiting
+        return not self.busy and not self._in_request and not self._queued
 
     def data_received(self, data: bytes) -> None:
-        """Feed the parser, within the limits."""
-        if self._refusing:
+        """Feed the parser and enforce the limits."""
+        if self._rejecting:
             return
         if not self._head_done:
             self._head_bytes += len(data)
         else:
-            self._wire_bytes += len(data)
+            self._body_wire_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._reject(NOT_IMPLEMENTED, "upgrades are not served")
+            self._reject(NOT_IMPLEMENTED, "protocol upgrades are not supported")
             return
         except httptools.HttpParserError as exc:
             self._reject(BAD_REQUEST, f"malformed request: {exc}")
             return
-        if self._refusing:
+        if self._rejecting:
             return
         limits = self._app.limits
         if not self._head_done and self._head_bytes > limits.header_bytes:
-            self._reject(FIELDS_TOO_LARGE, "the head is too large")
-        framing_bytes = limits.header_bytes + FRAMING_FACTOR * self._body_bytes
-        if self._in_request and self._wire_bytes > framing_bytes:
-            self._reject(BAD_REQUEST, "the body is mostly framing")
+            self._reject(FIELDS_TOO_LARGE, f"request head exceeds {limits.header_bytes} bytes")
+        wire_limit_bytes = limits.header_bytes + MAX_FRAMING_FACTOR * self._body_bytes
+        if self._in_request and self._body_wire_bytes > wire_limit_bytes:
+            self._reject(BAD_REQUEST, "chunked body has too much framing overhead")
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
@@ -151,18 +152,18 @@
         self._headers = []
         self._body = []
         self._body_bytes = 0
-        self._wire_bytes = 0
+        self._body_wire_bytes = 0
         self._in_request = True
         self._head_done = False
         if not self.busy:
-            self._wait(self._app.limits.header_timeout_s, self._on_slow)
+            self._set_timer(self._app.limits.header_timeout_s, self._on_request_timeout)
 
     def on_url(self, url: bytes) -> None:
         """Called by the parser."""
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser; what comes after a body has no meaning here."""
+        """Called by the parser; trailer fields are ignored."""
         if not self._head_done:
             self._headers.append((name.lower(), value))
 
@@ -173,117 +174,121 @@
         size = len(self._url) + sum(len(name) + len(value) + 4 for name, value in self._headers)
         names = [name for name, _ in self._headers]
         if size > self._app.limits.header_bytes:
-            self._reject(FIELDS_TOO_LARGE, "the head is too large")
+            self._reject(
+                FIELDS_TOO_LARGE,
+                f"request head of {size} bytes exceeds {self._app.limits.header_bytes} bytes",
+            )
         elif b"content-length" in names and b"transfer-encoding" in names:
-            self._reject(BAD_REQUEST, "both Content-Length and Transfer-Encoding")
+            self._reject(BAD_REQUEST, "both Content-Length and Transfer-Encoding are present")
         else:
             self._after_head(dict(self._headers))
 
     def _after_head(self, first: dict[bytes, bytes]) -> None:
         length = first.get(b"content-length", b"0")
         if length.isdigit() and int(length) > self._app.limits.body_bytes:
-            self._reject(TOO_LARGE, "the body is too large")
+            self._reject(TOO_LARGE, f"request body exceeds {self._app.limits.body_bytes} bytes")
             return
         if not self.busy:
-            self._wait(BODY_S, self._on_slow)
+            self._set_timer(BODY_TIMEOUT_S, self._on_request_timeout)
         if first.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser."""
-        if self._refusing:
+        if self._rejecting:
             return
         self._body_bytes += len(data)
         if self._body_bytes > self._app.limits.body_bytes:
-            self._reject(TOO_LARGE, "the body is too large")
+            self._reject(TOO_LARGE, f"request body exceeds {self._app.limits.body_bytes} bytes")
             return
         self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Called by the parser."""
-        if self._refusing:
+        if self._rejecting:
             return
         self._in_request = False
         last = not self._parser.should_keep_alive()
         method = self._parser.get_method().decode("ascii")
         path = self._url.decode("latin-1")
-        self._waiting.append(RawRequest(method, path, self._headers, b"".join(self._body), last))
+        self._queued.append(RawRequest(method, path, self._headers, b"".join(self._body), last))
         self._body = []
-        if len(self._waiting) >= PIPELINE_LIMIT and self.transport is not None:
+        if len(self._queued) >= PIPELINE_LIMIT and self.transport is not None:
             self.transport.pause_reading()
         if not self.busy:
             self._next()
 
     def _next(self) -> None:
-        if not self._waiting:
+        if not self._queued:
             if not self._in_request:
-                self._wait(self._app.limits.idle_timeout_s, self._on_idle)
+                self._set_timer(self._app.limits.idle_timeout_s, self._on_idle_timeout)
             return
-        if len(self._waiting) >= PIPELINE_LIMIT and self.transport is not None:
+        if len(self._queued) >= PIPELINE_LIMIT and self.transport is not None:
             self.transport.resume_reading()
         if self._timer is not None:
             self._timer.cancel()
         self.busy = True
-        raw = self._waiting.popleft()
+        raw = self._queued.popleft()
         self._close_after = self._close_after or raw.last
         self._app.on_request(self, raw)
 
     def _reject(self, status: int, detail: str) -> None:
-        """Refuse what can't be read and close, after the answers that are still due."""
-        if self._refusing:
+        """Reject the current request; close the connection after any response in progress."""
+        if self._rejecting:
             return
-        self._refusing = True
+        self._rejecting = True
         self._app.on_rejected(status, detail)
         if self.busy or self.transport is None:
             self._close_after = True
-            self._waiting.clear()
+            self._queued.clear()
             return
         head, body = encode_local_response(status, REASONS[status], "", {"detail": detail}, None)
         self.transport.write(head + b"\r\nConnection: close\r\n\r\n" + body)
         self.transport.close()
 
-    def _ending(self) -> bytes:
+    def _end_of_head(self) -> bytes:
         if self._app.closing:
             self._close_after = True
         return b"\r\nConnection: close\r\n\r\n" if self._close_after else b"\r\n\r\n"
 
     def send_response(self, head: bytes, body: bytes) -> None:
-        """Send a whole answer."""
+        """Send a complete response."""
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(head + self._ending() + body)
-        self._done()
+            self.transport.write(head + self._end_of_head() + body)
+        self._finish()
 
     def begin(self, head: bytes) -> None:
-        """Send the head of a streamed answer."""
+        """Send the head of a streamed response."""
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(head + self._ending())
+            self.transport.write(head + self._end_of_head())
 
     def stream(self, data: bytes) -> None:
-        """Send a part of a streamed answer."""
+        """Send a chunk of a streamed response."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
 
     def end(self) -> None:
-        """End a streamed answer as whole."""
+        """End a streamed response that is complete."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(b"0\r\n\r\n")
-        self._done()
+        self._finish()
 
     def abort(self) -> None:
-        """End a streamed answer as broken."""
+        """Close the connection at once, so that the caller sees a streamed response as cut off."""
         if self.transport is not None:
             self.transport.abort()
 
-    def _done(self) -> None:
+    def _finish(self) -> None:
         self.busy = False
         self.call_id = None
         if self.transport is None:
             return
         if self._close_after or self._app.closing:
-            # A request that the caller has sent ahead was not passed on and may be repeated.
+            # Pipelined requests that are still queued were not sent to a target; callers can
+            # retry them.
             self.transport.close()
             return
-        # The parser may be in the middle of the bytes that brought this request.
+        # The parser may still be inside ``feed_data`` for the bytes of this request.
         asyncio.get_running_loop().call_soon(self._next_if_idle)
 
     def _next_if_idle(self) -> None:
@@ -291,25 +296,25 @@
             self._next()
 
     def eof_received(self) -> bool:
-        """A caller that closes its side has left."""
+        """Treat a half-closed connection as a disconnect."""
         if self.busy:
             self._app.on_disconnected(self)
         return False
 
     def pause_writing(self) -> None:
-        """Called when the caller reads too slowly."""
+        """Called when the write buffer is full."""
         self._app.on_pause(self, True)
 
     def resume_writing(self) -> None:
-        """Called when the caller reads again."""
+        """Called when the write buffer has drained."""
         self._app.on_pause(self, False)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel what the caller waited for."""
+        """Cancel the call in progress, if any."""
         if self._timer is not None:
             self._timer.cancel()
         if self.busy:
             self._app.on_disconnected(self)
         self.busy = False
         self.transport = None
-        self._forget(self)
+        self._on_closed(self)
--- a/filbertstream/connection/event_relay.py
+++ b/filbertstream/connection/event_relay.py
@@ -1,20 +1,21 @@
-"""Passes whole server-sent events on, each once and in order, over the sends of one call.
+"""Relays server-sent events to a caller exactly once and in order, across the sends of one call.
 
-A target may stop in the middle of an event, and a resumed stream may repeat some.  Bytes are passed
-on only up to the end of an event; events up to the last one that the caller has are dropped.
+A target may stop in the middle of an event, and a resumed stream may repeat events.  So bytes are
+passed on only up to the end of an event, and events up to the last one that the caller received are
+dropped.
 """
 
 from typing import Final
 
-END: Final = b"\n\n"
+EVENT_END: Final = b"\n\n"
 ID_FIELD: Final = b"id:"
 DATA_FIELD: Final = b"data:"
 EVENT_LIMIT_BYTES: Final = 1_000_000
-"""Events hold a few tokens; bytes without an end of an event are none."""
+"""An event holds a few tokens.  A stream with more bytes than this in one event is malformed."""
 
 
 class EventRelay:
-    """The stream of one caller.
+    """The event stream of one caller.
 
     >>> relay = EventRelay(None)
     >>> relay.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
@@ -30,34 +31,34 @@
         self._buffer = b""
         self.malformed = False
         self.useful_events = 0
-        """Events passed on that bear an id or data."""
+        """Number of events passed on that have an id or data."""
 
     @property
     def complete(self) -> bool:
-        """Whether no event is cut off in the middle."""
+        """Whether the stream does not end inside an event."""
         return not self._buffer and not self.malformed
 
     def restart(self) -> None:
-        """Go on with the answer of a further send."""
+        """Continue with the response to another send."""
         self._buffer = b""
         self.malformed = False
 
     def feed(self, data: bytes) -> bytes:
-        """Take bytes of an answer and return what is to be passed on."""
+        """Add bytes of a response and return the complete new events among them."""
         if self.malformed:
             return b""
         buffer = self._buffer + data if self._buffer else data
-        end = buffer.rfind(END)
+        end = buffer.rfind(EVENT_END)
         if end < 0:
             self._buffer = buffer
             if len(buffer) > EVENT_LIMIT_BYTES:
                 self.malformed, self._buffer = True, b""
             return b""
-        end += len(END)
+        end += len(EVENT_END)
         self._buffer = buffer[end:]
-        passed = [event for event in buffer[:end].split(END)[:-1] if self._is_new(event)]
+        passed = [event for event in buffer[:end].split(EVENT_END)[:-1] if self._is_new(event)]
         self.useful_events += sum(1 for event in passed if _is_useful(event))
-        return b"".join([event + END for event in passed])
+        return b"".join([event + EVENT_END for event in passed])
 
     def _is_new(self, event: bytes) -> bool:
         number = _event_id(event)
--- a/filbertstream/connection/response_format.py
+++ b/filbertstream/connection/response_format.py
@@ -1,7 +1,7 @@
-"""How answers look to a caller: one form for each interface, chosen when a call arrives.
+"""Response formats: how responses are encoded for callers, one class for each interface.
 
-The edge passes whole events and whole answers to a form and writes what it returns; forms keep no
-sockets and decide nothing.
+The format is chosen when a call arrives.  The I/O layer passes complete events and complete
+responses to it and writes the bytes that it returns.  Formats own no sockets and make no decisions.
 """
 
 from typing import Protocol
@@ -12,7 +12,7 @@
 
 
 class Refusal(Protocol):
-    """An answer of this system's own, as ``request.call_events`` describes it."""
+    """A local response, made by the entry itself; see ``request.call_events``."""
 
     @property
     def status(self) -> int:
@@ -20,52 +20,52 @@
 
     @property
     def code(self) -> str:
-        """Why, in a word."""
+        """The machine-readable reason."""
 
     @property
     def detail(self) -> str:
-        """Why, for a person."""
+        """The human-readable reason."""
 
     @property
     def retry_after_s(self) -> float | None:
-        """When to come back."""
+        """After how many seconds to retry, if a retry can help."""
 
 
 class ResponseFormat(Protocol):
-    """Turns a target's answer, or this system's own, into a caller's bytes.
+    """Encodes responses of targets and local responses for a caller.
 
-    ``collects`` asks that a stream is gathered and answered whole.  Heads come without the empty
-    line that ends them, since the connection adds its own header.
+    If ``collects`` is set, a stream is buffered and sent as one complete response.  Heads are
+    returned without the empty line that ends them, since the connection may add a header.
     """
 
     collects: bool
 
     def begin(self, status: int, reason: str, headers: Headers) -> bytes:
-        """Return the head of a streamed answer."""
+        """Return the head of a streamed response."""
 
     def events(self, data: bytes) -> bytes:
-        """Return what to pass on of whole events."""
+        """Return the encoded form of complete events."""
 
     def end(self) -> bytes:
-        """Return what follows the last event."""
+        """Return the bytes that follow the last event."""
 
     def broken(self) -> bytes | None:
-        """Return what ends a stream that can't be made whole; None: its connection is cut."""
+        """Return the bytes that end an incomplete stream, or None to close the connection."""
 
     def complete(
         self, status: int, reason: str, headers: Headers, body: bytes
     ) -> tuple[bytes, bytes]:
-        """Return head and body of an answer that is passed on whole."""
+        """Return head and body of a target's complete response."""
 
-    def kept(self, answer: BufferedResponse) -> tuple[bytes, bytes]:
-        """Return head and body of the answer that an earlier call of the same key got."""
+    def stored(self, response: BufferedResponse) -> tuple[bytes, bytes]:
+        """Return head and body of the response stored for the call's idempotency key."""
 
     def refusal(self, request_id: str, refusal: Refusal) -> tuple[bytes, bytes]:
-        """Return head and body of an answer of this system's own."""
+        """Return head and body of a local response."""
 
 
 class PassThroughFormat:
-    """The form of callers that speak the targets' own protocol: what comes is passed on."""
+    """The format for callers that speak the targets' own protocol: responses pass unchanged."""
 
     collects = False
 
@@ -74,7 +74,7 @@
         return encode_response_head(status, reason, headers, None)
 
     def events(self, data: bytes) -> bytes:
-        """Return the events as they came."""
+        """Return the events unchanged."""
         return data
 
     def end(self) -> bytes:
@@ -82,20 +82,23 @@
         return b""
 
     def broken(self) -> bytes | None:
-        """Ask for the connection to be cut."""
+        """Return None: the connection is closed."""
         return None
 
     def complete(
         self, status: int, reason: str, headers: Headers, body: bytes
     ) -> tuple[bytes, bytes]:
-        """Return the target's answer."""
+        """Return the target's response."""
         return encode_response_head(status, reason, headers, len(body)), body
 
-    def kept(self, answer: BufferedResponse) -> tuple[bytes, bytes]:
-        """Return a kept answer."""
-        headers = [(b"content-type", answer.content_type.encode())]
-        reason = REASONS.get(answer.status, "Answer")
-        return encode_response_head(answer.status, reason, headers, len(answer.body)), answer.body
+    def stored(self, response: BufferedResponse) -> tuple[bytes, bytes]:
+        """Return a stored response."""
+        headers = [(b"content-type", response.content_type.encode())]
+        reason = REASONS.get(response.status, "Answer")
+        return (
+            encode_response_head(response.status, reason, headers, len(response.body)),
+            response.body,
+        )
 
     def refusal(self, request_id: str, refusal: Refusal) -> tuple[bytes, bytes]:
         """Return a problem document with the request's id."""
--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -1,7 +1,8 @@
-"""Connections to targets on the event loop: one request at a time on each, answers by their id.
+"""Connections to targets on the event loop, and the pool of idle ones.
 
-httptools parses; this module matches answers to requests.  An answer that bears another request's
-id is skipped, and a connection that could still hold foreign bytes is never used again.
+Each connection carries one request at a time.  httptools parses; this module matches responses to
+requests by their id.  A response with another request's id is skipped, and a connection that may
+still hold bytes of another response is never reused.
 """
 
 import asyncio
@@ -17,56 +18,57 @@
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import ResponseHead
 
-CONNECT_S: Final = 0.35
-"""Targets are a few milliseconds away; a lost opening packet is sent again after a second."""
+CONNECT_TIMEOUT_S: Final = 0.35
+"""Timeout for opening a connection.  Targets are a few milliseconds away, and a lost SYN is
+retransmitted only after a second."""
 
-IDLE_S: Final = 3.0
-"""Idle connections are closed after this, if the target doesn't announce less."""
+IDLE_TIMEOUT_S: Final = 3.0
+"""Idle connections are closed after this time, or earlier if the target announces less."""
 
-IDLE_PER_TARGET: Final = 6
+MAX_IDLE_PER_TARGET: Final = 6
 USER_TIMEOUT_MS: Final = 2_500
-"""Unacknowledged bytes end a connection after this."""
+"""A connection is closed if sent bytes stay unacknowledged for this time."""
 
-KEEPALIVE_S: Final = 1
+KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
 
 HEAD_LIMIT_BYTES: Final = 65_536
-"""What may come up to the end of an answer's head; targets answer with a few headers."""
+"""Limit on the bytes up to the end of a response's head; targets send only a few headers."""
 
 SKIPPED_LIMIT_BYTES: Final = 1_000_000
-"""The same where another request's late answer comes first, which may be as large as any."""
+"""The same limit where another request's late response comes first, which may have a full body."""
 
-SWITCHING: Final = 200
-"""Statuses below this are interim and don't answer the request."""
+FIRST_FINAL_STATUS: Final = 200
+"""Statuses below this are those of interim responses."""
 
 
 class ResponseSink(Protocol):
-    """Takes what arrives for one send."""
+    """Receives the response to one send."""
 
-    def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
-        """Take the head of the answer."""
+    def on_head(self, response: ResponseHead, reason: str, headers: Headers) -> None:
+        """Receive the head of the response."""
 
     def on_body(self, data: bytes) -> bool:
-        """Take a part of the body; whether the answer has got on by it."""
+        """Receive a part of the body; return whether it counts as progress of the response."""
 
     def on_complete(self) -> None:
-        """The answer is whole."""
+        """The response is complete."""
 
     def on_stalled(self) -> None:
-        """An answer that has begun brings nothing any more."""
+        """A response that has begun made no progress for the progress timeout."""
 
     def on_failed(self, cause: str) -> None:
-        """The connection ended, or what arrived is no answer."""
+        """The connection ended early, or the response is invalid."""
 
 
 class TargetConnection(asyncio.Protocol):
-    """One connection; ``expect`` tells it which request it is used for."""
+    """One connection to a target; ``request`` starts its next request."""
 
     def __init__(self, address: Address) -> None:
         self.address = address
         self.transport: asyncio.Transport | None = None
         self.idle_since_s = 0.0
-        self.idle_limit_s = IDLE_S
+        self.idle_limit_s = IDLE_TIMEOUT_S
         self.usable = True
         self.closed = False
         self._parser = httptools.HttpResponseParser(self)
@@ -75,21 +77,21 @@
         self._on_idle: Callable[[TargetConnection], None] | None = None
         self._headers: Headers = []
         self._reason = b""
-        self._foreign = False
-        self._waiting_bytes = 0
-        self._skipped = False
-        self._framed = True
+        self._skipping = False
+        self._head_bytes = 0
+        self._has_skipped = False
+        self._has_length = True
         self._in_body = False
-        self._silence_s = 0.0
-        self._silence: asyncio.TimerHandle | None = None
+        self._progress_timeout_s = 0.0
+        self._progress_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport and have dead peers noticed."""
+        """Keep the transport and enable the detection of dead peers."""
         self.transport = cast(asyncio.Transport, transport)
         sock: socket.socket = transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
@@ -101,18 +103,18 @@
         progress_timeout_s: float,
         on_idle: Callable[["TargetConnection"], None],
     ) -> None:
-        """Send a request and have its answer told to the sink."""
+        """Send a request and deliver its response to the sink."""
         if self.transport is None:
-            raise AssertionError("a request on a connection that is not open")
+            raise AssertionError("request on a connection that was never opened")
         self._sink, self._request_id, self._on_idle = sink, request_id, on_idle
-        self._silence_s = progress_timeout_s
-        self._foreign = self._in_body = False
-        self._waiting_bytes = 0
-        self._skipped = False
+        self._progress_timeout_s = progress_timeout_s
+        self._skipping = self._in_body = False
+        self._head_bytes = 0
+        self._has_skipped = False
         self.transport.write(data)
 
     def abort(self) -> None:
-        """Close at once; nothing more is told to the sink."""
+        """Close at once; the sink is not called any more."""
         self._sink = None
         self.usable = False
         self._stop_timer()
@@ -120,7 +122,7 @@
             self.transport.abort()
 
     def pause(self, paused: bool) -> None:
-        """Stop or go on reading: the caller is slower than the target."""
+        """Pause or resume reading, because the caller reads slower than the target sends."""
         if self.transport is None or self.closed:
             return
         if paused:
@@ -133,11 +135,11 @@
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
         if self._sink is None:
-            # Bytes that nobody asked for: whatever follows could be taken for an answer.
+            # Unsolicited bytes: anything after them could be mistaken for a response.
             self.abort()
             return
         if not self._in_body:
-            self._waiting_bytes += len(data)
+            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -146,7 +148,7 @@
             self._break("malformed")
         if self._in_body or self._sink is None:
             return
-        if self._waiting_bytes > (SKIPPED_LIMIT_BYTES if self._skipped else HEAD_LIMIT_BYTES):
+        if self._head_bytes > (SKIPPED_LIMIT_BYTES if self._has_skipped else HEAD_LIMIT_BYTES):
             self._break("too_large")
 
     def on_message_begin(self) -> None:
@@ -170,27 +172,29 @@
         if sink is None:
             return
         status = int(self._parser.get_status_code())
-        answer = decode_response(status, self._headers)
+        response = decode_response(status, self._headers)
         names = {name for name, _ in self._headers}
-        self._framed = b"content-length" in names or b"transfer-encoding" in names
-        # Refusals by a target that read only the head may lack the id.
-        anonymous = not answer.request_id and (answer.not_run or not self._request_id)
-        if status < SWITCHING or not (anonymous or answer.request_id == self._request_id):
-            self._foreign = True
-            self._skipped = self._skipped or status >= SWITCHING
-            self.usable = self.usable and status < SWITCHING
+        self._has_length = b"content-length" in names or b"transfer-encoding" in names
+        # A target that rejects a request after reading only its head may omit the request id.
+        without_id = not response.request_id and (response.not_run or not self._request_id)
+        if status < FIRST_FINAL_STATUS or not (
+            without_id or response.request_id == self._request_id
+        ):
+            self._skipping = True
+            self._has_skipped = self._has_skipped or status >= FIRST_FINAL_STATUS
+            self.usable = self.usable and status < FIRST_FINAL_STATUS
             return
-        self._foreign = False
+        self._skipping = False
         self._in_body = True
         limit_s = keep_alive_s(self._headers)
         if limit_s is not None:
-            self.idle_limit_s = min(IDLE_S, limit_s * 0.5)
+            self.idle_limit_s = min(IDLE_TIMEOUT_S, limit_s * 0.5)
         self._restart_timer()
-        sink.on_head(answer, self._reason.decode("latin-1"), self._headers)
+        sink.on_head(response, self._reason.decode("latin-1"), self._headers)
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser."""
-        if self._sink is not None and not self._foreign and self._sink.on_body(data):
+        if self._sink is not None and not self._skipping and self._sink.on_body(data):
             self._restart_timer()
 
     def on_message_complete(self) -> None:
@@ -198,8 +202,8 @@
         sink = self._sink
         if sink is None:
             return
-        if self._foreign:
-            self._foreign = False
+        if self._skipping:
+            self._skipping = False
             return
         self._sink = None
         self._in_body = False
@@ -209,19 +213,19 @@
         if not self._parser.should_keep_alive():
             self.usable = False
         sink.on_complete()
-        asyncio.get_running_loop().call_soon(self._retire)
+        asyncio.get_running_loop().call_soon(self._release)
 
-    def _retire(self) -> None:
-        """Give the connection back once the parser has seen all that came with the answer."""
+    def _release(self) -> None:
+        """Return the connection to the pool once the parser has consumed all received bytes."""
         if not self.usable or self.closed or self._on_idle is None:
             self.abort()
         elif self._sink is None:
             self._on_idle(self)
 
     def eof_received(self) -> bool:
-        """End an answer that has no length; any other is cut."""
+        """Complete a response without a length; any other is cut off."""
         sink = self._sink
-        if sink is not None and self._in_body and not self._framed:
+        if sink is not None and self._in_body and not self._has_length:
             self._sink = None
             self.usable = False
             self._stop_timer()
@@ -229,7 +233,7 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tell the sink that its answer is cut."""
+        """Report to the sink that its response is cut off."""
         self.closed = True
         self.usable = False
         self._break("cut" if exc is None else "reset")
@@ -245,24 +249,24 @@
 
     def _restart_timer(self) -> None:
         self._stop_timer()
-        if self._in_body and self._silence_s:
+        if self._in_body and self._progress_timeout_s:
             loop = asyncio.get_running_loop()
-            self._silence = loop.call_later(self._silence_s, self._on_silence)
+            self._progress_timer = loop.call_later(self._progress_timeout_s, self._on_stall)
 
-    def _on_silence(self) -> None:
-        """Tell the sink, which may give the send up, and go on waiting if it does not."""
+    def _on_stall(self) -> None:
+        """Report the stall to the sink, which may abandon the send; otherwise keep waiting."""
         self._restart_timer()
         if self._sink is not None:
             self._sink.on_stalled()
 
     def _stop_timer(self) -> None:
-        if self._silence is not None:
-            self._silence.cancel()
-            self._silence = None
+        if self._progress_timer is not None:
+            self._progress_timer.cancel()
+            self._progress_timer = None
 
 
 class TargetConnectionPool:
-    """Idle connections by address; with ``tls``, targets must prove who they are."""
+    """Idle connections by address; with ``tls``, targets must present a valid certificate."""
 
     def __init__(self, tls: ssl.SSLContext | None = None) -> None:
         self.tls = tls
@@ -270,7 +274,7 @@
         self.opened = 0
 
     def take(self, address: Address, max_idle_s: float, now_s: float) -> TargetConnection | None:
-        """Return the connection used last, if it may be used and was not idle for longer."""
+        """Return the most recently used connection that was idle for less than ``max_idle_s``."""
         idle = self._idle.get(address, [])
         while idle:
             conn = idle.pop()
@@ -281,7 +285,7 @@
         return None
 
     async def open(self, address: Address) -> TargetConnection | None:
-        """Return a new connection, or None where it can't be opened in time."""
+        """Return a new connection, or None if it can't be opened in time."""
         loop = asyncio.get_running_loop()
         self.opened += 1
         try:
@@ -289,16 +293,16 @@
                 loop.create_connection(
                     lambda: TargetConnection(address), address.host, address.port, ssl=self.tls
                 ),
-                CONNECT_S,
+                CONNECT_TIMEOUT_S,
             )
         except OSError:
             return None
         return conn
 
-    def give_back(self, conn: TargetConnection, now_s: float) -> None:
-        """Keep a connection for the next request."""
+    def release(self, conn: TargetConnection, now_s: float) -> None:
+        """Return a connection to the pool for the next request."""
         idle = self._idle.setdefault(conn.address, [])
-        if len(idle) >= IDLE_PER_TARGET:
+        if len(idle) >= MAX_IDLE_PER_TARGET:
             conn.abort()
             return
         conn.idle_since_s = now_s
@@ -326,8 +330,8 @@
         self._idle = {}
 
 
-class _Whole:
-    """Collects an answer to a call of this system's own."""
+class _BufferedSink:
+    """Buffers the response to a call that the system makes itself."""
 
     def __init__(self, done: asyncio.Future[tuple[int, bytes] | None], limit_bytes: int) -> None:
         self._done = done
@@ -336,12 +340,12 @@
         self._body: list[bytes] = []
         self._size = 0
 
-    def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
+    def on_head(self, response: ResponseHead, reason: str, headers: Headers) -> None:
         """Keep the status."""
-        self._status = answer.status
+        self._status = response.status
 
     def on_body(self, data: bytes) -> bool:
-        """Keep a part of the body, or give up on one that is too large to be an answer."""
+        """Buffer a part of the body; fail if the body exceeds the limit."""
         self._size += len(data)
         if self._size > self._limit_bytes:
             self._body.clear()
@@ -351,15 +355,15 @@
         return True
 
     def on_complete(self) -> None:
-        """Hand the answer over."""
+        """Set the result: status and body."""
         if not self._done.done():
             self._done.set_result((self._status, b"".join(self._body)))
 
     def on_stalled(self) -> None:
-        """Wait on: calls of this system's own have a time limit."""
+        """Do nothing: such calls have a time limit of their own."""
 
     def on_failed(self, cause: str) -> None:
-        """Hand over that there is none."""
+        """Set the result to None: there is no valid response."""
         if not self._done.done():
             self._done.set_result(None)
 
@@ -368,24 +372,24 @@
     pool: TargetConnectionPool,
     address: Address,
     data: bytes,
-    within_s: float,
+    timeout_s: float,
     now_s: float,
     limit_bytes: int = HEAD_LIMIT_BYTES,
 ) -> tuple[int, bytes] | None:
-    """Make a call of this system's own; return status and body, or None without an answer.
+    """Make a call on the system's own behalf; return status and body, or None without a response.
 
-    A body of more than ``limit_bytes`` is no answer; its connection is closed.
+    A body of more than ``limit_bytes`` counts as no response; its connection is closed.
     """
-    link = pool.take(address, IDLE_S, now_s) or await pool.open(address)
-    if link is None or link.closed:
+    conn = pool.take(address, IDLE_TIMEOUT_S, now_s) or await pool.open(address)
+    if conn is None or conn.closed:
         return None
     done: asyncio.Future[tuple[int, bytes] | None] = asyncio.get_running_loop().create_future()
-    sink = _Whole(done, limit_bytes)
-    link.request("", data, sink, 0.0, lambda idle: pool.give_back(idle, boot_time_s()))
+    sink = _BufferedSink(done, limit_bytes)
+    conn.request("", data, sink, 0.0, lambda idle: pool.release(idle, boot_time_s()))
     try:
-        answer = await asyncio.wait_for(done, within_s)
+        response = await asyncio.wait_for(done, timeout_s)
     except TimeoutError:
-        answer = None
-    if answer is None:
-        link.abort()
-    return answer
+        response = None
+    if response is None:
+        conn.abort()
+    return response
--- a/filbertstream/connection/v1_api.py
+++ b/filbertstream/connection/v1_api.py
@@ -1,6 +1,7 @@
-"""The product's own interface on the event loop: models, services, health and metrics.
+"""The product's own HTTP interface on the event loop: models, services, health and metrics.
 
-It reads requests, asks the core for what it only shows, and hands calls to ``gateway_edge``.
+Requests that run on targets are passed to the I/O layer (``connection.gateway_io``).  The others
+are served here from the core's state.
 """
 
 from collections.abc import Callable
@@ -14,7 +15,7 @@
 from filbertstream.connection.v1_requests import (
     Rejection,
     RequestIdGenerator,
-    bearer_of,
+    bearer_token,
     read_call,
 )
 from filbertstream.connection.v1_responses import JSON, encode_head, encode_refusal
@@ -51,7 +52,7 @@
 
     @property
     def closing(self) -> bool:
-        """Whether answers should end their connections."""
+        """Whether responses should close their connections."""
         return self._gateway_io.closing
 
     def new_connection(self) -> CallerConnection:
@@ -65,37 +66,39 @@
         self._gateway_io.on_disconnected(conn)
 
     def on_pause(self, conn: CallerConnection, paused: bool) -> None:
-        """The caller reads too slowly, or reads again."""
+        """The write buffer to the caller is full (``paused``), or has drained again."""
         self._gateway_io.on_pause(conn, paused)
 
     def on_rejected(self, status: int, detail: str) -> None:
-        """A request was refused before it could be read whole."""
+        """A request was rejected before it was read completely."""
         self._gateway_io.on_rejected(status, detail)
 
     def on_request(self, conn: CallerConnection, raw: RawRequest) -> None:
-        """Serve a request that was read whole."""
+        """Serve a request that was read completely."""
         path = raw.path.partition("?")[0]
         if raw.method == "GET" and path == "/healthz":
-            self._answer_json(conn, OK, "", {"status": "alive"})
+            self._send_json(conn, OK, "", {"status": "alive"})
         elif raw.method == "GET" and path == "/readyz":
             ready = self._core.ready(boot_time_s())
             status = OK if ready else UNAVAILABLE
-            self._answer_json(conn, status, "", {"status": "ready" if ready else "not ready"})
+            self._send_json(conn, status, "", {"status": "ready" if ready else "not ready"})
         elif raw.method == "GET" and path == "/metrics":
             page = self._metrics()
             conn.send_response(encode_head(OK, "", METRICS_TYPE, len(page)), page)
         elif raw.method == "GET" and path == "/v1/models":
             self._list_models(conn, raw)
         else:
-            self._begin(conn, raw)
+            self._start_call(conn, raw)
 
-    def _begin(self, conn: CallerConnection, raw: RawRequest) -> None:
+    def _start_call(self, conn: CallerConnection, raw: RawRequest) -> None:
         request_id = self._ids.take()
         match read_call(raw, request_id):
             case Err(rejection):
                 self._reject(conn, request_id, rejection)
             case Ok(call):
-                self._gateway_io.begin(conn, call.sent, call.head, call.form)
+                self._gateway_io.start_call(
+                    conn, call.target_request, call.head, call.response_format
+                )
 
     def _reject(self, conn: CallerConnection, request_id: str, rejection: Rejection) -> None:
         self.on_rejected(rejection.status, rejection.detail)
@@ -104,7 +107,7 @@
     def _list_models(self, conn: CallerConnection, raw: RawRequest) -> None:
         """List the models that the caller's workspace may use."""
         request_id = self._ids.take()
-        key = bearer_of(raw.headers)
+        key = bearer_token(raw.headers)
         workspace = None
         if key is not None:
             found = self._core.authorizer.workspace_of(key, boot_time_s())
@@ -124,10 +127,8 @@
             if route.kind is CallKind.STREAM and route.name in permitted
         )
         rows = [{"id": name, "object": "model"} for name in models]
-        self._answer_json(conn, OK, request_id, {"object": "list", "data": rows})
+        self._send_json(conn, OK, request_id, {"object": "list", "data": rows})
 
-    def _answer_json(
-        self, conn: CallerConnection, status: int, request_id: str, value: Any
-    ) -> None:
+    def _send_json(self, conn: CallerConnection, status: int, request_id: str, value: Any) -> None:
         body = msgspec.json.encode(value)
         conn.send_response(encode_head(status, request_id, JSON, len(body)), body)
--- a/filbertstream/connection/v1_responses.py
+++ b/filbertstream/connection/v1_responses.py
@@ -1,8 +1,8 @@
-"""Answers of the product's own interface: events of runners as chunks of a model answer.
+"""Responses of the product's own interface: runner events become chunks of a model response.
 
-``V1Stream`` passes each event on as a chunk, ``V1Collect`` gathers them into one document, and
-``V1Plain`` passes a service's answer on whole.  Refusals are problem documents (RFC 9457) that say
-whether the request may have run.
+``V1Stream`` sends each event as a chunk, ``V1Collect`` buffers the events and sends one document,
+and ``V1Service`` passes a service's complete response on.  Refusals are problem documents
+(RFC 9457) that say whether the request may have run.
 """
 
 import math
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from filbertstream.connection.event_relay import DATA_FIELD, END, ID_FIELD
+from filbertstream.connection.event_relay import DATA_FIELD, EVENT_END, ID_FIELD
 from filbertstream.connection.response_format import Refusal
 from filbertstream.platform.headers import Headers
 from filbertstream.request.call import BufferedResponse
@@ -23,7 +23,7 @@
 PROBLEM: Final = "application/problem+json"
 DONE: Final = b"data: [DONE]\n\n"
 MAY_HAVE_RUN: Final = (502, 504)
-"""Refusals of these statuses stand for calls that may have run."""
+"""Statuses of refusals of calls that may have run."""
 
 
 class Problem(msgspec.Struct):
@@ -54,30 +54,30 @@
 
 
 def encode_head(
-    status: int, request_id: str, content_type: str, length: int | None, more: tuple[str, ...] = ()
+    status: int, request_id: str, content_type: str, length: int | None, extra: tuple[str, ...] = ()
 ) -> bytes:
-    """Return the head of an answer; chunked where the length is unknown."""
-    size = "Transfer-Encoding: chunked" if length is None else f"Content-Length: {length}"
+    """Return the head of a response, with chunked encoding if the length is unknown."""
+    framing = "Transfer-Encoding: chunked" if length is None else f"Content-Length: {length}"
     lines = [
         f"HTTP/1.1 {status} {REASONS.get(status, 'Answer')}",
         f"Content-Type: {content_type}",
         f"X-Request-Id: {request_id}",
-        size,
-        *more,
+        framing,
+        *extra,
     ]
     return "\r\n".join(lines).encode()
 
 
 def encode_refusal(request_id: str, refusal: Refusal) -> tuple[bytes, bytes]:
-    """Return head and body of a refusal, which tells whole seconds to wait where that helps."""
+    """Return head and body of a refusal, with ``Retry-After`` if a retry can help."""
     body = msgspec.json.encode(problem_of(request_id, refusal))
     wait_s = refusal.retry_after_s
-    more = () if wait_s is None else (f"Retry-After: {max(1, math.ceil(wait_s))}",)
-    return encode_head(refusal.status, request_id, PROBLEM, len(body), more), body
+    extra = () if wait_s is None else (f"Retry-After: {max(1, math.ceil(wait_s))}",)
+    return encode_head(refusal.status, request_id, PROBLEM, len(body), extra), body
 
 
 class ModelCall(NamedTuple):
-    """What the answer to a model call repeats of the request."""
+    """The fields of a model request that its response repeats."""
 
     request_id: str
     model: str
@@ -86,7 +86,7 @@
 
 
 def _event_text(event: bytes) -> tuple[bytes, str]:
-    """Return an event's id and its data, lines joined as the format asks."""
+    """Return an event's id and its data, with the data lines joined."""
     event_id, lines = b"", []
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
@@ -96,8 +96,8 @@
     return event_id, b"\n".join(lines).decode("utf-8", "replace")
 
 
-class _V1Form:
-    """What all forms of this interface have in common."""
+class _V1Format:
+    """Common base of the response formats of this interface."""
 
     collects = False
 
@@ -106,47 +106,47 @@
 
     def begin(self, status: int, reason: str, headers: Headers) -> bytes:
         """Return the head of a stream."""
-        more = ("Cache-Control: no-store",)
-        return encode_head(status, self._request_id, STREAM, None, more)
+        extra = ("Cache-Control: no-store",)
+        return encode_head(status, self._request_id, STREAM, None, extra)
 
     def events(self, data: bytes) -> bytes:
-        """Return the events as they came."""
+        """Return the events unchanged."""
         return data
 
     def end(self) -> bytes:
-        """Return nothing."""
+        """Return no bytes."""
         return b""
 
     def broken(self) -> bytes | None:
-        """Ask for the connection to be cut."""
+        """Return None: the connection is closed."""
         return None
 
     def complete(
         self, status: int, reason: str, headers: Headers, body: bytes
     ) -> tuple[bytes, bytes]:
-        """Return a target's answer with its type, and none of its other headers."""
+        """Return a target's response with its content type and none of its other headers."""
         content_type = dict(reversed(headers)).get(b"content-type", b"application/octet-stream")
         head = encode_head(status, self._request_id, content_type.decode("latin-1"), len(body))
         return head, body
 
-    def kept(self, answer: BufferedResponse) -> tuple[bytes, bytes]:
-        """Return a kept answer, marked as one."""
-        more = ("Idempotency-Replayed: true",)
-        length = len(answer.body)
-        head = encode_head(answer.status, self._request_id, answer.content_type, length, more)
-        return head, answer.body
+    def stored(self, response: BufferedResponse) -> tuple[bytes, bytes]:
+        """Return a stored response, marked with ``Idempotency-Replayed``."""
+        extra = ("Idempotency-Replayed: true",)
+        length = len(response.body)
+        head = encode_head(response.status, self._request_id, response.content_type, length, extra)
+        return head, response.body
 
     def refusal(self, request_id: str, refusal: Refusal) -> tuple[bytes, bytes]:
         """Return a problem document."""
         return encode_refusal(request_id, refusal)
 
 
-class V1Plain(_V1Form):
-    """A service's answer."""
+class V1Service(_V1Format):
+    """The format of a service's response."""
 
 
-class V1Stream(_V1Form):
-    """A model's answer as a stream of chunks."""
+class V1Stream(_V1Format):
+    """A model's response as a stream of chunks."""
 
     def __init__(self, call: ModelCall) -> None:
         super().__init__(call.request_id)
@@ -156,7 +156,7 @@
 
     def events(self, data: bytes) -> bytes:
         """Return a chunk for each event."""
-        return b"".join(self._chunk(event) for event in data.split(END) if event)
+        return b"".join(self._chunk(event) for event in data.split(EVENT_END) if event)
 
     def _chunk(self, event: bytes) -> bytes:
         event_id, text = _event_text(event)
@@ -177,24 +177,24 @@
         if finish is not None:
             body["usage"] = _usage(self._call, self._count)
         prefix = b"id: " + event_id + b"\n" if event_id else b""
-        return prefix + b"data: " + msgspec.json.encode(body) + END
+        return prefix + b"data: " + msgspec.json.encode(body) + EVENT_END
 
     def end(self) -> bytes:
-        """Return the chunk with the finish reason and the token counts, and the end mark."""
+        """Return the chunk with the finish reason and token counts, and the end marker."""
         return self._event(b"", "", "stop") + DONE
 
     def broken(self) -> bytes | None:
-        """Return the event that ends a stream without its end mark."""
+        """Return the error event that ends an incomplete stream."""
         error = {
             "type": DEFAULT_TITLE_CODE,
             "title": TITLES[DEFAULT_TITLE_CODE],
             "run": "may_have_run",
         }
-        return b"event: error\ndata: " + msgspec.json.encode({"error": error}) + END
+        return b"event: error\ndata: " + msgspec.json.encode({"error": error}) + EVENT_END
 
 
-class V1Collect(_V1Form):
-    """A model's answer as one document."""
+class V1Collect(_V1Format):
+    """A model's response as one document."""
 
     collects = True
 
@@ -204,14 +204,14 @@
         self._texts: list[str] = []
 
     def events(self, data: bytes) -> bytes:
-        """Keep the texts and pass nothing on."""
-        self._texts += [_event_text(event)[1] for event in data.split(END) if event]
+        """Buffer the texts and return no bytes."""
+        self._texts += [_event_text(event)[1] for event in data.split(EVENT_END) if event]
         return b""
 
     def complete(
         self, status: int, reason: str, headers: Headers, body: bytes
     ) -> tuple[bytes, bytes]:
-        """Return the document, or a target's answer that was no stream."""
+        """Return the document, or the target's response if it was not a stream."""
         if not self._texts:
             return super().complete(status, reason, headers, body)
         text = "".join(self._texts)
