--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -78,7 +78,7 @@
     Guard(
         "a change without an answer is not called refused",
         "connection/document_store.py",
-        'return ApplyResult("unsettled", base, "the platform has not answered the write")',
+        'return ApplyResult("unsettled", base, "no response to the write, outcome unknown")',
         'return ApplyResult("unavailable", base, "")',
         "tests/test_whole_path.py::"
         "test_a_change_that_is_carried_out_late_is_not_called_accepted_or_lost",
@@ -86,7 +86,7 @@
     Guard(
         "documents that contradict each other are refused",
         "connection/document_store.py",
-        "        if faults:\n",
+        "        if conflicts:\n",
         "        if False:\n",
         "tests/test_whole_path.py::test_a_change_that_contradicts_the_documents_is_invalid",
     ),
--- a/filbertstream/connection/__init__.py
+++ b/filbertstream/connection/__init__.py
@@ -1,1 +1,1 @@
-"""The edges: what lives as long as a connection, and the threads that do I/O."""
+"""The I/O layer: connections, their protocols, and the threads that do blocking I/O."""
--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -1,4 +1,4 @@
-"""Readiness for the balancer and the metrics page of an entry on the platform."""
+"""The readiness endpoint for the load balancer and the metrics page of an entry on the platform."""
 
 import asyncio
 from collections.abc import Callable, Iterator
@@ -19,13 +19,13 @@
 from filbertstream.platform.objects import ObjectStore
 from filbertstream.process.clock import boot_time_s
 
-IDLE_S: Final = 5.0
+CONNECTION_TIMEOUT_S: Final = 5.0
 METRICS_PATH: Final = b"/metrics"
-PREFIX: Final = "filbertstream"
+METRIC_PREFIX: Final = "filbertstream"
 
 
 class StatusConnection(asyncio.Protocol):
-    """Answers readiness and metrics."""
+    """Serves readiness checks and metrics."""
 
     def __init__(self, ready: Callable[[], bool], metrics: Callable[[], bytes]) -> None:
         self._ready = ready
@@ -36,9 +36,9 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Bound the time that the connection may be idle."""
+        """Start the timeout of the connection."""
         self._transport = cast(asyncio.Transport, transport)
-        self._timer = asyncio.get_running_loop().call_later(IDLE_S, transport.close)
+        self._timer = asyncio.get_running_loop().call_later(CONNECTION_TIMEOUT_S, transport.close)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer."""
@@ -58,7 +58,7 @@
         self._url += url
 
     def on_message_complete(self) -> None:
-        """Answer."""
+        """Send the response."""
         if self._transport is None:
             return
         if self._url.startswith(METRICS_PATH):
@@ -91,22 +91,30 @@
         for (name, label), count in sorted(self._core.counters.snapshot().items()):
             family = families.get(name)
             if family is None:
-                family = CounterMetricFamily(f"{PREFIX}_{name}", f"Count: {name}.", labels=["what"])
+                family = CounterMetricFamily(
+                    f"{METRIC_PREFIX}_{name}", f"Count: {name}.", labels=["what"]
+                )
                 families[name] = family
             family.add_metric([label], count)
         yield from families.values()
-        calls = CounterMetricFamily(f"{PREFIX}_store_calls", "Count: store calls.", labels=["what"])
+        calls = CounterMetricFamily(
+            f"{METRIC_PREFIX}_store_calls", "Count: store calls.", labels=["what"]
+        )
         for what, count in sorted(self._store.calls().items()):
             calls.add_metric([what], count)
         yield calls
         yield from self._latencies()
         for name, value in self._gauges().items():
-            yield GaugeMetricFamily(f"{PREFIX}_{name}", f"Now: {name}.", value=value)
+            yield GaugeMetricFamily(f"{METRIC_PREFIX}_{name}", f"Now: {name}.", value=value)
 
     def _latencies(self) -> Iterator[Metric]:
-        summary = SummaryMetricFamily(f"{PREFIX}_seconds", "Seconds by what.", labels=["what"])
+        summary = SummaryMetricFamily(
+            f"{METRIC_PREFIX}_seconds", "Seconds by what.", labels=["what"]
+        )
         quantiles = GaugeMetricFamily(
-            f"{PREFIX}_seconds_quantile", "Quantiles of seconds.", labels=["what", "quantile"]
+            f"{METRIC_PREFIX}_seconds_quantile",
+            "Quantiles of seconds.",
+            labels=["what", "quantile"],
         )
         for name, (count, values) in self._core.latencies.quantiles().items():
             summary.add_metric([name], count, 0.0)
@@ -134,7 +142,7 @@
 def metrics_text(
     core: Gateway, gateway_io: GatewayIO, store: ObjectStore, dropped_lines: int
 ) -> bytes:
-    """Return the metrics page in Prometheus' text format."""
+    """Return the metrics in the Prometheus text format."""
     registry = CollectorRegistry()
     registry.register(_GatewayCollector(core, gateway_io, store, dropped_lines))
     return generate_latest(registry)
--- a/filbertstream/connection/idempotency_key_store.py
+++ b/filbertstream/connection/idempotency_key_store.py
@@ -1,4 +1,4 @@
-"""Makes the calls of ``request.key_writes`` to the platform's store; they block."""
+"""Makes the object store calls of ``request.key_writes``; they block the calling thread."""
 
 import time
 from collections.abc import Generator
@@ -25,39 +25,39 @@
     settle_steps,
 )
 
-AGAIN_S: Final = 0.05
-"""Pause after a call that was not answered."""
+RETRY_PAUSE_S: Final = 0.05
+"""Pause before the next call after one without a response."""
 
 T = TypeVar("T")
 
 
 class IdempotencyKeyStore:
-    """Writes records of keys."""
+    """Writes the records of idempotency keys to the object store."""
 
     def __init__(self, store: ObjectStore) -> None:
         self._store = store
 
     def claim(self, claim: ClaimKey) -> KeyClaimed:
-        """Write the record of a call unless its key is taken, and return what holds."""
+        """Claim a call's key unless it is taken already; return the record in force."""
         return self._run(claim_steps(claim))
 
     def settle(self, settle: SettleKey) -> KeySettled | None:
-        """Write the outcome of a call; None where that is not done yet."""
+        """Write the outcome of a call; None if it is not written yet."""
         return self._run(settle_steps(settle))
 
     def _run(self, steps: Generator[KeyCall, KeyReply, T]) -> T:
         try:
             call = next(steps)
             while True:
-                reply = self._make(call)
+                reply = self._execute(call)
                 if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN:
-                    time.sleep(AGAIN_S)
+                    time.sleep(RETRY_PAUSE_S)
                 call = steps.send(reply)
         except StopIteration as ended:
             result: T = ended.value
             return result
 
-    def _make(self, call: KeyCall) -> KeyReply:
+    def _execute(self, call: KeyCall) -> KeyReply:
         if call.action is KeyAction.READ:
             return read_reply(self._store.read(KEYS_KIND, call.name))
         if call.action is KeyAction.CREATE:
@@ -65,34 +65,38 @@
         return write_reply(self._store.replace(KEYS_KIND, call.name, call.record, call.revision))
 
 
-def _fault(fault: ObjectStoreFailure) -> KeyReply:
-    refused = fault is ObjectStoreFailure.REFUSED
+def _failure_reply(failure: ObjectStoreFailure) -> KeyReply:
+    refused = failure is ObjectStoreFailure.REFUSED
     return KeyReply(KeyOutcome.REFUSED if refused else KeyOutcome.OUTCOME_UNKNOWN)
 
 
 def read_reply(result: Result[StoredObject | None, ObjectStoreFailure]) -> KeyReply:
-    """Return what a read tells of a key."""
+    """Return the result of a read of a key's record."""
     match result:
-        case Err(fault):
-            return _fault(fault)
+        case Err(failure):
+            return _failure_reply(failure)
         case Ok(stored):
-            return KeyReply(KeyOutcome.DONE) if stored is None else _shown(KeyOutcome.DONE, stored)
+            return (
+                KeyReply(KeyOutcome.DONE)
+                if stored is None
+                else _decoded_reply(KeyOutcome.DONE, stored)
+            )
 
 
 def write_reply(result: Result[Written, ObjectStoreFailure]) -> KeyReply:
-    """Return what a write tells of a key."""
+    """Return the result of a write of a key's record."""
     match result:
-        case Err(fault):
-            return _fault(fault)
+        case Err(failure):
+            return _failure_reply(failure)
         case Ok(written):
             outcome = KeyOutcome.DONE if written.done else KeyOutcome.CONFLICT
             if written.present is None:
                 return KeyReply(outcome)
-            return _shown(outcome, written.present)
+            return _decoded_reply(outcome, written.present)
 
 
-def _shown(outcome: KeyOutcome, stored: StoredObject) -> KeyReply:
-    """Return a reply with an object; one that can't be read counts as no answer."""
+def _decoded_reply(outcome: KeyOutcome, stored: StoredObject) -> KeyReply:
+    """Return a reply with an object; an undecodable one counts as a call without a response."""
     try:
         record: Any = decode_internal(stored.content, KeyRecord)
     except msgspec.DecodeError:
--- a/filbertstream/connection/listener.py
+++ b/filbertstream/connection/listener.py
@@ -1,4 +1,4 @@
-"""A cheroot server around the operators' application, with bounds on what a connection costs."""
+"""A cheroot server for the operators' WSGI application, with limits on each connection."""
 
 import threading
 from typing import Any, Final
@@ -10,11 +10,11 @@
 from filbertstream.process.settings import Tls
 
 SOCKET_TIMEOUT_S: Final = 10
-"""A sender that pauses for longer loses its connection."""
+"""A connection on which no bytes arrive for longer is closed."""
 
 HEADER_LIMIT_BYTES: Final = 32_768
 BACKLOG: Final = 512
-STOP_S: Final = 5
+SHUTDOWN_TIMEOUT_S: Final = 5
 
 
 class Listener:
@@ -37,7 +37,7 @@
             max=threads,
             request_queue_size=BACKLOG,
             timeout=SOCKET_TIMEOUT_S,
-            shutdown_timeout=STOP_S,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
             server_name="filbertstream",
         )
         server.max_request_header_size = HEADER_LIMIT_BYTES
@@ -49,12 +49,12 @@
         self._thread = threading.Thread(target=self._serve, name=f"listen-{port}", daemon=True)
 
     def start(self) -> None:
-        """Bind and serve; returns once connections are accepted."""
+        """Bind, and serve in a thread; return once connections are accepted."""
         self._server.prepare()
         self._thread.start()
 
     def close(self) -> None:
-        """Stop accepting, let running requests end for a bounded time, and close."""
+        """Stop accepting, let running requests finish for a limited time, and close."""
         self._server.stop()
         self._thread.join()
 
@@ -63,4 +63,4 @@
 
 
 def _drop(msg: str = "", level: int = 20, traceback: bool = False) -> None:
-    """Drop cheroot's own log lines, which can hold parts of requests."""
+    """Drop cheroot's own log lines, since they may contain parts of requests."""
--- a/filbertstream/connection/operator_api.py
+++ b/filbertstream/connection/operator_api.py
@@ -1,7 +1,6 @@
-"""The operators' API as a WSGI application, on a port and with keys of its own.
+"""The operators' API: a WSGI application with its own port and its own API keys.
 
-``cli`` is its client.  Changes go to the platform's store; everything else is a query that changes
-nothing.
+``cli`` is its client.  Changes are written to the object store; all other requests are read-only.
 """
 
 import hmac
@@ -15,7 +14,7 @@
 from filbertstream.connection.wsgi_messages import (
     Environ,
     StartResponse,
-    bearer_of,
+    bearer_token,
     read_body,
     send_json,
     send_refusal,
@@ -29,7 +28,7 @@
 from filbertstream.version.resolve import DocumentId
 
 BODY_LIMIT_BYTES: Final = 2_000_000
-"""Twice what an object of the platform's store holds."""
+"""Twice the size limit of an object in the object store."""
 
 
 APPLY_STATUS: Final[dict[str, int]] = {
@@ -42,7 +41,7 @@
 
 
 class ApplyBody(msgspec.Struct):
-    """A change: the documents, and the revision they were made on or None for any."""
+    """A change: the changed documents, and the revision they are based on or None for any."""
 
     changes: list[dict[str, Any]]
     base: int | None = None
@@ -84,7 +83,7 @@
 
     def __call__(self, environ: Environ, start: StartResponse) -> list[bytes]:
         """Serve one request."""
-        if not self._is_known(bearer_of(environ)):
+        if not self._is_known(bearer_token(environ)):
             return send_refusal(start, "unauthorized", "")
         path = environ["PATH_INFO"]
         method = environ["REQUEST_METHOD"]
@@ -102,7 +101,7 @@
         return send_refusal(start, "not_found", path)
 
     def _is_known(self, key: str | None) -> bool:
-        """Whether a key is an operator's; every digest is compared, in constant time."""
+        """Whether a key is an operator's; compares with every digest, in constant time."""
         if key is None:
             return False
         digest = digest_key(key)
@@ -121,31 +120,31 @@
             return send_refusal(start, "bad_request", str(exc))
 
     def _apply(self, body: bytes, start: StartResponse) -> list[bytes]:
-        asked = msgspec.json.decode(body, type=ApplyBody)
-        ended = self._documents.apply(msgspec.json.encode(asked.changes), asked.base)
-        return send_json(start, APPLY_STATUS[ended.state], ended._asdict())
+        change = msgspec.json.decode(body, type=ApplyBody)
+        result = self._documents.apply(msgspec.json.encode(change.changes), change.base)
+        return send_json(start, APPLY_STATUS[result.state], result._asdict())
 
     def _list(self, body: bytes, start: StartResponse) -> list[bytes]:
         match self._documents.read():
             case Err(reason):
                 return send_json(start, UNAVAILABLE, {"title": reason})
-            case Ok(held):
+            case Ok(snapshot):
                 pass
-        rows = [DocumentRow(doc_id.kind, doc_id.name) for doc_id in sorted(held.view.documents)]
-        return send_json(start, OK, {"revision": held.revision, "documents": rows})
+        rows = [DocumentRow(doc_id.kind, doc_id.name) for doc_id in sorted(snapshot.view.documents)]
+        return send_json(start, OK, {"revision": snapshot.revision, "documents": rows})
 
     def _get(self, rest: str, start: StartResponse) -> list[bytes]:
         kind, _, name = rest.partition("/")
         match self._documents.read():
             case Err(reason):
                 return send_json(start, UNAVAILABLE, {"title": reason})
-            case Ok(held):
+            case Ok(snapshot):
                 pass
-        document = held.view.documents.get(DocumentId(kind, name))
+        document = snapshot.view.documents.get(DocumentId(kind, name))
         if document is None:
             return send_refusal(start, "not_found", f"no {kind} {name}")
-        answer = {"revision": held.revision, "document": to_plain(document)}
-        return send_json(start, OK, answer)
+        response = {"revision": snapshot.revision, "document": to_plain(document)}
+        return send_json(start, OK, response)
 
     def _status(self, body: bytes, start: StartResponse) -> list[bytes]:
         status = self._core.query(read_status)
@@ -161,7 +160,7 @@
     def _explain(self, request_id: str, start: StartResponse) -> list[bytes]:
         lines = self._core.query(lambda core, now_s: self._recent.find(request_id))
         if lines is None:
-            return send_refusal(start, "not_found", f"{self._name} doesn't remember {request_id}")
+            return send_refusal(start, "not_found", f"{self._name} has no record of {request_id}")
         return send_json(
             start,
             OK,
--- a/filbertstream/connection/peer_link.py
+++ b/filbertstream/connection/peer_link.py
@@ -1,9 +1,9 @@
 """Messages between entries over pyzmq: one PULL socket in, one PUSH socket to each peer.
 
-Messages are small and may be lost: everything that matters is repeated or kept on the platform.
-A peer that doesn't read loses messages instead of holding this process up.  ZeroMQ's own pings
-replace connections that have gone silent.  With a fleet key, links use CURVE and only holders of
-the key are heard.
+Messages are small and may be lost: everything that matters is sent again or kept in the object
+store.  Messages to a peer that doesn't read are dropped and never block this process.  ZeroMQ's
+heartbeats detect unresponsive connections, which are replaced.  With a fleet key, links use CURVE
+and accept only peers that hold the key.
 """
 
 import threading
@@ -24,43 +24,44 @@
 from filbertstream.process.counters import Counters
 
 QUEUE_MESSAGES: Final = 256
-PING_MS: Final = 1_000
-PING_TIMEOUT_MS: Final = 3_000
+HEARTBEAT_MS: Final = 1_000
+HEARTBEAT_TIMEOUT_MS: Final = 3_000
 RECONNECT_MAX_MS: Final = 4_000
-"""A peer that is gone is tried again at most this seldom."""
+"""Longest interval between ZeroMQ's reconnection attempts."""
 
 POLL_MS: Final = 500
-OPEN_PEERS: Final = 64
-"""Connections kept open; the longest unused is closed first."""
+MAX_OPEN_PEERS: Final = 64
+"""Most connections kept open; the least recently used is closed first."""
 
 
 class PeerHost(Protocol):
-    """What messages are taken from and told to."""
+    """Where messages to send come from, and where received ones go."""
 
     def register(self, kind: type, handler: Callable[[Any], object]) -> None:
-        """Have a kind of action carried out by a handler."""
+        """Set the handler that executes a type of action."""
 
     def emit(self, event: PeerMessage) -> None:
-        """Hand an event to the core, from any thread."""
+        """Pass an event to the core; callable from any thread."""
 
 
 class _FleetKey:
-    """Tells the authenticator that only the fleet's own public key is welcome."""
+    """Credentials provider for the authenticator: accepts only the fleet's public key."""
 
     def __init__(self, public: bytes) -> None:
         self._public = public
 
     def callback(self, domain: str, key: bytes) -> bool:
-        """Whether a client that shows ``key`` may connect."""
+        """Whether a client with the public key ``key`` may connect."""
         return key == self._public
 
 
 MIN_RECONNECT_INTERVAL_S: Final = 1.0
-"""Least time between two connections to an address; a lost message is made good by the next."""
+"""Shortest interval between two connections to an address.  Lost messages are superseded by the
+next ones."""
 
 
 class PeerLink:
-    """The sockets of this process towards the other entries."""
+    """The sockets of this process for messages to and from its peers."""
 
     def __init__(
         self, address: str, key_file: Path | None, counters: Counters, host: PeerHost
@@ -78,9 +79,9 @@
         self._reader: threading.Thread | None = None
 
     def start(self) -> None:
-        """Bind, read peers' messages, and take the core's messages to peers.
+        """Bind, start reading peers' messages, and register the handler that sends messages.
 
-        Raises ``OSError`` where the address is taken.
+        Raises ``OSError`` if the address is in use.
         """
         if self._public is not None:
             self._authenticator = ThreadAuthenticator(self._context)
@@ -94,7 +95,7 @@
         self._reader.start()
 
     def close(self) -> None:
-        """Close all sockets; the host must be closed before, since it sends."""
+        """Close all sockets; the host must be closed first, since it sends messages."""
         self._stop.set()
         if self._reader is not None:
             self._reader.join()
@@ -105,7 +106,7 @@
         self._context.term()
 
     def _send(self, action: SendPeer) -> None:
-        """Send without waiting; called on the actor's thread only, which owns the sockets."""
+        """Send without blocking; called only on the thread that owns the sockets."""
         socket = self._push.get(action.address)
         if socket is None:
             socket = self._connect(action.address)
@@ -121,10 +122,10 @@
         self._counters.add("peer_bytes", "sent", len(data))
 
     def _reopen(self, address: str) -> None:
-        """Drop a connection that takes no messages, so that the next one opens it again.
+        """Drop a connection that accepts no messages; the next message opens a new one.
 
-        After a handshake that failed for another reason than silence, ZeroMQ does not connect
-        again: the address was another program's, or its owner had another key.
+        ZeroMQ does not reconnect after a handshake that failed for any reason but a timeout, as
+        when the address belongs to another program, or to a peer with another key.
         """
         if boot_time_s() - self._opened_at_s[address] >= MIN_RECONNECT_INTERVAL_S:
             self._drop(address)
@@ -134,7 +135,7 @@
         del self._opened_at_s[address]
 
     def _connect(self, address: str) -> "zmq.Socket[bytes]":
-        while len(self._push) >= OPEN_PEERS:
+        while len(self._push) >= MAX_OPEN_PEERS:
             self._drop(next(iter(self._push)))
         socket = self._context.socket(zmq.PUSH)
         self._configure(socket)
@@ -151,8 +152,8 @@
         socket.set_hwm(QUEUE_MESSAGES)
         socket.setsockopt(zmq.MAXMSGSIZE, MESSAGE_LIMIT_BYTES)
         socket.linger = 0
-        socket.setsockopt(zmq.HEARTBEAT_IVL, PING_MS)
-        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
 
     def _bind(self) -> "zmq.Socket[bytes]":
@@ -175,7 +176,7 @@
             try:
                 data = socket.recv(zmq.NOBLOCK)
             except zmq.Again:
-                # A poll may report a message that is not there; waiting for it could be for ever.
+                # A poll may report a message that is not there; a blocking read could hang forever.
                 continue
             self._deliver(data)
         socket.close(linger=0)
@@ -184,7 +185,8 @@
         try:
             message = decode(data)
         except msgspec.DecodeError:
-            # Another version's message: the sender repeats what matters in a form known to both.
+            # A message of another version: the sender repeats what matters in a form that both
+            # versions can decode.
             self._counters.add("peer_messages", "unreadable")
             return
         self._host.emit(PeerMessage(message))
--- a/filbertstream/connection/tls.py
+++ b/filbertstream/connection/tls.py
@@ -1,7 +1,7 @@
-"""TLS for the listeners and towards targets: files that are read again when they change.
+"""TLS for the listeners and towards targets, with files that are reloaded when they change.
 
-What can't be loaded is reported and what is in use stays.  New connections use the new files; open
-ones keep theirs.
+If changed files can't be loaded, that is reported and the previous ones stay in use.  New
+connections use the new files; open ones are not affected.
 """
 
 import ssl
@@ -19,7 +19,7 @@
 
 
 class ReloadingAdapter:
-    """A cheroot adapter and the state of the files that it was loaded from."""
+    """A cheroot TLS adapter that reloads its certificate and key files."""
 
     def __init__(self, tls: Tls) -> None:
         self._tls = tls
@@ -34,7 +34,7 @@
             return None
         self._stamp = stamp
         try:
-            # Loaded into a scratch context first: a bad pair must not disturb the one in use.
+            # Load into a scratch context first: an invalid pair must not affect the one in use.
             scratch = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
             scratch.load_cert_chain(self._tls.certificate_file, self._tls.key_file)
             self.adapter.context.load_cert_chain(self._tls.certificate_file, self._tls.key_file)
@@ -53,7 +53,7 @@
 
 
 class ReloadingAuthority:
-    """The authority that targets' certificates must come from."""
+    """The certificate authority of targets' certificates, from a file that is reloaded."""
 
     def __init__(self, ca_file: Path) -> None:
         self._ca_file = ca_file
--- a/filbertstream/connection/wsgi_messages.py
+++ b/filbertstream/connection/wsgi_messages.py
@@ -1,4 +1,4 @@
-"""Reading requests and writing answers of WSGI, for ``operator_api``."""
+"""Helpers of ``operator_api`` that read WSGI requests and write responses."""
 
 from collections.abc import Callable, Iterable
 from typing import Any, Final, TypeAlias
@@ -14,34 +14,39 @@
 StartResponse: TypeAlias = Callable[[str, list[tuple[str, str]]], Any]
 WsgiApp: TypeAlias = Callable[[Environ, StartResponse], Iterable[bytes]]
 
-CODES: Final = {"bad_request": 400, "unauthorized": 401, "not_found": 404, "too_large": 413}
-"""The statuses of refusals on the operators' port."""
+REFUSAL_STATUSES: Final = {
+    "bad_request": 400,
+    "unauthorized": 401,
+    "not_found": 404,
+    "too_large": 413,
+}
+"""HTTP statuses of the refusals on the operators' port."""
 
 
 def send_refusal(start: StartResponse, code: str, detail: str) -> list[bytes]:
-    """Answer with a problem document."""
-    rejection = Rejection(CODES[code], code, detail)
+    """Send a problem document."""
+    rejection = Rejection(REFUSAL_STATUSES[code], code, detail)
     body = msgspec.json.encode(problem_of("", rejection))
     return send_bytes(start, rejection.status, PROBLEM, body)
 
 
 def send_json(start: StartResponse, status: int, value: object) -> list[bytes]:
-    """Answer with a JSON document."""
+    """Send a JSON document."""
     return send_bytes(start, status, JSON, msgspec.json.encode(value))
 
 
 def send_bytes(start: StartResponse, status: int, content_type: str, body: bytes) -> list[bytes]:
-    """Answer with a whole body."""
+    """Send a response with a complete body."""
     headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
     start(f"{status} {REASONS.get(status, 'OK')}", headers)
     return [body]
 
 
 def read_body(environ: Environ, limit_bytes: int) -> Result[bytes, str]:
-    """Return the request's whole body, or the code of the refusal.
+    """Return the request's complete body, or the code of the refusal.
 
-    A request with both a length and a transfer encoding could be read differently by something
-    before this process, so it is refused.
+    A request with both a length and a transfer encoding is refused, since a proxy in front of this
+    process may frame it differently.
     """
     length = environ.get("CONTENT_LENGTH") or ""
     chunked = "HTTP_TRANSFER_ENCODING" in environ
@@ -59,7 +64,7 @@
     return Ok(body) if not length or len(body) == int(length) else Err("bad_request")
 
 
-def bearer_of(environ: Environ) -> str | None:
+def bearer_token(environ: Environ) -> str | None:
     """Return the bearer key of a request."""
     scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
     return key.strip() if scheme.lower() == "bearer" and key.strip() else None
