--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -162,7 +162,7 @@
     Guard(
         "a lease lies between two holders",
         "process/rollout_lease.py",
-        "self._order_from_s = self._seen_at_s + RENEWAL_VALID_S + ORDER_TRANSIT_S + self._lease_s",
+        "self._order_from_s = self._read_at_s + RENEWAL_VALID_S + ORDER_TRANSIT_S + self._lease_s",
         "self._order_from_s = now_s",
         "tests/test_gateway_duty.py::" "test_orders_of_two_holders_are_a_lease_apart",
     ),
@@ -355,14 +355,14 @@
     Guard(
         "late answers of other entries are not taken",
         "process/relays.py",
-        "if sent is None or sent.answered or now_s - sent.at_s >= RESPONSE_TIMEOUT_S:",
+        "if sent is None or sent.responded or now_s - sent.at_s >= RESPONSE_TIMEOUT_S:",
         "if sent is None:",
         "tests/test_relays.py::test_an_answer_that_comes_late_or_twice_confirms_nothing",
     ),
     Guard(
         "a relay that contradicts itself is not believed",
         "process/relayed_view.py",
-        "if not self._contradicted(kind_update, sent_at_s)",
+        "if not self._contradicts(kind_update, sent_at_s)",
         "if True",
         "tests/test_relays.py::"
         "test_a_relay_that_claims_an_older_state_for_a_later_moment_is_not_believed",
@@ -370,7 +370,7 @@
     Guard(
         "changes that begin after what is known are asked for again",
         "process/store_view.py",
-        "if not shown.full and (not kind.listed or shown.since > kind.as_of):",
+        "if not observed.full and (not kind.listed or observed.since > kind.as_of):",
         "if False:",
         "tests/test_relays.py::"
         "test_a_change_between_what_is_known_and_what_is_told_is_not_skipped",
@@ -378,7 +378,7 @@
     Guard(
         "an asker from before a listing is told the whole kind",
         "process/store_view.py",
-        "            kind.complete_from = shown.as_of\n",
+        "            kind.complete_from = observed.as_of\n",
         "",
         "tests/test_relays.py::"
         "test_an_asker_whose_view_is_older_than_the_relays_first_listing_is_told_all",
@@ -386,7 +386,7 @@
     Guard(
         "an entry that nobody answers reads the store",
         "process/relayed_view.py",
-        "return not self._relied or self._relays.serves_peers(now_s)",
+        "return not self._uses_relay or self._relays.serves_peers(now_s)",
         "return self._relays.serves_peers(now_s)",
         "tests/test_relays.py::"
         "test_an_entry_that_nobody_answers_reads_the_store_before_it_is_unready",
@@ -394,15 +394,15 @@
     Guard(
         "lapses are held back as long as the relay holds them back",
         "process/relayed_view.py",
-        "if told.removals_held_s > 0:",
+        "if response.removals_held_s > 0:",
         "if False:",
         "tests/test_relays.py::test_lapses_are_held_back_as_long_as_the_relay_holds_them_back",
     ),
     Guard(
         "an object that came back within one answer is there",
         "process/store_view.py",
-        "last = {row.name: row for row in shown.rows}",
-        "last = {number: row for number, row in enumerate(shown.rows)}",
+        "last = {row.name: row for row in observed.rows}",
+        "last = {number: row for number, row in enumerate(observed.rows)}",
         "tests/test_store_view.py",
     ),
     Guard(
--- a/filbertstream/process/cache_updates.py
+++ b/filbertstream/process/cache_updates.py
@@ -1,9 +1,10 @@
-"""What stores of kept cache told one entry, passed on to those that don't read them.
+"""Forwards the events of cache stores from the entries that read them to the other entries.
 
-Load pattern: hundreds of entries before stores that take a few event calls at once.  In a small
-fleet the readers of a store tell all others themselves.  In a large one two entries read a store
-and tell the relays (``process.relays``), and each relay tells its followers the news of all stores
-in one message.  A relay that hears nothing of a store reads it itself, whoever has died.
+Load pattern: hundreds of entries and cache stores that accept a few event calls at once.  In a
+small fleet the readers of a cache store send its updates to all other entries.  In a large one two
+entries read a cache store and send its updates to the relays (``process.relays``), and each relay
+sends its followers the updates of all cache stores in one message.  A relay that receives no update
+of a cache store reads it itself, whichever entries have died.
 """
 
 from typing import Final
@@ -16,26 +17,26 @@
 from filbertstream.process.peer_work import PeerWork
 from filbertstream.process.relays import Relays
 
-NEWS_TRANSIT_S: Final = 0.15
-"""Added to the age of what another entry has read of a store: the time that its message took."""
+UPDATE_TRANSIT_S: Final = 0.15
+"""Added to the age of a peer's update, for the time that its message was in transit."""
 
 BATCH_S: Final = 0.2
 """Interval of a relay's messages to its followers."""
 
 
 class CacheUpdateExchange:
-    """This entry's part in passing on what stores tell."""
+    """Forwards what this entry reads of cache stores, and applies the updates of peers."""
 
     def __init__(self, peers: PeerWork, relays: Relays, stores: CacheStores) -> None:
         self._peers = peers
         self._relays = relays
         self._stores = stores
-        self._held: list[tuple[float, CacheUpdate]] = []
-        self._passed_on: dict[str, tuple[int, int]] = {}
+        self._queued: list[tuple[float, CacheUpdate]] = []
+        self._forwarded: dict[str, tuple[int, int]] = {}
         self._sent_at_s = float("-inf")
 
     def on_read(self, event: CacheEventsReceived, now_s: float) -> list[SendPeer]:
-        """Pass on what a store told this entry."""
+        """Forward the events that this entry has read from a cache store."""
         state = self._stores.states.get(event.holder)
         if state is None:
             return []
@@ -49,28 +50,28 @@
             rows,
         )
         if self._relays.small_fleet:
-            addresses = self._peers.told_of(event.holder, state.spec.event_readers)
+            addresses = self._peers.addresses_to_notify(event.holder, state.spec.event_readers)
             return [SendPeer(address, update) for address in addresses]
-        self._hold(update, now_s)
-        return [item for name in self._relays.others() for item in self._send(name, update)]
+        self._queue(update, now_s)
+        return [item for name in self._relays.other_relays() for item in self._send(name, update)]
 
     def _send(self, member: str, payload: PeerPayload) -> list[SendPeer]:
         record = self._peers.members.get(member)
         return [] if record is None else [SendPeer(record.peer_address, payload)]
 
     def on_update(self, update: CacheUpdate, now_s: float) -> None:
-        """Take in what another entry read of a store, and hold it for followers."""
+        """Apply a peer's update of a cache store, and queue it for followers."""
         state = self._stores.states.get(update.store)
         if state is None:
             return
-        self._hold(update, now_s)
+        self._queue(update, now_s)
         if self._peers.reads(update.store, state.spec.event_readers):
             return
-        sent_at_s = now_s - update.age_s - NEWS_TRANSIT_S
+        sent_at_s = now_s - update.age_s - UPDATE_TRANSIT_S
         if state.start_id == update.start_id and update.next_event < state.since:
             return
         if state.start_id != update.start_id and sent_at_s < state.confirmed_at_s:
-            # One of the readers has not heard of a restart yet.
+            # The sender has not observed the restart of the cache store yet.
             return
         changes = tuple(
             CacheChange(row.added, (row.namespace, row.block_id), row.tokens) for row in update.rows
@@ -86,45 +87,45 @@
         )
         self._stores.on_events(event)
 
-    def _hold(self, update: CacheUpdate, now_s: float) -> None:
-        """Hold news for followers, without the rows that the other reader has told already.
+    def _queue(self, update: CacheUpdate, now_s: float) -> None:
+        """Queue an update for followers, without the rows that the other reader has sent already.
 
-        Events are numbered in a row, so the newest of them are the last rows.
+        Events are numbered consecutively, so the newest of them are the last rows.
         """
         if not self._relays.serves_peers(now_s):
             return
-        start_id, passed_on = self._passed_on.get(update.store, (update.start_id, 0))
+        start_id, forwarded = self._forwarded.get(update.store, (update.start_id, 0))
         if start_id == update.start_id:
-            new = max(0, update.next_event - passed_on)
+            new = max(0, update.next_event - forwarded)
             rows = update.rows[-new:] if new else ()
             update = msgspec.structs.replace(update, rows=rows)
-            self._passed_on[update.store] = (start_id, max(passed_on, update.next_event))
+            self._forwarded[update.store] = (start_id, max(forwarded, update.next_event))
         else:
-            self._passed_on[update.store] = (update.start_id, update.next_event)
-        self._held.append((now_s, update))
+            self._forwarded[update.store] = (update.start_id, update.next_event)
+        self._queued.append((now_s, update))
 
     def on_batch(self, batch: CacheUpdateBatch, now_s: float) -> None:
-        """Take in what a relay tells of all stores."""
+        """Apply a relay's updates of all cache stores."""
         for update in batch.items:
             self.on_update(update, now_s)
 
     def due(self, followers: list[str], now_s: float) -> list[SendPeer]:
         """Return a relay's messages to its followers."""
-        if now_s - self._sent_at_s < BATCH_S or not self._held:
+        if now_s - self._sent_at_s < BATCH_S or not self._queued:
             return []
-        items = _merged(self._held, now_s)
-        self._held, self._sent_at_s = [], now_s
-        relays = self._relays.others()
-        told = [name for name in followers if name not in relays]
+        items = _merged(self._queued, now_s)
+        self._queued, self._sent_at_s = [], now_s
+        relays = self._relays.other_relays()
+        receivers = [name for name in followers if name not in relays]
         batch = CacheUpdateBatch(items)
-        return [item for name in told for item in self._send(name, batch)]
+        return [item for name in receivers for item in self._send(name, batch)]
 
 
-def _merged(held: list[tuple[float, CacheUpdate]], now_s: float) -> tuple[CacheUpdate, ...]:
-    """Return what is to be told: all rows in order, and of news without rows the last ones."""
+def _merged(queued: list[tuple[float, CacheUpdate]], now_s: float) -> tuple[CacheUpdate, ...]:
+    """Return the updates with rows in order, then the newest of each store if it has no rows."""
     found: list[CacheUpdate] = []
     newest: dict[str, CacheUpdate] = {}
-    for at_s, update in held:
+    for at_s, update in queued:
         update = CacheUpdate(
             update.store,
             update.start_id,
--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -1,9 +1,10 @@
-"""What the other entries have under way at each target, told by them several times a second.
+"""The work in progress of peers at each target, as reported several times a second.
 
-Without it, entries that know the same old reports would all choose the same runner.  Each message
-holds the sender's work at each target as it is, so a lost one is made good by the next.  What was
-told counts for nothing after ``WORK_MAX_AGE_S``.  In a small fleet each entry tells all others; in a large
-one a relay sums up what its followers and the other relays tell it (``process.work_exchange``).
+Without it, entries with the same outdated load of the runners would all choose the same runner.
+Each message holds the sender's complete current work, so the next message makes up for a lost one.
+A report expires after ``WORK_MAX_AGE_S``.  In a small fleet each entry reports to all peers; in a
+large one a relay sums the reports of its followers and the other relays
+(``process.work_exchange``).
 """
 
 from typing import Final, NamedTuple
@@ -11,19 +12,19 @@
 import msgspec
 
 from filbertstream.messages import EntryWork, FleetWork, FleetWorkRow, GroupWork, WorkRow
-from filbertstream.process.cache_readers import readers, told_by
+from filbertstream.process.cache_readers import members_notified_by, readers
 from filbertstream.process.relays import UNKNOWN_RESOURCES, VmResources
 
 WORK_MAX_AGE_S: Final = 1.0
-"""What a member told last counts this long."""
+"""Age at which a report expires."""
 
 HALF_WEIGHT_AGE_S: Final = 0.05
-"""Age at which what was told of unread prompts weighs half when runners are compared: about as long
-as a short queue lasts.  From the routing bench, the least p95 at 0.8 load on four seeds."""
+"""Age at which reported queued tokens count half when runners are compared: about the duration of a
+short queue.  This value gave the lowest p95 in the routing bench at 0.8 load on four seeds."""
 
 
 class EntryRecord(msgspec.Struct, frozen=True):
-    """How other entries reach one, and what its VM has; kept in the platform's store."""
+    """The registration of an entry in the object store: its peer address and its VM's resources."""
 
     peer_address: str
     incarnation: int
@@ -32,9 +33,10 @@
 
 
 class WorkTotals(NamedTuple):
-    """The runs, the memory and the unread prompt tokens of other entries at a target.
+    """Totals over the peers at one target: runs, their memory, and queued prompt tokens.
 
-    ``weighted_queued_tokens`` are the unread ones, each message weighted by its age.
+    Queued tokens are those that were sent and not prefilled yet.  In ``weighted_queued_tokens``
+    each report is weighted by its age.
     """
 
     runs: int
@@ -46,13 +48,13 @@
 NO_WORK: Final = WorkTotals(0, 0, 0, 0)
 
 
-class _Heard(NamedTuple):
+class _Report(NamedTuple):
     at_s: float
     rows: dict[str, WorkRow]
     is_current: bool
 
 
-class _Fleet(NamedTuple):
+class _FleetReport(NamedTuple):
     at_s: float
     rows: dict[str, FleetWorkRow]
     is_current: bool
@@ -63,15 +65,15 @@
 
 
 class PeerWork:
-    """The work of the other entries."""
+    """The registered entries, and the work that peers have reported."""
 
-    def __init__(self, own: str) -> None:
-        self.own = own
+    def __init__(self, local_name: str) -> None:
+        self.local_name = local_name
         self.members: dict[str, EntryRecord] = {}
-        self._names: tuple[str, ...] = (own,)
-        self._heard: dict[str, _Heard] = {}
-        self._groups: dict[str, _Heard] = {}
-        self._fleet: _Fleet | None = None
+        self._names: tuple[str, ...] = (local_name,)
+        self._reports: dict[str, _Report] = {}
+        self._groups: dict[str, _Report] = {}
+        self._fleet: _FleetReport | None = None
         self._totals: dict[str, WorkTotals] = {}
         self._totals_at_s = float("-inf")
 
@@ -81,70 +83,70 @@
         return record is not None and record.incarnation == incarnation
 
     def on_work(self, work: EntryWork, now_s: float) -> None:
-        """Take in another entry's message."""
-        if work.member != self.own:
-            self._heard[work.member] = _heard(work.rows, work.is_current, now_s)
+        """Record a peer's report of its own work."""
+        if work.member != self.local_name:
+            self._reports[work.member] = _report_of(work.rows, work.is_current, now_s)
             self._totals_at_s = float("-inf")
 
     def on_group(self, work: GroupWork, now_s: float) -> None:
-        """Take in what another relay has summed up."""
-        if work.relay != self.own:
-            self._groups[work.relay] = _heard(work.rows, work.is_current, now_s)
+        """Record the sum of another relay's group."""
+        if work.relay != self.local_name:
+            self._groups[work.relay] = _report_of(work.rows, work.is_current, now_s)
             self._totals_at_s = float("-inf")
 
     def on_fleet(self, work: FleetWork, now_s: float) -> None:
-        """Take in what a relay tells of the whole fleet."""
-        self._fleet = _Fleet(now_s, {row.target: row for row in work.rows}, work.is_current)
+        """Record a relay's sum of the fleet's work."""
+        self._fleet = _FleetReport(now_s, {row.target: row for row in work.rows}, work.is_current)
         self._totals_at_s = float("-inf")
 
-    def _told(self, now_s: float) -> list[_Heard]:
-        """Return what counts of what other entries and relays told of themselves."""
-        told = [*self._heard.values(), *self._groups.values()]
-        return [heard for heard in told if now_s - heard.at_s < WORK_MAX_AGE_S]
+    def _recent_reports(self, now_s: float) -> list[_Report]:
+        """Return the reports of peers and of relays' groups that have not expired."""
+        reports = [*self._reports.values(), *self._groups.values()]
+        return [report for report in reports if now_s - report.at_s < WORK_MAX_AGE_S]
 
-    def members_heard(self, now_s: float) -> dict[str, dict[str, WorkRow]]:
-        """Return the rows of each entry that told this one of its own work."""
+    def member_reports(self, now_s: float) -> dict[str, dict[str, WorkRow]]:
+        """Return the rows of each peer that reports its own work to this entry."""
         return {
-            name: heard.rows
-            for name, heard in self._heard.items()
-            if now_s - heard.at_s < WORK_MAX_AGE_S
+            name: report.rows
+            for name, report in self._reports.items()
+            if now_s - report.at_s < WORK_MAX_AGE_S
         }
 
-    def relays_heard(self, now_s: float) -> tuple[str, ...]:
-        """Return the relays that told this entry what they have summed up."""
+    def reporting_relays(self, now_s: float) -> tuple[str, ...]:
+        """Return the relays that send their group's work to this entry."""
         groups = self._groups.items()
-        return tuple(name for name, heard in groups if now_s - heard.at_s < WORK_MAX_AGE_S)
+        return tuple(name for name, report in groups if now_s - report.at_s < WORK_MAX_AGE_S)
 
     def any_peer_current(self, now_s: float) -> bool:
-        """Whether another entry has said lately that it takes new calls."""
+        """Whether a peer has recently reported that its configuration is current."""
         fleet = self._fleet
         if fleet is not None and fleet.is_current and now_s - fleet.at_s < WORK_MAX_AGE_S:
             return True
-        return any(heard.is_current for heard in self._told(now_s))
+        return any(report.is_current for report in self._recent_reports(now_s))
 
     def peer_work_at(self, target: str, now_s: float) -> WorkTotals:
-        """Return what others have under way at a target."""
+        """Return the peers' work at a target."""
         return self.totals(now_s).get(target, NO_WORK)
 
     def totals(self, now_s: float) -> dict[str, WorkTotals]:
-        """Return what others have under way, by target."""
+        """Return the peers' work by target."""
         if now_s != self._totals_at_s:
             self._totals_at_s = now_s
-            self._totals = self._add_up(now_s)
+            self._totals = self._sum_reports(now_s)
         return self._totals
 
-    def _add_up(self, now_s: float) -> dict[str, WorkTotals]:
-        fleet, told = self._fleet, self._told(now_s)
-        if fleet is not None and now_s - fleet.at_s < WORK_MAX_AGE_S and not told:
+    def _sum_reports(self, now_s: float) -> dict[str, WorkTotals]:
+        fleet, reports = self._fleet, self._recent_reports(now_s)
+        if fleet is not None and now_s - fleet.at_s < WORK_MAX_AGE_S and not reports:
             weight = _weight(now_s - fleet.at_s)
             return {
                 row.target: WorkTotals(*row[1:4], int(row.weighted_queued_tokens * weight))
                 for row in fleet.rows.values()
             }
         totals: dict[str, WorkTotals] = {}
-        for heard in told:
-            weight = _weight(now_s - heard.at_s)
-            for name, row in heard.rows.items():
+        for report in reports:
+            weight = _weight(now_s - report.at_s)
+            for name, row in report.rows.items():
                 before = totals.get(name, NO_WORK)
                 totals[name] = WorkTotals(
                     before.runs + row.runs,
@@ -155,39 +157,41 @@
         return totals
 
     def vm_resources(self, name: str) -> VmResources:
-        """Return what an entry's VM has, nothing where it isn't known."""
+        """Return the resources of an entry's VM, zeros if unknown."""
         record = self.members.get(name)
         return UNKNOWN_RESOURCES if record is None else VmResources(record.link_mbps, record.cores)
 
     def reads(self, store: str, limit: int) -> bool:
-        """Whether this entry reads a store's events itself."""
-        return self.own in readers(store, limit, self.names())
+        """Whether this entry reads a cache store's events itself."""
+        return self.local_name in readers(store, limit, self.names())
 
     def join(self, name: str, record: EntryRecord) -> bool:
-        """Take in an entry's registration; whether its name was not known."""
+        """Record an entry's registration; return whether its name is new."""
         known = name in self.members
         self.members[name] = record
-        self._names = self._names if known else tuple(sorted({*self.members, self.own}))
+        self._names = self._names if known else tuple(sorted({*self.members, self.local_name}))
         return not known
 
     def leave(self, name: str) -> None:
-        """Take in that an entry's registration is gone."""
+        """Drop an entry whose registration has been removed."""
         if self.members.pop(name, None) is not None:
-            self._names = tuple(sorted({*self.members, self.own}))
+            self._names = tuple(sorted({*self.members, self.local_name}))
 
     def names(self) -> tuple[str, ...]:
-        """Return the names of all entries in a fixed order; the same tuple while they stay."""
+        """Return the sorted names of all entries; the same tuple object until they change."""
         return self._names
 
-    def told_of(self, store: str, limit: int) -> list[str]:
-        """Return the addresses of the members that this entry tells of a store."""
-        told = told_by(store, limit, self.names(), self.own)
-        return [self.members[name].peer_address for name in told if name in self.members]
+    def addresses_to_notify(self, store: str, limit: int) -> list[str]:
+        """Return the addresses of the members to which this entry sends a cache store's updates."""
+        notified = members_notified_by(store, limit, self.names(), self.local_name)
+        return [self.members[name].peer_address for name in notified if name in self.members]
 
     def addresses(self) -> list[str]:
-        """Return the addresses of all other entries."""
-        return [record.peer_address for name, record in self.members.items() if name != self.own]
+        """Return the addresses of all peers."""
+        return [
+            record.peer_address for name, record in self.members.items() if name != self.local_name
+        ]
 
 
-def _heard(rows: tuple[WorkRow, ...], is_current: bool, now_s: float) -> _Heard:
-    return _Heard(now_s, {row.target: row for row in rows}, is_current)
+def _report_of(rows: tuple[WorkRow, ...], is_current: bool, now_s: float) -> _Report:
+    return _Report(now_s, {row.target: row for row in rows}, is_current)
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -1,11 +1,12 @@
-"""What an entry tells others of its work, and what a relay sums up for them.
-
-Load pattern: hundreds of entries, each of which sends a runner a prompt once in many seconds.  What
-an entry knows by itself is next to nothing, and telling everyone costs each entry as many messages
-as there are entries.  So in a large fleet each tells its relay (``process.relays``), the relays
-tell each other what they have summed up, and each follower gets one message with the work of the
-whole fleet: as many messages for an entry at ten entries as at a thousand.  The sums are hints for
-placing; nothing else rests on them.  While entries are few, each tells all others.
+"""Distributes the work in progress of each entry to its peers, in a large fleet through relays.
+
+Load pattern: hundreds of entries, each of which sends a runner a prompt once in many seconds.  An
+entry's own work says next to nothing about the load of a runner, and a message to every peer costs
+each entry as many messages as there are entries.  So in a large fleet each entry reports to its
+relay (``process.relays``), the relays exchange the sums of their groups, and each follower gets one
+message with the work of the fleet: as many messages per entry at ten entries as at a thousand.  The
+sums are hints for placement; nothing else depends on them.  In a small fleet each entry reports to
+all peers.
 """
 
 from typing import Final
@@ -22,45 +23,45 @@
 from filbertstream.process.peer_work import NO_WORK, PeerWork, WorkTotals
 from filbertstream.process.relays import Relays
 
-SHARE_S: Final = 0.08
-"""Least time between two messages of an entry of a small fleet."""
+SEND_INTERVAL_S: Final = 0.08
+"""Minimum interval between two messages of an entry of a small fleet."""
 
 RELAYED_SEND_INTERVAL_S: Final = 0.2
-"""The same in a large fleet, for entries and relays."""
+"""Minimum interval in a large fleet, for entries and relays."""
 
-REPEAT_S: Final = 0.4
-"""An entry with work under way repeats itself at least this often."""
+REFRESH_INTERVAL_S: Final = 0.4
+"""Interval at which an entry with work in progress sends it even if it has not changed."""
 
 MAX_ROWS: Final = 512
-"""Targets in one message, those with the most work; about 9 KB, compressed on its way."""
+"""Maximum number of targets in a message, those with the most work; about 9 KB compressed."""
 
 
 class WorkExchange:
-    """Messages about work under way that are due."""
+    """Creates the messages about work in progress when they are due."""
 
     def __init__(self, peers: PeerWork, relays: Relays) -> None:
         self._peers = peers
         self._relays = relays
-        self._told_at_s = float("-inf")
-        self._told = EntryWork(peers.own, ())
-        self._summed_at_s = float("-inf")
-        self._summed: tuple[WorkRow, ...] = ()
+        self._sent_at_s = float("-inf")
+        self._last_sent = EntryWork(peers.local_name, ())
+        self._group_sent_at_s = float("-inf")
+        self._last_group: tuple[WorkRow, ...] = ()
         self._idle = True
 
     def due(
         self, rows: tuple[WorkRow, ...], is_current: bool, followers: list[str], now_s: float
     ) -> list[SendPeer]:
-        """Return the messages that are due, given the own work and who asks this entry."""
+        """Return the messages that are due, given the local work and this entry's followers."""
         if not self._relays.small_fleet and (self._relays.is_relay or followers):
-            return self._sum_up(rows, is_current, followers, now_s)
+            return self._relay_messages(rows, is_current, followers, now_s)
         small = self._relays.small_fleet
-        since_s = now_s - self._told_at_s
-        work = EntryWork(self._peers.own, _busiest(rows), is_current)
-        if since_s < (SHARE_S if small else RELAYED_SEND_INTERVAL_S):
+        since_s = now_s - self._sent_at_s
+        work = EntryWork(self._peers.local_name, _busiest(rows), is_current)
+        if since_s < (SEND_INTERVAL_S if small else RELAYED_SEND_INTERVAL_S):
             return []
-        if work == self._told and (since_s < REPEAT_S or not rows):
+        if work == self._last_sent and (since_s < REFRESH_INTERVAL_S or not rows):
             return []
-        self._told, self._told_at_s = work, now_s
+        self._last_sent, self._sent_at_s = work, now_s
         if small:
             return [SendPeer(address, work) for address in self._peers.addresses()]
         return self._send(self._relays.relay(now_s) or "", work)
@@ -69,32 +70,33 @@
         record = self._peers.members.get(member)
         return [] if record is None else [SendPeer(record.peer_address, payload)]
 
-    def _sum_up(
+    def _relay_messages(
         self, rows: tuple[WorkRow, ...], is_current: bool, followers: list[str], now_s: float
     ) -> list[SendPeer]:
-        """Return a relay's messages: its group's work to other relays, all work to followers."""
-        if now_s - self._summed_at_s < RELAYED_SEND_INTERVAL_S:
+        """Return a relay's messages: its group's work to the relays, all work to the followers."""
+        if now_s - self._group_sent_at_s < RELAYED_SEND_INTERVAL_S:
             return []
-        heard = self._peers.members_heard(now_s)
-        own = {row.target: row for row in rows}
-        group = _busiest(_sum([own, *heard.values()]))
-        totals = _with_own(self._peers.totals(now_s), rows)
-        if group == self._summed and now_s - self._summed_at_s < REPEAT_S:
+        reports = self._peers.member_reports(now_s)
+        local = {row.target: row for row in rows}
+        group = _busiest(_sum_rows([local, *reports.values()]))
+        totals = _with_local(self._peers.totals(now_s), rows)
+        if group == self._last_group and now_s - self._group_sent_at_s < REFRESH_INTERVAL_S:
             return []
-        self._summed_at_s, self._summed = now_s, group
+        self._group_sent_at_s, self._last_group = now_s, group
         was_idle, self._idle = self._idle, not totals
         if was_idle and self._idle:
             return []
         is_current = is_current or self._peers.any_peer_current(now_s)
-        relays = {*self._relays.others(), *self._peers.relays_heard(now_s)}
-        # In the place of relays that are dead, it may be the only one that knows this one.
+        relays = {*self._relays.other_relays(), *self._peers.reporting_relays(now_s)}
+        # If the relays are dead and this entry substitutes for one, the member that it polls may be
+        # the only other entry that knows of it.
         relays.add(self._relays.relay(now_s) or "")
-        told = GroupWork(self._peers.own, group, is_current)
-        messages = [item for name in sorted(relays) for item in self._send(name, told)]
+        group_work = GroupWork(self._peers.local_name, group, is_current)
+        messages = [item for name in sorted(relays) for item in self._send(name, group_work)]
         for name in followers:
             if name not in relays:
-                left = _fleet_rows(totals, heard.get(name, {}))
-                messages += self._send(name, FleetWork(self._peers.own, left, is_current))
+                fleet = _fleet_rows(totals, reports.get(name, {}))
+                messages += self._send(name, FleetWork(self._peers.local_name, fleet, is_current))
         return messages
 
 
@@ -104,43 +106,43 @@
     return tuple(sorted(rows, key=lambda row: (-row.queued_tokens, -row.runs))[:MAX_ROWS])
 
 
-def _sum(parts: list[dict[str, WorkRow]]) -> tuple[WorkRow, ...]:
-    found: dict[str, WorkRow] = {}
-    for part in parts:
-        for name, row in part.items():
-            before = found.get(name)
+def _sum_rows(reports: list[dict[str, WorkRow]]) -> tuple[WorkRow, ...]:
+    sums: dict[str, WorkRow] = {}
+    for report in reports:
+        for name, row in report.items():
+            before = sums.get(name)
             if before is not None:
                 row = WorkRow(name, *(a + b for a, b in zip(before[1:], row[1:], strict=True)))
-            found[name] = row
-    return tuple(found.values())
+            sums[name] = row
+    return tuple(sums.values())
 
 
-def _with_own(totals: dict[str, WorkTotals], rows: tuple[WorkRow, ...]) -> dict[str, WorkTotals]:
-    """Return the work of others with the own; what is the own's was never told, so it is recent."""
-    found = dict(totals)
+def _with_local(totals: dict[str, WorkTotals], rows: tuple[WorkRow, ...]) -> dict[str, WorkTotals]:
+    """Return the work of peers plus the local work, whose queued tokens count in full."""
+    sums = dict(totals)
     for row in rows:
-        before = found.get(row.target, NO_WORK)
-        found[row.target] = WorkTotals(
+        before = sums.get(row.target, NO_WORK)
+        sums[row.target] = WorkTotals(
             before.runs + row.runs,
             before.memory_tokens + row.memory_tokens,
             before.queued_tokens + row.queued_tokens,
             before.weighted_queued_tokens + row.queued_tokens,
         )
-    return found
+    return sums
 
 
 def _fleet_rows(
-    totals: dict[str, WorkTotals], told: dict[str, WorkRow]
+    totals: dict[str, WorkTotals], reported: dict[str, WorkRow]
 ) -> tuple[FleetWorkRow, ...]:
-    """Return all work but what the receiver has told itself."""
+    """Return all work except what the receiver reported itself."""
     rows = []
     for name, work in totals.items():
-        own = told.get(name)
-        if own is not None:
-            queued_tokens = max(0, work.queued_tokens - own.queued_tokens)
+        row = reported.get(name)
+        if row is not None:
+            queued_tokens = max(0, work.queued_tokens - row.queued_tokens)
             work = WorkTotals(
-                max(0, work.runs - own.runs),
-                max(0, work.memory_tokens - own.memory_tokens),
+                max(0, work.runs - row.runs),
+                max(0, work.memory_tokens - row.memory_tokens),
                 queued_tokens,
                 min(queued_tokens, work.weighted_queued_tokens),
             )
