--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -1,10 +1,11 @@
-"""The stores of kept cache: what each holds, and whether it may be read from or saved to.
-
-What a store holds is known from its events alone, and only while it answers: a store that restarted
-is empty, and a part that another entry then saves again is incomplete for a while.  So a part is
-fetched only where the store has answered within ``HOLDINGS_MAX_AGE_S``, a fetch must end within
-``FETCH_TIMEOUT_S``, and nothing is saved to a store until ``SAVE_HOLDOFF_S`` after its restart was seen, when no
-fetch by older knowledge can still run.
+"""Cache stores: the blocks that each holds, and whether it may be fetched from or saved to.
+
+The contents of a cache store are known from its events alone, and only while it responds: a
+restarted one is empty, and a block that another entry then saves again is incomplete for a while.
+So a block is fetched only if the cache store has responded within ``HOLDINGS_MAX_AGE_S``, and a
+fetch must end within ``FETCH_TIMEOUT_S``.  Nothing is saved to a cache store until
+``SAVE_HOLDOFF_S`` after its restart was observed; by then no fetch that is based on the contents
+before the restart can still run.
 """
 
 import random
@@ -17,40 +18,40 @@
 from filbertstream.version.routes import CacheStore
 
 HOLDINGS_MAX_AGE_S: Final = 1.6
-"""The age of a store's answer up to which what it holds is believed."""
+"""Age of a cache store's last response up to which its known contents are relied on."""
 
 FETCH_TIMEOUT_S: Final = 1.5
-"""A fetch that has not ended after this is dropped by the runner."""
+"""A fetch that has not ended after this is aborted by the runner."""
 
 SAVE_HOLDOFF_S: Final = HOLDINGS_MAX_AGE_S + FETCH_TIMEOUT_S + 0.5
-"""No saves for this long after a store's restart was seen."""
+"""No blocks are saved to a cache store for this long after its restart was observed."""
 
-WAIT_S: Final = 0.5
-"""How long a store may hold an event call open; bounds the age of its last answer."""
+EVENT_WAIT_S: Final = 0.5
+"""Long-poll time of an event call; bounds the age of a cache store's last response."""
 
-PASSED_ON_WAIT_S: Final = 0.3
-"""The same in a fleet with relays, where the answer's way to all entries takes longer."""
+RELAYED_EVENT_WAIT_S: Final = 0.3
+"""Long-poll time in a fleet with relays, where a response takes longer to reach all entries."""
 
-PAUSE_S: Final = 0.25
-"""Pause between two event calls, so that many events come with one."""
+EVENT_PAUSE_S: Final = 0.25
+"""Pause between two event calls, so that one call returns many events."""
 
-RETRY_S: Final = 0.4
-"""Pause after an event call that failed."""
+EVENT_RETRY_S: Final = 0.4
+"""Pause after a failed event call."""
 
-LIST_S: Final = 8.0
-"""Interval of asking a store for all that it keeps; the answer holds up its transfers a little."""
+LIST_INTERVAL_S: Final = 8.0
+"""Interval of full listings of a cache store, which delay its transfers a little."""
 
 SAVE_PENDING_S: Final = 2.0
-"""A part that was sent to a store is not sent again for this long, whether it arrived or not."""
+"""A block that was sent to a cache store is not sent again within this time, arrived or not."""
 
-FULL_SHARE: Final = 0.97
-"""The share of a store's capacity up to which it is filled."""
+FILL_FRACTION: Final = 0.97
+"""Fraction of a cache store's capacity up to which it is filled."""
 
 MS: Final = 1000.0
 
 
 class CacheChange(NamedTuple):
-    """A part was stored, or (``added`` False) dropped."""
+    """A block was stored, or (``added`` False) dropped."""
 
     added: bool
     key: BlockKey
@@ -58,9 +59,9 @@
 
 
 class CacheEventsReceived(NamedTuple):
-    """A holder's answer to an event call.
+    """A holder's response to an event call.
 
-    ``clock_ms`` is the holder's clock; ``start_id`` changes when it restarts.
+    ``clock_ms`` is the holder's clock; ``start_id`` changes when the holder restarts.
     """
 
     holder: str
@@ -73,13 +74,13 @@
 
 
 class CacheEventsFailed(NamedTuple):
-    """A holder did not answer an event call."""
+    """An event call to a holder failed."""
 
     holder: str
 
 
 class PollCacheEvents(NamedTuple):
-    """Call a holder for its events after ``since``."""
+    """Long-poll a holder for its events after ``since``."""
 
     holder: str
     address: str
@@ -88,14 +89,14 @@
 
 
 class ListCacheBlocks(NamedTuple):
-    """Ask a holder for all that it keeps: its events may get lost."""
+    """List all blocks of a holder, since events may get lost."""
 
     holder: str
     address: str
 
 
 class CacheBlocksListed(NamedTuple):
-    """All whole parts that a holder keeps, and the event that follows the list."""
+    """All complete blocks of a holder, and the number of the event that follows the list."""
 
     holder: str
     sent_at_s: float
@@ -106,7 +107,7 @@
 
 
 class FreeBlocks(NamedTuple):
-    """Free parts at a store, unless it restarted or ``until_ms`` of its clock has passed."""
+    """Free blocks at a cache store, unless it has restarted or its clock is past ``until_ms``."""
 
     holder: str
     address: str
@@ -116,14 +117,14 @@
 
 
 class BlocksFreed(NamedTuple):
-    """A store has freed parts."""
+    """A cache store has freed blocks."""
 
     holder: str
     keys: tuple[BlockKey, ...]
 
 
 class StoreState:
-    """One store."""
+    """The state of one cache store as observed by this entry."""
 
     def __init__(self, name: str, spec: CacheStore) -> None:
         self.name = name
@@ -134,28 +135,28 @@
         self.save_holdoff_until_s = float("-inf")
         self.used_tokens = 0
         self.next_call_s = 0.0
-        self.calling = False
+        self.call_open = False
         self.next_list_s: float | None = None
         self.partial_tokens = 0
         self._clock: tuple[int, float] | None = None
 
     def fetchable(self, now_s: float) -> bool:
-        """Whether parts may be fetched from here."""
+        """Whether blocks may be fetched from this store."""
         return now_s - self.confirmed_at_s < HOLDINGS_MAX_AGE_S
 
     def fits(self, tokens: int, now_s: float) -> bool:
-        """Whether a part may be saved here."""
+        """Whether a block of this size may be saved to this store."""
         if now_s < self.save_holdoff_until_s or not self.fetchable(now_s):
             return False
         used = self.used_tokens + self.partial_tokens
-        return used + tokens < FULL_SHARE * self.spec.capacity_tokens
+        return used + tokens < FILL_FRACTION * self.spec.capacity_tokens
 
     def note_clock(self, clock_ms: int, received_at_s: float) -> None:
-        """Take in the store's clock; the answer's way back makes it seem a little behind."""
+        """Record the store's clock; the response's transit time makes it appear a little behind."""
         self._clock = (clock_ms, received_at_s)
 
     def clock_ms(self, now_s: float) -> int | None:
-        """Return the store's clock, at most what it really shows."""
+        """Return an estimate of the store's clock that is never ahead of it."""
         if self._clock is None:
             return None
         clock_ms, at_s = self._clock
@@ -163,7 +164,7 @@
 
 
 class CacheStores:
-    """All stores of the configuration in force."""
+    """All cache stores of the configuration in force."""
 
     def __init__(
         self,
@@ -180,7 +181,7 @@
         self._pending: dict[BlockKey, float] = {}
 
     def configure(self, stores: Iterable[tuple[str, CacheStore]]) -> None:
-        """Take in the stores that a configuration names."""
+        """Apply the cache stores of a configuration."""
         named = dict(stores)
         for name in list(self.states):
             if named.get(name) != self.states[name].spec:
@@ -193,45 +194,45 @@
     def tick(self, now_s: float) -> list[PollCacheEvents | ListCacheBlocks]:
         """Return the calls that are due."""
         due: list[PollCacheEvents | ListCacheBlocks] = []
-        large = self._relays is not None and not self._relays.small_fleet
-        stands_in = self._relays is not None and self._relays.serves_peers(now_s)
+        large_fleet = self._relays is not None and not self._relays.small_fleet
+        serves_peers = self._relays is not None and self._relays.serves_peers(now_s)
         for state in self.states.values():
             reads = self._reads(state.name, state.spec.event_readers)
-            if not reads and (state.fetchable(now_s) or not stands_in):
+            if not reads and (state.fetchable(now_s) or not serves_peers):
                 continue
             if reads and state.next_list_s is not None and now_s >= state.next_list_s:
-                state.next_list_s = now_s + LIST_S * self._rng.uniform(0.8, 1.2)
+                state.next_list_s = now_s + LIST_INTERVAL_S * self._rng.uniform(0.8, 1.2)
                 due.append(ListCacheBlocks(state.name, state.spec.address))
-            if not state.calling and now_s >= state.next_call_s:
-                state.calling = True
-                wait_s = PASSED_ON_WAIT_S if large else WAIT_S
+            if not state.call_open and now_s >= state.next_call_s:
+                state.call_open = True
+                wait_s = RELAYED_EVENT_WAIT_S if large_fleet else EVENT_WAIT_S
                 due.append(PollCacheEvents(state.name, state.spec.address, state.since, wait_s))
         return due
 
     def on_events(self, event: CacheEventsReceived) -> bool:
-        """Take in a store's answer; whether it shows a restart."""
+        """Apply a cache store's events; return whether the store has restarted."""
         state = self.states.get(event.holder)
         if state is None:
             return False
-        state.calling = False
-        state.next_call_s = event.received_at_s + PAUSE_S
+        state.call_open = False
+        state.next_call_s = event.received_at_s + EVENT_PAUSE_S
         restarted = state.start_id is not None and state.start_id != event.start_id
         if state.start_id != event.start_id:
             self._index.forget(state.name)
             state.used_tokens = 0
-            # Also at this entry's own start: the store may have restarted just before.
+            # At this entry's own start too: the store may have restarted just before.
             state.save_holdoff_until_s = event.received_at_s + SAVE_HOLDOFF_S
             state.start_id = event.start_id
-            state.next_list_s = event.received_at_s + LIST_S * self._rng.uniform(0.0, 0.3)
+            state.next_list_s = event.received_at_s + LIST_INTERVAL_S * self._rng.uniform(0.0, 0.3)
         state.since = event.next_event
         state.confirmed_at_s = max(state.confirmed_at_s, event.sent_at_s)
         if event.clock_ms is not None:
             state.note_clock(event.clock_ms, event.received_at_s)
         for change in event.changes:
-            self._take(state, change)
+            self._apply(state, change)
         return restarted
 
-    def _take(self, state: StoreState, change: CacheChange) -> None:
+    def _apply(self, state: StoreState, change: CacheChange) -> None:
         known = self._index.holders(change.key).get(state.name)
         if change.added:
             self._index.add(state.name, change.key, change.tokens)
@@ -242,7 +243,7 @@
             state.used_tokens -= known
 
     def on_listed(self, event: CacheBlocksListed) -> None:
-        """Take in all that a store keeps, unless it restarted since."""
+        """Apply a full listing of a cache store, unless it is older than the store's state."""
         state = self.states.get(event.holder)
         if state is None or state.start_id != event.start_id or event.next_event < state.since:
             return
@@ -257,21 +258,21 @@
         state.since = event.next_event
 
     def on_freed(self, event: BlocksFreed) -> None:
-        """Take in that parts were freed; the event that tells so may get lost."""
+        """Drop freed blocks; the event that reports them may get lost."""
         state = self.states.get(event.holder)
         if state is not None:
             for key in event.keys:
-                self._take(state, CacheChange(False, key, 0))
+                self._apply(state, CacheChange(False, key, 0))
 
     def on_missed(self, event: CacheEventsFailed, now_s: float) -> None:
-        """Take in that a store did not answer."""
+        """Schedule a retry after an event call has failed."""
         state = self.states.get(event.holder)
         if state is not None:
-            state.calling = False
-            state.next_call_s = now_s + RETRY_S
+            state.call_open = False
+            state.next_call_s = now_s + EVENT_RETRY_S
 
     def source(self, key: BlockKey, tokens: int, data_center: str, now_s: float) -> str | None:
-        """Return the store to fetch a whole part from, the nearest one."""
+        """Return the cache store to fetch a complete block from, the local data center's first."""
         best: tuple[bool, str] | None = None
         for name, held in self._index.holders(key).items():
             state = self.states.get(name)
@@ -282,29 +283,30 @@
         return None if best is None else best[1]
 
     def address(self, name: str) -> str:
-        """Return a store's address."""
+        """Return a cache store's address."""
         return self.states[name].spec.address
 
     def fetch_until_ms(self, now_s: float) -> int | None:
-        """Return the moment on the targets' clock by which a fetch must have ended."""
+        """Return the time on the targets' clock by which a fetch must have ended."""
         clocks = [state.clock_ms(now_s) for state in self.states.values()]
         known = [clock for clock in clocks if clock is not None]
         return max(known) + int(FETCH_TIMEOUT_S * MS) if known else None
 
     def save_to(self, key: BlockKey, tokens: int, now_s: float) -> str | None:
-        """Return the store that a part should be saved to, if any, and count it as sent.
+        """Return the cache store to save a block to, if any, and count the block as sent.
 
-        A part that only a silent store holds is saved again: its return may be far off.
+        A block that only an unresponsive store holds is saved again, since that store may not
+        respond for long.
         """
         if self._pending.get(key, float("-inf")) > now_s:
             return None
         if self.source(key, tokens, "", now_s) is not None:
             return None
-        roomy = [state for state in self.states.values() if state.fits(tokens, now_s)]
-        if not roomy:
+        fitting = [state for state in self.states.values() if state.fits(tokens, now_s)]
+        if not fitting:
             return None
-        # The same store from every entry, so that no part is kept twice.
-        chosen = max(roomy, key=lambda state: rank(state.name, key[1]))
+        # Every entry chooses the same store, so that no block is stored twice.
+        chosen = max(fitting, key=lambda state: rank(state.name, key[1]))
         self._pending[key] = now_s + SAVE_PENDING_S
         if len(self._pending) > 10_000:
             self._pending = {item: until for item, until in self._pending.items() if until > now_s}
