--- a/filbertstream/process/prefill.py
+++ b/filbertstream/process/prefill.py
@@ -1,8 +1,8 @@
-"""How long a prompt waits at a runner until it is read, from the prompts that are not read yet.
+"""The queue of prompts at a runner that are not prefilled yet, and the runner's prefill rate.
 
-Every entry knows which of its own prompts have had no answer yet, and tells the others; the sum is
-the queue in front of a new one.  Unlike a count of what was sent less what a known rate would have
-read, it corrects itself: a prompt that was answered is out of it.
+Every entry knows which of its own prompts have had no response yet, and reports them to its peers;
+the sum is the queue ahead of a new prompt.  This corrects itself, unlike an estimate from the
+tokens sent and a known rate: a prompt leaves the queue when its response begins.
 
 >>> queue = PrefillQueue()
 >>> queue.sent(6_000); queue.sent(2_000); queue.queued_tokens
@@ -16,38 +16,42 @@
 from typing import Final
 
 INITIAL_RATE_PER_S: Final = 40_000.0
-"""Tokens a second that a runner is taken to read before any observation."""
+"""Prefill rate in tokens per second that is assumed before any observation."""
 
 RATE_MIN_PER_S: Final = 4_000.0
-"""A runner is never taken to be slower: an observation may be of a wait for something else."""
+"""Lower bound of the observed rate: a long wait may have another cause than prefill."""
 
-LEARN_FROM_TOKENS: Final = 2_000
-"""Less than this tells more of the latency around it than of the rate."""
+MIN_SAMPLE_TOKENS: Final = 2_000
+"""Smaller samples measure the latency around the prefill rather than its rate."""
 
 RATE_WEIGHT: Final = 0.1
-"""Weight of a new observation in the rate."""
+"""Weight of a new sample in the moving average of the rate."""
 
 
 class PrefillQueue:
-    """The unread prompts of this entry at one runner, and the rate at which the runner reads."""
+    """This entry's queued prompt tokens at one runner, and the runner's prefill rate."""
 
     def __init__(self) -> None:
         self.queued_tokens = 0
         self.rate_per_s = INITIAL_RATE_PER_S
 
     def sent(self, tokens: int) -> None:
-        """Count a prompt in."""
+        """Add a prompt to the queue."""
         self.queued_tokens += tokens
 
     def dropped(self, tokens: int) -> None:
-        """Count a prompt out that will not be read, or whose reading tells nothing."""
+        """Remove a prompt that will not be prefilled, or whose prefill time is no sample."""
         self.queued_tokens -= tokens
 
     def answered(self, tokens: int, ahead: int, waited_s: float) -> None:
-        """Count a prompt out whose first event came after ``ahead`` tokens and its own."""
+        """Remove a prompt whose response has begun, and update the rate.
+
+        ``ahead`` is the number of tokens that were queued ahead of it, ``waited_s`` the time from
+        its send to its first event.
+        """
         self.queued_tokens -= tokens
-        read = tokens + ahead
-        if read < LEARN_FROM_TOKENS or waited_s <= 0:
+        prefilled = tokens + ahead
+        if prefilled < MIN_SAMPLE_TOKENS or waited_s <= 0:
             return
-        rate = max(RATE_MIN_PER_S, read / waited_s)
+        rate = max(RATE_MIN_PER_S, prefilled / waited_s)
         self.rate_per_s += RATE_WEIGHT * (rate - self.rate_per_s)
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -1,36 +1,36 @@
-"""The targets that have registered: which may be used, and what is known of each.
+"""The registered targets, the state of each as observed by this entry, and which may be used.
 
-Registrations lapse when the store can't be reached by a target, also while the store itself is
-down.  A removal that is seen while the store is in trouble, or shortly after, is therefore held
-back for ``RETURN_S`` after its return; a target that is still missing then is gone.  Nothing is
-concluded from a registration that stands still: the store passes on only what changes in it, and
-removes one that is not refreshed.
+A registration expires when its target can't reach the object store, also while the object store
+itself is down.  A removal that is observed during an outage of the object store, or shortly after
+it, is therefore held back for ``REREGISTRATION_S`` after the outage; a target that is still missing
+then is dropped.  An unchanged registration says nothing about its target: the object store sends
+only changes, and removes a registration that is not refreshed.
 """
 
 from collections.abc import Callable, Iterable
 from typing import Final
 
-from filbertstream.process.outliers import Outliers
+from filbertstream.process.outliers import OutlierDetector
 from filbertstream.process.peer_work import WorkTotals
 from filbertstream.process.prefill import PrefillQueue
 from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.request.call import TargetLoad
 
-RETURN_S: Final = 2.3
-"""Lapsed registrations are back within about two seconds of the store's return."""
+REREGISTRATION_S: Final = 2.3
+"""Expired registrations are back within about two seconds of the end of an outage."""
 
 LOAD_FRESH_S: Final = 3.0
-"""The age at which a load note tells nothing any more."""
+"""Age at which a reported load is ignored."""
 
 
-Others = Callable[[str, float], WorkTotals]
-"""Tells what other entries have under way at a target."""
+PeerWorkAt = Callable[[str, float], WorkTotals]
+"""Returns the work of the peers at a target."""
 
 
 class RosterTarget:
-    """One registered target."""
+    """One registered target, with its load and weights as observed by this entry."""
 
-    def __init__(self, entry: TargetRegistration, now_s: float, peer_work_at: Others) -> None:
+    def __init__(self, entry: TargetRegistration, now_s: float, peer_work_at: PeerWorkAt) -> None:
         self.entry = entry
         self.peer_work_at = peer_work_at
         self.missing_since_s: float | None = None
@@ -45,29 +45,32 @@
 
     @property
     def target_id(self) -> str:
-        """The id of the incarnation."""
+        """The id under which the target is registered."""
         return self.entry.target_id
 
     def running(self, now_s: float) -> float:
-        """Return how many requests run or wait there, as far as is known."""
+        """Return how many requests run or wait at the target.
+
+        This is the number known from this entry and its peers, or the target's own if it is larger.
+        """
         known = self.outstanding + self.peer_work_at(self.target_id, now_s).runs
         if self.load is None or now_s - self.load_at_s > LOAD_FRESH_S:
             return float(known)
         return float(max(known, self.load.running + self.load.waiting))
 
     def memory(self, now_s: float) -> int:
-        """Return the tokens that running requests fill at most, as far as is known."""
+        """Return the maximum tokens of memory that known running requests fill."""
         return self.memory_tokens + self.peer_work_at(self.target_id, now_s).memory_tokens
 
     def queued_tokens(self, now_s: float) -> int:
-        """Return the prompt tokens that were sent here and are not read yet, as far as known."""
+        """Return the prompt tokens known to be sent to the target and not prefilled yet."""
         return self.prefill.queued_tokens + self.peer_work_at(self.target_id, now_s).queued_tokens
 
     def weighted_queued_tokens(self, now_s: float) -> int:
-        """Return the unread prompt tokens by which runners are compared.
+        """Return the queued prompt tokens by which runners are compared.
 
-        What others told a while ago counts less: entries that trust the same old news all choose
-        the runner that was idle then.
+        Older reports of peers count less: otherwise entries with the same outdated reports would
+        all choose the runner that was idle then.
         """
         return (
             self.prefill.queued_tokens
@@ -75,12 +78,12 @@
         )
 
     def note_load(self, load: TargetLoad, now_s: float) -> None:
-        """Take in what the target said of its load."""
+        """Record the load that the target has reported."""
         self.load = load
         self.load_at_s = now_s
 
     def note_weights(self, model: str, version: int) -> bool:
-        """Take in a version that the target's own answer showed; whether it is a newer one."""
+        """Record a version from a response of the target; return whether it is newer."""
         known = self.weights.get(model)
         if known is not None and version <= known:
             return False
@@ -93,26 +96,26 @@
 
     def __init__(self) -> None:
         self.targets: dict[str, RosterTarget] = {}
-        self.outliers = Outliers()
+        self.outliers = OutlierDetector()
         self._by_service: dict[str, list[str]] = {}
         self._names: dict[str, frozenset[str]] = {}
         self.removals_held_until_s = 0.0
-        self.peer_work_at: Others = lambda target, now_s: WorkTotals(0, 0, 0, 0)
+        self.peer_work_at: PeerWorkAt = lambda target, now_s: WorkTotals(0, 0, 0, 0)
         self.drained: frozenset[str] = frozenset()
 
-    def _others(self, target: str, now_s: float) -> WorkTotals:
+    def _peer_work_at(self, target: str, now_s: float) -> WorkTotals:
         return self.peer_work_at(target, now_s)
 
     def note_object_store_failure(self, now_s: float) -> None:
-        """Note that the store did not answer; lapses seen from now on are held back."""
-        self.hold_removals(now_s + RETURN_S)
+        """Record that the object store did not respond; removals are held back from now on."""
+        self.hold_removals(now_s + REREGISTRATION_S)
 
     def hold_removals(self, until_s: float) -> None:
-        """Hold back lapses until a moment, since lapsed registrations may yet be back by then."""
+        """Hold back removals until a time, since expired registrations may be back by then."""
         self.removals_held_until_s = max(self.removals_held_until_s, until_s)
 
     def replace_all(self, entries: Iterable[TargetRegistration], now_s: float) -> tuple[str, ...]:
-        """Take in a full listing; return the ids of targets that are missing from it."""
+        """Apply a full listing; return the ids of known targets that are missing from it."""
         listed = {entry.target_id: entry for entry in entries}
         missing = tuple(name for name in self.targets if name not in listed)
         for name in missing:
@@ -122,11 +125,11 @@
         return missing
 
     def put(self, entry: TargetRegistration, now_s: float) -> RosterTarget:
-        """Take in a registration that was written."""
+        """Apply a registration; a target that has restarted gets a new state."""
         known = self.targets.get(entry.target_id)
         restarted = known is not None and known.entry.started_ms != entry.started_ms
         if known is None or restarted:
-            target = RosterTarget(entry, now_s, self._others)
+            target = RosterTarget(entry, now_s, self._peer_work_at)
             self.targets[entry.target_id] = target
             self.outliers.succeeded(entry.target_id)
             self._reindex()
@@ -138,7 +141,7 @@
         return known
 
     def remove(self, name: str, now_s: float) -> None:
-        """Take in that a registration is gone."""
+        """Apply the removal of a registration, or hold it back."""
         target = self.targets.get(name)
         if target is None:
             return
@@ -148,7 +151,10 @@
             target.missing_since_s = now_s
 
     def tick(self, now_s: float) -> tuple[str, ...]:
-        """Forget targets that are still missing after the store's return; return their ids."""
+        """Drop targets that are still missing when removals are no longer held back.
+
+        Return their ids.
+        """
         if now_s < self.removals_held_until_s:
             return ()
         gone = tuple(
@@ -170,7 +176,7 @@
         self._names = {service: frozenset(names) for service, names in self._by_service.items()}
 
     def names_of(self, service: str) -> frozenset[str]:
-        """Return the names of all targets of a service; the same set while they stay."""
+        """Return the names of all targets of a service; the same set object until they change."""
         return self._names.get(service, frozenset())
 
     def of_service(self, service: str) -> list[RosterTarget]:
@@ -178,17 +184,20 @@
         return [self.targets[name] for name in self._by_service.get(service, ())]
 
     def usable(self, service: str, now_s: float) -> list[RosterTarget]:
-        """Return the targets of a service that may get work, those that look healthy if any do."""
-        admitted = [
+        """Return the targets of a service that may get work: the healthy ones, or all if none is.
+
+        Draining targets, and those in backoff after a failed or rejected send, get no work.
+        """
+        available = [
             target
             for target in self.of_service(service)
             if not target.entry.draining
             and target.target_id not in self.drained
             and now_s >= target.backoff_until_s
         ]
-        healthy = [target for target in admitted if self._looks_healthy(target, now_s)]
-        return healthy or admitted
+        healthy = [target for target in available if self._is_healthy(target, now_s)]
+        return healthy or available
 
-    def _looks_healthy(self, target: RosterTarget, now_s: float) -> bool:
-        out = self.outliers.is_ejected(target.target_id, now_s)
-        return not out and target.missing_since_s is None
+    def _is_healthy(self, target: RosterTarget, now_s: float) -> bool:
+        ejected = self.outliers.is_ejected(target.target_id, now_s)
+        return not ejected and target.missing_since_s is None
--- a/filbertstream/process/target_registration.py
+++ b/filbertstream/process/target_registration.py
@@ -1,4 +1,4 @@
-"""What a target has registered about itself."""
+"""The registration of a target."""
 
 from typing import NamedTuple
 
@@ -6,11 +6,10 @@
 
 
 class TargetRegistration(NamedTuple):
-    """One registration.
+    """One registration of a target.
 
-    ``target_id`` names an incarnation, though a target may start again under the id that it had:
-    ``started_ms`` then differs.
-    ``weights`` are the loaded versions by model.
+    A target that restarts usually gets a new ``target_id``.  It may also keep its id; then
+    ``started_ms`` differs.  ``weights`` are the loaded versions by model.
     """
 
     target_id: str
