Reword read backoff, core queries, settings, deployment and status

Cause: texts and inner names were figurative or private to this project. Change: usual terms; two assertions state what was found.

--- a/filbertstream/process/core_queries.py
+++ b/filbertstream/process/core_queries.py
@@ -1,4 +1,4 @@
-"""Lets other threads ask the core something: the question runs on the event loop's thread."""
+"""Runs queries of other threads against the core on the event loop's thread."""
 
 import asyncio
 from collections.abc import Callable
@@ -10,33 +10,33 @@
 
 T = TypeVar("T")
 
-QUERY_WITHIN_S: Final = 5.0
-"""The loop is never busy for this long; waiting longer would hold an operator's thread."""
+QUERY_TIMEOUT_S: Final = 5.0
+"""The event loop is never busy for this long; a longer wait would block an operator thread."""
 
 
 class CoreQueries:
-    """Questions that change nothing."""
+    """Read-only queries of the core."""
 
     def __init__(self, core: Gateway) -> None:
         self._core = core
         self._loop: asyncio.AbstractEventLoop | None = None
 
     def start(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Ask on this loop from now on."""
+        """Run queries on this event loop from now on."""
         self._loop = loop
 
-    def query(self, ask: Callable[[Gateway, float], T]) -> T:
-        """Return what ``ask`` finds; raises ``TimeoutError`` where the loop has ended."""
+    def query(self, read: Callable[[Gateway, float], T]) -> T:
+        """Return the result of ``read``; raise ``TimeoutError`` if the event loop has ended."""
         if self._loop is None:
-            raise AssertionError("query before start")
+            raise AssertionError("CoreQueries.query was called before start")
         done: Future[T] = Future()
 
         def run() -> None:
             try:
-                done.set_result(ask(self._core, boot_time_s()))
+                done.set_result(read(self._core, boot_time_s()))
             except Exception as exc:
-                # It belongs to whoever asked.
+                # The exception is raised in the thread of the query.
                 done.set_exception(exc)
 
         self._loop.call_soon_threadsafe(run)
-        return done.result(QUERY_WITHIN_S)
+        return done.result(QUERY_TIMEOUT_S)
--- a/filbertstream/process/deployment.py
+++ b/filbertstream/process/deployment.py
@@ -1,7 +1,6 @@
-"""What a process is told at its start about where it runs and which bounds it must keep.
+"""Where a process runs and the bounds that it must keep, as given at its start.
 
-The platform adapter reads a ``Deployment`` from the settings that the platform writes; times are in
-seconds.
+The platform adapter reads a ``Deployment`` from the settings that the platform writes.
 """
 
 from typing import NamedTuple
@@ -10,12 +9,12 @@
 class Bounds(NamedTuple):
     """Bounds that the operators of a deployment set.
 
-    ``config_apply_s``: within it, a configuration must be in force.
-    ``drain_s``: after it, a target that is known to leave gets no call.  ``revoke_s``: after it, a
-    removed key opens nothing.  ``reuse_s``: after it, a target's address may belong to another.
-    ``grace_s``: from SIGTERM to SIGKILL.  ``lease_s``: the gap between two holders of a duty.
-    ``version_s``: after it, no call may begin on older weights.  ``retry_floor``: repeats to a
-    service that one entry may make in a window without any calls of its own.
+    ``config_apply_s``: time within which a configuration must be in force.  ``drain_s``: time after
+    which a target that is known to leave gets no call.  ``revoke_s``: time after which a removed
+    key is rejected.  ``reuse_s``: time after which a target's address may belong to another.
+    ``grace_s``: time from SIGTERM to SIGKILL.  ``lease_s``: gap between two leaders of the roll-out
+    lease.  ``version_s``: time after which no call may begin on older weights.  ``retry_floor``:
+    retries to a service that one entry may send in a window without any calls of its own.
     """
 
     config_apply_s: float
@@ -40,14 +39,14 @@
     port: int
 
     def __str__(self) -> str:
-        """Return the usual form."""
+        """Return the address as ``host:port``."""
         return f"{self.host}:{self.port}"
 
 
 class Deployment(NamedTuple):
     """Where this process runs; ``object_store`` is a URL.
 
-    ``link_mbps`` and ``cores`` are what the VM has, 0 where that is not known.
+    ``link_mbps`` and ``cores`` are the resources of the VM, 0 if unknown.
     """
 
     name: str
--- a/filbertstream/process/read_backoff.py
+++ b/filbertstream/process/read_backoff.py
@@ -1,16 +1,16 @@
-"""Which calls are made to a store that does not answer, and how often.
+"""Backoff of the reads of an object store that does not respond.
 
-Load pattern: a store that is down, or turns its callers away, before hundreds of entries that each
-follow five kinds of objects.  The store counts refused calls too.  So while the first kind gets no
-answer, the others wait for it after their second failure; and an entry on which nobody relies asks
-seldom, since those on which it relies will tell it that the store is back.
+Load pattern: hundreds of entries that each follow five kinds of objects, while the object store is
+down or rejects calls.  Rejected calls are metered too.  So while reads of the first kind fail, the
+other kinds are deferred after their second failure.  An entry that follows through a relay backs
+off longer, since the relay will report that the object store is back.
 
->>> probing = ReadBackoff(("config", "servers"))
->>> for kind in ("config", "servers", "servers"): probing.failed(kind)
->>> (probing.is_deferred("servers"), probing.is_deferred("config"))
+>>> backoff = ReadBackoff(("config", "servers"))
+>>> for kind in ("config", "servers", "servers"): backoff.failed(kind)
+>>> (backoff.is_deferred("servers"), backoff.is_deferred("config"))
 (True, False)
->>> probing.answered("config")
->>> probing.is_deferred("servers")
+>>> backoff.answered("config")
+>>> backoff.is_deferred("servers")
 False
 """
 
@@ -18,41 +18,41 @@
 from typing import Final
 
 RETRY_S: Final = 0.15
-"""Pause after a call without an answer, doubled with each further one."""
+"""Pause after a failed call, doubled with each further failure."""
 
 RETRY_MAX_S: Final = 0.6
-"""The longest pause of an entry in a small fleet, or one on which others rely."""
+"""Maximum pause of an entry in a small fleet, and of one on which peers rely."""
 
-RELYING_RETRY_MAX_S: Final = 2.0
-"""The longest pause of an entry that relies on others."""
+RELAYED_RETRY_MAX_S: Final = 2.0
+"""Maximum pause of an entry that follows through a relay."""
 
-FAILURES: Final = 2
-"""Failures in a row after which a kind waits for the first one: a single call may get lost."""
+DEFER_AFTER_FAILURES: Final = 2
+"""Consecutive failures after which a kind is deferred; a single call may get lost."""
 
 
 class ReadBackoff:
-    """Failures in a row by kind; the first kind is the one that goes on asking."""
+    """Consecutive failures by kind; reads of the first kind are never deferred."""
 
     def __init__(self, kinds: Iterable[str]) -> None:
         self._failures = dict.fromkeys(kinds, 0)
         self._first = next(iter(self._failures), "")
 
     def failed(self, kind: str) -> None:
-        """Take in that a call had no answer."""
+        """Record a failed call."""
         self._failures[kind] += 1
 
     def answered(self, kind: str) -> None:
-        """Take in that a call was answered, or that a kind is not asked about any more."""
+        """Record a response, or that a kind is no longer read."""
         self._failures[kind] = 0
 
     def is_deferred(self, kind: str) -> bool:
-        """Whether a kind is asked about only once the first one has got an answer."""
+        """Whether reads of a kind wait until a read of the first kind succeeds."""
         if kind == self._first or not self._failures[self._first]:
             return False
-        return self._failures[kind] >= FAILURES
+        return self._failures[kind] >= DEFER_AFTER_FAILURES
 
-    def retry_s(self, kind: str, relies: bool) -> float:
-        """Return the pause before the next call; ``relies``: others would tell of the store."""
-        longest_s = RELYING_RETRY_MAX_S if relies else RETRY_MAX_S
+    def retry_s(self, kind: str, uses_relay: bool) -> float:
+        """Return the pause before the next call; it may be longer for an entry with a relay."""
+        longest_s = RELAYED_RETRY_MAX_S if uses_relay else RETRY_MAX_S
         doublings = min(10, max(0, self._failures[kind] - 1))
         return min(longest_s, RETRY_S * 2.0**doublings)
--- a/filbertstream/process/settings.py
+++ b/filbertstream/process/settings.py
@@ -1,9 +1,9 @@
-"""The settings of one entry process: a YAML file, checked whole before anything starts.
+"""The settings of one entry process: a YAML file that is validated completely at the start.
 
-Operators never tune single machines here; a file tells a process its addresses, its data center,
-where the platform is, and which key files to use.  Everything that decides how requests are served
-is in the configuration documents (``version.documents``).  ``deployment_of`` makes of it what the
-core is told.
+The settings are not for tuning single machines.  They contain the addresses of a process, its data
+center, the address of the platform, and the key files to use.  Everything that decides how requests
+are served is in the configuration documents (``version.documents``).  ``deployment_of`` converts
+the settings for the core.
 """
 
 import re
@@ -34,14 +34,14 @@
 
 
 class Tls(NamedTuple):
-    """Certificate and key files in PEM, read again whenever they change."""
+    """Certificate and key files in PEM; changed files are reloaded."""
 
     certificate_file: Path
     key_file: Path
 
 
 class Listener(NamedTuple):
-    """Where to listen for callers."""
+    """The listener for callers."""
 
     host: Address
     port: Port
@@ -50,7 +50,7 @@
 
 
 class Operators(NamedTuple):
-    """The operators' listener; ``keys`` are digests, made by ``filbertstream digest``."""
+    """The listener for operators; ``keys`` are digests from ``filbertstream digest``."""
 
     host: Address
     port: Port
@@ -59,10 +59,10 @@
 
 
 class Peers(NamedTuple):
-    """Where other entries reach this one; they learn it from the platform's store.
+    """The address for peers, which read it from the object store.
 
-    ``key_file`` holds the fleet's CURVE secret key; with it, links are encrypted and only holders
-    of the same key are heard.
+    ``key_file`` holds the fleet's CURVE secret key.  With it, links are encrypted, and messages are
+    accepted only from holders of the same key.
     """
 
     address: PeerAddress
@@ -77,7 +77,7 @@
 
 
 class Targets(NamedTuple):
-    """How targets are reached: the authority that their certificates must come from."""
+    """TLS to targets: the certificate authority that must have signed their certificates."""
 
     ca_file: Path | None = None
 
@@ -85,8 +85,8 @@
 class Bounds(NamedTuple):
     """Bounds in seconds that the entries keep; see ``process.deployment.Bounds``.
 
-    Without ``strict_revocation``, keys go on to be admitted while the store can't be reached, also
-    those that were taken away meanwhile.
+    Without ``strict_revocation``, keys are still admitted while the object store is unreachable,
+    including those that are removed meanwhile.
     """
 
     config_apply_s: PositiveFloat = 2.0
@@ -122,9 +122,9 @@
 
 
 def read_settings(path: Path, files: bool = True) -> Result[Settings, list[Mistake]]:
-    """Return the checked settings of a file, or every mistake in it.
+    """Return the validated settings of a file, or all errors in it.
 
-    ``files`` asks that the files which the settings name exist, too.
+    With ``files``, the files that the settings name must exist, too.
     """
     file = str(path)
     try:
@@ -144,16 +144,18 @@
         return Err(collect_errors(exc, file, node))
     missing = [item for item in _files(settings) if files and not item[1].is_file()]
     if missing:
-        faults = [Mistake(file, 0, key, f"an existing file ({path})") for key, path in missing]
-        return Err([fault.with_location(file, node) for fault in faults])
+        errors = [Mistake(file, 0, key, f"an existing file ({path})") for key, path in missing]
+        return Err([error.with_location(file, node) for error in errors])
     return Ok(settings)
 
 
 def deployment_of(settings: Settings) -> deploy.Deployment:
-    """Return what the core and its edge are told of where they run."""
+    """Return the deployment data of the settings, for the core and the I/O layer."""
     matched = re.fullmatch(r"tcp://([0-9.]+):([0-9]+)", settings.peers.address)
     if matched is None:
-        raise AssertionError("a peers' address that passed its check")
+        raise AssertionError(
+            f"peers.address {settings.peers.address!r} passed validation but is not tcp://IP:PORT"
+        )
     return deploy.Deployment(
         settings.name,
         str(settings.callers.host),
@@ -170,7 +172,7 @@
 
 
 def _files(settings: Settings) -> list[tuple[str, Path]]:
-    """Return the files that settings name, by key."""
+    """Return the files that the settings name, each with its settings key."""
     named: list[tuple[str, Path | None]] = [
         ("peers.key_file", settings.peers.key_file),
         ("platform.ca_file", settings.platform.ca_file),
--- a/filbertstream/process/status.py
+++ b/filbertstream/process/status.py
@@ -1,4 +1,4 @@
-"""What an entry tells operators about itself: plain data, read from the core by a query."""
+"""The status of an entry for operators: plain data, read from the core by a query."""
 
 from typing import NamedTuple
 
@@ -7,7 +7,7 @@
 
 
 class MemberRow(NamedTuple):
-    """An entry that has registered."""
+    """A registered entry."""
 
     name: str
     address: str
@@ -15,7 +15,10 @@
 
 
 class TargetRow(NamedTuple):
-    """A target as this entry sees it; ``state`` is usable, leaving, swapping or out."""
+    """A target as observed by this entry.
+
+    ``state`` is ``usable``, ``leaving``, ``swapping`` or ``out`` (ejected).
+    """
 
     name: str
     service: str
@@ -28,7 +31,10 @@
 
 
 class Status(NamedTuple):
-    """One entry's state; ``config_age_s`` counts from the last confirmation, -1 without one."""
+    """The state of one entry.
+
+    ``config_age_s`` counts from the last time the configuration was confirmed, -1 without one.
+    """
 
     name: str
     data_center: str
@@ -44,7 +50,7 @@
 
 
 def read_status(core: Gateway, now_s: float) -> Status:
-    """Return the state of the core's entry."""
+    """Return the status of the core's entry."""
     config = core.authorizer.config
     age_s = core.config_freshness.age_s(now_s)
     members = tuple(
