Reword the messages between entries

Cause: texts and inner names were figurative or private to this project. Change: usual terms; the decode error states the limit.

--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -1,8 +1,8 @@
 """The messages between entries, as msgspec structs with a MessagePack codec.
 
-They travel over ``connection.peer_link`` and may be lost: each holds the sender's state as it is,
-so the next makes a lost one good.  Every field that grows with the fleet is bounded by its sender;
-docs/CAPACITY.md gives the sizes.
+They are sent over ``connection.peer_link`` and may be lost.  Each holds the sender's current state,
+so the next message makes up for a lost one.  The sender bounds every field that grows with the
+fleet; docs/CAPACITY.md gives the sizes.
 """
 
 import zlib
@@ -12,7 +12,10 @@
 
 
 class WorkRow(NamedTuple):
-    """The sender's work at one target: runs, their memory, prompt tokens without an answer."""
+    """The sender's work at one target: runs, their memory, and queued prompt tokens.
+
+    Queued tokens are those that were sent and not prefilled yet.
+    """
 
     target: str
     runs: int
@@ -21,9 +24,9 @@
 
 
 class EntryWork(msgspec.Struct, frozen=True, tag="placed", array_like=True):
-    """What the sender has under way at each target.
+    """The sender's work in progress at each target.
 
-    ``is_current`` tells whether its configuration is recent enough for new calls.
+    ``is_current`` states whether its configuration is recent enough for new calls.
     """
 
     member: str
@@ -32,7 +35,7 @@
 
 
 class GroupWork(msgspec.Struct, frozen=True, tag="group", array_like=True):
-    """What a relay and the entries that tell it have under way at each target, summed up."""
+    """The sum of the work in progress of a relay and its followers at each target."""
 
     relay: str
     rows: tuple[WorkRow, ...]
@@ -40,9 +43,9 @@
 
 
 class FleetWorkRow(NamedTuple):
-    """The work of all entries but the receiver at one target.
+    """The work of all entries except the receiver at one target.
 
-    ``weighted_queued_tokens`` are the unread ones, each entry's weighted by the age of its word.
+    In ``weighted_queued_tokens`` each entry's queued tokens are weighted by the age of its report.
     """
 
     target: str
@@ -53,7 +56,7 @@
 
 
 class FleetWork(msgspec.Struct, frozen=True, tag="fleet", array_like=True):
-    """What a relay knows of the whole fleet's work, for an entry that tells it its own."""
+    """The whole fleet's work as known to a relay, for one of its followers."""
 
     relay: str
     rows: tuple[FleetWorkRow, ...]
@@ -61,7 +64,7 @@
 
 
 class CacheUpdateRow(NamedTuple):
-    """A part was stored, or (``added`` False) dropped."""
+    """A block was stored, or (``added`` False) dropped."""
 
     added: bool
     namespace: str
@@ -70,7 +73,10 @@
 
 
 class CacheUpdate(msgspec.Struct, frozen=True, tag="cache", array_like=True):
-    """What a store told the sender ``age_s`` ago; ``start_id`` changes when the store restarts."""
+    """Events of a cache store that the sender read ``age_s`` ago.
+
+    ``start_id`` changes when the cache store restarts.
+    """
 
     store: str
     start_id: int
@@ -81,13 +87,13 @@
 
 
 class CacheUpdateBatch(msgspec.Struct, frozen=True, tag="caches", array_like=True):
-    """What a relay knows of several stores, in the order in which it learned it."""
+    """A relay's updates of several cache stores, in the order in which it received them."""
 
     items: tuple[CacheUpdate, ...]
 
 
 class ObjectRow(NamedTuple):
-    """An object of the platform's store, undecoded; ``content`` is None for a removed one."""
+    """An object of the object store, undecoded; ``content`` is None for a removed one."""
 
     name: str
     revision: int
@@ -95,10 +101,11 @@
 
 
 class KindUpdate(NamedTuple):
-    """What the sender knows of a kind of object: all of it, or what changed after ``since``.
+    """The objects of a kind as observed by the sender: all, or those changed after ``since``.
 
-    It is complete up to the revision ``as_of`` and was shown to be the newest ``age_s`` ago.
-    ``rows`` is None for more than a message should hold: the store is to be asked.
+    The update is complete up to the revision ``as_of``, which was observed to be the newest
+    ``age_s`` ago.  ``rows`` is None if the rows exceed the size limit of a message; the receiver
+    then reads the object store.
     """
 
     kind: str
@@ -110,9 +117,9 @@
 
 
 class ViewRequest(msgspec.Struct, frozen=True, tag="asked", array_like=True):
-    """The sender asks what is new; ``as_of`` tells for each kind how far its own view goes.
+    """A poll for updates; ``as_of`` is by kind the revision up to which the sender's view goes.
 
-    ``number`` tells its questions apart.
+    ``number`` distinguishes the sender's requests.
     """
 
     member: str
@@ -121,9 +128,9 @@
 
 
 class ViewResponse(msgspec.Struct, frozen=True, tag="told", array_like=True):
-    """The answer to a question, or with ``number`` 0 a change that is passed on unasked.
+    """The response to a request, or with ``number`` 0 a change that is pushed without a request.
 
-    ``removals_held_s`` tells for how long registrations that the store has removed may yet come back.
+    ``removals_held_s`` is the time for which removals of registrations are still held back.
     """
 
     number: int
@@ -136,34 +143,37 @@
 )
 
 MESSAGE_LIMIT_BYTES: Final = 4_000_000
-"""A message may hold all kinds of objects, each up to ``process.store_view.KIND_UPDATE_LIMIT_BYTES``."""
+"""A message may hold all kinds of objects, each up to the limit in ``process.store_view``."""
 
 COMPRESSION_THRESHOLD_BYTES: Final = 4_096
-"""Messages from this size on are compressed: configurations and news of many parts, to a fifth."""
+"""Messages of at least this size are compressed; configurations and updates of many cache blocks
+shrink to a fifth."""
 
 COMPRESSED: Final = b"x"
-"""First byte of a zlib stream; that of a plain message is one of a MessagePack array."""
+"""First byte of a zlib stream; a plain message begins with that of a MessagePack array."""
 
-FASTEST: Final = 1
+FASTEST_LEVEL: Final = 1
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[PeerPayload] = msgspec.msgpack.Decoder(PeerPayload)
 
 
 def encode(payload: PeerPayload) -> bytes:
-    """Return the wire form of a message; a long one is compressed."""
+    """Return the wire form of a message, compressed if it is large."""
     data = _ENCODER.encode(payload)
-    return data if len(data) < COMPRESSION_THRESHOLD_BYTES else zlib.compress(data, FASTEST)
+    return data if len(data) < COMPRESSION_THRESHOLD_BYTES else zlib.compress(data, FASTEST_LEVEL)
 
 
 def decode(data: bytes) -> PeerPayload:
     """Return the message in ``data``; raises ``msgspec.DecodeError`` for anything else."""
     if data.startswith(COMPRESSED):
-        inflating = zlib.decompressobj()
+        decompressor = zlib.decompressobj()
         try:
-            data = inflating.decompress(data, MESSAGE_LIMIT_BYTES)
+            data = decompressor.decompress(data, MESSAGE_LIMIT_BYTES)
         except zlib.error as exc:
             raise msgspec.DecodeError(str(exc)) from exc
-        if not inflating.eof:
-            raise msgspec.DecodeError("a message that is cut, or larger than any")
+        if not decompressor.eof:
+            raise msgspec.DecodeError(
+                f"compressed message is truncated or exceeds {MESSAGE_LIMIT_BYTES} bytes"
+            )
     return _DECODER.decode(data)
