--- a/filbertstream/process/__init__.py
+++ b/filbertstream/process/__init__.py
@@ -1,1 +1,1 @@
-"""State that lives as long as the process: membership, targets, limits, metrics, the host."""
+"""State with the lifetime of the process: members, targets, limits, metrics, queries."""
--- a/filbertstream/process/burn.py
+++ b/filbertstream/process/burn.py
@@ -1,8 +1,8 @@
-"""Service-level burn: how fast each workspace uses up the misses that its objective allows.
+"""Error-budget burn rate: how fast each workspace uses up the misses that its objective allows.
 
-A burn rate of 1 means that misses come exactly at the rate the objective allows; 10 means that the
-allowance of a month is gone in three days.  Each entry keeps counts by minute and a histogram of
-times to first token by workspace; ``cli`` merges them over the entries.
+At a burn rate of 1, misses occur exactly at the rate that the objective allows; at 10, the error
+budget of a month is used up in three days.  Each entry keeps counts per minute and a histogram of
+times to first token for each workspace; ``cli`` merges them over the entries.
 """
 
 from collections import deque
@@ -26,14 +26,14 @@
 
 
 class WindowCount(TypedDict):
-    """Requests and misses of one window."""
+    """Requests of one window, and those that missed the objective."""
 
     total: int
     missed: int
 
 
 class WorkspaceBurn(TypedDict):
-    """What one entry reports of a workspace; ``histogram`` is HdrHistogram's own encoding."""
+    """One entry's report for a workspace; ``histogram`` is in the encoding of HdrHistogram."""
 
     within: float
     windows: dict[str, WindowCount]
@@ -41,7 +41,7 @@
 
 
 class BurnRow(NamedTuple):
-    """One line of the merged report; ``burn`` is by window."""
+    """One line of the merged report; ``burn`` is the burn rate by window."""
 
     workspace: str
     requests: int
@@ -72,7 +72,7 @@
     def note(
         self, workspace: str, within: float, now_s: float, missed: bool, first_token_s: float | None
     ) -> None:
-        """Count one request; ``first_token_s`` is None where no token came."""
+        """Count one request; ``first_token_s`` is None if no token arrived."""
         record = self._records.get(workspace)
         if record is None:
             record = self._records[workspace] = _Record(within)
@@ -109,7 +109,7 @@
 
 
 def merge(reports: list[dict[str, WorkspaceBurn]]) -> list[BurnRow]:
-    """Return the fleet's report from those of the entries."""
+    """Return the fleet's report, merged from the reports of the entries."""
     workspaces = sorted({name for report in reports for name in report})
     return [
         _merge_one(name, [report[name] for report in reports if name in report])
--- a/filbertstream/process/clock.py
+++ b/filbertstream/process/clock.py
@@ -1,8 +1,8 @@
-"""The clock of leases, deadlines and ages: it counts the time of a suspended machine too."""
+"""The monotonic clock of leases, deadlines and ages, which includes time in suspend."""
 
 import time
 
 
 def boot_time_s() -> float:
-    """Return seconds since the machine booted, suspended time included."""
+    """Return the seconds since the machine booted, including time in suspend."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/filbertstream/process/latencies.py
+++ b/filbertstream/process/latencies.py
@@ -1,4 +1,4 @@
-"""Latency histograms by name, for decisions and for the metrics page."""
+"""Latency histograms by name, for send timeouts and for the metrics page."""
 
 from typing import Final
 
@@ -10,20 +10,20 @@
 MS: Final = 1000.0
 
 MEAN_WEIGHT: Final = 0.05
-"""Weight of a new observation in a running mean."""
+"""Weight of a new sample in the moving average."""
 
 QUANTILES: Final = (50.0, 95.0, 99.0)
 
 
 class Latencies:
-    """A histogram and a running mean for each name."""
+    """A histogram and a moving average for each name."""
 
     def __init__(self) -> None:
         self._histograms: dict[str, HdrHistogram] = {}
         self._means_s: dict[str, float] = {}
 
     def note(self, name: str, seconds: float) -> None:
-        """Take in an observation."""
+        """Record a sample."""
         histogram = self._histograms.get(name)
         if histogram is None:
             histogram = self._histograms[name] = HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS)
@@ -32,11 +32,11 @@
         self._means_s[name] += MEAN_WEIGHT * (seconds - self._means_s[name])
 
     def mean_s(self, name: str) -> float:
-        """Return the running mean, 0 before any observation."""
+        """Return the moving average, 0 before any sample."""
         return self._means_s.get(name, 0.0)
 
     def quantiles(self) -> dict[str, tuple[int, dict[float, float]]]:
-        """Return the count and some quantiles in seconds, by name."""
+        """Return by name the number of samples and the ``QUANTILES`` in seconds."""
         return {
             name: (
                 histogram.get_total_count(),
--- a/filbertstream/process/logs.py
+++ b/filbertstream/process/logs.py
@@ -1,7 +1,7 @@
-"""Structured logs by structlog: a JSON object a line, each with its number from ``log_events``.
+"""Structured logs by structlog: one JSON object per line, with its number from ``log_events``.
 
-``BoundedStream`` keeps a slow reader of standard output from holding up the process: lines wait in
-a bounded queue that a thread writes out, and what finds no room is counted and left out.
+``BoundedStream`` keeps a slow reader of standard output from blocking the process: lines are queued
+up to a limit and written by a thread, and lines beyond the limit are counted and dropped.
 """
 
 import logging
@@ -22,10 +22,10 @@
 }
 
 QUEUED_LINES: Final = 4_000
-"""Lines that wait to be written; further ones are left out."""
+"""Maximum number of queued lines; further ones are dropped."""
 
 FLUSH_S: Final = 0.1
-"""Lines of this much time are written out together."""
+"""Interval of writes; the lines of one interval are written together."""
 
 
 class BoundedStream:
@@ -35,18 +35,18 @@
         self._stream = stream
         self._lines: deque[str] = deque()
         self._stop = threading.Event()
-        self._waiting = threading.Event()
-        self._thread = threading.Thread(target=self._drain, name="log", daemon=True)
+        self._has_lines = threading.Event()
+        self._thread = threading.Thread(target=self._write_queued, name="log", daemon=True)
         self.dropped = 0
 
     def start(self) -> None:
-        """Begin to write lines out."""
+        """Start the thread that writes the queued lines."""
         self._thread.start()
 
     def close(self) -> None:
-        """Write out what waits and stop."""
+        """Write the queued lines and stop the thread."""
         self._stop.set()
-        self._waiting.set()
+        self._has_lines.set()
         if self._thread.is_alive():
             self._thread.join(timeout=1.0)
 
@@ -56,26 +56,26 @@
             self.dropped += 1
         else:
             self._lines.append(text)
-            self._waiting.set()
+            self._has_lines.set()
         return len(text)
 
     def flush(self) -> None:
-        """Do nothing: lines are written by the thread."""
+        """Do nothing; the thread writes the lines."""
 
-    def _drain(self) -> None:
+    def _write_queued(self) -> None:
         stopping = False
         while not stopping:
-            self._waiting.wait()
+            self._has_lines.wait()
             stopping = self._stop.wait(FLUSH_S)
-            self._waiting.clear()
-            waiting = "".join([self._lines.popleft() for _ in range(len(self._lines))])
-            if waiting:
-                self._stream.write(waiting)
+            self._has_lines.clear()
+            text = "".join([self._lines.popleft() for _ in range(len(self._lines))])
+            if text:
+                self._stream.write(text)
                 self._stream.flush()
 
 
 class EventLog:
-    """Writes numbered events of one entry."""
+    """Writes the log events of one entry."""
 
     def __init__(
         self,
@@ -95,5 +95,5 @@
         )
 
     def write(self, number: int, fields: tuple[tuple[str, str | int | float], ...] = ()) -> None:
-        """Write one event."""
+        """Write one event with its fields."""
         self._logger.info(LogEvent(number).name.lower(), number=number, **dict(fields))
--- a/filbertstream/process/recent_calls.py
+++ b/filbertstream/process/recent_calls.py
@@ -1,7 +1,7 @@
-"""What was logged of the latest calls, for operators who ask why one went as it did.
+"""The log lines of the latest calls, for operators who look into the outcome of a call.
 
-Kept in memory, the oldest dropped first; ``log_explain`` tells the same from log files.  No prompt,
-answer or key is in it.
+They are kept in memory, and the oldest calls are dropped first; ``log_explain`` finds the same
+lines in log files.  They contain no prompt, response or key.
 """
 
 from collections import OrderedDict
@@ -10,31 +10,31 @@
 from filbertstream.actions import Log
 from filbertstream.log_events import LogEvent
 
-KEPT_CALLS: Final = 2_000
+CALLS_LIMIT: Final = 2_000
 LINES_LIMIT: Final = 40
-"""Lines of one call; what repeats more often is not shown."""
+"""Maximum number of lines per call; further ones are dropped."""
 
 Line = dict[str, str | int | float]
 
 
 class RecentCalls:
-    """Lines by request id."""
+    """Log lines by request id."""
 
     def __init__(self) -> None:
-        self._kept: OrderedDict[str, list[Line]] = OrderedDict()
+        self._lines: OrderedDict[str, list[Line]] = OrderedDict()
 
     def note(self, log: Log) -> None:
-        """Keep a line that names a request."""
+        """Keep a log line that has a request id."""
         fields = dict(log.fields)
         request_id = fields.pop("request_id", "")
         if not isinstance(request_id, str) or not request_id:
             return
-        lines = self._kept.setdefault(request_id, [])
+        lines = self._lines.setdefault(request_id, [])
         if len(lines) < LINES_LIMIT:
             lines.append({"event": LogEvent(log.number).name.lower(), **fields})
-        while len(self._kept) > KEPT_CALLS:
-            self._kept.popitem(last=False)
+        while len(self._lines) > CALLS_LIMIT:
+            self._lines.popitem(last=False)
 
     def find(self, request_id: str) -> list[Line] | None:
-        """Return what was logged of a request."""
-        return self._kept.get(request_id)
+        """Return the log lines of a request, or None if there are none."""
+        return self._lines.get(request_id)
