--- a/filbertstream/request/__init__.py
+++ b/filbertstream/request/__init__.py
@@ -1,1 +1,1 @@
-"""State that lives as long as a request, and the decisions taken for it."""
+"""The state with the lifetime of a request, and the decisions on a request."""
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -1,17 +1,17 @@
-"""The data of one call: what its head says, what an answer's head says, what a target is told."""
+"""The data of one call: the caller's request, the head of a response, and cache directives."""
 
 from typing import NamedTuple
 
 
 class PromptBlock(NamedTuple):
-    """A part of a prompt; equal ids are equal texts."""
+    """A cache block of a prompt; blocks with equal ids have equal text up to their end."""
 
     block_id: str
     tokens: int
 
 
 class Prompt(NamedTuple):
-    """What a call asks of a model: tokens to read, tokens to make at most, the parts in order."""
+    """The prompt of a call: its size, the most tokens to generate, and its blocks in order."""
 
     model: str
     tokens: int
@@ -20,17 +20,17 @@
 
 
 class IdempotencyKey(NamedTuple):
-    """A caller's idempotency key, and a digest of the request that it was sent with."""
+    """A caller's idempotency key, with a digest of the request that carried it."""
 
     key: str
     fingerprint: str
 
 
 class CallHead(NamedTuple):
-    """A caller's request once its bytes were read whole.
+    """A caller's request, which has been read completely.
 
-    ``deadline_s`` is how long the caller waits, counted from the arrival.  ``idempotency_key`` asks that the
-    call runs once for its key.
+    ``deadline_s`` is how long the caller waits, counted from the arrival.  A call with an
+    ``idempotency_key`` runs at most once for that key.
     """
 
     request_id: str
@@ -46,7 +46,7 @@
 
 
 class BufferedResponse(NamedTuple):
-    """A target's answer that was passed on whole."""
+    """A target's complete response, buffered so that it can be stored for an idempotency key."""
 
     status: int
     content_type: str
@@ -54,7 +54,7 @@
 
 
 class TargetLoad(NamedTuple):
-    """What a target says of its load with an answer."""
+    """The load that a target reports in the headers of a response."""
 
     running: int
     waiting: int
@@ -62,9 +62,9 @@
 
 
 class ResponseHead(NamedTuple):
-    """What a target's answer says before its body.
+    """The status and headers of a target's response.
 
-    ``not_run`` is the target's word that it did not run the request.
+    With ``not_run`` the target states that it has not run the request.
     """
 
     status: int
@@ -79,10 +79,11 @@
 
 
 class CacheDirectives(NamedTuple):
-    """What a runner is told about its cache.
+    """The instructions to a runner on its use of the KV cache.
 
-    Cached parts are found only within ``namespace``.  ``weights`` is the version that must be
-    loaded.  ``fetch`` and ``save`` name an address for each part, or nothing.
+    Cached blocks are looked up only within ``namespace``.  ``weights`` is the version that the
+    runner must have loaded.  ``fetch`` and ``save`` contain an address for each block of the
+    prompt, or an empty string.  Fetches must end by ``fetch_until_ms`` on the targets' clock.
     """
 
     namespace: str
--- a/filbertstream/request/key_writes.py
+++ b/filbertstream/request/key_writes.py
@@ -1,9 +1,12 @@
-"""The writes that claim or settle an idempotency key, step by step and without I/O.
+"""The calls to the object store that claim or settle an idempotency key, as generators without I/O.
 
-A step yields a ``KeyCall`` and is sent the store's ``KeyReply``; what it returns at its end is told
-to the core.  ``connection.idempotency_key_store`` drives the steps in production, a state machine in the tests.
-A write without an answer may be carried out at any later time, so a claim counts only once the
-store shows the call's own record, and one that is given up is made impossible (``settle_steps``).
+Each generator yields a ``KeyCall`` and is sent the object store's ``KeyReply``.  Its return value
+is reported to the core.  ``connection.idempotency_key_store`` drives the generators in production,
+a state machine in the tests.
+
+A write without a response may still take effect at any later time.  A claim therefore counts only
+once the object store returns the call's own record, and ``settle_steps`` makes sure that an
+abandoned claim can no longer succeed.
 """
 
 import enum
@@ -19,12 +22,12 @@
     SettleKey,
 )
 
-CLAIM_CALLS: Final = 3
-"""Calls of one claim at most; two that get no answer take about as long as a caller waits."""
+MAX_CLAIM_CALLS: Final = 3
+"""The most calls of one claim; two without a response take about as long as a caller waits."""
 
 
 class KeyAction(enum.Enum):
-    """What is asked of the store; writes are conditional."""
+    """An operation of the object store; writes are conditional."""
 
     CREATE = "create"
     REPLACE = "replace"
@@ -32,7 +35,10 @@
 
 
 class KeyCall(NamedTuple):
-    """One call; ``revision`` is that which a replaced object must have."""
+    """One call to the object store.
+
+    A replaced object must have the given ``revision``, or the write fails as a conflict.
+    """
 
     action: KeyAction
     name: str
@@ -41,10 +47,11 @@
 
 
 class KeyOutcome(enum.Enum):
-    """How a call ended.
+    """The outcome of a call to the object store.
 
-    ``DONE``: written, or read.  ``CONFLICT``: another object is there.  ``REFUSED``: not carried
-    out.  ``OUTCOME_UNKNOWN``: no answer.
+    ``DONE``: the object is written or read.  ``CONFLICT``: the condition of the write is not met.
+    ``REFUSED``: the call had no effect.  ``OUTCOME_UNKNOWN``: there was no response, so a write may
+    or may not take effect.
     """
 
     DONE = "done"
@@ -54,7 +61,7 @@
 
 
 class KeyReply(NamedTuple):
-    """The end of a call, with the object that is there now; None where there is none."""
+    """The outcome of a call, with the object as it is stored now, or None if there is none."""
 
     outcome: KeyOutcome
     record: KeyRecord | None = None
@@ -66,9 +73,9 @@
 
 
 def claim_steps(claim: ClaimKey) -> ClaimSteps:
-    """Write the record of a call unless its key is taken."""
+    """Write the record of a call unless another call has claimed its key."""
     call = KeyCall(KeyAction.CREATE, claim.name, claim.record)
-    for _ in range(CLAIM_CALLS):
+    for _ in range(MAX_CLAIM_CALLS):
         reply = yield call
         call = KeyCall(KeyAction.CREATE, claim.name, claim.record)
         present = reply.record
@@ -77,7 +84,8 @@
         if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:
             continue
         if present.call == claim.record.call:
-            # Where the call has ended meanwhile, this is its outcome and the core takes no notice.
+            # If the call has ended in the meantime, this record is its outcome, and the core
+            # ignores the event.
             return KeyClaimed(claim.call_id, claim.name, True, None, reply.revision)
         if present.state is not KeyState.FREE:
             return KeyClaimed(claim.call_id, claim.name, False, present)
@@ -86,12 +94,12 @@
 
 
 def settle_steps(settle: SettleKey) -> SettleSteps:
-    """Write the outcome of a call over its own record; None where that is not done yet."""
+    """Replace the record of a call by its outcome; return None if that is not confirmed yet."""
     settled = KeySettled(settle.name, settle.record.call)
     if settle.revision:
         call = KeyCall(KeyAction.REPLACE, settle.name, settle.record, settle.revision)
         reply = yield call
-        # Only this call's own outcome can have replaced its record.
+        # A conflict means done, since only this call's own outcome can have replaced its record.
         done = reply.outcome in (KeyOutcome.DONE, KeyOutcome.CONFLICT)
         return settled if done else None
     reply = yield KeyCall(KeyAction.READ, settle.name)
@@ -101,8 +109,8 @@
     if present is None:
         call = KeyCall(KeyAction.CREATE, settle.name, settle.record)
     else:
-        taken = present.call != settle.record.call and present.state is not KeyState.FREE
-        if taken or present == settle.record:
+        claimed_by_other = present.call != settle.record.call and present.state is not KeyState.FREE
+        if claimed_by_other or present == settle.record:
             return settled
         call = KeyCall(KeyAction.REPLACE, settle.name, settle.record, reply.revision)
     reply = yield call
--- a/filbertstream/request/prefix.py
+++ b/filbertstream/request/prefix.py
@@ -1,8 +1,9 @@
-"""The parts of a prompt's text that runners may keep cache of, named by what was said up to there.
+"""Divides the text of a prompt into cache blocks, which are identified by their prefix.
 
-A part covers ``units.BLOCK_TOKENS`` tokens of text, and what is left at the end is one more.  Its
-id is a digest chained over all text before it, so equal ids are equal prefixes.  Runners and stores
-find parts only within a namespace, which is made of workspace, model and weight version.
+A block covers ``units.BLOCK_TOKENS`` tokens of text, and the last block covers the rest.  The id of
+a block is a digest chained over all text up to its end, so blocks with equal ids have equal
+prefixes.  Runners and cache stores look blocks up only within a namespace, which consists of the
+workspace, the model and the weight version.
 """
 
 import hashlib
@@ -14,11 +15,11 @@
 BLOCK_ID_BYTES: Final = 16
 
 MAX_BLOCKS: Final = 64
-"""Parts of one prompt at most; the last covers all that is left."""
+"""The most blocks of one prompt; the last one covers all text that is left."""
 
 
 def text_blocks(text: bytes) -> tuple[PromptBlock, ...]:
-    """Return the parts of a prompt's text, in order.
+    """Return the blocks of a prompt's text, in order.
 
     >>> first, second = text_blocks(b"x" * 16_000), text_blocks(b"x" * 16_000 + b"y" * 800)
     >>> (first == second[:2], second[2].tokens)
@@ -37,5 +38,5 @@
 
 
 def token_count(text: bytes) -> int:
-    """Return the tokens that a text is counted as."""
+    """Return the number of tokens that a text is counted as, from its size in bytes."""
     return (len(text) + BYTES_PER_TOKEN - 1) // BYTES_PER_TOKEN
