--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -8,7 +8,7 @@
     Guard(
         "a key needs a configuration that was confirmed within the bound",
         "request/authorization.py",
-        "if not self._currency.admits_keys(now_s):",
+        "if not self._config_freshness.admits_keys(now_s):",
         "if False:",
         "tests/test_gateway_core.py::"
         "test_no_key_is_admitted_once_the_configuration_was_not_confirmed_within_the_bound",
@@ -169,8 +169,8 @@
     Guard(
         "repeats stay within a share of the own calls",
         "request/retry_budget.py",
-        "if len(repeats) + 1 > self._floor",
-        "if len(repeats) + 1 > 1_000 * self._floor",
+        "if len(retries) + 1 > self._floor",
+        "if len(retries) + 1 > 1_000 * self._floor",
         "tests/test_gateway_parts.py::"
         "test_all_entries_together_keep_the_share_without_knowing_each_other",
     ),
@@ -245,8 +245,8 @@
     Guard(
         "a prefix nobody is known to hold is read at one runner",
         "request/placement.py",
-        "return cost + AWAY_COST_PER_TOKEN * max(0, unheld - fetched)",
-        "return AWAY_COST",
+        "return cost + NOT_PREFERRED_COST_PER_TOKEN * max(0, not_held - fetched)",
+        "return NOT_PREFERRED_COST",
         "tests/test_placement.py::"
         "test_a_prefix_that_nobody_is_known_to_hold_waits_a_while_at_its_preferred_runner",
     ),
@@ -305,9 +305,9 @@
     Guard(
         "any order of answers: a call that its caller left is cancelled",
         "request/forwarding.py",
-        "            self._parts.roster.outliers.probe_inconclusive(call.target.target_id)\n"
+        "            self._deps.roster.outliers.probe_inconclusive(call.target.target_id)\n"
         "            actions.append(CancelSend(call.call_id, call.number))",
-        "            self._parts.roster.outliers.probe_inconclusive(call.target.target_id)",
+        "            self._deps.roster.outliers.probe_inconclusive(call.target.target_id)",
         "tests/test_calls_machine.py::TestCalls",
     ),
     Guard(
--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -9,7 +9,8 @@
     Guard(
         "a claim without an answer does not count",
         "request/key_writes.py",
-        "        if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n            continue",
+        "        if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n"
+        "            continue",
         "        if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n"
         "            return KeyClaimed(claim.call_id, claim.name, True, None)",
         "tests/test_keys_machine.py",
@@ -100,7 +101,7 @@
     Guard(
         "a workspace keeps to its limits",
         "request/admission.py",
-        "if use.running >= max(1.0, workspace_limits.concurrent * share):",
+        "if usage.running >= max(1.0, workspace_limits.concurrent * share):",
         "if False:",
         "tests/test_whole_path.py::"
         "test_a_workspace_over_its_limits_is_refused_and_others_are_served",
@@ -116,8 +117,8 @@
     Guard(
         "a long prompt is not sent elsewhere while it is read",
         "request/send_timeouts.py",
-        "longest_s, reading_s, wait_s)",
-        "longest_s)",
+        "latency_s, prefill_s, wait_s)",
+        "latency_s)",
         "tests/test_whole_path.py::test_a_prompt_and_its_return_through_another_entry",
     ),
     Guard(
--- a/filbertstream/request/admission.py
+++ b/filbertstream/request/admission.py
@@ -1,7 +1,8 @@
-"""Whether a workspace may begin another call: its limits over all entries together.
+"""Enforces the concurrency and rate limits of workspaces, which hold over all entries together.
 
-Each entry works within its share of a workspace's limits, which answers the load of one workspace
-that sends far more than was agreed: it is turned away at once, and others don't notice.
+Each entry enforces its share of a workspace's limits.  Load pattern handled: one workspace sends
+far more than was agreed.  Its excess calls are rejected at once, and other workspaces are not
+affected.
 """
 
 from collections.abc import Callable
@@ -10,21 +11,21 @@
 from filbertstream.version.routes import WorkspaceLimits
 
 RATE_BURST_S: Final = 1.0
-"""The rate limit is enforced over this much time."""
+"""Burst size of the token bucket, as the time in which that many tokens are refilled."""
 
 CONCURRENCY_RETRY_S: Final = 0.5
-"""About the time in which one of many running calls ends."""
+"""About the time after which one of many running calls has ended."""
 
 
-class Shortage(NamedTuple):
-    """Why a call can't begin now, and when it might."""
+class LimitExceeded(NamedTuple):
+    """The limit that rejects a call, and the time after which the caller should retry."""
 
     code: str
     retry_after_s: float
 
 
-class _Use:
-    """What one workspace uses of this entry's share."""
+class _Usage:
+    """The running calls and the token bucket of one workspace on this entry."""
 
     def __init__(self, now_s: float) -> None:
         self.running = 0
@@ -33,45 +34,48 @@
 
 
 class Admission:
-    """Uses of all workspaces on this entry; ``share`` returns this entry's part of the limits."""
+    """Usage of all workspaces on this entry.
+
+    ``share`` returns the fraction of the limits that this entry enforces.
+    """
 
     def __init__(self, share: Callable[[], float]) -> None:
         self._share = share
-        self._uses: dict[str, _Use] = {}
+        self._usage: dict[str, _Usage] = {}
 
     def begin(
         self, workspace: str, workspace_limits: WorkspaceLimits, now_s: float
-    ) -> Shortage | None:
-        """Count a call in, or tell why not."""
-        use = self._uses.setdefault(workspace, _Use(now_s))
+    ) -> LimitExceeded | None:
+        """Count a call as running, or return the limit that it would exceed."""
+        usage = self._usage.setdefault(workspace, _Usage(now_s))
         share = self._share()
-        if use.running >= max(1.0, workspace_limits.concurrent * share):
-            return Shortage("concurrency", CONCURRENCY_RETRY_S)
+        if usage.running >= max(1.0, workspace_limits.concurrent * share):
+            return LimitExceeded("concurrency", CONCURRENCY_RETRY_S)
         rate = workspace_limits.calls_per_s * share
-        self._refill(use, rate, now_s)
-        tokens = use.tokens or 0.0
+        self._refill(usage, rate, now_s)
+        tokens = usage.tokens or 0.0
         if tokens < 1.0:
-            return Shortage("rate", (1.0 - tokens) / rate)
-        use.tokens = tokens - 1.0
-        use.running += 1
+            return LimitExceeded("rate", (1.0 - tokens) / rate)
+        usage.tokens = tokens - 1.0
+        usage.running += 1
         return None
 
-    def _refill(self, use: _Use, rate: float, now_s: float) -> None:
-        ceiling = max(1.0, rate * RATE_BURST_S)
-        if use.tokens is None:
-            use.tokens = ceiling
-        elapsed_s = now_s - use.refilled_at_s
-        use.tokens = min(ceiling, use.tokens + elapsed_s * rate)
-        use.refilled_at_s = now_s
+    def _refill(self, usage: _Usage, rate: float, now_s: float) -> None:
+        bucket_size = max(1.0, rate * RATE_BURST_S)
+        if usage.tokens is None:
+            usage.tokens = bucket_size
+        elapsed_s = now_s - usage.refilled_at_s
+        usage.tokens = min(bucket_size, usage.tokens + elapsed_s * rate)
+        usage.refilled_at_s = now_s
 
     def end(self, workspace: str) -> None:
-        """Count a call out."""
-        use = self._uses[workspace]
-        use.running -= 1
-        if use.running < 0:
-            raise AssertionError(f"more calls of {workspace} ended than began")
+        """Count a running call as ended."""
+        usage = self._usage[workspace]
+        usage.running -= 1
+        if usage.running < 0:
+            raise AssertionError(f"more calls of workspace {workspace} ended than started")
 
     def running(self, workspace: str) -> int:
-        """Return how many calls of a workspace run on this entry."""
-        use = self._uses.get(workspace)
-        return 0 if use is None else use.running
+        """Return the number of calls of a workspace that run on this entry."""
+        usage = self._usage.get(workspace)
+        return 0 if usage is None else usage.running
--- a/filbertstream/request/authorization.py
+++ b/filbertstream/request/authorization.py
@@ -1,8 +1,9 @@
-"""Whether a call is allowed: its route and its key, by a configuration that is recent enough.
+"""Authorizes calls: matches the route and checks the API key against the configuration in force.
 
-A key is admitted only while the configuration was confirmed within the bound for removed keys.  An
-unknown route or key is denied only by a current configuration; an older one may just not have it
-yet, and the call is then refused as not run.
+A key is accepted only if the configuration has been confirmed within the bound for removed keys.
+An unknown route or key is denied with 404 or 401 only if the configuration is current.  A stale
+configuration may lack a route or a key that has been added since, so the call is refused with 503
+as not run, and the caller may retry it.
 """
 
 from collections.abc import Callable
@@ -21,29 +22,30 @@
 from filbertstream.version.routes import CallKind, Configuration, Route, RouteTable, Workspace
 
 DENIAL_MARGIN_S: Final = 0.1
-"""Kept from the bound for a configuration to be in force: the caller's clock is not exact."""
+"""Safety margin below the bound on applying a configuration, since a caller's clock is not
+exact."""
 
 STARTING_RETRY_S: Final = 0.5
-"""About the time from an entry's start until it has its configuration."""
+"""About the time that an entry needs from its start to read its configuration."""
 
 STALE_RETRY_MIN_S: Final = 1.0
 STALE_RETRY_MAX_S: Final = 5.0
-"""While no entry is known to be in touch with the store, callers wait as long as its outage has
-lasted already, within these bounds: most clients come back only once."""
+"""While no entry is known to have a current configuration, callers wait for as long as the outage
+of the object store has lasted so far, within these bounds, because most clients retry only once."""
 
 OTHER_ENTRY_RETRY_S: Final = 0.05
-"""Another entry serves the call at once."""
+"""The retry time if another entry can serve the call at once."""
 
 
-class Admitted(NamedTuple):
-    """The route and the workspace of a call that is allowed."""
+class Authorized(NamedTuple):
+    """The route and the workspace of a call that is authorized."""
 
     route: Route
     workspace: Workspace | None
 
 
 class Refused(NamedTuple):
-    """Why a call is not served."""
+    """The status and the error code with which a call is refused."""
 
     status: int
     code: str
@@ -54,9 +56,10 @@
 
 
 class Authorizer:
-    """Checks calls against the configuration in force.
+    """Authorizes calls against the configuration in force.
 
-    ``has_current_peer`` tells whether another entry takes the calls that this one can't admit.
+    ``has_current_peer`` returns whether some peer has a current configuration and can thus serve
+    the calls that this entry can't authorize.
     """
 
     def __init__(
@@ -65,9 +68,9 @@
         config_apply_s: float,
         has_current_peer: Callable[[float], bool] = lambda now_s: False,
     ) -> None:
-        self._currency = config_freshness
+        self._config_freshness = config_freshness
         self._has_current_peer = has_current_peer
-        # A configuration older than this may lack a route or a key that the newest one has.
+        # An older configuration may lack a route or a key of the newest one.
         self._denial_age_s = config_apply_s - DENIAL_MARGIN_S
         self._table = RouteTable(())
         self.config: Configuration | None = None
@@ -75,65 +78,65 @@
         self.refuse_from_s = float("inf")
 
     def set_bound(self, config_apply_s: float) -> None:
-        """Go by another bound for configurations from now on."""
+        """Change the bound on the time until a new configuration is in force."""
         self._denial_age_s = config_apply_s - DENIAL_MARGIN_S
 
     def apply(self, config: Configuration) -> bool:
-        """Put a configuration in force, unless one at least as new is; whether it was."""
+        """Put a configuration in force unless it is no newer; return whether it is in force now."""
         if self.config is not None and config.version <= self.config.version:
             return False
         self.config = config
         self._table = RouteTable(config.routes)
         return True
 
-    def check(self, head: CallHead, now_s: float) -> Admitted | Refused:
-        """Return how a call is allowed, or why it is refused."""
+    def check(self, head: CallHead, now_s: float) -> Authorized | Refused:
+        """Return the route and the workspace of a call, or the reason for refusing it."""
         config = self.config
         if config is None:
             return self._starting(now_s)
         if now_s >= self.refuse_from_s:
             return STOPPING
-        current = self._currency.age_s(now_s) < self._denial_age_s
+        current = self._config_freshness.age_s(now_s) < self._denial_age_s
         route = self._table.find(head.host, head.path)
         if route is None:
             return Refused(NOT_FOUND, "no_route") if current else self._stale(now_s)
         if route.kind is CallKind.STREAM and now_s >= self.refuse_streams_from_s:
             return STOPPING
         if not config.needs_keys or route.anonymous:
-            return Admitted(route, None)
+            return Authorized(route, None)
         found = self.workspace_of(head.key, now_s)
-        return found if isinstance(found, Refused) else _by_terms(route, found, head)
+        return found if isinstance(found, Refused) else _check_limits(route, found, head)
 
     def workspace_of(self, key: str | None, now_s: float) -> Workspace | Refused:
-        """Return the workspace that a key opens, or why it opens none."""
+        """Return the workspace that holds a key, or the reason for refusing the key."""
         config = self.config
         if config is None:
             return self._starting(now_s)
-        if not self._currency.admits_keys(now_s):
+        if not self._config_freshness.admits_keys(now_s):
             return self._stale(now_s)
         workspace = None if key is None else config.workspace_of(key)
         if workspace is not None:
             return workspace
-        current = self._currency.age_s(now_s) < self._denial_age_s
+        current = self._config_freshness.age_s(now_s) < self._denial_age_s
         return Refused(UNAUTHORIZED, "unknown_key") if current else self._stale(now_s)
 
     def _starting(self, now_s: float) -> Refused:
-        """Return the refusal of a call that came before any configuration was read."""
-        elsewhere = self._has_current_peer(now_s)
-        retry_after_s = OTHER_ENTRY_RETRY_S if elsewhere else STARTING_RETRY_S
+        """Return the refusal of a call that arrives before a configuration has been read."""
+        peer_serves = self._has_current_peer(now_s)
+        retry_after_s = OTHER_ENTRY_RETRY_S if peer_serves else STARTING_RETRY_S
         return Refused(UNAVAILABLE, "starting", retry_after_s)
 
     def _stale(self, now_s: float) -> Refused:
-        """Return the refusal of a call that only a current configuration could admit or deny."""
+        """Return the refusal of a call that needs a current configuration for its decision."""
         retry_after_s = OTHER_ENTRY_RETRY_S
         if not self._has_current_peer(now_s):
-            outage_s = self._currency.age_s(now_s)
+            outage_s = self._config_freshness.age_s(now_s)
             retry_after_s = min(STALE_RETRY_MAX_S, max(STALE_RETRY_MIN_S, outage_s))
         return Refused(UNAVAILABLE, "stale", retry_after_s)
 
 
-def _by_terms(route: Route, workspace: Workspace, head: CallHead) -> Admitted | Refused:
-    """Check a call against what its workspace may use."""
+def _check_limits(route: Route, workspace: Workspace, head: CallHead) -> Authorized | Refused:
+    """Check a call against the permissions and limits of its workspace."""
     workspace_limits = workspace.workspace_limits
     if workspace_limits is not None:
         if any(backend.service not in workspace_limits.services for backend in route.backends):
@@ -143,4 +146,4 @@
         route = workspace_limits.apply_to(route)
     if route.needs_idempotency_key and head.idempotency_key is None:
         return Refused(BAD_REQUEST, "key_required")
-    return Admitted(route, workspace)
+    return Authorized(route, workspace)
--- a/filbertstream/request/call_events.py
+++ b/filbertstream/request/call_events.py
@@ -1,6 +1,7 @@
-"""What the core and the edge tell each other about calls: events in, actions out, plain data.
+"""The events and actions by which the I/O layer and the core exchange data about calls.
 
-``number`` counts the sends of one call, so that a late event of an earlier send finds nothing.
+Events go to the core, and the core returns actions.  ``number`` counts the sends of one call, so
+that the core can ignore a late event of an earlier send.
 """
 
 from typing import NamedTuple, TypeAlias
@@ -10,14 +11,14 @@
 
 
 class CallArrived(NamedTuple):
-    """A caller's request was read whole."""
+    """A caller's request has been read completely."""
 
     call_id: int
     head: CallHead
 
 
 class ResponseStarted(NamedTuple):
-    """The head of an answer to a send has arrived; nothing of it was passed on yet."""
+    """The head of a response to a send has arrived; nothing has been relayed to the caller yet."""
 
     call_id: int
     number: int
@@ -25,14 +26,17 @@
 
 
 class FirstEvent(NamedTuple):
-    """The first part of an answer's body has arrived."""
+    """The first bytes of a response's body have arrived."""
 
     call_id: int
     number: int
 
 
 class ResponseComplete(NamedTuple):
-    """The whole answer to a send has been passed on; ``response`` is it where a key is to keep it."""
+    """The complete response to a send has been relayed to the caller.
+
+    ``response`` is that response if it is to be stored for an idempotency key, or None.
+    """
 
     call_id: int
     number: int
@@ -41,34 +45,35 @@
 
 
 class SendFailed(NamedTuple):
-    """A send ended without a whole answer.
+    """A send ended without a complete response.
 
-    ``sent`` is False only where no byte can have reached the target.  ``begun`` tells whether the
-    caller has received a part of the answer; ``last_event_id`` is the last event it received.
+    ``sent`` is False only if no byte can have reached the target.  ``response_started`` is whether
+    the caller has received a part of the response.  ``last_event_id`` is the id of the last event
+    that the caller received.
     """
 
     call_id: int
     number: int
     cause: str
     sent: bool
-    begun: bool
+    response_started: bool
     last_event_id: str | None
 
 
 class SendStalled(NamedTuple):
-    """An answer that has begun brings nothing any more; its connection is still open.
+    """A response that has started makes no progress, while its connection is still open.
 
     The fields are those of ``SendFailed``.
     """
 
     call_id: int
     number: int
-    begun: bool
+    response_started: bool
     last_event_id: str | None
 
 
 class CallerDisconnected(NamedTuple):
-    """The caller closed its connection before its answer was whole."""
+    """The caller closed its connection before its response was complete."""
 
     call_id: int
 
@@ -76,8 +81,9 @@
 class SendCall(NamedTuple):
     """Send a call to a target.
 
-    A connection is used again only if it was idle for ``max_idle_s`` at most.  ``progress_timeout_s`` is
-    the time without a byte of an answer that has begun after which ``SendStalled`` is told.
+    An open connection is reused only if it has been idle for ``max_idle_s`` at most.  If a response
+    that has started brings no byte for ``progress_timeout_s``, the I/O layer reports
+    ``SendStalled``.
     """
 
     call_id: int
@@ -94,7 +100,7 @@
 
 
 class RelayResponse(NamedTuple):
-    """Pass the answer of a send on to the caller."""
+    """Relay the response of a send to the caller."""
 
     call_id: int
     number: int
@@ -102,21 +108,21 @@
 
 
 class ContinueResponse(NamedTuple):
-    """Go on with the caller's stream from the answer of a further send."""
+    """Continue the caller's stream with the response of a further send."""
 
     call_id: int
     number: int
 
 
 class CancelSend(NamedTuple):
-    """Give a send up by closing its connection."""
+    """Cancel a send by closing its connection."""
 
     call_id: int
     number: int
 
 
 class RespondLocally(NamedTuple):
-    """Give the caller an answer of this system's own."""
+    """Respond to the caller with a status and an error code that this entry generates."""
 
     call_id: int
     status: int
@@ -126,14 +132,14 @@
 
 
 class ReplayResponse(NamedTuple):
-    """Give the caller the answer that the first call of its key got."""
+    """Respond to the caller with the stored response of the first call with its idempotency key."""
 
     call_id: int
     response: BufferedResponse
 
 
 class AbortResponse(NamedTuple):
-    """Close the caller's connection: its answer has begun and can't be made whole."""
+    """Close the caller's connection, because its response has started and can't be completed."""
 
     call_id: int
 
--- a/filbertstream/request/call_logs.py
+++ b/filbertstream/request/call_logs.py
@@ -1,4 +1,4 @@
-"""The log lines of a call: what was decided, on what inputs, and how old these were."""
+"""Builds the log lines of a call: each decision with its inputs and their age."""
 
 from filbertstream.actions import Log
 from filbertstream.log_events import LogEvent
@@ -18,7 +18,10 @@
 def refused_on_arrival(
     event: CallArrived, refused: Refused, version: int, config_age_s: float
 ) -> Log:
-    """Return the line of a call that was not begun; an age of -1 stands for no confirmation."""
+    """Return the line of a call that is refused on arrival.
+
+    An age of -1 means that the configuration has never been confirmed.
+    """
     fields = (
         ("request_id", event.head.request_id),
         ("status", refused.status),
@@ -30,7 +33,7 @@
 
 
 def refused(call: Call, refusal: RespondLocally, inputs: LogFields = ()) -> Log:
-    """Return the line of a call that was begun and gets a refusal."""
+    """Return the line of a call that is refused after its admission."""
     after_s = refusal.retry_after_s
     fields = (
         _id(call),
@@ -42,24 +45,24 @@
 
 
 def claimed(call: Call, event: KeyClaimed) -> Log:
-    """Return the line of what the record of a call's key says."""
+    """Return the line for the outcome of claiming a call's idempotency key."""
     present = event.present
     fields = (
         _id(call),
-        ("ours", event.ours),
+        ("ours", event.claimed),
         ("state", "" if present is None else present.state.value),
         ("holder", "" if present is None else present.call),
     )
     return Log(LogEvent.CLAIM_SETTLED, fields)
 
 
-def answered_from_key(call: Call) -> Log:
-    """Return the line of a call that gets the kept answer of its key."""
+def replayed(call: Call) -> Log:
+    """Return the line of a call that gets the stored response of its idempotency key."""
     return Log(LogEvent.ANSWER_KEPT, (_id(call),))
 
 
 def placed(call: Call, target: RosterTarget, inputs: LogFields, now_s: float) -> Log:
-    """Return the line of a send that is about to begin."""
+    """Return the line of a send that is about to start."""
     fields = (
         _id(call),
         ("target", target.target_id),
@@ -72,7 +75,7 @@
 
 
 def not_run(call: Call, target: RosterTarget | None, response: ResponseHead) -> Log:
-    """Return the line of a send that its target did not run."""
+    """Return the line of a send that its target rejected without running it."""
     fields = (
         _id(call),
         ("target", "" if target is None else target.target_id),
@@ -84,7 +87,7 @@
 
 
 def attempt_failed(call: Call, cause: str, now_s: float) -> Log:
-    """Return the line of a send that failed, before its target is released."""
+    """Return the line of a failed send; must be called before the call releases its target."""
     fields = (
         _id(call),
         ("target", call.target.target_id if call.target else ""),
--- a/filbertstream/request/call_state.py
+++ b/filbertstream/request/call_state.py
@@ -1,6 +1,6 @@
-"""The state of one call from its arrival to its final answer: data only.
+"""The state of one call from its arrival to its final response.
 
-``request.forwarding`` moves it along.
+This module has data only; ``request.forwarding`` makes the transitions.
 """
 
 from dataclasses import dataclass, field
@@ -12,12 +12,14 @@
 
 @dataclass
 class Call:
-    """One call under way.
+    """One call in progress.
 
-    ``number`` counts its sends, ``attempts`` those that may have run.  ``begun`` tells whether the
-    caller has received a part of an answer, ``answering`` whether the current send has one.
-    While ``claiming``, the call waits for its idempotency key.  ``weights`` is the version that the
-    current send expects.
+    ``number`` counts all sends of the call, ``attempts`` only those that may have run.
+    ``response_started`` is whether the caller has received a part of a response, ``head_received``
+    whether the head of a response to the current send has arrived.  ``claiming`` is set while the
+    claim of the idempotency key is pending.  ``weights`` is the weight version that the current
+    send expects.  ``prefill_tokens`` are the tokens of the current send that the runner has to
+    prefill, and ``ahead_tokens`` those that were queued there ahead of them.
     """
 
     call_id: int
@@ -31,29 +33,32 @@
     attempts: int = 0
     target: RosterTarget | None = None
     sent_at_s: float = 0.0
-    queued_tokens: int = 0
+    prefill_tokens: int = 0
     ahead_tokens: int = 0
     weights: int | None = None
     tried: set[str] = field(default_factory=set)
     may_have_run: bool = False
-    begun: bool = False
-    answering: bool = False
+    response_started: bool = False
+    head_received: bool = False
     last_event_id: str | None = None
     refusals: int = 0
     failed_sends: int = 0
     claiming: bool = False
-    parked_until_s: float | None = None
+    queued_until_s: float | None = None
     first_s: float | None = None
 
     @property
     def memory_tokens(self) -> int:
-        """The tokens that the call fills on a runner at most."""
+        """The most tokens of KV cache memory that the call can occupy on a runner."""
         prompt = self.head.prompt
         return 0 if prompt is None else prompt.tokens + prompt.max_new_tokens
 
     @property
     def urgency(self) -> int:
-        """The call's priority, 0 being the most urgent; the workspace's goes first."""
+        """The call's priority, with 0 as the most urgent.
+
+        A priority of the workspace takes precedence over that of the route.
+        """
         if self.workspace is not None and self.workspace.priority is not None:
             return self.workspace.priority
         return self.route.priority
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -1,10 +1,10 @@
-"""Moves each call from its arrival to its final answer: admission, sends, repeats, time limits.
+"""Handles each call from its arrival to its final response: admission, sends, retries, timeouts.
 
-A call that is not repeatable is sent once, and again only after proof that it did not run.  A
-repeatable one goes to another target after a failure or too long a silence, within the route's
-attempts and the shared budget.  A stream that broke off goes on elsewhere from the last event that
-its caller has received.  A call that is given up gets its final answer at once; 503 is said only
-where nothing can have run.
+A call that is not retryable is sent once, and again only after proof that it has not run.  A
+retryable call is sent to another target after a failure or a response timeout, within the route's
+limit on attempts and the shared retry budget.  A stream that broke off is resumed on another target
+after the last event that its caller has received.  A call that can't succeed gets its final
+response at once.  That response has status 503 only if the call can't have run.
 """
 
 import random
@@ -38,14 +38,14 @@
 )
 from filbertstream.request.call_state import Call
 from filbertstream.request.idempotency_keys import ClaimKey, IdempotencyKeys, KeyClaimed, SettleKey
-from filbertstream.request.placement import place_plain
-from filbertstream.request.prompt_placer import LogFields, PromptPlacer, TurnedAway
+from filbertstream.request.placement import place_service_call
+from filbertstream.request.prompt_placer import LogFields, PromptPlacer, RejectedPrompt
 from filbertstream.request.retry_budget import SharedRetryBudget
 from filbertstream.request.send_timeouts import (
-    SILENCE_PLAIN_S,
+    PROGRESS_TIMEOUT_UNARY_S,
     max_idle_s,
-    patience_s,
     progress_timeout_s,
+    response_timeout_s,
 )
 from filbertstream.statuses import (
     BAD_GATEWAY,
@@ -61,38 +61,38 @@
 from filbertstream.version.routes import CallKind, Engine
 from filbertstream.version.weights_view import WeightsView
 
-PARK_S: Final = 0.1
-"""A call that every target has refused waits this long before it is tried again."""
+QUEUE_RETRY_S: Final = 0.1
+"""How long a call that every target has rejected is queued before it is sent again."""
 
-PARK_SHARE: Final = 0.35
-"""The share of its objective up to which a call waits so: a runner that loads weights is back by
-then, and a caller that is sent away comes back later than that."""
+QUEUE_TIME_FRACTION: Final = 0.35
+"""The fraction of its latency objective up to which a call is queued in this way.  By then a runner
+that loads weights is ready again, and a caller that is refused would retry later than that."""
 
-EXTRA_SENDS: Final = 2
-"""Sends beyond the route's attempts after answers that prove that nothing ran."""
+MAX_EXTRA_SENDS: Final = 2
+"""Sends beyond the route's attempts, after responses that prove that the call has not run."""
 
 NO_TARGET_RETRY_S: Final = 0.6
-"""About the time in which a registration is refreshed or a runner has loaded its weights."""
+"""About the time in which a target renews its registration or a runner loads its weights."""
 
 FULL_RETRY_S: Final = 0.25
-"""A few times the work of a plain call: a queue that was full has moved on by then."""
+"""A few times the duration of a service call; a queue that was full has shrunk by then."""
 
 RETRY_JITTER: Final = 0.5
-"""Callers that were refused together come back spread over this share of the wait."""
+"""Retries of callers that are refused together are spread over this fraction of the wait."""
 
 LOWEST_PRIORITY: Final = 9
 
-SERVED: Final = frozenset({"complete", "kept", "caller_left"})
-"""How calls end without a fault of this system."""
+SERVED_OUTCOMES: Final = frozenset({"complete", "kept", "caller_left"})
+"""Outcomes of calls that do not count as failures of this system."""
 
 LATENCY_WEIGHT: Final = 0.2
-"""Weight of a new observation in a target's latency."""
+"""Weight of a new observation in the moving average of a target's latency."""
 
 Action: TypeAlias = CallAction | ClaimKey | SettleKey | Log
 
 
 class ForwardingDependencies(NamedTuple):
-    """What forwarding works with."""
+    """The components that forwarding uses."""
 
     data_center: str
     roster: Roster
@@ -110,32 +110,30 @@
 
 
 class Forwarding:
-    """All calls under way."""
+    """All calls in progress."""
 
-    def __init__(self, parts: ForwardingDependencies) -> None:
-        self._parts = parts
+    def __init__(self, dependencies: ForwardingDependencies) -> None:
+        self._deps = dependencies
         self.calls: dict[int, Call] = {}
 
     def on_arrived(self, event: CallArrived, now_s: float) -> list[Action]:
         """Admit a call and send it, or refuse it at once."""
         head = event.head
-        admitted = self._parts.authorizer.check(head, now_s)
-        if isinstance(admitted, Refused):
-            return self._refuse(event, admitted, now_s)
-        route = admitted.route
-        config = self._parts.authorizer.config
-        name = route.pick_backend(self._parts.rng.random())
+        authorized = self._deps.authorizer.check(head, now_s)
+        if isinstance(authorized, Refused):
+            return self._refuse(event, authorized, now_s)
+        route = authorized.route
+        config = self._deps.authorizer.config
+        name = route.pick_backend(self._deps.rng.random())
         service = None if config is None else config.services.get(name)
         if service is None:
             refused = Refused(UNAVAILABLE, "no_service", NO_TARGET_RETRY_S)
             return self._refuse(event, refused, now_s)
-        workspace = admitted.workspace
+        workspace = authorized.workspace
         if workspace is not None and workspace.workspace_limits is not None:
-            shortage = self._parts.admission.begin(
-                workspace.name, workspace.workspace_limits, now_s
-            )
-            if shortage is not None:
-                refused = Refused(TOO_MANY_REQUESTS, shortage.code, shortage.retry_after_s)
+            exceeded = self._deps.admission.begin(workspace.name, workspace.workspace_limits, now_s)
+            if exceeded is not None:
+                refused = Refused(TOO_MANY_REQUESTS, exceeded.code, exceeded.retry_after_s)
                 return self._refuse(event, refused, now_s)
         limit_s = route.timeout_s
         if head.deadline_s is not None:
@@ -144,91 +142,96 @@
         call = Call(event.call_id, head, route, service, workspace, now_s, ends_at_s)
         call.last_event_id = head.last_event_id
         self.calls[call.call_id] = call
-        self._parts.budget.note_call(service.name, now_s)
-        self._parts.counters.add("calls", route.kind.value)
+        self._deps.budget.note_call(service.name, now_s)
+        self._deps.counters.add("calls", route.kind.value)
         if route.needs_idempotency_key and head.idempotency_key is not None:
             call.claiming = True
-            return [self._parts.idempotency_keys.claim(call, head.idempotency_key)]
+            return [self._deps.idempotency_keys.claim(call, head.idempotency_key)]
         return self._send(call, now_s)
 
     def on_claimed(self, event: KeyClaimed, now_s: float) -> list[Action]:
-        """Send a call whose key is claimed, or give it the final answer that the key stands for."""
+        """Send a call that has claimed its idempotency key, or end it as the key's record says."""
         call = self.calls.get(event.call_id)
         if call is None or call.head.idempotency_key is None or not call.claiming:
-            # The call ended meanwhile; its end has settled the key.
+            # The call has ended in the meantime, which has settled its key.
             return []
         call.claiming = False
         longest_s = call.route.timeout_s
-        verdict = self._parts.idempotency_keys.resolve_claim(
+        result = self._deps.idempotency_keys.resolve_claim(
             event, call.head.idempotency_key, longest_s, now_s
         )
         log = call_logs.claimed(call, event)
-        if verdict is None:
+        if result is None:
             return [log, *self._send(call, now_s)]
-        if isinstance(verdict, Refused):
-            after_s = self._spread(verdict.retry_after_s)
-            refusal = RespondLocally(call.call_id, verdict.status, verdict.code, "", after_s)
-            self._parts.counters.add("calls_refused", verdict.code)
+        if isinstance(result, Refused):
+            after_s = self._with_jitter(result.retry_after_s)
+            refusal = RespondLocally(call.call_id, result.status, result.code, "", after_s)
+            self._deps.counters.add("calls_refused", result.code)
             refused = call_logs.refused(call, refusal)
-            return [log, refusal, refused, *self._end(call, verdict.code, now_s)]
-        kept = call_logs.answered_from_key(call)
-        return [log, ReplayResponse(call.call_id, verdict), kept, *self._end(call, "kept", now_s)]
+            return [log, refusal, refused, *self._end(call, result.code, now_s)]
+        replayed = call_logs.replayed(call)
+        return [
+            log,
+            ReplayResponse(call.call_id, result),
+            replayed,
+            *self._end(call, "kept", now_s),
+        ]
 
     def _refuse(self, event: CallArrived, refused: Refused, now_s: float) -> list[Action]:
-        self._parts.counters.add("calls_refused", refused.code)
-        config = self._parts.authorizer.config
+        self._deps.counters.add("calls_refused", refused.code)
+        config = self._deps.authorizer.config
         version = 0 if config is None else config.version
         line = call_logs.refused_on_arrival(
-            event, refused, version, self._parts.config_freshness.age_s(now_s)
+            event, refused, version, self._deps.config_freshness.age_s(now_s)
         )
-        after_s = self._spread(refused.retry_after_s)
+        after_s = self._with_jitter(refused.retry_after_s)
         response = RespondLocally(event.call_id, refused.status, refused.code, "", after_s)
         return [response, line]
 
-    def _spread(self, retry_after_s: float | None) -> float | None:
+    def _with_jitter(self, retry_after_s: float | None) -> float | None:
         if retry_after_s is None:
             return None
-        return retry_after_s * (1.0 + RETRY_JITTER * self._parts.rng.random())
+        return retry_after_s * (1.0 + RETRY_JITTER * self._deps.rng.random())
 
     def _send(self, call: Call, now_s: float) -> list[Action]:
-        """Choose a target and send, or give the call up."""
+        """Choose a target and send the call to it, or give up."""
         if now_s >= call.ends_at_s:
             return self._give_up(call, "deadline", now_s)
         engine = call.service.engine
         if engine is not None and call.head.prompt is not None:
             return self._send_prompt(call, engine, now_s)
         targets = self._candidates(call, now_s)
-        target = place_plain(targets, self._parts.data_center, call.route.objective_s, now_s)
+        target = place_service_call(targets, self._deps.data_center, call.route.objective_s, now_s)
         if target is None:
-            return self._park_or_give_up(call, now_s)
+            return self._queue_or_give_up(call, now_s)
         return self._send_to(call, target, None, now_s)
 
-    def _park_or_give_up(self, call: Call, now_s: float) -> list[Action]:
-        """Let a call that only refusals have met wait a little, or give it up."""
-        longest_s = PARK_SHARE * call.route.objective_s
-        waited_s = now_s + PARK_S - call.arrived_s
+    def _queue_or_give_up(self, call: Call, now_s: float) -> list[Action]:
+        """Queue a call for a short time if targets have only rejected it so far, or give up."""
+        longest_s = QUEUE_TIME_FRACTION * call.route.objective_s
+        waited_s = now_s + QUEUE_RETRY_S - call.arrived_s
         if not call.refusals or call.may_have_run or waited_s > longest_s:
             return self._give_up(call, "no_target", now_s)
-        call.parked_until_s = now_s + PARK_S
+        call.queued_until_s = now_s + QUEUE_RETRY_S
         call.tried.clear()
-        self._parts.counters.add("calls_parked", call.route.kind.value)
+        self._deps.counters.add("calls_parked", call.route.kind.value)
         return []
 
     def _candidates(self, call: Call, now_s: float) -> list[RosterTarget]:
-        usable = self._parts.roster.usable(call.service.name, now_s)
-        fresh = [target for target in usable if target.target_id not in call.tried]
-        steady = [target for target in fresh if not self._parts.weights.is_swapping(target)]
-        return steady or fresh
+        usable = self._deps.roster.usable(call.service.name, now_s)
+        untried = [target for target in usable if target.target_id not in call.tried]
+        not_swapping = [target for target in untried if not self._deps.weights.is_swapping(target)]
+        return not_swapping or untried
 
     def _send_prompt(self, call: Call, engine: Engine, now_s: float) -> list[Action]:
-        placed = self._parts.prompt_placer.place(call, engine, self._candidates(call, now_s), now_s)
+        placed = self._deps.prompt_placer.place(call, engine, self._candidates(call, now_s), now_s)
         if placed is None:
-            return self._park_or_give_up(call, now_s)
-        if isinstance(placed, TurnedAway):
+            return self._queue_or_give_up(call, now_s)
+        if isinstance(placed, RejectedPrompt):
             return self._give_up(call, "overloaded", now_s, placed)
-        call.queued_tokens, call.ahead_tokens = placed.read_tokens, placed.ahead_tokens
+        call.prefill_tokens, call.ahead_tokens = placed.prefill_tokens, placed.ahead_tokens
         call.weights = placed.directives.weights
-        placed.target.prefill.sent(placed.read_tokens)
+        placed.target.prefill.sent(placed.prefill_tokens)
         return self._send_to(call, placed.target, placed.directives, now_s, placed.inputs)
 
     def _send_to(
@@ -244,11 +247,11 @@
         call.attempts += 1
         call.target = target
         call.sent_at_s = now_s
-        call.answering = False
+        call.head_received = False
         call.tried.add(target.target_id)
         target.outstanding += 1
         target.memory_tokens += call.memory_tokens
-        self._parts.roster.outliers.sent(target.target_id, now_s)
+        self._deps.roster.outliers.sent(target.target_id, now_s)
         workspace = call.workspace
         entry = target.entry
         return [
@@ -274,8 +277,8 @@
         if target is not None:
             target.outstanding -= 1
             target.memory_tokens -= call.memory_tokens
-            target.prefill.dropped(call.queued_tokens)
-            call.queued_tokens = 0
+            target.prefill.dropped(call.prefill_tokens)
+            call.prefill_tokens = 0
         return target
 
     def _current(self, call_id: int, number: int) -> Call | None:
@@ -283,7 +286,7 @@
         return call if call is not None and call.number == number and call.target else None
 
     def on_started(self, event: ResponseStarted, now_s: float) -> list[Action]:
-        """Decide what becomes of an answer whose head arrived."""
+        """Relay a response whose head has arrived, retry the call, or give up."""
         call = self._current(event.call_id, event.number)
         if call is None or call.target is None:
             return []
@@ -294,174 +297,180 @@
         if response.weights is not None and prompt is not None:
             target.note_weights(prompt.model, response.weights)
         if response.not_run or response.status == MISDIRECTED:
-            return self._on_not_run(call, event, now_s)
+            return self._on_rejected(call, event, now_s)
         call.may_have_run = True
         if response.encoded or (response.status < MULTIPLE_CHOICES and not response.signed):
-            return self._on_broken(call, event.number, "malformed", now_s)
-        if response.status >= INTERNAL_SERVER_ERROR and self._may_repeat(call, now_s):
-            return self._on_broken(call, event.number, "target_error", now_s)
-        call.answering = True
-        if call.begun:
+            return self._on_send_failure(call, event.number, "malformed", now_s)
+        if response.status >= INTERNAL_SERVER_ERROR and self._may_retry(call, now_s):
+            return self._on_send_failure(call, event.number, "target_error", now_s)
+        call.head_received = True
+        if call.response_started:
             if response.status != OK:
-                return self._on_broken(call, event.number, "not_resumed", now_s)
-            self._learn(call, target, now_s)
+                return self._on_send_failure(call, event.number, "not_resumed", now_s)
+            self._record_latency(call, target, now_s)
             return [ContinueResponse(call.call_id, call.number)]
         stream = call.route.kind is CallKind.STREAM and response.status == OK
-        call.begun = stream
-        self._learn(call, target, now_s)
+        call.response_started = stream
+        self._record_latency(call, target, now_s)
         return [RelayResponse(call.call_id, call.number, stream)]
 
-    def _learn(self, call: Call, target: RosterTarget, now_s: float) -> None:
+    def _record_latency(self, call: Call, target: RosterTarget, now_s: float) -> None:
         waited_s = now_s - call.sent_at_s
         target.latency_s += LATENCY_WEIGHT * (waited_s - target.latency_s)
-        self._parts.latencies.note(call.route.name, waited_s)
+        self._deps.latencies.note(call.route.name, waited_s)
         if call.head.prompt is not None:
-            target.prefill.answered(call.queued_tokens, call.ahead_tokens, waited_s)
-            call.queued_tokens = 0
+            target.prefill.answered(call.prefill_tokens, call.ahead_tokens, waited_s)
+            call.prefill_tokens = 0
 
-    def _on_not_run(self, call: Call, event: ResponseStarted, now_s: float) -> list[Action]:
-        """Send again, or refuse: the target has said that nothing ran."""
+    def _on_rejected(self, call: Call, event: ResponseStarted, now_s: float) -> list[Action]:
+        """Send a call again that its target rejected without running it, or give up."""
         target = self._release(call)
         call.attempts -= 1
         call.refusals += 1
         response = event.response
         actions: list[Action] = [CancelSend(call.call_id, event.number)]
-        self._parts.counters.add("sends_refused", str(response.status))
+        self._deps.counters.add("sends_refused", str(response.status))
         actions.append(call_logs.not_run(call, target, response))
         if target is not None:
-            self._parts.roster.outliers.probe_inconclusive(target.target_id)
+            self._deps.roster.outliers.probe_inconclusive(target.target_id)
             if response.status == MISDIRECTED and response.target_id != target.target_id:
-                target.backoff_until_s = now_s + SILENCE_PLAIN_S
+                target.backoff_until_s = now_s + PROGRESS_TIMEOUT_UNARY_S
             elif response.status == MISDIRECTED and call.head.prompt is not None:
-                self._note_other_weights(call, call.head.prompt.model, response.weights, target)
+                self._note_unexpected_weights(
+                    call, call.head.prompt.model, response.weights, target
+                )
             elif response.retry_after_s is not None:
                 target.backoff_until_s = now_s + min(response.retry_after_s, NO_TARGET_RETRY_S)
-        if call.refusals <= EXTRA_SENDS and self._parts.budget.take(call.service.name, now_s):
+        if call.refusals <= MAX_EXTRA_SENDS and self._deps.budget.take(call.service.name, now_s):
             return [*actions, *self._send(call, now_s)]
         return [*actions, *self._give_up(call, "targets_full", now_s)]
 
-    def _note_other_weights(
-        self, call: Call, model: str, told: int | None, target: RosterTarget
+    def _note_unexpected_weights(
+        self, call: Call, model: str, reported: int | None, target: RosterTarget
     ) -> None:
-        """Take in that a target has other weights than the call expected.
+        """Record that a target has loaded another weight version than the call expected.
 
-        Where it doesn't tell them, they are the next ones after those expected, whatever was
-        learned since the call was sent: many calls may meet the same answer at once.
+        If the target does not report its version, that is taken to be the next one after the
+        expected one.  What has been recorded since the call was sent does not count, because many
+        calls may get the same response at once and would each advance the version.
         """
-        if told is None and call.weights is not None:
-            named = self._parts.weights.named.get(model, 0)
+        if reported is None and call.weights is not None:
+            named = self._deps.weights.named.get(model, 0)
             target.note_weights(model, max(named, call.weights + 1))
 
-    def _may_repeat(self, call: Call, now_s: float) -> bool:
-        """Whether a call that may have run may be sent once more, and take it from the budget."""
+    def _may_retry(self, call: Call, now_s: float) -> bool:
+        """Whether a call that may have run may be sent again; if so, consume retry budget."""
         if not call.route.retryable or call.attempts >= call.route.attempts:
             return False
         if now_s >= call.ends_at_s or not self._candidates(call, now_s):
             return False
-        return self._parts.budget.take(call.service.name, now_s)
+        return self._deps.budget.take(call.service.name, now_s)
+
+    def _on_send_failure(self, call: Call, number: int, cause: str, now_s: float) -> list[Action]:
+        """Retry a call after a failed send, or give up.
 
-    def _on_broken(self, call: Call, number: int, cause: str, now_s: float) -> list[Action]:
-        """Repeat a call after a failure; the budget was asked where the cause is a 5xx."""
+        For the cause ``target_error`` (a 5xx status) retry budget has already been consumed.
+        """
         log = call_logs.attempt_failed(call, cause, now_s)
-        self._parts.counters.add("sends_failed", cause)
+        self._deps.counters.add("sends_failed", cause)
         call.failed_sends += 1
         target = self._release(call)
         if target is not None:
-            self._fail_target(target, now_s)
+            self._record_failure(target, now_s)
         cancel = CancelSend(call.call_id, number)
-        if cause == "target_error" or self._may_repeat(call, now_s):
-            self._parts.counters.add("repeats", cause)
+        if cause == "target_error" or self._may_retry(call, now_s):
+            self._deps.counters.add("repeats", cause)
             return [cancel, log, *self._send(call, now_s)]
         return [cancel, log, *self._give_up(call, cause, now_s)]
 
-    def _fail_target(self, target: RosterTarget, now_s: float) -> None:
-        roster = self._parts.roster
+    def _record_failure(self, target: RosterTarget, now_s: float) -> None:
+        roster = self._deps.roster
         if roster.outliers.failed(target.target_id, len(roster.targets), now_s):
-            self._parts.counters.add("ejected", "")
+            self._deps.counters.add("ejected", "")
 
     def on_first_event(self, event: FirstEvent, now_s: float) -> list[Action]:
-        """Note that the body of an answer has begun."""
+        """Record the time of the first bytes of a response's body."""
         call = self._current(event.call_id, event.number)
         if call is not None and call.first_s is None:
             call.first_s = now_s - call.arrived_s
-            self._parts.latencies.note(f"{call.route.name} first event", call.first_s)
+            self._deps.latencies.note(f"{call.route.name} first event", call.first_s)
         return []
 
     def on_complete(self, event: ResponseComplete, now_s: float) -> list[Action]:
-        """End a call whose whole answer was passed on."""
+        """End a call whose complete response has been relayed."""
         call = self._current(event.call_id, event.number)
         if call is None:
             return []
         target = self._release(call)
         if target is not None:
-            self._parts.roster.outliers.succeeded(target.target_id)
+            self._deps.roster.outliers.succeeded(target.target_id)
         return self._end(call, "complete", now_s, event.response)
 
     def on_failed(self, event: SendFailed, now_s: float) -> list[Action]:
-        """Go on elsewhere after a send without a whole answer, or give up."""
+        """Retry a call after a send without a complete response, or give up."""
         call = self._current(event.call_id, event.number)
         if call is None:
             return []
         self._note_progress(call, event)
         if event.sent:
             call.may_have_run = True
-            return self._on_broken(call, event.number, event.cause, now_s)
+            return self._on_send_failure(call, event.number, event.cause, now_s)
         target = self._release(call)
         call.attempts -= 1
-        self._parts.counters.add("sends_failed", event.cause)
+        self._deps.counters.add("sends_failed", event.cause)
         if target is not None:
-            self._fail_target(target, now_s)
-        # Nothing reached a target, so going on costs none of the budget.
+            self._record_failure(target, now_s)
+        # No byte has reached the target, so sending again consumes no retry budget.
         return self._send(call, now_s)
 
     @staticmethod
     def _note_progress(call: Call, event: SendFailed | SendStalled) -> None:
-        call.begun = call.begun or event.begun
+        call.response_started = call.response_started or event.response_started
         call.last_event_id = event.last_event_id or call.last_event_id
 
     def on_stalled(self, event: SendStalled, now_s: float) -> list[Action]:
-        """Go on elsewhere with an answer that has stopped, where that is allowed, or wait on.
+        """Resume a stalled response on another target if that is allowed, or keep waiting.
 
-        A runner that is short of memory sets a run aside and goes on with it later, so silence
-        alone ends no answer.
+        A runner that is short of memory preempts a run and continues it later, so a stall alone
+        does not end a response.
         """
         call = self._current(event.call_id, event.number)
         if call is None:
             return []
         self._note_progress(call, event)
-        if not self._may_repeat(call, now_s):
-            self._parts.counters.add("sends_silent", call.route.kind.value)
+        if not self._may_retry(call, now_s):
+            self._deps.counters.add("sends_silent", call.route.kind.value)
             return []
-        return self._repeat_silent(call, now_s)
+        return self._retry_stalled(call, now_s)
 
     def on_caller_disconnected(self, event: CallerDisconnected, now_s: float) -> list[Action]:
-        """Cancel the work of a caller that went away."""
+        """Cancel the call of a caller that has disconnected."""
         call = self.calls.get(event.call_id)
         if call is None:
             return []
         actions: list[Action] = []
         if call.target is not None:
-            self._parts.roster.outliers.probe_inconclusive(call.target.target_id)
+            self._deps.roster.outliers.probe_inconclusive(call.target.target_id)
             actions.append(CancelSend(call.call_id, call.number))
             self._release(call)
         return [*actions, *self._end(call, "caller_left", now_s)]
 
     def _give_up(
-        self, call: Call, code: str, now_s: float, turned_away: TurnedAway | None = None
+        self, call: Call, code: str, now_s: float, rejected: RejectedPrompt | None = None
     ) -> list[Action]:
-        """Give the caller its final answer now."""
+        """End a call with a final error response, or abort a response that has started."""
         actions: list[Action] = []
         if call.target is not None:
             actions.append(CancelSend(call.call_id, call.number))
             self._release(call)
-        if call.begun:
+        if call.response_started:
             actions.append(AbortResponse(call.call_id))
             return [*actions, *self._end(call, code, now_s)]
         status, retry_after_s = self._refusal(call, code)
-        if turned_away is not None and retry_after_s is not None:
-            retry_after_s = turned_away.retry_after_s
-        refusal = RespondLocally(call.call_id, status, code, "", self._spread(retry_after_s))
-        inputs = () if turned_away is None else turned_away.inputs
+        if rejected is not None and retry_after_s is not None:
+            retry_after_s = rejected.retry_after_s
+        refusal = RespondLocally(call.call_id, status, code, "", self._with_jitter(retry_after_s))
+        inputs = () if rejected is None else rejected.inputs
         return [
             *actions,
             refusal,
@@ -478,52 +487,55 @@
         self, call: Call, outcome: str, now_s: float, response: BufferedResponse | None = None
     ) -> list[Action]:
         del self.calls[call.call_id]
-        self._parts.counters.add("calls_ended", outcome)
+        self._deps.counters.add("calls_ended", outcome)
         workspace = call.workspace
         if workspace is not None and workspace.workspace_limits is not None:
             workspace_limits = workspace.workspace_limits
-            self._parts.admission.end(workspace.name)
+            self._deps.admission.end(workspace.name)
             late = call.first_s is not None and call.first_s > workspace_limits.first_token_s
-            missed = late or outcome not in SERVED
-            self._parts.burn.note(
+            missed = late or outcome not in SERVED_OUTCOMES
+            self._deps.burn.note(
                 workspace.name, workspace_limits.within, now_s, missed, call.first_s
             )
-        settled = self._parts.idempotency_keys.end(call, response, now_s)
+        settled = self._deps.idempotency_keys.end(call, response, now_s)
         return [*settled, call_logs.finished(call, outcome, now_s)]
 
     def tick(self, now_s: float) -> list[Action]:
-        """End calls whose time is up, and repeat those that wait too long."""
-        actions: list[Action] = list(self._parts.idempotency_keys.tick(now_s))
+        """End calls at their deadline, send queued calls, and retry those that are overdue."""
+        actions: list[Action] = list(self._deps.idempotency_keys.tick(now_s))
         for call in list(self.calls.values()):
             if now_s >= call.ends_at_s:
                 call.may_have_run = call.may_have_run or call.target is not None
                 actions += self._give_up(call, "deadline", now_s)
                 continue
-            if call.parked_until_s is not None:
-                if now_s >= call.parked_until_s:
-                    call.parked_until_s = None
+            if call.queued_until_s is not None:
+                if now_s >= call.queued_until_s:
+                    call.queued_until_s = None
                     actions += self._send(call, now_s)
                 continue
-            overdue = not call.answering and self._is_overdue(call, now_s)
-            if overdue and self._may_repeat(call, now_s):
-                actions += self._repeat_silent(call, now_s)
+            overdue = not call.head_received and self._is_overdue(call, now_s)
+            if overdue and self._may_retry(call, now_s):
+                actions += self._retry_stalled(call, now_s)
         return actions
 
-    def _repeat_silent(self, call: Call, now_s: float) -> list[Action]:
-        """Give a silent send up for another one, which the budget has allowed."""
+    def _retry_stalled(self, call: Call, now_s: float) -> list[Action]:
+        """Replace a send without a response or progress by another one.
+
+        The caller of this method has consumed retry budget for it.
+        """
         call.may_have_run = True
         cancel = CancelSend(call.call_id, call.number)
         log = call_logs.attempt_failed(call, "silent", now_s)
         call.failed_sends += 1
         target = self._release(call)
         if target is not None:
-            self._fail_target(target, now_s)
-        self._parts.counters.add("repeats", "silent")
+            self._record_failure(target, now_s)
+        self._deps.counters.add("repeats", "silent")
         return [cancel, log, *self._send(call, now_s)]
 
     def _is_overdue(self, call: Call, now_s: float) -> bool:
         if call.target is None or not call.route.retryable:
             return False
-        usual_s = self._parts.latencies.mean_s(call.route.name)
+        mean_s = self._deps.latencies.mean_s(call.route.name)
         rate = call.target.prefill.rate_per_s
-        return now_s - call.sent_at_s > patience_s(call, usual_s, rate)
+        return now_s - call.sent_at_s > response_timeout_s(call, mean_s, rate)
--- a/filbertstream/request/idempotency_keys.py
+++ b/filbertstream/request/idempotency_keys.py
@@ -1,12 +1,14 @@
-"""Calls that run once for an idempotency key, whichever entries get them and whatever dies.
+"""Runs a call at most once for its idempotency key, across all entries and despite crashes.
 
-The platform's store holds one object a key.  An entry may send a call only after it has written a
-``running`` record that names the call; the store lets only one entry do that.  When the call ends,
-the record becomes ``kept`` with the answer, ``unknown`` where the call may have run without an
-answer, or ``free`` where nothing ran.  Objects are never removed: a write that is carried out late
-could otherwise meet the record of another call.
+The object store has one object for each key.  An entry may send a call only after it has written a
+``running`` record that names the call, and the object store lets only one entry do so.  When the
+call ends, the record becomes ``kept`` with the stored response, ``too_large`` if the response is
+too large to store, ``unknown`` if the call may have run without a response, or ``free`` if it has
+not run.  Objects are never removed, because a write that takes effect late could otherwise replace
+the record of another call.
 
-This module decides what a call's key allows and when it is settled; ``key_writes`` has the writes.
+This module decides what a call's key allows and when the key is settled; ``key_writes`` has the
+calls to the object store.
 """
 
 import enum
@@ -22,25 +24,25 @@
 from filbertstream.request.call_state import Call
 from filbertstream.statuses import CONFLICT, UNAVAILABLE, UNPROCESSABLE
 
-KEPT_BYTES: Final = 64_000
-"""The longest answer that is kept; the store takes objects of a megabyte."""
+STORED_RESPONSE_LIMIT_BYTES: Final = 64_000
+"""The largest response that is stored; the object store accepts objects of a megabyte."""
 
 RUNNING_RETRY_S: Final = 1.0
-"""About the time that a plain call takes at most."""
+"""About the longest time that a service call takes."""
 
 UNAVAILABLE_RETRY_S: Final = 2.0
-"""About the time in which the store answers again after a short outage."""
+"""About the time until the object store responds again after a short outage."""
 
-SETTLE_AGAIN_S: Final = 0.5
-"""How often an outcome that the store has not taken is written again."""
+SETTLE_RETRY_S: Final = 0.5
+"""The interval at which the write of an outcome is retried until the object store confirms it."""
 
 
-SEEN_RUNNING: Final = 10_000
-"""Running calls of others that are remembered; a forgotten one is waited for anew."""
+MAX_TRACKED_RUNNING: Final = 10_000
+"""How many running calls are tracked; the wait for one that was dropped starts again."""
 
 
 class KeyState(enum.Enum):
-    """What is known of the call that a key was used for."""
+    """The state of the call that has claimed a key."""
 
     RUNNING = "running"
     STORED = "kept"
@@ -50,7 +52,10 @@
 
 
 class KeyRecord(msgspec.Struct, frozen=True):
-    """The object of a key.  ``entry`` and ``incarnation`` tell which process made the call."""
+    """The stored object of a key.
+
+    ``entry`` and ``incarnation`` identify the process that handles the call.
+    """
 
     state: KeyState
     call: str
@@ -63,7 +68,7 @@
 
 
 class ClaimKey(NamedTuple):
-    """Write a ``running`` record unless the key is taken."""
+    """Write a ``running`` record unless another call has claimed the key."""
 
     call_id: int
     name: str
@@ -71,22 +76,23 @@
 
 
 class KeyClaimed(NamedTuple):
-    """What became of a claim: ``present`` is the record in the way, or None without an answer.
+    """The result of a claim.
 
-    ``revision`` is that of the own record.
+    If the key is not ``claimed``, ``present`` is the record of the call that has claimed it, or
+    None if the object store was not available.  ``revision`` is that of the call's own record.
     """
 
     call_id: int
     name: str
-    ours: bool
+    claimed: bool
     present: KeyRecord | None
     revision: int = 0
 
 
 class SettleKey(NamedTuple):
-    """Replace the running record of a call by its outcome.
+    """Replace the ``running`` record of a call by its outcome.
 
-    ``revision`` is that of the running record, or 0 where it is not known if there is one.
+    ``revision`` is that of the ``running`` record, or 0 if it is not known whether there is one.
     """
 
     name: str
@@ -95,27 +101,27 @@
 
 
 class KeySettled(NamedTuple):
-    """The store has taken a call's outcome."""
+    """The object store has confirmed the write of a call's outcome."""
 
     name: str
     call: str
 
 
 class _Unsettled:
-    """An outcome that the store has not confirmed."""
+    """An outcome whose write the object store has not confirmed."""
 
     def __init__(self, settle: SettleKey, now_s: float) -> None:
         self.settle = settle
         self.written_at_s = now_s
 
 
-Alive = Callable[[str, int], bool]
+IsAlive = Callable[[str, int], bool]
 
 
 class IdempotencyKeys:
-    """The claims of this entry; ``alive`` tells whether a process is registered."""
+    """The claims of this entry; ``alive`` returns whether a process is registered."""
 
-    def __init__(self, entry: str, incarnation: int, alive: Alive) -> None:
+    def __init__(self, entry: str, incarnation: int, alive: IsAlive) -> None:
         self._entry = entry
         self._incarnation = incarnation
         self._alive = alive
@@ -126,11 +132,11 @@
 
     @property
     def unsettled(self) -> int:
-        """The number of calls whose outcome the store may not have yet."""
+        """The number of calls whose outcome may not have been stored yet."""
         return len(self._claims) + len(self._unsettled)
 
     def claim(self, call: Call, idempotency_key: IdempotencyKey) -> ClaimKey:
-        """Return the claim of a call's key."""
+        """Return the action that claims a call's key."""
         workspace = "" if call.workspace is None else call.workspace.name
         name = digest_text("idempotency-key", workspace, call.service.name, idempotency_key.key)
         record = KeyRecord(
@@ -146,11 +152,12 @@
     def resolve_claim(
         self, event: KeyClaimed, idempotency_key: IdempotencyKey, longest_s: float, now_s: float
     ) -> Refused | BufferedResponse | None:
-        """Return how a call ends whose key it could not claim, or None where it may run.
+        """Return how a call ends that could not claim its key, or None if the call may run.
 
-        ``longest_s`` is how long a call of its workspace takes at most.
+        The call ends with a refusal, or with the stored response of the key.  ``longest_s`` is the
+        longest time that a call of its workspace takes.
         """
-        if event.ours:
+        if event.claimed:
             self._revisions[event.call_id] = event.revision
             return None
         if event.present is None:
@@ -168,20 +175,20 @@
         return Refused(CONFLICT, "outcome_unknown")
 
     def _may_run(self, present: KeyRecord, longest_s: float, now_s: float) -> bool:
-        """Whether the call of a record may still end with an answer that is kept.
+        """Whether the call of a record may still end with a response that is stored.
 
-        A process that died stays registered until another takes its name, so a record that has
-        been seen for longer than any call takes counts as left behind.
+        A process that died stays registered until another one registers under its name.  A record
+        that has been observed for longer than any call takes is therefore considered abandoned.
         """
         if not self._alive(present.entry, present.incarnation):
             return False
         since_s = self._running_since_s.setdefault(present.call, now_s)
-        while len(self._running_since_s) > SEEN_RUNNING:
+        while len(self._running_since_s) > MAX_TRACKED_RUNNING:
             self._running_since_s.popitem(last=False)
-        return now_s - since_s < longest_s + SETTLE_AGAIN_S
+        return now_s - since_s < longest_s + SETTLE_RETRY_S
 
     def end(self, call: Call, response: BufferedResponse | None, now_s: float) -> list[SettleKey]:
-        """Settle the key of a call that ended; a call that never claimed one has none."""
+        """Settle the key of a call that has ended; a call without a claim has none to settle."""
         claim = self._claims.pop(call.call_id, None)
         return [] if claim is None else self._settle(claim, call, response, now_s)
 
@@ -189,7 +196,7 @@
         self, claim: ClaimKey, call: Call, response: BufferedResponse | None, now_s: float
     ) -> list[SettleKey]:
         record = claim.record
-        if response is not None and len(response.body) <= KEPT_BYTES:
+        if response is not None and len(response.body) <= STORED_RESPONSE_LIMIT_BYTES:
             record = msgspec.structs.replace(
                 record,
                 state=KeyState.STORED,
@@ -200,7 +207,7 @@
         elif response is not None:
             record = msgspec.structs.replace(record, state=KeyState.TOO_LARGE)
         else:
-            # Attempts count only sends that were not proved to have run nothing.
+            # ``attempts`` does not count the sends that were proved not to have run.
             ran = call.may_have_run or call.attempts > 0
             state = KeyState.UNKNOWN if ran else KeyState.FREE
             record = msgspec.structs.replace(record, state=state)
@@ -209,13 +216,13 @@
         return [settle]
 
     def on_settled(self, event: KeySettled) -> None:
-        """Forget an outcome that the store has taken."""
+        """Drop an outcome whose write the object store has confirmed."""
         self._unsettled.pop(event.call, None)
 
     def tick(self, now_s: float) -> list[SettleKey]:
-        """Return the outcomes that are due to be written again."""
+        """Return the outcomes whose write is due to be retried."""
         due = [
-            item for item in self._unsettled.values() if now_s - item.written_at_s >= SETTLE_AGAIN_S
+            item for item in self._unsettled.values() if now_s - item.written_at_s >= SETTLE_RETRY_S
         ]
         for item in due:
             item.written_at_s = now_s
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -1,12 +1,18 @@
-"""Chooses the target of a call by the cost that it is expected to have there.
-
-For a prompt the cost adds up what makes its caller wait (queued prefill, parts to read, parts to
-fetch), what is recomputed, and what the target's memory has room for.  Load patterns answered: many
-prompts with a shared prefix (they stay where the prefix is, until waiting there costs more than
-moving the prefix); a runner that is far behind; entries that decide on the same old facts (what
-they were told weighs less with its age, and a preferred runner by rendezvous rank keeps them from
-all moving at once); prefixes that no store has any more (they are read once, at the preferred
-runner, and not once by each).
+"""Chooses the target of a call by its expected cost there.
+
+The cost of a prompt adds up what delays its response (queued prefill, blocks to prefill, blocks to
+fetch), the tokens that are recomputed, and the load on the target's memory.
+
+Load patterns handled:
+
+- Many prompts share a prefix.  They go to the runner that holds the prefix until waiting there
+  costs more than moving the prefix.
+- A runner has a much longer queue than the others.
+- Entries decide on the same stale data.  Reports from peers count less with their age, and a
+  preferred runner, chosen by rendezvous hashing, keeps the entries from all moving to the same
+  runner at once.
+- A prefix is not in any cache store any more.  It is recomputed once, by the preferred runner, and
+  not once by each runner.
 """
 
 from collections.abc import Mapping, Sequence
@@ -20,44 +26,44 @@
 from filbertstream.request.load_shedding import Headroom
 from filbertstream.version.routes import Engine
 
-FETCH_SHARE: Final = 0.2
-"""Time to fetch a token from another holder, as a share of the time to read it."""
+FETCH_TIME_FRACTION: Final = 0.2
+"""Time to fetch a token from another holder, as a fraction of the time to prefill it."""
 
 RECOMPUTE_COST_PER_TOKEN: Final = 1e-4
-"""Cost of a token that is read again, in objectives of waiting."""
+"""Cost of a recomputed token, in units of waiting for one latency objective."""
 
 FETCH_COST_PER_TOKEN: Final = 1e-5
-"""Cost of a token that is moved, in objectives of waiting."""
+"""Cost of a fetched token, in the same unit."""
 
-AWAY_COST: Final = 0.05
-"""Cost of a target other than the preferred one, where nothing else differs."""
+NOT_PREFERRED_COST: Final = 0.05
+"""Cost of a runner other than the preferred one; decides if nothing else differs."""
 
-AWAY_COST_PER_TOKEN: Final = 4e-4
-"""Cost of a shared token that another target than the preferred one must read, beyond its time:
-the preferred one may have read it for another entry.  From the routing bench with a dead store,
-where 1e-4 reads a fifth more."""
+NOT_PREFERRED_COST_PER_TOKEN: Final = 4e-4
+"""Cost of a shared token that a runner other than the preferred one must prefill, in addition to
+the time, since the preferred runner may have prefilled it for another entry.  The value is from the
+routing bench with a dead cache store, where 1e-4 led to a fifth more prefilled tokens."""
 
-FAR_COST: Final = 0.1
-"""Cost of a plain target in another data center: a tenth of its slots taken weighs as much."""
+REMOTE_COST: Final = 0.1
+"""Cost of a service's target in another data center; equals that of a tenth of its slots in use."""
 
-FAR_PROMPT_COST: Final = 0.005
-"""Cost of a runner in another data center: it only decides between runners that are else alike."""
+REMOTE_PROMPT_COST: Final = 0.005
+"""Cost of a runner in another data center; it only decides between otherwise equal runners."""
 
 BUSY_COST: Final = 0.5
-"""Cost of a target all of whose slots are taken; less in proportion."""
+"""Cost of a target with all slots in use, in proportion to the slots that are in use."""
 
 MEMORY_COST: Final = 2.0
-"""Cost of each time over that a prompt would overfill a runner's memory."""
+"""Cost of memory use beyond ``MEMORY_TARGET_FRACTION``, per unit of that fraction."""
 
-MEMORY_AIM: Final = 0.85
-"""The share of a runner's memory that running requests should stay within."""
+MEMORY_TARGET_FRACTION: Final = 0.85
+"""The fraction of a runner's memory that running requests should not exceed."""
 
 OLD_WEIGHTS_COST: Final = 0.2
-"""Cost of a runner whose weights are older than the named ones."""
+"""Cost of a runner whose weights are older than the named version."""
 
 
 class PlacementRequest(NamedTuple):
-    """What a prompt is placed by."""
+    """A prompt to be placed, with the objective and the bounds that apply to it."""
 
     prompt: Prompt
     engine: Engine
@@ -66,28 +72,35 @@
     named_weights: int | None
     namespaces: Mapping[int, str]
     """Cache namespace by weight version."""
-    turn: int
-    """Counts the entry's prompts without parts, which are spread in turn."""
+    round_robin_index: int
+    """Counts the entry's prompts without blocks, which are placed round-robin."""
     headroom: Headroom
-    """What the prompt may find at a runner and still be admitted."""
+    """The queue and memory bounds of a runner at which the prompt is admitted."""
 
 
 class CacheView(NamedTuple):
-    """What is known of who holds which part."""
+    """The observed cache contents: the holders of each block, and the cache stores."""
 
     blocks: CacheIndex
     stores: CacheStores
 
 
-class Source(NamedTuple):
-    """Where to fetch a part: a store's whole part of ``tokens``, or what a runner has (0)."""
+class CacheSource(NamedTuple):
+    """The holder to fetch a block from.
+
+    ``tokens`` is the size of the complete block in a cache store, or 0 if the holder is a runner,
+    which may have only a part of the block.
+    """
 
     holder: str
     tokens: int
 
 
 class Placement(NamedTuple):
-    """A runner and what is expected there; ``fetch`` tells for each part where it comes from."""
+    """A runner with the expected cost of a prompt there.
+
+    ``fetch`` contains the source of each block, or None if the block is not fetched.
+    """
 
     target: RosterTarget
     weights: int
@@ -97,67 +110,73 @@
     memory_fraction: float
     queue_s: float
     fits: bool
-    read_tokens: int
+    prefill_tokens: int
     fetched_tokens: int
-    fetch: tuple[Source | None, ...]
+    fetch: tuple[CacheSource | None, ...]
 
 
 def place_prompt(
     request: PlacementRequest, targets: Sequence[RosterTarget], cache_view: CacheView, now_s: float
 ) -> Placement | None:
-    """Return the cheapest placement, or None where there is no target.
+    """Return the cheapest placement, or None if there is no target.
 
-    A runner that could not admit the prompt is chosen only where none could.
+    A runner that could not admit the prompt is chosen only if none could.
     """
     if not targets:
         return None
-    home = preferred_runner(request, targets)
-    options = [estimate(request, target, cache_view, target is home, now_s) for target in targets]
+    preferred_target = preferred_runner(request, targets)
+    options = [
+        estimate(request, target, cache_view, target is preferred_target, now_s)
+        for target in targets
+    ]
     return min(options, key=lambda option: (not option.fits, option.cost))
 
 
-def preference(request: PlacementRequest) -> str | None:
-    """Return the part by which a prompt prefers runners: its largest shared one.
+def affinity_block_id(request: PlacementRequest) -> str | None:
+    """Return the id of the block that determines the preferred runner: the largest shared block.
 
-    Of equal parts the first counts, which stays the same while a conversation grows.
+    Of equally large blocks it is the first, which stays the same while a conversation grows.
     """
     shared = request.prompt.blocks[:-1] or request.prompt.blocks
     return max(shared, key=lambda block: block.tokens).block_id if shared else None
 
 
 def preferred_runner(request: PlacementRequest, targets: Sequence[RosterTarget]) -> RosterTarget:
-    """Return the preferred runner, by the rendezvous rank of the prompt's largest shared part."""
-    subject = preference(request)
-    if subject is None:
-        return targets[request.turn % len(targets)]
-    return max(targets, key=lambda target: rank(target.target_id, subject))
+    """Return the preferred runner, by rendezvous hashing of the prompt's largest shared block.
+
+    Prompts without blocks get the runners round-robin.
+    """
+    block_id = affinity_block_id(request)
+    if block_id is None:
+        return targets[request.round_robin_index % len(targets)]
+    return max(targets, key=lambda target: rank(target.target_id, block_id))
 
 
 def estimate(
     request: PlacementRequest,
     target: RosterTarget,
     cache_view: CacheView,
-    is_home: bool,
+    is_preferred: bool,
     now_s: float,
 ) -> Placement:
-    """Return what is expected of a prompt at a target."""
+    """Return the placement of a prompt at a target, with its expected cost."""
     model = request.prompt.model
     weights = target.weights.get(model, 0)
     namespace = request.namespaces.get(weights, "")
     fetch, fetched, held = _sources(request, target, namespace, cache_view, now_s)
-    read = max(1, request.prompt.tokens - held - fetched)
+    prefill = max(1, request.prompt.tokens - held - fetched)
     rate = target.prefill.rate_per_s
-    to_read = read + FETCH_SHARE * fetched
+    work = prefill + FETCH_TIME_FRACTION * fetched
     queue_s = target.queued_tokens(now_s) / rate
-    first_event_s = queue_s + to_read / rate
-    cost = (target.weighted_queued_tokens(now_s) + to_read) / rate / request.objective_s
-    cost += RECOMPUTE_COST_PER_TOKEN * read + FETCH_COST_PER_TOKEN * fetched
-    cost += 0.0 if is_home else _away_cost(request, held, fetched, rate)
-    cost += 0.0 if target.entry.data_center == request.data_center else FAR_PROMPT_COST
+    first_event_s = queue_s + work / rate
+    cost = (target.weighted_queued_tokens(now_s) + work) / rate / request.objective_s
+    cost += RECOMPUTE_COST_PER_TOKEN * prefill + FETCH_COST_PER_TOKEN * fetched
+    cost += 0.0 if is_preferred else _not_preferred_cost(request, held, fetched, rate)
+    cost += 0.0 if target.entry.data_center == request.data_center else REMOTE_PROMPT_COST
     running = target.running(now_s)
     cost += BUSY_COST * running / max(1, request.engine.slots)
-    memory_fraction = _memory_share(request, target, now_s)
-    cost += MEMORY_COST * max(0.0, memory_fraction - MEMORY_AIM)
+    memory_fraction = _memory_fraction(request, target, now_s)
+    cost += MEMORY_COST * max(0.0, memory_fraction - MEMORY_TARGET_FRACTION)
     if request.named_weights is not None and weights < request.named_weights:
         cost += OLD_WEIGHTS_COST
     fits = (
@@ -172,27 +191,27 @@
         memory_fraction,
         queue_s,
         fits,
-        read,
+        prefill,
         fetched,
         fetch,
     )
 
 
-def _away_cost(request: PlacementRequest, held: int, fetched: int, rate: float) -> float:
-    """Return the cost of another runner than the preferred one.
+def _not_preferred_cost(request: PlacementRequest, held: int, fetched: int, rate: float) -> float:
+    """Return the cost of a runner other than the preferred one.
 
-    Other entries send the shared parts to the preferred runner too, so it is likely to hold more of
-    them than this entry knows.
+    Peers send the shared blocks to the preferred runner too, so it is likely to hold more of them
+    than this entry has observed.
     """
-    unheld = max(0, sum(block.tokens for block in request.prompt.blocks[:-1]) - held)
-    cost = AWAY_COST + unheld / rate / request.objective_s
-    return cost + AWAY_COST_PER_TOKEN * max(0, unheld - fetched)
+    not_held = max(0, sum(block.tokens for block in request.prompt.blocks[:-1]) - held)
+    cost = NOT_PREFERRED_COST + not_held / rate / request.objective_s
+    return cost + NOT_PREFERRED_COST_PER_TOKEN * max(0, not_held - fetched)
 
 
-def _memory_share(request: PlacementRequest, target: RosterTarget, now_s: float) -> float:
-    """Return the share of a runner's memory that running requests would fill with this one."""
-    own = request.prompt.tokens + request.prompt.max_new_tokens
-    return (target.memory(now_s) + own) / max(1, request.engine.cache_tokens)
+def _memory_fraction(request: PlacementRequest, target: RosterTarget, now_s: float) -> float:
+    """Return the fraction of a runner's memory that running requests and this prompt would fill."""
+    added = request.prompt.tokens + request.prompt.max_new_tokens
+    return (target.memory(now_s) + added) / max(1, request.engine.cache_tokens)
 
 
 def _sources(
@@ -201,26 +220,26 @@
     namespace: str,
     cache_view: CacheView,
     now_s: float,
-) -> tuple[tuple[Source | None, ...], int, int]:
-    """Return where each part is fetched from, the tokens to fetch, and those at the target.
+) -> tuple[tuple[CacheSource | None, ...], int, int]:
+    """Return the source of each block, the tokens to fetch, and the tokens held by the target.
 
-    A part on a store is asked for even where the target seems to have it: the target fetches only
-    what it lacks, and its own cache may have been dropped meanwhile.
+    A block in a cache store gets that store as its source even if the target appears to hold it.
+    The target fetches only what it lacks, and it may have evicted the block in the meantime.
     """
-    fetch: list[Source | None] = []
+    fetch: list[CacheSource | None] = []
     fetched = held = 0
     chain_ends = False
     for block in request.prompt.blocks:
         key = (namespace, block.block_id)
         holders = cache_view.blocks.holders(key)
         if chain_ends or not holders:
-            # A part counts only where all parts before it are at hand.
+            # A block is usable only if all blocks before it are available.
             chain_ends = True
             fetch.append(None)
             continue
         data_center = target.entry.data_center
         store = cache_view.stores.source(key, block.tokens, data_center, now_s)
-        source = None if store is None else Source(store, block.tokens)
+        source = None if store is None else CacheSource(store, block.tokens)
         if target.target_id in holders:
             held += min(block.tokens, holders[target.target_id])
         elif source is not None:
@@ -237,7 +256,7 @@
 
 def _runner_source(
     target: RosterTarget, holders: Mapping[str, int], cache_view: CacheView
-) -> Source | None:
+) -> CacheSource | None:
     runners = [
         name
         for name in holders
@@ -245,17 +264,17 @@
     ]
     if not runners:
         return None
-    return Source(max(runners, key=lambda name: (holders[name], name)), 0)
+    return CacheSource(max(runners, key=lambda name: (holders[name], name)), 0)
 
 
-def place_plain(
+def place_service_call(
     targets: Sequence[RosterTarget], data_center: str, objective_s: float, now_s: float
 ) -> RosterTarget | None:
-    """Return the target of a plain service: little load, quick answers, near."""
+    """Return the target for a call that is no prompt, by load, latency and data center."""
 
     def cost(target: RosterTarget) -> tuple[float, str]:
         busy = target.running(now_s) / max(1, target.entry.slots)
-        far = 0.0 if target.entry.data_center == data_center else FAR_COST
-        return (busy + far + target.latency_s / objective_s, target.target_id)
+        remote = 0.0 if target.entry.data_center == data_center else REMOTE_COST
+        return (busy + remote + target.latency_s / objective_s, target.target_id)
 
     return min(targets, key=cost) if targets else None
--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -1,6 +1,7 @@
-"""Decides on the runner of a prompt, or turns it away: candidates, cost, admission, cache orders.
+"""Places a prompt on a runner or rejects it: candidates, cost, admission and cache directives.
 
-Pure but for the hints that it leaves in the cache index: where a part was sent, it will be.
+The only side effect is on the cache index, which records that the runner will hold the blocks of
+the prompts that are sent to it.
 """
 
 import random
@@ -13,10 +14,10 @@
 from filbertstream.request.candidates import Candidates
 from filbertstream.request.load_shedding import Headroom, headroom, retry_after_s
 from filbertstream.request.placement import (
+    CacheSource,
     CacheView,
     Placement,
     PlacementRequest,
-    Source,
     place_prompt,
 )
 from filbertstream.version.routes import Engine
@@ -26,17 +27,17 @@
 
 
 class Placed(NamedTuple):
-    """The runner of a prompt; ``inputs`` are what the choice was made on."""
+    """The runner of a prompt; ``inputs`` are the logged inputs of the choice."""
 
     target: RosterTarget
     directives: CacheDirectives
-    read_tokens: int
+    prefill_tokens: int
     ahead_tokens: int
     inputs: LogFields
 
 
-class TurnedAway(NamedTuple):
-    """The prompt can't be answered in time; when it should come back."""
+class RejectedPrompt(NamedTuple):
+    """A prompt that could not be served in time, with the time after which to retry."""
 
     retry_after_s: float
     inputs: LogFields
@@ -48,7 +49,10 @@
 
 
 class PromptPlacer:
-    """Places prompts; ``choose`` picks the runner, and benches compare others with it."""
+    """Places prompts.
+
+    ``choose`` is the placement policy; benchmarks replace it to compare policies.
+    """
 
     def __init__(
         self,
@@ -60,38 +64,38 @@
     ) -> None:
         self._data_center = data_center
         self._roster = roster
-        self._holdings = cache_view
+        self._cache_view = cache_view
         self._weights = weights
         self.choose: PlacementPolicy = place_prompt
         self._candidates = Candidates(rng)
-        self._turn = 0
+        self._round_robin_index = 0
 
     def place(
         self, call: Call, engine: Engine, candidates: list[RosterTarget], now_s: float
-    ) -> Placed | TurnedAway | None:
-        """Return where a prompt goes, or that it is turned away; None without any runner."""
+    ) -> Placed | RejectedPrompt | None:
+        """Return the runner of a prompt, its rejection, or None if there is no runner."""
         prompt = call.head.prompt
         if prompt is None:
-            raise AssertionError("a prompt was to be placed and there is none")
-        self._turn += 0 if prompt.blocks else 1
+            raise AssertionError("the call to be placed has no prompt")
+        self._round_robin_index += 0 if prompt.blocks else 1
         targets = self._weights.eligible_targets(prompt.model, candidates, now_s)
         limits = headroom(call.route.queue_limit_s, call.urgency)
-        request = self._ask(call, prompt, engine, targets, limits)
+        request = self._request(call, prompt, engine, targets, limits)
         registered = self._roster.names_of(call.service.name)
-        compared = self._candidates.choose(request, targets, registered, self._holdings.blocks)
-        placement = self.choose(request, compared, self._holdings, now_s)
+        compared = self._candidates.choose(request, targets, registered, self._cache_view.blocks)
+        placement = self.choose(request, compared, self._cache_view, now_s)
         if placement is None:
             return None
         ahead = placement.target.queued_tokens(now_s)
         inputs = _inputs(placement, len(targets))
         wait_s = retry_after_s(placement.queue_s, placement.memory_fraction, limits)
-        if wait_s is not None and not call.begun:
-            return TurnedAway(wait_s, inputs)
-        directives = self._orders(prompt, placement, now_s)
+        if wait_s is not None and not call.response_started:
+            return RejectedPrompt(wait_s, inputs)
+        directives = self._directives(prompt, placement, now_s)
         self._note_cached(prompt, placement)
-        return Placed(placement.target, directives, placement.read_tokens, ahead, inputs)
+        return Placed(placement.target, directives, placement.prefill_tokens, ahead, inputs)
 
-    def _ask(
+    def _request(
         self,
         call: Call,
         prompt: Prompt,
@@ -109,51 +113,58 @@
             self._data_center,
             self._weights.named.get(prompt.model),
             {version: cache_namespace(owner, prompt.model, version) for version in versions},
-            self._turn,
+            self._round_robin_index,
             limits,
         )
 
-    def _orders(self, prompt: Prompt, placement: Placement, now_s: float) -> CacheDirectives:
+    def _directives(self, prompt: Prompt, placement: Placement, now_s: float) -> CacheDirectives:
         from_stores = self._weights.may_fetch(prompt.model, placement.weights, now_s)
-        # A runner that is swapped while it reads would save parts that two versions made.
+        # A runner whose weights are swapped during the prefill would save blocks that two versions
+        # have computed.
         replaced = self._weights.is_replaced(prompt.model, placement.weights)
         return CacheDirectives(
             placement.namespace,
             placement.weights or None,
             tuple(self._address_of(source, from_stores) for source in placement.fetch),
             () if replaced else self._saves(prompt, placement.namespace, now_s),
-            self._holdings.stores.fetch_until_ms(now_s),
+            self._cache_view.stores.fetch_until_ms(now_s),
         )
 
     def _saves(self, prompt: Prompt, namespace: str, now_s: float) -> tuple[str, ...]:
-        """Return for each part the store to save it to; the last part is the call's own."""
-        stores = self._holdings.stores
+        """Return for each block the cache store to save it to.
+
+        The last block is never saved, since only this call has it.
+        """
+        stores = self._cache_view.stores
         found = []
         for block in prompt.blocks[:-1]:
             store = stores.save_to((namespace, block.block_id), block.tokens, now_s)
             found.append("" if store is None else stores.address(store))
         return (*found, "") if found else ()
 
-    def _address_of(self, source: Source | None, from_stores: bool) -> str:
-        """Return how a runner is told where to fetch a part from."""
+    def _address_of(self, source: CacheSource | None, from_stores: bool) -> str:
+        """Return the address from which a runner fetches a block, or an empty string.
+
+        For a cache store the size of the block in tokens is appended.
+        """
         if source is None or (source.tokens and not from_stores):
             return ""
         if source.tokens:
-            return f"{self._holdings.stores.address(source.holder)}/{source.tokens}"
+            return f"{self._cache_view.stores.address(source.holder)}/{source.tokens}"
         target = self._roster.targets.get(source.holder)
         return "" if target is None else str(target.entry.address)
 
     def _note_cached(self, prompt: Prompt, placement: Placement) -> None:
         for block in prompt.blocks[:-1]:
             key = (placement.namespace, block.block_id)
-            self._holdings.blocks.add(placement.target.target_id, key, block.tokens)
+            self._cache_view.blocks.add(placement.target.target_id, key, block.tokens)
 
 
 def _inputs(placement: Placement, candidates: int) -> LogFields:
     return (
         ("queue_s", round(placement.queue_s, 3)),
         ("expected_s", round(placement.first_event_s, 3)),
-        ("read_tokens", placement.read_tokens),
+        ("read_tokens", placement.prefill_tokens),
         ("fetched_tokens", placement.fetched_tokens),
         ("weights", placement.weights),
         ("memory_share", round(placement.memory_fraction, 2)),
--- a/filbertstream/request/retry_budget.py
+++ b/filbertstream/request/retry_budget.py
@@ -1,23 +1,24 @@
-"""The budget of repeated sends that all entries share, kept without knowing how many there are.
+"""The retry budget of all entries, enforced by each entry without knowing how many there are.
 
-In any window, a service may get at most a share of its calls again.  Each entry keeps to that share
-of the calls that it has itself received, so the sum over all entries stays within the bound however
-old their views of each other are.  The slack that the operator grants on top is not used, except
-``floor`` repeats a window and entry, since its division would need the number of entries.
+In any window, the retries to a service may be at most a fraction of its calls.  Each entry keeps to
+that fraction of the calls that it has itself received, so the sum over all entries stays within the
+bound however stale their views of each other are.  Dividing the operator's additional allowance
+would require the number of entries, so each entry uses only ``floor`` retries of it in a window.
 
-Load pattern: many targets fail at once; without a bound the repeats would double the load on the
-rest.
+Load pattern handled: many targets fail at once.  Without a bound the retries would double the load
+on the remaining targets.
 """
 
 from collections import deque
 from typing import Final
 
-SHARE_USED: Final = 0.9
-"""The part of the allowed ratio that is used: windows of the bound and of this count differ."""
+RATIO_USED_FRACTION: Final = 0.9
+"""The fraction of the allowed ratio that is used, since the bound may be checked over other windows
+than those of this count."""
 
 
 class SharedRetryBudget:
-    """First sends and repeats by service within a sliding window.
+    """Calls and retries by service within a sliding window.
 
     >>> budget = SharedRetryBudget(ratio=0.5, window_s=10.0, floor=1)
     >>> [budget.take("s", 0.0), budget.take("s", 0.0), budget.take("s", 10.5)]
@@ -29,14 +30,14 @@
         self._window_s = window_s
         self._floor = floor
         self._calls: dict[str, deque[float]] = {}
-        self._repeats: dict[str, deque[float]] = {}
+        self._retries: dict[str, deque[float]] = {}
 
     def set_bounds(self, ratio: float, window_s: float, floor: int) -> None:
-        """Go by other bounds from now on."""
+        """Change the bounds from now on."""
         self._ratio, self._window_s, self._floor = ratio, window_s, floor
 
     def note_call(self, service: str, now_s: float) -> None:
-        """Count a call that a caller made."""
+        """Count a call from a caller."""
         calls = self._calls.setdefault(service, deque())
         calls.append(now_s)
         self._expire(calls, now_s)
@@ -46,12 +47,12 @@
             times.popleft()
 
     def take(self, service: str, now_s: float) -> bool:
-        """Count a repeat in, if there is room for it."""
+        """Consume budget for a retry; return False if none is left."""
         calls = self._calls.setdefault(service, deque())
-        repeats = self._repeats.setdefault(service, deque())
+        retries = self._retries.setdefault(service, deque())
         self._expire(calls, now_s)
-        self._expire(repeats, now_s)
-        if len(repeats) + 1 > self._floor + SHARE_USED * self._ratio * len(calls):
+        self._expire(retries, now_s)
+        if len(retries) + 1 > self._floor + RATIO_USED_FRACTION * self._ratio * len(calls):
             return False
-        repeats.append(now_s)
+        retries.append(now_s)
         return True
--- a/filbertstream/request/send_timeouts.py
+++ b/filbertstream/request/send_timeouts.py
@@ -1,9 +1,9 @@
-"""How long a send may take before its call goes elsewhere, and which connections it may use.
+"""Timeouts of a send: for its response, for progress of the response, and for idle connections.
 
-Load patterns and faults answered: targets that are silent without closing (a repeatable call goes
-to another one), long prompts behind a queue (they are not late while they are read), connections
-that something on their way has forgotten (a call that must not be repeated takes none that was idle
-for long).
+Load patterns and faults handled: targets that stop responding without closing the connection (a
+retryable call is sent to another target), long prompts behind a queue (they are not overdue during
+their prefill), and connections whose state a device on the network path has dropped (a call that
+must not be retried uses no connection that has been idle for long).
 """
 
 from typing import Final
@@ -11,59 +11,64 @@
 from filbertstream.request.call_state import Call
 from filbertstream.version.routes import CallKind
 
-SILENCE_FACTOR: Final = 4.0
-"""A resumable stream without an event for this many gap objectives goes on elsewhere."""
+PROGRESS_TIMEOUT_GAPS: Final = 4.0
+"""A resumable stream without an event for this many gap objectives is resumed on another target."""
 
-SILENCE_MIN_S: Final = 0.8
-"""The least of that time: runners that read a long prompt between two events take half of it."""
+PROGRESS_TIMEOUT_MIN_S: Final = 0.8
+"""The minimum of that time.  A runner that prefills a long prompt between two events takes half of
+it."""
 
-SILENCE_PLAIN_S: Final = 2.0
-"""The same for the body of a plain answer, whose time limit usually comes first."""
+PROGRESS_TIMEOUT_UNARY_S: Final = 2.0
+"""The same timeout for the body of a response that is no stream; the call's own time limit is
+usually reached first."""
 
-PATIENCE_FACTOR: Final = 6.0
-"""A repeatable call without an answer for this many usual latencies goes to another target."""
+RESPONSE_TIMEOUT_LATENCIES: Final = 6.0
+"""A retryable call without a response for this many mean latencies is sent to another target."""
 
-PATIENCE_MIN_S: Final = 0.15
-"""The least of that time: several times a plain answer of an idle service."""
+RESPONSE_TIMEOUT_MIN_S: Final = 0.15
+"""The minimum of that time, several times the latency of an idle service."""
 
-KEPT_IDLE_S: Final = 3.0
-"""A connection that was idle for longer may have been forgotten by something on its way."""
+MAX_IDLE_S: Final = 3.0
+"""A device on the network path may have dropped the state of a connection that has been idle for
+longer."""
 
-FRESH_IDLE_S: Final = 0.5
-"""The same for a call that must not be repeated.  After a failed send, other connections that were
-idle may have gone silent together with the one that failed, and only a new one is used."""
+MAX_IDLE_NOT_RETRYABLE_S: Final = 0.5
+"""The same limit for a call that must not be retried.  After a failed send only a new connection is
+used, because other idle connections may have failed together with the one of that send."""
 
-READING_FACTOR: Final = 2.0
-"""A prompt is not late before this many times the reading of it and of the queue before it: sent
-elsewhere sooner, a long one would be read twice."""
+PREFILL_TIMEOUT_FACTOR: Final = 2.0
+"""A prompt is overdue only after this many times the expected prefill time of the prompt and of the
+queue ahead of it.  If it were sent to another runner sooner, a long prompt would be prefilled
+twice."""
 
-WAIT_PATIENCE_SHARE: Final = 0.1
-"""Callers that would rather wait are not late before this share of their wait: a repeat adds to the
-load that made them wait."""
+WAIT_TIMEOUT_FRACTION: Final = 0.1
+"""A call whose workspace accepts a wait is overdue only after this fraction of that wait, because a
+retry adds to the load that causes the wait."""
 
 
 def max_idle_s(call: Call) -> float:
-    """Return how long a connection that is taken for a call may have been idle."""
+    """Return how long a connection may have been idle before it is used for a call."""
     if call.failed_sends:
         return 0.0
-    return KEPT_IDLE_S if call.route.retryable else FRESH_IDLE_S
+    return MAX_IDLE_S if call.route.retryable else MAX_IDLE_NOT_RETRYABLE_S
 
 
 def progress_timeout_s(call: Call) -> float:
-    """Return how long an answer that has begun may be silent before it might go on elsewhere."""
+    """Return how long a response that has started may bring no byte before it counts as stalled."""
     if call.route.kind is not CallKind.STREAM:
-        return SILENCE_PLAIN_S
-    gap_s = call.route.gap_objective_s or SILENCE_MIN_S
-    return max(SILENCE_MIN_S, SILENCE_FACTOR * gap_s)
+        return PROGRESS_TIMEOUT_UNARY_S
+    gap_s = call.route.gap_objective_s or PROGRESS_TIMEOUT_MIN_S
+    return max(PROGRESS_TIMEOUT_MIN_S, PROGRESS_TIMEOUT_GAPS * gap_s)
 
 
-def patience_s(call: Call, usual_s: float, rate_per_s: float) -> float:
-    """Return how long a repeatable call waits for the head of its answer.
+def response_timeout_s(call: Call, mean_s: float, rate_per_s: float) -> float:
+    """Return how long a retryable call waits for the head of its response.
 
-    ``usual_s`` is the route's mean latency, ``rate_per_s`` the tokens that the target reads.
+    ``mean_s`` is the route's mean latency, ``rate_per_s`` the target's prefill rate in tokens per
+    second.
     """
-    tokens = call.queued_tokens + call.ahead_tokens
-    reading_s = READING_FACTOR * tokens / rate_per_s
-    wait_s = WAIT_PATIENCE_SHARE * (call.route.wait_s or 0.0)
-    longest_s = PATIENCE_FACTOR * usual_s
-    return max(PATIENCE_MIN_S, call.route.objective_s, longest_s, reading_s, wait_s)
+    tokens = call.prefill_tokens + call.ahead_tokens
+    prefill_s = PREFILL_TIMEOUT_FACTOR * tokens / rate_per_s
+    wait_s = WAIT_TIMEOUT_FRACTION * (call.route.wait_s or 0.0)
+    latency_s = RESPONSE_TIMEOUT_LATENCIES * mean_s
+    return max(RESPONSE_TIMEOUT_MIN_S, call.route.objective_s, latency_s, prefill_s, wait_s)
