Reword the stand-ins in the usual terms of the field

Cause: the texts of standins/ used figurative words (harm, keep, hear, whole, part) for fault injection, caching, requests and responses. Change: doc comments, comments, messages and names only. BLOCK, answer_words and LOOK_S are now BLOCK_PORTS, response_tokens and FAULT_POLL_S in the tests too.

--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -9,7 +9,8 @@
     Guard(
         "a claim without an answer does not count",
         "request/key_writes.py",
-        "        if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n            continue",
+        "        if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n"
+        "            continue",
         "        if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n"
         "            return KeyClaimed(claim.call_id, claim.name, True, None)",
         "tests/test_keys_machine.py",
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -24,7 +24,7 @@
 
 from bench.soak_faults import FAULTS, HARMED, End
 from standins.fleet import Fleet, Options, running_fleet
-from standins.platform_runner import answer_words
+from standins.platform_runner import response_tokens
 
 WORKSPACE: Final = "bethesda-tours"
 CHAT: Final = "/v1/chat/completions"
@@ -136,7 +136,7 @@
             self._come_back(resp)
         elif not resp.data.endswith(b"data: [DONE]\n\n"):
             self._count("prompt ended as an error")
-        elif _words(resp.data) == "".join(answer_words(f"user\x1f{text}\x1e", TOKENS)):
+        elif _words(resp.data) == "".join(response_tokens(f"user\x1f{text}\x1e", TOKENS)):
             self._count("prompt whole")
         else:
             self.wrong.append(f"{text}: another answer")
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,5 +1,5 @@
-"""Small programs that speak what the users' platform and targets speak, for tests and the demo.
+"""Small programs with the interfaces of the users' platform and targets, for tests and the demo.
 
-Each does one job, listens on a loopback address, and takes faults on a control port
-(``standins.base``).  They are no emulator: they behave as described by the brief and no more.
+Each does one job, listens on a loopback address, and accepts faults on a control port
+(``standins.base``).  They aren't emulators: they implement only what the brief describes.
 """
--- a/standins/base.py
+++ b/standins/base.py
@@ -1,12 +1,12 @@
-"""What all stand-ins share: a cheroot server, JSON in and out, and faults on a control port.
+"""Code shared by all stand-ins: a cheroot server, JSON in and out, and faults on a control port.
 
-``POST /faults`` on the control port sets faults by name, ``GET /faults`` shows them, ``POST /die``
-ends the process at once.  Faults that every stand-in knows:
+``POST /faults`` on the control port sets faults by name, ``GET /faults`` returns them, and
+``POST /die`` ends the process at once.  Faults that every stand-in supports:
 
-    slow_s        answer each call this much later
-    down          answer nothing: connections are accepted and closed
-    silent        read the request and never answer, on connections open when the fault is set
-    drop_answers  carry out this many calls and cut the connection instead of answering
+    slow_s        delay the response to each call by this time
+    down          send no response: connections are accepted and closed
+    silent        read the request and send no response, on connections open when the fault is set
+    drop_answers  carry out this many calls and close the connection instead of responding
 """
 
 import argparse
@@ -27,27 +27,27 @@
 
 THREADS: Final = 256
 
-KEPT_CONNECTIONS: Final = 512
-"""Connections that stay open between requests; cheroot's default of 10 would close most."""
+IDLE_CONNECTIONS: Final = 512
+"""Idle connections kept open between requests; cheroot's default of 10 would close most."""
 
 CONNECTION: Final = "standin.connection"
-"""Key of the environment that numbers connections, since the system gives ports out again."""
+"""Key of the WSGI environment for the connection's number; ports are reused by the system."""
 SILENCE_S: Final = 30.0
 DIED: Final = 9
 
 
-class Cut(FatalSSLAlert):
-    """Ends the connection without an answer: cheroot closes it silently for this error."""
+class DropConnection(FatalSSLAlert):
+    """Closes the connection without a response: cheroot does so for this error and logs nothing."""
 
 
 class Faults:
-    """The faults that are set now; values are numbers, 0 means off."""
+    """The faults that are set; values are numbers, 0 means off."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._values: dict[str, float] = {}
-        self._newest = 0
-        self._silent_up_to = 0
+        self._newest_connection = 0
+        self._stalled_up_to = 0
 
     def get(self, name: str) -> float:
         """Return a fault's value."""
@@ -58,16 +58,16 @@
         with self._lock:
             self._values.update(values)
             if "silent" in values:
-                self._silent_up_to = self._newest if values["silent"] else 0
+                self._stalled_up_to = self._newest_connection if values["silent"] else 0
 
-    def silences(self, connection: int) -> bool:
-        """Whether a connection has gone silent; those opened after the fault was set work."""
+    def is_stalled(self, connection: int) -> bool:
+        """Whether a connection is stalled; those opened after the fault was set work."""
         with self._lock:
-            self._newest = max(self._newest, connection)
-        return connection <= self._silent_up_to
+            self._newest_connection = max(self._newest_connection, connection)
+        return connection <= self._stalled_up_to
 
     def take(self, name: str) -> bool:
-        """Use up one of a counted fault."""
+        """Decrement a counted fault; return whether it was set."""
         with self._lock:
             left = self._values.get(name, 0.0)
             self._values[name] = max(0.0, left - 1)
@@ -92,21 +92,21 @@
         return {**environ, CONNECTION: conn.standin_number}
 
 
-def guarded(app: App, faults: Faults) -> App:
-    """Return an application that suffers the common faults around ``app``."""
+def with_faults(app: App, faults: Faults) -> App:
+    """Wrap ``app`` in an application that applies the common faults."""
 
     def serve(environ: Environ, start: Start) -> Iterable[bytes]:
         if faults.get("down"):
-            raise Cut
-        if faults.silences(environ[CONNECTION]):
+            raise DropConnection
+        if faults.is_stalled(environ[CONNECTION]):
             time.sleep(SILENCE_S)
-            raise Cut
+            raise DropConnection
         time.sleep(faults.get("slow_s"))
         body = app(environ, start)
         if environ["REQUEST_METHOD"] != "GET" and faults.take("drop_answers"):
             for _ in body:
                 pass
-            raise Cut
+            raise DropConnection
         return body
 
     return serve
@@ -115,7 +115,7 @@
 def reply(
     start: Start, status: int, value: object, headers: dict[str, str] | None = None
 ) -> list[bytes]:
-    """Answer with JSON."""
+    """Send a JSON response."""
     body = msgspec.json.encode(value)
     fields = {"Content-Type": "application/json", "Content-Length": str(len(body))}
     start(f"{status} Status", list((fields | (headers or {})).items()))
@@ -123,7 +123,7 @@
 
 
 def read(environ: Environ) -> bytes:
-    """Return the whole body of a request."""
+    """Return the complete body of a request."""
     length = int(environ.get("CONTENT_LENGTH") or 0)
     data: bytes = environ["wsgi.input"].read(length) if length else b""
     return data
@@ -135,7 +135,7 @@
 
 
 def query(environ: Environ) -> dict[str, str]:
-    """Return the query parameters; values carry no escapes here."""
+    """Return the query parameters; percent-escapes are not decoded."""
     pairs = [item.partition("=") for item in environ.get("QUERY_STRING", "").split("&") if item]
     return {name: value for name, _, value in pairs}
 
@@ -160,7 +160,7 @@
         (host, int(port)), app, numthreads=threads, max=threads, request_queue_size=512
     )
     server.gateway = NumberingGateway
-    server.keep_alive_conn_limit = KEPT_CONNECTIONS
+    server.keep_alive_conn_limit = IDLE_CONNECTIONS
     server.error_log = lambda *args, **kwargs: None
     return server
 
@@ -177,7 +177,7 @@
 ) -> None:
     """Serve the application and its control port until the process is ended."""
     threading.Thread(target=control_server(control, faults, counts).serve, daemon=True).start()
-    server = _server(address, guarded(app, faults), THREADS)
+    server = _server(address, with_faults(app, faults), THREADS)
     try:
         server.start()
     except KeyboardInterrupt:
@@ -185,7 +185,7 @@
 
 
 def parser(description: str) -> argparse.ArgumentParser:
-    """Return the options that all stand-ins share."""
+    """Return a parser with the options shared by all stand-ins."""
     found = argparse.ArgumentParser(description=description)
     found.add_argument("--listen", required=True, help="address, host:port")
     found.add_argument("--control", required=True, help="control address, host:port")
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,7 +1,7 @@
 """The demo: the Cwmdu deployment on loopback, from a first prompt to a burn report.
 
-Run by ``scripts/demo``.  Each step prints what it did and what came back; a step that doesn't hold
-ends the demo with exit code 1.
+Run by ``scripts/demo``.  Each step prints what it did and what was returned; a step whose check
+fails ends the demo with exit code 1.
 """
 
 import shutil
@@ -25,21 +25,21 @@
 HISTORY: Final = "The owner of the ice house at Betws writes about the spring opening hours. "
 SMALL_CACHE_TOKENS: Final = 16_000
 APPLIED_S: Final = 2.0
-"""The bound within which a change is in force."""
+"""The bound within which a change takes effect."""
 
-SAVES_AFTER_S: Final = SAVE_HOLDOFF_S + 1.0
+SAVE_HOLDOFF_WAIT_S: Final = SAVE_HOLDOFF_S + 1.0
 
-OTHERS: Final = 24
-"""How many other prompts push the first one out of the runners' caches."""
+EVICTING_PROMPTS: Final = 24
+"""Number of other prompts that evict the first one from the runners' caches."""
 
 
-def _say(text: str) -> None:
+def _print(text: str) -> None:
     print(text, flush=True)
 
 
 def _check(holds: bool, what: str) -> None:
     if not holds:
-        _say(f"   FAILED: {what}")
+        _print(f"   FAILED: {what}")
         raise SystemExit(1)
 
 
@@ -56,34 +56,34 @@
         self.history = HISTORY * 260
 
     def run(self) -> None:
-        """Take all steps in order."""
+        """Run all steps in order."""
         steps: list[tuple[str, Callable[[], None]]] = [
             ("Stream a prompt through entry-1", self.stream),
-            ("Send it back after the runners have dropped it, through entry-2", self.come_back),
-            ("Book once, and repeat the booking through another entry", self.book),
-            ("Kill entry-3 in the middle of work", self.kill),
-            ("Apply a template and see it in force everywhere", self.apply),
+            ("Send it again through entry-2 after the runners have evicted it", self.send_again),
+            ("Make a booking and retry it through another entry", self.book),
+            ("Kill entry-3 while it relays streams", self.kill),
+            ("Apply a template and check that it is in force on all entries", self.apply),
             ("Explain a request", self.explain),
             ("The burn report", self.burn),
         ]
         for number, (title, step) in enumerate(steps, 1):
-            _say(f"{number}. {title}")
+            _print(f"{number}. {title}")
             step()
 
     def stream(self) -> None:
         """Stream a long prompt and show its first events."""
-        # Entries save to a store only once no fetch from before their start can run any more.
-        time.sleep(SAVES_AFTER_S)
+        # Entries save to a cache store only when no fetch from before their start can still run.
+        time.sleep(SAVE_HOLDOFF_WAIT_S)
         body = _chat(self.history, stream=True, tokens=6)
         resp = self.fleet.call("entry-1", "/v1/chat/completions", body, DRAFTS)
         events = [event for event in resp.data.split(b"\n\n") if event]
-        _say(f"   {len(events)} events, the last is {events[-1].decode()}")
-        _check(events[-1] == b"data: [DONE]", "the stream is whole")
+        _print(f"   {len(events)} events, the last is {events[-1].decode()}")
+        _check(events[-1] == b"data: [DONE]", "the stream is complete")
 
-    def come_back(self) -> None:
-        """Push the prompt out of the runners, send it again, and count what was read."""
-        self.fleet.wait(self._is_kept, what="the prompt's parts are kept on a store")
-        for number in range(OTHERS):
+    def send_again(self) -> None:
+        """Evict the prompt from the runners, send it again, and count the tokens prefilled."""
+        self.fleet.wait(self._is_saved, what="the prompt's blocks are saved on a cache store")
+        for number in range(EVICTING_PROMPTS):
             text = f"{number} " + f"Another owner asks about hall {number}. " * 1_000
             self.fleet.call("entry-1", "/v1/chat/completions", _chat(text, tokens=1), WALK_IN)
         body = _chat(self.history + "And in winter?")
@@ -91,38 +91,38 @@
         resp = self.fleet.call("entry-2", "/v1/chat/completions", body, DRAFTS)
         tokens = {name: count - before[name] for name, count in self._tokens().items()}
         prompt = msgspec.json.decode(resp.data)["usage"]["prompt_tokens"]
-        _say(f"   of {prompt} prompt tokens, {tokens['read']} were read again:")
-        _say(f"   {tokens['fetched']} came from a store, {tokens['cached']} were there")
-        _check(tokens["fetched"] + tokens["cached"] > 0, "kept cache was used")
+        _print(f"   of {prompt} prompt tokens, {tokens['read']} were prefilled again:")
+        _print(f"   {tokens['fetched']} came from a cache store, {tokens['cached']} were cached")
+        _check(tokens["fetched"] + tokens["cached"] > 0, "saved cache was used")
 
     def _tokens(self) -> Counter[str]:
-        """Return how the runners came to the tokens of prompts."""
+        """Return how many prompt tokens the runners prefilled, fetched and had cached."""
         found: Counter[str] = Counter()
         for name in self.fleet.running:
             if name.startswith("runner"):
                 found.update(self.fleet.counts(name)["tokens"])
         return found
 
-    def _is_kept(self) -> bool:
-        """Whether the stores have the prompt and all entries have heard of it."""
+    def _is_saved(self) -> bool:
+        """Whether a cache store has saved blocks of the prompt."""
         counts = [self.fleet.counts(name) for name in ("store-1", "store-2")]
         return sum(int(count["saved"]) for count in counts) > 0
 
     def book(self) -> None:
-        """Make one booking twice under one key."""
+        """Make one booking twice with the same idempotency key."""
         headers = {"Idempotency-Key": "family-of-four"}
         path = "/v1/services/bookings/bookings"
         for entry in ("entry-1", "entry-2"):
             resp = self.fleet.call(entry, path, {"reference": "hall-2"}, WALK_IN, headers)
             replayed = resp.headers.get("Idempotency-Replayed", "false")
-            _say(f"   {entry}: {resp.status} {resp.data.decode()} replayed={replayed}")
+            _print(f"   {entry}: {resp.status} {resp.data.decode()} replayed={replayed}")
         names = ("bookings-1", "bookings-2", "bookings-3")
         runs = sum(self.fleet.counts(name)["references"].get("hall-2", 0) for name in names)
-        _say(f"   the booking ran {runs} time(s)")
+        _print(f"   the booking ran {runs} time(s)")
         _check(runs == 1, "the booking ran once")
 
     def kill(self) -> None:
-        """Kill an entry under streams; their callers ask another, which goes on."""
+        """Kill an entry that relays streams; their callers retry through another one."""
         results: list[str] = []
         threads = [threading.Thread(target=self._caller, args=(results,)) for _ in range(4)]
         for thread in threads:
@@ -131,12 +131,14 @@
         self.fleet.kill("entry-3")
         for thread in threads:
             thread.join()
-        _say(f"   callers got: {', '.join(sorted(results))}")
-        _check(all("whole" in result for result in results), "every caller got a whole answer")
+        _print(f"   callers got: {', '.join(sorted(results))}")
+        _check(
+            all("complete" in result for result in results), "every caller got a complete response"
+        )
 
     def _caller(self, results: list[str]) -> None:
-        """Ask entry-3, and entry-1 where the connection breaks, as a balancer's client would."""
-        for entry, how in (("entry-3", "whole"), ("entry-1", "whole after asking again")):
+        """Call entry-3, and entry-1 if the connection breaks, as a load balancer's client would."""
+        for entry, how in (("entry-3", "complete"), ("entry-1", "complete after a retry")):
             try:
                 body = _chat("A visitor asks when the gate opens.", stream=True, tokens=40)
                 resp = self.fleet.call(entry, "/v1/chat/completions", body, WALK_IN)
@@ -148,34 +150,34 @@
         results.append("nothing")
 
     def apply(self) -> None:
-        """Change a template by the command line."""
+        """Change a template through the command line."""
         text = (self.fleet.config / "documents.yaml").read_text()
         file = self.fleet.folder / "change.yaml"
         file.write_text(text.replace("priority: 8", "priority: 9"))
         code, output = self.command("apply", "-f", str(file))
-        _say("   " + output.strip().replace("\n", "\n   "))
+        _print("   " + output.strip().replace("\n", "\n   "))
         _check(code == 0, "the change was accepted")
         time.sleep(APPLIED_S)
         for entry in ("entry-1", "entry-2"):
             found = self.fleet.operator(entry, "GET", "/v1/documents/template/walk-in")
             status = self.fleet.operator(entry, "GET", "/v1/status")
-            _say(f"   {entry}: revision {status['revision']}, {found['document']['priority']=}")
+            _print(f"   {entry}: revision {status['revision']}, {found['document']['priority']=}")
             _check(status["revision"] >= found["revision"], "the change is in force")
 
     def explain(self) -> None:
-        """Show why a request went where it went."""
+        """Show why a request was placed on its target."""
         resp = self.fleet.call("entry-1", "/v1/chat/completions", _chat(self.history), DRAFTS)
         _, output = self.command("explain", resp.headers["X-Request-Id"])
-        _say("   " + "\n   ".join(output.splitlines()[:16]))
+        _print("   " + "\n   ".join(output.splitlines()[:16]))
 
     def burn(self) -> None:
-        """Print the report over the entries that live."""
+        """Print the report over the live entries."""
         code, output = self.command("report", "burn")
-        _say("   " + output.strip().replace("\n", "\n   "))
+        _print("   " + output.strip().replace("\n", "\n   "))
         _check(code == 0, "there is a report")
 
     def command(self, *arguments: str) -> tuple[int, str]:
-        """Run the command line against the entries that live."""
+        """Run the command line against the live entries."""
         entries = []
         for name in ("entry-1", "entry-2"):
             entries += ["--entry", self.fleet.operators_url(name)]
@@ -193,10 +195,10 @@
     fleet = Fleet(folder, Options(cache_tokens=SMALL_CACHE_TOKENS))
     began_s = time.monotonic()
     try:
-        _say("0. Start the stand-ins and three entries in the shape of the Cwmdu deployment")
+        _print("0. Start the stand-ins and three entries in the shape of the Cwmdu deployment")
         fleet.start()
         Demo(fleet).run()
-        _say(f"Done in {time.monotonic() - began_s:.0f} s.")
+        _print(f"Done in {time.monotonic() - began_s:.0f} s.")
         if stay:
             _stay(fleet)
     finally:
@@ -207,19 +209,19 @@
 def _stay(fleet: Fleet) -> None:
     caller, operator = fleet.running["entry-1"].url, fleet.operators_url("entry-1")
     body = msgspec.json.encode(_chat("When does the gate open?", stream=True)).decode()
-    _say(
+    _print(
         f"curl -N {caller}/v1/chat/completions -H 'Authorization: Bearer key-{WALK_IN}' -d '{body}'"
     )
-    _say(
+    _print(
         f"curl {caller}/v1/services/bookings/bookings -H 'Authorization: Bearer key-{WALK_IN}' "
         "-H 'Idempotency-Key: mine' -H 'Content-Type: application/json' -d '{\"reference\":\"h1\"}'"
     )
-    _say(f"curl {operator}/v1/status -H 'Authorization: Bearer {OPERATOR_KEY}'")
-    _say("Press Ctrl-C to stop.")
+    _print(f"curl {operator}/v1/status -H 'Authorization: Bearer {OPERATOR_KEY}'")
+    _print("Press Ctrl-C to stop.")
     try:
         threading.Event().wait()
     except KeyboardInterrupt:
-        _say("Stopping.")
+        _print("Stopping.")
 
 
 if __name__ == "__main__":
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,4 +1,4 @@
-"""Starts a deployment of ``configs/`` on loopback: store, targets and entries, each a process.
+"""Starts a deployment of ``configs/`` on loopback: object store, targets, entries as processes.
 
 For the demo, the tests over real processes and the benches.
 """
@@ -26,7 +26,7 @@
 
 
 class Options(NamedTuple):
-    """What to start; ``gap_s`` is the time between two words of a runner."""
+    """What to start; ``gap_s`` is the time between two tokens of a runner."""
 
     deployment: str = "cwmdu"
     entries: int = 3
@@ -36,7 +36,7 @@
     log_level: str = "info"
     strict: bool = True
     proxied: bool = False
-    """Whether entries reach the store and the targets through proxies that can harm links."""
+    """Whether entries reach the object store and the targets through proxies that inject faults."""
 
 
 class Fleet(Processes):
@@ -54,7 +54,7 @@
         return next(str(item["name"]) for item in self._documents if item["kind"] == kind)
 
     def start(self) -> None:
-        """Start the store, the targets and the entries, apply the documents, wait for ready."""
+        """Start everything, apply the documents and wait until all entries are ready."""
         self.folder.mkdir(parents=True, exist_ok=True)
         (self.folder / "fleet.key").write_bytes(zmq.curve_keypair()[1])
         self.start_standin("objects", ["standins.platform_store"])
@@ -71,24 +71,27 @@
             self.wait_ready(name)
         self.apply_documents()
         for name in names:
-            self.wait(functools.partial(self._is_known, name), what=f"{name} knows the fleet")
+            self.wait(
+                functools.partial(self._is_known, name),
+                what=f"{name} lists all targets and members",
+            )
 
     def start_runner(self, number: int) -> None:
-        """Start a runner, or start it again under the same name and address."""
-        words = ["--model", self.model, "--event-s", str(self.options.gap_s)]
-        words += ["--cache-tokens", str(self.options.cache_tokens)]
-        self._start_target(f"runner-{number}", self.model, number, words)
+        """Start a runner, or restart it under the same name and address."""
+        args = ["--model", self.model, "--event-s", str(self.options.gap_s)]
+        args += ["--cache-tokens", str(self.options.cache_tokens)]
+        self._start_target(f"runner-{number}", self.model, number, args)
 
-    def _start_target(self, name: str, service: str, number: int, more: list[str]) -> None:
+    def _start_target(self, name: str, service: str, number: int, extra_args: list[str]) -> None:
         self._start_proxy(name)
-        words = ["standins.platform_runner", "--id", name, "--service", service, *more]
-        words += ["--address", self._reached_at(name)]
-        words += ["--store", self.running["objects"].address]
-        words += ["--data-center", f"dc-{1 + (number - 1) % DATA_CENTERS}"]
-        self.start_standin(name, words)
+        args = ["standins.platform_runner", "--id", name, "--service", service, *extra_args]
+        args += ["--address", self._address_for(name)]
+        args += ["--store", self.running["objects"].address]
+        args += ["--data-center", f"dc-{1 + (number - 1) % DATA_CENTERS}"]
+        self.start_standin(name, args)
 
     def proxy(self, name: str, entry: str = "all") -> str:
-        """Return the name of the proxy before a stand-in, on the way of one entry or of all."""
+        """Return the name of the proxy in front of a stand-in, used by one entry or by all."""
         return f"{name} proxy {entry}"
 
     def _start_proxy(self, name: str, entry: str = "all") -> None:
@@ -97,40 +100,40 @@
             server = f"{LOOPBACK}:{self.port(name)}"
             self.start_standin(proxy, ["standins.loopback_proxy", "--server", server])
 
-    def _reached_at(self, name: str, entry: str = "all") -> str:
+    def _address_for(self, name: str, entry: str = "all") -> str:
         """Return the address at which an entry reaches a stand-in."""
         used = self.proxy(name, entry) if self.options.proxied else name
         return f"{LOOPBACK}:{self.port(used)}"
 
     def start_entry(self, number: int) -> None:
-        """Start an entry, or start it again under the same addresses."""
+        """Start an entry, or restart it under the same addresses."""
         name = f"entry-{number}"
-        callers, operators = self.port(name), self.port(f"{name} operators")
+        caller_port, operator_port = self.port(name), self.port(f"{name} operators")
         self._start_proxy("objects", name)
         settings = {
             "name": name,
             "data_center": f"dc-{1 + (number - 1) % DATA_CENTERS}",
-            "callers": {"host": LOOPBACK, "port": callers},
+            "callers": {"host": LOOPBACK, "port": caller_port},
             "operators": {
                 "host": LOOPBACK,
-                "port": operators,
+                "port": operator_port,
                 "keys": [digest_key(OPERATOR_KEY)],
             },
             "peers": {
                 "address": self.peer_address(number),
                 "key_file": str(self.folder / "fleet.key"),
             },
-            "platform": {"objects": f"http://{self._reached_at('objects', name)}"},
+            "platform": {"objects": f"http://{self._address_for('objects', name)}"},
             "bounds": {"strict_revocation": self.options.strict},
             "log_level": self.options.log_level,
         }
         file = self.folder / f"{name}.yaml"
         file.write_text(yaml.safe_dump(settings))
-        words = ["filbertstream", "entry", "--config", str(file)]
-        self.spawn(name, words, f"{LOOPBACK}:{callers}", f"{LOOPBACK}:{operators}")
+        args = ["filbertstream", "entry", "--config", str(file)]
+        self.spawn(name, args, f"{LOOPBACK}:{caller_port}", f"{LOOPBACK}:{operator_port}")
 
     def peer_address(self, number: int) -> str:
-        """Return where an entry listens for the others."""
+        """Return the address on which an entry listens for its peers."""
         return f"tcp://{LOOPBACK}:{self.port(f'entry-{number} peers')}"
 
     def operators_url(self, name: str) -> str:
@@ -138,28 +141,28 @@
         return f"http://{self.running[name].control}"
 
     def wait_ready(self, name: str) -> None:
-        """Wait until an entry takes requests; raises ``TimeoutError``."""
+        """Wait until an entry accepts requests; raises ``TimeoutError``."""
         url = f"{self.running[name].url}/readyz"
         self.wait(lambda: self.http.request("GET", url).status == 200, what=f"{name} ready")
 
     def _is_known(self, name: str) -> bool:
-        """Whether an entry has the documents in force and knows all targets and entries."""
+        """Whether an entry has the documents in force and lists all targets and members."""
         status = self.operator(name, "GET", "/v1/status")
         targets = self.options.runners + SERVICE_TARGETS
         members = len(status["members"])
-        known = members == self.options.entries and len(status["targets"]) == targets
-        return known and status["revision"] > 0
+        complete = members == self.options.entries and len(status["targets"]) == targets
+        return complete and status["revision"] > 0
 
     def apply_documents(self, file: Path | None = None) -> dict[str, Any]:
-        """Apply documents through the first entry: a file, or the deployment's and its stores."""
+        """Apply documents through entry-1: a file, or the deployment's own and its cache stores."""
         changes = list(self._documents)
         if file is not None:
             changes = list(yaml.safe_load_all(file.read_text()))
         else:
             changes += [self._store_document(number) for number in range(1, STORES + 1)]
         body = {"changes": changes, "base": None}
-        answer: dict[str, Any] = self.operator("entry-1", "POST", "/v1/apply", body)
-        return answer
+        result: dict[str, Any] = self.operator("entry-1", "POST", "/v1/apply", body)
+        return result
 
     def _store_document(self, number: int) -> dict[str, Any]:
         return {
@@ -171,7 +174,7 @@
         }
 
     def operator(self, entry: str, method: str, path: str, value: object = None) -> Any:
-        """Call the operators' API of an entry and return the decoded answer."""
+        """Call the operators' API of an entry and return the decoded response."""
         body = None if value is None else msgspec.json.encode(value)
         headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
         url = f"{self.operators_url(entry)}{path}"
@@ -195,7 +198,7 @@
 
 @contextlib.contextmanager
 def running_fleet(options: Options) -> Iterator[Fleet]:
-    """Run a deployment in a folder of its own, which goes with it."""
+    """Run a deployment in a temporary folder, removed at the end."""
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(Path(folder), options)
         try:
--- a/standins/loopback_proxy.py
+++ b/standins/loopback_proxy.py
@@ -1,15 +1,15 @@
-"""A TCP proxy on loopback that harms connections: for the soak and for tests of broken links.
+"""A TCP proxy on loopback that injects connection faults, for the soak and the link tests.
 
 Faults, set on its control port as those of all stand-ins:
 
-    delay_s    bytes arrive this much later
-    silent     connections open when it is set carry nothing any more, for good; new ones work
-    cut_up     bytes towards the server are lost while it is set
-    cut_down   bytes towards the client are lost while it is set
+    delay_s    bytes are delayed by this time
+    silent     connections open when it is set drop all bytes from then on; new ones work
+    cut_up     bytes towards the server are dropped while it is set
+    cut_down   bytes towards the client are dropped while it is set
     reset      (counted) all connections are reset
     refuse     new connections are reset
 
-``/counts`` gives the connections that were opened and those that were harmed.
+``/counts`` returns how many connections were opened and how many were affected by a fault.
 """
 
 import asyncio
@@ -19,12 +19,12 @@
 from standins.base import Faults, control_server, parser
 
 CHUNK_BYTES: Final = 65_536
-LOOK_S: Final = 0.02
-"""How often faults that strike at once are looked for."""
+FAULT_POLL_S: Final = 0.02
+"""Interval at which the faults that act on all open connections are polled."""
 
 
 class Link:
-    """A client's connection and the one to the server behind it."""
+    """A client's connection and the proxy's connection to the server."""
 
     def __init__(self, up: asyncio.StreamWriter, down: asyncio.StreamWriter) -> None:
         self.up = up
@@ -46,31 +46,31 @@
         self._port = int(port)
         self._faults = faults
         self._links: set[Link] = set()
-        self._was_silent = False
+        self._was_stalled = False
         self.opened = 0
         self.harmed = 0
 
     def counts(self) -> object:
-        """Return what was seen."""
+        """Return the numbers of connections."""
         return {"opened": self.opened, "harmed": self.harmed}
 
     async def serve(self, listen: str) -> None:
-        """Take connections until the process is ended."""
+        """Accept connections until the process is ended."""
         host, _, port = listen.rpartition(":")
         server = await asyncio.start_server(self._accept, host, int(port), backlog=512)
         async with server:
             while True:
-                await asyncio.sleep(LOOK_S)
-                self._strike()
+                await asyncio.sleep(FAULT_POLL_S)
+                self._apply_faults()
 
-    def _strike(self) -> None:
-        """Bring about what is to happen to all connections at once."""
+    def _apply_faults(self) -> None:
+        """Apply the faults that act on all open connections."""
         silent = bool(self._faults.get("silent"))
-        if silent and not self._was_silent:
+        if silent and not self._was_stalled:
             for link in self._links:
                 link.silent = True
             self.harmed += len(self._links)
-        self._was_silent = silent
+        self._was_stalled = silent
         if self._faults.take("reset"):
             self.harmed += len(self._links)
             for link in list(self._links):
@@ -83,17 +83,17 @@
             writer.transport.abort()
             return
         try:
-            far_reader, far_writer = await asyncio.open_connection(self._host, self._port)
+            server_reader, server_writer = await asyncio.open_connection(self._host, self._port)
         except OSError:
-            # Nobody listens behind: the client sees the same as without a proxy.
+            # Nothing listens on the server's port: the client sees the same as without a proxy.
             writer.transport.abort()
             return
-        link = Link(far_writer, writer)
+        link = Link(server_writer, writer)
         self._links.add(link)
         try:
             async with asyncio.TaskGroup() as pumps:
-                pumps.create_task(self._pump(link, reader, far_writer, "cut_up"))
-                pumps.create_task(self._pump(link, far_reader, writer, "cut_down"))
+                pumps.create_task(self._pump(link, reader, server_writer, "cut_up"))
+                pumps.create_task(self._pump(link, server_reader, writer, "cut_down"))
         finally:
             self._links.discard(link)
             link.abort()
@@ -112,15 +112,17 @@
             if sink.can_write_eof() and not link.silent:
                 sink.write_eof()
         except OSError:
-            # One end is gone, so the other goes too.
+            # One end is closed, so the other is closed too.
             link.abort()
 
 
 def main() -> None:
     """Run the proxy."""
-    found = parser("proxy that harms connections")
-    found.add_argument("--server", required=True, help="address of the server behind, host:port")
-    options = found.parse_args()
+    args_parser = parser("TCP proxy that injects connection faults")
+    args_parser.add_argument(
+        "--server", required=True, help="address of the proxied server, host:port"
+    )
+    options = args_parser.parse_args()
     faults = Faults()
     proxy = LoopbackProxy(options.server, faults)
     threading.Thread(
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -1,4 +1,4 @@
-"""A small deployment on the users' platform: store, targets and entries as processes on loopback.
+"""A small deployment on the users' platform: object store, targets, entries as processes.
 
 For the tests over real processes and the soak.
 """
@@ -42,7 +42,7 @@
 
 
 def route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
-    """Return a route of the stand-in's configuration, with changes."""
+    """Return a route of the configuration, with some fields changed."""
     return {
         "name": name,
         "host": "h.example",
@@ -80,7 +80,7 @@
     "revoke_ms": 2500,
     "lease_ttl_ms": 3000,
 }
-"""The operators' bounds of this deployment, as its settings files state them."""
+"""The operators' bounds of this deployment, as written in its settings files."""
 
 
 class PlatformFleet(Processes):
@@ -105,22 +105,22 @@
         self.wait(lambda: all(self.knows(f"e{n}", runners + apps) for n in range(1, entries + 1)))
 
     def start_target(self, name: str, service: str, model: str, born: int = 1) -> None:
-        """Start a target; ``born`` tells apart its starts under one name."""
-        words = ["standins.platform_runner", "--id", name, "--service", service]
+        """Start a target; ``born`` distinguishes its starts under one name."""
+        args = ["standins.platform_runner", "--id", name, "--service", service]
         store = self.running["store"].address
-        words += ["--model", model, "--store", store, "--born", str(born)]
-        self.start_standin(name, words)
+        args += ["--model", model, "--store", store, "--born", str(born)]
+        self.start_standin(name, args)
 
     def start_entry(self, name: str) -> None:
-        """Start an entry, with the ports that it had."""
-        front, ready = self.port(name), self.port(f"{name} ready")
-        first = self.port(f"{name} metrics")
+        """Start an entry, on the same ports as before if it ran already."""
+        caller_port, ready_port = self.port(name), self.port(f"{name} ready")
+        metrics_port = self.port(f"{name} metrics")
         settings = {
             "node_name": name,
             "ip": LOOPBACK,
             "zone": "dc1",
-            "listen": {"front": f"{LOOPBACK}:{front}", "ready": f"{LOOPBACK}:{ready}"},
-            "port_range": [first, first],
+            "listen": {"front": f"{LOOPBACK}:{caller_port}", "ready": f"{LOOPBACK}:{ready_port}"},
+            "port_range": [metrics_port, metrics_port],
             "heartbeat_ms": 300,
             "limits": {"memory_mb": 300, "max_fds": 1000},
             "bounds": BOUNDS,
@@ -128,11 +128,11 @@
         }
         file = self.folder / f"{name}.yaml"
         file.write_text(yaml.safe_dump(settings))
-        words = ["filbertstream", "gateway", "--settings", str(file)]
-        self.spawn(name, words, f"{LOOPBACK}:{front}", f"{LOOPBACK}:{ready}")
+        args = ["filbertstream", "gateway", "--settings", str(file)]
+        self.spawn(name, args, f"{LOOPBACK}:{caller_port}", f"{LOOPBACK}:{ready_port}")
 
     def put(self, kind: str, name: str, spec: Any) -> bool:
-        """Write an object as the operator does."""
+        """Write an object as an operator does."""
         url = f"http://{self.running['store'].address}/objects/{kind}"
         body = msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
         resp = self.http.request("PUT", f"{url}/{name}", body=body)
@@ -141,20 +141,20 @@
         return resp.status == 200
 
     def put_config(self, config: dict[str, Any]) -> bool:
-        """Write a configuration as the operator does."""
+        """Write a configuration as an operator does."""
         return self.put("config", "main", config)
 
     def ready(self, name: str) -> bool:
-        """Whether an entry says that it is ready."""
+        """Whether an entry reports that it is ready."""
         resp = self.http.request("GET", f"http://{self.running[name].control}/ready")
         return resp.status == 200
 
     def metric(self, name: str, metric: str) -> float:
         """Return a gauge or the sum of a counter of an entry."""
         resp = self.http.request("GET", f"http://{self.running[name].control}/metrics")
-        rows = [line for line in resp.data.decode().splitlines() if line.startswith(metric)]
-        return sum(float(line.rsplit(" ", 1)[1]) for line in rows)
+        samples = [line for line in resp.data.decode().splitlines() if line.startswith(metric)]
+        return sum(float(line.rsplit(" ", 1)[1]) for line in samples)
 
     def knows(self, name: str, targets: int) -> bool:
-        """Whether an entry knows of so many targets."""
+        """Whether an entry reports this number of known targets."""
         return self.metric(name, "filbertstream_targets_known") == targets
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -1,18 +1,19 @@
 """A target on the users' platform: a model runner (``--model``) or an application service.
 
-It registers itself in the platform store, answers requests with its signature, streams numbered
-events, keeps parts of prompts by namespace, takes orders for weights, and drops the work of a
-connection that closes.  ``/counts`` on the control port gives what ran: request ids, cancelled
-streams, orders, weights.
+It registers itself in the object store, signs its responses, streams numbered events, caches
+blocks of prompts by namespace, accepts orders for weights, and cancels the work of a connection
+that closes.  ``/counts`` on the control port returns what ran: request ids, cancelled streams,
+orders, weights.
 
-A prompt of the product's own interface gets words made from it, so that answers can't be mixed up
-unseen; ``/counts`` also gives how often each ``reference`` of a JSON body ran.
+The response to a prompt of the product's own interface is derived from the prompt, so that a
+mix-up of responses is detected; ``/counts`` also returns how often each ``reference`` of a JSON
+body ran.
 
 Faults beside the common ones: ``drain`` reports that the target is leaving, ``refuse`` (counted)
-answers 503 as not run, ``error`` (counted) answers 500, ``lose`` (counted) runs a request and cuts
-the connection, ``cut_stream`` (counted) cuts a stream in the middle of an event, ``stall``
-(counted) stops one there, ``crossed`` (counted) answers with another request's id, ``run_s`` makes
-a plain call take longer, ``event_s`` is the time between events.
+responds with 503 and not run, ``error`` (counted) responds with 500, ``lose`` (counted) runs a
+request and closes the connection, ``cut_stream`` (counted) closes the connection in the middle of
+an event, ``stall`` (counted) stops sending there, ``crossed`` (counted) responds with another
+request's id, ``run_s`` makes a plain call take longer, ``event_s`` is the time between events.
 """
 
 import hashlib
@@ -25,19 +26,29 @@
 import msgspec
 import urllib3
 
-from standins.base import Cut, Environ, Faults, Start, parser, read, read_json, reply, serve
+from standins.base import (
+    DropConnection,
+    Environ,
+    Faults,
+    Start,
+    parser,
+    read,
+    read_json,
+    reply,
+    serve,
+)
 from standins.runner_cache import RunnerCache
 
-BEAT_S: Final = 0.3
+HEARTBEAT_S: Final = 0.3
 CACHE_TOKENS: Final = 100_000
-EVENTS: Final = 8
+DEFAULT_EVENTS: Final = 8
 EVENT_S: Final = 0.02
-LOAD_S: Final = 0.2
+SWAP_S: Final = 0.2
 STALL_S: Final = 30.0
 
 
 def _reference(body: bytes) -> str:
-    """Return what a JSON body asks for, or nothing."""
+    """Return the ``reference`` of a JSON body, or an empty string."""
     try:
         fields = msgspec.json.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError):
@@ -45,25 +56,25 @@
     return str(fields.get("reference", "")) if isinstance(fields, dict) else ""
 
 
-def answer_words(prompt: str, count: int) -> list[str]:
-    """Return the words that a runner answers a prompt of the product's interface with."""
+def response_tokens(prompt: str, count: int) -> list[str]:
+    """Return the tokens with which a runner responds to a prompt of the product's interface."""
     seed = hashlib.blake2b(prompt.encode(), digest_size=4).hexdigest()
     return [f"{seed}-{index} " for index in range(count)]
 
 
-def _words(environ: Environ, body: bytes) -> list[str]:
-    """Return the texts of the events that answer a call."""
+def _event_data(environ: Environ, body: bytes) -> list[str]:
+    """Return the data of the events that make up the response to a call."""
     try:
         fields = msgspec.json.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError):
         fields = None
     if not isinstance(fields, dict):
-        return [f"token {number}" for number in range(1, EVENTS + 1)]
-    count = int(environ.get("HTTP_TOKEN_COUNT", f"0,{EVENTS}").partition(",")[2])
+        return [f"token {number}" for number in range(1, DEFAULT_EVENTS + 1)]
+    count = int(environ.get("HTTP_TOKEN_COUNT", f"0,{DEFAULT_EVENTS}").partition(",")[2])
     if "prompt" in fields:
-        return answer_words(str(fields["prompt"]), count)
-    said = [f"{item['role']}\x1f{item['content']}\x1e" for item in fields["messages"]]
-    return answer_words("".join(said), count)
+        return response_tokens(str(fields["prompt"]), count)
+    messages = [f"{item['role']}\x1f{item['content']}\x1e" for item in fields["messages"]]
+    return response_tokens("".join(messages), count)
 
 
 class Target:
@@ -76,7 +87,7 @@
         self._weights = 1
         self._orders = 0
         self._loading_until_s = 0.0
-        self._beat = 0
+        self._heartbeat = 0
         self._cache = RunnerCache(options.cache_tokens)
         self.ran: list[str] = []
         self.references: Counter[str] = Counter()
@@ -118,9 +129,9 @@
                 return reply(start, 409, None)
             self._orders += 1
             self._cache.clear()
-            self._loading_until_s = time.monotonic() + LOAD_S
+            self._loading_until_s = time.monotonic() + SWAP_S
             self.orders.append({**order, "at_s": time.monotonic()})
-            threading.Timer(LOAD_S, self._loaded, (order["version"],)).start()
+            threading.Timer(SWAP_S, self._loaded, (order["version"],)).start()
         return reply(start, 202, None)
 
     def _loaded(self, version: int) -> None:
@@ -150,7 +161,7 @@
             self.ran.append(request_id)
             self.references[reference] += 1
         if self._faults.take("lose"):
-            raise Cut
+            raise DropConnection
         if self._faults.take("crossed"):
             request_id = "another"
         headers = {
@@ -175,37 +186,37 @@
         headers: dict[str, str],
         body: bytes,
     ) -> Iterable[bytes]:
-        self._cache.take_in(environ)
+        self._cache.read_prompt(environ)
         fields = {**headers, "Content-Type": "text/event-stream"}
         fields["Weight-Versions"] = str(self._weights)
         start("200 OK", list(fields.items()))
         first = int(environ.get("HTTP_LAST_EVENT_ID", "0") or 0) + 1
-        return self._events(request_id, first, _words(environ, body))
+        return self._events(request_id, first, _event_data(environ, body))
 
-    def _events(self, request_id: str, first: int, words: list[str]) -> Iterator[bytes]:
+    def _events(self, request_id: str, first: int, tokens: list[str]) -> Iterator[bytes]:
         cut, stall = self._faults.take("cut_stream"), self._faults.take("stall")
         try:
-            for number in range(first, len(words) + 1):
+            for number in range(first, len(tokens) + 1):
                 time.sleep(self._faults.get("event_s") or self._options.event_s)
-                event = f"id: {number}\ndata: {words[number - 1]}\n\n".encode()
+                event = f"id: {number}\ndata: {tokens[number - 1]}\n\n".encode()
                 if cut and number == first + 2:
                     yield event[:9]
-                    raise Cut
+                    raise DropConnection
                 if stall and number == first + 2:
                     yield event[:9]
                     time.sleep(STALL_S)
-                    raise Cut
+                    raise DropConnection
                 yield event
         except GeneratorExit:
             self.cancelled.append(request_id)
             raise
 
     def register(self) -> None:
-        """Keep the registration fresh until the process is ended."""
+        """Renew the registration with each heartbeat until the process is ended."""
         pool = urllib3.PoolManager(retries=False, timeout=1.0)
         url = f"http://{self._options.store}/objects/servers"
         while True:
-            self._beat += 1
+            self._heartbeat += 1
             spec = {
                 "service": self._options.service,
                 "address": self._options.address or self._options.listen,
@@ -214,7 +225,7 @@
                 "slots": self._options.slots,
                 "state": "draining" if self._faults.get("drain") else "ready",
                 "cold_left_ms": 0,
-                "seq": self._beat,
+                "seq": self._heartbeat,
                 "models": (
                     [{"name": self._options.model, "version": self._weights, "adapters": []}]
                     if self._options.model
@@ -229,7 +240,7 @@
                     pool.request("POST", url, body=body)
             except urllib3.exceptions.HTTPError:
                 pool.clear()
-            time.sleep(BEAT_S)
+            time.sleep(HEARTBEAT_S)
 
 
 def main() -> None:
@@ -237,8 +248,10 @@
     found = parser("stand-in for a target on the users' platform")
     found.add_argument("--id", required=True)
     found.add_argument("--service", required=True)
-    found.add_argument("--store", required=True, help="address of the platform store")
-    found.add_argument("--address", default="", help="what to register, if it is another one")
+    found.add_argument("--store", required=True, help="address of the object store")
+    found.add_argument(
+        "--address", default="", help="address to register, if not the listen address"
+    )
     found.add_argument("--model", default="")
     found.add_argument("--slots", type=int, default=8)
     found.add_argument("--data-center", default="dc1")
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,4 +1,4 @@
-"""Processes on loopback for the demo, the tests and the benches, ended by whoever started them."""
+"""Processes on loopback for the demo, the tests and the benches, each ended by its starter."""
 
 import os
 import random
@@ -16,44 +16,47 @@
 import urllib3
 
 ROOT: Final = Path(__file__).resolve().parent.parent
-READY_WITHIN_S: Final = 20.0
+READY_TIMEOUT_S: Final = 20.0
 POLL_S: Final = 0.05
-END_WITHIN_S: Final = 10.0
-CALL_S: Final = 30.0
+END_TIMEOUT_S: Final = 10.0
+CALL_TIMEOUT_S: Final = 30.0
 LOOPBACK: Final = "127.0.0.1"
 FIRST_PORT: Final = 12_000
 """Above the ports of well-known services."""
 
 LAST_PORT: Final = 32_000
-"""Below the ports that the system gives to outgoing connections (32,768 and up by default)."""
+"""Below the ephemeral ports of outgoing connections (32,768 and up by default)."""
 
-BLOCK: Final = 200
-"""Ports of a block; a fleet of the tests takes a few dozen."""
+BLOCK_PORTS: Final = 200
+"""Ports in a block; a fleet of the tests uses a few dozen."""
 
 
 class PortPool:
-    """Hands out loopback ports: each once, and none that another process could take for itself.
+    """Allocates loopback ports: each only once, and none that another process might be given.
 
-    The system gives outgoing connections ports of its own range, and gives one that was closed to
-    whoever asks next.  So the pool stays below that range and remembers what it gave away.  Pools
-    of several processes keep apart by blocks: whoever has bound a block's first port owns it.
+    The system assigns ephemeral ports to outgoing connections and reuses a closed one for the next
+    request.  The pool therefore stays below the ephemeral range and never returns a port twice.
+    Pools of several processes use separate blocks: the process that has bound the first port of a
+    block owns the block.
     """
 
     def __init__(self, first: int = FIRST_PORT, last: int = LAST_PORT) -> None:
-        self._blocks = [range(start, start + BLOCK) for start in range(first, last, BLOCK)]
+        self._blocks = [
+            range(start, start + BLOCK_PORTS) for start in range(first, last, BLOCK_PORTS)
+        ]
         random.Random(os.getpid()).shuffle(self._blocks)
-        self._owned: list[socket.socket] = []
-        self._left: list[int] = []
+        self._block_sockets: list[socket.socket] = []
+        self._free_ports: list[int] = []
         self._lock = threading.Lock()
 
     def take(self) -> int:
-        """Return a port that nobody listens on; raises ``OSError`` when none is left."""
+        """Return a port on which nothing listens; raises ``OSError`` if none is left."""
         with self._lock:
             while True:
-                if not self._left:
+                if not self._free_ports:
                     self._take_block()
-                port = self._left.pop()
-                sock = _bound(port)
+                port = self._free_ports.pop()
+                sock = _try_bind(port)
                 if sock is not None:
                     sock.close()
                     return port
@@ -61,20 +64,20 @@
     def _take_block(self) -> None:
         while self._blocks:
             block = self._blocks.pop()
-            sock = _bound(block[0])
+            sock = _try_bind(block[0])
             if sock is not None:
-                self._owned.append(sock)
-                self._left = list(block[1:])
+                self._block_sockets.append(sock)
+                self._free_ports = list(block[1:])
                 return
-        raise OSError("no loopback port is left")
+        raise OSError("no loopback port is left: all blocks are in use")
 
     def close(self) -> None:
-        """Give the blocks up."""
-        for sock in self._owned:
+        """Release the blocks."""
+        for sock in self._block_sockets:
             sock.close()
 
 
-def _bound(port: int) -> socket.socket | None:
+def _try_bind(port: int) -> socket.socket | None:
     sock = socket.socket()
     try:
         sock.bind((LOOPBACK, port))
@@ -88,7 +91,7 @@
 
 
 def free_port() -> int:
-    """Return a loopback port that is free now and that this process never gave away before."""
+    """Return a free loopback port that this process has not allocated before."""
     return _PORTS.take()
 
 
@@ -107,28 +110,28 @@
 
 
 class Processes:
-    """Processes by name; ``close`` ends exactly those that were started here."""
+    """Processes by name; ``close`` ends only those that were started here."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.running: dict[str, Running] = {}
-        self.http = urllib3.PoolManager(retries=False, timeout=CALL_S, maxsize=64)
+        self.http = urllib3.PoolManager(retries=False, timeout=CALL_TIMEOUT_S, maxsize=64)
         self._ports: dict[str, int] = {}
 
     def port(self, name: str) -> int:
-        """Return the port of that name, the same each time."""
+        """Return the port allocated for a name, the same on each call."""
         if name not in self._ports:
             self._ports[name] = free_port()
         return self._ports[name]
 
-    def spawn(self, name: str, words: list[str], address: str, control: str) -> None:
-        """Start a module with its words."""
+    def spawn(self, name: str, args: list[str], address: str, control: str) -> None:
+        """Start a Python module with its command-line arguments."""
         self.folder.mkdir(parents=True, exist_ok=True)
         log = self.folder / f"{name}.log"
         env = {**os.environ, "PYTHONPATH": str(ROOT)}
         with log.open("ab") as sink:
             process = subprocess.Popen(
-                [sys.executable, "-m", *words],
+                [sys.executable, "-m", *args],
                 stdout=sink,
                 stderr=subprocess.STDOUT,
                 env=env,
@@ -136,26 +139,26 @@
             )
         self.running[name] = Running(process, address, control, log)
 
-    def start_standin(self, name: str, words: list[str]) -> None:
-        """Start a stand-in, with the ports that it had."""
+    def start_standin(self, name: str, args: list[str]) -> None:
+        """Start a stand-in, on the same ports as before if it ran already."""
         address = f"{LOOPBACK}:{self.port(name)}"
         control = f"{LOOPBACK}:{self.port(name + ' control')}"
-        self.spawn(name, [*words, "--listen", address, "--control", control], address, control)
+        self.spawn(name, [*args, "--listen", address, "--control", control], address, control)
 
     def wait(
-        self, done: Callable[[], bool], within_s: float = READY_WITHIN_S, what: str = ""
+        self, done: Callable[[], bool], within_s: float = READY_TIMEOUT_S, what: str = ""
     ) -> None:
-        """Wait until something holds; raises ``TimeoutError`` naming it."""
+        """Poll until ``done`` returns true; raises ``TimeoutError`` with ``what``."""
         end_s = time.monotonic() + within_s
         while time.monotonic() < end_s:
             try:
                 if done():
                     return
             except urllib3.exceptions.HTTPError:
-                # Whoever is asked is not there yet, which is what is waited for.
+                # The process does not accept connections yet, so poll again.
                 pass
             time.sleep(POLL_S)
-        raise TimeoutError(f"not within {within_s} s: {what}")
+        raise TimeoutError(f"condition not met within {within_s} s: {what}")
 
     def fault(self, name: str, **values: float) -> None:
         """Set faults of a stand-in."""
@@ -163,16 +166,16 @@
         self.http.request("POST", url, body=msgspec.json.encode(values))
 
     def counts(self, name: str) -> Any:
-        """Return what a stand-in has counted."""
+        """Return the counts of a stand-in."""
         resp = self.http.request("GET", f"http://{self.running[name].control}/counts")
         return msgspec.json.decode(resp.data)
 
     def signal(self, name: str, number: int) -> None:
-        """Send a signal to a process that was started here."""
+        """Send a signal to a process."""
         self.running[name].process.send_signal(number)
 
     def kill(self, name: str) -> None:
-        """End a process at once."""
+        """Kill a process and wait for its end."""
         self.signal(name, signal.SIGKILL)
         self.running[name].process.wait()
 
@@ -188,4 +191,4 @@
                 running.process.send_signal(signal.SIGCONT)
                 running.process.kill()
         for running in self.running.values():
-            running.process.wait(END_WITHIN_S)
+            running.process.wait(END_TIMEOUT_S)
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -6,7 +6,7 @@
 import urllib3
 
 from standins.fleet import Fleet
-from standins.platform_runner import answer_words
+from standins.platform_runner import response_tokens
 
 WORKSPACE = "bethesda-tours"
 OTHER = "gwydir-cellars"
@@ -30,7 +30,7 @@
 
 
 def expected(text: str, tokens: int = 12) -> str:
-    return "".join(answer_words(f"user\x1f{text}\x1e", tokens))
+    return "".join(response_tokens(f"user\x1f{text}\x1e", tokens))
 
 
 def runs(fleet: Fleet, reference: str) -> int:
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -14,7 +14,7 @@
 from filbertstream.cli import EXIT_NO_ADDRESS
 from filbertstream.names import digest_key
 from standins.platform_fleet import BOUNDS
-from standins.processes import BLOCK, LOOPBACK, ROOT, PortPool, free_port
+from standins.processes import BLOCK_PORTS, LOOPBACK, ROOT, PortPool, free_port
 
 ENDS_WITHIN_S = 30.0
 FIRST_PORT_FOR_CONNECTIONS = 32_768
@@ -27,7 +27,7 @@
         with pytest.raises(OSError, match="no loopback port"):
             PortPool(first, first + 1).take()
     pool = PortPool()
-    ports = [pool.take() for _ in range(2 * BLOCK)]
+    ports = [pool.take() for _ in range(2 * BLOCK_PORTS)]
     pool.close()
     assert len(set(ports)) == len(ports)
     assert max(ports) < FIRST_PORT_FOR_CONNECTIONS
@@ -35,7 +35,7 @@
 
 def test_pools_of_several_processes_share_no_port() -> None:
     pools = [PortPool() for _ in range(4)]
-    ports = [pool.take() for pool in pools for _ in range(BLOCK // 2)]
+    ports = [pool.take() for pool in pools for _ in range(BLOCK_PORTS // 2)]
     for pool in pools:
         pool.close()
     assert len(set(ports)) == len(ports)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from standins.loopback_proxy import LOOK_S
+from standins.loopback_proxy import FAULT_POLL_S
 from standins.processes import LOOPBACK, Processes, free_port
 
 ANSWER_S = 5.0
@@ -99,7 +99,7 @@
     before = connect(processes, server=proxied)
     assert ask(before) == 200
     processes.fault(proxied, **{fault: 1})
-    time.sleep(2 * LOOK_S)
+    time.sleep(2 * FAULT_POLL_S)
     before.sock.settimeout(SILENT_S)
     with pytest.raises(TimeoutError):
         ask(before)
@@ -115,7 +115,7 @@
     before = connect(processes, server=proxied)
     assert ask(before) == 200
     processes.fault(proxied, **{fault: 1})
-    time.sleep(5 * LOOK_S)
+    time.sleep(5 * FAULT_POLL_S)
     with pytest.raises(OSError, match=r"."):
         ask(before if fault == "reset" else connect(processes, server=proxied))
     processes.fault(proxied, **{fault: 0})
