--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -1,11 +1,12 @@
-"""Draws deployments that nobody tuned for, and plays overlapping faults on each in virtual time.
+"""Draws random deployments and injects overlapping faults into each in virtual time.
 
     python -m bench.deployments [--seeds 100] [--first 1]
 
-A seed gives the numbers of data centers, entries, runners, services and stores, their sizes, the
-workspaces, the shapes of prompts, the operators' bounds, all names, the work and the faults.  The
-invariants are those of the fault matrix (``bench.faults``), from what callers and targets see; once
-the faults are over, every entry must serve again.
+Nothing is tuned for these deployments.  A seed determines the numbers of data centers, entries,
+runners, services and cache stores, their sizes, the workspaces, the shapes of prompts, the
+operators' bounds, all names, the work and the faults.  The invariants are those of the fault matrix
+(``bench.faults``), as observed by callers and targets; after the faults have ended, every entry
+must serve again.
 """
 
 import argparse
@@ -29,23 +30,23 @@
 WORK_S: Final = 30.0
 STEP_S: Final = 0.25
 REPAIR_S: Final = 30.0
-LEAST_FAULTS: Final = 3
-MOST_FAULTS: Final = 6
+MIN_FAULTS: Final = 3
+MAX_FAULTS: Final = 6
 LARGE_SEED: Final = 1_000_000
-"""Seeds from here on draw fleets in which entries rely on others' word."""
+"""Seeds from here on draw fleets so large that entries read the object store through relays."""
 
-MOST_NAMINGS: Final = 3
-FAULT_LEAST_S: Final = 0.5
-FAULT_MOST_S: Final = 10.0
+MAX_WEIGHT_CHANGES: Final = 3
+MIN_FAULT_S: Final = 0.5
+MAX_FAULT_S: Final = 10.0
 SYLLABLES: Final = ("ba", "du", "fe", "go", "ki", "lo", "mu", "ne", "pi", "ru", "sa", "te", "vo")
-ONE_WAY: Final = frozenset({"target leaving"})
-"""Faults that nothing ends: at most one of these in a play, since targets must be left."""
+UNENDING_FAULTS: Final = frozenset({"target leaving"})
+"""Faults that never end: at most one of them in a run, so that enough targets remain."""
 
 
 class Deployment(NamedTuple):
-    """What a seed has drawn; ``runner_rates`` are tokens that each runner reads in a second.
+    """The deployment of a seed; ``runner_rates`` are the tokens each runner prefills per second.
 
-    ``histories`` are the parts of the prompts that return.
+    ``histories`` are the cache blocks of the returning prompts.
     """
 
     seed: int
@@ -63,11 +64,11 @@
     calls_per_step: int
 
 
-class Planned(NamedTuple):
-    """A fault: when it begins, how long it lasts, and the entry that it is about."""
+class PlannedFault(NamedTuple):
+    """A fault: its begin, its duration and the entry that it affects."""
 
     at_s: float
-    for_s: float
+    duration_s: float
     label: str
     member: str
 
@@ -79,13 +80,15 @@
     (True, False)
     """
     rng = random.Random(f"deployment-{seed}")
-    more = 0 if seed < LARGE_SEED else DIRECT_READ_MEMBERS
+    extra_entries = 0 if seed < LARGE_SEED else DIRECT_READ_MEMBERS
     centers = tuple(_name(rng) for _ in range(rng.randint(1, 5)))
-    entries = tuple(f"{_name(rng)}-{number}" for number in range(rng.randint(2, 14) + more))
-    shared = rng.randint(0, 6)
-    part_tokens = rng.choice((128, 700, 2_000, 4_096))
+    entries = tuple(
+        f"{_name(rng)}-{number}" for number in range(rng.randint(2, 14) + extra_entries)
+    )
+    blocks_per_history = rng.randint(0, 6)
+    block_tokens = rng.choice((128, 700, 2_000, 4_096))
     histories = tuple(
-        tuple(PromptBlock(f"{number}-{index}", part_tokens) for index in range(shared))
+        tuple(PromptBlock(f"{number}-{index}", block_tokens) for index in range(blocks_per_history))
         for number in range(rng.randint(1, 30))
     )
     return Deployment(
@@ -98,7 +101,8 @@
             1,
             slots=rng.choice((4, 16, 64, 256)),
             cache_tokens=max(
-                rng.choice((30_000, 80_000, 250_000, 600_000)), 4 * shared * part_tokens
+                rng.choice((30_000, 80_000, 250_000, 600_000)),
+                4 * blocks_per_history * block_tokens,
             ),
         ),
         tuple(rng.uniform(15_000, 120_000) for _ in range(rng.randint(3, 12))),
@@ -126,36 +130,39 @@
         retry_ratio=rng.uniform(0.05, 0.4),
         retry_window_s=rng.uniform(5.0, 20.0),
         lease_s=rng.uniform(1.0, 6.0),
-        # An entry that is out of touch learns of new weights only when it is back.
+        # A stale entry observes new weights only after it is current again.
         version_s=revoke_s + rng.uniform(2.0, 10.0),
     )
 
 
-def plan(deployment: Deployment) -> list[Planned]:
-    """Return the faults of a deployment's seed, which may overlap and come more than once."""
+def plan(deployment: Deployment) -> list[PlannedFault]:
+    """Return the faults of a deployment's seed, which may overlap and repeat."""
     rng = random.Random(f"faults-{deployment.seed}")
-    found: list[Planned] = []
-    for _ in range(rng.randint(LEAST_FAULTS, MOST_FAULTS)):
+    faults: list[PlannedFault] = []
+    for _ in range(rng.randint(MIN_FAULTS, MAX_FAULTS)):
         label = rng.choice(sorted(FAULTS))
-        if label in ONE_WAY and any(planned.label in ONE_WAY for planned in found):
+        if label in UNENDING_FAULTS and any(planned.label in UNENDING_FAULTS for planned in faults):
             continue
-        at_s = rng.uniform(0.0, WORK_S - FAULT_MOST_S / 2)
-        for_s = rng.uniform(FAULT_LEAST_S, FAULT_MOST_S)
-        found.append(Planned(at_s, for_s, label, rng.choice(deployment.entries)))
-    return sorted(found)
+        at_s = rng.uniform(0.0, WORK_S - MAX_FAULT_S / 2)
+        duration_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        faults.append(PlannedFault(at_s, duration_s, label, rng.choice(deployment.entries)))
+    return sorted(faults)
 
 
 def build(deployment: Deployment) -> World:
-    """Return a world of the deployment that takes requests; raises ``AssertionError`` if not."""
+    """Return a ready world of the deployment; raises ``AssertionError`` if it isn't ready."""
     world = World(deployment.seed, deployment.bounds)
     centers = deployment.data_centers
     for number, name in enumerate(deployment.entries):
         world.add_entry(name, centers[number % len(centers)])
-    for number, rate in enumerate(deployment.runner_rates):
+    for number, prefill_tokens_per_s in enumerate(deployment.runner_rates):
         runner = world.add_runner(
             f"r{number}", centers[number % len(centers)], deployment.model.name
         )
-        runner.rate, runner.cache_tokens = rate, deployment.model.cache_tokens
+        runner.prefill_tokens_per_s, runner.cache_tokens = (
+            prefill_tokens_per_s,
+            deployment.model.cache_tokens,
+        )
     for number in range(deployment.service_targets):
         world.add_service(f"s{number}", centers[number % len(centers)], deployment.service)
     for number in range(deployment.stores):
@@ -167,20 +174,20 @@
         service=deployment.service,
     )
     stores = [world.store_document(name) for name in world.stores]
-    ended = world.apply([*documents, *stores])
-    if ended.state != "accepted":
-        raise AssertionError(ended)
+    result = world.apply([*documents, *stores])
+    if result.state != "accepted":
+        raise AssertionError(result)
     ready = world.run_until(
         lambda: all(core.ready(world.now_s) for core in world.cores.values()), START_S
     )
     if not ready:
-        raise AssertionError("entries are not ready")
+        raise AssertionError("entries did not become ready in time")
     world.run(SAVE_HOLDOFF_S + 1.0)
     return world
 
 
 def play(seed: int) -> list[str]:
-    """Play a seed; return everything that must not have happened."""
+    """Run a seed; return all violations of the invariants."""
     deployment = draw(seed)
     world = build(deployment)
     checks = Checks(world)
@@ -191,13 +198,13 @@
     world.run(REPAIR_S)
     serve_everywhere(world, checks, deployment.model.name, deployment.service, _keys(deployment)[0])
     checks.at_end()
-    return checks.broken
+    return checks.violations
 
 
-def _schedule(world: World, planned: Planned) -> None:
+def _schedule(world: World, planned: PlannedFault) -> None:
     def begin() -> None:
         end = FAULTS[planned.label](world, planned.member)
-        world.after(planned.for_s, end)
+        world.after(planned.duration_s, end)
 
     world.after(planned.at_s, begin)
 
@@ -207,14 +214,14 @@
 
 
 def _work(deployment: Deployment, world: World, checks: Checks) -> None:
-    """Ask for prompts and bookings, and name new weights on the way, some soon after others."""
+    """Submit prompts and bookings, and name new weights meanwhile, some in quick succession."""
     rng = random.Random(f"work-{deployment.seed}")
 
     def name_weights(version: int) -> None:
         checks.name_weights(deployment.model._replace(version=version))
 
     at_s = 0.0
-    for version in range(2, 2 + rng.randint(1, MOST_NAMINGS)):
+    for version in range(2, 2 + rng.randint(1, MAX_WEIGHT_CHANGES)):
         at_s += rng.uniform(0.0, WORK_S / 2)
         world.after(at_s, functools.partial(name_weights, version))
     keys, model, service = _keys(deployment), deployment.model.name, deployment.service
@@ -227,13 +234,13 @@
             world.request(
                 member, "model", key, model, tokens, blocks, out_tokens=rng.randint(1, 60)
             )
-            once = f"{number // 2}-{call}"
-            world.request(member, "service", key, service, idempotency_key=f"{key} {once}")
+            booking = f"{number // 2}-{call}"
+            world.request(member, "service", key, service, idempotency_key=f"{key} {booking}")
         world.run(STEP_S)
 
 
 def main() -> int:
-    """Play seeds and print those on which something went wrong."""
+    """Run seeds and print the violations."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=100)
     parser.add_argument("--first", type=int, default=1)
@@ -241,12 +248,12 @@
     seeds = range(options.first, options.first + options.seeds)
     with ProcessPoolExecutor(4) as pool:
         results = dict(zip(seeds, pool.map(play, seeds), strict=True))
-    for seed, broken in results.items():
-        for text in broken:
+    for seed, violations in results.items():
+        for text in violations:
             print(f"seed {seed}: {text}")
-    wrong = sum(1 for broken in results.values() if broken)
-    print(f"{len(results)} deployments, {wrong} with a promise broken")
-    return 1 if wrong else 0
+    failed = sum(1 for violations in results.values() if violations)
+    print(f"{len(results)} deployments, {failed} with violations")
+    return 1 if failed else 0
 
 
 if __name__ == "__main__":
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -1,6 +1,6 @@
-"""Fakes at the interfaces of the core, in virtual time: the platform's store, targets, stores.
+"""Fakes at the interfaces of the core, in virtual time: object store, targets, cache stores.
 
-They keep the counts that checks need.  Nothing here takes a decision of the system's;
+They count what the checks need.  All decisions under test are made by the cores, none here;
 ``bench.world`` connects fakes and cores.
 """
 
@@ -30,23 +30,23 @@
 CACHE_TOKENS: Final = 300_000
 LINK_TOKENS_PER_S: Final = 600_000.0
 STORE_TOKENS: Final = 40_000_000
-LOAD_S: Final = 0.4
+SWAP_S: Final = 0.4
 PORT: Final = 80
 
-Answer = Result[Any, ObjectStoreFailure]
+CallResult = Result[Any, ObjectStoreFailure]
 
 
 class FakeObjects:
-    """The platform's store: objects with revisions, conditional writes, a history to watch.
+    """The object store: objects with revisions, conditional writes, a history to watch.
 
-    ``down`` refuses every call, ``lose_answers`` counts writes that are carried out and not
-    answered, ``late_writes`` counts those that are carried out seconds later and not answered.
+    ``down`` refuses every call; the next ``lose_responses`` writes are carried out without a
+    response, the next ``late_writes`` writes are carried out ``LATE_WRITE_S`` later without one.
     """
 
     def __init__(self, after: Callable[[float, Callable[[], object]], None]) -> None:
         self.objects: dict[str, dict[str, StoredObject]] = {}
         self.down = False
-        self.lose_answers = 0
+        self.lose_responses = 0
         self.late_writes = 0
         self.calls: Counter[str] = Counter()
         self.revision = 0
@@ -58,15 +58,19 @@
         self.calls["reads"] += 1
         if self.down:
             return Err(ObjectStoreFailure.REFUSED)
-        found = tuple(self.objects.get(kind, {}).values())
-        return Ok(Listing(sent_at_s, self.revision, found))
+        listed = tuple(self.objects.get(kind, {}).values())
+        return Ok(Listing(sent_at_s, self.revision, listed))
 
     def watch(self, kind: str, since: int, sent_at_s: float) -> Result[Changes, ObjectStoreFailure]:
         """Return what changed after a revision."""
         self.calls["reads"] += 1
         if self.down:
             return Err(ObjectStoreFailure.REFUSED)
-        changes = [item for at, of, item in self._history if of == kind and at > since]
+        changes = [
+            item
+            for revision_at, changed_kind, item in self._history
+            if changed_kind == kind and revision_at > since
+        ]
         return Ok(Changes(sent_at_s, self.revision, tuple(changes)))
 
     def read(self, kind: str, name: str) -> Result[StoredObject | None, ObjectStoreFailure]:
@@ -87,7 +91,7 @@
         return self._write(kind, name, content, revision)
 
     def register(self, kind: str, name: str, content: Any) -> None:
-        """Write an object as its owner does; one that stays as it was is not a change."""
+        """Write an object as its owner does; an unchanged one is not recorded as a change."""
         raw = msgspec.json.encode(content)
         present = self.objects.get(kind, {}).get(name)
         if not self.down and (present is None or bytes(present.content) != raw):
@@ -100,7 +104,7 @@
             return Err(ObjectStoreFailure.REFUSED)
         stored = self.objects.get(kind, {}).pop(name, None)
         if stored is not None:
-            self._note(kind, stored, True)
+            self._record_change(kind, stored, True)
         return Ok(Written(stored is not None, None))
 
     def _write(
@@ -111,11 +115,11 @@
             return Err(ObjectStoreFailure.REFUSED)
         if self.late_writes > 0:
             self.late_writes -= 1
-            self._after(LATE_S, lambda: self._apply(kind, name, content, revision))
+            self._after(LATE_WRITE_S, lambda: self._apply(kind, name, content, revision))
             return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
         written = self._apply(kind, name, content, revision)
-        if self.lose_answers > 0:
-            self.lose_answers -= 1
+        if self.lose_responses > 0:
+            self.lose_responses -= 1
             return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
         return Ok(written)
 
@@ -126,21 +130,21 @@
             return Written(False, present)
         raw = msgspec.Raw(msgspec.json.encode(content))
         stored = objects[name] = StoredObject(name, self.revision + 1, raw)
-        self._note(kind, stored, False)
+        self._record_change(kind, stored, False)
         return Written(True, stored)
 
-    def _note(self, kind: str, stored: StoredObject, removed: bool) -> None:
+    def _record_change(self, kind: str, stored: StoredObject, removed: bool) -> None:
         self.revision += 1
         self._history.append((self.revision, kind, Change(stored, removed)))
 
 
-LATE_S: Final = 3.0
-"""How much later a write that was not answered may be carried out."""
+LATE_WRITE_S: Final = 3.0
+"""Delay after which a write without a response is still carried out."""
 
 
 @dataclass
 class FakeCacheStore:
-    """A store of kept cache and its link, which transfers one part after another."""
+    """A cache store and its link, which transfers one block at a time."""
 
     name: str
     data_center: str
@@ -156,22 +160,27 @@
     link_busy_s: float = 0.0
 
     def transfer(self, now_s: float, tokens: int) -> float:
-        """Book a transfer; return when it ends."""
-        seconds = tokens / self.tokens_per_s
-        self.link_free_s = max(now_s, self.link_free_s) + seconds
-        self.link_busy_s += seconds
+        """Queue a transfer on the link; return when it ends."""
+        transfer_s = tokens / self.tokens_per_s
+        self.link_free_s = max(now_s, self.link_free_s) + transfer_s
+        self.link_busy_s += transfer_s
         return self.link_free_s
 
     def save(self, key: tuple[str, str], tokens: int) -> None:
-        """Take a part in, if there is room."""
-        held = sum(self.blocks.values())
-        if self.dead or self.full or key in self.blocks or held + tokens > self.capacity_tokens:
+        """Save a block if it fits."""
+        used_tokens = sum(self.blocks.values())
+        if (
+            self.dead
+            or self.full
+            or key in self.blocks
+            or used_tokens + tokens > self.capacity_tokens
+        ):
             return
         self.blocks[key] = tokens
         self.events.append(CacheChange(True, key, tokens))
 
     def free(self, key: tuple[str, str]) -> None:
-        """Drop a part."""
+        """Free a block."""
         tokens = self.blocks.pop(key, None)
         if tokens is not None:
             self.events.append(CacheChange(False, key, tokens))
@@ -179,9 +188,9 @@
 
 @dataclass
 class FakeTarget:
-    """A runner (``model``) or a plain service, with what ran there.
+    """A runner (``model``) or a plain service, with a record of what ran.
 
-    ``weights`` of a runner change ``LOAD_S`` after an order; prompts are read one after another.
+    ``weights`` of a runner change ``SWAP_S`` after an order; prompts are prefilled one at a time.
     """
 
     name: str
@@ -190,13 +199,13 @@
     model: str = ""
     weights: int = 1
     run_s: float = 0.01
-    rate: float = PREFILL_TOKENS_PER_S
+    prefill_tokens_per_s: float = PREFILL_TOKENS_PER_S
     dead: bool = False
     draining: bool = False
-    lose: int = 0
+    lose_responses: int = 0
     orders: int = 0
     loading_until_s: float = 0.0
-    free_s: float = 0.0
+    prefill_free_s: float = 0.0
     running: int = 0
     waiting: int = 0
     cache_tokens: int = CACHE_TOKENS
@@ -204,10 +213,10 @@
     runs: "Counter[str]" = field(default_factory=Counter)
     ran: set[str] = field(default_factory=set)
     accepted_orders: list[tuple[float, int, str]] = field(default_factory=list)
-    computed_tokens: int = 0
+    prefilled_tokens: int = 0
 
-    def entry(self) -> TargetRegistration:
-        """Return its registration."""
+    def registration(self) -> TargetRegistration:
+        """Return the target's registration."""
         weights = {self.model: self.weights} if self.model else {}
         return TargetRegistration(
             self.name,
@@ -221,31 +230,31 @@
             1,
         )
 
-    def read(
+    def queue_prompt(
         self,
         prompt: Prompt,
-        orders: CacheDirectives,
+        directives: CacheDirectives,
         stores: dict[str, FakeCacheStore],
         now_s: float,
     ) -> float:
-        """Queue a prompt; return when its first token comes."""
-        start_s = max(now_s, self.free_s)
-        ready_s, computed = now_s, prompt.tokens
-        fetches = orders.fetch or ("",) * len(prompt.blocks)
+        """Queue a prompt; return the time of its first token."""
+        start_s = max(now_s, self.prefill_free_s)
+        ready_s, to_prefill = now_s, prompt.tokens
+        fetches = directives.fetch or ("",) * len(prompt.blocks)
         for block, fetch in zip(prompt.blocks, fetches, strict=True):
-            key = (orders.namespace, block.block_id)
+            key = (directives.namespace, block.block_id)
             store = stores.get(fetch.partition("/")[0])
             if key in self.cache:
-                computed -= block.tokens
+                to_prefill -= block.tokens
             elif store is not None and not store.dead and key in store.blocks:
                 ready_s = store.transfer(now_s, block.tokens)
-                computed -= block.tokens
-            self._keep(key, block.tokens)
-        self.computed_tokens += computed
-        self.free_s = start_s + computed / self.rate
-        return max(start_s, ready_s) + computed / self.rate
+                to_prefill -= block.tokens
+            self._cache_block(key, block.tokens)
+        self.prefilled_tokens += to_prefill
+        self.prefill_free_s = start_s + to_prefill / self.prefill_tokens_per_s
+        return max(start_s, ready_s) + to_prefill / self.prefill_tokens_per_s
 
-    def _keep(self, key: tuple[str, str], tokens: int) -> None:
+    def _cache_block(self, key: tuple[str, str], tokens: int) -> None:
         self.cache[key] = tokens
         self.cache.move_to_end(key)
         while sum(self.cache.values()) > self.cache_tokens:
--- a/bench/fault_table.py
+++ b/bench/fault_table.py
@@ -1,6 +1,6 @@
-"""The steps and the faults of the matrix: what shows a step, what a fault does and what ends it.
+"""The steps and faults of the matrix: which action marks a step, how a fault begins and ends.
 
-``bench.faults`` runs them against each other.
+``bench.faults`` runs every combination.
 """
 
 import functools
@@ -24,16 +24,16 @@
 JOINER: Final = "e6"
 
 SLOW_S: Final = 0.6
-"""The latency of a slow store."""
+"""The latency of a slow object store."""
 
-Seen = Callable[[Any], bool]
+IsStep = Callable[[Any], bool]
 Fault = Callable[[World, str], Callable[[], None]]
 
 FAULTS: dict[str, Fault] = {}
 
 
 def fault(name: str) -> Callable[[Fault], Fault]:
-    """Register a fault; it returns what ends it."""
+    """Register a fault; its function returns a callable that ends it."""
 
     def register(function: Fault) -> Fault:
         FAULTS[name] = function
@@ -55,7 +55,7 @@
     return directives is not None and (what == "prompt" or any(getattr(directives, what)))
 
 
-STEPS: Final[dict[str, Seen]] = {
+STEPS: Final[dict[str, IsStep]] = {
     "claim": lambda action: isinstance(action, ClaimKey),
     "send": lambda action: _sends(action, "plain"),
     "settle": lambda action: (
@@ -81,11 +81,11 @@
     if member in world.cores:
         world.kill(member)
 
-    def again() -> None:
+    def restart() -> None:
         if member not in world.cores:
             world.add_entry(member)
 
-    return again
+    return restart
 
 
 @fault("all killed")
@@ -114,11 +114,11 @@
 
 @fault("cut off from all")
 def _isolate(world: World, member: str) -> Callable[[], None]:
-    mend = _cut(world, member)
+    restore = _cut(world, member)
     world.store_cut.add(member)
 
     def end() -> None:
-        mend()
+        restore()
         world.store_cut.discard(member)
 
     return end
@@ -138,8 +138,8 @@
 
 @fault("answers lost after the write")
 def _lost(world: World, member: str) -> Callable[[], None]:
-    world.objects.lose_answers = 3
-    return lambda: setattr(world.objects, "lose_answers", 0)
+    world.objects.lose_responses = 3
+    return lambda: setattr(world.objects, "lose_responses", 0)
 
 
 @fault("writes carried out late")
@@ -161,12 +161,12 @@
 
 @fault("target dead")
 def _dead(world: World, member: str) -> Callable[[], None]:
-    hit = _first_of_each(world)
-    for target in hit:
+    affected = _first_of_each(world)
+    for target in affected:
         target.dead = True
 
     def end() -> None:
-        for target in hit:
+        for target in affected:
             target.dead = False
 
     return end
@@ -182,7 +182,7 @@
 def _cut_after_run(world: World, member: str) -> Callable[[], None]:
     def cut(count: int) -> None:
         for target in world.targets.values():
-            target.lose = count
+            target.lose_responses = count
 
     cut(3)
     return lambda: cut(0)
@@ -233,7 +233,7 @@
 
 @fault("operators race")
 def _race(world: World, member: str) -> Callable[[], None]:
-    revision = max(ended.revision for _, ended in world.applied)
+    revision = max(result.revision for _, result in world.applied)
     for number in range(3):
         world.apply([Model("model", f"raced-{number}", 1)], revision)
     return lambda: None
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -1,10 +1,10 @@
-"""The fault matrix over the core in virtual time: every fault at every step, and some twice.
+"""The fault matrix of the core in virtual time: every fault at every step, and some repeated.
 
     python -m bench.faults [--write docs/FAULTS.md]
 
-A cell runs the same work (prompts that return, bookings, changes, a roll-out, a join, a drain) and
-brings its fault about the first time that its step is seen.  Invariants are checked all along;
-after the fault is over, new work must be served everywhere.
+Each cell runs the same work (returning prompts, bookings, changes, a roll-out, a join, a drain) and
+injects its fault when its step first occurs.  Invariants are checked throughout; after the fault
+has ended, every entry must serve new work.
 """
 
 import argparse
@@ -26,30 +26,30 @@
     Objectives,
 )
 
-FAULT_S: Final = 9.0
-AGAIN_S: Final = 12.0
+FAULT_DURATION_S: Final = 9.0
+REPEAT_DELAY_S: Final = 12.0
 WORK_S: Final = 24.0
 REPAIR_S: Final = 30.0
-ROUND_S: Final = 0.5
+ROUND_INTERVAL_S: Final = 0.5
 DEADLINE_S: Final = 12.0
-CHANGE_S: Final = 4.0
-JOIN_S: Final = 6.0
-DRAIN_S: Final = 8.0
+NAME_WEIGHTS_AT_S: Final = 4.0
+JOIN_AT_S: Final = 6.0
+DRAIN_AT_S: Final = 8.0
 MARGIN_S: Final = 0.5
-"""Kept from bounds that are told in wall time: steps of the world are not instants."""
+"""Added to bounds, since the steps of the world take time."""
 
 SEED: Final = 11
 
 HISTORIES: Final = tuple(
     tuple(PromptBlock(f"part-{number}-{index}", 2_000) for index in range(4)) for number in range(5)
 )
-"""Prompts that return; together they have enough parts to be worth freeing."""
+"""Returning prompts; together they have enough blocks to be worth freeing."""
 
 DOCUMENTS: Final = world_documents({"w": "k"}, Objectives(deadline_s=DEADLINE_S))
 
 
 class Result(NamedTuple):
-    """What became of a cell: proved, failing (with what), or the step was not seen."""
+    """Result of a cell: proved, failing (with the violations), or its step did not occur."""
 
     step: str
     fault: str
@@ -62,54 +62,56 @@
 
     def __init__(self, world: World) -> None:
         self.world = world
-        self.broken: list[str] = []
-        self.namings: list[tuple[float, int]] = []
+        self.violations: list[str] = []
+        self.weights_named: list[tuple[float, int]] = []
         self.drained: set[str] = set()
 
     def on_action(self, member: str, action: Any) -> None:
-        """Check what a member is about to do."""
+        """Check an action of an entry."""
         if isinstance(action, SendCall):
             self._check_send(member, action)
 
     def _check_send(self, member: str, send: SendCall) -> None:
         world = self.world
         core = world.cores[member]
-        asked = world.asked[world.calls[member, send.call_id]]
+        submitted = world.submitted[world.calls[member, send.call_id]]
         config = core.authorizer.config
         bound_s = world.bounds.revoke_s + MARGIN_S
-        due = [
-            ended.revision
-            for at_s, ended in world.applied
-            if ended.state == "accepted" and asked.at_s - at_s > bound_s
+        due_revisions = [
+            result.revision
+            for at_s, result in world.applied
+            if result.state == "accepted" and submitted.at_s - at_s > bound_s
         ]
-        if config is None or config.version < max(due, default=0):
-            self._note(f"{member} takes work under a revision older than an accepted one")
+        if config is None or config.version < max(due_revisions, default=0):
+            self._add_violation(
+                f"{member} accepts work under a revision older than an accepted one"
+            )
         target = world.targets[send.target_id]
-        # An entry that is out of touch refuses everything after the same bound.
-        # The bound counts from when the store took the target's word that it leaves.
-        told_s = world.drain_told_s.get(target.name, world.now_s)
-        # An entry that is out of touch can't know, and sends only what it took in before.
-        in_touch = core.config_freshness.age_s(world.now_s) < world.bounds.contact_s
-        if (world.now_s if in_touch else asked.at_s) - told_s > bound_s:
-            self._note("new work for a leaving target")
-        # A runner refuses, as not run, what expects other weights than it has.
+        # A stale entry refuses everything after the same bound.
+        # The bound counts from when the object store accepted the target's draining state.
+        drain_s = world.drain_registered_s.get(target.name, world.now_s)
+        # A stale entry can't observe the drain; it sends only calls accepted before the bound.
+        is_current = core.config_freshness.age_s(world.now_s) < world.bounds.contact_s
+        if (world.now_s if is_current else submitted.at_s) - drain_s > bound_s:
+            self._add_violation("new work for a draining target")
+        # A runner rejects, as not run, a call that expects other weights than it has loaded.
         expected = None if send.cache is None else send.cache.weights
         if target.model and expected in (None, target.weights) and not target.dead:
             old_s = world.now_s - world.bounds.version_s - MARGIN_S
             due_weights = max(
-                (version for at_s, version in self.namings if at_s < old_s), default=1
+                (version for at_s, version in self.weights_named if at_s < old_s), default=1
             )
             if target.weights < due_weights:
-                self._note("new work on old weights after the bound")
+                self._add_violation("new work on outdated weights after the bound")
 
     def name_weights(self, model: Model) -> None:
         """Name weights as an operator does."""
         if self.world.apply([model]).state == "accepted":
-            self.namings.append((self.world.now_s, model.version))
+            self.weights_named.append((self.world.now_s, model.version))
 
-    def _note(self, text: str) -> None:
-        if text not in self.broken:
-            self.broken.append(text)
+    def _add_violation(self, text: str) -> None:
+        if text not in self.violations:
+            self.violations.append(text)
 
     def at_end(self) -> None:
         """Check every request's outcomes, every booking's runs and every runner's orders."""
@@ -120,22 +122,22 @@
         )
         for (at_s, fence, holder), (next_s, next_fence, other) in itertools.pairwise(orders):
             if next_fence < fence:
-                self._note("an order with an older fence was carried out")
+                self._add_violation("an order with an older fence was carried out")
             if other != holder and next_s - at_s < self.world.bounds.lease_s:
-                self._note("orders of two holders within a lease")
+                self._add_violation("orders of two leaders within one lease")
 
     def _check_outcomes(self) -> None:
         world = self.world
         for request_id, outcomes in world.outcomes.items():
-            asked = world.asked[request_id]
+            submitted = world.submitted[request_id]
             if len(outcomes) > 1:
-                self._note(f"{len(outcomes)} outcomes for one request")
-            if not outcomes and asked.member not in world.killed:
-                self._note("a request got no final answer")
+                self._add_violation(f"{len(outcomes)} outcomes for one request")
+            if not outcomes and submitted.member not in world.killed:
+                self._add_violation("a request got no final response")
             if not outcomes or outcomes[0].run != "not_run":
                 continue
             if any(request_id in target.ran for target in world.targets.values()):
-                self._note("a request ran that was refused as not run")
+                self._add_violation("a request ran that was refused as not run")
 
     def _check_bookings(self) -> None:
         runs: Counter[str] = Counter()
@@ -143,17 +145,17 @@
             if not target.model:
                 runs.update(target.runs)
         for request_id, outcomes in self.world.outcomes.items():
-            idempotency_key = self.world.asked[request_id].head.idempotency_key
+            idempotency_key = self.world.submitted[request_id].head.idempotency_key
             served = bool(outcomes) and outcomes[0].kind in ("answered", "kept")
             if idempotency_key is not None and served and runs[idempotency_key.key] != 1:
-                self._note("a booking was answered and did not run once")
+                self._add_violation("a booking got a response and did not run exactly once")
         for count in runs.values():
             if count > 1:
-                self._note("a booking ran twice")
+                self._add_violation("a booking ran twice")
 
 
 def build() -> World:
-    """Return a ready world of five entries."""
+    """Return a world of five ready entries."""
     world = World(SEED)
     for number, name in enumerate(ENTRIES):
         world.add_entry(name, f"dc{1 + number % 3}")
@@ -162,67 +164,67 @@
     for number in range(1, 4):
         world.add_service(f"s{number}", f"dc{number}")
     world.add_store("st1")
-    ended = world.apply([*DOCUMENTS, world.store_document("st1")])
+    result = world.apply([*DOCUMENTS, world.store_document("st1")])
     world.run_until(lambda: all(core.ready(world.now_s) for core in world.cores.values()), 5.0)
     world.run(9.0)
-    if ended.state != "accepted":
-        raise AssertionError(ended)
+    if result.state != "accepted":
+        raise AssertionError(result)
     return world
 
 
 def run_cell(cell: tuple[str, tuple[str, ...]]) -> Result:
-    """Run one cell: one step with one fault, or with several at once or one after another."""
+    """Run one cell: a step with one fault, with several at once, or with one repeated later."""
     name, faults = cell
     world = build()
     checks = Checks(world)
-    seen: list[float] = []
+    step_at_s: list[float] = []
 
-    def hook(member: str, action: Any) -> None:
+    def on_action(member: str, action: Any) -> None:
         checks.on_action(member, action)
-        if not seen and STEPS[name](action):
-            seen.append(world.now_s)
-            _bring_about(world, member, faults)
+        if not step_at_s and STEPS[name](action):
+            step_at_s.append(world.now_s)
+            _inject(world, member, faults)
 
-    world.on_action = hook
+    world.on_action = on_action
     _work(world, checks)
     world.run(REPAIR_S)
     serve_everywhere(world, checks)
     checks.at_end()
     label = " + ".join(faults)
-    if not seen:
+    if not step_at_s:
         return Result(name, label, "not seen", "")
-    if checks.broken:
-        return Result(name, label, "failing", "; ".join(checks.broken))
+    if checks.violations:
+        return Result(name, label, "failing", "; ".join(checks.violations))
     return Result(name, label, "proved", "")
 
 
-def _bring_about(world: World, member: str, faults: tuple[str, ...]) -> None:
-    """Begin the faults now, all at once; the same one twice comes again later."""
-    twice = len(faults) == 2 and faults[0] == faults[1]
+def _inject(world: World, member: str, faults: tuple[str, ...]) -> None:
+    """Begin all faults now; if the same one is given twice, the second begins later."""
+    is_repeated = len(faults) == 2 and faults[0] == faults[1]
     for index, label in enumerate(faults):
-        delay_s = AGAIN_S if twice and index else 0.0
+        delay_s = REPEAT_DELAY_S if is_repeated and index else 0.0
 
         def begin(label: str = label) -> None:
             end = FAULTS[label](world, member)
-            world.after(FAULT_S, end)
+            world.after(FAULT_DURATION_S, end)
 
         world.after(delay_s, begin)
 
 
 def _work(world: World, checks: Checks) -> None:
-    """Give the same work in every cell."""
+    """Run the same work in every cell."""
 
     def name_weights() -> None:
         checks.name_weights(Model("model", "m", 2))
 
     def drain() -> None:
         checks.drained.add("e4")
-        world.give("e4", StopRequested())
+        world.deliver("e4", StopRequested())
 
-    world.after(CHANGE_S, name_weights)
-    world.after(JOIN_S, lambda: world.add_entry(JOINER, "dc1"))
-    world.after(DRAIN_S, drain)
-    for number in range(int(WORK_S / ROUND_S)):
+    world.after(NAME_WEIGHTS_AT_S, name_weights)
+    world.after(JOIN_AT_S, lambda: world.add_entry(JOINER, "dc1"))
+    world.after(DRAIN_AT_S, drain)
+    for number in range(int(WORK_S / ROUND_INTERVAL_S)):
         members = sorted(
             name for name in world.cores if name not in world.paused and name not in checks.drained
         )
@@ -233,27 +235,27 @@
             world.request(member, tokens=8_500, blocks=blocks, out_tokens=40)
             world.request(member, "service", idempotency_key=f"b{number}")
             world.request(other, "service", idempotency_key=f"b{number}")
-        world.run(ROUND_S)
+        world.run(ROUND_INTERVAL_S)
 
 
 def serve_everywhere(
     world: World, checks: Checks, model: str = "m", service: str = "s", key: str = "k"
 ) -> None:
-    """New work must be served by every entry that has not been drained."""
-    asked = []
+    """Check that every entry that has not been drained serves new work."""
+    submitted = []
     for name, core in world.cores.items():
         if not core.stopping:
             idempotency_key = f"after-{name}"
-            asked.append(world.request(name, "model", key, model, tokens=300))
-            asked.append(
+            submitted.append(world.request(name, "model", key, model, tokens=300))
+            submitted.append(
                 world.request(name, "service", key, service, idempotency_key=idempotency_key)
             )
     world.run(6.0)
-    for request_id in asked:
+    for request_id in submitted:
         kinds = [outcome.kind for outcome in world.outcomes[request_id]]
         if kinds != ["answered"]:
             code = "".join(outcome.code for outcome in world.outcomes[request_id])
-            checks.broken.append(f"not served after the fault ({code or 'no outcome'})")
+            checks.violations.append(f"not served after the fault ({code or 'no outcome'})")
             return
 
 
@@ -292,7 +294,7 @@
     if failing:
         lines += ["", "## Failing", ""]
         lines += [f"- {item.step}, {item.fault}: {item.detail}" for item in failing]
-    over = [
+    processes_section = [
         "",
         "## Over real processes",
         "",
@@ -301,7 +303,7 @@
         "booking cut after it ran; a caller that leaves; a store that is torn, full or down.",
         "",
     ]
-    return "\n".join([*lines, *over])
+    return "\n".join([*lines, *processes_section])
 
 
 def main() -> int:
--- a/bench/guard.py
+++ b/bench/guard.py
@@ -1,10 +1,13 @@
-"""What a guard is, for ``bench.guards``."""
+"""The type of a guard, for ``bench.guards``."""
 
 from typing import NamedTuple
 
 
 class Guard(NamedTuple):
-    """A guard: what it protects, the text that takes it out, and the check that must go red."""
+    """A guard: the rule that it protects, its code, the code without it, and the test that must fail.
+
+    ``present`` is the guard's code in ``file``; ``without`` replaces it to remove the guard.
+    """
 
     name: str
     file: str
@@ -12,4 +15,4 @@
     without: str
     check: str
     also_present: str = ""
-    """A second place in the same file that alone would do: it is taken out together with it."""
+    """A second place in the same file that would suffice alone; it is removed as well."""
--- a/bench/guards.py
+++ b/bench/guards.py
@@ -1,8 +1,8 @@
-"""Takes guards out one at a time, on a copy of the tree, and shows which check goes red.
+"""Removes guards one at a time, on a copy of the tree, and reports whether their checks fail.
 
     python -m bench.guards [--write docs/GUARDS.md]
 
-A guard whose check stays green is listed as unproved and makes the exit code 1.
+A guard whose check still passes is listed as unproved and makes the exit code 1.
 """
 
 import argparse
@@ -20,36 +20,36 @@
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 COPIED: Final = ("filbertstream", "bench", "standins", "tests", "configs", "docs", "pyproject.toml")
-AT_ONCE: Final = 4
-RUN_LIMIT_S: Final = 300
+MAX_WORKERS: Final = 4
+CHECK_TIMEOUT_S: Final = 300
 
 
-def goes_red(guard: Guard) -> bool:
+def check_fails(guard: Guard) -> bool:
     """Whether the guard's check fails on a copy of the tree without the guard."""
     with tempfile.TemporaryDirectory() as folder:
         for name in COPIED:
             source = ROOT / name
             copy = shutil.copytree if source.is_dir() else shutil.copy
             copy(source, Path(folder) / name)
-        file = Path(folder) / "filbertstream" / guard.file
-        text = file.read_text()
+        guarded_file = Path(folder) / "filbertstream" / guard.file
+        text = guarded_file.read_text()
         if guard.present not in text:
-            raise LookupError(f"guard {guard.name!r} is not in {guard.file} any more")
+            raise LookupError(f"guard {guard.name!r}: its code was not found in {guard.file}")
         text = text.replace(guard.present, guard.without, 1)
         if guard.also_present:
             text = text.replace(guard.also_present, "if False:", 1)
-        file.write_text(text)
+        guarded_file.write_text(text)
         command = [sys.executable, "-m", "pytest", "-q", "-x", guard.check]
         environment = {"PYTHONPATH": folder, "PATH": "", "NO_SHRINK": "1"}
-        done = subprocess.run(
+        completed = subprocess.run(
             command,
             cwd=folder,
             env=environment,
             capture_output=True,
             check=False,
-            timeout=RUN_LIMIT_S,
+            timeout=CHECK_TIMEOUT_S,
         )
-    return done.returncode == 1
+    return completed.returncode == 1
 
 
 def page(rows: list[tuple[Guard, bool]]) -> str:
@@ -73,13 +73,13 @@
 
 
 def main() -> int:
-    """Run all guards and print a row for each."""
+    """Check all guards and print a row for each."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--write", type=Path)
     options = parser.parse_args()
     guards = (*KEY_GUARDS, *GATEWAY_GUARDS)
-    with ThreadPoolExecutor(AT_ONCE) as pool:
-        rows = list(zip(guards, pool.map(goes_red, guards), strict=True))
+    with ThreadPoolExecutor(MAX_WORKERS) as pool:
+        rows = list(zip(guards, pool.map(check_fails, guards), strict=True))
     for guard, red in rows:
         print(f"{'red' if red else 'GREEN'}  {guard.name}")
     if options.write is not None:
--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -1,5 +1,4 @@
-"""Guards of idempotency keys, operators' changes, terms and the product's edge, for
-``bench.guards``."""
+"""Guards of idempotency keys, operators' changes, limits and the I/O layer, for ``bench.guards``."""
 
 from typing import Final
 
@@ -7,7 +6,7 @@
 
 KEY_GUARDS: Final = (
     Guard(
-        "a claim without an answer does not count",
+        "a claim without a response does not count",
         "request/key_writes.py",
         "        if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n"
         "            continue",
@@ -23,7 +22,7 @@
         "tests/test_keys_machine.py",
     ),
     Guard(
-        "a claim that was given up is made impossible",
+        "an abandoned claim is made impossible",
         "request/key_writes.py",
         "    if present is None:\n"
         "        call = KeyCall(KeyAction.CREATE, settle.name, settle.record)\n",
@@ -31,7 +30,7 @@
         "tests/test_faults.py::test_a_claim_that_is_carried_out_late_leaves_its_key_free",
     ),
     Guard(
-        "a run whose caller left is not called free",
+        "a key whose caller disconnected during the run is not set free",
         "request/idempotency_keys.py",
         "ran = call.may_have_run or call.attempts > 0",
         "ran = call.may_have_run",
@@ -53,14 +52,14 @@
         "tests/test_whole_path.py::test_two_workspaces_may_use_the_same_key",
     ),
     Guard(
-        "an outcome that the store has not taken is written again",
+        "an outcome that the object store has not accepted is written again",
         "request/idempotency_keys.py",
         "        return [item.settle for item in due]",
         "        return []",
         "tests/test_faults.py::test_a_claim_that_is_carried_out_late_leaves_its_key_free",
     ),
     Guard(
-        "a key of a process that was replaced is not waited for",
+        "a key claimed by a replaced process is not waited for",
         "request/idempotency_keys.py",
         "if not self._alive(present.entry, present.incarnation):",
         "if False:",
@@ -77,7 +76,7 @@
         "test_a_change_written_between_read_and_write_is_not_lost",
     ),
     Guard(
-        "a change without an answer is not called refused",
+        "a change without a response is not reported as refused",
         "connection/document_store.py",
         'return ApplyResult("unsettled", base, "the platform has not answered the write")',
         'return ApplyResult("unavailable", base, "")',
@@ -99,7 +98,7 @@
         "tests/test_whole_path.py::test_a_leaving_target_gets_no_new_work_after_the_bound",
     ),
     Guard(
-        "a workspace keeps to its limits",
+        "a workspace is held to its limits",
         "request/admission.py",
         "if use.running >= max(1.0, workspace_limits.concurrent * share):",
         "if False:",
@@ -107,7 +106,7 @@
         "test_a_workspace_over_its_limits_is_refused_and_others_are_served",
     ),
     Guard(
-        "a refusal's weights are guessed from what the call expected",
+        "after a rejection the runner's weights are derived from those that the call expected",
         "request/forwarding.py",
         "target.note_weights(model, max(named, call.weights + 1))",
         "target.note_weights(model, max(named, target.weights.get(model, 0) + 1))",
@@ -115,7 +114,7 @@
         "test_many_calls_that_meet_newer_weights_at_once_leave_the_runner_usable",
     ),
     Guard(
-        "a long prompt is not sent elsewhere while it is read",
+        "a long prompt is not retried while it is prefilled",
         "request/send_timeouts.py",
         "longest_s, reading_s, wait_s)",
         "longest_s)",
@@ -129,14 +128,14 @@
         "tests/test_gateway_core.py::test_a_repeat_uses_a_new_connection",
     ),
     Guard(
-        "a link closes though a poll reports a message that is not there",
+        "a link closes although poll reports a message that is not there",
         "connection/peer_link.py",
         "socket.recv(zmq.NOBLOCK)",
         "socket.recv()",
         "tests/test_peer_link.py",
     ),
     Guard(
-        "names of parts are chained",
+        "block ids are chained",
         "request/prefix.py",
         "blake2b(block, key=chain, digest_size=BLOCK_ID_BYTES)",
         "blake2b(block, digest_size=BLOCK_ID_BYTES)",
--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -1,6 +1,6 @@
-"""The store's side of the virtual-time driver: watches, and the writes that cores ask for.
+"""The object store's side of the virtual-time driver: watches, and the writes of the cores.
 
-What a watch tells a core is worked out by the product's own ``connection.kind_watcher``.
+The results of watches are decoded by the product's own ``connection.watched_kinds``.
 """
 
 from collections.abc import Callable
@@ -37,18 +37,18 @@
     from bench.world import World
 
 LATENCY_S: Final = 0.003
-WATCH_S: Final = 0.25
-"""A change is seen by a watch that long after it was written, at most."""
+WATCH_DELAY_S: Final = 0.25
+"""A watch reports a change at most this long after it was written."""
 
-GATE_S: Final = 0.1
-"""How soon an entry begins to read what others don't tell it any more."""
+RELAYED_RECHECK_S: Final = 0.1
+"""Interval at which an entry with a relayed view checks whether it must read a kind itself."""
 
-UNANSWERED_S: Final = 1.5
-"""How long a call without an answer is waited for."""
+LOST_CALL_TIMEOUT_S: Final = 1.5
+"""Time after which a call without a response fails."""
 
 
 def registration(entry: TargetRegistration) -> dict[str, Any]:
-    """Return a target's registration as the store holds it."""
+    """Return a target's registration as stored in the object store."""
     return {
         "service": entry.service,
         "address": str(entry.address),
@@ -62,7 +62,7 @@
 
 
 class PlatformSide:
-    """Carries out what cores ask of the platform's store."""
+    """Carries out the object store calls of the cores."""
 
     def __init__(self, world: "World") -> None:
         self._world = world
@@ -72,32 +72,32 @@
         self.followed = tuple(item.followed for item in kinds)
 
     def follow(self, core: Gateway) -> None:
-        """Begin all watches of an entry."""
+        """Start all watches of an entry."""
         documents = DocumentWatch(CallerLimits())
         kinds = product_kinds(self._world.bounds, documents)
         self._watched[core.cfg.name] = {watched.kind: watched for watched in kinds}
         for item in self.followed:
-            self._ask(core, item.kind, None)
+            self._poll_kind(core, item.kind, None)
 
-    def show(self, core: Gateway, action: PublishKind) -> None:
-        """Decode what is new of a kind and tell it."""
+    def publish(self, core: Gateway, action: PublishKind) -> None:
+        """Decode the changes of a kind and deliver the events to the entry."""
         watched = self._watched[core.cfg.name][action.taken.kind]
-        publish_kind(watched, action.taken, lambda event: self._world.give(core.cfg.name, event))
+        publish_kind(watched, action.taken, lambda event: self._world.deliver(core.cfg.name, event))
 
-    def _ask(self, core: Gateway, kind: str, since: int | None) -> None:
-        """Make one call of a watch, and the next once it has ended."""
+    def _poll_kind(self, core: Gateway, kind: str, since: int | None) -> None:
+        """Make one call of a watch, and the next after it has ended."""
         world = self._world
         if world.cores.get(core.cfg.name) is not core:
             return
         if core.cfg.name in world.paused:
-            world.after(WATCH_S, lambda: self._ask(core, kind, since))
+            world.after(WATCH_DELAY_S, lambda: self._poll_kind(core, kind, since))
             return
         if not core.relayed_view.reads_kind(kind, world.now_s):
-            # Others tell it; what the watch has missed is listed when it is needed again.
-            world.after(GATE_S, lambda: self._ask(core, kind, None))
+            # A relay sends the updates; a later direct read begins with a listing.
+            world.after(RELAYED_RECHECK_S, lambda: self._poll_kind(core, kind, None))
             return
         sent_at_s = world.now_s
-        wait_s = WATCH_S if since is not None else 0.0
+        wait_s = WATCH_DELAY_S if since is not None else 0.0
 
         def carry_out() -> None:
             result: Any = Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
@@ -108,11 +108,11 @@
                     if since is None
                     else objects.watch(kind, since, sent_at_s)
                 )
-            self._tell(core, kind, since, result)
+            self._deliver_result(core, kind, since, result)
 
         world.after(wait_s + self.latency_s, carry_out)
 
-    def _tell(self, core: Gateway, kind: str, since: int | None, result: Any) -> None:
+    def _deliver_result(self, core: Gateway, kind: str, since: int | None, result: Any) -> None:
         world = self._world
         match result:
             case Err(fault):
@@ -121,27 +121,29 @@
                 events = [ObjectStoreResult(kind, True, ""), kind_observed(kind, since, found)]
                 since = found.as_of
         for event in events:
-            world.later(core, self.latency_s, event)
-        again_s = WATCH_S if isinstance(result, Err) else 0.0
-        world.after(self.latency_s + again_s, lambda: self._ask(core, kind, since))
-
-    def _call(self, core: Gateway, make: Callable[[], Any], then: Callable[[Any], object]) -> None:
-        """Make a call of an entry; ``then`` gets its result when the entry does."""
+            world.deliver_later(core, self.latency_s, event)
+        pause_s = WATCH_DELAY_S if isinstance(result, Err) else 0.0
+        world.after(self.latency_s + pause_s, lambda: self._poll_kind(core, kind, since))
+
+    def _call(
+        self, core: Gateway, make: Callable[[], Any], on_result: Callable[[Any], object]
+    ) -> None:
+        """Make a call for an entry; ``on_result`` gets the result after the latency."""
         world = self._world
 
         def carry_out() -> None:
-            cut = core.cfg.name in world.store_cut
-            result = Err(ObjectStoreFailure.OUTCOME_UNKNOWN) if cut else make()
-            unanswered = (
+            cut_off = core.cfg.name in world.store_cut
+            result = Err(ObjectStoreFailure.OUTCOME_UNKNOWN) if cut_off else make()
+            lost = (
                 isinstance(result, Err) and result.err_value is ObjectStoreFailure.OUTCOME_UNKNOWN
             )
-            delay_s = UNANSWERED_S if unanswered else self.latency_s
-            world.after(delay_s, lambda: then(result))
+            delay_s = LOST_CALL_TIMEOUT_S if lost else self.latency_s
+            world.after(delay_s, lambda: on_result(result))
 
         world.after(self.latency_s, carry_out)
 
-    def write_duty(self, core: Gateway, write: WriteLease) -> None:
-        """Write the duty's record and tell how that went."""
+    def write_lease(self, core: Gateway, write: WriteLease) -> None:
+        """Write the roll-out lease's record and deliver the outcome."""
         objects = self._world.objects
 
         def make() -> Any:
@@ -149,20 +151,21 @@
                 return objects.create(LEASES_KIND, ROLLOUT_LEASE_NAME, write.record)
             return objects.replace(LEASES_KIND, ROLLOUT_LEASE_NAME, write.record, write.revision)
 
-        def then(result: Any) -> None:
+        def on_result(result: Any) -> None:
             match result:
                 case Ok(written):
                     if not written.done:
-                        self._world.later(core, 0.0, LeaseWritten(True))
+                        self._world.deliver_later(core, 0.0, LeaseWritten(True))
                     if written.present is not None:
                         emit_lease_record(
-                            written.present, lambda event: self._world.later(core, 0.0, event)
+                            written.present,
+                            lambda event: self._world.deliver_later(core, 0.0, event),
                         )
                 case Err(fault):
                     event = LeaseWritten(fault is ObjectStoreFailure.REFUSED)
-                    self._world.later(core, 0.0, event)
+                    self._world.deliver_later(core, 0.0, event)
 
-        self._call(core, make, then)
+        self._call(core, make, on_result)
 
     def write_entry(self, core: Gateway, write: WriteEntry) -> None:
         """Register an entry."""
@@ -180,8 +183,8 @@
         objects = self._world.objects
         self._call(core, lambda: objects.remove(ENTRIES_KIND, remove.name), lambda result: None)
 
-    def key_call(self, core: Gateway, call: KeyCall, then: Callable[[KeyReply], None]) -> None:
-        """Make one call about an idempotency key; a paused entry goes on when it is resumed."""
+    def key_call(self, core: Gateway, call: KeyCall, on_result: Callable[[KeyReply], None]) -> None:
+        """Make one call for an idempotency key; a paused entry gets the reply when resumed."""
         objects = self._world.objects
 
         def make() -> Any:
@@ -196,9 +199,9 @@
             if self._world.cores.get(name) is not core:
                 return
             if name in self._world.paused:
-                self._world.after(WATCH_S, lambda: reply(result))
+                self._world.after(WATCH_DELAY_S, lambda: reply(result))
                 return
-            shown = read_reply if call.action is KeyAction.READ else write_reply
-            then(shown(result))
+            to_reply = read_reply if call.action is KeyAction.READ else write_reply
+            on_result(to_reply(result))
 
         self._call(core, make, reply)
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -138,7 +138,7 @@
 
 @fault("runner slow")
 def _slow(world: World) -> None:
-    world.targets["runner-1"].rate /= 5
+    world.targets["runner-1"].prefill_tokens_per_s /= 5
 
 
 @fault("platform out")
@@ -200,7 +200,7 @@
 
 
 def _computed(world: World) -> int:
-    return sum(target.computed_tokens for target in world.targets.values())
+    return sum(target.prefilled_tokens for target in world.targets.values())
 
 
 def _keep_conversations(world: World, deployment: Deployment, seed: int) -> None:
--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -108,7 +108,7 @@
             store = world.stores[name]
             wait_s = max(0.0, store.link_free_s - now_s) + count / store.tokens_per_s
             ready_s = max(ready_s, wait_s if count else 0.0)
-        return max(ready_s, runner.free_s - now_s) + tokens / runner.rate
+        return max(ready_s, runner.prefill_free_s - now_s) + tokens / runner.prefill_tokens_per_s
 
     def choose(
         request: PlacementRequest,
--- a/bench/world.py
+++ b/bench/world.py
@@ -1,8 +1,8 @@
 """Drives cores and fakes in virtual time: an event queue, no threads, no sockets, one seed.
 
-Tests bring about faults by setting the fields of fakes, ``cut`` links, ``store_cut``, ``paused``
-and killed members; measurements feed requests in and read the outcomes.  The same seed gives the
-same run.
+Tests inject faults through the fields of the fakes, ``cut`` (links between entries),
+``store_cut`` (entries cut off from the object store), ``paused`` and ``kill``; measurements submit
+requests and read the outcomes.  The same seed gives the same run.
 """
 
 import heapq
@@ -56,8 +56,8 @@
 from filbertstream.version.rollout import OrderWeights, PollReport
 
 TICK_S: Final = 0.05
-PEER_S: Final = 0.001
-BEAT_S: Final = 0.6
+PEER_LATENCY_S: Final = 0.001
+HEARTBEAT_S: Final = 0.6
 LISTED_WAIT_S: Final = 3.0
 
 BOUNDS: Final = Bounds(
@@ -78,7 +78,10 @@
 
 
 class Outcome(NamedTuple):
-    """How a request ended, and when; ``kind`` is answered, kept, refused or broken."""
+    """How a request ended, and when.
+
+    ``kind`` is answered, kept (a stored response was replayed), refused or broken.
+    """
 
     kind: str
     status: int
@@ -89,8 +92,8 @@
     retry_after_s: float | None
 
 
-class Asked(NamedTuple):
-    """A request as it was put in."""
+class Submitted(NamedTuple):
+    """A request as it was submitted."""
 
     head: CallHead
     member: str
@@ -99,7 +102,7 @@
 
 
 class World:
-    """Cores, fakes, and the queue of what happens next."""
+    """Cores, fakes, and the queue of future events."""
 
     def __init__(self, seed: int = 1, bounds: Bounds = BOUNDS) -> None:
         self.now_s = 100.0
@@ -116,10 +119,10 @@
         self.silent: set[str] = set()
         self.killed: set[str] = set()
         self.outcomes: dict[str, list[Outcome]] = {}
-        self.asked: dict[str, Asked] = {}
+        self.submitted: dict[str, Submitted] = {}
         self.applied: list[tuple[float, ApplyResult]] = []
         self.logs: list[tuple[float, str, Log]] = []
-        self.drain_told_s: dict[str, float] = {}
+        self.drain_registered_s: dict[str, float] = {}
         self.on_action: Callable[[str, Any], None] | None = None
         self.first_token_s: dict[str, float] = {}
         self.calls: dict[tuple[str, int], str] = {}
@@ -127,7 +130,7 @@
         self.platform = PlatformSide(self)
         self._order = itertools.count()
         self._queue: list[tuple[float, int, Callable[[], object]]] = []
-        self._held: dict[str, list[Any]] = {}
+        self._held_events: dict[str, list[Any]] = {}
         self._numbers = itertools.count(1)
         self._incarnations = itertools.count(1)
         self._handlers: dict[type, Callable[[Gateway, Any], None]] = {
@@ -137,27 +140,27 @@
             CancelSend: self.target_side.cancel,
             RelayResponse: lambda core, action: None,
             ContinueResponse: lambda core, action: None,
-            RespondLocally: self._answer,
-            ReplayResponse: self._answer_kept,
-            AbortResponse: self._break,
-            PollReport: self.target_side.poll,
-            OrderWeights: self.target_side.order,
-            PollCacheEvents: self.target_side.follow,
-            ListCacheBlocks: self.target_side.list,
-            FreeBlocks: self.target_side.free,
-            PublishKind: self.platform.show,
-            WriteLease: self.platform.write_duty,
+            RespondLocally: self._respond_locally,
+            ReplayResponse: self._replay,
+            AbortResponse: self._abort,
+            PollReport: self.target_side.poll_report,
+            OrderWeights: self.target_side.order_weights,
+            PollCacheEvents: self.target_side.poll_cache_events,
+            ListCacheBlocks: self.target_side.list_cache_blocks,
+            FreeBlocks: self.target_side.free_blocks,
+            PublishKind: self.platform.publish,
+            WriteLease: self.platform.write_lease,
             WriteEntry: self.platform.write_entry,
             RemoveEntry: self.platform.remove_entry,
-            ClaimKey: lambda core, claim: self._keyed(core, claim_steps(claim)),
-            SettleKey: lambda core, settle: self._keyed(core, settle_steps(settle)),
-            StopProcess: lambda core, action: self.give(core.cfg.name, StopRequested()),
+            ClaimKey: lambda core, claim: self._run_key_steps(core, claim_steps(claim)),
+            SettleKey: lambda core, settle: self._run_key_steps(core, settle_steps(settle)),
+            StopProcess: lambda core, action: self.deliver(core.cfg.name, StopRequested()),
         }
 
-    # Building
+    # Setting up
 
     def add_entry(self, name: str, data_center: str = "dc1") -> Gateway:
-        """Start a member, or a new incarnation of one."""
+        """Start an entry, or a new incarnation of one."""
         number = next(self._incarnations)
         cfg = GatewayConfig(
             name,
@@ -169,57 +172,57 @@
             self.platform.followed,
         )
         core = self.cores[name] = Gateway(cfg)
-        self._held.pop(name, None)
+        self._held_events.pop(name, None)
         self.after(0.0, lambda: self._tick(core))
         self.platform.follow(core)
         return core
 
     def kill(self, name: str) -> None:
-        """End a member at once."""
+        """Kill an entry."""
         del self.cores[name]
         self.killed.add(name)
 
     def add_runner(self, name: str, data_center: str = "dc1", model: str = "m") -> FakeTarget:
-        """Add a runner, which registers itself."""
+        """Add a runner, which renews its own registration."""
         return self._add_target(FakeTarget(name, model, data_center, model))
 
     def add_service(self, name: str, data_center: str = "dc1", service: str = "s") -> FakeTarget:
-        """Add a target of a plain service, which registers itself."""
+        """Add a target of a plain service, which renews its own registration."""
         return self._add_target(FakeTarget(name, service, data_center))
 
     def _add_target(self, target: FakeTarget) -> FakeTarget:
         self.targets[target.name] = target
-        self._beat(target)
+        self._heartbeat(target)
         return target
 
     def add_store(self, name: str, data_center: str = "dc1") -> FakeCacheStore:
-        """Add a store of kept cache; its document is ``store_document``."""
+        """Add a cache store; ``store_document`` returns its document."""
         address = f"10.9.0.{len(self.stores) + 1}:80"
         store = self.stores[name] = FakeCacheStore(name, data_center, address)
         return store
 
     def store_document(self, name: str) -> Store:
-        """Return the document of a store."""
+        """Return the document of a cache store."""
         store = self.stores[name]
         return Store("store", name, store.address, store.data_center, store.capacity_tokens)
 
-    def _beat(self, target: FakeTarget) -> None:
-        """Refresh a target's registration."""
+    def _heartbeat(self, target: FakeTarget) -> None:
+        """Renew a target's registration and schedule the next heartbeat."""
         if not target.dead and not self.objects.down:
-            entry = target.entry()
-            if entry.draining:
-                self.drain_told_s.setdefault(target.name, self.now_s)
-            self.objects.register(TARGETS_KIND, target.name, registration(entry))
-        self.after(BEAT_S, lambda: self._beat(target))
+            registered = target.registration()
+            if registered.draining:
+                self.drain_registered_s.setdefault(target.name, self.now_s)
+            self.objects.register(TARGETS_KIND, target.name, registration(registered))
+        self.after(HEARTBEAT_S, lambda: self._heartbeat(target))
 
     # Time
 
     def after(self, delay_s: float, do: Callable[[], object]) -> None:
-        """Have something happen later."""
+        """Schedule a call after a delay."""
         heapq.heappush(self._queue, (self.now_s + delay_s, next(self._order), do))
 
     def run(self, seconds: float) -> None:
-        """Let time pass."""
+        """Advance the virtual time and run what is due."""
         end_s = self.now_s + seconds
         while self._queue and self._queue[0][0] <= end_s:
             at_s, _, do = heapq.heappop(self._queue)
@@ -228,7 +231,7 @@
         self.now_s = end_s
 
     def run_until(self, holds: Callable[[], bool], within_s: float) -> bool:
-        """Let time pass until something holds; whether it did."""
+        """Advance the virtual time until a condition holds; return whether it does."""
         end_s = self.now_s + within_s
         while not holds() and self.now_s < end_s:
             self.run(TICK_S / 2)
@@ -237,18 +240,18 @@
     def _tick(self, core: Gateway) -> None:
         if self.cores.get(core.cfg.name) is not core:
             return
-        self.give(core.cfg.name, Tick())
+        self.deliver(core.cfg.name, Tick())
         self.after(TICK_S, lambda: self._tick(core))
 
     # Events in
 
-    def give(self, name: str, event: Any) -> None:
-        """Hand an event to a member now; a paused one gets it when it goes on."""
+    def deliver(self, name: str, event: Any) -> None:
+        """Deliver an event to an entry now, or when it is resumed if it is paused."""
         core = self.cores.get(name)
         if core is None:
             return
         if name in self.paused:
-            self._held.setdefault(name, []).append(event)
+            self._held_events.setdefault(name, []).append(event)
             return
         for action in core.step(self.now_s, event):
             if self.on_action is not None:
@@ -256,34 +259,34 @@
             self._handlers[type(action)](core, action)
 
     def resume(self, name: str) -> None:
-        """Let a paused member go on: it sees at once all that it missed."""
+        """Resume a paused entry and deliver all events held back meanwhile."""
         self.paused.discard(name)
-        for event in self._held.pop(name, []):
-            self.give(name, event)
+        for event in self._held_events.pop(name, []):
+            self.deliver(name, event)
 
-    def later(self, core: Gateway, delay_s: float, event: Any) -> None:
-        """Deliver an event to one life of a member, unless that has ended by then."""
+    def deliver_later(self, core: Gateway, delay_s: float, event: Any) -> None:
+        """Deliver an event to one incarnation of an entry, unless it has ended by then."""
 
-        def deliver() -> None:
+        def deliver_if_alive() -> None:
             if self.cores.get(core.cfg.name) is core:
-                self.give(core.cfg.name, event)
+                self.deliver(core.cfg.name, event)
 
-        self.after(delay_s, deliver)
+        self.after(delay_s, deliver_if_alive)
 
     def apply(self, changes: list[Change], base: int | None = None) -> ApplyResult:
-        """Make a change as an operator does through any entry."""
+        """Apply changes as an operator does through any entry."""
         store: Any = self.objects
-        ended = DocumentStore(store).apply(encode_changes(changes), base)
-        self.applied.append((self.now_s, ended))
-        return ended
+        result = DocumentStore(store).apply(encode_changes(changes), base)
+        self.applied.append((self.now_s, result))
+        return result
 
-    def ask(self, member: str, head: CallHead, out_tokens: int = 8) -> str:
-        """Put a request in; its outcomes land in ``outcomes``."""
+    def submit(self, member: str, head: CallHead, out_tokens: int = 8) -> str:
+        """Submit a request; its outcomes are added to ``outcomes``."""
         number = next(self._numbers)
         self.outcomes[head.request_id] = []
-        self.asked[head.request_id] = Asked(head, member, self.now_s, out_tokens)
+        self.submitted[head.request_id] = Submitted(head, member, self.now_s, out_tokens)
         self.calls[member, number] = head.request_id
-        self.give(member, CallArrived(number, head))
+        self.deliver(member, CallArrived(number, head))
         return head.request_id
 
     def request(
@@ -299,32 +302,32 @@
         deadline_s: float | None = None,
         out_tokens: int = 8,
     ) -> str:
-        """Put a request with common values in; return its id."""
+        """Submit a request with common values; return its id."""
         model = name or "m"
         host = model_host(model) if kind == "model" else service_host(name or "s", "POST")
         prompt = Prompt(model, tokens, out_tokens, blocks) if kind == "model" else None
-        once = None if idempotency_key is None else IdempotencyKey(idempotency_key, body)
+        idem_key = None if idempotency_key is None else IdempotencyKey(idempotency_key, body)
         request_id = f"req-{next(self._numbers)}"
-        head = CallHead(request_id, "POST", host, "/", key, deadline_s, 10, prompt, None, once)
-        return self.ask(member, head, out_tokens)
+        head = CallHead(request_id, "POST", host, "/", key, deadline_s, 10, prompt, None, idem_key)
+        return self.submit(member, head, out_tokens)
 
     # Actions out
 
     def _note_log(self, core: Gateway, action: Log) -> None:
         self.logs.append((self.now_s, core.cfg.name, action))
 
-    def _answer(self, core: Gateway, action: RespondLocally) -> None:
+    def _respond_locally(self, core: Gateway, action: RespondLocally) -> None:
         run = "may_have_run" if action.status in (502, 504) else "not_run"
         self._end(core, action.call_id, "refused", action, run)
 
-    def _answer_kept(self, core: Gateway, action: ReplayResponse) -> None:
+    def _replay(self, core: Gateway, action: ReplayResponse) -> None:
         self._end(core, action.call_id, "kept", None, "")
 
-    def _break(self, core: Gateway, action: AbortResponse) -> None:
+    def _abort(self, core: Gateway, action: AbortResponse) -> None:
         self._end(core, action.call_id, "broken", None, "may_have_run")
 
-    def answered(self, core: Gateway, call_id: int) -> None:
-        """Note that a caller has its whole answer."""
+    def record_complete(self, core: Gateway, call_id: int) -> None:
+        """Record that a caller has received its complete response."""
         self._end(core, call_id, "answered", None, "")
 
     def _end(
@@ -342,8 +345,8 @@
         )
         self.outcomes[request_id].append(outcome)
 
-    def kept_answer(self, request_id: str) -> BufferedResponse:
-        """Return the answer of a service to a request."""
+    def buffered_response(self, request_id: str) -> BufferedResponse:
+        """Return a service's response to a request, as stored for its idempotency key."""
         return BufferedResponse(200, "text/plain", request_id.encode())
 
     def _send_peer(self, core: Gateway, action: SendPeer) -> None:
@@ -351,32 +354,32 @@
         peer = self.cores.get(name)
         if peer is None or frozenset((core.cfg.name, name)) in self.cut:
             return
-        self.later(peer, PEER_S, PeerMessage(action.payload))
+        self.deliver_later(peer, PEER_LATENCY_S, PeerMessage(action.payload))
 
-    def _keyed(self, core: Gateway, steps: Generator[KeyCall, KeyReply, Any]) -> None:
-        """Make the writes of a key, each with the latency of the store."""
+    def _run_key_steps(self, core: Gateway, steps: Generator[KeyCall, KeyReply, Any]) -> None:
+        """Carry out the writes for an idempotency key, each with the object store's latency."""
 
         def step(reply: KeyReply | None) -> None:
             try:
                 call = next(steps) if reply is None else steps.send(reply)
-            except StopIteration as ended:
-                if ended.value is not None:
-                    self.later(core, 0.0, ended.value)
+            except StopIteration as stop:
+                if stop.value is not None:
+                    self.deliver_later(core, 0.0, stop.value)
                 return
             self.platform.key_call(core, call, step)
 
         step(None)
 
-    def is_out_of_touch(self, name: str) -> bool:
-        """Whether a member gets no answers from the store."""
+    def is_cut_off(self, name: str) -> bool:
+        """Whether an entry gets no responses from the object store."""
         return self.objects.down or name in self.store_cut
 
 
-def unwrapped(result: Any) -> Any:
-    """Return the value of an answered call, or None."""
+def value_or_none(result: Any) -> Any:
+    """Return the value of a successful call, or None."""
     match result:
         case Ok(value):
             return value
         case Err(_):
             return None
-    raise AssertionError(f"no result: {result!r}")
+    raise AssertionError(f"neither Ok nor Err: {result!r}")
--- a/tests/test_documents_machine.py
+++ b/tests/test_documents_machine.py
@@ -59,7 +59,7 @@
     def change(self, name: str, how: str, blind: bool, stale: bool) -> None:
         self.numbers += 1
         self.objects.down = how == "refused"
-        self.objects.lose_answers = how == "lost"
+        self.objects.lose_responses = how == "lost"
         self.objects.late_writes = how == "late"
         store: Any = self.objects
         before = self._read_revision()
@@ -70,7 +70,7 @@
         ended = documents.apply(encode_changes([Model("model", name, self.numbers)]), base)
         self.objects.read_fails = False
         self.objects.down = False
-        self.objects.lose_answers = self.objects.late_writes = 0
+        self.objects.lose_responses = self.objects.late_writes = 0
         self.states[self.numbers] = ended.state
         if ended.state == "accepted":
             self.accepted[name] = self.numbers
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -21,7 +21,7 @@
 def test_a_booking_cut_after_it_ran_is_not_repeated() -> None:
     world = ready_world()
     for target in world.targets.values():
-        target.lose = 1
+        target.lose_responses = 1
     first = world.request("e1", "service", idempotency_key="b")
     world.run(2.0)
     outcome = world.outcomes[first][0]
@@ -96,7 +96,7 @@
 
 def test_a_claim_whose_answer_was_lost_is_settled_and_runs_once() -> None:
     world = ready_world()
-    world.objects.lose_answers = 1
+    world.objects.lose_responses = 1
     request = world.request("e1", "service", idempotency_key="b")
     world.run(4.0)
     assert kinds(world, request) == ["answered"]
@@ -176,7 +176,7 @@
     first = world.request("e1", "service", idempotency_key="b")
     world.run(0.2)
     (call_id,) = [number for (_, number), request in world.calls.items() if request == first]
-    world.give("e1", CallerDisconnected(call_id))
+    world.deliver("e1", CallerDisconnected(call_id))
     world.run(2.0)
     second = world.request("e2", "service", idempotency_key="b")
     world.run(1.0)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -23,14 +23,14 @@
     world = ready_world()
     first = world.request("e1", tokens=20_100, blocks=(*PARTS, PromptBlock("first", 100)))
     world.run(5.0)
-    assert sum(target.computed_tokens for target in world.targets.values()) == 20_100
+    assert sum(target.prefilled_tokens for target in world.targets.values()) == 20_100
     (reader,) = [target for target in world.targets.values() if target.ran]
     reader.draining = True
     world.run(world.bounds.drain_s)
     again = world.request("e2", tokens=20_100, blocks=(*PARTS, PromptBlock("again", 100)))
     world.run(5.0)
     assert kinds(world, first) == kinds(world, again) == ["answered"]
-    assert sum(target.computed_tokens for target in world.targets.values()) == 20_200
+    assert sum(target.prefilled_tokens for target in world.targets.values()) == 20_200
 
 
 def test_a_booking_repeated_through_another_entry_runs_once() -> None:
@@ -124,7 +124,7 @@
 
 def test_a_lost_answer_of_a_change_is_looked_up() -> None:
     world = ready_world()
-    world.objects.lose_answers = 1
+    world.objects.lose_responses = 1
     ended = world.apply([Model("model", "m2", 1)])
     assert ended.state == "accepted"
     world.run(2.0)
@@ -163,7 +163,7 @@
     running = world.request("e1", out_tokens=150)
     booking = world.request("e1", "service", idempotency_key="b")
     world.run(0.1)
-    world.give("e1", StopRequested())
+    world.deliver("e1", StopRequested())
     world.run(world.bounds.grace_s - 1.0)
     refused = world.request("e1")
     world.run(1.0)
