--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,9 +1,9 @@
-"""Works docs/CAPACITY.md out from the measured slopes, so that page and slopes can't drift apart.
+"""Generates docs/CAPACITY.md from the measured slopes, so that page and slopes stay consistent.
 
     python -m bench.capacity [--write docs/CAPACITY.md]
 
-The target sizes are those of the users' first letter.  Assumptions that were not measured are named
-as such on the page.
+The target sizes are those of the users' first letter.  Assumptions that were not measured are
+marked as such on the page.
 """
 
 import argparse
@@ -31,9 +31,9 @@
 REQUESTS_PER_S: Final = 51_000
 TOKENS_PER_S: Final = 15_000_000
 WORKSPACES: Final = 35_000
-CENTERS: Final = 10
+DATA_CENTERS: Final = 10
 CHANGES_PER_DAY: Final = 39_000
-CONTROL_CORE_SHARE: Final = 0.013
+CONTROL_CORE_FRACTION: Final = 0.013
 CONTROL_BYTES: Final = 64e6
 CONTROL_BYTES_PER_S: Final = 2_000
 PLATFORM_READS_PER_S: Final = 2_000
@@ -41,19 +41,19 @@
 OBJECT_BYTES: Final = 1e6
 DAY_S: Final = 86_400
 
-KEY_SHARE: Final = 0.01
-"""Assumed share of requests with an idempotency key."""
+KEY_FRACTION: Final = 0.01
+"""Assumed fraction of requests with an idempotency key."""
 
 KEY_WRITES: Final = 2
-BEAT_S: Final = 1.2
-CHANGED_SHARE: Final = 1.0
-"""Assumed share of refreshed registrations that change; the store passes on no others."""
+HEARTBEAT_S: Final = 1.2
+CHANGED_FRACTION: Final = 1.0
+"""Assumed fraction of renewed registrations that change; watches report no others."""
 
-OWN_ROWS: Final = 100
+LOCAL_ROWS: Final = 100
 REVOKE_S: Final = 5.0
 DRAIN_S: Final = 2.0
 VERSION_S: Final = 8.0
-"""The bounds of today's deployments for removed keys, drains and old weights."""
+"""The bounds of current deployments for removed keys, drains and outdated weights."""
 
 RELAY_WAITS_S: Final = (
     RELAY_REVOKE_FRACTION * REVOKE_S,
@@ -62,13 +62,13 @@
     RELAY_TARGETS_FRACTION * DRAIN_S,
     ENTRIES_RELAY_WATCH.pause_s,
 )
-"""Least time between two calls of each of a relay's watches."""
+"""Minimum time between two calls of each of a relay's watches."""
 
-MEGABYTE: Final = 1e6
+BYTES_PER_MB: Final = 1e6
 
 
 class Line(NamedTuple):
-    """One number of the page: what, how much, the bound, and what carries it."""
+    """One figure of the page: what it is, its value, its bound, and the mechanism behind it."""
 
     what: str
     value: float
@@ -80,66 +80,69 @@
 
 def read(path: Path) -> dict[str, Any]:
     """Return a file of measured values."""
-    found: dict[str, Any] = json.loads(path.read_text())
-    return found
+    values: dict[str, Any] = json.loads(path.read_text())
+    return values
 
 
-def at(slopes: dict[str, Any], name: str, size: int) -> float:
-    """Return a slope's value at a size it was measured at."""
+def value_at(slopes: dict[str, Any], name: str, size: int) -> float:
+    """Return a slope's value at one of its measured sizes."""
     slope = slopes[name]
     return float(slope["values"][slope["sizes"].index(size)])
 
 
 def control_lines(slopes: dict[str, Any]) -> list[Line]:
-    """Return what a node spends on control."""
-    runners = RUNNERS // CENTERS
+    """Return the cost of control work for a node."""
+    runners = RUNNERS // DATA_CENTERS
     changes_per_s = CHANGES_PER_DAY / DAY_S
     messages_per_s = 1.0 / RELAYED_SEND_INTERVAL_S
-    work_us = messages_per_s * at(slopes, "fleet_in", MAX_ROWS)
-    refresh_us = RUNNERS / BEAT_S * CHANGED_SHARE * at(slopes, "refresh", runners)
-    change_us = changes_per_s * at(slopes, "change", WORKSPACES)
-    told = messages_per_s * at(slopes, "work_size", OWN_ROWS)
-    heard = messages_per_s * at(slopes, "fleet_size", MAX_ROWS)
-    size = at(slopes, "documents", WORKSPACES)
-    memory = at(slopes, "configuration", WORKSPACES) + at(slopes, "roster", 2_000) * RUNNERS / 2_000
+    work_us = messages_per_s * value_at(slopes, "fleet_in", MAX_ROWS)
+    renewal_us = RUNNERS / HEARTBEAT_S * CHANGED_FRACTION * value_at(slopes, "refresh", runners)
+    change_us = changes_per_s * value_at(slopes, "change", WORKSPACES)
+    sent_bytes_per_s = messages_per_s * value_at(slopes, "work_size", LOCAL_ROWS)
+    received_bytes_per_s = messages_per_s * value_at(slopes, "fleet_size", MAX_ROWS)
+    size = value_at(slopes, "documents", WORKSPACES)
+    memory = (
+        value_at(slopes, "configuration", WORKSPACES)
+        + value_at(slopes, "roster", 2_000) * RUNNERS / 2_000
+    )
     return [
         Line(
-            "processor: work told by others", work_us / 1e6, "of a core", CONTROL_CORE_SHARE,
+            "processor: work reported by peers", work_us / 1e6, "of a core", CONTROL_CORE_FRACTION,
             f"fleet_in at {MAX_ROWS} rows", "one message from a relay, five times a second",
         ),
         Line(
-            "processor: registrations", refresh_us / 1e6, "of a core", CONTROL_CORE_SHARE,
-            "refresh", "every entry takes every change in, from a relay",
+            "processor: registrations", renewal_us / 1e6, "of a core", CONTROL_CORE_FRACTION,
+            "refresh", "every entry receives every change, from a relay",
         ),
         Line(
-            "processor: changes", change_us / 1e6, "of a core", CONTROL_CORE_SHARE, "change",
-            "all documents are compiled anew for each change",
+            "processor: changes", change_us / 1e6, "of a core", CONTROL_CORE_FRACTION, "change",
+            "all documents are recompiled for each change",
         ),
         Line(
-            "work told to a relay", told, "bytes a second", CONTROL_BYTES_PER_S,
-            f"work_size at {OWN_ROWS} rows", "only targets with own work are named",
+            "work sent to a relay", sent_bytes_per_s, "bytes a second", CONTROL_BYTES_PER_S,
+            f"work_size at {LOCAL_ROWS} rows", "only targets with local work are listed",
         ),
         Line(
-            "work told by a relay", heard, "bytes a second", CONTROL_BYTES_PER_S,
-            f"fleet_size at {MAX_ROWS} rows", "the targets with the most work",
+            "work received from a relay", received_bytes_per_s, "bytes a second",
+            CONTROL_BYTES_PER_S, f"fleet_size at {MAX_ROWS} rows", "the targets with the most work",
         ),
         Line(
             "documents in", changes_per_s * size, "bytes a second", CONTROL_BYTES_PER_S,
             "documents", "one object holds all documents",
         ),
         Line(
-            "memory: configuration and all runners", memory / MEGABYTE, "MB",
-            CONTROL_BYTES / MEGABYTE, "configuration, roster", "every entry holds all of both",
+            "memory: configuration and all runners", memory / BYTES_PER_MB, "MB",
+            CONTROL_BYTES / BYTES_PER_MB, "configuration, roster", "every entry holds all of both",
         ),
     ]  # fmt: skip
 
 
 def request_lines(slopes: dict[str, Any], streams: dict[str, Any]) -> list[Line]:
-    """Return what a node spends on requests."""
+    """Return the cost of requests for a node."""
     requests = REQUESTS_PER_S / NODES
     tokens = TOKENS_PER_S / NODES
-    decision = at(slopes, "decision", RUNNERS // CENTERS)
-    claims = requests * KEY_SHARE
+    decision = value_at(slopes, "decision", RUNNERS // DATA_CENTERS)
+    claims = requests * KEY_FRACTION
     return [
         Line("requests", requests, "a second", None, "51,000 / 1,300", "platform's balancer"),
         Line(
@@ -147,63 +150,63 @@
             "decision at 740 runners", "a few runners are compared, all are filtered",
         ),
         Line(
-            "claims of keys", claims * at(slopes, "claim", 200) / 1e6, "of a core", None, "claim",
-            "1 in 100 requests assumed to have a key",
+            "claims of keys", claims * value_at(slopes, "claim", 200) / 1e6, "of a core", None,
+            "claim", "1 in 100 requests assumed to have a key",
         ),
         Line(
             "streams", tokens * streams["cpu_ms_per_token"] / 1e3, "of a core", None,
-            "cpu_ms_per_token of bench.streams", "one event loop a process",
+            "cpu_ms_per_token of bench.streams", "one event loop per process",
         ),
     ]  # fmt: skip
 
 
 def relays_reads_per_s() -> float:
-    """Return the watch calls of all relays at most; other entries make none."""
+    """Return the maximum rate of watch calls of all relays; other entries make none."""
     return NODES / MEMBERS_PER_RELAY * sum(1.0 / wait_s for wait_s in RELAY_WAITS_S)
 
 
 def platform_lines(slopes: dict[str, Any]) -> list[Line]:
-    """Return the calls on the platform's store, for the whole fleet."""
-    keys_per_s = REQUESTS_PER_S * KEY_SHARE
+    """Return the object store calls of the whole fleet."""
+    keys_per_s = REQUESTS_PER_S * KEY_FRACTION
     return [
         Line(
             "reads: watches", relays_reads_per_s(), "a second", PLATFORM_READS_PER_S,
-            "waits and pauses of five watches", "one entry in 32 reads, the others ask it",
+            "waits and pauses of five watches", "one entry in 32 reads, the others poll it",
         ),
         Line(
-            "questions to a relay", MEMBERS_PER_RELAY / POLL_INTERVAL_S, "a second", None,
-            "the interval of questions", "answered with what is new and its age",
+            "polls of a relay", MEMBERS_PER_RELAY / POLL_INTERVAL_S, "a second", None,
+            "the poll interval", "the response has the changes and their age",
         ),
         Line(
             "writes: keys", keys_per_s * KEY_WRITES, "a second", PLATFORM_WRITES_PER_S,
-            "two writes a key", "one object a key",
+            "two writes per key", "one object per key",
         ),
         Line(
-            "writes: registrations of targets", RUNNERS / BEAT_S, "a second", None,
-            "the targets' own", "not this system's",
+            "writes: registrations of targets", RUNNERS / HEARTBEAT_S, "a second", None,
+            "heartbeats of targets", "not made by this system",
         ),
         Line(
-            "size of the documents", at(slopes, "documents", WORKSPACES), "bytes", OBJECT_BYTES,
-            "documents", "one object holds all documents",
+            "size of the documents", value_at(slopes, "documents", WORKSPACES), "bytes",
+            OBJECT_BYTES, "documents", "one object holds all documents",
         ),
         Line(
-            "size of a key with a whole answer", at(slopes, "key", 64_000), "bytes", OBJECT_BYTES,
-            "key", "longer answers are not kept",
+            "size of a key with a complete response", value_at(slopes, "key", 64_000), "bytes",
+            OBJECT_BYTES, "key", "longer responses are not stored",
         ),
     ]  # fmt: skip
 
 
 def rows(lines: list[Line]) -> list[str]:
-    """Return a table."""
-    found = ["| what | value | bound | from | carried by |", "|---|---|---|---|---|"]
+    """Return a Markdown table."""
+    table = ["| what | value | bound | from | mechanism |", "|---|---|---|---|---|"]
     for line in lines:
         bound = "" if line.bound is None else f"{line.bound:g} {line.unit}"
-        over = " **over**" if line.bound is not None and line.value > line.bound else ""
-        found.append(
-            f"| {line.what} | {line.value:.3g} {line.unit}{over} | {bound} | {line.slope} "
+        exceeded = " **over**" if line.bound is not None and line.value > line.bound else ""
+        table.append(
+            f"| {line.what} | {line.value:.3g} {line.unit}{exceeded} | {bound} | {line.slope} "
             f"| {line.mechanism} |"
         )
-    return found
+    return table
 
 
 PREFACE: Final = """\
@@ -211,36 +214,36 @@
 
 Made by `python -m bench.capacity --write docs/CAPACITY.md` from `docs/slopes.json`
 (`python -m bench.slopes --write docs/slopes.json`) and `docs/streams.json` (`python -m
-bench.streams`); a test fails when page and slopes differ. Every figure is worked out, not
+bench.streams`); a test fails when page and slopes differ. Every figure is calculated, not
 measured, at the size of the users' letter: 1,300 nodes, 7,400 runners, 51,000 requests and 15
 million tokens a second, 35,000 workspaces, 39,000 changes a day, 10 data centers. All nodes have
-one role, *entry*: duties move between them.
+one role, *entry*: the roll-out lease and the work of relays move between them.
 
 Assumed and not measured: 1 in 100 requests has an idempotency key, an entry has work at 100 targets
-at once, targets refresh their registration every 1.2 s.
+at once, targets renew their registration every 1.2 s.
 """
 
-HOLES: Final = """\
-## Where today's design would not hold, and the change
+LIMITS: Final = """\
+## Limits of the current design, and the changes needed
 
-The design carries the fleets of today (6 to 81 entries were played). At the target size:
+The design supports current fleets (6 to 81 entries were run). At the target size:
 
-- **Registrations and work told by a relay** take bytes and a processor share that grow with the
-  runners. Change: an entry is told of the runners of its own data center; others are summed up.
+- **Registrations and work sent by a relay** take bytes and processor time that grow with the
+  runners. Change: an entry gets the runners of its own data center; others are summed up.
 - **Decisions** compare a few runners, but still filter all of a service first (healthy, not tried,
-  not swapped). Change: keep these sets up to date as their inputs change.
-- **Relays** tell each other their sums: 41 relays at 1,300 entries. Change: one level more.
-- **Documents** are one object: over a megabyte at 35,000 workspaces, and compiled anew for each
+  not swapped). Change: update these sets when their inputs change.
+- **Relays** send each other their sums: 41 relays at 1,300 entries. Change: one more level.
+- **Documents** are one object: over a megabyte at 35,000 workspaces, and recompiled for each
   change. Change: an object for each group of workspaces, compiled by group.
-- **Keys** cost two writes each. Change: keys that fall on the same shard within a moment share a
-  write. Objects of keys are never removed today: kept answers need an end of their life.
+- **Keys** cost two writes each. Change: keys on the same shard within a short time share a write.
+  Objects of keys are never removed today: stored responses need an expiry.
 """
 
 
 def page() -> str:
     """Return the page."""
     slopes, streams = read(SLOPES), read(STREAMS)
-    parts = [
+    sections = [
         PREFACE,
         "## Control, for each node\n",
         *rows(control_lines(slopes)),
@@ -255,12 +258,12 @@
     for name, slope in slopes.items():
         pairs = zip(slope["sizes"], slope["values"], strict=True)
         values = ", ".join(f"{size:,}: {value:,.6g}" for size, value in pairs)
-        parts.append(f"| {name} | {slope['by']} | {slope['unit']} | {values} |")
-    return "\n".join([*parts, "", HOLES])
+        sections.append(f"| {name} | {slope['by']} | {slope['unit']} | {values} |")
+    return "\n".join([*sections, "", LIMITS])
 
 
 def main() -> int:
-    """Print or write the page."""
+    """Print the page, or write it to a file."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--write", type=Path)
     options = parser.parse_args()
