Name stalled targets, peers and listed targets in the driver and the stand-ins

Cause: silent, others and knows were left as names of the fault state, the peers and a check. Change: names only (World.stalled, PlatformFleet.lists_targets and local names).

--- a/bench/fault_table.py
+++ b/bench/fault_table.py
@@ -106,8 +106,8 @@
 
 @fault("links cut")
 def _cut(world: World, member: str) -> Callable[[], None]:
-    others = {*world.cores, *world.killed, JOINER} - {member}
-    links = {frozenset((member, other)) for other in others}
+    peers = {*world.cores, *world.killed, JOINER} - {member}
+    links = {frozenset((member, peer)) for peer in peers}
     world.cut |= links
     return lambda: world.cut.difference_update(links)
 
@@ -174,8 +174,8 @@
 
 @fault("connections silent")
 def _silent(world: World, member: str) -> Callable[[], None]:
-    world.silent |= {target.name for target in _first_of_each(world)}
-    return world.silent.clear
+    world.stalled |= {target.name for target in _first_of_each(world)}
+    return world.stalled.clear
 
 
 @fault("answer cut after the run")
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -72,7 +72,7 @@
         if target is None or target.dead:
             self._fail(core, send, "unreachable", False, CONNECT_TIMEOUT_S)
             return
-        if send.target_id in world.silent:
+        if send.target_id in world.stalled:
             # The connection is open but stalled: the core's timeout or the deadline ends the send.
             return
         request_id = world.calls[core.cfg.name, send.call_id]
@@ -197,7 +197,7 @@
         """Deliver a runner's report."""
         world = self._world
         target = world.targets.get(poll.target_id)
-        if target is None or target.dead or poll.target_id in world.silent:
+        if target is None or target.dead or poll.target_id in world.stalled:
             world.deliver_later(core, CONNECT_TIMEOUT_S, ReportFailed(poll.target_id))
             return
         busy = world.now_s < target.loading_until_s
@@ -209,7 +209,7 @@
         """Carry out an order to load weights."""
         world = self._world
         target = world.targets.get(order.target_id)
-        if target is None or target.dead or order.target_id in world.silent:
+        if target is None or target.dead or order.target_id in world.stalled:
             world.deliver_later(core, CONNECT_TIMEOUT_S, OrderResponse(order.target_id, None))
             return
         if target.orders != order.accepted_orders:
--- a/bench/world.py
+++ b/bench/world.py
@@ -116,7 +116,7 @@
         self.cut: set[frozenset[str]] = set()
         self.store_cut: set[str] = set()
         self.paused: set[str] = set()
-        self.silent: set[str] = set()
+        self.stalled: set[str] = set()
         self.killed: set[str] = set()
         self.outcomes: dict[str, list[Outcome]] = {}
         self.submitted: dict[str, Submitted] = {}
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -102,7 +102,9 @@
         for number in range(1, entries + 1):
             self.start_entry(f"e{number}")
         self.wait(lambda: all(self.ready(f"e{n}") for n in range(1, entries + 1)))
-        self.wait(lambda: all(self.knows(f"e{n}", runners + apps) for n in range(1, entries + 1)))
+        self.wait(
+            lambda: all(self.lists_targets(f"e{n}", runners + apps) for n in range(1, entries + 1))
+        )
 
     def start_target(self, name: str, service: str, model: str, born: int = 1) -> None:
         """Start a target; ``born`` distinguishes its starts under one name."""
@@ -155,6 +157,6 @@
         samples = [line for line in resp.data.decode().splitlines() if line.startswith(metric)]
         return sum(float(line.rsplit(" ", 1)[1]) for line in samples)
 
-    def knows(self, name: str, targets: int) -> bool:
+    def lists_targets(self, name: str, targets: int) -> bool:
         """Whether an entry reports this number of known targets."""
         return self.metric(name, "filbertstream_targets_known") == targets
