--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -11,7 +11,7 @@
         "if not self._currency.admits_keys(now_s):",
         "if False:",
         "tests/test_gateway_core.py::"
-        "test_no_key_is_admitted_once_the_configuration_was_not_confirmed_within_the_bound",
+        "test_no_key_is_admitted_when_the_configuration_is_not_confirmed_within_the_bound",
     ),
     Guard(
         "the age of a confirmation counts from its send",
@@ -19,7 +19,7 @@
         "self.config_freshness.confirm(event.sent_at_s)",
         "self.config_freshness.confirm(now_s)",
         "tests/test_gateway_core.py::"
-        "test_the_age_of_a_configuration_counts_from_when_the_call_was_sent",
+        "test_age_of_a_configuration_counts_from_when_its_request_was_sent",
     ),
     Guard(
         "only a current configuration denies a route",
@@ -35,7 +35,7 @@
         "config.version <= self.config.version",
         "False",
         "tests/test_gateway_core.py::"
-        "test_a_version_never_reverts_and_a_removed_key_opens_nothing",
+        "test_older_configuration_version_is_ignored_and_a_removed_key_stays_refused",
     ),
     Guard(
         "a call that may have run is not refused as not run",
@@ -43,7 +43,7 @@
         "        if call.may_have_run:\n            return (GATEWAY",
         "        if False:\n            return (GATEWAY",
         "tests/test_gateway_core.py::"
-        "test_a_booking_that_may_have_run_is_sent_once_and_never_refused_as_not_run",
+        "test_non_idempotent_call_that_may_have_run_is_sent_once_and_fails_with_502",
     ),
     Guard(
         "only repeatable calls are repeated",
@@ -51,21 +51,21 @@
         "if not call.route.retryable or call.attempts",
         "if call.attempts - 1",
         "tests/test_gateway_core.py::"
-        "test_a_booking_that_may_have_run_is_sent_once_and_never_refused_as_not_run",
+        "test_non_idempotent_call_that_may_have_run_is_sent_once_and_fails_with_502",
     ),
     Guard(
         "late events of earlier sends find nothing",
         "request/forwarding.py",
         "call.number == number and call.target",
         "call.target",
-        "tests/test_gateway_core.py::" "test_a_late_answer_of_an_earlier_send_changes_nothing",
+        "tests/test_gateway_core.py::" "test_late_response_of_an_earlier_send_is_ignored",
     ),
     Guard(
         "a success needs a signature",
         "request/forwarding.py",
         "(response.status < MULTIPLE_CHOICES and not response.signed)",
         "False",
-        "tests/test_gateway_core.py::" "test_an_unsigned_or_encoded_success_is_not_passed_on",
+        "tests/test_gateway_core.py::" "test_unsigned_or_encoded_success_is_not_relayed",
     ),
     Guard(
         "lapses seen in an outage are held back",
@@ -73,21 +73,22 @@
         "if now_s >= self.removals_held_until_s:\n            self._forget(name)",
         "if True:\n            self._forget(name)",
         "tests/test_gateway_core.py::"
-        "test_a_lapse_seen_while_the_store_is_in_trouble_is_held_back_until_its_return",
+        "test_expired_registration_is_kept_during_an_object_store_outage",
     ),
     Guard(
         "draining targets get no call",
         "process/roster.py",
         "            if not target.entry.draining\n            and",
         "            if",
-        "tests/test_gateway_core.py::" "test_a_draining_or_unreadable_target_gets_no_call",
+        "tests/test_gateway_core.py::" "test_draining_or_unreadable_target_gets_no_call",
     ),
     Guard(
         "old weights get no call past the bound",
         "version/weights_view.py",
         "return self.behind_for_s(model, version, now_s) > OVERDUE_FRACTION * self._version_s",
         "return False",
-        "tests/test_gateway_core.py::" "test_old_weights_get_no_call_once_their_bound_is_near",
+        "tests/test_gateway_core.py::"
+        "test_runner_with_old_weights_gets_no_call_near_the_end_of_the_bound",
     ),
     Guard(
         "weights that a listing shows may be old news",
@@ -95,7 +96,7 @@
         "if model in self._listed:",
         "if False:",
         "tests/test_gateway_core.py::"
-        "test_an_entry_that_starts_amid_a_swap_uses_new_weights_only",
+        "test_entry_that_starts_during_a_roll_out_uses_new_weights_only",
     ),
     Guard(
         "an entry that starts between two roll-outs leaves out the oldest runners",
@@ -103,7 +104,7 @@
         "oldest = named if self._has_begun(model, named) else newest",
         "oldest = named if self._has_begun(model, named) else 0",
         "tests/test_gateway_core.py::"
-        "test_an_entry_that_starts_between_two_swaps_uses_the_newest_weights_that_any_runner_has",
+        "test_entry_that_starts_between_two_roll_outs_uses_the_newest_loaded_weights",
     ),
     Guard(
         "a listing's weights may have been named a while ago",
@@ -111,7 +112,7 @@
         "at_s -= LISTED_SHARE * self._version_s",
         "pass",
         "tests/test_gateway_core.py::"
-        "test_an_entry_that_starts_before_a_swap_has_begun_uses_old_weights_for_a_while",
+        "test_entry_that_starts_before_any_swap_uses_old_weights_for_a_limited_time",
     ),
     Guard(
         "a part is fetched only where it is whole",
@@ -119,7 +120,7 @@
         "or held < tokens",
         "",
         "tests/test_gateway_cache.py::"
-        "test_a_part_of_which_less_is_stored_than_asked_is_not_fetched",
+        "test_block_stored_with_fewer_tokens_than_needed_is_not_fetched",
     ),
     Guard(
         "a silent store is not fetched from",
@@ -127,7 +128,7 @@
         "or not state.fetchable(now_s):\n                continue\n            option",
         "or False:\n                continue\n            option",
         "tests/test_gateway_cache.py::"
-        "test_nothing_is_fetched_from_a_store_that_has_not_answered_lately",
+        "test_nothing_is_fetched_from_a_store_whose_state_is_too_old",
     ),
     Guard(
         "nothing is saved to a store that has just restarted",
@@ -135,14 +136,15 @@
         "if now_s < self.save_holdoff_until_s or",
         "if",
         "tests/test_gateway_cache.py::"
-        "test_a_store_that_restarted_is_empty_and_gets_nothing_until_no_old_fetch_can_run",
+        "test_restarted_store_counts_as_empty_and_gets_no_saves_until_old_fetches_have_ended",
     ),
     Guard(
         "an old view of the duty fetches nothing",
         "version/weights_view.py",
         " and now_s - self.lease_observed_at_s < MAX_FETCH_VIEW_AGE_S",
         "",
-        "tests/test_gateway_cache.py::" "test_an_old_view_of_the_duty_fetches_nothing_from_stores",
+        "tests/test_gateway_cache.py::"
+        "test_nothing_is_fetched_on_an_outdated_view_of_the_roll_out_lease",
     ),
     Guard(
         "unknown namespaces are not freed",
@@ -150,21 +152,21 @@
         "if key[0] in replaced]",
         "]",
         "tests/test_gateway_parts.py::"
-        "test_only_parts_of_replaced_weights_are_freed_and_each_once",
+        "test_only_blocks_of_replaced_weights_are_freed_and_each_once",
     ),
     Guard(
         "a holder's validity counts from the send",
         "process/rollout_lease.py",
         "self._renewed_at_s = pending.sent_at_s",
         "self._renewed_at_s = now_s + 5.0",
-        "tests/test_gateway_duty.py::" "test_orders_of_two_holders_are_a_lease_apart",
+        "tests/test_gateway_duty.py::" "test_orders_of_two_leaders_are_at_least_one_lease_apart",
     ),
     Guard(
         "a lease lies between two holders",
         "process/rollout_lease.py",
         "self._order_from_s = self._seen_at_s + RENEWAL_VALID_S + ORDER_TRANSIT_S + self._lease_s",
         "self._order_from_s = now_s",
-        "tests/test_gateway_duty.py::" "test_orders_of_two_holders_are_a_lease_apart",
+        "tests/test_gateway_duty.py::" "test_orders_of_two_leaders_are_at_least_one_lease_apart",
     ),
     Guard(
         "repeats stay within a share of the own calls",
@@ -172,7 +174,7 @@
         "if len(repeats) + 1 > self._floor",
         "if len(repeats) + 1 > 1_000 * self._floor",
         "tests/test_gateway_parts.py::"
-        "test_all_entries_together_keep_the_share_without_knowing_each_other",
+        "test_retries_of_all_entries_stay_within_the_budget_without_coordination",
     ),
     Guard(
         "a long queue turns prompts away",
@@ -180,22 +182,21 @@
         "if queue_s > limits.queue_s:",
         "if False:",
         "tests/test_gateway_overload.py::"
-        "test_twice_the_load_that_can_be_read_is_cut_to_what_is_answered_in_time",
+        "test_overload_is_shed_so_that_admitted_calls_meet_their_objective",
     ),
     Guard(
         "full memory turns prompts away",
         "request/load_shedding.py",
         "return MEMORY_RETRY_S if memory_fraction > limits.memory_fraction else None",
         "return None",
-        "tests/test_gateway_overload.py::"
-        "test_runs_that_fill_the_memory_turn_further_prompts_away",
+        "tests/test_gateway_overload.py::" "test_prompts_are_rejected_when_runs_fill_the_memory",
     ),
     Guard(
         "events are passed on once",
         "connection/event_relay.py",
         "int(number) <= int(last)",
         "False",
-        "tests/test_gateway_parts.py::" "test_resumed_streams_have_no_gap_and_no_event_twice",
+        "tests/test_gateway_parts.py::" "test_resumed_stream_has_no_gap_and_no_duplicate_event",
     ),
     Guard(
         "headers that the system sets are not taken from callers",
@@ -203,7 +204,7 @@
         "name in HOP_BY_HOP or name in SYSTEM_SET or name in nominated",
         "name in HOP_BY_HOP or name in nominated",
         "tests/test_gateway_parts.py::"
-        "test_a_target_gets_no_key_and_no_header_that_the_system_sets",
+        "test_request_to_a_target_contains_no_api_key_and_no_forged_system_header",
     ),
     Guard(
         "a version's bound counts from the first newer one",
@@ -211,21 +212,21 @@
         "for named, at_s in self._namings.get(model, ()):",
         "for named, at_s in reversed(self._namings.get(model, ())):",
         "tests/test_rollout.py::"
-        "test_no_call_begins_on_weights_whose_bound_is_near_though_newer_ones_were_named",
+        "test_no_call_starts_on_weights_near_their_bound_after_newer_ones_were_named",
     ),
     Guard(
         "swaps are spread",
         "version/rollout.py",
         "due = math.ceil(len(group) * progress)",
         "due = len(group)",
-        "tests/test_rollout.py::" "test_swaps_are_spread_over_a_share_of_the_bound",
+        "tests/test_rollout.py::" "test_swaps_are_spread_over_a_fraction_of_the_bound",
     ),
     Guard(
         "the record of the duty tells new weights",
         "version/weights_leader.py",
         "self._roster.targets[name].note_weights(model, version)",
         "pass",
-        "tests/test_rollout.py::" "test_the_record_of_the_duty_tells_all_entries_of_new_weights",
+        "tests/test_rollout.py::" "test_lease_record_informs_all_entries_of_loaded_weights",
     ),
     Guard(
         "a prompt goes where there is room",
@@ -270,7 +271,7 @@
         "if not self._has_current_peer(now_s):",
         "if True:",
         "tests/test_gateway_redirect.py::"
-        "test_callers_go_to_another_entry_at_once_where_one_is_in_touch",
+        "test_stale_entry_gives_a_short_retry_time_if_a_peer_is_current",
     ),
     Guard(
         "an entry that is out of touch ends connections before it refuses calls",
@@ -278,7 +279,7 @@
         "return not self.ready(now_s) and self.peers.any_peer_current(now_s)",
         "return False",
         "tests/test_gateway_redirect.py::"
-        "test_connections_end_with_their_answers_before_calls_must_be_refused",
+        "test_keep_alive_connections_are_closed_before_the_configuration_is_stale",
     ),
     Guard(
         "a holder that takes the duty again keeps the gap to the one before it",
@@ -286,7 +287,7 @@
         "max(now_s, self._order_from_s)",
         "now_s",
         "tests/test_gateway_duty.py::"
-        "test_a_holder_that_released_before_it_might_order_keeps_the_gap_when_it_takes_again",
+        "test_leader_that_released_before_its_first_order_waits_out_the_gap_when_it_takes_again",
     ),
     Guard(
         "any order of answers: what is not repeatable runs once",
@@ -350,30 +351,28 @@
         "process/relayed_view.py",
         "self._take(kind_update, sent_at_s - kind_update.age_s, now_s)",
         "self._take(kind_update, now_s - kind_update.age_s, now_s)",
-        "tests/test_relays.py::test_the_age_counts_from_before_the_question",
+        "tests/test_relays.py::test_age_of_relayed_state_counts_from_before_the_request",
     ),
     Guard(
         "late answers of other entries are not taken",
         "process/relays.py",
         "if sent is None or sent.answered or now_s - sent.at_s >= RESPONSE_TIMEOUT_S:",
         "if sent is None:",
-        "tests/test_relays.py::test_an_answer_that_comes_late_or_twice_confirms_nothing",
+        "tests/test_relays.py::test_late_or_duplicate_response_of_a_relay_confirms_nothing",
     ),
     Guard(
         "a relay that contradicts itself is not believed",
         "process/relayed_view.py",
         "if not self._contradicted(kind_update, sent_at_s)",
         "if True",
-        "tests/test_relays.py::"
-        "test_a_relay_that_claims_an_older_state_for_a_later_moment_is_not_believed",
+        "tests/test_relays.py::" "test_older_state_that_a_relay_reports_as_newer_is_rejected",
     ),
     Guard(
         "changes that begin after what is known are asked for again",
         "process/store_view.py",
         "if not shown.full and (not kind.listed or shown.since > kind.as_of):",
         "if False:",
-        "tests/test_relays.py::"
-        "test_a_change_between_what_is_known_and_what_is_told_is_not_skipped",
+        "tests/test_relays.py::" "test_update_that_begins_after_the_known_revision_is_not_applied",
     ),
     Guard(
         "an asker from before a listing is told the whole kind",
@@ -381,7 +380,7 @@
         "            kind.complete_from = shown.as_of\n",
         "",
         "tests/test_relays.py::"
-        "test_an_asker_whose_view_is_older_than_the_relays_first_listing_is_told_all",
+        "test_follower_with_a_view_older_than_the_relays_first_listing_gets_a_full_listing",
     ),
     Guard(
         "an entry that nobody answers reads the store",
@@ -389,14 +388,14 @@
         "return not self._relied or self._relays.serves_peers(now_s)",
         "return self._relays.serves_peers(now_s)",
         "tests/test_relays.py::"
-        "test_an_entry_that_nobody_answers_reads_the_store_before_it_is_unready",
+        "test_follower_without_responses_reads_the_object_store_before_it_is_unready",
     ),
     Guard(
         "lapses are held back as long as the relay holds them back",
         "process/relayed_view.py",
         "if told.removals_held_s > 0:",
         "if False:",
-        "tests/test_relays.py::test_lapses_are_held_back_as_long_as_the_relay_holds_them_back",
+        "tests/test_relays.py::test_expired_registration_is_kept_as_long_as_the_relay_keeps_it",
     ),
     Guard(
         "an object that came back within one answer is there",
--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -111,7 +111,7 @@
         "target.note_weights(model, max(named, call.weights + 1))",
         "target.note_weights(model, max(named, target.weights.get(model, 0) + 1))",
         "tests/test_gateway_core.py::"
-        "test_many_calls_that_meet_newer_weights_at_once_leave_the_runner_usable",
+        "test_simultaneous_rejections_raise_the_recorded_weights_only_once",
     ),
     Guard(
         "a long prompt is not sent elsewhere while it is read",
@@ -125,7 +125,7 @@
         "request/send_timeouts.py",
         "    if call.failed_sends:\n        return 0.0\n",
         "",
-        "tests/test_gateway_core.py::test_a_repeat_uses_a_new_connection",
+        "tests/test_gateway_core.py::test_retry_uses_a_new_connection",
     ),
     Guard(
         "a link closes though a poll reports a message that is not there",
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -1,4 +1,4 @@
-"""One core with a few targets in virtual time, for the tests of the core."""
+"""One gateway core with a few targets in virtual time, shared by the tests of the core."""
 
 from typing import Any
 
@@ -82,31 +82,31 @@
 APPS = (entry("a1", "app"), entry("a2", "app"))
 
 
-class PlainWatch:
-    """Tells the core of configurations that are written as ``[version, keys]``."""
+class PlainConfigurationWatch:
+    """Emits events for configurations that are stored as ``[version, keys]``."""
 
-    def on_listing(self, listing: Listing, tell: EmitEvent) -> None:
+    def on_listing(self, listing: Listing, emit: EmitEvent) -> None:
         for stored in listing.objects:
-            self._tell(stored, listing.sent_at_s, tell)
+            self._emit_seen(stored, listing.sent_at_s, emit)
 
-    def on_change(self, change: Change, sent_at_s: float, tell: EmitEvent) -> None:
-        self._tell(change.stored, sent_at_s, tell)
+    def on_change(self, change: Change, sent_at_s: float, emit: EmitEvent) -> None:
+        self._emit_seen(change.stored, sent_at_s, emit)
 
-    def on_unchanged(self, sent_at_s: float, tell: EmitEvent) -> None:
-        tell(ConfigurationObserved(None, sent_at_s))
+    def on_unchanged(self, sent_at_s: float, emit: EmitEvent) -> None:
+        emit(ConfigurationObserved(None, sent_at_s))
 
     @staticmethod
-    def _tell(stored: StoredObject, sent_at_s: float, tell: EmitEvent) -> None:
+    def _emit_seen(stored: StoredObject, sent_at_s: float, emit: EmitEvent) -> None:
         version, keys = msgspec.json.decode(stored.content)
-        tell(ConfigurationObserved(configuration(version, tuple(keys)), sent_at_s))
+        emit(ConfigurationObserved(configuration(version, tuple(keys)), sent_at_s))
 
 
-KINDS = {watched.kind: watched for watched in product_kinds(BOUNDS, PlainWatch())}
+KINDS = {watched.kind: watched for watched in product_kinds(BOUNDS, PlainConfigurationWatch())}
 FOLLOWED = tuple(watched.followed for watched in KINDS.values())
 
 
 def configuration_row(version: int, keys: tuple[str, ...], revision: int) -> ObjectRow:
-    """Return a configuration as the store holds it."""
+    """Return a configuration as a row of the object store."""
     return ObjectRow("all", revision, msgspec.json.encode([version, keys]))
 
 
@@ -118,26 +118,26 @@
         self.core = Gateway(cfg)
         self.now_s = 100.0
         self.calls = 0
-        self.tell(ConfigurationObserved(configuration(), self.now_s))
-        self.tell(TargetsListed((*RUNNERS, *APPS)))
-        self.tell(LeaseConfirmed(self.now_s))
+        self.step(ConfigurationObserved(configuration(), self.now_s))
+        self.step(TargetsListed((*RUNNERS, *APPS)))
+        self.step(LeaseConfirmed(self.now_s))
 
-    def tell(self, event: Any) -> list[Any]:
-        found: list[Any] = []
+    def step(self, event: Any) -> list[Any]:
+        actions: list[Any] = []
 
-        def tell_more(told: Any) -> None:
-            found.extend(self.tell(told))
+        def step_emitted(emitted: Any) -> None:
+            actions.extend(self.step(emitted))
 
-        for item in self.core.step(self.now_s, event):
-            if isinstance(item, PublishKind):
-                publish_kind(KINDS[item.taken.kind], item.taken, tell_more)
-            elif not isinstance(item, Log):
-                found.append(item)
-        return found
+        for action in self.core.step(self.now_s, event):
+            if isinstance(action, PublishKind):
+                publish_kind(KINDS[action.taken.kind], action.taken, step_emitted)
+            elif not isinstance(action, Log):
+                actions.append(action)
+        return actions
 
     def arrive(self, name: str, key: str | None = "k", prompt: bool | None = None) -> list[Any]:
         self.calls += 1
-        asked = name in ("draft", "walk") if prompt is None else prompt
+        has_prompt = name in ("draft", "walk") if prompt is None else prompt
         blocks = (PromptBlock("shared", 800), PromptBlock(f"own{self.calls}", 200))
         head = CallHead(
             f"q{self.calls}",
@@ -147,33 +147,33 @@
             key,
             10.0,
             0,
-            Prompt("m", 1_000, 50, blocks) if asked else None,
+            Prompt("m", 1_000, 50, blocks) if has_prompt else None,
             None,
         )
-        return self.tell(CallArrived(self.calls, head))
+        return self.step(CallArrived(self.calls, head))
 
     def confirm(self) -> None:
-        self.tell(ConfigurationObserved(None, self.now_s))
-        self.tell(LeaseConfirmed(self.now_s))
+        self.step(ConfigurationObserved(None, self.now_s))
+        self.step(LeaseConfirmed(self.now_s))
 
     def run(self, seconds: float, confirm: bool = True) -> list[Any]:
-        found = []
+        actions = []
         for _ in range(round(seconds / 0.1)):
             self.now_s += 0.1
             if confirm:
                 self.confirm()
-            found += self.tell(Tick())
-        return found
+            actions += self.step(Tick())
+        return actions
 
 
-def answer(status: int = 200, **changes: Any) -> ResponseHead:
+def response_head(status: int = 200, **changes: Any) -> ResponseHead:
     base = ResponseHead(status, "", False, True, False, None, None, "", None)
     return base._replace(**changes)
 
 
 def sends(actions: list[Any]) -> list[SendCall]:
-    return [item for item in actions if isinstance(item, SendCall)]
+    return [action for action in actions if isinstance(action, SendCall)]
 
 
 def statuses(actions: list[Any]) -> list[int]:
-    return [item.status for item in actions if isinstance(item, RespondLocally)]
+    return [action.status for action in actions if isinstance(action, RespondLocally)]
--- a/tests/test_cache_news.py
+++ b/tests/test_cache_news.py
@@ -1,6 +1,6 @@
-"""What a few entries read of stores of kept cache, passed on to hundreds of others.
+"""Cache updates: a few entries read the events of cache stores and send them to hundreds of others.
 
-Load pattern: sixty entries before a store that takes twelve event calls at once.
+Load pattern: sixty entries use a cache store that serves twelve event requests at once.
 """
 
 from typing import Any
@@ -18,20 +18,20 @@
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.store_view import KindObserved
 from tests.gateway_world import FOLLOWED, STORE
-from tests.test_gateway_cache import Keeping
+from tests.test_gateway_cache import CacheWorld
 
-HELD = ("10.9.0.1:80/800", "")
+FETCH_FROM_STORE = ("10.9.0.1:80/800", "")
 
 
-class Member(Keeping):
-    """An entry whose view of the store is shown to be recent, without what it holds."""
+class Member(CacheWorld):
+    """An entry whose view of the object store is recent, without any objects in it."""
 
     def show(self, shown: KindObserved) -> None:
         self.core.relayed_view.view.take(shown, self.now_s)
 
 
 class Fleet:
-    """Entries that hear each other, and a store that answers whoever calls it."""
+    """Entries that exchange messages, and a cache store that responds to every request."""
 
     def __init__(self, size: int = 60) -> None:
         self.worlds = {f"e{number}": Member(f"e{number}") for number in range(size)}
@@ -43,11 +43,11 @@
         for name, world in self.worlds.items():
             for item in FOLLOWED:
                 world.show(KindObserved(item.kind, True, 0, 5, world.now_s, ()))
-            # The call of its start, which nobody has answered.
-            world.tell(CacheEventsFailed("keep"))
+            # The event request at its start got no response.
+            world.step(CacheEventsFailed("keep"))
             for other in self.worlds:
                 record = EntryRecord(f"tcp://{other}", 1)
-                world.tell(EntryObserved(other, record, 1 + (other != name)))
+                world.step(EntryObserved(other, record, 1 + (other != name)))
 
     def run(self, seconds: float) -> None:
         for _ in range(round(seconds / 0.1)):
@@ -63,63 +63,66 @@
                 action = messages.pop(0)
                 name = action.address.removeprefix("tcp://")
                 if name not in self.dead:
-                    told = PeerMessage(action.payload)
-                    messages += self._step(self.worlds[name], name, told)
+                    message = PeerMessage(action.payload)
+                    messages += self._step(self.worlds[name], name, message)
 
-    def _step(self, world: Keeping, name: str, event: Any) -> list[SendPeer]:
-        found = []
-        for action in world.tell(event):
+    def _step(self, world: CacheWorld, name: str, event: Any) -> list[SendPeer]:
+        messages = []
+        for action in world.step(event):
             if isinstance(action, PollCacheEvents) and action.holder == "keep":
                 self.calls.add(name)
-                found += self._step(world, name, self._answer(world, action))
+                messages += self._step(world, name, self._read_events(world, action))
             elif isinstance(action, SendPeer):
                 self.sent[name] += isinstance(action.payload, CacheUpdate | CacheUpdateBatch)
-                found.append(action)
-        return found
+                messages.append(action)
+        return messages
 
-    def _answer(self, world: Keeping, ask: PollCacheEvents) -> CacheEventsReceived:
-        changes = tuple(self.changes[ask.since :])
+    def _read_events(self, world: CacheWorld, follow: PollCacheEvents) -> CacheEventsReceived:
+        changes = tuple(self.changes[follow.since :])
         number = len(self.changes)
         return CacheEventsReceived("keep", world.now_s, world.now_s, 1, number, 5_000, changes)
 
     def fetching(self) -> set[str]:
-        """Return the entries that would fetch the shared part from the store."""
-        found = set()
+        """Return the entries that would fetch the shared block from the store."""
+        fetching = set()
         for name, world in self.worlds.items():
             cache = world.send().cache
             assert cache is not None
-            if cache.fetch == HELD:
-                found.add(name)
-        return found
+            if cache.fetch == FETCH_FROM_STORE:
+                fetching.add(name)
+        return fetching
 
 
-def stored(fleet: Fleet) -> CacheChange:
+def shared_block_saved(fleet: Fleet) -> CacheChange:
     namespace = next(iter(fleet.worlds.values())).namespace()
     return CacheChange(True, (namespace, "shared"), 800)
 
 
-def test_in_a_large_fleet_few_entries_read_a_store_and_all_others_are_told() -> None:
+def test_few_entries_of_a_large_fleet_read_a_store_and_all_get_its_updates() -> None:
+    """A block is saved after the readers of a store were chosen."""
     fleet = Fleet()
     fleet.run(3.0)
     fleet.calls.clear()
-    fleet.changes.append(stored(fleet))
+    fleet.changes.append(shared_block_saved(fleet))
     fleet.run(2.0)
     assert fleet.fetching() == set(fleet.worlds)
     assert 1 <= len(fleet.calls) <= STORE.event_readers / 2
 
 
-def test_an_entry_that_neither_reads_nor_relays_sends_no_news() -> None:
+def test_entry_that_is_neither_reader_nor_relay_sends_no_cache_updates() -> None:
+    """Each entry that sends updates adds messages in proportion to the fleet."""
     fleet = Fleet()
     fleet.run(5.0)
     relays = {name for name, world in fleet.worlds.items() if world.core.relays.is_relay}
-    silent = [name for name in fleet.worlds if name not in relays | fleet.calls]
-    assert all(fleet.sent[name] == 0 for name in silent)
+    idle = [name for name in fleet.worlds if name not in relays | fleet.calls]
+    assert all(fleet.sent[name] == 0 for name in idle)
 
 
-def test_where_all_readers_of_a_store_die_the_relays_read_it() -> None:
+def test_relays_read_a_store_whose_readers_have_all_died() -> None:
+    """All readers of a store die at once."""
     fleet = Fleet()
     fleet.run(3.0)
-    fleet.changes.append(stored(fleet))
+    fleet.changes.append(shared_block_saved(fleet))
     readers = {
         name
         for name, world in fleet.worlds.items()
@@ -131,43 +134,43 @@
     for name in relays:
         cache = fleet.worlds[name].send().cache
         assert cache is not None
-        assert name in readers or cache.fetch == HELD, name
+        assert name in readers or cache.fetch == FETCH_FROM_STORE, name
 
 
-def test_news_from_before_a_restart_is_not_taken_after_it() -> None:
-    """Fault: of two readers of a store one has not heard yet that it restarted."""
+def test_cache_update_from_before_a_store_restart_is_rejected_after_it() -> None:
+    """Fault: one of a store's two readers has not yet observed that the store restarted."""
     fleet = Fleet()
-    told = next(
+    follower = next(
         world
         for world in fleet.worlds.values()
         if not world.core.peers.reads("keep", STORE.event_readers)
     )
-    row = CacheUpdateRow(True, told.namespace(), "kept", 800)
-    told.tell(PeerMessage(CacheUpdate("keep", 2, 1, 0.3, 5_000, ())))
-    told.tell(PeerMessage(CacheUpdate("keep", 1, 9, 0.5, 5_000, (row,))))
-    state = told.core.stores.states["keep"]
+    row = CacheUpdateRow(True, follower.namespace(), "kept", 800)
+    follower.step(PeerMessage(CacheUpdate("keep", 2, 1, 0.3, 5_000, ())))
+    follower.step(PeerMessage(CacheUpdate("keep", 1, 9, 0.5, 5_000, (row,))))
+    state = follower.core.stores.states["keep"]
     assert state.start_id == 2
-    assert not told.core.index.holders((told.namespace(), "kept"))
-    told.now_s += 1.0
-    told.tell(PeerMessage(CacheUpdate("keep", 3, 1, 0.3, 5_000, ())))
+    assert not follower.core.index.holders((follower.namespace(), "kept"))
+    follower.now_s += 1.0
+    follower.step(PeerMessage(CacheUpdate("keep", 3, 1, 0.3, 5_000, ())))
     assert state.start_id == 3
 
 
-def test_a_relay_passes_each_event_on_once_though_two_readers_tell_it() -> None:
-    """Load pattern: a hundred saves a second, told by both readers of their store."""
+def test_relay_forwards_each_event_once_although_two_readers_send_it() -> None:
+    """Load pattern: a hundred saves a second, sent by both readers of their store."""
     fleet = Fleet()
     relay = next(world for world in fleet.worlds.values() if world.core.relays.is_relay)
-    relay.tell(PeerMessage(ViewRequest("e0", 1, {})))
+    relay.step(PeerMessage(ViewRequest("e0", 1, {})))
     rows = tuple(CacheUpdateRow(True, "n", f"p{number}", 10) for number in range(12))
     for start_id, since, until in ((1, 0, 6), (1, 2, 9), (1, 5, 9), (1, 7, 12), (2, 0, 3)):
-        told = CacheUpdate("keep", start_id, until, 0.1, 5_000, rows[since:until])
-        relay.tell(PeerMessage(told))
+        update = CacheUpdate("keep", start_id, until, 0.1, 5_000, rows[since:until])
+        relay.step(PeerMessage(update))
     relay.now_s += 0.5
     batches = [
         item.payload
-        for item in relay.tell(Tick())
+        for item in relay.step(Tick())
         if isinstance(item, SendPeer) and isinstance(item.payload, CacheUpdateBatch)
     ]
     (batch,) = batches
-    passed_on = [(item.start_id, row.block_id) for item in batch.items for row in item.rows]
-    assert passed_on == [(1, row.block_id) for row in rows] + [(2, f"p{n}") for n in range(3)]
+    forwarded = [(item.start_id, row.block_id) for item in batch.items for row in item.rows]
+    assert forwarded == [(1, row.block_id) for row in rows] + [(2, f"p{n}") for n in range(3)]
--- a/tests/test_gateway_cache.py
+++ b/tests/test_gateway_cache.py
@@ -1,4 +1,9 @@
-"""What the core fetches, saves and follows of kept cache, driven in virtual time."""
+"""Which cache blocks the core fetches from cache stores and saves to them.
+
+Failure guarded against: a runner fetches a block that is incomplete, freed or of other weights.
+This comes about when an entry acts on a cache store's state from before a restart, on events that
+are too old, or on an outdated view of the roll-out lease.
+"""
 
 from filbertstream.process.cache_stores import (
     HOLDINGS_MAX_AGE_S,
@@ -14,8 +19,8 @@
 from tests.gateway_world import World, sends
 
 
-class Keeping(World):
-    """A world whose store answers event calls."""
+class CacheWorld(World):
+    """A world whose cache store responds to event requests."""
 
     def __init__(self, name: str = "e1") -> None:
         super().__init__(name)
@@ -25,7 +30,7 @@
 
     def store(self, *changes: CacheChange) -> None:
         self.next_event += len(changes)
-        self.tell(
+        self.step(
             CacheEventsReceived(
                 "keep",
                 self.now_s,
@@ -48,8 +53,8 @@
         return cache.namespace
 
 
-def keeping_after(quiet_s: float) -> Keeping:
-    world = Keeping()
+def followed_for(quiet_s: float) -> CacheWorld:
+    world = CacheWorld()
     for _ in range(round(quiet_s / 0.5)):
         world.store()
         world.run(0.5)
@@ -57,8 +62,9 @@
     return world
 
 
-def test_a_part_is_fetched_only_once_its_store_reported_it_whole() -> None:
-    world = keeping_after(4.0)
+def test_block_is_fetched_only_after_its_store_reported_it_complete() -> None:
+    """A block is being saved while other prompts with the same prefix arrive."""
+    world = followed_for(4.0)
     saved = world.send().cache
     assert saved is not None
     assert saved.save == ("10.9.0.1:80", "")
@@ -71,16 +77,18 @@
     assert not any(fetched.save)
 
 
-def test_a_part_of_which_less_is_stored_than_asked_is_not_fetched() -> None:
-    world = keeping_after(4.0)
+def test_block_stored_with_fewer_tokens_than_needed_is_not_fetched() -> None:
+    """A store holds a block under the same id with one token less."""
+    world = followed_for(4.0)
     world.store(CacheChange(True, (world.namespace(), "shared"), 799))
     cache = world.send().cache
     assert cache is not None
     assert not any(cache.fetch)
 
 
-def test_nothing_is_fetched_from_a_store_that_has_not_answered_lately() -> None:
-    world = keeping_after(4.0)
+def test_nothing_is_fetched_from_a_store_whose_state_is_too_old() -> None:
+    """A store stops responding; it may have restarted and lost its blocks."""
+    world = followed_for(4.0)
     world.store(CacheChange(True, (world.namespace(), "shared"), 800))
     world.run(HOLDINGS_MAX_AGE_S + 0.1)
     cache = world.send().cache
@@ -88,8 +96,9 @@
     assert not any(cache.fetch)
 
 
-def test_a_store_that_restarted_is_empty_and_gets_nothing_until_no_old_fetch_can_run() -> None:
-    world = keeping_after(4.0)
+def test_restarted_store_counts_as_empty_and_gets_no_saves_until_old_fetches_have_ended() -> None:
+    """A fetch planned before the restart could read a block while it is saved again."""
+    world = followed_for(4.0)
     world.store(CacheChange(True, (world.namespace(), "shared"), 800))
     world.start_id, world.next_event = 2, 0
     world.store()
@@ -105,8 +114,9 @@
     assert any(later.save)
 
 
-def test_an_old_view_of_the_duty_fetches_nothing_from_stores() -> None:
-    world = keeping_after(4.0)
+def test_nothing_is_fetched_on_an_outdated_view_of_the_roll_out_lease() -> None:
+    """Blocks of replaced weights may have been freed since the entry last read the lease record."""
+    world = followed_for(4.0)
     world.store(CacheChange(True, (world.namespace(), "shared"), 800))
     world.run(0.1)
     world.core.weights.lease_observed_at_s = world.now_s - MAX_FETCH_VIEW_AGE_S - 0.1
@@ -115,7 +125,8 @@
     assert not any(cache.fetch)
 
 
-def test_a_configured_store_is_followed() -> None:
+def test_events_of_a_configured_store_are_requested() -> None:
+    """Without event requests, no block of the store would ever be fetched."""
     world = World()
     follows = [item for item in world.run(0.2) if isinstance(item, PollCacheEvents)]
     assert [(item.holder, item.since) for item in follows] == [("keep", 0)]
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -1,4 +1,4 @@
-"""Small parts of an entry on the platform: budget, stores, retirement, formats."""
+"""Smaller parts of an entry: retry budget, cache stores, retirement of blocks, file formats."""
 
 import random
 import subprocess
@@ -48,23 +48,24 @@
         st.tuples(st.floats(0.0, 0.5), st.integers(0, 3), st.booleans()), min_size=1, max_size=300
     )
 )
-def test_all_entries_together_keep_the_share_without_knowing_each_other(
+def test_retries_of_all_entries_stay_within_the_budget_without_coordination(
     steps: list[tuple[float, int, bool]],
 ) -> None:
+    """Four entries retry calls to one service, and none has information on the others' retries."""
     ratio, window_s, floor = 0.2, 10.0, 1
     budgets = [SharedRetryBudget(ratio, window_s, floor) for _ in range(4)]
     now_s = 0.0
     calls: list[float] = []
-    repeats: list[float] = []
-    for gap_s, number, repeat in steps:
+    retries: list[float] = []
+    for gap_s, number, is_retry in steps:
         now_s += gap_s
-        if repeat:
+        if is_retry:
             if budgets[number].take("s", now_s):
-                repeats.append(now_s)
+                retries.append(now_s)
         else:
             budgets[number].note_call("s", now_s)
             calls.append(now_s)
-        recent = sum(1 for at_s in repeats if at_s > now_s - window_s)
+        recent = sum(1 for at_s in retries if at_s > now_s - window_s)
         before = sum(1 for at_s in calls if at_s > now_s - 2 * window_s)
         assert recent <= ratio * before + floor * len(budgets)
 
@@ -73,7 +74,8 @@
     return CacheEventsReceived(holder, now_s, now_s, boot, 0, 1_000, changes)
 
 
-def test_a_full_store_is_given_nothing() -> None:
+def test_nothing_is_saved_to_a_full_store() -> None:
+    """A cache store is almost full, and a block is larger than what is free."""
     stores = CacheStores(CacheIndex(), random.Random(1))
     stores.configure([("keep", STORE)])
     stores.on_events(events("keep", 100.0, 1))
@@ -83,7 +85,8 @@
     assert stores.save_to(("n", "b"), 900, now_s) == "keep"
 
 
-def test_a_part_whose_event_got_lost_is_found_by_the_list() -> None:
+def test_block_whose_event_was_lost_is_found_by_listing_the_store() -> None:
+    """Events of a save and of a removal are lost. A listing from after a restart is ignored."""
     stores = CacheStores(CacheIndex(), random.Random(1))
     stores.configure([("keep", STORE)])
     stores.on_events(events("keep", 100.0, 1, CacheChange(True, ("n", "gone"), 100)))
@@ -98,7 +101,8 @@
     assert stores.states["keep"].used_tokens == 700
 
 
-def test_all_entries_choose_the_same_store_for_a_part() -> None:
+def test_all_entries_choose_the_same_store_for_a_block() -> None:
+    """Otherwise a block would be saved once for each entry."""
     chosen = set()
     for _ in range(3):
         stores = CacheStores(CacheIndex(), random.Random(1))
@@ -112,7 +116,8 @@
     assert len(set(places)) > 2
 
 
-def test_a_part_that_only_a_silent_store_holds_is_saved_to_another() -> None:
+def test_block_held_only_by_an_unresponsive_store_is_saved_to_another() -> None:
+    """A cache store stops responding, so that its blocks can't be fetched."""
     stores = CacheStores(CacheIndex(), random.Random(1))
     stores.configure([("first", STORE), ("second", STORE)])
     key = ("space", "part")
@@ -127,7 +132,8 @@
     assert stores.save_to(key, 800, later_s) is None
 
 
-def test_only_parts_of_replaced_weights_are_freed_and_each_once() -> None:
+def test_only_blocks_of_replaced_weights_are_freed_and_each_once() -> None:
+    """A store holds blocks of replaced, current and unknown namespaces."""
     index = CacheIndex()
     stores = CacheStores(index, random.Random(1))
     stores.configure([("keep", STORE)])
@@ -146,24 +152,26 @@
     assert stores.states["keep"].used_tokens == 20
 
 
-def test_parts_are_freed_only_after_every_fetch_by_an_older_view_has_ended() -> None:
+def test_blocks_are_freed_only_after_fetches_on_an_older_view_have_ended() -> None:
+    """An entry with an older view of the weights may still start a fetch until its view expires."""
     from filbertstream.process.cache_stores import FETCH_TIMEOUT_S
 
     assert FREE_AFTER_S > MAX_FETCH_VIEW_AGE_S + FETCH_TIMEOUT_S
 
 
-def test_work_told_by_a_member_counts_until_it_falls_silent() -> None:
+def test_work_reported_by_a_peer_counts_until_its_reports_stop() -> None:
+    """A peer reports its runs at a runner and then stops sending."""
     first, second = PeerWork("e1"), PeerWork("e2")
     for work in (first, second):
         work.join("e1", EntryRecord("tcp://a", 1))
         work.join("e2", EntryRecord("tcp://b", 1))
     row = WorkRow("r1", 3, 900, 500)
     exchange = WorkExchange(first, Relays("e1", first.names))
-    (told,) = exchange.due((row,), True, [], 10.0)
+    (report,) = exchange.due((row,), True, [], 10.0)
     assert exchange.due((row,), True, [], 10.05) == []
-    assert told.address == "tcp://b"
-    assert isinstance(told.payload, EntryWork)
-    second.on_work(told.payload, 10.0)
+    assert report.address == "tcp://b"
+    assert isinstance(report.payload, EntryWork)
+    second.on_work(report.payload, 10.0)
     assert second.peer_work_at("r1", 10.0) == (3, 900, 500, 500)
     half = second.peer_work_at("r1", 10.0 + HALF_WEIGHT_AGE_S).weighted_queued_tokens
     assert half == pytest.approx(250, abs=1)
@@ -176,12 +184,13 @@
 
 
 @given(st.lists(st.integers(0, 28), max_size=6), st.integers(1, 40))
-def test_resumed_streams_have_no_gap_and_no_event_twice(cuts: list[int], size: int) -> None:
+def test_resumed_stream_has_no_gap_and_no_duplicate_event(cuts: list[int], size: int) -> None:
+    """A stream is cut anywhere, and its next target sends the last event again."""
     relay = EventRelay(None)
     passed = b""
     for cut in [*cuts, 10_000]:
         last = int(relay.last_id or 0)
-        data = b"".join(STREAM[max(0, last - 1) :])  # A target may repeat the last event.
+        data = b"".join(STREAM[max(0, last - 1) :])  # A target may send the last event again.
         data = data[: cut * 9 + 4] if cut < 10_000 else data
         for start in range(0, len(data), size):
             passed += relay.feed(data[start : start + size])
@@ -191,7 +200,8 @@
     assert relay.complete
 
 
-def test_a_stream_that_ends_inside_an_event_is_not_whole() -> None:
+def test_stream_that_ends_inside_an_event_is_incomplete() -> None:
+    """A connection ends cleanly, but in the middle of an event."""
     relay = EventRelay(None)
     relay.feed(STREAM[0] + STREAM[1][:7])
     assert not relay.complete
@@ -201,7 +211,8 @@
 
 
 @pytest.mark.parametrize("name", [b"request-id", b"x-api-key", b"host", b"content-length"])
-def test_a_repeated_deciding_header_is_refused(name: bytes) -> None:
+def test_duplicate_of_a_header_that_affects_routing_or_framing_is_rejected(name: bytes) -> None:
+    """Request smuggling: an entry and a target could each use another one of the two values."""
     headers = [*HEAD, (b"content-length", b"1"), (name, b"other")]
     assert isinstance(decode_call("GET", "/a/", headers, 0), Err)
 
@@ -216,11 +227,13 @@
         ("/a/", [*HEAD, (b"model", b"m"), (b"token-count", b"1,1"), (b"prefix-hash", b"a:b")]),
     ],
 )
-def test_a_malformed_head_is_refused(path: str, headers: list[tuple[bytes, bytes]]) -> None:
+def test_malformed_request_head_is_rejected(path: str, headers: list[tuple[bytes, bytes]]) -> None:
+    """A caller sends an unusable path, deadline or token count, or omits a required header."""
     assert isinstance(decode_call("GET", path, headers, 0), Err)
 
 
-def test_a_target_gets_no_key_and_no_header_that_the_system_sets() -> None:
+def test_request_to_a_target_contains_no_api_key_and_no_forged_system_header() -> None:
+    """A caller sends headers that only the system may set, and hop-by-hop headers."""
     forged = [
         (name, b"forged")
         for name in (b"tenant", b"cache-salt", b"hold", b"pin-ms", b"kv-from", b"kv-backup")
@@ -261,22 +274,29 @@
         b'{"service":7,"address":"10.0.0.1:80","zone":"z","state":"ready"}',
     ],
 )
-def test_a_registration_that_cannot_be_read_names_no_target(spec: bytes) -> None:
+def test_undecodable_registration_yields_no_target(spec: bytes) -> None:
+    """A registration lacks fields, or has values of a wrong type."""
     assert isinstance(decode_target("i-1", msgspec.Raw(spec)), Err)
 
 
-def test_a_registration_is_decoded_with_unknown_fields_ignored() -> None:
+def test_unknown_fields_of_a_registration_are_ignored() -> None:
+    """A newer version of the platform adds fields."""
     spec = (
         b'{"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining","seq":4,'
         b'"models":[{"name":"m","version":3,"adapters":[]}],"born":12,"later":[1]}'
     )
     decoded = decode_target("i-1", msgspec.Raw(spec))
     assert isinstance(decoded, Ok)
-    found: TargetRegistration = decoded.ok_value
-    assert (found.draining, found.weights, found.started_ms) == (True, {"m": 3}, 12)
+    decoded_target: TargetRegistration = decoded.ok_value
+    assert (decoded_target.draining, decoded_target.weights, decoded_target.started_ms) == (
+        True,
+        {"m": 3},
+        12,
+    )
 
 
-def test_a_configuration_that_cannot_be_read_is_an_error() -> None:
+def test_undecodable_configuration_is_an_error() -> None:
+    """A configuration lacks required fields."""
     assert isinstance(decode_configuration(msgspec.Raw(b'{"version":1}')), Err)
 
 
@@ -294,7 +314,8 @@
 """
 
 
-def test_settings_with_unknown_fields_are_read(tmp_path: Path) -> None:
+def test_unknown_fields_of_the_settings_are_ignored(tmp_path: Path) -> None:
+    """A settings file of a newer version has additional fields."""
     file = tmp_path / "boot.yaml"
     file.write_text(BOOT)
     read = read_settings_file(file)
@@ -310,9 +331,8 @@
         ('front: "127.0.0.1:8005"', 'front: "somewhere"', "listen.front"),
     ],
 )
-def test_a_mistake_in_the_settings_names_its_key(
-    tmp_path: Path, old: str, new: str, key: str
-) -> None:
+def test_error_in_the_settings_names_its_key(tmp_path: Path, old: str, new: str, key: str) -> None:
+    """A settings file lacks a key, or has an invalid value."""
     file = tmp_path / "boot.yaml"
     file.write_text(BOOT.replace(old, new))
     read = read_settings_file(file)
@@ -320,7 +340,8 @@
     assert [mistake.key for mistake in read.err_value] == [key]
 
 
-def test_a_log_that_nobody_reads_never_blocks_and_counts_what_it_drops() -> None:
+def test_log_without_a_reader_never_blocks_and_counts_dropped_lines() -> None:
+    """The reader of the log stops, and the queue of lines fills up."""
     sink = StringIO()
     stream = BoundedStream(sink)
     began_s = time.monotonic()
@@ -333,7 +354,7 @@
     assert sink.getvalue().count("\n") == QUEUED_LINES
 
 
-def test_an_entry_on_the_platform_starts_without_what_only_the_product_needs() -> None:
+def test_entry_on_the_platform_imports_no_package_that_only_the_product_needs() -> None:
     """Load pattern: all entries were killed, and callers wait until they have started."""
     code = "import sys, filbertstream.cli; print(*sys.modules)"
     loaded = subprocess.run(
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -1,4 +1,8 @@
-"""Entries on the platform as real processes, between stand-ins of the store and the targets."""
+"""Entries on the platform as real processes, between stand-ins for object store and targets.
+
+Failures guarded against are those that show only on sockets: truncated or mixed-up responses,
+request smuggling, runs that outlive their callers, and connections cut by a planned stop.
+"""
 
 import itertools
 import signal
@@ -14,9 +18,9 @@
 from standins.platform_fleet import CONFIG, KEY, ROUTES, PlatformFleet
 
 LEASE_S = 3.0
-"""The gap between two holders that the settings of the stand-in deployment ask for."""
+"""The gap between two leaders that the settings of the stand-in deployment require."""
 
-WHOLE = b"".join(f"id: {n}\ndata: token {n}\n\n".encode() for n in range(1, 9))
+COMPLETE_STREAM = b"".join(f"id: {n}\ndata: token {n}\n\n".encode() for n in range(1, 9))
 
 
 @pytest.fixture(scope="module")
@@ -29,7 +33,7 @@
         running.close()
 
 
-class Reply(NamedTuple):
+class Response(NamedTuple):
     status: int
     headers: dict[str, str]
     body: bytes
@@ -57,13 +61,13 @@
 
 def call(
     fleet: PlatformFleet, name: str, entry: str = "e1", key: str | None = KEY, body: bytes = b"x"
-) -> Reply:
+) -> Response:
     conn, resp, request_id = open_call(fleet, name, entry, key, body)
     try:
         data = resp.read()
     finally:
         conn.close()
-    return Reply(resp.status, dict(resp.headers), data, request_id)
+    return Response(resp.status, dict(resp.headers), data, request_id)
 
 
 def runs(fleet: PlatformFleet, request_id: str) -> int:
@@ -71,48 +75,55 @@
     return sum(fleet.counts(name)["ran"].count(request_id) for name in names)
 
 
-def raw(fleet: PlatformFleet, data: bytes, within_s: float = 4.0) -> bytes:
+def send_raw(fleet: PlatformFleet, data: bytes, within_s: float = 4.0) -> bytes:
     host, _, port = fleet.running["e1"].address.rpartition(":")
-    found = b""
+    received = b""
     with socket.create_connection((host, int(port)), timeout=within_s) as sock:
         sock.sendall(data)
-        while piece := sock.recv(65536):
-            found += piece
-    return found
+        while chunk := sock.recv(65536):
+            received += chunk
+    return received
 
 
-def test_a_call_arrives_whole_with_its_signature_and_no_key(fleet: PlatformFleet) -> None:
-    reply = call(fleet, "read", body=b"y" * 5000)
-    assert (reply.status, reply.headers["Response-Signature"]) == (
+def test_response_is_complete_and_signed_and_targets_get_no_api_key(fleet: PlatformFleet) -> None:
+    """A body of several packets goes to a target and its response comes back."""
+    response = call(fleet, "read", body=b"y" * 5000)
+    assert (response.status, response.headers["Response-Signature"]) == (
         200,
-        f"signed.{reply.request_id}",
+        f"signed.{response.request_id}",
     )
-    assert b'"bytes":5000' in reply.body
-    assert b'"tenant":"w"' in reply.body
+    assert b'"bytes":5000' in response.body
+    assert b'"tenant":"w"' in response.body
     assert sum(fleet.counts(name)["keys_seen"] for name in ("a1", "a2", "r1", "r2")) == 0
 
 
-def test_a_stream_arrives_whole(fleet: PlatformFleet) -> None:
-    assert call(fleet, "walk").body == WHOLE
+def test_stream_arrives_complete(fleet: PlatformFleet) -> None:
+    """A stream of several events passes through the entry."""
+    assert call(fleet, "walk").body == COMPLETE_STREAM
 
 
-def test_routes_and_keys(fleet: PlatformFleet) -> None:
+def test_calls_are_admitted_by_route_and_key(fleet: PlatformFleet) -> None:
+    """Calls with no key, a wrong key, and an unknown route."""
     assert call(fleet, "open", key=None).status == 200
     assert call(fleet, "read", key=None).status == 401
     assert call(fleet, "read", key="wrong").status == 401
     assert call(fleet, "nowhere").status == 404
 
 
-def test_a_stream_cut_in_an_event_goes_on_without_gap_or_repeat(fleet: PlatformFleet) -> None:
+def test_stream_cut_inside_an_event_resumes_without_gap_or_duplicate(fleet: PlatformFleet) -> None:
+    """One runner cuts its streams in the middle of an event."""
     for _ in range(12):
         assert call(fleet, "draft").status == 200
     fleet.fault("r1", cut_stream=1)
-    replies = [call(fleet, "draft") for _ in range(4)]
+    responses = [call(fleet, "draft") for _ in range(4)]
     fleet.fault("r1", cut_stream=0)
-    assert [reply.body for reply in replies] == [WHOLE] * 4
+    assert [response.body for response in responses] == [COMPLETE_STREAM] * 4
 
 
-def test_a_stream_that_may_not_be_resumed_does_not_end_as_whole(fleet: PlatformFleet) -> None:
+def test_cut_stream_that_is_not_resumable_does_not_end_like_a_complete_one(
+    fleet: PlatformFleet,
+) -> None:
+    """All runners cut their streams, and the route does not allow a resume."""
     for name in ("r1", "r2"):
         fleet.fault(name, cut_stream=1)
     try:
@@ -123,27 +134,32 @@
             fleet.fault(name, cut_stream=0)
 
 
-def test_a_booking_whose_answer_is_lost_runs_once_and_is_not_refused(fleet: PlatformFleet) -> None:
+def test_non_idempotent_call_whose_response_is_lost_runs_once_and_fails_with_502(
+    fleet: PlatformFleet,
+) -> None:
+    """Targets run a call and close the connection without a response."""
     for name in ("a1", "a2"):
         fleet.fault(name, lose=1)
-    reply = call(fleet, "book")
+    response = call(fleet, "book")
     for name in ("a1", "a2"):
         fleet.fault(name, lose=0)
-    assert reply.status == 502
-    assert "Retry-After" not in reply.headers
-    assert runs(fleet, reply.request_id) == 1
+    assert response.status == 502
+    assert "Retry-After" not in response.headers
+    assert runs(fleet, response.request_id) == 1
 
 
-def test_a_read_whose_answer_is_lost_is_repeated(fleet: PlatformFleet) -> None:
+def test_idempotent_call_whose_response_is_lost_is_retried(fleet: PlatformFleet) -> None:
+    """One target runs calls and closes the connection without a response."""
     for _ in range(12):
         call(fleet, "read")
     fleet.fault("a1", lose=1)
-    replies = [call(fleet, "read") for _ in range(4)]
+    responses = [call(fleet, "read") for _ in range(4)]
     fleet.fault("a1", lose=0)
-    assert [reply.status for reply in replies] == [200] * 4
+    assert [response.status for response in responses] == [200] * 4
 
 
-def test_a_caller_that_leaves_ends_its_run(fleet: PlatformFleet) -> None:
+def test_run_of_a_disconnected_caller_is_cancelled(fleet: PlatformFleet) -> None:
+    """A caller closes its connection in the middle of a stream."""
     for name in ("r1", "r2"):
         fleet.fault(name, event_s=0.3)
     conn, resp, request_id = open_call(fleet, "walk")
@@ -174,30 +190,35 @@
         (b"GET /read/ HTTP/1.1\r\nHost: h.exa", 408),
     ],
 )
-def test_what_cannot_be_read_is_refused_and_closed(
+def test_unparsable_or_oversized_request_is_rejected_and_its_connection_closed(
     fleet: PlatformFleet, data: bytes, status: int
 ) -> None:
-    slow = status == 408
-    answer = raw(fleet, data if slow or data.endswith(b"\r\n\r\n") else data + b"\r\n\r\n0\r\n\r\n")
-    assert answer.startswith(f"HTTP/1.1 {status} ".encode())
-    assert answer.count(b"HTTP/1.1") == 1
+    """Malformed, ambiguous, oversized and unfinished request heads."""
+    times_out = status == 408
+    received = send_raw(
+        fleet, data if times_out or data.endswith(b"\r\n\r\n") else data + b"\r\n\r\n0\r\n\r\n"
+    )
+    assert received.startswith(f"HTTP/1.1 {status} ".encode())
+    assert received.count(b"HTTP/1.1") == 1
 
 
-def test_requests_sent_ahead_are_answered_in_order(fleet: PlatformFleet) -> None:
+def test_pipelined_requests_get_their_responses_in_order(fleet: PlatformFleet) -> None:
+    """A caller sends five requests without waiting for responses."""
     one = "POST /read/x HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: {}\r\nRequest-Id: {}\r\n"
     data = (
         "".join(one.format(KEY, f"ahead{n}") + "Content-Length: 1\r\n\r\nx" for n in range(4))
         + one.format(KEY, "last")
         + "Connection: close\r\n\r\n"
     )
-    answer = raw(fleet, data.encode())
-    found = [line for line in answer.split(b"\r\n") if line.startswith(b"Request-Id")]
-    assert found == [
+    received = send_raw(fleet, data.encode())
+    lines_found = [line for line in received.split(b"\r\n") if line.startswith(b"Request-Id")]
+    assert lines_found == [
         f"Request-Id: {name}".encode() for name in ("ahead0", "ahead1", "ahead2", "ahead3", "last")
     ]
 
 
-def test_new_weights_reach_every_runner_by_rising_orders(fleet: PlatformFleet) -> None:
+def test_new_weights_reach_every_runner_by_orders_with_rising_fences(fleet: PlatformFleet) -> None:
+    """Weights are named twice while several entries may lead the roll-out."""
     fleet.put("versions", "m", {"model": "m", "version": 2})
     fleet.wait(lambda: all(fleet.counts(name)["weights"] == 2 for name in ("r1", "r2")), 10.0)
     fleet.put("versions", "m", {"model": "m", "version": 3})
@@ -210,10 +231,13 @@
         if after["holder"] != before["holder"]:
             assert after["fence"] > before["fence"]
             assert after["at_s"] - before["at_s"] >= LEASE_S
-    assert call(fleet, "draft").body == WHOLE
+    assert call(fleet, "draft").body == COMPLETE_STREAM
 
 
-def test_a_removed_key_is_refused_and_a_silent_store_ends_admission(fleet: PlatformFleet) -> None:
+def test_removed_key_is_refused_and_an_unresponsive_object_store_ends_admission(
+    fleet: PlatformFleet,
+) -> None:
+    """A key is removed; later the object store accepts connections and sends no responses."""
     tenants = [{"name": "w", "api_keys": [KEY, "second"]}]
     fleet.put_config(CONFIG | {"routes": ROUTES, "version": 5, "tenants": tenants})
     fleet.wait(lambda: call(fleet, "read", key="second").status == 200, 3.0)
@@ -229,8 +253,9 @@
     fleet.wait(lambda: call(fleet, "read").status == 200, 8.0)
 
 
-def test_a_planned_stop_ends_streams_whole(fleet: PlatformFleet) -> None:
-    # The test before silences the store and sees only that the other entry is back.
+def test_planned_stop_completes_running_streams(fleet: PlatformFleet) -> None:
+    """An entry gets SIGTERM in the middle of a stream."""
+    # The preceding test stops the object store's responses and waits for the other entry only.
     fleet.wait(lambda: fleet.ready("e2"))
     for name in ("r1", "r2"):
         fleet.fault(name, event_s=0.3)
@@ -238,7 +263,7 @@
     fleet.signal("e2", signal.SIGTERM)
     time.sleep(0.3)
     assert not fleet.ready("e2")
-    assert resp.read() == WHOLE
+    assert resp.read() == COMPLETE_STREAM
     conn.close()
     for name in ("r1", "r2"):
         fleet.fault(name, event_s=0.0)
@@ -247,12 +272,15 @@
     fleet.wait(lambda: fleet.ready("e2"))
 
 
-def test_the_log_leads_from_a_request_to_its_target(fleet: PlatformFleet) -> None:
-    reply = call(fleet, "read")
+def test_log_links_a_request_to_its_target_and_contains_no_api_key(fleet: PlatformFleet) -> None:
+    """An operator looks up a request id in the log."""
+    response = call(fleet, "read")
 
     def lines() -> list[str]:
-        found = [line for line in fleet.log_of("e1") if line.get("request_id") == reply.request_id]
-        return [line["event"] for line in found]
+        lines_found = [
+            line for line in fleet.log_of("e1") if line.get("request_id") == response.request_id
+        ]
+        return [line["event"] for line in lines_found]
 
     fleet.wait(lambda: lines() == ["call_placed", "request_finished"], 3.0)
     text = fleet.running["e1"].log.read_text()
--- a/tests/test_gateway_redirect.py
+++ b/tests/test_gateway_redirect.py
@@ -1,7 +1,7 @@
-"""Where callers are sent by an entry that can't serve them now.
+"""Retry times that an entry gives to callers whom it can't serve now.
 
-Load pattern: some entries get no answers from the store while the others do.  Callers that are told
-to wait for the store come back late, though another entry would have served them at once.
+Load pattern: some entries get no responses from the object store while others do.  Callers that
+are told to wait until the store is back return late, though another entry would serve them at once.
 """
 
 import pytest
@@ -22,57 +22,74 @@
 """Longer than the bound for removed keys."""
 
 
-def out_of_touch(world: World, outage_s: float, others: bool | None) -> RespondLocally:
-    """Let the store be silent, hear another entry (or none), and return the refusal of a call."""
+def refusal_of_a_stale_entry(
+    world: World, outage_s: float, peer_is_current: bool | None
+) -> RespondLocally:
+    """Run without the object store, with or without a peer's reports; return a call's refusal."""
     for _ in range(round(outage_s / 0.1)):
         world.now_s += 0.1
-        world.tell(Tick())
-        if others is not None:
-            world.tell(PeerMessage(EntryWork("e2", (), others)))
+        world.step(Tick())
+        if peer_is_current is not None:
+            world.step(PeerMessage(EntryWork("e2", (), peer_is_current)))
     refusals = [item for item in world.arrive("read") if isinstance(item, RespondLocally)]
     assert [(item.status, item.code) for item in refusals] == [(503, "stale")]
     return refusals[0]
 
 
-def test_callers_go_to_another_entry_at_once_where_one_is_in_touch() -> None:
-    refusal = out_of_touch(World(), OUTAGE_S, True)
+def test_stale_entry_gives_a_short_retry_time_if_a_peer_is_current() -> None:
+    """The object store responds to a peer and not to this entry."""
+    refusal = refusal_of_a_stale_entry(World(), OUTAGE_S, True)
     assert refusal.retry_after_s is not None
     assert refusal.retry_after_s <= OTHER_ENTRY_RETRY_S * (1.0 + RETRY_JITTER)
 
 
-@pytest.mark.parametrize("others", [False, None], ids=["others out of touch", "none heard"])
-def test_callers_wait_where_no_entry_is_known_to_be_in_touch(others: bool | None) -> None:
-    refusal = out_of_touch(World(), OUTAGE_S, others)
+@pytest.mark.parametrize(
+    "peer_is_current", [False, None], ids=["others out of touch", "none heard"]
+)
+def test_stale_entry_gives_a_longer_retry_time_if_no_peer_is_known_to_be_current(
+    peer_is_current: bool | None,
+) -> None:
+    """The object store responds to no entry, or no peer reports anything."""
+    refusal = refusal_of_a_stale_entry(World(), OUTAGE_S, peer_is_current)
     assert refusal.retry_after_s is not None
     assert refusal.retry_after_s >= STALE_RETRY_MIN_S
 
 
-def test_the_wait_grows_with_the_outage_up_to_a_bound() -> None:
-    shorter = out_of_touch(World(), OUTAGE_S, None).retry_after_s
-    longer = out_of_touch(World(), 30.0, None).retry_after_s
+def test_retry_time_grows_with_the_outage_up_to_a_bound() -> None:
+    """Short and long outages of the object store."""
+    shorter = refusal_of_a_stale_entry(World(), OUTAGE_S, None).retry_after_s
+    longer = refusal_of_a_stale_entry(World(), 30.0, None).retry_after_s
     assert shorter is not None
     assert longer is not None
     assert STALE_RETRY_MIN_S <= shorter <= longer <= STALE_RETRY_MAX_S * (1.0 + RETRY_JITTER)
 
 
-def test_what_another_entry_said_long_ago_sends_nobody_there() -> None:
+def test_old_report_of_a_current_peer_does_not_shorten_the_retry_time() -> None:
+    """A peer reported before the outage that it is current, and nothing since."""
     world = World()
-    world.tell(PeerMessage(EntryWork("e2", (), True)))
-    refusal = out_of_touch(world, OUTAGE_S, None)
+    world.step(PeerMessage(EntryWork("e2", (), True)))
+    refusal = refusal_of_a_stale_entry(world, OUTAGE_S, None)
     assert refusal.retry_after_s is not None
     assert refusal.retry_after_s >= STALE_RETRY_MIN_S
 
 
-@pytest.mark.parametrize("others", [True, False])
-def test_connections_end_with_their_answers_before_calls_must_be_refused(others: bool) -> None:
+@pytest.mark.parametrize("peer_is_current", [True, False])
+def test_keep_alive_connections_are_closed_before_the_configuration_is_stale(
+    peer_is_current: bool,
+) -> None:
+    """An entry loses the object store.
+
+    It closes callers' connections after a response while it can still serve, so that they reconnect
+    to a peer that is current.
+    """
     world = World()
     gateway_io = GatewayIO(world.core, lambda log: None, lambda reason: None)
-    world.tell(PeerMessage(EntryWork("e2", (), others)))
+    world.step(PeerMessage(EntryWork("e2", (), peer_is_current)))
     assert not world.core.should_close_connections(world.now_s)
     outage_s = BOUNDS.revoke_s * 0.7
     for _ in range(round(outage_s / 0.1)):
         world.now_s += 0.1
-        world.tell(PeerMessage(EntryWork("e2", (), others)))
-    assert world.core.should_close_connections(world.now_s) == others
+        world.step(PeerMessage(EntryWork("e2", (), peer_is_current)))
+    assert world.core.should_close_connections(world.now_s) == peer_is_current
     assert not [item for item in world.arrive("read") if isinstance(item, RespondLocally)]
     assert not gateway_io.stopping
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -1,4 +1,7 @@
-"""Answers that stop in the middle while their connections stay open."""
+"""Responses that stall in the middle while their connections stay open.
+
+Failure guarded against: the entry ends a response that a slow runner would still have completed.
+"""
 
 import pytest
 
@@ -8,32 +11,33 @@
     ResponseStarted,
     SendStalled,
 )
-from tests.gateway_world import World, answer, sends
+from tests.gateway_world import World, response_head, sends
 
 
 @pytest.mark.parametrize("name", ["walk", "book"])
-def test_a_runner_that_falls_silent_ends_no_answer_that_cannot_go_on_elsewhere(name: str) -> None:
-    """Load pattern: runners short of memory set runs aside for seconds, and go on with them."""
+def test_stalled_response_that_cannot_be_resumed_elsewhere_is_waited_for(name: str) -> None:
+    """Load pattern: runners short of memory suspend runs for seconds and resume them."""
     world = World()
     (sent,) = sends(world.arrive(name))
-    world.tell(ResponseStarted(1, sent.number, answer()))
+    world.step(ResponseStarted(1, sent.number, response_head()))
     for _ in range(3):
         world.run(2.0)
-        assert world.tell(SendStalled(1, sent.number, name == "walk", "3")) == []
-    assert world.tell(ResponseComplete(1, sent.number, 10)) == []
+        assert world.step(SendStalled(1, sent.number, name == "walk", "3")) == []
+    assert world.step(ResponseComplete(1, sent.number, 10)) == []
     assert world.core.counters.get("calls_ended", "complete") == 1
 
 
-def test_a_silent_stream_goes_on_elsewhere_within_its_attempts_and_is_then_waited_for() -> None:
+def test_stalled_stream_is_resumed_elsewhere_within_its_attempts_and_then_waited_for() -> None:
+    """A resumable stream stalls on its first runner and on the second one."""
     world = World()
     for _ in range(60):
         world.arrive("draft")
     (first,) = sends(world.arrive("draft"))
     call_id = world.calls
-    world.tell(ResponseStarted(call_id, first.number, answer()))
-    actions = world.tell(SendStalled(call_id, first.number, True, "7"))
+    world.step(ResponseStarted(call_id, first.number, response_head()))
+    actions = world.step(SendStalled(call_id, first.number, True, "7"))
     (second,) = sends(actions)
     assert CancelSend(call_id, first.number) in actions
     assert second.last_event_id == "7"
-    world.tell(ResponseStarted(call_id, second.number, answer()))
-    assert world.tell(SendStalled(call_id, second.number, True, "9")) == []
+    world.step(ResponseStarted(call_id, second.number, response_head()))
+    assert world.step(SendStalled(call_id, second.number, True, "9")) == []
--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -1,8 +1,10 @@
-"""State machine over removed keys: a store or another entry that answers late or never, and
-machines that are suspended.
+"""State machine over the removal of API keys.
 
-The store's answer to a call shows the newest configuration as of some moment between the call's
-send and the answer's arrival; here it is the worst one, that of the send.
+Failure guarded against: an entry admits a key longer than the bound after its removal.  This comes
+about when the object store or a peer responds late or never, and when VMs are suspended.
+
+The object store's response to a request shows the newest configuration as of some moment between
+the request's send and the response's arrival.  Here it is the worst one, that of the send.
 """
 
 from typing import NamedTuple
@@ -23,11 +25,11 @@
 
 KEYS = ("k", "k2")
 FLEET = tuple(f"f{number}" for number in range(20))
-RELYING = next(name for name in FLEET if not Relays(name, lambda: FLEET).is_relay)
+FOLLOWER = next(name for name in FLEET if not Relays(name, lambda: FLEET).is_relay)
 
 
 class Written(NamedTuple):
-    """A configuration that the store has taken."""
+    """A configuration that the object store has accepted."""
 
     at_s: float
     version: int
@@ -35,36 +37,36 @@
 
 
 def row_of(written: Written) -> ObjectRow:
-    """Return a configuration as the store holds it; its version serves as the revision."""
+    """Return a configuration as a row of the object store; its version serves as the revision."""
     return configuration_row(written.version, written.keys, written.version)
 
 
-class Asked(NamedTuple):
-    """A call to the store that is under way; ``seen`` is what its answer will show."""
+class PendingRead(NamedTuple):
+    """A request to the object store in progress; ``observed`` is what its response will show."""
 
     sent_at_s: float
-    seen: Written
+    observed: Written
 
 
-class Told(NamedTuple):
-    """Another entry's answer that is on its way."""
+class InTransit(NamedTuple):
+    """A peer's response that is in transit."""
 
-    answer: ViewResponse
+    response: ViewResponse
 
 
 class RevocationMachine(RuleBasedStateMachine):
-    """An operator, a store, one entry, and another one that it may rely on."""
+    """An operator, an object store, one entry, and a peer that it may use as a relay."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.world = World(RELYING)
+        self.world = World(FOLLOWER)
         for name in FLEET:
-            self.world.tell(EntryObserved(name, EntryRecord(f"tcp://{name}", 1), 1))
-        self.questions: list[ViewRequest] = []
-        self.on_the_way: list[Told] = []
-        self.watcher = Asked(self.world.now_s, Written(self.world.now_s, 1, ("k",)))
+            self.world.step(EntryObserved(name, EntryRecord(f"tcp://{name}", 1), 1))
+        self.view_requests: list[ViewRequest] = []
+        self.in_transit: list[InTransit] = []
+        self.relay_read = PendingRead(self.world.now_s, Written(self.world.now_s, 1, ("k",)))
         self.written = [Written(self.world.now_s, 1, ("k",))]
-        self.asked: list[Asked] = []
+        self.pending_reads: list[PendingRead] = []
 
     @rule(keys=st.sets(st.sampled_from(KEYS)), step=st.integers(1, 9))
     def write(self, keys: set[str], step: int) -> None:
@@ -72,59 +74,61 @@
         self.written.append(Written(self.world.now_s, version, tuple(sorted(keys))))
 
     @rule()
-    def ask(self) -> None:
-        self.asked.append(Asked(self.world.now_s, self.written[-1]))
+    def send_read(self) -> None:
+        self.pending_reads.append(PendingRead(self.world.now_s, self.written[-1]))
 
-    @precondition(lambda self: self.asked)
+    @precondition(lambda self: self.pending_reads)
     @rule(data=st.data(), lost=st.booleans())
-    def answer(self, data: st.DataObject, lost: bool) -> None:
-        asked = self.asked.pop(data.draw(st.integers(0, len(self.asked) - 1)))
+    def respond(self, data: st.DataObject, lost: bool) -> None:
+        pending = self.pending_reads.pop(data.draw(st.integers(0, len(self.pending_reads) - 1)))
         if not lost:
-            rows = (row_of(asked.seen),)
-            as_of = asked.seen.version
-            shown = KindObserved(DOCUMENTS_KIND, True, 0, as_of, asked.sent_at_s, rows)
-            self.world.tell(shown)
+            rows = (row_of(pending.observed),)
+            as_of = pending.observed.version
+            taken = KindObserved(DOCUMENTS_KIND, True, 0, as_of, pending.sent_at_s, rows)
+            self.world.step(taken)
 
     @rule()
-    def show_watcher(self) -> None:
-        """The other entry is shown the newest configuration."""
-        self.watcher = Asked(self.world.now_s, self.written[-1])
+    def relay_reads(self) -> None:
+        """The relay reads the newest configuration."""
+        self.relay_read = PendingRead(self.world.now_s, self.written[-1])
 
-    @precondition(lambda self: self.questions)
+    @precondition(lambda self: self.view_requests)
     @rule(data=st.data())
-    def watcher_answers(self, data: st.DataObject) -> None:
-        question = data.draw(st.sampled_from(self.questions))
-        age_s = self.world.now_s - self.watcher.sent_at_s
-        seen, since = self.watcher.seen, question.as_of[DOCUMENTS_KIND]
-        rows = (row_of(seen),) if seen.version > since else ()
+    def relay_responds(self, data: st.DataObject) -> None:
+        view_request = data.draw(st.sampled_from(self.view_requests))
+        age_s = self.world.now_s - self.relay_read.sent_at_s
+        observed, since = self.relay_read.observed, view_request.as_of[DOCUMENTS_KIND]
+        rows = (row_of(observed),) if observed.version > since else ()
         full = data.draw(st.booleans())
-        rows = (row_of(seen),) if full else rows
-        kind_update = KindUpdate(DOCUMENTS_KIND, full, since, seen.version, age_s, rows)
-        self.on_the_way.append(Told(ViewResponse(question.number, (kind_update,))))
+        rows = (row_of(observed),) if full else rows
+        update = KindUpdate(DOCUMENTS_KIND, full, since, observed.version, age_s, rows)
+        self.in_transit.append(InTransit(ViewResponse(view_request.number, (update,))))
 
     @precondition(lambda self: len(self.written) > 1)
     @rule()
-    def watcher_passes_a_change_on(self) -> None:
-        """It tells a change unasked, which says nothing about its age."""
-        seen, since = self.written[-1], self.written[-2].version
-        kind_update = KindUpdate(DOCUMENTS_KIND, False, since, seen.version, 0.0, (row_of(seen),))
-        self.on_the_way.append(Told(ViewResponse(0, (kind_update,))))
+    def relay_sends_a_change_unrequested(self) -> None:
+        """The relay sends a change without a request, which shows nothing about its age."""
+        observed, since = self.written[-1], self.written[-2].version
+        update = KindUpdate(
+            DOCUMENTS_KIND, False, since, observed.version, 0.0, (row_of(observed),)
+        )
+        self.in_transit.append(InTransit(ViewResponse(0, (update,))))
 
-    @precondition(lambda self: self.on_the_way)
+    @precondition(lambda self: self.in_transit)
     @rule(data=st.data())
-    def answer_arrives(self, data: st.DataObject) -> None:
-        index = data.draw(st.integers(0, len(self.on_the_way) - 1))
-        self.world.tell(PeerMessage(self.on_the_way.pop(index).answer))
+    def deliver_response(self, data: st.DataObject) -> None:
+        index = data.draw(st.integers(0, len(self.in_transit) - 1))
+        self.world.step(PeerMessage(self.in_transit.pop(index).response))
 
     @rule(seconds=st.sampled_from([0.1, 0.7, 1.5, 4.0]), suspended=st.booleans())
     def wait(self, seconds: float, suspended: bool) -> None:
-        # A suspended machine wakes up to the time that has passed, and no tick in between.
+        # A suspended VM resumes at the current time, without any tick in between.
         if suspended:
             self.world.now_s += seconds
         else:
             for action in self.world.run(seconds, confirm=False):
                 if isinstance(action, SendPeer) and isinstance(action.payload, ViewRequest):
-                    self.questions.append(action.payload)
+                    self.view_requests.append(action.payload)
 
     @rule(name=st.sampled_from(["read", "book", "draft"]))
     def call(self, name: str) -> None:
@@ -136,18 +140,18 @@
         if not admitted:
             return
         now_s = self.world.now_s
-        held_until_s = 0.0
+        valid_until_s = 0.0
         for item, after in zip(self.written, [*self.written[1:], None], strict=True):
             if key in item.keys:
-                held_until_s = now_s if after is None else after.at_s
-        assert now_s - held_until_s < BOUNDS.revoke_s, (key, self.written)
+                valid_until_s = now_s if after is None else after.at_s
+        assert now_s - valid_until_s < BOUNDS.revoke_s, (key, self.written)
 
     @rule()
-    def versions_never_fall(self) -> None:
+    def older_version_is_ignored(self) -> None:
         config = self.world.core.authorizer.config
         assert config is not None
         before = config.version
-        self.world.tell(
+        self.world.step(
             ConfigurationObserved(configuration(max(1, before - 1)), self.world.now_s - 9)
         )
         after = self.world.core.authorizer.config
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -1,4 +1,8 @@
-"""How the runners of a model are brought to named weights, and what calls begin on meanwhile."""
+"""Roll-outs: how the runners of a model get named weights, and which weights calls use meanwhile.
+
+Failures guarded against: too many runners swap at once, a runner misses the bound for new weights,
+and a call starts on weights whose bound is near.
+"""
 
 import itertools
 
@@ -13,7 +17,7 @@
 LOAD_S = 0.5
 
 
-def named(*versions: int, at_s: float, apart_s: float = 0.0) -> WeightsView:
+def view_with_named(*versions: int, at_s: float, apart_s: float = 0.0) -> WeightsView:
     """Return a view in which versions of the model were named one after another."""
     weights = WeightsView(Roster(), VERSION_S)
     for number, version in enumerate(versions):
@@ -28,8 +32,8 @@
     return roster
 
 
-def begun(rollout: Rollout, roster: Roster, begin_s: float, end_s: float) -> dict[str, float]:
-    """Run a roll-out whose swaps take ``LOAD_S``; return when each runner's began."""
+def run_rollout(rollout: Rollout, roster: Roster, begin_s: float, end_s: float) -> dict[str, float]:
+    """Run a roll-out whose swaps take ``LOAD_S``; return the start time of each runner's swap."""
     began: dict[str, float] = {}
     now_s = begin_s
     while now_s < end_s:
@@ -40,73 +44,78 @@
     return began
 
 
-def test_swaps_are_spread_over_a_share_of_the_bound() -> None:
-    """Load pattern: all runners busy; those just swapped have to read everything again."""
+def test_swaps_are_spread_over_a_fraction_of_the_bound() -> None:
+    """Load pattern: all runners are busy, and those just swapped have to recompute all prefixes."""
     roster = roster_of([1] * 10)
-    began = begun(Rollout(roster, named(3, at_s=100.0)), roster, 100.0, 108.0)
+    began = run_rollout(Rollout(roster, view_with_named(3, at_s=100.0)), roster, 100.0, 108.0)
     times = sorted(began.values())
     assert len(times) == 10
     assert times[-1] - 100.0 <= ROLL_OUT_FRACTION * VERSION_S + 0.1
     assert all(later - earlier >= 0.1 for earlier, later in itertools.pairwise(times))
 
 
-def test_a_single_runner_is_swapped_at_once() -> None:
+def test_single_runner_is_swapped_at_once() -> None:
+    """With one runner there is nothing to spread."""
     roster = roster_of([1])
-    began = begun(Rollout(roster, named(3, at_s=100.0)), roster, 100.0, 101.0)
+    began = run_rollout(Rollout(roster, view_with_named(3, at_s=100.0)), roster, 100.0, 101.0)
     assert began["r0"] < 100.2
 
 
-def test_whoever_takes_the_duty_over_late_swaps_half_at_a_time() -> None:
+def test_leader_that_takes_over_late_swaps_half_of_the_runners_at_a_time() -> None:
+    """The lease changes hands when more than half of the bound has passed."""
     roster = roster_of([1] * 6)
-    began = begun(Rollout(roster, named(3, at_s=100.0)), roster, 104.5, 108.0)
+    began = run_rollout(Rollout(roster, view_with_named(3, at_s=100.0)), roster, 104.5, 108.0)
     assert sorted(began.values())[2] < 104.6
     assert sorted(began.values())[5] < 104.7 + LOAD_S
 
 
-def test_the_oldest_weights_are_swapped_first_and_by_their_own_bound() -> None:
-    """Load pattern: a version is named before the one before it is in place everywhere."""
+def test_runners_with_the_oldest_weights_are_swapped_first_and_by_their_own_bound() -> None:
+    """Load pattern: a version is named before the preceding one is loaded everywhere."""
     roster = roster_of([2, 2, 2, 1, 1, 2])
-    weights = named(2, 3, at_s=100.0, apart_s=4.0)
-    began = begun(Rollout(roster, weights), roster, 104.0, 110.0)
+    weights = view_with_named(2, 3, at_s=100.0, apart_s=4.0)
+    began = run_rollout(Rollout(roster, weights), roster, 104.0, 110.0)
     assert set(sorted(began, key=began.__getitem__)[:2]) == {"r3", "r4"}
     assert max(began["r3"], began["r4"]) < 104.2
     assert min(began[name] for name in ("r0", "r1", "r2", "r5")) > 104.2
 
 
-def test_a_runner_is_overdue_by_the_first_version_that_it_missed() -> None:
-    weights = named(2, 3, at_s=100.0, apart_s=4.0)
+def test_runner_is_overdue_by_the_first_version_that_it_missed() -> None:
+    """Two versions are named, and the bound of the first one passes."""
+    weights = view_with_named(2, 3, at_s=100.0, apart_s=4.0)
     late_s = 100.0 + OVERDUE_FRACTION * VERSION_S + 0.1
     assert weights.is_overdue("m", 1, late_s)
     assert not weights.is_overdue("m", 2, late_s)
     assert not weights.is_overdue("m", 3, late_s + 100.0)
 
 
-def test_no_call_begins_on_weights_whose_bound_is_near_though_newer_ones_were_named() -> None:
+def test_no_call_starts_on_weights_near_their_bound_after_newer_ones_were_named() -> None:
+    """Naming version 3 must not restart the bound of a runner that still lacks version 2."""
     world = World()
-    world.tell(WeightsNamed("m", 2))
-    world.tell(TargetObserved("r1", entry("r1", "models", weights={"m": 2}), False))
+    world.step(WeightsNamed("m", 2))
+    world.step(TargetObserved("r1", entry("r1", "models", weights={"m": 2}), False))
     world.run(4.0)
-    world.tell(WeightsNamed("m", 3))
+    world.step(WeightsNamed("m", 3))
     world.run(2.5)
     assert {sends(world.arrive("draft"))[0].target_id for _ in range(9)} == {"r1"}
 
 
-def test_the_record_of_the_duty_tells_all_entries_of_new_weights() -> None:
-    """An entry that thinks a runner old sends nothing there, and would not learn of it."""
+def test_lease_record_informs_all_entries_of_loaded_weights() -> None:
+    """An entry sends no calls to a runner with old weights. No response can show it newer ones."""
     world = World()
-    world.tell(WeightsNamed("m", 2))
+    world.step(WeightsNamed("m", 2))
     record = LeaseRecord("e9#1", 1, True, 1, [], {}, {"r2": {"m": 2}, "gone": {"m": 2}})
-    world.tell(LeaseObserved(record, 5))
+    world.step(LeaseObserved(record, 5))
     world.run(7.0)
     assert {sends(world.arrive("draft"))[0].target_id for _ in range(9)} == {"r2"}
 
 
-def test_a_roll_out_swaps_half_at_a_time_and_gives_no_order_twice() -> None:
+def test_roll_out_swaps_at_most_half_at_a_time_and_sends_no_order_twice() -> None:
+    """Reports of runners arrive in between, before and after a swap."""
     roster = Roster()
     for number in range(6):
         roster.put(entry(f"r{number}", "models"), 100.0)
-    # Named long ago: nothing is spread any more.
-    rollout = Rollout(roster, named(2, at_s=0.0))
+    # The weights were named long ago, so the swaps are not spread.
+    rollout = Rollout(roster, view_with_named(2, at_s=0.0))
     now_s, ordered = 100.0, []
     for _ in range(400):
         now_s += 0.1
@@ -124,10 +133,11 @@
     assert rollout.outdated() == []
 
 
-def test_an_order_carries_the_count_of_orders_that_its_runner_has_accepted() -> None:
+def test_order_carries_the_number_of_orders_that_its_runner_has_accepted() -> None:
+    """An order without a response may be carried out late. The count lets a runner reject it."""
     roster = Roster()
     roster.put(entry("r0", "models"), 100.0)
-    rollout = Rollout(roster, named(2, at_s=0.0))
+    rollout = Rollout(roster, view_with_named(2, at_s=0.0))
     now_s, orders = 100.0, []
     for step in range(60):
         now_s += 0.1
@@ -142,21 +152,21 @@
     assert orders[-1] == 5
 
 
-def test_parts_are_retired_once_no_runner_that_gets_calls_has_older_weights() -> None:
-    """Runners on older weights go on fetching what was saved for them."""
+def test_blocks_are_retired_once_no_runner_that_gets_calls_has_older_weights() -> None:
+    """Runners with older weights continue to fetch the blocks that were saved for them."""
     world = World()
-    world.tell(WeightsNamed("m", 2))
-    world.tell(TargetObserved("r1", entry("r1", "models", weights={"m": 2}), False))
-    world.tell(LeaseObserved(None, 0))
+    world.step(WeightsNamed("m", 2))
+    world.step(TargetObserved("r1", entry("r1", "models", weights={"m": 2}), False))
+    world.step(LeaseObserved(None, 0))
     retired = []
     for revision in range(1, 40):
         world.now_s += 0.1
-        for action in world.tell(Tick()):
+        for action in world.step(Tick()):
             if isinstance(action, WriteLease):
-                world.tell(LeaseObserved(action.record, revision))
+                world.step(LeaseObserved(action.record, revision))
                 retired.append(action.record.retired)
         if revision == 20:
             assert len(retired) > 2
             assert not any(retired)
-            world.tell(TargetObserved("r2", entry("r2", "models", weights={"m": 2}), False))
+            world.step(TargetObserved("r2", entry("r2", "models", weights={"m": 2}), False))
     assert retired[-1] == {"m": 2}
