--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -344,7 +344,7 @@
         "connection/event_relay.py",
         "int(number) <= int(last)",
         "False",
-        "tests/test_relay_machine.py::test_events_arrive_once_and_in_order_over_any_breaks",
+        "tests/test_relay_machine.py::test_events_of_a_resumed_stream_arrive_once_and_in_order",
     ),
     Guard(
         "what another entry tells is as old as the question, at least",
--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -27,7 +27,7 @@
         "    if present is None:\n"
         "        call = KeyCall(KeyAction.CREATE, settle.name, settle.record)\n",
         "    if present is None:\n        return settled\n",
-        "tests/test_faults.py::test_a_claim_that_is_carried_out_late_leaves_its_key_free",
+        "tests/test_faults.py::test_claim_that_is_carried_out_late_does_not_block_its_key",
     ),
     Guard(
         "a run whose caller left is not called free",
@@ -35,35 +35,35 @@
         "ran = call.may_have_run or call.attempts > 0",
         "ran = call.may_have_run",
         "tests/test_faults.py::"
-        "test_a_caller_that_leaves_during_its_booking_leaves_a_key_that_may_have_run",
+        "test_key_of_a_caller_that_disconnected_during_the_run_may_have_run",
     ),
     Guard(
         "another request under the same key conflicts",
         "request/idempotency_keys.py",
         "if present.fingerprint != idempotency_key.fingerprint:",
         "if False:",
-        "tests/test_whole_path.py::test_another_body_under_the_same_key_conflicts",
+        "tests/test_whole_path.py::test_other_body_with_the_same_idempotency_key_conflicts",
     ),
     Guard(
         "keys are named by workspace",
         "request/idempotency_keys.py",
         '"idempotency-key", workspace, call',
         '"idempotency-key", "", call',
-        "tests/test_whole_path.py::test_two_workspaces_may_use_the_same_key",
+        "tests/test_whole_path.py::test_two_workspaces_may_use_the_same_idempotency_key",
     ),
     Guard(
         "an outcome that the store has not taken is written again",
         "request/idempotency_keys.py",
         "        return [item.settle for item in due]",
         "        return []",
-        "tests/test_faults.py::test_a_claim_that_is_carried_out_late_leaves_its_key_free",
+        "tests/test_faults.py::test_claim_that_is_carried_out_late_does_not_block_its_key",
     ),
     Guard(
         "a key of a process that was replaced is not waited for",
         "request/idempotency_keys.py",
         "if not self._alive(present.entry, present.incarnation):",
         "if False:",
-        "tests/test_faults.py::test_a_claimant_that_was_replaced_leaves_no_key_running",
+        "tests/test_faults.py::test_key_of_a_restarted_entry_does_not_stay_marked_as_running",
     ),
     Guard(
         "a change needs the revision that it was made on",
@@ -73,7 +73,7 @@
         "        revision = 0 if present is None else present.revision\n"
         "        return self._store.replace(DOCUMENTS_KIND, DOCUMENTS_NAME, content, revision)",
         "tests/test_documents_machine.py::"
-        "test_a_change_written_between_read_and_write_is_not_lost",
+        "test_change_written_between_read_and_write_is_not_overwritten",
     ),
     Guard(
         "a change without an answer is not called refused",
@@ -81,21 +81,21 @@
         'return ApplyResult("unsettled", base, "the platform has not answered the write")',
         'return ApplyResult("unavailable", base, "")',
         "tests/test_whole_path.py::"
-        "test_a_change_that_is_carried_out_late_is_not_called_accepted_or_lost",
+        "test_change_that_is_carried_out_late_is_reported_as_unsettled",
     ),
     Guard(
         "documents that contradict each other are refused",
         "connection/document_store.py",
         "        if faults:\n",
         "        if False:\n",
-        "tests/test_whole_path.py::test_a_change_that_contradicts_the_documents_is_invalid",
+        "tests/test_whole_path.py::test_change_that_contradicts_other_documents_is_invalid",
     ),
     Guard(
         "operators drain a target",
         "process/roster.py",
         "and target.target_id not in self.drained",
         "and True",
-        "tests/test_whole_path.py::test_a_leaving_target_gets_no_new_work_after_the_bound",
+        "tests/test_whole_path.py::test_leaving_target_gets_no_new_work_after_the_bound",
     ),
     Guard(
         "a workspace keeps to its limits",
@@ -103,7 +103,7 @@
         "if use.running >= max(1.0, workspace_limits.concurrent * share):",
         "if False:",
         "tests/test_whole_path.py::"
-        "test_a_workspace_over_its_limits_is_refused_and_others_are_served",
+        "test_workspace_over_its_limits_is_refused_and_others_are_served",
     ),
     Guard(
         "a refusal's weights are guessed from what the call expected",
@@ -118,7 +118,7 @@
         "request/send_timeouts.py",
         "longest_s, reading_s, wait_s)",
         "longest_s)",
-        "tests/test_whole_path.py::test_a_prompt_and_its_return_through_another_entry",
+        "tests/test_whole_path.py::test_returning_prompt_reuses_its_cache_through_another_entry_and_runner",
     ),
     Guard(
         "after a failed send only a new connection is used",
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,7 @@
-"""Settings of Hypothesis, and the fleet of real processes.
+"""Settings of Hypothesis, and the fixture for a fleet of real processes.
 
-Hypothesis runs the same examples every time, so that the verdict never varies, and keeps nothing in
-the tree: what it would keep names paths of the machine.
+Hypothesis runs the same examples every time, so that results are reproducible, and keeps its
+example database out of the tree, because its entries contain paths of the machine.
 """
 
 import os
@@ -15,7 +15,7 @@
 
 from standins.fleet import Fleet, Options
 
-# ``bench.guards`` only asks whether a check fails, not for the smallest failure.
+# ``bench.guards`` only needs to see whether a test fails, not the smallest failing example.
 PHASES = [Phase.explicit, Phase.generate] if "NO_SHRINK" in os.environ else list(Phase)
 
 set_hypothesis_home_dir(Path(tempfile.gettempdir()) / "filbertstream-hypothesis")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,7 @@
-"""A ready world for tests: entries, two runners, two service targets, a store, two workspaces."""
+"""A ready simulated fleet for tests.
+
+It has entries, two runners, two service targets, a cache store and two workspaces.
+"""
 
 from bench.world import BOUNDS, World
 from bench.world_documents import world_documents
@@ -12,7 +15,7 @@
 
 
 def ready_world(entries: int = 3, seed: int = 1, bounds: Bounds = BOUNDS) -> World:
-    """Return a world whose entries take requests."""
+    """Return a simulated fleet whose entries accept requests."""
     world = World(seed, bounds)
     for number in range(1, entries + 1):
         world.add_entry(f"e{number}", f"dc{1 + (number - 1) % 3}")
@@ -24,13 +27,13 @@
     ended = world.apply([*DOCUMENTS, world.store_document("st1")])
     assert ended.state == "accepted", ended
     assert world.run_until(lambda: all_ready(world, ended.revision), 8.0)
-    # Stores take parts a while after an entry has first heard of them.
+    # An entry saves blocks to a cache store only some time after its first response.
     world.run(SAVE_HOLDOFF_S + 1.0)
     return world
 
 
 def all_ready(world: World, revision: int) -> bool:
-    """Whether every entry takes requests under a revision and knows the others."""
+    """Return whether every entry accepts requests under a revision and has found its peers."""
     for core in world.cores.values():
         config = core.authorizer.config
         if config is None or config.version < revision or not core.ready(world.now_s):
@@ -46,10 +49,10 @@
 
 
 def kinds(world: World, request_id: str) -> list[str]:
-    """Return how a request ended."""
+    """Return the kinds of a request's outcomes."""
     return [outcome.kind for outcome in world.outcomes[request_id]]
 
 
 def codes(world: World, request_id: str) -> list[str]:
-    """Return why a request was refused."""
+    """Return the error codes of a request's outcomes."""
     return [outcome.code for outcome in world.outcomes[request_id]]
--- a/tests/test_documents_machine.py
+++ b/tests/test_documents_machine.py
@@ -1,7 +1,8 @@
-"""A state machine over operators' changes: several at once, writes that are late, lost or refused.
+"""State machine over operators' changes.
 
-What an operator is told must stay true: an accepted change is in force until another replaces it,
-and one that was refused never comes into force.
+Failures guarded against: an accepted change that is lost, and a rejected one that takes effect.
+They come about when several operators write at once, and when writes to the object store are late,
+rejected or without a response.
 """
 
 from typing import Any
@@ -17,8 +18,8 @@
 from filbertstream.version.documents import Model, encode_changes
 
 
-class Unreliable(FakeObjects):
-    """Answers reads as they are, and writes as the machine asks."""
+class UnreliableObjects(FakeObjects):
+    """An object store with correct reads, whose writes fail as the state machine requires."""
 
     def __init__(self) -> None:
         self.late: list[Any] = []
@@ -32,12 +33,12 @@
 
 
 class DocumentsMachine(RuleBasedStateMachine):
-    """Each change sets one model's version to a number of its own."""
+    """Each change sets one model's version to a number that no other change uses."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.objects = Unreliable()
-        self.numbers = 0
+        self.objects = UnreliableObjects()
+        self.last_number = 0
         self.states: dict[int, str] = {}
         self.accepted: dict[str, int] = {}
         self.revision = 0
@@ -52,28 +53,28 @@
 
     @rule(
         name=st.sampled_from(["a", "b"]),
-        how=st.sampled_from(["done", "done", "refused", "lost", "late"]),
-        blind=st.booleans(),
+        outcome=st.sampled_from(["done", "done", "refused", "lost", "late"]),
+        no_read_back=st.booleans(),
         stale=st.booleans(),
     )
-    def change(self, name: str, how: str, blind: bool, stale: bool) -> None:
-        self.numbers += 1
-        self.objects.down = how == "refused"
-        self.objects.lose_answers = how == "lost"
-        self.objects.late_writes = how == "late"
+    def change(self, name: str, outcome: str, no_read_back: bool, stale: bool) -> None:
+        self.last_number += 1
+        self.objects.down = outcome == "refused"
+        self.objects.lose_answers = outcome == "lost"
+        self.objects.late_writes = outcome == "late"
         store: Any = self.objects
         before = self._read_revision()
         base = max(0, before - 1) if stale else None
         documents = DocumentStore(store)
-        if blind:
-            documents = _BlindAfterWrite(store)
-        ended = documents.apply(encode_changes([Model("model", name, self.numbers)]), base)
+        if no_read_back:
+            documents = _StoreWithoutReadBack(store)
+        ended = documents.apply(encode_changes([Model("model", name, self.last_number)]), base)
         self.objects.read_fails = False
         self.objects.down = False
         self.objects.lose_answers = self.objects.late_writes = 0
-        self.states[self.numbers] = ended.state
+        self.states[self.last_number] = ended.state
         if ended.state == "accepted":
-            self.accepted[name] = self.numbers
+            self.accepted[name] = self.last_number
 
     def _read_revision(self) -> int:
         stored = self.objects.objects.get(DOCUMENTS_KIND, {}).get(DOCUMENTS_NAME)
@@ -86,19 +87,19 @@
         self.objects.late.pop(index)()
 
     @invariant()
-    def accepted_changes_stay(self) -> None:
+    def accepted_changes_stay_in_force(self) -> None:
         present = self._present()
         for name, number in self.accepted.items():
             assert present.get(name, 0) >= number, (name, number, present)
 
     @invariant()
-    def refused_changes_never_come_into_force(self) -> None:
+    def rejected_changes_never_take_effect(self) -> None:
         for number in self._present().values():
             assert self.states.get(number) not in ("lost", "invalid", "unavailable")
 
 
-class _BlindAfterWrite(DocumentStore):
-    """Can't look a write up that was not answered."""
+class _StoreWithoutReadBack(DocumentStore):
+    """Can't read back a write that got no response."""
 
     def _write(self, content: Any, revision: int) -> Any:
         result = super()._write(content, revision)
@@ -110,17 +111,18 @@
 TestDocuments = DocumentsMachine.TestCase
 
 
-def test_a_change_written_between_read_and_write_is_not_lost() -> None:
-    objects: Any = Unreliable()
+def test_change_written_between_read_and_write_is_not_overwritten() -> None:
+    """Another operator writes between the read and the conditional write of a change."""
+    objects: Any = UnreliableObjects()
     first = DocumentStore(objects)
     assert first.apply(encode_changes([Model("model", "a", 1)]), None).state == "accepted"
 
-    class Overtaken(DocumentStore):
+    class OvertakenStore(DocumentStore):
         def _write(self, content: Any, revision: int) -> Any:
             first.apply(encode_changes([Model("model", "b", 2)]), None)
             return super()._write(content, revision)
 
-    ended = Overtaken(objects).apply(encode_changes([Model("model", "c", 3)]), None)
+    ended = OvertakenStore(objects).apply(encode_changes([Model("model", "c", 3)]), None)
     assert ended.state == "lost"
     names = {item.name for item in first.read().unwrap().view.documents.values()}
     assert names == {"a", "b"}
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,15 +1,20 @@
-"""Directed faults over the core in virtual time, one promise at a time."""
+"""Directed faults over several cores in virtual time, one promise for each test.
+
+Failures guarded against: a non-idempotent call runs twice or is wrongly reported as not run, an
+idempotency key stays blocked, and a stored response is lost.  They come about when targets, entries
+or the object store fail between the steps of a call.
+"""
 
 from bench.world import World
 from filbertstream.request.call import PromptBlock
 from filbertstream.request.call_events import CallerDisconnected
 from tests.helpers import codes, kinds, ready_world, runs
 
-PARTS = tuple(PromptBlock(f"part-{index}", 2_000) for index in range(4))
+BLOCKS = tuple(PromptBlock(f"part-{index}", 2_000) for index in range(4))
 
 
-def booking_under_way(run_s: float) -> World:
-    """Return a world in which the first entry's booking runs at a service that takes so long."""
+def world_with_running_call(run_s: float) -> World:
+    """Return a world in which a call of the first entry runs at a service for ``run_s``."""
     world = ready_world()
     for name in ("s1", "s2"):
         world.targets[name].run_s = run_s
@@ -18,7 +23,8 @@
     return world
 
 
-def test_a_booking_cut_after_it_ran_is_not_repeated() -> None:
+def test_keyed_call_cut_after_it_ran_is_not_retried() -> None:
+    """A target runs a call and its response is lost; the caller sends the key to another entry."""
     world = ready_world()
     for target in world.targets.values():
         target.lose = 1
@@ -32,7 +38,8 @@
     assert runs(world, "b") == 1
 
 
-def test_a_booking_to_a_dead_target_goes_to_another_and_runs_once() -> None:
+def test_keyed_call_to_a_dead_target_is_sent_to_another_and_runs_once() -> None:
+    """One of two service targets is dead."""
     world = ready_world()
     world.targets["s1"].dead = True
     request = world.request("e1", "service", idempotency_key="b")
@@ -41,7 +48,8 @@
     assert runs(world, "b") == 1
 
 
-def test_a_booking_that_reached_no_target_can_be_made_later() -> None:
+def test_keyed_call_that_reached_no_target_can_be_made_later() -> None:
+    """All targets of a service are dead when a call arrives, and are back later."""
     world = ready_world()
     for name in ("s1", "s2"):
         world.targets[name].dead = True
@@ -57,8 +65,9 @@
     assert runs(world, "b") == 1
 
 
-def test_a_claimant_killed_while_its_booking_runs_leaves_one_run_and_no_second() -> None:
-    world = booking_under_way(0.5)
+def test_entry_killed_during_a_keyed_call_leaves_a_key_that_is_not_run_again() -> None:
+    """The entry that claimed a key is killed while the call runs, so its outcome is not stored."""
+    world = world_with_running_call(0.5)
     world.kill("e1")
     second = world.request("e2", "service", idempotency_key="b")
     world.run(20.0)
@@ -69,8 +78,9 @@
     assert runs(world, "b") == 1
 
 
-def test_a_claimant_that_was_replaced_leaves_no_key_running() -> None:
-    world = booking_under_way(0.5)
+def test_key_of_a_restarted_entry_does_not_stay_marked_as_running() -> None:
+    """The entry that claimed a key is killed and starts again as a new incarnation."""
+    world = world_with_running_call(0.5)
     world.kill("e1")
     world.add_entry("e1")
     world.run(2.0)
@@ -80,8 +90,9 @@
     assert runs(world, "b") == 1
 
 
-def test_a_repeat_during_the_run_is_told_to_come_back_and_then_gets_the_answer() -> None:
-    world = booking_under_way(1.0)
+def test_retry_during_the_run_gets_a_retry_time_and_then_the_stored_response() -> None:
+    """A caller sends the same key to another entry while its call runs."""
+    world = world_with_running_call(1.0)
     second = world.request("e2", "service", idempotency_key="b")
     world.run(0.2)
     assert codes(world, second) == ["key_running"]
@@ -94,7 +105,8 @@
     assert runs(world, "b") == 1
 
 
-def test_a_claim_whose_answer_was_lost_is_settled_and_runs_once() -> None:
+def test_claim_whose_response_was_lost_is_resolved_and_its_call_runs_once() -> None:
+    """The object store takes a claim, and its response is lost."""
     world = ready_world()
     world.objects.lose_answers = 1
     request = world.request("e1", "service", idempotency_key="b")
@@ -103,7 +115,8 @@
     assert runs(world, "b") == 1
 
 
-def test_a_claim_that_is_carried_out_late_leaves_its_key_free() -> None:
+def test_claim_that_is_carried_out_late_does_not_block_its_key() -> None:
+    """The object store carries claims out after the call has ended as not run."""
     world = ready_world()
     world.objects.late_writes = 3
     first = world.request("e1", "service", idempotency_key="b", deadline_s=1.0)
@@ -115,7 +128,8 @@
     assert runs(world, "b") == 1
 
 
-def test_a_paused_claimant_sends_nothing_twice_when_it_goes_on() -> None:
+def test_paused_entry_does_not_run_its_claimed_call_a_second_time_on_resuming() -> None:
+    """An entry is suspended while its claim is being written, and the key is used elsewhere."""
     world = ready_world()
     world.request("e1", "service", idempotency_key="b")
     world.paused.add("e1")
@@ -128,7 +142,8 @@
     assert len(world.outcomes[second]) == 1
 
 
-def test_a_planned_stop_waits_until_the_outcome_of_a_booking_is_kept() -> None:
+def test_planned_stop_waits_until_the_outcome_of_a_keyed_call_is_stored() -> None:
+    """The object store is slow when an entry stops right after it has sent a response."""
     world = ready_world()
     first = world.request("e1", "service", idempotency_key="b")
     world.run(0.012)
@@ -145,20 +160,22 @@
     assert kinds(world, second) == ["kept"]
 
 
-def test_a_dead_store_costs_time_and_no_answer() -> None:
+def test_dead_cache_store_delays_a_response_but_does_not_fail_it() -> None:
+    """A cache store dies after it reported the blocks that a prompt needs."""
     world = ready_world()
-    world.request("e1", tokens=8_000, blocks=PARTS)
+    world.request("e1", tokens=8_000, blocks=BLOCKS)
     world.run(5.0)
     assert world.stores["st1"].blocks
     world.stores["st1"].dead = True
     for target in world.targets.values():
         target.cache.clear()
-    again = world.request("e2", tokens=8_000, blocks=PARTS)
+    again = world.request("e2", tokens=8_000, blocks=BLOCKS)
     world.run(5.0)
     assert kinds(world, again) == ["answered"]
 
 
-def test_a_model_request_whose_runners_die_mid_stream_ends_as_an_error() -> None:
+def test_stream_whose_runners_all_die_ends_as_an_error() -> None:
+    """All runners die in the middle of a stream."""
     world = ready_world()
     request = world.request("e1", out_tokens=100)
     world.run(0.5)
@@ -169,7 +186,8 @@
     assert (outcome.kind, outcome.run) == ("broken", "may_have_run")
 
 
-def test_a_caller_that_leaves_during_its_booking_leaves_a_key_that_may_have_run() -> None:
+def test_key_of_a_caller_that_disconnected_during_the_run_may_have_run() -> None:
+    """A caller disconnects while its call runs and sends the key again."""
     world = ready_world()
     for name in ("s1", "s2"):
         world.targets[name].run_s = 0.5
--- a/tests/test_keys_machine.py
+++ b/tests/test_keys_machine.py
@@ -1,7 +1,11 @@
-"""State machines over idempotency keys: entries that race, writes that are late, lost or refused.
+"""State machine over idempotency keys.
 
-The store here is the strictest that the platform allows: a write without an answer is carried out
-now, at any later step, or never.
+Failures guarded against: a key's call runs twice, a call that ran is reported as not run, and a
+stored response changes.  They come about when entries race for a key or die, and when writes to the
+object store are late, rejected or without a response.
+
+The object store here is the worst that the platform allows: a write without a response is carried
+out at once, at any later step, or never.
 """
 
 from typing import Any, NamedTuple
@@ -33,14 +37,14 @@
 from filbertstream.version.routes import Backend, CallKind, Route, Service
 
 ENTRIES = ("e1", "e2", "e3")
-LONGEST_S = 10.0
-ROUTE = Route("r", "h", "/", CallKind.NON_IDEMPOTENT, (Backend("s", 1),), LONGEST_S, 1.0, 1)
-ONCE = IdempotencyKey("key", "body")
-ANSWER = BufferedResponse(200, "text/plain", b"done")
+TIMEOUT_S = 10.0
+ROUTE = Route("r", "h", "/", CallKind.NON_IDEMPOTENT, (Backend("s", 1),), TIMEOUT_S, 1.0, 1)
+KEY = IdempotencyKey("key", "body")
+RESPONSE = BufferedResponse(200, "text/plain", b"done")
 
 
-class Step(NamedTuple):
-    """Writes under way: whose, of which call, and what is to be sent next."""
+class PendingStep(NamedTuple):
+    """Object store calls in progress: their entry, the call they belong to, the next request."""
 
     entry: str
     incarnation: int
@@ -50,14 +54,14 @@
 
 
 class KeysMachine(RuleBasedStateMachine):
-    """Any number of calls of one key, on three entries that die and come back."""
+    """Any number of calls with one key, on three entries that die and restart."""
 
     def __init__(self) -> None:
         super().__init__()
         self.record: KeyRecord | None = None
         self.revision = 0
         self.late: list[KeyCall] = []
-        self.steps: list[Step] = []
+        self.pending_steps: list[PendingStep] = []
         self.incarnations = dict.fromkeys(ENTRIES, 1)
         self.registered = dict.fromkeys(ENTRIES, 1)
         self.idempotency_keys = {name: self._new(name) for name in ENTRIES}
@@ -65,8 +69,8 @@
         self.owners: dict[int, tuple[str, int]] = {}
         self.running: set[int] = set()
         self.ran: list[int] = []
-        self.told_not_run: set[int] = set()
-        self.answered: dict[int, bytes] = {}
+        self.reported_not_run: set[int] = set()
+        self.responses: dict[int, bytes] = {}
         self.now_s = 0.0
 
     def _new(self, name: str) -> IdempotencyKeys:
@@ -78,104 +82,106 @@
 
     def _begin(self, entry: str, call_id: int, steps: Any) -> None:
         call = next(steps)
-        self.steps.append(Step(entry, self.incarnations[entry], call_id, steps, call))
+        self.pending_steps.append(
+            PendingStep(entry, self.incarnations[entry], call_id, steps, call)
+        )
 
     @rule(entry=st.sampled_from(ENTRIES))
-    def ask(self, entry: str) -> None:
+    def arrive(self, entry: str) -> None:
         call_id = len(self.owners) + 1
-        head = CallHead(f"call-{call_id}", "POST", "h", "/", None, None, 1, None, None, ONCE)
-        call = Call(call_id, head, ROUTE, Service("s", "", 9), None, self.now_s, LONGEST_S)
+        head = CallHead(f"call-{call_id}", "POST", "h", "/", None, None, 1, None, None, KEY)
+        call = Call(call_id, head, ROUTE, Service("s", "", 9), None, self.now_s, TIMEOUT_S)
         self.calls[call_id] = call
         self.owners[call_id] = (entry, self.incarnations[entry])
-        self._begin(entry, call_id, claim_steps(self.idempotency_keys[entry].claim(call, ONCE)))
+        self._begin(entry, call_id, claim_steps(self.idempotency_keys[entry].claim(call, KEY)))
 
     def _apply(self, call: KeyCall) -> KeyReply:
-        """Carry a call out as the store does."""
+        """Carry out an object store call."""
         if call.action is KeyAction.READ:
             return KeyReply(KeyOutcome.DONE, self.record, self.revision)
         create = call.action is KeyAction.CREATE
-        fits = self.record is None if create else self.revision == call.revision
-        if not fits or (not create and self.record is None):
+        matches = self.record is None if create else self.revision == call.revision
+        if not matches or (not create and self.record is None):
             return KeyReply(KeyOutcome.CONFLICT, self.record, self.revision)
         self.record = call.record
         self.revision += 1
         return KeyReply(KeyOutcome.DONE, self.record, self.revision)
 
-    @precondition(lambda self: self.steps)
+    @precondition(lambda self: self.pending_steps)
     @rule(
         data=st.data(),
-        how=st.sampled_from(["done", "done", "done", "refused", "lost", "late", "never"]),
+        outcome=st.sampled_from(["done", "done", "done", "refused", "lost", "late", "never"]),
     )
-    def answer(self, data: st.DataObject, how: str) -> None:
-        index = data.draw(st.integers(0, len(self.steps) - 1))
-        step = self.steps.pop(index)
-        if how == "done":
+    def respond(self, data: st.DataObject, outcome: str) -> None:
+        index = data.draw(st.integers(0, len(self.pending_steps) - 1))
+        step = self.pending_steps.pop(index)
+        if outcome == "done":
             reply = self._apply(step.call)
-        elif how == "refused":
+        elif outcome == "refused":
             reply = KeyReply(KeyOutcome.REFUSED)
         else:
             reply = KeyReply(KeyOutcome.OUTCOME_UNKNOWN)
-            if how == "lost":
+            if outcome == "lost":
                 self._apply(step.call)
-            elif how == "late" and step.call.action is not KeyAction.READ:
+            elif outcome == "late" and step.call.action is not KeyAction.READ:
                 self.late.append(step.call)
         if self.incarnations[step.entry] != step.incarnation:
             return
         try:
             call = step.steps.send(reply)
-        except StopIteration as ended:
-            self._ended(step, ended.value)
+        except StopIteration as stop:
+            self._on_steps_ended(step, stop.value)
             return
-        self.steps.append(step._replace(call=call))
+        self.pending_steps.append(step._replace(call=call))
 
     @precondition(lambda self: self.late)
     @rule(data=st.data())
     def carry_out_late(self, data: st.DataObject) -> None:
         self._apply(self.late.pop(data.draw(st.integers(0, len(self.late) - 1))))
 
-    def _ended(self, step: Step, result: KeyClaimed | KeySettled | None) -> None:
+    def _on_steps_ended(self, step: PendingStep, result: KeyClaimed | KeySettled | None) -> None:
         idempotency_keys = self.idempotency_keys[step.entry]
         if isinstance(result, KeySettled):
             idempotency_keys.on_settled(result)
         if not isinstance(result, KeyClaimed) or step.call_id not in self.calls:
             return
         call = self.calls[step.call_id]
-        verdict = idempotency_keys.resolve_claim(result, ONCE, LONGEST_S, self.now_s)
+        verdict = idempotency_keys.resolve_claim(result, KEY, TIMEOUT_S, self.now_s)
         if verdict is None:
             self.running.add(call.call_id)
             self.ran.append(call.call_id)
             call.attempts = 1
             return
         if isinstance(verdict, BufferedResponse):
-            self.answered[call.call_id] = verdict.body
+            self.responses[call.call_id] = verdict.body
         elif verdict.code == "claims_unavailable":
-            self.told_not_run.add(call.call_id)
+            self.reported_not_run.add(call.call_id)
         self._finish(call, None)
 
-    def _finish(self, call: Call, answer: BufferedResponse | None) -> None:
+    def _finish(self, call: Call, response: BufferedResponse | None) -> None:
         entry, _ = self.owners[call.call_id]
         del self.calls[call.call_id]
-        for settle in self.idempotency_keys[entry].end(call, answer, self.now_s):
+        for settle in self.idempotency_keys[entry].end(call, response, self.now_s):
             self._settle(entry, call.call_id, settle)
 
     def _settle(self, entry: str, call_id: int, settle: SettleKey) -> None:
         self._begin(entry, call_id, settle_steps(settle))
 
     @precondition(lambda self: self.running)
-    @rule(data=st.data(), how=st.sampled_from(["answer", "cut", "left", "not run"]))
-    def end_run(self, data: st.DataObject, how: str) -> None:
+    @rule(data=st.data(), outcome=st.sampled_from(["answer", "cut", "left", "not run"]))
+    def end_run(self, data: st.DataObject, outcome: str) -> None:
         call_id = data.draw(st.sampled_from(sorted(self.running)))
         self.running.discard(call_id)
         call = self.calls[call_id]
-        if how == "not run":
-            # The target proved that it ran nothing.
+        if outcome == "not run":
+            # The target's response proves that the call did not run.
             self.ran.remove(call_id)
             call.attempts = 0
-            self.told_not_run.add(call_id)
-        call.may_have_run = how == "cut"
-        if how == "answer":
-            self.answered[call_id] = ANSWER.body
-        self._finish(call, ANSWER if how == "answer" else None)
+            self.reported_not_run.add(call_id)
+        call.may_have_run = outcome == "cut"
+        if outcome == "answer":
+            self.responses[call_id] = RESPONSE.body
+        self._finish(call, RESPONSE if outcome == "answer" else None)
 
     @rule(entry=st.sampled_from(ENTRIES))
     def settle_again(self, entry: str) -> None:
@@ -197,18 +203,18 @@
         self.registered[entry] = self.incarnations[entry]
 
     @invariant()
-    def runs_once(self) -> None:
+    def call_runs_at_most_once(self) -> None:
         assert len(self.ran) <= 1, self.ran
 
     @invariant()
-    def answers_are_those_of_the_run(self) -> None:
-        assert not self.answered or len(self.ran) == 1
-        assert not self.told_not_run & set(self.ran)
+    def responses_are_those_of_the_run(self) -> None:
+        assert not self.responses or len(self.ran) == 1
+        assert not self.reported_not_run & set(self.ran)
 
     @invariant()
-    def a_kept_answer_stays(self) -> None:
+    def stored_response_does_not_change(self) -> None:
         if self.record is not None and self.record.state is KeyState.STORED:
-            assert self.record.body == ANSWER.body
+            assert self.record.body == RESPONSE.body
 
 
 TestKeys = KeysMachine.TestCase
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -1,7 +1,8 @@
-"""Views of the store that are told by the store and by each other, in any order, late or never.
+"""Views of the object store that are updated by the store and by each other.
 
-The promise that everything rests on: what a view was shown to be as of a moment holds every write
-that the store had taken by then, and no object that was removed before it.
+Failure guarded against: a view counts as confirmed as of some time, but lacks a write that the
+store had accepted by then, or contains an object that was removed before.  This comes about when
+responses and relayed updates arrive late, out of order or never.
 """
 
 from typing import NamedTuple
@@ -20,21 +21,21 @@
 
 
 class Written(NamedTuple):
-    """A write that the store has taken; ``row`` has no content for a removal."""
+    """A write that the store has accepted; ``row`` has no content for a removal."""
 
     at_s: float
     row: ObjectRow
 
 
-class Shown(NamedTuple):
-    """An answer that is on its way to a view."""
+class InTransit(NamedTuple):
+    """A response or update that is in transit to a view."""
 
     view: int
     shown: KindObserved
 
 
 class ViewMachine(RuleBasedStateMachine):
-    """A store, and views that ask it and each other."""
+    """An object store, and views that read it and request updates from each other."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -42,10 +43,10 @@
         self.revision = 1
         self.written: list[Written] = []
         self.views = [StoreView(FOLLOWED) for _ in range(VIEWS)]
-        self.on_the_way: list[Shown] = []
+        self.in_transit: list[InTransit] = []
 
     def present(self, at_s: float) -> dict[str, ObjectRow]:
-        """Return what the store held at a moment."""
+        """Return the objects in the store at a time."""
         found: dict[str, ObjectRow] = {}
         for write in self.written:
             if write.at_s <= at_s:
@@ -62,7 +63,7 @@
             return
         self.revision += 1
         content = None if removed else b"%d" % self.revision
-        # A removal shows the revision of the last change, not its own.
+        # A removal carries the revision of the object's last change, not one of its own.
         revision = self.present(self.now_s)[name].revision if removed else self.revision
         self.written.append(Written(self.now_s, ObjectRow(name, revision, content)))
         self.stamps = getattr(self, "stamps", {})
@@ -72,7 +73,7 @@
     def list(self, view: int) -> None:
         rows = tuple(self.present(self.now_s).values())
         shown = KindObserved(KIND, True, 0, self.revision, self.now_s, rows)
-        self.on_the_way.append(Shown(view, shown))
+        self.in_transit.append(InTransit(view, shown))
 
     @rule(view=st.integers(0, VIEWS - 1))
     def watch(self, view: int) -> None:
@@ -83,14 +84,16 @@
             write.row for number, write in enumerate(self.written) if self.stamps[number] > since
         ]
         shown = KindObserved(KIND, False, since, self.revision, self.now_s, tuple(changed))
-        self.on_the_way.append(Shown(view, shown))
+        self.in_transit.append(InTransit(view, shown))
 
-    @rule(asker=st.integers(0, VIEWS - 1), relay=st.integers(0, VIEWS - 1), late=st.booleans())
-    def ask(self, asker: int, relay: int, late: bool) -> None:
+    @rule(
+        follower=st.integers(0, VIEWS - 1), relay=st.integers(0, VIEWS - 1), delayed=st.booleans()
+    )
+    def request_update(self, follower: int, relay: int, delayed: bool) -> None:
         sent_at_s = self.now_s
-        self.now_s += 0.3 if late else 0.001
+        self.now_s += 0.3 if delayed else 0.001
         kind_update = self.views[relay].kind_update(
-            KIND, self.views[asker].as_of()[KIND], self.now_s
+            KIND, self.views[follower].as_of()[KIND], self.now_s
         )
         if kind_update is None:
             return
@@ -105,12 +108,12 @@
             observed_at_s,
             kind_update.rows,
         )
-        self.on_the_way.append(Shown(asker, shown))
+        self.in_transit.append(InTransit(follower, shown))
 
-    @precondition(lambda self: self.on_the_way)
+    @precondition(lambda self: self.in_transit)
     @rule(data=st.data(), lost=st.booleans())
-    def arrive(self, data: st.DataObject, lost: bool) -> None:
-        item = self.on_the_way.pop(data.draw(st.integers(0, len(self.on_the_way) - 1)))
+    def deliver(self, data: st.DataObject, lost: bool) -> None:
+        item = self.in_transit.pop(data.draw(st.integers(0, len(self.in_transit) - 1)))
         self.now_s += 0.01
         if lost:
             return
@@ -121,17 +124,19 @@
         self.check(view)
 
     def check(self, view: StoreView) -> None:
-        told = view.kind_update(KIND, 0, self.now_s)
-        if told is None:
+        update = view.kind_update(KIND, 0, self.now_s)
+        if update is None:
             return
-        assert told.rows is not None
-        held = {row.name: row for row in told.rows if row.content is not None}
-        observed_at_s = self.now_s - told.age_s
-        # Whatever was there at the moment shown, or has been put there since.
+        assert update.rows is not None
+        held = {row.name: row for row in update.rows if row.content is not None}
+        observed_at_s = self.now_s - update.age_s
+        # Every object that existed at the observed time is present, unless it was removed later.
         for name, row in self.present(observed_at_s + 1e-9).items():
             later = [item for item in self.written if item.row.name == name]
-            gone = any(item.row.content is None and item.at_s > observed_at_s for item in later)
-            assert gone or held[name].revision >= row.revision
+            is_removed = any(
+                item.row.content is None and item.at_s > observed_at_s for item in later
+            )
+            assert is_removed or held[name].revision >= row.revision
         for name, row in held.items():
             removals = [
                 item.at_s
@@ -147,29 +152,32 @@
 TestViews.settings = settings(max_examples=800, stateful_step_count=60)
 
 
-def test_an_object_that_came_back_within_one_answer_is_there() -> None:
-    """Fault: registrations lapse while the store is away, and are back with its return."""
+def test_object_removed_and_created_again_within_one_response_is_present() -> None:
+    """Fault: registrations expire while the object store is down and are renewed on its return."""
     view = StoreView(FOLLOWED)
     view.take(KindObserved(KIND, True, 0, 5, 0.0, (ObjectRow("x", 4, b"4"),)), 0.0)
     rows = (ObjectRow("x", 4, None), ObjectRow("x", 7, b"7"))
     taken = view.take(KindObserved(KIND, False, 5, 9, 1.0, rows), 1.0)
     assert taken is not None
     assert taken.rows == rows[1:]
-    told = view.kind_update(KIND, 5, 1.0)
-    assert told is not None
-    assert told.rows == (rows[1],)
+    update = view.kind_update(KIND, 5, 1.0)
+    assert update is not None
+    assert update.rows == (rows[1],)
 
 
-def test_an_object_that_came_back_is_told_after_its_removal_was() -> None:
+def test_object_created_again_is_relayed_after_its_removal_was() -> None:
+    """A relay sends a removal to its follower, and the object is created again afterwards."""
     relay, follower = StoreView(FOLLOWED), StoreView(FOLLOWED)
     for view in (relay, follower):
         view.take(KindObserved(KIND, True, 0, 5, 0.0, (ObjectRow("x", 4, b"4"),)), 0.0)
     relay.take(KindObserved(KIND, False, 5, 9, 1.0, (ObjectRow("x", 4, None),)), 1.0)
     for since, row in ((9, ObjectRow("x", 10, b"10")), (None, None)):
-        told = relay.kind_update(KIND, follower.as_of()[KIND], 1.0)
-        assert told is not None
-        assert told.rows is not None
-        follower.take(KindObserved(KIND, told.full, told.since, told.as_of, 1.0, told.rows), 1.0)
+        update = relay.kind_update(KIND, follower.as_of()[KIND], 1.0)
+        assert update is not None
+        assert update.rows is not None
+        follower.take(
+            KindObserved(KIND, update.full, update.since, update.as_of, 1.0, update.rows), 1.0
+        )
         if row is not None and since is not None:
             relay.take(KindObserved(KIND, False, since, 12, 1.0, (row,)), 1.0)
     held = follower.kind_update(KIND, 0, 1.0)
@@ -177,17 +185,18 @@
     assert held.rows == (ObjectRow("x", 10, b"10"),)
 
 
-def test_an_asker_that_missed_forgotten_removals_is_told_the_whole_kind() -> None:
+def test_follower_that_missed_removals_no_longer_kept_gets_a_full_listing() -> None:
+    """More objects are removed than a view keeps removals of."""
     view = StoreView(FOLLOWED)
     view.take(KindObserved(KIND, True, 0, 1, 0.0, (ObjectRow("x", 1, b"1"),)), 0.0)
     removals = tuple(ObjectRow(f"r{number}", 1, None) for number in range(REMOVALS_KEPT + 1))
     for number, row in enumerate(removals):
         view.take(KindObserved(KIND, False, 1 + number, 2 + number, 1.0, (row,)), 1.0)
-    told = view.kind_update(KIND, 1, 1.0)
-    assert told is not None
-    assert told.full
-    assert told.rows is not None
-    assert [row.name for row in told.rows] == ["x"]
+    update = view.kind_update(KIND, 1, 1.0)
+    assert update is not None
+    assert update.full
+    assert update.rows is not None
+    assert [row.name for row in update.rows] == ["x"]
     later = view.kind_update(KIND, 2, 1.0)
     assert later is not None
     assert not later.full
--- a/tests/test_stores_machine.py
+++ b/tests/test_stores_machine.py
@@ -1,7 +1,10 @@
-"""State machine over kept cache: saves, fetches, restarts, events that are late or lost.
+"""State machine over the state of a cache store as observed by entries.
 
-One race is left out, an open limit (docs/HUNTS.md): an entry that has not yet heard of a restart
-saves a part that it never knew to be stored, while another such entry fetches it.
+Failure guarded against: a runner fetches a block while it is being saved.  This comes about when a
+cache store restarts, and when its events arrive late or get lost.
+
+One race is left out, an open limit (docs/HUNTS.md): an entry that has not yet observed a restart
+saves a block that it never observed as stored, while another such entry fetches it.
 """
 
 import random
@@ -33,19 +36,19 @@
 KEYS: tuple[BlockKey, ...] = tuple(("names", f"part-{number}") for number in range(2))
 ENTRIES = 2
 ROUND_S = 0.3
-CALM_ROUNDS = 13
+SETTLED_ROUNDS = 13
 """Rounds after which an entry saves to a store that has restarted."""
 
 
 class Fetch(NamedTuple):
-    """A runner reads a part from the store at some time in this span."""
+    """A runner may read a block from the store until ``until_s``."""
 
     key: BlockKey
     until_s: float
 
 
-class Polled(NamedTuple):
-    """An event call that is under way."""
+class EventPoll(NamedTuple):
+    """A request for events that is in progress."""
 
     entry: int
     sent_at_s: float
@@ -60,11 +63,11 @@
         self.now_s = 100.0
         self.start_id = 1
         self.up_from_s = 0.0
-        self.whole: set[BlockKey] = set()
-        self.partial: set[BlockKey] = set()
+        self.complete_blocks: set[BlockKey] = set()
+        self.partial_blocks: set[BlockKey] = set()
         self.events: list[CacheChange] = []
         self.fetches: list[Fetch] = []
-        self.polls: list[Polled] = []
+        self.polls: list[EventPoll] = []
         self.entries = []
         for number in range(ENTRIES):
             stores = CacheStores(CacheIndex(), random.Random(number))
@@ -76,69 +79,73 @@
 
     @rule(seconds=st.sampled_from([0.05, 0.3, 0.9, 2.0]))
     def wait(self, seconds: float) -> None:
-        self._pass(seconds)
+        self._advance(seconds)
 
     @initialize()
     def begin(self) -> None:
-        self.follow(CALM_ROUNDS)
+        self.follow(SETTLED_ROUNDS)
 
-    @rule(rounds=st.sampled_from([1, 3, CALM_ROUNDS]))
+    @rule(rounds=st.sampled_from([1, 3, SETTLED_ROUNDS]))
     def follow(self, rounds: int) -> None:
-        """Both entries hear the store for a while, as they mostly do."""
+        """Both entries receive the store's events for a while, as they usually do."""
         for _ in range(rounds):
             for entry in range(ENTRIES):
-                self.hear(entry)
-            self._pass(ROUND_S)
+                self.poll_at_once(entry)
+            self._advance(ROUND_S)
 
-    def hear(self, entry: int) -> None:
-        """Have an entry hear the store at once."""
+    def poll_at_once(self, entry: int) -> None:
+        """Deliver the store's events to an entry at once."""
         since = self.entries[entry].states["st"].since
-        self._tell(Polled(entry, self.now_s, since), set())
+        self._deliver(EventPoll(entry, self.now_s, since), set())
 
     @rule(entry=st.integers(0, ENTRIES - 1), key=st.sampled_from(KEYS))
-    def keep(self, entry: int, key: BlockKey) -> None:
-        """A part is saved, and all hear of it."""
+    def save_block(self, entry: int, key: BlockKey) -> None:
+        """A block is saved, and both entries receive the event."""
         self._prompt(entry, key)
-        if key in self.partial:
+        if key in self.partial_blocks:
             self._complete(key)
         self.follow(1)
 
-    def _pass(self, seconds: float) -> None:
+    def _advance(self, seconds: float) -> None:
         self.now_s += seconds
         self.fetches = [fetch for fetch in self.fetches if fetch.until_s > self.now_s]
 
     @rule(entry=st.integers(0, ENTRIES - 1))
     def poll(self, entry: int) -> None:
-        self.polls.append(Polled(entry, self.now_s, self.entries[entry].states["st"].since))
+        self.polls.append(EventPoll(entry, self.now_s, self.entries[entry].states["st"].since))
 
     @precondition(lambda self: self.polls)
     @rule(data=st.data(), lost=st.sets(st.integers(0, 9)))
-    def answer_poll(self, data: st.DataObject, lost: set[int]) -> None:
-        self._tell(self.polls.pop(data.draw(st.integers(0, len(self.polls) - 1))), lost)
+    def respond_to_poll(self, data: st.DataObject, lost: set[int]) -> None:
+        self._deliver(self.polls.pop(data.draw(st.integers(0, len(self.polls) - 1))), lost)
 
-    def _tell(self, poll: Polled, lost: set[int]) -> None:
+    def _deliver(self, poll: EventPoll, lost: set[int]) -> None:
         stores = self.entries[poll.entry]
         if not self._is_up():
             stores.on_missed(CacheEventsFailed("st"), self.now_s)
             return
-        seen = [item for index, item in enumerate(self.events[poll.since :]) if index not in lost]
+        received = [
+            item for index, item in enumerate(self.events[poll.since :]) if index not in lost
+        ]
         following = len(self.events)
         stores.on_events(
             CacheEventsReceived(
-                "st", poll.sent_at_s, self.now_s, self.start_id, following, 5_000, tuple(seen)
+                "st", poll.sent_at_s, self.now_s, self.start_id, following, 5_000, tuple(received)
             )
         )
 
     @precondition(lambda self: self._is_up())
     @rule(entry=st.integers(0, ENTRIES - 1))
-    def list_parts(self, entry: int) -> None:
-        held = tuple((key, TOKENS) for key in sorted(self.whole))
-        partial = TOKENS * len(self.partial)
-        listed = CacheBlocksListed("st", self.now_s, self.start_id, len(self.events), held, partial)
+    def list_blocks(self, entry: int) -> None:
+        held = tuple((key, TOKENS) for key in sorted(self.complete_blocks))
+        partial_tokens = TOKENS * len(self.partial_blocks)
+        listed = CacheBlocksListed(
+            "st", self.now_s, self.start_id, len(self.events), held, partial_tokens
+        )
         self.entries[entry].on_listed(listed)
 
     @rule(first=st.integers(0, ENTRIES - 1), key=st.sampled_from(KEYS), both=st.booleans())
-    def ask(self, first: int, key: BlockKey, both: bool) -> None:
+    def send_prompt(self, first: int, key: BlockKey, both: bool) -> None:
         self._prompt(first, key)
         if both:
             self._prompt(1 - first, key)
@@ -150,35 +157,35 @@
                 self.fetches.append(Fetch(key, self.now_s + FETCH_TIMEOUT_S))
             return
         chosen = stores.save_to(key, TOKENS, self.now_s)
-        knows = stores.states["st"].start_id == self.start_id
-        if chosen is not None and knows and self._is_up() and key not in self.whole:
-            self.partial.add(key)
+        is_current = stores.states["st"].start_id == self.start_id
+        if chosen is not None and is_current and self._is_up() and key not in self.complete_blocks:
+            self.partial_blocks.add(key)
 
-    @precondition(lambda self: self.partial)
+    @precondition(lambda self: self.partial_blocks)
     @rule(data=st.data())
     def complete_save(self, data: st.DataObject) -> None:
-        self._complete(data.draw(st.sampled_from(sorted(self.partial))))
+        self._complete(data.draw(st.sampled_from(sorted(self.partial_blocks))))
 
     def _complete(self, key: BlockKey) -> None:
-        self.partial.discard(key)
-        self.whole.add(key)
+        self.partial_blocks.discard(key)
+        self.complete_blocks.add(key)
         self.events.append(CacheChange(True, key, TOKENS))
 
     @precondition(lambda self: self._is_up())
-    @rule(down_s=st.sampled_from([0.0, 0.5, 3.0]), heard_by=st.sampled_from([None, 0, 1]))
-    def restart(self, down_s: float, heard_by: int | None) -> None:
+    @rule(down_s=st.sampled_from([0.0, 0.5, 3.0]), polled_by=st.sampled_from([None, 0, 1]))
+    def restart(self, down_s: float, polled_by: int | None) -> None:
         self.start_id += 1
         self.up_from_s = self.now_s + down_s
-        self.whole, self.partial, self.events = set(), set(), []
-        # A transfer from a store that is gone ends.
+        self.complete_blocks, self.partial_blocks, self.events = set(), set(), []
+        # The restart aborts all transfers.
         self.fetches = []
-        if heard_by is not None:
-            self._pass(down_s)
-            self.hear(heard_by)
+        if polled_by is not None:
+            self._advance(down_s)
+            self.poll_at_once(polled_by)
 
     @invariant()
-    def no_part_is_read_while_it_is_written(self) -> None:
-        assert not {fetch.key for fetch in self.fetches} & self.partial
+    def no_block_is_read_while_it_is_written(self) -> None:
+        assert not {fetch.key for fetch in self.fetches} & self.partial_blocks
 
 
 TestStores = StoresMachine.TestCase
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,4 +1,9 @@
-"""The whole path over several cores in virtual time: serving, changes, outages, stops, weights."""
+"""The complete path over several cores in virtual time.
+
+Failures guarded against: prefixes that are recomputed, calls that run twice, work on a stale
+configuration, requests cut by drains and roll-outs, and limits that are not kept.  They come about
+through outages, races between operators, drains, swaps and dead runners.
+"""
 
 import pytest
 
@@ -15,25 +20,27 @@
 )
 from tests.helpers import all_ready, codes, kinds, ready_world, runs
 
-PARTS = tuple(PromptBlock(f"part-{index}", 2_000) for index in range(10))
+BLOCKS = tuple(PromptBlock(f"part-{index}", 2_000) for index in range(10))
 REVOKE_S = 5.0
 
 
-def test_a_prompt_and_its_return_through_another_entry() -> None:
+def test_returning_prompt_reuses_its_cache_through_another_entry_and_runner() -> None:
+    """A prompt returns through another entry when the runner that computed its prefix drains."""
     world = ready_world()
-    first = world.request("e1", tokens=20_100, blocks=(*PARTS, PromptBlock("first", 100)))
+    first = world.request("e1", tokens=20_100, blocks=(*BLOCKS, PromptBlock("first", 100)))
     world.run(5.0)
     assert sum(target.computed_tokens for target in world.targets.values()) == 20_100
-    (reader,) = [target for target in world.targets.values() if target.ran]
-    reader.draining = True
+    (first_runner,) = [target for target in world.targets.values() if target.ran]
+    first_runner.draining = True
     world.run(world.bounds.drain_s)
-    again = world.request("e2", tokens=20_100, blocks=(*PARTS, PromptBlock("again", 100)))
+    again = world.request("e2", tokens=20_100, blocks=(*BLOCKS, PromptBlock("again", 100)))
     world.run(5.0)
     assert kinds(world, first) == kinds(world, again) == ["answered"]
     assert sum(target.computed_tokens for target in world.targets.values()) == 20_200
 
 
-def test_a_booking_repeated_through_another_entry_runs_once() -> None:
+def test_keyed_call_retried_through_another_entry_runs_once() -> None:
+    """A caller sends the same idempotency key to two entries."""
     world = ready_world()
     first = world.request("e1", "service", idempotency_key="b")
     world.run(1.0)
@@ -44,7 +51,8 @@
     assert runs(world, "b") == 1
 
 
-def test_another_body_under_the_same_key_conflicts() -> None:
+def test_other_body_with_the_same_idempotency_key_conflicts() -> None:
+    """A caller uses one idempotency key for two different requests."""
     world = ready_world()
     world.request("e1", "service", idempotency_key="b", body="one")
     world.run(1.0)
@@ -54,7 +62,8 @@
     assert runs(world, "b") == 1
 
 
-def test_two_workspaces_may_use_the_same_key() -> None:
+def test_two_workspaces_may_use_the_same_idempotency_key() -> None:
+    """Keys of different workspaces are independent, although their texts are equal."""
     world = ready_world()
     first = world.request("e1", "service", "k", idempotency_key="b")
     second = world.request("e2", "service", "other", idempotency_key="b")
@@ -63,7 +72,8 @@
     assert runs(world, "b") == 2
 
 
-def test_an_outage_refuses_bookings_at_once_and_serves_prompts_up_to_the_bound() -> None:
+def test_outage_refuses_keyed_calls_at_once_and_serves_prompts_up_to_the_bound() -> None:
+    """The object store is down: no key can be claimed, and the configuration becomes stale."""
     world = ready_world()
     world.objects.down = True
     booking = world.request("e1", "service", idempotency_key="b")
@@ -83,7 +93,8 @@
     assert runs(world, "b") == 1
 
 
-def test_an_entry_that_is_cut_off_refuses_new_work_while_the_others_go_on() -> None:
+def test_entry_cut_off_from_the_object_store_refuses_new_work_and_its_peers_do_not() -> None:
+    """One entry loses the object store for longer than the bound."""
     world = ready_world()
     world.store_cut.add("e1")
     world.run(REVOKE_S + 1.0)
@@ -95,7 +106,8 @@
     assert not world.cores["e1"].ready(world.now_s)
 
 
-def test_a_change_is_in_force_at_once_for_all_in_touch_and_binds_all_others() -> None:
+def test_change_takes_effect_at_once_on_current_entries_and_stale_ones_refuse_calls() -> None:
+    """A key is replaced while one entry is cut off from the object store."""
     world = ready_world()
     world.store_cut.add("e3")
     ended = world.apply([Workspace("workspace", "w", "t", keys=(digest_key("new"),))])
@@ -112,7 +124,8 @@
     assert codes(world, refused) == ["stale"]
 
 
-def test_racing_operators_one_wins_and_the_other_learns_the_revision() -> None:
+def test_of_two_racing_operators_one_wins_and_the_other_gets_the_new_revision() -> None:
+    """Two operators apply changes to the same base revision."""
     world = ready_world()
     base = world.objects.revision
     revision = world.applied[-1][1].revision
@@ -122,7 +135,8 @@
     assert second.revision == first.revision > base
 
 
-def test_a_lost_answer_of_a_change_is_looked_up() -> None:
+def test_change_whose_response_was_lost_is_read_back() -> None:
+    """The object store takes a change, and its response is lost."""
     world = ready_world()
     world.objects.lose_answers = 1
     ended = world.apply([Model("model", "m2", 1)])
@@ -134,19 +148,22 @@
     )
 
 
-def test_a_change_that_is_carried_out_late_is_not_called_accepted_or_lost() -> None:
+def test_change_that_is_carried_out_late_is_reported_as_unsettled() -> None:
+    """A write gets no response and may still take effect."""
     world = ready_world()
     world.objects.late_writes = 1
     assert world.apply([Model("model", "m2", 1)]).state == "unsettled"
 
 
-def test_a_change_that_contradicts_the_documents_is_invalid() -> None:
+def test_change_that_contradicts_other_documents_is_invalid() -> None:
+    """An operator removes a template that a workspace uses."""
     world = ready_world()
     ended = world.apply([Removal("removal", "t", "template")])
     assert (ended.state, "no template t" in ended.detail) == ("invalid", True)
 
 
-def test_a_newcomer_during_an_outage_is_not_ready() -> None:
+def test_entry_that_starts_during_an_outage_is_not_ready() -> None:
+    """An entry starts while the object store is down, so it has no configuration."""
     world = ready_world()
     world.objects.down = True
     world.add_entry("e4")
@@ -158,7 +175,8 @@
     assert world.run_until(lambda: all_ready(world, 1), 10.0)
 
 
-def test_an_entry_drains_without_cutting_a_request() -> None:
+def test_entry_drains_without_cutting_a_request() -> None:
+    """An entry is stopped while it has a stream and a keyed call in progress."""
     world = ready_world()
     running = world.request("e1", out_tokens=150)
     booking = world.request("e1", "service", idempotency_key="b")
@@ -172,7 +190,8 @@
     assert "e1" not in world.cores["e2"].peers.members
 
 
-def test_operators_drain_an_entry_by_a_document() -> None:
+def test_drain_document_stops_an_entry() -> None:
+    """An operator applies a drain document that names one entry."""
     world = ready_world()
     world.apply([Drain("drain", "e1")])
     world.run(2.0)
@@ -181,7 +200,8 @@
 
 
 @pytest.mark.parametrize("how", ["registration", "document"])
-def test_a_leaving_target_gets_no_new_work_after_the_bound(how: str) -> None:
+def test_leaving_target_gets_no_new_work_after_the_bound(how: str) -> None:
+    """A target is drained by its registration or by an operator's document."""
     world = ready_world()
     if how == "registration":
         world.targets["r1"].draining = True
@@ -195,7 +215,8 @@
     assert len(world.targets["r1"].ran) == before
 
 
-def test_a_version_rolls_out_and_no_request_is_cut_or_begins_late_on_old_weights() -> None:
+def test_roll_out_cuts_no_request_and_ends_calls_on_old_weights_within_the_bound() -> None:
+    """Weights are named under load. No more than half of the runners may load at once."""
     world = ready_world()
     world.add_runner("r3", "dc3")
     world.add_runner("r4")
@@ -217,7 +238,8 @@
     assert [fence for _, fence, _ in orders] == sorted(fence for _, fence, _ in orders)
 
 
-def test_a_runner_that_swapped_unseen_is_caught_by_its_own_answer() -> None:
+def test_unannounced_swap_of_a_runner_is_detected_by_its_response() -> None:
+    """A runner loads other weights without an order, and rejects the expected version."""
     world = ready_world()
     world.targets["r1"].weights = 7
     requests = [world.request(f"e{1 + number % 3}") for number in range(8)]
@@ -225,7 +247,8 @@
     assert [kinds(world, request) for request in requests] == [["answered"]] * 8
 
 
-def test_a_dead_runner_costs_repeats_and_no_answer() -> None:
+def test_dead_runner_causes_retries_but_no_failed_call() -> None:
+    """One runner is dead but still registered."""
     world = ready_world()
     world.targets["r1"].dead = True
     requests = [world.request(f"e{1 + number % 3}") for number in range(8)]
@@ -234,14 +257,16 @@
 
 
 @pytest.mark.parametrize("key", ["", "nobody"])
-def test_an_unknown_key_is_refused(key: str) -> None:
+def test_unknown_api_key_is_refused(key: str) -> None:
+    """A caller sends no API key, or one of no workspace."""
     world = ready_world()
     request = world.request("e1", key=key)
     world.run(1.0)
     assert codes(world, request) == ["unknown_key"]
 
 
-def test_a_workspace_over_its_limits_is_refused_and_others_are_served() -> None:
+def test_workspace_over_its_limits_is_refused_and_others_are_served() -> None:
+    """A workspace exceeds its prompt length and its concurrency."""
     world = ready_world()
     limits = Limits(concurrent=3, requests_per_s=100.0, prompt_tokens=5_000)
     world.apply(
@@ -256,6 +281,6 @@
     others = world.request("e1", key="other")
     world.run(3.0)
     assert codes(world, too_long) == ["too_large"]
-    # One of three entries has a third of the limit.
+    # Each of three entries enforces a third of the limit.
     assert sorted(codes(world, request)[0] for request in many) == ["", *["concurrency"] * 3]
     assert kinds(world, others) == ["answered"]
