--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -234,14 +234,14 @@
         "key=lambda option: (not option.fits, option.cost)",
         "key=lambda option: option.cost",
         "tests/test_placement.py::"
-        "test_a_prompt_is_not_turned_away_for_the_runner_that_it_prefers",
+        "test_prompt_is_not_rejected_because_its_preferred_runner_is_full",
     ),
     Guard(
         "old news of queues weigh less",
         "process/peer_work.py",
         "HALF_WEIGHT_AGE_S / (HALF_WEIGHT_AGE_S + age_s)",
         "1",
-        "tests/test_placement.py::" "test_old_news_of_a_queue_turns_few_prompts_away_from_it",
+        "tests/test_placement.py::" "test_older_report_of_a_queue_diverts_fewer_prompts",
     ),
     Guard(
         "a prefix nobody is known to hold is read at one runner",
@@ -249,7 +249,7 @@
         "return cost + AWAY_COST_PER_TOKEN * max(0, unheld - fetched)",
         "return AWAY_COST",
         "tests/test_placement.py::"
-        "test_a_prefix_that_nobody_is_known_to_hold_waits_a_while_at_its_preferred_runner",
+        "test_prefix_without_a_known_holder_queues_at_its_preferred_runner_up_to_a_limit",
     ),
     Guard(
         "a dead peer connection is opened again",
--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -139,6 +139,6 @@
         "request/prefix.py",
         "blake2b(block, key=chain, digest_size=BLOCK_ID_BYTES)",
         "blake2b(block, digest_size=BLOCK_ID_BYTES)",
-        "tests/test_names.py::test_a_part_after_another_beginning_has_another_name",
+        "tests/test_names.py::test_block_after_a_different_prefix_has_a_different_name",
     ),
 )
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,4 +1,8 @@
-"""Messages between entries on the wire."""
+"""Encoding of messages between entries.
+
+Failures guarded against: large messages that fill slow links, and malformed or oversized ones that
+exhaust memory or are read as something else.
+"""
 
 import zlib
 
@@ -24,12 +28,13 @@
 )
 
 
-def test_a_short_message_travels_as_it_is_and_a_long_one_compressed() -> None:
+def test_long_message_is_compressed_and_a_short_one_is_not() -> None:
+    """A configuration of 400 routes is sent to followers."""
     short = EntryWork("e1", (WorkRow("r1", 1, 2, 3),))
     assert decode(encode(short)) == short
-    told = ViewResponse(1, (KindUpdate("k", True, 0, 9, 0.5, (ObjectRow("main", 9, ROUTES),)),))
-    data = encode(told)
-    assert decode(data) == told
+    update = ViewResponse(1, (KindUpdate("k", True, 0, 9, 0.5, (ObjectRow("main", 9, ROUTES),)),))
+    data = encode(update)
+    assert decode(data) == update
     assert len(ROUTES) > COMPRESSION_THRESHOLD_BYTES
     assert len(data) < len(ROUTES) / 5
 
@@ -47,12 +52,13 @@
     ],
     ids=["too large", "cut", "one byte", "no stream", "no message"],
 )
-def test_what_is_no_message_is_not_read(data: bytes) -> None:
+def test_malformed_or_oversized_message_is_rejected(data: bytes) -> None:
+    """A peer sends truncated data, other data, or data that expands beyond the limit."""
     with pytest.raises(msgspec.DecodeError):
         decode(data)
 
 
-def test_a_configuration_is_not_sent_to_all_followers_at_once() -> None:
+def test_configuration_is_not_pushed_to_all_followers_at_once() -> None:
     """Load pattern: an operator writes; a relay has thirty followers and a link of 10 Mbit/s."""
     pushed = {item.kind for item in FOLLOWED if item.pushed}
     assert DOCUMENTS_KIND not in pushed
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -1,7 +1,7 @@
-"""Calls to a store that does not answer.
+"""Requests to an object store that does not respond.
 
-Load pattern: 195 entries before a store that is down or turns them away for some seconds; each
-follows five kinds of objects.
+Load pattern: 195 entries use an object store that is unavailable or rejects their requests for some
+seconds; each entry follows five kinds of objects.
 """
 
 import pytest
@@ -16,37 +16,39 @@
 OUTAGE_S = 10.0
 
 
-def calls_in_an_outage(relies: bool) -> tuple[int, dict[str, float]]:
-    """Return the calls of an entry, and when each kind is asked about after the outage."""
+def requests_in_an_outage(has_relay: bool) -> tuple[int, dict[str, float]]:
+    """Return the requests of an entry, and when each kind is read after the outage."""
     probing = ReadBackoff(KINDS)
     next_s = dict.fromkeys(KINDS, 0.0)
     back_s: dict[str, float] = {}
-    calls, now_s = 0, 0.0
+    requests, now_s = 0, 0.0
     while len(back_s) < len(KINDS):
         now_s += 0.01
         for kind in KINDS:
             if now_s < next_s[kind] or kind in back_s or probing.is_deferred(kind):
                 continue
-            calls += 1
+            requests += 1
             if now_s < OUTAGE_S:
                 probing.failed(kind)
-                next_s[kind] = now_s + probing.retry_s(kind, relies)
+                next_s[kind] = now_s + probing.retry_s(kind, has_relay)
             else:
                 probing.answered(kind)
                 back_s[kind] = now_s
-    return calls, back_s
+    return requests, back_s
 
 
-@pytest.mark.parametrize(("relies", "most"), [(False, 32), (True, 24)])
-def test_an_outage_costs_few_calls_and_all_kinds_are_read_soon_after(
-    relies: bool, most: int
+@pytest.mark.parametrize(("has_relay", "most_requests"), [(False, 32), (True, 24)])
+def test_outage_causes_few_requests_and_all_kinds_are_read_soon_after_it(
+    has_relay: bool, most_requests: int
 ) -> None:
-    calls, back_s = calls_in_an_outage(relies)
-    assert calls <= most
-    assert max(back_s.values()) <= OUTAGE_S + (2.1 if relies else 0.7)
+    """Entries that retried each kind by itself would overload the object store on its return."""
+    requests, back_s = requests_in_an_outage(has_relay)
+    assert requests <= most_requests
+    assert max(back_s.values()) <= OUTAGE_S + (2.1 if has_relay else 0.7)
 
 
-def test_a_call_that_gets_lost_holds_up_no_other_kind() -> None:
+def test_lost_request_does_not_delay_other_kinds() -> None:
+    """Requests for one kind fail, and then those for another kind."""
     probing = ReadBackoff(KINDS)
     probing.failed(KINDS[1])
     probing.failed(KINDS[1])
@@ -56,10 +58,10 @@
 
 
 @pytest.mark.parametrize("watched", watched_kinds(BOUNDS), ids=lambda item: item.kind)
-def test_a_sound_relays_word_is_always_young_enough(watched: object) -> None:
-    """What it knows grows as old as its pause, or twice as old as its wait, and the asking."""
-    (found,) = [item for item in watched_kinds(BOUNDS) if item == watched]
-    relay_watch = found.relay_watch
+def test_age_of_a_healthy_relays_state_stays_within_the_limit(watched: object) -> None:
+    """A relay's state grows as old as its pause or twice its wait, plus the time of a request."""
+    (watched_kind,) = [item for item in watched_kinds(BOUNDS) if item == watched]
+    relay_watch = watched_kind.relay_watch
     oldest_s = 2 * relay_watch.wait_s + relay_watch.pause_s
     assert oldest_s + 0.1 < FRESH_FRACTION * relay_watch.max_age_s
     assert oldest_s + POLL_INTERVAL_S + 0.1 < relay_watch.max_age_s
--- a/tests/test_work_exchange.py
+++ b/tests/test_work_exchange.py
@@ -1,7 +1,7 @@
-"""What entries know of each other's work in fleets of any size, and what it costs to tell it.
+"""Reports between entries of their work at runners, in fleets of any size.
 
-Load pattern: hundreds of entries, each of which sends a runner a prompt once in many seconds, so
-that each by itself knows next to nothing of the runners' queues.
+Load pattern: hundreds of entries, each of which sends a prompt to a given runner only once in many
+seconds, so that an entry by itself has next to no information about the runners' queues.
 """
 
 import pytest
@@ -16,7 +16,7 @@
 
 
 class Entry:
-    """One entry's part, with the questions that make a relay know its followers."""
+    """One entry's exchange, with the requests that show a relay its followers."""
 
     def __init__(self, name: str, fleet: tuple[str, ...]) -> None:
         self.name = name
@@ -26,7 +26,7 @@
         self.relays = Relays(name, self.peers.names)
         self.exchange = WorkExchange(self.peers, self.relays)
         self.rows: tuple[WorkRow, ...] = ()
-        self.asked_at_s: dict[str, float] = {}
+        self.requested_at_s: dict[str, float] = {}
 
 
 class Fleet:
@@ -54,12 +54,12 @@
                     self._arrive(self.entries[item.address], item)
 
     def _step(self, entry: Entry) -> list[SendPeer]:
-        question = entry.relays.due(self.now_s)
-        if question is not None and question.member not in self.dead:
-            self.entries[question.member].asked_at_s[entry.name] = self.now_s
-            entry.relays.accept_response(question.number, self.now_s)
-        lately = self.now_s - 3 * POLL_INTERVAL_S
-        followers = [name for name, at_s in entry.asked_at_s.items() if at_s > lately]
+        request = entry.relays.due(self.now_s)
+        if request is not None and request.member not in self.dead:
+            self.entries[request.member].requested_at_s[entry.name] = self.now_s
+            entry.relays.accept_response(request.number, self.now_s)
+        recent_s = self.now_s - 3 * POLL_INTERVAL_S
+        followers = [name for name, at_s in entry.requested_at_s.items() if at_s > recent_s]
         return entry.exchange.due(entry.rows, True, followers, self.now_s)
 
     def _arrive(self, entry: Entry, item: SendPeer) -> None:
@@ -71,15 +71,16 @@
             entry.peers.on_fleet(item.payload, self.now_s)
 
     def expect(self, target: str, runs: int) -> None:
-        """Every entry knows exactly what the others have under way at a target."""
+        """Assert that every entry has the exact number of its peers' runs at a target."""
         for name, entry in self.entries.items():
             if name not in self.dead:
-                own = sum(row.runs for row in entry.rows if row.target == target)
-                assert entry.peers.peer_work_at(target, self.now_s).runs == runs - own, name
+                local_runs = sum(row.runs for row in entry.rows if row.target == target)
+                assert entry.peers.peer_work_at(target, self.now_s).runs == runs - local_runs, name
 
 
 @pytest.mark.parametrize("size", [3, 12, 13, 60, 195])
-def test_every_entry_knows_the_work_of_all_within_a_second(size: int) -> None:
+def test_every_entry_has_the_work_of_all_others_within_a_second(size: int) -> None:
+    """All entries start runs at the same runner."""
     fleet = Fleet(size)
     fleet.run(2.0)
     for number, entry in enumerate(fleet.entries.values()):
@@ -92,8 +93,9 @@
     fleet.expect("r1", 0)
 
 
-def test_an_entry_tells_no_more_in_a_larger_fleet() -> None:
-    told = {}
+def test_number_of_reports_of_a_follower_does_not_grow_with_the_fleet() -> None:
+    """Every entry's work changes in every step."""
+    sent = {}
     for size in (60, 195):
         fleet = Fleet(size)
         for turn in range(40):
@@ -101,11 +103,12 @@
                 entry.rows = (WorkRow("r1", 1 + turn, 1_000, 500),)
             fleet.run(STEP_S)
         followers = [name for name, item in fleet.entries.items() if not item.relays.is_relay]
-        told[size] = max(fleet.sent[name] for name in followers)
-    assert told[60] == told[195] <= 2.0 / RELAYED_SEND_INTERVAL_S + 2
+        sent[size] = max(fleet.sent[name] for name in followers)
+    assert sent[60] == sent[195] <= 2.0 / RELAYED_SEND_INTERVAL_S + 2
 
 
-def test_an_idle_fleet_tells_nothing() -> None:
+def test_idle_fleet_sends_no_reports() -> None:
+    """No entry has any work, so no message is needed."""
     fleet = Fleet(40)
     fleet.run(2.0)
     before = dict(fleet.sent)
@@ -113,7 +116,8 @@
     assert fleet.sent == before
 
 
-def test_when_a_relay_dies_its_followers_know_the_work_of_all_again() -> None:
+def test_followers_of_a_dead_relay_get_the_work_of_all_others_again() -> None:
+    """A relay dies without leaving the fleet."""
     fleet = Fleet(60)
     for entry in fleet.entries.values():
         entry.rows = (WorkRow("r1", 1, 1_000, 500),)
@@ -125,7 +129,8 @@
     fleet.expect("r1", 59)
 
 
-def test_when_all_relays_die_others_take_their_place() -> None:
+def test_reports_continue_when_all_relays_have_died() -> None:
+    """All relays die at once."""
     fleet = Fleet(60)
     for entry in fleet.entries.values():
         entry.rows = (WorkRow("r1", 1, 1_000, 500),)
@@ -136,12 +141,15 @@
     fleet.expect("r1", 60 - len(relays))
 
 
-def test_one_message_holds_a_bounded_number_of_targets() -> None:
+def test_message_contains_a_bounded_number_of_targets() -> None:
+    """An entry has work at more targets than a message may contain."""
     fleet = Fleet(13)
     entry = next(iter(fleet.entries.values()))
     rows = tuple(WorkRow(f"r{number}", 1, 10, number) for number in range(MAX_ROWS + 50))
-    found = entry.exchange.due(rows, True, [], 1.0) or entry.exchange.due(rows, True, ["e1"], 1.0)
-    payload, *_ = [item.payload for item in found]
+    messages = entry.exchange.due(rows, True, [], 1.0) or entry.exchange.due(
+        rows, True, ["e1"], 1.0
+    )
+    payload, *_ = [item.payload for item in messages]
     assert isinstance(payload, EntryWork | GroupWork)
     assert len(payload.rows) == MAX_ROWS
     assert min(row.queued_tokens for row in payload.rows) == 50
