--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -256,14 +256,15 @@
         "connection/peer_link.py",
         "            self._reopen(action.address)",
         "",
-        "tests/test_peer_link.py::" "test_a_link_recovers_from_a_stranger_at_the_address",
+        "tests/test_peer_link.py::"
+        "test_link_recovers_after_another_program_listened_at_the_address",
     ),
     Guard(
         "an error that nothing caught ends the process",
         "connection/loop_exception_handler.py",
         "self._on_broken(f",
         "str(f",
-        "tests/test_loop_errors.py::test_a_fault_in_a_connections_callback_ends_the_process",
+        "tests/test_loop_errors.py::test_exception_in_a_connection_callback_ends_the_process",
     ),
     Guard(
         "callers of an entry that is out of touch are sent to one that is in touch",
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -1,4 +1,4 @@
-"""What the tests over real processes share: requests, expected answers, counts."""
+"""Requests, expected responses and run counts that the tests over real processes share."""
 
 from typing import Any
 
@@ -9,7 +9,7 @@
 from standins.platform_runner import answer_words
 
 WORKSPACE = "bethesda-tours"
-OTHER = "gwydir-cellars"
+OTHER_WORKSPACE = "gwydir-cellars"
 CHAT = "/v1/chat/completions"
 BOOK = "/v1/services/bookings/bookings"
 SERVICES = ("bookings-1", "bookings-2", "bookings-3")
@@ -21,7 +21,7 @@
 
 
 def words_of(body: bytes) -> str:
-    """Return the text of a stream that is whole; anything else is an empty text."""
+    """Return the text of a complete stream; return an empty text for anything else."""
     events = [event.partition(b"data: ")[2] for event in body.split(b"\n\n") if event]
     if not events or events[-1] != b"[DONE]":
         return ""
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -1,4 +1,8 @@
-"""Addresses that are taken: processes end with one clear error, and tests never meet them."""
+"""Ports that are in use.
+
+Failures guarded against: a process that can't listen hangs or ends with an unclear error, and
+parallel tests get the same port.
+"""
 
 import json
 import socket
@@ -16,14 +20,15 @@
 from standins.platform_fleet import BOUNDS
 from standins.processes import BLOCK, LOOPBACK, ROOT, PortPool, free_port
 
-ENDS_WITHIN_S = 30.0
+EXIT_TIMEOUT_S = 30.0
 FIRST_PORT_FOR_CONNECTIONS = 32_768
 
 
-def test_a_port_is_handed_out_once_and_never_while_it_is_taken() -> None:
+def test_port_is_allocated_once_and_never_while_it_is_in_use() -> None:
+    """Another program listens on a port of the pool's range."""
     first = free_port()
-    with socket.socket() as taken:
-        taken.bind((LOOPBACK, first))
+    with socket.socket() as occupied:
+        occupied.bind((LOOPBACK, first))
         with pytest.raises(OSError, match="no loopback port"):
             PortPool(first, first + 1).take()
     pool = PortPool()
@@ -34,6 +39,7 @@
 
 
 def test_pools_of_several_processes_share_no_port() -> None:
+    """Test processes that run in parallel allocate ports from the same range."""
     pools = [PortPool() for _ in range(4)]
     ports = [pool.take() for pool in pools for _ in range(BLOCK // 2)]
     for pool in pools:
@@ -41,20 +47,23 @@
     assert len(set(ports)) == len(ports)
 
 
-def run_until_it_ends(arguments: list[str]) -> subprocess.CompletedProcess[str]:
+def run_until_exit(arguments: list[str]) -> subprocess.CompletedProcess[str]:
     command = [sys.executable, "-m", "filbertstream", *arguments]
     return subprocess.run(
-        command, cwd=ROOT, capture_output=True, text=True, timeout=ENDS_WITHIN_S, check=False
+        command, cwd=ROOT, capture_output=True, text=True, timeout=EXIT_TIMEOUT_S, check=False
     )
 
 
 @pytest.mark.parametrize("listener", ["callers", "operators", "peers"])
-def test_an_entry_whose_address_is_taken_ends(tmp_path: Path, listener: str) -> None:
+def test_entry_whose_address_is_in_use_exits_with_its_own_code(
+    tmp_path: Path, listener: str
+) -> None:
+    """Another program listens at the address for callers, operators or peers."""
     (tmp_path / "fleet.key").write_bytes(zmq.curve_keypair()[1])
-    with socket.create_server((LOOPBACK, free_port())) as taken:
+    with socket.create_server((LOOPBACK, free_port())) as occupied:
         peers = f"tcp://{LOOPBACK}:{free_port()}"
         if listener == "peers":
-            peers = f"tcp://{LOOPBACK}:{taken.getsockname()[1]}"
+            peers = f"tcp://{LOOPBACK}:{occupied.getsockname()[1]}"
         settings: dict[str, Any] = {
             "name": "entry-1",
             "data_center": "dc",
@@ -64,23 +73,24 @@
             "platform": {"objects": f"http://{LOOPBACK}:9"},
         }
         if listener != "peers":
-            settings[listener]["port"] = taken.getsockname()[1]
+            settings[listener]["port"] = occupied.getsockname()[1]
         file = tmp_path / "entry.yaml"
         file.write_text(yaml.safe_dump(settings))
-        ended = run_until_it_ends(["entry", "--config", str(file)])
+        ended = run_until_exit(["entry", "--config", str(file)])
     assert ended.returncode == EXIT_NO_ADDRESS
     assert "cannot listen" in ended.stderr
 
 
-def test_a_gateway_whose_address_is_taken_ends(tmp_path: Path) -> None:
-    with socket.create_server((LOOPBACK, free_port())) as taken:
+def test_gateway_whose_address_is_in_use_exits_with_its_own_code(tmp_path: Path) -> None:
+    """Another program listens at the address for callers."""
+    with socket.create_server((LOOPBACK, free_port())) as occupied:
         first = free_port()
         settings = {
             "node_name": "e1",
             "ip": LOOPBACK,
             "zone": "dc1",
             "listen": {
-                "front": f"{LOOPBACK}:{taken.getsockname()[1]}",
+                "front": f"{LOOPBACK}:{occupied.getsockname()[1]}",
                 "ready": f"{LOOPBACK}:{free_port()}",
             },
             "port_range": [first, first],
@@ -91,6 +101,6 @@
         }
         file = tmp_path / "settings.json"
         file.write_text(json.dumps(settings))
-        ended = run_until_it_ends(["gateway", "--settings", str(file)])
+        ended = run_until_exit(["gateway", "--settings", str(file)])
     assert ended.returncode == EXIT_NO_ADDRESS
     assert "cannot listen" in ended.stderr
--- a/tests/test_caller_fuzz.py
+++ b/tests/test_caller_fuzz.py
@@ -1,4 +1,8 @@
-"""Callers' connections against mutated requests: nothing raises, nothing ambiguous gets in."""
+"""Callers' connections with mutated requests.
+
+Failures guarded against: a request that raises an exception, one that is parsed differently when
+its bytes arrive in other portions, and one with an ambiguous length (request smuggling).
+"""
 
 import asyncio
 from typing import Any
@@ -17,7 +21,7 @@
     b"POST /read/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q2\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
 )
-PIECES = (
+INSERTIONS = (
     b"Content-Length: 3\r\n",
     b"Content-Length: 5, 5\r\n",
     b"Transfer-Encoding: chunked\r\n",
@@ -33,7 +37,7 @@
 
 
 class Transport:
-    """Takes what is written and remembers that it was closed."""
+    """A transport that records writes and whether it was closed."""
 
     def __init__(self) -> None:
         self.written = b""
@@ -51,16 +55,16 @@
         return self.closed
 
     def set_write_buffer_limits(self, high: int) -> None:
-        """Limits don't matter here."""
+        """Ignore the limits."""
 
     def pause_reading(self) -> None:
-        """Nothing is read here."""
+        """Do nothing, because nothing is read."""
 
     resume_reading = pause_reading
 
 
 class App:
-    """Answers each request at once and keeps it."""
+    """Responds to each request at once and records it."""
 
     limits = CallerLimits(header_bytes=2_000, body_bytes=1_000)
     closing = False
@@ -74,10 +78,10 @@
         conn.send_response(b"HTTP/1.1 200 OK\r\nContent-Length: 0", b"")
 
     def on_disconnected(self, conn: CallerConnection) -> None:
-        """Nobody waits here."""
+        """Do nothing, because every response was already sent."""
 
     def on_pause(self, conn: CallerConnection, paused: bool) -> None:
-        """Nothing flows here."""
+        """Do nothing, because no response is streamed."""
 
     def on_rejected(self, status: int, detail: str) -> None:
         self.rejected.append(status)
@@ -85,7 +89,7 @@
 
 async def feed(chunks: list[bytes]) -> tuple[App, Transport]:
     app, transport = App(), Transport()
-    conn = CallerConnection(app, lambda gone: None)
+    conn = CallerConnection(app, lambda closed_conn: None)
     untyped: Any = transport
     conn.connection_made(untyped)
     for chunk in chunks:
@@ -98,28 +102,30 @@
     return app, transport
 
 
-def cut(data: bytes, size: int) -> list[bytes]:
+def split(data: bytes, size: int) -> list[bytes]:
     return [data[start : start + size] for start in range(0, len(data), size)]
 
 
 @given(st.sampled_from([VALID, CHUNKED]), st.integers(1, 200))
-def test_requests_are_read_the_same_however_they_are_cut(data: bytes, size: int) -> None:
-    app, _ = asyncio.run(feed(cut(data + data, size)))
+def test_requests_are_parsed_the_same_in_portions_of_any_size(data: bytes, size: int) -> None:
+    """Two requests on one connection arrive in portions of any size."""
+    app, _ = asyncio.run(feed(split(data + data, size)))
     assert [raw.body for raw in app.requests] == [b"hello", b"hello"]
     assert not app.rejected
 
 
 @given(
     st.sampled_from([VALID, CHUNKED]),
-    st.lists(st.tuples(st.integers(0, 180), st.sampled_from(PIECES)), min_size=1, max_size=4),
+    st.lists(st.tuples(st.integers(0, 180), st.sampled_from(INSERTIONS)), min_size=1, max_size=4),
     st.integers(1, 400),
 )
-def test_mutated_requests_are_refused_once_or_read_with_one_framing(
+def test_mutated_request_is_rejected_once_or_parsed_with_a_single_framing(
     data: bytes, mutations: list[tuple[int, bytes]], size: int
 ) -> None:
-    for place, piece in mutations:
-        data = data[:place] + piece + data[place:]
-    app, transport = asyncio.run(feed(cut(data, size)))
+    """Duplicate, conflicting and malformed framing headers are inserted anywhere in a request."""
+    for position, insertion in mutations:
+        data = data[:position] + insertion + data[position:]
+    app, transport = asyncio.run(feed(split(data, size)))
     assert len(app.rejected) <= 1
     if app.rejected:
         assert transport.closed
@@ -131,12 +137,14 @@
 
 
 @given(st.binary(max_size=600), st.integers(1, 100))
-def test_random_bytes_raise_nothing(data: bytes, size: int) -> None:
-    app, _ = asyncio.run(feed(cut(data, size)))
+def test_random_bytes_raise_no_exception(data: bytes, size: int) -> None:
+    """A caller sends arbitrary bytes."""
+    app, _ = asyncio.run(feed(split(data, size)))
     assert len(app.rejected) <= 1
 
 
-def test_a_body_that_grows_beyond_the_limit_is_refused_before_its_end() -> None:
+def test_chunked_body_over_the_limit_is_rejected_before_its_end() -> None:
+    """A chunked body has no declared length and exceeds the limit."""
     head = CHUNKED.partition(b"5\r\n")[0]
     app, transport = asyncio.run(feed([head, *[b"c8\r\n" + b"x" * 200 + b"\r\n"] * 20]))
     assert (app.rejected, app.requests, transport.closed) == ([413], [], True)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -1,4 +1,8 @@
-"""Checks of what operators write: documents, settings, and the pages made from code."""
+"""What operators write: documents and settings; and the pages that are generated from code.
+
+Failures guarded against: errors in a file that are not reported with their line, and documents
+that contradict each other.
+"""
 
 from pathlib import Path
 
@@ -39,10 +43,11 @@
 """
 
 
-def test_every_mistake_is_named_with_its_line() -> None:
-    mistakes = parse_yaml(BAD_DOCUMENTS, "x.yaml").unwrap_err()
-    found = {(mistake.line, mistake.key) for mistake in mistakes}
-    assert found == {
+def test_every_error_in_documents_is_reported_with_its_line() -> None:
+    """A file with several documents has misspelt keys, invalid values and an unknown kind."""
+    errors = parse_yaml(BAD_DOCUMENTS, "x.yaml").unwrap_err()
+    reported = {(error.line, error.key) for error in errors}
+    assert reported == {
         (4, "limits.rqs"),
         (5, "prioritty"),
         (6, "priority"),
@@ -53,12 +58,14 @@
 
 
 @pytest.mark.parametrize("text", ["a: [", "kind: {", "\t"])
-def test_malformed_yaml_is_a_mistake(text: str) -> None:
+def test_malformed_yaml_is_an_error(text: str) -> None:
+    """A file is not valid YAML."""
     assert isinstance(parse_yaml(text, "x"), Err)
 
 
 @pytest.mark.parametrize("deployment", DEPLOYMENTS)
-def test_committed_deployments_check(deployment: str) -> None:
+def test_committed_deployments_are_valid(deployment: str) -> None:
+    """A field is renamed or removed, and the example deployments still use it."""
     folder = ROOT / "configs" / deployment
     assert isinstance(read_settings(folder / "entry.yaml", files=False), Ok)
     changes = parse_yaml((folder / "documents.yaml").read_text(), "documents").unwrap()
@@ -79,7 +86,8 @@
 
 @pytest.mark.parametrize("together", [True, False], ids=["one change", "one after the other"])
 @pytest.mark.parametrize("case", CONTRADICTIONS)
-def test_documents_that_contradict_each_other_are_refused(case: str, together: bool) -> None:
+def test_contradicting_documents_are_rejected(case: str, together: bool) -> None:
+    """A name or an API key is used twice, in one change or in two."""
     view = DocumentSet()
     *before, last = CONTRADICTIONS[case]
     if not together:
@@ -89,7 +97,8 @@
     assert len(view.find_conflicts([last] if not together else [*before, last])) == 1
 
 
-def test_a_name_or_a_key_that_was_given_up_may_be_taken() -> None:
+def test_name_that_is_removed_in_the_same_change_may_be_reused() -> None:
+    """A change removes a model and creates a service with its name."""
     view = DocumentSet()
     for change in CONTRADICTIONS["a service named like a model"][:1]:
         view.put(change)
@@ -97,21 +106,23 @@
     assert view.find_conflicts(taken) == []
 
 
-def test_unknown_and_wrong_settings_are_all_named(tmp_path: Path) -> None:
+def test_all_unknown_and_invalid_settings_are_reported(tmp_path: Path) -> None:
+    """A settings file has a misspelt key and values of a wrong type or range."""
     text = (ROOT / "configs/cwmdu/entry.yaml").read_text()
     text = text.replace("port: 8443", "port: 99999").replace("log_level: info", "loglevel: info")
     file = tmp_path / "entry.yaml"
     file.write_text(text.replace("data_center: cymru-south-1", "data_center: 7"))
-    mistakes = read_settings(file, files=False).unwrap_err()
-    assert {mistake.key.split(".")[-1] for mistake in mistakes} == {
+    errors = read_settings(file, files=False).unwrap_err()
+    assert {error.key.split(".")[-1] for error in errors} == {
         "port",
         "loglevel",
         "data_center",
     }
-    assert all(mistake.line > 0 for mistake in mistakes)
+    assert all(error.line > 0 for error in errors)
 
 
 def test_event_catalogue_is_complete_and_published() -> None:
+    """A log event is added without a description, a use or a new docs/EVENTS.md."""
     assert set(DESCRIPTIONS) == set(LogEvent)
     assert (ROOT / "docs/EVENTS.md").read_text() == catalogue_page()
     sources = [file.read_text() for file in (ROOT / "filbertstream").rglob("*.py")]
--- a/tests/test_dribbling.py
+++ b/tests/test_dribbling.py
@@ -1,7 +1,7 @@
-"""Runners that send something now and then, over loopback sockets: slow ones and stalled ones.
+"""Slow and stalled streams of runners that still send some bytes, over loopback sockets.
 
-Load pattern: a runner that is short of memory sets a run aside, and its process still sends bytes
-that are no event; beside it, a slow but sound runner sends events with long pauses.
+Load pattern: a runner that is short of memory suspends a run, and its process still sends bytes
+that are not part of an event; beside it, a slow but healthy runner sends events with long pauses.
 """
 
 import asyncio
@@ -27,7 +27,7 @@
     b"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nResponse-Signature: s\r\n"
     b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
-SILENCE_S = 0.25
+PROGRESS_TIMEOUT_S = 0.25
 GAP_S = 0.1
 FIRST = b"id: 1\ndata: a\n\n"
 
@@ -37,14 +37,14 @@
 
 
 class Caller:
-    """A caller's connection that remembers what it got."""
+    """A caller's connection that records what it receives."""
 
     def __init__(self) -> None:
         self.body = b""
         self.ended = False
 
     def begin(self, head: bytes) -> None:
-        """The answer begins."""
+        """The response starts."""
 
     def stream(self, data: bytes) -> None:
         self.body += data
@@ -53,48 +53,48 @@
         self.ended = True
 
 
-class Edge:
-    """Tells what a send tells the edge."""
+class IOLayer:
+    """Records the events that a send emits to the I/O layer."""
 
     def __init__(self) -> None:
-        self.told: list[Any] = []
+        self.events: list[Any] = []
         self.send: ProxiedSend | None = None
 
     def emit(self, event: Any) -> None:
-        self.told.append(event)
+        self.events.append(event)
         if isinstance(event, ResponseStarted) and self.send is not None:
             self.send.relay(True)
 
     def forget_call(self, call_id: int) -> None:
-        """The call is over."""
+        """The call has ended."""
 
 
-async def play(pieces: list[bytes], gap_s: float, seconds: float) -> tuple[Edge, Caller]:
-    """Return what the edge and the caller were told of a runner that sends pieces with pauses."""
+async def play(chunks: list[bytes], gap_s: float, seconds: float) -> tuple[IOLayer, Caller]:
+    """Play a runner that sends chunks with pauses; return the I/O layer and the caller."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
         writer.write(HEAD + chunk(FIRST))
-        for piece in pieces:
+        for chunk_bytes in chunks:
             await asyncio.sleep(gap_s)
-            writer.write(piece)
+            writer.write(chunk_bytes)
         await reader.read()
         writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     address = Address(*server.sockets[0].getsockname())
     (action,) = sends(World().arrive("draft"))
-    action = action._replace(address=address, progress_timeout_s=SILENCE_S)
-    gateway_io, caller = Edge(), Caller()
-    gateway_io.send = ProxiedSend(gateway_io, relayed(caller, action), action)
-    await gateway_io.send.begin(TargetConnectionPool())
+    action = action._replace(address=address, progress_timeout_s=PROGRESS_TIMEOUT_S)
+    io_layer, caller = IOLayer(), Caller()
+    io_layer.send = ProxiedSend(io_layer, proxied_call(caller, action), action)
+    await io_layer.send.begin(TargetConnectionPool())
     await asyncio.sleep(seconds)
-    gateway_io.send.cancel()
+    io_layer.send.cancel()
     server.close()
-    return gateway_io, caller
+    return io_layer, caller
 
 
-def relayed(caller: Caller, action: SendCall) -> ProxiedCall:
+def proxied_call(caller: Caller, action: SendCall) -> ProxiedCall:
     from filbertstream.connection.caller_connection import RawRequest
     from filbertstream.request.call import CallHead, Prompt
 
@@ -114,23 +114,28 @@
 
 
 @pytest.mark.parametrize("kind", STALLED)
-def test_a_stalled_stream_is_noticed_whatever_it_sends_now_and_then(kind: str) -> None:
-    gateway_io, _ = asyncio.run(play(STALLED[kind], GAP_S, 9 * GAP_S))
-    silent = [item for item in gateway_io.told if isinstance(item, SendStalled)]
-    assert silent
-    assert silent[0].last_event_id == "1"
+def test_stalled_stream_is_detected_although_it_sends_bytes_without_events(kind: str) -> None:
+    """A runner sends a first event, and then only bytes that complete no event."""
+    io_layer, _ = asyncio.run(play(STALLED[kind], GAP_S, 9 * GAP_S))
+    stalled = [item for item in io_layer.events if isinstance(item, SendStalled)]
+    assert stalled
+    assert stalled[0].last_event_id == "1"
 
 
-def test_a_slow_but_sound_stream_is_not_taken_for_a_stalled_one() -> None:
+def test_slow_stream_does_not_count_as_stalled() -> None:
+    """A runner sends each event just within the progress timeout."""
     events = [chunk(b"id: %d\ndata: t\n\n" % number) for number in range(2, 8)]
-    gateway_io, caller = asyncio.run(play([*events, b"0\r\n\r\n"], 0.8 * SILENCE_S, 8 * SILENCE_S))
-    assert not [item for item in gateway_io.told if isinstance(item, SendStalled | SendFailed)]
-    assert [item for item in gateway_io.told if isinstance(item, ResponseComplete)]
+    io_layer, caller = asyncio.run(
+        play([*events, b"0\r\n\r\n"], 0.8 * PROGRESS_TIMEOUT_S, 8 * PROGRESS_TIMEOUT_S)
+    )
+    assert not [item for item in io_layer.events if isinstance(item, SendStalled | SendFailed)]
+    assert [item for item in io_layer.events if isinstance(item, ResponseComplete)]
     assert caller.ended
     assert caller.body.count(b"data:") == 7
 
 
-def test_events_count_as_useful_by_what_they_bear() -> None:
+def test_only_events_with_data_count_as_progress() -> None:
+    """Comments, retry fields and events sent a second time are not progress."""
     relay = EventRelay(None)
     relay.feed(b": comment\n\nretry: 5\n\n")
     assert relay.useful_events == 0
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -1,7 +1,8 @@
-"""Targets, stores, entries and callers that send bytes without end.
+"""Targets, object stores, entries and callers that send bytes without end.
 
-Each is played over a loopback socket: the other side sends until it is cut off, and counts what was
-taken from it.  A bound in bytes holds however fast it sends; calls have time limits of their own.
+Failure guarded against: memory use that grows with what a peer sends.  Each case runs over a
+loopback socket: the other side sends until it is cut off, and counts the bytes that were accepted.
+A limit in bytes holds at any speed; calls also have timeouts.
 """
 
 import asyncio
@@ -30,25 +31,25 @@
 from filbertstream.version.routes import CallerLimits
 
 IN_FLIGHT_BYTES = 6_000_000
-"""What the buffers of a loopback connection and of the reader may hold beyond what is taken."""
+"""What the buffers of a loopback connection and of the reader may hold beyond the limit."""
 
 SENT_LIMIT_BYTES = 64 << 20
-PIECE = b"x" * 65_536
+FILLER = b"x" * 65_536
 LINE = b"X-Line: " + b"y" * 1_000 + b"\r\n"
 OK_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nResponse-Signature: s\r\n"
-FOREIGN = b"HTTP/1.1 200 OK\r\nRequest-Id: else\r\nTransfer-Encoding: chunked\r\n\r\n"
-CHUNK = b"10000\r\n" + PIECE + b"\r\n"
+OTHER_RESPONSE = b"HTTP/1.1 200 OK\r\nRequest-Id: else\r\nTransfer-Encoding: chunked\r\n\r\n"
+CHUNK = b"10000\r\n" + FILLER + b"\r\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 WITHOUT_LENGTH = OK_HEAD + b"\r\n"
 
 ENDLESS: dict[str, tuple[bytes, bytes]] = {
     "lines of a head": (OK_HEAD, LINE * 64),
-    "one line of a head": (OK_HEAD + b"X-Line: ", PIECE),
-    "a reason": (b"HTTP/1.1 200 ", PIECE),
+    "one line of a head": (OK_HEAD + b"X-Line: ", FILLER),
+    "a reason": (b"HTTP/1.1 200 ", FILLER),
     "interim answers": (b"", INTERIM * 2_000),
-    "another request's answer": (FOREIGN, CHUNK),
-    "another request's answers": (b"", FOREIGN + b"0\r\n\r\n"),
-    "no answer at all": (b"", PIECE),
+    "another request's answer": (OTHER_RESPONSE, CHUNK),
+    "another request's answers": (b"", OTHER_RESPONSE + b"0\r\n\r\n"),
+    "no answer at all": (b"", FILLER),
 }
 
 
@@ -83,17 +84,17 @@
                     self._send(conn, self._again)
 
     def _send(self, conn: socket.socket, data: bytes) -> None:
-        left = memoryview(data)
-        while left and not self._stopped.is_set():
+        remaining = memoryview(data)
+        while remaining and not self._stopped.is_set():
             try:
-                count = conn.send(left)
+                count = conn.send(remaining)
             except TimeoutError:
                 continue
             except OSError:
                 self.cut_off = True
                 raise
             self.sent += count
-            left = left[count:]
+            remaining = remaining[count:]
 
 
 @contextlib.contextmanager
@@ -107,32 +108,34 @@
 
 
 class Sink:
-    """Takes an answer and counts what it is told."""
+    """Receives a response and counts its bytes."""
 
     def __init__(self) -> None:
         self.body_bytes = 0
         self.end: asyncio.Future[str] = asyncio.get_running_loop().create_future()
 
     def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
-        """An answer began."""
+        """A response has started."""
 
     def on_body(self, data: bytes) -> bool:
         self.body_bytes += len(data)
         return True
 
     def on_complete(self) -> None:
-        self.end.set_result("whole")
+        self.end.set_result("complete")
 
     def on_stalled(self) -> None:
-        """Nothing came for a while."""
+        """No bytes have arrived for some time."""
 
     def on_failed(self, cause: str) -> None:
         self.end.set_result(cause)
 
 
 @pytest.mark.parametrize("kind", ENDLESS)
-def test_a_target_that_sends_no_answer_without_end_is_cut_off(kind: str) -> None:
-    async def ask(address: Address) -> str:
+def test_target_that_sends_endless_bytes_without_a_response_is_cut_off(kind: str) -> None:
+    """A target sends heads, skipped responses or other bytes without end."""
+
+    async def send_request(address: Address) -> str:
         conn = await TargetConnectionPool().open(address)
         assert conn is not None
         sink = Sink()
@@ -140,30 +143,33 @@
         return await asyncio.wait_for(sink.end, 20.0)
 
     with sending(*ENDLESS[kind]) as sender:
-        cause = asyncio.run(ask(sender.address))
+        cause = asyncio.run(send_request(sender.address))
     assert cause in ("too_large", "malformed")
     assert sender.sent <= max(HEAD_LIMIT_BYTES, SKIPPED_LIMIT_BYTES) + IN_FLIGHT_BYTES
 
 
-def test_an_endless_answer_to_a_call_of_the_systems_own_is_cut_off() -> None:
-    async def ask(address: Address) -> tuple[int, bytes] | None:
+def test_endless_response_to_a_system_request_is_cut_off() -> None:
+    """A target sends an endless body in response to a request of the entry itself."""
+
+    async def send_request(address: Address) -> tuple[int, bytes] | None:
         data = b"GET /list HTTP/1.1\r\nHost: h\r\n\r\n"
         return await call_target(
             TargetConnectionPool(), address, data, 20.0, boot_time_s(), 100_000
         )
 
-    with sending(b"HTTP/1.1 200 OK\r\n\r\n", PIECE) as sender:
-        assert asyncio.run(ask(sender.address)) is None
+    with sending(b"HTTP/1.1 200 OK\r\n\r\n", FILLER) as sender:
+        assert asyncio.run(send_request(sender.address)) is None
     assert sender.sent <= 100_000 + IN_FLIGHT_BYTES
 
 
-def test_an_event_without_end_ends_its_stream() -> None:
+def test_event_without_end_ends_its_stream() -> None:
+    """A runner never ends an event of its stream."""
     relay = EventRelay(None)
     fed = 0
     while not relay.malformed and fed < SENT_LIMIT_BYTES:
-        relay.feed(PIECE)
-        fed += len(PIECE)
-    assert fed <= EVENT_LIMIT_BYTES + len(PIECE)
+        relay.feed(FILLER)
+        fed += len(FILLER)
+    assert fed <= EVENT_LIMIT_BYTES + len(FILLER)
     assert not relay.complete
 
 
@@ -171,29 +177,32 @@
 
 
 @pytest.mark.parametrize("head", [WITHOUT_LENGTH, WITH_LENGTH])
-def test_a_runner_whose_report_does_not_end_has_given_none(head: bytes) -> None:
-    with sending(head, PIECE) as sender:
-        found = RunnerCalls("e1").report(PollReport("r1"), sender.address)
-    assert found == ReportFailed("r1")
+def test_endless_report_of_a_runner_counts_as_missed(head: bytes) -> None:
+    """A runner sends a report without end, with and without a length."""
+    with sending(head, FILLER) as sender:
+        result = RunnerCalls("e1").report(PollReport("r1"), sender.address)
+    assert result == ReportFailed("r1")
     assert sender.sent <= REPORT_LIMIT_BYTES + IN_FLIGHT_BYTES
 
 
-def test_a_runner_whose_answer_to_an_order_does_not_end_still_answered_it() -> None:
-    with sending(WITHOUT_LENGTH, PIECE) as sender:
-        found = RunnerCalls("e1").order(OrderWeights("r1", "m", 2, 1, 0), sender.address)
-    assert found == OrderResponse("r1", 200)
+def test_order_with_an_endless_response_body_still_counts_as_answered() -> None:
+    """The status shows the result of the order; the rest of the body is not needed."""
+    with sending(WITHOUT_LENGTH, FILLER) as sender:
+        result = RunnerCalls("e1").order(OrderWeights("r1", "m", 2, 1, 0), sender.address)
+    assert result == OrderResponse("r1", 200)
     assert sender.sent <= REPORT_LIMIT_BYTES + IN_FLIGHT_BYTES
 
 
-def test_a_store_whose_answer_does_not_end_has_given_none() -> None:
-    with sending(WITHOUT_LENGTH, PIECE) as sender:
-        found = ObjectStore(f"http://{sender.address}").list("k")
-    assert found.err_value in (ObjectStoreFailure.MALFORMED, ObjectStoreFailure.OUTCOME_UNKNOWN)
+def test_endless_listing_of_the_object_store_is_an_error() -> None:
+    """The object store sends a listing without end."""
+    with sending(WITHOUT_LENGTH, FILLER) as sender:
+        result = ObjectStore(f"http://{sender.address}").list("k")
+    assert result.err_value in (ObjectStoreFailure.MALFORMED, ObjectStoreFailure.OUTCOME_UNKNOWN)
     assert sender.sent <= RESPONSE_LIMIT_BYTES + IN_FLIGHT_BYTES
 
 
 class App:
-    """Takes the requests of callers."""
+    """Records the requests of callers."""
 
     limits = CallerLimits(header_bytes=16_384, body_bytes=65_536)
     closing = False
@@ -206,7 +215,7 @@
         self.requests.append(raw)
 
     def on_disconnected(self, conn: CallerConnection) -> None:
-        """The caller left."""
+        """The caller has disconnected."""
 
     def on_pause(self, conn: CallerConnection, paused: bool) -> None:
         """The caller reads slowly."""
@@ -222,16 +231,18 @@
     ("first", "again"),
     [
         (b"GET / HTTP/1.1\r\nHost: h\r\n", LINE),
-        (b"GET /", PIECE),
+        (b"GET /", FILLER),
         (POST, CHUNK),
-        (POST + b"1;", PIECE),
+        (POST + b"1;", FILLER),
         (POST + b"0\r\n", LINE),
         (POST, b"1;" + b"e" * 1_000 + b"\r\nx\r\n"),
     ],
     ids=["head", "path", "body", "chunk extension", "trailers", "extensions"],
 )
-def test_a_caller_that_sends_without_end_is_cut_off(first: bytes, again: bytes) -> None:
-    async def take() -> tuple[App, int]:
+def test_caller_that_sends_endless_bytes_is_cut_off(first: bytes, again: bytes) -> None:
+    """A caller sends a head, a body, a chunk extension or trailers without end."""
+
+    async def receive() -> tuple[App, int]:
         app = App()
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
@@ -249,14 +260,16 @@
         server.close()
         return app, sent
 
-    app, sent = asyncio.run(take())
+    app, sent = asyncio.run(receive())
     assert app.rejected
     assert not app.requests
     assert sent <= App.limits.body_bytes * 16 + IN_FLIGHT_BYTES
 
 
-def test_trailers_of_a_request_are_not_taken_for_its_headers() -> None:
-    async def take() -> App:
+def test_trailers_of_a_request_are_not_merged_into_its_headers() -> None:
+    """A caller sends a trailer, which could replace a header that was already checked."""
+
+    async def receive() -> App:
         app = App()
         conn = CallerConnection(app, lambda conn: None)
         conn.transport = _Transport()
@@ -264,15 +277,15 @@
         conn.data_received(POST + b"1\r\nx\r\n0\r\nX-Late: v\r\n\r\n")
         return app
 
-    (raw,) = asyncio.run(take()).requests
+    (raw,) = asyncio.run(receive()).requests
     assert b"x-late" not in {name for name, _ in raw.headers}
 
 
 class _Transport(asyncio.Transport):
-    """Goes nowhere."""
+    """A transport that discards everything."""
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
-        """Drop it."""
+        """Discard the data."""
 
     def close(self) -> None:
         """Do nothing."""
--- a/tests/test_log_explain.py
+++ b/tests/test_log_explain.py
@@ -1,4 +1,8 @@
-"""Requests explained from log files alone."""
+"""Requests explained from log files alone.
+
+Failure guarded against: an operator is shown state that the entry did not have when it placed the
+call, because lines of later times or of other entries are used.
+"""
 
 from pathlib import Path
 
@@ -40,7 +44,8 @@
     return file
 
 
-def test_a_request_is_told_with_what_its_entry_believed(log: Path) -> None:
+def test_request_is_explained_with_the_state_that_its_entry_observed(log: Path) -> None:
+    """Logs of two entries are merged, with prefixes and lines that are no events."""
     result = CliRunner().invoke(app, ["explain-log", "q", str(log)])
     assert result.exit_code == 0
     text = result.stdout
@@ -51,5 +56,6 @@
         assert later_or_foreign not in text
 
 
-def test_an_unknown_request_is_an_error(log: Path) -> None:
+def test_unknown_request_is_an_error(log: Path) -> None:
+    """An operator mistypes a request id."""
     assert CliRunner().invoke(app, ["explain-log", "other", str(log)]).exit_code == 1
--- a/tests/test_loop_errors.py
+++ b/tests/test_loop_errors.py
@@ -1,4 +1,8 @@
-"""An error that nothing caught ends the process; one of a connection ends that connection."""
+"""Exceptions that reach the event loop.
+
+One that nothing has caught is a fault of the program and ends the process; one of a connection
+ends just that connection.
+"""
 
 import asyncio
 import ssl
@@ -9,13 +13,14 @@
 
 
 class Failing(asyncio.Protocol):
-    """Raises on the first bytes, as a part with a fault would."""
+    """Raises on the first bytes, as faulty code would."""
 
     def data_received(self, data: bytes) -> None:
         raise KeyError("no such form")
 
 
-def test_a_fault_in_a_connections_callback_ends_the_process() -> None:
+def test_exception_in_a_connection_callback_ends_the_process() -> None:
+    """A callback raises. Continuing would leave its call without a response."""
     reasons: list[str] = []
 
     async def scenario() -> None:
@@ -33,7 +38,8 @@
     assert "no such form" in reasons[0]
 
 
-def test_a_failed_handshake_is_counted_and_ends_nothing() -> None:
+def test_failed_tls_handshake_is_counted_and_ends_nothing() -> None:
+    """A client fails its TLS handshake, which must not end the process."""
     counters, reasons = Counters(), list[str]()
     loop = asyncio.new_event_loop()
     loop.set_exception_handler(LoopExceptionHandler(counters, reasons.append))
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -1,4 +1,4 @@
-"""A seeded part of the fault matrix; ``bench.faults`` runs all of it."""
+"""Every seventh cell of the fault matrix; ``bench.faults`` runs all of them."""
 
 import pytest
 
@@ -8,6 +8,7 @@
 
 
 @pytest.mark.parametrize("cell", cells()[::EVERY], ids=lambda cell: f"{cell[0]}-{cell[1]}")
-def test_a_cell_of_the_matrix_holds(cell: tuple[str, tuple[str, ...]]) -> None:
+def test_guarantee_holds_in_a_cell_of_the_fault_matrix(cell: tuple[str, tuple[str, ...]]) -> None:
+    """One fault of the matrix occurs during one kind of work."""
     result = run_cell(cell)
     assert result.state == "proved", result
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -1,7 +1,8 @@
-"""Pages that are worked out from files: they must not drift apart from them."""
+"""Pages that are computed from data files must not differ from them."""
 
 from bench.capacity import ROOT, page
 
 
-def test_the_capacity_page_follows_from_the_measured_slopes() -> None:
+def test_capacity_page_matches_the_measured_slopes() -> None:
+    """The slopes are measured again and the page is not generated again."""
     assert (ROOT / "docs/CAPACITY.md").read_text() == page()
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -1,4 +1,8 @@
-"""The link between entries: what closes it must not wait for messages that never come."""
+"""The link between entries.
+
+Failures guarded against: closing that blocks for ever on a message that never arrives, and a link
+that does not recover after a connection to a wrong program.
+"""
 
 import contextlib
 import socket
@@ -17,20 +21,20 @@
 
 
 class Host:
-    """Takes what the link tells and asks for."""
+    """Records the events of the link and the handler that it registers."""
 
     def __init__(self) -> None:
-        self.heard: list[Any] = []
+        self.received: list[Any] = []
 
     def register(self, kind: type, handler: Any) -> None:
         self.send = handler
 
     def emit(self, event: Any) -> None:
-        self.heard.append(event)
+        self.received.append(event)
 
 
-class LyingSocket:
-    """Says that there is a message where there is none."""
+class FalselyReadySocket:
+    """Reports that a message is ready when there is none."""
 
     def __init__(self, socket: "zmq.Socket[bytes]") -> None:
         self._socket = socket
@@ -45,13 +49,14 @@
         self._socket.close(linger)
 
 
-class LyingLink(PeerLink):
+class FalselyReadyLink(PeerLink):
     def _bind(self) -> Any:
-        return LyingSocket(super()._bind())
+        return FalselyReadySocket(super()._bind())
 
 
-def test_a_link_closes_though_a_poll_reports_a_message_that_is_not_there() -> None:
-    link = LyingLink(f"tcp://{LOOPBACK}:{free_port()}", None, Counters(), Host())
+def test_link_closes_although_a_poll_reports_a_message_that_does_not_exist() -> None:
+    """A poll of the socket reports a message, and the following receive finds none."""
+    link = FalselyReadyLink(f"tcp://{LOOPBACK}:{free_port()}", None, Counters(), Host())
     link.start()
     closing = threading.Thread(target=link.close, daemon=True)
     closing.start()
@@ -59,28 +64,28 @@
     assert not closing.is_alive()
 
 
-def test_a_link_recovers_from_a_stranger_at_the_address(tmp_path: Path) -> None:
-    """An address may be another program's for a while, or its owner may hold another key."""
+def test_link_recovers_after_another_program_listened_at_the_address(tmp_path: Path) -> None:
+    """For some time, another program or an entry with another key listens at a peer's address."""
     key_file = tmp_path / "fleet.key"
     key_file.write_bytes(zmq.curve_keypair()[1])
     port = free_port()
     address = f"tcp://{LOOPBACK}:{port}"
     hosts = [Host(), Host()]
     sender = PeerLink(f"tcp://{LOOPBACK}:{free_port()}", key_file, Counters(), hosts[0])
-    owner = PeerLink(address, key_file, Counters(), hosts[1])
+    peer = PeerLink(address, key_file, Counters(), hosts[1])
     sender.start()
-    with socket.create_server((LOOPBACK, port)) as stranger:
+    with socket.create_server((LOOPBACK, port)) as other_program:
         hosts[0].send(SendPeer(address, EntryWork("entry-1", ())))
-        conn, _ = stranger.accept()
+        conn, _ = other_program.accept()
         with conn, contextlib.suppress(ConnectionResetError):
             conn.sendall(b"HTTP/1.1 400 Bad Request\r\n\r\n" + bytes(64))
             while conn.recv(4_096):
                 pass
-    owner.start()
+    peer.start()
     until_s = time.monotonic() + 5 * MIN_RECONNECT_INTERVAL_S
-    while not hosts[1].heard and time.monotonic() < until_s:
+    while not hosts[1].received and time.monotonic() < until_s:
         hosts[0].send(SendPeer(address, EntryWork("entry-1", ())))
         time.sleep(0.05)
     sender.close()
-    owner.close()
-    assert hosts[1].heard
+    peer.close()
+    assert hosts[1].received
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -1,4 +1,8 @@
-"""The client of the platform's store against answers that are late, lost, refused or unreadable."""
+"""The client of the platform's object store.
+
+Failure guarded against: a result that says more than is certain, such as "not written" for a write
+that may have taken effect.  This comes about through late, lost, rejected or malformed responses.
+"""
 
 import threading
 from collections.abc import Iterator
@@ -14,17 +18,17 @@
 PAGE = b'{"items":[{"metadata":{"name":"a","revision":4},"spec":1},7],"has_more":false,"as_of":9}'
 
 
-class Answers(BaseHTTPRequestHandler):
-    """Answers each call alike."""
+class FixedResponses(BaseHTTPRequestHandler):
+    """Sends the same response to every request."""
 
     status = 200
     body = b""
     pages: ClassVar[dict[str, bytes]] = {}
-    """Bodies by the name that a page begins after, instead of the one body."""
+    """Bodies by the ``after`` parameter of the request, instead of the one body."""
 
     protocol_version = "HTTP/1.1"
 
-    def _answer(self) -> None:
+    def _respond(self) -> None:
         if self.status == 0:
             self.close_connection = True
             return
@@ -35,15 +39,15 @@
         self.end_headers()
         self.wfile.write(body)
 
-    do_GET = do_POST = do_PUT = do_DELETE = _answer  # noqa: N815
+    do_GET = do_POST = do_PUT = do_DELETE = _respond  # noqa: N815
 
     def log_message(self, format: str, *args: object) -> None:
-        """Write nothing."""
+        """Suppress the log line."""
 
 
 @pytest.fixture
 def store() -> Iterator[ObjectStore]:
-    server = ThreadingHTTPServer(("127.0.0.1", 0), Answers)
+    server = ThreadingHTTPServer(("127.0.0.1", 0), FixedResponses)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     client = ObjectStore(f"http://127.0.0.1:{server.server_port}")
     yield client
@@ -52,9 +56,9 @@
     server.server_close()
 
 
-def answer(status: int, body: bytes = b"") -> None:
-    Answers.status, Answers.body = status, body
-    Answers.pages = {}
+def set_response(status: int, body: bytes = b"") -> None:
+    FixedResponses.status, FixedResponses.body = status, body
+    FixedResponses.pages = {}
 
 
 @pytest.mark.parametrize(
@@ -69,10 +73,11 @@
         (410, b"", ObjectStoreFailure.EXPIRED),
     ],
 )
-def test_a_watch_tells_why_it_has_nothing(
+def test_failed_watch_or_listing_returns_its_cause(
     store: ObjectStore, status: int, body: bytes, fault: ObjectStoreFailure
 ) -> None:
-    answer(status, body)
+    """The object store rejects requests, fails, closes connections, or sends malformed content."""
+    set_response(status, body)
     assert store.watch("config", 3, 0.1) == Err(fault)
     listed = store.list("config")
     assert listed == Err(
@@ -80,8 +85,9 @@
     )
 
 
-def test_an_object_that_cannot_be_read_hides_no_other(store: ObjectStore) -> None:
-    answer(200, PAGE)
+def test_undecodable_object_does_not_hide_others_in_a_listing(store: ObjectStore) -> None:
+    """One item of a listing is malformed."""
+    set_response(200, PAGE)
     before_s = boot_time_s()
     listed = store.list("servers")
     assert isinstance(listed, Ok)
@@ -90,17 +96,19 @@
     assert before_s <= listed.ok_value.sent_at_s <= boot_time_s()
 
 
-def test_a_write_without_an_answer_is_unsure_and_one_that_was_never_sent_is_refused(
+def test_write_without_a_response_is_unsure_and_one_never_sent_is_rejected(
     store: ObjectStore,
 ) -> None:
-    answer(0)
+    """A connection closes after a write was sent; another write finds no server."""
+    set_response(0)
     assert store.create("k", "n", 1) == Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
-    gone = ObjectStore("http://127.0.0.1:1")
-    assert gone.create("k", "n", 1) == Err(ObjectStoreFailure.REFUSED)
+    unreachable_store = ObjectStore("http://127.0.0.1:1")
+    assert unreachable_store.create("k", "n", 1) == Err(ObjectStoreFailure.REFUSED)
 
 
-def test_a_conflict_shows_the_object_as_it_is(store: ObjectStore) -> None:
-    answer(409, b'{"metadata":{"name":"n","revision":8},"spec":{"x":1}}')
+def test_conflict_returns_the_object_as_it_is_stored(store: ObjectStore) -> None:
+    """A conditional write is based on an outdated revision."""
+    set_response(409, b'{"metadata":{"name":"n","revision":8},"spec":{"x":1}}')
     written = store.replace("k", "n", {}, 7)
     assert isinstance(written, Ok)
     assert not written.ok_value.done
@@ -108,10 +116,13 @@
     assert written.ok_value.present.revision == 8
 
 
-def test_a_listing_of_several_pages_is_as_old_as_its_first(store: ObjectStore) -> None:
-    """An object named before the second page was written in between: only a watch shows it."""
-    answer(200)
-    Answers.pages = {
+def test_listing_of_several_pages_is_as_of_its_first_page(store: ObjectStore) -> None:
+    """An object that sorts before the second page is written between two pages.
+
+    Only a watch from the first page's revision shows it.
+    """
+    set_response(200)
+    FixedResponses.pages = {
         "": b'{"items":[{"metadata":{"name":"m","revision":4}}],"has_more":true,"as_of":9}',
         "m": b'{"items":[{"metadata":{"name":"z","revision":5}}],"as_of":12}',
     }
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,4 +1,9 @@
-"""The whole path over real processes, signals and sockets; verdicts rest on counts and bytes."""
+"""The complete path over real processes, signals and sockets; results rest on counts and bytes.
+
+Failures guarded against: truncated or mixed-up responses, calls that run twice, streams cut by a
+planned stop, and work on a stale configuration.  They come about when runners, cache stores,
+entries or the object store fail, stall, stop or lose responses.
+"""
 
 import signal
 import threading
@@ -22,21 +27,22 @@
 )
 
 REVOKE_S = 5.5
-"""The bound for removed keys of the settings, and a little."""
+"""A little more than the bound for removed keys in the settings."""
 
 
 def set_runners(fleet: Fleet, **faults: float) -> None:
-    # A request has three attempts: after the faults of two runners the third serves it.
+    # A request has three attempts: after the faults of two runners, the third one serves it.
     for name in ("runner-1", "runner-2"):
         fleet.fault(name, **faults)
 
 
 @pytest.mark.parametrize("faults", [{"cut_stream": 1}, {"stall": 1}, {"crossed": 1}], ids=str)
 @pytest.mark.parametrize("stream", [True, False])
-def test_a_broken_answer_arrives_whole(
+def test_broken_response_arrives_complete(
     fleet: Fleet, faults: dict[str, float], stream: bool
 ) -> None:
-    # Each entry has a budget of its own, and two faults cost two repeats.
+    """Two runners cut, stall or mix up their responses; the third one is healthy."""
+    # Each entry has a retry budget of its own, and two faults need two retries.
     entry = {"cut_stream": "entry-1", "stall": "entry-2", "crossed": "entry-3"}[next(iter(faults))]
     set_runners(fleet, **faults)
     try:
@@ -52,7 +58,8 @@
         assert body["choices"][0]["message"]["content"] == expected(text)
 
 
-def test_many_callers_each_get_their_own_answer(fleet: Fleet) -> None:
+def test_simultaneous_callers_each_get_their_own_response(fleet: Fleet) -> None:
+    """Twenty-four callers send different prompts at once over shared connections."""
     wrong: list[str] = []
 
     def caller(number: int) -> None:
@@ -69,7 +76,8 @@
     assert wrong == []
 
 
-def test_a_booking_that_ran_and_was_cut_is_never_repeated(fleet: Fleet) -> None:
+def test_keyed_call_that_ran_and_was_cut_is_never_retried(fleet: Fleet) -> None:
+    """Service targets run a call and lose its response; the key is sent again to another entry."""
     for name in SERVICES:
         fleet.fault(name, lose=1)
     first = book(fleet, "entry-1", "cut", "cut")
@@ -81,8 +89,8 @@
     assert runs(fleet, "cut") == 1
 
 
-def repeat_until_ended(fleet: Fleet, entry: str, key: str) -> urllib3.BaseHTTPResponse:
-    """Repeat a booking as its refusals ask until its outcome is kept, and return the answer."""
+def retry_until_ended(fleet: Fleet, entry: str, key: str) -> urllib3.BaseHTTPResponse:
+    """Retry a booking after each Retry-After until its outcome is stored; return the response."""
     while True:
         resp = book(fleet, entry, key, key)
         if resp.status != 409 or msgspec.json.decode(resp.data)["type"] != "key_running":
@@ -90,23 +98,25 @@
         time.sleep(int(resp.headers["Retry-After"]))
 
 
-def test_lost_answers_of_the_platform_cost_no_booking(fleet: Fleet) -> None:
+def test_lost_responses_of_the_object_store_do_not_lose_a_keyed_call(fleet: Fleet) -> None:
+    """Two writes of an idempotency key take effect, and their responses are lost."""
     fleet.fault("objects", **{"lose filbertstream-keys": 2})
     first = book(fleet, "entry-3", "lost", "lost")
     fleet.fault("objects", **{"lose filbertstream-keys": 0})
-    second = repeat_until_ended(fleet, "entry-1", "lost")
+    second = retry_until_ended(fleet, "entry-1", "lost")
     assert (first.status, second.status) == (200, 200)
     assert first.data == second.data
     assert runs(fleet, "lost") == 1
 
 
-def test_an_outage_of_the_platform_refuses_bookings_and_ends_admission_at_the_bound(
+def test_object_store_outage_refuses_keyed_calls_and_ends_admission_at_the_bound(
     fleet: Fleet,
 ) -> None:
+    """The object store is down for longer than the revocation bound."""
     fleet.fault("objects", down=1)
     try:
         refused = book(fleet, "entry-1", "out", "out")
-        answered = fleet.call("entry-2", CHAT, chat("outage"), WORKSPACE)
+        served = fleet.call("entry-2", CHAT, chat("outage"), WORKSPACE)
         time.sleep(REVOKE_S)
         late = fleet.call("entry-2", CHAT, chat("late"), WORKSPACE)
     finally:
@@ -114,13 +124,16 @@
     for resp in (refused, late):
         assert (resp.status, msgspec.json.decode(resp.data)["run"]) == (503, "not_run")
         assert int(resp.headers["Retry-After"]) > 0
-    assert words_of(answered.data) == expected("outage")
+    assert words_of(served.data) == expected("outage")
     assert runs(fleet, "out") == 0
-    fleet.wait(lambda: book(fleet, "entry-2", "out", "out").status == 200, what="bookings are back")
+    fleet.wait(
+        lambda: book(fleet, "entry-2", "out", "out").status == 200, what="keyed calls succeed again"
+    )
     assert runs(fleet, "out") == 1
 
 
-def test_a_caller_that_leaves_has_its_work_cancelled(fleet: Fleet) -> None:
+def test_work_of_a_disconnected_caller_is_cancelled(fleet: Fleet) -> None:
+    """A caller closes its connection after the first chunk of a long stream."""
     names = [name for name in fleet.running if name.startswith("runner")]
     before = sum(len(fleet.counts(name)["cancelled"]) for name in names)
     body = chat("leaving", tokens=2_000)
@@ -133,19 +146,20 @@
     )
 
 
-def test_a_frozen_entry_holds_no_change_up_and_serves_nothing_by_an_old_one(
+def test_suspended_entry_delays_no_change_and_does_not_serve_on_a_stale_configuration(
     fleet: Fleet, tmp_path: Path
 ) -> None:
+    """An entry gets SIGSTOP while a change is applied and stays suspended beyond the bound."""
     file = tmp_path / "change.yaml"
     file.write_text("kind: model\nname: during-the-freeze\nversion: 1\n")
     fleet.signal("entry-3", signal.SIGSTOP)
     try:
-        answer = fleet.apply_documents(file)
-        assert answer["state"] == "accepted"
+        change = fleet.apply_documents(file)
+        assert change["state"] == "accepted"
         time.sleep(REVOKE_S)
     finally:
         fleet.signal("entry-3", signal.SIGCONT)
-    revision = answer["revision"]
+    revision = change["revision"]
     resp = fleet.call("entry-3", CHAT, chat("thawed"), WORKSPACE)
     assert (
         resp.status == 503 or fleet.operator("entry-3", "GET", "/v1/status")["revision"] == revision
@@ -153,7 +167,8 @@
     fleet.wait_ready("entry-3")
 
 
-def test_a_planned_stop_cuts_no_stream(fleet: Fleet) -> None:
+def test_planned_stop_of_an_entry_does_not_cut_a_stream(fleet: Fleet) -> None:
+    """An entry gets SIGTERM in the middle of a stream."""
     bodies: list[bytes] = []
     text, tokens = "planned stop", 150
 
@@ -172,7 +187,8 @@
     fleet.wait_ready("entry-3")
 
 
-def test_a_killed_entry_comes_back_under_the_same_address(fleet: Fleet) -> None:
+def test_killed_entry_restarts_at_the_same_address(fleet: Fleet) -> None:
+    """An entry is killed, and its replacement must be accepted by its peers and serve calls."""
     revision = fleet.operator("entry-1", "GET", "/v1/status")["revision"]
     fleet.kill("entry-2")
     fleet.start_entry(2)
@@ -180,43 +196,47 @@
     assert fleet.operator("entry-2", "GET", "/v1/status")["revision"] == revision
     fleet.wait(
         lambda: fleet.call("entry-2", CHAT, chat("back"), WORKSPACE).status == 200,
-        what="it serves",
+        what="the entry serves calls",
     )
 
 
-def test_connections_that_went_silent_are_replaced(fleet: Fleet) -> None:
-    warm = [
+def test_connections_that_no_longer_carry_data_are_replaced(fleet: Fleet) -> None:
+    """Open connections to runners and the object store stop carrying bytes, without a reset."""
+    first_calls = [
         threading.Thread(
             target=fleet.call, args=("entry-1", CHAT, chat(f"open {number}"), WORKSPACE)
         )
         for number in range(24)
     ]
-    for thread in warm:
+    for thread in first_calls:
         thread.start()
-    for thread in warm:
+    for thread in first_calls:
         thread.join()
     names = [name for name in fleet.running if name.startswith("runner")]
     for name in (*names, "objects"):
         fleet.fault(name, silent=1)
     try:
-        answers = [fleet.call("entry-1", CHAT, chat(f"silent {n}"), WORKSPACE) for n in range(3)]
+        responses = [fleet.call("entry-1", CHAT, chat(f"silent {n}"), WORKSPACE) for n in range(3)]
         booking = book(fleet, "entry-1", "silent", "silent")
     finally:
         for name in (*names, "objects"):
             fleet.fault(name, silent=0)
-    assert [words_of(resp.data) for resp in answers] == [expected(f"silent {n}") for n in range(3)]
+    assert [words_of(resp.data) for resp in responses] == [
+        expected(f"silent {n}") for n in range(3)
+    ]
     assert booking.status in (200, 503)
     assert runs(fleet, "silent") == (booking.status == 200)
 
 
 @pytest.mark.parametrize("faults", [{"torn": 100}, {"full": 1}, {"down": 1}], ids=str)
-def test_a_store_that_fails_costs_no_answer_and_publishes_nothing_wrong(
+def test_failing_cache_store_fails_no_call_and_publishes_no_incomplete_block(
     fleet: Fleet, faults: dict[str, float]
 ) -> None:
+    """Cache stores tear saves, are full or are down."""
     stores = ("store-1", "store-2")
     for name in stores:
         fleet.fault(name, **faults)
-    # An export that was under way before ends; from here on nothing can be published rightly.
+    # Saves in progress end first; after that, no save can complete.
     time.sleep(1.0)
     before = sum(fleet.counts(name)["saved"] for name in stores)
     try:
@@ -234,7 +254,8 @@
     assert after == before
 
 
-def test_operators_may_choose_that_an_outage_ends_no_admission(tmp_path: Path) -> None:
+def test_without_strict_revocation_an_outage_does_not_end_admission(tmp_path: Path) -> None:
+    """The object store is down for longer than the bound. Strict revocation is off."""
     fleet = Fleet(tmp_path, Options(entries=1, runners=1, gap_s=0.01, strict=False))
     try:
         fleet.start()
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -1,4 +1,8 @@
-"""The product over real processes: bad requests, isolation, TLS, the command line."""
+"""The product over real processes: invalid requests, isolation of workspaces, TLS, command line.
+
+Failures guarded against: requests that are not rejected clearly, data of one workspace shown to
+another or in logs, connections without valid keys or certificates, and work for drained targets.
+"""
 
 import asyncio
 import contextlib
@@ -31,7 +35,7 @@
 from tests.callers import (
     BOOK,
     CHAT,
-    OTHER,
+    OTHER_WORKSPACE,
     WORKSPACE,
     book,
     chat,
@@ -64,7 +68,10 @@
         (msgspec.json.encode(chat("x")), "nobody", 401),
     ],
 )
-def test_bad_requests_get_a_clear_problem(fleet: Fleet, body: bytes, key: str, status: int) -> None:
+def test_invalid_request_gets_a_problem_that_says_not_run(
+    fleet: Fleet, body: bytes, key: str, status: int
+) -> None:
+    """Malformed, oversized and unauthorized requests."""
     url = fleet.running["entry-1"].url + CHAT
     headers = {"Authorization": f"Bearer key-{key}"}
     try:
@@ -77,28 +84,32 @@
     assert len(body) > 4_000_000 or msgspec.json.decode(resp.data)["run"] == "not_run"
 
 
-def test_a_call_that_is_not_idempotent_needs_a_key(fleet: Fleet) -> None:
+def test_non_idempotent_call_without_an_idempotency_key_is_rejected(fleet: Fleet) -> None:
+    """Without a key, a caller's retry could run the call twice."""
     resp = fleet.call("entry-1", BOOK, {"reference": "no key"}, WORKSPACE)
     assert (resp.status, msgspec.json.decode(resp.data)["type"]) == (400, "key_required")
     assert runs(fleet, "no key") == 0
 
 
-def test_a_kept_answer_is_not_seen_by_another_workspace(fleet: Fleet) -> None:
-    mine = book(fleet, "entry-1", "shared key", "mine")
+def test_stored_response_is_not_returned_to_another_workspace(fleet: Fleet) -> None:
+    """Two workspaces use the same idempotency key."""
+    own_response = book(fleet, "entry-1", "shared key", "mine")
     headers = {"Idempotency-Key": "shared key"}
-    theirs = fleet.call("entry-2", BOOK, {"reference": "theirs"}, OTHER, headers)
-    assert b"mine" in mine.data
-    assert b"mine" not in theirs.data
-    assert "Idempotency-Replayed" not in theirs.headers
+    other_response = fleet.call("entry-2", BOOK, {"reference": "theirs"}, OTHER_WORKSPACE, headers)
+    assert b"mine" in own_response.data
+    assert b"mine" not in other_response.data
+    assert "Idempotency-Replayed" not in other_response.headers
 
 
-def test_callers_cannot_reach_the_operators_api(fleet: Fleet) -> None:
+def test_caller_cannot_reach_the_operators_api(fleet: Fleet) -> None:
+    """A caller sends its API key to the operators' port."""
     url = fleet.operators_url("entry-1") + "/v1/status"
     headers = {"Authorization": f"Bearer key-{WORKSPACE}"}
     assert fleet.http.request("GET", url, headers=headers).status == 401
 
 
-def test_metrics_and_logs_name_no_workspace_prompt_or_key(fleet: Fleet) -> None:
+def test_metrics_and_logs_reveal_no_workspace_prompt_or_api_key(fleet: Fleet) -> None:
+    """A prompt and an API key pass through an entry. Logs and metrics are read by others."""
     fleet.call("entry-1", CHAT, chat("very private words"), WORKSPACE)
     page = fleet.http.request("GET", fleet.running["entry-1"].url + "/metrics").data.decode()
     log = (fleet.folder / "entry-1.log").read_text()
@@ -109,7 +120,8 @@
     assert WORKSPACE not in page
 
 
-def test_a_message_with_two_lengths_is_refused(fleet: Fleet) -> None:
+def test_request_with_two_lengths_is_rejected(fleet: Fleet) -> None:
+    """Request smuggling: a request has both a Content-Length and a chunked encoding."""
     host, _, port = fleet.running["entry-1"].url.removeprefix("http://").rpartition(":")
     with socket.create_connection((host, int(port)), timeout=10) as sock:
         sock.sendall(
@@ -119,17 +131,18 @@
         assert b" 400 " in sock.recv(4_096).split(b"\r\n")[0]
 
 
-def test_a_stranger_without_the_fleet_key_is_not_heard(fleet: Fleet) -> None:
+def test_peer_messages_without_the_fleet_key_are_dropped(fleet: Fleet) -> None:
+    """A program without the fleet key reports forged work. It would divert calls from a runner."""
     forged = encode(EntryWork("entry-2", (WorkRow("runner-1", 1_000, 0, 0),)))
     running = []
     sent = 0
-    with zmq.Context() as context, context.socket(zmq.PUSH) as stranger:
-        stranger.linger = 0
-        stranger.connect(fleet.peer_address(1))
+    with zmq.Context() as context, context.socket(zmq.PUSH) as outsider:
+        outsider.linger = 0
+        outsider.connect(fleet.peer_address(1))
         for _ in range(20):
             # Once the handshake has failed, no connection is left to send on.
             with contextlib.suppress(zmq.Again):
-                stranger.send(forged, zmq.NOBLOCK)
+                outsider.send(forged, zmq.NOBLOCK)
                 sent += 1
             time.sleep(0.05)
             rows = fleet.operator("entry-1", "GET", "/v1/status")["targets"]
@@ -139,7 +152,8 @@
     assert max(running) < 1_000
 
 
-def test_a_changed_certificate_is_used_and_a_bad_one_is_not(tmp_path: Path) -> None:
+def test_renewed_certificate_is_loaded_and_an_invalid_one_is_not(tmp_path: Path) -> None:
+    """A certificate's files are replaced while the process runs, once by an invalid key."""
     authority = trustme.CA()
     files = Tls(tmp_path / "tls.crt", tmp_path / "tls.key")
 
@@ -169,7 +183,8 @@
     return files
 
 
-def test_an_entry_listens_with_tls_for_callers_and_operators(tmp_path: Path) -> None:
+def test_entry_listens_with_tls_for_callers_and_operators(tmp_path: Path) -> None:
+    """Clients without the authority's certificate must not accept the connection."""
     files = write_certificate(tmp_path, trustme.CA())
     tls = {"certificate_file": str(files.certificate_file), "key_file": str(files.key_file)}
     processes = Processes(tmp_path)
@@ -192,25 +207,26 @@
     words = ["filbertstream", "entry", "--config", str(file)]
     urls = [f"https://127.0.0.1:{ports[0]}/healthz", f"https://127.0.0.1:{ports[1]}/v1/status"]
     pool = urllib3.PoolManager(ca_certs=str(tmp_path / "ca.crt"), retries=False)
-    strangers = urllib3.PoolManager(retries=False)
+    untrusting_pool = urllib3.PoolManager(retries=False)
     headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
     try:
         processes.spawn("entry-1", words, f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[1]}")
         for url in urls:
             processes.wait(lambda url=url: pool.request("GET", url, headers=headers).status == 200)
             with pytest.raises(urllib3.exceptions.SSLError):
-                strangers.request("GET", url)
+                untrusting_pool.request("GET", url)
     finally:
         processes.close()
 
 
-def test_slow_senders_do_not_keep_others_out(fleet: Fleet) -> None:
+def test_slow_senders_do_not_block_other_callers(fleet: Fleet) -> None:
+    """Twenty connections send an unfinished head and nothing more."""
     host, _, port = fleet.running["entry-1"].url.removeprefix("http://").rpartition(":")
-    slow = [socket.create_connection((host, int(port))) for _ in range(20)]
-    for sock in slow:
+    slow_senders = [socket.create_connection((host, int(port))) for _ in range(20)]
+    for sock in slow_senders:
         sock.sendall(f"POST {CHAT} HTTP/1.1\r\nHost: x\r\nContent-".encode())
     resp = fleet.call("entry-1", CHAT, chat("beside slow senders"), WORKSPACE)
-    for sock in slow:
+    for sock in slow_senders:
         sock.close()
     assert words_of(resp.data) == expected("beside slow senders")
 
@@ -223,7 +239,8 @@
     return result.exit_code, result.output
 
 
-def test_the_command_line_applies_shows_and_explains(fleet: Fleet, tmp_path: Path) -> None:
+def test_command_line_applies_shows_and_explains(fleet: Fleet, tmp_path: Path) -> None:
+    """An operator applies a change, then one with an outdated base, and explains a request."""
     file = tmp_path / "change.yaml"
     file.write_text("kind: model\nname: other-3b\nversion: 1\n")
     code, output = run_cli(fleet, "apply", "-f", str(file), "--output", "json")
@@ -250,32 +267,37 @@
     assert run_cli(fleet, "explain", "unknown")[0] == 1
 
 
-def test_the_burn_report_merges_entries_and_draws(fleet: Fleet, tmp_path: Path) -> None:
+def test_burn_report_merges_all_entries_and_draws_a_picture(fleet: Fleet, tmp_path: Path) -> None:
+    """Each entry has handled only some of a workspace's requests."""
     for number in (1, 2, 3):
-        fleet.call(f"entry-{number}", CHAT, chat("burn"), OTHER)
+        fleet.call(f"entry-{number}", CHAT, chat("burn"), OTHER_WORKSPACE)
     picture = tmp_path / "burn.png"
     code, output = run_cli(fleet, "report", "burn", "--output", "json", "--picture", str(picture))
     rows = {row["workspace"]: row for row in msgspec.json.decode(output)}
     assert code == 0
-    assert rows[OTHER]["requests"] >= 3
+    assert rows[OTHER_WORKSPACE]["requests"] >= 3
     assert picture.read_bytes().startswith(b"\x89PNG")
 
 
-def test_an_unreachable_entry_has_its_own_exit_code() -> None:
+def test_unreachable_entry_has_its_own_exit_code() -> None:
+    """A script must be able to distinguish an unreachable entry from a rejected command."""
     arguments = ["list", "--entry", f"http://127.0.0.1:{free_port()}", "--key", "x"]
     assert CliRunner().invoke(app, arguments).exit_code == 3
 
 
-def test_a_drained_target_gets_no_new_work_until_its_stop_is_ended(fleet: Fleet) -> None:
+def test_drained_target_gets_no_new_work_until_its_drain_is_ended(fleet: Fleet) -> None:
+    """An operator drains a runner and later ends the drain."""
     code, output = run_cli(fleet, "drain", "runner-1", "--output", "json")
     assert code == 0, output
-    fleet.wait(lambda: all_leaving(fleet, "runner-1"), what="all entries know")
+    fleet.wait(
+        lambda: all_leaving(fleet, "runner-1"), what="all entries show the runner as leaving"
+    )
     before = len(fleet.counts("runner-1")["ran"])
     for number in range(9):
         fleet.call(f"entry-{1 + number % 3}", CHAT, chat(f"drained {number}"), WORKSPACE)
     assert len(fleet.counts("runner-1")["ran"]) == before
     assert run_cli(fleet, "drain", "runner-1", "--end", "--output", "json")[0] == 0
-    fleet.wait(lambda: not all_leaving(fleet, "runner-1"), what="the stop has ended")
+    fleet.wait(lambda: not all_leaving(fleet, "runner-1"), what="the drain has ended")
 
 
 def all_leaving(fleet: Fleet, name: str) -> bool:
@@ -286,20 +308,21 @@
     return True
 
 
-def test_targets_are_reached_over_tls_with_their_own_authority(tmp_path: Path) -> None:
+def test_target_is_reached_over_tls_only_with_its_own_authority(tmp_path: Path) -> None:
+    """The authority is replaced by one that did not issue the target's certificate."""
     files = write_certificate(tmp_path, trustme.CA())
 
-    def answer(environ: dict[str, Any], start: Any) -> list[bytes]:
+    def respond(environ: dict[str, Any], start: Any) -> list[bytes]:
         start("200 OK", [("Content-Length", "2")])
         return [b"ok"]
 
     port = free_port()
-    listener = Listener("127.0.0.1", port, answer, 2, 1_000, files)
+    listener = Listener("127.0.0.1", port, respond, 2, 1_000, files)
     listener.start()
     address = Address("127.0.0.1", port)
     authority = ReloadingAuthority(tmp_path / "ca.crt")
 
-    async def ask() -> tuple[int, bytes] | None:
+    async def send_request() -> tuple[int, bytes] | None:
         links = TargetConnectionPool(authority.context)
         data = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
         try:
@@ -308,23 +331,24 @@
             links.close()
 
     try:
-        assert asyncio.run(ask()) == (200, b"ok")
+        assert asyncio.run(send_request()) == (200, b"ok")
         trustme.CA().cert_pem.write_to_path(tmp_path / "ca.crt")
         os.utime(tmp_path / "ca.crt", ns=(1, 1))
         assert authority.reload() is True
-        assert asyncio.run(ask()) is None
+        assert asyncio.run(send_request()) is None
     finally:
         listener.close()
 
 
-def test_a_model_that_the_template_does_not_permit_is_refused(fleet: Fleet, tmp_path: Path) -> None:
+def test_model_that_the_template_does_not_permit_is_refused(fleet: Fleet, tmp_path: Path) -> None:
+    """A model exists, but the workspace's template does not list it."""
     file = tmp_path / "model.yaml"
     file.write_text("kind: model\nname: secret-70b\nversion: 1\n")
     assert fleet.apply_documents(file)["state"] == "accepted"
     revision = fleet.operator("entry-1", "GET", "/v1/documents")["revision"]
     fleet.wait(
         lambda: fleet.operator("entry-2", "GET", "/v1/status")["revision"] >= revision,
-        what="it is in force",
+        what="the change is in force",
     )
     resp = fleet.call("entry-2", CHAT, chat("x") | {"model": "secret-70b"}, WORKSPACE)
     assert (resp.status, msgspec.json.decode(resp.data)["type"]) == (403, "not_permitted")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""A short soak; ``bench.soak`` plays more and longer. Verdicts rest on counts and bytes."""
+"""A short soak; ``bench.soak`` runs more and longer ones.  Results rest on counts and bytes."""
 
 from bench.soak import play
 
@@ -6,7 +6,8 @@
 SEED = 1
 
 
-def test_a_short_soak_breaks_no_promise() -> None:
+def test_short_soak_violates_no_guarantee() -> None:
+    """Faults and harmed links overlap under load."""
     soak = play(SEED, SECONDS)
     assert soak.wrong == []
     assert soak.counts["prompt whole"] > 0
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,4 +1,8 @@
-"""What the stand-ins do to connections, where tests of the product rest on it."""
+"""Behaviour of the stand-ins' connections that tests of the product rely on.
+
+Failure guarded against: a stand-in's fault that does not take effect, so that a test passes
+without the fault.
+"""
 
 import http.client
 import socket
@@ -11,14 +15,14 @@
 from standins.loopback_proxy import LOOK_S
 from standins.processes import LOOPBACK, Processes, free_port
 
-ANSWER_S = 5.0
-SILENT_S = 0.3
-KEPT = 24
-"""More connections than a few watches open, and than servers keep by their defaults."""
+RESPONSE_TIMEOUT_S = 5.0
+NO_RESPONSE_S = 0.3
+OPEN_CONNECTIONS = 24
+"""More connections than a few watches open, and more than servers keep open by default."""
 
 
 def wait_for(processes: Processes, name: str) -> None:
-    """Wait until a stand-in answers at its own port; its control port listens earlier."""
+    """Wait until a stand-in responds at its own port; its control port listens earlier."""
     url = f"{processes.running[name].url}/objects/none"
     processes.wait(lambda: processes.http.request("GET", url).status == 200, what=name)
 
@@ -39,12 +43,14 @@
 ) -> http.client.HTTPConnection:
     host, _, store_port = processes.running[server].address.rpartition(":")
     source = (LOOPBACK, port)
-    conn = http.client.HTTPConnection(host, int(store_port), ANSWER_S, source_address=source)
+    conn = http.client.HTTPConnection(
+        host, int(store_port), RESPONSE_TIMEOUT_S, source_address=source
+    )
     conn.connect()
     return conn
 
 
-def ask(conn: http.client.HTTPConnection) -> int:
+def get_status(conn: http.client.HTTPConnection) -> int:
     conn.request("GET", "/objects/none")
     resp = conn.getresponse()
     resp.read()
@@ -52,34 +58,36 @@
 
 
 def reset(conn: http.client.HTTPConnection) -> None:
-    """Close at once, so that the port can be used again."""
+    """Close with a reset, so that the port can be reused at once."""
     conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     conn.close()
 
 
-def test_a_connection_that_went_silent_gives_its_port_back(processes: Processes) -> None:
+def test_port_of_an_unresponsive_connection_can_be_reused(processes: Processes) -> None:
+    """A stand-in stops responding on open connections, and a new one comes from the same port."""
     port = free_port()
     before = connect(processes, port)
-    assert ask(before) == 200
+    assert get_status(before) == 200
     processes.fault("objects", silent=1)
     try:
-        before.sock.settimeout(SILENT_S)
+        before.sock.settimeout(NO_RESPONSE_S)
         with pytest.raises(TimeoutError):
-            ask(before)
+            get_status(before)
         reset(before)
         after = connect(processes, port)
-        assert ask(after) == 200
+        assert get_status(after) == 200
         after.close()
     finally:
         processes.fault("objects", silent=0)
 
 
 def test_many_connections_stay_open(processes: Processes) -> None:
-    conns = [connect(processes) for _ in range(KEPT)]
+    """A stand-in that closed idle connections would make requests fail at random."""
+    conns = [connect(processes) for _ in range(OPEN_CONNECTIONS)]
     for _ in range(2):
         for conn in conns:
             conn.auto_open = 0
-            assert ask(conn) == 200
+            assert get_status(conn) == 200
     for conn in conns:
         conn.close()
 
@@ -93,29 +101,33 @@
 
 
 @pytest.mark.parametrize("fault", ["cut_up", "cut_down", "silent"])
-def test_a_harmed_link_carries_nothing_and_new_ones_work_again(
+def test_harmed_link_carries_nothing_and_new_connections_work_afterwards(
     processes: Processes, proxied: str, fault: str
 ) -> None:
+    """The proxy drops the bytes of one direction or of both."""
     before = connect(processes, server=proxied)
-    assert ask(before) == 200
+    assert get_status(before) == 200
     processes.fault(proxied, **{fault: 1})
     time.sleep(2 * LOOK_S)
-    before.sock.settimeout(SILENT_S)
+    before.sock.settimeout(NO_RESPONSE_S)
     with pytest.raises(TimeoutError):
-        ask(before)
+        get_status(before)
     processes.fault(proxied, **{fault: 0})
     after = connect(processes, server=proxied)
-    assert ask(after) == 200
+    assert get_status(after) == 200
     for conn in (before, after):
         conn.close()
 
 
 @pytest.mark.parametrize("fault", ["reset", "refuse"])
-def test_a_link_is_reset(processes: Processes, proxied: str, fault: str) -> None:
+def test_link_is_reset_or_refuses_connections(
+    processes: Processes, proxied: str, fault: str
+) -> None:
+    """The proxy resets open connections or refuses new ones."""
     before = connect(processes, server=proxied)
-    assert ask(before) == 200
+    assert get_status(before) == 200
     processes.fault(proxied, **{fault: 1})
     time.sleep(5 * LOOK_S)
     with pytest.raises(OSError, match=r"."):
-        ask(before if fault == "reset" else connect(processes, server=proxied))
+        get_status(before if fault == "reset" else connect(processes, server=proxied))
     processes.fault(proxied, **{fault: 0})
--- a/tests/test_target_link.py
+++ b/tests/test_target_link.py
@@ -1,4 +1,8 @@
-"""Connections to targets against bytes that a faulty target may send, over loopback sockets."""
+"""Connections to targets that send faulty bytes, over loopback sockets.
+
+Failure guarded against: a caller gets a truncated response or that of another request.  This comes
+about through stray bytes, cut connections and late responses to earlier requests.
+"""
 
 import asyncio
 import struct
@@ -12,16 +16,18 @@
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import ResponseHead
 
-OWN = (
+OWN_RESPONSE = (
     b"HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nResponse-Signature: s\r\nContent-Length: 3\r\n\r\nown"
 )
-FOREIGN = OWN.replace(b"mine", b"else").replace(b"own", b"not")
-LARGE_FOREIGN = FOREIGN.replace(b"Length: 3", b"Length: 300000").replace(b"not", b"n" * 300_000)
+OTHER_RESPONSE = OWN_RESPONSE.replace(b"mine", b"else").replace(b"own", b"not")
+LARGE_OTHER_RESPONSE = OTHER_RESPONSE.replace(b"Length: 3", b"Length: 300000").replace(
+    b"not", b"n" * 300_000
+)
 UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nResponse-Signature: s\r\n\r\nunframed"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class Seen(NamedTuple):
+class Received(NamedTuple):
     heads: list[int]
     body: bytes
     end: str
@@ -29,10 +35,10 @@
 
 
 class Sink:
-    def __init__(self, ends_when_silent: bool = True) -> None:
-        self.ends_when_silent = ends_when_silent
-        self.gets_on = True
-        self.silences = 0
+    def __init__(self, ends_when_stalled: bool = True) -> None:
+        self.ends_when_stalled = ends_when_stalled
+        self.accepts_more = True
+        self.stalls = 0
         self.heads: list[int] = []
         self.body = b""
         self.end: asyncio.Future[str] = asyncio.get_running_loop().create_future()
@@ -42,22 +48,22 @@
 
     def on_body(self, data: bytes) -> bool:
         self.body += data
-        return self.gets_on
+        return self.accepts_more
 
     def on_complete(self) -> None:
-        self.end.set_result("whole")
+        self.end.set_result("complete")
 
     def on_stalled(self) -> None:
-        self.silences += 1
-        if self.ends_when_silent:
-            self.end.set_result("silent")
+        self.stalls += 1
+        if self.ends_when_stalled:
+            self.end.set_result("stalled")
 
     def on_failed(self, cause: str) -> None:
         self.end.set_result(cause)
 
 
-async def ask(sent: bytes, ending: str = "open", progress_timeout_s: float = 0.5) -> Seen:
-    """Return what a sink saw of a target that sends some bytes and then ends so."""
+async def exchange(sent: bytes, ending: str = "open", progress_timeout_s: float = 0.5) -> Received:
+    """Return what a sink receives from a target that sends bytes and then ends the connection."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
@@ -88,60 +94,65 @@
     reusable = bool(returned) and not conn.closed and conn.usable
     conn.abort()
     server.close()
-    return Seen(sink.heads, sink.body, end, reusable)
+    return Received(sink.heads, sink.body, end, reusable)
 
 
 @pytest.mark.parametrize(
     ("sent", "ending", "expected"),
     [
-        (OWN, "open", Seen([200], b"own", "whole", True)),
-        (INTERIM + OWN, "open", Seen([200], b"own", "whole", True)),
-        (FOREIGN + OWN, "open", Seen([200], b"own", "whole", False)),
-        (OWN + FOREIGN, "open", Seen([200], b"own", "whole", False)),
-        (OWN + b"stray bytes", "open", Seen([200], b"own", "whole", False)),
-        (OWN[:-1], "close", Seen([200], b"ow", "cut", False)),
-        (OWN[:-1], "reset", Seen([200], b"ow", "reset", False)),
-        (OWN[:-1], "open", Seen([200], b"ow", "silent", False)),
-        (UNFRAMED, "close", Seen([200], b"unframed", "whole", False)),
-        (UNFRAMED, "reset", Seen([200], b"unframed", "reset", False)),
-        (b"", "close", Seen([], b"", "cut", False)),
-        (b"no answer at all\r\n\r\n", "open", Seen([], b"", "malformed", False)),
-        (FOREIGN, "close", Seen([], b"", "cut", False)),
-        (LARGE_FOREIGN + OWN, "open", Seen([200], b"own", "whole", False)),
+        (OWN_RESPONSE, "open", Received([200], b"own", "complete", True)),
+        (INTERIM + OWN_RESPONSE, "open", Received([200], b"own", "complete", True)),
+        (OTHER_RESPONSE + OWN_RESPONSE, "open", Received([200], b"own", "complete", False)),
+        (OWN_RESPONSE + OTHER_RESPONSE, "open", Received([200], b"own", "complete", False)),
+        (OWN_RESPONSE + b"stray bytes", "open", Received([200], b"own", "complete", False)),
+        (OWN_RESPONSE[:-1], "close", Received([200], b"ow", "cut", False)),
+        (OWN_RESPONSE[:-1], "reset", Received([200], b"ow", "reset", False)),
+        (OWN_RESPONSE[:-1], "open", Received([200], b"ow", "stalled", False)),
+        (UNFRAMED, "close", Received([200], b"unframed", "complete", False)),
+        (UNFRAMED, "reset", Received([200], b"unframed", "reset", False)),
+        (b"", "close", Received([], b"", "cut", False)),
+        (b"no answer at all\r\n\r\n", "open", Received([], b"", "malformed", False)),
+        (OTHER_RESPONSE, "close", Received([], b"", "cut", False)),
+        (LARGE_OTHER_RESPONSE + OWN_RESPONSE, "open", Received([200], b"own", "complete", False)),
     ],
 )
-def test_what_a_target_sends_is_taken_for_what_it_is(
-    sent: bytes, ending: str, expected: Seen
+def test_only_the_complete_response_to_the_request_itself_counts_as_complete(
+    sent: bytes, ending: str, expected: Received
 ) -> None:
-    assert asyncio.run(ask(sent, ending)) == expected
+    """A target sends responses of other requests, stray bytes, or a part of a response."""
+    assert asyncio.run(exchange(sent, ending)) == expected
 
 
-def test_an_answer_that_goes_on_after_a_silence_arrives_whole() -> None:
-    async def ask_slow() -> tuple[str, bytes, int]:
+def test_response_that_continues_after_a_stall_arrives_complete() -> None:
+    """A target stalls for longer than the progress timeout and then sends the rest."""
+
+    async def exchange_slowly() -> tuple[str, bytes, int]:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
-            writer.write(OWN[:-1])
+            writer.write(OWN_RESPONSE[:-1])
             await asyncio.sleep(0.5)
-            writer.write(OWN[-1:])
+            writer.write(OWN_RESPONSE[-1:])
             await reader.read()
             writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         conn = await TargetConnectionPool().open(Address(*server.sockets[0].getsockname()))
         assert conn is not None
-        sink = Sink(ends_when_silent=False)
+        sink = Sink(ends_when_stalled=False)
         conn.request("mine", b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", sink, 0.1, lambda idle: None)
         end = await asyncio.wait_for(sink.end, 3.0)
         conn.abort()
         server.close()
-        return end, sink.body, sink.silences
+        return end, sink.body, sink.stalls
+
+    end, body, stalls = asyncio.run(exchange_slowly())
+    assert (end, body) == ("complete", b"own")
+    assert stalls > 0
 
-    end, body, silences = asyncio.run(ask_slow())
-    assert (end, body) == ("whole", b"own")
-    assert silences > 0
 
+def test_target_that_does_not_listen_yields_no_connection() -> None:
+    """A target's process has ended, and its port refuses connections."""
 
-def test_a_target_that_does_not_listen_gives_no_connection() -> None:
     async def attempt() -> TargetConnection | None:
         server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
