Name test modules in the field's terms

Cause: seven modules were named with words private to this project (duty, silence, news, dribbling) or like product modules that have new names.

--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -159,14 +159,14 @@
         "process/rollout_lease.py",
         "self._renewed_at_s = pending.sent_at_s",
         "self._renewed_at_s = now_s + 5.0",
-        "tests/test_gateway_duty.py::" "test_orders_of_two_leaders_are_at_least_one_lease_apart",
+        "tests/test_rollout_lease.py::" "test_orders_of_two_leaders_are_at_least_one_lease_apart",
     ),
     Guard(
         "a lease lies between two holders",
         "process/rollout_lease.py",
         "self._order_from_s = self._seen_at_s + RENEWAL_VALID_S + ORDER_TRANSIT_S + self._lease_s",
         "self._order_from_s = now_s",
-        "tests/test_gateway_duty.py::" "test_orders_of_two_leaders_are_at_least_one_lease_apart",
+        "tests/test_rollout_lease.py::" "test_orders_of_two_leaders_are_at_least_one_lease_apart",
     ),
     Guard(
         "repeats stay within a share of the own calls",
@@ -264,7 +264,8 @@
         "connection/loop_exception_handler.py",
         "self._on_broken(f",
         "str(f",
-        "tests/test_loop_errors.py::test_exception_in_a_connection_callback_ends_the_process",
+        "tests/test_loop_exception_handler.py::"
+        "test_exception_in_a_connection_callback_ends_the_process",
     ),
     Guard(
         "callers of an entry that is out of touch are sent to one that is in touch",
@@ -287,7 +288,7 @@
         "process/rollout_lease.py",
         "max(now_s, self._order_from_s)",
         "now_s",
-        "tests/test_gateway_duty.py::"
+        "tests/test_rollout_lease.py::"
         "test_leader_that_released_before_its_first_order_waits_out_the_gap_when_it_takes_again",
     ),
     Guard(
@@ -410,7 +411,7 @@
         "connection/target_connection.py",
         "if self._sink is not None and not self._foreign and self._sink.on_body(data):",
         "if self._sink is not None and not self._foreign and (self._sink.on_body(data) or True):",
-        "tests/test_dribbling.py",
+        "tests/test_slow_streams.py",
     ),
     Guard(
         "bytes before an answer's head are bounded",
