Plain wording: last locals and doc strings of the tests

Cause: a few doc strings gave a reason that no test shows, and some locals kept private words. Change: names and doc strings only. Result: test_store_view, test_cache_updates, test_relays, test_revocation_machine and test_gateway_core pass; test_standins was not run.

--- a/tests/test_cache_updates.py
+++ b/tests/test_cache_updates.py
@@ -26,8 +26,8 @@
 class Member(CacheWorld):
     """An entry whose view of the object store is recent, without any objects in it."""
 
-    def show(self, shown: KindObserved) -> None:
-        self.core.relayed_view.view.take(shown, self.now_s)
+    def show(self, kind_observed: KindObserved) -> None:
+        self.core.relayed_view.view.take(kind_observed, self.now_s)
 
 
 class Fleet:
@@ -77,8 +77,8 @@
                 messages.append(action)
         return messages
 
-    def _read_events(self, world: CacheWorld, follow: PollCacheEvents) -> CacheEventsReceived:
-        changes = tuple(self.changes[follow.since :])
+    def _read_events(self, world: CacheWorld, poll: PollCacheEvents) -> CacheEventsReceived:
+        changes = tuple(self.changes[poll.since :])
         number = len(self.changes)
         return CacheEventsReceived("keep", world.now_s, world.now_s, 1, number, 5_000, changes)
 
@@ -110,7 +110,7 @@
 
 
 def test_entry_that_is_neither_reader_nor_relay_sends_no_cache_updates() -> None:
-    """Each entry that sends updates adds messages in proportion to the fleet."""
+    """Sixty entries use one cache store; a few read its events, and a few are relays."""
     fleet = Fleet()
     fleet.run(5.0)
     relays = {name for name, world in fleet.worlds.items() if world.core.relays.is_relay}
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -329,7 +329,7 @@
 def test_entry_that_starts_during_a_roll_out_uses_new_weights_only() -> None:
     """An entry starts when some runners have new weights.
 
-    It does not know when the weights were named.
+    It has no time of naming for weights that were named before its start.
     """
     world = World()
     world.step(TargetObserved("r1", entry("r1", "models", weights={"m": 2}), False))
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -136,7 +136,7 @@
 
 
 def test_every_entry_of_a_small_fleet_reads_the_object_store() -> None:
-    """In a small fleet, relays would only add latency."""
+    """A fleet of at most ``DIRECT_READ_MEMBERS`` entries has no relays."""
     fleet = FLEET[:DIRECT_READ_MEMBERS]
     selections = [relays_of(name, fleet) for name in fleet]
     assert all(selection.small_fleet and selection.due(1.0) is None for selection in selections)
@@ -352,9 +352,9 @@
     assert action.payload.kinds[0].full
     follower = Fleet()
     follower.step(KindObserved(TARGETS_KIND, False, 5, 5, 100.0, ()))
-    gone = target_row("gone", 4)
+    removed_row = target_row("gone", 4)
     follower.core.relayed_view.view.take(
-        KindObserved(TARGETS_KIND, False, 5, 5, 100.0, (gone,)), 100.0
+        KindObserved(TARGETS_KIND, False, 5, 5, 100.0, (removed_row,)), 100.0
     )
     number = follower.next_request()
     (update,) = action.payload.kinds
@@ -370,8 +370,10 @@
     world = Fleet(RELAYS[0])
     world.step(PeerMessage(ViewRequest(FOLLOWER, 1, {})))
     record = msgspec.json.encode(LeaseRecord("f9#1", 1, True, 1, ["r1"]))
-    shown = KindObserved(LEASES_KIND, False, 5, 9, 100.0, (ObjectRow("weights", 9, record),))
-    (action,) = world.step(shown)
+    kind_observed = KindObserved(
+        LEASES_KIND, False, 5, 9, 100.0, (ObjectRow("weights", 9, record),)
+    )
+    (action,) = world.step(kind_observed)
     assert action.address == f"tcp://{FOLLOWER}"
     follower = Fleet()
     lease_observed_at_s = follower.core.weights.lease_observed_at_s
@@ -479,8 +481,8 @@
     """Other entries rank relays by these figures."""
     cfg = GatewayConfig("e1", 1, "dc1", BOUNDS, "tcp://e1", 7, FOLLOWED, 20.0, 0.5)
     core = Gateway(cfg)
-    shown = KindObserved(ENTRIES_KIND, True, 0, 5, 100.0, ())
-    (show,) = core.step(100.0, shown)
+    kind_observed = KindObserved(ENTRIES_KIND, True, 0, 5, 100.0, ())
+    (show,) = core.step(100.0, kind_observed)
     (write,) = core.step(100.0, EntriesListed(frozenset()))
     assert isinstance(show, PublishKind)
     assert isinstance(write, WriteEntry)
--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -84,8 +84,8 @@
         if not lost:
             rows = (row_of(pending.observed),)
             as_of = pending.observed.version
-            taken = KindObserved(DOCUMENTS_KIND, True, 0, as_of, pending.sent_at_s, rows)
-            self.world.step(taken)
+            kind_observed = KindObserved(DOCUMENTS_KIND, True, 0, as_of, pending.sent_at_s, rows)
+            self.world.step(kind_observed)
 
     @rule()
     def relay_reads(self) -> None:
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -82,7 +82,7 @@
 
 
 def test_many_connections_stay_open(processes: Processes) -> None:
-    """A stand-in that closed idle connections would make requests fail at random."""
+    """More connections are open than servers keep by default, and each one is used twice."""
     conns = [connect(processes) for _ in range(OPEN_CONNECTIONS)]
     for _ in range(2):
         for conn in conns:
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -31,7 +31,7 @@
     """A response or update that is in transit to a view."""
 
     view: int
-    shown: KindObserved
+    kind_observed: KindObserved
 
 
 class ViewMachine(RuleBasedStateMachine):
@@ -47,14 +47,14 @@
 
     def present(self, at_s: float) -> dict[str, ObjectRow]:
         """Return the objects in the store at a time."""
-        found: dict[str, ObjectRow] = {}
+        objects: dict[str, ObjectRow] = {}
         for write in self.written:
             if write.at_s <= at_s:
                 if write.row.content is None:
-                    found.pop(write.row.name, None)
+                    objects.pop(write.row.name, None)
                 else:
-                    found[write.row.name] = write.row
-        return found
+                    objects[write.row.name] = write.row
+        return objects
 
     @rule(name=st.sampled_from(NAMES), removed=st.booleans())
     def write(self, name: str, removed: bool) -> None:
@@ -66,14 +66,14 @@
         # A removal carries the revision of the object's last change, not one of its own.
         revision = self.present(self.now_s)[name].revision if removed else self.revision
         self.written.append(Written(self.now_s, ObjectRow(name, revision, content)))
-        self.stamps = getattr(self, "stamps", {})
-        self.stamps[len(self.written) - 1] = self.revision
+        self.write_revisions = getattr(self, "write_revisions", {})
+        self.write_revisions[len(self.written) - 1] = self.revision
 
     @rule(view=st.integers(0, VIEWS - 1))
     def list(self, view: int) -> None:
         rows = tuple(self.present(self.now_s).values())
-        shown = KindObserved(KIND, True, 0, self.revision, self.now_s, rows)
-        self.in_transit.append(InTransit(view, shown))
+        kind_observed = KindObserved(KIND, True, 0, self.revision, self.now_s, rows)
+        self.in_transit.append(InTransit(view, kind_observed))
 
     @rule(view=st.integers(0, VIEWS - 1))
     def watch(self, view: int) -> None:
@@ -81,10 +81,12 @@
         if not since:
             return
         changed = [
-            write.row for number, write in enumerate(self.written) if self.stamps[number] > since
+            write.row
+            for number, write in enumerate(self.written)
+            if self.write_revisions[number] > since
         ]
-        shown = KindObserved(KIND, False, since, self.revision, self.now_s, tuple(changed))
-        self.in_transit.append(InTransit(view, shown))
+        kind_observed = KindObserved(KIND, False, since, self.revision, self.now_s, tuple(changed))
+        self.in_transit.append(InTransit(view, kind_observed))
 
     @rule(
         follower=st.integers(0, VIEWS - 1), relay=st.integers(0, VIEWS - 1), delayed=st.booleans()
@@ -100,7 +102,7 @@
         assert isinstance(kind_update, KindUpdate)
         assert kind_update.rows is not None
         observed_at_s = sent_at_s - kind_update.age_s
-        shown = KindObserved(
+        kind_observed = KindObserved(
             KIND,
             kind_update.full,
             kind_update.since,
@@ -108,7 +110,7 @@
             observed_at_s,
             kind_update.rows,
         )
-        self.in_transit.append(InTransit(follower, shown))
+        self.in_transit.append(InTransit(follower, kind_observed))
 
     @precondition(lambda self: self.in_transit)
     @rule(data=st.data(), lost=st.booleans())
@@ -119,7 +121,7 @@
             return
         view = self.views[item.view]
         before = view.as_of()[KIND]
-        view.take(item.shown, self.now_s)
+        view.take(item.kind_observed, self.now_s)
         assert view.as_of()[KIND] >= before
         self.check(view)
 
