--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -78,7 +78,7 @@
     Guard(
         "draining targets get no call",
         "process/roster.py",
-        "            if not target.entry.draining\n            and",
+        "            if not target.registration.draining\n            and",
         "            if",
         "tests/test_gateway_core.py::" "test_draining_or_unreadable_target_gets_no_call",
     ),
--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -8,9 +8,9 @@
     Guard(
         "a claim without a response does not count",
         "request/key_writes.py",
-        "        if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n"
+        "        if response.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n"
         "            continue",
-        "        if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n"
+        "        if response.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n"
         "            return KeyClaimed(claim.call_id, claim.name, True, None)",
         "tests/test_keys_machine.py",
     ),
@@ -61,7 +61,7 @@
     Guard(
         "a key claimed by a replaced process is not waited for",
         "request/idempotency_keys.py",
-        "if not self._alive(present.entry, present.incarnation):",
+        "if not self._is_registered(present.entry, present.incarnation):",
         "if False:",
         "tests/test_faults.py::test_key_of_a_restarted_entry_does_not_stay_marked_as_running",
     ),
--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -9,7 +9,7 @@
 from result import Err, Ok
 
 from filbertstream.connection.document_store import DocumentWatch
-from filbertstream.connection.idempotency_key_store import read_reply, write_reply
+from filbertstream.connection.idempotency_key_store import read_response, write_response
 from filbertstream.connection.watched_kinds import (
     ROLLOUT_LEASE_NAME,
     WatchedKind,
@@ -30,7 +30,7 @@
 from filbertstream.platform.objects import ObjectStoreFailure
 from filbertstream.process.rollout_lease import WriteLease
 from filbertstream.process.target_registration import TargetRegistration
-from filbertstream.request.key_writes import KeyAction, KeyCall, KeyReply
+from filbertstream.request.key_writes import KeyAction, KeyCall, KeyResponse
 from filbertstream.version.routes import CallerLimits
 
 if TYPE_CHECKING:
@@ -183,8 +183,10 @@
         objects = self._world.objects
         self._call(core, lambda: objects.remove(ENTRIES_KIND, remove.name), lambda result: None)
 
-    def key_call(self, core: Gateway, call: KeyCall, on_result: Callable[[KeyReply], None]) -> None:
-        """Make one call for an idempotency key; a paused entry gets the reply when resumed."""
+    def key_call(
+        self, core: Gateway, call: KeyCall, on_result: Callable[[KeyResponse], None]
+    ) -> None:
+        """Make one call for an idempotency key; a paused entry gets the response when resumed."""
         objects = self._world.objects
 
         def make() -> Any:
@@ -194,14 +196,14 @@
                 return objects.create(KEYS_KIND, call.name, call.record)
             return objects.replace(KEYS_KIND, call.name, call.record, call.revision)
 
-        def reply(result: Any) -> None:
+        def respond(result: Any) -> None:
             name = core.cfg.name
             if self._world.cores.get(name) is not core:
                 return
             if name in self._world.paused:
-                self._world.after(WATCH_DELAY_S, lambda: reply(result))
+                self._world.after(WATCH_DELAY_S, lambda: respond(result))
                 return
-            to_reply = read_reply if call.action is KeyAction.READ else write_reply
-            on_result(to_reply(result))
+            to_response = read_response if call.action is KeyAction.READ else write_response
+            on_result(to_response(result))
 
-        self._call(core, make, reply)
+        self._call(core, make, respond)
--- a/bench/world.py
+++ b/bench/world.py
@@ -50,7 +50,7 @@
     SendCall,
 )
 from filbertstream.request.idempotency_keys import ClaimKey, SettleKey
-from filbertstream.request.key_writes import KeyCall, KeyReply, claim_steps, settle_steps
+from filbertstream.request.key_writes import KeyCall, KeyResponse, claim_steps, settle_steps
 from filbertstream.version.compiled import model_host, service_host
 from filbertstream.version.documents import Change, Store, encode_changes
 from filbertstream.version.rollout import OrderWeights, PollReport
@@ -356,12 +356,12 @@
             return
         self.deliver_later(peer, PEER_LATENCY_S, PeerMessage(action.payload))
 
-    def _run_key_steps(self, core: Gateway, steps: Generator[KeyCall, KeyReply, Any]) -> None:
+    def _run_key_steps(self, core: Gateway, steps: Generator[KeyCall, KeyResponse, Any]) -> None:
         """Carry out the writes for an idempotency key, each with the object store's latency."""
 
-        def step(reply: KeyReply | None) -> None:
+        def step(response: KeyResponse | None) -> None:
             try:
-                call = next(steps) if reply is None else steps.send(reply)
+                call = next(steps) if response is None else steps.send(response)
             except StopIteration as stop:
                 if stop.value is not None:
                     self.deliver_later(core, 0.0, stop.value)
--- a/filbertstream/cli.py
+++ b/filbertstream/cli.py
@@ -22,7 +22,7 @@
 from filbertstream.gateway_process import GatewayProcess
 from filbertstream.log_explain import explain_lines, read_lines
 from filbertstream.names import digest_key
-from filbertstream.operator_client import OperatorClient, Reply
+from filbertstream.operator_client import OperatorClient, OperatorResponse
 from filbertstream.platform.settings_file import BOOT_VARIABLE, read_settings_file
 
 EXIT_REJECTED: Final = 1
@@ -89,21 +89,24 @@
         typer.echo(yaml.safe_dump(value, sort_keys=False).rstrip())
 
 
-def _reply(client: OperatorClient, method: str, path: str, value: object = None) -> Reply:
+def _response(
+    client: OperatorClient, method: str, path: str, value: object = None
+) -> OperatorResponse:
     match client.first(method, path, value):
-        case Ok(reply):
-            return reply
+        case Ok(response):
+            return response
         case Err(reason):
             _fail(reason, EXIT_UNREACHABLE)
 
 
-def _body_or_exit(reply: Reply) -> Any:
+def _body_or_exit(response: OperatorResponse) -> Any:
     """Return the body of a response, or exit with the entry's error."""
-    if reply.status != 200:
+    if response.status != 200:
         _fail(
-            f"{reply.body.get('title', '')} {reply.body.get('detail', '')}".strip(), EXIT_REJECTED
+            f"{response.body.get('title', '')} {response.body.get('detail', '')}".strip(),
+            EXIT_REJECTED,
         )
-    return reply.body
+    return response.body
 
 
 def _run(process: GatewayProcess) -> None:
@@ -209,25 +212,25 @@
         return
     base_revision = revision if base is None else base
     _print_applied(
-        _reply(client, "POST", "/v1/apply", {"changes": plain, "base": base_revision}), output
+        _response(client, "POST", "/v1/apply", {"changes": plain, "base": base_revision}), output
     )
 
 
-def _print_applied(reply: Reply, output: Output) -> None:
+def _print_applied(response: OperatorResponse, output: Output) -> None:
     """Print the outcome of a change, and exit with its code if it was not applied."""
-    _print(reply.body, output)
-    if reply.status != 200:
-        raise typer.Exit(EXIT_CODES.get(reply.body.get("state", ""), EXIT_REJECTED))
+    _print(response.body, output)
+    if response.status != 200:
+        raise typer.Exit(EXIT_CODES.get(response.body.get("state", ""), EXIT_REJECTED))
 
 
 def _differences(client: OperatorClient, changes: list[dict[str, Any]]) -> tuple[list[str], int]:
     """Return a line for each document that would change, and the current revision."""
     lines = []
-    revision = int(_body_or_exit(_reply(client, "GET", "/v1/documents"))["revision"])
+    revision = int(_body_or_exit(_response(client, "GET", "/v1/documents"))["revision"])
     for change in changes:
         kind = change.get("of", change["kind"])
-        reply = _reply(client, "GET", f"/v1/documents/{kind}/{change['name']}")
-        present = reply.body.get("document") if reply.status == 200 else None
+        response = _response(client, "GET", f"/v1/documents/{kind}/{change['name']}")
+        present = response.body.get("document") if response.status == 200 else None
         if change["kind"] == "removal":
             lines += [f"- {kind} {change['name']}"] if present else []
         elif present is None:
@@ -251,7 +254,9 @@
 ) -> None:
     """Print one document of the current revision."""
     client = _client(entries, key, ca)
-    _print(_body_or_exit(_reply(client, "GET", f"/v1/documents/{kind}/{name}"))["document"], output)
+    _print(
+        _body_or_exit(_response(client, "GET", f"/v1/documents/{kind}/{name}"))["document"], output
+    )
 
 
 @app.command(name="list")
@@ -262,7 +267,7 @@
     output: OutputOption = Output.text,
 ) -> None:
     """Print the current revision and the names of its documents."""
-    _print(_body_or_exit(_reply(_client(entries, key, ca), "GET", "/v1/documents")), output)
+    _print(_body_or_exit(_response(_client(entries, key, ca), "GET", "/v1/documents")), output)
 
 
 @app.command()
@@ -277,9 +282,9 @@
     failed = False
     for url, result in _client(entries, key, ca).each("GET", "/v1/status"):
         match result:
-            case Ok(reply):
-                states[url] = reply.body
-                failed = failed or reply.status != 200
+            case Ok(response):
+                states[url] = response.body
+                failed = failed or response.status != 200
             case Err(reason):
                 states[url] = {"unreachable": reason}
                 failed = True
@@ -302,7 +307,7 @@
     if end:
         change = {"kind": "removal", "of": "drain", "name": name}
     body = {"changes": [change], "base": None}
-    _print_applied(_reply(_client(entries, key, ca), "POST", "/v1/apply", body), output)
+    _print_applied(_response(_client(entries, key, ca), "POST", "/v1/apply", body), output)
 
 
 @app.command()
@@ -316,8 +321,8 @@
     """Print the routing decisions of a request, from the entry that served it."""
     for _, result in _client(entries, key, ca).each("GET", f"/v1/explain/{request_id}"):
         match result:
-            case Ok(reply) if reply.status == 200:
-                _print(reply.body, output)
+            case Ok(response) if response.status == 200:
+                _print(response.body, output)
                 return
             case _:
                 continue
@@ -354,8 +359,8 @@
     reports = []
     for url, result in _client(entries, key, ca).each("GET", "/v1/burn"):
         match result:
-            case Ok(reply):
-                reports.append(_body_or_exit(reply))
+            case Ok(response):
+                reports.append(_body_or_exit(response))
             case Err(reason):
                 typer.echo(f"not included: {url}: {reason}", err=True)
     if not reports:
--- a/filbertstream/connection/document_store.py
+++ b/filbertstream/connection/document_store.py
@@ -134,7 +134,7 @@
                     return ApplyResult("accepted", revision)
                 return ApplyResult("lost", revision, "another change was written first")
             case Err(ObjectStoreFailure.REFUSED):
-                return ApplyResult("unavailable", base, "the object store rejected the write")
+                return ApplyResult("unavailable", base, "the object store refused the write")
             case Err(_):
                 pass
         match self._store.read(DOCUMENTS_KIND, DOCUMENTS_NAME):
--- a/filbertstream/connection/idempotency_key_store.py
+++ b/filbertstream/connection/idempotency_key_store.py
@@ -20,7 +20,7 @@
     KeyAction,
     KeyCall,
     KeyOutcome,
-    KeyReply,
+    KeyResponse,
     claim_steps,
     settle_steps,
 )
@@ -45,60 +45,60 @@
         """Write the outcome of a call; None if it is not written yet."""
         return self._run(settle_steps(settle))
 
-    def _run(self, steps: Generator[KeyCall, KeyReply, T]) -> T:
+    def _run(self, steps: Generator[KeyCall, KeyResponse, T]) -> T:
         try:
             call = next(steps)
             while True:
-                reply = self._execute(call)
-                if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN:
+                response = self._execute(call)
+                if response.outcome is KeyOutcome.OUTCOME_UNKNOWN:
                     time.sleep(RETRY_PAUSE_S)
-                call = steps.send(reply)
+                call = steps.send(response)
         except StopIteration as ended:
             result: T = ended.value
             return result
 
-    def _execute(self, call: KeyCall) -> KeyReply:
+    def _execute(self, call: KeyCall) -> KeyResponse:
         if call.action is KeyAction.READ:
-            return read_reply(self._store.read(KEYS_KIND, call.name))
+            return read_response(self._store.read(KEYS_KIND, call.name))
         if call.action is KeyAction.CREATE:
-            return write_reply(self._store.create(KEYS_KIND, call.name, call.record))
-        return write_reply(self._store.replace(KEYS_KIND, call.name, call.record, call.revision))
+            return write_response(self._store.create(KEYS_KIND, call.name, call.record))
+        return write_response(self._store.replace(KEYS_KIND, call.name, call.record, call.revision))
 
 
-def _failure_reply(failure: ObjectStoreFailure) -> KeyReply:
+def _failure_response(failure: ObjectStoreFailure) -> KeyResponse:
     refused = failure is ObjectStoreFailure.REFUSED
-    return KeyReply(KeyOutcome.REFUSED if refused else KeyOutcome.OUTCOME_UNKNOWN)
+    return KeyResponse(KeyOutcome.REFUSED if refused else KeyOutcome.OUTCOME_UNKNOWN)
 
 
-def read_reply(result: Result[StoredObject | None, ObjectStoreFailure]) -> KeyReply:
+def read_response(result: Result[StoredObject | None, ObjectStoreFailure]) -> KeyResponse:
     """Return the result of a read of a key's record."""
     match result:
         case Err(failure):
-            return _failure_reply(failure)
+            return _failure_response(failure)
         case Ok(stored):
             return (
-                KeyReply(KeyOutcome.DONE)
+                KeyResponse(KeyOutcome.DONE)
                 if stored is None
-                else _decoded_reply(KeyOutcome.DONE, stored)
+                else _decoded_response(KeyOutcome.DONE, stored)
             )
 
 
-def write_reply(result: Result[Written, ObjectStoreFailure]) -> KeyReply:
+def write_response(result: Result[Written, ObjectStoreFailure]) -> KeyResponse:
     """Return the result of a write of a key's record."""
     match result:
         case Err(failure):
-            return _failure_reply(failure)
+            return _failure_response(failure)
         case Ok(written):
             outcome = KeyOutcome.DONE if written.done else KeyOutcome.CONFLICT
             if written.present is None:
-                return KeyReply(outcome)
-            return _decoded_reply(outcome, written.present)
+                return KeyResponse(outcome)
+            return _decoded_response(outcome, written.present)
 
 
-def _decoded_reply(outcome: KeyOutcome, stored: StoredObject) -> KeyReply:
-    """Return a reply with an object; an undecodable one counts as a call without a response."""
+def _decoded_response(outcome: KeyOutcome, stored: StoredObject) -> KeyResponse:
+    """Return a response with an object; an undecodable object counts as no response."""
     try:
         record: Any = decode_internal(stored.content, KeyRecord)
     except msgspec.DecodeError:
-        return KeyReply(KeyOutcome.OUTCOME_UNKNOWN)
-    return KeyReply(outcome, record, stored.revision)
+        return KeyResponse(KeyOutcome.OUTCOME_UNKNOWN)
+    return KeyResponse(outcome, record, stored.revision)
--- a/filbertstream/connection/kind_watcher.py
+++ b/filbertstream/connection/kind_watcher.py
@@ -41,15 +41,15 @@
     def set(self, idle: frozenset[str], serves_peers: bool, uses_relays: bool) -> None:
         """Stop reading the ``idle`` kinds and read all others.
 
-        ``serves_peers``: this entry is a relay for others; ``uses_relays``: it gets its view from
-        relays where it can.
+        ``serves_peers``: peers rely on this entry as a relay; ``uses_relays``: it gets its view
+        from relays where it can.
         """
         self.serves_peers, self._uses_relays = serves_peers, uses_relays
         if idle != self._idle:
             with self._changed:
                 self._idle = idle
                 for kind in idle:
-                    self._backoff.answered(kind)
+                    self._backoff.responded(kind)
                 self._changed.notify_all()
 
     def wait(self, kind: str, timeout_s: float) -> bool:
@@ -60,7 +60,7 @@
     def succeeded(self, kind: str) -> None:
         """Record that the object store responded to a call."""
         with self._changed:
-            self._backoff.answered(kind)
+            self._backoff.responded(kind)
             self._changed.notify_all()
 
     def failed(self, kind: str) -> None:
--- a/filbertstream/connection/loop_exception_handler.py
+++ b/filbertstream/connection/loop_exception_handler.py
@@ -1,8 +1,8 @@
 """Handles exceptions that nothing on the event loop caught.
 
-An ``OSError`` of a connection (say, a failed TLS handshake) affects only its peer and is counted.
-Any other exception is a bug: a caller may wait for a response that will never be sent, so the
-process is stopped and its supervisor starts a new one.
+An ``OSError`` of a connection (say, a failed TLS handshake) affects only that connection and is
+counted.  Any other exception is a bug: a caller may wait for a response that will never be sent, so
+the process is stopped and its supervisor starts a new one.
 """
 
 import asyncio
--- a/filbertstream/connection/peer_link.py
+++ b/filbertstream/connection/peer_link.py
@@ -185,7 +185,7 @@
         try:
             message = decode(data)
         except msgspec.DecodeError:
-            # A message of another version: the sender repeats what matters in a form that both
+            # A message of another version: the sender sends what matters again in a form that both
             # versions can decode.
             self._counters.add("peer_messages", "unreadable")
             return
--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -86,7 +86,7 @@
         self._progress_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport and enable the detection of dead peers."""
+        """Keep the transport and enable the detection of dead connections."""
         self.transport = cast(asyncio.Transport, transport)
         sock: socket.socket = transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/filbertstream/connection/v1_requests.py
+++ b/filbertstream/connection/v1_requests.py
@@ -40,7 +40,7 @@
 
 
 class ModelBody(msgspec.Struct):
-    """The fields of a model request that this system reads; others are passed on unread."""
+    """The fields of a model request that this system reads; others are passed on unchanged."""
 
     model: str
     messages: list[ChatMessage] | None = None
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -120,8 +120,8 @@
 
 
 def _list_targets(listing: Listing, emit: EmitEvent) -> None:
-    entries = [decode_target(item.name, item.content) for item in listing.objects]
-    emit(TargetsListed(tuple(item.ok_value for item in entries if isinstance(item, Ok))))
+    decoded = [decode_target(item.name, item.content) for item in listing.objects]
+    emit(TargetsListed(tuple(item.ok_value for item in decoded if isinstance(item, Ok))))
 
 
 def _change_target(change: Change, sent_at_s: float, emit: EmitEvent) -> None:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -248,8 +248,8 @@
     def should_close_connections(self, now_s: float) -> bool:
         """Whether callers should reconnect, so that the load balancer picks another entry.
 
-        An entry whose configuration is stale closes its connections before it has to reject calls
-        on them, unless it knows no peer whose configuration is current.
+        An entry whose configuration is stale closes its connections before it has to refuse calls
+        on them, unless no peer is known to have a current configuration.
         """
         return not self.ready(now_s) and self.peers.any_peer_current(now_s)
 
@@ -284,9 +284,9 @@
         self, registration: TargetRegistration, now_s: float
     ) -> list[GatewayAction]:
         previous = self.roster.targets.get(registration.target_id)
-        if previous is not None and previous.entry.started_ms != registration.started_ms:
+        if previous is not None and previous.registration.started_ms != registration.started_ms:
             self.index.forget(registration.target_id)
-        was_draining = previous is not None and previous.entry.draining
+        was_draining = previous is not None and previous.registration.draining
         self.roster.put(registration, now_s)
         if previous is None:
             fields = (("target", registration.target_id), ("service", registration.service))
@@ -335,7 +335,7 @@
     def _on_cache_events_failed(
         self, event: CacheEventsFailed, now_s: float
     ) -> list[GatewayAction]:
-        self.stores.on_missed(event, now_s)
+        self.stores.on_events_failed(event, now_s)
         self.counters.add("cache_events_missed", "")
         return []
 
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -65,7 +65,7 @@
 
 
 class LeaseWritten(NamedTuple):
-    """A write of the record was rejected; a successful one is reported as ``LeaseObserved``."""
+    """A write of the record was refused; a successful one is reported as ``LeaseObserved``."""
 
     refused: bool
 
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -379,13 +379,13 @@
     def _poll_report(self, poll: PollReport) -> None:
         target = self.core.roster.targets.get(poll.target_id)
         if target is not None:
-            address = target.entry.address
+            address = target.registration.address
             self._submit(lambda: self.emit_soon(self._runners.report(poll, address)))
 
     def _order(self, order: OrderWeights) -> None:
         target = self.core.roster.targets.get(order.target_id)
         if target is not None:
-            address = target.entry.address
+            address = target.registration.address
             self._submit(lambda: self._order_now(order, address))
 
     def _order_now(self, order: OrderWeights, address: Address) -> None:
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -9,7 +9,7 @@
 
 
 class LogEvent(enum.IntEnum):
-    """Event numbers, grouped by hundreds: process, configuration, request, target, peer, store."""
+    """Event numbers by hundreds: process, configuration, request, target, peer, object store."""
 
     ENTRY_STARTED = 100
     ENTRY_STALE = 102
@@ -49,7 +49,7 @@
 
 DESCRIPTIONS: Final[dict[LogEvent, str]] = {
     LogEvent.ENTRY_STARTED: "The entry listens and starts to read its configuration.",
-    LogEvent.ENTRY_STALE: "The configuration was not confirmed recently; calls may be rejected.",
+    LogEvent.ENTRY_STALE: "The configuration was not confirmed recently; calls may be refused.",
     LogEvent.ENTRY_FRESH: "The configuration is confirmed again; the entry is ready.",
     LogEvent.DRAIN_BEGAN: "The entry started to drain and will stop admitting calls.",
     LogEvent.ENTRY_CLOSED: "The entry closed its listeners and exits.",
@@ -59,7 +59,7 @@
     LogEvent.SETTINGS_REJECTED: "Changed settings are invalid; the previous ones still apply.",
     LogEvent.REVISION_IN_FORCE: "A new revision of the configuration now applies on this entry.",
     LogEvent.REQUEST_FINISHED: "A request ended with the outcome in the line.",
-    LogEvent.REQUEST_REFUSED: "A caller received a final rejection or error.",
+    LogEvent.REQUEST_REFUSED: "A caller received a final refusal or error.",
     LogEvent.ATTEMPT_FAILED: "An attempt at a target ended without a complete response.",
     LogEvent.CLAIM_SETTLED: "An idempotency key's claim was resolved; ours: the call may run.",
     LogEvent.ANSWER_KEPT: "A retry with an idempotency key got the stored response.",
@@ -73,7 +73,7 @@
     LogEvent.WEIGHTS_NAMED: "A newer weight version of a model was named for its runners.",
     LogEvent.SWAP_ANSWERED: "A runner responded to an order; -1: no response.",
     LogEvent.PARTS_FREED: "A cache store is requested to free blocks of replaced weights.",
-    LogEvent.TARGET_JOINED: "A target registered, possibly again after its registration lapsed.",
+    LogEvent.TARGET_JOINED: "A target registered, possibly again after its registration expired.",
     LogEvent.MEMBER_JOINED: "Peers registered; the line lists the first ones by name.",
     LogEvent.PLATFORM_LOST: "A call to the platform's object store failed.",
     LogEvent.PLATFORM_BACK: "The platform's object store responds again.",
@@ -93,7 +93,7 @@
         "",
         "Generated from `filbertstream/log_events.py`; `scripts/test` fails when they differ.",
         "Each line of the log is JSON with `number`, `event`, `time`, `entry` and the event's own",
-        "fields. No line carries prompts, answers or keys.",
+        "fields. No line carries prompts, responses or keys.",
         "",
         "| number | event | meaning |",
         "|---|---|---|",
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -26,7 +26,8 @@
 class EntryWork(msgspec.Struct, frozen=True, tag="placed", array_like=True):
     """The sender's work in progress at each target.
 
-    ``is_current`` states whether its configuration is recent enough for new calls.
+    ``is_current`` states whether the sender is ready: it has a configuration that was confirmed
+    recently, and it is not stopping.
     """
 
     member: str
--- a/filbertstream/operator_client.py
+++ b/filbertstream/operator_client.py
@@ -13,7 +13,7 @@
 READ_TIMEOUT_S: Final = 90.0
 
 
-class Reply(NamedTuple):
+class OperatorResponse(NamedTuple):
     """The status and decoded body of a response."""
 
     status: int
@@ -32,13 +32,13 @@
             ca_certs=ca_file,
         )
 
-    def first(self, method: str, path: str, value: object = None) -> Result[Reply, str]:
+    def first(self, method: str, path: str, value: object = None) -> Result[OperatorResponse, str]:
         """Call the first reachable entry; a call that may have arrived is not retried."""
         reason = "no entry given"
         for entry in self._entries:
             match self._call(entry, method, path, value):
-                case Ok(reply):
-                    return Ok(reply)
+                case Ok(response):
+                    return Ok(response)
                 case Err(failure):
                     reason = failure.text
                     if failure.sent and method != "GET":
@@ -47,20 +47,20 @@
 
     def each(
         self, method: str, path: str, value: object = None
-    ) -> list[tuple[str, Result[Reply, str]]]:
+    ) -> list[tuple[str, Result[OperatorResponse, str]]]:
         """Call every entry."""
-        replies: list[tuple[str, Result[Reply, str]]] = []
+        responses: list[tuple[str, Result[OperatorResponse, str]]] = []
         for entry in self._entries:
             match self._call(entry, method, path, value):
-                case Ok(reply):
-                    replies.append((entry, Ok(reply)))
+                case Ok(response):
+                    responses.append((entry, Ok(response)))
                 case Err(failure):
-                    replies.append((entry, Err(failure.text)))
-        return replies
+                    responses.append((entry, Err(failure.text)))
+        return responses
 
     def _call(
         self, entry: str, method: str, path: str, value: object
-    ) -> "Result[Reply, _CallFailure]":
+    ) -> "Result[OperatorResponse, _CallFailure]":
         body = None if value is None else msgspec.json.encode(value)
         url = f"{entry.rstrip('/')}{path}"
         try:
@@ -69,9 +69,9 @@
             sent = not isinstance(exc, urllib3.exceptions.NewConnectionError)
             return Err(_CallFailure(f"{entry}: {exc}", sent))
         try:
-            return Ok(Reply(resp.status, msgspec.json.decode(resp.data)))
+            return Ok(OperatorResponse(resp.status, msgspec.json.decode(resp.data)))
         except msgspec.DecodeError:
-            return Ok(Reply(BAD_GATEWAY, {"title": "response is not JSON"}))
+            return Ok(OperatorResponse(BAD_GATEWAY, {"title": "response is not JSON"}))
 
 
 class _CallFailure(NamedTuple):
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -47,7 +47,7 @@
     retry_slack: float
     config_apply_ms: float = 2000
     revoke_ms: float = 5000
-    # Whether a process rejects calls with a key unless its configuration is confirmed.
+    # Whether a process refuses calls with a key unless its configuration is confirmed.
     strict_revoke: bool = True
     lease_ttl_ms: float = 3000
     version_ms: float = 8000
--- a/filbertstream/process/cache_index.py
+++ b/filbertstream/process/cache_index.py
@@ -1,9 +1,9 @@
 """Index of the cache blocks that runners and cache stores hold, as observed by this entry.
 
 It is fed by the prompts that this entry has sent and by the cache events of runners and cache
-stores.  Events are delayed and some are lost, so an index entry is a hint: a runner that no longer
-has a block prefills it again.  Blocks on a cache store are indexed only after the store itself has
-reported them complete.
+stores.  Events are delayed and some are lost, so an indexed block is a hint: a runner that no
+longer has a block prefills it again.  Blocks on a cache store are indexed only after the store
+itself has reported them complete.
 """
 
 from collections import OrderedDict
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -123,7 +123,7 @@
     keys: tuple[BlockKey, ...]
 
 
-class StoreState:
+class CacheStoreState:
     """The state of one cache store as observed by this entry."""
 
     def __init__(self, name: str, spec: CacheStore) -> None:
@@ -177,7 +177,7 @@
         self._reads = reads
         self._relays = relays
         self._rng = rng
-        self.states: dict[str, StoreState] = {}
+        self.states: dict[str, CacheStoreState] = {}
         self._pending: dict[BlockKey, float] = {}
 
     def configure(self, stores: Iterable[tuple[str, CacheStore]]) -> None:
@@ -189,7 +189,7 @@
                 self._index.forget(name)
         for name, spec in named.items():
             if name not in self.states:
-                self.states[name] = StoreState(name, spec)
+                self.states[name] = CacheStoreState(name, spec)
 
     def tick(self, now_s: float) -> list[PollCacheEvents | ListCacheBlocks]:
         """Return the calls that are due."""
@@ -232,7 +232,7 @@
             self._apply(state, change)
         return restarted
 
-    def _apply(self, state: StoreState, change: CacheChange) -> None:
+    def _apply(self, state: CacheStoreState, change: CacheChange) -> None:
         known = self._index.holders(change.key).get(state.name)
         if change.added:
             self._index.add(state.name, change.key, change.tokens)
@@ -264,7 +264,7 @@
             for key in event.keys:
                 self._apply(state, CacheChange(False, key, 0))
 
-    def on_missed(self, event: CacheEventsFailed, now_s: float) -> None:
+    def on_events_failed(self, event: CacheEventsFailed, now_s: float) -> None:
         """Schedule a retry after an event call has failed."""
         state = self.states.get(event.holder)
         if state is not None:
--- a/filbertstream/process/cache_updates.py
+++ b/filbertstream/process/cache_updates.py
@@ -1,10 +1,10 @@
 """Forwards the events of cache stores from the entries that read them to the other entries.
 
-Load pattern: hundreds of entries and cache stores that accept a few event calls at once.  In a
-small fleet the readers of a cache store send its updates to all other entries.  In a large one two
-entries read a cache store and send its updates to the relays (``process.relays``), and each relay
-sends its followers the updates of all cache stores in one message.  A relay that receives no update
-of a cache store reads it itself, whichever entries have died.
+Load pattern handled: hundreds of entries and cache stores that accept a few event calls at once.
+In a small fleet the readers of a cache store send its updates to all other entries.  In a large one
+two entries read a cache store and send its updates to the relays (``process.relays``), and each
+relay sends its followers the updates of all cache stores in one message.  A relay that receives no
+update of a cache store reads it itself, whichever entries have died.
 """
 
 from typing import Final
--- a/filbertstream/process/deployment.py
+++ b/filbertstream/process/deployment.py
@@ -11,7 +11,7 @@
 
     ``config_apply_s``: time within which a configuration must be in force.  ``drain_s``: time after
     which a target that is known to leave gets no call.  ``revoke_s``: time after which a removed
-    key is rejected.  ``reuse_s``: time after which a target's address may belong to another.
+    key is refused.  ``reuse_s``: time after which a target's address may belong to another.
     ``grace_s``: time from SIGTERM to SIGKILL.  ``lease_s``: gap between two leaders of the roll-out
     lease.  ``version_s``: time after which no call may begin on older weights.  ``retry_floor``:
     retries to a service that one entry may send in a window without any calls of its own.
--- a/filbertstream/process/peer_work.py
+++ b/filbertstream/process/peer_work.py
@@ -118,7 +118,7 @@
         return tuple(name for name, report in groups if now_s - report.at_s < WORK_MAX_AGE_S)
 
     def any_peer_current(self, now_s: float) -> bool:
-        """Whether a peer has recently reported that its configuration is current."""
+        """Whether a peer has recently reported that it is ready with a current configuration."""
         fleet = self._fleet
         if fleet is not None and fleet.is_current and now_s - fleet.at_s < WORK_MAX_AGE_S:
             return True
--- a/filbertstream/process/prefill.py
+++ b/filbertstream/process/prefill.py
@@ -1,13 +1,13 @@
 """The queue of prompts at a runner that are not prefilled yet, and the runner's prefill rate.
 
-Every entry knows which of its own prompts have had no response yet, and reports them to its peers;
+Every entry tracks which of its prompts have had no response yet, and reports them to its peers;
 the sum is the queue ahead of a new prompt.  This corrects itself, unlike an estimate from the
 tokens sent and a known rate: a prompt leaves the queue when its response begins.
 
 >>> queue = PrefillQueue()
 >>> queue.sent(6_000); queue.sent(2_000); queue.queued_tokens
 8000
->>> queue.answered(6_000, ahead=0, waited_s=0.2); queue.queued_tokens
+>>> queue.responded(6_000, ahead=0, waited_s=0.2); queue.queued_tokens
 2000
 >>> queue.rate_per_s < INITIAL_RATE_PER_S
 True
@@ -43,7 +43,7 @@
         """Remove a prompt that will not be prefilled, or whose prefill time is no sample."""
         self.queued_tokens -= tokens
 
-    def answered(self, tokens: int, ahead: int, waited_s: float) -> None:
+    def responded(self, tokens: int, ahead: int, waited_s: float) -> None:
         """Remove a prompt whose response has begun, and update the rate.
 
         ``ahead`` is the number of tokens that were queued ahead of it, ``waited_s`` the time from
--- a/filbertstream/process/read_backoff.py
+++ b/filbertstream/process/read_backoff.py
@@ -1,15 +1,15 @@
 """Backoff of the reads of an object store that does not respond.
 
-Load pattern: hundreds of entries that each follow five kinds of objects, while the object store is
-down or rejects calls.  Rejected calls are metered too.  So while reads of the first kind fail, the
-other kinds are deferred after their second failure.  An entry that follows through a relay backs
-off longer, since the relay will report that the object store is back.
+Load pattern handled: hundreds of entries that each follow five kinds of objects, while the object
+store is down or refuses calls.  Refused calls are metered too.  So while reads of the first kind
+fail, the other kinds are deferred after their second failure.  An entry that follows through a
+relay backs off longer, since the relay will report that the object store responds again.
 
 >>> backoff = ReadBackoff(("config", "servers"))
 >>> for kind in ("config", "servers", "servers"): backoff.failed(kind)
 >>> (backoff.is_deferred("servers"), backoff.is_deferred("config"))
 (True, False)
->>> backoff.answered("config")
+>>> backoff.responded("config")
 >>> backoff.is_deferred("servers")
 False
 """
@@ -41,7 +41,7 @@
         """Record a failed call."""
         self._failures[kind] += 1
 
-    def answered(self, kind: str) -> None:
+    def responded(self, kind: str) -> None:
         """Record a response, or that a kind is no longer read."""
         self._failures[kind] = 0
 
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -20,7 +20,7 @@
 from filbertstream.process.peer_work import PeerWork
 from filbertstream.process.relays import POLL_INTERVAL_S, Relays
 from filbertstream.process.roster import Roster
-from filbertstream.process.store_view import FollowedKind, KindObserved, StoreView
+from filbertstream.process.store_view import FollowedKind, KindObserved, ObjectStoreView
 
 FOLLOWER_TTL_S: Final = 3 * POLL_INTERVAL_S
 """Changes are pushed to entries that polled within this time: three poll intervals."""
@@ -49,7 +49,7 @@
         peers: PeerWork,
         roster: Roster,
     ) -> None:
-        self.view = StoreView(followed)
+        self.view = ObjectStoreView(followed)
         self._relays = relays
         self._peers = peers
         self._roster = roster
--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -1,8 +1,8 @@
 """Selects the relays, which read the object store for the fleet, and the relay to poll.
 
-Load pattern: a large fleet in which every entry reads the object store by itself.  Calls to the
-object store are metered, and it would send each change once to every entry.  In a small fleet each
-entry reads the object store.  In a larger one only a few do, the relays: the entries with the
+Load pattern handled: a large fleet in which every entry reads the object store by itself.  Calls to
+the object store are metered, and it would send each change once to every entry.  In a small fleet
+each entry reads the object store.  In a larger one only a few do, the relays: the entries with the
 highest rendezvous ranks among those whose VM has at least the median link and cores.  Every other
 entry polls one of them for updates (``process.relayed_view``).  A relay that does not respond, or
 whose own view is stale, is skipped for a while.  The entries next in rank replace it, and read the
@@ -54,7 +54,7 @@
 """An entry that was polled within this time serves peers: four poll intervals."""
 
 KEPT_POLLS: Final = 3
-"""Polls that are remembered; responses to older ones are past the timeout."""
+"""Polls that are kept; responses to older ones are past the timeout."""
 
 RANK_SUBJECT: Final = "relays"
 
--- a/filbertstream/process/rollout_lease.py
+++ b/filbertstream/process/rollout_lease.py
@@ -137,16 +137,16 @@
         return frozenset(self._record.swapping)
 
     @property
-    def _is_leader(self) -> bool:
+    def _is_holder(self) -> bool:
         return self._record is not None and self._record.holder == self._name
 
     def may_order(self, now_s: float) -> bool:
         """Whether this entry may send an order now; to be checked right before each order."""
-        if self._record is None or not self._is_leader or not self._record.active:
+        if self._record is None or not self._is_holder or not self._record.active:
             return False
         return self._order_from_s <= now_s < self._renewed_at_s + RENEWAL_VALID_S
 
-    def on_seen(self, record: LeaseRecord | None, revision: int, now_s: float) -> None:
+    def on_observed(self, record: LeaseRecord | None, revision: int, now_s: float) -> None:
         """Apply the record as observed by a listing, a watch or a write conflict."""
         self._observed = True
         if record is None or revision <= self._revision:
@@ -164,7 +164,7 @@
         elif record.holder != self._name:
             self._pending = None
 
-    def on_write_rejected(self) -> None:
+    def on_write_refused(self) -> None:
         """Record that the last write was not applied and never will be."""
         self._pending = None
 
@@ -182,7 +182,7 @@
             if now_s - self._pending.sent_at_s < WRITE_TIMEOUT_S:
                 return None
             self._pending = None
-        if self._is_leader and self._record is not None and self._record.active:
+        if self._is_holder and self._record is not None and self._record.active:
             return self._renew(self._record, now_s, has_work, state)
         if not has_work:
             self._work_since_s = None
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -30,15 +30,17 @@
 class RosterTarget:
     """One registered target, with its load and weights as observed by this entry."""
 
-    def __init__(self, entry: TargetRegistration, now_s: float, peer_work_at: PeerWorkAt) -> None:
-        self.entry = entry
+    def __init__(
+        self, registration: TargetRegistration, now_s: float, peer_work_at: PeerWorkAt
+    ) -> None:
+        self.registration = registration
         self.peer_work_at = peer_work_at
         self.missing_since_s: float | None = None
         self.outstanding = 0
         self.memory_tokens = 0
         self.load: TargetLoad | None = None
         self.load_at_s = 0.0
-        self.weights = dict(entry.weights)
+        self.weights = dict(registration.weights)
         self.prefill = PrefillQueue()
         self.latency_s = 0.0
         self.backoff_until_s = 0.0
@@ -46,7 +48,7 @@
     @property
     def target_id(self) -> str:
         """The id under which the target is registered."""
-        return self.entry.target_id
+        return self.registration.target_id
 
     def running(self, now_s: float) -> float:
         """Return how many requests run or wait at the target.
@@ -114,29 +116,31 @@
         """Hold back removals until a time, since expired registrations may be back by then."""
         self.removals_held_until_s = max(self.removals_held_until_s, until_s)
 
-    def replace_all(self, entries: Iterable[TargetRegistration], now_s: float) -> tuple[str, ...]:
+    def replace_all(
+        self, registrations: Iterable[TargetRegistration], now_s: float
+    ) -> tuple[str, ...]:
         """Apply a full listing; return the ids of known targets that are missing from it."""
-        listed = {entry.target_id: entry for entry in entries}
+        listed = {registration.target_id: registration for registration in registrations}
         missing = tuple(name for name in self.targets if name not in listed)
         for name in missing:
             self.remove(name, now_s)
-        for entry in listed.values():
-            self.put(entry, now_s)
+        for registration in listed.values():
+            self.put(registration, now_s)
         return missing
 
-    def put(self, entry: TargetRegistration, now_s: float) -> RosterTarget:
+    def put(self, registration: TargetRegistration, now_s: float) -> RosterTarget:
         """Apply a registration; a target that has restarted gets a new state."""
-        known = self.targets.get(entry.target_id)
-        restarted = known is not None and known.entry.started_ms != entry.started_ms
+        known = self.targets.get(registration.target_id)
+        restarted = known is not None and known.registration.started_ms != registration.started_ms
         if known is None or restarted:
-            target = RosterTarget(entry, now_s, self._peer_work_at)
-            self.targets[entry.target_id] = target
-            self.outliers.succeeded(entry.target_id)
+            target = RosterTarget(registration, now_s, self._peer_work_at)
+            self.targets[registration.target_id] = target
+            self.outliers.succeeded(registration.target_id)
             self._reindex()
             return target
         known.missing_since_s = None
-        known.entry = entry
-        for model, version in entry.weights.items():
+        known.registration = registration
+        for model, version in registration.weights.items():
             known.note_weights(model, version)
         return known
 
@@ -172,7 +176,7 @@
     def _reindex(self) -> None:
         self._by_service = {}
         for name in sorted(self.targets):
-            self._by_service.setdefault(self.targets[name].entry.service, []).append(name)
+            self._by_service.setdefault(self.targets[name].registration.service, []).append(name)
         self._names = {service: frozenset(names) for service, names in self._by_service.items()}
 
     def names_of(self, service: str) -> frozenset[str]:
@@ -191,7 +195,7 @@
         available = [
             target
             for target in self.of_service(service)
-            if not target.entry.draining
+            if not target.registration.draining
             and target.target_id not in self.drained
             and now_s >= target.backoff_until_s
         ]
--- a/filbertstream/process/status.py
+++ b/filbertstream/process/status.py
@@ -79,8 +79,8 @@
     load_age_s = None if target.load is None else round(now_s - target.load_at_s, 3)
     return TargetRow(
         target.target_id,
-        target.entry.service,
-        target.entry.data_center,
+        target.registration.service,
+        target.registration.data_center,
         _state_of(core, target, now_s),
         dict(target.weights),
         target.running(now_s),
@@ -90,7 +90,7 @@
 
 
 def _state_of(core: Gateway, target: RosterTarget, now_s: float) -> str:
-    if target.entry.draining or target.target_id in core.roster.drained:
+    if target.registration.draining or target.target_id in core.roster.drained:
         return "leaving"
     if core.weights.is_swapping(target):
         return "swapping"
--- a/filbertstream/process/store_view.py
+++ b/filbertstream/process/store_view.py
@@ -5,7 +5,7 @@
 rows come from the object store and from peers.  A row is applied only if it is newer than the one
 in the view, so the order in which rows arrive does not matter.
 
->>> view = StoreView((FollowedKind("k", 2.0, True),))
+>>> view = ObjectStoreView((FollowedKind("k", 2.0, True),))
 >>> view.take(KindObserved("k", True, 0, 7, 1.0, (ObjectRow("a", 5, b"1"),)), 1.1).rows
 (ObjectRow(name='a', revision=5, content=b'1'),)
 >>> view.kind_update("k", 7, 2.0)
@@ -20,7 +20,7 @@
 from filbertstream.messages import KindUpdate, ObjectRow
 
 REMOVALS_KEPT: Final = 512
-"""Removals of a kind that are remembered; a request from before that gets the full listing."""
+"""Removals of a kind that are kept; a request from before that gets the full listing."""
 
 KIND_UPDATE_LIMIT_BYTES: Final = 262_144
 """Limit of the content of one kind in a response; beyond it each entry reads the object store."""
@@ -110,7 +110,7 @@
             self.complete_from = max(self.complete_from, self.removed.pop(name).gone_by)
 
 
-class StoreView:
+class ObjectStoreView:
     """The view of all followed kinds."""
 
     def __init__(self, followed: tuple[FollowedKind, ...]) -> None:
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -1,12 +1,12 @@
 """Distributes the work in progress of each entry to its peers, in a large fleet through relays.
 
-Load pattern: hundreds of entries, each of which sends a runner a prompt once in many seconds.  An
-entry's own work says next to nothing about the load of a runner, and a message to every peer costs
-each entry as many messages as there are entries.  So in a large fleet each entry reports to its
-relay (``process.relays``), the relays exchange the sums of their groups, and each follower gets one
-message with the work of the fleet: as many messages per entry at ten entries as at a thousand.  The
-sums are hints for placement; nothing else depends on them.  In a small fleet each entry reports to
-all peers.
+Load pattern handled: hundreds of entries, each of which sends a runner a prompt once in many
+seconds.  An entry's own work indicates little of the load of a runner, and a message to every peer
+costs each entry as many messages as there are entries.  So in a large fleet each entry reports to
+its relay (``process.relays``), the relays exchange the sums of their groups, and each follower gets
+one message with the work of the fleet: as many messages per entry at ten entries as at a thousand.
+The sums are hints for placement; nothing else depends on them.  In a small fleet each entry reports
+to all peers.
 """
 
 from typing import Final
@@ -89,7 +89,7 @@
         is_current = is_current or self._peers.any_peer_current(now_s)
         relays = {*self._relays.other_relays(), *self._peers.reporting_relays(now_s)}
         # If the relays are dead and this entry substitutes for one, the member that it polls may be
-        # the only other entry that knows of it.
+        # the only other entry in contact with it.
         relays.add(self._relays.relay(now_s) or "")
         group_work = GroupWork(self._peers.local_name, group, is_current)
         messages = [item for name in sorted(relays) for item in self._send(name, group_work)]
--- a/filbertstream/request/admission.py
+++ b/filbertstream/request/admission.py
@@ -1,7 +1,7 @@
 """Enforces the concurrency and rate limits of workspaces, which hold over all entries together.
 
 Each entry enforces its share of a workspace's limits.  Load pattern handled: one workspace sends
-far more than was agreed.  Its excess calls are rejected at once, and other workspaces are not
+far more than was agreed.  Its excess calls are refused at once, and other workspaces are not
 affected.
 """
 
@@ -18,7 +18,7 @@
 
 
 class LimitExceeded(NamedTuple):
-    """The limit that rejects a call, and the time after which the caller should retry."""
+    """The limit for which a call is refused, and the time after which the caller should retry."""
 
     code: str
     retry_after_s: float
--- a/filbertstream/request/authorization.py
+++ b/filbertstream/request/authorization.py
@@ -33,8 +33,8 @@
 """While no entry is known to have a current configuration, callers wait for as long as the outage
 of the object store has lasted so far, within these bounds, because most clients retry only once."""
 
-OTHER_ENTRY_RETRY_S: Final = 0.05
-"""The retry time if another entry can serve the call at once."""
+PEER_RETRY_S: Final = 0.05
+"""The retry time if a peer can serve the call at once."""
 
 
 class Authorized(NamedTuple):
@@ -52,7 +52,7 @@
     retry_after_s: float | None = None
 
 
-STOPPING: Final = Refused(UNAVAILABLE, "stopping", OTHER_ENTRY_RETRY_S)
+STOPPING: Final = Refused(UNAVAILABLE, "stopping", PEER_RETRY_S)
 
 
 class Authorizer:
@@ -123,12 +123,12 @@
     def _starting(self, now_s: float) -> Refused:
         """Return the refusal of a call that arrives before a configuration has been read."""
         peer_serves = self._has_current_peer(now_s)
-        retry_after_s = OTHER_ENTRY_RETRY_S if peer_serves else STARTING_RETRY_S
+        retry_after_s = PEER_RETRY_S if peer_serves else STARTING_RETRY_S
         return Refused(UNAVAILABLE, "starting", retry_after_s)
 
     def _stale(self, now_s: float) -> Refused:
         """Return the refusal of a call that needs a current configuration for its decision."""
-        retry_after_s = OTHER_ENTRY_RETRY_S
+        retry_after_s = PEER_RETRY_S
         if not self._has_current_peer(now_s):
             outage_s = self._config_freshness.age_s(now_s)
             retry_after_s = min(STALE_RETRY_MAX_S, max(STALE_RETRY_MIN_S, outage_s))
--- a/filbertstream/request/call_state.py
+++ b/filbertstream/request/call_state.py
@@ -41,7 +41,7 @@
     response_started: bool = False
     head_received: bool = False
     last_event_id: str | None = None
-    refusals: int = 0
+    rejections: int = 0
     failed_sends: int = 0
     claiming: bool = False
     queued_until_s: float | None = None
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -210,7 +210,7 @@
         """Queue a call for a short time if targets have only rejected it so far, or give up."""
         longest_s = QUEUE_TIME_FRACTION * call.route.objective_s
         waited_s = now_s + QUEUE_RETRY_S - call.arrived_s
-        if not call.refusals or call.may_have_run or waited_s > longest_s:
+        if not call.rejections or call.may_have_run or waited_s > longest_s:
             return self._give_up(call, "no_target", now_s)
         call.queued_until_s = now_s + QUEUE_RETRY_S
         call.tried.clear()
@@ -253,13 +253,13 @@
         target.memory_tokens += call.memory_tokens
         self._deps.roster.outliers.sent(target.target_id, now_s)
         workspace = call.workspace
-        entry = target.entry
+        registration = target.registration
         return [
             SendCall(
                 call.call_id,
                 call.number,
-                entry.target_id,
-                entry.address,
+                registration.target_id,
+                registration.address,
                 None if workspace is None else workspace.name,
                 call.ends_at_s - now_s,
                 min(LOWEST_PRIORITY, call.urgency) if cache is not None else None,
@@ -319,14 +319,14 @@
         target.latency_s += LATENCY_WEIGHT * (waited_s - target.latency_s)
         self._deps.latencies.note(call.route.name, waited_s)
         if call.head.prompt is not None:
-            target.prefill.answered(call.prefill_tokens, call.ahead_tokens, waited_s)
+            target.prefill.responded(call.prefill_tokens, call.ahead_tokens, waited_s)
             call.prefill_tokens = 0
 
     def _on_rejected(self, call: Call, event: ResponseStarted, now_s: float) -> list[Action]:
         """Send a call again that its target rejected without running it, or give up."""
         target = self._release(call)
         call.attempts -= 1
-        call.refusals += 1
+        call.rejections += 1
         response = event.response
         actions: list[Action] = [CancelSend(call.call_id, event.number)]
         self._deps.counters.add("sends_refused", str(response.status))
@@ -341,7 +341,7 @@
                 )
             elif response.retry_after_s is not None:
                 target.backoff_until_s = now_s + min(response.retry_after_s, NO_TARGET_RETRY_S)
-        if call.refusals <= MAX_EXTRA_SENDS and self._deps.budget.take(call.service.name, now_s):
+        if call.rejections <= MAX_EXTRA_SENDS and self._deps.budget.take(call.service.name, now_s):
             return [*actions, *self._send(call, now_s)]
         return [*actions, *self._give_up(call, "targets_full", now_s)]
 
--- a/filbertstream/request/idempotency_keys.py
+++ b/filbertstream/request/idempotency_keys.py
@@ -115,16 +115,16 @@
         self.written_at_s = now_s
 
 
-IsAlive = Callable[[str, int], bool]
+IsRegistered = Callable[[str, int], bool]
 
 
 class IdempotencyKeys:
-    """The claims of this entry; ``alive`` returns whether a process is registered."""
+    """The claims of this entry; ``is_registered`` returns whether a process is registered."""
 
-    def __init__(self, entry: str, incarnation: int, alive: IsAlive) -> None:
+    def __init__(self, entry: str, incarnation: int, is_registered: IsRegistered) -> None:
         self._entry = entry
         self._incarnation = incarnation
-        self._alive = alive
+        self._is_registered = is_registered
         self._claims: dict[int, ClaimKey] = {}
         self._revisions: dict[int, int] = {}
         self._unsettled: dict[str, _Unsettled] = {}
@@ -180,7 +180,7 @@
         A process that died stays registered until another one registers under its name.  A record
         that has been observed for longer than any call takes is therefore considered abandoned.
         """
-        if not self._alive(present.entry, present.incarnation):
+        if not self._is_registered(present.entry, present.incarnation):
             return False
         since_s = self._running_since_s.setdefault(present.call, now_s)
         while len(self._running_since_s) > MAX_TRACKED_RUNNING:
--- a/filbertstream/request/key_writes.py
+++ b/filbertstream/request/key_writes.py
@@ -1,8 +1,8 @@
 """The calls to the object store that claim or settle an idempotency key, as generators without I/O.
 
-Each generator yields a ``KeyCall`` and is sent the object store's ``KeyReply``.  Its return value
-is reported to the core.  ``connection.idempotency_key_store`` drives the generators in production,
-a state machine in the tests.
+Each generator yields a ``KeyCall`` and is sent the object store's ``KeyResponse``.  Its return
+value is reported to the core.  ``connection.idempotency_key_store`` drives the generators in
+production, a state machine in the tests.
 
 A write without a response may still take effect at any later time.  A claim therefore counts only
 once the object store returns the call's own record, and ``settle_steps`` makes sure that an
@@ -60,7 +60,7 @@
     OUTCOME_UNKNOWN = "unsure"
 
 
-class KeyReply(NamedTuple):
+class KeyResponse(NamedTuple):
     """The outcome of a call, with the object as it is stored now, or None if there is none."""
 
     outcome: KeyOutcome
@@ -68,28 +68,28 @@
     revision: int = 0
 
 
-ClaimSteps = Generator[KeyCall, KeyReply, KeyClaimed]
-SettleSteps = Generator[KeyCall, KeyReply, KeySettled | None]
+ClaimSteps = Generator[KeyCall, KeyResponse, KeyClaimed]
+SettleSteps = Generator[KeyCall, KeyResponse, KeySettled | None]
 
 
 def claim_steps(claim: ClaimKey) -> ClaimSteps:
     """Write the record of a call unless another call has claimed its key."""
     call = KeyCall(KeyAction.CREATE, claim.name, claim.record)
     for _ in range(MAX_CLAIM_CALLS):
-        reply = yield call
+        response = yield call
         call = KeyCall(KeyAction.CREATE, claim.name, claim.record)
-        present = reply.record
-        if reply.outcome is KeyOutcome.REFUSED:
+        present = response.record
+        if response.outcome is KeyOutcome.REFUSED:
             break
-        if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:
+        if response.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:
             continue
         if present.call == claim.record.call:
             # If the call has ended in the meantime, this record is its outcome, and the core
             # ignores the event.
-            return KeyClaimed(claim.call_id, claim.name, True, None, reply.revision)
+            return KeyClaimed(claim.call_id, claim.name, True, None, response.revision)
         if present.state is not KeyState.FREE:
             return KeyClaimed(claim.call_id, claim.name, False, present)
-        call = KeyCall(KeyAction.REPLACE, claim.name, claim.record, reply.revision)
+        call = KeyCall(KeyAction.REPLACE, claim.name, claim.record, response.revision)
     return KeyClaimed(claim.call_id, claim.name, False, None)
 
 
@@ -98,20 +98,20 @@
     settled = KeySettled(settle.name, settle.record.call)
     if settle.revision:
         call = KeyCall(KeyAction.REPLACE, settle.name, settle.record, settle.revision)
-        reply = yield call
+        response = yield call
         # A conflict means done, since only this call's own outcome can have replaced its record.
-        done = reply.outcome in (KeyOutcome.DONE, KeyOutcome.CONFLICT)
+        done = response.outcome in (KeyOutcome.DONE, KeyOutcome.CONFLICT)
         return settled if done else None
-    reply = yield KeyCall(KeyAction.READ, settle.name)
-    if reply.outcome is not KeyOutcome.DONE:
+    response = yield KeyCall(KeyAction.READ, settle.name)
+    if response.outcome is not KeyOutcome.DONE:
         return None
-    present = reply.record
+    present = response.record
     if present is None:
         call = KeyCall(KeyAction.CREATE, settle.name, settle.record)
     else:
         claimed_by_other = present.call != settle.record.call and present.state is not KeyState.FREE
         if claimed_by_other or present == settle.record:
             return settled
-        call = KeyCall(KeyAction.REPLACE, settle.name, settle.record, reply.revision)
-    reply = yield call
-    return settled if reply.outcome is KeyOutcome.DONE else None
+        call = KeyCall(KeyAction.REPLACE, settle.name, settle.record, response.revision)
+    response = yield call
+    return settled if response.outcome is KeyOutcome.DONE else None
--- a/filbertstream/request/load_shedding.py
+++ b/filbertstream/request/load_shedding.py
@@ -2,10 +2,10 @@
 
 Load pattern handled: more prompts arrive than the runners can prefill, for example while a third of
 the runners is down and no cache is warm.  If all were queued, the queue would grow until callers
-give up, and every runner would prefill prompts whose callers have gone.  The queue ahead of a new
-prompt is therefore limited, so that admitted prompts get their responses in time.  Less urgent
-prompts are rejected first, at once, with the time after which to retry.  The size of a prompt does
-not count, since otherwise large prompts would never be served.
+give up, and every runner would prefill prompts whose callers have disconnected.  The queue ahead of
+a new prompt is therefore limited, so that admitted prompts get their responses in time.  Less
+urgent prompts are rejected first, at once, with the time after which to retry.  The size of a
+prompt does not count, since otherwise large prompts would never be served.
 
 The same holds for memory.  A prompt that waits for free memory on a runner starts no sooner for
 having been sent, and the runs that the runner preempts for it are prefilled twice.  Load pattern
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -172,7 +172,7 @@
     cost = (target.weighted_queued_tokens(now_s) + work) / rate / request.objective_s
     cost += RECOMPUTE_COST_PER_TOKEN * prefill + FETCH_COST_PER_TOKEN * fetched
     cost += 0.0 if is_preferred else _not_preferred_cost(request, held, fetched, rate)
-    cost += 0.0 if target.entry.data_center == request.data_center else REMOTE_PROMPT_COST
+    cost += 0.0 if target.registration.data_center == request.data_center else REMOTE_PROMPT_COST
     running = target.running(now_s)
     cost += BUSY_COST * running / max(1, request.engine.slots)
     memory_fraction = _memory_fraction(request, target, now_s)
@@ -237,7 +237,7 @@
             chain_ends = True
             fetch.append(None)
             continue
-        data_center = target.entry.data_center
+        data_center = target.registration.data_center
         store = cache_view.stores.source(key, block.tokens, data_center, now_s)
         source = None if store is None else CacheSource(store, block.tokens)
         if target.target_id in holders:
@@ -273,8 +273,8 @@
     """Return the target for a call that is no prompt, by load, latency and data center."""
 
     def cost(target: RosterTarget) -> tuple[float, str]:
-        busy = target.running(now_s) / max(1, target.entry.slots)
-        remote = 0.0 if target.entry.data_center == data_center else REMOTE_COST
+        busy = target.running(now_s) / max(1, target.registration.slots)
+        remote = 0.0 if target.registration.data_center == data_center else REMOTE_COST
         return (busy + remote + target.latency_s / objective_s, target.target_id)
 
     return min(targets, key=cost) if targets else None
--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -152,7 +152,7 @@
         if source.tokens:
             return f"{self._cache_view.stores.address(source.holder)}/{source.tokens}"
         target = self._roster.targets.get(source.holder)
-        return "" if target is None else str(target.entry.address)
+        return "" if target is None else str(target.registration.address)
 
     def _note_cached(self, prompt: Prompt, placement: Placement) -> None:
         for block in prompt.blocks[:-1]:
--- a/filbertstream/texts.py
+++ b/filbertstream/texts.py
@@ -1,6 +1,6 @@
 """The messages that callers and operators read.
 
-``TITLES`` maps the code of a rejection to the title of its problem document (RFC 9457).
+``TITLES`` maps the code of a refusal to the title of its problem document (RFC 9457).
 """
 
 from typing import Final
--- a/filbertstream/version/compiled.py
+++ b/filbertstream/version/compiled.py
@@ -29,7 +29,7 @@
 """Two failures in a row are rare; a third one indicates an outage."""
 
 SERVICE_OBJECTIVE_S: Final = 1.0
-"""A call to a plain service waits this long for a response before it is retried elsewhere."""
+"""A call to a plain service waits this long for a response before it is sent to another target."""
 
 ROUTE_TIMEOUT_S: Final = 600.0
 """The timeout of a route; the deadline of a workspace, which is shorter, overrides it."""
--- a/filbertstream/version/config_freshness.py
+++ b/filbertstream/version/config_freshness.py
@@ -2,7 +2,7 @@
 
 A response of the object store proves that a configuration was the newest when the request was sent.
 A key that was revoked later may still be in the applied configuration, so calls with a key are
-rejected once ``revoke_s`` have passed without a new confirmation.
+refused once ``revoke_s`` have passed without a new confirmation.
 """
 
 from typing import Final
--- a/filbertstream/version/rollout.py
+++ b/filbertstream/version/rollout.py
@@ -100,7 +100,7 @@
             for target in self._roster.targets.values()
             for model, version in target.weights.items()
             if version < self._weights.named.get(model, 0)
-            and not target.entry.draining
+            and not target.registration.draining
             and target.missing_since_s is None
         ]
 
@@ -116,7 +116,7 @@
             name = target.target_id
             if name in self._swaps:
                 continue
-            group = self._roster.of_service(target.entry.service)
+            group = self._roster.of_service(target.registration.service)
             swapping = sum(1 for member in group if member.target_id in self._swaps)
             started = swapping + sum(1 for member in group if member.target_id not in outdated)
             progress = self._weights.swap_progress(model, target.weights[model], now_s)
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -45,7 +45,7 @@
 
     def on_lease_observed(self, event: LeaseObserved, now_s: float) -> list[Action]:
         """Process a lease record, which also lists the weights that the leader found on runners."""
-        self._lease.on_seen(event.record, event.revision, now_s)
+        self._lease.on_observed(event.record, event.revision, now_s)
         loaded = {} if event.record is None else event.record.loaded
         for name in loaded.keys() & self._roster.targets.keys():
             for model, version in loaded[name].items():
@@ -62,7 +62,7 @@
     def on_lease_written(self, event: LeaseWritten, now_s: float) -> list[Action]:
         """Process the outcome of this entry's write of the record."""
         if event.refused:
-            self._lease.on_write_rejected()
+            self._lease.on_write_refused()
         return []
 
     def on_report(self, event: ReportReceived, now_s: float) -> list[Action]:
--- a/standins/loopback_proxy.py
+++ b/standins/loopback_proxy.py
@@ -29,7 +29,7 @@
     def __init__(self, up: asyncio.StreamWriter, down: asyncio.StreamWriter) -> None:
         self.up = up
         self.down = down
-        self.silent = False
+        self.stalled = False
 
     def abort(self) -> None:
         """Reset both ends."""
@@ -65,12 +65,12 @@
 
     def _apply_faults(self) -> None:
         """Apply the faults that act on all open connections."""
-        silent = bool(self._faults.get("silent"))
-        if silent and not self._was_stalled:
+        stalled = bool(self._faults.get("silent"))
+        if stalled and not self._was_stalled:
             for link in self._links:
-                link.silent = True
+                link.stalled = True
             self.harmed += len(self._links)
-        self._was_stalled = silent
+        self._was_stalled = stalled
         if self._faults.take("reset"):
             self.harmed += len(self._links)
             for link in list(self._links):
@@ -106,10 +106,10 @@
                 delay_s = self._faults.get("delay_s")
                 if delay_s:
                     await asyncio.sleep(delay_s)
-                if not link.silent and not self._faults.get(cut):
+                if not link.stalled and not self._faults.get(cut):
                     sink.write(data)
                     await sink.drain()
-            if sink.can_write_eof() and not link.silent:
+            if sink.can_write_eof() and not link.stalled:
                 sink.write_eof()
         except OSError:
             # One end is closed, so the other is closed too.
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -114,7 +114,7 @@
         self.body_bytes = 0
         self.end: asyncio.Future[str] = asyncio.get_running_loop().create_future()
 
-    def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
+    def on_head(self, response: ResponseHead, reason: str, headers: Headers) -> None:
         """A response has started."""
 
     def on_body(self, data: bytes) -> bool:
--- a/tests/test_gateway_redirect.py
+++ b/tests/test_gateway_redirect.py
@@ -1,7 +1,7 @@
 """Retry times that an entry gives to callers whom it can't serve now.
 
 Load pattern: some entries get no responses from the object store while others do.  Callers that
-are told to wait until the store is back return late, though another entry would serve them at once.
+get a retry time as long as the outage return late, though a peer would serve them at once.
 """
 
 import pytest
@@ -10,7 +10,7 @@
 from filbertstream.gateway_events import PeerMessage, Tick
 from filbertstream.messages import EntryWork
 from filbertstream.request.authorization import (
-    OTHER_ENTRY_RETRY_S,
+    PEER_RETRY_S,
     STALE_RETRY_MAX_S,
     STALE_RETRY_MIN_S,
 )
@@ -40,12 +40,10 @@
     """The object store responds to a peer and not to this entry."""
     refusal = refusal_of_a_stale_entry(World(), OUTAGE_S, True)
     assert refusal.retry_after_s is not None
-    assert refusal.retry_after_s <= OTHER_ENTRY_RETRY_S * (1.0 + RETRY_JITTER)
+    assert refusal.retry_after_s <= PEER_RETRY_S * (1.0 + RETRY_JITTER)
 
 
-@pytest.mark.parametrize(
-    "peer_is_current", [False, None], ids=["others out of touch", "none heard"]
-)
+@pytest.mark.parametrize("peer_is_current", [False, None], ids=["peers are stale", "no reports"])
 def test_stale_entry_gives_a_longer_retry_time_if_no_peer_is_known_to_be_current(
     peer_is_current: bool | None,
 ) -> None:
--- a/tests/test_keys_machine.py
+++ b/tests/test_keys_machine.py
@@ -29,7 +29,7 @@
     KeyAction,
     KeyCall,
     KeyOutcome,
-    KeyReply,
+    KeyResponse,
     SettleSteps,
     claim_steps,
     settle_steps,
@@ -95,17 +95,17 @@
         self.owners[call_id] = (entry, self.incarnations[entry])
         self._begin(entry, call_id, claim_steps(self.idempotency_keys[entry].claim(call, KEY)))
 
-    def _apply(self, call: KeyCall) -> KeyReply:
+    def _apply(self, call: KeyCall) -> KeyResponse:
         """Carry out an object store call."""
         if call.action is KeyAction.READ:
-            return KeyReply(KeyOutcome.DONE, self.record, self.revision)
+            return KeyResponse(KeyOutcome.DONE, self.record, self.revision)
         create = call.action is KeyAction.CREATE
         matches = self.record is None if create else self.revision == call.revision
         if not matches or (not create and self.record is None):
-            return KeyReply(KeyOutcome.CONFLICT, self.record, self.revision)
+            return KeyResponse(KeyOutcome.CONFLICT, self.record, self.revision)
         self.record = call.record
         self.revision += 1
-        return KeyReply(KeyOutcome.DONE, self.record, self.revision)
+        return KeyResponse(KeyOutcome.DONE, self.record, self.revision)
 
     @precondition(lambda self: self.pending_steps)
     @rule(
@@ -116,11 +116,11 @@
         index = data.draw(st.integers(0, len(self.pending_steps) - 1))
         step = self.pending_steps.pop(index)
         if outcome == "done":
-            reply = self._apply(step.call)
+            response = self._apply(step.call)
         elif outcome == "refused":
-            reply = KeyReply(KeyOutcome.REFUSED)
+            response = KeyResponse(KeyOutcome.REFUSED)
         else:
-            reply = KeyReply(KeyOutcome.OUTCOME_UNKNOWN)
+            response = KeyResponse(KeyOutcome.OUTCOME_UNKNOWN)
             if outcome == "lost":
                 self._apply(step.call)
             elif outcome == "late" and step.call.action is not KeyAction.READ:
@@ -128,7 +128,7 @@
         if self.incarnations[step.entry] != step.incarnation:
             return
         try:
-            call = step.steps.send(reply)
+            call = step.steps.send(response)
         except StopIteration as stop:
             self._on_steps_ended(step, stop.value)
             return
--- a/tests/test_read_backoff.py
+++ b/tests/test_read_backoff.py
@@ -32,7 +32,7 @@
                 probing.failed(kind)
                 next_s[kind] = now_s + probing.retry_s(kind, has_relay)
             else:
-                probing.answered(kind)
+                probing.responded(kind)
                 back_s[kind] = now_s
     return requests, back_s
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -312,7 +312,7 @@
     update = kind_update(TARGETS_KIND, 0.1, 9, rows=rows)
     world.step(PeerMessage(ViewResponse(number, (update,))))
     targets = world.core.roster.targets
-    assert targets["r1"].entry.draining
+    assert targets["r1"].registration.draining
     assert "r2" not in targets
 
 
--- a/tests/test_rollout_lease.py
+++ b/tests/test_rollout_lease.py
@@ -68,7 +68,7 @@
             if self.now_s < self.suspended_until_s[number]:
                 continue
             if self.now_s >= self.cut_until_s[number]:
-                lease.on_seen(self.record, self.revision, self.now_s)
+                lease.on_observed(self.record, self.revision, self.now_s)
             write = lease.tick(self.now_s, self.has_work, NO_WORK)
             if write is not None and self.now_s >= self.cut_until_s[number]:
                 due_s = self.now_s + self.rng.uniform(0.0, self.delay_s)
@@ -84,8 +84,8 @@
         if item.has_response and self.now_s >= self.suspended_until_s[item.owner]:
             lease = self.leases[item.owner]
             if not is_current:
-                lease.on_write_rejected()
-            lease.on_seen(self.record, self.revision, self.now_s)
+                lease.on_write_refused()
+            lease.on_observed(self.record, self.revision, self.now_s)
 
     def run(self, seconds: float) -> None:
         for _ in range(round(seconds / STEP_S)):
@@ -140,12 +140,12 @@
 def test_loaded_weights_in_the_record_survive_a_change_of_leader_and_stay_bounded() -> None:
     """A new leader takes over a record that lists what runners have loaded."""
     lease = RolloutLease("e0", LEASE_S, random.Random(1))
-    lease.on_seen(LeaseRecord("e9#1", 3, False, 1, [], {}, {"r1": {"m": 2}}), 1, 10.0)
+    lease.on_observed(LeaseRecord("e9#1", 3, False, 1, [], {}, {"r1": {"m": 2}}), 1, 10.0)
     lease.tick(10.0, True, NO_WORK)
     taken = lease.tick(11.0, True, NO_WORK)
     assert taken is not None
     assert taken.record.loaded == {"r1": {"m": 2}}
-    lease.on_seen(taken.record, 2, 11.0)
+    lease.on_observed(taken.record, 2, 11.0)
     found = {f"s{number}": {"m": 3} for number in range(LOADED_LIMIT)}
     renewed = lease.tick(11.1, True, RolloutState((), {}, found))
     assert renewed is not None
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -12,7 +12,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
 from filbertstream.messages import KindUpdate, ObjectRow
-from filbertstream.process.store_view import REMOVALS_KEPT, FollowedKind, KindObserved, StoreView
+from filbertstream.process.store_view import (
+    REMOVALS_KEPT,
+    FollowedKind,
+    KindObserved,
+    ObjectStoreView,
+)
 
 KIND = "k"
 VIEWS = 3
@@ -42,7 +47,7 @@
         self.now_s = 10.0
         self.revision = 1
         self.written: list[Written] = []
-        self.views = [StoreView(FOLLOWED) for _ in range(VIEWS)]
+        self.views = [ObjectStoreView(FOLLOWED) for _ in range(VIEWS)]
         self.in_transit: list[InTransit] = []
 
     def present(self, at_s: float) -> dict[str, ObjectRow]:
@@ -125,7 +130,7 @@
         assert view.as_of()[KIND] >= before
         self.check(view)
 
-    def check(self, view: StoreView) -> None:
+    def check(self, view: ObjectStoreView) -> None:
         update = view.kind_update(KIND, 0, self.now_s)
         if update is None:
             return
@@ -156,7 +161,7 @@
 
 def test_object_removed_and_created_again_within_one_response_is_present() -> None:
     """Fault: registrations expire while the object store is down and are renewed on its return."""
-    view = StoreView(FOLLOWED)
+    view = ObjectStoreView(FOLLOWED)
     view.take(KindObserved(KIND, True, 0, 5, 0.0, (ObjectRow("x", 4, b"4"),)), 0.0)
     rows = (ObjectRow("x", 4, None), ObjectRow("x", 7, b"7"))
     taken = view.take(KindObserved(KIND, False, 5, 9, 1.0, rows), 1.0)
@@ -169,7 +174,7 @@
 
 def test_object_created_again_is_relayed_after_its_removal_was() -> None:
     """A relay sends a removal to its follower, and the object is created again afterwards."""
-    relay, follower = StoreView(FOLLOWED), StoreView(FOLLOWED)
+    relay, follower = ObjectStoreView(FOLLOWED), ObjectStoreView(FOLLOWED)
     for view in (relay, follower):
         view.take(KindObserved(KIND, True, 0, 5, 0.0, (ObjectRow("x", 4, b"4"),)), 0.0)
     relay.take(KindObserved(KIND, False, 5, 9, 1.0, (ObjectRow("x", 4, None),)), 1.0)
@@ -189,7 +194,7 @@
 
 def test_follower_that_missed_removals_no_longer_kept_gets_a_full_listing() -> None:
     """More objects are removed than a view keeps removals of."""
-    view = StoreView(FOLLOWED)
+    view = ObjectStoreView(FOLLOWED)
     view.take(KindObserved(KIND, True, 0, 1, 0.0, (ObjectRow("x", 1, b"1"),)), 0.0)
     removals = tuple(ObjectRow(f"r{number}", 1, None) for number in range(REMOVALS_KEPT + 1))
     for number, row in enumerate(removals):
--- a/tests/test_stores_machine.py
+++ b/tests/test_stores_machine.py
@@ -122,7 +122,7 @@
     def _deliver(self, poll: EventPoll, lost: set[int]) -> None:
         stores = self.entries[poll.entry]
         if not self._is_up():
-            stores.on_missed(CacheEventsFailed("st"), self.now_s)
+            stores.on_events_failed(CacheEventsFailed("st"), self.now_s)
             return
         received = [
             item for index, item in enumerate(self.events[poll.since :]) if index not in lost
--- a/tests/test_target_connection.py
+++ b/tests/test_target_connection.py
@@ -43,8 +43,8 @@
         self.body = b""
         self.end: asyncio.Future[str] = asyncio.get_running_loop().create_future()
 
-    def on_head(self, answer: ResponseHead, reason: str, headers: Headers) -> None:
-        self.heads.append(answer.status)
+    def on_head(self, response: ResponseHead, reason: str, headers: Headers) -> None:
+        self.heads.append(response.status)
 
     def on_body(self, data: bytes) -> bool:
         self.body += data
