Say object store and cache store where both could be meant

Cause: `_store` and "the store" meant the platform's object store in some places and a cache store in others. Change: fields that hold an `ObjectStore` are `_object_store`; texts of tests name the kind of store.

--- a/filbertstream/connection/document_store.py
+++ b/filbertstream/connection/document_store.py
@@ -77,11 +77,11 @@
     """Blocking reads and changes of the documents, for the operators' API."""
 
     def __init__(self, store: ObjectStore) -> None:
-        self._store = store
+        self._object_store = store
 
     def read(self) -> Result[DocumentSnapshot, str]:
         """Return the documents as stored."""
-        match self._store.read(DOCUMENTS_KIND, DOCUMENTS_NAME):
+        match self._object_store.read(DOCUMENTS_KIND, DOCUMENTS_NAME):
             case Err(failure):
                 return Err(failure.value)
             case Ok(stored):
@@ -120,8 +120,8 @@
 
     def _write(self, content: Any, revision: int) -> Result[Written, ObjectStoreFailure]:
         if revision == 0:
-            return self._store.create(DOCUMENTS_KIND, DOCUMENTS_NAME, content)
-        return self._store.replace(DOCUMENTS_KIND, DOCUMENTS_NAME, content, revision)
+            return self._object_store.create(DOCUMENTS_KIND, DOCUMENTS_NAME, content)
+        return self._object_store.replace(DOCUMENTS_KIND, DOCUMENTS_NAME, content, revision)
 
     def _resolve(
         self, result: Result[Written, ObjectStoreFailure], content: Any, base: int
@@ -137,7 +137,7 @@
                 return ApplyResult("unavailable", base, "the object store refused the write")
             case Err(_):
                 pass
-        match self._store.read(DOCUMENTS_KIND, DOCUMENTS_NAME):
+        match self._object_store.read(DOCUMENTS_KIND, DOCUMENTS_NAME):
             case Ok(stored) if stored is not None and stored.revision != base:
                 if msgspec.json.decode(stored.content) == content:
                     return ApplyResult("accepted", stored.revision)
--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -82,7 +82,7 @@
     ) -> None:
         self._core = core
         self._gateway_io = gateway_io
-        self._store = store
+        self._object_store = store
         self._dropped_lines = dropped_lines
 
     def collect(self) -> Iterator[Metric]:
@@ -100,7 +100,7 @@
         calls = CounterMetricFamily(
             f"{METRIC_PREFIX}_store_calls", "Count: store calls.", labels=["what"]
         )
-        for what, count in sorted(self._store.calls().items()):
+        for what, count in sorted(self._object_store.calls().items()):
             calls.add_metric([what], count)
         yield calls
         yield from self._latencies()
--- a/filbertstream/connection/idempotency_key_store.py
+++ b/filbertstream/connection/idempotency_key_store.py
@@ -35,7 +35,7 @@
     """Writes the records of idempotency keys to the object store."""
 
     def __init__(self, store: ObjectStore) -> None:
-        self._store = store
+        self._object_store = store
 
     def claim(self, claim: ClaimKey) -> KeyClaimed:
         """Claim a call's key unless it is taken already; return the record in force."""
@@ -59,10 +59,12 @@
 
     def _execute(self, call: KeyCall) -> KeyResponse:
         if call.action is KeyAction.READ:
-            return read_response(self._store.read(KEYS_KIND, call.name))
+            return read_response(self._object_store.read(KEYS_KIND, call.name))
         if call.action is KeyAction.CREATE:
-            return write_response(self._store.create(KEYS_KIND, call.name, call.record))
-        return write_response(self._store.replace(KEYS_KIND, call.name, call.record, call.revision))
+            return write_response(self._object_store.create(KEYS_KIND, call.name, call.record))
+        return write_response(
+            self._object_store.replace(KEYS_KIND, call.name, call.record, call.revision)
+        )
 
 
 def _failure_response(failure: ObjectStoreFailure) -> KeyResponse:
--- a/filbertstream/connection/kind_watcher.py
+++ b/filbertstream/connection/kind_watcher.py
@@ -93,7 +93,7 @@
         super().__init__()
         self._gate = gate
         self._on_fatal = on_fatal
-        self._store = store
+        self._object_store = store
         self._watched = watched
         self._emit = emit
         self._as_of: int | None = None
@@ -122,7 +122,7 @@
         self.actor_ref.tell(_Step())
 
     def _list(self) -> ObjectStoreFailure | None:
-        match self._store.list(self._watched.kind):
+        match self._object_store.list(self._watched.kind):
             case Err(failure):
                 return failure
             case Ok(listing):
@@ -136,7 +136,7 @@
         wait_s, pause_s = watched.wait_s, watched.pause_s
         if self._gate.serves_peers:
             wait_s, pause_s = watched.relay_watch.wait_s, watched.relay_watch.pause_s
-        match self._store.watch(self._watched.kind, since, wait_s):
+        match self._object_store.watch(self._watched.kind, since, wait_s):
             case Err(failure):
                 return failure
             case Ok(changes):
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -108,8 +108,8 @@
         self.core = Gateway(_core_config(deployment, incarnation, kinds))
         self.gateway_io = GatewayIO(self.core, self._write_log, self._set_broken)
         store_ca = None if setup is None else setup.store_ca
-        self._store = ObjectStore(deployment.object_store, store_ca)
-        self._keys = IdempotencyKeyStore(self._store)
+        self._object_store = ObjectStore(deployment.object_store, store_ca)
+        self._keys = IdempotencyKeyStore(self._object_store)
         targets_ca = None if setup is None else setup.targets_ca
         self._runners = RunnerCalls(f"{deployment.name}#{incarnation:x}", targets_ca)
         self._workers = ThreadPoolExecutor(CALL_THREADS, thread_name_prefix="calls")
@@ -123,7 +123,9 @@
         self._gate = WatchGate(self._watched)
         self._product: Product | None = None
         if setup is not None:
-            self._product = setup.build(self.core, self.gateway_io, self._store, self._metrics)
+            self._product = setup.build(
+                self.core, self.gateway_io, self._object_store, self._metrics
+            )
         self._peers: PeerLink | None = None
         if deployment.peers is not None:
             host = _PeerHost(self)
@@ -190,7 +192,9 @@
         """Watch the object store and send ticks until the process may end."""
         self._update_gate(boot_time_s())
         watchers = [
-            KindWatcher.start(self._store, watched, self.emit_soon, self._set_broken, self._gate)
+            KindWatcher.start(
+                self._object_store, watched, self.emit_soon, self._set_broken, self._gate
+            )
             for watched in self._watched.values()
         ]
         self._log.write(LogEvent.ENTRY_STARTED, (("data_center", self.deployment.data_center),))
@@ -228,7 +232,7 @@
         return StatusConnection(lambda: self.core.ready(boot_time_s()), self._metrics)
 
     def _metrics(self) -> bytes:
-        return metrics_text(self.core, self.gateway_io, self._store, self._stream.dropped)
+        return metrics_text(self.core, self.gateway_io, self._object_store, self._stream.dropped)
 
     async def _send_ticks(self) -> None:
         """Send ticks to the core until the process may end."""
@@ -308,9 +312,9 @@
 
     def _write_lease_now(self, write: WriteLease) -> None:
         if write.revision == 0:
-            result = self._store.create(LEASES_KIND, ROLLOUT_LEASE_NAME, write.record)
+            result = self._object_store.create(LEASES_KIND, ROLLOUT_LEASE_NAME, write.record)
         else:
-            result = self._store.replace(
+            result = self._object_store.replace(
                 LEASES_KIND, ROLLOUT_LEASE_NAME, write.record, write.revision
             )
         match result:
@@ -369,12 +373,12 @@
     def _write_entry_now(self, write: WriteEntry) -> None:
         """Register this entry; a conflicting object shows up in the watch and triggers a retry."""
         if write.revision == 0:
-            self._store.create(ENTRIES_KIND, write.name, write.record)
+            self._object_store.create(ENTRIES_KIND, write.name, write.record)
         else:
-            self._store.replace(ENTRIES_KIND, write.name, write.record, write.revision)
+            self._object_store.replace(ENTRIES_KIND, write.name, write.record, write.revision)
 
     def _remove_entry(self, remove: RemoveEntry) -> None:
-        self._submit(self._store.remove, ENTRIES_KIND, remove.name)
+        self._submit(self._object_store.remove, ENTRIES_KIND, remove.name)
 
     def _poll_report(self, poll: PollReport) -> None:
         target = self.core.roster.targets.get(poll.target_id)
--- a/tests/test_cache_updates.py
+++ b/tests/test_cache_updates.py
@@ -83,7 +83,7 @@
         return CacheEventsReceived("keep", world.now_s, world.now_s, 1, number, 5_000, changes)
 
     def fetching(self) -> set[str]:
-        """Return the entries that would fetch the shared block from the store."""
+        """Return the entries that would fetch the shared block from the cache store."""
         fetching = set()
         for name, world in self.worlds.items():
             cache = world.send().cache
@@ -99,7 +99,7 @@
 
 
 def test_few_entries_of_a_large_fleet_read_a_store_and_all_get_its_updates() -> None:
-    """A block is saved after the readers of a store were chosen."""
+    """A block is saved after the readers of a cache store were chosen."""
     fleet = Fleet()
     fleet.run(3.0)
     fleet.calls.clear()
@@ -119,7 +119,7 @@
 
 
 def test_relays_read_a_store_whose_readers_have_all_died() -> None:
-    """All readers of a store die at once."""
+    """All readers of a cache store die at once."""
     fleet = Fleet()
     fleet.run(3.0)
     fleet.changes.append(shared_block_saved(fleet))
@@ -138,7 +138,7 @@
 
 
 def test_cache_update_from_before_a_store_restart_is_rejected_after_it() -> None:
-    """Fault: one of a store's two readers has not yet observed that the store restarted."""
+    """Fault: one of a cache store's two readers has not yet observed its restart."""
     fleet = Fleet()
     follower = next(
         world
--- a/tests/test_documents_machine.py
+++ b/tests/test_documents_machine.py
@@ -103,7 +103,7 @@
 
     def _write(self, content: Any, revision: int) -> Any:
         result = super()._write(content, revision)
-        objects: Any = self._store
+        objects: Any = self._object_store
         objects.read_fails = True
         return result
 
--- a/tests/test_gateway_cache.py
+++ b/tests/test_gateway_cache.py
@@ -78,7 +78,7 @@
 
 
 def test_block_stored_with_fewer_tokens_than_needed_is_not_fetched() -> None:
-    """A store holds a block under the same id with one token less."""
+    """A cache store holds a block under the same id with one token less."""
     world = followed_for(4.0)
     world.store(CacheChange(True, (world.namespace(), "shared"), 799))
     cache = world.send().cache
@@ -87,7 +87,7 @@
 
 
 def test_nothing_is_fetched_from_a_store_whose_state_is_too_old() -> None:
-    """A store stops responding; it may have restarted and lost its blocks."""
+    """A cache store stops responding; it may have restarted and lost its blocks."""
     world = followed_for(4.0)
     world.store(CacheChange(True, (world.namespace(), "shared"), 800))
     world.run(HOLDINGS_MAX_AGE_S + 0.1)
@@ -126,7 +126,7 @@
 
 
 def test_events_of_a_configured_store_are_requested() -> None:
-    """Without event requests, no block of the store would ever be fetched."""
+    """Without event requests, no block of the cache store would ever be fetched."""
     world = World()
     follows = [item for item in world.run(0.2) if isinstance(item, PollCacheEvents)]
     assert [(item.holder, item.since) for item in follows] == [("keep", 0)]
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -133,7 +133,7 @@
 
 
 def test_only_blocks_of_replaced_weights_are_freed_and_each_once() -> None:
-    """A store holds blocks of replaced, current and unknown namespaces."""
+    """A cache store holds blocks of replaced, current and unknown namespaces."""
     index = CacheIndex()
     stores = CacheStores(index, random.Random(1))
     stores.configure([("keep", STORE)])
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -225,7 +225,7 @@
 
 
 def test_follower_of_stale_relays_reads_the_object_store() -> None:
-    """Load pattern: the object store rejects the relays' requests and serves the other entries."""
+    """Load pattern: the object store refuses the relays' requests and serves the other entries."""
     world = Fleet()
     world.run_for(2.0)
     outage_s = 0.0
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -1,4 +1,4 @@
-"""Views of the object store that are updated by the store and by each other.
+"""Views of the object store that are updated by it and by each other.
 
 Failure guarded against: a view counts as confirmed as of some time, but lacks a write that the
 store had accepted by then, or contains an object that was removed before.  This comes about when
@@ -26,7 +26,7 @@
 
 
 class Written(NamedTuple):
-    """A write that the store has accepted; ``row`` has no content for a removal."""
+    """A write that the object store has accepted; ``row`` has no content for a removal."""
 
     at_s: float
     row: ObjectRow
@@ -51,7 +51,7 @@
         self.in_transit: list[InTransit] = []
 
     def present(self, at_s: float) -> dict[str, ObjectRow]:
-        """Return the objects in the store at a time."""
+        """Return the objects in the object store at a time."""
         objects: dict[str, ObjectRow] = {}
         for write in self.written:
             if write.at_s <= at_s:
--- a/tests/test_stores_machine.py
+++ b/tests/test_stores_machine.py
@@ -37,11 +37,11 @@
 ENTRIES = 2
 ROUND_S = 0.3
 SETTLED_ROUNDS = 13
-"""Rounds after which an entry saves to a store that has restarted."""
+"""Rounds after which an entry saves to a cache store that has restarted."""
 
 
 class Fetch(NamedTuple):
-    """A runner may read a block from the store until ``until_s``."""
+    """A runner may read a block from the cache store until ``until_s``."""
 
     key: BlockKey
     until_s: float
@@ -87,14 +87,14 @@
 
     @rule(rounds=st.sampled_from([1, 3, SETTLED_ROUNDS]))
     def follow(self, rounds: int) -> None:
-        """Both entries receive the store's events for a while, as they usually do."""
+        """Both entries receive the cache store's events for a while, as they usually do."""
         for _ in range(rounds):
             for entry in range(ENTRIES):
                 self.poll_at_once(entry)
             self._advance(ROUND_S)
 
     def poll_at_once(self, entry: int) -> None:
-        """Deliver the store's events to an entry at once."""
+        """Deliver the cache store's events to an entry at once."""
         since = self.entries[entry].states["st"].since
         self._deliver(EventPoll(entry, self.now_s, since), set())
 
