--- a/bench/key_guards.py
+++ b/bench/key_guards.py
@@ -8,9 +8,9 @@
     Guard(
         "a claim without a response does not count",
         "request/key_writes.py",
-        "        if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n"
+        "        if response.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n"
         "            continue",
-        "        if reply.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n"
+        "        if response.outcome is KeyOutcome.OUTCOME_UNKNOWN or present is None:\n"
         "            return KeyClaimed(claim.call_id, claim.name, True, None)",
         "tests/test_keys_machine.py",
     ),
@@ -61,17 +61,18 @@
     Guard(
         "a key claimed by a replaced process is not waited for",
         "request/idempotency_keys.py",
-        "if not self._alive(present.entry, present.incarnation):",
+        "if not self._is_registered(present.entry, present.incarnation):",
         "if False:",
         "tests/test_faults.py::test_key_of_a_restarted_entry_does_not_stay_marked_as_running",
     ),
     Guard(
         "a change needs the revision that it was made on",
         "connection/document_store.py",
-        "return self._store.replace(DOCUMENTS_KIND, DOCUMENTS_NAME, content, revision)",
-        "present = self._store.read(DOCUMENTS_KIND, DOCUMENTS_NAME).unwrap()\n"
+        "return self._object_store.replace(DOCUMENTS_KIND, DOCUMENTS_NAME, content, revision)",
+        "present = self._object_store.read(DOCUMENTS_KIND, DOCUMENTS_NAME).unwrap()\n"
         "        revision = 0 if present is None else present.revision\n"
-        "        return self._store.replace(DOCUMENTS_KIND, DOCUMENTS_NAME, content, revision)",
+        "        return self._object_store.replace("
+        "DOCUMENTS_KIND, DOCUMENTS_NAME, content, revision)",
         "tests/test_documents_machine.py::"
         "test_change_written_between_read_and_write_is_not_overwritten",
     ),
--- a/filbertstream/connection/kind_watcher.py
+++ b/filbertstream/connection/kind_watcher.py
@@ -41,15 +41,15 @@
     def set(self, idle: frozenset[str], serves_peers: bool, uses_relays: bool) -> None:
         """Stop reading the ``idle`` kinds and read all others.
 
-        ``serves_peers``: this entry is a relay for others; ``uses_relays``: it gets its view from
-        relays where it can.
+        ``serves_peers``: peers rely on this entry as a relay; ``uses_relays``: it gets its view
+        from relays where it can.
         """
         self.serves_peers, self._uses_relays = serves_peers, uses_relays
         if idle != self._idle:
             with self._changed:
                 self._idle = idle
                 for kind in idle:
-                    self._backoff.answered(kind)
+                    self._backoff.responded(kind)
                 self._changed.notify_all()
 
     def wait(self, kind: str, timeout_s: float) -> bool:
@@ -60,7 +60,7 @@
     def succeeded(self, kind: str) -> None:
         """Record that the object store responded to a call."""
         with self._changed:
-            self._backoff.answered(kind)
+            self._backoff.responded(kind)
             self._changed.notify_all()
 
     def failed(self, kind: str) -> None:
@@ -93,7 +93,7 @@
         super().__init__()
         self._gate = gate
         self._on_fatal = on_fatal
-        self._store = store
+        self._object_store = store
         self._watched = watched
         self._emit = emit
         self._as_of: int | None = None
@@ -122,7 +122,7 @@
         self.actor_ref.tell(_Step())
 
     def _list(self) -> ObjectStoreFailure | None:
-        match self._store.list(self._watched.kind):
+        match self._object_store.list(self._watched.kind):
             case Err(failure):
                 return failure
             case Ok(listing):
@@ -136,7 +136,7 @@
         wait_s, pause_s = watched.wait_s, watched.pause_s
         if self._gate.serves_peers:
             wait_s, pause_s = watched.relay_watch.wait_s, watched.relay_watch.pause_s
-        match self._store.watch(self._watched.kind, since, wait_s):
+        match self._object_store.watch(self._watched.kind, since, wait_s):
             case Err(failure):
                 return failure
             case Ok(changes):
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -225,7 +225,7 @@
 
 
 def test_follower_of_stale_relays_reads_the_object_store() -> None:
-    """Load pattern: the object store rejects the relays' requests and serves the other entries."""
+    """Load pattern: the object store refuses the relays' requests and serves the other entries."""
     world = Fleet()
     world.run_for(2.0)
     outage_s = 0.0
@@ -312,7 +312,7 @@
     update = kind_update(TARGETS_KIND, 0.1, 9, rows=rows)
     world.step(PeerMessage(ViewResponse(number, (update,))))
     targets = world.core.roster.targets
-    assert targets["r1"].entry.draining
+    assert targets["r1"].registration.draining
     assert "r2" not in targets
 
 
