Log how far a failed send had come, its prompt's blocks, and sends that were not written

Operators could not tell which of the calls at a crashed runner had crashed it: failed attempts had no stage and no blocks, and a send to a runner that refuses connections left no line. 302 has both now, 310 is new. A stream has begun with its first complete event instead of its first byte: a runner that crashes may have written a part of one.

--- a/filbertstream/connection/proxied_send.py
+++ b/filbertstream/connection/proxied_send.py
@@ -71,7 +71,7 @@
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._body_started = False
+        self._begun = False
 
     def on_head(self, response: ResponseHead, reason: str, headers: Headers) -> None:
         """Report the response to the core, which decides whether it is passed on."""
@@ -104,13 +104,12 @@
         """
         if self.over or not self._relays:
             return False
-        if not self._body_started:
-            self._body_started = True
-            self._host.emit(FirstEvent(self.action.call_id, self.action.number))
         if self._streams and self._call.events is not None:
             events = self._call.events
             before = events.useful_events
             passed = events.feed(data)
+            if events.useful_events > before:
+                self._report_begun()
             if events.malformed:
                 self._fail("too_large")
                 return False
@@ -118,12 +117,18 @@
             if data:
                 self._call.conn.stream(data)
             return events.useful_events > before
+        self._report_begun()
         self._body.append(data)
         self._body_bytes += len(data)
         if self._body_bytes > BUFFERED_BYTES:
             self._fail("too_large")
         return True
 
+    def _report_begun(self) -> None:
+        if not self._begun:
+            self._begun = True
+            self._host.emit(FirstEvent(self.action.call_id, self.action.number))
+
     def on_complete(self) -> None:
         """Finish the caller's response; a stream that ends inside an event has failed."""
         if self.over or not self._relays or self._response is None:
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -28,6 +28,7 @@
     ANSWER_KEPT = 307
     CALL_PLACED = 308
     SEND_REFUSED = 309
+    SEND_UNSENT = 310
     TARGET_LEAVING = 400
     TARGET_EJECTED = 401
     SWAP_ORDERED = 404
@@ -63,11 +64,12 @@
     LogEvent.REVISION_IN_FORCE: "A new revision of the configuration now applies on this entry.",
     LogEvent.REQUEST_FINISHED: "A request ended with the outcome in the line.",
     LogEvent.REQUEST_REFUSED: "A caller received a final refusal or error.",
-    LogEvent.ATTEMPT_FAILED: "An attempt at a target ended without a complete response.",
+    LogEvent.ATTEMPT_FAILED: "A send ended early: how far its response was, its prompt's blocks.",
     LogEvent.CLAIM_SETTLED: "An idempotency key's claim was resolved; ours: the call may run.",
     LogEvent.ANSWER_KEPT: "A retry with an idempotency key got the stored response.",
     LogEvent.CALL_PLACED: "A call is sent to a target; the line has the inputs of that choice.",
     LogEvent.SEND_REFUSED: "A target did not run a request; -1: it did not report its weights.",
+    LogEvent.SEND_UNSENT: "No byte of a send was written, so the call is sent again.",
     LogEvent.TARGET_LEAVING: "A target is leaving, for the given state, and gets no new calls.",
     LogEvent.TARGET_EJECTED: "A target failed repeatedly and is ejected for a time.",
     LogEvent.SWAP_ORDERED: "A runner was ordered to load a weight version.",
--- a/filbertstream/request/call_events.py
+++ b/filbertstream/request/call_events.py
@@ -26,7 +26,7 @@
 
 
 class FirstEvent(NamedTuple):
-    """The first bytes of a response's body have arrived."""
+    """The first complete event of a stream has arrived, or the first bytes of another body."""
 
     call_id: int
     number: int
--- a/filbertstream/request/call_logs.py
+++ b/filbertstream/request/call_logs.py
@@ -1,5 +1,7 @@
 """Builds the log lines of a call: each decision with its inputs and their age."""
 
+from typing import Final
+
 from filbertstream.actions import Log
 from filbertstream.log_events import LogEvent
 from filbertstream.process.roster import RosterTarget
@@ -10,6 +12,9 @@
 from filbertstream.request.idempotency_keys import KeyClaimed
 from filbertstream.request.prompt_placer import LogFields
 
+LOGGED_BLOCKS: Final = 8
+"""Blocks of a prompt that a line lists, so that its size is bounded."""
+
 
 def _id(call: Call) -> tuple[str, str]:
     return ("request_id", call.head.request_id)
@@ -93,10 +98,25 @@
         ("target", call.target.target_id if call.target else ""),
         ("cause", cause),
         ("waited_s", round(now_s - call.sent_at_s, 3)),
+        ("stage", call.stage.value),
+        ("blocks", _shared_blocks(call)),
     )
     return Log(LogEvent.ATTEMPT_FAILED, fields)
 
 
+def _shared_blocks(call: Call) -> str:
+    """Return the ids of the first blocks of a prompt except its last one, which no other has."""
+    prompt = call.head.prompt
+    blocks = () if prompt is None else prompt.blocks[:-1]
+    return ",".join(block.block_id for block in blocks[:LOGGED_BLOCKS])
+
+
+def unsent(call: Call, cause: str) -> Log:
+    """Return the line of a send of which no byte was written."""
+    target = call.target.target_id if call.target else ""
+    return Log(LogEvent.SEND_UNSENT, (_id(call), ("target", target), ("cause", cause)))
+
+
 def finished(call: Call, outcome: str, now_s: float) -> Log:
     """Return the last line of a call."""
     fields = (
--- a/filbertstream/request/call_state.py
+++ b/filbertstream/request/call_state.py
@@ -3,6 +3,7 @@
 This module has data only; ``request.forwarding`` makes the transitions.
 """
 
+import enum
 from dataclasses import dataclass, field
 
 from filbertstream.process.roster import RosterTarget
@@ -10,13 +11,21 @@
 from filbertstream.version.routes import Route, Service, Workspace
 
 
+class SendStage(enum.Enum):
+    """How far the response to a send has come."""
+
+    WAITING = "waiting"
+    HEAD = "head"
+    BEGUN = "begun"
+
+
 @dataclass
 class Call:
     """One call in progress.
 
     ``number`` counts all sends of the call, ``attempts`` only those that may have run.
-    ``response_started`` is whether the caller has received a part of a response, ``head_received``
-    whether the head of a response to the current send has arrived.  ``claiming`` is set while the
+    ``response_started`` is whether the caller has received a part of a response, ``stage`` how far
+    the response to the current send has come.  ``claiming`` is set while the
     claim of the idempotency key is pending.  ``weights`` is the weight version that the current
     send expects.  ``prefill_tokens`` are the tokens of the current send that the runner has to
     prefill, and ``ahead_tokens`` those that were queued there ahead of them.
@@ -39,7 +48,7 @@
     tried: set[str] = field(default_factory=set)
     may_have_run: bool = False
     response_started: bool = False
-    head_received: bool = False
+    stage: SendStage = SendStage.WAITING
     last_event_id: str | None = None
     rejections: int = 0
     failed_sends: int = 0
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -29,7 +29,7 @@
     SendFailed,
     SendStalled,
 )
-from filbertstream.request.call_state import Call
+from filbertstream.request.call_state import Call, SendStage
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
 from filbertstream.request.idempotency_keys import KeyClaimed
 from filbertstream.request.placement import place_service_call
@@ -191,7 +191,7 @@
         call.attempts += 1
         call.target = target
         call.sent_at_s = now_s
-        call.head_received = False
+        call.stage = SendStage.WAITING
         call.tried.add(target.target_id)
         target.outstanding += 1
         target.memory_tokens += call.memory_tokens
@@ -241,7 +241,7 @@
             return self._on_send_failure(call, event.number, "malformed", now_s)
         if response.status >= INTERNAL_SERVER_ERROR and self._may_retry(call, now_s):
             return self._on_send_failure(call, event.number, "target_error", now_s)
-        call.head_received = True
+        call.stage = SendStage.HEAD
         if call.response_started:
             if response.status != OK:
                 return self._on_send_failure(call, event.number, "not_resumed", now_s)
@@ -293,9 +293,12 @@
         return [cancel, log, *self._endings.give_up(call, cause, now_s)]
 
     def on_first_event(self, event: FirstEvent, now_s: float) -> list[Action]:
-        """Record the time of the first bytes of a response's body."""
+        """Record that a response has begun, and when."""
         call = self._current(event.call_id, event.number)
-        if call is not None and call.first_s is None:
+        if call is None:
+            return []
+        call.stage = SendStage.BEGUN
+        if call.first_s is None:
             call.first_s = now_s - call.arrived_s
             self._deps.latencies.note(f"{call.route.name} first event", call.first_s)
         return []
@@ -319,13 +322,14 @@
         if event.sent:
             call.may_have_run = True
             return self._on_send_failure(call, event.number, event.cause, now_s)
+        log = call_logs.unsent(call, event.cause)
         target = release(call)
         call.attempts -= 1
         self._deps.counters.add("sends_failed", event.cause)
         if target is not None:
             self._feedback.note_failure(target, now_s)
         # No byte has reached the target, so sending again consumes no retry budget.
-        return self._send(call, now_s)
+        return [log, *self._send(call, now_s)]
 
     @staticmethod
     def _note_progress(call: Call, event: SendFailed | SendStalled) -> None:
@@ -372,7 +376,7 @@
                     call.queued_until_s = None
                     actions += self._send(call, now_s)
                 continue
-            overdue = not call.head_received and self._is_overdue(call, now_s)
+            overdue = call.stage is SendStage.WAITING and self._is_overdue(call, now_s)
             if overdue and self._may_retry(call, now_s):
                 actions += self._retry_stalled(call, now_s)
         return actions
