Red: prompts with a block that crashes runners keep crashing them

Callers lose every call at a runner that crashes; the runner is back after seconds and the next prompt with the block crashes it again, on any entry.

Entries of standins/platform_fleet.py get a peer port: without one, nothing between entries was tested there. Each start of a stand-in target has its own start time, as on the platform.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -192,7 +192,9 @@
 
     ``weights`` of a runner change ``SWAP_S`` after an order; prompts are prefilled one at a time.
     All its responses to requests name ``limit_per_s``; ``arrivals`` has the times of all requests
-    and calls.
+    and calls.  A prompt with one of the ``deadly`` blocks crashes it when its response begins,
+    after the head if ``head_first`` is set; ``deadly_arrivals`` has the times of their requests.
+    It starts again after ``restart_s``.
     """
 
     name: str
@@ -218,6 +220,31 @@
     prefilled_tokens: int = 0
     limit_per_s: float | None = None
     arrivals: list[float] = field(default_factory=list)
+    deadly: frozenset[str] = frozenset()
+    head_first: bool = True
+    restart_s: float = 2.5
+    started_ms: int = 1
+    crashed: bool = False
+    crashes: list[float] = field(default_factory=list)
+    deadly_arrivals: list[float] = field(default_factory=list)
+
+    def is_deadly(self, prompt: Prompt | None) -> bool:
+        """Whether a prompt crashes this target."""
+        return prompt is not None and any(item.block_id in self.deadly for item in prompt.blocks)
+
+    def start(self) -> None:
+        """Start again after a crash: nothing of before is known."""
+        self.dead = self.crashed = False
+        self.started_ms += 1
+        self.cache.clear()
+        self.running = self.waiting = 0
+        self.prefill_free_s = 0.0
+        self.orders = 0
+
+    def end_run(self, started_ms: int) -> None:
+        """End a run, unless a crash since its start has ended it."""
+        if self.started_ms == started_ms:
+            self.running -= 1
 
     def registration(self) -> TargetRegistration:
         """Return the target's registration."""
@@ -231,7 +258,7 @@
             self.draining,
             0.0,
             weights,
-            1,
+            self.started_ms,
         )
 
     def queue_prompt(
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,6 +1,7 @@
 """A soak over real processes with overlapping random faults; a summary and an exit code.
 
     python -m bench.soak [--seconds 30] [--seed 1] [--seeds 1] [--entries 3]
+                         [--first FAULT]
 
 Callers send prompts and bookings continuously over persistent connections; faults
 (``bench.soak_faults``) are injected from outside: signals, proxies that break links, a faulty
@@ -8,7 +9,8 @@
 runner derives from that prompt, and the revision reported by one incarnation of an entry never
 decreases.  Checked at the end: every entry serves again, each booking ran at most once and ran if
 it got a response, no booking ran that was refused as not run, and no target that limited its
-request rate got more than allowed.
+request rate got more than allowed.  Runners crash at certain prompts and come back; from soon after
+the fifth crash they must get no more than a few of these.
 """
 
 import argparse
@@ -25,9 +27,22 @@
 import urllib3
 
 from bench.arrivals import excesses
-from bench.soak_faults import FAULTS, FAULTY_TARGETS, MIN_DURATIONS_S, End, targets_of
+from bench.crashing_prompts import CONTACT_S, CRASHES_TO_LEARN, SENDS_AFTER
+from bench.soak_faults import (
+    CRASHING,
+    FAULTS,
+    FAULTY_TARGETS,
+    MIN_DURATIONS_S,
+    RUNNER_PREFIX,
+    End,
+    targets_of,
+)
+from filbertstream.request.prefix import text_blocks
+from filbertstream.units import BLOCK_BYTES
 from standins.fleet import Fleet, Options, running_fleet
 from standins.platform_runner import response_tokens
+from standins.processes import CrashBlock
+from standins.restarts import Restarts
 
 WORKSPACE: Final = "bethesda-tours"
 CHAT: Final = "/v1/chat/completions"
@@ -44,14 +59,19 @@
 REPAIR_S: Final = 20.0
 """Several times the bound for removed keys, so all entries have confirmed their configuration."""
 
+CRASHING_SHARE: Final = 0.1
+CRASHING_TEXT: Final = "x" * BLOCK_BYTES
+"""Prompts that begin with this text crash the runner that begins to respond to them."""
+
 SERVICES: Final = ("bookings-1", "bookings-2", "bookings-3")
 
 
 class Soak:
     """Callers, faults and the observed results."""
 
-    def __init__(self, fleet: Fleet, seed: int) -> None:
+    def __init__(self, fleet: Fleet, seed: int, first: str = "") -> None:
         self.fleet = fleet
+        self._first = first
         self.rng = random.Random(seed)
         self.counts: Counter[str] = Counter()
         self.violations: list[str] = []
@@ -87,7 +107,8 @@
                 active.remove(item)
                 item[1]()
             if now_s < end_s and len(active) < MAX_CONCURRENT_FAULTS:
-                name = self.rng.choice(sorted(FAULTS))
+                name = self._first or self.rng.choice(sorted(FAULTS))
+                self._first = ""
                 self.counts[f"fault: {name}"] += 1
                 end = FAULTS[name](self.fleet, self.rng)
                 duration_s = self.rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
@@ -119,7 +140,9 @@
             turn += 1
             entry = f"entry-{rng.randint(1, self.fleet.options.entries)}"
             try:
-                if turn % 3:
+                if CRASHING and rng.random() < CRASHING_SHARE:
+                    self._prompt(entry, f"{CRASHING_TEXT} caller {number} turn {turn}")
+                elif turn % 3:
                     self._prompt(entry, f"caller {number} turn {turn}")
                 else:
                     self._booking(entry, f"booking-{number}-{turn}")
@@ -194,7 +217,17 @@
             arrivals = self.fleet.counts(name)["arrivals"]
             self.counts["requests to limited targets"] += sum(1 for _, per_s in arrivals if per_s)
             violations += [f"{name}: {excess}" for excess in excesses(arrivals)]
-        return violations
+        return [*violations, *self._crash_violations()]
+
+    def _crash_violations(self) -> list[str]:
+        """Check that prompts which crash runners are kept from them soon after the fifth crash."""
+        crashes = self.fleet.crash_times("crashed")
+        self.counts["runners crashed by prompts"] = len(crashes)
+        if len(crashes) < CRASHES_TO_LEARN:
+            return []
+        late_s = crashes[CRASHES_TO_LEARN - 1] + CONTACT_S
+        late = sum(at_s > late_s for at_s in self.fleet.crash_times("arrived"))
+        return [f"{late} prompts that crash runners sent late"] if late > SENDS_AFTER else []
 
 
 def _type_of(resp: urllib3.BaseHTTPResponse) -> str:
@@ -208,13 +241,27 @@
     return "".join(chunk["choices"][0]["delta"]["content"] for chunk in chunks)
 
 
-def play(seed: int, seconds: float, entries: int = ENTRIES) -> Soak:
-    """Run a seed on a new fleet and check the invariants at the end."""
+def play(seed: int, seconds: float, entries: int = ENTRIES, first: str = "") -> Soak:
+    """Run a seed on a new fleet and check the invariants at the end.
+
+    ``first`` is the first fault; the others are drawn.
+    """
     FAULTY_TARGETS.clear()
-    options = Options(entries=entries, gap_s=0.01, log_level="error", proxied=True)
+    CRASHING.clear()
+    block = text_blocks(f"user\x1f{CRASHING_TEXT}".encode())[0].block_id
+    crash = CrashBlock(block, after_head=seed % 2 == 0)
+    options = Options(entries=entries, gap_s=0.01, log_level="error", proxied=True, crash=crash)
     with running_fleet(options) as fleet:
-        soak = Soak(fleet, seed)
-        soak.run(seconds)
+        soak = Soak(fleet, seed, first)
+        runners = [name for name in targets_of(fleet) if name.startswith(RUNNER_PREFIX)]
+        restarts = Restarts(
+            fleet, runners, lambda name: fleet.start_runner(int(name.rpartition("-")[2]))
+        )
+        restarts.start()
+        try:
+            soak.run(seconds)
+        finally:
+            restarts.close()
         soak.violations = soak.find_violations()
     return soak
 
@@ -230,12 +277,13 @@
     parser.add_argument(
         "--entries", type=int, default=ENTRIES, help="more than 12 make relays of some"
     )
+    parser.add_argument("--first", default="", choices=["", *FAULTS], help="the first fault")
     options = parser.parse_args()
     # Exits normally on SIGTERM, so that all processes that were started here are ended.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        soak = play(seed, options.seconds, options.entries)
+        soak = play(seed, options.seconds, options.entries, options.first)
         failed += bool(soak.violations)
         print(f"seed={seed} seconds={options.seconds:.0f}")
         for what, count in sorted(soak.counts.items()):
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -1,5 +1,6 @@
 """The faults of the soak, injected from outside the processes; each returns how to end it."""
 
+import contextlib
 import random
 import signal
 import tempfile
@@ -24,6 +25,11 @@
 MIN_DURATIONS_S: Final[dict[str, float]] = {}
 """Durations of faults that are checked only some time after they began."""
 
+MIN_CRASHING_S: Final = 9.0
+
+CRASHING: Final[set[str]] = set()
+"""Active faults in which callers send prompts that crash runners."""
+
 SLOW_S: Final = 0.4
 DELAY_S: Final = 0.3
 
@@ -130,6 +136,8 @@
 @fault("runner killed")
 def _runner_killed(fleet: Fleet, rng: random.Random) -> End:
     def kill(name: str) -> End:
+        if fleet.running[name].process.poll() is not None:
+            return _do_nothing
         fleet.kill(name)
 
         def restart() -> None:
@@ -166,8 +174,14 @@
 
 
 def _set_faults(fleet: Fleet, name: str, **values: float) -> End:
-    fleet.fault(name, **values)
-    return lambda: fleet.fault(name, **dict.fromkeys(values, 0.0))
+    _set(fleet, name, values)
+    return lambda: _set(fleet, name, dict.fromkeys(values, 0.0))
+
+
+def _set(fleet: Fleet, name: str, values: dict[str, float]) -> None:
+    # A target that a prompt has crashed is back later, without faults.
+    with contextlib.suppress(urllib3.exceptions.HTTPError):
+        fleet.fault(name, **values)
 
 
 def _register_link_fault(name: str, value: float, store: bool) -> None:
@@ -245,3 +259,14 @@
 @fault("cache store dead")
 def _cache_dead(fleet: Fleet, rng: random.Random) -> End:
     return _set_faults(fleet, "store-1", down=1.0)
+
+
+CRASHING_NAME: Final = "prompts that crash runners"
+MIN_DURATIONS_S[CRASHING_NAME] = MIN_CRASHING_S
+
+
+@fault(CRASHING_NAME)
+def _crashing_prompts(fleet: Fleet, rng: random.Random) -> End:
+    number = str(rng.random())
+    CRASHING.add(number)
+    return lambda: CRASHING.discard(number)
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
 from bench.fakes import SWAP_S, TOKEN_GAP_S, FakeTarget
@@ -40,6 +41,9 @@
 
 LINK_LATENCY_S: Final = 0.001
 CONNECT_TIMEOUT_S: Final = 0.35
+CRASH_DELAY_S: Final = 0.03
+"""Time from the head of a response that crashes its target to the end of the target."""
+
 MAX_EVENTS_WAIT_S: Final = 0.3
 SLOTS: Final = 64
 OK: Final = 200
@@ -51,12 +55,17 @@
 MS: Final = 1000.0
 
 
+SendKey = tuple[str, int, int]
+"""The entry, call and number of a send."""
+
+
 class TargetSide:
     """Carries out sends, reports and orders."""
 
     def __init__(self, world: "World") -> None:
         self._world = world
         self._cancelled: set[tuple[str, int, int]] = set()
+        self._under_way: dict[str, dict[SendKey, Callable[[], None]]] = {}
 
     def send(self, core: Gateway, send: SendCall) -> None:
         """Carry out a send, from the connection to the end of the response."""
@@ -70,7 +79,9 @@
         world = self._world
         target = world.targets.get(send.target_id)
         if target is None or target.dead:
-            self._fail(core, send, "unreachable", False, CONNECT_TIMEOUT_S)
+            crashed = target is not None and target.crashed
+            delay_s = LINK_LATENCY_S if crashed else CONNECT_TIMEOUT_S
+            self._fail(core, send, "unreachable", False, delay_s)
             return
         if send.target_id in world.stalled:
             # The connection is open but stalled: the core's timeout or the deadline ends the send.
@@ -154,6 +165,7 @@
             if core.cfg.name in world.paused:
                 world.after(MAX_EVENTS_WAIT_S, end)
                 return
+            self._under_way.get(target.name, {}).pop(key, None)
             world.record_complete(core, send.call_id)
             world.deliver(core.cfg.name, done)
 
@@ -168,6 +180,12 @@
         if prompt is None or directives is None:
             raise AssertionError("send of a prompt without cache directives")
         target.ran.add(request_id)
+        send_key = (core.cfg.name, send.call_id, send.number)
+        self._under_way.setdefault(target.name, {})[send_key] = lambda: self._fail(
+            core, send, "cut", True, LINK_LATENCY_S
+        )
+        if target.is_deadly(prompt):
+            target.deadly_arrivals.append(world.now_s)
         stores = {store.address: store for store in world.stores.values()}
         first_s = target.queue_prompt(prompt, directives, stores, world.now_s)
         target.waiting += 1
@@ -180,29 +198,51 @@
                 delay_s = first_s - world.now_s + SAVE_DELAY_S
                 world.after(delay_s, functools.partial(store.save, key, block.tokens))
         world.after(
-            first_s - world.now_s, lambda: self._first_token(core, send, target, request_id)
+            first_s - world.now_s,
+            functools.partial(self._first_token, core, send, target, target.started_ms),
         )
 
     def _first_token(
-        self, core: Gateway, send: SendCall, target: FakeTarget, request_id: str
+        self, core: Gateway, send: SendCall, target: FakeTarget, started_ms: int
     ) -> None:
         world = self._world
+        if target.started_ms != started_ms:
+            return
         target.waiting -= 1
+        request_id = world.calls[core.cfg.name, send.call_id]
         submitted = world.submitted[request_id]
         if (core.cfg.name, send.call_id, send.number) in self._cancelled:
             return
         if target.dead:
             self._fail(core, send, "cut", True, LINK_LATENCY_S)
             return
+        deadly = target.is_deadly(submitted.head.prompt)
+        if target.head_first or not deadly:
+            self._deliver_head(core, send, self._head(target, OK, request_id, False))
+        if deadly:
+            world.after(CRASH_DELAY_S, lambda: self.crash(target))
+            return
         world.first_token_s.setdefault(request_id, world.now_s - submitted.at_s)
-        self._deliver_head(core, send, self._head(target, OK, request_id, False))
         world.deliver_later(core, LINK_LATENCY_S, FirstEvent(send.call_id, send.number))
         target.running += 1
         decode_s = submitted.out_tokens * TOKEN_GAP_S
-        world.after(decode_s, lambda: setattr(target, "running", target.running - 1))
+        world.after(decode_s, functools.partial(target.end_run, started_ms))
         done = ResponseComplete(send.call_id, send.number, 0)
         self._complete(core, send, target, done, decode_s)
 
+    def crash(self, target: FakeTarget) -> None:
+        """End a target and all its work; it starts again later."""
+        if target.dead:
+            return
+        world = self._world
+        target.dead = target.crashed = True
+        target.crashes.append(world.now_s)
+        for key, fail in self._under_way.pop(target.name, {}).items():
+            if key not in self._cancelled:
+                self._cancelled.add(key)
+                fail()
+        world.after(target.restart_s, target.start)
+
     def poll_report(self, core: Gateway, poll: PollReport) -> None:
         """Deliver a runner's report."""
         world = self._world
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -16,7 +16,7 @@
 import zmq
 
 from filbertstream.names import digest_key
-from standins.processes import LOOPBACK, ROOT, Processes
+from standins.processes import LOOPBACK, ROOT, CrashBlock, Processes
 
 OPERATOR_KEY: Final = "operator-key"
 SERVICE_TARGETS: Final = 3
@@ -37,6 +37,8 @@
     strict: bool = True
     proxied: bool = False
     """Whether entries reach the object store and the targets through proxies that inject faults."""
+    crash: CrashBlock | None = None
+    """What crashes each runner that begins to respond to a prompt with it."""
 
 
 class Fleet(Processes):
@@ -87,6 +89,7 @@
         args = ["standins.platform_runner", "--id", name, "--service", service, *extra_args]
         args += ["--address", self._address_for(name)]
         args += ["--store", self.running["objects"].address]
+        args += self.target_args(name, self.options.crash if name.startswith("runner-") else None)
         args += ["--data-center", f"dc-{1 + (number - 1) % DATA_CENTERS}"]
         self.start_standin(name, args)
 
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -9,7 +9,7 @@
 import msgspec
 import yaml
 
-from standins.processes import LOOPBACK, Processes
+from standins.processes import LOOPBACK, CrashBlock, Processes
 
 KEY: Final = "key-of-w"
 MODEL: Final = "m"
@@ -86,9 +86,17 @@
 class PlatformFleet(Processes):
     """The processes of one deployment."""
 
-    def __init__(self, folder: Path, entries: int = 2, runners: int = 2, apps: int = 2) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        entries: int = 2,
+        runners: int = 2,
+        apps: int = 2,
+        crash: CrashBlock | None = None,
+    ) -> None:
         super().__init__(folder)
         self._sizes = (entries, runners, apps)
+        self._crash = crash
 
     def start(self) -> None:
         """Start everything and wait until the entries are ready."""
@@ -106,23 +114,24 @@
             lambda: all(self.lists_targets(f"e{n}", runners + apps) for n in range(1, entries + 1))
         )
 
-    def start_target(self, name: str, service: str, model: str, born: int = 1) -> None:
-        """Start a target; ``born`` distinguishes its starts under one name."""
+    def start_target(self, name: str, service: str, model: str) -> None:
+        """Start a target; each of its starts under one name has a ``born`` of its own."""
         args = ["standins.platform_runner", "--id", name, "--service", service]
         store = self.running["store"].address
-        args += ["--model", model, "--store", store, "--born", str(born)]
+        args += ["--model", model, "--store", store]
+        args += self.target_args(name, self._crash if model else None)
         self.start_standin(name, args)
 
     def start_entry(self, name: str) -> None:
         """Start an entry, on the same ports as before if it ran already."""
         caller_port, ready_port = self.port(name), self.port(f"{name} ready")
-        metrics_port = self.port(f"{name} metrics")
+        metrics_port, peer_port = self.port_pair(f"{name} metrics")
         settings = {
             "node_name": name,
             "ip": LOOPBACK,
             "zone": "dc1",
             "listen": {"front": f"{LOOPBACK}:{caller_port}", "ready": f"{LOOPBACK}:{ready_port}"},
-            "port_range": [metrics_port, metrics_port],
+            "port_range": [metrics_port, peer_port],
             "heartbeat_ms": 300,
             "limits": {"memory_mb": 300, "max_fds": 1000},
             "bounds": BOUNDS,
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -16,14 +16,20 @@
 request's id, ``run_s`` makes a plain call take longer, ``event_s`` is the time between events,
 ``limit_per_s`` names that request rate in all responses.
 
+A prompt with the block ``--crash-block`` ends the process when its response begins, with
+``--crash-after-head`` after the head.  ``--crash-record`` is a file that survives this: it gets a
+line with the time of each arrival of such a prompt and of each crash.
+
 ``arrivals`` of ``/counts`` lists the time of each request in seconds and the rate named then, or 0.
 """
 
 import hashlib
+import os
 import threading
 import time
 from collections import Counter
 from collections.abc import Iterable, Iterator
+from pathlib import Path
 from typing import Any, Final
 
 import msgspec
@@ -48,6 +54,8 @@
 EVENT_S: Final = 0.02
 SWAP_S: Final = 0.2
 STALL_S: Final = 30.0
+CRASHED: Final = 70
+HEAD_TO_CRASH_S: Final = 0.05
 
 
 def _reference(body: bytes) -> str:
@@ -203,12 +211,32 @@
         body: bytes,
     ) -> Iterable[bytes]:
         self._cache.read_prompt(environ)
+        if self._is_deadly(environ):
+            self._record("arrived")
         fields = {**headers, "Content-Type": "text/event-stream"}
         fields["Weight-Versions"] = str(self._weights)
         start("200 OK", list(fields.items()))
         first = int(environ.get("HTTP_LAST_EVENT_ID", "0") or 0) + 1
+        if self._is_deadly(environ):
+            return self._crash()
         return self._events(request_id, first, _event_data(environ, body))
 
+    def _is_deadly(self, environ: Environ) -> bool:
+        ids = [item.partition(":")[0] for item in environ.get("HTTP_PREFIX_HASH", "").split(",")]
+        return bool(self._options.crash_block) and self._options.crash_block in ids
+
+    def _record(self, what: str) -> None:
+        with Path(self._options.crash_record).open("a") as record:
+            record.write(f"{what} {time.monotonic()}\n")
+
+    def _crash(self) -> Iterator[bytes]:
+        """End the process, possibly after a comment that makes the server send the head."""
+        if self._options.crash_after_head:
+            yield b": ok\n\n"
+            time.sleep(HEAD_TO_CRASH_S)
+        self._record("crashed")
+        os._exit(CRASHED)
+
     def _events(self, request_id: str, first: int, tokens: list[str]) -> Iterator[bytes]:
         cut, stall = self._faults.take("cut_stream"), self._faults.take("stall")
         try:
@@ -274,6 +302,9 @@
     found.add_argument("--event-s", type=float, default=EVENT_S)
     found.add_argument("--cache-tokens", type=int, default=CACHE_TOKENS)
     found.add_argument("--born", type=int, default=1)
+    found.add_argument("--crash-block", default="")
+    found.add_argument("--crash-after-head", action="store_true")
+    found.add_argument("--crash-record", default=os.devnull)
     options = found.parse_args()
     faults = Faults()
     target = Target(options, faults)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Final, NamedTuple
@@ -109,11 +110,19 @@
         return f"http://{self.address}"
 
 
+class CrashBlock(NamedTuple):
+    """A block that crashes runners, and whether they send the head of the response before."""
+
+    block_id: str
+    after_head: bool
+
+
 class Processes:
     """Processes by name; ``close`` ends only those that were started here."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
+        self._starts: Counter[str] = Counter()
         self.running: dict[str, Running] = {}
         self.http = urllib3.PoolManager(retries=False, timeout=CALL_TIMEOUT_S, maxsize=64)
         self._ports: dict[str, int] = {}
@@ -124,6 +133,15 @@
             self._ports[name] = free_port()
         return self._ports[name]
 
+    def port_pair(self, name: str) -> tuple[int, int]:
+        """Return two adjacent ports allocated for a name, the same on each call."""
+        if name not in self._ports:
+            port = free_port()
+            while (other := free_port()) != port - 1:
+                port = other
+            self._ports[name] = other
+        return self._ports[name], self._ports[name] + 1
+
     def spawn(self, name: str, args: list[str], address: str, control: str) -> None:
         """Start a Python module with its command-line arguments."""
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -139,6 +157,27 @@
             )
         self.running[name] = Running(process, address, control, log)
 
+    @property
+    def crash_record(self) -> Path:
+        """The file with the arrivals of prompts that crash runners, and with the crashes."""
+        return self.folder / "crashes.txt"
+
+    def crash_times(self, what: str) -> list[float]:
+        """Return the times of what was recorded: ``arrived`` or ``crashed``."""
+        if not self.crash_record.exists():
+            return []
+        lines = [line.split() for line in self.crash_record.read_text().splitlines()]
+        return sorted(float(at_s) for kind, at_s in lines if kind == what)
+
+    def target_args(self, name: str, crash: CrashBlock | None) -> list[str]:
+        """Return the arguments of a target that differ by start, and how prompts crash it."""
+        self._starts[name] += 1
+        args = ["--born", str(self._starts[name])]
+        if crash is not None:
+            args += ["--crash-block", crash.block_id, "--crash-record", str(self.crash_record)]
+            args += ["--crash-after-head"] if crash.after_head else []
+        return args
+
     def start_standin(self, name: str, args: list[str]) -> None:
         """Start a stand-in, on the same ports as before if it ran already."""
         address = f"{LOOPBACK}:{self.port(name)}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,10 @@
 """A short soak; ``bench.soak`` runs more and longer ones.  Results rest on counts and bytes."""
 
 from bench.soak import play
+from bench.soak_faults import CRASHING_NAME
 
 SECONDS = 8.0
+CRASHING_SECONDS = 14.0
 SEED = 1
 
 
@@ -12,3 +14,10 @@
     assert soak.violations == []
     assert soak.counts["prompt complete"] > 0
     assert soak.counts["bookings run"] > 0
+
+
+def test_runners_keep_crashing_at_prompts_while_other_faults_overlap() -> None:
+    """Callers send a block that crashes runners, which are back after some seconds."""
+    soak = play(SEED, CRASHING_SECONDS, first=CRASHING_NAME)
+    assert soak.violations == []
+    assert soak.counts["runners crashed by prompts"] > 0
