--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -15,7 +15,8 @@
 from filbertstream.connection.caller_connection import CallerConnection, RawRequest
 from filbertstream.connection.proxied_send import ProxiedCall, ProxiedSend
 from filbertstream.connection.response_format import PassThroughFormat, ResponseFormat
-from filbertstream.connection.target_connection import TargetConnectionPool, call_target
+from filbertstream.connection.target_call import call_target
+from filbertstream.connection.target_connection import TargetConnectionPool
 from filbertstream.gateway import Gateway
 from filbertstream.gateway_events import GatewayAction
 from filbertstream.platform.cache_calls import (
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -15,11 +15,11 @@
 
 from filbertstream.connection.caller_connection import CallerConnection, RawRequest
 from filbertstream.connection.event_relay import EVENT_LIMIT_BYTES, EventRelay
+from filbertstream.connection.target_call import call_target
 from filbertstream.connection.target_connection import (
     HEAD_LIMIT_BYTES,
     SKIPPED_LIMIT_BYTES,
     TargetConnectionPool,
-    call_target,
 )
 from filbertstream.platform.headers import Headers
 from filbertstream.platform.objects import RESPONSE_LIMIT_BYTES, ObjectStore, ObjectStoreFailure
