--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -18,6 +18,7 @@
     product_kinds,
     publish_kind,
 )
+from filbertstream.fleet.quarantine import RemoveQuarantine, WriteQuarantine
 from filbertstream.gateway import Gateway
 from filbertstream.gateway_events import (
     LeaseWritten,
@@ -26,7 +27,13 @@
     RemoveEntry,
     WriteEntry,
 )
-from filbertstream.platform.documents import ENTRIES_KIND, KEYS_KIND, LEASES_KIND, MS
+from filbertstream.platform.documents import (
+    ENTRIES_KIND,
+    KEYS_KIND,
+    LEASES_KIND,
+    MS,
+    QUARANTINE_KIND,
+)
 from filbertstream.platform.objects import ObjectStoreFailure
 from filbertstream.process.rollout_lease import WriteLease
 from filbertstream.process.target_registration import TargetRegistration
@@ -183,6 +190,22 @@
         objects = self._world.objects
         self._call(core, lambda: objects.remove(ENTRIES_KIND, remove.name), lambda result: None)
 
+    def write_quarantine(self, core: Gateway, write: WriteQuarantine) -> None:
+        """Write a quarantine record."""
+        objects, record = self._world.objects, write.record
+
+        def make() -> Any:
+            if write.revision == 0:
+                return objects.create(QUARANTINE_KIND, record.name, record)
+            return objects.replace(QUARANTINE_KIND, record.name, record, write.revision)
+
+        self._call(core, make, lambda result: None)
+
+    def remove_quarantine(self, core: Gateway, remove: RemoveQuarantine) -> None:
+        """Remove a quarantine record."""
+        objects = self._world.objects
+        self._call(core, lambda: objects.remove(QUARANTINE_KIND, remove.name), lambda result: None)
+
     def key_call(
         self, core: Gateway, call: KeyCall, on_result: Callable[[KeyResponse], None]
     ) -> None:
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING, Final
 
 from bench.fakes import SWAP_S, TOKEN_GAP_S, FakeTarget
+from filbertstream.connection.target_probe import CLOSE_WAIT_S as PROBE_CLOSE_S
+from filbertstream.fleet.crash_detector import ProbeOutcome, ProbeTarget, TargetProbed
 from filbertstream.gateway import Gateway
 from filbertstream.process.cache_stores import (
     BlocksFreed,
@@ -243,6 +245,18 @@
                 fail()
         world.after(target.restart_s, target.start)
 
+    def probe(self, core: Gateway, probe: ProbeTarget) -> None:
+        """Deliver whether a target listens."""
+        world = self._world
+        target = world.targets.get(probe.start.target_id)
+        if target is None or target.crashed:
+            outcome, delay_s = ProbeOutcome.REFUSED, 2 * LINK_LATENCY_S
+        elif target.dead or target.name in world.stalled:
+            outcome, delay_s = ProbeOutcome.NO_RESPONSE, CONNECT_TIMEOUT_S
+        else:
+            outcome, delay_s = ProbeOutcome.ACCEPTED, PROBE_CLOSE_S
+        world.deliver_later(core, delay_s, TargetProbed(probe.start, outcome))
+
     def poll_report(self, core: Gateway, poll: PollReport) -> None:
         """Deliver a runner's report."""
         world = self._world
--- a/bench/world.py
+++ b/bench/world.py
@@ -18,6 +18,8 @@
 from bench.targets import TargetSide
 from filbertstream.actions import Log, SendPeer
 from filbertstream.connection.document_store import ApplyResult, DocumentStore
+from filbertstream.fleet.crash_detector import ProbeTarget
+from filbertstream.fleet.quarantine import RemoveQuarantine, WriteQuarantine
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     PeerMessage,
@@ -148,10 +150,13 @@
             PollCacheEvents: self.target_side.poll_cache_events,
             ListCacheBlocks: self.target_side.list_cache_blocks,
             FreeBlocks: self.target_side.free_blocks,
+            ProbeTarget: self.target_side.probe,
             PublishKind: self.platform.publish,
             WriteLease: self.platform.write_lease,
             WriteEntry: self.platform.write_entry,
             RemoveEntry: self.platform.remove_entry,
+            WriteQuarantine: self.platform.write_quarantine,
+            RemoveQuarantine: self.platform.remove_quarantine,
             ClaimKey: lambda core, claim: self._run_key_steps(core, claim_steps(claim)),
             SettleKey: lambda core, settle: self._run_key_steps(core, settle_steps(settle)),
             StopProcess: lambda core, action: self.deliver(core.cfg.name, StopRequested()),
--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -17,6 +17,8 @@
 from filbertstream.connection.response_format import PassThroughFormat, ResponseFormat
 from filbertstream.connection.target_call import call_target
 from filbertstream.connection.target_connection import TargetConnectionPool
+from filbertstream.connection.target_probe import probe
+from filbertstream.fleet.crash_detector import ProbeOutcome, ProbeTarget, TargetProbed
 from filbertstream.gateway import Gateway
 from filbertstream.gateway_events import GatewayAction
 from filbertstream.platform.cache_calls import (
@@ -38,6 +40,7 @@
     PollCacheEvents,
 )
 from filbertstream.process.clock import boot_time_s
+from filbertstream.process.deployment import Address
 from filbertstream.request.call import CallHead
 from filbertstream.request.call_events import (
     AbortResponse,
@@ -98,6 +101,7 @@
             AbortResponse: self._abort,
             PollCacheEvents: lambda poll: self._spawn(self._poll_cache_events(poll)),
             ListCacheBlocks: lambda action: self._spawn(self._list_cache(action)),
+            ProbeTarget: self._probe_target,
             FreeBlocks: lambda free: self._spawn(self._free_blocks(free)),
         }
 
@@ -246,6 +250,17 @@
         if response is not None and response[0] in FREED_STATUSES:
             self.emit(BlocksFreed(free.holder, free.keys))
 
+    def _probe_target(self, action: ProbeTarget) -> None:
+        self.probe(action.address, lambda outcome: self.emit(TargetProbed(action.start, outcome)))
+
+    def probe(self, address: Address, on_outcome: Callable[[ProbeOutcome], None]) -> None:
+        """Probe whether a target still listens."""
+
+        async def report() -> None:
+            on_outcome(await probe(address))
+
+        self._spawn(report())
+
     def _current_send(self, call_id: int, number: int) -> ProxiedSend | None:
         call = self._calls.get(call_id)
         send = None if call is None else call.send
--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -14,7 +14,6 @@
 import httptools
 
 from filbertstream.platform.headers import Headers, decode_response, keep_alive_s
-from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import ResponseHead
 
--- a/filbertstream/connection/v1_responses.py
+++ b/filbertstream/connection/v1_responses.py
@@ -15,7 +15,7 @@
 from filbertstream.connection.response_format import Refusal
 from filbertstream.platform.headers import Headers
 from filbertstream.request.call import BufferedResponse
-from filbertstream.statuses import REASONS
+from filbertstream.statuses import REASONS, UNPROCESSABLE
 from filbertstream.texts import DEFAULT_TITLE_CODE, TITLES
 
 JSON: Final = "application/json"
@@ -25,6 +25,10 @@
 MAY_HAVE_RUN: Final = (502, 504)
 """Statuses of refusals of calls that may have run."""
 
+STATUSES: Final[dict[str, int]] = {"quarantined": UNPROCESSABLE}
+"""Statuses by code that differ from those on the platform, whose callers take no other status as
+the promise that a request has not run.  This one tells HTTP clients that a retry can't help."""
+
 
 class Problem(msgspec.Struct):
     """A problem document; ``run`` says whether the request may have run."""
@@ -45,7 +49,7 @@
     return Problem(
         code,
         TITLES[code],
-        refusal.status,
+        STATUSES.get(code, refusal.status),
         refusal.detail,
         run,
         request_id,
@@ -70,10 +74,11 @@
 
 def encode_refusal(request_id: str, refusal: Refusal) -> tuple[bytes, bytes]:
     """Return head and body of a refusal, with ``Retry-After`` if a retry can help."""
-    body = msgspec.json.encode(problem_of(request_id, refusal))
+    problem = problem_of(request_id, refusal)
+    body = msgspec.json.encode(problem)
     wait_s = refusal.retry_after_s
     extra = () if wait_s is None else (f"Retry-After: {max(1, math.ceil(wait_s))}",)
-    return encode_head(refusal.status, request_id, PROBLEM, len(body), extra), body
+    return encode_head(problem.status, request_id, PROBLEM, len(body), extra), body
 
 
 class ModelCall(NamedTuple):
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -12,6 +12,7 @@
 import msgspec
 from result import Err, Ok
 
+from filbertstream.connection.quarantine_watch import change_quarantine, list_quarantine
 from filbertstream.gateway_events import (
     ConfigurationObserved,
     EntriesConfirmed,
@@ -31,6 +32,7 @@
     DOCUMENTS_KIND,
     ENTRIES_KIND,
     LEASES_KIND,
+    QUARANTINE_KIND,
     TARGETS_KIND,
     WEIGHTS_KIND,
     decode_configuration,
@@ -263,6 +265,10 @@
     return RelayWatch(0.0, pause_s, TARGETS_MAX_AGE_FRACTION * bounds.drain_s)
 
 
+QUARANTINE_WAIT_S: Final = 5.0
+QUARANTINE_RELAY_WATCH: Final = RelayWatch(4.0, 0.0, 12.0, True)
+"""Peers tell one another of new records at once, so the object store's may be older."""
+
 ENTRIES_WAIT_S: Final = 2.0
 ENTRIES_PAUSE_S: Final = 0.5
 
@@ -349,6 +355,15 @@
             _unchanged_entries,
             ENTRIES_RELAY_WATCH,
         ),
+        WatchedKind(
+            QUARANTINE_KIND,
+            QUARANTINE_WAIT_S,
+            0.0,
+            list_quarantine,
+            change_quarantine,
+            _ignore_unchanged,
+            QUARANTINE_RELAY_WATCH,
+        ),
     )
 
 
--- /dev/null
+++ b/filbertstream/fleet/crash_verdicts.py
@@ -0,0 +1,172 @@
+"""Finds the block that the prompts at crashed runners have in common.
+
+A block is convicted if it was in a suspect prompt of several crashes that lie apart, and in no
+response that began since the first of them.  Of several such blocks the one is convicted that was
+not in use before, was in the most crashes, and lies deepest in the prompts; after that, its crashes
+do not speak against others any more.  So neither the first block of the prompts that crash runners,
+which sound prompts share, nor the blocks of calls that were at the same runners are convicted.
+
+>>> from filbertstream.fleet.crash_evidence import RunnerKind, SuspectPrompt
+>>> from filbertstream.process.target_registration import TargetStart
+>>> evidence = CrashEvidence(lambda model, block: False)
+>>> verdicts = CrashVerdicts(evidence, lambda model, block: False)
+>>> kind = RunnerKind("runners", "m", 1)
+>>> for at_s in (1.0, 5.0, 9.0):
+...     evidence.note_begun(kind, ("popular",), at_s - 0.5, at_s - 0.5)
+...     prompts = [SuspectPrompt(True, ("popular", "deadly"))]
+...     evidence.add(TargetStart("r1", int(at_s)), kind, prompts, at_s, at_s)
+>>> verdicts.verdict(9.0).block_id
+'deadly'
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Final, NamedTuple
+
+from filbertstream.fleet.crash_evidence import (
+    PROVEN_S,
+    Crash,
+    CrashEvidence,
+    IsConvicted,
+)
+
+CRASHES_TO_CONVICT: Final = 3
+"""Crashes after which a block is convicted that was in no response before."""
+
+CRASHES_TO_CONVICT_KNOWN: Final = 5
+"""The same for a block with which a response began within ``PROVEN_S`` before the first crash."""
+
+SEPARATE_S: Final = 0.1
+"""Crashes closer than this count as one: a rack, a switch or a service that fails at once."""
+
+SETTLE_HEAD_S: Final = 0.3
+"""Age from which a crash counts, so that acquittals of peers can arrive.  The latest crash counts
+at once if the others have settled: a block that was acquitted of them would not be suspected."""
+
+SETTLE_WAITING_S: Final = 1.0
+"""The same for a crash without a call that had a head, which a peer may still report."""
+
+LATEST_WAITING_S: Final = 0.15
+"""Age from which the latest crash counts if no call had a head."""
+
+VERDICT_DUE_S: Final = 2.0
+"""Time after a change within which it can lead to a verdict: the evidence has settled by then."""
+
+
+class Verdict(NamedTuple):
+    """A block that crashes runners, and the runners that it has crashed."""
+
+    model: str
+    block_id: str
+    crashes: tuple[str, ...]
+
+
+@dataclass
+class _Charge:
+    """What speaks against a block.
+
+    These are its crashes, those without a convicted block, those that have settled, and its depth
+    in prompts.
+    """
+
+    crashes: list[Crash] = field(default_factory=list)
+    unexplained: list[Crash] = field(default_factory=list)
+    settled: list[Crash] = field(default_factory=list)
+    depth: int = 0
+
+
+class _Suspects(NamedTuple):
+    """The blocks that may have caused a crash, with their depth in a prompt."""
+
+    blocks: dict[str, int]
+    settled: bool
+
+
+class CrashVerdicts:
+    """The verdicts that the evidence of an entry allows."""
+
+    def __init__(self, evidence: CrashEvidence, is_convicted: IsConvicted) -> None:
+        self._evidence = evidence
+        self._is_convicted = is_convicted
+
+    def verdict(self, now_s: float) -> Verdict | None:
+        """Return the block that speaks most for having caused crashes, if the evidence suffices.
+
+        Once it counts as convicted, its crashes no longer speak against other blocks.
+        """
+        if now_s - self._evidence.changed_at_s > VERDICT_DUE_S:
+            return None
+        charges = self._charges(now_s)
+        convicted = [
+            (self._is_known(key, charge), -len(separate(charge.unexplained)), -charge.depth, key)
+            for key, charge in charges.items()
+            if self._suffices(key, charge)
+        ]
+        if not convicted:
+            return None
+        model, block = min(convicted)[-1]
+        crashes = sorted(charges[model, block].crashes, key=lambda item: item.at_s)
+        targets = dict.fromkeys(item.start.target_id for item in crashes)
+        return Verdict(model, block, tuple(targets))
+
+    def _charges(self, now_s: float) -> dict[tuple[str, str], _Charge]:
+        charges: dict[tuple[str, str], _Charge] = {}
+        for crash in self._evidence.crashes():
+            suspects = self._suspects(crash, now_s)
+            explained = any(
+                self._is_convicted(crash.kind.model, block) for block in suspects.blocks
+            )
+            for block, depth in suspects.blocks.items():
+                if self._is_convicted(crash.kind.model, block):
+                    continue
+                charge = charges.setdefault((crash.kind.model, block), _Charge())
+                charge.crashes.append(crash)
+                charge.unexplained += [] if explained else [crash]
+                charge.settled += [crash] if suspects.settled else []
+                charge.depth = max(charge.depth, depth)
+        return charges
+
+    def _suspects(self, crash: Crash, now_s: float) -> _Suspects:
+        """Return the blocks that may have caused a crash: those with a head if there are any."""
+        age_s = now_s - crash.at_s
+        for head_received, from_s, settle_s in (
+            (True, 0.0, SETTLE_HEAD_S),
+            (False, LATEST_WAITING_S, SETTLE_WAITING_S),
+        ):
+            blocks = {
+                block: depth
+                for prompt in crash.prompts
+                if prompt.head_received is head_received
+                for depth, block in enumerate(prompt.blocks)
+                if not self._evidence.is_acquitted(crash, block)
+            }
+            if blocks:
+                return _Suspects(blocks if age_s >= from_s else {}, age_s >= settle_s)
+        return _Suspects({}, True)
+
+    def _is_known(self, key: tuple[str, str], charge: _Charge) -> bool:
+        """Whether a response with a block began shortly before its first crash."""
+        first_s = min(crash.at_s for crash in charge.crashes)
+        kinds = {crash.kind for crash in charge.crashes}
+        found = [self._evidence.began_at_s(kind, key[1]) for kind in kinds]
+        return any(at_s is not None and first_s - at_s < PROVEN_S for at_s in found)
+
+    def _suffices(self, key: tuple[str, str], charge: _Charge) -> bool:
+        known = self._is_known(key, charge)
+        needed = CRASHES_TO_CONVICT_KNOWN if known else CRASHES_TO_CONVICT
+        if len(separate(charge.settled)) < needed - 1:
+            return False
+        unexplained = len(separate(charge.unexplained))
+        # A block that was in all crashes of a convicted one, and crashes without it, was the cause.
+        return unexplained >= needed or (
+            unexplained >= 1 and len(separate(charge.crashes)) > needed
+        )
+
+
+def separate(crashes: Iterable[Crash]) -> list[float]:
+    """Return the times of crashes that are far enough apart to be independent."""
+    found: list[float] = []
+    for at_s in sorted(crash.at_s for crash in crashes):
+        if not found or at_s - found[-1] >= SEPARATE_S:
+            found.append(at_s)
+    return found
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -10,6 +10,9 @@
 from typing import Any, Final, NamedTuple
 
 from filbertstream.actions import Log
+from filbertstream.fleet.crash_detector import TargetProbed
+from filbertstream.fleet.crash_watch import CrashWatch
+from filbertstream.fleet.quarantine import QuarantineListed, QuarantineObserved
 from filbertstream.gateway_events import (
     BoundsChanged,
     ConfigurationObserved,
@@ -133,7 +136,9 @@
         self.request_rates = RequestRates(self.counters)
         self.rate_shares = RateShares(cfg.name, self.peers.any_peer_current)
         self.rate_admission = RateAdmission(self.request_rates, self.rate_shares)
-        self.exchange = WorkExchange(self.peers, self.relays, self.request_rates)
+        self.crash_watch = CrashWatch(cfg.name, self.roster, bool(cfg.followed), self.counters, rng)
+        facts = self.crash_watch.facts
+        self.exchange = WorkExchange(self.peers, self.relays, self.request_rates, facts)
         self.relayed_view = RelayedView(cfg.followed, self.relays, self.peers, self.roster)
         self.stores = CacheStores(self.index, rng, self.peers.reads, self.relays)
         self.cache_updates = CacheUpdateExchange(self.peers, self.relays, self.stores)
@@ -167,6 +172,10 @@
             self.burn,
             self.request_rates,
             self.rate_admission,
+            self.crash_watch.evidence,
+            self.crash_watch.detector,
+            self.crash_watch.trials,
+            self.crash_watch.quarantine,
             rng,
         )
         self.forwarding = Forwarding(dependencies)
@@ -187,10 +196,13 @@
             self.peers,
             self.exchange,
             self.request_rates,
+            facts,
             self.cache_updates,
             self.relayed_view,
         )
-        self.target_registrations = TargetRegistrations(self.roster, self.index)
+        self.target_registrations = TargetRegistrations(
+            self.roster, self.index, self.crash_watch.detector.on_gone
+        )
         self.stopping = False
         self._failed_kinds: dict[str, str] = {}
         self._next_lease_tick_s = 0.0
@@ -219,6 +231,9 @@
             CacheEventsFailed: self._on_cache_events_failed,
             CacheBlocksListed: self._on_cache_listed,
             BlocksFreed: self._on_blocks_freed,
+            TargetProbed: self._forward(self.crash_watch.detector.on_probed),
+            QuarantineListed: self._forward(self.crash_watch.quarantine.on_listed),
+            QuarantineObserved: self._forward(self.crash_watch.quarantine.on_observed),
             EntriesListed: self._forward(self.entry_registrations.on_listed),
             EntriesConfirmed: self._forward(self.entry_registrations.on_confirmed),
             EntryObserved: self._forward(self.entry_registrations.on_entry),
@@ -353,6 +368,7 @@
         if self._failed_kinds:
             self.roster.note_object_store_failure(now_s)
         actions += self.target_registrations.tick(now_s)
+        actions += self.crash_watch.tick(now_s)
         self.rate_admission.expire(self.roster.starts, now_s)
         actions += self.stores.tick(now_s)
         followers = self.relayed_view.followers(now_s)
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -6,6 +6,8 @@
 from typing import NamedTuple, TypeAlias
 
 from filbertstream.actions import Log, SendPeer
+from filbertstream.fleet.crash_detector import ProbeTarget
+from filbertstream.fleet.quarantine import RemoveQuarantine, WriteQuarantine
 from filbertstream.messages import PeerPayload
 from filbertstream.process.cache_stores import FreeBlocks, ListCacheBlocks, PollCacheEvents
 from filbertstream.process.deployment import Bounds
@@ -158,4 +160,7 @@
     | StopProcess
     | SendPeer
     | PublishKind
+    | ProbeTarget
+    | WriteQuarantine
+    | RemoveQuarantine
 )
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -24,35 +24,29 @@
 from filbertstream.connection.idempotency_key_store import IdempotencyKeyStore
 from filbertstream.connection.kind_watcher import KindWatcher, WatchGate
 from filbertstream.connection.loop_exception_handler import LoopExceptionHandler
+from filbertstream.connection.object_writes import ObjectWrites
 from filbertstream.connection.peer_link import PeerLink
 from filbertstream.connection.watched_kinds import (
-    ROLLOUT_LEASE_NAME,
     WatchedKind,
-    emit_lease_record,
     publish_kind,
     watched_kinds,
 )
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     BoundsChanged,
-    LeaseWritten,
     PeerMessage,
     PublishKind,
-    RemoveEntry,
     StopProcess,
     StopRequested,
     Tick,
-    WriteEntry,
 )
 from filbertstream.log_events import LogEvent
-from filbertstream.platform.documents import ENTRIES_KIND, LEASES_KIND
-from filbertstream.platform.objects import ObjectStore, ObjectStoreFailure
+from filbertstream.platform.objects import ObjectStore
 from filbertstream.platform.runner_calls import RunnerCalls
 from filbertstream.platform.settings_file import read_settings_file
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address, Deployment
 from filbertstream.process.logs import BoundedStream, EventLog
-from filbertstream.process.rollout_lease import WriteLease
 from filbertstream.process.store_view import KindDelta
 from filbertstream.request.idempotency_keys import ClaimKey, SettleKey
 from filbertstream.version.rollout import OrderWeights, PollReport
@@ -132,9 +126,8 @@
             address = f"tcp://{deployment.peers}"
             key_file = None if self._product is None else self._product.peer_key_file
             self._peers = PeerLink(address, key_file, self.core.counters, host)
-        self.gateway_io.handlers[WriteLease] = self._write_lease
-        self.gateway_io.handlers[WriteEntry] = self._write_entry
-        self.gateway_io.handlers[RemoveEntry] = self._remove_entry
+        writes = ObjectWrites(self._object_store, self._submit, self.emit_soon)
+        self.gateway_io.handlers.update(writes.handlers())
         self.gateway_io.handlers[PublishKind] = self._publish_kind
         self.gateway_io.handlers[PollReport] = self._poll_report
         self.gateway_io.handlers[OrderWeights] = self._order
@@ -307,25 +300,6 @@
         if loop is not None and not loop.is_closed():
             loop.call_soon_threadsafe(self.gateway_io.emit, event)
 
-    def _write_lease(self, write: WriteLease) -> None:
-        self._submit(self._write_lease_now, write)
-
-    def _write_lease_now(self, write: WriteLease) -> None:
-        if write.revision == 0:
-            result = self._object_store.create(LEASES_KIND, ROLLOUT_LEASE_NAME, write.record)
-        else:
-            result = self._object_store.replace(
-                LEASES_KIND, ROLLOUT_LEASE_NAME, write.record, write.revision
-            )
-        match result:
-            case Ok(written):
-                if not written.done:
-                    self.emit_soon(LeaseWritten(True))
-                if written.present is not None:
-                    emit_lease_record(written.present, self.emit_soon)
-            case Err(failure):
-                self.emit_soon(LeaseWritten(failure is ObjectStoreFailure.REFUSED))
-
     def _update_gate(self, now_s: float) -> None:
         """Make the watchers read the kinds that no relay provides."""
         relayed_view = self.core.relayed_view
@@ -367,19 +341,6 @@
         if settled is not None:
             self.emit_soon(settled)
 
-    def _write_entry(self, write: WriteEntry) -> None:
-        self._submit(self._write_entry_now, write)
-
-    def _write_entry_now(self, write: WriteEntry) -> None:
-        """Register this entry; a conflicting object shows up in the watch and triggers a retry."""
-        if write.revision == 0:
-            self._object_store.create(ENTRIES_KIND, write.name, write.record)
-        else:
-            self._object_store.replace(ENTRIES_KIND, write.name, write.record, write.revision)
-
-    def _remove_entry(self, remove: RemoveEntry) -> None:
-        self._submit(self._object_store.remove, ENTRIES_KIND, remove.name)
-
     def _poll_report(self, poll: PollReport) -> None:
         target = self.core.roster.targets.get(poll.target_id)
         if target is not None:
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -41,6 +41,9 @@
     RATE_NAMED = 413
     RATE_ENDED = 414
     RATE_MALFORMED = 415
+    TARGET_CRASHED = 416
+    BLOCK_QUARANTINED = 417
+    BLOCK_RELEASED = 418
     MEMBER_JOINED = 500
     PLATFORM_LOST = 600
     PLATFORM_BACK = 601
@@ -82,6 +85,9 @@
     LogEvent.RATE_NAMED: "A target limits the requests per second from all entries together.",
     LogEvent.RATE_ENDED: "A target does not limit its request rate any more.",
     LogEvent.RATE_MALFORMED: "A target named a request rate that is no number; it is ignored.",
+    LogEvent.TARGET_CRASHED: "A runner crashed; the blocks of prompts that may have caused it.",
+    LogEvent.BLOCK_QUARANTINED: "Prompts with a block crash runners and are refused from now on.",
+    LogEvent.BLOCK_RELEASED: "Prompts with a quarantined block are accepted again.",
     LogEvent.MEMBER_JOINED: "Peers registered; the line lists the first ones by name.",
     LogEvent.PLATFORM_LOST: "A call to the platform's object store failed.",
     LogEvent.PLATFORM_BACK: "The platform's object store responds again.",
--- a/filbertstream/messages.py
+++ b/filbertstream/messages.py
@@ -39,25 +39,28 @@
     """The sender's work in progress at each target.
 
     ``is_current`` states whether the sender is ready: it has a configuration that was confirmed
-    recently, and it is not stopping.  ``rates`` are the limits that responses to the sender named.
+    recently, and it is not stopping.  ``rates`` are the limits that responses to the sender named,
+    ``facts`` the facts that it knows itself, by kind (``fleet.facts``).
     """
 
     member: str
     rows: tuple[WorkRow, ...]
     is_current: bool = True
     rates: tuple[RateRow, ...] = ()
+    facts: dict[str, msgspec.Raw] = {}
 
 
 class GroupWork(msgspec.Struct, frozen=True, tag="group", array_like=True):
     """The sum of the work in progress of a relay and its followers at each target.
 
-    ``rates`` are the limits that responses to any of them named.
+    ``rates`` are the limits that responses to any of them named, ``facts`` what any of them knows.
     """
 
     relay: str
     rows: tuple[WorkRow, ...]
     is_current: bool
     rates: tuple[RateRow, ...] = ()
+    facts: dict[str, msgspec.Raw] = {}
 
 
 class FleetWorkRow(NamedTuple):
@@ -80,6 +83,7 @@
     rows: tuple[FleetWorkRow, ...]
     is_current: bool
     rates: tuple[RateRow, ...] = ()
+    facts: dict[str, msgspec.Raw] = {}
 
 
 class CacheUpdateRow(NamedTuple):
--- a/filbertstream/process/peer_messages.py
+++ b/filbertstream/process/peer_messages.py
@@ -3,6 +3,8 @@
 from typing import Any, TypeAlias
 
 from filbertstream.actions import Log, SendPeer
+from filbertstream.fleet.facts import FactExchange
+from filbertstream.fleet.scope import Scope
 from filbertstream.gateway_events import PeerMessage, PublishKind
 from filbertstream.messages import (
     CacheUpdate,
@@ -17,7 +19,7 @@
 from filbertstream.process.cache_updates import CacheUpdateExchange
 from filbertstream.process.peer_work import PeerWork
 from filbertstream.process.relayed_view import RelayedView
-from filbertstream.process.request_rates import RequestRates, Scope
+from filbertstream.process.request_rates import RequestRates
 from filbertstream.process.roster import Roster
 from filbertstream.process.work_exchange import WorkExchange
 
@@ -32,12 +34,14 @@
         peers: PeerWork,
         exchange: WorkExchange,
         rates: RequestRates,
+        facts: FactExchange,
         cache_updates: CacheUpdateExchange,
         relayed_view: RelayedView,
     ) -> None:
         self._peers = peers
         self._exchange = exchange
         self._rates = rates
+        self._facts = facts
         self._cache_updates = cache_updates
         self._relayed_view = relayed_view
 
@@ -47,13 +51,13 @@
         actions: list[Action] = []
         if isinstance(message, EntryWork):
             self._peers.on_work(message, now_s)
-            actions += self._rates.on_report(message.rates, Scope.GROUP, now_s)
+            actions += self._take_reports(message, Scope.GROUP, now_s)
         elif isinstance(message, GroupWork):
             self._peers.on_group(message, now_s)
-            actions += self._rates.on_report(message.rates, Scope.FLEET, now_s)
+            actions += self._take_reports(message, Scope.FLEET, now_s)
         elif isinstance(message, FleetWork):
             self._peers.on_fleet(message, now_s)
-            actions += self._rates.on_report(message.rates, Scope.FLEET, now_s)
+            actions += self._take_reports(message, Scope.FLEET, now_s)
         elif isinstance(message, CacheUpdate):
             self._cache_updates.on_update(message, now_s)
         elif isinstance(message, CacheUpdateBatch):
@@ -64,6 +68,12 @@
             actions += self._relayed_view.on_view_response(message, now_s)
         return actions
 
+    def _take_reports(
+        self, message: EntryWork | GroupWork | FleetWork, scope: Scope, now_s: float
+    ) -> list[Log]:
+        rates = self._rates.on_report(message.rates, scope, now_s)
+        return [*rates, *self._facts.take(message.facts, scope, now_s)]
+
     def due(
         self, roster: Roster, is_current: bool, followers: list[str], now_s: float
     ) -> list[SendPeer]:
--- a/filbertstream/process/read_backoff.py
+++ b/filbertstream/process/read_backoff.py
@@ -1,8 +1,9 @@
 """Backoff of the reads of an object store that does not respond.
 
-Load pattern handled: hundreds of entries that each follow five kinds of objects, while the object
+Load pattern handled: hundreds of entries that each follow six kinds of objects, while the object
 store is down or refuses calls.  Refused calls are metered too.  So while reads of the first kind
-fail, the other kinds are deferred after their second failure.  An entry that follows through a
+fail, the other kinds are deferred after their second failure, or their first one if that of the
+first kind was not the only one.  An entry that follows through a
 relay backs off longer, since the relay will report that the object store responds again.
 
 >>> backoff = ReadBackoff(("config", "servers"))
@@ -49,7 +50,8 @@
         """Whether reads of a kind wait until a read of the first kind succeeds."""
         if kind == self._first or not self._failures[self._first]:
             return False
-        return self._failures[kind] >= DEFER_AFTER_FAILURES
+        failed_again = self._failures[self._first] >= DEFER_AFTER_FAILURES
+        return self._failures[kind] >= (1 if failed_again else DEFER_AFTER_FAILURES)
 
     def retry_s(self, kind: str, uses_relay: bool) -> float:
         """Return the pause before the next call; it may be longer for an entry with a relay."""
--- a/filbertstream/process/request_rates.py
+++ b/filbertstream/process/request_rates.py
@@ -10,12 +10,12 @@
 a response to a later request shows otherwise.  A limit that nothing contradicts holds for any time.
 """
 
-import enum
 import heapq
 from collections.abc import Container, Iterable
 from typing import Final, NamedTuple
 
 from filbertstream.actions import Log
+from filbertstream.fleet.scope import Scope
 from filbertstream.log_events import LogEvent
 from filbertstream.messages import RateRow
 from filbertstream.process.counters import Counters
@@ -36,19 +36,6 @@
 """Maximum number of targets in a report, those with the latest evidence; about 2 KB."""
 
 
-class Scope(enum.IntEnum):
-    """The origin of evidence: the scopes are nested, from this entry to the whole fleet."""
-
-    LOCAL = 0
-    """Responses to this entry."""
-
-    GROUP = 1
-    """Also those that peers have reported as their own, as followers do to their relay."""
-
-    FLEET = 2
-    """Also those that relays have passed on."""
-
-
 class Evidence(NamedTuple):
     """The rate that a target named, None without a limit, at some time within a period."""
 
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -6,7 +6,8 @@
 its relay (``process.relays``), the relays exchange the sums of their groups, and each follower gets
 one message with the work of the fleet: as many messages per entry at ten entries as at a thousand.
 The sums are hints for placement; nothing else depends on them.  In a small fleet each entry reports
-to all peers.  The messages also carry the rates to which targets limit their callers.
+to all peers.  The messages also carry the rates to which targets limit their callers, and facts
+(``fleet.facts``).
 """
 
 from typing import Final
@@ -14,6 +15,8 @@
 import msgspec
 
 from filbertstream.actions import SendPeer
+from filbertstream.fleet.facts import FactExchange
+from filbertstream.fleet.scope import Scope
 from filbertstream.messages import (
     EntryWork,
     FleetWork,
@@ -25,7 +28,7 @@
 )
 from filbertstream.process.peer_work import NO_WORK, PeerWork, WorkTotals
 from filbertstream.process.relays import Relays
-from filbertstream.process.request_rates import RequestRates, Scope
+from filbertstream.process.request_rates import RequestRates
 
 SEND_INTERVAL_S: Final = 0.08
 """Minimum interval between two messages of an entry of a small fleet."""
@@ -46,10 +49,13 @@
 class WorkExchange:
     """Creates the messages about work in progress when they are due."""
 
-    def __init__(self, peers: PeerWork, relays: Relays, rates: RequestRates) -> None:
+    def __init__(
+        self, peers: PeerWork, relays: Relays, rates: RequestRates, facts: FactExchange
+    ) -> None:
         self._peers = peers
         self._relays = relays
         self._rates = rates
+        self._facts = facts
         self._rates_sent_at_s = float("-inf")
         self._last_rates: dict[str, float | None] = {}
         self._sent_at_s = float("-inf")
@@ -70,10 +76,12 @@
             return []
         work = EntryWork(self._peers.local_name, _busiest(rows), is_current)
         rates = self._due_rates(Scope.LOCAL, now_s)
-        if work == self._last_sent and not rates and (since_s < REFRESH_INTERVAL_S or not rows):
+        facts = self._facts.due(Scope.LOCAL, now_s)
+        news = rates or facts
+        if work == self._last_sent and not news and (since_s < REFRESH_INTERVAL_S or not rows):
             return []
         self._last_sent, self._sent_at_s = work, now_s
-        work = msgspec.structs.replace(work, rates=rates)
+        work = msgspec.structs.replace(work, rates=rates, facts=facts)
         if small:
             return [SendPeer(address, work) for address in self._peers.addresses()]
         return self._send(self._relays.relay(now_s) or "", work)
@@ -102,11 +110,12 @@
         group = _busiest(_sum_rows([local, *reports.values()]))
         totals = _with_local(self._peers.totals(now_s), rows)
         rates = self._due_rates(Scope.FLEET, now_s)
-        unchanged = group == self._last_group and not rates
+        facts = self._facts.due(Scope.FLEET, now_s)
+        unchanged = group == self._last_group and not rates and not facts
         if unchanged and now_s - self._group_sent_at_s < REFRESH_INTERVAL_S:
             return []
         self._group_sent_at_s, self._last_group = now_s, group
-        was_idle, self._idle = self._idle, not (totals or rates)
+        was_idle, self._idle = self._idle, not (totals or rates or facts)
         if was_idle and self._idle:
             return []
         is_current = is_current or self._peers.any_peer_current(now_s)
@@ -115,12 +124,13 @@
         # the only other entry in contact with it.
         relays.add(self._relays.relay(now_s) or "")
         group_rates = self._rates.report(Scope.GROUP, now_s) if rates else ()
-        group_work = GroupWork(self._peers.local_name, group, is_current, group_rates)
+        group_facts = self._facts.of_kinds(facts, Scope.GROUP, now_s)
+        group_work = GroupWork(self._peers.local_name, group, is_current, group_rates, group_facts)
         messages = [item for name in sorted(relays) for item in self._send(name, group_work)]
         for name in followers:
             if name not in relays:
                 fleet = _fleet_rows(totals, reports.get(name, {}))
-                work = FleetWork(self._peers.local_name, fleet, is_current, rates)
+                work = FleetWork(self._peers.local_name, fleet, is_current, rates, facts)
                 messages += self._send(name, work)
         return messages
 
--- a/filbertstream/request/call_endings.py
+++ b/filbertstream/request/call_endings.py
@@ -3,6 +3,7 @@
 from typing import Final, TypeAlias
 
 from filbertstream.actions import Log
+from filbertstream.fleet.crash_detector import ProbeTarget
 from filbertstream.request import call_logs
 from filbertstream.request.authorization import Refused
 from filbertstream.request.call import BufferedResponse
@@ -26,13 +27,16 @@
 FULL_RETRY_S: Final = 0.25
 """A few times the duration of a service call; a queue that was full has shrunk by then."""
 
+SUSPECTED_RETRY_S: Final = 1.0
+"""About the time in which the trial of a suspected block ends."""
+
 RETRY_JITTER: Final = 0.5
 """Retries of callers that are refused together are spread over this fraction of the wait."""
 
 SERVED_OUTCOMES: Final = frozenset({"complete", "kept", "caller_left"})
 """Outcomes of calls that do not count as failures of this system."""
 
-Action: TypeAlias = CallAction | ClaimKey | SettleKey | Log
+Action: TypeAlias = CallAction | ClaimKey | SettleKey | Log | ProbeTarget
 
 
 class CallEndings:
@@ -72,7 +76,7 @@
             actions.append(AbortResponse(call.call_id))
             return [*actions, *self.end(call, code, now_s)]
         status, retry_after_s = self._refusal(call, code)
-        if rejected is not None and retry_after_s is not None:
+        if rejected is not None and not call.may_have_run:
             retry_after_s = rejected.retry_after_s
         refusal = RespondLocally(call.call_id, status, code, "", self.with_jitter(retry_after_s))
         inputs = () if rejected is None else rejected.inputs
@@ -86,6 +90,10 @@
     def _refusal(self, call: Call, code: str) -> tuple[int, float | None]:
         if call.may_have_run:
             return (GATEWAY_TIMEOUT if code == "deadline" else BAD_GATEWAY), None
+        if code == "suspected":
+            return UNAVAILABLE, SUSPECTED_RETRY_S
+        if code == "quarantined":
+            return UNAVAILABLE, None
         return UNAVAILABLE, FULL_RETRY_S if code == "targets_full" else NO_TARGET_RETRY_S
 
     def end(
--- a/filbertstream/request/call_state.py
+++ b/filbertstream/request/call_state.py
@@ -6,7 +6,9 @@
 import enum
 from dataclasses import dataclass, field
 
+from filbertstream.fleet.crash_evidence import RunnerKind
 from filbertstream.process.roster import RosterTarget
+from filbertstream.process.target_registration import TargetStart
 from filbertstream.request.call import CallHead
 from filbertstream.version.routes import Route, Service, Workspace
 
@@ -28,7 +30,9 @@
     the response to the current send has come.  ``claiming`` is set while the
     claim of the idempotency key is pending.  ``weights`` is the weight version that the current
     send expects.  ``prefill_tokens`` are the tokens of the current send that the runner has to
-    prefill, and ``ahead_tokens`` those that were queued there ahead of them.
+    prefill, and ``ahead_tokens`` those that were queued there ahead of them.  ``suspected_at`` and
+    ``suspected_kind`` are the start and kind of a runner that the call may have crashed, until it
+    is cleared.  ``succeeds`` is whether the current response has a status of success.
     """
 
     call_id: int
@@ -54,6 +58,10 @@
     failed_sends: int = 0
     claiming: bool = False
     queued_until_s: float | None = None
+    suspected_at: TargetStart | None = None
+    suspected_kind: RunnerKind | None = None
+    last_cause: str = ""
+    succeeds: bool = False
     first_s: float | None = None
 
     @property
--- /dev/null
+++ b/filbertstream/request/crash_reports.py
@@ -0,0 +1,86 @@
+"""Reports to ``fleet.crash_detector`` what the sends of prompts show of their runners."""
+
+from typing import Final
+
+from filbertstream.actions import Log
+from filbertstream.fleet.crash_detector import CrashState, CutOff, ProbeTarget
+from filbertstream.fleet.crash_evidence import RunnerKind
+from filbertstream.process.roster import RosterTarget
+from filbertstream.request.call import Prompt
+from filbertstream.request.call_state import Call, SendStage
+from filbertstream.request.forwarding_dependencies import ForwardingDependencies
+
+CUT_OFF_CAUSES: Final = frozenset({"cut", "reset"})
+"""Causes of failed sends for which the end of the runner's process may be the reason."""
+
+EVIDENCE_WAIT_S: Final = 0.4
+"""Time within which a probe ends and the evidence of peers arrives."""
+
+
+class CrashReports:
+    """What the sends of calls show of crashes."""
+
+    def __init__(self, dependencies: ForwardingDependencies) -> None:
+        self._evidence = dependencies.crash_evidence
+        self._detector = dependencies.crash_detector
+        self._trials = dependencies.crash_trials
+
+    def note_response(self, target: RosterTarget, now_s: float) -> None:
+        """Record that a runner responds."""
+        self._detector.on_response(target, now_s)
+
+    def note_begun(self, call: Call, target: RosterTarget, now_s: float) -> None:
+        """Record that a successful response has begun, which proves the blocks of its prompt."""
+        prompt = call.head.prompt
+        if prompt is not None:
+            kind = _kind(call, prompt, target)
+            self._evidence.note_begun(kind, _shared_blocks(prompt), now_s, now_s)
+
+    def note_failure(self, call: Call, cause: str, now_s: float) -> list[Log | ProbeTarget]:
+        """Record that a send failed; must be called before the call releases its target."""
+        target, prompt = call.target, call.head.prompt
+        if target is None or prompt is None or cause not in CUT_OFF_CAUSES:
+            return []
+        begun = call.stage is SendStage.BEGUN
+        kind = _kind(call, prompt, target)
+        blocks = None if begun else _shared_blocks(prompt)
+        if blocks and not self._evidence.is_proven(kind, blocks, now_s):
+            call.suspected_at = target.start
+            call.suspected_kind = kind
+            call.queued_until_s = now_s + EVIDENCE_WAIT_S
+        cut_off = CutOff(kind, call.stage is SendStage.HEAD, blocks)
+        return self._detector.on_cut_off(target, cut_off, now_s)
+
+    def may_try(self, prompt: Prompt, now_s: float) -> bool:
+        """Whether a prompt may be sent now, as far as its blocks are suspected."""
+        return self._trials.admits(prompt.model, _shared_blocks(prompt), now_s)
+
+    def may_resend(self, call: Call, now_s: float) -> bool | None:
+        """Return whether a call that may have crashed a runner can be sent to another one.
+
+        The result is None while evidence may still arrive.
+        """
+        start, kind, prompt = call.suspected_at, call.suspected_kind, call.head.prompt
+        if start is None or kind is None or prompt is None:
+            return True
+        blocks = _shared_blocks(prompt)
+        if self._detector.state(start) is CrashState.UNKNOWN:
+            return True
+        if self._evidence.is_proven(kind, blocks, now_s):
+            return True
+        if call.stage is SendStage.WAITING and self._evidence.has_other_suspect(
+            start, blocks, now_s
+        ):
+            return True
+        waits = call.queued_until_s is not None and now_s < call.queued_until_s
+        return None if waits else False
+
+
+def _kind(call: Call, prompt: Prompt, target: RosterTarget) -> RunnerKind:
+    weights = call.weights or target.weights.get(prompt.model, 0)
+    return RunnerKind(call.service.name, prompt.model, weights)
+
+
+def _shared_blocks(prompt: Prompt) -> tuple[str, ...]:
+    """Return the ids of all blocks but the last one, which only this prompt or session has."""
+    return tuple(block.block_id for block in prompt.blocks[:-1])
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -12,7 +12,7 @@
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request import call_logs
 from filbertstream.request.authorization import Refused
-from filbertstream.request.call import CacheDirectives
+from filbertstream.request.call import CacheDirectives, Prompt
 from filbertstream.request.call_endings import NO_TARGET_RETRY_S, Action, CallEndings
 from filbertstream.request.call_events import (
     CallArrived,
@@ -30,15 +30,13 @@
     SendStalled,
 )
 from filbertstream.request.call_state import Call, SendStage
+from filbertstream.request.crash_reports import CrashReports
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
 from filbertstream.request.idempotency_keys import KeyClaimed
 from filbertstream.request.placement import place_service_call
 from filbertstream.request.prompt_placer import LogFields, Rejection
-from filbertstream.request.send_timeouts import (
-    max_idle_s,
-    progress_timeout_s,
-    response_timeout_s,
-)
+from filbertstream.request.send_failures import TARGET_ERROR, SendFailures, note_progress
+from filbertstream.request.send_timeouts import max_idle_s, progress_timeout_s
 from filbertstream.request.target_feedback import TargetFeedback, release
 from filbertstream.request.target_selection import TargetSelection
 from filbertstream.statuses import (
@@ -61,6 +59,10 @@
 MAX_EXTRA_SENDS: Final = 2
 """Sends beyond the route's attempts, after responses that prove that the call has not run."""
 
+HOLD_RECHECK_S: Final = 0.1
+MAX_HOLD_S: Final = 2.5
+"""Age at which a prompt is refused that still waits for the trial of one of its blocks."""
+
 LOWEST_PRIORITY: Final = 9
 
 
@@ -73,6 +75,15 @@
         self._endings = CallEndings(dependencies, self.calls)
         self._feedback = TargetFeedback(dependencies)
         self._selection = TargetSelection(dependencies)
+        self._crashes = CrashReports(dependencies)
+        self._failures = SendFailures(
+            dependencies,
+            self._endings,
+            self._feedback,
+            self._selection,
+            self._crashes,
+            self._send,
+        )
 
     def on_arrived(self, event: CallArrived, now_s: float) -> list[Action]:
         """Admit a call and send it, or refuse it at once."""
@@ -141,7 +152,8 @@
             return self._endings.give_up(call, "deadline", now_s)
         engine = call.service.engine
         if engine is not None and call.head.prompt is not None:
-            return self._send_prompt(call, engine, now_s)
+            screened = self._screen_prompt(call, call.head.prompt, now_s)
+            return self._send_prompt(call, engine, now_s) if screened is None else screened
         targets = self._selection.candidates(call, now_s)
         target = place_service_call(targets, self._deps.data_center, call.route.objective_s, now_s)
         if target is None:
@@ -162,6 +174,24 @@
         self._deps.counters.add("calls_parked", call.route.kind.value)
         return []
 
+    def _screen_prompt(self, call: Call, prompt: Prompt, now_s: float) -> list[Action] | None:
+        """Refuse or hold back a prompt that may crash its runner; return None if it may be sent."""
+        quarantine = self._deps.quarantine
+        if quarantine.is_unknown(now_s):
+            return self._endings.give_up(call, "starting", now_s)
+        record = quarantine.refuses(prompt, now_s)
+        if record is not None:
+            self._deps.counters.add("prompts_quarantined", prompt.model)
+            inputs = (("block", record.block_id), ("by", record.by))
+            return self._endings.give_up(call, "quarantined", now_s, Rejection(None, inputs))
+        if self._crashes.may_try(prompt, now_s):
+            return None
+        if now_s - call.arrived_s >= MAX_HOLD_S:
+            return self._endings.give_up(call, "suspected", now_s)
+        call.queued_until_s = now_s + HOLD_RECHECK_S
+        self._deps.counters.add("prompts_held", prompt.model)
+        return []
+
     def _send_prompt(self, call: Call, engine: Engine, now_s: float) -> list[Action]:
         placed = self._deps.prompt_placer.place(
             call, engine, self._selection.candidates(call, now_s), now_s
@@ -225,6 +255,7 @@
         call = self._current(event.call_id, event.number)
         if call is None or call.target is None:
             return []
+        self._crashes.note_response(call.target, now_s)
         logs = self._feedback.note_rate(call, call.target, event.response, now_s)
         return [*logs, *self._on_head(call, call.target, event, now_s)]
 
@@ -238,13 +269,14 @@
             return self._on_rejected(call, event, now_s)
         call.may_have_run = True
         if response.encoded or (response.status < MULTIPLE_CHOICES and not response.signed):
-            return self._on_send_failure(call, event.number, "malformed", now_s)
-        if response.status >= INTERNAL_SERVER_ERROR and self._may_retry(call, now_s):
-            return self._on_send_failure(call, event.number, "target_error", now_s)
+            return self._failures.fail(call, event.number, "malformed", now_s)
+        if response.status >= INTERNAL_SERVER_ERROR and self._failures.may_retry(call, now_s):
+            return self._failures.fail(call, event.number, TARGET_ERROR, now_s)
         call.stage = SendStage.HEAD
+        call.succeeds = response.status < MULTIPLE_CHOICES
         if call.response_started:
             if response.status != OK:
-                return self._on_send_failure(call, event.number, "not_resumed", now_s)
+                return self._failures.fail(call, event.number, "not_resumed", now_s)
             self._feedback.note_latency(call, target, now_s)
             return [ContinueResponse(call.call_id, call.number)]
         stream = call.route.kind is CallKind.STREAM and response.status == OK
@@ -267,37 +299,14 @@
             return [*actions, *self._send(call, now_s)]
         return [*actions, *self._endings.give_up(call, "targets_full", now_s)]
 
-    def _may_retry(self, call: Call, now_s: float) -> bool:
-        """Whether a call that may have run may be sent again; if so, consume retry budget."""
-        if not call.route.retryable or call.attempts >= call.route.attempts:
-            return False
-        if now_s >= call.ends_at_s or not self._selection.candidates(call, now_s):
-            return False
-        return self._deps.budget.take(call.service.name, now_s)
-
-    def _on_send_failure(self, call: Call, number: int, cause: str, now_s: float) -> list[Action]:
-        """Retry a call after a failed send, or give up.
-
-        For the cause ``target_error`` (a 5xx status) retry budget has already been consumed.
-        """
-        log = call_logs.attempt_failed(call, cause, now_s)
-        self._deps.counters.add("sends_failed", cause)
-        call.failed_sends += 1
-        target = release(call)
-        if target is not None:
-            self._feedback.note_failure(target, now_s)
-        cancel = CancelSend(call.call_id, number)
-        if cause == "target_error" or self._may_retry(call, now_s):
-            self._deps.counters.add("repeats", cause)
-            return [cancel, log, *self._send(call, now_s)]
-        return [cancel, log, *self._endings.give_up(call, cause, now_s)]
-
     def on_first_event(self, event: FirstEvent, now_s: float) -> list[Action]:
         """Record that a response has begun, and when."""
         call = self._current(event.call_id, event.number)
-        if call is None:
+        if call is None or call.target is None:
             return []
         call.stage = SendStage.BEGUN
+        if call.response_started:
+            self._crashes.note_begun(call, call.target, now_s)
         if call.first_s is None:
             call.first_s = now_s - call.arrived_s
             self._deps.latencies.note(f"{call.route.name} first event", call.first_s)
@@ -308,6 +317,8 @@
         call = self._current(event.call_id, event.number)
         if call is None:
             return []
+        if call.target is not None and call.succeeds and event.body_bytes:
+            self._crashes.note_begun(call, call.target, now_s)
         target = release(call)
         if target is not None:
             self._deps.roster.outliers.succeeded(target.target_id)
@@ -316,25 +327,7 @@
     def on_failed(self, event: SendFailed, now_s: float) -> list[Action]:
         """Retry a call after a send without a complete response, or give up."""
         call = self._current(event.call_id, event.number)
-        if call is None:
-            return []
-        self._note_progress(call, event)
-        if event.sent:
-            call.may_have_run = True
-            return self._on_send_failure(call, event.number, event.cause, now_s)
-        log = call_logs.unsent(call, event.cause)
-        target = release(call)
-        call.attempts -= 1
-        self._deps.counters.add("sends_failed", event.cause)
-        if target is not None:
-            self._feedback.note_failure(target, now_s)
-        # No byte has reached the target, so sending again consumes no retry budget.
-        return [log, *self._send(call, now_s)]
-
-    @staticmethod
-    def _note_progress(call: Call, event: SendFailed | SendStalled) -> None:
-        call.response_started = call.response_started or event.response_started
-        call.last_event_id = event.last_event_id or call.last_event_id
+        return [] if call is None else self._failures.on_failed(call, event, now_s)
 
     def on_stalled(self, event: SendStalled, now_s: float) -> list[Action]:
         """Resume a stalled response on another target if that is allowed, or keep waiting.
@@ -345,11 +338,11 @@
         call = self._current(event.call_id, event.number)
         if call is None:
             return []
-        self._note_progress(call, event)
-        if not self._may_retry(call, now_s):
+        note_progress(call, event)
+        if not self._failures.may_retry(call, now_s):
             self._deps.counters.add("sends_silent", call.route.kind.value)
             return []
-        return self._retry_stalled(call, now_s)
+        return self._failures.retry_stalled(call, now_s)
 
     def on_caller_disconnected(self, event: CallerDisconnected, now_s: float) -> list[Action]:
         """Cancel the call of a caller that has disconnected."""
@@ -371,34 +364,15 @@
                 call.may_have_run = call.may_have_run or call.target is not None
                 actions += self._endings.give_up(call, "deadline", now_s)
                 continue
+            if call.suspected_at is not None:
+                actions += self._failures.resolve_suspicion(call, now_s)
+                continue
             if call.queued_until_s is not None:
                 if now_s >= call.queued_until_s:
                     call.queued_until_s = None
                     actions += self._send(call, now_s)
                 continue
-            overdue = call.stage is SendStage.WAITING and self._is_overdue(call, now_s)
-            if overdue and self._may_retry(call, now_s):
-                actions += self._retry_stalled(call, now_s)
+            overdue = call.stage is SendStage.WAITING and self._failures.is_overdue(call, now_s)
+            if overdue and self._failures.may_retry(call, now_s):
+                actions += self._failures.retry_stalled(call, now_s)
         return actions
-
-    def _retry_stalled(self, call: Call, now_s: float) -> list[Action]:
-        """Replace a send without a response or progress by another one.
-
-        The caller of this method has consumed retry budget for it.
-        """
-        call.may_have_run = True
-        cancel = CancelSend(call.call_id, call.number)
-        log = call_logs.attempt_failed(call, "silent", now_s)
-        call.failed_sends += 1
-        target = release(call)
-        if target is not None:
-            self._feedback.note_failure(target, now_s)
-        self._deps.counters.add("repeats", "silent")
-        return [cancel, log, *self._send(call, now_s)]
-
-    def _is_overdue(self, call: Call, now_s: float) -> bool:
-        if call.target is None or not call.route.retryable:
-            return False
-        mean_s = self._deps.latencies.mean_s(call.route.name)
-        rate = call.target.prefill.rate_per_s
-        return now_s - call.sent_at_s > response_timeout_s(call, mean_s, rate)
--- a/filbertstream/request/forwarding_dependencies.py
+++ b/filbertstream/request/forwarding_dependencies.py
@@ -3,6 +3,10 @@
 import random
 from typing import NamedTuple
 
+from filbertstream.fleet.crash_detector import CrashDetector
+from filbertstream.fleet.crash_evidence import CrashEvidence
+from filbertstream.fleet.crash_trials import CrashTrials
+from filbertstream.fleet.quarantine import Quarantine
 from filbertstream.process.burn import Burn
 from filbertstream.process.counters import Counters
 from filbertstream.process.latencies import Latencies
@@ -35,4 +39,8 @@
     burn: Burn
     request_rates: RequestRates
     rate_admission: RateAdmission
+    crash_evidence: CrashEvidence
+    crash_detector: CrashDetector
+    crash_trials: CrashTrials
+    quarantine: Quarantine
     rng: random.Random
--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -37,9 +37,9 @@
 
 
 class Rejection(NamedTuple):
-    """A call that no target can take in time: when to retry, and the logged inputs."""
+    """A call that no target can take: when to retry, if that can help, and the logged inputs."""
 
-    retry_after_s: float
+    retry_after_s: float | None
     inputs: LogFields
 
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -7,6 +7,7 @@
 import bench.world
 from filbertstream.actions import Log
 from filbertstream.connection.watched_kinds import EmitEvent, product_kinds, publish_kind
+from filbertstream.fleet.quarantine import QuarantineListed
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     ConfigurationObserved,
@@ -120,6 +121,7 @@
         self.calls = 0
         self.step(ConfigurationObserved(configuration(), self.now_s))
         self.step(TargetsListed((*RUNNERS, *APPS)))
+        self.step(QuarantineListed(frozenset()))
         self.step(LeaseConfirmed(self.now_s))
 
     def step(self, event: Any) -> list[Any]:
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -26,6 +26,7 @@
     CallerDisconnected,
     CancelSend,
     ContinueResponse,
+    FirstEvent,
     RelayResponse,
     RespondLocally,
     ResponseComplete,
@@ -116,6 +117,7 @@
     (first,) = sends(world.arrive("draft"))
     call_id = world.calls
     world.step(ResponseStarted(call_id, first.number, response_head()))
+    world.step(FirstEvent(call_id, first.number))
     (second,) = sends(world.step(SendFailed(call_id, first.number, "cut", True, True, "7")))
     assert (second.last_event_id, second.target_id != first.target_id) == ("7", True)
     assert world.step(ResponseStarted(call_id, second.number, response_head())) == [
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -14,6 +14,7 @@
 from result import Err, Ok
 
 from filbertstream.connection.event_relay import EventRelay
+from filbertstream.fleet.facts import FactExchange
 from filbertstream.messages import EntryWork, WorkRow
 from filbertstream.platform.documents import decode_configuration, decode_target
 from filbertstream.platform.headers import decode_call, encode_target_head
@@ -168,7 +169,9 @@
         work.join("e1", EntryRecord("tcp://a", 1))
         work.join("e2", EntryRecord("tcp://b", 1))
     row = WorkRow("r1", 3, 900, 500)
-    exchange = WorkExchange(first, Relays("e1", first.names), RequestRates(Counters()))
+    exchange = WorkExchange(
+        first, Relays("e1", first.names), RequestRates(Counters()), FactExchange({}, Counters())
+    )
     (report,) = exchange.due((row,), True, [], 10.0)
     assert exchange.due((row,), True, [], 10.05) == []
     assert report.address == "tcp://b"
--- a/tests/test_rate_admission.py
+++ b/tests/test_rate_admission.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from filbertstream.fleet.scope import Scope
 from filbertstream.gateway_events import (
     ConfigurationObserved,
     EntriesConfirmed,
@@ -17,7 +18,7 @@
 from filbertstream.process.counters import Counters
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.rate_shares import SETTLE_S
-from filbertstream.process.request_rates import ENDED_KEPT_S, MAX_ROWS, RequestRates, Scope
+from filbertstream.process.request_rates import ENDED_KEPT_S, MAX_ROWS, RequestRates
 from filbertstream.process.target_registration import TargetStart
 from filbertstream.request.call import RequestRate
 from filbertstream.request.call_events import (
--- a/tests/test_read_backoff.py
+++ b/tests/test_read_backoff.py
@@ -1,7 +1,7 @@
 """Requests to an object store that does not respond.
 
 Load pattern: 195 entries use an object store that is unavailable or rejects their requests for some
-seconds; each entry follows five kinds of objects.
+seconds; each entry follows six kinds of objects.
 """
 
 import pytest
--- a/tests/test_work_exchange.py
+++ b/tests/test_work_exchange.py
@@ -7,6 +7,7 @@
 import pytest
 
 from filbertstream.actions import SendPeer
+from filbertstream.fleet.facts import FactExchange
 from filbertstream.messages import EntryWork, FleetWork, GroupWork, WorkRow
 from filbertstream.process.counters import Counters
 from filbertstream.process.peer_work import WORK_MAX_AGE_S, EntryRecord, PeerWork
@@ -26,7 +27,9 @@
         for other in fleet:
             self.peers.join(other, EntryRecord(other, 1))
         self.relays = Relays(name, self.peers.names)
-        self.exchange = WorkExchange(self.peers, self.relays, RequestRates(Counters()))
+        self.exchange = WorkExchange(
+            self.peers, self.relays, RequestRates(Counters()), FactExchange({}, Counters())
+        )
         self.rows: tuple[WorkRow, ...] = ()
         self.requested_at_s: dict[str, float] = {}
 
