Don't pass a response on as whole that ended with its crashed target

A response with neither a length nor chunks ends with its connection. When its runner crashes between two events, or right after the head, the connection ends in the same way: callers got a part of a stream, or none of it, as a complete success.

Change: when such a response ends, its target is probed; if nobody listens there, the response is cut off, and a stream is resumed like any other. A stream of which no event has arrived is cut off in any case. A target that has a connection open and ends is gone or about to restart, so a probe tells a crash from an end.

test_target_connection.py: the end of the connection is now reported as such by the connection, so its test expects that report; whether the response is whole is checked above.

--- a/filbertstream/connection/proxied_send.py
+++ b/filbertstream/connection/proxied_send.py
@@ -4,14 +4,17 @@
 on goes to the caller event by event, or buffered as a complete body.
 """
 
+from collections.abc import Callable
 from typing import Any, Final, Protocol
 
 from filbertstream.connection.caller_connection import CallerConnection, RawRequest
 from filbertstream.connection.event_relay import EventRelay
 from filbertstream.connection.response_format import ResponseFormat
 from filbertstream.connection.target_connection import TargetConnection, TargetConnectionPool
+from filbertstream.fleet.crash_detector import ProbeOutcome
 from filbertstream.platform.headers import Headers, encode_target_head
 from filbertstream.process.clock import boot_time_s
+from filbertstream.process.deployment import Address
 from filbertstream.request.call import BufferedResponse, CallHead, ResponseHead
 from filbertstream.request.call_events import (
     FirstEvent,
@@ -35,6 +38,9 @@
     def forget_call(self, call_id: int) -> None:
         """Drop the state of a call."""
 
+    def probe(self, address: Address, on_outcome: Callable[[ProbeOutcome], None]) -> None:
+        """Probe whether a target still listens."""
+
 
 class ProxiedCall:
     """A call in the I/O layer: its caller, request, response format and current send."""
@@ -163,6 +169,25 @@
         content_type = dict(reversed(self._headers)).get(b"content-type", b"")
         return BufferedResponse(response.status, content_type.decode("latin-1"), body)
 
+    def on_connection_end(self) -> None:
+        """Finish the response if its target still runs: a crash ends the connection too.
+
+        A stream of which nothing has arrived can't be whole.
+        """
+        if self.over or not self._relays:
+            return
+        events = self._call.events
+        if self._streams and (events is None or (events.last_id is None and not self._begun)):
+            self._fail("cut")
+            return
+        self._host.probe(self.action.address, self._on_probed)
+
+    def _on_probed(self, outcome: ProbeOutcome) -> None:
+        if outcome is ProbeOutcome.REFUSED:
+            self._fail("cut")
+        else:
+            self.on_complete()
+
     def on_failed(self, cause: str) -> None:
         """Report to the core that the response broke off."""
         self._fail(cause)
--- a/filbertstream/connection/target_call.py
+++ b/filbertstream/connection/target_call.py
@@ -42,6 +42,10 @@
         if not self._done.done():
             self._done.set_result((self._status, b"".join(self._body)))
 
+    def on_connection_end(self) -> None:
+        """Set the result: the receiver checks whether the body is whole."""
+        self.on_complete()
+
     def on_stalled(self) -> None:
         """Do nothing: such calls have a time limit of their own."""
 
--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -53,6 +53,9 @@
     def on_complete(self) -> None:
         """The response is complete."""
 
+    def on_connection_end(self) -> None:
+        """The connection ended after a response that has no length and no chunks."""
+
     def on_stalled(self) -> None:
         """A response that has begun made no progress for the progress timeout."""
 
@@ -222,13 +225,13 @@
             self._on_idle(self)
 
     def eof_received(self) -> bool:
-        """Complete a response without a length; any other is cut off."""
+        """Report the end of a response without a length; any other is cut off."""
         sink = self._sink
         if sink is not None and self._in_body and not self._has_length:
             self._sink = None
             self.usable = False
             self._stop_timer()
-            sink.on_complete()
+            sink.on_connection_end()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -124,6 +124,9 @@
     def on_complete(self) -> None:
         self.end.set_result("complete")
 
+    def on_connection_end(self) -> None:
+        self.on_complete()
+
     def on_stalled(self) -> None:
         """No bytes have arrived for some time."""
 
--- a/tests/test_target_connection.py
+++ b/tests/test_target_connection.py
@@ -53,6 +53,9 @@
     def on_complete(self) -> None:
         self.end.set_result("complete")
 
+    def on_connection_end(self) -> None:
+        self.end.set_result("connection ended")
+
     def on_stalled(self) -> None:
         self.stalls += 1
         if self.ends_when_stalled:
@@ -108,7 +111,7 @@
         (OWN_RESPONSE[:-1], "close", Received([200], b"ow", "cut", False)),
         (OWN_RESPONSE[:-1], "reset", Received([200], b"ow", "reset", False)),
         (OWN_RESPONSE[:-1], "open", Received([200], b"ow", "stalled", False)),
-        (UNFRAMED, "close", Received([200], b"unframed", "complete", False)),
+        (UNFRAMED, "close", Received([200], b"unframed", "connection ended", False)),
         (UNFRAMED, "reset", Received([200], b"unframed", "reset", False)),
         (b"", "close", Received([], b"", "cut", False)),
         (b"no answer at all\r\n\r\n", "open", Received([], b"", "malformed", False)),
