Let operators list, quarantine and release blocks

Until now only the entries could decide; an operator had no way to release a block that has become harmless, or to refuse one before it has crashed three runners.

--- a/filbertstream/cli.py
+++ b/filbertstream/cli.py
@@ -8,7 +8,6 @@
 invariant, 71 an address in use.
 """
 
-from enum import StrEnum
 from pathlib import Path
 from typing import Annotated, Any, Final, NoReturn
 
@@ -19,20 +18,23 @@
 from result import Err, Ok
 
 from filbertstream.checks import Mistake
+from filbertstream.cli_common import (
+    EXIT_CONFLICT,
+    EXIT_INVARIANT,
+    EXIT_NO_ADDRESS,
+    EXIT_OUTCOME_UNKNOWN,
+    EXIT_REJECTED,
+    EXIT_UNREACHABLE,
+    EXIT_USAGE,
+    Output,
+)
+from filbertstream.cli_quarantine import quarantine_app
 from filbertstream.gateway_process import GatewayProcess
 from filbertstream.log_explain import explain_lines, read_lines
 from filbertstream.names import digest_key
 from filbertstream.operator_client import OperatorClient, OperatorResponse
 from filbertstream.platform.settings_file import BOOT_VARIABLE, read_settings_file
 
-EXIT_REJECTED: Final = 1
-EXIT_USAGE: Final = 2
-EXIT_UNREACHABLE: Final = 3
-EXIT_OUTCOME_UNKNOWN: Final = 4
-EXIT_CONFLICT: Final = 5
-EXIT_INVARIANT: Final = 70
-EXIT_NO_ADDRESS: Final = 71
-
 EXIT_CODES: Final = {
     "lost": EXIT_CONFLICT,
     "unsettled": EXIT_OUTCOME_UNKNOWN,
@@ -45,13 +47,7 @@
 )
 report_app = typer.Typer(no_args_is_help=True, help="Reports over all entries.")
 app.add_typer(report_app, name="report")
-
-
-class Output(StrEnum):
-    """Output formats."""
-
-    text = "text"
-    json = "json"
+app.add_typer(quarantine_app, name="quarantine")
 
 
 EntryOption = Annotated[
