Let an entry without peers keep to a target's rate by itself

An entry without a peer port never sent to a target again that had named a request rate (0 requests in 20 s with both targets of a service limited): shares belong to registered entries, and such an entry does not register. It is its own fleet now: it has all shares from 6.5 s after the first confirmed listing, as an entry that has just registered, and counts no other entry. test_entry_without_peers_never_sends_to_a_target_that_has_named_a_limit failed before; in it each of two targets with 2 requests a second gets 20 to 45 in 20 s.

--- a/filbertstream/process/entry_registrations.py
+++ b/filbertstream/process/entry_registrations.py
@@ -23,7 +23,8 @@
 class EntryRegistrations:
     """The registered entries; ``record`` is the registration of this one.
 
-    An entry without a peer address does not register, since no peer could send it a message.
+    An entry without a peer address does not register, since no peer could send it a message.  It is
+    its own fleet, which has all shares of the rates that targets name.
     """
 
     def __init__(self, name: str, record: EntryRecord, peers: PeerWork, shares: RateShares) -> None:
@@ -54,17 +55,21 @@
         if event.name == self._name and event.record != self._record:
             # The registration is that of an earlier process with this name.
             return self._register(event.revision)
-        self._shares.registered(event.name, now_s)
+        if self._record.peer_address:
+            self._shares.registered(event.name, now_s)
         if joined:
             self._joined.append(event.name)
         return []
 
     def _leave(self, name: str, now_s: float) -> None:
         self._peers.leave(name)
-        self._shares.unregistered(name, now_s)
+        if self._record.peer_address:
+            self._shares.unregistered(name, now_s)
 
     def on_confirmed(self, event: EntriesConfirmed, now_s: float) -> list[Action]:
         """Record that the known registrations were the newest when a request was sent."""
+        if not self._record.peer_address:
+            self._shares.registered(self._name, now_s)
         self._shares.confirmed(event.sent_at_s)
         return []
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -114,8 +114,8 @@
 class World:
     """A core with two runners and two application targets, ready at time 100."""
 
-    def __init__(self, name: str = "e1") -> None:
-        cfg = GatewayConfig(name, 1, "dc1", BOUNDS, f"tcp://{name}", 7, FOLLOWED)
+    def __init__(self, name: str = "e1", peer_address: str = "tcp://e1") -> None:
+        cfg = GatewayConfig(name, 1, "dc1", BOUNDS, peer_address, 7, FOLLOWED)
         self.core = Gateway(cfg)
         self.now_s = 100.0
         self.calls = 0
--- a/tests/test_rate_admission.py
+++ b/tests/test_rate_admission.py
@@ -357,3 +357,20 @@
     world.step(TargetObserved("a1", again, False))
     assert world.sent_to("a1", 6) >= 2
     assert statuses(world.arrive("read")) == []
+
+
+def test_entry_without_peers_never_sends_to_a_target_that_has_named_a_limit() -> None:
+    """An entry has no peer port, and both targets of a service name a limit."""
+    world = World(peer_address="")
+    limits = {"a1": RequestRate(2.0), "a2": RequestRate(2.0)}
+    arrivals = dict.fromkeys(limits, 0)
+    for step in range(300):
+        world.run(0.1)
+        world.step(EntriesConfirmed(world.now_s))
+        for send in sends(world.arrive("read")):
+            head = response_head(request_rate=limits[send.target_id])
+            world.step(ResponseStarted(send.call_id, send.number, head))
+            world.step(ResponseComplete(send.call_id, send.number, 1))
+            arrivals[send.target_id] += step >= 100
+    # 20 s at 2 a second, with the burst of one window.
+    assert all(20 <= count <= 40 + 5 for count in arrivals.values())
