Explain a refusal for a quarantined block by its crashes

explain-log showed the lines of a refused request and of its entry, but the crashes that convicted the block were mostly seen by other entries. It now also shows the decision on the block, once, and the lines of the crashed runners that it names, from all entries' logs; its new test failed before.

--- a/filbertstream/log_explain.py
+++ b/filbertstream/log_explain.py
@@ -2,7 +2,9 @@
 
 Lines of several entries may be mixed, and each may have a prefix before its JSON, as log collectors
 add one.  For every entry that logged the request, the last line of each kind of state event before
-the request's end is shown: configuration, readiness, object store, and the request's targets.
+the request's end is shown: configuration, readiness, object store, and the request's targets.  For
+a request that was refused for a quarantined block, the decision on the block and the crashes behind
+it are shown, as each entry saw them.
 """
 
 from collections.abc import Iterable
@@ -40,6 +42,9 @@
 )
 """Events about one target, shown if the request was sent to that target."""
 
+QUARANTINE_EVENTS: Final = frozenset({LogEvent.BLOCK_QUARANTINED, LogEvent.BLOCK_RELEASED})
+"""Decisions on a block, which most entries log."""
+
 Line = dict[str, Any]
 
 COMMON_FIELDS: Final = frozenset({"number", "event", "time", "entry", "level", "request_id"})
@@ -76,9 +81,31 @@
             f"  before  {_text(line)}" for line in _state_lines(lines, entry, targets, entry_lines)
         ]
         output += [f"  request {_text(line)}" for line in entry_lines]
+    for block in dict.fromkeys(line["block"] for line in request_lines if "block" in line):
+        output.append(f"block {block}")
+        output += [
+            f"  {line.get('entry')} {_text(line)}" for line in _quarantine_lines(lines, block)
+        ]
     return output
 
 
+def _quarantine_lines(lines: list[Line], block: str) -> list[Line]:
+    """Return the decisions on a block, each once, and the crashes that they name."""
+    decisions: dict[tuple[Any, Any], Line] = {}
+    for line in lines:
+        if line["number"] in QUARANTINE_EVENTS and line.get("block") == block:
+            decisions.setdefault((line["number"], line.get("generation")), line)
+    targets = {
+        target for line in decisions.values() for target in str(line.get("crashes")).split(",")
+    }
+    crashes = [
+        line
+        for line in lines
+        if line["number"] == LogEvent.TARGET_CRASHED and str(line.get("target")) in targets
+    ]
+    return [*decisions.values(), *crashes]
+
+
 def _state_lines(
     lines: list[Line], entry: str, targets: set[str], request_lines: list[Line]
 ) -> list[Line]:
--- a/tests/test_log_explain.py
+++ b/tests/test_log_explain.py
@@ -56,6 +56,26 @@
         assert later_or_foreign not in text
 
 
+def test_refused_prompt_is_explained_without_the_crashes_behind_its_block(tmp_path: Path) -> None:
+    """The crashes were seen by other entries than the one that refused the request."""
+    file = tmp_path / "entries.log"
+    added = {"block": "b", "generation": 1, "crashes": "r1,r2"}
+    lines = [
+        line(1, LogEvent.TARGET_CRASHED, "e1", target="r1", blocks="a,b"),
+        line(2, LogEvent.TARGET_CRASHED, "e2", target="r2", blocks="a,b"),
+        line(2, LogEvent.TARGET_CRASHED, "e2", target="r3", blocks="c"),
+        line(3, LogEvent.BLOCK_QUARANTINED, "e1", **added),
+        line(3, LogEvent.BLOCK_QUARANTINED, "e3", **added),
+        line(4, LogEvent.REQUEST_REFUSED, "e3", request_id="q", code="quarantined", block="b"),
+    ]
+    file.write_text("\n".join(lines))
+    text = CliRunner().invoke(app, ["explain-log", "q", str(file)]).stdout
+    assert text.count("crashes=r1,r2") == 1
+    assert "target=r1 blocks=a,b" in text
+    assert "target=r2 blocks=a,b" in text
+    assert "target=r3" not in text
+
+
 def test_unknown_request_is_an_error(log: Path) -> None:
     """An operator mistypes a request id."""
     assert CliRunner().invoke(app, ["explain-log", "other", str(log)]).exit_code == 1
