Publish the gauges of crashes only while they say something

mixed.py compares the metrics of old and new builds in one fleet: quarantined_blocks and suspected_blocks were new names on every page. As targets_rate_limited, they appear while there is such a block. Left as it is: view_direct and view_relayed have the age of one more kind of object.

--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -127,11 +127,12 @@
         now_s = boot_time_s()
         config = self._core.authorizer.config
         limited = self._core.request_rates.limited()
-        crash_watch = self._core.crash_watch
+        quarantined = float(len(self._core.crash_watch.quarantine.active))
+        suspected = float(self._core.crash_watch.evidence.suspected_blocks)
         return {
             **({"targets_rate_limited": float(len(limited))} if limited else {}),
-            "quarantined_blocks": float(len(crash_watch.quarantine.active)),
-            "suspected_blocks": float(crash_watch.evidence.suspected_blocks),
+            **({"quarantined_blocks": quarantined} if quarantined else {}),
+            **({"suspected_blocks": suspected} if suspected else {}),
             "calls_running": float(self._gateway_io.calls_running),
             "caller_connections": float(len(self._gateway_io.connections)),
             "target_connections_opened": float(self._gateway_io.connections_opened),
