--- a/standins/restarts.py
+++ b/standins/restarts.py
@@ -1,5 +1,6 @@
 """Starts targets again that a prompt has crashed, some seconds later."""
 
+import functools
 import threading
 from collections.abc import Callable, Iterable
 from typing import Final
@@ -28,15 +29,28 @@
         self._thread.start()
 
     def close(self) -> None:
-        """Stop watching; targets that are down stay down."""
+        """Stop watching, start the targets that are down, and wait until all respond."""
         self._closed.set()
-        self._thread.join()
+        if self._thread.ident is not None:
+            self._thread.join()
+        for name in self._names:
+            if name in self._processes.running and self._is_down(name):
+                self._start(name)
+                self._processes.wait(
+                    functools.partial(self._responds, name), what=f"{name} responds"
+                )
+
+    def _is_down(self, name: str) -> bool:
+        return self._processes.running[name].process.poll() == CRASHED
+
+    def _responds(self, name: str) -> bool:
+        return self._processes.counts(name) is not None
 
     def _run(self) -> None:
         down_s: dict[str, float] = {}
         while not self._closed.wait(POLL_S):
             for name in self._names:
-                if self._processes.running[name].process.poll() != CRASHED:
+                if not self._is_down(name):
                     down_s.pop(name, None)
                     continue
                 down_s[name] = down_s.get(name, 0.0) + POLL_S
