--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,10 +15,16 @@
 from filbertstream.connection.watched_kinds import (
     ENTRIES_RELAY_WATCH,
     LEASES_RELAY_WATCH,
+    QUARANTINE_RELAY_WATCH,
     RELAY_REVOKE_FRACTION,
     RELAY_TARGETS_FRACTION,
     RELAY_WEIGHTS_FRACTION,
 )
+from filbertstream.fleet.crash_evidence import MAX_CRASHES
+from filbertstream.fleet.crash_facts import MAX_BEGUN_ROWS, MAX_CRASH_ROWS
+from filbertstream.fleet.facts import REPEAT_INTERVAL_S
+from filbertstream.fleet.quarantine import MAX_ROWS as MAX_QUARANTINE_ROWS
+from filbertstream.gateway_process import TICK_S
 from filbertstream.process.relays import MEMBERS_PER_RELAY, POLL_INTERVAL_S
 from filbertstream.process.request_rates import MAX_ROWS as MAX_RATE_ROWS
 from filbertstream.process.work_exchange import MAX_ROWS, RATES_INTERVAL_S, RELAYED_SEND_INTERVAL_S
@@ -62,6 +68,7 @@
     RELAY_WEIGHTS_FRACTION * VERSION_S,
     RELAY_TARGETS_FRACTION * DRAIN_S,
     ENTRIES_RELAY_WATCH.pause_s,
+    QUARANTINE_RELAY_WATCH.wait_s,
 )
 """Minimum time between two calls of each of a relay's watches."""
 
@@ -133,6 +140,31 @@
             CONTROL_BYTES_PER_S, f"rates_size at {MAX_RATE_ROWS} rows",
             "in the messages about work, while targets limit their rate; the latest ones",
         ),
+        Line(
+            "crashes, in each direction",
+            value_at(slopes, "crashes_size", MAX_CRASH_ROWS) / REPEAT_INTERVAL_S,
+            "bytes a second", CONTROL_BYTES_PER_S, f"crashes_size at {MAX_CRASH_ROWS} rows",
+            "in the messages about work, while crashes of the last two minutes are not explained",
+        ),
+        Line(
+            "acquitted blocks, in each direction",
+            value_at(slopes, "begun_size", MAX_BEGUN_ROWS) / REPEAT_INTERVAL_S,
+            "bytes a second", CONTROL_BYTES_PER_S, f"begun_size at {MAX_BEGUN_ROWS} rows",
+            "the same, for 15 s after an acquittal",
+        ),
+        Line(
+            "quarantined blocks, in each direction",
+            value_at(slopes, "quarantine_size", MAX_QUARANTINE_ROWS) / REPEAT_INTERVAL_S,
+            "bytes a second", CONTROL_BYTES_PER_S,
+            f"quarantine_size at {MAX_QUARANTINE_ROWS} rows",
+            "in the messages about work; those that were of use last",
+        ),
+        Line(
+            "processor: search for a verdict",
+            value_at(slopes, "verdict", MAX_CRASHES) / 1e6 / TICK_S, "of a core",
+            CONTROL_CORE_FRACTION, f"verdict at {MAX_CRASHES} crashes",
+            "each tick, within 2 s after a change of the evidence",
+        ),
         Line(
             "documents in", changes_per_s * size, "bytes a second", CONTROL_BYTES_PER_S,
             "documents", "one object holds all documents",
@@ -156,6 +188,11 @@
             "decisions", requests * decision / 1e6, "of a core", None,
             "decision at 740 runners", "a few runners are compared, all are filtered",
         ),
+        Line(
+            "screening of prompts", requests * value_at(slopes, "screen", MAX_CRASHES) / 1e6,
+            "of a core", None, f"screen at {MAX_CRASHES} quarantined blocks and as many crashes",
+            "one lookup per block; nothing while no block is suspected or quarantined",
+        ),
         Line(
             "claims of keys", claims * value_at(slopes, "claim", 200) / 1e6, "of a core", None,
             "claim", "1 in 100 requests assumed to have a key",
@@ -178,7 +215,7 @@
     return [
         Line(
             "reads: watches", relays_reads_per_s(), "a second", PLATFORM_READS_PER_S,
-            "waits and pauses of five watches", "one entry in 32 reads, the others poll it",
+            "waits and pauses of six watches", "one entry in 32 reads, the others poll it",
         ),
         Line(
             "polls of a relay", MEMBERS_PER_RELAY / POLL_INTERVAL_S, "a second", None,
@@ -244,6 +281,8 @@
   change. Change: an object for each group of workspaces, compiled by group.
 - **Keys** cost two writes each. Change: keys on the same shard within a short time share a write.
   Objects of keys are never removed today: stored responses need an expiry.
+- **Quarantined blocks** are told again every two seconds, up to 64 of them. Change: tell those that
+  are in the object store less often; and search for a verdict at intervals, not at each tick.
 """
 
 
--- /dev/null
+++ b/bench/crash_slopes.py
@@ -0,0 +1,89 @@
+"""The measurements of ``bench.slopes`` for crashes of runners and quarantined blocks."""
+
+import random
+
+from filbertstream.fleet.crash_evidence import CrashEvidence, RunnerKind, SuspectPrompt
+from filbertstream.fleet.crash_facts import BegunFacts, CrashFacts
+from filbertstream.fleet.crash_trials import CrashTrials
+from filbertstream.fleet.crash_verdicts import CrashVerdicts, Verdict
+from filbertstream.fleet.facts import encode_rows
+from filbertstream.fleet.quarantine import Quarantine
+from filbertstream.fleet.scope import Scope
+from filbertstream.process.counters import Counters
+from filbertstream.process.target_registration import TargetStart
+from filbertstream.request.call import Prompt, PromptBlock
+
+KIND = RunnerKind("models", "guide-7b", 3)
+NOW_S = 100.0
+WAITING_PROMPTS = 4
+"""Suspect prompts that wait for their head at a crashed runner, beside one that has it."""
+
+SHARED_BLOCKS = 3
+
+
+def _blocks(number: int) -> tuple[str, ...]:
+    return tuple(f"{number:08x}{index:04x}" for index in range(SHARED_BLOCKS))
+
+
+def _evidence(crashes: int) -> CrashEvidence:
+    evidence = CrashEvidence(lambda model, block: False)
+    for number in range(crashes):
+        prompts = [
+            SuspectPrompt(index == 0, _blocks(100 * number + index))
+            for index in range(1 + WAITING_PROMPTS)
+        ]
+        start = TargetStart(f"i-{number:010x}", 1_790_000_000_000 + number)
+        evidence.add(start, KIND, prompts, NOW_S - 1.0 - number, NOW_S)
+    return evidence
+
+
+def crashes_bytes(crashes: int) -> float:
+    """Measure the crashes in a message."""
+    return float(len(encode_rows(CrashFacts(_evidence(crashes)).rows(Scope.LOCAL, NOW_S))))
+
+
+def begun_bytes(blocks: int) -> float:
+    """Measure the acquitted blocks in a message."""
+    evidence = _evidence(blocks // SHARED_BLOCKS + 1)
+    for number in range(blocks // SHARED_BLOCKS + 1):
+        evidence.note_begun(KIND, _blocks(100 * number), NOW_S, NOW_S)
+    return float(len(encode_rows(BegunFacts(evidence).rows(Scope.LOCAL, NOW_S)[:blocks])))
+
+
+def _quarantine(records: int) -> Quarantine:
+    quarantine = Quarantine("front-a-1", False, Counters(), random.Random(1))
+    for number in range(records):
+        crashes = tuple(f"i-{number + index:010x}" for index in range(3))
+        quarantine.add(Verdict(KIND.model, f"{number:012x}", crashes), NOW_S)
+    return quarantine
+
+
+def quarantine_bytes(records: int) -> float:
+    """Measure the quarantined blocks in a message."""
+    return float(len(encode_rows(_quarantine(records).rows(Scope.LOCAL, NOW_S))))
+
+
+def verdict_us(crashes: int) -> float:
+    """Measure one search for a verdict."""
+    from bench.slopes import time_per_call_us
+
+    evidence = _evidence(crashes)
+    verdicts = CrashVerdicts(evidence, lambda model, block: False)
+    return time_per_call_us(lambda number: verdicts.verdict(NOW_S), 100)
+
+
+def screen_us(records: int) -> float:
+    """Measure the screening of one prompt, with as many quarantined blocks as crashes."""
+    from bench.slopes import time_per_call_us
+
+    quarantine, evidence = _quarantine(records), _evidence(records)
+    trials = CrashTrials("front-a-1", evidence)
+    blocks = tuple(f"sound {index}" for index in range(SHARED_BLOCKS))
+    prompt = Prompt(KIND.model, 900, 50, tuple(PromptBlock(item, 300) for item in blocks))
+
+    def screen(number: int) -> None:
+        quarantine.refuses(prompt, NOW_S)
+        trials.admits(KIND.model, blocks, NOW_S)
+        evidence.note_begun(KIND, blocks, NOW_S, NOW_S)
+
+    return time_per_call_us(screen, 1_000)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -17,6 +17,13 @@
 
 import msgspec
 
+from bench.crash_slopes import (
+    begun_bytes,
+    crashes_bytes,
+    quarantine_bytes,
+    screen_us,
+    verdict_us,
+)
 from bench.world import BOUNDS
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import ConfigurationObserved, TargetObserved, TargetsListed
@@ -267,6 +274,11 @@
     Measure("fleet_size", "targets with work", "bytes", FLEET_ROWS, fleet_bytes),
     Measure("fleet_in", "targets with work", "us", FLEET_ROWS, fleet_us),
     Measure("rates_size", "targets that limit their rate", "bytes", RATE_ROWS, rates_bytes),
+    Measure("crashes_size", "crashes not explained yet", "bytes", (1, 4, 12), crashes_bytes),
+    Measure("begun_size", "acquitted blocks", "bytes", (1, 16, 64), begun_bytes),
+    Measure("quarantine_size", "quarantined blocks", "bytes", (1, 8, 64), quarantine_bytes),
+    Measure("verdict", "crashes not explained yet", "us", (1, 12, 64), verdict_us),
+    Measure("screen", "quarantined blocks and crashes", "us", (0, 8, 64), screen_us),
     Measure("change", "workspaces", "us", WORKSPACES, change_us),
     Measure("configuration", "workspaces", "bytes", WORKSPACES, config_bytes),
     Measure("documents", "workspaces", "bytes", WORKSPACES, documents_bytes),
@@ -279,15 +291,20 @@
     """Measure all slopes, print them, and write them to a file if requested."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--write", type=Path)
+    parser.add_argument(
+        "--only", nargs="+", default=[], help="measure these and keep the file's other slopes"
+    )
     options = parser.parse_args()
     slopes = []
-    for item in MEASURES:
+    for item in [item for item in MEASURES if not options.only or item.name in options.only]:
         values = tuple(round(item.measure(size), 2) for size in item.sizes)
         slopes.append(Slope(item.name, item.by, item.unit, item.sizes, values))
         pairs = "  ".join(f"{s}: {v:g}" for s, v in zip(item.sizes, values, strict=True))
         print(f"{item.name:16} {item.unit:9} by {item.by:18} {pairs}", flush=True)
     if options.write is not None:
-        rows = {slope.name: slope._asdict() for slope in slopes}
+        known = json.loads(options.write.read_text()) if options.only else {}
+        measured = {slope.name: slope._asdict() for slope in slopes}
+        rows = {item.name: {**known, **measured}[item.name] for item in MEASURES}
         options.write.write_text(json.dumps(rows, indent=1) + "\n")
     return 0
 
