--- a/filbertstream/fleet/crash_evidence.py
+++ b/filbertstream/fleet/crash_evidence.py
@@ -30,10 +30,14 @@
 """A block with which a response began this recently is proven: it is not suspected at first."""
 
 MAX_BEGUN: Final = 4096
-"""Blocks of begun responses that are kept; a quarter of a megabyte."""
+"""Blocks of begun responses that are kept; about a megabyte."""
 
 EVIDENCE_KEPT_S: Final = 1800.0
+"""Time for which a crash is kept: a block may come once in many minutes."""
+
 MAX_CRASHES: Final = 64
+"""Crashes that are kept, the latest ones."""
+
 MAX_PROMPTS: Final = 16
 """Suspect prompts of a crash, those with a head first."""
 
--- a/filbertstream/request/send_failures.py
+++ b/filbertstream/request/send_failures.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from typing import Final
 
 from filbertstream.request import call_logs
 from filbertstream.request.call_endings import Action, CallEndings
@@ -17,7 +18,7 @@
 from filbertstream.request.target_feedback import TargetFeedback, release
 from filbertstream.request.target_selection import TargetSelection
 
-TARGET_ERROR = "target_error"
+TARGET_ERROR: Final = "target_error"
 """The cause of a 5xx status; retry budget has been consumed for it before it is reported."""
 
 
