Watch the configuration so often that a healthy entry stays ready

With a bound for removed keys of 2.5 s and the usual one for changes, an entry was unready for 0.3 s of each 0.8 s, and closed its callers' connections after a response while a peer was current: of five pipelined requests two got a response.

Cause: a confirmation gets as old as two waits, and the wait was a fraction of the bound for changes only; an entry is unready from half of the bound for removed keys on.

Change: the wait is also at most a fifth of the bound for removed keys. At 5 s and 2 s, as on the users' deployments, it is 0.8 s as before.

--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -50,6 +50,7 @@
 from filbertstream.process.peer_work import EntryRecord
 from filbertstream.process.rollout_lease import LeaseRecord
 from filbertstream.process.store_view import FollowedKind, KindDelta, KindObserved
+from filbertstream.version.config_freshness import watch_wait_s
 
 ROLLOUT_LEASE_NAME: Final = "weights"
 
@@ -204,10 +205,6 @@
     emit(EntriesConfirmed(sent_at_s))
 
 
-CONFIG_WAIT_FRACTION: Final = 0.4
-"""The wait of a watch as a fraction of the bound for configurations: the age of a confirmation
-reaches twice the wait."""
-
 TARGETS_PAUSE_FRACTION: Final = 0.25
 """Registrations change all the time; changes are batched for this fraction of the bound for
 drains."""
@@ -290,7 +287,7 @@
     """Return how each kind is watched where the operators' documents are the configuration."""
     watched = WatchedKind(
         DOCUMENTS_KIND,
-        CONFIG_WAIT_FRACTION * bounds.config_apply_s,
+        watch_wait_s(bounds.config_apply_s, bounds.revoke_s),
         0.0,
         documents.on_listing,
         documents.on_change,
@@ -305,7 +302,7 @@
     return (
         WatchedKind(
             CONFIG_KIND,
-            CONFIG_WAIT_FRACTION * bounds.config_apply_s,
+            watch_wait_s(bounds.config_apply_s, bounds.revoke_s),
             0.0,
             _list_configuration,
             _change_configuration,
--- a/filbertstream/version/config_freshness.py
+++ b/filbertstream/version/config_freshness.py
@@ -20,6 +20,16 @@
 UNREADY_FRACTION: Final = 0.5
 """The fraction of the bound after which the entry reports itself unready to the load balancer."""
 
+WAIT_APPLY_FRACTION: Final = 0.4
+WAIT_REVOKE_FRACTION: Final = 0.2
+"""The wait of a watch as fractions of the bounds for configurations and for removed keys.  The age
+of a confirmation reaches twice the wait, which must stay below ``UNREADY_FRACTION``."""
+
+
+def watch_wait_s(config_apply_s: float, revoke_s: float) -> float:
+    """Return the longest wait of a watch of the configuration."""
+    return min(WAIT_APPLY_FRACTION * config_apply_s, WAIT_REVOKE_FRACTION * revoke_s)
+
 
 class ConfigFreshness:
     """The time at which the configuration was last confirmed to be the newest one."""
--- a/tests/test_read_backoff.py
+++ b/tests/test_read_backoff.py
@@ -10,6 +10,7 @@
 from filbertstream.process.read_backoff import ReadBackoff
 from filbertstream.process.relayed_view import FRESH_FRACTION
 from filbertstream.process.relays import POLL_INTERVAL_S
+from filbertstream.version.config_freshness import ConfigFreshness
 from tests.gateway_world import BOUNDS
 
 KINDS = tuple(watched.kind for watched in watched_kinds(BOUNDS))
@@ -66,3 +67,13 @@
     assert oldest_s + 0.1 < FRESH_FRACTION * relay_watch.max_age_s
     assert oldest_s + POLL_INTERVAL_S + 0.1 < relay_watch.max_age_s
     assert CONFIG_MAX_AGE_FRACTION < 0.5
+
+
+@pytest.mark.parametrize("revoke_s", [1.0, 2.5, 5.0, 60.0])
+def test_entry_is_unready_between_two_responses_of_a_healthy_object_store(revoke_s: float) -> None:
+    """The bound for removed keys is short; a watch waits for most of the bound on changes."""
+    bounds = BOUNDS._replace(revoke_s=revoke_s)
+    config_kind = watched_kinds(bounds)[0]
+    freshness = ConfigFreshness(revoke_s, True)
+    freshness.confirm(10.0)
+    assert freshness.keeps_ready(10.0 + 2 * config_kind.wait_s + 0.05 * revoke_s)
