Log the epoch of the store, expired watches and dropped responses

After the store had come back from an older copy, changes did not take effect and no line of the log said why. Added: 201, 607, 608 and 609, and the gauge store_epoch. Nothing that is decided changes.

--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -138,6 +138,7 @@
             "target_connections_opened": float(self._gateway_io.connections_opened),
             "targets_known": float(len(self._core.roster.targets)),
             "targets_out": float(len(self._core.roster.outliers.ejected(now_s))),
+            "store_epoch": float(self._core.store_health.epoch),
             "config_version": float(0 if config is None else config.version),
             "config_age_seconds": self._core.config_freshness.age_s(now_s),
             "ready": float(self._core.ready(now_s)),
--- a/filbertstream/connection/kind_watcher.py
+++ b/filbertstream/connection/kind_watcher.py
@@ -14,7 +14,7 @@
 from result import Err, Ok
 
 from filbertstream.connection.watched_kinds import EmitEvent, WatchedKind, kind_observed
-from filbertstream.gateway_events import ObjectStoreResult
+from filbertstream.gateway_events import ObjectStoreResult, WatchExpired
 from filbertstream.platform.objects import ObjectStore, ObjectStoreFailure
 from filbertstream.process.read_backoff import ReadBackoff
 
@@ -115,7 +115,9 @@
         failure = self._list() if self._as_of is None else self._watch(self._as_of)
         if failure is None or failure is ObjectStoreFailure.EXPIRED:
             self._gate.succeeded(self._watched.kind)
-            self._as_of = None if failure is ObjectStoreFailure.EXPIRED else self._as_of
+            if failure is ObjectStoreFailure.EXPIRED:
+                self._emit(WatchExpired(self._watched.kind, self._as_of or 0))
+                self._as_of = None
         else:
             self._emit(ObjectStoreResult(self._watched.kind, False, failure.value))
             self._gate.failed(self._watched.kind)
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -27,9 +27,11 @@
     PeerMessage,
     StopProcess,
     StopRequested,
+    StoreEpochObserved,
     TargetObserved,
     TargetsListed,
     Tick,
+    WatchExpired,
     WeightsNamed,
 )
 from filbertstream.log_events import LogEvent
@@ -55,6 +57,7 @@
 from filbertstream.process.request_rates import RequestRates
 from filbertstream.process.rollout_lease import RolloutLease
 from filbertstream.process.roster import Roster
+from filbertstream.process.store_health import StoreHealth
 from filbertstream.process.store_view import FollowedKind, KindObserved
 from filbertstream.process.target_registrations import TargetRegistrations
 from filbertstream.process.work_exchange import WorkExchange
@@ -83,6 +86,7 @@
     ReportFailed,
     ReportReceived,
 )
+from filbertstream.version.routes import Configuration
 from filbertstream.version.weights_leader import WeightsLeader
 from filbertstream.version.weights_view import WeightsView
 
@@ -204,7 +208,8 @@
             self.roster, self.index, self.crash_watch.detector.on_gone
         )
         self.stopping = False
-        self._failed_kinds: dict[str, str] = {}
+        self.store_health = StoreHealth(self.roster)
+        self._outdated_version = -1
         self._next_lease_tick_s = 0.0
         self._was_ready = False
         self._handlers: dict[type, Callable[[Any, float], list[GatewayAction]]] = {
@@ -239,7 +244,9 @@
             EntryObserved: self._forward(self.entry_registrations.on_entry),
             PeerMessage: self._forward(self.peer_messages.on_message),
             KindObserved: self._forward(self.relayed_view.on_kind_observed),
-            ObjectStoreResult: self._on_object_store_result,
+            ObjectStoreResult: self._forward(self.store_health.on_result),
+            WatchExpired: self._forward(self.store_health.on_expired),
+            StoreEpochObserved: self._forward(self.store_health.on_epoch),
             BoundsChanged: self._on_bounds,
             StopRequested: self._on_stop,
             Tick: self._on_tick,
@@ -255,11 +262,6 @@
         """Process one event and return the actions to carry out."""
         return self._handlers[type(event)](event, now_s)
 
-    @property
-    def store_lost(self) -> tuple[str, ...]:
-        """The kinds of objects whose last call to the object store failed."""
-        return tuple(sorted(self._failed_kinds))
-
     def ready(self, now_s: float) -> bool:
         """Whether the load balancer should send new connections to this entry."""
         if self.stopping or self.authorizer.config is None:
@@ -283,7 +285,7 @@
         self.config_freshness.confirm(event.sent_at_s)
         config = event.config
         if config is None or not self.authorizer.apply(config):
-            return []
+            return [*self._log_outdated(config)]
         stores = [(item.name, item.store) for item in config.services.values() if item.store]
         self.stores.configure(stores)
         self.roster.drained = config.drained
@@ -296,6 +298,17 @@
         log = Log(LogEvent.REVISION_IN_FORCE, fields)
         return [log, StopProcess()] if self.cfg.name in config.drained else [log]
 
+    def _log_outdated(self, config: Configuration | None) -> list[Log]:
+        """Log once that the object store shows an older configuration than that in force."""
+        in_force = self.authorizer.config
+        if config is None or in_force is None or config.version >= in_force.version:
+            return []
+        if self._outdated_version == config.version:
+            return []
+        self._outdated_version = config.version
+        fields = (("version", config.version), ("in_force", in_force.version))
+        return [Log(LogEvent.REVISION_OUTDATED, fields)]
+
     def _on_key_settled(self, event: KeySettled, now_s: float) -> list[GatewayAction]:
         self.idempotency_keys.on_settled(event)
         return []
@@ -332,19 +345,6 @@
         self.counters.add("cache_events_missed", "")
         return []
 
-    def _on_object_store_result(
-        self, event: ObjectStoreResult, now_s: float
-    ) -> list[GatewayAction]:
-        if event.ok:
-            if self._failed_kinds.pop(event.kind, None) is None:
-                return []
-            return [Log(LogEvent.PLATFORM_BACK, (("kind", event.kind),))]
-        self.roster.note_object_store_failure(now_s)
-        if self._failed_kinds.get(event.kind) == event.reason:
-            return []
-        self._failed_kinds[event.kind] = event.reason
-        return [Log(LogEvent.PLATFORM_LOST, (("kind", event.kind), ("reason", event.reason)))]
-
     def _on_bounds(self, event: BoundsChanged, now_s: float) -> list[GatewayAction]:
         bounds = event.bounds
         self.cfg = self.cfg._replace(bounds=bounds)
@@ -365,8 +365,7 @@
 
     def _on_tick(self, event: Tick, now_s: float) -> list[GatewayAction]:
         actions: list[GatewayAction] = list(self.forwarding.tick(now_s))
-        if self._failed_kinds:
-            self.roster.note_object_store_failure(now_s)
+        self.store_health.tick(now_s)
         actions += self.target_registrations.tick(now_s)
         actions += self.crash_watch.tick(now_s)
         self.rate_admission.expire(self.roster.starts, now_s)
@@ -386,9 +385,8 @@
         ready = self.ready(now_s)
         if ready != self._was_ready:
             self._was_ready = ready
-            age_s = (
-                round(self.config_freshness.age_s(now_s), 3) if self._failed_kinds or ready else -1
-            )
+            age_known = bool(self.store_health.failed_kinds) or ready
+            age_s = round(self.config_freshness.age_s(now_s), 3) if age_known else -1
             log_event = LogEvent.ENTRY_FRESH if ready else LogEvent.ENTRY_STALE
             actions.append(Log(log_event, (("config_age_s", age_s),)))
         return actions
--- a/filbertstream/gateway_events.py
+++ b/filbertstream/gateway_events.py
@@ -114,6 +114,19 @@
     reason: str
 
 
+class WatchExpired(NamedTuple):
+    """The object store no longer has the history that a watch of a kind asked for."""
+
+    kind: str
+    since: int
+
+
+class StoreEpochObserved(NamedTuple):
+    """A response of the object store named the epoch of its history; 0 if it names none."""
+
+    epoch: int
+
+
 class PublishKind(NamedTuple):
     """Decode new objects of a kind and publish them as events to the core."""
 
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -25,6 +25,7 @@
 from filbertstream.connection.kind_watcher import KindWatcher, WatchGate
 from filbertstream.connection.loop_exception_handler import LoopExceptionHandler
 from filbertstream.connection.object_writes import ObjectWrites
+from filbertstream.connection.peer_host import PeerHost
 from filbertstream.connection.peer_link import PeerLink
 from filbertstream.connection.watched_kinds import (
     WatchedKind,
@@ -34,10 +35,10 @@
 from filbertstream.gateway import Gateway, GatewayConfig
 from filbertstream.gateway_events import (
     BoundsChanged,
-    PeerMessage,
     PublishKind,
     StopProcess,
     StopRequested,
+    StoreEpochObserved,
     Tick,
 )
 from filbertstream.log_events import LogEvent
@@ -102,7 +103,11 @@
         self.core = Gateway(_core_config(deployment, incarnation, kinds))
         self.gateway_io = GatewayIO(self.core, self._write_log, self._set_broken)
         store_ca = None if setup is None else setup.store_ca
-        self._object_store = ObjectStore(deployment.object_store, store_ca)
+        self._object_store = ObjectStore(
+            deployment.object_store,
+            store_ca,
+            lambda epoch: self.emit_soon(StoreEpochObserved(epoch)),
+        )
         self._keys = IdempotencyKeyStore(self._object_store)
         targets_ca = None if setup is None else setup.targets_ca
         self._runners = RunnerCalls(f"{deployment.name}#{incarnation:x}", targets_ca)
@@ -122,7 +127,7 @@
             )
         self._peers: PeerLink | None = None
         if deployment.peers is not None:
-            host = _PeerHost(self)
+            host = PeerHost(self.gateway_io.handlers, self.emit_soon)
             address = f"tcp://{deployment.peers}"
             key_file = None if self._product is None else self._product.peer_key_file
             self._peers = PeerLink(address, key_file, self.core.counters, host)
@@ -359,21 +364,6 @@
             self.emit_soon(self._runners.order(order, address))
 
 
-class _PeerHost:
-    """Connects the link between entries with the event loop."""
-
-    def __init__(self, process: GatewayProcess) -> None:
-        self._process = process
-
-    def register(self, kind: type, handler: Callable[[Any], object]) -> None:
-        """Register the handler of an action type, which runs on the event loop's thread."""
-        self._process.gateway_io.handlers[kind] = handler
-
-    def emit(self, event: PeerMessage) -> None:
-        """Emit an event to the core from any thread."""
-        self._process.emit_soon(event)
-
-
 def _stamp(path: Path) -> tuple[int, int]:
     try:
         stat = os.stat(path)
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -21,6 +21,7 @@
     SETTINGS_RELOADED = 109
     SETTINGS_REJECTED = 110
     REVISION_IN_FORCE = 200
+    REVISION_OUTDATED = 201
     REQUEST_FINISHED = 300
     REQUEST_REFUSED = 301
     ATTEMPT_FAILED = 302
@@ -52,6 +53,9 @@
     VIEW_RELAYED = 604
     VIEW_DIRECT = 605
     RELAY_CHANGED = 606
+    WATCH_EXPIRED = 607
+    OBSERVATION_OUTDATED = 608
+    STORE_EPOCH = 609
 
 
 DESCRIPTIONS: Final[dict[LogEvent, str]] = {
@@ -65,6 +69,7 @@
     LogEvent.SETTINGS_RELOADED: "Changed settings were loaded; their bounds now apply.",
     LogEvent.SETTINGS_REJECTED: "Changed settings are invalid; the previous ones still apply.",
     LogEvent.REVISION_IN_FORCE: "A new revision of the configuration now applies on this entry.",
+    LogEvent.REVISION_OUTDATED: "The store shows an older configuration than that in force.",
     LogEvent.REQUEST_FINISHED: "A request ended with the outcome in the line.",
     LogEvent.REQUEST_REFUSED: "A caller received a final refusal or error.",
     LogEvent.ATTEMPT_FAILED: "A send ended early: how far its response was, its prompt's blocks.",
@@ -96,6 +101,9 @@
     LogEvent.VIEW_RELAYED: "Updates of relays are recent; watches of the object store stop.",
     LogEvent.VIEW_DIRECT: "Updates of relays are too old; this entry reads the object store.",
     LogEvent.RELAY_CHANGED: "Another relay is polled from now on; the previous one was skipped.",
+    LogEvent.WATCH_EXPIRED: "The store does not have the history of a watch; the kind is listed.",
+    LogEvent.OBSERVATION_OUTDATED: "A response was older than what is known, and was dropped.",
+    LogEvent.STORE_EPOCH: "The object store names an epoch of its history that is new here.",
 }
 
 
--- a/filbertstream/platform/objects.py
+++ b/filbertstream/platform/objects.py
@@ -9,6 +9,7 @@
 import enum
 import threading
 from collections import Counter
+from collections.abc import Callable
 from typing import Any, Final, NamedTuple, TypeVar
 
 import msgspec
@@ -40,6 +41,11 @@
 
 REFUSED_STATUSES: Final = (429, 503)
 
+EPOCH_HEADER: Final = "Store-Era"
+"""The number of the object store's history; it rises when the store comes back from a copy."""
+
+MAX_EPOCH_DIGITS: Final = 9
+
 
 class ObjectStoreFailure(enum.Enum):
     """Why a call has no usable response.
@@ -145,10 +151,28 @@
     return isinstance(cause, NOT_SENT_ERRORS)
 
 
+def _epoch(value: str | None) -> int | None:
+    """Return the epoch in a header's value, 0 without the header, None if it is malformed."""
+    if value is None:
+        return 0
+    valid = value.isascii() and value.isdigit() and len(value) <= MAX_EPOCH_DIGITS
+    return int(value) if valid else None
+
+
 class ObjectStore:
-    """Blocking calls to the object store at a URL; ``ca_file`` verifies its certificate."""
+    """Blocking calls to the object store at a URL; ``ca_file`` verifies its certificate.
 
-    def __init__(self, url: str, ca_file: str | None = None) -> None:
+    ``on_epoch`` is called with each new epoch that a response names.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        ca_file: str | None = None,
+        on_epoch: Callable[[int], None] = lambda epoch: None,
+    ) -> None:
+        self._on_epoch = on_epoch
+        self._epoch = 0
         self._url = f"{url}/objects"
         self._pool = urllib3.PoolManager(maxsize=8, retries=False, ca_certs=ca_file)
         self._calls_lock = threading.Lock()
@@ -279,6 +303,15 @@
                 if _was_not_sent(exc)
                 else ObjectStoreFailure.OUTCOME_UNKNOWN
             )
+        self._note_epoch(resp.headers.get(EPOCH_HEADER))
         if resp.status in REFUSED_STATUSES:
             return Err(ObjectStoreFailure.REFUSED)
         return Ok((resp.status, data))
+
+    def _note_epoch(self, value: str | None) -> None:
+        epoch = _epoch(value)
+        with self._calls_lock:
+            if epoch is None or epoch <= self._epoch:
+                return
+            self._epoch = epoch
+        self._on_epoch(epoch)
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -56,6 +56,7 @@
         self._relayed_at_s = {item.kind: float("-inf") for item in followed}
         self._followers: dict[str, float] = {}
         self._direct_reads: set[str] = set()
+        self._outdated: set[str] = set()
         self._uses_relay = False
         self._last_relay = ""
         self._unbounded_kinds = {item.kind for item in followed if math.isinf(item.max_age_s)}
@@ -91,10 +92,24 @@
         """Handle a response of the object store; push changes that can't wait for a poll."""
         before = self.view.as_of()[observed.kind]
         delta = self.view.take(observed, now_s)
+        outdated = self._log_outdated(observed, before)
         if delta is None:
-            return []
+            return [*outdated]
         pushed = self.view.followed[observed.kind].pushed and bool(delta.rows) and before > 0
-        return [PublishKind(delta), *(self._push(observed.kind, before, now_s) if pushed else [])]
+        pushes = self._push(observed.kind, before, now_s) if pushed else []
+        return [*outdated, PublishKind(delta), *pushes]
+
+    def _log_outdated(self, observed: KindObserved, known: int) -> list[Log]:
+        """Log the first of several responses in a row that are older than what is known."""
+        if observed.as_of >= known:
+            self._outdated.discard(observed.kind)
+            return []
+        if observed.kind in self._outdated:
+            return []
+        self._outdated.add(observed.kind)
+        revisions = (("as_of", observed.as_of), ("known", known))
+        fields = (("kind", observed.kind), *revisions, ("rows", len(observed.rows)))
+        return [Log(LogEvent.OBSERVATION_OUTDATED, fields)]
 
     def _push(self, kind: str, since: int, now_s: float) -> list[Action]:
         kind_update = self.view.kind_update(kind, since, now_s)
--- a/filbertstream/process/status.py
+++ b/filbertstream/process/status.py
@@ -66,7 +66,7 @@
         core.ready(now_s),
         0 if config is None else config.version,
         round(age_s, 3) if age_s < float("inf") else -1.0,
-        core.store_lost,
+        core.store_health.failed_kinds,
         len(core.forwarding.calls),
         core.idempotency_keys.unsettled,
         core.rollout_lease.may_order(now_s),
