Show what breaks when the store comes back from an older copy

The stand-in store and the store of virtual time come back from copies: revisions go back and are given out again, the era rises, operators and targets write again, the system's own writes are lost.

The soak now repeats bookings at other entries, takes a denied call for a violation, and checks that a change takes effect at the end.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -41,6 +41,8 @@
 
     ``down`` refuses every call; the next ``lose_responses`` writes are carried out without a
     response, the next ``late_writes`` writes are carried out ``LATE_WRITE_S`` later without one.
+    ``restore`` brings the store back as it was at a revision, with the next ``epoch``; what was
+    written since is lost, and its revisions are given out again.
     """
 
     def __init__(self, after: Callable[[float, Callable[[], object]], None]) -> None:
@@ -50,6 +52,7 @@
         self.late_writes = 0
         self.calls: Counter[str] = Counter()
         self.revision = 0
+        self.epoch = 1
         self._after = after
         self._history: list[tuple[int, str, Change]] = []
 
@@ -66,6 +69,8 @@
         self.calls["reads"] += 1
         if self.down:
             return Err(ObjectStoreFailure.REFUSED)
+        if since > self.revision:
+            return Err(ObjectStoreFailure.EXPIRED)
         changes = [
             item
             for revision_at, changed_kind, item in self._history
@@ -90,6 +95,18 @@
         """Replace an object if it still has the revision."""
         return self._write(kind, name, content, revision)
 
+    def restore(self, revision: int) -> None:
+        """Bring the store back from the copy that was made at a revision."""
+        self._history = [item for item in self._history if item[0] <= revision]
+        self.objects = {}
+        for _, kind, change in self._history:
+            objects = self.objects.setdefault(kind, {})
+            objects.pop(change.stored.name, None)
+            if not change.removed:
+                objects[change.stored.name] = change.stored
+        self.revision = revision
+        self.epoch += 1
+
     def register(self, kind: str, name: str, content: Any) -> None:
         """Write an object as its owner does; an unchanged one is not recorded as a change."""
         raw = msgspec.json.encode(content)
--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -122,8 +122,11 @@
     def _deliver_result(self, core: Gateway, kind: str, since: int | None, result: Any) -> None:
         world = self._world
         match result:
+            case Err(ObjectStoreFailure.EXPIRED):
+                events: list[Any] = []
+                since = None
             case Err(fault):
-                events: list[Any] = [ObjectStoreResult(kind, False, fault.value)]
+                events = [ObjectStoreResult(kind, False, fault.value)]
             case Ok(found):
                 events = [ObjectStoreResult(kind, True, ""), kind_observed(kind, since, found)]
                 since = found.as_of
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -6,8 +6,8 @@
 Callers send prompts and bookings continuously over persistent connections; faults
 (``bench.soak_faults``) are injected from outside: signals, proxies that break links, a faulty
 object store and faulty targets.  Checked during the run: every complete response is the one that a
-runner derives from that prompt, and the revision reported by one incarnation of an entry never
-decreases.  Checked at the end: every entry serves again, each booking ran at most once and ran if
+runner derives from that prompt, no call is denied that the documents allow, and the revision
+reported by one incarnation of an entry never decreases.  Checked at the end: every entry serves again, each booking ran at most once and ran if
 it got a response, no booking ran that was refused as not run, and no target that limited its
 request rate got more than allowed.  Runners crash at certain prompts and come back; from soon after
 the fifth crash they must get no more than a few of these.
@@ -59,6 +59,13 @@
 REPAIR_S: Final = 20.0
 """Several times the bound for removed keys, so all entries have confirmed their configuration."""
 
+DENIALS: Final = (401, 403, 404)
+APPLIED_S: Final = 2.0
+"""The bound within which every entry applies a change."""
+
+RECENT_BOOKINGS: Final = 40
+REPEATED_SHARE: Final = 0.7
+
 CRASHING_SHARE: Final = 0.1
 CRASHING_TEXT: Final = "x" * BLOCK_BYTES
 """Prompts that begin with this text crash the runner that begins to respond to them."""
@@ -126,6 +133,24 @@
                 )
             except TimeoutError as exc:
                 self.violations.append(f"{entry} after all faults: {exc}")
+        try:
+            self.fleet.wait(self._change_takes_effect, REPAIR_S, "a change takes effect")
+        except TimeoutError as exc:
+            self.violations.append(f"after all faults: {exc}")
+
+    def _change_takes_effect(self) -> bool:
+        """Whether a change is accepted and the first entry knows the changed document."""
+        name = f"after-{self.rng.randint(0, 10**9)}"
+        change = {"changes": [{"kind": "model", "name": name, "version": 1}], "base": None}
+        result = self.fleet.operator("entry-1", "POST", "/v1/apply", change)
+        if result.get("state") != "accepted":
+            return False
+        time.sleep(APPLIED_S)
+        revisions = [
+            self.fleet.operator(f"entry-{number}", "GET", "/v1/status")["revision"]
+            for number in range(1, self.fleet.options.entries + 1)
+        ]
+        return revisions == [result["revision"]] * len(revisions)
 
     def _serves(self, entry: str) -> bool:
         text = f"after {entry}"
@@ -146,11 +171,18 @@
                     self._prompt(entry, f"caller {number} turn {turn}")
                 else:
                     self._booking(entry, f"booking-{number}-{turn}")
+                    self._repeat_booking(entry, rng)
             except urllib3.exceptions.HTTPError:
                 self._count("connection lost")
 
     def _wait_to_retry(self, resp: urllib3.BaseHTTPResponse) -> None:
-        """Wait as ``Retry-After`` says, but not for long: the next call is a different one."""
+        """Wait as ``Retry-After`` says, but not for long: the next call is a different one.
+
+        No document is ever removed, so a denied call is a violation.
+        """
+        if resp.status in DENIALS:
+            with self.lock:
+                self.violations.append(f"a call that the documents allow got {resp.status}")
         self.stop.wait(min(MAX_RETRY_WAIT_S, float(resp.headers.get("Retry-After", "0"))))
 
     def _count(self, what: str) -> None:
@@ -184,6 +216,17 @@
             self.not_run.add(reference)
         self._wait_to_retry(resp)
 
+    def _repeat_booking(self, entry: str, rng: random.Random) -> None:
+        """Send a recent booking again, maybe at another entry; it must not run a second time."""
+        with self.lock:
+            recent = list(self.completed)[-RECENT_BOOKINGS:]
+        if recent and rng.random() < REPEATED_SHARE:
+            reference = rng.choice(recent)
+            headers = {"Idempotency-Key": reference}
+            resp = self.fleet.call(entry, BOOK, {"reference": reference}, WORKSPACE, headers)
+            self._count(f"booking repeated: {resp.status}")
+            self._wait_to_retry(resp)
+
     def _poll_revisions(self) -> None:
         """Poll revisions; each process of an entry is compared only with itself."""
         while not self.stop.wait(0.5):
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -218,6 +218,19 @@
     return _set_faults(fleet, "objects", drop_answers=5.0)
 
 
+RESTORED_NAME: Final = "store restored from a copy"
+MAX_COPY_AGE_S: Final = 9.0
+MAX_AWAY_S: Final = 1.5
+
+
+@fault(RESTORED_NAME)
+def _store_restored(fleet: Fleet, rng: random.Random) -> End:
+    away_s, age_s = rng.uniform(0.0, MAX_AWAY_S), rng.uniform(0.2, MAX_COPY_AGE_S)
+    keep_history = float(rng.random() < 0.5)
+    fleet.fault("objects", keep_history=keep_history, restore_away_s=away_s, restore=age_s)
+    return _do_nothing
+
+
 @fault("streams cut")
 def _streams_cut(fleet: Fleet, rng: random.Random) -> End:
     return _inject_into_target(
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -10,11 +10,17 @@
 Faults beside the common ones: ``busy`` responds with 503 and does nothing, ``compact`` (counted)
 drops the history, ``lose KIND`` (counted) carries out writes of a kind and closes the connection
 without a response.  Objects of the system itself don't expire.
+
+``restore`` brings the store back from a copy of that age in seconds, after it was away for
+``restore_away_s``.  Revisions continue from the copy's, ``Store-Era`` of all responses rises by
+one, and what operators wrote since the copy is written again ``rewrite_s`` after the return; the
+targets renew their own registrations, and what the system wrote is lost.  With ``keep_history`` a
+watch from a revision of the old history is accepted as soon as the new one has reached it.
 """
 
 import threading
 import time
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from standins.base import (
     DropConnection,
@@ -33,9 +39,22 @@
 
 WATCH_LIMIT_MS: Final = 30_000
 
+OPERATORS_KINDS: Final = ("config", "versions")
+RESTORE_CHECK_S: Final = 0.02
+
 Stored = dict[str, Any]
 
 
+class _Write(NamedTuple):
+    """A write with the revision and time at which it was done; ``stored`` is None if removed."""
+
+    at_s: float
+    revision: int
+    kind: str
+    name: str
+    stored: Stored | None
+
+
 class ObjectStore:
     """All objects, in memory."""
 
@@ -46,10 +65,66 @@
         self._history: list[tuple[int, str, Stored, bool]] = []
         self._oldest = 0
         self._revision = 10
+        self._era = 1
+        self._away_until_s = 0.0
+        self._writes: list[_Write] = []
         self.counts = {"reads": 0, "writes": 0}
 
     def __call__(self, environ: Environ, start: Start) -> list[bytes]:
-        """Serve one call."""
+        """Serve one call; every response names the era."""
+        if self._is_away:
+            raise DropConnection
+
+        def start_in_era(status: str, headers: list[tuple[str, str]]) -> Any:
+            return start(status, [*headers, ("Store-Era", str(self._era))])
+
+        return self._respond(environ, start_in_era)
+
+    @property
+    def _is_away(self) -> bool:
+        return time.monotonic() < self._away_until_s
+
+    def restore_when_asked(self) -> None:
+        """Restore the store each time the fault is set, until the process is ended."""
+        while True:
+            time.sleep(RESTORE_CHECK_S)
+            age_s = self._faults.get("restore")
+            if age_s:
+                away_s, rewrite_s = self._faults.get("restore_away_s"), self._faults.get(
+                    "rewrite_s"
+                )
+                self._faults.put({"restore": 0.0})
+                self._restore(age_s, away_s, rewrite_s)
+
+    def _restore(self, age_s: float, away_s: float, rewrite_s: float) -> None:
+        with self._changed:
+            before = {kind: dict(objects) for kind, objects in self._objects.items()}
+            copy_s = time.monotonic() - age_s
+            self._writes = [write for write in self._writes if write.at_s <= copy_s]
+            self._objects = {}
+            for write in self._writes:
+                objects = self._objects.setdefault(write.kind, {})
+                if write.stored is None:
+                    objects.pop(write.name, None)
+                else:
+                    objects[write.name] = write.stored
+            self._revision = max((write.revision for write in self._writes), default=self._oldest)
+            self._history = [item for item in self._history if item[0] <= self._revision]
+            self._era += 1
+            self._away_until_s = time.monotonic() + away_s
+            self._changed.notify_all()
+        threading.Timer(away_s + rewrite_s, self._write_again, (before,)).start()
+
+    def _write_again(self, before: dict[str, dict[str, Stored]]) -> None:
+        """Write what operators had written when the store went away, unless it is there."""
+        with self._changed:
+            for kind in OPERATORS_KINDS:
+                for name, stored in before.get(kind, {}).items():
+                    present = self._objects.get(kind, {}).get(name)
+                    if present is None or present["spec"] != stored["spec"]:
+                        self._put(kind, name, stored["spec"])
+
+    def _respond(self, environ: Environ, start: Start) -> list[bytes]:
         if self._faults.get("busy"):
             return reply(start, 503, {"error": "busy"})
         parts = environ["PATH_INFO"].strip("/").split("/")
@@ -82,7 +157,10 @@
         wait_s = min(WATCH_LIMIT_MS, int(params.get("wait_ms", "0"))) / 1000
         end_s = time.monotonic() + wait_s
         while True:
-            if since < self._oldest:
+            if self._is_away:
+                raise DropConnection
+            known = since <= self._revision or self._faults.get("keep_history")
+            if since < self._oldest or not known:
                 return reply(start, 410, {"error": "revision is compacted"})
             events = [
                 {"object": item, "removed": removed}
@@ -108,20 +186,28 @@
         if method == "PUT" and current is not None and _is_heartbeat(current, body):
             current["spec"] = body["spec"]
             return reply(start, 200, current)
-        self._revision += 1
         if method == "DELETE":
-            self._history.append((self._revision, path[0], objects.pop(name), True))
-            self._changed.notify_all()
+            self._revision += 1
+            self._record(path[0], name, objects.pop(name), True)
             return reply(start, 200, None)
+        return reply(start, 200, self._put(path[0], name, body["spec"]))
+
+    def _put(self, kind: str, name: str, spec: Any) -> Stored:
+        self._revision += 1
         stored = {
             "metadata": {"name": name, "revision": self._revision, "finalizers": []},
-            "spec": body["spec"],
+            "spec": spec,
             "status": None,
         }
-        objects[name] = stored
-        self._history.append((self._revision, path[0], stored, False))
+        self._objects.setdefault(kind, {})[name] = stored
+        self._record(kind, name, stored, False)
+        return stored
+
+    def _record(self, kind: str, name: str, stored: Stored, removed: bool) -> None:
+        self._history.append((self._revision, kind, stored, removed))
+        present = None if removed else stored
+        self._writes.append(_Write(time.monotonic(), self._revision, kind, name, present))
         self._changed.notify_all()
-        return reply(start, 200, stored)
 
 
 def _is_heartbeat(current: Stored, body: Any) -> bool:
@@ -134,6 +220,7 @@
     options = parser("stand-in for the users' object store").parse_args()
     faults = Faults()
     store = ObjectStore(faults)
+    threading.Thread(target=store.restore_when_asked, daemon=True).start()
     serve(options.listen, options.control, store, faults, lambda: store.counts)
 
 
