Let an object that can't be read cost that object alone

One registration nested 100,000 deep ended every entry (RecursionError), and each restarted one again; other odd ones (numbers of 400 digits, NaN) stopped the watch, and ports of 0 or 70000 were used.

Cause: msgspec rejects a whole page for one value, and raises RecursionError, which nothing caught. Change: a page or watch that can't be decoded is split by a scanner without recursion, each object alone; ports, counts and starts have bounds, and texts with lone surrogates are rejected. The same for single objects, reports and cache events.

--- a/filbertstream/platform/cache_calls.py
+++ b/filbertstream/platform/cache_calls.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from filbertstream.platform.raw_json import UNREADABLE
 from filbertstream.process.cache_stores import (
     CacheBlocksListed,
     CacheChange,
@@ -43,7 +44,7 @@
         return CacheEventsFailed(poll.holder)
     try:
         wire = msgspec.json.decode(body, type=_Events)
-    except msgspec.DecodeError:
+    except UNREADABLE:
         return CacheEventsFailed(poll.holder)
     changes = tuple(
         CacheChange(sign == "+", (namespace, block_id), tokens)
@@ -76,7 +77,7 @@
         return None
     try:
         wire = msgspec.json.decode(body, type=_Listing)
-    except msgspec.DecodeError:
+    except UNREADABLE:
         return None
     held = tuple(((namespace, block_id), tokens) for namespace, block_id, tokens, _ in wire.held)
     partial = sum(reserved for _, _, _, reserved in wire.partial)
--- a/filbertstream/platform/documents.py
+++ b/filbertstream/platform/documents.py
@@ -3,13 +3,14 @@
 Each object is decoded separately, so that a malformed one doesn't affect the others.
 """
 
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 from result import Err, Ok, Result
 
 from filbertstream.epoch_number import EpochNumber
 from filbertstream.names import digest_key
+from filbertstream.platform.raw_json import UNREADABLE, is_text
 from filbertstream.platform.settings_file import parse_address
 from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.version.routes import (
@@ -108,9 +109,13 @@
     tenants: list[_Tenant] | None = None
 
 
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""A number that every codec of messages can hold."""
+
+
 class _LoadedModel(msgspec.Struct):
     name: str
-    version: int
+    version: Number
 
 
 class _Server(msgspec.Struct):
@@ -118,16 +123,16 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
+    slots: Annotated[int, msgspec.Meta(ge=1, le=2**31)] = 1
     # The remaining time for which the runner is slow after its start.
     cold_left_ms: float = 0
     models: list[_LoadedModel] = []
-    born: int = 0
+    born: Number = 0
 
 
 class _Named(msgspec.Struct):
     model: str
-    version: int
+    version: Number
 
 
 def decode_configuration(spec: msgspec.Raw) -> Result[Configuration, str]:
@@ -136,7 +141,7 @@
         wire = msgspec.json.decode(spec, type=_Config)
         kinds = {kind.value: kind for kind in CallKind}
         routes = tuple(_route(route, kinds[route.type]) for route in wire.routes)
-    except (msgspec.DecodeError, KeyError) as exc:
+    except (*UNREADABLE, KeyError) as exc:
         return Err(str(exc))
     limits = CallerLimits() if wire.limits is None else _limits(wire.limits)
     workspaces = {}
@@ -203,7 +208,10 @@
     try:
         wire = msgspec.json.decode(spec, type=_Server)
         address = parse_address(wire.address)
-    except (msgspec.DecodeError, ValueError) as exc:
+        texts = (wire.service, wire.zone, *(model.name for model in wire.models))
+        if not all(map(is_text, texts)):
+            return Err("text with lone surrogates")
+    except (*UNREADABLE, ValueError) as exc:
         return Err(str(exc))
     if wire.state not in ("ready", "draining"):
         return Err(f"unknown state {wire.state[:20]!r}")
@@ -226,11 +234,16 @@
     """Return a model and its named weight version, or the reason why they are malformed."""
     try:
         wire = msgspec.json.decode(spec, type=_Named)
-    except msgspec.DecodeError as exc:
+    except UNREADABLE as exc:
         return Err(str(exc))
+    if not is_text(wire.model):
+        return Err("text with lone surrogates")
     return Ok((wire.model, wire.version))
 
 
 def decode_internal(spec: msgspec.Raw, kind: Any) -> Any:
     """Decode an object of a kind that filbertstream itself writes; may raise ``DecodeError``."""
-    return msgspec.json.decode(spec, type=kind)
+    try:
+        return msgspec.json.decode(spec, type=kind)
+    except (RecursionError, UnicodeError) as exc:
+        raise msgspec.DecodeError(str(exc)) from exc
--- a/filbertstream/platform/objects.py
+++ b/filbertstream/platform/objects.py
@@ -13,7 +13,7 @@
 import threading
 from collections import Counter
 from collections.abc import Callable
-from typing import Any, Final, NamedTuple, TypeVar
+from typing import Any, Final, NamedTuple
 
 import msgspec
 import urllib3
@@ -28,6 +28,7 @@
 
 from filbertstream.epoch_number import NO_REVISION, EpochNumber
 from filbertstream.platform.bounded_read import read_bounded
+from filbertstream.platform.raw_json import decode_or_none, elements, fields, is_text
 from filbertstream.process.clock import boot_time_s
 from filbertstream.statuses import CONFLICT, CREATED, GONE, NOT_FOUND, OK
 
@@ -131,23 +132,50 @@
 
 NOT_SENT_ERRORS: Final = (NewConnectionError, ConnectTimeoutError, NameResolutionError)
 
-T = TypeVar("T")
 
+def _stored(raw: bytes, epoch: int) -> StoredObject | None:
+    """Return an object; its content is null if it can't be read, None without a readable name."""
+    item = decode_or_none(raw, _Object)
+    if item is None:
+        meta = decode_or_none(fields(raw).get("metadata", b""), _Meta)
+        if meta is None:
+            return None
+        item = _Object(meta)
+    if not is_text(item.metadata.name):
+        return None
+    revision = EpochNumber(epoch, item.metadata.revision)
+    return StoredObject(item.metadata.name, revision, item.spec)
 
-def _decode_or_none(body: bytes, kind: type[T]) -> T | None:
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError:
+
+def _page(body: bytes) -> _Page | None:
+    """Return a page of a listing, split by hand if an item can't be read."""
+    page = decode_or_none(body, _Page)
+    if page is not None:
+        return page
+    found = fields(body)
+    as_of = decode_or_none(found.get("as_of", b""), int)
+    more = decode_or_none(found.get("has_more", b"false"), bool)
+    if as_of is None or more is None or "items" not in found:
         return None
+    return _Page([msgspec.Raw(item) for item in elements(found["items"])], as_of, more)
 
 
-def _stored(raw: msgspec.Raw, epoch: int) -> StoredObject | None:
-    try:
-        item = msgspec.json.decode(raw, type=_Object)
-    except msgspec.DecodeError:
+def _events(body: bytes) -> _Events | None:
+    """Return the events of a watch, split by hand if an object can't be read."""
+    events = decode_or_none(body, _Events)
+    if events is not None:
+        return events
+    found = fields(body)
+    as_of = decode_or_none(found.get("as_of", b""), int)
+    if as_of is None or "events" not in found:
         return None
-    revision = EpochNumber(epoch, item.metadata.revision)
-    return StoredObject(item.metadata.name, revision, item.spec)
+    split = [fields(event) for event in elements(found["events"])]
+    decoded = [
+        _Event(msgspec.Raw(event["object"]), event.get("removed") == b"true")
+        for event in split
+        if "object" in event
+    ]
+    return _Events(decoded, as_of)
 
 
 def _was_not_sent(exc: HTTPError) -> bool:
@@ -214,12 +242,12 @@
                 case Err(failure):
                     return Err(failure)
                 case Ok(resp) if resp.status == OK:
-                    page = _decode_or_none(resp.body, _Page)
+                    page = _page(resp.body)
                 case Ok(_):
                     return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
             if page is None:
                 return Err(ObjectStoreFailure.MALFORMED)
-            items = [_stored(raw, resp.epoch) for raw in page.items]
+            items = [_stored(bytes(raw), resp.epoch) for raw in page.items]
             found += [item for item in items if item is not None]
             page_as_of = EpochNumber(resp.epoch, page.as_of)
             as_of = page_as_of if as_of is None else as_of
@@ -242,7 +270,7 @@
             case Ok(resp) if resp.status == GONE:
                 return Err(ObjectStoreFailure.EXPIRED)
             case Ok(resp) if resp.status == OK:
-                events = _decode_or_none(resp.body, _Events)
+                events = _events(resp.body)
             case Ok(_):
                 return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
         if events is None:
@@ -251,7 +279,9 @@
         if not as_of.comparable(since):
             # The new history may have given out the revision again, and skip what came before it.
             return Err(ObjectStoreFailure.EXPIRED)
-        found = [(_stored(event.object, resp.epoch), event.removed) for event in events.events]
+        found = [
+            (_stored(bytes(event.object), resp.epoch), event.removed) for event in events.events
+        ]
         changes = tuple(Change(item, removed) for item, removed in found if item is not None)
         return Ok(Changes(sent_at_s, as_of, changes))
 
@@ -261,7 +291,7 @@
             case Err(failure):
                 return Err(failure)
             case Ok(resp) if resp.status == OK:
-                return Ok(_stored(msgspec.Raw(resp.body), resp.epoch))
+                return Ok(_stored(resp.body, resp.epoch))
             case Ok(resp) if resp.status == NOT_FOUND:
                 return Ok(None)
         return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
@@ -306,9 +336,9 @@
                 # The condition was checked against a revision of another history.
                 return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
             case Ok(resp) if resp.status in (OK, CREATED):
-                return Ok(Written(True, _stored(msgspec.Raw(resp.body), resp.epoch)))
+                return Ok(Written(True, _stored(resp.body, resp.epoch)))
             case Ok(resp) if resp.status == CONFLICT:
-                return Ok(Written(False, _stored(msgspec.Raw(resp.body), resp.epoch)))
+                return Ok(Written(False, _stored(resp.body, resp.epoch)))
             case Ok(resp) if resp.status == NOT_FOUND:
                 return Ok(Written(False, None))
         return Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
--- a/filbertstream/platform/runner_calls.py
+++ b/filbertstream/platform/runner_calls.py
@@ -11,6 +11,7 @@
 
 from filbertstream.platform.bounded_read import read_bounded
 from filbertstream.platform.headers import REQUEST_RATE, decode_request_rate
+from filbertstream.platform.raw_json import UNREADABLE
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import RequestRate
@@ -72,7 +73,7 @@
             if resp.status != OK:
                 return ReportFailed(poll.target_id)
             report = msgspec.json.decode(data, type=_Report)
-        except (HTTPError, msgspec.DecodeError):
+        except (HTTPError, *UNREADABLE):
             self._pool.clear()
             return ReportFailed(poll.target_id)
         weights = {model.name: model.version for model in report.models}
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -70,10 +70,15 @@
     port_range: list[int] = []
 
 
+MAX_PORT: Final = 65_535
+MAX_PORT_DIGITS: Final = 5
+
+
 def parse_address(text: str) -> Address:
     """Parse ``host:port``; raise ``ValueError`` if it is malformed."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not host or not host.isprintable() or not is_number or not 0 < int(port) <= MAX_PORT:
         raise ValueError(ADDRESS_FORMAT)
     return Address(host, int(port))
 
