Take no repeated refusal for that of the next request

A runner that wrote a refusal once more on a kept connection could make the next request count as not run: if it had no id, or if the request was sent again to the same runner with the same id. Not seen over processes. Change: a refusal without an id counts only until the first refusal on a connection, and a request does not use a connection again on which it was refused.

--- a/filbertstream/connection/proxied_send.py
+++ b/filbertstream/connection/proxied_send.py
@@ -219,7 +219,9 @@
     async def begin(self, pool: TargetConnectionPool) -> None:
         """Take or open a connection and write the request."""
         action = self.action
-        target_conn = pool.take(action.address, action.max_idle_s, boot_time_s())
+        target_conn = pool.take(
+            action.address, action.max_idle_s, boot_time_s(), self._call.request_id
+        )
         if target_conn is None:
             target_conn = await pool.open(action.address)
         if self.over:
--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -34,6 +34,9 @@
 HEAD_LIMIT_BYTES: Final = 65_536
 """Limit on the bytes up to the end of a response's head; targets send only a few headers."""
 
+MAX_REFUSALS: Final = 64
+"""Rejections after which a connection is closed; their request ids are kept."""
+
 SKIPPED_LIMIT_BYTES: Final = 1_000_000
 """The same limit where another request's late response comes first, which may have a full body."""
 
@@ -76,6 +79,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._sink: ResponseSink | None = None
         self._request_id = ""
+        self.refused_ids: set[str] = set()
         self._on_idle: Callable[[TargetConnection], None] | None = None
         self._headers: Headers = []
         self._reason = b""
@@ -178,7 +182,9 @@
         names = {name for name, _ in self._headers}
         self._has_length = b"content-length" in names or b"transfer-encoding" in names
         # A target that rejects a request after reading only its head may omit the request id.
-        without_id = not response.request_id and (response.not_run or not self._request_id)
+        # After an earlier rejection it may also be that one, written once more.
+        rejected = response.not_run and not self.refused_ids
+        without_id = not response.request_id and (rejected or not self._request_id)
         if status < FIRST_FINAL_STATUS or not (
             without_id or response.request_id == self._request_id
         ):
@@ -188,12 +194,19 @@
             return
         self._skipping = False
         self._in_body = True
+        if response.not_run:
+            self._note_refusal()
         limit_s = keep_alive_s(self._headers)
         if limit_s is not None:
             self.idle_limit_s = min(IDLE_TIMEOUT_S, limit_s * 0.5)
         self._restart_timer()
         sink.on_head(response, self._reason.decode("latin-1"), self._headers)
 
+    def _note_refusal(self) -> None:
+        self.refused_ids.add(self._request_id)
+        if len(self.refused_ids) >= MAX_REFUSALS:
+            self.usable = False
+
     def on_body(self, data: bytes) -> None:
         """Called by the parser."""
         if self._sink is not None and not self._skipping and self._sink.on_body(data):
@@ -275,11 +288,20 @@
         self._idle: dict[Address, list[TargetConnection]] = {}
         self.opened = 0
 
-    def take(self, address: Address, max_idle_s: float, now_s: float) -> TargetConnection | None:
-        """Return the most recently used connection that was idle for less than ``max_idle_s``."""
+    def take(
+        self, address: Address, max_idle_s: float, now_s: float, request_id: str = ""
+    ) -> TargetConnection | None:
+        """Return the most recently used connection that was idle for less than ``max_idle_s``.
+
+        A connection on which the same request was rejected is closed instead: the rejection may be
+        repeated there, and nothing distinguishes it from a second one.
+        """
         idle = self._idle.get(address, [])
         while idle:
             conn = idle.pop()
+            if request_id and request_id in conn.refused_ids:
+                conn.abort()
+                continue
             limit_s = min(max_idle_s, conn.idle_limit_s)
             if conn.usable and not conn.closed and now_s - conn.idle_since_s < limit_s:
                 return conn
--- a/tests/test_target_connection.py
+++ b/tests/test_target_connection.py
@@ -164,3 +164,58 @@
         return await TargetConnectionPool().open(Address(host, port))
 
     assert asyncio.run(attempt()) is None
+
+
+REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\nRequest-Id: mine\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nbusy"
+)
+
+
+async def second_exchange(first: bytes, again: bytes, request_id: str) -> tuple[bool, list[int]]:
+    """Return whether the connection is reused after a refusal, and the heads of the next send."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for sent in (first, again):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(sent)
+            await writer.drain()
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname())
+    links = TargetConnectionPool()
+    conn = await links.open(address)
+    assert conn is not None
+    request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+    sink = Sink()
+    conn.request("mine", request, sink, 0.5, lambda idle: links.release(idle, 0.0))
+    assert await asyncio.wait_for(sink.end, 3.0) == "complete"
+    await asyncio.sleep(0.05)
+    kept = links.take(address, 1.0, 0.0, request_id)
+    heads: list[int] = []
+    if kept is not None:
+        sink = Sink()
+        kept.request(request_id, request, sink, 0.5, lambda idle: None)
+        await asyncio.wait_for(sink.end, 3.0)
+        heads = sink.heads
+        kept.abort()
+    server.close()
+    return kept is not None, heads
+
+
+@pytest.mark.parametrize(
+    ("refusal", "request_id", "expected"),
+    [
+        (REFUSAL, "mine", (False, [])),
+        (REFUSAL, "next", (True, [200])),
+        (REFUSAL.replace(b"Request-Id: mine\r\n", b""), "next", (True, [200])),
+        (REFUSAL.replace(b"Request-Id: mine\r\n", b""), "mine", (False, [])),
+    ],
+)
+def test_repeated_refusal_is_taken_for_that_of_the_next_request(
+    refusal: bytes, request_id: str, expected: tuple[bool, list[int]]
+) -> None:
+    """A target writes a refusal once more before the response to the next request."""
+    own = OWN_RESPONSE.replace(b"mine", request_id.encode())
+    assert asyncio.run(second_exchange(refusal, refusal + own, request_id)) == expected
