Continue a stream only with a response of the same content type

A stream broke off, and the next runner answered 200 with another content type: the caller got that body as the rest of its stream. Responses with 500 and 503 were rejected before. Change: a continuation must have the content type of the response that began the stream. The new test fails for that case without the change.

--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -227,6 +227,7 @@
         first.get(b"instance-id", b"").decode("latin-1"),
         _seconds(first.get(b"retry-after")),
         decode_request_rate([value for name, value in headers if name == REQUEST_RATE]),
+        first.get(b"content-type", b"").partition(b";")[0].strip().lower().decode("latin-1"),
     )
 
 
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -91,6 +91,7 @@
     target_id: str
     retry_after_s: float | None
     request_rate: RequestRate = UNLIMITED
+    content_type: str = ""
 
 
 class CacheDirectives(NamedTuple):
--- a/filbertstream/request/call_state.py
+++ b/filbertstream/request/call_state.py
@@ -54,6 +54,7 @@
     response_started: bool = False
     stage: SendStage = SendStage.WAITING
     last_event_id: str | None = None
+    content_type: str = ""
     rejections: int = 0
     failed_sends: int = 0
     claiming: bool = False
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -278,12 +278,12 @@
         call.stage = SendStage.HEAD
         call.succeeds = response.status < MULTIPLE_CHOICES
         if call.response_started:
-            if response.status != OK:
+            if response.status != OK or response.content_type != call.content_type:
                 return self._failures.fail(call, event.number, "not_resumed", now_s)
             self._feedback.note_latency(call, target, now_s)
             return [ContinueResponse(call.call_id, call.number)]
         stream = call.route.kind is CallKind.STREAM and response.status == OK
-        call.response_started = stream
+        call.response_started, call.content_type = stream, response.content_type
         self._feedback.note_latency(call, target, now_s)
         return [RelayResponse(call.call_id, call.number, stream)]
 
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -131,6 +131,29 @@
     assert not sends(actions)
 
 
+@pytest.mark.parametrize(
+    "head", [{"status": 500}, {"status": 503}, {"content_type": "text/html"}], ids=str
+)
+def test_error_of_the_next_runner_is_passed_on_as_the_rest_of_a_stream(
+    head: dict[str, object],
+) -> None:
+    """A stream breaks, and the next runner answers with an error, maybe with status 200."""
+    world = World()
+    for _ in range(60):
+        world.arrive("draft")
+    (first,) = sends(world.arrive("draft"))
+    call_id = world.calls
+    streamed = response_head(content_type="text/event-stream")
+    world.step(ResponseStarted(call_id, first.number, streamed))
+    world.step(FirstEvent(call_id, first.number))
+    (second,) = sends(world.step(SendFailed(call_id, first.number, "cut", True, True, "7")))
+    actions = world.step(
+        ResponseStarted(call_id, second.number, streamed._replace(**head))  # type: ignore[arg-type]
+    )
+    assert ContinueResponse(call_id, second.number) not in actions
+    assert sends(actions) or AbortResponse(call_id) in actions
+
+
 def test_unsigned_or_encoded_success_is_not_relayed() -> None:
     """A target sends a success without a signature or with a content encoding."""
     for wrong in (response_head(signed=False), response_head(encoded=True)):
