--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -24,6 +24,8 @@
 
     status = 200
     body = b""
+    era: str | None = None
+    calls: ClassVar[list[str]] = []
     pages: ClassVar[dict[str, bytes]] = {}
     """Bodies by the ``after`` parameter of the request, instead of the one body."""
 
@@ -36,7 +38,10 @@
         _, _, after = self.path.partition("after=")
         body = self.pages.get(after, self.body)
         self.send_response(self.status)
+        self.calls.append(self.command)
         self.send_header("Content-Length", str(len(body)))
+        if self.era is not None:
+            self.send_header("Store-Era", self.era)
         self.end_headers()
         self.wfile.write(body)
 
@@ -131,3 +136,53 @@
     assert isinstance(listed, Ok)
     assert [item.name for item in listed.ok_value.objects] == ["m", "z"]
     assert listed.ok_value.as_of == EpochNumber(0, 9)
+
+
+EPOCH_2 = EpochNumber(2, 9)
+
+
+@pytest.fixture
+def restored(store: ObjectStore) -> Iterator[ObjectStore]:
+    set_response(200, PAGE)
+    FixedResponses.era = "2"
+    assert store.list("k").unwrap().as_of == EPOCH_2
+    yield store
+    FixedResponses.era = None
+
+
+@pytest.mark.parametrize(
+    ("era", "fault"),
+    [
+        ("1", ObjectStoreFailure.OUTCOME_UNKNOWN),
+        (None, ObjectStoreFailure.MALFORMED),
+        ("", ObjectStoreFailure.MALFORMED),
+        ("-3", ObjectStoreFailure.MALFORMED),
+        ("3.0", ObjectStoreFailure.MALFORMED),
+        ("9" * 400, ObjectStoreFailure.MALFORMED),
+    ],
+)
+def test_response_of_an_earlier_or_unknown_epoch_is_used(
+    restored: ObjectStore, era: str | None, fault: ObjectStoreFailure
+) -> None:
+    """A response of the old history is still on the way, or its header is garbled or missing."""
+    FixedResponses.era = era
+    assert restored.list("k") == Err(fault)
+    set_response(200, b'{"events":[],"as_of":9}')
+    assert restored.watch("k", EPOCH_2, 0.0) == Err(fault)
+    FixedResponses.era = "2"
+    assert restored.watch("k", EPOCH_2, 0.0).unwrap().as_of == EPOCH_2
+
+
+def test_watch_or_write_of_an_earlier_epoch_is_carried_out_in_the_next_one(
+    restored: ObjectStore,
+) -> None:
+    """The store is restored between a read and what builds on its revision."""
+    set_response(200, b'{"events":[],"as_of":41}')
+    assert restored.watch("k", EpochNumber(1, 9), 0.0) == Err(ObjectStoreFailure.EXPIRED)
+    calls = len(FixedResponses.calls)
+    written = restored.replace("k", "a", {}, EpochNumber(1, 9)).unwrap()
+    assert (written.done, len(FixedResponses.calls)) == (False, calls)
+    FixedResponses.era = "3"
+    set_response(200, b'{"metadata":{"name":"a","revision":10},"spec":1}')
+    unsure = restored.replace("k", "a", {}, EPOCH_2)
+    assert unsure == Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -178,8 +178,10 @@
         sent.append(action.target_id) if isinstance(action, SendCall) else None
     )
     world.objects.restore(copy)
-    for _ in range(2):
-        assert all(answered(world))
+    for _ in range(6):
+        for name in [*world.cores] * 4:
+            world.request(name)
+        world.run(0.5)
     assert sent
     assert not {"r1", "r2"} & set(sent)
 
