--- a/filbertstream/process/store_recovery.py
+++ b/filbertstream/process/store_recovery.py
@@ -30,6 +30,12 @@
 
 MAX_NAMES_LOGGED: Final = 8
 
+UNDECIDED: Final = -1
+"""In place of a complete epoch: the entry has just started and does not know of a restore yet."""
+
+RECOVERING: Final = -2
+"""In place of a complete epoch: a recovery is in progress."""
+
 
 class RecoveryPart(Protocol):
     """A component whose state depends on the epoch of the object store."""
@@ -86,13 +92,13 @@
         before, self.epoch = self.epoch, epoch
         logs = [Log(LogEvent.STORE_EPOCH, (("epoch", epoch), ("before", before)))]
         if is_first and not before:
-            self._complete_epoch = -1
+            self._complete_epoch = UNDECIDED
             return logs
         return [*logs, *self._begin(before, now_s)]
 
     def on_registrations(self, now_s: float) -> list[Log]:
         """Decide whether the store was restored shortly before this entry started."""
-        if self._complete_epoch != -1:
+        if self._complete_epoch != UNDECIDED:
             return []
         known = max((record.epoch for record in self._members().values()), default=0)
         if 0 < known < self.epoch:
@@ -101,7 +107,7 @@
         return []
 
     def _begin(self, before: int, now_s: float) -> list[Log]:
-        self._complete_epoch = -2
+        self._complete_epoch = RECOVERING
         self.restores += 1
         self.restored_at_s = now_s
         confirming = {name for name, record in self._members().items() if record.epoch}
@@ -113,7 +119,7 @@
 
     def tick(self, now_s: float) -> list[Log]:
         """Note the progress of this entry and its peers, and log when the recovery is complete."""
-        if self._complete_epoch != -2:
+        if self._complete_epoch != RECOVERING:
             return []
         if self.written_epoch != self.epoch:
             if not all(part.recovered for part in self.parts):
