Take only complete registrations with an IP address for targets

Cause: fields that a registration lacks had defaults, and any printable text counted as a host. A host that is no IP address is looked up by name, and the encoding of a name that is none raises UnicodeError, which no caller of the lookup expects. The log shows it: entry_closed with "call to a target: UnicodeError('label empty or too long')".

Ruled out: decoding as such (the entry lives until a call is placed there), and the defaults of the missing fields (they hurt nobody, but the platform says that such an entry names no runner).

Change: addresses are IPv4 addresses, parsed once where objects are decoded, for cache stores of the configuration too; the fields of a registration are required.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -4,9 +4,11 @@
 ``bench.world`` connects fakes and cores.
 """
 
+import zlib
 from collections import Counter, OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from ipaddress import IPv4Address
 from typing import Any, Final
 
 import msgspec
@@ -33,6 +35,7 @@
 STORE_TOKENS: Final = 40_000_000
 SWAP_S: Final = 0.4
 PORT: Final = 80
+TARGETS_NETWORK: Final = int(IPv4Address("10.0.0.0"))
 
 CallResult = Result[Any, ObjectStoreFailure]
 
@@ -224,6 +227,11 @@
             self.events.append(CacheChange(False, key, tokens))
 
 
+def _ip_address(name: str) -> str:
+    """Return the address of the VM of a target."""
+    return str(IPv4Address(TARGETS_NETWORK + zlib.crc32(name.encode()) % 2**24))
+
+
 @dataclass
 class FakeTarget:
     """A runner (``model``) or a plain service, with a record of what ran.
@@ -290,7 +298,7 @@
         return TargetRegistration(
             self.name,
             self.service,
-            Address(self.name, PORT),
+            Address(_ip_address(self.name), PORT),
             self.data_center,
             64,
             self.draining,
--- a/bench/platform_side.py
+++ b/bench/platform_side.py
@@ -62,9 +62,11 @@
         "service": entry.service,
         "address": str(entry.address),
         "zone": entry.data_center,
+        "version": "v1",
         "slots": entry.slots,
         "state": "draining" if entry.draining else "ready",
         "cold_left_ms": entry.warmup_left_s * MS,
+        "seq": 1,
         "models": [{"name": name, "version": at} for name, at in entry.weights.items()],
         "born": entry.started_ms,
     }
--- a/filbertstream/platform/documents.py
+++ b/filbertstream/platform/documents.py
@@ -122,10 +122,14 @@
     service: str
     address: str
     zone: str
+    # The version of the runner's software, not of its weights.
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=2**31)]
     state: str
-    slots: Annotated[int, msgspec.Meta(ge=1, le=2**31)] = 1
     # The remaining time for which the runner is slow after its start.
-    cold_left_ms: float = 0
+    cold_left_ms: float
+    # Counts the heartbeats.
+    seq: int
     models: list[_LoadedModel] = []
     born: Number = 0
 
@@ -197,12 +201,19 @@
             models,
         )
     if wire.store_addr is not None:
-        store = CacheStore(
-            wire.store_addr, wire.zone, wire.kv_capacity, wire.max_inflight, wire.managed
-        )
+        store = _cache_store(wire, wire.store_addr)
     return Service(wire.name, wire.health_path, wire.max_conns, engine, store)
 
 
+def _cache_store(wire: _Service, address: str) -> CacheStore | None:
+    """Return a service's cache store, None if its address can't be read: the others hold."""
+    try:
+        parse_address(address)
+    except ValueError:
+        return None
+    return CacheStore(address, wire.zone, wire.kv_capacity, wire.max_inflight, wire.managed)
+
+
 def decode_target(name: str, spec: msgspec.Raw) -> Result[TargetRegistration, str]:
     """Return a target's registration, or the reason why it is malformed."""
     try:
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Annotated, Any, Final, TypeAlias
 
@@ -75,12 +76,16 @@
 
 
 def parse_address(text: str) -> Address:
-    """Parse ``host:port``; raise ``ValueError`` if it is malformed."""
+    """Parse ``host:port``; raise ``ValueError`` if it is malformed.
+
+    The host must be an IPv4 address: the lookup of a name would wait for another system, and raises
+    ``UnicodeError`` for names that are none.
+    """
     host, _, port = text.rpartition(":")
     is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
-    if not host or not host.isprintable() or not is_number or not 0 < int(port) <= MAX_PORT:
+    if not is_number or not 0 < int(port) <= MAX_PORT:
         raise ValueError(ADDRESS_FORMAT)
-    return Address(host, int(port))
+    return Address(str(IPv4Address(host)), int(port))
 
 
 def read_settings_file(path: Path) -> Result[Deployment, list[Mistake]]:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -268,15 +268,18 @@
         assert f"\r\n{line}\r\n" in text
 
 
+REST = b'"version":"v1","slots":4,"cold_left_ms":0,"seq":1}'
+
+
 @pytest.mark.parametrize(
     "spec",
     [
         b"[]",
         b'"text"',
         b"{}",
-        b'{"service":"s","address":"nowhere","zone":"z","state":"ready"}',
-        b'{"service":"s","address":"10.0.0.1:80","zone":"z","state":"asleep"}',
-        b'{"service":7,"address":"10.0.0.1:80","zone":"z","state":"ready"}',
+        b'{"service":"s","address":"nowhere","zone":"z","state":"ready",' + REST,
+        b'{"service":"s","address":"10.0.0.1:80","zone":"z","state":"asleep",' + REST,
+        b'{"service":7,"address":"10.0.0.1:80","zone":"z","state":"ready",' + REST,
     ],
 )
 def test_undecodable_registration_yields_no_target(spec: bytes) -> None:
@@ -287,7 +290,8 @@
 def test_unknown_fields_of_a_registration_are_ignored() -> None:
     """A newer version of the platform adds fields."""
     spec = (
-        b'{"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining","seq":4,'
+        b'{"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining",'
+        b'"version":"v1","slots":4,"cold_left_ms":0,"seq":4,'
         b'"models":[{"name":"m","version":3,"adapters":[]}],"born":12,"later":[1]}'
     )
     decoded = decode_target("i-1", msgspec.Raw(spec))
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,20 +1,25 @@
 """Odd objects of other writers: one that can't be read costs that object alone.
 
 Failure guarded against: the entry ends, or stops following a kind, because one object among others
-is nested very deeply, has a number too large or a port out of range, or is no valid text.
+is nested very deeply, has a number too large or a port out of range, lacks a field, names a host
+that can't be looked up, or is no valid text.
 """
 
 import json
+import socket
+from typing import Any
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from result import Ok
 
 from filbertstream.connection.kind_rows import kind_observed, publish_kind
 from filbertstream.connection.watched_kinds import watched_kinds
 from filbertstream.gateway_events import TargetObserved, TargetsListed
 from filbertstream.platform.cache_calls import decode_events, decode_list
-from filbertstream.platform.documents import TARGETS_KIND
+from filbertstream.platform.documents import TARGETS_KIND, decode_configuration, decode_target
 from filbertstream.platform.objects import ObjectStore
 from filbertstream.process.cache_stores import CacheEventsFailed, ListCacheBlocks, PollCacheEvents
 from filbertstream.process.store_view import ObjectStoreView
@@ -24,13 +29,26 @@
 __all__ = ["store"]
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
-GOOD = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready"}
+GOOD: dict[str, Any] = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 1,
+}
 
 
 def spec(**changes: object) -> bytes:
     return json.dumps(GOOD | changes).encode()
 
 
+def without(field: str) -> bytes:
+    return json.dumps({name: value for name, value in GOOD.items() if name != field}).encode()
+
+
 def with_raw(field: str, raw: bytes) -> bytes:
     return spec().replace(b"}", b',"' + field.encode() + b'":' + raw + b"}")
 
@@ -53,6 +71,14 @@
     "port of 400 digits": spec(address="10.0.0.1:" + "9" * 400),
     "other digits": spec(address="10.0.0.1:\u00b2"),
     "control characters": spec(address="10.0.0.1\r\nx:80"),
+    "empty label in the host": spec(address="127.0.0..7:8080"),
+    "label of 64 letters": spec(address=f"{'a' * 64}.example:80"),
+    "host name": spec(address="runner.example:80"),
+    "letters of no host": spec(address="\u00fc\u00df\u3002:80"),
+    "large part of the address": spec(address="10.0.0.256:80"),
+    "version of another type": spec(version=[1]),
+    "seq of another type": spec(seq="4"),
+    **{f"without {field}": without(field) for field in GOOD},
     "no text": spec(service="x").replace(b'"x"', b'"\xff\xfe"'),
     "surrogate": spec(service="x").replace(b'"x"', b'"\\ud800"'),
     "null": b"null",
@@ -92,6 +118,35 @@
 
 PAGE_OF = [b""]
 
+TEXTS = st.text(max_size=12) | st.sampled_from(["", "127.0.0..7:80", "a.:1", ":", "[::1]:80"])
+ODD_VALUES = st.none() | st.booleans() | st.integers() | st.floats() | TEXTS | st.lists(TEXTS)
+ODD_FIELDS = st.dictionaries(st.sampled_from(sorted(GOOD)), ODD_VALUES, max_size=3)
+
+
+@given(ODD_FIELDS, st.sets(st.sampled_from(sorted(GOOD)), max_size=2))
+def test_drawn_odd_registration_names_a_target_that_cannot_be_connected_to(
+    changed: dict[str, Any], missing: set[str]
+) -> None:
+    """The name lookup of a registered address raises, which ends the entry at each start."""
+    fields = {name: value for name, value in (GOOD | changed).items() if name not in missing}
+    decoded = decode_target("odd", msgspec.Raw(json.dumps(fields).encode()))
+    if isinstance(decoded, Ok):
+        assert not missing
+        host, port = decoded.ok_value.address
+        assert socket.getaddrinfo(host, port, flags=socket.AI_NUMERICHOST)
+
+
+def test_cache_store_with_an_odd_address_ends_the_entry_or_hides_the_configuration() -> None:
+    """Each call to the cache store raises; its service stays known, without the store."""
+    services = [
+        {"name": "odd", "store_addr": "127.0.0..7:80", "kv_capacity": 9},
+        {"name": "sound", "store_addr": "127.0.0.7:80", "kv_capacity": 9},
+    ]
+    config = {"version": 1, "routes": [], "services": services}
+    decoded = decode_configuration(msgspec.Raw(json.dumps(config).encode())).unwrap()
+    assert decoded.services["odd"].store is None
+    assert decoded.services["sound"].store is not None
+
 
 @pytest.mark.parametrize("name", ODD)
 @pytest.mark.parametrize("listed", [True, False], ids=["list", "watch"])
