Bound the numbers that callers, runners, cache stores and operators send

Callers saw all calls of an entry cut when anybody with a key sent one head with a token count beyond 2^64: the entry ended, and so would each that got the retry.

Change: numbers are bounded where they are decoded, with room for their sums over a fleet. A caller gets 400; an odd load, version or retry time of a runner counts as absent; odd events of a cache store fail their call. Texts with lone surrogates, which no message can hold, fail it too.

--- a/filbertstream/platform/cache_calls.py
+++ b/filbertstream/platform/cache_calls.py
@@ -1,10 +1,10 @@
 """Calls about cached blocks: cache events of runners and cache stores, listings, and freeing."""
 
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 
-from filbertstream.platform.raw_json import UNREADABLE
+from filbertstream.platform.raw_json import UNREADABLE, Number, is_text
 from filbertstream.process.cache_stores import (
     CacheBlocksListed,
     CacheChange,
@@ -21,11 +21,11 @@
 
 class _Events(msgspec.Struct):
     # Changes when the holder restarts; unrelated to versions of the configuration or weights.
-    boot_epoch: int
-    next: int
-    events: list[tuple[int, str, str, str, int, Any]]
+    boot_epoch: Number
+    next: Number
+    events: list[tuple[int, str, str, str, Number, Any]]
     lost: bool = False
-    clock_ms: float | None = None
+    clock_ms: Annotated[float, msgspec.Meta(ge=0, le=2**53)] | None = None
 
 
 def encode_follow(poll: PollCacheEvents) -> bytes:
@@ -46,6 +46,8 @@
         wire = msgspec.json.decode(body, type=_Events)
     except UNREADABLE:
         return CacheEventsFailed(poll.holder)
+    if not all(is_text(namespace) and is_text(block) for _, _, namespace, block, *_ in wire.events):
+        return CacheEventsFailed(poll.holder)
     changes = tuple(
         CacheChange(sign == "+", (namespace, block_id), tokens)
         for _, sign, namespace, block_id, tokens, _ in wire.events
@@ -57,11 +59,11 @@
 
 
 class _Listing(msgspec.Struct):
-    boot_epoch: int
-    next: int
-    held: list[tuple[str, str, int, Any]]
+    boot_epoch: Number
+    next: Number
+    held: list[tuple[str, str, Number, Any]]
     # Blocks with an unfinished or aborted write, with the number of reserved tokens.
-    partial: list[tuple[str, str, int, int]] = []
+    partial: list[tuple[str, str, int, Number]] = []
 
 
 def encode_list(request: ListCacheBlocks) -> bytes:
@@ -79,6 +81,8 @@
         wire = msgspec.json.decode(body, type=_Listing)
     except UNREADABLE:
         return None
+    if not all(is_text(namespace) and is_text(block) for namespace, block, *_ in wire.held):
+        return None
     held = tuple(((namespace, block_id), tokens) for namespace, block_id, tokens, _ in wire.held)
     partial = sum(reserved for _, _, _, reserved in wire.partial)
     return CacheBlocksListed(request.holder, sent_at_s, wire.boot_epoch, wire.next, held, partial)
--- a/filbertstream/platform/documents.py
+++ b/filbertstream/platform/documents.py
@@ -10,7 +10,7 @@
 
 from filbertstream.epoch_number import EpochNumber
 from filbertstream.names import digest_key
-from filbertstream.platform.raw_json import UNREADABLE, is_text
+from filbertstream.platform.raw_json import UNREADABLE, Number, is_text
 from filbertstream.platform.settings_file import parse_address
 from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.version.routes import (
@@ -102,17 +102,13 @@
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: Number
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits | None = None
     tenants: list[_Tenant] | None = None
 
 
-Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-"""A number that every codec of messages can hold."""
-
-
 class _LoadedModel(msgspec.Struct):
     name: str
     version: Number
@@ -129,7 +125,7 @@
     # The remaining time for which the runner is slow after its start.
     cold_left_ms: float
     # Counts the heartbeats.
-    seq: int
+    seq: Number
     models: list[_LoadedModel] = []
     born: Number = 0
 
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -97,6 +97,11 @@
 
 MAX_PROMPT_BLOCKS: Final = 64
 
+MAX_VERSION_DIGITS: Final = 15
+
+MAX_COUNT: Final = 2**31
+"""Largest number of tokens or requests; sums over all calls of a fleet fit into a message."""
+
 
 def decode_call(method: str, path: str, headers: Headers, body_bytes: int) -> Result[CallHead, str]:
     """Return the head of a caller's request, or a message that says why it is malformed."""
@@ -111,6 +116,8 @@
         return Err("headers Host and Request-Id are required")
     try:
         deadline_s = float(first[DEADLINE]) / MS if DEADLINE in first else None
+        if deadline_s is not None and not math.isfinite(deadline_s):
+            raise ValueError("deadline is not finite")
         prompt = _prompt(first)
         texts = {name: value.decode("ascii") for name, value in first.items() if name in SINGLETON}
     except ValueError as exc:
@@ -141,10 +148,20 @@
         if not item:
             continue
         block_id, _, tokens = item.strip().partition(b":")
-        blocks.append(PromptBlock(block_id.decode("ascii"), int(tokens)))
+        blocks.append(PromptBlock(block_id.decode("ascii"), _count(tokens)))
     if len(blocks) > MAX_PROMPT_BLOCKS:
         raise ValueError("too many items in Prefix-Hash")
-    return Prompt(model.decode("ascii"), int(tokens_in), int(tokens_out or 0), tuple(blocks))
+    return Prompt(
+        model.decode("ascii"), _count(tokens_in), _count(tokens_out or b"0"), tuple(blocks)
+    )
+
+
+def _count(text: bytes) -> int:
+    """Return a number of tokens; raises ``ValueError`` if it is none that a prompt can have."""
+    count = int(text)
+    if not 0 <= count <= MAX_COUNT:
+        raise ValueError("number of tokens out of range")
+    return count
 
 
 def encode_prompt(prompt: Prompt) -> Headers:
@@ -253,18 +270,22 @@
         running, waiting, slots = (int(item) for item in value.split(b","))
     except ValueError:
         return None
+    if not all(0 <= item <= MAX_COUNT for item in (running, waiting, slots)):
+        return None
     return TargetLoad(running, waiting, slots)
 
 
 def _int(value: bytes | None) -> int | None:
-    return int(value) if value is not None and value.strip().isdigit() else None
+    text = b"" if value is None else value.strip()
+    return int(text) if text.isdigit() and len(text) <= MAX_VERSION_DIGITS else None
 
 
 def _seconds(value: bytes | None) -> float | None:
     try:
-        return None if value is None else float(value)
+        seconds = math.nan if value is None else float(value)
     except ValueError:
         return None
+    return seconds if math.isfinite(seconds) else None
 
 
 def keep_alive_s(headers: Headers) -> float | None:
--- a/filbertstream/platform/raw_json.py
+++ b/filbertstream/platform/raw_json.py
@@ -11,7 +11,7 @@
 """
 
 import re
-from typing import Any, Final, TypeVar
+from typing import Annotated, Any, Final, TypeVar
 
 import msgspec
 
@@ -20,6 +20,9 @@
 
 _TOKEN: Final = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},:]', re.DOTALL)
 
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""A number that every codec of messages can hold, sums over a fleet included."""
+
 T = TypeVar("T")
 
 
--- a/filbertstream/platform/runner_calls.py
+++ b/filbertstream/platform/runner_calls.py
@@ -11,7 +11,7 @@
 
 from filbertstream.platform.bounded_read import read_bounded
 from filbertstream.platform.headers import REQUEST_RATE, decode_request_rate
-from filbertstream.platform.raw_json import UNREADABLE
+from filbertstream.platform.raw_json import UNREADABLE, Number
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import RequestRate
@@ -36,12 +36,12 @@
 
 class _Model(msgspec.Struct):
     name: str
-    version: int
+    version: Number
 
 
 class _Report(msgspec.Struct):
     # In a report, the orders accepted since the runner's start; in a registration, refreshes.
-    seq: int
+    seq: Number
     busy: bool = False
     models: list[_Model] = []
 
