Isolate the calls to one party from those to others

Cause: any exception of a task that talks to a target, and any of a message to a peer, was taken for a corrupt core. On the other hand, exceptions of the core that came up inside a parser's callback were taken for a malformed response and did not end the process.

Change: IsolatedTasks logs (task_failed, 111) and counts (task_errors) such an exception and reports the failure of that send, probe or poll alone to the core, so that nothing waits for it; reports and orders likewise (TargetOrders, taken out of gateway_process). A peer whose address is none gets no messages.

--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -6,13 +6,14 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Any, Final
 
 from result import Err, Ok
 
 from filbertstream.actions import Log
 from filbertstream.connection.caller_connection import CallerConnection, RawRequest
+from filbertstream.connection.isolated_tasks import IsolatedTasks
 from filbertstream.connection.proxied_send import ProxiedCall, ProxiedSend
 from filbertstream.connection.response_format import PassThroughFormat, ResponseFormat
 from filbertstream.connection.target_call import call_target
@@ -86,7 +87,7 @@
         self.pool = TargetConnectionPool()
         self._calls: dict[int, ProxiedCall] = {}
         self._last_call_id = 0
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = IsolatedTasks(core.counters, write_log)
         self.connections: set[CallerConnection] = set()
         self.stopping = False
         self.call_started = asyncio.Event()
@@ -99,10 +100,12 @@
             RespondLocally: self._respond,
             ReplayResponse: self._replay_response,
             AbortResponse: self._abort,
-            PollCacheEvents: lambda poll: self._spawn(self._poll_cache_events(poll)),
-            ListCacheBlocks: lambda action: self._spawn(self._list_cache(action)),
+            PollCacheEvents: self._start_poll,
+            ListCacheBlocks: lambda action: self._tasks.start(
+                self._list_cache(action), "cache_list"
+            ),
             ProbeTarget: self._probe_target,
-            FreeBlocks: lambda free: self._spawn(self._free_blocks(free)),
+            FreeBlocks: lambda free: self._tasks.start(self._free_blocks(free), "cache_free"),
         }
 
     @property
@@ -133,9 +136,17 @@
         return conn
 
     def emit(self, event: Any) -> None:
-        """Pass an event to the core and execute the actions that it returns."""
-        for action in self._core.step(boot_time_s(), event):
-            self.execute(action)
+        """Pass an event to the core and execute the actions that it returns.
+
+        An exception means that the core's state may be corrupt, so the process must end, whoever
+        else handles the exception.
+        """
+        try:
+            for action in self._core.step(boot_time_s(), event):
+                self.execute(action)
+        except Exception as exc:
+            self._on_fatal(f"{type(event).__name__}: {exc!r}")
+            raise
 
     def execute(self, action: GatewayAction) -> None:
         """Pass an action to its handler."""
@@ -192,17 +203,13 @@
         if call is None:
             return
         send = call.send = ProxiedSend(self, call, action)
-        self._spawn(send.begin(self.pool))
+        self._tasks.start(send.begin(self.pool), "send", send.on_error)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
+    def _start_poll(self, poll: PollCacheEvents) -> None:
+        def on_error() -> None:
+            self.emit(CacheEventsFailed(poll.holder))
 
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (exc := task.exception()) is not None:
-            self._on_fatal(f"call to a target: {exc!r}")
+        self._tasks.start(self._poll_cache_events(poll), "cache_events", on_error)
 
     async def _poll_cache_events(self, poll: PollCacheEvents) -> None:
         """Poll a holder's cache events and emit the outcome."""
@@ -259,7 +266,7 @@
         async def report() -> None:
             on_outcome(await probe(address))
 
-        self._spawn(report())
+        self._tasks.start(report(), "probe", lambda: on_outcome(ProbeOutcome.NO_RESPONSE))
 
     def _current_send(self, call_id: int, number: int) -> ProxiedSend | None:
         call = self._calls.get(call_id)
--- a/filbertstream/connection/peer_link.py
+++ b/filbertstream/connection/peer_link.py
@@ -106,10 +106,14 @@
         self._context.term()
 
     def _send(self, action: SendPeer) -> None:
-        """Send without blocking; called only on the thread that owns the sockets."""
-        socket = self._push.get(action.address)
+        """Send without blocking; called only on the thread that owns the sockets.
+
+        A peer with an address that can't be connected to gets no messages.
+        """
+        socket = self._push.get(action.address) or self._connect(action.address)
         if socket is None:
-            socket = self._connect(action.address)
+            self._counters.add("peer_messages", "unsent")
+            return
         self._push.move_to_end(action.address)
         data = encode(action.payload)
         try:
@@ -134,7 +138,7 @@
         self._push.pop(address).close(linger=0)
         del self._opened_at_s[address]
 
-    def _connect(self, address: str) -> "zmq.Socket[bytes]":
+    def _connect(self, address: str) -> "zmq.Socket[bytes] | None":
         while len(self._push) >= MAX_OPEN_PEERS:
             self._drop(next(iter(self._push)))
         socket = self._context.socket(zmq.PUSH)
@@ -143,7 +147,11 @@
             socket.curve_secretkey = self._secret
             socket.curve_publickey = self._public
             socket.curve_serverkey = self._public
-        socket.connect(address)
+        try:
+            socket.connect(address)
+        except zmq.ZMQError:
+            socket.close(linger=0)
+            return None
         self._push[address] = socket
         self._opened_at_s[address] = boot_time_s()
         return socket
--- a/filbertstream/connection/proxied_send.py
+++ b/filbertstream/connection/proxied_send.py
@@ -216,6 +216,10 @@
         )
         self._host.emit(event)
 
+    def on_error(self) -> None:
+        """Fail a send that could not be carried out; it is retried if nothing was written."""
+        self._fail("internal", sent=self.target_conn is not None)
+
     async def begin(self, pool: TargetConnectionPool) -> None:
         """Take or open a connection and write the request."""
         action = self.action
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -30,6 +30,7 @@
 from filbertstream.connection.object_writes import ObjectWrites
 from filbertstream.connection.peer_host import PeerHost
 from filbertstream.connection.peer_link import PeerLink
+from filbertstream.connection.target_orders import TargetOrders
 from filbertstream.connection.watched_kinds import (
     WatchedKind,
     watched_kinds,
@@ -52,7 +53,6 @@
 from filbertstream.process.logs import BoundedStream, EventLog
 from filbertstream.process.store_recovery import SETTLE_S
 from filbertstream.process.store_view import KindDelta
-from filbertstream.version.rollout import OrderWeights, PollReport
 
 if TYPE_CHECKING:
     # Imported only by entries that serve the /v1 API, since imports delay every start.
@@ -140,8 +140,8 @@
         writes = ObjectWrites(self._object_store, self._submit, self.emit_soon)
         self.gateway_io.handlers.update(writes.handlers())
         self.gateway_io.handlers[PublishKind] = self._publish_kind
-        self.gateway_io.handlers[PollReport] = self._poll_report
-        self.gateway_io.handlers[OrderWeights] = self._order
+        orders = TargetOrders(self.core, self._runners, self._submit, self.emit_soon)
+        self.gateway_io.handlers.update(orders.handlers())
         documents = None if self._product is None else self._product.documents
         key_actions = KeyActions(self._keys, documents, self._submit_key_call, self.emit_soon)
         self.gateway_io.handlers.update(key_actions.handlers())
@@ -347,23 +347,6 @@
     def _decoded(self) -> None:
         self._pending_decodes -= 1
 
-    def _poll_report(self, poll: PollReport) -> None:
-        target = self.core.roster.targets.get(poll.target_id)
-        if target is not None:
-            address = target.registration.address
-            self._submit(lambda: self.emit_soon(self._runners.report(poll, address)))
-
-    def _order(self, order: OrderWeights) -> None:
-        target = self.core.roster.targets.get(order.target_id)
-        if target is not None:
-            address = target.registration.address
-            self._submit(lambda: self._order_now(order, address))
-
-    def _order_now(self, order: OrderWeights, address: Address) -> None:
-        # A worker may start late, so the lease must still be held when the order is sent.
-        if self.core.rollout_lease.may_order(boot_time_s()):
-            self.emit_soon(self._runners.order(order, address))
-
 
 def _stamp(path: Path) -> tuple[int, int]:
     try:
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -20,6 +20,7 @@
     CERTIFICATE_REJECTED = 108
     SETTINGS_RELOADED = 109
     SETTINGS_REJECTED = 110
+    TASK_FAILED = 111
     REVISION_IN_FORCE = 200
     REVISION_OUTDATED = 201
     REQUEST_FINISHED = 300
@@ -71,6 +72,7 @@
     LogEvent.CERTIFICATE_REJECTED: "A changed certificate file is invalid; the old one stays.",
     LogEvent.SETTINGS_RELOADED: "Changed settings were loaded; their bounds now apply.",
     LogEvent.SETTINGS_REJECTED: "Changed settings are invalid; the previous ones still apply.",
+    LogEvent.TASK_FAILED: "An unexpected exception failed one call, probe or poll.",
     LogEvent.REVISION_IN_FORCE: "A new revision of the configuration now applies on this entry.",
     LogEvent.REVISION_OUTDATED: "The store shows an older configuration than that in force.",
     LogEvent.REQUEST_FINISHED: "A request ended with the outcome in the line.",
