Bound all bytes of a response that are no body

Cause: TargetConnection kept the fields of a trailer as it keeps those of a head, and the limit on bytes counted until the body began only. The parser buffers the rest: one line, or a chunk extension, without end.

Ruled out: the buffer to the caller, which gets none of these bytes.

Change: FramingBudget counts the bytes since the last byte of the body, wherever they come, in one place.

--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -408,14 +408,14 @@
     Guard(
         "only complete events count as progress of a stream",
         "connection/target_connection.py",
-        "if self._sink is not None and not self._skipping and self._sink.on_body(data):",
-        "if self._sink is not None and not self._skipping and (self._sink.on_body(data) or True):",
+        "if self._sink.on_body(data):",
+        "if self._sink.on_body(data) or True:",
         "tests/test_slow_streams.py",
     ),
     Guard(
-        "bytes before a response's head are bounded",
+        "bytes of a response that are no body are bounded",
         "connection/target_connection.py",
-        "if self._head_bytes > (SKIPPED_LIMIT_BYTES if self._has_skipped else HEAD_LIMIT_BYTES):",
+        "if self._sink is not None and self._framing.exceeded:",
         "if False:",
         "tests/test_endless_bytes.py",
     ),
--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from filbertstream.connection.response_budget import FramingBudget
 from filbertstream.platform.headers import Headers, decode_response, keep_alive_s
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import ResponseHead
@@ -31,15 +32,9 @@
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
 
-HEAD_LIMIT_BYTES: Final = 65_536
-"""Limit on the bytes up to the end of a response's head; targets send only a few headers."""
-
 MAX_REFUSALS: Final = 64
 """Rejections after which a connection is closed; their request ids are kept."""
 
-SKIPPED_LIMIT_BYTES: Final = 1_000_000
-"""The same limit where another request's late response comes first, which may have a full body."""
-
 FIRST_FINAL_STATUS: Final = 200
 """Statuses below this are those of interim responses."""
 
@@ -84,8 +79,7 @@
         self._headers: Headers = []
         self._reason = b""
         self._skipping = False
-        self._head_bytes = 0
-        self._has_skipped = False
+        self._framing = FramingBudget()
         self._has_length = True
         self._in_body = False
         self._progress_timeout_s = 0.0
@@ -115,8 +109,7 @@
         self._sink, self._request_id, self._on_idle = sink, request_id, on_idle
         self._progress_timeout_s = progress_timeout_s
         self._skipping = self._in_body = False
-        self._head_bytes = 0
-        self._has_skipped = False
+        self._framing = FramingBudget()
         self.transport.write(data)
 
     def abort(self) -> None:
@@ -144,17 +137,14 @@
             # Unsolicited bytes: anything after them could be mistaken for a response.
             self.abort()
             return
-        if not self._in_body:
-            self._head_bytes += len(data)
+        self._framing.add(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             self._break("malformed")
         except httptools.HttpParserUpgrade:
             self._break("malformed")
-        if self._in_body or self._sink is None:
-            return
-        if self._head_bytes > (SKIPPED_LIMIT_BYTES if self._has_skipped else HEAD_LIMIT_BYTES):
+        if self._sink is not None and self._framing.exceeded:
             self._break("too_large")
 
     def on_message_begin(self) -> None:
@@ -169,8 +159,9 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser."""
-        self._headers.append((name.lower(), value))
+        """Called by the parser; trailer fields are ignored."""
+        if not self._in_body:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
@@ -189,7 +180,8 @@
             without_id or response.request_id == self._request_id
         ):
             self._skipping = True
-            self._has_skipped = self._has_skipped or status >= FIRST_FINAL_STATUS
+            if status >= FIRST_FINAL_STATUS:
+                self._framing.note_skipped()
             self.usable = self.usable and status < FIRST_FINAL_STATUS
             return
         self._skipping = False
@@ -209,7 +201,10 @@
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser."""
-        if self._sink is not None and not self._skipping and self._sink.on_body(data):
+        if self._sink is None or self._skipping:
+            return
+        self._framing.note_body()
+        if self._sink.on_body(data):
             self._restart_timer()
 
     def on_message_complete(self) -> None:
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -15,12 +15,9 @@
 
 from filbertstream.connection.caller_connection import CallerConnection, RawRequest
 from filbertstream.connection.event_relay import EVENT_LIMIT_BYTES, EventRelay
+from filbertstream.connection.response_budget import HEAD_LIMIT_BYTES, SKIPPED_LIMIT_BYTES
 from filbertstream.connection.target_call import call_target
-from filbertstream.connection.target_connection import (
-    HEAD_LIMIT_BYTES,
-    SKIPPED_LIMIT_BYTES,
-    TargetConnectionPool,
-)
+from filbertstream.connection.target_connection import TargetConnectionPool
 from filbertstream.platform.headers import Headers
 from filbertstream.platform.objects import RESPONSE_LIMIT_BYTES, ObjectStore, ObjectStoreFailure
 from filbertstream.platform.runner_calls import REPORT_LIMIT_BYTES, RunnerCalls
@@ -42,6 +39,8 @@
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 WITHOUT_LENGTH = OK_HEAD + b"\r\n"
 
+STREAM_HEAD = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
 ENDLESS: dict[str, tuple[bytes, bytes]] = {
     "lines of a head": (OK_HEAD, LINE * 64),
     "one line of a head": (OK_HEAD + b"X-Line: ", FILLER),
@@ -50,6 +49,12 @@
     "another request's answer": (OTHER_RESPONSE, CHUNK),
     "another request's answers": (b"", OTHER_RESPONSE + b"0\r\n\r\n"),
     "no answer at all": (b"", FILLER),
+    "lines of a trailer": (STREAM_HEAD + CHUNK + b"0\r\n", LINE * 64),
+    "one name of a trailer": (STREAM_HEAD + b"0\r\n", FILLER),
+    "one line of a trailer": (STREAM_HEAD + CHUNK + b"0\r\nX-Line: ", FILLER),
+    "a chunk extension": (STREAM_HEAD + CHUNK + b"1;", FILLER),
+    "a chunk size": (STREAM_HEAD + CHUNK, b"0" * 65_536),
+    "another request's trailer": (OTHER_RESPONSE + b"0\r\n", LINE * 64),
 }
 
 
