Bound the buffered bodies of all responses together

A target in trouble that sends bodies without end on many connections could still fill the memory of an entry, and so cut the calls of all callers: each buffered body has a limit of 8 MB (16 MB for the list of a cache store), their sum had none, and the process has 150 MB.

Change: BufferBudget counts what responses make the process hold, a body or an event that has not ended, and gives up the largest beyond a fifth of the VM's memory, so that a sound response does not pay for an endless one. The metrics response_bytes_buffered and responses_given_up show it. Test: an endless body of 8 times the limit ends early, two sound ones beside it arrive whole; the sum stays within the limit (there was no limit to set before).

--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -419,4 +419,11 @@
         "if False:",
         "tests/test_endless_bytes.py",
     ),
+    Guard(
+        "buffered bodies of all responses together are bounded",
+        "connection/response_budget.py",
+        "while self.total_bytes > self._limit_bytes:",
+        "while False:",
+        "tests/test_endless_bytes.py",
+    ),
 )
--- a/filbertstream/connection/event_relay.py
+++ b/filbertstream/connection/event_relay.py
@@ -38,6 +38,11 @@
         """Whether the stream does not end inside an event."""
         return not self._buffer and not self.malformed
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The bytes of an event that has not ended yet."""
+        return len(self._buffer)
+
     def restart(self) -> None:
         """Continue with the response to another send."""
         self._buffer = b""
--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -15,6 +15,7 @@
 from filbertstream.connection.caller_connection import CallerConnection, RawRequest
 from filbertstream.connection.isolated_tasks import IsolatedTasks
 from filbertstream.connection.proxied_send import ProxiedCall, ProxiedSend
+from filbertstream.connection.response_budget import DEFAULT_BUFFER_BYTES
 from filbertstream.connection.response_format import PassThroughFormat, ResponseFormat
 from filbertstream.connection.target_call import call_target
 from filbertstream.connection.target_connection import TargetConnectionPool
@@ -79,12 +80,16 @@
     """
 
     def __init__(
-        self, core: Gateway, write_log: Callable[[Log], None], on_fatal: Callable[[str], None]
+        self,
+        core: Gateway,
+        write_log: Callable[[Log], None],
+        on_fatal: Callable[[str], None],
+        buffer_bytes: int = DEFAULT_BUFFER_BYTES,
     ) -> None:
         self._core = core
         self._on_fatal = on_fatal
         self._write_log = write_log
-        self.pool = TargetConnectionPool()
+        self.pool = TargetConnectionPool(buffer_bytes=buffer_bytes)
         self._calls: dict[int, ProxiedCall] = {}
         self._last_call_id = 0
         self._tasks = IsolatedTasks(core.counters, write_log)
--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -136,6 +136,8 @@
             "calls_running": float(self._gateway_io.calls_running),
             "caller_connections": float(len(self._gateway_io.connections)),
             "target_connections_opened": float(self._gateway_io.connections_opened),
+            "response_bytes_buffered": float(self._gateway_io.pool.buffers.total_bytes),
+            "responses_given_up": float(self._gateway_io.pool.buffers.given_up),
             "targets_known": float(len(self._core.roster.targets)),
             "targets_out": float(len(self._core.roster.outliers.ejected(now_s))),
             "store_epoch": float(self._core.recovery.epoch),
--- a/filbertstream/connection/proxied_send.py
+++ b/filbertstream/connection/proxied_send.py
@@ -9,6 +9,7 @@
 
 from filbertstream.connection.caller_connection import CallerConnection, RawRequest
 from filbertstream.connection.event_relay import EventRelay
+from filbertstream.connection.response_budget import BufferBudget
 from filbertstream.connection.response_format import ResponseFormat
 from filbertstream.connection.target_connection import TargetConnection, TargetConnectionPool
 from filbertstream.fleet.crash_detector import ProbeOutcome
@@ -78,6 +79,8 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._begun = False
+        self._buffers: BufferBudget | None = None
+        self._is_counted = False
 
     def on_head(self, response: ResponseHead, reason: str, headers: Headers) -> None:
         """Report the response to the core, which decides whether it is passed on."""
@@ -119,6 +122,8 @@
             if events.malformed:
                 self._fail("too_large")
                 return False
+            if events.buffered_bytes or self._is_counted:
+                self._count(events.buffered_bytes)
             data = self._call.response_format.events(passed) if passed else b""
             if data:
                 self._call.conn.stream(data)
@@ -128,8 +133,20 @@
         self._body_bytes += len(data)
         if self._body_bytes > BUFFERED_BYTES:
             self._fail("too_large")
+        else:
+            self._count(self._body_bytes)
         return True
 
+    def _count(self, size: int) -> None:
+        self._is_counted = size > 0
+        if self._buffers is not None:
+            self._buffers.set(self, size, lambda: self._fail("too_large"))
+
+    def _drop_buffered(self) -> None:
+        self._body.clear()
+        if self._buffers is not None:
+            self._buffers.release(self)
+
     def _report_begun(self) -> None:
         if not self._begun:
             self._begun = True
@@ -145,6 +162,7 @@
             return
         self.over = True
         body = b"".join(self._body)
+        self._drop_buffered()
         self._finish(self._response, body)
         self._host.forget_call(self.action.call_id)
         stored = self._stored_response(self._response, body) if self._call.stores_response else None
@@ -209,6 +227,7 @@
         if self.over:
             return
         self.over = True
+        self._drop_buffered()
         events = self._call.events
         last_id = None if events is None else events.last_id
         event = SendFailed(
@@ -223,6 +242,7 @@
     async def begin(self, pool: TargetConnectionPool) -> None:
         """Take or open a connection and write the request."""
         action = self.action
+        self._buffers = pool.buffers
         target_conn = pool.take(
             action.address, action.max_idle_s, boot_time_s(), self._call.request_id
         )
@@ -260,5 +280,6 @@
     def cancel(self) -> None:
         """Abandon the send by closing its connection."""
         self.over = True
+        self._drop_buffered()
         if self.target_conn is not None:
             self.target_conn.abort()
--- a/filbertstream/connection/target_call.py
+++ b/filbertstream/connection/target_call.py
@@ -2,11 +2,8 @@
 
 import asyncio
 
-from filbertstream.connection.target_connection import (
-    HEAD_LIMIT_BYTES,
-    IDLE_TIMEOUT_S,
-    TargetConnectionPool,
-)
+from filbertstream.connection.response_budget import HEAD_LIMIT_BYTES, BufferBudget
+from filbertstream.connection.target_connection import IDLE_TIMEOUT_S, TargetConnectionPool
 from filbertstream.platform.headers import Headers
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
@@ -16,8 +13,14 @@
 class _BufferedSink:
     """Buffers the response to a call that the system makes itself."""
 
-    def __init__(self, done: asyncio.Future[tuple[int, bytes] | None], limit_bytes: int) -> None:
+    def __init__(
+        self,
+        done: asyncio.Future[tuple[int, bytes] | None],
+        buffers: BufferBudget,
+        limit_bytes: int,
+    ) -> None:
         self._done = done
+        self._buffers = buffers
         self._limit_bytes = limit_bytes
         self._status = 0
         self._body: list[bytes] = []
@@ -31,12 +34,17 @@
         """Buffer a part of the body; fail if the body exceeds the limit."""
         self._size += len(data)
         if self._size > self._limit_bytes:
-            self._body.clear()
-            self.on_failed("too_large")
+            self._give_up()
+        if self._done.done():
             return False
         self._body.append(data)
+        self._buffers.set(self, self._size, self._give_up)
         return True
 
+    def _give_up(self) -> None:
+        self._body.clear()
+        self.on_failed("too_large")
+
     def on_complete(self) -> None:
         """Set the result: status and body."""
         if not self._done.done():
@@ -71,12 +79,14 @@
     if conn is None or conn.closed:
         return None
     done: asyncio.Future[tuple[int, bytes] | None] = asyncio.get_running_loop().create_future()
-    sink = _BufferedSink(done, limit_bytes)
+    sink = _BufferedSink(done, pool.buffers, limit_bytes)
     conn.request("", data, sink, 0.0, lambda idle: pool.release(idle, boot_time_s()))
     try:
         response = await asyncio.wait_for(done, timeout_s)
     except TimeoutError:
         response = None
+    finally:
+        pool.buffers.release(sink)
     if response is None:
         conn.abort()
     return response
--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -13,7 +13,11 @@
 
 import httptools
 
-from filbertstream.connection.response_budget import FramingBudget
+from filbertstream.connection.response_budget import (
+    DEFAULT_BUFFER_BYTES,
+    BufferBudget,
+    FramingBudget,
+)
 from filbertstream.platform.headers import Headers, decode_response, keep_alive_s
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import ResponseHead
@@ -276,10 +280,16 @@
 
 
 class TargetConnectionPool:
-    """Idle connections by address; with ``tls``, targets must present a valid certificate."""
+    """Idle connections by address; with ``tls``, targets must present a valid certificate.
 
-    def __init__(self, tls: ssl.SSLContext | None = None) -> None:
+    ``buffers`` bounds what the responses of all connections make this process hold.
+    """
+
+    def __init__(
+        self, tls: ssl.SSLContext | None = None, buffer_bytes: int = DEFAULT_BUFFER_BYTES
+    ) -> None:
         self.tls = tls
+        self.buffers = BufferBudget(buffer_bytes)
         self._idle: dict[Address, list[TargetConnection]] = {}
         self.opened = 0
 
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -84,6 +84,10 @@
 EXIT_MARGIN_S: Final = 0.4
 """The process exits this long before SIGKILL would follow SIGTERM."""
 
+BUFFER_FRACTION: Final = 0.2
+"""The fraction of the process's memory that buffered bodies of responses may take."""
+
+BYTES_PER_MB: Final = 1_000_000
 NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
 
 
@@ -107,7 +111,12 @@
         self._watched = {watched.kind: watched for watched in kinds}
         cfg = _core_config(deployment, incarnation, kinds)
         self.core = Gateway(cfg._replace(has_documents=setup is not None))
-        self.gateway_io = GatewayIO(self.core, self._write_log, self._set_broken)
+        self.gateway_io = GatewayIO(
+            self.core,
+            self._write_log,
+            self._set_broken,
+            int(BUFFER_FRACTION * deployment.memory_mb * BYTES_PER_MB),
+        )
         store_ca = None if setup is None else setup.store_ca
         self._object_store = ObjectStore(
             deployment.object_store,
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -170,6 +170,50 @@
     assert sender.sent <= 100_000 + IN_FLIGHT_BYTES
 
 
+def test_many_endless_responses_together_exceed_the_memory_of_the_process() -> None:
+    """A target answers many calls at once with bodies that each stay within their own limit."""
+    limit_bytes = 1_000_000
+
+    async def send_requests(address: Address) -> tuple[list[tuple[int, bytes] | None], int]:
+        pool = TargetConnectionPool(buffer_bytes=limit_bytes)
+        data = b"GET /list HTTP/1.1\r\nHost: h\r\n\r\n"
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        sound = Address(*server.sockets[0].getsockname())
+        most = 0
+
+        async def watch() -> None:
+            nonlocal most
+            while True:
+                most = max(most, pool.buffers.total_bytes)
+                await asyncio.sleep(0)
+
+        watcher = asyncio.create_task(watch())
+        calls = [
+            call_target(pool, target, data, 20.0, boot_time_s(), 8 * limit_bytes)
+            for target in (address, sound, sound)
+        ]
+        found = await asyncio.gather(*calls)
+        watcher.cancel()
+        pool.close()
+        server.close()
+        await asyncio.sleep(0.05)
+        assert pool.buffers.total_bytes == 0
+        return list(found), most
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nso")
+        await asyncio.sleep(0.3)
+        writer.write(b"und")
+        await reader.read()
+        writer.close()
+
+    with sending(b"HTTP/1.1 200 OK\r\n\r\n", FILLER) as sender:
+        found, most = asyncio.run(send_requests(sender.address))
+    assert found == [None, (200, b"sound"), (200, b"sound")]
+    assert most <= limit_bytes
+
+
 def test_event_without_end_ends_its_stream() -> None:
     """A runner never ends an event of its stream."""
     relay = EventRelay(None)
