Fetch a block only when every entry that may save it knows it

Cause: both entries had not observed the restart. The one had had the event of a block that was stored just before and took it for whole; the other had not, took it for absent and saved it. The hold-off after a restart begins when an entry observes it, and argued from contents that all entries know alike.

Evidence: in the record the save and the fetches come 0.3 to 0.4 s after the crash, before any response of the restarted store. Ruled out: an early save after an observed restart, a fetch beyond its limit.

Change: a block is fetched once every entry that may save must know it (SETTLING_S after its event, later if its event was lost), and not saved again meanwhile; only entries that have listed a store save to it; a failed event call, the first sign of a restart, ends both until the next response.

Why it works: an entry saves only while its last response is younger than HOLDINGS_MAX_AGE_S, and a runner begins within SAVE_DELAY_S. When a block is fetched, responses that old contain its event, so no save that was chosen without knowing it can begin any more, whenever the store restarts.

--- a/filbertstream/process/cache_event_handlers.py
+++ b/filbertstream/process/cache_event_handlers.py
@@ -33,7 +33,7 @@
 
     def on_listed(self, event: CacheBlocksListed, now_s: float) -> list[Log | SendPeer]:
         """Apply a full listing."""
-        self._stores.on_listed(event)
+        self._stores.on_listed(event, now_s)
         return []
 
     def on_freed(self, event: BlocksFreed, now_s: float) -> list[Log | SendPeer]:
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -1,11 +1,17 @@
 """Cache stores: the blocks that each holds, and whether it may be fetched from or saved to.
 
-The contents of a cache store are known from its events alone, and only while it responds: a
-restarted one is empty, and a block that another entry then saves again is incomplete for a while.
-So a block is fetched only if the cache store has responded within ``HOLDINGS_MAX_AGE_S``, and a
-fetch must end within ``FETCH_TIMEOUT_S``.  Nothing is saved to a cache store until
-``SAVE_HOLDOFF_S`` after its restart was observed; by then no fetch that is based on the contents
-before the restart can still run.
+The contents of a cache store are known from its events and listings alone, and only while it
+responds: a restarted one is empty, and a block that another entry then saves again is incomplete
+for a while.  A fetch and a save of the same block after a restart are kept apart by these rules:
+
+- An entry that has observed the restart saves nothing until ``SAVE_HOLDOFF_S`` later; by then no
+  fetch that is based on the contents before the restart can still run, since a cache store counts
+  for ``HOLDINGS_MAX_AGE_S`` after its last response and a fetch must end within
+  ``FETCH_TIMEOUT_S``.
+- An event call that fails ends fetches and saves until the next response: a restart cuts calls.
+- An entry that has not observed it doesn't save a block that it knows, and a block is fetched only
+  when every entry that may save must know it: ``SETTLING_S`` after its event, or ``UNTOLD_S`` after
+  a listing if its event was lost.  Only entries that have listed a cache store save to it.
 """
 
 import random
@@ -26,6 +32,14 @@
 SAVE_HOLDOFF_S: Final = HOLDINGS_MAX_AGE_S + FETCH_TIMEOUT_S + 0.5
 """No blocks are saved to a cache store for this long after its restart was observed."""
 
+SAVE_DELAY_S: Final = 1.5
+"""A runner begins to save within this time after the save was chosen: prompts are placed where the
+queue is shorter than their objective."""
+
+SETTLING_S: Final = HOLDINGS_MAX_AGE_S + SAVE_DELAY_S
+"""A block whose event this entry got so long ago is known to all entries that may save, and no save
+that was chosen without that knowledge begins any more."""
+
 EVENT_WAIT_S: Final = 0.5
 """Long-poll time of an event call; bounds the age of a cache store's last response."""
 
@@ -41,6 +55,16 @@
 LIST_INTERVAL_S: Final = 8.0
 """Interval of full listings of a cache store, which delay its transfers a little."""
 
+FIRST_LIST_FRACTION: Final = 0.3
+"""A reader lists a cache store for the first time within this fraction of the interval.  The other
+entries of a large fleet list it once, within the whole interval, as they get all events."""
+
+LISTING_MAX_AGE_S: Final = 1.5 * LIST_INTERVAL_S
+"""Age of the last listing up to which blocks are saved: their events may have been lost."""
+
+UNTOLD_S: Final = LISTING_MAX_AGE_S + SETTLING_S
+"""The same time as ``SETTLING_S`` for a block whose event was lost: others must have listed it."""
+
 SAVE_PENDING_S: Final = 2.0
 """A block that was sent to a cache store is not sent again within this time, arrived or not."""
 
@@ -132,17 +156,36 @@
         self.start_id: int | None = None
         self.since = 0
         self.confirmed_at_s = float("-inf")
+        self.call_failed = False
         self.save_holdoff_until_s = float("-inf")
         self.used_tokens = 0
         self.next_call_s = 0.0
         self.call_open = False
         self.next_list_s: float | None = None
         self.partial_tokens = 0
+        self.listed_at_s = float("-inf")
+        self.settles_at_s: dict[BlockKey, float] = {}
         self._clock: tuple[int, float] | None = None
 
     def fetchable(self, now_s: float) -> bool:
-        """Whether blocks may be fetched from this store."""
-        return now_s - self.confirmed_at_s < HOLDINGS_MAX_AGE_S
+        """Whether blocks may be fetched from this store.
+
+        An event call that has failed may be the first sign of a restart.
+        """
+        return not self.call_failed and now_s - self.confirmed_at_s < HOLDINGS_MAX_AGE_S
+
+    @property
+    def listed(self) -> bool:
+        """Whether this entry has listed the blocks of this start of the store."""
+        return self.listed_at_s != float("-inf")
+
+    def settled(self, key: BlockKey, now_s: float) -> bool:
+        """Whether every entry that may save knows that this store holds a block."""
+        settles_at_s = self.settles_at_s.get(key)
+        if settles_at_s is not None and now_s >= settles_at_s:
+            del self.settles_at_s[key]
+            settles_at_s = None
+        return settles_at_s is None
 
     def fits(self, tokens: int, now_s: float) -> bool:
         """Whether a block of this size may be saved to this store."""
@@ -197,39 +240,55 @@
         large_fleet = self._relays is not None and not self._relays.small_fleet
         serves_peers = self._relays is not None and self._relays.serves_peers(now_s)
         for state in self.states.values():
-            reads = self._reads(state.name, state.spec.event_readers)
-            if not reads and (state.fetchable(now_s) or not serves_peers):
-                continue
-            if reads and state.next_list_s is not None and now_s >= state.next_list_s:
+            reads = self._is_reader(state)
+            lists = reads or not state.listed
+            if lists and state.next_list_s is not None and now_s >= state.next_list_s:
                 state.next_list_s = now_s + LIST_INTERVAL_S * self._rng.uniform(0.8, 1.2)
                 due.append(ListCacheBlocks(state.name, state.spec.address))
+            if not reads and (state.fetchable(now_s) or not serves_peers):
+                continue
             if not state.call_open and now_s >= state.next_call_s:
                 state.call_open = True
                 wait_s = RELAYED_EVENT_WAIT_S if large_fleet else EVENT_WAIT_S
                 due.append(PollCacheEvents(state.name, state.spec.address, state.since, wait_s))
         return due
 
+    def _is_reader(self, state: CacheStoreState) -> bool:
+        return self._reads(state.name, state.spec.event_readers)
+
+    def _knows_contents(self, state: CacheStoreState, now_s: float) -> bool:
+        """Whether this entry knows all blocks of a cache store that others may fetch."""
+        if self._is_reader(state):
+            return now_s - state.listed_at_s < LISTING_MAX_AGE_S
+        return state.listed
+
     def on_events(self, event: CacheEventsReceived) -> bool:
         """Apply a cache store's events; return whether the store has restarted."""
         state = self.states.get(event.holder)
         if state is None:
             return False
-        state.call_open = False
+        state.call_open = state.call_failed = False
         state.next_call_s = event.received_at_s + EVENT_PAUSE_S
         restarted = state.start_id is not None and state.start_id != event.start_id
         if state.start_id != event.start_id:
             self._index.forget(state.name)
             state.used_tokens = 0
+            state.listed_at_s = float("-inf")
+            state.settles_at_s.clear()
             # At this entry's own start too: the store may have restarted just before.
             state.save_holdoff_until_s = event.received_at_s + SAVE_HOLDOFF_S
             state.start_id = event.start_id
-            state.next_list_s = event.received_at_s + LIST_INTERVAL_S * self._rng.uniform(0.0, 0.3)
+            spread = FIRST_LIST_FRACTION if self._is_reader(state) else 1.0
+            wait_s = LIST_INTERVAL_S * self._rng.uniform(0.0, spread)
+            state.next_list_s = event.received_at_s + wait_s
         state.since = event.next_event
         state.confirmed_at_s = max(state.confirmed_at_s, event.sent_at_s)
         if event.clock_ms is not None:
             state.note_clock(event.clock_ms, event.received_at_s)
         for change in event.changes:
             self._apply(state, change)
+            if change.added:
+                state.settles_at_s[change.key] = event.received_at_s + SETTLING_S
         return restarted
 
     def _apply(self, state: CacheStoreState, change: CacheChange) -> None:
@@ -240,19 +299,27 @@
             self._pending.pop(change.key, None)
         elif known is not None:
             self._index.remove(state.name, change.key)
+            state.settles_at_s.pop(change.key, None)
             state.used_tokens -= known
 
-    def on_listed(self, event: CacheBlocksListed) -> None:
+    def on_listed(self, event: CacheBlocksListed, now_s: float) -> None:
         """Apply a full listing of a cache store, unless it is older than the store's state."""
         state = self.states.get(event.holder)
         if state is None or state.start_id != event.start_id or event.next_event < state.since:
             return
         listed = dict(event.held)
-        for key in self._index.held_by(state.name):
+        known = self._index.held_by(state.name)
+        for key in known:
             if key not in listed:
                 self._index.remove(state.name, key)
+                state.settles_at_s.pop(key, None)
+        # Of the blocks in its first listing an entry can't have had the events.
+        settles_at_s = now_s + (UNTOLD_S if state.listed else SETTLING_S)
         for key, tokens in listed.items():
+            if key not in known:
+                state.settles_at_s[key] = settles_at_s
             self._index.add(state.name, key, tokens)
+        state.listed_at_s = event.sent_at_s
         state.used_tokens = sum(listed.values())
         state.partial_tokens = event.partial_tokens
         state.since = event.next_event
@@ -269,6 +336,7 @@
         state = self.states.get(event.holder)
         if state is not None:
             state.call_open = False
+            state.call_failed = True
             state.next_call_s = now_s + EVENT_RETRY_S
 
     def source(self, key: BlockKey, tokens: int, data_center: str, now_s: float) -> str | None:
@@ -278,6 +346,8 @@
             state = self.states.get(name)
             if state is None or held < tokens or not state.fetchable(now_s):
                 continue
+            if not state.settled(key, now_s):
+                continue
             option = (state.spec.data_center != data_center, name)
             best = option if best is None or option < best else best
         return None if best is None else best[1]
@@ -292,6 +362,14 @@
         known = [clock for clock in clocks if clock is not None]
         return max(known) + int(FETCH_TIMEOUT_S * MS) if known else None
 
+    def _is_held(self, key: BlockKey, tokens: int, now_s: float) -> bool:
+        """Whether a responsive cache store holds a block, though it may not be fetched yet."""
+        for name, held in self._index.holders(key).items():
+            state = self.states.get(name)
+            if state is not None and held >= tokens and state.fetchable(now_s):
+                return True
+        return False
+
     def save_to(self, key: BlockKey, tokens: int, now_s: float) -> str | None:
         """Return the cache store to save a block to, if any, and count the block as sent.
 
@@ -300,9 +378,13 @@
         """
         if self._pending.get(key, float("-inf")) > now_s:
             return None
-        if self.source(key, tokens, "", now_s) is not None:
+        if self._is_held(key, tokens, now_s):
             return None
-        fitting = [state for state in self.states.values() if state.fits(tokens, now_s)]
+        fitting = [
+            state
+            for state in self.states.values()
+            if self._knows_contents(state, now_s) and state.fits(tokens, now_s)
+        ]
         if not fitting:
             return None
         # Every entry chooses the same store, so that no block is stored twice.
