Admit calls to a stopping entry only if they end in time

Cause: admission ended a fixed time before the kill, whatever time a call may take. A booking with a timeout of 2 s had 1.2 s.

Ruled out: an entry that ends early, and retries that prolong a call.

Change: Stopping has the whole schedule. It admits a call by its own limit, the shorter of its route's timeout and its deadline; others are refused at once as not run, with a short Retry-After. Just before the exit all calls that still run get their final response. Why it works: the final response of an admitted call is due before that, by the tick that ends calls at their limit.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -245,7 +245,7 @@
     """Check that every entry that has not been drained serves new work."""
     submitted = []
     for name, core in world.cores.items():
-        if not core.stopping:
+        if not core.stopping.begun:
             idempotency_key = f"after-{name}"
             submitted.append(world.request(name, "model", key, model, tokens=300))
             submitted.append(
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -59,6 +59,7 @@
 from filbertstream.process.request_rates import RequestRates
 from filbertstream.process.rollout_lease import RolloutLease
 from filbertstream.process.roster import Roster
+from filbertstream.process.stopping import Stopping
 from filbertstream.process.store_health import StoreHealth
 from filbertstream.process.store_recovery import StoreRecovery
 from filbertstream.process.store_view import FollowedKind, KindObserved
@@ -93,15 +94,6 @@
 from filbertstream.version.weights_leader import WeightsLeader
 from filbertstream.version.weights_view import WeightsView
 
-STOP_STREAMS_AFTER_S: Final = 2.8
-"""A stopping entry admits streams for this long, until the load balancer has noticed the stop.
-
-Streams admitted later might not end before the process must exit.
-"""
-
-STOP_CALLS_BEFORE_KILL_S: Final = 1.6
-"""A stopping entry admits other calls until this long before the process is killed."""
-
 FOLLOWER_LEASE_DELAY_S: Final = 2.0
 """Extra delay before an entry that follows relays takes the lease.
 
@@ -165,8 +157,12 @@
         self.budget = SharedRetryBudget(
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_floor
         )
+        self.stopping = Stopping(bounds.grace_s)
         self.authorizer = Authorizer(
-            self.config_freshness, bounds.config_apply_s, self.peers.any_peer_current
+            self.config_freshness,
+            bounds.config_apply_s,
+            self.peers.any_peer_current,
+            self.stopping,
         )
         self.weights = WeightsView(self.roster, bounds.version_s)
         self.burn = Burn()
@@ -244,7 +240,6 @@
             self.key_journal,
             self.document_recovery,
         )
-        self.stopping = False
         self.store_health = StoreHealth(self.roster)
         self._next_lease_tick_s = 0.0
         self._was_ready = False
@@ -304,7 +299,7 @@
 
     def ready(self, now_s: float) -> bool:
         """Whether the load balancer should send new connections to this entry."""
-        if self.stopping or self.authorizer.config is None:
+        if self.stopping.begun or self.authorizer.config is None:
             return False
         return self.config_freshness.keeps_ready(now_s)
 
@@ -343,18 +338,19 @@
         self.budget.set_bounds(bounds.retry_ratio, bounds.retry_window_s, bounds.retry_floor)
         self.weights.set_bound(bounds.version_s)
         self.rollout_lease.set_lease(bounds.lease_s)
+        self.stopping.set_grace(bounds.grace_s)
         return []
 
     def _on_stop(self, event: StopRequested, now_s: float) -> list[GatewayAction]:
-        self.stopping = True
-        self.authorizer.refuse_streams_from_s = now_s + STOP_STREAMS_AFTER_S
-        self.authorizer.refuse_from_s = now_s + self.cfg.bounds.grace_s - STOP_CALLS_BEFORE_KILL_S
+        self.stopping.begin(now_s)
         running = len(self.forwarding.calls)
         log = Log(LogEvent.DRAIN_BEGAN, (("calls", running),))
         return [log, *self.entry_registrations.stop()]
 
     def _on_tick(self, event: Tick, now_s: float) -> list[GatewayAction]:
         actions: list[GatewayAction] = list(self.forwarding.tick(now_s))
+        if now_s >= self.stopping.responses_end_s:
+            actions += self.forwarding.end_all(now_s)
         self.store_health.tick(now_s)
         actions += self.target_registrations.tick(now_s)
         actions += self.crash_watch.tick(now_s)
@@ -376,7 +372,7 @@
                 0.0 if self.relayed_view.reads_object_store(now_s) else FOLLOWER_LEASE_DELAY_S
             )
             owners = self._cache_owners()
-            actions += self.weights_leader.tick(now_s, owners, self.stopping, extra_delay_s)
+            actions += self.weights_leader.tick(now_s, owners, self.stopping.begun, extra_delay_s)
         ready = self.ready(now_s)
         if ready != self._was_ready:
             self._was_ready = ready
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -81,9 +81,6 @@
 BALANCER_DELAY_S: Final = 3.0
 """The time within which the load balancer notices that a stopping entry is not ready."""
 
-EXIT_MARGIN_S: Final = 0.4
-"""The process exits this long before SIGKILL would follow SIGTERM."""
-
 BUFFER_FRACTION: Final = 0.2
 """The fraction of the process's memory that buffered bodies of responses may take."""
 
@@ -132,7 +129,6 @@
         self._pending_decodes = 0
         self._loop: asyncio.AbstractEventLoop | None = None
         self._servers: list[asyncio.Server] = []
-        self._stop_at_s: float | None = None
         self.broken = ""
         self._gate = WatchGate(self._watched)
         self._product: Product | None = None
@@ -275,19 +271,18 @@
         await asyncio.sleep(TICK_S)
 
     def _may_end(self) -> bool:
-        if self._stop_at_s is None:
+        stopping, now_s = self.core.stopping, boot_time_s()
+        if stopping.since_s is None:
             return False
-        since_s = boot_time_s() - self._stop_at_s
-        if since_s > self.deployment.bounds.grace_s - EXIT_MARGIN_S:
+        if now_s > stopping.exits_at_s:
             return True
-        if since_s < BALANCER_DELAY_S:
+        if now_s < stopping.since_s + BALANCER_DELAY_S:
             return False
         self.gateway_io.close_idle()
         return not self.gateway_io.connections and not self.core.idempotency_keys.unsettled
 
     def _on_stop(self) -> None:
-        if self._stop_at_s is None:
-            self._stop_at_s = boot_time_s()
+        if not self.core.stopping.begun:
             self.gateway_io.stopping = True
             self.gateway_io.emit(StopRequested())
 
--- a/filbertstream/request/authorization.py
+++ b/filbertstream/request/authorization.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
+from filbertstream.process.stopping import Stopping
 from filbertstream.request.call import CallHead
 from filbertstream.statuses import (
     BAD_REQUEST,
@@ -19,7 +20,7 @@
     UNAVAILABLE,
 )
 from filbertstream.version.config_freshness import ConfigFreshness
-from filbertstream.version.routes import CallKind, Configuration, Route, RouteTable, Workspace
+from filbertstream.version.routes import Configuration, Route, RouteTable, Workspace
 
 DENIAL_MARGIN_S: Final = 0.1
 """Safety margin below the bound on applying a configuration, since a caller's clock is not
@@ -67,6 +68,7 @@
         config_freshness: ConfigFreshness,
         config_apply_s: float,
         has_current_peer: Callable[[float], bool] = lambda now_s: False,
+        stopping: Stopping | None = None,
     ) -> None:
         self._config_freshness = config_freshness
         self._has_current_peer = has_current_peer
@@ -74,8 +76,7 @@
         self._denial_age_s = config_apply_s - DENIAL_MARGIN_S
         self._table = RouteTable(())
         self.config: Configuration | None = None
-        self.refuse_streams_from_s = float("inf")
-        self.refuse_from_s = float("inf")
+        self._stopping = stopping or Stopping()
 
     def set_bound(self, config_apply_s: float) -> None:
         """Change the bound on the time until a new configuration is in force."""
@@ -108,17 +109,22 @@
 
     def check(self, head: CallHead, now_s: float) -> Authorized | Refused:
         """Return the route and the workspace of a call, or the reason for refusing it."""
+        if not self._stopping.admits(0.0, now_s):
+            return STOPPING
+        found = self._authorize(head, now_s)
+        if isinstance(found, Refused):
+            return found
+        limit_s = call_limit_s(found.route, head)
+        return found if self._stopping.admits(limit_s, now_s) else STOPPING
+
+    def _authorize(self, head: CallHead, now_s: float) -> Authorized | Refused:
         config = self.config
         if config is None:
             return self._starting(now_s)
-        if now_s >= self.refuse_from_s:
-            return STOPPING
         current = self._config_freshness.age_s(now_s) < self._denial_age_s
         route = self._table.find(head.host, head.path)
         if route is None:
             return Refused(NOT_FOUND, "no_route") if current else self._stale(now_s)
-        if route.kind is CallKind.STREAM and now_s >= self.refuse_streams_from_s:
-            return STOPPING
         if not config.needs_keys or route.anonymous:
             return Authorized(route, None)
         found = self.workspace_of(head.key, now_s)
@@ -152,6 +158,11 @@
         return Refused(UNAVAILABLE, "stale", retry_after_s)
 
 
+def call_limit_s(route: Route, head: CallHead) -> float:
+    """Return the time after which a call has its final response."""
+    return route.timeout_s if head.deadline_s is None else min(route.timeout_s, head.deadline_s)
+
+
 def _check_limits(route: Route, workspace: Workspace, head: CallHead) -> Authorized | Refused:
     """Check a call against the permissions and limits of its workspace."""
     workspace_limits = workspace.workspace_limits
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -11,7 +11,7 @@
 
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request import call_logs
-from filbertstream.request.authorization import Refused
+from filbertstream.request.authorization import Refused, call_limit_s
 from filbertstream.request.call import CacheDirectives, Prompt
 from filbertstream.request.call_endings import NO_TARGET_RETRY_S, Action, CallEndings
 from filbertstream.request.call_events import (
@@ -107,10 +107,7 @@
             if exceeded is not None:
                 refused = Refused(TOO_MANY_REQUESTS, exceeded.code, exceeded.retry_after_s)
                 return self._endings.refuse(event, refused, now_s)
-        limit_s = route.timeout_s
-        if head.deadline_s is not None:
-            limit_s = min(limit_s, head.deadline_s)
-        ends_at_s = now_s + limit_s
+        ends_at_s = now_s + call_limit_s(route, head)
         call = Call(event.call_id, head, route, service, workspace, now_s, ends_at_s)
         call.last_event_id = head.last_event_id
         self.calls[call.call_id] = call
@@ -359,6 +356,14 @@
             release(call)
         return [*actions, *self._endings.end(call, "caller_left", now_s)]
 
+    def end_all(self, now_s: float) -> list[Action]:
+        """End all calls, since the process is about to exit: callers needn't wait for its end."""
+        actions: list[Action] = []
+        for call in list(self.calls.values()):
+            call.may_have_run = call.may_have_run or call.target is not None
+            actions += self._endings.give_up(call, "stopping", now_s)
+        return actions
+
     def tick(self, now_s: float) -> list[Action]:
         """End calls at their deadline, send queued calls, and retry those that are overdue."""
         actions: list[Action] = list(self._deps.idempotency_keys.tick(now_s))
