Let no complete response leave its connection paused

Cause: the caller's write buffer fills with the last bytes of a response, after which nothing resumes the target's connection: the call that would do so has ended.

Change: a complete response pauses nothing, and its end resumes reading. Test: a connection that is paused in the body or after the last byte answers the next request; it timed out before.

--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -125,8 +125,11 @@
             self.transport.abort()
 
     def pause(self, paused: bool) -> None:
-        """Pause or resume reading, because the caller reads slower than the target sends."""
-        if self.transport is None or self.closed:
+        """Pause or resume reading, because the caller reads slower than the target sends.
+
+        A response that is complete pauses nothing: the connection may get another call's next.
+        """
+        if self.transport is None or self.closed or self._sink is None:
             return
         if paused:
             self._stop_timer()
@@ -224,6 +227,8 @@
         self._stop_timer()
         if self.transport is None or self.transport.get_write_buffer_size():
             self.usable = False
+        else:
+            self.transport.resume_reading()
         if not self._parser.should_keep_alive():
             self.usable = False
         sink.on_complete()
--- a/tests/test_target_connection.py
+++ b/tests/test_target_connection.py
@@ -219,3 +219,45 @@
     """A target writes a refusal once more before the response to the next request."""
     own = OWN_RESPONSE.replace(b"mine", request_id.encode())
     assert asyncio.run(second_exchange(refusal, refusal + own, request_id)) == expected
+
+
+@pytest.mark.parametrize("when", ["in the body", "after the last byte"])
+def test_connection_that_a_slow_caller_has_paused_swallows_the_next_response(when: str) -> None:
+    """A caller reads slowly; its target's connection is reused after the response."""
+
+    class PausingSink(Sink):
+        def on_body(self, data: bytes) -> bool:
+            if when == "in the body":
+                conn.pause(True)
+            return super().on_body(data)
+
+        def on_complete(self) -> None:
+            if when == "after the last byte":
+                conn.pause(True)
+            super().on_complete()
+
+    async def exchange_twice() -> str:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            for _ in range(2):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(OWN_RESPONSE)
+            await reader.read()
+            writer.close()
+
+        nonlocal conn
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        opened = await TargetConnectionPool().open(Address(*server.sockets[0].getsockname()))
+        assert opened is not None
+        conn = opened
+        request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        for sink in (PausingSink(), Sink()):
+            conn.request("mine", request, sink, 0.0, lambda idle: None)
+            end = await asyncio.wait_for(sink.end, 1.0)
+            await asyncio.sleep(0.05)
+        conn.abort()
+        server.close()
+        await asyncio.sleep(0.05)
+        return end
+
+    conn = TargetConnection(Address("127.0.0.1", 1))
+    assert asyncio.run(exchange_twice()) == "complete"
