Answer pipelined requests of a stopping entry before its connections close

Callers that pipeline got no answer to a request that the entry had read whole, if SIGTERM came before the response to the one ahead: the connection was closed after that response.

Cause: a stopping entry closes a connection after the next response, whatever is queued behind it.

Change: the close is announced with, and follows, the response to the last queued request. Test: two pipelined requests and a stop between; the second was dropped before.

--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -247,7 +247,7 @@
         self.transport.close()
 
     def _end_of_head(self) -> bytes:
-        if self._app.closing:
+        if self._app.closing and not self._queued:
             self._close_after = True
         return b"\r\nConnection: close\r\n\r\n" if self._close_after else b"\r\n\r\n"
 
@@ -283,9 +283,7 @@
         self.call_id = None
         if self.transport is None:
             return
-        if self._close_after or self._app.closing:
-            # Pipelined requests that are still queued were not sent to a target; callers can
-            # retry them.
+        if self._close_after or (self._app.closing and not self._queued):
             self.transport.close()
             return
         # The parser may still be inside ``feed_data`` for the bytes of this request.
--- a/tests/test_caller_fuzz.py
+++ b/tests/test_caller_fuzz.py
@@ -148,3 +148,33 @@
     head = CHUNKED.partition(b"5\r\n")[0]
     app, transport = asyncio.run(feed([head, *[b"c8\r\n" + b"x" * 200 + b"\r\n"] * 20]))
     assert (app.rejected, app.requests, transport.closed) == ([413], [], True)
+
+
+class SlowApp(App):
+    """Records requests and responds later."""
+
+    def on_request(self, conn: CallerConnection, raw: RawRequest) -> None:
+        self.requests.append(raw)
+
+
+def test_request_that_is_pipelined_when_the_entry_stops_gets_no_answer() -> None:
+    """SIGTERM comes between the arrival of two pipelined requests and the response to the first."""
+
+    async def exchange() -> Transport:
+        app, transport = SlowApp(), Transport()
+        conn = CallerConnection(app, lambda conn: None)
+        untyped: Any = transport
+        conn.connection_made(untyped)
+        conn.data_received(VALID + VALID.replace(b"q1", b"q2"))
+        app.closing = True
+        for number in (1, 2):
+            assert len(app.requests) == number
+            conn.send_response(b"HTTP/1.1 200 OK\r\nContent-Length: 1", b"%d" % number)
+            await asyncio.sleep(0)
+        return transport
+
+    transport = asyncio.run(exchange())
+    first, second = transport.written.split(b"HTTP/1.1 200 OK")[1:]
+    assert b"Connection: close" not in first
+    assert b"Connection: close" in second
+    assert transport.closed
