Test responses that are cut inside their head, after each byte

Another operator saw clients get a 200 with an empty or short body, framed as whole, when a target stopped in the middle of its response's head. Tried here with nine kinds of head, cut after each of their bytes by a close or a reset: none yields a head or a complete response. No change was needed.

--- a/tests/test_target_connection.py
+++ b/tests/test_target_connection.py
@@ -261,3 +261,57 @@
 
     conn = TargetConnection(Address("127.0.0.1", 1))
     assert asyncio.run(exchange_twice()) == "complete"
+
+
+class RecordingTransport(asyncio.Transport):
+    """Accepts everything and is aborted without effect."""
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Discard the data."""
+
+    def abort(self) -> None:
+        """Do nothing."""
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def resume_reading(self) -> None:
+        """Do nothing."""
+
+
+SIGNED = b"HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nResponse-Signature: s\r\n"
+HEADS = {
+    "length": SIGNED + b"Content-Length: 300\r\n\r\n",
+    "empty": SIGNED + b"Content-Length: 0\r\n\r\n",
+    "chunks": SIGNED + b"Transfer-Encoding: chunked\r\n\r\n",
+    "end of the connection": SIGNED + b"Connection: close\r\n\r\n",
+    "after an interim response": INTERIM + SIGNED + b"Content-Length: 3\r\n\r\n",
+    "after another's response": OTHER_RESPONSE + SIGNED + b"Content-Length: 3\r\n\r\n",
+    "without a reason": b"HTTP/1.1 200\r\nRequest-Id: mine\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.0": SIGNED.replace(b"1.1", b"1.0") + b"\r\n",
+    "bare line feeds": SIGNED.replace(b"\r", b"") + b"\n",
+}
+
+
+@pytest.mark.parametrize("ending", ["close", "reset"])
+@pytest.mark.parametrize("kind", HEADS)
+def test_response_that_is_cut_inside_its_head_is_passed_on_as_whole(kind: str, ending: str) -> None:
+    """A target sends a part of its response's head and closes, after each of its bytes."""
+
+    async def ends() -> list[tuple[list[int], str]]:
+        found = []
+        for size in range(len(HEADS[kind])):
+            conn = TargetConnection(Address("127.0.0.1", 1))
+            conn.transport = RecordingTransport()
+            sink = Sink()
+            conn.request("mine", b"", sink, 0.0, lambda idle: None)
+            conn.data_received(HEADS[kind][:size])
+            if ending == "close":
+                conn.eof_received()
+            conn.connection_lost(None if ending == "close" else ConnectionResetError())
+            found.append((sink.heads, await asyncio.wait_for(sink.end, 1.0)))
+        return found
+
+    for heads, end in asyncio.run(ends()):
+        assert heads == []
+        assert end in ("cut", "reset", "malformed")
