--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -129,15 +129,17 @@
         limited = self._core.request_rates.limited()
         quarantined = float(len(self._core.crash_watch.quarantine.active))
         suspected = float(self._core.crash_watch.evidence.suspected_blocks)
+        buffers = self._gateway_io.pool.buffers
+        given_up = float(buffers.given_up)
         return {
+            **({"response_bytes_buffered": float(buffers.total_bytes)} if given_up else {}),
+            **({"responses_given_up": given_up} if given_up else {}),
             **({"targets_rate_limited": float(len(limited))} if limited else {}),
             **({"quarantined_blocks": quarantined} if quarantined else {}),
             **({"suspected_blocks": suspected} if suspected else {}),
             "calls_running": float(self._gateway_io.calls_running),
             "caller_connections": float(len(self._gateway_io.connections)),
             "target_connections_opened": float(self._gateway_io.connections_opened),
-            "response_bytes_buffered": float(self._gateway_io.pool.buffers.total_bytes),
-            "responses_given_up": float(self._gateway_io.pool.buffers.given_up),
             "targets_known": float(len(self._core.roster.targets)),
             "targets_out": float(len(self._core.roster.outliers.ejected(now_s))),
             "store_epoch": float(self._core.recovery.epoch),
