Retry a keyed call in its test until its outcome is stored

Cause: a caller gets its final response before the outcome of its key is written, so that it doesn't wait for the store. A repeat at another entry in between is told truthfully that the key still runs, with Retry-After; it has not run again. The test took the first answer of the repeat.

The test now plays both, retries as told and asserts the same end: outcome_unknown, and one run.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -80,17 +80,26 @@
     assert wrong == []
 
 
-def test_keyed_call_that_ran_and_was_cut_is_never_retried(fleet: Fleet) -> None:
-    """Service targets run a call and lose its response; the key is sent again to another entry."""
+@pytest.mark.parametrize("store_delay_s", [0.0, 0.3])
+def test_keyed_call_that_ran_and_was_cut_is_never_retried(
+    fleet: Fleet, store_delay_s: float
+) -> None:
+    """Service targets run a call and lose its response; the key is sent again to another entry.
+
+    A slow object store has not stored the outcome yet when the key comes again.
+    """
+    key = f"cut {store_delay_s}"
     for name in SERVICES:
         fleet.fault(name, lose=1)
-    first = book(fleet, "entry-1", "cut", "cut")
+    fleet.fault("objects", **{"delay filbertstream-keys": store_delay_s})
+    first = book(fleet, "entry-1", key, key)
     for name in SERVICES:
         fleet.fault(name, lose=0)
-    second = book(fleet, "entry-2", "cut", "cut")
+    second = retry_until_ended(fleet, "entry-2", key)
+    fleet.fault("objects", **{"delay filbertstream-keys": 0.0})
     assert msgspec.json.decode(first.data)["run"] == "may_have_run"
     assert msgspec.json.decode(second.data)["type"] == "outcome_unknown"
-    assert runs(fleet, "cut") == 1
+    assert runs(fleet, key) == 1
 
 
 def retry_until_ended(fleet: Fleet, entry: str, key: str) -> urllib3.BaseHTTPResponse:
