Draw odd registrations, endless streams and slow calls in the soak

The soak had no fault of the kinds that the review's cases come from: registrations of other writers with fields missing or odd, runners that send bytes without end inside a stream, and calls that take 0.5 to 4 s while entries are stopped.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -6,7 +6,7 @@
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 import urllib3
 
@@ -31,6 +31,19 @@
 """Active faults in which callers send prompts that crash runners."""
 
 SLOW_S: Final = 0.4
+SLOW_RUNS_S: Final = (0.5, 1.6, 4.0)
+MISSING_SHARE: Final = 0.5
+ODD_REGISTRATION: Final[dict[str, Any]] = {
+    "service": "bookings",
+    "address": "127.0.0..7:8080",
+    "zone": "dc1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 1,
+}
+ODD_VALUES: Final[tuple[Any, ...]] = (None, "", -1, 2**70, 1e300, "a..b:80", "\u00fc:1", ["x"], {})
 DELAY_S: Final = 0.3
 
 
@@ -238,6 +251,43 @@
     )
 
 
+@fault("streams without end")
+def _streams_endless(fleet: Fleet, rng: random.Random) -> End:
+    return _inject_into_target(
+        fleet, rng, RUNNER_PREFIX, lambda name: _set_faults(fleet, name, endless=2.0)
+    )
+
+
+@fault("service slow")
+def _service_slow(fleet: Fleet, rng: random.Random) -> End:
+    """Calls that take longer than usual are in progress when entries are stopped."""
+    seconds = rng.choice(SLOW_RUNS_S)
+    return _inject_into_target(
+        fleet, rng, fleet.service, lambda name: _set_faults(fleet, name, run_s=seconds)
+    )
+
+
+@fault("odd registration")
+def _odd_registration(fleet: Fleet, rng: random.Random) -> End:
+    """Another writer registers something that is no target."""
+    name = f"odd-{rng.randint(0, 10**6)}"
+    fields = dict(ODD_REGISTRATION)
+    for field in rng.sample(sorted(fields), rng.randint(1, 3)):
+        if rng.random() < MISSING_SHARE:
+            del fields[field]
+        else:
+            fields[field] = rng.choice(ODD_VALUES)
+    # The store may be away or lose the response meanwhile.
+    with contextlib.suppress(urllib3.exceptions.HTTPError):
+        fleet.put_object("servers", name, fields)
+
+    def end() -> None:
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            fleet.remove_object("servers", name)
+
+    return end
+
+
 @fault("answers crossed")
 def _crossed(fleet: Fleet, rng: random.Random) -> End:
     return _inject_into_target(
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -12,9 +12,10 @@
 Faults beside the common ones: ``drain`` reports that the target is leaving, ``refuse`` (counted)
 responds with 503 and not run, ``error`` (counted) responds with 500, ``lose`` (counted) runs a
 request and closes the connection, ``cut_stream`` (counted) closes the connection in the middle of
-an event, ``stall`` (counted) stops sending there, ``crossed`` (counted) responds with another
-request's id, ``run_s`` makes a plain call take longer, ``event_s`` is the time between events,
-``limit_per_s`` names that request rate in all responses.
+an event, ``stall`` (counted) stops sending there, ``endless`` (counted) sends bytes without end
+there, ``crossed`` (counted) responds with another request's id, ``run_s`` makes a plain call take
+longer, ``event_s`` is the time between events, ``limit_per_s`` names that request rate in all
+responses.
 
 A prompt with the block ``--crash-block`` ends the process when its response begins, with
 ``--crash-after-head`` after the head.  ``--crash-record`` is a file that survives this: it gets a
@@ -54,6 +55,7 @@
 EVENT_S: Final = 0.02
 SWAP_S: Final = 0.2
 STALL_S: Final = 30.0
+ENDLESS: Final = b"x" * 65_536
 CRASHED: Final = 70
 HEAD_TO_CRASH_S: Final = 0.05
 
@@ -239,6 +241,7 @@
 
     def _events(self, request_id: str, first: int, tokens: list[str]) -> Iterator[bytes]:
         cut, stall = self._faults.take("cut_stream"), self._faults.take("stall")
+        endless = self._faults.take("endless")
         try:
             for number in range(first, len(tokens) + 1):
                 time.sleep(self._faults.get("event_s") or self._options.event_s)
@@ -246,6 +249,8 @@
                 if cut and number == first + 2:
                     yield event[:9]
                     raise DropConnection
+                while endless and number == first + 2:
+                    yield ENDLESS
                 if stall and number == first + 2:
                     yield event[:9]
                     time.sleep(STALL_S)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -204,6 +204,18 @@
         url = f"http://{self.running[name].control}/faults"
         self.http.request("POST", url, body=msgspec.json.encode(values))
 
+    def put_object(self, kind: str, name: str, spec: object) -> None:
+        """Create an object in the object store, as another writer does."""
+        body = msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
+        self.http.request("POST", self._objects_url(kind), body=body)
+
+    def remove_object(self, kind: str, name: str) -> None:
+        """Remove an object from the object store."""
+        self.http.request("DELETE", f"{self._objects_url(kind)}/{name}")
+
+    def _objects_url(self, kind: str) -> str:
+        return f"http://{self.running['objects'].address}/objects/{kind}"
+
     def counts(self, name: str) -> Any:
         """Return the counts of a stand-in."""
         resp = self.http.request("GET", f"http://{self.running[name].control}/counts")
