--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -125,8 +125,8 @@
     Guard(
         "nothing is fetched from an unresponsive cache store",
         "process/cache_stores.py",
-        "or not state.fetchable(now_s):\n                continue\n            option",
-        "or False:\n                continue\n            option",
+        "held < tokens or not state.fetchable(now_s):\n                continue",
+        "held < tokens:\n                continue",
         "tests/test_gateway_cache.py::"
         "test_nothing_is_fetched_from_a_store_whose_state_is_too_old",
     ),
@@ -412,18 +412,4 @@
         "if self._sink.on_body(data) or True:",
         "tests/test_slow_streams.py",
     ),
-    Guard(
-        "bytes of a response that are no body are bounded",
-        "connection/target_connection.py",
-        "if self._sink is not None and self._framing.exceeded:",
-        "if False:",
-        "tests/test_endless_bytes.py",
-    ),
-    Guard(
-        "buffered bodies of all responses together are bounded",
-        "connection/response_budget.py",
-        "while self.total_bytes > self._limit_bytes:",
-        "while False:",
-        "tests/test_endless_bytes.py",
-    ),
 )
--- a/bench/guards.py
+++ b/bench/guards.py
@@ -17,6 +17,7 @@
 from bench.crash_guards import CRASH_GUARDS
 from bench.gateway_guards import GATEWAY_GUARDS
 from bench.guard import Guard
+from bench.isolation_guards import ISOLATION_GUARDS
 from bench.key_guards import KEY_GUARDS
 from bench.rate_guards import RATE_GUARDS
 from bench.recovery_guards import RECOVERY_GUARDS
@@ -80,7 +81,14 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--write", type=Path)
     options = parser.parse_args()
-    guards = (*KEY_GUARDS, *GATEWAY_GUARDS, *RATE_GUARDS, *RECOVERY_GUARDS, *CRASH_GUARDS)
+    guards = (
+        *KEY_GUARDS,
+        *GATEWAY_GUARDS,
+        *RATE_GUARDS,
+        *RECOVERY_GUARDS,
+        *CRASH_GUARDS,
+        *ISOLATION_GUARDS,
+    )
     with ThreadPoolExecutor(MAX_WORKERS) as pool:
         rows = list(zip(guards, pool.map(check_fails, guards), strict=True))
     for guard, red in rows:
--- /dev/null
+++ b/bench/isolation_guards.py
@@ -0,0 +1,88 @@
+"""The guards that keep the trouble of one party from others, for ``bench.guards``."""
+
+from typing import Final
+
+from bench.guard import Guard
+
+ISOLATION_GUARDS: Final = (
+    Guard(
+        "bytes of a response that are no body are bounded",
+        "connection/target_connection.py",
+        "if self._sink is not None and self._framing.exceeded:",
+        "if False:",
+        "tests/test_endless_bytes.py::"
+        "test_target_that_sends_endless_bytes_without_a_response_is_cut_off",
+    ),
+    Guard(
+        "buffered bodies of all responses together are bounded",
+        "connection/response_budget.py",
+        "while self.total_bytes > self._limit_bytes:",
+        "while False:",
+        "tests/test_endless_bytes.py::"
+        "test_many_endless_responses_together_exceed_the_memory_of_the_process",
+    ),
+    Guard(
+        "a complete response resumes its paused connection",
+        "connection/target_connection.py",
+        "            self.transport.resume_reading()\n        if not",
+        "            pass\n        if not",
+        "tests/test_target_connection.py::"
+        "test_connection_that_a_slow_caller_has_paused_swallows_the_next_response",
+    ),
+    Guard(
+        "an exception while a target is called fails that call alone",
+        "connection/isolated_tasks.py",
+        "        on_error()",
+        "        raise SystemExit",
+        "tests/test_isolated_tasks.py::test_exception_while_a_target_is_called_ends_the_entry",
+    ),
+    Guard(
+        "an exception of the core ends the process",
+        "connection/gateway_io.py",
+        'self._on_fatal(f"{type(event).__name__}: {exc!r}")',
+        "pass",
+        "tests/test_isolated_tasks.py::test_exception_of_the_core_does_not_end_the_entry",
+    ),
+    Guard(
+        "the host of an address is an IP address",
+        "platform/settings_file.py",
+        "Address(str(IPv4Address(host)), int(port))",
+        "Address(host, int(port))",
+        "tests/test_odd_entries.py::test_one_odd_registration_ends_the_entry_or_its_watch",
+    ),
+    Guard(
+        "numbers of tokens fit into messages",
+        "platform/headers.py",
+        "if not 0 <= count <= MAX_COUNT:",
+        "if False:",
+        "tests/test_odd_messages.py::test_odd_head_of_a_callers_request_ends_the_entry",
+    ),
+    Guard(
+        "a new block is fetched only when all entries know it",
+        "process/cache_stores.py",
+        "            if not state.settled(key, now_s):\n                continue\n",
+        "",
+        "tests/test_cache_settling.py::test_block_is_fetched_before_others_can_know_it",
+    ),
+    Guard(
+        "only entries that know a cache store's blocks save to it",
+        "process/cache_stores.py",
+        "if self._knows_contents(state, now_s) and state.fits(tokens, now_s)",
+        "if state.fits(tokens, now_s)",
+        "tests/test_cache_settling.py::test_entry_that_has_not_listed_a_cache_store_saves_to_it",
+    ),
+    Guard(
+        "a stopping entry admits calls by the time that they may take",
+        "process/stopping.py",
+        "return now_s + limit_s <= self.responses_end_s",
+        "return now_s <= self.responses_end_s",
+        "tests/test_stopping.py::test_call_that_arrives_after_a_stop_runs_and_gets_no_answer",
+    ),
+    Guard(
+        "calls that still run get their final response before the exit",
+        "gateway.py",
+        "if now_s >= self.stopping.responses_end_s:",
+        "if False:",
+        "tests/test_stopping.py::test_call_still_runs_when_the_process_exits",
+    ),
+)
--- a/tests/test_target_connection.py
+++ b/tests/test_target_connection.py
@@ -221,46 +221,56 @@
     assert asyncio.run(second_exchange(refusal, refusal + own, request_id)) == expected
 
 
-@pytest.mark.parametrize("when", ["in the body", "after the last byte"])
-def test_connection_that_a_slow_caller_has_paused_swallows_the_next_response(when: str) -> None:
-    """A caller reads slowly; its target's connection is reused after the response."""
+class PausingSink(Sink):
+    """Pauses its connection as a caller does that reads slowly."""
 
-    class PausingSink(Sink):
-        def on_body(self, data: bytes) -> bool:
-            if when == "in the body":
-                conn.pause(True)
-            return super().on_body(data)
+    def __init__(self, conn: TargetConnection, in_body: bool) -> None:
+        super().__init__()
+        self._conn = conn
+        self._in_body = in_body
 
-        def on_complete(self) -> None:
-            if when == "after the last byte":
-                conn.pause(True)
-            super().on_complete()
+    def on_body(self, data: bytes) -> bool:
+        if self._in_body:
+            self._conn.pause(True)
+        return super().on_body(data)
 
-    async def exchange_twice() -> str:
-        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            for _ in range(2):
-                await reader.readuntil(b"\r\n\r\n")
-                writer.write(OWN_RESPONSE)
-            await reader.read()
-            writer.close()
+    def on_complete(self) -> None:
+        if not self._in_body:
+            self._conn.pause(True)
+        super().on_complete()
 
-        nonlocal conn
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        opened = await TargetConnectionPool().open(Address(*server.sockets[0].getsockname()))
-        assert opened is not None
-        conn = opened
-        request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
-        for sink in (PausingSink(), Sink()):
-            conn.request("mine", request, sink, 0.0, lambda idle: None)
-            end = await asyncio.wait_for(sink.end, 1.0)
-            await asyncio.sleep(0.05)
-        conn.abort()
-        server.close()
+
+async def responses_on_a_paused_connection(in_body: bool) -> list[str]:
+    """Return the ends of two responses on a connection, of which the first pauses it."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for _ in range(2):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(OWN_RESPONSE)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    conn = await TargetConnectionPool().open(Address(*server.sockets[0].getsockname()))
+    assert conn is not None
+    ends = []
+    for sink in (PausingSink(conn, in_body), Sink()):
+        conn.request("mine", b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", sink, 0.0, lambda idle: None)
+        done, _ = await asyncio.wait([sink.end], timeout=1.0)
+        ends.append(sink.end.result() if done else "no response")
         await asyncio.sleep(0.05)
-        return end
+    conn.abort()
+    server.close()
+    await asyncio.sleep(0.05)
+    return ends
 
-    conn = TargetConnection(Address("127.0.0.1", 1))
-    assert asyncio.run(exchange_twice()) == "complete"
+
+@pytest.mark.parametrize("in_body", [True, False])
+def test_connection_that_a_slow_caller_has_paused_swallows_the_next_response(
+    in_body: bool,
+) -> None:
+    """A caller reads slowly; its target's connection is reused after the response."""
+    assert asyncio.run(responses_on_a_paused_connection(in_body)) == ["complete", "complete"]
 
 
 class RecordingTransport(asyncio.Transport):
