Forget when blocks settle once they have

An entry kept a record of each new block of a cache store until the block was removed or fetched late enough: memory that grows with every block that is stored and never asked for again.

Cause: records were dropped on a look-up only. Found while reading the change as a whole.

Change: they are kept in order and dropped once they are over, with each response of the store.

--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -98,6 +98,7 @@
 MAX_PROMPT_BLOCKS: Final = 64
 
 MAX_VERSION_DIGITS: Final = 15
+"""Versions of weights with more digits don't fit into a message."""
 
 MAX_COUNT: Final = 2**31
 """Largest number of tokens or requests; sums over all calls of a fleet fit into a message."""
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -177,18 +177,22 @@
         """
         return not self.call_failed and now_s - self.confirmed_at_s < HOLDINGS_MAX_AGE_S
 
-    @property
-    def listed(self) -> bool:
-        """Whether this entry has listed the blocks of this start of the store."""
-        return self.listed_at_s != float("-inf")
-
     def settled(self, key: BlockKey, now_s: float) -> bool:
         """Whether every entry that may save knows that this store holds a block."""
-        settles_at_s = self.settles_at_s.get(key)
-        if settles_at_s is not None and now_s >= settles_at_s:
+        return now_s >= self.settles_at_s.get(key, now_s)
+
+    def note_new(self, key: BlockKey, settles_at_s: float) -> None:
+        """Record when a new block will be settled, in the order of these records."""
+        self.settles_at_s.pop(key, None)
+        self.settles_at_s[key] = settles_at_s
+
+    def forget_settled(self, now_s: float) -> None:
+        """Drop the oldest records up to one that is still needed."""
+        while self.settles_at_s:
+            key = next(iter(self.settles_at_s))
+            if not self.settled(key, now_s):
+                break
             del self.settles_at_s[key]
-            settles_at_s = None
-        return settles_at_s is None
 
     def fits(self, tokens: int, now_s: float) -> bool:
         """Whether a block of this size may be saved to this store."""
@@ -289,7 +293,8 @@
         for change in event.changes:
             self._apply(state, change)
             if change.added:
-                state.settles_at_s[change.key] = event.received_at_s + SETTLING_S
+                state.note_new(change.key, event.received_at_s + SETTLING_S)
+        state.forget_settled(event.received_at_s)
         return restarted
 
     def _apply(self, state: CacheStoreState, change: CacheChange) -> None:
@@ -315,10 +320,11 @@
                 self._index.remove(state.name, key)
                 state.settles_at_s.pop(key, None)
         # Of the blocks in its first listing an entry can't have had the events.
-        settles_at_s = now_s + (UNTOLD_S if state.listed else SETTLING_S)
+        first = state.listed_at_s == float("-inf")
+        settles_at_s = now_s + (SETTLING_S if first else UNTOLD_S)
         for key, tokens in listed.items():
             if key not in known:
-                state.settles_at_s[key] = settles_at_s
+                state.note_new(key, settles_at_s)
             self._index.add(state.name, key, tokens)
         state.listed_at_s = event.sent_at_s
         state.used_tokens = sum(listed.values())
--- a/tests/test_cache_settling.py
+++ b/tests/test_cache_settling.py
@@ -128,3 +128,13 @@
     assert entry.limit_s(later_s) == FETCH_TIMEOUT_S
     entry.learn(later_s, CacheChange(False, KEY, 0), CacheChange(True, KEY, TOKENS))
     assert entry.limit_s(later_s + MOMENT_S) == NEW_BLOCK_FETCH_TIMEOUT_S
+
+
+def test_records_of_settled_blocks_are_kept_for_ever() -> None:
+    """Blocks are stored all the time, and most are never fetched or removed."""
+    entry = Entry()
+    for number in range(1_000):
+        key = ("names", f"block {number}")
+        entry.learn(READY_S + number * MOMENT_S, CacheChange(True, key, TOKENS))
+    state = entry.stores.states["keep"]
+    assert len(state.settles_at_s) <= SETTLING_S / MOMENT_S + 1
