Give the transport of a test the method that connections call now

The AttributeError came up in the parser's callback and counted as a malformed response. The double has the method now; what the test asserts is unchanged.

--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -62,6 +62,9 @@
     def get_write_buffer_size(self) -> int:
         return 0
 
+    def resume_reading(self) -> None:
+        """Nothing is read."""
+
 
 class Sink:
     """Receives the first response on a connection that is kept."""
