Keep to the pauses that targets name, and send nothing to those that say that they leave

Cause: the named time was capped at 0.6 s (the time of a runner that loads weights), a later response could shorten it, and it was read only from responses that also said that the request had not run. `Server-Leaving` was dropped while decoding. The class: what a target says of itself in a response is lost on the way to the decisions.

Change: both are decoded once, for calls, reports and orders, into a TargetNotice. TargetNotices keeps it by the start of the target, so that it outlasts an expired registration and ends with a restart; a later response never shortens a pause. If all targets of a service are paused, callers are refused at once with the end of the first pause, spread by the usual jitter.

Ruled out on the way: the retry budget. Each entry keeps to 0.18 of its calls and one retry in a window, so the sum stays below the ratio and the slack, restarts included.

New: event 419 (target_paused), gauge targets_paused (on the page while there are any).

--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -127,6 +127,7 @@
         now_s = boot_time_s()
         config = self._core.authorizer.config
         limited = self._core.request_rates.limited()
+        paused = float(self._core.roster.notices.paused(now_s))
         quarantined = float(len(self._core.crash_watch.quarantine.active))
         suspected = float(self._core.crash_watch.evidence.suspected_blocks)
         buffers = self._gateway_io.pool.buffers
@@ -135,6 +136,7 @@
             **({"response_bytes_buffered": float(buffers.total_bytes)} if given_up else {}),
             **({"responses_given_up": given_up} if given_up else {}),
             **({"targets_rate_limited": float(len(limited))} if limited else {}),
+            **({"targets_paused": paused} if paused else {}),
             **({"quarantined_blocks": quarantined} if quarantined else {}),
             **({"suspected_blocks": suspected} if suspected else {}),
             "calls_running": float(self._gateway_io.calls_running),
--- a/filbertstream/fleet/crash_detector.py
+++ b/filbertstream/fleet/crash_detector.py
@@ -103,7 +103,7 @@
     ) -> list[Log | ProbeTarget]:
         """Record that a call was cut off; return the probe that shows whether the runner runs."""
         start = target.start
-        leaves = target.registration.draining or target.missing_since_s is not None
+        leaves = self._roster.is_leaving(target) or target.missing_since_s is not None
         if leaves or self._roster.targets.get(target.target_id) is not target:
             return []
         suspicion = self._suspicions.get(start)
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -261,7 +261,7 @@
             LeaseConfirmed: self._forward(self.weights_leader.on_lease_confirmed),
             LeaseWritten: self._forward(self.weights_leader.on_lease_written),
             ReportReceived: self._forward(self.weights_leader.on_report),
-            ReportFailed: lambda event, now_s: [],
+            ReportFailed: self._forward(self.weights_leader.on_report_failed),
             OrderResponse: self._forward(self.weights_leader.on_order),
             CacheEventsReceived: self._forward(self.cache_events.on_read),
             CacheEventsFailed: self._forward(self.cache_events.on_failed),
@@ -355,6 +355,7 @@
         actions += self.target_registrations.tick(now_s)
         actions += self.crash_watch.tick(now_s)
         self.rate_admission.expire(self.roster.starts, now_s)
+        self.roster.notices.expire(self.roster.starts, now_s)
         actions += self.stores.tick(now_s)
         followers = self.relayed_view.followers(now_s)
         actions += self.peer_messages.due(self.roster, self.ready(now_s), followers, now_s)
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -46,6 +46,7 @@
     TARGET_CRASHED = 416
     BLOCK_QUARANTINED = 417
     BLOCK_RELEASED = 418
+    TARGET_PAUSED = 419
     MEMBER_JOINED = 500
     PLATFORM_LOST = 600
     PLATFORM_BACK = 601
@@ -98,6 +99,7 @@
     LogEvent.TARGET_CRASHED: "A runner crashed; the blocks of prompts that may have caused it.",
     LogEvent.BLOCK_QUARANTINED: "Prompts with a block crash runners and are refused from now on.",
     LogEvent.BLOCK_RELEASED: "Prompts with a quarantined block are accepted again.",
+    LogEvent.TARGET_PAUSED: "A target wants no calls for the time that it named; it gets none.",
     LogEvent.MEMBER_JOINED: "Peers registered; the line lists the first ones by name.",
     LogEvent.PLATFORM_LOST: "A call to the platform's object store failed.",
     LogEvent.PLATFORM_BACK: "The platform's object store responds again.",
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -20,7 +20,9 @@
     RequestRate,
     ResponseHead,
     TargetLoad,
+    TargetNotice,
 )
+from filbertstream.statuses import UNAVAILABLE
 
 MS: Final = 1000.0
 
@@ -32,6 +34,8 @@
 LAST_EVENT_ID: Final = b"last-event-id"
 HOST: Final = b"host"
 REQUEST_RATE: Final = b"server-limit"
+LEAVING: Final = b"server-leaving"
+RETRY_AFTER: Final = b"retry-after"
 
 SINGLETON: Final = frozenset(
     {
@@ -84,13 +88,14 @@
         b"pin-ms",
         b"server-load",
         REQUEST_RATE,
+        LEAVING,
         b"not-executed",
         b"instance-id",
     }
 )
 
 INTERNAL_RESPONSE: Final = frozenset(
-    {b"server-load", REQUEST_RATE, b"instance-id", b"not-executed"}
+    {b"server-load", REQUEST_RATE, LEAVING, b"instance-id", b"not-executed"}
 )
 
 DECIMAL: Final = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
@@ -243,12 +248,34 @@
         _load(first.get(b"server-load")),
         _int(first.get(b"weight-versions")),
         first.get(b"instance-id", b"").decode("latin-1"),
-        _seconds(first.get(b"retry-after")),
-        decode_request_rate([value for name, value in headers if name == REQUEST_RATE]),
+        _seconds(first.get(RETRY_AFTER)),
+        decode_request_rate(_values(headers, REQUEST_RATE)),
         first.get(b"content-type", b"").partition(b";")[0].strip().lower().decode("latin-1"),
+        decode_notice(status, _values(headers, RETRY_AFTER), _values(headers, LEAVING)),
     )
 
 
+def _values(headers: Headers, name: bytes) -> list[bytes]:
+    return [value for found, value in headers if found == name]
+
+
+def decode_notice(status: int, retry_after: list[bytes], leaving: list[bytes]) -> TargetNotice:
+    """Return what a response says of its target, from the values of its headers.
+
+    Only a 503 names a pause.  Dates and other malformed values are ignored; of several pauses the
+    longest counts.
+
+    >>> decode_notice(503, [b"2.5"], [])
+    TargetNotice(pause_s=2.5, leaving=False)
+    >>> decode_notice(503, [b"Sat, 05 Dec 2026 21:00:00 GMT"], [b"1"])
+    TargetNotice(pause_s=None, leaving=True)
+    """
+    found = [_seconds(value) for value in retry_after] if status == UNAVAILABLE else []
+    pauses = [seconds for seconds in found if seconds is not None]
+    leaves = any(value.strip() == b"1" for value in leaving)
+    return TargetNotice(max(pauses, default=None), leaves)
+
+
 def decode_request_rate(values: list[bytes]) -> RequestRate:
     """Return the rate that a response names in all its headers of that name.
 
@@ -282,10 +309,8 @@
 
 
 def _seconds(value: bytes | None) -> float | None:
-    try:
-        seconds = math.nan if value is None else float(value)
-    except ValueError:
-        return None
+    text = "" if value is None else value.decode("latin-1").strip()
+    seconds = float(text) if DECIMAL.fullmatch(text) else math.inf
     return seconds if math.isfinite(seconds) else None
 
 
--- a/filbertstream/platform/runner_calls.py
+++ b/filbertstream/platform/runner_calls.py
@@ -10,11 +10,17 @@
 from urllib3.exceptions import HTTPError
 
 from filbertstream.platform.bounded_read import read_bounded
-from filbertstream.platform.headers import REQUEST_RATE, decode_request_rate
+from filbertstream.platform.headers import (
+    LEAVING,
+    REQUEST_RATE,
+    RETRY_AFTER,
+    decode_notice,
+    decode_request_rate,
+)
 from filbertstream.platform.raw_json import UNREADABLE, Number
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
-from filbertstream.request.call import RequestRate
+from filbertstream.request.call import RequestRate, TargetNotice
 from filbertstream.statuses import OK
 from filbertstream.version.rollout import (
     OrderResponse,
@@ -71,14 +77,17 @@
             )
             data = read_bounded(resp, REPORT_LIMIT_BYTES, boot_time_s() + RESPONSE_TIMEOUT_S)
             if resp.status != OK:
-                return ReportFailed(poll.target_id)
+                return ReportFailed(poll.target_id, _notice(resp))
             report = msgspec.json.decode(data, type=_Report)
         except (HTTPError, *UNREADABLE):
             self._pool.clear()
             return ReportFailed(poll.target_id)
         weights = {model.name: model.version for model in report.models}
         rate = _request_rate(resp)
-        return ReportReceived(poll.target_id, report.seq, report.busy, weights, sent_at_s, rate)
+        notice = _notice(resp)
+        return ReportReceived(
+            poll.target_id, report.seq, report.busy, weights, sent_at_s, rate, notice
+        )
 
     def order(self, order: OrderWeights, address: Address) -> OrderResponse:
         """Send an order, without retries."""
@@ -112,9 +121,18 @@
             return OrderResponse(order.target_id, None)
         finally:
             pool.clear()
-        return OrderResponse(order.target_id, resp.status, sent_at_s, _request_rate(resp))
+        return OrderResponse(
+            order.target_id, resp.status, sent_at_s, _request_rate(resp), _notice(resp)
+        )
 
 
 def _request_rate(resp: urllib3.BaseHTTPResponse) -> RequestRate:
-    values = resp.headers.getlist(REQUEST_RATE.decode())
-    return decode_request_rate([value.encode("latin-1") for value in values])
+    return decode_request_rate(_values(resp, REQUEST_RATE))
+
+
+def _notice(resp: urllib3.BaseHTTPResponse) -> TargetNotice:
+    return decode_notice(resp.status, _values(resp, RETRY_AFTER), _values(resp, LEAVING))
+
+
+def _values(resp: urllib3.BaseHTTPResponse, name: bytes) -> list[bytes]:
+    return [value.encode("latin-1") for value in resp.headers.getlist(name.decode())]
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -13,6 +13,7 @@
 from filbertstream.process.outliers import OutlierDetector
 from filbertstream.process.peer_work import WorkTotals
 from filbertstream.process.prefill import PrefillQueue
+from filbertstream.process.target_notices import TargetNotices
 from filbertstream.process.target_registration import TargetRegistration, TargetStart
 from filbertstream.request.call import TargetLoad
 
@@ -104,6 +105,7 @@
     def __init__(self) -> None:
         self.targets: dict[str, RosterTarget] = {}
         self.outliers = OutlierDetector()
+        self.notices = TargetNotices()
         self._by_service: dict[str, list[str]] = {}
         self._names: dict[str, frozenset[str]] = {}
         self.removals_held_until_s = 0.0
@@ -199,18 +201,29 @@
     def usable(self, service: str, now_s: float) -> list[RosterTarget]:
         """Return the targets of a service that may get work: the healthy ones, or all if none is.
 
-        Draining targets, and those in backoff after a failed or rejected send, get no work.
+        Targets that leave or named a pause, and those in backoff after a failed or rejected send,
+        get no work.
         """
         available = [
             target
-            for target in self.of_service(service)
-            if not target.registration.draining
-            and target.target_id not in self.drained
-            and now_s >= target.backoff_until_s
+            for target in self.staying(service)
+            if now_s >= target.backoff_until_s and self.notices.admits(target.start, now_s)
         ]
         healthy = [target for target in available if self._is_healthy(target, now_s)]
         return healthy or available
 
+    def staying(self, service: str) -> list[RosterTarget]:
+        """Return the targets of a service that don't leave."""
+        return [target for target in self.of_service(service) if not self.is_leaving(target)]
+
+    def is_leaving(self, target: RosterTarget) -> bool:
+        """Whether a target leaves, as registered, as it says itself, or by an operator's order."""
+        return (
+            target.registration.draining
+            or target.target_id in self.drained
+            or self.notices.is_leaving(target.start)
+        )
+
     def _is_healthy(self, target: RosterTarget, now_s: float) -> bool:
         ejected = self.outliers.is_ejected(target.target_id, now_s)
         return not ejected and target.missing_since_s is None
--- a/filbertstream/process/status.py
+++ b/filbertstream/process/status.py
@@ -92,7 +92,7 @@
 
 
 def _state_of(core: Gateway, target: RosterTarget, now_s: float) -> str:
-    if target.registration.draining or target.target_id in core.roster.drained:
+    if core.roster.is_leaving(target):
         return "leaving"
     if core.weights.is_swapping(target):
         return "swapping"
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -75,6 +75,16 @@
 UNLIMITED: Final = RequestRate()
 
 
+class TargetNotice(NamedTuple):
+    """What a response says of its target: how long it wants no calls, and whether it leaves."""
+
+    pause_s: float | None = None
+    leaving: bool = False
+
+
+NO_NOTICE: Final = TargetNotice()
+
+
 class ResponseHead(NamedTuple):
     """The status and headers of a target's response.
 
@@ -92,6 +102,7 @@
     retry_after_s: float | None
     request_rate: RequestRate = UNLIMITED
     content_type: str = ""
+    notice: TargetNotice = NO_NOTICE
 
 
 class CacheDirectives(NamedTuple):
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -165,10 +165,12 @@
         limited = self._selection.reject_by_rate(call, now_s)
         if limited is not None:
             return self._endings.give_up(call, "rate_limited", now_s, limited)
-        longest_s = QUEUE_TIME_FRACTION * call.route.objective_s
-        waited_s = now_s + QUEUE_RETRY_S - call.arrived_s
-        if not call.rejections or call.may_have_run or waited_s > longest_s:
-            return self._endings.give_up(call, "no_target", now_s)
+        queue_end_s = call.arrived_s + QUEUE_TIME_FRACTION * call.route.objective_s
+        paused = self._selection.reject_by_pauses(call, now_s)
+        wait_s = QUEUE_RETRY_S if paused is None else max(QUEUE_RETRY_S, paused.retry_after_s or 0)
+        if not call.rejections or call.may_have_run or now_s + wait_s > queue_end_s:
+            code = "no_target" if paused is None else "targets_paused"
+            return self._endings.give_up(call, code, now_s, paused)
         call.queued_until_s = now_s + QUEUE_RETRY_S
         call.tried.clear()
         self._deps.counters.add("calls_parked", call.route.kind.value)
@@ -256,7 +258,7 @@
         if call is None or call.target is None:
             return []
         self._crashes.note_response(call.target, now_s)
-        logs = self._feedback.note_rate(call, call.target, event.response, now_s)
+        logs = self._feedback.note_notices(call, call.target, event.response, now_s)
         return [*logs, *self._on_head(call, call.target, event, now_s)]
 
     def _on_head(
--- a/filbertstream/request/target_feedback.py
+++ b/filbertstream/request/target_feedback.py
@@ -32,24 +32,25 @@
         if head.weights is not None and prompt is not None:
             target.note_weights(prompt.model, head.weights)
 
-    def note_rate(
+    def note_notices(
         self, call: Call, target: RosterTarget, head: ResponseHead, now_s: float
     ) -> list[Log]:
-        """Record the rate that a response names.
+        """Record what a response says of its target: its rate, a pause, or that it leaves.
 
         If another target has the address now, the response speaks for that one.  Only a response of
         the target's service shows that there is no limit: it is signed, and others may be made
         before the request gets there.
         """
-        if head.request_rate == UNLIMITED and (head.not_run or not head.signed):
-            return []
         if head.target_id not in ("", target.target_id):
             other = self._deps.roster.targets.get(head.target_id)
             if other is None:
                 return []
             target = other
+        logs = self._deps.roster.notices.note(target.start, head.notice, now_s)
+        if head.request_rate == UNLIMITED and (head.not_run or not head.signed):
+            return logs
         rates = self._deps.request_rates
-        return rates.on_response(target.start, head.request_rate, call.sent_at_s, now_s)
+        return [*logs, *rates.on_response(target.start, head.request_rate, call.sent_at_s, now_s)]
 
     def note_latency(self, call: Call, target: RosterTarget, now_s: float) -> None:
         """Record how long the head of a response took."""
--- a/filbertstream/request/target_selection.py
+++ b/filbertstream/request/target_selection.py
@@ -27,5 +27,16 @@
         """Return how to reject a call if the rates of all usable targets leave no room for it."""
         return self._deps.rate_admission.reject(self._usable(call, now_s), call.urgency, now_s)
 
+    def reject_by_pauses(self, call: Call, now_s: float) -> Rejection | None:
+        """Return how to reject a call if all targets of its service have named pauses.
+
+        The retry time is the end of the first of them.
+        """
+        roster = self._deps.roster
+        targets = roster.staying(call.service.name)
+        ends_s = [roster.notices.paused_until_s(target.start, now_s) for target in targets]
+        wait_s = min(ends_s, default=now_s) - now_s
+        return Rejection(wait_s, (("paused", len(targets)),)) if wait_s > 0.0 else None
+
     def _usable(self, call: Call, now_s: float) -> list[RosterTarget]:
         return self._deps.roster.usable(call.service.name, now_s)
--- a/filbertstream/version/rollout.py
+++ b/filbertstream/version/rollout.py
@@ -16,7 +16,7 @@
 from typing import Final, NamedTuple
 
 from filbertstream.process.roster import Roster, RosterTarget
-from filbertstream.request.call import UNLIMITED, RequestRate
+from filbertstream.request.call import NO_NOTICE, UNLIMITED, RequestRate, TargetNotice
 from filbertstream.request.rate_admission import RateAdmission
 from filbertstream.version.weights_view import WeightsView
 
@@ -61,12 +61,14 @@
     weights: dict[str, int]
     sent_at_s: float
     request_rate: RequestRate = UNLIMITED
+    notice: TargetNotice = NO_NOTICE
 
 
 class ReportFailed(NamedTuple):
     """A request for a runner's report failed."""
 
     target_id: str
+    notice: TargetNotice = NO_NOTICE
 
 
 class OrderResponse(NamedTuple):
@@ -76,6 +78,7 @@
     status: int | None
     sent_at_s: float = 0.0
     request_rate: RequestRate = UNLIMITED
+    notice: TargetNotice = NO_NOTICE
 
 
 class _Swap:
@@ -107,6 +110,7 @@
             for model, version in target.weights.items()
             if version < self._weights.named.get(model, 0)
             and not target.registration.draining
+            and not self._roster.notices.is_leaving(target.start)
             and target.missing_since_s is None
         ]
 
@@ -158,7 +162,7 @@
         actions: list[PollReport | OrderWeights] = []
         for target, model in self.outdated():
             swap = self._swaps.get(target.target_id)
-            if swap is None:
+            if swap is None or not self._roster.notices.admits(target.start, now_s):
                 continue
             ready = self._is_ready_to_load(swap, target, now_s)
             if not ready and swap.report is not None:
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -21,6 +21,7 @@
     OrderResponse,
     OrderWeights,
     PollReport,
+    ReportFailed,
     ReportReceived,
     Rollout,
 )
@@ -73,7 +74,7 @@
 
     def on_report(self, event: ReportReceived, now_s: float) -> list[Action]:
         """Process a runner's report."""
-        logs = self._note_rate(event, now_s)
+        logs = [*self._note_rate(event, now_s), *self._note_notice(event, now_s)]
         if not self._rollout.on_report(event):
             return [*logs]
         fields = (("target", event.target_id), ("weights", str(event.weights)))
@@ -86,10 +87,23 @@
             return []
         return self._rates.on_response(target.start, event.request_rate, event.sent_at_s, now_s)
 
+    def on_report_failed(self, event: ReportFailed, now_s: float) -> list[Action]:
+        """Process the failure of a request for a report, which may name a pause."""
+        return [*self._note_notice(event, now_s)]
+
+    def _note_notice(
+        self, event: ReportReceived | ReportFailed | OrderResponse, now_s: float
+    ) -> list[Log]:
+        target = self._roster.targets.get(event.target_id)
+        return (
+            [] if target is None else self._roster.notices.note(target.start, event.notice, now_s)
+        )
+
     def on_order(self, event: OrderResponse, now_s: float) -> list[Action]:
         """Process a runner's response to an order; a missing response is logged as -1."""
         self._rollout.on_order(event)
         logs = [] if event.status is None else self._note_rate(event, now_s)
+        logs += self._note_notice(event, now_s)
         status = -1 if event.status is None else event.status
         fields = (("target", event.target_id), ("status", status))
         return [*logs, Log(LogEvent.SWAP_ANSWERED, fields)]
