--- a/bench/rate_guards.py
+++ b/bench/rate_guards.py
@@ -1,4 +1,4 @@
-"""Guards of the request rates that targets name."""
+"""Guards of the request rates and pauses that targets name."""
 
 from typing import Final
 
@@ -68,4 +68,34 @@
         "tests/test_request_rates.py::"
         "test_runner_that_loads_weights_gets_no_more_calls_than_its_rate_allows",
     ),
+    Guard(
+        "a target that named a pause gets no calls until its end",
+        "process/roster.py",
+        " and self.notices.admits(target.start, now_s)",
+        "",
+        "tests/test_target_notices.py::"
+        "test_target_that_names_a_pause_gets_nothing_until_its_end",
+    ),
+    Guard(
+        "a later response shortens no pause",
+        "process/target_notices.py",
+        "max(self._paused_until_s.get(start, 0.0), now_s + pause_s)",
+        "now_s + pause_s",
+        "tests/test_target_notices.py::"
+        "test_shorter_pause_and_success_that_arrive_later_shorten_nothing",
+    ),
+    Guard(
+        "a target that says that it leaves gets no more calls",
+        "process/roster.py",
+        "or self.notices.is_leaving(target.start)",
+        "",
+        "tests/test_target_notices.py::" "test_target_that_says_that_it_leaves_gets_no_more_calls",
+    ),
+    Guard(
+        "a runner that named a pause is not polled",
+        "version/rollout.py",
+        "if swap is None or not self._roster.notices.admits(target.start, now_s):",
+        "if swap is None:",
+        "tests/test_target_notices.py::test_paused_runner_is_polled",
+    ),
 )
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -9,8 +9,10 @@
 from filbertstream.process.target_notices import UNREGISTERED_KEPT_S
 from filbertstream.request.call import ResponseHead
 from filbertstream.request.call_events import RespondLocally, ResponseComplete, ResponseStarted
-from filbertstream.version.rollout import OrderResponse, PollReport, ReportFailed
+from filbertstream.version.rollout import OrderResponse, ReportFailed, Rollout
 from tests.gateway_world import APPS, RUNNERS, World, entry, sends
+from tests.helpers import unlimited
+from tests.test_rollout import view_with_named
 
 NOT_RUN = [(b"not-executed", b"1")]
 SIGNED = [(b"response-signature", b"s")]
@@ -152,11 +154,17 @@
 
 
 @pytest.mark.parametrize("failed", [True, False], ids=["report", "order"])
-def test_paused_runner_is_not_polled(failed: bool) -> None:
+def test_paused_runner_is_polled(failed: bool) -> None:
     world = World()
     notice = busy("3").notice
     event = ReportFailed("r1", notice) if failed else OrderResponse("r1", 503, notice=notice)
     world.step(event)
-    notices = world.core.roster.notices
-    assert not notices.admits(RUNNERS[0].start, world.now_s + 2.9)
-    assert not [action for action in world.run(2.0) if isinstance(action, PollReport)]
+    rollout = Rollout(world.core.roster, view_with_named(2, at_s=0.0), unlimited())
+    polled: dict[str, list[float]] = {"r1": [], "r2": []}
+    for step in range(1, 41):
+        now_s = world.now_s + 0.1 * step
+        rollout.swapping(now_s)
+        for action in rollout.step(now_s, 5):
+            polled[action.target_id].append(now_s - world.now_s)
+        world.core.roster.targets["r2"].note_weights("m", 2)
+    assert min(polled["r1"]) >= 3.0
