Answer whole requests that arrive before a malformed one, or with the first of a stopping entry

What callers saw: two bookings and a malformed request in one packet: the second booking, read whole, ended without an answer. A request that is answered at once (404) and a booking in one packet, after SIGTERM: the booking ended without an answer too.

Cause: each request was served inside the parser's callback. The first answer closed the connection before the rest of its packet was read, and the rest was then handed to the core on a closed connection; with bytes unsent it would have been passed on. And a rejection dropped the requests that waited.

Evidence: tests/test_caller_connections.py, both tests fail before.

Change: the bytes are read to their end, then the first request is served; a rejection is sent after the answers to the requests before it.

--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -91,7 +91,7 @@
         self._in_request = False
         self._head_done = False
         self._close_after = False
-        self._rejecting = False
+        self._rejection: tuple[int, str] | None = None
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -110,6 +110,8 @@
 
     def _on_request_timeout(self) -> None:
         self._reject(TIMEOUT, "request not received completely within the time limit")
+        if not self.busy:
+            self._next()
 
     def close(self) -> None:
         """Close the connection after the buffered bytes are sent."""
@@ -119,11 +121,22 @@
     @property
     def idle(self) -> bool:
         """Whether no request is being read or served."""
-        return not self.busy and not self._in_request and not self._queued
+        reads = self._in_request or self._rejection is not None
+        return not self.busy and not reads and not self._queued
 
     def data_received(self, data: bytes) -> None:
+        """Read requests and serve the first.
+
+        Requests that arrive together are read before any is served: the response to the first may
+        close the connection.
+        """
+        self._read(data)
+        if not self.busy and (self._queued or self._rejection is not None):
+            self._next()
+
+    def _read(self, data: bytes) -> None:
         """Feed the parser and enforce the limits."""
-        if self._rejecting:
+        if self._rejection is not None:
             return
         if not self._head_done:
             self._head_bytes += len(data)
@@ -137,7 +150,7 @@
         except httptools.HttpParserError as exc:
             self._reject(BAD_REQUEST, f"malformed request: {exc}")
             return
-        if self._rejecting:
+        if self._rejection is not None:
             return
         limits = self._app.limits
         if not self._head_done and self._head_bytes > limits.header_bytes:
@@ -195,7 +208,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser."""
-        if self._rejecting:
+        if self._rejection is not None:
             return
         self._body_bytes += len(data)
         if self._body_bytes > self._app.limits.body_bytes:
@@ -205,7 +218,7 @@
 
     def on_message_complete(self) -> None:
         """Called by the parser."""
-        if self._rejecting:
+        if self._rejection is not None:
             return
         self._in_request = False
         last = not self._parser.should_keep_alive()
@@ -215,12 +228,12 @@
         self._body = []
         if len(self._queued) >= PIPELINE_LIMIT and self.transport is not None:
             self.transport.pause_reading()
-        if not self.busy:
-            self._next()
 
     def _next(self) -> None:
         if not self._queued:
-            if not self._in_request:
+            if self._rejection is not None:
+                self._close_rejected(*self._rejection)
+            elif not self._in_request:
                 self._set_timer(self._app.limits.idle_timeout_s, self._on_idle_timeout)
             return
         if len(self._queued) >= PIPELINE_LIMIT and self.transport is not None:
@@ -233,21 +246,25 @@
         self._app.on_request(self, raw)
 
     def _reject(self, status: int, detail: str) -> None:
-        """Reject the current request; close the connection after any response in progress."""
-        if self._rejecting:
-            return
-        self._rejecting = True
-        self._app.on_rejected(status, detail)
-        if self.busy or self.transport is None:
-            self._close_after = True
-            self._queued.clear()
+        """Reject the request being read, once the requests before it have their responses."""
+        if self._rejection is None:
+            self._rejection = (status, detail)
+            self._app.on_rejected(status, detail)
+
+    def _close_rejected(self, status: int, detail: str) -> None:
+        if self.transport is None or self.transport.is_closing():
             return
         head, body = encode_local_response(status, REASONS[status], "", {"detail": detail}, None)
         self.transport.write(head + b"\r\nConnection: close\r\n\r\n" + body)
         self.transport.close()
 
+    @property
+    def _closes_next(self) -> bool:
+        """Whether the connection is to be closed and no request waits for a response."""
+        return self._app.closing and not self._queued and self._rejection is None
+
     def _end_of_head(self) -> bytes:
-        if self._app.closing and not self._queued:
+        if self._closes_next:
             self._close_after = True
         return b"\r\nConnection: close\r\n\r\n" if self._close_after else b"\r\n\r\n"
 
@@ -283,10 +300,9 @@
         self.call_id = None
         if self.transport is None:
             return
-        if self._close_after or (self._app.closing and not self._queued):
+        if self._close_after or self._closes_next:
             self.transport.close()
             return
-        # The parser may still be inside ``feed_data`` for the bytes of this request.
         asyncio.get_running_loop().call_soon(self._next_if_idle)
 
     def _next_if_idle(self) -> None:
--- /dev/null
+++ b/tests/test_caller_connections.py
@@ -0,0 +1,108 @@
+"""Callers' connections on sockets: what is read behind a response, and how connections end."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Final
+
+from filbertstream.connection.caller_connection import CallerConnection, RawRequest
+from filbertstream.version.routes import CallerLimits
+
+OK: Final = b"HTTP/1.1 200 OK\r\nContent-Length: 2"
+
+
+def request(path: str, body: bytes = b"x", fields: bytes = b"") -> bytes:
+    head = f"POST /{path} HTTP/1.1\r\nHost: h.example\r\nContent-Length: {len(body)}\r\n"
+    return head.encode() + fields + b"\r\n" + body
+
+
+class App:
+    """Responds at once, or later to a path that ends in ``later``; records what arrives."""
+
+    def __init__(self, limits: CallerLimits | None = None) -> None:
+        self.limits = limits or CallerLimits()
+        self.closing = False
+        self.connections: list[CallerConnection] = []
+        self.paths: list[str] = []
+        self.rejected: list[int] = []
+
+    def new_connection(self) -> CallerConnection:
+        self.connections.append(CallerConnection(self, lambda conn: None))
+        return self.connections[-1]
+
+    def on_request(self, conn: CallerConnection, raw: RawRequest) -> None:
+        self.paths.append(raw.path)
+        if not raw.path.endswith("later"):
+            conn.send_response(OK, b"ok")
+
+    def on_disconnected(self, conn: CallerConnection) -> None:
+        """Do nothing."""
+
+    def on_pause(self, conn: CallerConnection, paused: bool) -> None:
+        """Do nothing."""
+
+    def on_rejected(self, status: int, detail: str) -> None:
+        self.rejected.append(status)
+
+
+class Caller:
+    """A caller's socket, used from the event loop of the server."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.sock = socket.create_connection(address)
+        self.sock.setblocking(False)
+
+    async def send(self, data: bytes) -> None:
+        await asyncio.get_running_loop().sock_sendall(self.sock, data)
+
+    async def receive(self, until: bytes = b"") -> bytes:
+        """Return what arrives up to these bytes, or up to the end of the connection."""
+        received = b""
+        while not until or until not in received:
+            data = await asyncio.get_running_loop().sock_recv(self.sock, 65_536)
+            if not data:
+                break
+            received += data
+        return received
+
+
+async def connect(app: App) -> Caller:
+    server = await asyncio.get_running_loop().create_server(app.new_connection, "127.0.0.1", 0)
+    return Caller(server.sockets[0].getsockname())
+
+
+async def until(done: Callable[[], bool]) -> None:
+    async with asyncio.timeout(5.0):
+        while not done():
+            await asyncio.sleep(0.005)
+
+
+def test_requests_before_a_malformed_one_get_their_responses() -> None:
+    """Two whole requests and a malformed one arrive together."""
+
+    async def play() -> tuple[list[str], bytes]:
+        app = App()
+        caller = await connect(app)
+        await caller.send(request("1/later") + request("2") + b"BROKEN\r\n\r\n")
+        await until(lambda: bool(app.paths))
+        app.connections[0].send_response(OK, b"ok")
+        return app.paths, await asyncio.wait_for(caller.receive(), 5.0)
+
+    paths, received = asyncio.run(play())
+    assert paths == ["/1/later", "/2"]
+    assert [part[:3] for part in received.split(b"HTTP/1.1 ")] == [b"", b"200", b"200", b"400"]
+
+
+def test_requests_that_arrive_together_get_responses_from_a_stopping_entry() -> None:
+    """The first of two requests of one packet is answered at once, after SIGTERM."""
+
+    async def play() -> tuple[list[str], bytes]:
+        app = App()
+        app.closing = True
+        caller = await connect(app)
+        await caller.send(request("1") + request("2"))
+        return app.paths, await asyncio.wait_for(caller.receive(), 5.0)
+
+    paths, received = asyncio.run(play())
+    assert paths == ["/1", "/2"]
+    assert received.count(b"200 OK") == 2
