Limit the time of a request that began to arrive behind another

What callers saw: half a head behind a whole request, and nothing more: the connection stayed open, 9 s and longer with header_timeout_ms 700. It took its descriptor until the caller left, and a stopping entry waited for it to the end of its time.

Cause: no timer is set for a request that begins while another is served, and none was set when that one had ended.

Change: the timer of a request that is being read starts when the requests before it have their answers.

--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -105,6 +105,11 @@
             self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_later(seconds, then)
 
+    def _set_request_timer(self) -> None:
+        """Limit the time for the rest of the request; one behind others starts after them."""
+        seconds = BODY_TIMEOUT_S if self._head_done else self._app.limits.header_timeout_s
+        self._set_timer(seconds, self._on_request_timeout)
+
     def _on_idle_timeout(self) -> None:
         self.close()
 
@@ -169,7 +174,7 @@
         self._in_request = True
         self._head_done = False
         if not self.busy:
-            self._set_timer(self._app.limits.header_timeout_s, self._on_request_timeout)
+            self._set_request_timer()
 
     def on_url(self, url: bytes) -> None:
         """Called by the parser."""
@@ -202,7 +207,7 @@
             self._reject(TOO_LARGE, f"request body exceeds {self._app.limits.body_bytes} bytes")
             return
         if not self.busy:
-            self._set_timer(BODY_TIMEOUT_S, self._on_request_timeout)
+            self._set_request_timer()
         if first.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -233,7 +238,9 @@
         if not self._queued:
             if self._rejection is not None:
                 self._close_rejected(*self._rejection)
-            elif not self._in_request:
+            elif self._in_request:
+                self._set_request_timer()
+            else:
                 self._set_timer(self._app.limits.idle_timeout_s, self._on_idle_timeout)
             return
         if len(self._queued) >= PIPELINE_LIMIT and self.transport is not None:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -106,3 +106,15 @@
     paths, received = asyncio.run(play())
     assert paths == ["/1", "/2"]
     assert received.count(b"200 OK") == 2
+
+
+def test_request_that_arrives_behind_another_has_a_time_limit_too() -> None:
+    """Half a head arrives behind a request, and its rest never does."""
+
+    async def play() -> bytes:
+        app = App(CallerLimits(header_timeout_s=0.1))
+        caller = await connect(app)
+        await caller.send(request("1") + request("2")[:30])
+        return await asyncio.wait_for(caller.receive(), 5.0)
+
+    assert [part[:3] for part in asyncio.run(play()).split(b"HTTP/1.1 ")] == [b"", b"200", b"408"]
