Keep a stopping entry's connection open while the next request arrives on it

What callers saw: a booking runs, the body of the next one arrives in pieces behind it, SIGTERM: the first is answered and the connection closed with half of the second read. What its caller still sent met a reset, which may destroy the first answer as well.

Cause: the connection counted as unused if no whole request waited. A request that arrives alone was waited for.

Evidence: tests/test_caller_connections.py (fails before with the reset).

Change: a connection is closed after an answer only if no request waits or arrives. The time limits of requests that are read bound the wait.

--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -267,8 +267,9 @@
 
     @property
     def _closes_next(self) -> bool:
-        """Whether the connection is to be closed and no request waits for a response."""
-        return self._app.closing and not self._queued and self._rejection is None
+        """Whether the connection is to be closed and no request waits or arrives."""
+        more = self._queued or self._in_request or self._rejection is not None
+        return self._app.closing and not more
 
     def _end_of_head(self) -> bytes:
         if self._closes_next:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -118,3 +118,23 @@
         return await asyncio.wait_for(caller.receive(), 5.0)
 
     assert [part[:3] for part in asyncio.run(play()).split(b"HTTP/1.1 ")] == [b"", b"200", b"408"]
+
+
+def test_request_whose_body_arrives_behind_a_response_across_the_stop_gets_its_response() -> None:
+    """SIGTERM comes while a request is served and the body of the next one arrives."""
+
+    async def play() -> bytes:
+        app = App()
+        caller = await connect(app)
+        second = request("2", b"y" * 50)
+        await caller.send(request("1/later") + second[:-20])
+        await until(lambda: bool(app.paths))
+        app.closing = True
+        app.connections[0].send_response(OK, b"ok")
+        first = await caller.receive(b"ok")
+        await caller.send(second[-20:])
+        return first + await asyncio.wait_for(caller.receive(), 5.0)
+
+    received = asyncio.run(play())
+    assert received.count(b"200 OK") == 2
+    assert received.index(b"Connection: close") > received.index(b"ok")
