Send 100 Continue after the response in progress, not inside it

What callers saw: a request with Expect: 100-continue behind a stream: "HTTP/1.1 100 Continue" came between two events of the stream, which breaks its framing.

Cause: the interim response was written as soon as the head was read, whatever was being sent.

Evidence: tests/test_caller_connections.py (fails before).

--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -90,6 +90,7 @@
         self._body_wire_bytes = 0
         self._in_request = False
         self._head_done = False
+        self._expects_continue = False
         self._close_after = False
         self._rejection: tuple[int, str] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -173,6 +174,7 @@
         self._body_wire_bytes = 0
         self._in_request = True
         self._head_done = False
+        self._expects_continue = False
         if not self.busy:
             self._set_request_timer()
 
@@ -208,7 +210,14 @@
             return
         if not self.busy:
             self._set_request_timer()
-        if first.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None:
+        self._expects_continue = first.get(b"expect", b"").lower() == b"100-continue"
+        if not self.busy and not self._queued:
+            self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Ask for the body if the caller waits for that; must not come inside a response."""
+        if self._expects_continue and self.transport is not None:
+            self._expects_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
@@ -240,6 +249,7 @@
                 self._close_rejected(*self._rejection)
             elif self._in_request:
                 self._set_request_timer()
+                self._send_continue()
             else:
                 self._set_timer(self._app.limits.idle_timeout_s, self._on_idle_timeout)
             return
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -138,3 +138,26 @@
     received = asyncio.run(play())
     assert received.count(b"200 OK") == 2
     assert received.index(b"Connection: close") > received.index(b"ok")
+
+
+def test_continue_is_not_sent_inside_the_response_to_another_request() -> None:
+    """A request that waits for 100 Continue arrives while a stream is sent to its caller."""
+
+    async def play() -> bytes:
+        app = App()
+        caller = await connect(app)
+        await caller.send(request("1/later"))
+        await until(lambda: bool(app.paths))
+        conn = app.connections[0]
+        conn.begin(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked")
+        conn.stream(b"first")
+        await caller.send(request("2", fields=b"Expect: 100-continue\r\n")[:-1])
+        await asyncio.sleep(0.05)
+        conn.stream(b"second")
+        conn.end()
+        received = await caller.receive(b"100 Continue\r\n\r\n")
+        await caller.send(b"x")
+        return received + await caller.receive(b"ok")
+
+    received = asyncio.run(asyncio.wait_for(play(), 5.0))
+    assert received.index(b"0\r\n\r\n") < received.index(b"100 Continue") < received.index(b"ok")
