Don't close an idle connection on which a request has arrived

What callers saw: a request sent on a kept connection is reset although it had arrived at the entry, when the idle timeout or the close of idle connections at a stop falls due while the event loop is late. On a busy machine the request may have lain there longer than loss_slack_ms.

Cause: idle was judged by what had been read. Timers run after all reads of their turn of the loop, so what arrives during that turn is not seen.

Evidence: tests/test_caller_connections.py, idle timeout and stop, both with a connection reset before. Not seen over real processes, where the window is one turn of the loop.

Change: before such a close the socket is polled; with bytes there the connection stays and the request is read next. The same for the connections of readiness checks, which are closed 5 s after they opened whatever is on its way, and for the end of a stream during a stop, which could not announce the close.

--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from filbertstream.connection.unread_bytes import has_unread_bytes
 from filbertstream.platform.headers import Headers, encode_local_response
 from filbertstream.statuses import (
     BAD_REQUEST,
@@ -112,7 +113,8 @@
         self._set_timer(seconds, self._on_request_timeout)
 
     def _on_idle_timeout(self) -> None:
-        self.close()
+        self._set_timer(self._app.limits.idle_timeout_s, self._on_idle_timeout)
+        self.close_if_idle()
 
     def _on_request_timeout(self) -> None:
         self._reject(TIMEOUT, "request not received completely within the time limit")
@@ -124,6 +126,11 @@
         if self.transport is not None:
             self.transport.close()
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being served or has begun to arrive."""
+        if self.idle and self.transport is not None and not has_unread_bytes(self.transport):
+            self.transport.close()
+
     @property
     def idle(self) -> bool:
         """Whether no request is being read or served."""
@@ -318,7 +325,7 @@
         self.call_id = None
         if self.transport is None:
             return
-        if self._close_after or self._closes_next:
+        if self._close_after or (self._closes_next and not has_unread_bytes(self.transport)):
             self.transport.close()
             return
         asyncio.get_running_loop().call_soon(self._next_if_idle)
--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -325,8 +325,7 @@
     def close_idle(self) -> None:
         """Close the callers' connections that have no request in progress."""
         for conn in list(self.connections):
-            if conn.idle:
-                conn.close()
+            conn.close_if_idle()
 
     def close(self) -> None:
         """Close all connections."""
--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -15,6 +15,7 @@
 from prometheus_client.registry import Collector
 
 from filbertstream.connection.gateway_io import GatewayIO
+from filbertstream.connection.unread_bytes import has_unread_bytes
 from filbertstream.gateway import Gateway
 from filbertstream.platform.objects import ObjectStore
 from filbertstream.process.clock import boot_time_s
@@ -38,7 +39,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timeout of the connection."""
         self._transport = cast(asyncio.Transport, transport)
-        self._timer = asyncio.get_running_loop().call_later(CONNECTION_TIMEOUT_S, transport.close)
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(CONNECTION_TIMEOUT_S, self._on_timeout)
+
+    def _on_timeout(self) -> None:
+        if self._transport is not None and has_unread_bytes(self._transport):
+            self._set_timer()
+        elif self._transport is not None:
+            self._transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer."""
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable
 from typing import Final
 
+import pytest
+
 from filbertstream.connection.caller_connection import CallerConnection, RawRequest
 from filbertstream.version.routes import CallerLimits
 
@@ -161,3 +164,21 @@
 
     received = asyncio.run(asyncio.wait_for(play(), 5.0))
     assert received.index(b"0\r\n\r\n") < received.index(b"100 Continue") < received.index(b"ok")
+
+
+@pytest.mark.parametrize("stops", [False, True], ids=["idle timeout", "stop"])
+def test_idle_connection_on_which_a_request_has_arrived_is_not_closed(stops: bool) -> None:
+    """The event loop is late: the request lies in the socket when the close is due."""
+
+    async def play() -> bytes:
+        app = App(CallerLimits(idle_timeout_s=0.1))
+        caller = await connect(app)
+        await until(lambda: bool(app.connections))
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.08, time.sleep, 0.05)
+        loop.call_later(0.09, caller.sock.send, request("1"))
+        if stops:
+            loop.call_later(0.09, app.connections[0].close_if_idle)
+        return await asyncio.wait_for(caller.receive(), 5.0)
+
+    assert b"200 OK" in asyncio.run(play())
