Read on for a second after the last response, so that no reset destroys it

What callers saw: 413 or 431 while they still send: a connection reset in the middle of the sending. A caller that gives up then doesn't see the response. The same for the answer after which the connection closes, if bytes follow.

Cause: the socket was closed with bytes unread, or before the rest arrived; the system answers those with a reset.

Evidence: tests/test_caller_connections.py (all three cases fail before).

Change: if the caller still sends when the connection is to end, only the sending side is closed; what arrives is dropped until the caller closes, for a second at most. Over TLS, which has no such half, nothing changes.

The transport of the fuzz tests says that it can't be closed by halves, as over TLS.

--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -37,6 +37,9 @@
 BODY_TIMEOUT_S: Final = 15.0
 """A body must be complete this long after its head.  Callers announce shorter deadlines."""
 
+LINGER_S: Final = 1.0
+"""After the last response, what the caller still sends is read and dropped for this long."""
+
 
 class RawRequest(NamedTuple):
     """A request as read; if ``last`` is set, the connection is closed after its response."""
@@ -94,6 +97,7 @@
         self._expects_continue = False
         self._close_after = False
         self._rejection: tuple[int, str] | None = None
+        self._lingering = False
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -135,7 +139,7 @@
     def idle(self) -> bool:
         """Whether no request is being read or served."""
         reads = self._in_request or self._rejection is not None
-        return not self.busy and not reads and not self._queued
+        return not self.busy and not reads and not self._queued and not self._lingering
 
     def data_received(self, data: bytes) -> None:
         """Read requests and serve the first.
@@ -143,6 +147,8 @@
         Requests that arrive together are read before any is served: the response to the first may
         close the connection.
         """
+        if self._lingering:
+            return
         self._read(data)
         if not self.busy and (self._queued or self._rejection is not None):
             self._next()
@@ -276,11 +282,21 @@
             self._app.on_rejected(status, detail)
 
     def _close_rejected(self, status: int, detail: str) -> None:
-        if self.transport is None or self.transport.is_closing():
+        if self.transport is None or self.transport.is_closing() or self._lingering:
             return
         head, body = encode_local_response(status, REASONS[status], "", {"detail": detail}, None)
         self.transport.write(head + b"\r\nConnection: close\r\n\r\n" + body)
-        self.transport.close()
+        self._close_after_response(self.transport)
+
+    def _close_after_response(self, transport: asyncio.Transport) -> None:
+        """Close the connection; if the caller still sends, a reset could destroy the response."""
+        sends = self._in_request or self._rejection is not None or has_unread_bytes(transport)
+        if sends and transport.can_write_eof() and not transport.is_closing():
+            self._lingering = True
+            transport.write_eof()
+            self._set_timer(LINGER_S, self.close)
+        else:
+            transport.close()
 
     @property
     def _closes_next(self) -> bool:
@@ -326,12 +342,14 @@
         if self.transport is None:
             return
         if self._close_after or (self._closes_next and not has_unread_bytes(self.transport)):
-            self.transport.close()
+            self._close_after_response(self.transport)
             return
         asyncio.get_running_loop().call_soon(self._next_if_idle)
 
     def _next_if_idle(self) -> None:
-        if not self.busy and self.transport is not None and not self.transport.is_closing():
+        if self.busy or self._lingering or self.transport is None:
+            return
+        if not self.transport.is_closing():
             self._next()
 
     def eof_received(self) -> bool:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -182,3 +182,25 @@
         return await asyncio.wait_for(caller.receive(), 5.0)
 
     assert b"200 OK" in asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (request("1", b"y" * 3_000_000), b"413"),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"z" * 3_000_000, b"431"),
+        (request("1", fields=b"Connection: close\r\n") + b"z" * 3_000_000, b"200"),
+    ],
+    ids=["body", "head", "after the last request"],
+)
+def test_caller_that_sends_on_is_not_reset_before_it_reads_the_response(
+    data: bytes, status: bytes
+) -> None:
+    """A caller reads the response only after it has sent all of a request that is too long."""
+
+    async def play() -> bytes:
+        caller = await connect(App(CallerLimits(header_bytes=4_096, body_bytes=20_000)))
+        await caller.send(data)
+        return await caller.receive()
+
+    assert asyncio.run(asyncio.wait_for(play(), 5.0))[9:12] == status
--- a/tests/test_caller_fuzz.py
+++ b/tests/test_caller_fuzz.py
@@ -54,6 +54,13 @@
     def is_closing(self) -> bool:
         return self.closed
 
+    def can_write_eof(self) -> bool:
+        """Return False, as over TLS: the connection is closed in both directions at once."""
+        return False
+
+    def get_extra_info(self, name: str) -> None:
+        """Return None, because there is no socket."""
+
     def set_write_buffer_limits(self, high: int) -> None:
         """Ignore the limits."""
 
