Close the link between entries without waiting for its poll

What callers saw: an entry that is busy to the last moment of its stop was alive when SIGKILL came, and requests that it had read hung until then: 0.27 to 0.63 s after they were sent, with a reset and no answer.

Cause: the close of the link waits for its reader, which polls for up to 0.5 s; the process exits 0.4 s before the end of grace_s. The connections of callers were closed after that.

Change: the context is ended first, which ends the poll; the reader then closes its socket. It delivers nothing after the stop has begun, when the authenticator may be gone.

--- a/filbertstream/connection/peer_link.py
+++ b/filbertstream/connection/peer_link.py
@@ -6,6 +6,7 @@
 and accept only peers that hold the key.
 """
 
+import contextlib
 import threading
 from collections import OrderedDict
 from collections.abc import Callable
@@ -97,13 +98,14 @@
     def close(self) -> None:
         """Close all sockets; the host must be closed first, since it sends messages."""
         self._stop.set()
-        if self._reader is not None:
-            self._reader.join()
         for socket in self._push.values():
             socket.close(linger=0)
         if self._authenticator is not None:
             self._authenticator.stop()
+        # This ends the reader's poll, and returns once the reader has closed its socket.
         self._context.term()
+        if self._reader is not None:
+            self._reader.join()
 
     def _send(self, action: SendPeer) -> None:
         """Send without blocking; called only on the thread that owns the sockets.
@@ -178,15 +180,17 @@
         return socket
 
     def _read(self, socket: "zmq.Socket[bytes]") -> None:
-        while not self._stop.is_set():
-            if not socket.poll(POLL_MS):
-                continue
-            try:
-                data = socket.recv(zmq.NOBLOCK)
-            except zmq.Again:
-                # A poll may report a message that is not there; a blocking read could hang forever.
-                continue
-            self._deliver(data)
+        with contextlib.suppress(zmq.ContextTerminated):
+            while not self._stop.is_set():
+                # Nothing is read once the authenticator may have stopped.
+                if not socket.poll(POLL_MS) or self._stop.is_set():
+                    continue
+                try:
+                    data = socket.recv(zmq.NOBLOCK)
+                except zmq.Again:
+                    # A poll may report a message that is not there; a blocking read could hang.
+                    continue
+                self._deliver(data)
         socket.close(linger=0)
 
     def _deliver(self, data: bytes) -> None:
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -11,9 +11,11 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
 import zmq
 
 from filbertstream.actions import SendPeer
+from filbertstream.connection import peer_link
 from filbertstream.connection.peer_link import MIN_RECONNECT_INTERVAL_S, PeerLink
 from filbertstream.messages import EntryWork
 from filbertstream.process.counters import Counters
@@ -64,6 +66,17 @@
     assert not closing.is_alive()
 
 
+def test_link_closes_without_waiting_for_a_message(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No peer sends anything while the link closes, which must not use up a stop's last moments."""
+    monkeypatch.setattr(peer_link, "POLL_MS", 60_000)
+    link = PeerLink(f"tcp://{LOOPBACK}:{free_port()}", None, Counters(), Host())
+    link.start()
+    closing = threading.Thread(target=link.close, daemon=True)
+    closing.start()
+    closing.join(10.0)
+    assert not closing.is_alive()
+
+
 def test_link_recovers_after_another_program_listened_at_the_address(tmp_path: Path) -> None:
     """For some time, another program or an entry with another key listens at a peer's address."""
     key_file = tmp_path / "fleet.key"
