Count a send as overdue only after the longest work that is usual on its route

Callers saw nothing of it; sound targets got requests twice (46 of 812 in a calm, with work of 0.02 to 1.6 s), which uses up the retry budget and multiplies where a machine is busy for a second.

Cause: a send was overdue after six mean latencies, or the objective. Where a few calls take many times the mean, all of these are overdue: with 1 in 20 of 1.2 to 1.6 s, six means are 0.8 s. A mean deviation (RFC 6298: mean + 4 deviations) was ruled out by arithmetic: 0.7 s for that work. Sends that were given up as overdue count with the time that they had, if their target responded to others meanwhile; a silent target adds nothing. Latencies that were answered late, or by the second target, counted already.

--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -44,6 +44,7 @@
         self.weights = dict(registration.weights)
         self.prefill = PrefillQueue()
         self.latency_s = 0.0
+        self.responded_at_s = float("-inf")
         self.backoff_until_s = 0.0
 
     @property
--- a/filbertstream/request/send_failures.py
+++ b/filbertstream/request/send_failures.py
@@ -105,6 +105,7 @@
         The caller of this method has consumed retry budget for it.
         """
         call.may_have_run = True
+        self._feedback.note_unanswered(call, now_s)
         cancel = CancelSend(call.call_id, call.number)
         log = call_logs.attempt_failed(call, "silent", now_s)
         call.failed_sends += 1
@@ -118,9 +119,10 @@
         """Whether a retryable call has waited too long for the head of its response."""
         if call.target is None or not call.route.retryable:
             return False
-        mean_s = self._deps.latencies.mean_s(call.route.name)
+        latencies, name = self._deps.latencies, call.route.name
         rate = call.target.prefill.rate_per_s
-        return now_s - call.sent_at_s > response_timeout_s(call, mean_s, rate)
+        timeout_s = response_timeout_s(call, latencies.mean_s(name), latencies.high_s(name), rate)
+        return now_s - call.sent_at_s > timeout_s
 
 
 def note_progress(call: Call, event: SendFailed | SendStalled) -> None:
--- a/filbertstream/request/send_timeouts.py
+++ b/filbertstream/request/send_timeouts.py
@@ -1,9 +1,10 @@
 """Timeouts of a send: for its response, for progress of the response, and for idle connections.
 
 Load patterns and faults handled: targets that stop responding without closing the connection (a
-retryable call is sent to another target), long prompts behind a queue (they are not overdue during
-their prefill), and connections whose state a device on the network path has dropped (a call that
-must not be retried uses no connection that has been idle for long).
+retryable call is sent to another target), routes whose work varies (a call is not overdue before
+the time that such calls have needed lately), long prompts behind a queue (they are not overdue
+during their prefill), and connections whose state a device on the network path has dropped (a call
+that must not be retried uses no connection that has been idle for long).
 """
 
 from typing import Final
@@ -28,6 +29,13 @@
 RESPONSE_TIMEOUT_MIN_S: Final = 0.15
 """The minimum of that time, several times the latency of an idle service."""
 
+HIGH_LATENCY_FACTOR: Final = 1.25
+"""A call is overdue only after this many times a high quantile of the recent latencies."""
+
+HIGH_LATENCY_LIMIT: Final = 3.0
+"""The most that these latencies raise the time, as a multiple of what it is without them: where
+targets lose single requests, each loss looks like a long call."""
+
 MAX_IDLE_S: Final = 3.0
 """A device on the network path may have dropped the state of a connection that has been idle for
 longer."""
@@ -61,14 +69,15 @@
     return max(PROGRESS_TIMEOUT_MIN_S, PROGRESS_TIMEOUT_GAPS * gap_s)
 
 
-def response_timeout_s(call: Call, mean_s: float, rate_per_s: float) -> float:
+def response_timeout_s(call: Call, mean_s: float, high_s: float, rate_per_s: float) -> float:
     """Return how long a retryable call waits for the head of its response.
 
-    ``mean_s`` is the route's mean latency, ``rate_per_s`` the target's prefill rate in tokens per
-    second.
+    ``mean_s`` is the route's mean latency, ``high_s`` a high quantile of its recent latencies, and
+    ``rate_per_s`` the target's prefill rate in tokens per second.
     """
     tokens = call.prefill_tokens + call.ahead_tokens
     prefill_s = PREFILL_TIMEOUT_FACTOR * tokens / rate_per_s
     wait_s = WAIT_TIMEOUT_FRACTION * (call.route.wait_s or 0.0)
     latency_s = RESPONSE_TIMEOUT_LATENCIES * mean_s
-    return max(RESPONSE_TIMEOUT_MIN_S, call.route.objective_s, latency_s, prefill_s, wait_s)
+    usual_s = max(RESPONSE_TIMEOUT_MIN_S, call.route.objective_s, latency_s, prefill_s, wait_s)
+    return max(usual_s, min(HIGH_LATENCY_FACTOR * high_s, HIGH_LATENCY_LIMIT * usual_s))
--- a/filbertstream/request/target_feedback.py
+++ b/filbertstream/request/target_feedback.py
@@ -5,7 +5,7 @@
 from filbertstream.actions import Log
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call import UNLIMITED, ResponseHead
-from filbertstream.request.call_state import Call
+from filbertstream.request.call_state import Call, SendStage
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
 from filbertstream.request.send_timeouts import PROGRESS_TIMEOUT_UNARY_S
 from filbertstream.statuses import MISDIRECTED
@@ -26,6 +26,7 @@
 
     def note_head(self, call: Call, target: RosterTarget, head: ResponseHead, now_s: float) -> None:
         """Record the load and the weights that a response reports."""
+        target.responded_at_s = now_s
         if head.load is not None:
             target.note_load(head.load, now_s)
         prompt = call.head.prompt
@@ -61,6 +62,17 @@
             target.prefill.responded(call.prefill_tokens, call.ahead_tokens, waited_s)
             call.prefill_tokens = 0
 
+    def note_unanswered(self, call: Call, now_s: float) -> None:
+        """Record how long a send had no response, if its target responded to others meanwhile.
+
+        The send may have been a long one then.  Otherwise the target is silent, which shows nothing
+        about the route.
+        """
+        if call.stage is not SendStage.WAITING or call.target is None:
+            return
+        if call.target.responded_at_s > call.sent_at_s:
+            self._deps.latencies.note_unfinished(call.route.name, now_s - call.sent_at_s)
+
     def note_rejection(
         self, call: Call, target: RosterTarget, head: ResponseHead, now_s: float
     ) -> None:
