Wait for addresses that are in use when an entry starts

Seen: an entry whose port for callers, readiness, metrics or peers is in use when it starts ends at once with code 71 (four of four). The port may be that of its predecessor, which still stops, or of an outgoing connection: nothing starts the entry again, and its callers are refused from then on.

Cause: each listener is bound once, and any error ends the process. A connection that has closed holds its port for 60 s more (TIME_WAIT), even against a listener with SO_REUSEADDR.

Change: an address in use is tried again every 50 ms for up to 65 s in all, and the wait is logged once for each address (112). What is still taken then ends the process with the same line and code 71; `--address-wait-s` sets the time. Callers are listened for last, so that nothing is served while an address is missing. SIGTERM ends the wait with code 0. The log is written to its end in this case too. The operators' listener names the cause of its failure, which cheroot drops.

Evidence: tests/test_starts.py: an outgoing connection at each of the four addresses, a predecessor that gets SIGTERM, SIGTERM during the wait; the first failed before, all pass. The tests of addresses that stay taken wait for 1 s and check the same code and line as before.

--- a/filbertstream/cli.py
+++ b/filbertstream/cli.py
@@ -29,6 +29,7 @@
     Output,
 )
 from filbertstream.cli_quarantine import quarantine_app
+from filbertstream.connection.address_wait import ADDRESS_WAIT_S
 from filbertstream.gateway_process import GatewayProcess
 from filbertstream.log_explain import explain_lines, read_lines
 from filbertstream.names import digest_key
@@ -61,6 +62,9 @@
     Path | None,
     typer.Option("--ca", envvar="FILBERTSTREAM_CA", help="CA file that verifies entries."),
 ]
+AddressWaitOption = Annotated[
+    float, typer.Option("--address-wait-s", min=0, help="Time to wait for addresses in use.")
+]
 OutputOption = Annotated[Output, typer.Option("--output", help="text or json")]
 
 
@@ -115,7 +119,10 @@
 
 
 @app.command()
-def entry(config: Annotated[Path, typer.Option("--config", help="Settings file.")]) -> None:
+def entry(
+    config: Annotated[Path, typer.Option("--config", help="Settings file.")],
+    address_wait_s: AddressWaitOption = ADDRESS_WAIT_S,
+) -> None:
     """Run one entry until SIGTERM, SIGINT or a drain; running requests end first."""
     from filbertstream.process.settings import deployment_of, read_settings
     from filbertstream.product import ProductSetup
@@ -124,7 +131,8 @@
         case Err(errors):
             _fail_errors(errors)
         case Ok(settings):
-            _run(GatewayProcess(deployment_of(settings), config, ProductSetup(settings)))
+            setup = ProductSetup(settings)
+            _run(GatewayProcess(deployment_of(settings), config, setup, address_wait_s))
 
 
 @app.command()
@@ -132,13 +140,14 @@
     settings: Annotated[
         Path, typer.Option("--settings", envvar=BOOT_VARIABLE, help="The platform's settings file.")
     ],
+    address_wait_s: AddressWaitOption = ADDRESS_WAIT_S,
 ) -> None:
     """Run one entry on the users' platform until SIGTERM or SIGINT."""
     match read_settings_file(settings):
         case Err(errors):
             _fail_errors(errors)
         case Ok(deployment):
-            _run(GatewayProcess(deployment, settings))
+            _run(GatewayProcess(deployment, settings, address_wait_s=address_wait_s))
 
 
 @app.command()
--- a/filbertstream/connection/listener.py
+++ b/filbertstream/connection/listener.py
@@ -17,6 +17,24 @@
 SHUTDOWN_TIMEOUT_S: Final = 5
 
 
+class _Server(wsgi.Server):
+    """Raises the error of a bind as it is; cheroot's own has no ``errno``."""
+
+    def prepare(self) -> None:
+        self.bind_error: OSError | None = None
+        try:
+            super().prepare()
+        except OSError as exc:
+            raise self.bind_error or exc from None
+
+    def bind(self, *args: Any) -> Any:
+        try:
+            return super().bind(*args)
+        except OSError as exc:
+            self.bind_error = exc
+            raise
+
+
 class Listener:
     """A listening socket with its worker threads."""
 
@@ -30,7 +48,7 @@
         tls: Tls | None,
     ) -> None:
         self.certificates = None if tls is None else ReloadingAdapter(tls)
-        server: Any = wsgi.Server(
+        server: Any = _Server(
             (host, port),
             app,
             numthreads=threads,
@@ -49,14 +67,18 @@
         self._thread = threading.Thread(target=self._serve, name=f"listen-{port}", daemon=True)
 
     def start(self) -> None:
-        """Bind, and serve in a thread; return once connections are accepted."""
+        """Bind, and serve in a thread; return once connections are accepted.
+
+        Raises ``OSError`` if the address is in use; may then be called again.
+        """
         self._server.prepare()
         self._thread.start()
 
     def close(self) -> None:
         """Stop accepting, let running requests finish for a limited time, and close."""
-        self._server.stop()
-        self._thread.join()
+        if self._thread.ident is not None:
+            self._server.stop()
+            self._thread.join()
 
     def _serve(self) -> None:
         self._server.serve()
--- a/filbertstream/connection/peer_link.py
+++ b/filbertstream/connection/peer_link.py
@@ -82,9 +82,9 @@
     def start(self) -> None:
         """Bind, start reading peers' messages, and register the handler that sends messages.
 
-        Raises ``OSError`` if the address is in use.
+        Raises ``OSError`` if the address is in use; may then be called again.
         """
-        if self._public is not None:
+        if self._public is not None and self._authenticator is None:
             self._authenticator = ThreadAuthenticator(self._context)
             self._authenticator.start()
             self._authenticator.configure_curve_callback("*", _FleetKey(self._public))
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -20,6 +20,7 @@
 
 from filbertstream.actions import Log
 from filbertstream.checks import Mistake
+from filbertstream.connection.address_wait import ADDRESS_WAIT_S, BACKLOG, AddressWait
 from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.connection.gateway_status import StatusConnection, metrics_text
 from filbertstream.connection.idempotency_key_store import IdempotencyKeyStore
@@ -70,7 +71,6 @@
 SETTLING_WAIT_S: Final = 0.2
 """The wait of watches soon after a restore, when the first confirmations that count are awaited."""
 
-BACKLOG: Final = 512
 CALL_THREADS: Final = 4
 MAX_INLINE_DECODE_BYTES: Final = 65_536
 """Objects up to this size are decoded on the event loop, which takes a few milliseconds."""
@@ -92,9 +92,14 @@
     """One entry: its components and their lifecycle; ``setup`` adds the ``/v1`` API."""
 
     def __init__(
-        self, deployment: Deployment, settings_file: Path, setup: "ProductSetup | None" = None
+        self,
+        deployment: Deployment,
+        settings_file: Path,
+        setup: "ProductSetup | None" = None,
+        address_wait_s: float = ADDRESS_WAIT_S,
     ) -> None:
         self.deployment = deployment
+        self._address_wait_s = address_wait_s
         self._settings_file = settings_file
         self._settings_stamp = _stamp(settings_file)
         self._stream = BoundedStream()
@@ -154,8 +159,10 @@
 
     def run(self) -> bool:
         """Serve until SIGTERM or SIGINT and drain; return False if an invariant was violated."""
-        asyncio.run(self._run())
-        self._stream.close()
+        try:
+            asyncio.run(self._run())
+        finally:
+            self._stream.close()
         return not self.broken
 
     def _set_broken(self, reason: str) -> None:
@@ -191,14 +198,12 @@
             cleanup.callback(self._workers.shutdown, wait=False, cancel_futures=True)
             cleanup.callback(self._decoder.shutdown, wait=False, cancel_futures=True)
             if self._peers is not None:
-                self._peers.start()
                 cleanup.callback(self._peers.close)
             if self._product is not None:
-                self._product.start()
                 cleanup.callback(self._product.close)
             cleanup.callback(self._close_callers)
-            await self._listen_all()
-            await self._serve()
+            if await self._listen_all():
+                await self._serve()
         self._log.write(LogEvent.ENTRY_CLOSED, (("broken", self.broken),))
 
     async def _serve(self) -> None:
@@ -220,26 +225,43 @@
             server.close()
         self.gateway_io.close()
 
-    async def _listen_all(self) -> None:
-        """Listen on all addresses; raise ``OSError`` if an address is in use."""
+    async def _listen_all(self) -> bool:
+        """Listen on all addresses, for callers last; return False if the process stops before.
+
+        Raises ``OSError`` if an address stays in use.
+        """
         deployment, product = self.deployment, self._product
+        wait = AddressWait(self._address_wait_s, self._is_stopping, self._write_log)
+        starts = []
+        if self._peers is not None and deployment.peers is not None:
+            starts.append((deployment.peers, self._peers.start))
+        if product is not None:
+            starts.append((product.operators, product.start))
+        for address, start in starts:
+            if not await wait.listen(address, start):
+                return False
+        for status in (deployment.readiness, deployment.metrics):
+            if status is not None and not await self._listen(wait, status, self._new_status):
+                return False
         if product is None:
-            await self._listen(deployment.callers, self.gateway_io.new_connection)
-        else:
-            protocol = product.callers.new_connection
-            await self._listen(deployment.callers, protocol, product.callers_tls)
-        for address in (deployment.readiness, deployment.metrics):
-            if address is not None:
-                await self._listen(address, self._new_status)
+            return await self._listen(wait, deployment.callers, self.gateway_io.new_connection)
+        protocol = product.callers.new_connection
+        return await self._listen(wait, deployment.callers, protocol, product.callers_tls)
 
     async def _listen(
-        self, address: Address, protocol: Any, tls: ssl.SSLContext | None = None
-    ) -> None:
+        self, wait: AddressWait, address: Address, protocol: Any, tls: ssl.SSLContext | None = None
+    ) -> bool:
+        sock = await wait.listening_socket(address)
+        if sock is None:
+            return False
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            protocol, address.host, address.port, backlog=BACKLOG, reuse_address=True, ssl=tls
+        self._servers.append(
+            await loop.create_server(protocol, sock=sock, backlog=BACKLOG, ssl=tls)
         )
-        self._servers.append(server)
+        return not self._is_stopping()
+
+    def _is_stopping(self) -> bool:
+        return self.core.stopping.begun
 
     def _new_status(self) -> StatusConnection:
         return StatusConnection(lambda: self.core.ready(boot_time_s()), self._metrics)
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -21,6 +21,7 @@
     SETTINGS_RELOADED = 109
     SETTINGS_REJECTED = 110
     TASK_FAILED = 111
+    ADDRESS_IN_USE = 112
     REVISION_IN_FORCE = 200
     REVISION_OUTDATED = 201
     REQUEST_FINISHED = 300
@@ -74,6 +75,7 @@
     LogEvent.SETTINGS_RELOADED: "Changed settings were loaded; their bounds now apply.",
     LogEvent.SETTINGS_REJECTED: "Changed settings are invalid; the previous ones still apply.",
     LogEvent.TASK_FAILED: "An unexpected exception failed one call, probe or poll.",
+    LogEvent.ADDRESS_IN_USE: "The start waits up to a limit for an address that is in use.",
     LogEvent.REVISION_IN_FORCE: "A new revision of the configuration now applies on this entry.",
     LogEvent.REVISION_OUTDATED: "The store shows an older configuration than that in force.",
     LogEvent.REQUEST_FINISHED: "A request ended with the outcome in the line.",
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -27,7 +27,7 @@
 from filbertstream.gateway import Gateway
 from filbertstream.platform.objects import ObjectStore
 from filbertstream.process.core_queries import CoreQueries
-from filbertstream.process.deployment import Bounds, Deployment
+from filbertstream.process.deployment import Address, Bounds, Deployment
 from filbertstream.process.recent_calls import RecentCalls
 from filbertstream.process.settings import (
     OPERATOR_THREADS,
@@ -116,8 +116,13 @@
         """The file with the key that encrypts the links between entries."""
         return self.settings.peers.key_file
 
+    @property
+    def operators(self) -> Address:
+        """The address on which operators are served."""
+        return Address(str(self.settings.operators.host), self.settings.operators.port)
+
     def start(self) -> None:
-        """Listen for operators; raise ``OSError`` if the address is in use."""
+        """Listen for operators; raise ``OSError`` if the address is in use, to be called again."""
         self._queries.start(asyncio.get_running_loop())
         self._apply_authority()
         self._operators.start()
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -4,6 +4,7 @@
 parallel tests get the same port.
 """
 
+import errno
 import json
 import socket
 import subprocess
@@ -16,7 +17,10 @@
 import zmq
 
 from filbertstream.cli import EXIT_NO_ADDRESS
+from filbertstream.connection.listener import Listener
+from filbertstream.connection.peer_link import PeerLink
 from filbertstream.names import digest_key
+from filbertstream.process.counters import Counters
 from standins.platform_fleet import BOUNDS
 from standins.processes import BLOCK_PORTS, LOOPBACK, ROOT, PortPool, free_port
 
@@ -54,6 +58,16 @@
     )
 
 
+class NoPeers:
+    """The host of a link that is never used."""
+
+    def register(self, kind: type, handler: Any) -> None:
+        pass
+
+    def emit(self, event: Any) -> None:
+        pass
+
+
 @pytest.mark.parametrize("listener", ["callers", "operators", "peers"])
 def test_entry_whose_address_is_in_use_exits_with_its_own_code(
     tmp_path: Path, listener: str
@@ -76,7 +90,7 @@
             settings[listener]["port"] = occupied.getsockname()[1]
         file = tmp_path / "entry.yaml"
         file.write_text(yaml.safe_dump(settings))
-        ended = run_until_exit(["entry", "--config", str(file)])
+        ended = run_until_exit(["entry", "--config", str(file), "--address-wait-s", "1"])
     assert ended.returncode == EXIT_NO_ADDRESS
     assert "cannot listen" in ended.stderr
 
@@ -101,6 +115,26 @@
         }
         file = tmp_path / "settings.json"
         file.write_text(json.dumps(settings))
-        ended = run_until_exit(["gateway", "--settings", str(file)])
+        ended = run_until_exit(["gateway", "--settings", str(file), "--address-wait-s", "1"])
     assert ended.returncode == EXIT_NO_ADDRESS
     assert "cannot listen" in ended.stderr
+
+
+def test_peers_and_operators_are_listened_for_again_once_the_address_is_free(
+    tmp_path: Path,
+) -> None:
+    """The first failure of a listener doesn't name its cause, or spoils the next try."""
+    key_file = tmp_path / "fleet.key"
+    key_file.write_bytes(zmq.curve_keypair()[1])
+    port = free_port()
+    listener = Listener(LOOPBACK, port, lambda environ, start: [], 1, 1_000, None)
+    link = PeerLink(f"tcp://{LOOPBACK}:{port}", key_file, Counters(), NoPeers())
+    for starting in (listener, link):
+        with (
+            socket.create_server((LOOPBACK, port)),
+            pytest.raises(OSError, match="in use") as raised,
+        ):
+            starting.start()
+        assert raised.value.errno == errno.EADDRINUSE
+        starting.start()
+        starting.close()
--- /dev/null
+++ b/tests/test_starts.py
@@ -0,0 +1,95 @@
+"""Starts of an entry on the platform, as a real process.
+
+Failures guarded against: an entry that ends by itself, or serves half-way, because of what it meets
+while it starts.
+"""
+
+import signal
+import socket
+import struct
+from collections.abc import Iterator
+
+import pytest
+
+from standins.platform_fleet import PlatformFleet
+from standins.processes import END_TIMEOUT_S, LOOPBACK
+
+ADDRESSES = ["callers", "readiness", "metrics", "peers"]
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[PlatformFleet]:
+    running = PlatformFleet(tmp_path_factory.mktemp("platform"), entries=1, runners=1, apps=1)
+    try:
+        running.start()
+        running.kill("e1")
+        yield running
+    finally:
+        running.close()
+
+
+@pytest.fixture(autouse=True)
+def one_start(fleet: PlatformFleet) -> Iterator[None]:
+    fleet.running["e1"].log.write_text("")
+    yield
+    if fleet.running["e1"].process.poll() is None:
+        fleet.kill("e1")
+
+
+def port_for(fleet: PlatformFleet, address: str) -> int:
+    if address in ("metrics", "peers"):
+        return fleet.port_pair("e1 metrics")[ADDRESSES.index(address) - 2]
+    return fleet.port("e1" if address == "callers" else "e1 ready")
+
+
+def events(fleet: PlatformFleet) -> list[str]:
+    return [line["event"] for line in fleet.log_of("e1")]
+
+
+def is_ready(fleet: PlatformFleet) -> bool:
+    return "entry_started" in events(fleet) and fleet.ready("e1")
+
+
+@pytest.mark.parametrize("address", ADDRESSES)
+def test_entry_waits_for_an_address_that_an_outgoing_connection_has(
+    fleet: PlatformFleet, address: str
+) -> None:
+    """The entry ends at once, or callers are served while one of its addresses is missing."""
+    store_host, _, store_port = fleet.running["store"].address.rpartition(":")
+    with socket.socket() as outgoing:
+        # Bound like a listener, since connections of the last start may still be in TIME_WAIT.
+        outgoing.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        outgoing.bind((LOOPBACK, port_for(fleet, address)))
+        outgoing.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 0)
+        outgoing.connect((store_host, int(store_port)))
+        # A reset at its end leaves no TIME_WAIT, which would hold the port for 60 s.
+        outgoing.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        fleet.start_entry("e1")
+        fleet.wait(lambda: "address_in_use" in events(fleet), what="the wait is logged")
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection((LOOPBACK, port_for(fleet, "callers"))).close()
+        assert events(fleet) == ["address_in_use"]
+    fleet.wait(lambda: is_ready(fleet), what="ready once the address is free")
+    assert events(fleet).count("address_in_use") == 1
+
+
+def test_entry_waits_for_its_predecessor(fleet: PlatformFleet) -> None:
+    """The successor of an entry that still stops ends at once, and no entry is left."""
+    fleet.start_entry("e1")
+    fleet.wait(lambda: is_ready(fleet))
+    predecessor = fleet.running["e1"].process
+    fleet.start_entry("e1")
+    fleet.wait(lambda: "address_in_use" in events(fleet))
+    predecessor.send_signal(signal.SIGTERM)
+    assert predecessor.wait(END_TIMEOUT_S) == 0
+    fleet.wait(lambda: events(fleet).count("entry_started") == 2 and fleet.ready("e1"))
+
+
+def test_stop_ends_the_wait_for_an_address(fleet: PlatformFleet) -> None:
+    """An entry that waits for an address goes on waiting after SIGTERM, or then serves."""
+    with socket.create_server((LOOPBACK, port_for(fleet, "callers"))):
+        fleet.start_entry("e1")
+        fleet.wait(lambda: "address_in_use" in events(fleet))
+        fleet.signal("e1", signal.SIGTERM)
+        assert fleet.running["e1"].process.wait(END_TIMEOUT_S) == 0
+    assert "entry_started" not in events(fleet)
