Read settings again that are being written when an entry starts

Seen: an entry that starts while its settings are written (missing, empty, cut off) ends with code 2, and with a traceback and code 1 if the bytes are no UTF-8. A change between the read of the settings and the creation of the process is never noticed unless a signal or another change follows.

Cause: the file was read once at the start; its stamp, which shows later changes, was taken after that read.

The stamp is taken before each read, so a change during or after it shows. A reload at the moment of a write was and is followed by another one, since its stamp is that of the incomplete file.

Not covered: a file that is cut off such that it is still valid (a data center's name without its end); its bounds are reloaded, its names and addresses are not.

--- a/filbertstream/cli.py
+++ b/filbertstream/cli.py
@@ -35,6 +35,7 @@
 from filbertstream.names import digest_key
 from filbertstream.operator_client import OperatorClient, OperatorResponse
 from filbertstream.platform.settings_file import BOOT_VARIABLE, read_settings_file
+from filbertstream.process.watched_file import WatchedFile
 
 EXIT_CODES: Final = {
     "lost": EXIT_CONFLICT,
@@ -127,12 +128,13 @@
     from filbertstream.process.settings import deployment_of, read_settings
     from filbertstream.product import ProductSetup
 
-    match read_settings(config):
+    file = WatchedFile(config)
+    match file.read_complete(read_settings):
         case Err(errors):
             _fail_errors(errors)
         case Ok(settings):
             setup = ProductSetup(settings)
-            _run(GatewayProcess(deployment_of(settings), config, setup, address_wait_s))
+            _run(GatewayProcess(deployment_of(settings), file, setup, address_wait_s))
 
 
 @app.command()
@@ -143,11 +145,12 @@
     address_wait_s: AddressWaitOption = ADDRESS_WAIT_S,
 ) -> None:
     """Run one entry on the users' platform until SIGTERM or SIGINT."""
-    match read_settings_file(settings):
+    file = WatchedFile(settings)
+    match file.read_complete(read_settings_file):
         case Err(errors):
             _fail_errors(errors)
         case Ok(deployment):
-            _run(GatewayProcess(deployment, settings, address_wait_s=address_wait_s))
+            _run(GatewayProcess(deployment, file, address_wait_s=address_wait_s))
 
 
 @app.command()
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -7,19 +7,16 @@
 import asyncio
 import contextlib
 import math
-import os
 import signal
 import ssl
 import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
-from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from filbertstream.actions import Log
-from filbertstream.checks import Mistake
 from filbertstream.connection.address_wait import ADDRESS_WAIT_S, BACKLOG, AddressWait
 from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.connection.gateway_status import StatusConnection, metrics_text
@@ -54,6 +51,7 @@
 from filbertstream.process.logs import BoundedStream, EventLog
 from filbertstream.process.store_recovery import SETTLE_S
 from filbertstream.process.store_view import KindDelta
+from filbertstream.process.watched_file import WatchedFile
 
 if TYPE_CHECKING:
     # Imported only by entries that serve the /v1 API, since imports delay every start.
@@ -94,14 +92,13 @@
     def __init__(
         self,
         deployment: Deployment,
-        settings_file: Path,
+        settings_file: WatchedFile,
         setup: "ProductSetup | None" = None,
         address_wait_s: float = ADDRESS_WAIT_S,
     ) -> None:
         self.deployment = deployment
         self._address_wait_s = address_wait_s
         self._settings_file = settings_file
-        self._settings_stamp = _stamp(settings_file)
         self._stream = BoundedStream()
         self._setup = setup
         level = "info" if setup is None else setup.log_level
@@ -281,7 +278,7 @@
                 housekeeping_at_s = now_s + HOUSEKEEPING_S
                 self.gateway_io.sweep()
                 self._reload_certificates()
-                if _stamp(self._settings_file) != self._settings_stamp:
+                if self._settings_file.changed:
                     self._reload()
 
     async def _wait_for_tick(self) -> None:
@@ -310,8 +307,8 @@
 
     def _reload(self) -> None:
         """Reload the settings; only bounds change, as the process listens on the old addresses."""
-        self._settings_stamp = _stamp(self._settings_file)
-        match self._read_deployment():
+        read = read_settings_file if self._setup is None else self._setup.read
+        match self._settings_file.read(read):
             case Ok(deployment):
                 self.deployment = self.deployment._replace(bounds=deployment.bounds)
                 self.gateway_io.emit(BoundsChanged(deployment.bounds))
@@ -320,11 +317,6 @@
                 fields = (("mistakes", "; ".join(str(error) for error in errors)),)
                 self._log.write(LogEvent.SETTINGS_REJECTED, fields)
 
-    def _read_deployment(self) -> Result[Deployment, list[Mistake]]:
-        if self._setup is None:
-            return read_settings_file(self._settings_file)
-        return self._setup.read(self._settings_file)
-
     def _reload_certificates(self) -> None:
         for used in [] if self._product is None else self._product.reload():
             event = LogEvent.CERTIFICATE_RELOADED if used else LogEvent.CERTIFICATE_REJECTED
@@ -374,14 +366,6 @@
         self._pending_decodes -= 1
 
 
-def _stamp(path: Path) -> tuple[int, int]:
-    try:
-        stat = os.stat(path)
-    except OSError:
-        return (0, 0)
-    return (stat.st_mtime_ns, stat.st_size)
-
-
 def _core_config(
     deployment: Deployment, incarnation: int, kinds: tuple[WatchedKind, ...]
 ) -> GatewayConfig:
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -97,7 +97,7 @@
         data: Any = yaml.load(text, Loader=yaml.CSafeLoader)
     except OSError as exc:
         return Err([Mistake(file, 0, "", f"a readable file ({exc.strerror})")])
-    except yaml.YAMLError:
+    except (yaml.YAMLError, UnicodeDecodeError):
         return Err([Mistake(file, 0, "", "well-formed YAML")])
     try:
         settings = msgspec.convert(data, _Settings)
--- a/filbertstream/process/settings.py
+++ b/filbertstream/process/settings.py
@@ -133,7 +133,7 @@
         raw: Any = yaml.safe_load(text)
     except OSError as exc:
         return Err([Mistake(file, 0, "", f"a readable file ({exc.strerror})")])
-    except yaml.YAMLError as exc:
+    except (yaml.YAMLError, UnicodeDecodeError) as exc:
         mark = getattr(exc, "problem_mark", None)
         return Err([Mistake(file, mark.line + 1 if mark else 0, "", "well-formed YAML")])
     if node is None:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -124,6 +124,15 @@
 
     def start_entry(self, name: str) -> None:
         """Start an entry, on the same ports as before if it ran already."""
+        self.write_settings(name)
+        self.spawn_entry(name)
+
+    def settings_file(self, name: str) -> Path:
+        """Return the path of an entry's settings."""
+        return self.folder / f"{name}.yaml"
+
+    def write_settings(self, name: str) -> None:
+        """Write the settings file of an entry."""
         caller_port, ready_port = self.port(name), self.port(f"{name} ready")
         metrics_port, peer_port = self.port_pair(f"{name} metrics")
         settings = {
@@ -137,9 +146,12 @@
             "bounds": BOUNDS,
             "platform": {"address": self.running["store"].address},
         }
-        file = self.folder / f"{name}.yaml"
-        file.write_text(yaml.safe_dump(settings))
-        args = ["filbertstream", "gateway", "--settings", str(file)]
+        self.settings_file(name).write_text(yaml.safe_dump(settings))
+
+    def spawn_entry(self, name: str) -> None:
+        """Start an entry with the settings file as it is."""
+        caller_port, ready_port = self.port(name), self.port(f"{name} ready")
+        args = ["filbertstream", "gateway", "--settings", str(self.settings_file(name))]
         self.spawn(name, args, f"{LOOPBACK}:{caller_port}", f"{LOOPBACK}:{ready_port}")
 
     def put(self, kind: str, name: str, spec: Any) -> bool:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -4,6 +4,7 @@
 while it starts.
 """
 
+import os
 import signal
 import socket
 import struct
@@ -11,6 +12,7 @@
 
 import pytest
 
+from filbertstream.cli import EXIT_USAGE
 from standins.platform_fleet import PlatformFleet
 from standins.processes import END_TIMEOUT_S, LOOPBACK
 
@@ -93,3 +95,49 @@
         fleet.signal("e1", signal.SIGTERM)
         assert fleet.running["e1"].process.wait(END_TIMEOUT_S) == 0
     assert "entry_started" not in events(fleet)
+
+
+def replace_while_read(fleet: PlatformFleet, first: bytes) -> None:
+    """Let the entry read ``first`` as its settings, and then replace them by complete ones."""
+    file = fleet.settings_file("e1")
+    fleet.write_settings("e1")
+    complete = file.rename(file.with_suffix(".complete"))
+    os.mkfifo(file)
+    fleet.spawn_entry("e1")
+    with file.open("wb") as writer:
+        # The entry has opened the file.
+        complete.replace(file)
+        writer.write(first)
+
+
+@pytest.mark.parametrize("length", [0, 300])
+def test_entry_starts_although_its_settings_are_being_written(
+    fleet: PlatformFleet, length: int
+) -> None:
+    """The entry ends with a code for wrong settings, and nothing starts it again."""
+    replace_while_read(fleet, fleet.settings_file("e1").read_bytes()[:length])
+    fleet.wait(lambda: is_ready(fleet))
+
+
+def test_change_of_the_settings_right_after_they_were_read_is_noticed(
+    fleet: PlatformFleet,
+) -> None:
+    """The entry keeps to the bounds that it read at its start for as long as it runs."""
+    replace_while_read(fleet, fleet.settings_file("e1").read_bytes())
+    fleet.wait(lambda: "settings_reloaded" in events(fleet))
+
+
+@pytest.mark.parametrize("content", [None, b"", b"node_name: e1\n", b"\xff\xfe\xff"])
+def test_wrong_settings_end_the_start_with_one_line(
+    fleet: PlatformFleet, content: bytes | None
+) -> None:
+    """The entry waits for ever for settings that stay wrong, or ends with a traceback."""
+    file = fleet.settings_file("e1")
+    file.unlink()
+    if content is not None:
+        file.write_bytes(content)
+    fleet.spawn_entry("e1")
+    assert fleet.running["e1"].process.wait(END_TIMEOUT_S) == EXIT_USAGE
+    (line,) = fleet.running["e1"].log.read_text().splitlines()
+    assert line.startswith(f"{file}:")
+    fleet.write_settings("e1")
