Count a call's time from its first byte, not from the end of its body

Targets were handed time that the caller had already used: Deadline-Ms was counted from when the request had been read.

Change: a connection records when the first bytes of a request arrived; a call starts with the time that is left since then. What waits in the accept queue, or while the process is stopped, can't be seen from here and still counts from the first read.

Evidence: tests/test_time_left.py, 4 of 4 fail without it (3.0 s left for 1.8, 1.0 for 0.0).

--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -14,6 +14,7 @@
 
 from filbertstream.connection.unread_bytes import has_unread_bytes
 from filbertstream.platform.headers import Headers, encode_local_response
+from filbertstream.process.clock import boot_time_s
 from filbertstream.statuses import (
     BAD_REQUEST,
     FIELDS_TOO_LARGE,
@@ -76,7 +77,10 @@
 
 
 class CallerConnection(asyncio.Protocol):
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    ``began_s`` is when the first bytes of the request that is being served arrived.
+    """
 
     def __init__(self, app: CallerApp, on_closed: Callable[["CallerConnection"], None]) -> None:
         self._app = app
@@ -85,7 +89,9 @@
         self.call_id: int | None = None
         self.busy = False
         self._parser = httptools.HttpRequestParser(self)
-        self._queued: deque[RawRequest] = deque()
+        self.began_s = boot_time_s()
+        self._queued: deque[tuple[RawRequest, float]] = deque()
+        self._reading_since_s = self.began_s
         self._url = b""
         self._headers: Headers = []
         self._body: list[bytes] = []
@@ -180,6 +186,7 @@
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
+        self._reading_since_s = boot_time_s()
         self._url = b""
         self._headers = []
         self._body = []
@@ -251,7 +258,8 @@
         last = not self._parser.should_keep_alive()
         method = self._parser.get_method().decode("ascii")
         path = self._url.decode("latin-1")
-        self._queued.append(RawRequest(method, path, self._headers, b"".join(self._body), last))
+        raw = RawRequest(method, path, self._headers, b"".join(self._body), last)
+        self._queued.append((raw, self._reading_since_s))
         self._body = []
         if len(self._queued) >= PIPELINE_LIMIT and self.transport is not None:
             self.transport.pause_reading()
@@ -271,7 +279,7 @@
         if self._timer is not None:
             self._timer.cancel()
         self.busy = True
-        raw = self._queued.popleft()
+        raw, self.began_s = self._queued.popleft()
         self._close_after = self._close_after or raw.last
         self._app.on_request(self, raw)
 
--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -175,7 +175,14 @@
         head: CallHead,
         response_format: ResponseFormat,
     ) -> None:
-        """Start a call in the core; ``raw`` is the request that a target receives."""
+        """Start a call in the core; ``raw`` is the request that a target receives.
+
+        The caller waits since the request began to arrive, so its body and the requests ahead of it
+        on the connection have used some of its time.
+        """
+        if head.deadline_s is not None:
+            left_s = head.deadline_s - (boot_time_s() - conn.began_s)
+            head = head._replace(deadline_s=max(0.0, left_s))
         self._last_call_id += 1
         conn.call_id = self._last_call_id
         self._calls[self._last_call_id] = ProxiedCall(conn, raw, head, response_format)
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -29,8 +29,8 @@
 class CallHead(NamedTuple):
     """A caller's request, which has been read completely.
 
-    ``deadline_s`` is how long the caller waits, counted from the arrival.  A call with an
-    ``idempotency_key`` runs at most once for that key.
+    ``deadline_s`` is how long the caller still waits, counted from the call's arrival in
+    the core.  A call with an ``idempotency_key`` runs at most once for that key.
     """
 
     request_id: str
--- /dev/null
+++ b/tests/test_time_left.py
@@ -0,0 +1,50 @@
+"""The time that a call has left when it has been read."""
+
+import asyncio
+
+import pytest
+
+from filbertstream.connection import caller_connection, gateway_io
+from filbertstream.connection.gateway_io import GatewayIO
+from filbertstream.request.call_events import CallArrived
+from tests.gateway_world import World
+from tests.test_isolated_tasks import RecordingTransport
+
+
+def request(number: int, deadline_ms: int) -> bytes:
+    fields = f"Host: h.example\r\nRequest-Id: q{number}\r\nDeadline-Ms: {deadline_ms}\r\n"
+    return f"POST /open/x HTTP/1.1\r\n{fields}Content-Length: 1\r\n\r\nx".encode()
+
+
+# BUDGET: targets were handed the time again that the body, or the request ahead of it, had used.
+@pytest.mark.parametrize("queued", [False, True], ids=["slow body", "pipelined"])
+@pytest.mark.parametrize(("deadline_ms", "left_s"), [(3000, 1.8), (1000, 0.0)])
+def test_time_of_a_call_counts_from_its_first_byte(
+    monkeypatch: pytest.MonkeyPatch, queued: bool, deadline_ms: int, left_s: float
+) -> None:
+    clock_s = [50.0]
+    for module in (caller_connection, gateway_io):
+        monkeypatch.setattr(module, "boot_time_s", lambda: clock_s[0])
+    seen: list[object] = []
+
+    async def scenario() -> None:
+        io = GatewayIO(World().core, lambda log: None, lambda reason: None)
+        monkeypatch.setattr(io, "emit", seen.append)
+        conn = io.new_connection()
+        conn.transport = RecordingTransport()
+        clock_s[0] += 7.0
+        if queued:
+            conn.data_received(request(1, 3000) + request(2, deadline_ms))
+            clock_s[0] += 1.2
+            conn.send_response(b"HTTP/1.1 200 OK\r\nContent-Length: 0", b"")
+            await asyncio.sleep(0)
+        else:
+            conn.data_received(request(2, deadline_ms)[:-1])
+            clock_s[0] += 1.2
+            conn.data_received(b"x")
+        conn.connection_lost(None)
+
+    asyncio.run(scenario())
+    arrived = [event for event in seen if isinstance(event, CallArrived)]
+    assert arrived[-1].head.request_id == "q2"
+    assert arrived[-1].head.deadline_s == pytest.approx(left_s)
