Pass on the time that is left when the target's connection is open

Targets were handed the time that was left when they were chosen. Not seen in a trial: found by reading.

Evidence: with a connection that opens 1.0 s late, a call with 3.0 s was passed on with Deadline-Ms: 3000, now with 2000 (tests/test_time_left.py, which fails without the change).

--- a/filbertstream/connection/proxied_send.py
+++ b/filbertstream/connection/proxied_send.py
@@ -69,6 +69,7 @@
         self._host = host
         self._call = call
         self.action = action
+        self._chosen_at_s = boot_time_s()
         self.target_conn: TargetConnection | None = None
         self.over = False
         self._streams = False
@@ -240,7 +241,10 @@
         self._fail("internal", sent=self.target_conn is not None)
 
     async def begin(self, pool: TargetConnectionPool) -> None:
-        """Take or open a connection and write the request."""
+        """Take or open a connection and write the request.
+
+        A connection may open late, as on a busy machine, so the target gets the time left by then.
+        """
         action = self.action
         self._buffers = pool.buffers
         target_conn = pool.take(
@@ -264,7 +268,7 @@
             action.cache,
             action.target_id,
             action.workspace,
-            action.deadline_s,
+            action.deadline_s - (boot_time_s() - self._chosen_at_s),
             action.priority,
             action.last_event_id,
             len(raw.body),
--- a/tests/test_time_left.py
+++ b/tests/test_time_left.py
@@ -4,11 +4,15 @@
 
 import pytest
 
-from filbertstream.connection import caller_connection, gateway_io
+from filbertstream.connection import caller_connection, gateway_io, proxied_send
 from filbertstream.connection.gateway_io import GatewayIO
+from filbertstream.connection.proxied_send import ProxiedSend
+from filbertstream.connection.target_connection import TargetConnection, TargetConnectionPool
+from filbertstream.process.deployment import Address
 from filbertstream.request.call_events import CallArrived
-from tests.gateway_world import World
+from tests.gateway_world import World, sends
 from tests.test_isolated_tasks import RecordingTransport
+from tests.test_slow_streams import Caller, IOLayer, proxied_call
 
 
 def request(number: int, deadline_ms: int) -> bytes:
@@ -48,3 +52,27 @@
     arrived = [event for event in seen if isinstance(event, CallArrived)]
     assert arrived[-1].head.request_id == "q2"
     assert arrived[-1].head.deadline_s == pytest.approx(left_s)
+
+
+# BUDGET: a busy machine passed a call on late, with the time that was left when it had chosen.
+def test_target_gets_the_time_that_is_left_when_its_connection_is_open(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    clock_s = [50.0]
+    monkeypatch.setattr(proxied_send, "boot_time_s", lambda: clock_s[0])
+    transport = RecordingTransport()
+
+    async def open_late(pool: TargetConnectionPool, address: Address) -> TargetConnection:
+        clock_s[0] += 1.0
+        conn = TargetConnection(address)
+        conn.transport = transport
+        return conn
+
+    async def scenario() -> None:
+        (action,) = sends(World().arrive("draft", deadline_s=3.0))
+        send = ProxiedSend(IOLayer(), proxied_call(Caller(), action), action)
+        await send.begin(TargetConnectionPool())
+
+    monkeypatch.setattr(TargetConnectionPool, "open", open_late)
+    asyncio.run(scenario())
+    assert b"\r\nDeadline-Ms: 2000\r\n" in transport.written
