Stop the fixed object store of the tests without waiting half a second

``shutdown`` of http.server waits for the end of a poll interval, half a second by default, after each test. Change: the server is started with an interval of 10 ms. Nothing that a test checks has changed.

--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -16,6 +16,7 @@
 from filbertstream.platform.objects import ObjectStore, ObjectStoreFailure
 from filbertstream.process.clock import boot_time_s
 
+SHUTDOWN_POLL_S = 0.01
 PAGE = b'{"items":[{"metadata":{"name":"a","revision":4},"spec":1},7],"has_more":false,"as_of":9}'
 
 
@@ -54,7 +55,8 @@
 @pytest.fixture
 def store() -> Iterator[ObjectStore]:
     server = ThreadingHTTPServer(("127.0.0.1", 0), FixedResponses)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
+    # ``shutdown`` waits for the end of an interval.
+    threading.Thread(target=server.serve_forever, args=(SHUTDOWN_POLL_S,), daemon=True).start()
     client = ObjectStore(f"http://127.0.0.1:{server.server_port}")
     yield client
     client.close()
