Close callers' connections before a cleanup that may block

Cause: a connection that is aborted is closed by the next turn of the event loop, and that came after the cleanup of the link, the operators' listener and the threads.

Evidence: tests/test_gateway_processes.py (fails before).

Change: callers' connections are closed first, and the loop takes a turn before the cleanup.

--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -198,9 +198,13 @@
                 cleanup.callback(self._peers.close)
             if self._product is not None:
                 cleanup.callback(self._product.close)
-            cleanup.callback(self._close_callers)
-            if await self._listen_all():
-                await self._serve()
+            try:
+                if await self._listen_all():
+                    await self._serve()
+            finally:
+                self._close_callers()
+                # The event loop closes the sockets in its next turn; the cleanup may block it.
+                await asyncio.sleep(0)
         self._log.write(LogEvent.ENTRY_CLOSED, (("broken", self.broken),))
 
     async def _serve(self) -> None:
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -4,6 +4,7 @@
 request smuggling, runs that outlive their callers, and connections cut by a planned stop.
 """
 
+import asyncio
 import itertools
 import signal
 import socket
@@ -11,11 +12,18 @@
 import uuid
 from collections.abc import Iterator
 from http.client import HTTPConnection, HTTPException, HTTPResponse
-from typing import NamedTuple
+from pathlib import Path
+from typing import NamedTuple, cast
 
 import pytest
 
+from filbertstream.actions import SendPeer
+from filbertstream.connection.peer_link import PeerLink
+from filbertstream.gateway_process import GatewayProcess
+from filbertstream.platform.settings_file import read_settings_file
+from filbertstream.process.watched_file import WatchedFile
 from standins.platform_fleet import CONFIG, KEY, ROUTES, PlatformFleet
+from standins.processes import free_port
 
 LEASE_S = 3.0
 """The gap between two leaders that the settings of the stand-in deployment require."""
@@ -285,3 +293,54 @@
     fleet.wait(lambda: lines() == ["call_placed", "request_finished"], 3.0)
     text = fleet.running["e1"].log.read_text()
     assert KEY not in text
+
+
+class SlowLink:
+    """Blocks as it closes until it has looked whether the caller's connection has ended."""
+
+    def __init__(self, caller: socket.socket) -> None:
+        self.caller = caller
+        self.ended_before = False
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def close(self) -> None:
+        try:
+            self.ended_before = self.caller.recv(1) == b""
+        except BlockingIOError:
+            self.ended_before = False
+        except ConnectionResetError:
+            self.ended_before = True
+
+
+def test_connections_of_callers_end_before_a_cleanup_that_blocks(
+    fleet: PlatformFleet, tmp_path: Path
+) -> None:
+    """A request is arriving when an entry exits, and the close of another component takes long."""
+    text = (fleet.folder / "e1.yaml").read_text()
+    for name in ("e1", "e1 ready"):
+        text = text.replace(f":{fleet.port(name)}", f":{free_port()}")
+    file = tmp_path / "entry.yaml"
+    file.write_text(text)
+    deployment = read_settings_file(file).unwrap()._replace(peers=None, metrics=None)
+    process = GatewayProcess(deployment, WatchedFile(file))
+    with socket.socket() as caller:
+        link = SlowLink(caller)
+        process._peers = cast(PeerLink, link)
+        process.gateway_io.handlers[SendPeer] = lambda action: None
+
+        async def play() -> None:
+            running = asyncio.create_task(process._run())
+            while not process._servers:
+                await asyncio.sleep(0.01)
+            caller.connect((deployment.callers.host, deployment.callers.port))
+            caller.sendall(b"GET /read/x HTTP/1.1\r\n")
+            caller.setblocking(False)
+            while not process.gateway_io.connections:
+                await asyncio.sleep(0.01)
+            process._set_broken("test")
+            await running
+
+        asyncio.run(play())
+    assert link.ended_before
