Keep writing the log after a write that failed

Seen: an entry whose standard output is full (/dev/full) or has no reader prints a traceback of its log thread and writes no line from then on, however long it runs. Its calls go on, and it ends with 0.

Cause: the thread that writes the queued lines ends at the first OSError.

Change: the lines of a failed write are counted as dropped, and the next ones are tried again.

Evidence: tests/test_logs.py failed before and passes. Real processes, output closed and /dev/full, 0 and 300 calls each: all 200, exit code 0, nothing on standard error; before, a traceback each time.

--- a/filbertstream/process/logs.py
+++ b/filbertstream/process/logs.py
@@ -68,10 +68,14 @@
             self._has_lines.wait()
             stopping = self._stop.wait(FLUSH_S)
             self._has_lines.clear()
-            text = "".join([self._lines.popleft() for _ in range(len(self._lines))])
-            if text:
-                self._stream.write(text)
-                self._stream.flush()
+            lines = [self._lines.popleft() for _ in range(len(self._lines))]
+            if lines:
+                try:
+                    self._stream.write("".join(lines))
+                    self._stream.flush()
+                except OSError:
+                    # The disk is full, or nothing reads the pipe any more; it may pass.
+                    self.dropped += len(lines)
 
 
 class EventLog:
