End the process without waiting for unanswered calls of its threads

Seen: with the object store silent, ten keyed calls waiting and a grace of 4 s, `filbertstream entry` ended 6.1 s after SIGTERM, twice of twice: the platform would have killed it.

Cause: pools of worker threads are shut down without waiting, but the interpreter joins their threads at its exit, and a claim makes several calls of 1.5 s each.

Change: once the entry has closed and its log is written, the process ends with its exit code at once.

Evidence: the test in tests/test_stopping.py leaves a call of a worker unanswered for ever; it failed before (the process never ended), for both exit codes.

--- a/filbertstream/cli.py
+++ b/filbertstream/cli.py
@@ -8,6 +8,7 @@
 invariant, 71 an address in use.
 """
 
+import os
 from pathlib import Path
 from typing import Annotated, Any, Final, NoReturn
 
@@ -110,13 +111,18 @@
     return response.body
 
 
-def _run(process: GatewayProcess) -> None:
+def run_process(process: GatewayProcess) -> NoReturn:
+    """Run an entry, and end this process with its exit code."""
+    code = 0
     try:
-        succeeded = process.run()
+        if not process.run():
+            typer.echo("an invariant was violated; see the log", err=True)
+            code = EXIT_INVARIANT
     except OSError as exc:
-        _fail(f"cannot listen: {exc}", EXIT_NO_ADDRESS)
-    if not succeeded:
-        _fail("an invariant was violated; see the log", EXIT_INVARIANT)
+        typer.echo(f"cannot listen: {exc}", err=True)
+        code = EXIT_NO_ADDRESS
+    # The interpreter would wait for threads whose calls are unanswered, perhaps past the grace.
+    os._exit(code)
 
 
 @app.command()
@@ -134,7 +140,7 @@
             _fail_errors(errors)
         case Ok(settings):
             setup = ProductSetup(settings)
-            _run(GatewayProcess(deployment_of(settings), file, setup, address_wait_s))
+            run_process(GatewayProcess(deployment_of(settings), file, setup, address_wait_s))
 
 
 @app.command()
@@ -150,7 +156,7 @@
         case Err(errors):
             _fail_errors(errors)
         case Ok(deployment):
-            _run(GatewayProcess(deployment, file, address_wait_s=address_wait_s))
+            run_process(GatewayProcess(deployment, file, address_wait_s=address_wait_s))
 
 
 @app.command()
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -1,18 +1,22 @@
 """Calls that arrive at an entry after SIGTERM.
 
-Failure guarded against: a call is admitted that can't end before the process exits; its target runs
-it and its caller gets no answer.
+Failures guarded against: a call is admitted that can't end before the process exits; its target
+runs it and its caller gets no answer; and a process that goes on when it should have ended.
 """
 
+import subprocess
+import sys
 from typing import Any
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from filbertstream.cli import EXIT_INVARIANT
 from filbertstream.gateway_events import BoundsChanged, StopRequested, Tick
 from filbertstream.process.stopping import EXIT_MARGIN_S, NOTICED_S, RESPONSE_MARGIN_S
 from filbertstream.request.call_events import AbortResponse, RespondLocally, ResponseStarted
+from standins.processes import ROOT
 from tests.gateway_world import BOUNDS, World, response_head, sends, statuses
 
 TICK_S = 0.025
@@ -86,3 +90,25 @@
     run_until(world, world.now_s + 3.0)
     assert statuses(world.arrive("book", deadline_s=2.0)) == [503]
     assert sends(world.arrive("book", deadline_s=1.0))
+
+
+UNANSWERED_CALL = """
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from filbertstream.cli import run_process
+
+class Process:
+    def run(self):
+        ThreadPoolExecutor(1).submit(threading.Event().wait)
+        return {succeeded}
+
+run_process(Process())
+"""
+
+
+@pytest.mark.parametrize(("succeeded", "code"), [(True, 0), (False, EXIT_INVARIANT)])
+def test_process_ends_although_a_call_of_a_thread_is_unanswered(succeeded: bool, code: int) -> None:
+    """The interpreter waits for a worker at a silent object store until the platform kills it."""
+    script = UNANSWERED_CALL.format(succeeded=succeeded)
+    ended = subprocess.run([sys.executable, "-c", script], cwd=ROOT, timeout=20.0, check=False)
+    assert ended.returncode == code
