--- /dev/null
+++ b/bench/gateway_soak_faults.py
@@ -0,0 +1,264 @@
+"""The faults of the gateway's soak, injected from outside; each ends when its function returns."""
+
+import asyncio
+import contextlib
+import random
+import signal
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Iterator
+from time import monotonic
+from typing import Final
+
+import urllib3
+
+from bench.gateway_callers import Callers
+from bench.gateway_records import GRACE_S, Exit, Span
+from standins.platform_fleet import CONFIG, MODEL, ROUTES, PlatformFleet, route
+
+START_S: Final = 20.0
+POLL_S: Final = 0.02
+ON: Final = 1e9
+CRASHING_SHARE: Final = 0.3
+
+
+class World:
+    """The processes of a soak, what was done to them, and how entries ended and started."""
+
+    def __init__(self, fleet: PlatformFleet, callers: Callers, rng: random.Random) -> None:
+        self.fleet = fleet
+        self.callers = callers
+        self.rng = rng
+        self.spans: list[Span] = []
+        self.exits: list[Exit] = []
+        self.late_starts: list[str] = []
+        self.signals: dict[int, list[str]] = defaultdict(list)
+        self.config_version = int(CONFIG["version"])
+        self.in_use: set[str] = set()
+
+    def names(self, prefix: str) -> list[str]:
+        """Return the names of processes of a kind: ``e`` entries, ``r`` runners, ``a`` apps."""
+        return [name for name in self.fleet.running if name[0] in prefix and name != "store"]
+
+    @contextlib.contextmanager
+    def taken(self, prefix: str) -> Iterator[str | None]:
+        """Take a process of a kind, unless all but one have a fault already."""
+        free = [name for name in self.names(prefix) if name not in self.in_use]
+        name = self.rng.choice(free) if len(free) > 1 else None
+        self.in_use |= {name} if name else set()
+        try:
+            yield name
+        finally:
+            self.in_use -= {name} if name else set()
+
+    @contextlib.contextmanager
+    def span(self, who: str, what: str) -> Iterator[None]:
+        """Note what is done to a process, from now to the end of the block."""
+        index = len(self.spans)
+        self.spans.append(Span(who, what, monotonic()))
+        try:
+            yield
+        finally:
+            self.spans[index] = self.spans[index]._replace(to_s=monotonic())
+
+    def signal(self, name: str, what: str) -> None:
+        """Send a signal by its name without ``SIG``, unless the process has ended."""
+        process = self.fleet.running[name].process
+        if process.poll() is None:
+            self.signals[process.pid].append(what)
+            process.send_signal(getattr(signal, f"SIG{what}"))
+
+    async def set_faults(self, name: str, **values: float) -> None:
+        """Set faults of a stand-in, if it responds."""
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            await asyncio.to_thread(lambda: self.fleet.fault(name, **values))
+
+    async def pause(self, low_s: float, high_s: float) -> None:
+        """Wait for a time drawn between two."""
+        await asyncio.sleep(self.rng.uniform(low_s, high_s))
+
+    async def stop(self, entry: str) -> None:
+        """Wait until an entry that got SIGTERM ends, kill it after its grace, start it again."""
+        process = self.fleet.running[entry].process
+        end_s = monotonic() + GRACE_S
+        with self.span(entry, "TERM"):
+            while process.poll() is None and monotonic() < end_s:
+                await asyncio.sleep(POLL_S)
+            in_grace = process.poll() is not None
+            if not in_grace:
+                process.kill()
+        code = process.wait()
+        self.exits.append(Exit(entry, code, tuple(self.signals[process.pid]), in_grace))
+        await self.start(entry)
+
+    async def start(self, entry: str) -> None:
+        """Start an entry and wait until it is ready."""
+        with self.span(entry, "START"):
+            self.fleet.start_entry(entry)
+            process = self.fleet.running[entry].process
+            end_s = monotonic() + START_S
+            while monotonic() < end_s and process.poll() is None:
+                with contextlib.suppress(urllib3.exceptions.HTTPError):
+                    if await asyncio.to_thread(self.fleet.ready, entry):
+                        return
+                await asyncio.sleep(POLL_S)
+        self.late_starts.append(f"{entry}: not ready, exit code {process.poll()}")
+
+
+Fault = Callable[[World], Awaitable[None]]
+
+FAULTS: Final[dict[str, Fault]] = {}
+
+
+def fault(name: str) -> Callable[[Fault], Fault]:
+    """Register a fault."""
+
+    def register(function: Fault) -> Fault:
+        FAULTS[name] = function
+        return function
+
+    return register
+
+
+SIGNALS: Final = (("TERM",), ("TERM",), ("HUP", "TERM"), ("TERM", "TERM"), ("TERM", "CONT"))
+
+
+@fault("entry stopped")
+async def _stop(world: World) -> None:
+    with world.taken("e") as entry:
+        if entry is None:
+            return
+        for number, what in enumerate(world.rng.choice(SIGNALS)):
+            if number:
+                await world.pause(0.0, 0.4)
+            if what == "HUP":
+                world.spans.append(Span(entry, "HUP", monotonic(), monotonic()))
+            world.signal(entry, what)
+        await world.stop(entry)
+
+
+@fault("entries reloaded")
+async def _reload(world: World) -> None:
+    for _ in range(world.rng.randint(1, 4)):
+        entry = world.rng.choice(world.names("e"))
+        world.fleet.write_settings(entry, reuse_after_s=world.rng.choice((2, 3)))
+        if world.rng.random() < 0.7:
+            world.spans.append(Span(entry, "HUP", monotonic(), monotonic()))
+            world.signal(entry, "HUP")
+        await world.pause(0.0, 0.5)
+
+
+@fault("entry killed")
+async def _kill(world: World) -> None:
+    with world.taken("e") as entry:
+        for _ in range(world.rng.randint(1, 3) if entry else 0):
+            assert entry is not None
+            with world.span(entry, "KILL"):
+                world.signal(entry, "KILL")
+                world.fleet.running[entry].process.wait()
+            await world.start(entry)
+            await world.pause(0.0, 1.0)
+
+
+@fault("entry paused")
+async def _freeze(world: World) -> None:
+    with world.taken("e") as entry:
+        if entry is not None:
+            with world.span(entry, "STOP"):
+                world.signal(entry, "STOP")
+                await world.pause(0.3, 4.0)
+                world.signal(entry, "CONT")
+
+
+@fault("configurations")
+async def _configure(world: World) -> None:
+    for _ in range(world.rng.randint(1, 3)):
+        world.config_version += world.rng.randint(1, 5)
+        added = route(f"n{world.config_version}", "idempotent", "app")
+        config = {**CONFIG, "version": world.config_version, "routes": [*ROUTES, added]}
+        with world.span("config", "CONFIG"), contextlib.suppress(urllib3.exceptions.HTTPError):
+            await asyncio.to_thread(world.fleet.put_config, config)
+        await world.pause(0.0, 0.6)
+
+
+STORE: Final[tuple[tuple[str, dict[str, float]], ...]] = (
+    ("DOWN", {"down": 1}),
+    ("DOWN", {"busy": 1}),
+    ("SLOW", {"slow_s": 0.7}),
+    ("SILENT", {"silent": 1}),
+    ("LOST", {"drop_answers": 20}),
+    ("RESTORED", {"restore": 3.0, "restore_away_s": 1.0, "rewrite_s": 0.5}),
+)
+
+
+@fault("store")
+async def _store(world: World) -> None:
+    what, values = world.rng.choice(STORE)
+    with world.span("store", what):
+        await world.set_faults("store", **values)
+        await world.pause(1.0, 5.0)
+        off = dict.fromkeys(values, 0.0) if what != "RESTORED" else {}
+        await world.set_faults("store", **off)
+
+
+TARGETS: Final[tuple[tuple[str, dict[str, float]], ...]] = (
+    ("refuse", {"refuse": ON, "pause_s": 3.0}),
+    ("refuse", {"refuse": ON, "pause_s": 1.5, "unmarked": 1}),
+    ("refuse", {"refuse": ON}),
+    ("fail", {"error": ON}),
+    ("break off", {"lose": ON}),
+    ("break off", {"cut_stream": ON, "lose": 3}),
+    ("silent", {"silent": 1}),
+    ("silent", {"run_s": 5.0, "stall": ON}),
+    ("down", {"down": 1}),
+    ("slow", {"slow_s": 0.8}),
+)
+
+
+@fault("target in trouble")
+async def _target(world: World) -> None:
+    with world.taken("ra") as target:
+        if target is None:
+            return
+        what, values = world.rng.choice(TARGETS)
+        with world.span(target, what):
+            await world.set_faults(target, **values)
+            await world.pause(1.0, 6.0)
+            await world.set_faults(target, **dict.fromkeys(values, 0.0))
+
+
+def restart_target(fleet: PlatformFleet, target: str) -> None:
+    """Start a target again under its id."""
+    is_runner = target.startswith("r")
+    fleet.start_target(target, "models" if is_runner else "app", MODEL if is_runner else "")
+
+
+@fault("target killed")
+async def _kill_target(world: World) -> None:
+    with world.taken("ra") as target:
+        if target is not None:
+            with world.span(target, "KILL"):
+                await asyncio.to_thread(world.fleet.kill, target)
+                await world.pause(0.0, 3.0)
+                restart_target(world.fleet, target)
+                await world.pause(0.5, 1.0)
+
+
+@fault("target leaves")
+async def _leave(world: World) -> None:
+    """The target says so in its answers, serves on for a while, ends and comes back."""
+    with world.taken("ra") as target:
+        if target is not None:
+            await world.set_faults(target, leaving=1, drain=world.rng.choice((0, 1)))
+            await world.pause(4.0, 6.0)
+            with world.span(target, "KILL"):
+                await asyncio.to_thread(world.fleet.kill, target)
+                restart_target(world.fleet, target)
+                await world.pause(0.5, 1.0)
+
+
+@fault("crashing prompts")
+async def _crash(world: World) -> None:
+    habits = world.callers.habits
+    world.callers.habits = habits._replace(crashing=CRASHING_SHARE)
+    await world.pause(6.0, 9.0)
+    world.callers.habits = habits._replace(crashing=0.0)
--- a/standins/base.py
+++ b/standins/base.py
@@ -173,11 +173,19 @@
 
 
 def serve(
-    address: str, control: str, app: App, faults: Faults, counts: Callable[[], object]
+    address: str,
+    control: str,
+    app: App,
+    faults: Faults,
+    counts: Callable[[], object],
+    around: Callable[[App], App] = lambda app: app,
 ) -> None:
-    """Serve the application and its control port until the process is ended."""
+    """Serve the application and its control port until the process is ended.
+
+    ``around`` wraps the application and its faults.
+    """
     threading.Thread(target=control_server(control, faults, counts).serve, daemon=True).start()
-    server = _server(address, with_faults(app, faults), THREADS)
+    server = _server(address, around(with_faults(app, faults)), THREADS)
     try:
         server.start()
     except KeyboardInterrupt:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -9,9 +9,10 @@
 import msgspec
 import yaml
 
-from standins.processes import LOOPBACK, CrashBlock, Processes
+from standins.processes import LOOPBACK, ROOT, CrashBlock, Processes
 
 KEY: Final = "key-of-w"
+MAX_FDS: Final = 1000
 MODEL: Final = "m"
 
 CONFIG: Final[dict[str, Any]] = {
@@ -93,8 +94,12 @@
         runners: int = 2,
         apps: int = 2,
         crash: CrashBlock | None = None,
+        memory_mb: int = 300,
+        product: Path = ROOT,
     ) -> None:
         super().__init__(folder)
+        self.memory_mb = memory_mb
+        self._product = product
         self._sizes = (entries, runners, apps)
         self._crash = crash
 
@@ -114,11 +119,16 @@
             lambda: all(self.lists_targets(f"e{n}", runners + apps) for n in range(1, entries + 1))
         )
 
+    @property
+    def arrival_record(self) -> Path:
+        """The file with the arrivals at all targets."""
+        return self.folder / "arrivals.jsonl"
+
     def start_target(self, name: str, service: str, model: str) -> None:
         """Start a target; each of its starts under one name has a ``born`` of its own."""
         args = ["standins.platform_runner", "--id", name, "--service", service]
         store = self.running["store"].address
-        args += ["--model", model, "--store", store]
+        args += ["--model", model, "--store", store, "--record", str(self.arrival_record)]
         args += self.target_args(name, self._crash if model else None)
         self.start_standin(name, args)
 
@@ -131,8 +141,8 @@
         """Return the path of an entry's settings."""
         return self.folder / f"{name}.yaml"
 
-    def write_settings(self, name: str) -> None:
-        """Write the settings file of an entry."""
+    def write_settings(self, name: str, **bounds: float) -> None:
+        """Write the settings file of an entry, with some bounds changed."""
         caller_port, ready_port = self.port(name), self.port(f"{name} ready")
         metrics_port, peer_port = self.port_pair(f"{name} metrics")
         settings = {
@@ -142,8 +152,8 @@
             "listen": {"front": f"{LOOPBACK}:{caller_port}", "ready": f"{LOOPBACK}:{ready_port}"},
             "port_range": [metrics_port, peer_port],
             "heartbeat_ms": 300,
-            "limits": {"memory_mb": 300, "max_fds": 1000},
-            "bounds": BOUNDS,
+            "limits": {"memory_mb": self.memory_mb, "max_fds": MAX_FDS},
+            "bounds": BOUNDS | bounds,
             "platform": {"address": self.running["store"].address},
         }
         self.settings_file(name).write_text(yaml.safe_dump(settings))
@@ -152,7 +162,8 @@
         """Start an entry with the settings file as it is."""
         caller_port, ready_port = self.port(name), self.port(f"{name} ready")
         args = ["filbertstream", "gateway", "--settings", str(self.settings_file(name))]
-        self.spawn(name, args, f"{LOOPBACK}:{caller_port}", f"{LOOPBACK}:{ready_port}")
+        address = f"{LOOPBACK}:{caller_port}"
+        self.spawn(name, args, address, f"{LOOPBACK}:{ready_port}", self._product)
 
     def put(self, kind: str, name: str, spec: Any) -> bool:
         """Write an object as an operator does."""
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -15,7 +15,9 @@
 an event, ``stall`` (counted) stops sending there, ``endless`` (counted) sends bytes without end
 there, ``crossed`` (counted) responds with another request's id, ``run_s`` makes a plain call take
 longer, ``event_s`` is the time between events, ``limit_per_s`` names that request rate in all
-responses.
+responses.  ``pause_s`` names that pause with each refusal, ``unmarked`` leaves ``Not-Executed`` out
+of refusals, ``leaving`` adds ``Server-Leaving`` to all responses.  ``Work-S`` of a request is the
+time of its run in seconds.  ``--record`` is a file that gets all arrivals (``standins.arrivals``).
 
 A prompt with the block ``--crash-block`` ends the process when its response begins, with
 ``--crash-after-head`` after the head.  ``--crash-record`` is a file that survives this: it gets a
@@ -36,6 +38,7 @@
 import msgspec
 import urllib3
 
+from standins.arrivals import ArrivalRecord, mark_run
 from standins.base import (
     DropConnection,
     Environ,
@@ -128,13 +131,13 @@
         """Serve one call; its response names the request rate, if there is a limit."""
         limit_per_s = self._faults.get("limit_per_s")
         self.arrivals.append((time.monotonic(), limit_per_s))
-        if not limit_per_s:
-            return self._respond(environ, start)
+        notices = [("Server-Limit", f"{limit_per_s}")] if limit_per_s else []
+        notices += [("Server-Leaving", "1")] if self._faults.get("leaving") else []
 
-        def start_limited(status: str, headers: list[tuple[str, str]]) -> Any:
-            return start(status, [*headers, ("Server-Limit", f"{limit_per_s}")])
+        def start_noticing(status: str, headers: list[tuple[str, str]]) -> Any:
+            return start(status, [*headers, *notices])
 
-        return self._respond(environ, start_limited)
+        return self._respond(environ, start_noticing)
 
     def _respond(self, environ: Environ, start: Start) -> Iterable[bytes]:
         path = environ["PATH_INFO"]
@@ -179,10 +182,16 @@
         refusal = self._refusal(environ)
         if refusal is not None:
             self.refused.append(request_id)
-            fields = {"Not-Executed": "1", "Instance-Id": self._options.id}
+            fields = {"Instance-Id": self._options.id}
+            if refusal != 503 or not self._faults.get("unmarked"):
+                fields["Not-Executed"] = "1"
+            if refusal == 503 and self._faults.get("pause_s"):
+                fields["Retry-After"] = f"{self._faults.get('pause_s')}"
             return reply(start, refusal, None, {"Request-Id": request_id, **fields})
         reference = _reference(body)
-        time.sleep(0.0 if self._options.model else self._faults.get("run_s"))
+        mark_run(environ)
+        run_s = float(environ.get("HTTP_WORK_S", "0")) + self._faults.get("run_s")
+        time.sleep(0.0 if self._options.model else run_s)
         with self._lock:
             self.ran.append(request_id)
             self.references[reference] += 1
@@ -221,7 +230,10 @@
         first = int(environ.get("HTTP_LAST_EVENT_ID", "0") or 0) + 1
         if self._is_deadly(environ):
             return self._crash()
-        return self._events(request_id, first, _event_data(environ, body))
+        tokens = _event_data(environ, body)
+        event_s = self._faults.get("event_s") or self._options.event_s
+        event_s = max(event_s, float(environ.get("HTTP_WORK_S", "0")) / max(1, len(tokens)))
+        return self._events(request_id, first, tokens, event_s)
 
     def _is_deadly(self, environ: Environ) -> bool:
         ids = [item.partition(":")[0] for item in environ.get("HTTP_PREFIX_HASH", "").split(",")]
@@ -239,12 +251,14 @@
         self._record("crashed")
         os._exit(CRASHED)
 
-    def _events(self, request_id: str, first: int, tokens: list[str]) -> Iterator[bytes]:
+    def _events(
+        self, request_id: str, first: int, tokens: list[str], event_s: float
+    ) -> Iterator[bytes]:
         cut, stall = self._faults.take("cut_stream"), self._faults.take("stall")
         endless = self._faults.take("endless")
         try:
             for number in range(first, len(tokens) + 1):
-                time.sleep(self._faults.get("event_s") or self._options.event_s)
+                time.sleep(event_s)
                 event = f"id: {number}\ndata: {tokens[number - 1]}\n\n".encode()
                 if cut and number == first + 2:
                     yield event[:9]
@@ -310,11 +324,13 @@
     found.add_argument("--crash-block", default="")
     found.add_argument("--crash-after-head", action="store_true")
     found.add_argument("--crash-record", default=os.devnull)
+    found.add_argument("--record", type=Path, default=Path(os.devnull))
     options = found.parse_args()
     faults = Faults()
     target = Target(options, faults)
     threading.Thread(target=target.register, daemon=True).start()
-    serve(options.listen, options.control, target, faults, target.counts)
+    record = ArrivalRecord(options.record, options.id)
+    serve(options.listen, options.control, target, faults, target.counts, record.around)
 
 
 if __name__ == "__main__":
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -142,18 +142,20 @@
             self._ports[name] = other
         return self._ports[name], self._ports[name] + 1
 
-    def spawn(self, name: str, args: list[str], address: str, control: str) -> None:
-        """Start a Python module with its command-line arguments."""
+    def spawn(
+        self, name: str, args: list[str], address: str, control: str, root: Path = ROOT
+    ) -> None:
+        """Start a Python module of a checkout with its command-line arguments."""
         self.folder.mkdir(parents=True, exist_ok=True)
         log = self.folder / f"{name}.log"
-        env = {**os.environ, "PYTHONPATH": str(ROOT)}
+        env = {**os.environ, "PYTHONPATH": str(root)}
         with log.open("ab") as sink:
             process = subprocess.Popen(
                 [sys.executable, "-m", *args],
                 stdout=sink,
                 stderr=subprocess.STDOUT,
                 env=env,
-                cwd=ROOT,
+                cwd=root,
             )
         self.running[name] = Running(process, address, control, log)
 
