--- a/bench/gateway_callers.py
+++ b/bench/gateway_callers.py
@@ -11,7 +11,7 @@
 
 from bench.gateway_records import Request
 from standins.platform_fleet import KEY, MODEL
-from standins.platform_runner import response_tokens
+from standins.platform_runner import CRASH_COMMENT, response_tokens
 
 TOKENS: Final = 8
 CONNECT_S: Final = 1.0
@@ -219,5 +219,6 @@
         return request._replace(matches=found == expected or not request.whole)
     tokens = enumerate(response_tokens(request.request_id, TOKENS), 1)
     stream = b"".join(f"id: {number}\ndata: {text}\n\n".encode() for number, text in tokens)
+    body = body.replace(CRASH_COMMENT, b"")
     matches = body == stream if request.whole else stream.startswith(body)
     return request._replace(matches=matches)
--- a/bench/gateway_soak.py
+++ b/bench/gateway_soak.py
@@ -25,7 +25,7 @@
 from bench.gateway_callers import Callers
 from bench.gateway_records import Exit, Observed, Route, Sample
 from bench.gateway_rules import RULES, broken
-from bench.gateway_soak_faults import FAULTS, World, restart_target
+from bench.gateway_soak_faults import DRAWN, FAULTS, World, restart_target
 from standins.arrivals import read_arrivals
 from standins.platform_fleet import BOUNDS, MAX_FDS, ROUTES, PlatformFleet
 from standins.processes import ROOT, CrashBlock
@@ -37,7 +37,7 @@
 CALLERS: Final = 24
 MEMORY_MB: Final = 150
 CALM_S: Final = 1.5
-MAX_FAULTS: Final = 4
+MAX_FAULTS: Final = 5
 SAMPLE_S: Final = 0.25
 CRASH_BLOCK: Final = "dead"
 SHOWN: Final = 8
@@ -72,7 +72,7 @@
         end_s, active = monotonic() + seconds - CALM_S, set[asyncio.Task[None]]()
         while monotonic() < end_s:
             if len(active) < MAX_FAULTS:
-                name = self._first or self.world.rng.choice(sorted(FAULTS))
+                name = self._first or self.world.rng.choice(DRAWN)
                 self._first = ""
                 self.counts[f"fault: {name}"] += 1
                 active.add(asyncio.create_task(_awaited(FAULTS[name](self.world))))
--- a/bench/gateway_soak_faults.py
+++ b/bench/gateway_soak_faults.py
@@ -109,11 +109,16 @@
 FAULTS: Final[dict[str, Fault]] = {}
 
 
-def fault(name: str) -> Callable[[Fault], Fault]:
+DRAWN: Final[list[str]] = []
+"""The names of faults, each as often as its share among those that are drawn."""
+
+
+def fault(name: str, share: int = 1) -> Callable[[Fault], Fault]:
     """Register a fault."""
 
     def register(function: Fault) -> Fault:
         FAULTS[name] = function
+        DRAWN.extend([name] * share)
         return function
 
     return register
@@ -122,7 +127,7 @@
 SIGNALS: Final = (("TERM",), ("TERM",), ("HUP", "TERM"), ("TERM", "TERM"), ("TERM", "CONT"))
 
 
-@fault("entry stopped")
+@fault("entry stopped", share=3)
 async def _stop(world: World) -> None:
     with world.taken("e") as entry:
         if entry is None:
@@ -147,7 +152,7 @@
         await world.pause(0.0, 0.5)
 
 
-@fault("entry killed")
+@fault("entry killed", share=2)
 async def _kill(world: World) -> None:
     with world.taken("e") as entry:
         for _ in range(world.rng.randint(1, 3) if entry else 0):
@@ -214,7 +219,7 @@
 )
 
 
-@fault("target in trouble")
+@fault("target in trouble", share=5)
 async def _target(world: World) -> None:
     with world.taken("ra") as target:
         if target is None:
@@ -243,7 +248,7 @@
                 await world.pause(0.5, 1.0)
 
 
-@fault("target leaves")
+@fault("target leaves", share=2)
 async def _leave(world: World) -> None:
     """The target says so in its answers, serves on for a while, ends and comes back."""
     with world.taken("ra") as target:
--- a/standins/arrivals.py
+++ b/standins/arrivals.py
@@ -1,7 +1,7 @@
 """The record of what arrived at a target: a file of JSON lines that outlasts the process.
 
-A request gets a line on its arrival, when its run begins, when its answer begins, and when that ends
-or the connection is dropped.  Times are of ``time.monotonic``, the same in all processes.
+A request gets a line on its arrival, when its run begins, when its answer begins, and when that
+ends or the connection is dropped.  Times are of ``time.monotonic``, the same in all processes.
 """
 
 import itertools
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -61,6 +61,8 @@
 ENDLESS: Final = b"x" * 65_536
 CRASHED: Final = 70
 HEAD_TO_CRASH_S: Final = 0.05
+CRASH_COMMENT: Final = b": ok\n\n"
+"""Sent before a crash, so that the head of the response is sent too."""
 
 
 def _reference(body: bytes) -> str:
@@ -246,7 +248,7 @@
     def _crash(self) -> Iterator[bytes]:
         """End the process, possibly after a comment that makes the server send the head."""
         if self._options.crash_after_head:
-            yield b": ok\n\n"
+            yield CRASH_COMMENT
             time.sleep(HEAD_TO_CRASH_S)
         self._record("crashed")
         os._exit(CRASHED)
