Signal entries while they start, in the gateway's soak

SIGHUP and SIGTERM 0.15 to 1 s after the start of a process, before which the interpreter itself starts.

--- a/bench/gateway_soak_faults.py
+++ b/bench/gateway_soak_faults.py
@@ -17,6 +17,9 @@
 
 START_S: Final = 20.0
 POLL_S: Final = 0.02
+EARLY_S: Final = (0.15, 1.0)
+"""Before, the interpreter itself is starting, and a signal has the effect that it has there."""
+
 ON: Final = 1e9
 CRASHING_SHARE: Final = 0.3
 
@@ -90,18 +93,22 @@
         self.exits.append(Exit(entry, code, tuple(self.signals[process.pid]), in_grace))
         await self.start(entry)
 
-    async def start(self, entry: str) -> None:
-        """Start an entry and wait until it is ready."""
+    async def start(self, entry: str, early: str = "") -> None:
+        """Start an entry and wait until it is ready; ``early`` is a signal while it starts."""
         with self.span(entry, "START"):
             self.fleet.start_entry(entry)
             process = self.fleet.running[entry].process
             end_s = monotonic() + START_S
+            if early:
+                await self.pause(*EARLY_S)
+                self.signal(entry, early)
             while monotonic() < end_s and process.poll() is None:
                 with contextlib.suppress(urllib3.exceptions.HTTPError):
                     if await asyncio.to_thread(self.fleet.ready, entry):
                         return
                 await asyncio.sleep(POLL_S)
-        self.late_starts.append(f"{entry}: not ready, exit code {process.poll()}")
+        if early != "TERM":
+            self.late_starts.append(f"{entry}: not ready, exit code {process.poll()}")
 
 
 Fault = Callable[[World], Awaitable[None]]
@@ -164,6 +171,19 @@
             await world.pause(0.0, 1.0)
 
 
+@fault("entry signalled while it starts")
+async def _signal_early(world: World) -> None:
+    with world.taken("e") as entry:
+        if entry is not None:
+            with world.span(entry, "KILL"):
+                world.signal(entry, "KILL")
+                world.fleet.running[entry].process.wait()
+            what = world.rng.choice(("HUP", "TERM"))
+            await world.start(entry, early=what)
+            if what == "TERM":
+                await world.stop(entry)
+
+
 @fault("entry paused")
 async def _freeze(world: World) -> None:
     with world.taken("e") as entry:
