--- a/bench/gateway_soak.py
+++ b/bench/gateway_soak.py
@@ -75,7 +75,8 @@
                 name = self._first or self.world.rng.choice(DRAWN)
                 self._first = ""
                 self.counts[f"fault: {name}"] += 1
-                active.add(asyncio.create_task(_awaited(FAULTS[name](self.world))))
+                drawing = self.world.drawing_from(random.Random(self.world.rng.random()))
+                active.add(asyncio.create_task(_awaited(FAULTS[name](drawing))))
             await self.world.pause(0.1, 0.9)
             for done in [task for task in active if task.done()]:
                 active.remove(done)
--- a/bench/gateway_soak_faults.py
+++ b/bench/gateway_soak_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 import random
 import signal
 from collections import defaultdict
@@ -35,9 +36,15 @@
         self.exits: list[Exit] = []
         self.late_starts: list[str] = []
         self.signals: dict[int, list[str]] = defaultdict(list)
-        self.config_version = int(CONFIG["version"])
+        self.config_versions = [int(CONFIG["version"])]
         self.in_use: set[str] = set()
 
+    def drawing_from(self, rng: random.Random) -> "World":
+        """Return the same world with draws of its own, whatever other faults draw meanwhile."""
+        world = copy.copy(self)
+        world.rng = rng
+        return world
+
     def names(self, prefix: str) -> list[str]:
         """Return the names of processes of a kind: ``e`` entries, ``r`` runners, ``a`` apps."""
         return [name for name in self.fleet.running if name[0] in prefix and name != "store"]
@@ -197,9 +204,10 @@
 @fault("configurations")
 async def _configure(world: World) -> None:
     for _ in range(world.rng.randint(1, 3)):
-        world.config_version += world.rng.randint(1, 5)
-        added = route(f"n{world.config_version}", "idempotent", "app")
-        config = {**CONFIG, "version": world.config_version, "routes": [*ROUTES, added]}
+        version = world.config_versions[-1] + world.rng.randint(1, 5)
+        world.config_versions.append(version)
+        added = route(f"n{version}", "idempotent", "app")
+        config = {**CONFIG, "version": version, "routes": [*ROUTES, added]}
         with world.span("config", "CONFIG"), contextlib.suppress(urllib3.exceptions.HTTPError):
             await asyncio.to_thread(world.fleet.put_config, config)
         await world.pause(0.0, 0.6)
