Go on while no descriptor is left for a connection to a peer

Seen: of three entries with 64 descriptors each, all taken by callers' connections, two ended by themselves with a traceback (ZMQError: Too many open files) once a fourth entry had started: each opens a connection to the new peer.

Cause: the error of creating a socket was not caught; only that of connecting it was.

Change: a peer to which no socket can be created gets no messages (counted as unsent), like one that can't be connected to; later messages try again.

Evidence: the test in tests/test_peer_link.py sends without descriptors; it failed before.

--- a/filbertstream/connection/peer_link.py
+++ b/filbertstream/connection/peer_link.py
@@ -110,7 +110,7 @@
     def _send(self, action: SendPeer) -> None:
         """Send without blocking; called only on the thread that owns the sockets.
 
-        A peer with an address that can't be connected to gets no messages.
+        A peer to which no connection can be opened gets no messages.
         """
         socket = self._push.get(action.address) or self._connect(action.address)
         if socket is None:
@@ -143,7 +143,11 @@
     def _connect(self, address: str) -> "zmq.Socket[bytes] | None":
         while len(self._push) >= MAX_OPEN_PEERS:
             self._drop(next(iter(self._push)))
-        socket = self._context.socket(zmq.PUSH)
+        try:
+            socket = self._context.socket(zmq.PUSH)
+        except zmq.ZMQError:
+            # The process has all its descriptors open.
+            return None
         self._configure(socket)
         if self._secret is not None and self._public is not None:
             socket.curve_secretkey = self._secret
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import resource
 import socket
 import threading
 import time
@@ -102,3 +103,19 @@
     sender.close()
     peer.close()
     assert hosts[1].received
+
+
+def test_message_is_unsent_while_no_descriptor_is_left() -> None:
+    """The first message to a peer while the process has all its descriptors open ends it."""
+    host, counters = Host(), Counters()
+    link = PeerLink(f"tcp://{LOOPBACK}:{free_port()}", None, counters, host)
+    link.start()
+    message = SendPeer(f"tcp://{LOOPBACK}:{free_port()}", EntryWork("entry-1", ()))
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (0, limits[1]))
+    try:
+        host.send(message)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        link.close()
+    assert counters.get("peer_messages", "unsent") == 1
