End operators' requests within the grace of a stop

Seen: `filbertstream entry` with a grace of 4 s and half a request at its operators' port ended 8.3 s after SIGTERM, two of two: the platform would have killed it.

Cause: the operators' listener lets requests finish for 5 s, however little time is left.

Change: it waits for what is left of the grace at most, at least 0.1 s.

Open: operators' requests that wait for a silent object store still end the process 4.35 s after SIGTERM, as before (4.34), since cheroot joins their threads.

Evidence: the test in tests/test_stopping.py fails with the time of before.

--- a/filbertstream/connection/listener.py
+++ b/filbertstream/connection/listener.py
@@ -55,7 +55,6 @@
             max=threads,
             request_queue_size=BACKLOG,
             timeout=SOCKET_TIMEOUT_S,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
             server_name="filbertstream",
         )
         server.max_request_header_size = HEADER_LIMIT_BYTES
@@ -74,9 +73,10 @@
         self._server.prepare()
         self._thread.start()
 
-    def close(self) -> None:
-        """Stop accepting, let running requests finish for a limited time, and close."""
+    def close(self, within_s: float = SHUTDOWN_TIMEOUT_S) -> None:
+        """Stop accepting, let running requests finish for ``within_s`` at most, and close."""
         if self._thread.ident is not None:
+            self._server.shutdown_timeout = min(within_s, SHUTDOWN_TIMEOUT_S)
             self._server.stop()
             self._thread.join()
 
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -70,6 +70,10 @@
 """The wait of watches soon after a restore, when the first confirmations that count are awaited."""
 
 CALL_THREADS: Final = 4
+
+MIN_CLOSE_S: Final = 0.1
+"""Operators' requests may go on for this long at the end of the grace."""
+
 MAX_INLINE_DECODE_BYTES: Final = 65_536
 """Objects up to this size are decoded on the event loop, which takes a few milliseconds."""
 
@@ -197,7 +201,7 @@
             if self._peers is not None:
                 cleanup.callback(self._peers.close)
             if self._product is not None:
-                cleanup.callback(self._product.close)
+                cleanup.callback(self._close_product, self._product)
             try:
                 if await self._listen_all():
                     await self._serve()
@@ -221,6 +225,10 @@
         for watcher in watchers:
             watcher.stop(block=False)
 
+    def _close_product(self, product: "Product") -> None:
+        left_s = self.core.stopping.exits_at_s - boot_time_s()
+        product.close(max(left_s, MIN_CLOSE_S))
+
     def _close_callers(self) -> None:
         for server in self._servers:
             server.close()
--- a/filbertstream/product.py
+++ b/filbertstream/product.py
@@ -127,9 +127,9 @@
         self._apply_authority()
         self._operators.start()
 
-    def close(self) -> None:
-        """Stop listening for operators."""
-        self._operators.close()
+    def close(self, within_s: float) -> None:
+        """Stop listening for operators; their requests end within ``within_s``."""
+        self._operators.close(within_s)
 
     def _apply_authority(self) -> None:
         self._gateway_io.pool.tls = None if self._authority is None else self._authority.context
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -4,8 +4,10 @@
 runs it and its caller gets no answer; and a process that goes on when it should have ended.
 """
 
+import socket
 import subprocess
 import sys
+import time
 from typing import Any
 
 import pytest
@@ -13,10 +15,11 @@
 from hypothesis import strategies as st
 
 from filbertstream.cli import EXIT_INVARIANT
+from filbertstream.connection.listener import SHUTDOWN_TIMEOUT_S, Listener
 from filbertstream.gateway_events import BoundsChanged, StopRequested, Tick
 from filbertstream.process.stopping import EXIT_MARGIN_S, NOTICED_S, RESPONSE_MARGIN_S
 from filbertstream.request.call_events import AbortResponse, RespondLocally, ResponseStarted
-from standins.processes import ROOT
+from standins.processes import LOOPBACK, ROOT, free_port
 from tests.gateway_world import BOUNDS, World, response_head, sends, statuses
 
 TICK_S = 0.025
@@ -112,3 +115,16 @@
     script = UNANSWERED_CALL.format(succeeded=succeeded)
     ended = subprocess.run([sys.executable, "-c", script], cwd=ROOT, timeout=20.0, check=False)
     assert ended.returncode == code
+
+
+def test_half_request_of_an_operator_does_not_delay_the_end() -> None:
+    """The listener waits for the rest of a request until the process is killed."""
+    port = free_port()
+    listener = Listener(LOOPBACK, port, lambda environ, start: [], 2, 1_000, None)
+    listener.start()
+    with socket.create_connection((LOOPBACK, port)) as operator:
+        operator.sendall(b"GET /v1")
+        time.sleep(0.2)
+        began_s = time.monotonic()
+        listener.close(0.1)
+    assert time.monotonic() - began_s < SHUTDOWN_TIMEOUT_S - 1.0
