Run the gateway's soak with the tests that need the clock of the machine

It ran beside seven other shards in the first run of the merged tests, since the shards know files with a clock by their imports, and this one imports bench.gateway_soak only.

--- a/bench/shards.py
+++ b/bench/shards.py
@@ -27,7 +27,7 @@
 
 MACHINE: Final = re.compile(
     r"^(?:from|import) "
-    r"(?:asyncio|http|signal|socket|standins|subprocess|threading|time|bench\.soak)\b",
+    r"(?:asyncio|http|signal|socket|standins|subprocess|threading|time|bench\.(?:gateway_)?soak)\b",
     re.MULTILINE,
 )
 """Imports of a test file that works with sockets, processes or the clock of the machine."""
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -20,6 +20,7 @@
         ("from socket import SOL_SOCKET", True),
         ("from standins.processes import free_port", True),
         ("from bench.soak import play", True),
+        ("from bench.gateway_soak import play", True),
         ("from bench.world import World", False),
     ],
 )
