Write a key's record again over a claim that is withdrawn after a restore

Cause (traced on a scratch copy, one of two): an entry had the outcome of the key and was to write it again. A retry of the booking claimed the key 41 ms after the restore was known, as the restored store lacked the record; the claim was then refused, as the recovery wasn't complete. The rewrite met that claim, took the key as claimed by another call and counted as done; the withdrawn claim became "free". The next entry claimed the key 1.2 s later and ran the booking.

Change: a claim of another call is replaced by the record. The revision decides: the withdrawn claim's "free" then finds another record and is dropped.

Figures: tests/test_keys_machine.py fails before.

--- a/filbertstream/request/key_writes.py
+++ b/filbertstream/request/key_writes.py
@@ -127,7 +127,11 @@
 
 
 def rewrite_steps(rewrite: RewriteKey) -> RewriteSteps:
-    """Write a record again unless the object store has it, or another call has claimed the key."""
+    """Write a record again unless the object store has it, or the outcome of another call.
+
+    A claim of another call is replaced: it was made because this record was missing, and is
+    withdrawn, which would leave the key free.
+    """
     record = rewrite.record
     call = KeyCall(KeyAction.CREATE, rewrite.name, record)
     lacked = False
@@ -145,7 +149,8 @@
         if present.call == record.call:
             is_current = present == record or present.state is not KeyState.RUNNING
         else:
-            is_current = present.state is not KeyState.FREE
+            withdrawn = (KeyState.FREE, KeyState.RUNNING)
+            is_current = present.state not in withdrawn or record.state is KeyState.FREE
         if is_current:
             return KeyRewritten(rewrite.name, True, lacked)
         call = KeyCall(KeyAction.REPLACE, rewrite.name, record, response.revision)
--- a/tests/test_keys_machine.py
+++ b/tests/test_keys_machine.py
@@ -24,6 +24,7 @@
     KeyState,
     SettleKey,
 )
+from filbertstream.request.key_journal import RewriteKey
 from filbertstream.request.key_writes import (
     ClaimSteps,
     KeyAction,
@@ -32,6 +33,7 @@
     KeyResponse,
     SettleSteps,
     claim_steps,
+    rewrite_steps,
     settle_steps,
 )
 from filbertstream.version.routes import Backend, CallKind, Route, Service
@@ -220,3 +222,13 @@
 
 TestKeys = KeysMachine.TestCase
 TestKeys.settings = settings(max_examples=250)
+
+
+def test_withdrawn_claim_replaces_the_record_that_a_restored_store_lacks() -> None:
+    """A call claims its key after a restore, before the outcome of an earlier call is back."""
+    kept = KeyRecord(KeyState.STORED, "earlier", "body", "e1", 1)
+    claim = KeyRecord(KeyState.RUNNING, "withdrawn", "body", "e1", 1)
+    steps = rewrite_steps(RewriteKey("k", kept))
+    assert next(steps) == KeyCall(KeyAction.CREATE, "k", kept)
+    call = steps.send(KeyResponse(KeyOutcome.CONFLICT, claim, rev(2)))
+    assert call == KeyCall(KeyAction.REPLACE, "k", kept, rev(2))
