--- a/bench/gateway_rules.py
+++ b/bench/gateway_rules.py
@@ -23,6 +23,9 @@
 CRASHES: Final = 5
 THREADS_GROWN: Final = 16
 
+RESTARTED: Final = frozenset(("START", "KILL", "STOP"))
+"""What excuses an entry from what it was told before; a stopping one is still bound."""
+
 UNPLANNED: Final = frozenset(("KILL", "STOP"))
 PROMISES: Final = (408, 421, 429, 503)
 
@@ -136,7 +139,7 @@
             if send.status != 503 or send.pause_s is None or send.ended_s is None:
                 continue
             from_s, to_s = send.ended_s + SLACK_S, send.ended_s + send.pause_s
-            if not seen.happened(entry, OUT_OF_TOUCH, send.at_s, to_s):
+            if not seen.happened(entry, RESTARTED, send.at_s, to_s):
                 worst = max(worst, sum(from_s < other.at_s < to_s for other in sends))
         if worst > 2:
             yield f"{entry} sent {worst} to {target} in a pause"
@@ -175,7 +178,7 @@
         for arrival in arrivals:
             for at_s in told_s.get((request.entry, arrival.target, arrival.start), []):
                 late = request.begun_s > at_s + DRAIN_S
-                if late and not seen.happened(request.entry, OUT_OF_TOUCH, at_s, arrival.at_s):
+                if late and not seen.happened(request.entry, RESTARTED, at_s, arrival.at_s):
                     yield f"{request_id}: {request.entry} to {arrival.target}, which leaves"
                     break
 
