Let a response speak only for targets at the address that was called

Cause: the id in a response was looked up among all registered targets, since an address may belong to another target by now; the address of that one was not compared.

Change: it counts only if it is registered at the address that was called. The test of a reused address registers the other target there, as it is in that case; before, its two targets had different addresses.

--- a/filbertstream/request/target_feedback.py
+++ b/filbertstream/request/target_feedback.py
@@ -44,7 +44,7 @@
         """
         if head.target_id not in ("", target.target_id):
             other = self._deps.roster.targets.get(head.target_id)
-            if other is None:
+            if other is None or other.registration.address != target.registration.address:
                 return []
             target = other
         logs = self._deps.roster.notices.note(target.start, head.notice, now_s)
--- a/tests/test_rate_admission.py
+++ b/tests/test_rate_admission.py
@@ -20,7 +20,7 @@
 from filbertstream.process.rate_shares import SETTLE_S
 from filbertstream.process.request_rates import ENDED_KEPT_S, MAX_ROWS, RequestRates
 from filbertstream.process.target_registration import TargetStart
-from filbertstream.request.call import RequestRate
+from filbertstream.request.call import RequestRate, TargetNotice
 from filbertstream.request.call_events import (
     RespondLocally,
     ResponseComplete,
@@ -30,7 +30,15 @@
 )
 from filbertstream.request.load_shedding import RETRY_MAX_S, RETRY_MIN_S
 from filbertstream.version.rollout import OrderResponse, ReportReceived
-from tests.gateway_world import RUNNERS, World, configuration, response_head, sends, statuses
+from tests.gateway_world import (
+    RUNNERS,
+    World,
+    configuration,
+    entry,
+    response_head,
+    sends,
+    statuses,
+)
 from tests.helpers import rev
 
 START = TargetStart("t", 1)
@@ -173,10 +181,23 @@
     """The address of a target that left belongs to another one by now."""
     world = LimitedWorld()
     (send,) = sends(world.arrive("read"))
-    other = "a2" if send.target_id == "a1" else "a1"
-    world.respond(send, 2.0, status=421, not_run=True, target_id=other)
+    other = entry("a2" if send.target_id == "a1" else "a1", "app", address=send.address)
+    world.step(TargetObserved(other.target_id, other, False))
+    world.respond(send, 2.0, status=421, not_run=True, target_id=other.target_id)
     limited = {start.target_id for start in world.core.request_rates.limited()}
-    assert limited == {other}
+    assert limited == {other.target_id}
+
+
+# A target could limit, pause or retire any other one by naming it in its responses.
+def test_response_that_names_a_target_at_another_address_says_nothing() -> None:
+    world = LimitedWorld()
+    (send,) = sends(world.arrive("read"))
+    other = "a2" if send.target_id == "a1" else "a1"
+    notice = TargetNotice(pause_s=99.0, leaving=True)
+    world.respond(send, 2.0, status=503, not_run=True, target_id=other, notice=notice)
+    assert not world.core.request_rates.limited()
+    roster = world.core.roster
+    assert roster.notices.admits(roster.targets[other].start, world.now_s)
 
 
 @pytest.mark.parametrize("status", [200, 500, 503])
