Answer what arrives behind a stream whose head has announced the close

Cause: the head of a stream that announces the close decided it for good; what was queued behind was dropped.

Change: the close is decided after the response, by what has arrived until then, whatever its head announced. A caller that asked for the close itself gets it as before.

Evidence: tests/test_caller_connections.py; the new test failed before.

--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -102,6 +102,7 @@
         self._head_done = False
         self._expects_continue = False
         self._close_after = False
+        self._close_announced = False
         self._rejection: tuple[int, str] | None = None
         self._lingering = False
         self._timer: asyncio.TimerHandle | None = None
@@ -310,12 +311,14 @@
     def _closes_next(self) -> bool:
         """Whether the connection is to be closed and no request waits or arrives."""
         more = self._queued or self._in_request or self._rejection is not None
-        return self._app.closing and not more
+        return (self._app.closing or self._close_announced) and not more
 
     def _end_of_head(self) -> bytes:
-        if self._closes_next:
-            self._close_after = True
-        return b"\r\nConnection: close\r\n\r\n" if self._close_after else b"\r\n\r\n"
+        if not self._close_after and not self._closes_next:
+            return b"\r\n\r\n"
+        # What arrives behind a long response all the same is answered before the close.
+        self._close_announced = True
+        return b"\r\nConnection: close\r\n\r\n"
 
     def send_response(self, head: bytes, body: bytes) -> None:
         """Send a complete response."""
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -111,6 +111,25 @@
     assert received.count(b"200 OK") == 2
 
 
+def test_request_behind_a_stream_that_announced_the_close_gets_its_response() -> None:
+    """A booking arrives while a stopping entry sends the rest of a stream on its connection."""
+
+    async def play() -> bytes:
+        app = App()
+        app.closing = True
+        caller = await connect(app)
+        await caller.send(request("1/later"))
+        await until(lambda: bool(app.paths))
+        app.connections[0].begin(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked")
+        await caller.receive(b"Connection: close")
+        await caller.send(request("2"))
+        await asyncio.sleep(0.05)
+        app.connections[0].end()
+        return await asyncio.wait_for(caller.receive(), 5.0)
+
+    assert b"200 OK" in asyncio.run(play())
+
+
 def test_request_that_arrives_behind_another_has_a_time_limit_too() -> None:
     """Half a head arrives behind a request, and its rest never does."""
 
