Read on from a connection only when its pipelined requests are below the limit

Cause: reading resumed with every response while the queue was at or above the limit.

Change: it resumes when the queue falls below the limit.

Evidence: tests/test_caller_connections.py; the new test failed before.

--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -275,12 +275,12 @@
             else:
                 self._set_timer(self._app.limits.idle_timeout_s, self._on_idle_timeout)
             return
-        if len(self._queued) >= PIPELINE_LIMIT and self.transport is not None:
-            self.transport.resume_reading()
         if self._timer is not None:
             self._timer.cancel()
         self.busy = True
         raw, self.began_s = self._queued.popleft()
+        if len(self._queued) == PIPELINE_LIMIT - 1 and self.transport is not None:
+            self.transport.resume_reading()
         self._close_after = self._close_after or raw.last
         self._app.on_request(self, raw)
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -8,7 +8,11 @@
 
 import pytest
 
-from filbertstream.connection.caller_connection import CallerConnection, RawRequest
+from filbertstream.connection.caller_connection import (
+    PIPELINE_LIMIT,
+    CallerConnection,
+    RawRequest,
+)
 from filbertstream.version.routes import CallerLimits
 
 OK: Final = b"HTTP/1.1 200 OK\r\nContent-Length: 2"
@@ -130,6 +134,27 @@
     assert b"200 OK" in asyncio.run(play())
 
 
+def test_pipelined_requests_are_not_read_without_a_limit() -> None:
+    """A caller sends many small requests on one connection; each response let more of them in."""
+
+    async def play() -> tuple[int, int]:
+        app = App()
+        caller = await connect(app)
+        sending = asyncio.create_task(caller.send(request("1/later", b"") * 40_000))
+        await until(lambda: bool(app.paths))
+        await asyncio.sleep(0.1)
+        (conn,) = app.connections
+        first = len(conn._queued)
+        for _ in range(PIPELINE_LIMIT):
+            conn.send_response(OK, b"ok")
+            await asyncio.sleep(0.001)
+        sending.cancel()
+        return first, len(conn._queued)
+
+    first, later = asyncio.run(play())
+    assert PIPELINE_LIMIT < later < first
+
+
 def test_request_that_arrives_behind_another_has_a_time_limit_too() -> None:
     """Half a head arrives behind a request, and its rest never does."""
 
