Go on with a connection after a request that lacks a header

What callers saw (found by the review): a request without Request-Id and two bookings in one packet: 400, and neither booking was answered; with a long body behind, the 400 was lost in a reset.

Cause: the refusal closed the connection past its queue. Its framing is sound, so nothing asks for that.

Change: the connection goes on. Where the framing is not sound, the request is rejected before it gets there, now for repeated Content-Length and Transfer-Encoding fields too.

Evidence: tests/test_gateway_processes.py, over a real process; the new test failed before.

--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -38,6 +38,9 @@
 BODY_TIMEOUT_S: Final = 15.0
 """A body must be complete this long after its head.  Callers announce shorter deadlines."""
 
+FRAMING_HEADERS: Final = (b"content-length", b"transfer-encoding")
+"""Of these, a request may have one, and only once: its end would be ambiguous."""
+
 LINGER_S: Final = 1.0
 """After the last response, what the caller still sends is read and dropped for this long."""
 
@@ -219,8 +222,8 @@
                 FIELDS_TOO_LARGE,
                 f"request head of {size} bytes exceeds {self._app.limits.header_bytes} bytes",
             )
-        elif b"content-length" in names and b"transfer-encoding" in names:
-            self._reject(BAD_REQUEST, "both Content-Length and Transfer-Encoding are present")
+        elif sum(name in FRAMING_HEADERS for name in names) > 1:
+            self._reject(BAD_REQUEST, "more than one Content-Length or Transfer-Encoding")
         else:
             self._after_head(dict(self._headers))
 
--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -164,7 +164,6 @@
                 self.on_rejected(BAD_REQUEST, detail)
                 refusal = RespondLocally(0, BAD_REQUEST, "malformed", detail, None)
                 conn.send_response(*PASS_THROUGH.refusal("", refusal))
-                conn.close()
             case Ok(head):
                 self.start_call(conn, raw, head, PASS_THROUGH)
 
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -93,6 +93,15 @@
     return received
 
 
+def test_request_behind_one_without_an_id_gets_its_response(fleet: PlatformFleet) -> None:
+    """A request that lacks a header and a booking arrive together, as from a proxy."""
+    fields = f"Host: h.example\r\nX-Api-Key: {KEY}\r\nContent-Length: 2"
+    lacking = f"POST /book/x HTTP/1.1\r\n{fields}\r\n\r\n{{}}"
+    booking = f"POST /book/x HTTP/1.1\r\nConnection: close\r\nRequest-Id: behind\r\n{fields}"
+    received = send_raw(fleet, f"{lacking}{booking}\r\n\r\n{{}}".encode())
+    assert [part[:3] for part in received.split(b"HTTP/1.1 ")] == [b"", b"400", b"200"]
+
+
 def test_response_is_complete_and_signed_and_targets_get_no_api_key(fleet: PlatformFleet) -> None:
     """A body of several packets goes to a target and its response comes back."""
     response = call(fleet, "read", body=b"y" * 5000)
