Send nothing to peers once their link is being closed

Seen (by the review, with a delay put into the cleanup): a planned stop ended with 70, twice of twice: a message of a peer that arrived meanwhile was answered on a closed socket. Without the delay it did not show in six stops.

Cause: events that arrive during the cleanup are still handled, and their actions carried out.

Change: the link sends nothing once its close has begun. There is no test of its own; tests/test_peer_link.py passes.

--- a/filbertstream/connection/peer_link.py
+++ b/filbertstream/connection/peer_link.py
@@ -112,6 +112,9 @@
 
         A peer to which no connection can be opened gets no messages.
         """
+        if self._stop.is_set():
+            # Events that arrive during the cleanup still have actions.
+            return
         socket = self._push.get(action.address) or self._connect(action.address)
         if socket is None:
             self._counters.add("peer_messages", "unsent")
