--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -296,6 +296,8 @@
   Objects of keys are never removed today: stored responses need an expiry.
 - **Quarantined blocks** are told again every two seconds, up to 64 of them. Change: tell those that
   are in the object store less often; and search for a verdict at intervals, not at each tick.
+- **Pauses and leaving targets** are known to the entry alone that was told: a time for each target
+  that said so, no message. With 1,300 entries each learns a pause by a request of its own.
 """
 
 
