--- a/bench/gateway_soak_faults.py
+++ b/bench/gateway_soak_faults.py
@@ -77,6 +77,12 @@
             self.signals[process.pid].append(what)
             process.send_signal(getattr(signal, f"SIG{what}"))
 
+    def kill(self, entry: str) -> None:
+        """Kill an entry and wait for its end."""
+        with self.span(entry, "KILL"):
+            self.signal(entry, "KILL")
+            self.fleet.running[entry].process.wait()
+
     async def set_faults(self, name: str, **values: float) -> None:
         """Set faults of a stand-in, if it responds."""
         with contextlib.suppress(urllib3.exceptions.HTTPError):
@@ -171,9 +177,7 @@
     with world.taken("e") as entry:
         for _ in range(world.rng.randint(1, 3) if entry else 0):
             assert entry is not None
-            with world.span(entry, "KILL"):
-                world.signal(entry, "KILL")
-                world.fleet.running[entry].process.wait()
+            world.kill(entry)
             await world.start(entry)
             await world.pause(0.0, 1.0)
 
@@ -182,9 +186,7 @@
 async def _signal_early(world: World) -> None:
     with world.taken("e") as entry:
         if entry is not None:
-            with world.span(entry, "KILL"):
-                world.signal(entry, "KILL")
-                world.fleet.running[entry].process.wait()
+            world.kill(entry)
             what = world.rng.choice(("HUP", "TERM"))
             await world.start(entry, early=what)
             if what == "TERM":
