Take a stream for broken off whose target crashed before its end was sent

Trace: a prompt crashed its target, r1, at 3186.1198 s (crashes.txt, arrived 0.2 ms before), 1.2 ms after r1 had recorded the end of the stream (3186.1187 s, arrivals.jsonl) and before the bytes were sent: the process ends with os._exit. e7 saw the connection end (attempt_failed cut, begun), placed the rest on r2, which could not be reached, since r2 and r3 had crashed at 3186.02 and 3186.10 s; no runner was left, and the stream was cut.

Change: the check takes an answer for broken off if a prompt crashes the same process up to 0.05 s after its recorded end. Any other crash excuses nothing; a row of the table shows both sides.

--- a/bench/gateway_records.py
+++ b/bench/gateway_records.py
@@ -8,6 +8,8 @@
 
 CONTACT_S: Final = 3.0
 GRACE_S: Final = 8.0
+SEND_S: Final = 0.05
+"""Time between the end of an answer as its target records it and that of its sending."""
 
 OUT_OF_TOUCH: Final = frozenset(("START", "TERM", "KILL", "STOP"))
 """What the soak does to a process that ends its being in touch."""
@@ -117,12 +119,23 @@
         return (
             arrival.ended_s is None
             or (arrival.cut and arrival.status is None)
+            or self._crashed_at_end(arrival, end_s)
             or any(
                 span.who == arrival.target and span.from_s <= end_s and span.to_s >= arrival.at_s
                 for span in self.spans
             )
         )
 
+    def _crashed_at_end(self, arrival: Arrival, end_s: float) -> bool:
+        """Whether a prompt crashed the process of a target before an answer's end was sent."""
+        return any(
+            (other.target, other.start) == (arrival.target, arrival.start)
+            and other.ended_s is None
+            and self.crash_block in [item.partition(":")[0] for item in other.blocks.split(",")]
+            and arrival.at_s <= other.at_s <= end_s + SEND_S
+            for other in (self.arrivals if self.crash_block else ())
+        )
+
     def ended(self, arrival: Arrival) -> bool:
         """Whether a target ended soon after a request arrived, whose limit is no longer."""
         until_s = arrival.at_s + self.requests[arrival.request_id].deadline_s
--- a/tests/test_gateway_rules.py
+++ b/tests/test_gateway_rules.py
@@ -42,6 +42,7 @@
 PAUSE = [{"status": 503, "pause_s": 3.0, "ran_s": None, "ended_s": 20.1, "at_s": 20.1}]
 IN_PAUSE = [*PAUSE, *({"at_s": 21.0 + n} for n in (0.0, 0.1, 0.2))]
 LEAVES = [arrival(leaving=True), arrival(2, at_s=23.0)]
+CRASHES: dict[str, Any] = {"blocks": "x:1", "ended_s": None}
 CRASHES_S = [1.0, 2.0, 3.0, 4.0, 5.0]
 LONG = [{"deadline_ms": 4600}]
 AGAIN_LATE = [{}, {"at_s": 20.9, "deadline_ms": 3900, "target": "a2"}]
@@ -101,6 +102,11 @@
         seen_of(1, CUT, [{}], Span("store", "DOWN", 19.0, 21.0)),
         seen_of(1, CUT, [{}], Span("e1", "KILL", 20.3, 20.4)),
     ),
+    (
+        "LOST without a cause",
+        seen([request(**CUT)], [arrival(), arrival(2, at_s=20.5, **CRASHES)], crash_block="x"),
+        seen([request(**CUT)], [arrival(), arrival(2, at_s=20.41, **CRASHES)], crash_block="x"),
+    ),
     (
         "TWICE",
         seen_of(1, {"route": "book"}, [{}, {"target": "a2"}]),
