Resume a suspended entry of the soak before waiting for its end

Trace: the soak waited for the end of an entry that had got SIGTERM (pending, /proc) while it was suspended (state T) by another fault, whose end comes after that wait: a deadlock of the harness, by the order in which faults end. Resumed by hand, the run went on.

Change: the entry is resumed before its end is waited for. No check is changed.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -104,6 +104,8 @@
     process.send_signal(signal_number)
 
     def restart() -> None:
+        # It may be suspended too, by a fault whose end comes after this one.
+        process.send_signal(signal.SIGCONT)
         process.wait()
         # Another fault of the same entry may have restarted it by now.
         if fleet.running[name].process is process:
