Change the shared cache namespace with the set of dedicated workspaces

Cause: the namespace of all workspaces that are not dedicated was derived from an empty owner. A workspace that became dedicated moved to its own namespace, and its old blocks stayed in the shared one, which the others kept using. Neither runners nor cache stores tell which workspace made a block.

Change: the owner of the shared namespace is a digest of the names of all dedicated workspaces, so it is used only by workspaces outside of that set and never holds a block of one in it. That depends on the configuration alone, so it holds on every entry, after restarts and after a restore. A call that is sent again after the change takes its workspace's own namespace. Dedicated workspaces without keys count too.

The shared blocks are prefilled again after such a change.

--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -84,6 +84,7 @@
 from filbertstream.request.prompt_placer import PromptPlacer
 from filbertstream.request.rate_admission import RateAdmission
 from filbertstream.request.retry_budget import SharedRetryBudget
+from filbertstream.version.cache_owners import CacheOwners
 from filbertstream.version.config_freshness import ConfigFreshness
 from filbertstream.version.retirement import Retirement
 from filbertstream.version.rollout import (
@@ -174,8 +175,9 @@
             self.key_journal.note,
         )
         cache_view = CacheView(self.index, self.stores)
+        self.cache_owners = CacheOwners(lambda: self.authorizer.config)
         self.prompt_placer = PromptPlacer(
-            cfg.data_center, self.roster, cache_view, self.weights, rng
+            cfg.data_center, self.roster, cache_view, self.weights, self.cache_owners, rng
         )
         dependencies = ForwardingDependencies(
             cfg.data_center,
@@ -372,7 +374,7 @@
             extra_delay_s = (
                 0.0 if self.relayed_view.reads_object_store(now_s) else FOLLOWER_LEASE_DELAY_S
             )
-            owners = self._cache_owners()
+            owners = self.cache_owners.all()
             actions += self.weights_leader.tick(now_s, owners, self.stopping.begun, extra_delay_s)
         ready = self.ready(now_s)
         if ready != self._was_ready:
@@ -382,9 +384,3 @@
             log_event = LogEvent.ENTRY_FRESH if ready else LogEvent.ENTRY_STALE
             actions.append(Log(log_event, (("config_age_s", age_s),)))
         return actions
-
-    def _cache_owners(self) -> set[str]:
-        """Return the names of dedicated workspaces, and the empty name for the shared cache."""
-        config = self.authorizer.config
-        workspaces = () if config is None else config.workspaces.values()
-        return {"", *(item.name for item in workspaces if item.dedicated)}
--- a/filbertstream/platform/documents.py
+++ b/filbertstream/platform/documents.py
@@ -151,7 +151,12 @@
     services = {service.name: _service(service) for service in wire.services}
     needs_keys = wire.tenants is not None
     version = EpochNumber(0, wire.version)
-    return Ok(Configuration(version, routes, services, workspaces, needs_keys, limits))
+    dedicated = frozenset(tenant.name for tenant in wire.tenants or () if tenant.dedicated)
+    return Ok(
+        Configuration(
+            version, routes, services, workspaces, needs_keys, limits, dedicated=dedicated
+        )
+    )
 
 
 def _route(wire: _Route, kind: CallKind) -> Route:
--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -20,6 +20,7 @@
     PlacementRequest,
     place_prompt,
 )
+from filbertstream.version.cache_owners import CacheOwners
 from filbertstream.version.routes import Engine
 from filbertstream.version.weights_view import WeightsView, cache_namespace
 
@@ -60,12 +61,14 @@
         roster: Roster,
         cache_view: CacheView,
         weights: WeightsView,
+        cache_owners: CacheOwners,
         rng: random.Random,
     ) -> None:
         self._data_center = data_center
         self._roster = roster
         self._cache_view = cache_view
         self._weights = weights
+        self._cache_owners = cache_owners
         self.choose: PlacementPolicy = place_prompt
         self._candidates = Candidates(rng)
         self._round_robin_index = 0
@@ -103,8 +106,7 @@
         targets: list[RosterTarget],
         limits: Headroom,
     ) -> PlacementRequest:
-        workspace = call.workspace
-        owner = workspace.name if workspace is not None and workspace.dedicated else ""
+        owner = self._cache_owners.owner_of(call.workspace)
         versions = {target.weights.get(prompt.model, 0) for target in targets}
         return PlacementRequest(
             prompt,
--- /dev/null
+++ b/filbertstream/version/cache_owners.py
@@ -0,0 +1,62 @@
+"""Owners of the namespaces of cached blocks, by the configuration in force.
+
+A dedicated workspace owns a namespace of its own.  The other workspaces share one, whose owner is
+derived from the names of all dedicated workspaces.  Nothing tells which workspace a block in the
+shared namespace comes from, so a workspace that becomes dedicated leaves blocks there that nobody
+else may use.  As the shared namespace changes with the set of dedicated workspaces, it never holds
+a block of any of them, on any entry and after any restart.
+
+The price is that the shared blocks are prefilled again after such a change.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from filbertstream.names import digest_text
+from filbertstream.version.routes import Configuration, Workspace
+
+SHARED_BY_ALL: Final = ""
+"""The owner of the shared namespace while no workspace is dedicated."""
+
+
+def shared_owner(dedicated: frozenset[str]) -> str:
+    """Return the owner of the shared namespace, given the names of all dedicated workspaces.
+
+    >>> shared_owner(frozenset())
+    ''
+    >>> shared_owner(frozenset({"a", "b"})) == shared_owner(frozenset({"a"}))
+    False
+    """
+    return digest_text("shared", *sorted(dedicated)) if dedicated else SHARED_BY_ALL
+
+
+class CacheOwners:
+    """The owners under the configuration that ``config`` returns."""
+
+    def __init__(self, config: Callable[[], Configuration | None]) -> None:
+        self._config = config
+        self._dedicated: frozenset[str] = frozenset()
+        self._shared = SHARED_BY_ALL
+
+    def owner_of(self, workspace: Workspace | None) -> str:
+        """Return the owner of the namespace for a call of a workspace.
+
+        A call may be sent again under a newer configuration than the one that admitted it.  It gets
+        the workspace's own namespace if the workspace is dedicated in either.
+        """
+        self._refresh()
+        if workspace is None:
+            return self._shared
+        dedicated = workspace.dedicated or workspace.name in self._dedicated
+        return workspace.name if dedicated else self._shared
+
+    def all(self) -> set[str]:
+        """Return the owners of all namespaces in use."""
+        self._refresh()
+        return {self._shared, *self._dedicated}
+
+    def _refresh(self) -> None:
+        config = self._config()
+        dedicated = frozenset() if config is None else config.dedicated
+        if dedicated is not self._dedicated and dedicated != self._dedicated:
+            self._dedicated, self._shared = dedicated, shared_owner(dedicated)
--- a/filbertstream/version/compiled.py
+++ b/filbertstream/version/compiled.py
@@ -79,7 +79,15 @@
         if name in doc_set.grants
     }
     return Configuration(
-        revision, tuple(routes), services, workspaces, True, limits, frozenset(drained), generation
+        revision,
+        tuple(routes),
+        services,
+        workspaces,
+        True,
+        limits,
+        frozenset(drained),
+        generation,
+        frozenset(doc_set.grants),
     )
 
 
--- a/filbertstream/version/routes.py
+++ b/filbertstream/version/routes.py
@@ -168,7 +168,7 @@
     ``version`` orders configurations.  Where it is a revision of the object store, a configuration
     of a later epoch may be an older one; then ``generation`` tells, which is written with it.
     ``workspaces`` maps key digests to workspaces.  ``drained`` names the targets and entries that
-    the operators drain.
+    the operators drain.  ``dedicated`` names all dedicated workspaces, those without keys too.
     """
 
     version: EpochNumber
@@ -179,6 +179,7 @@
     limits: CallerLimits = CallerLimits()
     drained: frozenset[str] = frozenset()
     generation: EpochNumber = NO_REVISION
+    dedicated: frozenset[str] = frozenset()
 
     def workspace_of(self, key: str) -> Workspace | None:
         """Return the workspace that owns a key, or None."""
