Evacuate data centers, and restrict routes and workspaces to regions

Change: the kind `evacuations` is watched where the settings have `bounds.evac_ms`, relayed and pushed like other kinds, and kept in fleet/evacuations.py. First sends, retries, resumed streams, probes of crashed runners, weight orders and fetches from runners leave evacuated data centers out. Entries that have just started, or were suspended for a third of the bound, hold calls back until their view is known. A relay that does not send the kind in its responses (an older build) makes its follower read just this kind itself. `allowed_regions` of routes and tenants restricts targets, sources of fetches and stores for saves. The reasons why a target may not get a call are one list in request/eligibility.py; refusals for want of a target log its counts, and `explain-log` prints them. "ejected" is a reason of its own, so that limits are asked for the same targets as before.

--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -141,6 +141,8 @@
         paused = float(self._core.roster.notices.paused(now_s))
         quarantined = float(len(self._core.crash_watch.quarantine.active))
         suspected = float(self._core.crash_watch.evidence.suspected_blocks)
+        evacuations = self._core.evacuations
+        evacuated = float(len(evacuations.data_centers))
         buffers = self._gateway_io.pool.buffers
         given_up = float(buffers.given_up)
         return {
@@ -148,6 +150,7 @@
             **({"responses_given_up": given_up} if given_up else {}),
             **({"targets_rate_limited": float(len(limited))} if limited else {}),
             **({"targets_paused": paused} if paused else {}),
+            **({"data_centers_evacuated": evacuated} if evacuations.watched else {}),
             **({"quarantined_blocks": quarantined} if quarantined else {}),
             **({"suspected_blocks": suspected} if suspected else {}),
             "calls_running": float(self._gateway_io.calls_running),
--- a/filbertstream/connection/target_orders.py
+++ b/filbertstream/connection/target_orders.py
@@ -44,7 +44,14 @@
         if target is not None:
             self._submit(self._report, poll, target.registration.address)
 
+    def _is_evacuated(self, action: PollReport | OrderWeights) -> bool:
+        """Whether a runner was evacuated since its call was submitted to a worker."""
+        target = self._core.roster.targets.get(action.target_id)
+        return target is not None and self._core.roster.is_evacuated(target)
+
     def _report(self, poll: PollReport, address: Address) -> None:
+        if self._is_evacuated(poll):
+            return
         report: ReportReceived | ReportFailed
         try:
             report = self._runners.report(poll, address)
@@ -60,7 +67,7 @@
 
     def _send_order(self, order: OrderWeights, address: Address) -> None:
         # A worker may start late, so the lease must still be held when the order is sent.
-        if not self._core.rollout_lease.may_order(boot_time_s()):
+        if not self._core.rollout_lease.may_order(boot_time_s()) or self._is_evacuated(order):
             return
         try:
             response = self._runners.order(order, address)
--- a/filbertstream/connection/watched_kinds.py
+++ b/filbertstream/connection/watched_kinds.py
@@ -12,6 +12,14 @@
 import msgspec
 from result import Err, Ok
 
+from filbertstream.connection.evacuations_watch import (
+    MAX_AGE_FRACTION,
+    RELAY_WAIT_FRACTION,
+    WAIT_FRACTION,
+    change_evacuation,
+    list_evacuations,
+    unchanged_evacuations,
+)
 from filbertstream.connection.quarantine_watch import change_quarantine, list_quarantine
 from filbertstream.epoch_number import NO_REVISION
 from filbertstream.gateway_events import (
@@ -31,6 +39,7 @@
     CONFIG_NAME,
     DOCUMENTS_KIND,
     ENTRIES_KIND,
+    EVACUATIONS_KIND,
     LEASES_KIND,
     QUARANTINE_KIND,
     TARGETS_KIND,
@@ -77,7 +86,8 @@
 
     ``wait_s`` is the longest wait of a long poll, and so the longest time for which a stalled
     connection goes undetected.  ``pause_s`` batches the changes of a kind that changes all the
-    time.  ``relay_watch`` applies while this entry is a relay, see ``process.relayed_view``.
+    time.  ``relay_watch`` applies while this entry is a relay, see ``process.relayed_view``, and
+    ``since_first_build`` tells whether relays of every build follow the kind.
     """
 
     kind: str
@@ -87,11 +97,13 @@
     on_change: Callable[[Change, float, EmitEvent], None]
     on_unchanged: Callable[[float, EmitEvent], None]
     relay_watch: RelayWatch
+    since_first_build: bool = True
 
     @property
     def followed(self) -> FollowedKind:
         """The part of the settings that the core uses."""
-        return FollowedKind(self.kind, self.relay_watch.max_age_s, self.relay_watch.pushed)
+        watch = self.relay_watch
+        return FollowedKind(self.kind, watch.max_age_s, watch.pushed, self.since_first_build)
 
 
 def _ignore_unchanged(sent_at_s: float, emit: EmitEvent) -> None:
@@ -360,4 +372,19 @@
             _ignore_unchanged,
             QUARANTINE_RELAY_WATCH,
         ),
+        *([] if bounds.evac_s is None else [_evacuations(bounds.evac_s)]),
+    )
+
+
+def _evacuations(bound_s: float) -> WatchedKind:
+    wait_s, max_age_s = RELAY_WAIT_FRACTION * bound_s, MAX_AGE_FRACTION * bound_s
+    return WatchedKind(
+        EVACUATIONS_KIND,
+        WAIT_FRACTION * bound_s,
+        0.0,
+        list_evacuations,
+        change_evacuation,
+        unchanged_evacuations,
+        RelayWatch(wait_s, 0.0, max_age_s, True),
+        since_first_build=False,
     )
--- a/filbertstream/fleet/crash_detector.py
+++ b/filbertstream/fleet/crash_detector.py
@@ -117,6 +117,10 @@
                 suspicion.prompts.setdefault(call.kind, []).append(prompt)
         if suspicion.crashed:
             self._tell(start, suspicion, now_s)
+        if is_new and self._roster.is_evacuated(target):
+            # Nothing is sent there, so the call must not wait for the outcome of a probe.
+            suspicion.probed = True
+            return []
         return [ProbeTarget(start, target.registration.address)] if is_new else []
 
     def on_response(self, target: RosterTarget, now_s: float) -> None:
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -6,12 +6,14 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
 from filbertstream.actions import Log
 from filbertstream.fleet.crash_detector import TargetProbed
 from filbertstream.fleet.crash_watch import CrashWatch
+from filbertstream.fleet.evacuations import Evacuations
 from filbertstream.fleet.quarantine import QuarantineListed, QuarantineObserved
 from filbertstream.gateway_events import (
     BoundsChanged,
@@ -83,6 +85,7 @@
 from filbertstream.request.placement import CacheView
 from filbertstream.request.prompt_placer import PromptPlacer
 from filbertstream.request.rate_admission import RateAdmission
+from filbertstream.request.regions import Regions
 from filbertstream.request.retry_budget import SharedRetryBudget
 from filbertstream.version.cache_owners import CacheOwners
 from filbertstream.version.config_freshness import ConfigFreshness
@@ -119,6 +122,7 @@
     link_mbps: float = 0.0
     cores: float = 0.0
     has_documents: bool = False
+    regions: Mapping[str, str] = MappingProxyType({})
 
 
 class Gateway:
@@ -130,7 +134,8 @@
         bounds = cfg.bounds
         self.counters = Counters()
         self.latencies = Latencies()
-        self.roster = Roster()
+        self.evacuations = Evacuations(bounds.evac_s)
+        self.roster = Roster(self.evacuations)
         self.index = CacheIndex()
         self.peers = PeerWork(cfg.name)
         self.relays = Relays(cfg.name, self.peers.names, self.peers.vm_resources)
@@ -176,8 +181,9 @@
         )
         cache_view = CacheView(self.index, self.stores)
         self.cache_owners = CacheOwners(lambda: self.authorizer.config)
+        regions = Regions(cfg.regions)
         self.prompt_placer = PromptPlacer(
-            cfg.data_center, self.roster, cache_view, self.weights, self.cache_owners, rng
+            cfg.data_center, self.roster, cache_view, self.weights, self.cache_owners, rng, regions
         )
         dependencies = ForwardingDependencies(
             cfg.data_center,
@@ -199,6 +205,7 @@
             self.crash_watch.trials,
             self.crash_watch.quarantine,
             rng,
+            regions,
         )
         self.forwarding = Forwarding(dependencies)
         self.rollout_lease = RolloutLease(f"{cfg.name}#{cfg.incarnation:x}", bounds.lease_s, rng)
@@ -239,6 +246,7 @@
             self.rollout_lease,
             self.entry_registrations,
             self.crash_watch.quarantine,
+            self.evacuations,
             self.key_journal,
             self.document_recovery,
         )
@@ -272,6 +280,7 @@
             TargetProbed: self._forward(self.crash_watch.detector.on_probed),
             QuarantineListed: self._forward(self.crash_watch.quarantine.on_listed),
             QuarantineObserved: self._forward(self.crash_watch.quarantine.on_observed),
+            **self.evacuations.handlers(),
             EntriesListed: self._forward(self.entry_registrations.on_listed),
             EntriesConfirmed: self._forward(self.entry_registrations.on_confirmed),
             EntryObserved: self._forward(self.entry_registrations.on_entry),
@@ -301,7 +310,7 @@
 
     def ready(self, now_s: float) -> bool:
         """Whether the load balancer should send new connections to this entry."""
-        if self.stopping.begun or self.authorizer.config is None:
+        if self.stopping.begun or self.authorizer.config is None or not self.evacuations.listed:
             return False
         return self.config_freshness.keeps_ready(now_s)
 
@@ -350,7 +359,8 @@
         return [log, *self.entry_registrations.stop()]
 
     def _on_tick(self, event: Tick, now_s: float) -> list[GatewayAction]:
-        actions: list[GatewayAction] = list(self.forwarding.tick(now_s))
+        actions: list[GatewayAction] = list(self.evacuations.tick(now_s))
+        actions += self.forwarding.tick(now_s)
         if now_s >= self.stopping.responses_end_s:
             actions += self.forwarding.end_all(now_s)
         self.store_health.tick(now_s)
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -48,6 +48,8 @@
     BLOCK_QUARANTINED = 417
     BLOCK_RELEASED = 418
     TARGET_PAUSED = 419
+    EVACUATION_BEGAN = 430
+    EVACUATION_ENDED = 431
     MEMBER_JOINED = 500
     PLATFORM_LOST = 600
     PLATFORM_BACK = 601
@@ -102,6 +104,8 @@
     LogEvent.BLOCK_QUARANTINED: "Prompts with a block crash runners and are refused from now on.",
     LogEvent.BLOCK_RELEASED: "Prompts with a quarantined block are accepted again.",
     LogEvent.TARGET_PAUSED: "A target wants no calls for the time that it named; it gets none.",
+    LogEvent.EVACUATION_BEGAN: "A data center is evacuated; its targets get no requests.",
+    LogEvent.EVACUATION_ENDED: "The evacuation of a data center ended; its targets get requests.",
     LogEvent.MEMBER_JOINED: "Peers registered; the line lists the first ones by name.",
     LogEvent.PLATFORM_LOST: "A call to the platform's object store failed.",
     LogEvent.PLATFORM_BACK: "The platform's object store responds again.",
--- a/filbertstream/log_explain.py
+++ b/filbertstream/log_explain.py
@@ -2,9 +2,10 @@
 
 Lines of several entries may be mixed, and each may have a prefix before its JSON, as log collectors
 add one.  For every entry that logged the request, the last line of each kind of state event before
-the request's end is shown: configuration, readiness, object store, and the request's targets.  For
-a request that was refused for a quarantined block, the decision on the block and the crashes behind
-it are shown, as each entry saw them.
+the request's end is shown: configuration, readiness, object store, evacuations, and the request's
+targets.  For a request that found no target, it is shown how many targets each of the reasons in
+``request.eligibility`` excluded.  For a request that was refused for a quarantined block, the
+decision on the block and the crashes behind it are shown, as each entry saw them.
 """
 
 from collections.abc import Iterable
@@ -45,6 +46,9 @@
 QUARANTINE_EVENTS: Final = frozenset({LogEvent.BLOCK_QUARANTINED, LogEvent.BLOCK_RELEASED})
 """Decisions on a block, which most entries log."""
 
+EVACUATION_EVENTS: Final = frozenset({LogEvent.EVACUATION_BEGAN, LogEvent.EVACUATION_ENDED})
+"""The beginning and the end of the evacuation of a data center."""
+
 Line = dict[str, Any]
 
 COMMON_FIELDS: Final = frozenset({"number", "event", "time", "entry", "level", "request_id"})
@@ -80,7 +84,9 @@
         output += [
             f"  before  {_text(line)}" for line in _state_lines(lines, entry, targets, entry_lines)
         ]
-        output += [f"  request {_text(line)}" for line in entry_lines]
+        for line in entry_lines:
+            output.append(f"  request {_text(line)}")
+            output += [f"  because {text}" for text in _excluded_texts(line)]
     for block in dict.fromkeys(line["block"] for line in request_lines if "block" in line):
         output.append(f"block {block}")
         output += [
@@ -89,6 +95,17 @@
     return output
 
 
+def _excluded_texts(line: Line) -> list[str]:
+    """Return for each reason how many targets it excluded from a request without a target."""
+    if "excluded" not in line:
+        return []
+    counts = [text.partition("=") for text in str(line["excluded"]).split(",") if text]
+    return [
+        f"{count} of {line.get('targets')} targets: {reason.replace('_', ' ')}"
+        for reason, _, count in counts
+    ]
+
+
 def _quarantine_lines(lines: list[Line], block: str) -> list[Line]:
     """Return the decisions on a block, each once, and the crashes that they name."""
     decisions: dict[tuple[Any, Any], Line] = {}
@@ -116,6 +133,8 @@
             continue
         if line["number"] in STATE_EVENTS:
             latest[line["number"], line.get("kind")] = line
+        elif line["number"] in EVACUATION_EVENTS:
+            latest["evacuation", line.get("data_center")] = line
         elif line["number"] in TARGET_EVENTS and str(line.get("target")) in targets:
             latest[line["number"], line["target"]] = line
     return sorted(latest.values(), key=lambda line: str(line["time"]))
--- a/filbertstream/platform/documents.py
+++ b/filbertstream/platform/documents.py
@@ -34,6 +34,7 @@
 LEASES_KIND: Final = "filbertstream-duties"
 ENTRIES_KIND: Final = "filbertstream-entries"
 QUARANTINE_KIND: Final = "filbertstream-quarantine"
+EVACUATIONS_KIND: Final = "evacuations"
 KEYS_KIND: Final = "filbertstream-keys"
 DOCUMENTS_KIND: Final = "filbertstream-documents"
 DOCUMENTS_NAME: Final = "all"
@@ -58,6 +59,7 @@
     anonymous: bool = False
     resumable: bool = False
     gap_target_ms: float | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _ModelName(msgspec.Struct):
@@ -99,6 +101,7 @@
     api_keys: list[str] = []
     dedicated: bool = False
     priority: int | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Config(msgspec.Struct):
@@ -146,7 +149,10 @@
     limits = CallerLimits() if wire.limits is None else _limits(wire.limits)
     workspaces = {}
     for tenant in wire.tenants or ():
-        workspace = Workspace(tenant.name, tenant.dedicated, tenant.priority)
+        regions = frozenset(tenant.allowed_regions or ())
+        workspace = Workspace(
+            tenant.name, tenant.dedicated, tenant.priority, allowed_regions=regions
+        )
         workspaces.update({digest_key(key): workspace for key in tenant.api_keys})
     services = {service.name: _service(service) for service in wire.services}
     needs_keys = wire.tenants is not None
@@ -178,6 +184,7 @@
         wire.anonymous,
         wire.resumable,
         None if wire.gap_target_ms is None else wire.gap_target_ms / MS,
+        allowed_regions=frozenset(wire.allowed_regions or ()),
     )
 
 
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -53,6 +53,8 @@
     lease_ttl_ms: float = 3000
     version_ms: float = 8000
     contact_ms: float = 3000
+    # Calls to the object store are metered: without this key, evacuations are not watched.
+    evac_ms: Positive | None = None
 
 
 class _Platform(msgspec.Struct):
@@ -69,6 +71,9 @@
     platform: _Platform
     # The first and last port of the range that is free on the VM.
     port_range: list[int] = []
+    # The region of this VM, and that of each data center.
+    region: str = ""
+    zones: dict[str, str] = {}
 
 
 MAX_PORT: Final = 65_535
@@ -168,5 +173,7 @@
             lease_s=bounds.lease_ttl_ms / MS,
             version_s=bounds.version_ms / MS,
             contact_s=bounds.contact_ms / MS,
+            evac_s=None if bounds.evac_ms is None else bounds.evac_ms / MS,
         ),
+        regions=({settings.zone: settings.region} if settings.region else {}) | settings.zones,
     )
--- a/filbertstream/process/cache_stores.py
+++ b/filbertstream/process/cache_stores.py
@@ -18,7 +18,7 @@
 """
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from typing import Final, NamedTuple
 
 from filbertstream.names import rank
@@ -346,12 +346,14 @@
             state.call_failed = True
             state.next_call_s = now_s + EVENT_RETRY_S
 
-    def source(self, key: BlockKey, tokens: int, data_center: str, now_s: float) -> str | None:
+    def source(
+        self, key: BlockKey, tokens: int, data_center: str, now_s: float, skip: Container[str] = ()
+    ) -> str | None:
         """Return the cache store to fetch a complete block from, the local data center's first."""
         best: tuple[bool, str] | None = None
         for name, held in self._index.holders(key).items():
             state = self.states.get(name)
-            if state is None or held < tokens or not state.fetchable(now_s):
+            if state is None or held < tokens or name in skip or not state.fetchable(now_s):
                 continue
             option = (state.spec.data_center != data_center, name)
             best = option if best is None or option < best else best
@@ -372,20 +374,20 @@
         timeout_s = FETCH_TIMEOUT_S if settled else NEW_BLOCK_FETCH_TIMEOUT_S
         return max(known) + int(timeout_s * MS)
 
-    def save_to(self, key: BlockKey, tokens: int, now_s: float) -> str | None:
+    def save_to(
+        self, key: BlockKey, tokens: int, now_s: float, skip: Container[str] = ()
+    ) -> str | None:
         """Return the cache store to save a block to, if any, and count the block as sent.
 
-        A block that only an unresponsive store holds is saved again, since that store may not
-        respond for long.
+        A block that only unresponsive stores, or those to skip, hold is saved again.
         """
-        if self._pending.get(key, float("-inf")) > now_s:
-            return None
-        if self.source(key, tokens, "", now_s) is not None:
+        if self._pending.get(key, 0.0) > now_s or self.source(key, tokens, "", now_s, skip):
             return None
         fitting = [
             state
-            for state in self.states.values()
-            if self._knows_contents(state, now_s) and state.fits(tokens, now_s)
+            for name, state in self.states.items()
+            if name not in skip and self._knows_contents(state, now_s)
+            if state.fits(tokens, now_s)
         ]
         if not fitting:
             return None
--- a/filbertstream/process/deployment.py
+++ b/filbertstream/process/deployment.py
@@ -3,6 +3,8 @@
 The platform adapter reads a ``Deployment`` from the settings that the platform writes.
 """
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 
@@ -15,6 +17,8 @@
     ``grace_s``: time from SIGTERM to SIGKILL.  ``lease_s``: gap between two leaders of the roll-out
     lease.  ``version_s``: time after which no call may begin on older weights.  ``retry_floor``:
     retries to a service that one entry may send in a window without any calls of its own.
+    ``evac_s``: time after which the targets of an evacuated data center get nothing, or None where
+    evacuations are not watched.
     """
 
     config_apply_s: float
@@ -30,6 +34,7 @@
     version_s: float
     contact_s: float
     retry_floor: int = 1
+    evac_s: float | None = None
 
 
 class Address(NamedTuple):
@@ -46,7 +51,8 @@
 class Deployment(NamedTuple):
     """Where this process runs; ``object_store`` is a URL.
 
-    ``link_mbps`` and ``cores`` are the resources of the VM, 0 if unknown.
+    ``link_mbps`` and ``cores`` are the resources of the VM, 0 if unknown.  ``regions`` has the
+    region of each known data center.
     """
 
     name: str
@@ -62,3 +68,4 @@
     bounds: Bounds
     link_mbps: float = 0.0
     cores: float = 0.0
+    regions: Mapping[str, str] = MappingProxyType({})
--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -63,6 +63,7 @@
         self._outdated: set[str] = set()
         self._uses_relay = False
         self._last_relay = ""
+        self._newer_kinds = {item.kind for item in followed if not item.since_first_build}
         self._unbounded_kinds = {item.kind for item in followed if math.isinf(item.max_age_s)}
         self._started_at_s: float | None = None
 
@@ -73,7 +74,8 @@
     def reads_kind(self, kind: str, now_s: float) -> bool:
         """Whether this entry reads one kind itself.
 
-        It does if the kind is too large for the responses of relays.  At its start an entry first
+        It does if the kind is too large for the responses of relays, or if its relay doesn't follow
+        the kind.  At its start an entry first
         reads only the kinds whose ``max_age_s`` is infinite, such as the entries' registrations,
         and waits for a relay to send the others: hundreds of entries that start together need not
         all list everything.
@@ -170,6 +172,9 @@
             return []
         if response.removals_held_s > 0:
             self._roster.hold_removals(now_s + response.removals_held_s)
+        if response.kinds:
+            # The relay has the other kinds, so it doesn't follow these.
+            self._direct_reads |= self._newer_kinds - {item.kind for item in response.kinds}
         # An inconsistent relay may have been suspended between two steps, or its clock has stopped.
         consistent = [
             kind_update
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
+from filbertstream.fleet.evacuations import Evacuations
 from filbertstream.process.outliers import OutlierDetector
 from filbertstream.process.peer_work import WorkTotals
 from filbertstream.process.prefill import PrefillQueue
@@ -103,8 +104,9 @@
 class Roster:
     """All registered targets by id, with an index by service."""
 
-    def __init__(self) -> None:
+    def __init__(self, evacuations: Evacuations | None = None) -> None:
         self.targets: dict[str, RosterTarget] = {}
+        self.evacuations = evacuations or Evacuations()
         self.outliers = OutlierDetector()
         self.notices = TargetNotices()
         self._by_service: dict[str, list[str]] = {}
@@ -199,20 +201,6 @@
         """Return all targets of a service, usable or not, in a fixed order."""
         return [self.targets[name] for name in self._by_service.get(service, ())]
 
-    def usable(self, service: str, now_s: float) -> list[RosterTarget]:
-        """Return the targets of a service that may get work: the healthy ones, or all if none is.
-
-        Targets that leave or named a pause, and those in backoff after a failed or rejected send,
-        get no work.
-        """
-        available = [
-            target
-            for target in self.staying(service)
-            if now_s >= target.backoff_until_s and self.notices.admits(target.start, now_s)
-        ]
-        healthy = [target for target in available if self._is_healthy(target, now_s)]
-        return healthy or available
-
     def staying(self, service: str) -> list[RosterTarget]:
         """Return the targets of a service that don't leave."""
         return [target for target in self.of_service(service) if not self.is_leaving(target)]
@@ -225,6 +213,11 @@
             or self.notices.is_leaving(target.start)
         )
 
-    def _is_healthy(self, target: RosterTarget, now_s: float) -> bool:
+    def is_evacuated(self, target: RosterTarget) -> bool:
+        """Whether the data center of a target is evacuated."""
+        return self.evacuations.is_evacuated(target.registration.data_center)
+
+    def is_healthy(self, target: RosterTarget, now_s: float) -> bool:
+        """Whether a target is registered, and not ejected after failed sends."""
         ejected = self.outliers.is_ejected(target.target_id, now_s)
         return not ejected and target.missing_since_s is None
--- a/filbertstream/process/store_view.py
+++ b/filbertstream/process/store_view.py
@@ -35,12 +35,14 @@
     """A kind of object that entries follow.
 
     ``max_age_s`` is the age up to which relayed data of the kind is used.  Changes of a ``pushed``
-    kind are sent to followers at once instead of with the response to their next poll.
+    kind are sent to followers at once instead of with the response to their next poll.  Relays of
+    older builds, or with other settings, may not follow a kind that is not ``since_first_build``.
     """
 
     kind: str
     max_age_s: float
     pushed: bool
+    since_first_build: bool = True
 
 
 class KindObserved(NamedTuple):
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -150,6 +150,11 @@
         """Choose a target and send the call to it, or give up."""
         if now_s >= call.ends_at_s:
             return self._endings.give_up(call, "deadline", now_s)
+        if self._deps.roster.evacuations.is_unknown(now_s):
+            if not call.number:
+                return self._endings.give_up(call, "starting", now_s)
+            call.queued_until_s = now_s + HOLD_RECHECK_S
+            return []
         engine = call.service.engine
         if engine is not None and call.head.prompt is not None:
             screened = self._screen_prompt(call, call.head.prompt, now_s)
@@ -162,6 +167,9 @@
 
     def _queue_or_give_up(self, call: Call, now_s: float) -> list[Action]:
         """Queue a call for a short time if targets have only rejected it so far, or give up."""
+        barred = self._selection.reject_by_bars(call, now_s)
+        if barred is not None:
+            return self._endings.give_up(call, barred[0], now_s, barred[1])
         limited = self._selection.reject_by_rate(call, now_s)
         if limited is not None:
             return self._endings.give_up(call, "rate_limited", now_s, limited)
@@ -170,7 +178,9 @@
         wait_s = QUEUE_RETRY_S if paused is None else max(QUEUE_RETRY_S, paused.retry_after_s or 0)
         if not call.rejections or call.may_have_run or now_s + wait_s > queue_end_s:
             code = "no_target" if paused is None else "targets_paused"
-            return self._endings.give_up(call, code, now_s, paused)
+            rejection = paused or Rejection(NO_TARGET_RETRY_S, ())
+            explained = self._selection.with_reasons(call, rejection, now_s)
+            return self._endings.give_up(call, code, now_s, explained)
         call.queued_until_s = now_s + QUEUE_RETRY_S
         call.tried.clear()
         self._deps.counters.add("calls_parked", call.route.kind.value)
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -76,6 +76,8 @@
     """Counts the entry's prompts without blocks, which are placed round-robin."""
     headroom: Headroom
     """The queue and memory bounds of a runner at which the prompt is admitted."""
+    barred_sources: frozenset[str] = frozenset()
+    """The runners and cache stores from which nothing may be fetched for this prompt."""
 
 
 class CacheView(NamedTuple):
@@ -238,14 +240,15 @@
             fetch.append(None)
             continue
         data_center = target.registration.data_center
-        store = cache_view.stores.source(key, block.tokens, data_center, now_s)
+        barred = request.barred_sources
+        store = cache_view.stores.source(key, block.tokens, data_center, now_s, barred)
         source = None if store is None else CacheSource(store, block.tokens)
         if target.target_id in holders:
             held += min(block.tokens, holders[target.target_id])
         elif source is not None:
             fetched += block.tokens
         else:
-            source = _runner_source(target, holders, cache_view)
+            source = _runner_source(target, holders, cache_view, barred)
             if source is None:
                 chain_ends = True
             else:
@@ -255,12 +258,15 @@
 
 
 def _runner_source(
-    target: RosterTarget, holders: Mapping[str, int], cache_view: CacheView
+    target: RosterTarget,
+    holders: Mapping[str, int],
+    cache_view: CacheView,
+    barred: frozenset[str],
 ) -> CacheSource | None:
     runners = [
         name
         for name in holders
-        if name not in cache_view.stores.states and name != target.target_id
+        if name not in cache_view.stores.states and name != target.target_id and name not in barred
     ]
     if not runners:
         return None
--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -20,6 +20,7 @@
     PlacementRequest,
     place_prompt,
 )
+from filbertstream.request.regions import Regions, allowed_regions
 from filbertstream.version.cache_owners import CacheOwners
 from filbertstream.version.routes import Engine
 from filbertstream.version.weights_view import WeightsView, cache_namespace
@@ -63,12 +64,14 @@
         weights: WeightsView,
         cache_owners: CacheOwners,
         rng: random.Random,
+        regions: Regions,
     ) -> None:
         self._data_center = data_center
         self._roster = roster
         self._cache_view = cache_view
         self._weights = weights
         self._cache_owners = cache_owners
+        self._regions = regions
         self.choose: PlacementPolicy = place_prompt
         self._candidates = Candidates(rng)
         self._round_robin_index = 0
@@ -94,7 +97,7 @@
         wait_s = retry_after_s(placement.queue_s, placement.memory_fraction, limits)
         if wait_s is not None and not call.response_started:
             return Rejection(wait_s, inputs)
-        directives = self._directives(prompt, placement, now_s)
+        directives = self._directives(prompt, placement, request.barred_sources, now_s)
         self._note_cached(prompt, placement)
         return Placed(placement.target, directives, placement.prefill_tokens, ahead, inputs)
 
@@ -117,9 +120,33 @@
             {version: cache_namespace(owner, prompt.model, version) for version in versions},
             self._round_robin_index,
             limits,
+            self._barred_sources(call),
         )
 
-    def _directives(self, prompt: Prompt, placement: Placement, now_s: float) -> CacheDirectives:
+    def _barred_sources(self, call: Call) -> frozenset[str]:
+        """Return the runners and cache stores from which nothing is fetched for a call.
+
+        Cache stores run no requests, so an evacuation does not bar them.
+        """
+        evacuations, allowed = self._roster.evacuations, allowed_regions(call)
+        if not allowed and not evacuations.data_centers:
+            return frozenset()
+        runners = {
+            target.target_id: target.registration.data_center
+            for target in self._roster.of_service(call.service.name)
+        }
+        states = self._cache_view.stores.states
+        stores = {name: state.spec.data_center for name, state in states.items()}
+        evacuated = {name for name, center in runners.items() if evacuations.is_evacuated(center)}
+        return frozenset(evacuated) | {
+            name
+            for name, center in (runners | stores).items()
+            if not self._regions.allows(allowed, center)
+        }
+
+    def _directives(
+        self, prompt: Prompt, placement: Placement, barred: frozenset[str], now_s: float
+    ) -> CacheDirectives:
         from_stores = self._weights.may_fetch(prompt.model, placement.weights, now_s)
         # A runner whose weights are swapped during the prefill would save blocks that two versions
         # have computed.
@@ -133,19 +160,22 @@
             placement.namespace,
             placement.weights or None,
             tuple(self._address_of(source, from_stores) for source in placement.fetch),
-            () if replaced else self._saves(prompt, placement.namespace, now_s),
+            () if replaced else self._saves(prompt, placement.namespace, barred, now_s),
             self._cache_view.stores.fetch_until_ms(from_a_store, now_s),
         )
 
-    def _saves(self, prompt: Prompt, namespace: str, now_s: float) -> tuple[str, ...]:
+    def _saves(
+        self, prompt: Prompt, namespace: str, barred: frozenset[str], now_s: float
+    ) -> tuple[str, ...]:
         """Return for each block the cache store to save it to.
 
-        The last block is never saved, since only this call has it.
+        The last block is never saved, since only this call has it.  Stores outside the allowed
+        regions get none.
         """
         stores = self._cache_view.stores
         found = []
         for block in prompt.blocks[:-1]:
-            store = stores.save_to((namespace, block.block_id), block.tokens, now_s)
+            store = stores.save_to((namespace, block.block_id), block.tokens, now_s, barred)
             found.append("" if store is None else stores.address(store))
         return (*found, "") if found else ()
 
--- a/filbertstream/request/target_selection.py
+++ b/filbertstream/request/target_selection.py
@@ -1,9 +1,24 @@
 """Selects the targets to which a call may be sent now."""
 
+from typing import Final
+
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call_state import Call
+from filbertstream.request.eligibility import (
+    EVACUATED,
+    REGION_NOT_ALLOWED,
+    Stage,
+    excluded_fields,
+    usable,
+    without,
+)
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
 from filbertstream.request.prompt_placer import Rejection
+from filbertstream.request.regions import allowed_regions
+
+BARRED_RETRY_S: Final = 1.0
+"""An evacuation may last for minutes; callers come back once, after a third of the time that they
+have left at most, so a later retry would be none."""
 
 
 class TargetSelection:
@@ -13,19 +28,34 @@
         self._deps = dependencies
 
     def candidates(self, call: Call, now_s: float) -> list[RosterTarget]:
-        """Return the usable targets that the call has not tried and whose rate has room for it.
+        """Return the targets to which none of the reasons in ``eligibility`` applies.
 
         Runners that load weights are omitted unless there is no other target.
         """
-        usable = self._usable(call, now_s)
-        untried = [target for target in usable if target.target_id not in call.tried]
-        with_room = self._deps.rate_admission.with_room(untried, call.urgency, now_s)
-        swapping = self._deps.weights.is_swapping
-        return [target for target in with_room if not swapping(target)] or with_room
+        untried = without(Stage.TRIED, self._deps, call, self._usable(call, now_s), now_s)
+        with_room = without(Stage.LIMITED, self._deps, call, untried, now_s)
+        return without(Stage.AVOIDED, self._deps, call, with_room, now_s) or with_room
+
+    def reject_by_bars(self, call: Call, now_s: float) -> tuple[str, Rejection] | None:
+        """Return why and how to reject a call if an operator has barred all of its targets.
+
+        Targets that leave don't count, since they will not get the call either.
+        """
+        targets = self._deps.roster.staying(call.service.name)
+        if not targets or without(Stage.BARRED, self._deps, call, targets, now_s):
+            return None
+        regions, allowed = self._deps.regions, allowed_regions(call)
+        in_region = [
+            target for target in targets if regions.allows(allowed, target.registration.data_center)
+        ]
+        code = EVACUATED if in_region else REGION_NOT_ALLOWED
+        return code, Rejection(BARRED_RETRY_S, self._excluded(call, now_s))
 
     def reject_by_rate(self, call: Call, now_s: float) -> Rejection | None:
         """Return how to reject a call if the rates of all usable targets leave no room for it."""
-        return self._deps.rate_admission.reject(self._usable(call, now_s), call.urgency, now_s)
+        targets = self._usable(call, now_s)
+        rejection = self._deps.rate_admission.reject(targets, call.urgency, now_s)
+        return None if rejection is None else self.with_reasons(call, rejection, now_s)
 
     def reject_by_pauses(self, call: Call, now_s: float) -> Rejection | None:
         """Return how to reject a call if all targets of its service have named pauses.
@@ -33,10 +63,20 @@
         The retry time is the end of the first of them.
         """
         roster = self._deps.roster
-        targets = roster.staying(call.service.name)
+        staying = roster.staying(call.service.name)
+        targets = without(Stage.BARRED, self._deps, call, staying, now_s)
         ends_s = [roster.notices.paused_until_s(target.start, now_s) for target in targets]
         wait_s = min(ends_s, default=now_s) - now_s
         return Rejection(wait_s, (("paused", len(targets)),)) if wait_s > 0.0 else None
 
+    def with_reasons(self, call: Call, rejection: Rejection, now_s: float) -> Rejection:
+        """Add to a rejection how many targets each reason excludes."""
+        return rejection._replace(inputs=(*rejection.inputs, *self._excluded(call, now_s)))
+
+    def _excluded(self, call: Call, now_s: float) -> tuple[tuple[str, str | int | float], ...]:
+        targets = self._deps.roster.of_service(call.service.name)
+        return excluded_fields(self._deps, call, targets, now_s)
+
     def _usable(self, call: Call, now_s: float) -> list[RosterTarget]:
-        return self._deps.roster.usable(call.service.name, now_s)
+        targets = self._deps.roster.of_service(call.service.name)
+        return usable(self._deps, call, targets, now_s)
--- a/filbertstream/texts.py
+++ b/filbertstream/texts.py
@@ -27,6 +27,8 @@
     "no_service": "The service has no targets yet.",
     "no_target": "No target can take the request now.",
     "targets_paused": "All targets want no requests for a time.",
+    "evacuated": "The data centers of all targets are evacuated.",
+    "region_not_allowed": "No target is in a region that is allowed for the request.",
     "targets_full": "The targets have no capacity left.",
     "overloaded": "The runners can't serve the request in time; load is being shed.",
     "rate_limited": "The targets limit their request rate, and no request is left for this call.",
--- a/filbertstream/version/rollout.py
+++ b/filbertstream/version/rollout.py
@@ -103,7 +103,10 @@
         self.loaded: dict[str, dict[str, int]] = {}
 
     def outdated(self) -> list[tuple[RosterTarget, str]]:
-        """Return the runners with older weights than the named ones, each with the model."""
+        """Return the runners with older weights than the named ones, each with the model.
+
+        Those that leave or are evacuated get no orders, and don't hold up the others.
+        """
         return [
             (target, model)
             for target in self._roster.targets.values()
@@ -112,6 +115,7 @@
             and not target.registration.draining
             and not self._roster.notices.is_leaving(target.start)
             and target.missing_since_s is None
+            and not self._roster.is_evacuated(target)
         ]
 
     def swapping(self, now_s: float) -> tuple[str, ...]:
--- a/filbertstream/version/routes.py
+++ b/filbertstream/version/routes.py
@@ -41,7 +41,7 @@
     events.  ``priority`` 0 is the most urgent.  ``anonymous`` calls need no key.  With
     ``needs_idempotency_key`` a call needs an idempotency key and runs at most once for that key,
     across all entries.  ``wait_s`` is how long a call may queue before it is rejected, if that is
-    longer than the objective.
+    longer than the objective.  Without ``allowed_regions`` all regions are allowed.
     """
 
     name: str
@@ -58,6 +58,7 @@
     gap_objective_s: float | None = None
     needs_idempotency_key: bool = False
     wait_s: float | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def queue_limit_s(self) -> float:
@@ -145,12 +146,16 @@
 
 
 class Workspace(NamedTuple):
-    """An owner of keys; a ``dedicated`` one shares no cache, ``priority`` overrides a route's."""
+    """An owner of keys; a ``dedicated`` one shares no cache, ``priority`` overrides a route's.
+
+    Its calls reach only targets in its ``allowed_regions``, if it has any.
+    """
 
     name: str
     dedicated: bool = False
     priority: int | None = None
     workspace_limits: WorkspaceLimits | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 class CallerLimits(NamedTuple):
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -1,5 +1,7 @@
 """One gateway core with a few targets in virtual time, shared by the tests of the core."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any
 
 import msgspec
@@ -119,11 +121,16 @@
     listed = True
     """Whether it knows the quarantined blocks in the object store: none."""
 
+    bounds = BOUNDS
+    regions: Mapping[str, str] = MappingProxyType({})
+
     def __init__(self, name: str = "e1", peer_address: str = "tcp://e1") -> None:
-        cfg = GatewayConfig(name, 1, "dc1", BOUNDS, peer_address, 7, FOLLOWED)
+        cfg = GatewayConfig(name, 1, "dc1", self.bounds, peer_address, 7, FOLLOWED)
+        cfg = cfg._replace(regions=self.regions)
         self.core = Gateway(cfg)
         self.now_s = 100.0
         self.calls = 0
+        self.logs: list[Log] = []
         self.step(ConfigurationObserved(configuration(), self.now_s))
         self.step(TargetsListed((*RUNNERS, *APPS)))
         if self.listed:
@@ -139,7 +146,9 @@
         for action in self.core.step(self.now_s, event):
             if isinstance(action, PublishKind):
                 publish_kind(KINDS[action.taken.kind], action.taken, step_emitted)
-            elif not isinstance(action, Log):
+            elif isinstance(action, Log):
+                self.logs.append(action)
+            else:
                 actions.append(action)
         return actions
 
--- /dev/null
+++ b/tests/test_evacuations.py
@@ -0,0 +1,355 @@
+"""Evacuated data centers: what still reaches their targets, and when.
+
+Failures guarded against: a request, probe, weight order or fetch reaches an evacuated target later
+than the bound, in particular from entries that start, were suspended, follow a relay that dies or
+is of an older build, or have a restored object store; and an evacuation that never ends.
+"""
+
+from typing import Any
+
+import pytest
+
+from bench.world import BOUNDS as FLEET_BOUNDS
+from bench.world import World as FleetWorld
+from filbertstream.connection.watched_kinds import watched_kinds
+from filbertstream.fleet.crash_detector import ProbeTarget
+from filbertstream.fleet.evacuations import (
+    MARGIN_FRACTION,
+    RESUME_WAIT_S,
+    EvacuationObserved,
+    EvacuationsConfirmed,
+    EvacuationsListed,
+)
+from filbertstream.gateway_events import TargetsListed, Tick
+from filbertstream.log_events import LogEvent
+from filbertstream.platform.documents import EVACUATIONS_KIND
+from filbertstream.process.relays import POLL_INTERVAL_S
+from filbertstream.process.roster import Roster
+from filbertstream.process.store_recovery import SETTLE_S
+from filbertstream.request.call import RequestRate, TargetNotice
+from filbertstream.request.call_events import (
+    FirstEvent,
+    RespondLocally,
+    ResponseStarted,
+    SendCall,
+    SendFailed,
+)
+from filbertstream.version.rollout import OrderWeights, PollReport, Rollout
+from tests.gateway_world import BOUNDS, World, entry, response_head, sends
+from tests.helpers import ready_world, unlimited
+from tests.test_rollout import view_with_named
+
+EVAC_S = 5.0
+DETECTED_S = (1.0 - MARGIN_FRACTION) * EVAC_S
+LARGE_FLEET = 65
+
+TARGETS = tuple(
+    entry(f"{kind}{number}", service, data_center=center)
+    for kind, service in (("r", "models"), ("a", "app"))
+    for number, center in ((1, "dc1"), (2, "dc1"), (3, "dc2"))
+)
+
+
+class EvacuationWorld(World):
+    """An entry whose settings have the bound, with two targets in dc1 and one in dc2 a service."""
+
+    bounds = BOUNDS._replace(evac_s=EVAC_S)
+
+    def __init__(self, *evacuated: str, knows: bool = True) -> None:
+        super().__init__()
+        self.step(TargetsListed(TARGETS))
+        if knows:
+            self.step(EvacuationsListed(frozenset(evacuated), self.now_s))
+
+    def names(self, count: int, name: str = "read") -> set[str]:
+        return {send.target_id for _ in range(count) for send in sends(self.arrive(name))}
+
+
+def refusals(actions: list[Any]) -> list[tuple[int, str, bool]]:
+    """Return status, code, and whether there is a time after which to retry."""
+    found = [item for item in actions if isinstance(item, RespondLocally)]
+    return [(item.status, item.code, item.retry_after_s is not None) for item in found]
+
+
+@pytest.mark.parametrize(("name", "left"), [("read", "a3"), ("book", "a3"), ("draft", "r3")])
+def test_evacuated_targets_get_no_first_send(name: str, left: str) -> None:
+    """The evacuation begins, is withdrawn and set again, while the entry sends."""
+    world = EvacuationWorld()
+    assert world.names(12, name) != {left}
+    for _ in range(2):
+        world.step(EvacuationObserved("dc1", False))
+        world.step(EvacuationObserved("elsewhere", False))
+        assert world.names(12, name) == {left}
+        world.step(EvacuationObserved("dc1", True))
+        assert world.names(12, name) != {left}
+    assert world.core.evacuations.ended_at_s("dc1") == world.now_s
+    assert world.core.evacuations.ended_at_s("dc2") is None
+
+
+@pytest.mark.parametrize("name", ["read", "book", "draft"])
+def test_service_whose_targets_are_all_evacuated_rejects_at_once(name: str) -> None:
+    """Two data centers are evacuated at once; a queued call would miss its deadline."""
+    world = EvacuationWorld("dc1", "dc2")
+    actions = world.arrive(name)
+    assert refusals(actions) == [(503, "evacuated", True)]
+    assert sends(actions) == []
+
+
+@pytest.mark.parametrize("name", ["read", "draft"])
+@pytest.mark.parametrize("sent", [True, False], ids=["broken", "unsent"])
+def test_retries_and_resumed_streams_avoid_evacuated_targets(name: str, sent: bool) -> None:
+    """A send fails on the target of a data center that was evacuated after the send."""
+    seen = set()
+    for _ in range(8):
+        world = EvacuationWorld("dc2")
+        (first,) = sends(world.arrive(name))
+        world.step(EvacuationsListed(frozenset({"dc1"}), world.now_s))
+        resumes = name == "draft" and sent
+        if resumes:
+            world.step(ResponseStarted(1, first.number, response_head()))
+            world.step(FirstEvent(1, first.number))
+        failed = SendFailed(1, first.number, "cut", sent, resumes, "4" if resumes else None)
+        actions = [*world.step(failed), *world.run(2.0)]
+        assert not [item for item in actions if isinstance(item, ProbeTarget)]
+        seen |= {send.target_id for send in sends(actions)}
+    assert seen == {"r3" if name == "draft" else "a3"}
+
+
+def test_evacuated_runner_gets_no_weight_orders_and_does_not_hold_up_the_others() -> None:
+    """A version is named while half of the runners, with the oldest weights, are evacuated."""
+    roster = Roster()
+    for number, center in enumerate(("dc1", "dc1", "dc2", "dc2")):
+        weights = {"m": 1 if center == "dc1" else 2}
+        runner = entry(f"r{number}", "models", data_center=center, weights=weights)
+        roster.put(runner, 100.0)
+    rollout = Rollout(roster, view_with_named(3, at_s=100.0), unlimited())
+    roster.evacuations.set("dc1", 100.0)
+    assert rollout.swapping(108.0) == ("r2", "r3")
+    assert {item.target_id for item in rollout.step(108.2, 1)} == {"r2", "r3"}
+    roster.evacuations.clear("dc1", 109.0)
+    roster.targets["r2"].note_weights("m", 3)
+    assert "r0" in rollout.swapping(109.0)
+
+
+def test_nothing_is_fetched_from_runners_that_are_evacuated() -> None:
+    """The only holder of a prompt's blocks is evacuated."""
+    for evacuated in ((), ("dc1",)):
+        world = EvacuationWorld(*evacuated)
+        (first,) = sends(world.arrive("draft"))
+        assert first.cache is not None
+        holder = next(target for target in TARGETS if target.target_id == "r1")
+        for name in ("r2", "r3"):
+            world.core.index.forget(name)
+        world.core.index.add("r1", (first.cache.namespace, "shared"), 800)
+        world.core.roster.targets["r1"].backoff_until_s = world.now_s + 9.0
+        world.core.roster.targets["r2"].backoff_until_s = world.now_s + 9.0
+        (second,) = sends(world.arrive("draft"))
+        assert second.cache is not None
+        assert (str(holder.address) in second.cache.fetch) is not bool(evacuated)
+
+
+def test_entry_that_starts_sends_nothing_before_it_knows_the_evacuations() -> None:
+    """The evacuations are listed after the configuration and the targets."""
+    world = EvacuationWorld(knows=False)
+    assert not world.core.ready(world.now_s)
+    actions = [*world.arrive("read"), *world.arrive("draft"), *world.run(30.0)]
+    assert refusals(actions) == 2 * [(503, "starting", True)]
+    assert sends(actions) == []
+    world.step(EvacuationsListed(frozenset({"dc1"}), world.now_s))
+    assert world.core.ready(world.now_s)
+    assert world.names(6) == {"a3"}
+
+
+@pytest.mark.parametrize("confirmed", [True, False])
+def test_suspended_entry_sends_on_an_old_view_only_if_the_store_does_not_respond(
+    confirmed: bool,
+) -> None:
+    """An evacuation was set while the process was suspended, for longer than the bound."""
+    world = EvacuationWorld()
+    world.run(1.0)
+    world.now_s += EVAC_S + 1.0
+    world.confirm()
+    assert refusals(world.arrive("read")) == [(503, "starting", True)]
+    if confirmed:
+        world.step(EvacuationObserved("dc1", False))
+        world.step(EvacuationsConfirmed(world.now_s - 0.1))
+        assert world.names(6) == {"a3"}
+    else:
+        world.run(RESUME_WAIT_S + 0.1)
+        assert world.names(1) != set()
+
+
+def test_call_that_was_sent_before_a_suspension_waits_for_the_view() -> None:
+    """A response has not arrived when the process resumes; the retry must not go to dc1."""
+    world = EvacuationWorld()
+    (first,) = sends(world.arrive("read"))
+    world.run(0.5)
+    world.now_s += EVAC_S
+    failed = SendFailed(1, first.number, "reset", False, False, None)
+    assert world.step(failed) == []
+    world.step(EvacuationObserved("dc1", False))
+    world.step(EvacuationsConfirmed(world.now_s))
+    assert [send.target_id for send in sends(world.run(0.3))] == ["a3"]
+
+
+def test_line_of_a_call_without_a_target_counts_each_reason() -> None:
+    """Each target is excluded for another reason; one has two, of which the first counts."""
+    world = EvacuationWorld("dc1", "dc3")
+    extra = [entry(f"b{number}", "app", data_center="dc2") for number in range(1, 4)]
+    extra.append(entry("c1", "app", data_center="dc3", draining=True))
+    world.step(TargetsListed((*TARGETS, *extra)))
+    roster = world.core.roster
+    roster.targets["b1"].backoff_until_s = world.now_s + 9.0
+    roster.notices.note(roster.targets["b2"].start, TargetNotice(9.0, False), world.now_s)
+    rates = world.core.request_rates
+    for name in ("a3", "b3"):
+        start, rate = roster.targets[name].start, RequestRate(2.0)
+        rates.on_response(start, rate, world.now_s, world.now_s)
+    assert refusals(world.arrive("read")) == [(503, "rate_limited", True)]
+    (line,) = [log for log in world.logs if log.number is LogEvent.REQUEST_REFUSED]
+    fields = dict(line.fields)
+    assert fields["targets"] == 7
+    assert fields["excluded"] == "leaving=1,paused=1,in_backoff=1,evacuated=2,rate_limited=2"
+
+
+def fleet(entries: int) -> FleetWorld:
+    bounds = FLEET_BOUNDS._replace(evac_s=EVAC_S)
+    if entries <= 3:
+        return ready_world(entries, bounds=bounds)
+    world = FleetWorld(1, bounds)
+    for number in range(1, entries + 1):
+        world.add_entry(f"e{number}", f"dc{1 + number % 3}")
+    world.run(6.0)
+    return world
+
+
+def evacuate(world: FleetWorld, data_center: str = "dc1") -> None:
+    world.objects.register(EVACUATIONS_KIND, data_center, {})
+
+
+def knowing(world: FleetWorld) -> set[str]:
+    cores = world.cores.items()
+    return {name for name, core in cores if core.evacuations.is_evacuated("dc1")}
+
+
+def all_know(world: FleetWorld) -> bool:
+    return knowing(world) == set(world.cores)
+
+
+SENT_TO_TARGETS = (SendCall, ProbeTarget, PollReport, OrderWeights)
+
+
+@pytest.mark.parametrize("trouble", ["none", "store_down", "paused"])
+def test_nothing_reaches_an_evacuated_target_after_the_bound(trouble: str) -> None:
+    """The store goes down after the detection; an entry is suspended from before the write."""
+    world = fleet(3)
+    reached: list[float] = []
+
+    def note(name: str, action: Any) -> None:
+        target = action.start[0] if isinstance(action, ProbeTarget) else ""
+        if isinstance(action, SENT_TO_TARGETS):
+            target = target or action.target_id
+        if target and world.targets[target].data_center == "dc1":
+            reached.append(world.now_s)
+
+    world.on_action = note
+    if trouble == "paused":
+        world.paused.add("e2")
+    evacuated_s = world.now_s
+    evacuate(world)
+    for number in range(120):
+        if trouble == "store_down" and number == 35:
+            world.objects.down = True
+        if trouble == "paused" and number == 80:
+            world.resume("e2")
+        for member in world.cores:
+            world.request(member, tokens=200, deadline_s=3.0)
+            world.request(member, "service", idempotency_key=f"{member} {number}", deadline_s=3.0)
+        world.run(0.1)
+    assert not [at_s for at_s in reached if at_s - evacuated_s > EVAC_S]
+    world.objects.down = False
+    world.run(2.0)
+    world.objects.remove(EVACUATIONS_KIND, "dc1")
+    world.run(2.0)
+    before = len(reached)
+    for _ in range(10):
+        world.request("e1", tokens=200)
+        world.run(0.2)
+    assert len(reached) > before
+
+
+@pytest.mark.parametrize("trouble", ["none", "relays_die", "links_cut", "relays_cut_off"])
+def test_large_fleet_detects_an_evacuation_within_two_thirds_of_the_bound(trouble: str) -> None:
+    """All relays die, their links to followers are cut, or they lose the object store."""
+    world = fleet(LARGE_FLEET)
+    relays = [name for name, core in world.cores.items() if core.relays.is_relay]
+    assert 0 < len(relays) < 12
+    for name in relays if trouble != "none" else ():
+        if trouble == "relays_die":
+            world.kill(name)
+        elif trouble == "links_cut":
+            world.cut |= {frozenset((name, other)) for other in world.cores}
+        else:
+            world.store_cut.add(name)
+    evacuate(world)
+    world.run(DETECTED_S)
+    unaware = set(world.cores) - knowing(world)
+    assert unaware <= (set(relays) if trouble == "relays_cut_off" else set())
+
+
+def test_change_is_pushed_to_followers_and_needs_no_direct_reads() -> None:
+    """In a healthy large fleet the followers learn of it between two of their polls."""
+    world = fleet(LARGE_FLEET)
+    evacuate(world)
+    assert world.run_until(lambda: all_know(world), POLL_INTERVAL_S)
+    direct = {
+        name
+        for name, core in world.cores.items()
+        if core.relayed_view.reads_kind(EVACUATIONS_KIND, world.now_s)
+    }
+    assert direct == {
+        name for name, core in world.cores.items() if core.relays.serves_peers(world.now_s)
+    }
+
+
+@pytest.mark.parametrize("written_again", [True, False])
+def test_evacuation_lost_by_a_restore_is_kept_until_operators_have_written_again(
+    written_again: bool,
+) -> None:
+    """The object store comes back from a copy made before the evacuation."""
+    world = fleet(3)
+    copy = world.objects.revision
+    evacuate(world)
+    world.run(1.0)
+    world.objects.restore(copy)
+    world.run(SETTLE_S - 0.3)
+    assert all_know(world)
+    if written_again:
+        evacuate(world)
+    world.run(2.0)
+    assert knowing(world) == (set(world.cores) if written_again else set())
+
+
+def test_stale_view_keeps_the_evacuations() -> None:
+    """The object store is down for longer than any view may be old."""
+    world = fleet(3)
+    evacuate(world)
+    world.run(1.0)
+    world.objects.down = True
+    world.run(30.0)
+    assert all_know(world)
+
+
+def test_kind_is_watched_only_with_the_bound_in_the_settings() -> None:
+    """Calls to the object store are metered."""
+    with_bound = {item.kind for item in watched_kinds(BOUNDS._replace(evac_s=EVAC_S))}
+    assert with_bound - {item.kind for item in watched_kinds(BOUNDS)} == {EVACUATIONS_KIND}
+
+
+def test_tick_without_the_bound_never_holds_a_call_back() -> None:
+    """A process without evacuations is suspended."""
+    world = World()
+    world.now_s += 2 * EVAC_S
+    world.confirm()
+    world.step(Tick())
+    assert sends(world.arrive("read"))
