Limit the requests to targets that have just started

Cause: a target that has just started or come back is the least loaded one, and all entries send to it at the same moment. How long it stays cold was decoded from its registration and used by nothing.

Change: fleet/cold_targets.py knows which targets are cold, from registrations, Cold-Ms in responses, broken and refused connections, and ended evacuations. The shares of process/rate_shares.py now take a rule: the rate that a target names, the bound of a cold target, or the limit that rises in its slow start. RateAdmission keeps a bucket for each rule that applies. The pool reports an idle connection that its target closes right after use, since that is the first sign of a restart for an entry without a call there. Without bounds.cold_over nothing is ever cold, and the shares of named rates are computed as before.

Ruled out: telling peers of broken connections. The cut link of one entry would limit all targets for the whole fleet.

Evidence: tests/test_cold_targets.py plays up to 195 entries in virtual time and counts the requests to a cold target in sliding seconds.

--- a/bench/rate_guards.py
+++ b/bench/rate_guards.py
@@ -46,7 +46,7 @@
     Guard(
         "what was sent before a limit was known counts against it",
         "request/rate_admission.py",
-        "return share.burst - min(sent, WINDOW_S * share.per_s)",
+        "return share.burst - min(sent, window_s * share.per_s)",
         "return share.burst",
         "tests/test_rate_admission.py::"
         "test_sends_before_a_limit_was_known_count_against_its_first_window",
--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -20,6 +20,7 @@
 from filbertstream.connection.target_call import call_target
 from filbertstream.connection.target_connection import TargetConnectionPool
 from filbertstream.connection.target_probe import probe
+from filbertstream.fleet.cold_targets import IdleConnectionLost
 from filbertstream.fleet.crash_detector import ProbeOutcome, ProbeTarget, TargetProbed
 from filbertstream.gateway import Gateway
 from filbertstream.gateway_events import GatewayAction
@@ -90,6 +91,7 @@
         self._on_fatal = on_fatal
         self._write_log = write_log
         self.pool = TargetConnectionPool(buffer_bytes=buffer_bytes)
+        self.pool.on_lost = lambda address: self.emit(IdleConnectionLost(address))
         self._calls: dict[int, ProxiedCall] = {}
         self._last_call_id = 0
         self._tasks = IsolatedTasks(core.counters, write_log)
--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -139,6 +139,7 @@
         config = self._core.authorizer.config
         limited = self._core.request_rates.limited()
         paused = float(self._core.roster.notices.paused(now_s))
+        cold = float(self._core.cold_targets.cold(now_s))
         quarantined = float(len(self._core.crash_watch.quarantine.active))
         suspected = float(self._core.crash_watch.evidence.suspected_blocks)
         buffers = self._gateway_io.pool.buffers
@@ -148,6 +149,7 @@
             **({"responses_given_up": given_up} if given_up else {}),
             **({"targets_rate_limited": float(len(limited))} if limited else {}),
             **({"targets_paused": paused} if paused else {}),
+            **({"targets_cold": cold} if cold else {}),
             **({"quarantined_blocks": quarantined} if quarantined else {}),
             **({"suspected_blocks": suspected} if suspected else {}),
             "calls_running": float(self._gateway_io.calls_running),
--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -19,6 +19,7 @@
     FramingBudget,
 )
 from filbertstream.platform.headers import Headers, decode_response, keep_alive_s
+from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import ResponseHead
 
@@ -80,6 +81,7 @@
         self._request_id = ""
         self.refused_ids: set[str] = set()
         self._on_idle: Callable[[TargetConnection], None] | None = None
+        self.on_idle_lost: Callable[[TargetConnection], None] | None = None
         self._headers: Headers = []
         self._reason = b""
         self._skipping = False
@@ -252,7 +254,9 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Report to the sink that its response is cut off."""
+        """Report to the sink that its response is cut off, or to the pool that it ended idle."""
+        if self._sink is None and self.usable and self.on_idle_lost is not None:
+            self.on_idle_lost(self)
         self.closed = True
         self.usable = False
         self._break("cut" if exc is None else "reset")
@@ -284,6 +288,11 @@
             self._progress_timer = None
 
 
+RECENT_USE_S: Final = 1.0
+"""A target that ends a connection so soon after its last response has hardly done so because it was
+idle: it may have ended."""
+
+
 class TargetConnectionPool:
     """Idle connections by address; with ``tls``, targets must present a valid certificate.
 
@@ -297,6 +306,7 @@
         self.buffers = BufferBudget(buffer_bytes)
         self._idle: dict[Address, list[TargetConnection]] = {}
         self.opened = 0
+        self.on_lost: Callable[[Address], None] = lambda address: None
 
     def take(
         self, address: Address, max_idle_s: float, now_s: float, request_id: str = ""
@@ -340,8 +350,13 @@
             conn.abort()
             return
         conn.idle_since_s = now_s
+        conn.on_idle_lost = self._note_lost
         idle.append(conn)
 
+    def _note_lost(self, conn: TargetConnection) -> None:
+        if boot_time_s() - conn.idle_since_s < RECENT_USE_S:
+            self.on_lost(conn.address)
+
     def sweep(self, now_s: float) -> None:
         """Close connections that were idle for too long."""
         for address in list(self._idle):
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -10,6 +10,7 @@
 from typing import Any, Final, NamedTuple
 
 from filbertstream.actions import Log
+from filbertstream.fleet.cold_targets import ColdTargets, IdleConnectionLost
 from filbertstream.fleet.crash_detector import TargetProbed
 from filbertstream.fleet.crash_watch import CrashWatch
 from filbertstream.fleet.quarantine import QuarantineListed, QuarantineObserved
@@ -136,7 +137,12 @@
         self.relays = Relays(cfg.name, self.peers.names, self.peers.vm_resources)
         self.request_rates = RequestRates(self.counters)
         self.rate_shares = RateShares(cfg.name, self.peers.any_peer_current)
-        self.rate_admission = RateAdmission(self.request_rates, self.rate_shares)
+        self.cold_targets = ColdTargets(
+            bounds,
+            lambda: {} if self.authorizer.config is None else self.authorizer.config.services,
+            self.counters,
+        )
+        self.rate_admission = RateAdmission(self.request_rates, self.rate_shares, self.cold_targets)
         recovery_rng = random.Random(f"{cfg.seed}-{cfg.name}-recovery")
         self.recovery = StoreRecovery(cfg.name, lambda: self.peers.members)
         self.key_journal = KeyJournal(cfg.name, self.recovery, lambda: len(self.peers.members))
@@ -194,6 +200,7 @@
             self.burn,
             self.request_rates,
             self.rate_admission,
+            self.cold_targets,
             self.crash_watch.evidence,
             self.crash_watch.detector,
             self.crash_watch.trials,
@@ -223,7 +230,10 @@
             self.relayed_view,
         )
         self.target_registrations = TargetRegistrations(
-            self.roster, self.index, self.crash_watch.detector.on_gone
+            self.roster,
+            self.index,
+            self.crash_watch.detector.on_gone,
+            self.cold_targets.note_registration,
         )
         self.config_observer = ConfigObserver(
             cfg.name,
@@ -269,6 +279,7 @@
             CacheEventsFailed: self._forward(self.cache_events.on_failed),
             CacheBlocksListed: self._forward(self.cache_events.on_listed),
             BlocksFreed: self._forward(self.cache_events.on_freed),
+            IdleConnectionLost: self._forward(self.cold_targets.on_connection_lost),
             TargetProbed: self._forward(self.crash_watch.detector.on_probed),
             QuarantineListed: self._forward(self.crash_watch.quarantine.on_listed),
             QuarantineObserved: self._forward(self.crash_watch.quarantine.on_observed),
@@ -339,6 +350,7 @@
         self.authorizer.set_bound(bounds.config_apply_s)
         self.budget.set_bounds(bounds.retry_ratio, bounds.retry_window_s, bounds.retry_floor)
         self.weights.set_bound(bounds.version_s)
+        self.cold_targets.set_bounds(bounds)
         self.rollout_lease.set_lease(bounds.lease_s)
         self.stopping.set_grace(bounds.grace_s)
         return []
@@ -356,6 +368,7 @@
         self.store_health.tick(now_s)
         actions += self.target_registrations.tick(now_s)
         actions += self.crash_watch.tick(now_s)
+        actions += self.cold_targets.tick(self.roster.starts, now_s)
         self.rate_admission.expire(self.roster.starts, now_s)
         self.roster.notices.expire(self.roster.starts, now_s)
         actions += self.stores.tick(now_s)
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -48,6 +48,8 @@
     BLOCK_QUARANTINED = 417
     BLOCK_RELEASED = 418
     TARGET_PAUSED = 419
+    TARGET_COLD = 420
+    TARGET_WARM = 421
     MEMBER_JOINED = 500
     PLATFORM_LOST = 600
     PLATFORM_BACK = 601
@@ -102,6 +104,8 @@
     LogEvent.BLOCK_QUARANTINED: "Prompts with a block crash runners and are refused from now on.",
     LogEvent.BLOCK_RELEASED: "Prompts with a quarantined block are accepted again.",
     LogEvent.TARGET_PAUSED: "A target wants no calls for the time that it named; it gets none.",
+    LogEvent.TARGET_COLD: "A target counts as cold, for the given reason; its calls are limited.",
+    LogEvent.TARGET_WARM: "A target no longer counts as cold: its time ended, or it was refuted.",
     LogEvent.MEMBER_JOINED: "Peers registered; the line lists the first ones by name.",
     LogEvent.PLATFORM_LOST: "A call to the platform's object store failed.",
     LogEvent.PLATFORM_BACK: "The platform's object store responds again.",
--- a/filbertstream/platform/documents.py
+++ b/filbertstream/platform/documents.py
@@ -85,6 +85,9 @@
     kv_capacity: int = 0
     max_inflight: int = 4
     managed: bool = False
+    # How long a server is cold after its start, and the requests a second that it then tolerates.
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -203,7 +206,15 @@
         )
     if wire.store_addr is not None:
         store = _cache_store(wire, wire.store_addr)
-    return Service(wire.name, wire.health_path, wire.max_conns, engine, store)
+    return Service(
+        wire.name,
+        wire.health_path,
+        wire.max_conns,
+        engine,
+        store,
+        max(0.0, wire.cold_start_s),
+        max(0.0, wire.cold_per_s),
+    )
 
 
 def _cache_store(wire: _Service, address: str) -> CacheStore | None:
@@ -238,6 +249,7 @@
             wire.cold_left_ms / MS,
             {model.name: model.version for model in wire.models},
             wire.born,
+            wire.seq,
         )
     )
 
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -36,6 +36,7 @@
 REQUEST_RATE: Final = b"server-limit"
 LEAVING: Final = b"server-leaving"
 RETRY_AFTER: Final = b"retry-after"
+COLD_LEFT: Final = b"cold-ms"
 
 SINGLETON: Final = frozenset(
     {
@@ -252,6 +253,7 @@
         decode_request_rate(_values(headers, REQUEST_RATE)),
         first.get(b"content-type", b"").partition(b";")[0].strip().lower().decode("latin-1"),
         decode_notice(status, _values(headers, RETRY_AFTER), _values(headers, LEAVING)),
+        decode_cold_left(_values(headers, COLD_LEFT)),
     )
 
 
@@ -291,6 +293,19 @@
     return RequestRate(rate) if math.isfinite(rate) else RequestRate(None, malformed=True)
 
 
+def decode_cold_left(values: list[bytes]) -> float | None:
+    """Return how long a target says that it stays cold, in seconds; the longest of several values.
+
+    >>> decode_cold_left([b"1500"])
+    1.5
+    >>> decode_cold_left([b"-1"]) is None
+    True
+    """
+    found = [_seconds(value) for value in values]
+    named = [milliseconds / MS for milliseconds in found if milliseconds is not None]
+    return max(named, default=None)
+
+
 def _load(value: bytes | None) -> TargetLoad | None:
     if value is None:
         return None
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -53,6 +53,9 @@
     lease_ttl_ms: float = 3000
     version_ms: float = 8000
     contact_ms: float = 3000
+    # Requests to a cold server in any second, as a multiple of its ``cold_per_s``, and beyond that.
+    cold_over: Annotated[float, msgspec.Meta(ge=0)] | None = None
+    cold_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class _Platform(msgspec.Struct):
@@ -168,5 +171,7 @@
             lease_s=bounds.lease_ttl_ms / MS,
             version_s=bounds.version_ms / MS,
             contact_s=bounds.contact_ms / MS,
+            cold_over=bounds.cold_over,
+            cold_slack=bounds.cold_slack,
         ),
     )
--- a/filbertstream/process/deployment.py
+++ b/filbertstream/process/deployment.py
@@ -15,6 +15,8 @@
     ``grace_s``: time from SIGTERM to SIGKILL.  ``lease_s``: gap between two leaders of the roll-out
     lease.  ``version_s``: time after which no call may begin on older weights.  ``retry_floor``:
     retries to a service that one entry may send in a window without any calls of its own.
+    ``cold_over`` and ``cold_slack``: a cold target may get ``cold_per_s * cold_over + cold_slack``
+    requests in any second (``fleet.cold_targets``); without ``cold_over`` no target is cold.
     """
 
     config_apply_s: float
@@ -30,6 +32,8 @@
     version_s: float
     contact_s: float
     retry_floor: int = 1
+    cold_over: float | None = None
+    cold_slack: float = 0.0
 
 
 class Address(NamedTuple):
--- a/filbertstream/process/rate_shares.py
+++ b/filbertstream/process/rate_shares.py
@@ -1,4 +1,8 @@
-"""Divides the request rate of a target among the entries.
+"""Divides a limit on the requests to a target among the entries.
+
+The limit is a rate that the target names (``NamedRate``), or that of a target that has just started
+(``fleet.cold_targets``).  The mechanism is the same; a ``RateRule`` says how many entries hold
+shares and how large these are.
 
 Load patterns handled:
 
@@ -27,7 +31,7 @@
 """
 
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, Protocol
 
 from filbertstream.names import rank
 
@@ -67,12 +71,38 @@
 class Share(NamedTuple):
     """The part of a target's rate that this entry may use: requests per second, and a burst.
 
-    ``holders`` is the number of entries with a share; ``per_s`` is 0 on any other entry.
+    ``holders`` is the number of entries with a share; ``per_s`` is 0 on any other entry.  ``rank``
+    is the position of this entry among all, 0 for the first holder.
     """
 
     per_s: float
     burst: float
     holders: int
+    rank: int = 0
+
+
+class Split(NamedTuple):
+    """How many entries hold shares, their rate and burst together, and the fraction in use."""
+
+    holders: int
+    per_s: float
+    burst: float
+    used_fraction: float = 1.0
+
+
+class RateRule(Protocol):
+    """A limit on the requests that all entries together send to a target."""
+
+    @property
+    def substitutes_after_s(self) -> float:
+        """Time without a peer's report after which entries without a share use a part of one."""
+
+    @property
+    def needs_settled_view(self) -> bool:
+        """Whether an entry uses its share only once no other entry can use the same one."""
+
+    def split(self, members: int, current: bool) -> Split:
+        """Return the shares in a fleet; with ``current`` False, those of entries with old views."""
 
 
 def burst(per_s: float) -> float:
@@ -80,6 +110,28 @@
     return BURST_REQUESTS + BURST_RATE_FRACTION * per_s
 
 
+class NamedRate(NamedTuple):
+    """The rate that a target names in its responses."""
+
+    per_s: float
+
+    @property
+    def substitutes_after_s(self) -> float:
+        """Time without a peer's report after which entries without a share use a part of one."""
+        return max(UNREPORTED_S, UNREPORTED_REQUESTS / max(MIN_PER_S, self.per_s))
+
+    @property
+    def needs_settled_view(self) -> bool:
+        """Whether an entry uses its share only once no other entry can use the same one."""
+        return True
+
+    def split(self, members: int, current: bool) -> Split:
+        """Return the shares: as many as the burst allows, smaller ones for an old view."""
+        per_s = max(MIN_PER_S, self.per_s)
+        holders = min(members, max(1, int(burst(per_s))))
+        return Split(holders, per_s, burst(per_s), 1.0 if current else OLD_VIEW_FRACTION)
+
+
 class RateShares:
     """The registered entries as seen by the entry ``name``, and its shares."""
 
@@ -136,32 +188,42 @@
         return self._members
 
     def share(self, target_id: str, per_s: float, now_s: float, unreported_s: float = 0.0) -> Share:
-        """Return this entry's share of the rate of a target.
+        """Return this entry's share of the rate that a target names.
 
         ``unreported_s`` is how long no other entry has reported a response of the target.
         """
-        per_s = max(MIN_PER_S, per_s)
+        return self.share_of(target_id, NamedRate(per_s), now_s, unreported_s)
+
+    def share_of(
+        self, target_id: str, rule: RateRule, now_s: float, unreported_s: float = 0.0
+    ) -> Share:
+        """Return this entry's share of a limit on the requests to a target."""
         members = self.members(now_s)
-        holders = min(len(members), max(1, int(burst(per_s))))
+        current = self.age_s(now_s) <= VIEW_MAX_AGE_S
+        split = rule.split(len(members), current)
+        position = self._position(target_id, members)
         used = 0.0
-        if not self._stopped and self._has_settled(now_s):
-            turn = self._position(target_id, members) - holders + 1
-            used = self._usable_fraction(now_s)
+        may_use = self._has_settled(now_s) and self._may_use(now_s)
+        if not self._stopped and (may_use or not rule.needs_settled_view):
+            turn = position - split.holders + 1
+            used = split.used_fraction
             if turn > 0:
-                wait_s = max(UNREPORTED_S, UNREPORTED_REQUESTS / per_s) * turn
+                wait_s = rule.substitutes_after_s * turn
                 used *= SUBSTITUTE_FRACTION / turn**2 if unreported_s >= wait_s else 0.0
+        holders = split.holders
         if not used:
-            return Share(0.0, 0.0, holders)
-        return Share(used * per_s / holders, burst(per_s) / holders, holders)
+            return Share(0.0, 0.0, holders, position)
+        return Share(used * split.per_s / holders, split.burst / holders, holders, position)
 
     def _has_settled(self, now_s: float) -> bool:
         registered_at_s = self._registered_at_s
         return registered_at_s is not None and now_s - registered_at_s >= SETTLE_S
 
-    def _usable_fraction(self, now_s: float) -> float:
+    def _may_use(self, now_s: float) -> bool:
+        """Whether the view is current, or no peer is known to have a current one."""
         if self.age_s(now_s) <= VIEW_MAX_AGE_S:
-            return 1.0
-        return 0.0 if self._peer_is_current(now_s) else OLD_VIEW_FRACTION
+            return True
+        return not self._peer_is_current(now_s)
 
     def _position(self, target_id: str, members: frozenset[str]) -> int:
         """Return how many entries rank higher than this one for a target."""
--- a/filbertstream/process/target_registration.py
+++ b/filbertstream/process/target_registration.py
@@ -16,7 +16,8 @@
     """One registration of a target.
 
     A target that restarts usually gets a new ``target_id``.  It may also keep its id; then
-    ``started_ms`` differs.  ``weights`` are the loaded versions by model.
+    ``started_ms`` differs.  ``weights`` are the loaded versions by model.  ``refreshes`` counts how
+    often this start has renewed its registration.
     """
 
     target_id: str
@@ -28,6 +29,7 @@
     warmup_left_s: float
     weights: dict[str, int]
     started_ms: int
+    refreshes: int = 0
 
     @property
     def start(self) -> TargetStart:
--- a/filbertstream/process/target_registrations.py
+++ b/filbertstream/process/target_registrations.py
@@ -27,14 +27,20 @@
 OnGone = Callable[[TargetStart, float], list[Log]]
 """Called with a start of a target that is no longer registered."""
 
+OnRegistered = Callable[[TargetRegistration, float], list[Log]]
+"""Called with each registration that was made or refreshed."""
+
 
 class TargetRegistrations:
     """Follows the registrations of targets, and logs which join and leave."""
 
-    def __init__(self, roster: Roster, index: CacheIndex, on_gone: OnGone) -> None:
+    def __init__(
+        self, roster: Roster, index: CacheIndex, on_gone: OnGone, on_registered: OnRegistered
+    ) -> None:
         self._roster = roster
         self._index = index
         self._on_gone = on_gone
+        self._on_registered = on_registered
         self._gone_at_s: OrderedDict[TargetStart, float] = OrderedDict()
         self._leaving: set[TargetStart] = set()
         self._held: dict[str, TargetRegistration] = {}
@@ -105,12 +111,13 @@
         previous = self._roster.targets.get(registration.target_id)
         was_draining = previous is not None and previous.registration.draining
         self._roster.put(registration, now_s)
+        logs = self._on_registered(registration, now_s)
         if previous is None:
             fields = (("target", registration.target_id), ("service", registration.service))
-            return [Log(LogEvent.TARGET_JOINED, fields)]
+            return [Log(LogEvent.TARGET_JOINED, fields), *logs]
         if registration.draining and not was_draining:
-            return [_leaving(registration.target_id, "draining")]
-        return []
+            return [_leaving(registration.target_id, "draining"), *logs]
+        return logs
 
     def _note_restart(self, registration: TargetRegistration, now_s: float) -> list[Log]:
         previous = self._roster.targets.get(registration.target_id)
@@ -121,17 +128,19 @@
 
     def tick(self, now_s: float) -> list[Log]:
         """Drop targets whose removal is no longer held back, and use those that are alive."""
+        logs: list[Log] = []
         if self._held and now_s >= self._held_until_s:
             for registration in self._held.values():
                 self._leaving.discard(registration.start)
                 self._gone_at_s.pop(registration.start, None)
                 self._roster.put(registration, now_s)
+                logs += self._on_registered(registration, now_s)
             self._held.clear()
         gone = self._roster.tick(now_s)
         for start in gone:
             self._remember_gone(start, now_s)
             self._index.forget(start.target_id)
-        return [_leaving(start.target_id, "gone") for start in gone]
+        return [*logs, *(_leaving(start.target_id, "gone") for start in gone)]
 
 
 def _leaving(name: str, state: str) -> Log:
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -88,7 +88,8 @@
 class ResponseHead(NamedTuple):
     """The status and headers of a target's response.
 
-    With ``not_run`` the target states that it has not run the request.
+    With ``not_run`` the target states that it has not run the request.  ``cold_left_s`` is how long
+    it says that it stays cold.
     """
 
     status: int
@@ -103,6 +104,7 @@
     request_rate: RequestRate = UNLIMITED
     content_type: str = ""
     notice: TargetNotice = NO_NOTICE
+    cold_left_s: float | None = None
 
 
 class CacheDirectives(NamedTuple):
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -215,7 +215,8 @@
         now_s: float,
         inputs: LogFields = (),
     ) -> list[Action]:
-        limit = self._deps.request_rates.limit(target.start)
+        self._selection.note_diverted(call, now_s)
+        limit = self._deps.rate_admission.limit(target.start, now_s)
         if limit is not None:
             inputs = (("limit_per_s", limit), *inputs)
         line = call_logs.placed(call, target, inputs, now_s)
--- a/filbertstream/request/forwarding_dependencies.py
+++ b/filbertstream/request/forwarding_dependencies.py
@@ -3,6 +3,7 @@
 import random
 from typing import NamedTuple
 
+from filbertstream.fleet.cold_targets import ColdTargets
 from filbertstream.fleet.crash_detector import CrashDetector
 from filbertstream.fleet.crash_evidence import CrashEvidence
 from filbertstream.fleet.crash_trials import CrashTrials
@@ -39,6 +40,7 @@
     burn: Burn
     request_rates: RequestRates
     rate_admission: RateAdmission
+    cold_targets: ColdTargets
     crash_evidence: CrashEvidence
     crash_detector: CrashDetector
     crash_trials: CrashTrials
--- a/filbertstream/request/send_failures.py
+++ b/filbertstream/request/send_failures.py
@@ -58,14 +58,15 @@
         if event.sent:
             call.may_have_run = True
             return self.fail(call, event.number, event.cause, now_s)
-        log = call_logs.unsent(call, event.cause)
+        logs = [call_logs.unsent(call, event.cause)]
         target = release(call)
         call.attempts -= 1
         self._deps.counters.add("sends_failed", event.cause)
         if target is not None:
             self._feedback.note_failure(target, now_s)
+            logs += self._feedback.note_connection(target, event.cause, now_s)
         # No byte has reached the target, so sending again consumes no retry budget.
-        return [log, *self._send(call, now_s)]
+        return [*logs, *self._send(call, now_s)]
 
     def fail(self, call: Call, number: int, cause: str, now_s: float) -> list[Action]:
         """Retry a call after a failed send, hold it back, or give up."""
@@ -73,10 +74,11 @@
         reports = self._crashes.note_failure(call, cause, now_s)
         self._deps.counters.add("sends_failed", cause)
         call.failed_sends += 1
+        actions: list[Action] = [CancelSend(call.call_id, number), log, *reports]
         target = release(call)
         if target is not None:
             self._feedback.note_failure(target, now_s)
-        actions: list[Action] = [CancelSend(call.call_id, number), log, *reports]
+            actions += self._feedback.note_connection(target, cause, now_s)
         if call.suspected_at is not None:
             call.last_cause = cause
             return [*actions, *self.resolve_suspicion(call, now_s)]
--- a/filbertstream/request/target_feedback.py
+++ b/filbertstream/request/target_feedback.py
@@ -10,6 +10,12 @@
 from filbertstream.request.send_timeouts import PROGRESS_TIMEOUT_UNARY_S
 from filbertstream.statuses import MISDIRECTED
 
+UNREACHABLE: Final = "unreachable"
+"""The cause of a send for which no connection opened."""
+
+BROKEN_CAUSES: Final = frozenset({UNREACHABLE, "cut", "reset"})
+"""Causes of failed sends after which a target may have restarted."""
+
 LATENCY_WEIGHT: Final = 0.2
 """Weight of a new observation in the moving average of a target's latency."""
 
@@ -48,6 +54,8 @@
                 return []
             target = other
         logs = self._deps.roster.notices.note(target.start, head.notice, now_s)
+        if head.cold_left_s is not None:
+            logs += self._deps.cold_targets.note_cold(target.start, head.cold_left_s, now_s)
         if head.request_rate == UNLIMITED and (head.not_run or not head.signed):
             return logs
         rates = self._deps.request_rates
@@ -98,6 +106,13 @@
             named = self._deps.weights.named.get(model, 0)
             target.note_weights(model, max(named, call.weights + 1))
 
+    def note_connection(self, target: RosterTarget, cause: str, now_s: float) -> list[Log]:
+        """Record a failed send that may show that its target has restarted."""
+        if cause not in BROKEN_CAUSES:
+            return []
+        refused = cause == UNREACHABLE
+        return self._deps.cold_targets.note_failure(target.start, now_s, refused)
+
     def note_failure(self, target: RosterTarget, now_s: float) -> None:
         """Record a failed send, which may eject the target."""
         roster = self._deps.roster
--- a/filbertstream/request/target_selection.py
+++ b/filbertstream/request/target_selection.py
@@ -27,6 +27,16 @@
         """Return how to reject a call if the rates of all usable targets leave no room for it."""
         return self._deps.rate_admission.reject(self._usable(call, now_s), call.urgency, now_s)
 
+    def note_diverted(self, call: Call, now_s: float) -> None:
+        """Count a call that is sent to another target because a cold one has no room for it."""
+        admission = self._deps.rate_admission
+        if admission.any_cold and any(
+            admission.keeps_cold(target, call.urgency, now_s)
+            for target in self._usable(call, now_s)
+            if target.target_id not in call.tried
+        ):
+            self._deps.counters.add("calls_diverted", "cold")
+
     def reject_by_pauses(self, call: Call, now_s: float) -> Rejection | None:
         """Return how to reject a call if all targets of its service have named pauses.
 
--- a/filbertstream/version/routes.py
+++ b/filbertstream/version/routes.py
@@ -107,13 +107,19 @@
 
 
 class Service(NamedTuple):
-    """A named group of targets."""
+    """A named group of targets.
+
+    For ``cold_start_s`` after its start a target tolerates only ``cold_per_s`` requests a second; 0
+    means that the targets are never cold.
+    """
 
     name: str
     health_path: str
     max_connections: int
     engine: Engine | None = None
     store: CacheStore | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class WorkspaceLimits(NamedTuple):
--- /dev/null
+++ b/tests/test_cold_targets.py
@@ -0,0 +1,372 @@
+"""What 65 entries send to targets that have just started or come back, in any second."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import msgspec
+import pytest
+
+from filbertstream.fleet.cold_targets import LATE_REGISTRATION_S, ColdTargets
+from filbertstream.log_events import LogEvent
+from filbertstream.platform.documents import decode_configuration, decode_target
+from filbertstream.platform.headers import decode_response
+from filbertstream.process.counters import Counters
+from filbertstream.process.deployment import Address
+from filbertstream.process.peer_work import WorkTotals
+from filbertstream.process.rate_shares import SETTLE_S, RateShares
+from filbertstream.process.request_rates import RequestRates
+from filbertstream.process.roster import RosterTarget
+from filbertstream.process.target_registration import TargetRegistration, TargetStart
+from filbertstream.request.call import RequestRate
+from filbertstream.request.rate_admission import RateAdmission
+from filbertstream.version.routes import Service
+from tests.gateway_world import BOUNDS
+
+COLD = BOUNDS._replace(cold_over=1.5, cold_slack=5.0)
+COLD_S: Final = 3.0
+STEP_S: Final = 0.02
+ENTRIES: Final = 65
+
+
+def registration(name: str, left_s: float = COLD_S, **changes: Any) -> TargetRegistration:
+    address = Address(f"10.0.0.{sum(name.encode()) % 250}", 80)
+    base = TargetRegistration(name, "app", address, "dc1", 8, False, left_s, {}, 1)
+    return base._replace(**changes)
+
+
+class Entry:
+    """The decisions of one entry; ``current`` is whether it is in contact with the store."""
+
+    def __init__(self, name: str, per_s: float, peers_current: Callable[[float], bool]) -> None:
+        service = Service("app", "/health", 100, None, None, COLD_S, per_s)
+        self.cold = ColdTargets(COLD, lambda: {"app": service}, Counters())
+        self.rates = RequestRates(Counters())
+        self.shares = RateShares(name, peers_current)
+        self.admission = RateAdmission(self.rates, self.shares, self.cold)
+        self.targets: dict[str, RosterTarget] = {}
+        self.connected: dict[str, TargetStart] = {}
+        self.current = True
+
+    def starts(self) -> set[TargetStart]:
+        return {target.start for target in self.targets.values()}
+
+    def see(self, found: TargetRegistration, now_s: float) -> None:
+        self.cold.note_registration(found, now_s)
+        known = self.targets.get(found.target_id)
+        if known is None or known.start != found.start:
+            nothing = WorkTotals(0, 0, 0, 0)
+            self.targets[found.target_id] = RosterTarget(found, now_s, lambda name, at_s: nothing)
+        else:
+            known.registration = found
+
+
+@dataclass
+class Fleet:
+    """Entries, what the targets got, and calls that arrive at any entry."""
+
+    per_s: float = 10.0
+    size: int = ENTRIES
+    now_s: float = 100.0
+    running: dict[str, TargetStart] = field(default_factory=dict)
+    arrivals: dict[str, list[float]] = field(default_factory=dict)
+    pending: list[tuple[float, Entry, TargetRegistration]] = field(default_factory=list)
+    rejected: int = 0
+    prefers: str | None = None
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(f"{self.per_s}-{self.size}")
+        names = [f"e{number}" for number in range(self.size)]
+        self.entries = {name: Entry(name, self.per_s, self._peer_current) for name in names}
+        for entry in self.entries.values():
+            for name in names:
+                entry.shares.registered(name, self.now_s - 2 * SETTLE_S)
+            entry.shares.confirmed(self.now_s)
+
+    def _peer_current(self, now_s: float) -> bool:
+        return any(entry.current for entry in self.entries.values())
+
+    @property
+    def allowed(self) -> float:
+        return 1.5 * self.per_s + 5.0
+
+    def register(self, found: TargetRegistration, delay_s: float = 0.0) -> None:
+        """Start a target, or refresh its registration; entries see that within the delay."""
+        self.running[found.target_id] = found.start
+        for entry in self.entries.values():
+            if entry.current:
+                at_s = self.now_s + self.rng.uniform(0.0, delay_s)
+                self.pending.append((at_s, entry, found))
+
+    def run(self, seconds: float, calls_per_s: float) -> None:
+        """Let calls arrive; each goes to the idlest target that has room for it."""
+        end_s = self.now_s + seconds
+        due = 0.0
+        while self.now_s < end_s:
+            self.now_s += STEP_S
+            for _, entry, found in [item for item in self.pending if item[0] <= self.now_s]:
+                entry.see(found, self.now_s)
+            self.pending = [item for item in self.pending if item[0] > self.now_s]
+            for entry in self.entries.values():
+                if entry.current:
+                    entry.shares.confirmed(self.now_s)
+                entry.cold.tick(entry.starts, self.now_s)
+                entry.admission.expire(list, self.now_s)
+            due += calls_per_s * STEP_S
+            while due >= 1.0:
+                due -= 1.0
+                self.call(self.rng.choice(list(self.entries.values())))
+
+    def call(self, entry: Entry) -> None:
+        """Send a call and, if it fails, send it again elsewhere."""
+        left = list(entry.targets.values())
+        while left:
+            targets = entry.admission.with_room(left, 1, self.now_s)
+            if not targets:
+                break
+            target = min(targets, key=lambda item: (item.target_id != self.prefers, item.target_id))
+            entry.admission.note_send(target, self.now_s)
+            if self._deliver(entry, target):
+                return
+            left.remove(target)
+        self.rejected += 1
+
+    def _deliver(self, entry: Entry, target: RosterTarget) -> bool:
+        name = target.target_id
+        running = self.running.get(name)
+        connected = entry.connected.pop(name, None)
+        if running is None or connected not in (None, running):
+            entry.cold.note_failure(target.start, self.now_s, refused=running is None)
+            return False
+        entry.connected[name] = running
+        self.arrivals.setdefault(name, []).append(self.now_s)
+        return True
+
+    def crash(self, name: str) -> None:
+        """End a target; entries with a recently used connection notice that."""
+        del self.running[name]
+        for entry in self.entries.values():
+            if entry.connected.pop(name, None) is not None:
+                entry.cold.note_failure(entry.targets[name].start, self.now_s)
+
+    def most(self, name: str, from_s: float, until_s: float) -> int:
+        """Return the most requests in any second that ends in a period."""
+        times = [at_s for at_s in self.arrivals.get(name, []) if from_s <= at_s < until_s]
+        return max((sum(at_s - 1.0 < item <= at_s for item in times) for at_s in times), default=0)
+
+    def total(self, name: str, from_s: float, until_s: float) -> int:
+        return sum(from_s <= at_s < until_s for at_s in self.arrivals.get(name, []))
+
+
+@pytest.mark.parametrize("per_s", [10.0, 14.0])
+@pytest.mark.parametrize("size", [1, 6, 24, ENTRIES, 195])
+def test_new_target_gets_what_it_tolerates_and_no_more(size: int, per_s: float) -> None:
+    """A target registers for the first time, and all entries see an idle target at once."""
+    fleet = Fleet(per_s, size)
+    fleet.register(registration("old", 0.0))
+    fleet.run(1.0, 300.0)
+    fleet.prefers = "new"
+    start_s = fleet.now_s
+    fleet.register(registration("new"))
+    fleet.run(COLD_S, max(300.0, 5.0 * size))
+    assert fleet.most("new", start_s, start_s + COLD_S) <= fleet.allowed
+    assert fleet.total("new", start_s, start_s + COLD_S) >= 0.6 * per_s * COLD_S
+    assert fleet.rejected == 0
+
+
+@pytest.mark.parametrize("delay_s", [0.1, 0.6])
+def test_target_that_restarts_under_its_id_is_not_flooded_before_all_know_it(
+    delay_s: float,
+) -> None:
+    """The registration gets to the entries late, and those without a connection have no sign."""
+    fleet = Fleet()
+    for name in ("t0", "t1", "t2"):
+        fleet.register(registration(name, 0.0))
+    fleet.prefers = "t0"
+    fleet.run(2.0, 120.0)
+    fleet.crash("t0")
+    fleet.run(0.4, 120.0)
+    start_s = fleet.now_s
+    fleet.register(registration("t0", started_ms=2), delay_s)
+    fleet.run(COLD_S, 120.0)
+    assert fleet.most("t0", start_s, start_s + COLD_S) <= fleet.allowed
+    assert fleet.total("t0", start_s, start_s + COLD_S) >= 12
+    assert fleet.rejected == 0
+
+
+def test_target_that_restarts_while_the_store_is_down_is_found_by_its_connections() -> None:
+    """No entry is in contact with the store, so no registration tells of the restart."""
+    fleet = Fleet()
+    for name in ("t0", "t1", "t2"):
+        fleet.register(registration(name, 0.0))
+    fleet.prefers = "t0"
+    fleet.run(1.0, 200.0)
+    for entry in fleet.entries.values():
+        entry.current = False
+    fleet.run(8.0, 200.0)
+    fleet.crash("t0")
+    fleet.run(0.2, 200.0)
+    fleet.running["t0"] = TargetStart("t0", 2)
+    start_s = fleet.now_s
+    fleet.run(COLD_S - 0.2, 200.0)
+    assert 5 <= fleet.most("t0", start_s, start_s + COLD_S) <= fleet.allowed
+    fleet.run(2 * COLD_S, 200.0)
+    assert fleet.most("t0", fleet.now_s - 1.0, fleet.now_s) > 2 * fleet.allowed
+    assert fleet.rejected == 0
+
+
+def test_all_targets_of_a_data_center_come_back_at_once_and_share_the_calls() -> None:
+    """An evacuation ends; entries learn of it at different times, and cut-off ones never do."""
+    fleet = Fleet(14.0)
+    names = [f"t{number}" for number in range(8)]
+    for name in names:
+        fleet.register(registration(name, 0.0))
+    fleet.run(1.0, 10.0)
+    start_s = fleet.now_s
+    for number, entry in enumerate(fleet.entries.values()):
+        if number % 5:
+            entry.cold.note_evacuation_ended("dc1", start_s)
+            entry.cold.note_evacuation_ended("dc2", start_s)
+        else:
+            # Such an entry keeps the evacuation, so it sends nothing there.
+            entry.targets.clear()
+    fleet.run(COLD_S - 0.1, 600.0)
+    for name in names:
+        assert fleet.most(name, start_s, fleet.now_s) <= fleet.allowed
+    assert sum(fleet.total(name, start_s, fleet.now_s) for name in names) >= 8 * 14.0 * 1.5
+    assert fleet.rejected > 0
+
+
+def test_share_of_the_calls_rises_gradually_after_the_cold_time() -> None:
+    """65 entries see at the same moment that the cold time of the least loaded target ends."""
+    fleet = Fleet()
+    fleet.register(registration("old", 0.0))
+    fleet.register(registration("new"))
+    fleet.prefers = "new"
+    start_s = fleet.now_s
+    fleet.run(COLD_S + 3.5, 600.0)
+    in_steps = [
+        fleet.total("new", at_s, at_s + 0.5) for at_s in (start_s + 3.0 + n / 2 for n in range(7))
+    ]
+    assert max(in_steps[:3]) <= 20
+    assert in_steps[6] >= 250
+    assert fleet.rejected == 0
+
+
+def test_entries_that_start_lose_the_store_or_restart_keep_the_bound() -> None:
+    """A third of the entries is new and unsettled, and a third has an old view of the fleet."""
+    fleet = Fleet()
+    fleet.register(registration("old", 0.0))
+    for number, entry in enumerate(fleet.entries.values()):
+        if number % 3 == 0:
+            entry.shares.unregistered(f"e{number}", fleet.now_s)
+            entry.shares.registered(f"e{number}", fleet.now_s)
+        elif number % 3 == 1:
+            entry.current = False
+            # It hears of no peer, and so uses a share of its own.
+            entry.shares._peer_is_current = lambda now_s: False
+    fleet.run(6.4, 50.0)
+    fleet.prefers = "new"
+    start_s = fleet.now_s
+    for entry in fleet.entries.values():
+        entry.see(registration("new"), fleet.now_s)
+    fleet.running["new"] = TargetStart("new", 1)
+    fleet.run(COLD_S, 600.0)
+    assert 1 <= fleet.most("new", start_s, start_s + COLD_S) <= fleet.allowed
+    assert fleet.rejected == 0
+
+
+def cold_targets(now_s: float = 10.0, **changes: Any) -> ColdTargets:
+    service = Service("app", "/health", 100, None, None, COLD_S, 10.0)
+    cold = ColdTargets(COLD, lambda: {"app": service}, Counters())
+    cold.note_registration(registration("t", 0.0, **changes), now_s)
+    return cold
+
+
+START = TargetStart("t", 1)
+
+
+def test_nothing_is_cold_without_the_settings_or_for_services_without_a_limit() -> None:
+    """A deployment that doesn't name the bound, and a service that is never cold."""
+    service = Service("app", "/health", 100)
+    for bounds in (BOUNDS, COLD):
+        cold = ColdTargets(bounds, lambda: {"app": service}, Counters())
+        assert cold.note_registration(registration("t"), 1.0) == []
+        assert cold.note_failure(START, 1.1) == cold.note_evacuation_ended("dc1", 1.1) == []
+        assert cold.limit(START, 1.2) is None
+        assert cold.cold(1.2) == 0
+
+
+def test_registration_that_was_refreshed_well_after_a_broken_connection_refutes_it() -> None:
+    """A response breaks off, and the target has not restarted."""
+    cold = cold_targets()
+    (began,) = cold.note_failure(START, 11.0)
+    assert (began.number, dict(began.fields)["reason"]) == (LogEvent.TARGET_COLD, "broken")
+    cold.note_registration(registration("t", 0.0, refreshes=1), 11.5)
+    assert cold.limit(START, 11.6) == 10.0
+    repeated = registration("t", 0.0, refreshes=1)
+    cold.note_registration(repeated, 11.1 + LATE_REGISTRATION_S)
+    assert cold.limit(START, 13.2) == 10.0
+    (ended,) = cold.note_registration(registration("t", 0.0, refreshes=2), 13.3)
+    assert ended.number == LogEvent.TARGET_WARM
+    assert cold.limit(START, 13.4) is None
+
+
+def test_refused_connection_extends_the_cold_time_and_a_further_broken_one_does_not() -> None:
+    """Several calls break at once, and the target is down for longer."""
+    cold = cold_targets()
+    cold.note_failure(START, 11.0)
+    cold.note_failure(START, 12.0)
+    assert cold.limit(START, 14.5) != 10.0
+    cold.note_failure(START, 14.6, refused=True)
+    cold.note_failure(START, 16.6, refused=True)
+    assert cold.limit(START, 19.5) == 10.0
+
+
+def test_late_sign_of_an_earlier_start_changes_nothing() -> None:
+    """A connection to the earlier start breaks after the later one has registered."""
+    cold = cold_targets(started_ms=2)
+    assert cold.note_failure(START, 11.0) == []
+    assert cold.limit(TargetStart("t", 2), 11.0) is None
+
+
+def test_cold_time_that_is_too_long_or_negative_is_bounded() -> None:
+    """A target names a cold time of a day, in its registration and in a response."""
+    cold = cold_targets()
+    cold.note_registration(registration("t", 86_400.0, refreshes=1), 11.0)
+    assert cold.limit(START, 13.9) == 10.0
+    cold.note_cold(START, 86_400.0, 14.5)
+    cold.note_cold(START, -1.0, 14.6)
+    assert cold.limit(START, 18.0) is None
+
+
+def test_cold_limit_and_named_rate_both_apply() -> None:
+    """A cold target names a rate below what a cold one tolerates, then one above it."""
+    fleet = Fleet(size=1)
+    fleet.register(registration("new"))
+    (entry,) = fleet.entries.values()
+    fleet.run(0.1, 0.0)
+    start = entry.targets["new"].start
+    entry.rates.on_response(start, RequestRate(2.0), fleet.now_s, fleet.now_s)
+    assert entry.admission.limit(start, fleet.now_s) == 2.0
+    fleet.run(2.5, 50.0)
+    assert fleet.total("new", 0.0, fleet.now_s) <= 8
+    left, *_ = entry.targets.values()
+    assert entry.admission.reject([left], 1, fleet.now_s) is not None
+
+
+def test_settings_and_fields_of_the_platform_are_decoded() -> None:
+    """The names of the wire format change."""
+    service = b'{"name":"s","cold_start_s":3.0,"cold_per_s":14}'
+    limits = b'"limits":null,"tenants":null'
+    raw = b'{"version":1,"routes":[],"services":[' + service + b"]," + limits + b"}"
+    config = decode_configuration(msgspec.Raw(raw)).unwrap()
+    found_service = config.services["s"]
+    assert (found_service.cold_start_s, found_service.cold_per_s) == (3.0, 14.0)
+    spec = b'{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v","slots":1,'
+    spec += b'"state":"ready","cold_left_ms":1500,"seq":7}'
+    found = decode_target("t", msgspec.Raw(spec)).unwrap()
+    assert (found.warmup_left_s, found.refreshes) == (1.5, 7)
+    assert decode_response(200, [(b"cold-ms", b"1200")]).cold_left_s == 1.2
+    assert decode_response(200, [(b"cold-ms", b"soon")]).cold_left_s is None
