Tell callers and the log when cold targets are why a call is rejected

Cause: a call that found only cold targets was rejected with the code and the text of targets that name a rate, which is not true of them. An idle connection that a target closes to keep within its connection limit counted as a sign of a restart.

Change: such a call gets the code targets_cold; the line has how many targets are cold. A closed idle connection is a sign only if no other one to the target is left, and where the target names its idle time, up to that time.

TestTruthAndViews checks the shares of cold targets while entries join, leave and are cut off.

--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -30,6 +30,10 @@
 IDLE_TIMEOUT_S: Final = 3.0
 """Idle connections are closed after this time, or earlier if the target announces less."""
 
+RECENT_USE_S: Final = 1.0
+"""A target that closes a connection sooner after its last response, without having named a shorter
+idle time, has hardly done so because the connection was idle: it may have ended."""
+
 MAX_IDLE_PER_TARGET: Final = 6
 USER_TIMEOUT_MS: Final = 2_500
 """A connection is closed if sent bytes stay unacknowledged for this time."""
@@ -74,6 +78,7 @@
         self.transport: asyncio.Transport | None = None
         self.idle_since_s = 0.0
         self.idle_limit_s = IDLE_TIMEOUT_S
+        self.surprising_end_s = RECENT_USE_S
         self.usable = True
         self.closed = False
         self._parser = httptools.HttpResponseParser(self)
@@ -199,6 +204,7 @@
             self._note_refusal()
         limit_s = keep_alive_s(self._headers)
         if limit_s is not None:
+            self.surprising_end_s = IDLE_TIMEOUT_S
             self.idle_limit_s = min(IDLE_TIMEOUT_S, limit_s * 0.5)
         self._restart_timer()
         sink.on_head(response, self._reason.decode("latin-1"), self._headers)
@@ -288,11 +294,6 @@
             self._progress_timer = None
 
 
-RECENT_USE_S: Final = 1.0
-"""A target that ends a connection so soon after its last response has hardly done so because it was
-idle: it may have ended."""
-
-
 class TargetConnectionPool:
     """Idle connections by address; with ``tls``, targets must present a valid certificate.
 
@@ -354,7 +355,14 @@
         idle.append(conn)
 
     def _note_lost(self, conn: TargetConnection) -> None:
-        if boot_time_s() - conn.idle_since_s < RECENT_USE_S:
+        """Report an idle connection that its target had no reason to close.
+
+        A target that only has too many connections leaves others open.
+        """
+        others = [item for item in self._idle.get(conn.address, ()) if item is not conn]
+        idle_s = boot_time_s() - conn.idle_since_s
+        is_last = not any(item.usable for item in others)
+        if is_last and idle_s < min(conn.surprising_end_s, conn.idle_limit_s):
             self.on_lost(conn.address)
 
     def sweep(self, now_s: float) -> None:
--- a/filbertstream/fleet/cold_targets.py
+++ b/filbertstream/fleet/cold_targets.py
@@ -180,6 +180,8 @@
 
     def rule(self, start: TargetStart, now_s: float) -> ColdRate | RampRate | None:
         """Return the limit on the requests to a target, None if it is warm."""
+        if start not in self._states:
+            return None
         service = self._service(start)
         phase = self._phase(start, now_s)
         if service is None or phase is None:
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -164,7 +164,7 @@
         """Queue a call for a short time if targets have only rejected it so far, or give up."""
         limited = self._selection.reject_by_rate(call, now_s)
         if limited is not None:
-            return self._endings.give_up(call, "rate_limited", now_s, limited)
+            return self._endings.give_up(call, limited.code or "rate_limited", now_s, limited)
         queue_end_s = call.arrived_s + QUEUE_TIME_FRACTION * call.route.objective_s
         paused = self._selection.reject_by_pauses(call, now_s)
         wait_s = QUEUE_RETRY_S if paused is None else max(QUEUE_RETRY_S, paused.retry_after_s or 0)
--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -38,10 +38,14 @@
 
 
 class Rejection(NamedTuple):
-    """A call that no target can take: when to retry, if that can help, and the logged inputs."""
+    """A call that no target can take: when to retry, if that can help, and the logged inputs.
+
+    ``code`` is the error code if the reason is not the usual one.
+    """
 
     retry_after_s: float | None
     inputs: LogFields
+    code: str = ""
 
 
 PlacementPolicy = Callable[
--- a/filbertstream/request/rate_admission.py
+++ b/filbertstream/request/rate_admission.py
@@ -249,7 +249,8 @@
             ("members_age_s", -1.0 if math.isinf(age_s) else round(age_s, 3)),
         )
         inputs = (*inputs, ("cold", cold)) if cold else inputs
-        return Rejection(max(RETRY_MIN_S, until_s - now_s), inputs)
+        code = "targets_cold" if cold else ""
+        return Rejection(max(RETRY_MIN_S, until_s - now_s), inputs, code)
 
     def expire(self, registered: Callable[[], Container[TargetStart]], now_s: float) -> None:
         """Drop what no longer has an effect, once in ``EXPIRY_INTERVAL_S``."""
--- a/filbertstream/texts.py
+++ b/filbertstream/texts.py
@@ -30,6 +30,7 @@
     "targets_full": "The targets have no capacity left.",
     "overloaded": "The runners can't serve the request in time; load is being shed.",
     "rate_limited": "The targets limit their request rate, and no request is left for this call.",
+    "targets_cold": "Targets have just started, and no request is left for this call.",
     "claims_unavailable": "The Idempotency-Key can't be claimed durably now.",
     "quarantined": "A part of the prompt crashes runners; it is not sent to them any more.",
     "suspected": "A part of the prompt may crash runners, which is being found out.",
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -8,6 +8,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from bench.arrivals import allowed
+from filbertstream.fleet.cold_targets import OLD_VIEW_FRACTION as COLD_OLD_VIEW_FRACTION
+from filbertstream.fleet.cold_targets import ColdRate
 from filbertstream.process.rate_shares import (
     MIN_PER_S,
     OLD_VIEW_FRACTION,
@@ -194,6 +196,18 @@
             sent = sum(item.burst + item.per_s * WINDOW_S for item in used if item.per_s)
             assert sent <= allowed(self.per_s)
 
+    @invariant()
+    def fleet_stays_within_the_bound_of_a_cold_target(self) -> None:
+        """Holders differ in how many of them they know, and so in the size of their shares."""
+        for limit in (ColdRate(10.0, 20.0), ColdRate(14.0, 26.0)):
+            used = {True: 0, False: 0}
+            for entry in self.entries.values():
+                share = entry.share_of("t", limit, self.now_s)
+                used[entry.age_s(self.now_s) <= VIEW_MAX_AGE_S] += int(share.burst + share.per_s)
+            assert used[True] <= limit.allowed
+            if used[False] <= COLD_OLD_VIEW_FRACTION * limit.allowed:
+                assert sum(used.values()) <= limit.allowed
+
 
 def hash_of(name: str) -> int:
     return sum(name.encode())
