--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -19,6 +19,7 @@
     FramingBudget,
 )
 from filbertstream.platform.headers import Headers, decode_response, keep_alive_s
+from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import ResponseHead
 
@@ -29,6 +30,10 @@
 IDLE_TIMEOUT_S: Final = 3.0
 """Idle connections are closed after this time, or earlier if the target announces less."""
 
+RECENT_USE_S: Final = 1.0
+"""A target that closes a connection sooner after its last response, without having named a shorter
+idle time, has hardly done so because the connection was idle: it may have ended."""
+
 MAX_IDLE_PER_TARGET: Final = 6
 USER_TIMEOUT_MS: Final = 2_500
 """A connection is closed if sent bytes stay unacknowledged for this time."""
@@ -73,6 +78,7 @@
         self.transport: asyncio.Transport | None = None
         self.idle_since_s = 0.0
         self.idle_limit_s = IDLE_TIMEOUT_S
+        self.surprising_end_s = RECENT_USE_S
         self.usable = True
         self.closed = False
         self._parser = httptools.HttpResponseParser(self)
@@ -80,6 +86,7 @@
         self._request_id = ""
         self.refused_ids: set[str] = set()
         self._on_idle: Callable[[TargetConnection], None] | None = None
+        self.on_idle_lost: Callable[[TargetConnection], None] | None = None
         self._headers: Headers = []
         self._reason = b""
         self._skipping = False
@@ -197,6 +204,7 @@
             self._note_refusal()
         limit_s = keep_alive_s(self._headers)
         if limit_s is not None:
+            self.surprising_end_s = IDLE_TIMEOUT_S
             self.idle_limit_s = min(IDLE_TIMEOUT_S, limit_s * 0.5)
         self._restart_timer()
         sink.on_head(response, self._reason.decode("latin-1"), self._headers)
@@ -252,7 +260,9 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Report to the sink that its response is cut off."""
+        """Report to the sink that its response is cut off, or to the pool that it ended idle."""
+        if self._sink is None and self.usable and self.on_idle_lost is not None:
+            self.on_idle_lost(self)
         self.closed = True
         self.usable = False
         self._break("cut" if exc is None else "reset")
@@ -297,6 +307,7 @@
         self.buffers = BufferBudget(buffer_bytes)
         self._idle: dict[Address, list[TargetConnection]] = {}
         self.opened = 0
+        self.on_lost: Callable[[Address], None] = lambda address: None
 
     def take(
         self, address: Address, max_idle_s: float, now_s: float, request_id: str = ""
@@ -340,8 +351,20 @@
             conn.abort()
             return
         conn.idle_since_s = now_s
+        conn.on_idle_lost = self._note_lost
         idle.append(conn)
 
+    def _note_lost(self, conn: TargetConnection) -> None:
+        """Report an idle connection that its target had no reason to close.
+
+        A target that only has too many connections leaves others open.
+        """
+        others = [item for item in self._idle.get(conn.address, ()) if item is not conn]
+        idle_s = boot_time_s() - conn.idle_since_s
+        is_last = not any(item.usable for item in others)
+        if is_last and idle_s < min(conn.surprising_end_s, conn.idle_limit_s):
+            self.on_lost(conn.address)
+
     def sweep(self, now_s: float) -> None:
         """Close connections that were idle for too long."""
         for address in list(self._idle):
--- a/filbertstream/fleet/evacuations.py
+++ b/filbertstream/fleet/evacuations.py
@@ -59,7 +59,10 @@
 
 
 class Evacuations:
-    """The evacuated data centers; ``bound_s`` is None where the kind is not watched."""
+    """The evacuated data centers; ``bound_s`` is None where the kind is not watched.
+
+    ``on_ended`` is called with the data center and the time when an evacuation ends.
+    """
 
     def __init__(self, bound_s: float | None = None) -> None:
         self._bound_s = bound_s
@@ -72,6 +75,7 @@
         self._active_at_s: float | None = None
         self._resumed_at_s = float("-inf")
         self.recovered = True
+        self.on_ended: Callable[[str, float], list[Log]] = lambda data_center, now_s: []
 
     @property
     def watched(self) -> bool:
@@ -130,7 +134,8 @@
             return []
         self._ended_at_s[data_center] = now_s
         fields = (("data_center", data_center), ("seconds", round(now_s - since_s, 3)))
-        return [Log(LogEvent.EVACUATION_ENDED, fields)]
+        ended = Log(LogEvent.EVACUATION_ENDED, fields)
+        return [ended, *self.on_ended(data_center, now_s)]
 
     def handlers(self) -> dict[type, Callable[[Any, float], list[Any]]]:
         """Return the handlers by the type of event."""
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -11,6 +11,7 @@
 from typing import Any, Final, NamedTuple
 
 from filbertstream.actions import Log
+from filbertstream.fleet.cold_targets import ColdTargets, IdleConnectionLost
 from filbertstream.fleet.crash_detector import TargetProbed
 from filbertstream.fleet.crash_watch import CrashWatch
 from filbertstream.fleet.evacuations import Evacuations
@@ -22,9 +23,6 @@
     EntriesListed,
     EntryObserved,
     GatewayAction,
-    LeaseConfirmed,
-    LeaseObserved,
-    LeaseWritten,
     ObjectStoreResult,
     PeerMessage,
     StopRequested,
@@ -39,13 +37,7 @@
 from filbertstream.process.burn import Burn
 from filbertstream.process.cache_event_handlers import CacheEventHandlers
 from filbertstream.process.cache_index import CacheIndex
-from filbertstream.process.cache_stores import (
-    BlocksFreed,
-    CacheBlocksListed,
-    CacheEventsFailed,
-    CacheEventsReceived,
-    CacheStores,
-)
+from filbertstream.process.cache_stores import CacheStores
 from filbertstream.process.cache_updates import CacheUpdateExchange
 from filbertstream.process.config_observer import ConfigObserver
 from filbertstream.process.counters import Counters
@@ -90,11 +82,6 @@
 from filbertstream.version.cache_owners import CacheOwners
 from filbertstream.version.config_freshness import ConfigFreshness
 from filbertstream.version.retirement import Retirement
-from filbertstream.version.rollout import (
-    OrderResponse,
-    ReportFailed,
-    ReportReceived,
-)
 from filbertstream.version.weights_leader import WeightsLeader
 from filbertstream.version.weights_view import WeightsView
 
@@ -141,7 +128,13 @@
         self.relays = Relays(cfg.name, self.peers.names, self.peers.vm_resources)
         self.request_rates = RequestRates(self.counters)
         self.rate_shares = RateShares(cfg.name, self.peers.any_peer_current)
-        self.rate_admission = RateAdmission(self.request_rates, self.rate_shares)
+        self.cold_targets = ColdTargets(
+            bounds,
+            lambda: {} if self.authorizer.config is None else self.authorizer.config.services,
+            self.counters,
+        )
+        self.evacuations.on_ended = self.cold_targets.note_evacuation_ended
+        self.rate_admission = RateAdmission(self.request_rates, self.rate_shares, self.cold_targets)
         recovery_rng = random.Random(f"{cfg.seed}-{cfg.name}-recovery")
         self.recovery = StoreRecovery(cfg.name, lambda: self.peers.members)
         self.key_journal = KeyJournal(cfg.name, self.recovery, lambda: len(self.peers.members))
@@ -200,6 +193,7 @@
             self.burn,
             self.request_rates,
             self.rate_admission,
+            self.cold_targets,
             self.crash_watch.evidence,
             self.crash_watch.detector,
             self.crash_watch.trials,
@@ -230,7 +224,10 @@
             self.relayed_view,
         )
         self.target_registrations = TargetRegistrations(
-            self.roster, self.index, self.crash_watch.detector.on_gone
+            self.roster,
+            self.index,
+            self.crash_watch.detector.on_gone,
+            self.cold_targets.note_registration,
         )
         self.config_observer = ConfigObserver(
             cfg.name,
@@ -267,16 +264,9 @@
             TargetsListed: self._forward(self.target_registrations.on_listed),
             TargetObserved: self._forward(self.target_registrations.on_target),
             WeightsNamed: self._on_weights,
-            LeaseObserved: self._forward(self.weights_leader.on_lease_observed),
-            LeaseConfirmed: self._forward(self.weights_leader.on_lease_confirmed),
-            LeaseWritten: self._forward(self.weights_leader.on_lease_written),
-            ReportReceived: self._forward(self.weights_leader.on_report),
-            ReportFailed: self._forward(self.weights_leader.on_report_failed),
-            OrderResponse: self._forward(self.weights_leader.on_order),
-            CacheEventsReceived: self._forward(self.cache_events.on_read),
-            CacheEventsFailed: self._forward(self.cache_events.on_failed),
-            CacheBlocksListed: self._forward(self.cache_events.on_listed),
-            BlocksFreed: self._forward(self.cache_events.on_freed),
+            **self.weights_leader.handlers(),
+            **self.cache_events.handlers(),
+            IdleConnectionLost: self._forward(self.cold_targets.on_connection_lost),
             TargetProbed: self._forward(self.crash_watch.detector.on_probed),
             QuarantineListed: self._forward(self.crash_watch.quarantine.on_listed),
             QuarantineObserved: self._forward(self.crash_watch.quarantine.on_observed),
@@ -348,6 +338,7 @@
         self.authorizer.set_bound(bounds.config_apply_s)
         self.budget.set_bounds(bounds.retry_ratio, bounds.retry_window_s, bounds.retry_floor)
         self.weights.set_bound(bounds.version_s)
+        self.cold_targets.set_bounds(bounds)
         self.rollout_lease.set_lease(bounds.lease_s)
         self.stopping.set_grace(bounds.grace_s)
         return []
@@ -366,6 +357,7 @@
         self.store_health.tick(now_s)
         actions += self.target_registrations.tick(now_s)
         actions += self.crash_watch.tick(now_s)
+        actions += self.cold_targets.tick(self.roster.starts, now_s)
         self.rate_admission.expire(self.roster.starts, now_s)
         self.roster.notices.expire(self.roster.starts, now_s)
         actions += self.stores.tick(now_s)
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -55,6 +55,9 @@
     contact_ms: float = 3000
     # Calls to the object store are metered: without this key, evacuations are not watched.
     evac_ms: Positive | None = None
+    # Requests to a cold server in any second, as a multiple of its ``cold_per_s``, and beyond that.
+    cold_over: Annotated[float, msgspec.Meta(ge=0)] | None = None
+    cold_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class _Platform(msgspec.Struct):
@@ -174,6 +177,8 @@
             version_s=bounds.version_ms / MS,
             contact_s=bounds.contact_ms / MS,
             evac_s=None if bounds.evac_ms is None else bounds.evac_ms / MS,
+            cold_over=bounds.cold_over,
+            cold_slack=bounds.cold_slack,
         ),
         regions=({settings.zone: settings.region} if settings.region else {}) | settings.zones,
     )
--- a/filbertstream/process/cache_event_handlers.py
+++ b/filbertstream/process/cache_event_handlers.py
@@ -1,5 +1,8 @@
 """Handles the events of cache stores: applies them, and passes them on to peers."""
 
+from collections.abc import Callable
+from typing import Any
+
 from filbertstream.actions import Log, SendPeer
 from filbertstream.log_events import LogEvent
 from filbertstream.process.cache_stores import (
@@ -23,6 +26,15 @@
         self._updates = updates
         self._counters = counters
 
+    def handlers(self) -> dict[type, Callable[[Any, float], list[Any]]]:
+        """Return the handlers by the type of event."""
+        return {
+            CacheEventsReceived: self.on_read,
+            CacheEventsFailed: self.on_failed,
+            CacheBlocksListed: self.on_listed,
+            BlocksFreed: self.on_freed,
+        }
+
     def on_read(self, event: CacheEventsReceived, now_s: float) -> list[Log | SendPeer]:
         """Apply events, and log a restart of the cache store."""
         actions: list[Log | SendPeer] = [*self._updates.on_read(event, now_s)]
--- a/filbertstream/process/deployment.py
+++ b/filbertstream/process/deployment.py
@@ -19,6 +19,8 @@
     retries to a service that one entry may send in a window without any calls of its own.
     ``evac_s``: time after which the targets of an evacuated data center get nothing, or None where
     evacuations are not watched.
+    ``cold_over`` and ``cold_slack``: a cold target may get ``cold_per_s * cold_over + cold_slack``
+    requests in any second (``fleet.cold_targets``); without ``cold_over`` no target is cold.
     """
 
     config_apply_s: float
@@ -35,6 +37,8 @@
     contact_s: float
     retry_floor: int = 1
     evac_s: float | None = None
+    cold_over: float | None = None
+    cold_slack: float = 0.0
 
 
 class Address(NamedTuple):
--- a/filbertstream/request/eligibility.py
+++ b/filbertstream/request/eligibility.py
@@ -77,6 +77,14 @@
     return not deps.roster.is_healthy(target, now_s)
 
 
+def _cold_limit_reached(
+    deps: ForwardingDependencies, call: Call, target: RosterTarget, now_s: float
+) -> bool:
+    return deps.rate_admission.any_cold and deps.rate_admission.keeps_cold(
+        target, call.urgency, now_s
+    )
+
+
 def _rate_limited(
     deps: ForwardingDependencies, call: Call, target: RosterTarget, now_s: float
 ) -> bool:
@@ -105,9 +113,8 @@
     Reason(EVACUATED, Stage.BARRED, _evacuated),
     Reason(REGION_NOT_ALLOWED, Stage.BARRED, _region_not_allowed),
     Reason("ejected", Stage.UNHEALTHY, _ejected),
+    Reason("cold_limit_reached", Stage.LIMITED, _cold_limit_reached),
     Reason("rate_limited", Stage.LIMITED, _rate_limited),
-    # The reason "cold limit reached" (docs/design/uneven-load.md, part 2) goes here, in the stage
-    # LIMITED like the limits that targets name.
     Reason("loading_weights", Stage.AVOIDED, _loading_weights),
     Reason("already_tried", Stage.TRIED, _already_tried),
 )
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -172,7 +172,7 @@
             return self._endings.give_up(call, barred[0], now_s, barred[1])
         limited = self._selection.reject_by_rate(call, now_s)
         if limited is not None:
-            return self._endings.give_up(call, "rate_limited", now_s, limited)
+            return self._endings.give_up(call, limited.code or "rate_limited", now_s, limited)
         queue_end_s = call.arrived_s + QUEUE_TIME_FRACTION * call.route.objective_s
         paused = self._selection.reject_by_pauses(call, now_s)
         wait_s = QUEUE_RETRY_S if paused is None else max(QUEUE_RETRY_S, paused.retry_after_s or 0)
@@ -225,7 +225,8 @@
         now_s: float,
         inputs: LogFields = (),
     ) -> list[Action]:
-        limit = self._deps.request_rates.limit(target.start)
+        self._selection.note_diverted(call, now_s)
+        limit = self._deps.rate_admission.limit(target.start, now_s)
         if limit is not None:
             inputs = (("limit_per_s", limit), *inputs)
         line = call_logs.placed(call, target, inputs, now_s)
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -4,8 +4,8 @@
 entry that holds the lease sends orders; its peers follow its lease record.
 """
 
-from collections.abc import Iterable
-from typing import TypeAlias
+from collections.abc import Callable, Iterable
+from typing import Any, TypeAlias
 
 from filbertstream.actions import Log
 from filbertstream.gateway_events import LeaseConfirmed, LeaseObserved, LeaseWritten
@@ -50,6 +50,17 @@
         self._retirement = retirement
         self.is_leader = False
 
+    def handlers(self) -> dict[type, Callable[[Any, float], list[Any]]]:
+        """Return the handlers by the type of event."""
+        return {
+            LeaseObserved: self.on_lease_observed,
+            LeaseConfirmed: self.on_lease_confirmed,
+            LeaseWritten: self.on_lease_written,
+            ReportReceived: self.on_report,
+            ReportFailed: self.on_report_failed,
+            OrderResponse: self.on_order,
+        }
+
     def on_lease_observed(self, event: LeaseObserved, now_s: float) -> list[Action]:
         """Process a lease record, which also lists the weights that the leader found on runners."""
         self._lease.on_observed(event.record, event.revision, now_s)
