--- a/bench/gateway_guards.py
+++ b/bench/gateway_guards.py
@@ -125,8 +125,8 @@
     Guard(
         "nothing is fetched from an unresponsive cache store",
         "process/cache_stores.py",
-        "held < tokens or not state.fetchable(now_s):\n                continue",
-        "held < tokens:\n                continue",
+        "name in skip or not state.fetchable(now_s):\n                continue",
+        "name in skip:\n                continue",
         "tests/test_gateway_cache.py::"
         "test_nothing_is_fetched_from_a_store_whose_state_is_too_old",
     ),
--- a/bench/isolation_guards.py
+++ b/bench/isolation_guards.py
@@ -74,8 +74,8 @@
     Guard(
         "only entries that know a cache store's blocks save to it",
         "process/cache_stores.py",
-        "if self._knows_contents(state, now_s) and state.fits(tokens, now_s)",
-        "if state.fits(tokens, now_s)",
+        "if name not in skip and self._knows_contents(state, now_s)",
+        "if name not in skip",
         "tests/test_cache_settling.py::test_entry_that_has_not_listed_a_cache_store_saves_to_it",
     ),
     Guard(
--- a/bench/rate_guards.py
+++ b/bench/rate_guards.py
@@ -70,9 +70,9 @@
     ),
     Guard(
         "a target that named a pause gets no calls until its end",
-        "process/roster.py",
-        " and self.notices.admits(target.start, now_s)",
-        "",
+        "request/eligibility.py",
+        "return deps.roster.notices.paused_until_s(target.start, now_s) > now_s",
+        "return False",
         "tests/test_target_notices.py::"
         "test_target_that_names_a_pause_gets_nothing_until_its_end",
     ),
--- a/filbertstream/process/target_notices.py
+++ b/filbertstream/process/target_notices.py
@@ -75,6 +75,11 @@
         """Whether a target may get anything now, as far as its notices say."""
         return not self.is_leaving(start) and self.paused_until_s(start, now_s) <= now_s
 
+    @property
+    def any_paused(self) -> bool:
+        """Whether any target has named a pause that may not be over."""
+        return bool(self._paused_until_s)
+
     def paused(self, now_s: float) -> int:
         """Return how many targets are paused."""
         return sum(until_s > now_s for until_s in self._paused_until_s.values())
--- a/filbertstream/request/eligibility.py
+++ b/filbertstream/request/eligibility.py
@@ -37,14 +37,24 @@
 
 
 Applies = Callable[[ForwardingDependencies, Call, RosterTarget, float], bool]
+MayApply = Callable[[ForwardingDependencies, Call], bool]
+
+
+def _always(deps: ForwardingDependencies, call: Call) -> bool:
+    return True
 
 
 class Reason(NamedTuple):
-    """A reason, and whether it applies to a call and a target now."""
+    """A reason, and whether it applies to a call and a target now.
+
+    ``may_apply`` is False if the reason applies to no target at all, which saves looking at each of
+    the 95 runners of a large service.
+    """
 
     name: str
     stage: Stage
     applies: Applies
+    may_apply: MayApply = _always
 
 
 def _leaving(deps: ForwardingDependencies, call: Call, target: RosterTarget, now_s: float) -> bool:
@@ -100,16 +110,36 @@
 
 REASONS: Final = (
     Reason("leaving", Stage.UNUSABLE, _leaving),
-    Reason("paused", Stage.UNUSABLE, _paused),
+    Reason("paused", Stage.UNUSABLE, _paused, lambda deps, call: deps.roster.notices.any_paused),
     Reason("in_backoff", Stage.UNUSABLE, _in_backoff),
-    Reason(EVACUATED, Stage.BARRED, _evacuated),
-    Reason(REGION_NOT_ALLOWED, Stage.BARRED, _region_not_allowed),
+    Reason(
+        EVACUATED,
+        Stage.BARRED,
+        _evacuated,
+        lambda deps, call: bool(deps.roster.evacuations.data_centers),
+    ),
+    Reason(
+        REGION_NOT_ALLOWED,
+        Stage.BARRED,
+        _region_not_allowed,
+        lambda deps, call: bool(allowed_regions(call)),
+    ),
     Reason("ejected", Stage.UNHEALTHY, _ejected),
-    Reason("rate_limited", Stage.LIMITED, _rate_limited),
+    Reason(
+        "rate_limited",
+        Stage.LIMITED,
+        _rate_limited,
+        lambda deps, call: deps.request_rates.any_known,
+    ),
     # The reason "cold limit reached" (docs/design/uneven-load.md, part 2) goes here, in the stage
     # LIMITED like the limits that targets name.
-    Reason("loading_weights", Stage.AVOIDED, _loading_weights),
-    Reason("already_tried", Stage.TRIED, _already_tried),
+    Reason(
+        "loading_weights",
+        Stage.AVOIDED,
+        _loading_weights,
+        lambda deps, call: bool(deps.weights.swapping),
+    ),
+    Reason("already_tried", Stage.TRIED, _already_tried, lambda deps, call: bool(call.tried)),
 )
 """All reasons, those first that an operator should see first."""
 
@@ -126,12 +156,11 @@
     now_s: float,
 ) -> list[RosterTarget]:
     """Return the targets to which no reason of a stage applies."""
-    reasons = BY_STAGE[stage]
-    return [
-        target
-        for target in targets
-        if not any(reason.applies(deps, call, target, now_s) for reason in reasons)
-    ]
+    found = list(targets)
+    for reason in BY_STAGE[stage]:
+        if reason.may_apply(deps, call):
+            found = [item for item in found if not reason.applies(deps, call, item, now_s)]
+    return found
 
 
 def usable(
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -9,8 +9,8 @@
 
 Faults beside the common ones: ``busy`` responds with 503 and does nothing, ``compact`` (counted)
 drops the history, ``lose KIND`` (counted) carries out writes of a kind and closes the connection
-without a response, ``delay KIND`` carries out changes of a kind's objects after that time.  Objects
-of the system itself don't expire.
+without a response, ``delay KIND`` carries out changes of a kind's objects after that time, ``slow
+KIND`` carries out reads of a kind after that time.  Objects of the system itself don't expire.
 
 ``restore`` brings the store back from a copy of that age in seconds, after it was away for
 ``restore_away_s``.  Revisions continue from the copy's, ``Store-Era`` of all responses rises by
@@ -132,6 +132,8 @@
         method = environ["REQUEST_METHOD"]
         if method == "PUT":
             time.sleep(self._faults.get(f"delay {parts[1]}"))
+        if method == "GET":
+            time.sleep(self._faults.get(f"slow {parts[1]}"))
         with self._changed:
             self.counts["reads" if method == "GET" else "writes"] += 1
             if self._faults.take("compact"):
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -22,7 +22,7 @@
 )
 from filbertstream.gateway_events import TargetsListed, Tick
 from filbertstream.log_events import LogEvent
-from filbertstream.platform.documents import EVACUATIONS_KIND
+from filbertstream.platform.documents import EVACUATIONS_KIND, TARGETS_KIND
 from filbertstream.process.relays import POLL_INTERVAL_S
 from filbertstream.process.roster import Roster
 from filbertstream.process.store_recovery import SETTLE_S
@@ -353,3 +353,26 @@
     world.confirm()
     world.step(Tick())
     assert sends(world.arrive("read"))
+
+
+def test_follower_of_a_relay_of_an_older_build_reads_the_kind_itself() -> None:
+    """Mixed builds: every other entry, and so some relays, don't follow the kind."""
+    world = FleetWorld(1, FLEET_BOUNDS)
+    with_kind = FleetWorld(1, FLEET_BOUNDS._replace(evac_s=EVAC_S))
+    versions = ((world.bounds, world.platform.followed),)
+    versions += ((with_kind.bounds, with_kind.platform.followed),)
+    for number in range(1, LARGE_FLEET + 1):
+        world.bounds, world.platform.followed = versions[number % 2]
+        world.add_entry(f"e{number}", f"dc{1 + number % 3}")
+    world.run(6.0)
+    newer = {name for name, core in world.cores.items() if core.evacuations.watched}
+    relays = {name for name, core in world.cores.items() if core.relays.is_relay}
+    assert relays & newer
+    assert relays - newer
+    evacuate(world)
+    world.run(DETECTED_S)
+    assert knowing(world) == newer
+    views = [world.cores[name].relayed_view for name in newer - relays]
+    reading = [view for view in views if view.reads_kind(EVACUATIONS_KIND, world.now_s)]
+    assert 0 < len(reading) < len(views)
+    assert not any(view.reads_kind(TARGETS_KIND, world.now_s) for view in reading)
--- a/tests/test_read_backoff.py
+++ b/tests/test_read_backoff.py
@@ -7,6 +7,10 @@
 import pytest
 
 from filbertstream.connection.watched_kinds import CONFIG_MAX_AGE_FRACTION, watched_kinds
+from filbertstream.fleet.evacuations import MARGIN_FRACTION
+from filbertstream.gateway_process import IDLE_TICK_S, TICK_S
+from filbertstream.platform.documents import EVACUATIONS_KIND
+from filbertstream.platform.objects import RESPONSE_TIMEOUT_S
 from filbertstream.process.read_backoff import ReadBackoff
 from filbertstream.process.relayed_view import FRESH_FRACTION
 from filbertstream.process.relays import POLL_INTERVAL_S
@@ -58,10 +62,13 @@
     assert [kind for kind in KINDS if probing.is_deferred(kind)] == [KINDS[1]]
 
 
-@pytest.mark.parametrize("watched", watched_kinds(BOUNDS), ids=lambda item: item.kind)
+EVACUATIONS = BOUNDS._replace(evac_s=5.0)
+
+
+@pytest.mark.parametrize("watched", watched_kinds(EVACUATIONS), ids=lambda item: item.kind)
 def test_age_of_a_healthy_relays_state_stays_within_the_limit(watched: object) -> None:
     """A relay's state grows as old as its pause or twice its wait, plus the time of a request."""
-    (watched_kind,) = [item for item in watched_kinds(BOUNDS) if item == watched]
+    (watched_kind,) = [item for item in watched_kinds(EVACUATIONS) if item == watched]
     relay_watch = watched_kind.relay_watch
     oldest_s = 2 * relay_watch.wait_s + relay_watch.pause_s
     assert oldest_s + 0.1 < FRESH_FRACTION * relay_watch.max_age_s
@@ -69,6 +76,15 @@
     assert CONFIG_MAX_AGE_FRACTION < 0.5
 
 
+def test_evacuation_is_detected_within_two_thirds_of_its_bound() -> None:
+    """A connection to the object store stalls, or a relay dies and no other one responds."""
+    (watched,) = [item for item in watched_kinds(EVACUATIONS) if item.kind == EVACUATIONS_KIND]
+    detected_s = (1.0 - MARGIN_FRACTION) * 5.0
+    listing_s = 0.3
+    assert watched.wait_s + RESPONSE_TIMEOUT_S + listing_s < detected_s
+    assert watched.relay_watch.max_age_s + IDLE_TICK_S + TICK_S + listing_s < detected_s
+
+
 @pytest.mark.parametrize("revoke_s", [1.0, 2.5, 5.0, 60.0])
 def test_entry_is_unready_between_two_responses_of_a_healthy_object_store(revoke_s: float) -> None:
     """The bound for removed keys is short; a watch waits for most of the bound on changes."""
