Write nothing to a target that was evacuated while its connection opened

Cause: a process that is suspended, or a busy machine, between the choice of a target and the end of the handshake wrote the request whenever it went on.

Change: before the first byte, the I/O layer asks whether the target's data center is still not evacuated and the evacuations are known; otherwise the send counts as unsent (cause `withheld`), without a mark against the target, and the call is sent elsewhere or waits for the view.

--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -213,9 +213,17 @@
         call = self._calls.get(action.call_id)
         if call is None:
             return
-        send = call.send = ProxiedSend(self, call, action)
+        send = call.send = ProxiedSend(self, call, action, self._may_reach)
         self._tasks.start(send.begin(self.pool), "send", send.on_error)
 
+    def _may_reach(self, target_id: str) -> bool:
+        """Whether a request may be written to a target that was chosen a moment ago."""
+        roster = self._core.roster
+        if roster.evacuations.is_unknown(boot_time_s()):
+            return False
+        target = roster.targets.get(target_id)
+        return target is None or not roster.is_evacuated(target)
+
     def _start_poll(self, poll: PollCacheEvents) -> None:
         def on_error() -> None:
             self.emit(CacheEventsFailed(poll.holder))
--- a/filbertstream/connection/proxied_send.py
+++ b/filbertstream/connection/proxied_send.py
@@ -18,6 +18,7 @@
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import BufferedResponse, CallHead, ResponseHead
 from filbertstream.request.call_events import (
+    WITHHELD,
     FirstEvent,
     ResponseComplete,
     ResponseStarted,
@@ -65,8 +66,15 @@
 class ProxiedSend:
     """One send of a call; receives the target's response."""
 
-    def __init__(self, host: SendHost, call: ProxiedCall, action: SendCall) -> None:
+    def __init__(
+        self,
+        host: SendHost,
+        call: ProxiedCall,
+        action: SendCall,
+        may_reach: Callable[[str], bool] = lambda target_id: True,
+    ) -> None:
         self._host = host
+        self._may_reach = may_reach
         self._call = call
         self.action = action
         self._chosen_at_s = boot_time_s()
@@ -243,7 +251,8 @@
     async def begin(self, pool: TargetConnectionPool) -> None:
         """Take or open a connection and write the request.
 
-        A connection may open late, as on a busy machine, so the target gets the time left by then.
+        A connection may open late, as on a busy machine or after a suspension, so the target gets
+        the time left by then, and nothing if its data center has been evacuated since the choice.
         """
         action = self.action
         self._buffers = pool.buffers
@@ -259,6 +268,10 @@
         if target_conn is None or target_conn.closed:
             self._fail("unreachable", sent=False)
             return
+        if not self._may_reach(action.target_id):
+            pool.release(target_conn, boot_time_s())
+            self._fail(WITHHELD, sent=False)
+            return
         self.target_conn = target_conn
         raw = self._call.raw
         head = encode_target_head(
--- a/filbertstream/request/call_events.py
+++ b/filbertstream/request/call_events.py
@@ -4,7 +4,7 @@
 that the core can ignore a late event of an earlier send.
 """
 
-from typing import NamedTuple, TypeAlias
+from typing import Final, NamedTuple, TypeAlias
 
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import BufferedResponse, CacheDirectives, CallHead, ResponseHead
@@ -44,6 +44,10 @@
     response: BufferedResponse | None = None
 
 
+WITHHELD: Final = "withheld"
+"""Cause of a send whose target was evacuated before a byte was written."""
+
+
 class SendFailed(NamedTuple):
     """A send ended without a complete response.
 
--- a/filbertstream/request/send_failures.py
+++ b/filbertstream/request/send_failures.py
@@ -10,7 +10,7 @@
 
 from filbertstream.request import call_logs
 from filbertstream.request.call_endings import Action, CallEndings
-from filbertstream.request.call_events import CancelSend, SendFailed, SendStalled
+from filbertstream.request.call_events import WITHHELD, CancelSend, SendFailed, SendStalled
 from filbertstream.request.call_state import Call
 from filbertstream.request.crash_reports import CrashReports
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
@@ -62,7 +62,9 @@
         target = release(call)
         call.attempts -= 1
         self._deps.counters.add("sends_failed", event.cause)
-        if target is not None:
+        if target is not None and event.cause == WITHHELD:
+            self._deps.roster.outliers.probe_inconclusive(target.target_id)
+        elif target is not None:
             self._feedback.note_failure(target, now_s)
         # No byte has reached the target, so sending again consumes no retry budget.
         return [log, *self._send(call, now_s)]
