--- a/bench/shards.py
+++ b/bench/shards.py
@@ -2,7 +2,8 @@
 
 Tests in virtual time need only a processor, so they run side by side, a shard on each.  Tests with
 sockets, processes or the clock of the machine mostly wait.  They run after the others, in a few
-shards that leave most processors idle.
+shards that leave most processors idle.  Files that set ``RUNS_ALONE`` load the machine themselves,
+so one more shard runs them at the end, beside no other.
 """
 
 import os
@@ -32,6 +33,9 @@
 )
 """Imports of a test file that works with sockets, processes or the clock of the machine."""
 
+ALONE: Final = re.compile(r"^RUNS_ALONE\b", re.MULTILINE)
+"""What a test file sets whose tests need the machine for themselves."""
+
 
 class Counts(NamedTuple):
     """Tests of a shard, or of all."""
@@ -79,9 +83,12 @@
     plan = Plan(*numbers)
     # What a module imports says nothing of its doctests, and none of them waits.
     files = {item.path for item in items if item.path.name.startswith("test_")}
-    clock = {path for path in files if MACHINE.search(path.read_text())}
-    if number < plan.virtual:
-        virtual = [item for item in items if item.path not in clock]
+    alone = {path for path in files if ALONE.search(path.read_text())}
+    clock = {path for path in files - alone if MACHINE.search(path.read_text())}
+    if number >= sum(plan):
+        items[:] = [item for item in items if item.path in alone]
+    elif number < plan.virtual:
+        virtual = [item for item in items if item.path not in clock | alone]
         items[:] = virtual[number :: plan.virtual]
     else:
         items[:] = [item for item in items if item.path in clock]
@@ -148,12 +155,24 @@
     return Shard(number, process, output, report)
 
 
+def has_alone(args: list[str]) -> bool:
+    """Whether a test file in one of the named folders needs the machine for itself."""
+    folders = [Path(arg) for arg in args if Path(arg).is_dir()]
+    files = [file for folder in folders for file in folder.rglob("test_*.py")]
+    return any(ALONE.search(file.read_text()) for file in files)
+
+
 def run(args: list[str], plan: Plan) -> Counts:
     """Run all tests with pytest's arguments."""
     counts = Counts()
-    numbers = range(sum(plan))
+    numbers = range(sum(plan) + has_alone(args))
     with tempfile.TemporaryDirectory() as folder:
-        for part in (numbers[: plan.virtual], numbers[plan.virtual :]):
+        parts = (
+            numbers[: plan.virtual],
+            numbers[plan.virtual : sum(plan)],
+            numbers[sum(plan) :],
+        )
+        for part in parts:
             shards = [start(number, plan, Path(folder), args) for number in part]
             counts = sum((shard.finish() for shard in shards), counts)
     return counts
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -51,6 +51,18 @@
     assert run([str(tmp_path)], Plan(2, 2)) == counts
 
 
+def test_file_that_needs_the_machine_runs_alone_after_the_others(tmp_path: Path) -> None:
+    """Beside other tests, a file that loads the machine would make them fail, and they it."""
+    (tmp_path / "test_virtual.py").write_text(TESTS)
+    (tmp_path / "test_clock.py").write_text(f"import time\n{TESTS}")
+    ended = tmp_path / "ended"
+    note = f"def test_end(): open({str(ended)!r}, 'w').close()\n"
+    (tmp_path / "test_later.py").write_text(f"import time\n{note}")
+    check = f"def test_x(): assert __import__('os').path.exists({str(ended)!r})\n"
+    (tmp_path / "test_alone.py").write_text(f"import time\nRUNS_ALONE = True\n{check}")
+    assert run([str(tmp_path)], Plan(2, 2)) == Counts(10, 0, 0)
+
+
 def test_closing_line() -> None:
     assert str(Counts(3, 0, 0) + Counts(1, 2, 0)) == "4 passed, 2 failed"
     assert str(Counts(3, 0, 1)) == "3 passed, 0 failed, 1 skipped"
