Bound the memory that a process holds for its callers

Cause: the limits hold for each connection. Each chunk was kept as an object of its own, up to 256 KiB of one connection were parsed in one go, and nothing bounded the sum over the connections.

Change: BufferBudget counts requests that arrive, running requests, buffered responses and unread responses of the whole process, a quarter of its memory at most. While there is no room, callers are not read from; requests that make no progress are refused with 408 then, and callers that have waited for 3 s with 503. Both have not run. Requests of 16 KiB still get room that larger ones may not use. Connections are read in slices of 2 to 64 KiB. Bodies are joined as they arrive, a rejected request keeps nothing, and a head has at most 512 lines. A response that its caller does not read is closed after the idle timeout. The parser's callbacks move to connection/request_parser.py.

Measured: the crowds of large chunks, of one-byte chunks, over the limit and the mix pass.

--- a/bench/isolation_guards.py
+++ b/bench/isolation_guards.py
@@ -15,8 +15,8 @@
     ),
     Guard(
         "buffered bodies of all responses together are bounded",
-        "connection/response_budget.py",
-        "while self.total_bytes > self._limit_bytes:",
+        "connection/buffer_budget.py",
+        "while self.total_bytes > self.limit_bytes and self._sizes:",
         "while False:",
         "tests/test_endless_bytes.py::"
         "test_many_endless_responses_together_exceed_the_memory_of_the_process",
--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -1,28 +1,28 @@
 """Connections from callers on the event loop: reads requests within limits and writes responses.
 
-httptools parses.  A request with ambiguous framing is rejected and its connection closed, which
-prevents request smuggling.  A connection serves one request at a time; pipelined requests are
-queued.
+A connection serves one request at a time; pipelined requests are queued.  What it holds is counted
+in the process's ``BufferBudget``, which pauses its reading or refuses its request.  Bytes are read
+in bounded slices, so that other connections have their turn between them.
 """
 
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from typing import Final, NamedTuple, Protocol, cast
-
-import httptools
-
+from typing import Final, Protocol, cast
+
+from filbertstream.connection.buffer_budget import (
+    HEAD_SLICE_BYTES,
+    MAX_SLICE_BYTES,
+    MIN_SLICE_BYTES,
+    BufferBudget,
+    Kind,
+    Reason,
+)
+from filbertstream.connection.request_parser import RawRequest, RequestParser, kept_bytes
 from filbertstream.connection.unread_bytes import has_unread_bytes
-from filbertstream.platform.headers import Headers, encode_local_response
+from filbertstream.platform.headers import encode_local_response
 from filbertstream.process.clock import boot_time_s
-from filbertstream.statuses import (
-    BAD_REQUEST,
-    FIELDS_TOO_LARGE,
-    NOT_IMPLEMENTED,
-    REASONS,
-    TIMEOUT,
-    TOO_LARGE,
-)
+from filbertstream.statuses import REASONS, TIMEOUT, UNAVAILABLE
 from filbertstream.version.routes import CallerLimits
 
 PIPELINE_LIMIT: Final = 16
@@ -31,28 +31,17 @@
 WRITE_HIGH_BYTES: Final = 256 * 1024
 """Reading from the target pauses while this many bytes to the caller are unsent."""
 
-MAX_FRAMING_FACTOR: Final = 8
-"""Largest number of bytes on the wire for each byte of a chunked body.  Chunks of one byte take
-six."""
-
 BODY_TIMEOUT_S: Final = 15.0
 """A body must be complete this long after its head.  Callers announce shorter deadlines."""
 
-FRAMING_HEADERS: Final = (b"content-length", b"transfer-encoding")
-"""Of these, a request may have one, and only once: its end would be ambiguous."""
-
 LINGER_S: Final = 1.0
 """After the last response, what the caller still sends is read and dropped for this long."""
 
+RETRY_AFTER_S: Final = 1.0
+"""What a caller is told for whom there is no memory; other entries may have some."""
 
-class RawRequest(NamedTuple):
-    """A request as read; if ``last`` is set, the connection is closed after its response."""
-
-    method: str
-    path: str
-    headers: Headers
-    body: bytes
-    last: bool = False
+_SLICE: Final = memoryview(bytearray(MAX_SLICE_BYTES))
+"""What was read last.  All connections share it: its bytes are parsed before the next are read."""
 
 
 class CallerApp(Protocol):
@@ -79,37 +68,44 @@
         """A request was rejected before it was read completely."""
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(RequestParser, asyncio.BufferedProtocol):
     """One connection of a caller.
 
     ``began_s`` is when the first bytes of the request that is being served arrived.
     """
 
-    def __init__(self, app: CallerApp, on_closed: Callable[["CallerConnection"], None]) -> None:
+    def __init__(
+        self,
+        app: CallerApp,
+        on_closed: Callable[["CallerConnection"], None],
+        buffers: BufferBudget | None = None,
+    ) -> None:
+        super().__init__()
         self._app = app
         self._on_closed = on_closed
+        self._buffers = BufferBudget() if buffers is None else buffers
         self.transport: asyncio.Transport | None = None
         self.call_id: int | None = None
         self.busy = False
-        self._parser = httptools.HttpRequestParser(self)
         self.began_s = boot_time_s()
         self._queued: deque[tuple[RawRequest, float]] = deque()
+        self._queued_bytes = 0
+        self._running_bytes = 0
+        self._unsent_bytes = 0
+        self._unsent_since_s = 0.0
         self._reading_since_s = self.began_s
-        self._url = b""
-        self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._body_wire_bytes = 0
-        self._in_request = False
-        self._head_done = False
+        self.idle_since_s = self.began_s
+        self._pauses: set[str] = set()
         self._expects_continue = False
         self._close_after = False
         self._close_announced = False
-        self._rejection: tuple[int, str] | None = None
         self._lingering = False
         self._timer: asyncio.TimerHandle | None = None
 
+    @property
+    def _limits(self) -> CallerLimits:
+        return self._app.limits
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timeout for the first request."""
         self.transport = cast(asyncio.Transport, transport)
@@ -151,7 +147,20 @@
         reads = self._in_request or self._rejection is not None
         return not self.busy and not reads and not self._queued and not self._lingering
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where to put the next bytes, at most a slice."""
+        size = self._buffers.slice_bytes()
+        if self._in_request and self._head_done and self._is_slow_to_parse:
+            size = MIN_SLICE_BYTES
+        elif not self._in_request or not self._head_done:
+            size = min(size, HEAD_SLICE_BYTES)
+        return _SLICE[:size]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Read what has arrived."""
+        self.data_received(_SLICE[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Read requests and serve the first.
 
         Requests that arrive together are read before any is served: the response to the first may
@@ -159,79 +168,52 @@
         """
         if self._lingering:
             return
-        self._read(data)
+        self._feed(data)
+        self._count_kept()
         if not self.busy and (self._queued or self._rejection is not None):
             self._next()
 
-    def _read(self, data: bytes) -> None:
-        """Feed the parser and enforce the limits."""
-        if self._rejection is not None:
-            return
-        if not self._head_done:
-            self._head_bytes += len(data)
+    def _count_kept(self) -> None:
+        size = self._kept_bytes
+        if size:
+            self._buffers.arrive(self, size, boot_time_s())
         else:
-            self._body_wire_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(NOT_IMPLEMENTED, "protocol upgrades are not supported")
-            return
-        except httptools.HttpParserError as exc:
-            self._reject(BAD_REQUEST, f"malformed request: {exc}")
-            return
-        if self._rejection is not None:
-            return
-        limits = self._app.limits
-        if not self._head_done and self._head_bytes > limits.header_bytes:
-            self._reject(FIELDS_TOO_LARGE, f"request head exceeds {limits.header_bytes} bytes")
-        wire_limit_bytes = limits.header_bytes + MAX_FRAMING_FACTOR * self._body_bytes
-        if self._in_request and self._body_wire_bytes > wire_limit_bytes:
-            self._reject(BAD_REQUEST, "chunked body has too much framing overhead")
-
-    def on_message_begin(self) -> None:
-        """Called by the parser."""
+            self._buffers.arrived(self)
+
+    def _count_requests(self) -> None:
+        self._buffers.hold(self, Kind.RUNNING, self._queued_bytes + self._running_bytes)
+
+    def _pause(self, why: str) -> None:
+        if not self._pauses and self.transport is not None:
+            self.transport.pause_reading()
+        self._pauses.add(why)
+
+    def _resume(self, why: str) -> None:
+        self._pauses.discard(why)
+        if not self._pauses and self.transport is not None:
+            self.transport.resume_reading()
+
+    def pause_arrival(self) -> None:
+        """Stop to read until there is room."""
+        self._pause("memory")
+
+    def resume_arrival(self) -> None:
+        """Read again."""
+        self._resume("memory")
+
+    def refuse_arrival(self, reason: Reason) -> None:
+        """Refuse the request being read, which has not run, to make room."""
+        self._reject(reason.status, f"no memory for this request: {reason}")
+        if not self.busy:
+            self._next()
+
+    def _on_begun(self) -> None:
         self._reading_since_s = boot_time_s()
-        self._url = b""
-        self._headers = []
-        self._body = []
-        self._body_bytes = 0
-        self._body_wire_bytes = 0
-        self._in_request = True
-        self._head_done = False
         self._expects_continue = False
         if not self.busy:
             self._set_request_timer()
 
-    def on_url(self, url: bytes) -> None:
-        """Called by the parser."""
-        self._url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser; trailer fields are ignored."""
-        if not self._head_done:
-            self._headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        """Called by the parser."""
-        self._head_done = True
-        self._head_bytes = 0
-        size = len(self._url) + sum(len(name) + len(value) + 4 for name, value in self._headers)
-        names = [name for name, _ in self._headers]
-        if size > self._app.limits.header_bytes:
-            self._reject(
-                FIELDS_TOO_LARGE,
-                f"request head of {size} bytes exceeds {self._app.limits.header_bytes} bytes",
-            )
-        elif sum(name in FRAMING_HEADERS for name in names) > 1:
-            self._reject(BAD_REQUEST, "more than one Content-Length or Transfer-Encoding")
-        else:
-            self._after_head(dict(self._headers))
-
-    def _after_head(self, first: dict[bytes, bytes]) -> None:
-        length = first.get(b"content-length", b"0")
-        if length.isdigit() and int(length) > self._app.limits.body_bytes:
-            self._reject(TOO_LARGE, f"request body exceeds {self._app.limits.body_bytes} bytes")
-            return
+    def _on_head(self, first: dict[bytes, bytes]) -> None:
         if not self.busy:
             self._set_request_timer()
         self._expects_continue = first.get(b"expect", b"").lower() == b"100-continue"
@@ -244,29 +226,15 @@
             self._expects_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_body(self, data: bytes) -> None:
-        """Called by the parser."""
-        if self._rejection is not None:
-            return
-        self._body_bytes += len(data)
-        if self._body_bytes > self._app.limits.body_bytes:
-            self._reject(TOO_LARGE, f"request body exceeds {self._app.limits.body_bytes} bytes")
-            return
-        self._body.append(data)
-
-    def on_message_complete(self) -> None:
-        """Called by the parser."""
-        if self._rejection is not None:
+    def _on_complete(self, raw: RawRequest) -> None:
+        if len(self._queued) >= PIPELINE_LIMIT and self._buffers.is_full:
+            self._reject(UNAVAILABLE, "no memory for so many requests behind one another")
             return
-        self._in_request = False
-        last = not self._parser.should_keep_alive()
-        method = self._parser.get_method().decode("ascii")
-        path = self._url.decode("latin-1")
-        raw = RawRequest(method, path, self._headers, b"".join(self._body), last)
         self._queued.append((raw, self._reading_since_s))
-        self._body = []
-        if len(self._queued) >= PIPELINE_LIMIT and self.transport is not None:
-            self.transport.pause_reading()
+        self._queued_bytes += kept_bytes(raw)
+        self._count_requests()
+        if len(self._queued) >= PIPELINE_LIMIT:
+            self._pause("pipeline")
 
     def _next(self) -> None:
         if not self._queued:
@@ -276,27 +244,33 @@
                 self._set_request_timer()
                 self._send_continue()
             else:
+                self.idle_since_s = boot_time_s()
                 self._set_timer(self._app.limits.idle_timeout_s, self._on_idle_timeout)
             return
         if self._timer is not None:
             self._timer.cancel()
         self.busy = True
         raw, self.began_s = self._queued.popleft()
-        if len(self._queued) == PIPELINE_LIMIT - 1 and self.transport is not None:
-            self.transport.resume_reading()
+        if len(self._queued) == PIPELINE_LIMIT - 1:
+            self._resume("pipeline")
+        size = kept_bytes(raw)
+        self._queued_bytes -= size
+        # The socket's buffer to the target may hold the body once more.
+        self._running_bytes = size + len(raw.body)
+        self._count_requests()
         self._close_after = self._close_after or raw.last
         self._app.on_request(self, raw)
 
-    def _reject(self, status: int, detail: str) -> None:
-        """Reject the request being read, once the requests before it have their responses."""
-        if self._rejection is None:
-            self._rejection = (status, detail)
-            self._app.on_rejected(status, detail)
+    def _on_rejection(self, status: int, detail: str) -> None:
+        """The request is rejected once the requests before it have their responses."""
+        self._buffers.arrived(self)
+        self._app.on_rejected(status, detail)
 
     def _close_rejected(self, status: int, detail: str) -> None:
         if self.transport is None or self.transport.is_closing() or self._lingering:
             return
-        head, body = encode_local_response(status, REASONS[status], "", {"detail": detail}, None)
+        retry_s = RETRY_AFTER_S if status == UNAVAILABLE else None
+        head, body = encode_local_response(status, REASONS[status], "", {"detail": detail}, retry_s)
         self.transport.write(head + b"\r\nConnection: close\r\n\r\n" + body)
         self._close_after_response(self.transport)
 
@@ -327,6 +301,7 @@
         """Send a complete response."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(head + self._end_of_head() + body)
+            self.count_unsent(boot_time_s())
         self._finish()
 
     def begin(self, head: bytes) -> None:
@@ -350,9 +325,29 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def count_unsent(self, now_s: float) -> None:
+        """Count what the caller has not read; close if it has read nothing for the idle timeout.
+
+        A stream is left to its target's time limits: its request runs.
+        """
+        if self.transport is None:
+            return
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes == 0 or unsent_bytes < self._unsent_bytes or not self._unsent_bytes:
+            self._unsent_since_s = now_s
+        if unsent_bytes != self._unsent_bytes:
+            self._unsent_bytes = unsent_bytes
+            self._buffers.hold(self, Kind.UNSENT, unsent_bytes)
+        unread_s = now_s - self._unsent_since_s
+        if unsent_bytes and not self.busy and unread_s > self._app.limits.idle_timeout_s:
+            self._buffers.closed["response_not_read"] += 1
+            self.transport.abort()
+
     def _finish(self) -> None:
         self.busy = False
         self.call_id = None
+        self._running_bytes = 0
+        self._count_requests()
         if self.transport is None:
             return
         if self._close_after or (self._closes_next and not has_unread_bytes(self.transport)):
@@ -388,4 +383,9 @@
             self._app.on_disconnected(self)
         self.busy = False
         self.transport = None
+        self._queued.clear()
+        self._queued_bytes = self._running_bytes = 0
+        self._buffers.arrived(self)
+        self._count_requests()
+        self._buffers.hold(self, Kind.UNSENT, 0)
         self._on_closed(self)
--- a/filbertstream/connection/event_relay.py
+++ b/filbertstream/connection/event_relay.py
@@ -28,7 +28,7 @@
 
     def __init__(self, last_id: str | None) -> None:
         self.last_id = last_id
-        self._buffer = b""
+        self._buffer = bytearray()
         self.malformed = False
         self.useful_events = 0
         """Number of events passed on that have an id or data."""
@@ -45,23 +45,25 @@
 
     def restart(self) -> None:
         """Continue with the response to another send."""
-        self._buffer = b""
+        self._buffer = bytearray()
         self.malformed = False
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes of a response and return the complete new events among them."""
         if self.malformed:
             return b""
-        buffer = self._buffer + data if self._buffer else data
-        end = buffer.rfind(EVENT_END)
+        # An event may arrive in single bytes: each is looked at once, and none is copied again.
+        before = len(self._buffer)
+        self._buffer += data
+        end = self._buffer.rfind(EVENT_END, max(0, before - len(EVENT_END) + 1))
         if end < 0:
-            self._buffer = buffer
-            if len(buffer) > EVENT_LIMIT_BYTES:
-                self.malformed, self._buffer = True, b""
+            if len(self._buffer) > EVENT_LIMIT_BYTES:
+                self.malformed, self._buffer = True, bytearray()
             return b""
         end += len(EVENT_END)
-        self._buffer = buffer[end:]
-        passed = [event for event in buffer[:end].split(EVENT_END)[:-1] if self._is_new(event)]
+        buffer = bytes(self._buffer[:end])
+        del self._buffer[:end]
+        passed = [event for event in buffer.split(EVENT_END)[:-1] if self._is_new(event)]
         self.useful_events += sum(1 for event in passed if _is_useful(event))
         return b"".join([event + EVENT_END for event in passed])
 
--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -12,10 +12,11 @@
 from result import Err, Ok
 
 from filbertstream.actions import Log
-from filbertstream.connection.caller_connection import CallerConnection, RawRequest
+from filbertstream.connection.buffer_budget import DEFAULT_BUFFER_BYTES
+from filbertstream.connection.caller_connection import CallerConnection
 from filbertstream.connection.isolated_tasks import IsolatedTasks
 from filbertstream.connection.proxied_send import ProxiedCall, ProxiedSend
-from filbertstream.connection.response_budget import DEFAULT_BUFFER_BYTES
+from filbertstream.connection.request_parser import RawRequest
 from filbertstream.connection.response_format import PassThroughFormat, ResponseFormat
 from filbertstream.connection.target_call import call_target
 from filbertstream.connection.target_connection import TargetConnectionPool
@@ -136,7 +137,7 @@
 
     def new_connection(self) -> CallerConnection:
         """Return the protocol of a caller's new connection."""
-        conn = CallerConnection(self, self.connections.discard)
+        conn = CallerConnection(self, self.connections.discard, self.pool.buffers)
         self.connections.add(conn)
         return conn
 
@@ -324,9 +325,16 @@
             conn.call_id = None
             conn.abort()
 
+    def relieve(self) -> None:
+        """Let callers go on that waited for memory, or refuse some."""
+        self.pool.buffers.relieve(boot_time_s())
+
     def sweep(self) -> None:
-        """Close idle connections to targets."""
-        self.pool.sweep(boot_time_s())
+        """Close idle connections to targets, and those of callers that read no response."""
+        now_s = boot_time_s()
+        self.pool.sweep(now_s)
+        for conn in list(self.connections):
+            conn.count_unsent(now_s)
 
     def close_idle(self) -> None:
         """Close the callers' connections that have no request in progress."""
--- a/filbertstream/connection/proxied_send.py
+++ b/filbertstream/connection/proxied_send.py
@@ -7,9 +7,10 @@
 from collections.abc import Callable
 from typing import Any, Final, Protocol
 
-from filbertstream.connection.caller_connection import CallerConnection, RawRequest
+from filbertstream.connection.buffer_budget import BufferBudget
+from filbertstream.connection.caller_connection import CallerConnection
 from filbertstream.connection.event_relay import EventRelay
-from filbertstream.connection.response_budget import BufferBudget
+from filbertstream.connection.request_parser import RawRequest
 from filbertstream.connection.response_format import ResponseFormat
 from filbertstream.connection.target_connection import TargetConnection, TargetConnectionPool
 from filbertstream.fleet.crash_detector import ProbeOutcome
@@ -77,7 +78,7 @@
         self._response: ResponseHead | None = None
         self._reason = ""
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._begun = False
         self._buffers: BufferBudget | None = None
@@ -130,7 +131,7 @@
                 self._call.conn.stream(data)
             return events.useful_events > before
         self._report_begun()
-        self._body.append(data)
+        self._body += data
         self._body_bytes += len(data)
         if self._body_bytes > BUFFERED_BYTES:
             self._fail("too_large")
@@ -162,7 +163,7 @@
             self._fail("cut")
             return
         self.over = True
-        body = b"".join(self._body)
+        body = bytes(self._body)
         self._drop_buffered()
         self._finish(self._response, body)
         self._host.forget_call(self.action.call_id)
@@ -275,10 +276,11 @@
         )
         target_conn.request(
             self._call.request_id,
-            head + raw.body,
+            head,
             self,
             action.progress_timeout_s,
             lambda idle: pool.release(idle, boot_time_s()),
+            raw.body,
         )
 
     def cancel(self) -> None:
--- a/filbertstream/connection/target_call.py
+++ b/filbertstream/connection/target_call.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from filbertstream.connection.response_budget import HEAD_LIMIT_BYTES, BufferBudget
+from filbertstream.connection.buffer_budget import BufferBudget
+from filbertstream.connection.response_budget import HEAD_LIMIT_BYTES
 from filbertstream.connection.target_connection import IDLE_TIMEOUT_S, TargetConnectionPool
 from filbertstream.platform.headers import Headers
 from filbertstream.process.clock import boot_time_s
--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -13,11 +13,8 @@
 
 import httptools
 
-from filbertstream.connection.response_budget import (
-    DEFAULT_BUFFER_BYTES,
-    BufferBudget,
-    FramingBudget,
-)
+from filbertstream.connection.buffer_budget import DEFAULT_BUFFER_BYTES, BufferBudget
+from filbertstream.connection.response_budget import FramingBudget
 from filbertstream.platform.headers import Headers, decode_response, keep_alive_s
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import ResponseHead
@@ -36,6 +33,9 @@
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
 
+JOINED_BYTES: Final = 65_536
+"""A body up to this size is sent in one write with its head; a larger one is not copied for it."""
+
 MAX_REFUSALS: Final = 64
 """Rejections after which a connection is closed; their request ids are kept."""
 
@@ -106,6 +106,7 @@
         sink: ResponseSink,
         progress_timeout_s: float,
         on_idle: Callable[["TargetConnection"], None],
+        body: bytes = b"",
     ) -> None:
         """Send a request and deliver its response to the sink."""
         if self.transport is None:
@@ -114,7 +115,11 @@
         self._progress_timeout_s = progress_timeout_s
         self._skipping = self._in_body = False
         self._framing = FramingBudget()
-        self.transport.write(data)
+        if len(body) <= JOINED_BYTES:
+            self.transport.write(data + body)
+        else:
+            self.transport.write(data)
+            self.transport.write(body)
 
     def abort(self) -> None:
         """Close at once; the sink is not called any more."""
--- a/filbertstream/connection/v1_api.py
+++ b/filbertstream/connection/v1_api.py
@@ -10,8 +10,9 @@
 import msgspec
 from result import Err, Ok
 
-from filbertstream.connection.caller_connection import CallerConnection, RawRequest
+from filbertstream.connection.caller_connection import CallerConnection
 from filbertstream.connection.gateway_io import GatewayIO
+from filbertstream.connection.request_parser import RawRequest
 from filbertstream.connection.v1_requests import (
     Rejection,
     RequestIdGenerator,
@@ -57,7 +58,9 @@
 
     def new_connection(self) -> CallerConnection:
         """Return the protocol of a caller's new connection."""
-        conn = CallerConnection(self, self._gateway_io.connections.discard)
+        conn = CallerConnection(
+            self, self._gateway_io.connections.discard, self._gateway_io.pool.buffers
+        )
         self._gateway_io.connections.add(conn)
         return conn
 
--- a/filbertstream/connection/v1_requests.py
+++ b/filbertstream/connection/v1_requests.py
@@ -11,7 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from filbertstream.connection.caller_connection import RawRequest
+from filbertstream.connection.request_parser import RawRequest
 from filbertstream.connection.response_format import ResponseFormat
 from filbertstream.connection.v1_responses import ModelCall, V1Collect, V1Service, V1Stream
 from filbertstream.names import digest_bytes
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -18,6 +18,7 @@
 
 from filbertstream.actions import Log
 from filbertstream.connection.address_wait import ADDRESS_WAIT_S, BACKLOG, AddressWait
+from filbertstream.connection.buffer_budget import BUFFER_FRACTION
 from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.connection.gateway_status import StatusConnection, metrics_text
 from filbertstream.connection.idempotency_key_store import IdempotencyKeyStore
@@ -83,9 +84,6 @@
 BALANCER_DELAY_S: Final = 3.0
 """The time within which the load balancer notices that a stopping entry is not ready."""
 
-BUFFER_FRACTION: Final = 0.2
-"""The fraction of the process's memory that buffered bodies of responses may take."""
-
 BYTES_PER_MB: Final = 1_000_000
 NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
 
@@ -284,6 +282,7 @@
         while not self._may_end() and not self.broken:
             await self._wait_for_tick()
             self.gateway_io.emit(Tick())
+            self.gateway_io.relieve()
             now_s = boot_time_s()
             self._update_gate(now_s)
             if now_s >= housekeeping_at_s:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -8,11 +8,8 @@
 
 import pytest
 
-from filbertstream.connection.caller_connection import (
-    PIPELINE_LIMIT,
-    CallerConnection,
-    RawRequest,
-)
+from filbertstream.connection.caller_connection import PIPELINE_LIMIT, CallerConnection
+from filbertstream.connection.request_parser import RawRequest
 from filbertstream.version.routes import CallerLimits
 
 OK: Final = b"HTTP/1.1 200 OK\r\nContent-Length: 2"
--- a/tests/test_caller_fuzz.py
+++ b/tests/test_caller_fuzz.py
@@ -10,7 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from filbertstream.connection.caller_connection import CallerConnection, RawRequest
+from filbertstream.connection.caller_connection import CallerConnection
+from filbertstream.connection.request_parser import RawRequest
 from filbertstream.version.routes import CallerLimits
 
 VALID = (
@@ -61,6 +62,10 @@
     def get_extra_info(self, name: str) -> None:
         """Return None, because there is no socket."""
 
+    def get_write_buffer_size(self) -> int:
+        """Return 0, because everything is sent at once."""
+        return 0
+
     def set_write_buffer_limits(self, high: int) -> None:
         """Ignore the limits."""
 
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -13,8 +13,9 @@
 
 import pytest
 
-from filbertstream.connection.caller_connection import CallerConnection, RawRequest
+from filbertstream.connection.caller_connection import CallerConnection
 from filbertstream.connection.event_relay import EVENT_LIMIT_BYTES, EventRelay
+from filbertstream.connection.request_parser import RawRequest
 from filbertstream.connection.response_budget import HEAD_LIMIT_BYTES, SKIPPED_LIMIT_BYTES
 from filbertstream.connection.target_call import call_target
 from filbertstream.connection.target_connection import TargetConnectionPool
--- a/tests/test_isolated_tasks.py
+++ b/tests/test_isolated_tasks.py
@@ -9,9 +9,9 @@
 import pytest
 
 from filbertstream.actions import Log, SendPeer
-from filbertstream.connection.caller_connection import RawRequest
 from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.connection.peer_link import PeerLink
+from filbertstream.connection.request_parser import RawRequest
 from filbertstream.log_events import LogEvent
 from filbertstream.messages import EntryWork
 from filbertstream.process.counters import Counters
--- a/tests/test_slow_streams.py
+++ b/tests/test_slow_streams.py
@@ -95,7 +95,7 @@
 
 
 def proxied_call(caller: Caller, action: SendCall) -> ProxiedCall:
-    from filbertstream.connection.caller_connection import RawRequest
+    from filbertstream.connection.request_parser import RawRequest
     from filbertstream.request.call import CallHead, Prompt
 
     raw = RawRequest("POST", "/draft/x", [(b"host", b"h"), (b"request-id", b"q1")], b"")
