Bound callers' connections and what status ports keep

Cause: every connection was accepted, up to 512 in one turn of the event loop, and the status ports had no limit on a request or on connections. A TLS handshake had a minute, and a connection whose handshake failed stayed in the set of connections for ever, which a planned stop waits for.

Change: CallerListener accepts connections one by one up to a limit that comes from the process's descriptors and memory (connection/connection_limit.py). At the limit, new ones wait in the kernel's queue while idle connections are closed and requests without progress refused. Status ports take 16 KiB a request and 24 connections; the oldest gives way.

--- a/filbertstream/connection/buffer_budget.py
+++ b/filbertstream/connection/buffer_budget.py
@@ -226,11 +226,7 @@
         if not self._waiting:
             return
         self._resume(now_s)
-        while self._waiting:
-            stalled = self.costliest(now_s)
-            if stalled is None:
-                break
-            self._refuse(stalled, Reason.STALLED)
+        while self._waiting and self.refuse_stalled(now_s):
             self._resume(now_s)
         for caller in list(self._waiting):
             progress = self._arrivals.get(caller)
@@ -256,10 +252,13 @@
                 progress.marked_at_s = now_s
                 caller.resume_arrival()
 
-    def costliest(self, now_s: float) -> Arrival | None:
-        """Return the stalled request that has held the most bytes for the longest time, if any."""
+    def refuse_stalled(self, now_s: float) -> bool:
+        """Refuse the stalled request that has held the most bytes for the longest time, if any."""
         stalled = [one for one, progress in self._arrivals.items() if progress.is_stalled(now_s)]
-        return max(stalled, key=lambda one: self._arrivals[one].cost(now_s), default=None)
+        if not stalled:
+            return False
+        self._refuse(max(stalled, key=lambda one: self._arrivals[one].cost(now_s)), Reason.STALLED)
+        return True
 
     def _refuse(self, caller: Arrival, reason: Reason) -> None:
         self.closed[reason] += 1
--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -14,6 +14,7 @@
 from filbertstream.actions import Log
 from filbertstream.connection.buffer_budget import DEFAULT_BUFFER_BYTES
 from filbertstream.connection.caller_connection import CallerConnection
+from filbertstream.connection.connection_limit import longest_idle
 from filbertstream.connection.isolated_tasks import IsolatedTasks
 from filbertstream.connection.proxied_send import ProxiedCall, ProxiedSend
 from filbertstream.connection.request_parser import RawRequest
@@ -70,6 +71,9 @@
 CACHE_LIST_LIMIT_BYTES: Final = 16_000_000
 """Largest list of all cache blocks of a holder: a few hundred thousand blocks."""
 
+CLOSED_AT_ONCE: Final = 8
+"""Idle connections that are closed together when new ones wait."""
+
 PASS_THROUGH: Final = PassThroughFormat()
 """Stateless, so all calls share it."""
 
@@ -91,6 +95,7 @@
         self._on_fatal = on_fatal
         self._write_log = write_log
         self.pool = TargetConnectionPool(buffer_bytes=buffer_bytes)
+        self.buffers = self.pool.buffers
         self._calls: dict[int, ProxiedCall] = {}
         self._last_call_id = 0
         self._tasks = IsolatedTasks(core.counters, write_log)
@@ -137,7 +142,7 @@
 
     def new_connection(self) -> CallerConnection:
         """Return the protocol of a caller's new connection."""
-        conn = CallerConnection(self, self.connections.discard, self.pool.buffers)
+        conn = CallerConnection(self, self.connections.discard, self.buffers)
         self.connections.add(conn)
         return conn
 
@@ -327,7 +332,7 @@
 
     def relieve(self) -> None:
         """Let callers go on that waited for memory, or refuse some."""
-        self.pool.buffers.relieve(boot_time_s())
+        self.buffers.relieve(boot_time_s())
 
     def sweep(self) -> None:
         """Close idle connections to targets, and those of callers that read no response."""
@@ -336,6 +341,17 @@
         for conn in list(self.connections):
             conn.count_unsent(now_s)
 
+    def make_room(self) -> None:
+        """Close idle connections, or refuse a request that does not arrive, for new connections."""
+        now_s = boot_time_s()
+        idle = [(conn, conn.idle_since_s) for conn in self.connections if conn.idle]
+        chosen = longest_idle(idle, now_s, CLOSED_AT_ONCE)
+        for conn in chosen:
+            conn.close_if_idle()
+        self.buffers.closed["idle"] += len(chosen)
+        if not chosen:
+            self.buffers.refuse_stalled(now_s)
+
     def close_idle(self) -> None:
         """Close the callers' connections that have no request in progress."""
         for conn in list(self.connections):
--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -14,21 +14,42 @@
 )
 from prometheus_client.registry import Collector
 
+from filbertstream.connection.address_wait import AddressWait
 from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.connection.unread_bytes import has_unread_bytes
 from filbertstream.gateway import Gateway
 from filbertstream.platform.objects import ObjectStore
 from filbertstream.process.clock import boot_time_s
+from filbertstream.process.deployment import Address
 
 CONNECTION_TIMEOUT_S: Final = 5.0
+REQUEST_LIMIT_BYTES: Final = 16_384
+"""A connection that sends more for one request is closed; checks and scrapes send a few lines."""
+
+UNREAD_LIMIT_BYTES: Final = 65_536
+"""A connection that asks for another page while it has not read more of the last one is closed."""
+
+MAX_CONNECTIONS: Final = 24
+"""Connections for status beyond this close the oldest one: a check opens one and is answered."""
+
+BACKLOG: Final = 16
+"""Connections that are accepted at once."""
+
 METRICS_PATH: Final = b"/metrics"
 METRIC_PREFIX: Final = "filbertstream"
 
 
 class StatusConnection(asyncio.Protocol):
-    """Serves readiness checks and metrics."""
+    """Serves readiness checks and metrics; ``others`` holds all such connections of a process."""
 
-    def __init__(self, ready: Callable[[], bool], metrics: Callable[[], bytes]) -> None:
+    def __init__(
+        self,
+        ready: Callable[[], bool],
+        metrics: Callable[[], bytes],
+        others: dict["StatusConnection", None],
+    ) -> None:
+        self._others = others
+        self._request_bytes = 0
         self._ready = ready
         self._metrics = metrics
         self._parser = httptools.HttpRequestParser(self)
@@ -39,8 +60,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timeout of the connection."""
         self._transport = cast(asyncio.Transport, transport)
+        self._others[self] = None
+        if len(self._others) > MAX_CONNECTIONS:
+            next(iter(self._others)).abort()
         self._set_timer()
 
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._others.pop(self, None)
+        if self._transport is not None:
+            self._transport.abort()
+
     def _set_timer(self) -> None:
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(CONNECTION_TIMEOUT_S, self._on_timeout)
@@ -48,16 +78,24 @@
     def _on_timeout(self) -> None:
         if self._transport is not None and has_unread_bytes(self._transport):
             self._set_timer()
+        elif self._transport is not None and self._transport.get_write_buffer_size():
+            # The other side reads nothing, so that a close would wait without end.
+            self.abort()
         elif self._transport is not None:
             self._transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer."""
+        self._others.pop(self, None)
         if self._timer is not None:
             self._timer.cancel()
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
+        self._request_bytes += len(data)
+        if self._request_bytes > REQUEST_LIMIT_BYTES:
+            self.abort()
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -70,7 +108,10 @@
 
     def on_message_complete(self) -> None:
         """Send the response."""
-        if self._transport is None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._transport.get_write_buffer_size() > UNREAD_LIMIT_BYTES:
+            self.abort()
             return
         if self._url.startswith(METRICS_PATH):
             status, body = b"200 OK", self._metrics()
@@ -79,6 +120,7 @@
         else:
             status, body = b"503 Service Unavailable", b"not ready\n"
         self._url = b""
+        self._request_bytes = 0
         head = b"HTTP/1.1 %b\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n"
         self._transport.write(head % (status, len(body)) + body)
         if not self._parser.should_keep_alive():
@@ -165,6 +207,17 @@
         }
 
 
+async def listen_for_status(
+    wait: AddressWait, address: Address, protocol: Callable[[], StatusConnection]
+) -> asyncio.Server | None:
+    """Serve status on an address; return None if the process stops before."""
+    sock = await wait.listening_socket(address)
+    if sock is None:
+        return None
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(protocol, sock=sock, backlog=BACKLOG)
+
+
 def metrics_text(
     core: Gateway, gateway_io: GatewayIO, store: ObjectStore, dropped_lines: int
 ) -> bytes:
--- a/filbertstream/connection/v1_api.py
+++ b/filbertstream/connection/v1_api.py
@@ -59,7 +59,7 @@
     def new_connection(self) -> CallerConnection:
         """Return the protocol of a caller's new connection."""
         conn = CallerConnection(
-            self, self._gateway_io.connections.discard, self._gateway_io.pool.buffers
+            self, self._gateway_io.connections.discard, self._gateway_io.buffers
         )
         self._gateway_io.connections.add(conn)
         return conn
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -8,19 +8,24 @@
 import contextlib
 import math
 import signal
-import ssl
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any, Final
 
 from result import Err, Ok
 
 from filbertstream.actions import Log
-from filbertstream.connection.address_wait import ADDRESS_WAIT_S, BACKLOG, AddressWait
+from filbertstream.connection.address_wait import ADDRESS_WAIT_S, AddressWait
 from filbertstream.connection.buffer_budget import BUFFER_FRACTION
+from filbertstream.connection.caller_listener import CallerListener, CallerPort
+from filbertstream.connection.connection_limit import BYTES_PER_MB
 from filbertstream.connection.gateway_io import GatewayIO
-from filbertstream.connection.gateway_status import StatusConnection, metrics_text
+from filbertstream.connection.gateway_status import (
+    StatusConnection,
+    listen_for_status,
+    metrics_text,
+)
 from filbertstream.connection.idempotency_key_store import IdempotencyKeyStore
 from filbertstream.connection.key_actions import KeyActions
 from filbertstream.connection.kind_rows import publish_kind
@@ -48,7 +53,7 @@
 from filbertstream.platform.runner_calls import RunnerCalls
 from filbertstream.platform.settings_file import read_settings_file
 from filbertstream.process.clock import boot_time_s
-from filbertstream.process.deployment import Address, Deployment
+from filbertstream.process.deployment import Deployment
 from filbertstream.process.logs import BoundedStream, EventLog
 from filbertstream.process.store_recovery import SETTLE_S
 from filbertstream.process.store_view import KindDelta
@@ -84,7 +89,6 @@
 BALANCER_DELAY_S: Final = 3.0
 """The time within which the load balancer notices that a stopping entry is not ready."""
 
-BYTES_PER_MB: Final = 1_000_000
 NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
 
 
@@ -132,8 +136,9 @@
         self._decoder = ThreadPoolExecutor(1, thread_name_prefix="decoder")
         self._pending_decodes = 0
         self._loop: asyncio.AbstractEventLoop | None = None
-        self._servers: list[asyncio.Server] = []
+        self._servers: list[asyncio.Server | CallerListener] = []
         self.broken = ""
+        self._status_connections: dict[StatusConnection, None] = {}
         self._gate = WatchGate(self._watched)
         self._product: Product | None = None
         if setup is not None:
@@ -248,30 +253,30 @@
             if not await wait.listen(address, start):
                 return False
         for status in (deployment.readiness, deployment.metrics):
-            if status is not None and not await self._listen(wait, status, self._new_status):
+            if status is not None and not await self._listen(
+                listen_for_status(wait, status, self._new_status)
+            ):
                 return False
-        if product is None:
-            return await self._listen(wait, deployment.callers, self.gateway_io.new_connection)
-        protocol = product.callers.new_connection
-        return await self._listen(wait, deployment.callers, protocol, product.callers_tls)
-
-    async def _listen(
-        self, wait: AddressWait, address: Address, protocol: Any, tls: ssl.SSLContext | None = None
-    ) -> bool:
-        sock = await wait.listening_socket(address)
-        if sock is None:
+        protocol, tls = self.gateway_io.new_connection, None
+        if product is not None:
+            protocol, tls = product.callers.new_connection, product.callers_tls
+        callers = CallerPort(deployment, self.gateway_io, protocol, tls, self._set_broken)
+        return await self._listen(callers.listen(wait))
+
+    async def _listen(self, opening: Awaitable[asyncio.Server | CallerListener | None]) -> bool:
+        server = await opening
+        if server is None:
             return False
-        loop = asyncio.get_running_loop()
-        self._servers.append(
-            await loop.create_server(protocol, sock=sock, backlog=BACKLOG, ssl=tls)
-        )
+        self._servers.append(server)
         return not self._is_stopping()
 
     def _is_stopping(self) -> bool:
         return self.core.stopping.begun
 
     def _new_status(self) -> StatusConnection:
-        return StatusConnection(lambda: self.core.ready(boot_time_s()), self._metrics)
+        return StatusConnection(
+            lambda: self.core.ready(boot_time_s()), self._metrics, self._status_connections
+        )
 
     def _metrics(self) -> bytes:
         return metrics_text(self.core, self.gateway_io, self._object_store, self._stream.dropped)
--- a/tests/test_isolated_tasks.py
+++ b/tests/test_isolated_tasks.py
@@ -36,6 +36,9 @@
     def is_closing(self) -> bool:
         return False
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
 
 class _FailingPool:
     """Raises when a connection is opened, as a lookup of an odd host name does."""
