Begin the slow start of a target that was down after it has responded

Cause: the cold time after a broken connection counted from the break. If the target was down for longer and no registration told of its return, as while the store is down, its slow start was under way, or over, when it came back.

Change: such a target keeps its limit, in equal shares for all entries, until this entry has a response to a later request; the slow start begins a cold time after that. A registration refreshed 2 s after the sign still ends it at once. Every pooled connection that its target closes counts as a sign if it was the last one, until a registration refutes one of these signs of that target.

--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -30,10 +30,6 @@
 IDLE_TIMEOUT_S: Final = 3.0
 """Idle connections are closed after this time, or earlier if the target announces less."""
 
-RECENT_USE_S: Final = 1.0
-"""A target that closes a connection sooner after its last response, without having named a shorter
-idle time, has hardly done so because the connection was idle: it may have ended."""
-
 MAX_IDLE_PER_TARGET: Final = 6
 USER_TIMEOUT_MS: Final = 2_500
 """A connection is closed if sent bytes stay unacknowledged for this time."""
@@ -78,7 +74,6 @@
         self.transport: asyncio.Transport | None = None
         self.idle_since_s = 0.0
         self.idle_limit_s = IDLE_TIMEOUT_S
-        self.surprising_end_s = RECENT_USE_S
         self.usable = True
         self.closed = False
         self._parser = httptools.HttpResponseParser(self)
@@ -204,7 +199,6 @@
             self._note_refusal()
         limit_s = keep_alive_s(self._headers)
         if limit_s is not None:
-            self.surprising_end_s = IDLE_TIMEOUT_S
             self.idle_limit_s = min(IDLE_TIMEOUT_S, limit_s * 0.5)
         self._restart_timer()
         sink.on_head(response, self._reason.decode("latin-1"), self._headers)
@@ -355,14 +349,13 @@
         idle.append(conn)
 
     def _note_lost(self, conn: TargetConnection) -> None:
-        """Report an idle connection that its target had no reason to close.
+        """Report that a target has closed the last idle connection that could still be used.
 
         A target that only has too many connections leaves others open.
         """
         others = [item for item in self._idle.get(conn.address, ()) if item is not conn]
-        idle_s = boot_time_s() - conn.idle_since_s
-        is_last = not any(item.usable for item in others)
-        if is_last and idle_s < min(conn.surprising_end_s, conn.idle_limit_s):
+        is_recent = boot_time_s() - conn.idle_since_s < conn.idle_limit_s
+        if is_recent and not any(item.usable for item in others):
             self.on_lost(conn.address)
 
     def sweep(self, now_s: float) -> None:
--- a/filbertstream/fleet/cold_targets.py
+++ b/filbertstream/fleet/cold_targets.py
@@ -9,6 +9,10 @@
   hold shares of its limit (``process.rate_shares``), so the sum holds whatever messages are lost.
 - A target restarts under its id.  Broken and refused connections are the first sign of it; an entry
   without a sign learns of it from the registration.
+- A target that may have restarted stays down for longer than its cold time, and no registration
+  tells of its return.  Its slow start begins only a cold time after it has responded again.
+- A target closes idle connections after a short time that it doesn't name.  Once a registration has
+  refuted that such an end was a restart, this sign of that target no longer counts.
 - The registrations of targets and their removal arrive late.  What is left of the cold time counts
   from the observation, and a registration refutes a sign only if it was refreshed well after it.
 - At the end of the cold time all entries see the same idle target.  Its limit then rises over
@@ -51,10 +55,16 @@
 RAMP_STEPS: Final = 32
 """Steps in which the limit rises during the slow start."""
 
+RAMP_BEGINS: Final = 1e-6
+"""Phase of a slow start whose limit does not rise yet."""
+
 LATE_REGISTRATION_S: Final = 2.0
 """Age of a sign up to which a registration may have been made before it: the refresh interval of
 registrations and the age of a relayed view of them."""
 
+EVACUATION: Final = "evacuation"
+IDLE_CLOSED: Final = "idle_closed"
+
 MAX_COLD_S: Final = 60.0
 """Longest cold time while the service of a target is not known."""
 
@@ -62,7 +72,7 @@
 
 
 class IdleConnectionLost(NamedTuple):
-    """A connection to a target ended that had been used a moment before."""
+    """A target closed the last of the idle connections to it that could still be used."""
 
     address: Address
 
@@ -131,12 +141,18 @@
 
 @dataclass
 class _Cold:
-    """Why and until when a target is cold; ``sign_at_s`` is the first sign that it restarted."""
+    """Why and until when a target is cold.
+
+    ``sign_at_s`` is the first sign that it restarted.  With ``is_down`` it is not known to run
+    again since then.
+    """
 
     reason: str
     since_s: float
     until_s: float
+    ramp_from_s: float
     sign_at_s: float | None = None
+    is_down: bool = False
     is_logged_as_warm: bool = False
 
 
@@ -154,6 +170,7 @@
         self._counters = counters
         self._registrations: dict[str, TargetRegistration] = {}
         self._states: dict[TargetStart, _Cold] = {}
+        self._closes_idle: set[TargetStart] = set()
         self._next_tick_s = float("-inf")
 
     def set_bounds(self, bounds: Bounds) -> None:
@@ -208,7 +225,11 @@
         service = None if state is None else self._service(start)
         if state is None or service is None:
             return None
-        phase = max(0.0, now_s - state.until_s) / service.cold_start_s
+        if now_s < state.until_s:
+            return 0.0
+        if state.is_down:
+            return RAMP_BEGINS
+        phase = max(RAMP_BEGINS, (now_s - state.ramp_from_s) / service.cold_start_s)
         return phase if phase < 1.0 else None
 
     def note_registration(self, registration: TargetRegistration, now_s: float) -> list[Log]:
@@ -233,20 +254,24 @@
         """Record a cold time; it doesn't shorten that of a sign which may be the newer one."""
         left_s = min(max(0.0, left_s), self._longest_s(start))
         state = self._states.get(start)
-        if state is None or now_s >= state.until_s:
+        is_over = state is not None and now_s >= state.until_s and not state.is_down
+        if state is None or is_over:
             return self._begin(start, left_s, source, now_s) if left_s > 0.0 else []
         if state.sign_at_s is None:
-            state.until_s = min(state.until_s, now_s + left_s)
+            state.until_s = state.ramp_from_s = min(state.until_s, now_s + left_s)
             return []
         if now_s - state.sign_at_s < LATE_REGISTRATION_S:
-            state.until_s = max(state.until_s, now_s + left_s)
+            state.until_s = state.ramp_from_s = max(state.until_s, now_s + left_s)
             return []
         if left_s > 0.0:
-            state.until_s, state.sign_at_s = now_s + left_s, None
+            state.until_s = state.ramp_from_s = now_s + left_s
+            state.sign_at_s, state.is_down = None, False
             return []
         # The same start is registered long after the sign: the target has not restarted, so there
         # is no slow start either.
         del self._states[start]
+        if state.reason == IDLE_CLOSED:
+            self._closes_idle.add(start)
         return [self._warm(start, state, "refuted", now_s)]
 
     def _longest_s(self, start: TargetStart) -> float:
@@ -265,12 +290,21 @@
         return self._note_sign(start, "unreachable" if refused else "broken", now_s, refused)
 
     def on_connection_lost(self, event: IdleConnectionLost, now_s: float) -> list[Log]:
-        """Record that the target at an address closed an idle connection unexpectedly."""
+        """Record that the target at an address closed the last idle connection to it."""
         for registration in self._registrations.values() if self._enabled else ():
-            if registration.address == event.address:
-                return self.note_failure(registration.start, now_s)
+            start = registration.start
+            if registration.address == event.address and start not in self._closes_idle:
+                return self._note_sign(start, IDLE_CLOSED, now_s, extends=False)
         return []
 
+    def note_response(self, start: TargetStart, sent_at_s: float, now_s: float) -> None:
+        """Record that a target responds; if it was down, it may have just started."""
+        state = self._states.get(start)
+        if state is None or not state.is_down or sent_at_s <= (state.sign_at_s or now_s):
+            return
+        state.is_down = False
+        state.ramp_from_s = max(state.until_s, now_s + self._longest_s(start))
+
     def note_evacuation_ended(self, data_center: str, now_s: float) -> list[Log]:
         """Record that calls may go to the targets of a data center again."""
         if not self._enabled:
@@ -278,7 +312,7 @@
         logs: list[Log] = []
         for registration in self._registrations.values():
             if registration.data_center == data_center:
-                logs += self._note_sign(registration.start, "evacuation", now_s, True)
+                logs += self._note_sign(registration.start, EVACUATION, now_s, True)
         return logs
 
     def _note_sign(self, start: TargetStart, reason: str, now_s: float, extends: bool) -> list[Log]:
@@ -286,17 +320,18 @@
         if service is None:
             return []
         state = self._states.get(start)
+        logs: list[Log] = []
         if state is None or now_s >= state.until_s:
             logs = self._begin(start, service.cold_start_s, reason, now_s)
-            self._states[start].sign_at_s = now_s
-            return logs
+            state = self._states[start]
         if extends or state.sign_at_s is None:
             state.until_s = max(state.until_s, now_s + service.cold_start_s)
-            state.sign_at_s = now_s
-        return []
+            state.ramp_from_s = state.until_s
+            state.sign_at_s, state.is_down = now_s, reason != EVACUATION
+        return logs
 
     def _begin(self, start: TargetStart, left_s: float, reason: str, now_s: float) -> list[Log]:
-        self._states[start] = _Cold(reason, now_s, now_s + left_s)
+        self._states[start] = _Cold(reason, now_s, now_s + left_s, now_s + left_s)
         if self._service(start) is None:
             return []
         self._counters.add("targets_cold", reason)
@@ -326,4 +361,5 @@
         for item in [item for item in self._registrations.values() if item.start not in starts]:
             del self._registrations[item.target_id]
             self._states.pop(item.start, None)
+        self._closes_idle &= {item.start for item in self._registrations.values()}
         return logs
