--- a/filbertstream/request/rate_admission.py
+++ b/filbertstream/request/rate_admission.py
@@ -22,7 +22,7 @@
 from collections.abc import Callable, Container
 from typing import Final, NamedTuple
 
-from filbertstream.fleet.cold_targets import ColdTargets
+from filbertstream.fleet.cold_targets import ColdRate, ColdTargets
 from filbertstream.process.rate_shares import (
     MIN_PER_S,
     WINDOW_S,
@@ -157,7 +157,9 @@
             limits.append(_Limit(NamedRate(per_s), WINDOW_S, unreported_s))
         cold = None if self._cold_targets is None else self._cold_targets.rule(start, now_s)
         if cold is not None:
-            limits.append(_Limit(cold, COLD_WINDOW_S))
+            # In the slow start no window is checked, so earlier sends don't count.
+            window_s = COLD_WINDOW_S if isinstance(cold, ColdRate) else 0.0
+            limits.append(_Limit(cold, window_s))
         return limits
 
     def _is_kept(self, bucket: _Bucket, service: str, urgency: int, now_s: float) -> bool:
