Read the load of targets that report a fourth figure

Cause: some deployments add to Server-Load how long work takes on the target's VM at the moment (100 means as usual). The decoder expected three figures and discarded the value as a whole, so these targets never had a reported load.

Change: the first three figures are read whatever follows. The fourth becomes TargetLoad.slowness, with reports_slowness to tell a report of 100 from none. A fourth figure that is no positive decimal number is ignored, and so are figures after it. Nothing uses the slowness yet.

--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -105,6 +105,11 @@
 MAX_VERSION_DIGITS: Final = 15
 """Versions of weights with more digits don't fit into a message."""
 
+LOAD_COUNTS: Final = 3
+"""Figures of ``Server-Load`` that are counts; on some deployments the slowness follows."""
+
+PERCENT: Final = 100.0
+
 MAX_COUNT: Final = 2**31
 """Largest number of tokens or requests; sums over all calls of a fleet fit into a message."""
 
@@ -292,15 +297,29 @@
 
 
 def _load(value: bytes | None) -> TargetLoad | None:
+    """Return the load in a value of three figures, or of four with the slowness in percent.
+
+    A malformed fourth figure is ignored, and so are any after it.
+
+    >>> _load(b"5,2,16")
+    TargetLoad(running=5, waiting=2, slots=16, slowness=1.0, reports_slowness=False)
+    >>> _load(b"5,2,16,250")
+    TargetLoad(running=5, waiting=2, slots=16, slowness=2.5, reports_slowness=True)
+    """
     if value is None:
         return None
+    items = value.split(b",")
     try:
-        running, waiting, slots = (int(item) for item in value.split(b","))
+        running, waiting, slots = (int(item) for item in items[:LOAD_COUNTS])
     except ValueError:
         return None
     if not all(0 <= item <= MAX_COUNT for item in (running, waiting, slots)):
         return None
-    return TargetLoad(running, waiting, slots)
+    percent = items[LOAD_COUNTS].decode("latin-1").strip() if len(items) > LOAD_COUNTS else ""
+    slowness = float(percent) / PERCENT if DECIMAL.fullmatch(percent) else 0.0
+    if slowness <= 0.0 or not math.isfinite(slowness):
+        return TargetLoad(running, waiting, slots)
+    return TargetLoad(running, waiting, slots, slowness, True)
 
 
 def _int(value: bytes | None) -> int | None:
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -54,11 +54,17 @@
 
 
 class TargetLoad(NamedTuple):
-    """The load that a target reports in the headers of a response."""
+    """The load that a target reports in the headers of a response.
+
+    ``slowness`` is by which factor work takes longer on its VM at this moment than it usually does
+    there.  It holds only with ``reports_slowness``; most targets don't report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float = 1.0
+    reports_slowness: bool = False
 
 
 class RequestRate(NamedTuple):
