Use the slowness that targets report in the expected queue and prefill time

Cause: observed prefill rates and latencies follow a VM that becomes slow only after several responses, and entries send each target few requests. Targets of some deployments report how long work takes there at the moment.

It is relative to the slowness at which the observed times were measured, so a lasting slowness isn't counted twice. The placement of prompts divides the prefill rate by it, that of service calls multiplies the latency by it. Without a report the factor is exactly 1. A restarted target starts without reports.

--- a/filbertstream/process/prefill.py
+++ b/filbertstream/process/prefill.py
@@ -7,8 +7,8 @@
 >>> queue = PrefillQueue()
 >>> queue.sent(6_000); queue.sent(2_000); queue.queued_tokens
 8000
->>> queue.responded(6_000, ahead=0, waited_s=0.2); queue.queued_tokens
-2000
+>>> queue.responded(6_000, ahead=0, waited_s=0.2), queue.queued_tokens
+(True, 2000)
 >>> queue.rate_per_s < INITIAL_RATE_PER_S
 True
 """
@@ -43,8 +43,8 @@
         """Remove a prompt that will not be prefilled, or whose prefill time is no sample."""
         self.queued_tokens -= tokens
 
-    def responded(self, tokens: int, ahead: int, waited_s: float) -> None:
-        """Remove a prompt whose response has begun, and update the rate.
+    def responded(self, tokens: int, ahead: int, waited_s: float) -> bool:
+        """Remove a prompt whose response has begun, and update the rate; return whether it was.
 
         ``ahead`` is the number of tokens that were queued ahead of it, ``waited_s`` the time from
         its send to its first event.
@@ -52,6 +52,7 @@
         self.queued_tokens -= tokens
         prefilled = tokens + ahead
         if prefilled < MIN_SAMPLE_TOKENS or waited_s <= 0:
-            return
+            return False
         rate = max(RATE_MIN_PER_S, prefilled / waited_s)
         self.rate_per_s += RATE_WEIGHT * (rate - self.rate_per_s)
+        return True
--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -13,6 +13,7 @@
 from filbertstream.process.outliers import OutlierDetector
 from filbertstream.process.peer_work import WorkTotals
 from filbertstream.process.prefill import PrefillQueue
+from filbertstream.process.reported_slowness import ReportedSlowness
 from filbertstream.process.target_notices import TargetNotices
 from filbertstream.process.target_registration import TargetRegistration, TargetStart
 from filbertstream.request.call import TargetLoad
@@ -43,6 +44,7 @@
         self.load_at_s = 0.0
         self.weights = dict(registration.weights)
         self.prefill = PrefillQueue()
+        self.reported_slowness = ReportedSlowness()
         self.latency_s = 0.0
         self.responded_at_s = float("-inf")
         self.backoff_until_s = 0.0
@@ -86,10 +88,16 @@
             + self.peer_work_at(self.target_id, now_s).weighted_queued_tokens
         )
 
+    def slowness(self, now_s: float) -> float:
+        """Return by which factor work takes longer now than in the observed times; usually 1."""
+        return self.reported_slowness.at(now_s)
+
     def note_load(self, load: TargetLoad, now_s: float) -> None:
         """Record the load that the target has reported."""
         self.load = load
         self.load_at_s = now_s
+        if load.reports_slowness:
+            self.reported_slowness.note(load.slowness, now_s)
 
     def note_weights(self, model: str, version: int) -> bool:
         """Record a version from a response of the target; return whether it is newer."""
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -8,6 +8,7 @@
 - Many prompts share a prefix.  They go to the runner that holds the prefix until waiting there
   costs more than moving the prefix.
 - A runner has a much longer queue than the others.
+- A target's VM becomes slow for a moment or for minutes, and the target reports it.
 - Entries decide on the same stale data.  Reports from peers count less with their age, and a
   preferred runner, chosen by rendezvous hashing, keeps the entries from all moving to the same
   runner at once.
@@ -165,7 +166,7 @@
     namespace = request.namespaces.get(weights, "")
     fetch, fetched, held = _sources(request, target, namespace, cache_view, now_s)
     prefill = max(1, request.prompt.tokens - held - fetched)
-    rate = target.prefill.rate_per_s
+    rate = target.prefill.rate_per_s / target.slowness(now_s)
     work = prefill + FETCH_TIME_FRACTION * fetched
     queue_s = target.queued_tokens(now_s) / rate
     first_event_s = queue_s + work / rate
@@ -275,6 +276,7 @@
     def cost(target: RosterTarget) -> tuple[float, str]:
         busy = target.running(now_s) / max(1, target.registration.slots)
         remote = 0.0 if target.registration.data_center == data_center else REMOTE_COST
-        return (busy + remote + target.latency_s / objective_s, target.target_id)
+        latency_s = target.latency_s * target.slowness(now_s)
+        return (busy + remote + latency_s / objective_s, target.target_id)
 
     return min(targets, key=cost) if targets else None
--- a/filbertstream/request/target_feedback.py
+++ b/filbertstream/request/target_feedback.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from filbertstream.actions import Log
+from filbertstream.process.prefill import RATE_WEIGHT
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call import UNLIMITED, ResponseHead
 from filbertstream.request.call_state import Call, SendStage
@@ -58,9 +59,12 @@
         waited_s = now_s - call.sent_at_s
         target.latency_s += LATENCY_WEIGHT * (waited_s - target.latency_s)
         self._deps.latencies.note(call.route.name, waited_s)
-        if call.head.prompt is not None:
-            target.prefill.responded(call.prefill_tokens, call.ahead_tokens, waited_s)
-            call.prefill_tokens = 0
+        if call.head.prompt is None:
+            target.reported_slowness.note_observed(LATENCY_WEIGHT)
+            return
+        if target.prefill.responded(call.prefill_tokens, call.ahead_tokens, waited_s):
+            target.reported_slowness.note_observed(RATE_WEIGHT)
+        call.prefill_tokens = 0
 
     def note_unanswered(self, call: Call, now_s: float) -> None:
         """Record how long a send had no response, if its target responded to others meanwhile.
--- a/tests/test_reported_load.py
+++ b/tests/test_reported_load.py
@@ -3,7 +3,11 @@
 import pytest
 
 from filbertstream.platform.headers import decode_response
+from filbertstream.process.prefill import INITIAL_RATE_PER_S, RATE_WEIGHT
+from filbertstream.process.roster import Roster
 from filbertstream.request.call import TargetLoad
+from filbertstream.request.placement import estimate, place_service_call
+from tests.test_placement import Runners
 
 
 def decoded(value: bytes) -> TargetLoad | None:
@@ -36,3 +40,72 @@
 def test_load_of_three_figures_counts_as_a_report_of_the_slowness() -> None:
     """Most targets report three figures; nothing may change for them."""
     assert decoded(b"5,2,16") == TargetLoad(5, 2, 16, 1.0, False)
+
+
+def test_slow_runner_gets_as_many_prompts_as_the_others() -> None:
+    """One VM among six becomes three times slower, with the same short queue as the others."""
+    runners = Runners(6)
+    for target in runners.targets:
+        runners.queue(target, 4_000)
+    slow = runners.targets[0]
+    assert {runners.place((), turn) for turn in range(6)} >= {slow.target_id}
+    slow.note_load(TargetLoad(1, 0, 64, 3.0, True), 1.0)
+    assert slow.target_id not in {runners.place((), turn) for turn in range(6)}
+    placement = estimate(runners.request(()), slow, runners.cache_view, False, 1.0)
+    assert placement.queue_s == pytest.approx(3.0 * 4_000 / INITIAL_RATE_PER_S)
+    assert placement.first_event_s == pytest.approx(3.0 * 4_500 / INITIAL_RATE_PER_S)
+
+
+def test_slow_service_target_gets_as_many_calls_as_the_others() -> None:
+    """Two equally loaded targets, one of which reports a slow VM."""
+    targets = Runners(2).targets
+    for target in targets:
+        target.latency_s = 0.2
+    targets[0].note_load(TargetLoad(0, 0, 64, 2.0, True), 1.0)
+    assert place_service_call(targets, "dc1", 1.0, 1.0) is targets[1]
+
+
+def test_report_of_a_second_ago_still_diverts_work() -> None:
+    """A VM was slow for a moment and has had no request since, so there is no newer report."""
+    target = Runners(1).targets[0]
+    target.note_load(TargetLoad(1, 0, 64, 4.0, True), 1.0)
+    assert target.slowness(1.0) == 4.0
+    assert 1.0 <= target.slowness(2.0) < 1.06
+
+
+def test_single_odd_report_diverts_all_work() -> None:
+    """Reports change many times a second and are noisy: one of them names a wrong value."""
+    target = Runners(1).targets[0]
+    for step in range(20):
+        target.note_load(TargetLoad(1, 0, 64, 1.0, True), 1.0 + 0.01 * step)
+    target.note_load(TargetLoad(1, 0, 64, 1e9, True), 1.2)
+    assert 1.0 < target.slowness(1.2) < 2.0
+
+
+@pytest.mark.parametrize(("value", "bound"), [(1e9, 8.0), (1e-9, 0.25)])
+def test_wrong_report_counts_in_full(value: float, bound: float) -> None:
+    """A target always reports a value that no VM can have."""
+    target = Runners(1).targets[0]
+    target.note_load(TargetLoad(1, 0, 64, value, True), 1.0)
+    assert target.slowness(1.0) == pytest.approx(bound)
+
+
+def test_lasting_slowness_counts_twice() -> None:
+    """A VM is slow for minutes: the observed prefill rate shows it as well as the reports."""
+    target = Runners(1).targets[0]
+    for step in range(100):
+        now_s = 1.0 + step
+        target.note_load(TargetLoad(1, 0, 64, 2.5, True), now_s)
+        target.prefill.sent(10_000)
+        if target.prefill.responded(10_000, 0, 2.5 * 10_000 / INITIAL_RATE_PER_S):
+            target.reported_slowness.note_observed(RATE_WEIGHT)
+    expected_s = 10_000 / target.prefill.rate_per_s * target.slowness(100.0)
+    assert expected_s == pytest.approx(2.5 * 10_000 / INITIAL_RATE_PER_S, rel=0.01)
+
+
+def test_restarted_target_keeps_its_slowness() -> None:
+    """A target restarts on another VM under the same id; its old reports say nothing."""
+    roster = Roster()
+    registration = Runners(1).targets[0].registration
+    roster.put(registration, 1.0).note_load(TargetLoad(1, 0, 64, 4.0, True), 1.0)
+    assert roster.put(registration._replace(started_ms=2), 1.0).slowness(1.0) == 1.0
