--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -36,6 +36,7 @@
 REQUEST_RATE: Final = b"server-limit"
 LEAVING: Final = b"server-leaving"
 RETRY_AFTER: Final = b"retry-after"
+LENGTH_HINT: Final = b"length-hint"
 
 SINGLETON: Final = frozenset(
     {
@@ -129,7 +130,7 @@
         deadline_s = float(first[DEADLINE]) / MS if DEADLINE in first else None
         if deadline_s is not None and not math.isfinite(deadline_s):
             raise ValueError("deadline is not finite")
-        prompt = _prompt(first)
+        prompt = _prompt(first, _length_hint(_values(headers, LENGTH_HINT)))
         texts = {name: value.decode("ascii") for name, value in first.items() if name in SINGLETON}
     except ValueError as exc:
         return Err(f"malformed header: {exc}")
@@ -148,7 +149,7 @@
     )
 
 
-def _prompt(first: dict[bytes, bytes]) -> Prompt | None:
+def _prompt(first: dict[bytes, bytes], length_hint: int | None) -> Prompt | None:
     model = first.get(b"model")
     counts = first.get(b"token-count")
     if model is None or counts is None:
@@ -163,10 +164,20 @@
     if len(blocks) > MAX_PROMPT_BLOCKS:
         raise ValueError("too many items in Prefix-Hash")
     return Prompt(
-        model.decode("ascii"), _count(tokens_in), _count(tokens_out or b"0"), tuple(blocks)
+        model.decode("ascii"),
+        _count(tokens_in),
+        _count(tokens_out or b"0"),
+        tuple(blocks),
+        length_hint,
     )
 
 
+def _length_hint(values: list[bytes]) -> int | None:
+    """Return the caller's estimate of the output tokens; one that is odd or repeated is ignored."""
+    hint = _int(values[0]) if len(values) == 1 else None
+    return hint if hint is not None and 0 < hint <= MAX_COUNT else None
+
+
 def _count(text: bytes) -> int:
     """Return a number of tokens; raises ``ValueError`` if it is none that a prompt can have."""
     count = int(text)
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -11,12 +11,16 @@
 
 
 class Prompt(NamedTuple):
-    """The prompt of a call: its size, the most tokens to generate, and its blocks in order."""
+    """The prompt of a call: its size, the most tokens to generate, and its blocks in order.
+
+    ``length_hint`` is the caller's estimate of the tokens to be generated.
+    """
 
     model: str
     tokens: int
     max_new_tokens: int
     blocks: tuple[PromptBlock, ...]
+    length_hint: int | None = None
 
 
 class IdempotencyKey(NamedTuple):
