Estimate the outstanding work of a target in seconds

Cause: a count of requests hides their sizes, and the placement takes the larger of two counts of the same requests, however old the target's report is.

Change: TargetWork keeps this entry's requests at a target with their expected work, less what has been done since. Requests of other entries are estimated from the target's report and from the peers' reports, averaged by the report's age and never added, and count with the average size of this entry's requests. Everything is scaled by observed token times and durations and by the reported slowness. Peers' messages are unchanged. Nothing uses the estimate yet.

--- a/filbertstream/process/roster.py
+++ b/filbertstream/process/roster.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
+from filbertstream.fleet.target_work import OutstandingWork, TargetWork, TypicalWork
 from filbertstream.process.outliers import OutlierDetector
 from filbertstream.process.peer_work import WorkTotals
 from filbertstream.process.prefill import PrefillQueue
@@ -33,7 +34,11 @@
     """One registered target, with its load and weights as observed by this entry."""
 
     def __init__(
-        self, registration: TargetRegistration, now_s: float, peer_work_at: PeerWorkAt
+        self,
+        registration: TargetRegistration,
+        now_s: float,
+        peer_work_at: PeerWorkAt,
+        typical_work: TypicalWork | None = None,
     ) -> None:
         self.registration = registration
         self.peer_work_at = peer_work_at
@@ -45,6 +50,7 @@
         self.weights = dict(registration.weights)
         self.prefill = PrefillQueue()
         self.reported_slowness = ReportedSlowness()
+        self.work = TargetWork(TypicalWork() if typical_work is None else typical_work)
         self.latency_s = 0.0
         self.responded_at_s = float("-inf")
         self.backoff_until_s = 0.0
@@ -92,10 +98,25 @@
         """Return by which factor work takes longer now than in the observed times; usually 1."""
         return self.reported_slowness.at(now_s)
 
+    def outstanding_work(self, is_runner: bool, slots: int, now_s: float) -> OutstandingWork:
+        """Return the work that all entries have sent to the target and that is not done yet."""
+        slowness = self.slowness(now_s)
+        return self.work.outstanding(
+            is_runner,
+            self.queued_tokens(now_s) / self.prefill.rate_per_s * slowness,
+            self.outstanding,
+            self.peer_work_at(self.target_id, now_s),
+            slots,
+            None if self.load is None else now_s - self.load_at_s,
+            slowness,
+            now_s,
+        )
+
     def note_load(self, load: TargetLoad, now_s: float) -> None:
         """Record the load that the target has reported."""
         self.load = load
         self.load_at_s = now_s
+        self.work.note_load(load, self.outstanding)
         if load.reports_slowness:
             self.reported_slowness.note(load.slowness, now_s)
 
@@ -117,6 +138,7 @@
         self.notices = TargetNotices()
         self._by_service: dict[str, list[str]] = {}
         self._names: dict[str, frozenset[str]] = {}
+        self._typical_work: dict[str, TypicalWork] = {}
         self.removals_held_until_s = 0.0
         self.peer_work_at: PeerWorkAt = lambda target, now_s: WorkTotals(0, 0, 0, 0)
         self.drained: frozenset[str] = frozenset()
@@ -149,7 +171,8 @@
         known = self.targets.get(registration.target_id)
         restarted = known is not None and known.registration.started_ms != registration.started_ms
         if known is None or restarted:
-            target = RosterTarget(registration, now_s, self._peer_work_at)
+            typical = self._typical_work.setdefault(registration.service, TypicalWork())
+            target = RosterTarget(registration, now_s, self._peer_work_at, typical)
             self.targets[registration.target_id] = target
             self.outliers.succeeded(registration.target_id)
             self._reindex()
@@ -194,6 +217,8 @@
         for name in sorted(self.targets):
             self._by_service.setdefault(self.targets[name].registration.service, []).append(name)
         self._names = {service: frozenset(names) for service, names in self._by_service.items()}
+        for service in self._typical_work.keys() - self._by_service.keys():
+            del self._typical_work[service]
 
     def names_of(self, service: str) -> frozenset[str]:
         """Return the names of all targets of a service; the same set object until they change."""
