Place calls by expected and outstanding work where targets report slowness

Cause: the choice of a target counted requests, whatever their size, and all entries took the cheapest one by the same late information.

Change: as soon as one of a call's targets has reported a fourth figure in Server-Load, place_prompt and place_service_call compare the outstanding work in seconds and the call's own expected work, among two random targets; calls also compare two targets elsewhere, and prompts the preferred runner and two of those with the least to prefill. Outputs (events of a stream, now counted in ResponseComplete), token times and durations are learned from such targets only. The wait for a slot is part of the cost, but not of the queue by which prompts are rejected, so that a wrong estimate rejects nothing.

--- a/bench/targets.py
+++ b/bench/targets.py
@@ -229,7 +229,7 @@
         target.running += 1
         decode_s = submitted.out_tokens * TOKEN_GAP_S
         world.after(decode_s, functools.partial(target.end_run, started_ms))
-        done = ResponseComplete(send.call_id, send.number, 0)
+        done = ResponseComplete(send.call_id, send.number, 0, events=submitted.out_tokens)
         self._complete(core, send, target, done, decode_s)
 
     def crash(self, target: FakeTarget) -> None:
--- a/filbertstream/connection/proxied_send.py
+++ b/filbertstream/connection/proxied_send.py
@@ -167,8 +167,11 @@
         self._finish(self._response, body)
         self._host.forget_call(self.action.call_id)
         stored = self._stored_response(self._response, body) if self._call.stores_response else None
+        count = 0 if events is None else events.useful_events
         self._host.emit(
-            ResponseComplete(self.action.call_id, self.action.number, self._body_bytes, stored)
+            ResponseComplete(
+                self.action.call_id, self.action.number, self._body_bytes, stored, count
+            )
         )
 
     def _finish(self, response: ResponseHead, body: bytes) -> None:
--- a/filbertstream/fleet/target_work.py
+++ b/filbertstream/fleet/target_work.py
@@ -120,6 +120,11 @@
         if sent is not None and sent.began_at_s is None:
             sent.began_at_s = now_s
 
+    def begun_at_s(self, call_id: int) -> float | None:
+        """Return when the response to a prompt began, None if it hasn't."""
+        sent = self._sent.get(call_id)
+        return None if sent is None else sent.began_at_s
+
     def ended(self, call_id: int) -> None:
         """Remove a request, whatever its outcome."""
         self._sent.pop(call_id, None)
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -84,6 +84,7 @@
 from filbertstream.request.prompt_placer import PromptPlacer
 from filbertstream.request.rate_admission import RateAdmission
 from filbertstream.request.retry_budget import SharedRetryBudget
+from filbertstream.request.work_accounting import WorkAccounting
 from filbertstream.version.cache_owners import CacheOwners
 from filbertstream.version.config_freshness import ConfigFreshness
 from filbertstream.version.retirement import Retirement
@@ -176,8 +177,15 @@
         )
         cache_view = CacheView(self.index, self.stores)
         self.cache_owners = CacheOwners(lambda: self.authorizer.config)
+        self.work = WorkAccounting(cfg.name)
         self.prompt_placer = PromptPlacer(
-            cfg.data_center, self.roster, cache_view, self.weights, self.cache_owners, rng
+            cfg.data_center,
+            self.roster,
+            cache_view,
+            self.weights,
+            self.cache_owners,
+            rng,
+            self.work,
         )
         dependencies = ForwardingDependencies(
             cfg.data_center,
@@ -199,6 +207,7 @@
             self.crash_watch.trials,
             self.crash_watch.quarantine,
             rng,
+            self.work,
         )
         self.forwarding = Forwarding(dependencies)
         self.rollout_lease = RolloutLease(f"{cfg.name}#{cfg.incarnation:x}", bounds.lease_s, rng)
--- a/filbertstream/request/call_events.py
+++ b/filbertstream/request/call_events.py
@@ -35,13 +35,15 @@
 class ResponseComplete(NamedTuple):
     """The complete response to a send has been relayed to the caller.
 
-    ``response`` is that response if it is to be stored for an idempotency key, or None.
+    ``response`` is that response if it is to be stored for an idempotency key, or None.  ``events``
+    counts the events of a stream that the caller has received.
     """
 
     call_id: int
     number: int
     body_bytes: int
     response: BufferedResponse | None = None
+    events: int = 0
 
 
 class SendFailed(NamedTuple):
--- a/filbertstream/request/call_state.py
+++ b/filbertstream/request/call_state.py
@@ -10,6 +10,7 @@
 from filbertstream.process.roster import RosterTarget
 from filbertstream.process.target_registration import TargetStart
 from filbertstream.request.call import CallHead
+from filbertstream.request.work_estimate import WorkEstimate
 from filbertstream.version.routes import Route, Service, Workspace
 
 
@@ -32,7 +33,8 @@
     send expects.  ``prefill_tokens`` are the tokens of the current send that the runner has to
     prefill, and ``ahead_tokens`` those that were queued there ahead of them.  ``suspected_at`` and
     ``suspected_kind`` are the start and kind of a runner that the call may have crashed, until it
-    is cleared.  ``succeeds`` is whether the current response has a status of success.
+    is cleared.  ``succeeds`` is whether the current response has a status of success.  ``work`` is
+    the expected work, None if the targets don't report their slowness.
     """
 
     call_id: int
@@ -64,6 +66,7 @@
     last_cause: str = ""
     succeeds: bool = False
     first_s: float | None = None
+    work: WorkEstimate | None = None
 
     @property
     def memory_tokens(self) -> int:
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -155,7 +155,10 @@
             screened = self._screen_prompt(call, call.head.prompt, now_s)
             return self._send_prompt(call, engine, now_s) if screened is None else screened
         targets = self._selection.candidates(call, now_s)
-        target = place_service_call(targets, self._deps.data_center, call.route.objective_s, now_s)
+        work = self._deps.work.expect(call, targets)
+        target = place_service_call(
+            targets, self._deps.data_center, call.route.objective_s, now_s, work
+        )
         if target is None:
             return self._queue_or_give_up(call, now_s)
         return self._send_to(call, target, None, now_s)
@@ -226,6 +229,7 @@
         call.stage = SendStage.WAITING
         call.tried.add(target.target_id)
         target.outstanding += 1
+        self._deps.work.note_sent(call, target, now_s)
         target.memory_tokens += call.memory_tokens
         self._deps.roster.outliers.sent(target.target_id, now_s)
         self._deps.rate_admission.note_send(target, now_s)
@@ -307,6 +311,7 @@
         if call is None or call.target is None:
             return []
         call.stage = SendStage.BEGUN
+        call.target.work.began(call.call_id, now_s)
         if call.response_started:
             self._crashes.note_begun(call, call.target, now_s)
         if call.first_s is None:
@@ -321,6 +326,7 @@
             return []
         if call.target is not None and call.succeeds and event.body_bytes:
             self._crashes.note_begun(call, call.target, now_s)
+        self._deps.work.note_complete(call, event.events, now_s)
         target = release(call)
         if target is not None:
             self._deps.roster.outliers.succeeded(target.target_id)
--- a/filbertstream/request/forwarding_dependencies.py
+++ b/filbertstream/request/forwarding_dependencies.py
@@ -18,6 +18,7 @@
 from filbertstream.request.prompt_placer import PromptPlacer
 from filbertstream.request.rate_admission import RateAdmission
 from filbertstream.request.retry_budget import SharedRetryBudget
+from filbertstream.request.work_accounting import WorkAccounting
 from filbertstream.version.config_freshness import ConfigFreshness
 from filbertstream.version.weights_view import WeightsView
 
@@ -44,3 +45,4 @@
     crash_trials: CrashTrials
     quarantine: Quarantine
     rng: random.Random
+    work: WorkAccounting
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -14,6 +14,15 @@
   runner at once.
 - A prefix is not in any cache store any more.  It is recomputed once, by the preferred runner, and
   not once by each runner.
+
+Where targets report their slowness (``RequestWork``), these are handled too:
+
+- Large and small requests at once.  A target's outstanding work counts in seconds
+  (``fleet.target_work``), and a request's own work by its estimate (``request.work_estimate``).
+- 65 entries decide on the same late information.  The cheapest target would get the requests of
+  all of them, so only a few random ones are compared (``request.drawn_targets``).
+- An estimate is wrong by a factor of 4.  All targets get the same estimate, and it decides only
+  among a few random ones.
 """
 
 from collections.abc import Mapping, Sequence
@@ -24,7 +33,9 @@
 from filbertstream.process.cache_stores import CacheStores
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call import Prompt
+from filbertstream.request.drawn_targets import draw_calls, draw_prompts
 from filbertstream.request.load_shedding import Headroom
+from filbertstream.request.work_estimate import WorkEstimate
 from filbertstream.version.routes import Engine
 
 FETCH_TIME_FRACTION: Final = 0.2
@@ -63,6 +74,13 @@
 """Cost of a runner whose weights are older than the named version."""
 
 
+class RequestWork(NamedTuple):
+    """The expected work of a request; ``draw`` seeds the random draw of targets."""
+
+    estimate: WorkEstimate
+    draw: str
+
+
 class PlacementRequest(NamedTuple):
     """A prompt to be placed, with the objective and the bounds that apply to it."""
 
@@ -77,6 +95,8 @@
     """Counts the entry's prompts without blocks, which are placed round-robin."""
     headroom: Headroom
     """The queue and memory bounds of a runner at which the prompt is admitted."""
+    work: RequestWork | None = None
+    """Only if runners report their slowness."""
 
 
 class CacheView(NamedTuple):
@@ -114,6 +134,8 @@
     prefill_tokens: int
     fetched_tokens: int
     fetch: tuple[CacheSource | None, ...]
+    slot_s: float = 0.0
+    runner_up: "Placement | None" = None
 
 
 def place_prompt(
@@ -130,7 +152,44 @@
         estimate(request, target, cache_view, target is preferred_target, now_s)
         for target in targets
     ]
-    return min(options, key=lambda option: (not option.fits, option.cost))
+    if request.work is not None:
+        return _cheapest_drawn(request, options, preferred_target, request.work.draw)
+    return min(options, key=_order)
+
+
+def _order(option: Placement) -> tuple[bool, float]:
+    return (not option.fits, option.cost)
+
+
+def _cheapest_drawn(
+    request: PlacementRequest, options: Sequence[Placement], preferred: RosterTarget, draw: str
+) -> Placement:
+    """Return the cheapest of a few options, with the next one as its runner-up.
+
+    These are a few random ones, and for a prompt with blocks the preferred runner and a few random
+    ones of those that have the least to prefill and fetch.
+    """
+    fitting = [option for option in options if option.fits] or options
+    compared = _drawn(fitting, draw)
+    if request.prompt.blocks:
+        least = min(map(_prefill_work, fitting))
+        warm = [option for option in fitting if _prefill_work(option) == least]
+        if len(warm) < len(fitting):
+            compared |= _drawn(warm, draw)
+        compared |= {
+            option.target.target_id: option for option in fitting if option.target is preferred
+        }
+    best, *others = sorted(compared.values(), key=_order)
+    return best._replace(runner_up=others[0] if others else None)
+
+
+def _drawn(options: Sequence[Placement], draw: str) -> dict[str, Placement]:
+    names = [option.target.target_id for option in options]
+    return {names[index]: options[index] for index in draw_prompts(names, draw)}
+
+
+def _prefill_work(option: Placement) -> float:
+    return option.prefill_tokens + FETCH_TIME_FRACTION * option.fetched_tokens
 
 
 def affinity_block_id(request: PlacementRequest) -> str | None:
@@ -174,8 +233,17 @@
     cost += RECOMPUTE_COST_PER_TOKEN * prefill + FETCH_COST_PER_TOKEN * fetched
     cost += 0.0 if is_preferred else _not_preferred_cost(request, held, fetched, rate)
     cost += 0.0 if target.registration.data_center == request.data_center else REMOTE_PROMPT_COST
-    running = target.running(now_s)
-    cost += BUSY_COST * running / max(1, request.engine.slots)
+    slot_s = 0.0
+    if request.work is None:
+        cost += BUSY_COST * target.running(now_s) / max(1, request.engine.slots)
+    else:
+        outstanding = target.outstanding_work(True, request.engine.slots, now_s)
+        slot_s = outstanding.slot_s
+        first_event_s += outstanding.slot_wait_s
+        decode_s = request.work.estimate.output_tokens * target.work.token_s
+        decode_s *= target.slowness(now_s) / outstanding.slots
+        cost += outstanding.slot_wait_s / request.objective_s
+        cost += BUSY_COST * (slot_s + decode_s) / outstanding.full_s
     memory_fraction = _memory_fraction(request, target, now_s)
     cost += MEMORY_COST * max(0.0, memory_fraction - MEMORY_TARGET_FRACTION)
     if request.named_weights is not None and weights < request.named_weights:
@@ -195,6 +263,7 @@
         prefill,
         fetched,
         fetch,
+        slot_s,
     )
 
 
@@ -269,9 +338,24 @@
 
 
 def place_service_call(
-    targets: Sequence[RosterTarget], data_center: str, objective_s: float, now_s: float
+    targets: Sequence[RosterTarget],
+    data_center: str,
+    objective_s: float,
+    now_s: float,
+    work: RequestWork | None = None,
 ) -> RosterTarget | None:
-    """Return the target for a call that is no prompt, by load, latency and data center."""
+    """Return the target for a call that is no prompt, by load, latency and data center.
+
+    With ``work`` it is the one of a few random targets where the call is expected to end first.
+    """
+    if work is not None:
+        names = [target.target_id for target in targets]
+        local = [target.registration.data_center == data_center for target in targets]
+        drawn = [targets[index] for index in draw_calls(names, local, work.draw)]
+        ends_s = {
+            target.target_id: call_end_s(target, data_center, work, now_s) for target in drawn
+        }
+        return min(drawn, key=lambda target: ends_s[target.target_id]) if drawn else None
 
     def cost(target: RosterTarget) -> tuple[float, str]:
         busy = target.running(now_s) / max(1, target.registration.slots)
@@ -280,3 +364,16 @@
         return (busy + remote + latency_s / objective_s, target.target_id)
 
     return min(targets, key=cost) if targets else None
+
+
+def call_end_s(target: RosterTarget, data_center: str, work: RequestWork, now_s: float) -> float:
+    """Return the time in which a call that is no prompt is expected to end at a target.
+
+    Calls in another data center count as if they took a tenth longer (``REMOTE_COST``).  The work
+    of others counts also while slots are free, since they share the target's cores.
+    """
+    outstanding = target.outstanding_work(False, target.registration.slots, now_s)
+    factor = target.work.duration_factor * target.slowness(now_s)
+    remote = 0.0 if target.registration.data_center == data_center else REMOTE_COST
+    service_s = work.estimate.service_s * factor * (1.0 + remote)
+    return service_s + outstanding.slot_s + outstanding.slot_wait_s
--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -20,6 +20,7 @@
     PlacementRequest,
     place_prompt,
 )
+from filbertstream.request.work_accounting import WorkAccounting
 from filbertstream.version.cache_owners import CacheOwners
 from filbertstream.version.routes import Engine
 from filbertstream.version.weights_view import WeightsView, cache_namespace
@@ -63,6 +64,7 @@
         weights: WeightsView,
         cache_owners: CacheOwners,
         rng: random.Random,
+        work: WorkAccounting,
     ) -> None:
         self._data_center = data_center
         self._roster = roster
@@ -71,6 +73,7 @@
         self._cache_owners = cache_owners
         self.choose: PlacementPolicy = place_prompt
         self._candidates = Candidates(rng)
+        self._work = work
         self._round_robin_index = 0
 
     def place(
@@ -117,6 +120,7 @@
             {version: cache_namespace(owner, prompt.model, version) for version in versions},
             self._round_robin_index,
             limits,
+            self._work.expect(call, targets),
         )
 
     def _directives(self, prompt: Prompt, placement: Placement, now_s: float) -> CacheDirectives:
--- a/filbertstream/request/target_feedback.py
+++ b/filbertstream/request/target_feedback.py
@@ -114,6 +114,7 @@
     target, call.target = call.target, None
     if target is not None:
         target.outstanding -= 1
+        target.work.ended(call.call_id)
         target.memory_tokens -= call.memory_tokens
         target.prefill.dropped(call.prefill_tokens)
         call.prefill_tokens = 0
