Tell peers which targets report an unusual slowness

Cause: with 65 entries and 35 runners an entry gets a response of a given runner once in several seconds, while a report loses its effect within a second.

Change: a kind of fact, slowness, goes with the messages about work: the smoothed reports of the last second that differ from usual by a factor of 1.5 or more, 64 rows at most (under 3 KB with all of them). A report keeps its age, so it decays in the same way everywhere and an older one never replaces a newer one.

--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -13,6 +13,7 @@
 from filbertstream.fleet.crash_detector import TargetProbed
 from filbertstream.fleet.crash_watch import CrashWatch
 from filbertstream.fleet.quarantine import QuarantineListed, QuarantineObserved
+from filbertstream.fleet.slowness_facts import SlownessFacts
 from filbertstream.gateway_events import (
     BoundsChanged,
     ConfigurationObserved,
@@ -146,6 +147,7 @@
         )
         self.crash_watch = CrashWatch(cfg.name, self.roster, bool(cfg.followed), self.counters, rng)
         self.crash_watch.facts.add("keys", self.key_journal)
+        self.crash_watch.facts.add("slowness", SlownessFacts(self.roster))
         facts = self.crash_watch.facts
         self.exchange = WorkExchange(self.peers, self.relays, self.request_rates, facts)
         self.relayed_view = RelayedView(
--- a/tests/test_reported_load.py
+++ b/tests/test_reported_load.py
@@ -2,6 +2,9 @@
 
 import pytest
 
+from filbertstream.fleet.facts import decode_rows, encode_rows
+from filbertstream.fleet.scope import Scope
+from filbertstream.fleet.slowness_facts import SlownessFacts
 from filbertstream.platform.headers import decode_response
 from filbertstream.process.prefill import INITIAL_RATE_PER_S, RATE_WEIGHT
 from filbertstream.process.roster import Roster
@@ -109,3 +112,77 @@
     registration = Runners(1).targets[0].registration
     roster.put(registration, 1.0).note_load(TargetLoad(1, 0, 64, 4.0, True), 1.0)
     assert roster.put(registration._replace(started_ms=2), 1.0).slowness(1.0) == 1.0
+
+
+def exchange(rosters: dict[str, Roster], now_s: float, passed: Scope = Scope.LOCAL) -> int:
+    """Pass the first entry's reports on to the second; return the size of the message."""
+    sender, receiver = (SlownessFacts(roster) for roster in rosters.values())
+    data = encode_rows(sender.rows(passed, now_s))
+    receiver.take(decode_rows("slowness", data), Scope(passed + 1), now_s)
+    return len(bytes(data))
+
+
+def two_rosters(targets: int) -> dict[str, Roster]:
+    rosters = {"e1": Roster(), "e2": Roster()}
+    for roster in rosters.values():
+        for target in Runners(targets).targets:
+            roster.put(target.registration, 0.0)
+    return rosters
+
+
+def test_entry_without_responses_of_a_slow_target_takes_it_for_a_usual_one() -> None:
+    """65 entries: a peer has just got a report, this entry got none for many seconds."""
+    rosters = two_rosters(2)
+    known, unknown = (roster.targets["r0"] for roster in rosters.values())
+    known.note_load(TargetLoad(1, 0, 64, 4.0, True), 1.0)
+    exchange(rosters, 1.1)
+    assert unknown.slowness(1.1) == pytest.approx(known.slowness(1.1))
+    assert unknown.slowness(2.2) < 1.05
+
+
+def test_passed_on_reports_become_newer_or_replace_newer_ones() -> None:
+    """A report arrives late and by several ways, and reports of a restarted target arrive."""
+    rosters = two_rosters(1)
+    sender, receiver = (roster.targets["r0"] for roster in rosters.values())
+    sender.note_load(TargetLoad(1, 0, 64, 4.0, True), 1.0)
+    exchange(rosters, 1.2)
+    first = receiver.slowness(1.2)
+    exchange(rosters, 1.2)
+    assert receiver.slowness(1.2) == first
+    receiver.note_load(TargetLoad(1, 0, 64, 1.0, True), 1.3)
+    own = receiver.slowness(1.3)
+    exchange(rosters, 1.3)
+    assert receiver.slowness(1.3) == own
+    restarted = rosters["e2"].put(receiver.registration._replace(started_ms=2), 1.3)
+    exchange(rosters, 1.3)
+    assert restarted.slowness(1.3) == 1.0
+
+
+def test_reports_of_peers_are_passed_back_as_own_ones() -> None:
+    """A follower would tell its relay what the relay has told it, for ever."""
+    rosters = two_rosters(1)
+    rosters["e1"].targets["r0"].note_load(TargetLoad(1, 0, 64, 4.0, True), 1.0)
+    exchange(rosters, 1.0)
+    facts = SlownessFacts(rosters["e2"])
+    assert [facts.rows(scope, 1.1) != [] for scope in Scope] == [False, True, True]
+    assert SlownessFacts(rosters["e1"]).rows(Scope.FLEET, 2.0) == []
+
+
+def test_message_grows_with_the_fleet_and_usual_targets_are_reported() -> None:
+    """740 slow targets, and one that works as usual."""
+    rosters = two_rosters(740)
+    for target in rosters["e1"].targets.values():
+        target.note_load(TargetLoad(1, 0, 64, 4.0, True), 1.0)
+    assert exchange(rosters, 1.0) < 3_000
+    usual = two_rosters(1)
+    usual["e1"].targets["r0"].note_load(TargetLoad(1, 0, 64, 1.1, True), 1.0)
+    assert SlownessFacts(usual["e1"]).rows(Scope.LOCAL, 1.0) == []
+    assert SlownessFacts(usual["e1"]).changes == 0
+
+
+@pytest.mark.parametrize("value", [float("nan"), float("inf"), -1.0, 0.0, 1e300])
+def test_odd_report_of_a_peer_ends_the_entry(value: float) -> None:
+    """A peer passes on a value that no VM can have."""
+    target = Runners(1).targets[0]
+    target.reported_slowness.note_peer(value, 0.0, Scope.FLEET, 1.0)
+    assert 0.25 <= target.slowness(1.0) <= 8.0
