Show the estimated work of calls in the log, explain and metrics

Cause: where calls are placed by their work, an operator saw neither the estimate nor how wrong it was, nor which target came second.

Change: call_placed has the estimate, the target's reported slowness with its age, and the runner-up with its cost or expected end. request_finished has the expected and the actual work, in output tokens of a prompt and in seconds at usual speed of another call. explain-log shows their ratio. The metrics page has a histogram of that ratio by route. LogFields moved to actions, since two modules of request/ use it. Where no target reports a fourth figure, lines and page are unchanged.

--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -9,6 +9,7 @@
 from prometheus_client.core import (
     CounterMetricFamily,
     GaugeMetricFamily,
+    HistogramMetricFamily,
     Metric,
     SummaryMetricFamily,
 )
@@ -115,6 +116,7 @@
             calls.add_metric([what], count)
         yield calls
         yield from self._latencies()
+        yield from self._work_errors()
         for name, value in self._gauges().items():
             yield GaugeMetricFamily(f"{METRIC_PREFIX}_{name}", f"Now: {name}.", value=value)
 
@@ -134,6 +136,18 @@
         yield summary
         yield quantiles
 
+    def _work_errors(self) -> Iterator[Metric]:
+        histograms = self._core.work.errors.histograms()
+        if histograms:
+            family = HistogramMetricFamily(
+                f"{METRIC_PREFIX}_work_error_ratio",
+                "Actual work of a call divided by its estimate.",
+                labels=["route"],
+            )
+            for route, (buckets, total) in sorted(histograms.items()):
+                family.add_metric([route], buckets, total)
+            yield family
+
     def _gauges(self) -> dict[str, float]:
         now_s = boot_time_s()
         config = self._core.authorizer.config
--- a/filbertstream/log_explain.py
+++ b/filbertstream/log_explain.py
@@ -4,7 +4,8 @@
 add one.  For every entry that logged the request, the last line of each kind of state event before
 the request's end is shown: configuration, readiness, object store, and the request's targets.  For
 a request that was refused for a quarantined block, the decision on the block and the crashes behind
-it are shown, as each entry saw them.
+it are shown, as each entry saw them.  Where requests are placed by their work, its estimate is
+compared with what it was.
 """
 
 from collections.abc import Iterable
@@ -81,6 +82,7 @@
             f"  before  {_text(line)}" for line in _state_lines(lines, entry, targets, entry_lines)
         ]
         output += [f"  request {_text(line)}" for line in entry_lines]
+        output += _work_lines(entry_lines)
     for block in dict.fromkeys(line["block"] for line in request_lines if "block" in line):
         output.append(f"block {block}")
         output += [
@@ -89,6 +91,20 @@
     return output
 
 
+def _work_lines(entry_lines: list[Line]) -> list[str]:
+    """Return how far the work of a request was from its estimate, and who was the runner-up."""
+    output = []
+    for line in entry_lines:
+        expected, actual = line.get("expected_work"), line.get("actual_work")
+        if not isinstance(expected, int | float) or not isinstance(actual, int | float):
+            continue
+        ratio = f"{actual / expected:.2f}" if expected else "?"
+        placed = [item for item in entry_lines if "runner_up" in item]
+        choice = f"; {placed[-1].get('target')} before {placed[-1]['runner_up']}" if placed else ""
+        output.append(f"  work    expected {expected}, was {actual}, ratio {ratio}{choice}")
+    return output
+
+
 def _quarantine_lines(lines: list[Line], block: str) -> list[Line]:
     """Return the decisions on a block, each once, and the crashes that they name."""
     decisions: dict[tuple[Any, Any], Line] = {}
--- a/filbertstream/request/call_logs.py
+++ b/filbertstream/request/call_logs.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from filbertstream.actions import Log
+from filbertstream.actions import Log, LogFields
 from filbertstream.log_events import LogEvent
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.authorization import Refused
@@ -10,7 +10,6 @@
 from filbertstream.request.call_events import CallArrived, RespondLocally
 from filbertstream.request.call_state import Call
 from filbertstream.request.idempotency_keys import KeyClaimed
-from filbertstream.request.prompt_placer import LogFields
 
 LOGGED_BLOCKS: Final = 8
 """Blocks of a prompt that a line lists, so that its size is bounded."""
@@ -128,4 +127,10 @@
         ("first_s", -1.0 if call.first_s is None else round(call.first_s, 3)),
         ("seconds", round(now_s - call.arrived_s, 3)),
     )
-    return Log(LogEvent.REQUEST_FINISHED, fields)
+    if call.work is None or call.actual_work is None:
+        return Log(LogEvent.REQUEST_FINISHED, fields)
+    work: LogFields = (
+        ("expected_work", round(call.work.output_tokens or call.work.service_s, 3)),
+        ("actual_work", round(call.actual_work, 3)),
+    )
+    return Log(LogEvent.REQUEST_FINISHED, (*fields, *work))
--- a/filbertstream/request/call_state.py
+++ b/filbertstream/request/call_state.py
@@ -34,7 +34,8 @@
     prefill, and ``ahead_tokens`` those that were queued there ahead of them.  ``suspected_at`` and
     ``suspected_kind`` are the start and kind of a runner that the call may have crashed, until it
     is cleared.  ``succeeds`` is whether the current response has a status of success.  ``work`` is
-    the expected work, None if the targets don't report their slowness.
+    the expected work, None if the targets don't report their slowness; ``actual_work`` is what it
+    was after all, in output tokens of a prompt or in seconds of another call.
     """
 
     call_id: int
@@ -67,6 +68,7 @@
     succeeds: bool = False
     first_s: float | None = None
     work: WorkEstimate | None = None
+    actual_work: float | None = None
 
     @property
     def memory_tokens(self) -> int:
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -9,6 +9,7 @@
 
 from typing import Final
 
+from filbertstream.actions import LogFields
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request import call_logs
 from filbertstream.request.authorization import Refused, call_limit_s
@@ -33,8 +34,7 @@
 from filbertstream.request.crash_reports import CrashReports
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
 from filbertstream.request.idempotency_keys import RECOVERING, KeyClaimed
-from filbertstream.request.placement import place_service_call
-from filbertstream.request.prompt_placer import LogFields, Rejection
+from filbertstream.request.prompt_placer import Rejection
 from filbertstream.request.send_failures import TARGET_ERROR, SendFailures, note_progress
 from filbertstream.request.send_timeouts import max_idle_s, progress_timeout_s
 from filbertstream.request.target_feedback import TargetFeedback, release
@@ -155,13 +155,10 @@
             screened = self._screen_prompt(call, call.head.prompt, now_s)
             return self._send_prompt(call, engine, now_s) if screened is None else screened
         targets = self._selection.candidates(call, now_s)
-        work = self._deps.work.expect(call, targets)
-        target = place_service_call(
-            targets, self._deps.data_center, call.route.objective_s, now_s, work
-        )
+        target, inputs = self._deps.work.place_call(call, targets, self._deps.data_center, now_s)
         if target is None:
             return self._queue_or_give_up(call, now_s)
-        return self._send_to(call, target, None, now_s)
+        return self._send_to(call, target, None, now_s, inputs)
 
     def _queue_or_give_up(self, call: Call, now_s: float) -> list[Action]:
         """Queue a call for a short time if targets have only rejected it so far, or give up."""
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -349,13 +349,8 @@
     With ``work`` it is the one of a few random targets where the call is expected to end first.
     """
     if work is not None:
-        names = [target.target_id for target in targets]
-        local = [target.registration.data_center == data_center for target in targets]
-        drawn = [targets[index] for index in draw_calls(names, local, work.draw)]
-        ends_s = {
-            target.target_id: call_end_s(target, data_center, work, now_s) for target in drawn
-        }
-        return min(drawn, key=lambda target: ends_s[target.target_id]) if drawn else None
+        options = compare_service_calls(targets, data_center, now_s, work)
+        return options[0].target if options else None
 
     def cost(target: RosterTarget) -> tuple[float, str]:
         busy = target.running(now_s) / max(1, target.registration.slots)
@@ -366,6 +361,24 @@
     return min(targets, key=cost) if targets else None
 
 
+class CallOption(NamedTuple):
+    """A target of a call that is no prompt, with the time in which the call should end there."""
+
+    end_s: float
+    target: RosterTarget
+
+
+def compare_service_calls(
+    targets: Sequence[RosterTarget], data_center: str, now_s: float, work: RequestWork
+) -> list[CallOption]:
+    """Return a few random targets, the one where the call is expected to end first at the front."""
+    names = [target.target_id for target in targets]
+    local = [target.registration.data_center == data_center for target in targets]
+    drawn = [targets[index] for index in draw_calls(names, local, work.draw)]
+    options = [CallOption(call_end_s(item, data_center, work, now_s), item) for item in drawn]
+    return sorted(options, key=lambda option: option.end_s)
+
+
 def call_end_s(target: RosterTarget, data_center: str, work: RequestWork, now_s: float) -> float:
     """Return the time in which a call that is no prompt is expected to end at a target.
 
--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+from filbertstream.actions import LogFields
 from filbertstream.process.roster import Roster, RosterTarget
 from filbertstream.request.call import CacheDirectives, Prompt
 from filbertstream.request.call_state import Call
@@ -20,13 +21,11 @@
     PlacementRequest,
     place_prompt,
 )
-from filbertstream.request.work_accounting import WorkAccounting
+from filbertstream.request.work_accounting import WorkAccounting, work_fields
 from filbertstream.version.cache_owners import CacheOwners
 from filbertstream.version.routes import Engine
 from filbertstream.version.weights_view import WeightsView, cache_namespace
 
-LogFields = tuple[tuple[str, str | int | float], ...]
-
 
 class Placed(NamedTuple):
     """The runner of a prompt; ``inputs`` are the logged inputs of the choice."""
@@ -93,7 +92,7 @@
         if placement is None:
             return None
         ahead = placement.target.queued_tokens(now_s)
-        inputs = _inputs(placement, len(targets))
+        inputs = _inputs(placement, len(targets)) + work_fields(call, placement, now_s)
         wait_s = retry_after_s(placement.queue_s, placement.memory_fraction, limits)
         if wait_s is not None and not call.response_started:
             return Rejection(wait_s, inputs)
--- a/tests/test_log_explain.py
+++ b/tests/test_log_explain.py
@@ -79,3 +79,26 @@
 def test_unknown_request_is_an_error(log: Path) -> None:
     """An operator mistypes a request id."""
     assert CliRunner().invoke(app, ["explain-log", "other", str(log)]).exit_code == 1
+
+
+def test_work_of_a_request_is_explained_without_its_estimate(tmp_path: Path) -> None:
+    """A slow response: its prompt was placed by an estimate that was a quarter of its output."""
+    file = tmp_path / "e1.log"
+    placed = line(1, LogEvent.CALL_PLACED, request_id="q", target="r1", runner_up="r2")
+    ended = line(
+        2, LogEvent.REQUEST_FINISHED, request_id="q", expected_work=50.0, actual_work=200.0
+    )
+    file.write_text(f"{placed}\n{ended}\n")
+    text = CliRunner().invoke(app, ["explain-log", "q", str(file)]).stdout
+    assert "expected 50.0, was 200.0, ratio 4.00; r1 before r2" in text
+
+
+@pytest.mark.parametrize(("expected", "actual"), [("x", 1), (0, 3), (None, None)])
+def test_odd_work_in_a_line_ends_the_explanation(
+    tmp_path: Path, expected: object, actual: object
+) -> None:
+    """A line was written by another build or is damaged."""
+    file = tmp_path / "e1.log"
+    ended = {"request_id": "q", "expected_work": expected, "actual_work": actual}
+    file.write_text(line(1, LogEvent.REQUEST_FINISHED, **ended) + "\n")
+    assert CliRunner().invoke(app, ["explain-log", "q", str(file)]).exit_code == 0
--- a/tests/test_work_placement.py
+++ b/tests/test_work_placement.py
@@ -3,9 +3,13 @@
 import random
 from collections import Counter
 from typing import Any
+from unittest.mock import MagicMock
 
 import pytest
 
+from filbertstream.actions import Log
+from filbertstream.connection.gateway_status import metrics_text
+from filbertstream.log_events import LogEvent
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call import PromptBlock, TargetLoad
 from filbertstream.request.call_events import FirstEvent, ResponseComplete, ResponseStarted
@@ -143,6 +147,61 @@
     return call
 
 
+class LoggingWorld(World):
+    """A core whose log lines are kept."""
+
+    def __init__(self) -> None:
+        self.lines: list[Log] = []
+        super().__init__()
+
+    def step(self, event: Any) -> list[Any]:
+        core_step = self.core.step
+
+        def keep_lines(now_s: float, taken: Any) -> list[Any]:
+            actions = core_step(now_s, taken)
+            self.lines += [action for action in actions if isinstance(action, Log)]
+            return actions
+
+        self.core.step = keep_lines  # type: ignore[method-assign]
+        try:
+            return super().step(event)
+        finally:
+            self.core.step = core_step  # type: ignore[method-assign]
+
+    def last(self, event: LogEvent) -> dict[str, Any]:
+        return dict(next(line.fields for line in reversed(self.lines) if line.number == event))
+
+
+def test_operator_cannot_see_the_estimate_or_how_wrong_it_was() -> None:
+    """A prompt and a call are placed by their work; its estimate is compared afterwards."""
+    world = LoggingWorld()
+    load = TargetLoad(1, 0, 8, 1.2, True)
+    for name, expected in (("draft", "expected_tokens"), ("read", "expected_run_s")):
+        for _ in range(3):
+            served(world, name, load, 20)
+        placed, ended = world.last(LogEvent.CALL_PLACED), world.last(LogEvent.REQUEST_FINISHED)
+        assert placed["runner_up"] != placed["target"]
+        assert placed["slowness"] > 0.0
+        assert ended["expected_work"] == pytest.approx(placed[expected], rel=0.01)
+        # The call took 0.3 s at a target that was between 1 and 1.2 times slower than usual.
+        low, high = (20, 20) if name == "draft" else (0.25, 0.3)
+        assert low <= ended["actual_work"] <= high
+    page = metrics_text(world.core, MagicMock(), MagicMock(), 0).decode()
+    assert 'filbertstream_work_error_ratio_bucket{le="+Inf",route="draft"}' in page
+    assert 'filbertstream_work_error_ratio_count{route="read"}' in page
+
+
+def test_log_lines_and_metrics_change_without_a_fourth_figure() -> None:
+    """Nothing is placed by its work; lines and page are as before."""
+    world = LoggingWorld()
+    served(world, "read", TargetLoad(1, 0, 8))
+    served(world, "read", TargetLoad(1, 0, 8))
+    fields = world.last(LogEvent.CALL_PLACED) | world.last(LogEvent.REQUEST_FINISHED)
+    assert not {"runner_up", "slowness", "expected_s", "expected_work"} & fields.keys()
+    page = metrics_text(world.core, MagicMock(), MagicMock(), 0).decode()
+    assert "work_error" not in page
+
+
 def test_work_counts_where_targets_report_three_figures() -> None:
     """Most deployments don't report a slowness; there nothing is estimated or learned."""
     world = World()
