Bound the reports of slowness to 2 KB a second

Cause: with 64 rows of floats a message of reports took almost 3 KB, and it is sent five times a second; docs/CAPACITY.md allows 2 KB a second for one kind.

Change: at most the 12 most unusual reports are sent, as whole percents and milliseconds.

Result: 740 slow targets give a message below 400 bytes (test_reported_load); test_relays, test_work_exchange, test_work_placement and the recorded decisions pass.

--- a/filbertstream/fleet/slowness_facts.py
+++ b/filbertstream/fleet/slowness_facts.py
@@ -16,8 +16,11 @@
 from filbertstream.process.reported_slowness import ReportedSlowness
 from filbertstream.process.roster import Roster
 
-MAX_ROWS: Final = 64
-"""Reports in a message, those that differ most from usual; about 2 KB."""
+MAX_ROWS: Final = 12
+"""Reports in a message, those that differ most from usual: below 400 bytes, five times a second."""
+
+PERCENT: Final = 100.0
+MS: Final = 1000.0
 
 MAX_AGE_S: Final = 1.0
 """Age at which a report is not sent any more; 4% of its effect is left then."""
@@ -25,12 +28,12 @@
 
 @fact("slowness")
 class SlownessRow(NamedTuple):
-    """A target's slowness as reported ``age_s`` ago."""
+    """A target's slowness as reported some time ago; whole numbers keep the message small."""
 
     target: str
     started_ms: int
-    slowness: float
-    age_s: float
+    percent: int
+    age_ms: int
 
 
 class SlownessFacts:
@@ -54,7 +57,10 @@
             age_s = now_s - report.at_s
             if report.is_unusual and report.scope <= scope and age_s < MAX_AGE_S:
                 row = SlownessRow(
-                    target.target_id, target.start.started_ms, report.value, max(0.0, age_s)
+                    target.target_id,
+                    target.start.started_ms,
+                    round(PERCENT * report.value),
+                    math.ceil(MS * max(0.0, age_s)),
                 )
                 found.append((-abs(math.log(report.value)), row))
         return [row for _, row in sorted(found)[:MAX_ROWS]]
@@ -64,5 +70,6 @@
         for row in rows:
             target = self._roster.targets.get(row.target)
             if target is not None and target.start.started_ms == row.started_ms:
-                target.reported_slowness.note_peer(row.slowness, row.age_s, scope, now_s)
+                value, age_s = row.percent / PERCENT, row.age_ms / MS
+                target.reported_slowness.note_peer(value, age_s, scope, now_s)
         return []
