--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -16,6 +16,7 @@
 from filbertstream.fleet.crash_watch import CrashWatch
 from filbertstream.fleet.evacuations import Evacuations
 from filbertstream.fleet.quarantine import QuarantineListed, QuarantineObserved
+from filbertstream.fleet.slowness_facts import SlownessFacts
 from filbertstream.gateway_events import (
     BoundsChanged,
     ConfigurationObserved,
@@ -79,6 +80,7 @@
 from filbertstream.request.rate_admission import RateAdmission
 from filbertstream.request.regions import Regions
 from filbertstream.request.retry_budget import SharedRetryBudget
+from filbertstream.request.work_accounting import WorkAccounting
 from filbertstream.version.cache_owners import CacheOwners
 from filbertstream.version.config_freshness import ConfigFreshness
 from filbertstream.version.retirement import Retirement
@@ -143,6 +145,7 @@
         )
         self.crash_watch = CrashWatch(cfg.name, self.roster, bool(cfg.followed), self.counters, rng)
         self.crash_watch.facts.add("keys", self.key_journal)
+        self.crash_watch.facts.add("slowness", SlownessFacts(self.roster))
         facts = self.crash_watch.facts
         self.exchange = WorkExchange(self.peers, self.relays, self.request_rates, facts)
         self.relayed_view = RelayedView(
@@ -175,8 +178,16 @@
         cache_view = CacheView(self.index, self.stores)
         self.cache_owners = CacheOwners(lambda: self.authorizer.config)
         regions = Regions(cfg.regions)
+        self.work = WorkAccounting(cfg.name)
         self.prompt_placer = PromptPlacer(
-            cfg.data_center, self.roster, cache_view, self.weights, self.cache_owners, rng, regions
+            cfg.data_center,
+            self.roster,
+            cache_view,
+            self.weights,
+            self.cache_owners,
+            rng,
+            regions,
+            self.work,
         )
         dependencies = ForwardingDependencies(
             cfg.data_center,
@@ -200,6 +211,7 @@
             self.crash_watch.quarantine,
             rng,
             regions,
+            self.work,
         )
         self.forwarding = Forwarding(dependencies)
         self.rollout_lease = RolloutLease(f"{cfg.name}#{cfg.incarnation:x}", bounds.lease_s, rng)
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -37,6 +37,7 @@
 LEAVING: Final = b"server-leaving"
 RETRY_AFTER: Final = b"retry-after"
 COLD_LEFT: Final = b"cold-ms"
+LENGTH_HINT: Final = b"length-hint"
 
 SINGLETON: Final = frozenset(
     {
@@ -106,6 +107,11 @@
 MAX_VERSION_DIGITS: Final = 15
 """Versions of weights with more digits don't fit into a message."""
 
+LOAD_COUNTS: Final = 3
+"""Figures of ``Server-Load`` that are counts; on some deployments the slowness follows."""
+
+PERCENT: Final = 100.0
+
 MAX_COUNT: Final = 2**31
 """Largest number of tokens or requests; sums over all calls of a fleet fit into a message."""
 
@@ -125,7 +131,7 @@
         deadline_s = float(first[DEADLINE]) / MS if DEADLINE in first else None
         if deadline_s is not None and not math.isfinite(deadline_s):
             raise ValueError("deadline is not finite")
-        prompt = _prompt(first)
+        prompt = _prompt(first, _length_hint(_values(headers, LENGTH_HINT)))
         texts = {name: value.decode("ascii") for name, value in first.items() if name in SINGLETON}
     except ValueError as exc:
         return Err(f"malformed header: {exc}")
@@ -144,7 +150,7 @@
     )
 
 
-def _prompt(first: dict[bytes, bytes]) -> Prompt | None:
+def _prompt(first: dict[bytes, bytes], length_hint: int | None) -> Prompt | None:
     model = first.get(b"model")
     counts = first.get(b"token-count")
     if model is None or counts is None:
@@ -159,10 +165,20 @@
     if len(blocks) > MAX_PROMPT_BLOCKS:
         raise ValueError("too many items in Prefix-Hash")
     return Prompt(
-        model.decode("ascii"), _count(tokens_in), _count(tokens_out or b"0"), tuple(blocks)
+        model.decode("ascii"),
+        _count(tokens_in),
+        _count(tokens_out or b"0"),
+        tuple(blocks),
+        length_hint,
     )
 
 
+def _length_hint(values: list[bytes]) -> int | None:
+    """Return the caller's estimate of the output tokens; one that is odd or repeated is ignored."""
+    hint = _int(values[0]) if len(values) == 1 else None
+    return hint if hint is not None and 0 < hint <= MAX_COUNT else None
+
+
 def _count(text: bytes) -> int:
     """Return a number of tokens; raises ``ValueError`` if it is none that a prompt can have."""
     count = int(text)
@@ -307,15 +323,29 @@
 
 
 def _load(value: bytes | None) -> TargetLoad | None:
+    """Return the load in a value of three figures, or of four with the slowness in percent.
+
+    A malformed fourth figure is ignored, and so are any after it.
+
+    >>> _load(b"5,2,16")
+    TargetLoad(running=5, waiting=2, slots=16, slowness=1.0, reports_slowness=False)
+    >>> _load(b"5,2,16,250")
+    TargetLoad(running=5, waiting=2, slots=16, slowness=2.5, reports_slowness=True)
+    """
     if value is None:
         return None
+    items = value.split(b",")
     try:
-        running, waiting, slots = (int(item) for item in value.split(b","))
+        running, waiting, slots = (int(item) for item in items[:LOAD_COUNTS])
     except ValueError:
         return None
     if not all(0 <= item <= MAX_COUNT for item in (running, waiting, slots)):
         return None
-    return TargetLoad(running, waiting, slots)
+    percent = items[LOAD_COUNTS].decode("latin-1").strip() if len(items) > LOAD_COUNTS else ""
+    slowness = float(percent) / PERCENT if DECIMAL.fullmatch(percent) else 0.0
+    if slowness <= 0.0 or not math.isfinite(slowness):
+        return TargetLoad(running, waiting, slots)
+    return TargetLoad(running, waiting, slots, slowness, True)
 
 
 def _int(value: bytes | None) -> int | None:
--- a/filbertstream/request/call.py
+++ b/filbertstream/request/call.py
@@ -11,12 +11,16 @@
 
 
 class Prompt(NamedTuple):
-    """The prompt of a call: its size, the most tokens to generate, and its blocks in order."""
+    """The prompt of a call: its size, the most tokens to generate, and its blocks in order.
+
+    ``length_hint`` is the caller's estimate of the tokens to be generated.
+    """
 
     model: str
     tokens: int
     max_new_tokens: int
     blocks: tuple[PromptBlock, ...]
+    length_hint: int | None = None
 
 
 class IdempotencyKey(NamedTuple):
@@ -54,11 +58,17 @@
 
 
 class TargetLoad(NamedTuple):
-    """The load that a target reports in the headers of a response."""
+    """The load that a target reports in the headers of a response.
+
+    ``slowness`` is by which factor work takes longer on its VM at this moment than it usually does
+    there.  It holds only with ``reports_slowness``; most targets don't report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float = 1.0
+    reports_slowness: bool = False
 
 
 class RequestRate(NamedTuple):
--- a/filbertstream/request/eligibility.py
+++ b/filbertstream/request/eligibility.py
@@ -12,10 +12,10 @@
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
+from filbertstream.actions import LogFields
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call_state import Call
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
-from filbertstream.request.prompt_placer import LogFields
 from filbertstream.request.regions import allowed_regions
 
 
--- a/filbertstream/request/forwarding_dependencies.py
+++ b/filbertstream/request/forwarding_dependencies.py
@@ -20,6 +20,7 @@
 from filbertstream.request.rate_admission import RateAdmission
 from filbertstream.request.regions import Regions
 from filbertstream.request.retry_budget import SharedRetryBudget
+from filbertstream.request.work_accounting import WorkAccounting
 from filbertstream.version.config_freshness import ConfigFreshness
 from filbertstream.version.weights_view import WeightsView
 
@@ -48,3 +49,4 @@
     quarantine: Quarantine
     rng: random.Random
     regions: Regions
+    work: WorkAccounting
--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+from filbertstream.actions import LogFields
 from filbertstream.process.roster import Roster, RosterTarget
 from filbertstream.request.call import CacheDirectives, Prompt
 from filbertstream.request.call_state import Call
@@ -21,12 +22,11 @@
     place_prompt,
 )
 from filbertstream.request.regions import Regions, allowed_regions
+from filbertstream.request.work_accounting import WorkAccounting, work_fields
 from filbertstream.version.cache_owners import CacheOwners
 from filbertstream.version.routes import Engine
 from filbertstream.version.weights_view import WeightsView, cache_namespace
 
-LogFields = tuple[tuple[str, str | int | float], ...]
-
 
 class Placed(NamedTuple):
     """The runner of a prompt; ``inputs`` are the logged inputs of the choice."""
@@ -69,6 +69,7 @@
         cache_owners: CacheOwners,
         rng: random.Random,
         regions: Regions,
+        work: WorkAccounting,
     ) -> None:
         self._data_center = data_center
         self._roster = roster
@@ -78,6 +79,7 @@
         self._regions = regions
         self.choose: PlacementPolicy = place_prompt
         self._candidates = Candidates(rng)
+        self._work = work
         self._round_robin_index = 0
 
     def place(
@@ -97,7 +99,7 @@
         if placement is None:
             return None
         ahead = placement.target.queued_tokens(now_s)
-        inputs = _inputs(placement, len(targets))
+        inputs = _inputs(placement, len(targets)) + work_fields(call, placement, now_s)
         wait_s = retry_after_s(placement.queue_s, placement.memory_fraction, limits)
         if wait_s is not None and not call.response_started:
             return Rejection(wait_s, inputs)
@@ -125,6 +127,7 @@
             self._round_robin_index,
             limits,
             self._barred_sources(call),
+            self._work.expect(call, targets),
         )
 
     def _barred_sources(self, call: Call) -> frozenset[str]:
--- a/filbertstream/request/rate_admission.py
+++ b/filbertstream/request/rate_admission.py
@@ -22,6 +22,7 @@
 from collections.abc import Callable, Container
 from typing import Final, NamedTuple
 
+from filbertstream.actions import LogFields
 from filbertstream.fleet.cold_targets import ColdRate, ColdTargets
 from filbertstream.process.rate_shares import (
     MIN_PER_S,
@@ -35,7 +36,7 @@
 from filbertstream.process.roster import RosterTarget
 from filbertstream.process.target_registration import TargetStart
 from filbertstream.request.load_shedding import RETRY_MAX_S, RETRY_MIN_S
-from filbertstream.request.prompt_placer import LogFields, Rejection
+from filbertstream.request.prompt_placer import Rejection
 
 OPEN_INTERVAL: Final = 3
 
--- a/tests/test_log_explain.py
+++ b/tests/test_log_explain.py
@@ -102,3 +102,26 @@
     assert "evacuation_ended data_center=dc2" in output
     assert "evacuation_began data_center=dc2" not in output
     assert "dc3" not in output
+
+
+def test_work_of_a_request_is_explained_without_its_estimate(tmp_path: Path) -> None:
+    """A slow response: its prompt was placed by an estimate that was a quarter of its output."""
+    file = tmp_path / "e1.log"
+    placed = line(1, LogEvent.CALL_PLACED, request_id="q", target="r1", runner_up="r2")
+    ended = line(
+        2, LogEvent.REQUEST_FINISHED, request_id="q", expected_work=50.0, actual_work=200.0
+    )
+    file.write_text(f"{placed}\n{ended}\n")
+    text = CliRunner().invoke(app, ["explain-log", "q", str(file)]).stdout
+    assert "expected 50.0, was 200.0, ratio 4.00; r1 before r2" in text
+
+
+@pytest.mark.parametrize(("expected", "actual"), [("x", 1), (0, 3), (None, None)])
+def test_odd_work_in_a_line_ends_the_explanation(
+    tmp_path: Path, expected: object, actual: object
+) -> None:
+    """A line was written by another build or is damaged."""
+    file = tmp_path / "e1.log"
+    ended = {"request_id": "q", "expected_work": expected, "actual_work": actual}
+    file.write_text(line(1, LogEvent.REQUEST_FINISHED, **ended) + "\n")
+    assert CliRunner().invoke(app, ["explain-log", "q", str(file)]).exit_code == 0
