Ask the compared runners for their load before a prompt is placed

An entry gets a response of a runner every 4 s, peers' reports are half a second old, and a request lasts less than that. The health path answers at once with the load and the slowness.

A runner other than the preferred one fetches shared blocks from that one, so sending a prompt elsewhere no longer means to prefill them again. Placement, block sources, service calls, prompt screening and reported values are modules of their own now.

--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -9,7 +9,8 @@
 from bench.world import World
 from filbertstream.names import rank
 from filbertstream.process.roster import RosterTarget
-from filbertstream.request.placement import CacheView, Placement, PlacementRequest, estimate
+from filbertstream.request.block_sources import CacheView
+from filbertstream.request.placement import Placement, PlacementRequest, estimate
 from filbertstream.request.prompt_placer import PlacementPolicy
 
 POLICIES: Final[dict[str, Callable[[World], PlacementPolicy]]] = {}
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -25,6 +25,8 @@
 from filbertstream.request.call_events import (
     CancelSend,
     FirstEvent,
+    LoadProbed,
+    ProbeLoad,
     ResponseComplete,
     ResponseStarted,
     SendCall,
@@ -257,6 +259,16 @@
             outcome, delay_s = ProbeOutcome.ACCEPTED, PROBE_CLOSE_S
         world.deliver_later(core, delay_s, TargetProbed(probe.start, outcome))
 
+    def probe_load(self, core: Gateway, probe: ProbeLoad) -> None:
+        """Deliver a target's load, or that it did not answer in time."""
+        world = self._world
+        target = world.targets.get(probe.start.target_id)
+        if target is None or target.dead or target.name in world.stalled:
+            load, delay_s = None, probe.timeout_s
+        else:
+            load, delay_s = TargetLoad(target.running, target.waiting, SLOTS), 2 * LINK_LATENCY_S
+        world.deliver_later(core, delay_s, LoadProbed(probe.call_id, probe.start, load))
+
     def poll_report(self, core: Gateway, poll: PollReport) -> None:
         """Deliver a runner's report."""
         world = self._world
--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -36,6 +36,7 @@
 from filbertstream.platform.headers import (
     decode_call,
 )
+from filbertstream.platform.load_probes import encode_load_probe
 from filbertstream.platform.settings_file import parse_address
 from filbertstream.process.cache_stores import (
     BlocksFreed,
@@ -46,19 +47,21 @@
 )
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
-from filbertstream.request.call import CallHead
+from filbertstream.request.call import CallHead, ResponseHead, TargetLoad
 from filbertstream.request.call_events import (
     AbortResponse,
     CallArrived,
     CallerDisconnected,
     CancelSend,
     ContinueResponse,
+    LoadProbed,
+    ProbeLoad,
     RelayResponse,
     ReplayResponse,
     RespondLocally,
     SendCall,
 )
-from filbertstream.statuses import BAD_GATEWAY, BAD_REQUEST
+from filbertstream.statuses import BAD_GATEWAY, BAD_REQUEST, OK
 from filbertstream.version.routes import CallerLimits
 
 FREED_STATUSES: Final = (200, 202, 204)
@@ -118,6 +121,7 @@
                 self._list_cache(action), "cache_list"
             ),
             ProbeTarget: self._probe_target,
+            ProbeLoad: self._probe_load,
             FreeBlocks: lambda free: self._tasks.start(self._free_blocks(free), "cache_free"),
         }
 
@@ -287,6 +291,25 @@
     def _probe_target(self, action: ProbeTarget) -> None:
         self.probe(action.address, lambda outcome: self.emit(TargetProbed(action.start, outcome)))
 
+    def _probe_load(self, action: ProbeLoad) -> None:
+        def report(load: TargetLoad | None) -> None:
+            self.emit(LoadProbed(action.call_id, action.start, load))
+
+        async def ask() -> None:
+            heads: list[ResponseHead] = []
+            response = await call_target(
+                self.pool,
+                action.address,
+                encode_load_probe(action),
+                action.timeout_s,
+                boot_time_s(),
+                on_head=heads.append,
+            )
+            healthy = response is not None and response[0] == OK and bool(heads)
+            report(heads[0].load if healthy else None)
+
+        self._tasks.start(ask(), "load_probe", lambda: report(None))
+
     def probe(self, address: Address, on_outcome: Callable[[ProbeOutcome], None]) -> None:
         """Probe whether a target still listens."""
 
--- a/filbertstream/connection/target_call.py
+++ b/filbertstream/connection/target_call.py
@@ -1,6 +1,7 @@
 """Calls to targets on the system's own behalf, with a limit on time and size."""
 
 import asyncio
+from collections.abc import Callable
 
 from filbertstream.connection.buffer_budget import BufferBudget
 from filbertstream.connection.response_budget import HEAD_LIMIT_BYTES
@@ -19,17 +20,21 @@
         done: asyncio.Future[tuple[int, bytes] | None],
         buffers: BufferBudget,
         limit_bytes: int,
+        on_head: Callable[[ResponseHead], None] | None,
     ) -> None:
         self._done = done
         self._buffers = buffers
         self._limit_bytes = limit_bytes
         self._status = 0
+        self._on_head = on_head
         self._body: list[bytes] = []
         self._size = 0
 
     def on_head(self, response: ResponseHead, reason: str, headers: Headers) -> None:
-        """Keep the status."""
+        """Keep the status, and pass the head on."""
         self._status = response.status
+        if self._on_head is not None:
+            self._on_head(response)
 
     def on_body(self, data: bytes) -> bool:
         """Buffer a part of the body; fail if the body exceeds the limit."""
@@ -71,6 +76,7 @@
     timeout_s: float,
     now_s: float,
     limit_bytes: int = HEAD_LIMIT_BYTES,
+    on_head: Callable[[ResponseHead], None] | None = None,
 ) -> tuple[int, bytes] | None:
     """Make a call on the system's own behalf; return status and body, or None without a response.
 
@@ -80,7 +86,7 @@
     if conn is None or conn.closed:
         return None
     done: asyncio.Future[tuple[int, bytes] | None] = asyncio.get_running_loop().create_future()
-    sink = _BufferedSink(done, pool.buffers, limit_bytes)
+    sink = _BufferedSink(done, pool.buffers, limit_bytes, on_head)
     conn.request("", data, sink, 0.0, lambda idle: pool.release(idle, boot_time_s()))
     try:
         response = await asyncio.wait_for(done, timeout_s)
--- a/filbertstream/fleet/crash_watch.py
+++ b/filbertstream/fleet/crash_watch.py
@@ -1,16 +1,17 @@
 """Follows crashes of runners from the first broken call to the quarantine of a block."""
 
 import random
-from typing import Final
+from collections.abc import Callable
+from typing import Any, Final
 
 from filbertstream.actions import Log
-from filbertstream.fleet.crash_detector import CrashDetector
+from filbertstream.fleet.crash_detector import CrashDetector, TargetProbed
 from filbertstream.fleet.crash_evidence import CrashEvidence
 from filbertstream.fleet.crash_facts import BegunFacts, CrashFacts
 from filbertstream.fleet.crash_trials import CrashTrials
 from filbertstream.fleet.crash_verdicts import CrashVerdicts
 from filbertstream.fleet.facts import FactExchange, FactHolder
-from filbertstream.fleet.quarantine import Quarantine, Write
+from filbertstream.fleet.quarantine import Quarantine, QuarantineListed, QuarantineObserved, Write
 from filbertstream.process.counters import Counters
 from filbertstream.process.roster import Roster
 
@@ -42,6 +43,14 @@
         self.facts = FactExchange(holders, counters)
         self._expire_at_s = 0.0
 
+    def handlers(self) -> dict[type, Callable[[Any, float], list[Any]]]:
+        """Return the handlers by the type of event."""
+        return {
+            TargetProbed: self.detector.on_probed,
+            QuarantineListed: self.quarantine.on_listed,
+            QuarantineObserved: self.quarantine.on_observed,
+        }
+
     def tick(self, now_s: float) -> list[Log | Write]:
         """Quarantine the blocks that the evidence convicts, and return the writes that are due."""
         actions: list[Log | Write] = [*self.detector.tick(now_s)]
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -12,10 +12,8 @@
 
 from filbertstream.actions import Log
 from filbertstream.fleet.cold_targets import ColdTargets, IdleConnectionLost
-from filbertstream.fleet.crash_detector import TargetProbed
 from filbertstream.fleet.crash_watch import CrashWatch
 from filbertstream.fleet.evacuations import Evacuations
-from filbertstream.fleet.quarantine import QuarantineListed, QuarantineObserved
 from filbertstream.fleet.slowness_facts import SlownessFacts
 from filbertstream.gateway_events import (
     BoundsChanged,
@@ -62,10 +60,12 @@
 from filbertstream.process.work_exchange import WorkExchange
 from filbertstream.request.admission import Admission
 from filbertstream.request.authorization import Authorizer
+from filbertstream.request.block_sources import CacheView
 from filbertstream.request.call_events import (
     CallArrived,
     CallerDisconnected,
     FirstEvent,
+    LoadProbed,
     ResponseComplete,
     ResponseStarted,
     SendFailed,
@@ -75,7 +75,6 @@
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
 from filbertstream.request.idempotency_keys import IdempotencyKeys, KeyClaimed, KeySettled
 from filbertstream.request.key_journal import KeyJournal, KeyRewritten
-from filbertstream.request.placement import CacheView
 from filbertstream.request.prompt_placer import PromptPlacer
 from filbertstream.request.rate_admission import RateAdmission
 from filbertstream.request.regions import Regions
@@ -270,6 +269,7 @@
             SendFailed: self._forward(self.forwarding.on_failed),
             SendStalled: self._forward(self.forwarding.on_stalled),
             CallerDisconnected: self._forward(self.forwarding.on_caller_disconnected),
+            LoadProbed: self._forward(self.forwarding.on_load_probed),
             KeyClaimed: self._forward(self.forwarding.on_claimed),
             KeySettled: self._on_key_settled,
             ConfigurationObserved: self._forward(self.config_observer.on_configuration),
@@ -279,9 +279,7 @@
             **self.weights_leader.handlers(),
             **self.cache_events.handlers(),
             IdleConnectionLost: self._forward(self.cold_targets.on_connection_lost),
-            TargetProbed: self._forward(self.crash_watch.detector.on_probed),
-            QuarantineListed: self._forward(self.crash_watch.quarantine.on_listed),
-            QuarantineObserved: self._forward(self.crash_watch.quarantine.on_observed),
+            **self.crash_watch.handlers(),
             **self.evacuations.handlers(),
             EntriesListed: self._forward(self.entry_registrations.on_listed),
             EntriesConfirmed: self._forward(self.entry_registrations.on_confirmed),
--- a/filbertstream/platform/headers.py
+++ b/filbertstream/platform/headers.py
@@ -5,24 +5,27 @@
 """
 
 import math
-import re
 from typing import Final
 
 import msgspec
 from result import Err, Ok, Result
 
+from filbertstream.platform.reported_values import (
+    MAX_COUNT,
+    decode_cold_left,
+    decode_load,
+    decode_notice,
+    decode_request_rate,
+    seconds,
+    whole_number,
+)
 from filbertstream.request.call import (
-    UNLIMITED,
     CacheDirectives,
     CallHead,
     Prompt,
     PromptBlock,
-    RequestRate,
     ResponseHead,
-    TargetLoad,
-    TargetNotice,
 )
-from filbertstream.statuses import UNAVAILABLE
 
 MS: Final = 1000.0
 
@@ -100,21 +103,8 @@
     {b"server-load", REQUEST_RATE, LEAVING, b"instance-id", b"not-executed"}
 )
 
-DECIMAL: Final = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
-
 MAX_PROMPT_BLOCKS: Final = 64
 
-MAX_VERSION_DIGITS: Final = 15
-"""Versions of weights with more digits don't fit into a message."""
-
-LOAD_COUNTS: Final = 3
-"""Figures of ``Server-Load`` that are counts; on some deployments the slowness follows."""
-
-PERCENT: Final = 100.0
-
-MAX_COUNT: Final = 2**31
-"""Largest number of tokens or requests; sums over all calls of a fleet fit into a message."""
-
 
 def decode_call(method: str, path: str, headers: Headers, body_bytes: int) -> Result[CallHead, str]:
     """Return the head of a caller's request, or a message that says why it is malformed."""
@@ -175,7 +165,7 @@
 
 def _length_hint(values: list[bytes]) -> int | None:
     """Return the caller's estimate of the output tokens; one that is odd or repeated is ignored."""
-    hint = _int(values[0]) if len(values) == 1 else None
+    hint = whole_number(values[0]) if len(values) == 1 else None
     return hint if hint is not None and 0 < hint <= MAX_COUNT else None
 
 
@@ -262,10 +252,10 @@
         b"not-executed" in first,
         b"response-signature" in first,
         b"content-encoding" in first,
-        _load(first.get(b"server-load")),
-        _int(first.get(b"weight-versions")),
+        decode_load(first.get(b"server-load")),
+        whole_number(first.get(b"weight-versions")),
         first.get(b"instance-id", b"").decode("latin-1"),
-        _seconds(first.get(RETRY_AFTER)),
+        seconds(first.get(RETRY_AFTER)),
         decode_request_rate(_values(headers, REQUEST_RATE)),
         first.get(b"content-type", b"").partition(b";")[0].strip().lower().decode("latin-1"),
         decode_notice(status, _values(headers, RETRY_AFTER), _values(headers, LEAVING)),
@@ -277,88 +267,6 @@
     return [value for found, value in headers if found == name]
 
 
-def decode_notice(status: int, retry_after: list[bytes], leaving: list[bytes]) -> TargetNotice:
-    """Return what a response says of its target, from the values of its headers.
-
-    Only a 503 names a pause.  Dates and other malformed values are ignored; of several pauses the
-    longest counts.
-
-    >>> decode_notice(503, [b"2.5"], [])
-    TargetNotice(pause_s=2.5, leaving=False)
-    >>> decode_notice(503, [b"Sat, 05 Dec 2026 21:00:00 GMT"], [b"1"])
-    TargetNotice(pause_s=None, leaving=True)
-    """
-    found = [_seconds(value) for value in retry_after] if status == UNAVAILABLE else []
-    pauses = [seconds for seconds in found if seconds is not None]
-    leaves = any(value.strip() == b"1" for value in leaving)
-    return TargetNotice(max(pauses, default=None), leaves)
-
-
-def decode_request_rate(values: list[bytes]) -> RequestRate:
-    """Return the rate that a response names in all its headers of that name.
-
-    >>> decode_request_rate([b"2.5"])
-    RequestRate(per_s=2.5, malformed=False)
-    >>> decode_request_rate([b"2", b"2"]).malformed
-    True
-    """
-    if not values:
-        return UNLIMITED
-    text = values[0].decode("latin-1").strip()
-    rate = float(text) if len(values) == 1 and DECIMAL.fullmatch(text) else math.inf
-    return RequestRate(rate) if math.isfinite(rate) else RequestRate(None, malformed=True)
-
-
-def decode_cold_left(values: list[bytes]) -> float | None:
-    """Return how long a target says that it stays cold, in seconds; the longest of several values.
-
-    >>> decode_cold_left([b"1500"])
-    1.5
-    >>> decode_cold_left([b"-1"]) is None
-    True
-    """
-    found = [_seconds(value) for value in values]
-    named = [milliseconds / MS for milliseconds in found if milliseconds is not None]
-    return max(named, default=None)
-
-
-def _load(value: bytes | None) -> TargetLoad | None:
-    """Return the load in a value of three figures, or of four with the slowness in percent.
-
-    A malformed fourth figure is ignored, and so are any after it.
-
-    >>> _load(b"5,2,16")
-    TargetLoad(running=5, waiting=2, slots=16, slowness=1.0, reports_slowness=False)
-    >>> _load(b"5,2,16,250")
-    TargetLoad(running=5, waiting=2, slots=16, slowness=2.5, reports_slowness=True)
-    """
-    if value is None:
-        return None
-    items = value.split(b",")
-    try:
-        running, waiting, slots = (int(item) for item in items[:LOAD_COUNTS])
-    except ValueError:
-        return None
-    if not all(0 <= item <= MAX_COUNT for item in (running, waiting, slots)):
-        return None
-    percent = items[LOAD_COUNTS].decode("latin-1").strip() if len(items) > LOAD_COUNTS else ""
-    slowness = float(percent) / PERCENT if DECIMAL.fullmatch(percent) else 0.0
-    if slowness <= 0.0 or not math.isfinite(slowness):
-        return TargetLoad(running, waiting, slots)
-    return TargetLoad(running, waiting, slots, slowness, True)
-
-
-def _int(value: bytes | None) -> int | None:
-    text = b"" if value is None else value.strip()
-    return int(text) if text.isdigit() and len(text) <= MAX_VERSION_DIGITS else None
-
-
-def _seconds(value: bytes | None) -> float | None:
-    text = "" if value is None else value.decode("latin-1").strip()
-    seconds = float(text) if DECIMAL.fullmatch(text) else math.inf
-    return seconds if math.isfinite(seconds) else None
-
-
 def keep_alive_s(headers: Headers) -> float | None:
     """Return how long a target keeps an idle connection open, if a header says so."""
     for name, value in headers:
--- a/filbertstream/platform/runner_calls.py
+++ b/filbertstream/platform/runner_calls.py
@@ -10,14 +10,9 @@
 from urllib3.exceptions import HTTPError
 
 from filbertstream.platform.bounded_read import read_bounded
-from filbertstream.platform.headers import (
-    LEAVING,
-    REQUEST_RATE,
-    RETRY_AFTER,
-    decode_notice,
-    decode_request_rate,
-)
+from filbertstream.platform.headers import LEAVING, REQUEST_RATE, RETRY_AFTER
 from filbertstream.platform.raw_json import UNREADABLE, Number
+from filbertstream.platform.reported_values import decode_notice, decode_request_rate
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import RequestRate, TargetNotice
--- a/filbertstream/request/call_events.py
+++ b/filbertstream/request/call_events.py
@@ -7,7 +7,14 @@
 from typing import Final, NamedTuple, TypeAlias
 
 from filbertstream.process.deployment import Address
-from filbertstream.request.call import BufferedResponse, CacheDirectives, CallHead, ResponseHead
+from filbertstream.process.target_registration import TargetStart
+from filbertstream.request.call import (
+    BufferedResponse,
+    CacheDirectives,
+    CallHead,
+    ResponseHead,
+    TargetLoad,
+)
 
 
 class CallArrived(NamedTuple):
@@ -105,6 +112,24 @@
     progress_timeout_s: float
 
 
+class ProbeLoad(NamedTuple):
+    """Ask a target for its load on behalf of a call."""
+
+    call_id: int
+    start: TargetStart
+    address: Address
+    health_path: str
+    timeout_s: float
+
+
+class LoadProbed(NamedTuple):
+    """The answer to a ``ProbeLoad``; ``load`` is None without a usable one."""
+
+    call_id: int
+    start: TargetStart
+    load: TargetLoad | None
+
+
 class RelayResponse(NamedTuple):
     """Relay the response of a send to the caller."""
 
@@ -158,9 +183,11 @@
     | SendFailed
     | SendStalled
     | CallerDisconnected
+    | LoadProbed
 )
 CallAction: TypeAlias = (
     SendCall
+    | ProbeLoad
     | RelayResponse
     | ContinueResponse
     | CancelSend
--- a/filbertstream/request/call_state.py
+++ b/filbertstream/request/call_state.py
@@ -22,6 +22,14 @@
     BEGUN = "begun"
 
 
+@dataclass
+class LoadProbe:
+    """The targets that a call has asked for their load, by whether they have answered yet."""
+
+    pending: set[str]
+    answered: set[str]
+
+
 @dataclass
 class Call:
     """One call in progress.
@@ -67,6 +75,7 @@
     last_cause: str = ""
     succeeds: bool = False
     first_s: float | None = None
+    probe: LoadProbe | None = None
     work: WorkEstimate | None = None
     actual_work: float | None = None
 
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -13,7 +13,7 @@
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request import call_logs
 from filbertstream.request.authorization import Refused, call_limit_s
-from filbertstream.request.call import CacheDirectives, Prompt
+from filbertstream.request.call import CacheDirectives
 from filbertstream.request.call_endings import NO_TARGET_RETRY_S, Action, CallEndings
 from filbertstream.request.call_events import (
     CallArrived,
@@ -21,6 +21,7 @@
     CancelSend,
     ContinueResponse,
     FirstEvent,
+    LoadProbed,
     RelayResponse,
     ReplayResponse,
     RespondLocally,
@@ -34,7 +35,9 @@
 from filbertstream.request.crash_reports import CrashReports
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
 from filbertstream.request.idempotency_keys import RECOVERING, KeyClaimed
+from filbertstream.request.load_probes import LoadProbes
 from filbertstream.request.prompt_placer import Rejection
+from filbertstream.request.prompt_screening import HOLD_RECHECK_S, PromptScreening
 from filbertstream.request.send_failures import TARGET_ERROR, SendFailures, note_progress
 from filbertstream.request.send_timeouts import max_idle_s, progress_timeout_s
 from filbertstream.request.target_feedback import TargetFeedback, release
@@ -59,10 +62,6 @@
 MAX_EXTRA_SENDS: Final = 2
 """Sends beyond the route's attempts, after responses that prove that the call has not run."""
 
-HOLD_RECHECK_S: Final = 0.1
-MAX_HOLD_S: Final = 2.5
-"""Age at which a prompt is refused that still waits for the trial of one of its blocks."""
-
 LOWEST_PRIORITY: Final = 9
 
 
@@ -76,6 +75,8 @@
         self._feedback = TargetFeedback(dependencies)
         self._selection = TargetSelection(dependencies)
         self._crashes = CrashReports(dependencies)
+        self._screening = PromptScreening(dependencies, self._endings, self._crashes)
+        self._probes = LoadProbes(dependencies)
         self._failures = SendFailures(
             dependencies,
             self._endings,
@@ -157,7 +158,7 @@
             return []
         engine = call.service.engine
         if engine is not None and call.head.prompt is not None:
-            screened = self._screen_prompt(call, call.head.prompt, now_s)
+            screened = self._screening.screen(call, call.head.prompt, now_s)
             return self._send_prompt(call, engine, now_s) if screened is None else screened
         targets = self._selection.candidates(call, now_s)
         target, inputs = self._deps.work.place_call(call, targets, self._deps.data_center, now_s)
@@ -165,6 +166,14 @@
             return self._queue_or_give_up(call, now_s)
         return self._send_to(call, target, None, now_s, inputs)
 
+    def on_load_probed(self, event: LoadProbed, now_s: float) -> list[Action]:
+        """Place a call once the targets that it has asked for their load have answered."""
+        call = self.calls.get(event.call_id)
+        if not self._probes.note(call, event, now_s) or call is None:
+            return []
+        call.queued_until_s = None
+        return self._send(call, now_s)
+
     def _queue_or_give_up(self, call: Call, now_s: float) -> list[Action]:
         """Queue a call for a short time if targets have only rejected it so far, or give up."""
         barred = self._selection.reject_by_bars(call, now_s)
@@ -186,28 +195,13 @@
         self._deps.counters.add("calls_parked", call.route.kind.value)
         return []
 
-    def _screen_prompt(self, call: Call, prompt: Prompt, now_s: float) -> list[Action] | None:
-        """Refuse or hold back a prompt that may crash its runner; return None if it may be sent."""
-        quarantine = self._deps.quarantine
-        if quarantine.is_unknown(now_s):
-            return self._endings.give_up(call, "starting", now_s)
-        record = quarantine.refuses(prompt, now_s)
-        if record is not None:
-            self._deps.counters.add("prompts_quarantined", prompt.model)
-            inputs = (("block", record.block_id), ("by", record.by))
-            return self._endings.give_up(call, "quarantined", now_s, Rejection(None, inputs))
-        if self._crashes.may_try(prompt, now_s):
-            return None
-        if now_s - call.arrived_s >= MAX_HOLD_S:
-            return self._endings.give_up(call, "suspected", now_s)
-        call.queued_until_s = now_s + HOLD_RECHECK_S
-        self._deps.counters.add("prompts_held", prompt.model)
-        return []
-
     def _send_prompt(self, call: Call, engine: Engine, now_s: float) -> list[Action]:
-        placed = self._deps.prompt_placer.place(
-            call, engine, self._selection.candidates(call, now_s), now_s
-        )
+        candidates = self._selection.candidates(call, now_s)
+        probes = self._probes.begin(call, engine, candidates, now_s)
+        if probes:
+            return [*probes]
+        answered = self._probes.answered(call, candidates)
+        placed = self._deps.prompt_placer.place(call, engine, candidates, now_s, answered)
         if placed is None:
             return self._queue_or_give_up(call, now_s)
         if isinstance(placed, Rejection):
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -29,11 +29,15 @@
 from typing import Final, NamedTuple
 
 from filbertstream.names import rank
-from filbertstream.process.cache_index import CacheIndex
-from filbertstream.process.cache_stores import CacheStores
 from filbertstream.process.roster import RosterTarget
+from filbertstream.request.block_sources import (
+    CacheSource,
+    CacheView,
+    block_sources,
+    from_preferred,
+)
 from filbertstream.request.call import Prompt
-from filbertstream.request.drawn_targets import draw_calls, draw_prompts
+from filbertstream.request.drawn_targets import draw_prompts
 from filbertstream.request.load_shedding import Headroom
 from filbertstream.request.work_estimate import WorkEstimate
 from filbertstream.version.routes import Engine
@@ -55,8 +59,9 @@
 the time, since the preferred runner may have prefilled it for another entry.  The value is from the
 routing bench with a dead cache store, where 1e-4 led to a fifth more prefilled tokens."""
 
-REMOTE_COST: Final = 0.1
-"""Cost of a service's target in another data center; equals that of a tenth of its slots in use."""
+SPREAD_COST_PER_TOKEN: Final = 3e-5
+"""The same cost where prompts are placed by reported load: other runners fetch what the preferred
+one holds, so only a block that nobody holds yet is prefilled once more for being elsewhere."""
 
 REMOTE_PROMPT_COST: Final = 0.005
 """Cost of a runner in another data center; it only decides between otherwise equal runners."""
@@ -70,15 +75,21 @@
 MEMORY_TARGET_FRACTION: Final = 0.85
 """The fraction of a runner's memory that running requests should not exceed."""
 
+SHORTLISTED: Final = 3
+"""How many targets are asked for their load before a prompt is placed."""
+
 OLD_WEIGHTS_COST: Final = 0.2
 """Cost of a runner whose weights are older than the named version."""
 
 
 class RequestWork(NamedTuple):
-    """The expected work of a request; ``draw`` seeds the random draw of targets."""
+    """The expected work of a request.
+
+    ``draw`` seeds the random draw of the targets that are compared; None compares all.
+    """
 
     estimate: WorkEstimate
-    draw: str
+    draw: str | None
 
 
 class PlacementRequest(NamedTuple):
@@ -101,24 +112,6 @@
     """Only if runners report their slowness."""
 
 
-class CacheView(NamedTuple):
-    """The observed cache contents: the holders of each block, and the cache stores."""
-
-    blocks: CacheIndex
-    stores: CacheStores
-
-
-class CacheSource(NamedTuple):
-    """The holder to fetch a block from.
-
-    ``tokens`` is the size of the complete block in a cache store, or 0 if the holder is a runner,
-    which may have only a part of the block.
-    """
-
-    holder: str
-    tokens: int
-
-
 class Placement(NamedTuple):
     """A runner with the expected cost of a prompt there.
 
@@ -151,7 +144,7 @@
         return None
     preferred_target = preferred_runner(request, targets)
     options = [
-        estimate(request, target, cache_view, target is preferred_target, now_s)
+        estimate(request, target, cache_view, target is preferred_target, now_s, preferred_target)
         for target in targets
     ]
     if request.work is not None:
@@ -163,10 +156,46 @@
     return (not option.fits, option.cost)
 
 
+def shortlist(
+    request: PlacementRequest, targets: Sequence[RosterTarget], cache_view: CacheView, now_s: float
+) -> list[RosterTarget]:
+    """Return the few targets whose current load decides on a prompt.
+
+    The preferred runner is one of them.
+    """
+    if not targets or request.work is None:
+        return []
+    preferred = preferred_runner(request, targets)
+    options = [
+        estimate(request, target, cache_view, target is preferred, now_s, preferred)
+        for target in targets
+    ]
+    compared = sorted(
+        _compared(request, options, preferred, request.work.draw or "").values(),
+        key=lambda option: (option.target is not preferred, *_order(option)),
+    )
+    return [option.target for option in compared[:SHORTLISTED]]
+
+
 def _cheapest_drawn(
-    request: PlacementRequest, options: Sequence[Placement], preferred: RosterTarget, draw: str
+    request: PlacementRequest,
+    options: Sequence[Placement],
+    preferred: RosterTarget,
+    draw: str | None,
 ) -> Placement:
-    """Return the cheapest of a few options, with the next one as its runner-up.
+    """Return the cheapest of a few options, with the next one as its runner-up."""
+    if draw is None:
+        compared = {option.target.target_id: option for option in options}
+    else:
+        compared = _compared(request, options, preferred, draw)
+    best, *others = sorted(compared.values(), key=_order)
+    return best._replace(runner_up=others[0] if others else None)
+
+
+def _compared(
+    request: PlacementRequest, options: Sequence[Placement], preferred: RosterTarget, draw: str
+) -> dict[str, Placement]:
+    """Return the options that are compared, by target.
 
     These are a few random ones, and for a prompt with blocks the preferred runner and a few random
     ones of those that have the least to prefill and fetch.
@@ -181,8 +210,7 @@
         compared |= {
             option.target.target_id: option for option in fitting if option.target is preferred
         }
-    best, *others = sorted(compared.values(), key=_order)
-    return best._replace(runner_up=others[0] if others else None)
+    return compared
 
 
 def _drawn(options: Sequence[Placement], draw: str) -> dict[str, Placement]:
@@ -220,12 +248,20 @@
     cache_view: CacheView,
     is_preferred: bool,
     now_s: float,
+    preferred: RosterTarget | None = None,
 ) -> Placement:
-    """Return the placement of a prompt at a target, with its expected cost."""
+    """Return the placement of a prompt at a target, with its expected cost.
+
+    ``preferred`` is the runner from which another one fetches shared blocks.
+    """
     model = request.prompt.model
     weights = target.weights.get(model, 0)
     namespace = request.namespaces.get(weights, "")
-    fetch, fetched, held = _sources(request, target, namespace, cache_view, now_s)
+    fetch, fetched, held = block_sources(
+        request.prompt, target, namespace, cache_view, request.barred_sources, now_s
+    )
+    if request.work is not None and preferred is not None and not is_preferred:
+        fetch = from_preferred(request.prompt, fetch, preferred)
     prefill = max(1, request.prompt.tokens - held - fetched)
     rate = target.prefill.rate_per_s / target.slowness(now_s)
     work = prefill + FETCH_TIME_FRACTION * fetched
@@ -276,6 +312,8 @@
     than this entry has observed.
     """
     not_held = max(0, sum(block.tokens for block in request.prompt.blocks[:-1]) - held)
+    if request.work is not None:
+        return NOT_PREFERRED_COST + SPREAD_COST_PER_TOKEN * max(0, not_held - fetched)
     cost = NOT_PREFERRED_COST + not_held / rate / request.objective_s
     return cost + NOT_PREFERRED_COST_PER_TOKEN * max(0, not_held - fetched)
 
@@ -284,115 +322,3 @@
     """Return the fraction of a runner's memory that running requests and this prompt would fill."""
     added = request.prompt.tokens + request.prompt.max_new_tokens
     return (target.memory(now_s) + added) / max(1, request.engine.cache_tokens)
-
-
-def _sources(
-    request: PlacementRequest,
-    target: RosterTarget,
-    namespace: str,
-    cache_view: CacheView,
-    now_s: float,
-) -> tuple[tuple[CacheSource | None, ...], int, int]:
-    """Return the source of each block, the tokens to fetch, and the tokens held by the target.
-
-    A block in a cache store gets that store as its source even if the target appears to hold it.
-    The target fetches only what it lacks, and it may have evicted the block in the meantime.
-    """
-    fetch: list[CacheSource | None] = []
-    fetched = held = 0
-    chain_ends = False
-    for block in request.prompt.blocks:
-        key = (namespace, block.block_id)
-        holders = cache_view.blocks.holders(key)
-        if chain_ends or not holders:
-            # A block is usable only if all blocks before it are available.
-            chain_ends = True
-            fetch.append(None)
-            continue
-        data_center = target.registration.data_center
-        barred = request.barred_sources
-        store = cache_view.stores.source(key, block.tokens, data_center, now_s, barred)
-        source = None if store is None else CacheSource(store, block.tokens)
-        if target.target_id in holders:
-            held += min(block.tokens, holders[target.target_id])
-        elif source is not None:
-            fetched += block.tokens
-        else:
-            source = _runner_source(target, holders, cache_view, barred)
-            if source is None:
-                chain_ends = True
-            else:
-                fetched += min(block.tokens, holders[source.holder])
-        fetch.append(source)
-    return tuple(fetch), fetched, held
-
-
-def _runner_source(
-    target: RosterTarget,
-    holders: Mapping[str, int],
-    cache_view: CacheView,
-    barred: frozenset[str],
-) -> CacheSource | None:
-    runners = [
-        name
-        for name in holders
-        if name not in cache_view.stores.states and name != target.target_id and name not in barred
-    ]
-    if not runners:
-        return None
-    return CacheSource(max(runners, key=lambda name: (holders[name], name)), 0)
-
-
-def place_service_call(
-    targets: Sequence[RosterTarget],
-    data_center: str,
-    objective_s: float,
-    now_s: float,
-    work: RequestWork | None = None,
-) -> RosterTarget | None:
-    """Return the target for a call that is no prompt, by load, latency and data center.
-
-    With ``work`` it is the one of a few random targets where the call is expected to end first.
-    """
-    if work is not None:
-        options = compare_service_calls(targets, data_center, now_s, work)
-        return options[0].target if options else None
-
-    def cost(target: RosterTarget) -> tuple[float, str]:
-        busy = target.running(now_s) / max(1, target.registration.slots)
-        remote = 0.0 if target.registration.data_center == data_center else REMOTE_COST
-        latency_s = target.latency_s * target.slowness(now_s)
-        return (busy + remote + latency_s / objective_s, target.target_id)
-
-    return min(targets, key=cost) if targets else None
-
-
-class CallOption(NamedTuple):
-    """A target of a call that is no prompt, with the time in which the call should end there."""
-
-    end_s: float
-    target: RosterTarget
-
-
-def compare_service_calls(
-    targets: Sequence[RosterTarget], data_center: str, now_s: float, work: RequestWork
-) -> list[CallOption]:
-    """Return a few random targets, the one where the call is expected to end first at the front."""
-    names = [target.target_id for target in targets]
-    local = [target.registration.data_center == data_center for target in targets]
-    drawn = [targets[index] for index in draw_calls(names, local, work.draw)]
-    options = [CallOption(call_end_s(item, data_center, work, now_s), item) for item in drawn]
-    return sorted(options, key=lambda option: option.end_s)
-
-
-def call_end_s(target: RosterTarget, data_center: str, work: RequestWork, now_s: float) -> float:
-    """Return the time in which a call that is no prompt is expected to end at a target.
-
-    Calls in another data center count as if they took a tenth longer (``REMOTE_COST``).  The work
-    of others counts also while slots are free, since they share the target's cores.
-    """
-    outstanding = target.outstanding_work(False, target.registration.slots, now_s)
-    factor = target.work.duration_factor * target.slowness(now_s)
-    remote = 0.0 if target.registration.data_center == data_center else REMOTE_COST
-    service_s = work.estimate.service_s * factor * (1.0 + remote)
-    return service_s + outstanding.slot_s + outstanding.slot_wait_s
--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -10,17 +10,12 @@
 
 from filbertstream.actions import LogFields
 from filbertstream.process.roster import Roster, RosterTarget
+from filbertstream.request.block_sources import CacheSource, CacheView
 from filbertstream.request.call import CacheDirectives, Prompt
 from filbertstream.request.call_state import Call
 from filbertstream.request.candidates import Candidates
 from filbertstream.request.load_shedding import Headroom, headroom, retry_after_s
-from filbertstream.request.placement import (
-    CacheSource,
-    CacheView,
-    Placement,
-    PlacementRequest,
-    place_prompt,
-)
+from filbertstream.request.placement import Placement, PlacementRequest, place_prompt, shortlist
 from filbertstream.request.regions import Regions, allowed_regions
 from filbertstream.request.work_accounting import WorkAccounting, work_fields
 from filbertstream.version.cache_owners import CacheOwners
@@ -82,19 +77,50 @@
         self._work = work
         self._round_robin_index = 0
 
-    def place(
+    def shortlist(
         self, call: Call, engine: Engine, candidates: list[RosterTarget], now_s: float
+    ) -> list[RosterTarget]:
+        """Return the runners whose load decides on a prompt; empty if they don't report it."""
+        prompt = call.head.prompt
+        targets = [] if prompt is None else self._eligible(prompt, candidates, now_s)
+        if prompt is None or not self._work.in_effect(targets):
+            return []
+        limits = headroom(call.route.queue_limit_s, call.urgency)
+        request = self._request(call, prompt, engine, targets, limits)
+        registered = self._roster.names_of(call.service.name)
+        compared = self._candidates.choose(request, targets, registered, self._cache_view.blocks)
+        return shortlist(request, compared, self._cache_view, now_s)
+
+    def _eligible(
+        self, prompt: Prompt, candidates: list[RosterTarget], now_s: float
+    ) -> list[RosterTarget]:
+        return self._weights.eligible_targets(prompt.model, candidates, now_s)
+
+    def place(
+        self,
+        call: Call,
+        engine: Engine,
+        candidates: list[RosterTarget],
+        now_s: float,
+        answered: frozenset[str] = frozenset(),
     ) -> Placed | Rejection | None:
-        """Return the runner of a prompt, its rejection, or None if there is no runner."""
+        """Return the runner of a prompt, its rejection, or None if there is no runner.
+
+        If ``answered`` names runners that have just reported their load, one of these is chosen.
+        """
         prompt = call.head.prompt
         if prompt is None:
             raise AssertionError("the call to be placed has no prompt")
         self._round_robin_index += 0 if prompt.blocks else 1
-        targets = self._weights.eligible_targets(prompt.model, candidates, now_s)
+        targets = self._eligible(prompt, candidates, now_s)
         limits = headroom(call.route.queue_limit_s, call.urgency)
         request = self._request(call, prompt, engine, targets, limits)
         registered = self._roster.names_of(call.service.name)
         compared = self._candidates.choose(request, targets, registered, self._cache_view.blocks)
+        fresh = [target for target in targets if target.target_id in answered]
+        if fresh and request.work is not None:
+            request = request._replace(work=request.work._replace(draw=None))
+            compared = fresh
         placement = self.choose(request, compared, self._cache_view, now_s)
         if placement is None:
             return None
--- a/filbertstream/request/work_accounting.py
+++ b/filbertstream/request/work_accounting.py
@@ -12,12 +12,8 @@
 from filbertstream.process.work_errors import WorkErrors
 from filbertstream.request.call import Prompt
 from filbertstream.request.call_state import Call
-from filbertstream.request.placement import (
-    Placement,
-    RequestWork,
-    compare_service_calls,
-    place_service_call,
-)
+from filbertstream.request.placement import Placement, RequestWork
+from filbertstream.request.service_placement import compare_service_calls, place_service_call
 from filbertstream.request.work_estimate import WorkEstimator
 
 MIN_TIMED_TOKENS: Final = 8
@@ -55,10 +51,15 @@
         self._entry_name = entry_name
         self._draws = 0
 
+    @staticmethod
+    def in_effect(targets: Sequence[RosterTarget]) -> bool:
+        """Whether one of the targets has reported its slowness."""
+        return any(target.reported_slowness.is_reported for target in targets)
+
     def expect(self, call: Call, targets: Sequence[RosterTarget]) -> RequestWork | None:
         """Return the expected work of a call that is about to be placed, None if not in effect."""
         call.work = None
-        if not any(target.reported_slowness.is_reported for target in targets):
+        if not self.in_effect(targets):
             return None
         self._draws += 1
         call.work = self.estimator.expected(
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -208,7 +208,7 @@
         start, rate = roster.targets[name].start, RequestRate(2.0)
         rates.on_response(start, rate, world.now_s, world.now_s)
     assert refusals(world.arrive("read")) == [(503, "rate_limited", True)]
-    (line,) = [log for log in world.logs if log.number is LogEvent.REQUEST_REFUSED]
+    (line,) = [log for log in world.logged if log.number is LogEvent.REQUEST_REFUSED]
     fields = dict(line.fields)
     assert fields["targets"] == 7
     assert fields["excluded"] == "leaving=1,paused=1,in_backoff=1,evacuated=2,rate_limited=2"
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,14 +11,10 @@
 from filbertstream.process.prefill import INITIAL_RATE_PER_S
 from filbertstream.process.roster import RosterTarget
 from filbertstream.process.target_registration import TargetRegistration
+from filbertstream.request.block_sources import CacheView
 from filbertstream.request.call import Prompt, PromptBlock
 from filbertstream.request.load_shedding import headroom
-from filbertstream.request.placement import (
-    CacheView,
-    PlacementRequest,
-    place_prompt,
-    preferred_runner,
-)
+from filbertstream.request.placement import PlacementRequest, place_prompt, preferred_runner
 from filbertstream.version.routes import Engine
 from tests.gateway_world import ENGINE
 
--- a/tests/test_recorded_placement.py
+++ b/tests/test_recorded_placement.py
@@ -14,7 +14,8 @@
 from filbertstream.process.roster import RosterTarget
 from filbertstream.process.target_registration import TargetRegistration
 from filbertstream.request.call import TargetLoad
-from filbertstream.request.placement import place_prompt, place_service_call
+from filbertstream.request.placement import place_prompt
+from filbertstream.request.service_placement import place_service_call
 from tests.test_placement import SPACE, Runners, conversation
 
 SEED = 20_261_206
--- a/tests/test_reported_load.py
+++ b/tests/test_reported_load.py
@@ -9,7 +9,8 @@
 from filbertstream.process.prefill import INITIAL_RATE_PER_S, RATE_WEIGHT
 from filbertstream.process.roster import Roster
 from filbertstream.request.call import TargetLoad
-from filbertstream.request.placement import estimate, place_service_call
+from filbertstream.request.placement import estimate
+from filbertstream.request.service_placement import place_service_call
 from tests.test_placement import Runners
 
 
--- a/tests/test_work_placement.py
+++ b/tests/test_work_placement.py
@@ -12,13 +12,15 @@
 from filbertstream.log_events import LogEvent
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call import PromptBlock, TargetLoad
-from filbertstream.request.call_events import FirstEvent, ResponseComplete, ResponseStarted
-from filbertstream.request.placement import (
-    Placement,
-    RequestWork,
-    place_prompt,
-    place_service_call,
+from filbertstream.request.call_events import (
+    FirstEvent,
+    LoadProbed,
+    ProbeLoad,
+    ResponseComplete,
+    ResponseStarted,
 )
+from filbertstream.request.placement import Placement, RequestWork, place_prompt
+from filbertstream.request.service_placement import place_service_call
 from filbertstream.request.work_estimate import WorkEstimate
 from tests.gateway_world import World, response_head, sends
 from tests.test_placement import SPACE, Runners, conversation
@@ -136,7 +138,10 @@
 def served(world: World, name: str, load: TargetLoad, events: int = 0) -> Any:
     """Serve a call to its end; return the core's record of it."""
     world.confirm()
-    (send,) = sends(world.arrive(name))
+    actions = world.arrive(name)
+    for probe in [item for item in actions if isinstance(item, ProbeLoad)]:
+        actions += world.step(LoadProbed(probe.call_id, probe.start, load))
+    (send,) = sends(actions)
     call = world.core.forwarding.calls[send.call_id]
     world.now_s += 0.2
     head = response_head(load=load, target_id=send.target_id, content_type="text/event-stream")
