--- a/bench/evacuation_guards.py
+++ b/bench/evacuation_guards.py
@@ -74,6 +74,14 @@
         "tests/test_evacuations.py::"
         "test_follower_of_a_relay_of_an_older_build_reads_the_kind_itself",
     ),
+    Guard(
+        "nothing is written to a target that was evacuated after the choice",
+        "connection/proxied_send.py",
+        "if not self._may_reach(action.target_id):",
+        "if False:",
+        "tests/test_time_left.py::"
+        "test_nothing_is_written_if_the_target_was_evacuated_while_its_connection_opened",
+    ),
     Guard(
         "a call leaves no allowed region",
         "request/eligibility.py",
