Confirm the evacuations soon after a suspension; bar holders of every service

Cause: after a suspension an entry read directly waited a whole watch (1.25 s) for its first confirmation, in which calls were refused. A block may be held by a runner of another service with the same model, which was not barred as a source while its data center was evacuated.

Change: watches wait 0.2 s while the evacuations are unknown; sources are barred among all registered targets.

Result: tests/test_evacuations.py, which now checks the log events of the begin and the end too, test_regions.py and test_evacuation_processes.py pass. The shorter wait has no test of its own.

--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -67,7 +67,8 @@
 """Interval of closing idle connections and checking for changed files."""
 
 SETTLING_WAIT_S: Final = 0.2
-"""The wait of watches soon after a restore, when the first confirmations that count are awaited."""
+"""The wait of watches soon after a restore, and while the evacuations are unknown: the first
+confirmations that count are awaited."""
 
 CALL_THREADS: Final = 4
 
@@ -349,7 +350,8 @@
         """Make the watchers read the kinds that no relay provides."""
         relayed_view = self.core.relayed_view
         idle = frozenset(kind for kind in self._watched if not relayed_view.reads_kind(kind, now_s))
-        settling = self.core.recovery.restored_for_s(now_s) < SETTLE_S
+        restored = self.core.recovery.restored_for_s(now_s) < SETTLE_S
+        settling = restored or self.core.evacuations.is_unknown(now_s)
         self._gate.max_wait_s = SETTLING_WAIT_S if settling else math.inf
         relays = self.core.relays
         serves_peers = relays.serves_peers(now_s)
--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -133,7 +133,7 @@
             return frozenset()
         runners = {
             target.target_id: target.registration.data_center
-            for target in self._roster.of_service(call.service.name)
+            for target in self._roster.targets.values()
         }
         states = self._cache_view.stores.states
         stores = {name: state.spec.data_center for name, state in states.items()}
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -76,6 +76,9 @@
         world.step(EvacuationObserved("elsewhere", False))
         assert world.names(name) == {left}
         world.step(EvacuationObserved("dc1", True))
+    began, ended = LogEvent.EVACUATION_BEGAN, LogEvent.EVACUATION_ENDED
+    logged = [log.number for log in world.logs if log.number in (began, ended)]
+    assert logged == [began, began, ended, began, ended]
     state = world.core.evacuations
     assert (state.ended_at_s("dc1"), state.ended_at_s("dc2")) == (world.now_s, None)
     world.step(EvacuationsListed(frozenset({"dc1", "dc2"}), world.now_s))
