--- a/filbertstream/process/relayed_view.py
+++ b/filbertstream/process/relayed_view.py
@@ -75,10 +75,9 @@
         """Whether this entry reads one kind itself.
 
         It does if the kind is too large for the responses of relays, or if its relay doesn't follow
-        the kind.  At its start an entry first
-        reads only the kinds whose ``max_age_s`` is infinite, such as the entries' registrations,
-        and waits for a relay to send the others: hundreds of entries that start together need not
-        all list everything.
+        the kind.  At its start an entry first reads only the kinds whose ``max_age_s`` is infinite,
+        such as the entries' registrations, and waits for a relay to send the others: hundreds of
+        entries that start together need not all list everything.
         """
         if self._awaits_relay(now_s):
             return kind in self._unbounded_kinds
--- a/filbertstream/request/eligibility.py
+++ b/filbertstream/request/eligibility.py
@@ -4,7 +4,8 @@
 finds no target counts each target under the first reason that applies to it.  A new reason is one
 function and one row of ``REASONS``.
 
-Load patterns and faults handled: each reason names the module that decides it.
+Load pattern handled: services of 95 runners, for which reasons that apply to no target at all cost
+one check and not one for each target.
 """
 
 import enum
@@ -167,8 +168,8 @@
     deps: ForwardingDependencies, call: Call, targets: Iterable[RosterTarget], now_s: float
 ) -> list[RosterTarget]:
     """Return the targets that may get work: the healthy ones, or all if none is."""
-    found = without(Stage.UNUSABLE, deps, call, targets, now_s)
-    found = without(Stage.BARRED, deps, call, found, now_s)
+    found = without(Stage.BARRED, deps, call, targets, now_s)
+    found = without(Stage.UNUSABLE, deps, call, found, now_s)
     return without(Stage.UNHEALTHY, deps, call, found, now_s) or found
 
 
--- a/filbertstream/request/target_selection.py
+++ b/filbertstream/request/target_selection.py
@@ -13,7 +13,7 @@
     without,
 )
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
-from filbertstream.request.prompt_placer import Rejection
+from filbertstream.request.prompt_placer import LogFields, Rejection
 from filbertstream.request.regions import allowed_regions
 
 BARRED_RETRY_S: Final = 1.0
@@ -73,7 +73,7 @@
         """Add to a rejection how many targets each reason excludes."""
         return rejection._replace(inputs=(*rejection.inputs, *self._excluded(call, now_s)))
 
-    def _excluded(self, call: Call, now_s: float) -> tuple[tuple[str, str | int | float], ...]:
+    def _excluded(self, call: Call, now_s: float) -> LogFields:
         targets = self._deps.roster.of_service(call.service.name)
         return excluded_fields(self._deps, call, targets, now_s)
 
