--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -130,7 +130,7 @@
         self.core = Gateway(cfg)
         self.now_s = 100.0
         self.calls = 0
-        self.logs: list[Log] = []
+        self.logged: list[Log] = []
         self.step(ConfigurationObserved(configuration(), self.now_s))
         self.step(TargetsListed((*RUNNERS, *APPS)))
         if self.listed:
@@ -147,7 +147,7 @@
             if isinstance(action, PublishKind):
                 publish_kind(KINDS[action.taken.kind], action.taken, step_emitted)
             elif isinstance(action, Log):
-                self.logs.append(action)
+                self.logged.append(action)
             else:
                 actions.append(action)
         return actions
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -74,7 +74,7 @@
         assert world.names(name) == {left}
         world.step(EvacuationObserved("dc1", True))
     began, ended = LogEvent.EVACUATION_BEGAN, LogEvent.EVACUATION_ENDED
-    logged = [log.number for log in world.logs if log.number in (began, ended)]
+    logged = [log.number for log in world.logged if log.number in (began, ended)]
     assert logged == [began, began, ended, began, ended]
     state = world.core.evacuations
     assert (state.ended_at_s("dc1"), state.ended_at_s("dc2")) == (world.now_s, None)
@@ -178,7 +178,7 @@
     for name in ("a3", "b3"):
         world.core.request_rates.on_response(targets[name].start, RequestRate(2.0), now_s, now_s)
     assert refusals(world.arrive("read")) == [(503, "rate_limited", True)]
-    (line,) = [log for log in world.logs if log.number is LogEvent.REQUEST_REFUSED]
+    (line,) = [log for log in world.logged if log.number is LogEvent.REQUEST_REFUSED]
     expected = "leaving=1,paused=1,in_backoff=1,evacuated=2,rate_limited=2"
     assert {("targets", 7), ("excluded", expected)} <= set(line.fields)
 
