--- a/bench/evacuation_guards.py
+++ b/bench/evacuation_guards.py
@@ -56,7 +56,7 @@
         "if self._deps.roster.evacuations.is_unknown(now_s):",
         "if not call.number and self._deps.roster.evacuations.is_unknown(now_s):",
         "tests/test_evacuations.py::"
-        "test_call_that_was_sent_before_a_suspension_waits_for_the_view",
+        "test_suspended_entry_sends_on_an_old_view_only_if_the_store_does_not_respond",
     ),
     Guard(
         "a restored store ends no evacuation at once",
@@ -74,6 +74,14 @@
         "tests/test_evacuations.py::"
         "test_follower_of_a_relay_of_an_older_build_reads_the_kind_itself",
     ),
+    Guard(
+        "nothing is written to a target that was evacuated after the choice",
+        "connection/proxied_send.py",
+        "if not self._may_reach(action.target_id):",
+        "if False:",
+        "tests/test_time_left.py::"
+        "test_nothing_is_written_if_the_target_was_evacuated_while_its_connection_opened",
+    ),
     Guard(
         "a call leaves no allowed region",
         "request/eligibility.py",
@@ -86,13 +94,13 @@
         "request/prompt_placer.py",
         "if not self._regions.allows(allowed, center)",
         "if False",
-        "tests/test_regions.py::" "test_blocks_are_fetched_only_from_allowed_regions",
+        "tests/test_regions.py::" "test_blocks_are_fetched_from_and_saved_to_allowed_regions_only",
     ),
     Guard(
         "nothing is saved to another region",
         "process/cache_stores.py",
         "if name not in skip and self._knows_contents",
         "if self._knows_contents",
-        "tests/test_regions.py::" "test_blocks_are_saved_only_to_allowed_regions",
+        "tests/test_regions.py::" "test_blocks_are_fetched_from_and_saved_to_allowed_regions_only",
     ),
 )
--- a/filbertstream/request/target_selection.py
+++ b/filbertstream/request/target_selection.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from filbertstream.actions import LogFields
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call_state import Call
 from filbertstream.request.eligibility import (
@@ -83,7 +84,7 @@
         """Add to a rejection how many targets each reason excludes."""
         return rejection._replace(inputs=(*rejection.inputs, *self._excluded(call, now_s)))
 
-    def _excluded(self, call: Call, now_s: float) -> tuple[tuple[str, str | int | float], ...]:
+    def _excluded(self, call: Call, now_s: float) -> LogFields:
         targets = self._deps.roster.of_service(call.service.name)
         return excluded_fields(self._deps, call, targets, now_s)
 
