Prove the guards of cold targets

The end of a cold time could be logged twice, when its time was over and when a registration refuted it.

Evidence: each of the five, and the four earlier guards in files that cold targets have changed, is red without its code (bench.guards.check_fails); the others were not run again. test_documents.py, test_restored_store.py, test_odd_entries.py, test_gateway_parts.py, test_rollout.py, test_request_rates.py, test_target_notices.py, test_platform_objects.py, test_gateway_cache.py and test_gateway_overload.py pass.

--- a/bench/rate_guards.py
+++ b/bench/rate_guards.py
@@ -98,4 +98,43 @@
         "if swap is None:",
         "tests/test_target_notices.py::test_paused_runner_is_polled",
     ),
+    Guard(
+        "the shares of a cold target count whole requests in a second",
+        "fleet/cold_targets.py",
+        "in_a_second = budget // holders",
+        "in_a_second = budget",
+        "tests/test_rate_shares.py::TestTruthAndViews",
+    ),
+    Guard(
+        "the first requests of the holders of a cold target are spread",
+        "request/rate_admission.py",
+        "share.burst * (1.0 - share.rank / share.holders)",
+        "share.burst",
+        "tests/test_cold_targets.py::"
+        "test_share_of_the_calls_rises_gradually_after_the_cold_time",
+    ),
+    Guard(
+        "a cold target's limit rises gradually after its cold time",
+        "fleet/cold_targets.py",
+        "return phase if phase < 1.0 else None",
+        "return None",
+        "tests/test_cold_targets.py::"
+        "test_share_of_the_calls_rises_gradually_after_the_cold_time",
+    ),
+    Guard(
+        "a target that was down begins its slow start after it has responded",
+        "fleet/cold_targets.py",
+        "        if state.is_down:\n            return RAMP_BEGINS\n",
+        "",
+        "tests/test_cold_targets.py::"
+        "test_slow_start_of_a_target_that_was_down_begins_after_it_has_responded",
+    ),
+    Guard(
+        "a registration from before a broken connection does not refute a restart",
+        "fleet/cold_targets.py",
+        "if now_s - state.sign_at_s < LATE_REGISTRATION_S:",
+        "if False:",
+        "tests/test_cold_targets.py::"
+        "test_registration_that_was_refreshed_well_after_a_broken_connection_refutes_it",
+    ),
 )
--- a/filbertstream/fleet/cold_targets.py
+++ b/filbertstream/fleet/cold_targets.py
@@ -272,7 +272,7 @@
         del self._states[start]
         if state.reason == IDLE_CLOSED:
             self._closes_idle.add(start)
-        return [self._warm(start, state, "refuted", now_s)]
+        return [] if state.is_logged_as_warm else [self._warm(start, state, "refuted", now_s)]
 
     def _longest_s(self, start: TargetStart) -> float:
         service = self._service(start)
