Let a response refute that a target with a broken connection restarted

Cause: each entry took every broken response for a restart and limited its calls to that target for 2 to 3 s. Where few targets serve and responses break off now and then, entries without a share would reject calls that warm targets can take.

Change: a response to a request that was sent before the broken connection, and that arrives more than 0.15 s after it, refutes it, as it does for crashes of runners. It refutes neither a refused connection nor a cold time that was known before.

--- a/filbertstream/fleet/cold_targets.py
+++ b/filbertstream/fleet/cold_targets.py
@@ -11,6 +11,8 @@
   without a sign learns of it from the registration.
 - A target that may have restarted stays down for longer than its cold time, and no registration
   tells of its return.  Its slow start begins only a cold time after it has responded again.
+- One response breaks off and its target goes on.  The next response to a request from before that
+  refutes the sign, so that callers aren't rejected for it.
 - A target closes idle connections after a short time that it doesn't name.  Once a registration has
   refuted that such an end was a restart, this sign of that target no longer counts.
 - The registrations of targets and their removal arrive late.  What is left of the cold time counts
@@ -58,12 +60,16 @@
 RAMP_BEGINS: Final = 1e-6
 """Phase of a slow start whose limit does not rise yet."""
 
+REFUTE_AFTER_S: Final = 0.15
+"""Responses that arrive sooner after a broken connection may have been on their way before it."""
+
 LATE_REGISTRATION_S: Final = 2.0
 """Age of a sign up to which a registration may have been made before it: the refresh interval of
 registrations and the age of a relayed view of them."""
 
 EVACUATION: Final = "evacuation"
 IDLE_CLOSED: Final = "idle_closed"
+UNREACHABLE: Final = "unreachable"
 
 MAX_COLD_S: Final = 60.0
 """Longest cold time while the service of a target is not known."""
@@ -267,8 +273,11 @@
             state.until_s = state.ramp_from_s = now_s + left_s
             state.sign_at_s, state.is_down = None, False
             return []
-        # The same start is registered long after the sign: the target has not restarted, so there
-        # is no slow start either.
+        # The same start is registered long after the sign.
+        return self._refute(start, state, now_s)
+
+    def _refute(self, start: TargetStart, state: _Cold, now_s: float) -> list[Log]:
+        """Drop a sign: the target has not restarted, so there is no slow start either."""
         del self._states[start]
         if state.reason == IDLE_CLOSED:
             self._closes_idle.add(start)
@@ -287,7 +296,7 @@
         registration = self._registrations.get(start.target_id)
         if not self._enabled or registration is None or registration.start != start:
             return []
-        return self._note_sign(start, "unreachable" if refused else "broken", now_s, refused)
+        return self._note_sign(start, UNREACHABLE if refused else "broken", now_s, refused)
 
     def on_connection_lost(self, event: IdleConnectionLost, now_s: float) -> list[Log]:
         """Record that the target at an address closed the last idle connection to it."""
@@ -297,13 +306,24 @@
                 return self._note_sign(start, IDLE_CLOSED, now_s, extends=False)
         return []
 
-    def note_response(self, start: TargetStart, sent_at_s: float, now_s: float) -> None:
-        """Record that a target responds; if it was down, it may have just started."""
+    def note_response(self, start: TargetStart, sent_at_s: float, now_s: float) -> list[Log]:
+        """Record that a target responds.
+
+        The response to a request from before a broken connection shows that the target has not
+        restarted.  One to a later request may be from a target that has.
+        """
         state = self._states.get(start)
-        if state is None or not state.is_down or sent_at_s <= (state.sign_at_s or now_s):
-            return
-        state.is_down = False
-        state.ramp_from_s = max(state.until_s, now_s + self._longest_s(start))
+        if state is None or state.sign_at_s is None or not state.is_down:
+            return []
+        if sent_at_s > state.sign_at_s:
+            state.is_down = False
+            state.ramp_from_s = max(state.until_s, now_s + self._longest_s(start))
+            return []
+        # A target that was known to be cold before the sign still is.
+        is_only_sign = state.since_s == state.sign_at_s and state.reason != UNREACHABLE
+        if is_only_sign and now_s - state.sign_at_s > REFUTE_AFTER_S:
+            return self._refute(start, state, now_s)
+        return []
 
     def note_evacuation_ended(self, data_center: str, now_s: float) -> list[Log]:
         """Record that calls may go to the targets of a data center again."""
@@ -326,7 +346,7 @@
             state = self._states[start]
         if extends or state.sign_at_s is None:
             state.until_s = max(state.until_s, now_s + service.cold_start_s)
-            state.ramp_from_s = state.until_s
+            state.ramp_from_s, state.reason = state.until_s, reason
             state.sign_at_s, state.is_down = now_s, reason != EVACUATION
         return logs
 
--- a/filbertstream/request/target_feedback.py
+++ b/filbertstream/request/target_feedback.py
@@ -54,7 +54,7 @@
                 return []
             target = other
         logs = self._deps.roster.notices.note(target.start, head.notice, now_s)
-        self._deps.cold_targets.note_response(target.start, call.sent_at_s, now_s)
+        logs += self._deps.cold_targets.note_response(target.start, call.sent_at_s, now_s)
         if head.cold_left_s is not None:
             logs += self._deps.cold_targets.note_cold(target.start, head.cold_left_s, now_s)
         if head.request_rate == UNLIMITED and (head.not_run or not head.signed):
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -185,13 +185,31 @@
 def test_slow_start_of_a_target_that_was_down_begins_after_it_has_responded() -> None:
     """A target is down for longer than its cold time, and the store is down too."""
     cold = cold_targets()
-    cold.note_failure(START, 11.0)
+    cold.note_failure(START, 11.0, refused=True)
     cold.note_response(START, 10.9, 30.0)
     assert cold.limit(START, 33.9) == 10.0
     cold.note_response(START, 34.0, 34.1)
     assert [cold.limit(START, at_s) for at_s in (37.0, 38.6, 40.2)] == [10.0, 20.0, None]
 
 
+def test_response_to_a_request_from_before_a_broken_connection_refutes_it() -> None:
+    """A single response breaks off, and other calls go on; that shows nothing after a refusal."""
+    cold = cold_targets()
+    cold.note_failure(START, 11.0)
+    assert cold.note_response(START, 10.9, 11.1) == []
+    assert isinstance(cold.rule(START, 11.1), ColdRate)
+    (log,) = cold.note_response(START, 10.9, 11.2)
+    assert (log.number, cold.limit(START, 11.3)) == (LogEvent.TARGET_WARM, None)
+    cold.note_failure(START, 12.0, refused=True)
+    cold.note_response(START, 11.9, 12.5)
+    assert isinstance(cold.rule(START, 12.6), ColdRate)
+    cold.note_registration(registration("t", 2.5, refreshes=1, started_ms=2), 20.0)
+    later = START._replace(started_ms=2)
+    cold.note_failure(later, 20.1)
+    cold.note_response(later, 20.05, 20.5)
+    assert isinstance(cold.rule(later, 20.6), ColdRate)
+
+
 def test_late_sign_of_an_earlier_start_changes_nothing() -> None:
     """A connection to the earlier start breaks after the later one has registered."""
     cold = cold_targets(started_ms=2)
