Free the memory of ended callers at once, and show what is held

Callers: an entry of 54 MB stayed at 145 to 155 MB after a crowd with bodies that stop short had left, although nothing was counted as held any more.

Cause: a connection and its parser refer to each other, so that the body stayed until a garbage collection. Ruled out with the new gauges: connections that still wait, and the allocator, which accounts for less.

Change: an ended connection gives up its parser and what was read.

--- a/filbertstream/connection/buffer_budget.py
+++ b/filbertstream/connection/buffer_budget.py
@@ -131,6 +131,7 @@
         self.given_up = 0
         self.closed: Counter[str] = Counter()
         """Connections closed, and requests refused, by reason."""
+        self._reported: Counter[str] = Counter()
         self._sizes: dict[object, int] = {}
         self._give_up: dict[object, Callable[[], None]] = {}
         self._held: dict[tuple[object, Kind], int] = {}
@@ -162,6 +163,12 @@
         self._give_up.pop(owner, None)
         self._count(Kind.RESPONSE, -self._sizes.pop(owner, 0))
 
+    def unreported(self) -> list[tuple[str, int]]:
+        """Return the closed connections and refused requests since the last call, by reason."""
+        new = [(why, count - self._reported[why]) for why, count in self.closed.items()]
+        self._reported = self.closed.copy()
+        return [(why, count) for why, count in new if count]
+
     def hold(self, owner: object, kind: Kind, size: int) -> None:
         """Set how much an owner holds that can't be given up."""
         held = self._held.pop((owner, kind), 0)
--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -383,6 +383,7 @@
             self._app.on_disconnected(self)
         self.busy = False
         self.transport = None
+        self._end()
         self._queued.clear()
         self._queued_bytes = self._running_bytes = 0
         self._buffers.arrived(self)
--- a/filbertstream/connection/caller_listener.py
+++ b/filbertstream/connection/caller_listener.py
@@ -81,15 +81,19 @@
                 # No descriptor or memory is left, or the caller has left before it was accepted.
                 await asyncio.sleep(ROOM_WAIT_S)
                 continue
-            # Counted from here on, also while the handshake goes on.
-            conn = self._new_connection()
-            task = loop.create_task(self._open(sock, conn))
-            self._opening.add(task)
-            task.add_done_callback(self._opening.discard)
+            self._start_connection(sock)
+            del sock
             accepted += 1
             if accepted % ACCEPTED_AT_ONCE == 0:
                 await asyncio.sleep(0)
 
+    def _start_connection(self, sock: socket.socket) -> None:
+        """Count a connection from here on, also while its handshake goes on."""
+        conn = self._new_connection()
+        task = asyncio.get_running_loop().create_task(self._open(sock, conn))
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
+
     async def _open(self, sock: socket.socket, conn: CallerConnection) -> None:
         """Complete the handshake; a connection that fails before is never reported as lost."""
         timeout_s = None if self._tls is None else HANDSHAKE_TIMEOUT_S
--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -25,6 +25,7 @@
 from filbertstream.fleet.crash_detector import ProbeOutcome, ProbeTarget, TargetProbed
 from filbertstream.gateway import Gateway
 from filbertstream.gateway_events import GatewayAction
+from filbertstream.log_events import LogEvent
 from filbertstream.platform.cache_calls import (
     decode_events,
     decode_list,
@@ -340,6 +341,11 @@
         self.pool.sweep(now_s)
         for conn in list(self.connections):
             conn.count_unsent(now_s)
+        for reason, count in self.buffers.unreported():
+            held = ("held_bytes", self.buffers.total_bytes)
+            limit = ("limit_bytes", self.buffers.limit_bytes)
+            fields = (("reason", reason), ("count", count), held, limit)
+            self._write_log(Log(LogEvent.CALLERS_CLOSED, fields))
 
     def make_room(self) -> None:
         """Close idle connections, or refuse a request that does not arrive, for new connections."""
--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -15,6 +15,7 @@
 from prometheus_client.registry import Collector
 
 from filbertstream.connection.address_wait import AddressWait
+from filbertstream.connection.buffer_budget import Kind
 from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.connection.unread_bytes import has_unread_bytes
 from filbertstream.gateway import Gateway
@@ -156,10 +157,28 @@
         for what, count in sorted(self._object_store.calls().items()):
             calls.add_metric([what], count)
         yield calls
+        yield from self._buffers()
         yield from self._latencies()
         for name, value in self._gauges().items():
             yield GaugeMetricFamily(f"{METRIC_PREFIX}_{name}", f"Now: {name}.", value=value)
 
+    def _buffers(self) -> Iterator[Metric]:
+        buffers = self._gateway_io.buffers
+        held = GaugeMetricFamily(
+            f"{METRIC_PREFIX}_buffered_bytes", "Bytes held by kind.", labels=["what"]
+        )
+        for kind in Kind:
+            held.add_metric([kind], float(buffers.by_kind[kind]))
+        yield held
+        closed = CounterMetricFamily(
+            f"{METRIC_PREFIX}_callers_closed",
+            "Requests refused and connections closed to make room, by reason.",
+            labels=["what"],
+        )
+        for reason, count in sorted(buffers.closed.items()):
+            closed.add_metric([reason], count)
+        yield closed
+
     def _latencies(self) -> Iterator[Metric]:
         summary = SummaryMetricFamily(
             f"{METRIC_PREFIX}_seconds", "Seconds by what.", labels=["what"]
@@ -183,15 +202,21 @@
         paused = float(self._core.roster.notices.paused(now_s))
         quarantined = float(len(self._core.crash_watch.quarantine.active))
         suspected = float(self._core.crash_watch.evidence.suspected_blocks)
-        buffers = self._gateway_io.pool.buffers
+        buffers = self._gateway_io.buffers
         given_up = float(buffers.given_up)
         return {
-            **({"response_bytes_buffered": float(buffers.total_bytes)} if given_up else {}),
+            **(
+                {"response_bytes_buffered": float(buffers.by_kind[Kind.RESPONSE])}
+                if given_up
+                else {}
+            ),
             **({"responses_given_up": given_up} if given_up else {}),
             **({"targets_rate_limited": float(len(limited))} if limited else {}),
             **({"targets_paused": paused} if paused else {}),
             **({"quarantined_blocks": quarantined} if quarantined else {}),
             **({"suspected_blocks": suspected} if suspected else {}),
+            "buffer_limit_bytes": float(buffers.limit_bytes),
+            "callers_waiting": float(buffers.waiting),
             "calls_running": float(self._gateway_io.calls_running),
             "caller_connections": float(len(self._gateway_io.connections)),
             "target_connections_opened": float(self._gateway_io.connections_opened),
--- a/filbertstream/connection/request_parser.py
+++ b/filbertstream/connection/request_parser.py
@@ -57,7 +57,7 @@
     """The request that is being read; a subclass receives what the parser finds."""
 
     def __init__(self) -> None:
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._url = b""
         self._headers: Headers = []
         self._body = bytearray()
@@ -93,9 +93,17 @@
         """Reject the request being read; nothing of it is kept."""
         if self._rejection is None:
             self._rejection = (status, detail)
-            self._headers, self._body, self._url, self._lines_bytes = [], bytearray(), b"", 0
+            self._drop()
             self._on_rejection(status, detail)
 
+    def _drop(self) -> None:
+        self._headers, self._body, self._url, self._lines_bytes = [], bytearray(), b"", 0
+
+    def _end(self) -> None:
+        """Keep nothing.  The parser refers back here, which only a garbage collection would end."""
+        self._drop()
+        self._parser = None
+
     @property
     def _kept_bytes(self) -> int:
         """What is kept of the request being read."""
@@ -110,7 +118,7 @@
 
     def _feed(self, data: bytes | memoryview) -> None:
         """Feed the parser and enforce the limits."""
-        if self._rejection is not None:
+        if self._rejection is not None or self._parser is None:
             return
         if not self._head_done:
             self._head_bytes += len(data)
@@ -192,7 +200,7 @@
 
     def on_message_complete(self) -> None:
         """Called by the parser."""
-        if self._rejection is not None:
+        if self._rejection is not None or self._parser is None:
             return
         self._in_request = False
         last = not self._parser.should_keep_alive()
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -52,6 +52,7 @@
 from filbertstream.platform.objects import ObjectStore
 from filbertstream.platform.runner_calls import RunnerCalls
 from filbertstream.platform.settings_file import read_settings_file
+from filbertstream.process.allocator import limit_fragmentation
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Deployment
 from filbertstream.process.logs import BoundedStream, EventLog
@@ -163,6 +164,7 @@
 
     def run(self) -> bool:
         """Serve until SIGTERM or SIGINT and drain; return False if an invariant was violated."""
+        limit_fragmentation()
         try:
             asyncio.run(self._run())
         finally:
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -22,6 +22,7 @@
     SETTINGS_REJECTED = 110
     TASK_FAILED = 111
     ADDRESS_IN_USE = 112
+    CALLERS_CLOSED = 113
     REVISION_IN_FORCE = 200
     REVISION_OUTDATED = 201
     REQUEST_FINISHED = 300
@@ -76,6 +77,7 @@
     LogEvent.SETTINGS_REJECTED: "Changed settings are invalid; the previous ones still apply.",
     LogEvent.TASK_FAILED: "An unexpected exception failed one call, probe or poll.",
     LogEvent.ADDRESS_IN_USE: "The start waits up to a limit for an address that is in use.",
+    LogEvent.CALLERS_CLOSED: "Requests were refused, or connections closed, to make room; why.",
     LogEvent.REVISION_IN_FORCE: "A new revision of the configuration now applies on this entry.",
     LogEvent.REVISION_OUTDATED: "The store shows an older configuration than that in force.",
     LogEvent.REQUEST_FINISHED: "A request ended with the outcome in the line.",
