Share scarce capacity fairly where the settings ask for it

Cause: the policy and the facts of shares were not used.

If a prompt would be rejected while a runner that was not compared is free, it is placed there. A retry or a resumed stream is not decided on again. The setting is read at the start.

--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -76,6 +76,7 @@
     SendFailed,
     SendStalled,
 )
+from filbertstream.request.fair_admission import FairAdmission
 from filbertstream.request.forwarding import Forwarding
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
 from filbertstream.request.idempotency_keys import IdempotencyKeys, KeyClaimed, KeySettled
@@ -119,6 +120,7 @@
     link_mbps: float = 0.0
     cores: float = 0.0
     has_documents: bool = False
+    fair_shares: bool = False
 
 
 class Gateway:
@@ -176,8 +178,11 @@
         )
         cache_view = CacheView(self.index, self.stores)
         self.cache_owners = CacheOwners(lambda: self.authorizer.config)
+        fair = FairAdmission(cfg.name, self.counters) if cfg.fair_shares else None
+        if fair is not None:
+            facts.add("shares", fair.facts)
         self.prompt_placer = PromptPlacer(
-            cfg.data_center, self.roster, cache_view, self.weights, self.cache_owners, rng
+            cfg.data_center, self.roster, cache_view, self.weights, self.cache_owners, rng, fair
         )
         dependencies = ForwardingDependencies(
             cfg.data_center,
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -391,4 +391,5 @@
         tuple(watched.followed for watched in kinds),
         deployment.link_mbps,
         deployment.cores,
+        fair_shares=deployment.fair_shares,
     )
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -69,6 +69,7 @@
     platform: _Platform
     # The first and last port of the range that is free on the VM.
     port_range: list[int] = []
+    fair_shares: bool = False
 
 
 MAX_PORT: Final = 65_535
@@ -155,6 +156,7 @@
         max_descriptors=settings.limits.max_fds,
         link_mbps=settings.limits.link_mbps,
         cores=settings.limits.cpu_share * settings.limits.cores,
+        fair_shares=settings.fair_shares,
         bounds=Bounds(
             config_apply_s=bounds.config_apply_ms / MS,
             drain_s=bounds.drain_ms / MS,
--- a/filbertstream/process/deployment.py
+++ b/filbertstream/process/deployment.py
@@ -46,7 +46,8 @@
 class Deployment(NamedTuple):
     """Where this process runs; ``object_store`` is a URL.
 
-    ``link_mbps`` and ``cores`` are the resources of the VM, 0 if unknown.
+    ``link_mbps`` and ``cores`` are the resources of the VM, 0 if unknown.  With ``fair_shares``
+    scarce capacity is shared fairly among workspaces (``request.capacity_shares``).
     """
 
     name: str
@@ -62,3 +63,4 @@
     bounds: Bounds
     link_mbps: float = 0.0
     cores: float = 0.0
+    fair_shares: bool = False
--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -12,6 +12,7 @@
 from filbertstream.request.call import CacheDirectives, Prompt
 from filbertstream.request.call_state import Call
 from filbertstream.request.candidates import Candidates
+from filbertstream.request.fair_admission import FairAdmission
 from filbertstream.request.load_shedding import Headroom, headroom, retry_after_s
 from filbertstream.request.placement import (
     CacheSource,
@@ -52,7 +53,8 @@
 class PromptPlacer:
     """Places prompts.
 
-    ``choose`` is the placement policy; benchmarks replace it to compare policies.
+    ``choose`` is the placement policy; benchmarks replace it to compare policies.  With ``fair``
+    scarce capacity is shared fairly, else prompts are rejected by load shedding only.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         weights: WeightsView,
         cache_owners: CacheOwners,
         rng: random.Random,
+        fair: FairAdmission | None = None,
     ) -> None:
         self._data_center = data_center
         self._roster = roster
@@ -71,6 +74,7 @@
         self._cache_owners = cache_owners
         self.choose: PlacementPolicy = place_prompt
         self._candidates = Candidates(rng)
+        self._fair = fair
         self._round_robin_index = 0
 
     def place(
@@ -89,9 +93,19 @@
         placement = self.choose(request, compared, self._cache_view, now_s)
         if placement is None:
             return None
-        ahead = placement.target.queued_tokens(now_s)
-        inputs = _inputs(placement, len(targets))
         wait_s = retry_after_s(placement.queue_s, placement.memory_fraction, limits)
+        decided: LogFields = ()
+        if self._fair is not None and not call.response_started:
+            decision = self._fair.decide(call, engine, placement, compared, targets, limits, now_s)
+            if decision is not None:
+                wait_s, decided = decision.verdict.retry_after_s, decision.log_fields
+                if decision.free:
+                    free = self._candidates.choose(
+                        request, decision.free, registered, self._cache_view.blocks
+                    )
+                    placement = self.choose(request, free, self._cache_view, now_s) or placement
+        ahead = placement.target.queued_tokens(now_s)
+        inputs = (*_inputs(placement, len(targets)), *decided)
         if wait_s is not None and not call.response_started:
             return Rejection(wait_s, inputs)
         directives = self._directives(prompt, placement, now_s)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -119,8 +119,12 @@
     listed = True
     """Whether it knows the quarantined blocks in the object store: none."""
 
+    fair_shares = False
+
     def __init__(self, name: str = "e1", peer_address: str = "tcp://e1") -> None:
-        cfg = GatewayConfig(name, 1, "dc1", BOUNDS, peer_address, 7, FOLLOWED)
+        cfg = GatewayConfig(
+            name, 1, "dc1", BOUNDS, peer_address, 7, FOLLOWED, fair_shares=self.fair_shares
+        )
         self.core = Gateway(cfg)
         self.now_s = 100.0
         self.calls = 0
