--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -143,6 +143,8 @@
         suspected = float(self._core.crash_watch.evidence.suspected_blocks)
         buffers = self._gateway_io.pool.buffers
         given_up = float(buffers.given_up)
+        fair = self._core.fair_admission
+        over_share = 0.0 if fair is None else float(fair.workspaces_over_share(now_s))
         return {
             **({"response_bytes_buffered": float(buffers.total_bytes)} if given_up else {}),
             **({"responses_given_up": given_up} if given_up else {}),
@@ -150,6 +152,7 @@
             **({"targets_paused": paused} if paused else {}),
             **({"quarantined_blocks": quarantined} if quarantined else {}),
             **({"suspected_blocks": suspected} if suspected else {}),
+            **({"workspaces_over_share": over_share} if over_share else {}),
             "calls_running": float(self._gateway_io.calls_running),
             "caller_connections": float(len(self._gateway_io.connections)),
             "target_connections_opened": float(self._gateway_io.connections_opened),
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -178,7 +178,9 @@
         )
         cache_view = CacheView(self.index, self.stores)
         self.cache_owners = CacheOwners(lambda: self.authorizer.config)
-        fair = FairAdmission(cfg.name, self.counters) if cfg.fair_shares else None
+        self.fair_admission = fair = (
+            FairAdmission(cfg.name, self.counters) if cfg.fair_shares else None
+        )
         if fair is not None:
             facts.add("shares", fair.facts)
         self.prompt_placer = PromptPlacer(
--- a/filbertstream/request/fair_admission.py
+++ b/filbertstream/request/fair_admission.py
@@ -10,7 +10,7 @@
 from filbertstream.process.counters import Counters
 from filbertstream.process.roster import LOAD_FRESH_S, RosterTarget
 from filbertstream.request.call_state import Call
-from filbertstream.request.capacity_shares import SCARCE_FRACTION, Room, Verdict, admit
+from filbertstream.request.capacity_shares import OVER_SHARE, SCARCE_FRACTION, Room, Verdict, admit
 from filbertstream.request.load_shedding import Headroom
 from filbertstream.request.placement import Placement
 from filbertstream.request.recent_demand import Asked, CapacityShares, ShareEstimate
@@ -111,6 +111,14 @@
         self._counters.add("fair_share_decisions", verdict.reason)
         return Decision(verdict, claim.shares, room.pressed_fraction, free)
 
+    def workspaces_over_share(self, now_s: float) -> int:
+        """Return the number of workspaces above their share of a service that is under pressure."""
+        return sum(
+            shares.count_over(OVER_SHARE, now_s)
+            for shares in self._services.values()
+            if shares.pressed_fraction(now_s) >= SCARCE_FRACTION
+        )
+
     def _shares_of(self, service: str) -> CapacityShares | None:
         known = self._services.get(service)
         if known is None and len(self._services) < MAX_SERVICES:
--- a/filbertstream/request/recent_demand.py
+++ b/filbertstream/request/recent_demand.py
@@ -225,6 +225,10 @@
         items.sort(key=lambda item: (-item[1], item[0]))
         return self._share, self._total, items[:limit]
 
+    def count_over(self, limit: float, now_s: float) -> int:
+        """Return the number of workspaces with more than this many shares."""
+        return sum(self.over_share(name, now_s) > limit for name in self._workspaces)
+
     def _update_share(self, now_s: float) -> None:
         """Divide the work that was served among the workspaces by max-min fairness."""
         if now_s - self._share_at_s < SHARE_INTERVAL_S:
--- a/tests/test_fair_sharing.py
+++ b/tests/test_fair_sharing.py
@@ -124,6 +124,9 @@
     world.play(20.0, 80.0, MIXED)
     refused = [dict(item.fields) for item in world.logs if item.number == LogEvent.REQUEST_REFUSED]
     assert len(refused) == len(world.refused_at_s)
+    fair = world.core.fair_admission
+    assert fair is not None
+    assert fair.workspaces_over_share(world.now_s) == 1
     held_back = [line for line in refused if line["admission"] == "over_share"]
     assert held_back
     assert all(line["shares"] > 1.0 and line["queue_s"] > 0.0 for line in held_back)
