Make room for new kinds and services in the record of fair shares

Cause: 32 kinds and 32 services were recorded for as long as the process lives, so after enough changes of the configuration those of new routes would not have been. A relay added up all reports again for each that came in, up to 64 times a second.

Change: records without recent calls are dropped when their room is needed, and sums are calculated five times a second at most.

--- a/filbertstream/fleet/share_facts.py
+++ b/filbertstream/fleet/share_facts.py
@@ -32,6 +32,9 @@
 REPORT_INTERVAL_S: Final = 1.0
 """Interval of reports while capacity is scarce."""
 
+SUM_INTERVAL_S: Final = 0.2
+"""Interval at which a sum of reports is calculated again; a relay gets up to 64 a second."""
+
 REPORT_MAX_AGE_S: Final = 4.0
 """Age at which a report expires: two intervals of repetition (``facts.REPEAT_INTERVAL_S``)."""
 
@@ -123,7 +126,6 @@
             del self._reports[old]
         while len(self._reports) > MAX_REPORTS:
             del self._reports[next(iter(self._reports))]
-        self._sums_at_s = float("-inf")
         self.note_pressure(now_s)
         return []
 
@@ -131,7 +133,7 @@
         """Return what is known of the fleet's calls to a service, None if no peer reports any."""
         if not self._reports:
             return None
-        if now_s - self._sums_at_s >= REPORT_INTERVAL_S:
+        if now_s - self._sums_at_s >= SUM_INTERVAL_S:
             self._sums_at_s = now_s
             recent = any(not _is_old(item, now_s) for item in self._reports.values())
             self._sums = self._known(now_s) if recent else {}
--- a/filbertstream/request/fair_admission.py
+++ b/filbertstream/request/fair_admission.py
@@ -76,7 +76,7 @@
 
         The placement is the best of the ``compared`` runners, which are some of all ``targets``.
         """
-        shares = self._shares_of(call.service.name)
+        shares = self._shares_of(call.service.name, now_s)
         prompt = call.head.prompt
         if shares is None or prompt is None or call.number > 0:
             return None
@@ -119,8 +119,11 @@
             if shares.pressed_fraction(now_s) >= SCARCE_FRACTION
         )
 
-    def _shares_of(self, service: str) -> CapacityShares | None:
+    def _shares_of(self, service: str, now_s: float) -> CapacityShares | None:
         known = self._services.get(service)
+        if known is None and len(self._services) >= MAX_SERVICES:
+            for name in [name for name, item in self._services.items() if item.is_idle(now_s)]:
+                del self._services[name]
         if known is None and len(self._services) < MAX_SERVICES:
             known = self._services[service] = CapacityShares(self._fleet_estimate(service))
         return known
--- a/filbertstream/request/recent_demand.py
+++ b/filbertstream/request/recent_demand.py
@@ -30,6 +30,10 @@
 MAX_KINDS: Final = 32
 """Kinds with a record of their own; calls of further ones count for their workspace only."""
 
+IDLE_CALLS: Final = 0.001
+"""A decayed number of calls below which a record is dropped if its room is needed: that of one call
+after 14 s for a service, and after 7 minutes for a kind."""
+
 ALONE_FRACTION: Final = 0.02
 """A workspace is alone if the others have at most this fraction of the work."""
 
@@ -140,6 +144,8 @@
         known.calls.arrived.add(1.0, now_s)
         known.work.setdefault(asked.urgency, _Sum(now_s)).add(asked.work, now_s)
         kind = self._kinds.get((asked.kind, asked.urgency))
+        if kind is None and len(self._kinds) >= MAX_KINDS:
+            self._drop_idle_kinds(now_s)
         if kind is None and len(self._kinds) < MAX_KINDS:
             kind = self._kinds[asked.kind, asked.urgency] = _Kind(asked.tokens, now_s)
         if kind is None:
@@ -171,6 +177,10 @@
             step = 1.0 - LARGEST_FRACTION if above else -LARGEST_FRACTION
             kind.large_above *= 1.0 + SIZE_STEP * step
 
+    def is_idle(self, now_s: float) -> bool:
+        """Whether no call has been decided on for a while."""
+        return self._decisions.at(now_s) < IDLE_CALLS
+
     def pressed_fraction(self, now_s: float) -> float:
         """Return the fraction of recent decisions under pressure."""
         decisions = self._decisions.at(now_s)
@@ -238,6 +248,12 @@
         served = sum(item.served_work.at(now_s) for item in self._workspaces.values())
         self._share, self._total = fair_share(work, served), sum(work)
 
+    def _drop_idle_kinds(self, now_s: float) -> None:
+        """Drop kinds without recent calls, such as those of routes that are gone."""
+        kinds = self._kinds.items()
+        for name in [name for name, kind in kinds if kind.all.arrived.at(now_s) < IDLE_CALLS]:
+            del self._kinds[name]
+
     def _drop_smallest(self, now_s: float) -> None:
         """Drop the half of the workspaces with the least work."""
         ranked = sorted(self._workspaces, key=lambda name: self._workspaces[name].work_at(now_s))
--- a/tests/test_capacity_shares.py
+++ b/tests/test_capacity_shares.py
@@ -275,3 +275,6 @@
     assert len(heaviest) <= MAX_WORKSPACES
     assert heaviest[0][0] == "heavy"
     assert len(shares.demand(35.0)) <= 2 * MAX_KINDS
+    # The routes of a new configuration take the place of those that are gone.
+    shares.note_arrival(Asked("heavy", "new", 0, 100, 100.0), 600.0)
+    assert [item.kind for item in shares.demand(600.0)] == ["new", "new"]
--- a/tests/test_fair_sharing.py
+++ b/tests/test_fair_sharing.py
@@ -48,6 +48,14 @@
         self.step(ConfigurationObserved(changed, self.now_s))
         self.decisions: list[tuple[Any, ...]] = []
         self.logs: list[Log] = []
+        step = self.core.step
+
+        def logged(now_s: float, event: Any) -> list[Any]:
+            actions = step(now_s, event)
+            self.logs += [item for item in actions if isinstance(item, Log)]
+            return actions
+
+        self.core.step = logged  # type: ignore[method-assign]
         self.of: dict[str, list[int]] = {"big": [], "small": []}
 
     def arrive(self, name: str, key: str | None = None, *args: Any, **kwargs: Any) -> list[Any]:
@@ -61,21 +69,6 @@
                 self.decisions.append((item.call_id, item.status, item.code, item.retry_after_s))
         return actions
 
-    def step(self, event: Any) -> list[Any]:
-        core = self.core.step
-
-        def recorded(now_s: float, event: Any) -> list[Any]:
-            actions = core(now_s, event)
-            if hasattr(self, "logs"):
-                self.logs += [item for item in actions if isinstance(item, Log)]
-            return actions
-
-        self.core.step = recorded  # type: ignore[method-assign]
-        try:
-            return super().step(event)
-        finally:
-            self.core.step = core  # type: ignore[method-assign]
-
     def rate(self, workspace: str) -> float:
         served = [call for call in self.of[workspace] if call not in self.refused_at_s]
         return len(served) / len(self.of[workspace])
