--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -21,7 +21,7 @@
 from filbertstream.connection.response_format import PassThroughFormat, ResponseFormat
 from filbertstream.connection.target_call import call_target
 from filbertstream.connection.target_connection import TargetConnectionPool
-from filbertstream.connection.target_probe import probe
+from filbertstream.connection.target_probe import ask_load, probe
 from filbertstream.fleet.cold_targets import IdleConnectionLost
 from filbertstream.fleet.crash_detector import ProbeOutcome, ProbeTarget, TargetProbed
 from filbertstream.gateway import Gateway
@@ -37,7 +37,6 @@
 from filbertstream.platform.headers import (
     decode_call,
 )
-from filbertstream.platform.load_probes import encode_load_probe
 from filbertstream.platform.settings_file import parse_address
 from filbertstream.process.cache_stores import (
     BlocksFreed,
@@ -48,7 +47,7 @@
 )
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
-from filbertstream.request.call import CallHead, ResponseHead, TargetLoad
+from filbertstream.request.call import CallHead, TargetLoad
 from filbertstream.request.call_events import (
     AbortResponse,
     CallArrived,
@@ -62,7 +61,7 @@
     RespondLocally,
     SendCall,
 )
-from filbertstream.statuses import BAD_GATEWAY, BAD_REQUEST, OK
+from filbertstream.statuses import BAD_GATEWAY, BAD_REQUEST
 from filbertstream.version.routes import CallerLimits
 
 FREED_STATUSES: Final = (200, 202, 204)
@@ -297,17 +296,7 @@
             self.emit(LoadProbed(action.call_id, action.start, load))
 
         async def ask() -> None:
-            heads: list[ResponseHead] = []
-            response = await call_target(
-                self.pool,
-                action.address,
-                encode_load_probe(action),
-                action.timeout_s,
-                boot_time_s(),
-                on_head=heads.append,
-            )
-            healthy = response is not None and response[0] == OK and bool(heads)
-            report(heads[0].load if healthy else None)
+            report(await ask_load(self.pool, action))
 
         self._tasks.start(ask(), "load_probe", lambda: report(None))
 
--- a/filbertstream/connection/gateway_status.py
+++ b/filbertstream/connection/gateway_status.py
@@ -221,6 +221,8 @@
         evacuated = float(len(evacuations.data_centers))
         buffers = self._gateway_io.buffers
         given_up = float(buffers.given_up)
+        fair = self._core.fair_admission
+        over_share = 0.0 if fair is None else float(fair.workspaces_over_share(now_s))
         return {
             **(
                 {"response_bytes_buffered": float(buffers.by_kind[Kind.RESPONSE])}
@@ -236,6 +238,7 @@
             **({"suspected_blocks": suspected} if suspected else {}),
             "buffer_limit_bytes": float(buffers.limit_bytes),
             "callers_waiting": float(buffers.waiting),
+            **({"workspaces_over_share": over_share} if over_share else {}),
             "calls_running": float(self._gateway_io.calls_running),
             "caller_connections": float(len(self._gateway_io.connections)),
             "target_connections_opened": float(self._gateway_io.connections_opened),
--- a/filbertstream/connection/target_probe.py
+++ b/filbertstream/connection/target_probe.py
@@ -1,11 +1,17 @@
-"""Probes whether anybody listens at a target's address, without a request."""
+"""Probes of targets: whether anybody listens at an address, and what load a target reports."""
 
 import asyncio
 from typing import Final
 
-from filbertstream.connection.target_connection import CONNECT_TIMEOUT_S
+from filbertstream.connection.target_call import call_target
+from filbertstream.connection.target_connection import CONNECT_TIMEOUT_S, TargetConnectionPool
 from filbertstream.fleet.crash_detector import ProbeOutcome
+from filbertstream.platform.load_probes import encode_load_probe
+from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
+from filbertstream.request.call import ResponseHead, TargetLoad
+from filbertstream.request.call_events import ProbeLoad
+from filbertstream.statuses import OK
 
 CLOSE_WAIT_S: Final = 0.1
 """Time within which a proxy without a target behind it closes an accepted connection."""
@@ -35,3 +41,17 @@
         return ProbeOutcome.NO_RESPONSE
     finally:
         writer.transport.abort()
+
+
+async def ask_load(pool: TargetConnectionPool, action: ProbeLoad) -> TargetLoad | None:
+    """Return the load that a healthy target reports, None without one in time."""
+    heads: list[ResponseHead] = []
+    response = await call_target(
+        pool,
+        action.address,
+        encode_load_probe(action),
+        action.timeout_s,
+        boot_time_s(),
+        on_head=heads.append,
+    )
+    return heads[0].load if response is not None and response[0] == OK and heads else None
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -18,16 +18,11 @@
 from filbertstream.gateway_events import (
     BoundsChanged,
     ConfigurationObserved,
-    EntriesConfirmed,
-    EntriesListed,
-    EntryObserved,
     GatewayAction,
     ObjectStoreResult,
     PeerMessage,
     StopRequested,
     StoreEpochObserved,
-    TargetObserved,
-    TargetsListed,
     Tick,
     WatchExpired,
     WeightsNamed,
@@ -71,6 +66,7 @@
     SendFailed,
     SendStalled,
 )
+from filbertstream.request.fair_admission import FairAdmission
 from filbertstream.request.forwarding import Forwarding
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
 from filbertstream.request.idempotency_keys import IdempotencyKeys, KeyClaimed, KeySettled
@@ -111,6 +107,7 @@
     cores: float = 0.0
     has_documents: bool = False
     regions: Mapping[str, str] = MappingProxyType({})
+    fair_shares: bool = False
 
 
 class Gateway:
@@ -178,6 +175,11 @@
         self.cache_owners = CacheOwners(lambda: self.authorizer.config)
         regions = Regions(cfg.regions)
         self.work = WorkAccounting(cfg.name)
+        self.fair_admission = fair = (
+            FairAdmission(cfg.name, self.counters) if cfg.fair_shares else None
+        )
+        if fair is not None:
+            facts.add("shares", fair.facts)
         self.prompt_placer = PromptPlacer(
             cfg.data_center,
             self.roster,
@@ -187,6 +189,7 @@
             rng,
             regions,
             self.work,
+            fair,
         )
         dependencies = ForwardingDependencies(
             cfg.data_center,
@@ -273,17 +276,14 @@
             KeyClaimed: self._forward(self.forwarding.on_claimed),
             KeySettled: self._on_key_settled,
             ConfigurationObserved: self._forward(self.config_observer.on_configuration),
-            TargetsListed: self._forward(self.target_registrations.on_listed),
-            TargetObserved: self._forward(self.target_registrations.on_target),
+            **self.target_registrations.handlers(),
             WeightsNamed: self._on_weights,
             **self.weights_leader.handlers(),
             **self.cache_events.handlers(),
             IdleConnectionLost: self._forward(self.cold_targets.on_connection_lost),
             **self.crash_watch.handlers(),
             **self.evacuations.handlers(),
-            EntriesListed: self._forward(self.entry_registrations.on_listed),
-            EntriesConfirmed: self._forward(self.entry_registrations.on_confirmed),
-            EntryObserved: self._forward(self.entry_registrations.on_entry),
+            **self.entry_registrations.handlers(),
             PeerMessage: self._forward(self.peer_messages.on_message),
             KindObserved: self._forward(self.relayed_view.on_kind_observed),
             ObjectStoreResult: self._forward(self.store_health.on_result),
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -36,10 +36,10 @@
 from filbertstream.connection.peer_link import PeerLink
 from filbertstream.connection.target_orders import TargetOrders
 from filbertstream.connection.watched_kinds import (
-    WatchedKind,
     watched_kinds,
 )
-from filbertstream.gateway import Gateway, GatewayConfig
+from filbertstream.core_config import core_config
+from filbertstream.gateway import Gateway
 from filbertstream.gateway_events import (
     BoundsChanged,
     PublishKind,
@@ -116,7 +116,7 @@
             watched_kinds(deployment.bounds) if setup is None else setup.kinds(deployment.bounds)
         )
         self._watched = {watched.kind: watched for watched in kinds}
-        cfg = _core_config(deployment, incarnation, kinds)
+        cfg = core_config(deployment, incarnation, kinds)
         self.core = Gateway(cfg._replace(has_documents=setup is not None))
         self.gateway_io = GatewayIO(
             self.core,
@@ -384,20 +384,3 @@
 
     def _decoded(self) -> None:
         self._pending_decodes -= 1
-
-
-def _core_config(
-    deployment: Deployment, incarnation: int, kinds: tuple[WatchedKind, ...]
-) -> GatewayConfig:
-    return GatewayConfig(
-        deployment.name,
-        incarnation,
-        deployment.data_center,
-        deployment.bounds,
-        "" if deployment.peers is None else f"tcp://{deployment.peers}",
-        incarnation,
-        tuple(watched.followed for watched in kinds),
-        deployment.link_mbps,
-        deployment.cores,
-        regions=deployment.regions,
-    )
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -77,6 +77,7 @@
     # The region of this VM, and that of each data center.
     region: str = ""
     zones: dict[str, str] = {}
+    fair_shares: bool = False
 
 
 MAX_PORT: Final = 65_535
@@ -163,6 +164,7 @@
         max_descriptors=settings.limits.max_fds,
         link_mbps=settings.limits.link_mbps,
         cores=settings.limits.cpu_share * settings.limits.cores,
+        fair_shares=settings.fair_shares,
         bounds=Bounds(
             config_apply_s=bounds.config_apply_ms / MS,
             drain_s=bounds.drain_ms / MS,
--- a/filbertstream/process/deployment.py
+++ b/filbertstream/process/deployment.py
@@ -56,7 +56,8 @@
     """Where this process runs; ``object_store`` is a URL.
 
     ``link_mbps`` and ``cores`` are the resources of the VM, 0 if unknown.  ``regions`` has the
-    region of each known data center.
+    region of each known data center.  With ``fair_shares`` scarce capacity is shared fairly among
+    workspaces (``request.capacity_shares``).
     """
 
     name: str
@@ -73,3 +74,4 @@
     link_mbps: float = 0.0
     cores: float = 0.0
     regions: Mapping[str, str] = MappingProxyType({})
+    fair_shares: bool = False
--- a/filbertstream/process/entry_registrations.py
+++ b/filbertstream/process/entry_registrations.py
@@ -7,7 +7,8 @@
 
 import random
 from collections import OrderedDict
-from typing import Final, NamedTuple, TypeAlias
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple, TypeAlias
 
 import msgspec
 
@@ -88,6 +89,14 @@
         """Forget what was stored of this entry's registration."""
         self._stored, self._revision = None, NO_REVISION
 
+    def handlers(self) -> dict[type, Callable[[Any, float], list[Any]]]:
+        """Return the handlers by the type of event."""
+        return {
+            EntriesListed: self.on_listed,
+            EntriesConfirmed: self.on_confirmed,
+            EntryObserved: self.on_entry,
+        }
+
     def on_listed(self, event: EntriesListed, now_s: float) -> list[Action]:
         """Drop the entries that are missing in a full listing; register if this one is."""
         for name in set(self._peers.members) - event.names:
--- a/filbertstream/process/target_registrations.py
+++ b/filbertstream/process/target_registrations.py
@@ -7,7 +7,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 
 from filbertstream.actions import Log
 from filbertstream.gateway_events import TargetObserved, TargetsListed
@@ -64,6 +64,13 @@
             self._held[registration.target_id] = registration
         return registration._replace(draining=True)
 
+    def handlers(self) -> dict[type, Callable[[Any, float], list[Any]]]:
+        """Return the handlers by the type of event."""
+        return {
+            TargetsListed: self.on_listed,
+            TargetObserved: self.on_target,
+        }
+
     def on_listed(self, event: TargetsListed, now_s: float) -> list[Log]:
         """Apply a full listing."""
         logs: list[Log] = []
--- a/filbertstream/request/prompt_placer.py
+++ b/filbertstream/request/prompt_placer.py
@@ -14,6 +14,7 @@
 from filbertstream.request.call import CacheDirectives, Prompt
 from filbertstream.request.call_state import Call
 from filbertstream.request.candidates import Candidates
+from filbertstream.request.fair_admission import FairAdmission
 from filbertstream.request.load_shedding import Headroom, headroom, retry_after_s
 from filbertstream.request.placement import Placement, PlacementRequest, place_prompt, shortlist
 from filbertstream.request.regions import Regions, allowed_regions
@@ -52,7 +53,8 @@
 class PromptPlacer:
     """Places prompts.
 
-    ``choose`` is the placement policy; benchmarks replace it to compare policies.
+    ``choose`` is the placement policy; benchmarks replace it to compare policies.  With ``fair``
+    scarce capacity is shared fairly, else prompts are rejected by load shedding only.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         rng: random.Random,
         regions: Regions,
         work: WorkAccounting,
+        fair: FairAdmission | None = None,
     ) -> None:
         self._data_center = data_center
         self._roster = roster
@@ -75,6 +78,7 @@
         self.choose: PlacementPolicy = place_prompt
         self._candidates = Candidates(rng)
         self._work = work
+        self._fair = fair
         self._round_robin_index = 0
 
     def shortlist(
@@ -124,9 +128,23 @@
         placement = self.choose(request, compared, self._cache_view, now_s)
         if placement is None:
             return None
-        ahead = placement.target.queued_tokens(now_s)
-        inputs = _inputs(placement, len(targets)) + work_fields(call, placement, now_s)
         wait_s = retry_after_s(placement.queue_s, placement.memory_fraction, limits)
+        decided: LogFields = ()
+        if self._fair is not None and not call.response_started:
+            decision = self._fair.decide(call, engine, placement, compared, targets, limits, now_s)
+            if decision is not None:
+                wait_s, decided = decision.verdict.retry_after_s, decision.log_fields
+                if decision.free:
+                    free = self._candidates.choose(
+                        request, decision.free, registered, self._cache_view.blocks
+                    )
+                    placement = self.choose(request, free, self._cache_view, now_s) or placement
+        ahead = placement.target.queued_tokens(now_s)
+        inputs = (
+            *_inputs(placement, len(targets)),
+            *work_fields(call, placement, now_s),
+            *decided,
+        )
         if wait_s is not None and not call.response_started:
             return Rejection(wait_s, inputs)
         directives = self._directives(prompt, placement, request.barred_sources, now_s)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -122,11 +122,12 @@
     """Whether it knows the quarantined blocks in the object store: none."""
 
     bounds = BOUNDS
+    fair_shares = False
     regions: Mapping[str, str] = MappingProxyType({})
 
     def __init__(self, name: str = "e1", peer_address: str = "tcp://e1") -> None:
         cfg = GatewayConfig(name, 1, "dc1", self.bounds, peer_address, 7, FOLLOWED)
-        cfg = cfg._replace(regions=self.regions)
+        cfg = cfg._replace(regions=self.regions, fair_shares=self.fair_shares)
         self.core = Gateway(cfg)
         self.now_s = 100.0
         self.calls = 0
