Refuse stalled requests in bounded numbers, and count only closes that happened

Cause: with thousands of requests that arrive, each refusal looked through all of them, so that one call could take as many squared; at the limit of connections one was refused every 50 ms only. An idle connection with a request in its socket was counted as closed although it stayed open.

Change: stalled requests are chosen once for up to 16 refusals. close_if_idle says whether it closed.

Measured: all 8 tests of tests/test_hostile_callers.py pass. Not measured: the time of a call with thousands of requests.

--- a/filbertstream/connection/buffer_budget.py
+++ b/filbertstream/connection/buffer_budget.py
@@ -16,6 +16,7 @@
 """
 
 import enum
+import heapq
 from collections import Counter
 from collections.abc import Callable
 from typing import Final, Protocol
@@ -52,6 +53,10 @@
 """A caller that has waited for room for so long is refused, so that it can try another entry."""
 
 
+REFUSED_AT_ONCE: Final = 16
+"""Stalled requests that are refused in one call, so that a call stays short."""
+
+
 class Kind(enum.StrEnum):
     """What is counted."""
 
@@ -233,7 +238,10 @@
         if not self._waiting:
             return
         self._resume(now_s)
-        while self._waiting and self.refuse_stalled(now_s):
+        for stalled in self._stalled(now_s):
+            if not self._waiting:
+                break
+            self._refuse(stalled, Reason.STALLED)
             self._resume(now_s)
         for caller in list(self._waiting):
             progress = self._arrivals.get(caller)
@@ -259,13 +267,17 @@
                 progress.marked_at_s = now_s
                 caller.resume_arrival()
 
-    def refuse_stalled(self, now_s: float) -> bool:
-        """Refuse the stalled request that has held the most bytes for the longest time, if any."""
+    def refuse_stalled(self, now_s: float) -> None:
+        """Refuse stalled requests for the sake of their connections."""
+        for stalled in self._stalled(now_s):
+            self._refuse(stalled, Reason.STALLED)
+
+    def _stalled(self, now_s: float) -> list[Arrival]:
+        """Return the stalled requests that have held most bytes for the longest time."""
         stalled = [one for one, progress in self._arrivals.items() if progress.is_stalled(now_s)]
-        if not stalled:
-            return False
-        self._refuse(max(stalled, key=lambda one: self._arrivals[one].cost(now_s)), Reason.STALLED)
-        return True
+        return heapq.nlargest(
+            REFUSED_AT_ONCE, stalled, key=lambda one: self._arrivals[one].cost(now_s)
+        )
 
     def _refuse(self, caller: Arrival, reason: Reason) -> None:
         self.closed[reason] += 1
--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -136,10 +136,12 @@
         if self.transport is not None:
             self.transport.close()
 
-    def close_if_idle(self) -> None:
+    def close_if_idle(self) -> bool:
         """Close the connection unless a request is being served or has begun to arrive."""
-        if self.idle and self.transport is not None and not has_unread_bytes(self.transport):
-            self.transport.close()
+        if self.transport is None or not self.idle or has_unread_bytes(self.transport):
+            return False
+        self.transport.close()
+        return True
 
     @property
     def idle(self) -> bool:
--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -352,10 +352,10 @@
         now_s = boot_time_s()
         idle = [(conn, conn.idle_since_s) for conn in self.connections if conn.idle]
         chosen = longest_idle(idle, now_s, CLOSED_AT_ONCE)
-        for conn in chosen:
-            conn.close_if_idle()
-        self.buffers.closed["idle"] += len(chosen)
-        if not chosen:
+        closed = sum(conn.close_if_idle() for conn in chosen)
+        if closed:
+            self.buffers.closed["idle"] += closed
+        else:
             self.buffers.refuse_stalled(now_s)
 
     def close_idle(self) -> None:
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -139,7 +139,7 @@
         self._loop: asyncio.AbstractEventLoop | None = None
         self._servers: list[asyncio.Server | CallerListener] = []
         self.broken = ""
-        self._status_connections: dict[StatusConnection, None] = {}
+        self._checks: dict[StatusConnection, None] = {}
         self._gate = WatchGate(self._watched)
         self._product: Product | None = None
         if setup is not None:
@@ -276,9 +276,7 @@
         return self.core.stopping.begun
 
     def _new_status(self) -> StatusConnection:
-        return StatusConnection(
-            lambda: self.core.ready(boot_time_s()), self._metrics, self._status_connections
-        )
+        return StatusConnection(lambda: self.core.ready(boot_time_s()), self._metrics, self._checks)
 
     def _metrics(self) -> bytes:
         return metrics_text(self.core, self.gateway_io, self._object_store, self._stream.dropped)
