Compare three or four random targets when calls are placed by work

Cause: with two random targets the placement by work was worse than the present one in a small fleet.

Change: three targets are compared, and four if the call has at most 12, where the present placement compares all.

--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -33,7 +33,7 @@
 from filbertstream.process.cache_stores import CacheStores
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call import Prompt
-from filbertstream.request.drawn_targets import draw_calls, draw_prompts
+from filbertstream.request.drawn_targets import DRAWN, draw_calls, draw_prompts
 from filbertstream.request.load_shedding import Headroom
 from filbertstream.request.work_estimate import WorkEstimate
 from filbertstream.version.routes import Engine
@@ -75,10 +75,11 @@
 
 
 class RequestWork(NamedTuple):
-    """The expected work of a request; ``draw`` seeds the random draw of targets."""
+    """The expected work of a request; ``draw`` seeds the random draw of ``drawn`` targets."""
 
     estimate: WorkEstimate
     draw: str
+    drawn: int = DRAWN
 
 
 class PlacementRequest(NamedTuple):
@@ -153,7 +154,7 @@
         for target in targets
     ]
     if request.work is not None:
-        return _cheapest_drawn(request, options, preferred_target, request.work.draw)
+        return _cheapest_drawn(request, options, preferred_target, request.work)
     return min(options, key=_order)
 
 
@@ -162,7 +163,10 @@
 
 
 def _cheapest_drawn(
-    request: PlacementRequest, options: Sequence[Placement], preferred: RosterTarget, draw: str
+    request: PlacementRequest,
+    options: Sequence[Placement],
+    preferred: RosterTarget,
+    work: RequestWork,
 ) -> Placement:
     """Return the cheapest of a few options, with the next one as its runner-up.
 
@@ -170,12 +174,12 @@
     ones of those that have the least to prefill and fetch.
     """
     fitting = [option for option in options if option.fits] or options
-    compared = _drawn(fitting, draw)
+    compared = _drawn(fitting, work)
     if request.prompt.blocks:
         least = min(map(_prefill_work, fitting))
         warm = [option for option in fitting if _prefill_work(option) == least]
         if len(warm) < len(fitting):
-            compared |= _drawn(warm, draw)
+            compared |= _drawn(warm, work)
         compared |= {
             option.target.target_id: option for option in fitting if option.target is preferred
         }
@@ -183,9 +187,10 @@
     return best._replace(runner_up=others[0] if others else None)
 
 
-def _drawn(options: Sequence[Placement], draw: str) -> dict[str, Placement]:
+def _drawn(options: Sequence[Placement], work: RequestWork) -> dict[str, Placement]:
     names = [option.target.target_id for option in options]
-    return {names[index]: options[index] for index in draw_prompts(names, draw)}
+    drawn = draw_prompts(names, work.draw, work.drawn)
+    return {names[index]: options[index] for index in drawn}
 
 
 def _prefill_work(option: Placement) -> float:
@@ -374,7 +379,7 @@
     """Return a few random targets, the one where the call is expected to end first at the front."""
     names = [target.target_id for target in targets]
     local = [target.registration.data_center == data_center for target in targets]
-    drawn = [targets[index] for index in draw_calls(names, local, work.draw)]
+    drawn = [targets[index] for index in draw_calls(names, local, work.draw, work.drawn)]
     options = [CallOption(call_end_s(item, data_center, work, now_s), item) for item in drawn]
     return sorted(options, key=lambda option: option.end_s)
 
--- a/filbertstream/request/work_accounting.py
+++ b/filbertstream/request/work_accounting.py
@@ -12,6 +12,7 @@
 from filbertstream.process.work_errors import WorkErrors
 from filbertstream.request.call import Prompt
 from filbertstream.request.call_state import Call
+from filbertstream.request.drawn_targets import drawn_count
 from filbertstream.request.placement import (
     Placement,
     RequestWork,
@@ -67,7 +68,8 @@
             method=call.head.method,
             workspace=None if call.workspace is None else call.workspace.name,
         )
-        return RequestWork(call.work, f"{self._entry_name}-{self._draws}")
+        draw = f"{self._entry_name}-{self._draws}"
+        return RequestWork(call.work, draw, drawn_count(len(targets)))
 
     def place_call(
         self, call: Call, targets: Sequence[RosterTarget], data_center: str, now_s: float
