--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -240,7 +240,8 @@
     All its responses to requests name ``limit_per_s``; ``arrivals`` has the times of all requests
     and calls.  A prompt with one of the ``deadly`` blocks crashes it when its response begins,
     after the head if ``head_first`` is set; ``deadly_arrivals`` has the times of their requests.
-    It starts again after ``restart_s``.
+    It starts again after ``restart_s``.  Its work takes ``slowness`` times as long as usual;
+    ``reported_slowness`` is what its responses say of that, None for nothing.
     """
 
     name: str
@@ -273,6 +274,8 @@
     crashed: bool = False
     crashes: list[float] = field(default_factory=list)
     deadly_arrivals: list[float] = field(default_factory=list)
+    slowness: float = 1.0
+    reported_slowness: float | None = None
 
     def is_deadly(self, prompt: Prompt | None) -> bool:
         """Whether a prompt crashes this target."""
@@ -328,8 +331,9 @@
                 to_prefill -= block.tokens
             self._cache_block(key, block.tokens)
         self.prefilled_tokens += to_prefill
-        self.prefill_free_s = start_s + to_prefill / self.prefill_tokens_per_s
-        return max(start_s, ready_s) + to_prefill / self.prefill_tokens_per_s
+        rate = self.prefill_tokens_per_s / self.slowness
+        self.prefill_free_s = start_s + to_prefill / rate
+        return max(start_s, ready_s) + to_prefill / rate
 
     def _cache_block(self, key: tuple[str, str], tokens: int) -> None:
         self.cache[key] = tokens
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -103,6 +103,8 @@
         self, target: FakeTarget, status: int, request_id: str, not_run: bool
     ) -> ResponseHead:
         load = TargetLoad(target.running, target.waiting, SLOTS)
+        if target.reported_slowness is not None:
+            load = load._replace(slowness=target.reported_slowness, reports_slowness=True)
         weights = target.weights if target.model else None
         return ResponseHead(
             status,
@@ -227,7 +229,7 @@
         world.first_token_s.setdefault(request_id, world.now_s - submitted.at_s)
         world.deliver_later(core, LINK_LATENCY_S, FirstEvent(send.call_id, send.number))
         target.running += 1
-        decode_s = submitted.out_tokens * TOKEN_GAP_S
+        decode_s = submitted.out_tokens * TOKEN_GAP_S * target.slowness
         world.after(decode_s, functools.partial(target.end_run, started_ms))
         done = ResponseComplete(send.call_id, send.number, 0, events=submitted.out_tokens)
         self._complete(core, send, target, done, decode_s)
