--- a/tests/test_work_placement.py
+++ b/tests/test_work_placement.py
@@ -151,22 +151,16 @@
     """A core whose log lines are kept."""
 
     def __init__(self) -> None:
-        self.lines: list[Log] = []
         super().__init__()
-
-    def step(self, event: Any) -> list[Any]:
+        self.lines: list[Log] = []
         core_step = self.core.step
 
-        def keep_lines(now_s: float, taken: Any) -> list[Any]:
-            actions = core_step(now_s, taken)
+        def keep_lines(now_s: float, event: Any) -> list[Any]:
+            actions = core_step(now_s, event)
             self.lines += [action for action in actions if isinstance(action, Log)]
             return actions
 
         self.core.step = keep_lines  # type: ignore[method-assign]
-        try:
-            return super().step(event)
-        finally:
-            self.core.step = core_step  # type: ignore[method-assign]
 
     def last(self, event: LogEvent) -> dict[str, Any]:
         return dict(next(line.fields for line in reversed(self.lines) if line.number == event))
