--- a/bench/targets.py
+++ b/bench/targets.py
@@ -63,6 +63,13 @@
 """The entry, call and number of a send."""
 
 
+def _load(target: FakeTarget) -> TargetLoad:
+    load = TargetLoad(target.running, target.waiting, SLOTS)
+    if target.reported_slowness is None:
+        return load
+    return load._replace(slowness=target.reported_slowness, reports_slowness=True)
+
+
 class TargetSide:
     """Carries out sends, reports and orders."""
 
@@ -104,7 +111,7 @@
     def _head(
         self, target: FakeTarget, status: int, request_id: str, not_run: bool
     ) -> ResponseHead:
-        load = TargetLoad(target.running, target.waiting, SLOTS)
+        load = _load(target)
         weights = target.weights if target.model else None
         return ResponseHead(
             status,
@@ -229,7 +236,7 @@
         world.first_token_s.setdefault(request_id, world.now_s - submitted.at_s)
         world.deliver_later(core, LINK_LATENCY_S, FirstEvent(send.call_id, send.number))
         target.running += 1
-        decode_s = submitted.out_tokens * TOKEN_GAP_S
+        decode_s = submitted.out_tokens * TOKEN_GAP_S * target.slowness
         world.after(decode_s, functools.partial(target.end_run, started_ms))
         done = ResponseComplete(send.call_id, send.number, 0, events=submitted.out_tokens)
         self._complete(core, send, target, done, decode_s)
@@ -266,7 +273,7 @@
         if target is None or target.dead or target.name in world.stalled:
             load, delay_s = None, probe.timeout_s
         else:
-            load, delay_s = TargetLoad(target.running, target.waiting, SLOTS), 2 * LINK_LATENCY_S
+            load, delay_s = _load(target), 2 * LINK_LATENCY_S
         world.deliver_later(core, delay_s, LoadProbed(probe.call_id, probe.start, load))
 
     def poll_report(self, core: Gateway, poll: PollReport) -> None:
--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -37,7 +37,7 @@
     from_preferred,
 )
 from filbertstream.request.call import Prompt
-from filbertstream.request.drawn_targets import draw_prompts
+from filbertstream.request.drawn_targets import DRAWN, draw_prompts
 from filbertstream.request.load_shedding import Headroom
 from filbertstream.request.work_estimate import WorkEstimate
 from filbertstream.version.routes import Engine
@@ -85,11 +85,12 @@
 class RequestWork(NamedTuple):
     """The expected work of a request.
 
-    ``draw`` seeds the random draw of the targets that are compared; None compares all.
+    ``draw`` seeds the random draw of the ``drawn`` targets that are compared; None compares all.
     """
 
     estimate: WorkEstimate
     draw: str | None
+    drawn: int = DRAWN
 
 
 class PlacementRequest(NamedTuple):
@@ -148,7 +149,7 @@
         for target in targets
     ]
     if request.work is not None:
-        return _cheapest_drawn(request, options, preferred_target, request.work.draw)
+        return _cheapest_drawn(request, options, preferred_target, request.work)
     return min(options, key=_order)
 
 
@@ -171,7 +172,7 @@
         for target in targets
     ]
     compared = sorted(
-        _compared(request, options, preferred, request.work.draw or "").values(),
+        _compared(request, options, preferred, request.work).values(),
         key=lambda option: (option.target is not preferred, *_order(option)),
     )
     return [option.target for option in compared[:SHORTLISTED]]
@@ -181,19 +182,22 @@
     request: PlacementRequest,
     options: Sequence[Placement],
     preferred: RosterTarget,
-    draw: str | None,
+    work: RequestWork,
 ) -> Placement:
     """Return the cheapest of a few options, with the next one as its runner-up."""
-    if draw is None:
+    if work.draw is None:
         compared = {option.target.target_id: option for option in options}
     else:
-        compared = _compared(request, options, preferred, draw)
+        compared = _compared(request, options, preferred, work)
     best, *others = sorted(compared.values(), key=_order)
     return best._replace(runner_up=others[0] if others else None)
 
 
 def _compared(
-    request: PlacementRequest, options: Sequence[Placement], preferred: RosterTarget, draw: str
+    request: PlacementRequest,
+    options: Sequence[Placement],
+    preferred: RosterTarget,
+    work: RequestWork,
 ) -> dict[str, Placement]:
     """Return the options that are compared, by target.
 
@@ -201,21 +205,22 @@
     ones of those that have the least to prefill and fetch.
     """
     fitting = [option for option in options if option.fits] or options
-    compared = _drawn(fitting, draw)
+    compared = _drawn(fitting, work)
     if request.prompt.blocks:
         least = min(map(_prefill_work, fitting))
         warm = [option for option in fitting if _prefill_work(option) == least]
         if len(warm) < len(fitting):
-            compared |= _drawn(warm, draw)
+            compared |= _drawn(warm, work)
         compared |= {
             option.target.target_id: option for option in fitting if option.target is preferred
         }
     return compared
 
 
-def _drawn(options: Sequence[Placement], draw: str) -> dict[str, Placement]:
+def _drawn(options: Sequence[Placement], work: RequestWork) -> dict[str, Placement]:
     names = [option.target.target_id for option in options]
-    return {names[index]: options[index] for index in draw_prompts(names, draw)}
+    drawn = draw_prompts(names, work.draw or "", work.drawn)
+    return {names[index]: options[index] for index in drawn}
 
 
 def _prefill_work(option: Placement) -> float:
--- a/filbertstream/request/service_placement.py
+++ b/filbertstream/request/service_placement.py
@@ -53,7 +53,7 @@
     """Return a few random targets, the one where the call is expected to end first at the front."""
     names = [target.target_id for target in targets]
     local = [target.registration.data_center == data_center for target in targets]
-    drawn = [targets[index] for index in draw_calls(names, local, work.draw or "")]
+    drawn = [targets[index] for index in draw_calls(names, local, work.draw or "", work.drawn)]
     options = [CallOption(call_end_s(item, data_center, work, now_s), item) for item in drawn]
     return sorted(options, key=lambda option: option.end_s)
 
