Look only at the first waiting caller while all memory is used up

Cause: each refusal of a stalled request asked all waiting callers whether they may go on; one call took 45 ms with 4,000 requests, at intervals of 25 to 100 ms.

Change: while the budget is full, only the first request can go on, so only that one is asked.

All 8 tests of tests/test_hostile_callers.py pass, and test_buffer_budget, test_caller_listener, test_caller_fuzz, test_endless_bytes, test_caller_connections and test_gateway_processes.

--- a/filbertstream/connection/buffer_budget.py
+++ b/filbertstream/connection/buffer_budget.py
@@ -258,9 +258,15 @@
         # Each caller that goes on may read a slice before it is stopped again.
         reads = max(1, int(self.limit_bytes * ARRIVING_FRACTION) - self.by_kind[Kind.ARRIVING])
         may_read = 1 + reads // MAX_SLICE_BYTES
-        for caller in list(self._waiting):
+        # While everything is used up, only the first can go on.
+        candidates = [self._first] if self.is_full else list(self._waiting)
+        for caller in candidates:
+            if caller is None or caller not in self._waiting:
+                continue
+            if not may_read:
+                break
             progress = self._arrivals[caller]
-            if may_read and not self._must_wait(caller, progress):
+            if not self._must_wait(caller, progress):
                 may_read -= 1
                 del self._waiting[caller]
                 progress.waits_since_s = None
