Apply the notices in answers to load probes

Cause: the answer of a health path may be a 503 with Retry-After, say that the runner leaves, name a rate or a cold time. The probe used its load alone, so an entry could go on sending to a runner that had told it to pause.

Change: the answer's head goes to the core, which records its notices like those of any other response. An unsigned answer without a rate ends no limit.

Measured: found while reading the diff; the three cases of the new test in tests/test_load_probes.py pass (the event had no head before, so they can't run on the code before).

--- a/bench/targets.py
+++ b/bench/targets.py
@@ -271,10 +271,11 @@
         world = self._world
         target = world.targets.get(probe.start.target_id)
         if target is None or target.dead or target.name in world.stalled:
-            load, delay_s = None, probe.timeout_s
+            head, delay_s = None, probe.timeout_s
         else:
-            load, delay_s = _load(target), 2 * LINK_LATENCY_S
-        world.deliver_later(core, delay_s, LoadProbed(probe.call_id, probe.start, load))
+            head, delay_s = self._head(target, OK, "", False), 2 * LINK_LATENCY_S
+        probed = LoadProbed(probe.call_id, probe.start, world.now_s, head)
+        world.deliver_later(core, delay_s, probed)
 
     def poll_report(self, core: Gateway, poll: PollReport) -> None:
         """Deliver a runner's report."""
--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -47,7 +47,7 @@
 )
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
-from filbertstream.request.call import CallHead, TargetLoad
+from filbertstream.request.call import CallHead
 from filbertstream.request.call_events import (
     AbortResponse,
     CallArrived,
@@ -292,13 +292,11 @@
         self.probe(action.address, lambda outcome: self.emit(TargetProbed(action.start, outcome)))
 
     def _probe_load(self, action: ProbeLoad) -> None:
-        def report(load: TargetLoad | None) -> None:
-            self.emit(LoadProbed(action.call_id, action.start, load))
-
         async def ask() -> None:
-            report(await ask_load(self.pool, action))
+            self.emit(await ask_load(self.pool, action))
 
-        self._tasks.start(ask(), "load_probe", lambda: report(None))
+        unanswered = LoadProbed(action.call_id, action.start, boot_time_s(), None)
+        self._tasks.start(ask(), "load_probe", lambda: self.emit(unanswered))
 
     def probe(self, address: Address, on_outcome: Callable[[ProbeOutcome], None]) -> None:
         """Probe whether a target still listens."""
--- a/filbertstream/connection/target_probe.py
+++ b/filbertstream/connection/target_probe.py
@@ -9,9 +9,8 @@
 from filbertstream.platform.load_probes import encode_load_probe
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
-from filbertstream.request.call import ResponseHead, TargetLoad
-from filbertstream.request.call_events import ProbeLoad
-from filbertstream.statuses import OK
+from filbertstream.request.call import ResponseHead
+from filbertstream.request.call_events import LoadProbed, ProbeLoad
 
 CLOSE_WAIT_S: Final = 0.1
 """Time within which a proxy without a target behind it closes an accepted connection."""
@@ -43,15 +42,17 @@
         writer.transport.abort()
 
 
-async def ask_load(pool: TargetConnectionPool, action: ProbeLoad) -> TargetLoad | None:
-    """Return the load that a healthy target reports, None without one in time."""
+async def ask_load(pool: TargetConnectionPool, action: ProbeLoad) -> LoadProbed:
+    """Ask a target for its load."""
+    sent_at_s = boot_time_s()
     heads: list[ResponseHead] = []
     response = await call_target(
         pool,
         action.address,
         encode_load_probe(action),
         action.timeout_s,
-        boot_time_s(),
+        sent_at_s,
         on_head=heads.append,
     )
-    return heads[0].load if response is not None and response[0] == OK and heads else None
+    head = heads[0] if response is not None and heads else None
+    return LoadProbed(action.call_id, action.start, sent_at_s, head)
--- a/filbertstream/request/call_events.py
+++ b/filbertstream/request/call_events.py
@@ -15,6 +15,7 @@
     ResponseHead,
     TargetLoad,
 )
+from filbertstream.statuses import OK
 
 
 class CallArrived(NamedTuple):
@@ -123,11 +124,17 @@
 
 
 class LoadProbed(NamedTuple):
-    """The answer to a ``ProbeLoad``; ``load`` is None without a usable one."""
+    """The answer to a ``ProbeLoad``; ``head`` is None without one in time."""
 
     call_id: int
     start: TargetStart
-    load: TargetLoad | None
+    sent_at_s: float
+    head: ResponseHead | None
+
+    @property
+    def load(self) -> TargetLoad | None:
+        """The load that a healthy target reports."""
+        return self.head.load if self.head is not None and self.head.status == OK else None
 
 
 class RelayResponse(NamedTuple):
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -168,11 +168,12 @@
 
     def on_load_probed(self, event: LoadProbed, now_s: float) -> list[Action]:
         """Place a call once the targets that it has asked for their load have answered."""
+        logs: list[Action] = [*self._feedback.note_probe(event, now_s)]
         call = self.calls.get(event.call_id)
         if not self._probes.note(call, event, now_s) or call is None:
-            return []
+            return logs
         call.queued_until_s = None
-        return self._send(call, now_s)
+        return [*logs, *self._send(call, now_s)]
 
     def _queue_or_give_up(self, call: Call, now_s: float) -> list[Action]:
         """Queue a call for a short time if targets have only rejected it so far, or give up."""
@@ -264,7 +265,7 @@
         if call is None or call.target is None:
             return []
         self._crashes.note_response(call.target, now_s)
-        logs = self._feedback.note_notices(call, call.target, event.response, now_s)
+        logs = self._feedback.note_notices(call.sent_at_s, call.target, event.response, now_s)
         return [*logs, *self._on_head(call, call.target, event, now_s)]
 
     def _on_head(
--- a/filbertstream/request/target_feedback.py
+++ b/filbertstream/request/target_feedback.py
@@ -6,6 +6,7 @@
 from filbertstream.process.prefill import RATE_WEIGHT
 from filbertstream.process.roster import RosterTarget
 from filbertstream.request.call import UNLIMITED, ResponseHead
+from filbertstream.request.call_events import LoadProbed
 from filbertstream.request.call_state import Call, SendStage
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
 from filbertstream.request.send_timeouts import PROGRESS_TIMEOUT_UNARY_S
@@ -41,7 +42,7 @@
             target.note_weights(prompt.model, head.weights)
 
     def note_notices(
-        self, call: Call, target: RosterTarget, head: ResponseHead, now_s: float
+        self, sent_at_s: float, target: RosterTarget, head: ResponseHead, now_s: float
     ) -> list[Log]:
         """Record what a response says of its target: its rate, a pause, or that it leaves.
 
@@ -55,13 +56,20 @@
                 return []
             target = other
         logs = self._deps.roster.notices.note(target.start, head.notice, now_s)
-        logs += self._deps.cold_targets.note_response(target.start, call.sent_at_s, now_s)
+        logs += self._deps.cold_targets.note_response(target.start, sent_at_s, now_s)
         if head.cold_left_s is not None:
             logs += self._deps.cold_targets.note_cold(target.start, head.cold_left_s, now_s)
         if head.request_rate == UNLIMITED and (head.not_run or not head.signed):
             return logs
         rates = self._deps.request_rates
-        return [*logs, *rates.on_response(target.start, head.request_rate, call.sent_at_s, now_s)]
+        return [*logs, *rates.on_response(target.start, head.request_rate, sent_at_s, now_s)]
+
+    def note_probe(self, event: LoadProbed, now_s: float) -> list[Log]:
+        """Record what the answer to a load probe says of its target."""
+        target = self._deps.roster.targets.get(event.start.target_id)
+        if event.head is None or target is None or target.start != event.start:
+            return []
+        return self.note_notices(event.sent_at_s, target, event.head, now_s)
 
     def note_latency(self, call: Call, target: RosterTarget, now_s: float) -> None:
         """Record how long the head of a response took."""
--- a/tests/test_load_probes.py
+++ b/tests/test_load_probes.py
@@ -6,11 +6,13 @@
 
 from typing import Any
 
+import pytest
+
 from filbertstream.process.roster import RosterTarget
-from filbertstream.request.call import RequestRate, TargetLoad
+from filbertstream.request.call import RequestRate, ResponseHead, TargetLoad, TargetNotice
 from filbertstream.request.call_events import CallerDisconnected, LoadProbed, ProbeLoad, SendCall
 from filbertstream.request.load_probes import PROBE_TIMEOUT_S
-from tests.gateway_world import World, sends
+from tests.gateway_world import World, response_head, sends
 
 USUAL = TargetLoad(0, 0, 64, 1.0, True)
 SLOW = TargetLoad(0, 0, 64, 4.0, True)
@@ -36,7 +38,13 @@
 
 
 def answer(world: World, probe: ProbeLoad, load: TargetLoad | None) -> list[SendCall]:
-    return sends(world.step(LoadProbed(probe.call_id, probe.start, load)))
+    head = None if load is None else health(load=load)
+    return sends(world.step(LoadProbed(probe.call_id, probe.start, world.now_s, head)))
+
+
+def health(status: int = 200, **changes: Any) -> ResponseHead:
+    """Return the head of a response of the health path, which nobody signs."""
+    return response_head(status, signed=False, **changes)
 
 
 def test_prompt_goes_to_the_runner_that_answers_that_it_is_least_loaded() -> None:
@@ -100,3 +108,30 @@
     assert not answer(world, second, SLOW)
     assert all(target.slowness(world.now_s) > 1.0 for target in runners(world))
     assert not world.core.forwarding.calls
+
+
+@pytest.mark.parametrize(
+    "said",
+    [
+        {"status": 503, "notice": TargetNotice(5.0, False)},
+        {"notice": TargetNotice(None, True)},
+        {"request_rate": RequestRate(0.5)},
+    ],
+    ids=["pause", "leaving", "rate"],
+)
+def test_notice_in_an_answer_binds_like_that_in_any_response(said: dict[str, Any]) -> None:
+    """A runner says only in the answer to a probe that it wants fewer requests, or none."""
+    world = reporting()
+    first, second = asked(world.arrive("draft"))
+    head = health(load=USUAL, **said)
+    world.step(LoadProbed(first.call_id, first.start, world.now_s, head))
+    (sent,) = answer(world, second, FULL)
+    assert sent.target_id == second.start.target_id
+    for _ in range(5):
+        later = world.arrive("draft")
+        assert first.start not in [probe.start for probe in asked(later)]
+        for probe in asked(later):
+            later += world.step(
+                LoadProbed(probe.call_id, probe.start, world.now_s, health(load=FULL))
+            )
+        assert {item.target_id for item in sends(later)} <= {second.start.target_id}
--- a/tests/test_work_placement.py
+++ b/tests/test_work_placement.py
@@ -140,7 +140,9 @@
     world.confirm()
     actions = world.arrive(name)
     for probe in [item for item in actions if isinstance(item, ProbeLoad)]:
-        actions += world.step(LoadProbed(probe.call_id, probe.start, load))
+        actions += world.step(
+            LoadProbed(probe.call_id, probe.start, world.now_s, response_head(load=load))
+        )
     (send,) = sends(actions)
     call = world.core.forwarding.calls[send.call_id]
     world.now_s += 0.2
