Share scarce capacity fairly where runners report their slowness

Cause: a deployment whose callers compete for short capacity has no setting for that; what distinguishes it is that its runners share their VMs with others and report by how much that slows them. The policy was off there.

Change: without the setting, fair shares are in effect for services whose runners report their slowness; true and false hold for all services, as before.

The recorded decisions without reports are unchanged.

--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -107,7 +107,7 @@
     cores: float = 0.0
     has_documents: bool = False
     regions: Mapping[str, str] = MappingProxyType({})
-    fair_shares: bool = False
+    fair_shares: bool | None = None
 
 
 class Gateway:
@@ -175,9 +175,7 @@
         self.cache_owners = CacheOwners(lambda: self.authorizer.config)
         regions = Regions(cfg.regions)
         self.work = WorkAccounting(cfg.name)
-        self.fair_admission = fair = (
-            FairAdmission(cfg.name, self.counters) if cfg.fair_shares else None
-        )
+        self.fair_admission = fair = FairAdmission.create(cfg.name, self.counters, cfg.fair_shares)
         if fair is not None:
             facts.add("shares", fair.facts)
         self.prompt_placer = PromptPlacer(
--- a/filbertstream/platform/settings_file.py
+++ b/filbertstream/platform/settings_file.py
@@ -77,7 +77,7 @@
     # The region of this VM, and that of each data center.
     region: str = ""
     zones: dict[str, str] = {}
-    fair_shares: bool = False
+    fair_shares: bool | None = None
 
 
 MAX_PORT: Final = 65_535
--- a/filbertstream/process/deployment.py
+++ b/filbertstream/process/deployment.py
@@ -57,7 +57,7 @@
 
     ``link_mbps`` and ``cores`` are the resources of the VM, 0 if unknown.  ``regions`` has the
     region of each known data center.  With ``fair_shares`` scarce capacity is shared fairly among
-    workspaces (``request.capacity_shares``).
+    workspaces (``request.capacity_shares``); None does so where runners report their slowness.
     """
 
     name: str
@@ -74,4 +74,4 @@
     link_mbps: float = 0.0
     cores: float = 0.0
     regions: Mapping[str, str] = MappingProxyType({})
-    fair_shares: bool = False
+    fair_shares: bool | None = None
--- a/filbertstream/request/fair_admission.py
+++ b/filbertstream/request/fair_admission.py
@@ -55,13 +55,24 @@
 
 
 class FairAdmission:
-    """Decides on prompts by fair shares; ``facts`` is what entries exchange."""
+    """Decides on prompts by fair shares; ``facts`` is what entries exchange.
 
-    def __init__(self, name: str, counters: Counters) -> None:
+    With ``needs_reports`` it decides only on prompts whose runners report their slowness.  These
+    share their VMs with others, so their capacity changes, and their reported load shows when it
+    is short.
+    """
+
+    def __init__(self, name: str, counters: Counters, needs_reports: bool = False) -> None:
         self._counters = counters
+        self._needs_reports = needs_reports
         self._services: dict[str, CapacityShares] = {}
         self.facts = ShareFacts(name, self._heaviest)
 
+    @classmethod
+    def create(cls, name: str, counters: Counters, setting: bool | None) -> "FairAdmission | None":
+        """Return what the setting asks for; None leaves it to the runners' reports."""
+        return None if setting is False else cls(name, counters, setting is None)
+
     def decide(
         self,
         call: Call,
@@ -76,6 +87,10 @@
 
         The placement is the best of the ``compared`` runners, which are some of all ``targets``.
         """
+        if self._needs_reports and not any(
+            target.reported_slowness.is_reported for target in targets
+        ):
+            return None
         shares = self._shares_of(call.service.name, now_s)
         prompt = call.head.prompt
         if shares is None or prompt is None or call.number > 0:
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -122,7 +122,7 @@
     """Whether it knows the quarantined blocks in the object store: none."""
 
     bounds = BOUNDS
-    fair_shares = False
+    fair_shares: bool | None = None
     regions: Mapping[str, str] = MappingProxyType({})
 
     def __init__(self, name: str = "e1", peer_address: str = "tcp://e1") -> None:
--- a/tests/test_fair_sharing.py
+++ b/tests/test_fair_sharing.py
@@ -19,6 +19,7 @@
 from filbertstream.log_events import LogEvent
 from filbertstream.names import digest_key
 from filbertstream.platform.settings_file import read_settings_file
+from filbertstream.request.call import TargetLoad
 from filbertstream.request.call_events import (
     RespondLocally,
     ResponseComplete,
@@ -39,7 +40,7 @@
 class Shared(Overload):
     """Calls of two workspaces; a name such as ``walk:big`` gives the route and the workspace."""
 
-    fair_shares = True
+    fair_shares: bool | None = True
 
     def __init__(self) -> None:
         super().__init__()
@@ -75,9 +76,9 @@
 
 
 class Plain(Shared):
-    """The same without the setting."""
+    """The same without the setting; the runners don't report their slowness."""
 
-    fair_shares = False
+    fair_shares = None
 
 
 def test_without_the_setting_decisions_are_those_recorded_before() -> None:
@@ -90,6 +91,24 @@
     assert not any(name == "fair_share_decisions" for name, _ in world.core.counters.snapshot())
 
 
+@pytest.mark.parametrize(("setting", "decides"), [(None, True), (False, False)])
+def test_reported_slowness_has_no_effect_or_the_setting_does_not_prevent_it(
+    setting: bool | None, decides: bool
+) -> None:
+    """Runners report their slowness, and the setting is absent or off."""
+
+    class Reporting(Shared):
+        fair_shares = setting
+
+    world = Reporting()
+    for target in world.core.roster.of_service("models"):
+        target.note_load(TargetLoad(1, 0, 8, 1.0, True), world.now_s)
+    world.arrive("draft:big")
+    world.run(0.2)
+    counted = [name for name, _ in world.core.counters.snapshot()]
+    assert ("fair_share_decisions" in counted) is decides
+
+
 def test_a_small_workspace_keeps_its_share_beside_one_that_sends_ten_times_as_much() -> None:
     """Load pattern: twice the capacity, of which the small one asks for less than a fifth."""
     rates = {}
@@ -156,7 +175,10 @@
     assert [row.workspace for row in rows] == [None, "big"]
 
 
-@pytest.mark.parametrize(("line", "expected"), [("", False), ("fair_shares: true\n", True)])
+@pytest.mark.parametrize(
+    ("line", "expected"),
+    [("", None), ("fair_shares: true\n", True), ("fair_shares: false\n", False)],
+)
 def test_setting_is_off_unless_it_is_set(tmp_path: Path, line: str, expected: bool) -> None:
     """Fair sharing takes effect where nobody asked for it."""
     file = tmp_path / "boot.yaml"
