--- a/filbertstream/request/placement.py
+++ b/filbertstream/request/placement.py
@@ -162,7 +162,7 @@
 ) -> list[RosterTarget]:
     """Return the few targets whose current load decides on a prompt.
 
-    The preferred runner is one of them.
+    The preferred runner is one of them if it could admit the prompt.
     """
     if not targets or request.work is None:
         return []
