Log late event loops, cancelled sends and the share of the link that peers take

Cause: nothing told a late close from a late cancel, or said what a VM's link was busy with.

Change: events 114, 311 and 501, quantiles of the event loop's lateness, and peer_bytes by type instead of one sum. No decision reads any of them.

--- a/bench/idle.py
+++ b/bench/idle.py
@@ -37,7 +37,7 @@
     """Return the bytes of messages that an entry has sent to peers."""
     page = fleet.http.request("GET", fleet.running[name].url + "/metrics").data.decode()
     lines = [line for line in page.splitlines() if line.startswith(BYTES_METRIC)]
-    return float(lines[0].rpartition(" ")[2]) if lines else 0.0
+    return sum(float(line.rpartition(" ")[2]) for line in lines)
 
 
 def main() -> int:
--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -208,6 +208,9 @@
         """Report to the core that a caller disconnected."""
         call_id, conn.call_id = conn.call_id, None
         if call_id is not None and call_id in self._calls:
+            send = self._calls[call_id].send
+            if send is not None and not send.over:
+                self._write_log(send.cancelled_line())
             self.emit(CallerDisconnected(call_id))
             self.forget_call(call_id)
 
--- a/filbertstream/connection/peer_link.py
+++ b/filbertstream/connection/peer_link.py
@@ -19,6 +19,7 @@
 from zmq.auth.thread import ThreadAuthenticator
 
 from filbertstream.actions import SendPeer
+from filbertstream.connection.peer_traffic import PeerTraffic
 from filbertstream.gateway_events import PeerMessage
 from filbertstream.messages import MESSAGE_LIMIT_BYTES, decode, encode
 from filbertstream.process.clock import boot_time_s
@@ -65,11 +66,17 @@
     """The sockets of this process for messages to and from its peers."""
 
     def __init__(
-        self, address: str, key_file: Path | None, counters: Counters, host: PeerHost
+        self,
+        address: str,
+        key_file: Path | None,
+        counters: Counters,
+        host: PeerHost,
+        traffic: PeerTraffic | None = None,
     ) -> None:
         self._address = address
         self._counters = counters
         self._host = host
+        self._traffic = traffic
         self._context = zmq.Context()
         self._secret = None if key_file is None else key_file.read_bytes().strip()
         self._public = None if self._secret is None else zmq.curve_public(self._secret)
@@ -128,7 +135,8 @@
             self._reopen(action.address)
             return
         self._counters.add("peer_messages", "sent")
-        self._counters.add("peer_bytes", "sent", len(data))
+        if self._traffic is not None:
+            self._traffic.note(action.payload, len(data), boot_time_s())
 
     def _reopen(self, address: str) -> None:
         """Drop a connection that accepts no messages; the next message opens a new one.
--- a/filbertstream/connection/proxied_send.py
+++ b/filbertstream/connection/proxied_send.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any, Final, Protocol
 
+from filbertstream.actions import Log
 from filbertstream.connection.buffer_budget import BufferBudget
 from filbertstream.connection.caller_connection import CallerConnection
 from filbertstream.connection.event_relay import EventRelay
@@ -14,6 +15,7 @@
 from filbertstream.connection.response_format import ResponseFormat
 from filbertstream.connection.target_connection import TargetConnection, TargetConnectionPool
 from filbertstream.fleet.crash_detector import ProbeOutcome
+from filbertstream.log_events import LogEvent
 from filbertstream.platform.headers import Headers, encode_target_head
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
@@ -299,6 +301,19 @@
             raw.body,
         )
 
+    def cancelled_line(self) -> Log:
+        """Return the line of a send that is about to be cancelled since its caller has left."""
+        conn = self.target_conn
+        fields = (
+            ("request_id", self._call.request_id),
+            ("target", self.action.target_id),
+            ("send", self.action.number),
+            ("age_s", round(boot_time_s() - self._chosen_at_s, 3)),
+            ("written", conn is not None),
+            ("unsent_bytes", 0 if conn is None else conn.unsent_bytes),
+        )
+        return Log(LogEvent.SEND_CANCELLED, fields)
+
     def cancel(self) -> None:
         """Abandon the send by closing its connection."""
         self.over = True
--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -123,6 +123,11 @@
             self.transport.write(data)
             self.transport.write(body)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes of requests that the kernel has not accepted yet."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
+
     def abort(self) -> None:
         """Close at once; the sink is not called any more."""
         self._sink = None
@@ -232,7 +237,7 @@
         self._sink = None
         self._in_body = False
         self._stop_timer()
-        if self.transport is None or self.transport.get_write_buffer_size():
+        if self.transport is None or self.unsent_bytes:
             self.usable = False
         else:
             self.transport.resume_reading()
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -31,9 +31,11 @@
 from filbertstream.connection.kind_rows import publish_kind
 from filbertstream.connection.kind_watcher import KindWatcher, WatchGate
 from filbertstream.connection.loop_exception_handler import LoopExceptionHandler
+from filbertstream.connection.loop_lateness import LoopLateness
 from filbertstream.connection.object_writes import ObjectWrites
 from filbertstream.connection.peer_host import PeerHost
 from filbertstream.connection.peer_link import PeerLink
+from filbertstream.connection.peer_traffic import PeerTraffic
 from filbertstream.connection.target_orders import TargetOrders
 from filbertstream.connection.watched_kinds import (
     watched_kinds,
@@ -130,6 +132,7 @@
             store_ca,
             lambda epoch: self.emit_soon(StoreEpochObserved(epoch)),
         )
+        self._lateness = LoopLateness(self.core.latencies, self._write_log)
         self._keys = IdempotencyKeyStore(self._object_store)
         targets_ca = None if setup is None else setup.targets_ca
         self._runners = RunnerCalls(f"{deployment.name}#{incarnation:x}", targets_ca)
@@ -152,7 +155,8 @@
             host = PeerHost(self.gateway_io.handlers, self.emit_soon)
             address = f"tcp://{deployment.peers}"
             key_file = None if self._product is None else self._product.peer_key_file
-            self._peers = PeerLink(address, key_file, self.core.counters, host)
+            traffic = PeerTraffic(deployment.link_mbps, self.core.counters, self._write_log)
+            self._peers = PeerLink(address, key_file, self.core.counters, host, traffic)
         writes = ObjectWrites(self._object_store, self._submit, self.emit_soon)
         self.gateway_io.handlers.update(writes.handlers())
         self.gateway_io.handlers[PublishKind] = self._publish_kind
@@ -304,7 +308,9 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.gateway_io.call_started.wait(), IDLE_TICK_S)
         self.gateway_io.call_started.clear()
+        self._lateness.begin(TICK_S)
         await asyncio.sleep(TICK_S)
+        self._lateness.end()
 
     def _may_end(self) -> bool:
         stopping, now_s = self.core.stopping, boot_time_s()
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -23,6 +23,7 @@
     TASK_FAILED = 111
     ADDRESS_IN_USE = 112
     CALLERS_CLOSED = 113
+    LOOP_LATE = 114
     REVISION_IN_FORCE = 200
     REVISION_OUTDATED = 201
     REQUEST_FINISHED = 300
@@ -33,6 +34,7 @@
     CALL_PLACED = 308
     SEND_REFUSED = 309
     SEND_UNSENT = 310
+    SEND_CANCELLED = 311
     TARGET_LEAVING = 400
     TARGET_EJECTED = 401
     SWAP_ORDERED = 404
@@ -54,6 +56,7 @@
     EVACUATION_BEGAN = 430
     EVACUATION_ENDED = 431
     MEMBER_JOINED = 500
+    PEER_TRAFFIC_HIGH = 501
     PLATFORM_LOST = 600
     PLATFORM_BACK = 601
     LEASE_TAKEN = 602
@@ -82,6 +85,7 @@
     LogEvent.TASK_FAILED: "An unexpected exception failed one call, probe or poll.",
     LogEvent.ADDRESS_IN_USE: "The start waits up to a limit for an address that is in use.",
     LogEvent.CALLERS_CLOSED: "Requests were refused, or connections closed, to make room; why.",
+    LogEvent.LOOP_LATE: "The event loop ran a timer late; all that was due waited as long.",
     LogEvent.REVISION_IN_FORCE: "A new revision of the configuration now applies on this entry.",
     LogEvent.REVISION_OUTDATED: "The store shows an older configuration than that in force.",
     LogEvent.REQUEST_FINISHED: "A request ended with the outcome in the line.",
@@ -92,6 +96,7 @@
     LogEvent.CALL_PLACED: "A call is sent to a target; the line has the inputs of that choice.",
     LogEvent.SEND_REFUSED: "A target did not run a request; -1: it did not report its weights.",
     LogEvent.SEND_UNSENT: "No byte of a send was written, so the call is sent again.",
+    LogEvent.SEND_CANCELLED: "A send was cancelled since its caller left; what was still unsent.",
     LogEvent.TARGET_LEAVING: "A target is leaving, for the given state, and gets no new calls.",
     LogEvent.TARGET_EJECTED: "A target failed repeatedly and is ejected for a time.",
     LogEvent.SWAP_ORDERED: "A runner was ordered to load a weight version.",
@@ -113,6 +118,7 @@
     LogEvent.EVACUATION_BEGAN: "A data center is evacuated; its targets get no requests.",
     LogEvent.EVACUATION_ENDED: "The evacuation of a data center ended; its targets get requests.",
     LogEvent.MEMBER_JOINED: "Peers registered; the line lists the first ones by name.",
+    LogEvent.PEER_TRAFFIC_HIGH: "Messages to peers took over half of the VM's link; by type.",
     LogEvent.PLATFORM_LOST: "A call to the platform's object store failed.",
     LogEvent.PLATFORM_BACK: "The platform's object store responds again.",
     LogEvent.LEASE_TAKEN: "This entry took the roll-out lease.",
