Limit the share of a VM's link that a relay's messages take, and relay where links are wide

Cause: a relay sends its followers updates of cache stores and the work of the fleet without a limit, over the same link as requests, responses and the ends of connections. What was sent next waited: connections to sound targets timed out, a request arrived 1.2 s late and its cancel 0.58 s late. Late responses to polls made followers turn to other relays, which then had more of them. Relays were chosen among all VMs with at least the median link, here also of 10 Mbit/s, beside six with 200.

Change: process/link_share.py paces messages about work and updates of cache stores to a fifth of the link each. A round goes on over later ticks while there is no room; updates say how long they waited, and leave out the oldest new blocks if not all can be sent while they are usable. The VMs with the most bandwidth relay, up to 100 Mbit/s. A message to many peers is encoded once.

--- a/filbertstream/connection/peer_link.py
+++ b/filbertstream/connection/peer_link.py
@@ -21,7 +21,7 @@
 from filbertstream.actions import SendPeer
 from filbertstream.connection.peer_traffic import PeerTraffic
 from filbertstream.gateway_events import PeerMessage
-from filbertstream.messages import MESSAGE_LIMIT_BYTES, decode, encode
+from filbertstream.messages import MESSAGE_LIMIT_BYTES, PeerPayload, decode, encode
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.counters import Counters
 
@@ -77,6 +77,7 @@
         self._counters = counters
         self._host = host
         self._traffic = traffic
+        self._last_encoded: tuple[PeerPayload, bytes] | None = None
         self._context = zmq.Context()
         self._secret = None if key_file is None else key_file.read_bytes().strip()
         self._public = None if self._secret is None else zmq.curve_public(self._secret)
@@ -127,7 +128,7 @@
             self._counters.add("peer_messages", "unsent")
             return
         self._push.move_to_end(action.address)
-        data = encode(action.payload)
+        data = self._encoded(action.payload)
         try:
             socket.send(data, zmq.NOBLOCK)
         except zmq.Again:
@@ -138,6 +139,12 @@
         if self._traffic is not None:
             self._traffic.note(action.payload, len(data), boot_time_s())
 
+    def _encoded(self, payload: PeerPayload) -> bytes:
+        """Return the wire form of a message, which is often sent to many peers in a row."""
+        if self._last_encoded is None or self._last_encoded[0] is not payload:
+            self._last_encoded = payload, encode(payload)
+        return self._last_encoded[1]
+
     def _reopen(self, address: str) -> None:
         """Drop a connection that accepts no messages; the next message opens a new one.
 
--- a/filbertstream/connection/peer_traffic.py
+++ b/filbertstream/connection/peer_traffic.py
@@ -8,8 +8,7 @@
 from filbertstream.log_events import LogEvent
 from filbertstream.messages import PeerPayload
 from filbertstream.process.counters import Counters
-
-BYTES_PER_S_PER_MBPS: Final = 125_000
+from filbertstream.process.link_share import BYTES_PER_S_PER_MBPS
 
 WINDOW_S: Final = 0.5
 LOGGED_FRACTION: Final = 0.5
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -116,7 +116,7 @@
     def __init__(self, cfg: GatewayConfig) -> None:
         self.cfg = cfg
         rng = random.Random(f"{cfg.seed}-{cfg.name}")
-        bounds = cfg.bounds
+        bounds, link_mbps = cfg.bounds, cfg.link_mbps
         self.counters = Counters()
         self.latencies = Latencies()
         self.evacuations = Evacuations(bounds.evac_s)
@@ -143,12 +143,12 @@
         self.crash_watch.facts.add("keys", self.key_journal)
         self.crash_watch.facts.add("slowness", SlownessFacts(self.roster))
         facts = self.crash_watch.facts
-        self.exchange = WorkExchange(self.peers, self.relays, self.request_rates, facts)
+        self.exchange = WorkExchange(self.peers, self.relays, self.request_rates, facts, link_mbps)
         self.relayed_view = RelayedView(
             cfg.followed, self.relays, self.peers, self.roster, self.recovery
         )
         self.stores = CacheStores(self.index, rng, self.peers.reads, self.relays)
-        self.cache_updates = CacheUpdateExchange(self.peers, self.relays, self.stores)
+        self.cache_updates = CacheUpdateExchange(self.peers, self.relays, self.stores, link_mbps)
         self.cache_events = CacheEventHandlers(self.stores, self.cache_updates, self.counters)
         self.roster.peer_work_at = self.peers.peer_work_at
         self.config_freshness = ConfigFreshness(bounds.revoke_s, bounds.strict_revocation)
--- a/filbertstream/process/cache_updates.py
+++ b/filbertstream/process/cache_updates.py
@@ -3,17 +3,34 @@
 Load pattern handled: hundreds of entries and cache stores that accept a few event calls at once.
 In a small fleet the readers of a cache store send its updates to all other entries.  In a large one
 two entries read a cache store and send its updates to the relays (``process.relays``), and each
-relay sends its followers the updates of all cache stores in one message.  A relay that receives no
-update of a cache store reads it itself, whichever entries have died.
+relay sends its followers the updates of all cache stores in one message.  These messages take a
+share of the VM's link at most (``process.link_share``).  A relay that receives no update of a cache
+store reads it itself, whichever entries have died.
 """
 
+import math
+from collections import deque
+from collections.abc import Iterable, Sequence
 from typing import Final
 
 import msgspec
 
 from filbertstream.actions import SendPeer
-from filbertstream.messages import CacheUpdate, CacheUpdateBatch, CacheUpdateRow, PeerPayload
-from filbertstream.process.cache_stores import MS, CacheChange, CacheEventsReceived, CacheStores
+from filbertstream.messages import (
+    CacheUpdate,
+    CacheUpdateBatch,
+    CacheUpdateRow,
+    PeerPayload,
+    encode,
+)
+from filbertstream.process.cache_stores import (
+    HOLDINGS_MAX_AGE_S,
+    MS,
+    CacheChange,
+    CacheEventsReceived,
+    CacheStores,
+)
+from filbertstream.process.link_share import LinkShare
 from filbertstream.process.peer_work import PeerWork
 from filbertstream.process.relays import Relays
 
@@ -23,11 +40,26 @@
 BATCH_S: Final = 0.2
 """Interval of a relay's messages to its followers."""
 
+LINK_FRACTION: Final = 0.2
+"""Share of the VM's link that a relay's updates may take."""
+
+ROUND_S: Final = HOLDINGS_MAX_AGE_S / 2
+"""All followers are sent a message within this time, so that what they know stays usable.  If the
+link is too slow for all rows, the oldest new blocks are left out: followers don't fetch those."""
+
+MAX_QUEUED_ROWS: Final = 4_096
+"""Rows that wait for the next message; beyond it the oldest new blocks are left out."""
+
 
 class CacheUpdateExchange:
     """Forwards what this entry reads of cache stores, and applies the updates of peers."""
 
-    def __init__(self, peers: PeerWork, relays: Relays, stores: CacheStores) -> None:
+    def __init__(
+        self, peers: PeerWork, relays: Relays, stores: CacheStores, link_mbps: float = 0.0
+    ) -> None:
+        self._link = LinkShare(link_mbps, LINK_FRACTION)
+        self._batch: tuple[CacheUpdate, ...] = ()
+        self._receivers: deque[str] = deque()
         self._peers = peers
         self._relays = relays
         self._stores = stores
@@ -103,6 +135,9 @@
         else:
             self._forwarded[update.store] = (update.start_id, update.next_event)
         self._queued.append((now_s, update))
+        queued = [update for _, update in self._queued]
+        bounded = _without_oldest(queued, _count_rows(queued) - MAX_QUEUED_ROWS)
+        self._queued = [(at_s, item) for (at_s, _), item in zip(self._queued, bounded, strict=True)]
 
     def on_batch(self, batch: CacheUpdateBatch, now_s: float) -> None:
         """Apply a relay's updates of all cache stores."""
@@ -110,15 +145,55 @@
             self.on_update(update, now_s)
 
     def due(self, followers: list[str], now_s: float) -> list[SendPeer]:
-        """Return a relay's messages to its followers."""
-        if now_s - self._sent_at_s < BATCH_S or not self._queued:
+        """Return a relay's messages to its followers for which the link has room."""
+        if not self._receivers and self._queued and now_s - self._sent_at_s >= BATCH_S:
+            relays = self._relays.other_relays()
+            self._receivers.extend(name for name in followers if name not in relays)
+            self._batch = self._fitting(_merged(self._queued, now_s))
+            self._queued, self._sent_at_s = [], now_s
+        if not self._receivers or not self._link.has_room(now_s):
             return []
-        items = _merged(self._queued, now_s)
-        self._queued, self._sent_at_s = [], now_s
-        relays = self._relays.other_relays()
-        receivers = [name for name in followers if name not in relays]
-        batch = CacheUpdateBatch(items)
-        return [item for name in receivers for item in self._send(name, batch)]
+        waited_s = now_s - self._sent_at_s
+        batch = CacheUpdateBatch(tuple(_aged(update, waited_s) for update in self._batch))
+        size = len(encode(batch)) if self._link.limited else 0
+        messages: list[SendPeer] = []
+        while self._receivers and self._link.has_room(now_s):
+            messages += self._send(self._receivers.popleft(), batch)
+            self._link.take(size, now_s)
+        return messages
+
+    def _fitting(self, batch: tuple[CacheUpdate, ...]) -> tuple[CacheUpdate, ...]:
+        """Return as much of a batch as the link has room for."""
+        if not self._link.limited:
+            return batch
+        size = len(encode(CacheUpdateBatch(batch))) * len(self._receivers)
+        excess = (1.0 - self._link.fits(size, ROUND_S)) * _count_rows(batch)
+        return _without_oldest(batch, math.ceil(excess))
+
+
+def _count_rows(updates: Iterable[CacheUpdate]) -> int:
+    return sum(len(update.rows) for update in updates)
+
+
+def _without_oldest(updates: Sequence[CacheUpdate], excess: int) -> tuple[CacheUpdate, ...]:
+    """Return updates without their oldest new blocks, until there are ``excess`` fewer rows.
+
+    Removed blocks are kept, since nobody may rely on them any more.
+    """
+    kept = []
+    for update in updates:
+        if excess > 0 and update.rows:
+            removals = tuple(row for row in update.rows if not row.added)
+            excess -= len(update.rows) - len(removals)
+            update = msgspec.structs.replace(update, rows=removals)
+        kept.append(update)
+    return tuple(kept)
+
+
+def _aged(update: CacheUpdate, by_s: float) -> CacheUpdate:
+    """Return an update that was queued for a time."""
+    clock_ms = None if update.clock_ms is None else update.clock_ms + int(by_s * MS)
+    return msgspec.structs.replace(update, age_s=update.age_s + by_s, clock_ms=clock_ms)
 
 
 def _merged(queued: list[tuple[float, CacheUpdate]], now_s: float) -> tuple[CacheUpdate, ...]:
@@ -126,14 +201,7 @@
     found: list[CacheUpdate] = []
     newest: dict[str, CacheUpdate] = {}
     for at_s, update in queued:
-        update = CacheUpdate(
-            update.store,
-            update.start_id,
-            update.next_event,
-            update.age_s + now_s - at_s,
-            None if update.clock_ms is None else update.clock_ms + int((now_s - at_s) * MS),
-            update.rows,
-        )
+        update = _aged(update, now_s - at_s)
         if update.rows:
             found.append(update)
         before = newest.get(update.store)
--- a/filbertstream/process/relays.py
+++ b/filbertstream/process/relays.py
@@ -2,11 +2,11 @@
 
 Load pattern handled: a large fleet in which every entry reads the object store by itself.  Calls to
 the object store are metered, and it would send each change once to every entry.  In a small fleet
-each entry reads the object store.  In a larger one only a few do, the relays: the entries with the
-highest rendezvous ranks among those whose VM has at least the median link and cores.  Every other
-entry polls one of them for updates (``process.relayed_view``).  A relay that does not respond, or
-whose own view is stale, is skipped for a while.  The entries next in rank replace it, and read the
-object store once they are polled.
+each entry reads the object store.  In a larger one only a few do, the relays: of the entries whose
+VM has at least the median cores, those with the most bandwidth, and among these the ones with the
+highest rendezvous ranks.  Every other entry polls one of them for updates
+(``process.relayed_view``).  A relay that does not respond, or whose own view is stale, is skipped
+for a while.  The entries next in order replace it, and read the object store once they are polled.
 
 The polling entry bounds the age of a response by its own clock: the response was made after the
 poll was sent, so a state that was the newest ``age_s`` before the response was also the newest
@@ -35,7 +35,7 @@
 """Two relays may be dead, partitioned or suspended at once."""
 
 SUBSTITUTE_RELAYS: Final = 8
-"""Entries next in rank that are polled while no relay responds.  Lost VMs leave their registrations
+"""Entries next in order that are polled while no relay responds.  Lost VMs leave registrations
 behind, so some of these may be dead too."""
 
 POLL_INTERVAL_S: Final = 0.5
@@ -56,6 +56,10 @@
 KEPT_POLLS: Final = 3
 """Polls that are kept; responses to older ones are past the timeout."""
 
+SUFFICIENT_LINK_MBPS: Final = 100.0
+"""More bandwidth makes no better relay: the largest messages to ``MEMBERS_PER_RELAY`` followers
+take a quarter of it."""
+
 RANK_SUBJECT: Final = "relays"
 
 
@@ -122,28 +126,20 @@
             self._relays = self._poll_order = ()
             return
         count = max(MIN_RELAYS, math.ceil(len(names) / MEMBERS_PER_RELAY))
-        below_median = self._below_median(names)
-        ranked = sorted(names, key=lambda name: (name in below_median, -rank(name, RANK_SUBJECT)))
+        resources = {name: self._vm_resources(name) for name in names}
+        median_cores = statistics.median(item.cores for item in resources.values())
+
+        def preference(name: str) -> tuple[bool, float, float]:
+            link_mbps = min(resources[name].link_mbps, SUFFICIENT_LINK_MBPS)
+            return resources[name].cores < median_cores, -link_mbps, -rank(name, RANK_SUBJECT)
+
+        ranked = sorted(names, key=preference)
         self._relays = tuple(ranked[:count])
         # Each entry has its own order of relays, so that followers spread evenly over them.
         local_order = sorted(self._relays, key=lambda name: -rank(self._name, name))
         poll_order = [*local_order, *ranked[count : count + SUBSTITUTE_RELAYS]]
         self._poll_order = tuple(name for name in poll_order if name != self._name)
 
-    def _below_median(self, names: tuple[str, ...]) -> set[str]:
-        """Return the members with less than the median link or cores.
-
-        The traffic of a relay would saturate their link.
-        """
-        resources = {name: self._vm_resources(name) for name in names}
-        link_mbps = statistics.median(item.link_mbps for item in resources.values())
-        cores = statistics.median(item.cores for item in resources.values())
-        return {
-            name
-            for name, item in resources.items()
-            if item.link_mbps < link_mbps or item.cores < cores
-        }
-
     @property
     def small_fleet(self) -> bool:
         """Whether the fleet is small enough for every entry to read the object store."""
--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -7,15 +7,16 @@
 one message with the work of the fleet: as many messages per entry at ten entries as at a thousand.
 The sums are hints for placement; nothing else depends on them.  In a small fleet each entry reports
 to all peers.  The messages also carry the rates to which targets limit their callers, and facts
-(``fleet.facts``).
+(``fleet.facts``).  They take a share of the VM's link at most (``process.link_share``).
 """
 
-from typing import Final
+from collections import deque
+from typing import Final, NamedTuple
 
 import msgspec
 
 from filbertstream.actions import SendPeer
-from filbertstream.fleet.facts import FactExchange
+from filbertstream.fleet.facts import FactExchange, Facts
 from filbertstream.fleet.scope import Scope
 from filbertstream.messages import (
     EntryWork,
@@ -25,7 +26,9 @@
     PeerPayload,
     RateRow,
     WorkRow,
+    encode,
 )
+from filbertstream.process.link_share import LinkShare
 from filbertstream.process.peer_work import NO_WORK, PeerWork, WorkTotals
 from filbertstream.process.relays import Relays
 from filbertstream.process.request_rates import RequestRates
@@ -46,12 +49,34 @@
 """Maximum number of targets in a message, those with the most work; about 9 KB compressed."""
 
 
+LINK_FRACTION: Final = 0.2
+"""Share of the VM's link that messages about work may take."""
+
+
+class _Round(NamedTuple):
+    """What a relay tells its followers in one round, and those that it has not told yet."""
+
+    receivers: deque[str]
+    totals: dict[str, WorkTotals]
+    reports: dict[str, dict[str, WorkRow]]
+    is_current: bool
+    rates: tuple[RateRow, ...]
+    facts: Facts
+
+
 class WorkExchange:
     """Creates the messages about work in progress when they are due."""
 
     def __init__(
-        self, peers: PeerWork, relays: Relays, rates: RequestRates, facts: FactExchange
+        self,
+        peers: PeerWork,
+        relays: Relays,
+        rates: RequestRates,
+        facts: FactExchange,
+        link_mbps: float = 0.0,
     ) -> None:
+        self._link = LinkShare(link_mbps, LINK_FRACTION)
+        self._round: _Round | None = None
         self._peers = peers
         self._relays = relays
         self._rates = rates
@@ -74,6 +99,8 @@
         since_s = now_s - self._sent_at_s
         if since_s < (SEND_INTERVAL_S if small else RELAYED_SEND_INTERVAL_S):
             return []
+        if not self._link.has_room(now_s):
+            return []
         work = EntryWork(self._peers.local_name, _busiest(rows), is_current)
         rates = self._due_rates(Scope.LOCAL, now_s)
         facts = self._facts.due(Scope.LOCAL, now_s)
@@ -83,8 +110,11 @@
         self._last_sent, self._sent_at_s = work, now_s
         work = msgspec.structs.replace(work, rates=rates, facts=facts)
         if small:
-            return [SendPeer(address, work) for address in self._peers.addresses()]
-        return self._send(self._relays.relay(now_s) or "", work)
+            messages = [SendPeer(address, work) for address in self._peers.addresses()]
+        else:
+            messages = self._send(self._relays.relay(now_s) or "", work)
+        self._note_sent(work, len(messages), now_s)
+        return messages
 
     def _due_rates(self, scope: Scope, now_s: float) -> tuple[RateRow, ...]:
         """Return the limits of targets if one has changed, or again after a while."""
@@ -95,6 +125,10 @@
         self._last_rates, self._rates_sent_at_s = values, now_s
         return rates
 
+    def _note_sent(self, payload: PeerPayload, count: int, now_s: float) -> None:
+        if self._link.limited:
+            self._link.take(len(encode(payload)) * count, now_s)
+
     def _send(self, member: str, payload: PeerPayload) -> list[SendPeer]:
         record = self._peers.members.get(member)
         return [] if record is None else [SendPeer(record.peer_address, payload)]
@@ -102,9 +136,13 @@
     def _relay_messages(
         self, rows: tuple[WorkRow, ...], is_current: bool, followers: list[str], now_s: float
     ) -> list[SendPeer]:
-        """Return a relay's messages: its group's work to the relays, all work to the followers."""
-        if now_s - self._group_sent_at_s < RELAYED_SEND_INTERVAL_S:
-            return []
+        """Return a relay's messages: its group's work to the relays, all work to the followers.
+
+        A round to the followers goes on in later ticks while the link has no room.
+        """
+        messages = self._round_messages(now_s)
+        if self._round is not None or now_s - self._group_sent_at_s < RELAYED_SEND_INTERVAL_S:
+            return messages
         reports = self._peers.member_reports(now_s)
         local = {row.target: row for row in rows}
         group = _busiest(_sum_rows([local, *reports.values()]))
@@ -113,11 +151,11 @@
         facts = self._facts.due(Scope.FLEET, now_s)
         unchanged = group == self._last_group and not rates and not facts
         if unchanged and now_s - self._group_sent_at_s < REFRESH_INTERVAL_S:
-            return []
+            return messages
         self._group_sent_at_s, self._last_group = now_s, group
         was_idle, self._idle = self._idle, not (totals or rates or facts)
         if was_idle and self._idle:
-            return []
+            return messages
         is_current = is_current or self._peers.any_peer_current(now_s)
         relays = {*self._relays.other_relays(), *self._peers.reporting_relays(now_s)}
         # If the relays are dead and this entry substitutes for one, the member that it polls may be
@@ -126,12 +164,27 @@
         group_rates = self._rates.report(Scope.GROUP, now_s) if rates else ()
         group_facts = self._facts.of_kinds(facts, Scope.GROUP, now_s)
         group_work = GroupWork(self._peers.local_name, group, is_current, group_rates, group_facts)
-        messages = [item for name in sorted(relays) for item in self._send(name, group_work)]
-        for name in followers:
-            if name not in relays:
-                fleet = _fleet_rows(totals, reports.get(name, {}))
-                work = FleetWork(self._peers.local_name, fleet, is_current, rates, facts)
-                messages += self._send(name, work)
+        told = [item for name in sorted(relays) for item in self._send(name, group_work)]
+        self._note_sent(group_work, len(told), now_s)
+        receivers = deque(name for name in followers if name not in relays)
+        self._round = _Round(receivers, totals, reports, is_current, rates, facts)
+        return [*messages, *told, *self._round_messages(now_s)]
+
+    def _round_messages(self, now_s: float) -> list[SendPeer]:
+        """Return the messages of the current round for which the link has room."""
+        messages: list[SendPeer] = []
+        current, size = self._round, 0
+        while current is not None and current.receivers and self._link.has_room(now_s):
+            name = current.receivers.popleft()
+            fleet = _fleet_rows(current.totals, current.reports.get(name, {}))
+            local, is_current = self._peers.local_name, current.is_current
+            work = FleetWork(local, fleet, is_current, current.rates, current.facts)
+            messages += self._send(name, work)
+            # The messages of a round differ in little but the receiver's own work.
+            size = size or (len(encode(work)) if self._link.limited else 0)
+            self._link.take(size, now_s)
+        if current is not None and not current.receivers:
+            self._round = None
         return messages
 
 
