Move the pool of idle connections to targets to a module of its own

Change: connection/target_pool.py; no line of the pool differs.

Measured: the tests of the modules concerned pass.

--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -20,7 +20,7 @@
 from filbertstream.connection.request_parser import RawRequest
 from filbertstream.connection.response_format import PassThroughFormat, ResponseFormat
 from filbertstream.connection.target_call import call_target
-from filbertstream.connection.target_connection import TargetConnectionPool
+from filbertstream.connection.target_pool import TargetConnectionPool
 from filbertstream.connection.target_probe import ask_load, probe
 from filbertstream.fleet.cold_targets import IdleConnectionLost
 from filbertstream.fleet.crash_detector import ProbeOutcome, ProbeTarget, TargetProbed
--- a/filbertstream/connection/proxied_send.py
+++ b/filbertstream/connection/proxied_send.py
@@ -13,7 +13,8 @@
 from filbertstream.connection.event_relay import EventRelay
 from filbertstream.connection.request_parser import RawRequest
 from filbertstream.connection.response_format import ResponseFormat
-from filbertstream.connection.target_connection import TargetConnection, TargetConnectionPool
+from filbertstream.connection.target_connection import TargetConnection
+from filbertstream.connection.target_pool import TargetConnectionPool
 from filbertstream.fleet.crash_detector import ProbeOutcome
 from filbertstream.log_events import LogEvent
 from filbertstream.platform.headers import Headers, encode_target_head
--- a/filbertstream/connection/target_call.py
+++ b/filbertstream/connection/target_call.py
@@ -5,7 +5,8 @@
 
 from filbertstream.connection.buffer_budget import BufferBudget
 from filbertstream.connection.response_budget import HEAD_LIMIT_BYTES
-from filbertstream.connection.target_connection import IDLE_TIMEOUT_S, TargetConnectionPool
+from filbertstream.connection.target_connection import IDLE_TIMEOUT_S
+from filbertstream.connection.target_pool import TargetConnectionPool
 from filbertstream.platform.headers import Headers
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
--- a/filbertstream/connection/target_probe.py
+++ b/filbertstream/connection/target_probe.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from filbertstream.connection.target_call import call_target
-from filbertstream.connection.target_connection import CONNECT_TIMEOUT_S, TargetConnectionPool
+from filbertstream.connection.target_pool import CONNECT_TIMEOUT_S, TargetConnectionPool
 from filbertstream.fleet.crash_detector import ProbeOutcome
 from filbertstream.platform.load_probes import encode_load_probe
 from filbertstream.process.clock import boot_time_s
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -8,7 +8,8 @@
 import pytest
 
 from bench.cold_fleet import COLD, COLD_S, Case, Fleet, new_target, registration, restart
-from filbertstream.connection.target_connection import TargetConnection, TargetConnectionPool
+from filbertstream.connection.target_connection import TargetConnection
+from filbertstream.connection.target_pool import TargetConnectionPool
 from filbertstream.fleet.cold_targets import (
     LATE_REGISTRATION_S,
     ColdRate,
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -18,7 +18,7 @@
 from filbertstream.connection.request_parser import RawRequest
 from filbertstream.connection.response_budget import HEAD_LIMIT_BYTES, SKIPPED_LIMIT_BYTES
 from filbertstream.connection.target_call import call_target
-from filbertstream.connection.target_connection import TargetConnectionPool
+from filbertstream.connection.target_pool import TargetConnectionPool
 from filbertstream.platform.headers import Headers
 from filbertstream.platform.objects import RESPONSE_LIMIT_BYTES, ObjectStore, ObjectStoreFailure
 from filbertstream.platform.runner_calls import REPORT_LIMIT_BYTES, RunnerCalls
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -24,7 +24,7 @@
 from filbertstream.cli import app
 from filbertstream.connection.listener import Listener
 from filbertstream.connection.target_call import call_target
-from filbertstream.connection.target_connection import TargetConnectionPool
+from filbertstream.connection.target_pool import TargetConnectionPool
 from filbertstream.connection.tls import ReloadingAdapter, ReloadingAuthority
 from filbertstream.messages import EntryWork, WorkRow, encode
 from filbertstream.names import digest_key
--- a/tests/test_slow_streams.py
+++ b/tests/test_slow_streams.py
@@ -12,7 +12,7 @@
 from filbertstream.connection.event_relay import EventRelay
 from filbertstream.connection.proxied_send import ProxiedCall, ProxiedSend
 from filbertstream.connection.response_format import PassThroughFormat
-from filbertstream.connection.target_connection import TargetConnectionPool
+from filbertstream.connection.target_pool import TargetConnectionPool
 from filbertstream.process.deployment import Address
 from filbertstream.request.call_events import (
     ResponseComplete,
--- a/tests/test_target_connection.py
+++ b/tests/test_target_connection.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from filbertstream.connection.target_connection import TargetConnection, TargetConnectionPool
+from filbertstream.connection.target_connection import TargetConnection
+from filbertstream.connection.target_pool import TargetConnectionPool
 from filbertstream.platform.headers import Headers
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import ResponseHead
--- a/tests/test_time_left.py
+++ b/tests/test_time_left.py
@@ -7,7 +7,8 @@
 from filbertstream.connection import caller_connection, gateway_io, proxied_send
 from filbertstream.connection.gateway_io import GatewayIO
 from filbertstream.connection.proxied_send import ProxiedSend
-from filbertstream.connection.target_connection import TargetConnection, TargetConnectionPool
+from filbertstream.connection.target_connection import TargetConnection
+from filbertstream.connection.target_pool import TargetConnectionPool
 from filbertstream.process.deployment import Address
 from filbertstream.request.call_events import WITHHELD, CallArrived, SendFailed
 from tests.gateway_world import World, sends
