Notice callers that leave while their connection isn't read, and serve no request of theirs

Callers saw nothing of it: targets went on working for callers that had left.

Cause: asyncio reports no end of a connection whose reading is paused, as behind 16 pipelined requests or while there is no memory for the next one. And where a request and the end of its connection are read in one turn of the loop, the request was sent before the end was seen.

Change: ReadPauses looks for the end ten times a second while a connection isn't read, and no request is served whose caller has closed or reset its connection by then.

An end behind more bytes than the kernel holds can't be seen.

--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -18,8 +18,9 @@
     Kind,
     Reason,
 )
+from filbertstream.connection.read_pauses import ReadPauses
 from filbertstream.connection.request_parser import RawRequest, RequestParser, kept_bytes
-from filbertstream.connection.unread_bytes import has_unread_bytes
+from filbertstream.connection.unread_bytes import has_ended, has_unread_bytes
 from filbertstream.platform.headers import encode_local_response
 from filbertstream.process.clock import boot_time_s
 from filbertstream.statuses import REASONS, TIMEOUT, UNAVAILABLE
@@ -95,7 +96,7 @@
         self._unsent_since_s = 0.0
         self._reading_since_s = self.began_s
         self.idle_since_s = self.began_s
-        self._pauses: set[str] = set()
+        self._reading = ReadPauses(self.abort)
         self._expects_continue = False
         self._close_after = False
         self._close_announced = False
@@ -109,6 +110,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timeout for the first request."""
         self.transport = cast(asyncio.Transport, transport)
+        self._reading.start(self.transport)
         self.transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
         self._set_timer(self._app.limits.idle_timeout_s, self._on_idle_timeout)
 
@@ -185,23 +187,13 @@
     def _count_requests(self) -> None:
         self._buffers.hold(self, Kind.RUNNING, self._queued_bytes + self._running_bytes)
 
-    def _pause(self, why: str) -> None:
-        if not self._pauses and self.transport is not None:
-            self.transport.pause_reading()
-        self._pauses.add(why)
-
-    def _resume(self, why: str) -> None:
-        self._pauses.discard(why)
-        if not self._pauses and self.transport is not None:
-            self.transport.resume_reading()
-
     def pause_arrival(self) -> None:
         """Stop to read until there is room."""
-        self._pause("memory")
+        self._reading.pause("memory")
 
     def resume_arrival(self) -> None:
         """Read again."""
-        self._resume("memory")
+        self._reading.resume("memory")
 
     def refuse_arrival(self, reason: Reason) -> None:
         """Refuse the request being read, which has not run, to make room."""
@@ -236,7 +228,7 @@
         self._queued_bytes += kept_bytes(raw)
         self._count_requests()
         if len(self._queued) >= PIPELINE_LIMIT:
-            self._pause("pipeline")
+            self._reading.pause("pipeline")
 
     def _next(self) -> None:
         if not self._queued:
@@ -251,10 +243,14 @@
             return
         if self._timer is not None:
             self._timer.cancel()
+        if self.transport is not None and has_ended(self.transport):
+            # The caller has left before its request was read, so nothing is to run for it.
+            self.transport.abort()
+            return
         self.busy = True
         raw, self.began_s = self._queued.popleft()
         if len(self._queued) == PIPELINE_LIMIT - 1:
-            self._resume("pipeline")
+            self._reading.resume("pipeline")
         size = kept_bytes(raw)
         self._queued_bytes -= size
         # The socket's buffer to the target may hold the body once more.
@@ -390,6 +386,7 @@
             self._app.on_disconnected(self)
         self.busy = False
         self.transport = None
+        self._reading.close()
         self._end()
         self._queued.clear()
         self._queued_bytes = self._running_bytes = 0
