Reset the connection of a cancelled send

Callers saw nothing of it: a request could reach its target after its caller had left.

Cause: a close lets the kernel deliver what it holds of the request first, over a slow or broken link seconds later.

Change: a send that is cancelled before its response is complete resets its connection, so that nothing of it is delivered any more.

Measured: test_request_of_a_departed_caller_goes_on_to_its_target failed before: all of 300,043 bytes were read by the target after the cancel; it passes now.

--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+import contextlib
 import socket
+import struct
 from collections.abc import Callable
 from typing import Final, Protocol, cast
 
@@ -32,6 +34,9 @@
 MAX_REFUSALS: Final = 64
 """Rejections after which a connection is closed; their request ids are kept."""
 
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+"""A linger time of zero, which makes the kernel drop what is unsent and reset the connection."""
+
 FIRST_FINAL_STATUS: Final = 200
 """Statuses below this are those of interim responses."""
 
@@ -121,7 +126,15 @@
         return 0 if self.transport is None else self.transport.get_write_buffer_size()
 
     def abort(self) -> None:
-        """Close at once; the sink is not called any more."""
+        """Close at once; the sink is not called any more.
+
+        A request without a response is reset: a close would let the kernel deliver the rest first.
+        """
+        if self._sink is not None and self.transport is not None and not self.closed:
+            sock: socket.socket | None = self.transport.get_extra_info("socket")
+            if sock is not None:
+                with contextlib.suppress(OSError):
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._sink = None
         self.usable = False
         self._stop_timer()
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -12,7 +12,10 @@
 
 from filbertstream.connection.buffer_budget import BufferBudget
 from filbertstream.connection.caller_connection import PIPELINE_LIMIT, CallerConnection
+from filbertstream.connection.target_pool import TargetConnectionPool
+from filbertstream.process.deployment import Address
 from tests.test_caller_connections import App, connect, request, until
+from tests.test_target_connection import Sink
 
 
 class Departures(App):
@@ -104,3 +107,35 @@
         return app.paths
 
     assert asyncio.run(play()) == []
+
+
+def test_request_of_a_departed_caller_goes_on_to_its_target() -> None:
+    """A call is cancelled while most of its request waits in the kernel of this VM."""
+
+    async def play() -> tuple[int, int]:
+        read = 0
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+            conn = await TargetConnectionPool().open(Address(*listening.getsockname()))
+            assert conn is not None
+            assert conn.transport is not None
+            sock = conn.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1_000_000)
+            head, body = b"POST / HTTP/1.1\r\nContent-Length: 300000\r\n\r\n", bytes(300_000)
+            conn.request("mine", head, Sink(), 0.0, lambda idle: None, body)
+            await asyncio.sleep(0.05)
+            assert conn.unsent_bytes == 0
+            conn.abort()
+            await asyncio.sleep(0.05)
+            target, _ = listening.accept()
+            with target:
+                target.settimeout(1.0)
+                try:
+                    while data := target.recv(65_536):
+                        read += len(data)
+                except OSError:
+                    pass
+        return read, len(head) + len(body)
+
+    read, whole = asyncio.run(play())
+    assert read < whole
