Take a response without a valid status for no response

Callers saw: a status of 600 to 999 as the answer, and nothing for their whole time, then 504, after one below 100.

Cause: every status under 200 was skipped as an interim response, so that the call went on waiting on a connection that stayed usable; a status over 599 was passed on.

Change: a status outside of 100 to 599 (RFC 9110) is malformed. Its send fails at once, and the call is sent to another target where it may be.

Measured: five cases in tests/test_target_connection.py failed before and pass now (000, 001 and 099 waited, 600 and 999 reached the caller).

--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -37,6 +37,9 @@
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 """A linger time of zero, which makes the kernel drop what is unsent and reset the connection."""
 
+STATUSES: Final = range(100, 600)
+"""The status codes of RFC 9110.  Other bytes in their place are no response."""
+
 FIRST_FINAL_STATUS: Final = 200
 """Statuses below this are those of interim responses."""
 
@@ -193,6 +196,9 @@
         if sink is None:
             return
         status = int(self._parser.get_status_code())
+        if status not in STATUSES:
+            self._break("malformed")
+            return
         response = decode_response(status, self._headers)
         names = {name for name, _ in self._headers}
         self._has_length = b"content-length" in names or b"transfer-encoding" in names
--- a/tests/test_target_connection.py
+++ b/tests/test_target_connection.py
@@ -127,6 +127,13 @@
     assert asyncio.run(exchange(sent, ending)) == expected
 
 
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"600", b"999"])
+def test_response_without_a_valid_status_is_passed_on_or_waited_out(status: bytes) -> None:
+    """A target in trouble sends a response whose status belongs to no class."""
+    sent = OWN_RESPONSE.replace(b"200", status)
+    assert asyncio.run(exchange(sent)) == Received([], b"", "malformed", False)
+
+
 def test_response_that_continues_after_a_stall_arrives_complete() -> None:
     """A target stalls for longer than the progress timeout and then sends the rest."""
 
