Wait for the end of the upload before a response without a length counts as whole

Callers saw: a part of a response as the complete answer. A target responds with 200 without a length while a long request is still being written, sends a part of the body, ends its side, and resets the connection 0.1 s later.

Cause: the end of the target's side counted as the end of the response, whatever of the request was still on its way; the connection was closed, so that the reset was never seen.

Change: the request is written on, and the response is whole once the target's kernel has acknowledged all of it. A reset before that fails the send, as does any other error.

Over TLS such an end is cut off: asyncio closes the connection at once; that is not tested.

--- a/filbertstream/connection/target_connection.py
+++ b/filbertstream/connection/target_connection.py
@@ -7,8 +7,11 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
 import struct
+import sys
+import termios
 from collections.abc import Callable
 from typing import Final, Protocol, cast
 
@@ -34,6 +37,9 @@
 MAX_REFUSALS: Final = 64
 """Rejections after which a connection is closed; their request ids are kept."""
 
+UPLOAD_CHECK_S: Final = 0.02
+"""Interval of checking whether a request has arrived whose response has ended."""
+
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 """A linger time of zero, which makes the kernel drop what is unsent and reset the connection."""
 
@@ -44,6 +50,15 @@
 """Statuses below this are those of interim responses."""
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many bytes the other side's kernel has not acknowledged, 0 if that is unknown."""
+    try:
+        count = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
 class ResponseSink(Protocol):
     """Receives the response to one send."""
 
@@ -88,6 +103,7 @@
         self._framing = FramingBudget()
         self._has_length = True
         self._in_body = False
+        self._ended = False
         self._progress_timeout_s = 0.0
         self._progress_timer: asyncio.TimerHandle | None = None
 
@@ -115,7 +131,7 @@
             raise AssertionError("request on a connection that was never opened")
         self._sink, self._request_id, self._on_idle = sink, request_id, on_idle
         self._progress_timeout_s = progress_timeout_s
-        self._skipping = self._in_body = False
+        self._skipping = self._in_body = self._ended = False
         self._framing = FramingBudget()
         if len(body) <= JOINED_BYTES:
             self.transport.write(data + body)
@@ -149,7 +165,7 @@
 
         A response that is complete pauses nothing: the connection may get another call's next.
         """
-        if self.transport is None or self.closed or self._sink is None:
+        if self.transport is None or self.closed or self._sink is None or self._ended:
             return
         if paused:
             self._stop_timer()
@@ -265,14 +281,33 @@
             self._on_idle(self)
 
     def eof_received(self) -> bool:
-        """Report the end of a response without a length; any other is cut off."""
-        sink = self._sink
-        if sink is not None and self._in_body and not self._has_length:
-            self._sink = None
-            self.usable = False
-            self._stop_timer()
+        """Report the end of a response without a length; any other is cut off.
+
+        The target may have ended its side while the request is still on its way.  It is sent on, as
+        a target that has not read it resets the connection, and then its response was not whole.
+        """
+        if self._sink is None or not self._in_body or self._has_length:
+            return False
+        self._ended = True
+        self.usable = False
+        self._stop_timer()
+        self._end_after_upload()
+        return self._sink is not None
+
+    def _end_after_upload(self) -> None:
+        """Report the end of the response once the target has received the whole request."""
+        if self.transport is None or self._sink is None:
+            return
+        sock: socket.socket | None = self.transport.get_extra_info("socket")
+        if sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._break("reset")
+        elif self.unsent_bytes or (sock is not None and unacknowledged_bytes(sock)):
+            loop = asyncio.get_running_loop()
+            self._progress_timer = loop.call_later(UPLOAD_CHECK_S, self._end_after_upload)
+        else:
+            sink, self._sink = self._sink, None
             sink.on_connection_end()
-        return False
+            self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report to the sink that its response is cut off, or to the pool that it ended idle."""
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -62,6 +62,9 @@
     def get_write_buffer_size(self) -> int:
         return 0
 
+    def get_extra_info(self, name: str) -> None:
+        """There is no socket."""
+
     def resume_reading(self) -> None:
         """Nothing is read."""
 
