Let callers leave in the gateway's soak, and check that targets don't work for them

Cause: no rule of the soak concerned callers that leave, and its callers left at their deadline only.

Change: one caller in 25 leaves 0.05 to 1.9 s after a stream that it sent, by a close or a reset, some with 24 requests written behind it. Two rules: no more than three requests reach a target over half a second after their callers left, and targets go on with no more than a quarter of the streams.

--- a/bench/gateway_callers.py
+++ b/bench/gateway_callers.py
@@ -4,6 +4,8 @@
 import contextlib
 import itertools
 import random
+import struct
+from socket import SO_LINGER, SOL_SOCKET
 from time import monotonic
 from typing import Any, Final, NamedTuple
 
@@ -16,16 +18,23 @@
 TOKENS: Final = 8
 CONNECT_S: Final = 1.0
 PLAIN: Final = ("read", "open", "book")
+STREAMED: Final = ("draft", "walk", "tour")
 ANONYMOUS: Final = ("open", "tour")
 DEADLINES_S: Final = {"draft": 6.0, "walk": 6.0, "tour": 6.0}
 DEADLINE_S: Final = 4.0
 PIECE_PAUSE_S: Final = 0.05
 MAX_RETRY_WAIT_S: Final = 0.3
 MAX_IDLE_S: Final = 0.1
+LEAVES_S: Final = (0.05, 1.9)
+WRITTEN_BEHIND: Final = 24
 
 
 class Habits(NamedTuple):
-    """How callers call; shares are of requests, or of connections for ``fresh``."""
+    """How callers call; shares are of requests, or of connections for ``fresh``.
+
+    Those that are ``leaving`` give up early and close their connections, some of them with requests
+    that they have written behind the first.
+    """
 
     kinds: tuple[str, ...] = (
         *("read", "read", "open", "book", "book"),
@@ -36,6 +45,7 @@
     pieces: float = 0.15
     long_work: float = 0.25
     crashing: float = 0.0
+    leaving: float = 0.04
 
 
 class Callers:
@@ -140,6 +150,9 @@
         """Send this many requests at most, until the connection can't be used any more."""
         while requests > 0 and self._usable and not self._callers.stopped:
             habits = self._callers.habits
+            if self._rng.random() < habits.leaving:
+                await self._leave()
+                return
             pipelined = requests > 1 and self._rng.random() < habits.pipelined
             kinds = ("read", "open") if pipelined else habits.kinds
             sent = []
@@ -152,6 +165,24 @@
             if self._usable and self._rng.random() < 0.3:
                 await asyncio.sleep(self._rng.random() * MAX_IDLE_S)
 
+    async def _leave(self) -> None:
+        """Send a stream, possibly requests behind it, read nothing, and close the connection."""
+        behind = WRITTEN_BEHIND if self._rng.random() < 0.3 else 0
+        first = self._callers.prepare(self._entry, self._rng, STREAMED)
+        others = [self._callers.prepare(self._entry, self._rng, PLAIN[:2]) for _ in range(behind)]
+        sent = [
+            await self._send(prepared._replace(pieces=[b"".join(prepared.pieces)]))
+            for prepared in (first, *others)
+        ]
+        await asyncio.sleep(self._rng.uniform(*LEAVES_S))
+        if self._rng.random() < 0.3:
+            sock = self._writer.get_extra_info("socket")
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+        self._writer.transport.abort()
+        for request in sent:
+            left = request._replace(left=True, ended_s=monotonic())
+            self._callers.requests[request.request_id] = left
+
     async def _send(self, prepared: _Prepared) -> Request:
         request = prepared.request._replace(begun_s=monotonic(), served=self._served)
         try:
--- a/bench/gateway_soak.py
+++ b/bench/gateway_soak.py
@@ -23,6 +23,7 @@
 from typing import Any, Final, NamedTuple
 
 from bench.gateway_callers import Callers
+from bench.gateway_departure_rules import runs_of_departed
 from bench.gateway_records import Exit, Observed, Route, Sample
 from bench.gateway_rules import RULES, broken
 from bench.gateway_soak_faults import DRAWN, FAULTS, World, restart_target
@@ -193,6 +194,7 @@
         counts[f"{request.route} {end} {request.status or ''}"] += 1
     counts["arrivals"] = len(seen.arrivals)
     counts["repeats"] = sum(len(sends) - 1 for sends in seen.sends().values())
+    counts["runs when their callers left"] = len(runs_of_departed(seen))
     counts["crashes"] = len(seen.crashes_s)
     counts["changes of dedicated workspaces"] = len(seen.dedications) - 1
     used = [arrival.used for arrival in seen.arrivals]
--- a/tests/test_gateway_rules.py
+++ b/tests/test_gateway_rules.py
@@ -4,11 +4,16 @@
 
 import pytest
 
+from bench.gateway_departure_rules import LATE_SHARE
 from bench.gateway_records import Dedication, Exit, Observed, Request, Route, Sample, Span
 from bench.gateway_rules import RULES, broken
 from standins.arrivals import Arrival
 
-ROUTES = {"read": Route("app", True, 2), "book": Route("app", False, 1)}
+ROUTES = {
+    "read": Route("app", True, 2),
+    "book": Route("app", False, 1),
+    "draft": Route("models", True, 2),
+}
 
 
 def request(number: int = 1, route: str = "read", **changes: Any) -> Request:
@@ -39,6 +44,7 @@
 
 
 CUT = {"status": None, "signed": False, "whole": False}
+LEFT = {**CUT, "left": True, "route": "draft", "ended_s": 20.25}
 PAUSE = [{"status": 503, "pause_s": 3.0, "ran_s": None, "ended_s": 20.1, "at_s": 20.1}]
 IN_PAUSE = [*PAUSE, *({"at_s": 21.0 + n} for n in (0.0, 0.1, 0.2))]
 LEAVES = [arrival(leaving=True), arrival(2, at_s=23.0)]
@@ -83,6 +89,22 @@
         seen([request(), request(2, begun_s=22.5)], LEAVES),
         seen([request(), request(2, begun_s=22.3)], LEAVES),
     ),
+    ("GONE arrivals", seen_of(4, LEFT, [{"at_s": 20.8}]), seen_of(4, LEFT, [{"at_s": 20.7}])),
+    (
+        "GONE arrivals",
+        seen_of(4, LEFT, [{"at_s": 20.8}]),
+        seen_of(4, LEFT, [{"at_s": 20.8}], Span("e1", "STOP", 20.1, 20.7)),
+    ),
+    (
+        "GONE runs",
+        seen_of(2, LEFT, [{"ended_s": 20.8}]),
+        seen_of(2, LEFT, [{"ended_s": 20.7}]),
+    ),
+    (
+        "GONE runs",
+        seen_of(1, LEFT, [{"ended_s": 20.8}]),
+        seen_of(1, LEFT, [{"ended_s": 20.8}, *[{"ended_s": 20.3}] * round(1 / LATE_SHARE - 1)]),
+    ),
     (
         "LOST kept",
         seen_of(4, CUT, [{}]),
