--- a/bench/guards.py
+++ b/bench/guards.py
@@ -15,6 +15,7 @@
 from typing import Final
 
 from bench.crash_guards import CRASH_GUARDS
+from bench.departure_guards import DEPARTURE_GUARDS
 from bench.evacuation_guards import EVACUATION_GUARDS
 from bench.gateway_guards import GATEWAY_GUARDS
 from bench.guard import Guard
@@ -92,6 +93,7 @@
         *ISOLATION_GUARDS,
         *EVACUATION_GUARDS,
         *SHARING_GUARDS,
+        *DEPARTURE_GUARDS,
     )
     with ThreadPoolExecutor(MAX_WORKERS) as pool:
         rows = list(zip(guards, pool.map(check_fails, guards), strict=True))
--- a/tests/test_relay_link.py
+++ b/tests/test_relay_link.py
@@ -23,7 +23,9 @@
     encode,
 )
 from filbertstream.names import rank
+from filbertstream.process import cache_updates, work_exchange
 from filbertstream.process.cache_stores import HOLDINGS_MAX_AGE_S
+from filbertstream.process.link_share import BURST_S
 from filbertstream.process.peer_work import WORK_MAX_AGE_S, EntryRecord
 from filbertstream.process.relays import MIN_RELAYS, Relays, VmResources
 from filbertstream.version.routes import CacheStore
@@ -48,7 +50,7 @@
     return [f"{int(rank(f'{seed}-{n}', 'tag') * 2**48):012x}" for n in range(count)]
 
 
-def updates(turn: int) -> list[CacheUpdate]:
+def store_updates(turn: int) -> list[CacheUpdate]:
     """Return what the readers of cache stores tell a relay in a fifth of a second."""
     per_store = ROWS_PER_S // 5 // STORES
     return [
@@ -101,7 +103,7 @@
         if tick % 8 == 0:
             for name in followers:
                 core.step(now_s, PeerMessage(work(name, tick)))
-            for update in updates(tick // 8):
+            for update in store_updates(tick // 8):
                 core.step(now_s, PeerMessage(update))
         actions += core.step(now_s, Tick())
         sent += [(now_s, item) for item in actions if isinstance(item, SendPeer)]
@@ -117,6 +119,28 @@
     assert longest_wait_s < 0.25
 
 
+@pytest.mark.parametrize(
+    ("kinds", "fraction"),
+    [
+        ((EntryWork, FleetWork, GroupWork), work_exchange.LINK_FRACTION),
+        ((CacheUpdateBatch,), cache_updates.LINK_FRACTION),
+    ],
+)
+def test_messages_of_one_purpose_take_more_than_their_share_of_the_link(
+    kinds: tuple[type, ...], fraction: float
+) -> None:
+    """Messages about work, or updates of cache stores, use what is left to requests."""
+    sizes = [
+        (now_s, len(encode(item.payload)))
+        for now_s, item in sent_by(relay_core(LINK_MBPS), 4.0)
+        if isinstance(item.payload, kinds)
+    ]
+    largest = max(size for _, size in sizes)
+    for from_s in (100.0, 101.0, 102.0, 103.0):
+        sent = sum(size for now_s, size in sizes if from_s <= now_s < from_s + 1.0)
+        assert sent <= fraction * LINK_BYTES_PER_S * (1.0 + BURST_S + TICK_S) + largest * MIN_RELAYS
+
+
 @pytest.mark.parametrize("link_mbps", [LINK_MBPS, 200.0])
 def test_what_followers_of_a_busy_relay_know_expires(link_mbps: float) -> None:
     """Each follower gets the work of the fleet and the updates of cache stores in time."""
