Keep no ended connection of a caller in a cycle of references

Ended connections would have kept their memory until a garbage collection.

Change: the method is given at the start and dropped at the end.

--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -96,7 +96,7 @@
         self._unsent_since_s = 0.0
         self._reading_since_s = self.began_s
         self.idle_since_s = self.began_s
-        self._reading = ReadPauses(self._on_left)
+        self._reading = ReadPauses()
         self._expects_continue = False
         self._close_after = False
         self._close_announced = False
@@ -110,7 +110,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timeout for the first request."""
         self.transport = cast(asyncio.Transport, transport)
-        self._reading.start(self.transport)
+        self._reading.start(self.transport, self._on_left)
         self.transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
         self._set_timer(self._app.limits.idle_timeout_s, self._on_idle_timeout)
 
--- a/filbertstream/connection/read_pauses.py
+++ b/filbertstream/connection/read_pauses.py
@@ -17,20 +17,22 @@
 class ReadPauses:
     """The reasons for which a connection is not read; it is read again once there is none.
 
-    ``start`` is called when the connection is open.  ``on_ended`` is called if the other side has
-    closed the connection during a pause.  An end behind more bytes than the kernel holds can't be
-    seen.
+    ``start`` is called when the connection is open, ``close`` when it has ended.  An end behind
+    more bytes than the kernel holds can't be seen.
     """
 
-    def __init__(self, on_ended: Callable[[], None]) -> None:
-        self._on_ended = on_ended
+    def __init__(self) -> None:
+        self._on_ended: Callable[[], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._reasons: set[str] = set()
         self._timer: asyncio.TimerHandle | None = None
 
-    def start(self, transport: asyncio.Transport) -> None:
-        """Begin with a connection that is read."""
-        self._transport = transport
+    def start(self, transport: asyncio.Transport, on_ended: Callable[[], None]) -> None:
+        """Begin with a connection that is read.
+
+        ``on_ended`` is called if the other side has closed the connection during a pause.
+        """
+        self._transport, self._on_ended = transport, on_ended
 
     def pause(self, reason: str) -> None:
         """Stop to read, if nothing else has stopped it."""
@@ -47,8 +49,8 @@
             self._stop_timer()
 
     def close(self) -> None:
-        """Forget the connection, which has ended."""
-        self._transport = None
+        """Forget the connection, so that no cycle of references keeps it."""
+        self._transport = self._on_ended = None
         self._stop_timer()
 
     def _set_timer(self) -> None:
@@ -60,7 +62,7 @@
             self._timer = None
 
     def _check(self) -> None:
-        if self._transport is None:
+        if self._transport is None or self._on_ended is None:
             return
         if has_ended(self._transport):
             self._on_ended()
