--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -10,7 +10,6 @@
 
 import pytest
 
-from filbertstream.connection.buffer_budget import BufferBudget
 from filbertstream.connection.caller_connection import PIPELINE_LIMIT, CallerConnection
 from filbertstream.connection.target_pool import TargetConnectionPool
 from filbertstream.process.deployment import Address
@@ -32,16 +31,12 @@
         self.left += 1
 
 
-def leave_by_close(sock: socket.socket) -> None:
-    sock.close()
-
-
 def leave_by_reset(sock: socket.socket) -> None:
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     sock.close()
 
 
-LEAVES = pytest.mark.parametrize("leave", [leave_by_close, leave_by_reset])
+LEAVES = pytest.mark.parametrize("leave", [socket.socket.close, leave_by_reset])
 
 
 @LEAVES
@@ -72,21 +67,12 @@
 
     async def play() -> None:
         app = Departures()
-        buffers = BufferBudget()
-        loop = asyncio.get_running_loop()
-        conns: list[CallerConnection] = []
-
-        def new_connection() -> CallerConnection:
-            conns.append(CallerConnection(app, lambda conn: None, buffers))
-            return conns[-1]
-
-        server = await loop.create_server(new_connection, "127.0.0.1", 0)
-        sock = socket.create_connection(server.sockets[0].getsockname())
-        sock.sendall(request("1/later") + request("2", b"y" * 100)[:-50])
+        caller = await connect(app)
+        await caller.send(request("1/later") + request("2", b"y" * 100)[:-50])
         await until(lambda: bool(app.paths))
         await asyncio.sleep(0.05)
-        conns[0].pause_arrival()
-        leave(sock)
+        app.connections[0].pause_arrival()
+        leave(caller.sock)
         await until(lambda: app.left > 0)
 
     asyncio.run(play())
--- a/tests/test_relay_link.py
+++ b/tests/test_relay_link.py
@@ -33,7 +33,7 @@
 from tests.helpers import rev
 
 FLEET = tuple(f"f{number}" for number in range(81))
-FOLLOWERS = 40
+FOLLOWERS = [name for name in FLEET if not Relays(name, lambda: FLEET).is_relay][:40]
 """Half of the fleet, while one of its three relays is skipped."""
 
 LINK_MBPS = 10.0
@@ -76,10 +76,6 @@
     return EntryWork(member, tuple(rows[FLEET.index(member) % 5 :: 5]))
 
 
-def followers_of(fleet: tuple[str, ...]) -> list[str]:
-    return [name for name in fleet if not Relays(name, lambda: fleet).is_relay][:FOLLOWERS]
-
-
 def relay_core(link_mbps: float) -> Gateway:
     name = next(name for name in FLEET if Relays(name, lambda: FLEET).is_relay)
     core = Gateway(GatewayConfig(name, 1, "dc1", BOUNDS, f"tcp://{name}", 7, FOLLOWED, link_mbps))
@@ -92,21 +88,18 @@
 
 def sent_by(core: Gateway, seconds: float) -> list[tuple[float, SendPeer]]:
     """Return the messages of a relay under load, with the time of each."""
-    followers = followers_of(FLEET)
-    sent = []
+    sent: list[tuple[float, SendPeer]] = []
     for tick in range(round(seconds / TICK_S)):
         now_s = 100.0 + tick * TICK_S
-        actions = []
         if tick % 20 == 0:
-            for name in followers:
+            for name in FOLLOWERS:
                 core.step(now_s, PeerMessage(ViewRequest(name, 1 + tick, {})))
         if tick % 8 == 0:
-            for name in followers:
+            for name in FOLLOWERS:
                 core.step(now_s, PeerMessage(work(name, tick)))
             for update in store_updates(tick // 8):
                 core.step(now_s, PeerMessage(update))
-        actions += core.step(now_s, Tick())
-        sent += [(now_s, item) for item in actions if isinstance(item, SendPeer)]
+        sent += [(now_s, item) for item in core.step(now_s, Tick()) if isinstance(item, SendPeer)]
     return sent
 
 
@@ -145,12 +138,9 @@
 def test_what_followers_of_a_busy_relay_know_expires(link_mbps: float) -> None:
     """Each follower gets the work of the fleet and the updates of cache stores in time."""
     sent = sent_by(relay_core(link_mbps), 6.0)
-    followers = followers_of(FLEET)
-    for kind, max_age_s in (
-        (FleetWork | GroupWork, WORK_MAX_AGE_S),
-        (CacheUpdateBatch, HOLDINGS_MAX_AGE_S),
-    ):
-        times: dict[str, list[float]] = {f"tcp://{name}": [] for name in followers}
+    limits = {FleetWork | GroupWork: WORK_MAX_AGE_S, CacheUpdateBatch: HOLDINGS_MAX_AGE_S}
+    for kind, max_age_s in limits.items():
+        times: dict[str, list[float]] = {f"tcp://{name}": [] for name in FOLLOWERS}
         for now_s, item in sent:
             if isinstance(item.payload, kind) and item.address in times:
                 times[item.address].append(now_s)
