Say in the capacity page what a relay's link bears

Cause: the page didn't know the limit on a relay's messages.

Measured: nothing new; the line is worked out from the slope of fleet_size and 32 followers.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -290,6 +290,8 @@
 - **Decisions** compare a few runners, but still filter all of a service first (healthy, not tried,
   not swapped). Change: update these sets when their inputs change.
 - **Relays** send each other their sums: 41 relays at 1,300 entries. Change: one more level.
+- **A relay's link** carries the largest messages about work to 32 followers at full rate, 1.46 MB a
+  second, only from 58 Mbit/s on, since they take a fifth of it. Below, they are sent less often.
 - **Documents** are one object: over a megabyte at 35,000 workspaces, and recompiled for each
   change. Change: an object for each group of workspaces, compiled by group.
 - **Keys** cost two writes each. Change: keys on the same shard within a short time share a write.
