Count the ages of rates and facts from their message in a round that takes several ticks

Callers saw: nothing yet, has not landed. On a small link the last followers of a round would have taken a target's rate, its end or the report of a crash for newer than it was.

Cause: what a round tells was collected at its start, and a round may go on for a third of a second.

Change: rates and facts are collected again for the messages of later ticks.

Measured: test_rate_looks_newer_than_it_is_to_the_last_followers_of_a_round failed before and passes.

--- a/filbertstream/process/work_exchange.py
+++ b/filbertstream/process/work_exchange.py
@@ -174,6 +174,11 @@
         """Return the messages of the current round for which the link has room."""
         messages: list[SendPeer] = []
         current, size = self._round, 0
+        if current is not None and now_s > self._group_sent_at_s:
+            # Their ages count from the message.
+            rates = self._rates.report(Scope.FLEET, now_s) if current.rates else ()
+            facts = self._facts.of_kinds(current.facts, Scope.FLEET, now_s)
+            current = self._round = current._replace(rates=rates, facts=facts)
         while current is not None and current.receivers and self._link.has_room(now_s):
             name = current.receivers.popleft()
             fleet = _fleet_rows(current.totals, current.reports.get(name, {}))
--- a/tests/test_relay_link.py
+++ b/tests/test_relay_link.py
@@ -28,6 +28,8 @@
 from filbertstream.process.link_share import BURST_S
 from filbertstream.process.peer_work import WORK_MAX_AGE_S, EntryRecord
 from filbertstream.process.relays import MIN_RELAYS, Relays, VmResources
+from filbertstream.process.target_registration import TargetStart
+from filbertstream.request.call import RequestRate
 from filbertstream.version.routes import CacheStore
 from tests.gateway_world import BOUNDS, FOLLOWED
 from tests.helpers import rev
@@ -52,21 +54,12 @@
 
 def store_updates(turn: int) -> list[CacheUpdate]:
     """Return what the readers of cache stores tell a relay in a fifth of a second."""
-    per_store = ROWS_PER_S // 5 // STORES
-    return [
-        CacheUpdate(
-            f"keep-{store}",
-            1,
-            (turn + 1) * per_store,
-            0.1,
-            5_000,
-            tuple(
-                CacheUpdateRow(True, "7bdbff988bc0e1df", tag, 1_500)
-                for tag in tags(per_store, turn * STORES + store)
-            ),
-        )
-        for store in range(STORES)
-    ]
+    per_store, updates = ROWS_PER_S // 5 // STORES, []
+    for store in range(STORES):
+        found = tags(per_store, turn * STORES + store)
+        rows = tuple(CacheUpdateRow(True, "7bdbff988bc0e1df", tag, 1_500) for tag in found)
+        updates.append(CacheUpdate(f"keep-{store}", 1, (turn + 1) * per_store, 0.1, 5_000, rows))
+    return updates
 
 
 def work(member: str, turn: int) -> EntryWork:
@@ -148,6 +141,16 @@
             assert max(b - a for a, b in pairwise([100.5, *at_s, 106.0])) < max_age_s
 
 
+def test_rate_looks_newer_than_it_is_to_the_last_followers_of_a_round() -> None:
+    """A limit was named right before a round, which takes a third of a second."""
+    core = relay_core(LINK_MBPS)
+    core.request_rates.on_response(TargetStart("i-1", 1), RequestRate(5.0), 100.0, 100.0)
+    sent = [(at_s, item.payload) for at_s, item in sent_by(core, 2.0)]
+    rows = [(at_s, row) for at_s, work in sent if isinstance(work, FleetWork) for row in work.rates]
+    assert len(rows) > 1
+    assert all(at_s - row.age_s < 100.01 for at_s, row in rows)
+
+
 def test_entries_with_the_smallest_links_relay() -> None:
     """Load pattern: six VMs of a large fleet have links of 200 Mbit/s, the others of 10."""
     strong = {f"f{number}" for number in range(0, 81, 14)}
