--- a/review/stand_2.py
+++ b/review/stand_2.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -68,8 +69,8 @@
 class Record:
     """What was sent, answered and run, with times since the start."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w")
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("w")
         self._from_s = now()
 
     def note(self, *words: object) -> None:
@@ -138,8 +139,8 @@
 
     async def start(self) -> None:
         """Listen."""
-        server = await asyncio.start_server(self._serve, HOST, 0)
-        self.port = server.sockets[0].getsockname()[1]
+        self.port = _free_port()
+        await asyncio.start_server(self._serve, HOST, self.port)
 
     def go_silent(self) -> int:
         """All open connections go silent for good; new ones work."""
@@ -269,15 +270,14 @@
         self.models = models or []
         self.state, self.seq, self.born = "ready", 0, int(time.time() * 1000)
         self.running = 0
-        self.port = 0
+        self.port = _free_port()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._beats: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        """Listen on the port of the last start, register, and renew the registration."""
+        """Listen, on the same port at each start, register, and renew the registration."""
         self._server = await asyncio.start_server(self._serve, HOST, self.port, backlog=512)
-        self.port = self._server.sockets[0].getsockname()[1]
         self.state, self.born = "ready", int(time.time() * 1000)
         await self.register()
         self._beats = asyncio.create_task(self._beat())
@@ -376,7 +376,7 @@
         self.name = name
         self._folder = folder
         self.callers, self.ready_port = _free_port(), _free_port()
-        first = _free_pair()
+        first = _free_port(2)
         self.settings = {
             "node_name": name,
             "role": "entry",
@@ -487,19 +487,24 @@
     """The case could not run."""
 
 
-def _free_port() -> int:
+def _can_bind(port: int) -> bool:
     with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
 
+def _free_port(count: int = 1) -> int:
+    """Return the first of some adjacent free ports.
 
-def _free_pair() -> int:
+    They lie below those that the system gives to outgoing connections.
+    """
     while True:
-        first = _free_port()
-        with socket.socket() as sock:
-            with contextlib.suppress(OSError):
-                sock.bind((HOST, first + 1))
-                return first
+        first = random.SystemRandom().randrange(12_000, 32_000)
+        if all(_can_bind(first + index) for index in range(count)):
+            return first
 
 
 def route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
@@ -560,16 +565,19 @@
 """A case in a temporary folder; returns whether the rule was broken."""
 
 
-def run_case(case: Case, folder: Path) -> None:
-    """Run a case and exit with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    record = Record(folder)
+def run_case(case: Case, path: Path) -> None:
+    """Run a case and exit with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+
+    ``path`` is that of its ``record.txt``.
+    """
+    record = Record(path)
     files = Path(tempfile.mkdtemp(prefix="review-"))
     code = 2
     try:
         broken = asyncio.run(asyncio.wait_for(case(files, record), MAX_S))
         code = 1 if broken else 0
         record.note("rule broken" if broken else "rule held")
-    except (CannotRunError, TimeoutError, OSError) as exc:
+    except Exception as exc:  # A mistake of the script must not look like a broken rule.
         record.note("could not run:", repr(exc))
     finally:
         shutil.rmtree(files, ignore_errors=True)
