--- a/filbertstream/fleet/crash_evidence.py
+++ b/filbertstream/fleet/crash_evidence.py
@@ -278,6 +278,15 @@
         begun = self._begun.get((kind, block))
         return None if begun is None else begun.at_s
 
+    def begun_by_weights(self, model: str, block: str) -> dict[int, float]:
+        """Return when a response with a block began last, by the weights of its runner."""
+        found = {
+            kind.weights: begun.at_s
+            for (kind, block_id), begun in self._begun.items()
+            if kind.model == model and block_id == block
+        }
+        return dict(sorted(found.items()))
+
     def suspected(self, model: str, blocks: Iterable[str]) -> set[str]:
         """Return the blocks among some that are not acquitted of a crash yet."""
         suspected = {block for kind, block in self._open if kind.model == model}
--- a/filbertstream/fleet/crash_verdicts.py
+++ b/filbertstream/fleet/crash_verdicts.py
@@ -23,12 +23,14 @@
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
+from filbertstream.actions import Log
 from filbertstream.fleet.crash_evidence import (
     PROVEN_S,
     Crash,
     CrashEvidence,
     IsConvicted,
 )
+from filbertstream.log_events import LogEvent
 
 CRASHES_TO_CONVICT: Final = 3
 """Crashes after which a block is convicted that was in no response before."""
@@ -53,6 +55,10 @@
 """Time after a change within which it can lead to a verdict: the evidence has settled by then."""
 
 
+LOGGED_CANDIDATES: Final = 8
+"""Blocks that a line of a verdict lists, so that its size is bounded."""
+
+
 class Verdict(NamedTuple):
     """A block that crashes runners, and the runners that it has crashed."""
 
@@ -109,6 +115,33 @@
         targets = dict.fromkeys(item.start.target_id for item in crashes)
         return Verdict(model, block, tuple(targets))
 
+    def line(self, verdict: Verdict, now_s: float) -> Log:
+        """Return the line of a verdict: its candidates, and what was known of each.
+
+        A candidate has its crashes, its depth, and the ages of the last responses with it by the
+        weights of their runners, as in ``5c1e07a2 crashes=3 depth=1 begun=1:66.2``.
+        """
+        charges = self._charges(now_s)
+        keys = sorted(
+            (key for key in charges if key[0] == verdict.model),
+            key=lambda key: (-len(charges[key].crashes), -charges[key].depth, key),
+        )
+        candidates = []
+        for key in keys[:LOGGED_CANDIDATES]:
+            begun = self._evidence.begun_by_weights(*key)
+            ages = ",".join(f"{weights}:{now_s - at_s:.1f}" for weights, at_s in begun.items())
+            charge = charges[key]
+            found = f"crashes={len(charge.crashes)} depth={charge.depth} begun={ages or 'never'}"
+            candidates.append(f"{key[1]} {found}")
+        kinds = {crash.kind for key in keys for crash in charges[key].crashes}
+        fields = (
+            ("model", verdict.model),
+            ("block", verdict.block_id),
+            ("weights", ",".join(str(kind.weights) for kind in sorted(kinds))),
+            ("candidates", "; ".join(candidates)),
+        )
+        return Log(LogEvent.CRASH_VERDICT, fields)
+
     def _charges(self, now_s: float) -> dict[tuple[str, str], _Charge]:
         charges: dict[tuple[str, str], _Charge] = {}
         for crash in self._evidence.crashes():
--- a/filbertstream/fleet/crash_watch.py
+++ b/filbertstream/fleet/crash_watch.py
@@ -55,6 +55,7 @@
         """Quarantine the blocks that the evidence convicts, and return the writes that are due."""
         actions: list[Log | Write] = [*self.detector.tick(now_s)]
         while (verdict := self.verdicts.verdict(now_s)) is not None:
+            actions.append(self.verdicts.line(verdict, now_s))
             actions += self.quarantine.add(verdict, now_s)
         if now_s >= self._expire_at_s:
             self._expire_at_s = now_s + EXPIRY_INTERVAL_S
