Keep a silent send until another target has taken its call

Cause: the silent send was cancelled as soon as another target could be tried, before that one had taken the call. The log of a cut stream: silent after 1.456 s, two rejections within 8 ms, no_target, with 13.5 s of its deadline left. Ruled out: the stop (cut without one too), the length of the timeout. Change: a silent send goes on beside the next one, until that one has responded with its head, or with its first new event if the caller has a part of the response. If the silent one responds first, the other one is cancelled. A call that has a silent send is given up at its deadline and at the end of the process only. Calls that are not retryable are sent once, as before. Handlers of calls and the rejections move to modules of their own.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -24,6 +24,7 @@
 from bench.rate_guards import RATE_GUARDS
 from bench.recovery_guards import RECOVERY_GUARDS
 from bench.sharing_guards import SHARING_GUARDS
+from bench.standby_guards import STANDBY_GUARDS
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 COPIED: Final = ("filbertstream", "bench", "standins", "tests", "configs", "docs", "pyproject.toml")
@@ -94,6 +95,7 @@
         *EVACUATION_GUARDS,
         *SHARING_GUARDS,
         *DEPARTURE_GUARDS,
+        *STANDBY_GUARDS,
     )
     with ThreadPoolExecutor(MAX_WORKERS) as pool:
         rows = list(zip(guards, pool.map(check_fails, guards), strict=True))
--- a/filbertstream/connection/event_relay.py
+++ b/filbertstream/connection/event_relay.py
@@ -20,7 +20,7 @@
     >>> relay = EventRelay(None)
     >>> relay.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
     b'id: 1\\ndata: a\\n\\n'
-    >>> relay.restart(); relay.feed(b"id: 1\\ndata: a\\n\\nid: 2\\ndata: b\\n\\n")
+    >>> relay = relay.resumed(); relay.feed(b"id: 1\\ndata: a\\n\\nid: 2\\ndata: b\\n\\n")
     b'id: 2\\ndata: b\\n\\n'
     >>> (relay.last_id, relay.complete)
     ('2', True)
@@ -43,10 +43,11 @@
         """The bytes of an event that has not ended yet."""
         return len(self._buffer)
 
-    def restart(self) -> None:
-        """Continue with the response to another send."""
-        self._buffer = bytearray()
-        self.malformed = False
+    def resumed(self) -> "EventRelay":
+        """Return a relay that continues after the last event with the response to another send."""
+        relay = EventRelay(self.last_id)
+        relay.useful_events = self.useful_events
+        return relay
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes of a response and return the complete new events among them."""
--- a/filbertstream/connection/gateway_io.py
+++ b/filbertstream/connection/gateway_io.py
@@ -208,8 +208,7 @@
         """Report to the core that a caller disconnected."""
         call_id, conn.call_id = conn.call_id, None
         if call_id is not None and call_id in self._calls:
-            send = self._calls[call_id].send
-            if send is not None and not send.over:
+            for send in self._calls[call_id].sends:
                 self._write_log(send.cancelled_line())
             self.emit(CallerDisconnected(call_id))
             self.forget_call(call_id)
@@ -217,8 +216,9 @@
     def on_pause(self, conn: CallerConnection, paused: bool) -> None:
         """Apply the caller's backpressure to the target's connection."""
         call = self._calls.get(conn.call_id or 0)
-        if call is not None and call.send is not None and call.send.target_conn is not None:
-            call.send.target_conn.pause(paused)
+        for send in [] if call is None else call.sends:
+            if send.target_conn is not None:
+                send.target_conn.pause(paused)
 
     def forget_call(self, call_id: int) -> None:
         """Drop the state of a call."""
@@ -228,7 +228,8 @@
         call = self._calls.get(action.call_id)
         if call is None:
             return
-        send = call.send = ProxiedSend(self, call, action, self._may_reach)
+        send = ProxiedSend(self, call, action, self._may_reach)
+        call.begin_send(send)
         self._tasks.start(send.begin(self.pool), "send", send.on_error)
 
     def _may_reach(self, target_id: str) -> bool:
@@ -309,25 +310,25 @@
 
         self._tasks.start(report(), "probe", lambda: on_outcome(ProbeOutcome.NO_RESPONSE))
 
-    def _current_send(self, call_id: int, number: int) -> ProxiedSend | None:
+    def _find_send(self, call_id: int, number: int) -> ProxiedSend | None:
         call = self._calls.get(call_id)
-        send = None if call is None else call.send
-        return send if send is not None and send.action.number == number else None
+        sends = [] if call is None else call.sends
+        return next((send for send in sends if send.action.number == number), None)
 
     def _relay(self, action: RelayResponse) -> None:
-        send = self._current_send(action.call_id, action.number)
+        send = self._find_send(action.call_id, action.number)
         if send is not None:
             send.relay(action.stream)
 
     def _continue(self, action: ContinueResponse) -> None:
-        send = self._current_send(action.call_id, action.number)
+        send = self._find_send(action.call_id, action.number)
         if send is not None:
             send.resume()
 
     def _cancel(self, action: CancelSend) -> None:
-        send = self._current_send(action.call_id, action.number)
-        if send is not None:
-            send.cancel()
+        call = self._calls.get(action.call_id)
+        if call is not None:
+            call.cancel_send(action.number)
 
     def _respond(self, action: RespondLocally) -> None:
         call = self._calls.pop(action.call_id, None)
--- a/filbertstream/connection/proxied_send.py
+++ b/filbertstream/connection/proxied_send.py
@@ -28,6 +28,7 @@
     ResponseStarted,
     SendCall,
     SendFailed,
+    SendProgressed,
     SendStalled,
 )
 
@@ -64,8 +65,33 @@
         self.stores_response = head.idempotency_key is not None
         self.response_format = response_format
         self.send: ProxiedSend | None = None
+        self.standby: ProxiedSend | None = None
         self.events: EventRelay | None = None
 
+    @property
+    def sends(self) -> "list[ProxiedSend]":
+        """The sends that are not over: the current one, and a silent one that it may replace."""
+        return [send for send in (self.send, self.standby) if send is not None and not send.over]
+
+    def begin_send(self, send: "ProxiedSend") -> None:
+        """Make a further send the current one; the one before goes on unless it is over."""
+        self.standby = next(iter(self.sends), None)
+        self.send = send
+
+    def cancel_send(self, number: int) -> None:
+        """Cancel a send; another one that is not over becomes the current one."""
+        for send in (self.send, self.standby):
+            if send is not None and send.action.number == number:
+                send.cancel()
+        if self.sends:
+            self.send, self.standby = self.sends[0], None
+
+    def cancel_others(self, kept: "ProxiedSend") -> None:
+        """Cancel the sends beside one."""
+        for send in self.sends:
+            if send is not kept:
+                send.cancel()
+
 
 class ProxiedSend:
     """One send of a call; receives the target's response."""
@@ -92,6 +118,7 @@
         self._body = bytearray()
         self._body_bytes = 0
         self._begun = False
+        self._own_events: EventRelay | None = None
         self._buffers: BufferBudget | None = None
         self._is_counted = False
 
@@ -113,10 +140,23 @@
                 self._call.conn.begin(head)
 
     def resume(self) -> None:
-        """Continue the caller's stream with the response to this send."""
+        """Continue the caller's stream with the response to this send.
+
+        While a silent send may still continue it, this one takes over with its first event.
+        """
         self._relays = self._streams = True
         if self._call.events is not None:
-            self._call.events.restart()
+            self._own_events = self._call.events.resumed()
+            if len(self._call.sends) <= 1:
+                self._take_over()
+
+    def _take_over(self) -> None:
+        if self._own_events is not None:
+            self._call.events, self._own_events = self._own_events, None
+
+    @property
+    def _events(self) -> EventRelay | None:
+        return self._call.events if self._own_events is None else self._own_events
 
     def on_body(self, data: bytes) -> bool:
         """Pass bytes on, or buffer them; return whether they count as progress.
@@ -126,22 +166,24 @@
         """
         if self.over or not self._relays:
             return False
-        if self._streams and self._call.events is not None:
-            events = self._call.events
+        events = self._events
+        if self._streams and events is not None:
             before = events.useful_events
             passed = events.feed(data)
             if events.useful_events > before:
-                self._report_begun()
+                self._report_progress()
+                self._take_over()
             if events.malformed:
                 self._fail("too_large")
                 return False
             if events.buffered_bytes or self._is_counted:
                 self._count(events.buffered_bytes)
-            data = self._call.response_format.events(passed) if passed else b""
+            relays = passed and self._own_events is None
+            data = self._call.response_format.events(passed) if relays else b""
             if data:
                 self._call.conn.stream(data)
             return events.useful_events > before
-        self._report_begun()
+        self._report_progress()
         self._body += data
         self._body_bytes += len(data)
         if self._body_bytes > BUFFERED_BYTES:
@@ -160,7 +202,10 @@
         if self._buffers is not None:
             self._buffers.release(self)
 
-    def _report_begun(self) -> None:
+    def _report_progress(self) -> None:
+        """Report the first progress, and any progress while this send may be replaced."""
+        if self._call.standby is self:
+            self._host.emit(SendProgressed(self.action.call_id, self.action.number))
         if not self._begun:
             self._begun = True
             self._host.emit(FirstEvent(self.action.call_id, self.action.number))
@@ -169,10 +214,12 @@
         """Finish the caller's response; a stream that ends inside an event has failed."""
         if self.over or not self._relays or self._response is None:
             return
-        events = self._call.events
+        events = self._events
         if self._streams and (events is None or not events.complete):
             self._fail("cut")
             return
+        self._take_over()
+        self._call.cancel_others(self)
         self.over = True
         body = bytes(self._body)
         self._drop_buffered()
@@ -210,7 +257,7 @@
         """
         if self.over or not self._relays:
             return
-        events = self._call.events
+        events = self._events
         if self._streams and (events is None or (events.last_id is None and not self._begun)):
             self._fail("cut")
             return
--- a/filbertstream/gateway.py
+++ b/filbertstream/gateway.py
@@ -56,20 +56,11 @@
 from filbertstream.request.admission import Admission
 from filbertstream.request.authorization import Authorizer
 from filbertstream.request.block_sources import CacheView
-from filbertstream.request.call_events import (
-    CallArrived,
-    CallerDisconnected,
-    FirstEvent,
-    LoadProbed,
-    ResponseComplete,
-    ResponseStarted,
-    SendFailed,
-    SendStalled,
-)
+from filbertstream.request.call_handlers import call_handlers
 from filbertstream.request.fair_admission import FairAdmission
 from filbertstream.request.forwarding import Forwarding
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
-from filbertstream.request.idempotency_keys import IdempotencyKeys, KeyClaimed, KeySettled
+from filbertstream.request.idempotency_keys import IdempotencyKeys, KeySettled
 from filbertstream.request.key_journal import KeyJournal, KeyRewritten
 from filbertstream.request.prompt_placer import PromptPlacer
 from filbertstream.request.rate_admission import RateAdmission
@@ -139,8 +130,8 @@
         self.document_recovery = DocumentRecovery(
             cfg.has_documents, lambda: len(self.peers.members), recovery_rng
         )
-        waits = bool(cfg.followed)
-        self.crash_watch = CrashWatch(self.peers, self.roster, waits, self.counters, rng)
+        waits_for_store = bool(cfg.followed)
+        self.crash_watch = CrashWatch(self.peers, self.roster, waits_for_store, self.counters, rng)
         self.crash_watch.facts.add("keys", self.key_journal)
         self.crash_watch.facts.add("slowness", SlownessFacts(self.roster))
         facts = self.crash_watch.facts
@@ -266,15 +257,7 @@
         self._next_lease_tick_s = 0.0
         self._was_ready = False
         self._handlers: dict[type, Callable[[Any, float], list[GatewayAction]]] = {
-            CallArrived: self._forward(self.forwarding.on_arrived),
-            ResponseStarted: self._forward(self.forwarding.on_started),
-            FirstEvent: self._forward(self.forwarding.on_first_event),
-            ResponseComplete: self._forward(self.forwarding.on_complete),
-            SendFailed: self._forward(self.forwarding.on_failed),
-            SendStalled: self._forward(self.forwarding.on_stalled),
-            CallerDisconnected: self._forward(self.forwarding.on_caller_disconnected),
-            LoadProbed: self._forward(self.forwarding.on_load_probed),
-            KeyClaimed: self._forward(self.forwarding.on_claimed),
+            **call_handlers(self.forwarding),
             KeySettled: self._on_key_settled,
             ConfigurationObserved: self._forward(self.config_observer.on_configuration),
             **self.target_registrations.handlers(),
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -35,6 +35,9 @@
     SEND_REFUSED = 309
     SEND_UNSENT = 310
     SEND_CANCELLED = 311
+    SEND_SET_ASIDE = 312
+    SEND_RESUMED = 313
+    SEND_REPLACED = 314
     TARGET_LEAVING = 400
     TARGET_EJECTED = 401
     SWAP_ORDERED = 404
@@ -99,6 +102,9 @@
     LogEvent.SEND_REFUSED: "A target did not run a request; -1: it did not report its weights.",
     LogEvent.SEND_UNSENT: "No byte of a send was written, so the call is sent again.",
     LogEvent.SEND_CANCELLED: "A send was cancelled since its caller left; what was still unsent.",
+    LogEvent.SEND_SET_ASIDE: "A send is silent; another one is tried while it goes on.",
+    LogEvent.SEND_RESUMED: "A silent send is waited for again; why the other one ended.",
+    LogEvent.SEND_REPLACED: "A silent send has ended: another one took over, or it failed.",
     LogEvent.TARGET_LEAVING: "A target is leaving, for the given state, and gets no new calls.",
     LogEvent.TARGET_EJECTED: "A target failed repeatedly and is ejected for a time.",
     LogEvent.SWAP_ORDERED: "A runner was ordered to load a weight version.",
--- a/filbertstream/request/call_endings.py
+++ b/filbertstream/request/call_endings.py
@@ -18,6 +18,7 @@
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
 from filbertstream.request.idempotency_keys import ClaimKey, SettleKey
 from filbertstream.request.prompt_placer import Rejection
+from filbertstream.request.standby_sends import FINAL_CODES, end_standby, restore
 from filbertstream.request.target_feedback import release
 from filbertstream.statuses import BAD_GATEWAY, GATEWAY_TIMEOUT, UNAVAILABLE
 
@@ -67,7 +68,13 @@
     def give_up(
         self, call: Call, code: str, now_s: float, rejected: Rejection | None = None
     ) -> list[Action]:
-        """End a call with a final error response, or abort a response that has started."""
+        """End a call with a final error response, or abort a response that has started.
+
+        A call that still has a silent send waits for that one instead while there is time.
+        """
+        if call.standby is not None and code not in FINAL_CODES:
+            self._deps.counters.add("sends_kept", call.route.kind.value)
+            return [*restore(call, code, now_s)]
         actions: list[Action] = []
         if call.target is not None:
             actions.append(CancelSend(call.call_id, call.number))
@@ -99,7 +106,8 @@
     def end(
         self, call: Call, outcome: str, now_s: float, response: BufferedResponse | None = None
     ) -> list[Action]:
-        """Drop a call and record its outcome."""
+        """Drop a call, with the silent send that it may still have, and record its outcome."""
+        standby = end_standby(call, outcome, now_s)
         del self._calls[call.call_id]
         self._deps.counters.add("calls_ended", outcome)
         workspace = call.workspace
@@ -112,4 +120,4 @@
                 workspace.name, workspace_limits.within, now_s, missed, call.first_s
             )
         settled = self._deps.idempotency_keys.end(call, response, now_s)
-        return [*settled, call_logs.finished(call, outcome, now_s)]
+        return [*standby, *settled, call_logs.finished(call, outcome, now_s)]
--- a/filbertstream/request/call_events.py
+++ b/filbertstream/request/call_events.py
@@ -86,6 +86,13 @@
     last_event_id: str | None
 
 
+class SendProgressed(NamedTuple):
+    """A send that had stalled makes progress again while another one is tried."""
+
+    call_id: int
+    number: int
+
+
 class CallerDisconnected(NamedTuple):
     """The caller closed its connection before its response was complete."""
 
@@ -189,6 +196,7 @@
     | ResponseComplete
     | SendFailed
     | SendStalled
+    | SendProgressed
     | CallerDisconnected
     | LoadProbed
 )
--- a/filbertstream/request/call_logs.py
+++ b/filbertstream/request/call_logs.py
@@ -70,7 +70,7 @@
     fields = (
         _id(call),
         ("target", target.target_id),
-        ("send", call.number + 1),
+        ("send", call.sends + 1),
         ("running", target.running(now_s)),
         ("own", target.outstanding),
         ("load_age_s", round(now_s - target.load_at_s, 3)),
@@ -103,6 +103,31 @@
     return Log(LogEvent.ATTEMPT_FAILED, fields)
 
 
+def set_aside(call: Call, now_s: float) -> Log:
+    """Return the line of a silent send that goes on while another one is tried."""
+    return Log(LogEvent.SEND_SET_ASIDE, _send_fields(call, now_s))
+
+
+def resumed(call: Call, cause: str, now_s: float) -> Log:
+    """Return the line of a send that is the current one again; ``cause`` ended the other one."""
+    return Log(LogEvent.SEND_RESUMED, (*_send_fields(call, now_s), ("cause", cause)))
+
+
+def replaced(call: Call, cause: str, now_s: float) -> Log:
+    """Return the line of a silent send that has ended since another one took over or it failed."""
+    return Log(LogEvent.SEND_REPLACED, (*_send_fields(call, now_s), ("cause", cause)))
+
+
+def _send_fields(call: Call, now_s: float) -> LogFields:
+    return (
+        _id(call),
+        ("target", call.target.target_id if call.target else ""),
+        ("send", call.number),
+        ("age_s", round(now_s - call.sent_at_s, 3)),
+        ("stage", call.stage.value),
+    )
+
+
 def _shared_blocks(call: Call) -> str:
     """Return the ids of the first blocks of a prompt except its last one, which no other has."""
     prompt = call.head.prompt
@@ -122,7 +147,7 @@
         _id(call),
         ("route", call.route.name),
         ("outcome", outcome),
-        ("sends", call.number),
+        ("sends", call.sends),
         ("may_have_run", call.may_have_run),
         ("first_s", -1.0 if call.first_s is None else round(call.first_s, 3)),
         ("seconds", round(now_s - call.arrived_s, 3)),
--- a/filbertstream/request/call_state.py
+++ b/filbertstream/request/call_state.py
@@ -30,11 +30,28 @@
     answered: set[str]
 
 
+@dataclass
+class SendState:
+    """The state of one send; the fields are those of ``Call``."""
+
+    number: int
+    target: RosterTarget | None
+    sent_at_s: float
+    silent_since_s: float
+    prefill_tokens: int
+    ahead_tokens: int
+    weights: int | None
+    stage: SendStage
+    succeeds: bool
+
+
 @dataclass
 class Call:
     """One call in progress.
 
-    ``number`` counts all sends of the call, ``attempts`` only those that may have run.
+    ``number`` is that of the current send, ``sends`` counts all of them, ``attempts`` only those
+    that may have run.  ``standby`` is a silent send that goes on until the current one responds.
+    ``silent_since_s`` is when the current send was last given time to respond.
     ``response_started`` is whether the caller has received a part of a response, ``stage`` how far
     the response to the current send has come.  ``claiming`` is set while the
     claim of the idempotency key is pending.  ``weights`` is the weight version that the current
@@ -54,9 +71,12 @@
     arrived_s: float
     ends_at_s: float
     number: int = 0
+    sends: int = 0
     attempts: int = 0
+    standby: SendState | None = None
     target: RosterTarget | None = None
     sent_at_s: float = 0.0
+    silent_since_s: float = 0.0
     prefill_tokens: int = 0
     ahead_tokens: int = 0
     weights: int | None = None
@@ -79,6 +99,29 @@
     work: WorkEstimate | None = None
     actual_work: float | None = None
 
+    def take_send(self) -> SendState:
+        """Return the state of the current send, and leave the call without one."""
+        state = SendState(
+            self.number,
+            self.target,
+            self.sent_at_s,
+            self.silent_since_s,
+            self.prefill_tokens,
+            self.ahead_tokens,
+            self.weights,
+            self.stage,
+            self.succeeds,
+        )
+        self.target, self.prefill_tokens = None, 0
+        return state
+
+    def put_send(self, state: SendState) -> None:
+        """Make a send the current one."""
+        self.number, self.target = state.number, state.target
+        self.sent_at_s, self.silent_since_s = state.sent_at_s, state.silent_since_s
+        self.prefill_tokens, self.ahead_tokens = state.prefill_tokens, state.ahead_tokens
+        self.weights, self.stage, self.succeeds = state.weights, state.stage, state.succeeds
+
     @property
     def memory_tokens(self) -> int:
         """The most tokens of KV cache memory that the call can occupy on a runner."""
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -29,6 +29,7 @@
     ResponseStarted,
     SendCall,
     SendFailed,
+    SendProgressed,
     SendStalled,
 )
 from filbertstream.request.call_state import Call, SendStage
@@ -38,8 +39,10 @@
 from filbertstream.request.load_probes import LoadProbes
 from filbertstream.request.prompt_placer import Rejection
 from filbertstream.request.prompt_screening import HOLD_RECHECK_S, PromptScreening
+from filbertstream.request.rejections import Rejections
 from filbertstream.request.send_failures import TARGET_ERROR, SendFailures, note_progress
 from filbertstream.request.send_timeouts import max_idle_s, progress_timeout_s
+from filbertstream.request.standby_sends import StandbySends, end_standby, restore
 from filbertstream.request.target_feedback import TargetFeedback, release
 from filbertstream.request.target_selection import TargetSelection
 from filbertstream.statuses import (
@@ -52,16 +55,6 @@
 )
 from filbertstream.version.routes import CallKind, Engine
 
-QUEUE_RETRY_S: Final = 0.1
-"""How long a call that every target has rejected is queued before it is sent again."""
-
-QUEUE_TIME_FRACTION: Final = 0.35
-"""The fraction of its latency objective up to which a call is queued in this way.  By then a runner
-that loads weights is ready again, and a caller that is refused would retry later than that."""
-
-MAX_EXTRA_SENDS: Final = 2
-"""Sends beyond the route's attempts, after responses that prove that the call has not run."""
-
 LOWEST_PRIORITY: Final = 9
 
 
@@ -77,6 +70,10 @@
         self._crashes = CrashReports(dependencies)
         self._screening = PromptScreening(dependencies, self._endings, self._crashes)
         self._probes = LoadProbes(dependencies)
+        self._standbys = StandbySends(dependencies, self._feedback, self._crashes)
+        self._rejections = Rejections(
+            dependencies, self._endings, self._feedback, self._selection, self._send
+        )
         self._failures = SendFailures(
             dependencies,
             self._endings,
@@ -163,7 +160,7 @@
         targets = self._selection.candidates(call, now_s)
         target, inputs = self._deps.work.place_call(call, targets, self._deps.data_center, now_s)
         if target is None:
-            return self._queue_or_give_up(call, now_s)
+            return self._rejections.queue_or_give_up(call, now_s)
         cache = self._deps.prompt_placer.directives_without_placement(call, now_s)
         return self._send_to(call, target, cache, now_s, inputs)
 
@@ -176,27 +173,6 @@
         call.queued_until_s = None
         return [*logs, *self._send(call, now_s)]
 
-    def _queue_or_give_up(self, call: Call, now_s: float) -> list[Action]:
-        """Queue a call for a short time if targets have only rejected it so far, or give up."""
-        barred = self._selection.reject_by_bars(call, now_s)
-        if barred is not None:
-            return self._endings.give_up(call, barred[0], now_s, barred[1])
-        limited = self._selection.reject_by_rate(call, now_s)
-        if limited is not None:
-            return self._endings.give_up(call, limited.code or "rate_limited", now_s, limited)
-        queue_end_s = call.arrived_s + QUEUE_TIME_FRACTION * call.route.objective_s
-        paused = self._selection.reject_by_pauses(call, now_s)
-        wait_s = QUEUE_RETRY_S if paused is None else max(QUEUE_RETRY_S, paused.retry_after_s or 0)
-        if not call.rejections or call.may_have_run or now_s + wait_s > queue_end_s:
-            code = "no_target" if paused is None else "targets_paused"
-            rejection = paused or Rejection(NO_TARGET_RETRY_S, ())
-            explained = self._selection.with_reasons(call, rejection, now_s)
-            return self._endings.give_up(call, code, now_s, explained)
-        call.queued_until_s = now_s + QUEUE_RETRY_S
-        call.tried.clear()
-        self._deps.counters.add("calls_parked", call.route.kind.value)
-        return []
-
     def _send_prompt(self, call: Call, engine: Engine, now_s: float) -> list[Action]:
         candidates = self._selection.candidates(call, now_s)
         probes = self._probes.begin(call, engine, candidates, now_s)
@@ -205,7 +181,7 @@
         answered = self._probes.answered(call, candidates)
         placed = self._deps.prompt_placer.place(call, engine, candidates, now_s, answered)
         if placed is None:
-            return self._queue_or_give_up(call, now_s)
+            return self._rejections.queue_or_give_up(call, now_s)
         if isinstance(placed, Rejection):
             return self._endings.give_up(call, "overloaded", now_s, placed)
         call.prefill_tokens, call.ahead_tokens = placed.prefill_tokens, placed.ahead_tokens
@@ -226,10 +202,11 @@
         if limit is not None:
             inputs = (("limit_per_s", limit), *inputs)
         line = call_logs.placed(call, target, inputs, now_s)
-        call.number += 1
+        call.sends += 1
+        call.number = call.sends
         call.attempts += 1
         call.target = target
-        call.sent_at_s = now_s
+        call.sent_at_s = call.silent_since_s = now_s
         call.stage = SendStage.WAITING
         call.tried.add(target.target_id)
         target.outstanding += 1
@@ -260,13 +237,27 @@
         call = self.calls.get(call_id)
         return call if call is not None and call.number == number and call.target else None
 
+    def _with_standby(self, call_id: int, number: int) -> Call | None:
+        call = self.calls.get(call_id)
+        standby = None if call is None else call.standby
+        return call if standby is not None and standby.number == number else None
+
+    def on_progressed(self, event: SendProgressed, now_s: float) -> list[Action]:
+        """Go on with a silent send that makes progress again, and cancel the other one."""
+        call = self._with_standby(event.call_id, event.number)
+        return [] if call is None else [*restore(call, "progress", now_s)]
+
     def on_started(self, event: ResponseStarted, now_s: float) -> list[Action]:
         """Handle the head of a response."""
+        silent = self._with_standby(event.call_id, event.number)
+        logs: list[Action] = []
+        if silent is not None:
+            logs += self._standbys.on_head(silent, event.response, now_s)
         call = self._current(event.call_id, event.number)
         if call is None or call.target is None:
-            return []
+            return logs
         self._crashes.note_response(call.target, now_s)
-        logs = self._feedback.note_notices(call.sent_at_s, call.target, event.response, now_s)
+        logs += self._feedback.note_notices(call.sent_at_s, call.target, event.response, now_s)
         return [*logs, *self._on_head(call, call.target, event, now_s)]
 
     def _on_head(
@@ -276,12 +267,15 @@
         response = event.response
         self._feedback.note_head(call, target, response, now_s)
         if response.not_run or response.status == MISDIRECTED:
-            return self._on_rejected(call, event, now_s)
+            return self._rejections.on_rejected(call, event, now_s)
         call.may_have_run = True
         if response.encoded or (response.status < MULTIPLE_CHOICES and not response.signed):
             return self._failures.fail(call, event.number, "malformed", now_s)
-        if response.status >= INTERNAL_SERVER_ERROR and self._failures.may_retry(call, now_s):
-            return self._failures.fail(call, event.number, TARGET_ERROR, now_s)
+        if response.status >= INTERNAL_SERVER_ERROR:
+            if self._failures.may_retry(call, now_s):
+                return self._failures.fail(call, event.number, TARGET_ERROR, now_s)
+            if call.standby is not None:
+                return self._endings.give_up(call, TARGET_ERROR, now_s)
         call.stage = SendStage.HEAD
         call.succeeds = response.status < MULTIPLE_CHOICES
         if call.response_started:
@@ -292,28 +286,16 @@
         stream = call.route.kind is CallKind.STREAM and response.status == OK
         call.response_started, call.content_type = stream, response.content_type
         self._feedback.note_latency(call, target, now_s)
-        return [RelayResponse(call.call_id, call.number, stream)]
-
-    def _on_rejected(self, call: Call, event: ResponseStarted, now_s: float) -> list[Action]:
-        """Send a call again that its target rejected without running it, or give up."""
-        target = release(call)
-        call.attempts -= 1
-        call.rejections += 1
-        response = event.response
-        actions: list[Action] = [CancelSend(call.call_id, event.number)]
-        self._deps.counters.add("sends_refused", str(response.status))
-        actions.append(call_logs.not_run(call, target, response))
-        if target is not None:
-            self._feedback.note_rejection(call, target, response, now_s)
-        if call.rejections <= MAX_EXTRA_SENDS and self._deps.budget.take(call.service.name, now_s):
-            return [*actions, *self._send(call, now_s)]
-        return [*actions, *self._endings.give_up(call, "targets_full", now_s)]
+        ended = end_standby(call, "replaced", now_s)
+        return [*ended, RelayResponse(call.call_id, call.number, stream)]
 
     def on_first_event(self, event: FirstEvent, now_s: float) -> list[Action]:
-        """Record that a response has begun, and when."""
+        """Record that a response has begun, and when; of two sends the other one ends."""
+        silent = self._with_standby(event.call_id, event.number)
+        actions: list[Action] = [] if silent is None else [*restore(silent, "progress", now_s)]
         call = self._current(event.call_id, event.number)
         if call is None or call.target is None:
-            return []
+            return actions
         call.stage = SendStage.BEGUN
         call.target.work.began(call.call_id, now_s)
         if call.response_started:
@@ -321,10 +303,14 @@
         if call.first_s is None:
             call.first_s = now_s - call.arrived_s
             self._deps.latencies.note(f"{call.route.name} first event", call.first_s)
-        return []
+        return [*actions, *end_standby(call, "replaced", now_s)]
 
     def on_complete(self, event: ResponseComplete, now_s: float) -> list[Action]:
         """End a call whose complete response has been relayed."""
+        silent = self._with_standby(event.call_id, event.number)
+        actions: list[Action] = []
+        if silent is not None:
+            actions += restore(silent, "complete", now_s)
         call = self._current(event.call_id, event.number)
         if call is None:
             return []
@@ -334,15 +320,19 @@
         target = release(call)
         if target is not None:
             self._deps.roster.outliers.succeeded(target.target_id)
-        return self._endings.end(call, "complete", now_s, event.response)
+        return [*actions, *self._endings.end(call, "complete", now_s, event.response)]
 
     def on_failed(self, event: SendFailed, now_s: float) -> list[Action]:
         """Retry a call after a send without a complete response, or give up."""
+        silent = self._with_standby(event.call_id, event.number)
+        if silent is not None:
+            note_progress(silent, event)
+            return [*self._standbys.on_failed(silent, event.cause, event.sent, now_s)]
         call = self._current(event.call_id, event.number)
         return [] if call is None else self._failures.on_failed(call, event, now_s)
 
     def on_stalled(self, event: SendStalled, now_s: float) -> list[Action]:
-        """Resume a stalled response on another target if that is allowed, or keep waiting.
+        """Try to resume a stalled response on another target if that is allowed; keep waiting.
 
         A runner that is short of memory preempts a run and continues it later, so a stall alone
         does not end a response.
--- a/filbertstream/request/send_failures.py
+++ b/filbertstream/request/send_failures.py
@@ -1,7 +1,8 @@
 """Decides what follows when a send fails, stalls or gets no response: another send, or the end.
 
 A call that is not retryable is given up.  A retryable one is sent to another target, within the
-route's limit on attempts and the shared retry budget.  A call that may have crashed its runner is
+route's limit on attempts and the shared retry budget.  A send that is only silent goes on until
+the other one responds (``request.standby_sends``).  A call that may have crashed its runner is
 held back until the evidence of the fleet clears it, and is given up if it does not.
 """
 
@@ -15,6 +16,7 @@
 from filbertstream.request.crash_reports import CrashReports
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
 from filbertstream.request.send_timeouts import response_timeout_s
+from filbertstream.request.standby_sends import set_aside
 from filbertstream.request.target_feedback import TargetFeedback, release
 from filbertstream.request.target_selection import TargetSelection
 
@@ -104,20 +106,20 @@
         return self._endings.give_up(call, "target_crashed", now_s)
 
     def retry_stalled(self, call: Call, now_s: float) -> list[Action]:
-        """Replace a send without a response or progress by another one.
+        """Try another target beside a send without a response or progress.
 
         The caller of this method has consumed retry budget for it.
         """
         call.may_have_run = True
         self._feedback.note_unanswered(call, now_s)
-        cancel = CancelSend(call.call_id, call.number)
         log = call_logs.attempt_failed(call, "silent", now_s)
         call.failed_sends += 1
-        target = release(call)
+        target = call.target
+        kept = set_aside(call, now_s)
         if target is not None:
             self._feedback.note_failure(target, now_s)
         self._deps.counters.add("repeats", "silent")
-        return [cancel, log, *self._send(call, now_s)]
+        return [log, *kept, *self._send(call, now_s)]
 
     def is_overdue(self, call: Call, now_s: float) -> bool:
         """Whether a retryable call has waited too long for the head of its response."""
@@ -126,7 +128,7 @@
         latencies, name = self._deps.latencies, call.route.name
         rate = call.target.prefill.rate_per_s
         timeout_s = response_timeout_s(call, latencies.mean_s(name), latencies.high_s(name), rate)
-        return now_s - call.sent_at_s > timeout_s
+        return now_s - call.silent_since_s > timeout_s
 
 
 def note_progress(call: Call, event: SendFailed | SendStalled) -> None:
