Let a call whose run has failed wait for room while all targets are full

What callers saw: a stream that its runner broke off was cut at once when the other runners rejected it, although they were full for a moment only. Cause: a call that may have run was given up with the last rejection; only calls that have not run were queued.

--- a/bench/standby_guards.py
+++ b/bench/standby_guards.py
@@ -1,4 +1,4 @@
-"""Guards of sends that are silent while another target is tried."""
+"""Guards of sends that are silent while another target is tried, and of waits for room."""
 
 from typing import Final
 
@@ -45,6 +45,14 @@
         "pass",
         SENDS + "test_full_targets_are_not_asked_again_while_a_stream_is_silent",
     ),
+    Guard(
+        "a stream that was broken off waits for room",
+        "request/rejections.py",
+        "return now_s + ROOM_RETRY_S < until_s",
+        "return False",
+        SENDS
+        + "test_stream_that_was_broken_off_ends_while_the_other_targets_are_full_for_a_moment",
+    ),
     Guard(
         "a resumed stream takes over with its first event",
         "connection/proxied_send.py",
--- a/filbertstream/request/call_state.py
+++ b/filbertstream/request/call_state.py
@@ -51,7 +51,8 @@
 
     ``number`` is that of the current send, ``sends`` counts all of them, ``attempts`` only those
     that may have run.  ``standby`` is a silent send that goes on until the current one responds.
-    ``silent_since_s`` is when the current send was last given time to respond.
+    ``silent_since_s`` is when the current send was last given time to respond, and
+    ``interrupted_s`` when a send last failed.
     ``response_started`` is whether the caller has received a part of a response, ``stage`` how far
     the response to the current send has come.  ``claiming`` is set while the
     claim of the idempotency key is pending.  ``weights`` is the weight version that the current
@@ -77,6 +78,7 @@
     target: RosterTarget | None = None
     sent_at_s: float = 0.0
     silent_since_s: float = 0.0
+    interrupted_s: float = 0.0
     prefill_tokens: int = 0
     ahead_tokens: int = 0
     weights: int | None = None
--- a/filbertstream/request/send_failures.py
+++ b/filbertstream/request/send_failures.py
@@ -78,6 +78,7 @@
         reports = self._crashes.note_failure(call, cause, now_s)
         self._deps.counters.add("sends_failed", cause)
         call.failed_sends += 1
+        call.interrupted_s = now_s
         actions: list[Action] = [CancelSend(call.call_id, number), log, *reports]
         target = release(call)
         if target is not None:
--- a/filbertstream/request/send_timeouts.py
+++ b/filbertstream/request/send_timeouts.py
@@ -54,6 +54,20 @@
 retry adds to the load that causes the wait."""
 
 
+PATIENCE_MIN_S: Final = 2.0
+PATIENCE_OBJECTIVES: Final = 4.0
+PATIENCE_GAPS: Final = 8.0
+"""A caller waits for the next part of its response for this many latency or gap objectives, and at
+least for ``PATIENCE_MIN_S``."""
+
+
+def patience_s(call: Call) -> float:
+    """Return how long the caller waits for the next part of its response before it leaves."""
+    gap_s = call.route.gap_objective_s or 0.0
+    objective_s = call.route.objective_s
+    return max(PATIENCE_MIN_S, PATIENCE_OBJECTIVES * objective_s, PATIENCE_GAPS * gap_s)
+
+
 def max_idle_s(call: Call) -> float:
     """Return how long a connection may have been idle before it is used for a call."""
     if call.failed_sends:
--- a/tests/test_standby_sends.py
+++ b/tests/test_standby_sends.py
@@ -193,3 +193,23 @@
     played.step(ResponseStarted(played.call_id, again[0].number, response_head()))
     played.step(FirstEvent(played.call_id, again[0].number))
     assert played.open == {again[0].number}
+
+
+def test_stream_that_was_broken_off_ends_while_the_other_targets_are_full_for_a_moment() -> None:
+    """A runner ends in the middle of a stream; all others are full for 0.8 s."""
+    world = World()
+    serve_calls(world, "draft")
+    (first,) = sends(world.arrive("draft"))
+    call_id = world.calls
+    world.step(ResponseStarted(call_id, first.number, response_head()))
+    world.step(FirstEvent(call_id, first.number))
+    found = sends(world.step(SendFailed(call_id, first.number, "cut", True, True, "5")))
+    full_until_s = world.now_s + 0.8
+    while world.now_s < full_until_s or not found:
+        assert world.now_s < full_until_s + 2.0
+        while found:
+            actions = world.step(ResponseStarted(call_id, found[0].number, REJECTED))
+            assert not [item for item in actions if isinstance(item, ENDS)]
+            found = sends(actions)
+        found = [item for item in sends(world.run(0.1)) if item.call_id == call_id]
+    assert found[0].last_event_id == "5"
