Put sound blocks around the one that crashes targets in the soak, and hold prompts with them to a rule

Change: the block comes before, between and behind sound ones, mostly with a block that few sound prompts have. Rule "LOST crashes": sound prompts with a shared block begin half as often as before at least, from twice the time of contact after the fifth crash, where 20 of each were sent in calm.

--- a/bench/gateway_callers.py
+++ b/bench/gateway_callers.py
@@ -29,6 +29,12 @@
 WRITTEN_BEHIND: Final = 24
 
 
+BLOCK_TOKENS: Final = {"a": 800, "b": 300}
+RARE_BLOCK: Final = "rare"
+RARE_SHARE: Final = 0.15
+RARE_BESIDE_CRASHES: Final = 0.7
+
+
 class Habits(NamedTuple):
     """How callers call; shares are of requests, or of connections for ``fresh``.
 
@@ -92,13 +98,14 @@
         tenant = None if route in ANONYMOUS else rng.choice(sorted(KEYS))
         if tenant is not None:
             headers["X-Api-Key"] = KEYS[tenant]
+        blocks: tuple[str, ...] = ()
         body = b"x" * rng.choice((0, 2, 300, 5000))
         if route not in PLAIN:
             body = msgspec.json.encode({"prompt": request_id})
-            blocks = [f"a{rng.randint(1, 3)}:800", f"b{rng.randint(1, 12)}:300"]
-            if rng.random() < self.habits.crashing:
-                blocks.append(f"{self._crash_block}:200")
-            prefix = ",".join([*blocks, f"c{request_id}:100"])
+            blocks = (f"a{rng.randint(1, 3)}", f"b{rng.randint(1, 12)}")
+            blocks = self._shaped(request_id, blocks, rng.random() < self.habits.crashing)
+            shared = [f"{block}:{BLOCK_TOKENS.get(block[0], 200)}" for block in blocks]
+            prefix = ",".join([*shared, f"c{request_id}:100"])
             headers |= {"Model": MODEL, "Token-Count": f"1200,{TOKENS}", "Prefix-Hash": prefix}
         in_pieces = bool(body) and rng.random() < self.habits.pieces
         if in_pieces and rng.random() < 0.5:
@@ -112,9 +119,23 @@
         lines = [f"POST /{route}/x HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items()), "", ""]
         head = "\r\n".join(lines).encode()
         pieces = [head, *body_pieces] if in_pieces else [head + body]
-        request = Request(request_id, entry, route, 0.0, deadline_s, tenant=tenant)
+        request = Request(request_id, entry, route, 0.0, deadline_s, tenant=tenant, blocks=blocks)
         return _Prepared(request, pieces, len(body))
 
+    def _shaped(self, request_id: str, blocks: tuple[str, ...], crashing: bool) -> tuple[str, ...]:
+        """Return the shared blocks of a prompt.
+
+        A block that crashes targets comes before, between and behind sound ones, mostly with one
+        that few of the sound prompts have.
+        """
+        rng = random.Random(request_id)
+        if rng.random() < (RARE_BESIDE_CRASHES if crashing else RARE_SHARE):
+            blocks = (*blocks, RARE_BLOCK)
+        if crashing:
+            place = rng.randint(0, len(blocks))
+            blocks = (*blocks[:place], self._crash_block, *blocks[place:])
+        return blocks
+
 
 class _Prepared(NamedTuple):
     request: Request
--- a/bench/gateway_records.py
+++ b/bench/gateway_records.py
@@ -30,7 +30,7 @@
     ``served`` counts the answers on its connection before it.  ``sent_s`` is when the last byte was
     sent, if it was.  ``signed`` says whether the answer bore the signature for this request,
     ``matches`` whether its body, or the part that came, is what a target makes for this request.
-    ``left`` says that the caller gave up.
+    ``left`` says that the caller gave up, ``blocks`` are the shared ones of a prompt.
     """
 
     request_id: str
@@ -47,6 +47,7 @@
     ended_s: float = 0.0
     left: bool = False
     tenant: str | None = None
+    blocks: tuple[str, ...] = ()
 
 
 class Span(NamedTuple):
--- a/bench/gateway_soak.py
+++ b/bench/gateway_soak.py
@@ -22,6 +22,7 @@
 from time import monotonic
 from typing import Any, Final, NamedTuple
 
+import bench.gateway_crash_rules  # noqa: F401  (registers its rule)
 from bench.gateway_callers import Callers
 from bench.gateway_departure_rules import runs_of_departed
 from bench.gateway_records import Exit, Observed, Route, Sample
--- a/tests/test_gateway_rules.py
+++ b/tests/test_gateway_rules.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bench.gateway_crash_rules import LEAST_REQUESTS
 from bench.gateway_departure_rules import LATE_SHARE
 from bench.gateway_records import Dedication, Exit, Observed, Request, Route, Sample, Span
 from bench.gateway_rules import RULES, broken
@@ -43,6 +44,20 @@
     return seen(requests, arrivals, spans=list(spans), **changes)
 
 
+def beside_crashes(status: int, share: float = 1.0) -> Observed:
+    """Sound prompts that begin before the crashes, and a share with a status after them."""
+    sound = {"route": "draft", "blocks": ("a", "b")}
+    refused = round(share * LEAST_REQUESTS)
+    numbers = range(LEAST_REQUESTS)
+    before = [request(number, **sound, begun_s=0.5) for number in numbers]
+    after = [
+        request(100 + number, **sound, begun_s=12.0, status=status if number < refused else 200)
+        for number in numbers
+    ]
+    last = request(999, route="draft", blocks=("a", "x"), begun_s=13.0)
+    return seen([*before, *after, last], [], crash_block="x", crashes_s=CRASHES_S)
+
+
 CUT = {"status": None, "signed": False, "whole": False}
 LEFT = {**CUT, "left": True, "route": "draft", "ended_s": 20.25}
 PAUSE = [{"status": 503, "pause_s": 3.0, "ran_s": None, "ended_s": 20.1, "at_s": 20.1}]
@@ -84,6 +99,8 @@
         seen_of(4, {}, [{"blocks": "a:1,x:2"}], crash_block="x", crashes_s=CRASHES_S),
         seen_of(4, {}, [{"blocks": "a:1,y:2"}], crash_block="x", crashes_s=CRASHES_S),
     ),
+    ("LOST crashes", beside_crashes(503), beside_crashes(503, 0.5)),
+    ("LOST crashes", beside_crashes(503), beside_crashes(200)),
     (
         "DRAIN",
         seen([request(), request(2, begun_s=22.5)], LEAVES),
