Go on with the other send when a silent one responds with an error

Cause: a long run of test_calls_machine drew a second head, with 404, of a silent send whose stream had begun: the other send was cancelled for it, and then the response could not be continued, so the call ended. The same happened with a late response that is unsigned or encoded. Change: the silent send ends instead, unless its response can be relayed.

--- a/filbertstream/request/standby_sends.py
+++ b/filbertstream/request/standby_sends.py
@@ -18,7 +18,7 @@
 from filbertstream.request.crash_reports import CrashReports
 from filbertstream.request.forwarding_dependencies import ForwardingDependencies
 from filbertstream.request.target_feedback import TargetFeedback, release
-from filbertstream.statuses import INTERNAL_SERVER_ERROR, MISDIRECTED
+from filbertstream.statuses import INTERNAL_SERVER_ERROR, MISDIRECTED, MULTIPLE_CHOICES, OK
 
 FINAL_CODES: Final = frozenset({"deadline", "stopping"})
 """Ends of a call that do not leave time to wait for a silent send."""
@@ -89,11 +89,11 @@
         self._crashes = crashes
 
     def on_head(self, call: Call, response: ResponseHead, now_s: float) -> list[Action]:
-        """Make a silent send current whose response has arrived, or end it if that is an error."""
+        """Make a silent send current whose response can be relayed, or end it."""
         if call.standby is None:
             return []
         not_run = response.not_run or response.status == MISDIRECTED
-        if not not_run and response.status < INTERNAL_SERVER_ERROR:
+        if not not_run and _can_be_relayed(call, response):
             return restore(call, "responded", now_s)
         target = call.standby.target
         logs: list[Action] = []
@@ -127,3 +127,13 @@
         call.standby = call.take_send()
         call.put_send(current)
         return [*actions, *end_standby(call, cause, now_s)]
+
+
+def _can_be_relayed(call: Call, response: ResponseHead) -> bool:
+    """Whether a response is valid, no error of its target, and continues what the caller has."""
+    if response.status >= INTERNAL_SERVER_ERROR or response.encoded:
+        return False
+    if response.status < MULTIPLE_CHOICES and not response.signed:
+        return False
+    expected = (OK, call.content_type)
+    return not call.response_started or (response.status, response.content_type) == expected
--- a/tests/test_standby_sends.py
+++ b/tests/test_standby_sends.py
@@ -168,6 +168,19 @@
     played.complete(played.second.number)
 
 
+@CALLS
+@pytest.mark.parametrize("changes", [{"status": 500}, {"signed": False}, {"encoded": True}])
+def test_invalid_response_of_the_silent_send_ends_the_other_one(
+    name: str, begun: bool, changes: dict[str, Any]
+) -> None:
+    """The silent target responds with an error, or with what can't be passed on."""
+    played = Played(name, begun)
+    head = response_head()._replace(**changes)
+    played.step(ResponseStarted(played.call_id, 1, head))
+    assert played.open == {played.second.number}
+    played.complete(played.second.number)
+
+
 @CALLS
 def test_targets_keep_what_a_call_with_two_sends_has_taken(name: str, begun: bool) -> None:
     """A call has run on one target, been rejected by another, and completed."""
