End reads on connections that have gone silent with the first one that times out

Cause: each watch waits for its own timeout, that of the registrations 3.5 s and 0.15 s more, longer than contact_ms. The watch of the configuration times out after 2.3 s on the same kind of connection, and only idle connections were closed for it. Change: a read that times out ends the other reads on connections opened before it was sent; their watches are repeated on new ones. Writes go on, as their outcome would be unknown.

--- a/bench/recovery_guards.py
+++ b/bench/recovery_guards.py
@@ -77,4 +77,12 @@
         "if False:",
         TESTS + "test_entry_that_starts_after_the_return_takes_the_copy_for_current",
     ),
+    Guard(
+        "the first call on a silent connection ends the reads on older ones",
+        "platform/objects.py",
+        "self._connections.interrupt_reads(sent_at_s)",
+        "pass",
+        "tests/test_platform_objects.py::"
+        "test_watch_goes_on_after_other_connections_have_gone_silent",
+    ),
 )
--- a/filbertstream/platform/objects.py
+++ b/filbertstream/platform/objects.py
@@ -18,17 +18,12 @@
 import msgspec
 import urllib3
 from result import Err, Ok, Result
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    HTTPError,
-    MaxRetryError,
-    NameResolutionError,
-    NewConnectionError,
-)
+from urllib3.exceptions import HTTPError, ReadTimeoutError
 
 from filbertstream.epoch_number import NO_REVISION, EpochNumber
 from filbertstream.platform.bounded_read import read_bounded
 from filbertstream.platform.raw_json import decode_or_none, elements, fields, is_text
+from filbertstream.platform.tracked_connections import TrackedConnections, was_not_sent
 from filbertstream.process.clock import boot_time_s
 from filbertstream.statuses import CONFLICT, CREATED, GONE, NOT_FOUND, OK
 
@@ -130,9 +125,6 @@
     as_of: int
 
 
-NOT_SENT_ERRORS: Final = (NewConnectionError, ConnectTimeoutError, NameResolutionError)
-
-
 def _stored(raw: bytes, epoch: int) -> StoredObject | None:
     """Return an object; its content is null if it can't be read, None without a readable name."""
     item = decode_or_none(raw, _Object)
@@ -178,12 +170,6 @@
     return _Events(decoded, as_of)
 
 
-def _was_not_sent(exc: HTTPError) -> bool:
-    """Whether a failure happened before any byte of the request was sent."""
-    cause = exc.reason if isinstance(exc, MaxRetryError) else exc
-    return isinstance(cause, NOT_SENT_ERRORS)
-
-
 def _epoch(value: str | None) -> int | None:
     """Return the epoch in a header's value, 0 without the header, None if it is malformed."""
     if value is None:
@@ -213,7 +199,8 @@
         self._on_epoch = on_epoch
         self._epoch = 0
         self._url = f"{url}/objects"
-        self._pool = urllib3.PoolManager(maxsize=8, retries=False, ca_certs=ca_file)
+        self._connections = TrackedConnections()
+        self._pool = self._connections.pool(maxsize=8, retries=False, ca_certs=ca_file)
         self._calls_lock = threading.Lock()
         self._calls: Counter[str] = Counter()
 
@@ -358,17 +345,20 @@
         if query:
             url += "?" + "&".join(f"{key}={value}" for key, value in query.items())
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s)
+        sent_at_s = boot_time_s()
         try:
             resp = self._pool.request(
                 method, url, body=body, headers=headers, timeout=timeout, preload_content=False
             )
             data = read_bounded(resp, RESPONSE_LIMIT_BYTES, boot_time_s() + RESPONSE_TIMEOUT_S)
         except HTTPError as exc:
-            # Idle connections may have become unresponsive together with this one.
+            # Other connections may have become unresponsive together with this one.
             self._pool.clear()
+            if isinstance(exc, ReadTimeoutError):
+                self._connections.interrupt_reads(sent_at_s)
             return Err(
                 ObjectStoreFailure.REFUSED
-                if _was_not_sent(exc)
+                if was_not_sent(exc)
                 else ObjectStoreFailure.OUTCOME_UNKNOWN
             )
         epoch = self._note_epoch(resp.headers.get(EPOCH_HEADER))
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -188,3 +188,47 @@
     set_response(200, b'{"metadata":{"name":"a","revision":10},"spec":1}')
     unsure = restored.replace("k", "a", {}, EPOCH_2)
     assert unsure == Err(ObjectStoreFailure.OUTCOME_UNKNOWN)
+
+
+class SilentResponses(FixedResponses):
+    """Sends nothing while its connections stay open."""
+
+    def _respond(self) -> None:
+        threading.Event().wait(8.0)
+
+    do_GET = do_POST = do_PUT = do_DELETE = _respond  # noqa: N815
+
+
+def test_watch_goes_on_after_other_connections_have_gone_silent() -> None:
+    """The open connections to the store carry no data any more, and a call on one of them ends."""
+    server = ThreadingHTTPServer(("127.0.0.1", 0), SilentResponses)
+    server.daemon_threads = True
+    threading.Thread(target=server.serve_forever, args=(SHUTDOWN_POLL_S,), daemon=True).start()
+    client = ObjectStore(f"http://127.0.0.1:{server.server_port}")
+    results: dict[str, object] = {}
+
+    def watch(kind: str) -> None:
+        results[kind] = client.watch(kind, EpochNumber(0, 9), 5.0)
+
+    threads = [threading.Thread(target=watch, args=("older",), daemon=True)]
+    threads[0].start()
+    assert until_awaited(client, 1)
+    doubted = threading.Thread(target=client.list, args=("config",), daemon=True)
+    doubted.start()
+    assert until_awaited(client, 2)
+    threads.append(threading.Thread(target=watch, args=("newer",), daemon=True))
+    threads[1].start()
+    doubted.join(6.0)
+    threads[0].join(2.0)
+    assert results == {"older": Err(ObjectStoreFailure.OUTCOME_UNKNOWN)}
+    assert threads[1].is_alive()
+    server.shutdown()
+
+
+def until_awaited(client: ObjectStore, count: int) -> bool:
+    """Wait until calls await responses; return whether they do."""
+    for _ in range(500):
+        if len(client._connections._awaited) >= count:
+            return True
+        threading.Event().wait(0.01)
+    return False
