Let a runner that drips its report hold up neither threads nor other runners

Cause: urllib3's timeout bounds each read, so the head of a report could take for ever; the leader asked again each 0.15 s meanwhile, and four threads for reports, orders and the writes of the lease hung. A runner in trouble also kept its turn among those that are swapped at a time. Change: the head of a runner's response has a limit in time; one report of a runner at a time; calls to runners have threads of their own; a runner without a report for 2 s no longer counts against the turns.

--- a/bench/recovery_guards.py
+++ b/bench/recovery_guards.py
@@ -85,4 +85,26 @@
         "tests/test_platform_objects.py::"
         "test_watch_goes_on_after_other_connections_have_gone_silent",
     ),
+    Guard(
+        "the head of a runner's response has a limit in time",
+        "platform/runner_calls.py",
+        "TrackedConnections(RESPONSE_TIMEOUT_S)",
+        "TrackedConnections()",
+        "tests/test_endless_bytes.py::"
+        "test_report_whose_head_arrives_byte_by_byte_holds_its_thread",
+    ),
+    Guard(
+        "a runner is asked for one report at a time",
+        "version/rollout.py",
+        "interval_s = CALL_TIMEOUT_S if swap.awaits_report else POLL_INTERVAL_S",
+        "interval_s = POLL_INTERVAL_S",
+        "tests/test_rollout.py::test_runner_is_asked_again_while_its_report_is_awaited",
+    ),
+    Guard(
+        "runners without a report hold up no others",
+        "version/rollout.py",
+        "swapping = sum(now_s - swap.reported_at_s < NO_REPORT_S for swap in begun)",
+        "swapping = len(begun)",
+        "tests/test_rollout.py::test_runners_without_a_report_keep_the_others_from_their_weights",
+    ),
 )
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -137,6 +137,7 @@
         targets_ca = None if setup is None else setup.targets_ca
         self._runners = RunnerCalls(f"{deployment.name}#{incarnation:x}", targets_ca)
         self._workers = ThreadPoolExecutor(CALL_THREADS, thread_name_prefix="calls")
+        self._runner_workers = ThreadPoolExecutor(CALL_THREADS, thread_name_prefix="runners")
         self._key_workers = ThreadPoolExecutor(KEY_THREADS, thread_name_prefix="keys")
         self._decoder = ThreadPoolExecutor(1, thread_name_prefix="decoder")
         self._pending_decodes = 0
@@ -160,7 +161,7 @@
         writes = ObjectWrites(self._object_store, self._submit, self.emit_soon)
         self.gateway_io.handlers.update(writes.handlers())
         self.gateway_io.handlers[PublishKind] = self._publish_kind
-        orders = TargetOrders(self.core, self._runners, self._submit, self.emit_soon)
+        orders = TargetOrders(self.core, self._runners, self._submit_runner_call, self.emit_soon)
         self.gateway_io.handlers.update(orders.handlers())
         documents = None if self._product is None else self._product.documents
         key_actions = KeyActions(self._keys, documents, self._submit_key_call, self.emit_soon)
@@ -184,6 +185,9 @@
         """Run a blocking call on a worker thread."""
         self._submit_to(self._workers, work, *args)
 
+    def _submit_runner_call(self, work: Callable[..., object], *args: Any) -> None:
+        self._submit_to(self._runner_workers, work, *args)
+
     def _submit_key_call(self, work: Callable[..., object], *args: Any) -> None:
         self._submit_to(self._key_workers, work, *args)
 
@@ -207,6 +211,7 @@
             # Waiting for these threads would block the exit of a process that can't continue.
             cleanup.callback(self._key_workers.shutdown, wait=False, cancel_futures=True)
             cleanup.callback(self._workers.shutdown, wait=False, cancel_futures=True)
+            cleanup.callback(self._runner_workers.shutdown, wait=False, cancel_futures=True)
             cleanup.callback(self._decoder.shutdown, wait=False, cancel_futures=True)
             if self._peers is not None:
                 cleanup.callback(self._peers.close)
--- a/filbertstream/platform/runner_calls.py
+++ b/filbertstream/platform/runner_calls.py
@@ -1,6 +1,7 @@
 """Calls to runners outside of callers' requests: reports and orders.
 
-They use urllib3 and block, so they run on worker threads.
+They use urllib3 and block, so they run on worker threads, each for a bounded time: a timeout of
+urllib3 bounds each read, and a runner may send its response a byte at a time.
 """
 
 from typing import Final
@@ -13,6 +14,7 @@
 from filbertstream.platform.headers import LEAVING, REQUEST_RATE, RETRY_AFTER
 from filbertstream.platform.raw_json import UNREADABLE, Number
 from filbertstream.platform.reported_values import decode_notice, decode_request_rate
+from filbertstream.platform.tracked_connections import TrackedConnections
 from filbertstream.process.clock import boot_time_s
 from filbertstream.process.deployment import Address
 from filbertstream.request.call import RequestRate, TargetNotice
@@ -54,7 +56,8 @@
         self._holder = holder
         self._scheme = "http" if ca_file is None else "https"
         self._ca_file = ca_file
-        self._pool = urllib3.PoolManager(maxsize=2, retries=False, ca_certs=ca_file)
+        self._connections = TrackedConnections(RESPONSE_TIMEOUT_S)
+        self._pool = self._connections.pool(maxsize=2, retries=False, ca_certs=ca_file)
         self._timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=RESPONSE_TIMEOUT_S)
 
     def close(self) -> None:
@@ -100,7 +103,7 @@
         data = msgspec.json.encode(body)
         sent_at_s = boot_time_s()
         # On a pooled connection, a lost order looks the same as one that was never sent.
-        pool = urllib3.PoolManager(maxsize=1, retries=False, ca_certs=self._ca_file)
+        pool = self._connections.pool(maxsize=1, retries=False, ca_certs=self._ca_file)
         try:
             resp = pool.request(
                 "POST",
--- a/filbertstream/platform/tracked_connections.py
+++ b/filbertstream/platform/tracked_connections.py
@@ -37,13 +37,16 @@
 class TrackedConnections:
     """The connections of one pool on which responses are awaited.
 
+    With ``head_s``, the head of a response must arrive within that many seconds as a whole.
+
     >>> tracked = TrackedConnections()
     >>> pool = tracked.pool(maxsize=2)
     >>> tracked.interrupt_reads(opened_before_s=1.0)
     0
     """
 
-    def __init__(self) -> None:
+    def __init__(self, head_s: float | None = None) -> None:
+        self._head_s = head_s
         self._lock = threading.Lock()
         self._awaited: dict[int, Any] = {}
 
@@ -85,12 +88,24 @@
         """Track a connection while the head of a response is awaited on it."""
         with self._lock:
             self._awaited[id(conn)] = conn
+        late = None
+        if self._head_s is not None:
+            late = threading.Timer(self._head_s, self._interrupt_awaited, (conn,))
+            late.daemon = True
+            late.start()
         try:
             yield
         finally:
+            if late is not None:
+                late.cancel()
             with self._lock:
                 del self._awaited[id(conn)]
 
+    def _interrupt_awaited(self, conn: Any) -> None:
+        with self._lock:
+            if id(conn) in self._awaited:
+                _shut_down(conn)
+
     def interrupt_reads(self, opened_before_s: float) -> int:
         """End the awaited reads on connections opened before a time; return how many there were.
 
@@ -104,7 +119,11 @@
                 if conn.method in READS and conn.opened_s < opened_before_s
             ]
             for conn in ended:
-                if conn.sock is not None:
-                    with contextlib.suppress(OSError):
-                        conn.sock.shutdown(socket.SHUT_RDWR)
+                _shut_down(conn)
         return len(ended)
+
+
+def _shut_down(conn: Any) -> None:
+    if conn.sock is not None:
+        with contextlib.suppress(OSError):
+            conn.sock.shutdown(socket.SHUT_RDWR)
--- a/filbertstream/version/rollout.py
+++ b/filbertstream/version/rollout.py
@@ -32,6 +32,12 @@
 POLL_INTERVAL_S: Final = 0.15
 """Interval of polling the report of a runner that is being swapped."""
 
+CALL_TIMEOUT_S: Final = 3.0
+"""A report that has neither arrived nor failed after this long is requested again."""
+
+NO_REPORT_S: Final = 2.0
+"""A runner without a report for this long no longer holds up the swaps of others."""
+
 ORDER_EFFECT_TIMEOUT_S: Final = 0.6
 """An order that shows no effect in reports after this long may be sent again."""
 
@@ -88,6 +94,8 @@
         self.started_at_s = started_at_s
         self.report: ReportReceived | None = None
         self.polled_at_s = float("-inf")
+        self.awaits_report = False
+        self.reported_at_s = started_at_s
         self.ordered_at_s: float | None = None
         self.ordered_version = 0
 
@@ -131,8 +139,9 @@
             if name in self._swaps:
                 continue
             group = self._roster.of_service(target.registration.service)
-            swapping = sum(1 for member in group if member.target_id in self._swaps)
-            started = swapping + sum(1 for member in group if member.target_id not in outdated)
+            begun = [self._swaps[item.target_id] for item in group if item.target_id in self._swaps]
+            swapping = sum(now_s - swap.reported_at_s < NO_REPORT_S for swap in begun)
+            started = len(begun) + sum(1 for member in group if member.target_id not in outdated)
             progress = self._weights.swap_progress(model, target.weights[model], now_s)
             due = math.ceil(len(group) * progress)
             if started < due and swapping < math.ceil(len(group) * SWAP_FRACTION):
@@ -149,12 +158,19 @@
         target = self._roster.targets.get(report.target_id)
         swap = self._swaps.get(report.target_id)
         if swap is not None:
-            swap.report = report
+            swap.report, swap.awaits_report = report, False
+            swap.reported_at_s = report.sent_at_s
         if target is None:
             return False
         newer = [item for item in report.weights.items() if target.note_weights(*item)]
         return bool(newer)
 
+    def on_report_failed(self, target_id: str) -> None:
+        """Process the failure of a request for a report; the next one may be sent."""
+        swap = self._swaps.get(target_id)
+        if swap is not None:
+            swap.awaits_report = False
+
     def on_order(self, event: OrderResponse) -> None:
         """Process the response to an order; only the next report shows whether it took effect."""
         swap = self._swaps.get(event.target_id)
@@ -189,11 +205,12 @@
         version = self._weights.named[model]
         report = swap.report
         if report is None or report.busy or self._is_order_pending(swap, version, now_s):
-            if now_s - swap.polled_at_s < POLL_INTERVAL_S:
+            interval_s = CALL_TIMEOUT_S if swap.awaits_report else POLL_INTERVAL_S
+            if now_s - swap.polled_at_s < interval_s:
                 return None
             if not self._admission.may_call(target, now_s):
                 return None
-            swap.polled_at_s = now_s
+            swap.polled_at_s, swap.awaits_report = now_s, True
             return PollReport(name)
         if not self._admission.may_call(target, now_s):
             return None
--- a/filbertstream/version/weights_leader.py
+++ b/filbertstream/version/weights_leader.py
@@ -100,6 +100,7 @@
 
     def on_report_failed(self, event: ReportFailed, now_s: float) -> list[Action]:
         """Process the failure of a request for a report, which may name a pause."""
+        self._rollout.on_report_failed(event.target_id)
         return [*self._note_notice(event, now_s)]
 
     def _note_notice(
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -238,6 +238,30 @@
     assert sender.sent <= REPORT_LIMIT_BYTES + IN_FLIGHT_BYTES
 
 
+def test_report_whose_head_arrives_byte_by_byte_holds_its_thread() -> None:
+    """A runner sends a byte of a head each 0.1 s, so that no single read times out."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def drip() -> None:
+            conn, _ = listener.accept()
+            with contextlib.suppress(OSError):
+                conn.sendall(OK_HEAD + b"X-Line: ")
+                while True:
+                    conn.sendall(b"x")
+                    threading.Event().wait(0.1)
+
+        threading.Thread(target=drip, daemon=True).start()
+        results: list[object] = []
+        address = Address(*listener.getsockname())
+        call = threading.Thread(
+            target=lambda: results.append(RunnerCalls("e1").report(PollReport("r1"), address)),
+            daemon=True,
+        )
+        call.start()
+        call.join(10.0)
+    assert results == [ReportFailed("r1")]
+
+
 def test_order_with_an_endless_response_body_still_counts_as_answered() -> None:
     """The status shows the result of the order; the rest of the body is not needed."""
     with sending(WITHOUT_LENGTH, FILLER) as sender:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -76,6 +76,32 @@
     assert sorted(began.values())[5] < 104.7 + LOAD_S
 
 
+def test_runners_without_a_report_keep_the_others_from_their_weights() -> None:
+    """Half of the runners never report; they have the first turns."""
+    roster = roster_of([1] * 6)
+    rollout = Rollout(roster, view_with_named(3, at_s=100.0), unlimited())
+    silent = set(rollout.swapping(108.0))
+    assert len(silent) == 3
+    began: dict[str, float] = {}
+    for step in range(100):
+        now_s = 108.0 + 0.05 * step
+        for name in set(rollout.swapping(now_s)) - silent:
+            if now_s - began.setdefault(name, now_s) >= LOAD_S:
+                roster.targets[name].note_weights("m", 3)
+    assert set(began) == set(roster.targets) - silent
+
+
+def test_runner_is_asked_again_while_its_report_is_awaited() -> None:
+    """A runner drips its report, and each call for one holds a thread."""
+    roster = roster_of([1])
+    rollout = Rollout(roster, view_with_named(3, at_s=100.0), unlimited())
+    rollout.swapping(100.2)
+    polls = [rollout.step(100.2 + 0.05 * step, 1) for step in range(20)]
+    assert sum(map(len, polls)) == 1
+    rollout.on_report_failed("r0")
+    assert rollout.step(101.2, 1)
+
+
 def test_runners_with_the_oldest_weights_are_swapped_first_and_by_their_own_bound() -> None:
     """Load pattern: a version is named before the preceding one is loaded everywhere."""
     roster = roster_of([2, 2, 2, 1, 1, 2])
