--- a/review/stand_3.py
+++ b/review/stand_3.py
@@ -30,7 +30,13 @@
 KEY = "key-of-w"
 MODEL = "m"
 LIMIT_S = 110.0
+BROKEN = 10
+"""What a case exits with if the rule was broken; ``run.sh`` makes 1 of it, and 2 of any error."""
+
 POLL_S = 0.01
+SAMPLE_S = 0.01
+RESTART_S = 0.5
+BYTES_PER_MB = 1_048_576
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 LIMITS = {
@@ -398,6 +404,7 @@
         self.record = record
         self.events = events
         self.event_s = 0.02
+        self.work_s = 0.0
         self.ran: list[Request] = []
         self.open = 0
 
@@ -455,6 +462,7 @@
     async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
         """Answer a request."""
         if self.service != "models":
+            await asyncio.sleep(self.work_s)
             writer.write(
                 response(200, b"done " + request.request_id.encode(), self.headers(request))
             )
@@ -505,6 +513,9 @@
         self._file = folder / f"{name}.yaml"
         front, ready, own = ports.take(), ports.take(), ports.take(4)
         self.port, self._ready_port = front, ready
+        self.memory_mb = memory_mb
+        self.ends = 0
+        self.most_mb = 0.0
         self.process: subprocess.Popen[bytes] | None = None
         settings = {
             "node_name": name,
@@ -586,6 +597,26 @@
                 return int(line.split()[1])
         return 0
 
+    def resident_mb(self) -> float:
+        """Return the resident memory of the process."""
+        if self.process is None or self.process.poll() is not None:
+            return 0.0
+        pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MB
+
+    async def enforce_memory(self) -> None:
+        """Kill the process when it exceeds its memory, and start it again, as the platform does."""
+        while True:
+            held_mb = self.resident_mb()
+            self.most_mb = max(self.most_mb, held_mb)
+            if held_mb > self.memory_mb:
+                self._record.line("killed", entry=self.name, resident_mb=round(held_mb, 1))
+                self.end()
+                self.ends += 1
+                await asyncio.sleep(RESTART_S)
+                self.start()
+            await asyncio.sleep(SAMPLE_S)
+
     def log(self) -> str:
         """Return what the process has written."""
         return self._log.read_text(errors="replace")
@@ -665,6 +696,68 @@
         writer.transport.abort()
 
 
+class KeptCaller:
+    """A client that books again and again on one kept connection to a machine.
+
+    ``cut`` are the ids of the bookings whose connection ended without an answer.
+    """
+
+    def __init__(self, number: int, entry: Entry, record: Record) -> None:
+        self._number = number
+        self._entry = entry
+        self._record = record
+        self.sent = 0
+        self.answered = 0
+        self.cut: list[str] = []
+
+    async def play(self, path: str, deadline_ms: int, pause_s: float = 0.02) -> None:
+        """Book until cancelled."""
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(LOOPBACK, self._entry.port)
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                while await self._book(reader, writer, path, deadline_ms):
+                    await asyncio.sleep(pause_s)
+            except OSError:
+                pass
+            finally:
+                writer.transport.abort()
+
+    async def _book(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        path: str,
+        deadline_ms: int,
+    ) -> bool:
+        """Send a booking and read its answer; return whether the connection may be kept."""
+        self.sent += 1
+        request_id = f"{self._number:06x}{self.sent:010x}"
+        length = "Content-Length: 2"
+        writer.write(head("POST", path, request_id, KEY, length, deadline_ms=deadline_ms) + b"{}")
+        try:
+            async with asyncio.timeout(deadline_ms / 1000 + 1.0):
+                answer = await read_answer(reader)
+        except TimeoutError:
+            self._record.line("no answer in time", id=request_id, entry=self._entry.name)
+            return False
+        if not answer.status:
+            self.cut.append(request_id)
+            self._record.line("cut", id=request_id, entry=self._entry.name)
+            return False
+        self.answered += 1
+        return answer.headers.get("connection", "").lower() != "close"
+
+
+def lost(callers: list[KeptCaller], runners: list["Runner"]) -> int:
+    """Return how many bookings ran at a runner, and ended with their connection, unanswered."""
+    ran = {request.request_id for runner in runners for request in runner.ran}
+    return sum(request_id in ran for caller in callers for request_id in caller.cut)
+
+
 async def wait_until(done: Callable[[], Awaitable[bool]], within_s: float = 25.0) -> None:
     """Wait until something holds; raises ``TimeoutError``."""
     end_s = time.monotonic() + within_s
@@ -724,7 +817,7 @@
 
 
 def run(folder: Path, play: Case, memory_mb: int = 300) -> int:
-    """Play a case; return 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    """Play a case; return ``BROKEN``, 0 if the rule held, or 2 if the case could not run."""
     record = Record(folder)
     scratch = Path(tempfile.mkdtemp(prefix="review-"))
     deployment: Deployment | None = None
@@ -753,4 +846,4 @@
         shutil.rmtree(scratch, ignore_errors=True)
     record.line("verdict", broken=broken, trouble=TROUBLE)
     print("rule broken" if broken else "rule held")
-    return 1 if broken else 0
+    return BROKEN if broken else 0
