--- a/review/12/case.py
+++ b/review/12/case.py
@@ -16,12 +16,13 @@
 LOST_KEY = "key-taken-away"
 COPY_AGE_S = 3.0
 AWAY_S = float(os.environ.get("AWAY_S", "0.3"))
-WRITTEN_AGAIN_S = 2.0
+WRITTEN_AGAIN_S = float(os.environ.get("WRITTEN_AGAIN_S", "2.0"))
 """After the store's return the operator writes again: as late as runners' entries may be back."""
 
 CUT_AFTER_S = float(os.environ.get("CUT_AFTER_S", "1.7"))
 """From the store's return to the cut of the machine."""
 
+RUNNER_AGAIN_S = 0.5
 CUT_S = 5.5
 CHANGE_S = 1.0
 REVOKE_S = BOUNDS["revoke_ms"] / 1000
@@ -37,7 +38,8 @@
     store, link = deployment.store, deployment.links["e1"]
     await asyncio.sleep(COPY_AGE_S - CHANGE_S)
     # Something else is written meanwhile, as always: a runner's entry changes.
-    await store.put("servers", "a2", runners[1].registration() | {"cold_left_ms": 1})
+    changed = runners[1].registration() | {"cold_left_ms": 1}
+    await store.put("servers", "a2", changed)
     await asyncio.sleep(CHANGE_S)
     without = config(5, [KEY], routes)
     acknowledged_s = time.monotonic()
@@ -61,6 +63,8 @@
                 record.line("cut ends", entry="e1")
 
             cutting = asyncio.create_task(cut()) if CUT_AFTER_S >= 0 else None
+            await asyncio.sleep(RUNNER_AGAIN_S)
+            await store.put("servers", "a2", changed)
             await asyncio.sleep(WRITTEN_AGAIN_S - (time.monotonic() - back_s))
             await store.put("config", "main", without)
             record.line("written again", version=5)
