--- a/review/stand_3.py
+++ b/review/stand_3.py
@@ -137,7 +137,8 @@
 
     def __init__(self, folder: Path) -> None:
         self._began_s = time.monotonic()
-        self._file = (folder / "record.txt").open("w")
+        file = Path(os.environ.get("RECORD", str(folder / "record.txt")))
+        self._file = file.open("w")
 
     def line(self, what: str, **fields: Any) -> None:
         """Write a line with the seconds since the start."""
