Count no confirmation of a configuration before operators have written again

Cause: an entry that was in contact took the restored store as proof of the newest configuration 1.0 s after the return, others after 2.3 s, the time within which operators have written again. What such an entry lacks is just what was accepted between its last read and the outage. Ruled out by the new event 202, with reads of the case in virtual time: a confirmation sent before the return, one of a peer, and an older configuration that replaces a newer one. Change: 2.3 s for all. The age of a confirmation then passes the bound for readiness at all entries at once, so an entry stays ready while it waits for the first confirmation that counts and may still admit keys; its watches wait 0.2 s at most until then.

--- a/bench/recovery_guards.py
+++ b/bench/recovery_guards.py
@@ -7,6 +7,20 @@
 TESTS: Final = "tests/test_restored_store.py::"
 
 RECOVERY_GUARDS: Final = (
+    Guard(
+        "confirmations count only once operators have written again",
+        "version/config_freshness.py",
+        "self._proves_from_s = now_s + SETTLE_S",
+        "self._proves_from_s = now_s + 1.0",
+        TESTS + "test_key_removed_right_before_a_restore_is_admitted_by_an_entry_that_is_cut_off",
+    ),
+    Guard(
+        "a restore leaves entries ready",
+        "version/config_freshness.py",
+        "if self.awaits_confirmation(now_s) and self.is_recent(now_s):",
+        "if False:",
+        TESTS + "test_restore_makes_all_entries_unready_or_refuse_keys",
+    ),
     Guard(
         "a listing of a later epoch replaces the view",
         "process/store_view.py",
--- a/filbertstream/gateway_process.py
+++ b/filbertstream/gateway_process.py
@@ -366,7 +366,8 @@
         relayed_view = self.core.relayed_view
         idle = frozenset(kind for kind in self._watched if not relayed_view.reads_kind(kind, now_s))
         restored = self.core.recovery.restored_for_s(now_s) < SETTLE_S
-        settling = restored or self.core.evacuations.is_unknown(now_s)
+        unconfirmed = self.core.config_freshness.awaits_confirmation(now_s)
+        settling = restored or unconfirmed or self.core.evacuations.is_unknown(now_s)
         self._gate.max_wait_s = SETTLING_WAIT_S if settling else math.inf
         relays = self.core.relays
         serves_peers = relays.serves_peers(now_s)
--- a/filbertstream/log_events.py
+++ b/filbertstream/log_events.py
@@ -26,6 +26,7 @@
     LOOP_LATE = 114
     REVISION_IN_FORCE = 200
     REVISION_OUTDATED = 201
+    REVISION_CONFIRMED = 202
     REQUEST_FINISHED = 300
     REQUEST_REFUSED = 301
     ATTEMPT_FAILED = 302
@@ -93,6 +94,7 @@
     LogEvent.LOOP_LATE: "The event loop ran a timer late; all that was due waited as long.",
     LogEvent.REVISION_IN_FORCE: "A new revision of the configuration now applies on this entry.",
     LogEvent.REVISION_OUTDATED: "The store shows an older configuration than that in force.",
+    LogEvent.REVISION_CONFIRMED: "After a restore, a read counts as proof of the newest revision.",
     LogEvent.REQUEST_FINISHED: "A request ended with the outcome in the line.",
     LogEvent.REQUEST_REFUSED: "A caller received a final refusal or error.",
     LogEvent.ATTEMPT_FAILED: "A send ended early: how far its response was, its prompt's blocks.",
--- a/filbertstream/process/config_observer.py
+++ b/filbertstream/process/config_observer.py
@@ -53,10 +53,22 @@
             config, self._older = self._older, None
             self._authorizer.replace(config)
         elif config is None or not self._authorizer.apply(config):
-            self._freshness.confirm(event.sent_at_s)
-            return logs
-        self._freshness.confirm(event.sent_at_s)
-        return [*logs, *self._apply(config, round(now_s - event.sent_at_s, 3))]
+            return [*logs, *self._confirm(event.sent_at_s, now_s)]
+        applied = self._apply(config, round(now_s - event.sent_at_s, 3))
+        return [*logs, *self._confirm(event.sent_at_s, now_s), *applied]
+
+    def _confirm(self, sent_at_s: float, now_s: float) -> list[Log]:
+        """Confirm the configuration in force, and log the first confirmation after a restore."""
+        config = self._authorizer.config
+        if not self._freshness.confirm(sent_at_s) or config is None:
+            return []
+        after_s = round(self._recovery.restored_for_s(now_s), 3)
+        fields = (
+            ("version", config.version.number),
+            ("after_s", after_s),
+            ("age_s", round(now_s - sent_at_s, 3)),
+        )
+        return [Log(LogEvent.REVISION_CONFIRMED, fields)]
 
     def _note_older(self, config: Configuration, restored_for_s: float) -> list[Log]:
         """Log that the object store shows an older configuration than that in force."""
--- a/filbertstream/version/config_freshness.py
+++ b/filbertstream/version/config_freshness.py
@@ -36,8 +36,8 @@
     return min(WAIT_APPLY_FRACTION * config_apply_s, WAIT_REVOKE_FRACTION * revoke_s)
 
 
-CONTACT_SETTLE_S: Final = 1.0
-"""Time after a restore for which an entry that was in contact ignores confirmations."""
+CONFIRM_WITHIN_S: Final = 1.0
+"""Time after ``SETTLE_S`` within which the first confirmation that counts is expected."""
 
 
 class ConfigFreshness:
@@ -53,19 +53,30 @@
     def on_restored(self, epoch: int, now_s: float) -> None:
         """Ignore confirmations until operators have had time to write again.
 
-        An entry that was in contact before lacks at most what was written right before the outage.
+        This holds for an entry that was in contact too: it may lack a configuration that was
+        accepted between its last read and the outage.
         """
-        in_contact = self.age_s(now_s) < self._revoke_s
-        self._proves_from_s = now_s + (CONTACT_SETTLE_S if in_contact else SETTLE_S)
+        self._proves_from_s = now_s + SETTLE_S
 
     def set_bounds(self, revoke_s: float, strict: bool) -> None:
         """Replace the bounds."""
         self._revoke_s, self._strict = revoke_s, strict
 
-    def confirm(self, sent_at_s: float) -> None:
-        """Record that a request sent at ``sent_at_s`` showed the configuration to be the newest."""
-        if sent_at_s >= self._proves_from_s:
-            self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
+    def confirm(self, sent_at_s: float) -> bool:
+        """Record that a request sent at ``sent_at_s`` showed the configuration to be the newest.
+
+        Return whether this is the first confirmation that counts after a restore.
+        """
+        if sent_at_s < self._proves_from_s:
+            return False
+        is_first = self.confirmed_at_s < self._proves_from_s
+        self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
+        return is_first and self._proves_from_s > 0.0
+
+    def awaits_confirmation(self, now_s: float) -> bool:
+        """Whether a restore was so recent that no confirmation that counts is due yet."""
+        unconfirmed = self.confirmed_at_s < self._proves_from_s
+        return unconfirmed and now_s < self._proves_from_s + CONFIRM_WITHIN_S
 
     def age_s(self, now_s: float) -> float:
         """Return the time since the last confirmation."""
@@ -84,5 +95,10 @@
         return self.age_s(now_s) < self._revoke_s * FRESH_FRACTION
 
     def keeps_ready(self, now_s: float) -> bool:
-        """Whether the last confirmation is recent enough for this entry to be ready."""
+        """Whether the last confirmation is recent enough for this entry to be ready.
+
+        After a restore no entry has a recent one, so callers are not sent elsewhere for it.
+        """
+        if self.awaits_confirmation(now_s) and self.is_recent(now_s):
+            return True
         return self.age_s(now_s) < self._revoke_s * UNREADY_FRACTION
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -11,11 +11,14 @@
 import pytest
 
 from bench.world import World
+from filbertstream.epoch_number import EpochNumber
 from filbertstream.names import digest_key
 from filbertstream.platform.documents import DOCUMENTS_KIND, DOCUMENTS_NAME, TARGETS_KIND
+from filbertstream.process.store_view import KindObserved
 from filbertstream.request.call_events import SendCall
 from filbertstream.version.documents import Model, Removal, Workspace
-from tests.helpers import codes, kinds, ready_world, runs
+from tests import gateway_world
+from tests.helpers import codes, kinds, ready_world, rev, runs
 
 SETTLED_S = 14.0
 """Longer than any entry waits for its peers to write again what they know."""
@@ -276,3 +279,48 @@
     add_workspace(world, "two", "key-two")
     world.run(world.bounds.config_apply_s)
     assert all(answered(world, "key-one") + answered(world, "key-two"))
+
+
+@pytest.mark.parametrize(
+    ("away_s", "written_after_s", "cut_after_s"),
+    [(0.3, 2.0, 1.7), (0.1, 2.2, 1.9), (2.0, 2.0, 1.5), (0.3, 1.5, 1.4), (3.4, 2.0, 9.0)],
+)
+def test_key_removed_right_before_a_restore_is_admitted_by_an_entry_that_is_cut_off(
+    away_s: float, written_after_s: float, cut_after_s: float
+) -> None:
+    """The copy, which has the key, counts as the newest before operators have written again."""
+    world = gateway_world.World()
+    removed_at_s = world.now_s
+    back_s = removed_at_s + away_s
+
+    def read(epoch: int, version: int, keys: tuple[str, ...]) -> None:
+        row = gateway_world.configuration_row(version, keys, version)
+        as_of = EpochNumber(epoch, version)
+        world.step(KindObserved(DOCUMENTS_KIND, True, rev(0), as_of, world.now_s, (row,)))
+
+    read(1, 2, ("k", "other"))
+    admitted_at_s: list[float] = []
+    while world.now_s < removed_at_s + 11.0:
+        since_back_s = world.now_s - back_s
+        if written_after_s <= since_back_s < cut_after_s:
+            read(2, 3, ("k",))
+        elif 0.0 <= since_back_s < cut_after_s:
+            read(2, 2, ("k", "other"))
+        if any(isinstance(item, SendCall) for item in world.arrive("book", "other")):
+            admitted_at_s.append(world.now_s)
+        world.run(0.1, confirm=False)
+    assert max(admitted_at_s) - removed_at_s < gateway_world.BOUNDS.revoke_s
+
+
+@pytest.mark.parametrize("entries", [1, 4, 16])
+def test_restore_makes_all_entries_unready_or_refuse_keys(entries: int) -> None:
+    """No entry has a recent confirmation, and callers are turned away at all of them."""
+    world = ready_world(entries)
+    copy = world.objects.revision
+    world.run(1.0)
+    world.objects.restore(copy)
+    for _ in range(50):
+        requests = [world.request(name) for name in world.cores]
+        world.run(0.1)
+        assert all(core.ready(world.now_s) for core in world.cores.values())
+        assert not any("refused" in kinds(world, request) for request in requests)
--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -1,7 +1,8 @@
 """State machine over the removal of API keys.
 
 Failure guarded against: an entry admits a key longer than the bound after its removal.  This comes
-about when the object store or a peer responds late or never, and when VMs are suspended.
+about when the object store or a peer responds late or never, when VMs are suspended, and when the
+store comes back from a copy that lacks the newest configurations until operators write them again.
 
 The object store's response to a request shows the newest configuration as of some moment between
 the request's send and the response's arrival.  Here it is the worst one, that of the send.
@@ -14,6 +15,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
 from filbertstream.actions import SendPeer
+from filbertstream.epoch_number import EpochNumber
 from filbertstream.gateway_events import ConfigurationObserved, EntryObserved, PeerMessage
 from filbertstream.messages import KindUpdate, ObjectRow, ViewRequest, ViewResponse
 from filbertstream.platform.documents import DOCUMENTS_KIND
@@ -42,11 +44,16 @@
     return configuration_row(written.version, written.keys, written.version)
 
 
+WRITTEN_AGAIN_S = 2.2
+"""Time after a restore within which operators write again; below the ``SETTLE_S`` of entries."""
+
+
 class PendingRead(NamedTuple):
     """A request to the object store in progress; ``observed`` is what its response will show."""
 
     sent_at_s: float
     observed: Written
+    epoch: int
 
 
 class InTransit(NamedTuple):
@@ -65,35 +72,58 @@
             self.world.step(EntryObserved(name, EntryRecord(f"tcp://{name}", 1), rev(1)))
         self.view_requests: list[ViewRequest] = []
         self.in_transit: list[InTransit] = []
-        self.relay_read = PendingRead(self.world.now_s, Written(self.world.now_s, 1, ("k",)))
         self.written = [Written(self.world.now_s, 1, ("k",))]
-        self.pending_reads: list[PendingRead] = []
+        self.epoch = 1
+        self.copy: Written | None = None
+        self.written_again_s = 0.0
+        self.relay_read = self.read()
+        self.pending_reads = [self.read()]
+        self.take(self.pending_reads.pop())
+
+    def read(self) -> PendingRead:
+        """Return a read that is sent now, with what the object store has now."""
+        if self.world.now_s >= self.written_again_s:
+            self.copy = None
+        return PendingRead(self.world.now_s, self.copy or self.written[-1], self.epoch)
+
+    @rule(lost=st.integers(0, 2))
+    def restore(self, lost: int) -> None:
+        """The object store comes back without the newest configurations."""
+        self.epoch += 1
+        self.copy = self.written[max(0, len(self.written) - 1 - lost)]
+        self.written_again_s = self.world.now_s + WRITTEN_AGAIN_S
 
     @rule(keys=st.sets(st.sampled_from(KEYS)), step=st.integers(1, 9))
     def write(self, keys: set[str], step: int) -> None:
         version = self.written[-1].version + step
         self.written.append(Written(self.world.now_s, version, tuple(sorted(keys))))
+        self.copy = None
 
     @rule()
     def send_read(self) -> None:
-        self.pending_reads.append(PendingRead(self.world.now_s, self.written[-1]))
+        self.pending_reads.append(self.read())
 
     @precondition(lambda self: self.pending_reads)
     @rule(data=st.data(), lost=st.booleans())
     def respond(self, data: st.DataObject, lost: bool) -> None:
         pending = self.pending_reads.pop(data.draw(st.integers(0, len(self.pending_reads) - 1)))
         if not lost:
-            rows = (row_of(pending.observed),)
-            as_of = rev(pending.observed.version)
-            kind_observed = KindObserved(
-                DOCUMENTS_KIND, True, rev(0), as_of, pending.sent_at_s, rows
-            )
-            self.world.step(kind_observed)
+            self.take(pending)
+
+    @rule()
+    def read_at_once(self) -> None:
+        self.take(self.read())
+
+    def take(self, read: PendingRead) -> None:
+        """Let the response of a read arrive."""
+        as_of = EpochNumber(read.epoch, read.observed.version)
+        rows = (row_of(read.observed),)
+        self.world.step(KindObserved(DOCUMENTS_KIND, True, rev(0), as_of, read.sent_at_s, rows))
 
     @rule()
     def relay_reads(self) -> None:
         """The relay reads the newest configuration."""
-        self.relay_read = PendingRead(self.world.now_s, self.written[-1])
+        self.relay_read = self.read()
 
     @precondition(lambda self: self.view_requests)
     @rule(data=st.data())
@@ -102,12 +132,15 @@
         age_s = self.world.now_s - self.relay_read.sent_at_s
         observed, since = self.relay_read.observed, view_request.as_of[DOCUMENTS_KIND]
         rows = (row_of(observed),) if observed.version > since else ()
-        full = data.draw(st.booleans())
+        epoch = self.relay_read.epoch
+        full = data.draw(st.booleans()) or view_request.epochs.get(DOCUMENTS_KIND, 0) != epoch
         rows = (row_of(observed),) if full else rows
         update = KindUpdate(DOCUMENTS_KIND, full, since, observed.version, age_s, rows)
-        self.in_transit.append(InTransit(ViewResponse(view_request.number, (update,))))
+        epochs = {DOCUMENTS_KIND: epoch}
+        response = ViewResponse(view_request.number, (update,), epochs=epochs)
+        self.in_transit.append(InTransit(response))
 
-    @precondition(lambda self: len(self.written) > 1)
+    @precondition(lambda self: len(self.written) > 1 and self.read().observed == self.written[-1])
     @rule()
     def relay_sends_a_change_unrequested(self) -> None:
         """The relay sends a change without a request, which shows nothing about its age."""
@@ -115,7 +148,8 @@
         update = KindUpdate(
             DOCUMENTS_KIND, False, since, observed.version, 0.0, (row_of(observed),)
         )
-        self.in_transit.append(InTransit(ViewResponse(0, (update,))))
+        epochs = {DOCUMENTS_KIND: self.epoch}
+        self.in_transit.append(InTransit(ViewResponse(0, (update,), epochs=epochs)))
 
     @precondition(lambda self: self.in_transit)
     @rule(data=st.data())
