Read requests that offer another protocol to their end

Cause: httptools reports such a request as complete at the end of its head and raises only then, so the request was queued without its body before it could be rejected. CONNECT was passed on in the same way. Change: an offer is ignored, as HTTP/1.1 allows: the head is parsed once more without it, and the body follows. CONNECT is rejected at its head.

--- a/filbertstream/connection/request_parser.py
+++ b/filbertstream/connection/request_parser.py
@@ -3,6 +3,9 @@
 httptools parses.  A request with ambiguous framing is rejected, which prevents request smuggling.
 Bodies are joined as they arrive, because many small ``bytes`` objects take far more memory than
 their content; header lines count with what Python takes to keep them.
+
+An offer of another protocol (``Upgrade``) is ignored, as HTTP/1.1 allows.  httptools takes the head
+of such a request for the end of its HTTP, so the head is parsed once more without the offer.
 """
 
 from abc import ABC, abstractmethod
@@ -32,6 +35,8 @@
 REQUEST_BYTES: Final = 512
 """What a request takes beside its lines and its body."""
 
+UPGRADE: Final = b"upgrade"
+
 SLOW_FRAMING_FACTOR: Final = 2
 """A body with more bytes on the wire than this for each byte is read in the smallest slices, since
 the parser makes three calls for each chunk."""
@@ -66,6 +71,7 @@
         self._body_wire_bytes = 0
         self._in_request = False
         self._head_done = False
+        self._offers_upgrade = False
         self._rejection: tuple[int, str] | None = None
 
     @property
@@ -125,13 +131,9 @@
         else:
             self._body_wire_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(NOT_IMPLEMENTED, "protocol upgrades are not supported")
-            return
+            self._parse(data)
         except httptools.HttpParserError as exc:
             self._reject(BAD_REQUEST, f"malformed request: {exc}")
-            return
         if self._rejection is not None:
             return
         limits = self._limits
@@ -141,8 +143,32 @@
         if self._in_request and self._body_wire_bytes > wire_limit_bytes:
             self._reject(BAD_REQUEST, "chunked body has too much framing overhead")
 
+    def _parse(self, data: bytes | memoryview) -> None:
+        """Parse bytes; the heads of requests with an offer of another protocol twice."""
+        while self._parser is not None:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as exc:
+                if self._rejection is not None:
+                    return
+                data = bytes(data[exc.args[0] :])
+                head = self._head_without_offer()
+                self._parser = httptools.HttpRequestParser(self)
+                self._parser.feed_data(head)
+            else:
+                return
+
+    def _head_without_offer(self) -> bytes:
+        """Return the head that was just parsed, without the offer of another protocol."""
+        if self._parser is None:
+            return b""
+        method, version = self._parser.get_method(), self._parser.get_http_version().encode()
+        lines = [b"%b: %b\r\n" % line for line in self._headers if line[0] != UPGRADE]
+        return b"%b %b HTTP/%b\r\n%b\r\n" % (method, self._url, version, b"".join(lines))
+
     def on_message_begin(self) -> None:
         """Called by the parser."""
+        self._offers_upgrade = False
         self._url = b""
         self._headers = []
         self._body = bytearray()
@@ -170,7 +196,13 @@
         """Called by the parser."""
         self._head_done = True
         self._head_bytes = 0
-        if self._rejection is not None:
+        if self._rejection is not None or self._parser is None:
+            return
+        if self._parser.get_method() == b"CONNECT":
+            self._reject(NOT_IMPLEMENTED, "tunnels are not supported")
+            return
+        self._offers_upgrade = self._parser.should_upgrade()
+        if self._offers_upgrade:
             return
         size = len(self._url) + sum(len(name) + len(value) + 4 for name, value in self._headers)
         names = [name for name, _ in self._headers]
@@ -200,7 +232,7 @@
 
     def on_message_complete(self) -> None:
         """Called by the parser."""
-        if self._rejection is not None or self._parser is None:
+        if self._rejection is not None or self._parser is None or self._offers_upgrade:
             return
         self._in_request = False
         last = not self._parser.should_keep_alive()
--- a/tests/test_caller_fuzz.py
+++ b/tests/test_caller_fuzz.py
@@ -190,3 +190,33 @@
     assert b"Connection: close" not in first
     assert b"Connection: close" in second
     assert transport.closed
+
+
+OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n"
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from([VALID, CHUNKED]), st.booleans()), min_size=1, max_size=4),
+    st.integers(1, 400),
+)
+def test_request_that_offers_another_protocol_runs_without_its_body(
+    sent: list[tuple[bytes, bool]], size: int
+) -> None:
+    """A client library offers HTTP/2 with its requests, and a booking runs with an empty body."""
+    data = b"".join(
+        data.replace(b"Host:", OFFER + b"Host:", 1) if offers else data for data, offers in sent
+    )
+    app, transport = asyncio.run(feed(split(data, size)))
+    assert [raw.body for raw in app.requests] == [b"hello"] * len(sent)
+    assert not app.rejected
+    assert not transport.closed
+    assert transport.written.count(b"HTTP/1.1 ") == len(sent)
+
+
+def test_request_that_offers_another_protocol_escapes_the_limits() -> None:
+    """Its body exceeds the limit, or its method opens a tunnel."""
+    large = VALID.replace(b"Host:", OFFER + b"Host:").replace(b"Length: 5", b"Length: 1001")
+    for data, status in ((large, 413), (b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n", 501)):
+        app, _ = asyncio.run(feed([data]))
+        assert app.rejected == [status]
+        assert not app.requests
