Count and limit the bytes behind the last piece of a body

Cause: httptools keeps a trailer line until it ends, and no budget counted it. Change: the bytes since the last piece of a body count, and are limited by header_bytes (431).

--- a/filbertstream/connection/request_parser.py
+++ b/filbertstream/connection/request_parser.py
@@ -4,6 +4,9 @@
 Bodies are joined as they arrive, because many small ``bytes`` objects take far more memory than
 their content; header lines count with what Python takes to keep them.
 
+httptools keeps a trailer line until it ends, so the bytes behind the last piece of a body
+count, too.  They are limited as a head is.
+
 An offer of another protocol (``Upgrade``) is ignored, as HTTP/1.1 allows.  httptools takes the head
 of such a request for the end of its HTTP, so the head is parsed once more without the offer.
 """
@@ -69,6 +72,7 @@
         self._lines_bytes = 0
         self._head_bytes = 0
         self._body_wire_bytes = 0
+        self._bytes_since_body = 0
         self._in_request = False
         self._head_done = False
         self._offers_upgrade = False
@@ -115,11 +119,14 @@
         """What is kept of the request being read."""
         if not self._in_request or self._rejection is not None:
             return 0
-        return REQUEST_BYTES + self._lines_bytes + self._head_bytes + len(self._body)
+        kept_bytes = REQUEST_BYTES + self._lines_bytes + self._head_bytes + len(self._body)
+        return kept_bytes + self._bytes_since_body
 
     @property
     def _is_slow_to_parse(self) -> bool:
-        """Whether the body comes in so small chunks that parsing takes long."""
+        """Whether parsing takes long: the body comes in small chunks, or a trailer line goes on."""
+        if self._bytes_since_body:
+            return True
         return self._body_wire_bytes > SLOW_FRAMING_FACTOR * len(self._body)
 
     def _feed(self, data: bytes | memoryview) -> None:
@@ -130,6 +137,7 @@
             self._head_bytes += len(data)
         else:
             self._body_wire_bytes += len(data)
+            self._bytes_since_body += len(data)
         try:
             self._parse(data)
         except httptools.HttpParserError as exc:
@@ -139,6 +147,8 @@
         limits = self._limits
         if not self._head_done and self._head_bytes > limits.header_bytes:
             self._reject(FIELDS_TOO_LARGE, f"request head exceeds {limits.header_bytes} bytes")
+        if self._bytes_since_body > limits.header_bytes:
+            self._reject(FIELDS_TOO_LARGE, f"request trailer exceeds {limits.header_bytes} bytes")
         wire_limit_bytes = limits.header_bytes + MAX_FRAMING_FACTOR * len(self._body)
         if self._in_request and self._body_wire_bytes > wire_limit_bytes:
             self._reject(BAD_REQUEST, "chunked body has too much framing overhead")
@@ -174,6 +184,7 @@
         self._body = bytearray()
         self._lines_bytes = 0
         self._body_wire_bytes = 0
+        self._bytes_since_body = 0
         self._in_request = True
         self._head_done = False
         self._on_begun()
@@ -226,6 +237,7 @@
         if self._rejection is not None:
             return
         self._body += data
+        self._bytes_since_body = 0
         limit_bytes = self._limits.body_bytes
         if len(self._body) > limit_bytes:
             self._reject(TOO_LARGE, f"request body exceeds {limit_bytes} bytes")
@@ -235,6 +247,7 @@
         if self._rejection is not None or self._parser is None or self._offers_upgrade:
             return
         self._in_request = False
+        self._bytes_since_body = 0
         last = not self._parser.should_keep_alive()
         method = self._parser.get_method().decode("ascii")
         path = self._url.decode("latin-1")
--- a/tests/test_caller_fuzz.py
+++ b/tests/test_caller_fuzz.py
@@ -220,3 +220,13 @@
         app, _ = asyncio.run(feed([data]))
         assert app.rejected == [status]
         assert not app.requests
+
+
+@given(st.integers(1, 400))
+def test_trailer_line_without_an_end_is_kept(size: int) -> None:
+    """The parser keeps what is in no buffer that counts, as long as the caller sends."""
+    chunked = CHUNKED.removesuffix(b"\r\n")
+    sound, _ = asyncio.run(feed(split(chunked + b"t: " + b"y" * 1_000 + b"\r\n\r\n", size)))
+    assert [raw.body for raw in sound.requests] == [b"hello"]
+    app, _ = asyncio.run(feed(split(chunked + b"t: " + b"y" * 4_000, size)))
+    assert app.rejected == [431]
--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -66,6 +66,11 @@
     HEAD,
     b"".join(b"%02x:\r\n%02X: \t\r\n" % (n % 256, n % 199) for n in range(2_400)),
 )
+TRAILER_LINE: Final = (
+    CHUNKED,
+    b"%x\r\n" % 90_000 + b"x" * 90_000 + b"\r\n0\r\nt: ",
+    *[b"y" * 43_000] * 16,
+)
 LONG_PATH: Final = (b"GET /", *[b"p" * CHUNK_BYTES] * 4)
 
 MIX: Final = (LARGE_CHUNKS, ONE_BYTE_CHUNKS, OVER_THE_LIMIT, ANNOUNCED, SHORT_LINES, ODD_LINES)
@@ -77,6 +82,7 @@
     "announced too long": [ANNOUNCED] * 60,
     "short header lines": [SHORT_LINES] * 240,
     "odd header lines": [ODD_LINES] * 240,
+    "trailer lines": [TRAILER_LINE] * 150,
     "a mix": list(MIX) * 20,
 }
 
