Read little of a new head while nothing more should be kept

Cause: lines count with what Python takes to keep them, 80 kB for such a head, but a caller waits only once its first slice is parsed, however full the budget is. Change: while nothing more should be kept, a new head is read 128 bytes at a time.

--- a/filbertstream/connection/buffer_budget.py
+++ b/filbertstream/connection/buffer_budget.py
@@ -38,9 +38,11 @@
 
 MIN_SLICE_BYTES: Final = 2_048
 HEAD_SLICE_BYTES: Final = 4_096
+FULL_HEAD_SLICE_BYTES: Final = 128
 MAX_SLICE_BYTES: Final = 65_536
 """What is read from one connection before the others get their turn.  A slice of heads may hold
-hundreds of requests, each of which takes far more memory than its bytes."""
+hundreds of requests or lines, each of which takes far more memory than its bytes.  So while nothing
+more should be kept, a new head is read only as far as needed to make its caller wait."""
 
 SLICES: Final = 64
 """A slice is at most this part of the room: many connections are read before one is paused."""
@@ -191,6 +193,12 @@
         room = self.limit_bytes - self.total_bytes
         return max(MIN_SLICE_BYTES, min(MAX_SLICE_BYTES, room // SLICES))
 
+    def head_slice_bytes(self) -> int:
+        """Return how much to read of a head from a connection in its turn."""
+        if self.is_full:
+            return FULL_HEAD_SLICE_BYTES
+        return min(HEAD_SLICE_BYTES, self.slice_bytes())
+
     def arrive(self, caller: Arrival, size: int, now_s: float) -> None:
         """Set how much is kept of a caller's request; the caller may have to wait from now on."""
         progress = self._arrivals.get(caller)
--- a/filbertstream/connection/caller_connection.py
+++ b/filbertstream/connection/caller_connection.py
@@ -11,7 +11,6 @@
 from typing import Final, Protocol, cast
 
 from filbertstream.connection.buffer_budget import (
-    HEAD_SLICE_BYTES,
     MAX_SLICE_BYTES,
     MIN_SLICE_BYTES,
     BufferBudget,
@@ -153,11 +152,9 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where to put the next bytes, at most a slice."""
-        size = self._buffers.slice_bytes()
-        if self._in_request and self._head_done and self._is_slow_to_parse:
-            size = MIN_SLICE_BYTES
-        elif not self._in_request or not self._head_done:
-            size = min(size, HEAD_SLICE_BYTES)
+        if not self._in_request or not self._head_done:
+            return _SLICE[: self._buffers.head_slice_bytes()]
+        size = MIN_SLICE_BYTES if self._is_slow_to_parse else self._buffers.slice_bytes()
         return _SLICE[:size]
 
     def buffer_updated(self, nbytes: int) -> None:
--- a/tests/test_caller_fuzz.py
+++ b/tests/test_caller_fuzz.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from filbertstream.connection.buffer_budget import BufferBudget
 from filbertstream.connection.caller_connection import CallerConnection
 from filbertstream.connection.request_parser import RawRequest
 from filbertstream.version.routes import CallerLimits
@@ -43,6 +44,7 @@
     def __init__(self) -> None:
         self.written = b""
         self.closed = False
+        self.paused = False
 
     def write(self, data: bytes) -> None:
         self.written += data
@@ -70,9 +72,12 @@
         """Ignore the limits."""
 
     def pause_reading(self) -> None:
-        """Do nothing, because nothing is read."""
+        """Record that nothing is to be read."""
+        self.paused = True
 
-    resume_reading = pause_reading
+    def resume_reading(self) -> None:
+        """Record that reading goes on."""
+        self.paused = False
 
 
 class App:
@@ -230,3 +235,29 @@
     assert [raw.body for raw in sound.requests] == [b"hello"]
     app, _ = asyncio.run(feed(split(chunked + b"t: " + b"y" * 4_000, size)))
     assert app.rejected == [431]
+
+
+async def stop_in_heads(count: int, budget: BufferBudget) -> int:
+    """Return the most that is kept of callers that stop inside a head of short lines."""
+    head = b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 450
+    most_bytes = 0
+    for _ in range(count):
+        conn, transport = CallerConnection(App(), lambda closed_conn: None, budget), Transport()
+        untyped: Any = transport
+        conn.connection_made(untyped)
+        sent = 0
+        while sent < len(head) and not transport.paused:
+            buffer = conn.get_buffer(-1)
+            size = min(len(buffer), len(head) - sent)
+            buffer[:size] = head[sent : sent + size]
+            conn.buffer_updated(size)
+            sent += size
+        most_bytes = max(most_bytes, budget.total_bytes)
+    return most_bytes
+
+
+def test_each_caller_adds_a_slice_of_short_lines_although_nothing_more_should_be_kept() -> None:
+    """Thousands of callers stop inside a head with 450 lines, which take 70 kB each."""
+    limit_bytes, count = 1_000_000, 300
+    most_bytes = asyncio.run(stop_in_heads(count, BufferBudget(limit_bytes)))
+    assert most_bytes <= limit_bytes + 8_192 * count
