--- a/filbertstream/request/crash_reports.py
+++ b/filbertstream/request/crash_reports.py
@@ -43,8 +43,8 @@
         self.note_begun(call, target, now_s)
         self._note_established(call, target, now_s)
 
-    def note_time(self, call: Call, now_s: float) -> None:
-        """Record that a response has gone on for long enough to prove the blocks of its prompt."""
+    def update_stage(self, call: Call, now_s: float) -> None:
+        """Note whether a response has gone on for long enough to prove the blocks of its prompt."""
         if call.stage is not SendStage.BEGUN or now_s - call.begun_s < ESTABLISHED_AFTER_S:
             return
         call.stage = SendStage.ESTABLISHED
@@ -63,7 +63,7 @@
         target, prompt = call.target, call.head.prompt
         if target is None or prompt is None or cause not in CUT_OFF_CAUSES:
             return []
-        self.note_time(call, now_s)
+        self.update_stage(call, now_s)
         kind = _kind(call, prompt, target)
         blocks = None if call.stage is SendStage.ESTABLISHED else _shared_blocks(prompt)
         begun = call.stage is SendStage.BEGUN
--- a/filbertstream/request/forwarding.py
+++ b/filbertstream/request/forwarding.py
@@ -375,7 +375,7 @@
                 call.may_have_run = call.may_have_run or call.target is not None
                 actions += self._endings.give_up(call, "deadline", now_s)
                 continue
-            self._crashes.note_time(call, now_s)
+            self._crashes.update_stage(call, now_s)
             if call.suspected_at is not None:
                 actions += self._failures.resolve_suspicion(call, now_s)
                 continue
--- a/filbertstream/version/config_freshness.py
+++ b/filbertstream/version/config_freshness.py
@@ -71,7 +71,7 @@
             return False
         is_first = self.confirmed_at_s < self._proves_from_s
         self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
-        return is_first and self._proves_from_s > 0.0
+        return is_first
 
     def awaits_confirmation(self, now_s: float) -> bool:
         """Whether a restore was so recent that no confirmation that counts is due yet."""
