Bound the established responses in a message by what a node may send

Change: 32 rows of established responses in a message. The measures of bench.crash_slopes hold both kinds.

--- a/bench/crash_slopes.py
+++ b/bench/crash_slopes.py
@@ -20,8 +20,10 @@
 
 KIND = RunnerKind("models", "guide-7b", 3)
 NOW_S = 100.0
-WAITING_PROMPTS = 4
-"""Suspect prompts that wait for their head at a crashed runner, beside one that has it."""
+WAITING_PROMPTS = 2
+BEGUN_PROMPTS = 2
+"""Suspect prompts at a crashed runner, beside one that has its head: those that wait for it, and
+those whose response has begun."""
 
 SHARED_BLOCKS = 3
 
@@ -34,8 +36,8 @@
     evidence = CrashEvidence(lambda model, block: False)
     for number in range(crashes):
         prompts = [
-            SuspectPrompt(index == 0, _blocks(100 * number + index))
-            for index in range(1 + WAITING_PROMPTS)
+            SuspectPrompt(index == 0, _blocks(100 * number + index), index > WAITING_PROMPTS)
+            for index in range(1 + WAITING_PROMPTS + BEGUN_PROMPTS)
         ]
         start = TargetStart(f"i-{number:010x}", 1_790_000_000_000 + number)
         evidence.add(start, KIND, prompts, NOW_S - 1.0 - number, NOW_S)
@@ -43,16 +45,21 @@
 
 
 def crashes_bytes(crashes: int) -> float:
-    """Measure the crashes in a message."""
-    return float(len(encode_rows(CrashFacts(_evidence(crashes)).rows(Scope.LOCAL, NOW_S))))
+    """Measure the crashes in a message, of both kinds of suspect prompts."""
+    evidence = _evidence(crashes)
+    holders = [CrashFacts(evidence, begun) for begun in (False, True)]
+    return float(sum(len(encode_rows(item.rows(Scope.LOCAL, NOW_S))) for item in holders))
 
 
 def begun_bytes(blocks: int) -> float:
-    """Measure the acquitted blocks in a message."""
+    """Measure as many blocks acquitted by begun responses as by established ones in a message."""
     evidence = _evidence(blocks // SHARED_BLOCKS + 1)
     for number in range(blocks // SHARED_BLOCKS + 1):
         evidence.note_begun(KIND, _blocks(100 * number), NOW_S, NOW_S)
-    return float(len(encode_rows(BegunFacts(evidence).rows(Scope.LOCAL, NOW_S)[:blocks])))
+        begun = _blocks(100 * number + WAITING_PROMPTS + 1)
+        evidence.note_established(KIND, begun, NOW_S, NOW_S)
+    holders = [BegunFacts(evidence, established) for established in (False, True)]
+    return float(sum(len(encode_rows(item.rows(Scope.LOCAL, NOW_S)[:blocks])) for item in holders))
 
 
 def _quarantine(records: int) -> Quarantine:
@@ -120,5 +127,6 @@
         quarantine.refuses(prompt, NOW_S)
         trials.admits(number, KIND.model, blocks, NOW_S)
         evidence.note_begun(KIND, blocks, NOW_S, NOW_S)
+        evidence.note_established(KIND, blocks, NOW_S, NOW_S)
 
     return time_per_call_us(screen, 1_000)
--- a/filbertstream/fleet/crash_facts.py
+++ b/filbertstream/fleet/crash_facts.py
@@ -25,7 +25,10 @@
 """Crashes in a message, the latest ones."""
 
 MAX_BEGUN_ROWS: Final = 64
-"""Acquitted blocks in a message, the latest ones; about 3 KB."""
+"""Blocks acquitted by begun responses in a message, the latest ones; about 3 KB."""
+
+MAX_ESTABLISHED_ROWS: Final = 32
+"""Blocks acquitted by established responses; both kinds together fit what a node may send."""
 
 
 class PromptRow(NamedTuple):
@@ -110,6 +113,7 @@
     def __init__(self, evidence: CrashEvidence, established: bool = False) -> None:
         self._responses: BlockResponses = evidence.established if established else evidence.begun
         self._note = evidence.note_established if established else evidence.note_begun
+        self._max_rows = MAX_ESTABLISHED_ROWS if established else MAX_BEGUN_ROWS
 
     @property
     def changes(self) -> int:
@@ -120,7 +124,7 @@
         """Return when responses with acquitted blocks came last."""
         return [
             BegunRow(*item.kind, item.block_id, round(now_s - item.at_s, 3))
-            for item in self._responses.reported(scope)[:MAX_BEGUN_ROWS]
+            for item in self._responses.reported(scope)[: self._max_rows]
         ]
 
     def take(self, rows: Sequence[BegunRow], scope: Scope, now_s: float) -> list[Log]:
