--- a/tests/test_revocation_machine.py
+++ b/tests/test_revocation_machine.py
@@ -205,6 +205,18 @@
     def read_at_once(self) -> None:
         self.take(self.read())
 
+    @rule(keys=st.sets(st.sampled_from(KEYS)), pause_s=st.sampled_from([0.1, 1.2, 2.0, 2.5]))
+    def lose_contact_after_restore(self, keys: set[str], pause_s: float) -> None:
+        """A configuration is lost that no entry has read; the entry reads the copy twice."""
+        self.write(keys, 1)
+        self.restore(1)
+        self.read_at_once()
+        self.wait(pause_s, False)
+        self.read_at_once()
+        for _ in range(5):
+            self.wait(1.5, False)
+            self.call("book")
+
 
 TestRevocation = RevocationMachine.TestCase
 TestRevocation.settings = settings(max_examples=600)
